--- /dev/null
+++ b/internal/catalog/snapshot.go
@@ -0,0 +1,299 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+const (
+	defaultMaxQueued         = 1024
+	defaultKeyWindow         = 10 * time.Minute
+	defaultBurstSeconds      = 10
+	defaultMaxUnavailable    = 25
+	defaultRunningPerEngine  = 32
+	defaultShare             = 1
+	digestPrefixBytes        = 4
+	maxDigestsPerPrefixCheck = 64
+)
+
+// Snapshot is one accepted revision of the catalog, compiled for lookups. It
+// is immutable.
+type Snapshot struct {
+	Revision uint64
+	Catalog  *tinarchv1.Catalog
+
+	classes  map[string]*tinarchv1.PriorityClass
+	kinds    map[string]*Kind
+	models   map[string]*tinarchv1.Model
+	versions map[string]*tinarchv1.ModelVersion
+	adapters map[string]*tinarchv1.Adapter
+	pools    map[string]*tinarchv1.Pool
+	tenants  map[string]*tinarchv1.Tenant
+	// keys holds the digests of tenants' keys by their first bytes, so that
+	// the whole digest is only ever compared in constant time.
+	keys map[[digestPrefixBytes]byte][]tenantKey
+}
+
+type tenantKey struct {
+	digest [sha256.Size]byte
+	tenant *tinarchv1.Tenant
+}
+
+// Kind is a request kind with its references resolved and defaults filled in.
+type Kind struct {
+	Name            string
+	Class           string // empty: the tenant's class
+	Model           string
+	Version         string
+	Adapter         string
+	Pool            string
+	Repeatable      bool
+	Deadline        time.Duration
+	FirstToken      time.Duration
+	MaxPromptTokens int
+	MaxOutputTokens int
+	KeyWindow       time.Duration
+}
+
+// Compile validates a catalog and prepares its lookups.
+func Compile(revision uint64, source *tinarchv1.Catalog) (*Snapshot, error) {
+	if violations := Validate(source); len(violations) > 0 {
+		return nil, violations
+	}
+	s := &Snapshot{
+		Revision: revision,
+		Catalog:  source,
+		classes:  index(source.GetClasses(), nameKey),
+		models:   index(source.GetModels(), nameKey),
+		versions: index(source.GetVersions(), versionKey),
+		adapters: index(source.GetAdapters(), nameKey),
+		pools:    index(source.GetPools(), nameKey),
+		tenants:  index(source.GetTenants(), nameKey),
+		kinds:    map[string]*Kind{},
+		keys:     map[[digestPrefixBytes]byte][]tenantKey{},
+	}
+	for _, kind := range source.GetKinds() {
+		s.kinds[kind.GetName()] = s.resolveKind(kind)
+	}
+	for _, tenant := range source.GetTenants() {
+		s.addKeys(tenant)
+	}
+	return s, nil
+}
+
+func index[T any](objects []T, key func(T) string) map[string]T {
+	indexed := make(map[string]T, len(objects))
+	for _, object := range objects {
+		indexed[key(object)] = object
+	}
+	return indexed
+}
+
+func (s *Snapshot) resolveKind(kind *tinarchv1.RequestKind) *Kind {
+	model := s.models[kind.GetModel()]
+	resolved := &Kind{
+		Name:            kind.GetName(),
+		Class:           kind.GetPriorityClass(),
+		Model:           kind.GetModel(),
+		Version:         kind.GetVersion(),
+		Adapter:         kind.GetAdapter(),
+		Pool:            model.GetPool(),
+		Repeatable:      kind.GetRepeatable(),
+		Deadline:        milliseconds(kind.GetDeadlineMs()),
+		FirstToken:      milliseconds(kind.GetFirstTokenMs()),
+		MaxPromptTokens: int(kind.GetMaxPromptTokens()),
+		MaxOutputTokens: int(kind.GetMaxOutputTokens()),
+		KeyWindow:       time.Duration(kind.GetKeyWindowSeconds()) * time.Second,
+	}
+	if resolved.Version == "" {
+		resolved.Version = model.GetDefaultVersion()
+	}
+	if resolved.FirstToken == 0 {
+		resolved.FirstToken = resolved.Deadline
+	}
+	if resolved.MaxPromptTokens == 0 {
+		resolved.MaxPromptTokens = int(model.GetContextTokens()) - resolved.MaxOutputTokens
+	}
+	if resolved.KeyWindow == 0 {
+		resolved.KeyWindow = defaultKeyWindow
+	}
+	return resolved
+}
+
+func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
+
+func (s *Snapshot) addKeys(tenant *tinarchv1.Tenant) {
+	for _, digest := range tenant.GetKeySha256() {
+		key := tenantKey{tenant: tenant}
+		_, _ = hex.Decode(key.digest[:], []byte(digest)) // validated before
+		prefix := [digestPrefixBytes]byte(key.digest[:digestPrefixBytes])
+		s.keys[prefix] = append(s.keys[prefix], key)
+	}
+}
+
+// KeyDigest returns the digest of an API key as tenants' key_sha256 holds it.
+func KeyDigest(key string) string {
+	digest := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(digest[:])
+}
+
+// TenantByKey returns the tenant of an API key. The digest is compared in
+// constant time.
+func (s *Snapshot) TenantByKey(key string) (*tinarchv1.Tenant, error) {
+	digest := sha256.Sum256([]byte(key))
+	candidates := s.keys[[digestPrefixBytes]byte(digest[:digestPrefixBytes])]
+	for _, candidate := range candidates[:min(len(candidates), maxDigestsPerPrefixCheck)] {
+		if subtle.ConstantTimeCompare(candidate.digest[:], digest[:]) == 1 {
+			return candidate.tenant, nil
+		}
+	}
+	return nil, result.New(result.Unauthenticated, "the API key is not known; send a valid one as \"Authorization: Bearer KEY\"")
+}
+
+// KindFor selects the kind of a request: the one named, else the tenant's
+// default kind. The model, where the request names one, must be the kind's.
+func (s *Snapshot) KindFor(tenant *tinarchv1.Tenant, name, model string) (*Kind, error) {
+	if name == "" {
+		name = tenant.GetDefaultKind()
+	}
+	if name == "" {
+		return nil, result.New(result.UnknownKind, "the request names no kind and tenant %s has no default; set the Tinarch-Kind header", tenant.GetName())
+	}
+	kind := s.kinds[name]
+	if kind == nil {
+		return nil, result.New(result.UnknownKind, "kind %q is not configured; see `tinarch get`", name)
+	}
+	if allowed := tenant.GetKinds(); len(allowed) > 0 && !slices.Contains(allowed, name) {
+		return nil, result.New(result.PermissionDenied, "tenant %s may not use kind %q", tenant.GetName(), name)
+	}
+	if model != "" && model != kind.Model {
+		return nil, result.New(result.UnknownModel, "kind %q is served by model %q, not %q; name that model or another kind", name, kind.Model, model)
+	}
+	return kind, nil
+}
+
+// Resolve returns a tenant and a kind by name.
+func (s *Snapshot) Resolve(tenant, kind string) (*tinarchv1.Tenant, *Kind, error) {
+	foundTenant, foundKind := s.tenants[tenant], s.kinds[kind]
+	if foundTenant == nil {
+		return nil, nil, result.New(result.PermissionDenied, "tenant %q is not configured any more", tenant)
+	}
+	if foundKind == nil {
+		return nil, nil, result.New(result.UnknownKind, "kind %q is not configured any more", kind)
+	}
+	return foundTenant, foundKind, nil
+}
+
+// ClassOf returns the class of a request.
+func (s *Snapshot) ClassOf(tenant *tinarchv1.Tenant, kind *Kind) *tinarchv1.PriorityClass {
+	if kind.Class != "" {
+		return s.classes[kind.Class]
+	}
+	return s.classes[tenant.GetPriorityClass()]
+}
+
+// Class returns a class by name, nil when there is none.
+func (s *Snapshot) Class(name string) *tinarchv1.PriorityClass { return s.classes[name] }
+
+// Version returns a model version, nil when there is none.
+func (s *Snapshot) Version(model, version string) *tinarchv1.ModelVersion {
+	return s.versions[VersionName(model, version)]
+}
+
+// Pool returns a pool, nil when there is none.
+func (s *Snapshot) Pool(name string) *tinarchv1.Pool { return s.pools[name] }
+
+// MaxQueued returns the most requests of a class that may wait in one cell.
+func MaxQueued(class *tinarchv1.PriorityClass) int {
+	return orDefault(int(class.GetMaxQueued()), defaultMaxQueued)
+}
+
+// BurstSeconds returns the burst allowance of a tenant.
+func BurstSeconds(tenant *tinarchv1.Tenant) int {
+	return orDefault(int(tenant.GetBurstSeconds()), defaultBurstSeconds)
+}
+
+// MaxUnavailablePercent returns the share of a pool that may be out at once.
+func MaxUnavailablePercent(pool *tinarchv1.Pool) int {
+	return orDefault(int(pool.GetMaxUnavailablePercent()), defaultMaxUnavailable)
+}
+
+// MaxRunningPerEngine returns how many requests one engine of a pool runs.
+func MaxRunningPerEngine(pool *tinarchv1.Pool) int {
+	return orDefault(int(pool.GetMaxRunningPerEngine()), defaultRunningPerEngine)
+}
+
+func orDefault(value, fallback int) int {
+	if value == 0 {
+		return fallback
+	}
+	return value
+}
+
+// Demand is one model version that a pool must serve.
+type Demand struct {
+	Model     string
+	Version   string
+	Share     int
+	SizeBytes uint64
+	Adapters  []string
+}
+
+// Demands returns the model versions that a pool serves, in order of name: the
+// default version of each model, and every other version that a kind names.
+func (s *Snapshot) Demands(pool string) []Demand {
+	var demands []Demand
+	for _, model := range s.Catalog.GetModels() {
+		if model.GetPool() != pool {
+			continue
+		}
+		for _, version := range s.versionsInUse(model) {
+			demands = append(demands, Demand{
+				Model:     model.GetName(),
+				Version:   version,
+				Share:     orDefault(int(model.GetShare()), defaultShare),
+				SizeBytes: s.Version(model.GetName(), version).GetSizeBytes(),
+				Adapters:  s.adaptersOf(model.GetName(), version),
+			})
+		}
+	}
+	return demands
+}
+
+func (s *Snapshot) versionsInUse(model *tinarchv1.Model) []string {
+	versions := []string{model.GetDefaultVersion()}
+	for _, kind := range s.Catalog.GetKinds() {
+		resolved := s.kinds[kind.GetName()]
+		if resolved.Model == model.GetName() && !slices.Contains(versions, resolved.Version) {
+			versions = append(versions, resolved.Version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+func (s *Snapshot) adaptersOf(model, version string) []string {
+	var adapters []string
+	for _, kind := range s.kinds {
+		if kind.Model == model && kind.Version == version && kind.Adapter != "" && !slices.Contains(adapters, kind.Adapter) {
+			adapters = append(adapters, kind.Adapter)
+		}
+	}
+	slices.Sort(adapters)
+	return adapters
+}
+
+// AdapterBytes returns the total size of adapters.
+func (s *Snapshot) AdapterBytes(names []string) uint64 {
+	var total uint64
+	for _, name := range names {
+		total += s.adapters[name].GetSizeBytes()
+	}
+	return total
+}
--- /dev/null
+++ b/internal/catalog/validate.go
@@ -0,0 +1,252 @@
+package catalog
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"strings"
+
+	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+const (
+	maxWeight        = 1000
+	maxDeadlineMs    = 24 * 3600 * 1000
+	maxContextTokens = 16 << 20
+	maxKeyWindow     = 7 * 24 * 3600
+	digestHexLength  = 64
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,62})$`)
+
+// Violations lists the mistakes of a catalog. It implements error.
+type Violations []*tinarchv1.Violation
+
+// Error lists all mistakes, one a line.
+func (v Violations) Error() string {
+	lines := make([]string, len(v))
+	for i, violation := range v {
+		lines[i] = fmt.Sprintf("%s: %s: %s", violation.GetObject(), violation.GetField(), violation.GetMessage())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap gives the list its result code.
+func (v Violations) Unwrap() error {
+	return result.New(result.InvalidCatalog, "%d mistakes in the configuration:\n%s", len(v), v.Error())
+}
+
+type validator struct {
+	catalog  *tinarchv1.Catalog
+	found    Violations
+	classes  map[string]bool
+	kinds    map[string]bool
+	models   map[string]*tinarchv1.Model
+	versions map[string]bool
+	adapters map[string]*tinarchv1.Adapter
+	pools    map[string]bool
+	digests  map[string]string
+}
+
+// Validate checks a catalog as a whole and returns every mistake.
+func Validate(catalog *tinarchv1.Catalog) Violations {
+	v := &validator{
+		catalog:  catalog,
+		classes:  map[string]bool{},
+		kinds:    map[string]bool{},
+		models:   map[string]*tinarchv1.Model{},
+		versions: map[string]bool{},
+		adapters: map[string]*tinarchv1.Adapter{},
+		pools:    map[string]bool{},
+		digests:  map[string]string{},
+	}
+	v.collect()
+	v.checkClasses()
+	v.checkPools()
+	v.checkModels()
+	v.checkVersions()
+	v.checkAdapters()
+	v.checkKinds()
+	v.checkTenants()
+	return v.found
+}
+
+func (v *validator) add(object, field, format string, arguments ...any) {
+	v.found = append(v.found, &tinarchv1.Violation{Object: object, Field: field, Message: fmt.Sprintf(format, arguments...)})
+}
+
+// name checks an object's name and that it stands once.
+func (v *validator) name(object, name string, taken bool) {
+	if !namePattern.MatchString(name) {
+		v.add(object, "name", "%q is not a name; use 1 to 63 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit", name)
+	}
+	if taken {
+		v.add(object, "name", "the name stands twice; remove one of the two")
+	}
+}
+
+// collect gathers the names first, so that objects may refer to later ones.
+func (v *validator) collect() {
+	for _, class := range v.catalog.GetClasses() {
+		v.name("class "+class.GetName(), class.GetName(), v.classes[class.GetName()])
+		v.classes[class.GetName()] = true
+	}
+	for _, kind := range v.catalog.GetKinds() {
+		v.name("kind "+kind.GetName(), kind.GetName(), v.kinds[kind.GetName()])
+		v.kinds[kind.GetName()] = true
+	}
+	for _, model := range v.catalog.GetModels() {
+		v.name("model "+model.GetName(), model.GetName(), v.models[model.GetName()] != nil)
+		v.models[model.GetName()] = model
+	}
+	for _, version := range v.catalog.GetVersions() {
+		key := versionKey(version)
+		v.name("version "+key, version.GetName(), v.versions[key])
+		v.versions[key] = true
+	}
+	for _, adapter := range v.catalog.GetAdapters() {
+		v.name("adapter "+adapter.GetName(), adapter.GetName(), v.adapters[adapter.GetName()] != nil)
+		v.adapters[adapter.GetName()] = adapter
+	}
+	for _, pool := range v.catalog.GetPools() {
+		v.name("pool "+pool.GetName(), pool.GetName(), v.pools[pool.GetName()])
+		v.pools[pool.GetName()] = true
+	}
+}
+
+func (v *validator) checkClasses() {
+	for _, class := range v.catalog.GetClasses() {
+		object := "class " + class.GetName()
+		if class.GetWeight() < 1 || class.GetWeight() > maxWeight {
+			v.add(object, "weight", "%d is out of range; use 1 to %d", class.GetWeight(), maxWeight)
+		}
+	}
+}
+
+func (v *validator) checkPools() {
+	for _, pool := range v.catalog.GetPools() {
+		if pool.GetMaxUnavailablePercent() > 100 {
+			v.add("pool "+pool.GetName(), "max_unavailable_percent", "%d is out of range; use 0 to 100", pool.GetMaxUnavailablePercent())
+		}
+	}
+}
+
+func (v *validator) checkModels() {
+	for _, model := range v.catalog.GetModels() {
+		object := "model " + model.GetName()
+		if !v.pools[model.GetPool()] {
+			v.add(object, "pool", "pool %q does not exist; add it or name another", model.GetPool())
+		}
+		if model.GetContextTokens() < 1 || model.GetContextTokens() > maxContextTokens {
+			v.add(object, "context_tokens", "%d is out of range; use 1 to %d", model.GetContextTokens(), maxContextTokens)
+		}
+		if !v.versions[VersionName(model.GetName(), model.GetDefaultVersion())] {
+			v.add(object, "default_version", "version %q of the model does not exist; add it or name another", model.GetDefaultVersion())
+		}
+	}
+}
+
+func (v *validator) checkVersions() {
+	for _, version := range v.catalog.GetVersions() {
+		object := "version " + versionKey(version)
+		if v.models[version.GetModel()] == nil {
+			v.add(object, "model", "model %q does not exist; add it or name another", version.GetModel())
+		}
+		if version.GetWeights() == "" {
+			v.add(object, "weights", "the object in the weight store is missing; name it")
+		}
+	}
+}
+
+func (v *validator) checkAdapters() {
+	for _, adapter := range v.catalog.GetAdapters() {
+		object := "adapter " + adapter.GetName()
+		if v.models[adapter.GetModel()] == nil {
+			v.add(object, "model", "model %q does not exist; add it or name another", adapter.GetModel())
+		}
+		if adapter.GetWeights() == "" {
+			v.add(object, "weights", "the object in the weight store is missing; name it")
+		}
+	}
+}
+
+func (v *validator) checkKinds() {
+	for _, kind := range v.catalog.GetKinds() {
+		object := "kind " + kind.GetName()
+		if kind.GetPriorityClass() != "" && !v.classes[kind.GetPriorityClass()] {
+			v.add(object, "priority_class", "class %q does not exist; add it or name another", kind.GetPriorityClass())
+		}
+		if kind.GetDeadlineMs() < 1 || kind.GetDeadlineMs() > maxDeadlineMs {
+			v.add(object, "deadline_ms", "%d is out of range; use 1 to %d", kind.GetDeadlineMs(), maxDeadlineMs)
+		}
+		if kind.GetFirstTokenMs() > kind.GetDeadlineMs() {
+			v.add(object, "first_token_ms", "%d is later than the deadline of %d ms; lower it", kind.GetFirstTokenMs(), kind.GetDeadlineMs())
+		}
+		if kind.GetMaxOutputTokens() < 1 {
+			v.add(object, "max_output_tokens", "it is missing; use at least 1")
+		}
+		if kind.GetKeyWindowSeconds() > maxKeyWindow {
+			v.add(object, "key_window_seconds", "%d is out of range; use 0 to %d", kind.GetKeyWindowSeconds(), maxKeyWindow)
+		}
+		v.checkKindModel(object, kind)
+	}
+}
+
+func (v *validator) checkKindModel(object string, kind *tinarchv1.RequestKind) {
+	model := v.models[kind.GetModel()]
+	if model == nil {
+		v.add(object, "model", "model %q does not exist; add it or name another", kind.GetModel())
+		return
+	}
+	if kind.GetVersion() != "" && !v.versions[VersionName(kind.GetModel(), kind.GetVersion())] {
+		v.add(object, "version", "version %q of model %q does not exist; add it or name another", kind.GetVersion(), kind.GetModel())
+	}
+	if kind.GetAdapter() != "" {
+		adapter := v.adapters[kind.GetAdapter()]
+		if adapter == nil {
+			v.add(object, "adapter", "adapter %q does not exist; add it or name another", kind.GetAdapter())
+		} else if adapter.GetModel() != kind.GetModel() {
+			v.add(object, "adapter", "adapter %q extends model %q, not %q", kind.GetAdapter(), adapter.GetModel(), kind.GetModel())
+		}
+	}
+	total := uint64(kind.GetMaxPromptTokens()) + uint64(kind.GetMaxOutputTokens())
+	if total > uint64(model.GetContextTokens()) {
+		v.add(object, "max_prompt_tokens", "prompt and output of %d tokens exceed the context window of %d of model %q; lower them",
+			total, model.GetContextTokens(), model.GetName())
+	}
+}
+
+func (v *validator) checkTenants() {
+	seen := map[string]bool{}
+	for _, tenant := range v.catalog.GetTenants() {
+		object := "tenant " + tenant.GetName()
+		v.name(object, tenant.GetName(), seen[tenant.GetName()])
+		seen[tenant.GetName()] = true
+		if !v.classes[tenant.GetPriorityClass()] {
+			v.add(object, "priority_class", "class %q does not exist; add it or name another", tenant.GetPriorityClass())
+		}
+		if tenant.GetDefaultKind() != "" && !v.kinds[tenant.GetDefaultKind()] {
+			v.add(object, "default_kind", "kind %q does not exist; add it or name another", tenant.GetDefaultKind())
+		}
+		for _, kind := range tenant.GetKinds() {
+			if !v.kinds[kind] {
+				v.add(object, "kinds", "kind %q does not exist; add it or remove it here", kind)
+			}
+		}
+		v.checkDigests(object, tenant)
+	}
+}
+
+func (v *validator) checkDigests(object string, tenant *tinarchv1.Tenant) {
+	for _, digest := range tenant.GetKeySha256() {
+		raw, err := hex.DecodeString(digest)
+		if err != nil || len(raw)*2 != digestHexLength || strings.ToLower(digest) != digest {
+			v.add(object, "key_sha256", "%q is not a SHA-256 digest in lower-case hexadecimal; use the output of `tinarch key`", digest)
+		}
+		if owner, taken := v.digests[digest]; taken {
+			v.add(object, "key_sha256", "the digest is also that of tenant %q; give each tenant keys of its own", owner)
+		}
+		v.digests[digest] = tenant.GetName()
+	}
+}
--- /dev/null
+++ b/internal/cell/engines.go
@@ -0,0 +1,135 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/tinarch/tinarch/internal/catalog"
+	"github.com/tinarch/tinarch/internal/control"
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/fleet"
+)
+
+// Instruction is an order to send to an engine.
+type Instruction struct {
+	Engine  string
+	Address string
+	Order   engine.Order
+}
+
+// assign decides what each engine should serve.
+func (s *State) assign() {
+	if s.snapshot == nil {
+		return
+	}
+	demands := s.snapshot.Demands(s.pool)
+	members := make([]fleet.Member, 0, len(s.order))
+	for _, m := range s.order {
+		if m.machine.Leaving {
+			continue
+		}
+		status, _ := m.control.Observed()
+		members = append(members, fleet.Member{Name: m.machine.Name, Serving: status.Deployment, Assigned: m.desired.Deployment})
+	}
+	assigned := fleet.Assign(members, demands)
+	for _, m := range s.order {
+		target, ok := assigned[m.machine.Name]
+		if !ok {
+			continue // leaving engines keep what they have
+		}
+		m.desired = control.Desired{Deployment: target, SizeBytes: s.sizeOf(target), Drained: m.drained}
+	}
+}
+
+func (s *State) sizeOf(target engine.Deployment) uint64 {
+	version := s.snapshot.Version(target.Model, target.Version)
+	return version.GetSizeBytes() + s.snapshot.AdapterBytes(target.Adapters)
+}
+
+// Reconcile returns the orders to send now. The caller checks its authority
+// again before each leaves, and feeds the outcome to Answered.
+func (s *State) Reconcile(now time.Duration) []Instruction {
+	if s.snapshot == nil || s.fence == 0 {
+		return nil
+	}
+	budget := s.changeBudget(now)
+	var instructions []Instruction
+	for _, m := range s.order {
+		if m.machine.Leaving {
+			continue
+		}
+		mayChange := budget > 0 && s.mayLoad(now, m)
+		wasChanging := m.control.Changing()
+		order, send := m.control.Next(now, m.desired, m.candidate.InFlight, mayChange)
+		if m.control.Changing() && !wasChanging {
+			budget--
+			s.spaceLoads(now, m)
+		}
+		if send {
+			instructions = append(instructions, Instruction{Engine: m.machine.Name, Address: m.machine.Address, Order: order})
+		}
+	}
+	return instructions
+}
+
+// changeBudget returns how many more engines may begin a planned change. An
+// engine that serves nothing of use is no loss, but the limit on loads applies.
+func (s *State) changeBudget(now time.Duration) int {
+	limit := max(1, len(s.order)*catalog.MaxUnavailablePercent(s.snapshot.Pool(s.pool))/100)
+	out := 0
+	for _, m := range s.order {
+		if m.control.Changing() || m.control.Lost(now) && m.listed {
+			out++
+		}
+	}
+	if s.servingNothing() {
+		return len(s.order)
+	}
+	return limit - out
+}
+
+// servingNothing reports that no engine serves what is asked for, as at a first
+// start: then there is no service to protect.
+func (s *State) servingNothing() bool {
+	for _, m := range s.order {
+		status, seen := m.control.Observed()
+		if seen && status.Deployment.Serves(m.desired.Deployment) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayLoad spaces loads by the weight store's rate.
+func (s *State) mayLoad(now time.Duration, m *member) bool {
+	return now >= s.nextLoadAt || !m.control.NeedsLoad(m.desired)
+}
+
+func (s *State) spaceLoads(now time.Duration, m *member) {
+	if s.loadRate <= 0 || !m.control.NeedsLoad(m.desired) {
+		return
+	}
+	seconds := float64(m.desired.SizeBytes) / s.loadRate
+	s.nextLoadAt = max(now, s.nextLoadAt) + time.Duration(seconds*float64(time.Second))
+}
+
+// Answered takes the outcome of an order.
+func (s *State) Answered(now time.Duration, instruction Instruction, status engine.Status, err error) {
+	m := s.members[instruction.Engine]
+	if m == nil {
+		return
+	}
+	if err == nil {
+		s.ObserveStatus(now, instruction.Engine, status)
+		return
+	}
+	m.control.Answered(now, instruction.Order, status, err)
+}
+
+// Targets lists the engines to ask for their status.
+func (s *State) Targets() []Machine {
+	targets := make([]Machine, 0, len(s.order))
+	for _, m := range s.order {
+		targets = append(targets, m.machine)
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/cell/requests.go
@@ -0,0 +1,312 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/admission"
+	"github.com/tinarch/tinarch/internal/catalog"
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/placement"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Enqueue admits a request or refuses it at once. Requests of lower classes
+// that had to make room are returned as shed.
+func (s *State) Enqueue(now time.Duration, request PlaceRequest) (shed []Refused, err error) {
+	if s.snapshot == nil {
+		return nil, result.New(result.NotConfigured, "cell %s has no configuration yet", s.name)
+	}
+	tenant, kind, err := s.snapshot.Resolve(request.Tenant, request.Kind)
+	if err != nil {
+		return nil, err
+	}
+	if _, twice := s.waiting[request.Attempt]; twice {
+		return nil, result.New(result.InvalidRequest, "attempt %s waits already", request.Attempt)
+	}
+	class := s.snapshot.ClassOf(tenant, kind)
+	w := &waiting{
+		request: request,
+		target: placement.Request{
+			Model:        kind.Model,
+			Version:      kind.Version,
+			Adapter:      kind.Adapter,
+			PromptTokens: request.PromptTokens,
+			OutputTokens: request.OutputTokens,
+			Prefix:       request.Prefix,
+			Zone:         request.Zone,
+		},
+		rank:     class.GetRank(),
+		deadline: now + time.Duration(request.DeadlineMillis)*time.Millisecond,
+		lane:     s.lane(kind.Model, kind.Version),
+	}
+	s.exclude(w)
+	s.refresh(now)
+	capacity := s.capacity(w)
+	if capacity.engines == 0 {
+		return nil, result.New(result.NoEngine, "no engine of cell %s serves %s/%s now", s.name, kind.Model, kind.Version).
+			WithRetryAfter(retryNoEngine)
+	}
+	w.item = &admission.Item{
+		ID:        string(request.Attempt),
+		Tenant:    request.Tenant,
+		Class:     class.GetName(),
+		Rank:      class.GetRank(),
+		Weight:    float64(class.GetWeight()),
+		MaxQueued: catalog.MaxQueued(class),
+		Cost:      capacity.cost.Seconds(),
+		Deadline:  w.deadline,
+		Service:   capacity.service,
+	}
+	if err := s.checkDeadline(now, w, capacity); err != nil {
+		return nil, err
+	}
+	if !request.Retry {
+		limits := admission.Limits{
+			PromptTokensPerSecond: int(tenant.GetPromptTokensPerSecond()),
+			OutputTokensPerSecond: int(tenant.GetOutputTokensPerSecond()),
+			BurstSeconds:          catalog.BurstSeconds(tenant),
+		}
+		if err := s.limiter.Take(now, request.Tenant, limits, request.PromptTokens, request.OutputTokens); err != nil {
+			return nil, err
+		}
+	}
+	return s.push(w, capacity)
+}
+
+const (
+	retryNoEngine = 2 * time.Second
+	minimumRetry  = 100 * time.Millisecond
+)
+
+func (s *State) push(w *waiting, capacity capacity) ([]Refused, error) {
+	victim, err := w.lane.queue.Push(w.item)
+	if err != nil {
+		wait := w.lane.queue.Wait(w.item, float64(capacity.engines))
+		return nil, result.From(err).WithRetryAfter(max(wait, minimumRetry))
+	}
+	s.waiting[w.request.Attempt] = w
+	if victim == nil {
+		return nil, nil
+	}
+	attempt := engine.Identifier(victim.ID)
+	delete(s.waiting, attempt)
+	refusal := result.New(result.QueueFull, "the request made room for one of a higher class").WithRetryAfter(minimumRetry)
+	return []Refused{{Attempt: attempt, Err: refusal}}, nil
+}
+
+func (s *State) lane(model, version string) *lane {
+	key := laneKey(model, version)
+	l := s.lanes[key]
+	if l == nil {
+		l = &lane{model: model, version: version, queue: admission.NewQueue(maxQueued)}
+		s.lanes[key] = l
+	}
+	return l
+}
+
+func (s *State) exclude(w *waiting) {
+	for _, name := range w.request.Excluded {
+		if m := s.members[name]; m != nil {
+			w.target.Excluded |= 1 << m.candidate.Slot
+		}
+	}
+}
+
+// capacity is what the cell can do for one request.
+type capacity struct {
+	engines int
+	// service is the time from dispatch to the end of the answer on an idle
+	// engine without a cached prefix.
+	service time.Duration
+	// cost is the share of an engine's time that the request takes.
+	cost time.Duration
+}
+
+func (s *State) capacity(w *waiting) capacity {
+	var found capacity
+	filters := [...]placement.Filter{placement.Serves{}, placement.Available{}}
+	for _, candidate := range s.candidates {
+		if !filters[0].Keep(&w.target, candidate) || !filters[1].Keep(&w.target, candidate) {
+			continue
+		}
+		found.engines++
+		prefill := candidate.Rates.PrefillTime(w.target.PromptTokens)
+		decode := time.Duration(w.target.OutputTokens) * candidate.Rates.DecodeStep
+		if service := prefill + decode; found.engines == 1 || service < found.service {
+			found.service = service
+			found.cost = prefill + decode/decodeBatch
+		}
+	}
+	return found
+}
+
+// checkDeadline refuses at once what can't be answered in time: waiting would
+// only make the refusal later. A cached prefix may make the answer sooner, so
+// only the decode part of the service time is counted as certain.
+func (s *State) checkDeadline(now time.Duration, w *waiting, capacity capacity) error {
+	wait := w.lane.queue.Wait(w.item, float64(capacity.engines))
+	excess := now + wait + s.certainService(w) - w.deadline
+	if excess <= 0 {
+		return nil
+	}
+	return result.New(result.DeadlineUnreachable,
+		"the answer would come %v after its deadline: %d requests wait", excess.Round(time.Millisecond), w.lane.queue.Len()).
+		WithRetryAfter(max(excess, minimumRetry))
+}
+
+// certainService is the time that the answer takes on the fastest engine if the
+// whole prompt is cached.
+func (s *State) certainService(w *waiting) time.Duration {
+	var fastest time.Duration
+	for _, candidate := range s.candidates {
+		step := time.Duration(w.target.OutputTokens) * candidate.Rates.DecodeStep
+		if fastest == 0 || step < fastest {
+			fastest = step
+		}
+	}
+	return fastest
+}
+
+// Dispatch places waiting requests while engines have room. The caller checks
+// its authority again before the tickets leave.
+func (s *State) Dispatch(now time.Duration) []Placed {
+	s.refresh(now)
+	var placed []Placed
+	for _, key := range s.laneOrder() {
+		l := s.lanes[key]
+		for {
+			item := l.queue.Peek()
+			if item == nil {
+				break
+			}
+			w := s.waiting[engine.Identifier(item.ID)]
+			decision, err := s.cycle.Place(&w.target, s.candidates)
+			if err != nil {
+				if result.CodeOf(err) == result.RetriesExhausted && w.target.Excluded != 0 {
+					// Every engine refused once: allow them again rather than
+					// hold up the lane.
+					w.target.Excluded = 0
+					continue
+				}
+				break
+			}
+			l.queue.Pop()
+			delete(s.waiting, w.request.Attempt)
+			placed = append(placed, s.place(now, w, decision))
+		}
+	}
+	return placed
+}
+
+func (s *State) laneOrder() []string {
+	keys := make([]string, 0, len(s.lanes))
+	for key, l := range s.lanes {
+		if l.queue.Len() > 0 {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (s *State) place(now time.Duration, w *waiting, decision placement.Decision) Placed {
+	candidate := decision.Candidate
+	m := s.slots[candidate.Slot]
+	uncached := w.target.PromptTokens - decision.CachedTokens
+	f := &flight{
+		attempt:  w.request.Attempt,
+		member:   m,
+		pending:  uncached,
+		reserved: w.target.PromptTokens + w.target.OutputTokens,
+		placedAt: now,
+		lapsesAt: w.deadline + flightGrace,
+	}
+	s.flights[f.attempt] = f
+	candidate.InFlight++
+	candidate.PendingPrompt += f.pending
+	candidate.ReservedTokens += f.reserved
+	s.index.Placed(now, candidate.Slot, w.target.Prefix)
+	status, _ := m.control.Observed()
+	return Placed{Attempt: f.attempt, Ticket: engine.Ticket{
+		Attempt:     f.attempt,
+		Engine:      m.machine.Name,
+		Address:     m.machine.Address,
+		Incarnation: status.Incarnation,
+		Model:       w.target.Model,
+		Version:     w.target.Version,
+		Adapter:     w.target.Adapter,
+		Role:        candidate.Deployment.Role,
+		Fence:       s.fence,
+		Priority:    w.rank,
+		ValidMillis: TicketValidity.Milliseconds(),
+	}}
+}
+
+// Report takes a gateway's news of an attempt. News of an unknown attempt is
+// ignored: it is late.
+func (s *State) Report(progress Progress) {
+	f := s.flights[progress.Attempt]
+	if f == nil {
+		return
+	}
+	f.member.candidate.PendingPrompt -= f.pending
+	f.pending = 0
+	if progress.Type == ProgressDone {
+		s.land(f)
+	}
+}
+
+// land ends a flight.
+func (s *State) land(f *flight) {
+	delete(s.flights, f.attempt)
+	f.member.candidate.InFlight--
+	f.member.candidate.PendingPrompt -= f.pending
+	f.member.candidate.ReservedTokens -= f.reserved
+}
+
+// Cancel removes a waiting request whose caller has left. It reports whether the
+// request was still waiting.
+func (s *State) Cancel(attempt engine.Identifier) bool {
+	w := s.waiting[attempt]
+	if w == nil {
+		return false
+	}
+	w.lane.queue.Remove(w.item)
+	delete(s.waiting, attempt)
+	return true
+}
+
+// Expire gives up requests that can't be answered in time any more, and flights
+// without news for long.
+func (s *State) Expire(now time.Duration) []Refused {
+	var refused []Refused
+	for _, key := range s.laneOrder() {
+		for _, item := range s.lanes[key].queue.Expired(now) {
+			attempt := engine.Identifier(item.ID)
+			delete(s.waiting, attempt)
+			refused = append(refused, Refused{Attempt: attempt, Err: result.New(result.DeadlineUnreachable,
+				"the request waited until it could not be answered in time").WithRetryAfter(minimumRetry)})
+		}
+	}
+	for _, f := range s.flights {
+		if now > f.lapsesAt {
+			s.land(f)
+		}
+	}
+	s.limiter.Forget(now)
+	return refused
+}
+
+// RefuseAll gives up every waiting request, for instance when leadership ends.
+func (s *State) RefuseAll(code result.Code, message string) []Refused {
+	var refused []Refused
+	for attempt, w := range s.waiting {
+		w.lane.queue.Remove(w.item)
+		refused = append(refused, Refused{Attempt: attempt, Err: result.New(code, "%s", message)})
+	}
+	clear(s.waiting)
+	slices.SortFunc(refused, func(left, right Refused) int { return cmp.Compare(left.Attempt, right.Attempt) })
+	return refused
+}
--- /dev/null
+++ b/internal/cell/state.go
@@ -0,0 +1,364 @@
+package cell
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/admission"
+	"github.com/tinarch/tinarch/internal/catalog"
+	"github.com/tinarch/tinarch/internal/control"
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/placement"
+	"github.com/tinarch/tinarch/internal/result"
+
+	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
+)
+
+const (
+	// maxQueued bounds the requests that wait in one lane.
+	maxQueued = 8192
+	// prefixCapacity bounds the blocks known in one cell: 60 bytes each.
+	prefixCapacity = 1 << 18
+	// decodeBatch is the number of sequences that are taken to share an
+	// iteration when the cost of an answer is estimated.
+	decodeBatch = 16
+	// flightGrace is how long past its deadline an attempt without news is
+	// counted as in flight.
+	flightGrace = 30 * time.Second
+)
+
+// member is one engine of the cell.
+type member struct {
+	machine   Machine
+	listed    bool
+	candidate placement.Candidate
+	control   control.Engine
+	desired   control.Desired
+	drained   bool
+}
+
+// flight is one attempt placed and not known to be over.
+type flight struct {
+	attempt  engine.Identifier
+	member   *member
+	pending  int // prompt tokens not known to be read
+	reserved int // KV memory
+	placedAt time.Duration
+	lapsesAt time.Duration
+}
+
+// waiting is one request in a lane.
+type waiting struct {
+	request  PlaceRequest
+	target   placement.Request
+	excluded map[string]bool
+	rank     int32
+	deadline time.Duration
+	item     *admission.Item
+	lane     *lane
+}
+
+// lane queues the requests for one model version: a full engine of one model
+// must not hold up requests for another.
+type lane struct {
+	model, version string
+	queue          *admission.Queue
+}
+
+// Placed is a request that got its engine.
+type Placed struct {
+	Attempt engine.Identifier
+	Ticket  engine.Ticket
+}
+
+// Refused is a request that is given up, on proof that it was not run.
+type Refused struct {
+	Attempt engine.Identifier
+	Err     error
+}
+
+// State is what a cell's leader knows and decides. It is pure: time is an
+// argument, measured from any fixed instant, and the caller does all I/O. It is
+// not safe for concurrent use.
+type State struct {
+	name     string
+	pool     string
+	snapshot *catalog.Snapshot
+	fence    engine.Fence
+
+	members    map[string]*member
+	order      []*member
+	candidates []*placement.Candidate
+	slots      [placement.MaxEngines]*member
+
+	index   *placement.PrefixIndex
+	cycle   *placement.Cycle
+	limiter *admission.Limiter
+	lanes   map[string]*lane
+	waiting map[engine.Identifier]*waiting
+	flights map[engine.Identifier]*flight
+
+	nextLoadAt time.Duration
+	loadRate   float64
+}
+
+// Options configure a cell.
+type Options struct {
+	Name string
+	Pool string
+	// Policy selects the placement policy; empty means PolicyPredicted.
+	Policy placement.Policy
+	// WeightBytesPerSecond is the weight store's rate limit for the cell. Zero
+	// means no spacing of loads.
+	WeightBytesPerSecond float64
+}
+
+// NewState returns an empty cell.
+func NewState(options Options) *State {
+	index := placement.NewPrefixIndex(prefixCapacity)
+	return &State{
+		name:     options.Name,
+		pool:     options.Pool,
+		members:  map[string]*member{},
+		index:    index,
+		cycle:    placement.NewPolicyCycle(options.Policy, index),
+		limiter:  admission.NewLimiter(),
+		lanes:    map[string]*lane{},
+		waiting:  map[engine.Identifier]*waiting{},
+		flights:  map[engine.Identifier]*flight{},
+		loadRate: options.WeightBytesPerSecond,
+	}
+}
+
+// SetCatalog takes a newer revision.
+func (s *State) SetCatalog(snapshot *catalog.Snapshot) {
+	s.snapshot = snapshot
+	running := catalog.MaxRunningPerEngine(snapshot.Pool(s.pool))
+	for _, m := range s.order {
+		m.candidate.MaxRunning = running
+	}
+	s.assign()
+}
+
+// SetFence takes the authority of a new leadership.
+func (s *State) SetFence(fence engine.Fence) {
+	s.fence = fence
+	for _, m := range s.order {
+		m.control.SetFence(fence)
+	}
+}
+
+// ObserveMachines takes the machine list's engines of the pool. An engine that
+// is no longer listed counts as leaving; it is forgotten when nothing of ours is
+// in flight on it.
+func (s *State) ObserveMachines(machines []Machine) {
+	for _, m := range s.order {
+		m.listed = false
+	}
+	for _, machine := range machines {
+		s.observeMachine(machine)
+	}
+	s.dropUnlisted()
+	s.assign()
+}
+
+func (s *State) observeMachine(machine Machine) {
+	m := s.members[machine.Name]
+	if m == nil {
+		slot := s.freeSlot()
+		if slot < 0 {
+			return // the layout keeps cells within MaxEngines
+		}
+		m = &member{candidate: placement.Candidate{Slot: slot, Name: machine.Name, MaxRunning: catalog.MaxRunningPerEngine(nil)}}
+		if s.snapshot != nil {
+			m.candidate.MaxRunning = catalog.MaxRunningPerEngine(s.snapshot.Pool(s.pool))
+		}
+		m.control.SetFence(s.fence)
+		m.candidate.Rates = m.candidate.Rates.OrDefault()
+		s.members[machine.Name] = m
+		s.slots[slot] = m
+		s.order = append(s.order, m)
+		slices.SortFunc(s.order, func(left, right *member) int { return cmp.Compare(left.machine.Name, right.machine.Name) })
+		s.rebuildCandidates()
+	}
+	if m.machine.Address != machine.Address {
+		s.index.Forget(m.candidate.Slot)
+	}
+	m.machine = machine
+	m.listed = true
+	m.candidate.Zone = machine.Zone
+}
+
+func (s *State) freeSlot() int {
+	for slot, m := range s.slots {
+		if m == nil {
+			return slot
+		}
+	}
+	return -1
+}
+
+func (s *State) dropUnlisted() {
+	for _, m := range slices.Clone(s.order) {
+		if m.listed {
+			continue
+		}
+		m.machine.Leaving = true
+		if m.candidate.InFlight > 0 {
+			continue
+		}
+		delete(s.members, m.machine.Name)
+		s.slots[m.candidate.Slot] = nil
+		s.index.Forget(m.candidate.Slot)
+		s.order = slices.DeleteFunc(s.order, func(other *member) bool { return other == m })
+		s.rebuildCandidates()
+	}
+}
+
+func (s *State) rebuildCandidates() {
+	s.candidates = s.candidates[:0]
+	for _, m := range s.order {
+		s.candidates = append(s.candidates, &m.candidate)
+	}
+}
+
+// ObserveStatus takes an engine's report of itself.
+func (s *State) ObserveStatus(now time.Duration, name string, status engine.Status) {
+	m := s.members[name]
+	if m == nil {
+		return
+	}
+	previous, seen := m.control.Observed()
+	m.control.Observe(now, status)
+	if seen && previous.Incarnation != status.Incarnation {
+		s.dropFlights(m)
+		s.index.Forget(m.candidate.Slot)
+	}
+	s.learn(m, status)
+	if status.Running == 0 {
+		s.dropForgotten(now, m)
+	}
+	if !seen || !previous.Deployment.Serves(status.Deployment) {
+		s.assign()
+	}
+}
+
+// learn takes speed and memory from a load report, however old: they change
+// slowly. Its queue lengths are not used, our own counts are newer.
+func (s *State) learn(m *member, status engine.Status) {
+	m.candidate.Deployment = status.Deployment
+	if status.Load.MemoryTotalTokens > 0 {
+		m.candidate.MemoryTokens = int(status.Load.MemoryTotalTokens)
+	}
+	reported := placement.Rates{
+		PrefillTokensPerSecond: status.Load.PrefillTokensPerSecond,
+		DecodeStep:             time.Duration(status.Load.DecodeStepMillis * float64(time.Millisecond)),
+	}
+	if reported.PrefillTokensPerSecond > 0 && reported.DecodeStep > 0 {
+		m.candidate.Rates = reported
+	}
+}
+
+// dropForgotten ends flights whose gateways never reported: the engine runs
+// nothing, and their tickets can't be dispatched any more.
+func (s *State) dropForgotten(now time.Duration, m *member) {
+	for _, f := range s.flights {
+		if f.member == m && now-f.placedAt > 2*TicketValidity {
+			s.land(f)
+		}
+	}
+}
+
+func (s *State) dropFlights(m *member) {
+	for _, f := range s.flights {
+		if f.member == m {
+			s.land(f)
+		}
+	}
+}
+
+// ObserveCacheEvents takes a page of an engine's cache events.
+func (s *State) ObserveCacheEvents(now time.Duration, name string, page engine.CacheEvents) {
+	if m := s.members[name]; m != nil {
+		s.index.Apply(now, m.candidate.Slot, page)
+	}
+}
+
+// NextCacheEvent returns the sequence number of the cache event to ask an
+// engine for.
+func (s *State) NextCacheEvent(name string) uint64 {
+	m := s.members[name]
+	if m == nil {
+		return 0
+	}
+	status, _ := m.control.Observed()
+	return s.index.NextEvent(m.candidate.Slot, status.Incarnation)
+}
+
+// refresh brings the candidates' availability in line.
+func (s *State) refresh(now time.Duration) {
+	for _, m := range s.order {
+		m.candidate.Availability = m.control.Availability(now, m.desired)
+		if m.machine.Leaving && m.candidate.Availability != placement.Lost {
+			m.candidate.Availability = placement.Leaving
+		}
+	}
+}
+
+// Engines describes the cell's engines for operators.
+func (s *State) Engines(now time.Duration) []*tinarchv1.EngineStatus {
+	s.refresh(now)
+	list := make([]*tinarchv1.EngineStatus, 0, len(s.order))
+	for _, m := range s.order {
+		status, seen := m.control.Observed()
+		description := &tinarchv1.EngineStatus{
+			Name:                m.machine.Name,
+			Pool:                s.pool,
+			Zone:                m.machine.Zone,
+			Address:             m.machine.Address,
+			Incarnation:         string(status.Incarnation),
+			State:               m.candidate.Availability.String(),
+			Role:                string(status.Deployment.Role),
+			InFlight:            uint32(m.candidate.InFlight),
+			PendingPromptTokens: uint64(m.candidate.PendingPrompt),
+			LastError:           m.control.LastError(),
+		}
+		if status.Deployment.Model != "" {
+			description.Model = catalog.VersionName(status.Deployment.Model, status.Deployment.Version)
+		}
+		if seen {
+			age := m.control.ReportAge(now).Milliseconds() + max(status.Load.AgeMillis, 0)
+			description.ReportAgeMs = uint64(max(age, 0))
+		}
+		list = append(list, description)
+	}
+	return list
+}
+
+// SetDrained keeps an engine without work, or allows work again. It returns the
+// number of attempts in flight.
+func (s *State) SetDrained(name string, drained bool) (inFlight int, err error) {
+	m := s.members[name]
+	if m == nil {
+		return 0, result.New(result.NotFound, "cell %s has no engine %q; see `tinarch engines`", s.name, name)
+	}
+	m.drained = drained
+	m.desired.Drained = drained
+	return m.candidate.InFlight, nil
+}
+
+// QueueLength returns the number of waiting requests by class.
+func (s *State) QueueLength() map[string]int {
+	lengths := map[string]int{}
+	for _, w := range s.waiting {
+		lengths[w.item.Class]++
+	}
+	return lengths
+}
+
+// InFlight returns the number of attempts placed and not known to be over.
+func (s *State) InFlight() int { return len(s.flights) }
+
+func laneKey(model, version string) string { return fmt.Sprintf("%s/%s", model, version) }
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,191 @@
+package engine
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// An engine numbers the events of a stream with "id: <attempt>/<number>",
+// counted from one, and closes it with the comment
+// ": end tokens=<count> prompt=<count> cached=<count>" (server-sent events,
+// WHATWG HTML section 9.2). A stream without that mark is not whole.
+const (
+	eventIDPrefix = "id: "
+	endMarkPrefix = ": end tokens="
+	endMarkPrompt = " prompt="
+	endMarkCached = " cached="
+)
+
+// AppendEvent appends a numbered event to buffer.
+func AppendEvent(buffer []byte, attempt Identifier, number int, data []byte) []byte {
+	buffer = append(buffer, eventIDPrefix...)
+	buffer = append(buffer, attempt...)
+	buffer = append(buffer, '/')
+	buffer = strconv.AppendInt(buffer, int64(number), 10)
+	buffer = append(buffer, "\ndata: "...)
+	buffer = append(buffer, data...)
+	return append(buffer, "\n\n"...)
+}
+
+// Usage counts the tokens of a whole answer.
+type Usage struct {
+	OutputTokens int `json:"output_tokens"`
+	PromptTokens int `json:"prompt_tokens"`
+	// CachedTokens is the part of the prompt found in the prefix cache.
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// AppendEnd appends the end mark of a stream.
+func AppendEnd(buffer []byte, usage Usage) []byte {
+	buffer = append(buffer, endMarkPrefix...)
+	buffer = strconv.AppendInt(buffer, int64(usage.OutputTokens), 10)
+	buffer = append(buffer, endMarkPrompt...)
+	buffer = strconv.AppendInt(buffer, int64(usage.PromptTokens), 10)
+	buffer = append(buffer, endMarkCached...)
+	buffer = strconv.AppendInt(buffer, int64(usage.CachedTokens), 10)
+	return append(buffer, "\n\ndata: [DONE]\n\n"...)
+}
+
+// EventDisposition tells what a reader does with an event.
+type EventDisposition int
+
+// The dispositions.
+const (
+	// EventAccepted is the next event of the stream.
+	EventAccepted EventDisposition = iota
+	// EventRepeated was read before, and is dropped.
+	EventRepeated
+	// EventForeign belongs to another attempt, and is dropped.
+	EventForeign
+	// EventGap has a higher number than expected: the reader resumes.
+	EventGap
+	// EventEnd is the end mark.
+	EventEnd
+	// EventOther carries no number.
+	EventOther
+)
+
+// StreamReader checks the events of one attempt. It holds no connection: the
+// same reader goes on after a resume.
+type StreamReader struct {
+	attempt  string
+	next     int
+	complete bool
+	usage    Usage
+}
+
+// NewStreamReader returns a reader that expects event number first.
+func NewStreamReader(attempt Identifier, first int) *StreamReader {
+	return &StreamReader{attempt: string(attempt), next: first}
+}
+
+// Next returns the number of the next event expected.
+func (r *StreamReader) Next() int { return r.next }
+
+// Complete reports whether the end mark was read and its count matched.
+func (r *StreamReader) Complete() bool { return r.complete }
+
+// Usage returns the counts of the end mark. It is valid once Complete.
+func (r *StreamReader) Usage() Usage { return r.usage }
+
+var (
+	eventIDBytes = []byte(eventIDPrefix)
+	endMarkBytes = []byte(endMarkPrefix)
+)
+
+// Classify judges one event, given without its closing blank line.
+func (r *StreamReader) Classify(event []byte) (EventDisposition, error) {
+	if bytes.HasPrefix(event, eventIDBytes) {
+		return r.classifyNumbered(event[len(eventIDBytes):])
+	}
+	if bytes.HasPrefix(event, endMarkBytes) {
+		return r.classifyEnd(event[len(endMarkBytes):])
+	}
+	return EventOther, nil
+}
+
+func (r *StreamReader) classifyNumbered(rest []byte) (EventDisposition, error) {
+	slash := bytes.IndexByte(rest, '/')
+	newline := bytes.IndexByte(rest, '\n')
+	if slash < 0 || newline < slash {
+		return EventOther, result.New(result.Internal, "the engine sent an event id without a number")
+	}
+	if string(rest[:slash]) != r.attempt {
+		return EventForeign, nil
+	}
+	number, ok := parseCount(rest[slash+1 : newline])
+	if !ok {
+		return EventOther, result.New(result.Internal, "the engine sent the event number %q", rest[slash+1:newline])
+	}
+	switch {
+	case number < r.next:
+		return EventRepeated, nil
+	case number > r.next:
+		return EventGap, nil
+	}
+	r.next++
+	return EventAccepted, nil
+}
+
+func (r *StreamReader) classifyEnd(rest []byte) (EventDisposition, error) {
+	usage, ok := parseEnd(bytes.TrimRight(rest, "\r\n"))
+	if !ok {
+		return EventOther, result.New(result.Internal, "the engine sent the end mark %q", rest)
+	}
+	if usage.OutputTokens != r.next-1 {
+		return EventGap, nil
+	}
+	r.usage = usage
+	r.complete = true
+	return EventEnd, nil
+}
+
+func parseEnd(counts []byte) (usage Usage, ok bool) {
+	tokens, rest, _ := bytes.Cut(counts, []byte(endMarkPrompt))
+	prompt, cached, _ := bytes.Cut(rest, []byte(endMarkCached))
+	for _, field := range []struct {
+		digits []byte
+		target *int
+	}{{tokens, &usage.OutputTokens}, {prompt, &usage.PromptTokens}, {cached, &usage.CachedTokens}} {
+		value, valid := parseCount(field.digits)
+		if !valid {
+			return Usage{}, false
+		}
+		*field.target = value
+	}
+	return usage, true
+}
+
+func parseCount(digits []byte) (int, bool) {
+	if len(digits) == 0 || len(digits) > 9 {
+		return 0, false
+	}
+	value := 0
+	for _, digit := range digits {
+		if digit < '0' || digit > '9' {
+			return 0, false
+		}
+		value = value*10 + int(digit-'0')
+	}
+	return value, true
+}
+
+// EventData returns the data line of an event.
+func EventData(event []byte) []byte {
+	_, data, found := bytes.Cut(event, []byte("data: "))
+	if !found {
+		return nil
+	}
+	return bytes.TrimRight(data, "\r\n")
+}
+
+// StreamID returns the identifier that an answer shows its caller.
+func StreamID(attempt Identifier) string { return "cmpl-" + string(attempt) }
+
+// AttemptOf returns the attempt that an answer's identifier names.
+func AttemptOf(streamID string) Identifier {
+	return Identifier(strings.TrimPrefix(streamID, "cmpl-"))
+}
--- /dev/null
+++ b/internal/lab/engine/batch.go
@@ -0,0 +1,157 @@
+package engine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/prefix"
+)
+
+// sequence is one attempt inside the batch.
+type sequence struct {
+	attempt      engine.Identifier
+	priority     int32
+	arrival      uint64
+	chain        []prefix.Hash
+	promptTokens int
+	outputTokens int
+	// read counts the prompt tokens in memory, cached ones included.
+	read    int
+	written int
+	cached  int
+	started bool
+}
+
+func (s *sequence) decoding() bool { return s.read >= s.promptTokens }
+
+func (s *sequence) memory() int { return s.promptTokens + s.outputTokens }
+
+// progress reports one iteration's effect on a sequence.
+type progress struct {
+	attempt engine.Identifier
+	written int
+	done    bool
+}
+
+// batch is the scheduler of an engine: pure state without clock or I/O.
+type batch struct {
+	model    Model
+	cache    *cache
+	waiting  []*sequence
+	running  []*sequence
+	arrivals uint64
+	// reserved counts the KV memory promised to running sequences, in tokens.
+	reserved int
+	// chunk holds the prompt tokens each sequence reads in this iteration.
+	chunk map[*sequence]int
+	step  time.Duration
+}
+
+func newBatch(model Model, onChange func(engine.CacheEventType, prefix.Hash)) *batch {
+	capacity := model.MemoryTokens / prefix.BlockTokens
+	return &batch{model: model, cache: newCache(capacity, onChange), chunk: map[*sequence]int{}}
+}
+
+func (b *batch) idle() bool { return len(b.waiting) == 0 && len(b.running) == 0 }
+
+func (b *batch) add(s *sequence) {
+	b.arrivals++
+	s.arrival = b.arrivals
+	b.waiting = append(b.waiting, s)
+	slices.SortStableFunc(b.waiting, byPriority)
+}
+
+// byPriority puts higher priorities first, then earlier arrivals.
+func byPriority(left, right *sequence) int {
+	if order := cmp.Compare(right.priority, left.priority); order != 0 {
+		return order
+	}
+	return cmp.Compare(left.arrival, right.arrival)
+}
+
+// remove takes an attempt out of the batch.
+func (b *batch) remove(attempt engine.Identifier) {
+	matches := func(s *sequence) bool { return s.attempt == attempt }
+	b.waiting = slices.DeleteFunc(b.waiting, matches)
+	if i := slices.IndexFunc(b.running, matches); i >= 0 {
+		b.reserved -= b.running[i].memory()
+		delete(b.chunk, b.running[i])
+		b.running = slices.Delete(b.running, i, i+1)
+	}
+}
+
+// begin admits waiting sequences, plans one iteration and returns its length.
+func (b *batch) begin() time.Duration {
+	b.admit()
+	clear(b.chunk)
+	budget := b.model.ChunkTokens
+	prefillTokens, cachedTokens := 0, 0
+	slices.SortStableFunc(b.running, byPriority)
+	for _, s := range b.running {
+		if s.decoding() {
+			cachedTokens += s.read + s.written
+			continue
+		}
+		part := min(budget, s.promptTokens-s.read)
+		b.chunk[s] = part
+		budget -= part
+		prefillTokens += part
+	}
+	b.step = b.model.iterationTime(prefillTokens, cachedTokens)
+	return b.step
+}
+
+func (b *batch) admit() {
+	for len(b.waiting) > 0 && len(b.running) < b.model.MaxSequences {
+		next := b.waiting[0]
+		if b.reserved+next.memory() > b.model.MemoryTokens && len(b.running) > 0 {
+			return
+		}
+		b.waiting = b.waiting[1:]
+		b.reserved += next.memory()
+		b.cache.shrink((b.model.MemoryTokens - b.reserved) / prefix.BlockTokens)
+		next.cached = min(b.cache.match(next.chain)*prefix.BlockTokens, max(next.promptTokens-1, 0))
+		next.read = next.cached
+		next.started = true
+		b.running = append(b.running, next)
+	}
+}
+
+// finish applies the iteration that begin planned.
+func (b *batch) finish() []progress {
+	var report []progress
+	keep := b.running[:0]
+	for _, s := range b.running {
+		part, reading := b.chunk[s]
+		if reading {
+			s.read += part
+		}
+		// The iteration that reads the last of the prompt writes the first token.
+		if s.decoding() && (!reading || part > 0) {
+			s.written++
+			report = append(report, progress{attempt: s.attempt, written: s.written, done: s.written >= s.outputTokens})
+		}
+		if s.written >= s.outputTokens {
+			b.reserved -= s.memory()
+			b.cache.store(s.chain)
+			continue
+		}
+		keep = append(keep, s)
+	}
+	b.running = keep
+	return report
+}
+
+// pendingPromptTokens counts the prompt tokens accepted and not read.
+func (b *batch) pendingPromptTokens() int {
+	total := 0
+	for _, s := range b.waiting {
+		total += s.promptTokens
+	}
+	for _, s := range b.running {
+		total += s.promptTokens - s.read
+	}
+	return total
+}
--- /dev/null
+++ b/internal/lab/engine/handlers.go
@@ -0,0 +1,348 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/openai"
+	"github.com/tinarch/tinarch/internal/prefix"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+const (
+	maxRequestBytes     = 64 << 20
+	defaultOutputTokens = 16
+)
+
+func (e *Engine) handler() http.Handler {
+	router := chi.NewRouter()
+	router.Use(e.refuseWhenDown)
+	router.Post(string(openai.Completions), e.complete(openai.Completions))
+	router.Post(string(openai.ChatCompletions), e.complete(openai.ChatCompletions))
+	router.Get("/engine/v1/streams/{attempt}", e.resumeStream)
+	router.Delete("/engine/v1/streams/{attempt}", e.cancelStream)
+	router.Get("/engine/v1/status", e.getStatus)
+	router.Post("/engine/v1/orders", e.postOrder)
+	router.Get("/engine/v1/cache-events", e.getCacheEvents)
+	router.Get("/engine/v1/kv/{attempt}", e.exportKV)
+	router.Post("/engine/v1/kv", e.importKV)
+	router.Get("/lab/v1/counters", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Counters()) })
+	router.Post("/lab/v1/faults", e.postFaults)
+	router.Post("/lab/v1/crash", e.postCrash)
+	return router
+}
+
+func (e *Engine) refuseWhenDown(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		down := e.down
+		e.mu.Unlock()
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	failure := result.From(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(engine.HeaderCode, strconv.Itoa(int(failure.Code)))
+	w.WriteHeader(failure.Code.Entry().HTTPStatus)
+	_ = json.NewEncoder(w).Encode(failure)
+}
+
+// ticketOf reads the ticket of a request. A request without one comes from a
+// caller that talks to the engine directly.
+func ticketOf(r *http.Request) (ticket engine.Ticket, present bool) {
+	header := r.Header
+	attempt := header.Get(engine.HeaderAttempt)
+	if attempt == "" {
+		return engine.Ticket{Attempt: engine.NewIdentifier()}, false
+	}
+	priority, _ := strconv.ParseInt(header.Get(engine.HeaderPriority), 10, 32)
+	return engine.Ticket{
+		Attempt:     engine.Identifier(attempt),
+		Incarnation: engine.Identifier(header.Get(engine.HeaderIncarnation)),
+		Model:       header.Get(engine.HeaderModel),
+		Version:     header.Get(engine.HeaderVersion),
+		Adapter:     header.Get(engine.HeaderAdapter),
+		Role:        engine.Role(header.Get(engine.HeaderRole)),
+		Priority:    int32(priority),
+	}, true
+}
+
+func (e *Engine) complete(endpoint openai.Endpoint) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+		if err != nil {
+			return // the body never came whole: nothing was accepted
+		}
+		request, err := openai.Parse(endpoint, body)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		ticket, present := ticketOf(r)
+		s, lose, err := e.accept(endpoint, request, ticket, present)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		if lose {
+			panic(http.ErrAbortHandler)
+		}
+		e.sendStream(w, r, s, 1)
+		if !present && r.Context().Err() != nil {
+			e.cancel(s.attempt)
+		}
+	}
+}
+
+// accept checks the ticket and puts the attempt into the batch.
+func (e *Engine) accept(endpoint openai.Endpoint, request *openai.Request, ticket engine.Ticket, present bool) (*stream, bool, error) {
+	prompt := request.PromptText()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if present {
+		if err := e.checkTicket(ticket); err != nil {
+			e.counters.RefusedTickets++
+			return nil, false, err
+		}
+	} else {
+		ticket.Model, ticket.Version = e.deployment.Model, e.deployment.Version
+	}
+	kvSeed := ticket.Model + "/" + ticket.Version + "/" + ticket.Adapter
+	attempt := &sequence{
+		attempt:      ticket.Attempt,
+		priority:     ticket.Priority,
+		chain:        prefix.Chain(kvSeed, prompt),
+		promptTokens: max(prefix.Tokens(len(prompt)), 1),
+		outputTokens: request.OutputLimit(defaultOutputTokens),
+	}
+	s := &stream{
+		attempt:  ticket.Attempt,
+		endpoint: endpoint,
+		model:    request.Model,
+		seed:     TextSeed(ticket.Model, ticket.Version, ticket.Adapter, prompt),
+		created:  time.Now().Unix(),
+		sequence: attempt,
+		kvSeed:   kvSeed,
+		changed:  make(chan struct{}),
+	}
+	e.streams[ticket.Attempt] = s
+	e.batch.add(attempt)
+	e.counters.Accepted++
+	e.counters.PromptTokens += int64(attempt.promptTokens)
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	lose := e.faults.LoseAcceptReplies > 0
+	if lose {
+		e.faults.LoseAcceptReplies--
+	}
+	return s, lose, nil
+}
+
+// checkTicket refuses what is not meant for this engine as it is now. Each
+// refusal proves that the attempt did not run by this ticket.
+func (e *Engine) checkTicket(ticket engine.Ticket) error {
+	if e.faults.RefuseRequests > 0 {
+		e.faults.RefuseRequests--
+		return result.New(result.TicketRefused, "the engine refuses by request of a test")
+	}
+	if ticket.Incarnation != e.incarnation {
+		return result.New(result.IncarnationMismatch, "the ticket is for incarnation %s, this is %s", ticket.Incarnation, e.incarnation)
+	}
+	if _, dead := e.tombstones[ticket.Attempt]; dead {
+		return result.New(result.TicketRefused, "attempt %s was cancelled before it arrived", ticket.Attempt)
+	}
+	if _, twice := e.streams[ticket.Attempt]; twice {
+		// Another copy of the attempt was accepted: this refusal proves nothing.
+		return result.New(result.OutcomeUnknown, "attempt %s was accepted before", ticket.Attempt)
+	}
+	if e.draining || e.changing != nil {
+		return result.New(result.TicketRefused, "the engine takes no new work now")
+	}
+	wanted := engine.Deployment{Model: ticket.Model, Version: ticket.Version, Role: ticket.Role}
+	if !e.deployment.Serves(wanted) || !e.deployment.HasAdapter(ticket.Adapter) {
+		return result.New(result.TicketRefused, "the engine serves %s/%s as %s, not %s/%s as %s",
+			e.deployment.Model, e.deployment.Version, e.deployment.Role, ticket.Model, ticket.Version, ticket.Role)
+	}
+	return nil
+}
+
+func (e *Engine) lookup(r *http.Request) (*stream, error) {
+	attempt := engine.Identifier(chi.URLParam(r, "attempt"))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if asked := r.URL.Query().Get("incarnation"); engine.Identifier(asked) != e.incarnation {
+		return nil, result.New(result.IncarnationMismatch, "the message is for incarnation %s, this is %s", asked, e.incarnation)
+	}
+	s := e.streams[attempt]
+	if s == nil {
+		return nil, result.New(result.StreamUnknown, "this incarnation has no stream %s", attempt)
+	}
+	return s, nil
+}
+
+func (e *Engine) resumeStream(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil || from < 1 {
+		refuse(w, result.New(result.InvalidRequest, "from must be a positive number"))
+		return
+	}
+	s, err := e.lookup(r)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	e.sendStream(w, r, s, from)
+}
+
+// sendStream writes the events from number first on as they come.
+func (e *Engine) sendStream(w http.ResponseWriter, r *http.Request, s *stream, first int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	controller := http.NewResponseController(w)
+	chunks := openai.NewChunkWriter(s.endpoint, engine.StreamID(s.attempt), s.model, s.created)
+	e.mu.Lock()
+	faults := e.faults
+	e.mu.Unlock()
+	var buffer, text, data []byte
+	next := first
+	for {
+		written, done, aborted, changed := s.snapshot()
+		if aborted {
+			panic(http.ErrAbortHandler)
+		}
+		buffer = buffer[:0]
+		for ; next <= written; next++ {
+			text = AppendToken(text[:0], s.seed, next)
+			data = chunks.Append(data[:0], text, next == s.sequence.outputTokens)
+			buffer = appendWithFaults(buffer, faults, s.attempt, next, data)
+			if faults.BreakAfter > 0 && next >= faults.BreakAfter && s.breakOnce() {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if done {
+			buffer = engine.AppendEnd(buffer, s.usage())
+		}
+		if _, err := w.Write(buffer); err != nil || controller.Flush() != nil {
+			return
+		}
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func appendWithFaults(buffer []byte, faults Faults, attempt engine.Identifier, number int, data []byte) []byte {
+	if faults.CrossEvents > 0 && number%faults.CrossEvents == 0 {
+		other := engine.NewIdentifier()
+		buffer = engine.AppendEvent(buffer, other, number, []byte(`{"choices":[{"index":0,"text":"CROSSED","delta":{"content":"CROSSED"}}]}`))
+	}
+	buffer = engine.AppendEvent(buffer, attempt, number, data)
+	if faults.RepeatEvents > 0 && number%faults.RepeatEvents == 0 {
+		buffer = engine.AppendEvent(buffer, attempt, number, data)
+	}
+	return buffer
+}
+
+func (e *Engine) cancelStream(w http.ResponseWriter, r *http.Request) {
+	attempt := engine.Identifier(chi.URLParam(r, "attempt"))
+	e.mu.Lock()
+	incarnation := e.incarnation
+	e.mu.Unlock()
+	if asked := r.URL.Query().Get("incarnation"); engine.Identifier(asked) != incarnation {
+		refuse(w, result.New(result.IncarnationMismatch, "the message is for incarnation %s, this is %s", asked, incarnation))
+		return
+	}
+	reply(w, engine.CancelReply{Incarnation: incarnation, Seen: e.cancel(attempt)})
+}
+
+// cancel stops an attempt and leaves a tombstone, even for one never seen.
+func (e *Engine) cancel(attempt engine.Identifier) (seen bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tombstones[attempt] = time.Now()
+	s := e.streams[attempt]
+	if s == nil {
+		return false
+	}
+	if !s.finished() {
+		e.counters.Cancelled++
+		s.finishedAt = time.Now()
+		e.batch.remove(attempt)
+		s.abort()
+	}
+	return true
+}
+
+func (e *Engine) getCacheEvents(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		refuse(w, result.New(result.InvalidRequest, "from must be a number"))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	events, next := e.events.page(from)
+	reply(w, engine.CacheEvents{Incarnation: e.incarnation, Events: events, Next: next})
+}
+
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
+	s, err := e.lookup(r)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply(w, s.export(e.incarnation, e.options.Model.BytesPerCachedToken))
+}
+
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
+	var export engine.KVExport
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&export); err != nil {
+		refuse(w, result.New(result.InvalidRequest, "the KV export can't be read: %v", err))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.batch.cache.store(export.Blocks)
+	reply(w, struct{}{})
+}
+
+func (e *Engine) postFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		refuse(w, result.New(result.InvalidRequest, "the faults can't be read: %v", err))
+		return
+	}
+	e.SetFaults(faults)
+	reply(w, struct{}{})
+}
+
+func (e *Engine) postCrash(w http.ResponseWriter, r *http.Request) {
+	millis, _ := strconv.Atoi(r.URL.Query().Get("down_ms"))
+	e.Crash(time.Duration(millis) * time.Millisecond)
+	reply(w, struct{}{})
+}
--- /dev/null
+++ b/internal/lab/engine/orders.go
@@ -0,0 +1,130 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+func (e *Engine) status() engine.Status {
+	status := engine.Status{
+		Incarnation: e.incarnation,
+		Deployment:  e.deployment,
+		Draining:    e.draining,
+		Fence:       e.fence,
+		LastOrder:   e.lastOrder,
+		Running:     e.runningAttempts(),
+		Load:        e.reports.published(),
+	}
+	if e.changing != nil {
+		status.Changing = e.changing.ID
+	}
+	return status
+}
+
+func (e *Engine) runningAttempts() int { return len(e.batch.running) + len(e.batch.waiting) }
+
+func (e *Engine) getStatus(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reply(w, e.status())
+}
+
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
+	var order engine.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20)).Decode(&order); err != nil {
+		refuse(w, result.New(result.InvalidRequest, "the order can't be read: %v", err))
+		return
+	}
+	e.mu.Lock()
+	err := e.obey(order)
+	status := e.status()
+	lose := err == nil && e.faults.LoseOrderReplies > 0
+	if lose {
+		e.faults.LoseOrderReplies--
+	}
+	e.mu.Unlock()
+	switch {
+	case lose:
+		panic(http.ErrAbortHandler)
+	case err != nil:
+		refuse(w, err)
+	default:
+		reply(w, status)
+	}
+}
+
+// obey checks an order's authority and starts it.
+func (e *Engine) obey(order engine.Order) error {
+	if order.Incarnation != e.incarnation {
+		e.counters.StaleOrders++
+		return result.New(result.IncarnationMismatch, "the order is for incarnation %s, this is %s", order.Incarnation, e.incarnation)
+	}
+	if order.Fence < e.fence {
+		e.counters.StaleOrders++
+		return result.New(result.FenceStale, "the order has fence %d, the highest seen is %d", order.Fence, e.fence)
+	}
+	if order.ID == e.lastOrder || (e.changing != nil && e.changing.ID == order.ID) {
+		return nil // the same order again
+	}
+	if order.Fence == e.fence && order.Sequence <= e.sequence {
+		e.counters.StaleOrders++
+		return result.New(result.FenceStale, "the order has sequence %d, the highest seen is %d", order.Sequence, e.sequence)
+	}
+	if e.changing != nil && order.Type != engine.OrderClaim {
+		return result.New(result.EngineBusy, "order %s is in progress", e.changing.ID)
+	}
+	e.fence, e.sequence = order.Fence, order.Sequence
+	e.counters.Orders[string(order.Type)]++
+	switch order.Type {
+	case engine.OrderClaim:
+	case engine.OrderDrain:
+		e.draining = true
+	case engine.OrderUndrain:
+		e.draining = false
+	case engine.OrderDeploy:
+		return e.startDeploy(order)
+	default:
+		return result.New(result.InvalidRequest, "unknown order type %q", order.Type)
+	}
+	e.lastOrder = order.ID
+	return nil
+}
+
+// startDeploy loads weights and changes the role. It refuses to cut attempts.
+func (e *Engine) startDeploy(order engine.Order) error {
+	if order.Target == nil {
+		return result.New(result.InvalidRequest, "a deploy order needs a target")
+	}
+	if running := e.runningAttempts(); running > 0 {
+		return result.New(result.EngineBusy, "%d attempts are running", running)
+	}
+	duration := e.options.Model.loadTime(order.SizeBytes)
+	if e.deployment.Role != order.Target.Role {
+		duration += e.options.Model.RoleChange
+		if e.deployment.Role != "" {
+			e.counters.RoleChanges++
+		}
+	}
+	e.changing = &order
+	incarnation := e.incarnation
+	time.AfterFunc(e.scaled(duration), func() { e.finishDeploy(incarnation, order) })
+	return nil
+}
+
+func (e *Engine) finishDeploy(incarnation engine.Identifier, order engine.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.incarnation != incarnation {
+		return // crashed in the middle
+	}
+	e.changing = nil
+	e.lastOrder = order.ID
+	if e.deployment.Model != order.Target.Model || e.deployment.Version != order.Target.Version {
+		e.batch.cache.shrink(0)
+	}
+	e.deployment = *order.Target
+}
--- /dev/null
+++ b/internal/lab/engine/server.go
@@ -0,0 +1,295 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/prefix"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Options configure an emulated engine.
+type Options struct {
+	Name  string
+	Model Model
+	// TimeScale multiplies every modelled duration; 0.1 runs ten times faster.
+	TimeScale float64
+	// ReportLag is the age of load reports and cache events.
+	ReportLag time.Duration
+	// DropCacheEvents loses every n-th cache event. Zero loses none.
+	DropCacheEvents uint64
+	// Retention is how long a finished stream can be resumed.
+	Retention time.Duration
+	// Deployment is what the engine serves at its first start. Its zero value
+	// makes an engine that must be told.
+	Deployment engine.Deployment
+}
+
+// Counters count what the engine did, over all incarnations. Checkers read
+// them: they are what the engine saw, not what nodes claim.
+type Counters struct {
+	Accepted       int            `json:"accepted"`
+	Finished       int            `json:"finished"`
+	Cancelled      int            `json:"cancelled"`
+	CutByOrder     int            `json:"cut_by_order"`
+	CutByCrash     int            `json:"cut_by_crash"`
+	RefusedTickets int            `json:"refused_tickets"`
+	Orders         map[string]int `json:"orders"`
+	StaleOrders    int            `json:"stale_orders"`
+	PromptTokens   int64          `json:"prompt_tokens"`
+	CachedTokens   int64          `json:"cached_tokens"`
+	OutputTokens   int64          `json:"output_tokens"`
+	RoleChanges    int            `json:"role_changes"`
+}
+
+// Faults are the faults that a test or experiment asks for.
+type Faults struct {
+	// BreakAfter cuts the connection of each stream once, after this many events.
+	BreakAfter int `json:"break_after"`
+	// CrossEvents puts an event of another attempt before each event number
+	// that it divides.
+	CrossEvents int `json:"cross_events"`
+	// RepeatEvents sends each event number that it divides twice.
+	RepeatEvents int `json:"repeat_events"`
+	// LoseOrderReplies drops the answers of this many orders after they took
+	// effect.
+	LoseOrderReplies int `json:"lose_order_replies"`
+	// LoseAcceptReplies drops the connection of this many requests after they
+	// were accepted, before the first byte.
+	LoseAcceptReplies int `json:"lose_accept_replies"`
+	// RefuseRequests refuses this many requests as if their ticket were wrong.
+	RefuseRequests int `json:"refuse_requests"`
+}
+
+// Engine is an emulated engine with its HTTP server.
+type Engine struct {
+	options Options
+	server  *http.Server
+	address string
+
+	mu          sync.Mutex
+	incarnation engine.Identifier
+	deployment  engine.Deployment
+	draining    bool
+	fence       engine.Fence
+	sequence    uint64
+	changing    *engine.Order
+	lastOrder   engine.Identifier
+	down        bool
+	batch       *batch
+	streams     map[engine.Identifier]*stream
+	tombstones  map[engine.Identifier]time.Time
+	events      eventLog
+	reports     reportLog
+	counters    Counters
+	faults      Faults
+	stepMillis  float64
+	prefillRate float64
+	wake        chan struct{}
+	stop        context.CancelFunc
+	finished    sync.WaitGroup
+}
+
+// Start runs an emulated engine on the address, which may have port zero.
+func Start(address string, options Options) (*Engine, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, result.Wrap(err, result.SettingsInvalid, "engine %s can't listen on %s", options.Name, address)
+	}
+	if options.TimeScale <= 0 {
+		options.TimeScale = 1
+	}
+	if options.Retention <= 0 {
+		options.Retention = 30 * time.Second
+	}
+	e := &Engine{options: options, address: listener.Addr().String(), wake: make(chan struct{}, 1)}
+	e.deployment = options.Deployment
+	e.counters.Orders = map[string]int{}
+	e.reset()
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	e.server = &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second}
+	e.finished.Add(2)
+	go func() {
+		defer e.finished.Done()
+		_ = e.server.Serve(listener)
+	}()
+	go func() {
+		defer e.finished.Done()
+		e.loop(ctx)
+	}()
+	return e, nil
+}
+
+// Address returns the engine's host and port.
+func (e *Engine) Address() string { return e.address }
+
+// Name returns the engine's name.
+func (e *Engine) Name() string { return e.options.Name }
+
+// Close stops the engine.
+func (e *Engine) Close() {
+	e.stop()
+	_ = e.server.Close()
+	e.finished.Wait()
+}
+
+// Counters returns what the engine did so far.
+func (e *Engine) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	copied := e.counters
+	copied.Orders = map[string]int{}
+	for name, count := range e.counters.Orders {
+		copied.Orders[name] = count
+	}
+	return copied
+}
+
+// SetFaults replaces the faults in force.
+func (e *Engine) SetFaults(faults Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+}
+
+// Crash loses all state and connections. After downtime the engine answers
+// again, as a new incarnation in an unknown state.
+func (e *Engine) Crash(downtime time.Duration) {
+	e.mu.Lock()
+	for _, s := range e.streams {
+		if !s.finished() {
+			e.counters.CutByCrash++
+		}
+		s.abort()
+	}
+	half := e.changing
+	e.deployment = engine.Deployment{}
+	if half != nil && half.Target != nil && time.Now().UnixNano()%2 == 0 {
+		// A crash in the middle of a load may come back with either state.
+		e.deployment = *half.Target
+	}
+	e.reset()
+	e.down = downtime > 0
+	e.mu.Unlock()
+	if downtime > 0 {
+		time.AfterFunc(downtime, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.down = false
+		})
+	}
+}
+
+// reset starts a new incarnation.
+func (e *Engine) reset() {
+	e.incarnation = engine.NewIdentifier()
+	e.draining = false
+	e.fence, e.sequence = 0, 0
+	e.changing = nil
+	e.lastOrder = ""
+	e.streams = map[engine.Identifier]*stream{}
+	e.tombstones = map[engine.Identifier]time.Time{}
+	e.events = eventLog{lag: e.options.ReportLag, dropEvery: e.options.DropCacheEvents}
+	e.reports = reportLog{lag: e.options.ReportLag}
+	e.batch = newBatch(e.options.Model, func(kind engine.CacheEventType, block prefix.Hash) {
+		e.events.add(kind, block)
+	})
+}
+
+func (e *Engine) scaled(modelled time.Duration) time.Duration {
+	return time.Duration(float64(modelled) * e.options.TimeScale)
+}
+
+// loop runs one iteration after the other while there is work.
+func (e *Engine) loop(ctx context.Context) {
+	next := time.Now()
+	for ctx.Err() == nil {
+		step, current := e.beginIteration()
+		if step == 0 {
+			select {
+			case <-ctx.Done():
+			case <-e.wake:
+			case <-time.After(100 * time.Millisecond):
+				e.expire(time.Now())
+			}
+			next = time.Now()
+			continue
+		}
+		// The end of the iteration is computed, not measured, so that a late
+		// timer does not slow the modelled engine down.
+		next = next.Add(e.scaled(step))
+		if lag := time.Since(next); lag > 50*time.Millisecond {
+			next = time.Now()
+		}
+		time.Sleep(time.Until(next))
+		e.finishIteration(current)
+	}
+}
+
+func (e *Engine) beginIteration() (time.Duration, *batch) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reports.add(e.currentLoad())
+	if e.batch.idle() {
+		return 0, nil
+	}
+	return e.batch.begin(), e.batch
+}
+
+func (e *Engine) finishIteration(current *batch) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if current != e.batch {
+		return // the engine crashed meanwhile
+	}
+	e.stepMillis = float64(e.scaled(current.step)) / float64(time.Millisecond)
+	for _, p := range current.finish() {
+		s := e.streams[p.attempt]
+		if s == nil {
+			continue
+		}
+		e.counters.OutputTokens++
+		if p.done {
+			e.counters.Finished++
+			s.finishedAt = time.Now()
+		}
+		s.advance(p.written, p.done)
+	}
+}
+
+func (e *Engine) currentLoad() engine.Load {
+	model := e.options.Model
+	return engine.Load{
+		Running:                len(e.batch.running),
+		Waiting:                len(e.batch.waiting),
+		PendingPromptTokens:    int64(e.batch.pendingPromptTokens()),
+		MemoryUsedTokens:       int64(e.batch.reserved),
+		MemoryTotalTokens:      int64(model.MemoryTokens),
+		PrefillTokensPerSecond: float64(time.Second) / float64(e.scaled(model.PrefillToken)),
+		DecodeStepMillis:       float64(e.scaled(model.StepBase)) / float64(time.Millisecond),
+	}
+}
+
+// expire forgets streams and tombstones past their retention.
+func (e *Engine) expire(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for attempt, s := range e.streams {
+		if s.finished() && now.Sub(s.finishedAt) > e.options.Retention {
+			delete(e.streams, attempt)
+		}
+	}
+	for attempt, at := range e.tombstones {
+		if now.Sub(at) > tombstoneRetention {
+			delete(e.tombstones, attempt)
+		}
+	}
+}
+
+// tombstoneRetention outlives every ticket by far.
+const tombstoneRetention = 10 * time.Minute
--- /dev/null
+++ b/internal/lab/platform/machines.go
@@ -0,0 +1,80 @@
+package platform
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/platform/machines"
+)
+
+// Machines is a stand-in for the machine list. It shows changes with a lag.
+type Machines struct {
+	*service
+	faultState
+	lag time.Duration
+
+	mu       sync.Mutex
+	versions []listVersion
+}
+
+type listVersion struct {
+	at   time.Time
+	list []machines.Machine
+}
+
+// StartMachines runs a machine list on the address.
+func StartMachines(address string, lag time.Duration) (*Machines, error) {
+	m := &Machines{lag: lag}
+	server, err := startService(address, http.HandlerFunc(m.serve))
+	m.service = server
+	return m, err
+}
+
+// Set replaces the list. The first list shows at once.
+func (m *Machines) Set(list []machines.Machine) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at := time.Now()
+	if len(m.versions) == 0 {
+		at = at.Add(-m.lag)
+	}
+	m.versions = append(m.versions, listVersion{at: at, list: append([]machines.Machine(nil), list...)})
+}
+
+// Current returns the list as it is, without lag.
+func (m *Machines) Current() []machines.Machine {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.versions) == 0 {
+		return nil
+	}
+	return append([]machines.Machine(nil), m.versions[len(m.versions)-1].list...)
+}
+
+func (m *Machines) shown() []machines.Machine {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	visible := time.Now().Add(-m.lag)
+	for len(m.versions) > 1 && !m.versions[1].at.After(visible) {
+		m.versions = m.versions[1:]
+	}
+	if len(m.versions) == 0 {
+		return nil
+	}
+	return m.versions[0].list
+}
+
+func (m *Machines) serve(w http.ResponseWriter, _ *http.Request) {
+	if m.before() {
+		http.Error(w, "throttled", http.StatusTooManyRequests)
+		return
+	}
+	content, err := machines.Render(m.shown())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(content)
+}
--- /dev/null
+++ b/internal/lab/platform/platform_test.go
@@ -0,0 +1,127 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tinarch/tinarch/internal/platform/machines"
+	"github.com/tinarch/tinarch/internal/platform/objects"
+	"github.com/tinarch/tinarch/internal/platform/table"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+func startTable(t *testing.T, total time.Duration) (*Table, *table.Client) {
+	t.Helper()
+	standIn, err := StartTable("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(standIn.Close)
+	return standIn, table.New(table.Settings{
+		Endpoint: standIn.URL(), Region: "local", Table: "tinarch", AccessKey: "a", SecretKey: "s",
+		RequestsPerSecond: 1000, Total: total,
+	})
+}
+
+var key = table.Key{Partition: "p", Sort: "1"}
+
+func write(revision, expected uint64, value string) []table.Write {
+	return []table.Write{{Item: table.Item{Key: key, Revision: revision, Value: []byte(value)}, Expected: expected}}
+}
+
+func TestTableAdapterReadsWritesAndConflicts(t *testing.T) {
+	_, client := startTable(t, time.Second)
+	ctx := context.Background()
+	if _, err := client.Get(ctx, key); !errors.Is(err, table.ErrNotFound) {
+		t.Fatalf("empty table: %v", err)
+	}
+	if err := client.Transact(ctx, "t1", write(1, 0, "one")); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.Transact(ctx, "t2", write(1, 0, "again")); !errors.Is(err, table.ErrConflict) {
+		t.Errorf("second creation: %v", err)
+	}
+	if err := client.Transact(ctx, "t3", write(2, 1, "two")); err != nil {
+		t.Errorf("update: %v", err)
+	}
+	items, err := client.Query(ctx, "p", "", 10)
+	want := []table.Item{{Key: key, Revision: 2, Value: []byte("two")}}
+	if diff := cmp.Diff(want, items); err != nil || diff != "" {
+		t.Errorf("query: %v\n%s", err, diff)
+	}
+}
+
+func TestTableAdapterSurvivesLostAnswers(t *testing.T) {
+	standIn, client := startTable(t, 5*time.Second)
+	standIn.SetFaults(Faults{LoseAnswers: 2})
+	if err := client.Transact(context.Background(), "t1", write(1, 0, "one")); err != nil {
+		t.Fatalf("the answer was lost, the write was not: %v", err)
+	}
+	item, err := client.Get(context.Background(), key)
+	if err != nil || item.Revision != 1 {
+		t.Errorf("item %+v, error %v", item, err)
+	}
+}
+
+func TestTableAdapterTellsNotDoneFromUnknown(t *testing.T) {
+	standIn, client := startTable(t, 300*time.Millisecond)
+	standIn.SetFaults(Faults{LoseAnswers: 1000})
+	err := client.Transact(context.Background(), "t1", write(1, 0, "one"))
+	if result.CodeOf(err) != result.ApplyUnknown {
+		t.Errorf("all answers lost: %v", err)
+	}
+	standIn.SetFaults(Faults{RequestsPerSecond: 0.001})
+	_, _ = client.Get(context.Background(), key) // uses up the burst
+	err = client.Transact(context.Background(), "t2", write(2, 1, "two"))
+	if result.CodeOf(err) != result.TableUnavailable {
+		t.Errorf("throttled: %v", err)
+	}
+}
+
+func TestObjectAdapter(t *testing.T) {
+	standIn, err := StartObjects("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer standIn.Close()
+	client := objects.New(objects.Settings{Endpoint: standIn.URL(), Region: "local", Bucket: "b", AccessKey: "a", SecretKey: "s", RequestsPerSecond: 1000})
+	ctx := context.Background()
+	if _, err := client.Get(ctx, "x"); !errors.Is(err, objects.ErrNotFound) {
+		t.Errorf("missing object: %v", err)
+	}
+	standIn.SetFaults(Faults{LoseAnswers: 1})
+	if err := client.Put(ctx, "x", []byte("content")); err != nil {
+		t.Fatal(err)
+	}
+	content, err := client.Get(ctx, "x")
+	if err != nil || string(content) != "content" {
+		t.Errorf("content %q, error %v", content, err)
+	}
+}
+
+func TestMachineListAdapter(t *testing.T) {
+	standIn, err := StartMachines("127.0.0.1:0", time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer standIn.Close()
+	first := []machines.Machine{{Kind: machines.KindEngine, Name: "e1", Address: "127.0.0.1:1", Pool: "p", Zone: "z"}}
+	standIn.Set(first)
+	standIn.Set([]machines.Machine{{Kind: machines.KindEngine, Name: "e1", Address: "127.0.0.1:1", Leaving: true}})
+	list, err := machines.New(standIn.URL()).List(context.Background())
+	if diff := cmp.Diff(first, list); err != nil || diff != "" {
+		t.Errorf("the list does not lag: %v\n%s", err, diff)
+	}
+}
+
+func TestMachineListRejectsHalfEntries(t *testing.T) {
+	for _, content := range []string{"{}", `[{"targets":["x"],"labels":{"name":"n"}}]`, `[{"targets":["h:1"],"labels":{}}]`} {
+		if _, err := machines.Parse([]byte(content)); err == nil {
+			t.Errorf("%s was accepted", content)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,309 @@
+package membership
+
+import (
+	"cmp"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// retransmitFactor times the logarithm of the number of nodes is how often an
+// update is passed on (SWIM section 4.1).
+const retransmitFactor = 3
+
+// entry is a node as this node sees it.
+type entry struct {
+	node    Node
+	changed time.Duration
+	heard   time.Duration
+}
+
+// queued is an update being spread.
+type queued struct {
+	key       string
+	update    Update
+	remaining int
+}
+
+// Table is one node's view. It is not safe for concurrent use.
+type Table struct {
+	settings Settings
+	self     Node
+	random   *rand.Rand
+	entries  map[string]*entry
+	groups   map[string]Group
+	queue    []queued
+	// round is the shuffled list of nodes to probe.
+	round []string
+}
+
+// New returns a table that knows only its own node.
+func New(settings Settings, self Node, random *rand.Rand) *Table {
+	self.State = Alive
+	t := &Table{
+		settings: settings,
+		self:     self,
+		random:   random,
+		entries:  map[string]*entry{},
+		groups:   map[string]Group{},
+	}
+	t.enqueueSelf()
+	return t
+}
+
+// Self returns the record of this node.
+func (t *Table) Self() Node { return t.self }
+
+// SetSelf changes what this node says of itself, and spreads it.
+func (t *Table) SetSelf(leaving, serving bool) {
+	if t.self.Leaving == leaving && t.self.Serving == serving {
+		return
+	}
+	t.self.Leaving, t.self.Serving = leaving, serving
+	t.self.Generation++
+	t.enqueueSelf()
+}
+
+func (t *Table) enqueueSelf() {
+	self := t.self
+	t.enqueue("node/"+self.Name, Update{Node: &self})
+}
+
+func (t *Table) enqueue(key string, update Update) {
+	t.queue = slices.DeleteFunc(t.queue, func(q queued) bool { return q.key == key })
+	t.queue = append(t.queue, queued{key: key, update: update, remaining: t.retransmissions()})
+}
+
+func (t *Table) retransmissions() int {
+	return retransmitFactor * (bits.Len(uint(len(t.entries))) + 1)
+}
+
+// Updates returns the updates to put into the next message, the least often sent
+// first.
+func (t *Table) Updates() []Update {
+	slices.SortStableFunc(t.queue, func(left, right queued) int { return cmp.Compare(right.remaining, left.remaining) })
+	count := min(len(t.queue), t.settings.MaxUpdates)
+	updates := make([]Update, 0, count)
+	for i := range count {
+		updates = append(updates, t.queue[i].update)
+		t.queue[i].remaining--
+	}
+	t.queue = slices.DeleteFunc(t.queue, func(q queued) bool { return q.remaining <= 0 })
+	return updates
+}
+
+// Everything returns all records, for a node that joins.
+func (t *Table) Everything() []Update {
+	self := t.self
+	updates := []Update{{Node: &self}}
+	for _, name := range t.names() {
+		node := t.entries[name].node
+		updates = append(updates, Update{Node: &node})
+	}
+	ids := make([]string, 0, len(t.groups))
+	for id := range t.groups {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		group := t.groups[id]
+		updates = append(updates, Update{Group: &group})
+	}
+	return updates
+}
+
+func (t *Table) names() []string {
+	names := make([]string, 0, len(t.entries))
+	for name := range t.entries {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Merge takes updates from another node.
+func (t *Table) Merge(now time.Duration, updates []Update) {
+	for _, update := range updates {
+		if update.Node != nil {
+			t.mergeNode(now, *update.Node)
+		}
+		if update.Group != nil {
+			t.SetGroup(*update.Group)
+		}
+	}
+}
+
+func (t *Table) mergeNode(now time.Duration, update Node) {
+	if update.Name == t.self.Name {
+		t.mergeSelf(update)
+		return
+	}
+	known := t.entries[update.Name]
+	if known != nil && !newer(update, known.node) {
+		return
+	}
+	if known == nil {
+		if update.State == Dead {
+			return // nothing to learn
+		}
+		known = &entry{heard: now}
+		t.entries[update.Name] = known
+	}
+	if update.State == Alive {
+		known.heard = now
+	}
+	known.node = update
+	known.changed = now
+	t.enqueue("node/"+update.Name, Update{Node: &update})
+}
+
+// mergeSelf refutes what others believe of this node.
+func (t *Table) mergeSelf(update Node) {
+	if update.Incarnation != t.self.Incarnation || update.State == Alive || update.Generation < t.self.Generation {
+		return
+	}
+	t.self.Generation = update.Generation + 1
+	t.enqueueSelf()
+}
+
+// SetGroup takes a record of a group's leadership. It reports whether the record
+// was news.
+func (t *Table) SetGroup(group Group) bool {
+	known, exists := t.groups[group.ID]
+	if exists && !group.newer(known) {
+		return false
+	}
+	t.groups[group.ID] = group
+	t.enqueue("group/"+group.ID, Update{Group: &group})
+	return true
+}
+
+// Group returns what is known of a group.
+func (t *Table) Group(id string) (Group, bool) {
+	group, exists := t.groups[id]
+	return group, exists
+}
+
+// Groups returns all known groups in order of identifier.
+func (t *Table) Groups() []Group {
+	groups := make([]Group, 0, len(t.groups))
+	for _, group := range t.groups {
+		groups = append(groups, group)
+	}
+	slices.SortFunc(groups, func(left, right Group) int { return cmp.Compare(left.ID, right.ID) })
+	return groups
+}
+
+// View is a node with the time since it was last heard of.
+type View struct {
+	Node
+	HeardAgo time.Duration
+}
+
+// Nodes returns all known nodes, this one included, in order of name.
+func (t *Table) Nodes(now time.Duration) []View {
+	views := []View{{Node: t.self}}
+	for _, e := range t.entries {
+		views = append(views, View{Node: e.node, HeardAgo: now - e.heard})
+	}
+	slices.SortFunc(views, func(left, right View) int { return cmp.Compare(left.Name, right.Name) })
+	return views
+}
+
+// Node returns the record of a node by name.
+func (t *Table) Node(name string) (Node, bool) {
+	if name == t.self.Name {
+		return t.self, true
+	}
+	if e := t.entries[name]; e != nil {
+		return e.node, true
+	}
+	return Node{}, false
+}
+
+// Probe chooses the node to probe in this period: each once a round, in random
+// order. It returns false when there is no other node.
+func (t *Table) Probe() (Node, bool) {
+	for len(t.round) > 0 || t.shuffle() {
+		name := t.round[len(t.round)-1]
+		t.round = t.round[:len(t.round)-1]
+		if e := t.entries[name]; e != nil && e.node.State != Dead {
+			return e.node, true
+		}
+	}
+	return Node{}, false
+}
+
+func (t *Table) shuffle() bool {
+	for _, name := range t.names() {
+		if t.entries[name].node.State != Dead {
+			t.round = append(t.round, name)
+		}
+	}
+	t.random.Shuffle(len(t.round), func(i, j int) { t.round[i], t.round[j] = t.round[j], t.round[i] })
+	return len(t.round) > 0
+}
+
+// Helpers chooses the nodes that are asked to probe target.
+func (t *Table) Helpers(target string) []Node {
+	var helpers []Node
+	names := t.names()
+	t.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names {
+		if node := t.entries[name].node; name != target && node.State == Alive && len(helpers) < t.settings.IndirectProbes {
+			helpers = append(helpers, node)
+		}
+	}
+	return helpers
+}
+
+// Random chooses any node that is believed alive.
+func (t *Table) Random() (Node, bool) {
+	names := t.names()
+	t.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names {
+		if node := t.entries[name].node; node.State == Alive {
+			return node, true
+		}
+	}
+	return Node{}, false
+}
+
+// Heard notes that a node has answered. It does not end a suspicion: the node
+// does that itself, with a higher generation, when it hears of it.
+func (t *Table) Heard(now time.Duration, name string) {
+	if e := t.entries[name]; e != nil {
+		e.heard = now
+	}
+}
+
+// Failed notes that neither a probe nor the helpers reached an incarnation.
+func (t *Table) Failed(now time.Duration, target Node) {
+	e := t.entries[target.Name]
+	if e == nil || e.node.Incarnation != target.Incarnation || e.node.State != Alive {
+		return
+	}
+	t.setState(now, e, Suspect)
+}
+
+func (t *Table) setState(now time.Duration, e *entry, state State) {
+	e.node.State = state
+	e.changed = now
+	node := e.node
+	t.enqueue("node/"+node.Name, Update{Node: &node})
+}
+
+// Tick turns suspicions that were not refuted into deaths, and forgets the dead.
+func (t *Table) Tick(now time.Duration) {
+	for _, name := range t.names() {
+		e := t.entries[name]
+		age := now - e.changed
+		switch {
+		case e.node.State == Suspect && age >= t.settings.SuspectFor:
+			t.setState(now, e, Dead)
+		case e.node.State == Dead && age >= t.settings.ForgetAfter:
+			delete(t.entries, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/election.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"time"
+)
+
+// scheduleCampaign sets the time of the next candidacy, at the earliest when the
+// promise to the leader has lapsed.
+func (m *Member) scheduleCampaign(now time.Duration, extra time.Duration) {
+	earliest := max(now+m.settings.Heartbeat, m.promiseUntil) + extra
+	m.campaignAt = earliest + time.Duration(m.random.Int64N(int64(m.settings.ElectionSpread)+1))
+}
+
+// campaign asks for votes, first whether they would be given.
+func (m *Member) campaign(now time.Duration, pre bool) {
+	m.role = roleCandidate
+	m.leader = ""
+	m.pre = pre
+	m.votes = map[MemberID]bool{m.id: true}
+	if !pre {
+		m.term++
+		m.votedFor = m.id
+	}
+	m.scheduleCampaign(now, m.settings.Heartbeat)
+	if m.won() {
+		m.advanceCampaign(now)
+		return
+	}
+	term := m.term
+	if pre {
+		term++
+	}
+	// The lease was handed over for one candidacy only: later, the others may
+	// have promised it to somebody else.
+	handedOver := m.handedOver
+	m.handedOver = false
+	for _, member := range m.config.Members {
+		if member == m.id {
+			continue
+		}
+		m.send(Message{
+			Type: MessageVote, To: member, Term: term, Pre: pre, HandedOver: handedOver,
+			LastIndex: m.log.lastIndex(), LastTerm: m.log.lastTerm(),
+		})
+	}
+}
+
+func (m *Member) won() bool { return len(m.votes) >= m.config.majority() }
+
+func (m *Member) advanceCampaign(now time.Duration) {
+	if m.pre {
+		m.campaign(now, false)
+		return
+	}
+	m.becomeLeader(now)
+}
+
+// stepVote answers a candidate. A member bound by a promise gives no vote, and
+// does not even take over the candidate's term: its leader goes on.
+func (m *Member) stepVote(now time.Duration, message Message) {
+	bound := now < m.promiseUntil && !message.HandedOver
+	if m.role == roleLeader && !m.released {
+		_, holding := m.Fence(now)
+		bound = bound || holding
+	}
+	upToDate := message.LastTerm > m.log.lastTerm() ||
+		message.LastTerm == m.log.lastTerm() && message.LastIndex >= m.log.lastIndex()
+	if message.Pre {
+		granted := !bound && upToDate && message.Term > m.term
+		reply := Message{Type: MessageVoteReply, To: message.From, Pre: true, Granted: granted, Term: message.Term}
+		if !granted {
+			// The candidate learns a higher term from the refusal.
+			reply.Term = m.term
+		}
+		m.send(reply)
+		return
+	}
+	if bound {
+		return
+	}
+	if message.Term > m.term {
+		m.becomeFollower(message.Term, "")
+		m.scheduleCampaign(now, 0)
+	}
+	granted := message.Term == m.term && upToDate && (m.votedFor == "" || m.votedFor == message.From)
+	if granted {
+		m.votedFor = message.From
+		m.scheduleCampaign(now, m.settings.Heartbeat)
+	}
+	m.send(Message{Type: MessageVoteReply, To: message.From, Granted: granted})
+}
+
+func (m *Member) stepVoteReply(now time.Duration, message Message) {
+	wanted := m.term
+	if m.pre {
+		wanted++
+	}
+	if m.role != roleCandidate || message.Pre != m.pre || message.Term != wanted || !message.Granted {
+		return
+	}
+	m.votes[message.From] = true
+	if m.won() {
+		m.advanceCampaign(now)
+	}
+}
+
+func (m *Member) becomeLeader(now time.Duration) {
+	m.role = roleLeader
+	m.leader = m.id
+	m.handedOver = false
+	m.released = false
+	m.peers = map[MemberID]*progress{}
+	for _, member := range m.config.Members {
+		if member != m.id {
+			m.peers[member] = &progress{next: m.log.lastIndex() + 1, sentAt: map[uint64]time.Duration{}}
+		}
+	}
+	m.appendOwn(nil)
+	m.termStart = m.log.lastIndex()
+	m.replicate(now, true)
+}
+
+// HandOver gives the lease up and tells the follower that is furthest on to
+// stand for election. It reports false when there is none to hand over to.
+func (m *Member) HandOver(now time.Duration) bool {
+	if m.role != roleLeader {
+		return false
+	}
+	var best MemberID
+	for member, peer := range m.peers {
+		if !peer.heard || now-peer.heardAt > m.settings.Lease || peer.match < m.commit {
+			continue
+		}
+		if best == "" || peer.match > m.peers[best].match || (peer.match == m.peers[best].match && member < best) {
+			best = member
+		}
+	}
+	if best == "" {
+		return false
+	}
+	m.released = true
+	m.releasedAt = now
+	m.send(Message{Type: MessageHandOver, To: best})
+	return true
+}
+
+// stepHandOver starts a candidacy at once. The leader has given its lease up
+// before it sent the message, so promises to it bind nobody any more.
+func (m *Member) stepHandOver(now time.Duration, message Message) {
+	if message.Term != m.term || m.role != roleFollower {
+		return
+	}
+	m.promiseUntil = now
+	m.handedOver = true
+	m.campaign(now, false)
+}
--- /dev/null
+++ b/internal/result/generate.go
@@ -0,0 +1,3 @@
+package result
+
+//go:generate sh -c "go run ./errorsdoc > ../../docs/ERRORS.md"
