--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -121,7 +121,8 @@
 		resolved.MaxPromptTokens = int(model.GetContextTokens()) - resolved.MaxOutputTokens
 	}
 	if resolved.KeyWindow == 0 {
-		resolved.KeyWindow = defaultKeyWindow
+		// A key must outlive every request that uses it.
+		resolved.KeyWindow = max(defaultKeyWindow, 2*resolved.Deadline)
 	}
 	return resolved
 }
@@ -198,6 +199,9 @@
 	return s.classes[tenant.GetPriorityClass()]
 }
 
+// Kind returns a kind by name, nil when there is none.
+func (s *Snapshot) Kind(name string) *Kind { return s.kinds[name] }
+
 // Class returns a class by name, nil when there is none.
 func (s *Snapshot) Class(name string) *tinarchv1.PriorityClass { return s.classes[name] }
 
@@ -229,6 +233,9 @@
 	return orDefault(int(pool.GetMaxRunningPerEngine()), defaultRunningPerEngine)
 }
 
+// Cells returns the number of cells of a pool.
+func Cells(pool *tinarchv1.Pool) int { return orDefault(int(pool.GetCells()), 1) }
+
 func orDefault(value, fallback int) int {
 	if value == 0 {
 		return fallback
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -15,6 +15,7 @@
 	maxDeadlineMs    = 24 * 3600 * 1000
 	maxContextTokens = 16 << 20
 	maxKeyWindow     = 7 * 24 * 3600
+	maxCells         = 256
 	digestHexLength  = 64
 )
 
@@ -126,12 +127,19 @@
 
 func (v *validator) checkPools() {
 	for _, pool := range v.catalog.GetPools() {
+		v.checkPoolCells(pool)
 		if pool.GetMaxUnavailablePercent() > 100 {
 			v.add("pool "+pool.GetName(), "max_unavailable_percent", "%d is out of range; use 0 to 100", pool.GetMaxUnavailablePercent())
 		}
 	}
 }
 
+func (v *validator) checkPoolCells(pool *tinarchv1.Pool) {
+	if pool.GetCells() > maxCells {
+		v.add("pool "+pool.GetName(), "cells", "%d is out of range; use 0 to %d", pool.GetCells(), maxCells)
+	}
+}
+
 func (v *validator) checkModels() {
 	for _, model := range v.catalog.GetModels() {
 		object := "model " + model.GetName()
@@ -189,6 +197,9 @@
 		if kind.GetKeyWindowSeconds() > maxKeyWindow {
 			v.add(object, "key_window_seconds", "%d is out of range; use 0 to %d", kind.GetKeyWindowSeconds(), maxKeyWindow)
 		}
+		if window := uint64(kind.GetKeyWindowSeconds()) * 1000; window > 0 && window < 2*uint64(kind.GetDeadlineMs()) {
+			v.add(object, "key_window_seconds", "a key must be remembered for at least twice the deadline, %d seconds", 2*uint64(kind.GetDeadlineMs())/1000)
+		}
 		v.checkKindModel(object, kind)
 	}
 }
--- /dev/null
+++ b/internal/cell/service.go
@@ -0,0 +1,433 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
+	"github.com/tinarch/tinarch/internal/catalog"
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/group"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Catalog is where a cell gets its configuration from.
+type Catalog interface {
+	Current() *catalog.Snapshot
+	WaitFor(ctx context.Context, revision uint64) error
+}
+
+// Engines is how a cell talks to its engines.
+type Engines interface {
+	Status(ctx context.Context, address string) (engine.Status, error)
+	Order(ctx context.Context, address string, order engine.Order) (engine.Status, error)
+	CacheEvents(ctx context.Context, address string, from uint64) (engine.CacheEvents, error)
+}
+
+// The periods of a cell's work.
+const (
+	statusEvery         = 500 * time.Millisecond
+	statusEveryFollower = time.Second
+	cacheEventsEvery    = time.Second
+	reconcileEvery      = 100 * time.Millisecond
+	expireEvery         = 50 * time.Millisecond
+	engineTimeout       = time.Second
+	orderTimeout        = 2 * time.Second
+	revisionWait        = 500 * time.Millisecond
+)
+
+// decision ends the wait of a request.
+type decision struct {
+	ticket engine.Ticket
+	err    error
+}
+
+// Service drives a cell on one of its group's members. It implements
+// group.StateMachine and group.Leadership.
+type Service struct {
+	*registry
+	name    string
+	catalog Catalog
+	engines Engines
+	handle  func() *group.Replica
+	log     logrus.FieldLogger
+	origin  time.Time
+
+	mu      sync.Mutex
+	state   *State
+	leading engine.Fence
+	results map[engine.Identifier]chan decision
+	// ordering marks engines to which an order is on its way.
+	ordering map[string]bool
+
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// NewService starts the service of a cell. handle returns the group's member on
+// this node.
+func NewService(options Options, source Catalog, engines Engines, handle func() *group.Replica, log logrus.FieldLogger) *Service {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Service{
+		registry: newRegistry(),
+		name:     options.Name,
+		catalog:  source,
+		engines:  engines,
+		handle:   handle,
+		log:      log.WithField("cell", options.Name),
+		origin:   time.Now(),
+		state:    NewState(options),
+		results:  map[engine.Identifier]chan decision{},
+		ordering: map[string]bool{},
+		stop:     cancel,
+	}
+	s.state.SetCatalog(source.Current())
+	s.every(ctx, expireEvery, s.expire)
+	s.every(ctx, reconcileEvery, s.reconcile)
+	s.every(ctx, statusEvery, s.pollStatus)
+	s.every(ctx, cacheEventsEvery, s.pollCacheEvents)
+	return s
+}
+
+// every runs work until ctx ends.
+func (s *Service) every(ctx context.Context, period time.Duration, work func(context.Context)) {
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				work(ctx)
+			}
+		}
+	}()
+}
+
+// Close stops the service.
+func (s *Service) Close() {
+	s.stop()
+	s.done.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(nil, s.state.RefuseAll(result.Stopping, "the node is stopping"))
+}
+
+func (s *Service) now() time.Duration { return time.Since(s.origin) }
+
+// Lead implements group.Leadership.
+func (s *Service) Lead(fence engine.Fence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leading = fence
+	s.state.SetFence(fence)
+}
+
+// Follow implements group.Leadership. Waiting requests go to the next leader.
+func (s *Service) Follow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leading = 0
+	s.state.SetFence(0)
+	s.settle(nil, s.state.RefuseAll(result.NotLeader, "leadership of the cell has changed"))
+}
+
+// SetCatalog takes a newer revision.
+func (s *Service) SetCatalog(snapshot *catalog.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.SetCatalog(snapshot)
+}
+
+// ObserveMachines takes the cell's engines from the machine list.
+func (s *Service) ObserveMachines(machines []Machine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.ObserveMachines(machines)
+	s.dispatch()
+}
+
+// settle ends the waits of requests. The caller holds the lock.
+func (s *Service) settle(placed []Placed, refused []Refused) {
+	for _, p := range placed {
+		s.end(p.Attempt, decision{ticket: p.Ticket})
+	}
+	for _, r := range refused {
+		s.end(r.Attempt, decision{err: r.Err})
+	}
+}
+
+func (s *Service) end(attempt engine.Identifier, outcome decision) {
+	waiter := s.results[attempt]
+	delete(s.results, attempt)
+	if waiter != nil {
+		waiter <- outcome
+	}
+}
+
+// dispatch places what can be placed. The caller holds the lock.
+func (s *Service) dispatch() { s.settle(s.state.Dispatch(s.now()), nil) }
+
+// Place waits until the request has an engine, or is refused.
+func (s *Service) Place(ctx context.Context, request PlaceRequest) (engine.Ticket, error) {
+	if err := s.awaitRevision(ctx, request.Revision); err != nil {
+		return engine.Ticket{}, err
+	}
+	waiter, err := s.enqueue(request)
+	if err != nil {
+		return engine.Ticket{}, err
+	}
+	select {
+	case outcome := <-waiter:
+		if outcome.err != nil {
+			return engine.Ticket{}, outcome.err
+		}
+		return s.confirm(request, outcome.ticket)
+	case <-ctx.Done():
+		s.withdraw(request.Attempt, waiter)
+		return engine.Ticket{}, result.New(result.CallerGone, "the caller left while the request waited")
+	}
+}
+
+func (s *Service) awaitRevision(ctx context.Context, revision uint64) error {
+	if s.catalog.Current().Revision >= revision {
+		return nil
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, revisionWait)
+	defer cancel()
+	return s.catalog.WaitFor(waitCtx, revision)
+}
+
+func (s *Service) enqueue(request PlaceRequest) (chan decision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leading == 0 && !request.AnyMember {
+		return nil, result.New(result.NotLeader, "this node does not lead cell %s", s.name)
+	}
+	waiter := make(chan decision, 1)
+	shed, err := s.state.Enqueue(s.now(), request)
+	if err != nil {
+		return nil, err
+	}
+	s.results[request.Attempt] = waiter
+	s.settle(nil, shed)
+	s.dispatch()
+	return waiter, nil
+}
+
+// confirm looks at the lease again, just before the ticket leaves.
+func (s *Service) confirm(request PlaceRequest, ticket engine.Ticket) (engine.Ticket, error) {
+	if request.AnyMember {
+		return ticket, nil
+	}
+	if r := s.handle(); r != nil {
+		if fence, active := r.Fence(); active && fence == ticket.Fence {
+			return ticket, nil
+		}
+	}
+	s.Report([]Progress{{Attempt: request.Attempt, Type: ProgressDone}})
+	return engine.Ticket{}, result.New(result.NotLeader, "leadership of cell %s has changed", s.name)
+}
+
+// withdraw takes a request back whose caller has left.
+func (s *Service) withdraw(attempt engine.Identifier, waiter chan decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.results, attempt)
+	if s.state.Cancel(attempt) {
+		return
+	}
+	select {
+	case outcome := <-waiter:
+		if outcome.err == nil {
+			s.state.Report(Progress{Attempt: attempt, Type: ProgressDone})
+		}
+	default:
+	}
+	s.dispatch()
+}
+
+// Report takes the news of gateways.
+func (s *Service) Report(reports []Progress) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, progress := range reports {
+		s.state.Report(progress)
+	}
+	s.dispatch()
+}
+
+// EngineStatus describes the cell's engines.
+func (s *Service) EngineStatus() []*tinarchv1.EngineStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Engines(s.now())
+}
+
+// Load returns the numbers of waiting requests by class, and of requests in
+// flight.
+func (s *Service) Load() (waiting map[string]int, inFlight int, leading bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.QueueLength(), s.state.InFlight(), s.leading != 0
+}
+
+// Drain replicates an operator's word, and returns the attempts in flight on the
+// engine.
+func (s *Service) Drain(ctx context.Context, name string, undo bool) (int, error) {
+	s.mu.Lock()
+	_, err := s.state.Find(name)
+	s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	command := registryCommand{Drain: name}
+	if undo {
+		command = registryCommand{Undrain: name}
+	}
+	data, err := json.Marshal(command)
+	if err != nil {
+		return 0, result.Wrap(err, result.Internal, "encoding a cell command")
+	}
+	r := s.handle()
+	if r == nil {
+		return 0, result.New(result.NotLeader, "this node is no member of cell %s", s.name)
+	}
+	if _, err := r.Propose(ctx, data); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.SetDrained(s.Drained())
+	return s.state.Find(name)
+}
+
+func (s *Service) expire(context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(nil, s.state.Expire(s.now()))
+	s.dispatch()
+}
+
+// reconcile sends the orders that are due, one an engine at a time.
+func (s *Service) reconcile(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leading == 0 {
+		return
+	}
+	s.state.SetDrained(s.Drained())
+	for _, instruction := range s.state.Reconcile(s.now()) {
+		if s.ordering[instruction.Engine] {
+			continue
+		}
+		s.ordering[instruction.Engine] = true
+		s.done.Add(1)
+		go func() {
+			defer s.done.Done()
+			s.order(ctx, instruction)
+		}()
+	}
+}
+
+// order sends one order, after a last look at the lease.
+func (s *Service) order(ctx context.Context, instruction Instruction) {
+	var status engine.Status
+	err := s.checkAuthority(instruction.Order.Fence)
+	if err == nil {
+		orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		status, err = s.engines.Order(orderCtx, instruction.Address, instruction.Order)
+	}
+	entry := s.log.WithFields(logrus.Fields{
+		"engine": instruction.Engine, "order": instruction.Order.Type, "order_id": instruction.Order.ID,
+		"fence": uint64(instruction.Order.Fence), "sequence": instruction.Order.Sequence,
+	})
+	if err != nil {
+		entry.WithError(err).Warn("order not confirmed")
+	} else {
+		entry.Info("order accepted")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ordering, instruction.Engine)
+	s.state.Answered(s.now(), instruction, status, err)
+	s.dispatch()
+}
+
+func (s *Service) checkAuthority(fence engine.Fence) error {
+	if r := s.handle(); r != nil {
+		if held, active := r.Fence(); active && held == fence {
+			return nil
+		}
+	}
+	return result.New(result.NoEngine, "the order was not sent: its authority has ended")
+}
+
+func (s *Service) pollStatus(ctx context.Context) {
+	if s.handle() == nil {
+		return // no member any more
+	}
+	s.mu.Lock()
+	targets := s.state.Targets()
+	skip := s.leading == 0 && s.now()%(statusEveryFollower) >= statusEvery
+	s.mu.Unlock()
+	if skip {
+		return // followers look less often
+	}
+	s.forEachEngine(ctx, targets, func(pollCtx context.Context, target Machine) {
+		status, err := s.engines.Status(pollCtx, target.Address)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.state.ObserveStatus(s.now(), target.Name, status)
+		s.dispatch()
+	})
+}
+
+func (s *Service) pollCacheEvents(ctx context.Context) {
+	s.mu.Lock()
+	targets := s.state.Targets()
+	leading := s.leading != 0
+	s.mu.Unlock()
+	if !leading {
+		return
+	}
+	s.forEachEngine(ctx, targets, func(pollCtx context.Context, target Machine) {
+		s.mu.Lock()
+		from := s.state.NextCacheEvent(target.Name)
+		s.mu.Unlock()
+		page, err := s.engines.CacheEvents(pollCtx, target.Address, from)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.state.ObserveCacheEvents(s.now(), target.Name, page)
+	})
+}
+
+// forEachEngine does work for all engines side by side, and waits: an engine that
+// does not answer delays the others by at most its timeout.
+func (s *Service) forEachEngine(ctx context.Context, targets []Machine, work func(context.Context, Machine)) {
+	pollCtx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	var polls sync.WaitGroup
+	for _, target := range targets {
+		polls.Add(1)
+		go func() {
+			defer polls.Done()
+			work(pollCtx, target)
+		}()
+	}
+	polls.Wait()
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -132,8 +132,11 @@
 	}
 }
 
-// SetCatalog takes a newer revision.
+// SetCatalog takes a newer revision; an older one is ignored.
 func (s *State) SetCatalog(snapshot *catalog.Snapshot) {
+	if s.snapshot != nil && snapshot.Revision < s.snapshot.Revision {
+		return
+	}
 	s.snapshot = snapshot
 	running := catalog.MaxRunningPerEngine(snapshot.Pool(s.pool))
 	for _, m := range s.order {
@@ -300,7 +303,11 @@
 // refresh brings the candidates' availability in line.
 func (s *State) refresh(now time.Duration) {
 	for _, m := range s.order {
-		m.candidate.Availability = m.control.Availability(now, m.desired)
+		if s.fence == 0 {
+			m.candidate.Availability = m.control.AvailabilityUnled(now)
+		} else {
+			m.candidate.Availability = m.control.Availability(now, m.desired)
+		}
 		if m.machine.Leaving && m.candidate.Availability != placement.Lost {
 			m.candidate.Availability = placement.Leaving
 		}
@@ -337,15 +344,20 @@
 	return list
 }
 
-// SetDrained keeps an engine without work, or allows work again. It returns the
-// number of attempts in flight.
-func (s *State) SetDrained(name string, drained bool) (inFlight int, err error) {
+// SetDrained names the engines that operators keep without work.
+func (s *State) SetDrained(names []string) {
+	for _, m := range s.order {
+		m.drained = slices.Contains(names, m.machine.Name)
+		m.desired.Drained = m.drained
+	}
+}
+
+// Find returns the number of attempts in flight on an engine.
+func (s *State) Find(name string) (inFlight int, err error) {
 	m := s.members[name]
 	if m == nil {
 		return 0, result.New(result.NotFound, "cell %s has no engine %q; see `tinarch engines`", s.name, name)
 	}
-	m.drained = drained
-	m.desired.Drained = drained
 	return m.candidate.InFlight, nil
 }
 
--- a/internal/control/engine.go
+++ b/internal/control/engine.go
@@ -139,6 +139,27 @@
 		return placement.Changing
 	case e.changing || e.observed.Draining || desired.Drained:
 		return placement.Draining
+	case e.observed.Deployment.Model == "":
+		return placement.Empty
+	}
+	return placement.Ready
+}
+
+// AvailabilityUnled tells whether an engine may get work from a node that does
+// not lead: some leader has claimed it, and it reports no change under way. The
+// engine itself refuses what does not fit it any more.
+func (e *Engine) AvailabilityUnled(now time.Duration) placement.Availability {
+	switch {
+	case e.Lost(now):
+		return placement.Lost
+	case e.observed.Fence == 0:
+		return placement.Unknown
+	case e.observed.Changing != "":
+		return placement.Changing
+	case e.observed.Draining:
+		return placement.Draining
+	case e.observed.Deployment.Model == "":
+		return placement.Empty
 	}
 	return placement.Ready
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -123,6 +123,15 @@
 	return reply, err
 }
 
+// RefuseUnseen makes the engine refuse an attempt that it has not accepted so far.
+// An attempt that it has accepted goes on, and the reply says so.
+func (c *Client) RefuseUnseen(ctx context.Context, address string, incarnation, attempt Identifier) (CancelReply, error) {
+	var reply CancelReply
+	path := fmt.Sprintf("/engine/v1/streams/%s?incarnation=%s&only_unseen=true", attempt, incarnation)
+	err := c.call(ctx, http.MethodDelete, address, path, nil, &reply)
+	return reply, err
+}
+
 // Status reads the engine's report of itself.
 func (c *Client) Status(ctx context.Context, address string) (Status, error) {
 	var status Status
--- /dev/null
+++ b/internal/gateway/completion.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/openai"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// serveCompletion serves one request, whole or streamed.
+func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, endpoint openai.Endpoint) {
+	received := time.Now()
+	if s.active.Add(1) > s.settings.MaxActive {
+		s.active.Add(-1)
+		writeError(w, result.New(result.QueueFull, "the node serves %d requests already; another node may have room", s.settings.MaxActive).
+			WithRetryAfter(time.Second), "")
+		return
+	}
+	s.metrics.Active.Inc()
+	defer func() {
+		s.active.Add(-1)
+		s.metrics.Active.Dec()
+	}()
+	x, err := s.read(w, r, endpoint, received)
+	if err != nil {
+		s.logRefusal(r, err)
+		writeError(w, err, "")
+		return
+	}
+	w.Header().Set(HeaderAttempt, string(x.attempt))
+	if x.request.Stream {
+		s.stream(w, r, x)
+		return
+	}
+	s.whole(w, r, x)
+}
+
+func (s *Server) logRefusal(r *http.Request, err error) {
+	failure := result.From(err)
+	s.log.WithFields(logrus.Fields{"code": int(failure.Code), "path": r.URL.Path, "remote": r.RemoteAddr}).
+		Debug("request refused: " + failure.Message)
+}
+
+// read checks a request, from its key to its size.
+func (s *Server) read(w http.ResponseWriter, r *http.Request, endpoint openai.Endpoint, received time.Time) (*exchange, error) {
+	snapshot, tenant, err := s.authenticate(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := s.readBody(w, r)
+	if err != nil {
+		return nil, err
+	}
+	request, err := openai.Parse(endpoint, body)
+	if err != nil {
+		return nil, err
+	}
+	kind, err := snapshot.KindFor(tenant, r.Header.Get(HeaderKind), request.Model)
+	if err != nil {
+		return nil, err
+	}
+	x, err := newExchange(snapshot, tenant, kind, endpoint, request, received)
+	if err != nil {
+		return nil, err
+	}
+	if key := r.Header.Get(HeaderKey); key != "" && !kind.Repeatable {
+		if err := checkKey(key); err != nil {
+			return nil, err
+		}
+		x.setKey(key)
+	}
+	x.log = s.log.WithFields(logrus.Fields{"attempt": x.attempt, "tenant": tenant.GetName(), "kind": kind.Name})
+	return x, nil
+}
+
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, result.New(result.BodyTooLarge, "the body has more than %d bytes; send less or raise limits.max_body_bytes", s.settings.MaxBodyBytes)
+	}
+	if err != nil {
+		return nil, result.New(result.InvalidRequest, "the body did not arrive whole: %v", err)
+	}
+	return body, nil
+}
+
+// execute runs the exchange into the sink, and logs and counts its end.
+func (s *Server) execute(r *http.Request, x *exchange, target sink) outcome {
+	var end outcome
+	if x.key != "" {
+		end = s.keyed.run(r.Context(), x, target)
+	} else {
+		end = s.runner.run(r.Context(), x, noClaims{}, target)
+	}
+	code := result.CodeOf(end.err)
+	s.metrics.ended(x, code.Entry().Name, end.usage.OutputTokens)
+	entry := x.log.WithFields(logrus.Fields{
+		"engine": end.engine, "code": int(code), "duration_ms": time.Since(x.received).Milliseconds(),
+		"prompt_tokens": end.usage.PromptTokens, "cached_tokens": end.usage.CachedTokens, "output_tokens": end.usage.OutputTokens,
+	})
+	if end.err != nil {
+		entry.WithField("reason", result.From(end.err).Message).Info("request ended")
+	} else {
+		entry.Info("request ended")
+	}
+	return end
+}
+
+// collector is the sink of whole answers.
+type collector struct {
+	text strings.Builder
+}
+
+func (c *collector) events(chunk []byte) error {
+	text, err := textOf(chunk)
+	c.text.WriteString(text)
+	return err
+}
+
+func (s *Server) whole(w http.ResponseWriter, r *http.Request, x *exchange) {
+	target := &collector{}
+	end := s.execute(r, x, target)
+	if end.err != nil {
+		writeError(w, end.err, string(x.attempt))
+		return
+	}
+	s.limitWrites(w)
+	writeJSON(w, http.StatusOK, openai.Whole(x.endpoint, engine.StreamID(x.attempt), x.kind.Model, x.received.Unix(), target.text.String(), usageOf(end.usage)))
+}
+
+func usageOf(usage engine.Usage) *openai.Usage {
+	return openai.NewUsage(usage.PromptTokens, usage.OutputTokens, usage.CachedTokens)
+}
+
+// limitWrites bounds the time that a caller may take to read.
+func (s *Server) limitWrites(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.settings.WriteTimeout))
+}
+
+// writeDeadlineEvery is how often the deadline of a stream's writes is moved on:
+// a system call for each event would cost as much as the write.
+const writeDeadlineEvery = time.Second
+
+// streamSink writes events to a caller as they come.
+type streamSink struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	timeout    time.Duration
+	begun      bool
+	deadlineAt time.Time
+}
+
+func (t *streamSink) events(chunk []byte) error {
+	if !t.begun {
+		t.begun = true
+		header := t.writer.Header()
+		header.Set("Content-Type", "text/event-stream")
+		header.Set("Cache-Control", "no-cache")
+		t.writer.WriteHeader(http.StatusOK)
+	}
+	if now := time.Now(); now.Sub(t.deadlineAt) > writeDeadlineEvery {
+		t.deadlineAt = now
+		_ = t.controller.SetWriteDeadline(now.Add(t.timeout))
+	}
+	if _, err := t.writer.Write(chunk); err != nil {
+		return err
+	}
+	return t.controller.Flush()
+}
+
+var streamDone = []byte("data: [DONE]\n\n")
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, x *exchange) {
+	target := &streamSink{writer: w, controller: http.NewResponseController(w), timeout: s.settings.WriteTimeout}
+	end := s.execute(r, x, target)
+	if end.err != nil {
+		if !target.begun {
+			writeError(w, end.err, string(x.attempt))
+			return
+		}
+		// The stream ends without its mark, so it can't be taken for whole.
+		_ = target.events(errorEvent(end.err, string(x.attempt)))
+		return
+	}
+	var last []byte
+	if options := x.request.StreamOptions; options != nil && options.IncludeUsage {
+		chunk := openai.UsageChunk(x.endpoint, engine.StreamID(x.attempt), x.kind.Model, x.received.Unix(), usageOf(end.usage))
+		last = appendData(last, chunk)
+	}
+	_ = target.events(append(last, streamDone...))
+}
+
+func errorEvent(err error, attempt string) []byte {
+	return appendData(nil, openai.NewErrorBody(result.From(err), attempt))
+}
+
+func appendData(buffer []byte, value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return buffer // the types above can always be encoded
+	}
+	buffer = append(buffer, "data: "...)
+	buffer = append(buffer, bytes.TrimSpace(data)...)
+	return append(buffer, eventEnd...)
+}
--- /dev/null
+++ b/internal/gateway/key.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"encoding/hex"
+	"strings"
+
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+const (
+	maxKeyLength = 255
+	uuidLength   = 36
+	uuidVersion7 = '7'
+	// uuidVersionAt is the index of the version digit in a UUID's text.
+	uuidVersionAt = 14
+)
+
+// checkKey refuses keys that can't be stored.
+func checkKey(key string) error {
+	if len(key) > maxKeyLength {
+		return result.New(result.InvalidRequest, "the Idempotency-Key has %d bytes, at most %d are allowed", len(key), maxKeyLength)
+	}
+	return nil
+}
+
+// timeOfKey returns the Unix milliseconds that a key of the form UUIDv7 carries
+// (RFC 9562, section 5.7), zero for any other key. Such a key proves that it is
+// new even to a group that has lost its memory.
+func timeOfKey(key string) int64 {
+	if len(key) != uuidLength || key[uuidVersionAt] != uuidVersion7 {
+		return 0
+	}
+	raw, err := hex.DecodeString(strings.ReplaceAll(key, "-", ""))
+	if err != nil || len(raw) != 16 {
+		return 0
+	}
+	var milliseconds int64
+	for _, digit := range raw[:6] {
+		milliseconds = milliseconds<<8 | int64(digit)
+	}
+	return milliseconds
+}
--- /dev/null
+++ b/internal/gateway/keyed.go
@@ -0,0 +1,312 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/cell"
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/ledger"
+	"github.com/tinarch/tinarch/internal/openai"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Answers stores the answers that are too long for the ledger.
+type Answers interface {
+	Put(ctx context.Context, name string, content []byte) error
+	Get(ctx context.Context, name string) ([]byte, error)
+}
+
+// keyed runs requests that must not run twice. Their execution does not depend on
+// any one caller: who comes with the same key reads the same stream.
+type keyed struct {
+	runner  *runner
+	ledger  *ledger.Client
+	answers Answers
+	metrics *Metrics
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	flights map[string]*keyedFlight
+}
+
+// keyedFlight is one execution at this gateway.
+type keyedFlight struct {
+	digest    string
+	recording *recording
+}
+
+func newKeyed(runner *runner, client *ledger.Client, answers Answers, metrics *Metrics) *keyed {
+	return &keyed{runner: runner, ledger: client, answers: answers, metrics: metrics, flights: map[string]*keyedFlight{}}
+}
+
+const (
+	ledgerTimeout = 3 * time.Second
+	storeTimeout  = 5 * time.Second
+	// takeOverPatience is how long another gateway gets to dispatch an attempt
+	// that it has claimed.
+	takeOverPatience = 250 * time.Millisecond
+)
+
+// run joins the execution of the exchange's key, or begins it.
+func (k *keyed) run(ctx context.Context, x *exchange, target sink) outcome {
+	flight, fresh := k.join(x)
+	if flight.digest != x.digest() {
+		return outcome{err: result.New(result.KeyReused, "the idempotency key is in use for another request; use a new key")}
+	}
+	if fresh {
+		k.running.Add(1)
+		go func() {
+			defer k.running.Done()
+			k.execute(context.WithoutCancel(ctx), x, flight)
+		}()
+	}
+	return flight.recording.play(ctx, target)
+}
+
+func (k *keyed) join(x *exchange) (flight *keyedFlight, fresh bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if running := k.flights[x.key]; running != nil {
+		return running, false
+	}
+	flight = &keyedFlight{digest: x.digest(), recording: newRecording()}
+	k.flights[x.key] = flight
+	return flight, true
+}
+
+// execute runs the request to its end, whoever reads along.
+func (k *keyed) execute(ctx context.Context, x *exchange, flight *keyedFlight) {
+	end := k.executeOnce(ctx, x, flight.recording)
+	flight.recording.finish(end)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.flights, x.key)
+}
+
+func (k *keyed) executeOnce(ctx context.Context, x *exchange, target *recording) outcome {
+	lookupCtx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	claim, err := k.ledger.Lookup(lookupCtx, x.key)
+	cancel()
+	if err != nil {
+		return outcome{err: ledgerUnavailable(err)}
+	}
+	if claim != nil {
+		return k.continueClaim(ctx, x, claim, target)
+	}
+	return k.start(ctx, x, target)
+}
+
+func ledgerUnavailable(err error) error {
+	return result.New(result.LedgerUnavailable, "the claim could not be recorded, so the request was not run: %s", result.From(err).Message).
+		WithRetryAfter(time.Second)
+}
+
+// start runs a request whose key is not known.
+func (k *keyed) start(ctx context.Context, x *exchange, target *recording) outcome {
+	guard := &keyGuard{keyed: k, x: x}
+	end := k.runner.run(ctx, x, guard, target)
+	if guard.taken != nil {
+		// Another gateway was first.
+		return k.continueClaim(ctx, x, guard.taken, target)
+	}
+	k.conclude(ctx, x, guard, end, target)
+	return end
+}
+
+// conclude records how an execution ended.
+func (k *keyed) conclude(ctx context.Context, x *exchange, guard *keyGuard, end outcome, target *recording) {
+	if guard.current == "" {
+		return // nothing was claimed
+	}
+	if end.err == nil {
+		k.complete(ctx, x, guard.current, end, target)
+		return
+	}
+	if result.CodeOf(end.err).Entry().Outcome == result.DidNotRun {
+		k.command(ctx, ledger.Command{Type: ledger.CommandRelease, Key: x.key, Attempt: guard.current})
+	}
+}
+
+// command sends a command whose failure has no other consequence than that the
+// next caller with the key asks the engine.
+func (k *keyed) command(ctx context.Context, command ledger.Command) {
+	commandCtx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	_, _, _ = k.ledger.Execute(commandCtx, command)
+}
+
+// complete stores the answer: in the ledger, or in the object store where it is
+// long. Where neither can be had, the engine still has it for a while.
+func (k *keyed) complete(ctx context.Context, x *exchange, attempt engine.Identifier, end outcome, target *recording) {
+	content, _, _, _ := target.snapshot(0)
+	text, err := textOf(content)
+	if err != nil {
+		return
+	}
+	answer := &ledger.Answer{Text: text, Usage: end.usage, Created: x.received.Unix()}
+	if len(text) > ledger.MaxInlineBytes {
+		storeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		name := "answers/" + string(attempt)
+		if k.answers.Put(storeCtx, name, []byte(text)) != nil {
+			return
+		}
+		answer.Text, answer.Object = "", name
+	}
+	k.command(ctx, ledger.Command{Type: ledger.CommandComplete, Key: x.key, Attempt: attempt, Answer: answer})
+}
+
+// textOf returns the text of recorded events.
+func textOf(content []byte) (string, error) {
+	var text strings.Builder
+	for event := range bytes.SplitSeq(content, eventEnd) {
+		data := engine.EventData(event)
+		if data == nil {
+			continue
+		}
+		part, err := openai.ChunkText(data)
+		if err != nil {
+			return "", err
+		}
+		text.WriteString(part)
+	}
+	return text.String(), nil
+}
+
+// continueClaim serves a request that was claimed before, here or elsewhere.
+func (k *keyed) continueClaim(ctx context.Context, x *exchange, claim *ledger.Claim, target *recording) outcome {
+	if claim.Digest != x.digest() {
+		return outcome{err: result.New(result.KeyReused, "the idempotency key was used for another request; use a new key")}
+	}
+	switch claim.Status {
+	case ledger.Done:
+		return k.replay(ctx, x, claim, target)
+	case ledger.Lost:
+		return outcome{err: result.New(result.OutcomeUnknown, "the request was given to an engine before, and its outcome can't be had")}
+	}
+	return k.takeOver(ctx, x, claim, target)
+}
+
+// replay answers from what is stored.
+func (k *keyed) replay(ctx context.Context, x *exchange, claim *ledger.Claim, target *recording) outcome {
+	answer := claim.Answer
+	if answer == nil {
+		return outcome{err: result.New(result.AnswerExpired, "the request ran, and its answer is not stored any more")}
+	}
+	text := answer.Text
+	if answer.Object != "" {
+		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		content, err := k.answers.Get(readCtx, answer.Object)
+		if err != nil {
+			return outcome{err: result.New(result.AnswerExpired, "the request ran, and its stored answer can't be read now: %v", err).WithRetryAfter(time.Second)}
+		}
+		text = string(content)
+	}
+	chunk, err := openai.TextChunk(x.endpoint, engine.StreamID(claim.Attempt), x.kind.Model, answer.Created, text)
+	if err != nil {
+		return outcome{err: result.Wrap(err, result.Internal, "encoding a stored answer")}
+	}
+	_ = target.events(engine.AppendEvent(nil, claim.Attempt, 1, chunk))
+	return outcome{usage: answer.Usage, engine: claim.Location.Engine}
+}
+
+// takeOver goes on with an attempt that another gateway has begun, or that this
+// one has lost sight of. The other gateway may be paused with the request still in
+// hand: so an attempt that the engine does not know is cancelled there before
+// another takes its place.
+func (k *keyed) takeOver(ctx context.Context, x *exchange, claim *ledger.Claim, target *recording) outcome {
+	placed := placement{ticket: engine.Ticket{
+		Attempt: claim.Attempt, Engine: claim.Location.Engine, Address: claim.Location.Address, Incarnation: claim.Location.Incarnation,
+	}}
+	runCtx, cancel := context.WithDeadline(ctx, x.runLimit())
+	defer cancel()
+	state, err := k.runner.askAbout(runCtx, placed.ticket, takeOverPatience)
+	if err == nil {
+		return k.followClaim(runCtx, x, claim, placed, target)
+	}
+	guard := &keyGuard{keyed: k, x: x, current: claim.Attempt}
+	if state == notRun {
+		return k.restart(ctx, x, guard, target)
+	}
+	if result.CodeOf(err) == result.IncarnationMismatch {
+		guard.lost(ctx, claim.Attempt)
+	}
+	return outcome{engine: claim.Location.Engine, err: result.New(result.OutcomeUnknown,
+		"the request was given to engine %s before, and its outcome can't be had now: %s", claim.Location.Engine, result.From(err).Message).
+		WithRetryAfter(time.Second)}
+}
+
+func (k *keyed) followClaim(ctx context.Context, x *exchange, claim *ledger.Claim, placed placement, target *recording) outcome {
+	copier := newRelay(k.runner.engines, placed.ticket, target, k.metrics, nil)
+	if err := copier.run(ctx, nil); err != nil {
+		if result.CodeOf(err) == result.IncarnationMismatch || result.CodeOf(err) == result.StreamUnknown {
+			(&keyGuard{keyed: k, x: x}).lost(context.WithoutCancel(ctx), claim.Attempt)
+		}
+		return outcome{engine: claim.Location.Engine, err: result.New(result.OutcomeUnknown, "the running request's outcome can't be had: %s", result.From(err).Message)}
+	}
+	end := outcome{usage: copier.reader.Usage(), engine: claim.Location.Engine}
+	k.complete(context.WithoutCancel(ctx), x, claim.Attempt, end, target)
+	return end
+}
+
+// restart runs a request again whose only attempt is proved not to have run.
+func (k *keyed) restart(ctx context.Context, x *exchange, guard *keyGuard, target *recording) outcome {
+	x.attempt = engine.NewIdentifier()
+	end := k.runner.run(ctx, x, guard, target)
+	if guard.taken != nil {
+		return k.continueClaim(ctx, x, guard.taken, target)
+	}
+	k.conclude(ctx, x, guard, end, target)
+	return end
+}
+
+// keyGuard claims each attempt of one execution before the engine sees it.
+type keyGuard struct {
+	keyed *keyed
+	x     *exchange
+	// current is the attempt on record, empty before the first claim.
+	current engine.Identifier
+	// taken is the claim of another gateway that was first.
+	taken *ledger.Claim
+}
+
+func (g *keyGuard) begin(ctx context.Context, p placement, _ engine.Identifier) error {
+	command := ledger.Command{
+		Type:         ledger.CommandClaim,
+		Key:          g.x.key,
+		KeyTime:      g.x.keyTime,
+		Digest:       g.x.digest(),
+		Attempt:      p.ticket.Attempt,
+		WindowMillis: g.x.kind.KeyWindow.Milliseconds(),
+		Location: ledger.Location{
+			Pool: g.x.kind.Pool, Engine: p.ticket.Engine, Address: p.ticket.Address, Incarnation: p.ticket.Incarnation,
+		},
+	}
+	if g.current != "" {
+		command.Type, command.Replaced = ledger.CommandReplace, g.current
+	}
+	claimCtx, cancel := context.WithTimeout(ctx, time.Duration(cell.TicketValidity))
+	defer cancel()
+	claim, granted, err := g.keyed.ledger.Execute(claimCtx, command)
+	if err != nil {
+		if code := result.CodeOf(err); code == result.OutcomeUnknown || code == result.KeyReused {
+			return err
+		}
+		return ledgerUnavailable(err)
+	}
+	if !granted {
+		g.taken = claim
+		return result.New(result.KeyReused, "another gateway runs the request")
+	}
+	g.current = p.ticket.Attempt
+	return nil
+}
+
+func (g *keyGuard) lost(ctx context.Context, attempt engine.Identifier) {
+	g.keyed.command(context.WithoutCancel(ctx), ledger.Command{Type: ledger.CommandLost, Key: g.x.key, Attempt: attempt})
+}
--- /dev/null
+++ b/internal/gateway/placer.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/cell"
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/group"
+	"github.com/tinarch/tinarch/internal/peer"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Methods of the peer protocol that cells serve.
+const (
+	MethodPlace    peer.Method = "cell.place"
+	MethodProgress peer.Method = "cell.progress"
+)
+
+// placement is a ticket with the node that gave it and the time of its receipt.
+type placement struct {
+	ticket   engine.Ticket
+	cell     string
+	placedBy string
+	received time.Time
+}
+
+// expired reports whether the ticket may not be dispatched any more. A gateway
+// that was paused finds out here, and the engine refuses what slips through.
+func (p placement) expired() bool {
+	return time.Since(p.received) > time.Duration(p.ticket.ValidMillis)*time.Millisecond
+}
+
+// Placer asks cells for engines.
+type Placer struct {
+	client *peer.Client
+	router *group.Router
+	zone   string
+}
+
+// NewPlacer returns a placer for a gateway in a zone.
+func NewPlacer(client *peer.Client, router *group.Router, zone string) *Placer {
+	return &Placer{client: client, router: router, zone: zone}
+}
+
+const placePause = 30 * time.Millisecond
+
+// place waits until a cell has placed an attempt, or refuses it.
+func (p *Placer) place(ctx context.Context, x *exchange, attempt engine.Identifier, excluded []string) (placement, error) {
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	request := cell.PlaceRequest{
+		Attempt:      attempt,
+		Revision:     x.revision,
+		Tenant:       x.tenant.GetName(),
+		Kind:         x.kind.Name,
+		PromptTokens: x.promptTokens,
+		OutputTokens: x.outputTokens,
+		Prefix:       x.prefix,
+		Zone:         p.zone,
+		Excluded:     excluded,
+		Retry:        attempt != x.attempt,
+	}
+	last := result.New(result.NoEngine, "no cell of pool %s answers; its group has no leader", x.kind.Pool).WithRetryAfter(time.Second)
+	for try := 0; ; try++ {
+		request.Cell = p.chooseCell(x, try)
+		request.DeadlineMillis = time.Until(x.deadline).Milliseconds()
+		placed, err := p.ask(ctx, x, request)
+		if err == nil {
+			return placed, nil
+		}
+		if failure := result.From(err); !elsewhere(failure.Code) {
+			return placement{}, failure
+		}
+		select {
+		case <-ctx.Done():
+			return placement{}, last
+		case <-time.After(placePause + rand.N(placePause)):
+		}
+	}
+}
+
+// elsewhere reports whether another node may place the request.
+func elsewhere(code result.Code) bool {
+	switch code {
+	case result.NotLeader, result.PeerUnavailable, result.Stopping:
+		return true
+	}
+	return false
+}
+
+// chooseCell keeps requests with the same beginning in the same cell of a pool
+// with several, so that the prefix caches there are used; later tries go round.
+func (p *Placer) chooseCell(x *exchange, try int) string {
+	number := try
+	if len(x.prefix) > 0 {
+		number += int(x.prefix[0] % uint64(x.cells))
+	} else if x.cells > 1 {
+		number += rand.IntN(x.cells)
+	}
+	return CellName(x.kind.Pool, number%x.cells)
+}
+
+// CellPrefix begins the names of cells' groups.
+const CellPrefix = "cell/"
+
+// CellName returns the name of a pool's cell and of its group.
+func CellName(pool string, number int) string {
+	return fmt.Sprintf("%s%s/%d", CellPrefix, pool, number)
+}
+
+// ask asks the cell's leader. While there is none, repeatable requests are placed
+// by any other member: engines refuse what does not fit them, so this costs only
+// the exactness of the picture.
+func (p *Placer) ask(ctx context.Context, x *exchange, request cell.PlaceRequest) (placement, error) {
+	if address := p.router.Leader(ctx, request.Cell); address != "" {
+		placed, err := p.askAt(ctx, address, request)
+		if err == nil || !elsewhere(result.CodeOf(err)) {
+			return placed, err
+		}
+		p.router.Forget(request.Cell, address)
+	}
+	if !x.kind.Repeatable {
+		return placement{}, result.New(result.NotLeader, "cell %s has no leader now", request.Cell)
+	}
+	request.AnyMember = true
+	for _, address := range p.router.Members(request.Cell) {
+		placed, err := p.askAt(ctx, address, request)
+		if err == nil || !elsewhere(result.CodeOf(err)) && result.CodeOf(err) != result.NoEngine {
+			return placed, err
+		}
+	}
+	return placement{}, result.New(result.NotLeader, "cell %s has no leader now", request.Cell)
+}
+
+func (p *Placer) askAt(ctx context.Context, address string, request cell.PlaceRequest) (placement, error) {
+	var ticket engine.Ticket
+	if err := p.client.Call(ctx, address, MethodPlace, request, &ticket); err != nil {
+		return placement{}, err
+	}
+	if ticket.Attempt != request.Attempt {
+		return placement{}, result.New(result.PeerProtocol, "a ticket for attempt %s came for %s", ticket.Attempt, request.Attempt)
+	}
+	return placement{ticket: ticket, cell: request.Cell, placedBy: address, received: time.Now()}, nil
+}
--- /dev/null
+++ b/internal/gateway/runner.go
@@ -0,0 +1,302 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/admission"
+	"github.com/tinarch/tinarch/internal/cell"
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+const (
+	// maxAttempts bounds how often one request is placed.
+	maxAttempts = 4
+	// retryRatio and retryCeiling are the gateway's retry budget.
+	retryRatio   = 0.2
+	retryCeiling = 50
+	retryPause   = 10 * time.Millisecond
+	cancelWait   = time.Second
+	// askPause is the time between questions about an attempt whose fate is not
+	// known.
+	askPause = 100 * time.Millisecond
+)
+
+// outcome is how an exchange ended.
+type outcome struct {
+	usage  engine.Usage
+	engine string
+	err    error
+}
+
+// claims is what a runner does around its attempts where the request may run only
+// once. For other requests all its methods do nothing.
+type claims interface {
+	// begin is called with a new attempt before the engine sees it. replaced is
+	// the attempt that is known not to have run, empty for none.
+	begin(ctx context.Context, p placement, replaced engine.Identifier) error
+	// lost is called when the outcome of the attempt can't be had.
+	lost(ctx context.Context, attempt engine.Identifier)
+}
+
+type noClaims struct{}
+
+func (noClaims) begin(context.Context, placement, engine.Identifier) error { return nil }
+func (noClaims) lost(context.Context, engine.Identifier)                   {}
+
+// runner executes exchanges: it places attempts and relays their streams.
+type runner struct {
+	placer   *Placer
+	engines  *engine.Client
+	reporter *reporter
+	metrics  *Metrics
+
+	mu     sync.Mutex
+	budget *admission.RetryBudget
+}
+
+func newRunner(placer *Placer, engines *engine.Client, reporter *reporter, metrics *Metrics) *runner {
+	return &runner{
+		placer: placer, engines: engines, reporter: reporter, metrics: metrics,
+		budget: admission.NewRetryBudget(retryRatio, retryCeiling),
+	}
+}
+
+func (r *runner) deposit() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget.Deposit()
+}
+
+func (r *runner) mayRetry() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Withdraw()
+}
+
+// attemptState is what is known of one attempt after it failed.
+type attemptState int
+
+const (
+	// notRun attempts are proved not to have run: they may be placed again.
+	notRun attemptState = iota
+	// mayHaveRun attempts must not run again unless the kind is repeatable.
+	mayHaveRun
+	// over attempts ended for good: with a whole answer, or a refusal that
+	// another attempt would meet too.
+	over
+)
+
+// run places and relays until the answer is whole or given up. The sink gets
+// events of one attempt only: once it has got any, no other attempt follows.
+func (r *runner) run(ctx context.Context, x *exchange, guard claims, target sink) outcome {
+	r.deposit()
+	var excluded []string
+	var replaced engine.Identifier
+	attempt := x.attempt
+	mayHaveRunBefore := false
+	delivered := &deliveryMark{target: target}
+	for try := 1; ; try++ {
+		placed, err := r.placer.place(ctx, x, attempt, excluded)
+		if err != nil {
+			return outcome{err: honest(err, mayHaveRunBefore)}
+		}
+		if err := guard.begin(ctx, placed, replaced); err != nil {
+			r.reporter.report(placed, cell.ProgressDone)
+			return outcome{err: honest(err, mayHaveRunBefore)}
+		}
+		usage, state, err := r.attempt(ctx, x, placed, delivered)
+		r.reporter.report(placed, cell.ProgressDone)
+		if err == nil {
+			return outcome{usage: usage, engine: placed.ticket.Engine}
+		}
+		log := x.log.WithFields(logrus.Fields{"attempt": attempt, "engine": placed.ticket.Engine}).WithError(err)
+		if !r.again(ctx, x, state, delivered.any, try) {
+			log.Debug("attempt failed")
+			return outcome{engine: placed.ticket.Engine, err: honest(r.final(ctx, x, guard, attempt, state, delivered.any, err), mayHaveRunBefore)}
+		}
+		mayHaveRunBefore = mayHaveRunBefore || state == mayHaveRun
+		log.Info("attempt failed; placing the request again")
+		r.metrics.Retries.Inc()
+		excluded = append(excluded, placed.ticket.Engine)
+		replaced, attempt = attempt, engine.NewIdentifier()
+		if sleep(ctx, time.Duration(try)*(retryPause+rand.N(retryPause))) != nil {
+			return outcome{err: result.New(result.CallerGone, "the caller left before the request was placed again")}
+		}
+	}
+}
+
+// honest never lets a request be called not run when an earlier attempt may have
+// been.
+func honest(err error, mayHaveRunBefore bool) error {
+	failure := result.From(err)
+	if !mayHaveRunBefore || failure.Code.Entry().Outcome != result.DidNotRun {
+		return failure
+	}
+	changed := *failure
+	changed.Code = result.EngineDown
+	changed.Message = "an attempt was lost with its engine, and no other could be made: " + failure.Message
+	return &changed
+}
+
+// deliveryMark notes whether the sink has got anything.
+type deliveryMark struct {
+	target sink
+	any    bool
+}
+
+func (d *deliveryMark) events(chunk []byte) error {
+	d.any = true
+	return d.target.events(chunk)
+}
+
+// again decides whether a failed attempt is followed by another.
+func (r *runner) again(ctx context.Context, x *exchange, state attemptState, delivered bool, try int) bool {
+	if ctx.Err() != nil || delivered || try >= maxAttempts || time.Now().After(x.deadline) {
+		return false
+	}
+	switch state {
+	case notRun:
+		return r.mayRetry()
+	case mayHaveRun:
+		return x.kind.Repeatable && r.mayRetry()
+	}
+	return false
+}
+
+// final turns the failure of the last attempt into what the caller is told.
+func (r *runner) final(ctx context.Context, x *exchange, guard claims, attempt engine.Identifier, state attemptState, delivered bool, err error) error {
+	failure := result.From(err)
+	switch {
+	case state == over:
+		return failure
+	case state == notRun:
+		return result.New(result.RetriesExhausted, "no engine took the request; the last one said: %s", failure.Message).WithRetryAfter(time.Second)
+	case failure.Code == result.CallerGone:
+		return failure
+	case x.kind.Repeatable && delivered:
+		return result.New(result.AnswerCut, "the answer broke off: %s", failure.Message)
+	}
+	if resumeIsHopeless(err) {
+		guard.lost(ctx, attempt)
+	}
+	return result.New(result.OutcomeUnknown, "the request was given to an engine and its outcome can't be had: %s", failure.Message)
+}
+
+// attempt runs one attempt to its end.
+func (r *runner) attempt(ctx context.Context, x *exchange, placed placement, target sink) (engine.Usage, attemptState, error) {
+	if placed.expired() {
+		return engine.Usage{}, notRun, result.New(result.TicketRefused, "the ticket was too old to be dispatched")
+	}
+	runCtx, cancel := context.WithDeadline(ctx, x.runLimit())
+	defer cancel()
+	stream, err := r.engines.Start(runCtx, placed.ticket, string(x.endpoint), x.body)
+	if err != nil {
+		state, startErr := r.judgeStart(runCtx, x, placed, err)
+		if startErr != nil {
+			return engine.Usage{}, state, startErr
+		}
+		stream = nil // it runs: resume from the start
+	}
+	return r.follow(runCtx, x, placed, target, stream)
+}
+
+// follow relays an attempt that was accepted.
+func (r *runner) follow(ctx context.Context, x *exchange, placed placement, target sink, stream io.ReadCloser) (engine.Usage, attemptState, error) {
+	copier := newRelay(r.engines, placed.ticket, target, r.metrics, func() {
+		r.metrics.FirstToken.WithLabelValues(x.kind.Name).Observe(time.Since(x.received).Seconds())
+		r.reporter.report(placed, cell.ProgressFirstToken)
+	})
+	err := copier.run(ctx, stream)
+	if err == nil {
+		return copier.reader.Usage(), over, nil
+	}
+	if x.key == "" || runCtxEnded(ctx) {
+		r.cancel(placed.ticket)
+	}
+	var left errSink
+	if errors.As(err, &left) || errors.Is(ctx.Err(), context.Canceled) {
+		return engine.Usage{}, over, result.New(result.CallerGone, "the caller left before the answer was whole")
+	}
+	return engine.Usage{}, mayHaveRun, err
+}
+
+// runCtxEnded reports whether an exchange has reached its run limit.
+func runCtxEnded(ctx context.Context) bool { return errors.Is(ctx.Err(), context.DeadlineExceeded) }
+
+// judgeStart decides what a failed start means. No error means that the attempt
+// does run and its stream can be read.
+func (r *runner) judgeStart(ctx context.Context, x *exchange, placed placement, err error) (attemptState, error) {
+	failure := result.From(err)
+	switch failure.Code {
+	case result.NoEngine, result.TicketRefused, result.IncarnationMismatch, result.EngineBusy, result.FenceStale:
+		return notRun, failure
+	case result.InvalidRequest, result.PromptTooLong, result.OutputTooLong:
+		return over, failure
+	}
+	if ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled) {
+		r.cancel(placed.ticket)
+		return over, result.New(result.CallerGone, "the caller left before the answer began")
+	}
+	if x.kind.Repeatable {
+		r.cancel(placed.ticket)
+		return mayHaveRun, failure
+	}
+	return r.askAbout(ctx, placed.ticket, 0)
+}
+
+// askAbout finds out what became of an attempt whose start was not answered. An
+// engine that has not seen it within patience is told to refuse it from then on,
+// which proves that it did not and will not run.
+func (r *runner) askAbout(ctx context.Context, ticket engine.Ticket, patience time.Duration) (attemptState, error) {
+	begun := time.Now()
+	giveUp := begun.Add(resumeFor)
+	for {
+		state, settled, err := r.askOnce(ctx, ticket, time.Since(begun) >= patience)
+		if settled {
+			return state, err
+		}
+		if time.Now().After(giveUp) || sleep(ctx, askPause) != nil {
+			return mayHaveRun, err
+		}
+	}
+}
+
+func (r *runner) askOnce(ctx context.Context, ticket engine.Ticket, refuse bool) (state attemptState, settled bool, err error) {
+	stream, err := r.engines.Resume(ctx, ticket.Address, ticket.Incarnation, ticket.Attempt, 1)
+	if err == nil {
+		_ = stream.Close()
+		return over, true, nil
+	}
+	switch result.CodeOf(err) {
+	case result.IncarnationMismatch:
+		// The engine restarted: what it did before is not known any more.
+		return mayHaveRun, true, err
+	case result.StreamUnknown:
+		if !refuse {
+			return mayHaveRun, false, err
+		}
+		reply, cancelErr := r.engines.RefuseUnseen(ctx, ticket.Address, ticket.Incarnation, ticket.Attempt)
+		if cancelErr == nil && !reply.Seen {
+			return notRun, true, result.New(result.TicketRefused, "engine %s never saw the attempt and will refuse it", ticket.Engine)
+		}
+	}
+	return mayHaveRun, false, err
+}
+
+// cancel frees the engine from an attempt that nobody waits for. It does not
+// depend on the exchange, which may be over.
+func (r *runner) cancel(ticket engine.Ticket) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelWait)
+		defer cancel()
+		_, _ = r.engines.Cancel(ctx, ticket.Address, ticket.Incarnation, ticket.Attempt)
+	}()
+}
--- /dev/null
+++ b/internal/group/host.go
@@ -0,0 +1,316 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/peer"
+	"github.com/tinarch/tinarch/internal/replica"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Methods of the peer protocol.
+const (
+	MethodMessage  peer.Method = "group.message"
+	MethodSeal     peer.Method = "group.seal"
+	MethodPrepare  peer.Method = "group.prepare"
+	MethodActivate peer.Method = "group.activate"
+)
+
+// sealRequest asks a member to end its part in an epoch. Addressed to another
+// incarnation than the one that runs, it is refused.
+type sealRequest struct {
+	Group  string           `json:"group"`
+	Epoch  uint64           `json:"epoch"`
+	Member replica.MemberID `json:"member"`
+}
+
+type sealResponse struct {
+	State replica.State `json:"state"`
+	// PromiseMillis is how long the member's last promise to a leader lasts.
+	PromiseMillis int64 `json:"promise_ms"`
+}
+
+// prepareRequest gives a future member its initial state.
+type prepareRequest struct {
+	Config   replica.Config   `json:"config"`
+	Member   replica.MemberID `json:"member"`
+	Proposal string           `json:"proposal"`
+	State    replica.State    `json:"state"`
+}
+
+// activateRequest tells a member that the table has accepted its epoch.
+type activateRequest struct {
+	Record Record           `json:"record"`
+	Member replica.MemberID `json:"member"`
+}
+
+type acknowledgement struct{}
+
+// Factory makes the state machine and the watcher of a group on this node.
+type Factory func(groupID string, handle func() *Replica) (StateMachine, Leadership)
+
+// Host holds the members that run on this node.
+type Host struct {
+	self     replica.MemberID
+	settings replica.Settings
+	factory  Factory
+	client   *peer.Client
+	log      logrus.FieldLogger
+	// addressOf returns the peer address of a member.
+	addressOf func(replica.MemberID) (string, bool)
+	// changed is called after a group's leader has changed, as seen here.
+	changed func(groupID string)
+
+	mu     sync.Mutex
+	groups map[string]*hosted
+	closed bool
+}
+
+// hosted is a group of which this node is or may become a member.
+type hosted struct {
+	id string
+	// switching is held while one epoch's member is replaced by the next's.
+	switching sync.Mutex
+	active    *Replica
+	record    Record
+	machine   StateMachine
+	watcher   Leadership
+	// prepared holds proposals that the table has not decided on.
+	prepared map[string]prepareRequest
+	order    []string
+}
+
+// maxPrepared bounds the proposals kept of one group.
+const maxPrepared = 4
+
+// NewHost returns a host without groups.
+func NewHost(self replica.MemberID, settings replica.Settings, factory Factory, client *peer.Client, log logrus.FieldLogger,
+	addressOf func(replica.MemberID) (string, bool), changed func(string)) *Host {
+	return &Host{
+		self: self, settings: settings, factory: factory, client: client, log: log,
+		addressOf: addressOf, changed: changed, groups: map[string]*hosted{},
+	}
+}
+
+// Register serves the protocol.
+func (h *Host) Register(server *peer.Server) {
+	peer.Handle(server, MethodMessage, func(_ context.Context, _ peer.Identity, message replica.Message) (acknowledgement, error) {
+		if active := h.Replica(message.Group); active != nil {
+			active.Step(message)
+		}
+		return acknowledgement{}, nil
+	})
+	peer.Handle(server, MethodSeal, func(_ context.Context, _ peer.Identity, request sealRequest) (sealResponse, error) {
+		return h.seal(request)
+	})
+	peer.Handle(server, MethodPrepare, func(_ context.Context, _ peer.Identity, request prepareRequest) (acknowledgement, error) {
+		return acknowledgement{}, h.prepare(request)
+	})
+	peer.Handle(server, MethodActivate, func(_ context.Context, _ peer.Identity, request activateRequest) (acknowledgement, error) {
+		if request.Member != h.self {
+			return acknowledgement{}, wrongIncarnation(request.Member)
+		}
+		h.Obey(request.Record)
+		return acknowledgement{}, nil
+	})
+}
+
+func wrongIncarnation(member replica.MemberID) error {
+	return result.New(result.IncarnationMismatch, "the message is for incarnation %s, which does not run here", member)
+}
+
+// Replica returns this node's active member of a group, nil when there is none.
+func (h *Host) Replica(groupID string) *Replica {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.groups[groupID]; g != nil {
+		return g.active
+	}
+	return nil
+}
+
+// Replicas returns the active members of all groups on this node.
+func (h *Host) Replicas() []*Replica {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var active []*Replica
+	for _, g := range h.groups {
+		if g.active != nil {
+			active = append(active, g.active)
+		}
+	}
+	return active
+}
+
+// Machine returns the state machine of a group on this node, nil for none.
+func (h *Host) Machine(groupID string) StateMachine {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.groups[groupID]; g != nil {
+		return g.machine
+	}
+	return nil
+}
+
+func (h *Host) group(id string) *hosted {
+	g := h.groups[id]
+	if g == nil {
+		g = &hosted{id: id, prepared: map[string]prepareRequest{}}
+		g.machine, g.watcher = h.factory(id, func() *Replica { return h.Replica(id) })
+		h.groups[id] = g
+	}
+	return g
+}
+
+func (h *Host) seal(request sealRequest) (sealResponse, error) {
+	if request.Member != h.self {
+		return sealResponse{}, wrongIncarnation(request.Member)
+	}
+	active := h.Replica(request.Group)
+	if active == nil || active.Config().Epoch != request.Epoch {
+		return sealResponse{}, result.New(result.NotFound, "epoch %d of group %s is not active here", request.Epoch, request.Group)
+	}
+	state, promise := active.Seal()
+	return sealResponse{State: state, PromiseMillis: promise.Milliseconds() + 1}, nil
+}
+
+// prepare keeps a future epoch's initial state until the table has decided.
+func (h *Host) prepare(request prepareRequest) error {
+	if request.Member != h.self {
+		return wrongIncarnation(request.Member)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return result.New(result.Stopping, "the node is stopping")
+	}
+	g := h.group(request.Config.Group)
+	if request.Config.Epoch <= g.record.Epoch {
+		return result.New(result.RevisionConflict, "epoch %d of group %s is active already", g.record.Epoch, g.id)
+	}
+	if _, known := g.prepared[request.Proposal]; !known {
+		g.order = append(g.order, request.Proposal)
+	}
+	g.prepared[request.Proposal] = request
+	for len(g.order) > maxPrepared {
+		delete(g.prepared, g.order[0])
+		g.order = g.order[1:]
+	}
+	return nil
+}
+
+// Obey takes a record that the table has accepted: this node joins the epoch, or
+// leaves the group.
+func (h *Host) Obey(record Record) {
+	g, initial, former := h.adopt(record)
+	if g == nil {
+		return
+	}
+	defer g.switching.Unlock()
+	if former != nil {
+		former.Close() // before the next epoch uses the state machine
+	}
+	if !record.has(h.self) {
+		return
+	}
+	next := startReplica(h.self, record.config(), h.settings, initial, g.machine, g.watcher, h.send, h.leaderChanged, h.log)
+	h.mu.Lock()
+	closed := h.closed
+	if !closed {
+		g.active = next
+	}
+	h.mu.Unlock()
+	if closed {
+		next.Close()
+	}
+}
+
+// adopt makes a record current. It returns the group locked for the switch, the
+// state to start from and the member to stop, or no group when there is nothing
+// to do.
+func (h *Host) adopt(record Record) (*hosted, replica.State, *Replica) {
+	h.mu.Lock()
+	if h.closed || (!record.has(h.self) && h.groups[record.Group] == nil) {
+		h.mu.Unlock()
+		return nil, replica.State{}, nil
+	}
+	g := h.group(record.Group)
+	h.mu.Unlock()
+	g.switching.Lock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if record.Epoch <= g.record.Epoch {
+		g.switching.Unlock()
+		return nil, replica.State{}, nil
+	}
+	// Where the coordinator prepared a majority without this node, it starts
+	// empty, and the leader sends it a snapshot.
+	initial := g.prepared[record.Proposal].State
+	former := g.active
+	g.record = record
+	g.active = nil
+	g.prepared, g.order = map[string]prepareRequest{}, nil
+	return g, initial, former
+}
+
+func (h *Host) leaderChanged(r *Replica) { h.changed(r.Config().Group) }
+
+// sendTimeout bounds the dialling for one message; messages may be lost.
+const sendTimeout = 300 * time.Millisecond
+
+func (h *Host) send(message replica.Message) {
+	address, known := h.addressOf(message.To)
+	if !known {
+		return
+	}
+	if h.client.Connected(address) {
+		_ = h.client.Notify(context.Background(), address, MethodMessage, message)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		defer cancel()
+		_ = h.client.Notify(ctx, address, MethodMessage, message)
+	}()
+}
+
+// Records returns the records that this node obeys.
+func (h *Host) Records() []Record {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	records := make([]Record, 0, len(h.groups))
+	for _, g := range h.groups {
+		if g.record.Epoch > 0 {
+			records = append(records, g.record)
+		}
+	}
+	return records
+}
+
+// HandOver gives the leases of this node to other members.
+func (h *Host) HandOver() {
+	for _, r := range h.Replicas() {
+		r.HandOver()
+	}
+}
+
+// Close stops all members.
+func (h *Host) Close() {
+	h.mu.Lock()
+	h.closed = true
+	var active []*Replica
+	for _, g := range h.groups {
+		if g.active != nil {
+			active = append(active, g.active)
+			g.active = nil
+		}
+	}
+	h.mu.Unlock()
+	for _, r := range active {
+		r.Close()
+	}
+}
--- /dev/null
+++ b/internal/group/keeper.go
@@ -0,0 +1,280 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/peer"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// View is what a keeper needs to know of the other nodes.
+type View interface {
+	// Candidates returns the nodes that may be members: alive and not leaving.
+	Candidates() []Member
+	// Known returns the highest epoch of a group that any node has spoken of, the
+	// leader's node, and whether that node is alive.
+	Known(groupID string) (epoch uint64, leader string, leaderAlive bool)
+	// Gone reports whether the process of a member is proved to have ended: a
+	// later incarnation of its node runs, or the machine list has dropped it.
+	Gone(member Member) bool
+	// Wanted returns the groups that should exist.
+	Wanted() []string
+}
+
+// Keeper makes groups exist and replaces members that are lost or leaving.
+type Keeper struct {
+	self    Member
+	host    *Host
+	records records
+	client  *peer.Client
+	view    View
+	log     logrus.FieldLogger
+	// forgetCommand returns the command that tells a group's state machine that
+	// its memory was lost with a majority.
+	forgetCommand func(groupID string) ([]byte, error)
+
+	mu sync.Mutex
+	// since notes when each group was first seen in need, by reason.
+	since map[string]need
+}
+
+// reason is why a group's members should change.
+type reason int
+
+const (
+	reasonNone reason = iota
+	// reasonMissing: nobody speaks of the group, or its leader is lost and no
+	// other came.
+	reasonMissing
+	// reasonLost: a member is gone, dead or leaving.
+	reasonLost
+	// reasonSpread: the members could stand in more zones, or be more.
+	reasonSpread
+)
+
+type need struct {
+	reason reason
+	since  time.Time
+}
+
+// The patience before a need is acted on. Nodes act one after the other in the
+// group's rendezvous order, so that usually one does.
+const (
+	checkEvery       = 250 * time.Millisecond
+	patienceNew      = 200 * time.Millisecond
+	patienceMissing  = 2 * time.Second
+	patienceOutsider = 5 * time.Second
+	patienceLost     = 2 * time.Second
+	patienceSpread   = 20 * time.Second
+	patienceByRank   = 1000 * time.Millisecond
+)
+
+// NewKeeper returns the keeper of a node.
+func NewKeeper(self Member, host *Host, tableClient Table, client *peer.Client, view View, log logrus.FieldLogger,
+	forgetCommand func(string) ([]byte, error)) *Keeper {
+	return &Keeper{
+		self: self, host: host, records: records{tableClient}, client: client, view: view, log: log,
+		forgetCommand: forgetCommand, since: map[string]need{},
+	}
+}
+
+func (k *Keeper) gone(member Member) bool { return k.view.Gone(member) }
+
+// Run keeps groups until ctx ends. Groups are looked after side by side: one
+// whose members are slow to answer does not hold up the others.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkEvery)
+	defer ticker.Stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	busy := map[string]bool{}
+	var mu sync.Mutex
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, id := range k.view.Wanted() {
+			mu.Lock()
+			skip := busy[id]
+			busy[id] = true
+			mu.Unlock()
+			if skip {
+				continue
+			}
+			running.Add(1)
+			go func() {
+				defer running.Done()
+				k.look(ctx, id)
+				mu.Lock()
+				defer mu.Unlock()
+				delete(busy, id)
+			}()
+		}
+	}
+}
+
+// look checks one group and acts on a need that has lasted.
+func (k *Keeper) look(ctx context.Context, id string) {
+	k.catchUp(ctx, id)
+	found, patience := k.need(id)
+	if !k.lasted(id, found, patience) {
+		return
+	}
+	if err := k.act(ctx, id, found); err != nil && ctx.Err() == nil {
+		k.log.WithError(err).WithField("group", id).Warn("the group's members could not be changed; will try again")
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.since, id)
+}
+
+// catchUp reads the table when others speak of a later epoch than this node
+// obeys.
+func (k *Keeper) catchUp(ctx context.Context, id string) {
+	active := k.host.Replica(id)
+	if active == nil {
+		return
+	}
+	epoch, _, _ := k.view.Known(id)
+	if epoch <= active.Config().Epoch {
+		return
+	}
+	if record, err := k.records.get(ctx, id); err == nil {
+		k.host.Obey(record)
+	}
+}
+
+// need decides whether a group's members should change, and how long this node
+// waits before it acts.
+func (k *Keeper) need(id string) (reason, time.Duration) {
+	candidates := k.view.Candidates()
+	rank := time.Duration(max(Rank(id, k.self.Node, candidates), 0))
+	active := k.host.Replica(id)
+	epoch, leader, alive := k.view.Known(id)
+	if active == nil {
+		if leader != "" && alive {
+			return reasonNone, 0
+		}
+		if epoch == 0 {
+			return reasonMissing, patienceNew + rank*patienceByRank
+		}
+		return reasonMissing, patienceOutsider + rank*patienceByRank
+	}
+	if _, leading := active.Fence(); leading {
+		return k.needOfLeader(id, candidates)
+	}
+	if active.Leader() == "" || active.Sealed() {
+		return reasonMissing, patienceMissing + min(rank, Size)*patienceByRank
+	}
+	return reasonNone, 0
+}
+
+func (k *Keeper) needOfLeader(id string, candidates []Member) (reason, time.Duration) {
+	record, ok := k.recordOf(id)
+	if !ok {
+		return reasonNone, 0
+	}
+	next := Choose(id, record.Members, candidates)
+	kept := 0
+	for _, member := range next {
+		if record.has(member.ID) {
+			kept++
+		}
+	}
+	switch {
+	case kept < len(record.Members) && len(next) >= min(len(record.Members), Size):
+		return reasonLost, patienceLost
+	case len(next) > len(record.Members):
+		return reasonSpread, patienceLost
+	case Spread(k.respread(id, record, candidates)) > Spread(record.Members):
+		return reasonSpread, patienceSpread
+	}
+	return reasonNone, 0
+}
+
+// respread returns members for better zones: one of two in the same zone makes
+// room.
+func (k *Keeper) respread(id string, record Record, candidates []Member) []Member {
+	zones := map[string]bool{}
+	var keep []Member
+	for _, member := range record.Members {
+		if !zones[member.Zone] {
+			keep = append(keep, member)
+		}
+		zones[member.Zone] = true
+	}
+	return Choose(id, keep, candidates)
+}
+
+func (k *Keeper) recordOf(id string) (Record, bool) {
+	for _, record := range k.host.Records() {
+		if record.Group == id {
+			return record, true
+		}
+	}
+	return Record{}, false
+}
+
+// lasted reports whether a need has been seen for as long as patience says.
+func (k *Keeper) lasted(id string, found reason, patience time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if found == reasonNone {
+		delete(k.since, id)
+		return false
+	}
+	known, exists := k.since[id]
+	if !exists || known.reason != found {
+		k.since[id] = need{reason: found, since: time.Now()}
+		return false
+	}
+	return time.Since(known.since) >= patience
+}
+
+// act reads the table first: without it no epoch could begin, so none may end.
+func (k *Keeper) act(ctx context.Context, id string, found reason) error {
+	record, err := k.records.get(ctx, id)
+	if err != nil {
+		return err
+	}
+	if active := k.host.Replica(id); record.has(k.self.ID) && (active == nil || active.Config().Epoch < record.Epoch) {
+		k.host.Obey(record) // this node missed the decision
+		return nil
+	}
+	if found == reasonMissing && k.hasLeader(ctx, record) {
+		return nil // only this node had not heard of it
+	}
+	candidates := k.view.Candidates()
+	current := record.Members
+	if found == reasonSpread {
+		current = k.respread(id, record, candidates)
+	}
+	next := Choose(id, current, candidates)
+	if len(next) == 0 {
+		return result.New(result.PeerUnavailable, "no node can be a member of group %s", id)
+	}
+	return k.reconfigure(ctx, record, next)
+}
+
+// hasLeader asks a group's members whether one of them leads it.
+func (k *Keeper) hasLeader(ctx context.Context, record Record) bool {
+	for _, member := range record.Members {
+		if member.ID == k.self.ID {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
+		var answer Leader
+		err := k.client.Call(callCtx, member.Address, MethodLeader, leaderRequest{Group: record.Group}, &answer)
+		cancel()
+		if err == nil && answer.Epoch == record.Epoch && answer.Address != "" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/group/layout.go
@@ -0,0 +1,88 @@
+package group
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tinarch/tinarch/internal/replica"
+)
+
+// Size is the number of members of a group where there are enough nodes.
+const Size = 3
+
+// Member is one member of a group's record.
+type Member struct {
+	ID      replica.MemberID `json:"id"`
+	Node    string           `json:"node"`
+	Address string           `json:"address"`
+	Zone    string           `json:"zone"`
+}
+
+// Choose returns the members that a group should have: the current ones that are
+// still among the candidates, and the others by rendezvous hashing (Thaler and
+// Ravishankar, 1998), zones without a member first. So few members move when
+// nodes come and go, and groups spread evenly.
+func Choose(groupID string, current []Member, candidates []Member) []Member {
+	available := map[replica.MemberID]bool{}
+	for _, candidate := range candidates {
+		available[candidate.ID] = true
+	}
+	var chosen []Member
+	zones := map[string]int{}
+	taken := map[replica.MemberID]bool{}
+	add := func(member Member) {
+		chosen = append(chosen, member)
+		zones[member.Zone]++
+		taken[member.ID] = true
+	}
+	for _, member := range current {
+		if available[member.ID] && len(chosen) < Size {
+			add(member)
+		}
+	}
+	ordered := rendezvous(groupID, candidates)
+	for len(chosen) < Size {
+		best := -1
+		for i, candidate := range ordered {
+			if taken[candidate.ID] {
+				continue
+			}
+			if best < 0 || zones[candidate.Zone] < zones[ordered[best].Zone] {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		add(ordered[best])
+	}
+	slices.SortFunc(chosen, func(left, right Member) int { return cmp.Compare(left.Node, right.Node) })
+	return chosen
+}
+
+// rendezvous orders nodes by their weight for the group, the heaviest first.
+func rendezvous(groupID string, candidates []Member) []Member {
+	ordered := slices.Clone(candidates)
+	weight := func(member Member) uint64 { return xxhash.Sum64String(groupID + "\x00" + member.Node) }
+	slices.SortFunc(ordered, func(left, right Member) int {
+		return cmp.Or(cmp.Compare(weight(right), weight(left)), cmp.Compare(left.Node, right.Node))
+	})
+	return ordered
+}
+
+// Rank returns the position of a node in the group's rendezvous order, so that
+// nodes act one after the other where none is in charge.
+func Rank(groupID, node string, candidates []Member) int {
+	return slices.IndexFunc(rendezvous(groupID, candidates), func(member Member) bool { return member.Node == node })
+}
+
+// Spread returns the number of zones that members stand in.
+func Spread(members []Member) int {
+	zones := map[string]bool{}
+	for _, member := range members {
+		zones[member.Zone] = true
+	}
+	return len(zones)
+}
--- /dev/null
+++ b/internal/group/reconfigure.go
@@ -0,0 +1,195 @@
+package group
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/replica"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+const (
+	callTimeout = time.Second
+	// reconfigureTimeout bounds one try to change a group's members.
+	reconfigureTimeout = 10 * time.Second
+)
+
+// reconfigure makes next the members of a group, in five steps: seal a majority
+// of the old epoch, so that it can't act any more; wait until no lease of it can
+// hold; give the newest sealed state to a majority of the new members; let the
+// table decide; tell everybody. Every step may be repeated, and several nodes may
+// try at once: the table accepts one.
+func (k *Keeper) reconfigure(ctx context.Context, former Record, next []Member) error {
+	ctx, cancel := context.WithTimeout(ctx, reconfigureTimeout)
+	defer cancel()
+	state, forced, err := k.sealEpoch(ctx, former)
+	if err != nil {
+		return err
+	}
+	if forced {
+		command, err := k.forgetCommand(former.Group)
+		if err != nil {
+			return err
+		}
+		state.Term++
+		state.Entries = append(state.Entries, replica.Entry{Term: state.Term, Index: state.LastIndex() + 1, Data: command})
+	}
+	record := Record{
+		Group:    former.Group,
+		Epoch:    former.Epoch + 1,
+		Members:  next,
+		Proposal: string(engine.NewIdentifier()),
+	}
+	if err := k.prepareEpoch(ctx, record, state); err != nil {
+		return err
+	}
+	if err := k.records.put(ctx, record, former.Epoch); err != nil {
+		return err
+	}
+	k.log.WithFields(logrus.Fields{"group": record.Group, "epoch": record.Epoch, "members": nodeNames(next), "memory_lost": forced}).
+		Info("group has new members")
+	k.host.Obey(record)
+	k.activateEpoch(ctx, former, record)
+	return nil
+}
+
+func nodeNames(members []Member) []string {
+	names := make([]string, len(members))
+	for i, member := range members {
+		names[i] = member.Node
+	}
+	return names
+}
+
+// sealed is the answer of one member.
+type sealed struct {
+	member Member
+	state  replica.State
+	wait   time.Duration
+	err    error
+}
+
+// sealEpoch seals a majority of an epoch and returns its newest state, after the
+// last possible lease has lapsed. Where a majority can't be sealed but every
+// other member is proved gone, the epoch can't act either; its memory is lost,
+// which forced reports.
+func (k *Keeper) sealEpoch(ctx context.Context, former Record) (state replica.State, forced bool, err error) {
+	if former.Epoch == 0 {
+		return replica.State{}, false, nil
+	}
+	answers := k.sealMembers(ctx, former)
+	var longest time.Duration
+	count, gone := 0, 0
+	for _, answer := range answers {
+		switch {
+		case answer.err == nil:
+			count++
+			longest = max(longest, answer.wait)
+			if count == 1 || answer.state.Newer(state) {
+				state = answer.state
+			}
+			state.Term = max(state.Term, answer.state.Term)
+		case k.gone(answer.member):
+			gone++
+		}
+	}
+	if count < former.majority() {
+		if count+gone < len(former.Members) {
+			return state, false, result.New(result.PeerUnavailable,
+				"group %s: %d of %d members sealed and %d proved gone; a majority sealed, or all accounted for, is needed",
+				former.Group, count, len(former.Members), gone)
+		}
+		forced = true
+	}
+	select {
+	case <-time.After(longest):
+		return state, forced, nil
+	case <-ctx.Done():
+		return state, forced, ctx.Err()
+	}
+}
+
+func (k *Keeper) sealMembers(ctx context.Context, former Record) []sealed {
+	answers := make([]sealed, len(former.Members))
+	var group sync.WaitGroup
+	for i, member := range former.Members {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			answers[i] = k.sealMember(ctx, former, member)
+		}()
+	}
+	group.Wait()
+	return answers
+}
+
+func (k *Keeper) sealMember(ctx context.Context, former Record, member Member) sealed {
+	request := sealRequest{Group: former.Group, Epoch: former.Epoch, Member: member.ID}
+	var response sealResponse
+	var err error
+	if member.ID == k.self.ID {
+		response, err = k.host.seal(request)
+	} else {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		err = k.client.Call(callCtx, member.Address, MethodSeal, request, &response)
+	}
+	wait := time.Duration(response.PromiseMillis) * time.Millisecond
+	return sealed{member: member, state: response.State, wait: wait, err: err}
+}
+
+// prepareEpoch gives the state to the new members. A majority must have it: the
+// others start empty, can't win an election, and are brought up by the leader.
+func (k *Keeper) prepareEpoch(ctx context.Context, record Record, state replica.State) error {
+	errs := make([]error, len(record.Members))
+	var group sync.WaitGroup
+	for i, member := range record.Members {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			request := prepareRequest{Config: record.config(), Member: member.ID, Proposal: record.Proposal, State: state}
+			if member.ID == k.self.ID {
+				errs[i] = k.host.prepare(request)
+				return
+			}
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			errs[i] = k.client.Call(callCtx, member.Address, MethodPrepare, request, nil)
+		}()
+	}
+	group.Wait()
+	prepared := 0
+	var last error
+	for _, err := range errs {
+		if err == nil {
+			prepared++
+		} else {
+			last = err
+		}
+	}
+	if prepared < record.majority() {
+		return result.Wrap(last, result.PeerUnavailable, "group %s: only %d of %d new members took the state", record.Group, prepared, len(record.Members))
+	}
+	return nil
+}
+
+// activateEpoch tells old and new members of the table's decision. Who misses it
+// learns the epoch from the spread group record and reads the table.
+func (k *Keeper) activateEpoch(ctx context.Context, former, record Record) {
+	told := map[replica.MemberID]bool{k.self.ID: true}
+	for _, member := range append(append([]Member(nil), record.Members...), former.Members...) {
+		if told[member.ID] {
+			continue
+		}
+		told[member.ID] = true
+		go func() {
+			callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+			defer cancel()
+			_ = k.client.Call(callCtx, member.Address, MethodActivate, activateRequest{Record: record, Member: member.ID}, nil)
+		}()
+	}
+}
--- /dev/null
+++ b/internal/group/replica.go
@@ -0,0 +1,296 @@
+// Package group drives the replica groups of a node: it gives the pure members of
+// package replica their clock, network and state machines, and changes the
+// members of groups through the table service.
+package group
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/replica"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// StateMachine is what a group replicates. Its methods are called by one
+// goroutine at a time.
+type StateMachine interface {
+	// Apply executes a committed command and returns its result.
+	Apply(data []byte) any
+	// Snapshot encodes the state.
+	Snapshot() []byte
+	// Restore replaces the state; empty data is the initial state.
+	Restore(data []byte) error
+}
+
+// Leadership is told when this node begins or ends to lead a group. Its methods
+// must not call the replica.
+type Leadership interface {
+	// Lead is called when the lease of a new leadership holds.
+	Lead(fence engine.Fence)
+	// Follow is called when leadership has ended.
+	Follow()
+}
+
+// proposal waits for its command to be applied.
+type proposal struct {
+	term uint64
+	done chan any
+}
+
+// Replica is this node's member of one group in one epoch.
+type Replica struct {
+	id       replica.MemberID
+	machine  StateMachine
+	watcher  Leadership
+	send     func(replica.Message)
+	log      logrus.FieldLogger
+	origin   time.Time
+	changed  func(*Replica)
+	settings replica.Settings
+
+	mu        sync.Mutex
+	member    *replica.Member
+	proposals map[uint64]proposal
+	leading   engine.Fence
+	leader    replica.MemberID
+	stopped   bool
+
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// tickEvery is the resolution of a member's clock.
+const tickEvery = 20 * time.Millisecond
+
+// startReplica starts a member. changed is called after the leader or the
+// leadership has changed.
+func startReplica(id replica.MemberID, config replica.Config, settings replica.Settings, initial replica.State, machine StateMachine,
+	watcher Leadership, send func(replica.Message), changed func(*Replica), log logrus.FieldLogger) *Replica {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Replica{
+		id: id, machine: machine, watcher: watcher, send: send, origin: time.Now(), changed: changed, settings: settings,
+		log:       log.WithFields(logrus.Fields{"group": config.Group, "epoch": config.Epoch}),
+		proposals: map[uint64]proposal{},
+		stop:      cancel, done: make(chan struct{}),
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	r.member = replica.New(id, config, settings, initial, 0, random, machine.Snapshot)
+	r.withMember(func(time.Duration) {})
+	go r.run(ctx)
+	return r
+}
+
+func (r *Replica) now() time.Duration { return time.Since(r.origin) }
+
+func (r *Replica) run(ctx context.Context) {
+	defer close(r.done)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.withMember(func(now time.Duration) { r.member.Tick(now) })
+		}
+	}
+}
+
+// withMember changes the member and does what it then wants done.
+func (r *Replica) withMember(change func(now time.Duration)) {
+	r.mu.Lock()
+	if r.stopped {
+		r.mu.Unlock()
+		return
+	}
+	change(r.now())
+	messages := r.drain()
+	notify := r.watchLeadership()
+	r.mu.Unlock()
+	for _, message := range messages {
+		r.send(message)
+	}
+	if notify {
+		r.changed(r)
+	}
+}
+
+// drain applies what is committed and returns the messages to send.
+func (r *Replica) drain() []replica.Message {
+	ready := r.member.Ready()
+	if ready.Restore != nil {
+		if err := r.machine.Restore(ready.Restore.Data); err != nil {
+			// A state that can't be read must not vote on.
+			r.log.WithError(err).Error("the group's state can't be restored; the member is sealed")
+			r.member.Seal(r.now())
+			return nil
+		}
+	}
+	for _, entry := range ready.Entries {
+		var value any
+		if entry.Data != nil {
+			value = r.machine.Apply(entry.Data)
+		}
+		r.settle(entry, value)
+	}
+	r.member.Compact()
+	return ready.Messages
+}
+
+// settle answers the proposal of an applied entry. An entry of another term at
+// the same index means that the proposal was displaced.
+func (r *Replica) settle(entry replica.Entry, value any) {
+	waiting, exists := r.proposals[entry.Index]
+	if !exists {
+		return
+	}
+	delete(r.proposals, entry.Index)
+	if waiting.term == entry.Term {
+		waiting.done <- value
+	}
+	close(waiting.done)
+}
+
+// watchLeadership tells the watcher of changes. It reports whether the leader
+// has changed.
+func (r *Replica) watchLeadership() bool {
+	fence, active := r.member.Fence(r.now())
+	if !active {
+		fence = 0
+	}
+	changed := r.leader != r.member.Leader()
+	r.leader = r.member.Leader()
+	if fence == r.leading {
+		return changed
+	}
+	former := r.leading
+	r.leading = fence
+	switch {
+	case fence != 0:
+		r.log.WithField("fence", uint64(fence)).Info("leading the group")
+		r.watcher.Lead(fence)
+	case former != 0 && !r.member.IsLeader():
+		r.log.WithField("fence", uint64(former)).Info("no longer leading the group")
+		r.abandon()
+		r.watcher.Follow()
+	case former != 0:
+		r.log.WithField("fence", uint64(former)).Warn("the lease lapsed; not acting until it is renewed")
+		r.watcher.Follow()
+	}
+	return true
+}
+
+// abandon ends the wait of all proposals: their outcome is not known here.
+func (r *Replica) abandon() {
+	for index, waiting := range r.proposals {
+		close(waiting.done)
+		delete(r.proposals, index)
+	}
+}
+
+// Step takes a message from another member.
+func (r *Replica) Step(message replica.Message) {
+	r.withMember(func(now time.Duration) { r.member.Step(now, message) })
+}
+
+// Fence returns the fence of this node's leadership, and true while the lease
+// holds. It reads the clock at the call: nothing is believed from before.
+func (r *Replica) Fence() (engine.Fence, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.member.Fence(r.now())
+}
+
+// Leader returns the leader as far as known.
+func (r *Replica) Leader() replica.MemberID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.member.Leader()
+}
+
+// Config returns the epoch.
+func (r *Replica) Config() replica.Config { return r.member.Config() }
+
+// Term returns the current term.
+func (r *Replica) Term() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.member.Term()
+}
+
+// Propose replicates a command and returns its result once it is committed. An
+// error with code NotLeader proves that the command was not accepted here; one
+// with code PeerUnavailable leaves its outcome open.
+func (r *Replica) Propose(ctx context.Context, data []byte) (any, error) {
+	done := make(chan any, 1)
+	accepted := false
+	r.withMember(func(now time.Duration) {
+		index, term, ok := r.member.Propose(now, data)
+		if ok {
+			accepted = true
+			r.proposals[index] = proposal{term: term, done: done}
+		}
+	})
+	if !accepted {
+		return nil, result.New(result.NotLeader, "this node does not lead group %s", r.Config().Group)
+	}
+	select {
+	case value, committed := <-done:
+		if !committed {
+			return nil, result.New(result.PeerUnavailable, "leadership of group %s changed meanwhile", r.Config().Group)
+		}
+		return value, nil
+	case <-ctx.Done():
+		return nil, result.New(result.PeerUnavailable, "group %s did not agree in time", r.Config().Group)
+	}
+}
+
+// Read calls view with the state machine, under a lease that holds.
+func (r *Replica) Read(view func()) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, active := r.member.Fence(r.now()); !active {
+		return result.New(result.NotLeader, "this node does not lead group %s", r.member.Config().Group)
+	}
+	view()
+	return nil
+}
+
+// HandOver gives the lease to another member, where there is one.
+func (r *Replica) HandOver() {
+	r.withMember(func(now time.Duration) { r.member.HandOver(now) })
+}
+
+// Seal ends the member's part in its epoch.
+func (r *Replica) Seal() (replica.State, time.Duration) {
+	var state replica.State
+	var promise time.Duration
+	r.withMember(func(now time.Duration) { state, promise = r.member.Seal(now) })
+	return state, promise
+}
+
+// Sealed reports whether the member was sealed.
+func (r *Replica) Sealed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.member.Sealed()
+}
+
+// Close stops the member.
+func (r *Replica) Close() {
+	r.stop()
+	<-r.done
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped = true
+	r.abandon()
+	if r.leading != 0 {
+		r.leading = 0
+		r.watcher.Follow()
+	}
+}
--- /dev/null
+++ b/internal/group/router.go
@@ -0,0 +1,172 @@
+package group
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/peer"
+	"github.com/tinarch/tinarch/internal/replica"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// MethodLeader asks a member who leads its group.
+const MethodLeader peer.Method = "group.leader"
+
+type leaderRequest struct {
+	Group string `json:"group"`
+}
+
+// Leader is what a member answers.
+type Leader struct {
+	Epoch uint64 `json:"epoch"`
+	Term  uint64 `json:"term"`
+	// Address is the leader's peer address, empty while there is none.
+	Address string `json:"address"`
+}
+
+// Directory knows where members of groups are.
+type Directory interface {
+	// MemberAddresses returns the peer addresses of a group's members, the leader's
+	// first, as far as known.
+	MemberAddresses(groupID string) []string
+}
+
+// Router sends calls to the leader of a group.
+type Router struct {
+	client    *peer.Client
+	directory Directory
+
+	mu      sync.Mutex
+	leaders map[string]Leader
+}
+
+// NewRouter returns a router.
+func NewRouter(client *peer.Client, directory Directory) *Router {
+	return &Router{client: client, directory: directory, leaders: map[string]Leader{}}
+}
+
+// RegisterRouting serves the questions of routers.
+func (h *Host) RegisterRouting(server *peer.Server) {
+	peer.Handle(server, MethodLeader, func(_ context.Context, _ peer.Identity, request leaderRequest) (Leader, error) {
+		return h.leaderOf(request.Group)
+	})
+}
+
+func (h *Host) leaderOf(groupID string) (Leader, error) {
+	active := h.Replica(groupID)
+	if active == nil {
+		return Leader{}, result.New(result.NotFound, "this node is no member of group %s", groupID)
+	}
+	answer := Leader{Epoch: active.Config().Epoch, Term: active.Term()}
+	if leader := active.Leader(); leader != "" {
+		answer.Address, _ = h.memberAddress(groupID, leader)
+	}
+	return answer, nil
+}
+
+func (h *Host) memberAddress(groupID string, id replica.MemberID) (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if g := h.groups[groupID]; g != nil {
+		if member, found := g.record.member(id); found {
+			return member.Address, true
+		}
+	}
+	return "", false
+}
+
+const (
+	routePause    = 40 * time.Millisecond
+	leaderTimeout = 300 * time.Millisecond
+)
+
+// Call sends a request to the group's leader, and again to the next one while
+// there is none or it does not answer, until ctx ends. So the request may take
+// effect more than once: it must be idempotent. tryTimeout bounds one try; zero
+// leaves it to ctx.
+func (r *Router) Call(ctx context.Context, groupID string, method peer.Method, tryTimeout time.Duration, request, response any) error {
+	last := result.New(result.NotLeader, "group %s has no known leader", groupID)
+	for {
+		address := r.Leader(ctx, groupID)
+		if address != "" {
+			err := r.try(ctx, address, method, tryTimeout, request, response)
+			if err == nil || !retriable(err) {
+				return err
+			}
+			last = result.From(err)
+			r.Forget(groupID, address)
+		}
+		select {
+		case <-ctx.Done():
+			return last
+		case <-time.After(routePause + rand.N(routePause)):
+		}
+	}
+}
+
+func (r *Router) try(ctx context.Context, address string, method peer.Method, timeout time.Duration, request, response any) error {
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	return r.client.Call(ctx, address, method, request, response)
+}
+
+func retriable(err error) bool {
+	switch result.CodeOf(err) {
+	case result.NotLeader, result.PeerUnavailable, result.Stopping:
+		return true
+	}
+	return false
+}
+
+// Leader returns the address of a group's leader, empty when none is found.
+func (r *Router) Leader(ctx context.Context, groupID string) string {
+	r.mu.Lock()
+	known := r.leaders[groupID]
+	r.mu.Unlock()
+	if known.Address != "" {
+		return known.Address
+	}
+	for _, address := range r.directory.MemberAddresses(groupID) {
+		answer, err := r.ask(ctx, address, groupID)
+		if err == nil && answer.Address != "" {
+			r.learn(groupID, answer)
+			return answer.Address
+		}
+	}
+	return ""
+}
+
+func (r *Router) ask(ctx context.Context, address, groupID string) (Leader, error) {
+	askCtx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	var answer Leader
+	err := r.client.Call(askCtx, address, MethodLeader, leaderRequest{Group: groupID}, &answer)
+	return answer, err
+}
+
+func (r *Router) learn(groupID string, answer Leader) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.leaders[groupID]
+	if answer.Epoch > known.Epoch || answer.Epoch == known.Epoch && answer.Term >= known.Term {
+		r.leaders[groupID] = answer
+	}
+}
+
+// Forget drops what is known of a group's leader, when it did not act as one.
+func (r *Router) Forget(groupID, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known := r.leaders[groupID]; known.Address == address {
+		known.Address = ""
+		r.leaders[groupID] = known
+	}
+}
+
+// Members returns the addresses of a group's members.
+func (r *Router) Members(groupID string) []string { return r.directory.MemberAddresses(groupID) }
--- /dev/null
+++ b/internal/lab/cluster/cluster.go
@@ -0,0 +1,293 @@
+// Package cluster runs a whole deployment in one process: the stand-ins for the
+// platform, emulated engines and nodes. Demos, experiments and tests use it.
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
+	"github.com/tinarch/tinarch/api/tinarch/v1/tinarchv1connect"
+	"github.com/tinarch/tinarch/internal/catalog"
+	"github.com/tinarch/tinarch/internal/engine"
+	labengine "github.com/tinarch/tinarch/internal/lab/engine"
+	"github.com/tinarch/tinarch/internal/lab/platform"
+	"github.com/tinarch/tinarch/internal/node"
+	"github.com/tinarch/tinarch/internal/placement"
+	"github.com/tinarch/tinarch/internal/platform/machines"
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/settings"
+)
+
+// Pool is a set of like engines.
+type Pool struct {
+	Name  string
+	Count int
+	Model labengine.Model
+}
+
+// Options describe a deployment.
+type Options struct {
+	Name  string
+	Zones []string
+	Nodes int
+	Pools []Pool
+	// TimeScale multiplies the modelled time of engines.
+	TimeScale float64
+	// ReportLag is the lag of engines' load reports and cache events.
+	ReportLag time.Duration
+	// ListLag is the lag of the machine list.
+	ListLag      time.Duration
+	LedgerGroups int
+	Policy       placement.Policy
+	Log          *logrus.Logger
+}
+
+// OperatorToken is the token with the write role of every deployment here.
+const OperatorToken = "operator"
+
+// Cluster is a running deployment.
+type Cluster struct {
+	options  Options
+	Table    *platform.Table
+	Objects  *platform.Objects
+	Machines *platform.Machines
+	Engines  []*labengine.Engine
+	Nodes    []*node.Node
+	list     []machines.Machine
+}
+
+// Quiet returns a logger that writes nothing.
+func Quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.SetLevel(logrus.PanicLevel)
+	return log
+}
+
+// Start runs a deployment. Nodes are up but not configured when it returns.
+func Start(options Options) (*Cluster, error) {
+	if options.Log == nil {
+		options.Log = Quiet()
+	}
+	if options.LedgerGroups == 0 {
+		options.LedgerGroups = 2
+	}
+	c := &Cluster{options: options}
+	if err := c.startPlatform(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	if err := c.startEngines(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	for range options.Nodes {
+		if _, err := c.AddNode(); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+const loopback = "127.0.0.1:0"
+
+func (c *Cluster) startPlatform() (err error) {
+	if c.Table, err = platform.StartTable(loopback); err != nil {
+		return err
+	}
+	if c.Objects, err = platform.StartObjects(loopback); err != nil {
+		return err
+	}
+	c.Machines, err = platform.StartMachines(loopback, c.options.ListLag)
+	return err
+}
+
+func (c *Cluster) startEngines() error {
+	for _, pool := range c.options.Pools {
+		for i := range pool.Count {
+			started, err := labengine.Start(loopback, labengine.Options{
+				Name:            fmt.Sprintf("%s-%02d", pool.Name, i+1),
+				Model:           pool.Model,
+				TimeScale:       c.options.TimeScale,
+				ReportLag:       c.options.ReportLag,
+				DropCacheEvents: 50,
+			})
+			if err != nil {
+				return err
+			}
+			c.Engines = append(c.Engines, started)
+			c.list = append(c.list, machines.Machine{
+				Kind: machines.KindEngine, Name: started.Name(), Address: started.Address(),
+				Pool: pool.Name, Zone: c.zone(i),
+			})
+		}
+	}
+	c.Machines.Set(c.list)
+	return nil
+}
+
+func (c *Cluster) zone(i int) string { return c.options.Zones[i%len(c.options.Zones)] }
+
+// NodeSettings returns the settings of a node of this deployment.
+func (c *Cluster) NodeSettings(name, zone string) settings.Settings {
+	configured := settings.Default()
+	configured.Node = settings.Node{Name: name, Zone: zone}
+	configured.Listen = settings.Listen{Callers: loopback, Operators: loopback, Peers: loopback}
+	configured.Cluster = settings.Cluster{ID: c.options.Name, LedgerGroups: c.options.LedgerGroups}
+	for _, running := range c.Nodes {
+		configured.Cluster.Seeds = append(configured.Cluster.Seeds, running.PeersAddress())
+	}
+	configured.Platform.Table = settings.Table{
+		Endpoint: c.Table.URL(), Region: "local", Name: "tinarch", AccessKey: "key", SecretKey: "secret", RequestsPerSecond: 50,
+	}
+	configured.Platform.Objects = settings.Objects{
+		Endpoint: c.Objects.URL(), Region: "local", Bucket: "tinarch", AccessKey: "key", SecretKey: "secret", RequestsPerSecond: 50,
+	}
+	configured.Platform.Machines = settings.Machines{URL: c.Machines.URL(), RefreshMillis: 500}
+	configured.Operators.Tokens = []settings.Token{{Name: "lab", SHA256: catalog.KeyDigest(OperatorToken), Role: settings.RoleWrite}}
+	configured.Limits.MaxBodyBytes = 32 << 20
+	return configured
+}
+
+// AddNode starts another node.
+func (c *Cluster) AddNode() (*node.Node, error) {
+	i := len(c.Nodes)
+	started, err := node.Start(c.NodeSettings(fmt.Sprintf("node-%d", i+1), c.zone(i)), node.Options{Policy: c.options.Policy, Log: c.options.Log})
+	if err != nil {
+		return nil, err
+	}
+	c.Nodes = append(c.Nodes, started)
+	return started, nil
+}
+
+// SetLeaving marks an engine in the machine list.
+func (c *Cluster) SetLeaving(name string, leaving bool) {
+	for i := range c.list {
+		if c.list[i].Name == name {
+			c.list[i].Leaving = leaving
+		}
+	}
+	c.Machines.Set(c.list)
+}
+
+// Engine returns an engine by name, nil when there is none.
+func (c *Cluster) Engine(name string) *labengine.Engine {
+	for _, e := range c.Engines {
+		if e.Name() == name {
+			return e
+		}
+	}
+	return nil
+}
+
+// Counters adds up what all engines did.
+func (c *Cluster) Counters() labengine.Counters {
+	var total labengine.Counters
+	for _, e := range c.Engines {
+		total.Add(e.Counters())
+	}
+	return total
+}
+
+// Catalog returns a client of a node's operators' interface.
+func (c *Cluster) Catalog(n *node.Node) tinarchv1connect.CatalogServiceClient {
+	return tinarchv1connect.NewCatalogServiceClient(http.DefaultClient, "http://"+n.OperatorsAddress(), connect.WithInterceptors(BearerToken(OperatorToken)))
+}
+
+// Fleet returns a client of a node's operators' interface.
+func (c *Cluster) Fleet(n *node.Node) tinarchv1connect.FleetServiceClient {
+	return tinarchv1connect.NewFleetServiceClient(http.DefaultClient, "http://"+n.OperatorsAddress(), connect.WithInterceptors(BearerToken(OperatorToken)))
+}
+
+// BearerToken puts an operator's token on each unary call.
+func BearerToken(token string) connect.Interceptor {
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+			request.Header().Set("Authorization", "Bearer "+token)
+			return next(ctx, request)
+		}
+	})
+}
+
+// Apply makes put the configuration and waits until it is in force at all nodes.
+func (c *Cluster) Apply(ctx context.Context, put *tinarchv1.Catalog) (uint64, error) {
+	client := c.Catalog(c.Nodes[0])
+	current, err := client.Get(ctx, connect.NewRequest(&tinarchv1.GetRequest{}))
+	if err != nil {
+		return 0, err
+	}
+	response, err := client.Apply(ctx, connect.NewRequest(&tinarchv1.ApplyRequest{
+		ExpectedRevision: current.Msg.GetRevision(), OperationId: string(engine.NewIdentifier()), Put: put,
+	}))
+	if err != nil {
+		return 0, err
+	}
+	revision := response.Msg.GetRevision()
+	return revision, c.Await(ctx, "the configuration in force everywhere", func() bool {
+		for _, n := range c.Nodes {
+			if n.Revision() < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Await waits until a condition holds.
+func (c *Cluster) Await(ctx context.Context, what string, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return result.New(result.Internal, "waiting for %s: %v", what, ctx.Err())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// AwaitEngines waits until count engines are ready, as their leaders see them.
+func (c *Cluster) AwaitEngines(ctx context.Context, count int) error {
+	return c.Await(ctx, fmt.Sprintf("%d ready engines", count), func() bool { return c.ReadyEngines(ctx) >= count })
+}
+
+// ReadyEngines returns the number of ready engines, as their leaders see them.
+func (c *Cluster) ReadyEngines(ctx context.Context) int {
+	response, err := c.Fleet(c.Nodes[0]).Engines(ctx, connect.NewRequest(&tinarchv1.EnginesRequest{}))
+	if err != nil {
+		return 0
+	}
+	ready := 0
+	for _, status := range response.Msg.GetEngines() {
+		if status.GetState() == placement.Ready.String() {
+			ready++
+		}
+	}
+	return ready
+}
+
+// Close stops everything.
+func (c *Cluster) Close() {
+	for _, n := range c.Nodes {
+		n.Close()
+	}
+	for _, e := range c.Engines {
+		e.Close()
+	}
+	if c.Table != nil {
+		c.Table.Close()
+	}
+	if c.Objects != nil {
+		c.Objects.Close()
+	}
+	if c.Machines != nil {
+		c.Machines.Close()
+	}
+}
--- a/internal/lab/engine/handlers.go
+++ b/internal/lab/engine/handlers.go
@@ -268,32 +268,39 @@
 
 func (e *Engine) cancelStream(w http.ResponseWriter, r *http.Request) {
 	attempt := engine.Identifier(chi.URLParam(r, "attempt"))
+	asked := engine.Identifier(r.URL.Query().Get("incarnation"))
+	onlyUnseen := r.URL.Query().Get("only_unseen") == "true"
 	e.mu.Lock()
-	incarnation := e.incarnation
-	e.mu.Unlock()
-	if asked := r.URL.Query().Get("incarnation"); engine.Identifier(asked) != incarnation {
-		refuse(w, result.New(result.IncarnationMismatch, "the message is for incarnation %s, this is %s", asked, incarnation))
+	defer e.mu.Unlock()
+	if asked != e.incarnation {
+		refuse(w, result.New(result.IncarnationMismatch, "the message is for incarnation %s, this is %s", asked, e.incarnation))
 		return
 	}
-	reply(w, engine.CancelReply{Incarnation: incarnation, Seen: e.cancel(attempt)})
+	seen := e.streams[attempt] != nil
+	if !seen || !onlyUnseen {
+		e.cancelLocked(attempt)
+	}
+	reply(w, engine.CancelReply{Incarnation: e.incarnation, Seen: seen})
 }
 
-// cancel stops an attempt and leaves a tombstone, even for one never seen.
-func (e *Engine) cancel(attempt engine.Identifier) (seen bool) {
+// cancel stops an attempt.
+func (e *Engine) cancel(attempt engine.Identifier) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.cancelLocked(attempt)
+}
+
+// cancelLocked stops an attempt and leaves a tombstone, even for one never seen.
+func (e *Engine) cancelLocked(attempt engine.Identifier) {
 	e.tombstones[attempt] = time.Now()
 	s := e.streams[attempt]
-	if s == nil {
-		return false
-	}
-	if !s.finished() {
-		e.counters.Cancelled++
-		s.finishedAt = time.Now()
-		e.batch.remove(attempt)
-		s.abort()
+	if s == nil || s.finished() {
+		return
 	}
-	return true
+	e.counters.Cancelled++
+	s.finishedAt = time.Now()
+	e.batch.remove(attempt)
+	s.abort()
 }
 
 func (e *Engine) getCacheEvents(w http.ResponseWriter, r *http.Request) {
--- a/internal/lab/engine/server.go
+++ b/internal/lab/engine/server.go
@@ -293,3 +293,24 @@
 
 // tombstoneRetention outlives every ticket by far.
 const tombstoneRetention = 10 * time.Minute
+
+// Add adds the counters of another engine.
+func (c *Counters) Add(other Counters) {
+	c.Accepted += other.Accepted
+	c.Finished += other.Finished
+	c.Cancelled += other.Cancelled
+	c.CutByOrder += other.CutByOrder
+	c.CutByCrash += other.CutByCrash
+	c.RefusedTickets += other.RefusedTickets
+	c.StaleOrders += other.StaleOrders
+	c.PromptTokens += other.PromptTokens
+	c.CachedTokens += other.CachedTokens
+	c.OutputTokens += other.OutputTokens
+	c.RoleChanges += other.RoleChanges
+	if c.Orders == nil {
+		c.Orders = map[string]int{}
+	}
+	for name, count := range other.Orders {
+		c.Orders[name] += count
+	}
+}
--- /dev/null
+++ b/internal/node/machines.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/platform/machines"
+)
+
+// machineWatcher reads the machine list again and again. While the list can't be
+// read, the last one holds.
+type machineWatcher struct {
+	client  *machines.Client
+	period  time.Duration
+	log     logrus.FieldLogger
+	changed func([]machines.Machine)
+
+	mu   sync.Mutex
+	list []machines.Machine
+	// dropped notes since when a node that was listed before is not any more.
+	dropped map[string]time.Time
+	readAt  time.Time
+}
+
+func newMachineWatcher(client *machines.Client, period time.Duration, log logrus.FieldLogger, changed func([]machines.Machine)) *machineWatcher {
+	return &machineWatcher{client: client, period: period, log: log, changed: changed, dropped: map[string]time.Time{}}
+}
+
+func (w *machineWatcher) run(ctx context.Context) {
+	ticker := time.NewTicker(w.period)
+	defer ticker.Stop()
+	failing := false
+	for {
+		list, err := w.client.List(ctx)
+		switch {
+		case err == nil:
+			w.take(list)
+			w.changed(list)
+			failing = false
+		case ctx.Err() == nil && !failing:
+			w.log.WithError(err).Warn("the machine list can't be read; the last one holds")
+			failing = true
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *machineWatcher) take(list []machines.Machine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	listed := map[string]bool{}
+	for _, machine := range list {
+		if machine.Kind == machines.KindNode {
+			listed[machine.Address] = true
+			delete(w.dropped, machine.Address)
+		}
+	}
+	for _, machine := range w.list {
+		if machine.Kind == machines.KindNode && !listed[machine.Address] {
+			if _, known := w.dropped[machine.Address]; !known {
+				w.dropped[machine.Address] = now
+			}
+		}
+	}
+	w.list = list
+	w.readAt = now
+}
+
+func (w *machineWatcher) ofKind(kind machines.Kind) []machines.Machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var found []machines.Machine
+	for _, machine := range w.list {
+		if machine.Kind == kind {
+			found = append(found, machine)
+		}
+	}
+	return found
+}
+
+func (w *machineWatcher) engines() []machines.Machine { return w.ofKind(machines.KindEngine) }
+
+func (w *machineWatcher) nodes() []machines.Machine { return w.ofKind(machines.KindNode) }
+
+func (w *machineWatcher) leavingNode(address string) bool {
+	for _, machine := range w.nodes() {
+		if machine.Address == address {
+			return machine.Leaving
+		}
+	}
+	return false
+}
+
+// droppedFor returns how long a node that was listed is not any more, zero when
+// it is, never was, or the list is stale.
+func (w *machineWatcher) droppedFor(address string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	since, dropped := w.dropped[address]
+	if !dropped || time.Since(w.readAt) > 5*w.period {
+		return 0
+	}
+	return time.Since(since)
+}
--- a/internal/openai/answer.go
+++ b/internal/openai/answer.go
@@ -182,3 +182,19 @@
 		RetryAfterMillis: failure.RetryAfterMillis,
 	}}
 }
+
+// TextChunk returns a chunk that holds a whole text, for answers that are read
+// from store.
+func TextChunk(endpoint Endpoint, id, model string, created int64, text string) ([]byte, error) {
+	reason := finishLength
+	answer := Answer{ID: id, Object: objectText, Created: created, Model: model}
+	choice := Choice{FinishReason: &reason}
+	if endpoint == ChatCompletions {
+		answer.Object = objectChatChunk
+		choice.Delta = &Delta{Content: text}
+	} else {
+		choice.Text = &text
+	}
+	answer.Choices = []Choice{choice}
+	return json.Marshal(answer)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -101,6 +101,20 @@
 	return connection.send(frame{Type: frameNotice, Method: method, Body: body})
 }
 
+// Connected reports whether there is a connection to an address, so that a
+// notice can be sent without dialling.
+func (c *Client) Connected(address string) bool {
+	c.mu.Lock()
+	l := c.links[address]
+	c.mu.Unlock()
+	if l == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current != nil
+}
+
 // Close drops all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -172,7 +186,9 @@
 		return nil, result.New(result.PeerUnavailable, "peer %s can't be reached: %v", l.address, err)
 	}
 	if l.client.security != nil {
-		network = tls.Client(network, l.client.security)
+		security := l.client.security.Clone()
+		security.ServerName, _, _ = net.SplitHostPort(l.address)
+		network = tls.Client(network, security)
 	}
 	connection := newConn(network, l.client.counters)
 	if err := connection.greet(l.client.identity); err != nil {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,6 +21,8 @@
 const (
 	// Unknown engines have not been claimed and read.
 	Unknown Availability = iota
+	// Empty engines serve no model yet.
+	Empty
 	// Ready engines get work.
 	Ready
 	// Draining engines get none until a planned change is done.
@@ -33,7 +35,7 @@
 	Lost
 )
 
-var availabilityNames = [...]string{"unknown", "ready", "draining", "changing", "leaving", "lost"}
+var availabilityNames = [...]string{"unknown", "empty", "ready", "draining", "changing", "leaving", "lost"}
 
 // String returns the name that operators see.
 func (a Availability) String() string { return availabilityNames[a] }
--- /dev/null
+++ b/internal/settings/flags.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Flags are the command line of a node. Each flag also has an environment
+// variable. They replace the file's values.
+type Flags struct {
+	Config          string   `arg:"--config,env:TINARCH_CONFIG" help:"settings file (YAML)" placeholder:"FILE"`
+	NodeName        string   `arg:"--node-name,env:TINARCH_NODE_NAME" help:"replaces node.name"`
+	Zone            string   `arg:"--zone,env:TINARCH_ZONE" help:"replaces node.zone"`
+	ListenCallers   string   `arg:"--listen-callers,env:TINARCH_LISTEN_CALLERS" help:"replaces listen.callers" placeholder:"ADDRESS"`
+	ListenOperators string   `arg:"--listen-operators,env:TINARCH_LISTEN_OPERATORS" help:"replaces listen.operators" placeholder:"ADDRESS"`
+	ListenPeers     string   `arg:"--listen-peers,env:TINARCH_LISTEN_PEERS" help:"replaces listen.peers" placeholder:"ADDRESS"`
+	Seeds           []string `arg:"--seed,separate" help:"replaces cluster.seeds; may be repeated" placeholder:"ADDRESS"`
+	LogLevel        string   `arg:"--log-level,env:TINARCH_LOG_LEVEL" help:"replaces log.level: debug, info, warn or error"`
+	LogFormat       string   `arg:"--log-format,env:TINARCH_LOG_FORMAT" help:"replaces log.format: json or text"`
+	CheckOnly       bool     `arg:"--check" help:"check the settings and exit"`
+}
+
+// Description is shown by --help.
+func (Flags) Description() string {
+	return "tinarchd is a node of tinarch: it serves callers, operators and the other nodes."
+}
+
+// Version is shown by --version.
+func (Flags) Version() string { return "tinarchd " + Version }
+
+// Version is the version of all programs.
+const Version = "0.1.0"
+
+// Resolve reads the file that the flags name, applies the flags, and checks the
+// whole.
+func (f Flags) Resolve() (Settings, error) {
+	if f.Config == "" {
+		return Settings{}, result.New(result.SettingsInvalid, "no settings file is named; use --config FILE or TINARCH_CONFIG")
+	}
+	settings, source, err := Load(f.Config)
+	if err != nil {
+		return Settings{}, err
+	}
+	replace(&settings.Node.Name, f.NodeName)
+	replace(&settings.Node.Zone, f.Zone)
+	replace(&settings.Listen.Callers, f.ListenCallers)
+	replace(&settings.Listen.Operators, f.ListenOperators)
+	replace(&settings.Listen.Peers, f.ListenPeers)
+	replace(&settings.Log.Level, f.LogLevel)
+	replace(&settings.Log.Format, f.LogFormat)
+	if len(f.Seeds) > 0 {
+		settings.Cluster.Seeds = f.Seeds
+	}
+	return settings, settings.Check(source)
+}
+
+func replace(target *string, value string) {
+	if value != "" {
+		*target = value
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+const good = `node:
+  name: node-1
+  zone: lisbon-a
+listen:
+  callers: 127.0.0.1:0
+cluster:
+  id: verifica
+platform:
+  table:
+    endpoint: http://127.0.0.1:1
+    name: tinarch
+  objects:
+    endpoint: http://127.0.0.1:2
+    bucket: tinarch
+  machines:
+    url: http://127.0.0.1:3
+`
+
+func TestGoodFilePasses(t *testing.T) {
+	settings, source, err := Parse("node.yaml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := settings.Check(source); err != nil {
+		t.Error(err)
+	}
+	if settings.Limits.MaxBodyBytes != Default().Limits.MaxBodyBytes {
+		t.Error("the defaults are gone")
+	}
+}
+
+func TestMistakesNameLineAndKey(t *testing.T) {
+	cases := []struct {
+		name, from, to string
+		want           []string
+	}{
+		{"unknown key", "  zone: lisbon-a", "  zoen: lisbon-a", []string{"line 3", "zoen"}},
+		{"wrong type", "  id: verifica", "  ledger_groups: many", []string{"line 7", "many"}},
+		{"bad address", "127.0.0.1:0", "localhost", []string{"line 5", "listen.callers", "localhost"}},
+		{"bad name", "  name: node-1", "  name: Node One", []string{"line 2", "node.name"}},
+		{"missing", "    bucket: tinarch\n", "", []string{"platform.objects.bucket", "missing"}},
+	}
+	for _, test := range cases {
+		settings, source, err := Parse("node.yaml", []byte(strings.Replace(good, test.from, test.to, 1)))
+		if err == nil {
+			err = settings.Check(source)
+		}
+		if result.CodeOf(err) != result.SettingsInvalid {
+			t.Errorf("%s: %v", test.name, err)
+			continue
+		}
+		for _, part := range test.want {
+			if !strings.Contains(err.Error(), part) {
+				t.Errorf("%s: %q does not name %q", test.name, err, part)
+			}
+		}
+	}
+}
+
+func TestFlagsReplaceTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	settings, err := Flags{Config: path, NodeName: "node-2", LogLevel: "debug"}.Resolve()
+	if err != nil || settings.Node.Name != "node-2" || settings.Log.Level != "debug" || settings.Node.Zone != "lisbon-a" {
+		t.Errorf("settings %+v, error %v", settings, err)
+	}
+	if _, err := (Flags{Config: path, LogLevel: "loud"}).Resolve(); result.CodeOf(err) != result.SettingsInvalid {
+		t.Errorf("a wrong flag passed: %v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("node: [1]\n"))
+	f.Add([]byte("node:\n  name: *x\n"))
+	f.Add([]byte("limits: {max_body_bytes: 99999999999999999999}\n"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		settings, source, err := Parse("fuzz.yaml", content)
+		if err == nil {
+			err = settings.Check(source)
+		}
+		if err != nil && result.CodeOf(err) != result.SettingsInvalid {
+			t.Fatalf("error without its code: %v", err)
+		}
+	})
+}
