Add the operators' command, the lab's demo and load, both users' examples

Cause: nobody could configure, watch or measure a deployment. (3) Every request was given to an engine at once, so classes had no order; a cell now keeps at most 1.5 s of prompt ahead of each engine. (4) Answers given up at twice their deadline were reported as 'caller gone'; they have a code of their own. Conclusion: ruled out: the placement index (it had stuck to the right engines).

--- /dev/null
+++ b/cmd/tinarch-lab/main.go
@@ -0,0 +1,87 @@
+// Command tinarch-lab runs emulated engines and stand-ins for the platform, sends
+// load, and runs experiments.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/settings"
+)
+
+type arguments struct {
+	Demo  *demoCommand  `arg:"subcommand:demo" help:"run a whole deployment in this process under its workload"`
+	Load  *loadCommand  `arg:"subcommand:load" help:"send a workload to nodes"`
+	Serve *serveCommand `arg:"subcommand:serve" help:"run a deployment's engines and platform as servers"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "tinarch-lab runs tinarch against emulated engines and a stand-in platform."
+}
+
+// Version is shown by --version.
+func (arguments) Version() string { return "tinarch-lab " + settings.Version }
+
+type command interface {
+	run(ctx context.Context) error
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(parameters []string) int {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "tinarch-lab"}, &parsed)
+	if err != nil {
+		return fail(err)
+	}
+	switch err := parser.Parse(parameters); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(os.Stdout, parser.SubcommandNames()...)
+		return 0
+	case errors.Is(err, arg.ErrVersion):
+		fmt.Println(parsed.Version())
+		return 0
+	case err != nil:
+		return fail(result.New(result.UsageInvalid, "%v; see tinarch-lab --help", err))
+	}
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		return fail(result.New(result.UsageInvalid, "no command is given; see tinarch-lab --help"))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := chosen.run(ctx); err != nil {
+		return fail(err)
+	}
+	return 0
+}
+
+func fail(err error) int {
+	failure := result.From(err)
+	fmt.Fprintf(os.Stderr, "tinarch-lab: %s\n", failure)
+	return failure.Code.ExitStatus()
+}
+
+// writeJSON stores a result, where a path is given.
+func writeJSON(path string, value any) error {
+	if path == "" {
+		return nil
+	}
+	content, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return result.Wrap(err, result.Internal, "encoding the result")
+	}
+	if err := os.WriteFile(path, append(content, '\n'), 0o644); err != nil {
+		return result.New(result.SettingsInvalid, "the result can't be stored: %v", err)
+	}
+	return nil
+}
--- a/internal/cell/requests.go
+++ b/internal/cell/requests.go
@@ -9,6 +9,7 @@
 	"github.com/tinarch/tinarch/internal/catalog"
 	"github.com/tinarch/tinarch/internal/engine"
 	"github.com/tinarch/tinarch/internal/placement"
+	"github.com/tinarch/tinarch/internal/prefix"
 	"github.com/tinarch/tinarch/internal/result"
 )
 
@@ -117,8 +118,8 @@
 // capacity is what the cell can do for one request.
 type capacity struct {
 	engines int
-	// service is the time from dispatch to the end of the answer on an idle
-	// engine without a cached prefix.
+	// service is the time from dispatch to the end of the answer on the engine
+	// that would be fastest were it idle.
 	service time.Duration
 	// cost is the share of an engine's time that the request takes.
 	cost time.Duration
@@ -126,14 +127,17 @@
 
 func (s *State) capacity(w *waiting) capacity {
 	var found capacity
+	var matches placement.Matches
+	s.index.Match(w.target.Prefix, ^uint64(0), &matches)
 	filters := [...]placement.Filter{placement.Serves{}, placement.Available{}}
 	for _, candidate := range s.candidates {
 		if !filters[0].Keep(&w.target, candidate) || !filters[1].Keep(&w.target, candidate) {
 			continue
 		}
 		found.engines++
-		prefill := candidate.Rates.PrefillTime(w.target.PromptTokens)
-		decode := time.Duration(w.target.OutputTokens) * candidate.Rates.DecodeStep
+		cached := min(matches[candidate.Slot]*prefix.BlockTokens, w.target.PromptTokens)
+		prefill := candidate.Rates.PrefillTime(w.target.PromptTokens - cached)
+		decode := candidate.Rates.DecodeTime(w.target.OutputTokens, 0)
 		if service := prefill + decode; found.engines == 1 || service < found.service {
 			found.service = service
 			found.cost = prefill + decode/decodeBatch
@@ -143,11 +147,10 @@
 }
 
 // checkDeadline refuses at once what can't be answered in time: waiting would
-// only make the refusal later. A cached prefix may make the answer sooner, so
-// only the decode part of the service time is counted as certain.
+// only make the refusal later.
 func (s *State) checkDeadline(now time.Duration, w *waiting, capacity capacity) error {
 	wait := w.lane.queue.Wait(w.item, float64(capacity.engines))
-	excess := now + wait + s.certainService(w) - w.deadline
+	excess := now + wait + capacity.service - w.deadline
 	if excess <= 0 {
 		return nil
 	}
@@ -156,19 +159,6 @@
 		WithRetryAfter(max(excess, minimumRetry))
 }
 
-// certainService is the time that the answer takes on the fastest engine if the
-// whole prompt is cached.
-func (s *State) certainService(w *waiting) time.Duration {
-	var fastest time.Duration
-	for _, candidate := range s.candidates {
-		step := time.Duration(w.target.OutputTokens) * candidate.Rates.DecodeStep
-		if fastest == 0 || step < fastest {
-			fastest = step
-		}
-	}
-	return fastest
-}
-
 // Dispatch places waiting requests while engines have room. The caller checks
 // its authority again before the tickets leave.
 func (s *State) Dispatch(now time.Duration) []Placed {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -258,9 +258,10 @@
 	reported := placement.Rates{
 		PrefillTokensPerSecond: status.Load.PrefillTokensPerSecond,
 		DecodeStep:             time.Duration(status.Load.DecodeStepMillis * float64(time.Millisecond)),
+		MixedStep:              time.Duration(status.Load.MixedStepMillis * float64(time.Millisecond)),
 	}
 	if reported.PrefillTokensPerSecond > 0 && reported.DecodeStep > 0 {
-		m.candidate.Rates = reported
+		m.candidate.Rates = reported.OrDefault()
 	}
 }
 
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,89 @@
+// Package cli holds what the operators' command prints and how it talks to nodes.
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Format is how results are printed.
+type Format string
+
+// The formats.
+const (
+	Table Format = "table"
+	JSON  Format = "json"
+)
+
+// Printer writes results.
+type Printer struct {
+	Out    io.Writer
+	Format Format
+}
+
+// Message prints a message as JSON, or by the function as a table.
+func (p Printer) Message(message proto.Message, table func(rows *Rows)) error {
+	if p.Format == JSON {
+		content, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true, Indent: "  "}.Marshal(message)
+		if err != nil {
+			return result.Wrap(err, result.Internal, "encoding the result")
+		}
+		_, err = fmt.Fprintln(p.Out, string(content))
+		return err
+	}
+	rows := &Rows{writer: tabwriter.NewWriter(p.Out, 0, 4, 2, ' ', 0)}
+	table(rows)
+	return rows.writer.Flush()
+}
+
+// Value prints any value as indented JSON.
+func (p Printer) Value(value any) error {
+	encoder := json.NewEncoder(p.Out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// Rows takes the rows of a table.
+type Rows struct{ writer *tabwriter.Writer }
+
+// Add adds a row.
+func (r *Rows) Add(cells ...any) {
+	texts := make([]string, len(cells))
+	for i, cell := range cells {
+		texts[i] = fmt.Sprint(cell)
+		if texts[i] == "" {
+			texts[i] = "-"
+		}
+	}
+	fmt.Fprintln(r.writer, strings.Join(texts, "\t"))
+}
+
+// FromRPC turns an error of a call into one with its result code, and lists the
+// mistakes of a refused configuration.
+func FromRPC(err error) error {
+	var failure *connect.Error
+	if !errors.As(err, &failure) {
+		return err
+	}
+	for _, detail := range failure.Details() {
+		value, valueErr := detail.Value()
+		if valueErr != nil {
+			continue
+		}
+		if described, ok := value.(*tinarchv1.ErrorDetail); ok {
+			return &result.Error{Code: result.Code(described.GetCode()), Message: failure.Message(), Revision: described.GetCurrentRevision()}
+		}
+	}
+	return result.New(result.PeerUnavailable, "the node did not answer: %s; check --server", failure.Message())
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -158,9 +158,12 @@
 	PendingPromptTokens int64 `json:"pending_prompt_tokens"`
 	MemoryUsedTokens    int64 `json:"memory_used_tokens"`
 	MemoryTotalTokens   int64 `json:"memory_total_tokens"`
-	// PrefillTokensPerSecond and DecodeStepMillis are measured rates.
+	// PrefillTokensPerSecond is the speed of reading prompts.
 	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
-	DecodeStepMillis       float64 `json:"decode_step_ms"`
+	// DecodeStepMillis is the length of an iteration that reads no prompt, and
+	// MixedStepMillis of one that reads as much of prompts as it may.
+	DecodeStepMillis float64 `json:"decode_step_ms"`
+	MixedStepMillis  float64 `json:"mixed_step_ms"`
 }
 
 // Age returns the time since the report was measured, at its receipt.
--- a/internal/gateway/runner.go
+++ b/internal/gateway/runner.go
@@ -181,6 +181,8 @@
 		return result.New(result.RetriesExhausted, "no engine took the request; the last one said: %s", failure.Message).WithRetryAfter(time.Second)
 	case failure.Code == result.CallerGone:
 		return failure
+	case failure.Code == result.DeadlineExceeded && x.kind.Repeatable:
+		return failure
 	case x.kind.Repeatable && delivered:
 		return result.New(result.AnswerCut, "the answer broke off: %s", failure.Message)
 	}
@@ -225,6 +227,9 @@
 	if errors.As(err, &left) || errors.Is(ctx.Err(), context.Canceled) {
 		return engine.Usage{}, over, result.New(result.CallerGone, "the caller left before the answer was whole")
 	}
+	if runCtxEnded(ctx) {
+		err = result.New(result.DeadlineExceeded, "the answer was not whole after %v", 2*x.kind.Deadline)
+	}
 	return engine.Usage{}, mayHaveRun, err
 }
 
--- /dev/null
+++ b/internal/lab/demo/demo.go
@@ -0,0 +1,140 @@
+// Package demo runs a deployment of the lab under its workload and shows what
+// callers saw, with one placement policy or several side by side.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/catalog"
+	"github.com/tinarch/tinarch/internal/lab/cluster"
+	"github.com/tinarch/tinarch/internal/lab/load"
+	"github.com/tinarch/tinarch/internal/placement"
+	"github.com/tinarch/tinarch/internal/result"
+
+	labengine "github.com/tinarch/tinarch/internal/lab/engine"
+)
+
+// Options steer a demo.
+type Options struct {
+	Deployment cluster.Deployment
+	// Policies are run one after the other, under the same arrivals.
+	Policies []placement.Policy
+	// Seconds replaces the workload's length, zero leaves it.
+	Seconds float64
+	// Rate multiplies all arrival rates.
+	Rate float64
+	Out  io.Writer
+}
+
+// Run is the outcome of one policy.
+type Run struct {
+	Policy   placement.Policy   `json:"policy"`
+	Report   *load.Report       `json:"report"`
+	Counters labengine.Counters `json:"engines"`
+	Doubled  int                `json:"doubled"`
+}
+
+const startTimeout = 2 * time.Minute
+
+// Execute runs the demo.
+func Execute(ctx context.Context, options Options) ([]Run, error) {
+	workload, err := load.ReadWorkload(options.Deployment.WorkloadPath())
+	if err != nil {
+		return nil, err
+	}
+	workload = workload.Scaled(options.Rate, options.Seconds)
+	var runs []Run
+	for _, policy := range options.Policies {
+		run, err := executeOne(ctx, options, workload, policy)
+		if err != nil {
+			return runs, err
+		}
+		runs = append(runs, run)
+	}
+	return runs, nil
+}
+
+func executeOne(ctx context.Context, options Options, workload load.Workload, policy placement.Policy) (Run, error) {
+	clusterOptions := options.Deployment.Options()
+	clusterOptions.Policy = policy
+	fmt.Fprintf(options.Out, "\n== placement policy %s: starting %d nodes and %d engines\n", policy, options.Deployment.Nodes, options.Deployment.EngineCount())
+	running, err := cluster.Start(clusterOptions)
+	if err != nil {
+		return Run{}, err
+	}
+	defer running.Close()
+	if err := configure(ctx, options, running); err != nil {
+		return Run{}, err
+	}
+	var addresses []string
+	for _, node := range running.Nodes {
+		addresses = append(addresses, node.CallersAddress())
+	}
+	report := load.Run(ctx, workload, load.Options{
+		Addresses: addresses,
+		Progress: func(elapsed time.Duration, sent, ended int) {
+			fmt.Fprintf(options.Out, "\r   %3.0f s: %d sent, %d ended ", elapsed.Seconds(), sent, ended)
+		},
+	})
+	fmt.Fprintln(options.Out)
+	run := Run{Policy: policy, Report: report, Counters: running.Counters(), Doubled: report.Doubled(running.Runs())}
+	report.Print(options.Out)
+	fmt.Fprintf(options.Out, "answers lost, cut or crossed: %d; requests run twice that must not be: %d; goodput: %.2f %%\n",
+		report.Wrong(), run.Doubled, 100*report.Goodput())
+	return run, nil
+}
+
+// configure applies the deployment's catalog and waits for its engines.
+func configure(ctx context.Context, options Options, running *cluster.Cluster) error {
+	put, err := catalog.ReadFile(options.Deployment.CatalogPath())
+	if err != nil {
+		return err
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := running.Await(startCtx, "nodes that have caught up", func() bool { return running.CaughtUp() }); err != nil {
+		return err
+	}
+	revision, err := running.Apply(startCtx, put)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(options.Out, "   revision %d in force at all nodes; engines load their models\n", revision)
+	return running.AwaitEngines(startCtx, options.Deployment.EngineCount())
+}
+
+// Summary compares runs.
+func Summary(out io.Writer, runs []Run) error {
+	if len(runs) == 0 {
+		return result.New(result.Internal, "no run was completed")
+	}
+	if len(runs) > 1 {
+		fmt.Fprintln(out, "\n== goodput by stream, same arrivals")
+		fmt.Fprintf(out, "%-18s", "stream")
+		for _, run := range runs {
+			fmt.Fprintf(out, "%14s", run.Policy)
+		}
+		fmt.Fprintln(out)
+		for i, stream := range runs[0].Report.Streams {
+			fmt.Fprintf(out, "%-18s", stream.Name)
+			for _, run := range runs {
+				fmt.Fprintf(out, "%12.1f %%", 100*run.Report.Streams[i].GoodputOf())
+			}
+			fmt.Fprintln(out)
+		}
+		fmt.Fprintf(out, "%-18s", "all")
+		for _, run := range runs {
+			fmt.Fprintf(out, "%12.1f %%", 100*run.Report.Goodput())
+		}
+		fmt.Fprintln(out)
+	}
+	for _, run := range runs {
+		if run.Report.Wrong() > 0 || run.Doubled > 0 {
+			return result.New(result.Internal, "policy %s: %d answers were wrong and %d requests ran twice", run.Policy, run.Report.Wrong(), run.Doubled)
+		}
+	}
+	return nil
+}
--- a/internal/lab/engine/handlers.go
+++ b/internal/lab/engine/handlers.go
@@ -144,6 +144,7 @@
 	e.streams[ticket.Attempt] = s
 	e.batch.add(attempt)
 	e.counters.Accepted++
+	e.runs[s.seed]++
 	e.counters.PromptTokens += int64(attempt.promptTokens)
 	select {
 	case e.wake <- struct{}{}:
--- /dev/null
+++ b/internal/lab/load/report.go
@@ -0,0 +1,253 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Histograms hold microseconds up to ten minutes with three significant digits.
+const (
+	lowestMicros  = 1
+	highestMicros = 600_000_000
+	digits        = 3
+)
+
+// StreamReport is what callers of one stream saw.
+type StreamReport struct {
+	Name       string
+	Sent       int
+	Whole      int
+	InDeadline int
+	// Wrong counts answers that were said to be whole and were not what the
+	// engine writes to the prompt: crossed, cut or mixed.
+	Wrong int
+	// Cut counts streams that broke off without an error.
+	Cut          int
+	Refused      map[string]int
+	PromptTokens int64
+	CachedTokens int64
+	OutputTokens int64
+	firstToken   *hdrhistogram.Histogram
+	gaps         *hdrhistogram.Histogram
+	total        *hdrhistogram.Histogram
+}
+
+// Report is what callers saw of a run.
+type Report struct {
+	mu      sync.Mutex
+	Streams []*StreamReport
+	// NotSent counts arrivals that the load tool itself could not send.
+	NotSent int
+	// OnceSeeds are the seeds of answers to requests that must run at most once.
+	OnceSeeds []uint64
+	workload  Workload
+	sent      int
+	ended     int
+}
+
+func newReport(workload Workload) *Report {
+	r := &Report{workload: workload}
+	for _, stream := range workload.Streams {
+		r.Streams = append(r.Streams, &StreamReport{
+			Name:       stream.Name,
+			Refused:    map[string]int{},
+			firstToken: hdrhistogram.New(lowestMicros, highestMicros, digits),
+			gaps:       hdrhistogram.New(lowestMicros, highestMicros, digits),
+			total:      hdrhistogram.New(lowestMicros, highestMicros, digits),
+		})
+	}
+	return r
+}
+
+func (r *Report) notSent(count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.NotSent += count
+}
+
+func (r *Report) sending() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+}
+
+// Progress returns how many requests were sent, and how many have ended.
+func (r *Report) Progress() (sent, ended int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent, r.ended
+}
+
+func (r *Report) add(arrival Arrival, answer Answer, right bool, seed uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended++
+	stream := r.workload.Streams[arrival.Stream]
+	s := r.Streams[arrival.Stream]
+	s.Sent++
+	if stream.Keyed {
+		r.OnceSeeds = append(r.OnceSeeds, seed)
+	}
+	switch {
+	case answer.Code != 0 && answer.CodeName == "cut":
+		s.Cut++
+		return
+	case answer.Code != 0:
+		s.Refused[answer.CodeName]++
+		return
+	case !answer.Whole || !right:
+		s.Wrong++
+		return
+	}
+	s.Whole++
+	if answer.Total <= time.Duration(stream.DeadlineMillis)*time.Millisecond {
+		s.InDeadline++
+	}
+	s.OutputTokens += int64(arrival.OutputTokens)
+	if answer.Usage != nil {
+		s.PromptTokens += int64(answer.Usage.PromptTokens)
+		if answer.Usage.PromptTokensDetails != nil {
+			s.CachedTokens += int64(answer.Usage.PromptTokensDetails.CachedTokens)
+		}
+	}
+	record(s.firstToken, answer.FirstToken)
+	record(s.total, answer.Total)
+	for _, gap := range answer.Gaps {
+		record(s.gaps, gap)
+	}
+}
+
+func record(histogram *hdrhistogram.Histogram, value time.Duration) {
+	_ = histogram.RecordValue(min(max(value.Microseconds(), lowestMicros), highestMicros))
+}
+
+// Goodput returns the share of all requests that were answered whole, right and
+// in time.
+func (r *Report) Goodput() float64 {
+	sent, good := r.NotSent, 0
+	for _, s := range r.Streams {
+		sent += s.Sent
+		good += s.InDeadline
+	}
+	if sent == 0 {
+		return 0
+	}
+	return float64(good) / float64(sent)
+}
+
+// GoodputOf returns the goodput of one stream.
+func (s *StreamReport) GoodputOf() float64 {
+	if s.Sent == 0 {
+		return 0
+	}
+	return float64(s.InDeadline) / float64(s.Sent)
+}
+
+// Wrong returns the number of answers that were lost without a word, cut or
+// crossed.
+func (r *Report) Wrong() int {
+	total := 0
+	for _, s := range r.Streams {
+		total += s.Wrong + s.Cut
+	}
+	return total
+}
+
+// Doubled counts the requests that had to run at most once and did not, by what
+// engines accepted.
+func (r *Report) Doubled(runs map[uint64]int) int {
+	doubled := 0
+	for _, seed := range r.OnceSeeds {
+		if runs[seed] > 1 {
+			doubled++
+		}
+	}
+	return doubled
+}
+
+func millis(histogram *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(histogram.ValueAtQuantile(quantile)) / 1000
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(out io.Writer) {
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "stream\tsent\twhole\tin time\tgoodput\twrong\tcut\tfirst token p50/p95/p99 ms\tbetween tokens p50/p95/p99 ms\tcached\trefused")
+	for _, s := range r.Streams {
+		cached := 0.0
+		if s.PromptTokens > 0 {
+			cached = 100 * float64(s.CachedTokens) / float64(s.PromptTokens)
+		}
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.1f %%\t%d\t%d\t%.0f / %.0f / %.0f\t%.1f / %.1f / %.1f\t%.0f %%\t%s\n",
+			s.Name, s.Sent, s.Whole, s.InDeadline, 100*s.GoodputOf(), s.Wrong, s.Cut,
+			millis(s.firstToken, 50), millis(s.firstToken, 95), millis(s.firstToken, 99),
+			millis(s.gaps, 50), millis(s.gaps, 95), millis(s.gaps, 99), cached, refusals(s.Refused))
+	}
+	_ = table.Flush()
+	if r.NotSent > 0 {
+		fmt.Fprintf(out, "%d arrivals were not sent: the load tool had too many requests in progress\n", r.NotSent)
+	}
+}
+
+func refusals(refused map[string]int) string {
+	if len(refused) == 0 {
+		return "-"
+	}
+	var parts []string
+	for code, count := range refused {
+		parts = append(parts, fmt.Sprintf("%s %d", code, count))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, ", ")
+}
+
+// streamSummary is the stored form of a stream's report.
+type streamSummary struct {
+	Name              string         `json:"name"`
+	Sent              int            `json:"sent"`
+	Whole             int            `json:"whole"`
+	InDeadline        int            `json:"in_deadline"`
+	Goodput           float64        `json:"goodput"`
+	Wrong             int            `json:"wrong"`
+	Cut               int            `json:"cut"`
+	Refused           map[string]int `json:"refused"`
+	FirstTokenMillis  [3]float64     `json:"first_token_ms_p50_p95_p99"`
+	BetweenTokens     [3]float64     `json:"between_tokens_ms_p50_p95_p99"`
+	TotalMillis       [3]float64     `json:"total_ms_p50_p95_p99"`
+	PromptTokens      int64          `json:"prompt_tokens"`
+	CachedTokens      int64          `json:"cached_tokens"`
+	OutputTokensWhole int64          `json:"output_tokens"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) [3]float64 {
+	return [3]float64{millis(h, 50), millis(h, 95), millis(h, 99)}
+}
+
+// MarshalJSON implements json.Marshaler.
+func (r *Report) MarshalJSON() ([]byte, error) {
+	summaries := make([]streamSummary, len(r.Streams))
+	for i, s := range r.Streams {
+		summaries[i] = streamSummary{
+			Name: s.Name, Sent: s.Sent, Whole: s.Whole, InDeadline: s.InDeadline, Goodput: s.GoodputOf(),
+			Wrong: s.Wrong, Cut: s.Cut, Refused: s.Refused,
+			FirstTokenMillis: quantiles(s.firstToken), BetweenTokens: quantiles(s.gaps), TotalMillis: quantiles(s.total),
+			PromptTokens: s.PromptTokens, CachedTokens: s.CachedTokens, OutputTokensWhole: s.OutputTokens,
+		}
+	}
+	return json.Marshal(struct {
+		Workload string          `json:"workload"`
+		Seed     uint64          `json:"seed"`
+		Goodput  float64         `json:"goodput"`
+		Wrong    int             `json:"wrong"`
+		NotSent  int             `json:"not_sent"`
+		Streams  []streamSummary `json:"streams"`
+	}{r.workload.Name, r.workload.Seed, r.Goodput(), r.Wrong(), r.NotSent, summaries})
+}
--- /dev/null
+++ b/internal/lab/load/run.go
@@ -0,0 +1,133 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	labengine "github.com/tinarch/tinarch/internal/lab/engine"
+)
+
+// Options steer a run.
+type Options struct {
+	// Addresses are the callers' ports of nodes, used in turn.
+	Addresses []string
+	// Progress is called about once a second.
+	Progress func(elapsed time.Duration, sent, ended int)
+	// MaxActive bounds the requests in progress; arrivals beyond it are counted
+	// as not sent, and never silently.
+	MaxActive int
+	// Grace is how long the run waits for answers after the last arrival.
+	Grace time.Duration
+}
+
+// Run sends the whole schedule and reports what callers saw.
+func Run(ctx context.Context, workload Workload, options Options) *Report {
+	if options.MaxActive == 0 {
+		options.MaxActive = 10_000
+	}
+	if options.Grace == 0 {
+		options.Grace = 60 * time.Second
+	}
+	runner := &run{
+		workload: workload, options: options, texts: NewTexts(workload),
+		sender: NewSender(options.Addresses), report: newReport(workload),
+		slots: make(chan struct{}, options.MaxActive),
+	}
+	defer runner.sender.Close()
+	runner.all(ctx)
+	return runner.report
+}
+
+type run struct {
+	workload Workload
+	options  Options
+	texts    *Texts
+	sender   *Sender
+	report   *Report
+	slots    chan struct{}
+}
+
+func (r *run) all(ctx context.Context) {
+	schedule := r.workload.Schedule()
+	last := time.Duration(r.workload.Seconds * float64(time.Second))
+	runCtx, cancel := context.WithTimeout(ctx, last+r.options.Grace)
+	defer cancel()
+	began := time.Now()
+	stopProgress := r.showProgress(began)
+	defer stopProgress()
+	var active sync.WaitGroup
+	for number, arrival := range schedule {
+		if !waitUntil(runCtx, began.Add(arrival.At)) {
+			r.report.notSent(len(schedule) - number)
+			break
+		}
+		select {
+		case r.slots <- struct{}{}:
+		default:
+			r.report.notSent(1)
+			continue
+		}
+		active.Add(1)
+		go func() {
+			defer active.Done()
+			defer func() { <-r.slots }()
+			r.one(runCtx, number, arrival)
+		}()
+	}
+	active.Wait()
+}
+
+func waitUntil(ctx context.Context, moment time.Time) bool {
+	timer := time.NewTimer(time.Until(moment))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// one sends a request and judges its answer.
+func (r *run) one(ctx context.Context, number int, arrival Arrival) {
+	stream := r.workload.Streams[arrival.Stream]
+	prompt := r.texts.Prompt(arrival)
+	r.report.sending()
+	key := ""
+	if stream.Keyed {
+		key = fmt.Sprintf("%s-%d-%s-%d", r.workload.Name, r.workload.Seed, stream.Name, arrival.Number)
+	}
+	answer := r.sender.Send(ctx, number, stream, arrival, prompt, key)
+	seed := labengine.TextSeed(stream.Model, stream.Version, stream.Adapter, prompt)
+	right := answer.Text == labengine.Text(seed, arrival.OutputTokens)
+	r.report.add(arrival, answer, right, seed)
+}
+
+func (r *run) showProgress(began time.Time) (stop func()) {
+	if r.options.Progress == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var finished sync.WaitGroup
+	finished.Add(1)
+	go func() {
+		defer finished.Done()
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				sent, ended := r.report.Progress()
+				r.options.Progress(time.Since(began), sent, ended)
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		finished.Wait()
+	}
+}
--- /dev/null
+++ b/internal/lab/load/sender.go
@@ -0,0 +1,171 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/openai"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Answer is what a caller saw of one request.
+type Answer struct {
+	Text string
+	// Whole tells that the answer came with its end.
+	Whole      bool
+	Code       result.Code
+	CodeName   string
+	Message    string
+	FirstToken time.Duration
+	Gaps       []time.Duration
+	Total      time.Duration
+	Usage      *openai.Usage
+}
+
+// Sender sends requests to one or several nodes in turn.
+type Sender struct {
+	client    *http.Client
+	addresses []string
+}
+
+// NewSender returns a sender.
+func NewSender(addresses []string) *Sender {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1024, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	return &Sender{client: &http.Client{Transport: transport}, addresses: addresses}
+}
+
+// Close drops idle connections.
+func (s *Sender) Close() { s.client.CloseIdleConnections() }
+
+type sentRequest struct {
+	Model         string         `json:"model"`
+	Prompt        string         `json:"prompt"`
+	MaxTokens     int            `json:"max_tokens"`
+	Stream        bool           `json:"stream,omitempty"`
+	StreamOptions *streamOptions `json:"stream_options,omitempty"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Send sends one request to the node with the given number, and reads its answer.
+func (s *Sender) Send(ctx context.Context, number int, stream Stream, arrival Arrival, prompt, idempotencyKey string) Answer {
+	began := time.Now()
+	body, err := json.Marshal(sentRequest{
+		Model: stream.Model, Prompt: prompt, MaxTokens: arrival.OutputTokens, Stream: !stream.Whole, StreamOptions: usageWanted(!stream.Whole),
+	})
+	if err != nil {
+		return Answer{Code: result.Internal, Message: err.Error()}
+	}
+	url := "http://" + s.addresses[number%len(s.addresses)] + string(openai.Completions)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return Answer{Code: result.Internal, Message: err.Error()}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Authorization", "Bearer "+arrival.Key)
+	request.Header.Set("Tinarch-Kind", stream.Kind)
+	if idempotencyKey != "" {
+		request.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return Answer{Code: result.PeerUnavailable, CodeName: "connection", Message: err.Error(), Total: time.Since(began)}
+	}
+	defer response.Body.Close()
+	answer := read(response, began)
+	answer.Total = time.Since(began)
+	return answer
+}
+
+func usageWanted(streamed bool) *streamOptions {
+	if !streamed {
+		return nil
+	}
+	return &streamOptions{IncludeUsage: true}
+}
+
+func read(response *http.Response, began time.Time) Answer {
+	if response.StatusCode != http.StatusOK {
+		content, _ := io.ReadAll(io.LimitReader(response.Body, 1<<20))
+		return refusal(content, response.StatusCode)
+	}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		return readStream(response.Body, began)
+	}
+	var whole openai.Answer
+	if err := json.NewDecoder(response.Body).Decode(&whole); err != nil || len(whole.Choices) == 0 || whole.Choices[0].Text == nil {
+		return Answer{Code: result.AnswerCut, CodeName: "cut", Message: fmt.Sprint(err)}
+	}
+	return Answer{Text: *whole.Choices[0].Text, Whole: true, Usage: whole.Usage, FirstToken: time.Since(began)}
+}
+
+func refusal(content []byte, status int) Answer {
+	var body openai.ErrorBody
+	if json.Unmarshal(content, &body) != nil || body.Error.Number == 0 {
+		return Answer{Code: result.Internal, CodeName: fmt.Sprint("status ", status), Message: string(content)}
+	}
+	return Answer{Code: result.Code(body.Error.Number), CodeName: body.Error.Code, Message: body.Error.Message}
+}
+
+func readStream(body io.Reader, began time.Time) Answer {
+	var answer Answer
+	var text strings.Builder
+	last := began
+	lines := bufio.NewReaderSize(body, 64<<10)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			answer.Code, answer.CodeName, answer.Message = result.AnswerCut, "cut", err.Error()
+			break
+		}
+		data, isData := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		if !isData {
+			continue
+		}
+		if bytes.Equal(data, []byte("[DONE]")) {
+			answer.Whole = true
+			break
+		}
+		if bytes.HasPrefix(data, []byte(`{"error"`)) {
+			answer = refusal(data, http.StatusOK)
+			break
+		}
+		now := time.Now()
+		if !appendChunk(&answer, &text, data) {
+			continue
+		}
+		if answer.FirstToken == 0 {
+			answer.FirstToken = now.Sub(began)
+		} else {
+			answer.Gaps = append(answer.Gaps, now.Sub(last))
+		}
+		last = now
+	}
+	answer.Text = text.String()
+	return answer
+}
+
+// appendChunk reports whether the chunk held text.
+func appendChunk(answer *Answer, text *strings.Builder, data []byte) bool {
+	var chunk openai.Answer
+	if json.Unmarshal(data, &chunk) != nil {
+		return false
+	}
+	if chunk.Usage != nil {
+		answer.Usage = chunk.Usage
+	}
+	if len(chunk.Choices) == 0 || chunk.Choices[0].Text == nil {
+		return false
+	}
+	text.WriteString(*chunk.Choices[0].Text)
+	return true
+}
--- /dev/null
+++ b/internal/lab/load/workload.go
@@ -0,0 +1,246 @@
+// Package load sends an open-loop workload to nodes and checks every answer by
+// its content. Arrivals do not wait for answers, so a slow system is not spared
+// (Schroeder et al., "Open Versus Closed", NSDI 2006).
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Workload is a workload file.
+type Workload struct {
+	Name    string   `yaml:"name"`
+	Seed    uint64   `yaml:"seed"`
+	Seconds float64  `yaml:"seconds"`
+	Corpora []Corpus `yaml:"corpora"`
+	Streams []Stream `yaml:"streams"`
+}
+
+// Corpus is a set of long texts that prompts share as their beginning.
+type Corpus struct {
+	Name   string `yaml:"name"`
+	Texts  int    `yaml:"texts"`
+	Tokens int    `yaml:"tokens"`
+}
+
+// Stream is a sort of request with its arrivals.
+type Stream struct {
+	Name string `yaml:"name"`
+	Kind string `yaml:"kind"`
+	// Model, Version and Adapter are what the kind is served by; the expected text
+	// depends on them.
+	Model   string `yaml:"model"`
+	Version string `yaml:"version"`
+	Adapter string `yaml:"adapter"`
+	// Keys are the API keys of the tenants that send, each an equal part.
+	Keys []string `yaml:"keys"`
+	// Rate is the number of arrivals a second over time, joined by straight lines.
+	Rate []RatePoint `yaml:"rate"`
+	// Corpus names shared beginnings; empty means none.
+	Corpus string `yaml:"corpus"`
+	// Prompt is the length of the prompt without the shared beginning.
+	Prompt Length `yaml:"prompt"`
+	Output Length `yaml:"output"`
+	// DeadlineMillis is the deadline that goodput counts.
+	DeadlineMillis int `yaml:"deadline_ms"`
+	// Keyed sends an idempotency key with each request.
+	Keyed bool `yaml:"keyed"`
+	// Whole asks for whole answers instead of streams.
+	Whole bool `yaml:"whole"`
+}
+
+// RatePoint is the rate of arrivals at one moment.
+type RatePoint struct {
+	AtSeconds float64 `yaml:"at"`
+	PerSecond float64 `yaml:"per_second"`
+}
+
+// Length is a log-normal distribution of token counts.
+type Length struct {
+	Median int `yaml:"median"`
+	// Spread is the standard deviation of the logarithm.
+	Spread float64 `yaml:"spread"`
+	Most   int     `yaml:"most"`
+}
+
+func (l Length) draw(random *rand.Rand) int {
+	tokens := int(float64(l.Median) * math.Exp(l.Spread*random.NormFloat64()))
+	return max(1, min(tokens, l.Most))
+}
+
+// Mean returns the mean of the distribution without its bound.
+func (l Length) Mean() float64 { return float64(l.Median) * math.Exp(l.Spread*l.Spread/2) }
+
+// ReadWorkload reads and checks a workload file.
+func ReadWorkload(path string) (Workload, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Workload{}, result.New(result.SettingsInvalid, "the workload can't be read: %v", err)
+	}
+	var workload Workload
+	decoder := yaml.NewDecoder(strings.NewReader(string(content)), yaml.Strict())
+	if err := decoder.Decode(&workload); err != nil {
+		return Workload{}, result.New(result.SettingsInvalid, "%s: %v", path, err)
+	}
+	return workload, workload.check(path)
+}
+
+func (w Workload) check(path string) error {
+	var mistakes []string
+	add := func(format string, arguments ...any) {
+		mistakes = append(mistakes, path+": "+fmt.Sprintf(format, arguments...))
+	}
+	if w.Seconds <= 0 || w.Seconds > 24*3600 {
+		add("seconds: %v is out of range; use more than 0 and at most a day", w.Seconds)
+	}
+	corpora := map[string]bool{}
+	for _, corpus := range w.Corpora {
+		corpora[corpus.Name] = true
+		if corpus.Texts < 1 || corpus.Tokens < 1 {
+			add("corpora: %s: texts and tokens must be at least 1", corpus.Name)
+		}
+	}
+	for _, stream := range w.Streams {
+		if stream.Corpus != "" && !corpora[stream.Corpus] {
+			add("streams: %s: corpus %q does not exist", stream.Name, stream.Corpus)
+		}
+		if len(stream.Keys) == 0 || stream.Kind == "" || stream.Model == "" || len(stream.Rate) == 0 {
+			add("streams: %s: keys, kind, model and rate are needed", stream.Name)
+		}
+		if stream.Prompt.Median < 1 || stream.Output.Median < 1 || stream.Prompt.Most < 1 || stream.Output.Most < 1 {
+			add("streams: %s: prompt and output need median and most of at least 1", stream.Name)
+		}
+		if stream.DeadlineMillis < 1 {
+			add("streams: %s: deadline_ms must be at least 1", stream.Name)
+		}
+	}
+	if len(mistakes) > 0 {
+		return result.New(result.SettingsInvalid, "%s", strings.Join(mistakes, "\n"))
+	}
+	return nil
+}
+
+// Scaled returns the workload with all rates multiplied and, where seconds is not
+// zero, stretched or cut to that length.
+func (w Workload) Scaled(rate, seconds float64) Workload {
+	if seconds == 0 {
+		seconds = w.Seconds
+	}
+	stretch := seconds / w.Seconds
+	scaled := w
+	scaled.Seconds = seconds
+	scaled.Streams = nil
+	for _, stream := range w.Streams {
+		points := make([]RatePoint, len(stream.Rate))
+		for i, point := range stream.Rate {
+			points[i] = RatePoint{AtSeconds: point.AtSeconds * stretch, PerSecond: point.PerSecond * rate}
+		}
+		stream.Rate = points
+		scaled.Streams = append(scaled.Streams, stream)
+	}
+	return scaled
+}
+
+// rateAt returns the rate at a moment, by linear interpolation.
+func (s Stream) rateAt(seconds float64) float64 {
+	points := s.Rate
+	if seconds <= points[0].AtSeconds {
+		return points[0].PerSecond
+	}
+	for i := 1; i < len(points); i++ {
+		if seconds <= points[i].AtSeconds {
+			before, after := points[i-1], points[i]
+			part := (seconds - before.AtSeconds) / (after.AtSeconds - before.AtSeconds)
+			return before.PerSecond + part*(after.PerSecond-before.PerSecond)
+		}
+	}
+	return points[len(points)-1].PerSecond
+}
+
+func (s Stream) highestRate() float64 {
+	highest := 0.0
+	for _, point := range s.Rate {
+		highest = max(highest, point.PerSecond)
+	}
+	return highest
+}
+
+// Arrival is one request of a schedule.
+type Arrival struct {
+	At     time.Duration
+	Stream int
+	// Number is the arrival's number in its stream.
+	Number       int
+	Text         int // number of the shared text, -1 for none
+	PromptTokens int // without the shared text
+	OutputTokens int
+	Key          string
+}
+
+// Schedule returns all arrivals in order of time. It depends on nothing but the
+// workload.
+func (w Workload) Schedule() []Arrival {
+	var schedule []Arrival
+	for i, stream := range w.Streams {
+		random := rand.New(rand.NewPCG(w.Seed, uint64(i)+1))
+		schedule = append(schedule, w.arrivalsOf(i, stream, random)...)
+	}
+	sortByTime(schedule)
+	return schedule
+}
+
+// arrivalsOf draws a Poisson process of varying rate by thinning (Lewis and
+// Shedler, 1979).
+func (w Workload) arrivalsOf(index int, stream Stream, random *rand.Rand) []Arrival {
+	highest := stream.highestRate()
+	if highest <= 0 {
+		return nil
+	}
+	var arrivals []Arrival
+	texts := w.textsOf(stream.Corpus)
+	for at := random.ExpFloat64() / highest; at < w.Seconds; at += random.ExpFloat64() / highest {
+		accepted := random.Float64()*highest < stream.rateAt(at)
+		if !accepted {
+			continue
+		}
+		arrival := Arrival{
+			At:           time.Duration(at * float64(time.Second)),
+			Stream:       index,
+			Number:       len(arrivals),
+			Text:         -1,
+			PromptTokens: stream.Prompt.draw(random),
+			OutputTokens: stream.Output.draw(random),
+			Key:          stream.Keys[random.IntN(len(stream.Keys))],
+		}
+		if texts > 0 {
+			arrival.Text = skewed(random, texts)
+		}
+		arrivals = append(arrivals, arrival)
+	}
+	return arrivals
+}
+
+// skewed draws a number below count; low ones are likelier: some reference texts
+// are in far wider use than others.
+func skewed(random *rand.Rand, count int) int {
+	uniform := random.Float64()
+	return int(uniform * uniform * float64(count))
+}
+
+func (w Workload) textsOf(name string) int {
+	for _, corpus := range w.Corpora {
+		if corpus.Name == name {
+			return corpus.Texts
+		}
+	}
+	return 0
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -279,6 +279,9 @@
 	return nil
 }
 
+// CaughtUp reports whether the node has read the configuration at its start.
+func (n *Node) CaughtUp() bool { return n.caughtUp.Load() }
+
 // Ready reports whether the node takes requests.
 func (n *Node) Ready() bool { return n.ready() == nil }
 
--- a/internal/placement/filters.go
+++ b/internal/placement/filters.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/tinarch/tinarch/internal/engine"
 	"github.com/tinarch/tinarch/internal/result"
 )
@@ -53,3 +55,20 @@
 
 // Refusal implements Filter.
 func (HasRoom) Refusal() result.Code { return result.QueueFull }
+
+// HasPromptRoom drops engines that have prompts to read for some time already:
+// what waits here instead can still be put behind a more urgent request, be
+// refused in time, or find a free engine elsewhere.
+type HasPromptRoom struct{}
+
+// promptBacklog is how much prompt an engine is given ahead, in time. It covers
+// the way of a few reports and tickets, so that engines do not run dry.
+const promptBacklog = 1500 * time.Millisecond
+
+// Keep implements Filter.
+func (HasPromptRoom) Keep(_ *Request, candidate *Candidate) bool {
+	return candidate.PendingPrompt == 0 || candidate.Rates.PrefillTime(candidate.PendingPrompt) < promptBacklog
+}
+
+// Refusal implements Filter.
+func (HasPromptRoom) Refusal() result.Code { return result.QueueFull }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -65,13 +65,17 @@
 // Rates describe an engine's speed.
 type Rates struct {
 	PrefillTokensPerSecond float64
-	DecodeStep             time.Duration
+	// DecodeStep is the length of an iteration that reads no prompt, MixedStep of
+	// one that reads as much of prompts as it may.
+	DecodeStep time.Duration
+	MixedStep  time.Duration
 }
 
 // Default rates until a report has come.
 const (
 	defaultPrefillRate = 10_000
 	defaultDecodeStep  = 10 * time.Millisecond
+	defaultMixedStep   = 50 * time.Millisecond
 )
 
 // OrDefault fills in what no report has told yet.
@@ -82,6 +86,9 @@
 	if r.DecodeStep <= 0 {
 		r.DecodeStep = defaultDecodeStep
 	}
+	if r.MixedStep <= 0 {
+		r.MixedStep = defaultMixedStep
+	}
 	return r
 }
 
@@ -90,6 +97,14 @@
 	return time.Duration(float64(tokens) / r.PrefillTokensPerSecond * float64(time.Second))
 }
 
+// DecodeTime predicts how long writing tokens takes while, at its beginning, the
+// engine has pending prompt tokens of other requests to read.
+func (r Rates) DecodeTime(tokens, pendingPrompt int) time.Duration {
+	busy := r.PrefillTime(pendingPrompt)
+	mixed := min(tokens, int(busy/r.MixedStep))
+	return time.Duration(mixed)*r.MixedStep + time.Duration(tokens-mixed)*r.DecodeStep
+}
+
 // Request is what placement knows of one request.
 type Request struct {
 	Model        string
@@ -161,7 +176,7 @@
 
 // DefaultFilters returns the filters of every policy.
 func DefaultFilters() []Filter {
-	return []Filter{Serves{}, Available{}, NotExcluded{}, HasRoom{}}
+	return []Filter{Serves{}, Available{}, NotExcluded{}, HasRoom{}, HasPromptRoom{}}
 }
 
 // NewDefaultCycle returns the cycle that nodes use.
--- a/internal/placement/scorers.go
+++ b/internal/placement/scorers.go
@@ -29,8 +29,8 @@
 
 // Cost implements Scorer.
 func (DecodeSlowdown) Cost(request *Request, candidate *Candidate, _ *Matches) float64 {
-	step := candidate.Rates.DecodeStep.Seconds()
-	return float64(request.OutputTokens) * step * (1 + sequenceShare*float64(candidate.InFlight))
+	decode := candidate.Rates.DecodeTime(request.OutputTokens, candidate.PendingPrompt).Seconds()
+	return decode * (1 + sequenceShare*float64(candidate.InFlight))
 }
 
 // MemoryPressure charges for memory that must be freed: cached prefixes are
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -50,6 +50,7 @@
 	AnswerCut           Code = 3002
 	CallerGone          Code = 3003
 	AnswerExpired       Code = 3004
+	DeadlineExceeded    Code = 3005
 	RevisionConflict    Code = 4001
 	InvalidCatalog      Code = 4002
 	TableUnavailable    Code = 4003
@@ -110,6 +111,7 @@
 	{AnswerCut, "answer_cut", Ran, true, 502, "aborted", "The answer broke off and could not be resumed. Only said of repeatable kinds.", "Send the request again."},
 	{CallerGone, "caller_gone", Unknown, true, 499, "canceled", "The caller left before the answer was complete.", "Nothing."},
 	{AnswerExpired, "answer_expired", Ran, false, 410, "not_found", "The request ran, and its stored answer can't be read any more.", "Do not repeat the request as new."},
+	{DeadlineExceeded, "deadline_exceeded", Ran, true, 504, "aborted", "The answer was not whole after twice its deadline and was cancelled. Only said of repeatable kinds.", "Send the request again when there is less load."},
 	{RevisionConflict, "revision_conflict", DidNotRun, true, 409, "aborted", "Another change was accepted since the expected revision.", "Read the configuration again and reapply the change."},
 	{InvalidCatalog, "invalid_catalog", DidNotRun, true, 422, "invalid_argument", "The configuration as a whole is not valid.", "Correct the objects and fields listed."},
 	{TableUnavailable, "table_unavailable", DidNotRun, true, 503, "unavailable", "The table service can't be used now; nothing was changed.", "Try again later."},
