Measure claims, failover and stores that are down; ask few peers at a start

Cause: a starting node asked every other node while the table failed it: with 370 starting at once that was a storm of connections (370 x 369), which kept the table failing.

--- a/cmd/tinarch-lab/bench.go
+++ b/cmd/tinarch-lab/bench.go
@@ -12,6 +12,8 @@
 	FirstToken bool   `arg:"--first-token" help:"added time to the first token at 200 requests a second"`
 	Relay      bool   `arg:"--relay" help:"processor time of a relayed token against a bare copying proxy"`
 	Memory     bool   `arg:"--memory" help:"memory of a node at rest and with open streams"`
+	Claims     bool   `arg:"--claims" help:"cost of claims of idempotency keys"`
+	Failover   bool   `arg:"--failover" help:"time from a leader's death to the next leader"`
 	Program    string `arg:"--program" default:"bin/tinarchd" help:"node program for --memory"`
 	Out        string `arg:"--out" help:"store the result as JSON" placeholder:"FILE"`
 }
@@ -22,6 +24,8 @@
 	FirstToken *bench.FirstToken     `json:"first_token,omitempty"`
 	Relay      *bench.Relay          `json:"relay,omitempty"`
 	Memory     *bench.Memory         `json:"memory,omitempty"`
+	Claims     *bench.Claims         `json:"claims,omitempty"`
+	Failover   *bench.Failover       `json:"failover,omitempty"`
 }
 
 const (
@@ -31,11 +35,12 @@
 	benchTokens   = 200
 	benchRounds   = 5
 	memoryStreams = 1000
+	failovers     = 20
 )
 
 func (c *benchCommand) run(ctx context.Context) error {
 	stored := storedBench{Provenance: provenance.Collect()}
-	all := !c.FirstToken && !c.Relay && !c.Memory
+	all := !c.FirstToken && !c.Relay && !c.Memory && !c.Claims && !c.Failover
 	if c.FirstToken || all {
 		measured, err := bench.MeasureFirstToken(ctx, benchRate, benchRequests)
 		if err != nil {
@@ -63,5 +68,22 @@
 		fmt.Printf("memory: %.1f MB at rest, %.1f MB with %d streams, %.1f MB per 1,000 streams\n",
 			measured.RestMegabytes, measured.StreamsMegabytes, measured.Streams, measured.MegabytesPer1000Stream)
 	}
+	if c.Claims || all {
+		measured, err := bench.MeasureClaims(ctx)
+		if err != nil {
+			return err
+		}
+		stored.Claims = &measured
+		fmt.Printf("claims, p50/p95/p99 ms: peer round trip %.2f, claim %.2f, added %.2f; %.0f a second in one group; %.0f bytes a live claim\n",
+			measured.RoundTripMillis, measured.ClaimMillis, measured.AddedMillis, measured.PerSecond, measured.BytesPerClaim)
+	}
+	if c.Failover || all {
+		measured, err := bench.MeasureFailover(ctx, failovers)
+		if err != nil {
+			return err
+		}
+		stored.Failover = &measured
+		fmt.Printf("failover, %d rounds: p50/p95/p99 %.2f s\n", measured.Rounds, measured.Seconds)
+	}
 	return writeJSON(c.Out, stored)
 }
--- a/cmd/tinarch-lab/demo.go
+++ b/cmd/tinarch-lab/demo.go
@@ -16,6 +16,7 @@
 type demoCommand struct {
 	Deployment string  `arg:"positional" default:"examples/verifica-norte/deployment.yaml" help:"deployment file"`
 	Compare    bool    `arg:"--compare" help:"also run the same arrivals under round robin and least-loaded placement"`
+	StoresDown bool    `arg:"--stores-down" help:"also run the same arrivals with table service and object store down"`
 	Seconds    float64 `arg:"--seconds" help:"length of the workload (default: as in its file)"`
 	Rate       float64 `arg:"--rate" default:"1" help:"multiplies all arrival rates"`
 	Out        string  `arg:"--out" help:"store the result as JSON" placeholder:"FILE"`
@@ -37,7 +38,7 @@
 		policies = append(policies, placement.PolicyRoundRobin, placement.PolicyLeastLoaded)
 	}
 	runs, err := demo.Execute(ctx, demo.Options{
-		Deployment: deployment, Policies: policies, Seconds: c.Seconds, Rate: c.Rate, Out: os.Stdout,
+		Deployment: deployment, Policies: policies, Seconds: c.Seconds, Rate: c.Rate, StoresDown: c.StoresDown, Out: os.Stdout,
 	})
 	if err != nil {
 		return err
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -11,6 +11,7 @@
 	"github.com/tinarch/tinarch/internal/catalog"
 	"github.com/tinarch/tinarch/internal/lab/cluster"
 	"github.com/tinarch/tinarch/internal/lab/load"
+	"github.com/tinarch/tinarch/internal/lab/platform"
 	"github.com/tinarch/tinarch/internal/placement"
 	"github.com/tinarch/tinarch/internal/result"
 
@@ -26,15 +27,19 @@
 	Seconds float64
 	// Rate multiplies all arrival rates.
 	Rate float64
-	Out  io.Writer
+	// StoresDown runs everything a second time with the table service and the
+	// object store down from the start of the load to its end.
+	StoresDown bool
+	Out        io.Writer
 }
 
 // Run is the outcome of one policy.
 type Run struct {
-	Policy   placement.Policy   `json:"policy"`
-	Report   *load.Report       `json:"report"`
-	Counters labengine.Counters `json:"engines"`
-	Doubled  int                `json:"doubled"`
+	Policy     placement.Policy   `json:"policy"`
+	StoresDown bool               `json:"stores_down"`
+	Report     *load.Report       `json:"report"`
+	Counters   labengine.Counters `json:"engines"`
+	Doubled    int                `json:"doubled"`
 }
 
 const startTimeout = 2 * time.Minute
@@ -48,16 +53,21 @@
 	workload = workload.Scaled(options.Rate, options.Seconds)
 	var runs []Run
 	for _, policy := range options.Policies {
-		run, err := executeOne(ctx, options, workload, policy)
-		if err != nil {
-			return runs, err
+		for _, storesDown := range []bool{false, true} {
+			if storesDown && !options.StoresDown {
+				continue
+			}
+			run, err := executeOne(ctx, options, workload, policy, storesDown)
+			if err != nil {
+				return runs, err
+			}
+			runs = append(runs, run)
 		}
-		runs = append(runs, run)
 	}
 	return runs, nil
 }
 
-func executeOne(ctx context.Context, options Options, workload load.Workload, policy placement.Policy) (Run, error) {
+func executeOne(ctx context.Context, options Options, workload load.Workload, policy placement.Policy, storesDown bool) (Run, error) {
 	clusterOptions := options.Deployment.Options()
 	clusterOptions.Policy = policy
 	fmt.Fprintf(options.Out, "\n== placement policy %s: starting %d nodes and %d engines\n", policy, options.Deployment.Nodes, options.Deployment.EngineCount())
@@ -69,6 +79,11 @@
 	if err := configure(ctx, options, running); err != nil {
 		return Run{}, err
 	}
+	if storesDown {
+		running.Table.SetFaults(platform.Faults{Down: true})
+		running.Objects.SetFaults(platform.Faults{Down: true})
+		fmt.Fprintln(options.Out, "   table service and object store are down from now on")
+	}
 	var addresses []string
 	for _, node := range running.Nodes {
 		addresses = append(addresses, node.CallersAddress())
@@ -80,7 +95,7 @@
 		},
 	})
 	fmt.Fprintln(options.Out)
-	run := Run{Policy: policy, Report: report, Counters: running.Counters(), Doubled: report.Doubled(running.Runs())}
+	run := Run{Policy: policy, StoresDown: storesDown, Report: report, Counters: running.Counters(), Doubled: report.Doubled(running.Runs())}
 	report.Print(options.Out)
 	fmt.Fprintf(options.Out, "answers lost, cut or crossed: %d; requests run twice that must not be: %d; goodput: %.2f %%\n",
 		report.Wrong(), run.Doubled, 100*report.Goodput())
@@ -106,6 +121,13 @@
 	return running.AwaitEngines(startCtx, options.Deployment.EngineCount())
 }
 
+func (r Run) label() string {
+	if r.StoresDown {
+		return "stores down"
+	}
+	return string(r.Policy)
+}
+
 // Summary compares runs.
 func Summary(out io.Writer, runs []Run) error {
 	if len(runs) == 0 {
@@ -115,7 +137,7 @@
 		fmt.Fprintln(out, "\n== goodput by stream, same arrivals")
 		fmt.Fprintf(out, "%-18s", "stream")
 		for _, run := range runs {
-			fmt.Fprintf(out, "%14s", run.Policy)
+			fmt.Fprintf(out, "%14s", run.label())
 		}
 		fmt.Fprintln(out)
 		for i, stream := range runs[0].Report.Streams {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,7 @@
 	keeper   *group.Keeper
 	router   *group.Router
 	machines *machineWatcher
+	ledger   *ledger.Client
 	gateway  *gateway.Server
 	operator *http.Server
 
@@ -177,6 +178,7 @@
 	n.members = membership.NewDriver(memberSettings, view, n.client, n.log, n.seeds, n.manager.Revision, n.rollout.Observed)
 	n.host = group.NewHost(n.self.ID, replica.DefaultSettings(), n.newMachine, n.client, n.log, n.addressOf, n.publishLeadership)
 	n.router = group.NewRouter(n.client, n)
+	n.ledger = ledger.NewClient(n.router, n.settings.Cluster.LedgerGroups)
 	n.keeper = group.NewKeeper(n.self, n.host, n.table, n.client, n, n.log, n.forgetCommand)
 	n.manager.OnChange(n.catalogChanged)
 }
@@ -193,7 +195,7 @@
 		Placer:  gateway.NewPlacer(n.client, n.router, n.self.Zone),
 		Engines: n.engines,
 		Peers:   n.client,
-		Ledger:  ledger.NewClient(n.router, n.settings.Cluster.LedgerGroups),
+		Ledger:  n.ledger,
 		Answers: n.objects,
 		Metrics: gateway.NewMetrics(n.registry),
 		MetricsPage: promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{
@@ -300,6 +302,12 @@
 // Revision returns the configuration revision in force.
 func (n *Node) Revision() uint64 { return n.manager.Revision() }
 
+// Ledger returns the node's client of the ledger groups.
+func (n *Node) Ledger() *ledger.Client { return n.ledger }
+
+// Peers returns the node's client of the peer protocol.
+func (n *Node) Peers() *peer.Client { return n.client }
+
 // Traffic returns the node's counters of peer traffic.
 func (n *Node) Traffic() *peer.Counters { return n.counters }
 
--- a/internal/rollout/service.go
+++ b/internal/rollout/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -51,6 +52,8 @@
 	retryAfterLag = 500 * time.Millisecond
 	// pullPause keeps a node from pulling once for each peer that is ahead.
 	pullPause = 100 * time.Millisecond
+	// catchUpSample is the number of nodes that a starting one asks.
+	catchUpSample = 9
 )
 
 // Service accepts changes and keeps this node's revision up to date.
@@ -199,9 +202,9 @@
 	return nil
 }
 
-// CatchUp brings a starting node up to what the other nodes know, or to what the
-// table says. It returns once the node is at least at the revision of a majority
-// of the peers, or at the table's.
+// CatchUp brings a starting node up to the table's revision. While the table is
+// down, it asks a sample of the other nodes instead, and needs a majority of the
+// sample to answer: all of them would be a storm when many nodes start.
 func (s *Service) CatchUp(ctx context.Context) error {
 	tableErr := s.Load(ctx)
 	if tableErr == nil {
@@ -211,6 +214,8 @@
 	if len(peers) == 0 {
 		return tableErr
 	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = peers[:min(len(peers), catchUpSample)]
 	answered := 0
 	for _, address := range peers {
 		if s.pull(ctx, address) == nil {
