--- a/cmd/tinarch-lab/faults.go
+++ b/cmd/tinarch-lab/faults.go
@@ -8,6 +8,7 @@
 
 	"github.com/tinarch/tinarch/internal/lab/faults"
 	"github.com/tinarch/tinarch/internal/lab/provenance"
+	"github.com/tinarch/tinarch/internal/lab/virtual"
 	"github.com/tinarch/tinarch/internal/result"
 )
 
@@ -17,6 +18,8 @@
 	Parallel int     `arg:"--parallel" default:"1" help:"schedules run side by side"`
 	Seconds  float64 `arg:"--seconds" default:"12" help:"length of a schedule, before the time to settle"`
 	Events   int     `arg:"--events" default:"8" help:"failures in a schedule"`
+	Virtual  bool    `arg:"--virtual" help:"run groups in virtual time instead of processes"`
+	Without  string  `arg:"--without" help:"with --virtual: leave out a guard (promise or claim), to see a checker report"`
 	Program  string  `arg:"--program" default:"bin/tinarchd" help:"node program"`
 	Logs     string  `arg:"--logs" default:"out/faults" help:"folder for settings and logs of nodes"`
 	Out      string  `arg:"--out" help:"store the result as JSON" placeholder:"FILE"`
@@ -29,6 +32,9 @@
 }
 
 func (c *faultsCommand) run(ctx context.Context) error {
+	if c.Virtual {
+		return c.runVirtual()
+	}
 	outcomes := make([]faults.Outcome, c.Count)
 	errs := make([]error, c.Count)
 	slots := make(chan struct{}, max(c.Parallel, 1))
@@ -69,3 +75,48 @@
 	}
 	return nil
 }
+
+// storedVirtual is the stored form of schedules in virtual time.
+type storedVirtual struct {
+	Provenance provenance.Provenance `json:"provenance"`
+	FirstSeed  uint64                `json:"first_seed"`
+	Schedules  int                   `json:"schedules"`
+	Claims     int                   `json:"claims"`
+	Granted    int                   `json:"granted"`
+	Problems   []string              `json:"problems"`
+}
+
+func (c *faultsCommand) runVirtual() error {
+	stored := storedVirtual{Provenance: provenance.Collect(), FirstSeed: c.Seed, Schedules: c.Count, Problems: []string{}}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	slots := make(chan struct{}, max(c.Parallel, 1))
+	for i := range c.Count {
+		group.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer group.Done()
+			defer func() { <-slots }()
+			outcome := virtual.RunClaims(c.Seed+uint64(i), virtual.Guard(c.Without))
+			mu.Lock()
+			defer mu.Unlock()
+			stored.Claims += outcome.Claims
+			stored.Granted += outcome.Granted
+			if outcome.Problem != "" {
+				stored.Problems = append(stored.Problems, outcome.String())
+			}
+		}()
+	}
+	group.Wait()
+	fmt.Printf("%d schedules from seed %d: %d claims, %d granted, %d problems\n", c.Count, c.Seed, stored.Claims, stored.Granted, len(stored.Problems))
+	for _, problem := range stored.Problems[:min(len(stored.Problems), 3)] {
+		fmt.Print(problem)
+	}
+	if err := writeJSON(c.Out, stored); err != nil {
+		return err
+	}
+	if len(stored.Problems) > 0 {
+		return result.New(result.Internal, "%d of %d schedules had problems", len(stored.Problems), c.Count)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/virtual/claims.go
@@ -0,0 +1,229 @@
+package virtual
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/ledger"
+	"github.com/tinarch/tinarch/internal/replica"
+)
+
+// Guard is a part of the protocol that a run may leave out, to show that the
+// checkers then report.
+type Guard string
+
+// The guards.
+const (
+	NoGuard Guard = ""
+	// GuardPromise: followers keep their promise to a leader.
+	GuardPromise Guard = "promise"
+	// GuardClaim: the ledger does not grant a key twice.
+	GuardClaim Guard = "claim"
+)
+
+// Outcome is what a schedule showed.
+type Outcome struct {
+	Seed    uint64
+	Claims  int
+	Granted int
+	Unknown int
+	// Trace lists the failures of the schedule.
+	Trace []string
+	// Problem is the first broken guarantee, empty when all held.
+	Problem string
+}
+
+// String renders a failed schedule for a reader.
+func (o Outcome) String() string {
+	text := fmt.Sprintf("seed %d\n", o.Seed)
+	for _, line := range o.Trace {
+		text += "  " + line + "\n"
+	}
+	return text + "  PROBLEM: " + o.Problem + "\n"
+}
+
+// greedyLedger grants every claim.
+type greedyLedger struct{ *ledger.Ledger }
+
+// Apply implements Machine.
+func (g greedyLedger) Apply(data []byte) any {
+	outcome := g.Ledger.Apply(data)
+	var command ledger.Command
+	_ = json.Unmarshal(data, &command)
+	if outcome.Claim != nil {
+		outcome.Claim.Attempt = command.Attempt
+	}
+	return outcome
+}
+
+type plainLedger struct{ *ledger.Ledger }
+
+// Apply implements Machine.
+func (p plainLedger) Apply(data []byte) any { return p.Ledger.Apply(data) }
+
+type claimInput struct {
+	key     string
+	attempt engine.Identifier
+}
+
+// claimModel is the sequential specification: the first claim of a key wins, and
+// all see it. An empty output is one that the caller never learned.
+var claimModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		var order []string
+		for _, operation := range history {
+			key := operation.Input.(claimInput).key
+			if byKey[key] == nil {
+				order = append(order, key)
+			}
+			byKey[key] = append(byKey[key], operation)
+		}
+		parts := make([][]porcupine.Operation, 0, len(order))
+		for _, key := range order {
+			parts = append(parts, byKey[key])
+		}
+		return parts
+	},
+	Init: func() any { return engine.Identifier("") },
+	Step: func(state, input, output any) (bool, any) {
+		holder, answered := state.(engine.Identifier), output.(engine.Identifier)
+		if holder == "" {
+			holder = input.(claimInput).attempt
+		}
+		return answered == "" || answered == holder, holder
+	},
+}
+
+const (
+	claimKeys     = 6
+	scheduleSteps = 30
+	longestPause  = 1500
+	healTime      = 8 * time.Second
+)
+
+// RunClaims runs one schedule of failures while clients race for keys, and checks
+// leases, agreement, and that claims are linearizable.
+func RunClaims(seed uint64, without Guard) Outcome {
+	settings := replica.DefaultSettings()
+	settings.MaxLog = 16
+	var settingsOf func(int) replica.Settings
+	if without == GuardPromise {
+		settingsOf = func(i int) replica.Settings {
+			own := settings
+			if i > 0 {
+				// A follower that forgets its promise at once.
+				own.Lease = time.Millisecond
+				own.DriftMargin = -settings.Lease
+			}
+			return own
+		}
+	}
+	machine := func() Machine { return plainLedger{ledger.New()} }
+	if without == GuardClaim {
+		machine = func() Machine { return greedyLedger{ledger.New()} }
+	}
+	r := &claimRun{
+		cluster: NewCluster(seed, settings, machine, settingsOf),
+		random:  rand.New(rand.NewPCG(seed, 0xc1a1)),
+		outcome: Outcome{Seed: seed},
+	}
+	r.play()
+	return r.outcome
+}
+
+type claimRun struct {
+	cluster *Cluster
+	random  *rand.Rand
+	outcome Outcome
+	history []porcupine.Operation
+}
+
+func (r *claimRun) play() {
+	r.cluster.Loss = r.random.Float64() * 0.3
+	for range scheduleSteps {
+		r.fail()
+		for range 3 {
+			r.claim()
+		}
+		length := time.Duration(10+r.random.IntN(longestPause)) * time.Millisecond
+		if err := r.cluster.Run(length); err != nil {
+			r.outcome.Problem = err.Error()
+			return
+		}
+	}
+	r.cluster.Heal()
+	if err := r.cluster.Run(healTime); err != nil {
+		r.outcome.Problem = err.Error()
+		return
+	}
+	if !r.claim() {
+		r.outcome.Problem = "the group did not recover"
+		return
+	}
+	if err := r.cluster.Run(time.Second); err != nil {
+		r.outcome.Problem = err.Error()
+		return
+	}
+	if !porcupine.CheckOperations(claimModel, r.history) {
+		r.outcome.Problem = "the claims are not linearizable: a key was granted twice, or forgotten"
+	}
+}
+
+func (r *claimRun) fail() {
+	n := r.cluster.Nodes[r.random.IntN(Members)]
+	var what string
+	switch r.random.IntN(5) {
+	case 0:
+		n.Paused = !n.Paused
+		what = fmt.Sprintf("%s paused: %v", n.ID, n.Paused)
+	case 1:
+		n.Cut = !n.Cut
+		what = fmt.Sprintf("%s cut off: %v", n.ID, n.Cut)
+	case 2:
+		n.Member.HandOver(n.Clock(r.cluster.Now))
+		r.cluster.Collect(n)
+		what = fmt.Sprintf("%s hands its lease over", n.ID)
+	default:
+		return
+	}
+	r.outcome.Trace = append(r.outcome.Trace, fmt.Sprintf("%8v  %s", r.cluster.Now, what))
+}
+
+// claim lets a client claim some key.
+func (r *claimRun) claim() bool {
+	input := claimInput{key: fmt.Sprint("key-", r.random.IntN(claimKeys)), attempt: engine.Identifier(fmt.Sprint("attempt-", r.outcome.Claims))}
+	data, err := json.Marshal(ledger.Command{
+		Type: ledger.CommandClaim, Key: input.key, Digest: "d", Attempt: input.attempt, WindowMillis: int64(time.Hour / time.Millisecond),
+	})
+	if err != nil {
+		r.outcome.Problem = err.Error()
+		return false
+	}
+	index := len(r.history)
+	const never = int64(1) << 62
+	operation := porcupine.Operation{ClientId: index, Input: input, Call: int64(r.cluster.Now), Output: engine.Identifier(""), Return: never}
+	r.history = append(r.history, operation)
+	accepted := r.cluster.Propose(data, func(result any, committed bool) {
+		outcome, ok := result.(ledger.Outcome)
+		if !committed || !ok || outcome.Claim == nil {
+			return
+		}
+		r.history[index].Output = outcome.Claim.Attempt
+		r.history[index].Return = int64(r.cluster.Now)
+		if outcome.Granted {
+			r.outcome.Granted++
+		}
+	})
+	if !accepted {
+		r.history = r.history[:index]
+		return false
+	}
+	r.outcome.Claims++
+	return true
+}
