Change versions without a gap; test cells and rollouts

Cause: a test of a version change showed all engines out at once: the limit did not apply while no engine served the new version, although the old one was in use. And requests asked for the new version before any engine had it. Change: the limit is lifted only while no engine serves a model of the pool; a request whose kind follows the default version is served by the version that more engines have; requests that wait for a version that is gone are moved. Also: two processes under one name are reported; the lab reused a name, which made the failover bench stop with no leader.

--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -47,12 +47,15 @@
 
 // Kind is a request kind with its references resolved and defaults filled in.
 type Kind struct {
-	Name            string
-	Class           string // empty: the tenant's class
-	Model           string
-	Version         string
-	Adapter         string
-	Pool            string
+	Name    string
+	Class   string // empty: the tenant's class
+	Model   string
+	Version string
+	Adapter string
+	Pool    string
+	// Pinned tells that the kind names its version, rather than to follow the
+	// model's default.
+	Pinned          bool
 	Repeatable      bool
 	Deadline        time.Duration
 	FirstToken      time.Duration
@@ -111,7 +114,8 @@
 		MaxOutputTokens: int(kind.GetMaxOutputTokens()),
 		KeyWindow:       time.Duration(kind.GetKeyWindowSeconds()) * time.Second,
 	}
-	if resolved.Version == "" {
+	resolved.Pinned = resolved.Version != ""
+	if !resolved.Pinned {
 		resolved.Version = model.GetDefaultVersion()
 	}
 	if resolved.FirstToken == 0 {
@@ -210,6 +214,12 @@
 	return s.versions[VersionName(model, version)]
 }
 
+// ServedBy reports whether a model belongs to a pool.
+func (s *Snapshot) ServedBy(model, pool string) bool {
+	found := s.models[model]
+	return found != nil && found.GetPool() == pool
+}
+
 // Pool returns a pool, nil when there is none.
 func (s *Snapshot) Pool(name string) *tinarchv1.Pool { return s.pools[name] }
 
--- a/internal/cell/engines.go
+++ b/internal/cell/engines.go
@@ -87,12 +87,12 @@
 	return limit - out
 }
 
-// servingNothing reports that no engine serves what is asked for, as at a first
+// servingNothing reports that no engine serves a model of the pool, as at a first
 // start: then there is no service to protect.
 func (s *State) servingNothing() bool {
 	for _, m := range s.order {
 		status, seen := m.control.Observed()
-		if seen && status.Deployment.Serves(m.desired.Deployment) {
+		if seen && s.snapshot.ServedBy(status.Deployment.Model, s.pool) {
 			return false
 		}
 	}
--- a/internal/cell/requests.go
+++ b/internal/cell/requests.go
@@ -26,12 +26,14 @@
 	if _, twice := s.waiting[request.Attempt]; twice {
 		return nil, result.New(result.InvalidRequest, "attempt %s waits already", request.Attempt)
 	}
+	s.refresh(now)
 	class := s.snapshot.ClassOf(tenant, kind)
+	version := s.versionFor(kind)
 	w := &waiting{
 		request: request,
 		target: placement.Request{
 			Model:        kind.Model,
-			Version:      kind.Version,
+			Version:      version,
 			Adapter:      kind.Adapter,
 			PromptTokens: request.PromptTokens,
 			OutputTokens: request.OutputTokens,
@@ -40,10 +42,9 @@
 		},
 		rank:     class.GetRank(),
 		deadline: now + time.Duration(request.DeadlineMillis)*time.Millisecond,
-		lane:     s.lane(kind.Model, kind.Version),
+		lane:     s.lane(kind.Model, version),
 	}
 	s.exclude(w)
-	s.refresh(now)
 	capacity := s.capacity(w)
 	if capacity.engines == 0 {
 		return nil, result.New(result.NoEngine, "no engine of cell %s serves %s/%s now", s.name, kind.Model, kind.Version).
@@ -76,6 +77,31 @@
 	return s.push(w, capacity)
 }
 
+// versionFor returns the version that serves a request of a kind now. While a new
+// default version is being loaded, engine after engine, requests go to the version
+// that more engines serve, so that the change costs no request. A kind that names
+// its version gets no other.
+func (s *State) versionFor(kind *catalog.Kind) string {
+	if kind.Pinned {
+		return kind.Version
+	}
+	counts := map[string]int{}
+	for _, m := range s.order {
+		deployment := m.candidate.Deployment
+		usable := m.candidate.Availability == placement.Ready || m.candidate.Availability == placement.Unknown
+		if usable && deployment.Model == kind.Model && deployment.HasAdapter(kind.Adapter) {
+			counts[deployment.Version]++
+		}
+	}
+	best := kind.Version
+	for version, count := range counts {
+		if count > counts[best] || count == counts[best] && best != kind.Version && version < best {
+			best = version
+		}
+	}
+	return best
+}
+
 const (
 	retryNoEngine = 2 * time.Second
 	minimumRetry  = 100 * time.Millisecond
@@ -181,6 +207,9 @@
 					w.target.Excluded = 0
 					continue
 				}
+				if result.CodeOf(err) == result.NoEngine {
+					s.retarget(l)
+				}
 				break
 			}
 			l.queue.Pop()
@@ -191,6 +220,41 @@
 	return placed
 }
 
+// retarget moves requests that wait for a version which no engine serves any more
+// to the one that has taken its place.
+func (s *State) retarget(l *lane) {
+	for _, attempt := range s.waitingIn(l) {
+		w := s.waiting[attempt]
+		_, kind, err := s.snapshot.Resolve(w.request.Tenant, w.request.Kind)
+		if err != nil {
+			continue // it expires
+		}
+		version := s.versionFor(kind)
+		if version == w.target.Version || kind.Model != w.target.Model {
+			continue
+		}
+		l.queue.Remove(w.item)
+		w.target.Version = version
+		w.lane = s.lane(kind.Model, version)
+		if _, err := w.lane.queue.Push(w.item); err != nil {
+			delete(s.waiting, attempt)
+			s.displaced = append(s.displaced, Refused{Attempt: attempt, Err: err})
+		}
+	}
+}
+
+// waitingIn returns the attempts that wait in a lane, in order.
+func (s *State) waitingIn(l *lane) []engine.Identifier {
+	var attempts []engine.Identifier
+	for attempt, w := range s.waiting {
+		if w.lane == l {
+			attempts = append(attempts, attempt)
+		}
+	}
+	slices.Sort(attempts)
+	return attempts
+}
+
 func (s *State) laneOrder() []string {
 	keys := make([]string, 0, len(s.lanes))
 	for key, l := range s.lanes {
@@ -272,7 +336,8 @@
 // Expire gives up requests that can't be answered in time any more, and flights
 // without news for long.
 func (s *State) Expire(now time.Duration) []Refused {
-	var refused []Refused
+	refused := s.displaced
+	s.displaced = nil
 	for _, key := range s.laneOrder() {
 		for _, item := range s.lanes[key].queue.Expired(now) {
 			attempt := engine.Identifier(item.ID)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -99,6 +99,9 @@
 	waiting map[engine.Identifier]*waiting
 	flights map[engine.Identifier]*flight
 
+	// displaced holds requests that found no room when their version was replaced.
+	displaced []Refused
+
 	nextLoadAt time.Duration
 	loadRate   float64
 }
--- /dev/null
+++ b/internal/cell/state_test.go
@@ -0,0 +1,218 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
+	"github.com/tinarch/tinarch/internal/catalog"
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+func snapshot(t *testing.T, revision uint64, change func(*tinarchv1.Catalog)) *catalog.Snapshot {
+	t.Helper()
+	source := &tinarchv1.Catalog{
+		Classes:  []*tinarchv1.PriorityClass{{Name: "high", Rank: 2, Weight: 10}, {Name: "low", Rank: 1, Weight: 1}},
+		Pools:    []*tinarchv1.Pool{{Name: "pool", MaxRunningPerEngine: 1}},
+		Models:   []*tinarchv1.Model{{Name: "m", Pool: "pool", ContextTokens: 100_000, DefaultVersion: "1"}},
+		Versions: []*tinarchv1.ModelVersion{{Model: "m", Name: "1", Weights: "w"}, {Model: "m", Name: "2", Weights: "w2"}},
+		Kinds: []*tinarchv1.RequestKind{
+			{Name: "urgent", PriorityClass: "high", Model: "m", DeadlineMs: 60_000, MaxOutputTokens: 100, Repeatable: true},
+			{Name: "calm", PriorityClass: "low", Model: "m", DeadlineMs: 60_000, MaxOutputTokens: 100},
+		},
+		Tenants: []*tinarchv1.Tenant{{Name: "t", PriorityClass: "low"}},
+	}
+	if change != nil {
+		change(source)
+	}
+	compiled, err := catalog.Compile(revision, source)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return compiled
+}
+
+// bench is a cell with engines that obey at once.
+type bench struct {
+	state    *State
+	statuses map[string]engine.Status
+	now      time.Duration
+}
+
+func newBench(t *testing.T, engines int) *bench {
+	b := &bench{state: NewState(Options{Name: "cell", Pool: "pool"}), statuses: map[string]engine.Status{}}
+	b.state.SetCatalog(snapshot(t, 1, nil))
+	b.state.SetFence(5)
+	var machines []Machine
+	for i := range engines {
+		name := fmt.Sprintf("e%d", i)
+		machines = append(machines, Machine{Name: name, Address: name, Pool: "pool"})
+		b.statuses[name] = engine.Status{Incarnation: engine.Identifier("i-" + name)}
+	}
+	b.state.ObserveMachines(machines)
+	b.settle()
+	return b
+}
+
+// settle lets orders and reports go back and forth until nothing changes.
+func (b *bench) settle() {
+	for range 12 {
+		for name, status := range b.statuses {
+			b.state.ObserveStatus(b.now, name, status)
+		}
+		for _, instruction := range b.state.Reconcile(b.now) {
+			status := b.statuses[instruction.Engine]
+			status.Fence, status.LastOrder = instruction.Order.Fence, instruction.Order.ID
+			switch instruction.Order.Type {
+			case engine.OrderDrain:
+				status.Draining = true
+			case engine.OrderUndrain:
+				status.Draining = false
+			case engine.OrderDeploy:
+				status.Deployment = *instruction.Order.Target
+			}
+			b.statuses[instruction.Engine] = status
+			b.state.Answered(b.now, instruction, status, nil)
+		}
+	}
+}
+
+func (b *bench) enqueue(t *testing.T, attempt, kind string) {
+	t.Helper()
+	request := PlaceRequest{Attempt: engine.Identifier(attempt), Tenant: "t", Kind: kind, PromptTokens: 100, OutputTokens: 10, DeadlineMillis: 60_000}
+	if _, err := b.state.Enqueue(b.now, request); err != nil {
+		t.Fatalf("Enqueue(%s): %v", attempt, err)
+	}
+}
+
+func placedAttempts(placed []Placed) []string {
+	var attempts []string
+	for _, p := range placed {
+		attempts = append(attempts, string(p.Attempt))
+	}
+	return attempts
+}
+
+func TestEnginesAreClaimedDeployedAndUsed(t *testing.T) {
+	b := newBench(t, 2)
+	b.enqueue(t, "a", "urgent")
+	placed := b.state.Dispatch(b.now)
+	if len(placed) != 1 || placed[0].Ticket.Version != "1" || placed[0].Ticket.Fence != 5 || placed[0].Ticket.Incarnation == "" {
+		t.Fatalf("placed %+v", placed)
+	}
+}
+
+func TestHigherClassGoesFirstWhenEnginesAreFull(t *testing.T) {
+	b := newBench(t, 1)
+	b.enqueue(t, "running", "calm")
+	b.state.Dispatch(b.now)
+	b.enqueue(t, "calm-1", "calm")
+	b.enqueue(t, "urgent-1", "urgent")
+	if placed := b.state.Dispatch(b.now); len(placed) != 0 {
+		t.Fatalf("a full engine got %v", placedAttempts(placed))
+	}
+	b.state.Report(Progress{Attempt: "running", Type: ProgressDone})
+	if placed := placedAttempts(b.state.Dispatch(b.now)); len(placed) != 1 || placed[0] != "urgent-1" {
+		t.Errorf("placed %v, want urgent-1", placed)
+	}
+}
+
+func TestLeavingEngineGetsNothing(t *testing.T) {
+	b := newBench(t, 2)
+	b.state.ObserveMachines([]Machine{{Name: "e0", Address: "e0", Pool: "pool", Leaving: true}, {Name: "e1", Address: "e1", Pool: "pool"}})
+	b.enqueue(t, "a", "urgent")
+	b.enqueue(t, "b", "urgent")
+	placed := b.state.Dispatch(b.now)
+	if len(placed) != 1 || placed[0].Ticket.Engine != "e1" {
+		t.Errorf("placed %+v", placed)
+	}
+}
+
+func TestVersionChangeCutsNothingAndKeepsSomeInService(t *testing.T) {
+	b := newBench(t, 4)
+	b.enqueue(t, "running", "urgent")
+	running := b.state.Dispatch(b.now)[0].Ticket.Engine
+	b.state.SetCatalog(snapshot(t, 2, func(c *tinarchv1.Catalog) { c.Models[0].DefaultVersion = "2" }))
+	b.enqueue(t, "meanwhile", "urgent")
+	if placed := b.state.Dispatch(b.now); len(placed) != 1 || placed[0].Ticket.Version != "1" {
+		t.Fatalf("a request during the change was placed as %+v", placed)
+	}
+	b.state.Report(Progress{Attempt: "meanwhile", Type: ProgressDone})
+	for range 3 {
+		instructions := b.state.Reconcile(b.now)
+		for _, instruction := range instructions {
+			if instruction.Engine == running && instruction.Order.Type == engine.OrderDeploy {
+				t.Fatal("an engine with an attempt in flight was told to deploy")
+			}
+		}
+		changing := 0
+		for _, m := range b.state.order {
+			if m.control.Changing() {
+				changing++
+			}
+		}
+		if changing > 1 {
+			t.Fatalf("%d of 4 engines out at once, 25 %% are allowed", changing)
+		}
+	}
+	b.settle()
+	b.state.Report(Progress{Attempt: "running", Type: ProgressDone})
+	b.settle()
+	for name, status := range b.statuses {
+		if status.Deployment.Version != "2" || status.Draining {
+			t.Errorf("%s ends as %+v", name, status)
+		}
+	}
+}
+
+func TestHopelessDeadlineIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	_, err := b.state.Enqueue(b.now, PlaceRequest{Attempt: "a", Tenant: "t", Kind: "urgent", PromptTokens: 90_000, OutputTokens: 100, DeadlineMillis: 50})
+	if result.CodeOf(err) != result.DeadlineUnreachable || result.From(err).RetryAfterMillis == 0 {
+		t.Errorf("error %v", err)
+	}
+}
+
+func TestWaitingRequestExpiresInTime(t *testing.T) {
+	b := newBench(t, 1)
+	b.enqueue(t, "running", "calm")
+	b.state.Dispatch(b.now)
+	b.enqueue(t, "late", "calm")
+	b.now = 59*time.Second + 990*time.Millisecond
+	refused := b.state.Expire(b.now)
+	if len(refused) != 1 || refused[0].Attempt != "late" || result.CodeOf(refused[0].Err) != result.DeadlineUnreachable {
+		t.Errorf("refused %+v", refused)
+	}
+}
+
+func TestRestartedEngineFreesItsFlights(t *testing.T) {
+	b := newBench(t, 1)
+	b.enqueue(t, "lost", "urgent")
+	b.state.Dispatch(b.now)
+	b.statuses["e0"] = engine.Status{Incarnation: "i2"}
+	b.settle()
+	if b.state.InFlight() != 0 {
+		t.Errorf("%d attempts in flight on a restarted engine", b.state.InFlight())
+	}
+	b.enqueue(t, "next", "urgent")
+	if placed := b.state.Dispatch(b.now); len(placed) != 1 || placed[0].Ticket.Incarnation != "i2" {
+		t.Errorf("placed %+v", placed)
+	}
+}
+
+// TestNewLeaderLetsRequestsWait: refusing them in the moment before the engines
+// are claimed lost requests at each change of leader.
+func TestNewLeaderLetsRequestsWait(t *testing.T) {
+	b := newBench(t, 1)
+	b.state.SetFence(6)
+	b.enqueue(t, "a", "urgent")
+	if placed := b.state.Dispatch(b.now); len(placed) != 0 {
+		t.Fatal("an engine was used before it was claimed")
+	}
+	b.settle()
+	if placed := b.state.Dispatch(b.now); len(placed) != 1 || placed[0].Ticket.Fence != 6 {
+		t.Errorf("placed %+v", placed)
+	}
+}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -62,6 +62,8 @@
 	Engines  []*labengine.Engine
 	Nodes    []*node.Node
 	list     []machines.Machine
+	// nodesStarted counts the nodes started by AddNode.
+	nodesStarted int
 }
 
 // Quiet returns a logger that writes nothing.
@@ -143,7 +145,8 @@
 
 // AddNode starts another node.
 func (c *Cluster) AddNode() (*node.Node, error) {
-	i := len(c.Nodes)
+	i := c.nodesStarted
+	c.nodesStarted++ // a name is never used for two processes
 	started, err := c.StartNode(fmt.Sprintf("node-%d", i+1), c.zone(i))
 	if err == nil {
 		c.Nodes = append(c.Nodes, started)
--- a/internal/membership/driver.go
+++ b/internal/membership/driver.go
@@ -39,6 +39,10 @@
 // They repair what the spreading of changes has missed.
 const syncEvery = 60
 
+// complainEvery is the number of periods between complaints about a name that is
+// used twice.
+const complainEvery = 10
+
 // Driver probes other nodes and serves their probes.
 type Driver struct {
 	settings Settings
@@ -116,7 +120,11 @@
 		d.mu.Lock()
 		d.table.Tick(d.now())
 		target, found := d.table.Probe()
+		superseded := d.table.Superseded()
 		d.mu.Unlock()
+		if superseded && period%complainEvery == 0 {
+			d.log.Error("another process runs under this node's name; give each node a name of its own")
+		}
 		if found {
 			go d.probe(ctx, target)
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -34,6 +34,8 @@
 	entries  map[string]*entry
 	groups   map[string]Group
 	queue    []queued
+	// superseded tells that a later process runs under this node's name.
+	superseded bool
 	// round is the shuffled list of nodes to probe.
 	round []string
 }
@@ -52,6 +54,10 @@
 	return t
 }
 
+// Superseded reports whether a later process runs under this node's name, which is
+// a mistake in the settings of one of the two.
+func (t *Table) Superseded() bool { return t.superseded }
+
 // Self returns the record of this node.
 func (t *Table) Self() Node { return t.self }
 
@@ -160,6 +166,9 @@
 
 // mergeSelf refutes what others believe of this node.
 func (t *Table) mergeSelf(update Node) {
+	if update.Incarnation != t.self.Incarnation && update.Started > t.self.Started && update.State == Alive {
+		t.superseded = true
+	}
 	if update.Incarnation != t.self.Incarnation || update.State == Alive || update.Generation < t.self.Generation {
 		return
 	}
