--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -53,6 +54,9 @@
 // OperatorToken is the token with the write role of every deployment here.
 const OperatorToken = "operator"
 
+// ReadToken is the token with the read role of every deployment here.
+const ReadToken = "reader"
+
 // Cluster is a running deployment.
 type Cluster struct {
 	options  Options
@@ -138,7 +142,10 @@
 		Endpoint: c.Objects.URL(), Region: "local", Bucket: "tinarch", AccessKey: "key", SecretKey: "secret", RequestsPerSecond: 50,
 	}
 	configured.Platform.Machines = settings.Machines{URL: c.Machines.URL(), RefreshMillis: 500}
-	configured.Operators.Tokens = []settings.Token{{Name: "lab", SHA256: catalog.KeyDigest(OperatorToken), Role: settings.RoleWrite}}
+	configured.Operators.Tokens = []settings.Token{
+		{Name: "lab", SHA256: catalog.KeyDigest(OperatorToken), Role: settings.RoleWrite},
+		{Name: "reader", SHA256: catalog.KeyDigest(ReadToken), Role: settings.RoleRead},
+	}
 	configured.Limits.MaxBodyBytes = 32 << 20
 	return configured
 }
@@ -276,9 +283,15 @@
 
 // Close stops everything.
 func (c *Cluster) Close() {
+	var closing sync.WaitGroup
 	for _, n := range c.Nodes {
-		n.Close()
+		closing.Add(1)
+		go func() {
+			defer closing.Done()
+			n.Close()
+		}()
 	}
+	closing.Wait()
 	for _, e := range c.Engines {
 		e.Close()
 	}
