Let requests for a cached text wait for the engine that has it

An engine that was reading a text counted as full (1.5 s of prompt ahead), so each further request for the text went to another engine, which read it again. Ruled out: the prefix identifiers (equal at gateway and engine), the index (it matched), memory of the emulated engines. Change: an engine may have as much more prompt ahead as its cache saves.

--- a/cmd/tinarch-lab/bench.go
+++ b/cmd/tinarch-lab/bench.go
@@ -14,6 +14,7 @@
 	Memory     bool   `arg:"--memory" help:"memory of a node at rest and with open streams"`
 	Claims     bool   `arg:"--claims" help:"cost of claims of idempotency keys"`
 	Failover   bool   `arg:"--failover" help:"time from a leader's death to the next leader"`
+	Slopes     bool   `arg:"--slopes" help:"what engines and requests cost a node's process"`
 	Program    string `arg:"--program" default:"bin/tinarchd" help:"node program for --memory"`
 	Out        string `arg:"--out" help:"store the result as JSON" placeholder:"FILE"`
 }
@@ -26,6 +27,7 @@
 	Memory     *bench.Memory         `json:"memory,omitempty"`
 	Claims     *bench.Claims         `json:"claims,omitempty"`
 	Failover   *bench.Failover       `json:"failover,omitempty"`
+	Slopes     *bench.Slopes         `json:"slopes,omitempty"`
 }
 
 const (
@@ -40,7 +42,7 @@
 
 func (c *benchCommand) run(ctx context.Context) error {
 	stored := storedBench{Provenance: provenance.Collect()}
-	all := !c.FirstToken && !c.Relay && !c.Memory && !c.Claims && !c.Failover
+	all := !c.FirstToken && !c.Relay && !c.Memory && !c.Claims && !c.Failover && !c.Slopes
 	if c.FirstToken || all {
 		measured, err := bench.MeasureFirstToken(ctx, benchRate, benchRequests)
 		if err != nil {
@@ -85,5 +87,18 @@
 		stored.Failover = &measured
 		fmt.Printf("failover, %d rounds: p50/p95/p99 %.2f s\n", measured.Rounds, measured.Seconds)
 	}
+	if c.Slopes || all {
+		measured, err := bench.MeasureSlopes(ctx, c.Program, []int{1, 16, 32, 64})
+		if err != nil {
+			return err
+		}
+		stored.Slopes = &measured
+		for _, slope := range measured.Engines {
+			fmt.Printf("leader of %d idle engines: %.2f %% of a core, %.1f MB\n", slope.Engines, slope.ProcessorPercent, slope.ResidentMegabyte)
+		}
+		for _, slope := range measured.Requests {
+			fmt.Printf("request with a prompt of %d bytes: %.0f us of processor time, %.0f us with a key\n", slope.PromptBytes, slope.MicrosEach, slope.KeyedMicros)
+		}
+	}
 	return writeJSON(c.Out, stored)
 }
--- a/internal/cell/requests.go
+++ b/internal/cell/requests.go
@@ -158,7 +158,7 @@
 	for _, candidate := range s.candidates {
 		// An unknown engine answers, and waits to be claimed by a new leader.
 		usable := candidate.Availability == placement.Ready || candidate.Availability == placement.Unknown
-		if !usable || !(placement.Serves{}).Keep(&w.target, candidate) {
+		if !usable || !(placement.Serves{}).Keep(&w.target, candidate, &matches) {
 			continue
 		}
 		found.engines++
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -30,9 +30,9 @@
 
 // The periods of a cell's work.
 const (
-	statusEvery         = 500 * time.Millisecond
-	statusEveryFollower = time.Second
-	cacheEventsEvery    = time.Second
+	statusEvery         = time.Second
+	statusEveryFollower = 2 * time.Second
+	cacheEventsEvery    = 2 * time.Second
 	reconcileEvery      = 100 * time.Millisecond
 	expireEvery         = 50 * time.Millisecond
 	engineTimeout       = time.Second
--- a/internal/lab/bench/memory.go
+++ b/internal/lab/bench/memory.go
@@ -87,30 +87,40 @@
 
 // startProcess starts a node as a process and waits until it serves.
 func startProcess(ctx context.Context, c *cluster.Cluster, program string) (*exec.Cmd, string, error) {
-	configured := c.NodeSettings("node-process", "a")
-	listener, err := platform.FreeAddresses(3)
+	process, callers, _, err := launch(ctx, c, program)
 	if err != nil {
 		return nil, "", err
 	}
-	configured.Listen.Callers, configured.Listen.Operators, configured.Listen.Peers = listener[0], listener[1], listener[2]
+	waitCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	err = c.Await(waitCtx, "the node process", func() bool { return answersReady(waitCtx, callers) })
+	return process, callers, err
+}
+
+// launch starts a node as a process, and returns the addresses of its callers' and
+// operators' ports.
+func launch(ctx context.Context, c *cluster.Cluster, program string) (process *exec.Cmd, callers, operators string, err error) {
+	configured := c.NodeSettings("node-process", "a")
+	addresses, err := platform.FreeAddresses(3)
+	if err != nil {
+		return nil, "", "", err
+	}
+	configured.Listen.Callers, configured.Listen.Operators, configured.Listen.Peers = addresses[0], addresses[1], addresses[2]
 	configured.Log.Level = "warn"
 	content, err := yaml.Marshal(configured)
 	if err != nil {
-		return nil, "", result.Wrap(err, result.Internal, "encoding settings")
+		return nil, "", "", result.Wrap(err, result.Internal, "encoding settings")
 	}
 	path := filepath.Join(os.TempDir(), "tinarch-bench-"+strconv.Itoa(os.Getpid())+".yaml")
 	if err := os.WriteFile(path, content, 0o600); err != nil {
-		return nil, "", result.Wrap(err, result.Internal, "writing settings")
+		return nil, "", "", result.Wrap(err, result.Internal, "writing settings")
 	}
-	process := exec.CommandContext(ctx, program, "--config", path)
+	process = exec.CommandContext(ctx, program, "--config", path)
 	process.Stderr = os.Stderr
 	if err := process.Start(); err != nil {
-		return nil, "", result.New(result.SettingsInvalid, "%s can't be started: %v; build it with go build -o bin/ ./cmd/...", program, err)
+		return nil, "", "", result.New(result.SettingsInvalid, "%s can't be started: %v; build it with go build -o bin/ ./cmd/...", program, err)
 	}
-	waitCtx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	err = c.Await(waitCtx, "the node process", func() bool { return answersReady(waitCtx, configured.Listen.Callers) })
-	return process, configured.Listen.Callers, err
+	return process, configured.Listen.Callers, configured.Listen.Operators, nil
 }
 
 // resident returns the resident memory of a process in megabytes.
--- a/internal/lab/bench/relay.go
+++ b/internal/lab/bench/relay.go
@@ -162,6 +162,21 @@
 func (c *caller) close() { c.client.CloseIdleConnections() }
 
 func (c *caller) open(ctx context.Context, address, prompt string, tokens int) (*http.Response, error) {
+	return c.openKeyed(ctx, address, prompt, tokens, "")
+}
+
+// drainOne sends a request and reads its stream to the end.
+func (c *caller) drainOne(ctx context.Context, address, prompt string, tokens int, key string) error {
+	response, err := c.openKeyed(ctx, address, prompt, tokens, key)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+func (c *caller) openKeyed(ctx context.Context, address, prompt string, tokens int, key string) (*http.Response, error) {
 	request := openai.Request{Model: benchModel, Prompt: &prompt, MaxTokens: tokens, Stream: true}
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -172,6 +187,9 @@
 		return nil, err
 	}
 	sent.Header.Set("Authorization", "Bearer "+benchKey)
+	if key != "" {
+		sent.Header.Set("Idempotency-Key", key)
+	}
 	response, err := c.client.Do(sent)
 	if err != nil {
 		return nil, err
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -207,12 +207,30 @@
 
 // Catalog returns a client of a node's operators' interface.
 func (c *Cluster) Catalog(n *node.Node) tinarchv1connect.CatalogServiceClient {
-	return tinarchv1connect.NewCatalogServiceClient(http.DefaultClient, "http://"+n.OperatorsAddress(), connect.WithInterceptors(cli.BearerToken(OperatorToken)))
+	return CatalogAt(n.OperatorsAddress())
 }
 
 // Fleet returns a client of a node's operators' interface.
 func (c *Cluster) Fleet(n *node.Node) tinarchv1connect.FleetServiceClient {
-	return tinarchv1connect.NewFleetServiceClient(http.DefaultClient, "http://"+n.OperatorsAddress(), connect.WithInterceptors(cli.BearerToken(OperatorToken)))
+	return FleetAt(n.OperatorsAddress())
+}
+
+// CatalogAt returns a client of the operators' interface at an address.
+func CatalogAt(address string) tinarchv1connect.CatalogServiceClient {
+	return tinarchv1connect.NewCatalogServiceClient(http.DefaultClient, "http://"+address, connect.WithInterceptors(cli.BearerToken(OperatorToken)))
+}
+
+// FleetAt returns a client of the operators' interface at an address.
+func FleetAt(address string) tinarchv1connect.FleetServiceClient {
+	return tinarchv1connect.NewFleetServiceClient(http.DefaultClient, "http://"+address, connect.WithInterceptors(cli.BearerToken(OperatorToken)))
+}
+
+// ApplyAt makes one change at a node with the given operators' address.
+func (c *Cluster) ApplyAt(ctx context.Context, address string, expected uint64, put *tinarchv1.Catalog) error {
+	_, err := CatalogAt(address).Apply(ctx, connect.NewRequest(&tinarchv1.ApplyRequest{
+		ExpectedRevision: expected, OperationId: string(engine.NewIdentifier()), Put: put,
+	}))
+	return err
 }
 
 // Apply makes put the configuration and waits until it is in force at all nodes.
@@ -268,7 +286,12 @@
 
 // ReadyEngines returns the number of ready engines, as their leaders see them.
 func (c *Cluster) ReadyEngines(ctx context.Context) int {
-	response, err := c.Fleet(c.Nodes[0]).Engines(ctx, connect.NewRequest(&tinarchv1.EnginesRequest{}))
+	return c.ReadyEnginesAt(ctx, c.Nodes[0].OperatorsAddress())
+}
+
+// ReadyEnginesAt asks the node with the given operators' address.
+func (c *Cluster) ReadyEnginesAt(ctx context.Context, address string) int {
+	response, err := FleetAt(address).Engines(ctx, connect.NewRequest(&tinarchv1.EnginesRequest{}))
 	if err != nil {
 		return 0
 	}
--- a/internal/lab/faults/operators.go
+++ b/internal/lab/faults/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
@@ -19,13 +18,11 @@
 const operatorTimeout = 3 * time.Second
 
 func (r *run) catalogClient(node int) tinarchv1connect.CatalogServiceClient {
-	return tinarchv1connect.NewCatalogServiceClient(http.DefaultClient, "http://"+r.nodes[node].settings.Listen.Operators,
-		connect.WithInterceptors(cli.BearerToken(cluster.OperatorToken)))
+	return cluster.CatalogAt(r.nodes[node].settings.Listen.Operators)
 }
 
 func (r *run) fleetClient(node int) tinarchv1connect.FleetServiceClient {
-	return tinarchv1connect.NewFleetServiceClient(http.DefaultClient, "http://"+r.nodes[node].settings.Listen.Operators,
-		connect.WithInterceptors(cli.BearerToken(cluster.OperatorToken)))
+	return cluster.FleetAt(r.nodes[node].settings.Listen.Operators)
 }
 
 func (r *run) apply(ctx context.Context, node int, operation string, expected uint64, put *tinarchv1.Catalog) error {
--- a/internal/placement/filters.go
+++ b/internal/placement/filters.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/prefix"
 	"github.com/tinarch/tinarch/internal/result"
 )
 
@@ -12,7 +13,7 @@
 type Serves struct{}
 
 // Keep implements Filter.
-func (Serves) Keep(request *Request, candidate *Candidate) bool {
+func (Serves) Keep(request *Request, candidate *Candidate, _ *Matches) bool {
 	deployment := &candidate.Deployment
 	return deployment.Model == request.Model &&
 		deployment.Version == request.Version &&
@@ -28,7 +29,9 @@
 type Available struct{}
 
 // Keep implements Filter.
-func (Available) Keep(_ *Request, candidate *Candidate) bool { return candidate.Availability == Ready }
+func (Available) Keep(_ *Request, candidate *Candidate, _ *Matches) bool {
+	return candidate.Availability == Ready
+}
 
 // Refusal implements Filter.
 func (Available) Refusal() result.Code { return result.NoEngine }
@@ -37,7 +40,7 @@
 type NotExcluded struct{}
 
 // Keep implements Filter.
-func (NotExcluded) Keep(request *Request, candidate *Candidate) bool {
+func (NotExcluded) Keep(request *Request, candidate *Candidate, _ *Matches) bool {
 	return request.Excluded&(1<<candidate.Slot) == 0
 }
 
@@ -49,7 +52,7 @@
 type HasRoom struct{}
 
 // Keep implements Filter.
-func (HasRoom) Keep(_ *Request, candidate *Candidate) bool {
+func (HasRoom) Keep(_ *Request, candidate *Candidate, _ *Matches) bool {
 	return candidate.InFlight < candidate.MaxRunning
 }
 
@@ -58,7 +61,9 @@
 
 // HasPromptRoom drops engines that have prompts to read for some time already:
 // what waits here instead can still be put behind a more urgent request, be
-// refused in time, or find a free engine elsewhere.
+// refused in time, or find a free engine elsewhere. An engine that has read the
+// beginning of the prompt may have as much more ahead of it as that saves: to wait
+// there is no slower than to read it again elsewhere.
 type HasPromptRoom struct{}
 
 // promptBacklog is how much prompt an engine is given ahead, in time. It covers
@@ -66,8 +71,12 @@
 const promptBacklog = 1500 * time.Millisecond
 
 // Keep implements Filter.
-func (HasPromptRoom) Keep(_ *Request, candidate *Candidate) bool {
-	return candidate.PendingPrompt == 0 || candidate.Rates.PrefillTime(candidate.PendingPrompt) < promptBacklog
+func (HasPromptRoom) Keep(request *Request, candidate *Candidate, matches *Matches) bool {
+	if candidate.PendingPrompt == 0 {
+		return true
+	}
+	cached := min(matches[candidate.Slot]*prefix.BlockTokens, request.PromptTokens)
+	return candidate.Rates.PrefillTime(candidate.PendingPrompt-cached) < promptBacklog
 }
 
 // Refusal implements Filter.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -125,7 +125,7 @@
 // Filter removes engines that must not or can't take a request.
 type Filter interface {
 	// Keep reports whether the engine may take the request.
-	Keep(request *Request, candidate *Candidate) bool
+	Keep(request *Request, candidate *Candidate, matches *Matches) bool
 	// Refusal is the code when this filter removed the last engine.
 	Refusal() result.Code
 }
@@ -188,10 +188,10 @@
 // Place chooses an engine. The error names the filter that left none; with code
 // QueueFull it only means that every engine is full now.
 func (c *Cycle) Place(request *Request, candidates []*Candidate) (Decision, error) {
+	c.match(request, candidates)
 	if code := c.filter(request, candidates); code != result.OK {
 		return Decision{}, result.New(code, "none of %d engines can take a request for %s/%s now", len(candidates), request.Model, request.Version)
 	}
-	c.match(request)
 	c.costs = c.costs[:0]
 	for _, candidate := range c.kept {
 		cost := 0.0
@@ -232,20 +232,19 @@
 
 func (c *Cycle) firstFailure(request *Request, candidate *Candidate) int {
 	for i, filter := range c.filters {
-		if !filter.Keep(request, candidate) {
+		if !filter.Keep(request, candidate, &c.matches) {
 			return i
 		}
 	}
 	return -1
 }
 
-func (c *Cycle) match(request *Request) {
+func (c *Cycle) match(request *Request, candidates []*Candidate) {
 	if c.index == nil {
 		return
 	}
 	var mask uint64
-	for _, candidate := range c.kept {
-		c.matches[candidate.Slot] = 0
+	for _, candidate := range candidates {
 		mask |= 1 << candidate.Slot
 	}
 	c.index.Match(request.Prefix, mask, &c.matches)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -46,16 +46,32 @@
 	}
 	for _, test := range cases {
 		r, c := request(), candidate(0)
-		if !test.filter.Keep(r, c) {
+		var matches Matches
+		if !test.filter.Keep(r, c, &matches) {
 			t.Errorf("%s: a fitting engine is removed", test.name)
 		}
 		test.change(r, c)
-		if test.filter.Keep(r, c) {
+		if test.filter.Keep(r, c, &matches) {
 			t.Errorf("%s: the engine is kept", test.name)
 		}
 	}
 }
 
+// TestCachedPrefixMayWaitLonger: requests for one long text went to ever more
+// engines, each of which read it again, because its reader was busy reading it.
+func TestCachedPrefixMayWaitLonger(t *testing.T) {
+	r, c := request(), candidate(0)
+	r.PromptTokens, c.PendingPrompt = 40_000, 32_000
+	var matches Matches
+	if (HasPromptRoom{}).Keep(r, c, &matches) {
+		t.Error("a busy engine that has nothing of the prompt is kept")
+	}
+	matches[0] = 32_000 / prefix.BlockTokens
+	if !(HasPromptRoom{}).Keep(r, c, &matches) {
+		t.Error("the engine that reads the text is dropped")
+	}
+}
+
 func TestPlaceNamesTheReason(t *testing.T) {
 	full := candidate(0)
 	full.InFlight = full.MaxRunning
