Cut the network between nodes in one and in both directions, and test it

Cause: partitions had only been met in virtual time. Change: the lab's network holds back what is sent in a direction that is cut; a test cuts the cell's leader off both ways, unable to send, unable to hear, while keyed requests go to all nodes.

--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -65,7 +65,9 @@
 	Machines *platform.Machines
 	Engines  []*labengine.Engine
 	Nodes    []*node.Node
-	list     []machines.Machine
+	// Network is the way between nodes, which can be cut.
+	Network *Network
+	list    []machines.Machine
 	// nodesStarted counts the nodes started by AddNode.
 	nodesStarted int
 }
@@ -86,7 +88,7 @@
 	if options.LedgerGroups == 0 {
 		options.LedgerGroups = 2
 	}
-	c := &Cluster{options: options}
+	c := &Cluster{options: options, Network: newNetwork()}
 	if err := c.startPlatform(); err != nil {
 		c.Close()
 		return nil, err
@@ -163,7 +165,13 @@
 
 // StartNode starts a node that is not kept in Nodes.
 func (c *Cluster) StartNode(name, zone string) (*node.Node, error) {
-	return node.Start(c.NodeSettings(name, zone), node.Options{Policy: c.options.Policy, Log: c.options.Log})
+	started, err := node.Start(c.NodeSettings(name, zone), node.Options{
+		Policy: c.options.Policy, Log: c.options.Log, Dial: c.Network.dialer(name),
+	})
+	if err == nil {
+		c.Network.place(name, started.PeersAddress())
+	}
+	return started, err
 }
 
 // SetLeaving marks an engine in the machine list.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,8 @@
 	Policy placement.Policy
 	// Log receives the node's log.
 	Log *logrus.Logger
+	// Dial replaces the way to other nodes, to cut or delay it; nil leaves it.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Node is one running node.
@@ -110,6 +112,9 @@
 	}
 	identity := peer.Identity{Cluster: clusterIdentity(configured.Cluster), Node: n.self.Node, Incarnation: string(incarnation), Zone: n.self.Zone}
 	n.client = peer.NewClient(identity, n.counters, peerTLS)
+	if options.Dial != nil {
+		n.client.Dial = options.Dial
+	}
 	n.peers = peer.NewServer(identity, n.counters, n.log)
 	n.connectPlatform()
 	n.buildCluster()
