--- /dev/null
+++ b/internal/lab/sim/sim.go
@@ -0,0 +1,376 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cespare/xxhash/v2"
+
+	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
+	"github.com/tinarch/tinarch/internal/catalog"
+	"github.com/tinarch/tinarch/internal/cell"
+	"github.com/tinarch/tinarch/internal/engine"
+	labengine "github.com/tinarch/tinarch/internal/lab/engine"
+	"github.com/tinarch/tinarch/internal/lab/load"
+	"github.com/tinarch/tinarch/internal/placement"
+	"github.com/tinarch/tinarch/internal/prefix"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Pool is a set of like engines.
+type Pool struct {
+	Name  string
+	Count int
+	Model labengine.Model
+}
+
+// Options describe a simulation.
+type Options struct {
+	Pools    []Pool
+	Zones    []string
+	Catalog  *tinarchv1.Catalog
+	Workload load.Workload
+	Policy   placement.Policy
+	// Fleets repeats the whole deployment, each with the workload's rates of its
+	// own: it is how the cost of size is measured.
+	Fleets int
+}
+
+// The modelled network: gateway to leader and back, and gateway to engine.
+const (
+	tripToLeader = 500 * time.Microsecond
+	tripToEngine = 500 * time.Microsecond
+	statusEvery  = time.Second
+	expireEvery  = 50 * time.Millisecond
+	drainTime    = 60 * time.Second
+)
+
+// Stream is what callers of one stream saw.
+type Stream struct {
+	Name       string
+	Sent       int
+	InDeadline int
+	Late       int
+	Refused    map[string]int
+	firstToken *hdrhistogram.Histogram
+	gaps       *hdrhistogram.Histogram
+}
+
+// Report is the outcome of a simulation.
+type Report struct {
+	Streams      []*Stream
+	PromptTokens int64
+	CachedTokens int64
+	OutputTokens int64
+	// Events counts the simulated events.
+	Events uint64
+}
+
+// Goodput returns the share of requests answered within their deadline.
+func (r *Report) Goodput() float64 {
+	sent, good := 0, 0
+	for _, s := range r.Streams {
+		sent += s.Sent
+		good += s.InDeadline
+	}
+	return float64(good) / float64(max(sent, 1))
+}
+
+// GoodputOf returns the goodput of one stream.
+func (s *Stream) GoodputOf() float64 { return float64(s.InDeadline) / float64(max(s.Sent, 1)) }
+
+// FirstTokenMillis returns a quantile of the time to the first token.
+func (s *Stream) FirstTokenMillis(quantile float64) float64 {
+	return float64(s.firstToken.ValueAtQuantile(quantile)) / 1000
+}
+
+// GapMillis returns a quantile of the time between tokens.
+func (s *Stream) GapMillis(quantile float64) float64 {
+	return float64(s.gaps.ValueAtQuantile(quantile)) / 1000
+}
+
+// simulation is one run.
+type simulation struct {
+	clock
+	options  Options
+	snapshot *catalog.Snapshot
+	cells    []*simCell
+	byPool   map[string][]*simCell
+	requests map[engine.Identifier]*request
+	report   *Report
+}
+
+type simCell struct {
+	sim     *simulation
+	state   *cell.State
+	engines map[string]*simEngine
+	order   []*simEngine
+}
+
+type simEngine struct {
+	cell    *simCell
+	name    string
+	virtual *labengine.Virtual
+	status  engine.Status
+	busy    bool
+}
+
+type request struct {
+	arrival  load.Arrival
+	stream   int
+	cell     *simCell
+	chain    []prefix.Hash
+	deadline time.Duration
+	lastAt   time.Duration
+}
+
+// Run simulates a deployment under its workload.
+func Run(options Options) (*Report, error) {
+	if options.Fleets < 1 {
+		options.Fleets = 1
+	}
+	snapshot, err := catalog.Compile(1, options.Catalog)
+	if err != nil {
+		return nil, err
+	}
+	s := &simulation{
+		options: options, snapshot: snapshot, byPool: map[string][]*simCell{},
+		requests: map[engine.Identifier]*request{}, report: &Report{},
+	}
+	for _, stream := range options.Workload.Streams {
+		s.report.Streams = append(s.report.Streams, &Stream{
+			Name: stream.Name, Refused: map[string]int{},
+			firstToken: hdrhistogram.New(1, 600_000_000, 3), gaps: hdrhistogram.New(1, 600_000_000, 3),
+		})
+	}
+	for fleet := range options.Fleets {
+		s.addFleet(fleet)
+		s.scheduleArrivals(fleet)
+	}
+	s.clock.run(time.Duration(options.Workload.Seconds*float64(time.Second)) + drainTime)
+	s.report.Events = s.made
+	return s.report, nil
+}
+
+func (s *simulation) addFleet(fleet int) {
+	for _, pool := range s.options.Pools {
+		for first := 0; first < pool.Count; first += placement.MaxEngines {
+			s.addCell(fleet, pool, first, min(pool.Count-first, placement.MaxEngines))
+		}
+	}
+}
+
+// addCell makes a cell whose engines are claimed and serve what is asked for.
+func (s *simulation) addCell(fleet int, pool Pool, first, count int) {
+	c := &simCell{
+		sim: s, engines: map[string]*simEngine{},
+		state: cell.NewState(cell.Options{Name: fmt.Sprintf("%s/%d/%d", pool.Name, fleet, first), Pool: pool.Name, Policy: s.options.Policy}),
+	}
+	c.state.SetCatalog(s.snapshot)
+	c.state.SetFence(1)
+	var machines []cell.Machine
+	for i := range count {
+		name := fmt.Sprintf("%s-%d-%03d", pool.Name, fleet, first+i)
+		e := &simEngine{cell: c, name: name, virtual: labengine.NewVirtual(pool.Model), status: engine.Status{Incarnation: engine.Identifier(name)}}
+		c.engines[name] = e
+		c.order = append(c.order, e)
+		machines = append(machines, cell.Machine{Name: name, Address: name, Pool: pool.Name, Zone: s.options.Zones[i%len(s.options.Zones)]})
+	}
+	c.state.ObserveMachines(machines)
+	c.settle()
+	s.cells = append(s.cells, c)
+	s.byPool[pool.Name] = append(s.byPool[pool.Name], c)
+	s.after(statusEvery, c.pollStatus)
+	s.after(expireEvery, c.expire)
+}
+
+// settle brings the engines to what is asked for before the simulation begins.
+func (c *simCell) settle() {
+	const rounds = 8
+	for range rounds {
+		for _, e := range c.order {
+			e.status.Load = e.virtual.Load()
+			c.state.ObserveStatus(c.sim.now, e.name, e.status)
+		}
+		for _, instruction := range c.state.Reconcile(c.sim.now) {
+			e := c.engines[instruction.Engine]
+			e.obey(instruction.Order)
+			c.state.Answered(c.sim.now, instruction, e.status, nil)
+		}
+	}
+}
+
+func (e *simEngine) obey(order engine.Order) {
+	e.status.Fence, e.status.LastOrder = order.Fence, order.ID
+	switch order.Type {
+	case engine.OrderDrain:
+		e.status.Draining = true
+	case engine.OrderUndrain:
+		e.status.Draining = false
+	case engine.OrderDeploy:
+		e.status.Deployment = *order.Target
+	}
+}
+
+func (c *simCell) pollStatus() {
+	for _, e := range c.order {
+		e.status.Load = e.virtual.Load()
+		e.status.Running = e.virtual.Running()
+		c.state.ObserveStatus(c.sim.now, e.name, e.status)
+		c.state.ObserveCacheEvents(c.sim.now, e.name, engine.CacheEvents{Incarnation: e.status.Incarnation, Events: e.virtual.CacheEvents()})
+	}
+	c.sim.after(statusEvery, c.pollStatus)
+}
+
+func (c *simCell) expire() {
+	c.refuse(c.state.Expire(c.sim.now))
+	c.dispatch()
+	c.sim.after(expireEvery, c.expire)
+}
+
+func (c *simCell) refuse(refused []cell.Refused) {
+	for _, r := range refused {
+		c.sim.refused(r.Attempt, r.Err)
+	}
+}
+
+func (c *simCell) dispatch() {
+	for _, placed := range c.state.Dispatch(c.sim.now) {
+		r := c.sim.requests[placed.Attempt]
+		e := c.engines[placed.Ticket.Engine]
+		c.sim.after(tripToLeader+tripToEngine, func() { e.accept(placed, r) })
+	}
+}
+
+func (s *simulation) refused(attempt engine.Identifier, err error) {
+	r := s.requests[attempt]
+	delete(s.requests, attempt)
+	s.report.Streams[r.stream].Refused[result.CodeOf(err).Entry().Name]++
+}
+
+// scheduleArrivals puts a fleet's arrivals into the clock.
+func (s *simulation) scheduleArrivals(fleet int) {
+	workload := s.options.Workload
+	workload.Seed += uint64(fleet) * 1_000_003
+	for _, arrival := range workload.Schedule() {
+		s.after(arrival.At, func() { s.arrive(fleet, arrival) })
+	}
+}
+
+func (s *simulation) arrive(fleet int, arrival load.Arrival) {
+	stream := s.options.Workload.Streams[arrival.Stream]
+	attempt := engine.Identifier(strconv.Itoa(fleet) + "/" + strconv.Itoa(arrival.Stream) + "/" + strconv.Itoa(arrival.Number))
+	chain, promptTokens := s.prompt(fleet, stream, arrival)
+	kind := s.snapshot.Kind(stream.Kind)
+	cells := s.byPool[kind.Pool]
+	number := arrival.Number
+	if len(chain) > 0 {
+		number = int(chain[0] % uint64(len(cells)))
+	}
+	r := &request{
+		arrival: arrival, stream: arrival.Stream, cell: cells[number%len(cells)], chain: chain,
+		deadline: s.now + time.Duration(stream.DeadlineMillis)*time.Millisecond, lastAt: s.now,
+	}
+	s.requests[attempt] = r
+	s.report.Streams[arrival.Stream].Sent++
+	s.after(tripToLeader, func() {
+		shed, err := r.cell.state.Enqueue(s.now, cell.PlaceRequest{
+			Attempt: attempt, Tenant: s.tenantOf(arrival.Key), Kind: stream.Kind, PromptTokens: promptTokens, OutputTokens: arrival.OutputTokens,
+			Prefix: chain, DeadlineMillis: (r.deadline - s.now).Milliseconds(),
+		})
+		r.cell.refuse(shed)
+		if err != nil {
+			s.refused(attempt, err)
+			return
+		}
+		r.cell.dispatch()
+	})
+}
+
+func (s *simulation) tenantOf(key string) string {
+	tenant, err := s.snapshot.TenantByKey(key)
+	if err != nil {
+		return ""
+	}
+	return tenant.GetName()
+}
+
+// prompt returns the prefix identifiers and the length of a prompt, without
+// writing its text.
+func (s *simulation) prompt(fleet int, stream load.Stream, arrival load.Arrival) ([]prefix.Hash, int) {
+	shared := 0
+	if arrival.Text >= 0 {
+		i := slices.IndexFunc(s.options.Workload.Corpora, func(corpus load.Corpus) bool { return corpus.Name == stream.Corpus })
+		shared = s.options.Workload.Corpora[i].Tokens
+	}
+	tokens := shared + arrival.PromptTokens
+	chain := make([]prefix.Hash, tokens/prefix.BlockTokens)
+	for block := range chain {
+		name := fmt.Sprintf("%d/%s/%d/%d", fleet, stream.Name, arrival.Number, block)
+		if (block+1)*prefix.BlockTokens <= shared {
+			name = fmt.Sprintf("%d/%s/%s/%d/%d", fleet, stream.Model, stream.Corpus, arrival.Text, block)
+		}
+		chain[block] = xxhash.Sum64String(name)
+	}
+	return chain, tokens
+}
+
+// accept gives an attempt to the engine.
+func (e *simEngine) accept(placed cell.Placed, r *request) {
+	shared := len(r.chain)
+	e.virtual.Accept(labengine.VirtualRequest{
+		Attempt: placed.Attempt, Priority: placed.Ticket.Priority, Chain: r.chain[:shared],
+		PromptTokens: max(len(r.chain)*prefix.BlockTokens, 1), OutputTokens: r.arrival.OutputTokens,
+	})
+	if !e.busy {
+		e.busy = true
+		e.iterate()
+	}
+}
+
+// iterate runs one iteration after the other while there is work.
+func (e *simEngine) iterate() {
+	e.cell.sim.after(e.virtual.Begin(), func() {
+		for _, p := range e.virtual.Finish() {
+			e.progress(p)
+		}
+		if e.virtual.Idle() {
+			e.busy = false
+			return
+		}
+		e.iterate()
+	})
+}
+
+func (e *simEngine) progress(p labengine.VirtualProgress) {
+	s := e.cell.sim
+	r := s.requests[p.Attempt]
+	stream := s.report.Streams[r.stream]
+	since := (s.now - r.lastAt).Microseconds()
+	r.lastAt = s.now
+	s.report.OutputTokens++
+	if p.Written == 1 {
+		_ = stream.firstToken.RecordValue(max(since, 1))
+		s.after(tripToEngine+tripToLeader, func() { e.cell.report(cell.Progress{Attempt: p.Attempt, Type: cell.ProgressFirstToken}) })
+	} else {
+		_ = stream.gaps.RecordValue(max(since, 1))
+	}
+	if !p.Done {
+		return
+	}
+	if s.now+tripToEngine <= r.deadline {
+		stream.InDeadline++
+	} else {
+		stream.Late++
+	}
+	delete(s.requests, p.Attempt)
+	s.after(tripToEngine+tripToLeader, func() { e.cell.report(cell.Progress{Attempt: p.Attempt, Type: cell.ProgressDone}) })
+}
+
+func (c *simCell) report(progress cell.Progress) {
+	c.state.Report(progress)
+	c.dispatch()
+}
