Show that the checkers of orders can fail

Cause: the counters by which fault runs judge orders had never been seen to count. Change: the emulator can leave its fence or incarnation check out; tests show that an order without authority is then counted, and refused otherwise.

--- /dev/null
+++ b/internal/lab/engine/guards_test.go
@@ -0,0 +1,136 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/openai"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+func startEngine(t *testing.T, without Guards) (*Engine, *engine.Client, engine.Status) {
+	t.Helper()
+	e, err := Start("127.0.0.1:0", Options{Name: "e", Model: SmallModel(), TimeScale: 0.01, Without: without})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	client := engine.NewClient()
+	t.Cleanup(client.Close)
+	status, err := client.Status(context.Background(), e.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e, client, status
+}
+
+func order(kind engine.OrderType, fence engine.Fence, sequence uint64, incarnation engine.Identifier) engine.Order {
+	return engine.Order{ID: engine.NewIdentifier(), Type: kind, Fence: fence, Sequence: sequence, Incarnation: incarnation}
+}
+
+// stale sends a claim of a new leader and then an order of the old one, and
+// returns the latter's code.
+func stale(t *testing.T, e *Engine, client *engine.Client, incarnation engine.Identifier) result.Code {
+	t.Helper()
+	ctx := context.Background()
+	if _, err := client.Order(ctx, e.Address(), order(engine.OrderClaim, 9, 1, incarnation)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := client.Order(ctx, e.Address(), order(engine.OrderDrain, 8, 5, incarnation))
+	return result.CodeOf(err)
+}
+
+func TestStaleFenceIsRefused(t *testing.T) {
+	e, client, status := startEngine(t, Guards{})
+	if code := stale(t, e, client, status.Incarnation); code != result.FenceStale {
+		t.Errorf("code %s", code)
+	}
+	if e.Counters().UnfencedOrders != 0 {
+		t.Error("a refused order counts as one that took effect")
+	}
+}
+
+// TestCheckerSeesOrdersWithoutAuthority shows that the counters which fault runs
+// judge by do count once the engine's guards are removed.
+func TestCheckerSeesOrdersWithoutAuthority(t *testing.T) {
+	e, client, status := startEngine(t, Guards{Fence: true})
+	stale(t, e, client, status.Incarnation)
+	if counters := e.Counters(); counters.UnfencedOrders != 1 || counters.UnclaimedOrders != 1 {
+		t.Errorf("without the fence: %+v", counters)
+	}
+	e, client, status = startEngine(t, Guards{Incarnation: true})
+	if _, err := client.Order(context.Background(), e.Address(), order(engine.OrderClaim, 9, 1, status.Incarnation)); err != nil {
+		t.Fatal(err)
+	}
+	e.Crash(0)
+	if _, err := client.Order(context.Background(), e.Address(), order(engine.OrderDrain, 8, 5, status.Incarnation)); err != nil {
+		t.Fatal(err)
+	}
+	if counters := e.Counters(); counters.UnfencedOrders != 1 {
+		t.Errorf("without the incarnation: %+v", counters)
+	}
+}
+
+func TestDelayedCopyDoesNotUndoALaterOrder(t *testing.T) {
+	e, client, status := startEngine(t, Guards{})
+	ctx := context.Background()
+	drain := order(engine.OrderDrain, 1, 1, status.Incarnation)
+	for _, sent := range []engine.Order{drain, order(engine.OrderUndrain, 1, 2, status.Incarnation)} {
+		if _, err := client.Order(ctx, e.Address(), sent); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := client.Order(ctx, e.Address(), drain); result.CodeOf(err) != result.FenceStale {
+		t.Errorf("the delayed copy: %v", err)
+	}
+	after, err := client.Status(ctx, e.Address())
+	if err != nil || after.Draining {
+		t.Errorf("status %+v, error %v", after, err)
+	}
+}
+
+func TestRefusedUnseenAttemptNeverRuns(t *testing.T) {
+	e, client, status := startEngine(t, Guards{})
+	ctx := context.Background()
+	target := engine.Deployment{Model: "m", Version: "v", Role: engine.RoleMixed}
+	for sequence, sent := range []engine.Order{order(engine.OrderClaim, 1, 1, status.Incarnation), order(engine.OrderDeploy, 1, 2, status.Incarnation)} {
+		if sent.Type == engine.OrderDeploy {
+			sent.Target = &target
+		}
+		if _, err := client.Order(ctx, e.Address(), sent); err != nil {
+			t.Fatalf("order %d: %v", sequence, err)
+		}
+	}
+	for {
+		now, err := client.Status(ctx, e.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if now.Deployment.Serves(target) {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	ticket := engine.Ticket{
+		Attempt: engine.NewIdentifier(), Engine: "e", Address: e.Address(), Incarnation: status.Incarnation, Model: "m", Version: "v", Role: engine.RoleMixed,
+	}
+	reply, err := client.RefuseUnseen(ctx, e.Address(), status.Incarnation, ticket.Attempt)
+	if err != nil || reply.Seen {
+		t.Fatalf("reply %+v, error %v", reply, err)
+	}
+	body := []byte(`{"model":"m","prompt":"x","max_tokens":2,"stream":true}`)
+	if _, err := client.Start(ctx, ticket, string(openai.Completions), body); result.CodeOf(err) != result.TicketRefused {
+		t.Errorf("the refused attempt: %v", err)
+	}
+	ticket.Attempt = engine.NewIdentifier()
+	stream, err := client.Start(ctx, ticket, string(openai.Completions), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = stream.Close()
+	if reply, err := client.RefuseUnseen(ctx, e.Address(), status.Incarnation, ticket.Attempt); err != nil || !reply.Seen {
+		t.Errorf("an accepted attempt: reply %+v, error %v", reply, err)
+	}
+}
--- a/internal/lab/engine/orders.go
+++ b/internal/lab/engine/orders.go
@@ -59,11 +59,11 @@
 
 // obey checks an order's authority and starts it.
 func (e *Engine) obey(order engine.Order) error {
-	if order.Incarnation != e.incarnation {
+	if order.Incarnation != e.incarnation && !e.options.Without.Incarnation {
 		e.counters.StaleOrders++
 		return result.New(result.IncarnationMismatch, "the order is for incarnation %s, this is %s", order.Incarnation, e.incarnation)
 	}
-	if order.Fence < e.fence {
+	if order.Fence < e.fence && !e.options.Without.Fence {
 		e.counters.StaleOrders++
 		return result.New(result.FenceStale, "the order has fence %d, the highest seen is %d", order.Fence, e.fence)
 	}
--- a/internal/lab/engine/server.go
+++ b/internal/lab/engine/server.go
@@ -27,6 +27,16 @@
 	// Deployment is what the engine serves at its first start. Its zero value
 	// makes an engine that must be told.
 	Deployment engine.Deployment
+	// Without removes guards, to show that checkers then report.
+	Without Guards
+}
+
+// Guards are the checks of an engine that can be left out.
+type Guards struct {
+	// Fence is the refusal of lower fences.
+	Fence bool
+	// Incarnation is the refusal of orders for another incarnation.
+	Incarnation bool
 }
 
 // Counters count what the engine did, over all incarnations. Checkers read
