Read command lines in one place; split the bench command

Cause: three programs read their command line with the same lines; the bench command's run had 61 lines. Change: cli.Parse and cli.Fail serve all three; each benchmark is a function. Conclusion: the same messages and exit codes.

--- a/cmd/tinarch-lab/bench.go
+++ b/cmd/tinarch-lab/bench.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/tinarch/tinarch/internal/lab/bench"
 	"github.com/tinarch/tinarch/internal/lab/provenance"
@@ -40,65 +41,99 @@
 	failovers     = 20
 )
 
+// part is one benchmark of the command.
+type part struct {
+	chosen  bool
+	measure func(ctx context.Context, stored *storedBench) error
+}
+
 func (c *benchCommand) run(ctx context.Context) error {
 	stored := storedBench{Provenance: provenance.Collect()}
-	all := !c.FirstToken && !c.Relay && !c.Memory && !c.Claims && !c.Failover && !c.Slopes
-	if c.FirstToken || all {
-		measured, err := bench.MeasureFirstToken(ctx, benchRate, benchRequests)
-		if err != nil {
-			return err
-		}
-		stored.FirstToken = &measured
-		fmt.Printf("first token, p50/p95/p99 ms: direct %.2f, through a node %.2f, added %.2f\n",
-			measured.DirectMillis, measured.ThroughMillis, measured.AddedMillis)
+	parts := []part{
+		{c.FirstToken, measureFirstToken},
+		{c.Relay, measureRelay},
+		{c.Memory, c.measureMemory},
+		{c.Claims, measureClaims},
+		{c.Failover, measureFailover},
+		{c.Slopes, c.measureSlopes},
 	}
-	if c.Relay || all {
-		measured, err := bench.MeasureRelay(ctx, benchStreams, benchTokens, benchRounds)
-		if err != nil {
-			return err
+	all := !slices.ContainsFunc(parts, func(p part) bool { return p.chosen })
+	for _, p := range parts {
+		if !p.chosen && !all {
+			continue
 		}
-		stored.Relay = &measured
-		fmt.Printf("relay: node %.2f us a token, copying proxy %.2f us, ratio %.2f; %.0f tokens a second per core\n",
-			measured.NodeMicros, measured.CopyMicros, measured.Ratio, measured.TokensPerCore)
-	}
-	if c.Memory || all {
-		measured, err := bench.MeasureMemory(ctx, c.Program, memoryStreams)
-		if err != nil {
+		if err := p.measure(ctx, &stored); err != nil {
 			return err
 		}
-		stored.Memory = &measured
-		fmt.Printf("memory: %.1f MB at rest, %.1f MB with %d streams, %.1f MB per 1,000 streams\n",
-			measured.RestMegabytes, measured.StreamsMegabytes, measured.Streams, measured.MegabytesPer1000Stream)
 	}
-	if c.Claims || all {
-		measured, err := bench.MeasureClaims(ctx)
-		if err != nil {
-			return err
-		}
-		stored.Claims = &measured
-		fmt.Printf("claims, p50/p95/p99 ms: peer round trip %.2f, claim %.2f, added %.2f; %.0f a second in one group; %.0f bytes a live claim\n",
-			measured.RoundTripMillis, measured.ClaimMillis, measured.AddedMillis, measured.PerSecond, measured.BytesPerClaim)
+	return writeJSON(c.Out, stored)
+}
+
+func measureFirstToken(ctx context.Context, stored *storedBench) error {
+	measured, err := bench.MeasureFirstToken(ctx, benchRate, benchRequests)
+	if err != nil {
+		return err
 	}
-	if c.Failover || all {
-		measured, err := bench.MeasureFailover(ctx, failovers)
-		if err != nil {
-			return err
-		}
-		stored.Failover = &measured
-		fmt.Printf("failover, %d rounds: p50/p95/p99 %.2f s\n", measured.Rounds, measured.Seconds)
+	stored.FirstToken = &measured
+	fmt.Printf("first token, p50/p95/p99 ms: direct %.2f, through a node %.2f, added %.2f\n",
+		measured.DirectMillis, measured.ThroughMillis, measured.AddedMillis)
+	return nil
+}
+
+func measureRelay(ctx context.Context, stored *storedBench) error {
+	measured, err := bench.MeasureRelay(ctx, benchStreams, benchTokens, benchRounds)
+	if err != nil {
+		return err
 	}
-	if c.Slopes || all {
-		measured, err := bench.MeasureSlopes(ctx, c.Program, []int{1, 16, 32, 64})
-		if err != nil {
-			return err
-		}
-		stored.Slopes = &measured
-		for _, slope := range measured.Engines {
-			fmt.Printf("leader of %d idle engines: %.2f %% of a core, %.1f MB\n", slope.Engines, slope.ProcessorPercent, slope.ResidentMegabyte)
-		}
-		for _, slope := range measured.Requests {
-			fmt.Printf("request with a prompt of %d bytes: %.0f us of processor time, %.0f us with a key\n", slope.PromptBytes, slope.MicrosEach, slope.KeyedMicros)
-		}
+	stored.Relay = &measured
+	fmt.Printf("relay: node %.2f us a token, copying proxy %.2f us, ratio %.2f; %.0f tokens a second per core\n",
+		measured.NodeMicros, measured.CopyMicros, measured.Ratio, measured.TokensPerCore)
+	return nil
+}
+
+func (c *benchCommand) measureMemory(ctx context.Context, stored *storedBench) error {
+	measured, err := bench.MeasureMemory(ctx, c.Program, memoryStreams)
+	if err != nil {
+		return err
 	}
-	return writeJSON(c.Out, stored)
+	stored.Memory = &measured
+	fmt.Printf("memory: %.1f MB at rest, %.1f MB with %d streams, %.1f MB per 1,000 streams\n",
+		measured.RestMegabytes, measured.StreamsMegabytes, measured.Streams, measured.MegabytesPer1000Stream)
+	return nil
+}
+
+func measureClaims(ctx context.Context, stored *storedBench) error {
+	measured, err := bench.MeasureClaims(ctx)
+	if err != nil {
+		return err
+	}
+	stored.Claims = &measured
+	fmt.Printf("claims, p50/p95/p99 ms: peer round trip %.2f, claim %.2f, added %.2f; %.0f a second in one group; %.0f bytes a live claim\n",
+		measured.RoundTripMillis, measured.ClaimMillis, measured.AddedMillis, measured.PerSecond, measured.BytesPerClaim)
+	return nil
+}
+
+func measureFailover(ctx context.Context, stored *storedBench) error {
+	measured, err := bench.MeasureFailover(ctx, failovers)
+	if err != nil {
+		return err
+	}
+	stored.Failover = &measured
+	fmt.Printf("failover, %d rounds: p50/p95/p99 %.2f s\n", measured.Rounds, measured.Seconds)
+	return nil
+}
+
+func (c *benchCommand) measureSlopes(ctx context.Context, stored *storedBench) error {
+	measured, err := bench.MeasureSlopes(ctx, c.Program, []int{1, 16, 32, 64})
+	if err != nil {
+		return err
+	}
+	stored.Slopes = &measured
+	for _, slope := range measured.Engines {
+		fmt.Printf("leader of %d idle engines: %.2f %% of a core, %.1f MB\n", slope.Engines, slope.ProcessorPercent, slope.ResidentMegabyte)
+	}
+	for _, slope := range measured.Requests {
+		fmt.Printf("request with a prompt of %d bytes: %.0f us of processor time, %.0f us with a key\n", slope.PromptBytes, slope.MicrosEach, slope.KeyedMicros)
+	}
+	return nil
 }
--- a/cmd/tinarch-lab/main.go
+++ b/cmd/tinarch-lab/main.go
@@ -5,14 +5,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
-
+	"github.com/tinarch/tinarch/internal/cli"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/settings"
 )
@@ -41,40 +38,26 @@
 
 func main() { os.Exit(run(os.Args[1:])) }
 
+const program = "tinarch-lab"
+
 func run(parameters []string) int {
 	var parsed arguments
-	parser, err := arg.NewParser(arg.Config{Program: "tinarch-lab"}, &parsed)
-	if err != nil {
-		return fail(err)
-	}
-	switch err := parser.Parse(parameters); {
-	case errors.Is(err, arg.ErrHelp):
-		_ = parser.WriteHelpForSubcommand(os.Stdout, parser.SubcommandNames()...)
-		return 0
-	case errors.Is(err, arg.ErrVersion):
-		fmt.Println(parsed.Version())
-		return 0
-	case err != nil:
-		return fail(result.New(result.UsageInvalid, "%v; see tinarch-lab --help", err))
+	parser, status, proceed := cli.Parse(program, &parsed, parameters)
+	if !proceed {
+		return status
 	}
 	chosen, ok := parser.Subcommand().(command)
 	if !ok {
-		return fail(result.New(result.UsageInvalid, "no command is given; see tinarch-lab --help"))
+		return cli.Fail(program, cli.NoCommand(program))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if err := chosen.run(ctx); err != nil {
-		return fail(err)
+		return cli.Fail(program, err)
 	}
 	return 0
 }
 
-func fail(err error) int {
-	failure := result.From(err)
-	fmt.Fprintf(os.Stderr, "tinarch-lab: %s\n", failure)
-	return failure.Code.ExitStatus()
-}
-
 // writeJSON stores a result, where a path is given.
 func writeJSON(path string, value any) error {
 	if path == "" {
--- a/cmd/tinarch/main.go
+++ b/cmd/tinarch/main.go
@@ -3,14 +3,10 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
-
 	"github.com/tinarch/tinarch/internal/cli"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/settings"
@@ -56,41 +52,27 @@
 
 func main() { os.Exit(run(os.Args[1:])) }
 
+const program = "tinarch"
+
 func run(parameters []string) int {
 	var parsed arguments
-	parser, err := arg.NewParser(arg.Config{Program: "tinarch"}, &parsed)
-	if err != nil {
-		return fail(err)
-	}
-	switch err := parser.Parse(parameters); {
-	case errors.Is(err, arg.ErrHelp):
-		_ = parser.WriteHelpForSubcommand(os.Stdout, parser.SubcommandNames()...)
-		return 0
-	case errors.Is(err, arg.ErrVersion):
-		fmt.Println(parsed.Version())
-		return 0
-	case err != nil:
-		return fail(result.New(result.UsageInvalid, "%v; see tinarch --help", err))
+	parser, status, proceed := cli.Parse(program, &parsed, parameters)
+	if !proceed {
+		return status
 	}
 	chosen, ok := parser.Subcommand().(command)
 	if !ok {
-		return fail(result.New(result.UsageInvalid, "no command is given; see tinarch --help"))
+		return cli.Fail(program, cli.NoCommand(program))
 	}
 	format := cli.Format(parsed.Output)
 	if format != cli.Table && format != cli.JSON {
-		return fail(result.New(result.UsageInvalid, "--output %s is not known; use table or json", parsed.Output))
+		return cli.Fail(program, result.New(result.UsageInvalid, "--output %s is not known; use table or json", parsed.Output))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	env := environment{server: parsed.Server, token: parsed.Token, printer: cli.Printer{Out: os.Stdout, Format: format}}
 	if err := chosen.run(ctx, env); err != nil {
-		return fail(cli.FromRPC(err))
+		return cli.Fail(program, cli.FromRPC(err))
 	}
 	return 0
 }
-
-func fail(err error) int {
-	failure := result.From(err)
-	fmt.Fprintf(os.Stderr, "tinarch: %s\n", failure)
-	return failure.Code.ExitStatus()
-}
--- a/cmd/tinarchd/main.go
+++ b/cmd/tinarchd/main.go
@@ -3,48 +3,35 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/alexflint/go-arg"
-	"github.com/rotisserie/eris"
-
+	"github.com/tinarch/tinarch/internal/cli"
 	"github.com/tinarch/tinarch/internal/node"
-	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/settings"
 )
 
 func main() { os.Exit(run()) }
 
+const program = "tinarchd"
+
 func run() int {
 	var flags settings.Flags
-	parser, err := arg.NewParser(arg.Config{Program: "tinarchd"}, &flags)
-	if err != nil {
-		return fail(err)
-	}
-	switch err := parser.Parse(os.Args[1:]); {
-	case errors.Is(err, arg.ErrHelp):
-		parser.WriteHelp(os.Stdout)
-		return 0
-	case errors.Is(err, arg.ErrVersion):
-		fmt.Println(flags.Version())
-		return 0
-	case err != nil:
-		return fail(result.New(result.UsageInvalid, "%v; see tinarchd --help", err))
+	if _, status, proceed := cli.Parse(program, &flags, os.Args[1:]); !proceed {
+		return status
 	}
 	configured, err := flags.Resolve()
 	if err != nil {
-		return fail(err)
+		return cli.Fail(program, err)
 	}
 	if flags.CheckOnly {
 		fmt.Println("the settings are valid")
 		return 0
 	}
 	if err := serve(configured); err != nil {
-		return fail(err)
+		return cli.Fail(program, err)
 	}
 	return 0
 }
@@ -67,12 +54,3 @@
 	}()
 	return running.Stop(ctx)
 }
-
-func fail(err error) int {
-	failure := result.From(err)
-	fmt.Fprintf(os.Stderr, "tinarchd: %s\n", failure)
-	if failure.Code == result.Internal {
-		fmt.Fprintln(os.Stderr, eris.ToString(err, true))
-	}
-	return failure.Code.ExitStatus()
-}
--- a/internal/lab/bench/failover.go
+++ b/internal/lab/bench/failover.go
@@ -32,12 +32,12 @@
 	histogram := newHistogram()
 	whole := engine.Fence(0)
 	for range rounds {
-		leader, fence, err := awaitLeader(ctx, c, group, whole)
-		if err != nil {
+		if _, _, err := awaitLeader(ctx, c, group, whole); err != nil {
 			return measured, err
 		}
-		time.Sleep(time.Second)
-		if leader, fence, err = awaitLeader(ctx, c, group, whole); err != nil {
+		time.Sleep(time.Second) // a leader by hand-over may follow the first one
+		leader, fence, err := awaitLeader(ctx, c, group, whole)
+		if err != nil {
 			return measured, err
 		}
 		began := time.Now()
