Close a way to a second run: an engine that forgot is no proof

Cause: reading the takeover of claims as a newcomer would: an engine drops a finished stream after a while; asked then about the attempt it would have said that it never saw it, and the request would have run again. The model had an engine that forgets only by restarting. Also: a whole answer of a repeatable kind, of which the caller has seen nothing, is written again by another engine when its engine crashes. Conclusion: a claim whose fate can't be proved stays 'outcome unknown'.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -127,6 +127,12 @@
 	return err
 }
 
+// restart implements sink: the caller has seen nothing yet.
+func (c *collector) restart() bool {
+	c.text.Reset()
+	return true
+}
+
 func (s *Server) whole(w http.ResponseWriter, r *http.Request, x *exchange) {
 	target := &collector{}
 	end := s.execute(r, x, target)
@@ -178,6 +184,9 @@
 	return t.controller.Flush()
 }
 
+// restart implements sink.
+func (t *streamSink) restart() bool { return !t.begun }
+
 var streamDone = []byte("data: [DONE]\n\n")
 
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, x *exchange) {
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -49,6 +49,9 @@
 	// takeOverPatience is how long another gateway gets to dispatch an attempt
 	// that it has claimed.
 	takeOverPatience = 250 * time.Millisecond
+	// claimAgeLimit is how old a claim may be for the engine's word that it never
+	// saw the attempt to count. It leaves room for clocks that run unevenly.
+	claimAgeLimit = engine.AttemptMemory / 2
 )
 
 // run joins the execution of the exchange's key, or begins it.
@@ -223,6 +226,12 @@
 	placed := placement{ticket: engine.Ticket{
 		Attempt: claim.Attempt, Engine: claim.Location.Engine, Address: claim.Location.Address, Incarnation: claim.Location.Incarnation,
 	}}
+	if time.Duration(claim.AgeMillis)*time.Millisecond > claimAgeLimit {
+		// The engine may have forgotten the attempt: that it does not know it
+		// would prove nothing.
+		return outcome{engine: claim.Location.Engine, err: result.New(result.OutcomeUnknown,
+			"the request was given to engine %s too long ago to ask about it", claim.Location.Engine)}
+	}
 	runCtx, cancel := context.WithDeadline(ctx, x.runLimit())
 	defer cancel()
 	state, err := k.runner.askAbout(runCtx, placed.ticket, takeOverPatience)
--- a/internal/gateway/recording.go
+++ b/internal/gateway/recording.go
@@ -27,6 +27,13 @@
 	return nil
 }
 
+// restart implements sink. Callers may have read any of the content.
+func (r *recording) restart() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.content) == 0
+}
+
 func (r *recording) finish(end outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -15,6 +15,9 @@
 type sink interface {
 	// events takes one or more whole events.
 	events(chunk []byte) error
+	// restart forgets what was taken, so that another attempt may follow. It
+	// reports false when somebody has seen it already.
+	restart() bool
 }
 
 // errSink marks an error of the sink: the caller has left.
--- a/internal/gateway/runner.go
+++ b/internal/gateway/runner.go
@@ -94,15 +94,14 @@
 	over
 )
 
-// run places and relays until the answer is whole or given up. The sink gets
-// events of one attempt only: once it has got any, no other attempt follows.
+// run places and relays until the answer is whole or given up. The sink ends with
+// events of one attempt only: once anybody has seen any, no other attempt follows.
 func (r *runner) run(ctx context.Context, x *exchange, guard claims, target sink) outcome {
 	r.deposit()
 	var excluded []string
 	var replaced engine.Identifier
 	attempt := x.attempt
 	mayHaveRunBefore := false
-	delivered := &deliveryMark{target: target}
 	for try := 1; ; try++ {
 		placed, err := r.placer.place(ctx, x, attempt, excluded)
 		if err != nil {
@@ -112,15 +111,16 @@
 			r.reporter.report(placed, cell.ProgressDone)
 			return outcome{err: honest(err, mayHaveRunBefore)}
 		}
-		usage, state, err := r.attempt(ctx, x, placed, delivered)
+		usage, state, err := r.attempt(ctx, x, placed, target)
 		r.reporter.report(placed, cell.ProgressDone)
 		if err == nil {
 			return outcome{usage: usage, engine: placed.ticket.Engine}
 		}
 		log := x.log.WithFields(logrus.Fields{"attempt": attempt, "engine": placed.ticket.Engine}).WithError(err)
-		if !r.again(ctx, x, state, delivered.any, try) {
+		fresh := target.restart()
+		if !r.again(ctx, x, state, fresh, try) {
 			log.Debug("attempt failed")
-			return outcome{engine: placed.ticket.Engine, err: honest(r.final(ctx, x, guard, attempt, state, delivered.any, err), mayHaveRunBefore)}
+			return outcome{engine: placed.ticket.Engine, err: honest(r.final(ctx, x, guard, attempt, state, fresh, err), mayHaveRunBefore)}
 		}
 		mayHaveRunBefore = mayHaveRunBefore || state == mayHaveRun
 		log.Info("attempt failed; placing the request again")
@@ -146,20 +146,10 @@
 	return &changed
 }
 
-// deliveryMark notes whether the sink has got anything.
-type deliveryMark struct {
-	target sink
-	any    bool
-}
-
-func (d *deliveryMark) events(chunk []byte) error {
-	d.any = true
-	return d.target.events(chunk)
-}
-
-// again decides whether a failed attempt is followed by another.
-func (r *runner) again(ctx context.Context, x *exchange, state attemptState, delivered bool, try int) bool {
-	if ctx.Err() != nil || delivered || try >= maxAttempts || time.Now().After(x.deadline) {
+// again decides whether a failed attempt is followed by another. fresh tells that
+// nobody has seen anything of it.
+func (r *runner) again(ctx context.Context, x *exchange, state attemptState, fresh bool, try int) bool {
+	if ctx.Err() != nil || !fresh || try >= maxAttempts || time.Now().After(x.deadline) {
 		return false
 	}
 	switch state {
@@ -172,7 +162,7 @@
 }
 
 // final turns the failure of the last attempt into what the caller is told.
-func (r *runner) final(ctx context.Context, x *exchange, guard claims, attempt engine.Identifier, state attemptState, delivered bool, err error) error {
+func (r *runner) final(ctx context.Context, x *exchange, guard claims, attempt engine.Identifier, state attemptState, fresh bool, err error) error {
 	failure := result.From(err)
 	switch {
 	case state == over:
@@ -183,7 +173,7 @@
 		return failure
 	case failure.Code == result.DeadlineExceeded && x.kind.Repeatable:
 		return failure
-	case x.kind.Repeatable && delivered:
+	case x.kind.Repeatable && !fresh:
 		return result.New(result.AnswerCut, "the answer broke off: %s", failure.Message)
 	}
 	if resumeIsHopeless(err) {
@@ -289,8 +279,12 @@
 			return mayHaveRun, false, err
 		}
 		reply, cancelErr := r.engines.RefuseUnseen(ctx, ticket.Address, ticket.Incarnation, ticket.Attempt)
-		if cancelErr == nil && !reply.Seen {
+		switch {
+		case cancelErr == nil && !reply.Seen:
 			return notRun, true, result.New(result.TicketRefused, "engine %s never saw the attempt and will refuse it", ticket.Engine)
+		case cancelErr == nil && reply.Seen && refuse:
+			// It ran, and its stream is not kept any more.
+			return mayHaveRun, true, result.New(result.AnswerExpired, "engine %s ran the attempt and does not keep its answer any more", ticket.Engine)
 		}
 	}
 	return mayHaveRun, false, err
--- a/internal/lab/cluster/cluster_test.go
+++ b/internal/lab/cluster/cluster_test.go
@@ -158,6 +158,31 @@
 	}
 }
 
+// TestCrashedEngineIsReplacedUnseen: a whole answer of which the caller has seen
+// nothing is written again by another engine.
+func TestCrashedEngineIsReplacedUnseen(t *testing.T) {
+	c, ctx := start(t, 1, 2)
+	answered := make(chan error, 1)
+	go func() {
+		answer, err := caller(c, 0).Chat.Completions.New(ctx, chat("survive", 64))
+		if err == nil && answer.Choices[0].Message.Content != expected("survive", 64) {
+			err = errors.New("another answer: " + answer.Choices[0].Message.Content)
+		}
+		answered <- err
+	}()
+	if err := c.Await(ctx, "the request at an engine", func() bool { return c.Counters().Accepted == 1 }); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range c.Engines {
+		if e.Counters().Accepted == 1 {
+			e.Crash(0)
+		}
+	}
+	if err := <-answered; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestRefusedTicketsArePlacedAgain(t *testing.T) {
 	c, ctx := start(t, 1, 2)
 	c.Engines[0].SetFaults(labengine.Faults{RefuseRequests: 1})
--- a/internal/lab/engine/guards_test.go
+++ b/internal/lab/engine/guards_test.go
@@ -133,4 +133,16 @@
 	if reply, err := client.RefuseUnseen(ctx, e.Address(), status.Incarnation, ticket.Attempt); err != nil || !reply.Seen {
 		t.Errorf("an accepted attempt: reply %+v, error %v", reply, err)
 	}
+	// Once the stream is dropped, that the attempt ran must still be known: else a
+	// retry with the same key would run again.
+	for e.Counters().Finished == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.expire(time.Now().Add(engine.AttemptMemory / 2))
+	if _, err := client.Resume(ctx, e.Address(), status.Incarnation, ticket.Attempt, 1); result.CodeOf(err) != result.StreamUnknown {
+		t.Errorf("the dropped stream: %v", err)
+	}
+	if reply, err := client.RefuseUnseen(ctx, e.Address(), status.Incarnation, ticket.Attempt); err != nil || !reply.Seen {
+		t.Errorf("a finished attempt: reply %+v, error %v", reply, err)
+	}
 }
--- a/internal/lab/engine/handlers.go
+++ b/internal/lab/engine/handlers.go
@@ -142,6 +142,7 @@
 		changed:  make(chan struct{}),
 	}
 	e.streams[ticket.Attempt] = s
+	e.accepted[ticket.Attempt] = time.Now()
 	e.batch.add(attempt)
 	e.counters.Accepted++
 	e.runs[s.seed]++
@@ -168,10 +169,10 @@
 	if ticket.Incarnation != e.incarnation {
 		return result.New(result.IncarnationMismatch, "the ticket is for incarnation %s, this is %s", ticket.Incarnation, e.incarnation)
 	}
-	if _, dead := e.tombstones[ticket.Attempt]; dead {
+	if e.tombstones[ticket.Attempt] {
 		return result.New(result.TicketRefused, "attempt %s was cancelled before it arrived", ticket.Attempt)
 	}
-	if _, twice := e.streams[ticket.Attempt]; twice {
+	if _, twice := e.accepted[ticket.Attempt]; twice {
 		// Another copy of the attempt was accepted: this refusal proves nothing.
 		return result.New(result.OutcomeUnknown, "attempt %s was accepted before", ticket.Attempt)
 	}
@@ -278,7 +279,7 @@
 		refuse(w, result.New(result.IncarnationMismatch, "the message is for incarnation %s, this is %s", asked, e.incarnation))
 		return
 	}
-	seen := e.streams[attempt] != nil
+	_, seen := e.accepted[attempt]
 	if !seen || !onlyUnseen {
 		e.cancelLocked(attempt)
 	}
@@ -294,7 +295,7 @@
 
 // cancelLocked stops an attempt and leaves a tombstone, even for one never seen.
 func (e *Engine) cancelLocked(attempt engine.Identifier) {
-	e.tombstones[attempt] = time.Now()
+	e.tombstones[attempt] = true
 	s := e.streams[attempt]
 	if s == nil || s.finished() {
 		return
--- a/internal/lab/engine/server.go
+++ b/internal/lab/engine/server.go
@@ -98,11 +98,14 @@
 	down        bool
 	batch       *batch
 	streams     map[engine.Identifier]*stream
-	tombstones  map[engine.Identifier]time.Time
-	events      eventLog
-	reports     reportLog
-	counters    Counters
-	faults      Faults
+	// accepted remembers attempts longer than their streams, and tombstones those
+	// to refuse, for the whole incarnation.
+	accepted   map[engine.Identifier]time.Time
+	tombstones map[engine.Identifier]bool
+	events     eventLog
+	reports    reportLog
+	counters   Counters
+	faults     Faults
 	// claimedFence is the highest fence that ever claimed the engine, and claims
 	// holds those that claimed this incarnation. Only checkers read them.
 	claimedFence engine.Fence
@@ -233,7 +236,8 @@
 	e.changing = nil
 	e.lastOrder = ""
 	e.streams = map[engine.Identifier]*stream{}
-	e.tombstones = map[engine.Identifier]time.Time{}
+	e.accepted = map[engine.Identifier]time.Time{}
+	e.tombstones = map[engine.Identifier]bool{}
 	e.events = eventLog{lag: e.options.ReportLag, dropEvery: e.options.DropCacheEvents}
 	e.reports = reportLog{lag: e.options.ReportLag}
 	e.batch = newBatch(e.options.Model, func(kind engine.CacheEventType, block prefix.Hash) {
@@ -316,7 +320,7 @@
 	}
 }
 
-// expire forgets streams and tombstones past their retention.
+// expire forgets streams past their retention, and accepted attempts long after.
 func (e *Engine) expire(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -325,16 +329,13 @@
 			delete(e.streams, attempt)
 		}
 	}
-	for attempt, at := range e.tombstones {
-		if now.Sub(at) > tombstoneRetention {
-			delete(e.tombstones, attempt)
+	for attempt, at := range e.accepted {
+		if now.Sub(at) > engine.AttemptMemory {
+			delete(e.accepted, attempt)
 		}
 	}
 }
 
-// tombstoneRetention outlives every ticket by far.
-const tombstoneRetention = 10 * time.Minute
-
 // Add adds the counters of another engine.
 func (c *Counters) Add(other Counters) {
 	c.Accepted += other.Accepted
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -57,6 +57,10 @@
 	Location Location          `json:"location"`
 	Status   Status            `json:"status"`
 	Answer   *Answer           `json:"answer,omitempty"`
+	// ClaimedAt is when the attempt was recorded, in the group's milliseconds, and
+	// AgeMillis its age at the time of the answer.
+	ClaimedAt int64 `json:"claimed_at"`
+	AgeMillis int64 `json:"age_ms,omitempty"`
 	// ExpiresAt is when the record is dropped, in the group's milliseconds.
 	ExpiresAt int64 `json:"expires_at"`
 }
@@ -138,11 +142,7 @@
 
 // Lookup returns the claim of a key, nil for none.
 func (l *Ledger) Lookup(key string) *Claim {
-	if claim := l.claims[key]; claim != nil {
-		copied := *claim
-		return &copied
-	}
-	return nil
+	return l.copyOf(l.claims[key])
 }
 
 // Apply executes a committed command.
@@ -218,19 +218,20 @@
 		Attempt:   command.Attempt,
 		Location:  command.Location,
 		Status:    Running,
+		ClaimedAt: l.time,
 		ExpiresAt: l.time + command.WindowMillis,
 	}
 	l.claims[command.Key] = claim
 	second := claim.ExpiresAt / 1000
 	l.expiry[second] = append(l.expiry[second], command.Key)
-	return outcome(claim, true)
+	return l.outcome(claim, true)
 }
 
 func (l *Ledger) existing(claim *Claim, command Command) Outcome {
 	if claim.Digest != command.Digest {
 		return Outcome{Error: result.New(result.KeyReused, "the idempotency key was used for another request; use a new key")}
 	}
-	return outcome(claim, claim.Attempt == command.Attempt && claim.Status == Running)
+	return l.outcome(claim, claim.Attempt == command.Attempt && claim.Status == Running)
 }
 
 // replace puts a new attempt in place of one that is known not to have run.
@@ -242,15 +243,16 @@
 	if claim.Status == Running && claim.Attempt == command.Replaced {
 		claim.Attempt = command.Attempt
 		claim.Location = command.Location
+		claim.ClaimedAt = l.time
 	}
-	return outcome(claim, claim.Attempt == command.Attempt && claim.Status == Running)
+	return l.outcome(claim, claim.Attempt == command.Attempt && claim.Status == Running)
 }
 
 // release drops the claim of an attempt that is known not to have run.
 func (l *Ledger) release(command Command) Outcome {
 	claim := l.claims[command.Key]
 	if claim == nil || claim.Attempt != command.Attempt || claim.Status != Running {
-		return Outcome{Claim: copyOf(claim)}
+		return Outcome{Claim: l.copyOf(claim)}
 	}
 	delete(l.claims, command.Key)
 	return Outcome{Granted: true}
@@ -259,22 +261,24 @@
 func (l *Ledger) finish(command Command, status Status) Outcome {
 	claim := l.claims[command.Key]
 	if claim == nil || claim.Attempt != command.Attempt || claim.Status != Running {
-		return Outcome{Claim: copyOf(claim)}
+		return Outcome{Claim: l.copyOf(claim)}
 	}
 	claim.Status = status
 	claim.Answer = command.Answer
-	return outcome(claim, true)
+	return l.outcome(claim, true)
 }
 
-func outcome(claim *Claim, granted bool) Outcome {
-	return Outcome{Granted: granted, Claim: copyOf(claim)}
+func (l *Ledger) outcome(claim *Claim, granted bool) Outcome {
+	return Outcome{Granted: granted, Claim: l.copyOf(claim)}
 }
 
-func copyOf(claim *Claim) *Claim {
+// copyOf returns a copy of a claim with its age, nil for nil.
+func (l *Ledger) copyOf(claim *Claim) *Claim {
 	if claim == nil {
 		return nil
 	}
 	copied := *claim
+	copied.AgeMillis = l.time - claim.ClaimedAt
 	return &copied
 }
 
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -116,7 +116,7 @@
 func (m *Machine) stamp(command *Command) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	command.Time = m.ledTime + time.Since(m.ledAt).Milliseconds()
+	command.Time = m.now()
 	command.WallTime = time.Now().UnixMilli()
 }
 
@@ -142,6 +142,9 @@
 	return outcome, nil
 }
 
+// now returns the group's time. The caller holds the lock and leads.
+func (m *Machine) now() int64 { return m.ledTime + time.Since(m.ledAt).Milliseconds() }
+
 func (m *Machine) lookup(key string) (*Claim, error) {
 	r := m.handle()
 	if r == nil {
@@ -152,6 +155,10 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		claim = m.ledger.Lookup(key)
+		if claim != nil {
+			// Time has passed since the last command.
+			claim.AgeMillis = max(claim.AgeMillis, m.now()-claim.ClaimedAt)
+		}
 	})
 	return claim, err
 }
--- a/spec/claim.pml
+++ b/spec/claim.pml
@@ -6,7 +6,8 @@
  * the request still in hand. Dispatches are delayed and lost. The engine crashes
  * and comes back as another incarnation that remembers nothing. The ledger is one
  * register: package internal/replica makes it so (lease.pml, epoch.pml); it may
- * lose its memory with a majority of its group.
+ * lose its memory with a majority of its group. An engine forgets the attempts that
+ * it has accepted after a time, but not those that it was told to refuse.
  *
  * Property: the request is run at most once.
  *
@@ -17,6 +18,7 @@
  *   BLIND_REPLACE      the ledger replaces an attempt without comparing it
  *   RESTART_IS_NOT_RUN an engine's restart is taken as proof that nothing ran
  *   NO_TICKET_INCARNATION  the engine takes tickets for another incarnation
+ *   NO_AGE_LIMIT       an engine that may have forgotten the attempt is asked about it
  *   NO_FORGET          a ledger that lost its memory takes unknown keys for new
  */
 #define NONE 0
@@ -28,6 +30,11 @@
 #else
 #define MAY_BE_NEW (!forgot)
 #endif
+#ifdef NO_AGE_LIMIT
+#define TOO_OLD false
+#else
+#define TOO_OLD aged
+#endif
 #ifdef BLIND_REPLACE
 #define MATCHES(a) true
 #else
@@ -44,6 +51,7 @@
 byte incarnation = 1;
 bool seen[5];
 bool refused[5];
+bool aged = false;              /* the engine's memory of attempts has ended */
 
 byte runs = 0;                  /* ghost */
 byte nextAttempt = 1;
@@ -96,7 +104,8 @@
     /* ask the engine about the attempt on record */
     atomic {
         if
-        :: incarnation != otherTicket ->
+        :: TOO_OLD -> goto done             /* answered: outcome unknown */
+        :: !TOO_OLD && incarnation != otherTicket ->
 #ifndef RESTART_IS_NOT_RUN
             if
             :: record == other -> lostStatus = true
@@ -106,8 +115,8 @@
 #else
             skip
 #endif
-        :: incarnation == otherTicket && seen[other] -> goto done   /* follow its stream */
-        :: incarnation == otherTicket && !seen[other] ->
+        :: !TOO_OLD && incarnation == otherTicket && seen[other] -> goto done   /* follow its stream */
+        :: !TOO_OLD && incarnation == otherTicket && !seen[other] ->
 #ifndef NO_TOMBSTONE
             refused[other] = true
 #else
@@ -147,6 +156,8 @@
         incarnation++;
         seen[1] = false; seen[2] = false; seen[3] = false; seen[4] = false;
         refused[1] = false; refused[2] = false; refused[3] = false; refused[4] = false }
+    :: atomic { !aged -> aged = true;
+        seen[1] = false; seen[2] = false; seen[3] = false; seen[4] = false }
     :: atomic { !forgot -> forgot = true; record = NONE; recordIncarnation = 0 }
     od
 }
