Count an engine's backlog by rank

Every engine counted as full of comparisons' prompts, so a check waited in the queue, although engines read higher ranks first. Change: backlog is kept by rank; a request waits for, and is charged with, its own rank and above. Conclusion: a class's order must hold in the limits too, not only in the queue.

--- a/internal/cell/requests.go
+++ b/internal/cell/requests.go
@@ -39,6 +39,7 @@
 			OutputTokens: request.OutputTokens,
 			Prefix:       request.Prefix,
 			Zone:         request.Zone,
+			Rank:         class.GetRank(),
 		},
 		rank:     class.GetRank(),
 		deadline: now + time.Duration(request.DeadlineMillis)*time.Millisecond,
@@ -273,6 +274,7 @@
 	f := &flight{
 		attempt:  w.request.Attempt,
 		member:   m,
+		rank:     w.rank,
 		pending:  uncached,
 		reserved: w.target.PromptTokens + w.target.OutputTokens,
 		placedAt: now,
@@ -280,7 +282,7 @@
 	}
 	s.flights[f.attempt] = f
 	candidate.InFlight++
-	candidate.PendingPrompt += f.pending
+	candidate.Backlog.Add(f.rank, f.pending)
 	candidate.ReservedTokens += f.reserved
 	s.index.Placed(now, candidate.Slot, w.target.Prefix)
 	status, _ := m.control.Observed()
@@ -306,7 +308,7 @@
 	if f == nil {
 		return
 	}
-	f.member.candidate.PendingPrompt -= f.pending
+	f.member.candidate.Backlog.Add(f.rank, -f.pending)
 	f.pending = 0
 	if progress.Type == ProgressDone {
 		s.land(f)
@@ -317,7 +319,7 @@
 func (s *State) land(f *flight) {
 	delete(s.flights, f.attempt)
 	f.member.candidate.InFlight--
-	f.member.candidate.PendingPrompt -= f.pending
+	f.member.candidate.Backlog.Add(f.rank, -f.pending)
 	f.member.candidate.ReservedTokens -= f.reserved
 }
 
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -43,6 +43,7 @@
 type flight struct {
 	attempt  engine.Identifier
 	member   *member
+	rank     int32
 	pending  int // prompt tokens not known to be read
 	reserved int // KV memory
 	placedAt time.Duration
@@ -333,7 +334,7 @@
 			State:               m.candidate.Availability.String(),
 			Role:                string(status.Deployment.Role),
 			InFlight:            uint32(m.candidate.InFlight),
-			PendingPromptTokens: uint64(m.candidate.PendingPrompt),
+			PendingPromptTokens: uint64(m.candidate.Backlog.Total()),
 			LastError:           m.control.LastError(),
 		}
 		if status.Deployment.Model != "" {
--- a/internal/placement/filters.go
+++ b/internal/placement/filters.go
@@ -59,7 +59,8 @@
 // Refusal implements Filter.
 func (HasRoom) Refusal() result.Code { return result.QueueFull }
 
-// HasPromptRoom drops engines that have prompts to read for some time already:
+// HasPromptRoom drops engines that have prompts of the request's rank or above to
+// read for some time already:
 // what waits here instead can still be put behind a more urgent request, be
 // refused in time, or find a free engine elsewhere. An engine that has read the
 // beginning of the prompt may have as much more ahead of it as that saves: to wait
@@ -72,11 +73,12 @@
 
 // Keep implements Filter.
 func (HasPromptRoom) Keep(request *Request, candidate *Candidate, matches *Matches) bool {
-	if candidate.PendingPrompt == 0 {
+	ahead := candidate.Backlog.Ahead(request.Rank)
+	if ahead == 0 {
 		return true
 	}
 	cached := min(matches[candidate.Slot]*prefix.BlockTokens, request.PromptTokens)
-	return candidate.Rates.PrefillTime(candidate.PendingPrompt-cached) < promptBacklog
+	return candidate.Rates.PrefillTime(ahead-cached) < promptBacklog
 }
 
 // Refusal implements Filter.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -53,8 +53,8 @@
 	InFlight int
 	// MaxRunning is the most requests the engine runs before further ones wait.
 	MaxRunning int
-	// PendingPrompt counts prompt tokens placed and not known to be read.
-	PendingPrompt int
+	// Backlog counts prompt tokens placed and not known to be read.
+	Backlog Backlog
 	// ReservedTokens counts the KV memory that placements need.
 	ReservedTokens int
 	MemoryTokens   int
@@ -114,6 +114,8 @@
 	OutputTokens int
 	Prefix       []prefix.Hash
 	Zone         string
+	// Rank is that of the request's class.
+	Rank int32
 	// Excluded is the mask of engines tried before.
 	Excluded uint64
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -41,7 +41,7 @@
 		{"leaving", Available{}, func(_ *Request, c *Candidate) { c.Availability = Leaving }},
 		{"draining", Available{}, func(_ *Request, c *Candidate) { c.Availability = Draining }},
 		{"excluded", NotExcluded{}, func(r *Request, _ *Candidate) { r.Excluded = 1 }},
-		{"prompts pending", HasPromptRoom{}, func(_ *Request, c *Candidate) { c.PendingPrompt = 50_000 }},
+		{"prompts pending", HasPromptRoom{}, func(_ *Request, c *Candidate) { c.Backlog.Add(0, 50_000) }},
 		{"full", HasRoom{}, func(_ *Request, c *Candidate) { c.InFlight = c.MaxRunning }},
 	}
 	for _, test := range cases {
@@ -61,7 +61,8 @@
 // engines, each of which read it again, because its reader was busy reading it.
 func TestCachedPrefixMayWaitLonger(t *testing.T) {
 	r, c := request(), candidate(0)
-	r.PromptTokens, c.PendingPrompt = 40_000, 32_000
+	r.PromptTokens = 40_000
+	c.Backlog.Add(0, 32_000)
 	var matches Matches
 	if (HasPromptRoom{}).Keep(r, c, &matches) {
 		t.Error("a busy engine that has nothing of the prompt is kept")
@@ -72,6 +73,25 @@
 	}
 }
 
+// TestLowerRanksDoNotBlock: a citation check waited in the queue while every engine
+// had comparisons to read, although engines put higher ranks first.
+func TestLowerRanksDoNotBlock(t *testing.T) {
+	r, c := request(), candidate(0)
+	c.Backlog.Add(1, 50_000)
+	var matches Matches
+	r.Rank = 1
+	if (HasPromptRoom{}).Keep(r, c, &matches) {
+		t.Error("an engine that is busy with the same rank is kept")
+	}
+	r.Rank = 2
+	if !(HasPromptRoom{}).Keep(r, c, &matches) {
+		t.Error("an engine that is busy with a lower rank is dropped")
+	}
+	if cost := (PrefillDelay{}).Cost(r, c, &matches); cost > 0.2 {
+		t.Errorf("a lower rank's backlog costs %.2f s", cost)
+	}
+}
+
 func TestPlaceNamesTheReason(t *testing.T) {
 	full := candidate(0)
 	full.InFlight = full.MaxRunning
@@ -93,7 +113,7 @@
 		better func(*Candidate, *Matches)
 	}{
 		{"cached prefix", PrefillDelay{}, func(c *Candidate, m *Matches) { m[c.Slot] = 2 }},
-		{"less pending", PrefillDelay{}, func(c *Candidate, _ *Matches) { c.PendingPrompt = 50 }},
+		{"less pending", PrefillDelay{}, func(c *Candidate, _ *Matches) { c.Backlog.Add(0, -50) }},
 		{"faster steps", DecodeSlowdown{}, func(c *Candidate, _ *Matches) { c.Rates.DecodeStep = time.Millisecond }},
 		{"fewer sequences", DecodeSlowdown{}, func(c *Candidate, _ *Matches) { c.InFlight = 0 }},
 		{"free memory", MemoryPressure{}, func(c *Candidate, _ *Matches) { c.ReservedTokens = 0 }},
@@ -104,7 +124,8 @@
 		var matches Matches
 		worse, better := candidate(0), candidate(1)
 		for _, c := range []*Candidate{worse, better} {
-			c.PendingPrompt, c.InFlight, c.ReservedTokens, c.Zone = 100, 3, 100_000, "b"
+			c.InFlight, c.ReservedTokens, c.Zone = 3, 100_000, "b"
+			c.Backlog.Add(0, 100)
 		}
 		test.better(better, &matches)
 		if test.scorer.Cost(request(), better, &matches) >= test.scorer.Cost(request(), worse, &matches) {
@@ -125,7 +146,7 @@
 	if err != nil || decision.Candidate.Slot != 1 || decision.CachedTokens != 768 {
 		t.Fatalf("decision %+v, error %v; want slot 1 with 768 cached tokens", decision, err)
 	}
-	engines[1].PendingPrompt = 9000
+	engines[1].Backlog.Add(0, 9000)
 	if decision, _ = cycle.Place(r, engines); decision.Candidate.Slot != 0 {
 		t.Error("a long queue did not outweigh the cached prefix")
 	}
--- a/internal/placement/scorers.go
+++ b/internal/placement/scorers.go
@@ -13,7 +13,7 @@
 // Cost implements Scorer.
 func (PrefillDelay) Cost(request *Request, candidate *Candidate, matches *Matches) float64 {
 	cached := min(matches[candidate.Slot]*prefix.BlockTokens, request.PromptTokens)
-	tokens := candidate.PendingPrompt + request.PromptTokens - cached
+	tokens := candidate.Backlog.Ahead(request.Rank) + request.PromptTokens - cached
 	return float64(tokens) / candidate.Rates.PrefillTokensPerSecond
 }
 
@@ -29,7 +29,7 @@
 
 // Cost implements Scorer.
 func (DecodeSlowdown) Cost(request *Request, candidate *Candidate, _ *Matches) float64 {
-	decode := candidate.Rates.DecodeTime(request.OutputTokens, candidate.PendingPrompt).Seconds()
+	decode := candidate.Rates.DecodeTime(request.OutputTokens, candidate.Backlog.Total()).Seconds()
 	return decode * (1 + sequenceShare*float64(candidate.InFlight))
 }
 
