--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -69,14 +69,6 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return q.length }
 
-// LenOf returns the number of waiting requests of a class.
-func (q *Queue) LenOf(class string) int {
-	if c := q.classes[class]; c != nil {
-		return c.length
-	}
-	return 0
-}
-
 // Push adds a request. When the queue is full, the youngest request of the
 // lowest class below the newcomer's makes room and is returned as shed.
 func (q *Queue) Push(item *Item) (shed *Item, err error) {
--- /dev/null
+++ b/internal/cell/ordering.go
@@ -0,0 +1,65 @@
+package cell
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// reconcile sends the orders that are due, one an engine at a time.
+func (s *Service) reconcile(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leading == 0 {
+		return
+	}
+	s.state.SetDrained(s.Drained())
+	for _, instruction := range s.state.Reconcile(s.now()) {
+		if s.ordering[instruction.Engine] {
+			continue
+		}
+		s.ordering[instruction.Engine] = true
+		s.done.Add(1)
+		go func() {
+			defer s.done.Done()
+			s.order(ctx, instruction)
+		}()
+	}
+}
+
+// order sends one order, after a last look at the lease.
+func (s *Service) order(ctx context.Context, instruction Instruction) {
+	var status engine.Status
+	err := s.checkAuthority(instruction.Order.Fence)
+	if err == nil {
+		orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		status, err = s.engines.Order(orderCtx, instruction.Address, instruction.Order)
+	}
+	entry := s.log.WithFields(logrus.Fields{
+		"engine": instruction.Engine, "order": instruction.Order.Type, "order_id": instruction.Order.ID,
+		"fence": uint64(instruction.Order.Fence), "sequence": instruction.Order.Sequence,
+	})
+	if err != nil {
+		entry.WithError(err).Warn("order not confirmed")
+	} else {
+		entry.Info("order accepted")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ordering, instruction.Engine)
+	s.state.Answered(s.now(), instruction, status, err)
+	s.dispatch()
+}
+
+func (s *Service) checkAuthority(fence engine.Fence) error {
+	if r := s.handle(); r != nil {
+		if held, active := r.Fence(); active && held == fence {
+			return nil
+		}
+	}
+	return result.New(result.NoEngine, "the order was not sent: its authority has ended")
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,12 +21,6 @@
 	return Identifier(hex.EncodeToString(raw[:]))
 }
 
-// ValidIdentifier reports whether text has the form of an Identifier.
-func ValidIdentifier(text string) bool {
-	raw, err := hex.DecodeString(text)
-	return err == nil && len(raw) == 16
-}
-
 // Role is the sort of work that an engine does.
 type Role string
 
@@ -166,9 +160,6 @@
 	MixedStepMillis  float64 `json:"mixed_step_ms"`
 }
 
-// Age returns the time since the report was measured, at its receipt.
-func (l Load) Age() time.Duration { return time.Duration(l.AgeMillis) * time.Millisecond }
-
 // CacheEventType tells whether a block entered or left the prefix cache.
 type CacheEventType string
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"strconv"
-	"strings"
 
 	"github.com/tinarch/tinarch/internal/result"
 )
@@ -184,8 +183,3 @@
 
 // StreamID returns the identifier that an answer shows its caller.
 func StreamID(attempt Identifier) string { return "cmpl-" + string(attempt) }
-
-// AttemptOf returns the attempt that an answer's identifier names.
-func AttemptOf(streamID string) Identifier {
-	return Identifier(strings.TrimPrefix(streamID, "cmpl-"))
-}
--- a/internal/lab/engine/text.go
+++ b/internal/lab/engine/text.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"strings"
-
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -41,6 +39,3 @@
 	}
 	return string(buffer)
 }
-
-// SplitText returns the tokens of an answer.
-func SplitText(text string) []string { return strings.Fields(text) }
--- a/internal/lab/load/workload.go
+++ b/internal/lab/load/workload.go
@@ -77,9 +77,6 @@
 	return max(1, min(tokens, l.Most))
 }
 
-// Mean returns the mean of the distribution without its bound.
-func (l Length) Mean() float64 { return float64(l.Median) * math.Exp(l.Spread*l.Spread/2) }
-
 // ReadWorkload reads and checks a workload file.
 func ReadWorkload(path string) (Workload, error) {
 	content, err := os.ReadFile(path)
