Give up waiting at a leader that is paused or cut off

Cause: reading the gateway: a placement may wait for long, so its call had no time limit but the request's deadline; at a paused leader every request was held to it. Change: a request that waits makes sure every 0.4 s, together with the others, that its leader still answers, and goes to the next one otherwise; a test sends repeatable requests while the leader is cut off.

--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -116,7 +116,7 @@
 // the exactness of the picture.
 func (p *Placer) ask(ctx context.Context, x *exchange, request cell.PlaceRequest) (placement, error) {
 	if address := p.router.Leader(ctx, request.Cell); address != "" {
-		placed, err := p.askAt(ctx, address, request)
+		placed, err := p.askLeader(ctx, address, request)
 		if err == nil || !elsewhere(result.CodeOf(err)) {
 			return placed, err
 		}
@@ -135,6 +135,34 @@
 	return placement{}, result.New(result.NotLeader, "cell %s has no leader now", request.Cell)
 }
 
+// confirmEvery is how often a request that waits makes sure that its leader lives.
+const confirmEvery = 400 * time.Millisecond
+
+// askLeader asks the leader, and gives the wait up when the leader does not answer
+// any more: a request may wait for long, and must not do so at a paused process.
+func (p *Placer) askLeader(ctx context.Context, address string, request cell.PlaceRequest) (placement, error) {
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watching := make(chan struct{})
+	defer close(watching)
+	go func() {
+		ticker := time.NewTicker(confirmEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-watching:
+				return
+			case <-ticker.C:
+			}
+			if !p.router.Confirm(callCtx, request.Cell, address) {
+				cancel(result.New(result.NotLeader, "the leader of cell %s does not answer any more", request.Cell))
+				return
+			}
+		}
+	}()
+	return p.askAt(callCtx, address, request)
+}
+
 func (p *Placer) askAt(ctx context.Context, address string, request cell.PlaceRequest) (placement, error) {
 	var ticket engine.Ticket
 	if err := p.client.Call(ctx, address, MethodPlace, request, &ticket); err != nil {
--- a/internal/group/router.go
+++ b/internal/group/router.go
@@ -38,13 +38,22 @@
 	client    *peer.Client
 	directory Directory
 
+	mu        sync.Mutex
+	leaders   map[string]Leader
+	confirmed map[string]*confirmation
+}
+
+// confirmation is the last answer to the question whether a node still leads.
+type confirmation struct {
 	mu      sync.Mutex
-	leaders map[string]Leader
+	address string
+	at      time.Time
+	leads   bool
 }
 
 // NewRouter returns a router.
 func NewRouter(client *peer.Client, directory Directory) *Router {
-	return &Router{client: client, directory: directory, leaders: map[string]Leader{}}
+	return &Router{client: client, directory: directory, leaders: map[string]Leader{}, confirmed: map[string]*confirmation{}}
 }
 
 // RegisterRouting serves the questions of routers.
@@ -168,5 +177,34 @@
 	}
 }
 
+// confirmFor is how long a confirmation holds: whoever waits for a leader's answer
+// asks together with the others.
+const confirmFor = 300 * time.Millisecond
+
+// Confirm asks whether the node at an address still answers as a group's leader, so
+// that a call which may take long need not be held to the end by a leader that is
+// paused or cut off.
+func (r *Router) Confirm(ctx context.Context, groupID, address string) bool {
+	r.mu.Lock()
+	last := r.confirmed[groupID]
+	if last == nil {
+		last = &confirmation{}
+		r.confirmed[groupID] = last
+	}
+	r.mu.Unlock()
+	last.mu.Lock()
+	defer last.mu.Unlock()
+	if last.address == address && time.Since(last.at) < confirmFor {
+		return last.leads
+	}
+	answer, err := r.ask(ctx, address, groupID)
+	if ctx.Err() != nil {
+		return true // the caller's time is up: that says nothing of the leader
+	}
+	last.address, last.at = address, time.Now()
+	last.leads = err == nil && answer.Address == address
+	return last.leads
+}
+
 // Members returns the addresses of a group's members.
 func (r *Router) Members(groupID string) []string { return r.directory.MemberAddresses(groupID) }
--- a/internal/lab/cluster/partition_test.go
+++ b/internal/lab/cluster/partition_test.go
@@ -47,6 +47,14 @@
 				}
 			}
 			sendKeyed(ctx, t, c, "cut")
+			for i, n := range c.Nodes {
+				if i == leader {
+					continue
+				}
+				if _, err := caller(c, i).Chat.Completions.New(ctx, chat("repeatable by "+n.Name(), 5)); err != nil {
+					t.Errorf("a repeatable request at %s while the leader is cut off: %v", n.Name(), err)
+				}
+			}
 			if err := c.Await(ctx, "a leader on the other side", func() bool {
 				now := leaderOf(c, testCell)
 				return now >= 0 && now != leader && c.Nodes[now].Leads()[testCell] > before
