--- a/cmd/tinarch/completion.go
+++ b/cmd/tinarch/completion.go
@@ -14,11 +14,11 @@
 const bashCompletion = `_tinarch() {
   local current="${COMP_WORDS[COMP_CWORD]}"
   if [ "$COMP_CWORD" -eq 1 ]; then
-    COMPREPLY=($(compgen -W "apply delete get status engines drain watch check key completion plan replay --server --token --output --help --version" -- "$current"))
+    COMPREPLY=($(compgen -W "apply delete get status engines drain watch check key completion --server --token --output --help --version" -- "$current"))
     return
   fi
   case "${COMP_WORDS[1]}" in
-    apply|check|plan|replay) COMPREPLY=($(compgen -f -- "$current")) ;;
+    apply|check) COMPREPLY=($(compgen -f -- "$current")) ;;
     delete) COMPREPLY=($(compgen -W "class kind model version adapter pool tenant" -- "$current")) ;;
     completion) COMPREPLY=($(compgen -W "bash zsh" -- "$current")) ;;
     *) COMPREPLY=($(compgen -W "--server --token --output --help" -- "$current")) ;;
--- a/internal/cell/state_test.go
+++ b/internal/cell/state_test.go
@@ -216,3 +216,32 @@
 		t.Errorf("placed %+v", placed)
 	}
 }
+
+// TestLoadsAreSpacedByTheWeightStore: engines that load at once share the store's
+// rate, so they begin one after the other.
+func TestLoadsAreSpacedByTheWeightStore(t *testing.T) {
+	b := &bench{state: NewState(Options{Name: "cell", Pool: "pool", WeightBytesPerSecond: 1e9}), statuses: map[string]engine.Status{}}
+	b.state.SetCatalog(snapshot(t, 1, func(c *tinarchv1.Catalog) { c.Versions[0].SizeBytes = 10e9 }))
+	b.state.SetFence(5)
+	var machines []Machine
+	for i := range 3 {
+		name := fmt.Sprintf("e%d", i)
+		machines = append(machines, Machine{Name: name, Address: name, Pool: "pool"})
+		b.statuses[name] = engine.Status{Incarnation: engine.Identifier("i-" + name)}
+	}
+	b.state.ObserveMachines(machines)
+	b.settle()
+	for loaded := 1; loaded <= 3; loaded++ {
+		count := 0
+		for _, status := range b.statuses {
+			if status.Deployment.Model != "" {
+				count++
+			}
+		}
+		if count != loaded {
+			t.Fatalf("at %v %d engines were told to load, want %d", b.now, count, loaded)
+		}
+		b.now += 10 * time.Second // the time of one load
+		b.settle()
+	}
+}
--- a/internal/membership/records.go
+++ b/internal/membership/records.go
@@ -99,8 +99,10 @@
 	ForgetAfter time.Duration
 	// IndirectProbes is the number of nodes asked to probe for us.
 	IndirectProbes int
-	// MaxUpdates is the most updates in one message.
-	MaxUpdates int
+	// MaxUpdates is the most updates in one message, and BurstUpdates while more
+	// than so many wait.
+	MaxUpdates   int
+	BurstUpdates int
 }
 
 // DefaultSettings returns the settings that nodes use.
@@ -112,5 +114,6 @@
 		ForgetAfter:    10 * time.Minute,
 		IndirectProbes: 3,
 		MaxUpdates:     12,
+		BurstUpdates:   64,
 	}
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -90,6 +90,10 @@
 func (t *Table) Updates() []Update {
 	slices.SortStableFunc(t.queue, func(left, right queued) int { return cmp.Compare(right.remaining, left.remaining) })
 	count := min(len(t.queue), t.settings.MaxUpdates)
+	if len(t.queue) > t.settings.BurstUpdates {
+		// Many nodes come or go at once: spread that faster, for as long as it lasts.
+		count = t.settings.BurstUpdates
+	}
 	updates := make([]Update, 0, count)
 	for i := range count {
 		updates = append(updates, t.queue[i].update)
