Let engines move between cells

Change: a leader that is outranked by what its engines have seen has its group's epoch raised above that, by the usual change of members.

--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -271,6 +271,17 @@
 	return s.state.Engines(s.now())
 }
 
+// OutrankedBy returns the highest fence that an engine has seen, when it is above
+// that of this leadership, and zero otherwise.
+func (s *Service) OutrankedBy() engine.Fence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if highest := s.state.HighestFence(); s.leading != 0 && highest > s.leading {
+		return highest
+	}
+	return 0
+}
+
 // Load returns the numbers of waiting requests by class, and of requests in
 // flight.
 func (s *Service) Load() (waiting map[string]int, inFlight int, leading bool) {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -366,6 +366,17 @@
 	return m.candidate.InFlight, nil
 }
 
+// HighestFence returns the highest fence that any engine has seen. It is above the
+// own one when an engine came from another cell.
+func (s *State) HighestFence() engine.Fence {
+	highest := engine.Fence(0)
+	for _, m := range s.order {
+		status, _ := m.control.Observed()
+		highest = max(highest, status.Fence)
+	}
+	return highest
+}
+
 // QueueLength returns the number of waiting requests by class.
 func (s *State) QueueLength() map[string]int {
 	lengths := map[string]int{}
--- a/internal/group/keeper.go
+++ b/internal/group/keeper.go
@@ -21,6 +21,9 @@
 	// Gone reports whether the process of a member is proved to have ended: a
 	// later incarnation of its node runs, or the machine list has dropped it.
 	Gone(member Member) bool
+	// LeastEpoch returns the epoch that a group led here must at least have: its
+	// engines may have seen higher fences under another group.
+	LeastEpoch(groupID string) uint64
 	// Wanted returns the groups that should exist.
 	Wanted() []string
 }
@@ -188,6 +191,8 @@
 		}
 	}
 	switch {
+	case k.view.LeastEpoch(id) > record.Epoch:
+		return reasonLost, patienceLost
 	case kept < len(record.Members) && len(next) > kept:
 		// A lost member is replaced, also by fewer than it were: what counts is
 		// another live one. Without any, the group is better off as it is.
--- a/internal/group/reconfigure.go
+++ b/internal/group/reconfigure.go
@@ -40,7 +40,7 @@
 	}
 	record := Record{
 		Group:    former.Group,
-		Epoch:    former.Epoch + 1,
+		Epoch:    max(former.Epoch+1, k.view.LeastEpoch(former.Group)),
 		Members:  next,
 		Proposal: string(engine.NewIdentifier()),
 	}
--- a/internal/lab/cluster/interface_test.go
+++ b/internal/lab/cluster/interface_test.go
@@ -177,6 +177,41 @@
 	}
 }
 
+// TestEnginesMoveBetweenCells: an engine that comes from a cell with a higher fence
+// refuses its new leader until the cell's epoch has passed it.
+func TestEnginesMoveBetweenCells(t *testing.T) {
+	c, ctx := start(t, 3, 4)
+	// Several leaderships raise the fence of the only cell.
+	for range 2 {
+		leader := leaderOf(c, testCell)
+		if leader < 0 {
+			t.Fatal("nobody leads the cell")
+		}
+		before := c.Nodes[leader].Leads()[testCell]
+		c.Nodes[leader].HandOver()
+		if err := c.Await(ctx, "the next leader", func() bool {
+			now := leaderOf(c, testCell)
+			return now >= 0 && c.Nodes[now].Leads()[testCell] > before
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	split := testCatalog()
+	split.Pools[0].Cells = 2
+	if _, err := c.Apply(ctx, split); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Await(ctx, "engines in both cells", func() bool {
+		return c.ReadyEngines(ctx) == 4 && leaderOf(c, "cell/pool/1") >= 0
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := caller(c, 0).Chat.Completions.New(ctx, chat("after the split", 5)); err != nil {
+		t.Error(err)
+	}
+	checkEngines(t, c)
+}
+
 func TestLeaderIsReplacedWithAHigherFence(t *testing.T) {
 	c, ctx := start(t, 3, 2)
 	const cell = "cell/pool/0"
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -144,6 +144,20 @@
 	return n.machines.droppedFor(member.Address) > goneAfter
 }
 
+// LeastEpoch implements group.View.
+func (n *Node) LeastEpoch(groupID string) uint64 {
+	n.mu.Lock()
+	service := n.cells[groupID]
+	n.mu.Unlock()
+	if service == nil {
+		return 0
+	}
+	if outranking := service.OutrankedBy(); outranking > 0 {
+		return replica.EpochOf(outranking) + 1
+	}
+	return 0
+}
+
 // Wanted implements group.View.
 func (n *Node) Wanted() []string {
 	if !n.caughtUp.Load() {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -41,7 +41,7 @@
 	ticker := time.NewTicker(handOverEvery)
 	defer ticker.Stop()
 	for !n.hasLeft() {
-		n.host.HandOver()
+		n.HandOver()
 		select {
 		case <-waitCtx.Done():
 			return
@@ -50,6 +50,9 @@
 	}
 }
 
+// HandOver gives the leases of this node to other members.
+func (n *Node) HandOver() { n.host.HandOver() }
+
 // hasLeft reports whether the groups can do without this node: it holds no lease,
 // and is no member where another node could be one in its place.
 func (n *Node) hasLeft() bool {
