--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -34,7 +34,8 @@
 	callerRate  = 40
 	// settleTime is the quiet time at the end, in which all must recover.
 	settleTime   = 12 * time.Second
-	startTimeout = 40 * time.Second
+	startTimeout = 20 * time.Second
+	startTries   = 3
 	listLag      = 500 * time.Millisecond
 )
 
@@ -70,12 +71,17 @@
 	if err := os.MkdirAll(options.Directory, 0o755); err != nil {
 		return Outcome{}, result.Wrap(err, result.Internal, "making %s", options.Directory)
 	}
-	if err := r.start(ctx); err != nil {
+	var err error
+	for range startTries {
+		// A port that was free may be taken by the time a node listens on it.
+		if err = r.start(ctx); err == nil {
+			defer r.close()
+			return r.drive(ctx)
+		}
 		r.close()
-		return Outcome{Seed: options.Seed}, err
+		r.nodes, r.lab = nil, nil
 	}
-	defer r.close()
-	return r.drive(ctx)
+	return Outcome{Seed: options.Seed}, err
 }
 
 func faultCatalog() *tinarchv1.Catalog {
