--- a/cmd/tinarch-lab/scale.go
+++ b/cmd/tinarch-lab/scale.go
@@ -28,6 +28,11 @@
 	for _, count := range counts {
 		measured, err := scale.MeasureNodes(ctx, count, func(line string) { fmt.Println("  ", line) })
 		if err != nil {
+			// What was measured before the failure is kept.
+			stored.Nodes = append(stored.Nodes, measured)
+			if writeErr := writeJSON(c.Out, stored); writeErr != nil {
+				return writeErr
+			}
 			return err
 		}
 		fmt.Printf("%d nodes: %.3f %% of a core, sent %.0f B/s, received %.0f B/s, %.1f MB each; table %.1f requests/s; rollouts %.2f s\n",
