Start a node once when two failures of it overlap

Cause: after the fault runs nine node processes were still there: two failures of one node that overlapped each started it again, and the first was lost sight of. Change: a node that runs is not started.

--- a/internal/lab/faults/process.go
+++ b/internal/lab/faults/process.go
@@ -36,6 +36,9 @@
 func (n *nodeProcess) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.running() {
+		return nil // another failure of the same node has started it already
+	}
 	content, err := yaml.Marshal(n.settings)
 	if err != nil {
 		return result.Wrap(err, result.Internal, "encoding settings")
@@ -64,6 +67,19 @@
 	return nil
 }
 
+// running reports whether the incarnation has not ended. The caller holds the lock.
+func (n *nodeProcess) running() bool {
+	if n.exited == nil {
+		return false
+	}
+	select {
+	case <-n.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal to the running incarnation.
 func (n *nodeProcess) signal(signal syscall.Signal) {
 	n.mu.Lock()
