Split the admission of a request; derive its rank

Change: newWaiting and charge have names of their own; the rank is the target's. Conclusion: no behaviour changed. Seen and left: a request that finds the queue full was charged to its tenant already.

--- a/internal/cell/requests.go
+++ b/internal/cell/requests.go
@@ -11,6 +11,8 @@
 	"github.com/tinarch/tinarch/internal/placement"
 	"github.com/tinarch/tinarch/internal/prefix"
 	"github.com/tinarch/tinarch/internal/result"
+
+	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
 )
 
 // Enqueue admits a request or refuses it at once. Requests of lower classes
@@ -28,23 +30,7 @@
 	}
 	s.refresh(now)
 	class := s.snapshot.ClassOf(tenant, kind)
-	version := s.versionFor(kind)
-	w := &waiting{
-		request: request,
-		target: placement.Request{
-			Model:        kind.Model,
-			Version:      version,
-			Adapter:      kind.Adapter,
-			PromptTokens: request.PromptTokens,
-			OutputTokens: request.OutputTokens,
-			Prefix:       request.Prefix,
-			Zone:         request.Zone,
-			Rank:         class.GetRank(),
-		},
-		rank:     class.GetRank(),
-		deadline: now + time.Duration(request.DeadlineMillis)*time.Millisecond,
-		lane:     s.lane(kind.Model, version),
-	}
+	w := s.newWaiting(now, request, kind, class)
 	s.exclude(w)
 	capacity := s.capacity(w)
 	if capacity.engines == 0 {
@@ -65,19 +51,45 @@
 	if err := s.checkDeadline(now, w, capacity); err != nil {
 		return nil, err
 	}
-	if !request.Retry {
-		limits := admission.Limits{
-			PromptTokensPerSecond: int(tenant.GetPromptTokensPerSecond()),
-			OutputTokensPerSecond: int(tenant.GetOutputTokensPerSecond()),
-			BurstSeconds:          catalog.BurstSeconds(tenant),
-		}
-		if err := s.limiter.Take(now, request.Tenant, limits, request.PromptTokens, request.OutputTokens); err != nil {
-			return nil, err
-		}
+	if err := s.charge(now, request, tenant); err != nil {
+		return nil, err
 	}
 	return s.push(w, capacity)
 }
 
+// newWaiting describes a request that is to wait in the lane of its version.
+func (s *State) newWaiting(now time.Duration, request PlaceRequest, kind *catalog.Kind, class *tinarchv1.PriorityClass) *waiting {
+	version := s.versionFor(kind)
+	return &waiting{
+		request: request,
+		target: placement.Request{
+			Model:        kind.Model,
+			Version:      version,
+			Adapter:      kind.Adapter,
+			PromptTokens: request.PromptTokens,
+			OutputTokens: request.OutputTokens,
+			Prefix:       request.Prefix,
+			Zone:         request.Zone,
+			Rank:         class.GetRank(),
+		},
+		deadline: now + time.Duration(request.DeadlineMillis)*time.Millisecond,
+		lane:     s.lane(kind.Model, version),
+	}
+}
+
+// charge takes a request's tokens from its tenant's rates, once for all attempts.
+func (s *State) charge(now time.Duration, request PlaceRequest, tenant *tinarchv1.Tenant) error {
+	if request.Retry {
+		return nil
+	}
+	limits := admission.Limits{
+		PromptTokensPerSecond: int(tenant.GetPromptTokensPerSecond()),
+		OutputTokensPerSecond: int(tenant.GetOutputTokensPerSecond()),
+		BurstSeconds:          catalog.BurstSeconds(tenant),
+	}
+	return s.limiter.Take(now, request.Tenant, limits, request.PromptTokens, request.OutputTokens)
+}
+
 // versionFor returns the version that serves a request of a kind now. While a new
 // default version is being loaded, engine after engine, requests go to the version
 // that more engines serve, so that the change costs no request. A kind that names
@@ -274,7 +286,7 @@
 	f := &flight{
 		attempt:  w.request.Attempt,
 		member:   m,
-		rank:     w.rank,
+		rank:     w.target.Rank,
 		pending:  uncached,
 		reserved: w.target.PromptTokens + w.target.OutputTokens,
 		placedAt: now,
@@ -296,7 +308,7 @@
 		Adapter:     w.target.Adapter,
 		Role:        candidate.Deployment.Role,
 		Fence:       s.fence,
-		Priority:    w.rank,
+		Priority:    w.target.Rank,
 		ValidMillis: TicketValidity.Milliseconds(),
 	}}
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -54,7 +54,6 @@
 type waiting struct {
 	request  PlaceRequest
 	target   placement.Request
-	rank     int32
 	deadline time.Duration
 	item     *admission.Item
 	lane     *lane
