--- a/cmd/tinarchd/main.go
+++ b/cmd/tinarchd/main.go
@@ -22,6 +22,9 @@
 	if _, status, proceed := cli.Parse(program, &flags, os.Args[1:]); !proceed {
 		return status
 	}
+	if flags.Routed {
+		return runRouted(flags)
+	}
 	configured, err := flags.Resolve()
 	if err != nil {
 		return cli.Fail(program, err)
--- /dev/null
+++ b/cmd/tinarchd/routed.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/cli"
+	"github.com/tinarch/tinarch/internal/decisionlog"
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/serving"
+	"github.com/tinarch/tinarch/internal/settings"
+	"github.com/tinarch/tinarch/internal/workerconn"
+	"github.com/tinarch/tinarch/platform"
+)
+
+const logPatience = 200 * time.Millisecond
+
+// runRouted serves routes before a platform's workers.
+func runRouted(flags settings.Flags) int {
+	if flags.Config == "" {
+		return cli.Fail(program, result.New(result.SettingsInvalid, "no settings file is named; use --config FILE or TINARCH_CONFIG"))
+	}
+	configured, err := settings.LoadRouted(flags.Config)
+	if err != nil {
+		return cli.Fail(program, err)
+	}
+	if flags.CheckOnly {
+		fmt.Println("the settings are valid")
+		return 0
+	}
+	level, err := logrus.ParseLevel(configured.Log.Level)
+	if err != nil {
+		return cli.Fail(program, err)
+	}
+	limitProcess(configured)
+	log := decisionlog.New(os.Stdout, level)
+	defer log.Close(logPatience)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	adapter := platform.New(platform.Options{Store: configured.Store.Address, Dial: workerconn.DialStore})
+	node, err := serving.Start(configured, adapter, log.Logger)
+	if err != nil {
+		return cli.Fail(program, err)
+	}
+	for received := range signals {
+		if received == syscall.SIGHUP {
+			reload(flags.Config, log)
+			continue
+		}
+		node.Stop(received.String())
+		return 0
+	}
+	return 0
+}
+
+// limitProcess keeps the process within its one core and its memory.
+func limitProcess(configured settings.Routed) {
+	const megabyte = 1 << 20
+	const softShare = 0.6
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(softShare * float64(configured.Limits.MemoryMegabytes) * megabyte))
+}
+
+// reload reads the settings again. What can change while the process runs is the
+// log's level; mistakes leave everything as it was.
+func reload(path string, log *decisionlog.Log) {
+	configured, err := settings.LoadRouted(path)
+	if err != nil {
+		log.WithField("cause", err.Error()).Error("the settings were not reloaded; the process goes on with those it had")
+		return
+	}
+	level, err := logrus.ParseLevel(configured.Log.Level)
+	if err == nil {
+		log.SetLevel(level)
+	}
+	log.WithField("level", configured.Log.Level).Info("settings reloaded")
+}
--- /dev/null
+++ b/internal/breaker/breaker.go
@@ -0,0 +1,73 @@
+// Package breaker judges a worker by the outcomes of the requests that it was
+// sent: a passive circuit breaker without probes. It is pure: time is an argument.
+package breaker
+
+import (
+	"math"
+	"time"
+)
+
+// The figures of the breaker.
+const (
+	// openFor is how long a worker is avoided after one failure; it doubles with
+	// each further failure in a row.
+	openFor = 1500 * time.Millisecond
+	// maxOpen bounds the doubling.
+	maxOpen = 6 * time.Second
+	// halfLife is how fast old outcomes lose weight.
+	halfLife = 4 * time.Second
+)
+
+// Breaker is what is remembered of one worker. The zero value is a worker that
+// nothing is known of.
+type Breaker struct {
+	failures float64
+	total    float64
+	updated  time.Time
+	inRow    int
+	open     time.Time
+}
+
+func (b *Breaker) decay(now time.Time) {
+	if !b.updated.IsZero() {
+		age := now.Sub(b.updated)
+		factor := math.Exp2(-float64(age) / float64(halfLife))
+		b.failures *= factor
+		b.total *= factor
+	}
+	b.updated = now
+}
+
+// Succeeded records a request that the worker answered as it should.
+func (b *Breaker) Succeeded(now time.Time) {
+	b.decay(now)
+	b.total++
+	b.inRow = 0
+	if now.After(b.open) {
+		b.open = time.Time{}
+	}
+}
+
+// Failed records a request that the worker failed.
+func (b *Breaker) Failed(now time.Time) {
+	b.decay(now)
+	b.total++
+	b.failures++
+	b.inRow++
+	pause := openFor << min(b.inRow-1, 4)
+	b.open = now.Add(min(pause, maxOpen))
+}
+
+// Open reports whether the worker should be avoided.
+func (b *Breaker) Open(now time.Time) bool { return now.Before(b.open) }
+
+// FailureRate estimates the share of requests that fail, between 0 and 1. It
+// leans to zero while little is known.
+func (b *Breaker) FailureRate(now time.Time) float64 {
+	if b.total == 0 {
+		return 0
+	}
+	const assumedSuccesses = 2
+	factor := math.Exp2(-float64(now.Sub(b.updated)) / float64(halfLife))
+	return b.failures * factor / (b.total*factor + assumedSuccesses)
+}
--- /dev/null
+++ b/internal/decisionlog/decisionlog.go
@@ -0,0 +1,117 @@
+// Package decisionlog writes a node's log to standard output as JSON lines: one
+// line for each decision that touches a request or changes what the process
+// believes. It never blocks: lines that find the buffer full are dropped, counted,
+// and the count is logged.
+package decisionlog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// bufferedLines bounds what waits to be written.
+	bufferedLines = 2048
+	// batchBytes is how much is written at once.
+	batchBytes = 32 << 10
+)
+
+// Log is a log whose writing never blocks.
+type Log struct {
+	*logrus.Logger
+	writer *asyncWriter
+}
+
+// New returns a log that writes to out at a level. Close flushes it.
+func New(out io.Writer, level logrus.Level) *Log {
+	writer := &asyncWriter{lines: make(chan []byte, bufferedLines), done: make(chan struct{})}
+	go writer.run(out)
+	logger := logrus.New()
+	logger.SetOutput(writer)
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return &Log{Logger: logger, writer: writer}
+}
+
+// Dropped returns the number of lines lost because the buffer was full.
+func (l *Log) Dropped() uint64 { return l.writer.dropped.Load() }
+
+// Close writes what is buffered, waiting no longer than patience.
+func (l *Log) Close(patience time.Duration) {
+	l.writer.close()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-l.writer.done:
+	case <-timer.C:
+	}
+}
+
+type asyncWriter struct {
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Uint64
+	mu      sync.Mutex
+	closed  bool
+}
+
+// Write takes over a copy of one line.
+func (w *asyncWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return len(line), nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (w *asyncWriter) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+}
+
+// run writes lines, several at once where they wait.
+func (w *asyncWriter) run(out io.Writer) {
+	defer close(w.done)
+	reported := uint64(0)
+	for line := range w.lines {
+		batch := line
+		for more := true; more && len(batch) < batchBytes; {
+			select {
+			case next, open := <-w.lines:
+				batch = append(batch, next...)
+				more = open
+			default:
+				more = false
+			}
+		}
+		if dropped := w.dropped.Load(); dropped > reported {
+			batch = append(batch, droppedLine(dropped-reported)...)
+			reported = dropped
+		}
+		_, _ = out.Write(batch)
+	}
+}
+
+func droppedLine(count uint64) []byte {
+	entry := logrus.NewEntry(logrus.New())
+	entry.Level = logrus.WarnLevel
+	entry.Time = time.Now()
+	entry.Message = "log lines dropped"
+	entry.Data = logrus.Fields{"lines": count}
+	line, _ := (&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}).Format(entry)
+	return line
+}
--- /dev/null
+++ b/internal/digest/digest.go
@@ -0,0 +1,105 @@
+// Package digest exchanges between nodes what each has placed on the workers, so
+// that every node places with the load of all. Messages are JSON datagrams: a lost
+// one is made up for by the next, since each holds the sender's whole load.
+package digest
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/worker"
+)
+
+// Message is one datagram. Names are short because bytes between zones are dear.
+type Message struct {
+	// Node is the sender's incarnation.
+	Node string `json:"n"`
+	// Sequence rises with each message of an incarnation.
+	Sequence uint64 `json:"s"`
+	// Loads holds, by worker: requests, tokens to be read, memory tokens.
+	Loads map[string][3]int `json:"l,omitempty"`
+	// Reads hold "worker part:tokens part:tokens …", parts in hexadecimal.
+	Reads []string `json:"r,omitempty"`
+	// Failures are workers that failed.
+	Failures []string `json:"f,omitempty"`
+	// Leaving tells that the sender stops.
+	Leaving bool `json:"x,omitempty"`
+}
+
+const partBase = 16
+
+// newMessage renders a snapshot.
+func newMessage(node string, sequence uint64, snapshot worker.Snapshot) Message {
+	message := Message{Node: node, Sequence: sequence, Failures: snapshot.Failures}
+	if len(snapshot.Loads) > 0 {
+		message.Loads = make(map[string][3]int, len(snapshot.Loads))
+	}
+	for id, load := range snapshot.Loads {
+		message.Loads[id] = [3]int{load.Requests, load.ReadTokens, load.MemoryTokens}
+	}
+	for _, read := range snapshot.Reads {
+		message.Reads = append(message.Reads, renderRead(read))
+	}
+	return message
+}
+
+func renderRead(read worker.Read) string {
+	var out strings.Builder
+	out.WriteString(read.Worker)
+	for _, part := range read.Parts {
+		out.WriteByte(' ')
+		out.WriteString(strconv.FormatUint(uint64(part.ID), partBase))
+		out.WriteByte(':')
+		out.WriteString(strconv.Itoa(part.Tokens))
+	}
+	return out.String()
+}
+
+// snapshot reads a message.
+func (m Message) snapshot() (worker.Snapshot, error) {
+	snapshot := worker.Snapshot{Loads: make(map[string]worker.Load, len(m.Loads)), Failures: m.Failures}
+	for id, load := range m.Loads {
+		snapshot.Loads[id] = worker.Load{Requests: load[0], ReadTokens: load[1], MemoryTokens: load[2]}
+	}
+	for _, text := range m.Reads {
+		read, err := parseRead(text)
+		if err != nil {
+			return worker.Snapshot{}, err
+		}
+		snapshot.Reads = append(snapshot.Reads, read)
+	}
+	return snapshot, nil
+}
+
+func parseRead(text string) (worker.Read, error) {
+	fields := strings.Fields(text)
+	if len(fields) == 0 {
+		return worker.Read{}, eris.New("a read without a worker")
+	}
+	read := worker.Read{Worker: fields[0]}
+	for _, field := range fields[1:] {
+		id, tokens, found := strings.Cut(field, ":")
+		number, idErr := strconv.ParseUint(id, partBase, 64)
+		count, countErr := strconv.Atoi(tokens)
+		if !found || idErr != nil || countErr != nil || count < 0 {
+			return worker.Read{}, eris.Errorf("part %q of a read is malformed", field)
+		}
+		read.Parts = append(read.Parts, prefixcache.Part{ID: prefixcache.PartID(number), Tokens: count})
+	}
+	return read, nil
+}
+
+func decode(datagram []byte) (Message, error) {
+	var message Message
+	if err := json.Unmarshal(datagram, &message); err != nil {
+		return Message{}, err
+	}
+	if message.Node == "" {
+		return Message{}, eris.New("a digest without its sender")
+	}
+	return message, nil
+}
--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+var (
+	errNoRunner    = eris.New("no worker can run the prompt that was read")
+	errNotExecuted = eris.New("the worker did not run the request")
+	errMisdirected = eris.New("another worker has the address")
+	errNoHandle    = eris.New("the prompt that was read could not be fetched")
+	errFailed      = eris.New("the worker answered with a failure of its own")
+)
+
+const (
+	// maxReadAnswer bounds the answer of a prompt that was read apart.
+	maxReadAnswer = 16 << 10
+	// releaseTimeout bounds the freeing of a handle.
+	releaseTimeout = 500 * time.Millisecond
+)
+
+// source is a prompt that was read apart for this call.
+type source struct {
+	handle Handle
+	reader scheduling.Candidate
+}
+
+func (s *session) send(ctx context.Context, to scheduling.Candidate, forward Forward) (*workerconn.Answer, error) {
+	forward.WorkerID = to.ID
+	forward.Remaining = s.remaining()
+	forward.Priority = s.call.Route.Priority
+	request := &workerconn.Request{
+		Method: s.call.Method, Target: s.call.Target, Host: s.call.Host,
+		Header: s.wire.ForwardHeader(s.call, forward), Body: s.call.Body,
+		IDHeader: s.wire.IDHeader(), ID: s.call.ID,
+	}
+	return s.pool.Do(ctx, to.ID, to.Address, s.connectionLimit(s.call), request)
+}
+
+// readApart lets a worker read the prompt. It returns no handle where that failed;
+// such a call has not run.
+func (s *session) readApart(ctx context.Context, plan scheduling.Plan) (*Handle, tryEnd) {
+	reader := plan.Reader
+	unread := max(s.call.PromptTokens-reader.CachedTokens, 0)
+	load := worker.Load{Requests: 1, ReadTokens: unread, MemoryTokens: s.call.PromptTokens}
+	s.registry.Begin(reader.ID, load)
+	defer s.registry.End(reader.ID, load)
+	s.offered = true
+	begun := time.Now()
+	answer, err := s.send(ctx, reader, Forward{ReadApart: true})
+	if err != nil {
+		return nil, s.readFailed(reader, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	reply := s.wire.Reply(answer.Status, answer.Header)
+	content, err := io.ReadAll(io.LimitReader(answer.Body, maxReadAnswer))
+	if err != nil {
+		return nil, s.readFailed(reader, err)
+	}
+	if answer.Status != http.StatusOK {
+		return nil, s.readRejected(reader, reply)
+	}
+	handle, err := s.wire.Handle(reader.Address, content)
+	if err != nil {
+		return nil, s.readFailed(reader, err)
+	}
+	now := time.Now()
+	s.readTaken = true
+	s.registry.ObserveRead(reader.ID, unread+reader.ReadTokens, now.Sub(begun))
+	s.registry.Cached(reader.ID, s.call.Prompt, now)
+	s.registry.Succeeded(reader.ID, now)
+	return &handle, tryEnd{}
+}
+
+// readFailed ends a reading that got no answer: the call has not run, but the
+// worker may have read in vain.
+func (s *session) readFailed(reader scheduling.Candidate, err error) tryEnd {
+	s.excluded[reader.ID] = true
+	if !gone(err) && !late(err) {
+		s.registry.Failed(reader.ID, time.Now())
+	}
+	counted := !workerconn.Unsent(err)
+	return tryEnd{verdict: notRun, worker: reader.ID, err: err, counted: counted}
+}
+
+func (s *session) readRejected(reader scheduling.Candidate, reply Reply) tryEnd {
+	s.excluded[reader.ID] = true
+	s.attempts++
+	if !reply.NotExecuted || reply.Misdirected {
+		s.registry.Failed(reader.ID, time.Now())
+	}
+	return tryEnd{verdict: notRun, worker: reader.ID, err: errNotExecuted, counted: true}
+}
+
+// release frees a handle that nobody will take.
+func (s *session) release(handle Handle, reader scheduling.Candidate) {
+	limit := s.connectionLimit(s.call)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		answer, err := s.pool.Do(ctx, reader.ID, handle.Address, limit, s.wire.Release(handle))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxReadAnswer))
+			_ = answer.Body.Close()
+		}
+	}()
+}
+
+// run sends the call to the worker that is to answer it.
+func (s *session) run(ctx context.Context, runner scheduling.Candidate, from *source) tryEnd {
+	s.attempts++
+	s.offered = true
+	unread := 0
+	forward := Forward{ResumeAfter: s.resumeAfter}
+	if from != nil {
+		forward.Source = &from.handle
+	} else {
+		unread = max(s.call.PromptTokens-runner.CachedTokens, 0)
+	}
+	work := newWork(s.registry, runner, unread, s.call)
+	defer work.end()
+	answer, err := s.send(ctx, runner, forward)
+	if err != nil {
+		if from != nil {
+			s.release(from.handle, from.reader)
+		}
+		return s.sendFailed(runner, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	reply := s.wire.Reply(answer.Status, answer.Header)
+	if reply.HasLoad {
+		s.registry.Reported(runner.ID, reply.Running, reply.Waiting, time.Now())
+	}
+	if reply.NotExecuted || reply.Misdirected {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxReadAnswer))
+		return s.rejected(runner, reply, from)
+	}
+	if from != nil {
+		s.registry.HandleTaken(from.reader.ID, time.Now())
+	}
+	return s.pass(runner, answer, work)
+}
+
+func (s *session) sendFailed(runner scheduling.Candidate, err error) tryEnd {
+	s.excluded[runner.ID] = true
+	if !gone(err) && !late(err) {
+		s.registry.Failed(runner.ID, time.Now())
+	}
+	if workerconn.Unsent(err) {
+		return tryEnd{verdict: notRun, worker: runner.ID, err: err, counted: false}
+	}
+	s.ranBefore = true
+	return tryEnd{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true}
+}
+
+// rejected ends a try that the worker proved not to have run.
+func (s *session) rejected(runner scheduling.Candidate, reply Reply, from *source) tryEnd {
+	err := errNotExecuted
+	switch {
+	case reply.Misdirected:
+		err = errMisdirected
+		s.excluded[runner.ID] = true
+		s.registry.Failed(runner.ID, time.Now())
+	case from != nil:
+		err = errNoHandle
+		s.registry.HandleFailed(from.reader.ID, time.Now())
+	default:
+		s.excluded[runner.ID] = true
+	}
+	return tryEnd{verdict: notRun, worker: runner.ID, err: err, counted: true}
+}
+
+// finishedWith is the end of a try whose answer was passed on whole.
+func finishedWith(runner scheduling.Candidate, status int) tryEnd {
+	return tryEnd{verdict: finished, code: result.OK, status: status, worker: runner.ID}
+}
--- /dev/null
+++ b/internal/dispatch/call.go
@@ -0,0 +1,125 @@
+// Package dispatch carries out one request: it asks the scheduler for a plan,
+// sends the request to workers within the limits of attempts, time and retries,
+// and hands the answer to the caller as it comes. A request that may not be
+// repeated is never sent again unless a worker proved that it did not run.
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+// Call is one request of a caller.
+type Call struct {
+	// ID is the caller's, and unique to this try of the caller.
+	ID     string
+	Method string
+	// Target is the path and query as they were sent.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+
+	Route   *routing.Route
+	Service *routing.Service
+
+	// Prompt lists the parts of a generation's prompt in order; it is empty for
+	// other requests.
+	Prompt       []prefixcache.Part
+	PromptTokens int
+	OutputTokens int
+	// LastEventID is where the caller wants a stream to go on.
+	LastEventID string
+
+	Arrived time.Time
+	// Deadline is the earlier of the caller's and the route's.
+	Deadline time.Time
+}
+
+// shared returns the tokens of the prompt that other requests may share: all
+// parts but the last, which is the request's own.
+func (c *Call) shared() int {
+	if len(c.Prompt) == 0 {
+		return 0
+	}
+	return prefixcache.Tokens(c.Prompt[:len(c.Prompt)-1])
+}
+
+// Handle names a prompt that was read apart.
+type Handle struct {
+	// Address is that of the worker that keeps it.
+	Address string
+	ID      string
+}
+
+// Forward is what a worker is told beside the caller's request.
+type Forward struct {
+	// WorkerID is the only worker that may take the request.
+	WorkerID  string
+	Remaining time.Duration
+	Priority  int
+	// ReadApart asks for the prompt to be read and kept, and not to run.
+	ReadApart bool
+	// Source is where the prompt was read apart.
+	Source *Handle
+	// ResumeAfter is the last event that the caller has.
+	ResumeAfter string
+}
+
+// Reply is what the head of a worker's answer says.
+type Reply struct {
+	// NotExecuted proves that the worker did not run the request.
+	NotExecuted bool
+	// Misdirected tells that another worker has the address.
+	Misdirected bool
+	// HasLoad tells that Running and Waiting are given.
+	HasLoad          bool
+	Running, Waiting int
+}
+
+// Wire is how workers are spoken to.
+type Wire interface {
+	// IDHeader names the header that carries a request's id and is echoed.
+	IDHeader() string
+	// ForwardHeader returns the header of a call for a worker.
+	ForwardHeader(call *Call, forward Forward) http.Header
+	// AnswerHeader returns the header of a worker's answer for the caller.
+	AnswerHeader(header http.Header) http.Header
+	// Reply reads the head of an answer.
+	Reply(status int, header http.Header) Reply
+	// Handle reads the answer of a prompt that was read apart.
+	Handle(address string, body []byte) (Handle, error)
+	// Release returns the request that frees a handle.
+	Release(handle Handle) *workerconn.Request
+}
+
+// Caller receives the answer.
+type Caller interface {
+	// Head gives status, header and length of the body, -1 where it isn't known.
+	Head(status int, header http.Header, length int64)
+	// Write gives a piece of the body, which is sent on at once.
+	Write(piece []byte) error
+}
+
+// Outcome is how a call ended.
+type Outcome struct {
+	// Code is OK where a whole answer of a worker was passed on.
+	Code result.Code
+	// Status is that of the worker's answer, zero where none was passed on.
+	Status int
+	// HeadGiven tells that the caller has the head of an answer already.
+	HeadGiven bool
+	// RetryAfter tells a refused caller when to come back.
+	RetryAfter time.Duration
+	// Detail is for the log.
+	Detail string
+	// Attempts counts the workers that were sent the request to run.
+	Attempts int
+	// First is the time to the first byte of the answer.
+	First time.Duration
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/retry"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+// errDeadline is the cause of a context that ended by the call's deadline.
+var errDeadline = eris.New("the time for the request is over")
+
+// Dispatcher is safe for concurrent use.
+type Dispatcher struct {
+	registry  *worker.Registry
+	scheduler *scheduling.Scheduler
+	pool      *workerconn.Pool
+	wire      Wire
+	log       *logrus.Logger
+	metrics   *Metrics
+	// nodes returns the number of nodes that share the limits.
+	nodes func() int
+	terms retry.Terms
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+}
+
+// Options are what a dispatcher works with.
+type Options struct {
+	Registry  *worker.Registry
+	Scheduler *scheduling.Scheduler
+	Pool      *workerconn.Pool
+	Wire      Wire
+	Log       *logrus.Logger
+	Metrics   *Metrics
+	Nodes     func() int
+	Retries   retry.Terms
+}
+
+// New returns a dispatcher.
+func New(options Options) *Dispatcher {
+	return &Dispatcher{
+		registry:  options.Registry,
+		scheduler: options.Scheduler,
+		pool:      options.Pool,
+		wire:      options.Wire,
+		log:       options.Log,
+		metrics:   options.Metrics,
+		nodes:     options.Nodes,
+		terms:     options.Retries,
+		budgets:   make(map[string]*retry.Budget),
+	}
+}
+
+// first records the first sending of a call, which earns the budget a share of a
+// repeat.
+func (d *Dispatcher) first(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(service).First(d.nodes(), time.Now())
+}
+
+// spend takes a repeat out of the service's budget.
+func (d *Dispatcher) spend(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(service).Spend(d.nodes(), time.Now())
+}
+
+func (d *Dispatcher) budget(service string) *retry.Budget {
+	budget, known := d.budgets[service]
+	if !known {
+		budget = retry.NewBudget(d.terms, d.nodes(), time.Now())
+		d.budgets[service] = budget
+	}
+	return budget
+}
+
+// connectionLimit is this node's share of the connections to one worker.
+func (d *Dispatcher) connectionLimit(call *Call) int {
+	if call.Service.MaxConnections == 0 {
+		return 0
+	}
+	return max(call.Service.MaxConnections*9/10/max(d.nodes(), 1), 2)
+}
+
+// Run serves a call to its end.
+func (d *Dispatcher) Run(parent context.Context, call *Call, caller Caller) Outcome {
+	ctx, cancel := context.WithDeadlineCause(parent, call.Deadline, errDeadline)
+	defer cancel()
+	s := &session{
+		Dispatcher: d, call: call, caller: caller,
+		excluded: make(map[string]bool), resumeAfter: call.LastEventID,
+	}
+	d.first(call.Service.Name)
+	for {
+		plan := s.plan()
+		s.logPlan(plan)
+		if plan.Mode == scheduling.Refused {
+			return s.refused(plan)
+		}
+		end := s.try(ctx, plan)
+		if end.verdict == finished {
+			return s.outcome(end)
+		}
+		again := s.again(end)
+		s.logFailure(end, again)
+		if !again {
+			return s.givenUp(end)
+		}
+	}
+}
+
+// gone reports whether an error is due to the caller's leaving.
+func gone(err error) bool { return errors.Is(err, context.Canceled) }
+
+// late reports whether an error is due to the call's deadline.
+func late(err error) bool { return errors.Is(err, errDeadline) }
+
+// codeOfLost is the code of a call that was sent and whose answer can't be had.
+func codeOfLost(err error, repeatable bool) result.Code {
+	switch {
+	case gone(err):
+		return result.CallerGone
+	case late(err):
+		return result.DeadlineExceeded
+	case repeatable:
+		return result.AnswerCut
+	}
+	return result.OutcomeUnknown
+}
--- /dev/null
+++ b/internal/dispatch/pass.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+const (
+	// pieceBytes is how much of an answer is read at once.
+	pieceBytes = 16 << 10
+	// heldBytes is the largest answer that is read whole before its head is passed
+	// on, so that one that breaks off may still be fetched elsewhere.
+	heldBytes = 64 << 10
+)
+
+// errCallerWrite tells that the caller does not take the answer any more.
+type errCallerWrite struct{ cause error }
+
+func (e errCallerWrite) Error() string { return "the caller left: " + e.cause.Error() }
+
+// pass hands a worker's answer to the caller.
+func (s *session) pass(runner scheduling.Candidate, answer *workerconn.Answer, load *work) tryEnd {
+	failed := answer.Status >= http.StatusInternalServerError
+	if failed {
+		s.registry.Failed(runner.ID, time.Now())
+		s.excluded[runner.ID] = true
+		if s.headGiven || s.call.Route.Repeatable() && s.mayRepeat() {
+			s.ranBefore = true
+			return tryEnd{verdict: mayHaveRun, worker: runner.ID, err: errFailed, counted: true}
+		}
+	}
+	var err error
+	if s.call.Route.Streams() && !failed {
+		err = s.passStream(answer, load)
+	} else {
+		err = s.passWhole(answer, load)
+	}
+	return s.passed(runner, answer, failed, err)
+}
+
+// mayRepeat reports whether attempts and time are left for another try.
+func (s *session) mayRepeat() bool {
+	return s.attempts < s.call.Route.MaxAttempts && s.remaining() > 0
+}
+
+func (s *session) passed(runner scheduling.Candidate, answer *workerconn.Answer, failed bool, err error) tryEnd {
+	var left errCallerWrite
+	switch {
+	case err == nil:
+		if !failed {
+			s.registry.Succeeded(runner.ID, time.Now())
+		}
+		return finishedWith(runner, answer.Status)
+	case errors.As(err, &left):
+		return tryEnd{verdict: finished, code: result.CallerGone, worker: runner.ID, err: err}
+	}
+	s.ranBefore = true
+	s.excluded[runner.ID] = true
+	if !gone(err) && !late(err) {
+		s.registry.Failed(runner.ID, time.Now())
+	}
+	return tryEnd{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true}
+}
+
+// passWhole reads a short answer to its end before passing it on, and a long one
+// as it comes.
+func (s *session) passWhole(answer *workerconn.Answer, load *work) error {
+	held, err := io.ReadAll(io.LimitReader(answer.Body, heldBytes))
+	if err != nil {
+		return err
+	}
+	load.firstByte()
+	if len(held) < heldBytes {
+		s.giveHead(answer, int64(len(held)))
+		return s.give(held)
+	}
+	s.giveHead(answer, answer.Length)
+	if err := s.give(held); err != nil {
+		return err
+	}
+	return s.copyPieces(answer, load, s.give)
+}
+
+// passStream passes events on as they come. The head is given with the first, so
+// that a stream which breaks off before it may begin anew elsewhere.
+func (s *session) passStream(answer *workerconn.Answer, load *work) error {
+	give := func(piece []byte) error {
+		s.giveHead(answer, answer.Length)
+		return s.give(piece)
+	}
+	if s.call.Route.Resumable {
+		events := &eventCutter{}
+		give = func(piece []byte) error {
+			whole := events.add(piece)
+			if len(whole) == 0 {
+				return nil
+			}
+			s.giveHead(answer, -1)
+			if err := s.give(whole); err != nil {
+				return err
+			}
+			s.resumeAfter = events.lastID(s.resumeAfter)
+			return nil
+		}
+		if err := s.copyPieces(answer, load, give); err != nil {
+			return err
+		}
+		s.giveHead(answer, -1)
+		return s.give(events.rest())
+	}
+	if err := s.copyPieces(answer, load, give); err != nil {
+		return err
+	}
+	s.giveHead(answer, answer.Length)
+	return nil
+}
+
+func (s *session) copyPieces(answer *workerconn.Answer, load *work, give func([]byte) error) error {
+	buffer := make([]byte, pieceBytes)
+	for {
+		count, err := answer.Body.Read(buffer)
+		if count > 0 {
+			load.firstByte()
+			if giveErr := give(buffer[:count]); giveErr != nil {
+				return giveErr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// giveHead passes the head of the first answer on; a stream that goes on at
+// another worker keeps it.
+func (s *session) giveHead(answer *workerconn.Answer, length int64) {
+	if s.headGiven {
+		return
+	}
+	s.headGiven = true
+	s.first = time.Since(s.call.Arrived)
+	s.caller.Head(answer.Status, s.wire.AnswerHeader(answer.Header), length)
+}
+
+func (s *session) give(piece []byte) error {
+	if len(piece) == 0 {
+		return nil
+	}
+	if err := s.caller.Write(piece); err != nil {
+		return errCallerWrite{err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/session.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/scheduling"
+)
+
+// verdict is what is known of one try.
+type verdict string
+
+const (
+	// finished tries passed a whole answer on, or ended for good.
+	finished verdict = "finished"
+	// notRun tries are proved not to have run.
+	notRun verdict = "not run"
+	// mayHaveRun tries were sent, and their outcome can't be had.
+	mayHaveRun verdict = "may have run"
+)
+
+// tryEnd is how one try ended.
+type tryEnd struct {
+	verdict verdict
+	// code is that of a finished try.
+	code   result.Code
+	status int
+	worker string
+	err    error
+	// counted tells that the try counts as a repeat for limits.
+	counted bool
+}
+
+// session is a call under way.
+type session struct {
+	*Dispatcher
+	call   *Call
+	caller Caller
+
+	excluded map[string]bool
+	// attempts counts the workers that were sent the call, besides the first that
+	// read its prompt apart.
+	attempts int
+	// offered tells that some worker had the call.
+	offered bool
+	// ranBefore tells that some try may have run.
+	ranBefore bool
+	// readTaken tells that a prompt was read apart, which is free once.
+	readTaken bool
+	headGiven bool
+	// resumeAfter is the last event that the caller has.
+	resumeAfter string
+	first       time.Duration
+}
+
+func (s *session) remaining() time.Duration { return time.Until(s.call.Deadline) }
+
+func (s *session) request() scheduling.Request {
+	return scheduling.Request{
+		PromptTokens: s.call.PromptTokens,
+		SharedTokens: s.call.shared(),
+		OutputTokens: s.call.OutputTokens,
+		Objective:    s.call.Route.Objective - time.Since(s.call.Arrived),
+		Remaining:    s.remaining(),
+		Excluded:     s.excluded,
+		Retry:        s.attempts > 0,
+	}
+}
+
+func (s *session) candidates() []scheduling.Candidate {
+	return s.registry.Candidates(s.call.Service.Name, s.call.Prompt, time.Now())
+}
+
+func (s *session) plan() scheduling.Plan {
+	plan := s.scheduler.Plan(s.request(), s.candidates())
+	if plan.Mode == scheduling.Refused && plan.Reason == scheduling.NoWorker && len(s.excluded) > 0 && s.attempts > 0 {
+		// Every worker has failed this call: none is left to be tried.
+		plan.Reason = scheduling.NoneIsFit
+	}
+	return plan
+}
+
+// again decides whether a failed try is followed by another.
+func (s *session) again(end tryEnd) bool {
+	if gone(end.err) || late(end.err) || s.remaining() <= 0 {
+		return false
+	}
+	if end.verdict == mayHaveRun && !s.call.Route.Repeatable() {
+		return false
+	}
+	if s.headGiven && !s.call.Route.Resumable {
+		return false
+	}
+	if s.attempts >= s.call.Route.MaxAttempts {
+		return false
+	}
+	if !end.counted {
+		return true
+	}
+	return s.spend(s.call.Service.Name)
+}
+
+// outcome of a finished try.
+func (s *session) outcome(end tryEnd) Outcome {
+	return s.end(Outcome{Code: end.code, Status: end.status, Detail: detail(end.err)})
+}
+
+func (s *session) end(outcome Outcome) Outcome {
+	outcome.HeadGiven = s.headGiven
+	outcome.Attempts = s.attempts
+	outcome.First = s.first
+	return outcome
+}
+
+// refused is the outcome of a call that no worker is to be sent.
+func (s *session) refused(plan scheduling.Plan) Outcome {
+	if s.ranBefore {
+		return s.end(Outcome{Code: codeOfLost(nil, s.call.Route.Repeatable()), Detail: string(plan.Reason)})
+	}
+	code := result.NoEngine
+	switch {
+	case plan.Reason == scheduling.TooLate:
+		code = result.DeadlineUnreachable
+	case s.attempts > 0:
+		code = result.RetriesExhausted
+	}
+	return s.end(Outcome{Code: code, RetryAfter: plan.RetryAfter, Detail: string(plan.Reason)})
+}
+
+// retryAfterFailure is when a call that no worker has run should come back.
+const retryAfterFailure = 100 * time.Millisecond
+
+// givenUp is the outcome of a call whose last try failed.
+func (s *session) givenUp(end tryEnd) Outcome {
+	s.ranBefore = s.ranBefore || end.verdict == mayHaveRun
+	if s.ranBefore || gone(end.err) {
+		return s.end(Outcome{Code: codeOfLost(end.err, s.call.Route.Repeatable()), Detail: detail(end.err)})
+	}
+	code := result.RetriesExhausted
+	if late(end.err) {
+		code = result.DeadlineUnreachable
+	}
+	return s.end(Outcome{Code: code, RetryAfter: retryAfterFailure, Detail: detail(end.err)})
+}
+
+func detail(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// try carries out one plan.
+func (s *session) try(ctx context.Context, plan scheduling.Plan) tryEnd {
+	if plan.Mode == scheduling.Whole {
+		return s.run(ctx, plan.Runner, nil)
+	}
+	handle, end := s.readApart(ctx, plan)
+	if handle == nil {
+		return end
+	}
+	runner := s.scheduler.Runner(s.request(), s.candidates())
+	if runner.Mode == scheduling.Refused {
+		s.release(*handle, plan.Reader)
+		return tryEnd{verdict: notRun, worker: plan.Reader.ID, err: errNoRunner}
+	}
+	return s.run(ctx, runner.Runner, &source{handle: *handle, reader: plan.Reader})
+}
+
+func (s *session) logPlan(plan scheduling.Plan) {
+	s.metrics.plan(plan.Mode)
+	s.log.WithFields(logrus.Fields{
+		"id": s.call.ID, "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
+		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
+		"reader_queue": plan.Reader.ReadTokens, "runner_queue": plan.Runner.ReadTokens,
+		"cached": max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
+		"predicted_ms": plan.First.Milliseconds(), "cost": int(min(plan.Cost, 1e9)),
+		"remaining_ms": s.remaining().Milliseconds(),
+	}).Info("planned")
+}
+
+func (s *session) logFailure(end tryEnd, again bool) {
+	s.metrics.Failures.WithLabelValues(string(end.verdict)).Inc()
+	s.log.WithFields(logrus.Fields{
+		"id": s.call.ID, "worker": end.worker, "verdict": end.verdict, "again": again,
+		"attempts": s.attempts, "remaining_ms": s.remaining().Milliseconds(), "cause": detail(end.err),
+	}).Warn("try failed")
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -38,6 +38,7 @@
 	OutputTooLong       Code = 1008
 	KeyReused           Code = 1009
 	NotFound            Code = 1010
+	HeaderTooLarge      Code = 1011
 	TenantLimit         Code = 2001
 	QueueFull           Code = 2002
 	DeadlineUnreachable Code = 2003
@@ -99,6 +100,7 @@
 	{OutputTooLong, "output_too_long", DidNotRun, true, 400, "invalid_argument", "More output tokens were asked for than the kind allows.", "Lower max_tokens."},
 	{KeyReused, "key_reused", DidNotRun, false, 422, "invalid_argument", "The idempotency key was used before with another request.", "Use a new key for a new request."},
 	{NotFound, "not_found", DidNotRun, true, 404, "not_found", "The named path or object does not exist.", "Check the name."},
+	{HeaderTooLarge, "header_too_large", DidNotRun, true, 431, "invalid_argument", "The request's header exceeds the limit of the configuration.", "Send fewer or shorter headers, or raise the limit."},
 	{TenantLimit, "tenant_limit", DidNotRun, true, 429, "resource_exhausted", "The tenant's token rate is used up.", "Come back after the Retry-After time."},
 	{QueueFull, "queue_full", DidNotRun, true, 503, "resource_exhausted", "Too many requests of the class wait already, or the request was shed for a higher class.", "Come back after the Retry-After time."},
 	{DeadlineUnreachable, "deadline_unreachable", DidNotRun, true, 503, "resource_exhausted", "The request can't be answered within its deadline now.", "Come back after the Retry-After time."},
--- /dev/null
+++ b/internal/scheduling/scheduling.go
@@ -0,0 +1,310 @@
+// Package scheduling decides how a request is served: which worker reads its
+// prompt, which one writes the answer, or that it is refused at once. One cost
+// model compares all ways, in predicted milliseconds. It is pure.
+package scheduling
+
+import (
+	"math"
+	"time"
+)
+
+// Candidate is what is known of one worker.
+type Candidate struct {
+	ID       string
+	Address  string
+	Zone     string
+	SameZone bool
+	Slots    int
+	// Prefill and Decode tell the stage of a model engine; both are false for
+	// other workers.
+	Prefill, Decode bool
+	// Requests, ReadTokens and MemoryTokens are the load placed by all nodes.
+	Requests     int
+	ReadTokens   int
+	MemoryTokens int
+	// Capacity is the KV cache in tokens, zero where it isn't known.
+	Capacity int
+	// CachedTokens is the part of the request's prompt that the worker keeps.
+	CachedTokens int
+	// Pace is the learned reading pace, in tokens a millisecond.
+	Pace float64
+	// Avoid tells that the worker failed just now.
+	Avoid bool
+	// FailureRate is the share of requests that it failed lately.
+	FailureRate float64
+	// HandleFailure tells that prompts read apart there could not be fetched.
+	HandleFailure bool
+}
+
+// Request is what is known of a request.
+type Request struct {
+	// PromptTokens is zero for requests that aren't for model engines.
+	PromptTokens int
+	// SharedTokens is the part of the prompt that other requests share.
+	SharedTokens int
+	OutputTokens int
+	// Objective is the time that is left for the first byte of the answer.
+	Objective time.Duration
+	// Remaining is the time that is left for the whole.
+	Remaining time.Duration
+	// Excluded are workers that failed this request.
+	Excluded map[string]bool
+	// Retry tells that the request was tried before.
+	Retry bool
+}
+
+// Mode is the way in which a request is served.
+type Mode string
+
+// The modes.
+const (
+	// Whole requests run at one worker.
+	Whole Mode = "whole"
+	// Apart requests are read at one engine and run at another.
+	Apart Mode = "apart"
+	// Refused requests are not run.
+	Refused Mode = "refused"
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	NoWorker  Reason = "no worker"
+	TooLate   Reason = "too late"
+	NoneIsFit Reason = "all workers are full"
+)
+
+// Plan is the decision.
+type Plan struct {
+	Mode   Mode
+	Reason Reason
+	// Reader is the worker that reads the prompt, where Mode is Apart.
+	Reader Candidate
+	// Runner is the worker that answers. Where Mode is Apart it is chosen again
+	// when the prompt was read.
+	Runner Candidate
+	// First is the predicted time to the first byte.
+	First time.Duration
+	// Cost is what was compared, in milliseconds.
+	Cost float64
+	// RetryAfter is when a refused request should come back.
+	RetryAfter time.Duration
+}
+
+// Costs are the figures of the cost model. Times are in milliseconds.
+type Costs struct {
+	// Fixed is the time of a request besides reading.
+	Fixed float64
+	// Hop is what a second worker adds to a request.
+	Hop float64
+	// MovePerToken is the time and price of moving one token's KV cache.
+	MovePerToken float64
+	// RereadPerToken is the price of reading a shared token again.
+	RereadPerToken float64
+	// OtherZone is the price of leaving the node's zone, once for each worker.
+	OtherZone float64
+	// Running is what each request that runs at a decode engine adds.
+	Running float64
+	// Failure is multiplied with a worker's failure rate.
+	Failure float64
+	// Avoided is added for a worker that failed just now.
+	Avoided float64
+	// MemoryPressure is added where an engine's memory is full.
+	MemoryPressure float64
+	// RefusePast is the share of the objective past which a request is refused.
+	RefusePast float64
+}
+
+// DefaultCosts returns the figures measured so far; docs/design/deployment.md
+// tells how.
+func DefaultCosts() Costs {
+	return Costs{
+		Fixed:          30,
+		Hop:            12,
+		MovePerToken:   0.0008,
+		RereadPerToken: 0.006,
+		OtherZone:      6,
+		Running:        1.5,
+		Failure:        400,
+		Avoided:        2000,
+		MemoryPressure: 300,
+		RefusePast:     1,
+	}
+}
+
+// Scheduler applies a cost model.
+type Scheduler struct{ costs Costs }
+
+// New returns a scheduler.
+func New(costs Costs) *Scheduler { return &Scheduler{costs: costs} }
+
+// Plan decides how a request is served.
+func (s *Scheduler) Plan(request Request, candidates []Candidate) Plan {
+	if request.PromptTokens == 0 {
+		return s.planOpaque(request, candidates)
+	}
+	best := s.planWhole(request, candidates)
+	if apart := s.planApart(request, candidates); better(apart, best) {
+		best = apart
+	}
+	if best.Mode == Refused {
+		return best
+	}
+	return s.admit(request, best)
+}
+
+func better(left, right Plan) bool {
+	return left.Mode != Refused && (right.Mode == Refused || left.Cost < right.Cost)
+}
+
+// admit refuses a request whose answer would come too late to be of use.
+func (s *Scheduler) admit(request Request, plan Plan) Plan {
+	limit := time.Duration(s.costs.RefusePast * float64(request.Objective))
+	if plan.First <= limit || plan.First < request.Remaining && idle(plan) {
+		return plan
+	}
+	plan.Mode = Refused
+	plan.Reason = TooLate
+	plan.RetryAfter = max(plan.First-request.Objective/2, minRetryAfter)
+	return plan
+}
+
+// idle reports whether nothing waits where a plan would be carried out: then a
+// refusal would gain nobody anything.
+func idle(plan Plan) bool {
+	if plan.Mode == Apart {
+		return plan.Reader.ReadTokens == 0
+	}
+	return plan.Runner.ReadTokens == 0
+}
+
+// minRetryAfter is the shortest time after which a refused request comes back.
+const minRetryAfter = 100 * time.Millisecond
+
+func refuse(reason Reason) Plan {
+	return Plan{Mode: Refused, Reason: reason, RetryAfter: minRetryAfter, Cost: math.Inf(1)}
+}
+
+// planOpaque chooses the worker with the most room.
+func (s *Scheduler) planOpaque(request Request, candidates []Candidate) Plan {
+	best := refuse(NoWorker)
+	for _, candidate := range candidates {
+		if request.Excluded[candidate.ID] {
+			continue
+		}
+		slots := max(candidate.Slots, 1)
+		fill := float64(candidate.Requests+1) / float64(slots)
+		cost := s.common(candidate) + 20*fill*fill
+		if candidate.Requests >= slots {
+			cost += 50 * float64(candidate.Requests-slots+1)
+		}
+		plan := Plan{Mode: Whole, Runner: candidate, Cost: cost}
+		if better(plan, best) {
+			best = plan
+		}
+	}
+	return best
+}
+
+// common is the part of the cost that all ways share.
+func (s *Scheduler) common(candidate Candidate) float64 {
+	cost := s.costs.Failure * candidate.FailureRate
+	if candidate.Avoid {
+		cost += s.costs.Avoided
+	}
+	if !candidate.SameZone {
+		cost += s.costs.OtherZone
+	}
+	return cost
+}
+
+// planWhole chooses a decode engine that reads and runs the request.
+func (s *Scheduler) planWhole(request Request, candidates []Candidate) Plan {
+	best := refuse(NoWorker)
+	for _, candidate := range candidates {
+		if candidate.Prefill || request.Excluded[candidate.ID] {
+			continue
+		}
+		reading := s.reading(request, candidate)
+		first := s.costs.Fixed + reading + s.costs.Running*float64(candidate.Requests)
+		cost := first + s.reread(request, candidate) + s.common(candidate) + s.pressure(request, candidate)
+		plan := Plan{Mode: Whole, Runner: candidate, First: milliseconds(first), Cost: cost}
+		if better(plan, best) {
+			best = plan
+		}
+	}
+	return best
+}
+
+// planApart chooses a prefill engine to read, and a decode engine to run.
+func (s *Scheduler) planApart(request Request, candidates []Candidate) Plan {
+	runner := s.Runner(request, candidates)
+	if runner.Mode == Refused {
+		return runner
+	}
+	best := refuse(NoWorker)
+	for _, candidate := range candidates {
+		if !candidate.Prefill || request.Excluded[candidate.ID] || candidate.HandleFailure {
+			continue
+		}
+		reading := s.reading(request, candidate)
+		move := s.costs.MovePerToken * float64(request.PromptTokens)
+		first := s.costs.Fixed + s.costs.Hop + reading + move
+		cost := first + s.reread(request, candidate) + s.common(candidate) + runner.Cost
+		plan := Plan{
+			Mode: Apart, Reader: candidate, Runner: runner.Runner,
+			First: milliseconds(first + s.costs.Running*float64(runner.Runner.Requests)), Cost: cost,
+		}
+		if better(plan, best) {
+			best = plan
+		}
+	}
+	return best
+}
+
+// Runner chooses the decode engine for a prompt that was read apart.
+func (s *Scheduler) Runner(request Request, candidates []Candidate) Plan {
+	best := refuse(NoWorker)
+	for _, candidate := range candidates {
+		if !candidate.Decode || request.Excluded[candidate.ID] {
+			continue
+		}
+		cost := s.common(candidate) + s.costs.Running*float64(candidate.Requests) + s.pressure(request, candidate)
+		plan := Plan{Mode: Whole, Runner: candidate, Cost: cost}
+		if better(plan, best) {
+			best = plan
+		}
+	}
+	return best
+}
+
+// reading predicts the wait for the tokens ahead and for those of the request.
+func (s *Scheduler) reading(request Request, candidate Candidate) float64 {
+	uncached := max(request.PromptTokens-candidate.CachedTokens, 0)
+	return float64(candidate.ReadTokens+uncached) / max(candidate.Pace, 0.1)
+}
+
+// reread is the price of reading shared tokens that some worker keeps.
+func (s *Scheduler) reread(request Request, candidate Candidate) float64 {
+	return s.costs.RereadPerToken * float64(max(request.SharedTokens-candidate.CachedTokens, 0))
+}
+
+// pressure is the cost of running where memory is short: running requests would
+// be put aside in the middle.
+func (s *Scheduler) pressure(request Request, candidate Candidate) float64 {
+	if candidate.Capacity == 0 {
+		return 0
+	}
+	needed := candidate.MemoryTokens + request.PromptTokens + request.OutputTokens
+	fill := float64(needed) / float64(candidate.Capacity)
+	if fill > 1 {
+		return s.costs.MemoryPressure * fill
+	}
+	return s.costs.MemoryPressure * 0.1 * fill * fill
+}
+
+func milliseconds(count float64) time.Duration {
+	return time.Duration(count * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/serving/consumers.go
@@ -0,0 +1,202 @@
+package serving
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/digest"
+	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/tablefeed"
+	"github.com/tinarch/tinarch/internal/worker"
+)
+
+// configuration puts the routes in force that the store holds.
+type configuration struct{ node *Node }
+
+// Reset implements tablefeed.Consumer.
+func (c *configuration) Reset(rows []tablefeed.Row, version tablefeed.Version) {
+	c.Apply(rows, version)
+}
+
+// Apply implements tablefeed.Consumer.
+func (c *configuration) Apply(rows []tablefeed.Row, _ tablefeed.Version) {
+	for _, row := range rows {
+		if row.Gone {
+			continue
+		}
+		table, isRoutes, err := c.node.platform.Routes(row)
+		switch {
+		case err != nil:
+			c.node.log.WithFields(logrus.Fields{"row": row.Key, "row_version": row.Version, "cause": err.Error()}).
+				Error("a configuration can't be read; the node goes on with the one before")
+			continue
+		case !isRoutes:
+			continue
+		}
+		c.node.putInForce(table, row.Version)
+	}
+}
+
+// putInForce makes a version of the routes the one that requests meet.
+func (n *Node) putInForce(table *routing.Table, rowVersion tablefeed.Version) {
+	if current := n.front.Table(); current != nil && table.Version < current.Version {
+		n.log.WithFields(logrus.Fields{"version": table.Version, "in_force": current.Version}).Warn("an older configuration was passed over")
+		return
+	}
+	for _, service := range table.Services() {
+		if service.Engine != nil {
+			n.registry.SetMemory(service.Name, service.Engine.MemoryTokens)
+		}
+	}
+	n.front.SetTable(table)
+	n.log.WithFields(logrus.Fields{"version": table.Version, "row_version": rowVersion, "routes": table.Routes()}).
+		Info("configuration in force")
+}
+
+// workers keeps the registry at what the store lists.
+type workers struct{ node *Node }
+
+// Reset implements tablefeed.Consumer.
+func (w *workers) Reset(rows []tablefeed.Row, version tablefeed.Version) {
+	var listed []worker.Worker
+	for _, row := range rows {
+		if read, ok := w.read(row); ok {
+			listed = append(listed, read)
+		}
+	}
+	added, gone := w.node.registry.Replace(listed)
+	for _, id := range gone {
+		w.node.pool.Drop(id)
+	}
+	w.node.log.WithFields(logrus.Fields{"version": version, "workers": len(listed), "added": len(added), "gone": gone}).
+		Info("workers read")
+}
+
+// Apply implements tablefeed.Consumer.
+func (w *workers) Apply(rows []tablefeed.Row, version tablefeed.Version) {
+	for _, row := range rows {
+		change := worker.Change{ID: row.Key}
+		if !row.Gone {
+			read, ok := w.read(row)
+			if !ok {
+				continue
+			}
+			change.Worker = &read
+		}
+		if !w.node.registry.Apply(change) {
+			continue
+		}
+		if row.Gone {
+			w.node.pool.Drop(row.Key)
+		}
+		w.log(change, version)
+	}
+}
+
+func (w *workers) log(change worker.Change, version tablefeed.Version) {
+	fields := logrus.Fields{"worker": change.ID, "version": version, "gone": change.Worker == nil}
+	if change.Worker != nil {
+		fields["service"] = change.Worker.Service
+		fields["stage"] = change.Worker.Stage
+		fields["draining"] = change.Worker.Draining
+		fields["address"] = change.Worker.Address
+	}
+	w.node.log.WithFields(fields).Info("worker changed")
+}
+
+func (w *workers) read(row tablefeed.Row) (worker.Worker, bool) {
+	read, err := w.node.platform.Worker(row)
+	if err != nil {
+		w.node.log.WithFields(logrus.Fields{"row": row.Key, "row_version": row.Version, "cause": err.Error()}).
+			Error("a worker's entry can't be read; it is passed over")
+		return worker.Worker{}, false
+	}
+	return read, true
+}
+
+// nodesTable holds one row for each node, under its name.
+const nodesTable = "nodes"
+
+// nodeRow is the value of such a row.
+type nodeRow struct {
+	Incarnation string `json:"incarnation"`
+	Exchange    string `json:"exchange"`
+	Zone        string `json:"zone"`
+}
+
+// nodes tells the exchange of the other nodes.
+type nodes struct {
+	node   *Node
+	listed map[string]digest.Peer
+}
+
+// Reset implements tablefeed.Consumer.
+func (s *nodes) Reset(rows []tablefeed.Row, version tablefeed.Version) {
+	clear(s.listed)
+	s.Apply(rows, version)
+}
+
+// Apply implements tablefeed.Consumer.
+func (s *nodes) Apply(rows []tablefeed.Row, _ tablefeed.Version) {
+	for _, row := range rows {
+		delete(s.listed, row.Key)
+		if row.Gone {
+			continue
+		}
+		var value nodeRow
+		err := json.Unmarshal(row.Value, &value)
+		address, addressErr := netip.ParseAddrPort(value.Exchange)
+		if err != nil || addressErr != nil {
+			s.node.log.WithField("row", row.Key).Error("a node's row can't be read; it is passed over")
+			continue
+		}
+		s.listed[row.Key] = digest.Peer{Node: value.Incarnation, Address: address}
+	}
+	peers := make([]digest.Peer, 0, len(s.listed))
+	for _, peer := range s.listed {
+		peers = append(peers, peer)
+	}
+	s.node.exchange.SetPeers(peers)
+}
+
+const (
+	writeTimeout  = time.Second
+	announcePause = 300 * time.Millisecond
+)
+
+// announce writes this node's row, again and again until the store has taken it.
+func (n *Node) announce(ctx context.Context) {
+	value, err := json.Marshal(nodeRow{Incarnation: n.identity, Exchange: n.settings.Listen.Exchange, Zone: n.settings.Node.Zone})
+	if err != nil {
+		n.log.WithError(err).Error("this node's row can't be rendered")
+		return
+	}
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		err := n.platform.Put(callCtx, nodesTable, n.settings.Node.Name, value)
+		cancel()
+		if err == nil {
+			return
+		}
+		n.log.WithField("cause", err.Error()).Warn("this node could not announce itself; it tries again")
+		time.Sleep(announcePause + rand.N(announcePause))
+	}
+}
+
+// withdraw takes this node's row away.
+func (n *Node) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	if err := n.platform.Remove(ctx, nodesTable, n.settings.Node.Name); err != nil {
+		n.log.WithField("cause", err.Error()).Warn("this node could not withdraw its row")
+	}
+}
+
+func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
--- /dev/null
+++ b/internal/serving/front.go
@@ -0,0 +1,212 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/dispatch"
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/routing"
+)
+
+// Parser reads what a caller's request says in the platform's names.
+type Parser interface {
+	// Parse fills the fields of a call that headers tell. The error is the
+	// caller's mistake.
+	Parse(call *dispatch.Call) error
+}
+
+// Runner serves calls.
+type Runner interface {
+	Run(ctx context.Context, call *dispatch.Call, caller dispatch.Caller) dispatch.Outcome
+}
+
+// Front takes callers' requests.
+type Front struct {
+	parser   Parser
+	runner   Runner
+	splitter *routing.Splitter
+	log      *logrus.Logger
+	metrics  *Metrics
+
+	table    atomic.Pointer[routing.Table]
+	stopping atomic.Bool
+	active   atomic.Int64
+}
+
+// notConfiguredPause is when a caller should come back to a node that has no
+// configuration yet.
+const notConfiguredPause = 300 * time.Millisecond
+
+// SetTable puts a version of the routes in force.
+func (f *Front) SetTable(table *routing.Table) { f.table.Store(table) }
+
+// Table returns the routes in force, nil before any are known.
+func (f *Front) Table() *routing.Table { return f.table.Load() }
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	arrived := time.Now()
+	answer := newHTTPCaller(writer, f.stopping.Load())
+	call, failure := f.accept(writer, request, arrived)
+	if failure != nil {
+		f.refuse(answer, request, call, failure, arrived)
+		return
+	}
+	outcome := f.runner.Run(request.Context(), call, answer)
+	f.finish(answer, request, call, outcome)
+}
+
+// accept reads a request whole and finds its route.
+func (f *Front) accept(writer http.ResponseWriter, request *http.Request, arrived time.Time) (*dispatch.Call, *result.Error) {
+	table := f.table.Load()
+	if table == nil {
+		return nil, result.New(result.NotConfigured, "this node has read no configuration yet").WithRetryAfter(notConfiguredPause)
+	}
+	if size := headerBytes(request); table.Limits.MaxHeaderBytes > 0 && size > table.Limits.MaxHeaderBytes {
+		return nil, result.New(result.HeaderTooLarge, "the header has %d bytes; the limit is %d", size, table.Limits.MaxHeaderBytes)
+	}
+	path, _, _ := strings.Cut(request.RequestURI, "?")
+	route := table.Match(request.Host, path)
+	if route == nil {
+		return nil, result.New(result.NotFound, "no route of version %d for host %q and path %q", table.Version, request.Host, path)
+	}
+	body, failure := readBody(writer, request, table.Limits.MaxBodyBytes)
+	if failure != nil {
+		return nil, failure
+	}
+	call := &dispatch.Call{
+		Method: request.Method, Target: request.RequestURI, Host: request.Host,
+		Header: request.Header, Body: body, Route: route, Arrived: arrived,
+		Deadline: arrived.Add(route.Timeout),
+	}
+	if err := f.parser.Parse(call); err != nil {
+		return call, result.New(result.InvalidRequest, "%v", err)
+	}
+	// The routes may have changed while the body came.
+	if newest := f.table.Load(); newest != table {
+		table = newest
+		if route = table.Match(request.Host, path); route == nil {
+			return call, result.New(result.NotFound, "no route of version %d for host %q and path %q", table.Version, request.Host, path)
+		}
+		call.Route = route
+	}
+	service := f.splitter.Choose(route)
+	call.Service = table.Service(service)
+	if call.Service == nil {
+		return call, result.New(result.NoEngine, "route %s has no service with a weight", route.Name).WithRetryAfter(notConfiguredPause)
+	}
+	return call, nil
+}
+
+// headerBytes is the size of a request's header as it was sent, about.
+func headerBytes(request *http.Request) int {
+	const separators = 4
+	size := len(request.Method) + len(request.RequestURI) + len(request.Host)
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
+func readBody(writer http.ResponseWriter, request *http.Request, limit int64) ([]byte, *result.Error) {
+	if request.ContentLength == 0 {
+		return nil, nil
+	}
+	if limit > 0 && request.ContentLength > limit {
+		return nil, result.New(result.BodyTooLarge, "the body has %d bytes; the limit is %d", request.ContentLength, limit)
+	}
+	reader := request.Body
+	if limit > 0 {
+		reader = http.MaxBytesReader(writer, reader, limit)
+	}
+	var body []byte
+	var err error
+	if request.ContentLength > 0 {
+		body = make([]byte, request.ContentLength)
+		_, err = io.ReadFull(reader, body)
+	} else {
+		body, err = io.ReadAll(reader)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, result.New(result.BodyTooLarge, "the body is longer than the limit of %d bytes", limit)
+	}
+	return nil, result.New(result.CallerGone, "the body could not be read: %v", err)
+}
+
+// refuse answers a request that goes to no worker.
+func (f *Front) refuse(answer *httpCaller, request *http.Request, call *dispatch.Call, failure *result.Error, arrived time.Time) {
+	if call == nil {
+		call = &dispatch.Call{Method: request.Method, Target: request.RequestURI, Header: request.Header, Arrived: arrived}
+		_ = f.parser.Parse(call)
+	}
+	f.logOutcome(call, dispatch.Outcome{Code: failure.Code, Detail: failure.Message})
+	giveFailure(answer, failure)
+}
+
+// finish answers a call that the dispatcher has given back.
+func (f *Front) finish(answer *httpCaller, request *http.Request, call *dispatch.Call, outcome dispatch.Outcome) {
+	f.logOutcome(call, outcome)
+	switch {
+	case outcome.Code == result.OK:
+		return
+	case outcome.HeadGiven:
+		// A cut answer must not look whole.
+		panic(http.ErrAbortHandler)
+	case request.Context().Err() != nil:
+		panic(http.ErrAbortHandler)
+	}
+	failure := result.New(outcome.Code, "%s", outcome.Detail)
+	if outcome.RetryAfter > 0 {
+		failure = failure.WithRetryAfter(outcome.RetryAfter)
+	}
+	giveFailure(answer, failure)
+}
+
+// giveFailure writes a numbered error.
+func giveFailure(answer *httpCaller, failure *result.Error) {
+	body := []byte(failure.Error() + "\n")
+	header := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	if failure.RetryAfterMillis > 0 {
+		seconds := float64(failure.RetryAfterMillis) / float64(time.Second/time.Millisecond)
+		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	answer.Head(failure.Code.Entry().HTTPStatus, header, int64(len(body)))
+	_ = answer.Write(body)
+}
+
+func (f *Front) logOutcome(call *dispatch.Call, outcome dispatch.Outcome) {
+	took := time.Since(call.Arrived)
+	route := ""
+	if call.Route != nil {
+		route = call.Route.Name
+	}
+	f.metrics.observe(call, outcome, took)
+	entry := f.log.WithFields(logrus.Fields{
+		"id": call.ID, "route": route, "code": int(outcome.Code), "status": outcome.Status,
+		"attempts": outcome.Attempts, "first_ms": outcome.First.Milliseconds(),
+		"took_ms": took.Milliseconds(), "retry_after_ms": outcome.RetryAfter.Milliseconds(),
+		"detail": outcome.Detail,
+	})
+	if outcome.Code == result.OK {
+		entry.Info("answered")
+		return
+	}
+	entry.Warn("not answered")
+}
--- /dev/null
+++ b/internal/serving/node.go
@@ -0,0 +1,217 @@
+// Package serving puts a node together that serves routes before the workers of a
+// platform: it follows the platform's tables, takes callers' requests, exchanges
+// digests with the other nodes, and stops without cutting a request.
+package serving
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/digest"
+	"github.com/tinarch/tinarch/internal/dispatch"
+	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/retry"
+	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/settings"
+	"github.com/tinarch/tinarch/internal/tablefeed"
+	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+// Platform is what a node needs of the platform that it runs on.
+type Platform interface {
+	tablefeed.Store
+	dispatch.Wire
+	Parser
+	// ReadinessPath is where the platform asks whether a node takes requests.
+	ReadinessPath() string
+	// ConfigurationTable and WorkerTable name the tables that are followed.
+	ConfigurationTable() string
+	WorkerTable() string
+	// Routes reads the configuration; false means that the row is another one.
+	Routes(row tablefeed.Row) (*routing.Table, bool, error)
+	// Worker reads a row of the workers' table.
+	Worker(row tablefeed.Row) (worker.Worker, error)
+	// Put writes a row of this project's own, and Remove takes it away.
+	Put(ctx context.Context, table, key string, value []byte) error
+	Remove(ctx context.Context, table, key string) error
+}
+
+// The figures of a node.
+const (
+	headerTimeout = 10 * time.Second
+	// idleTimeout is above what any platform's callers resume.
+	idleTimeout = 60 * time.Second
+	// maxHeader bounds memory; the configuration's own limit is checked besides.
+	maxHeader = 64 << 10
+	// stopMargin is left of a planned stop's time for the process to end.
+	stopMargin = 700 * time.Millisecond
+	// unlistedFor is how long a stopping node goes on accepting, so that the
+	// platform has asked twice and sends nobody here any more.
+	unlistedFor = 2600 * time.Millisecond
+	// logPatience bounds the writing of the last log lines.
+	logPatience = 200 * time.Millisecond
+)
+
+// Node is one running node.
+type Node struct {
+	settings settings.Routed
+	log      *logrus.Logger
+	platform Platform
+	registry *worker.Registry
+	pool     *workerconn.Pool
+	front    *Front
+	exchange *digest.Exchange
+	servers  []*http.Server
+	callers  *http.Server
+
+	identity string
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+}
+
+// Start starts a node. It returns once its ports are open.
+func Start(configured settings.Routed, platform Platform, log *logrus.Logger) (*Node, error) {
+	n := &Node{
+		settings: configured,
+		log:      log,
+		platform: platform,
+		registry: worker.NewRegistry(configured.Node.Zone),
+		pool:     workerconn.NewPool(),
+		identity: string(engine.NewIdentifier())[:incarnationDigits],
+	}
+	metrics := prometheus.NewRegistry()
+	exchange, err := digest.Listen(configured.Listen.Exchange, n.identity, n.registry, log)
+	if err != nil {
+		return nil, err
+	}
+	n.exchange = exchange
+	n.front = &Front{
+		parser: platform, runner: n.dispatcher(metrics), log: log,
+		splitter: routing.NewSplitter(rand.IntN), metrics: NewMetrics(metrics),
+	}
+	if err := n.listen(metrics); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.follow(ctx)
+	log.WithFields(logrus.Fields{
+		"node": configured.Node.Name, "incarnation": n.identity, "zone": configured.Node.Zone,
+		"callers": configured.Listen.Callers, "store": configured.Store.Address,
+	}).Info("started")
+	return n, nil
+}
+
+const incarnationDigits = 12
+
+func (n *Node) dispatcher(metrics *prometheus.Registry) *dispatch.Dispatcher {
+	bounds := n.settings.Bounds
+	return dispatch.New(dispatch.Options{
+		Registry: n.registry, Scheduler: scheduling.New(scheduling.DefaultCosts()),
+		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
+		Nodes: n.exchange.Nodes,
+		Retries: retry.Terms{
+			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack,
+			Window: settings.Milliseconds(bounds.RetryWindowMillis),
+		},
+	})
+}
+
+func (n *Node) listen(metrics *prometheus.Registry) error {
+	n.callers = &http.Server{
+		Handler: n.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeader, ErrorLog: quietLog(),
+	}
+	readiness := chi.NewRouter()
+	readiness.Get(n.platform.ReadinessPath(), n.serveReadiness)
+	figures := chi.NewRouter()
+	figures.Handle("/metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
+	for _, port := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{n.settings.Listen.Callers, n.callers},
+		{n.settings.Listen.Readiness, &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}},
+		{n.settings.Listen.Metrics, &http.Server{Handler: figures, ReadHeaderTimeout: headerTimeout}},
+	} {
+		listener, err := net.Listen("tcp4", port.address)
+		if err != nil {
+			return err
+		}
+		n.servers = append(n.servers, port.server)
+		n.work.Go(func() {
+			if err := port.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				n.log.WithField("address", port.address).WithError(err).Error("a port is not served any more")
+			}
+		})
+	}
+	return nil
+}
+
+// serveReadiness tells the platform whether callers may be sent here.
+func (n *Node) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
+	if !n.Ready() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Ready reports whether the node can serve: it knows routes and workers, and is
+// not being stopped.
+func (n *Node) Ready() bool {
+	return !n.front.stopping.Load() && n.front.Table() != nil && n.registry.Count() > 0
+}
+
+// follow starts the feeds of the platform's tables and the exchange.
+func (n *Node) follow(ctx context.Context) {
+	feeds := []*tablefeed.Feed{
+		tablefeed.New(n.platform, n.platform.ConfigurationTable(), &configuration{node: n}, n.log),
+		tablefeed.New(n.platform, n.platform.WorkerTable(), &workers{node: n}, n.log),
+		tablefeed.New(n.platform, nodesTable, &nodes{node: n, listed: make(map[string]digest.Peer)}, n.log),
+	}
+	for _, feed := range feeds {
+		n.work.Go(func() { feed.Run(ctx) })
+	}
+	n.work.Go(func() { n.exchange.Run(ctx) })
+	n.work.Go(func() { n.announce(ctx) })
+}
+
+// Stop ends the node as planned: it says that it takes no callers, goes on
+// accepting until the platform has noticed, finishes what runs, and closes. A
+// request that is still running when the time is over is cut.
+func (n *Node) Stop(reason string) {
+	begun := time.Now()
+	deadline := begun.Add(settings.Milliseconds(n.settings.Bounds.StopMillis) - stopMargin)
+	n.front.stopping.Store(true)
+	n.callers.SetKeepAlivesEnabled(true)
+	n.log.WithFields(logrus.Fields{"reason": reason, "active": n.front.active.Load()}).Info("stopping")
+	n.withdraw()
+	time.Sleep(time.Until(begun.Add(unlistedFor)))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.log.WithField("active", n.front.active.Load()).Warn("requests were cut: the time of the stop is over")
+	}
+	n.Close()
+	n.log.WithField("took_ms", time.Since(begun).Milliseconds()).Info("stopped")
+}
+
+// Close ends the node at once.
+func (n *Node) Close() {
+	n.cancel()
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+	n.pool.Close()
+}
--- a/internal/settings/flags.go
+++ b/internal/settings/flags.go
@@ -16,6 +16,7 @@
 	Seeds           []string `arg:"--seed,separate" help:"replaces cluster.seeds; may be repeated" placeholder:"ADDRESS"`
 	LogLevel        string   `arg:"--log-level,env:TINARCH_LOG_LEVEL" help:"replaces log.level: debug, info, warn or error"`
 	LogFormat       string   `arg:"--log-format,env:TINARCH_LOG_FORMAT" help:"replaces log.format: json or text"`
+	Routed          bool     `arg:"--routed" help:"serve routes before the workers of a platform; the settings file is of that form"`
 	CheckOnly       bool     `arg:"--check" help:"check the settings and exit"`
 }
 
--- /dev/null
+++ b/internal/settings/routed.go
@@ -0,0 +1,121 @@
+package settings
+
+import (
+	"bytes"
+	"os"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/parser"
+
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Routed are the settings of a node that serves routes before workers which a
+// platform's store lists.
+type Routed struct {
+	Node   RoutedNode   `yaml:"node"`
+	Listen RoutedListen `yaml:"listen"`
+	Store  RoutedStore  `yaml:"store"`
+	Limits RoutedLimits `yaml:"limits"`
+	Bounds RoutedBounds `yaml:"bounds"`
+	Log    Log          `yaml:"log"`
+}
+
+// RoutedNode says which node this is.
+type RoutedNode struct {
+	Name string `yaml:"name"`
+	Zone string `yaml:"zone"`
+}
+
+// RoutedListen holds the addresses of a node's ports, as IP:PORT.
+type RoutedListen struct {
+	Callers   string `yaml:"callers"`
+	Readiness string `yaml:"readiness"`
+	// Exchange is the UDP address where other nodes' digests arrive.
+	Exchange string `yaml:"exchange"`
+	Metrics  string `yaml:"metrics"`
+}
+
+// RoutedStore says where the platform's store is.
+type RoutedStore struct {
+	Address string `yaml:"address"`
+}
+
+// RoutedLimits bound what the process uses.
+type RoutedLimits struct {
+	MemoryMegabytes int `yaml:"memory_mb"`
+}
+
+// RoutedBounds are the promises that hold over all nodes.
+type RoutedBounds struct {
+	// StopMillis is how long a planned stop may take.
+	StopMillis int `yaml:"stop_ms"`
+	// RetryRatio, RetrySlack and RetryWindowMillis bound the requests that are sent
+	// again: in any window, the ratio of the requests plus the slack.
+	RetryRatio        float64 `yaml:"retry_ratio"`
+	RetrySlack        float64 `yaml:"retry_slack"`
+	RetryWindowMillis int     `yaml:"retry_window_ms"`
+	// LeaseMillis is how long the authority to give orders lasts unrenewed.
+	LeaseMillis int `yaml:"lease_ms"`
+}
+
+// DefaultRouted returns the settings that hold where none are given.
+func DefaultRouted() Routed {
+	return Routed{
+		Limits: RoutedLimits{MemoryMegabytes: 256},
+		Bounds: RoutedBounds{
+			StopMillis: 8000, RetryRatio: 0.2, RetrySlack: 20,
+			RetryWindowMillis: 10_000, LeaseMillis: 3000,
+		},
+		Log: Log{Level: "info", Format: "json"},
+	}
+}
+
+// LoadRouted reads and checks a file over the defaults.
+func LoadRouted(path string) (Routed, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Routed{}, result.New(result.SettingsInvalid, "the settings file can't be read: %v", err)
+	}
+	return ParseRouted(path, content)
+}
+
+// ParseRouted reads and checks the content of a file.
+func ParseRouted(path string, content []byte) (Routed, error) {
+	settings := DefaultRouted()
+	decoder := yaml.NewDecoder(bytes.NewReader(content), yaml.Strict())
+	if err := decoder.Decode(&settings); err != nil {
+		return Routed{}, result.New(result.SettingsInvalid, "%s: %s", path, describe(err))
+	}
+	source := &Source{path: path}
+	if file, err := parser.ParseBytes(content, 0); err == nil {
+		source.file = file
+	}
+	return settings, settings.check(source)
+}
+
+func (s Routed) check(source *Source) error {
+	c := checker{source: source}
+	c.match("node.name", s.Node.Name, namePattern, "use 1 to 63 of a-z, 0-9, '.' and '-'")
+	c.match("node.zone", s.Node.Zone, namePattern, "use 1 to 63 of a-z, 0-9, '.' and '-'")
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.readiness", s.Listen.Readiness)
+	c.address("listen.exchange", s.Listen.Exchange)
+	c.address("listen.metrics", s.Listen.Metrics)
+	c.address("store.address", s.Store.Address)
+	c.between("limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1<<20)
+	c.between("bounds.stop_ms", s.Bounds.StopMillis, 1000, 24*3_600_000)
+	c.share("bounds.retry_ratio", s.Bounds.RetryRatio, 10)
+	c.share("bounds.retry_slack", s.Bounds.RetrySlack, 1e6)
+	c.between("bounds.retry_window_ms", s.Bounds.RetryWindowMillis, 100, 3_600_000)
+	c.between("bounds.lease_ms", s.Bounds.LeaseMillis, 100, 3_600_000)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "json", "text")
+	return c.err()
+}
+
+func (c *checker) share(key string, value, highest float64) {
+	if value < 0 || value > highest {
+		c.add(key, "%v is out of range; use 0 to %v", value, highest)
+	}
+}
--- /dev/null
+++ b/internal/workerconn/pool.go
@@ -0,0 +1,247 @@
+package workerconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+// ErrFull tells that a worker has as many connections as it may have from here.
+var ErrFull = eris.New("all connections to the worker are in use")
+
+// The figures of the pool.
+const (
+	// DialTimeout bounds how long a new connection may take.
+	DialTimeout = 400 * time.Millisecond
+	// userTimeout ends a connection whose peer acknowledges nothing.
+	userTimeout = 1500 * time.Millisecond
+	// defaultIdle is how long a connection is kept where the worker doesn't say.
+	defaultIdle = 4 * time.Second
+	// idleMargin is left before the worker itself would close the connection.
+	idleMargin = 400 * time.Millisecond
+	// bodyWait is how long a whole answer waits for the rest of the request's body
+	// to be sent, before the connection is given up.
+	bodyWait = 50 * time.Millisecond
+)
+
+// Pool keeps connections by worker. It is safe for concurrent use.
+type Pool struct {
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	open   map[string]int
+	opened uint64
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int)}
+}
+
+// Opened returns the number of connections opened so far.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Do sends a request to a worker, and returns its answer with the body to be
+// read. key names the worker's incarnation: connections aren't shared between
+// workers that had the same address. limit bounds the connections to it.
+func (p *Pool) Do(ctx context.Context, key, address string, limit int, request *Request) (*Answer, error) {
+	c, err := p.take(ctx, key, address, limit)
+	if err != nil {
+		return nil, &SendError{Unsent: true, Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	response, written, err := c.roundTrip(ctx, request)
+	if err != nil {
+		stop()
+		p.discard(key, c)
+		return nil, err
+	}
+	return &Answer{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Length: response.ContentLength,
+		Body: &body{
+			pool: p, key: key, conn: c, response: response, written: written,
+			ctx: ctx, stop: stop,
+		},
+	}, nil
+}
+
+func (p *Pool) take(ctx context.Context, key, address string, limit int) (*conn, error) {
+	now := time.Now()
+	for {
+		c, err := p.takeIdle(key, limit)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			break
+		}
+		if now.Sub(c.idleSince) < c.idleLimit && c.quiet() {
+			return c, nil
+		}
+		p.discard(key, c)
+	}
+	inner, err := dial(ctx, address)
+	if err != nil {
+		p.release(key)
+		return nil, err
+	}
+	return newConn(inner), nil
+}
+
+// takeIdle returns the connection used last, or nil after it has reserved room
+// for a new one.
+func (p *Pool) takeIdle(key string, limit int) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if kept := p.idle[key]; len(kept) > 0 {
+		last := kept[len(kept)-1]
+		p.idle[key] = kept[:len(kept)-1]
+		return last, nil
+	}
+	if limit > 0 && p.open[key] >= limit {
+		return nil, ErrFull
+	}
+	p.open[key]++
+	p.opened++
+	return nil, nil
+}
+
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: DialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+}
+
+func (p *Pool) discard(key string, c *conn) {
+	_ = c.Close()
+	p.release(key)
+}
+
+func (p *Pool) release(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[key]--
+	if p.open[key] <= 0 {
+		delete(p.open, key)
+	}
+}
+
+func (p *Pool) put(key string, c *conn, limit time.Duration) {
+	c.idleSince = time.Now()
+	c.idleLimit = defaultIdle
+	if limit > 0 {
+		c.idleLimit = limit - idleMargin
+	}
+	_ = c.SetDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[key] = append(p.idle[key], c)
+}
+
+// Drop closes the idle connections to a worker that is gone.
+func (p *Pool) Drop(key string) {
+	p.mu.Lock()
+	kept := p.idle[key]
+	delete(p.idle, key)
+	p.mu.Unlock()
+	for _, c := range kept {
+		p.discard(key, c)
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	keys := make([]string, 0, len(p.idle))
+	for key := range p.idle {
+		keys = append(keys, key)
+	}
+	p.mu.Unlock()
+	for _, key := range keys {
+		p.Drop(key)
+	}
+}
+
+// body is an answer's body. Its connection is kept once the body was read whole,
+// the request was sent whole, and nothing follows.
+type body struct {
+	pool     *Pool
+	key      string
+	conn     *conn
+	response *http.Response
+	written  <-chan error
+	ctx      context.Context
+	stop     func() bool
+	whole    bool
+	closed   bool
+}
+
+// Read implements io.Reader. Any error but io.EOF means that the body isn't whole.
+func (b *body) Read(buffer []byte) (int, error) {
+	count, err := b.response.Body.Read(buffer)
+	if err == io.EOF {
+		b.whole = true
+	} else if err != nil {
+		err = cause(b.ctx, err)
+	}
+	return count, err
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	stopped := b.stop()
+	if stopped && b.reusable() {
+		b.pool.put(b.key, b.conn, keepAlive(b.response.Header))
+		return nil
+	}
+	b.pool.discard(b.key, b.conn)
+	return nil
+}
+
+func (b *body) reusable() bool {
+	if !b.whole || b.response.Close || b.response.ContentLength < 0 && len(b.response.TransferEncoding) == 0 {
+		return false
+	}
+	if !b.sent() {
+		return false
+	}
+	return b.conn.reader.Buffered() == 0
+}
+
+// sent reports whether the request's body was sent whole.
+func (b *body) sent() bool {
+	select {
+	case err := <-b.written:
+		return err == nil
+	default:
+	}
+	timer := time.NewTimer(bodyWait)
+	defer timer.Stop()
+	select {
+	case err := <-b.written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
