Ask a pool's other cells before refusing for want of an engine

Cause: TestEnginesMoveBetweenCells got 503 code 2004 from cell/pool/1, to which no engine had moved yet, while cell/pool/0 of the same pool served: the placer took one cell's word for the pool's. The body of the refusal, which the test now prints, shows it. Ruled out: lost leadership, a full queue, a busy machine as such (load only widens the window between the split and the move). Change: a cell without a fitting engine speaks for itself; the other cells are asked at once, each at most once more, then the caller is refused. Conclusion: the 503 was wrong, not the test.

--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -38,16 +38,22 @@
 	client *peer.Client
 	router *group.Router
 	zone   string
+	// askCell asks one cell; tests replace it.
+	askCell func(ctx context.Context, x *exchange, request cell.PlaceRequest) (placement, error)
 }
 
 // NewPlacer returns a placer for a gateway in a zone.
 func NewPlacer(client *peer.Client, router *group.Router, zone string) *Placer {
-	return &Placer{client: client, router: router, zone: zone}
+	p := &Placer{client: client, router: router, zone: zone}
+	p.askCell = p.ask
+	return p
 }
 
 const placePause = 30 * time.Millisecond
 
-// place waits until a cell has placed an attempt, or refuses it.
+// place waits until a cell has placed an attempt, or refuses it. A cell without a
+// fitting engine speaks for itself only: the pool's other cells are asked before
+// the request is refused, since engines may be moving between them.
 func (p *Placer) place(ctx context.Context, x *exchange, attempt engine.Identifier, excluded []string) (placement, error) {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
@@ -64,14 +70,23 @@
 		Retry:        attempt != x.attempt,
 	}
 	last := result.New(result.NoEngine, "no cell of pool %s answers; its group has no leader", x.kind.Pool).WithRetryAfter(time.Second)
+	withoutEngine := make(map[string]bool)
+	first := firstCell(x)
 	for try := 0; ; try++ {
-		request.Cell = p.chooseCell(x, try)
+		request.Cell = CellName(x.kind.Pool, (first+try)%x.cells)
 		request.DeadlineMillis = time.Until(x.deadline).Milliseconds()
-		placed, err := p.ask(ctx, x, request)
+		placed, err := p.askCell(ctx, x, request)
 		if err == nil {
 			return placed, nil
 		}
-		if failure := result.From(err); !elsewhere(failure.Code) {
+		failure := result.From(err)
+		if failure.Code == result.NoEngine {
+			withoutEngine[request.Cell] = true
+			if len(withoutEngine) < x.cells {
+				continue
+			}
+		}
+		if !elsewhere(failure.Code) {
 			return placement{}, failure
 		}
 		select {
@@ -91,16 +106,16 @@
 	return false
 }
 
-// chooseCell keeps requests with the same beginning in the same cell of a pool
-// with several, so that the prefix caches there are used; later tries go round.
-func (p *Placer) chooseCell(x *exchange, try int) string {
-	number := try
-	if len(x.prefix) > 0 {
-		number += int(x.prefix[0] % uint64(x.cells))
-	} else if x.cells > 1 {
-		number += rand.IntN(x.cells)
+// firstCell keeps requests with the same beginning in the same cell of a pool with
+// several, so that the prefix caches there are used; later tries go round.
+func firstCell(x *exchange) int {
+	switch {
+	case len(x.prefix) > 0:
+		return int(x.prefix[0] % uint64(x.cells))
+	case x.cells > 1:
+		return rand.IntN(x.cells)
 	}
-	return CellName(x.kind.Pool, number%x.cells)
+	return 0
 }
 
 // CellPrefix begins the names of cells' groups.
--- a/internal/lab/cluster/interface_test.go
+++ b/internal/lab/cluster/interface_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -10,9 +11,11 @@
 
 	"connectrpc.com/connect"
 
+	openaisdk "github.com/openai/openai-go/v3"
 	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
 	"github.com/tinarch/tinarch/api/tinarch/v1/tinarchv1connect"
 	"github.com/tinarch/tinarch/internal/cli"
+
 	"github.com/tinarch/tinarch/internal/openai"
 	"github.com/tinarch/tinarch/internal/result"
 )
@@ -177,6 +180,15 @@
 	}
 }
 
+// answerOf returns the body of a refusal, which has the result code.
+func answerOf(err error) string {
+	var refusal *openaisdk.Error
+	if errors.As(err, &refusal) {
+		return string(refusal.DumpResponse(true))
+	}
+	return ""
+}
+
 // TestEnginesMoveBetweenCells: an engine that comes from a cell with a higher fence
 // refuses its new leader until the cell's epoch has passed it.
 func TestEnginesMoveBetweenCells(t *testing.T) {
@@ -207,7 +219,7 @@
 		t.Fatal(err)
 	}
 	if _, err := caller(c, 0).Chat.Completions.New(ctx, chat("after the split", 5)); err != nil {
-		t.Error(err)
+		t.Errorf("%v: %s", err, answerOf(err))
 	}
 	checkEngines(t, c)
 }
