Say which answers of a demo were lost, cut or crossed

Cause: one demo beside the tests reported one such answer, and nothing said which. Ruled out so far: 14 demos, 4 and 10 at a time on eight cores, had none, so the cause isn't found. Change: the report keeps and prints stream, number, attempt id, the message and how far the text was right. Conclusion: open finding; the next one is traceable.

--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -48,11 +48,49 @@
 	NotSent int
 	// OnceSeeds are the seeds of answers to requests that must run at most once.
 	OnceSeeds []uint64
+	// Findings describe the first answers that were lost, cut or crossed.
+	Findings []Finding
 	workload  Workload
 	sent      int
 	ended     int
 }
 
+// Finding describes an answer that was lost, cut or crossed, so that it can be
+// looked up in the logs of nodes and engines.
+type Finding struct {
+	Stream string `json:"stream"`
+	Number int    `json:"number"`
+	// Attempt is the id that the node gave to the request, empty where it gave none.
+	Attempt string `json:"attempt"`
+	Message string `json:"message"`
+	// Got and Want are lengths of texts, and CommonPrefix that of their common
+	// beginning.
+	Got          int           `json:"got"`
+	Want         int           `json:"want"`
+	CommonPrefix int           `json:"common_prefix"`
+	After        time.Duration `json:"after_ns"`
+}
+
+// maxFindings bounds the findings that a report keeps.
+const maxFindings = 20
+
+func newFinding(stream Stream, arrival Arrival, answer Answer, want string) Finding {
+	common := 0
+	for common < len(want) && common < len(answer.Text) && want[common] == answer.Text[common] {
+		common++
+	}
+	return Finding{
+		Stream: stream.Name, Number: arrival.Number, Attempt: answer.Attempt, Message: answer.Message,
+		Got: len(answer.Text), Want: len(want), CommonPrefix: common, After: answer.Total,
+	}
+}
+
+func (r *Report) keep(finding Finding) {
+	if len(r.Findings) < maxFindings {
+		r.Findings = append(r.Findings, finding)
+	}
+}
+
 func newReport(workload Workload) *Report {
 	r := &Report{workload: workload}
 	for _, stream := range workload.Streams {
@@ -86,7 +124,7 @@
 	return r.sent, r.ended
 }
 
-func (r *Report) add(arrival Arrival, answer Answer, right bool, seed uint64) {
+func (r *Report) add(arrival Arrival, answer Answer, want string, seed uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ended++
@@ -99,12 +137,14 @@
 	switch {
 	case answer.Code != 0 && answer.CodeName == "cut":
 		s.Cut++
+		r.keep(newFinding(stream, arrival, answer, want))
 		return
 	case answer.Code != 0:
 		s.Refused[answer.CodeName]++
 		return
-	case !answer.Whole || !right:
+	case !answer.Whole || answer.Text != want:
 		s.Wrong++
+		r.keep(newFinding(stream, arrival, answer, want))
 		return
 	}
 	s.Whole++
@@ -192,6 +232,9 @@
 			millis(s.gaps, 50), millis(s.gaps, 95), millis(s.gaps, 99), cached, refusals(s.Refused))
 	}
 	_ = table.Flush()
+	for _, finding := range r.Findings {
+		fmt.Fprintf(out, "wrong: %+v\n", finding)
+	}
 	if r.NotSent > 0 {
 		fmt.Fprintf(out, "%d arrivals were not sent: the load tool had too many requests in progress\n", r.NotSent)
 	}
@@ -248,6 +291,7 @@
 		Goodput  float64         `json:"goodput"`
 		Wrong    int             `json:"wrong"`
 		NotSent  int             `json:"not_sent"`
+		Findings []Finding       `json:"findings,omitempty"`
 		Streams  []streamSummary `json:"streams"`
-	}{r.workload.Name, r.workload.Seed, r.Goodput(), r.Wrong(), r.NotSent, summaries})
+	}{r.workload.Name, r.workload.Seed, r.Goodput(), r.Wrong(), r.NotSent, r.Findings, summaries})
 }
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -101,8 +101,7 @@
 	}
 	answer := r.sender.Send(ctx, number, stream, arrival, prompt, key)
 	seed := labengine.TextSeed(stream.Model, stream.Version, stream.Adapter, prompt)
-	right := answer.Text == labengine.Text(seed, arrival.OutputTokens)
-	r.report.add(arrival, answer, right, seed)
+	r.report.add(arrival, answer, labengine.Text(seed, arrival.OutputTokens), seed)
 }
 
 func (r *run) showProgress(began time.Time) (stop func()) {
--- a/internal/lab/load/sender.go
+++ b/internal/lab/load/sender.go
@@ -27,6 +27,8 @@
 	Gaps       []time.Duration
 	Total      time.Duration
 	Usage      *openai.Usage
+	// Attempt is the node's id for the request.
+	Attempt string
 }
 
 // Sender sends requests to one or several nodes in turn.
@@ -83,6 +85,7 @@
 	defer response.Body.Close()
 	answer := read(response, began)
 	answer.Total = time.Since(began)
+	answer.Attempt = response.Header.Get("Tinarch-Attempt")
 	return answer
 }
 
