Fetch kept parts of prompts; price reading at decode workers

Ruled out: streams that stall (a log of each piece shows a slow, even pace), limits of the relay. Change: one cost model has a fetch of what another worker keeps (5 to 8 ms where reading takes 360), the price of holding up the streams that run where a prompt is read, and prices of moves and reading again in proportion to the site's.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -35,6 +35,16 @@
 	reader scheduling.Candidate
 }
 
+// reading is how the worker that runs a call comes by its prompt.
+type reading struct {
+	// from is where the prompt was read apart, nil where the worker itself reads.
+	from *source
+	// unread counts the tokens that the worker reads.
+	unread int
+	// fetch is the address of a worker that keeps a part of the prompt.
+	fetch string
+}
+
 func (s *session) send(ctx context.Context, to scheduling.Candidate, forward Forward) (*workerconn.Answer, error) {
 	forward.WorkerID = to.ID
 	forward.Remaining = s.remaining()
@@ -51,13 +61,13 @@
 // such a call has not run.
 func (s *session) readApart(ctx context.Context, plan scheduling.Plan) (*Handle, tryEnd) {
 	reader := plan.Reader
-	unread := max(s.call.PromptTokens-reader.CachedTokens, 0)
+	unread := plan.Unread
 	load := worker.Load{Requests: 1, ReadTokens: unread, MemoryTokens: s.call.PromptTokens}
 	s.registry.Begin(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
 	s.offered = true
 	begun := time.Now()
-	answer, err := s.send(ctx, reader, Forward{ReadApart: true})
+	answer, err := s.send(ctx, reader, Forward{ReadApart: true, FetchFrom: plan.Fetch})
 	if err != nil {
 		return nil, s.readFailed(reader, err)
 	}
@@ -117,17 +127,15 @@
 }
 
 // run sends the call to the worker that is to answer it.
-func (s *session) run(ctx context.Context, runner scheduling.Candidate, from *source) tryEnd {
+func (s *session) run(ctx context.Context, runner scheduling.Candidate, prompt reading) tryEnd {
 	s.attempts++
 	s.offered = true
-	unread := 0
-	forward := Forward{ResumeAfter: s.resumeAfter}
+	from := prompt.from
+	forward := Forward{ResumeAfter: s.resumeAfter, FetchFrom: prompt.fetch}
 	if from != nil {
 		forward.Source = &from.handle
-	} else {
-		unread = max(s.call.PromptTokens-runner.CachedTokens, 0)
 	}
-	work := newWork(s.registry, runner, unread, s.call)
+	work := newWork(s.registry, runner, prompt.unread, s.call)
 	defer work.end()
 	answer, err := s.send(ctx, runner, forward)
 	if err != nil {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -67,6 +67,8 @@
 	ReadApart bool
 	// Source is where the prompt was read apart.
 	Source *Handle
+	// FetchFrom is the address of a worker that keeps a part of the prompt.
+	FetchFrom string
 	// ResumeAfter is the last event that the caller has.
 	ResumeAfter string
 }
@@ -120,6 +122,9 @@
 	Detail string
 	// Attempts counts the workers that were sent the request to run.
 	Attempts int
-	// First is the time to the first byte of the answer.
-	First time.Duration
+	// First is the time to the first byte of the answer, and Last to the last piece
+	// that was passed on.
+	First, Last time.Duration
+	// Pieces counts the pieces passed on.
+	Pieces int
 }
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -158,5 +158,7 @@
 	if err := s.caller.Write(piece); err != nil {
 		return errCallerWrite{err}
 	}
+	s.pieces++
+	s.last = time.Since(s.call.Arrived)
 	return nil
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -53,7 +53,8 @@
 	headGiven bool
 	// resumeAfter is the last event that the caller has.
 	resumeAfter string
-	first       time.Duration
+	first, last time.Duration
+	pieces      int
 }
 
 func (s *session) remaining() time.Duration { return time.Until(s.call.Deadline) }
@@ -111,7 +112,7 @@
 func (s *session) end(outcome Outcome) Outcome {
 	outcome.HeadGiven = s.headGiven
 	outcome.Attempts = s.attempts
-	outcome.First = s.first
+	outcome.First, outcome.Last, outcome.Pieces = s.first, s.last, s.pieces
 	return outcome
 }
 
@@ -156,7 +157,7 @@
 // try carries out one plan.
 func (s *session) try(ctx context.Context, plan scheduling.Plan) tryEnd {
 	if plan.Mode == scheduling.Whole {
-		return s.run(ctx, plan.Runner, nil)
+		return s.run(ctx, plan.Runner, reading{unread: plan.Unread, fetch: plan.Fetch})
 	}
 	handle, end := s.readApart(ctx, plan)
 	if handle == nil {
@@ -167,7 +168,7 @@
 		s.release(*handle, plan.Reader)
 		return tryEnd{verdict: notRun, worker: plan.Reader.ID, err: errNoRunner}
 	}
-	return s.run(ctx, runner.Runner, &source{handle: *handle, reader: plan.Reader})
+	return s.run(ctx, runner.Runner, reading{from: &source{handle: *handle, reader: plan.Reader}})
 }
 
 func (s *session) logPlan(plan scheduling.Plan) {
@@ -177,6 +178,7 @@
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
 		"reader_queue": plan.Reader.ReadTokens, "runner_queue": plan.Runner.ReadTokens,
 		"cached": max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
+		"unread": plan.Unread, "fetch": plan.Fetch,
 		"predicted_ms": plan.First.Milliseconds(), "cost": int(min(plan.Cost, 1e9)),
 		"remaining_ms": s.remaining().Milliseconds(),
 	}).Info("planned")
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -50,9 +50,9 @@
 	OnceSeeds []uint64
 	// Findings describe the first answers that were lost, cut or crossed.
 	Findings []Finding
-	workload  Workload
-	sent      int
-	ended     int
+	workload Workload
+	sent     int
+	ended    int
 }
 
 // Finding describes an answer that was lost, cut or crossed, so that it can be
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -85,6 +85,11 @@
 	// Runner is the worker that answers. Where Mode is Apart it is chosen again
 	// when the prompt was read.
 	Runner Candidate
+	// Fetch is the address of a worker from which the one that reads the prompt
+	// takes over what it keeps of it; empty where nothing is to be fetched.
+	Fetch string
+	// Unread is the part of the prompt that is read anew, in tokens.
+	Unread int
 	// First is the predicted time to the first byte.
 	First time.Duration
 	// Cost is what was compared, in milliseconds.
@@ -101,6 +106,13 @@
 	Hop float64
 	// MovePerToken is the time and price of moving one token's KV cache.
 	MovePerToken float64
+	// Fetch is the time of a fetch besides its tokens.
+	Fetch float64
+	// FetchFrom is the fewest tokens that are worth a fetch.
+	FetchFrom int
+	// Interference is the price of a millisecond of reading at a decode engine,
+	// for each request that runs there: it holds up their streams.
+	Interference float64
 	// RereadPerToken is the price of reading a shared token again.
 	RereadPerToken float64
 	// OtherZone is the price of leaving the node's zone, once for each worker.
@@ -123,8 +135,11 @@
 	return Costs{
 		Fixed:          30,
 		Hop:            12,
-		MovePerToken:   0.0008,
-		RereadPerToken: 0.006,
+		MovePerToken:   0.0028,
+		Fetch:          8,
+		FetchFrom:      256,
+		Interference:   0.5,
+		RereadPerToken: 0.0375,
 		OtherZone:      6,
 		Running:        1.5,
 		Failure:        400,
@@ -223,14 +238,18 @@
 // planWhole chooses a decode engine that reads and runs the request.
 func (s *Scheduler) planWhole(request Request, candidates []Candidate) Plan {
 	best := refuse(NoWorker)
-	for _, candidate := range candidates {
+	for i, candidate := range candidates {
 		if candidate.Prefill || request.Excluded[candidate.ID] {
 			continue
 		}
-		reading := s.reading(request, candidate)
-		first := s.costs.Fixed + reading + s.costs.Running*float64(candidate.Requests)
-		cost := first + s.reread(request, candidate) + s.common(candidate) + s.pressure(request, candidate)
-		plan := Plan{Mode: Whole, Runner: candidate, First: milliseconds(first), Cost: cost}
+		reading := s.reading(request, candidates, i)
+		first := s.costs.Fixed + reading.time + s.costs.Running*float64(candidate.Requests)
+		cost := first + reading.price + s.common(candidate) + s.pressure(request, candidate) +
+			s.costs.Interference*reading.own*float64(candidate.Requests)
+		plan := Plan{
+			Mode: Whole, Runner: candidate, Fetch: reading.fetch, Unread: reading.unread,
+			First: milliseconds(first), Cost: cost,
+		}
 		if better(plan, best) {
 			best = plan
 		}
@@ -245,17 +264,17 @@
 		return runner
 	}
 	best := refuse(NoWorker)
-	for _, candidate := range candidates {
+	for i, candidate := range candidates {
 		if !candidate.Prefill || request.Excluded[candidate.ID] || candidate.HandleFailure {
 			continue
 		}
-		reading := s.reading(request, candidate)
+		reading := s.reading(request, candidates, i)
 		move := s.costs.MovePerToken * float64(request.PromptTokens)
-		first := s.costs.Fixed + s.costs.Hop + reading + move
-		cost := first + s.reread(request, candidate) + s.common(candidate) + runner.Cost
+		first := s.costs.Fixed + s.costs.Hop + reading.time + s.costs.Running*float64(runner.Runner.Requests)
+		cost := s.costs.Fixed + s.costs.Hop + reading.time + move + reading.price + s.common(candidate) + runner.Cost
 		plan := Plan{
-			Mode: Apart, Reader: candidate, Runner: runner.Runner,
-			First: milliseconds(first + s.costs.Running*float64(runner.Runner.Requests)), Cost: cost,
+			Mode: Apart, Reader: candidate, Runner: runner.Runner, Fetch: reading.fetch, Unread: reading.unread,
+			First: milliseconds(first), Cost: cost,
 		}
 		if better(plan, best) {
 			best = plan
@@ -280,15 +299,72 @@
 	return best
 }
 
-// reading predicts the wait for the tokens ahead and for those of the request.
-func (s *Scheduler) reading(request Request, candidate Candidate) float64 {
-	uncached := max(request.PromptTokens-candidate.CachedTokens, 0)
-	return float64(candidate.ReadTokens+uncached) / max(candidate.Pace, 0.1)
+// reading is what it takes one worker to have a prompt in memory.
+type reading struct {
+	// time is the wait for the tokens ahead and for those of the request, in
+	// milliseconds, and own the part of it for the request.
+	time, own float64
+	// price is that of shared tokens read again, and of moves.
+	price float64
+	// fetch is where a part of the prompt is taken from.
+	fetch string
+	// unread counts the tokens that are read anew.
+	unread int
+}
+
+// reading compares reading all that the worker lacks with fetching what another
+// worker keeps.
+func (s *Scheduler) reading(request Request, candidates []Candidate, i int) reading {
+	candidate := candidates[i]
+	kept := min(candidate.CachedTokens, request.PromptTokens)
+	best := s.read(request, candidate, kept)
+	source := longest(candidates, i)
+	if source == nil {
+		return best
+	}
+	moved := min(source.CachedTokens, request.PromptTokens) - kept
+	if moved < s.costs.FetchFrom {
+		return best
+	}
+	fetched := s.read(request, candidate, kept+moved)
+	fetched.own += s.costs.Fetch
+	fetched.time += s.costs.Fetch
+	fetched.price += s.costs.MovePerToken * float64(moved)
+	fetched.fetch = source.Address
+	if fetched.time+fetched.price < best.time+best.price {
+		return fetched
+	}
+	return best
+}
+
+// read is the reading of all but the tokens at hand.
+func (s *Scheduler) read(request Request, candidate Candidate, atHand int) reading {
+	unread := request.PromptTokens - atHand
+	pace := max(candidate.Pace, lowestPace)
+	return reading{
+		time:   float64(candidate.ReadTokens+unread) / pace,
+		own:    float64(unread) / pace,
+		price:  s.costs.RereadPerToken * float64(max(request.SharedTokens-atHand, 0)),
+		unread: unread,
+	}
 }
 
-// reread is the price of reading shared tokens that some worker keeps.
-func (s *Scheduler) reread(request Request, candidate Candidate) float64 {
-	return s.costs.RereadPerToken * float64(max(request.SharedTokens-candidate.CachedTokens, 0))
+// lowestPace keeps predictions finite, in tokens a millisecond.
+const lowestPace = 0.1
+
+// longest returns the sound worker other than i that keeps most of the prompt.
+func longest(candidates []Candidate, i int) *Candidate {
+	var found *Candidate
+	for j := range candidates {
+		other := &candidates[j]
+		if j == i || other.Avoid || other.CachedTokens == 0 {
+			continue
+		}
+		if found == nil || other.CachedTokens > found.CachedTokens {
+			found = other
+		}
+	}
+	return found
 }
 
 // pressure is the cost of running where memory is short: running requests would
