Test the serving of routes; stand-ins for the platform's store and workers

Cause: the path to the users' platform had no tests of its own. Change: stand-ins under internal/lab speak the platform's pages; tests of each pure package (properties by rapid), of the connection pool against raw scripted workers, of feeds, digests, adapter, settings, log, and of the whole node over real sockets: at most once under each fault, refusals, resumption, lapsed handles, drains, planned stop, store away, broken configurations. Replace says which workers are new; a worker that keeps idle connections for 0 s is believed.

--- /dev/null
+++ b/internal/digest/digest_test.go
@@ -0,0 +1,156 @@
+package digest
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/worker"
+)
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func registryWith(workers ...string) *worker.Registry {
+	registry := worker.NewRegistry("a")
+	var listed []worker.Worker
+	for _, id := range workers {
+		listed = append(listed, worker.Worker{ID: id, Service: "s"})
+	}
+	registry.Replace(listed)
+	return registry
+}
+
+func TestMessageKeepsASnapshot(t *testing.T) {
+	snapshot := worker.Snapshot{
+		Loads: map[string]worker.Load{"w": {Requests: 1, ReadTokens: 2, MemoryTokens: 3}},
+		Reads: []worker.Read{{Worker: "w", Parts: []prefixcache.Part{{ID: 0xabc, Tokens: 10}, {ID: 1 << 63, Tokens: 0}}}},
+		// A read of nothing is possible too.
+		Failures: []string{"w", "x"},
+	}
+	datagram, err := json.Marshal(newMessage("n", 7, snapshot))
+	if err != nil {
+		t.Fatal(err)
+	}
+	message, err := decode(datagram)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := message.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(snapshot, got); diff != "" || message.Sequence != 7 || message.Node != "n" {
+		t.Error(diff)
+	}
+}
+
+func TestMalformedMessagesAreDropped(t *testing.T) {
+	for _, text := range []string{
+		"", "{", "[]", `{"s":1}`, `{"n":"x","r":[""]}`, `{"n":"x","r":["w 1"]}`, `{"n":"x","r":["w zz:1"]}`,
+		`{"n":"x","r":["w 1:-1"]}`, `{"n":"x","l":{"w":[1,"2",3]}}`,
+	} {
+		message, err := decode([]byte(text))
+		if err == nil {
+			_, err = message.snapshot()
+		}
+		if err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"n":"x","s":1,"l":{"w":[1,2,3]},"r":["w 1:2 3:4"],"f":["w"]}`))
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		message, err := decode(datagram)
+		if err != nil {
+			return
+		}
+		if snapshot, err := message.snapshot(); err == nil {
+			registryWith("w").Merge(message.Node, snapshot, time.Unix(0, 0))
+		}
+	})
+}
+
+// TestOldMessagesAreDropped: datagrams may overtake one another.
+func TestOldMessagesAreDropped(t *testing.T) {
+	registry := registryWith("w")
+	exchange, err := Listen("127.0.0.1:0", "me", registry, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = exchange.conn.Close() }()
+	exchange.take(Message{Node: "other", Sequence: 2, Loads: map[string][3]int{"w": {5, 0, 0}}})
+	exchange.take(Message{Node: "other", Sequence: 1, Loads: map[string][3]int{"w": {9, 0, 0}}})
+	if got := registry.Candidates("s", nil, time.Now())[0].Requests; got != 5 {
+		t.Errorf("%d requests", got)
+	}
+	if exchange.Nodes() != 2 {
+		t.Errorf("%d nodes", exchange.Nodes())
+	}
+	exchange.take(Message{Node: "other", Sequence: 3, Leaving: true})
+	if exchange.Nodes() != 1 {
+		t.Errorf("%d nodes after one has left", exchange.Nodes())
+	}
+}
+
+// TestNodesHearOfEachOther over real datagrams.
+func TestNodesHearOfEachOther(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	registries := []*worker.Registry{registryWith("w"), registryWith("w")}
+	var exchanges []*Exchange
+	for i, name := range []string{"a", "b"} {
+		exchange, err := Listen("127.0.0.1:0", name, registries[i], quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchanges = append(exchanges, exchange)
+	}
+	ended := make(chan struct{})
+	for i, exchange := range exchanges {
+		other := exchanges[1-i]
+		exchange.SetPeers([]Peer{
+			{Node: exchange.node, Address: netip.MustParseAddrPort(exchange.conn.LocalAddr().String())},
+			{Node: other.node, Address: netip.MustParseAddrPort(other.conn.LocalAddr().String())},
+		})
+		go func() { exchange.Run(ctx); ended <- struct{}{} }()
+	}
+	registries[0].Begin("w", worker.Load{Requests: 3})
+	for end := time.Now().Add(20 * time.Second); registries[1].Candidates("s", nil, time.Now())[0].Requests != 3; {
+		if time.Now().After(end) {
+			t.Fatal("the load of one node isn't known at the other")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	cancel()
+	<-ended
+	<-ended
+}
+
+func TestReadsAreToldTwiceAndFailuresOnce(t *testing.T) {
+	read := worker.Snapshot{Reads: []worker.Read{{Worker: "w"}}, Failures: []string{"w"}}
+	var recent []worker.Snapshot
+	told := 0
+	for _, snapshot := range []worker.Snapshot{read, {}, {}} {
+		recent = remember(recent, snapshot)
+		sent := withRecent(snapshot, recent)
+		told += len(sent.Reads)
+		if len(sent.Failures) != len(snapshot.Failures) {
+			t.Error("a failure is told twice")
+		}
+	}
+	if told != 2 || recent != nil {
+		t.Errorf("a read is told %d times; %d snapshots are kept", told, len(recent))
+	}
+}
--- /dev/null
+++ b/internal/dispatch/events_test.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const streamText = "id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\n: note\n\nid:3\ndata: d\n\nid: 4\ndata: cut"
+
+// TestEventCutterGivesWholeEvents: however a stream is cut into pieces, what is
+// given out are whole events, and the last id is theirs.
+func TestEventCutterGivesWholeEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cutter, given, last := &eventCutter{}, "", "0"
+		for text := streamText; text != ""; {
+			size := rapid.IntRange(1, len(text)).Draw(t, "size")
+			whole := cutter.add([]byte(text[:size]))
+			if len(whole) > 0 {
+				given += string(whole)
+				last = cutter.lastID(last)
+			}
+			text = text[size:]
+		}
+		const rest = "id: 4\ndata: cut"
+		if given+rest != streamText || string(cutter.rest()) != rest || last != "3" {
+			t.Fatalf("given %q, rest %q, last id %s", given, cutter.rest(), last)
+		}
+	})
+}
+
+func TestLastIDWithoutOne(t *testing.T) {
+	cutter := &eventCutter{}
+	cutter.add([]byte("data: a\n\n"))
+	if got := cutter.lastID("7"); got != "7" {
+		t.Errorf("%q", got)
+	}
+}
--- /dev/null
+++ b/internal/lab/fleetstore/store.go
@@ -0,0 +1,274 @@
+// Package fleetstore is a stand-in for the store of the users' platform: rows in
+// tables under one rising version, changes as a feed, transactions under
+// conditions. It speaks the platform's protocol and can be told to fail.
+package fleetstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Row is a row as it goes over the wire.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string
+	Value   []byte `json:",omitempty"`
+	Version uint64 `json:"ver"`
+	Gone    bool   `json:"gone,omitempty"`
+}
+
+// Faults are what the store can be told to do.
+type Faults struct {
+	// Down refuses all calls with 503.
+	Down bool
+	// Throttled refuses all calls with 429.
+	Throttled bool
+	// LoseWrites carries writes out and does not answer them.
+	LoseWrites bool
+	// StaleReads answers reads as of this version, zero for the newest.
+	StaleReads uint64
+}
+
+// Store is a running stand-in.
+type Store struct {
+	server *httptest.Server
+
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]Row
+	history []Row
+	// forgotten is the version up to which the history is gone.
+	forgotten uint64
+	changed   chan struct{}
+	faults    Faults
+	calls     int
+}
+
+// Start runs a store on a port of its own.
+func Start() *Store {
+	s := &Store{rows: make(map[string]Row), changed: make(chan struct{})}
+	router := chi.NewRouter()
+	router.Use(s.fail)
+	router.Get("/v1/rows-get", s.get)
+	router.Get("/v1/rows-feed", s.feed)
+	router.Post("/v1/rows-tx", s.transact)
+	s.server = httptest.NewServer(router)
+	return s
+}
+
+// Address returns IP:PORT.
+func (s *Store) Address() string { return strings.TrimPrefix(s.server.URL, "http://") }
+
+// Close ends the store.
+func (s *Store) Close() {
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Forget drops the history, as after a compaction.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.forgotten = s.version
+	s.wake()
+}
+
+// Put writes a row as the operator or a worker does. A nil value removes it.
+func (s *Store) Put(table, key string, value any) uint64 {
+	row := Row{Table: table, Key: key}
+	if value == nil {
+		row.Gone = true
+	} else {
+		row.Value, _ = json.Marshal(value)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write([]Row{row})
+	return s.version
+}
+
+// Rows returns the rows of a table in order of their keys.
+func (s *Store) Rows(table string) []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.of(table)
+}
+
+func (s *Store) of(table string) []Row {
+	rows := []Row{}
+	for _, row := range s.rows {
+		if row.Table == table {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(left, right Row) int { return strings.Compare(left.Key, right.Key) })
+	return rows
+}
+
+func (s *Store) write(rows []Row) {
+	s.version++
+	for _, row := range rows {
+		row.Version = s.version
+		name := row.Table + "/" + row.Key
+		if row.Gone {
+			delete(s.rows, name)
+		} else {
+			s.rows[name] = row
+		}
+		s.history = append(s.history, row)
+	}
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) fail(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		s.mu.Lock()
+		s.calls++
+		faults := s.faults
+		s.mu.Unlock()
+		switch {
+		case faults.Down:
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		case faults.Throttled:
+			writer.WriteHeader(http.StatusTooManyRequests)
+		default:
+			next.ServeHTTP(writer, request)
+		}
+	})
+}
+
+type answer struct {
+	Rows    []Row
+	More    bool   `json:"more"`
+	Version uint64 `json:"ver"`
+	Now     int64  `json:"now_ms"`
+}
+
+func (s *Store) reply(writer http.ResponseWriter, status int, rows []Row, version uint64) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(answer{Rows: rows, Version: version, Now: time.Now().UnixMilli()})
+}
+
+func (s *Store) get(writer http.ResponseWriter, request *http.Request) {
+	s.mu.Lock()
+	rows, version := s.of(request.URL.Query().Get("table")), s.version
+	if s.faults.StaleReads > 0 {
+		version = s.faults.StaleReads
+	}
+	s.mu.Unlock()
+	s.reply(writer, http.StatusOK, rows, version)
+}
+
+func (s *Store) feed(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("WaitMs"))
+	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer limit.Stop()
+	for {
+		s.mu.Lock()
+		rows, version, changed := s.since(query.Get("table"), after), s.version, s.changed
+		gone := after < s.forgotten
+		s.mu.Unlock()
+		if gone {
+			writer.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(rows) > 0 {
+			s.reply(writer, http.StatusOK, rows, version)
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			s.reply(writer, http.StatusOK, rows, version)
+			return
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(table string, after uint64) []Row {
+	rows := []Row{}
+	for _, row := range s.history {
+		if row.Table == table && row.Version > after {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+type transaction struct {
+	IfRevision []Row
+	Put        []Row `json:"put"`
+	Remove     []Row
+}
+
+func (s *Store) transact(writer http.ResponseWriter, request *http.Request) {
+	var wanted transaction
+	if err := json.NewDecoder(request.Body).Decode(&wanted); err != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	if differing := s.differing(wanted.IfRevision); len(differing) > 0 {
+		version := s.version
+		s.mu.Unlock()
+		s.reply(writer, http.StatusPreconditionFailed, differing, version)
+		return
+	}
+	for i := range wanted.Remove {
+		wanted.Remove[i].Gone = true
+	}
+	s.write(append(wanted.Put, wanted.Remove...))
+	version, lose := s.version, s.faults.LoseWrites
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	s.reply(writer, http.StatusOK, nil, version)
+}
+
+// differing returns the rows of a condition that don't have the version wanted.
+func (s *Store) differing(conditions []Row) []Row {
+	var differing []Row
+	for _, condition := range conditions {
+		row, exists := s.rows[condition.Table+"/"+condition.Key]
+		if !exists && condition.Version != 0 || exists && row.Version != condition.Version {
+			row.Table, row.Key = condition.Table, condition.Key
+			differing = append(differing, row)
+		}
+	}
+	return differing
+}
--- /dev/null
+++ b/internal/scheduling/scheduling_test.go
@@ -0,0 +1,170 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+)
+
+func reader(id string, change ...func(*Candidate)) Candidate {
+	return candidate(Candidate{ID: id, Prefill: true, Pace: 36, Capacity: 400_000, Slots: 64}, change)
+}
+
+func writer(id string, change ...func(*Candidate)) Candidate {
+	return candidate(Candidate{ID: id, Decode: true, Pace: 18, Capacity: 400_000, Slots: 64}, change)
+}
+
+func opaque(id string, change ...func(*Candidate)) Candidate {
+	return candidate(Candidate{ID: id, Slots: 6}, change)
+}
+
+func candidate(c Candidate, changes []func(*Candidate)) Candidate {
+	c.Address, c.SameZone = "at-"+c.ID, true
+	for _, change := range changes {
+		change(&c)
+	}
+	return c
+}
+
+func cached(tokens int) func(*Candidate) { return func(c *Candidate) { c.CachedTokens = tokens } }
+func queued(tokens int) func(*Candidate) { return func(c *Candidate) { c.ReadTokens = tokens } }
+func running(count int) func(*Candidate) { return func(c *Candidate) { c.Requests = count } }
+func avoided(c *Candidate)               { c.Avoid = true }
+func otherZone(c *Candidate)             { c.SameZone = false }
+func lapsing(c *Candidate)               { c.HandleFailure = true }
+
+func prompt(change ...func(*Request)) Request {
+	request := Request{PromptTokens: 17_000, SharedTokens: 13_300, OutputTokens: 15, Objective: 800 * time.Millisecond, Remaining: 6 * time.Second}
+	for _, c := range change {
+		c(&request)
+	}
+	return request
+}
+
+func excluding(ids ...string) func(*Request) {
+	return func(r *Request) {
+		r.Excluded = map[string]bool{}
+		for _, id := range ids {
+			r.Excluded[id] = true
+		}
+	}
+}
+
+func short(r *Request) { r.PromptTokens, r.SharedTokens = 200, 100 }
+
+func TestPlans(t *testing.T) {
+	scheduler := New(DefaultCosts())
+	for _, example := range []struct {
+		name       string
+		request    Request
+		candidates []Candidate
+		mode       Mode
+		reason     Reason
+		reader     string
+		runner     string
+		fetch      string
+	}{
+		{name: "no workers", request: prompt(), mode: Refused, reason: NoWorker},
+		{
+			name: "a long prompt is read apart", request: prompt(),
+			candidates: []Candidate{reader("p"), writer("d")}, mode: Apart, reader: "p", runner: "d",
+		},
+		{
+			name: "a short prompt runs whole", request: prompt(short),
+			candidates: []Candidate{reader("p"), writer("d")}, mode: Whole, runner: "d",
+		},
+		{
+			name: "the worker that keeps the shared part reads", request: prompt(),
+			candidates: []Candidate{reader("p1"), reader("p2", cached(13_300)), writer("d")}, mode: Apart, reader: "p2", runner: "d",
+		},
+		{
+			name: "what a busy worker keeps is fetched", request: prompt(),
+			candidates: []Candidate{reader("p1"), reader("p2", cached(13_300), queued(20_000)), writer("d")},
+			mode:       Apart, reader: "p1", runner: "d", fetch: "at-p2",
+		},
+		{
+			name: "nothing is fetched from a worker that failed just now", request: prompt(),
+			candidates: []Candidate{reader("p1"), reader("p2", cached(13_300), queued(40_000), avoided), writer("d")},
+			mode:       Apart, reader: "p1", runner: "d",
+		},
+		{
+			name: "streams that run keep reading away from their worker", request: prompt(short),
+			candidates: []Candidate{writer("d1", running(40)), writer("d2", running(2))}, mode: Whole, runner: "d2",
+		},
+		{
+			name: "prompts aren't read where handles lapse", request: prompt(),
+			candidates: []Candidate{reader("p", lapsing), writer("d")}, mode: Whole, runner: "d",
+		},
+		{
+			name: "no decode worker", request: prompt(),
+			candidates: []Candidate{reader("p")}, mode: Refused, reason: NoWorker,
+		},
+		{
+			name: "only prefill workers failed it", request: prompt(excluding("p")),
+			candidates: []Candidate{reader("p"), writer("d")}, mode: Whole, runner: "d",
+		},
+		{
+			name: "too late to be of use", request: prompt(),
+			candidates: []Candidate{reader("p", queued(200_000)), writer("d", queued(100_000))}, mode: Refused, reason: TooLate,
+		},
+		{
+			name: "late, but nothing waits: it is served", request: prompt(func(r *Request) { r.Objective = 0 }),
+			candidates: []Candidate{reader("p"), writer("d")}, mode: Apart, reader: "p", runner: "d",
+		},
+		{
+			name: "an opaque request goes to the least busy", request: Request{},
+			candidates: []Candidate{opaque("a", running(3)), opaque("b", running(1))}, mode: Whole, runner: "b",
+		},
+		{
+			name: "and stays in its zone where that costs little", request: Request{},
+			candidates: []Candidate{opaque("a", otherZone), opaque("b", running(1))}, mode: Whole, runner: "b",
+		},
+		{
+			name: "but leaves it for room", request: Request{},
+			candidates: []Candidate{opaque("a", otherZone), opaque("b", running(6))}, mode: Whole, runner: "a",
+		},
+		{
+			name: "a worker that failed just now is better than none", request: Request{},
+			candidates: []Candidate{opaque("a", avoided)}, mode: Whole, runner: "a",
+		},
+		{
+			name: "a worker that failed this request is not", request: Request{Excluded: map[string]bool{"a": true}},
+			candidates: []Candidate{opaque("a")}, mode: Refused, reason: NoWorker,
+		},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			plan := scheduler.Plan(example.request, example.candidates)
+			if plan.Mode != example.mode || plan.Reason != example.reason || plan.Fetch != example.fetch {
+				t.Fatalf("mode %q, reason %q, fetch %q", plan.Mode, plan.Reason, plan.Fetch)
+			}
+			if plan.Mode != Refused && (plan.Reader.ID != example.reader || plan.Runner.ID != example.runner) {
+				t.Errorf("reader %q, runner %q", plan.Reader.ID, plan.Runner.ID)
+			}
+			if plan.Mode == Refused && plan.RetryAfter <= 0 {
+				t.Error("a refusal does not say when to come back")
+			}
+		})
+	}
+}
+
+// TestPredictionGrowsWithTheQueue: the time to the first byte is that of the tokens
+// ahead and those of the request.
+func TestPredictionGrowsWithTheQueue(t *testing.T) {
+	scheduler := New(DefaultCosts())
+	last := time.Duration(0)
+	for _, ahead := range []int{0, 5_000, 10_000} {
+		plan := scheduler.Plan(prompt(func(r *Request) { r.Objective = time.Hour }), []Candidate{reader("p", queued(ahead)), writer("d")})
+		if plan.First <= last {
+			t.Errorf("with %d tokens ahead %v is predicted, with fewer %v", ahead, plan.First, last)
+		}
+		last = plan.First
+	}
+}
+
+// TestMemoryPressureMovesRuns: a full decode engine would put runs aside.
+func TestMemoryPressureMovesRuns(t *testing.T) {
+	full := writer("d1", func(c *Candidate) { c.MemoryTokens = 395_000 })
+	plan := New(DefaultCosts()).Runner(prompt(), []Candidate{full, writer("d2", running(10), otherZone)})
+	if plan.Runner.ID != "d2" {
+		t.Errorf("runs at %s", plan.Runner.ID)
+	}
+}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -215,3 +215,9 @@
 	}
 	n.pool.Close()
 }
+
+// Workers returns the number of workers known.
+func (n *Node) Workers() int { return n.registry.Count() }
+
+// Draining returns the number of workers known to drain.
+func (n *Node) Draining() int { return n.registry.Draining() }
--- /dev/null
+++ b/internal/settings/routed_test.go
@@ -0,0 +1,56 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+const routedExample = `
+node: {name: front-1, zone: a}
+listen: {callers: "10.0.0.1:80", readiness: "10.0.0.1:81", exchange: "10.0.0.1:82", metrics: "10.0.0.1:83"}
+store: {address: "10.0.0.9:90"}
+`
+
+func TestRoutedSettings(t *testing.T) {
+	got, err := ParseRouted("file", []byte(routedExample))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Node.Name != "front-1" || got.Store.Address != "10.0.0.9:90" || got.Bounds.RetryRatio != 0.2 || got.Log.Level != "info" {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestRoutedSettingsNameEveryMistake(t *testing.T) {
+	_, err := ParseRouted("file", []byte(`node: {name: "Front 1"}
+listen: {callers: "localhost:80"}
+store: {address: nowhere}
+limits: {memory_mb: 1}
+bounds: {retry_ratio: -1, stop_ms: 5, lease_ms: 0}
+log: {level: loud}
+`))
+	if err == nil {
+		t.Fatal("mistakes were taken")
+	}
+	for _, part := range []string{
+		"line 1: node.name", "node.zone", "line 2: listen.callers", "listen.readiness", "listen.exchange", "listen.metrics",
+		"line 3: store.address", "line 4: limits.memory_mb", "line 5: bounds.retry_ratio", "bounds.stop_ms", "bounds.lease_ms", "line 6: log.level", "[7001",
+	} {
+		if !strings.Contains(err.Error(), part) {
+			t.Errorf("%q is not told in:\n%v", part, err)
+		}
+	}
+}
+
+func TestRoutedSettingsRefuseUnknownKeys(t *testing.T) {
+	for _, text := range []string{routedExample + "odd: 1\n", "node: {nmae: x}\n", "node: [", "\x00"} {
+		if _, err := ParseRouted("file", []byte(text)); err == nil || !strings.Contains(err.Error(), "file") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+func FuzzParseRouted(f *testing.F) {
+	f.Add([]byte(routedExample))
+	f.Fuzz(func(_ *testing.T, content []byte) { _, _ = ParseRouted("file", content) })
+}
--- /dev/null
+++ b/internal/tablefeed/tablefeed_test.go
@@ -0,0 +1,100 @@
+package tablefeed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+)
+
+// step is one answer of a scripted store.
+type step struct {
+	call    string
+	rows    []Row
+	version Version
+	err     error
+}
+
+// scripted answers by a script, and ends the feed after it.
+type scripted struct {
+	t      *testing.T
+	steps  []step
+	cancel context.CancelFunc
+	taken  []string
+}
+
+func (s *scripted) next(call string) ([]Row, Version, error) {
+	if len(s.steps) == 0 {
+		s.cancel()
+		return nil, 0, context.Canceled
+	}
+	next := s.steps[0]
+	s.steps = s.steps[1:]
+	if next.call != call {
+		s.t.Errorf("the feed made the call %q, want %q", call, next.call)
+	}
+	return next.rows, next.version, next.err
+}
+
+func (s *scripted) Read(context.Context, string) ([]Row, Version, error) { return s.next("read") }
+
+func (s *scripted) Changes(_ context.Context, _ string, after Version, _ time.Duration) ([]Row, Version, error) {
+	return s.next(fmt.Sprintf("changes after %d", after))
+}
+
+func (s *scripted) Reset(rows []Row, version Version) {
+	s.taken = append(s.taken, fmt.Sprintf("reset to %d with %d", version, len(rows)))
+}
+
+func (s *scripted) Apply(rows []Row, version Version) {
+	s.taken = append(s.taken, fmt.Sprintf("apply %d with %d", version, len(rows)))
+}
+
+func play(t *testing.T, steps ...step) []string {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &scripted{t: t, steps: steps, cancel: cancel}
+	New(s, "table", s, log).Run(ctx)
+	return s.taken
+}
+
+func TestFollowsATable(t *testing.T) {
+	rows := []Row{{Key: "k"}}
+	got := play(t,
+		step{call: "read", err: errors.New("down")},
+		step{call: "read", rows: rows, version: 5},
+		step{call: "changes after 5", version: 6},
+		step{call: "changes after 6", err: errors.New("cut")},
+		step{call: "changes after 6", rows: rows, version: 8},
+		step{call: "changes after 8", err: ErrHistoryGone},
+		step{call: "read", version: 9},
+		step{call: "changes after 9", rows: rows, version: 10},
+	)
+	want := []string{"reset to 5 with 1", "apply 8 with 1", "reset to 9 with 0", "apply 10 with 1"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestNeverGoesBack: a stale read after a forgotten history is asked again.
+func TestNeverGoesBack(t *testing.T) {
+	got := play(t,
+		step{call: "read", version: 5},
+		step{call: "changes after 5", err: ErrHistoryGone},
+		step{call: "read", version: 4},
+		step{call: "read", version: 5},
+		step{call: "changes after 5", version: 3},
+		step{call: "changes after 5", version: 6},
+	)
+	want := []string{"reset to 5 with 0", "reset to 5 with 0"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -124,9 +124,10 @@
 	listed := make(map[string]bool, len(workers))
 	for _, worker := range workers {
 		listed[worker.ID] = true
-		if r.put(worker) {
+		if _, known := r.workers[worker.ID]; !known {
 			added = append(added, worker.ID)
 		}
+		r.put(worker)
 	}
 	for id := range r.workers {
 		if !listed[id] {
@@ -150,6 +151,7 @@
 	return known
 }
 
+// put records an entry, and reports whether that changed anything.
 func (r *Registry) put(worker Worker) bool {
 	known, exists := r.workers[worker.ID]
 	if exists {
@@ -345,3 +347,16 @@
 		known.reported = reportedLoad{running: running, waiting: waiting, at: now}
 	}
 }
+
+// Draining returns the number of listed workers that get no new requests.
+func (r *Registry) Draining() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, known := range r.workers {
+		if known.worker.Draining {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/worker/registry_test.go
@@ -0,0 +1,173 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/scheduling"
+)
+
+var origin = time.Unix(1000, 0)
+
+func newTestRegistry() *Registry {
+	r := NewRegistry("a")
+	r.SetMemory("llm", 1000)
+	r.Replace([]Worker{
+		{ID: "p", Service: "llm", Address: "1:1", Zone: "a", Slots: 8, Stage: Prefill},
+		{ID: "d", Service: "llm", Address: "1:2", Zone: "b", Slots: 8, Stage: Decode},
+		{ID: "leaving", Service: "llm", Address: "1:3", Zone: "a", Draining: true},
+		{ID: "board", Service: "portal", Address: "1:4", Zone: "a"},
+	})
+	return r
+}
+
+func find(t *testing.T, r *Registry, id string, parts []prefixcache.Part, now time.Time) scheduling.Candidate {
+	t.Helper()
+	for _, service := range []string{"llm", "portal"} {
+		for _, candidate := range r.Candidates(service, parts, now) {
+			if candidate.ID == id {
+				return candidate
+			}
+		}
+	}
+	t.Fatalf("%s is no candidate", id)
+	return scheduling.Candidate{}
+}
+
+func TestCandidatesAreTheServicesWorkersThatStay(t *testing.T) {
+	r := newTestRegistry()
+	got := map[string]bool{}
+	for _, candidate := range r.Candidates("llm", nil, origin) {
+		got[candidate.ID] = true
+	}
+	if diff := cmp.Diff(map[string]bool{"p": true, "d": true}, got); diff != "" {
+		t.Error(diff)
+	}
+	if !find(t, r, "p", nil, origin).SameZone || find(t, r, "d", nil, origin).SameZone {
+		t.Error("zones are mistaken")
+	}
+}
+
+func TestChangesOfTheList(t *testing.T) {
+	r := newTestRegistry()
+	same, _ := r.Get("p")
+	if r.Apply(Change{ID: "p", Worker: &same}) {
+		t.Error("an entry that is the same counts as a change")
+	}
+	same.Draining = true
+	if !r.Apply(Change{ID: "p", Worker: &same}) || r.Draining() != 2 {
+		t.Error("draining is no change")
+	}
+	if !r.Apply(Change{ID: "p"}) || r.Apply(Change{ID: "p"}) {
+		t.Error("a removal counts once")
+	}
+	added, gone := r.Replace([]Worker{{ID: "new", Service: "llm"}, {ID: "d", Service: "llm"}})
+	if len(added) != 1 || added[0] != "new" || len(gone) != 2 {
+		t.Errorf("added %v, gone %v", added, gone)
+	}
+}
+
+// TestLoadOfAllNodesIsAdded, and a silent node's load fades.
+func TestLoadOfAllNodesIsAdded(t *testing.T) {
+	r := newTestRegistry()
+	r.Begin("p", Load{Requests: 1, ReadTokens: 100, MemoryTokens: 10})
+	r.Merge("other", Snapshot{Loads: map[string]Load{"p": {Requests: 2, ReadTokens: 50}}}, origin)
+	if got := find(t, r, "p", nil, origin); got.Requests != 3 || got.ReadTokens != 150 || got.MemoryTokens != 10 {
+		t.Errorf("%+v", got)
+	}
+	r.Merge("other", Snapshot{}, origin)
+	if got := find(t, r, "p", nil, origin); got.Requests != 1 {
+		t.Errorf("a finished load of another node counts: %+v", got)
+	}
+	r.Merge("other", Snapshot{Loads: map[string]Load{"p": {Requests: 2}}}, origin)
+	if got := find(t, r, "p", nil, origin.Add(remoteLife+1)); got.Requests != 1 {
+		t.Errorf("a silent node's load counts: %+v", got)
+	}
+	r.End("p", Load{Requests: 1, ReadTokens: 100, MemoryTokens: 10})
+	if got := find(t, r, "p", nil, origin.Add(time.Hour)); got.Requests != 0 || got.ReadTokens != 0 {
+		t.Errorf("an ended load counts: %+v", got)
+	}
+}
+
+// TestOwnWordOfAWorkerCounts where it is more than what nodes placed, and for a
+// short while.
+func TestOwnWordOfAWorkerCounts(t *testing.T) {
+	r := newTestRegistry()
+	r.Reported("board", 4, 2, origin)
+	if got := find(t, r, "board", nil, origin); got.Requests != 6 {
+		t.Errorf("%d requests", got.Requests)
+	}
+	if got := find(t, r, "board", nil, origin.Add(reportLife)); got.Requests != 0 {
+		t.Errorf("%d requests later", got.Requests)
+	}
+}
+
+// TestNewsTravels: what one node read, and which workers failed it, is known at the
+// other, once.
+func TestNewsTravels(t *testing.T) {
+	parts := []prefixcache.Part{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}}
+	here, there := newTestRegistry(), newTestRegistry()
+	here.Cached("p", parts, origin)
+	here.Failed("d", origin)
+	here.Begin("p", Load{Requests: 1})
+	before := here.Version()
+	snapshot, version := here.Snapshot()
+	if version != before {
+		t.Error("telling is a change")
+	}
+	there.Merge("here", snapshot, origin)
+	if got := find(t, there, "p", parts, origin); got.CachedTokens != 150 || got.Requests != 1 {
+		t.Errorf("%+v", got)
+	}
+	if !find(t, there, "d", nil, origin).Avoid {
+		t.Error("a failure at another node isn't known")
+	}
+	again, _ := here.Snapshot()
+	if len(again.Reads) != 0 || len(again.Failures) != 0 {
+		t.Errorf("told twice: %+v", again)
+	}
+	if told, _ := there.Snapshot(); len(told.Reads) != 0 || len(told.Failures) != 0 {
+		t.Errorf("hearsay is passed on: %+v", told)
+	}
+}
+
+func TestHandleFailuresAreApart(t *testing.T) {
+	r := newTestRegistry()
+	r.HandleFailed("p", origin)
+	if got := find(t, r, "p", nil, origin); !got.HandleFailure || got.Avoid {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestUnknownWorkersAreIgnored(t *testing.T) {
+	r := newTestRegistry()
+	r.Begin("gone", Load{Requests: 1})
+	r.Cached("gone", nil, origin)
+	r.Failed("gone", origin)
+	r.Succeeded("gone", origin)
+	r.ObserveRead("gone", 5000, time.Second)
+	if snapshot, _ := r.Snapshot(); len(snapshot.Loads)+len(snapshot.Reads)+len(snapshot.Failures) != 0 {
+		t.Errorf("%+v", snapshot)
+	}
+}
+
+// TestPaceOfTheGroupHoldsForANewWorker until it was measured itself.
+func TestPaceOfTheGroupHoldsForANewWorker(t *testing.T) {
+	r := newTestRegistry()
+	for range 30 {
+		r.ObserveRead("p", 10_000, 125*time.Millisecond)
+	}
+	r.Apply(Change{ID: "p2", Worker: &Worker{ID: "p2", Service: "llm", Stage: Prefill}})
+	if pace := find(t, r, "p2", nil, origin).Pace; pace < 90 {
+		t.Errorf("a new worker is assumed to read %v tokens a millisecond", pace)
+	}
+	for range ownSamples + 30 {
+		r.ObserveRead("p2", 10_000, 1025*time.Millisecond)
+	}
+	if pace := find(t, r, "p2", nil, origin).Pace; pace > 15 {
+		t.Errorf("a slow worker is assumed to read %v tokens a millisecond", pace)
+	}
+}
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// keepAlive returns how long the worker keeps an idle connection, zero where it
-// doesn't say.
+// keepAlive returns how long the worker keeps an idle connection, defaultIdle
+// where it doesn't say.
 func keepAlive(header http.Header) time.Duration {
 	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
@@ -198,5 +198,5 @@
 			}
 		}
 	}
-	return 0
+	return defaultIdle
 }
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -145,10 +145,7 @@
 
 func (p *Pool) put(key string, c *conn, limit time.Duration) {
 	c.idleSince = time.Now()
-	c.idleLimit = defaultIdle
-	if limit > 0 {
-		c.idleLimit = limit - idleMargin
-	}
+	c.idleLimit = limit - idleMargin
 	_ = c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
