Route plain HTTP services by host and path on tinarch's own platform

Change: Service and Route in the schema, with validation, apply, get, delete and check; each node puts their table before the models' interface; workers are machines of kind worker; the same dispatcher, scheduler, pool and front serve them, with tinarch's own header names (plainwire). Ruled out: a second forwarding path for the product's own home.

--- a/cmd/tinarch/catalog.go
+++ b/cmd/tinarch/catalog.go
@@ -72,10 +72,12 @@
 	"adapter": tinarchv1.ObjectType_OBJECT_TYPE_ADAPTER,
 	"pool":    tinarchv1.ObjectType_OBJECT_TYPE_POOL,
 	"tenant":  tinarchv1.ObjectType_OBJECT_TYPE_TENANT,
+	"service": tinarchv1.ObjectType_OBJECT_TYPE_SERVICE,
+	"route":   tinarchv1.ObjectType_OBJECT_TYPE_ROUTE,
 }
 
 type deleteCommand struct {
-	Type   string  `arg:"positional,required" help:"class, kind, model, version, adapter, pool or tenant"`
+	Type   string  `arg:"positional,required" help:"class, kind, model, version, adapter, pool, tenant, service or route"`
 	Name   string  `arg:"positional,required" help:"name; model/version for a version"`
 	Expect *uint64 `arg:"--expect" help:"revision that the change was made against (default: the one in force)"`
 }
@@ -124,6 +126,21 @@
 	for _, tenant := range stored.GetTenants() {
 		rows.Add("tenant", tenant.GetName(), fmt.Sprintf("class %s, %d keys", tenant.GetPriorityClass(), len(tenant.GetKeySha256())))
 	}
+	listRoutes(rows, stored)
+}
+
+func listRoutes(rows *cli.Rows, stored *tinarchv1.Catalog) {
+	for _, service := range stored.GetServices() {
+		rows.Add("service", service.GetName(), fmt.Sprintf("%d connections a worker", service.GetMaxConnections()))
+	}
+	for _, route := range stored.GetRoutes() {
+		var targets []string
+		for _, target := range route.GetTargets() {
+			targets = append(targets, fmt.Sprintf("%s %d", target.GetService(), target.GetWeight()))
+		}
+		rows.Add("route", route.GetName(), fmt.Sprintf("%s%s to %s, timeout %d ms",
+			route.GetHost(), route.GetPathPrefix(), strings.Join(targets, ", "), route.GetTimeoutMs()))
+	}
 }
 
 type watchCommand struct{}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -51,6 +51,8 @@
 	next.Adapters = upsert(next.Adapters, put.Adapters, nameKey)
 	next.Pools = upsert(next.Pools, put.Pools, nameKey)
 	next.Tenants = upsert(next.Tenants, put.Tenants, nameKey)
+	next.Services = upsert(next.Services, put.Services, nameKey)
+	next.Routes = upsert(next.Routes, put.Routes, nameKey)
 	for _, reference := range change.Delete {
 		if !remove(next, reference) {
 			return nil, result.New(result.NotFound, "%s %q can't be deleted: it does not exist",
@@ -95,6 +97,10 @@
 		return deleteKey(&catalog.Pools, name, nameKey)
 	case tinarchv1.ObjectType_OBJECT_TYPE_TENANT:
 		return deleteKey(&catalog.Tenants, name, nameKey)
+	case tinarchv1.ObjectType_OBJECT_TYPE_SERVICE:
+		return deleteKey(&catalog.Services, name, nameKey)
+	case tinarchv1.ObjectType_OBJECT_TYPE_ROUTE:
+		return deleteKey(&catalog.Routes, name, nameKey)
 	}
 	return false
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -8,6 +8,7 @@
 
 	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
 	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/routing"
 )
 
 func readExample(t *testing.T) *tinarchv1.Catalog {
@@ -137,3 +138,80 @@
 		}
 	})
 }
+
+func routedCatalog() *tinarchv1.Catalog {
+	return &tinarchv1.Catalog{
+		Services: []*tinarchv1.Service{{Name: "board"}, {Name: "board-next", Slots: 4}},
+		Routes: []*tinarchv1.Route{{
+			Name: "sync", Host: "match.example", PathPrefix: "/sync/", Kind: tinarchv1.RouteKind_ROUTE_KIND_IDEMPOTENT, TimeoutMs: 3000, MaxAttempts: 2,
+			Targets: []*tinarchv1.RouteTarget{{Service: "board", Weight: 90}, {Service: "board-next", Weight: 10}},
+		}},
+	}
+}
+
+func TestRoutesAreCompiled(t *testing.T) {
+	snapshot, err := Compile(3, routedCatalog())
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, err := snapshot.Routes(routing.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	route := table.Match("match.example:8080", "/sync/7")
+	if route == nil || route.Objective != route.Timeout || route.MaxAttempts != 2 || len(route.Targets) != 2 || table.Version != 3 {
+		t.Errorf("%+v", route)
+	}
+	if snapshot.SlotsOf("board") != defaultSlots || snapshot.SlotsOf("board-next") != 4 {
+		t.Error("slots are mistaken")
+	}
+}
+
+func TestRoutesAreChecked(t *testing.T) {
+	for _, example := range []struct {
+		name, object, field string
+		change              func(*tinarchv1.Catalog)
+	}{
+		{"dangling service", "route sync", "targets", func(c *tinarchv1.Catalog) { c.Routes[0].Targets[0].Service = "none" }},
+		{"no weight", "route sync", "targets", func(c *tinarchv1.Catalog) { c.Routes[0].Targets = nil }},
+		{"host with port", "route sync", "host", func(c *tinarchv1.Catalog) { c.Routes[0].Host = "a:80" }},
+		{"prefix without slash", "route sync", "path_prefix", func(c *tinarchv1.Catalog) { c.Routes[0].PathPrefix = "/sync" }},
+		{"no kind", "route sync", "kind", func(c *tinarchv1.Catalog) { c.Routes[0].Kind = 0 }},
+		{"resumable that does not stream", "route sync", "resumable", func(c *tinarchv1.Catalog) { c.Routes[0].Resumable = true }},
+		{"no timeout", "route sync", "timeout_ms", func(c *tinarchv1.Catalog) { c.Routes[0].TimeoutMs = 0 }},
+		{"late objective", "route sync", "objective_ms", func(c *tinarchv1.Catalog) { c.Routes[0].ObjectiveMs = 3001 }},
+		{"many attempts", "route sync", "max_attempts", func(c *tinarchv1.Catalog) { c.Routes[0].MaxAttempts = 17 }},
+		{"priority", "route sync", "priority", func(c *tinarchv1.Catalog) { c.Routes[0].Priority = 10 }},
+		{"same place twice", "route again", "path_prefix", func(c *tinarchv1.Catalog) {
+			again := proto.Clone(c.Routes[0]).(*tinarchv1.Route)
+			again.Name = "again"
+			c.Routes = append(c.Routes, again)
+		}},
+		{"name twice", "service board", "name", func(c *tinarchv1.Catalog) { c.Services = append(c.Services, c.Services[0]) }},
+	} {
+		catalog := routedCatalog()
+		example.change(catalog)
+		found := false
+		for _, violation := range Validate(catalog) {
+			found = found || violation.GetObject() == example.object && violation.GetField() == example.field
+		}
+		if !found {
+			t.Errorf("%s: not found among %v", example.name, Validate(catalog))
+		}
+	}
+}
+
+func TestRoutesAreMergedAndDeleted(t *testing.T) {
+	changed := routedCatalog()
+	changed.Routes[0].TimeoutMs = 1
+	merged, err := Merge(routedCatalog(), Change{Put: &tinarchv1.Catalog{Routes: changed.Routes}})
+	if err != nil || len(merged.Routes) != 1 || merged.Routes[0].TimeoutMs != 1 || len(merged.Services) != 2 {
+		t.Fatalf("%v %v", merged, err)
+	}
+	merged, err = Merge(merged, Change{Delete: []*tinarchv1.ObjectReference{
+		{Type: tinarchv1.ObjectType_OBJECT_TYPE_ROUTE, Name: "sync"}, {Type: tinarchv1.ObjectType_OBJECT_TYPE_SERVICE, Name: "board"},
+	}})
+	if err != nil || len(merged.Routes) != 0 || len(merged.Services) != 1 {
+		t.Errorf("%v %v", merged, err)
+	}
+}
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -70,6 +70,8 @@
 	v.checkAdapters()
 	v.checkKinds()
 	v.checkTenants()
+	v.checkServices()
+	v.checkRoutes()
 	return v.found
 }
 
--- a/internal/serving/caller.go
+++ b/internal/front/caller.go
@@ -1,4 +1,4 @@
-package serving
+package front
 
 import (
 	"net/http"
--- a/internal/serving/front.go
+++ b/internal/front/front.go
@@ -1,9 +1,12 @@
-package serving
+// Package front takes callers' HTTP requests for routes: it reads them whole, finds
+// their route, has them served, and answers what was refused.
+package front
 
 import (
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,7 +32,7 @@
 	Run(ctx context.Context, call *dispatch.Call, caller dispatch.Caller) dispatch.Outcome
 }
 
-// Front takes callers' requests.
+// Front takes callers' requests. It implements http.Handler.
 type Front struct {
 	parser   Parser
 	runner   Runner
@@ -42,6 +45,43 @@
 	active   atomic.Int64
 }
 
+// Options are what a front works with.
+type Options struct {
+	Parser  Parser
+	Runner  Runner
+	Log     *logrus.Logger
+	Metrics *Metrics
+}
+
+// New returns a front without routes.
+func New(options Options) *Front {
+	return &Front{
+		parser: options.Parser, runner: options.Runner, log: options.Log, metrics: options.Metrics,
+		splitter: routing.NewSplitter(rand.IntN),
+	}
+}
+
+// Stop asks callers to use other connections from now on.
+func (f *Front) Stop() { f.stopping.Store(true) }
+
+// Stopping reports whether Stop was called.
+func (f *Front) Stopping() bool { return f.stopping.Load() }
+
+// Active returns the number of requests under way.
+func (f *Front) Active() int64 { return f.active.Load() }
+
+// Serves reports whether a request has a route.
+func (f *Front) Serves(request *http.Request) bool {
+	table := f.table.Load()
+	return table != nil && table.Match(request.Host, pathOf(request)) != nil
+}
+
+// pathOf returns the path as it was sent, without the query.
+func pathOf(request *http.Request) string {
+	path, _, _ := strings.Cut(request.RequestURI, "?")
+	return path
+}
+
 // notConfiguredPause is when a caller should come back to a node that has no
 // configuration yet.
 const notConfiguredPause = 300 * time.Millisecond
@@ -76,7 +116,7 @@
 	if size := headerBytes(request); table.Limits.MaxHeaderBytes > 0 && size > table.Limits.MaxHeaderBytes {
 		return nil, result.New(result.HeaderTooLarge, "the header has %d bytes; the limit is %d", size, table.Limits.MaxHeaderBytes)
 	}
-	path, _, _ := strings.Cut(request.RequestURI, "?")
+	path := pathOf(request)
 	route := table.Match(request.Host, path)
 	if route == nil {
 		return nil, result.New(result.NotFound, "no route of version %d for host %q and path %q", table.Version, request.Host, path)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -92,6 +92,8 @@
 	Ledger  *ledger.Client
 	Answers Answers
 	Metrics *Metrics
+	// Over wraps the handler of callers' requests; nil leaves it.
+	Over func(http.Handler) http.Handler
 	// MetricsPage serves /metrics.
 	MetricsPage http.Handler
 	// Ready tells why the node can't take requests, nil when it can.
@@ -115,7 +117,7 @@
 		ended:    make(chan struct{}),
 	}
 	s.http = &http.Server{
-		Handler:           s.routes(with.MetricsPage),
+		Handler:           wrapped(with.Over, s.routes(with.MetricsPage)),
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       settings.ReadTimeout,
 		IdleTimeout:       2 * time.Minute,
@@ -124,6 +126,13 @@
 	return s
 }
 
+func wrapped(wrap func(http.Handler) http.Handler, handler http.Handler) http.Handler {
+	if wrap == nil {
+		return handler
+	}
+	return wrap(handler)
+}
+
 func (s *Server) routes(metricsPage http.Handler) http.Handler {
 	router := chi.NewRouter()
 	router.Use(s.closeWhenStopping)
--- a/internal/node/cluster.go
+++ b/internal/node/cluster.go
@@ -260,7 +260,8 @@
 }
 
 // machinesChanged passes a new machine list on.
-func (n *Node) machinesChanged([]machines.Machine) {
+func (n *Node) machinesChanged(list []machines.Machine) {
+	n.routes.observe(list, n.manager.Current())
 	for name, service := range n.cellServices() {
 		service.ObserveMachines(n.enginesOf(name))
 	}
@@ -272,6 +273,9 @@
 	for _, service := range n.cellServices() {
 		service.SetCatalog(snapshot)
 	}
+	if err := n.routes.setCatalog(snapshot); err != nil {
+		n.log.WithError(err).Error("the routes can't be used; those before stay in force")
+	}
 }
 
 // longestWindow is the longest time that the configuration lets a key be
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	machines *machineWatcher
 	ledger   *ledger.Client
 	gateway  *gateway.Server
+	routes   *routedServices
 	operator *http.Server
 
 	callers, operators, peering net.Listener
@@ -118,6 +119,7 @@
 	n.peers = peer.NewServer(identity, n.counters, n.log)
 	n.connectPlatform()
 	n.buildCluster()
+	n.buildRoutes()
 	if err := n.buildEdges(); err != nil {
 		n.closeListeners()
 		return nil, err
@@ -206,6 +208,7 @@
 		MetricsPage: promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{
 			MaxRequestsInFlight: 2,
 		}),
+		Over:  n.routes.over,
 		Ready: n.ready,
 		Log:   n.log,
 	})
--- /dev/null
+++ b/internal/node/routes.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/catalog"
+	"github.com/tinarch/tinarch/internal/dispatch"
+	"github.com/tinarch/tinarch/internal/front"
+	"github.com/tinarch/tinarch/internal/plainwire"
+	"github.com/tinarch/tinarch/internal/platform/machines"
+	"github.com/tinarch/tinarch/internal/retry"
+	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+// routedServices serves the catalog's routes before workers of the machine list.
+type routedServices struct {
+	front    *front.Front
+	registry *worker.Registry
+	pool     *workerconn.Pool
+	limits   routing.Limits
+}
+
+// retryTerms bound the requests of routes that are sent to a second worker.
+var retryTerms = retry.Terms{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
+
+func (n *Node) buildRoutes() {
+	registry := worker.NewRegistry(n.self.Zone)
+	pool := workerconn.NewPool()
+	dispatcher := dispatch.New(dispatch.Options{
+		Registry: registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: pool,
+		Wire: plainwire.Wire{}, Log: n.options.Log, Metrics: dispatch.NewMetrics(n.registry),
+		Nodes: func() int { return max(len(n.Candidates()), 1) }, Retries: retryTerms,
+	})
+	n.routes = &routedServices{
+		front: front.New(front.Options{
+			Parser: plainwire.Wire{}, Runner: dispatcher, Log: n.options.Log, Metrics: front.NewMetrics(n.registry),
+		}),
+		registry: registry,
+		pool:     pool,
+		limits:   routing.Limits{MaxBodyBytes: n.settings.Limits.MaxBodyBytes},
+	}
+}
+
+// over lets routes go before the handler of all other requests.
+func (s *routedServices) over(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if s.front.Serves(request) {
+			s.front.ServeHTTP(writer, request)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// setCatalog puts a revision's routes in force.
+func (s *routedServices) setCatalog(snapshot *catalog.Snapshot) error {
+	table, err := snapshot.Routes(s.limits)
+	if err != nil {
+		return err
+	}
+	s.front.SetTable(table)
+	return nil
+}
+
+// observe takes the workers of the machine list.
+func (s *routedServices) observe(list []machines.Machine, snapshot *catalog.Snapshot) {
+	var workers []worker.Worker
+	for _, machine := range list {
+		if machine.Kind != machines.KindWorker {
+			continue
+		}
+		slots := 0
+		if snapshot != nil {
+			slots = snapshot.SlotsOf(machine.Pool)
+		}
+		workers = append(workers, worker.Worker{
+			ID: machine.Name, Service: machine.Pool, Address: machine.Address, Zone: machine.Zone,
+			Slots: slots, Draining: machine.Leaving,
+		})
+	}
+	_, gone := s.registry.Replace(workers)
+	for _, id := range gone {
+		s.pool.Drop(id)
+	}
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -22,6 +22,7 @@
 	n.stopping.Store(true)
 	n.announce(ctx)
 	n.leaveGroups(ctx)
+	n.routes.front.Stop()
 	err := n.gateway.Stop(ctx)
 	n.close()
 	if err != nil {
@@ -100,6 +101,7 @@
 		service.Close()
 	}
 	n.stop()
+	n.routes.pool.Close()
 	n.client.Close()
 	n.peers.Close()
 	n.running.Wait()
--- a/internal/platform/machines/machines.go
+++ b/internal/platform/machines/machines.go
@@ -15,13 +15,16 @@
 	"github.com/tinarch/tinarch/internal/result"
 )
 
-// Kind tells engines and nodes apart.
+// Kind tells engines, nodes and workers apart.
 type Kind string
 
 // The kinds.
 const (
 	KindEngine Kind = "engine"
 	KindNode   Kind = "node"
+	// KindWorker machines are workers of a service behind routes; the service is
+	// their pool.
+	KindWorker Kind = "worker"
 )
 
 // Labels of a target group.
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +19,7 @@
 	"github.com/tinarch/tinarch/internal/digest"
 	"github.com/tinarch/tinarch/internal/dispatch"
 	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/front"
 	"github.com/tinarch/tinarch/internal/retry"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
@@ -33,7 +33,7 @@
 type Platform interface {
 	tablefeed.Store
 	dispatch.Wire
-	Parser
+	front.Parser
 	// ReadinessPath is where the platform asks whether a node takes requests.
 	ReadinessPath() string
 	// ConfigurationTable and WorkerTable name the tables that are followed.
@@ -71,7 +71,7 @@
 	platform Platform
 	registry *worker.Registry
 	pool     *workerconn.Pool
-	front    *Front
+	front    *front.Front
 	exchange *digest.Exchange
 	servers  []*http.Server
 	callers  *http.Server
@@ -97,10 +97,9 @@
 		return nil, err
 	}
 	n.exchange = exchange
-	n.front = &Front{
-		parser: platform, runner: n.dispatcher(metrics), log: log,
-		splitter: routing.NewSplitter(rand.IntN), metrics: NewMetrics(metrics),
-	}
+	n.front = front.New(front.Options{
+		Parser: platform, Runner: n.dispatcher(metrics), Log: log, Metrics: front.NewMetrics(metrics),
+	})
 	if err := n.listen(metrics); err != nil {
 		return nil, err
 	}
@@ -170,7 +169,7 @@
 // Ready reports whether the node can serve: it knows routes and workers, and is
 // not being stopped.
 func (n *Node) Ready() bool {
-	return !n.front.stopping.Load() && n.front.Table() != nil && n.registry.Count() > 0
+	return !n.front.Stopping() && n.front.Table() != nil && n.registry.Count() > 0
 }
 
 // follow starts the feeds of the platform's tables and the exchange.
@@ -193,15 +192,15 @@
 func (n *Node) Stop(reason string) {
 	begun := time.Now()
 	deadline := begun.Add(settings.Milliseconds(n.settings.Bounds.StopMillis) - stopMargin)
-	n.front.stopping.Store(true)
+	n.front.Stop()
 	n.callers.SetKeepAlivesEnabled(true)
-	n.log.WithFields(logrus.Fields{"reason": reason, "active": n.front.active.Load()}).Info("stopping")
+	n.log.WithFields(logrus.Fields{"reason": reason, "active": n.front.Active()}).Info("stopping")
 	n.withdraw()
 	time.Sleep(time.Until(begun.Add(unlistedFor)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
-		n.log.WithField("active", n.front.active.Load()).Warn("requests were cut: the time of the stop is over")
+		n.log.WithField("active", n.front.Active()).Warn("requests were cut: the time of the stop is over")
 	}
 	n.Close()
 	n.log.WithField("took_ms", time.Since(begun).Milliseconds()).Info("stopped")
