Log versions and ages of what decides a request

Change: planned lines carry routes_version, workers_version, workers_age_ms and digest_age_ms; a node that falls silent is logged as lost, failures told by another node are logged. The whole-node tests stand with the lab. Conclusion: an age can be told from a log alone.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -85,8 +85,9 @@
 	defer e.mu.Unlock()
 	count := 1
 	for node, last := range e.heard {
-		if time.Since(last.at) > peerLife {
+		if silent := time.Since(last.at); silent > peerLife {
 			delete(e.heard, node)
+			e.log.WithFields(logrus.Fields{"node": node, "silent_ms": silent.Milliseconds()}).Warn("node lost")
 			continue
 		}
 		count++
@@ -94,6 +95,18 @@
 	return max(count, len(e.peers)+1)
 }
 
+// OldestDigest returns the time since the node that is silent for longest told its
+// load, zero where no other node is heard.
+func (e *Exchange) OldestDigest() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, last := range e.heard {
+		oldest = max(oldest, time.Since(last.at))
+	}
+	return oldest
+}
+
 // Run sends and receives until ctx ends, and then says that the node leaves.
 func (e *Exchange) Run(ctx context.Context) {
 	go e.receive()
@@ -203,9 +216,12 @@
 		delete(e.peers, message.Node)
 	}
 	e.mu.Unlock()
-	if !known {
+	if !known && !message.Leaving {
 		e.log.WithField("node", message.Node).Info("node heard for the first time")
 	}
+	if len(message.Failures) > 0 {
+		e.log.WithFields(logrus.Fields{"node": message.Node, "sequence": message.Sequence, "workers": message.Failures}).Info("another node tells of failures")
+	}
 	if !stale {
 		e.registry.Merge(message.Node, snapshot, now)
 	}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -27,6 +27,8 @@
 
 	Route   *routing.Route
 	Service *routing.Service
+	// RoutesVersion is that of the configuration which the route is of.
+	RoutesVersion uint64
 
 	// Prompt lists the parts of a generation's prompt in order; it is empty for
 	// other requests.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -30,6 +30,8 @@
 	// nodes returns the number of nodes that share the limits.
 	nodes func() int
 	terms retry.Terms
+	// knowledge tells how old what decides a request is.
+	knowledge func() Knowledge
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -45,11 +47,29 @@
 	Metrics   *Metrics
 	Nodes     func() int
 	Retries   retry.Terms
+	// Knowledge may be nil.
+	Knowledge func() Knowledge
+}
+
+// Knowledge tells versions and ages of what a node decides by, for the log.
+type Knowledge struct {
+	// Workers is the version of the list of workers, and WorkersAge the time since
+	// the platform confirmed it.
+	Workers    uint64
+	WorkersAge time.Duration
+	// DigestAge is the time since the node least lately heard told its load; zero
+	// where there is no other node.
+	DigestAge time.Duration
 }
 
 // New returns a dispatcher.
 func New(options Options) *Dispatcher {
+	knowledge := options.Knowledge
+	if knowledge == nil {
+		knowledge = func() Knowledge { return Knowledge{} }
+	}
 	return &Dispatcher{
+		knowledge: knowledge,
 		registry:  options.Registry,
 		scheduler: options.Scheduler,
 		pool:      options.Pool,
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -173,6 +173,7 @@
 
 func (s *session) logPlan(plan scheduling.Plan) {
 	s.metrics.plan(plan.Mode)
+	known := s.knowledge()
 	s.log.WithFields(logrus.Fields{
 		"id": s.call.ID, "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
@@ -180,7 +181,9 @@
 		"cached": max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
 		"unread": plan.Unread, "fetch": plan.Fetch,
 		"predicted_ms": plan.First.Milliseconds(), "cost": int(min(plan.Cost, 1e9)),
-		"remaining_ms": s.remaining().Milliseconds(),
+		"remaining_ms": s.remaining().Milliseconds(), "routes_version": s.call.RoutesVersion,
+		"workers_version": known.Workers, "workers_age_ms": known.WorkersAge.Milliseconds(),
+		"digest_age_ms": known.DigestAge.Milliseconds(),
 	}).Info("planned")
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -141,6 +141,7 @@
 		}
 		call.Route = route
 	}
+	call.RoutesVersion = table.Version
 	service := f.splitter.Choose(route)
 	call.Service = table.Service(service)
 	if call.Service == nil {
--- a/internal/serving/serving_test.go
+++ b/internal/lab/site/site_test.go
@@ -1,4 +1,5 @@
-package serving_test
+// Package site tests whole nodes on stand-ins of the users' platform.
+package site
 
 import (
 	"bufio"
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -76,6 +76,8 @@
 	servers  []*http.Server
 	callers  *http.Server
 
+	workersFeed *tablefeed.Feed
+
 	identity string
 	cancel   context.CancelFunc
 	work     sync.WaitGroup
@@ -97,6 +99,7 @@
 		return nil, err
 	}
 	n.exchange = exchange
+	n.workersFeed = tablefeed.New(platform, platform.WorkerTable(), &workers{node: n}, log)
 	n.front = front.New(front.Options{
 		Parser: platform, Runner: n.dispatcher(metrics), Log: log, Metrics: front.NewMetrics(metrics),
 	})
@@ -120,7 +123,7 @@
 	return dispatch.New(dispatch.Options{
 		Registry: n.registry, Scheduler: scheduling.New(scheduling.DefaultCosts()),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
-		Nodes: n.exchange.Nodes,
+		Nodes: n.exchange.Nodes, Knowledge: n.knowledge,
 		Retries: retry.Terms{
 			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack,
 			Window: settings.Milliseconds(bounds.RetryWindowMillis),
@@ -166,6 +169,14 @@
 	}
 }
 
+// knowledge tells how old what decides requests is.
+func (n *Node) knowledge() dispatch.Knowledge {
+	state := n.workersFeed.State()
+	return dispatch.Knowledge{
+		Workers: uint64(state.Version), WorkersAge: time.Since(state.At), DigestAge: n.exchange.OldestDigest(),
+	}
+}
+
 // Ready reports whether the node can serve: it knows routes and workers, and is
 // not being stopped.
 func (n *Node) Ready() bool {
@@ -176,7 +187,7 @@
 func (n *Node) follow(ctx context.Context) {
 	feeds := []*tablefeed.Feed{
 		tablefeed.New(n.platform, n.platform.ConfigurationTable(), &configuration{node: n}, n.log),
-		tablefeed.New(n.platform, n.platform.WorkerTable(), &workers{node: n}, n.log),
+		n.workersFeed,
 		tablefeed.New(n.platform, nodesTable, &nodes{node: n, listed: make(map[string]digest.Peer)}, n.log),
 	}
 	for _, feed := range feeds {
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,6 +64,23 @@
 	version  Version
 	lost     bool
 	pause    time.Duration
+	// confirmed holds what State tells.
+	confirmed atomic.Pointer[State]
+}
+
+// State tells what a feed has, and since when the store has not confirmed it.
+type State struct {
+	Version Version
+	At      time.Time
+}
+
+// State returns the zero state before the first answer. It is safe for concurrent
+// use with Run.
+func (f *Feed) State() State {
+	if state := f.confirmed.Load(); state != nil {
+		return *state
+	}
+	return State{}
 }
 
 // New returns a feed of a table.
@@ -127,6 +145,7 @@
 
 func (f *Feed) regained() {
 	f.pause = 0
+	f.confirmed.Store(&State{Version: f.version, At: time.Now()})
 	if f.lost {
 		f.lost = false
 		f.log.WithFields(logrus.Fields{"table": f.table, "version": f.version}).Info("store regained")
