--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -60,8 +60,6 @@
 	// unlistedFor is how long a stopping node goes on accepting, so that the
 	// platform has asked twice and sends nobody here any more.
 	unlistedFor = 2600 * time.Millisecond
-	// logPatience bounds the writing of the last log lines.
-	logPatience = 200 * time.Millisecond
 )
 
 // Node is one running node.
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -82,7 +82,6 @@
 	// idleSince and idleLimit tell when the worker may close it.
 	idleSince time.Time
 	idleLimit time.Duration
-	used      bool
 }
 
 func newConn(inner net.Conn) *conn {
