--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,185 @@
+// Package lease decides who may give orders: a lease that lies in one row of a
+// store with conditional writes. It is pure: the driver makes the calls and owns
+// the clock. spec/storelease.pml is its model.
+//
+// Guarantees, as long as clocks run at nearly the same pace:
+//   - at most one node holds the lease at any time, whatever is delayed, lost or
+//     paused, since a node takes it only after it has seen the row unchanged for as
+//     long as its holder may act on it, and a holder counts its time from before it
+//     sent the write that renewed it;
+//   - fences rise: the fence is the store's version of the write that took the
+//     lease.
+package lease
+
+import "time"
+
+// Row is the state of the lease in the store.
+type Row struct {
+	// Version of the row, zero where there is none.
+	Version uint64
+	// Holder is the incarnation that wrote it.
+	Holder string
+	// Fence is that of the holder's lease. It is zero in the write that takes the
+	// lease: there the version is the fence.
+	Fence uint64
+	// Released tells that the holder gave the lease back.
+	Released bool
+}
+
+// fence returns the fence under which the row's holder acts.
+func (r Row) fence() uint64 {
+	if r.Fence == 0 {
+		return r.Version
+	}
+	return r.Fence
+}
+
+// Action is what the driver is to do.
+type Action string
+
+// The actions.
+const (
+	// Wait for the row to change or for time to pass.
+	Wait Action = "wait"
+	// Take the lease by a write under the condition that the row has the version of
+	// Proposal.
+	Take Action = "take"
+	// Renew the lease by such a write.
+	Renew Action = "renew"
+)
+
+// Proposal is a conditional write.
+type Proposal struct {
+	Action Action
+	// IfVersion is the version that the row must have, zero for none.
+	IfVersion uint64
+	Fence     uint64
+	// sent is when the driver asked for the proposal.
+	sent time.Time
+}
+
+// Settings are the times of a lease.
+type Settings struct {
+	// Life is how long a holder may act after a renewal.
+	Life time.Duration
+	// Margin covers clocks that run at different paces.
+	Margin time.Duration
+	// RenewEvery is the time between renewals.
+	RenewEvery time.Duration
+}
+
+// DefaultSettings returns the times for a lease of a life.
+func DefaultSettings(life time.Duration) Settings {
+	return Settings{Life: life, Margin: life / 10, RenewEvery: life / 3}
+}
+
+// Machine is one node's view of the lease.
+type Machine struct {
+	self     string
+	settings Settings
+
+	row Row
+	// seen is when this node first saw the row's version.
+	seen  time.Time
+	known bool
+	// until is when this node's lease ends, zero where it has none.
+	until time.Time
+	fence uint64
+	next  time.Time
+	// pending is the write whose answer is awaited.
+	pending *Proposal
+}
+
+// New returns a machine of a node incarnation.
+func New(self string, settings Settings) *Machine {
+	return &Machine{self: self, settings: settings}
+}
+
+// Observe takes in the row as the store has it.
+func (m *Machine) Observe(row Row, now time.Time) {
+	if m.known && row.Version <= m.row.Version {
+		return
+	}
+	m.row, m.seen, m.known = row, now, true
+	if row.Holder != m.self || row.Released {
+		m.until, m.fence = time.Time{}, 0
+	}
+}
+
+// Next returns what is to be done now. A proposal stays pending until Done or Lost.
+func (m *Machine) Next(now time.Time) Proposal {
+	switch {
+	case !m.known || m.pending != nil || now.Before(m.next):
+		return Proposal{Action: Wait}
+	case m.Holds(now):
+		return m.propose(Proposal{Action: Renew, IfVersion: m.row.Version, Fence: m.fence, sent: now})
+	case m.free(now):
+		return m.propose(Proposal{Action: Take, IfVersion: m.row.Version, sent: now})
+	}
+	return Proposal{Action: Wait}
+}
+
+func (m *Machine) propose(proposal Proposal) Proposal {
+	m.pending = &proposal
+	m.next = proposal.sent.Add(m.settings.RenewEvery)
+	return proposal
+}
+
+// free reports whether nobody can hold the lease any more: the row has not changed
+// for a whole life since this node first saw it, or was given back.
+func (m *Machine) free(now time.Time) bool {
+	if m.row.Version == 0 || m.row.Released {
+		return true
+	}
+	return now.Sub(m.seen) >= m.settings.Life+m.settings.Margin
+}
+
+// Done takes in that the pending write was carried out at a version. It holds from
+// when the write was sent.
+func (m *Machine) Done(version uint64, now time.Time) {
+	if m.pending == nil {
+		return
+	}
+	proposal := *m.pending
+	m.pending = nil
+	fence := proposal.Fence
+	if proposal.Action == Take {
+		fence = version
+	}
+	if m.known && m.row.Version > version {
+		return // a later write is known already
+	}
+	m.row = Row{Version: version, Holder: m.self, Fence: fence}
+	m.seen = now
+	m.fence = fence
+	m.until = proposal.sent.Add(m.settings.Life - m.settings.Margin)
+}
+
+// Lost takes in that the pending write was refused or not answered. It may still be
+// carried out: then the row shows it, and does not lengthen the lease.
+func (m *Machine) Lost() { m.pending = nil }
+
+// Holds reports whether this node may act now. Ask it just before each order.
+func (m *Machine) Holds(now time.Time) bool { return m.fence != 0 && now.Before(m.until) }
+
+// Fence returns the fence of this node's lease, zero where it holds none.
+func (m *Machine) Fence(now time.Time) uint64 {
+	if !m.Holds(now) {
+		return 0
+	}
+	return m.fence
+}
+
+// Holder returns the incarnation that wrote the row last, as far as is known.
+func (m *Machine) Holder() string { return m.row.Holder }
+
+// Release ends this node's lease, and returns the write that gives it back; false
+// where it holds none.
+func (m *Machine) Release(now time.Time) (Proposal, bool) {
+	if !m.Holds(now) {
+		return Proposal{}, false
+	}
+	version := m.row.Version
+	m.until, m.fence = time.Time{}, 0
+	return Proposal{Action: Renew, IfVersion: version}, true
+}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,205 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const life = 3 * time.Second
+
+var origin = time.Unix(1000, 0)
+
+func TestTakesAFreeLease(t *testing.T) {
+	m := New("a", DefaultSettings(life))
+	if got := m.Next(origin); got.Action != Wait {
+		t.Errorf("acts before it knows the row: %+v", got)
+	}
+	m.Observe(Row{}, origin)
+	take := m.Next(origin)
+	if take.Action != Take || take.IfVersion != 0 {
+		t.Fatalf("%+v", take)
+	}
+	m.Done(7, origin.Add(time.Second))
+	if m.Fence(origin.Add(time.Second)) != 7 {
+		t.Errorf("fence %d", m.Fence(origin))
+	}
+	if m.Holds(origin.Add(life)) {
+		t.Error("the lease is counted from the answer, not from the sending")
+	}
+	renew := m.Next(origin.Add(time.Second))
+	if renew.Action != Renew || renew.IfVersion != 7 || renew.Fence != 7 {
+		t.Errorf("%+v", renew)
+	}
+}
+
+func TestWaitsForAWholeLife(t *testing.T) {
+	m := New("b", DefaultSettings(life))
+	m.Observe(Row{Version: 3, Holder: "a"}, origin)
+	if got := m.Next(origin.Add(life)); got.Action != Wait {
+		t.Errorf("took the lease while its holder may act: %+v", got)
+	}
+	m.Observe(Row{Version: 4, Holder: "a", Fence: 3}, origin.Add(life))
+	if got := m.Next(origin.Add(2 * life)); got.Action != Wait {
+		t.Errorf("took the lease after a renewal: %+v", got)
+	}
+	if got := m.Next(origin.Add(2*life + life/10)); got.Action != Take || got.IfVersion != 4 {
+		t.Errorf("%+v", got)
+	}
+}
+
+func TestReleasedLeaseIsFreeAtOnce(t *testing.T) {
+	m := New("b", DefaultSettings(life))
+	m.Observe(Row{Version: 3, Holder: "a", Released: true}, origin)
+	if got := m.Next(origin); got.Action != Take {
+		t.Errorf("%+v", got)
+	}
+	a := New("a", DefaultSettings(life))
+	a.Observe(Row{}, origin)
+	a.Next(origin)
+	a.Done(1, origin)
+	if release, held := a.Release(origin); !held || release.IfVersion != 1 || a.Holds(origin) {
+		t.Error("a release is not the end of a lease")
+	}
+}
+
+// TestLostAnswerDoesNotLengthen: a renewal whose answer was lost shows in the row,
+// and counts for nothing.
+func TestLostAnswerDoesNotLengthen(t *testing.T) {
+	m := New("a", DefaultSettings(life))
+	m.Observe(Row{}, origin)
+	m.Next(origin)
+	m.Done(1, origin)
+	m.Next(origin.Add(life / 3))
+	m.Lost()
+	m.Observe(Row{Version: 2, Holder: "a", Fence: 1}, origin.Add(life/2))
+	if m.Holds(origin.Add(life)) {
+		t.Error("an unanswered renewal lengthened the lease")
+	}
+	if !m.Holds(origin.Add(life / 2)) {
+		t.Error("an unanswered renewal ended the lease")
+	}
+}
+
+// world is a store with one row, nodes with clocks of their own, and writes that
+// are delayed, lost or answered late.
+type world struct {
+	now     time.Time
+	version uint64
+	row     Row
+	nodes   []*node
+	writes  []*write
+	// answers are of writes that were carried out, on their way back.
+	answers []answer
+}
+
+type answer struct {
+	write   *write
+	version uint64
+}
+
+type node struct {
+	name    string
+	machine *Machine
+	skew    float64
+}
+
+func (w *world) clock(n *node) time.Time {
+	return origin.Add(time.Duration(float64(w.now.Sub(origin)) * n.skew))
+}
+
+type write struct {
+	from     *node
+	machine  *Machine
+	proposal Proposal
+}
+
+// TestAtMostOneHolder: whatever is delayed, lost, paused or restarted, no two nodes
+// hold the lease at the same moment, and fences only rise.
+func TestAtMostOneHolder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{now: origin}
+		for i, name := range []string{"a", "b", "c"} {
+			skew := 1 + float64(i-1)*0.01
+			w.nodes = append(w.nodes, &node{name: name, machine: New(name, DefaultSettings(life)), skew: skew})
+		}
+		var highest uint64
+		for step := range rapid.IntRange(1, 300).Draw(t, "steps") {
+			w.step(t, step)
+			var holder string
+			for _, n := range w.nodes {
+				if !n.machine.Holds(w.clock(n)) {
+					continue
+				}
+				if holder != "" {
+					t.Fatalf("%s and %s hold the lease", holder, n.name)
+				}
+				holder = n.name
+				fence := n.machine.Fence(w.clock(n))
+				if fence < highest {
+					t.Fatalf("fence %d after %d", fence, highest)
+				}
+				highest = fence
+			}
+		}
+	})
+}
+
+func (w *world) step(t *rapid.T, step int) {
+	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+	switch rapid.SampledFrom([]string{"time", "next", "observe", "apply", "answer", "lose", "restart"}).Draw(t, "what") {
+	case "time":
+		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+	case "next":
+		if proposal := n.machine.Next(w.clock(n)); proposal.Action != Wait {
+			w.writes = append(w.writes, &write{n, n.machine, proposal})
+		}
+	case "observe":
+		n.machine.Observe(w.row, w.clock(n))
+	case "apply":
+		w.apply(t)
+	case "answer":
+		w.answer(t)
+	case "lose":
+		n.machine.Lost()
+	case "restart":
+		n.machine = New(n.name+"-"+time.Duration(step).String(), DefaultSettings(life))
+	}
+}
+
+// apply carries one of the writes out, whenever it was sent.
+func (w *world) apply(t *rapid.T) {
+	if len(w.writes) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.writes)-1).Draw(t, "write")
+	pending := w.writes[i]
+	w.writes = append(w.writes[:i], w.writes[i+1:]...)
+	if w.row.Version != pending.proposal.IfVersion {
+		w.answers = append(w.answers, answer{write: pending})
+		return
+	}
+	w.version += 2
+	w.row = Row{Version: w.version, Holder: pending.machine.self, Fence: pending.proposal.Fence}
+	w.answers = append(w.answers, answer{write: pending, version: w.version})
+}
+
+// answer delivers one of the answers, unless its caller has given it up.
+func (w *world) answer(t *rapid.T) {
+	if len(w.answers) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.answers)-1).Draw(t, "answer")
+	got := w.answers[i]
+	w.answers = append(w.answers[:i], w.answers[i+1:]...)
+	machine := got.write.machine
+	if machine.pending == nil || *machine.pending != got.write.proposal {
+		return
+	}
+	if got.version == 0 {
+		machine.Lost()
+		return
+	}
+	machine.Done(got.version, w.clock(got.write.from))
+}
