Learn at a start what workers keep of prompts

Cause: a process that has just started knew nothing of the workers' caches and paces; after all nodes had lost power, shared parts were read again at every worker. Ruled out: that the reading in the first second after the fault was due to requests that had waited (those are late in any case). Change: a node that has just started asks one other node after the other for what they have learned; where none has, it asks the engines themselves, which the nodes divide by telling each other. Idle connections to workers that don't say when they close them are kept for a minute.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -26,6 +26,14 @@
 	Reads []string `json:"r,omitempty"`
 	// Failures are workers that failed.
 	Failures []string `json:"f,omitempty"`
+	// Newborn asks the receiver for what it has learned over time.
+	Newborn bool `json:"b,omitempty"`
+	// Memory tells that Reads and Paces are an answer to that, and Cold that the
+	// sender has learned nothing yet either.
+	Memory bool `json:"m,omitempty"`
+	Cold   bool `json:"c,omitempty"`
+	// Paces are learned reading paces.
+	Paces []worker.Pace `json:"p,omitempty"`
 	// Leaving tells that the sender stops.
 	Leaving bool `json:"x,omitempty"`
 }
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -154,3 +154,61 @@
 		t.Errorf("a read is told %d times; %d snapshots are kept", told, len(recent))
 	}
 }
+
+// TestNewbornLearnsFromAPeer: a node that has just started is told what workers
+// keep, and one that has itself learned nothing yet says so.
+func TestNewbornLearnsFromAPeer(t *testing.T) {
+	old, young := registryWith("w"), registryWith("w")
+	parts := []prefixcache.Part{{ID: 1, Tokens: 700}, {ID: 2, Tokens: 30}}
+	old.Cached("w", parts, time.Unix(1, 0))
+	old.ObserveRead("w", 5000, 100*time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var exchanges []*Exchange
+	for i, registry := range []*worker.Registry{old, young} {
+		exchange, err := Listen("127.0.0.1:0", []string{"old", "young"}[i], registry, quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchanges = append(exchanges, exchange)
+	}
+	exchanges[1].SetPeers([]Peer{{Node: "old", Address: netip.MustParseAddrPort(exchanges[0].conn.LocalAddr().String())}})
+	for _, exchange := range exchanges {
+		go exchange.Run(ctx)
+	}
+	if exchanges[1].AskMemory(ctx) {
+		t.Error("a peer that has learned nothing told something")
+	}
+	exchanges[0].SetWarm()
+	for end := time.Now().Add(20 * time.Second); !exchanges[1].AskMemory(ctx); {
+		if time.Now().After(end) {
+			t.Fatal("nothing was learned")
+		}
+	}
+	candidate := young.Candidates("s", parts, time.Now())[0]
+	if candidate.CachedTokens != 730 || candidate.Pace < 50 {
+		t.Errorf("%+v", candidate)
+	}
+	if len(young.Unlisted()) != 0 {
+		t.Error("the worker is to be asked again")
+	}
+}
+
+func TestMemoryIsDividedIntoDatagrams(t *testing.T) {
+	var parts []prefixcache.Part
+	for i := range 1000 {
+		parts = append(parts, prefixcache.Part{ID: prefixcache.PartID(1<<62 + i), Tokens: 100_000})
+	}
+	messages := inMessages([]worker.Read{{Worker: "i-0123456789", Parts: parts}, {Worker: "empty"}})
+	count := 0
+	for _, reads := range messages {
+		datagram, err := json.Marshal(newMessage("n", 0, worker.Snapshot{Reads: reads}))
+		if err != nil || len(datagram) > maxDatagram {
+			t.Errorf("%d bytes, %v", len(datagram), err)
+		}
+		count += len(reads[0].Parts)
+	}
+	if count != len(parts) {
+		t.Errorf("%d of %d parts", count, len(parts))
+	}
+}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,8 @@
 	maxDatagram = 16 << 10
 	// repeatReads is how many messages tell of the same read or failure.
 	repeatReads = 2
+	// maxAnswers bounds the answers that wait to be looked at.
+	maxAnswers = 64
 )
 
 // Peer is another node.
@@ -44,6 +47,11 @@
 	mu    sync.Mutex
 	peers map[string]Peer
 	heard map[string]heard
+	// answers tell whether a node that was asked for what it has learned had
+	// learned anything.
+	answers chan bool
+	// warm tells that this node has learned what it can't see for itself.
+	warm atomic.Bool
 }
 
 type heard struct {
@@ -64,6 +72,7 @@
 	return &Exchange{
 		node: node, registry: registry, conn: conn, log: log,
 		peers: make(map[string]Peer), heard: make(map[string]heard),
+		answers: make(chan bool, maxAnswers),
 	}, nil
 }
 
@@ -184,7 +193,7 @@
 func (e *Exchange) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
-		count, _, err := e.conn.ReadFromUDPAddrPort(buffer)
+		count, from, err := e.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
@@ -193,7 +202,14 @@
 			e.log.WithField("cause", err.Error()).Warn("a malformed digest was dropped")
 			continue
 		}
-		e.take(message)
+		switch {
+		case message.Newborn:
+			e.tellMemory(from)
+		case message.Memory:
+			e.remember(message)
+		default:
+			e.take(message)
+		}
 	}
 }
 
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -49,6 +49,8 @@
 	Events int
 	// Pause is the time between events.
 	Pause time.Duration
+	// Kept are parts of prompts that the worker says it keeps, with their tokens.
+	Kept map[string]int
 }
 
 // Run is a request that a worker worked on.
@@ -72,6 +74,7 @@
 	handles map[string]bool
 	freed   int
 	left    int
+	lists   int
 }
 
 // Start runs a worker on a port of its own.
@@ -181,6 +184,9 @@
 			writer.Header().Set("X-Handle-Known", "1")
 		}
 		return
+	case request.URL.Path == "/v1/kv-list":
+		w.list(writer)
+		return
 	case request.Header.Get("X-Expect-Instance") != w.options.ID:
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -201,6 +207,26 @@
 	w.run(writer, request, id, body, fault)
 }
 
+// list tells what the worker keeps: the parts that its options name.
+func (w *Worker) list(writer http.ResponseWriter) {
+	w.mu.Lock()
+	w.lists++
+	w.mu.Unlock()
+	held := [][]any{}
+	for id, tokens := range w.options.Kept {
+		held = append(held, []any{"", id, tokens, "m"})
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(map[string]any{"epoch": 1, "NextPageToken": 1, "held": held})
+}
+
+// Lists counts how often the worker was asked what it keeps.
+func (w *Worker) Lists() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lists
+}
+
 func reject(writer http.ResponseWriter) {
 	writer.Header().Set("X-Not-Executed", "1")
 	writer.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -82,7 +82,7 @@
 	t.Helper()
 	s := startUnconfigured(t)
 	for _, options := range []fleetworker.Options{
-		{ID: "read-1", Service: llm, Stage: "prefill"},
+		{ID: "read-1", Service: llm, Stage: "prefill", Kept: map[string]int{"5c1e07a2": 800, "91bd3f06": 410}},
 		{ID: "write-1", Service: llm, Stage: "decode"},
 		{ID: "write-2", Service: llm, Stage: "decode"},
 		{ID: "portal-1", Service: portal, Events: 1},
@@ -498,3 +498,16 @@
 		}
 	}
 }
+
+// TestStartingNodeAsksWhatWorkersKeep: a process that has just started, and has no
+// other node to ask, learns from the engines themselves what they keep.
+func TestStartingNodeAsksWhatWorkersKeep(t *testing.T) {
+	s := start(t)
+	s.await("each engine was asked", func() bool {
+		return s.workers["read-1"].Lists() == 1 && s.workers["write-1"].Lists() == 1 && s.workers["write-2"].Lists() == 1
+	})
+	if lists := s.workers["portal-1"].Lists(); lists != 0 {
+		t.Errorf("a worker that is no engine was asked %d times", lists)
+	}
+	s.await("what it keeps is known", func() bool { return s.node.KeptTokens("read-1") == 1210 })
+}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -32,6 +32,15 @@
 	return r.tokensPerMillisecond
 }
 
+// Assume takes over an estimate that was learned elsewhere, where nothing was
+// measured here yet.
+func (r *Reader) Assume(tokensPerMillisecond float64) {
+	if r.samples == 0 && tokensPerMillisecond > 0 {
+		r.samples = 1
+		r.tokensPerMillisecond = min(max(tokensPerMillisecond, lowest), highest)
+	}
+}
+
 // Samples returns the number of measurements.
 func (r *Reader) Samples() int { return r.samples }
 
--- a/internal/prefixcache/prefixcache.go
+++ b/internal/prefixcache/prefixcache.go
@@ -2,7 +2,11 @@
 // cache, from what was placed there. It is pure: time is an argument.
 package prefixcache
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // PartID names a part of a prompt; parts with the same id have the same text.
 type PartID uint64
@@ -71,6 +75,21 @@
 	c.held = 0
 }
 
+// Parts returns what is kept, those used longest ago first.
+func (c *Cache) Parts() []Part {
+	parts := make([]Part, 0, len(c.entries))
+	for id, kept := range c.entries {
+		parts = append(parts, Part{ID: id, Tokens: kept.tokens})
+	}
+	slices.SortFunc(parts, func(left, right Part) int {
+		if order := c.entries[left.ID].used.Compare(c.entries[right.ID].used); order != 0 {
+			return order
+		}
+		return cmp.Compare(left.ID, right.ID)
+	})
+	return parts
+}
+
 // Held returns the tokens kept.
 func (c *Cache) Held() int { return c.held }
 
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -20,6 +20,7 @@
 	"github.com/tinarch/tinarch/internal/dispatch"
 	"github.com/tinarch/tinarch/internal/engine"
 	"github.com/tinarch/tinarch/internal/front"
+	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/retry"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
@@ -43,6 +44,10 @@
 	Routes(row tablefeed.Row) (*routing.Table, bool, error)
 	// Worker reads a row of the workers' table.
 	Worker(row tablefeed.Row) (worker.Worker, error)
+	// ListRequest asks a worker what it keeps of prompts, and ListedParts reads its
+	// answer.
+	ListRequest(address string) *workerconn.Request
+	ListedParts(status int, body []byte) ([]prefixcache.Part, error)
 	// Put writes a row of this project's own, and Remove takes it away.
 	Put(ctx context.Context, table, key string, value []byte) error
 	Remove(ctx context.Context, table, key string) error
@@ -193,6 +198,7 @@
 	}
 	n.work.Go(func() { n.exchange.Run(ctx) })
 	n.work.Go(func() { n.announce(ctx) })
+	n.work.Go(func() { n.warmUp(ctx) })
 }
 
 // Stop ends the node as planned: it says that it takes no callers, goes on
@@ -229,3 +235,6 @@
 
 // Draining returns the number of workers known to drain.
 func (n *Node) Draining() int { return n.registry.Draining() }
+
+// KeptTokens returns how much of prompts a worker is believed to keep.
+func (n *Node) KeptTokens(id string) int { return n.registry.KeptTokens(id) }
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -1,6 +1,14 @@
 package worker
 
-import "time"
+import (
+	"time"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+)
+
+// listedParts is how many parts make a read a list of what a worker keeps, rather
+// than one prompt.
+const listedParts = 8
 
 // Snapshot is what one node tells the others: its own load by worker, and what
 // happened since the last snapshot.
@@ -25,6 +33,79 @@
 	return snapshot, r.version
 }
 
+// Pace is the learned reading pace of a service's workers of a stage.
+type Pace struct {
+	Service              string
+	Stage                Stage
+	TokensPerMillisecond float64
+}
+
+// Memory is what a node has learned over time, for one that has just started.
+type Memory struct {
+	Reads []Read
+	Paces []Pace
+}
+
+// Memory returns what this node has learned.
+func (r *Registry) Memory() Memory {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var memory Memory
+	for id, known := range r.workers {
+		if parts := known.cache.Parts(); len(parts) > 0 {
+			memory.Reads = append(memory.Reads, Read{Worker: id, Parts: parts})
+		}
+	}
+	for key, group := range r.groups {
+		if group.Samples() > 0 {
+			memory.Paces = append(memory.Paces, Pace{key.service, key.stage, group.TokensPerMillisecond()})
+		}
+	}
+	return memory
+}
+
+// Remember takes over what another node has learned. Parts that this node knows
+// of already keep their place.
+func (r *Registry) Remember(memory Memory, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, read := range memory.Reads {
+		if known, exists := r.workers[read.Worker]; exists {
+			known.cache.Use(read.Parts, now)
+			known.cacheKnown = true
+		}
+	}
+	for _, learned := range memory.Paces {
+		r.group(Worker{Service: learned.Service, Stage: learned.Stage}).Assume(learned.TokensPerMillisecond)
+	}
+}
+
+// Listed records what a worker itself says that it keeps, and queues that for the
+// other nodes.
+func (r *Registry) Listed(id string, parts []prefixcache.Part, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, exists := r.workers[id]; exists {
+		known.cache.Use(parts, now)
+		known.cacheKnown = true
+		r.reads = append(r.reads, Read{Worker: id, Parts: parts})
+		r.version++
+	}
+}
+
+// Unlisted returns the engines of whose caches nothing is known.
+func (r *Registry) Unlisted() []Worker {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var unlisted []Worker
+	for _, known := range r.workers {
+		if known.worker.Stage != Opaque && !known.worker.Draining && !known.cacheKnown {
+			unlisted = append(unlisted, known.worker)
+		}
+	}
+	return unlisted
+}
+
 // Version rises with each change that other nodes should hear of.
 func (r *Registry) Version() uint64 {
 	r.mu.Lock()
@@ -47,6 +128,7 @@
 	for _, read := range snapshot.Reads {
 		if known, exists := r.workers[read.Worker]; exists {
 			known.cache.Use(read.Parts, now)
+			known.cacheKnown = known.cacheKnown || len(read.Parts) >= listedParts
 		}
 	}
 	for _, id := range snapshot.Failures {
@@ -55,3 +137,14 @@
 		}
 	}
 }
+
+// KeptTokens returns how much of prompts a worker is believed to keep.
+func (r *Registry) KeptTokens(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, exists := r.workers[id]
+	if !exists {
+		return 0
+	}
+	return known.cache.Held()
+}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -15,12 +15,14 @@
 	worker Worker
 	load   Load
 	// remote is the load that other nodes have placed, by node.
-	remote   map[string]remoteLoad
-	cache    *prefixcache.Cache
-	reader   pace.Reader
-	breaker  breaker.Breaker
-	handles  breaker.Breaker
-	reported reportedLoad
+	remote map[string]remoteLoad
+	cache  *prefixcache.Cache
+	// cacheKnown tells that what the worker kept before this node started is known.
+	cacheKnown bool
+	reader     pace.Reader
+	breaker    breaker.Breaker
+	handles    breaker.Breaker
+	reported   reportedLoad
 }
 
 // Load is work placed and not finished.
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -22,8 +22,9 @@
 	DialTimeout = 400 * time.Millisecond
 	// userTimeout ends a connection whose peer acknowledges nothing.
 	userTimeout = 1500 * time.Millisecond
-	// defaultIdle is how long a connection is kept where the worker doesn't say.
-	defaultIdle = 4 * time.Second
+	// defaultIdle is how long a connection is kept where the worker doesn't say that
+	// it closes idle ones.
+	defaultIdle = 60 * time.Second
 	// idleMargin is left before the worker itself would close the connection.
 	idleMargin = 400 * time.Millisecond
 	// bodyWait is how long a whole answer waits for the rest of the request's body
