Try a failed request again at the only worker; errors of requests open no breaker alone

Ruled out: full workers (their queue was empty), the retry budget. Change: a worker that answered with its own failure is avoided for that request and not excluded; such failures open the breaker only three in a row, since a share of requests fails at any worker. The site test failed before (502, ran once).

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -12,6 +12,8 @@
 	// openFor is how long a worker is avoided after one failure; it doubles with
 	// each further failure in a row.
 	openFor = 1500 * time.Millisecond
+	// errorsInRow is how many failures of requests' own open the breaker.
+	errorsInRow = 3
 	// maxOpen bounds the doubling.
 	maxOpen = 6 * time.Second
 	// halfLife is how fast old outcomes lose weight.
@@ -58,6 +60,18 @@
 	b.open = now.Add(min(pause, maxOpen))
 }
 
+// Errored records a request that the worker answered with a failure of its own. That
+// may be due to the request: only a row of them opens the breaker.
+func (b *Breaker) Errored(now time.Time) {
+	b.decay(now)
+	b.total++
+	b.failures++
+	b.inRow++
+	if b.inRow >= errorsInRow {
+		b.open = now.Add(openFor)
+	}
+}
+
 // Open reports whether the worker should be avoided.
 func (b *Breaker) Open(now time.Time) bool { return now.Before(b.open) }
 
--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -67,3 +67,22 @@
 		t.Errorf("a single failure makes rate %v", rate)
 	}
 }
+
+// TestErrorsOfRequestsOpenOnlyInARow: a share of requests may fail at any worker.
+func TestErrorsOfRequestsOpenOnlyInARow(t *testing.T) {
+	var b Breaker
+	for range 10 {
+		b.Errored(origin)
+		b.Errored(origin)
+		b.Succeeded(origin)
+	}
+	if b.Open(origin.Add(1)) {
+		t.Error("two errors in a row opened the breaker")
+	}
+	for range errorsInRow {
+		b.Errored(origin)
+	}
+	if !b.Open(origin.Add(1)) {
+		t.Error("a row of errors left the breaker closed")
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -120,7 +120,7 @@
 	defer cancel()
 	s := &session{
 		Dispatcher: d, call: call, caller: caller,
-		excluded: make(map[string]bool), resumeAfter: call.LastEventID,
+		excluded: make(map[string]bool), failed: make(map[string]bool), resumeAfter: call.LastEventID,
 	}
 	d.first(call.Service.Name)
 	for {
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -28,8 +28,8 @@
 func (s *session) pass(runner scheduling.Candidate, answer *workerconn.Answer, load *work) tryEnd {
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed {
-		s.registry.Failed(runner.ID, time.Now())
-		s.excluded[runner.ID] = true
+		s.registry.Errored(runner.ID, time.Now())
+		s.failed[runner.ID] = true
 		if s.headGiven || s.call.Route.Repeatable() && s.mayRepeat() {
 			s.ranBefore = true
 			return tryEnd{verdict: mayHaveRun, worker: runner.ID, err: errFailed, counted: true}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -40,7 +40,9 @@
 	call   *Call
 	caller Caller
 
-	excluded map[string]bool
+	// excluded workers get this call no more; failed ones only where no other is
+	// left.
+	excluded, failed map[string]bool
 	// attempts counts the workers that were sent the call, besides the first that
 	// read its prompt apart.
 	attempts int
@@ -67,6 +69,7 @@
 		Objective:    s.call.Route.Objective - time.Since(s.call.Arrived),
 		Remaining:    s.remaining(),
 		Excluded:     s.excluded,
+		Failed:       s.failed,
 		Retry:        s.attempts > 0,
 	}
 }
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -511,3 +511,27 @@
 	}
 	s.await("what it keeps is known", func() bool { return s.node.KeptTokens("read-1") == 1210 })
 }
+
+// TestOnlyWorkerIsTriedAgain: a failure of a request's own is tried again at the
+// same worker where no other is left.
+func TestOnlyWorkerIsTriedAgain(t *testing.T) {
+	s := start(t)
+	s.store.Put("servers", "portal-2", nil)
+	s.await("one worker is gone", func() bool { return s.node.Workers() == len(s.workers)-1 })
+	s.workers["portal-1"].SetFault(fleetworker.Failing, 1)
+	got := s.ask(http.MethodGet, "/board/1", nil, "")
+	if got.status != http.StatusOK || len(s.runs(got.id)) != 2 {
+		t.Errorf("%d, ran %d times: %s", got.status, len(s.runs(got.id)), got.body)
+	}
+}
+
+// TestFailureOfTheOnlyWorkerIsPassedOn: with no try left, the caller gets the
+// worker's own answer.
+func TestFailureOfTheOnlyWorkerIsPassedOn(t *testing.T) {
+	s := start(t)
+	s.setFaults("portal", fleetworker.Failing, -1)
+	got := s.ask(http.MethodGet, "/board/1", nil, "")
+	if got.status != http.StatusInternalServerError || got.header.Get("X-Response-Signature") == "" || got.body != "failed" {
+		t.Errorf("%d %v %q", got.status, got.header, got.body)
+	}
+}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -47,8 +47,9 @@
 	Objective time.Duration
 	// Remaining is the time that is left for the whole.
 	Remaining time.Duration
-	// Excluded are workers that failed this request.
-	Excluded map[string]bool
+	// Excluded are workers that must not get this request any more, and Failed those
+	// that ran it and failed, which get it where no other is left.
+	Excluded, Failed map[string]bool
 	// Retry tells that the request was tried before.
 	Retry bool
 }
@@ -211,7 +212,7 @@
 		}
 		slots := max(candidate.Slots, 1)
 		fill := float64(candidate.Requests+1) / float64(slots)
-		cost := s.common(candidate) + 20*fill*fill
+		cost := s.common(request, candidate) + 20*fill*fill
 		if candidate.Requests >= slots {
 			cost += 50 * float64(candidate.Requests-slots+1)
 		}
@@ -224,8 +225,11 @@
 }
 
 // common is the part of the cost that all ways share.
-func (s *Scheduler) common(candidate Candidate) float64 {
+func (s *Scheduler) common(request Request, candidate Candidate) float64 {
 	cost := s.costs.Failure * candidate.FailureRate
+	if request.Failed[candidate.ID] {
+		cost += 2 * s.costs.Avoided
+	}
 	if candidate.Avoid {
 		cost += s.costs.Avoided
 	}
@@ -244,7 +248,7 @@
 		}
 		reading := s.reading(request, candidates, i)
 		first := s.costs.Fixed + reading.time + s.costs.Running*float64(candidate.Requests)
-		cost := first + reading.price + s.common(candidate) + s.pressure(request, candidate) +
+		cost := first + reading.price + s.common(request, candidate) + s.pressure(request, candidate) +
 			s.costs.Interference*reading.own*float64(candidate.Requests)
 		plan := Plan{
 			Mode: Whole, Runner: candidate, Fetch: reading.fetch, Unread: reading.unread,
@@ -271,7 +275,7 @@
 		reading := s.reading(request, candidates, i)
 		move := s.costs.MovePerToken * float64(request.PromptTokens)
 		first := s.costs.Fixed + s.costs.Hop + reading.time + s.costs.Running*float64(runner.Runner.Requests)
-		cost := s.costs.Fixed + s.costs.Hop + reading.time + move + reading.price + s.common(candidate) + runner.Cost
+		cost := s.costs.Fixed + s.costs.Hop + reading.time + move + reading.price + s.common(request, candidate) + runner.Cost
 		plan := Plan{
 			Mode: Apart, Reader: candidate, Runner: runner.Runner, Fetch: reading.fetch, Unread: reading.unread,
 			First: milliseconds(first), Cost: cost,
@@ -290,7 +294,7 @@
 		if !candidate.Decode || request.Excluded[candidate.ID] {
 			continue
 		}
-		cost := s.common(candidate) + s.costs.Running*float64(candidate.Requests) + s.pressure(request, candidate)
+		cost := s.common(request, candidate) + s.costs.Running*float64(candidate.Requests) + s.pressure(request, candidate)
 		plan := Plan{Mode: Whole, Runner: candidate, Cost: cost}
 		if better(plan, best) {
 			best = plan
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -323,6 +323,15 @@
 	}
 }
 
+// Errored records an answer that tells of a failure of the worker's own.
+func (r *Registry) Errored(id string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, exists := r.workers[id]; exists {
+		known.breaker.Errored(now)
+	}
+}
+
 // HandleFailed records that a prompt read apart at a worker could not be fetched.
 func (r *Registry) HandleFailed(id string, now time.Time) {
 	r.mu.Lock()
