Use workers whose entries vanished as the last resort for a moment

Ruled out: crashed workers (the same ids came back), nodes that were not ready. Change: a worker whose entry vanishes without a word of draining may get requests for 1.2 s where nothing better is left (it must get none after 2 s); what is known of it is kept for 10 s. A node stays ready when all entries vanish.

--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -30,6 +30,8 @@
 	Pace float64
 	// Avoid tells that the worker failed just now.
 	Avoid bool
+	// Leaving tells that the worker's entry has just vanished.
+	Leaving bool
 	// FailureRate is the share of requests that it failed lately.
 	FailureRate float64
 	// HandleFailure tells that prompts read apart there could not be fetched.
@@ -233,6 +235,9 @@
 	if candidate.Avoid {
 		cost += s.costs.Avoided
 	}
+	if candidate.Leaving {
+		cost += 2 * s.costs.Avoided
+	}
 	if !candidate.SameZone {
 		cost += s.costs.OtherZone
 	}
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -72,6 +72,9 @@
 		}
 	}
 	added, gone := w.node.registry.Replace(listed)
+	if len(listed) > 0 {
+		w.node.workersKnown.Store(true)
+	}
 	for _, id := range gone {
 		w.node.pool.Drop(id)
 	}
@@ -89,6 +92,7 @@
 				continue
 			}
 			change.Worker = &read
+			w.node.workersKnown.Store(true)
 		}
 		if !w.node.registry.Apply(change) {
 			continue
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -80,6 +81,8 @@
 	callers  *http.Server
 
 	workersFeed *tablefeed.Feed
+	// workersKnown tells that some worker was listed since the start.
+	workersKnown atomic.Bool
 
 	identity string
 	cancel   context.CancelFunc
@@ -183,7 +186,7 @@
 // Ready reports whether the node can serve: it knows routes and workers, and is
 // not being stopped.
 func (n *Node) Ready() bool {
-	return !n.front.Stopping() && n.front.Table() != nil && n.registry.Count() > 0
+	return !n.front.Stopping() && n.front.Table() != nil && n.workersKnown.Load()
 }
 
 // follow starts the feeds of the platform's tables and the exchange.
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -99,7 +99,7 @@
 	defer r.mu.Unlock()
 	var unlisted []Worker
 	for _, known := range r.workers {
-		if known.worker.Stage != Opaque && !known.worker.Draining && !known.cacheKnown {
+		if known.worker.Stage != Opaque && known.listed() && !known.worker.Draining && !known.cacheKnown {
 			unlisted = append(unlisted, known.worker)
 		}
 	}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -13,6 +13,8 @@
 // state is what is known of one worker.
 type state struct {
 	worker Worker
+	// goneAt is when its entry vanished, zero while it is listed.
+	goneAt time.Time
 	load   Load
 	// remote is the load that other nodes have placed, by node.
 	remote map[string]remoteLoad
@@ -68,6 +70,11 @@
 const (
 	// remoteLife is how long a silent node's load counts.
 	remoteLife = time.Second
+	// lingerFor is how long a worker whose entry has vanished is the last resort. A
+	// worker that leaves must get nothing soon after.
+	lingerFor = 1200 * time.Millisecond
+	// forgetAfter is how long what is known of it is kept.
+	forgetAfter = 10 * time.Second
 	// reportLife is how long a worker's own word on its load counts.
 	reportLife = 300 * time.Millisecond
 	// unknownMemoryTokens is the cache of an engine whose size isn't configured.
@@ -121,19 +128,23 @@
 
 // Replace sets the whole list. It returns the workers that are new and those gone.
 func (r *Registry) Replace(workers []Worker) (added, gone []string) {
+	return r.ReplaceAt(workers, time.Now())
+}
+
+// ReplaceAt is Replace at a given time.
+func (r *Registry) ReplaceAt(workers []Worker, now time.Time) (added, gone []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed := make(map[string]bool, len(workers))
 	for _, worker := range workers {
 		listed[worker.ID] = true
-		if _, known := r.workers[worker.ID]; !known {
+		if known, exists := r.workers[worker.ID]; !exists || !known.listed() {
 			added = append(added, worker.ID)
 		}
-		r.put(worker)
+		r.put(worker, now)
 	}
 	for id := range r.workers {
-		if !listed[id] {
-			delete(r.workers, id)
+		if !listed[id] && r.remove(id, now) {
 			gone = append(gone, id)
 		}
 	}
@@ -142,23 +153,45 @@
 
 // Apply records one change of the list. It reports whether anything that matters
 // for placement changed.
-func (r *Registry) Apply(change Change) bool {
+func (r *Registry) Apply(change Change) bool { return r.ApplyAt(change, time.Now()) }
+
+// ApplyAt is Apply at a given time.
+func (r *Registry) ApplyAt(change Change, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if change.Worker != nil {
-		return r.put(*change.Worker)
+		return r.put(*change.Worker, now)
+	}
+	return r.remove(change.ID, now)
+}
+
+// listed reports whether the platform lists the worker.
+func (s *state) listed() bool { return s.goneAt.IsZero() }
+
+// remove takes a worker off the list, and reports whether it was on it. What is
+// known of it is kept for a while: entries may vanish while the store is away,
+// although their workers live.
+func (r *Registry) remove(id string, now time.Time) bool {
+	for other, known := range r.workers {
+		if !known.listed() && now.Sub(known.goneAt) >= forgetAfter {
+			delete(r.workers, other)
+		}
+	}
+	known, exists := r.workers[id]
+	if !exists || !known.listed() {
+		return false
 	}
-	_, known := r.workers[change.ID]
-	delete(r.workers, change.ID)
-	return known
+	known.goneAt = now
+	return true
 }
 
 // put records an entry, and reports whether that changed anything.
-func (r *Registry) put(worker Worker) bool {
+func (r *Registry) put(worker Worker, now time.Time) bool {
 	known, exists := r.workers[worker.ID]
-	if exists {
-		changed := known.worker != worker
+	if exists && (known.listed() || now.Sub(known.goneAt) < forgetAfter) {
+		changed := known.worker != worker || !known.listed()
 		known.worker = worker
+		known.goneAt = time.Time{}
 		return changed
 	}
 	capacity := r.memory[worker.Service]
@@ -178,7 +211,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, exists := r.workers[id]
-	if !exists {
+	if !exists || !known.listed() {
 		return Worker{}, false
 	}
 	return known.worker, true
@@ -188,7 +221,13 @@
 func (r *Registry) Count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.workers)
+	count := 0
+	for _, known := range r.workers {
+		if known.listed() {
+			count++
+		}
+	}
+	return count
 }
 
 // Candidates describes the workers of a service that may take a request with a
@@ -198,7 +237,7 @@
 	defer r.mu.Unlock()
 	var candidates []scheduling.Candidate
 	for _, known := range r.workers {
-		if known.worker.Service != service || known.worker.Draining {
+		if known.worker.Service != service || !known.usable(now) {
 			continue
 		}
 		candidates = append(candidates, r.candidate(known, parts, now))
@@ -206,6 +245,15 @@
 	return candidates
 }
 
+// usable reports whether a worker may get requests: it is listed and stays, or has
+// vanished without a word a moment ago.
+func (s *state) usable(now time.Time) bool {
+	if s.worker.Draining {
+		return false
+	}
+	return s.listed() || now.Sub(s.goneAt) < lingerFor
+}
+
 func (r *Registry) candidate(known *state, parts []prefixcache.Part, now time.Time) scheduling.Candidate {
 	load := known.total(now)
 	return scheduling.Candidate{
@@ -225,6 +273,7 @@
 		Avoid:         known.breaker.Open(now),
 		FailureRate:   known.breaker.FailureRate(now),
 		HandleFailure: known.handles.Open(now),
+		Leaving:       !known.listed(),
 	}
 }
 
@@ -365,7 +414,7 @@
 	defer r.mu.Unlock()
 	count := 0
 	for _, known := range r.workers {
-		if known.worker.Draining {
+		if known.worker.Draining && known.listed() {
 			count++
 		}
 	}
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -171,3 +171,45 @@
 		t.Errorf("a slow worker is assumed to read %v tokens a millisecond", pace)
 	}
 }
+
+// TestVanishedWorkerIsTheLastResort: entries may vanish while the store is away
+// although their workers live. For a moment they are used where nothing else is
+// left, and one that comes back is known as it was.
+func TestVanishedWorkerIsTheLastResort(t *testing.T) {
+	parts := []prefixcache.Part{{ID: 1, Tokens: 100}}
+	r := newTestRegistry()
+	entry, _ := r.Get("p")
+	r.Cached("p", parts, origin)
+	r.ApplyAt(Change{ID: "p"}, origin)
+	if got := find(t, r, "p", parts, origin.Add(lingerFor-1)); !got.Leaving {
+		t.Errorf("%+v", got)
+	}
+	if r.Count() != 3 {
+		t.Errorf("%d workers are counted", r.Count())
+	}
+	for _, candidate := range r.Candidates("llm", parts, origin.Add(lingerFor)) {
+		if candidate.ID == "p" {
+			t.Error("a vanished worker is used for ever")
+		}
+	}
+	r.ApplyAt(Change{ID: "p", Worker: &entry}, origin.Add(lingerFor))
+	if got := find(t, r, "p", parts, origin.Add(lingerFor)); got.Leaving || got.CachedTokens != 100 {
+		t.Errorf("%+v", got)
+	}
+	r.ApplyAt(Change{ID: "p"}, origin)
+	r.ApplyAt(Change{ID: "p", Worker: &entry}, origin.Add(forgetAfter))
+	if got := find(t, r, "p", parts, origin.Add(forgetAfter)); got.CachedTokens != 0 {
+		t.Errorf("what vanished long ago is remembered: %+v", got)
+	}
+}
+
+// TestDrainingWorkerThatVanishesIsNotUsed: it said itself that it leaves.
+func TestDrainingWorkerThatVanishesIsNotUsed(t *testing.T) {
+	r := newTestRegistry()
+	r.ApplyAt(Change{ID: "leaving"}, origin)
+	for _, candidate := range r.Candidates("llm", nil, origin) {
+		if candidate.ID == "leaving" {
+			t.Error("a worker that drained is used")
+		}
+	}
+}
