--- a/cmd/tinarch/catalog.go
+++ b/cmd/tinarch/catalog.go
@@ -16,6 +16,7 @@
 	"github.com/tinarch/tinarch/internal/cli"
 	"github.com/tinarch/tinarch/internal/engine"
 	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/settings"
 )
 
 func (e environment) catalogClient() tinarchv1connect.CatalogServiceClient {
@@ -164,10 +165,14 @@
 }
 
 type checkCommand struct {
-	File string `arg:"positional,required" help:"YAML or JSON file in the form of the Catalog message"`
+	File     string `arg:"positional,required" help:"YAML or JSON file in the form of the Catalog message"`
+	Settings bool   `arg:"--settings" help:"the file holds the settings of a node that serves routes (tinarchd --routed)"`
 }
 
 func (c *checkCommand) run(context.Context, environment) error {
+	if c.Settings {
+		return checkSettings(c.File)
+	}
 	read, err := catalog.ReadFile(c.File)
 	if err != nil {
 		return err
@@ -179,6 +184,14 @@
 	return nil
 }
 
+func checkSettings(file string) error {
+	if _, err := settings.LoadRouted(file); err != nil {
+		return err
+	}
+	fmt.Println("the settings are valid")
+	return nil
+}
+
 type keyCommand struct{}
 
 func (c *keyCommand) run(context.Context, environment) error {
--- a/cmd/tinarch/main_test.go
+++ b/cmd/tinarch/main_test.go
@@ -75,6 +75,8 @@
 		{"check", []string{"check", example}, 0},
 		{"check of a wrong file", []string{"check", wrong}, result.InvalidCatalog.ExitStatus()},
 		{"check of no file", []string{"check", "none.yaml"}, result.InvalidCatalog.ExitStatus()},
+		{"check of settings", []string{"check", "--settings", "../../examples/routed-node.yaml"}, 0},
+		{"check of wrong settings", []string{"check", "--settings", example}, result.SettingsInvalid.ExitStatus()},
 		{"completion", []string{"completion", "bash"}, 0},
 		{"unknown shell", []string{"completion", "csh"}, result.UsageInvalid.ExitStatus()},
 		{"no command", nil, result.UsageInvalid.ExitStatus()},
