Plan the stages of engines and order them under a lease in the store

Change: stageplan (pure) moves an engine to reading when prompts wait past a fifth of the objective, and back when too few decode engines are left or their memory is full; one order at a time, five seconds between orders for load. stagecontrol gives orders: by the node with the lowest incarnation, under the lease, which is taken only when an order is due; fence looked at again before an order leaves; unanswered orders count as under way for 15 s. Digests tell the others which engines change.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -26,6 +27,9 @@
 	Reads []string `json:"r,omitempty"`
 	// Failures are workers that failed.
 	Failures []string `json:"f,omitempty"`
+	// Orders hold, by worker, for how many milliseconds a change of its stage may be
+	// under way, negative for a change to decode.
+	Orders map[string]int64 `json:"o,omitempty"`
 	// Newborn asks the receiver for what it has learned over time.
 	Newborn bool `json:"b,omitempty"`
 	// Memory tells that Reads and Paces are an answer to that, and Cold that the
@@ -49,6 +53,16 @@
 	for id, load := range snapshot.Loads {
 		message.Loads[id] = [3]int{load.Requests, load.ReadTokens, load.MemoryTokens}
 	}
+	for _, changing := range snapshot.Changing {
+		if message.Orders == nil {
+			message.Orders = make(map[string]int64)
+		}
+		left := changing.Left.Milliseconds()
+		if !changing.Prefill {
+			left = -left
+		}
+		message.Orders[changing.Worker] = left
+	}
 	for _, read := range snapshot.Reads {
 		message.Reads = append(message.Reads, renderRead(read))
 	}
@@ -73,6 +87,10 @@
 	for id, load := range m.Loads {
 		snapshot.Loads[id] = worker.Load{Requests: load[0], ReadTokens: load[1], MemoryTokens: load[2]}
 	}
+	for id, left := range m.Orders {
+		changing := worker.Changing{Worker: id, Prefill: left > 0, Left: time.Duration(max(left, -left)) * time.Millisecond}
+		snapshot.Changing = append(snapshot.Changing, changing)
+	}
 	for _, text := range m.Reads {
 		read, err := parseRead(text)
 		if err != nil {
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -104,6 +104,19 @@
 	return max(count, len(e.peers)+1)
 }
 
+// Lowest reports whether this node's incarnation is the lowest among those heard
+// lately.
+func (e *Exchange) Lowest() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for node, last := range e.heard {
+		if time.Since(last.at) <= peerLife && node < e.node {
+			return false
+		}
+	}
+	return true
+}
+
 // OldestDigest returns the time since the node that is silent for longest told its
 // load, zero where no other node is heard.
 func (e *Exchange) OldestDigest() time.Duration {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -125,10 +125,11 @@
 	return proposal
 }
 
-// free reports whether nobody can hold the lease any more: the row has not changed
-// for a whole life since this node first saw it, or was given back.
+// free reports whether nobody else can hold the lease any more: the row has not
+// changed for a whole life since this node first saw it, was given back, or is this
+// incarnation's own.
 func (m *Machine) free(now time.Time) bool {
-	if m.row.Version == 0 || m.row.Released {
+	if m.row.Version == 0 || m.row.Released || m.row.Holder == m.self {
 		return true
 	}
 	return now.Sub(m.seen) >= m.settings.Life+m.settings.Margin
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -182,6 +182,19 @@
 // Services returns all services, in no order.
 func (t *Table) Services() map[string]*Service { return t.services }
 
+// RoutesTo returns the routes that send requests to a service, in no order.
+func (t *Table) RoutesTo(service string) []*Route {
+	var found []*Route
+	for _, routes := range t.byHost {
+		for _, route := range routes {
+			if slices.ContainsFunc(route.Targets, func(target Target) bool { return target.Service == service }) {
+				found = append(found, route)
+			}
+		}
+	}
+	return found
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int {
 	count := 0
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -26,6 +26,7 @@
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/settings"
+	"github.com/tinarch/tinarch/internal/stagecontrol"
 	"github.com/tinarch/tinarch/internal/tablefeed"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
@@ -49,6 +50,8 @@
 	// answer.
 	ListRequest(address string) *workerconn.Request
 	ListedParts(status int, body []byte) ([]prefixcache.Part, error)
+	stagecontrol.Store
+	stagecontrol.Wire
 	// Put writes a row of this project's own, and Remove takes it away.
 	Put(ctx context.Context, table, key string, value []byte) error
 	Remove(ctx context.Context, table, key string) error
@@ -202,6 +205,7 @@
 	n.work.Go(func() { n.exchange.Run(ctx) })
 	n.work.Go(func() { n.announce(ctx) })
 	n.work.Go(func() { n.warmUp(ctx) })
+	n.work.Go(func() { n.controller().Run(ctx) })
 }
 
 // Stop ends the node as planned: it says that it takes no callers, goes on
--- /dev/null
+++ b/internal/serving/stages.go
@@ -0,0 +1,50 @@
+package serving
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/settings"
+	"github.com/tinarch/tinarch/internal/stagecontrol"
+)
+
+// controller plans the stages of the engines.
+func (n *Node) controller() *stagecontrol.Controller {
+	return stagecontrol.New(stagecontrol.Options{
+		Self: n.identity, Lease: settings.Milliseconds(n.settings.Bounds.LeaseMillis),
+		Store: n.platform, Wire: n.platform, Fleet: n.registry, Pool: n.pool, Log: n.log,
+		Services:   n.engineServices,
+		Designated: func() bool { return n.Ready() && n.exchange.Lowest() },
+	})
+}
+
+// engineServices lists the services of engines, with the mean objective of their
+// routes.
+func (n *Node) engineServices() []stagecontrol.Service {
+	table := n.front.Table()
+	if table == nil {
+		return nil
+	}
+	var services []stagecontrol.Service
+	for _, service := range table.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		services = append(services, stagecontrol.Service{
+			Name: service.Name, Objective: meanObjective(table, service.Name), Switch: service.Engine.RoleSwitch,
+		})
+	}
+	slices.SortFunc(services, func(left, right stagecontrol.Service) int { return cmp.Compare(left.Name, right.Name) })
+	return services
+}
+
+func meanObjective(table *routing.Table, service string) time.Duration {
+	sum, count := time.Duration(0), time.Duration(0)
+	for _, route := range table.RoutesTo(service) {
+		sum += route.Objective
+		count++
+	}
+	return sum / max(count, 1)
+}
--- /dev/null
+++ b/internal/stagecontrol/controller.go
@@ -0,0 +1,172 @@
+package stagecontrol
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/stageplan"
+	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+// The figures of the controller.
+const (
+	decideEvery  = 250 * time.Millisecond
+	orderTimeout = 600 * time.Millisecond
+	maxReply     = 16 << 10
+	// doneMargin is added to the time that a change takes before it is given up.
+	doneMargin = 6 * time.Second
+	// lateOrder is for how long an order that was not answered may still be carried
+	// out.
+	lateOrder = 15 * time.Second
+)
+
+// Verdict is what a worker's answer to an order says.
+type Verdict string
+
+// The verdicts.
+const (
+	// Accepted orders are carried out, or hold already.
+	Accepted Verdict = "accepted"
+	// Rejected orders are not.
+	Rejected Verdict = "rejected"
+	// Unknown orders were not answered: they may be carried out later.
+	Unknown Verdict = "unknown"
+)
+
+// Wire is how orders are put.
+type Wire interface {
+	// StageOrder returns the order for a worker to have a stage.
+	StageOrder(to worker.Worker, prefill bool, holder string, fence uint64) *workerconn.Request
+	// OrderVerdict reads the status of its answer.
+	OrderVerdict(status int) Verdict
+}
+
+// Fleet is what is known of the engines.
+type Fleet interface {
+	// Engines describes the engines of a service for the planner.
+	Engines(service string, now time.Time) []stageplan.Worker
+	Get(id string) (worker.Worker, bool)
+	// SetChanging keeps requests away from a worker for a time, or until its entry
+	// shows the stage.
+	SetChanging(id string, prefill bool, until time.Time)
+}
+
+// Service is a service of engines to plan.
+type Service struct {
+	Name string
+	// Objective is the time within which the first event of its streams is wanted.
+	Objective time.Duration
+	// Switch is how long an engine is away when it changes.
+	Switch time.Duration
+}
+
+// Options are what a controller works with.
+type Options struct {
+	Self     string
+	Lease    time.Duration
+	Store    Store
+	Wire     Wire
+	Fleet    Fleet
+	Pool     *workerconn.Pool
+	Log      *logrus.Logger
+	Services func() []Service
+	// Designated reports whether this is the node that the others expect to give
+	// orders. Two nodes may both think so; the lease decides.
+	Designated func() bool
+}
+
+// Controller plans and orders.
+type Controller struct {
+	options   Options
+	authority *authority
+	planners  map[string]*stageplan.Planner
+}
+
+// New returns a controller.
+func New(options Options) *Controller {
+	return &Controller{
+		options:   options,
+		authority: newAuthority(options.Self, options.Lease, options.Store, options.Log),
+		planners:  make(map[string]*stageplan.Planner),
+	}
+}
+
+// Run works until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(decideEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if c.options.Designated() {
+			c.Step(ctx)
+		}
+	}
+}
+
+// Step plans once.
+func (c *Controller) Step(ctx context.Context) {
+	for _, service := range c.options.Services() {
+		planner, known := c.planners[service.Name]
+		if !known {
+			planner = stageplan.New(stageplan.DefaultPolicy())
+			c.planners[service.Name] = planner
+		}
+		now := time.Now()
+		order, found := planner.Decide(now, c.options.Fleet.Engines(service.Name, now), service.Objective)
+		if found {
+			c.give(ctx, service, planner, order)
+		}
+	}
+}
+
+// give carries a decision out, if this node has the authority to.
+func (c *Controller) give(ctx context.Context, service Service, planner *stageplan.Planner, order stageplan.Order) {
+	log := c.options.Log.WithFields(logrus.Fields{
+		"worker": order.Worker, "prefill": order.Prefill, "reason": order.Reason, "wait_ms": planner.Wait().Milliseconds(),
+	})
+	to, listed := c.options.Fleet.Get(order.Worker)
+	if !listed || !c.authority.acquire(ctx) {
+		log.Info("order not given")
+		return
+	}
+	verdict, detail := c.send(ctx, to, order)
+	now := time.Now()
+	switch verdict {
+	case Accepted:
+		c.options.Fleet.SetChanging(to.ID, order.Prefill, now.Add(service.Switch+doneMargin))
+	case Unknown:
+		c.options.Fleet.SetChanging(to.ID, order.Prefill, now.Add(lateOrder))
+	}
+	log.WithFields(logrus.Fields{"verdict": verdict, "detail": detail}).Info("order given")
+}
+
+// send looks at the lease again just before the order leaves.
+func (c *Controller) send(ctx context.Context, to worker.Worker, order stageplan.Order) (Verdict, string) {
+	fence := c.authority.machine.Fence(time.Now())
+	if fence == 0 {
+		return Rejected, "the lease lapsed before the order left"
+	}
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	request := c.options.Wire.StageOrder(to, order.Prefill, c.options.Self, fence)
+	answer, err := c.options.Pool.Do(callCtx, to.ID, to.Address, 0, request)
+	if err != nil {
+		if workerconn.Unsent(err) {
+			return Rejected, err.Error()
+		}
+		return Unknown, err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxReply)); err != nil {
+		return Unknown, err.Error()
+	}
+	return c.options.Wire.OrderVerdict(answer.Status), ""
+}
--- /dev/null
+++ b/internal/stageplan/stageplan_test.go
@@ -0,0 +1,139 @@
+package stageplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	objective = 800 * time.Millisecond
+	tick      = 250 * time.Millisecond
+)
+
+var origin = time.Unix(1000, 0)
+
+func fleet(prefill, decode int, change func(*Worker)) []Worker {
+	var workers []Worker
+	for i := range prefill + decode {
+		worker := Worker{ID: fmt.Sprintf("w%02d", i), Prefill: i < prefill, Usable: true, Capacity: 400_000, Pace: 40}
+		if change != nil {
+			change(&worker)
+		}
+		workers = append(workers, worker)
+	}
+	return workers
+}
+
+// after lets a planner see the same fleet for a while, and returns its first order.
+func after(t *testing.T, span time.Duration, workers []Worker) (Order, time.Duration, bool) {
+	t.Helper()
+	planner := New(DefaultPolicy())
+	for elapsed := time.Duration(0); elapsed <= span; elapsed += tick {
+		if order, found := planner.Decide(origin.Add(elapsed), workers, objective); found {
+			return order, elapsed, true
+		}
+	}
+	return Order{}, 0, false
+}
+
+func TestQuietFleetIsLeftAlone(t *testing.T) {
+	if order, _, found := after(t, time.Minute, fleet(4, 5, nil)); found {
+		t.Errorf("%+v", order)
+	}
+}
+
+func TestPromptsThatWaitGetAReader(t *testing.T) {
+	waiting := fleet(4, 5, func(w *Worker) {
+		if w.Prefill {
+			w.ReadTokens = 20_000
+		}
+	})
+	order, _, found := after(t, 10*time.Second, waiting)
+	if !found || !order.Prefill || order.Reason != PromptsWait || order.Worker < "w04" {
+		t.Errorf("%+v %v", order, found)
+	}
+}
+
+func TestDecodeWorkersAreNotAllTaken(t *testing.T) {
+	for _, decode := range []int{1, 2, 3} {
+		waiting := fleet(6, decode, func(w *Worker) { w.ReadTokens = 50_000 })
+		if order, _, found := after(t, time.Second, waiting); found && order.Prefill {
+			t.Errorf("with %d decode workers: %+v", decode, order)
+		}
+	}
+}
+
+func TestLostDecodeWorkersAreReplaced(t *testing.T) {
+	lost := fleet(5, 4, func(w *Worker) { w.Usable = w.Prefill || w.ID == "w05" })
+	order, when, found := after(t, 10*time.Second, lost)
+	if !found || order.Prefill || order.Reason != FewDecode {
+		t.Fatalf("%+v %v", order, found)
+	}
+	if when < DefaultPolicy().Urgent || when > DefaultPolicy().Urgent+tick {
+		t.Errorf("ordered after %v", when)
+	}
+}
+
+func TestLostPrefillWorkersAreReplaced(t *testing.T) {
+	lost := fleet(2, 7, func(w *Worker) { w.Usable = !w.Prefill })
+	if order, _, found := after(t, 10*time.Second, lost); !found || !order.Prefill || order.Reason != FewPrefill {
+		t.Errorf("%+v %v", order, found)
+	}
+}
+
+func TestFullMemoryGetsAWriter(t *testing.T) {
+	full := fleet(5, 4, func(w *Worker) { w.MemoryTokens = 390_000 })
+	if order, _, found := after(t, 10*time.Second, full); !found || order.Prefill || order.Reason != MemoryIsFull {
+		t.Errorf("%+v %v", order, found)
+	}
+}
+
+func TestOneOrderAtATime(t *testing.T) {
+	changing := fleet(5, 4, func(w *Worker) {
+		w.Usable = w.Prefill
+		w.Changing = w.ID == "w00"
+	})
+	if order, _, found := after(t, time.Minute, changing); found {
+		t.Errorf("%+v", order)
+	}
+}
+
+// TestOrdersAreFew: whatever the load does, orders for load keep their distance, and
+// an order never takes the last engines of a stage.
+func TestOrdersAreFew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := fleet(4, 5, nil)
+		planner := New(DefaultPolicy())
+		var last time.Time
+		for step := range 200 {
+			now := origin.Add(time.Duration(step) * tick)
+			tokens := rapid.IntRange(0, 60_000).Draw(t, "tokens")
+			for i := range workers {
+				workers[i].ReadTokens, workers[i].MemoryTokens = tokens, 6*tokens
+			}
+			order, found := planner.Decide(now, workers, objective)
+			if !found {
+				continue
+			}
+			if !last.IsZero() && now.Sub(last) < DefaultPolicy().Settle {
+				t.Fatalf("orders at %v and %v", last, now)
+			}
+			last = now
+			prefill := 0
+			for i := range workers {
+				if workers[i].ID == order.Worker {
+					workers[i].Prefill = order.Prefill
+				}
+				if workers[i].Prefill {
+					prefill++
+				}
+			}
+			if prefill < 1 || len(workers)-prefill < 2 {
+				t.Fatalf("%d prefill workers of %d", prefill, len(workers))
+			}
+		}
+	})
+}
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -16,6 +16,16 @@
 	Loads    map[string]Load
 	Reads    []Read
 	Failures []string
+	// Changing are the workers that were ordered to a stage.
+	Changing []Changing
+}
+
+// Changing tells that an order to a worker may be under way.
+type Changing struct {
+	Worker  string
+	Prefill bool
+	// Left is for how long, unless its entry shows the stage before.
+	Left time.Duration
 }
 
 // Snapshot returns what is to be told, and a number that rises with each change,
@@ -28,11 +38,26 @@
 		if !known.load.Zero() {
 			snapshot.Loads[id] = known.load
 		}
+		if left := time.Until(known.changing); left > 0 {
+			snapshot.Changing = append(snapshot.Changing, Changing{Worker: id, Prefill: known.changingStage == Prefill, Left: left})
+		}
 	}
 	r.reads, r.failures = nil, nil
 	return snapshot, r.version
 }
 
+// mergeChanging takes over an order that another node gave, unless the entry shows
+// that it is done.
+func (r *Registry) mergeChanging(changing Changing, now time.Time) {
+	stage := Decode
+	if changing.Prefill {
+		stage = Prefill
+	}
+	if known, exists := r.workers[changing.Worker]; exists && known.worker.Stage != stage {
+		known.changing, known.changingStage = now.Add(changing.Left), stage
+	}
+}
+
 // Pace is the learned reading pace of a service's workers of a stage.
 type Pace struct {
 	Service              string
@@ -131,6 +156,9 @@
 			known.cacheKnown = known.cacheKnown || len(read.Parts) >= listedParts
 		}
 	}
+	for _, changing := range snapshot.Changing {
+		r.mergeChanging(changing, now)
+	}
 	for _, id := range snapshot.Failures {
 		if known, exists := r.workers[id]; exists {
 			known.breaker.Failed(now)
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -8,6 +8,7 @@
 	"github.com/tinarch/tinarch/internal/pace"
 	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/stageplan"
 )
 
 // state is what is known of one worker.
@@ -16,6 +17,10 @@
 	// goneAt is when its entry vanished, zero while it is listed.
 	goneAt time.Time
 	load   Load
+	// changing is until when an order keeps requests away, unless its entry shows the
+	// stage before.
+	changing      time.Time
+	changingStage Stage
 	// remote is the load that other nodes have placed, by node.
 	remote map[string]remoteLoad
 	cache  *prefixcache.Cache
@@ -192,6 +197,9 @@
 		changed := known.worker != worker || !known.listed()
 		known.worker = worker
 		known.goneAt = time.Time{}
+		if worker.Stage == known.changingStage {
+			known.changing = time.Time{}
+		}
 		return changed
 	}
 	capacity := r.memory[worker.Service]
@@ -245,10 +253,50 @@
 	return candidates
 }
 
+// isChanging reports whether an order may be under way.
+func (s *state) isChanging(now time.Time) bool { return now.Before(s.changing) }
+
+// SetChanging keeps requests away from a worker that was ordered to a stage, until a
+// time or until its entry shows the stage.
+func (r *Registry) SetChanging(id string, prefill bool, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, exists := r.workers[id]
+	if !exists {
+		return
+	}
+	known.changing, known.changingStage = until, Decode
+	if prefill {
+		known.changingStage = Prefill
+	}
+	r.version++
+}
+
+// Engines describes the engines of a service for planning their stages.
+func (r *Registry) Engines(service string, now time.Time) []stageplan.Worker {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var engines []stageplan.Worker
+	for _, known := range r.workers {
+		if known.worker.Service != service || known.worker.Stage == Opaque || !known.listed() {
+			continue
+		}
+		load := known.total(now)
+		engines = append(engines, stageplan.Worker{
+			ID: known.worker.ID, Prefill: known.worker.Stage == Prefill,
+			Usable:   !known.worker.Draining && !known.breaker.Open(now),
+			Changing: known.isChanging(now),
+			Requests: load.Requests, ReadTokens: load.ReadTokens, MemoryTokens: load.MemoryTokens,
+			Capacity: r.memory[service], Pace: r.paceOf(known),
+		})
+	}
+	return engines
+}
+
 // usable reports whether a worker may get requests: it is listed and stays, or has
 // vanished without a word a moment ago.
 func (s *state) usable(now time.Time) bool {
-	if s.worker.Draining {
+	if s.worker.Draining || s.isChanging(now) {
 		return false
 	}
 	return s.listed() || now.Sub(s.goneAt) < lingerFor
