Test orders: authority, fences, lost answers, what the other nodes believe

Cause: the controller of stages had no tests of its own. Conclusion: two nodes, a store that is down, a write carried out and not answered, an order without an answer and an old digest are met.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -26,14 +26,6 @@
 	Released bool
 }
 
-// fence returns the fence under which the row's holder acts.
-func (r Row) fence() uint64 {
-	if r.Fence == 0 {
-		return r.Version
-	}
-	return r.Fence
-}
-
 // Action is what the driver is to do.
 type Action string
 
--- /dev/null
+++ b/internal/stagecontrol/controller_test.go
@@ -0,0 +1,236 @@
+package stagecontrol
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/stageplan"
+	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+var errDown = errors.New("the store is down")
+
+// memoryStore is a store with one row.
+type memoryStore struct {
+	mu      sync.Mutex
+	value   []byte
+	version uint64
+	down    bool
+	// late makes writes be carried out and not answered.
+	late  bool
+	calls int
+}
+
+func (s *memoryStore) ReadRow(context.Context, string, string) ([]byte, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, errDown
+	}
+	return s.value, s.version, nil
+}
+
+func (s *memoryStore) WriteRow(_ context.Context, _, _ string, value []byte, ifVersion uint64) (uint64, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return 0, false, errDown
+	}
+	if s.version != ifVersion {
+		return 0, false, nil
+	}
+	s.version += 3
+	s.value = value
+	if s.late {
+		return 0, false, errDown
+	}
+	return s.version, true, nil
+}
+
+// fakeFleet has one engine too many that reads.
+type fakeFleet struct {
+	address  string
+	changing map[string]time.Time
+}
+
+func (f *fakeFleet) Engines(string, time.Time) []stageplan.Worker {
+	var engines []stageplan.Worker
+	for _, id := range []string{"p1", "p2", "p3", "p4", "p5", "d1"} {
+		until, ordered := f.changing[id]
+		engines = append(engines, stageplan.Worker{
+			ID: id, Prefill: strings.HasPrefix(id, "p"), Usable: true, Changing: ordered && time.Now().Before(until),
+			Capacity: 1000, Pace: 10,
+		})
+	}
+	return engines
+}
+
+func (f *fakeFleet) Get(id string) (worker.Worker, bool) {
+	return worker.Worker{ID: id, Address: f.address, Stage: worker.Prefill}, true
+}
+
+func (f *fakeFleet) SetChanging(id string, _ bool, until time.Time) { f.changing[id] = until }
+
+// fakeWire puts orders as headers.
+type fakeWire struct{}
+
+func (fakeWire) StageOrder(to worker.Worker, prefill bool, holder string, fence uint64) *workerconn.Request {
+	header := http.Header{}
+	header.Set("Worker", to.ID)
+	header.Set("Holder", holder)
+	if prefill {
+		header.Set("Prefill", "1")
+	}
+	if fence == 0 {
+		header.Set("Unfenced", "1")
+	}
+	return &workerconn.Request{Method: http.MethodPost, Target: "/", Host: to.Address, Header: header}
+}
+
+func (fakeWire) OrderVerdict(status int) Verdict {
+	switch status {
+	case http.StatusOK:
+		return Accepted
+	case http.StatusConflict:
+		return Rejected
+	}
+	return Unknown
+}
+
+// bench is a controller with its surroundings.
+type bench struct {
+	store  *memoryStore
+	fleet  *fakeFleet
+	orders []http.Header
+	status int
+	mu     sync.Mutex
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{store: &memoryStore{}, status: http.StatusOK}
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		b.mu.Lock()
+		b.orders = append(b.orders, request.Header.Clone())
+		status := b.status
+		b.mu.Unlock()
+		if status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		writer.WriteHeader(status)
+	}))
+	t.Cleanup(server.Close)
+	b.fleet = &fakeFleet{address: strings.TrimPrefix(server.URL, "http://"), changing: make(map[string]time.Time)}
+	return b
+}
+
+func (b *bench) controller(self string) *Controller {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Options{
+		Self: self, Lease: 3 * time.Second, Store: b.store, Wire: fakeWire{}, Fleet: b.fleet, Pool: workerconn.NewPool(), Log: log,
+		Services:   func() []Service { return []Service{{Name: "s", Objective: time.Second, Switch: time.Second}} },
+		Designated: func() bool { return true },
+	})
+}
+
+// order lets a controller carry out an order now.
+func order(c *Controller) {
+	c.give(context.Background(), Service{Name: "s", Switch: time.Second}, stageplan.New(stageplan.DefaultPolicy()), stageplan.Order{Worker: "p1", Reason: stageplan.FewDecode})
+}
+
+func TestOrdersAreFencedAndMarked(t *testing.T) {
+	b := newBench(t)
+	order(b.controller("a"))
+	if len(b.orders) != 1 || b.orders[0].Get("Worker") != "p1" || b.orders[0].Get("Holder") != "a" || b.orders[0].Get("Unfenced") != "" {
+		t.Fatalf("%v", b.orders)
+	}
+	if time.Until(b.fleet.changing["p1"]) <= 0 {
+		t.Error("an accepted order isn't under way")
+	}
+}
+
+// TestOnlyTheHolderOrders: a second node waits for as long as the first may act.
+func TestOnlyTheHolderOrders(t *testing.T) {
+	b := newBench(t)
+	order(b.controller("a"))
+	order(b.controller("b"))
+	if len(b.orders) != 1 {
+		t.Errorf("%d orders of two nodes", len(b.orders))
+	}
+	again := b.controller("a")
+	order(again)
+	if len(b.orders) != 2 {
+		t.Errorf("the same incarnation can't go on: %d orders", len(b.orders))
+	}
+}
+
+func TestNoStoreNoOrder(t *testing.T) {
+	b := newBench(t)
+	b.store.down = true
+	order(b.controller("a"))
+	b.store.down, b.store.late = false, true
+	order(b.controller("a"))
+	if len(b.orders) != 0 {
+		t.Errorf("%d orders without authority", len(b.orders))
+	}
+}
+
+func TestHeldLeaseCostsNoCalls(t *testing.T) {
+	b := newBench(t)
+	c := b.controller("a")
+	for range 5 {
+		order(c)
+	}
+	if b.store.calls != 2 || len(b.orders) != 5 {
+		t.Errorf("%d calls for %d orders", b.store.calls, len(b.orders))
+	}
+}
+
+// TestUnansweredOrderMayStillCome: its worker is left alone for long; a rejected
+// order's is not.
+func TestUnansweredOrderMayStillCome(t *testing.T) {
+	b := newBench(t)
+	b.status = 0
+	order(b.controller("a"))
+	if left := time.Until(b.fleet.changing["p1"]); left < 10*time.Second {
+		t.Errorf("an unanswered order counts for %v", left)
+	}
+	b = newBench(t)
+	b.status = http.StatusConflict
+	order(b.controller("a"))
+	if _, marked := b.fleet.changing["p1"]; marked {
+		t.Error("a rejected order is under way")
+	}
+}
+
+// TestStepOrdersWhatIsPlanned: with one decode engine of six, one is moved after the
+// lack has lasted.
+func TestStepOrdersWhatIsPlanned(t *testing.T) {
+	b := newBench(t)
+	c := b.controller("a")
+	for end := time.Now().Add(20 * time.Second); len(b.fleet.changing) == 0; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no order")
+		}
+		c.Step(context.Background())
+	}
+	for range 5 {
+		c.Step(context.Background())
+	}
+	if len(b.orders) != 1 || b.orders[0].Get("Prefill") != "" {
+		t.Errorf("%v", b.orders)
+	}
+}
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -213,3 +213,38 @@
 		}
 	}
 }
+
+// TestOrderedWorkerGetsNothing until its entry shows the stage, or the time is over;
+// the other nodes hear of it.
+func TestOrderedWorkerGetsNothing(t *testing.T) {
+	here, there := newTestRegistry(), newTestRegistry()
+	now := time.Now()
+	here.SetChanging("d", true, now.Add(time.Minute))
+	snapshot, _ := here.Snapshot()
+	there.Merge("here", snapshot, now)
+	for name, r := range map[string]*Registry{"here": here, "there": there} {
+		for _, candidate := range r.Candidates("llm", nil, now) {
+			if candidate.ID == "d" {
+				t.Errorf("%s: a worker that changes is used", name)
+			}
+		}
+		for _, engine := range r.Engines("llm", now) {
+			if engine.Changing != (engine.ID == "d") {
+				t.Errorf("%s: %+v", name, engine)
+			}
+		}
+		if len(r.Candidates("llm", nil, now.Add(2*time.Minute))) != 2 {
+			t.Errorf("%s: an order keeps its worker away for ever", name)
+		}
+		entry, _ := r.Get("d")
+		entry.Stage = Prefill
+		r.ApplyAt(Change{ID: "d", Worker: &entry}, now)
+		if !find(t, r, "d", nil, now).Prefill {
+			t.Errorf("%s: the worker has changed and isn't used", name)
+		}
+		r.Merge("late", snapshot, now)
+		if !find(t, r, "d", nil, now).Prefill {
+			t.Errorf("%s: an old word takes a changed worker away", name)
+		}
+	}
+}
