Divide the registry of workers and the cost model by job

Change: list, observations, candidates; types, costs, reading; update holds the lock. Conclusion: no behaviour changed.

--- /dev/null
+++ b/internal/scheduling/types.go
@@ -0,0 +1,96 @@
+package scheduling
+
+import "time"
+
+// Candidate is what is known of one worker.
+type Candidate struct {
+	ID       string
+	Address  string
+	Zone     string
+	SameZone bool
+	Slots    int
+	// Prefill and Decode tell the stage of a model engine; both are false for
+	// other workers.
+	Prefill, Decode bool
+	// Requests, ReadTokens and MemoryTokens are the load placed by all nodes.
+	Requests     int
+	ReadTokens   int
+	MemoryTokens int
+	// Capacity is the KV cache in tokens, zero where it isn't known.
+	Capacity int
+	// CachedTokens is the part of the request's prompt that the worker keeps.
+	CachedTokens int
+	// Pace is the learned reading pace, in tokens a millisecond.
+	Pace float64
+	// Avoid tells that the worker failed just now.
+	Avoid bool
+	// Leaving tells that the worker's entry has just vanished.
+	Leaving bool
+	// FailureRate is the share of requests that it failed lately.
+	FailureRate float64
+	// HandleFailure tells that prompts read apart there could not be fetched.
+	HandleFailure bool
+}
+
+// Request is what is known of a request.
+type Request struct {
+	// PromptTokens is zero for requests that aren't for model engines.
+	PromptTokens int
+	// SharedTokens is the part of the prompt that other requests share.
+	SharedTokens int
+	OutputTokens int
+	// Objective is the time that is left for the first byte of the answer.
+	Objective time.Duration
+	// Remaining is the time that is left for the whole.
+	Remaining time.Duration
+	// Excluded are workers that must not get this request any more, and Failed those
+	// that ran it and failed, which get it where no other is left.
+	Excluded, Failed map[string]bool
+	// Retry tells that the request was tried before.
+	Retry bool
+}
+
+// Mode is the way in which a request is served.
+type Mode string
+
+// The modes.
+const (
+	// Whole requests run at one worker.
+	Whole Mode = "whole"
+	// Apart requests are read at one engine and run at another.
+	Apart Mode = "apart"
+	// Refused requests are not run.
+	Refused Mode = "refused"
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	NoWorker  Reason = "no worker"
+	TooLate   Reason = "too late"
+	NoneIsFit Reason = "all workers are full"
+)
+
+// Plan is the decision.
+type Plan struct {
+	Mode   Mode
+	Reason Reason
+	// Reader is the worker that reads the prompt, where Mode is Apart.
+	Reader Candidate
+	// Runner is the worker that answers. Where Mode is Apart it is chosen again
+	// when the prompt was read.
+	Runner Candidate
+	// Fetch is the address of a worker from which the one that reads the prompt
+	// takes over what it keeps of it; empty where nothing is to be fetched.
+	Fetch string
+	// Unread is the part of the prompt that is read anew, in tokens.
+	Unread int
+	// First is the predicted time to the first byte.
+	First time.Duration
+	// Cost is what was compared, in milliseconds.
+	Cost float64
+	// RetryAfter is when a refused request should come back.
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/internal/worker/list.go
@@ -0,0 +1,134 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+)
+
+// SetMemory sets the KV cache of a service's engines, in tokens.
+func (r *Registry) SetMemory(service string, tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.memory[service] = tokens
+}
+
+// Replace sets the whole list. It returns the workers that are new and those gone.
+func (r *Registry) Replace(workers []Worker) (added, gone []string) {
+	return r.ReplaceAt(workers, time.Now())
+}
+
+// ReplaceAt is Replace at a given time.
+func (r *Registry) ReplaceAt(workers []Worker, now time.Time) (added, gone []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[string]bool, len(workers))
+	for _, worker := range workers {
+		listed[worker.ID] = true
+		if known, exists := r.workers[worker.ID]; !exists || !known.listed() {
+			added = append(added, worker.ID)
+		}
+		r.put(worker, now)
+	}
+	for id := range r.workers {
+		if !listed[id] && r.remove(id, now) {
+			gone = append(gone, id)
+		}
+	}
+	return added, gone
+}
+
+// Apply records one change of the list. It reports whether anything that matters
+// for placement changed.
+func (r *Registry) Apply(change Change) bool { return r.ApplyAt(change, time.Now()) }
+
+// ApplyAt is Apply at a given time.
+func (r *Registry) ApplyAt(change Change, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if change.Worker != nil {
+		return r.put(*change.Worker, now)
+	}
+	return r.remove(change.ID, now)
+}
+
+// listed reports whether the platform lists the worker.
+func (s *state) listed() bool { return s.goneAt.IsZero() }
+
+// remove takes a worker off the list, and reports whether it was on it. What is
+// known of it is kept for a while: entries may vanish while the store is away,
+// although their workers live.
+func (r *Registry) remove(id string, now time.Time) bool {
+	for other, known := range r.workers {
+		if !known.listed() && now.Sub(known.goneAt) >= forgetAfter {
+			delete(r.workers, other)
+		}
+	}
+	known, exists := r.workers[id]
+	if !exists || !known.listed() {
+		return false
+	}
+	known.goneAt = now
+	return true
+}
+
+// put records an entry, and reports whether that changed anything.
+func (r *Registry) put(worker Worker, now time.Time) bool {
+	known, exists := r.workers[worker.ID]
+	if exists && (known.listed() || now.Sub(known.goneAt) < forgetAfter) {
+		changed := known.worker != worker || !known.listed()
+		known.worker = worker
+		known.goneAt = time.Time{}
+		if worker.Stage == known.changingStage {
+			known.changing = time.Time{}
+		}
+		return changed
+	}
+	capacity := r.memory[worker.Service]
+	if capacity == 0 {
+		capacity = unknownMemoryTokens
+	}
+	r.workers[worker.ID] = &state{
+		worker: worker,
+		remote: make(map[string]remoteLoad),
+		cache:  prefixcache.New(capacity),
+	}
+	return true
+}
+
+// Get returns a worker of the list.
+func (r *Registry) Get(id string) (Worker, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, exists := r.workers[id]
+	if !exists || !known.listed() {
+		return Worker{}, false
+	}
+	return known.worker, true
+}
+
+// Count returns the number of workers listed.
+func (r *Registry) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, known := range r.workers {
+		if known.listed() {
+			count++
+		}
+	}
+	return count
+}
+
+// Draining returns the number of listed workers that get no new requests.
+func (r *Registry) Draining() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, known := range r.workers {
+		if known.worker.Draining && known.listed() {
+			count++
+		}
+	}
+	return count
+}
