Soak routed nodes as processes under seeded faults from outside

Loopback proxies delay, reset, silence and cut one way; signals stop, pause and kill; the store is down, throttled, forgetful, loses answers or shows old reads; entries vanish; workers fail in six ways and drain. Callers' and workers' sides are checked: at most once, called not run and not run, whole answers with their own signature and id, no proper request refused, served again in a quiet time. Running a node as a process stands once (lab/process), for this and the other fault runs.

--- a/cmd/tinarch-lab/main.go
+++ b/cmd/tinarch-lab/main.go
@@ -19,6 +19,7 @@
 	Load       *loadCommand       `arg:"subcommand:load" help:"send a workload to nodes"`
 	Bench      *benchCommand      `arg:"subcommand:bench" help:"measure what a node adds, beside a baseline"`
 	Faults     *faultsCommand     `arg:"subcommand:faults" help:"run nodes as processes under seeded failures and check what must always hold"`
+	Soak       *soakCommand       `arg:"subcommand:soak" help:"run routed nodes as processes under seeded faults from outside and check their promises"`
 	Scale      *scaleCommand      `arg:"subcommand:scale" help:"measure what hollow nodes cost, and rollouts among them"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"simulate a deployment in virtual time, policies side by side over seeds"`
 	Serve      *serveCommand      `arg:"subcommand:serve" help:"run a deployment's engines and platform as servers"`
--- /dev/null
+++ b/cmd/tinarch-lab/soak.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/soak"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+type soakCommand struct {
+	Program string  `arg:"--program" default:"bin/tinarchd" help:"path of tinarchd"`
+	Seed    uint64  `arg:"--seed" help:"first seed (default: from the clock)"`
+	Count   int     `arg:"--count" default:"1" help:"number of seeds, one after the other"`
+	Seconds float64 `arg:"--seconds" default:"30" help:"time of faults for each seed"`
+	Logs    string  `arg:"--logs" help:"directory for settings and logs (default: a new one, kept only where a promise broke)"`
+	Verbose bool    `arg:"--verbose" help:"print each fault"`
+	Out     string  `arg:"--out" help:"store the reports as JSON"`
+}
+
+func (c *soakCommand) run(ctx context.Context) error {
+	first := c.Seed
+	if first == 0 {
+		first = uint64(time.Now().UnixNano())
+	}
+	var reports []*soak.Report
+	broken := 0
+	for number := range c.Count {
+		report, err := c.one(ctx, first+uint64(number))
+		if err != nil {
+			return err
+		}
+		reports = append(reports, report)
+		broken += len(report.Broken)
+	}
+	if err := writeJSON(c.Out, reports); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return result.New(result.Internal, "%d promises were broken", broken)
+	}
+	return nil
+}
+
+func (c *soakCommand) one(ctx context.Context, seed uint64) (*soak.Report, error) {
+	directory, err := c.directory(seed)
+	if err != nil {
+		return nil, err
+	}
+	out := io.Discard
+	if c.Verbose {
+		out = os.Stdout
+	}
+	report, err := soak.Run(ctx, soak.Options{
+		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
+	})
+	if err != nil {
+		return nil, err
+	}
+	fmt.Printf("seed %d: %d requests, %d served, %d of %d in the quiet time, %d starts, %v, %d promises broken\n",
+		seed, report.Sent, report.Served, report.QuietServed, report.QuietSent, report.Starts, report.Statuses, len(report.Broken))
+	for _, line := range report.Broken {
+		fmt.Println("  broken:", line)
+	}
+	if len(report.Broken) > 0 {
+		fmt.Println("  logs:", directory)
+	} else if c.Logs == "" {
+		_ = os.RemoveAll(directory)
+	}
+	return report, nil
+}
+
+func (c *soakCommand) directory(seed uint64) (string, error) {
+	if c.Logs == "" {
+		return os.MkdirTemp("", "tinarch-soak-")
+	}
+	directory := filepath.Join(c.Logs, fmt.Sprint(seed))
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return "", result.New(result.SettingsInvalid, "the logs can't be stored: %v", err)
+	}
+	return directory, nil
+}
--- a/internal/lab/faults/checks.go
+++ b/internal/lab/faults/checks.go
@@ -68,7 +68,7 @@
 		var first uint64
 		for node, n := range r.nodes {
 			revision, _, err := r.revision(settleCtx, node)
-			if err != nil || !n.ready(settleCtx) || (node > 0 && revision != first) {
+			if err != nil || !n.Ready(settleCtx) || (node > 0 && revision != first) {
 				return false
 			}
 			first = revision
--- /dev/null
+++ b/internal/lab/faults/node.go
@@ -0,0 +1,25 @@
+package faults
+
+import (
+	"github.com/tinarch/tinarch/internal/lab/process"
+	"github.com/tinarch/tinarch/internal/settings"
+)
+
+// nodeProcess is a node that runs as a process, with the settings it is started with.
+type nodeProcess struct {
+	*process.Node
+	settings *settings.Settings
+}
+
+func newNodeProcess(program, directory string, configured settings.Settings) *nodeProcess {
+	kept := &configured
+	return &nodeProcess{
+		settings: kept,
+		Node: &process.Node{
+			Program: program, Directory: directory, Name: configured.Node.Name, Settings: kept,
+			ReadyURL: "http://" + configured.Listen.Callers + "/readyz",
+		},
+	}
+}
+
+func (n *nodeProcess) callers() string { return n.settings.Listen.Callers }
--- a/internal/lab/faults/operators.go
+++ b/internal/lab/faults/operators.go
@@ -118,16 +118,12 @@
 
 func (w *revisionWatch) look(ctx context.Context, node int) {
 	n := w.owner.nodes[node]
-	n.mu.Lock()
-	before := n.starts
-	n.mu.Unlock()
-	if !n.ready(ctx) {
+	before := n.Starts()
+	if !n.Ready(ctx) {
 		return
 	}
 	revision, _, err := w.owner.revision(ctx, node)
-	n.mu.Lock()
-	after := n.starts
-	n.mu.Unlock()
+	after := n.Starts()
 	if err != nil || before != after {
 		return
 	}
--- a/internal/lab/faults/run.go
+++ b/internal/lab/faults/run.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	for _, n := range r.nodes {
-		if err := n.start(); err != nil {
+		if err := n.Start(); err != nil {
 			return err
 		}
 	}
@@ -123,7 +123,7 @@
 	}
 	return lab.Await(startCtx, "ready nodes and engines", func() bool {
 		for _, n := range r.nodes {
-			if !n.ready(startCtx) {
+			if !n.Ready(startCtx) {
 				return false
 			}
 		}
@@ -141,7 +141,7 @@
 		}
 		configured.Listen.Callers, configured.Listen.Operators, configured.Listen.Peers = addresses[0], addresses[1], addresses[2]
 		seeds = append(seeds, addresses[2])
-		r.nodes = append(r.nodes, &nodeProcess{program: r.options.Program, directory: r.options.Directory, settings: configured})
+		r.nodes = append(r.nodes, newNodeProcess(r.options.Program, r.options.Directory, configured))
 	}
 	for _, n := range r.nodes {
 		n.settings.Cluster.Seeds = seeds
@@ -173,7 +173,7 @@
 		outcome.Events = append(outcome.Events, event.String())
 	}
 	for _, n := range r.nodes {
-		outcome.Starts += n.starts
+		outcome.Starts += n.Starts()
 	}
 	callers.fill(&outcome)
 	return outcome, nil
@@ -225,19 +225,19 @@
 	n := r.nodes[event.Target]
 	switch event.Action {
 	case PauseNode:
-		n.signal(syscall.SIGSTOP)
+		n.Signal(syscall.SIGSTOP)
 		pause()
-		n.signal(syscall.SIGCONT)
+		n.Signal(syscall.SIGCONT)
 		return
 	case KillNode:
-		n.kill()
+		n.Kill()
 	case StopNode:
-		n.signal(syscall.SIGCONT)
-		n.signal(syscall.SIGTERM)
-		n.wait(ctx)
+		n.Signal(syscall.SIGCONT)
+		n.Signal(syscall.SIGTERM)
+		n.Wait(ctx)
 	}
 	pause()
-	if err := n.start(); err != nil {
+	if err := n.Start(); err != nil {
 		r.problem("node %d could not be started again: %v", event.Target+1, err)
 	}
 }
@@ -299,9 +299,7 @@
 
 func (r *run) close() {
 	for _, n := range r.nodes {
-		if n.process != nil {
-			n.kill()
-		}
+		n.Kill()
 	}
 	if r.lab != nil {
 		r.lab.Close()
--- /dev/null
+++ b/internal/lab/process/process.go
@@ -0,0 +1,143 @@
+// Package process runs a node as a process of its own, again and again, and signals
+// it. Only processes that it started are ended, by their ids.
+package process
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Node is a node that runs as a process, and may be started again after it ended.
+type Node struct {
+	// Program is the path of tinarchd, and Arguments stand before --config.
+	Program   string
+	Arguments []string
+	// Directory takes the settings file and the log, under Name.
+	Directory string
+	Name      string
+	// Settings are written as YAML at each start.
+	Settings any
+	// ReadyURL answers 200 when the node takes requests.
+	ReadyURL string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+	starts  int
+}
+
+const killTimeout = 5 * time.Second
+
+// Starts counts the incarnations.
+func (n *Node) Starts() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.starts
+}
+
+// Start runs a new incarnation, unless one runs.
+func (n *Node) Start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.running() {
+		return nil // another failure of the same node has started it already
+	}
+	content, err := yaml.Marshal(n.Settings)
+	if err != nil {
+		return result.Wrap(err, result.Internal, "encoding settings")
+	}
+	path := filepath.Join(n.Directory, n.Name+".yaml")
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		return result.Wrap(err, result.Internal, "writing settings")
+	}
+	log, err := os.OpenFile(filepath.Join(n.Directory, n.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return result.Wrap(err, result.Internal, "opening a log")
+	}
+	process := exec.Command(n.Program, append(append([]string(nil), n.Arguments...), "--config", path)...)
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		_ = log.Close()
+		return result.New(result.SettingsInvalid, "%s can't be started: %v; build it with go build -o bin/ ./cmd/...", n.Program, err)
+	}
+	exited := make(chan struct{})
+	go func() {
+		_ = process.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	n.process, n.exited = process, exited
+	n.starts++
+	return nil
+}
+
+// running reports whether the incarnation has not ended. The caller holds the lock.
+func (n *Node) running() bool {
+	if n.exited == nil {
+		return false
+	}
+	select {
+	case <-n.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal to the running incarnation.
+func (n *Node) Signal(signal syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		_ = n.process.Process.Signal(signal)
+	}
+}
+
+// Wait waits until the incarnation has ended, or for ctx. It reports whether it has.
+func (n *Node) Wait(ctx context.Context) bool {
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	if exited == nil {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Kill ends the incarnation at once.
+func (n *Node) Kill() {
+	n.Signal(syscall.SIGCONT)
+	n.Signal(syscall.SIGKILL)
+	ctx, cancel := context.WithTimeout(context.Background(), killTimeout)
+	defer cancel()
+	n.Wait(ctx)
+}
+
+// Ready reports whether the node takes requests.
+func (n *Node) Ready(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, n.ReadyURL, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/lab/soak/harm.go
@@ -0,0 +1,153 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetstore"
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+)
+
+// The figures of the faults.
+const (
+	betweenFaults = 400 * time.Millisecond
+	shortestFault = 200 * time.Millisecond
+	longestFault  = 2500 * time.Millisecond
+)
+
+// harm brings faults until the time is over, and mends all of them.
+func (s *site) harm(ctx context.Context) {
+	end := time.Now().Add(s.options.Length)
+	kinds := []func(context.Context, time.Duration) string{
+		s.killNode, s.pauseNode, s.stopNode, s.killAll, s.harmWorkerWay, s.harmWorkerWay, s.harmStoreWay, s.harmStore, s.failWorker, s.failWorker, s.drainWorker, s.vanish,
+	}
+	for ctx.Err() == nil && time.Now().Before(end) {
+		length := shortestFault + time.Duration(s.random.Int64N(int64(longestFault-shortestFault)))
+		fault := kinds[s.random.IntN(len(kinds))]
+		what := fault(ctx, length)
+		_, _ = fmt.Fprintf(s.options.Out, "%7.2f s  %s\n", time.Since(s.started).Seconds(), what)
+		sleep(ctx, time.Duration(s.random.Int64N(int64(2*betweenFaults))))
+	}
+	s.mend()
+}
+
+// mend ends all faults.
+func (s *site) mend() {
+	s.store.SetFaults(fleetstore.Faults{})
+	for _, proxy := range s.toStore {
+		proxy.SetMode(Pass)
+	}
+	for _, worker := range s.workers {
+		worker.proxy.SetMode(Pass)
+		worker.SetFault(fleetworker.Sound, 0)
+		s.list(worker, "ready")
+	}
+	for _, node := range s.nodes {
+		node.Signal(syscall.SIGCONT)
+		_ = node.Start()
+	}
+}
+
+func (s *site) killNode(ctx context.Context, length time.Duration) string {
+	node := s.nodes[s.random.IntN(len(s.nodes))]
+	node.Kill()
+	sleep(ctx, length/4)
+	_ = node.Start()
+	return "killed " + node.Name
+}
+
+func (s *site) killAll(ctx context.Context, length time.Duration) string {
+	if s.random.IntN(3) > 0 {
+		return s.killNode(ctx, length)
+	}
+	for _, node := range s.nodes {
+		node.Kill()
+	}
+	sleep(ctx, length/4)
+	for _, node := range s.nodes {
+		_ = node.Start()
+	}
+	return "killed all nodes"
+}
+
+func (s *site) pauseNode(ctx context.Context, length time.Duration) string {
+	node := s.nodes[s.random.IntN(len(s.nodes))]
+	node.Signal(syscall.SIGSTOP)
+	sleep(ctx, length)
+	node.Signal(syscall.SIGCONT)
+	return fmt.Sprintf("paused %s for %v", node.Name, length.Round(time.Millisecond))
+}
+
+// stopNode ends a node as planned and starts it again.
+func (s *site) stopNode(ctx context.Context, _ time.Duration) string {
+	node := s.nodes[s.random.IntN(len(s.nodes))]
+	node.Signal(syscall.SIGTERM)
+	stopCtx, cancel := context.WithTimeout(ctx, stopMillis*time.Millisecond)
+	defer cancel()
+	begun := time.Now()
+	if !node.Wait(stopCtx) {
+		node.Kill()
+	}
+	_ = node.Start()
+	return fmt.Sprintf("stopped %s in %v", node.Name, time.Since(begun).Round(time.Millisecond))
+}
+
+func (s *site) harmWorkerWay(ctx context.Context, length time.Duration) string {
+	worker := s.workers[s.random.IntN(len(s.workers))]
+	mode := []Mode{Slow, Reset, Silent, OneWay}[s.random.IntN(4)]
+	worker.proxy.SetMode(mode)
+	sleep(ctx, length)
+	worker.proxy.SetMode(Pass)
+	return fmt.Sprintf("the way to %s was %s for %v", worker.ID(), mode, length.Round(time.Millisecond))
+}
+
+// harmStoreWay harms one node's way to the store, while the others reach it.
+func (s *site) harmStoreWay(ctx context.Context, length time.Duration) string {
+	number := s.random.IntN(len(s.toStore))
+	mode := []Mode{Slow, Reset, Silent, OneWay}[s.random.IntN(4)]
+	s.toStore[number].SetMode(mode)
+	sleep(ctx, length)
+	s.toStore[number].SetMode(Pass)
+	return fmt.Sprintf("the way of %s to the store was %s for %v", s.nodes[number].Name, mode, length.Round(time.Millisecond))
+}
+
+func (s *site) harmStore(ctx context.Context, length time.Duration) string {
+	faults := []fleetstore.Faults{{Down: true}, {Throttled: true}, {LoseWrites: true}, {StaleReads: 1}}[s.random.IntN(4)]
+	s.store.SetFaults(faults)
+	sleep(ctx, length)
+	s.store.Forget()
+	s.store.SetFaults(fleetstore.Faults{})
+	return fmt.Sprintf("the store was %+v for %v and forgot its history", faults, length.Round(time.Millisecond))
+}
+
+func (s *site) failWorker(_ context.Context, _ time.Duration) string {
+	worker := s.workers[s.random.IntN(len(s.workers))]
+	fault := []fleetworker.Fault{
+		fleetworker.Full, fleetworker.Failing, fleetworker.CutEarly, fleetworker.CutMidway, fleetworker.Hanging, fleetworker.Lapsing,
+	}[s.random.IntN(6)]
+	count := 1 + s.random.IntN(6)
+	worker.SetFault(fault, count)
+	return fmt.Sprintf("%s is %s for %d requests", worker.ID(), fault, count)
+}
+
+func (s *site) drainWorker(ctx context.Context, length time.Duration) string {
+	worker := s.workers[s.random.IntN(len(s.workers))]
+	s.list(worker, "draining")
+	sleep(ctx, length)
+	s.list(worker, "ready")
+	return fmt.Sprintf("%s drained for %v", worker.ID(), length.Round(time.Millisecond))
+}
+
+// vanish drops all entries, as a store may after an outage, and lists them again.
+func (s *site) vanish(ctx context.Context, length time.Duration) string {
+	for _, worker := range s.workers {
+		s.store.Put("servers", worker.ID(), nil)
+	}
+	sleep(ctx, length/2)
+	for _, worker := range s.workers {
+		s.list(worker, "ready")
+	}
+	return fmt.Sprintf("all entries vanished for %v", (length / 2).Round(time.Millisecond))
+}
--- /dev/null
+++ b/internal/lab/soak/load.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+)
+
+// class is a sort of request.
+type class struct {
+	name, prefix, routeKind, service string
+	resumable                        bool
+}
+
+func (c class) repeatable() bool { return c.routeKind == "idempotent" || c.resumable }
+
+var classes = []class{
+	{"status", "/status/", "idempotent", plain, false},
+	{"submit", "/submit/", "non_idempotent", plain, false},
+	{"verdict", "/verdict/", "streaming", engines, false},
+	{"check", "/check/", "streaming", engines, true},
+}
+
+// The figures of the load.
+const (
+	callerCount   = 12
+	callerPause   = 60 * time.Millisecond
+	deadlineMs    = 4000
+	clientTimeout = 9 * time.Second
+	leaveShare    = 20
+)
+
+// seen is what a caller saw of one request.
+type seen struct {
+	id     string
+	class  class
+	sent   time.Time
+	status int
+	header http.Header
+	body   string
+	err    error
+	left   bool
+}
+
+// load sends requests and remembers what came.
+type load struct {
+	site *site
+
+	mu         sync.Mutex
+	seen       []seen
+	quietSince time.Time
+}
+
+func newLoad(s *site) *load { return &load{site: s} }
+
+func (l *load) markQuiet() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quietSince = time.Now()
+}
+
+func (l *load) run(ctx context.Context) {
+	var callers sync.WaitGroup
+	for number := range callerCount {
+		random := rand.New(rand.NewPCG(l.site.options.Seed, uint64(number+1)))
+		callers.Go(func() { l.call(ctx, number, random) })
+	}
+	callers.Wait()
+}
+
+// call is one caller, with connections of its own.
+func (l *load) call(ctx context.Context, number int, random *rand.Rand) {
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: number%2 == 0}
+	defer transport.CloseIdleConnections()
+	for count := 0; ctx.Err() == nil; count++ {
+		got := l.one(transport, random, fmt.Sprintf("%04x%012x", number, count))
+		l.mu.Lock()
+		l.seen = append(l.seen, got)
+		l.mu.Unlock()
+		sleep(ctx, time.Duration(random.Int64N(int64(2*callerPause))))
+	}
+}
+
+func (l *load) one(transport *http.Transport, random *rand.Rand, id string) seen {
+	got := seen{id: id, class: classes[random.IntN(len(classes))], sent: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	if random.IntN(leaveShare) == 0 {
+		got.left = true
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(random.IntN(100))*time.Millisecond)
+		defer cancel()
+	}
+	address := l.site.callers[random.IntN(len(l.site.callers))]
+	body := strings.Repeat("b", random.IntN(6000))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+got.class.prefix+id, strings.NewReader(body))
+	if err != nil {
+		got.err = err
+		return got
+	}
+	request.GetBody = nil // the transport must not send it again by itself
+	request.Host = host
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", fmt.Sprint(deadlineMs))
+	if got.class.service == engines {
+		request.Header.Set("X-Model", "m")
+		request.Header.Set("X-Token-Usage", "3000,20")
+		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("a%d:2000,%s:1000", random.IntN(5), id))
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		got.err = err
+		return got
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	got.status, got.header, got.body, got.err = response.StatusCode, response.Header, string(content), err
+	return got
+}
+
+// whole is the answer that a worker gives to a request.
+func whole(id string) string { return fleetworker.Body(id, eventCount, 0) }
--- /dev/null
+++ b/internal/lab/soak/proxy.go
@@ -0,0 +1,167 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what a proxy does with the connections that go through it.
+type Mode string
+
+// The modes.
+const (
+	// Pass forwards everything.
+	Pass Mode = "pass"
+	// Slow delays every piece in both directions.
+	Slow Mode = "slow"
+	// Reset closes open connections and new ones with a reset.
+	Reset Mode = "reset"
+	// Silent forwards nothing and closes nothing.
+	Silent Mode = "silent"
+	// OneWay forwards requests and holds answers back.
+	OneWay Mode = "one way"
+)
+
+const (
+	slowBy     = 150 * time.Millisecond
+	pollEvery  = 5 * time.Millisecond
+	pieceBytes = 16 << 10
+)
+
+// Proxy forwards TCP connections over loopback and harms them on command.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  Mode
+	conns map[net.Conn]bool
+}
+
+// StartProxy returns a proxy to an address.
+func StartProxy(target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, target: target, mode: Pass, conns: make(map[net.Conn]bool)}
+	go p.accept()
+	return p, nil
+}
+
+// Address returns IP:PORT.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// SetMode changes what happens to connections, open ones included.
+func (p *Proxy) SetMode(mode Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	if mode == Reset {
+		p.resetAll()
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetAll()
+}
+
+func (p *Proxy) resetAll() {
+	for c := range p.conns {
+		reset(c)
+		delete(p.conns, c)
+	}
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *Proxy) current() Mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.current() == Reset {
+			reset(c)
+			continue
+		}
+		go p.forward(c)
+	}
+}
+
+func (p *Proxy) forward(caller net.Conn) {
+	callee, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		reset(caller)
+		return
+	}
+	p.mu.Lock()
+	p.conns[caller], p.conns[callee] = true, true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(callee, caller, false) })
+	both.Go(func() { p.copy(caller, callee, true) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, caller)
+	delete(p.conns, callee)
+	p.mu.Unlock()
+	_ = caller.Close()
+	_ = callee.Close()
+}
+
+// copy forwards one direction until it ends; the end is passed on as it came.
+func (p *Proxy) copy(to, from net.Conn, answers bool) {
+	buffer := make([]byte, pieceBytes)
+	for {
+		count, err := from.Read(buffer)
+		p.hold(answers)
+		if count > 0 {
+			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
+				reset(from)
+				return
+			}
+		}
+		switch {
+		case err == io.EOF:
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			return
+		case err != nil:
+			reset(to)
+			return
+		}
+	}
+}
+
+// hold waits for as long as the mode keeps a piece back.
+func (p *Proxy) hold(answer bool) {
+	if p.current() == Slow {
+		time.Sleep(slowBy)
+	}
+	for {
+		mode := p.current()
+		if mode != Silent && (mode != OneWay || !answer) {
+			return
+		}
+		time.Sleep(pollEvery)
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/report.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+)
+
+// Report is what a soak found.
+type Report struct {
+	Seed uint64 `json:"seed"`
+	// Sent counts requests; Served those answered whole.
+	Sent   int `json:"sent"`
+	Served int `json:"served"`
+	// QuietSent and QuietServed count those of the quiet time at the end.
+	QuietSent   int            `json:"quiet_sent"`
+	QuietServed int            `json:"quiet_served"`
+	Starts      int            `json:"starts"`
+	Statuses    map[string]int `json:"statuses"`
+	// Broken lists the promises that did not hold.
+	Broken []string `json:"broken"`
+}
+
+// quietShare is the share that must be served in the quiet time.
+const quietShare = 0.9
+
+// report judges all that was seen.
+func (l *load) report() *Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	runs := make(map[string][]fleetworker.Run)
+	signatures := make(map[string]*soakWorker)
+	for _, worker := range l.site.workers {
+		signatures[worker.ID()] = worker
+		for _, run := range worker.Runs() {
+			runs[run.ID] = append(runs[run.ID], run)
+		}
+	}
+	report := &Report{Statuses: make(map[string]int), Broken: []string{}}
+	ids := make(map[string]bool, len(l.seen))
+	for _, got := range l.seen {
+		ids[got.id] = true
+		report.count(got, !l.quietSince.IsZero() && got.sent.After(l.quietSince.Add(quiet/2)))
+		for _, broken := range judge(got, runs[got.id], signatures) {
+			report.add(got, broken)
+		}
+	}
+	for id := range runs {
+		if !ids[id] {
+			report.Broken = append(report.Broken, fmt.Sprintf("request %s ran, and nobody sent it", id))
+		}
+	}
+	if float64(report.QuietServed) < quietShare*float64(report.QuietSent) {
+		report.Broken = append(report.Broken, fmt.Sprintf("of %d requests in the quiet time only %d were served", report.QuietSent, report.QuietServed))
+	}
+	sort.Strings(report.Broken)
+	return report
+}
+
+func (r *Report) add(got seen, broken string) {
+	r.Broken = append(r.Broken, fmt.Sprintf("%s %s: %s (status %d, %v)", got.class.name, got.id, broken, got.status, got.err))
+}
+
+func (r *Report) count(got seen, inQuiet bool) {
+	if got.left {
+		return
+	}
+	r.Sent++
+	served := got.status == http.StatusOK && got.err == nil
+	status := fmt.Sprint(got.status)
+	if got.err != nil {
+		status += " broken off"
+	}
+	r.Statuses[status]++
+	if served {
+		r.Served++
+	}
+	if inQuiet {
+		r.QuietSent++
+		if served {
+			r.QuietServed++
+		}
+	}
+}
+
+// notRun are the statuses that promise that a request did not run and never will.
+var notRun = map[int]bool{
+	http.StatusServiceUnavailable: true, http.StatusTooManyRequests: true,
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+}
+
+// judge returns the promises that one request broke.
+func judge(got seen, runs []fleetworker.Run, workers map[string]*soakWorker) []string {
+	var broken []string
+	if !got.class.repeatable() && len(runs) > 1 {
+		broken = append(broken, fmt.Sprintf("ran %d times", len(runs)))
+	}
+	if !got.class.repeatable() && notRun[got.status] && len(runs) > 0 {
+		broken = append(broken, "was called not run, and ran")
+	}
+	if got.status >= 400 && got.status < 500 && !notRun[got.status] {
+		broken = append(broken, "a proper request was refused")
+	}
+	for _, run := range runs {
+		if run.Target != got.class.prefix+got.id {
+			broken = append(broken, "ran with another target "+run.Target)
+		}
+	}
+	return append(broken, judgeAnswer(got, workers)...)
+}
+
+// judgeAnswer looks at the answer itself.
+func judgeAnswer(got seen, workers map[string]*soakWorker) []string {
+	if got.status != http.StatusOK || got.err != nil {
+		return nil
+	}
+	if got.body != whole(got.id) {
+		return []string{fmt.Sprintf("the answer looks whole and is not: %d of %d bytes", len(got.body), len(whole(got.id)))}
+	}
+	worker := workers[got.header.Get("X-Instance-Id")]
+	if worker == nil || got.header.Get("X-Response-Signature") != worker.Signature(got.id) || got.header.Get("X-Request-Id") != got.id {
+		return []string{"the answer has the signature or id of another"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,227 @@
+// Package soak runs real nodes as separate processes on one machine, before
+// stand-ins of the users' platform, and harms them from outside under a seed:
+// proxies delay, reset and silence connections; signals stop, pause and kill
+// processes; the store is down, throttled, forgetful and loses answers; workers fail.
+// It checks from what callers and workers see that the promises hold.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetstore"
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+	"github.com/tinarch/tinarch/internal/lab/process"
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/settings"
+)
+
+// Options steer a soak.
+type Options struct {
+	// Program is the path of tinarchd.
+	Program string
+	// Directory takes settings and logs.
+	Directory string
+	Seed      uint64
+	// Length is the time in which faults come; a quiet time follows.
+	Length time.Duration
+	Out    io.Writer
+}
+
+// The size of a soak.
+const (
+	nodeCount = 3
+	// quiet is the time after the last fault in which all must be served again.
+	quiet        = 8 * time.Second
+	startTimeout = 20 * time.Second
+	stopMillis   = 8000
+	eventPause   = 15 * time.Millisecond
+	eventCount   = 8
+)
+
+// The services of a soak.
+const (
+	host    = "soak.example"
+	engines = "engines"
+	plain   = "plain"
+)
+
+// site is what a soak runs.
+type site struct {
+	options Options
+	random  *rand.Rand
+	store   *fleetstore.Store
+	// toStore is each node's own way to the store.
+	toStore []*Proxy
+	nodes   []*process.Node
+	callers []string
+	workers []*soakWorker
+	started time.Time
+}
+
+// soakWorker is a worker with the proxy that its entry names.
+type soakWorker struct {
+	*fleetworker.Worker
+	proxy *Proxy
+}
+
+// Run runs one seed.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	s := &site{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)), started: time.Now()}
+	defer s.close()
+	if err := s.start(ctx); err != nil {
+		return nil, err
+	}
+	load := newLoad(s)
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	ended := make(chan struct{})
+	go func() { defer close(ended); load.run(loadCtx) }()
+	s.harm(ctx)
+	load.markQuiet()
+	sleep(ctx, quiet)
+	stopLoad()
+	<-ended
+	report := load.report()
+	report.Seed = options.Seed
+	for _, node := range s.nodes {
+		report.Starts += node.Starts()
+	}
+	return report, ctx.Err()
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *site) start(ctx context.Context) error {
+	s.store = fleetstore.Start()
+	for _, options := range []fleetworker.Options{
+		{ID: "read-1", Service: engines, Stage: "prefill"}, {ID: "read-2", Service: engines, Stage: "prefill"},
+		{ID: "write-1", Service: engines, Stage: "decode"}, {ID: "write-2", Service: engines, Stage: "decode"}, {ID: "write-3", Service: engines, Stage: "decode"},
+		{ID: "plain-1", Service: plain}, {ID: "plain-2", Service: plain}, {ID: "plain-3", Service: plain},
+	} {
+		if err := s.addWorker(options); err != nil {
+			return err
+		}
+	}
+	s.store.Put("op", "config", configuration())
+	for i := range nodeCount {
+		if err := s.addNode(i); err != nil {
+			return err
+		}
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, node := range s.nodes {
+		for !node.Ready(startCtx) {
+			if startCtx.Err() != nil {
+				return result.New(result.Internal, "node %s was not ready in %v; see %s", node.Name, startTimeout, s.options.Directory)
+			}
+			sleep(startCtx, pollEvery)
+		}
+	}
+	return nil
+}
+
+func (s *site) addWorker(options fleetworker.Options) error {
+	options.Zone, options.Events, options.Pause = "a", eventCount, eventPause
+	worker := &soakWorker{Worker: fleetworker.Start(options)}
+	proxy, err := StartProxy(worker.Address())
+	if err != nil {
+		worker.Close()
+		return err
+	}
+	worker.proxy = proxy
+	s.workers = append(s.workers, worker)
+	s.list(worker, "ready")
+	return nil
+}
+
+// list writes a worker's entry, with the address of its proxy.
+func (s *site) list(worker *soakWorker, state string) {
+	entry := worker.Entry(state)
+	entry["Address"] = worker.proxy.Address()
+	s.store.Put("servers", worker.ID(), entry)
+}
+
+func (s *site) addNode(number int) error {
+	proxy, err := StartProxy(s.store.Address())
+	if err != nil {
+		return err
+	}
+	s.toStore = append(s.toStore, proxy)
+	name := fmt.Sprintf("node-%d", number+1)
+	configured := settings.DefaultRouted()
+	configured.Node = settings.RoutedNode{Name: name, Zone: "a"}
+	configured.Store.Address = proxy.Address()
+	configured.Bounds.StopMillis = stopMillis
+	for _, address := range []*string{&configured.Listen.Callers, &configured.Listen.Readiness, &configured.Listen.Exchange, &configured.Listen.Metrics} {
+		if *address, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	node := &process.Node{
+		Program: s.options.Program, Arguments: []string{"--routed"}, Directory: s.options.Directory, Name: name,
+		Settings: configured, ReadyURL: "http://" + configured.Listen.Readiness + "/v1/ready",
+	}
+	s.nodes = append(s.nodes, node)
+	s.callers = append(s.callers, configured.Listen.Callers)
+	return node.Start()
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func (s *site) close() {
+	for _, node := range s.nodes {
+		node.Kill()
+	}
+	for _, proxy := range s.toStore {
+		proxy.Close()
+	}
+	for _, worker := range s.workers {
+		worker.proxy.Close()
+		worker.Close()
+	}
+	if s.store != nil {
+		s.store.Close()
+	}
+}
+
+// configuration is the operator's, with one route of each kind.
+func configuration() map[string]any {
+	route := func(kind class) map[string]any {
+		return map[string]any{
+			"Name": kind.name, "Host": host, "PathPrefix": kind.prefix, "Kind": kind.routeKind, "Service": kind.service,
+			"TimeoutMs": 5000, "TargetLatencyMs": 1500, "Priority": 1, "MaxAttempts": 2, "Resumable": kind.resumable,
+		}
+	}
+	var routes []any
+	for _, kind := range classes {
+		routes = append(routes, route(kind))
+	}
+	return map[string]any{
+		"Version": 1, "Routes": routes,
+		"Services": []any{
+			map[string]any{"Name": engines, "MaxConnections": 200, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100_000, "RoleSwitchS": 1.0}},
+			map[string]any{"Name": plain, "MaxConnections": 200},
+		},
+		"Limits": map[string]any{"MaxHeaderBytes": 8192, "MaxBodyBytes": 100_000},
+	}
+}
