--- a/cmd/tinarchd/routed.go
+++ b/cmd/tinarchd/routed.go
@@ -49,15 +49,44 @@
 	if err != nil {
 		return cli.Fail(program, err)
 	}
-	for received := range signals {
-		if received == syscall.SIGHUP {
-			reload(flags.Config, log)
-			continue
+	node.Stop(awaitStop(signals, flags.Config, log).String())
+	return 0
+}
+
+// changeEvery is the time between two looks at the settings file, which may change
+// without a signal.
+const changeEvery = 2 * time.Second
+
+// awaitStop waits for a signal that ends the process, and reloads the settings when
+// they change or SIGHUP comes.
+func awaitStop(signals <-chan os.Signal, path string, log *decisionlog.Log) os.Signal {
+	ticker := time.NewTicker(changeEvery)
+	defer ticker.Stop()
+	changed := changeTime(path)
+	for {
+		select {
+		case received := <-signals:
+			if received != syscall.SIGHUP {
+				return received
+			}
+			reload(path, log)
+		case <-ticker.C:
+			if now := changeTime(path); !now.Equal(changed) {
+				changed = now
+				reload(path, log)
+			}
 		}
-		node.Stop(received.String())
-		return 0
 	}
-	return 0
+}
+
+// changeTime is when the settings file was last written, the zero time where that
+// can't be told.
+func changeTime(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
 }
 
 // limitProcess keeps the process within its one core and its memory.
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -215,7 +215,6 @@
 	begun := time.Now()
 	deadline := begun.Add(settings.Milliseconds(n.settings.Bounds.StopMillis) - stopMargin)
 	n.front.Stop()
-	n.callers.SetKeepAlivesEnabled(true)
 	n.log.WithFields(logrus.Fields{"reason": reason, "active": n.front.Active()}).Info("stopping")
 	n.withdraw()
 	time.Sleep(time.Until(begun.Add(unlistedFor)))
