Read a prompt apart once for each request

Cause: each further prompt read apart counts as an attempt and as a repeat, and was not counted here. Change: where the memory of the first could not be had, the request runs whole and fetches what the reader keeps. Fields that nothing used are gone.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -65,7 +65,6 @@
 	load := worker.Load{Requests: 1, ReadTokens: unread, MemoryTokens: s.call.PromptTokens}
 	s.registry.Begin(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
-	s.offered = true
 	begun := time.Now()
 	answer, err := s.send(ctx, reader, Forward{ReadApart: true, FetchFrom: plan.Fetch})
 	if err != nil {
@@ -129,7 +128,6 @@
 // run sends the call to the worker that is to answer it.
 func (s *session) run(ctx context.Context, runner scheduling.Candidate, prompt reading) tryEnd {
 	s.attempts++
-	s.offered = true
 	from := prompt.from
 	forward := Forward{ResumeAfter: s.resumeAfter, FetchFrom: prompt.fetch}
 	if from != nil {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -46,11 +46,10 @@
 	// attempts counts the workers that were sent the call, besides the first that
 	// read its prompt apart.
 	attempts int
-	// offered tells that some worker had the call.
-	offered bool
 	// ranBefore tells that some try may have run.
 	ranBefore bool
-	// readTaken tells that a prompt was read apart, which is free once.
+	// readTaken tells that the prompt was read apart: once that costs neither an
+	// attempt nor a repeat, so it is not done again.
 	readTaken bool
 	headGiven bool
 	// resumeAfter is the last event that the caller has.
@@ -70,7 +69,7 @@
 		Remaining:    s.remaining(),
 		Excluded:     s.excluded,
 		Failed:       s.failed,
-		Retry:        s.attempts > 0,
+		NoApart:      s.readTaken,
 	}
 }
 
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -20,8 +20,10 @@
 		return s.planOpaque(request, candidates)
 	}
 	best := s.planWhole(request, candidates)
-	if apart := s.planApart(request, candidates); better(apart, best) {
-		best = apart
+	if !request.NoApart {
+		if apart := s.planApart(request, candidates); better(apart, best) {
+			best = apart
+		}
 	}
 	if best.Mode == Refused {
 		return best
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -94,6 +94,10 @@
 			name: "prompts aren't read where handles lapse", request: prompt(),
 			candidates: []Candidate{reader("p", lapsing), writer("d")}, mode: Whole, runner: "d",
 		},
+		{
+			name: "a prompt that was read apart once is fetched", request: prompt(func(r *Request) { r.NoApart = true }),
+			candidates: []Candidate{reader("p", cached(17_000)), writer("d")}, mode: Whole, runner: "d", fetch: "at-p",
+		},
 		{
 			name: "no decode worker", request: prompt(),
 			candidates: []Candidate{reader("p")}, mode: Refused, reason: NoWorker,
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -6,7 +6,6 @@
 type Candidate struct {
 	ID       string
 	Address  string
-	Zone     string
 	SameZone bool
 	Slots    int
 	// Prefill and Decode tell the stage of a model engine; both are false for
@@ -46,8 +45,8 @@
 	// Excluded are workers that must not get this request any more, and Failed those
 	// that ran it and failed, which get it where no other is left.
 	Excluded, Failed map[string]bool
-	// Retry tells that the request was tried before.
-	Retry bool
+	// NoApart tells that the prompt must not be read apart.
+	NoApart bool
 }
 
 // Mode is the way in which a request is served.
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -62,7 +62,6 @@
 	return scheduling.Candidate{
 		ID:            known.worker.ID,
 		Address:       known.worker.Address,
-		Zone:          known.worker.Zone,
 		SameZone:      known.worker.Zone == r.zone,
 		Slots:         known.worker.Slots,
 		Prefill:       known.worker.Stage == Prefill,
