--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -107,6 +107,10 @@
 // request ends at one and others may be lost at any time.
 func (d division) leastDecode() int { return max(int(math.Ceil(float64(d.size())/3)), 2) }
 
+// keptDecode is the fewest decode engines that an order for load leaves: some more,
+// so that the loss of one need not be mended by an order back.
+func (d division) keptDecode() int { return max(int(math.Ceil(0.4*float64(d.size()))), 2) }
+
 // leastPrefill is the fewest prefill engines.
 func (d division) leastPrefill() int { return max(d.size()/4, 1) }
 
@@ -183,7 +187,7 @@
 	}
 	limit := p.policy.WaitShare * float64(objective) / float64(time.Millisecond)
 	switch {
-	case p.wait > limit && p.fill < p.policy.MemoryShare/2 && len(d.decode) > d.leastDecode():
+	case p.wait > limit && p.fill < p.policy.MemoryShare/2 && len(d.decode) > d.keptDecode():
 		return Order{Worker: idlest(d.decode), Prefill: true, Reason: PromptsWait}, true
 	case p.fill > p.policy.MemoryShare && p.wait < limit/2 && len(d.prefill) > d.leastPrefill():
 		return Order{Worker: idlest(d.prefill), Prefill: false, Reason: MemoryIsFull}, true
--- a/internal/stageplan/stageplan_test.go
+++ b/internal/stageplan/stageplan_test.go
@@ -137,3 +137,20 @@
 		}
 	})
 }
+
+// TestOrdersForLoadLeaveAReserve: the loss of one decode engine right after an order
+// for load needs no order back.
+func TestOrdersForLoadLeaveAReserve(t *testing.T) {
+	for size := 4; size <= 64; size++ {
+		for decode := 2; decode < size; decode++ {
+			waiting := fleet(size-decode, decode, func(w *Worker) { w.ReadTokens = 50_000 })
+			order, _, found := after(t, 500*time.Millisecond, waiting)
+			if !found || !order.Prefill {
+				continue
+			}
+			if left := float64(decode - 1); left < 0.4*float64(size) {
+				t.Errorf("of %d engines %v are left writing", size, left)
+			}
+		}
+	}
+}
