--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -163,6 +163,7 @@
 		s.registry.Failed(runner.ID, time.Now())
 	}
 	if workerconn.Unsent(err) {
+		s.attempts-- // no worker was sent anything
 		return tryEnd{verdict: notRun, worker: runner.ID, err: err, counted: false}
 	}
 	s.ranBefore = true
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -55,6 +55,7 @@
 		"Routes": []any{
 			route("board", "/board/", "idempotent", portal, 2, false),
 			route("submit", "/submit/", "non_idempotent", portal, 2, false),
+			route("once", "/once/", "non_idempotent", portal, 1, false),
 			route("verdict", "/verdict/", "streaming", llm, 2, false),
 			route("check", "/check/", "streaming", llm, 2, true),
 		},
@@ -553,3 +554,16 @@
 		t.Error("the node is not ready")
 	}
 }
+
+// TestWorkerThatTakesNoConnectionIsNoAttempt: nothing left the node, so another
+// worker may get even a request that may be sent to one worker only.
+func TestWorkerThatTakesNoConnectionIsNoAttempt(t *testing.T) {
+	s := start(t)
+	s.workers["portal-1"].Close()
+	for range 4 {
+		got := s.ask(http.MethodPost, "/once/1", nil, "x")
+		if got.status != http.StatusOK || len(s.runs(got.id)) != 1 {
+			t.Errorf("%d, ran %d times: %s", got.status, len(s.runs(got.id)), got.body)
+		}
+	}
+}
