Leave a worker alone for a moment after it has rejected a request

Change: a rejection opens the breaker for 250 ms, doubling to 1.5 s in a row, without counting as a failure.

--- a/internal/breaker/breaker.go
+++ b/internal/breaker/breaker.go
@@ -14,6 +14,9 @@
 	openFor = 1500 * time.Millisecond
 	// errorsInRow is how many failures of requests' own open the breaker.
 	errorsInRow = 3
+	// rejectedFor is how long a worker is avoided after it has rejected a request; it
+	// doubles with each further rejection in a row.
+	rejectedFor = 250 * time.Millisecond
 	// maxOpen bounds the doubling.
 	maxOpen = 6 * time.Second
 	// halfLife is how fast old outcomes lose weight.
@@ -27,7 +30,9 @@
 	total    float64
 	updated  time.Time
 	inRow    int
-	open     time.Time
+	// rejectedInRow counts rejections since the last success.
+	rejectedInRow int
+	open          time.Time
 }
 
 func (b *Breaker) decay(now time.Time) {
@@ -44,7 +49,7 @@
 func (b *Breaker) Succeeded(now time.Time) {
 	b.decay(now)
 	b.total++
-	b.inRow = 0
+	b.inRow, b.rejectedInRow = 0, 0
 	if now.After(b.open) {
 		b.open = time.Time{}
 	}
@@ -72,6 +77,16 @@
 	}
 }
 
+// Rejected records a request that the worker proved not to have run: it is full, or
+// carries out an order.
+func (b *Breaker) Rejected(now time.Time) {
+	pause := min(rejectedFor<<min(b.rejectedInRow, 4), openFor)
+	b.rejectedInRow++
+	if until := now.Add(pause); until.After(b.open) {
+		b.open = until
+	}
+}
+
 // Open reports whether the worker should be avoided.
 func (b *Breaker) Open(now time.Time) bool { return now.Before(b.open) }
 
--- a/internal/breaker/breaker_test.go
+++ b/internal/breaker/breaker_test.go
@@ -86,3 +86,27 @@
 		t.Error("a row of errors left the breaker closed")
 	}
 }
+
+// TestRejectionsAreAvoidedShortly: a worker that runs nothing now, because it is full
+// or changes its stage, is left alone for a moment, and is no worse afterwards.
+func TestRejectionsAreAvoidedShortly(t *testing.T) {
+	var b Breaker
+	b.Rejected(origin)
+	if !b.Open(origin.Add(rejectedFor-1)) || b.Open(origin.Add(rejectedFor)) {
+		t.Error("a rejection isn't avoided for its time")
+	}
+	for range 9 {
+		b.Rejected(origin)
+	}
+	if !b.Open(origin.Add(openFor-1)) || b.Open(origin.Add(openFor)) {
+		t.Error("a row of rejections isn't avoided for longer")
+	}
+	if b.FailureRate(origin) != 0 {
+		t.Error("a rejection counts as a failure")
+	}
+	b.Succeeded(origin.Add(openFor))
+	b.Rejected(origin.Add(openFor))
+	if b.Open(origin.Add(openFor + rejectedFor)) {
+		t.Error("a success does not end the row")
+	}
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -107,6 +107,8 @@
 	s.attempts++
 	if !reply.NotExecuted || reply.Misdirected {
 		s.registry.Failed(reader.ID, time.Now())
+	} else {
+		s.registry.Rejected(reader.ID, time.Now())
 	}
 	return tryEnd{verdict: notRun, worker: reader.ID, err: errNotExecuted, counted: true}
 }
@@ -183,6 +185,7 @@
 		s.registry.HandleFailed(from.reader.ID, time.Now())
 	default:
 		s.excluded[runner.ID] = true
+		s.registry.Rejected(runner.ID, time.Now())
 	}
 	return tryEnd{verdict: notRun, worker: runner.ID, err: err, counted: true}
 }
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -567,3 +567,19 @@
 		}
 	}
 }
+
+// TestRejectingWorkerIsLeftAlone: a worker that runs nothing now looks idle, and must
+// not draw request after request.
+func TestRejectingWorkerIsLeftAlone(t *testing.T) {
+	s := start(t)
+	s.workers["portal-1"].SetFault(fleetworker.Full, -1)
+	served := 0
+	for range 24 {
+		if got := s.ask(http.MethodPost, "/once/1", nil, "x"); got.status == http.StatusOK {
+			served++
+		}
+	}
+	if served < 19 {
+		t.Errorf("%d of 24 requests were served beside a worker that rejects all", served)
+	}
+}
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -74,6 +74,13 @@
 	})
 }
 
+// Rejected records a request that the worker proved not to have run.
+func (r *Registry) Rejected(id string, now time.Time) {
+	r.update(id, func(known *state) {
+		known.breaker.Rejected(now)
+	})
+}
+
 // HandleFailed records that a prompt read apart at a worker could not be fetched.
 func (r *Registry) HandleFailed(id string, now time.Time) {
 	r.update(id, func(known *state) {
