Follow the store's tables through other nodes

Change: (1) nodes find each other by one read of the nodes' table after writing their own row, and from then on by their digests; no feed. (2) One node in each zone (one of all, up to 16 nodes), the lowest incarnation whose word is fresh, reads a table at the store; it sends changed rows and says in its digests what the store has confirmed and when. The others rely on that for 1.5 s after the confirmation, ask the store themselves where a change was missed, and all read at the store again when the word grows old. (3) A call waits 0.8 s instead of 8 s, and is given up 1.2 s later. Tests: peers, board, feeds; a silent call's limit failed before (9.5 s).

News that begin at the version confirmed instead of the last change: left a gap wherever the receiver had not yet heard of the confirmation (found by the board's test).

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -12,6 +12,8 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/tablefeed"
+	"github.com/tinarch/tinarch/internal/tablerelay"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
@@ -38,6 +40,12 @@
 	Cold   bool `json:"c,omitempty"`
 	// Paces are learned reading paces.
 	Paces []worker.Pace `json:"p,omitempty"`
+	// Zone is the sender's. It and Tables are told at rest and with each change only.
+	Zone string `json:"z,omitempty"`
+	// Tables are the sender's words on the tables that it reads at the store.
+	Tables []tablerelay.Word `json:"t,omitempty"`
+	// News are changes of a table; such a message holds nothing else.
+	News *tablefeed.News `json:"w,omitempty"`
 	// Leaving tells that the sender stops.
 	Leaving bool `json:"x,omitempty"`
 }
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -86,20 +86,21 @@
 // TestOldMessagesAreDropped: datagrams may overtake one another.
 func TestOldMessagesAreDropped(t *testing.T) {
 	registry := registryWith("w")
-	exchange, err := Listen("127.0.0.1:0", "me", registry, quiet())
+	exchange, err := Listen("127.0.0.1:0", "me", "zone", registry, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = exchange.conn.Close() }()
-	exchange.take(Message{Node: "other", Sequence: 2, Loads: map[string][3]int{"w": {5, 0, 0}}})
-	exchange.take(Message{Node: "other", Sequence: 1, Loads: map[string][3]int{"w": {9, 0, 0}}})
+	other := netip.MustParseAddrPort("127.0.0.1:1")
+	exchange.take(other, Message{Node: "other", Sequence: 2, Loads: map[string][3]int{"w": {5, 0, 0}}})
+	exchange.take(other, Message{Node: "other", Sequence: 1, Loads: map[string][3]int{"w": {9, 0, 0}}})
 	if got := registry.Candidates("s", nil, time.Now())[0].Requests; got != 5 {
 		t.Errorf("%d requests", got)
 	}
 	if exchange.Nodes() != 2 {
 		t.Errorf("%d nodes", exchange.Nodes())
 	}
-	exchange.take(Message{Node: "other", Sequence: 3, Leaving: true})
+	exchange.take(other, Message{Node: "other", Sequence: 3, Leaving: true})
 	if exchange.Nodes() != 1 {
 		t.Errorf("%d nodes after one has left", exchange.Nodes())
 	}
@@ -111,7 +112,7 @@
 	registries := []*worker.Registry{registryWith("w"), registryWith("w")}
 	var exchanges []*Exchange
 	for i, name := range []string{"a", "b"} {
-		exchange, err := Listen("127.0.0.1:0", name, registries[i], quiet())
+		exchange, err := Listen("127.0.0.1:0", name, "zone", registries[i], quiet())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -120,7 +121,7 @@
 	ended := make(chan struct{})
 	for i, exchange := range exchanges {
 		other := exchanges[1-i]
-		exchange.SetPeers([]Peer{
+		exchange.AddPeers([]Peer{
 			{Node: exchange.node, Address: netip.MustParseAddrPort(exchange.conn.LocalAddr().String())},
 			{Node: other.node, Address: netip.MustParseAddrPort(other.conn.LocalAddr().String())},
 		})
@@ -166,13 +167,13 @@
 	defer cancel()
 	var exchanges []*Exchange
 	for i, registry := range []*worker.Registry{old, young} {
-		exchange, err := Listen("127.0.0.1:0", []string{"old", "young"}[i], registry, quiet())
+		exchange, err := Listen("127.0.0.1:0", []string{"old", "young"}[i], "zone", registry, quiet())
 		if err != nil {
 			t.Fatal(err)
 		}
 		exchanges = append(exchanges, exchange)
 	}
-	exchanges[1].SetPeers([]Peer{{Node: "old", Address: netip.MustParseAddrPort(exchanges[0].conn.LocalAddr().String())}})
+	exchanges[1].AddPeers([]Peer{{Node: "old", Address: netip.MustParseAddrPort(exchanges[0].conn.LocalAddr().String())}})
 	for _, exchange := range exchanges {
 		go exchange.Run(ctx)
 	}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -11,6 +11,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/tablefeed"
+	"github.com/tinarch/tinarch/internal/tablerelay"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
@@ -24,29 +26,32 @@
 	peerLife = 3 * time.Second
 	// maxDatagram bounds a message.
 	maxDatagram = 16 << 10
+	// maxNews bounds a message of changes.
+	maxNews = 8 << 10
 	// repeatReads is how many messages tell of the same read or failure.
 	repeatReads = 2
 	// maxAnswers bounds the answers that wait to be looked at.
 	maxAnswers = 64
 )
 
-// Peer is another node.
-type Peer struct {
-	// Node is its incarnation.
-	Node    string
-	Address netip.AddrPort
+// Board is where the words of nodes on the store's tables come from and go to.
+type Board interface {
+	Words(now time.Time) []tablerelay.Word
+	Take(node, zone string, words []tablerelay.Word, now time.Time)
+	TakeNews(news tablefeed.News)
 }
 
 // Exchange sends this node's digest to its peers and takes in theirs.
 type Exchange struct {
-	node     string
-	registry *worker.Registry
-	conn     *net.UDPConn
-	log      *logrus.Logger
+	node, zone string
+	registry   *worker.Registry
+	// board is nil where no tables are followed.
+	board Board
+	conn  *net.UDPConn
+	log   *logrus.Logger
 
 	mu    sync.Mutex
-	peers map[string]Peer
-	heard map[string]heard
+	peers *peerSet
 	// answers tell whether a node that was asked for what it has learned had
 	// learned anything.
 	answers chan bool
@@ -54,13 +59,8 @@
 	warm atomic.Bool
 }
 
-type heard struct {
-	sequence uint64
-	at       time.Time
-}
-
 // Listen opens the exchange's port.
-func Listen(address, node string, registry *worker.Registry, log *logrus.Logger) (*Exchange, error) {
+func Listen(address, node, zone string, registry *worker.Registry, log *logrus.Logger) (*Exchange, error) {
 	bound, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, err
@@ -70,38 +70,30 @@
 		return nil, err
 	}
 	return &Exchange{
-		node: node, registry: registry, conn: conn, log: log,
-		peers: make(map[string]Peer), heard: make(map[string]heard),
-		answers: make(chan bool, maxAnswers),
+		node: node, zone: zone, registry: registry, conn: conn, log: log,
+		peers: newPeerSet(node), answers: make(chan bool, maxAnswers),
 	}, nil
 }
 
-// SetPeers replaces the list of other nodes.
-func (e *Exchange) SetPeers(peers []Peer) {
+// SetBoard is called before Run.
+func (e *Exchange) SetBoard(board Board) { e.board = board }
+
+// AddPeers adds nodes that the store lists. Others are known from their messages.
+func (e *Exchange) AddPeers(listed []Peer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	clear(e.peers)
-	for _, peer := range peers {
-		if peer.Node != e.node {
-			e.peers[peer.Node] = peer
-		}
-	}
+	e.peers.list(listed)
 }
 
-// Nodes returns how many nodes share the limits: this one and those heard lately.
+// Nodes returns how many nodes share the limits: this one, those heard lately, and
+// those that may only be out of reach.
 func (e *Exchange) Nodes() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	count := 1
-	for node, last := range e.heard {
-		if silent := time.Since(last.at); silent > peerLife {
-			delete(e.heard, node)
-			e.log.WithFields(logrus.Fields{"node": node, "silent_ms": silent.Milliseconds()}).Warn("node lost")
-			continue
-		}
-		count++
+	for node, silence := range e.peers.silent(time.Now()) {
+		e.log.WithFields(logrus.Fields{"node": node, "silent_ms": silence.Milliseconds()}).Warn("node lost")
 	}
-	return max(count, len(e.peers)+1)
+	return len(e.peers.peers) + 1
 }
 
 // Lowest reports whether this node's incarnation is the lowest among those heard
@@ -109,12 +101,7 @@
 func (e *Exchange) Lowest() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for node, last := range e.heard {
-		if time.Since(last.at) <= peerLife && node < e.node {
-			return false
-		}
-	}
-	return true
+	return e.peers.lowest()
 }
 
 // OldestDigest returns the time since the node that is silent for longest told its
@@ -122,11 +109,7 @@
 func (e *Exchange) OldestDigest() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	oldest := time.Duration(0)
-	for _, last := range e.heard {
-		oldest = max(oldest, time.Since(last.at))
-	}
-	return oldest
+	return e.peers.oldest(time.Now())
 }
 
 // Run sends and receives until ctx ends, and then says that the node leaves.
@@ -141,23 +124,66 @@
 	defer ticker.Stop()
 	var sequence, sentVersion uint64
 	var last time.Time
+	var toldChanged tablefeed.Version
 	var recent []worker.Snapshot
 	for {
 		select {
 		case <-ctx.Done():
-			e.broadcast(Message{Node: e.node, Sequence: sequence + 1, Leaving: true})
+			e.broadcast(Message{Node: e.node, Sequence: sequence + 1, Leaving: true}, true)
 			return
 		case <-ticker.C:
 		}
 		version := e.registry.Version()
-		if version == sentVersion && len(recent) == 0 && time.Since(last) < restEvery {
+		atRest := time.Since(last) >= restEvery
+		words := e.words()
+		changed := lastChange(words)
+		if version == sentVersion && len(recent) == 0 && changed == toldChanged && !atRest {
 			continue
 		}
 		snapshot, version := e.registry.Snapshot()
 		sequence++
-		sentVersion, last = version, time.Now()
+		if atRest {
+			last = time.Now()
+		}
 		recent = remember(recent, snapshot)
-		e.broadcast(newMessage(e.node, sequence, withRecent(snapshot, recent)))
+		message := newMessage(e.node, sequence, withRecent(snapshot, recent))
+		if atRest || changed != toldChanged {
+			message.Zone, message.Tables = e.zone, words
+		}
+		sentVersion, toldChanged = version, changed
+		e.broadcast(message, atRest)
+	}
+}
+
+func (e *Exchange) words() []tablerelay.Word {
+	if e.board == nil {
+		return nil
+	}
+	return e.board.Words(time.Now())
+}
+
+// lastChange returns the version of the newest change of all tables.
+func lastChange(words []tablerelay.Word) tablefeed.Version {
+	newest := tablefeed.Version(0)
+	for _, word := range words {
+		newest = max(newest, word.Changed)
+	}
+	return newest
+}
+
+// SendNews tells the peers of a zone of changes, or all where the zone is empty.
+// Changes that are too large for a datagram aren't told: the peers then learn from
+// the next digest that there are any, and ask the store.
+func (e *Exchange) SendNews(news tablefeed.News, zone string) {
+	datagram, err := json.Marshal(Message{Node: e.node, News: &news})
+	if err != nil || len(datagram) > maxNews {
+		return
+	}
+	e.mu.Lock()
+	addresses := e.peers.addressesIn(zone)
+	e.mu.Unlock()
+	for _, address := range addresses {
+		_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
 	}
 }
 
@@ -186,23 +212,30 @@
 	return snapshot
 }
 
-func (e *Exchange) broadcast(message Message) {
-	datagram, err := json.Marshal(message)
-	if err != nil || len(datagram) > maxDatagram {
-		e.log.WithField("bytes", len(datagram)).Error("a digest is too large and was not sent")
+// broadcast sends a message to the peers that are present, and where it is sent at
+// rest, to the silent ones too.
+func (e *Exchange) broadcast(message Message, atRest bool) {
+	datagram, ok := e.encode(message)
+	if !ok {
 		return
 	}
 	e.mu.Lock()
-	peers := make([]Peer, 0, len(e.peers))
-	for _, peer := range e.peers {
-		peers = append(peers, peer)
-	}
+	addresses := e.peers.addresses(atRest)
 	e.mu.Unlock()
-	for _, peer := range peers {
-		_, _ = e.conn.WriteToUDPAddrPort(datagram, peer.Address)
+	for _, address := range addresses {
+		_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
 	}
 }
 
+func (e *Exchange) encode(message Message) ([]byte, bool) {
+	datagram, err := json.Marshal(message)
+	if err != nil || len(datagram) > maxDatagram {
+		e.log.WithField("bytes", len(datagram)).Error("a digest is too large and was not sent")
+		return nil, false
+	}
+	return datagram, true
+}
+
 func (e *Exchange) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -220,14 +253,16 @@
 			e.tellMemory(from)
 		case message.Memory:
 			e.remember(message)
+		case message.News != nil:
+			e.takeNews(*message.News)
 		default:
-			e.take(message)
+			e.take(from, message)
 		}
 	}
 }
 
 // take merges a message unless a newer one of its sender was merged before.
-func (e *Exchange) take(message Message) {
+func (e *Exchange) take(from netip.AddrPort, message Message) {
 	snapshot, err := message.snapshot()
 	if err != nil {
 		e.log.WithField("cause", err.Error()).Warn("a malformed digest was dropped")
@@ -235,23 +270,25 @@
 	}
 	now := time.Now()
 	e.mu.Lock()
-	last, known := e.heard[message.Node]
-	stale := known && message.Sequence <= last.sequence
-	if !stale {
-		e.heard[message.Node] = heard{sequence: message.Sequence, at: now}
-	}
-	if message.Leaving {
-		delete(e.heard, message.Node)
-		delete(e.peers, message.Node)
-	}
+	first, stale := e.peers.hear(from, message, now)
 	e.mu.Unlock()
-	if !known && !message.Leaving {
-		e.log.WithField("node", message.Node).Info("node heard for the first time")
+	if stale {
+		return
+	}
+	if first {
+		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Info("node heard for the first time")
 	}
 	if len(message.Failures) > 0 {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "sequence": message.Sequence, "workers": message.Failures}).Info("another node tells of failures")
 	}
-	if !stale {
-		e.registry.Merge(message.Node, snapshot, now)
+	e.registry.Merge(message.Node, snapshot, now)
+	if e.board != nil && len(message.Tables) > 0 {
+		e.board.Take(message.Node, message.Zone, message.Tables, now)
+	}
+}
+
+func (e *Exchange) takeNews(news tablefeed.News) {
+	if e.board != nil {
+		e.board.TakeNews(news)
 	}
 }
--- a/internal/digest/memory.go
+++ b/internal/digest/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -27,8 +26,8 @@
 // has told. It reports whether one did: all may have started just now.
 func (e *Exchange) AskMemory(ctx context.Context) bool {
 	for range maxAsked {
-		if peer, known := e.anyPeer(); known {
-			e.sendTo(peer.Address, Message{Node: e.node, Newborn: true})
+		if address, known := e.anyPeer(); known {
+			e.sendTo(address, Message{Node: e.node, Newborn: true})
 		}
 		if e.awaitAnswer(ctx) {
 			e.SetWarm()
@@ -55,20 +54,14 @@
 // others that have just started.
 func (e *Exchange) SetWarm() { e.warm.Store(true) }
 
-func (e *Exchange) anyPeer() (Peer, bool) {
+func (e *Exchange) anyPeer() (netip.AddrPort, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.peers) == 0 {
-		return Peer{}, false
+	addresses := e.peers.addresses(true)
+	if len(addresses) == 0 {
+		return netip.AddrPort{}, false
 	}
-	skip := rand.IntN(len(e.peers))
-	for _, peer := range e.peers {
-		if skip == 0 {
-			return peer, true
-		}
-		skip--
-	}
-	return Peer{}, false
+	return addresses[rand.IntN(len(addresses))], true
 }
 
 // tellMemory answers a node that has just started, unless this one knows nothing
@@ -119,10 +112,7 @@
 }
 
 func (e *Exchange) sendTo(address netip.AddrPort, message Message) {
-	datagram, err := json.Marshal(message)
-	if err != nil || len(datagram) > maxDatagram {
-		e.log.WithField("bytes", len(datagram)).Error("a digest is too large and was not sent")
-		return
+	if datagram, ok := e.encode(message); ok {
+		_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
 	}
-	_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
 }
--- /dev/null
+++ b/internal/digest/peers_test.go
@@ -0,0 +1,96 @@
+package digest
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var (
+	origin = time.Unix(0, 0)
+	here   = netip.MustParseAddrPort("10.0.0.1:7000")
+	there  = netip.MustParseAddrPort("10.0.0.2:7000")
+)
+
+// nodesAt names the nodes to which a message would be sent.
+func nodesAt(s *peerSet, atRest bool) []string {
+	var nodes []string
+	for _, address := range s.addresses(atRest) {
+		nodes = append(nodes, s.peers[address].node)
+	}
+	slices.Sort(nodes)
+	return nodes
+}
+
+func TestProcessThatStartsAgainTakesTheOldOnesPlace(t *testing.T) {
+	peers := newPeerSet("me")
+	peers.list([]Peer{{Node: "me", Address: here}, {Node: "old", Address: there}})
+	peers.hear(there, Message{Node: "old", Sequence: 70}, origin)
+	if first, stale := peers.hear(there, Message{Node: "new", Sequence: 1}, origin); !first || stale {
+		t.Errorf("first %v, stale %v", first, stale)
+	}
+	if diff := cmp.Diff([]string{"new"}, nodesAt(peers, true)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestSilentPeerIsSentToAtRestOnly: nodes that were cut off find each other again.
+func TestSilentPeerIsSentToAtRestOnly(t *testing.T) {
+	peers := newPeerSet("me")
+	peers.hear(there, Message{Node: "other", Sequence: 1}, origin)
+	if lost := peers.silent(origin.Add(peerLife)); len(lost) != 0 {
+		t.Errorf("lost too early: %v", lost)
+	}
+	if lost := peers.silent(origin.Add(peerLife + 1)); len(lost) != 1 {
+		t.Errorf("lost: %v", lost)
+	}
+	if len(nodesAt(peers, false)) != 0 || len(nodesAt(peers, true)) != 1 {
+		t.Errorf("sent to %v, at rest to %v", nodesAt(peers, false), nodesAt(peers, true))
+	}
+	if first, _ := peers.hear(there, Message{Node: "other", Sequence: 2}, origin.Add(time.Minute)); !first {
+		t.Error("a node that is heard again isn't told of")
+	}
+}
+
+func TestLowestAmongThosePresent(t *testing.T) {
+	peers := newPeerSet("b")
+	peers.list([]Peer{{Node: "a", Address: there}})
+	if !peers.lowest() {
+		t.Error("a node that was never heard counts")
+	}
+	peers.hear(there, Message{Node: "a", Sequence: 1}, origin)
+	if peers.lowest() {
+		t.Error("a lower node is present")
+	}
+	peers.hear(there, Message{Node: "a", Sequence: 2, Leaving: true}, origin)
+	if !peers.lowest() {
+		t.Error("a node that has left counts")
+	}
+}
+
+// TestUnlistedNodeIsKnownByItsDigest over real datagrams: only one of two nodes has
+// read the other's row.
+func TestUnlistedNodeIsKnownByItsDigest(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var exchanges []*Exchange
+	for _, name := range []string{"a", "b"} {
+		exchange, err := Listen("127.0.0.1:0", name, "zone", registryWith("w"), quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchanges = append(exchanges, exchange)
+		go exchange.Run(ctx)
+	}
+	exchanges[0].AddPeers([]Peer{{Node: "b", Address: netip.MustParseAddrPort(exchanges[1].conn.LocalAddr().String())}})
+	for end := time.Now().Add(20 * time.Second); exchanges[0].Nodes() != 2 || exchanges[1].Nodes() != 2 || exchanges[1].Lowest(); {
+		if time.Now().After(end) {
+			t.Fatal("the nodes don't know each other")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -135,68 +135,75 @@
 	Zone        string `json:"zone"`
 }
 
-// nodes tells the exchange of the other nodes.
-type nodes struct {
-	node   *Node
-	listed map[string]digest.Peer
-}
-
-// Reset implements tablefeed.Consumer.
-func (s *nodes) Reset(rows []tablefeed.Row, version tablefeed.Version) {
-	clear(s.listed)
-	s.Apply(rows, version)
-}
-
-// Apply implements tablefeed.Consumer.
-func (s *nodes) Apply(rows []tablefeed.Row, _ tablefeed.Version) {
-	for _, row := range rows {
-		delete(s.listed, row.Key)
-		if row.Gone {
-			continue
-		}
-		var value nodeRow
-		err := json.Unmarshal(row.Value, &value)
-		address, addressErr := netip.ParseAddrPort(value.Exchange)
-		if err != nil || addressErr != nil {
-			s.node.log.WithField("row", row.Key).Error("a node's row can't be read; it is passed over")
-			continue
-		}
-		s.listed[row.Key] = digest.Peer{Node: value.Incarnation, Address: address}
-	}
-	peers := make([]digest.Peer, 0, len(s.listed))
-	for _, peer := range s.listed {
-		peers = append(peers, peer)
-	}
-	s.node.exchange.SetPeers(peers)
-}
-
 const (
-	writeTimeout  = time.Second
-	announcePause = 300 * time.Millisecond
+	callTimeout = time.Second
+	callPause   = 300 * time.Millisecond
 )
 
-// announce writes this node's row, again and again until the store has taken it.
+// announce writes this node's row and then reads the rows of the others, until the
+// store has done both: of two nodes that start at once, at least one reads the
+// other's row, and tells it of itself by its first digest. A node whose write is
+// refused finds the others all the same.
 func (n *Node) announce(ctx context.Context) {
 	value, err := json.Marshal(nodeRow{Incarnation: n.identity, Exchange: n.settings.Listen.Exchange, Zone: n.settings.Node.Zone})
 	if err != nil {
 		n.log.WithError(err).Error("this node's row can't be rendered")
 		return
 	}
+	announced := false
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		err := n.platform.Put(callCtx, nodesTable, n.settings.Node.Name, value)
-		cancel()
-		if err == nil {
+		if !announced {
+			announced = n.called(ctx, "announce itself", func(ctx context.Context) error {
+				return n.platform.Put(ctx, nodesTable, n.settings.Node.Name, value)
+			})
+		}
+		listed := n.called(ctx, "read the list of nodes", n.listPeers)
+		if announced && listed {
 			return
 		}
-		n.log.WithField("cause", err.Error()).Warn("this node could not announce itself; it tries again")
-		time.Sleep(announcePause + rand.N(announcePause))
+		time.Sleep(callPause + rand.N(callPause))
+	}
+}
+
+// called makes a call to the store, and reports whether it was done.
+func (n *Node) called(ctx context.Context, what string, call func(ctx context.Context) error) bool {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := call(callCtx)
+	if err != nil {
+		n.log.WithField("cause", err.Error()).Warn("this node could not " + what + "; it tries again")
+	}
+	return err == nil
+}
+
+// listPeers tells the exchange of the nodes that the store lists.
+func (n *Node) listPeers(ctx context.Context) error {
+	rows, _, err := n.platform.Read(ctx, nodesTable)
+	if err == nil {
+		n.exchange.AddPeers(n.listedPeers(rows))
+	}
+	return err
+}
+
+// listedPeers reads the rows of nodes.
+func (n *Node) listedPeers(rows []tablefeed.Row) []digest.Peer {
+	peers := make([]digest.Peer, 0, len(rows))
+	for _, row := range rows {
+		var value nodeRow
+		err := json.Unmarshal(row.Value, &value)
+		address, addressErr := netip.ParseAddrPort(value.Exchange)
+		if err != nil || addressErr != nil {
+			n.log.WithField("row", row.Key).Error("a node's row can't be read; it is passed over")
+			continue
+		}
+		peers = append(peers, digest.Peer{Node: value.Incarnation, Address: address})
 	}
+	return peers
 }
 
 // withdraw takes this node's row away.
 func (n *Node) withdraw() {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if err := n.platform.Remove(ctx, nodesTable, n.settings.Node.Name); err != nil {
 		n.log.WithField("cause", err.Error()).Warn("this node could not withdraw its row")
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -28,6 +28,7 @@
 	"github.com/tinarch/tinarch/internal/settings"
 	"github.com/tinarch/tinarch/internal/stagecontrol"
 	"github.com/tinarch/tinarch/internal/tablefeed"
+	"github.com/tinarch/tinarch/internal/tablerelay"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
@@ -83,6 +84,7 @@
 	servers  []*http.Server
 	callers  *http.Server
 
+	board       *tablerelay.Board
 	workersFeed *tablefeed.Feed
 	// workersKnown tells that some worker was listed since the start.
 	workersKnown atomic.Bool
@@ -103,12 +105,14 @@
 		identity: string(engine.NewIdentifier())[:incarnationDigits],
 	}
 	metrics := prometheus.NewRegistry()
-	exchange, err := digest.Listen(configured.Listen.Exchange, n.identity, n.registry, log)
+	exchange, err := digest.Listen(configured.Listen.Exchange, n.identity, configured.Node.Zone, n.registry, log)
 	if err != nil {
 		return nil, err
 	}
 	n.exchange = exchange
-	n.workersFeed = tablefeed.New(platform, platform.WorkerTable(), &workers{node: n}, log)
+	n.board = tablerelay.New(n.identity, configured.Node.Zone, exchange.Nodes, exchange.SendNews)
+	exchange.SetBoard(n.board)
+	n.workersFeed = n.newFeed(platform.WorkerTable(), &workers{node: n})
 	n.front = front.New(front.Options{
 		Parser: platform, Runner: n.dispatcher(metrics), Log: log, Metrics: front.NewMetrics(metrics),
 	})
@@ -180,9 +184,9 @@
 
 // knowledge tells how old what decides requests is.
 func (n *Node) knowledge() dispatch.Knowledge {
-	state := n.workersFeed.State()
+	word, _ := n.workersFeed.Word()
 	return dispatch.Knowledge{
-		Workers: uint64(state.Version), WorkersAge: time.Since(state.At), DigestAge: n.exchange.OldestDigest(),
+		Workers: uint64(word.Confirmed), WorkersAge: time.Since(word.At), DigestAge: n.exchange.OldestDigest(),
 	}
 }
 
@@ -192,12 +196,18 @@
 	return !n.front.Stopping() && n.front.Table() != nil && n.workersKnown.Load()
 }
 
+// newFeed returns a feed that takes part in the relay between nodes.
+func (n *Node) newFeed(table string, consumer tablefeed.Consumer) *tablefeed.Feed {
+	feed := tablefeed.New(n.platform, table, consumer, n.board, n.log)
+	n.board.Add(table, feed)
+	return feed
+}
+
 // follow starts the feeds of the platform's tables and the exchange.
 func (n *Node) follow(ctx context.Context) {
 	feeds := []*tablefeed.Feed{
-		tablefeed.New(n.platform, n.platform.ConfigurationTable(), &configuration{node: n}, n.log),
+		n.newFeed(n.platform.ConfigurationTable(), &configuration{node: n}),
 		n.workersFeed,
-		tablefeed.New(n.platform, nodesTable, &nodes{node: n, listed: make(map[string]digest.Peer)}, n.log),
 	}
 	for _, feed := range feeds {
 		n.work.Go(func() { feed.Run(ctx) })
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -1,13 +1,14 @@
 // Package tablefeed follows tables of the platform's store: it reads a table
 // whole, then its changes, and starts again where the store has forgotten them. It
-// never goes back to an older version of a table.
+// never goes back to an older version of a table. Where other nodes follow the same
+// table, it takes the changes from them while their word is fresh.
 package tablefeed
 
 import (
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -46,13 +47,49 @@
 	Apply(rows []Row, version Version)
 }
 
+// Word is what is known of a table's version.
+type Word struct {
+	// Changed is the version of the last change of the table, and Confirmed the
+	// newest one up to which there is no other.
+	Changed, Confirmed Version
+	// At is when the store confirmed that.
+	At time.Time
+}
+
+// News are the changes of a table between two versions.
+type News struct {
+	Table          string
+	After, Version Version
+	Rows           []Row
+}
+
+// Others are the other nodes that follow the same tables.
+type Others interface {
+	// Word returns the newest word on a table of another node on which this one may
+	// rely, false where there is none.
+	Word(table string, now time.Time) (Word, bool)
+	// Publish tells other nodes of changes that this one got from the store.
+	Publish(news News)
+}
+
 // The figures of a feed.
 const (
-	patience   = 8 * time.Second
+	// patience is how long the store holds a call while nothing changes.
+	patience   = 800 * time.Millisecond
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
 	// slowCall is added to patience before a call is given up.
-	slowCall = 1500 * time.Millisecond
+	slowCall = 1200 * time.Millisecond
+	// lateAnswer is how long after its patience an answer may tell of this moment:
+	// one that comes later has waited somewhere.
+	lateAnswer = 100 * time.Millisecond
+	// newsDelay is how long a node waits for news of a change that it has heard of
+	// before it asks the store.
+	newsDelay = 60 * time.Millisecond
+	// recheck bounds a wait for news.
+	recheck = 250 * time.Millisecond
+	// maxNews bounds the news that wait to be applied.
+	maxNews = 64
 )
 
 // Feed follows one table.
@@ -60,38 +97,64 @@
 	store    Store
 	table    string
 	consumer Consumer
+	others   Others
 	log      *logrus.Logger
-	version  Version
 	lost     bool
 	pause    time.Duration
-	// confirmed holds what State tells.
-	confirmed atomic.Pointer[State]
+	// relying tells that the last word was another node's.
+	relying bool
+	// behindSince is since when another node knows of a newer change, zero where none
+	// does.
+	behindSince time.Time
+	news        chan News
+	wake        chan struct{}
+
+	mu   sync.Mutex
+	word Word
+	// own tells that the store itself gave the word.
+	own bool
 }
 
-// State tells what a feed has, and since when the store has not confirmed it.
-type State struct {
-	Version Version
-	At      time.Time
+// New returns a feed of a table. others may be nil.
+func New(store Store, table string, consumer Consumer, others Others, log *logrus.Logger) *Feed {
+	return &Feed{
+		store: store, table: table, consumer: consumer, others: others, log: log, lost: true,
+		news: make(chan News, maxNews), wake: make(chan struct{}, 1),
+	}
+}
+
+// Word returns what is known of the table's version, and whether this node has it
+// from the store itself. It is safe for concurrent use with Run.
+func (f *Feed) Word() (word Word, own bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.word, f.own
 }
 
-// State returns the zero state before the first answer. It is safe for concurrent
-// use with Run.
-func (f *Feed) State() State {
-	if state := f.confirmed.Load(); state != nil {
-		return *state
+// Offer gives changes that another node got from the store. It never blocks.
+func (f *Feed) Offer(news News) {
+	select {
+	case f.news <- news:
+		f.Wake()
+	default:
 	}
-	return State{}
 }
 
-// New returns a feed of a table.
-func New(store Store, table string, consumer Consumer, log *logrus.Logger) *Feed {
-	return &Feed{store: store, table: table, consumer: consumer, log: log, lost: true}
+// Wake tells that another node knows of a change. It never blocks.
+func (f *Feed) Wake() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Run follows the table until ctx ends.
 func (f *Feed) Run(ctx context.Context) {
 	known := false
 	for ctx.Err() == nil {
+		if known && f.relies(ctx) {
+			continue
+		}
 		var err error
 		if known {
 			err = f.change(ctx)
@@ -104,24 +167,109 @@
 			f.regained()
 		case errors.Is(err, ErrHistoryGone):
 			known = false
-			f.log.WithFields(logrus.Fields{"table": f.table, "version": f.version}).Warn("store forgot its history; reading the table again")
+			f.log.WithFields(logrus.Fields{"table": f.table, "version": f.word.Confirmed}).Warn("store forgot its history; reading the table again")
 		default:
 			f.failed(ctx, err)
 		}
 	}
 }
 
+// relies follows the table through other nodes for a moment. It reports false where
+// the store must be asked.
+func (f *Feed) relies(ctx context.Context) bool {
+	if f.others == nil {
+		return false
+	}
+	f.applyNews()
+	now := time.Now()
+	word, found := f.others.Word(f.table, now)
+	f.setRelying(found)
+	if !found {
+		return false
+	}
+	wait := recheck
+	if f.follow(word) {
+		f.behindSince = time.Time{}
+	} else {
+		if f.behindSince.IsZero() {
+			f.behindSince = now
+		}
+		wait = newsDelay - now.Sub(f.behindSince)
+	}
+	if wait <= 0 {
+		return false
+	}
+	f.await(ctx, wait)
+	return true
+}
+
+// follow takes over another node's word, unless it tells of a change that this one
+// doesn't know yet.
+func (f *Feed) follow(word Word) bool {
+	if word.Changed > f.word.Confirmed {
+		return false
+	}
+	f.set(Word{Changed: max(word.Changed, f.word.Changed), Confirmed: max(word.Confirmed, f.word.Confirmed), At: word.At}, false)
+	return true
+}
+
+// applyNews applies the news that have come: those that begin at or before what is
+// known. Others tell of changes before them that were missed.
+func (f *Feed) applyNews() {
+	for {
+		select {
+		case news := <-f.news:
+			if news.After <= f.word.Confirmed && news.Version > f.word.Confirmed {
+				f.set(Word{Changed: news.Version, Confirmed: news.Version, At: f.word.At}, false)
+				f.consumer.Apply(news.Rows, news.Version)
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (f *Feed) await(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.wake:
+	case <-timer.C:
+	}
+}
+
+func (f *Feed) setRelying(relying bool) {
+	if relying == f.relying {
+		return
+	}
+	f.relying = relying
+	message := "table followed at the store"
+	if relying {
+		message = "table followed through another node"
+	}
+	f.log.WithFields(logrus.Fields{"table": f.table, "version": f.word.Confirmed}).Info(message)
+}
+
+// set records a word; only Run's goroutine does.
+func (f *Feed) set(word Word, own bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.word, f.own = word, own
+}
+
 func (f *Feed) read(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, slowCall)
 	defer cancel()
+	begun := time.Now()
 	rows, version, err := f.store.Read(callCtx, f.table)
 	if err != nil {
 		return err
 	}
-	if version < f.version {
-		return eris.Errorf("the store answered version %d of table %s, older than %d", version, f.table, f.version)
+	if version < f.word.Confirmed {
+		return eris.Errorf("the store answered version %d of table %s, older than %d", version, f.table, f.word.Confirmed)
 	}
-	f.version = version
+	f.set(Word{Changed: version, Confirmed: version, At: begun}, true)
 	f.consumer.Reset(rows, version)
 	return nil
 }
@@ -129,26 +277,44 @@
 func (f *Feed) change(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, patience+slowCall)
 	defer cancel()
-	rows, version, err := f.store.Changes(callCtx, f.table, f.version, patience)
+	begun := time.Now()
+	after := f.word.Confirmed
+	rows, version, err := f.store.Changes(callCtx, f.table, after, patience)
 	if err != nil {
 		return err
 	}
-	if version < f.version {
-		return eris.Errorf("the feed of table %s went back from version %d to %d", f.table, f.version, version)
+	if version < after {
+		return eris.Errorf("the feed of table %s went back from version %d to %d", f.table, after, version)
 	}
-	f.version = version
-	if len(rows) > 0 {
-		f.consumer.Apply(rows, version)
+	before := f.word.Changed
+	word := Word{Changed: before, Confirmed: version, At: earlier(time.Now(), begun.Add(patience+lateAnswer))}
+	if len(rows) == 0 {
+		f.set(word, true)
+		return nil
+	}
+	word.Changed = version
+	f.set(word, true)
+	f.consumer.Apply(rows, version)
+	if f.others != nil && !f.relying {
+		// Nothing changed between before and after.
+		f.others.Publish(News{Table: f.table, After: before, Version: version, Rows: rows})
 	}
 	return nil
 }
 
+func earlier(left, right time.Time) time.Time {
+	if left.Before(right) {
+		return left
+	}
+	return right
+}
+
 func (f *Feed) regained() {
 	f.pause = 0
-	f.confirmed.Store(&State{Version: f.version, At: time.Now()})
+	f.behindSince = time.Time{}
 	if f.lost {
 		f.lost = false
-		f.log.WithFields(logrus.Fields{"table": f.table, "version": f.version}).Info("store regained")
+		f.log.WithFields(logrus.Fields{"table": f.table, "version": f.word.Confirmed}).Info("store regained")
 	}
 }
 
@@ -159,13 +325,8 @@
 	}
 	if !f.lost {
 		f.lost = true
-		f.log.WithFields(logrus.Fields{"table": f.table, "version": f.version, "cause": err.Error()}).Warn("store lost; going on with what is known")
+		f.log.WithFields(logrus.Fields{"table": f.table, "version": f.word.Confirmed, "cause": err.Error()}).Warn("store lost; going on with what is known")
 	}
 	f.pause = min(max(2*f.pause, firstPause), maxPause)
-	timer := time.NewTimer(f.pause/2 + rand.N(f.pause))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	f.await(ctx, f.pause/2+rand.N(f.pause))
 }
--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -61,7 +61,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := &scripted{t: t, steps: steps, cancel: cancel}
-	New(s, "table", s, log).Run(ctx)
+	New(s, "table", s, nil, log).Run(ctx)
 	return s.taken
 }
 
@@ -98,3 +98,33 @@
 		t.Error(diff)
 	}
 }
+
+// silent answers nothing, as a store does after it has lost an answer on a connection.
+type silent struct{ given chan time.Duration }
+
+func (s *silent) Read(context.Context, string) ([]Row, Version, error) { return nil, 1, nil }
+
+func (s *silent) Changes(ctx context.Context, _ string, _ Version, _ time.Duration) ([]Row, Version, error) {
+	deadline, _ := ctx.Deadline()
+	s.given <- time.Until(deadline)
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// TestSilentStoreIsAskedAgainSoon: after the store was silent for seconds, a
+// configuration must be in force within seconds of its return; a call of eight
+// seconds that was lost in between hid it.
+func TestSilentStoreIsAskedAgainSoon(t *testing.T) {
+	const longest = 2 * time.Second
+	ctx, cancel := context.WithCancel(context.Background())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := &silent{given: make(chan time.Duration, 1)}
+	ended := make(chan struct{})
+	go func() { New(store, "table", &scripted{}, nil, log).Run(ctx); close(ended) }()
+	if given := <-store.given; given > longest {
+		t.Errorf("a silent call is given %v", given)
+	}
+	cancel()
+	<-ended
+}
