Move engines in proportion to the fleet; tell other zones less often in large fleets

Change: eight in a hundred of a service's engines may change at once, and orders for load come that much closer together; a fleet of nine keeps its pace (test). Digests: two scopes, the own zone each 50 ms, the others each 50 ms for each 30 nodes; each scope keeps its own list of reads and failures.

Seen in the logs, open: readers that come free are chosen by a dozen nodes within 50 ms, before any has heard of the others.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -28,8 +28,9 @@
 	maxDatagram = 16 << 10
 	// maxNews bounds a message of changes.
 	maxNews = 8 << 10
-	// repeatReads is how many messages tell of the same read or failure.
-	repeatReads = 2
+	// fleetPerPause is the number of nodes for which nodes of other zones are told
+	// once in sendEvery.
+	fleetPerPause = 30
 	// maxAnswers bounds the answers that wait to be looked at.
 	maxAnswers = 64
 )
@@ -119,39 +120,83 @@
 	_ = e.conn.Close()
 }
 
+// scope is a part of the peers that is told at a pace of its own.
+type scope struct {
+	outbox
+	// sameZone tells that the peers of this node's zone are meant, or else all others.
+	sameZone bool
+}
+
 func (e *Exchange) send(ctx context.Context) {
 	ticker := time.NewTicker(sendEvery)
 	defer ticker.Stop()
-	var sequence, sentVersion uint64
-	var last time.Time
-	var toldChanged tablefeed.Version
-	var recent []worker.Snapshot
+	scopes := []*scope{{sameZone: true}, {sameZone: false}}
+	sequence := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
-			e.broadcast(Message{Node: e.node, Sequence: sequence + 1, Leaving: true}, true)
+			e.farewell(sequence + 1)
 			return
 		case <-ticker.C:
+			sequence = e.tick(scopes, sequence, time.Now())
 		}
-		version := e.registry.Version()
-		atRest := time.Since(last) >= restEvery
-		words := e.words()
-		changed := lastChange(words)
-		if version == sentVersion && len(recent) == 0 && changed == toldChanged && !atRest {
+	}
+}
+
+// tick sends what is due, and returns the last sequence number used.
+func (e *Exchange) tick(scopes []*scope, sequence uint64, now time.Time) uint64 {
+	words := e.words()
+	changed := lastChange(words)
+	var snapshot *worker.Snapshot
+	version := e.registry.Version()
+	for _, told := range scopes {
+		due, atRest := told.dueness(now, e.pause(told.sameZone), version, changed)
+		if !due {
 			continue
 		}
-		snapshot, version := e.registry.Snapshot()
-		sequence++
-		if atRest {
-			last = time.Now()
+		if snapshot == nil {
+			snapshot, version = e.collect(scopes)
+		}
+		tables := words
+		if !atRest && changed == told.changed {
+			tables = nil
 		}
-		recent = remember(recent, snapshot)
-		message := newMessage(e.node, sequence, withRecent(snapshot, recent))
-		if atRest || changed != toldChanged {
-			message.Zone, message.Tables = e.zone, words
+		current := *snapshot
+		current.Reads, current.Failures = told.next(now, atRest, version, changed)
+		sequence++
+		message := newMessage(e.node, sequence, current)
+		if tables != nil || atRest {
+			message.Zone, message.Tables = e.zone, tables
 		}
-		sentVersion, toldChanged = version, changed
-		e.broadcast(message, atRest)
+		e.broadcast(message, told.sameZone, atRest)
+	}
+	return sequence
+}
+
+// collect takes a snapshot, and queues what it tells of for all scopes.
+func (e *Exchange) collect(scopes []*scope) (*worker.Snapshot, uint64) {
+	snapshot, version := e.registry.Snapshot()
+	for _, told := range scopes {
+		told.collect(snapshot)
+	}
+	return &snapshot, version
+}
+
+// pause is the time between two messages: in a large fleet nodes of other zones are
+// told less often, since bytes between zones are dear.
+func (e *Exchange) pause(sameZone bool) time.Duration {
+	if sameZone {
+		return sendEvery
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return sendEvery * time.Duration(max(len(e.peers.peers)/fleetPerPause, 1))
+}
+
+// farewell says that this node leaves.
+func (e *Exchange) farewell(sequence uint64) {
+	for _, sameZone := range []bool{true, false} {
+		e.broadcast(Message{Node: e.node, Sequence: sequence, Leaving: true}, sameZone, true)
 	}
 }
 
@@ -187,40 +232,15 @@
 	}
 }
 
-// remember keeps the snapshots whose reads and failures are told once more.
-func remember(recent []worker.Snapshot, snapshot worker.Snapshot) []worker.Snapshot {
-	recent = append(recent, snapshot)
-	if len(recent) > repeatReads {
-		recent = recent[len(recent)-repeatReads:]
-	}
-	for _, kept := range recent {
-		if len(kept.Reads) > 0 {
-			return recent
-		}
-	}
-	return nil
-}
-
-// withRecent adds the reads of earlier messages, of which one may have been lost.
-// Failures are told once: telling them twice would count them twice.
-func withRecent(snapshot worker.Snapshot, recent []worker.Snapshot) worker.Snapshot {
-	var reads []worker.Read
-	for _, kept := range recent {
-		reads = append(reads, kept.Reads...)
-	}
-	snapshot.Reads = reads
-	return snapshot
-}
-
-// broadcast sends a message to the peers that are present, and where it is sent at
-// rest, to the silent ones too.
-func (e *Exchange) broadcast(message Message, atRest bool) {
+// broadcast sends a message to the peers of this node's zone or to all others: to
+// those that are present, and where it is sent at rest, to the silent ones too.
+func (e *Exchange) broadcast(message Message, sameZone, atRest bool) {
 	datagram, ok := e.encode(message)
 	if !ok {
 		return
 	}
 	e.mu.Lock()
-	addresses := e.peers.addresses(atRest)
+	addresses := e.peers.addresses(e.zone, sameZone, atRest)
 	e.mu.Unlock()
 	for _, address := range addresses {
 		_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
--- a/internal/digest/memory.go
+++ b/internal/digest/memory.go
@@ -57,7 +57,7 @@
 func (e *Exchange) anyPeer() (netip.AddrPort, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	addresses := e.peers.addresses(true)
+	addresses := e.peers.all()
 	if len(addresses) == 0 {
 		return netip.AddrPort{}, false
 	}
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -1,7 +1,9 @@
 package digest
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -80,18 +82,24 @@
 	return lost
 }
 
-// addresses returns where a message goes: to the peers that are present, and where
-// it is one of those sent at rest, to the silent ones too.
-func (s *peerSet) addresses(atRest bool) []netip.AddrPort {
+// addresses returns where a message goes: to the peers of a zone, or to all others;
+// to those that are present, and where it is one of those sent at rest, to the
+// silent ones too.
+func (s *peerSet) addresses(zone string, sameZone, atRest bool) []netip.AddrPort {
 	addresses := make([]netip.AddrPort, 0, len(s.peers))
 	for address, known := range s.peers {
-		if atRest || known.present {
+		if (known.zone == zone) == sameZone && (atRest || known.present) {
 			addresses = append(addresses, address)
 		}
 	}
 	return addresses
 }
 
+// all returns the addresses of all peers.
+func (s *peerSet) all() []netip.AddrPort {
+	return slices.Collect(maps.Keys(s.peers))
+}
+
 // addressesIn returns the peers of a zone that are present, or all of these where the
 // zone is empty.
 func (s *peerSet) addressesIn(zone string) []netip.AddrPort {
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -56,14 +56,18 @@
 	MemoryShare float64
 	// Smoothing is the time over which loads are averaged.
 	Smoothing time.Duration
-	// Settle is the shortest time between two orders for load; Urgent that before
-	// one for engines that are lost.
+	// Settle is the time that an order for load is given to show its effect: so long
+	// no more than Together engines are ordered. Urgent is the time before one for
+	// engines that are lost.
 	Settle, Urgent time.Duration
+	// TogetherShare is the share of a service's engines that may change at once, at
+	// least one.
+	TogetherShare float64
 }
 
 // DefaultPolicy returns the figures measured so far.
 func DefaultPolicy() Policy {
-	return Policy{WaitShare: 0.2, MemoryShare: 0.7, Smoothing: 1500 * time.Millisecond, Settle: 5 * time.Second, Urgent: 1200 * time.Millisecond}
+	return Policy{WaitShare: 0.2, MemoryShare: 0.7, Smoothing: 1500 * time.Millisecond, Settle: 5 * time.Second, Urgent: 1200 * time.Millisecond, TogetherShare: 0.08}
 }
 
 // Planner plans the engines of one service.
@@ -119,22 +123,36 @@
 func (p *Planner) Decide(now time.Time, workers []Worker, objective time.Duration) (Order, bool) {
 	d := divide(workers)
 	p.observe(now, d)
-	for _, worker := range workers {
-		if worker.Changing {
-			return Order{}, false // one order at a time
-		}
+	together := p.policy.together(len(workers))
+	if changing(workers) >= together {
+		return Order{}, false
 	}
 	order, found := p.restore(now, d)
+	if found && together == 1 {
+		p.shortSince = time.Time{}
+	}
 	if !found {
-		order, found = p.balance(now, d, objective)
+		order, found = p.balance(now, d, objective, together)
 	}
 	if found {
 		p.ordered = now
-		p.shortSince = time.Time{}
 	}
 	return order, found
 }
 
+// together is how many engines of a service may change at once.
+func (p Policy) together(engines int) int { return max(int(p.TogetherShare*float64(engines)), 1) }
+
+func changing(workers []Worker) int {
+	count := 0
+	for _, worker := range workers {
+		if worker.Changing {
+			count++
+		}
+	}
+	return count
+}
+
 func (p *Planner) observe(now time.Time, d division) {
 	elapsed := p.policy.Smoothing
 	if !p.observed.IsZero() {
@@ -181,8 +199,8 @@
 }
 
 // balance moves an engine where load asks for it.
-func (p *Planner) balance(now time.Time, d division, objective time.Duration) (Order, bool) {
-	if now.Sub(p.ordered) < p.policy.Settle {
+func (p *Planner) balance(now time.Time, d division, objective time.Duration, together int) (Order, bool) {
+	if now.Sub(p.ordered) < p.policy.Settle/time.Duration(together) {
 		return Order{}, false
 	}
 	limit := p.policy.WaitShare * float64(objective) / float64(time.Millisecond)
--- a/internal/stageplan/stageplan_test.go
+++ b/internal/stageplan/stageplan_test.go
@@ -91,6 +91,30 @@
 	}
 }
 
+// TestLargeFleetMovesSeveralEnginesInOneSettlingTime: one engine in five seconds
+// would follow a shift of the load in ninety engines after minutes.
+func TestLargeFleetMovesSeveralEnginesInOneSettlingTime(t *testing.T) {
+	for size, want := range map[int]int{9: 1, 90: 7} {
+		waiting := fleet(size*4/9, size-size*4/9, func(w *Worker) { w.ReadTokens = 50_000 })
+		planner := New(DefaultPolicy())
+		ordered, most := 0, 0
+		for elapsed := time.Duration(0); elapsed < DefaultPolicy().Settle; elapsed += tick {
+			order, found := planner.Decide(origin.Add(elapsed), waiting, objective)
+			if !found {
+				continue
+			}
+			ordered++
+			for i := range waiting {
+				waiting[i].Changing = waiting[i].Changing || waiting[i].ID == order.Worker
+			}
+			most = max(most, changing(waiting))
+		}
+		if ordered != want || most != want {
+			t.Errorf("%d engines: %d ordered, %d changing at once, want %d", size, ordered, most, want)
+		}
+	}
+}
+
 func TestOneOrderAtATime(t *testing.T) {
 	changing := fleet(5, 4, func(w *Worker) {
 		w.Usable = w.Prefill
