Each node of a large fleet places on its own share of the workers

Change: above twelve nodes a node considers the sound workers of each stage with the lowest ranks, a rank being the node's own hash of the worker, so many that about twelve nodes contend for a worker (six at least); workers outside that keep 1,024 tokens more of the prompt still count, and sources of fetched parts are all workers.

Ruled out: digests that come late (digest_age_ms 250 to 300, within their pace), and slow moves (requests without a fetch were as late).

Deployments of seven nodes are untouched.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -70,6 +70,7 @@
 		Excluded:     s.excluded,
 		Failed:       s.failed,
 		NoApart:      s.readTaken,
+		Nodes:        s.nodes(),
 	}
 }
 
--- a/internal/scheduling/reading.go
+++ b/internal/scheduling/reading.go
@@ -15,11 +15,10 @@
 
 // reading compares reading all that the worker lacks with fetching what another
 // worker keeps.
-func (s *Scheduler) reading(request Request, candidates []Candidate, i int) reading {
-	candidate := candidates[i]
+func (s *Scheduler) reading(request Request, candidate Candidate, sources []Candidate) reading {
 	kept := min(candidate.CachedTokens, request.PromptTokens)
 	best := s.read(request, candidate, kept)
-	source := longest(candidates, i)
+	source := longest(sources, candidate.ID)
 	if source == nil {
 		return best
 	}
@@ -53,12 +52,12 @@
 // lowestPace keeps predictions finite, in tokens a millisecond.
 const lowestPace = 0.1
 
-// longest returns the sound worker other than i that keeps most of the prompt.
-func longest(candidates []Candidate, i int) *Candidate {
+// longest returns the sound worker other than one that keeps most of the prompt.
+func longest(candidates []Candidate, except string) *Candidate {
 	var found *Candidate
-	for j := range candidates {
-		other := &candidates[j]
-		if j == i || other.Avoid || other.CachedTokens == 0 {
+	for i := range candidates {
+		other := &candidates[i]
+		if other.ID == except || other.Avoid || other.CachedTokens == 0 {
 			continue
 		}
 		if found == nil || other.CachedTokens > found.CachedTokens {
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -19,9 +19,10 @@
 	if request.PromptTokens == 0 {
 		return s.planOpaque(request, candidates)
 	}
-	best := s.planWhole(request, candidates)
+	chosen := aperture(request, candidates)
+	best := s.planWhole(request, chosen, candidates)
 	if !request.NoApart {
-		if apart := s.planApart(request, candidates); better(apart, best) {
+		if apart := s.planApart(request, chosen, candidates); better(apart, best) {
 			best = apart
 		}
 	}
@@ -102,14 +103,15 @@
 	return cost
 }
 
-// planWhole chooses a decode engine that reads and runs the request.
-func (s *Scheduler) planWhole(request Request, candidates []Candidate) Plan {
+// planWhole chooses a decode engine that reads and runs the request. sources are the
+// workers from which kept parts of the prompt may be fetched.
+func (s *Scheduler) planWhole(request Request, candidates, sources []Candidate) Plan {
 	best := refuse(NoWorker)
-	for i, candidate := range candidates {
+	for _, candidate := range candidates {
 		if candidate.Prefill || request.Excluded[candidate.ID] {
 			continue
 		}
-		reading := s.reading(request, candidates, i)
+		reading := s.reading(request, candidate, sources)
 		first := s.costs.Fixed + reading.time + s.costs.Running*float64(candidate.Requests)
 		cost := first + reading.price + s.common(request, candidate) + s.pressure(request, candidate) +
 			s.costs.Interference*reading.own*float64(candidate.Requests)
@@ -125,17 +127,17 @@
 }
 
 // planApart chooses a prefill engine to read, and a decode engine to run.
-func (s *Scheduler) planApart(request Request, candidates []Candidate) Plan {
-	runner := s.Runner(request, candidates)
+func (s *Scheduler) planApart(request Request, candidates, sources []Candidate) Plan {
+	runner := s.runner(request, candidates)
 	if runner.Mode == Refused {
 		return runner
 	}
 	best := refuse(NoWorker)
-	for i, candidate := range candidates {
+	for _, candidate := range candidates {
 		if !candidate.Prefill || request.Excluded[candidate.ID] || candidate.HandleFailure {
 			continue
 		}
-		reading := s.reading(request, candidates, i)
+		reading := s.reading(request, candidate, sources)
 		move := s.costs.MovePerToken * float64(request.PromptTokens)
 		first := s.costs.Fixed + s.costs.Hop + reading.time + s.costs.Running*float64(runner.Runner.Requests)
 		cost := s.costs.Fixed + s.costs.Hop + reading.time + move + reading.price + s.common(request, candidate) + runner.Cost
@@ -152,6 +154,10 @@
 
 // Runner chooses the decode engine for a prompt that was read apart.
 func (s *Scheduler) Runner(request Request, candidates []Candidate) Plan {
+	return s.runner(request, aperture(request, candidates))
+}
+
+func (s *Scheduler) runner(request Request, candidates []Candidate) Plan {
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
 		if !candidate.Decode || request.Excluded[candidate.ID] {
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -27,6 +27,8 @@
 	Leaving bool
 	// FailureRate is the share of requests that it failed lately.
 	FailureRate float64
+	// Rank orders the workers for this node alone: it differs from node to node.
+	Rank uint64
 	// HandleFailure tells that prompts read apart there could not be fetched.
 	HandleFailure bool
 }
@@ -45,6 +47,8 @@
 	// Excluded are workers that must not get this request any more, and Failed those
 	// that ran it and failed, which get it where no other is left.
 	Excluded, Failed map[string]bool
+	// Nodes is the number of nodes that place requests on the same workers.
+	Nodes int
 	// NoApart tells that the prompt must not be read apart.
 	NoApart bool
 }
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -72,6 +72,7 @@
 		Capacity:      r.memory[known.worker.Service],
 		CachedTokens:  known.cache.Match(parts),
 		Pace:          r.paceOf(known),
+		Rank:          known.rank,
 		Avoid:         known.breaker.Open(now),
 		FailureRate:   known.breaker.FailureRate(now),
 		HandleFailure: known.handles.Open(now),
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"hash/maphash"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
@@ -90,6 +91,7 @@
 	}
 	r.workers[worker.ID] = &state{
 		worker: worker,
+		rank:   maphash.String(r.seed, worker.ID),
 		remote: make(map[string]remoteLoad),
 		cache:  prefixcache.New(capacity),
 	}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"hash/maphash"
 	"sync"
 	"time"
 
@@ -25,9 +26,11 @@
 	// cacheKnown tells that what the worker kept before this node started is known.
 	cacheKnown bool
 	reader     pace.Reader
-	breaker    breaker.Breaker
-	handles    breaker.Breaker
-	reported   reportedLoad
+	// rank orders the workers for this node alone.
+	rank     uint64
+	breaker  breaker.Breaker
+	handles  breaker.Breaker
+	reported reportedLoad
 }
 
 // Load is work placed and not finished.
@@ -86,8 +89,10 @@
 
 // Registry is safe for concurrent use.
 type Registry struct {
-	mu      sync.Mutex
-	zone    string
+	mu   sync.Mutex
+	zone string
+	// seed makes the ranks of this process's own.
+	seed    maphash.Seed
 	workers map[string]*state
 	// groups hold the pace of all workers of a service and stage, which a worker
 	// that was not measured yet is assumed to have.
@@ -116,6 +121,7 @@
 func NewRegistry(zone string) *Registry {
 	return &Registry{
 		zone:    zone,
+		seed:    maphash.MakeSeed(),
 		workers: make(map[string]*state),
 		groups:  make(map[groupKey]*pace.Reader),
 		memory:  make(map[string]int),
