--- a/internal/scheduling/aperture.go
+++ b/internal/scheduling/aperture.go
@@ -7,9 +7,12 @@
 
 // The figures of the aperture.
 const (
-	// contenders is the number of nodes that should place requests on one worker:
-	// with what few nodes place unseen by one another, the predictions hold.
-	contenders = 12
+	// smallFleet is the number of nodes up to which each places on all workers.
+	smallFleet = 12
+	// contenders is the number of nodes of a larger fleet that should place requests
+	// on one worker: with what few nodes place unseen by one another, the predictions
+	// hold.
+	contenders = 6
 	// leastInside is the fewest workers of a stage that a node places on.
 	leastInside = 6
 	// worthLeaving is how many tokens of a prompt a worker outside must keep for the
@@ -24,7 +27,7 @@
 // node; a worker that keeps much of the prompt may be chosen from anywhere. Where
 // nothing inside is sound, all workers count.
 func aperture(request Request, candidates []Candidate) []Candidate {
-	if request.Nodes <= contenders {
+	if request.Nodes <= smallFleet {
 		return candidates
 	}
 	readers, writers := byStage(candidates)
