A request's queue is what its rank waits for

Cause: engines read the more urgent prompts first, but a candidate's queue was all that waited.

Change: loads tell reads apart by rank (four ranks, also in digests); the wait that is predicted, and the pace that is learned, count what is read before a request; ways are still compared by the whole queue, since a request that passes others holds them up. Tests: reads by rank, candidates by rank.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -23,8 +23,9 @@
 	Node string `json:"n"`
 	// Sequence rises with each message of an incarnation.
 	Sequence uint64 `json:"s"`
-	// Loads holds, by worker: requests, tokens to be read, memory tokens.
-	Loads map[string][3]int `json:"l,omitempty"`
+	// Loads holds, by worker: requests, memory tokens, and tokens to be read by rank,
+	// without the zeros at the end.
+	Loads map[string][]int `json:"l,omitempty"`
 	// Reads hold "worker part:tokens part:tokens …", parts in hexadecimal.
 	Reads []string `json:"r,omitempty"`
 	// Failures are workers that failed.
@@ -56,10 +57,10 @@
 func newMessage(node string, sequence uint64, snapshot worker.Snapshot) Message {
 	message := Message{Node: node, Sequence: sequence, Failures: snapshot.Failures}
 	if len(snapshot.Loads) > 0 {
-		message.Loads = make(map[string][3]int, len(snapshot.Loads))
+		message.Loads = make(map[string][]int, len(snapshot.Loads))
 	}
 	for id, load := range snapshot.Loads {
-		message.Loads[id] = [3]int{load.Requests, load.ReadTokens, load.MemoryTokens}
+		message.Loads[id] = renderLoad(load)
 	}
 	for _, changing := range snapshot.Changing {
 		if message.Orders == nil {
@@ -77,6 +78,31 @@
 	return message
 }
 
+func renderLoad(load worker.Load) []int {
+	figures := append([]int{load.Requests, load.MemoryTokens}, load.Reads[:]...)
+	for len(figures) > 0 && figures[len(figures)-1] == 0 {
+		figures = figures[:len(figures)-1]
+	}
+	return figures
+}
+
+// parseLoad reads a load. Figures past the last rank, which only a later version
+// would send, count as the last rank.
+func parseLoad(figures []int) worker.Load {
+	var load worker.Load
+	for i, figure := range figures {
+		switch i {
+		case 0:
+			load.Requests = figure
+		case 1:
+			load.MemoryTokens = figure
+		default:
+			load.Reads[min(i-2, worker.Ranks-1)] += figure
+		}
+	}
+	return load
+}
+
 func renderRead(read worker.Read) string {
 	var out strings.Builder
 	out.WriteString(read.Worker)
@@ -93,7 +119,7 @@
 func (m Message) snapshot() (worker.Snapshot, error) {
 	snapshot := worker.Snapshot{Loads: make(map[string]worker.Load, len(m.Loads)), Failures: m.Failures}
 	for id, load := range m.Loads {
-		snapshot.Loads[id] = worker.Load{Requests: load[0], ReadTokens: load[1], MemoryTokens: load[2]}
+		snapshot.Loads[id] = parseLoad(load)
 	}
 	for id, left := range m.Orders {
 		changing := worker.Changing{Worker: id, Prefill: left > 0, Left: time.Duration(max(left, -left)) * time.Millisecond}
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -33,7 +33,7 @@
 
 func TestMessageKeepsASnapshot(t *testing.T) {
 	snapshot := worker.Snapshot{
-		Loads: map[string]worker.Load{"w": {Requests: 1, ReadTokens: 2, MemoryTokens: 3}},
+		Loads: map[string]worker.Load{"w": {Requests: 1, Reads: worker.Reads{0, 2}, MemoryTokens: 3}},
 		Reads: []worker.Read{{Worker: "w", Parts: []prefixcache.Part{{ID: 0xabc, Tokens: 10}, {ID: 1 << 63, Tokens: 0}}}},
 		// A read of nothing is possible too.
 		Failures: []string{"w", "x"},
@@ -92,9 +92,9 @@
 	}
 	defer func() { _ = exchange.conn.Close() }()
 	other := netip.MustParseAddrPort("127.0.0.1:1")
-	exchange.take(other, Message{Node: "other", Sequence: 2, Loads: map[string][3]int{"w": {5, 0, 0}}})
-	exchange.take(other, Message{Node: "other", Sequence: 1, Loads: map[string][3]int{"w": {9, 0, 0}}})
-	if got := registry.Candidates("s", nil, time.Now())[0].Requests; got != 5 {
+	exchange.take(other, Message{Node: "other", Sequence: 2, Loads: map[string][]int{"w": {5}}})
+	exchange.take(other, Message{Node: "other", Sequence: 1, Loads: map[string][]int{"w": {9}}})
+	if got := registry.Candidates("s", nil, 0, time.Now())[0].Requests; got != 5 {
 		t.Errorf("%d requests", got)
 	}
 	if exchange.Nodes() != 2 {
@@ -128,7 +128,7 @@
 		go func() { exchange.Run(ctx); ended <- struct{}{} }()
 	}
 	registries[0].Begin("w", worker.Load{Requests: 3})
-	for end := time.Now().Add(20 * time.Second); registries[1].Candidates("s", nil, time.Now())[0].Requests != 3; {
+	for end := time.Now().Add(20 * time.Second); registries[1].Candidates("s", nil, 0, time.Now())[0].Requests != 3; {
 		if time.Now().After(end) {
 			t.Fatal("the load of one node isn't known at the other")
 		}
@@ -169,7 +169,7 @@
 			t.Fatal("nothing was learned")
 		}
 	}
-	candidate := young.Candidates("s", parts, time.Now())[0]
+	candidate := young.Candidates("s", parts, 0, time.Now())[0]
 	if candidate.CachedTokens != 730 || candidate.Pace < 50 {
 		t.Errorf("%+v", candidate)
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -62,7 +62,7 @@
 func (s *session) readApart(ctx context.Context, plan scheduling.Plan) (*Handle, tryEnd) {
 	reader := plan.Reader
 	unread := plan.Unread
-	load := worker.Load{Requests: 1, ReadTokens: unread, MemoryTokens: s.call.PromptTokens}
+	load := worker.Load{Requests: 1, Reads: worker.ReadsOf(s.call.Route.Priority, unread), MemoryTokens: s.call.PromptTokens}
 	s.registry.Begin(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
 	begun := time.Now()
@@ -85,7 +85,7 @@
 	}
 	now := time.Now()
 	s.readTaken = true
-	s.registry.ObserveRead(reader.ID, unread+reader.ReadTokens, now.Sub(begun))
+	s.registry.ObserveRead(reader.ID, unread+reader.ReadAhead, now.Sub(begun))
 	s.registry.Cached(reader.ID, s.call.Prompt, now)
 	s.registry.Succeeded(reader.ID, now)
 	return &handle, tryEnd{}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -75,7 +75,7 @@
 }
 
 func (s *session) candidates() []scheduling.Candidate {
-	return s.registry.Candidates(s.call.Service.Name, s.call.Prompt, time.Now())
+	return s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.Route.Priority, time.Now())
 }
 
 func (s *session) plan() scheduling.Plan {
@@ -180,7 +180,7 @@
 	s.log.WithFields(logrus.Fields{
 		"id": s.call.ID, "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
-		"reader_queue": plan.Reader.ReadTokens, "runner_queue": plan.Runner.ReadTokens,
+		"reader_queue": plan.Reader.ReadAhead, "runner_queue": plan.Runner.ReadAhead,
 		"cached": max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
 		"unread": plan.Unread, "fetch": plan.Fetch,
 		"predicted_ms": plan.First.Milliseconds(), "cost": int(min(plan.Cost, 1e9)),
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -22,7 +22,7 @@
 func newWork(registry *worker.Registry, runner scheduling.Candidate, unread int, call *Call) *work {
 	w := &work{
 		registry: registry, runner: runner, call: call, unread: unread,
-		reading: worker.Load{ReadTokens: unread},
+		reading: worker.Load{Reads: worker.ReadsOf(call.Route.Priority, unread)},
 		running: worker.Load{Requests: 1, MemoryTokens: call.PromptTokens + call.OutputTokens},
 		begun:   time.Now(),
 	}
@@ -43,7 +43,7 @@
 	}
 	now := time.Now()
 	if w.unread > 0 {
-		w.registry.ObserveRead(w.runner.ID, w.unread+w.runner.ReadTokens, now.Sub(w.begun))
+		w.registry.ObserveRead(w.runner.ID, w.unread+w.runner.ReadAhead, now.Sub(w.begun))
 	}
 	w.registry.Cached(w.runner.ID, w.call.Prompt, now)
 }
--- a/internal/scheduling/aperture_test.go
+++ b/internal/scheduling/aperture_test.go
@@ -29,9 +29,9 @@
 	for range nodes {
 		candidates := engines(36, 54, random)
 		for i := range candidates {
-			candidates[i].ReadTokens = 20_000
+			candidates[i].ReadTokens, candidates[i].ReadAhead = 20_000, 20_000
 		}
-		candidates[0].ReadTokens = 0
+		candidates[0].ReadTokens, candidates[0].ReadAhead = 0, 0
 		request := Request{PromptTokens: 9000, Objective: 5 * time.Second, Remaining: 5 * time.Second, Nodes: nodes}
 		plan := New(DefaultCosts()).Plan(request, candidates)
 		if plan.Reader.ID == candidates[0].ID {
--- a/internal/scheduling/reading.go
+++ b/internal/scheduling/reading.go
@@ -5,6 +5,9 @@
 	// time is the wait for the tokens ahead and for those of the request, in
 	// milliseconds, and own the part of it for the request.
 	time, own float64
+	// held is time with those of all ranks in place of those ahead: what is compared,
+	// since a request that passes others holds them up.
+	held float64
 	// price is that of shared tokens read again, and of moves.
 	price float64
 	// fetch is where a part of the prompt is taken from.
@@ -29,9 +32,10 @@
 	fetched := s.read(request, candidate, kept+moved)
 	fetched.own += s.costs.Fetch
 	fetched.time += s.costs.Fetch
+	fetched.held += s.costs.Fetch
 	fetched.price += s.costs.MovePerToken * float64(moved)
 	fetched.fetch = source.Address
-	if fetched.time+fetched.price < best.time+best.price {
+	if fetched.held+fetched.price < best.held+best.price {
 		return fetched
 	}
 	return best
@@ -42,8 +46,9 @@
 	unread := request.PromptTokens - atHand
 	pace := max(candidate.Pace, lowestPace)
 	return reading{
-		time:   float64(candidate.ReadTokens+unread) / pace,
+		time:   float64(candidate.ReadAhead+unread) / pace,
 		own:    float64(unread) / pace,
+		held:   float64(candidate.ReadTokens+unread) / pace,
 		price:  s.costs.RereadPerToken * float64(max(request.SharedTokens-atHand, 0)),
 		unread: unread,
 	}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -52,9 +52,9 @@
 // refusal would gain nobody anything.
 func idle(plan Plan) bool {
 	if plan.Mode == Apart {
-		return plan.Reader.ReadTokens == 0
+		return plan.Reader.ReadAhead == 0
 	}
-	return plan.Runner.ReadTokens == 0
+	return plan.Runner.ReadAhead == 0
 }
 
 // minRetryAfter is the shortest time after which a refused request comes back.
@@ -112,8 +112,9 @@
 			continue
 		}
 		reading := s.reading(request, candidate, sources)
-		first := s.costs.Fixed + reading.time + s.costs.Running*float64(candidate.Requests)
-		cost := first + reading.price + s.common(request, candidate) + s.pressure(request, candidate) +
+		fixed := s.costs.Fixed + s.costs.Running*float64(candidate.Requests)
+		first := fixed + reading.time
+		cost := fixed + reading.held + reading.price + s.common(request, candidate) + s.pressure(request, candidate) +
 			s.costs.Interference*reading.own*float64(candidate.Requests)
 		plan := Plan{
 			Mode: Whole, Runner: candidate, Fetch: reading.fetch, Unread: reading.unread,
@@ -140,7 +141,7 @@
 		reading := s.reading(request, candidate, sources)
 		move := s.costs.MovePerToken * float64(request.PromptTokens)
 		first := s.costs.Fixed + s.costs.Hop + reading.time + s.costs.Running*float64(runner.Runner.Requests)
-		cost := s.costs.Fixed + s.costs.Hop + reading.time + move + reading.price + s.common(request, candidate) + runner.Cost
+		cost := s.costs.Fixed + s.costs.Hop + reading.held + move + reading.price + s.common(request, candidate) + runner.Cost
 		plan := Plan{
 			Mode: Apart, Reader: candidate, Runner: runner.Runner, Fetch: reading.fetch, Unread: reading.unread,
 			First: milliseconds(first), Cost: cost,
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -26,7 +26,9 @@
 }
 
 func cached(tokens int) func(*Candidate) { return func(c *Candidate) { c.CachedTokens = tokens } }
-func queued(tokens int) func(*Candidate) { return func(c *Candidate) { c.ReadTokens = tokens } }
+func queued(tokens int) func(*Candidate) {
+	return func(c *Candidate) { c.ReadTokens, c.ReadAhead = tokens, tokens }
+}
 func running(count int) func(*Candidate) { return func(c *Candidate) { c.Requests = count } }
 func avoided(c *Candidate)               { c.Avoid = true }
 func otherZone(c *Candidate)             { c.SameZone = false }
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -15,6 +15,8 @@
 	Requests     int
 	ReadTokens   int
 	MemoryTokens int
+	// ReadAhead is the part of ReadTokens that is read before the request's prompt.
+	ReadAhead int
 	// Capacity is the KV cache in tokens, zero where it isn't known.
 	Capacity int
 	// CachedTokens is the part of the request's prompt that the worker keeps.
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -9,9 +9,9 @@
 	"github.com/tinarch/tinarch/internal/stageplan"
 )
 
-// Candidates describes the workers of a service that may take a request with a
-// prompt of these parts.
-func (r *Registry) Candidates(service string, parts []prefixcache.Part, now time.Time) []scheduling.Candidate {
+// Candidates describes the workers of a service that may take a request of a rank
+// with a prompt of these parts.
+func (r *Registry) Candidates(service string, parts []prefixcache.Part, rank int, now time.Time) []scheduling.Candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var candidates []scheduling.Candidate
@@ -19,7 +19,7 @@
 		if known.worker.Service != service || !known.usable(now) {
 			continue
 		}
-		candidates = append(candidates, r.candidate(known, parts, now))
+		candidates = append(candidates, r.candidate(known, parts, rank, now))
 	}
 	return candidates
 }
@@ -41,7 +41,7 @@
 			ID: known.worker.ID, Prefill: known.worker.Stage == Prefill,
 			Usable:   !known.worker.Draining && !known.breaker.Open(now),
 			Changing: known.isChanging(now),
-			Requests: load.Requests, ReadTokens: load.ReadTokens, MemoryTokens: load.MemoryTokens,
+			Requests: load.Requests, ReadTokens: load.Reads.Total(), MemoryTokens: load.MemoryTokens,
 			Capacity: r.memory[service], Pace: r.paceOf(known),
 		})
 	}
@@ -57,7 +57,7 @@
 	return s.listed() || now.Sub(s.goneAt) < lingerFor
 }
 
-func (r *Registry) candidate(known *state, parts []prefixcache.Part, now time.Time) scheduling.Candidate {
+func (r *Registry) candidate(known *state, parts []prefixcache.Part, rank int, now time.Time) scheduling.Candidate {
 	load := known.total(now)
 	return scheduling.Candidate{
 		ID:            known.worker.ID,
@@ -67,7 +67,8 @@
 		Prefill:       known.worker.Stage == Prefill,
 		Decode:        known.worker.Stage == Decode,
 		Requests:      load.Requests,
-		ReadTokens:    load.ReadTokens,
+		ReadTokens:    load.Reads.Total(),
+		ReadAhead:     load.Reads.Ahead(rank),
 		MemoryTokens:  load.MemoryTokens,
 		Capacity:      r.memory[known.worker.Service],
 		CachedTokens:  known.cache.Match(parts),
--- /dev/null
+++ b/internal/worker/load.go
@@ -0,0 +1,55 @@
+package worker
+
+// Ranks is the number of ranks of requests that loads tell apart.
+const Ranks = 4
+
+// Reads counts prompt tokens that are still to be read, by the rank of their
+// requests; rank 0 is the most urgent. Engines read the more urgent first.
+type Reads [Ranks]int
+
+// ReadsOf returns the tokens of one request. Ranks past the last count as the last.
+func ReadsOf(rank, tokens int) Reads {
+	var reads Reads
+	reads[bounded(rank)] = tokens
+	return reads
+}
+
+func bounded(rank int) int { return min(max(rank, 0), Ranks-1) }
+
+// Total returns the tokens of all ranks.
+func (r Reads) Total() int { return r.Ahead(Ranks - 1) }
+
+// Ahead returns the tokens that are read before those of a new request of a rank.
+func (r Reads) Ahead(rank int) int {
+	sum := 0
+	for _, tokens := range r[:bounded(rank)+1] {
+		sum += tokens
+	}
+	return sum
+}
+
+// Load is work placed and not finished.
+type Load struct {
+	// Requests counts requests that run or wait.
+	Requests int
+	// Reads counts prompt tokens that are still to be read.
+	Reads Reads
+	// MemoryTokens counts the KV cache that the requests need.
+	MemoryTokens int
+}
+
+// Zero reports whether there is no load.
+func (l Load) Zero() bool { return l == Load{} }
+
+func (l Load) plus(other Load) Load { return l.added(other, 1) }
+
+func (l Load) minus(other Load) Load { return l.added(other, -1) }
+
+func (l Load) added(other Load, sign int) Load {
+	l.Requests += sign * other.Requests
+	l.MemoryTokens += sign * other.MemoryTokens
+	for rank, tokens := range other.Reads {
+		l.Reads[rank] += sign * tokens
+	}
+	return l
+}
--- /dev/null
+++ b/internal/worker/load_test.go
@@ -0,0 +1,37 @@
+package worker
+
+import (
+	"testing"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+)
+
+func TestReadsAheadAreThoseOfTheSameAndMoreUrgentRanks(t *testing.T) {
+	var load Load
+	for rank, tokens := range []int{1, 10, 100, 1000, 10_000} {
+		load = load.plus(Load{Reads: ReadsOf(rank, tokens)})
+	}
+	for rank, want := range map[int]int{-1: 1, 0: 1, 1: 11, 2: 111, 3: 11_111, 9: 11_111} {
+		if got := load.Reads.Ahead(rank); got != want {
+			t.Errorf("rank %d: %d tokens ahead, want %d", rank, got, want)
+		}
+	}
+	if load.Reads.Total() != 11_111 {
+		t.Errorf("%d in all", load.Reads.Total())
+	}
+}
+
+// TestUrgentRequestsDontWaitForOthers: an engine reads the more urgent prompts first,
+// so that a candidate's queue depends on the request.
+func TestUrgentRequestsDontWaitForOthers(t *testing.T) {
+	r := NewRegistry("here")
+	r.Replace([]Worker{{ID: "p", Service: "llm", Stage: Prefill}})
+	r.Begin("p", Load{Reads: ReadsOf(2, 60_000)})
+	r.Merge("other", Snapshot{Loads: map[string]Load{"p": {Reads: ReadsOf(0, 500)}}}, origin)
+	for rank, want := range []int{500, 500, 60_500} {
+		candidate := r.Candidates("llm", []prefixcache.Part{}, rank, origin)[0]
+		if candidate.ReadAhead != want || candidate.ReadTokens != 60_500 {
+			t.Errorf("rank %d: %d ahead of %d", rank, candidate.ReadAhead, candidate.ReadTokens)
+		}
+	}
+}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -33,35 +33,6 @@
 	reported reportedLoad
 }
 
-// Load is work placed and not finished.
-type Load struct {
-	// Requests counts requests that run or wait.
-	Requests int
-	// ReadTokens counts prompt tokens that are still to be read.
-	ReadTokens int
-	// MemoryTokens counts the KV cache that the requests need.
-	MemoryTokens int
-}
-
-// Zero reports whether there is no load.
-func (l Load) Zero() bool { return l == Load{} }
-
-func (l Load) plus(other Load) Load {
-	return Load{
-		Requests:     l.Requests + other.Requests,
-		ReadTokens:   l.ReadTokens + other.ReadTokens,
-		MemoryTokens: l.MemoryTokens + other.MemoryTokens,
-	}
-}
-
-func (l Load) minus(other Load) Load {
-	return Load{
-		Requests:     l.Requests - other.Requests,
-		ReadTokens:   l.ReadTokens - other.ReadTokens,
-		MemoryTokens: l.MemoryTokens - other.MemoryTokens,
-	}
-}
-
 type remoteLoad struct {
 	load Load
 	at   time.Time
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -27,7 +27,7 @@
 func find(t *testing.T, r *Registry, id string, parts []prefixcache.Part, now time.Time) scheduling.Candidate {
 	t.Helper()
 	for _, service := range []string{"llm", "portal"} {
-		for _, candidate := range r.Candidates(service, parts, now) {
+		for _, candidate := range r.Candidates(service, parts, 0, now) {
 			if candidate.ID == id {
 				return candidate
 			}
@@ -40,7 +40,7 @@
 func TestCandidatesAreTheServicesWorkersThatStay(t *testing.T) {
 	r := newTestRegistry()
 	got := map[string]bool{}
-	for _, candidate := range r.Candidates("llm", nil, origin) {
+	for _, candidate := range r.Candidates("llm", nil, 0, origin) {
 		got[candidate.ID] = true
 	}
 	if diff := cmp.Diff(map[string]bool{"p": true, "d": true}, got); diff != "" {
@@ -73,8 +73,8 @@
 // TestLoadOfAllNodesIsAdded, and a silent node's load fades.
 func TestLoadOfAllNodesIsAdded(t *testing.T) {
 	r := newTestRegistry()
-	r.Begin("p", Load{Requests: 1, ReadTokens: 100, MemoryTokens: 10})
-	r.Merge("other", Snapshot{Loads: map[string]Load{"p": {Requests: 2, ReadTokens: 50}}}, origin)
+	r.Begin("p", Load{Requests: 1, Reads: ReadsOf(0, 100), MemoryTokens: 10})
+	r.Merge("other", Snapshot{Loads: map[string]Load{"p": {Requests: 2, Reads: ReadsOf(0, 50)}}}, origin)
 	if got := find(t, r, "p", nil, origin); got.Requests != 3 || got.ReadTokens != 150 || got.MemoryTokens != 10 {
 		t.Errorf("%+v", got)
 	}
@@ -86,7 +86,7 @@
 	if got := find(t, r, "p", nil, origin.Add(remoteLife+1)); got.Requests != 1 {
 		t.Errorf("a silent node's load counts: %+v", got)
 	}
-	r.End("p", Load{Requests: 1, ReadTokens: 100, MemoryTokens: 10})
+	r.End("p", Load{Requests: 1, Reads: ReadsOf(0, 100), MemoryTokens: 10})
 	if got := find(t, r, "p", nil, origin.Add(time.Hour)); got.Requests != 0 || got.ReadTokens != 0 {
 		t.Errorf("an ended load counts: %+v", got)
 	}
@@ -187,7 +187,7 @@
 	if r.Count() != 3 {
 		t.Errorf("%d workers are counted", r.Count())
 	}
-	for _, candidate := range r.Candidates("llm", parts, origin.Add(lingerFor)) {
+	for _, candidate := range r.Candidates("llm", parts, 0, origin.Add(lingerFor)) {
 		if candidate.ID == "p" {
 			t.Error("a vanished worker is used for ever")
 		}
@@ -207,7 +207,7 @@
 func TestDrainingWorkerThatVanishesIsNotUsed(t *testing.T) {
 	r := newTestRegistry()
 	r.ApplyAt(Change{ID: "leaving"}, origin)
-	for _, candidate := range r.Candidates("llm", nil, origin) {
+	for _, candidate := range r.Candidates("llm", nil, 0, origin) {
 		if candidate.ID == "leaving" {
 			t.Error("a worker that drained is used")
 		}
@@ -223,7 +223,7 @@
 	snapshot, _ := here.Snapshot()
 	there.Merge("here", snapshot, now)
 	for name, r := range map[string]*Registry{"here": here, "there": there} {
-		for _, candidate := range r.Candidates("llm", nil, now) {
+		for _, candidate := range r.Candidates("llm", nil, 0, now) {
 			if candidate.ID == "d" {
 				t.Errorf("%s: a worker that changes is used", name)
 			}
@@ -233,7 +233,7 @@
 				t.Errorf("%s: %+v", name, engine)
 			}
 		}
-		if len(r.Candidates("llm", nil, now.Add(2*time.Minute))) != 2 {
+		if len(r.Candidates("llm", nil, 0, now.Add(2*time.Minute))) != 2 {
 			t.Errorf("%s: an order keeps its worker away for ever", name)
 		}
 		entry, _ := r.Get("d")
