--- /dev/null
+++ b/internal/lab/site/workers_test.go
@@ -0,0 +1,108 @@
+package site
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+)
+
+// TestNoWorkerIsARefusal: a request that reached no worker is not run, and its
+// caller is told when to come back, at once.
+func TestNoWorkerIsARefusal(t *testing.T) {
+	s := start(t)
+	for id, worker := range s.workers {
+		s.store.Put("servers", id, worker.Entry("draining"))
+	}
+	s.await("all workers are known to drain", func() bool { return s.node.Draining() == len(s.workers) })
+	for _, path := range []string{"/board/1", "/submit/1", "/verdict/1", "/check/1"} {
+		got := s.ask(http.MethodPost, path, nil, "x")
+		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("%s: %d %v", path, got.status, got.header)
+		}
+	}
+}
+
+func TestDrainingWorkerGetsNothing(t *testing.T) {
+	s := start(t)
+	s.store.Put("servers", "portal-1", s.workers["portal-1"].Entry("draining"))
+	s.store.Put("op", "marker", 1)
+	s.await("the worker is known to drain", func() bool { return s.node.Draining() == 1 })
+	for range 10 {
+		s.ask(http.MethodGet, "/board/1", nil, "")
+	}
+	if runs := s.workers["portal-1"].Runs(); len(runs) != 0 {
+		t.Errorf("a draining worker got %d requests", len(runs))
+	}
+}
+
+// TestOnlyWorkerIsTriedAgain: a failure of a request's own is tried again at the
+// same worker where no other is left.
+func TestOnlyWorkerIsTriedAgain(t *testing.T) {
+	s := start(t)
+	s.store.Put("servers", "portal-2", s.workers["portal-2"].Entry("draining"))
+	s.await("one worker drains", func() bool { return s.node.Draining() == 1 })
+	s.workers["portal-1"].SetFault(fleetworker.Failing, 1)
+	got := s.ask(http.MethodGet, "/board/1", nil, "")
+	if got.status != http.StatusOK || len(s.runs(got.id)) != 2 {
+		t.Errorf("%d, ran %d times: %s", got.status, len(s.runs(got.id)), got.body)
+	}
+}
+
+// TestFailureOfTheOnlyWorkerIsPassedOn: with no try left, the caller gets the
+// worker's own answer.
+func TestFailureOfTheOnlyWorkerIsPassedOn(t *testing.T) {
+	s := start(t)
+	s.setFaults("portal", fleetworker.Failing, -1)
+	got := s.ask(http.MethodGet, "/board/1", nil, "")
+	if got.status != http.StatusInternalServerError || got.header.Get("X-Response-Signature") == "" || got.body != "failed" {
+		t.Errorf("%d %v %q", got.status, got.header, got.body)
+	}
+}
+
+// TestVanishedEntriesDoNotStopService: the store may drop the entries of workers
+// that live, all at once.
+func TestVanishedEntriesDoNotStopService(t *testing.T) {
+	s := start(t)
+	for id := range s.workers {
+		s.store.Put("servers", id, nil)
+	}
+	s.await("no worker is listed", func() bool { return s.node.Workers() == 0 })
+	for _, path := range []string{"/board/1", "/submit/1", "/verdict/1", "/check/1"} {
+		if got := s.ask(http.MethodPost, path, nil, "x"); got.status != http.StatusOK {
+			t.Errorf("%s: %d %s", path, got.status, got.body)
+		}
+	}
+	if !s.node.Ready() {
+		t.Error("the node is not ready")
+	}
+}
+
+// TestWorkerThatTakesNoConnectionIsNoAttempt: nothing left the node, so another
+// worker may get even a request that may be sent to one worker only.
+func TestWorkerThatTakesNoConnectionIsNoAttempt(t *testing.T) {
+	s := start(t)
+	s.workers["portal-1"].Close()
+	for range 4 {
+		got := s.ask(http.MethodPost, "/once/1", nil, "x")
+		if got.status != http.StatusOK || len(s.runs(got.id)) != 1 {
+			t.Errorf("%d, ran %d times: %s", got.status, len(s.runs(got.id)), got.body)
+		}
+	}
+}
+
+// TestRejectingWorkerIsLeftAlone: a worker that runs nothing now looks idle, and must
+// not draw request after request.
+func TestRejectingWorkerIsLeftAlone(t *testing.T) {
+	s := start(t)
+	s.workers["portal-1"].SetFault(fleetworker.Full, -1)
+	served := 0
+	for range 24 {
+		if got := s.ask(http.MethodPost, "/once/1", nil, "x"); got.status == http.StatusOK {
+			served++
+		}
+	}
+	if served < 19 {
+		t.Errorf("%d of 24 requests were served beside a worker that rejects all", served)
+	}
+}
