Soak: configurations in force in time and never back, no work to leaving workers

Cause: the soak's faults came to the store and to nodes' ways to it, but nothing changed in the configuration, and no checker looked at when a worker said that it leaves; now that nodes follow tables through one another, both want proof from outside with real processes.

Change: a fault that adds a route to the configuration; a prober that asks each node for added routes and finds one that went back within an incarnation, or that is missing 2.5 s after it was accepted in the quiet time; a worker that leaves in the quiet time must be given nothing 2.5 s later. Each checker is shown to fail (watch_test).

--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -60,6 +60,8 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// At is when the worker began.
+	At time.Time
 }
 
 // Worker is a running stand-in.
@@ -276,7 +278,7 @@
 
 func (w *Worker) run(writer http.ResponseWriter, request *http.Request, id string, body []byte, fault Fault) {
 	w.mu.Lock()
-	w.runs = append(w.runs, Run{ID: id, Worker: w.options.ID, Target: request.RequestURI, Header: request.Header.Clone(), Body: body})
+	w.runs = append(w.runs, Run{ID: id, Worker: w.options.ID, Target: request.RequestURI, Header: request.Header.Clone(), Body: body, At: time.Now()})
 	running := len(w.runs)
 	w.mu.Unlock()
 	switch fault {
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -21,7 +21,7 @@
 func (s *site) harm(ctx context.Context) {
 	end := time.Now().Add(s.options.Length)
 	kinds := []func(context.Context, time.Duration) string{
-		s.killNode, s.pauseNode, s.stopNode, s.killAll, s.harmWorkerWay, s.harmWorkerWay, s.harmStoreWay, s.harmStore, s.failWorker, s.failWorker, s.drainWorker, s.vanish,
+		s.killNode, s.pauseNode, s.stopNode, s.killAll, s.harmWorkerWay, s.harmWorkerWay, s.harmStoreWay, s.harmStore, s.failWorker, s.failWorker, s.drainWorker, s.vanish, s.configure,
 	}
 	for ctx.Err() == nil && time.Now().Before(end) {
 		length := shortestFault + time.Duration(s.random.Int64N(int64(longestFault-shortestFault)))
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -47,6 +47,12 @@
 	body   string
 	err    error
 	left   bool
+	// probe tells that the request only tests which configuration is in force.
+	probe bool
+	// patience is for how long the caller waits, and prompt names the parts of its
+	// prompt, empty where there is none.
+	patience time.Duration
+	prompt   string
 }
 
 // load sends requests and remembers what came.
@@ -72,6 +78,7 @@
 		random := rand.New(rand.NewPCG(l.site.options.Seed, uint64(number+1)))
 		callers.Go(func() { l.call(ctx, number, random) })
 	}
+	callers.Go(func() { l.probe(ctx) })
 	callers.Wait()
 }
 
@@ -90,28 +97,36 @@
 
 func (l *load) one(transport *http.Transport, random *rand.Rand, id string) seen {
 	got := seen{id: id, class: classes[random.IntN(len(classes))], sent: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
-	defer cancel()
+	got.patience = clientTimeout
 	if random.IntN(leaveShare) == 0 {
 		got.left = true
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(random.IntN(100))*time.Millisecond)
-		defer cancel()
+		got.patience = time.Duration(random.IntN(100)) * time.Millisecond
 	}
 	address := l.site.callers[random.IntN(len(l.site.callers))]
 	body := strings.Repeat("b", random.IntN(6000))
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+got.class.prefix+id, strings.NewReader(body))
+	if got.class.service == engines {
+		got.prompt = fmt.Sprintf("a%d:2000,%s:1000", random.IntN(5), id)
+	}
+	return l.send(transport, address, got, body)
+}
+
+// send makes a request, and returns what was seen of it.
+func (l *load) send(transport *http.Transport, address string, got seen, body string) seen {
+	ctx, cancel := context.WithTimeout(context.Background(), max(got.patience, 0))
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+got.class.prefix+got.id, strings.NewReader(body))
 	if err != nil {
 		got.err = err
 		return got
 	}
 	request.GetBody = nil // the transport must not send it again by itself
 	request.Host = host
-	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Request-Id", got.id)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(deadlineMs))
-	if got.class.service == engines {
+	if got.prompt != "" {
 		request.Header.Set("X-Model", "m")
 		request.Header.Set("X-Token-Usage", "3000,20")
-		request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("a%d:2000,%s:1000", random.IntN(5), id))
+		request.Header.Set("X-Prompt-Prefix", got.prompt)
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -36,13 +36,16 @@
 		signatures[worker.ID()] = worker
 		for _, run := range worker.Runs() {
 			runs[run.ID] = append(runs[run.ID], run)
+			l.site.watch.ran(run.Worker, run.At)
 		}
 	}
 	report := &Report{Statuses: make(map[string]int), Broken: []string{}}
 	ids := make(map[string]bool, len(l.seen))
 	for _, got := range l.seen {
 		ids[got.id] = true
-		report.count(got, !l.quietSince.IsZero() && got.sent.After(l.quietSince.Add(quiet/2)))
+		if !got.probe {
+			report.count(got, !l.quietSince.IsZero() && got.sent.After(l.quietSince.Add(quiet/2)))
+		}
 		for _, broken := range judge(got, runs[got.id], signatures) {
 			report.add(got, broken)
 		}
@@ -52,6 +55,7 @@
 			report.Broken = append(report.Broken, fmt.Sprintf("request %s ran, and nobody sent it", id))
 		}
 	}
+	report.Broken = append(report.Broken, l.site.watch.problems()...)
 	if float64(report.QuietServed) < quietShare*float64(report.QuietSent) {
 		report.Broken = append(report.Broken, fmt.Sprintf("of %d requests in the quiet time only %d were served", report.QuietSent, report.QuietServed))
 	}
@@ -100,7 +104,7 @@
 	if !got.class.repeatable() && notRun[got.status] && len(runs) > 0 {
 		broken = append(broken, "was called not run, and ran")
 	}
-	if got.status >= 400 && got.status < 500 && !notRun[got.status] {
+	if !got.probe && got.status >= 400 && got.status < 500 && !notRun[got.status] {
 		broken = append(broken, "a proper request was refused")
 	}
 	for _, run := range runs {
--- a/internal/lab/soak/report_test.go
+++ b/internal/lab/soak/report_test.go
@@ -65,7 +65,7 @@
 		t.Fatal(err)
 	}
 	_ = response.Body.Close()
-	l := newLoad(&site{workers: []*soakWorker{worker}})
+	l := newLoad(&site{workers: []*soakWorker{worker}, watch: newWatch()})
 	l.quietSince = time.Now().Add(-quiet)
 	l.seen = []seen{{id: "late", class: classes[0], sent: time.Now(), status: http.StatusServiceUnavailable}}
 	report := l.report()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -36,7 +36,7 @@
 const (
 	nodeCount = 3
 	// quiet is the time after the last fault in which all must be served again.
-	quiet        = 8 * time.Second
+	quiet        = 10 * time.Second
 	startTimeout = 20 * time.Second
 	stopMillis   = 8000
 	eventPause   = 15 * time.Millisecond
@@ -61,6 +61,7 @@
 	callers []string
 	workers []*soakWorker
 	started time.Time
+	watch   *watch
 }
 
 // soakWorker is a worker with the proxy that its entry names.
@@ -71,7 +72,7 @@
 
 // Run runs one seed.
 func Run(ctx context.Context, options Options) (*Report, error) {
-	s := &site{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)), started: time.Now()}
+	s := &site{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)), started: time.Now(), watch: newWatch()}
 	defer s.close()
 	if err := s.start(ctx); err != nil {
 		return nil, err
@@ -83,7 +84,9 @@
 	go func() { defer close(ended); load.run(loadCtx) }()
 	s.harm(ctx)
 	load.markQuiet()
-	sleep(ctx, quiet)
+	sleep(ctx, quiet/2)
+	s.lastChange()
+	sleep(ctx, quiet/2)
 	stopLoad()
 	<-ended
 	report := load.report()
@@ -114,7 +117,7 @@
 			return err
 		}
 	}
-	s.store.Put("op", "config", configuration())
+	s.store.Put("op", "config", configuration(0))
 	for i := range nodeCount {
 		if err := s.addNode(i); err != nil {
 			return err
@@ -204,8 +207,9 @@
 	}
 }
 
-// configuration is the operator's, with one route of each kind.
-func configuration() map[string]any {
+// configuration is the operator's, with one route of each kind, and some that were
+// added later.
+func configuration(added int) map[string]any {
 	route := func(kind class) map[string]any {
 		return map[string]any{
 			"Name": kind.name, "Host": host, "PathPrefix": kind.prefix, "Kind": kind.routeKind, "Service": kind.service,
@@ -216,8 +220,13 @@
 	for _, kind := range classes {
 		routes = append(routes, route(kind))
 	}
+	for number := range added {
+		kind := probed
+		kind.name, kind.prefix = fmt.Sprintf("added-%d", number+1), fmt.Sprintf("%s%d/", probed.prefix, number+1)
+		routes = append(routes, route(kind))
+	}
 	return map[string]any{
-		"Version": 1, "Routes": routes,
+		"Version": 1 + added, "Routes": routes,
 		"Services": []any{
 			map[string]any{"Name": engines, "MaxConnections": 200, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100_000, "RoleSwitchS": 1.0}},
 			map[string]any{"Name": plain, "MaxConnections": 200},
--- /dev/null
+++ b/internal/lab/soak/watch.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// The figures of the watch.
+const (
+	probeEvery = 120 * time.Millisecond
+	// applyBound is the time within which an accepted configuration is in force and a
+	// leaving worker gets nothing more.
+	applyBound = 2 * time.Second
+	// probeMargin is left for a probe to come and go.
+	probeMargin = 500 * time.Millisecond
+)
+
+// probed is the class of the requests that only test which configuration is in force.
+var probed = class{name: "probe", prefix: "/added-", routeKind: "idempotent", service: plain}
+
+// watch follows from outside which configuration each node has in force: each new one
+// adds a route and keeps those before. It is safe for concurrent use.
+type watch struct {
+	mu sync.Mutex
+	// accepted is when the store took each version that added a route.
+	accepted []time.Time
+	// served is the newest route that the running incarnation of each node has served.
+	served map[string]incarnation
+	// leaving holds since when workers drain, to the end of the soak.
+	leaving map[string]time.Time
+	broken  []string
+}
+
+type incarnation struct{ starts, newest int }
+
+func newWatch() *watch {
+	return &watch{served: make(map[string]incarnation), leaving: make(map[string]time.Time)}
+}
+
+// accept records that the store took a configuration with one more route.
+func (w *watch) accept(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.accepted = append(w.accepted, at)
+}
+
+// routes returns the number of routes that were added.
+func (w *watch) routes() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.accepted)
+}
+
+// leave records that a worker drains from now on.
+func (w *watch) leave(worker string, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving[worker] = at
+}
+
+// observe judges a probe of a route at a node, whose incarnation was the same before
+// and after it. calm tells that nothing was harmed for a while.
+func (w *watch) observe(node string, starts, route, status int, sent time.Time, calm bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	known := w.served[node]
+	if known.starts != starts {
+		known = incarnation{starts: starts}
+	}
+	switch {
+	case status == http.StatusOK:
+		known.newest = max(known.newest, route)
+	case status == http.StatusNotFound && route <= known.newest:
+		w.broken = append(w.broken, fmt.Sprintf("%s went back: it served route %d and has no route %d", node, known.newest, route))
+	case status == http.StatusNotFound && calm && sent.Sub(w.accepted[route-1]) > applyBound+probeMargin:
+		w.broken = append(w.broken, fmt.Sprintf("%s has no route %d, %v after it was accepted", node, route, sent.Sub(w.accepted[route-1]).Round(time.Millisecond)))
+	}
+	w.served[node] = known
+}
+
+// ran judges a request that a worker took.
+func (w *watch) ran(worker string, at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if since, leaves := w.leaving[worker]; leaves && at.Sub(since) > applyBound+probeMargin {
+		w.broken = append(w.broken, fmt.Sprintf("%s was given a request %v after it said that it leaves", worker, at.Sub(since).Round(time.Millisecond)))
+	}
+}
+
+// problems returns what was found.
+func (w *watch) problems() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.broken
+}
+
+// configure puts a configuration with one more route.
+func (s *site) configure(_ context.Context, _ time.Duration) string {
+	added := s.watch.routes() + 1
+	s.store.Put("op", "config", configuration(added))
+	s.watch.accept(time.Now())
+	return fmt.Sprintf("a configuration with %d added routes", added)
+}
+
+// lastChange is made once all faults are over: a new configuration, and a worker that
+// leaves for good.
+func (s *site) lastChange() {
+	s.configure(context.Background(), 0)
+	leaving := s.workers[len(s.workers)-1]
+	s.list(leaving, "draining")
+	s.watch.leave(leaving.ID(), time.Now())
+}
+
+// probe asks the nodes one after the other for added routes, until ctx ends.
+func (l *load) probe(ctx context.Context) {
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	random := rand.New(rand.NewPCG(l.site.options.Seed, callerCount+1))
+	for count := 0; ctx.Err() == nil; count++ {
+		sleep(ctx, probeEvery)
+		if routes := l.site.watch.routes(); routes > 0 {
+			l.probeOne(transport, count, 1+random.IntN(routes))
+		}
+	}
+}
+
+func (l *load) probeOne(transport *http.Transport, count, route int) {
+	number := count % len(l.site.nodes)
+	node := l.site.nodes[number]
+	starts := node.Starts()
+	kind := probed
+	kind.prefix = fmt.Sprintf("%s%d/", probed.prefix, route)
+	got := l.send(transport, l.site.callers[number], seen{id: fmt.Sprintf("ffff%012x", count), class: kind, sent: time.Now(), probe: true, patience: clientTimeout}, "")
+	l.mu.Lock()
+	l.seen = append(l.seen, got)
+	calm := !l.quietSince.IsZero() && got.sent.Sub(l.quietSince) > quiet/2
+	l.mu.Unlock()
+	if node.Starts() == starts && got.err == nil {
+		l.site.watch.observe(node.Name, starts, route, got.status, got.sent, calm)
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/watch_test.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestWatchFinds shows that each of its checkers can fail.
+func TestWatchFinds(t *testing.T) {
+	start := time.Unix(1000, 0)
+	late := start.Add(applyBound + probeMargin + time.Millisecond)
+	for name, test := range map[string]struct {
+		see    func(*watch)
+		broken int
+	}{
+		"nothing":                  {func(*watch) {}, 0},
+		"in force":                 {func(w *watch) { w.observe("n", 1, 1, http.StatusOK, late, true) }, 0},
+		"not in force in time":     {func(w *watch) { w.observe("n", 1, 1, http.StatusNotFound, late, true) }, 1},
+		"not in force, but harmed": {func(w *watch) { w.observe("n", 1, 1, http.StatusNotFound, late, false) }, 0},
+		"not in force, but soon":   {func(w *watch) { w.observe("n", 1, 1, http.StatusNotFound, late.Add(-time.Millisecond), true) }, 0},
+		"refused":                  {func(w *watch) { w.observe("n", 1, 1, http.StatusServiceUnavailable, late, true) }, 0},
+		"went back": {func(w *watch) {
+			w.observe("n", 1, 2, http.StatusOK, start, false)
+			w.observe("n", 1, 1, http.StatusNotFound, start, false)
+		}, 1},
+		"started again": {func(w *watch) {
+			w.observe("n", 1, 2, http.StatusOK, start, false)
+			w.observe("n", 2, 1, http.StatusNotFound, start, false)
+		}, 0},
+		"work after a worker has left":  {func(w *watch) { w.ran("leaving", late) }, 1},
+		"work just before it may not":   {func(w *watch) { w.ran("leaving", late.Add(-time.Millisecond)) }, 0},
+		"work at a worker that remains": {func(w *watch) { w.ran("other", late) }, 0},
+	} {
+		w := newWatch()
+		w.accept(start)
+		w.accept(start)
+		w.leave("leaving", start)
+		test.see(w)
+		if len(w.problems()) != test.broken {
+			t.Errorf("%s: %v", name, w.problems())
+		}
+	}
+}
