A pace is learned from the bounds that a reading allows

Cause: a reading that took t with tokens ahead of it was taken as own + ahead tokens in t.

Change: the worker read at least own and at most own + ahead tokens; the estimate moves only where it lies outside these bounds. Readings with a fetch teach nothing: the fetch would count as reading.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -85,7 +85,9 @@
 	}
 	now := time.Now()
 	s.readTaken = true
-	s.registry.ObserveRead(reader.ID, unread+reader.ReadAhead, now.Sub(begun))
+	if plan.Fetch == "" {
+		s.registry.ObserveRead(reader.ID, unread, reader.ReadAhead, now.Sub(begun))
+	}
 	s.registry.Cached(reader.ID, s.call.Prompt, now)
 	s.registry.Succeeded(reader.ID, now)
 	return &handle, tryEnd{}
@@ -135,7 +137,7 @@
 	if from != nil {
 		forward.Source = &from.handle
 	}
-	work := newWork(s.registry, runner, prompt.unread, s.call)
+	work := newWork(s.registry, runner, prompt, s.call)
 	defer work.end()
 	answer, err := s.send(ctx, runner, forward)
 	if err != nil {
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -12,17 +12,17 @@
 	registry *worker.Registry
 	runner   scheduling.Candidate
 	call     *Call
-	unread   int
+	prompt   reading
 	reading  worker.Load
 	running  worker.Load
 	begun    time.Time
 	read     bool
 }
 
-func newWork(registry *worker.Registry, runner scheduling.Candidate, unread int, call *Call) *work {
+func newWork(registry *worker.Registry, runner scheduling.Candidate, prompt reading, call *Call) *work {
 	w := &work{
-		registry: registry, runner: runner, call: call, unread: unread,
-		reading: worker.Load{Reads: worker.ReadsOf(call.Route.Priority, unread)},
+		registry: registry, runner: runner, call: call, prompt: prompt,
+		reading: worker.Load{Reads: worker.ReadsOf(call.Route.Priority, prompt.unread)},
 		running: worker.Load{Requests: 1, MemoryTokens: call.PromptTokens + call.OutputTokens},
 		begun:   time.Now(),
 	}
@@ -42,8 +42,9 @@
 		return
 	}
 	now := time.Now()
-	if w.unread > 0 {
-		w.registry.ObserveRead(w.runner.ID, w.unread+w.runner.ReadAhead, now.Sub(w.begun))
+	if w.prompt.unread > 0 && w.prompt.fetch == "" {
+		// A fetch would count as reading.
+		w.registry.ObserveRead(w.runner.ID, w.prompt.unread, w.runner.ReadAhead, now.Sub(w.begun))
 	}
 	w.registry.Cached(w.runner.ID, w.call.Prompt, now)
 }
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -44,17 +44,30 @@
 // Samples returns the number of measurements.
 func (r *Reader) Samples() int { return r.samples }
 
-// Observe records that tokens, those that waited ahead included, took elapsed.
-func (r *Reader) Observe(tokens int, elapsed time.Duration) {
-	if tokens < minTokens {
+// Observe records that a prompt of own tokens was read in the time elapsed, with
+// ahead tokens of others placed before it. How many of these were really read in
+// that time isn't known: engines read several prompts by turns, and some of those
+// ahead were nearly done. So the worker read at least own and at most own + ahead
+// tokens, and the estimate moves only towards the paces that this allows.
+func (r *Reader) Observe(own, ahead int, elapsed time.Duration) {
+	if own < minTokens {
 		return
 	}
-	reading := max(elapsed-fixedCost, time.Millisecond)
-	measured := float64(tokens) / (float64(reading) / float64(time.Millisecond))
-	measured = min(max(measured, lowest), highest)
+	least, most := paceOf(own, elapsed), paceOf(own+ahead, elapsed)
 	r.samples++
+	if r.samples == 1 {
+		r.tokensPerMillisecond = min(max(initialTokensPerMillisecond, least), most)
+		return
+	}
+	allowed := min(max(r.tokensPerMillisecond, least), most)
 	share := max(weight, 1/float64(r.samples))
-	r.tokensPerMillisecond += (measured - r.tokensPerMillisecond) * share
+	r.tokensPerMillisecond += (allowed - r.tokensPerMillisecond) * share
+}
+
+func paceOf(tokens int, elapsed time.Duration) float64 {
+	reading := max(elapsed-fixedCost, time.Millisecond)
+	measured := float64(tokens) / (float64(reading) / float64(time.Millisecond))
+	return min(max(measured, lowest), highest)
 }
 
 // Time predicts how long reading tokens takes, the fixed cost included.
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -32,12 +32,12 @@
 	})
 }
 
-// ObserveRead records that a worker read tokens, with those ahead of them, in the
-// time elapsed.
-func (r *Registry) ObserveRead(id string, tokens int, elapsed time.Duration) {
+// ObserveRead records that a worker read a prompt of tokens, with others ahead of
+// them, in the time elapsed.
+func (r *Registry) ObserveRead(id string, tokens, ahead int, elapsed time.Duration) {
 	r.update(id, func(known *state) {
-		known.reader.Observe(tokens, elapsed)
-		r.group(known.worker).Observe(tokens, elapsed)
+		known.reader.Observe(tokens, ahead, elapsed)
+		r.group(known.worker).Observe(tokens, ahead, elapsed)
 	})
 }
 
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -148,7 +148,7 @@
 	r.Cached("gone", nil, origin)
 	r.Failed("gone", origin)
 	r.Succeeded("gone", origin)
-	r.ObserveRead("gone", 5000, time.Second)
+	r.ObserveRead("gone", 5000, 0, time.Second)
 	if snapshot, _ := r.Snapshot(); len(snapshot.Loads)+len(snapshot.Reads)+len(snapshot.Failures) != 0 {
 		t.Errorf("%+v", snapshot)
 	}
@@ -158,14 +158,14 @@
 func TestPaceOfTheGroupHoldsForANewWorker(t *testing.T) {
 	r := newTestRegistry()
 	for range 30 {
-		r.ObserveRead("p", 10_000, 125*time.Millisecond)
+		r.ObserveRead("p", 10_000, 0, 125*time.Millisecond)
 	}
 	r.Apply(Change{ID: "p2", Worker: &Worker{ID: "p2", Service: "llm", Stage: Prefill}})
 	if pace := find(t, r, "p2", nil, origin).Pace; pace < 90 {
 		t.Errorf("a new worker is assumed to read %v tokens a millisecond", pace)
 	}
 	for range ownSamples + 30 {
-		r.ObserveRead("p2", 10_000, 1025*time.Millisecond)
+		r.ObserveRead("p2", 10_000, 0, 1025*time.Millisecond)
 	}
 	if pace := find(t, r, "p2", nil, origin).Pace; pace > 15 {
 		t.Errorf("a slow worker is assumed to read %v tokens a millisecond", pace)
