--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -135,6 +135,9 @@
 
 // refused is the outcome of a call that no worker is to be sent.
 func (s *session) refused(plan scheduling.Plan) Outcome {
+	if s.call.PromptTokens > 0 && s.attempts == 0 {
+		s.registry.ObserveRefused(s.call.Service.Name, s.call.PromptTokens+s.call.ExpectedOutput, s.call.ExpectedOutput, time.Now())
+	}
 	if s.ranBefore {
 		return s.end(Outcome{Code: codeOfLost(nil, s.call.Route.Repeatable()), Detail: string(plan.Reason)})
 	}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -57,7 +57,7 @@
 	if w.firstAt.IsZero() {
 		registry.End(w.runner.ID, w.reading)
 	} else if len(w.session.call.Prompt) > 0 {
-		registry.ObserveRun(w.runner.ID, time.Since(w.firstAt))
+		registry.ObserveRun(w.runner.ID, time.Since(w.firstAt), w.session.call.ExpectedOutput)
 	}
 	registry.End(w.runner.ID, w.running)
 }
--- a/internal/pace/mean.go
+++ b/internal/pace/mean.go
@@ -78,3 +78,26 @@
 	}
 	return s.needed / s.expected
 }
+
+// Ratio is the ratio of two sums of which the newest terms weigh most. The zero value
+// has seen nothing.
+type Ratio struct {
+	numerator, denominator float64
+	samples                int
+}
+
+// Observe records a term of each sum.
+func (r *Ratio) Observe(numerator, denominator float64) {
+	r.samples++
+	share := max(weight, 1/float64(r.samples))
+	r.numerator += (numerator - r.numerator) * share
+	r.denominator += (denominator - r.denominator) * share
+}
+
+// Value returns the ratio, 0 where nothing was seen.
+func (r *Ratio) Value() float64 {
+	if r.denominator <= 0 {
+		return 0
+	}
+	return r.numerator / r.denominator
+}
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -52,9 +52,8 @@
 type Fleet interface {
 	// Engines describes the engines of a service for the planner.
 	Engines(service string, now time.Time) []stageplan.Worker
-	// Demand returns the tokens of prompts that callers of a service want to be read
-	// in a second.
-	Demand(service string, now time.Time) float64
+	// Demand returns what callers of a service want.
+	Demand(service string, now time.Time) worker.Demand
 	Get(id string) (worker.Worker, bool)
 	// SetChanging keeps requests away from a worker for a time, or until its entry
 	// shows the stage.
@@ -128,7 +127,9 @@
 		}
 		now := time.Now()
 		fleet := c.options.Fleet
-		order, found := planner.Decide(now, fleet.Engines(service.Name, now), fleet.Demand(service.Name, now))
+		demand := fleet.Demand(service.Name, now)
+		offered := stageplan.Offered{ReadTokens: demand.ReadTokens, Requests: demand.Requests, MemoryTokens: demand.MemoryTokens}
+		order, found := planner.Decide(now, fleet.Engines(service.Name, now), offered)
 		if found {
 			c.give(ctx, service, planner, order)
 		}
--- a/internal/stageplan/demand.go
+++ b/internal/stageplan/demand.go
@@ -28,11 +28,12 @@
 	observed time.Time
 }
 
+// observe records a figure, and returns the mean. The mean of one figure is the figure.
 func (s *smooth) observe(now time.Time, figure float64, over time.Duration) float64 {
-	elapsed := over
-	if !s.observed.IsZero() {
-		elapsed = now.Sub(s.observed)
+	if s.observed.IsZero() {
+		s.value = figure
 	}
+	elapsed := now.Sub(s.observed)
 	s.observed = now
 	s.value += (figure - s.value) * (1 - math.Exp(-float64(elapsed)/float64(over)))
 	return s.value
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -52,19 +52,20 @@
 // Policy are the figures of the planner. None is a pace or a size of some engine.
 type Policy struct {
 	// Reading and Writing are the shares of the capacity of a stage past which its work
-	// comes late.
+	// comes late (docs/design/decisions.md, rounds 5 and 6).
 	Reading, Writing float64
 	// Memory is how long a peak of demand is remembered.
 	Memory time.Duration
 	// Smoothing is the time over which demand is averaged.
 	Smoothing time.Duration
-	// Expected is the share of the engines that a peak of reading is expected to need,
-	// whatever was seen lately: an engine that writes nothing is worth nothing, and one
-	// that is ready to read is worth the next peak.
-	Expected float64
+	// Spare is the share of the engines that are to be ready to read where the work
+	// seen lately leaves room: an engine that writes nothing is worth nothing, and one
+	// that is ready to read is worth the next peak. It never outweighs work that was
+	// seen.
+	Spare float64
 	// Gain is the part of the filling of the scarcer stage that an order must promise to
-	// take away.
-	Gain float64
+	// take away, and LateGain the part where work comes late already.
+	Gain, LateGain float64
 	// DecodeShare is the smallest share of the engines that orders leave to write: each
 	// request ends at one of them, and some may be lost at any time. What is lost isn't
 	// made up for at once, since most engines come back sooner than an order is done.
@@ -77,6 +78,9 @@
 	// TogetherShare is the share of a service's engines that may change at once, at
 	// least one.
 	TogetherShare float64
+	// Learn is how long demand must have been seen before readers are made ready for a
+	// peak: until then the operators' division is the better guess.
+	Learn time.Duration
 }
 
 // DefaultPolicy returns the figures measured so far; docs/design/decisions.md tells
@@ -84,10 +88,21 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Reading: 0.6, Writing: 0.9, Memory: 15 * time.Second, Smoothing: 700 * time.Millisecond,
-		Expected: 0.4, Gain: 0.15, DecodeShare: 0.25, Settle: time.Second, Outage: 4 * time.Second, TogetherShare: 0.17,
+		Spare: 0.4, Gain: 0.15, LateGain: 0.05, DecodeShare: 0.25, Settle: time.Second, Outage: 1200 * time.Millisecond,
+		TogetherShare: 0.17, Learn: 2 * time.Second,
 	}
 }
 
+// Offered is the work that the callers of a service want done, whether it can be done or
+// not.
+type Offered struct {
+	// ReadTokens are the tokens of prompts to be read in a second.
+	ReadTokens float64
+	// Requests and MemoryTokens are those that run at decode engines, and those that
+	// would run there had they not been refused.
+	Requests, MemoryTokens float64
+}
+
 // Demand is the work that a service's engines are asked for, in engines of its own
 // stage that it would keep busy.
 type Demand struct{ Reading, Writing float64 }
@@ -99,6 +114,8 @@
 	readingPeak, writingPeak peak
 	demand                   Demand
 	ordered                  time.Time
+	// seenSince is since when there was demand, zero before any.
+	seenSince time.Time
 	// shortSince is since when the last engines that write are too few, zero while there
 	// are enough.
 	shortSince time.Time
@@ -136,23 +153,27 @@
 	leastPrefill = 1
 )
 
-// Decide observes the engines and the tokens of prompts that are to be read in a
-// second, and returns an order to be given now, if any. Call it every few hundred
-// milliseconds.
-func (p *Planner) Decide(now time.Time, workers []Worker, tokensPerSecond float64) (Order, bool) {
+// Decide observes the engines and the work that is offered to them, and returns an order
+// to be given now, if any. Call it every few hundred milliseconds.
+func (p *Planner) Decide(now time.Time, workers []Worker, offered Offered) (Order, bool) {
 	d := divide(workers)
-	p.observe(now, d, tokensPerSecond)
-	if d.size() < leastDecode+leastPrefill || changing(workers) >= p.policy.together(len(workers)) {
-		return Order{}, false
-	}
-	if now.Sub(p.ordered) < p.policy.Settle/time.Duration(p.policy.together(len(workers))) {
+	p.observe(now, d, offered)
+	if d.size() < leastDecode+leastPrefill {
 		return Order{}, false
 	}
 	order, found := p.compare(now, d)
-	if found {
-		p.ordered = now
+	if !found || !p.inTurn(now, workers) {
+		return Order{}, false
 	}
-	return order, found
+	p.ordered = now
+	return order, true
+}
+
+// inTurn reports whether enough time has passed since the last order, and few enough
+// engines change, for another.
+func (p *Planner) inTurn(now time.Time, workers []Worker) bool {
+	together := p.policy.together(len(workers))
+	return changing(workers) < together && now.Sub(p.ordered) >= p.policy.Settle/time.Duration(together)
 }
 
 // together is how many engines of a service may change at once.
@@ -169,9 +190,12 @@
 }
 
 // observe takes in the demand.
-func (p *Planner) observe(now time.Time, d division, tokensPerSecond float64) {
-	reading := p.readingMean.observe(now, readingDemand(d, tokensPerSecond), p.policy.Smoothing)
-	writing := p.writingMean.observe(now, writingDemand(d), p.policy.Smoothing)
+func (p *Planner) observe(now time.Time, d division, offered Offered) {
+	reading := p.readingMean.observe(now, readingDemand(d, offered.ReadTokens), p.policy.Smoothing)
+	writing := p.writingMean.observe(now, writingDemand(d, offered), p.policy.Smoothing)
+	if p.seenSince.IsZero() && reading+writing > 0 {
+		p.seenSince = now
+	}
 	p.demand = Demand{
 		Reading: p.readingPeak.observe(now, reading, p.policy.Memory),
 		Writing: p.writingPeak.observe(now, writing, p.policy.Memory),
@@ -191,12 +215,20 @@
 }
 
 // writingDemand is the number of decode engines that the requests fill, by their
-// slots or by their memory.
-func writingDemand(d division) float64 {
+// slots or by their memory: those known to run there, or those offered where they are
+// more.
+func writingDemand(d division, offered Offered) float64 {
 	bySlots, byMemory := 0.0, 0.0
+	slots, capacity := 0.0, 0.0
 	for _, worker := range d.decode {
 		bySlots += float64(worker.Requests) / float64(max(worker.Slots, 1))
 		byMemory += float64(worker.MemoryTokens) / float64(max(worker.Capacity, 1))
+		slots += float64(worker.Slots)
+		capacity += float64(worker.Capacity)
+	}
+	if engines := float64(len(d.decode)); slots > 0 && capacity > 0 {
+		bySlots = max(bySlots, offered.Requests*engines/slots)
+		byMemory = max(byMemory, offered.MemoryTokens*engines/capacity)
 	}
 	return max(bySlots, byMemory)
 }
@@ -209,22 +241,22 @@
 	return sum / max(float64(len(workers)), 1)
 }
 
-// compare returns the order that brings the division nearer to the one in which the
-// scarcer stage is the least filled, if that is worth an order.
+// compare returns the order that brings the division nearer to the best one, if that is
+// worth an order.
 func (p *Planner) compare(at time.Time, d division) (Order, bool) {
 	prefill, decode := len(d.prefill), len(d.decode)
 	now := p.filled(prefill, decode)
-	most := d.size() - p.policy.leastDecode(d.size())
 	if p.lacksWriters(at, decode) {
-		now = math.Inf(1)
+		now = fill{late: math.Inf(1)}
 	}
 	best, least := prefill, now
+	most := d.size() - p.policy.leastDecode(d.size())
 	for other := leastPrefill; other <= most; other++ {
-		if filled := p.filled(other, d.size()-other); filled < least {
+		if filled := p.filled(other, d.size()-other); filled.less(least) {
 			best, least = other, filled
 		}
 	}
-	if now-least < p.policy.Gain*now {
+	if !p.policy.worthOrder(now, least) || now.late == 1 && !p.hasLearned(at) && prefill >= leastPrefill {
 		return Order{}, false
 	}
 	switch {
@@ -236,6 +268,11 @@
 	return Order{}, false
 }
 
+// hasLearned reports whether demand was seen for long enough to make readers ready.
+func (p *Planner) hasLearned(at time.Time) bool {
+	return !p.seenSince.IsZero() && at.Sub(p.seenSince) >= p.policy.Learn
+}
+
 // lacksWriters reports whether even the fewest engines that write are missing, and have
 // been for longer than an outage lasts.
 func (p *Planner) lacksWriters(at time.Time, decode int) bool {
@@ -254,14 +291,41 @@
 	return max(int(math.Ceil(p.DecodeShare*float64(engines))), leastDecode)
 }
 
-// filled is how far the scarcer stage is filled in a division: 1 where its work just
-// begins to come late. That decode engines read too isn't counted: it holds up what
-// they write.
-func (p *Planner) filled(prefill, decode int) float64 {
-	expected := max(p.demand.Reading, p.policy.Expected*float64(prefill+decode))
-	reading := expected / p.policy.Reading / float64(max(prefill, 1))
+// fill is how far the scarcer stage of a division is filled.
+type fill struct {
+	// late is by how much the work that was seen exceeds what can be done in time, 1
+	// where it doesn't.
+	late float64
+	// spare counts the readers that are to be ready as well.
+	spare float64
+}
+
+// less reports whether a division is better than another: work that was seen goes
+// before spare readers.
+func (f fill) less(other fill) bool {
+	if f.late != other.late {
+		return f.late < other.late
+	}
+	return f.spare < other.spare
+}
+
+// worthOrder reports whether a division is so much better than the present one that an
+// engine is ordered away.
+func (p Policy) worthOrder(now, best fill) bool {
+	if now.late > 1 {
+		return now.late-best.late >= p.LateGain*now.late
+	}
+	return now.spare-best.spare >= p.Gain*now.spare
+}
+
+// filled is how far the scarcer stage is filled in a division. That decode engines read
+// too isn't counted: it holds up what they write. Work that was seen counts alike for
+// both stages.
+func (p *Planner) filled(prefill, decode int) fill {
+	reading := p.demand.Reading / p.policy.Reading / float64(max(prefill, 1))
 	writing := p.demand.Writing / p.policy.Writing / float64(max(decode, 1))
-	return max(reading, writing)
+	spare := p.policy.Spare * float64(prefill+decode) / p.policy.Reading / float64(max(prefill, 1))
+	return fill{late: max(reading, writing, 1), spare: max(reading, writing, spare)}
 }
 
 // idlest returns the engine with the least work.
--- a/internal/worker/demand.go
+++ b/internal/worker/demand.go
@@ -9,20 +9,43 @@
 const (
 	// demandOver is the time over which demand is averaged.
 	demandOver = time.Second
-	// demandLife is how long what another node told of its demand counts.
+	// demandLife is how long what another node told of its demand counts: three times
+	// as long as two messages at rest are apart.
 	demandLife = 1500 * time.Millisecond
 )
 
-// demand is the rate of tokens that callers want to be read, at this node and at
-// others.
+// Demand is what the callers of a service want of its engines, whether it can be done
+// or not.
+type Demand struct {
+	// ReadTokens are the tokens of prompts to be read in a second.
+	ReadTokens float64
+	// Requests and MemoryTokens are those that run at decode engines, and those that
+	// would run there had they not been refused.
+	Requests, MemoryTokens float64
+}
+
+func (d Demand) plus(other Demand) Demand {
+	d.ReadTokens += other.ReadTokens
+	d.Requests += other.Requests
+	d.MemoryTokens += other.MemoryTokens
+	return d
+}
+
+// Zero reports whether nothing is wanted.
+func (d Demand) Zero() bool { return d == Demand{} }
+
+// demand is what callers want of a service, at this node and at others.
 type demand struct {
-	own    rate
-	remote map[string]remoteDemand
+	read rate
+	// refused and refusedMemory are the requests, and their tokens of memory, that would
+	// run at a time had they not been refused.
+	refused, refusedMemory rate
+	remote                 map[string]remoteDemand
 }
 
 type remoteDemand struct {
-	tokensPerSecond float64
-	at              time.Time
+	demand Demand
+	at     time.Time
 }
 
 // rate is a moving mean of events in a second.
@@ -48,22 +71,35 @@
 func (r *Registry) ObserveDemand(service string, tokens int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.demandOf(service).own.add(now, float64(tokens))
+	r.demandOf(service).read.add(now, float64(tokens))
+}
+
+// ObserveRefused records a request that was refused, by the tokens of memory that it
+// would have held and the tokens of output that its caller expects.
+func (r *Registry) ObserveRefused(service string, memoryTokens, outputTokens int, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// By Little's law as many run at a time as come in the time that one runs.
+	seconds := r.stepsOf(service).writing.Value() * float64(outputTokens) / millisecondsPerSecond
+	known := r.demandOf(service)
+	known.refused.add(now, seconds)
+	known.refusedMemory.add(now, seconds*float64(memoryTokens))
 }
 
-// Demand returns the tokens of prompts that callers of a service want to be read in a
-// second, at all nodes.
-func (r *Registry) Demand(service string, now time.Time) float64 {
+const millisecondsPerSecond = 1000
+
+// Demand returns what callers of a service want, at all nodes.
+func (r *Registry) Demand(service string, now time.Time) Demand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.demandOf(service)
-	sum := known.own.value(now)
+	sum := r.demandHere(service, known, now)
 	for node, remote := range known.remote {
 		if now.Sub(remote.at) > demandLife {
 			delete(known.remote, node)
 			continue
 		}
-		sum += remote.tokensPerSecond
+		sum = sum.plus(remote.demand)
 	}
 	return sum
 }
@@ -77,23 +113,37 @@
 	return known
 }
 
-// ownDemand returns the demand at this node by service, in whole tokens a second.
-func (r *Registry) ownDemand(now time.Time) map[string]int {
-	var own map[string]int
+// demandHere returns what this node's callers want.
+func (r *Registry) demandHere(service string, known *demand, now time.Time) Demand {
+	here := Demand{
+		ReadTokens: known.read.value(now), Requests: known.refused.value(now), MemoryTokens: known.refusedMemory.value(now),
+	}
+	for _, other := range r.workers {
+		if other.worker.Service == service && other.worker.Stage == Decode {
+			here.Requests += float64(other.load.Requests)
+			here.MemoryTokens += float64(other.load.MemoryTokens)
+		}
+	}
+	return here
+}
+
+// ownDemand returns the demand at this node by service.
+func (r *Registry) ownDemand(now time.Time) map[string]Demand {
+	var own map[string]Demand
 	for service, known := range r.demands {
-		if tokens := int(known.own.value(now)); tokens > 0 {
+		if here := r.demandHere(service, known, now); !here.Zero() {
 			if own == nil {
-				own = make(map[string]int)
+				own = make(map[string]Demand)
 			}
-			own[service] = tokens
+			own[service] = here
 		}
 	}
 	return own
 }
 
 // mergeDemand takes over what another node told of its demand.
-func (r *Registry) mergeDemand(node string, told map[string]int, now time.Time) {
-	for service, tokens := range told {
-		r.demandOf(service).remote[node] = remoteDemand{tokensPerSecond: float64(tokens), at: now}
+func (r *Registry) mergeDemand(node string, told map[string]Demand, now time.Time) {
+	for service, demand := range told {
+		r.demandOf(service).remote[node] = remoteDemand{demand: demand, at: now}
 	}
 }
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -19,9 +19,8 @@
 	Failures []string
 	// Changing are the workers that were ordered to a stage.
 	Changing []Changing
-	// Demand holds, by service, the tokens of prompts that its callers want to be read
-	// in a second.
-	Demand map[string]int
+	// Demand holds, by service, what its callers want.
+	Demand map[string]Demand
 }
 
 // Changing tells that an order to a worker may be under way.
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -65,9 +65,14 @@
 	r.update(id, func(known *state) { r.stepsOf(known.worker.Service).handover.Observe(elapsed) })
 }
 
-// ObserveRun records the time from the first byte of an answer to its end.
-func (r *Registry) ObserveRun(id string, elapsed time.Duration) {
-	r.update(id, func(known *state) { r.stepsOf(known.worker.Service).run.Observe(elapsed) })
+// ObserveRun records the time from the first byte of an answer, of which the caller
+// expected so many tokens, to its end.
+func (r *Registry) ObserveRun(id string, elapsed time.Duration, expectedTokens int) {
+	r.update(id, func(known *state) {
+		learned := r.stepsOf(known.worker.Service)
+		learned.run.Observe(elapsed)
+		learned.writing.Observe(float64(elapsed)/float64(time.Millisecond), float64(expectedTokens))
+	})
 }
 
 // Cached records that a worker keeps the parts of a prompt now, and queues that
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -72,7 +72,7 @@
 	steps map[string]*steps
 	// memory is the KV cache of one engine by service, in tokens.
 	memory map[string]int
-	// demands are the tokens that callers of a service want to be read.
+	// demands are what callers want, by service.
 	demands map[string]*demand
 	// reads are the parts newly read since the last digest.
 	reads []Read
@@ -93,6 +93,9 @@
 	fetch pace.Mean
 	// run is from the first byte of an answer to its end.
 	run pace.Mean
+	// writing is the time of a run for each token that its caller expected, in
+	// milliseconds.
+	writing pace.Ratio
 }
 
 type groupKey struct {
