--- /dev/null
+++ b/internal/digest/ask.go
@@ -0,0 +1,179 @@
+package digest
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/scheduling"
+)
+
+// askTimeout is how long the answers to a question are waited for: several times the
+// way between two zones and back, and a fiftieth of the shortest objectives of prompts.
+const askTimeout = 15 * time.Millisecond
+
+// question asks a node for the accounts that it keeps of workers.
+type question struct {
+	ID      uint64   `json:"i"`
+	Workers []string `json:"w"`
+	// Parts are those of the request's prompt, as in a read.
+	Parts []string `json:"p,omitempty"`
+	Rank  int      `json:"r,omitempty"`
+}
+
+// reply answers a question.
+type reply struct {
+	ID       uint64                 `json:"i"`
+	Accounts map[string]accountForm `json:"w,omitempty"`
+}
+
+// accountForm is a scheduling.Account in whole numbers: requests, tokens to read, those
+// ahead, tokens of memory, tokens kept, flags, and thousandths of requests that failed.
+type accountForm [7]int
+
+// The flags of an account.
+const (
+	flagChanging = 1 << iota
+	flagAvoid
+	flagHandleFailure
+)
+
+// perMille is the fineness of a rate.
+const perMille = 1000
+
+func renderAccount(account scheduling.Account) accountForm {
+	flags := 0
+	if account.Changing {
+		flags |= flagChanging
+	}
+	if account.Avoid {
+		flags |= flagAvoid
+	}
+	if account.HandleFailure {
+		flags |= flagHandleFailure
+	}
+	return accountForm{
+		account.Requests, account.ReadTokens, account.ReadAhead, account.MemoryTokens, account.CachedTokens,
+		flags, int(account.FailureRate * perMille),
+	}
+}
+
+func (f accountForm) account() scheduling.Account {
+	return scheduling.Account{
+		Requests: f[0], ReadTokens: f[1], ReadAhead: f[2], MemoryTokens: f[3], CachedTokens: f[4],
+		Changing: f[5]&flagChanging != 0, Avoid: f[5]&flagAvoid != 0, HandleFailure: f[5]&flagHandleFailure != 0,
+		FailureRate: float64(f[6]) / perMille,
+	}
+}
+
+// pendingAsk is a question whose answers are awaited.
+type pendingAsk struct {
+	// asked are the nodes that haven't answered.
+	asked    map[netip.AddrPort]bool
+	accounts map[string]scheduling.Account
+	done     chan struct{}
+}
+
+// Kept reports for each worker whether this node itself keeps its account.
+func (e *Exchange) Kept(workers []string) []bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	kept := make([]bool, 0, len(workers))
+	for _, id := range workers {
+		kept = append(kept, e.peers.keeps(id))
+	}
+	return kept
+}
+
+// Ask asks the nodes that keep the accounts of workers for them, for a request of a rank
+// with a prompt of these parts. It returns what came in time.
+func (e *Exchange) Ask(ctx context.Context, workers []string, parts []prefixcache.Part, rank int) map[string]scheduling.Account {
+	id, pending, questions := e.prepare(workers)
+	if len(questions) == 0 {
+		return nil
+	}
+	rendered := renderParts(parts)
+	for to, asked := range questions {
+		e.sendTo(to, Message{Node: e.node, Question: &question{ID: id, Workers: asked, Parts: rendered, Rank: rank}})
+	}
+	timer := time.NewTimer(askTimeout)
+	defer timer.Stop()
+	select {
+	case <-pending.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return e.collected(id, pending, ctx.Err() == nil)
+}
+
+// prepare divides workers by the nodes to be asked, and expects their answers.
+func (e *Exchange) prepare(workers []string) (uint64, *pendingAsk, map[netip.AddrPort][]string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	questions := make(map[netip.AddrPort][]string)
+	now := time.Now()
+	for _, id := range workers {
+		if to, found := e.peers.home(id, now); found {
+			questions[to] = append(questions[to], id)
+		}
+	}
+	pending := &pendingAsk{
+		asked: make(map[netip.AddrPort]bool), accounts: make(map[string]scheduling.Account), done: make(chan struct{}),
+	}
+	for to := range questions {
+		pending.asked[to] = true
+	}
+	e.lastAsk++
+	if len(questions) > 0 {
+		e.asks[e.lastAsk] = pending
+	}
+	return e.lastAsk, pending, questions
+}
+
+// collected ends a question, and suspects the nodes that were silent.
+func (e *Exchange) collected(id uint64, pending *pendingAsk, waited bool) map[string]scheduling.Account {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.asks, id)
+	for address := range pending.asked {
+		if waited {
+			e.peers.suspect(address, time.Now())
+		}
+	}
+	return pending.accounts
+}
+
+// answer tells another node what this one knows of workers.
+func (e *Exchange) answer(to netip.AddrPort, asking string, asked question) {
+	parts, err := parseParts(asked.Parts)
+	if err != nil {
+		e.dropped(to, err)
+		return
+	}
+	accounts := make(map[string]accountForm, len(asked.Workers))
+	for id, account := range e.registry.Accounts(asked.Workers, parts, asked.Rank, asking, time.Now()) {
+		accounts[id] = renderAccount(account)
+	}
+	e.sendTo(to, Message{Node: e.node, Reply: &reply{ID: asked.ID, Accounts: accounts}})
+}
+
+// takeReply hands an answer to the question that waits for it. Later ones show at least
+// that their sender lives.
+func (e *Exchange) takeReply(from netip.AddrPort, answered reply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers.answered(from)
+	pending, waiting := e.asks[answered.ID]
+	if !waiting || !pending.asked[from] {
+		return
+	}
+	for id, account := range answered.Accounts {
+		pending.accounts[id] = account.account()
+	}
+	delete(pending.asked, from)
+	if len(pending.asked) == 0 {
+		close(pending.done)
+		delete(e.asks, answered.ID)
+	}
+}
--- /dev/null
+++ b/internal/digest/ask_test.go
@@ -0,0 +1,149 @@
+package digest
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/worker"
+)
+
+func TestAccountsSurviveTheirForm(t *testing.T) {
+	account := scheduling.Account{
+		Requests: 3, ReadTokens: 900, ReadAhead: 400, MemoryTokens: 7000, CachedTokens: 12, Changing: true,
+		HandleFailure: true, FailureRate: 0.25,
+	}
+	if diff := cmp.Diff(account, renderAccount(account).account()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// cluster runs exchanges that know each other, over real datagrams.
+func cluster(t *testing.T, nodes int, workers ...string) ([]*Exchange, []*worker.Registry) {
+	t.Helper()
+	return clusterWithBoards(t, make([]Board, nodes), workers...)
+}
+
+// clusterWithBoards runs an exchange for each board.
+func clusterWithBoards(t *testing.T, boards []Board, workers ...string) ([]*Exchange, []*worker.Registry) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var exchanges []*Exchange
+	var registries []*worker.Registry
+	var listed []Peer
+	for i := range boards {
+		registries = append(registries, registryWith(workers...))
+		exchange, err := Listen("127.0.0.1:0", fmt.Sprint("n", i), "zone", registries[i], quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchange.SetBoard(boards[i])
+		exchanges = append(exchanges, exchange)
+		listed = append(listed, Peer{Node: exchange.node, Address: exchange.peers.address, Zone: "zone"})
+	}
+	for _, exchange := range exchanges {
+		exchange.AddPeers(listed)
+		go exchange.Run(ctx)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, exchange := range exchanges {
+			<-exchange.Done()
+		}
+	})
+	return exchanges, registries
+}
+
+// TestLoadIsKnownByAsking: a node that doesn't keep a worker's account learns of the load
+// that another has placed, of what the worker keeps, and of its failures.
+func TestLoadIsKnownByAsking(t *testing.T) {
+	exchanges, registries := cluster(t, 20, "w")
+	placing, asking := -1, -1
+	for i, exchange := range exchanges {
+		if exchange.Kept([]string{"w"})[0] {
+			continue
+		}
+		placing, asking = asking, i
+	}
+	if placing < 0 {
+		t.Fatal("fewer than two nodes of twenty don't keep the account")
+	}
+	parts := []prefixcache.Part{{ID: 7, Tokens: 500}}
+	registries[placing].Begin("w", worker.Load{Requests: 2, MemoryTokens: 30})
+	registries[placing].Cached("w", parts, time.Now())
+	registries[placing].Failed("w", time.Now())
+	registries[asking].Begin("w", worker.Load{Requests: 1})
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		account := exchanges[asking].Ask(context.Background(), []string{"w"}, parts, 0)["w"]
+		if account.Requests == 2 && account.MemoryTokens == 30 && account.CachedTokens == 500 && account.Avoid {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%+v", account)
+		}
+	}
+}
+
+// TestQuestionsEndWithoutAnAnswer: a home that is gone holds a request up once.
+func TestQuestionsEndWithoutAnAnswer(t *testing.T) {
+	exchange, err := Listen("127.0.0.1:0", "me", "zone", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = exchange.conn.Close() }()
+	var listed []Peer
+	for i := range 40 {
+		listed = append(listed, Peer{Node: fmt.Sprint(i), Address: addressOf(i)})
+	}
+	exchange.AddPeers(listed)
+	id := "w"
+	for i := 0; exchange.Kept([]string{id})[0]; i++ {
+		id = fmt.Sprint("w", i)
+	}
+	for range homeCount(41) {
+		if got := exchange.Ask(context.Background(), []string{id}, nil, 0); len(got) != 0 {
+			t.Errorf("answers: %v", got)
+		}
+	}
+	if _, _, questions := exchange.prepare([]string{id}); len(questions) != 0 {
+		t.Errorf("nodes that gave no answer are asked: %v", questions)
+	}
+	if len(exchange.asks) != 0 {
+		t.Errorf("%d questions are kept", len(exchange.asks))
+	}
+}
+
+// TestCrossedAnswerIsDropped: an answer counts for its own question and from the node
+// that was asked.
+func TestCrossedAnswerIsDropped(t *testing.T) {
+	exchange, err := Listen("127.0.0.1:0", "me", "zone", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = exchange.conn.Close() }()
+	exchange.AddPeers([]Peer{{Node: "a", Address: addressOf(1)}, {Node: "b", Address: addressOf(2)}})
+	id, pending, questions := exchange.prepare([]string{"w"})
+	answers := map[string]accountForm{"w": {9}}
+	for to := range questions {
+		exchange.takeReply(to, reply{ID: id + 1, Accounts: answers})
+		other := addressOf(1)
+		if to == other {
+			other = addressOf(2)
+		}
+		exchange.takeReply(other, reply{ID: id, Accounts: answers})
+	}
+	if len(pending.accounts) != 0 {
+		t.Errorf("%v", pending.accounts)
+	}
+	for to := range questions {
+		exchange.takeReply(to, reply{ID: id, Accounts: answers})
+	}
+	if got := exchange.collected(id, pending, true); got["w"].Requests != 9 {
+		t.Errorf("%v", got)
+	}
+}
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -1,6 +1,9 @@
 // Package digest exchanges between nodes what each has placed on the workers, so
-// that every node places with the load of all. Messages are JSON datagrams: a lost
-// one is made up for by the next, since each holds the sender's whole load.
+// that every node places with the load of all. Each worker has homes, the nodes that keep
+// its account: all others tell them what they place there, and ask them before they place
+// more. In a small fleet each node is a home of every worker, and nobody need ask.
+// Messages are JSON datagrams: a lost one is made up for by the next, since each holds
+// all that its sender has placed on the receiver's workers.
 package digest
 
 import (
@@ -35,20 +38,27 @@
 	// Demand holds, by service, what the sender's callers want: tokens of prompts to be
 	// read in a second, thousandths of requests that run, and their tokens of memory.
 	Demand map[string]demandForm `json:"d,omitempty"`
-	// Newborn asks the receiver for what it has learned over time.
-	Newborn bool `json:"b,omitempty"`
-	// Memory tells that Reads and Paces are an answer to that, and Cold that the
-	// sender has learned nothing yet either.
-	Memory bool `json:"m,omitempty"`
-	Cold   bool `json:"c,omitempty"`
+	// Newborn asks the receiver for what it has learned of these workers.
+	Newborn []string `json:"b,omitempty"`
+	// Memory tells that Reads and Paces are an answer to that, and Told of which workers
+	// all was told.
+	Memory bool     `json:"m,omitempty"`
+	Told   []string `json:"e,omitempty"`
 	// Paces are learned reading paces.
 	Paces []worker.Pace `json:"p,omitempty"`
-	// Zone is the sender's. It and Tables are told at rest and with each change only.
+	// Zone is the sender's, told at rest only.
 	Zone string `json:"z,omitempty"`
-	// Tables are the sender's words on the tables that it reads at the store.
-	Tables []tablerelay.Word `json:"t,omitempty"`
+	// Words are on the tables of the store; such a message holds nothing else.
+	Words []tablerelay.Word `json:"t,omitempty"`
+	// WantWords asks the receiver for its words.
+	WantWords bool `json:"u,omitempty"`
 	// News are changes of a table, packed; such a message holds nothing else.
 	News []byte `json:"w,omitempty"`
+	// Relayed tells that words or news were passed on by the sender.
+	Relayed bool `json:"y,omitempty"`
+	// Question asks for accounts of workers, and Reply answers that.
+	Question *question `json:"q,omitempty"`
+	Reply    *reply    `json:"v,omitempty"`
 	// Aside tells that the sender can't give orders, whatever its incarnation.
 	Aside bool `json:"a,omitempty"`
 	// Leaving tells that the sender stops.
@@ -88,9 +98,9 @@
 
 const partBase = 16
 
-// newMessage renders a snapshot.
-func newMessage(node string, sequence uint64, snapshot worker.Snapshot) Message {
-	message := Message{Node: node, Sequence: sequence, Failures: snapshot.Failures, Demand: renderDemand(snapshot.Demand)}
+// newMessage renders a snapshot into a message.
+func newMessage(message Message, snapshot worker.Snapshot) Message {
+	message.Failures, message.Demand = snapshot.Failures, renderDemand(snapshot.Demand)
 	if len(snapshot.Loads) > 0 {
 		message.Loads = make(map[string][]int, len(snapshot.Loads))
 	}
@@ -107,12 +117,18 @@
 		}
 		message.Orders[changing.Worker] = left
 	}
-	for _, read := range snapshot.Reads {
-		message.Reads = append(message.Reads, renderRead(read))
-	}
+	message.Reads = renderReads(snapshot.Reads)
 	return message
 }
 
+func renderReads(reads []worker.Read) []string {
+	var rendered []string
+	for _, read := range reads {
+		rendered = append(rendered, renderRead(read))
+	}
+	return rendered
+}
+
 func renderLoad(load worker.Load) []int {
 	figures := append([]int{load.Requests, load.MemoryTokens}, load.Reads[:]...)
 	for len(figures) > 0 && figures[len(figures)-1] == 0 {
@@ -139,15 +155,15 @@
 }
 
 func renderRead(read worker.Read) string {
-	var out strings.Builder
-	out.WriteString(read.Worker)
-	for _, part := range read.Parts {
-		out.WriteByte(' ')
-		out.WriteString(strconv.FormatUint(uint64(part.ID), partBase))
-		out.WriteByte(':')
-		out.WriteString(strconv.Itoa(part.Tokens))
-	}
-	return out.String()
+	return strings.Join(append([]string{read.Worker}, renderParts(read.Parts)...), " ")
+}
+
+func renderParts(parts []prefixcache.Part) []string {
+	rendered := make([]string, 0, len(parts))
+	for _, part := range parts {
+		rendered = append(rendered, strconv.FormatUint(uint64(part.ID), partBase)+":"+strconv.Itoa(part.Tokens))
+	}
+	return rendered
 }
 
 // snapshot reads a message.
@@ -175,17 +191,22 @@
 	if len(fields) == 0 {
 		return worker.Read{}, eris.New("a read without a worker")
 	}
-	read := worker.Read{Worker: fields[0]}
-	for _, field := range fields[1:] {
+	parts, err := parseParts(fields[1:])
+	return worker.Read{Worker: fields[0], Parts: parts}, err
+}
+
+func parseParts(fields []string) ([]prefixcache.Part, error) {
+	var parts []prefixcache.Part
+	for _, field := range fields {
 		id, tokens, found := strings.Cut(field, ":")
 		number, idErr := strconv.ParseUint(id, partBase, 64)
 		count, countErr := strconv.Atoi(tokens)
 		if !found || idErr != nil || countErr != nil || count < 0 {
-			return worker.Read{}, eris.Errorf("part %q of a read is malformed", field)
+			return nil, eris.Errorf("part %q of a prompt is malformed", field)
 		}
-		read.Parts = append(read.Parts, prefixcache.Part{ID: prefixcache.PartID(number), Tokens: count})
+		parts = append(parts, prefixcache.Part{ID: prefixcache.PartID(number), Tokens: count})
 	}
-	return read, nil
+	return parts, nil
 }
 
 func decode(datagram []byte) (Message, error) {
--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,7 +27,7 @@
 	registry := worker.NewRegistry("a")
 	var listed []worker.Worker
 	for _, id := range workers {
-		listed = append(listed, worker.Worker{ID: id, Service: "s"})
+		listed = append(listed, worker.Worker{ID: id, Service: "s", Stage: worker.Decode})
 	}
 	registry.Replace(listed)
 	return registry
@@ -38,8 +39,9 @@
 		Reads: []worker.Read{{Worker: "w", Parts: []prefixcache.Part{{ID: 0xabc, Tokens: 10}, {ID: 1 << 63, Tokens: 0}}}},
 		// A read of nothing is possible too.
 		Failures: []string{"w", "x"},
+		Demand:   map[string]worker.Demand{"s": {ReadTokens: 900, Requests: 1.25, MemoryTokens: 70}},
 	}
-	datagram, err := json.Marshal(newMessage("n", 7, snapshot))
+	datagram, err := json.Marshal(newMessage(Message{Node: "n", Sequence: 7}, snapshot))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -141,9 +143,9 @@
 }
 
 // TestNewbornLearnsFromAPeer: a node that has just started is told what workers
-// keep, and one that has itself learned nothing yet says so.
+// keep, and of those of which a peer has itself learned nothing yet it isn't.
 func TestNewbornLearnsFromAPeer(t *testing.T) {
-	old, young := registryWith("w"), registryWith("w")
+	old, young := registryWith("w", "unlearned"), registryWith("w", "unlearned")
 	parts := []prefixcache.Part{{ID: 1, Tokens: 700}, {ID: 2, Tokens: 30}}
 	old.Cached("w", parts, time.Unix(1, 0))
 	old.ObserveReading("w", pace.Reading{Tokens: 5000, Elapsed: 100 * time.Millisecond})
@@ -157,25 +159,30 @@
 		}
 		exchanges = append(exchanges, exchange)
 	}
-	exchanges[1].AddPeers([]Peer{{Node: "old", Address: netip.MustParseAddrPort(exchanges[0].conn.LocalAddr().String())}})
+	exchanges[1].AddPeers([]Peer{{Node: "old", Address: exchanges[0].peers.address}})
 	for _, exchange := range exchanges {
 		go exchange.Run(ctx)
 	}
-	if exchanges[1].AskMemory(ctx) {
+	if untold := exchanges[1].AskMemory(ctx, []string{"w"}); len(untold) != 1 {
 		t.Error("a peer that has learned nothing told something")
 	}
-	exchanges[0].SetWarm()
-	for end := time.Now().Add(20 * time.Second); !exchanges[1].AskMemory(ctx); {
+	old.Learned([]string{"w"})
+	for end := time.Now().Add(20 * time.Second); ; {
+		untold := exchanges[1].AskMemory(ctx, []string{"w", "unlearned"})
+		if slices.Equal(untold, []string{"unlearned"}) {
+			break
+		}
 		if time.Now().After(end) {
-			t.Fatal("nothing was learned")
+			t.Fatalf("untold: %v", untold)
 		}
 	}
-	candidate := young.Candidates("s", parts, 0, time.Now())[0]
-	if candidate.CachedTokens != 730 || candidate.Pace < 50 {
-		t.Errorf("%+v", candidate)
+	for _, candidate := range young.Candidates("s", parts, 0, time.Now()) {
+		if candidate.ID == "w" && (candidate.CachedTokens != 730 || candidate.Pace < 50) {
+			t.Errorf("%+v", candidate)
+		}
 	}
-	if len(young.Unlisted()) != 0 {
-		t.Error("the worker is to be asked again")
+	if unlisted := young.Unlisted(); len(unlisted) != 1 || unlisted[0].ID != "unlearned" {
+		t.Errorf("to be asked: %v", unlisted)
 	}
 }
 
@@ -187,7 +194,7 @@
 	messages := inMessages([]worker.Read{{Worker: "i-0123456789", Parts: parts}, {Worker: "empty"}})
 	count := 0
 	for _, reads := range messages {
-		datagram, err := json.Marshal(newMessage("n", 0, worker.Snapshot{Reads: reads}))
+		datagram, err := json.Marshal(newMessage(Message{Node: "n"}, worker.Snapshot{Reads: reads}))
 		if err != nil || len(datagram) > maxDatagram {
 			t.Errorf("%d bytes, %v", len(datagram), err)
 		}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -5,47 +5,32 @@
 	"encoding/json"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/tinarch/tinarch/internal/tablefeed"
-	"github.com/tinarch/tinarch/internal/tablerelay"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
 // The figures of the exchange.
 const (
-	// lookEvery is the time between two looks for something to send, and between two
-	// messages in a small fleet: what is told later is placed on unseen.
-	lookEvery = 25 * time.Millisecond
-	// sendEvery is the time between two messages in a larger fleet.
-	sendEvery = 50 * time.Millisecond
-	// smallFleet is the number of peers up to which a fleet is small.
-	smallFleet = 12
-	// restEvery is the time between two messages when nothing changes.
+	// sendEvery is the least time between two messages: what is told later is placed on
+	// unseen (docs/design/decisions.md, round 12).
+	sendEvery = 25 * time.Millisecond
+	// restEvery is the time between two messages when nothing changes, in a fleet of up
+	// to restFleet nodes; beyond, it grows so that a supervisor gets no more of them.
 	restEvery = 500 * time.Millisecond
-	// peerLife is how long a silent node counts as one that takes requests.
-	peerLife = 3 * time.Second
+	restFleet = 240
 	// maxDatagram bounds a message.
 	maxDatagram = 16 << 10
-	// fleetPerPause is the number of nodes, of the zone for its own nodes and of all
-	// for the others, for which they are told once in sendEvery.
-	fleetPerPause = 30
-	// maxAnswers bounds the answers that wait to be looked at.
-	maxAnswers = 64
+	// maxTold bounds the answers to a start's questions that wait to be looked at.
+	maxTold = 64
 )
 
-// Board is where the words of nodes on the store's tables come from and go to.
-type Board interface {
-	Words(now time.Time) []tablerelay.Word
-	Take(node, zone string, words []tablerelay.Word, now time.Time)
-	TakeNews(news tablefeed.News)
-}
-
-// Exchange sends this node's digest to its peers and takes in theirs.
+// Exchange sends this node's digest to its peers and takes in theirs. It is safe for
+// concurrent use.
 type Exchange struct {
 	node, zone string
 	registry   *worker.Registry
@@ -56,13 +41,19 @@
 
 	mu    sync.Mutex
 	peers *peerSet
-	// answers tell whether a node that was asked for what it has learned had
-	// learned anything.
-	answers chan bool
 	// asideUntil is until when this node leaves orders to others.
 	asideUntil time.Time
-	// warm tells that this node has learned what it can't see for itself.
-	warm atomic.Bool
+	// asks are the questions whose answers are awaited.
+	asks    map[uint64]*pendingAsk
+	lastAsk uint64
+
+	// told are the workers of which peers have told all that they keep.
+	told chan []string
+	done chan struct{}
+
+	// box and sequence are used by Run's goroutine only.
+	box      outbox
+	sequence uint64
 }
 
 // Listen opens the exchange's port.
@@ -75,15 +66,24 @@
 	if err != nil {
 		return nil, err
 	}
+	local, err := netip.ParseAddrPort(conn.LocalAddr().String())
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
 	return &Exchange{
 		node: node, zone: zone, registry: registry, conn: conn, log: log,
-		peers: newPeerSet(node), answers: make(chan bool, maxAnswers),
+		peers: newPeerSet(node, local, zone), asks: make(map[uint64]*pendingAsk),
+		told: make(chan []string, maxTold), done: make(chan struct{}),
 	}, nil
 }
 
 // SetBoard is called before Run.
 func (e *Exchange) SetBoard(board Board) { e.board = board }
 
+// Done is closed when Run has ended.
+func (e *Exchange) Done() <-chan struct{} { return e.done }
+
 // AddPeers adds nodes that the store lists. Others are known from their messages.
 func (e *Exchange) AddPeers(listed []Peer) {
 	e.mu.Lock()
@@ -96,18 +96,14 @@
 func (e *Exchange) Nodes() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for node, silence := range e.peers.silent(time.Now()) {
-		e.log.WithFields(logrus.Fields{"node": node, "silent_ms": silence.Milliseconds()}).Warn("node lost")
-	}
-	return len(e.peers.peers) + 1
+	return e.peers.nodes()
 }
 
-// Lowest reports whether this node's incarnation is the lowest among those heard
-// lately that don't stand aside.
-func (e *Exchange) Lowest() bool {
+// Designated reports whether this node is the one that the others expect to give orders.
+func (e *Exchange) Designated() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.peers.lowest(time.Now().Before(e.asideUntil))
+	return e.peers.designated(time.Now().Before(e.asideUntil))
 }
 
 // StandAside leaves orders to other nodes for a time, and tells them so.
@@ -117,13 +113,6 @@
 	e.asideUntil = time.Now().Add(span)
 }
 
-// standsAside reports whether this node leaves orders to others.
-func (e *Exchange) standsAside(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return now.Before(e.asideUntil)
-}
-
 // OldestDigest returns the time since the node that is silent for longest told its
 // load, zero where no other node is heard.
 func (e *Exchange) OldestDigest() time.Duration {
@@ -134,148 +123,151 @@
 
 // Run sends and receives until ctx ends, and then says that the node leaves.
 func (e *Exchange) Run(ctx context.Context) {
+	defer close(e.done)
 	go e.receive()
 	e.send(ctx)
 	_ = e.conn.Close()
 }
 
-// scope is a part of the peers that is told at a pace of its own.
-type scope struct {
-	outbox
-	// sameZone tells that the peers of this node's zone are meant, or else all others.
-	sameZone bool
-}
-
+// send tells what has changed as soon as it may, and all at rest.
 func (e *Exchange) send(ctx context.Context) {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	scopes := []*scope{{sameZone: true}, {sameZone: false}}
-	sequence := uint64(0)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			e.farewell(sequence + 1)
+			e.farewell()
 			return
-		case <-ticker.C:
-			sequence = e.tick(scopes, sequence, time.Now())
+		case <-e.registry.Changed():
+			e.box.changed = true
+		case <-timer.C:
 		}
+		timer.Reset(e.tick(time.Now()))
 	}
 }
 
-// tick sends what is due, and returns the last sequence number used.
-func (e *Exchange) tick(scopes []*scope, sequence uint64, now time.Time) uint64 {
-	words := e.words()
-	changed := lastChange(words)
-	var snapshot *worker.Snapshot
-	version := e.registry.Version()
-	for _, told := range scopes {
-		due, atRest := told.dueness(now, e.pause(told.sameZone), version, changed)
-		if !due {
-			continue
-		}
-		if snapshot == nil {
-			snapshot, version = e.collect(scopes)
-		}
-		tables := words
-		if !atRest && changed == told.changed {
-			tables = nil
-		}
-		current := *snapshot
-		if !atRest {
-			current.Demand = nil // it changes slowly
-		}
-		current.Reads, current.Failures = told.next(now, atRest, version, changed)
-		sequence++
-		message := newMessage(e.node, sequence, current)
-		message.Aside = e.standsAside(now)
-		if tables != nil || atRest {
-			message.Zone, message.Tables = e.zone, tables
-		}
-		e.broadcast(message, told.sameZone, atRest)
+// tick sends what is due, and returns the time until something may be due again.
+func (e *Exchange) tick(now time.Time) time.Duration {
+	rest := e.rest()
+	if due, atRest := e.box.dueness(now, rest); due {
+		e.tell(now, atRest)
 	}
-	return sequence
+	return e.box.wait(now, rest)
 }
 
-// collect takes a snapshot, and queues what it tells of for all scopes.
-func (e *Exchange) collect(scopes []*scope) (*worker.Snapshot, uint64) {
-	snapshot, version := e.registry.Snapshot()
-	for _, told := range scopes {
-		told.collect(snapshot)
-	}
-	return &snapshot, version
+// rest is the time between two messages at rest.
+func (e *Exchange) rest() time.Duration {
+	return restEvery * time.Duration(max(e.Nodes(), restFleet)) / restFleet
 }
 
-// pause is the time between two messages. It is short in a small fleet; in a large one
-// nodes of other zones are told less often, since bytes between zones are dear, and in
-// a large zone those of the own zone too.
-func (e *Exchange) pause(sameZone bool) time.Duration {
+// tell sends each home of a worker that was touched what this node has placed on the
+// workers of that home; at rest also the homes of all workers that it has placed
+// anything on, the supervisors, and those that don't know this node.
+func (e *Exchange) tell(now time.Time, atRest bool) {
+	snapshot := e.registry.Snapshot()
+	e.box.collect(snapshot)
+	snapshot.Reads, snapshot.Failures = e.box.next(now, atRest)
+	e.sequence++
+	base := Message{Node: e.node, Sequence: e.sequence}
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	nodes := len(e.peers.peers)
-	if nodes <= smallFleet {
-		return lookEvery
-	}
-	if sameZone {
-		nodes = e.peers.inZone(e.zone)
+	if atRest {
+		base.Zone = e.zone
+		e.logSilent(now)
+	} else {
+		snapshot.Demand = nil // it changes slowly
 	}
-	return sendEvery * time.Duration(max(nodes/fleetPerPause, 1))
+	base.Aside = now.Before(e.asideUntil)
+	parcels := e.parcels(snapshot, atRest)
+	e.mu.Unlock()
+	e.sendParcels(parcels, snapshot, base)
 }
 
-// farewell says that this node leaves.
-func (e *Exchange) farewell(sequence uint64) {
-	for _, sameZone := range []bool{true, false} {
-		e.broadcast(Message{Node: e.node, Sequence: sequence, Leaving: true}, sameZone, true)
+// logSilent logs the nodes that have fallen silent, where this node should hear all.
+func (e *Exchange) logSilent(now time.Time) {
+	lost := e.peers.silent(now)
+	if !e.peers.supervises() {
+		return
+	}
+	for node, silence := range lost {
+		e.log.WithFields(logrus.Fields{"node": node, "silent_ms": silence.Milliseconds()}).Warn("node lost")
 	}
 }
 
-func (e *Exchange) words() []tablerelay.Word {
-	if e.board == nil {
-		return nil
+// parcels returns, by the nodes that are to be told something, the workers of which they
+// are to be told.
+func (e *Exchange) parcels(snapshot worker.Snapshot, atRest bool) map[netip.AddrPort][]string {
+	subjects := subjectsOf(snapshot)
+	parcels := make(map[netip.AddrPort][]string)
+	for _, id := range subjects {
+		if atRest || snapshot.Concerns(id) {
+			for _, home := range e.peers.homes(id) {
+				parcels[home] = nil
+			}
+		}
+	}
+	if atRest {
+		for _, address := range e.restTargets() {
+			parcels[address] = nil
+		}
 	}
-	return e.board.Words(time.Now())
+	delete(parcels, e.peers.address)
+	for _, id := range subjects {
+		for _, home := range e.peers.homes(id) {
+			if workers, told := parcels[home]; told {
+				parcels[home] = append(workers, id)
+			}
+		}
+	}
+	return parcels
 }
 
-// lastChange returns the version of the newest change of all tables.
-func lastChange(words []tablerelay.Word) tablefeed.Version {
-	newest := tablefeed.Version(0)
-	for _, word := range words {
-		newest = max(newest, word.Changed)
+// restTargets are the nodes that hear of this one whatever it does.
+func (e *Exchange) restTargets() []netip.AddrPort {
+	targets := append(e.peers.toGreet(), e.peers.supervisors()...)
+	if any, found := e.peers.anyPeer(); found {
+		targets = append(targets, any)
 	}
-	return newest
+	return targets
 }
 
-// SendNews tells the peers of a zone of changes, or all where the zone is empty.
-// Changes that are too large for a datagram aren't told: the peers then learn from
-// the next digest that there are any, and ask the store.
-func (e *Exchange) SendNews(news tablefeed.News, zone string) {
-	packed, err := packNews(news)
-	if err != nil {
-		e.log.WithError(err).Error("changes of a table can't be rendered for the other nodes")
-		return
-	}
-	datagram, ok := e.encode(Message{Node: e.node, News: packed})
-	if !ok || len(datagram) > maxNews {
-		return
+// sendParcels sends each node its part of a snapshot. Nodes that are told of the same
+// workers get the same datagram.
+func (e *Exchange) sendParcels(parcels map[netip.AddrPort][]string, snapshot worker.Snapshot, base Message) {
+	datagrams := make(map[string][]byte)
+	for address, workers := range parcels {
+		key := strings.Join(workers, " ")
+		datagram, rendered := datagrams[key]
+		if !rendered {
+			datagram, _ = e.encode(newMessage(base, snapshot.Part(workers)))
+			datagrams[key] = datagram
+		}
+		e.write(datagram, address)
 	}
+}
+
+// farewell says that this node leaves.
+func (e *Exchange) farewell() {
 	e.mu.Lock()
-	addresses := e.peers.addressesIn(zone)
+	targets := e.peers.all()
 	e.mu.Unlock()
+	e.sendAll(targets, Message{Node: e.node, Sequence: e.sequence + 1, Leaving: true})
+}
+
+func (e *Exchange) sendAll(addresses []netip.AddrPort, message Message) {
+	datagram, _ := e.encode(message)
 	for _, address := range addresses {
-		_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
+		e.write(datagram, address)
 	}
 }
 
-// broadcast sends a message to the peers of this node's zone or to all others: to
-// those that are present, and where it is sent at rest, to the silent ones too.
-func (e *Exchange) broadcast(message Message, sameZone, atRest bool) {
-	datagram, ok := e.encode(message)
-	if !ok {
-		return
-	}
-	e.mu.Lock()
-	addresses := e.peers.addresses(e.zone, sameZone, atRest)
-	e.mu.Unlock()
-	for _, address := range addresses {
+func (e *Exchange) sendTo(address netip.AddrPort, message Message) {
+	datagram, _ := e.encode(message)
+	e.write(datagram, address)
+}
+
+// write sends a datagram, which may be lost: what matters is told again at rest.
+func (e *Exchange) write(datagram []byte, address netip.AddrPort) {
+	if len(datagram) > 0 {
 		_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
 	}
 }
@@ -298,27 +290,43 @@
 		}
 		message, err := decode(buffer[:count])
 		if err != nil {
-			e.log.WithField("cause", err.Error()).Warn("a malformed digest was dropped")
+			e.dropped(from, err)
 			continue
 		}
-		switch {
-		case message.Newborn:
-			e.tellMemory(from)
-		case message.Memory:
-			e.remember(message)
-		case message.News != nil:
-			e.takeNews(message.News)
-		default:
-			e.take(from, message)
-		}
+		e.handle(from, message)
+	}
+}
+
+func (e *Exchange) dropped(from netip.AddrPort, err error) {
+	e.log.WithFields(logrus.Fields{"from": from.String(), "cause": err.Error()}).Warn("a malformed digest was dropped")
+}
+
+func (e *Exchange) handle(from netip.AddrPort, message Message) {
+	switch {
+	case message.Question != nil:
+		e.answer(from, message.Node, *message.Question)
+	case message.Reply != nil:
+		e.takeReply(from, *message.Reply)
+	case message.Newborn != nil:
+		e.tellMemory(from, message.Newborn)
+	case message.Memory:
+		e.remember(from, message)
+	case message.News != nil:
+		e.takeNews(from, message)
+	case message.WantWords:
+		e.tellWords(from)
+	case message.Words != nil:
+		e.takeWords(from, message)
+	default:
+		e.take(from, message)
 	}
 }
 
-// take merges a message unless a newer one of its sender was merged before.
+// take merges a digest unless a newer one of its sender was merged before.
 func (e *Exchange) take(from netip.AddrPort, message Message) {
 	snapshot, err := message.snapshot()
 	if err != nil {
-		e.log.WithField("cause", err.Error()).Warn("a malformed digest was dropped")
+		e.dropped(from, err)
 		return
 	}
 	now := time.Now()
@@ -329,24 +337,10 @@
 		return
 	}
 	if first {
-		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Info("node heard for the first time")
+		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Debug("node heard for the first time, or again")
 	}
 	if len(message.Failures) > 0 {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "sequence": message.Sequence, "workers": message.Failures}).Info("another node tells of failures")
 	}
 	e.registry.Merge(message.Node, snapshot, now)
-	if e.board != nil && len(message.Tables) > 0 {
-		e.board.Take(message.Node, message.Zone, message.Tables, now)
-	}
-}
-
-func (e *Exchange) takeNews(packed []byte) {
-	news, err := unpackNews(packed)
-	if err != nil {
-		e.log.WithField("cause", err.Error()).Warn("malformed changes of a table were dropped")
-		return
-	}
-	if e.board != nil {
-		e.board.TakeNews(news)
-	}
 }
--- a/internal/digest/memory.go
+++ b/internal/digest/memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -13,71 +12,84 @@
 
 // The figures of a start.
 const (
-	// askEvery is how long a node that has just started waits for one peer's answer
-	// before it asks the next.
+	// askEvery is how long a node that has just started waits for the answers of its
+	// peers before it asks others.
 	askEvery = 80 * time.Millisecond
-	// maxAsked bounds the peers that it asks.
+	// maxAsked bounds the rounds of questions.
 	maxAsked = 4
 	// partsPerMessage bounds the parts in one datagram of an answer.
 	partsPerMessage = 200
 )
 
-// AskMemory asks peers, one after the other, for what they have learned, until one
-// has told. It reports whether one did: all may have started just now.
-func (e *Exchange) AskMemory(ctx context.Context) bool {
-	for range maxAsked {
-		if address, known := e.anyPeer(); known {
-			e.sendTo(address, Message{Node: e.node, Newborn: true})
+// AskMemory asks the other nodes that keep the accounts of workers for what they have
+// learned of them. It returns the workers of which nothing was told: all nodes may have
+// started just now.
+func (e *Exchange) AskMemory(ctx context.Context, workers []string) []string {
+	untold := make(map[string]bool, len(workers))
+	for _, id := range workers {
+		untold[id] = true
+	}
+	for round := range maxAsked {
+		for to, asked := range e.colleagues(untold, round) {
+			e.sendTo(to, Message{Node: e.node, Newborn: asked})
 		}
-		if e.awaitAnswer(ctx) {
-			e.SetWarm()
-			return true
+		e.awaitMemory(ctx, untold)
+		if len(untold) == 0 || ctx.Err() != nil {
+			break
 		}
 	}
-	return false
-}
-
-// awaitAnswer waits for one peer's answer, and reports whether it told anything.
-func (e *Exchange) awaitAnswer(ctx context.Context) bool {
-	timer := time.NewTimer(askEvery)
-	defer timer.Stop()
-	select {
-	case told := <-e.answers:
-		return told
-	case <-ctx.Done():
-	case <-timer.C:
+	left := make([]string, 0, len(untold))
+	for id := range untold {
+		left = append(left, id)
 	}
-	return false
+	return left
 }
 
-// SetWarm tells that this node has learned what workers keep, so that it can answer
-// others that have just started.
-func (e *Exchange) SetWarm() { e.warm.Store(true) }
-
-func (e *Exchange) anyPeer() (netip.AddrPort, bool) {
+// colleagues divides workers by another node that keeps their account, a different one in
+// each round.
+func (e *Exchange) colleagues(workers map[string]bool, round int) map[netip.AddrPort][]string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	addresses := e.peers.all()
-	if len(addresses) == 0 {
-		return netip.AddrPort{}, false
+	asked := make(map[netip.AddrPort][]string)
+	for id := range workers {
+		homes := e.peers.homes(id)
+		for i := range homes {
+			if to := homes[(round+i)%len(homes)]; to != e.peers.address {
+				asked[to] = append(asked[to], id)
+				break
+			}
+		}
 	}
-	return addresses[rand.IntN(len(addresses))], true
+	return asked
 }
 
-// tellMemory answers a node that has just started, unless this one knows nothing
-// either.
-func (e *Exchange) tellMemory(to netip.AddrPort) {
-	if !e.warm.Load() {
-		e.sendTo(to, Message{Node: e.node, Memory: true, Cold: true})
-		return
+// awaitMemory takes the workers that are told of out of those untold, until none is left
+// or the time is over.
+func (e *Exchange) awaitMemory(ctx context.Context, untold map[string]bool) {
+	timer := time.NewTimer(askEvery)
+	defer timer.Stop()
+	for len(untold) > 0 {
+		select {
+		case told := <-e.told:
+			for _, id := range told {
+				delete(untold, id)
+			}
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		}
 	}
-	memory := e.registry.Memory()
+}
+
+// tellMemory answers a node that has just started: it tells what the workers keep that
+// it knows, and then of which workers it has told all.
+func (e *Exchange) tellMemory(to netip.AddrPort, workers []string) {
+	memory, known := e.registry.Memory(workers)
 	for _, reads := range inMessages(memory.Reads) {
-		message := newMessage(e.node, 0, worker.Snapshot{Reads: reads})
-		message.Memory = true
-		message.Paces = memory.Paces
-		e.sendTo(to, message)
+		e.sendTo(to, Message{Node: e.node, Memory: true, Reads: renderReads(reads)})
 	}
+	e.sendTo(to, Message{Node: e.node, Memory: true, Paces: memory.Paces, Told: known})
 }
 
 // inMessages divides reads so that each message holds few enough parts.
@@ -93,26 +105,20 @@
 	return messages
 }
 
-func (e *Exchange) remember(message Message) {
+func (e *Exchange) remember(from netip.AddrPort, message Message) {
 	snapshot, err := message.snapshot()
 	if err != nil {
-		e.log.WithField("cause", err.Error()).Warn("a malformed digest was dropped")
+		e.dropped(from, err)
 		return
 	}
 	e.registry.Remember(worker.Memory{Reads: snapshot.Reads, Paces: message.Paces}, time.Now())
-	parts := 0
-	for _, read := range snapshot.Reads {
-		parts += len(read.Parts)
+	if len(message.Told) == 0 {
+		return
 	}
-	e.log.WithFields(logrus.Fields{"node": message.Node, "parts": parts}).Info("another node told what workers keep")
+	e.registry.Learned(message.Told)
+	e.log.WithFields(logrus.Fields{"node": message.Node, "workers": len(message.Told)}).Info("another node told what workers keep")
 	select {
-	case e.answers <- !message.Cold:
+	case e.told <- message.Told:
 	default:
 	}
 }
-
-func (e *Exchange) sendTo(address netip.AddrPort, message Message) {
-	if datagram, ok := e.encode(message); ok {
-		_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
-	}
-}
--- a/internal/digest/outbox.go
+++ b/internal/digest/outbox.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/tinarch/tinarch/internal/tablefeed"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
@@ -11,17 +10,16 @@
 // waits for the next.
 const maxParts = 250
 
-// outbox holds what the nodes of one scope are still to be told. It is pure: time is
-// an argument.
+// outbox holds what the other nodes are still to be told. It is pure: time is an
+// argument.
 type outbox struct {
+	// changed tells that something has changed since the last message.
+	changed bool
 	// pending are reads that were not told yet, and repeated those that the next
-	// message tells once more, since a datagram may be lost.
+	// message at rest tells once more, since a datagram may be lost.
 	pending, repeated []worker.Read
 	// failures are told once: telling them twice would count them twice.
 	failures []string
-	// version and changed are those that were told last.
-	version uint64
-	changed tablefeed.Version
 	// sent is when the last message was due, and rested when the last one at rest.
 	sent, rested time.Time
 }
@@ -33,38 +31,60 @@
 }
 
 // dueness tells whether a message is to be sent, and whether as one at rest.
-func (o *outbox) dueness(now time.Time, every time.Duration, version uint64, changed tablefeed.Version) (due, atRest bool) {
-	if now.Sub(o.rested) >= restEvery {
+func (o *outbox) dueness(now time.Time, rest time.Duration) (due, atRest bool) {
+	if now.Sub(o.rested) >= rest {
 		return true, true
 	}
-	waits := version != o.version || changed != o.changed || len(o.pending) > 0 || len(o.repeated) > 0
-	return waits && now.Sub(o.sent) >= every, false
+	return o.waits() && now.Sub(o.sent) >= sendEvery, false
+}
+
+// waits reports whether there is anything to tell.
+func (o *outbox) waits() bool { return o.changed || len(o.pending) > 0 }
+
+// wait is the time until a message is due.
+func (o *outbox) wait(now time.Time, rest time.Duration) time.Duration {
+	wait := rest - now.Sub(o.rested)
+	if o.waits() {
+		wait = min(wait, sendEvery-now.Sub(o.sent))
+	}
+	return max(wait, 0)
 }
 
 // next returns the reads and failures of the message that is sent now.
-func (o *outbox) next(now time.Time, atRest bool, version uint64, changed tablefeed.Version) (reads []worker.Read, failures []string) {
+func (o *outbox) next(now time.Time, atRest bool) (reads []worker.Read, failures []string) {
 	fresh := o.takeFresh()
-	reads = append(o.repeated, fresh...)
-	o.repeated = fresh
-	failures, o.failures = o.failures, nil
-	o.version, o.changed, o.sent = version, changed, now
+	reads = fresh
 	if atRest {
+		reads = append(o.takeRepeated(), fresh...)
 		o.rested = now
 	}
+	o.repeated = append(o.repeated, fresh...)
+	failures, o.failures = o.failures, nil
+	o.changed, o.sent = false, now
 	return reads, failures
 }
 
-// takeFresh takes reads out of those pending until a message is full.
-func (o *outbox) takeFresh() []worker.Read {
+// takeFresh takes reads out of those pending until a message is full, and takeRepeated
+// out of those told once.
+func (o *outbox) takeFresh() (fresh []worker.Read) {
+	fresh, o.pending = cut(o.pending)
+	return fresh
+}
+
+func (o *outbox) takeRepeated() (repeated []worker.Read) {
+	repeated, o.repeated = cut(o.repeated)
+	return repeated
+}
+
+// cut divides reads into as many as a message may tell of, and the rest.
+func cut(reads []worker.Read) (taken, left []worker.Read) {
 	parts, count := 0, 0
-	for count < len(o.pending) {
-		parts += len(o.pending[count].Parts)
+	for count < len(reads) {
+		parts += len(reads[count].Parts)
 		if parts > maxParts && count > 0 {
 			break
 		}
 		count++
 	}
-	fresh := o.pending[:count:count]
-	o.pending = o.pending[count:]
-	return fresh
+	return reads[:count:count], reads[count:]
 }
--- a/internal/digest/outbox_test.go
+++ b/internal/digest/outbox_test.go
@@ -10,40 +10,43 @@
 )
 
 func TestReadsAreToldTwiceAndFailuresOnce(t *testing.T) {
-	var box outbox
+	box := outbox{rested: origin}
 	box.collect(worker.Snapshot{Reads: []worker.Read{{Worker: "w"}}, Failures: []string{"w"}})
 	reads, failures, messages := 0, 0, 0
-	for now := origin; ; now = now.Add(sendEvery) {
-		due, atRest := box.dueness(now, sendEvery, 0, 0)
+	for now := origin.Add(sendEvery); now.Sub(origin) < 3*restEvery; now = now.Add(sendEvery) {
+		due, atRest := box.dueness(now, restEvery)
 		if !due {
-			break
+			continue
 		}
-		toldReads, toldFailures := box.next(now, atRest, 0, 0)
+		toldReads, toldFailures := box.next(now, atRest)
 		reads += len(toldReads)
 		failures += len(toldFailures)
 		messages++
 	}
-	if reads != 2 || failures != 1 || messages != 2 {
+	if reads != 2 || failures != 1 || messages != 3 {
 		t.Errorf("a read is told %d times, a failure %d times, in %d messages", reads, failures, messages)
 	}
 }
 
 func TestMessagesKeepTheirDistance(t *testing.T) {
-	var box outbox
-	box.next(origin, true, 1, 0)
 	for name, test := range map[string]struct {
 		after       time.Duration
-		version     uint64
+		changed     bool
 		due, atRest bool
+		wait        time.Duration
 	}{
-		"nothing changed":             {200 * time.Millisecond, 1, false, false},
-		"changed, but too soon":       {99 * time.Millisecond, 2, false, false},
-		"changed":                     {100 * time.Millisecond, 2, true, false},
-		"nothing changed for a while": {restEvery, 1, true, true},
+		"nothing changed":             {200 * time.Millisecond, false, false, false, restEvery - 200*time.Millisecond},
+		"changed, but too soon":       {sendEvery - 1, true, false, false, 1},
+		"changed":                     {sendEvery, true, true, false, 0},
+		"nothing changed for a while": {restEvery, false, true, true, 0},
 	} {
-		due, atRest := box.dueness(origin.Add(test.after), 100*time.Millisecond, test.version, 0)
-		if due != test.due || atRest != test.atRest {
-			t.Errorf("%s: due %v, at rest %v", name, due, atRest)
+		var box outbox
+		box.next(origin, true)
+		box.changed = test.changed
+		now := origin.Add(test.after)
+		due, atRest := box.dueness(now, restEvery)
+		if due != test.due || atRest != test.atRest || box.wait(now, restEvery) != test.wait {
+			t.Errorf("%s: due %v, at rest %v, wait %v", name, due, atRest, box.wait(now, restEvery))
 		}
 	}
 }
@@ -52,7 +55,7 @@
 // started again, don't fit one datagram; a message that is too large was dropped
 // whole, and the load with it.
 func TestManyReadsAreDivided(t *testing.T) {
-	var box outbox
+	box := outbox{rested: origin}
 	var parts []prefixcache.Part
 	for i := range maxParts {
 		parts = append(parts, prefixcache.Part{ID: prefixcache.PartID(1<<62 + i), Tokens: 100_000})
@@ -60,13 +63,13 @@
 	lists := []worker.Read{{Worker: "i-1", Parts: parts}, {Worker: "i-2", Parts: parts}, {Worker: "i-3", Parts: parts}}
 	box.collect(worker.Snapshot{Reads: lists})
 	told := make(map[string]int)
-	for now := origin; ; now = now.Add(sendEvery) {
-		due, atRest := box.dueness(now, sendEvery, 0, 0)
+	for now := origin.Add(sendEvery); now.Sub(origin) < 5*restEvery; now = now.Add(sendEvery) {
+		due, atRest := box.dueness(now, restEvery)
 		if !due {
-			break
+			continue
 		}
-		reads, _ := box.next(now, atRest, 0, 0)
-		datagram, err := json.Marshal(newMessage("n", 1, worker.Snapshot{Reads: reads}))
+		reads, _ := box.next(now, atRest)
+		datagram, err := json.Marshal(newMessage(Message{Node: "n"}, worker.Snapshot{Reads: reads}))
 		if err != nil || len(datagram) > maxDatagram {
 			t.Errorf("%d bytes, %v", len(datagram), err)
 		}
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -2,9 +2,37 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/tinarch/tinarch/internal/rendezvous"
+)
+
+// The figures of the fleet.
+const (
+	// peerLife is how long a silent node counts as one that takes requests: six messages
+	// at rest.
+	peerLife = 3 * time.Second
+	// wholeFleet is the number of nodes up to which each keeps account of all workers.
+	// In a larger fleet as many accounts are told of a worker's load as keep the
+	// messages of all nodes below what twelve would send each other.
+	wholeFleet = 12
+	// leastHomes is the fewest nodes that keep a worker's account, so that one may die.
+	leastHomes = 2
+	// leastSupervisors is the fewest nodes that know what all callers want and may give
+	// orders: all of them dead at a time is to be rarer than a stop of orders matters.
+	leastSupervisors = 4
+	// suspectedFor is how long a node that gave no answer isn't asked; it doubles with
+	// each further silence up to maxSuspected.
+	suspectedFor = time.Second
+	maxSuspected = 16 * time.Second
+	// lastPlace is that of a node that doesn't know the others yet.
+	lastPlace = 1 << 20
+	// greetings is how often a node is told of this one's start, since datagrams may be
+	// lost.
+	greetings = 2
 )
 
 // Peer is another node, as the store lists it.
@@ -12,11 +40,13 @@
 	// Node is its incarnation.
 	Node    string
 	Address netip.AddrPort
+	Zone    string
 }
 
 // peer is what is known of the process at one address.
 type peer struct {
 	node, zone string
+	hash       uint64
 	sequence   uint64
 	// heard is when its last message came, zero before the first.
 	heard time.Time
@@ -24,6 +54,12 @@
 	present bool
 	// aside tells that it can't give orders.
 	aside bool
+	// greetings is how often it is still to be told of this node.
+	greetings int
+	// suspectedUntil is until when it isn't asked, and silences how often it gave no
+	// answer in a row.
+	suspectedUntil time.Time
+	silences       int
 }
 
 // peerSet holds the other nodes by address: a process that starts again on its
@@ -31,47 +67,108 @@
 // that nodes that were cut off from each other find each other again. It is pure:
 // time is an argument.
 type peerSet struct {
-	self  string
-	peers map[netip.AddrPort]*peer
+	self    string
+	address netip.AddrPort
+	zone    string
+	hash    uint64
+	peers   map[netip.AddrPort]*peer
+	// listed tells that the store's list of nodes was read: before, this node can't know
+	// its place among them.
+	listed bool
+	// ranked holds what was worked out of the present members, by subject.
+	ranked map[string][]netip.AddrPort
 }
 
-func newPeerSet(self string) *peerSet {
-	return &peerSet{self: self, peers: make(map[netip.AddrPort]*peer)}
+func newPeerSet(self string, address netip.AddrPort, zone string) *peerSet {
+	return &peerSet{
+		self: self, address: address, zone: zone, hash: rendezvous.Hash(address.String()),
+		peers: make(map[netip.AddrPort]*peer), ranked: make(map[string][]netip.AddrPort),
+	}
 }
 
-// list adds the peers that the store lists.
+// list adds the peers that the store lists, and greets those that are new.
 func (s *peerSet) list(listed []Peer) {
+	s.listed = true
 	for _, entry := range listed {
-		if _, known := s.peers[entry.Address]; !known && entry.Node != s.self {
-			s.peers[entry.Address] = &peer{node: entry.Node}
+		if entry.Address == s.address || entry.Node == s.self {
+			continue
+		}
+		known, exists := s.peers[entry.Address]
+		if !exists {
+			known = s.add(entry.Address, entry.Node)
+			known.greetings = greetings
+		}
+		if known.zone != entry.Zone && entry.Zone != "" {
+			known.zone = entry.Zone
+			clear(s.ranked)
 		}
 	}
 }
 
-// hear records a message. It reports whether its sender was not heard before, and
+func (s *peerSet) add(address netip.AddrPort, node string) *peer {
+	added := &peer{node: node, hash: rendezvous.Hash(address.String())}
+	s.peers[address] = added
+	clear(s.ranked)
+	return added
+}
+
+// known returns the peer of a message, which may be new or a new process. A machine
+// keeps its zone.
+func (s *peerSet) known(from netip.AddrPort, node string) *peer {
+	known, exists := s.peers[from]
+	if !exists {
+		return s.add(from, node)
+	}
+	if known.node != node {
+		*known = peer{node: node, zone: known.zone, hash: known.hash}
+	}
+	return known
+}
+
+// answered records that a peer isn't silent.
+func (s *peerSet) answered(from netip.AddrPort) {
+	if known, exists := s.peers[from]; exists {
+		known.suspectedUntil, known.silences = time.Time{}, 0
+	}
+}
+
+// hear records a digest. It reports whether its sender was not heard before, and
 // whether the message is older than one that came before it.
 func (s *peerSet) hear(from netip.AddrPort, message Message, now time.Time) (first, stale bool) {
-	known, exists := s.peers[from]
 	if message.Leaving {
+		known, exists := s.peers[from]
+		if !exists || known.node != message.Node {
+			return false, true
+		}
 		delete(s.peers, from)
-		return false, !exists || known.node != message.Node
-	}
-	if !exists || known.node != message.Node {
-		known = &peer{node: message.Node}
-		s.peers[from] = known
+		clear(s.ranked)
+		return false, false
 	}
+	known := s.known(from, message.Node)
 	if message.Sequence <= known.sequence {
 		return false, true
 	}
 	first = !known.present
-	if message.Zone != "" {
+	if message.Zone != "" && message.Zone != known.zone {
 		known.zone = message.Zone
+		clear(s.ranked)
 	}
 	known.sequence, known.heard, known.present = message.Sequence, now, true
 	known.aside = message.Aside
+	known.suspectedUntil, known.silences = time.Time{}, 0
 	return first, false
 }
 
+// suspect records that a peer gave no answer.
+func (s *peerSet) suspect(address netip.AddrPort, now time.Time) {
+	known, exists := s.peers[address]
+	if !exists || now.Before(known.suspectedUntil) {
+		return
+	}
+	known.suspectedUntil = now.Add(min(suspectedFor<<min(known.silences, 4), maxSuspected))
+	known.silences++
+}
+
 // silent takes out of those present the peers that have fallen silent, and returns
 // them with the time since they were heard.
 func (s *peerSet) silent(now time.Time) map[string]time.Duration {
@@ -85,28 +182,102 @@
 	return lost
 }
 
-// addresses returns where a message goes: to the peers of a zone, or to all others;
-// to those that are present, and where it is one of those sent at rest, to the
-// silent ones too.
-func (s *peerSet) addresses(zone string, sameZone, atRest bool) []netip.AddrPort {
-	addresses := make([]netip.AddrPort, 0, len(s.peers))
+// nodes is the number of nodes, this one included.
+func (s *peerSet) nodes() int { return len(s.peers) + 1 }
+
+// homeCount is the number of nodes that keep a worker's account.
+func homeCount(nodes int) int {
+	if nodes <= wholeFleet {
+		return nodes
+	}
+	return max(wholeFleet*wholeFleet/nodes, leastHomes)
+}
+
+// homes returns the nodes that keep the account of a worker, the first to be asked
+// first.
+func (s *peerSet) homes(worker string) []netip.AddrPort {
+	return s.top("worker "+worker, homeCount(s.nodes()), "")
+}
+
+// keeps reports whether this node keeps the account of a worker.
+func (s *peerSet) keeps(worker string) bool {
+	return s.nodes() <= wholeFleet || slices.Contains(s.homes(worker), s.address)
+}
+
+// home returns the node to be asked for a worker's account, false where none of those
+// that keep it answers.
+func (s *peerSet) home(worker string, now time.Time) (netip.AddrPort, bool) {
+	for _, address := range s.homes(worker) {
+		if known, exists := s.peers[address]; exists && !now.Before(known.suspectedUntil) {
+			return address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// supervisors returns the nodes that know what all callers want and may give orders.
+func (s *peerSet) supervisors() []netip.AddrPort {
+	return s.top("orders", max(homeCount(s.nodes()), leastSupervisors), "")
+}
+
+// heads returns the nodes of a zone that pass on what its other nodes are to hear.
+func (s *peerSet) heads(zone string) []netip.AddrPort {
+	return s.top("relay "+zone, leastHomes, zone)
+}
+
+// top ranks the nodes for a subject, those of one zone where it isn't empty.
+func (s *peerSet) top(subject string, count int, zone string) []netip.AddrPort {
+	if known, exists := s.ranked[subject]; exists {
+		return known
+	}
+	members := make([]netip.AddrPort, 0, s.nodes())
+	if zone == "" || zone == s.zone {
+		members = append(members, s.address)
+	}
 	for address, known := range s.peers {
-		if (known.zone == zone) == sameZone && (atRest || known.present) {
-			addresses = append(addresses, address)
+		if zone == "" || zone == known.zone {
+			members = append(members, address)
 		}
 	}
-	return addresses
+	ranking := rendezvous.Top(members, s.hashOf, rendezvous.Hash(subject), count)
+	s.ranked[subject] = ranking
+	return ranking
 }
 
-// inZone returns the number of peers of a zone.
-func (s *peerSet) inZone(zone string) int {
-	count := 0
+func (s *peerSet) hashOf(address netip.AddrPort) uint64 {
+	if address == s.address {
+		return s.hash
+	}
+	return s.peers[address].hash
+}
+
+// place is this node's place among those that read a table at the store, the first in its
+// zone counting as second of all where it isn't better off: a zone that is cut off from
+// the others needs one.
+func (s *peerSet) place(table string) int {
+	if !s.listed {
+		return lastPlace
+	}
+	subject := rendezvous.Hash("table " + table)
+	own := rendezvous.Score(subject, s.hash)
+	all, near := 0, 0
 	for _, known := range s.peers {
-		if known.zone == zone {
-			count++
+		if rendezvous.Score(subject, known.hash) <= own {
+			continue
+		}
+		all++
+		if known.zone == s.zone {
+			near++
 		}
 	}
-	return count
+	return min(all, near+1)
+}
+
+// outranks reports whether another node comes before this one among those that read a
+// table at the store.
+func (s *peerSet) outranks(table string, other netip.AddrPort) bool {
+	subject := rendezvous.Hash("table " + table)
+	return rendezvous.Score(subject, rendezvous.Hash(other.String())) > rendezvous.Score(subject, s.hash)
 }
 
 // all returns the addresses of all peers.
@@ -114,24 +285,60 @@
 	return slices.Collect(maps.Keys(s.peers))
 }
 
-// addressesIn returns the peers of a zone that are present, or all of these where the
-// zone is empty.
-func (s *peerSet) addressesIn(zone string) []netip.AddrPort {
+// inZone returns the peers of this node's zone.
+func (s *peerSet) inZone() []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for address, known := range s.peers {
-		if known.present && (zone == "" || zone == known.zone) {
+		if known.zone == s.zone {
 			addresses = append(addresses, address)
 		}
 	}
 	return addresses
 }
 
-// lowest reports whether no peer that is present and doesn't stand aside has a lower
-// incarnation. A node that itself stands aside is the lowest only where all do.
-func (s *peerSet) lowest(aside bool) bool {
-	lowest, all := true, true
+// zones returns the zones of all nodes.
+func (s *peerSet) zones() []string {
+	zones := map[string]bool{s.zone: true}
 	for _, known := range s.peers {
-		if known.present && !known.aside {
+		zones[known.zone] = true
+	}
+	return slices.Collect(maps.Keys(zones))
+}
+
+// toGreet returns the peers that are to be told of this node, and counts that they are.
+func (s *peerSet) toGreet() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for address, known := range s.peers {
+		if known.greetings > 0 {
+			known.greetings--
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// anyPeer returns a peer drawn at random.
+func (s *peerSet) anyPeer() (netip.AddrPort, bool) {
+	addresses := s.all()
+	if len(addresses) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return addresses[rand.IntN(len(addresses))], true
+}
+
+// supervises reports whether this node is one of the supervisors.
+func (s *peerSet) supervises() bool { return slices.Contains(s.supervisors(), s.address) }
+
+// designated reports whether this node is the supervisor that is to give orders: none
+// that is present and doesn't stand aside has a lower incarnation. A node that itself
+// stands aside is designated only where all do.
+func (s *peerSet) designated(aside bool) bool {
+	if !s.supervises() {
+		return false
+	}
+	lowest, all := true, true
+	for _, address := range s.supervisors() {
+		if known, exists := s.peers[address]; exists && known.present && !known.aside {
 			all = false
 			lowest = lowest && s.self < known.node
 		}
--- a/internal/digest/peers_test.go
+++ b/internal/digest/peers_test.go
@@ -2,47 +2,54 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
 	"time"
-
-	"github.com/google/go-cmp/cmp"
 )
 
 var (
 	origin = time.Unix(0, 0)
-	here   = netip.MustParseAddrPort("10.0.0.1:7000")
+	self   = netip.MustParseAddrPort("10.0.0.9:7000")
 	there  = netip.MustParseAddrPort("10.0.0.2:7000")
 )
 
-// nodesAt names the nodes of all zones to which a message would be sent.
-func nodesAt(s *peerSet, atRest bool) []string {
-	var nodes []string
-	for _, sameZone := range []bool{true, false} {
-		for _, address := range s.addresses("zone", sameZone, atRest) {
-			nodes = append(nodes, s.peers[address].node)
+// addressOf is that of the machine with a number.
+func addressOf(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(number >> 8), byte(number)}), 7000)
+}
+
+// fleetOf returns what each of some nodes in five zones knows of the others.
+func fleetOf(nodes int) []*peerSet {
+	var sets []*peerSet
+	for i := range nodes {
+		set := newPeerSet(fmt.Sprint("n", i), addressOf(i), fmt.Sprint("zone", i%5))
+		var listed []Peer
+		for j := range nodes {
+			listed = append(listed, Peer{Node: fmt.Sprint("n", j), Address: addressOf(j), Zone: fmt.Sprint("zone", j%5)})
 		}
+		set.list(listed)
+		sets = append(sets, set)
 	}
-	slices.Sort(nodes)
-	return nodes
+	return sets
 }
 
 func TestProcessThatStartsAgainTakesTheOldOnesPlace(t *testing.T) {
-	peers := newPeerSet("me")
-	peers.list([]Peer{{Node: "me", Address: here}, {Node: "old", Address: there}})
+	peers := newPeerSet("me", self, "zone")
+	peers.list([]Peer{{Node: "me", Address: self}, {Node: "old", Address: there, Zone: "far"}})
 	peers.hear(there, Message{Node: "old", Sequence: 70}, origin)
 	if first, stale := peers.hear(there, Message{Node: "new", Sequence: 1}, origin); !first || stale {
 		t.Errorf("first %v, stale %v", first, stale)
 	}
-	if diff := cmp.Diff([]string{"new"}, nodesAt(peers, true)); diff != "" {
-		t.Error(diff)
+	if len(peers.peers) != 1 || peers.peers[there].node != "new" || peers.peers[there].zone != "far" {
+		t.Errorf("%+v", peers.peers[there])
 	}
 }
 
-// TestSilentPeerIsSentToAtRestOnly: nodes that were cut off find each other again.
-func TestSilentPeerIsSentToAtRestOnly(t *testing.T) {
-	peers := newPeerSet("me")
+// TestSilentPeerIsKept: nodes that were cut off find each other again.
+func TestSilentPeerIsKept(t *testing.T) {
+	peers := newPeerSet("me", self, "zone")
 	peers.hear(there, Message{Node: "other", Sequence: 1}, origin)
 	if lost := peers.silent(origin.Add(peerLife)); len(lost) != 0 {
 		t.Errorf("lost too early: %v", lost)
@@ -50,47 +57,143 @@
 	if lost := peers.silent(origin.Add(peerLife + 1)); len(lost) != 1 {
 		t.Errorf("lost: %v", lost)
 	}
-	if len(nodesAt(peers, false)) != 0 || len(nodesAt(peers, true)) != 1 {
-		t.Errorf("sent to %v, at rest to %v", nodesAt(peers, false), nodesAt(peers, true))
+	if !slices.Contains(peers.homes("w"), there) || !slices.Contains(peers.supervisors(), there) {
+		t.Error("a silent node is told nothing any more")
 	}
 	if first, _ := peers.hear(there, Message{Node: "other", Sequence: 2}, origin.Add(time.Minute)); !first {
 		t.Error("a node that is heard again isn't told of")
 	}
 }
 
-func TestScopesOfPeers(t *testing.T) {
-	peers := newPeerSet("me")
-	elsewhere := netip.MustParseAddrPort("10.0.0.3:7000")
-	peers.hear(there, Message{Node: "near", Sequence: 1, Zone: "zone"}, origin)
-	peers.hear(elsewhere, Message{Node: "far", Sequence: 1, Zone: "other"}, origin)
-	// Most messages don't name the zone.
-	peers.hear(there, Message{Node: "near", Sequence: 2}, origin)
-	for name, got := range map[string][]netip.AddrPort{
-		there.String():     peers.addresses("zone", true, false),
-		elsewhere.String(): peers.addresses("zone", false, false),
-	} {
-		if len(got) != 1 || got[0].String() != name {
-			t.Errorf("%s: %v", name, got)
+// TestNewPeersAreGreetedTwice: one that was read in the store's list may not know of this
+// node, and a datagram may be lost.
+func TestNewPeersAreGreetedTwice(t *testing.T) {
+	peers := newPeerSet("me", self, "zone")
+	for range 2 {
+		peers.list([]Peer{{Node: "other", Address: there}})
+	}
+	count := 0
+	for range 5 {
+		count += len(peers.toGreet())
+	}
+	if count != greetings {
+		t.Errorf("greeted %d times", count)
+	}
+}
+
+// TestAccountsAreKeptByFewNodes, by all in a small fleet, and all nodes agree by whom.
+func TestAccountsAreKeptByFewNodes(t *testing.T) {
+	for nodes, want := range map[int]int{1: 1, 7: 7, 12: 12, 13: 11, 22: 6, 66: 2, 295: 2} {
+		sets := fleetOf(nodes)
+		for _, id := range []string{"w1", "w2", "w3"} {
+			homes := sets[0].homes(id)
+			keeping := 0
+			for _, set := range sets {
+				if !slices.Equal(set.homes(id), homes) && nodes > wholeFleet {
+					t.Fatalf("%d nodes: they don't agree on who keeps the account of %s", nodes, id)
+				}
+				if set.keeps(id) {
+					keeping++
+				}
+			}
+			if keeping != want {
+				t.Errorf("%d nodes: %d keep the account of %s, want %d", nodes, keeping, id, want)
+			}
 		}
 	}
 }
 
-func TestLowestAmongThosePresent(t *testing.T) {
-	peers := newPeerSet("b")
+// TestMessagesOfAFleetAreBounded: a node's accounts are told to at most as many nodes as
+// twelve nodes tell each other.
+func TestMessagesOfAFleetAreBounded(t *testing.T) {
+	for nodes := 2; nodes <= 370; nodes++ {
+		if homes := homeCount(nodes); homes > leastHomes && homes*nodes > wholeFleet*wholeFleet {
+			t.Errorf("%d nodes: %d homes", nodes, homes)
+		}
+	}
+}
+
+// TestSilentHomeIsPassedOver, for a time, and longer each time, until it is heard.
+func TestSilentHomeIsPassedOver(t *testing.T) {
+	sets := fleetOf(100)
+	set := sets[0]
+	id := "w"
+	for i := 0; set.keeps(id); i++ {
+		id = fmt.Sprint("w", i)
+	}
+	homes := set.homes(id)
+	now := origin
+	for i, want := range []netip.AddrPort{homes[0], homes[1]} {
+		if got, found := set.home(id, now); !found || got != want {
+			t.Errorf("after %d silences %v is asked, want %v", i, got, want)
+		}
+		set.suspect(want, now)
+	}
+	if _, found := set.home(id, now); found {
+		t.Error("a node is asked that gave no answer")
+	}
+	if got, _ := set.home(id, now.Add(suspectedFor)); got != homes[0] {
+		t.Error("a silent node is never asked again")
+	}
+	set.suspect(homes[0], now.Add(suspectedFor))
+	if got, _ := set.home(id, now.Add(2*suspectedFor)); got != homes[1] {
+		t.Error("a node that stays silent is asked as often as before")
+	}
+	set.answered(homes[0])
+	if got, _ := set.home(id, now.Add(2*suspectedFor)); got != homes[0] {
+		t.Error("a node that has answered isn't asked")
+	}
+}
+
+func TestOldMessageOfALeavingNode(t *testing.T) {
+	peers := newPeerSet("b", self, "zone")
+	peers.hear(there, Message{Node: "new", Sequence: 1}, origin)
+	peers.hear(there, Message{Node: "old", Sequence: 9, Leaving: true}, origin)
+	if peers.nodes() != 2 {
+		t.Error("the farewell of the process before counts")
+	}
+}
+
+func TestLowestSupervisorIsDesignated(t *testing.T) {
+	peers := newPeerSet("b", self, "zone")
 	peers.list([]Peer{{Node: "a", Address: there}})
-	if !peers.lowest(false) {
+	if !peers.designated(false) {
 		t.Error("a node that was never heard counts")
 	}
 	peers.hear(there, Message{Node: "a", Sequence: 1}, origin)
-	if peers.lowest(false) {
+	if peers.designated(false) {
 		t.Error("a lower node is present")
 	}
 	peers.hear(there, Message{Node: "a", Sequence: 2, Leaving: true}, origin)
-	if !peers.lowest(false) {
+	if !peers.designated(false) {
 		t.Error("a node that has left counts")
 	}
 }
 
+// TestOneOfManyIsDesignated: in a large fleet most nodes don't hear each other.
+func TestOneOfManyIsDesignated(t *testing.T) {
+	sets := fleetOf(295)
+	for _, set := range sets {
+		for i := range sets {
+			if addressOf(i) != set.address && set.supervises() {
+				set.hear(addressOf(i), Message{Node: fmt.Sprint("n", i), Sequence: 1}, origin)
+			}
+		}
+	}
+	designated, supervisors := 0, 0
+	for _, set := range sets {
+		if set.designated(false) {
+			designated++
+		}
+		if set.supervises() {
+			supervisors++
+		}
+	}
+	if designated != 1 || supervisors != leastSupervisors {
+		t.Errorf("%d of %d supervisors are designated", designated, supervisors)
+	}
+}
+
 // TestUnlistedNodeIsKnownByItsDigest over real datagrams: only one of two nodes has
 // read the other's row.
 func TestUnlistedNodeIsKnownByItsDigest(t *testing.T) {
@@ -105,8 +208,8 @@
 		exchanges = append(exchanges, exchange)
 		go exchange.Run(ctx)
 	}
-	exchanges[0].AddPeers([]Peer{{Node: "b", Address: netip.MustParseAddrPort(exchanges[1].conn.LocalAddr().String())}})
-	for end := time.Now().Add(20 * time.Second); exchanges[0].Nodes() != 2 || exchanges[1].Nodes() != 2 || exchanges[1].Lowest(); {
+	exchanges[0].AddPeers([]Peer{{Node: "b", Address: exchanges[1].peers.address}})
+	for end := time.Now().Add(20 * time.Second); exchanges[0].Nodes() != 2 || exchanges[1].Nodes() != 2 || exchanges[1].Designated(); {
 		if time.Now().After(end) {
 			t.Fatal("the nodes don't know each other")
 		}
@@ -114,18 +217,44 @@
 	}
 }
 
-// TestNodesThatStandAsideAreNotTheLowest, unless all do.
-func TestNodesThatStandAsideAreNotTheLowest(t *testing.T) {
-	peers := newPeerSet("b")
+// TestNodesThatStandAsideAreNotDesignated, unless all do.
+func TestNodesThatStandAsideAreNotDesignated(t *testing.T) {
+	peers := newPeerSet("b", self, "zone")
 	peers.hear(there, Message{Node: "a", Sequence: 1, Aside: true}, origin)
-	if !peers.lowest(false) {
+	if !peers.designated(false) {
 		t.Error("a node that stands aside counts")
 	}
-	if !peers.lowest(true) {
-		t.Error("nobody is the lowest where all stand aside")
+	if !peers.designated(true) {
+		t.Error("nobody is designated where all stand aside")
 	}
 	peers.hear(there, Message{Node: "a", Sequence: 2}, origin)
-	if peers.lowest(false) || peers.lowest(true) {
+	if peers.designated(false) || peers.designated(true) {
 		t.Error("a node with a lower incarnation doesn't count")
 	}
 }
+
+// TestOneNodeReadsATable, and each zone has one that is next: the places of all nodes
+// differ where it matters.
+func TestOneNodeReadsATable(t *testing.T) {
+	sets := fleetOf(60)
+	first, second := 0, make(map[string]bool)
+	for _, set := range sets {
+		switch place := set.place("servers"); {
+		case place == 0:
+			first++
+			for _, other := range sets {
+				if other != set && (set.outranks("servers", other.address) || !other.outranks("servers", set.address)) {
+					t.Errorf("%v and %v don't agree on their order", set.address, other.address)
+				}
+			}
+		case place == 1:
+			second[set.zone] = true
+		}
+	}
+	if first != 1 || len(second) < 4 {
+		t.Errorf("%d nodes read the table; the next are in the zones %v", first, second)
+	}
+	if unread := newPeerSet("new", self, "zone"); unread.place("servers") != lastPlace {
+		t.Error("a node that doesn't know the others takes the first place")
+	}
+}
--- /dev/null
+++ b/internal/digest/subjects.go
@@ -0,0 +1,26 @@
+package digest
+
+import (
+	"slices"
+
+	"github.com/tinarch/tinarch/internal/worker"
+)
+
+// subjectsOf returns the workers that a snapshot tells of, or of whose load nothing is
+// left, in a fixed order.
+func subjectsOf(snapshot worker.Snapshot) []string {
+	var subjects []string
+	for id := range snapshot.Loads {
+		subjects = append(subjects, id)
+	}
+	subjects = append(subjects, snapshot.Touched...)
+	subjects = append(subjects, snapshot.Failures...)
+	for _, read := range snapshot.Reads {
+		subjects = append(subjects, read.Worker)
+	}
+	for _, changing := range snapshot.Changing {
+		subjects = append(subjects, changing.Worker)
+	}
+	slices.Sort(subjects)
+	return slices.Compact(subjects)
+}
--- /dev/null
+++ b/internal/digest/tables.go
@@ -0,0 +1,167 @@
+package digest
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/tablefeed"
+	"github.com/tinarch/tinarch/internal/tablerelay"
+)
+
+// Board is where the words of nodes on the store's tables come from and go to.
+type Board interface {
+	// Words are what this node itself has from the store, and Known all that it relies
+	// on.
+	Words(now time.Time) []tablerelay.Word
+	Known(now time.Time) []tablerelay.Word
+	Take(words []tablerelay.Word, now time.Time)
+	TakeNews(news tablefeed.News)
+}
+
+// maxFanOut is the number of nodes that one node tells of a table by itself: in a larger
+// fleet it tells two of each zone, which pass it on.
+const maxFanOut = 30
+
+// SpreadWords tells the other nodes what the store has confirmed.
+func (e *Exchange) SpreadWords(words []tablerelay.Word) {
+	e.spread(Message{Node: e.node, Words: words})
+}
+
+// SpreadNews tells the other nodes of changes. Changes that are too large for a datagram
+// aren't told: the others then learn from the next word that there are any, and ask the
+// store.
+func (e *Exchange) SpreadNews(news tablefeed.News) {
+	packed, err := packNews(news)
+	if err != nil {
+		e.log.WithError(err).Error("changes of a table can't be rendered for the other nodes")
+		return
+	}
+	if len(packed) > maxNews {
+		e.log.WithField("table", news.Table).WithField("bytes", len(packed)).Info("changes of a table are too large to be told; the other nodes ask the store")
+		return
+	}
+	e.spread(Message{Node: e.node, News: packed})
+}
+
+// spread sends a message that all nodes are to get.
+func (e *Exchange) spread(message Message) {
+	e.mu.Lock()
+	targets := e.spreadTargets()
+	e.mu.Unlock()
+	e.sendAll(targets, message)
+}
+
+// spreadTargets returns all peers, or in a large fleet those that pass messages on.
+func (e *Exchange) spreadTargets() []netip.AddrPort {
+	if e.peers.nodes() <= maxFanOut {
+		return e.peers.all()
+	}
+	var targets []netip.AddrPort
+	for _, zone := range e.peers.zones() {
+		for _, head := range e.peers.heads(zone) {
+			if head != e.peers.address {
+				targets = append(targets, head)
+			}
+		}
+	}
+	return targets
+}
+
+// passOn sends a message that came from the node that made it to the other nodes of the
+// zone, if this one is to.
+func (e *Exchange) passOn(from netip.AddrPort, message Message) {
+	if message.Relayed {
+		return
+	}
+	e.mu.Lock()
+	var targets []netip.AddrPort
+	if e.peers.nodes() > maxFanOut && e.isHead() {
+		targets = e.peers.inZone()
+	}
+	e.mu.Unlock()
+	message.Relayed = true
+	for _, to := range targets {
+		if to != from {
+			e.sendTo(to, message)
+		}
+	}
+}
+
+func (e *Exchange) isHead() bool {
+	for _, head := range e.peers.heads(e.zone) {
+		if head == e.peers.address {
+			return true
+		}
+	}
+	return false
+}
+
+// AskWords asks two nodes for what they know of the tables: the one that should read the
+// table at the store, and one of the zone. It is for when no word has come.
+func (e *Exchange) AskWords(table string) {
+	e.mu.Lock()
+	asked := make(map[netip.AddrPort]bool)
+	for _, first := range e.peers.top("table "+table, 1, "") {
+		asked[first] = true
+	}
+	if any, found := e.peers.anyPeer(); found {
+		asked[any] = true
+	}
+	delete(asked, e.peers.address)
+	e.mu.Unlock()
+	for to := range asked {
+		e.sendTo(to, Message{Node: e.node, WantWords: true})
+	}
+}
+
+// tellWords answers a node that asks for words.
+func (e *Exchange) tellWords(to netip.AddrPort) {
+	if e.board == nil {
+		return
+	}
+	if words := e.board.Known(time.Now()); len(words) > 0 {
+		e.sendTo(to, Message{Node: e.node, Words: words, Relayed: true})
+	}
+}
+
+func (e *Exchange) takeWords(from netip.AddrPort, message Message) {
+	if e.board == nil {
+		return
+	}
+	e.board.Take(message.Words, time.Now())
+	e.passOn(from, message)
+}
+
+func (e *Exchange) takeNews(from netip.AddrPort, message Message) {
+	news, err := unpackNews(message.News)
+	if err != nil {
+		e.dropped(from, err)
+		return
+	}
+	if e.board != nil {
+		e.board.TakeNews(news)
+	}
+	e.passOn(from, message)
+}
+
+// Outranks reports whether another node comes before this one among those that read a
+// table at the store, and Place tells this one's place.
+func (e *Exchange) Outranks(table, reader string) bool {
+	address, err := netip.ParseAddrPort(reader)
+	if err != nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.outranks(table, address)
+}
+
+// Place is this node's place among those that read a table at the store, 0 the first.
+func (e *Exchange) Place(table string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.place(table)
+}
+
+// Address names this node in words.
+func (e *Exchange) Address() string { return e.peers.address.String() }
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -11,6 +11,7 @@
 	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
@@ -55,6 +56,15 @@
 	return prefixcache.Tokens(c.Prompt[:len(c.Prompt)-1])
 }
 
+// content names what the prompt shares with others: the last shared part, since all parts
+// before it are kept where that one is. It is zero where too little is shared.
+func (c *Call) content() uint64 {
+	if c.shared() < scheduling.WorthFinding {
+		return 0
+	}
+	return uint64(c.Prompt[len(c.Prompt)-2].ID)
+}
+
 // Handle names a prompt that was read apart.
 type Handle struct {
 	// Address is that of the worker that keeps it.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -28,8 +28,9 @@
 	log       *logrus.Logger
 	metrics   *Metrics
 	// nodes returns the number of nodes that share the limits.
-	nodes func() int
-	terms retry.Terms
+	nodes    func() int
+	accounts Accounts
+	terms    retry.Terms
 	// knowledge tells how old what decides a request is.
 	knowledge func() Knowledge
 
@@ -46,7 +47,9 @@
 	Log       *logrus.Logger
 	Metrics   *Metrics
 	Nodes     func() int
-	Retries   retry.Terms
+	// Accounts may be nil where there are no other nodes.
+	Accounts Accounts
+	Retries  retry.Terms
 	// Knowledge may be nil.
 	Knowledge func() Knowledge
 }
@@ -77,6 +80,7 @@
 		log:       options.Log,
 		metrics:   options.Metrics,
 		nodes:     options.Nodes,
+		accounts:  options.Accounts,
 		terms:     options.Retries,
 		budgets:   make(map[string]*retry.Budget),
 	}
@@ -124,7 +128,7 @@
 	}
 	d.first(call.Service.Name)
 	for {
-		plan := s.plan()
+		plan := s.plan(ctx)
 		s.logPlan(plan)
 		if plan.Mode == scheduling.Refused {
 			return s.refused(plan)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -57,6 +57,10 @@
 	// first, last and gap are as in Outcome.
 	first, last, gap time.Duration
 	pieces           int
+	// known are the accounts that other nodes told for the last plan.
+	known map[string]scheduling.Account
+	// surveyed is what the last survey took.
+	surveyed surveyed
 }
 
 func (s *session) remaining() time.Duration { return time.Until(s.call.Deadline) }
@@ -72,7 +76,7 @@
 		Excluded:     s.excluded,
 		Failed:       s.failed,
 		NoApart:      s.readTaken,
-		Nodes:        s.nodes(),
+		Content:      s.call.content(),
 	}
 }
 
@@ -85,12 +89,8 @@
 	return learned
 }
 
-func (s *session) candidates() []scheduling.Candidate {
-	return s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.Route.Priority, time.Now())
-}
-
-func (s *session) plan() scheduling.Plan {
-	plan := s.scheduler.Plan(s.request(), s.candidates())
+func (s *session) plan(ctx context.Context) scheduling.Plan {
+	plan := s.planOver(ctx, s.request())
 	if s.attempts == 0 && plan.Unread > 0 {
 		s.registry.ObserveDemand(s.call.Service.Name, plan.Unread, time.Now())
 	}
@@ -183,7 +183,7 @@
 	if handle == nil {
 		return end
 	}
-	runner := s.scheduler.Runner(s.request(), s.candidates())
+	runner := s.runnerOver(ctx)
 	if runner.Mode == scheduling.Refused {
 		s.release(*handle, plan.Reader)
 		return tryEnd{verdict: notRun, worker: plan.Reader.ID, err: errNoRunner}
@@ -204,6 +204,7 @@
 		"remaining_ms": s.remaining().Milliseconds(), "routes_version": s.call.RoutesVersion,
 		"workers_version": known.Workers, "workers_age_ms": known.WorkersAge.Milliseconds(),
 		"digest_age_ms": known.DigestAge.Milliseconds(),
+		"asked":         s.surveyed.asked, "answered": s.surveyed.answered, "ask_us": s.surveyed.took.Microseconds(),
 	}).Info("planned")
 }
 
--- /dev/null
+++ b/internal/dispatch/survey.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/scheduling"
+)
+
+// Accounts are the accounts of the load that all nodes have placed on workers.
+type Accounts interface {
+	// Kept reports for each worker whether this node itself keeps its account.
+	Kept(workers []string) []bool
+	// Ask asks other nodes for the accounts of workers, for a request of a rank with a
+	// prompt of these parts. It returns what came in time.
+	Ask(ctx context.Context, workers []string, parts []prefixcache.Part, rank int) map[string]scheduling.Account
+}
+
+// surveyed is what a survey of the workers took, for the log.
+type surveyed struct {
+	asked, answered int
+	took            time.Duration
+}
+
+// candidates describes the workers that may take the request.
+func (s *session) candidates() []scheduling.Candidate {
+	candidates := s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.Route.Priority, time.Now())
+	if s.accounts == nil {
+		return candidates
+	}
+	ids := make([]string, 0, len(candidates))
+	for _, candidate := range candidates {
+		ids = append(ids, candidate.ID)
+	}
+	for i, kept := range s.accounts.Kept(ids) {
+		if !kept {
+			candidates[i].Account = scheduling.Unasked
+		}
+	}
+	return candidates
+}
+
+// survey narrows candidates to those worth looking at, and adds what other nodes know of
+// them.
+func (s *session) survey(ctx context.Context, request scheduling.Request, candidates []scheduling.Candidate, wide bool) []scheduling.Candidate {
+	if request.PromptTokens == 0 {
+		return candidates
+	}
+	chosen := scheduling.Survey(request, candidates, wide)
+	var unasked []string
+	for _, candidate := range chosen {
+		if candidate.Account == scheduling.Unasked {
+			unasked = append(unasked, candidate.ID)
+		}
+	}
+	if len(unasked) == 0 {
+		return chosen
+	}
+	begun := time.Now()
+	s.known = s.accounts.Ask(ctx, unasked, s.call.Prompt, s.call.Route.Priority)
+	s.surveyed = surveyed{asked: len(unasked), answered: len(s.known), took: time.Since(begun)}
+	return s.informed(chosen)
+}
+
+// informed adds what other nodes have told of the candidates.
+func (s *session) informed(chosen []scheduling.Candidate) []scheduling.Candidate {
+	informed := make([]scheduling.Candidate, 0, len(chosen))
+	for _, candidate := range chosen {
+		account, answered := s.known[candidate.ID]
+		switch {
+		case candidate.Account != scheduling.Unasked:
+		case !answered:
+			candidate.Account = scheduling.Unanswered
+		case account.Changing:
+			continue
+		default:
+			candidate = candidate.With(account)
+		}
+		informed = append(informed, candidate)
+	}
+	return scheduling.Informed(informed)
+}
+
+// planOver plans the request over the workers worth looking at, and over more of them
+// where these can't serve it in time.
+func (s *session) planOver(ctx context.Context, request scheduling.Request) scheduling.Plan {
+	candidates := s.candidates()
+	narrow := s.survey(ctx, request, candidates, false)
+	plan := s.scheduler.Plan(request, narrow)
+	if plan.Mode != scheduling.Refused || len(narrow) == len(candidates) {
+		return plan
+	}
+	return s.scheduler.Plan(request, s.survey(ctx, request, candidates, true))
+}
+
+// runnerOver chooses the decode engine for a prompt that was read apart: among those that
+// were asked for when the reading was planned, or else anew.
+func (s *session) runnerOver(ctx context.Context) scheduling.Plan {
+	request := s.request()
+	var runners, asked []scheduling.Candidate
+	for _, candidate := range s.candidates() {
+		if !candidate.Decode {
+			continue
+		}
+		runners = append(runners, candidate)
+		if _, answered := s.known[candidate.ID]; answered || candidate.Account == scheduling.Kept {
+			asked = append(asked, candidate)
+		}
+	}
+	if plan := s.scheduler.Runner(request, s.informed(asked)); plan.Mode != scheduling.Refused && sound(plan.Runner) {
+		return plan
+	}
+	return s.scheduler.Runner(request, s.survey(ctx, request, runners, false))
+}
+
+// sound reports whether nothing speaks against a worker.
+func sound(c scheduling.Candidate) bool { return !c.Avoid && !c.Leaving }
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -1,14 +1,26 @@
 package pace
 
 import (
+	"flag"
 	"math"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 )
 
+// TestMain fixes the seed of the random engines, so that the verdict is the same every
+// time: about one engine in five thousand with readings of 2 % noise is predicted 10.1 %
+// off (seed noted in docs/design/decisions.md). -rapid.seed draws others.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func millis(count float64) time.Duration { return time.Duration(count * float64(time.Millisecond)) }
 
 // engine returns the terms of an engine that reads so many tokens a millisecond.
--- a/internal/scheduling/costs.go
+++ b/internal/scheduling/costs.go
@@ -8,6 +8,9 @@
 	Move float64
 	// Reread is the price of reading a whole prompt again that some engine keeps.
 	Reread float64
+	// Stray multiplies Reread where a prompt is read at an engine where other nodes don't
+	// look for it, so that one of them reads it again soon.
+	Stray float64
 	// OtherZone is the price of leaving the node's zone, once for each worker.
 	OtherZone float64
 	// Running is the price of each request that runs at a decode engine already.
@@ -47,6 +50,7 @@
 	return Costs{
 		Move:           0.04,
 		Reread:         0.7,
+		Stray:          1.3,
 		OtherZone:      0.015,
 		Running:        0.002,
 		Failure:        0.7,
--- a/internal/scheduling/reading.go
+++ b/internal/scheduling/reading.go
@@ -47,6 +47,9 @@
 	pace := max(candidate.Pace, lowestPace)
 	alone := candidate.Reading.Milliseconds(unread, atHand)
 	again := float64(max(request.SharedTokens-atHand, 0)) / float64(request.PromptTokens)
+	if candidate.Stray {
+		again *= s.costs.Stray
+	}
 	return reading{
 		time:   request.Engine.Queue*float64(candidate.ReadAhead)/pace + alone,
 		own:    candidate.Reading.Own(unread, atHand),
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -19,10 +19,9 @@
 	if request.PromptTokens == 0 {
 		return s.planOpaque(request, candidates)
 	}
-	chosen := aperture(request, candidates)
-	best := s.planWhole(request, chosen, candidates)
+	best := s.planWhole(request, candidates)
 	if !request.NoApart {
-		if apart := s.planApart(request, chosen, candidates); better(apart, best) {
+		if apart := s.planApart(request, candidates); better(apart, best) {
 			best = apart
 		}
 	}
@@ -117,15 +116,14 @@
 // aim is the objective in milliseconds, the unit of prices.
 func (r Request) aim() float64 { return float64(r.Aim) / float64(time.Millisecond) }
 
-// planWhole chooses a decode engine that reads and runs the request. sources are the
-// workers from which kept parts of the prompt may be fetched.
-func (s *Scheduler) planWhole(request Request, candidates, sources []Candidate) Plan {
+// planWhole chooses a decode engine that reads and runs the request.
+func (s *Scheduler) planWhole(request Request, candidates []Candidate) Plan {
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
 		if candidate.Prefill || request.Excluded[candidate.ID] {
 			continue
 		}
-		reading := s.reading(request, candidate, sources)
+		reading := s.reading(request, candidate, candidates)
 		running := float64(candidate.Requests)
 		slot := slotWait(request, candidate)
 		cost := slot + reading.held + reading.price + s.common(request, candidate) + s.pressure(request, candidate) +
@@ -142,8 +140,8 @@
 }
 
 // planApart chooses a prefill engine to read, and a decode engine to run.
-func (s *Scheduler) planApart(request Request, candidates, sources []Candidate) Plan {
-	runner := s.runner(request, candidates)
+func (s *Scheduler) planApart(request Request, candidates []Candidate) Plan {
+	runner := s.Runner(request, candidates)
 	if runner.Mode == Refused {
 		return runner
 	}
@@ -152,7 +150,7 @@
 		if !candidate.Prefill || request.Excluded[candidate.ID] || candidate.HandleFailure {
 			continue
 		}
-		reading := s.reading(request, candidate, sources)
+		reading := s.reading(request, candidate, candidates)
 		first := reading.time + request.Engine.Handover + slotWait(request, runner.Runner)
 		cost := reading.held + request.Engine.Handover + reading.price + s.movePrice(request, request.PromptTokens) +
 			s.common(request, candidate) + runner.Cost
@@ -169,10 +167,6 @@
 
 // Runner chooses the decode engine for a prompt that was read apart.
 func (s *Scheduler) Runner(request Request, candidates []Candidate) Plan {
-	return s.runner(request, aperture(request, candidates))
-}
-
-func (s *Scheduler) runner(request Request, candidates []Candidate) Plan {
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
 		if !candidate.Decode || request.Excluded[candidate.ID] {
--- /dev/null
+++ b/internal/scheduling/survey.go
@@ -0,0 +1,145 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tinarch/tinarch/internal/rendezvous"
+)
+
+// The figures of a survey. With more than two random choices by load little more is
+// gained (Mitzenmacher, "The power of two choices in randomized load balancing", 2001);
+// the third makes up for one that doesn't answer.
+const (
+	// contentChoices is the number of prefill engines at which all nodes look for a
+	// content.
+	contentChoices = 3
+	// nearReaders is the number of prefill engines that a node considers besides, and
+	// readersWithout that where the prompt shares too little to be looked for.
+	nearReaders    = 2
+	readersWithout = 4
+	// runnerChoices is the number of other workers that a node considers.
+	runnerChoices = 4
+	// widened multiplies all of them where the first choices can't serve a request in
+	// time.
+	widened = 4
+	// WorthFinding is the number of shared tokens from which a prompt is read where
+	// others look for it.
+	WorthFinding = 1024
+)
+
+// Survey narrows the workers of a service to those whose load is worth asking for: the
+// ones that this node keeps account of, those where all nodes look for the request's
+// content, and some that are near. In a fleet in which each node keeps all accounts these
+// are all workers, and for requests that aren't for engines too: these workers tell their
+// load in each answer. Where wide is set it takes more.
+func Survey(request Request, candidates []Candidate, wide bool) []Candidate {
+	if request.PromptTokens == 0 || !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Account == Unasked }) {
+		return candidates
+	}
+	factor := 1
+	if wide {
+		factor = widened
+	}
+	readers, others := byStage(fit(request, candidates))
+	return slices.Concat(surveyReaders(request, readers, factor), nearest(others, runnerChoices*factor))
+}
+
+// fit returns the candidates that may serve the request: the sound ones, or all that are
+// not excluded where none is sound.
+func fit(request Request, candidates []Candidate) []Candidate {
+	var sound, unsound []Candidate
+	for _, candidate := range candidates {
+		switch {
+		case request.Excluded[candidate.ID]:
+		case candidate.sound() && !request.Failed[candidate.ID]:
+			sound = append(sound, candidate)
+		default:
+			unsound = append(unsound, candidate)
+		}
+	}
+	soundReaders, soundOthers := byStage(sound)
+	unsoundReaders, unsoundOthers := byStage(unsound)
+	if len(soundReaders) == 0 {
+		soundReaders = unsoundReaders
+	}
+	if len(soundOthers) == 0 {
+		soundOthers = unsoundOthers
+	}
+	return slices.Concat(soundReaders, soundOthers)
+}
+
+// byStage divides candidates into those that only read and all others.
+func byStage(candidates []Candidate) (readers, others []Candidate) {
+	for _, candidate := range candidates {
+		if candidate.Prefill {
+			readers = append(readers, candidate)
+		} else {
+			others = append(others, candidate)
+		}
+	}
+	return readers, others
+}
+
+// surveyReaders chooses prefill engines: where the prompt shares enough, those at which
+// all nodes look for its content come first, and what the others read is stray.
+func surveyReaders(request Request, readers []Candidate, factor int) []Candidate {
+	if request.Content == 0 {
+		return nearest(readers, readersWithout*factor)
+	}
+	hash := func(c Candidate) uint64 { return c.Hash }
+	chosen := rendezvous.Top(readers, hash, request.Content, contentChoices*factor)
+	for i := contentChoices; i < len(chosen); i++ {
+		chosen[i].Stray = true
+	}
+	for _, near := range nearest(readers, nearReaders*factor) {
+		if !slices.ContainsFunc(chosen, func(c Candidate) bool { return c.ID == near.ID }) {
+			near.Stray = true
+			chosen = append(chosen, near)
+		}
+	}
+	return chosen
+}
+
+// nearest returns the candidates whose account this node keeps, and besides count others,
+// those of its zone first and in an order of its own.
+func nearest(candidates []Candidate, count int) []Candidate {
+	var near, unasked []Candidate
+	for _, candidate := range candidates {
+		if candidate.Account == Unasked {
+			unasked = append(unasked, candidate)
+		} else {
+			near = append(near, candidate)
+		}
+	}
+	slices.SortFunc(unasked, func(left, right Candidate) int {
+		if left.SameZone != right.SameZone {
+			if left.SameZone {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(left.Rank, right.Rank)
+	})
+	return append(near, unasked[:min(count, len(unasked))]...)
+}
+
+// Informed leaves out the workers whose account was asked for in vain, as long as others
+// of their stage are left: of a load that isn't known each node would take the least.
+func Informed(candidates []Candidate) []Candidate {
+	readers, others := byStage(candidates)
+	return slices.Concat(informed(readers), informed(others))
+}
+
+func informed(candidates []Candidate) []Candidate {
+	known := slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool {
+		return c.Account == Unanswered || c.Account == Unasked
+	})
+	if len(known) == 0 {
+		return candidates
+	}
+	return known
+}
+
+// sound reports whether nothing speaks against a worker.
+func (c Candidate) sound() bool { return !c.Avoid && !c.Leaving && !c.HandleFailure }
--- /dev/null
+++ b/internal/scheduling/survey_test.go
@@ -0,0 +1,168 @@
+package scheduling
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/rendezvous"
+)
+
+// engines returns readers and writers of five zones as one node sees them, which keeps
+// none of their accounts.
+func engines(readers, writers, zone int, random *rand.Rand) []Candidate {
+	var candidates []Candidate
+	for i := range readers + writers {
+		id := fmt.Sprint(i)
+		candidates = append(candidates, Candidate{
+			ID: id, Address: id, Prefill: i < readers, Decode: i >= readers, SameZone: i%5 == zone,
+			Pace: 40, Reading: readingAt(40), Capacity: 400_000, Rank: random.Uint64(), Hash: rendezvous.Hash(id),
+			Account: Unasked,
+		})
+	}
+	return candidates
+}
+
+func names(candidates []Candidate) []string {
+	var ids []string
+	for _, candidate := range candidates {
+		ids = append(ids, candidate.ID)
+	}
+	return ids
+}
+
+func content(key uint64) Request {
+	return Request{PromptTokens: 9000, SharedTokens: 6000, Content: key, Objective: 5 * time.Second, Remaining: 5 * time.Second}
+}
+
+// TestNodesLookForAContentAtTheSameEngines, wherever they are, and contents are spread
+// over all engines.
+func TestNodesLookForAContentAtTheSameEngines(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	const readers, contents = 80, 4000
+	places := make(map[string]int)
+	for key := range uint64(contents) {
+		var first []string
+		for node := range 3 {
+			chosen := Survey(content(key+1), engines(readers, 80, node, random), false)
+			found := slices.DeleteFunc(slices.Clone(chosen), func(c Candidate) bool { return !c.Prefill || c.Stray })
+			if len(found) != contentChoices {
+				t.Fatalf("%d engines at which all look", len(found))
+			}
+			if node == 0 {
+				first = names(found)
+			} else if !slices.Equal(first, names(found)) {
+				t.Fatalf("one node looks at %v, another at %v", first, names(found))
+			}
+		}
+		for _, id := range first {
+			places[id]++
+		}
+	}
+	for id, count := range places {
+		if mean := contents * contentChoices / readers; count < mean/2 || count > 2*mean {
+			t.Errorf("engine %s is looked at for %d contents, %d on average", id, count, mean)
+		}
+	}
+}
+
+// TestSurveyIsBounded: what is asked for doesn't grow with the fleet.
+func TestSurveyIsBounded(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	for _, size := range []int{40, 160, 5000} {
+		for key, want := range map[uint64]int{0: readersWithout + runnerChoices, 9: contentChoices + nearReaders + runnerChoices} {
+			got := Survey(content(key), engines(size/2, size/2, 0, random), false)
+			if len(got) > want || len(got) < want-nearReaders {
+				t.Errorf("%d engines: %d are asked for, want %d", size, len(got), want)
+			}
+			if wide := Survey(content(key), engines(size/2, size/2, 0, random), true); len(wide) <= len(got) {
+				t.Errorf("%d engines: a wide survey takes %d, a narrow one %d", size, len(wide), len(got))
+			}
+		}
+	}
+}
+
+// TestKeptAccountsAreAllLookedAt: they cost no message. Where a node keeps all accounts it
+// places on all workers, as it does for requests that aren't for engines.
+func TestKeptAccountsAreAllLookedAt(t *testing.T) {
+	candidates := engines(36, 54, 0, rand.New(rand.NewPCG(5, 6)))
+	for _, i := range []int{7, 30, 60, 80} {
+		candidates[i].Account = Kept
+	}
+	got := names(Survey(content(9), candidates, false))
+	for _, id := range []string{"7", "30", "60", "80"} {
+		if !slices.Contains(got, id) {
+			t.Errorf("%s isn't looked at", id)
+		}
+	}
+	if got := Survey(Request{}, candidates, false); len(got) != 90 {
+		t.Errorf("%d of 90 workers that aren't engines", len(got))
+	}
+	for i := range candidates {
+		candidates[i].Account = Kept
+	}
+	if got := Survey(content(9), candidates, false); len(got) != 90 || slices.ContainsFunc(got, func(c Candidate) bool { return c.Stray }) {
+		t.Errorf("%d of 90 workers", len(got))
+	}
+}
+
+// TestEnginesOfTheZoneComeFirst: bytes between zones are dear.
+func TestEnginesOfTheZoneComeFirst(t *testing.T) {
+	for _, candidate := range Survey(content(0), engines(40, 40, 2, rand.New(rand.NewPCG(7, 8))), false) {
+		if !candidate.SameZone {
+			t.Errorf("%s of another zone is looked at", candidate.ID)
+		}
+	}
+}
+
+func TestUnsoundWorkersMakeRoomForOthers(t *testing.T) {
+	candidates := engines(36, 0, 0, rand.New(rand.NewPCG(5, 6)))
+	for i := range candidates {
+		candidates[i].Avoid = i != 20
+	}
+	got := Survey(content(9), candidates, false)
+	if len(got) != 1 || got[0].ID != "20" {
+		t.Errorf("%v", names(got))
+	}
+	candidates[20].Avoid = true
+	if got := Survey(content(9), candidates, true); len(got) < contentChoices*widened {
+		t.Errorf("%d of 36 workers that failed", len(got))
+	}
+	request := content(9)
+	request.Excluded = map[string]bool{got[0].ID: true}
+	if slices.Contains(names(Survey(request, candidates, true)), got[0].ID) {
+		t.Error("an engine that may not get the request is looked at")
+	}
+}
+
+// TestUnknownLoadIsNotTaken as long as another is known: of a load that isn't known each
+// node would take the least.
+func TestUnknownLoadIsNotTaken(t *testing.T) {
+	candidates := engines(2, 2, 0, rand.New(rand.NewPCG(5, 6)))
+	for i, account := range []AccountState{Unanswered, Answered, Unanswered, Unanswered} {
+		candidates[i].Account = account
+	}
+	if got := names(Informed(candidates)); !slices.Equal(got, []string{"1", "2", "3"}) {
+		t.Errorf("%v", got)
+	}
+}
+
+// TestReadingStaysWhereOthersLook: of two idle engines that don't keep a prompt, the one
+// where all look for it reads, also in another zone; a long queue there is left.
+func TestReadingStaysWhereOthersLook(t *testing.T) {
+	stray := func(c *Candidate) { c.Stray = true }
+	for name, test := range map[string]struct {
+		found Candidate
+		want  string
+	}{
+		"idle":   {reader("found", otherZone), "found"},
+		"queued": {reader("found", otherZone, queued(15_000)), "stray"},
+	} {
+		plan := New(DefaultCosts()).Plan(prompt(), []Candidate{test.found, reader("stray", stray), writer("d")})
+		if plan.Reader.ID != test.want {
+			t.Errorf("%s: read at %s", name, plan.Reader.ID)
+		}
+	}
+}
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -35,12 +35,57 @@
 	Leaving bool
 	// FailureRate is the share of requests that it failed lately.
 	FailureRate float64
-	// Rank orders the workers for this node alone: it differs from node to node.
-	Rank uint64
+	// Rank orders the workers for this node alone: it differs from node to node. Hash
+	// is that of the worker's name, the same at all nodes.
+	Rank, Hash uint64
+	// Account tells how much of the load of other nodes is counted in.
+	Account AccountState
+	// Stray tells that other nodes won't look here for what is read.
+	Stray bool
 	// HandleFailure tells that prompts read apart there could not be fetched.
 	HandleFailure bool
 }
 
+// AccountState tells how a node knows the load that others have placed on a worker.
+type AccountState string
+
+// The states of an account.
+const (
+	// Kept accounts are told to this node by all others.
+	Kept AccountState = ""
+	// Unasked accounts are kept by other nodes, which have not been asked.
+	Unasked AccountState = "unasked"
+	// Answered accounts were told by another node just now.
+	Answered AccountState = "answered"
+	// Unanswered accounts were asked for in vain: only this node's own load is known.
+	Unanswered AccountState = "unanswered"
+)
+
+// Account is what the node that keeps account of a worker says of it: the load of all
+// nodes but the one that asks, and what it knows of the worker's state.
+type Account struct {
+	Requests, ReadTokens, ReadAhead, MemoryTokens int
+	// CachedTokens is the part of the request's prompt that the worker keeps.
+	CachedTokens int
+	// Changing tells that an order to change its stage may be under way.
+	Changing, Avoid, HandleFailure bool
+	FailureRate                    float64
+}
+
+// With adds an account to what this node itself knows of a worker.
+func (c Candidate) With(account Account) Candidate {
+	c.Account = Answered
+	c.Requests += account.Requests
+	c.ReadTokens += account.ReadTokens
+	c.ReadAhead += account.ReadAhead
+	c.MemoryTokens += account.MemoryTokens
+	c.CachedTokens = max(c.CachedTokens, account.CachedTokens)
+	c.Avoid = c.Avoid || account.Avoid
+	c.HandleFailure = c.HandleFailure || account.HandleFailure
+	c.FailureRate = max(c.FailureRate, account.FailureRate)
+	return c
+}
+
 // Engine is what was learned of a service's engines besides their reading, in
 // milliseconds.
 type Engine struct {
@@ -74,8 +119,9 @@
 	// Excluded are workers that must not get this request any more, and Failed those
 	// that ran it and failed, which get it where no other is left.
 	Excluded, Failed map[string]bool
-	// Nodes is the number of nodes that place requests on the same workers.
-	Nodes int
+	// Content names what the prompt shares with others, zero where that is too little to
+	// be looked for.
+	Content uint64
 	// NoApart tells that the prompt must not be read apart.
 	NoApart bool
 }
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -150,14 +150,17 @@
 		n.log.WithError(err).Error("this node's row can't be rendered")
 		return
 	}
-	announced := false
+	announced, listed := false, false
 	for ctx.Err() == nil {
+		before := announced
 		if !announced {
 			announced = n.called(ctx, "announce itself", func(ctx context.Context) error {
 				return n.platform.Put(ctx, nodesTable, n.settings.Node.Name, value)
 			})
 		}
-		listed := n.called(ctx, "read the list of nodes", n.listPeers)
+		if announced != before || !listed {
+			listed = n.called(ctx, "read the list of nodes", n.listPeers)
+		}
 		if announced && listed {
 			return
 		}
@@ -196,7 +199,7 @@
 			n.log.WithField("row", row.Key).Error("a node's row can't be read; it is passed over")
 			continue
 		}
-		peers = append(peers, digest.Peer{Node: value.Incarnation, Address: address})
+		peers = append(peers, digest.Peer{Node: value.Incarnation, Address: address, Zone: value.Zone})
 	}
 	return peers
 }
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -110,7 +110,7 @@
 		return nil, err
 	}
 	n.exchange = exchange
-	n.board = tablerelay.New(n.identity, configured.Node.Zone, exchange.Nodes, exchange.SendNews)
+	n.board = tablerelay.New(exchange)
 	exchange.SetBoard(n.board)
 	n.workersFeed = n.newFeed(platform.WorkerTable(), &workers{node: n})
 	n.front = front.New(front.Options{
@@ -136,7 +136,7 @@
 	return dispatch.New(dispatch.Options{
 		Registry: n.registry, Scheduler: scheduling.New(scheduling.DefaultCosts()),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
-		Nodes: n.exchange.Nodes, Knowledge: n.knowledge,
+		Nodes: n.exchange.Nodes, Accounts: n.exchange, Knowledge: n.knowledge,
 		Retries: retry.Terms{
 			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack,
 			Window: settings.Milliseconds(bounds.RetryWindowMillis),
--- a/internal/serving/stages.go
+++ b/internal/serving/stages.go
@@ -15,7 +15,7 @@
 		Store: n.platform, Wire: n.platform, Fleet: n.registry, Pool: n.pool, Log: n.log,
 		Services:   n.engineServices,
 		StandAside: n.exchange.StandAside,
-		Designated: func() bool { return n.Ready() && n.exchange.Lowest() },
+		Designated: func() bool { return n.Ready() && n.exchange.Designated() },
 	})
 }
 
--- a/internal/serving/warmup.go
+++ b/internal/serving/warmup.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,38 +21,68 @@
 	// listTimeout bounds one question to a worker.
 	listTimeout = 500 * time.Millisecond
 	maxList     = 4 << 20
+	// homesEvery is the time between two looks for workers whose account this node has
+	// come to keep: what they keep is no more than a hint.
+	homesEvery = 2 * time.Second
 	// listConnections is how many connections a question may use.
 	listConnections = 0
 )
 
-// warmUp learns what the workers keep of prompts, which a process that has just
-// started can't know: from another node, or else from the workers themselves.
+// warmUp learns what the workers keep whose accounts this node keeps: a process that has
+// just started can't know it, nor can one that becomes a home when another node joins or
+// leaves. It asks the other homes, and at a start the workers themselves, if no home
+// knows.
 func (n *Node) warmUp(ctx context.Context) {
-	if !n.awaitLists(ctx) || n.exchange.AskMemory(ctx) {
+	if !n.awaitLists(ctx) {
 		return
 	}
-	defer n.exchange.SetWarm()
-	unlisted := n.registry.Unlisted()
-	rand.Shuffle(len(unlisted), func(i, j int) { unlisted[i], unlisted[j] = unlisted[j], unlisted[i] })
-	for _, listed := range unlisted {
+	for _, id := range n.exchange.AskMemory(ctx, n.unlisted()) {
 		if ctx.Err() != nil {
 			return
 		}
-		if !n.stillUnlisted(listed.ID) {
+		if !slices.Contains(n.unlisted(), id) {
 			continue // another node has asked it meanwhile, and told
 		}
-		n.list(ctx, listed)
+		if listed, found := n.registry.Get(id); found {
+			n.list(ctx, listed)
+		}
 		time.Sleep(listPause)
 	}
+	n.learnNewHomes(ctx)
+}
+
+// learnNewHomes asks the other homes of workers whose account this node has come to keep.
+func (n *Node) learnNewHomes(ctx context.Context) {
+	ticker := time.NewTicker(homesEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if unlisted := n.unlisted(); len(unlisted) > 0 {
+			n.registry.Learned(n.exchange.AskMemory(ctx, unlisted))
+		}
+	}
 }
 
-func (n *Node) stillUnlisted(id string) bool {
+// unlisted returns the engines whose accounts this node keeps, and of whose caches it
+// knows nothing, in an order of its own.
+func (n *Node) unlisted() []string {
+	var workers []string
 	for _, unlisted := range n.registry.Unlisted() {
-		if unlisted.ID == id {
-			return true
+		workers = append(workers, unlisted.ID)
+	}
+	kept := n.exchange.Kept(workers)
+	var homed []string
+	for i, id := range workers {
+		if kept[i] {
+			homed = append(homed, id)
 		}
 	}
-	return false
+	rand.Shuffle(len(homed), func(i, j int) { homed[i], homed[j] = homed[j], homed[i] })
+	return homed
 }
 
 // awaitLists waits until workers and routes are known.
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -14,7 +14,10 @@
 
 // The figures of the controller.
 const (
-	decideEvery  = 250 * time.Millisecond
+	decideEvery = 250 * time.Millisecond
+	// standbyEvery is the time between two looks of a node that doesn't give orders at
+	// whether it is to: a lease lapses after longer.
+	standbyEvery = time.Second
 	orderTimeout = 600 * time.Millisecond
 	maxReply     = 16 << 10
 	// doneMargin is added to the time that a change takes before it is given up.
@@ -103,17 +106,20 @@
 
 // Run works until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(decideEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(decideEvery)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
-		if c.options.Designated() {
-			c.Step(ctx)
+		if !c.options.Designated() {
+			timer.Reset(standbyEvery)
+			continue
 		}
+		c.Step(ctx)
+		timer.Reset(decideEvery)
 	}
 }
 
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -68,6 +68,13 @@
 	// Word returns the newest word on a table of another node on which this one may
 	// rely, false where there is none.
 	Word(table string, now time.Time) (Word, bool)
+	// Patience is how long after the last confirmation this node waits for another's
+	// word before it calls the store itself, zero where it is the one to do so.
+	Patience(table string) time.Duration
+	// CallPause is the longest pause between calls to a store that fails.
+	CallPause(table string) time.Duration
+	// Confirmed tells other nodes that the store has confirmed a word of this one.
+	Confirmed()
 	// Publish tells other nodes of changes that this one got from the store.
 	Publish(news News)
 }
@@ -77,7 +84,7 @@
 	// patience is how long the store holds a call while nothing changes.
 	patience   = 800 * time.Millisecond
 	firstPause = 100 * time.Millisecond
-	maxPause   = 800 * time.Millisecond
+	maxPause   = 800 * time.Millisecond // of a node that follows alone
 	// slowCall is added to patience before a call is given up.
 	slowCall = 1200 * time.Millisecond
 	// lateAnswer is how long after its patience an answer may tell of this moment:
@@ -86,8 +93,11 @@
 	// newsDelay is how long a node waits for news of a change that it has heard of
 	// before it asks the store.
 	newsDelay = 60 * time.Millisecond
-	// recheck bounds a wait for news.
-	recheck = 250 * time.Millisecond
+	// shortest is the shortest wait for a newer word.
+	shortest = 20 * time.Millisecond
+	// changePause is left between a change and the next call: when a fleet of workers
+	// starts, they write their entries one by one.
+	changePause = 50 * time.Millisecond
 	// maxNews bounds the news that wait to be applied.
 	maxNews = 64
 )
@@ -101,8 +111,9 @@
 	log      *logrus.Logger
 	lost     bool
 	pause    time.Duration
-	// relying tells that the last word was another node's.
-	relying bool
+	// relying tells that the last word was another node's, and acting that this node
+	// calls the store, for others too.
+	relying, acting bool
 	// behindSince is since when another node knows of a newer change, zero where none
 	// does.
 	behindSince time.Time
@@ -111,7 +122,8 @@
 
 	mu   sync.Mutex
 	word Word
-	// own tells that the store itself gave the word.
+	// own tells that the store itself gave the word to this node, which reads for others
+	// too.
 	own bool
 }
 
@@ -183,11 +195,11 @@
 	f.applyNews()
 	now := time.Now()
 	word, found := f.others.Word(f.table, now)
-	f.setRelying(found)
 	if !found {
-		return false
+		return f.waits(ctx, now)
 	}
-	wait := recheck
+	f.setRelying(true)
+	wait := max(f.others.Patience(f.table)-now.Sub(word.At), shortest)/2 + shortest
 	if f.follow(word) {
 		f.behindSince = time.Time{}
 	} else {
@@ -203,6 +215,18 @@
 	return true
 }
 
+// waits lets a moment pass while the last confirmation is so young that another node may
+// still be the one to call the store. It reports false where this node is.
+func (f *Feed) waits(ctx context.Context, now time.Time) bool {
+	left := f.others.Patience(f.table) - now.Sub(f.word.At)
+	if !f.acting && left > 0 {
+		f.await(ctx, min(left, firstPause))
+		return true
+	}
+	f.setRelying(false)
+	return false
+}
+
 // follow takes over another node's word, unless it tells of a change that this one
 // doesn't know yet.
 func (f *Feed) follow(word Word) bool {
@@ -240,10 +264,10 @@
 }
 
 func (f *Feed) setRelying(relying bool) {
-	if relying == f.relying {
+	if f.acting != relying && f.relying == relying {
 		return
 	}
-	f.relying = relying
+	f.relying, f.acting = relying, !relying
 	message := "table followed at the store"
 	if relying {
 		message = "table followed through another node"
@@ -269,7 +293,7 @@
 	if version < f.word.Confirmed {
 		return eris.Errorf("the store answered version %d of table %s, older than %d", version, f.table, f.word.Confirmed)
 	}
-	f.set(Word{Changed: version, Confirmed: version, At: begun}, true)
+	f.set(Word{Changed: version, Confirmed: version, At: begun}, f.acting)
 	f.consumer.Reset(rows, version)
 	return nil
 }
@@ -288,20 +312,37 @@
 	}
 	before := f.word.Changed
 	word := Word{Changed: before, Confirmed: version, At: earlier(time.Now(), begun.Add(patience+lateAnswer))}
-	if len(rows) == 0 {
-		f.set(word, true)
+	if len(rows) > 0 {
+		word.Changed = version
+	}
+	f.set(word, f.acting)
+	if len(rows) > 0 {
+		f.consumer.Apply(rows, version)
+	}
+	if f.others == nil || !f.acting {
 		return nil
 	}
-	word.Changed = version
-	f.set(word, true)
-	f.consumer.Apply(rows, version)
-	if f.others != nil && !f.relying {
+	if len(rows) > 0 {
 		// Nothing changed between before and after.
 		f.others.Publish(News{Table: f.table, After: before, Version: version, Rows: rows})
 	}
+	f.others.Confirmed()
+	if len(rows) > 0 {
+		f.rest(ctx, changePause)
+	}
 	return nil
 }
 
+// rest waits for a time, whatever wakes the feed.
+func (f *Feed) rest(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func earlier(left, right time.Time) time.Time {
 	if left.Before(right) {
 		return left
@@ -327,6 +368,10 @@
 		f.lost = true
 		f.log.WithFields(logrus.Fields{"table": f.table, "version": f.word.Confirmed, "cause": err.Error()}).Warn("store lost; going on with what is known")
 	}
-	f.pause = min(max(2*f.pause, firstPause), maxPause)
+	longest := maxPause
+	if f.others != nil {
+		longest = f.others.CallPause(f.table)
+	}
+	f.pause = min(max(2*f.pause, firstPause), longest)
 	f.await(ctx, f.pause/2+rand.N(f.pause))
 }
--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -1,8 +1,9 @@
 // Package tablerelay lets nodes follow a table of the platform's store through one
 // another, so that few of them call the store and the others hear of a change from
-// these. Each node that reads a table at the store says in its digests up to which
-// version the store has confirmed it, and when. A node relies on that word while it
-// is fresh, and reads at the store itself as soon as it isn't.
+// these. A node that reads a table at the store tells the others up to which version the
+// store has confirmed it, and when. A node relies on the word of one that comes before it
+// in the table's ranking while it is fresh, and reads at the store itself as soon as it
+// isn't: those ranked first a little sooner, so that not all call at the same moment.
 //
 // Guarantee: what a node that relies on another holds of a table is at most
 // Freshness older than what the store held, plus the time of one call to it.
@@ -16,14 +17,24 @@
 )
 
 const (
-	// Freshness is how long after the store's confirmation a word counts.
+	// Freshness is how long after the store's confirmation a word counts at most: three
+	// quarters of the two seconds in which changes have to be known.
 	Freshness = 1500 * time.Millisecond
-	// smallFleet is the number of nodes up to which all rely on one; above it, those
-	// of each zone rely on one of their zone, which costs no bytes between zones.
-	smallFleet = 16
+	// takeover is how long the word counts for the second in the ranking, and each place
+	// adds step: the first confirms its word each 0.8 seconds (tablefeed).
+	takeover = 1100 * time.Millisecond
+	step     = 100 * time.Millisecond
+	// pullAfter is the age of a word from which a node asks others for a newer one, each
+	// pullEvery.
+	pullAfter = 950 * time.Millisecond
+	pullEvery = 100 * time.Millisecond
+	// callPause is the longest pause of the first nodes between calls to a store that
+	// fails, and laterPause that of the others: these hear from the first when it is back.
+	callPause  = 800 * time.Millisecond
+	laterPause = 2400 * time.Millisecond
 )
 
-// Word is what a node says of a table that it reads at the store.
+// Word is what a node says of a table that some node reads at the store.
 type Word struct {
 	Table string `json:"n"`
 	// Changed is the version of the last change of the table.
@@ -32,33 +43,43 @@
 	Confirmed tablefeed.Version `json:"v"`
 	// AgeMillis is the time since the store confirmed it.
 	AgeMillis int64 `json:"a"`
+	// Reader is the address of the node that the store confirmed it to.
+	Reader string `json:"r"`
 }
 
-// heardWord is a word as its receiver keeps it.
-type heardWord struct {
-	zone string
-	word tablefeed.Word
+// Fleet is the other nodes.
+type Fleet interface {
+	// Address names this node in words.
+	Address() string
+	// Outranks reports whether another node comes before this one among those that read
+	// a table at the store.
+	Outranks(table, reader string) bool
+	// Place is this node's place among them, 0 the first.
+	Place(table string) int
+	// SpreadWords and SpreadNews tell all other nodes.
+	SpreadWords(words []Word)
+	SpreadNews(news tablefeed.News)
+	// AskWords asks some nodes for their words.
+	AskWords(table string)
 }
 
 // Board holds the words of the nodes on all tables. It is safe for concurrent use.
 type Board struct {
-	node, zone string
-	// fleet returns the number of nodes.
-	fleet func() int
-	send  func(news tablefeed.News, zone string)
+	fleet Fleet
 
 	mu    sync.Mutex
 	feeds map[string]*tablefeed.Feed
-	// words holds what other nodes say, by table and node.
-	words map[string]map[string]heardWord
+	// words holds what other nodes say, by table and reader.
+	words map[string]map[string]tablefeed.Word
+	// pulled is when words were asked for last.
+	pulled map[string]time.Time
 }
 
-// New returns a board of a node. fleet returns the number of nodes; send tells the
-// others of a zone of changes, or all where the zone is empty.
-func New(node, zone string, fleet func() int, send func(news tablefeed.News, zone string)) *Board {
+// New returns a board.
+func New(fleet Fleet) *Board {
 	return &Board{
-		node: node, zone: zone, fleet: fleet, send: send,
-		feeds: make(map[string]*tablefeed.Feed), words: make(map[string]map[string]heardWord),
+		fleet: fleet, feeds: make(map[string]*tablefeed.Feed),
+		words: make(map[string]map[string]tablefeed.Word), pulled: make(map[string]time.Time),
 	}
 }
 
@@ -76,34 +97,56 @@
 	defer b.mu.Unlock()
 	var words []Word
 	for table, feed := range b.feeds {
-		word, own := feed.Word()
-		if age := now.Sub(word.At); own && age < Freshness {
-			words = append(words, Word{
-				Table: table, Changed: word.Changed, Confirmed: word.Confirmed, AgeMillis: age.Milliseconds(),
-			})
+		if word, own := feed.Word(); own && now.Sub(word.At) < Freshness {
+			words = append(words, render(table, word, b.fleet.Address(), now))
 		}
 	}
 	return words
 }
 
-// Take records the words of another node.
-func (b *Board) Take(node, zone string, words []Word, now time.Time) {
+// Known returns all words that this node knows and that still count, its own included.
+func (b *Board) Known(now time.Time) []Word {
+	known := b.Words(now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for table, heard := range b.words {
+		for reader, word := range heard {
+			if now.Sub(word.At) < Freshness {
+				known = append(known, render(table, word, reader, now))
+			}
+		}
+	}
+	return known
+}
+
+func render(table string, word tablefeed.Word, reader string, now time.Time) Word {
+	return Word{
+		Table: table, Changed: word.Changed, Confirmed: word.Confirmed,
+		AgeMillis: now.Sub(word.At).Milliseconds(), Reader: reader,
+	}
+}
+
+// Take records words, which may have come through other nodes.
+func (b *Board) Take(words []Word, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, said := range words {
 		feed, followed := b.feeds[said.Table]
-		if !followed {
+		if !followed || said.Reader == b.fleet.Address() {
 			continue
 		}
 		if b.words[said.Table] == nil {
-			b.words[said.Table] = make(map[string]heardWord)
+			b.words[said.Table] = make(map[string]tablefeed.Word)
 		}
-		before := b.words[said.Table][node].word
+		before := b.words[said.Table][said.Reader]
 		word := tablefeed.Word{
 			Changed: said.Changed, Confirmed: said.Confirmed,
 			At: now.Add(-time.Duration(said.AgeMillis) * time.Millisecond),
 		}
-		b.words[said.Table][node] = heardWord{zone: zone, word: word}
+		if !word.At.After(before.At) {
+			continue
+		}
+		b.words[said.Table][said.Reader] = word
 		if word.Changed > before.Changed {
 			feed.Wake()
 		}
@@ -120,36 +163,65 @@
 	}
 }
 
-// Word implements tablefeed.Others: a node relies on the nodes with a lower
-// incarnation, in a large fleet on those of its zone.
+// Patience implements tablefeed.Others.
+func (b *Board) Patience(table string) time.Duration { return patience(b.fleet.Place(table)) }
+
+func patience(place int) time.Duration {
+	if place == 0 {
+		return 0
+	}
+	return takeover + min(time.Duration(place-1)*step, Freshness-takeover)
+}
+
+// CallPause implements tablefeed.Others.
+func (b *Board) CallPause(table string) time.Duration {
+	if b.Patience(table) < Freshness {
+		return callPause
+	}
+	return laterPause
+}
+
+// Word implements tablefeed.Others: a node relies on those that come before it.
 func (b *Board) Word(table string, now time.Time) (tablefeed.Word, bool) {
-	anyZone := b.relyOnAnyZone()
+	patience := b.Patience(table)
+	newest := b.newest(table, now)
+	age := now.Sub(newest.At)
+	if age >= pullAfter && patience > 0 && b.mayPull(table, now) {
+		b.fleet.AskWords(table)
+	}
+	return newest, age < patience
+}
+
+// newest returns the newest word of a node that comes before this one.
+func (b *Board) newest(table string, now time.Time) tablefeed.Word {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var newest tablefeed.Word
-	found := false
-	for node, heard := range b.words[table] {
-		if now.Sub(heard.word.At) >= Freshness {
-			delete(b.words[table], node)
+	for reader, word := range b.words[table] {
+		if now.Sub(word.At) >= Freshness {
+			delete(b.words[table], reader)
 			continue
 		}
-		if node > b.node || heard.zone != b.zone && !anyZone {
-			continue
-		}
-		if !found || heard.word.At.After(newest.At) {
-			newest, found = heard.word, true
+		if word.At.After(newest.At) && b.fleet.Outranks(table, reader) {
+			newest = word
 		}
 	}
-	return newest, found
+	return newest
 }
 
-// Publish implements tablefeed.Others.
-func (b *Board) Publish(news tablefeed.News) {
-	if b.relyOnAnyZone() {
-		b.send(news, "")
-		return
+// mayPull reports whether words were not asked for just now, and records that they are.
+func (b *Board) mayPull(table string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.pulled[table]) < pullEvery {
+		return false
 	}
-	b.send(news, b.zone)
+	b.pulled[table] = now
+	return true
 }
 
-func (b *Board) relyOnAnyZone() bool { return b.fleet() <= smallFleet }
+// Confirmed implements tablefeed.Others.
+func (b *Board) Confirmed() { b.fleet.SpreadWords(b.Words(time.Now())) }
+
+// Publish implements tablefeed.Others.
+func (b *Board) Publish(news tablefeed.News) { b.fleet.SpreadNews(news) }
--- a/internal/tablerelay/board_test.go
+++ b/internal/tablerelay/board_test.go
@@ -16,29 +16,46 @@
 
 var origin = time.Unix(0, 0)
 
-func boardOf(node, zone string, fleet int) *Board {
-	board := New(node, zone, func() int { return fleet }, nil)
+// fleet is a node's view of the others: those with a lower name come before it.
+type fleet struct {
+	self   string
+	place  int
+	pulled int
+	spread [][]Word
+}
+
+func (f *fleet) Address() string                { return f.self }
+func (f *fleet) Outranks(_, reader string) bool { return reader < f.self }
+func (f *fleet) Place(string) int               { return f.place }
+func (f *fleet) SpreadWords(words []Word)       { f.spread = append(f.spread, words) }
+func (f *fleet) SpreadNews(tablefeed.News)      {}
+func (f *fleet) AskWords(string)                { f.pulled++ }
+
+func boardOf(others *fleet) *Board {
+	board := New(others)
 	board.Add("table", tablefeed.New(nil, "table", nil, board, logrus.New()))
 	return board
 }
 
-func TestReliesOnLowerNodesWhoseWordIsFresh(t *testing.T) {
-	word := []Word{{Table: "table", Changed: 3, Confirmed: 9, AgeMillis: 500}}
+func TestReliesOnNodesBeforeItWhoseWordIsFresh(t *testing.T) {
 	for name, test := range map[string]struct {
-		from, zone string
-		fleet      int
-		after      time.Duration
-		want       bool
+		from  string
+		place int
+		after time.Duration
+		want  bool
 	}{
-		"lower, same zone":               {"a", "here", 60, 0, true},
-		"higher":                         {"z", "here", 60, 0, false},
-		"other zone of a large fleet":    {"a", "there", 60, 0, false},
-		"other zone of a small fleet":    {"a", "there", 7, 0, true},
-		"just before its age is too old": {"a", "here", 60, Freshness - 501*time.Millisecond, true},
-		"too old":                        {"a", "here", 60, Freshness - 500*time.Millisecond, false},
+		"before it":                         {"a", 9, 0, true},
+		"after it":                          {"z", 9, 0, false},
+		"its own, from another node":        {"m", 9, 0, false},
+		"the first relies on nobody":        {"a", 0, 0, false},
+		"the second, just before it is old": {"a", 1, takeover - 501*time.Millisecond, true},
+		"the second, too old":               {"a", 1, takeover - 500*time.Millisecond, false},
+		"the third waits a little longer":   {"a", 2, takeover - 500*time.Millisecond, true},
+		"the last, just before it is old":   {"a", 300, Freshness - 501*time.Millisecond, true},
+		"the last, too old":                 {"a", 300, Freshness - 500*time.Millisecond, false},
 	} {
-		board := boardOf("m", "here", test.fleet)
-		board.Take(test.from, test.zone, word, origin)
+		board := boardOf(&fleet{self: "m", place: test.place})
+		board.Take([]Word{{Table: "table", Changed: 3, Confirmed: 9, AgeMillis: 500, Reader: test.from}}, origin)
 		got, found := board.Word("table", origin.Add(test.after))
 		if found != test.want {
 			t.Errorf("%s: relies %v", name, found)
@@ -50,22 +67,53 @@
 	}
 }
 
+// TestWordsDontGrowYoungerOnTheWay: what is passed on tells the time since the store's
+// confirmation, and an older word doesn't take the place of a newer one.
+func TestWordsDontGrowYoungerOnTheWay(t *testing.T) {
+	board := boardOf(&fleet{self: "m", place: 5})
+	board.Take([]Word{{Table: "table", Changed: 4, Confirmed: 9, AgeMillis: 300, Reader: "a"}}, origin)
+	board.Take([]Word{{Table: "table", Changed: 3, Confirmed: 8, AgeMillis: 700, Reader: "a"}}, origin)
+	want := []Word{{Table: "table", Changed: 4, Confirmed: 9, AgeMillis: 800, Reader: "a"}}
+	if diff := cmp.Diff(want, board.Known(origin.Add(500*time.Millisecond))); diff != "" {
+		t.Error(diff)
+	}
+	if got := board.Known(origin.Add(Freshness)); len(got) != 0 {
+		t.Errorf("old words are passed on: %v", got)
+	}
+}
+
+// TestOldWordsAreAskedFor, at most each pullEvery.
+func TestOldWordsAreAskedFor(t *testing.T) {
+	others := &fleet{self: "m", place: 5}
+	board := boardOf(others)
+	board.Take([]Word{{Table: "table", Reader: "a"}}, origin)
+	board.Word("table", origin.Add(pullAfter-1))
+	if others.pulled != 0 {
+		t.Error("a fresh word is asked for")
+	}
+	for range 3 {
+		board.Word("table", origin.Add(pullAfter))
+	}
+	board.Word("table", origin.Add(pullAfter+pullEvery))
+	if others.pulled != 2 {
+		t.Errorf("words were asked for %d times", others.pulled)
+	}
+}
+
 func TestUnknownTablesArePassedOver(t *testing.T) {
-	board := boardOf("m", "here", 2)
-	board.Take("a", "here", []Word{{Table: "other"}}, origin)
+	board := boardOf(&fleet{self: "m", place: 1})
+	board.Take([]Word{{Table: "other", Reader: "a"}}, origin)
 	board.TakeNews(tablefeed.News{Table: "other"})
 	if _, found := board.Word("other", origin); found {
 		t.Error("a table that isn't followed has a word")
 	}
 }
 
-func TestNewsStayInTheZoneOfALargeFleet(t *testing.T) {
-	for fleet, want := range map[int]string{smallFleet: "", smallFleet + 1: "here"} {
-		sent := "none"
-		board := New("m", "here", func() int { return fleet }, func(_ tablefeed.News, zone string) { sent = zone })
-		board.Publish(tablefeed.News{})
-		if sent != want {
-			t.Errorf("%d nodes: sent to %q", fleet, sent)
+// TestLaterNodesCallALostStoreLess: hundreds would call one that is down.
+func TestLaterNodesCallALostStoreLess(t *testing.T) {
+	for place, want := range map[int]time.Duration{0: callPause, 3: callPause, 200: laterPause} {
+		if got := New(&fleet{place: place}).CallPause("table"); got != want {
+			t.Errorf("place %d: %v", place, got)
 		}
 	}
 }
@@ -130,13 +178,15 @@
 	log.SetOutput(io.Discard)
 	store := holding(5)
 	got := make(seen, 8)
-	board := New("m", "here", func() int { return 2 }, func(tablefeed.News, string) {})
+	board := New(&fleet{self: "m", place: 1})
 	feed := tablefeed.New(store, "table", got, board, log)
 	board.Add("table", feed)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
+	hour := time.Duration(0)
 	say := func(changed, confirmed tablefeed.Version) {
-		board.Take("a", "here", []Word{{Table: "table", Changed: changed, Confirmed: confirmed}}, time.Now().Add(time.Hour))
+		hour += time.Hour
+		board.Take([]Word{{Table: "table", Changed: changed, Confirmed: confirmed, Reader: "a"}}, time.Now().Add(hour))
 	}
 	say(5, 5)
 	go func() { feed.Run(ctx); close(ended) }()
@@ -172,10 +222,10 @@
 	log.SetOutput(io.Discard)
 	store := holding(5)
 	got := make(seen, 8)
-	board := New("m", "here", func() int { return 2 }, func(tablefeed.News, string) {})
+	board := New(&fleet{self: "m", place: 1})
 	feed := tablefeed.New(store, "table", got, board, log)
 	board.Add("table", feed)
-	board.Take("a", "here", []Word{{Table: "table", Changed: 5, Confirmed: 5}}, time.Now().Add(time.Hour))
+	board.Take([]Word{{Table: "table", Changed: 5, Confirmed: 5, Reader: "a"}}, time.Now().Add(time.Hour))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { feed.Run(ctx); close(ended) }()
@@ -188,3 +238,29 @@
 	cancel()
 	<-ended
 }
+
+// TestOnlyOneOfManyCallsTheStore: nodes that start at once read the table once each, and
+// then wait for the word of the first; when it is lost the second calls.
+func TestOnlyOneOfManyCallsTheStore(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := holding(5)
+	got := make(seen, 8)
+	board := New(&fleet{self: "m", place: 1})
+	feed := tablefeed.New(store, "table", got, board, log)
+	board.Add("table", feed)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	begun := time.Now()
+	go func() { feed.Run(ctx); close(ended) }()
+	take(t, got)
+	if _, own := feed.Word(); own {
+		t.Error("a node speaks for the store that isn't the one to call it")
+	}
+	store.version.Store(6)
+	if version := take(t, got); version != 6 || time.Since(begun) < takeover {
+		t.Errorf("version %d after %v", version, time.Since(begun))
+	}
+	cancel()
+	<-ended
+}
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -44,7 +44,7 @@
 		if known.worker.Service != service || known.worker.Stage == Opaque || !known.listed() {
 			continue
 		}
-		load := known.total(now)
+		load := known.total(now, "")
 		_, queuePace := r.readingOf(known)
 		engines = append(engines, stageplan.Worker{
 			ID: known.worker.ID, Prefill: known.stageToBe(now) == Prefill, Slots: known.worker.Slots,
@@ -67,7 +67,7 @@
 }
 
 func (r *Registry) candidate(known *state, parts []prefixcache.Part, rank int, now time.Time) scheduling.Candidate {
-	load := known.total(now)
+	load := known.total(now, "")
 	terms, queuePace := r.readingOf(known)
 	return scheduling.Candidate{
 		ID:            known.worker.ID,
@@ -85,6 +85,7 @@
 		Reading:       terms,
 		Pace:          queuePace,
 		Rank:          known.rank,
+		Hash:          known.hash,
 		Avoid:         known.breaker.Open(now),
 		FailureRate:   known.breaker.FailureRate(now),
 		HandleFailure: known.handles.Open(now),
@@ -92,11 +93,36 @@
 	}
 }
 
-// total is the load of all nodes, or what the worker itself told just now where
+// Accounts returns what this node knows of workers, for another node that asks with a
+// request of a rank and a prompt of these parts. The asking node's own load isn't counted.
+func (r *Registry) Accounts(workers []string, parts []prefixcache.Part, rank int, asking string, now time.Time) map[string]scheduling.Account {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	accounts := make(map[string]scheduling.Account, len(workers))
+	for _, id := range workers {
+		known, exists := r.workers[id]
+		if !exists {
+			continue
+		}
+		load := known.total(now, asking)
+		accounts[id] = scheduling.Account{
+			Requests: load.Requests, ReadTokens: load.Reads.Total(), ReadAhead: load.Reads.Ahead(rank),
+			MemoryTokens: load.MemoryTokens, CachedTokens: known.cache.Match(parts),
+			Changing: known.isChanging(now), Avoid: known.breaker.Open(now),
+			HandleFailure: known.handles.Open(now), FailureRate: known.breaker.FailureRate(now),
+		}
+	}
+	return accounts
+}
+
+// total is the load of all nodes but one, or what the worker itself told just now where
 // that is more.
-func (s *state) total(now time.Time) Load {
+func (s *state) total(now time.Time, except string) Load {
 	total := s.load
 	for node, remote := range s.remote {
+		if node == except {
+			continue
+		}
 		if now.Sub(remote.at) > remoteLife {
 			delete(s.remote, node)
 			continue
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/pace"
@@ -21,6 +22,41 @@
 	Changing []Changing
 	// Demand holds, by service, what its callers want.
 	Demand map[string]Demand
+	// Touched are the workers of which anything changed since the last snapshot.
+	Touched []string
+}
+
+// Concerns reports whether anything of a worker changed since the last snapshot, or is
+// told once more.
+func (s Snapshot) Concerns(id string) bool {
+	return slices.Contains(s.Touched, id) || slices.Contains(s.Failures, id) ||
+		slices.ContainsFunc(s.Reads, func(read Read) bool { return read.Worker == id })
+}
+
+// Part returns the part of a snapshot that is about some workers.
+func (s Snapshot) Part(workers []string) Snapshot {
+	part := Snapshot{Loads: make(map[string]Load), Demand: s.Demand}
+	for _, id := range workers {
+		if load, placed := s.Loads[id]; placed {
+			part.Loads[id] = load
+		}
+	}
+	for _, read := range s.Reads {
+		if slices.Contains(workers, read.Worker) {
+			part.Reads = append(part.Reads, read)
+		}
+	}
+	for _, id := range s.Failures {
+		if slices.Contains(workers, id) {
+			part.Failures = append(part.Failures, id)
+		}
+	}
+	for _, changing := range s.Changing {
+		if slices.Contains(workers, changing.Worker) {
+			part.Changing = append(part.Changing, changing)
+		}
+	}
+	return part
 }
 
 // Changing tells that an order to a worker may be under way.
@@ -31,9 +67,8 @@
 	Left time.Duration
 }
 
-// Snapshot returns what is to be told, and a number that rises with each change,
-// so that nothing need be sent while it stays the same.
-func (r *Registry) Snapshot() (Snapshot, uint64) {
+// Snapshot returns what is to be told.
+func (r *Registry) Snapshot() Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	snapshot := Snapshot{Loads: make(map[string]Load), Reads: r.reads, Failures: r.failures, Demand: r.ownDemand(time.Now())}
@@ -45,8 +80,16 @@
 			snapshot.Changing = append(snapshot.Changing, Changing{Worker: id, Prefill: known.changingStage == Prefill, Left: left})
 		}
 	}
+	for id := range r.touched {
+		snapshot.Touched = append(snapshot.Touched, id)
+	}
 	r.reads, r.failures = nil, nil
-	return snapshot, r.version
+	clear(r.touched)
+	select {
+	case <-r.changed:
+	default:
+	}
+	return snapshot
 }
 
 // mergeChanging takes over an order that another node gave, unless the entry shows
@@ -76,13 +119,18 @@
 	Paces []Pace
 }
 
-// Memory returns what this node has learned.
-func (r *Registry) Memory() Memory {
+// Memory returns what this node has learned of workers, of those whose caches it knows,
+// and the names of these.
+func (r *Registry) Memory(workers []string) (memory Memory, known []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var memory Memory
-	for id, known := range r.workers {
-		if parts := known.cache.Parts(); len(parts) > 0 {
+	for _, id := range workers {
+		asked, exists := r.workers[id]
+		if !exists || !asked.cacheKnown {
+			continue
+		}
+		known = append(known, id)
+		if parts := asked.cache.Parts(); len(parts) > 0 {
 			memory.Reads = append(memory.Reads, Read{Worker: id, Parts: parts})
 		}
 	}
@@ -91,7 +139,18 @@
 			memory.Paces = append(memory.Paces, Pace{key.service, key.stage, group.Coefficients(), group.Pace()})
 		}
 	}
-	return memory
+	return memory, known
+}
+
+// Learned records that all that workers keep is known now.
+func (r *Registry) Learned(workers []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range workers {
+		if known, exists := r.workers[id]; exists {
+			known.cacheKnown = true
+		}
+	}
 }
 
 // Remember takes over what another node has learned. Parts that this node knows
@@ -102,7 +161,6 @@
 	for _, read := range memory.Reads {
 		if known, exists := r.workers[read.Worker]; exists {
 			known.cache.Use(read.Parts, now)
-			known.cacheKnown = true
 		}
 	}
 	for _, learned := range memory.Paces {
@@ -119,7 +177,7 @@
 		known.cache.Use(parts, now)
 		known.cacheKnown = true
 		r.reads = append(r.reads, Read{Worker: id, Parts: parts})
-		r.version++
+		r.touch(id)
 	}
 }
 
@@ -136,13 +194,6 @@
 	return unlisted
 }
 
-// Version rises with each change that other nodes should hear of.
-func (r *Registry) Version() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.version
-}
-
 // Merge takes over what another node told.
 func (r *Registry) Merge(node string, snapshot Snapshot, now time.Time) {
 	r.mu.Lock()
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/rendezvous"
 )
 
 // SetMemory sets the KV cache of a service's engines, in tokens.
@@ -36,6 +37,7 @@
 			gone = append(gone, id)
 		}
 	}
+	r.read = r.read || len(workers) > 0
 	return added, gone
 }
 
@@ -92,8 +94,11 @@
 	r.workers[worker.ID] = &state{
 		worker: worker,
 		rank:   maphash.String(r.seed, worker.ID),
+		hash:   rendezvous.Hash(worker.ID),
 		remote: make(map[string]remoteLoad),
 		cache:  prefixcache.New(capacity),
+		// A worker that comes after the list was read has just started.
+		cacheKnown: r.read,
 	}
 	return true
 }
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -15,7 +15,7 @@
 		if prefill {
 			known.changingStage = Prefill
 		}
-		r.version++
+		r.touch(id)
 	})
 }
 
@@ -29,7 +29,7 @@
 func (r *Registry) change(id string, load Load) {
 	r.update(id, func(known *state) {
 		known.load = known.load.plus(load)
-		r.version++
+		r.touch(id)
 	})
 }
 
@@ -81,7 +81,7 @@
 	r.update(id, func(known *state) {
 		known.cache.Use(parts, now)
 		r.reads = append(r.reads, Read{Worker: id, Parts: parts})
-		r.version++
+		r.touch(id)
 	})
 }
 
@@ -97,7 +97,7 @@
 	r.update(id, func(known *state) {
 		known.breaker.Failed(now)
 		r.failures = append(r.failures, id)
-		r.version++
+		r.touch(id)
 	})
 }
 
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -27,11 +27,11 @@
 	cacheKnown bool
 	// slower is by how much the engine reads more slowly than its group.
 	slower pace.Factor
-	// rank orders the workers for this node alone.
-	rank     uint64
-	breaker  breaker.Breaker
-	handles  breaker.Breaker
-	reported reportedLoad
+	// rank orders the workers for this node alone, hash for all nodes alike.
+	rank, hash uint64
+	breaker    breaker.Breaker
+	handles    breaker.Breaker
+	reported   reportedLoad
 }
 
 type remoteLoad struct {
@@ -78,7 +78,24 @@
 	reads []Read
 	// failures are the workers that failed since the last digest.
 	failures []string
-	version  uint64
+	// touched are the workers of which there is something to tell since then.
+	touched map[string]bool
+	// changed holds a token while there is something to tell.
+	changed chan struct{}
+	// read tells that the list of workers was read once.
+	read bool
+}
+
+// Changed gives a token when there is something to tell the other nodes.
+func (r *Registry) Changed() <-chan struct{} { return r.changed }
+
+// touch records that there is something to tell of a worker.
+func (r *Registry) touch(id string) {
+	r.touched[id] = true
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
 }
 
 // steps are the learned times of a service's engines besides reading.
@@ -119,5 +136,7 @@
 		steps:   make(map[string]*steps),
 		demands: make(map[string]*demand),
 		memory:  make(map[string]int),
+		touched: make(map[string]bool),
+		changed: make(chan struct{}, 1),
 	}
 }
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -114,10 +114,11 @@
 	here.Cached("p", parts, origin)
 	here.Failed("d", origin)
 	here.Begin("p", Load{Requests: 1})
-	before := here.Version()
-	snapshot, version := here.Snapshot()
-	if version != before {
+	snapshot := here.Snapshot()
+	select {
+	case <-here.Changed():
 		t.Error("telling is a change")
+	default:
 	}
 	there.Merge("here", snapshot, origin)
 	if got := find(t, there, "p", parts, origin); got.CachedTokens != 150 || got.Requests != 1 {
@@ -126,11 +127,11 @@
 	if !find(t, there, "d", nil, origin).Avoid {
 		t.Error("a failure at another node isn't known")
 	}
-	again, _ := here.Snapshot()
+	again := here.Snapshot()
 	if len(again.Reads) != 0 || len(again.Failures) != 0 {
 		t.Errorf("told twice: %+v", again)
 	}
-	if told, _ := there.Snapshot(); len(told.Reads) != 0 || len(told.Failures) != 0 {
+	if told := there.Snapshot(); len(told.Reads) != 0 || len(told.Failures) != 0 {
 		t.Errorf("hearsay is passed on: %+v", told)
 	}
 }
@@ -150,7 +151,7 @@
 	r.Failed("gone", origin)
 	r.Succeeded("gone", origin)
 	r.ObserveReading("gone", pace.Reading{Tokens: 5000, Elapsed: time.Second})
-	if snapshot, _ := r.Snapshot(); len(snapshot.Loads)+len(snapshot.Reads)+len(snapshot.Failures) != 0 {
+	if snapshot := r.Snapshot(); len(snapshot.Loads)+len(snapshot.Reads)+len(snapshot.Failures) != 0 {
 		t.Errorf("%+v", snapshot)
 	}
 }
@@ -222,7 +223,7 @@
 	here, there := newTestRegistry(), newTestRegistry()
 	now := time.Now()
 	here.SetChanging("d", true, now.Add(time.Minute))
-	snapshot, _ := here.Snapshot()
+	snapshot := here.Snapshot()
 	there.Merge("here", snapshot, now)
 	for name, r := range map[string]*Registry{"here": here, "there": there} {
 		for _, candidate := range r.Candidates("llm", nil, 0, now) {
@@ -250,3 +251,21 @@
 		}
 	}
 }
+
+// TestAccountsLeaveOutTheAskingNode: it knows its own load better.
+func TestAccountsLeaveOutTheAskingNode(t *testing.T) {
+	parts := []prefixcache.Part{{ID: 1, Tokens: 100}}
+	r := newTestRegistry()
+	r.Begin("p", Load{Requests: 1, Reads: ReadsOf(0, 10)})
+	r.Cached("p", parts, origin)
+	r.Merge("asks", Snapshot{Loads: map[string]Load{"p": {Requests: 5, Reads: ReadsOf(0, 500)}}}, origin)
+	r.Merge("other", Snapshot{Loads: map[string]Load{"p": {Requests: 2, Reads: ReadsOf(2, 40), MemoryTokens: 7}}}, origin)
+	r.Failed("p", origin)
+	got := r.Accounts([]string{"p", "unknown"}, parts, 1, "asks", origin)
+	want := map[string]scheduling.Account{"p": {
+		Requests: 3, ReadTokens: 50, ReadAhead: 10, MemoryTokens: 7, CachedTokens: 100, Avoid: true, FailureRate: 1.0 / 3,
+	}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
