Fewer questions and calls: half of the answers are enough, late requests aren't surveyed wider

Cause: at 66 nodes 22 % of the accounts asked for did not come within 15 ms, since small machines answered questions of wide surveys in overload; predictions were 50 ms too low at the median there and 442 ms at the 90th percentile, and streams met on full writers. Prompts were read whole at writers, where no other node looks for them. Calls to a store that is down began at 100 ms at all 295 nodes.

Change: three writers, three content engines and one near reader are asked; after 5 ms half of the answers are enough; only where no worker can serve a request are more asked; as many homes as twenty nodes would send messages (six at 66 nodes); what writers read is stray; after a first failure a later node pauses a second, at most four.

--- a/internal/digest/ask.go
+++ b/internal/digest/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -13,6 +14,10 @@
 // way between two zones and back, and a fiftieth of the shortest objectives of prompts.
 const askTimeout = 15 * time.Millisecond
 
+// askEnough is how long all answers are waited for, and not half of them: small machines
+// answer late now and then, and the choice among some is nearly as good.
+const askEnough = 5 * time.Millisecond
+
 // question asks a node for the accounts that it keeps of workers.
 type question struct {
 	ID      uint64   `json:"i"`
@@ -97,14 +102,39 @@
 	for to, asked := range questions {
 		e.sendTo(to, Message{Node: e.node, Question: &question{ID: id, Workers: asked, Parts: rendered, Rank: rank}})
 	}
-	timer := time.NewTimer(askTimeout)
+	timedOut := e.awaitAnswers(ctx, pending, len(questions))
+	return e.collected(id, pending, timedOut)
+}
+
+// awaitAnswers waits until enough answers have come. It reports whether the nodes that
+// have not answered had all the time that a question is given.
+func (e *Exchange) awaitAnswers(ctx context.Context, pending *pendingAsk, asked int) (timedOut bool) {
+	timer := time.NewTimer(askEnough)
 	defer timer.Stop()
 	select {
 	case <-pending.done:
+		return false
+	case <-ctx.Done():
+		return false
 	case <-timer.C:
+	}
+	if e.unanswered(pending) <= asked/2 {
+		return false
+	}
+	timer.Reset(askTimeout - askEnough)
+	select {
+	case <-pending.done:
 	case <-ctx.Done():
+	case <-timer.C:
+		return true
 	}
-	return e.collected(id, pending, ctx.Err() == nil)
+	return false
+}
+
+func (e *Exchange) unanswered(pending *pendingAsk) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(pending.asked)
 }
 
 // prepare divides workers by the nodes to be asked, and expects their answers.
@@ -131,17 +161,18 @@
 	return e.lastAsk, pending, questions
 }
 
-// collected ends a question, and suspects the nodes that were silent.
-func (e *Exchange) collected(id uint64, pending *pendingAsk, waited bool) map[string]scheduling.Account {
+// collected ends a question. Of the nodes that were silent all the time the answers are
+// not waited for soon again.
+func (e *Exchange) collected(id uint64, pending *pendingAsk, timedOut bool) map[string]scheduling.Account {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.asks, id)
 	for address := range pending.asked {
-		if waited {
+		if timedOut {
 			e.peers.suspect(address, time.Now())
 		}
 	}
-	return pending.accounts
+	return maps.Clone(pending.accounts)
 }
 
 // answer tells another node what this one knows of workers.
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -16,9 +16,9 @@
 	// at rest.
 	peerLife = 3 * time.Second
 	// wholeFleet is the number of nodes up to which each keeps account of all workers.
-	// In a larger fleet as many accounts are told of a worker's load as keep the
-	// messages of all nodes below what twelve would send each other.
-	wholeFleet = 12
+	// In a larger fleet as many keep a worker's account as keep the messages of all nodes
+	// below what these would send each other.
+	wholeFleet = 20
 	// leastHomes is the fewest nodes that keep a worker's account, so that one may die.
 	leastHomes = 2
 	// leastSupervisors is the fewest nodes that know what all callers want and may give
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -83,12 +83,13 @@
 }
 
 // planOver plans the request over the workers worth looking at, and over more of them
-// where these can't serve it in time.
+// where none of these can serve it. Where they only can't in time it is refused: in
+// overload more questions would slow down all answers.
 func (s *session) planOver(ctx context.Context, request scheduling.Request) scheduling.Plan {
 	candidates := s.candidates()
 	narrow := s.survey(ctx, request, candidates, false)
 	plan := s.scheduler.Plan(request, narrow)
-	if plan.Mode != scheduling.Refused || len(narrow) == len(candidates) {
+	if plan.Reason != scheduling.NoWorker || len(narrow) == len(candidates) {
 		return plan
 	}
 	return s.scheduler.Plan(request, s.survey(ctx, request, candidates, true))
--- a/internal/scheduling/survey.go
+++ b/internal/scheduling/survey.go
@@ -16,13 +16,12 @@
 	contentChoices = 3
 	// nearReaders is the number of prefill engines that a node considers besides, and
 	// readersWithout that where the prompt shares too little to be looked for.
-	nearReaders    = 2
-	readersWithout = 4
+	nearReaders    = 1
+	readersWithout = 3
 	// runnerChoices is the number of other workers that a node considers.
-	runnerChoices = 4
-	// widened multiplies all of them where the first choices can't serve a request in
-	// time.
-	widened = 4
+	runnerChoices = 3
+	// widened multiplies all of them where none of the first choices can serve a request.
+	widened = 2
 	// WorthFinding is the number of shared tokens from which a prompt is read where
 	// others look for it.
 	WorthFinding = 1024
@@ -42,7 +41,12 @@
 		factor = widened
 	}
 	readers, others := byStage(fit(request, candidates))
-	return slices.Concat(surveyReaders(request, readers, factor), nearest(others, runnerChoices*factor))
+	runners := nearest(others, runnerChoices*factor)
+	for i := range runners {
+		// Of prompts, all nodes look at prefill engines only.
+		runners[i].Stray = request.Content != 0 && len(readers) > 0
+	}
+	return slices.Concat(surveyReaders(request, readers, factor), runners)
 }
 
 // fit returns the candidates that may serve the request: the sound ones, or all that are
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -84,6 +84,8 @@
 	// patience is how long the store holds a call while nothing changes.
 	patience   = 800 * time.Millisecond
 	firstPause = 100 * time.Millisecond
+	// firstShare is the part of the longest pause that is made after a first failure.
+	firstShare = 4
 	maxPause   = 800 * time.Millisecond // of a node that follows alone
 	// slowCall is added to patience before a call is given up.
 	slowCall = 1200 * time.Millisecond
@@ -372,6 +374,6 @@
 	if f.others != nil {
 		longest = f.others.CallPause(f.table)
 	}
-	f.pause = min(max(2*f.pause, firstPause), longest)
+	f.pause = min(max(2*f.pause, longest/firstShare), longest)
 	f.await(ctx, f.pause/2+rand.N(f.pause))
 }
--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -30,8 +30,9 @@
 	pullEvery = 100 * time.Millisecond
 	// callPause is the longest pause of the first nodes between calls to a store that
 	// fails, and laterPause that of the others: these hear from the first when it is back.
+	// Each call to it is paid for, also while it is down.
 	callPause  = 800 * time.Millisecond
-	laterPause = 2400 * time.Millisecond
+	laterPause = 4 * time.Second
 )
 
 // Word is what a node says of a table that some node reads at the store.
