--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -182,7 +182,8 @@
 	e.sendParcels(parcels, snapshot, base)
 }
 
-// logSilent logs the nodes that have fallen silent, where this node should hear all.
+// logSilent logs the nodes that have fallen silent. Only supervisors hear all others all
+// the time.
 func (e *Exchange) logSilent(now time.Time) {
 	lost := e.peers.silent(now)
 	if !e.peers.supervises() {
@@ -332,12 +333,13 @@
 	now := time.Now()
 	e.mu.Lock()
 	first, stale := e.peers.hear(from, message, now)
+	supervises := e.peers.supervises()
 	e.mu.Unlock()
 	if stale {
 		return
 	}
-	if first {
-		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Debug("node heard for the first time, or again")
+	if first && supervises {
+		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Info("node heard for the first time")
 	}
 	if len(message.Failures) > 0 {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "sequence": message.Sequence, "workers": message.Failures}).Info("another node tells of failures")
