--- a/internal/stagecontrol/controller_test.go
+++ b/internal/stagecontrol/controller_test.go
@@ -243,7 +243,15 @@
 	b := newBench(t)
 	stood := 0
 	cut := b.controller("a")
-	cut.options.StandAside = func(time.Duration) { stood++ }
+	cut.options.StandAside = func(span time.Duration) {
+		stood++
+		// Another node sees the lease for the first time when it hears of this, and takes
+		// it when it has seen it unchanged for a life and a margin (inc-6b64).
+		const heard = 2 * time.Second
+		if takes := heard + cut.options.Lease*11/10; span < takes {
+			t.Errorf("stands aside for %v, another takes the lease after up to %v", span, takes)
+		}
+	}
 	b.store.down = true
 	order(cut)
 	if stood != 1 {
