--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -17,16 +17,16 @@
 	decideEvery = 250 * time.Millisecond
 	// standbyEvery is the time between two looks of a node that doesn't give orders at
 	// whether it is to: a lease lapses after longer.
-	standbyEvery = 500 * time.Millisecond
+	standbyEvery = time.Second
 	orderTimeout = 600 * time.Millisecond
 	maxReply     = 16 << 10
 	// doneMargin is added to the time that a change takes before it is given up.
 	doneMargin = 6 * time.Second
-	// asideLives is for how many lives of the lease a node that can't reach the store
-	// leaves orders to others, besides asideMargin: one of them must first hear of it, and
-	// then see the lease unchanged for a life before it takes it (inc-6b64).
-	asideLives  = 2
-	asideMargin = 2 * time.Second
+	// asideMargin is for how long a node that can't reach the store leaves orders to
+	// others, besides a life of the lease and a tenth: one of them must first hear of it,
+	// which takes up to two seconds, and then see the lease unchanged for that time before
+	// it takes it (inc-6b64).
+	asideMargin = 3 * time.Second
 	// lateOrder is for how long an order that was not answered may still be carried
 	// out.
 	lateOrder = 15 * time.Second
@@ -157,7 +157,7 @@
 	}
 	if authority := c.authority.acquire(ctx); authority != held {
 		if authority == storeAway && c.options.StandAside != nil {
-			c.options.StandAside(asideLives*c.options.Lease + asideMargin)
+			c.options.StandAside(c.options.Lease*11/10 + asideMargin)
 		}
 		log.WithField("authority", authority).Info("order not given")
 		return
