Read once more: an eased test as strict as meant, one result of encode that nobody read

Cause: reading the diff again. TestQuestionsEndWithoutAnAnswer asked twice as many questions as there are homes before none may be asked; I had eased it beforehand, without a failure that called for it. Behaviour is unchanged.

--- a/internal/digest/ask_test.go
+++ b/internal/digest/ask_test.go
@@ -105,7 +105,7 @@
 	for i := 0; exchange.Kept([]string{id})[0]; i++ {
 		id = fmt.Sprint("w", i)
 	}
-	for range 2 * homeCount(41) {
+	for range homeCount(41) {
 		if got := exchange.Ask(context.Background(), []string{id}, nil, 0); len(got) != 0 {
 			t.Errorf("answers: %v", got)
 		}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -239,7 +239,7 @@
 		key := strings.Join(workers, " ")
 		datagram, rendered := datagrams[key]
 		if !rendered {
-			datagram, _ = e.encode(newMessage(base, snapshot.Part(workers)))
+			datagram = e.encode(newMessage(base, snapshot.Part(workers)))
 			datagrams[key] = datagram
 		}
 		e.write(datagram, address)
@@ -255,14 +255,14 @@
 }
 
 func (e *Exchange) sendAll(addresses []netip.AddrPort, message Message) {
-	datagram, _ := e.encode(message)
+	datagram := e.encode(message)
 	for _, address := range addresses {
 		e.write(datagram, address)
 	}
 }
 
 func (e *Exchange) sendTo(address netip.AddrPort, message Message) {
-	datagram, _ := e.encode(message)
+	datagram := e.encode(message)
 	e.write(datagram, address)
 }
 
@@ -273,13 +273,18 @@
 	}
 }
 
-func (e *Exchange) encode(message Message) ([]byte, bool) {
+// encode renders a message, to nothing where it can't be sent.
+func (e *Exchange) encode(message Message) []byte {
 	datagram, err := json.Marshal(message)
-	if err != nil || len(datagram) > maxDatagram {
+	if err != nil {
+		e.log.WithError(err).Error("a digest can't be rendered and was not sent")
+		return nil
+	}
+	if len(datagram) > maxDatagram {
 		e.log.WithField("bytes", len(datagram)).Error("a digest is too large and was not sent")
-		return nil, false
+		return nil
 	}
-	return datagram, true
+	return datagram
 }
 
 func (e *Exchange) receive() {
