Tenants: API keys decide whose a request is, and stay in the node

Change: internal/tenant holds digests of keys, one keyring for the routes of a platform and the product's catalog. The front finds route and tenant together, again when the configuration changed while a body came. A node whose configuration wasn't confirmed for 2 s answers 503 (2009, come back) to a route or key that it doesn't know, since a newer version may hold it. A tenant's priority goes before the route's.

--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -1,25 +1,22 @@
 package catalog
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/hex"
 	"slices"
 	"time"
 
 	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
 	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/tenant"
 )
 
 const (
-	defaultMaxQueued         = 1024
-	defaultKeyWindow         = 10 * time.Minute
-	defaultBurstSeconds      = 10
-	defaultMaxUnavailable    = 25
-	defaultRunningPerEngine  = 32
-	defaultShare             = 1
-	digestPrefixBytes        = 4
-	maxDigestsPerPrefixCheck = 64
+	defaultMaxQueued        = 1024
+	defaultKeyWindow        = 10 * time.Minute
+	defaultBurstSeconds     = 10
+	defaultMaxUnavailable   = 25
+	defaultRunningPerEngine = 32
+	defaultShare            = 1
 )
 
 // Snapshot is one accepted revision of the catalog, compiled for lookups. It
@@ -35,14 +32,7 @@
 	adapters map[string]*tinarchv1.Adapter
 	pools    map[string]*tinarchv1.Pool
 	tenants  map[string]*tinarchv1.Tenant
-	// keys holds the digests of tenants' keys by their first bytes, so that
-	// the whole digest is only ever compared in constant time.
-	keys map[[digestPrefixBytes]byte][]tenantKey
-}
-
-type tenantKey struct {
-	digest [sha256.Size]byte
-	tenant *tinarchv1.Tenant
+	keys     *tenant.Keyring[*tinarchv1.Tenant]
 }
 
 // Kind is a request kind with its references resolved and defaults filled in.
@@ -79,7 +69,7 @@
 		pools:    index(source.GetPools(), nameKey),
 		tenants:  index(source.GetTenants(), nameKey),
 		kinds:    map[string]*Kind{},
-		keys:     map[[digestPrefixBytes]byte][]tenantKey{},
+		keys:     tenant.NewKeyring[*tinarchv1.Tenant](),
 	}
 	for _, kind := range source.GetKinds() {
 		s.kinds[kind.GetName()] = s.resolveKind(kind)
@@ -133,30 +123,25 @@
 
 func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
 
-func (s *Snapshot) addKeys(tenant *tinarchv1.Tenant) {
-	for _, digest := range tenant.GetKeySha256() {
-		key := tenantKey{tenant: tenant}
-		_, _ = hex.Decode(key.digest[:], []byte(digest)) // validated before
-		prefix := [digestPrefixBytes]byte(key.digest[:digestPrefixBytes])
-		s.keys[prefix] = append(s.keys[prefix], key)
+func (s *Snapshot) addKeys(owner *tinarchv1.Tenant) {
+	for _, rendered := range owner.GetKeySha256() {
+		var digest tenant.Digest
+		_, _ = hex.Decode(digest[:], []byte(rendered)) // validated before
+		s.keys.Add(digest, owner)
 	}
 }
 
 // KeyDigest returns the digest of an API key as tenants' key_sha256 holds it.
 func KeyDigest(key string) string {
-	digest := sha256.Sum256([]byte(key))
+	digest := tenant.DigestOf(key)
 	return hex.EncodeToString(digest[:])
 }
 
 // TenantByKey returns the tenant of an API key. The digest is compared in
 // constant time.
 func (s *Snapshot) TenantByKey(key string) (*tinarchv1.Tenant, error) {
-	digest := sha256.Sum256([]byte(key))
-	candidates := s.keys[[digestPrefixBytes]byte(digest[:digestPrefixBytes])]
-	for _, candidate := range candidates[:min(len(candidates), maxDigestsPerPrefixCheck)] {
-		if subtle.ConstantTimeCompare(candidate.digest[:], digest[:]) == 1 {
-			return candidate.tenant, nil
-		}
+	if owner, found := s.keys.Owner(key); found {
+		return owner, nil
 	}
 	return nil, result.New(result.Unauthenticated, "the API key is not known; send a valid one as \"Authorization: Bearer KEY\"")
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -49,7 +49,7 @@
 func (s *session) send(ctx context.Context, to scheduling.Candidate, forward Forward) (*workerconn.Answer, error) {
 	forward.WorkerID = to.ID
 	forward.Remaining = s.remaining()
-	forward.Priority = s.call.Route.Priority
+	forward.Priority = s.call.Priority()
 	request := &workerconn.Request{
 		Method: s.call.Method, Target: s.call.Target, Host: s.call.Host,
 		Header: s.wire.ForwardHeader(s.call, forward), Body: s.call.Body,
@@ -63,7 +63,7 @@
 func (s *session) readApart(ctx context.Context, plan scheduling.Plan) (*Handle, tryEnd) {
 	reader := plan.Reader
 	unread := plan.Unread
-	load := worker.Load{Requests: 1, Reads: worker.ReadsOf(s.call.Route.Priority, unread), MemoryTokens: s.call.PromptTokens}
+	load := worker.Load{Requests: 1, Reads: worker.ReadsOf(s.call.Priority(), unread), MemoryTokens: s.call.PromptTokens}
 	s.registry.Begin(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
 	begun := time.Now()
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -12,6 +12,7 @@
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/tenant"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
@@ -30,6 +31,8 @@
 	Service *routing.Service
 	// RoutesVersion is that of the configuration which the route is of.
 	RoutesVersion uint64
+	// Tenant is whose request it is, as its API key tells.
+	Tenant tenant.Tenant
 
 	// Prompt lists the parts of a generation's prompt in order; it is empty for
 	// other requests.
@@ -47,6 +50,9 @@
 	Deadline time.Time
 }
 
+// Priority is the rank of the request, zero being the most urgent.
+func (c *Call) Priority() int { return c.Tenant.Priority(c.Route.Priority) }
+
 // shared returns the tokens of the prompt that other requests may share: all
 // parts but the last, which is the request's own.
 func (c *Call) shared() int {
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -25,7 +25,7 @@
 
 // candidates describes the workers that may take the request.
 func (s *session) candidates() []scheduling.Candidate {
-	candidates := s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.Route.Priority, time.Now())
+	candidates := s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.Priority(), time.Now())
 	if s.accounts == nil {
 		return candidates
 	}
@@ -58,7 +58,7 @@
 		return chosen
 	}
 	begun := time.Now()
-	s.known = s.accounts.Ask(ctx, unasked, s.call.Prompt, s.call.Route.Priority)
+	s.known = s.accounts.Ask(ctx, unasked, s.call.Prompt, s.call.Priority())
 	s.surveyed = surveyed{asked: len(unasked), answered: len(s.known), took: time.Since(begun)}
 	return s.informed(chosen)
 }
--- /dev/null
+++ b/internal/front/admit.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/tenant"
+)
+
+// staleAfter is the age of the configuration's last confirmation from which a route or
+// key that it doesn't hold may be one of a newer version: a quarter more than the age
+// that a node's configuration has at most while it reaches the store or another node
+// (tablerelay.Freshness and one call).
+const staleAfter = 2 * time.Second
+
+// stalePause is when a caller should come back who was turned away by a node whose
+// configuration may be old. Another node is likely to take the next try.
+const stalePause = 300 * time.Millisecond
+
+// admission is what a version of the configuration says of a request.
+type admission struct {
+	route  *routing.Route
+	tenant tenant.Tenant
+}
+
+// admit finds the route of a request, and the tenant whose API key it carries.
+func (f *Front) admit(table *routing.Table, request *http.Request) (admission, *result.Error) {
+	path := pathOf(request)
+	route := table.Match(request.Host, path)
+	if route == nil {
+		return admission{}, f.unknown(result.New(result.NotFound, "no route of version %d for host %q and path %q", table.Version, request.Host, path))
+	}
+	owner, failure := f.authenticate(table, route, request.Header)
+	return admission{route: route, tenant: owner}, failure
+}
+
+// authenticate returns the tenant of the request's API key. A route that is public needs
+// none, but a key that is given must be known there too.
+func (f *Front) authenticate(table *routing.Table, route *routing.Route, header http.Header) (tenant.Tenant, *result.Error) {
+	if table.Tenants == nil {
+		return tenant.Tenant{}, nil
+	}
+	keys := f.parser.APIKeys(header)
+	switch {
+	case len(keys) == 0 && route.Public:
+		return tenant.Tenant{}, nil
+	case len(keys) == 0:
+		return tenant.Tenant{}, result.New(result.Unauthenticated, "the request has no API key, and route %s needs one", route.Name)
+	case len(keys) > 1:
+		return tenant.Tenant{}, result.New(result.Unauthenticated, "the request has %d API keys; send one", len(keys))
+	}
+	owner, known := table.Tenants.Owner(keys[0])
+	if !known {
+		return tenant.Tenant{}, f.unknown(result.New(result.Unauthenticated, "no tenant of version %d has the request's API key", table.Version))
+	}
+	return owner, nil
+}
+
+// unknown turns a refusal of what the configuration doesn't hold into one that lets the
+// caller come back, where a newer version that holds it may be in force elsewhere.
+func (f *Front) unknown(failure *result.Error) *result.Error {
+	age := f.configurationAge()
+	if age <= staleAfter {
+		return failure
+	}
+	return result.New(result.ConfigurationStale, "%s; it was confirmed %d ms ago and may be old", failure.Message, age.Milliseconds()).
+		WithRetryAfter(stalePause)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -25,6 +25,8 @@
 	// Parse fills the fields of a call that headers tell. The error is the
 	// caller's mistake.
 	Parse(call *dispatch.Call) error
+	// APIKeys returns the API keys that a request's header holds.
+	APIKeys(header http.Header) []string
 }
 
 // Runner serves calls.
@@ -39,6 +41,8 @@
 	splitter *routing.Splitter
 	log      *logrus.Logger
 	metrics  *Metrics
+	// configurationAge is the time since the configuration in force was confirmed.
+	configurationAge func() time.Duration
 
 	table    atomic.Pointer[routing.Table]
 	stopping atomic.Bool
@@ -51,12 +55,20 @@
 	Runner  Runner
 	Log     *logrus.Logger
 	Metrics *Metrics
+	// ConfigurationAge is the time since the configuration in force was confirmed. It may
+	// be nil where that is never long ago.
+	ConfigurationAge func() time.Duration
 }
 
 // New returns a front without routes.
 func New(options Options) *Front {
+	age := options.ConfigurationAge
+	if age == nil {
+		age = func() time.Duration { return 0 }
+	}
 	return &Front{
-		parser: options.Parser, runner: options.Runner, log: options.Log, metrics: options.Metrics,
+		configurationAge: age,
+		parser:           options.Parser, runner: options.Runner, log: options.Log, metrics: options.Metrics,
 		splitter: routing.NewSplitter(rand.IntN),
 	}
 }
@@ -116,10 +128,9 @@
 	if size := headerBytes(request); table.Limits.MaxHeaderBytes > 0 && size > table.Limits.MaxHeaderBytes {
 		return nil, result.New(result.HeaderTooLarge, "the header has %d bytes; the limit is %d", size, table.Limits.MaxHeaderBytes)
 	}
-	path := pathOf(request)
-	route := table.Match(request.Host, path)
-	if route == nil {
-		return nil, result.New(result.NotFound, "no route of version %d for host %q and path %q", table.Version, request.Host, path)
+	admitted, failure := f.admit(table, request)
+	if failure != nil {
+		return nil, failure
 	}
 	body, failure := readBody(writer, request, table.Limits.MaxBodyBytes)
 	if failure != nil {
@@ -127,25 +138,25 @@
 	}
 	call := &dispatch.Call{
 		Method: request.Method, Target: request.RequestURI, Host: request.Host,
-		Header: request.Header, Body: body, Route: route, Arrived: arrived,
-		Deadline: arrived.Add(route.Timeout),
+		Header: request.Header, Body: body, Route: admitted.route, Tenant: admitted.tenant, Arrived: arrived,
+		Deadline: arrived.Add(admitted.route.Timeout),
 	}
 	if err := f.parser.Parse(call); err != nil {
 		return call, result.New(result.InvalidRequest, "%v", err)
 	}
-	// The routes may have changed while the body came.
+	// The configuration may have changed while the body came.
 	if newest := f.table.Load(); newest != table {
 		table = newest
-		if route = table.Match(request.Host, path); route == nil {
-			return call, result.New(result.NotFound, "no route of version %d for host %q and path %q", table.Version, request.Host, path)
+		if admitted, failure = f.admit(table, request); failure != nil {
+			return call, failure
 		}
-		call.Route = route
+		call.Route, call.Tenant = admitted.route, admitted.tenant
 	}
 	call.RoutesVersion = table.Version
-	service := f.splitter.Choose(route)
+	service := f.splitter.Choose(call.Route)
 	call.Service = table.Service(service)
 	if call.Service == nil {
-		return call, result.New(result.NoEngine, "route %s has no service with a weight", route.Name).WithRetryAfter(notConfiguredPause)
+		return call, result.New(result.NoEngine, "route %s has no service with a weight", call.Route.Name).WithRetryAfter(notConfiguredPause)
 	}
 	return call, nil
 }
@@ -240,7 +251,8 @@
 	}
 	f.metrics.observe(call, outcome, took)
 	entry := f.log.WithFields(logrus.Fields{
-		"id": call.ID, "route": route, "code": int(outcome.Code), "status": outcome.Status,
+		"id": call.ID, "route": route, "tenant": call.Tenant.Name(), "code": int(outcome.Code), "status": outcome.Status,
+		"routes_version": call.RoutesVersion, "routes_age_ms": f.configurationAge().Milliseconds(),
 		"attempts": outcome.Attempts, "first_ms": outcome.First.Milliseconds(),
 		"last_ms": outcome.Last.Milliseconds(), "gap_ms": outcome.Gap.Milliseconds(), "pieces": outcome.Pieces,
 		"took_ms": took.Milliseconds(), "retry_after_ms": outcome.RetryAfter.Milliseconds(),
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,10 +36,30 @@
 	workers map[string]*fleetworker.Worker
 	node    *serving.Node
 	address string
-	logs    *bytes.Buffer
+	logs    *logBuffer
 	next    int
 }
 
+// logBuffer holds what the node logs.
+type logBuffer struct {
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.content.Write(line)
+}
+
+// logText returns what the node has logged.
+func (s *site) logText() string {
+	s.logs.mu.Lock()
+	defer s.logs.mu.Unlock()
+	return s.logs.content.String()
+}
+
 // configuration is the operator's, with one route of each kind.
 func configuration(version int) map[string]any {
 	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
@@ -96,7 +117,7 @@
 
 func startUnconfigured(t *testing.T) *site {
 	t.Helper()
-	s := &site{t: t, store: fleetstore.Start(), workers: make(map[string]*fleetworker.Worker), logs: &bytes.Buffer{}}
+	s := &site{t: t, store: fleetstore.Start(), workers: make(map[string]*fleetworker.Worker), logs: &logBuffer{}}
 	t.Cleanup(s.store.Close)
 	s.address = freePort(t)
 	configured := settings.DefaultRouted()
@@ -104,7 +125,7 @@
 	configured.Listen = settings.RoutedListen{Callers: s.address, Readiness: freePort(t), Exchange: freePort(t), Metrics: freePort(t)}
 	configured.Store.Address = s.store.Address()
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(s.logs)
 	adapter := platform.New(platform.Options{Store: configured.Store.Address, Dial: workerconn.DialStore})
 	node, err := serving.Start(configured, adapter, log)
 	if err != nil {
--- a/internal/plainwire/plainwire.go
+++ b/internal/plainwire/plainwire.go
@@ -53,6 +53,9 @@
 	return nil
 }
 
+// APIKeys implements front.Parser: routes to plain workers need no key.
+func (Wire) APIKeys(http.Header) []string { return nil }
+
 // IDHeader implements dispatch.Wire.
 func (Wire) IDHeader() string { return HeaderAttempt }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/tinarch/tinarch/internal/tenant"
 )
 
 // Kind tells how often a request of a route may run.
@@ -51,7 +53,9 @@
 	Priority int
 	// Resumable streams may be continued at another worker.
 	Resumable bool
-	Targets   []Target
+	// Public routes may be used without an API key.
+	Public  bool
+	Targets []Target
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -104,8 +108,10 @@
 
 // Table is one version of the routes.
 type Table struct {
-	Version  uint64
-	Limits   Limits
+	Version uint64
+	Limits  Limits
+	// Tenants finds callers by their API keys; nil where callers need none.
+	Tenants  *tenant.Keyring[tenant.Tenant]
 	byHost   map[string][]*Route
 	services map[string]*Service
 }
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -84,8 +84,9 @@
 	servers  []*http.Server
 	callers  *http.Server
 
-	board       *tablerelay.Board
-	workersFeed *tablefeed.Feed
+	board *tablerelay.Board
+	// configurationFeed and workersFeed follow the platform's tables.
+	configurationFeed, workersFeed *tablefeed.Feed
 	// workersKnown tells that some worker was listed since the start.
 	workersKnown atomic.Bool
 
@@ -112,9 +113,11 @@
 	n.exchange = exchange
 	n.board = tablerelay.New(exchange)
 	exchange.SetBoard(n.board)
+	n.configurationFeed = n.newFeed(platform.ConfigurationTable(), &configuration{node: n})
 	n.workersFeed = n.newFeed(platform.WorkerTable(), &workers{node: n})
 	n.front = front.New(front.Options{
 		Parser: platform, Runner: n.dispatcher(metrics), Log: log, Metrics: front.NewMetrics(metrics),
+		ConfigurationAge: n.configurationAge,
 	})
 	if err := n.listen(metrics); err != nil {
 		return nil, err
@@ -190,6 +193,13 @@
 	}
 }
 
+// configurationAge is the time since the store confirmed, to this node or to one that it
+// relies on, that the configuration in force is the newest.
+func (n *Node) configurationAge() time.Duration {
+	word, _ := n.configurationFeed.Word()
+	return time.Since(word.At)
+}
+
 // Ready reports whether the node can serve: it knows routes and workers, and is
 // not being stopped.
 func (n *Node) Ready() bool {
@@ -205,11 +215,7 @@
 
 // follow starts the feeds of the platform's tables and the exchange.
 func (n *Node) follow(ctx context.Context) {
-	feeds := []*tablefeed.Feed{
-		n.newFeed(n.platform.ConfigurationTable(), &configuration{node: n}),
-		n.workersFeed,
-	}
-	for _, feed := range feeds {
+	for _, feed := range []*tablefeed.Feed{n.configurationFeed, n.workersFeed} {
 		n.work.Go(func() { feed.Run(ctx) })
 	}
 	n.work.Go(func() { n.exchange.Run(ctx) })
