--- a/cmd/tinarchd/routed.go
+++ b/cmd/tinarchd/routed.go
@@ -44,7 +44,7 @@
 	defer log.Close(logPatience)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	adapter := platform.New(platform.Options{Store: configured.Store.Address, Dial: workerconn.DialStore})
+	adapter := platform.New(platform.Options{Store: configured.Store.Address, API: configured.API.Address, Dial: workerconn.DialStore})
 	node, err := serving.Start(configured, adapter, log.Logger)
 	if err != nil {
 		return cli.Fail(program, err)
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -16,6 +16,7 @@
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/tablerelay"
+	"github.com/tinarch/tinarch/internal/usage"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
@@ -59,6 +60,12 @@
 	// Question asks for accounts of workers, and Reply answers that.
 	Question *question `json:"q,omitempty"`
 	Reply    *reply    `json:"v,omitempty"`
+	// Usage tells what the sender has counted, UsageReply what arrived of it. WantUsage asks
+	// a supervisor for what it has gathered after a window, and Gathered is a part of that.
+	Usage      *usageForm    `json:"g,omitempty"`
+	UsageReply *usageReply   `json:"h,omitempty"`
+	WantUsage  usage.Window  `json:"j,omitempty"`
+	Gathered   *gatheredForm `json:"k,omitempty"`
 	// Aside tells that the sender can't give orders, whatever its incarnation.
 	Aside bool `json:"a,omitempty"`
 	// Leaving tells that the sender stops.
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -36,8 +36,12 @@
 	registry   *worker.Registry
 	// board is nil where no tables are followed.
 	board Board
+	// usage is nil where nobody's usage is counted; what it holds is guarded by mu.
+	usage *usageExchange
 	conn  *net.UDPConn
 	log   *logrus.Logger
+	// begun is when this process began to listen.
+	begun time.Time
 
 	mu    sync.Mutex
 	peers *peerSet
@@ -73,6 +77,7 @@
 	}
 	return &Exchange{
 		node: node, zone: zone, registry: registry, conn: conn, log: log,
+		begun: time.Now(),
 		peers: newPeerSet(node, local, zone), asks: make(map[uint64]*pendingAsk),
 		told: make(chan []string, maxTold), done: make(chan struct{}),
 	}, nil
@@ -151,6 +156,9 @@
 	rest := e.rest()
 	if due, atRest := e.box.dueness(now, rest); due {
 		e.tell(now, atRest)
+		if atRest {
+			e.tellUsage(now)
+		}
 	}
 	return e.box.wait(now, rest)
 }
@@ -248,6 +256,7 @@
 
 // farewell says that this node leaves.
 func (e *Exchange) farewell() {
+	e.tellUsage(time.Now())
 	e.mu.Lock()
 	targets := e.peers.all()
 	e.mu.Unlock()
@@ -313,6 +322,14 @@
 		e.answer(from, message.Node, *message.Question)
 	case message.Reply != nil:
 		e.takeReply(from, *message.Reply)
+	case message.Usage != nil:
+		e.takeUsage(from, message)
+	case message.UsageReply != nil:
+		e.takeUsageReply(from, *message.UsageReply)
+	case message.WantUsage != 0:
+		e.tellGathered(from, message.WantUsage)
+	case message.Gathered != nil:
+		e.takeGathered(*message.Gathered)
 	case message.Newborn != nil:
 		e.tellMemory(from, message.Newborn)
 	case message.Memory:
--- /dev/null
+++ b/internal/digest/usage.go
@@ -0,0 +1,270 @@
+package digest
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/usage"
+)
+
+// usageForm is a usage.Delta.
+type usageForm struct {
+	After   uint64       `json:"a"`
+	Through uint64       `json:"t"`
+	Closed  usage.Window `json:"c"`
+	// Counts holds counts by window and tenant.
+	Counts map[usage.Window]map[string]int `json:"w,omitempty"`
+}
+
+// usageReply is a usage.Reply.
+type usageReply struct {
+	Through uint64       `json:"t"`
+	Closed  usage.Window `json:"c"`
+}
+
+// gatheredForm is a part of what a supervisor has gathered of a node incarnation.
+type gatheredForm struct {
+	Node   string                          `json:"n"`
+	Counts map[usage.Window]map[string]int `json:"w"`
+}
+
+// maxGathered bounds the entries of one message with gathered counts.
+const maxGathered = 300
+
+func renderCounts(entries []usage.Entry) map[usage.Window]map[string]int {
+	var counts map[usage.Window]map[string]int
+	for _, entry := range entries {
+		if counts == nil {
+			counts = make(map[usage.Window]map[string]int)
+		}
+		if counts[entry.Window] == nil {
+			counts[entry.Window] = make(map[string]int)
+		}
+		counts[entry.Window][entry.Tenant] = entry.Count
+	}
+	return counts
+}
+
+func parseCounts(counts map[usage.Window]map[string]int) []usage.Entry {
+	var entries []usage.Entry
+	for window, tenants := range counts {
+		for tenant, count := range tenants {
+			entries = append(entries, usage.Entry{Window: window, Tenant: tenant, Count: count})
+		}
+	}
+	return entries
+}
+
+// usageExchange is this node's part in the exchange of tallies.
+type usageExchange struct {
+	tally     *usage.Tally
+	collector *usage.Collector
+	// told is the change up to which each supervisor was told.
+	told map[netip.AddrPort]uint64
+	// acknowledged is the newest closed window of which a supervisor has all.
+	acknowledged usage.Window
+}
+
+// SetUsage has the exchange tell the supervisors this node's tally, and gather those of
+// others. It is called before Run.
+func (e *Exchange) SetUsage(tally *usage.Tally, collector *usage.Collector) {
+	e.usage = &usageExchange{tally: tally, collector: collector, told: make(map[netip.AddrPort]uint64)}
+}
+
+// UsageAcknowledged returns the newest closed window of which a supervisor, or this node
+// as one, has all that this node counted.
+func (e *Exchange) UsageAcknowledged() usage.Window {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.peers.supervises() && (len(e.peers.peers) == 0 || e.present() > 0) {
+		return e.usage.tally.Span().At(e.usage.tally.Now(time.Now()))
+	}
+	return e.usage.acknowledged
+}
+
+// present is the number of other nodes that were heard lately.
+func (e *Exchange) present() int {
+	count := 0
+	for _, known := range e.peers.peers {
+		if known.present {
+			count++
+		}
+	}
+	return count
+}
+
+// tellUsage tells the supervisors what this node has counted since they were told last.
+func (e *Exchange) tellUsage(now time.Time) {
+	if e.usage == nil {
+		return
+	}
+	e.mu.Lock()
+	targets := make(map[netip.AddrPort]uint64)
+	for _, address := range e.peers.supervisors() {
+		if address != e.peers.address {
+			targets[address] = e.usage.told[address]
+		}
+	}
+	e.mu.Unlock()
+	for address, after := range targets {
+		delta := e.usage.tally.Since(after, now)
+		form := &usageForm{After: delta.After, Through: delta.Through, Closed: delta.Closed, Counts: renderCounts(delta.Entries)}
+		e.sendTo(address, Message{Node: e.node, Usage: form})
+		e.mu.Lock()
+		e.usage.told[address] = delta.Through
+		e.mu.Unlock()
+	}
+}
+
+// takeUsage takes in what another node has counted.
+func (e *Exchange) takeUsage(from netip.AddrPort, message Message) {
+	if e.usage == nil {
+		return
+	}
+	form := message.Usage
+	delta := usage.Delta{After: form.After, Through: form.Through, Closed: form.Closed, Entries: parseCounts(form.Counts)}
+	reply, wanted := e.usage.collector.Take(message.Node, delta)
+	if wanted {
+		e.sendTo(from, Message{Node: e.node, UsageReply: &usageReply{Through: reply.Through, Closed: reply.Closed}})
+	}
+}
+
+// takeUsageReply learns what a supervisor has of this node's tally.
+func (e *Exchange) takeUsageReply(from netip.AddrPort, reply usageReply) {
+	if e.usage == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.usage.told[from] = min(e.usage.told[from], reply.Through)
+	e.usage.acknowledged = max(e.usage.acknowledged, reply.Closed)
+}
+
+// GatherUsage implements usage.Fleet.
+func (e *Exchange) GatherUsage(after usage.Window) {
+	e.mu.Lock()
+	supervisors := e.peers.supervisors()
+	e.mu.Unlock()
+	for _, address := range supervisors {
+		if address != e.peers.address {
+			e.sendTo(address, Message{Node: e.node, WantUsage: after})
+		}
+	}
+}
+
+// tellGathered answers another supervisor.
+func (e *Exchange) tellGathered(to netip.AddrPort, after usage.Window) {
+	if e.usage == nil {
+		return
+	}
+	for node, entries := range e.usage.collector.Gathered(after) {
+		for len(entries) > 0 {
+			count := min(len(entries), maxGathered)
+			e.sendTo(to, Message{Node: e.node, Gathered: &gatheredForm{Node: node, Counts: renderCounts(entries[:count])}})
+			entries = entries[count:]
+		}
+	}
+}
+
+func (e *Exchange) takeGathered(gathered gatheredForm) {
+	if e.usage != nil {
+		e.usage.collector.Merge(gathered.Node, parseCounts(gathered.Counts))
+	}
+}
+
+// Members implements usage.Fleet.
+func (e *Exchange) Members() []usage.Member {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	members := make([]usage.Member, 0, len(e.peers.peers))
+	for _, known := range e.peers.peers {
+		heard := known.heard
+		if heard.IsZero() {
+			heard = e.begun
+		}
+		members = append(members, usage.Member{Node: known.node, Silent: now.Sub(heard)})
+	}
+	return members
+}
+
+// UsageStore is where a node writes its tally that reaches no supervisor.
+type UsageStore interface {
+	// Put writes a row of this project's own, and Remove takes it away.
+	Put(ctx context.Context, table, key string, value []byte) error
+	Remove(ctx context.Context, table, key string) error
+}
+
+const (
+	// detourAfter is how long after a window's end a supervisor's word is awaited before
+	// the window is written to the store: two messages at rest.
+	detourAfter = 1100 * time.Millisecond
+	// detourEvery is the time between two looks, and detourTimeout bounds a call.
+	detourEvery   = 500 * time.Millisecond
+	detourTimeout = time.Second
+)
+
+// DetourUsage writes closed windows that no supervisor has acknowledged to the store, until
+// ctx ends: this node may be cut off from the others and not from the store.
+func (e *Exchange) DetourUsage(ctx context.Context, name string, store UsageStore) {
+	ticker := time.NewTicker(detourEvery)
+	defer ticker.Stop()
+	begun := e.usage.tally.Span().At(e.usage.tally.Now(time.Now())) - 1
+	written := begun
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := e.usage.tally.Now(time.Now())
+		closed := e.usage.tally.Span().At(now.Add(-detourAfter)) - 1
+		acknowledged := max(e.UsageAcknowledged(), begun)
+		switch {
+		case acknowledged < closed && written < closed:
+			if e.writeUsage(ctx, name, store, acknowledged, closed) {
+				written = closed
+			}
+		case acknowledged >= closed && written > begun && written <= acknowledged-keptDetour:
+			e.removeUsage(ctx, name, store)
+			written = begun
+		}
+	}
+}
+
+// keptDetour is for how many windows a row stays in the store after a supervisor has all:
+// it is read when they are recorded.
+const keptDetour = 3
+
+func (e *Exchange) writeUsage(ctx context.Context, name string, store UsageStore, after, through usage.Window) bool {
+	entries := e.usage.tally.Of(after, through)
+	log := e.log.WithFields(logrus.Fields{"after": after, "through": through, "entries": len(entries)})
+	if len(entries) == 0 {
+		return true
+	}
+	value, err := json.Marshal(usage.NodeRow{Incarnation: e.node, Entries: entries})
+	if err != nil {
+		log.WithError(err).Error("this node's usage can't be rendered")
+		return true
+	}
+	callCtx, cancel := context.WithTimeout(ctx, detourTimeout)
+	defer cancel()
+	if err := store.Put(callCtx, usage.Table, usage.NodeKey(name), value); err != nil {
+		log.WithField("cause", err.Error()).Warn("usage reaches neither a supervisor nor the store")
+		return false
+	}
+	log.Info("usage written to the store: no supervisor has acknowledged it")
+	return true
+}
+
+func (e *Exchange) removeUsage(ctx context.Context, name string, store UsageStore) {
+	callCtx, cancel := context.WithTimeout(ctx, detourTimeout)
+	defer cancel()
+	if err := store.Remove(callCtx, usage.Table, usage.NodeKey(name)); err != nil {
+		e.log.WithField("cause", err.Error()).Warn("this node's row of usage stays in the store")
+	}
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -171,6 +171,9 @@
 	if from != nil {
 		s.registry.HandleTaken(from.reader.ID, time.Now())
 	}
+	if !s.call.Route.Streams() || answer.Status >= http.StatusInternalServerError {
+		s.countBegun(time.Now()) // its run has ended already
+	}
 	return s.pass(runner, answer, work)
 }
 
@@ -184,6 +187,11 @@
 		return tryEnd{verdict: notRun, worker: runner.ID, err: err, counted: false}
 	}
 	s.ranBefore = true
+	if !s.call.Route.Streams() && !gone(err) && !late(err) {
+		// A worker that takes a request and breaks off without an answer has run it as a
+		// rule: most such losses are of answers.
+		s.countBegun(time.Now())
+	}
 	return tryEnd{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -33,6 +33,8 @@
 	terms    retry.Terms
 	// knowledge tells how old what decides a request is.
 	knowledge func() Knowledge
+	// began counts a request of a tenant that a worker has begun to run.
+	began func(tenant string, at time.Time)
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -52,6 +54,9 @@
 	Retries  retry.Terms
 	// Knowledge may be nil.
 	Knowledge func() Knowledge
+	// Began is told of each request that a worker has begun to run, once, with the name of
+	// its tenant. It may be nil.
+	Began func(tenant string, at time.Time)
 }
 
 // Knowledge tells versions and ages of what a node decides by, for the log.
@@ -71,7 +76,12 @@
 	if knowledge == nil {
 		knowledge = func() Knowledge { return Knowledge{} }
 	}
+	began := options.Began
+	if began == nil {
+		began = func(string, time.Time) {}
+	}
 	return &Dispatcher{
+		began:     began,
 		knowledge: knowledge,
 		registry:  options.Registry,
 		scheduler: options.Scheduler,
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -52,6 +52,8 @@
 	// attempt nor a repeat, so it is not done again.
 	readTaken bool
 	headGiven bool
+	// begun tells that a worker has begun to run the call, so that it was counted.
+	begun bool
 	// resumeAfter is the last event that the caller has.
 	resumeAfter string
 	// first, last and gap are as in Outcome.
@@ -63,6 +65,17 @@
 	surveyed surveyed
 }
 
+// countBegun counts the call as one that a worker has begun to run, unless it was counted
+// before or belongs to no tenant.
+func (s *session) countBegun(at time.Time) {
+	name := s.call.Tenant.Name()
+	if s.begun || name == "" {
+		return
+	}
+	s.begun = true
+	s.began(name, at)
+}
+
 func (s *session) remaining() time.Duration { return time.Until(s.call.Deadline) }
 
 func (s *session) request() scheduling.Request {
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -38,6 +38,7 @@
 		return
 	}
 	w.firstAt = time.Now()
+	w.session.countBegun(w.firstAt)
 	registry, call := w.session.registry, w.session.call
 	registry.End(w.runner.ID, w.reading)
 	if len(call.Prompt) == 0 {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -163,6 +163,10 @@
 	return m.fence
 }
 
+// Renounce ends this node's lease without a write: another node was seen to act under a
+// higher fence. The row is looked at again before the lease is taken anew.
+func (m *Machine) Renounce() { m.until, m.fence = time.Time{}, 0 }
+
 // Holder returns the incarnation that wrote the row last, as far as is known.
 func (m *Machine) Holder() string { return m.row.Holder }
 
--- /dev/null
+++ b/internal/rowstore/rowstore.go
@@ -0,0 +1,33 @@
+// Package rowstore has the types by which parts of a node write rows of the platform's
+// store under conditions.
+package rowstore
+
+import "context"
+
+// Condition is a version that a row must have, zero where there must be none.
+type Condition struct {
+	Table, Key string
+	Version    uint64
+}
+
+// Write is a row to be written, or to be removed where its value is nil.
+type Write struct {
+	Table, Key string
+	Value      []byte
+}
+
+// Transaction is carried out whole, or not at all where a condition doesn't hold.
+type Transaction struct {
+	Conditions []Condition
+	Writes     []Write
+}
+
+// Store is the part of the platform's store that transactions need.
+type Store interface {
+	// ReadRow returns a row's value and version; version zero means that there is none.
+	ReadRow(ctx context.Context, table, key string) (value []byte, version uint64, err error)
+	// Transact carries a transaction out, and returns the version that its rows have
+	// then. done is false where a condition did not hold. An error leaves open whether it
+	// was carried out.
+	Transact(ctx context.Context, transaction Transaction) (version uint64, done bool, err error)
+}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/authority"
 	"github.com/tinarch/tinarch/internal/digest"
 	"github.com/tinarch/tinarch/internal/dispatch"
 	"github.com/tinarch/tinarch/internal/engine"
@@ -24,11 +25,13 @@
 	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/retry"
 	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/rowstore"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/settings"
 	"github.com/tinarch/tinarch/internal/stagecontrol"
 	"github.com/tinarch/tinarch/internal/tablefeed"
 	"github.com/tinarch/tinarch/internal/tablerelay"
+	"github.com/tinarch/tinarch/internal/usage"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
@@ -51,7 +54,8 @@
 	// answer.
 	ListRequest(address string) *workerconn.Request
 	ListedParts(status int, body []byte) ([]prefixcache.Part, error)
-	stagecontrol.Store
+	rowstore.Store
+	usage.API
 	stagecontrol.Wire
 	// Put writes a row of this project's own, and Remove takes it away.
 	Put(ctx context.Context, table, key string, value []byte) error
@@ -90,6 +94,11 @@
 	// workersKnown tells that some worker was listed since the start.
 	workersKnown atomic.Bool
 
+	authority *authority.Authority
+	// tally and collector are nil where no usage is reported.
+	tally     *usage.Tally
+	collector *usage.Collector
+
 	identity string
 	cancel   context.CancelFunc
 	work     sync.WaitGroup
@@ -111,6 +120,7 @@
 		return nil, err
 	}
 	n.exchange = exchange
+	n.countUsage()
 	n.board = tablerelay.New(exchange)
 	exchange.SetBoard(n.board)
 	n.configurationFeed = n.newFeed(platform.ConfigurationTable(), &configuration{node: n})
@@ -122,9 +132,13 @@
 	if err := n.listen(metrics); err != nil {
 		return nil, err
 	}
+	n.authority = authority.New(authority.Options{
+		Self: n.identity, Life: settings.Milliseconds(configured.Bounds.LeaseMillis),
+		Store: platform, Log: log, StandAside: exchange.StandAside,
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	n.follow(ctx)
+	n.follow(ctx, metrics)
 	log.WithFields(logrus.Fields{
 		"node": configured.Node.Name, "incarnation": n.identity, "zone": configured.Node.Zone,
 		"callers": configured.Listen.Callers, "store": configured.Store.Address,
@@ -136,7 +150,12 @@
 
 func (n *Node) dispatcher(metrics *prometheus.Registry) *dispatch.Dispatcher {
 	bounds := n.settings.Bounds
+	var began func(tenant string, at time.Time)
+	if n.tally != nil {
+		began = n.tally.Began
+	}
 	return dispatch.New(dispatch.Options{
+		Began:    began,
 		Registry: n.registry, Scheduler: scheduling.New(scheduling.DefaultCosts()),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
 		Nodes: n.exchange.Nodes, Accounts: n.exchange, Knowledge: n.knowledge,
@@ -214,7 +233,7 @@
 }
 
 // follow starts the feeds of the platform's tables and the exchange.
-func (n *Node) follow(ctx context.Context) {
+func (n *Node) follow(ctx context.Context, metrics *prometheus.Registry) {
 	for _, feed := range []*tablefeed.Feed{n.configurationFeed, n.workersFeed} {
 		n.work.Go(func() { feed.Run(ctx) })
 	}
@@ -222,6 +241,7 @@
 	n.work.Go(func() { n.announce(ctx) })
 	n.work.Go(func() { n.warmUp(ctx) })
 	n.work.Go(func() { n.controller().Run(ctx) })
+	n.reportUsage(ctx, metrics)
 }
 
 // Stop ends the node as planned: it says that it takes no callers, goes on
--- a/internal/serving/stages.go
+++ b/internal/serving/stages.go
@@ -4,21 +4,22 @@
 	"cmp"
 	"slices"
 
-	"github.com/tinarch/tinarch/internal/settings"
 	"github.com/tinarch/tinarch/internal/stagecontrol"
 )
 
 // controller plans the stages of the engines.
 func (n *Node) controller() *stagecontrol.Controller {
 	return stagecontrol.New(stagecontrol.Options{
-		Self: n.identity, Lease: settings.Milliseconds(n.settings.Bounds.LeaseMillis),
-		Store: n.platform, Wire: n.platform, Fleet: n.registry, Pool: n.pool, Log: n.log,
+		Self: n.identity, Authority: n.authority, Wire: n.platform,
+		Fleet: n.registry, Pool: n.pool, Log: n.log,
 		Services:   n.engineServices,
-		StandAside: n.exchange.StandAside,
-		Designated: func() bool { return n.Ready() && n.exchange.Designated() },
+		Designated: n.designated,
 	})
 }
 
+// designated reports whether the other nodes expect this one to act for all.
+func (n *Node) designated() bool { return n.Ready() && n.exchange.Designated() }
+
 // engineServices lists the services of engines.
 func (n *Node) engineServices() []stagecontrol.Service {
 	table := n.front.Table()
--- /dev/null
+++ b/internal/serving/usage.go
@@ -0,0 +1,39 @@
+package serving
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tinarch/tinarch/internal/settings"
+	"github.com/tinarch/tinarch/internal/usage"
+)
+
+// countUsage makes the tally of this node's requests where the platform wants usage
+// reported.
+func (n *Node) countUsage() {
+	if !n.settings.API.Has(settings.DutyUsage) {
+		return
+	}
+	n.tally = usage.NewTally(seconds(n.settings.Usage.WindowSeconds))
+	n.collector = usage.NewCollector()
+	n.exchange.SetUsage(n.tally, n.collector)
+}
+
+func seconds(count float64) time.Duration { return time.Duration(count * float64(time.Second)) }
+
+// reportUsage starts the reporter, and the detour of tallies that reach no supervisor.
+func (n *Node) reportUsage(ctx context.Context, metrics *prometheus.Registry) {
+	if n.tally == nil {
+		return
+	}
+	reporter := usage.NewReporter(usage.Options{
+		Node: n.settings.Node.Name, Incarnation: n.identity, Late: seconds(n.settings.Usage.LateSeconds),
+		Tally: n.tally, Collector: n.collector, Authority: n.authority,
+		Store: n.platform, API: n.platform, Fleet: n.exchange,
+		Designated: n.designated, Log: n.log, Metrics: usage.NewMetrics(metrics),
+	})
+	n.work.Go(func() { reporter.Run(ctx) })
+	n.work.Go(func() { n.exchange.DetourUsage(ctx, n.settings.Node.Name, n.platform) })
+}
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"slices"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/parser"
@@ -16,6 +17,8 @@
 	Node   RoutedNode   `yaml:"node"`
 	Listen RoutedListen `yaml:"listen"`
 	Store  RoutedStore  `yaml:"store"`
+	API    RoutedAPI    `yaml:"api"`
+	Usage  RoutedUsage  `yaml:"usage"`
 	Limits RoutedLimits `yaml:"limits"`
 	Bounds RoutedBounds `yaml:"bounds"`
 	Log    Log          `yaml:"log"`
@@ -41,6 +44,32 @@
 	Address string `yaml:"address"`
 }
 
+// RoutedAPI says where the platform's API is, to which one node at a time speaks for all.
+type RoutedAPI struct {
+	// Address is empty where there is none.
+	Address string `yaml:"address"`
+	// Duties are what the platform expects to be done there: usage_report, autoscale. Others
+	// are passed over.
+	Duties []string `yaml:"duties"`
+}
+
+// Duties of the platform's API.
+const (
+	DutyUsage = "usage_report"
+	DutyScale = "autoscale"
+)
+
+// Has reports whether the platform expects a duty to be done.
+func (a RoutedAPI) Has(duty string) bool { return a.Address != "" && slices.Contains(a.Duties, duty) }
+
+// RoutedUsage says how tenants' usage is reported.
+type RoutedUsage struct {
+	// WindowSeconds is the length of a window of wall-clock time, and LateSeconds how long
+	// after its end a window may be reported.
+	WindowSeconds float64 `yaml:"window_s"`
+	LateSeconds   float64 `yaml:"late_s"`
+}
+
 // RoutedLimits bound what the process uses.
 type RoutedLimits struct {
 	MemoryMegabytes int `yaml:"memory_mb"`
@@ -62,6 +91,7 @@
 // DefaultRouted returns the settings that hold where none are given.
 func DefaultRouted() Routed {
 	return Routed{
+		Usage:  RoutedUsage{WindowSeconds: 5, LateSeconds: 10},
 		Limits: RoutedLimits{MemoryMegabytes: 256},
 		Bounds: RoutedBounds{
 			StopMillis: 8000, RetryRatio: 0.2, RetrySlack: 20,
@@ -103,6 +133,11 @@
 	c.address("listen.exchange", s.Listen.Exchange)
 	c.address("listen.metrics", s.Listen.Metrics)
 	c.address("store.address", s.Store.Address)
+	if s.API.Address != "" {
+		c.address("api.address", s.API.Address)
+	}
+	c.seconds("usage.window_s", s.Usage.WindowSeconds)
+	c.seconds("usage.late_s", s.Usage.LateSeconds)
 	c.between("limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1<<20)
 	c.between("bounds.stop_ms", s.Bounds.StopMillis, 1000, 24*3_600_000)
 	c.share("bounds.retry_ratio", s.Bounds.RetryRatio, 10)
@@ -114,6 +149,15 @@
 	return c.err()
 }
 
+// longest is the longest span that a setting may give, in seconds: a day.
+const longest = 24 * 3600
+
+func (c *checker) seconds(key string, value float64) {
+	if value <= 0 || value > longest {
+		c.add(key, "%v is out of range; use more than 0 and at most %v seconds", value, longest)
+	}
+}
+
 func (c *checker) share(key string, value, highest float64) {
 	if value < 0 || value > highest {
 		c.add(key, "%v is out of range; use 0 to %v", value, highest)
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -1,3 +1,6 @@
+// Package stagecontrol gives engines the orders that stageplan decides on: under the
+// authority that one node at a time has, fenced, one at a time, by one node that all
+// others expect to do it.
 package stagecontrol
 
 import (
@@ -7,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/authority"
 	"github.com/tinarch/tinarch/internal/stageplan"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
@@ -22,11 +26,6 @@
 	maxReply     = 16 << 10
 	// doneMargin is added to the time that a change takes before it is given up.
 	doneMargin = 6 * time.Second
-	// asideMargin is for how long a node that can't reach the store leaves orders to
-	// others, besides a life of the lease and a tenth: one of them must first hear of it,
-	// which takes up to two seconds, and then see the lease unchanged for that time before
-	// it takes it (inc-6b64).
-	asideMargin = 3 * time.Second
 	// lateOrder is for how long an order that was not answered may still be carried
 	// out.
 	lateOrder = 15 * time.Second
@@ -74,36 +73,28 @@
 
 // Options are what a controller works with.
 type Options struct {
-	Self     string
-	Lease    time.Duration
-	Store    Store
-	Wire     Wire
-	Fleet    Fleet
-	Pool     *workerconn.Pool
-	Log      *logrus.Logger
-	Services func() []Service
+	// Self names this node to engines.
+	Self      string
+	Authority *authority.Authority
+	Wire      Wire
+	Fleet     Fleet
+	Pool      *workerconn.Pool
+	Log       *logrus.Logger
+	Services  func() []Service
 	// Designated reports whether this is the node that the others expect to give
 	// orders. Two nodes may both think so; the lease decides.
 	Designated func() bool
-	// StandAside leaves orders to another node for a time: the store can't be reached.
-	// It may be nil.
-	StandAside func(span time.Duration)
 }
 
 // Controller plans and orders.
 type Controller struct {
-	options   Options
-	authority *authority
-	planners  map[string]*stageplan.Planner
+	options  Options
+	planners map[string]*stageplan.Planner
 }
 
 // New returns a controller.
 func New(options Options) *Controller {
-	return &Controller{
-		options:   options,
-		authority: newAuthority(options.Self, options.Lease, options.Store, options.Log),
-		planners:  make(map[string]*stageplan.Planner),
-	}
+	return &Controller{options: options, planners: make(map[string]*stageplan.Planner)}
 }
 
 // Run works until ctx ends.
@@ -155,11 +146,8 @@
 		log.Info("order not given: the worker is gone")
 		return
 	}
-	if authority := c.authority.acquire(ctx); authority != held {
-		if authority == storeAway && c.options.StandAside != nil {
-			c.options.StandAside(c.options.Lease*11/10 + asideMargin)
-		}
-		log.WithField("authority", authority).Info("order not given")
+	if hold := c.options.Authority.Acquire(ctx); hold != authority.Held {
+		log.WithField("authority", hold).Info("order not given")
 		return
 	}
 	verdict, detail := c.send(ctx, to, order)
@@ -175,7 +163,7 @@
 
 // send looks at the lease again just before the order leaves.
 func (c *Controller) send(ctx context.Context, to worker.Worker, order stageplan.Order) (Verdict, string) {
-	fence := c.authority.machine.Fence(time.Now())
+	fence := c.options.Authority.Fence()
 	if fence == 0 {
 		return Rejected, "the lease lapsed before the order left"
 	}
--- a/internal/stagecontrol/controller_test.go
+++ b/internal/stagecontrol/controller_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/authority"
+	"github.com/tinarch/tinarch/internal/rowstore"
 	"github.com/tinarch/tinarch/internal/stageplan"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
@@ -41,18 +43,18 @@
 	return s.value, s.version, nil
 }
 
-func (s *memoryStore) WriteRow(_ context.Context, _, _ string, value []byte, ifVersion uint64) (uint64, bool, error) {
+func (s *memoryStore) Transact(_ context.Context, transaction rowstore.Transaction) (uint64, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
 		return 0, false, errDown
 	}
-	if s.version != ifVersion {
+	if s.version != transaction.Conditions[0].Version {
 		return 0, false, nil
 	}
 	s.version += 3
-	s.value = value
+	s.value = transaction.Writes[0].Value
 	if s.late {
 		return 0, false, errDown
 	}
@@ -138,11 +140,17 @@
 	return b
 }
 
-func (b *bench) controller(self string) *Controller {
+func (b *bench) controller(self string) *Controller { return b.controllerThat(self, nil) }
+
+// leaseLife is that of the tests' leases.
+const leaseLife = 3 * time.Second
+
+func (b *bench) controllerThat(self string, standAside func(time.Duration)) *Controller {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	held := authority.New(authority.Options{Self: self, Life: leaseLife, Store: b.store, Log: log, StandAside: standAside})
 	return New(Options{
-		Self: self, Lease: 3 * time.Second, Store: b.store, Wire: fakeWire{}, Fleet: b.fleet, Pool: workerconn.NewPool(), Log: log,
+		Self: self, Authority: held, Wire: fakeWire{}, Fleet: b.fleet, Pool: workerconn.NewPool(), Log: log,
 		Services:   func() []Service { return []Service{{Name: "s", Switch: time.Second}} },
 		Designated: func() bool { return true },
 	})
@@ -242,16 +250,15 @@
 func TestNodeWithoutTheStoreStandsAside(t *testing.T) {
 	b := newBench(t)
 	stood := 0
-	cut := b.controller("a")
-	cut.options.StandAside = func(span time.Duration) {
+	cut := b.controllerThat("a", func(span time.Duration) {
 		stood++
 		// Another node sees the lease for the first time when it hears of this, and takes
 		// it when it has seen it unchanged for a life and a margin (inc-6b64).
 		const heard = 2 * time.Second
-		if takes := heard + cut.options.Lease*11/10; span < takes {
+		if takes := heard + leaseLife*11/10; span < takes {
 			t.Errorf("stands aside for %v, another takes the lease after up to %v", span, takes)
 		}
-	}
+	})
 	b.store.down = true
 	order(cut)
 	if stood != 1 {
--- /dev/null
+++ b/internal/usage/reporter.go
@@ -0,0 +1,339 @@
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/authority"
+	"github.com/tinarch/tinarch/internal/duty"
+	"github.com/tinarch/tinarch/internal/rowstore"
+	"github.com/tinarch/tinarch/internal/tablefeed"
+)
+
+// The figures of a reporter.
+const (
+	// stepEvery is the time between two looks for a window that is due.
+	stepEvery = 200 * time.Millisecond
+	// settle is left after a window's end for nodes to tell their last counts: they do so
+	// each half a second (digest.restEvery).
+	settle = 600 * time.Millisecond
+	// patience is how long after a window's end nodes are waited for that live and have
+	// not told all of it.
+	patience = 3 * time.Second
+	// silence is how long a node says nothing before it isn't waited for any more.
+	silence = 2500 * time.Millisecond
+	// callTimeout bounds a call to the store or the platform's API.
+	callTimeout = 2 * time.Second
+	// retryEvery is the time between two tries of what failed.
+	retryEvery = 500 * time.Millisecond
+	// gatherTime is how long the answers of other supervisors are waited for.
+	gatherTime = 150 * time.Millisecond
+	// keptRows is how many windows stay recorded in the store: more than are ever due at
+	// once.
+	keptRows = 24
+)
+
+// Store is what the reporter needs of the platform's store.
+type Store interface {
+	rowstore.Store
+	// Read returns all rows of a table as of one version.
+	Read(ctx context.Context, table string) ([]tablefeed.Row, tablefeed.Version, error)
+}
+
+// API is the platform's API for usage.
+type API interface {
+	// ReportUsage reports the counts of a window. The error tells why a verdict is
+	// duty.Unknown.
+	ReportUsage(ctx context.Context, act duty.Act, window Window, counts Counts) (duty.Verdict, error)
+}
+
+// Member is another node.
+type Member struct {
+	// Node is its incarnation, and Silent the time since it was heard.
+	Node   string
+	Silent time.Duration
+}
+
+// Fleet is the other nodes.
+type Fleet interface {
+	Members() []Member
+	// GatherUsage asks the other supervisors for what they have gathered of the windows
+	// after one.
+	GatherUsage(after Window)
+}
+
+// Options are what a reporter works with.
+type Options struct {
+	// Node names this node to the platform, and Incarnation to other nodes.
+	Node, Incarnation string
+	// Late is how long after its end a window is still taken.
+	Late      time.Duration
+	Tally     *Tally
+	Collector *Collector
+	Authority *authority.Authority
+	Store     Store
+	API       API
+	Fleet     Fleet
+	// Designated reports whether this node is the one that the others expect to report.
+	// Two nodes may both think so; the authority and the store decide.
+	Designated func() bool
+	Log        *logrus.Logger
+	Metrics    *Metrics
+}
+
+// Reporter reports each window once. What it reports lies in the store before it is sent,
+// under the condition that nothing lay there, so that a second report of a window, by
+// whomever and however late, has the same counts.
+type Reporter struct {
+	options Options
+	span    Span
+	// first is the window in which this process started.
+	first Window
+	// done is the newest window up to which all are sent.
+	done Window
+	sent map[Window]bool
+	// gathered tells that the other supervisors were asked since this node was designated.
+	gathered bool
+	retryAt  time.Time
+}
+
+// NewReporter returns a reporter.
+func NewReporter(options Options) *Reporter {
+	span := options.Tally.Span()
+	return &Reporter{
+		options: options, span: span, sent: make(map[Window]bool),
+		first: span.At(options.Tally.Now(time.Now())),
+	}
+}
+
+// Run works until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !r.options.Designated() {
+			r.gathered, r.done = false, 0
+			continue
+		}
+		r.Step(ctx, time.Now())
+	}
+}
+
+// Step reports the windows that are due.
+func (r *Reporter) Step(ctx context.Context, moment time.Time) {
+	own := r.options.Tally.Since(0, moment)
+	r.options.Collector.Merge(r.options.Incarnation, own.Entries)
+	now := r.options.Tally.Now(moment)
+	due := r.span.At(now.Add(-settle)) - 1
+	if due <= r.done || moment.Before(r.retryAt) || !r.told(due, now) {
+		return
+	}
+	if err := r.report(ctx, due, now); err != nil {
+		r.retryAt = moment.Add(retryEvery)
+		r.options.Log.WithFields(logrus.Fields{"window": due, "cause": err.Error()}).Warn("usage not reported yet")
+	}
+}
+
+// told reports whether all that can be known of a window was told, or was waited for long
+// enough.
+func (r *Reporter) told(window Window, now time.Time) bool {
+	if now.Sub(r.span.End(window)) >= patience {
+		return true
+	}
+	for _, member := range r.options.Fleet.Members() {
+		if member.Silent < silence && !r.options.Collector.Closed(member.Node, window) {
+			return false
+		}
+	}
+	return true
+}
+
+// report records and sends all windows up to one.
+func (r *Reporter) report(ctx context.Context, due Window, now time.Time) error {
+	if !r.gathered {
+		r.options.Fleet.GatherUsage(due - keptWindows)
+		time.Sleep(gatherTime)
+		r.gathered = true
+	}
+	if hold := r.options.Authority.Acquire(ctx); hold != authority.Held {
+		return eris.Errorf("no authority: %s", hold)
+	}
+	recorded, err := r.recorded(ctx)
+	if err != nil {
+		return err
+	}
+	for window := r.next(recorded, due); window <= due; window++ {
+		counts, err := r.record(ctx, window)
+		if err != nil {
+			return err
+		}
+		recorded[window] = counts
+	}
+	if err := r.sendAll(ctx, recorded, now); err != nil {
+		return err
+	}
+	r.done = due
+	r.options.Collector.Forget(due)
+	return nil
+}
+
+// next is the first window that isn't recorded.
+func (r *Reporter) next(recorded map[Window]Counts, due Window) Window {
+	next := r.first
+	for window := range recorded {
+		next = max(next, window+1)
+	}
+	if len(recorded) > 0 {
+		next = slices.Max(slices.Collect(maps.Keys(recorded))) + 1
+	}
+	return max(next, due-keptWindows+1)
+}
+
+// Keys of rows: recorded windows, and what nodes write themselves that reach no
+// supervisor.
+const (
+	Table        = "usage"
+	windowPrefix = "window/"
+	nodePrefix   = "node/"
+)
+
+func windowKey(window Window) string { return windowPrefix + strconv.FormatInt(int64(window), 10) }
+
+// NodeKey is the key of a node's own row.
+func NodeKey(node string) string { return nodePrefix + node }
+
+// NodeRow is what a node writes of its tally.
+type NodeRow struct {
+	Incarnation string  `json:"incarnation"`
+	Entries     []Entry `json:"entries"`
+}
+
+// recorded returns the windows that lie in the store, and takes in the rows of nodes.
+func (r *Reporter) recorded(ctx context.Context) (map[Window]Counts, error) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, _, err := r.options.Store.Read(callCtx, Table)
+	if err != nil {
+		return nil, eris.Wrap(err, "the recorded windows can't be read")
+	}
+	recorded := make(map[Window]Counts)
+	for _, row := range rows {
+		if err := r.readRow(row, recorded); err != nil {
+			r.options.Log.WithFields(logrus.Fields{"row": row.Key, "cause": err.Error()}).Error("a row of usage can't be read; it is passed over")
+		}
+	}
+	return recorded, nil
+}
+
+func (r *Reporter) readRow(row tablefeed.Row, recorded map[Window]Counts) error {
+	if strings.HasPrefix(row.Key, nodePrefix) {
+		var node NodeRow
+		if err := json.Unmarshal(row.Value, &node); err != nil {
+			return err
+		}
+		r.options.Collector.Merge(node.Incarnation, node.Entries)
+		return nil
+	}
+	number, err := strconv.ParseInt(strings.TrimPrefix(row.Key, windowPrefix), 10, 64)
+	if err != nil {
+		return err
+	}
+	counts := make(Counts)
+	if err := json.Unmarshal(row.Value, &counts); err != nil {
+		return err
+	}
+	recorded[Window(number)] = counts
+	return nil
+}
+
+// record writes down what will be reported of a window, if nobody has: only as long as
+// this node has the authority.
+func (r *Reporter) record(ctx context.Context, window Window) (Counts, error) {
+	counts := r.options.Collector.Total(window)
+	content, err := json.Marshal(counts)
+	if err != nil {
+		return nil, err
+	}
+	condition, held := r.options.Authority.Condition()
+	if !held {
+		return nil, eris.New("the authority lapsed before the window was recorded")
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, done, err := r.options.Store.Transact(callCtx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{condition, {Table: Table, Key: windowKey(window)}},
+		Writes: []rowstore.Write{
+			{Table: Table, Key: windowKey(window), Value: content},
+			{Table: Table, Key: windowKey(window - keptRows)},
+		},
+	})
+	if err != nil {
+		return nil, eris.Wrapf(err, "window %d can't be recorded", window)
+	}
+	if !done {
+		r.options.Authority.Renounce()
+		return nil, eris.Errorf("window %d was recorded by another node, or another has the authority", window)
+	}
+	r.options.Log.WithFields(logrus.Fields{"window": window, "requests": counts.sum(), "tenants": len(counts)}).Info("usage recorded")
+	return counts, nil
+}
+
+func (c Counts) sum() int {
+	sum := 0
+	for _, count := range c {
+		sum += count
+	}
+	return sum
+}
+
+// sendAll sends the recorded windows that the platform still takes and that this process
+// hasn't sent.
+func (r *Reporter) sendAll(ctx context.Context, recorded map[Window]Counts, now time.Time) error {
+	for _, window := range slices.Sorted(maps.Keys(recorded)) {
+		if r.sent[window] || now.Sub(r.span.End(window)) > 2*r.options.Late {
+			continue
+		}
+		if err := r.send(ctx, window, recorded[window]); err != nil {
+			return err
+		}
+		r.sent[window] = true
+	}
+	maps.DeleteFunc(r.sent, func(window Window, _ bool) bool { return recorded[window] == nil })
+	return nil
+}
+
+// send reports a window. The fence is looked at just before.
+func (r *Reporter) send(ctx context.Context, window Window, counts Counts) error {
+	fence := r.options.Authority.Fence()
+	if fence == 0 {
+		return eris.New("the authority lapsed before the report left")
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	verdict, err := r.options.API.ReportUsage(callCtx, duty.Act{Holder: r.options.Node, Fence: fence}, window, counts)
+	r.options.Log.WithFields(logrus.Fields{
+		"window": window, "requests": counts.sum(), "fence": fence, "verdict": verdict, "cause": fmt.Sprint(err),
+	}).Info("usage reported")
+	r.options.Metrics.observe(verdict)
+	switch verdict {
+	case duty.Accepted:
+		return nil
+	case duty.Refused:
+		r.options.Authority.Renounce()
+	}
+	return eris.Errorf("the platform's answer to window %d: %s", window, verdict)
+}
--- /dev/null
+++ b/internal/usage/reporter_test.go
@@ -0,0 +1,281 @@
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/authority"
+	"github.com/tinarch/tinarch/internal/duty"
+	"github.com/tinarch/tinarch/internal/rowstore"
+	"github.com/tinarch/tinarch/internal/tablefeed"
+)
+
+var errAway = errors.New("the store is away")
+
+// memoryStore is a store of rows.
+type memoryStore struct {
+	rows    map[string]tablefeed.Row
+	version uint64
+	// down refuses all calls, and lose carries the next transactions out unanswered.
+	down, lose bool
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{rows: make(map[string]tablefeed.Row)} }
+
+func (s *memoryStore) ReadRow(_ context.Context, table, key string) ([]byte, uint64, error) {
+	if s.down {
+		return nil, 0, errAway
+	}
+	row := s.rows[table+" "+key]
+	return row.Value, uint64(row.Version), nil
+}
+
+func (s *memoryStore) Read(_ context.Context, table string) ([]tablefeed.Row, tablefeed.Version, error) {
+	if s.down {
+		return nil, 0, errAway
+	}
+	var rows []tablefeed.Row
+	for name, row := range s.rows {
+		if name == table+" "+row.Key {
+			rows = append(rows, row)
+		}
+	}
+	return rows, tablefeed.Version(s.version), nil
+}
+
+func (s *memoryStore) Transact(_ context.Context, transaction rowstore.Transaction) (uint64, bool, error) {
+	if s.down {
+		return 0, false, errAway
+	}
+	for _, condition := range transaction.Conditions {
+		if uint64(s.rows[condition.Table+" "+condition.Key].Version) != condition.Version {
+			return 0, false, nil
+		}
+	}
+	s.version++
+	for _, write := range transaction.Writes {
+		if write.Value == nil {
+			delete(s.rows, write.Table+" "+write.Key)
+			continue
+		}
+		s.rows[write.Table+" "+write.Key] = tablefeed.Row{Key: write.Key, Value: write.Value, Version: tablefeed.Version(s.version)}
+	}
+	if s.lose {
+		return 0, false, errAway
+	}
+	return s.version, true, nil
+}
+
+// memoryAPI takes reports.
+type memoryAPI struct {
+	reports map[Window][]Counts
+	highest uint64
+	// silent takes reports and doesn't answer.
+	silent bool
+	fences []uint64
+}
+
+func (a *memoryAPI) ReportUsage(_ context.Context, act duty.Act, window Window, counts Counts) (duty.Verdict, error) {
+	if act.Fence < a.highest {
+		return duty.Refused, errors.New("a lower fence")
+	}
+	a.highest = act.Fence
+	a.fences = append(a.fences, act.Fence)
+	a.reports[window] = append(a.reports[window], maps.Clone(counts))
+	if a.silent {
+		return duty.Unknown, errors.New("no answer")
+	}
+	return duty.Accepted, nil
+}
+
+// oneTruth fails where two reports of a window differ.
+func (a *memoryAPI) oneTruth(t *testing.T) {
+	t.Helper()
+	for window, reports := range a.reports {
+		for _, other := range reports[1:] {
+			if diff := cmp.Diff(reports[0], other); diff != "" {
+				t.Errorf("window %d was reported with different counts: %s", window, diff)
+			}
+		}
+	}
+}
+
+type alone struct{ members []Member }
+
+func (a alone) Members() []Member { return a.members }
+
+func (alone) GatherUsage(Window) {}
+
+// site is where reporters meet.
+type site struct {
+	store *memoryStore
+	api   *memoryAPI
+	log   *logrus.Logger
+}
+
+func newSite() *site {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &site{store: newMemoryStore(), api: &memoryAPI{reports: make(map[Window][]Counts)}, log: log}
+}
+
+// shortLife lets a lease lapse within a test, and is far above any pause of it.
+const shortLife = time.Second
+
+// reporter returns a reporter of a node that has counted requests of tenant a in the
+// first window.
+func (s *site) reporter(node string, counted int, members ...Member) *Reporter {
+	tally := NewTally(span)
+	for range counted {
+		tally.Began("a", at(1))
+	}
+	r := NewReporter(Options{
+		Node: node, Incarnation: node, Late: 10 * time.Second, Tally: tally, Collector: NewCollector(),
+		Authority: authority.New(authority.Options{Self: node, Life: shortLife, Store: s.store, Log: s.log}),
+		Store:     s.store, API: s.api, Fleet: alone{members}, Designated: func() bool { return true }, Log: s.log,
+	})
+	r.first = Span(span).At(at(0))
+	return r
+}
+
+func TestWindowIsReportedOnceItIsOver(t *testing.T) {
+	s := newSite()
+	r := s.reporter("n", 3)
+	for _, second := range []float64{1, 4.9, 5.5} {
+		r.Step(context.Background(), at(second))
+	}
+	if len(s.api.reports) != 0 {
+		t.Fatalf("reported before it was over: %v", s.api.reports)
+	}
+	for _, second := range []float64{5.7, 6, 9} {
+		r.Step(context.Background(), at(second))
+	}
+	want := map[Window][]Counts{Span(span).At(at(0)): {{"a": 3}}}
+	if diff := cmp.Diff(want, s.api.reports); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestNodesThatLiveAreWaitedFor: but not for longer than patience.
+func TestNodesThatLiveAreWaitedFor(t *testing.T) {
+	s := newSite()
+	r := s.reporter("n", 1, Member{Node: "late"}, Member{Node: "dead", Silent: time.Minute})
+	r.Step(context.Background(), at(6))
+	if len(s.api.reports) != 0 {
+		t.Fatal("a node that lives was not waited for")
+	}
+	other := NewTally(span)
+	other.Began("a", at(2))
+	r.options.Collector.Take("late", other.Since(0, at(6.5)))
+	r.Step(context.Background(), at(6.6))
+	if got := s.api.reports[Span(span).At(at(0))]; len(got) != 1 || got[0]["a"] != 2 {
+		t.Errorf("%v", got)
+	}
+	silent := newSite()
+	r = silent.reporter("n", 1, Member{Node: "late"})
+	r.Step(context.Background(), at(8.5))
+	if len(silent.api.reports) != 1 {
+		t.Error("a node that says nothing was waited for without end")
+	}
+}
+
+// TestNextHolderReportsWhatIsRecorded: a holder is lost after it recorded, whether its
+// report was sent, taken without an answer, or neither; the next one knows other counts.
+func TestNextHolderReportsWhatIsRecorded(t *testing.T) {
+	for _, lost := range []struct {
+		name string
+		do   func(s *site)
+	}{
+		{"report not answered", func(s *site) { s.api.silent = true }},
+		{"record not answered", func(s *site) { s.store.lose = true }},
+		{"nothing lost", func(*site) {}},
+	} {
+		s := newSite()
+		first := s.reporter("first", 5)
+		if hold := first.options.Authority.Acquire(context.Background()); hold != authority.Held {
+			t.Fatal(hold)
+		}
+		lost.do(s)
+		first.Step(context.Background(), at(6))
+		s.store.lose, s.api.silent = false, false
+		second := s.reporter("second", 4)
+		s.awaitHold(t, second)
+		second.Step(context.Background(), at(7))
+		first.Step(context.Background(), at(8)) // the old holder wakes
+		s.api.oneTruth(t)
+		if got := s.api.reports[Span(span).At(at(0))]; len(got) == 0 || got[0]["a"] != 5 {
+			t.Errorf("%s: %v", lost.name, got)
+		}
+	}
+}
+
+// awaitHold waits until a reporter has the authority.
+func (s *site) awaitHold(t *testing.T, r *Reporter) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); r.options.Authority.Acquire(context.Background()) != authority.Held; {
+		if time.Now().After(end) {
+			t.Fatal("the authority is never free")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestOldHolderRecordsNothing: one that was paused before it recorded finds that another
+// has the authority.
+func TestOldHolderRecordsNothing(t *testing.T) {
+	s := newSite()
+	first, second := s.reporter("first", 5), s.reporter("second", 4)
+	s.awaitHold(t, first)
+	condition, held := first.options.Authority.Condition()
+	if !held {
+		t.Fatal("the authority lapsed at once")
+	}
+	s.awaitHold(t, second)
+	counts, _ := json.Marshal(Counts{"a": 5})
+	_, done, err := s.store.Transact(context.Background(), rowstore.Transaction{
+		Conditions: []rowstore.Condition{condition, {Table: Table, Key: windowKey(1)}},
+		Writes:     []rowstore.Write{{Table: Table, Key: windowKey(1), Value: counts}},
+	})
+	if done || err != nil {
+		t.Errorf("a write under an old authority: %v %v", done, err)
+	}
+}
+
+// TestNothingIsReportedUnrecorded: while the store is away, windows wait.
+func TestNothingIsReportedUnrecorded(t *testing.T) {
+	s := newSite()
+	r := s.reporter("n", 3)
+	s.store.down = true
+	for second := 6.0; second < 12; second++ {
+		r.Step(context.Background(), at(second))
+	}
+	if len(s.api.reports) != 0 {
+		t.Fatalf("reported: %v", s.api.reports)
+	}
+	s.store.down = false
+	r.Step(context.Background(), at(12.5))
+	if len(s.api.reports) != 2 {
+		t.Errorf("%d windows reported after the store was back, want 2", len(s.api.reports))
+	}
+}
+
+// TestCountsThatCameByTheStoreAreTakenIn: of nodes that reach no supervisor.
+func TestCountsThatCameByTheStoreAreTakenIn(t *testing.T) {
+	s := newSite()
+	window := Span(span).At(at(0))
+	row, _ := json.Marshal(NodeRow{Incarnation: "cut off", Entries: []Entry{{Window: window, Tenant: "a", Count: 7}}})
+	s.store.rows[Table+" "+NodeKey("m")] = tablefeed.Row{Key: NodeKey("m"), Value: row, Version: 1}
+	r := s.reporter("n", 1)
+	r.Step(context.Background(), at(6))
+	if got := s.api.reports[window]; len(got) != 1 || got[0]["a"] != 8 {
+		t.Errorf("%v", got)
+	}
+}
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,130 @@
+package usage
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const span = 5 * time.Second
+
+// at is a moment of a fixed day; it has no steady reading, so that its difference to
+// others is that of the times of day.
+func at(seconds float64) time.Time {
+	return time.Unix(1_800_000_000, 0).Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func TestWindows(t *testing.T) {
+	s := Span(span)
+	window := s.At(at(0))
+	if s.At(at(4.999)) != window || s.At(at(5)) != window+1 || !s.End(window).Equal(at(5)) {
+		t.Errorf("window %d ends at %v; 5 s later it is %d", window, s.End(window), s.At(at(5)))
+	}
+}
+
+// TestClockOutlivesJumps: a time of day that jumps and returns moves nothing; one that
+// stays is taken for true.
+func TestClockOutlivesJumps(t *testing.T) {
+	now := time.Now()
+	steady := func(seconds float64) time.Time { return now.Add(time.Duration(seconds * float64(time.Second))) }
+	wall := func(seconds, off float64) time.Time {
+		return now.Round(0).Add(time.Duration((seconds + off) * float64(time.Second)))
+	}
+	c := &testClock{}
+	for _, step := range []struct{ at, off, want float64 }{
+		{0, 0, 0}, {1, 0.02, 0.02}, {2, 2, 0.02}, {3, 2, 0.02}, {4, 0, 0},
+		{5, -2, 0}, {20, -2, 0}, {36, -2, -2}, {37, -2, -2},
+	} {
+		got := c.now(steady(step.at), wall(step.at, step.off))
+		if off := got.Sub(wall(step.at, 0)).Seconds(); off < step.want-0.001 || off > step.want+0.001 {
+			t.Errorf("at %v s, %v s off: counts as %v s off, want %v", step.at, step.off, off, step.want)
+		}
+	}
+}
+
+// testClock is a Clock whose two readings are given apart.
+type testClock struct{ Clock }
+
+func (c *testClock) now(steady, wall time.Time) time.Time { return c.reading(steady, wall) }
+
+func TestTallyTellsWhatChanged(t *testing.T) {
+	tally := NewTally(span)
+	tally.Began("a", at(1))
+	tally.Began("b", at(1))
+	tally.Began("a", at(2))
+	first := tally.Since(0, at(2))
+	if len(first.Entries) != 2 || first.Through != 3 || first.Closed != Span(span).At(at(2))-1 {
+		t.Errorf("%+v", first)
+	}
+	tally.Began("a", at(7))
+	second := tally.Since(first.Through, at(11))
+	want := []Entry{{Window: Span(span).At(at(7)), Tenant: "a", Count: 1}}
+	if diff := cmp.Diff(want, second.Entries); diff != "" || second.Closed != Span(span).At(at(7)) {
+		t.Errorf("closed %d, %s", second.Closed, diff)
+	}
+}
+
+// TestCollectorLosesNothing: whatever messages are lost, repeated or cross, the total is
+// the truth once the node has told all; a node tells nobody a window as closed of which
+// something is missing.
+func TestCollectorLosesNothing(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		tally, collector := NewTally(span), NewCollector()
+		truth := make(Counts)
+		told := uint64(0)
+		tell := func(now time.Time, lossy bool) {
+			delta := tally.Since(told, now)
+			told = delta.Through
+			for range 1 + random.IntN(2) { // a datagram may come twice
+				if lossy && random.IntN(3) == 0 {
+					continue
+				}
+				if reply, wanted := collector.Take("n", delta); wanted && (!lossy || random.IntN(3) > 0) {
+					told = min(told, reply.Through)
+				}
+			}
+		}
+		for i := range 200 {
+			moment := at(5 * float64(i) / 200)
+			tenant := string(rune('a' + random.IntN(8)))
+			tally.Began(tenant, moment)
+			truth[tenant]++
+			if random.IntN(10) == 0 {
+				tell(moment, true)
+			}
+		}
+		window := Span(span).At(at(0))
+		for i := 0; !collector.Closed("n", window); i++ {
+			if i > 100 {
+				t.Fatalf("seed %d: the window never closes", seed)
+			}
+			tell(at(5.1+0.1*float64(i)), i < 20)
+		}
+		if diff := cmp.Diff(truth, collector.Total(window)); diff != "" {
+			t.Errorf("seed %d: %s", seed, diff)
+		}
+	}
+}
+
+// TestCountsOfAKilledProcessStay: beside those of the process that follows it, and a
+// supervisor that is new learns them from another.
+func TestCountsOfAKilledProcessStay(t *testing.T) {
+	window := Span(span).At(at(0))
+	old := NewCollector()
+	for _, node := range []string{"before", "after"} {
+		tally := NewTally(span)
+		tally.Began("a", at(1))
+		old.Take(node, tally.Since(0, at(2)))
+	}
+	fresh := NewCollector()
+	for node, entries := range old.Gathered(window - 1) {
+		fresh.Merge(node, entries)
+		fresh.Merge(node, entries)
+	}
+	if got := fresh.Total(window)["a"]; got != 2 {
+		t.Errorf("%d requests, want 2", got)
+	}
+}
