Workers are ordered by expected worth: spot workers, by zone and price

Change: internal/fleetsize weighs the price of one more worker of each kind against the requests that come late for want of workers, over the states in which a zone's spot workers are away. Before requests come, the operators' fleet is taken to be right at its prices; that basis lies in the store, so that the next holder doesn't take ordered workers for it. Refused orders are made up for in other zones and tried each 2 s.

Tests: never dearer than the operators' fleet at any prices, the mix by prices, lost zones, orders on the way to the plan, a new holder. The test of the way to the plan found zones that were full of what was to go.

--- /dev/null
+++ b/internal/fleetsize/controller_test.go
@@ -0,0 +1,175 @@
+package fleetsize
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/authority"
+	"github.com/tinarch/tinarch/internal/duty"
+	"github.com/tinarch/tinarch/internal/rowstore"
+)
+
+// memoryRows is a store of rows.
+type memoryRows struct {
+	values   map[string][]byte
+	versions map[string]uint64
+	newest   uint64
+}
+
+func (m *memoryRows) ReadRow(_ context.Context, table, key string) ([]byte, uint64, error) {
+	return m.values[table+" "+key], m.versions[table+" "+key], nil
+}
+
+func (m *memoryRows) Transact(_ context.Context, transaction rowstore.Transaction) (uint64, bool, error) {
+	for _, condition := range transaction.Conditions {
+		if m.versions[condition.Table+" "+condition.Key] != condition.Version {
+			return 0, false, nil
+		}
+	}
+	m.newest++
+	for _, write := range transaction.Writes {
+		m.values[write.Table+" "+write.Key] = write.Value
+		m.versions[write.Table+" "+write.Key] = m.newest
+	}
+	return m.newest, true, nil
+}
+
+// cloud is a platform that carries orders out at once, but for kinds that are away.
+type cloud struct {
+	standing Counts
+	away     map[Kind]bool
+	idle     bool
+	orders   int
+	// least is the fewest workers that ever stood.
+	least int
+}
+
+func (c *cloud) Standing(string) Counts {
+	copied := make(Counts)
+	for kind, count := range c.standing {
+		if count > 0 {
+			copied[kind] = count
+		}
+	}
+	return copied
+}
+
+func (c *cloud) Idle(string, time.Time) bool { return c.idle }
+
+func (c *cloud) OrderWorkers(_ context.Context, act duty.Act, _ string, kind Kind, count int) (duty.Verdict, error) {
+	c.orders++
+	if act.Fence == 0 || act.Holder == "" {
+		return duty.Refused, errors.New("no fence or holder")
+	}
+	if c.away[kind] && count > c.standing[kind] {
+		return duty.Refused, errors.New("none to be had")
+	}
+	c.standing[kind] = count
+	if c.standing.inZone(kind.Zone) > 94 {
+		return duty.Refused, errors.New("too many")
+	}
+	c.least = min(c.least, c.standing.total())
+	return duty.Accepted, nil
+}
+
+func newController(platform *cloud, rows *memoryRows, node string) *Controller {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	known := terms(0.18, 1, 4*time.Second)
+	return New(Options{
+		Node: node, Store: rows, API: platform, Workers: platform, Log: log,
+		Authority:  authority.New(authority.Options{Self: node, Life: time.Minute, Store: rows, Log: log}),
+		Services:   func() []Service { return []Service{{Name: "s", Terms: known}} },
+		Designated: func() bool { return true },
+	})
+}
+
+func newRows() *memoryRows {
+	return &memoryRows{values: make(map[string][]byte), versions: make(map[string]uint64)}
+}
+
+// run steps a controller over some seconds from a moment.
+func run(c *Controller, from time.Time, seconds int) time.Time {
+	for range 2 * seconds {
+		c.Step(context.Background(), from)
+		from = from.Add(stepEvery)
+	}
+	return from
+}
+
+// TestFleetIsBroughtToThePlan: before requests come at once, later without ever having
+// fewer workers than the plan has, and then nothing more is ordered.
+func TestFleetIsBroughtToThePlan(t *testing.T) {
+	for _, idle := range []bool{true, false} {
+		platform := &cloud{standing: operators(), idle: idle, least: 1000}
+		c := newController(platform, newRows(), "n")
+		now := run(c, time.Now(), 20)
+		plan := c.policy.Plan(terms(0.18, 1, 4*time.Second), *c.fleets["s"].basis, nil, nil)
+		if diff := cmp.Diff(nonzero(plan), platform.Standing("s")); diff != "" {
+			t.Errorf("idle %v: %s", idle, diff)
+		}
+		if !idle && platform.least < operators().total() {
+			t.Errorf("only %d workers stood on the way", platform.least)
+		}
+		before := platform.orders
+		run(c, now, 20)
+		if platform.orders != before {
+			t.Errorf("idle %v: %d orders of a fleet that is as planned", idle, platform.orders-before)
+		}
+	}
+}
+
+func nonzero(counts Counts) Counts {
+	left := make(Counts)
+	for kind, count := range counts {
+		if count > 0 {
+			left[kind] = count
+		}
+	}
+	return left
+}
+
+// TestLostWorkersAreOrderedAgain: others at once, and the lost ones when they are to be
+// had; the platform isn't asked at each step meanwhile.
+func TestLostWorkersAreOrderedAgain(t *testing.T) {
+	platform := &cloud{standing: operators(), least: 1000}
+	c := newController(platform, newRows(), "n")
+	now := run(c, time.Now(), 20)
+	lost := Kind{Zone: "a", Spot: true}
+	whole := platform.Standing("s")
+	platform.standing[lost] = 0
+	platform.away = map[Kind]bool{lost: true}
+	before := platform.orders
+	now = run(c, now, 10)
+	if platform.standing[Kind{Zone: "b", Spot: true}] <= whole[Kind{Zone: "b", Spot: true}] {
+		t.Errorf("nothing stands in for the lost: %v", platform.standing)
+	}
+	if asked := platform.orders - before; asked > 12 {
+		t.Errorf("%d orders in ten seconds", asked)
+	}
+	platform.away = nil
+	run(c, now, 30)
+	if diff := cmp.Diff(whole, platform.Standing("s")); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestNextHolderKeepsTheBasis: it finds workers that were ordered, and doesn't take them
+// for the operators' choice.
+func TestNextHolderKeepsTheBasis(t *testing.T) {
+	platform, rows := &cloud{standing: operators(), least: 1000}, newRows()
+	first := newController(platform, rows, "n")
+	now := run(first, time.Now(), 20)
+	whole := platform.Standing("s")
+	next := newController(platform, rows, "n") // the same name: the lease is its own
+	run(next, now, 20)
+	if diff := cmp.Diff(whole, platform.Standing("s")); diff != "" {
+		t.Error(diff)
+	}
+}
--- /dev/null
+++ b/internal/fleetsize/plan_test.go
@@ -0,0 +1,97 @@
+package fleetsize
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/routing"
+)
+
+// terms are those of three zones, at a multiple of the prices.
+func terms(spot, times float64, boot time.Duration) *routing.Scaling {
+	return &routing.Scaling{
+		Min: 1, Max: 94, Boot: boot, SpotPrice: spot,
+		ZonePrices: map[string]float64{"a": 0.85 * times, "b": 1.2 * times, "c": times},
+	}
+}
+
+// operators is the fleet that stands at the start.
+func operators() Counts { return Counts{{Zone: "a"}: 47, {Zone: "b"}: 47, {Zone: "c"}: 46} }
+
+func spots(counts Counts) int {
+	sum := 0
+	for kind, count := range counts {
+		if kind.Spot {
+			sum += count
+		}
+	}
+	return sum
+}
+
+// TestPlanIsNeverDearerThanTheOperatorsFleet: at any prices, and it keeps to the bounds.
+func TestPlanIsNeverDearerThanTheOperatorsFleet(t *testing.T) {
+	policy := DefaultPolicy()
+	for _, spot := range []float64{0, 0.05, 0.18, 0.5, 0.9, 1.2} {
+		for _, times := range []float64{0.05, 1, 4} {
+			for _, boot := range []time.Duration{2 * time.Second, 12 * time.Second} {
+				known := terms(spot, times, boot)
+				basis := policy.Prior(terms(spot, 1, boot), operators())
+				plan := policy.Plan(known, basis, operators(), nil)
+				if before, after := policy.Cost(known, basis, operators()), policy.Cost(known, basis, plan); after > before {
+					t.Errorf("spot %v, prices × %v: %v costs %.1f, the operators' fleet %.1f", spot, times, plan, after, before)
+				}
+				for zone := range known.ZonePrices {
+					if count := plan.inZone(zone); count < known.Min || count > known.Max {
+						t.Errorf("%d workers in zone %s", count, zone)
+					}
+				}
+			}
+		}
+	}
+}
+
+// TestPricesDecideTheMix: cheap spot workers are taken and more of them, dear ones are
+// not; dear workers are fewer.
+func TestPricesDecideTheMix(t *testing.T) {
+	policy := DefaultPolicy()
+	plan := func(spot, times float64) Counts {
+		basis := policy.Prior(terms(spot, 1, 4*time.Second), operators())
+		return policy.Plan(terms(spot, times, 4*time.Second), basis, operators(), nil)
+	}
+	if cheap := plan(0.18, 1); spots(cheap) != cheap.total() || cheap.total() <= operators().total() {
+		t.Errorf("at cheap spot workers: %v", cheap)
+	}
+	if dear := plan(0.95, 1); spots(dear) > dear.total()/10 {
+		t.Errorf("at dear spot workers: %v", dear)
+	}
+	if none := plan(0, 1); spots(none) != 0 {
+		t.Errorf("without spot workers: %v", none)
+	}
+	if normal, dear := plan(0.18, 1).total(), plan(0.18, 4).total(); dear >= normal {
+		t.Errorf("%d workers at four times the price, %d before", dear, normal)
+	}
+}
+
+// TestSameFleetAtTheSamePrices: an operator's fleet that can't be had cheaper stays about
+// as large as it is.
+func TestSameFleetAtTheSamePrices(t *testing.T) {
+	policy := DefaultPolicy()
+	flat := &routing.Scaling{Min: 1, Max: 94, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1}}
+	plan := policy.Plan(flat, policy.Prior(flat, operators()), operators(), nil)
+	if total := plan.total(); total < 138 || total > 142 {
+		t.Errorf("%d workers, the operators' fleet has 140", total)
+	}
+}
+
+// TestLostZoneIsMadeUpForElsewhere: what isn't to be had in one zone is ordered in others.
+func TestLostZoneIsMadeUpForElsewhere(t *testing.T) {
+	policy := DefaultPolicy()
+	known := terms(0.5, 1, 4*time.Second)
+	basis := policy.Prior(known, operators())
+	whole := policy.Plan(known, basis, nil, nil)
+	away := Kind{Zone: "a", Spot: true}
+	without := policy.Plan(known, basis, Counts{}, map[Kind]bool{away: true})
+	if without[away] != 0 || without.total()-without[away] <= whole.total()-whole[away] {
+		t.Errorf("%v, with zone a %v", without, whole)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -98,6 +98,21 @@
 	MaxConnections int
 	// Engine is nil where the workers aren't model engines.
 	Engine *EngineSpec
+	// Scaling is nil where the number of workers is fixed.
+	Scaling *Scaling
+}
+
+// Scaling are the terms on which workers of a service may be ordered.
+type Scaling struct {
+	// Min and Max bound the workers of a zone, of all prices together.
+	Min, Max int
+	// Boot is the time from an order to a worker that serves.
+	Boot time.Duration
+	// SpotPrice is the price of workers that may be taken away, as a share of that of the
+	// others; zero where there are none.
+	SpotPrice float64
+	// ZonePrices are the prices of a second of a worker, by zone.
+	ZonePrices map[string]float64
 }
 
 // Limits bound what callers may send.
--- /dev/null
+++ b/internal/serving/fleet.go
@@ -0,0 +1,31 @@
+package serving
+
+import (
+	"context"
+
+	"github.com/tinarch/tinarch/internal/fleetsize"
+	"github.com/tinarch/tinarch/internal/settings"
+)
+
+// orderWorkers starts the controller of fleet sizes where the platform takes orders.
+func (n *Node) orderWorkers(ctx context.Context) {
+	if !n.settings.API.Has(settings.DutyScale) {
+		return
+	}
+	controller := fleetsize.New(fleetsize.Options{
+		Node: n.settings.Node.Name, Authority: n.authority, Store: n.platform, API: n.platform,
+		Workers: n.registry, Services: n.scaledServices, Designated: n.designated, Log: n.log,
+	})
+	n.work.Go(func() { controller.Run(ctx) })
+}
+
+// scaledServices lists the services whose workers are ordered.
+func (n *Node) scaledServices() []fleetsize.Service {
+	var services []fleetsize.Service
+	for _, service := range n.servicesByName() {
+		if service.Scaling != nil {
+			services = append(services, fleetsize.Service{Name: service.Name, Terms: service.Scaling})
+		}
+	}
+	return services
+}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -21,6 +21,7 @@
 	"github.com/tinarch/tinarch/internal/digest"
 	"github.com/tinarch/tinarch/internal/dispatch"
 	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/fleetsize"
 	"github.com/tinarch/tinarch/internal/front"
 	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/retry"
@@ -56,6 +57,7 @@
 	ListedParts(status int, body []byte) ([]prefixcache.Part, error)
 	rowstore.Store
 	usage.API
+	fleetsize.API
 	stagecontrol.Wire
 	// Put writes a row of this project's own, and Remove takes it away.
 	Put(ctx context.Context, table, key string, value []byte) error
@@ -242,6 +244,7 @@
 	n.work.Go(func() { n.warmUp(ctx) })
 	n.work.Go(func() { n.controller().Run(ctx) })
 	n.reportUsage(ctx, metrics)
+	n.orderWorkers(ctx)
 }
 
 // Stop ends the node as planned: it says that it takes no callers, goes on
--- a/internal/serving/stages.go
+++ b/internal/serving/stages.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
+	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/stagecontrol"
 )
 
@@ -22,19 +24,22 @@
 
 // engineServices lists the services of engines.
 func (n *Node) engineServices() []stagecontrol.Service {
+	var services []stagecontrol.Service
+	for _, service := range n.servicesByName() {
+		if service.Engine != nil {
+			services = append(services, stagecontrol.Service{Name: service.Name, Switch: service.Engine.RoleSwitch})
+		}
+	}
+	return services
+}
+
+// servicesByName returns the services in force in order of their names.
+func (n *Node) servicesByName() []*routing.Service {
 	table := n.front.Table()
 	if table == nil {
 		return nil
 	}
-	var services []stagecontrol.Service
-	for _, service := range table.Services() {
-		if service.Engine == nil {
-			continue
-		}
-		services = append(services, stagecontrol.Service{
-			Name: service.Name, Switch: service.Engine.RoleSwitch,
-		})
-	}
-	slices.SortFunc(services, func(left, right stagecontrol.Service) int { return cmp.Compare(left.Name, right.Name) })
+	services := slices.Collect(maps.Values(table.Services()))
+	slices.SortFunc(services, func(a, b *routing.Service) int { return cmp.Compare(a.Name, b.Name) })
 	return services
 }
--- /dev/null
+++ b/internal/worker/standing.go
@@ -0,0 +1,24 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/tinarch/tinarch/internal/fleetsize"
+)
+
+// Standing counts the workers of a service that are listed and stay.
+func (r *Registry) Standing(service string) fleetsize.Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	standing := make(fleetsize.Counts)
+	for _, known := range r.workers {
+		if known.worker.Service == service && known.listed() && !known.worker.Draining {
+			standing[fleetsize.Kind{Zone: known.worker.Zone, Spot: known.worker.Spot}]++
+		}
+	}
+	return standing
+}
+
+// Idle reports whether no request of a service is known to have come lately, at this node
+// or another.
+func (r *Registry) Idle(service string, now time.Time) bool { return r.Demand(service, now).Zero() }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -27,7 +27,9 @@
 	Slots   int
 	// Draining workers get no new requests.
 	Draining bool
-	Stage    Stage
+	// Spot workers may be taken away, all of a zone at once.
+	Spot  bool
+	Stage Stage
 }
 
 // Change is one changed entry of the platform's list.
