Orders to engines come in waves; outages of spot workers end before they are paid for

Change: a decision gives as many orders as may change at once, of the idlest engines, as long as their stage can do without them. Workers at full price stand in for spot workers only once these are unavailable for three boot times.

Tests: TestOrdersComeInWaves; the older ones of the planner hold as they were, small fleets get one order at a time.

--- a/internal/fleetsize/controller.go
+++ b/internal/fleetsize/controller.go
@@ -91,9 +91,9 @@
 	at     map[Kind]time.Time
 	// fell are the kinds of which workers have gone since the look before.
 	fell map[Kind]bool
-	// unavailable are the kinds of which the last order was refused, and pause is until
-	// when none is tried again.
-	unavailable map[Kind]bool
+	// unavailable are the kinds of which the last order was refused, by since when orders
+	// of them are, and pause is until when none is tried again.
+	unavailable map[Kind]time.Time
 	pause       map[Kind]time.Time
 }
 
@@ -125,7 +125,7 @@
 	for _, service := range c.options.Services() {
 		fleet, known := c.fleets[service.Name]
 		if !known {
-			fleet = &ordered{wanted: make(Counts), at: make(map[Kind]time.Time), unavailable: make(map[Kind]bool), pause: make(map[Kind]time.Time)}
+			fleet = &ordered{wanted: make(Counts), at: make(map[Kind]time.Time), unavailable: make(map[Kind]time.Time), pause: make(map[Kind]time.Time)}
 			c.fleets[service.Name] = fleet
 		}
 		if err := c.step(ctx, service, fleet, now); err != nil {
@@ -151,7 +151,7 @@
 	if len(fleet.unavailable) > 0 {
 		// What is not to be had is asked for again now and then, as if it were.
 		wished := targets
-		targets = fleet.targets(service.Terms, c.policy.Plan(service.Terms, *fleet.basis, standing, fleet.unavailable), idle)
+		targets = fleet.targets(service.Terms, c.policy.Plan(service.Terms, *fleet.basis, standing, fleet.barred(service.Terms, now)), idle)
 		for kind := range fleet.unavailable {
 			targets[kind] = wished[kind]
 		}
@@ -164,6 +164,25 @@
 	return nil
 }
 
+// outageBoots is for how many boot times spot workers must have been unavailable before
+// workers at full price are ordered in their place: those of most outages are back sooner
+// than that would pay (docs/design/fleet-size.md).
+const outageBoots = 3
+
+// barred are the kinds of which no more can be had, or are worth having yet.
+func (f *ordered) barred(terms *routing.Scaling, now time.Time) map[Kind]bool {
+	barred := make(map[Kind]bool)
+	lasting := false
+	for kind, since := range f.unavailable {
+		barred[kind] = true
+		lasting = lasting || now.Sub(since) >= outageBoots*terms.Boot
+	}
+	for _, kind := range kindsOf(terms) {
+		barred[kind] = barred[kind] || !kind.Spot && !lasting
+	}
+	return barred
+}
+
 // wholePlan is the plan where all kinds are to be had. It is worked out once for the terms
 // of a configuration.
 func (f *ordered) wholePlan(policy Policy, terms *routing.Scaling) Counts {
@@ -202,7 +221,7 @@
 }
 
 // roomShare is the part of a plan's workers that go at once to make room in a full zone.
-const roomShare = 0.1
+const roomShare = 0.3
 
 // toMakeRoom is how many workers of a kind go although none stand in their place yet: those
 // of the other kind can't come since the zone is full.
@@ -226,7 +245,7 @@
 		switch {
 		case now.Before(f.pause[kind]):
 		case !given && target == f.standing[kind]:
-		case !given || target != last || f.standing[kind] < target && late:
+		case !given || target != last || f.standing[kind] != target && late:
 			due = append(due, kind)
 		}
 	}
@@ -269,7 +288,9 @@
 		fleet.wanted[kind], fleet.at[kind] = count, now
 		delete(fleet.unavailable, kind)
 	case duty.Refused:
-		fleet.unavailable[kind] = true
+		if _, already := fleet.unavailable[kind]; !already {
+			fleet.unavailable[kind] = now
+		}
 		fleet.pause[kind] = now.Add(unavailableFor)
 	case duty.Throttled:
 		fleet.pause[kind] = now.Add(unavailableFor)
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -128,11 +129,26 @@
 		fleet := c.options.Fleet
 		demand := fleet.Demand(service.Name, now)
 		offered := stageplan.Offered{ReadTokens: demand.ReadTokens, Requests: demand.Requests, MemoryTokens: demand.MemoryTokens}
-		order, found := planner.Decide(now, fleet.Engines(service.Name, now), offered)
-		if found {
+		c.giveAll(ctx, service, planner, planner.Decide(now, fleet.Engines(service.Name, now), offered))
+	}
+}
+
+// parallelOrders is how many orders are under way at once: engines that are dark hold one
+// up until it is given up.
+const parallelOrders = 8
+
+// giveAll carries decisions out, several at once.
+func (c *Controller) giveAll(ctx context.Context, service Service, planner *stageplan.Planner, orders []stageplan.Order) {
+	slots := make(chan struct{}, parallelOrders)
+	var given sync.WaitGroup
+	for _, order := range orders {
+		slots <- struct{}{}
+		given.Go(func() {
 			c.give(ctx, service, planner, order)
-		}
+			<-slots
+		})
 	}
+	given.Wait()
 }
 
 // give carries a decision out, if this node has the authority to.
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -70,7 +70,8 @@
 	// request ends at one of them, and some may be lost at any time. What is lost isn't
 	// made up for at once, since most engines come back sooner than an order is done.
 	DecodeShare float64
-	// Settle is the time that an order is given to show its effect.
+	// Settle is the time that as many orders as may be given at once have to show their
+	// effect; fewer have less.
 	Settle time.Duration
 	// Outage is how long an engine that is lost may take to come back before another is
 	// ordered in its place.
@@ -113,7 +114,8 @@
 	readingMean, writingMean smooth
 	readingPeak, writingPeak peak
 	demand                   Demand
-	ordered                  time.Time
+	// nextWave is when orders may be given again.
+	nextWave time.Time
 	// seenSince is since when there was demand, zero before any.
 	seenSince time.Time
 	// shortSince is since when the last engines that write are too few, zero while there
@@ -153,27 +155,50 @@
 	leastPrefill = 1
 )
 
-// Decide observes the engines and the work that is offered to them, and returns an order
+// Decide observes the engines and the work that is offered to them, and returns the orders
 // to be given now, if any. Call it every few hundred milliseconds.
-func (p *Planner) Decide(now time.Time, workers []Worker, offered Offered) (Order, bool) {
+func (p *Planner) Decide(now time.Time, workers []Worker, offered Offered) []Order {
 	d := divide(workers)
 	p.observe(now, d, offered)
 	if d.size() < leastDecode+leastPrefill {
-		return Order{}, false
+		return nil
 	}
-	order, found := p.compare(now, d)
-	if !found || !p.inTurn(now, workers) {
-		return Order{}, false
+	goal, reason, found := p.compare(now, d)
+	room := p.policy.together(len(workers)) - changing(workers)
+	if !found || room < 1 || now.Before(p.nextWave) {
+		return nil
 	}
-	p.ordered = now
-	return order, true
+	orders := p.wave(d, goal, reason, room)
+	p.nextWave = now.Add(p.policy.Settle * time.Duration(len(orders)) / time.Duration(p.policy.together(len(workers))))
+	return orders
 }
 
-// inTurn reports whether enough time has passed since the last order, and few enough
-// engines change, for another.
-func (p *Planner) inTurn(now time.Time, workers []Worker) bool {
-	together := p.policy.together(len(workers))
-	return changing(workers) < together && now.Sub(p.ordered) >= p.policy.Settle/time.Duration(together)
+// wave returns the orders that bring a division nearer to a goal, the idlest engines first:
+// as many as may change at once, and no more than their stage can do without until they
+// are back. A single one is ordered in any case.
+func (p *Planner) wave(d division, goal int, reason Reason, room int) []Order {
+	from, prefill := d.decode, true
+	if reason == WritingShort {
+		from, prefill = d.prefill, false
+	}
+	count := min(max(goal-len(d.prefill), len(d.prefill)-goal), room)
+	for count > 1 && !p.canSpare(d, prefill, count) {
+		count--
+	}
+	var orders []Order
+	for _, worker := range idlest(from, count) {
+		orders = append(orders, Order{Worker: worker.ID, Prefill: prefill, Reason: reason})
+	}
+	return orders
+}
+
+// canSpare reports whether a stage does the work that was seen in time without some of its
+// engines.
+func (p *Planner) canSpare(d division, decode bool, count int) bool {
+	if decode {
+		return p.demand.Writing/p.policy.Writing <= float64(len(d.decode)-count)
+	}
+	return p.demand.Reading/p.policy.Reading <= float64(len(d.prefill)-count)
 }
 
 // together is how many engines of a service may change at once.
@@ -241,9 +266,9 @@
 	return sum / max(float64(len(workers)), 1)
 }
 
-// compare returns the order that brings the division nearer to the best one, if that is
-// worth an order.
-func (p *Planner) compare(at time.Time, d division) (Order, bool) {
+// compare returns the number of engines that read in the best division, if that is worth an
+// order, and the reason for it.
+func (p *Planner) compare(at time.Time, d division) (goal int, reason Reason, found bool) {
 	prefill, decode := len(d.prefill), len(d.decode)
 	now := p.filled(prefill, decode)
 	if p.lacksWriters(at, decode) {
@@ -257,15 +282,15 @@
 		}
 	}
 	if !p.policy.worthOrder(now, least) || now.late == 1 && !p.hasLearned(at) && prefill >= leastPrefill {
-		return Order{}, false
+		return prefill, "", false
 	}
 	switch {
 	case best > prefill:
-		return Order{Worker: idlest(d.decode), Prefill: true, Reason: ReadingShort}, true
+		return best, ReadingShort, true
 	case best < prefill:
-		return Order{Worker: idlest(d.prefill), Prefill: false, Reason: WritingShort}, true
+		return best, WritingShort, true
 	}
-	return Order{}, false
+	return prefill, "", false
 }
 
 // hasLearned reports whether demand was seen for long enough to make readers ready.
@@ -328,13 +353,13 @@
 	return fill{late: max(reading, writing, 1), spare: max(reading, writing, spare)}
 }
 
-// idlest returns the engine with the least work.
-func idlest(workers []Worker) string {
-	least := slices.MinFunc(workers, func(left, right Worker) int {
+// idlest returns the engines with the least work.
+func idlest(workers []Worker, count int) []Worker {
+	sorted := slices.SortedFunc(slices.Values(workers), func(left, right Worker) int {
 		if order := left.ReadTokens + left.MemoryTokens - right.ReadTokens - right.MemoryTokens; order != 0 {
 			return order
 		}
 		return strings.Compare(left.ID, right.ID)
 	})
-	return least.ID
+	return sorted[:min(count, len(sorted))]
 }
--- a/internal/stageplan/stageplan_test.go
+++ b/internal/stageplan/stageplan_test.go
@@ -30,11 +30,34 @@
 	return workers
 }
 
+// single returns the only order of a decision. Small fleets get no more than one at a
+// time.
+func single(orders []Order) (Order, bool) {
+	switch len(orders) {
+	case 0:
+		return Order{}, false
+	case 1:
+		return orders[0], true
+	}
+	panic(fmt.Sprintf("%d orders at once", len(orders)))
+}
+
+// carryOut changes the stages of engines as ordered.
+func carryOut(workers []Worker, orders []Order, changing bool) {
+	for _, order := range orders {
+		for i := range workers {
+			if workers[i].ID == order.Worker {
+				workers[i].Prefill, workers[i].Changing = order.Prefill, changing
+			}
+		}
+	}
+}
+
 // after lets a planner see the same fleet for a while, and returns its first order.
 func after(span time.Duration, workers []Worker, tokensPerSecond float64) (Order, time.Duration, bool) {
 	planner := New(DefaultPolicy())
 	for elapsed := time.Duration(0); elapsed <= span; elapsed += tick {
-		if order, found := planner.Decide(origin.Add(elapsed), workers, Offered{ReadTokens: tokensPerSecond}); found {
+		if order, found := single(planner.Decide(origin.Add(elapsed), workers, Offered{ReadTokens: tokensPerSecond})); found {
 			return order, elapsed, true
 		}
 	}
@@ -46,12 +69,7 @@
 func settled(workers []Worker, tokensPerSecond float64) int {
 	planner := New(DefaultPolicy())
 	for elapsed := time.Duration(0); elapsed <= time.Minute; elapsed += tick {
-		order, found := planner.Decide(origin.Add(elapsed), workers, Offered{ReadTokens: tokensPerSecond})
-		for i := range workers {
-			if found && workers[i].ID == order.Worker {
-				workers[i].Prefill = order.Prefill
-			}
-		}
+		carryOut(workers, planner.Decide(origin.Add(elapsed), workers, Offered{ReadTokens: tokensPerSecond}), false)
 	}
 	return len(divide(workers).prefill)
 }
@@ -133,7 +151,7 @@
 	planner := New(DefaultPolicy())
 	workers := fleet(6, 3, writes(40))
 	for elapsed := time.Duration(0); elapsed < 10*time.Second; elapsed += tick {
-		order, found := planner.Decide(origin.Add(elapsed), workers, Offered{ReadTokens: enginePace, Requests: 300})
+		order, found := single(planner.Decide(origin.Add(elapsed), workers, Offered{ReadTokens: enginePace, Requests: 300}))
 		if found && !order.Prefill && order.Reason == WritingShort {
 			return
 		}
@@ -194,7 +212,7 @@
 				writes(40)(&workers[i])
 			}
 		}
-		if order, found := planner.Decide(origin.Add(time.Duration(step)*tick), workers, Offered{ReadTokens: demand}); found {
+		if order, found := single(planner.Decide(origin.Add(time.Duration(step)*tick), workers, Offered{ReadTokens: demand})); found {
 			t.Fatalf("at step %d: %+v", step, order)
 		}
 	}
@@ -208,16 +226,9 @@
 		planner := New(DefaultPolicy())
 		ordered, most := 0, 0
 		for elapsed := time.Duration(0); elapsed < 5*time.Second; elapsed += tick {
-			order, found := planner.Decide(origin.Add(elapsed), waiting, Offered{ReadTokens: float64(size) * enginePace})
-			if !found {
-				continue
-			}
-			ordered++
-			for i := range waiting {
-				if waiting[i].ID == order.Worker {
-					waiting[i].Changing, waiting[i].Prefill = true, order.Prefill
-				}
-			}
+			orders := planner.Decide(origin.Add(elapsed), waiting, Offered{ReadTokens: float64(size) * enginePace})
+			ordered += len(orders)
+			carryOut(waiting, orders, true)
 			most = max(most, changing(waiting))
 		}
 		if ordered != want || most != want {
@@ -226,6 +237,39 @@
 	}
 }
 
+// TestOrdersComeInWaves: a large fleet that is divided wrongly is brought near the division
+// it needs within the time of two changes, and a stage keeps what its own work needs.
+func TestOrdersComeInWaves(t *testing.T) {
+	const size, demand = 90, 40
+	workers := fleet(30, size-30, writes(20))
+	planner := New(DefaultPolicy())
+	waves := 0
+	for elapsed := time.Duration(0); elapsed < 2*time.Second; elapsed += tick {
+		orders := planner.Decide(origin.Add(elapsed), workers, Offered{ReadTokens: demand * enginePace})
+		if len(orders) > 0 {
+			waves++
+		}
+		if len(orders) > DefaultPolicy().together(size) {
+			t.Errorf("%d orders at once", len(orders))
+		}
+		carryOut(workers, orders, false)
+		for i := range workers {
+			workers[i].Requests = 0
+			if !workers[i].Prefill {
+				workers[i].Requests = 20
+			}
+		}
+	}
+	if prefill := len(divide(workers).prefill); prefill < 50 || waves > 4 {
+		t.Errorf("%d engines read after two seconds, in %d waves", prefill, waves)
+	}
+	// All engines that write are nearly full: only one is taken.
+	full := fleet(30, size-30, writes(57))
+	if orders := New(DefaultPolicy()).Decide(origin, full, Offered{ReadTokens: demand * enginePace}); len(orders) > 1 {
+		t.Errorf("%d engines taken from a stage that needs them", len(orders))
+	}
+}
+
 func TestOneOrderAtATime(t *testing.T) {
 	changing := fleet(5, 4, func(w *Worker) {
 		w.Usable = w.Prefill
@@ -250,7 +294,7 @@
 			for i := range workers {
 				writes(requests)(&workers[i])
 			}
-			order, found := planner.Decide(now, workers, Offered{ReadTokens: tokens})
+			order, found := single(planner.Decide(now, workers, Offered{ReadTokens: tokens}))
 			if !found {
 				continue
 			}
@@ -258,11 +302,7 @@
 				t.Fatalf("orders at %v and %v", last, now)
 			}
 			last = now
-			for i := range workers {
-				if workers[i].ID == order.Worker {
-					workers[i].Prefill = order.Prefill
-				}
-			}
+			carryOut(workers, []Order{order}, false)
 			d := divide(workers)
 			if len(d.prefill) < leastPrefill || order.Prefill && len(d.decode) < DefaultPolicy().leastDecode(len(workers)) {
 				t.Fatalf("%d prefill workers of %d", len(d.prefill), len(workers))
