Contents are found wherever they were read; a model of usage's one truth

Ways: the choices by hash alone (as it stood), or an index besides: what was read where is told to two nodes named by the content's hash, and asked for with the accounts (chosen). A worker that keeps a content is fetched from, wherever it is; its load isn't asked for, so it is given nothing.

--- a/internal/digest/ask.go
+++ b/internal/digest/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
@@ -18,10 +19,12 @@
 // answer late now and then, and the choice among some is nearly as good.
 const askEnough = 5 * time.Millisecond
 
-// question asks a node for the accounts that it keeps of workers.
+// question asks a node for the accounts that it keeps of workers, and for the workers that
+// keep the content of the request where it is to know them.
 type question struct {
 	ID      uint64   `json:"i"`
-	Workers []string `json:"w"`
+	Workers []string `json:"w,omitempty"`
+	Content bool     `json:"c,omitempty"`
 	// Parts are those of the request's prompt, as in a read.
 	Parts []string `json:"p,omitempty"`
 	Rank  int      `json:"r,omitempty"`
@@ -31,6 +34,8 @@
 type reply struct {
 	ID       uint64                 `json:"i"`
 	Accounts map[string]accountForm `json:"w,omitempty"`
+	// Holders are workers that keep the content, as in Message.Contents.
+	Holders []string `json:"c,omitempty"`
 }
 
 // accountForm is a scheduling.Account in whole numbers: requests, tokens to read, those
@@ -77,6 +82,7 @@
 	// asked are the nodes that haven't answered.
 	asked    map[netip.AddrPort]bool
 	accounts map[string]scheduling.Account
+	holders  []scheduling.Holder
 	done     chan struct{}
 }
 
@@ -92,15 +98,18 @@
 }
 
 // Ask asks the nodes that keep the accounts of workers for them, for a request of a rank
-// with a prompt of these parts. It returns what came in time.
-func (e *Exchange) Ask(ctx context.Context, workers []string, parts []prefixcache.Part, rank int) map[string]scheduling.Account {
-	id, pending, questions := e.prepare(workers)
+// with a prompt of these parts, and those that know for the workers that keep its content.
+// It returns what came in time.
+func (e *Exchange) Ask(ctx context.Context, workers []string, parts []prefixcache.Part, rank int) scheduling.Answers {
+	content, _ := scheduling.Content(parts)
+	id, pending, questions := e.prepare(workers, content)
 	if len(questions) == 0 {
-		return nil
+		return scheduling.Answers{Holders: pending.holders}
 	}
 	rendered := renderParts(parts)
 	for to, asked := range questions {
-		e.sendTo(to, Message{Node: e.node, Question: &question{ID: id, Workers: asked, Parts: rendered, Rank: rank}})
+		asked.ID, asked.Parts, asked.Rank = id, rendered, rank
+		e.sendTo(to, Message{Node: e.node, Question: asked})
 	}
 	timedOut := e.awaitAnswers(ctx, pending, len(questions))
 	return e.collected(id, pending, timedOut)
@@ -137,22 +146,40 @@
 	return len(pending.asked)
 }
 
-// prepare divides workers by the nodes to be asked, and expects their answers.
-func (e *Exchange) prepare(workers []string) (uint64, *pendingAsk, map[netip.AddrPort][]string) {
+// prepare divides workers, and a content if there is one, by the nodes to be asked, and
+// expects their answers.
+func (e *Exchange) prepare(workers []string, content uint64) (uint64, *pendingAsk, map[netip.AddrPort]*question) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	questions := make(map[netip.AddrPort][]string)
+	questions := make(map[netip.AddrPort]*question)
+	to := func(address netip.AddrPort) *question {
+		if questions[address] == nil {
+			questions[address] = &question{}
+		}
+		return questions[address]
+	}
 	now := time.Now()
 	for _, id := range workers {
-		if to, found := e.peers.home(id, now); found {
-			questions[to] = append(questions[to], id)
+		if address, found := e.peers.home(id, now); found {
+			asked := to(address)
+			asked.Workers = append(asked.Workers, id)
 		}
 	}
+	home, here := netip.AddrPort{}, false
+	if content != 0 && e.peers.nodes() > wholeFleet {
+		home, here = e.peers.homeOfContent(content, now)
+	}
+	if home.IsValid() && !here {
+		to(home).Content = true
+	}
 	pending := &pendingAsk{
 		asked: make(map[netip.AddrPort]bool), accounts: make(map[string]scheduling.Account), done: make(chan struct{}),
 	}
-	for to := range questions {
-		pending.asked[to] = true
+	if here {
+		pending.holders = e.contents.of(content, now)
+	}
+	for address := range questions {
+		pending.asked[address] = true
 	}
 	e.lastAsk++
 	if len(questions) > 0 {
@@ -163,7 +190,7 @@
 
 // collected ends a question. Of the nodes that were silent all the time the answers are
 // not waited for soon again.
-func (e *Exchange) collected(id uint64, pending *pendingAsk, timedOut bool) map[string]scheduling.Account {
+func (e *Exchange) collected(id uint64, pending *pendingAsk, timedOut bool) scheduling.Answers {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.asks, id)
@@ -172,7 +199,7 @@
 			e.peers.suspect(address, time.Now())
 		}
 	}
-	return maps.Clone(pending.accounts)
+	return scheduling.Answers{Accounts: maps.Clone(pending.accounts), Holders: slices.Clone(pending.holders)}
 }
 
 // answer tells another node what this one knows of workers.
@@ -186,7 +213,11 @@
 	for id, account := range e.registry.Accounts(asked.Workers, parts, asked.Rank, asking, time.Now()) {
 		accounts[id] = renderAccount(account)
 	}
-	e.sendTo(to, Message{Node: e.node, Reply: &reply{ID: asked.ID, Accounts: accounts}})
+	answered := &reply{ID: asked.ID, Accounts: accounts}
+	if content, _ := scheduling.Content(parts); asked.Content && content != 0 {
+		answered.Holders = e.holdersOf(content)
+	}
+	e.sendTo(to, Message{Node: e.node, Reply: answered})
 }
 
 // takeReply hands an answer to the question that waits for it. Later ones show at least
@@ -202,6 +233,9 @@
 	for id, account := range answered.Accounts {
 		pending.accounts[id] = account.account()
 	}
+	if err := pending.addHolders(answered.Holders); err != nil {
+		e.dropped(from, err)
+	}
 	delete(pending.asked, from)
 	if len(pending.asked) == 0 {
 		close(pending.done)
--- a/internal/digest/ask_test.go
+++ b/internal/digest/ask_test.go
@@ -79,7 +79,7 @@
 	registries[placing].Failed("w", time.Now())
 	registries[asking].Begin("w", worker.Load{Requests: 1})
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		account := exchanges[asking].Ask(context.Background(), []string{"w"}, parts, 0)["w"]
+		account := exchanges[asking].Ask(context.Background(), []string{"w"}, parts, 0).Accounts["w"]
 		if account.Requests == 2 && account.MemoryTokens == 30 && account.CachedTokens == 500 && account.Avoid {
 			return
 		}
@@ -106,11 +106,11 @@
 		id = fmt.Sprint("w", i)
 	}
 	for range homeCount(41) {
-		if got := exchange.Ask(context.Background(), []string{id}, nil, 0); len(got) != 0 {
+		if got := exchange.Ask(context.Background(), []string{id}, nil, 0).Accounts; len(got) != 0 {
 			t.Errorf("answers: %v", got)
 		}
 	}
-	if _, _, questions := exchange.prepare([]string{id}); len(questions) != 0 {
+	if _, _, questions := exchange.prepare([]string{id}, 0); len(questions) != 0 {
 		t.Errorf("nodes that gave no answer are asked: %v", questions)
 	}
 	if len(exchange.asks) != 0 {
@@ -127,7 +127,7 @@
 	}
 	defer func() { _ = exchange.conn.Close() }()
 	exchange.AddPeers([]Peer{{Node: "a", Address: addressOf(1)}, {Node: "b", Address: addressOf(2)}})
-	id, pending, questions := exchange.prepare([]string{"w"})
+	id, pending, questions := exchange.prepare([]string{"w"}, 0)
 	answers := map[string]accountForm{"w": {9}}
 	for to := range questions {
 		exchange.takeReply(to, reply{ID: id + 1, Accounts: answers})
@@ -143,7 +143,7 @@
 	for to := range questions {
 		exchange.takeReply(to, reply{ID: id, Accounts: answers})
 	}
-	if got := exchange.collected(id, pending, false); got["w"].Requests != 9 {
+	if got := exchange.collected(id, pending, false).Accounts; got["w"].Requests != 9 {
 		t.Errorf("%v", got)
 	}
 }
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -57,6 +57,8 @@
 	News []byte `json:"w,omitempty"`
 	// Relayed tells that words or news were passed on by the sender.
 	Relayed bool `json:"y,omitempty"`
+	// Contents hold "content worker tokens": what workers keep that others may share.
+	Contents []string `json:"c,omitempty"`
 	// Question asks for accounts of workers, and Reply answers that.
 	Question *question `json:"q,omitempty"`
 	Reply    *reply    `json:"v,omitempty"`
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -36,6 +36,8 @@
 	registry   *worker.Registry
 	// board is nil where no tables are followed.
 	board Board
+	// contents are those of which this node is to know who keeps them; guarded by mu.
+	contents *contentIndex
 	// usage is nil where nobody's usage is counted; what it holds is guarded by mu.
 	usage *usageExchange
 	conn  *net.UDPConn
@@ -77,7 +79,7 @@
 	}
 	return &Exchange{
 		node: node, zone: zone, registry: registry, conn: conn, log: log,
-		begun: time.Now(),
+		begun: time.Now(), contents: newContentIndex(),
 		peers: newPeerSet(node, local, zone), asks: make(map[uint64]*pendingAsk),
 		told: make(chan []string, maxTold), done: make(chan struct{}),
 	}, nil
@@ -188,6 +190,7 @@
 	parcels := e.parcels(snapshot, atRest)
 	e.mu.Unlock()
 	e.sendParcels(parcels, snapshot, base)
+	e.tellContents(snapshot.Reads, now)
 }
 
 // logSilent logs the nodes that have fallen silent. Only supervisors hear all others all
@@ -322,6 +325,8 @@
 		e.answer(from, message.Node, *message.Question)
 	case message.Reply != nil:
 		e.takeReply(from, *message.Reply)
+	case message.Contents != nil:
+		e.takeContents(from, message.Contents)
 	case message.Usage != nil:
 		e.takeUsage(from, message)
 	case message.UsageReply != nil:
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -62,13 +62,10 @@
 	return prefixcache.Tokens(c.Prompt[:len(c.Prompt)-1])
 }
 
-// content names what the prompt shares with others: the last shared part, since all parts
-// before it are kept where that one is. It is zero where too little is shared.
+// content names what the prompt shares with others, zero where too little is shared.
 func (c *Call) content() uint64 {
-	if c.shared() < scheduling.WorthFinding {
-		return 0
-	}
-	return uint64(c.Prompt[len(c.Prompt)-2].ID)
+	content, _ := scheduling.Content(c.Prompt)
+	return content
 }
 
 // Handle names a prompt that was read apart.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -217,7 +217,7 @@
 		"remaining_ms": s.remaining().Milliseconds(), "routes_version": s.call.RoutesVersion,
 		"workers_version": known.Workers, "workers_age_ms": known.WorkersAge.Milliseconds(),
 		"digest_age_ms": known.DigestAge.Milliseconds(),
-		"asked":         s.surveyed.asked, "answered": s.surveyed.answered, "ask_us": s.surveyed.took.Microseconds(),
+		"asked":         s.surveyed.asked, "answered": s.surveyed.answered, "holders": s.surveyed.holders, "ask_us": s.surveyed.took.Microseconds(),
 	}).Info("planned")
 }
 
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -13,14 +13,17 @@
 	// Kept reports for each worker whether this node itself keeps its account.
 	Kept(workers []string) []bool
 	// Ask asks other nodes for the accounts of workers, for a request of a rank with a
-	// prompt of these parts. It returns what came in time.
-	Ask(ctx context.Context, workers []string, parts []prefixcache.Part, rank int) map[string]scheduling.Account
+	// prompt of these parts, and for the workers that keep what the prompt shares. It
+	// returns what came in time.
+	Ask(ctx context.Context, workers []string, parts []prefixcache.Part, rank int) scheduling.Answers
 }
 
 // surveyed is what a survey of the workers took, for the log.
 type surveyed struct {
 	asked, answered int
-	took            time.Duration
+	// holders is the number of workers that are told to keep what the prompt shares.
+	holders int
+	took    time.Duration
 }
 
 // candidates describes the workers that may take the request.
@@ -58,9 +61,12 @@
 		return chosen
 	}
 	begun := time.Now()
-	s.known = s.accounts.Ask(ctx, unasked, s.call.Prompt, s.call.Priority())
-	s.surveyed = surveyed{asked: len(unasked), answered: len(s.known), took: time.Since(begun)}
-	return s.informed(chosen)
+	answers := s.accounts.Ask(ctx, unasked, s.call.Prompt, s.call.Priority())
+	s.known = answers.Accounts
+	s.surveyed = surveyed{
+		asked: len(unasked), answered: len(s.known), holders: len(answers.Holders), took: time.Since(begun),
+	}
+	return scheduling.WithHolders(s.informed(chosen), candidates, answers.Holders)
 }
 
 // informed adds what other nodes have told of the candidates.
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -120,7 +120,7 @@
 func (s *Scheduler) planWhole(request Request, candidates []Candidate) Plan {
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
-		if candidate.Prefill || request.Excluded[candidate.ID] {
+		if candidate.Prefill || candidate.SourceOnly || request.Excluded[candidate.ID] {
 			continue
 		}
 		reading := s.reading(request, candidate, candidates)
@@ -147,7 +147,7 @@
 	}
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
-		if !candidate.Prefill || request.Excluded[candidate.ID] || candidate.HandleFailure {
+		if !candidate.Prefill || candidate.SourceOnly || request.Excluded[candidate.ID] || candidate.HandleFailure {
 			continue
 		}
 		reading := s.reading(request, candidate, candidates)
@@ -169,7 +169,7 @@
 func (s *Scheduler) Runner(request Request, candidates []Candidate) Plan {
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
-		if !candidate.Decode || request.Excluded[candidate.ID] {
+		if !candidate.Decode || candidate.SourceOnly || request.Excluded[candidate.ID] {
 			continue
 		}
 		cost := slotWait(request, candidate) + s.common(request, candidate) + s.running(request, candidate) +
--- a/internal/scheduling/survey.go
+++ b/internal/scheduling/survey.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/rendezvous"
 )
 
@@ -145,5 +146,39 @@
 	return known
 }
 
+// Content names what a prompt of these parts shares with others: the last shared part,
+// since all parts before it are kept where that one is, and the tokens up to its end. It is
+// zero where too little is shared to be looked for.
+func Content(parts []prefixcache.Part) (content uint64, tokens int) {
+	if len(parts) < 2 {
+		return 0, 0
+	}
+	shared := parts[:len(parts)-1]
+	tokens = prefixcache.Tokens(shared)
+	if tokens < WorthFinding {
+		return 0, 0
+	}
+	return uint64(shared[len(shared)-1].ID), tokens
+}
+
+// WithHolders adds the workers that are told to keep the request's content to those that
+// were chosen, as sources only: their load isn't known.
+func WithHolders(chosen, candidates []Candidate, holders []Holder) []Candidate {
+	for _, holder := range holders {
+		is := func(c Candidate) bool { return c.ID == holder.Worker }
+		if i := slices.IndexFunc(chosen, is); i >= 0 {
+			chosen[i].CachedTokens = max(chosen[i].CachedTokens, holder.Tokens)
+			continue
+		}
+		if i := slices.IndexFunc(candidates, is); i >= 0 {
+			source := candidates[i]
+			source.SourceOnly = true
+			source.CachedTokens = max(source.CachedTokens, holder.Tokens)
+			chosen = append(chosen, source)
+		}
+	}
+	return chosen
+}
+
 // sound reports whether nothing speaks against a worker.
 func (c Candidate) sound() bool { return !c.Avoid && !c.Leaving && !c.HandleFailure }
--- a/internal/scheduling/survey_test.go
+++ b/internal/scheduling/survey_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/pace"
 	"github.com/tinarch/tinarch/internal/rendezvous"
 )
 
@@ -190,3 +191,27 @@
 		}
 	}
 }
+
+// TestHoldersAreFetchedFromAndGivenNothing: a worker that is known for what it keeps only
+// is no choice for reading or running.
+func TestHoldersAreFetchedFromAndGivenNothing(t *testing.T) {
+	engine := Engine{MovePerToken: 0.0004, Fetch: 5, Queue: 1}
+	reading, slower := pace.Coefficients{Fixed: 10, PerThousand: 27}, pace.Coefficients{Fixed: 10, PerThousand: 54}
+	reader := Candidate{ID: "reader", Address: "1.1.1.1:1", Prefill: true, Slots: 8, Capacity: 400_000, Pace: 36, Reading: reading, SameZone: true}
+	holder := Candidate{ID: "holder", Address: "1.1.1.2:1", Prefill: true, Slots: 8, Capacity: 400_000, Pace: 36, Reading: reading, SameZone: true}
+	runner := Candidate{ID: "runner", Address: "1.1.1.3:1", Decode: true, Slots: 8, Capacity: 400_000, Pace: 18, Reading: slower, Requests: 5, SameZone: true}
+	request := Request{
+		Engine: engine, Aim: time.Second, Objective: time.Second, Remaining: 5 * time.Second,
+		PromptTokens: 17_000, SharedTokens: 13_000, OutputTokens: 50,
+	}
+	candidates := WithHolders([]Candidate{reader, runner}, []Candidate{reader, holder, runner},
+		[]Holder{{Worker: "holder", Tokens: 13_000}, {Worker: "gone", Tokens: 13_000}})
+	plan := New(DefaultCosts()).Plan(request, candidates)
+	if plan.Reader.ID != "reader" || plan.Fetch != holder.Address || plan.Unread != 4000 {
+		t.Errorf("%s reads %d tokens, fetching from %q", plan.Reader.ID, plan.Unread, plan.Fetch)
+	}
+	known := WithHolders([]Candidate{reader}, []Candidate{reader}, []Holder{{Worker: "reader", Tokens: 13_000}})
+	if len(known) != 1 || known[0].SourceOnly || known[0].CachedTokens != 13_000 {
+		t.Errorf("%+v", known)
+	}
+}
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -42,6 +42,9 @@
 	Account AccountState
 	// Stray tells that other nodes won't look here for what is read.
 	Stray bool
+	// SourceOnly workers are known for what they keep, not for their load: others may fetch
+	// it from them.
+	SourceOnly bool
 	// HandleFailure tells that prompts read apart there could not be fetched.
 	HandleFailure bool
 }
@@ -72,6 +75,19 @@
 	FailureRate                    float64
 }
 
+// Holder is a worker that keeps a content.
+type Holder struct {
+	Worker string
+	Tokens int
+}
+
+// Answers are what other nodes have told of workers.
+type Answers struct {
+	Accounts map[string]Account
+	// Holders are the workers that keep the content which was asked for.
+	Holders []Holder
+}
+
 // With adds an account to what this node itself knows of a worker.
 func (c Candidate) With(account Account) Candidate {
 	c.Account = Answered
--- /dev/null
+++ b/spec/usage.pml
@@ -0,0 +1,104 @@
+/*
+ * One truth for a window of usage (package internal/usage): what is reported lies in the
+ * store before it is sent, written under a condition, by a node that has the authority.
+ *
+ * Two nodes have gathered different counts of the same window. The lease is as in
+ * storelease.pml, here without its clocks: it may lapse at any time, and is taken only
+ * when nobody else can hold it. Transactions and reports are carried out at any later
+ * time, also after their sender has lost the lease or given them up, and answered then or
+ * never; a report may be carried out twice. A node may pause between any two steps.
+ *
+ * Properties: the platform accepts no two reports of the window with different counts; a
+ * report leaves its node only while that node, and no other, has the authority; what the
+ * platform accepts has no lower fence than what it accepted before.
+ *
+ * Guards, each removed by a macro:
+ *   NO_RECORD          a node reports what it has gathered, without recording it
+ *   NO_ABSENCE         a window is recorded over another record of it
+ *   NO_WAIT            a node takes the lease while another may hold it
+ *   NO_RECHECK         a node sends a report without looking at its lease again
+ *   NO_FENCE           the platform does not compare fences
+ */
+#define LAST_VERSION 3
+
+byte version = 0;               /* of the lease's row */
+byte record = 0;                /* 1 + node whose counts are recorded, 0: none */
+byte reported = 0;              /* the same for what the platform accepted */
+byte highest = 0;               /* fence that it accepted last */
+
+bool holds[2]; byte fence[2];   /* the node's lease */
+byte known[2];                  /* the record as the node has read it */
+bool writing[2]; byte under[2]; /* a record on its way, and the lease's version it wants */
+bool decided[2];                /* a report is about to be sent */
+bool sent[2]; byte told[2]; byte sentFence[2]; /* a report on its way */
+
+#ifdef NO_RECORD
+#define TO_TELL(i) (i + 1)
+#define MAY_DECIDE(i) true
+#else
+#define TO_TELL(i) known[i]
+#define MAY_DECIDE(i) (known[i] != 0)
+#endif
+#ifdef NO_ABSENCE
+#define ABSENT true
+#else
+#define ABSENT (record == 0)
+#endif
+#ifdef NO_WAIT
+#define FREE(i) true
+#else
+#define FREE(i) !holds[1 - i]
+#endif
+#ifdef NO_RECHECK
+#define MAY_SEND(i) true
+#else
+#define MAY_SEND(i) holds[i]
+#endif
+#ifdef NO_FENCE
+#define ACCEPTS(f) true
+#else
+#define ACCEPTS(f) ((f) >= highest)
+#endif
+
+inline carryOutRecord(i) {
+    if
+    :: version == under[i] && ABSENT -> record = i + 1
+    :: else
+    fi
+}
+
+inline carryOutReport(i) {
+    if
+    :: ACCEPTS(sentFence[i]) ->
+        assert(reported == 0 || reported == told[i]);
+        assert(sentFence[i] >= highest);
+        reported = told[i];
+        highest = sentFence[i]
+    :: else
+    fi
+}
+
+#define STEPS(i) \
+    :: d_step { !holds[i] && FREE(i) && version < LAST_VERSION -> \
+        version++; holds[i] = true; fence[i] = version } \
+    :: d_step { holds[i] -> holds[i] = false } \
+    :: d_step { holds[i] && !writing[i] && known[i] == 0 -> writing[i] = true; under[i] = fence[i] } \
+    :: d_step { writing[i] -> carryOutRecord(i); writing[i] = false; under[i] = 0 } \
+    :: d_step { writing[i] -> carryOutRecord(i) } \
+    :: d_step { known[i] != record -> known[i] = record } \
+    :: d_step { holds[i] && !decided[i] && !sent[i] && MAY_DECIDE(i) -> decided[i] = true } \
+    :: d_step { decided[i] && MAY_SEND(i) -> \
+        decided[i] = false; \
+        assert(holds[i] && !holds[1 - i]); \
+        sent[i] = true; told[i] = TO_TELL(i); sentFence[i] = fence[i] } \
+    :: d_step { decided[i] && !holds[i] -> decided[i] = false } \
+    :: d_step { sent[i] -> carryOutReport(i); sent[i] = false; told[i] = 0; sentFence[i] = 0 } \
+    :: d_step { sent[i] -> carryOutReport(i) } \
+    :: d_step { sent[i] -> sent[i] = false; told[i] = 0; sentFence[i] = 0 }
+
+active proctype system() {
+end: do
+    STEPS(0)
+    STEPS(1)
+    od
+}
