--- a/internal/fleetsize/controller.go
+++ b/internal/fleetsize/controller.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -192,18 +193,23 @@
 	return f.whole
 }
 
-// targets are the numbers of workers to be ordered now, on the way to a plan. Once there
-// are requests, workers that are too many go only when others stand in their place, and a
-// zone that is full gets new ones as the others go.
+// idleShare is the part of the operators' fleet that stands at least while there are no
+// requests: they may begin before new workers have booted.
+const idleShare = 0.5
+
+// targets are the numbers of workers to be ordered now, on the way to a plan. Workers that
+// are too many go only when others stand in their place, or before any requests come, and
+// a zone that is full gets new ones as the others go.
 func (f *ordered) targets(terms *routing.Scaling, plan Counts, idle bool) Counts {
 	targets := make(Counts)
 	for _, kind := range kindsOf(terms) {
 		targets[kind] = plan[kind]
 	}
+	least := plan.total()
 	if idle {
-		return targets
+		least = min(least, int(math.Ceil(idleShare*f.basis.Workers)))
 	}
-	spare := max(f.standing.total()-plan.total(), 0)
+	spare := max(f.standing.total()-least, 0)
 	for _, kind := range kindsOf(terms) {
 		if tooMany := f.standing[kind] - plan[kind]; tooMany > 0 {
 			going := min(tooMany, max(spare, f.toMakeRoom(terms, plan, kind)))
