Stand-in for the platform's API; the soak has tenants, usage and orders for workers

What was missing: no test of whole nodes saw a report of usage or an order for workers, and the soak's callers had no keys. internal/lab/fleetapi takes both under fences, loses answers and is slow; it finds two truths of a window, a fence of two holders and turns. The soak's workers must see the caller's tenant and no key. Each check is shown to fail.

--- /dev/null
+++ b/internal/lab/fleetapi/api_test.go
@@ -0,0 +1,50 @@
+package fleetapi
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestProblemsAreFound: the checks fail where promises are broken.
+func TestProblemsAreFound(t *testing.T) {
+	report := func(a *API, holder string, fence, window, count int) int {
+		body := fmt.Sprintf(`{"Window":%d,"Counts":{"t":%d}}`, window, count)
+		request, err := http.NewRequest(http.MethodPost, "http://"+a.Address()+"/usage", bytes.NewBufferString(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("X-Lease-Holder", holder)
+		request.Header.Set("X-Fencing-Token", fmt.Sprint(fence))
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	for _, example := range []struct {
+		name   string
+		calls  [][4]any
+		broken bool
+	}{
+		{"one holder, the same counts twice", [][4]any{{"a", 1, 1, 5}, {"a", 1, 1, 5}}, false},
+		{"two truths", [][4]any{{"a", 1, 1, 5}, {"a", 1, 1, 6}}, true},
+		{"one fence of two holders", [][4]any{{"a", 1, 1, 5}, {"b", 1, 2, 5}}, true},
+		{"turns", [][4]any{{"a", 1, 1, 5}, {"b", 2, 2, 5}, {"a", 3, 3, 5}}, true},
+	} {
+		a := Start()
+		for _, call := range example.calls {
+			report(a, call[0].(string), call[1].(int), call[2].(int), call[3].(int))
+		}
+		if problems := a.Problems(time.Minute); (len(problems) > 0) != example.broken {
+			t.Errorf("%s: %v", example.name, problems)
+		}
+		if status := report(a, "old", 0, 9, 1); status != http.StatusConflict {
+			t.Errorf("%s: a lower fence is answered %d", example.name, status)
+		}
+		a.Close()
+	}
+}
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -99,7 +99,13 @@
 // ready.
 func start(t *testing.T) *site {
 	t.Helper()
-	s := startUnconfigured(t)
+	return startWith(t, func(*settings.Routed) {})
+}
+
+// startWith is start with settings changed.
+func startWith(t *testing.T, change func(*settings.Routed)) *site {
+	t.Helper()
+	s := startUnconfiguredWith(t, change)
 	for _, options := range []fleetworker.Options{
 		{ID: "read-1", Service: llm, Stage: "prefill", Kept: map[string]int{"5c1e07a2": 800, "91bd3f06": 410}},
 		{ID: "write-1", Service: llm, Stage: "decode"},
@@ -116,6 +122,11 @@
 }
 
 func startUnconfigured(t *testing.T) *site {
+	t.Helper()
+	return startUnconfiguredWith(t, func(*settings.Routed) {})
+}
+
+func startUnconfiguredWith(t *testing.T, change func(*settings.Routed)) *site {
 	t.Helper()
 	s := &site{t: t, store: fleetstore.Start(), workers: make(map[string]*fleetworker.Worker), logs: &logBuffer{}}
 	t.Cleanup(s.store.Close)
@@ -124,9 +135,10 @@
 	configured.Node = settings.RoutedNode{Name: "node-1", Zone: "a"}
 	configured.Listen = settings.RoutedListen{Callers: s.address, Readiness: freePort(t), Exchange: freePort(t), Metrics: freePort(t)}
 	configured.Store.Address = s.store.Address()
+	change(&configured)
 	log := logrus.New()
 	log.SetOutput(s.logs)
-	adapter := platform.New(platform.Options{Store: configured.Store.Address, Dial: workerconn.DialStore})
+	adapter := platform.New(platform.Options{Store: configured.Store.Address, API: configured.API.Address, Dial: workerconn.DialStore})
 	node, err := serving.Start(configured, adapter, log)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/lab/fleetapi"
 	"github.com/tinarch/tinarch/internal/lab/fleetstore"
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
 )
@@ -21,7 +22,7 @@
 func (s *site) harm(ctx context.Context) {
 	end := time.Now().Add(s.options.Length)
 	kinds := []func(context.Context, time.Duration) string{
-		s.killNode, s.pauseNode, s.stopNode, s.killAll, s.harmWorkerWay, s.harmWorkerWay, s.harmStoreWay, s.harmStore, s.failWorker, s.failWorker, s.drainWorker, s.vanish, s.configure,
+		s.killNode, s.pauseNode, s.stopNode, s.killAll, s.harmWorkerWay, s.harmWorkerWay, s.harmStoreWay, s.harmStore, s.failWorker, s.failWorker, s.drainWorker, s.vanish, s.configure, s.harmAPI,
 	}
 	for ctx.Err() == nil && time.Now().Before(end) {
 		length := shortestFault + time.Duration(s.random.Int64N(int64(longestFault-shortestFault)))
@@ -36,6 +37,7 @@
 // mend ends all faults.
 func (s *site) mend() {
 	s.store.SetFaults(fleetstore.Faults{})
+	s.api.SetFaults(fleetapi.Faults{})
 	for _, proxy := range s.toStore {
 		proxy.SetMode(Pass)
 	}
@@ -122,6 +124,19 @@
 	return fmt.Sprintf("the store was %+v for %v and forgot its history", faults, length.Round(time.Millisecond))
 }
 
+// slowAPI is how long a call to a slow API takes: well below what a lease has left after
+// its holder's last act.
+const slowAPI = 200 * time.Millisecond
+
+// harmAPI has the platform's API refuse calls, lose answers or be slow.
+func (s *site) harmAPI(ctx context.Context, length time.Duration) string {
+	faults := []fleetapi.Faults{{Down: true}, {LoseAnswers: true}, {Delay: slowAPI}}[s.random.IntN(3)]
+	s.api.SetFaults(faults)
+	sleep(ctx, length)
+	s.api.SetFaults(fleetapi.Faults{})
+	return fmt.Sprintf("the API was %+v for %v", faults, length.Round(time.Millisecond))
+}
+
 func (s *site) failWorker(_ context.Context, _ time.Duration) string {
 	worker := s.workers[s.random.IntN(len(s.workers))]
 	fault := []fleetworker.Fault{
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -47,6 +47,8 @@
 	body   string
 	err    error
 	left   bool
+	// tenant is the caller's, and key its API key.
+	tenant, key string
 	// probe tells that the request only tests which configuration is in force.
 	probe bool
 	// patience is for how long the caller waits, and prompt names the parts of its
@@ -87,7 +89,7 @@
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: number%2 == 0}
 	defer transport.CloseIdleConnections()
 	for count := 0; ctx.Err() == nil; count++ {
-		got := l.one(transport, random, fmt.Sprintf("%04x%012x", number, count))
+		got := l.one(transport, random, number, fmt.Sprintf("%04x%012x", number, count))
 		l.mu.Lock()
 		l.seen = append(l.seen, got)
 		l.mu.Unlock()
@@ -95,8 +97,8 @@
 	}
 }
 
-func (l *load) one(transport *http.Transport, random *rand.Rand, id string) seen {
-	got := seen{id: id, class: classes[random.IntN(len(classes))], sent: time.Now()}
+func (l *load) one(transport *http.Transport, random *rand.Rand, number int, id string) seen {
+	got := seen{id: id, class: classes[random.IntN(len(classes))], sent: time.Now(), tenant: tenantOf(number), key: keyOf(number)}
 	got.patience = clientTimeout
 	if random.IntN(leaveShare) == 0 {
 		got.left = true
@@ -123,6 +125,8 @@
 	request.Host = host
 	request.Header.Set("X-Request-Id", got.id)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(deadlineMs))
+	request.Header.Set("X-Api-Key", got.key)
+	request.Header.Set("X-Tenant", "someone else")
 	if got.prompt != "" {
 		request.Header.Set("X-Model", "m")
 		request.Header.Set("X-Token-Usage", "3000,20")
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -15,10 +15,12 @@
 	Sent   int `json:"sent"`
 	Served int `json:"served"`
 	// QuietSent and QuietServed count those of the quiet time at the end.
-	QuietSent   int            `json:"quiet_sent"`
-	QuietServed int            `json:"quiet_served"`
-	Starts      int            `json:"starts"`
-	Statuses    map[string]int `json:"statuses"`
+	QuietSent   int `json:"quiet_sent"`
+	QuietServed int `json:"quiet_served"`
+	Starts      int `json:"starts"`
+	// Windows counts the windows of usage that were reported.
+	Windows  int            `json:"windows"`
+	Statuses map[string]int `json:"statuses"`
 	// Broken lists the promises that did not hold.
 	Broken []string `json:"broken"`
 }
@@ -111,6 +113,9 @@
 		if run.Target != got.class.prefix+got.id {
 			broken = append(broken, "ran with another target "+run.Target)
 		}
+		if run.Header.Get("X-Api-Key") != "" || run.Header.Get("X-Tenant") != got.tenant {
+			broken = append(broken, fmt.Sprintf("ran for tenant %q of %q, or with a key", run.Header.Get("X-Tenant"), got.tenant))
+		}
 	}
 	return append(broken, judgeAnswer(got, workers)...)
 }
--- a/internal/lab/soak/report_test.go
+++ b/internal/lab/soak/report_test.go
@@ -19,7 +19,8 @@
 	header.Set("X-Request-Id", "id")
 	header.Set("X-Response-Signature", worker.Signature("id"))
 	got := seen{id: "id", class: kind, status: http.StatusOK, header: header, body: whole("id")}
-	return got, []fleetworker.Run{{ID: "id", Worker: "w", Target: kind.prefix + "id"}}, map[string]*soakWorker{"w": worker}
+	got.tenant = "t"
+	return got, []fleetworker.Run{{ID: "id", Worker: "w", Target: kind.prefix + "id", Header: http.Header{"X-Tenant": {"t"}}}}, map[string]*soakWorker{"w": worker}
 }
 
 // TestCheckersFind shows that each checker can fail.
@@ -38,6 +39,8 @@
 		{"not run", submit, func(got *seen, runs *[]fleetworker.Run) { got.status, *runs = http.StatusServiceUnavailable, nil }, 0},
 		{"refused as wrong", submit, func(got *seen, runs *[]fleetworker.Run) { got.status, *runs = http.StatusNotFound, nil }, 1},
 		{"another target", submit, func(_ *seen, runs *[]fleetworker.Run) { (*runs)[0].Target = "/other" }, 1},
+		{"another tenant", submit, func(got *seen, _ *[]fleetworker.Run) { got.tenant = "u" }, 1},
+		{"a key at the worker", submit, func(_ *seen, runs *[]fleetworker.Run) { (*runs)[0].Header.Set("X-Api-Key", "k") }, 1},
 		{"short answer", submit, func(got *seen, _ *[]fleetworker.Run) { got.body = got.body[1:] }, 1},
 		{"cut answer", submit, func(got *seen, _ *[]fleetworker.Run) { got.body, got.err = "", errors.New("cut") }, 0},
 		{"another's answer", submit, func(got *seen, _ *[]fleetworker.Run) { got.header.Set("X-Request-Id", "other") }, 1},
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/lab/fleetapi"
 	"github.com/tinarch/tinarch/internal/lab/fleetstore"
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
 	"github.com/tinarch/tinarch/internal/lab/process"
@@ -42,6 +43,11 @@
 	stopMillis   = 8000
 	eventPause   = 15 * time.Millisecond
 	eventCount   = 8
+	// usageWindow and usageLate are how usage is reported.
+	usageWindow = 2 * time.Second
+	usageLate   = 10 * time.Second
+	// configuredLease is the life of the lease in the nodes' settings.
+	configuredLease = 3 * time.Second
 )
 
 // The services of a soak.
@@ -56,6 +62,7 @@
 	options Options
 	random  *rand.Rand
 	store   *fleetstore.Store
+	api     *fleetapi.API
 	// toStore is each node's own way to the store.
 	toStore []*Proxy
 	nodes   []*process.Node
@@ -94,6 +101,11 @@
 	<-ended
 	report := load.report()
 	report.Seed = options.Seed
+	report.Broken = append(report.Broken, s.api.Problems(configuredLease)...)
+	report.Windows = len(s.api.Reports())
+	if report.Windows == 0 {
+		report.Broken = append(report.Broken, "no window of usage was reported")
+	}
 	for _, node := range s.nodes {
 		report.Starts += node.Starts()
 	}
@@ -111,6 +123,7 @@
 
 func (s *site) start(ctx context.Context) error {
 	s.store = fleetstore.Start()
+	s.api = fleetapi.Start()
 	for _, options := range []fleetworker.Options{
 		{ID: "read-1", Service: engines, Stage: "prefill"}, {ID: "read-2", Service: engines, Stage: "prefill"},
 		{ID: "write-1", Service: engines, Stage: "decode"}, {ID: "write-2", Service: engines, Stage: "decode"}, {ID: "write-3", Service: engines, Stage: "decode"},
@@ -179,6 +192,9 @@
 	configured.Node = settings.RoutedNode{Name: name, Zone: "a"}
 	configured.Store.Address = proxy.Address()
 	configured.Bounds.StopMillis = stopMillis
+	configured.API = settings.RoutedAPI{Address: s.api.Address(), Duties: []string{settings.DutyUsage, settings.DutyScale}}
+	configured.Bounds.LeaseMillis = int(configuredLease.Milliseconds())
+	configured.Usage = settings.RoutedUsage{WindowSeconds: usageWindow.Seconds(), LateSeconds: usageLate.Seconds()}
 	for _, address := range []*string{&configured.Listen.Callers, &configured.Listen.Readiness, &configured.Listen.Exchange, &configured.Listen.Metrics} {
 		if *address, err = freeAddress(); err != nil {
 			return err
@@ -216,6 +232,9 @@
 	if s.store != nil {
 		s.store.Close()
 	}
+	if s.api != nil {
+		s.api.Close()
+	}
 }
 
 // configuration is the operator's, with one route of each kind, and some that were
@@ -239,9 +258,30 @@
 	return map[string]any{
 		"Version": 1 + added, "Routes": routes,
 		"Services": []any{
-			map[string]any{"Name": engines, "MaxConnections": 200, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100_000, "RoleSwitchS": 1.0}},
+			map[string]any{"Name": engines, "MaxConnections": 200, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100_000, "RoleSwitchS": 1.0}, "Autoscale": autoscale()},
 			map[string]any{"Name": plain, "MaxConnections": 200},
 		},
-		"Limits": map[string]any{"MaxHeaderBytes": 8192, "MaxBodyBytes": 100_000},
+		"Limits":  map[string]any{"MaxHeaderBytes": 8192, "MaxBodyBytes": 100_000},
+		"Tenants": tenants(),
+	}
+}
+
+// autoscale is how workers may be ordered; the stand-in takes orders and changes nothing.
+func autoscale() map[string]any {
+	return map[string]any{"Min": 1, "Max": 8, "BootTimeoutS": 4.0, "SpotPrice": 0.2, "ZonePrices": map[string]any{"a": 1.0}}
+}
+
+// tenantCount is the number of tenants; each caller belongs to one of them.
+const tenantCount = 3
+
+func tenants() []any {
+	var all []any
+	for number := range tenantCount {
+		all = append(all, map[string]any{"Name": tenantOf(number), "ApiKeys": []string{keyOf(number)}})
 	}
+	return all
 }
+
+func tenantOf(caller int) string { return fmt.Sprintf("tenant-%d", caller%tenantCount) }
+
+func keyOf(caller int) string { return fmt.Sprintf("secret-%d", caller%tenantCount) }
--- a/internal/lab/soak/watch.go
+++ b/internal/lab/soak/watch.go
@@ -133,7 +133,7 @@
 	starts := node.Starts()
 	kind := probed
 	kind.prefix = fmt.Sprintf("%s%d/", probed.prefix, route)
-	got := l.send(transport, l.site.callers[number], seen{id: fmt.Sprintf("ffff%012x", count), class: kind, sent: time.Now(), probe: true, patience: clientTimeout}, "")
+	got := l.send(transport, l.site.callers[number], seen{id: fmt.Sprintf("ffff%012x", count), class: kind, sent: time.Now(), probe: true, tenant: tenantOf(0), key: keyOf(0), patience: clientTimeout}, "")
 	l.mu.Lock()
 	l.seen = append(l.seen, got)
 	calm := !l.quietSince.IsZero() && got.sent.Sub(l.quietSince) > quiet/2
