--- a/internal/fleetsize/controller.go
+++ b/internal/fleetsize/controller.go
@@ -68,6 +68,8 @@
 	// Designated reports whether this is the node that the others expect to order workers.
 	Designated func() bool
 	Log        *logrus.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Controller orders workers. It is used by one goroutine.
@@ -148,6 +150,7 @@
 	}
 	idle := c.options.Workers.Idle(service.Name, now)
 	whole := fleet.wholePlan(c.policy, service.Terms)
+	c.options.Metrics.observe(service, standing, whole)
 	targets := fleet.targets(service.Terms, whole, idle)
 	if len(fleet.unavailable) > 0 {
 		// What is not to be had is asked for again now and then, as if it were.
--- /dev/null
+++ b/internal/fleetsize/metrics.go
@@ -0,0 +1,51 @@
+package fleetsize
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tinarch/tinarch/internal/routing"
+)
+
+// Metrics tell what this node, as the one that orders, wants and sees.
+type Metrics struct {
+	workers *prometheus.GaugeVec
+	price   *prometheus.GaugeVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry *prometheus.Registry) *Metrics {
+	m := &Metrics{
+		workers: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "tinarch_workers", Help: "Workers of a service that stand and that are wanted.",
+		}, []string{"service", "zone", "spot", "state"}),
+		price: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "tinarch_workers_price", Help: "Price of a second of all workers of a service that stand.",
+		}, []string{"service"}),
+	}
+	registry.MustRegister(m.workers, m.price)
+	return m
+}
+
+// observe records what stands of a service and what is wanted.
+func (m *Metrics) observe(service Service, standing, wanted Counts) {
+	if m == nil {
+		return
+	}
+	for _, kind := range kindsOf(service.Terms) {
+		spot := strconv.FormatBool(kind.Spot)
+		m.workers.WithLabelValues(service.Name, kind.Zone, spot, "standing").Set(float64(standing[kind]))
+		m.workers.WithLabelValues(service.Name, kind.Zone, spot, "wanted").Set(float64(wanted[kind]))
+	}
+	m.price.WithLabelValues(service.Name).Set(priceOfAll(service.Terms, standing))
+}
+
+// priceOfAll is the price of a second of workers.
+func priceOfAll(terms *routing.Scaling, counts Counts) float64 {
+	sum := 0.0
+	for kind, count := range counts {
+		sum += float64(count) * priceOf(terms, kind)
+	}
+	return sum
+}
--- a/internal/fleetsize/plan.go
+++ b/internal/fleetsize/plan.go
@@ -114,15 +114,6 @@
 	counts   Counts
 }
 
-// price of all workers, a second.
-func (f *fleet) price() float64 {
-	sum := 0.0
-	for kind, count := range f.counts {
-		sum += float64(count) * priceOf(f.terms, kind)
-	}
-	return sum
-}
-
 // lost is the worth that is lost in a second with a number of workers.
 func (f *fleet) lost(workers int) float64 {
 	return f.observed.Lost * math.Pow(f.observed.Workers/math.Max(float64(workers), 1), f.policy.Elasticity)
@@ -138,7 +129,7 @@
 	for zone := range f.terms.ZonePrices {
 		expected += absence / zones * f.lost(total-f.counts[Kind{Zone: zone, Spot: true}])
 	}
-	return f.price() + expected
+	return priceOfAll(f.terms, f.counts) + expected
 }
 
 // with returns the cost with workers of a kind added, infinite where they may not be.
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -56,7 +56,11 @@
 		}
 	}
 	n.front.SetTable(table)
-	n.log.WithFields(logrus.Fields{"version": table.Version, "row_version": rowVersion, "routes": table.Routes()}).
+	keys := 0
+	if table.Tenants != nil {
+		keys = table.Tenants.Len()
+	}
+	n.log.WithFields(logrus.Fields{"version": table.Version, "row_version": rowVersion, "routes": table.Routes(), "keys": keys}).
 		Info("configuration in force")
 }
 
--- a/internal/serving/fleet.go
+++ b/internal/serving/fleet.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/tinarch/tinarch/internal/fleetsize"
 	"github.com/tinarch/tinarch/internal/settings"
 )
 
 // orderWorkers starts the controller of fleet sizes where the platform takes orders.
-func (n *Node) orderWorkers(ctx context.Context) {
+func (n *Node) orderWorkers(ctx context.Context, metrics *prometheus.Registry) {
 	if !n.settings.API.Has(settings.DutyScale) {
 		return
 	}
 	controller := fleetsize.New(fleetsize.Options{
 		Node: n.settings.Node.Name, Authority: n.authority, Store: n.platform, API: n.platform,
 		Workers: n.registry, Services: n.scaledServices, Designated: n.designated, Log: n.log,
+		Metrics: fleetsize.NewMetrics(metrics),
 	})
 	n.work.Go(func() { controller.Run(ctx) })
 }
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -244,7 +244,7 @@
 	n.work.Go(func() { n.warmUp(ctx) })
 	n.work.Go(func() { n.controller().Run(ctx) })
 	n.reportUsage(ctx, metrics)
-	n.orderWorkers(ctx)
+	n.orderWorkers(ctx, metrics)
 }
 
 // Stop ends the node as planned: it says that it takes no callers, goes on
