Reverted: serving what can't be in time anywhere

Hypothesis: a prompt that is late even at an idle engine and waits for little loses nothing by being served at once.

--- a/internal/scheduling/costs.go
+++ b/internal/scheduling/costs.go
@@ -21,9 +21,6 @@
 	Avoided float64
 	// MemoryPressure is the price of running where an engine's memory is full.
 	MemoryPressure float64
-	// LateFactor is how many times as long as alone a request may take that can't be in time
-	// at all; past that it is refused with the others.
-	LateFactor float64
 	// RefusePast is the share of the objective past which a request is refused.
 	RefusePast float64
 
@@ -59,7 +56,6 @@
 		Failure:        0.7,
 		Avoided:        4,
 		MemoryPressure: 0.4,
-		LateFactor:     1.5,
 		RefusePast:     1,
 		Interference:   0.5,
 		FetchFrom:      0.02,
--- a/internal/scheduling/reading.go
+++ b/internal/scheduling/reading.go
@@ -2,9 +2,9 @@
 
 // reading is what it takes one worker to have a prompt in memory, in milliseconds.
 type reading struct {
-	// time is the wait for the tokens ahead and for those of the request, alone the second
-	// of them, and own the part of that for which the request holds up others.
-	time, alone, own float64
+	// time is the wait for the tokens ahead and for those of the request, own the part
+	// of it for which the request holds up others.
+	time, own float64
 	// held is time with the tokens of all ranks in place of those ahead: what is
 	// compared, since a request that passes others holds them up.
 	held float64
@@ -32,7 +32,6 @@
 	fetched := s.read(request, candidate, kept+moved)
 	wait := request.Engine.Fetch + request.Engine.MovePerToken*float64(moved)
 	fetched.time += wait
-	fetched.alone += wait
 	fetched.held += wait
 	fetched.price += s.movePrice(request, moved)
 	fetched.fetch = source.Address
@@ -53,7 +52,6 @@
 	}
 	return reading{
 		time:   request.Engine.Queue*float64(candidate.ReadAhead)/pace + alone,
-		alone:  alone,
 		own:    candidate.Reading.Own(unread, atHand),
 		held:   float64(candidate.ReadTokens)/pace + alone,
 		price:  s.costs.Reread * again * request.aim(),
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -38,7 +38,7 @@
 // admit refuses a request whose answer would come too late to be of use.
 func (s *Scheduler) admit(request Request, plan Plan) Plan {
 	limit := time.Duration(s.costs.RefusePast * float64(request.Objective))
-	if plan.First <= limit || plan.First < request.Remaining && (idle(plan) || s.lateAnyway(request, plan)) {
+	if plan.First <= limit || plan.First < request.Remaining && idle(plan) {
 		return plan
 	}
 	plan.Mode = Refused
@@ -47,12 +47,6 @@
 	return plan
 }
 
-// lateAnyway reports whether a request would come late also where nothing waits, and waits
-// for little: it would not be served sooner if it came back.
-func (s *Scheduler) lateAnyway(request Request, plan Plan) bool {
-	return plan.Alone > request.Objective && plan.First <= time.Duration(s.costs.LateFactor*float64(plan.Alone))
-}
-
 // idle reports whether nothing waits where a plan would be carried out: then a
 // refusal would gain nobody anything.
 func idle(plan Plan) bool {
@@ -136,7 +130,7 @@
 			s.running(request, candidate) + s.costs.Interference*reading.own*running
 		plan := Plan{
 			Mode: Whole, Runner: candidate, Fetch: reading.fetch, Unread: reading.unread,
-			First: milliseconds(slot + reading.time), Alone: milliseconds(reading.alone), Cost: cost,
+			First: milliseconds(slot + reading.time), Cost: cost,
 		}
 		if better(plan, best) {
 			best = plan
@@ -162,7 +156,7 @@
 			s.common(request, candidate) + runner.Cost
 		plan := Plan{
 			Mode: Apart, Reader: candidate, Runner: runner.Runner, Fetch: reading.fetch, Unread: reading.unread,
-			First: milliseconds(first), Alone: milliseconds(reading.alone + request.Engine.Handover), Cost: cost,
+			First: milliseconds(first), Cost: cost,
 		}
 		if better(plan, best) {
 			best = plan
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -179,9 +179,8 @@
 	Fetch string
 	// Unread is the part of the prompt that is read anew, in tokens.
 	Unread int
-	// First is the predicted time to the first byte, and Alone what it would be if nothing
-	// waited or ran before.
-	First, Alone time.Duration
+	// First is the predicted time to the first byte.
+	First time.Duration
 	// Cost is what was compared, in milliseconds.
 	Cost float64
 	// RetryAfter is when a refused request should come back.
