One in-memory store for the tests of the lease's users; files by job; tests of the authority

Nothing else changes; the tests assert what they did. New: internal/authority has tests of its own (duties share a lease, a renounced one is taken under a higher fence, an old holder's condition fails).

--- /dev/null
+++ b/internal/authority/authority_test.go
@@ -0,0 +1,106 @@
+package authority
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/lab/memorystore"
+	"github.com/tinarch/tinarch/internal/rowstore"
+)
+
+// longLife doesn't lapse within a test, and shortLife does.
+const (
+	longLife  = time.Minute
+	shortLife = 500 * time.Millisecond
+)
+
+func newAuthority(store *memorystore.Store, self string, life time.Duration, standAside func(time.Duration)) *Authority {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Options{Self: self, Life: life, Store: store, Log: log, StandAside: standAside})
+}
+
+func TestNothingIsHeldUnasked(t *testing.T) {
+	a := newAuthority(memorystore.New(), "a", longLife, nil)
+	if _, held := a.Condition(); held || a.Fence() != 0 {
+		t.Errorf("held %v, fence %d", held, a.Fence())
+	}
+}
+
+// TestDutiesShareALease: several that act at once take it once, with one fence.
+func TestDutiesShareALease(t *testing.T) {
+	store := memorystore.New()
+	a := newAuthority(store, "a", longLife, nil)
+	var duties sync.WaitGroup
+	for range 8 {
+		duties.Go(func() {
+			if hold := a.Acquire(context.Background()); hold != Held {
+				t.Error(hold)
+			}
+		})
+	}
+	duties.Wait()
+	if a.Fence() == 0 || store.Calls() != 2 {
+		t.Errorf("fence %d after %d calls", a.Fence(), store.Calls())
+	}
+}
+
+// TestRenouncedLeaseIsTakenUnderAHigherFence: what the platform refused isn't sent again
+// under the same.
+func TestRenouncedLeaseIsTakenUnderAHigherFence(t *testing.T) {
+	a := newAuthority(memorystore.New(), "a", shortLife, nil)
+	a.Acquire(context.Background())
+	before := a.Fence()
+	a.Renounce()
+	if a.Fence() != 0 {
+		t.Error("a renounced lease is held")
+	}
+	awaitHold(t, a)
+	if a.Fence() <= before {
+		t.Errorf("fence %d after %d", a.Fence(), before)
+	}
+}
+
+func awaitHold(t *testing.T, a *Authority) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); a.Acquire(context.Background()) != Held; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the lease is never free")
+		}
+	}
+}
+
+// TestConditionFailsForAnOldHolder: once another has the authority, nothing is written
+// under the old one's condition.
+func TestConditionFailsForAnOldHolder(t *testing.T) {
+	store := memorystore.New()
+	first, second := newAuthority(store, "first", shortLife, nil), newAuthority(store, "second", shortLife, nil)
+	first.Acquire(context.Background())
+	condition, held := first.Condition()
+	if !held {
+		t.Fatal("the lease lapsed at once")
+	}
+	awaitHold(t, second)
+	_, done, err := store.Transact(context.Background(), rowstore.Transaction{
+		Conditions: []rowstore.Condition{condition}, Writes: []rowstore.Write{{Table: "t", Key: "k", Value: []byte("v")}},
+	})
+	if done || err != nil {
+		t.Errorf("written: %v, %v", done, err)
+	}
+}
+
+// TestNodeWithoutTheStoreLeavesItsDuties: and says so.
+func TestNodeWithoutTheStoreLeavesItsDuties(t *testing.T) {
+	store := memorystore.New()
+	var aside time.Duration
+	a := newAuthority(store, "a", shortLife, func(span time.Duration) { aside = span })
+	store.SetFaults(memorystore.Faults{Down: true})
+	if hold := a.Acquire(context.Background()); hold != StoreAway || aside <= shortLife {
+		t.Errorf("%s, aside for %v", hold, aside)
+	}
+}
--- a/internal/digest/usage.go
+++ b/internal/digest/usage.go
@@ -1,13 +1,9 @@
 package digest
 
 import (
-	"context"
-	"encoding/json"
 	"net/netip"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/tinarch/tinarch/internal/usage"
 )
 
@@ -191,80 +187,3 @@
 	}
 	return members
 }
-
-// UsageStore is where a node writes its tally that reaches no supervisor.
-type UsageStore interface {
-	// Put writes a row of this project's own, and Remove takes it away.
-	Put(ctx context.Context, table, key string, value []byte) error
-	Remove(ctx context.Context, table, key string) error
-}
-
-const (
-	// detourAfter is how long after a window's end a supervisor's word is awaited before
-	// the window is written to the store: two messages at rest.
-	detourAfter = 1100 * time.Millisecond
-	// detourEvery is the time between two looks, and detourTimeout bounds a call.
-	detourEvery   = 500 * time.Millisecond
-	detourTimeout = time.Second
-)
-
-// DetourUsage writes closed windows that no supervisor has acknowledged to the store, until
-// ctx ends: this node may be cut off from the others and not from the store.
-func (e *Exchange) DetourUsage(ctx context.Context, name string, store UsageStore) {
-	ticker := time.NewTicker(detourEvery)
-	defer ticker.Stop()
-	begun := e.usage.tally.Span().At(e.usage.tally.Now(time.Now())) - 1
-	written := begun
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := e.usage.tally.Now(time.Now())
-		closed := e.usage.tally.Span().At(now.Add(-detourAfter)) - 1
-		acknowledged := max(e.UsageAcknowledged(), begun)
-		switch {
-		case acknowledged < closed && written < closed:
-			if e.writeUsage(ctx, name, store, acknowledged, closed) {
-				written = closed
-			}
-		case acknowledged >= closed && written > begun && written <= acknowledged-keptDetour:
-			e.removeUsage(ctx, name, store)
-			written = begun
-		}
-	}
-}
-
-// keptDetour is for how many windows a row stays in the store after a supervisor has all:
-// it is read when they are recorded.
-const keptDetour = 3
-
-func (e *Exchange) writeUsage(ctx context.Context, name string, store UsageStore, after, through usage.Window) bool {
-	entries := e.usage.tally.Of(after, through)
-	log := e.log.WithFields(logrus.Fields{"after": after, "through": through, "entries": len(entries)})
-	if len(entries) == 0 {
-		return true
-	}
-	value, err := json.Marshal(usage.NodeRow{Incarnation: e.node, Entries: entries})
-	if err != nil {
-		log.WithError(err).Error("this node's usage can't be rendered")
-		return true
-	}
-	callCtx, cancel := context.WithTimeout(ctx, detourTimeout)
-	defer cancel()
-	if err := store.Put(callCtx, usage.Table, usage.NodeKey(name), value); err != nil {
-		log.WithField("cause", err.Error()).Warn("usage reaches neither a supervisor nor the store")
-		return false
-	}
-	log.Info("usage written to the store: no supervisor has acknowledged it")
-	return true
-}
-
-func (e *Exchange) removeUsage(ctx context.Context, name string, store UsageStore) {
-	callCtx, cancel := context.WithTimeout(ctx, detourTimeout)
-	defer cancel()
-	if err := store.Remove(callCtx, usage.Table, usage.NodeKey(name)); err != nil {
-		e.log.WithField("cause", err.Error()).Warn("this node's row of usage stays in the store")
-	}
-}
--- /dev/null
+++ b/internal/fleetsize/basis.go
@@ -0,0 +1,59 @@
+package fleetsize
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/authority"
+	"github.com/tinarch/tinarch/internal/rowstore"
+)
+
+// The rows in which the basis of a service's plan lies.
+const table = "fleet"
+
+// learnBasis reads what the plan of a service rests on, or writes it down where this node
+// is the first to plan: later nodes find workers that were ordered, not the operators'
+// choice.
+func (c *Controller) learnBasis(ctx context.Context, service Service, fleet *ordered, standing Counts) error {
+	if hold := c.options.Authority.Acquire(ctx); hold != authority.Held {
+		return eris.Errorf("no authority: %s", hold)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	content, version, err := c.options.Store.ReadRow(callCtx, table, service.Name)
+	if err != nil {
+		return eris.Wrap(err, "the basis of the plan can't be read")
+	}
+	var basis Observed
+	if version > 0 {
+		if err := json.Unmarshal(content, &basis); err != nil {
+			return eris.Wrap(err, "the basis of the plan is malformed")
+		}
+		fleet.basis = &basis
+		return nil
+	}
+	basis = c.policy.Prior(service.Terms, standing)
+	if content, err = json.Marshal(basis); err != nil {
+		return err
+	}
+	condition, held := c.options.Authority.Condition()
+	if !held {
+		return eris.New("the authority lapsed before the basis was written")
+	}
+	_, done, err := c.options.Store.Transact(callCtx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{condition, {Table: table, Key: service.Name}},
+		Writes:     []rowstore.Write{{Table: table, Key: service.Name, Value: content}},
+	})
+	if err != nil || !done {
+		return eris.Errorf("the basis of the plan was not written (done %v, %v)", done, err)
+	}
+	fleet.basis = &basis
+	c.options.Log.WithFields(logrus.Fields{
+		"service": service.Name, "lost": basis.Lost, "workers": basis.Workers, "standing": fmt.Sprint(standing),
+	}).Info("the operators' fleet is the basis of the plan")
+	return nil
+}
--- a/internal/fleetsize/controller_test.go
+++ b/internal/fleetsize/controller_test.go
@@ -12,34 +12,9 @@
 
 	"github.com/tinarch/tinarch/internal/authority"
 	"github.com/tinarch/tinarch/internal/duty"
-	"github.com/tinarch/tinarch/internal/rowstore"
+	"github.com/tinarch/tinarch/internal/lab/memorystore"
 )
 
-// memoryRows is a store of rows.
-type memoryRows struct {
-	values   map[string][]byte
-	versions map[string]uint64
-	newest   uint64
-}
-
-func (m *memoryRows) ReadRow(_ context.Context, table, key string) ([]byte, uint64, error) {
-	return m.values[table+" "+key], m.versions[table+" "+key], nil
-}
-
-func (m *memoryRows) Transact(_ context.Context, transaction rowstore.Transaction) (uint64, bool, error) {
-	for _, condition := range transaction.Conditions {
-		if m.versions[condition.Table+" "+condition.Key] != condition.Version {
-			return 0, false, nil
-		}
-	}
-	m.newest++
-	for _, write := range transaction.Writes {
-		m.values[write.Table+" "+write.Key] = write.Value
-		m.versions[write.Table+" "+write.Key] = m.newest
-	}
-	return m.newest, true, nil
-}
-
 // cloud is a platform that carries orders out at once, but for kinds that are away.
 type cloud struct {
 	standing Counts
@@ -78,7 +53,7 @@
 	return duty.Accepted, nil
 }
 
-func newController(platform *cloud, rows *memoryRows, node string) *Controller {
+func newController(platform *cloud, rows *memorystore.Store, node string) *Controller {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	known := terms(0.18, 1, 4*time.Second)
@@ -90,10 +65,6 @@
 	})
 }
 
-func newRows() *memoryRows {
-	return &memoryRows{values: make(map[string][]byte), versions: make(map[string]uint64)}
-}
-
 // run steps a controller over some seconds from a moment.
 func run(c *Controller, from time.Time, seconds int) time.Time {
 	for range 2 * seconds {
@@ -108,7 +79,7 @@
 func TestFleetIsBroughtToThePlan(t *testing.T) {
 	for _, idle := range []bool{true, false} {
 		platform := &cloud{standing: operators(), idle: idle, least: 1000}
-		c := newController(platform, newRows(), "n")
+		c := newController(platform, memorystore.New(), "n")
 		now := run(c, time.Now(), 20)
 		plan := c.policy.Plan(terms(0.18, 1, 4*time.Second), *c.fleets["s"].basis, nil, nil)
 		if diff := cmp.Diff(nonzero(plan), platform.Standing("s")); diff != "" {
@@ -143,7 +114,7 @@
 // had; the platform isn't asked at each step meanwhile.
 func TestLostWorkersAreOrderedAgain(t *testing.T) {
 	platform := &cloud{standing: operators(), least: 1000}
-	c := newController(platform, newRows(), "n")
+	c := newController(platform, memorystore.New(), "n")
 	now := run(c, time.Now(), 20)
 	lost := Kind{Zone: "a", Spot: true}
 	whole := platform.Standing("s")
@@ -167,7 +138,7 @@
 // TestNextHolderKeepsTheBasis: it finds workers that were ordered, and doesn't take them
 // for the operators' choice.
 func TestNextHolderKeepsTheBasis(t *testing.T) {
-	platform, rows := &cloud{standing: operators(), least: 1000}, newRows()
+	platform, rows := &cloud{standing: operators(), least: 1000}, memorystore.New()
 	first := newController(platform, rows, "n")
 	now := run(first, time.Now(), 20)
 	whole := platform.Standing("s")
--- /dev/null
+++ b/internal/fleetsize/ordered.go
@@ -0,0 +1,145 @@
+package fleetsize
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/routing"
+)
+
+// ordered is what is known of the workers ordered for a service.
+type ordered struct {
+	// standing is what stood at the last look, and since when.
+	standing Counts
+	since    time.Time
+	// basis is what the plan rests on, nil until it is known.
+	basis *Observed
+	// whole is the plan where all kinds are to be had, on the terms planned.
+	whole   Counts
+	planned *routing.Scaling
+	// wanted is what was ordered, and at when.
+	wanted Counts
+	at     map[Kind]time.Time
+	// fell are the kinds of which workers have gone since the look before.
+	fell map[Kind]bool
+	// unavailable are the kinds of which the last order was refused, by since when orders
+	// of them are, and pause is until when none is tried again.
+	unavailable map[Kind]time.Time
+	pause       map[Kind]time.Time
+}
+
+func newOrdered() *ordered {
+	return &ordered{
+		wanted: make(Counts), at: make(map[Kind]time.Time),
+		unavailable: make(map[Kind]time.Time), pause: make(map[Kind]time.Time),
+	}
+}
+
+// outageBoots is for how many boot times spot workers must have been unavailable before
+// workers at full price are ordered in their place: those of most outages are back sooner
+// than that would pay (docs/design/fleet-size.md).
+const outageBoots = 3
+
+// barred are the kinds of which no more can be had, or are worth having yet.
+func (f *ordered) barred(terms *routing.Scaling, now time.Time) map[Kind]bool {
+	barred := make(map[Kind]bool)
+	lasting := false
+	for kind, since := range f.unavailable {
+		barred[kind] = true
+		lasting = lasting || now.Sub(since) >= outageBoots*terms.Boot
+	}
+	for _, kind := range kindsOf(terms) {
+		barred[kind] = barred[kind] || !kind.Spot && !lasting
+	}
+	return barred
+}
+
+// wholePlan is the plan where all kinds are to be had. It is worked out once for the terms
+// of a configuration.
+func (f *ordered) wholePlan(policy Policy, terms *routing.Scaling) Counts {
+	if f.planned != terms {
+		f.whole, f.planned = policy.Plan(terms, *f.basis, nil, nil), terms
+	}
+	return f.whole
+}
+
+// idleShare is the part of the operators' fleet that stands at least while there are no
+// requests: they may begin before new workers have booted.
+const idleShare = 0.5
+
+// targets are the numbers of workers to be ordered now, on the way to a plan. Workers that
+// are too many go only when others stand in their place, or before any requests come, and
+// a zone that is full gets new ones as the others go.
+func (f *ordered) targets(terms *routing.Scaling, plan Counts, idle bool) Counts {
+	targets := make(Counts)
+	for _, kind := range kindsOf(terms) {
+		targets[kind] = plan[kind]
+	}
+	least := plan.total()
+	if idle {
+		least = min(least, int(math.Ceil(idleShare*f.basis.Workers)))
+	}
+	spare := max(f.standing.total()-least, 0)
+	for _, kind := range kindsOf(terms) {
+		if tooMany := f.standing[kind] - plan[kind]; tooMany > 0 {
+			going := min(tooMany, max(spare, f.toMakeRoom(terms, plan, kind)))
+			spare = max(spare-going, 0)
+			targets[kind] = f.standing[kind] - going
+		}
+	}
+	for _, kind := range kindsOf(terms) {
+		other := Kind{Zone: kind.Zone, Spot: !kind.Spot}
+		if plan[kind] > f.standing[kind] {
+			targets[kind] = max(min(plan[kind], terms.Max-targets[other]), f.standing[kind])
+		}
+	}
+	return targets
+}
+
+// roomShare is the part of a plan's workers that go at once to make room in a full zone.
+const roomShare = 0.3
+
+// toMakeRoom is how many workers of a kind go although none stand in their place yet: those
+// of the other kind can't come since the zone is full.
+func (f *ordered) toMakeRoom(terms *routing.Scaling, plan Counts, kind Kind) int {
+	other := Kind{Zone: kind.Zone, Spot: !kind.Spot}
+	if f.standing.inZone(kind.Zone) < terms.Max || f.standing[other] >= plan[other] {
+		return 0
+	}
+	return max(int(roomShare*float64(plan.total())), 1)
+}
+
+// due are the kinds to be ordered now, those of which there are too many first, since they
+// may fill their zone: those of which another number is wanted than was ordered, and those
+// that are missing for long or have just gone.
+func (f *ordered) due(terms *routing.Scaling, targets Counts, now time.Time) []Kind {
+	var due []Kind
+	for _, kind := range kindsOf(terms) {
+		target := targets[kind]
+		last, given := f.wanted[kind]
+		late := now.Sub(f.at[kind]) >= terms.Boot+patience || f.fell[kind]
+		switch {
+		case now.Before(f.pause[kind]):
+		case !given && target == f.standing[kind]:
+		case !given || target != last || f.standing[kind] != target && late:
+			due = append(due, kind)
+		}
+	}
+	slices.SortStableFunc(due, func(a, b Kind) int {
+		return (targets[a] - f.standing[a]) - (targets[b] - f.standing[b])
+	})
+	return due
+}
+
+// look takes in what stands.
+func (f *ordered) look(standing Counts, now time.Time) {
+	f.fell = make(map[Kind]bool)
+	for kind, before := range f.standing {
+		f.fell[kind] = standing[kind] < before && standing[kind] < f.wanted[kind]
+	}
+	if !maps.Equal(standing, f.standing) {
+		f.standing, f.since = standing, now
+	}
+}
--- a/internal/stagecontrol/controller_test.go
+++ b/internal/stagecontrol/controller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -14,53 +13,12 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/authority"
-	"github.com/tinarch/tinarch/internal/rowstore"
+	"github.com/tinarch/tinarch/internal/lab/memorystore"
 	"github.com/tinarch/tinarch/internal/stageplan"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
-var errDown = errors.New("the store is down")
-
-// memoryStore is a store with one row.
-type memoryStore struct {
-	mu      sync.Mutex
-	value   []byte
-	version uint64
-	down    bool
-	// late makes writes be carried out and not answered.
-	late  bool
-	calls int
-}
-
-func (s *memoryStore) ReadRow(context.Context, string, string) ([]byte, uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if s.down {
-		return nil, 0, errDown
-	}
-	return s.value, s.version, nil
-}
-
-func (s *memoryStore) Transact(_ context.Context, transaction rowstore.Transaction) (uint64, bool, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	if s.down {
-		return 0, false, errDown
-	}
-	if s.version != transaction.Conditions[0].Version {
-		return 0, false, nil
-	}
-	s.version += 3
-	s.value = transaction.Writes[0].Value
-	if s.late {
-		return 0, false, errDown
-	}
-	return s.version, true, nil
-}
-
 // fakeFleet has one engine too many that reads.
 type fakeFleet struct {
 	address  string
@@ -115,7 +73,7 @@
 
 // bench is a controller with its surroundings.
 type bench struct {
-	store  *memoryStore
+	store  *memorystore.Store
 	fleet  *fakeFleet
 	orders []http.Header
 	status int
@@ -124,7 +82,7 @@
 
 func newBench(t *testing.T) *bench {
 	t.Helper()
-	b := &bench{store: &memoryStore{}, status: http.StatusOK}
+	b := &bench{store: memorystore.New(), status: http.StatusOK}
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		b.mu.Lock()
 		b.orders = append(b.orders, request.Header.Clone())
@@ -189,9 +147,9 @@
 
 func TestNoStoreNoOrder(t *testing.T) {
 	b := newBench(t)
-	b.store.down = true
+	b.store.SetFaults(memorystore.Faults{Down: true})
 	order(b.controller("a"))
-	b.store.down, b.store.late = false, true
+	b.store.SetFaults(memorystore.Faults{LoseWrites: true})
 	order(b.controller("a"))
 	if len(b.orders) != 0 {
 		t.Errorf("%d orders without authority", len(b.orders))
@@ -204,8 +162,8 @@
 	for range 5 {
 		order(c)
 	}
-	if b.store.calls != 2 || len(b.orders) != 5 {
-		t.Errorf("%d calls for %d orders", b.store.calls, len(b.orders))
+	if b.store.Calls() != 2 || len(b.orders) != 5 {
+		t.Errorf("%d calls for %d orders", b.store.Calls(), len(b.orders))
 	}
 }
 
@@ -259,12 +217,12 @@
 			t.Errorf("stands aside for %v, another takes the lease after up to %v", span, takes)
 		}
 	})
-	b.store.down = true
+	b.store.SetFaults(memorystore.Faults{Down: true})
 	order(cut)
 	if stood != 1 {
 		t.Errorf("a node that can't read the lease stood aside %d times", stood)
 	}
-	b.store.down = false
+	b.store.SetFaults(memorystore.Faults{})
 	order(b.controller("b"))
 	order(cut)
 	if stood != 1 || len(b.orders) != 1 {
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -203,103 +200,6 @@
 	return max(next, due-keptWindows+1)
 }
 
-// Keys of rows: recorded windows, and what nodes write themselves that reach no
-// supervisor.
-const (
-	Table        = "usage"
-	windowPrefix = "window/"
-	nodePrefix   = "node/"
-)
-
-func windowKey(window Window) string { return windowPrefix + strconv.FormatInt(int64(window), 10) }
-
-// NodeKey is the key of a node's own row.
-func NodeKey(node string) string { return nodePrefix + node }
-
-// NodeRow is what a node writes of its tally.
-type NodeRow struct {
-	Incarnation string  `json:"incarnation"`
-	Entries     []Entry `json:"entries"`
-}
-
-// recorded returns the windows that lie in the store, and takes in the rows of nodes.
-func (r *Reporter) recorded(ctx context.Context) (map[Window]Counts, error) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rows, _, err := r.options.Store.Read(callCtx, Table)
-	if err != nil {
-		return nil, eris.Wrap(err, "the recorded windows can't be read")
-	}
-	recorded := make(map[Window]Counts)
-	for _, row := range rows {
-		if err := r.readRow(row, recorded); err != nil {
-			r.options.Log.WithFields(logrus.Fields{"row": row.Key, "cause": err.Error()}).Error("a row of usage can't be read; it is passed over")
-		}
-	}
-	return recorded, nil
-}
-
-func (r *Reporter) readRow(row tablefeed.Row, recorded map[Window]Counts) error {
-	if strings.HasPrefix(row.Key, nodePrefix) {
-		var node NodeRow
-		if err := json.Unmarshal(row.Value, &node); err != nil {
-			return err
-		}
-		r.options.Collector.Merge(node.Incarnation, node.Entries)
-		return nil
-	}
-	number, err := strconv.ParseInt(strings.TrimPrefix(row.Key, windowPrefix), 10, 64)
-	if err != nil {
-		return err
-	}
-	counts := make(Counts)
-	if err := json.Unmarshal(row.Value, &counts); err != nil {
-		return err
-	}
-	recorded[Window(number)] = counts
-	return nil
-}
-
-// record writes down what will be reported of a window, if nobody has: only as long as
-// this node has the authority.
-func (r *Reporter) record(ctx context.Context, window Window) (Counts, error) {
-	counts := r.options.Collector.Total(window)
-	content, err := json.Marshal(counts)
-	if err != nil {
-		return nil, err
-	}
-	condition, held := r.options.Authority.Condition()
-	if !held {
-		return nil, eris.New("the authority lapsed before the window was recorded")
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, done, err := r.options.Store.Transact(callCtx, rowstore.Transaction{
-		Conditions: []rowstore.Condition{condition, {Table: Table, Key: windowKey(window)}},
-		Writes: []rowstore.Write{
-			{Table: Table, Key: windowKey(window), Value: content},
-			{Table: Table, Key: windowKey(window - keptRows)},
-		},
-	})
-	if err != nil {
-		return nil, eris.Wrapf(err, "window %d can't be recorded", window)
-	}
-	if !done {
-		r.options.Authority.Renounce()
-		return nil, eris.Errorf("window %d was recorded by another node, or another has the authority", window)
-	}
-	r.options.Log.WithFields(logrus.Fields{"window": window, "requests": counts.sum(), "tenants": len(counts)}).Info("usage recorded")
-	return counts, nil
-}
-
-func (c Counts) sum() int {
-	sum := 0
-	for _, count := range c {
-		sum += count
-	}
-	return sum
-}
-
 // sendAll sends the recorded windows that the platform still takes and that this process
 // hasn't sent.
 func (r *Reporter) sendAll(ctx context.Context, recorded map[Window]Counts, now time.Time) error {
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -14,66 +14,10 @@
 
 	"github.com/tinarch/tinarch/internal/authority"
 	"github.com/tinarch/tinarch/internal/duty"
+	"github.com/tinarch/tinarch/internal/lab/memorystore"
 	"github.com/tinarch/tinarch/internal/rowstore"
-	"github.com/tinarch/tinarch/internal/tablefeed"
 )
 
-var errAway = errors.New("the store is away")
-
-// memoryStore is a store of rows.
-type memoryStore struct {
-	rows    map[string]tablefeed.Row
-	version uint64
-	// down refuses all calls, and lose carries the next transactions out unanswered.
-	down, lose bool
-}
-
-func newMemoryStore() *memoryStore { return &memoryStore{rows: make(map[string]tablefeed.Row)} }
-
-func (s *memoryStore) ReadRow(_ context.Context, table, key string) ([]byte, uint64, error) {
-	if s.down {
-		return nil, 0, errAway
-	}
-	row := s.rows[table+" "+key]
-	return row.Value, uint64(row.Version), nil
-}
-
-func (s *memoryStore) Read(_ context.Context, table string) ([]tablefeed.Row, tablefeed.Version, error) {
-	if s.down {
-		return nil, 0, errAway
-	}
-	var rows []tablefeed.Row
-	for name, row := range s.rows {
-		if name == table+" "+row.Key {
-			rows = append(rows, row)
-		}
-	}
-	return rows, tablefeed.Version(s.version), nil
-}
-
-func (s *memoryStore) Transact(_ context.Context, transaction rowstore.Transaction) (uint64, bool, error) {
-	if s.down {
-		return 0, false, errAway
-	}
-	for _, condition := range transaction.Conditions {
-		if uint64(s.rows[condition.Table+" "+condition.Key].Version) != condition.Version {
-			return 0, false, nil
-		}
-	}
-	s.version++
-	for _, write := range transaction.Writes {
-		if write.Value == nil {
-			delete(s.rows, write.Table+" "+write.Key)
-			continue
-		}
-		s.rows[write.Table+" "+write.Key] = tablefeed.Row{Key: write.Key, Value: write.Value, Version: tablefeed.Version(s.version)}
-	}
-	if s.lose {
-		return 0, false, errAway
-	}
-	return s.version, true, nil
-}
-
 // memoryAPI takes reports.
 type memoryAPI struct {
 	reports map[Window][]Counts
@@ -116,7 +60,7 @@
 
 // site is where reporters meet.
 type site struct {
-	store *memoryStore
+	store *memorystore.Store
 	api   *memoryAPI
 	log   *logrus.Logger
 }
@@ -124,7 +68,7 @@
 func newSite() *site {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return &site{store: newMemoryStore(), api: &memoryAPI{reports: make(map[Window][]Counts)}, log: log}
+	return &site{store: memorystore.New(), api: &memoryAPI{reports: make(map[Window][]Counts)}, log: log}
 }
 
 // shortLife lets a lease lapse within a test, and is far above any pause of it.
@@ -195,7 +139,7 @@
 		do   func(s *site)
 	}{
 		{"report not answered", func(s *site) { s.api.silent = true }},
-		{"record not answered", func(s *site) { s.store.lose = true }},
+		{"record not answered", func(s *site) { s.store.SetFaults(memorystore.Faults{LoseWrites: true}) }},
 		{"nothing lost", func(*site) {}},
 	} {
 		s := newSite()
@@ -205,7 +149,8 @@
 		}
 		lost.do(s)
 		first.Step(context.Background(), at(6))
-		s.store.lose, s.api.silent = false, false
+		s.store.SetFaults(memorystore.Faults{})
+		s.api.silent = false
 		second := s.reporter("second", 4)
 		s.awaitHold(t, second)
 		second.Step(context.Background(), at(7))
@@ -253,14 +198,14 @@
 func TestNothingIsReportedUnrecorded(t *testing.T) {
 	s := newSite()
 	r := s.reporter("n", 3)
-	s.store.down = true
+	s.store.SetFaults(memorystore.Faults{Down: true})
 	for second := 6.0; second < 12; second++ {
 		r.Step(context.Background(), at(second))
 	}
 	if len(s.api.reports) != 0 {
 		t.Fatalf("reported: %v", s.api.reports)
 	}
-	s.store.down = false
+	s.store.SetFaults(memorystore.Faults{})
 	r.Step(context.Background(), at(12.5))
 	if len(s.api.reports) != 2 {
 		t.Errorf("%d windows reported after the store was back, want 2", len(s.api.reports))
@@ -272,7 +217,7 @@
 	s := newSite()
 	window := Span(span).At(at(0))
 	row, _ := json.Marshal(NodeRow{Incarnation: "cut off", Entries: []Entry{{Window: window, Tenant: "a", Count: 7}}})
-	s.store.rows[Table+" "+NodeKey("m")] = tablefeed.Row{Key: NodeKey("m"), Value: row, Version: 1}
+	_, _, _ = s.store.Transact(context.Background(), rowstore.Transaction{Writes: []rowstore.Write{{Table: Table, Key: NodeKey("m"), Value: row}}})
 	r := s.reporter("n", 1)
 	r.Step(context.Background(), at(6))
 	if got := s.api.reports[window]; len(got) != 1 || got[0]["a"] != 8 {
