The operators' fleet is counted once its workers had a heartbeat's time to come

Cause, found on reading: the basis of the plan was taken once the workers had stood unchanged for 0.8 s, less than the 1.2 s in which each writes its entry. A small fleet that writes its entries apart would be taken for a smaller one, and the plan rests on it for good. Now 1.25 heartbeats, from the settings (bounds.heartbeat_ms, filled in by the platform). TestWorkersThatAreStillComingAreWaitedFor fails with 0.8 s.

--- a/internal/fleetsize/controller.go
+++ b/internal/fleetsize/controller.go
@@ -18,9 +18,6 @@
 const (
 	// stepEvery is the time between two looks at the fleet.
 	stepEvery = 500 * time.Millisecond
-	// settled is for how long the workers must have stood unchanged before their number is
-	// taken for the operators' choice: they write their entries one by one.
-	settled = 800 * time.Millisecond
 	// callTimeout bounds a call to the platform's API, storeTimeout one to its store.
 	callTimeout  = 2 * time.Second
 	storeTimeout = 800 * time.Millisecond
@@ -61,6 +58,9 @@
 	API       API
 	Workers   Workers
 	Services  func() []Service
+	// Heartbeat is the time in which each worker writes its entry: the workers must have
+	// stood unchanged for longer before their number is taken for the operators' choice.
+	Heartbeat time.Duration
 	// Designated reports whether this is the node that the others expect to order workers.
 	Designated func() bool
 	Log        *logrus.Logger
@@ -116,25 +116,14 @@
 	standing := c.options.Workers.Standing(service.Name)
 	fleet.look(standing, now)
 	if fleet.basis == nil {
-		if now.Sub(fleet.since) < settled || standing.total() == 0 {
+		if now.Sub(fleet.since) < c.settled() || standing.total() == 0 {
 			return nil
 		}
 		if err := c.learnBasis(ctx, service, fleet, standing); err != nil {
 			return err
 		}
 	}
-	idle := c.options.Workers.Idle(service.Name, now)
-	whole := fleet.wholePlan(c.policy, service.Terms)
-	c.options.Metrics.observe(service, standing, whole)
-	targets := fleet.targets(service.Terms, whole, idle)
-	if len(fleet.unavailable) > 0 {
-		// What is not to be had is asked for again now and then, as if it were.
-		wished := targets
-		targets = fleet.targets(service.Terms, c.policy.Plan(service.Terms, *fleet.basis, standing, fleet.barred(service.Terms, now)), idle)
-		for kind := range fleet.unavailable {
-			targets[kind] = wished[kind]
-		}
-	}
+	targets := c.targets(service, fleet, now)
 	for _, kind := range fleet.due(service.Terms, targets, now) {
 		if err := c.order(ctx, service, fleet, kind, targets[kind], now); err != nil {
 			return err
@@ -143,6 +132,27 @@
 	return nil
 }
 
+// settled is for how long workers must have stood unchanged to be all there are.
+func (c *Controller) settled() time.Duration { return c.options.Heartbeat * 5 / 4 }
+
+// targets are the numbers of workers of a service to be ordered now.
+func (c *Controller) targets(service Service, fleet *ordered, now time.Time) Counts {
+	idle := c.options.Workers.Idle(service.Name, now)
+	whole := fleet.wholePlan(c.policy, service.Terms)
+	c.options.Metrics.observe(service, fleet.standing, whole)
+	wished := fleet.targets(service.Terms, whole, idle)
+	if len(fleet.unavailable) == 0 {
+		return wished
+	}
+	within := c.policy.Plan(service.Terms, *fleet.basis, fleet.standing, fleet.barred(service.Terms, now))
+	targets := fleet.targets(service.Terms, within, idle)
+	for kind := range fleet.unavailable {
+		// What is not to be had is asked for again now and then, as if it were.
+		targets[kind] = wished[kind]
+	}
+	return targets
+}
+
 // order gives an order, if this node has the authority to.
 func (c *Controller) order(ctx context.Context, service Service, fleet *ordered, kind Kind, count int, now time.Time) error {
 	if hold := c.options.Authority.Acquire(ctx); hold != authority.Held {
--- a/internal/fleetsize/controller_test.go
+++ b/internal/fleetsize/controller_test.go
@@ -61,10 +61,35 @@
 		Node: node, Store: rows, API: platform, Workers: platform, Log: log,
 		Authority:  authority.New(authority.Options{Self: node, Life: time.Minute, Store: rows, Log: log}),
 		Services:   func() []Service { return []Service{{Name: "s", Terms: known}} },
-		Designated: func() bool { return true },
+		Designated: func() bool { return true }, Heartbeat: heartbeat,
 	})
 }
 
+// heartbeat is that of the tests' workers.
+const heartbeat = 1200 * time.Millisecond
+
+// TestWorkersThatAreStillComingAreWaitedFor: a fleet that writes its entries one by one
+// isn't taken for a small one.
+func TestWorkersThatAreStillComingAreWaitedFor(t *testing.T) {
+	platform, rows := &cloud{standing: Counts{{Zone: "a"}: 1}, idle: true, least: 1000}, memorystore.New()
+	c := newController(platform, rows, "n")
+	now := time.Now()
+	for _, zone := range []string{"b", "c", "a", "b"} {
+		for range 2 {
+			c.Step(context.Background(), now)
+			now = now.Add(stepEvery)
+		}
+		platform.standing[Kind{Zone: zone}]++
+	}
+	if platform.orders != 0 {
+		t.Fatal("orders were given before all workers had come")
+	}
+	run(c, now, 3)
+	if basis := c.fleets["s"].basis; basis == nil || basis.Workers != 5 {
+		t.Errorf("the basis is %+v, want five workers", basis)
+	}
+}
+
 // run steps a controller over some seconds from a moment.
 func run(c *Controller, from time.Time, seconds int) time.Time {
 	for range 2 * seconds {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -86,6 +86,8 @@
 	RetryWindowMillis int     `yaml:"retry_window_ms"`
 	// LeaseMillis is how long the authority to give orders lasts unrenewed.
 	LeaseMillis int `yaml:"lease_ms"`
+	// HeartbeatMillis is the time in which each worker writes its entry in the store.
+	HeartbeatMillis int `yaml:"heartbeat_ms"`
 }
 
 // DefaultRouted returns the settings that hold where none are given.
@@ -95,7 +97,7 @@
 		Limits: RoutedLimits{MemoryMegabytes: 256},
 		Bounds: RoutedBounds{
 			StopMillis: 8000, RetryRatio: 0.2, RetrySlack: 20,
-			RetryWindowMillis: 10_000, LeaseMillis: 3000,
+			RetryWindowMillis: 10_000, LeaseMillis: 3000, HeartbeatMillis: 1200,
 		},
 		Log: Log{Level: "info", Format: "json"},
 	}
@@ -144,6 +146,7 @@
 	c.share("bounds.retry_slack", s.Bounds.RetrySlack, 1e6)
 	c.between("bounds.retry_window_ms", s.Bounds.RetryWindowMillis, 100, 3_600_000)
 	c.between("bounds.lease_ms", s.Bounds.LeaseMillis, 100, 3_600_000)
+	c.between("bounds.heartbeat_ms", s.Bounds.HeartbeatMillis, 10, 3_600_000)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "text")
 	return c.err()
