--- a/internal/fleetsize/controller.go
+++ b/internal/fleetsize/controller.go
@@ -144,7 +144,7 @@
 	if len(fleet.unavailable) == 0 {
 		return wished
 	}
-	within := c.policy.Plan(service.Terms, *fleet.basis, fleet.standing, fleet.barred(service.Terms, now))
+	within := fleet.planWithin(c.policy, service.Terms, fleet.limits(service.Terms, now))
 	targets := fleet.targets(service.Terms, within, idle)
 	for kind := range fleet.unavailable {
 		// What is not to be had is asked for again now and then, as if it were.
--- a/internal/fleetsize/controller_test.go
+++ b/internal/fleetsize/controller_test.go
@@ -106,7 +106,7 @@
 		platform := &cloud{standing: operators(), idle: idle, least: 1000}
 		c := newController(platform, memorystore.New(), "n")
 		now := run(c, time.Now(), 20)
-		plan := c.policy.Plan(terms(0.18, 1, 4*time.Second), *c.fleets["s"].basis, nil, nil)
+		plan := c.policy.Plan(terms(0.18, 1, 4*time.Second), *c.fleets["s"].basis, nil)
 		if diff := cmp.Diff(nonzero(plan), platform.Standing("s")); diff != "" {
 			t.Errorf("idle %v: %s", idle, diff)
 		}
--- a/internal/fleetsize/ordered.go
+++ b/internal/fleetsize/ordered.go
@@ -19,6 +19,9 @@
 	// whole is the plan where all kinds are to be had, on the terms planned.
 	whole   Counts
 	planned *routing.Scaling
+	// within is the plan within the limits of what can be had, limited.
+	within  Counts
+	limited map[Kind]int
 	// wanted is what was ordered, and at when.
 	wanted Counts
 	at     map[Kind]time.Time
@@ -42,29 +45,41 @@
 // than that would pay (docs/design/fleet-size.md).
 const outageBoots = 3
 
-// barred are the kinds of which no more can be had, or are worth having yet.
-func (f *ordered) barred(terms *routing.Scaling, now time.Time) map[Kind]bool {
-	barred := make(map[Kind]bool)
+// limits are the most workers of kinds of which no more can be had, or are worth having
+// yet: those that stand.
+func (f *ordered) limits(terms *routing.Scaling, now time.Time) map[Kind]int {
+	limits := make(map[Kind]int)
 	lasting := false
 	for kind, since := range f.unavailable {
-		barred[kind] = true
+		limits[kind] = f.standing[kind]
 		lasting = lasting || now.Sub(since) >= outageBoots*terms.Boot
 	}
 	for _, kind := range kindsOf(terms) {
-		barred[kind] = barred[kind] || !kind.Spot && !lasting
+		if !kind.Spot && !lasting {
+			limits[kind] = f.standing[kind]
+		}
 	}
-	return barred
+	return limits
 }
 
 // wholePlan is the plan where all kinds are to be had. It is worked out once for the terms
 // of a configuration.
 func (f *ordered) wholePlan(policy Policy, terms *routing.Scaling) Counts {
 	if f.planned != terms {
-		f.whole, f.planned = policy.Plan(terms, *f.basis, nil, nil), terms
+		f.whole, f.planned = policy.Plan(terms, *f.basis, nil), terms
+		f.within, f.limited = nil, nil
 	}
 	return f.whole
 }
 
+// planWithin is the plan within limits. It is worked out anew when these change.
+func (f *ordered) planWithin(policy Policy, terms *routing.Scaling, limits map[Kind]int) Counts {
+	if f.within == nil || !maps.Equal(limits, f.limited) {
+		f.within, f.limited = policy.Plan(terms, *f.basis, limits), limits
+	}
+	return f.within
+}
+
 // idleShare is the part of the operators' fleet that stands at least while there are no
 // requests: they may begin before new workers have booted.
 const idleShare = 0.5
--- a/internal/fleetsize/plan.go
+++ b/internal/fleetsize/plan.go
@@ -112,6 +112,8 @@
 	terms    *routing.Scaling
 	observed Observed
 	counts   Counts
+	// most bounds the workers of some kinds.
+	most map[Kind]int
 }
 
 // lost is the worth that is lost in a second with a number of workers.
@@ -143,45 +145,60 @@
 	return f.cost()
 }
 
-// Plan returns the workers of each kind that cost least, all in all. Kinds that are not to
-// be had keep at most what stands.
-func (p Policy) Plan(terms *routing.Scaling, observed Observed, standing Counts, unavailable map[Kind]bool) Counts {
-	f := &fleet{policy: p, terms: terms, observed: observed, counts: make(Counts)}
-	kinds := kindsOf(terms)
+// steps are the numbers of workers by which a plan grows, coarse ones first: thousands of
+// workers take as many steps as tens.
+var steps = []int{64, 16, 4, 1}
+
+// Plan returns the workers of each kind that cost least, all in all. Of kinds that are not
+// to be had there are at most so many.
+func (p Policy) Plan(terms *routing.Scaling, observed Observed, most map[Kind]int) Counts {
+	f := &fleet{policy: p, terms: terms, observed: observed, counts: make(Counts), most: most}
 	for zone := range terms.ZonePrices {
 		f.counts[Kind{Zone: zone}] = terms.Min
 	}
-	for f.improve(kinds, standing, unavailable) {
+	kinds := kindsOf(terms)
+	for _, step := range steps {
+		for f.improve(kinds, step) {
+		}
 	}
 	return f.counts
 }
 
-// improve adds the worker that saves most, or puts one in place of another.
-func (f *fleet) improve(kinds []Kind, standing Counts, unavailable map[Kind]bool) bool {
-	best, add, drop := f.cost()-leastSaved, Kind{}, Kind{}
-	found, replaces := false, false
+// change is a step of a plan: workers of a kind that are added, or fewer where negative, and
+// others that they take the place of.
+type change struct {
+	add   Kind
+	count int
+	// drop is the kind of the others, the same as add where there are none.
+	drop Kind
+}
+
+// improve makes the change by a step that saves most. It reports false where none does.
+func (f *fleet) improve(kinds []Kind, step int) bool {
+	best, least := change{}, f.cost()-leastSaved
+	consider := func(c change, cost float64) {
+		if cost < least {
+			best, least = c, cost
+		}
+	}
 	for _, kind := range kinds {
-		if unavailable[kind] && f.counts[kind] >= standing[kind] {
+		consider(change{kind, -step, kind}, f.with(kind, -step))
+		if limit, limited := f.most[kind]; limited && f.counts[kind]+step > limit {
 			continue
 		}
-		if cost := f.with(kind, 1); cost < best {
-			best, add, found, replaces = cost, kind, true, false
-		}
+		consider(change{kind, step, kind}, f.with(kind, step))
 		for _, other := range kinds {
-			if other == kind || f.counts[other] == 0 {
-				continue
-			}
-			if cost := f.swapped(kind, other); cost < best {
-				best, add, drop, found, replaces = cost, kind, other, true, true
+			if other != kind && f.counts[other] >= step {
+				consider(change{kind, step, other}, f.swapped(kind, other, step))
 			}
 		}
 	}
-	if !found {
+	if best.count == 0 {
 		return false
 	}
-	f.counts[add]++
-	if replaces {
-		f.counts[drop]--
+	f.counts[best.add] += best.count
+	if best.drop != best.add {
+		f.counts[best.drop] -= best.count
 	}
 	return true
 }
@@ -189,14 +206,14 @@
 // leastSaved ends the search where steps save next to nothing, in the unit of prices.
 const leastSaved = 1e-6
 
-// swapped returns the cost with a worker of one kind in place of one of another.
-func (f *fleet) swapped(add, drop Kind) float64 {
-	f.counts[drop]--
-	defer func() { f.counts[drop]++ }()
+// swapped returns the cost with workers of one kind in place of others.
+func (f *fleet) swapped(add, drop Kind, count int) float64 {
+	f.counts[drop] -= count
+	defer func() { f.counts[drop] += count }()
 	if f.counts.inZone(drop.Zone) < f.terms.Min && add.Zone != drop.Zone {
 		return math.Inf(1)
 	}
-	return f.with(add, 1)
+	return f.with(add, count)
 }
 
 // Cost returns what workers cost in a second, with the worth that is lost.
--- a/internal/fleetsize/plan_test.go
+++ b/internal/fleetsize/plan_test.go
@@ -36,7 +36,7 @@
 			for _, boot := range []time.Duration{2 * time.Second, 12 * time.Second} {
 				known := terms(spot, times, boot)
 				basis := policy.Prior(terms(spot, 1, boot), operators())
-				plan := policy.Plan(known, basis, operators(), nil)
+				plan := policy.Plan(known, basis, nil)
 				if before, after := policy.Cost(known, basis, operators()), policy.Cost(known, basis, plan); after > before {
 					t.Errorf("spot %v, prices × %v: %v costs %.1f, the operators' fleet %.1f", spot, times, plan, after, before)
 				}
@@ -56,7 +56,7 @@
 	policy := DefaultPolicy()
 	plan := func(spot, times float64) Counts {
 		basis := policy.Prior(terms(spot, 1, 4*time.Second), operators())
-		return policy.Plan(terms(spot, times, 4*time.Second), basis, operators(), nil)
+		return policy.Plan(terms(spot, times, 4*time.Second), basis, nil)
 	}
 	if cheap := plan(0.18, 1); spots(cheap) != cheap.total() || cheap.total() <= operators().total() {
 		t.Errorf("at cheap spot workers: %v", cheap)
@@ -77,7 +77,7 @@
 func TestSameFleetAtTheSamePrices(t *testing.T) {
 	policy := DefaultPolicy()
 	flat := &routing.Scaling{Min: 1, Max: 94, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1}}
-	plan := policy.Plan(flat, policy.Prior(flat, operators()), operators(), nil)
+	plan := policy.Plan(flat, policy.Prior(flat, operators()), nil)
 	if total := plan.total(); total < 138 || total > 142 {
 		t.Errorf("%d workers, the operators' fleet has 140", total)
 	}
@@ -88,10 +88,27 @@
 	policy := DefaultPolicy()
 	known := terms(0.5, 1, 4*time.Second)
 	basis := policy.Prior(known, operators())
-	whole := policy.Plan(known, basis, nil, nil)
+	whole := policy.Plan(known, basis, nil)
 	away := Kind{Zone: "a", Spot: true}
-	without := policy.Plan(known, basis, Counts{}, map[Kind]bool{away: true})
+	without := policy.Plan(known, basis, map[Kind]int{away: 0})
 	if without[away] != 0 || without.total()-without[away] <= whole.total()-whole[away] {
 		t.Errorf("%v, with zone a %v", without, whole)
 	}
 }
+
+// TestLargeFleetsArePlannedAlike: a fleet ten times as large has ten times the workers.
+func TestLargeFleetsArePlannedAlike(t *testing.T) {
+	policy := DefaultPolicy()
+	small := terms(0.5, 1, 4*time.Second)
+	large := *small
+	large.Max *= 10
+	times := make(Counts)
+	for kind, count := range operators() {
+		times[kind] = 10 * count
+	}
+	few := policy.Plan(small, policy.Prior(small, operators()), nil).total()
+	many := policy.Plan(&large, policy.Prior(&large, times), nil).total()
+	if off := many - 10*few; off < -10*few/20 || off > 10*few/20 {
+		t.Errorf("%d workers, %d in a fleet a tenth as large", many, few)
+	}
+}
