--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -30,7 +30,7 @@
 	path := pathOf(request)
 	route := table.Match(request.Host, path)
 	if route == nil {
-		return admission{}, f.unknown(result.New(result.NotFound, "no route of version %d for host %q and path %q", table.Version, request.Host, path))
+		return admission{}, f.refuseUnknown(result.New(result.NotFound, "no route of version %d for host %q and path %q", table.Version, request.Host, path))
 	}
 	owner, failure := f.authenticate(table, route, request.Header)
 	return admission{route: route, tenant: owner}, failure
@@ -53,14 +53,14 @@
 	}
 	owner, known := table.Tenants.Owner(keys[0])
 	if !known {
-		return tenant.Tenant{}, f.unknown(result.New(result.Unauthenticated, "no tenant of version %d has the request's API key", table.Version))
+		return tenant.Tenant{}, f.refuseUnknown(result.New(result.Unauthenticated, "no tenant of version %d has the request's API key", table.Version))
 	}
 	return owner, nil
 }
 
-// unknown turns a refusal of what the configuration doesn't hold into one that lets the
+// refuseUnknown turns a refusal of what the configuration doesn't hold into one that lets the
 // caller come back, where a newer version that holds it may be in force elsewhere.
-func (f *Front) unknown(failure *result.Error) *result.Error {
+func (f *Front) refuseUnknown(failure *result.Error) *result.Error {
 	age := f.configurationAge()
 	if age <= staleAfter {
 		return failure
