--- a/internal/fleetsize/controller.go
+++ b/internal/fleetsize/controller.go
@@ -26,6 +26,12 @@
 	patience = 2 * time.Second
 	// unavailableFor is how long a refused order isn't tried again.
 	unavailableFor = 2 * time.Second
+	// paceEvery is the time between two rounds of orders, and pace the workers that may come
+	// and go in it for each node: each of them is some changes of the platform's list, which
+	// the heads of a zone tell all its nodes. Three thousand workers replaced at once held
+	// the list up by 5 s at 300 nodes with links of 10 Mbit/s (docs/design/fleet-size.md).
+	paceEvery = 2 * time.Second
+	pace      = 16_000
 )
 
 // API is the platform's API for workers.
@@ -58,6 +64,8 @@
 	API       API
 	Workers   Workers
 	Services  func() []Service
+	// Nodes is the number of nodes that follow the list of workers.
+	Nodes func() int
 	// Heartbeat is the time in which each worker writes its entry: the workers must have
 	// stood unchanged for longer before their number is taken for the operators' choice.
 	Heartbeat time.Duration
@@ -124,8 +132,16 @@
 		}
 	}
 	targets := c.targets(service, fleet, now)
-	for _, kind := range fleet.due(service.Terms, targets, now) {
-		if err := c.order(ctx, service, fleet, kind, targets[kind], now); err != nil {
+	due := fleet.due(service.Terms, targets, now)
+	if len(due) == 0 || now.Sub(fleet.ordered) < paceEvery {
+		return nil
+	}
+	fleet.ordered = now
+	left := max(pace/max(c.options.Nodes(), 1), 1)
+	for _, kind := range due {
+		count := fleet.within(kind, targets[kind], left)
+		left -= fleet.moves(kind, count)
+		if err := c.order(ctx, service, fleet, kind, count, now); err != nil {
 			return err
 		}
 	}
@@ -144,7 +160,7 @@
 	if len(fleet.unavailable) == 0 {
 		return wished
 	}
-	within := fleet.planWithin(c.policy, service.Terms, fleet.limits(service.Terms, now))
+	within := fleet.planWithin(c.policy, service.Terms, fleet.mostOf(service.Terms, now))
 	targets := fleet.targets(service.Terms, within, idle)
 	for kind := range fleet.unavailable {
 		// What is not to be had is asked for again now and then, as if it were.
--- a/internal/fleetsize/controller_test.go
+++ b/internal/fleetsize/controller_test.go
@@ -20,7 +20,10 @@
 	standing Counts
 	away     map[Kind]bool
 	idle     bool
+	nodes    int
 	orders   int
+	// moved is the most workers that came or went by the orders of one moment.
+	moved, moving int
 	// least is the fewest workers that ever stood.
 	least int
 }
@@ -45,6 +48,8 @@
 	if c.away[kind] && count > c.standing[kind] {
 		return duty.Refused, errors.New("none to be had")
 	}
+	c.moving += max(count-c.standing[kind], c.standing[kind]-count)
+	c.moved = max(c.moved, c.moving)
 	c.standing[kind] = count
 	if c.standing.inZone(kind.Zone) > 94 {
 		return duty.Refused, errors.New("too many")
@@ -62,6 +67,7 @@
 		Authority:  authority.New(authority.Options{Self: node, Life: time.Minute, Store: rows, Log: log}),
 		Services:   func() []Service { return []Service{{Name: "s", Terms: known}} },
 		Designated: func() bool { return true }, Heartbeat: heartbeat,
+		Nodes: func() int { return platform.nodes },
 	})
 }
 
@@ -84,28 +90,45 @@
 	if platform.orders != 0 {
 		t.Fatal("orders were given before all workers had come")
 	}
-	run(c, now, 3)
+	run(c, platform, now, 3)
 	if basis := c.fleets["s"].basis; basis == nil || basis.Workers != 5 {
 		t.Errorf("the basis is %+v, want five workers", basis)
 	}
 }
 
 // run steps a controller over some seconds from a moment.
-func run(c *Controller, from time.Time, seconds int) time.Time {
+func run(c *Controller, platform *cloud, from time.Time, seconds int) time.Time {
 	for range 2 * seconds {
+		platform.moving = 0
 		c.Step(context.Background(), from)
 		from = from.Add(stepEvery)
 	}
 	return from
 }
 
+// TestFleetChangesAtThePaceOfTheList: many nodes take longer to hear of each worker.
+func TestFleetChangesAtThePaceOfTheList(t *testing.T) {
+	for _, nodes := range []int{1, 400} {
+		platform := &cloud{standing: operators(), idle: true, nodes: nodes, least: 1000}
+		c := newController(platform, memorystore.New(), "n")
+		run(c, platform, time.Now(), 60)
+		if most := pace / nodes; platform.moved > most {
+			t.Errorf("%d nodes: %d workers came or went at once, want at most %d", nodes, platform.moved, most)
+		}
+		plan := c.policy.Plan(terms(0.18, 1, 4*time.Second), *c.fleets["s"].basis, nil)
+		if diff := cmp.Diff(nonzero(plan), platform.Standing("s")); diff != "" {
+			t.Errorf("%d nodes: %s", nodes, diff)
+		}
+	}
+}
+
 // TestFleetIsBroughtToThePlan: before requests come half of the operators' fleet stands at
 // all times, later as many as the plan has; then nothing more is ordered.
 func TestFleetIsBroughtToThePlan(t *testing.T) {
 	for _, idle := range []bool{true, false} {
 		platform := &cloud{standing: operators(), idle: idle, least: 1000}
 		c := newController(platform, memorystore.New(), "n")
-		now := run(c, time.Now(), 20)
+		now := run(c, platform, time.Now(), 20)
 		plan := c.policy.Plan(terms(0.18, 1, 4*time.Second), *c.fleets["s"].basis, nil)
 		if diff := cmp.Diff(nonzero(plan), platform.Standing("s")); diff != "" {
 			t.Errorf("idle %v: %s", idle, diff)
@@ -118,7 +141,7 @@
 			t.Errorf("idle %v: only %d workers stood on the way", idle, platform.least)
 		}
 		before := platform.orders
-		run(c, now, 20)
+		run(c, platform, now, 20)
 		if platform.orders != before {
 			t.Errorf("idle %v: %d orders of a fleet that is as planned", idle, platform.orders-before)
 		}
@@ -140,13 +163,13 @@
 func TestLostWorkersAreOrderedAgain(t *testing.T) {
 	platform := &cloud{standing: operators(), least: 1000}
 	c := newController(platform, memorystore.New(), "n")
-	now := run(c, time.Now(), 20)
+	now := run(c, platform, time.Now(), 20)
 	lost := Kind{Zone: "a", Spot: true}
 	whole := platform.Standing("s")
 	platform.standing[lost] = 0
 	platform.away = map[Kind]bool{lost: true}
 	before := platform.orders
-	now = run(c, now, 10)
+	now = run(c, platform, now, 10)
 	if platform.standing[Kind{Zone: "b", Spot: true}] <= whole[Kind{Zone: "b", Spot: true}] {
 		t.Errorf("nothing stands in for the lost: %v", platform.standing)
 	}
@@ -154,7 +177,7 @@
 		t.Errorf("%d orders in ten seconds", asked)
 	}
 	platform.away = nil
-	run(c, now, 30)
+	run(c, platform, now, 30)
 	if diff := cmp.Diff(whole, platform.Standing("s")); diff != "" {
 		t.Error(diff)
 	}
@@ -165,10 +188,10 @@
 func TestNextHolderKeepsTheBasis(t *testing.T) {
 	platform, rows := &cloud{standing: operators(), least: 1000}, memorystore.New()
 	first := newController(platform, rows, "n")
-	now := run(first, time.Now(), 20)
+	now := run(first, platform, time.Now(), 20)
 	whole := platform.Standing("s")
 	next := newController(platform, rows, "n") // the same name: the lease is its own
-	run(next, now, 20)
+	run(next, platform, now, 20)
 	if diff := cmp.Diff(whole, platform.Standing("s")); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/fleetsize/ordered.go
+++ b/internal/fleetsize/ordered.go
@@ -19,9 +19,11 @@
 	// whole is the plan where all kinds are to be had, on the terms planned.
 	whole   Counts
 	planned *routing.Scaling
-	// within is the plan within the limits of what can be had, limited.
-	within  Counts
-	limited map[Kind]int
+	// limited is the plan within the limits of what can be had.
+	limited Counts
+	limits  map[Kind]int
+	// ordered is when orders were given last.
+	ordered time.Time
 	// wanted is what was ordered, and at when.
 	wanted Counts
 	at     map[Kind]time.Time
@@ -45,9 +47,9 @@
 // than that would pay (docs/design/fleet-size.md).
 const outageBoots = 3
 
-// limits are the most workers of kinds of which no more can be had, or are worth having
+// mostOf are the most workers of kinds of which no more can be had, or are worth having
 // yet: those that stand.
-func (f *ordered) limits(terms *routing.Scaling, now time.Time) map[Kind]int {
+func (f *ordered) mostOf(terms *routing.Scaling, now time.Time) map[Kind]int {
 	limits := make(map[Kind]int)
 	lasting := false
 	for kind, since := range f.unavailable {
@@ -67,17 +69,17 @@
 func (f *ordered) wholePlan(policy Policy, terms *routing.Scaling) Counts {
 	if f.planned != terms {
 		f.whole, f.planned = policy.Plan(terms, *f.basis, nil), terms
-		f.within, f.limited = nil, nil
+		f.limited, f.limits = nil, nil
 	}
 	return f.whole
 }
 
 // planWithin is the plan within limits. It is worked out anew when these change.
 func (f *ordered) planWithin(policy Policy, terms *routing.Scaling, limits map[Kind]int) Counts {
-	if f.within == nil || !maps.Equal(limits, f.limited) {
-		f.within, f.limited = policy.Plan(terms, *f.basis, limits), limits
+	if f.limited == nil || !maps.Equal(limits, f.limits) {
+		f.limited, f.limits = policy.Plan(terms, *f.basis, limits), limits
 	}
-	return f.within
+	return f.limited
 }
 
 // idleShare is the part of the operators' fleet that stands at least while there are no
@@ -148,6 +150,26 @@
 	return due
 }
 
+// before is the number of workers of a kind that an order starts from: what was ordered
+// last, or what stands.
+func (f *ordered) before(kind Kind) int {
+	if last, given := f.wanted[kind]; given {
+		return last
+	}
+	return f.standing[kind]
+}
+
+// moves is the number of workers that come or go by an order.
+func (f *ordered) moves(kind Kind, count int) int {
+	return max(count-f.before(kind), f.before(kind)-count)
+}
+
+// within is the order nearest to a target by which no more than so many come or go.
+func (f *ordered) within(kind Kind, target, most int) int {
+	before := f.before(kind)
+	return min(max(target, before-max(most, 0)), before+max(most, 0))
+}
+
 // look takes in what stands.
 func (f *ordered) look(standing Counts, now time.Time) {
 	f.fell = make(map[Kind]bool)
--- a/internal/serving/fleet.go
+++ b/internal/serving/fleet.go
@@ -17,7 +17,7 @@
 	controller := fleetsize.New(fleetsize.Options{
 		Node: n.settings.Node.Name, Authority: n.authority, Store: n.platform, API: n.platform,
 		Workers: n.registry, Services: n.scaledServices, Designated: n.designated, Log: n.log,
-		Metrics: fleetsize.NewMetrics(metrics), Heartbeat: settings.Milliseconds(n.settings.Bounds.HeartbeatMillis),
+		Nodes: n.exchange.Nodes, Metrics: fleetsize.NewMetrics(metrics), Heartbeat: settings.Milliseconds(n.settings.Bounds.HeartbeatMillis),
 	})
 	n.work.Go(func() { controller.Run(ctx) })
 }
