--- a/internal/fleetsize/plan.go
+++ b/internal/fleetsize/plan.go
@@ -38,15 +38,15 @@
 // priceOf is the price of a second of a worker of a kind.
 func priceOf(terms *routing.Scaling, kind Kind) float64 {
 	if kind.Spot {
-		return terms.ZonePrices[kind.Zone] * terms.SpotPrice
+		return terms.PriceByZone[kind.Zone] * terms.SpotPrice
 	}
-	return terms.ZonePrices[kind.Zone]
+	return terms.PriceByZone[kind.Zone]
 }
 
 // kindsOf are those that may be ordered, in a fixed order.
 func kindsOf(terms *routing.Scaling) []Kind {
 	var kinds []Kind
-	for zone := range terms.ZonePrices {
+	for zone := range terms.PriceByZone {
 		kinds = append(kinds, Kind{Zone: zone})
 		if terms.SpotPrice > 0 {
 			kinds = append(kinds, Kind{Zone: zone, Spot: true})
@@ -101,7 +101,7 @@
 	workers, price := 0.0, 0.0
 	for kind, count := range standing {
 		workers += float64(count)
-		price += float64(count) * terms.ZonePrices[kind.Zone]
+		price += float64(count) * terms.PriceByZone[kind.Zone]
 	}
 	return Observed{Lost: price / p.Elasticity, Workers: workers}
 }
@@ -126,9 +126,9 @@
 func (f *fleet) cost() float64 {
 	total := f.counts.total()
 	absence := min(f.policy.AbsenceBase+f.policy.AbsencePerSecond*f.terms.Boot.Seconds(), 1)
-	zones := float64(len(f.terms.ZonePrices))
+	zones := float64(len(f.terms.PriceByZone))
 	expected := (1 - absence) * f.lost(total)
-	for zone := range f.terms.ZonePrices {
+	for zone := range f.terms.PriceByZone {
 		expected += absence / zones * f.lost(total-f.counts[Kind{Zone: zone, Spot: true}])
 	}
 	return priceOfAll(f.terms, f.counts) + expected
@@ -153,7 +153,7 @@
 // to be had there are at most so many.
 func (p Policy) Plan(terms *routing.Scaling, observed Observed, most map[Kind]int) Counts {
 	f := &fleet{policy: p, terms: terms, observed: observed, counts: make(Counts), most: most}
-	for zone := range terms.ZonePrices {
+	for zone := range terms.PriceByZone {
 		f.counts[Kind{Zone: zone}] = terms.Min
 	}
 	kinds := kindsOf(terms)
--- a/internal/fleetsize/plan_test.go
+++ b/internal/fleetsize/plan_test.go
@@ -11,7 +11,7 @@
 func terms(spot, times float64, boot time.Duration) *routing.Scaling {
 	return &routing.Scaling{
 		Min: 1, Max: 94, Boot: boot, SpotPrice: spot,
-		ZonePrices: map[string]float64{"a": 0.85 * times, "b": 1.2 * times, "c": times},
+		PriceByZone: map[string]float64{"a": 0.85 * times, "b": 1.2 * times, "c": times},
 	}
 }
 
@@ -40,7 +40,7 @@
 				if before, after := policy.Cost(known, basis, operators()), policy.Cost(known, basis, plan); after > before {
 					t.Errorf("spot %v, prices × %v: %v costs %.1f, the operators' fleet %.1f", spot, times, plan, after, before)
 				}
-				for zone := range known.ZonePrices {
+				for zone := range known.PriceByZone {
 					if count := plan.inZone(zone); count < known.Min || count > known.Max {
 						t.Errorf("%d workers in zone %s", count, zone)
 					}
@@ -76,7 +76,7 @@
 // as large as it is.
 func TestSameFleetAtTheSamePrices(t *testing.T) {
 	policy := DefaultPolicy()
-	flat := &routing.Scaling{Min: 1, Max: 94, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1}}
+	flat := &routing.Scaling{Min: 1, Max: 94, PriceByZone: map[string]float64{"a": 1, "b": 1, "c": 1}}
 	plan := policy.Plan(flat, policy.Prior(flat, operators()), nil)
 	if total := plan.total(); total < 138 || total > 142 {
 		t.Errorf("%d workers, the operators' fleet has 140", total)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -111,8 +111,8 @@
 	// SpotPrice is the price of workers that may be taken away, as a share of that of the
 	// others; zero where there are none.
 	SpotPrice float64
-	// ZonePrices are the prices of a second of a worker, by zone.
-	ZonePrices map[string]float64
+	// PriceByZone are the prices of a second of a worker, by zone.
+	PriceByZone map[string]float64
 }
 
 // Limits bound what callers may send.
