Interfaces of the two new customers: topology, quota limits, settings

Cause: nothing in the program knows a region, a tenant's rate and burst, their unit, or that fences may go unenforced; parts that are to be built side by side need the types first.

Ruled out: a region of its own in the settings (it follows from the zone). No decision changes.

--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -14,14 +14,17 @@
 // Routed are the settings of a node that serves routes before workers which a
 // platform's store lists.
 type Routed struct {
-	Node   RoutedNode   `yaml:"node"`
-	Listen RoutedListen `yaml:"listen"`
-	Store  RoutedStore  `yaml:"store"`
-	API    RoutedAPI    `yaml:"api"`
-	Usage  RoutedUsage  `yaml:"usage"`
-	Limits RoutedLimits `yaml:"limits"`
-	Bounds RoutedBounds `yaml:"bounds"`
-	Log    Log          `yaml:"log"`
+	Node RoutedNode `yaml:"node"`
+	// Zones holds the region of each zone; zones without one lie together.
+	Zones  map[string]string `yaml:"zones"`
+	Listen RoutedListen      `yaml:"listen"`
+	Store  RoutedStore       `yaml:"store"`
+	API    RoutedAPI         `yaml:"api"`
+	Usage  RoutedUsage       `yaml:"usage"`
+	Quota  RoutedQuota       `yaml:"quota"`
+	Limits RoutedLimits      `yaml:"limits"`
+	Bounds RoutedBounds      `yaml:"bounds"`
+	Log    Log               `yaml:"log"`
 }
 
 // RoutedNode says which node this is.
@@ -70,6 +73,15 @@
 	LateSeconds   float64 `yaml:"late_s"`
 }
 
+// RoutedQuota says by how much all nodes together may exceed what a tenant may use: in any
+// window, by a share of what its limit allows there and by a count.
+type RoutedQuota struct {
+	WindowSeconds float64 `yaml:"window_s"`
+	Overshoot     float64 `yaml:"overshoot"`
+	// Slack is in the unit of the tenants' limits.
+	Slack float64 `yaml:"slack"`
+}
+
 // RoutedLimits bound what the process uses.
 type RoutedLimits struct {
 	MemoryMegabytes int `yaml:"memory_mb"`
@@ -86,6 +98,10 @@
 	RetryWindowMillis int     `yaml:"retry_window_ms"`
 	// LeaseMillis is how long the authority to give orders lasts unrenewed.
 	LeaseMillis int `yaml:"lease_ms"`
+	// Fencing says whether engines and the platform's API refuse calls under a fence lower
+	// than one that they have seen. Where they don't, a late call of an earlier holder may
+	// be carried out behind a newer one.
+	Fencing bool `yaml:"fencing"`
 	// HeartbeatMillis is the time in which each worker writes its entry in the store.
 	HeartbeatMillis int `yaml:"heartbeat_ms"`
 }
@@ -94,10 +110,11 @@
 func DefaultRouted() Routed {
 	return Routed{
 		Usage:  RoutedUsage{WindowSeconds: 5, LateSeconds: 10},
+		Quota:  RoutedQuota{WindowSeconds: 8, Overshoot: 0.1},
 		Limits: RoutedLimits{MemoryMegabytes: 256},
 		Bounds: RoutedBounds{
 			StopMillis: 8000, RetryRatio: 0.2, RetrySlack: 20,
-			RetryWindowMillis: 10_000, LeaseMillis: 3000, HeartbeatMillis: 1200,
+			RetryWindowMillis: 10_000, LeaseMillis: 3000, Fencing: true, HeartbeatMillis: 1200,
 		},
 		Log: Log{Level: "info", Format: "json"},
 	}
@@ -140,6 +157,13 @@
 	}
 	c.seconds("usage.window_s", s.Usage.WindowSeconds)
 	c.seconds("usage.late_s", s.Usage.LateSeconds)
+	for zone, region := range s.Zones {
+		c.match("zones."+zone, zone, namePattern, "use 1 to 63 of a-z, 0-9, '.' and '-'")
+		c.match("zones."+zone, region, namePattern, "use 1 to 63 of a-z, 0-9, '.' and '-'")
+	}
+	c.seconds("quota.window_s", s.Quota.WindowSeconds)
+	c.share("quota.overshoot", s.Quota.Overshoot, 10)
+	c.share("quota.slack", s.Quota.Slack, 1e12)
 	c.between("limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1<<20)
 	c.between("bounds.stop_ms", s.Bounds.StopMillis, 1000, 24*3_600_000)
 	c.share("bounds.retry_ratio", s.Bounds.RetryRatio, 10)
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -50,6 +50,29 @@
 	}
 }
 
+func TestRoutedSettingsOfRegionsAndQuotas(t *testing.T) {
+	got, err := ParseRouted("file", []byte(routedExample+`
+zones: {a: north, b: south}
+quota: {window_s: 4, overshoot: 0.2, slack: 100}
+bounds: {fencing: false}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Zones["b"] != "south" || got.Quota != (RoutedQuota{WindowSeconds: 4, Overshoot: 0.2, Slack: 100}) || got.Bounds.Fencing {
+		t.Errorf("%+v", got)
+	}
+	if got, err := ParseRouted("file", []byte(routedExample+"zones:\n")); err != nil || len(got.Zones) != 0 || !got.Bounds.Fencing {
+		t.Errorf("without zones: %+v, %v", got, err)
+	}
+	_, err = ParseRouted("file", []byte(routedExample+"zones: {a: North}\nquota: {window_s: 0, overshoot: -1}\n"))
+	for _, part := range []string{"zones.a", "quota.window_s", "quota.overshoot"} {
+		if err == nil || !strings.Contains(err.Error(), part) {
+			t.Errorf("%q is not told in: %v", part, err)
+		}
+	}
+}
+
 func FuzzParseRouted(f *testing.F) {
 	f.Add([]byte(routedExample))
 	f.Fuzz(func(_ *testing.T, content []byte) { _, _ = ParseRouted("file", content) })
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -5,6 +5,8 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+
+	"github.com/tinarch/tinarch/internal/quota"
 )
 
 // Digest is the SHA-256 of an API key.
@@ -62,6 +64,7 @@
 	name     string
 	priority int
 	ranked   bool
+	limit    quota.Limit
 }
 
 // New returns a tenant whose requests have the priority of their route.
@@ -73,6 +76,15 @@
 	return t
 }
 
+// WithLimit returns the tenant with a limit to what it may use.
+func (t Tenant) WithLimit(limit quota.Limit) Tenant {
+	t.limit = limit
+	return t
+}
+
+// Limit returns what the tenant may use, over all nodes together.
+func (t Tenant) Limit() quota.Limit { return t.limit }
+
 // Name returns the tenant's name, empty for callers that belong to no tenant.
 func (t Tenant) Name() string { return t.name }
 
--- /dev/null
+++ b/internal/topology/topology.go
@@ -0,0 +1,75 @@
+// Package topology tells how far apart the places of a deployment are: zones near each
+// other form a region. It is pure.
+package topology
+
+import "slices"
+
+// Distance is how far apart two places are.
+type Distance int
+
+// The distances, the nearest first.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// String names the distance in logs and metrics.
+func (d Distance) String() string {
+	switch d {
+	case SameZone:
+		return "zone"
+	case SameRegion:
+		return "region"
+	}
+	return "far"
+}
+
+// Map holds the zones of a deployment by region, as seen from one of them. The zero Map
+// is of a deployment in one region.
+type Map struct {
+	zone    string
+	regions map[string]string
+}
+
+// New returns the map of a node in a zone, given the region of each zone. Zones without
+// one lie together in a region without a name.
+func New(zone string, regions map[string]string) Map {
+	return Map{zone: zone, regions: regions}
+}
+
+// Zone is the zone from which the map is seen.
+func (m Map) Zone() string { return m.zone }
+
+// Own is the region from which the map is seen.
+func (m Map) Own() string { return m.regions[m.zone] }
+
+// Region is that of a zone, empty where none is known.
+func (m Map) Region(zone string) string { return m.regions[zone] }
+
+// Regions lists the regions in order of their names.
+func (m Map) Regions() []string {
+	var regions []string
+	for _, region := range m.regions {
+		regions = append(regions, region)
+	}
+	slices.Sort(regions)
+	return slices.Compact(regions)
+}
+
+// Several reports whether the deployment lies in more than one region.
+func (m Map) Several() bool { return len(m.Regions()) > 1 }
+
+// Between is the distance of two zones.
+func (m Map) Between(one, other string) Distance {
+	switch {
+	case one == other:
+		return SameZone
+	case m.regions[one] == m.regions[other]:
+		return SameRegion
+	}
+	return OtherRegion
+}
+
+// To is the distance to a zone.
+func (m Map) To(zone string) Distance { return m.Between(m.zone, zone) }
