Interfaces: a candidate's region; the registry sees zones and regions

Cause: placement, stages and fleet sizes are to see regions; each needs the region of a worker. Only the fact is added, no decision uses it. Ruled out: a distance in place of SameZone (its zero would have changed what tests leave out).

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/tinarch/tinarch/internal/pace"
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/topology"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
@@ -24,7 +25,7 @@
 }
 
 func registryWith(workers ...string) *worker.Registry {
-	registry := worker.NewRegistry("a")
+	registry := worker.NewRegistry(topology.New("a", nil))
 	var listed []worker.Worker
 	for _, id := range workers {
 		listed = append(listed, worker.Worker{ID: id, Service: "s", Stage: worker.Decode})
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -12,6 +12,7 @@
 	"github.com/tinarch/tinarch/internal/retry"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/topology"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
@@ -28,7 +29,7 @@
 var retryTerms = retry.Terms{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
 
 func (n *Node) buildRoutes() {
-	registry := worker.NewRegistry(n.self.Zone)
+	registry := worker.NewRegistry(topology.New(n.self.Zone, nil))
 	pool := workerconn.NewPool()
 	dispatcher := dispatch.New(dispatch.Options{
 		Registry: registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: pool,
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -8,10 +8,13 @@
 
 // Candidate is what is known of one worker.
 type Candidate struct {
-	ID       string
-	Address  string
-	SameZone bool
-	Slots    int
+	ID      string
+	Address string
+	// Region is that of the worker, empty where the deployment lies in one.
+	Region string
+	// SameZone and OtherRegion tell how far it is from the node.
+	SameZone, OtherRegion bool
+	Slots                 int
 	// Prefill and Decode tell the stage of a model engine; both are false for
 	// other workers.
 	Prefill, Decode bool
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -32,6 +32,7 @@
 	"github.com/tinarch/tinarch/internal/stagecontrol"
 	"github.com/tinarch/tinarch/internal/tablefeed"
 	"github.com/tinarch/tinarch/internal/tablerelay"
+	"github.com/tinarch/tinarch/internal/topology"
 	"github.com/tinarch/tinarch/internal/usage"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
@@ -112,7 +113,7 @@
 		settings: configured,
 		log:      log,
 		platform: platform,
-		registry: worker.NewRegistry(configured.Node.Zone),
+		registry: worker.NewRegistry(topology.New(configured.Node.Zone, configured.Zones)),
 		pool:     workerconn.NewPool(),
 		identity: string(engine.NewIdentifier())[:incarnationDigits],
 	}
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -7,6 +7,7 @@
 	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/stageplan"
+	"github.com/tinarch/tinarch/internal/topology"
 )
 
 // Candidates describes the workers of a service that may take a request of a rank
@@ -69,10 +70,13 @@
 func (r *Registry) candidate(known *state, parts []prefixcache.Part, rank int, now time.Time) scheduling.Candidate {
 	load := known.total(now, "")
 	terms, queuePace := r.readingOf(known)
+	distance := r.places.To(known.worker.Zone)
 	return scheduling.Candidate{
 		ID:            known.worker.ID,
 		Address:       known.worker.Address,
-		SameZone:      known.worker.Zone == r.zone,
+		Region:        r.places.Region(known.worker.Zone),
+		SameZone:      distance == topology.SameZone,
+		OtherRegion:   distance == topology.OtherRegion,
 		Slots:         known.worker.Slots,
 		Prefill:       known.worker.Stage == Prefill,
 		Decode:        known.worker.Stage == Decode,
--- a/internal/worker/load_test.go
+++ b/internal/worker/load_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/topology"
 )
 
 func TestReadsAheadAreThoseOfTheSameAndMoreUrgentRanks(t *testing.T) {
@@ -24,7 +25,7 @@
 // TestUrgentRequestsDontWaitForOthers: an engine reads the more urgent prompts first,
 // so that a candidate's queue depends on the request.
 func TestUrgentRequestsDontWaitForOthers(t *testing.T) {
-	r := NewRegistry("here")
+	r := NewRegistry(topology.New("here", nil))
 	r.Replace([]Worker{{ID: "p", Service: "llm", Stage: Prefill}})
 	r.Begin("p", Load{Reads: ReadsOf(2, 60_000)})
 	r.Merge("other", Snapshot{Loads: map[string]Load{"p": {Reads: ReadsOf(0, 500)}}}, origin)
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -8,6 +8,7 @@
 	"github.com/tinarch/tinarch/internal/breaker"
 	"github.com/tinarch/tinarch/internal/pace"
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/topology"
 )
 
 // state is what is known of one worker.
@@ -61,8 +62,9 @@
 
 // Registry is safe for concurrent use.
 type Registry struct {
-	mu   sync.Mutex
-	zone string
+	mu sync.Mutex
+	// places are the zones and regions, seen from this node.
+	places topology.Map
 	// seed makes the ranks of this process's own.
 	seed    maphash.Seed
 	workers map[string]*state
@@ -126,10 +128,10 @@
 	Parts  []prefixcache.Part
 }
 
-// NewRegistry returns an empty registry of a node in a zone.
-func NewRegistry(zone string) *Registry {
+// NewRegistry returns an empty registry of a node that sees these zones and regions.
+func NewRegistry(places topology.Map) *Registry {
 	return &Registry{
-		zone:    zone,
+		places:  places,
 		seed:    maphash.MakeSeed(),
 		workers: make(map[string]*state),
 		groups:  make(map[groupKey]*pace.Model),
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -9,12 +9,13 @@
 	"github.com/tinarch/tinarch/internal/pace"
 	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/topology"
 )
 
 var origin = time.Unix(1000, 0)
 
 func newTestRegistry() *Registry {
-	r := NewRegistry("a")
+	r := NewRegistry(topology.New("a", nil))
 	r.SetMemory("llm", 1000)
 	r.Replace([]Worker{
 		{ID: "p", Service: "llm", Address: "1:1", Zone: "a", Slots: 8, Stage: Prefill},
