Authority: unfenced acts end with the lease, and a node keeps its own fence

Two causes lay in the authority: a report could take 2 s beyond its holder's lease, while the next holder acts 0.6 s after it (two margins of 3 s); and a node that took its own lapsed lease again raised the fence, so that its own unanswered call was a lower one.

Now, only with that setting: an act begins only while a quarter of the lease's life is left, and its context ends with the lease; the lease is renewed before that; a node whose row is still its own goes on under its fence. A write refused for a condition from before a renewal doesn't end the lease any more (Refused).

Ruled out: keeping the fence everywhere. Where fences are compared, the rise refuses the node's own late orders, which is wanted.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -20,6 +20,12 @@
 	key   = "stages"
 	// storeTimeout bounds a call to the store: a lease lives several times as long.
 	storeTimeout = 800 * time.Millisecond
+	// headroom is the part of the lease's life that must be left when an unfenced act
+	// begins. A call that nobody acknowledges is ended by the kernel after
+	// duty.UserTimeout (1 s), also while this process is frozen; the next holder acts a
+	// fifth of the life after this lease's end at the earliest (two margins, 0.6 s of
+	// 3 s). With 0.25 (0.75 s) left, the call is gone 0.35 s before that.
+	headroom = 0.25
 )
 
 // rowValue is what lies in the row.
@@ -40,6 +46,9 @@
 	// StandAside leaves the duties to another node for a time: the store can't be
 	// reached. It may be nil.
 	StandAside func(span time.Duration)
+	// Unfenced tells that what receives the acts doesn't compare fences: every act must
+	// have ended before another node may act. docs/design/unfenced-duties.md.
+	Unfenced bool
 }
 
 // asideMargin is for how long a node that can't reach the store leaves its duties to
@@ -61,7 +70,26 @@
 
 // New returns the authority of a node.
 func New(options Options) *Authority {
-	return &Authority{options: options, machine: lease.New(options.Self, lease.DefaultSettings(options.Life))}
+	terms := lease.DefaultSettings(options.Life)
+	terms.KeepFence = options.Unfenced
+	return &Authority{options: options, machine: lease.New(options.Self, terms)}
+}
+
+// Term is a span in which this node may act.
+type Term struct {
+	Fence uint64
+	// Until is when acts must have ended, the zero time where those that end later are
+	// refused for their fence.
+	Until time.Time
+}
+
+// Context bounds an act by a timeout and by the end of the term.
+func (t Term) Context(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	end := time.Now().Add(timeout)
+	if !t.Until.IsZero() && t.Until.Before(end) {
+		end = t.Until
+	}
+	return context.WithDeadline(ctx, end)
 }
 
 // Hold is whether this node may act.
@@ -88,22 +116,63 @@
 }
 
 func (a *Authority) acquire(ctx context.Context) Hold {
-	if a.machine.Holds(time.Now()) {
-		return Held
+	now := time.Now()
+	if a.machine.Holds(now) {
+		if a.roomy(now) {
+			return Held
+		}
+		a.renew(ctx)
+		if a.roomy(time.Now()) {
+			return Held
+		}
+		return HeldOther
 	}
 	if !a.observe(ctx) {
 		return StoreAway
 	}
 	proposal := a.machine.Next(time.Now())
-	if proposal.Action != lease.Take {
+	if proposal.Action == lease.Wait {
 		a.options.Log.WithField("holder", a.machine.Holder()).Info("another node may hold the authority; waiting")
 		return HeldOther
 	}
 	return a.take(ctx, proposal)
 }
 
-// Fence returns the fence of this node's lease, zero where it holds none. Ask for it just
-// before each act.
+// roomy reports whether an act may begin: fenced ones as long as the lease is held, others
+// only while enough of it is left for the act to end.
+func (a *Authority) roomy(now time.Time) bool {
+	if !a.machine.Holds(now) {
+		return false
+	}
+	least := time.Duration(headroom * float64(a.options.Life))
+	return !a.options.Unfenced || a.machine.Until().Sub(now) >= least
+}
+
+// renew lengthens the lease before it runs out.
+func (a *Authority) renew(ctx context.Context) {
+	if proposal := a.machine.Next(time.Now()); proposal.Action == lease.Renew {
+		a.take(ctx, proposal)
+	}
+}
+
+// Term returns the span in which this node may act, false where no act may begin now. Ask
+// for it just before each act.
+func (a *Authority) Term() (Term, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if !a.roomy(now) {
+		return Term{}, false
+	}
+	term := Term{Fence: a.machine.Fence(now)}
+	if a.options.Unfenced {
+		term.Until = a.machine.Until()
+	}
+	return term, true
+}
+
+// Fence returns the fence of this node's lease, zero where it holds none. Acts ask for
+// Term instead.
 func (a *Authority) Fence() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -127,6 +196,16 @@
 	a.machine.Renounce()
 }
 
+// Refused takes in that a write under a condition of this node's was not carried out.
+// Another node has taken the lease then, unless it was renewed meanwhile.
+func (a *Authority) Refused(condition rowstore.Condition) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if condition.Version == a.version {
+		a.machine.Renounce()
+	}
+}
+
 func (a *Authority) observe(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -145,6 +224,7 @@
 	return true
 }
 
+// take writes the row, to take the lease or to renew it.
 func (a *Authority) take(ctx context.Context, proposal lease.Proposal) Hold {
 	content, err := json.Marshal(rowValue{Holder: a.options.Self, Fence: proposal.Fence})
 	if err != nil {
@@ -167,7 +247,10 @@
 	}
 	a.machine.Done(version, time.Now())
 	a.version = version
-	a.options.Log.WithField("fence", version).Info("authority taken")
+	now := time.Now()
+	a.options.Log.WithFields(logrus.Fields{
+		"fence": a.machine.Fence(now), "renewed": proposal.Action == lease.Renew, "left": a.machine.Until().Sub(now).String(),
+	}).Info("authority taken")
 	if !a.machine.Holds(time.Now()) {
 		return HeldOther
 	}
--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -19,6 +19,13 @@
 	shortLife = 500 * time.Millisecond
 )
 
+// newUnfenced returns an authority for acts whose fences nobody compares.
+func newUnfenced(store *memorystore.Store, self string, life time.Duration) *Authority {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Options{Self: self, Life: life, Store: store, Log: log, Unfenced: true})
+}
+
 func newAuthority(store *memorystore.Store, self string, life time.Duration, standAside func(time.Duration)) *Authority {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -104,3 +111,76 @@
 		t.Errorf("%s, aside for %v", hold, aside)
 	}
 }
+
+// TestUnfencedActsHaveRoom: an act begins only while enough of the lease is left for it to
+// end, and ends with the lease. Fenced acts may outlast it.
+func TestUnfencedActsHaveRoom(t *testing.T) {
+	a := newUnfenced(memorystore.New(), "a", shortLife)
+	least := time.Duration(headroom * float64(shortLife))
+	for end := time.Now().Add(3 * shortLife); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if a.Acquire(context.Background()) != Held {
+			continue
+		}
+		before := time.Now()
+		term, held := a.Term()
+		if !held {
+			continue
+		}
+		if term.Until.Sub(before) < least {
+			t.Fatalf("an act begins with %v left", term.Until.Sub(before))
+		}
+		ctx, cancel := term.Context(context.Background(), longLife)
+		if until, _ := ctx.Deadline(); until.After(term.Until) {
+			t.Fatal("an act outlasts the lease")
+		}
+		cancel()
+	}
+	fenced := newAuthority(memorystore.New(), "a", shortLife, nil)
+	awaitHold(t, fenced)
+	if term, held := fenced.Term(); !held || !term.Until.IsZero() {
+		t.Errorf("%+v, held %v", term, held)
+	}
+}
+
+// TestOwnFenceOutlivesTheLease: calls of its own that come late have no lower fence than
+// newer ones, where nobody compares them; once another node has acted, fences rise.
+func TestOwnFenceOutlivesTheLease(t *testing.T) {
+	store := memorystore.New()
+	a, b := newUnfenced(store, "a", shortLife), newUnfenced(store, "b", shortLife)
+	awaitHold(t, a)
+	first := a.Fence()
+	for a.Fence() != 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	awaitHold(t, a)
+	if a.Fence() != first {
+		t.Errorf("fence %d after %d", a.Fence(), first)
+	}
+	awaitHold(t, b)
+	awaitHold(t, a)
+	if a.Fence() <= first {
+		t.Errorf("fence %d after another node had the lease", a.Fence())
+	}
+}
+
+// TestRenewalIsNoLoss: a write under a condition from before a renewal is refused, and the
+// lease goes on; one under the newest condition tells that it is lost.
+func TestRenewalIsNoLoss(t *testing.T) {
+	a := newUnfenced(memorystore.New(), "a", shortLife)
+	awaitHold(t, a)
+	old, _ := a.Condition()
+	current := old
+	for current.Version == old.Version {
+		time.Sleep(5 * time.Millisecond)
+		awaitHold(t, a)
+		current, _ = a.Condition()
+	}
+	a.Refused(old)
+	if _, held := a.Condition(); !held {
+		t.Error("a renewed lease was given up")
+	}
+	a.Refused(current)
+	if _, held := a.Condition(); held {
+		t.Error("a lost lease is held")
+	}
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -8,7 +8,7 @@
 //     long as its holder may act on it, and a holder counts its time from before it
 //     sent the write that renewed it;
 //   - fences rise: the fence is the store's version of the write that took the
-//     lease.
+//     lease. A renewal keeps it.
 package lease
 
 import "time"
@@ -58,6 +58,10 @@
 	Margin time.Duration
 	// RenewEvery is the time between renewals.
 	RenewEvery time.Duration
+	// KeepFence lets a node whose lease has run out go on under the fence that it had,
+	// as long as nobody else has taken the lease since. Then calls of its own that come
+	// late have no lower fence than newer ones of its own. Otherwise the fence rises.
+	KeepFence bool
 }
 
 // DefaultSettings returns the times for a lease of a life.
@@ -103,7 +107,7 @@
 	switch {
 	case !m.known || m.pending != nil || now.Before(m.next):
 		return Proposal{Action: Wait}
-	case m.Holds(now):
+	case m.Holds(now) || m.resumes():
 		return m.propose(Proposal{Action: Renew, IfVersion: m.row.Version, Fence: m.fence, sent: now})
 	case m.free(now):
 		return m.propose(Proposal{Action: Take, IfVersion: m.row.Version, sent: now})
@@ -117,6 +121,12 @@
 	return proposal
 }
 
+// resumes reports whether this node may go on under the fence of its last lease. The row
+// still being its own means that no higher fence exists.
+func (m *Machine) resumes() bool {
+	return m.settings.KeepFence && m.fence != 0 && m.row.Holder == m.self && !m.row.Released
+}
+
 // free reports whether nobody else can hold the lease any more: the row has not
 // changed for a whole life since this node first saw it, was given back, or is this
 // incarnation's own.
@@ -155,6 +165,9 @@
 // Holds reports whether this node may act now. Ask it just before each order.
 func (m *Machine) Holds(now time.Time) bool { return m.fence != 0 && now.Before(m.until) }
 
+// Until returns when this node's lease ends, the zero time where it has none.
+func (m *Machine) Until() time.Time { return m.until }
+
 // Fence returns the fence of this node's lease, zero where it holds none.
 func (m *Machine) Fence(now time.Time) uint64 {
 	if !m.Holds(now) {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -82,14 +83,45 @@
 	}
 }
 
+// TestOwnFenceIsKept: a node whose lease ran out goes on under its fence while the row is
+// its own, and never after it renounced the lease or another took it.
+func TestOwnFenceIsKept(t *testing.T) {
+	settings := DefaultSettings(life)
+	settings.KeepFence = true
+	lapsed := origin.Add(2 * life)
+	for _, example := range []struct {
+		name   string
+		before func(m *Machine)
+		action Action
+		fence  uint64
+	}{
+		{"the row is its own", func(m *Machine) { m.Observe(Row{Version: 1, Holder: "a"}, lapsed) }, Renew, 1},
+		{"the lease was renounced", func(m *Machine) { m.Renounce() }, Take, 0},
+		{"another took it, and is gone", func(m *Machine) { m.Observe(Row{Version: 5, Holder: "b", Released: true}, lapsed) }, Take, 0},
+	} {
+		m := New("a", settings)
+		m.Observe(Row{}, origin)
+		m.Next(origin)
+		m.Done(1, origin)
+		example.before(m)
+		if m.Holds(lapsed) {
+			t.Errorf("%s: a lease that ran out is held", example.name)
+		}
+		if got := m.Next(lapsed); got.Action != example.action || got.Fence != example.fence {
+			t.Errorf("%s: %+v", example.name, got)
+		}
+	}
+}
+
 // world is a store with one row, nodes with clocks of their own, and writes that
 // are delayed, lost or answered late.
 type world struct {
-	now     time.Time
-	version uint64
-	row     Row
-	nodes   []*node
-	writes  []*write
+	now      time.Time
+	settings Settings
+	version  uint64
+	row      Row
+	nodes    []*node
+	writes   []*write
 	// answers are of writes that were carried out, on their way back.
 	answers []answer
 }
@@ -118,13 +150,22 @@
 // TestAtMostOneHolder: whatever is delayed, lost, paused or restarted, no two nodes
 // hold the lease at the same moment, and fences only rise.
 func TestAtMostOneHolder(t *testing.T) {
+	for _, keepFence := range []bool{false, true} {
+		t.Run(fmt.Sprintf("keep fence %v", keepFence), func(t *testing.T) { atMostOneHolder(t, keepFence) })
+	}
+}
+
+func atMostOneHolder(t *testing.T, keepFence bool) {
+	settings := DefaultSettings(life)
+	settings.KeepFence = keepFence
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{now: origin}
+		w := &world{now: origin, settings: settings}
 		for i, name := range []string{"a", "b", "c"} {
 			skew := 1 + float64(i-1)*0.01
-			w.nodes = append(w.nodes, &node{name: name, machine: New(name, DefaultSettings(life)), skew: skew})
+			w.nodes = append(w.nodes, &node{name: name, machine: New(name, settings), skew: skew})
 		}
 		var highest uint64
+		owners := make(map[uint64]string)
 		for step := range rapid.IntRange(1, 300).Draw(t, "steps") {
 			w.step(t, step)
 			var holder string
@@ -141,6 +182,11 @@
 					t.Fatalf("fence %d after %d", fence, highest)
 				}
 				highest = fence
+				self := n.machine.self
+				if owner, used := owners[fence]; used && owner != self {
+					t.Fatalf("%s and %s have fence %d", owner, self, fence)
+				}
+				owners[fence] = self
 			}
 		}
 	})
@@ -164,7 +210,7 @@
 	case "lose":
 		n.machine.Lost()
 	case "restart":
-		n.machine = New(n.name+"-"+time.Duration(step).String(), DefaultSettings(life))
+		n.machine = New(n.name+"-"+time.Duration(step).String(), w.settings)
 	}
 }
 
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -138,6 +138,7 @@
 	n.authority = authority.New(authority.Options{
 		Self: n.identity, Life: settings.Milliseconds(configured.Bounds.LeaseMillis),
 		Store: platform, Log: log, StandAside: exchange.StandAside,
+		Unfenced: !configured.Bounds.Fencing,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/internal/usage/records.go
+++ b/internal/usage/records.go
@@ -95,7 +95,7 @@
 		return nil, eris.Wrapf(err, "window %d can't be recorded", window)
 	}
 	if !done {
-		r.options.Authority.Renounce()
+		r.options.Authority.Refused(condition)
 		return nil, eris.Errorf("window %d was recorded by another node, or another has the authority", window)
 	}
 	r.options.Log.WithFields(logrus.Fields{"window": window, "requests": counts.sum(), "tenants": len(counts)}).Info("usage recorded")
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -216,17 +216,18 @@
 	return nil
 }
 
-// send reports a window. The fence is looked at just before.
+// send reports a window. The authority is looked at just before, and the call doesn't
+// outlast it.
 func (r *Reporter) send(ctx context.Context, window Window, counts Counts) error {
-	fence := r.options.Authority.Fence()
-	if fence == 0 {
+	term, held := r.options.Authority.Term()
+	if !held {
 		return eris.New("the authority lapsed before the report left")
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := term.Context(ctx, callTimeout)
 	defer cancel()
-	verdict, err := r.options.API.ReportUsage(callCtx, duty.Act{Holder: r.options.Node, Fence: fence}, window, counts)
+	verdict, err := r.options.API.ReportUsage(callCtx, duty.Act{Holder: r.options.Node, Fence: term.Fence}, window, counts)
 	r.options.Log.WithFields(logrus.Fields{
-		"window": window, "requests": counts.sum(), "fence": fence, "verdict": verdict, "cause": fmt.Sprint(err),
+		"window": window, "requests": counts.sum(), "fence": term.Fence, "verdict": verdict, "cause": fmt.Sprint(err),
 	}).Info("usage reported")
 	r.options.Metrics.observe(verdict)
 	switch verdict {
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -25,9 +25,12 @@
 	// silent takes reports and doesn't answer.
 	silent bool
 	fences []uint64
+	// until is when the last call ended at the latest.
+	until time.Time
 }
 
-func (a *memoryAPI) ReportUsage(_ context.Context, act duty.Act, window Window, counts Counts) (duty.Verdict, error) {
+func (a *memoryAPI) ReportUsage(ctx context.Context, act duty.Act, window Window, counts Counts) (duty.Verdict, error) {
+	a.until, _ = ctx.Deadline()
 	if act.Fence < a.highest {
 		return duty.Refused, errors.New("a lower fence")
 	}
@@ -224,3 +227,20 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// TestUnfencedReportEndsWithTheAuthority: where the platform doesn't compare fences, a
+// report is given up before another node may send one.
+func TestUnfencedReportEndsWithTheAuthority(t *testing.T) {
+	s := newSite()
+	r := s.reporter("n", 3)
+	r.options.Authority = authority.New(authority.Options{Self: "n", Life: shortLife, Store: s.store, Log: s.log, Unfenced: true})
+	s.awaitHold(t, r)
+	term, held := r.options.Authority.Term()
+	if !held {
+		t.Fatal("the authority lapsed at once")
+	}
+	r.Step(context.Background(), at(6))
+	if len(s.api.reports) != 1 || s.api.until.After(term.Until) {
+		t.Errorf("%d windows; a report may take until %v after the authority", len(s.api.reports), s.api.until.Sub(term.Until))
+	}
+}
