--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -32,6 +32,9 @@
 	// echoes nothing, any answer is accepted.
 	IDHeader string
 	ID       string
+	// DropAfter, where it is set, has the connection drop the request, instead of sending
+	// it on, once it is given up or that time has passed without an acknowledgement.
+	DropAfter time.Duration
 }
 
 // Answer is the head of a worker's answer, with the body to be read.
@@ -82,6 +85,8 @@
 	// idleSince and idleLimit tell when the worker may close it.
 	idleSince time.Time
 	idleLimit time.Duration
+	// dropsUnsent tells that it carries a request with DropAfter.
+	dropsUnsent bool
 }
 
 func newConn(inner net.Conn) *conn {
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -60,6 +60,10 @@
 	if err != nil {
 		return nil, &SendError{Unsent: true, Cause: err}
 	}
+	if err := prepare(ctx, c, request); err != nil {
+		p.discard(key, c)
+		return nil, &SendError{Unsent: true, Cause: err}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	response, written, err := c.roundTrip(ctx, request)
 	if err != nil {
@@ -78,6 +82,22 @@
 	}, nil
 }
 
+// prepare readies a connection for a request that must not arrive late, and looks at the
+// clock once more: this process may have been paused, or have waited for the connection.
+func prepare(ctx context.Context, c *conn, request *Request) error {
+	if request.DropAfter == 0 {
+		return nil
+	}
+	if err := setDropping(c.Conn, 0, request.DropAfter); err != nil {
+		return err
+	}
+	c.dropsUnsent = true
+	if end, bounded := ctx.Deadline(); bounded && !time.Now().Before(end) {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
 func (p *Pool) take(ctx context.Context, key, address string, limit int) (*conn, error) {
 	now := time.Now()
 	for {
@@ -145,6 +165,13 @@
 }
 
 func (p *Pool) put(key string, c *conn, limit time.Duration) {
+	if c.dropsUnsent {
+		if err := setDropping(c.Conn, lingerDefault, userTimeout); err != nil {
+			p.discard(key, c)
+			return
+		}
+		c.dropsUnsent = false
+	}
 	c.idleSince = time.Now()
 	c.idleLimit = limit - idleMargin
 	_ = c.SetDeadline(time.Time{})
--- a/internal/workerconn/pool_test.go
+++ b/internal/workerconn/pool_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -366,3 +367,62 @@
 		t.Errorf("open %v, idle %v", pool.open, pool.idle)
 	}
 }
+
+// TestGivenUpRequestIsDropped: with DropAfter its connection is reset, so that the kernel
+// sends nothing of it later; the same connection carries other requests as before.
+func TestGivenUpRequestIsDropped(t *testing.T) {
+	for _, drop := range []time.Duration{0, time.Second} {
+		ctx, giveUp := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		server := serve(t, func(c net.Conn, requests *bufio.Reader) {
+			if _, err := http.ReadRequest(requests); err != nil {
+				ended <- err
+				return
+			}
+			giveUp()
+			_, err := io.Copy(io.Discard, requests)
+			ended <- err
+		})
+		pool := NewPool()
+		request := &Request{Method: http.MethodPost, Target: "/", Host: "w", DropAfter: drop}
+		if _, err := pool.Do(ctx, "w", server.address(), 0, request); err == nil {
+			t.Error("answered")
+		}
+		if err, reset := <-ended, drop > 0; errors.Is(err, syscall.ECONNRESET) != reset {
+			t.Errorf("dropped after %v: the connection ended with %v", drop, err)
+		}
+	}
+}
+
+// TestRequestIsNotSentAfterItsTime: a process that was paused, or waited for a connection,
+// looks at the clock once more.
+func TestRequestIsNotSentAfterItsTime(t *testing.T) {
+	server := serve(t, func(c net.Conn, requests *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(requests); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	pool := NewPool()
+	request := &Request{Method: http.MethodPost, Target: "/", Host: "w", DropAfter: time.Second}
+	answer, err := pool.Do(context.Background(), "w", server.address(), 0, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	if _, err := pool.Do(pausedContext{context.Background()}, "w", server.address(), 0, request); !Unsent(err) {
+		t.Errorf("%v", err)
+	}
+	if server.connections() != 1 {
+		t.Errorf("%d connections", server.connections())
+	}
+}
+
+// pausedContext is that of a process that was paused: its time is over, and its timer has
+// not run yet.
+type pausedContext struct{ context.Context }
+
+func (pausedContext) Deadline() (time.Time, bool) { return time.Unix(1, 0), true }
