fleetsize: an order without an answer ends the round

An API that didn't answer held up each kind of worker for the timeout of 2 s in turn, and with it all other services. The round now ends at the first. Orders end with the authority where fences aren't compared.

TestLateOrderIsUndone: what a late order of an earlier holder changed is ordered back, more or fewer workers, by the same holder or the next. It held before.

--- a/internal/fleetsize/controller.go
+++ b/internal/fleetsize/controller.go
@@ -174,16 +174,16 @@
 	if hold := c.options.Authority.Acquire(ctx); hold != authority.Held {
 		return eris.Errorf("no authority: %s", hold)
 	}
-	fence := c.options.Authority.Fence()
-	if fence == 0 {
+	term, held := c.options.Authority.Term()
+	if !held {
 		return eris.New("the authority lapsed before the order left")
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := term.Context(ctx, callTimeout)
 	defer cancel()
-	verdict, err := c.options.API.OrderWorkers(callCtx, duty.Act{Holder: c.options.Node, Fence: fence}, service.Name, kind, count)
+	verdict, err := c.options.API.OrderWorkers(callCtx, duty.Act{Holder: c.options.Node, Fence: term.Fence}, service.Name, kind, count)
 	c.options.Log.WithFields(logrus.Fields{
 		"service": service.Name, "zone": kind.Zone, "spot": kind.Spot, "count": count, "standing": fleet.standing[kind],
-		"standing_total": fleet.standing.total(), "fence": fence, "verdict": verdict, "cause": fmt.Sprint(err),
+		"standing_total": fleet.standing.total(), "fence": term.Fence, "verdict": verdict, "cause": fmt.Sprint(err),
 		"basis_lost": fleet.basis.Lost, "basis_workers": fleet.basis.Workers,
 	}).Info("workers ordered")
 	switch verdict {
@@ -197,6 +197,11 @@
 		fleet.pause[kind] = now.Add(unavailableFor)
 	case duty.Throttled:
 		fleet.pause[kind] = now.Add(unavailableFor)
+	case duty.Unknown:
+		// An order carried out late, behind a newer one, shows in the workers listed: it is
+		// then given anew. The kinds that are left wait for the next round, since an API
+		// that doesn't answer would hold each of them up in turn.
+		return eris.Errorf("the order of %d workers in %s was not answered: %v", count, kind.Zone, err)
 	}
 	return nil
 }
--- a/internal/fleetsize/controller_test.go
+++ b/internal/fleetsize/controller_test.go
@@ -26,6 +26,8 @@
 	moved, moving int
 	// least is the fewest workers that ever stood.
 	least int
+	// silent answers no orders, and carries none out.
+	silent bool
 }
 
 func (c *cloud) Standing(string) Counts {
@@ -42,6 +44,9 @@
 
 func (c *cloud) OrderWorkers(_ context.Context, act duty.Act, _ string, kind Kind, count int) (duty.Verdict, error) {
 	c.orders++
+	if c.silent {
+		return duty.Unknown, errors.New("no answer")
+	}
 	if act.Fence == 0 || act.Holder == "" {
 		return duty.Refused, errors.New("no fence or holder")
 	}
@@ -196,3 +201,43 @@
 		t.Error(diff)
 	}
 }
+
+// TestLateOrderIsUndone: one that was given up is carried out behind newer ones, and what it
+// changed is ordered back, by the holder that gave it or by the next.
+func TestLateOrderIsUndone(t *testing.T) {
+	kind := Kind{Zone: "a", Spot: true}
+	for _, change := range []int{-20, 5} {
+		for _, sameHolder := range []bool{true, false} {
+			platform, rows := &cloud{standing: operators(), least: 1000}, memorystore.New()
+			c := newController(platform, rows, "n")
+			now := run(c, platform, time.Now(), 20)
+			whole := platform.Standing("s")
+			platform.standing[kind] += change
+			if !sameHolder {
+				c = newController(platform, rows, "n") // the same name: the lease is its own
+			}
+			run(c, platform, now, 10)
+			if diff := cmp.Diff(whole, platform.Standing("s")); diff != "" {
+				t.Errorf("%+d workers by a late order, same holder %v: %s", change, sameHolder, diff)
+			}
+		}
+	}
+}
+
+// TestSilentAPIIsAskedOnceARound: an API that doesn't answer holds a round up for one call,
+// not for one of each kind; when it answers again, the fleet is brought to the plan.
+func TestSilentAPIIsAskedOnceARound(t *testing.T) {
+	platform := &cloud{standing: operators(), least: 1000, silent: true}
+	c := newController(platform, memorystore.New(), "n")
+	const seconds = 20
+	now := run(c, platform, time.Now(), seconds)
+	if most := int(seconds * time.Second / paceEvery); platform.orders > most {
+		t.Errorf("%d calls in %d s, want at most %d", platform.orders, seconds, most)
+	}
+	platform.silent = false
+	run(c, platform, now, seconds)
+	plan := c.policy.Plan(terms(0.18, 1, 4*time.Second), *c.fleets["s"].basis, nil)
+	if diff := cmp.Diff(nonzero(plan), platform.Standing("s")); diff != "" {
+		t.Error(diff)
+	}
+}
