stagecontrol: the next holder knows of orders that may still come

Engines may leave an order unanswered and carry it out seconds later. The holder that gave it leaves that engine alone for 15 s; the next holder didn't know of it, and could order the same engine meanwhile. Where engines don't compare fences, orders are now written to a row of the store before they are sent, under the lease's version and the row's own; the next holder reads it, and leaves those engines alone until they show the stage, are gone, or 15 s have passed. It costs one write for each wave of orders and one read for each change of holder.

Ruled out: IfRevision in the order. It needs the engine's report before each order, priced as a probe, and the rule looks at the fence also where the engine refuses. Ruled out: to wait 15 s with all orders after each change of holder.

--- a/internal/serving/stages.go
+++ b/internal/serving/stages.go
@@ -16,6 +16,7 @@
 		Fleet: n.registry, Pool: n.pool, Log: n.log,
 		Services:   n.engineServices,
 		Designated: n.designated,
+		Unfenced:   !n.settings.Bounds.Fencing, Store: n.platform,
 	})
 }
 
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -12,6 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/authority"
+	"github.com/tinarch/tinarch/internal/duty"
+	"github.com/tinarch/tinarch/internal/rowstore"
 	"github.com/tinarch/tinarch/internal/stageplan"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
@@ -85,17 +87,27 @@
 	// Designated reports whether this is the node that the others expect to give
 	// orders. Two nodes may both think so; the lease decides.
 	Designated func() bool
+	// Unfenced tells that engines don't compare fences. Store keeps orders then, and is
+	// not needed otherwise.
+	Unfenced bool
+	Store    rowstore.Store
 }
 
 // Controller plans and orders.
 type Controller struct {
 	options  Options
 	planners map[string]*stageplan.Planner
+	// unanswered is nil where engines compare fences.
+	unanswered *unanswered
 }
 
 // New returns a controller.
 func New(options Options) *Controller {
-	return &Controller{options: options, planners: make(map[string]*stageplan.Planner)}
+	c := &Controller{options: options, planners: make(map[string]*stageplan.Planner)}
+	if options.Unfenced {
+		c.unanswered = newUnanswered(options)
+	}
+	return c
 }
 
 // Run works until ctx ends.
@@ -129,7 +141,11 @@
 		fleet := c.options.Fleet
 		demand := fleet.Demand(service.Name, now)
 		offered := stageplan.Offered{ReadTokens: demand.ReadTokens, Requests: demand.Requests, MemoryTokens: demand.MemoryTokens}
-		c.giveAll(ctx, service, planner, planner.Decide(now, fleet.Engines(service.Name, now), offered))
+		engines := fleet.Engines(service.Name, now)
+		if c.unanswered != nil {
+			c.unanswered.mark(fleet, engines, now)
+		}
+		c.giveAll(ctx, service, planner, planner.Decide(now, engines, offered))
 	}
 }
 
@@ -139,20 +155,53 @@
 
 // giveAll carries decisions out, several at once.
 func (c *Controller) giveAll(ctx context.Context, service Service, planner *stageplan.Planner, orders []stageplan.Order) {
+	if c.unanswered != nil {
+		orders = c.prepare(ctx, orders)
+	}
 	slots := make(chan struct{}, parallelOrders)
+	verdicts := make([]Verdict, len(orders))
 	var given sync.WaitGroup
-	for _, order := range orders {
+	for i, order := range orders {
 		slots <- struct{}{}
 		given.Go(func() {
-			c.give(ctx, service, planner, order)
+			verdicts[i] = c.give(ctx, service, planner, order)
 			<-slots
 		})
 	}
 	given.Wait()
+	if c.unanswered == nil {
+		return
+	}
+	for i, order := range orders {
+		if verdicts[i] != Unknown {
+			c.unanswered.answered(order.Worker)
+		}
+	}
+}
+
+// prepare returns the orders that may be given before engines that don't compare fences.
+func (c *Controller) prepare(ctx context.Context, orders []stageplan.Order) []stageplan.Order {
+	if len(orders) == 0 {
+		return nil
+	}
+	log := c.options.Log.WithField("orders", len(orders))
+	if hold := c.options.Authority.Acquire(ctx); hold != authority.Held {
+		log.WithField("authority", hold).Info("orders not given")
+		return nil
+	}
+	free, err := c.unanswered.prepare(ctx, c.options.Fleet, orders, time.Now())
+	if err != nil {
+		log.WithField("cause", err.Error()).Warn("orders not given")
+		return nil
+	}
+	if len(free) < len(orders) {
+		log.WithField("free", len(free)).Info("some orders not given: earlier ones to the same workers may still be carried out")
+	}
+	return free
 }
 
 // give carries a decision out, if this node has the authority to.
-func (c *Controller) give(ctx context.Context, service Service, planner *stageplan.Planner, order stageplan.Order) {
+func (c *Controller) give(ctx context.Context, service Service, planner *stageplan.Planner, order stageplan.Order) Verdict {
 	log := c.options.Log.WithFields(logrus.Fields{
 		"worker": order.Worker, "prefill": order.Prefill, "reason": order.Reason,
 		"reading_demand": planner.Demand().Reading, "writing_demand": planner.Demand().Writing,
@@ -160,11 +209,11 @@
 	to, listed := c.options.Fleet.Get(order.Worker)
 	if !listed {
 		log.Info("order not given: the worker is gone")
-		return
+		return Rejected
 	}
 	if hold := c.options.Authority.Acquire(ctx); hold != authority.Held {
 		log.WithField("authority", hold).Info("order not given")
-		return
+		return Rejected
 	}
 	verdict, detail := c.send(ctx, to, order)
 	now := time.Now()
@@ -175,17 +224,22 @@
 		c.options.Fleet.SetChanging(to.ID, order.Prefill, now.Add(lateOrder))
 	}
 	log.WithFields(logrus.Fields{"verdict": verdict, "detail": detail}).Info("order given")
+	return verdict
 }
 
-// send looks at the lease again just before the order leaves.
+// send looks at the lease again just before the order leaves. Where engines don't compare
+// fences, the order doesn't outlast the lease.
 func (c *Controller) send(ctx context.Context, to worker.Worker, order stageplan.Order) (Verdict, string) {
-	fence := c.options.Authority.Fence()
-	if fence == 0 {
+	term, held := c.options.Authority.Term()
+	if !held {
 		return Rejected, "the lease lapsed before the order left"
 	}
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	callCtx, cancel := term.Context(ctx, orderTimeout)
 	defer cancel()
-	request := c.options.Wire.StageOrder(to, order.Prefill, c.options.Self, fence)
+	request := c.options.Wire.StageOrder(to, order.Prefill, c.options.Self, term.Fence)
+	if c.options.Unfenced {
+		request.DropAfter = duty.UserTimeout
+	}
 	answer, err := c.options.Pool.Do(callCtx, to.ID, to.Address, 0, request)
 	if err != nil {
 		if workerconn.Unsent(err) {
