Soak and stand-ins without enforced fences; a check of quotas

internal/lab/fences: the calls that a stand-in took, and the checks of fences in one place: a lower fence after a higher one, one fence of two holders, holders that take turns. They lay in fleetapi; its tests stand as they were. Calls don't count while their holder was just thawed, a link was just mended, or the API is in trouble.

fleetapi.StartUnfenced carries out whatever comes; a fault leaves calls unanswered and carries them out later. fleetworker logs the fences of its orders, can carry them out late, and finds one carried out behind a newer holder's.

--- /dev/null
+++ b/internal/lab/fences/fences_test.go
@@ -0,0 +1,49 @@
+package fences
+
+import (
+	"testing"
+	"time"
+)
+
+const lease = 3 * time.Second
+
+var origin = time.Unix(1000, 0)
+
+func call(holder string, fence uint64, second float64) Call {
+	return Call{Subject: "s", Holder: holder, Fence: fence, At: origin.Add(time.Duration(second * float64(time.Second)))}
+}
+
+// TestBrokenPromisesAreFound: and calls that count for nothing are not.
+func TestBrokenPromisesAreFound(t *testing.T) {
+	other := call("b", 1, 1)
+	other.Subject = "another"
+	for _, example := range []struct {
+		name   string
+		calls  []Call
+		excuse func(l *Log)
+		broken int
+	}{
+		{"one holder", []Call{call("a", 1, 0), call("a", 1, 1)}, nil, 0},
+		{"the next holder", []Call{call("a", 1, 0), call("b", 2, 1)}, nil, 0},
+		{"a late call", []Call{call("a", 1, 0), call("b", 2, 4), call("a", 1, 8)}, nil, 1},
+		{"turns", []Call{call("a", 1, 0), call("b", 2, 1), call("a", 3, 2)}, nil, 1},
+		{"slow turns", []Call{call("a", 1, 0), call("b", 2, 2), call("a", 3, 4)}, nil, 0},
+		{"one fence of two holders", []Call{call("a", 1, 0), call("b", 1, 4)}, nil, 1},
+		{"two subjects", []Call{call("a", 2, 0), other}, nil, 0},
+		{"late after a pause", []Call{call("b", 2, 4), call("a", 1, 8)}, func(l *Log) { l.Excuse("a", origin.Add(9*time.Second)) }, 0},
+		{"late after another's pause", []Call{call("b", 2, 4), call("a", 1, 8)}, func(l *Log) { l.Excuse("b", origin.Add(3*time.Second)) }, 1},
+		{"late long after a pause", []Call{call("b", 2, 4), call("a", 1, 8)}, func(l *Log) { l.Excuse("a", origin.Add(7*time.Second)) }, 1},
+		{"late over a mended link", []Call{call("b", 2, 4), call("a", 1, 8)}, func(l *Log) { l.ExcuseAll(origin.Add(9 * time.Second)) }, 0},
+	} {
+		l := New()
+		if example.excuse != nil {
+			example.excuse(l)
+		}
+		for _, c := range example.calls {
+			l.Take(c)
+		}
+		if problems := l.Problems(lease); len(problems) != example.broken {
+			t.Errorf("%s: %v", example.name, problems)
+		}
+	}
+}
--- a/internal/lab/fleetapi/api_test.go
+++ b/internal/lab/fleetapi/api_test.go
@@ -48,3 +48,37 @@
 		a.Close()
 	}
 }
+
+// TestUnfencedAPI: it carries a lower fence out, and remembers it as a broken promise, but
+// not of a call that came while the API was in trouble.
+func TestUnfencedAPI(t *testing.T) {
+	for _, example := range []struct {
+		faults Faults
+		broken int
+	}{{Faults{}, 1}, {Faults{Delay: time.Millisecond}, 0}} {
+		a := StartUnfenced()
+		for _, fence := range []string{"2", "1"} {
+			if fence == "1" {
+				a.SetFaults(example.faults)
+			}
+			request, err := http.NewRequest(http.MethodPost, "http://"+a.Address()+"/usage", bytes.NewBufferString(`{"Window":1,"Counts":{}}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set("X-Lease-Holder", "holder of "+fence)
+			request.Header.Set("X-Fencing-Token", fence)
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusOK {
+				t.Errorf("fence %s: %d", fence, response.StatusCode)
+			}
+		}
+		if problems := a.Problems(time.Minute); len(problems) != example.broken || len(a.Reports()[1]) != 2 {
+			t.Errorf("%+v: %v; %d reports", example.faults, problems, len(a.Reports()[1]))
+		}
+		a.Close()
+	}
+}
--- a/internal/lab/fleetworker/order_test.go
+++ b/internal/lab/fleetworker/order_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // TestOrdersAreNoRequests: an order changes the stage that the entry shows, and isn't
@@ -40,3 +41,33 @@
 		t.Errorf("stage %v, told %d times, %d orders, %d runs", w.Entry("ready")["Stage"], staged, w.Orders(), len(w.Runs()))
 	}
 }
+
+// TestLateOrderIsSeen: an order may be left unanswered and carried out later; behind a newer
+// holder's that breaks a promise.
+func TestLateOrderIsSeen(t *testing.T) {
+	w := Start(Options{ID: "w", Stage: "decode"})
+	defer w.Close()
+	w.SetLateOrders(time.Millisecond)
+	body := `{"Op":"Stage","Stage":"prefill","Holder":"n","Fence":1}`
+	request, err := http.NewRequest(http.MethodPost, "http://"+w.Address()+"/v1/order", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("X-Expect-Instance", "w")
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_ = response.Body.Close()
+		t.Error("a late order is answered")
+	}
+	if w.Orders() != 1 {
+		t.Errorf("%d orders carried out", w.Orders())
+	}
+	for _, example := range []struct {
+		fence  uint64
+		broken int
+	}{{3, 0}, {3, 0}, {2, 1}} {
+		w.carryOut(stageOrder{Stage: "decode", Fence: example.fence})
+		if problems := w.Fences().Problems(time.Minute); len(problems) != example.broken {
+			t.Errorf("fence %d: %v", example.fence, problems)
+		}
+	}
+}
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fences"
 )
 
 // Fault is what a worker does with requests.
@@ -71,6 +73,7 @@
 type Worker struct {
 	options Options
 	server  *httptest.Server
+	fences  *fences.Log
 
 	mu      sync.Mutex
 	fault   Fault
@@ -82,6 +85,10 @@
 	left    int
 	lists   int
 	orders  int
+	// carried is the highest fence of the orders carried out, and lateOrders how long
+	// orders are left unanswered before they are.
+	carried    uint64
+	lateOrders time.Duration
 }
 
 // Start runs a worker on a port of its own.
@@ -92,7 +99,7 @@
 	if options.Events == 0 {
 		options.Events = 4
 	}
-	w := &Worker{options: options, stage: options.Stage, handles: make(map[string]bool)}
+	w := &Worker{options: options, stage: options.Stage, handles: make(map[string]bool), fences: fences.New()}
 	w.server = httptest.NewServer(w)
 	return w
 }
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -9,6 +9,7 @@
 	"github.com/tinarch/tinarch/internal/lab/fleetapi"
 	"github.com/tinarch/tinarch/internal/lab/fleetstore"
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+	"github.com/tinarch/tinarch/internal/lab/process"
 )
 
 // The figures of the faults.
@@ -24,6 +25,9 @@
 	kinds := []func(context.Context, time.Duration) string{
 		s.killNode, s.pauseNode, s.stopNode, s.killAll, s.harmWorkerWay, s.harmWorkerWay, s.harmStoreWay, s.harmStore, s.failWorker, s.failWorker, s.drainWorker, s.vanish, s.configure, s.harmAPI,
 	}
+	if s.options.Unfenced {
+		kinds = append(kinds, s.lateOrders, s.lateAPI, s.pauseNode)
+	}
 	for ctx.Err() == nil && time.Now().Before(end) {
 		length := shortestFault + time.Duration(s.random.Int64N(int64(longestFault-shortestFault)))
 		fault := kinds[s.random.IntN(len(kinds))]
@@ -42,12 +46,13 @@
 		proxy.SetMode(Pass)
 	}
 	for _, worker := range s.workers {
+		worker.SetLateOrders(0)
 		worker.proxy.SetMode(Pass)
 		worker.SetFault(fleetworker.Sound, 0)
 		s.list(worker, "ready")
 	}
 	for _, node := range s.nodes {
-		node.Signal(syscall.SIGCONT)
+		s.thaw(node)
 		_ = node.Start()
 	}
 }
@@ -78,10 +83,21 @@
 	node := s.nodes[s.random.IntN(len(s.nodes))]
 	node.Signal(syscall.SIGSTOP)
 	sleep(ctx, length)
-	node.Signal(syscall.SIGCONT)
+	s.thaw(node)
 	return fmt.Sprintf("paused %s for %v", node.Name, length.Round(time.Millisecond))
 }
 
+// thaw lets a paused node go on. What it sends at once doesn't count; engines know holders by
+// names that aren't known here.
+func (s *site) thaw(node *process.Node) {
+	until := time.Now().Add(thawSlack)
+	s.api.Fences().Excuse(node.Name, until)
+	for _, worker := range s.workers {
+		worker.Fences().ExcuseAll(until)
+	}
+	node.Signal(syscall.SIGCONT)
+}
+
 // stopNode ends a node as planned and starts it again.
 func (s *site) stopNode(ctx context.Context, _ time.Duration) string {
 	node := s.nodes[s.random.IntN(len(s.nodes))]
@@ -101,6 +117,7 @@
 	mode := []Mode{Slow, Reset, Silent, OneWay}[s.random.IntN(4)]
 	worker.proxy.SetMode(mode)
 	sleep(ctx, length)
+	worker.Fences().ExcuseAll(time.Now().Add(thawSlack)) // the proxy sends on what it holds
 	worker.proxy.SetMode(Pass)
 	return fmt.Sprintf("the way to %s was %s for %v", worker.ID(), mode, length.Round(time.Millisecond))
 }
@@ -137,6 +154,39 @@
 	return fmt.Sprintf("the API was %+v for %v", faults, length.Round(time.Millisecond))
 }
 
+// lateOrders has all engines leave orders unanswered, and carry them out later.
+func (s *site) lateOrders(ctx context.Context, length time.Duration) string {
+	for _, worker := range s.workers {
+		worker.SetLateOrders(length)
+	}
+	sleep(ctx, length)
+	for _, worker := range s.workers {
+		worker.SetLateOrders(0)
+	}
+	return fmt.Sprintf("orders were carried out %v late", length.Round(time.Millisecond))
+}
+
+// lateAPI has the platform's API leave calls unanswered and carry them out later.
+func (s *site) lateAPI(ctx context.Context, length time.Duration) string {
+	s.api.SetFaults(fleetapi.Faults{Late: length})
+	sleep(ctx, length)
+	s.api.SetFaults(fleetapi.Faults{})
+	return fmt.Sprintf("the API carried calls out %v late", length.Round(time.Millisecond))
+}
+
+// orderProblems are the promises that the orders to engines broke, where these don't compare
+// fences.
+func (s *site) orderProblems() []string {
+	if !s.options.Unfenced {
+		return nil
+	}
+	var problems []string
+	for _, worker := range s.workers {
+		problems = append(problems, worker.Fences().Problems(configuredLease)...)
+	}
+	return problems
+}
+
 func (s *site) failWorker(_ context.Context, _ time.Duration) string {
 	worker := s.workers[s.random.IntN(len(s.workers))]
 	fault := []fleetworker.Fault{
--- /dev/null
+++ b/internal/lab/soak/quota.go
@@ -0,0 +1,52 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+	"github.com/tinarch/tinarch/internal/quota"
+)
+
+// limitedTenant has a limit where quotas are played: a third of what its four callers ask
+// for, some fifteen requests a second.
+const limitedTenant = 1
+
+// The limit and by how much all nodes together may exceed it.
+var (
+	tenantLimit    = quota.Limit{Rate: 5, Burst: 5, Unit: quota.Requests}
+	quotaTolerance = quota.Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 8}
+)
+
+// allRuns are the requests that workers began.
+func (s *site) allRuns() []fleetworker.Run {
+	var runs []fleetworker.Run
+	for _, worker := range s.workers {
+		runs = append(runs, worker.Runs()...)
+	}
+	return runs
+}
+
+// overQuota returns the first window in which workers began more requests of a tenant than
+// it may use, if there is one.
+func overQuota(runs []fleetworker.Run, tenant string, limit quota.Limit, tolerance quota.Tolerance) []string {
+	var began []time.Time
+	for _, run := range runs {
+		if run.Header.Get("X-Tenant") == tenant {
+			began = append(began, run.At)
+		}
+	}
+	slices.SortFunc(began, time.Time.Compare)
+	most := limit.Rate*tolerance.Window.Seconds() + limit.Burst + tolerance.Over(limit)
+	first := 0
+	for last, at := range began {
+		for at.Sub(began[first]) >= tolerance.Window {
+			first++
+		}
+		if count := last - first + 1; float64(count) > most {
+			return []string{fmt.Sprintf("%s ran %d requests in %v, and may run %.1f", tenant, count, tolerance.Window, most)}
+		}
+	}
+	return nil
+}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -32,6 +32,10 @@
 	// Length is the time in which faults come; a quiet time follows.
 	Length time.Duration
 	Out    io.Writer
+	// Unfenced has neither the platform's API nor the engines compare fences.
+	Unfenced bool
+	// Quotas gives one tenant a limit, and checks that it holds over all nodes.
+	Quotas bool
 }
 
 // The size of a soak.
@@ -48,6 +52,9 @@
 	usageLate   = 10 * time.Second
 	// configuredLease is the life of the lease in the nodes' settings.
 	configuredLease = 3 * time.Second
+	// thawSlack is for how long after a node goes on, or its link is mended, its calls don't
+	// count: what was on its way then may still arrive.
+	thawSlack = 300 * time.Millisecond
 )
 
 // The services of a soak.
@@ -101,7 +108,12 @@
 	<-ended
 	report := load.report()
 	report.Seed = options.Seed
+	report.Unfenced = options.Unfenced
 	report.Broken = append(report.Broken, s.api.Problems(configuredLease)...)
+	report.Broken = append(report.Broken, s.orderProblems()...)
+	if options.Quotas {
+		report.Broken = append(report.Broken, overQuota(s.allRuns(), tenantOf(limitedTenant), tenantLimit, quotaTolerance)...)
+	}
 	report.Windows = len(s.api.Reports())
 	if report.Windows == 0 {
 		report.Broken = append(report.Broken, "no window of usage was reported")
@@ -123,7 +135,11 @@
 
 func (s *site) start(ctx context.Context) error {
 	s.store = fleetstore.Start()
-	s.api = fleetapi.Start()
+	startAPI := fleetapi.Start
+	if s.options.Unfenced {
+		startAPI = fleetapi.StartUnfenced
+	}
+	s.api = startAPI()
 	for _, options := range []fleetworker.Options{
 		{ID: "read-1", Service: engines, Stage: "prefill"}, {ID: "read-2", Service: engines, Stage: "prefill"},
 		{ID: "write-1", Service: engines, Stage: "decode"}, {ID: "write-2", Service: engines, Stage: "decode"}, {ID: "write-3", Service: engines, Stage: "decode"},
@@ -133,7 +149,7 @@
 			return err
 		}
 	}
-	s.store.Put("op", "config", configuration(0))
+	s.store.Put("op", "config", s.configuration(0))
 	for i := range nodeCount {
 		if err := s.addNode(i); err != nil {
 			return err
@@ -194,6 +210,10 @@
 	configured.Bounds.StopMillis = stopMillis
 	configured.API = settings.RoutedAPI{Address: s.api.Address(), Duties: []string{settings.DutyUsage, settings.DutyScale}}
 	configured.Bounds.LeaseMillis = int(configuredLease.Milliseconds())
+	configured.Bounds.Fencing = !s.options.Unfenced
+	configured.Quota = settings.RoutedQuota{
+		WindowSeconds: quotaTolerance.Window.Seconds(), Overshoot: quotaTolerance.Overshoot, Slack: quotaTolerance.Slack,
+	}
 	configured.Usage = settings.RoutedUsage{WindowSeconds: usageWindow.Seconds(), LateSeconds: usageLate.Seconds()}
 	for _, address := range []*string{&configured.Listen.Callers, &configured.Listen.Readiness, &configured.Listen.Exchange, &configured.Listen.Metrics} {
 		if *address, err = freeAddress(); err != nil {
@@ -239,7 +259,7 @@
 
 // configuration is the operator's, with one route of each kind, and some that were
 // added later.
-func configuration(added int) map[string]any {
+func (s *site) configuration(added int) map[string]any {
 	route := func(kind class) map[string]any {
 		return map[string]any{
 			"Name": kind.name, "Host": host, "PathPrefix": kind.prefix, "Kind": kind.routeKind, "Service": kind.service,
@@ -262,7 +282,7 @@
 			map[string]any{"Name": plain, "MaxConnections": 200},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 8192, "MaxBodyBytes": 100_000},
-		"Tenants": tenants(),
+		"Tenants": tenants(s.options.Quotas),
 	}
 }
 
@@ -274,10 +294,15 @@
 // tenantCount is the number of tenants; each caller belongs to one of them.
 const tenantCount = 3
 
-func tenants() []any {
+// tenants lists them, one with a limit if wanted.
+func tenants(limited bool) []any {
 	var all []any
 	for number := range tenantCount {
-		all = append(all, map[string]any{"Name": tenantOf(number), "ApiKeys": []string{keyOf(number)}})
+		entry := map[string]any{"Name": tenantOf(number), "ApiKeys": []string{keyOf(number)}}
+		if limited && number == limitedTenant {
+			entry["RatePerS"], entry["Burst"] = tenantLimit.Rate, tenantLimit.Burst
+		}
+		all = append(all, entry)
 	}
 	return all
 }
--- a/internal/lab/soak/watch.go
+++ b/internal/lab/soak/watch.go
@@ -101,7 +101,7 @@
 // configure puts a configuration with one more route.
 func (s *site) configure(_ context.Context, _ time.Duration) string {
 	added := s.watch.routes() + 1
-	s.store.Put("op", "config", configuration(added))
+	s.store.Put("op", "config", s.configuration(added))
 	s.watch.accept(time.Now())
 	return fmt.Sprintf("a configuration with %d added routes", added)
 }
--- a/spec/quota.pml
+++ b/spec/quota.pml
@@ -10,13 +10,12 @@
  * restarts and has forgotten all (COLD units are its to grant), or the nodes fall into two
  * halves of one node and one keeper each.
  *
- * Assumed, and to be covered by the slack in reality: silence is mutual (a keeper that hears
- * a node which another keeper can't hear keeps nothing back; with one link cut the bound
- * doesn't hold); a node doesn't ask again before the
- * keepers that it reaches have heard of its last use, and halves notice at once that they
- * don't hear each other, when all that was used before has been told. Both sides then know
- * the same shares. What is used until tells arrive, or until silence is noticed, comes on
- * top of the bound.
+ * Assumed, and to be covered by the slack in reality:
+ *   - a node doesn't ask again before the keepers that it reaches have heard of its last use;
+ *   - silence is mutual. With a single link cut, the keeper that hears both nodes keeps
+ *     nothing back, and the bound doesn't hold;
+ *   - halves notice at once that they don't hear each other, when all that was used before
+ *     has been told, so that both sides know the same shares.
  *
  * Property: what runs is no more than BURST, and COLD for a restart, and one unit that two
  * keepers grant at the same moment.
