--- a/internal/lab/soak/quota.go
+++ b/internal/lab/soak/quota.go
@@ -9,14 +9,14 @@
 	"github.com/tinarch/tinarch/internal/quota"
 )
 
-// limitedTenant has a limit where quotas are played: a third of what its four callers ask
-// for, some fifteen requests a second.
+// limitedTenant has a limit where quotas are played: about half of what its four callers ask
+// for without one (58 requests ran in 8 s, seed 1796241653594264864).
 const limitedTenant = 1
 
 // The limit and by how much all nodes together may exceed it.
 var (
-	tenantLimit    = quota.Limit{Rate: 5, Burst: 5, Unit: quota.Requests}
-	quotaTolerance = quota.Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 8}
+	tenantLimit    = quota.Limit{Rate: 3, Burst: 4, Unit: quota.Requests}
+	quotaTolerance = quota.Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 4}
 )
 
 // allRuns are the requests that workers began.
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -20,14 +20,14 @@
 }
 
 check_whole() {
-  local model=$1 output
-  output=$(pan "$model")
+  local model=$1 macro=${2:-} output
+  output=$(pan "$model" "$macro")
   if ! grep -q 'errors: 0' <<<"$output" || grep -qE 'max search depth too small|memory limit|out of memory' <<<"$output"; then
-    echo "FAIL $model: the model does not hold, or was not searched whole" >&2
+    echo "FAIL $model $macro: the model does not hold, or was not searched whole" >&2
     echo "$output" >&2
     exit 1
   fi
-  printf 'ok   %-10s %s\n' "$model" \
+  printf 'ok   %-10s %s%s\n' "$model" "${macro:+variant $macro: }" \
     "$(sed -nE 's/.*depth reached ([0-9]+),.*/depth \1,/p; s/^ *([0-9]+) states, stored.*/\1 states,/p; s/^pan: elapsed time ([0-9.]+).*/\1 s/p' <<<"$output" | tr '\n' ' ')"
 }
 
@@ -42,11 +42,18 @@
   printf 'ok   %-10s without guard %s: counterexample found\n' "$model" "$macro"
 }
 
+# macros FILE HEADING: the macros listed under a heading in the model's head.
+macros() {
+  sed -n "/^ \\* $2/,/^ \\*\\(\\/\\|\$\\)/p" "$1" | grep -oE '^ \*   [A-Z_]+' | tr -d ' *'
+}
+
 for file in *.pml; do
   model=${file%.pml}
   check_whole "$model"
-  # The guards are listed in the model's head.
-  for macro in $(sed -n '/^ \* Guards/,/^ \*\//p' "$file" | grep -oE '^ \*   [A-Z_]+' | tr -d ' *'); do
+  for macro in $(macros "$file" Variants); do
+    check_whole "$model" "$macro"
+  done
+  for macro in $(macros "$file" Guards); do
     check_mutation "$model" "$macro"
   done
 done
--- a/spec/usage.pml
+++ b/spec/usage.pml
@@ -18,6 +18,10 @@
  *   NO_WAIT            a node takes the lease while another may hold it
  *   NO_RECHECK         a node sends a report without looking at its lease again
  *   NO_FENCE           the platform does not compare fences
+ *
+ * Variants, in which the model holds too, each chosen by a macro:
+ *   UNFENCED           the platform doesn't compare fences, and may accept lower ones; of
+ *                      the window it still hears one truth (unfenced.pml has the fences)
  */
 #define LAST_VERSION 3
 
@@ -54,12 +58,18 @@
 #else
 #define MAY_SEND(i) holds[i]
 #endif
-#ifdef NO_FENCE
+#if defined(NO_FENCE) || defined(UNFENCED)
 #define ACCEPTS(f) true
 #else
 #define ACCEPTS(f) ((f) >= highest)
 #endif
 
+#ifdef UNFENCED
+#define FENCE_IN_ORDER(f) true
+#else
+#define FENCE_IN_ORDER(f) ((f) >= highest)
+#endif
+
 inline carryOutRecord(i) {
     if
     :: version == under[i] && ABSENT -> record = i + 1
@@ -71,7 +81,7 @@
     if
     :: ACCEPTS(sentFence[i]) ->
         assert(reported == 0 || reported == told[i]);
-        assert(sentFence[i] >= highest);
+        assert(FENCE_IN_ORDER(sentFence[i]));
         reported = told[i];
         highest = sentFence[i]
     :: else
