Authority: a holder that stops as planned gives the lease back

A planned stop now begins no act any more, waits for those under way, and gives the row back, also where the lease has run out. A process takes such a row only when it is a life old: an earlier process of its machine may have acted before the one that gave it back (A, B, A).

lease.Machine.Release needs no time any more, and gives a lapsed lease back too; its test calls it so and checks the same.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -64,6 +64,12 @@
 
 	mu      sync.Mutex
 	machine *lease.Machine
+	// created is when this process began.
+	created time.Time
+	// leaving tells that the lease is being given back: no act begins any more.
+	leaving bool
+	// acts are those under way.
+	acts int
 	// version is that of the row while this node holds the lease.
 	version uint64
 }
@@ -72,7 +78,7 @@
 func New(options Options) *Authority {
 	terms := lease.DefaultSettings(options.Life)
 	terms.KeepFence = options.Unfenced
-	return &Authority{options: options, machine: lease.New(options.Self, terms)}
+	return &Authority{options: options, machine: lease.New(options.Self, terms), created: time.Now()}
 }
 
 // Term is a span in which this node may act.
@@ -83,13 +89,38 @@
 	Until time.Time
 }
 
-// Context bounds an act by a timeout and by the end of the term.
-func (t Term) Context(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+// Act is one act under the authority, from its beginning to End.
+type Act struct {
+	Fence uint64
+	// Context is bounded by the act's timeout, and by the end of the term.
+	Context context.Context
+	end     func()
+}
+
+// End tells that the act is over: it was answered, or given up.
+func (a Act) End() { a.end() }
+
+// Begin begins an act, false where none may begin now. Call it just before the act leaves,
+// and End after it.
+func (a *Authority) Begin(ctx context.Context, timeout time.Duration) (Act, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	term, held := a.term()
+	if !held {
+		return Act{}, false
+	}
 	end := time.Now().Add(timeout)
-	if !t.Until.IsZero() && t.Until.Before(end) {
-		end = t.Until
+	if !term.Until.IsZero() && term.Until.Before(end) {
+		end = term.Until
 	}
-	return context.WithDeadline(ctx, end)
+	bounded, cancel := context.WithDeadline(ctx, end)
+	a.acts++
+	return Act{Fence: term.Fence, Context: bounded, end: sync.OnceFunc(func() {
+		cancel()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.acts--
+	})}, true
 }
 
 // Hold is whether this node may act.
@@ -117,6 +148,9 @@
 
 func (a *Authority) acquire(ctx context.Context) Hold {
 	now := time.Now()
+	if a.leaving {
+		return HeldOther
+	}
 	if a.machine.Holds(now) {
 		if a.roomy(now) {
 			return Held
@@ -130,6 +164,12 @@
 	if !a.observe(ctx) {
 		return StoreAway
 	}
+	if a.machine.Released() && time.Since(a.created) < a.options.Life {
+		// An earlier process of this machine may have acted before the holder that gave the
+		// lease back: the two would have acted in turns within the life of a lease.
+		a.options.Log.Info("the authority was given back, and this process is too young to take it; waiting")
+		return HeldOther
+	}
 	proposal := a.machine.Next(time.Now())
 	if proposal.Action == lease.Wait {
 		a.options.Log.WithField("holder", a.machine.Holder()).Info("another node may hold the authority; waiting")
@@ -155,13 +195,16 @@
 	}
 }
 
-// Term returns the span in which this node may act, false where no act may begin now. Ask
-// for it just before each act.
+// Term returns the span in which this node may act, false where no act may begin now.
 func (a *Authority) Term() (Term, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.term()
+}
+
+func (a *Authority) term() (Term, bool) {
 	now := time.Now()
-	if !a.roomy(now) {
+	if a.leaving || !a.roomy(now) {
 		return Term{}, false
 	}
 	term := Term{Fence: a.machine.Fence(now)}
@@ -171,8 +214,8 @@
 	return term, true
 }
 
-// Fence returns the fence of this node's lease, zero where it holds none. Acts ask for
-// Term instead.
+// Fence returns the fence of this node's lease, zero where it holds none. Acts use Begin
+// instead.
 func (a *Authority) Fence() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -196,6 +239,55 @@
 	a.machine.Renounce()
 }
 
+// The figures of giving the lease back.
+const (
+	// releaseTimeout bounds the wait for acts under way: above the longest (2 s).
+	releaseTimeout = 2500 * time.Millisecond
+	releasePoll    = 20 * time.Millisecond
+	// releasePause is left between the last act and the release: a call that was given up
+	// may still be on its way, twelve milliseconds between regions and as much again in
+	// queues.
+	releasePause = 200 * time.Millisecond
+)
+
+// Release gives the lease back before this process ends, so that the next holder needn't
+// wait for it to run out. No act begins any more; those under way are waited for. Where one
+// doesn't end, the lease runs out as usual.
+func (a *Authority) Release(ctx context.Context) {
+	waitCtx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	for !a.leave() {
+		select {
+		case <-waitCtx.Done():
+			a.options.Log.Warn("the authority was not given back: an act is still under way")
+			return
+		case <-time.After(releasePoll):
+		}
+	}
+	time.Sleep(releasePause)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	proposal, own := a.machine.Release()
+	if !own {
+		return
+	}
+	content, err := json.Marshal(rowValue{Holder: a.options.Self, Released: true})
+	if err != nil {
+		a.options.Log.WithError(err).Error("the authority was not given back")
+		return
+	}
+	_, done, err := a.write(ctx, proposal, content)
+	a.options.Log.WithFields(logrus.Fields{"written": done, "cause": causeOf(err)}).Info("authority given back")
+}
+
+// leave has no act begin any more, and reports whether none is under way.
+func (a *Authority) leave() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leaving = true
+	return a.acts == 0
+}
+
 // Refused takes in that a write under a condition of this node's was not carried out.
 // Another node has taken the lease then, unless it was renewed meanwhile.
 func (a *Authority) Refused(condition rowstore.Condition) {
@@ -231,12 +323,7 @@
 		a.machine.Lost()
 		return HeldOther
 	}
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	version, done, err := a.options.Store.Transact(callCtx, rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Table: table, Key: key, Version: proposal.IfVersion}},
-		Writes:     []rowstore.Write{{Table: table, Key: key, Value: content}},
-	})
+	version, done, err := a.write(ctx, proposal, content)
 	if err != nil || !done {
 		a.machine.Lost()
 		a.options.Log.WithFields(logrus.Fields{"if_version": proposal.IfVersion, "written": done, "cause": causeOf(err)}).Warn("the authority was not taken")
@@ -257,6 +344,16 @@
 	return Held
 }
 
+// write writes the row under the condition of a proposal.
+func (a *Authority) write(ctx context.Context, proposal lease.Proposal, content []byte) (version uint64, done bool, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return a.options.Store.Transact(callCtx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Table: table, Key: key, Version: proposal.IfVersion}},
+		Writes:     []rowstore.Write{{Table: table, Key: key, Value: content}},
+	})
+}
+
 func causeOf(err error) string {
 	if err == nil {
 		return "the row has another version"
--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -129,11 +129,14 @@
 		if term.Until.Sub(before) < least {
 			t.Fatalf("an act begins with %v left", term.Until.Sub(before))
 		}
-		ctx, cancel := term.Context(context.Background(), longLife)
-		if until, _ := ctx.Deadline(); until.After(term.Until) {
+		act, held := a.Begin(context.Background(), longLife)
+		if !held {
+			continue
+		}
+		if until, _ := act.Context.Deadline(); until.After(term.Until) {
 			t.Fatal("an act outlasts the lease")
 		}
-		cancel()
+		act.End()
 	}
 	fenced := newAuthority(memorystore.New(), "a", shortLife, nil)
 	awaitHold(t, fenced)
@@ -184,3 +187,52 @@
 		t.Error("a lost lease is held")
 	}
 }
+
+// TestReleasedAuthorityIsFreeAtOnce: once the acts under way are over, and for no process
+// that may have been a holder shortly before under another name.
+func TestReleasedAuthorityIsFreeAtOnce(t *testing.T) {
+	store := memorystore.New()
+	a, b := newUnfenced(store, "a", longLife), newUnfenced(store, "b", longLife)
+	b.created = time.Now().Add(-longLife)
+	young := newUnfenced(store, "young", longLife)
+	awaitHold(t, a)
+	act, held := a.Begin(context.Background(), longLife)
+	if !held {
+		t.Fatal("no act may begin")
+	}
+	released := make(chan struct{})
+	go func() { defer close(released); a.Release(context.Background()) }()
+	for a.Acquire(context.Background()) == Held {
+		time.Sleep(time.Millisecond)
+	}
+	if _, begun := a.Begin(context.Background(), longLife); begun {
+		t.Error("an act begins after the lease is to be given back")
+	}
+	if b.Acquire(context.Background()) == Held {
+		t.Error("the lease was given back with an act under way")
+	}
+	act.End()
+	<-released
+	if young.Acquire(context.Background()) == Held {
+		t.Error("a young process took a lease that was given back")
+	}
+	if hold := b.Acquire(context.Background()); hold != Held || b.Fence() <= act.Fence {
+		t.Errorf("%s, fence %d after %d", hold, b.Fence(), act.Fence)
+	}
+}
+
+// TestActThatHangsKeepsTheLease: it isn't given back while an act may still be carried out.
+func TestActThatHangsKeepsTheLease(t *testing.T) {
+	store := memorystore.New()
+	a, b := newUnfenced(store, "a", longLife), newUnfenced(store, "b", longLife)
+	b.created = time.Now().Add(-longLife)
+	awaitHold(t, a)
+	act, _ := a.Begin(context.Background(), longLife)
+	defer act.End()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	a.Release(ctx)
+	if b.Acquire(context.Background()) == Held {
+		t.Error("the lease was given back with an act under way")
+	}
+}
--- a/internal/fleetsize/controller.go
+++ b/internal/fleetsize/controller.go
@@ -174,16 +174,15 @@
 	if hold := c.options.Authority.Acquire(ctx); hold != authority.Held {
 		return eris.Errorf("no authority: %s", hold)
 	}
-	term, held := c.options.Authority.Term()
+	act, held := c.options.Authority.Begin(ctx, callTimeout)
 	if !held {
 		return eris.New("the authority lapsed before the order left")
 	}
-	callCtx, cancel := term.Context(ctx, callTimeout)
-	defer cancel()
-	verdict, err := c.options.API.OrderWorkers(callCtx, duty.Act{Holder: c.options.Node, Fence: term.Fence}, service.Name, kind, count)
+	defer act.End()
+	verdict, err := c.options.API.OrderWorkers(act.Context, duty.Act{Holder: c.options.Node, Fence: act.Fence}, service.Name, kind, count)
 	c.options.Log.WithFields(logrus.Fields{
 		"service": service.Name, "zone": kind.Zone, "spot": kind.Spot, "count": count, "standing": fleet.standing[kind],
-		"standing_total": fleet.standing.total(), "fence": term.Fence, "verdict": verdict, "cause": fmt.Sprint(err),
+		"standing_total": fleet.standing.total(), "fence": act.Fence, "verdict": verdict, "cause": fmt.Sprint(err),
 		"basis_lost": fleet.basis.Lost, "basis_workers": fleet.basis.Workers,
 	}).Info("workers ordered")
 	switch verdict {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -183,13 +183,16 @@
 // Holder returns the incarnation that wrote the row last, as far as is known.
 func (m *Machine) Holder() string { return m.row.Holder }
 
-// Release ends this node's lease, and returns the write that gives it back; false
-// where it holds none.
-func (m *Machine) Release(now time.Time) (Proposal, bool) {
-	if !m.Holds(now) {
+// Release ends this node's lease, and returns the write that gives it back; false where the
+// row isn't its own. One that has run out is given back too, so that nobody waits for it:
+// the write fails if another node has taken it since.
+func (m *Machine) Release() (Proposal, bool) {
+	if !m.known || m.row.Holder != m.self || m.row.Released {
 		return Proposal{}, false
 	}
-	version := m.row.Version
 	m.until, m.fence = time.Time{}, 0
-	return Proposal{Action: Renew, IfVersion: version}, true
+	return Proposal{Action: Renew, IfVersion: m.row.Version}, true
 }
+
+// Released reports whether the row was given back by its holder.
+func (m *Machine) Released() bool { return m.row.Released }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -60,11 +60,29 @@
 	a.Observe(Row{}, origin)
 	a.Next(origin)
 	a.Done(1, origin)
-	if release, held := a.Release(origin); !held || release.IfVersion != 1 || a.Holds(origin) {
+	if release, held := a.Release(); !held || release.IfVersion != 1 || a.Holds(origin) {
 		t.Error("a release is not the end of a lease")
 	}
 }
 
+// TestLapsedLeaseIsGivenBack: by the node whose row it still is, once, and by no other.
+func TestLapsedLeaseIsGivenBack(t *testing.T) {
+	a := New("a", DefaultSettings(life))
+	if _, own := a.Release(); own {
+		t.Error("gave back what it doesn't know")
+	}
+	a.Observe(Row{}, origin)
+	a.Next(origin)
+	a.Done(1, origin)
+	if release, own := a.Release(); !own || release.IfVersion != 1 || a.Holds(origin) {
+		t.Errorf("%+v, %v", release, own)
+	}
+	a.Observe(Row{Version: 2, Holder: "b"}, origin.Add(2*life))
+	if _, own := a.Release(); own {
+		t.Error("gave back another's lease")
+	}
+}
+
 // TestLostAnswerDoesNotLengthen: a renewal whose answer was lost shows in the row,
 // and counts for nothing.
 func TestLostAnswerDoesNotLengthen(t *testing.T) {
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -257,6 +257,7 @@
 	deadline := begun.Add(settings.Milliseconds(n.settings.Bounds.StopMillis) - stopMargin)
 	n.front.Stop()
 	n.log.WithFields(logrus.Fields{"reason": reason, "active": n.front.Active()}).Info("stopping")
+	n.work.Go(func() { n.authority.Release(context.Background()) })
 	n.withdraw()
 	time.Sleep(time.Until(begun.Add(unlistedFor)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -230,17 +230,16 @@
 // send looks at the lease again just before the order leaves. Where engines don't compare
 // fences, the order doesn't outlast the lease.
 func (c *Controller) send(ctx context.Context, to worker.Worker, order stageplan.Order) (Verdict, string) {
-	term, held := c.options.Authority.Term()
+	act, held := c.options.Authority.Begin(ctx, orderTimeout)
 	if !held {
 		return Rejected, "the lease lapsed before the order left"
 	}
-	callCtx, cancel := term.Context(ctx, orderTimeout)
-	defer cancel()
-	request := c.options.Wire.StageOrder(to, order.Prefill, c.options.Self, term.Fence)
+	defer act.End()
+	request := c.options.Wire.StageOrder(to, order.Prefill, c.options.Self, act.Fence)
 	if c.options.Unfenced {
 		request.DropAfter = duty.UserTimeout
 	}
-	answer, err := c.options.Pool.Do(callCtx, to.ID, to.Address, 0, request)
+	answer, err := c.options.Pool.Do(act.Context, to.ID, to.Address, 0, request)
 	if err != nil {
 		if workerconn.Unsent(err) {
 			return Rejected, err.Error()
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -219,15 +219,14 @@
 // send reports a window. The authority is looked at just before, and the call doesn't
 // outlast it.
 func (r *Reporter) send(ctx context.Context, window Window, counts Counts) error {
-	term, held := r.options.Authority.Term()
+	act, held := r.options.Authority.Begin(ctx, callTimeout)
 	if !held {
 		return eris.New("the authority lapsed before the report left")
 	}
-	callCtx, cancel := term.Context(ctx, callTimeout)
-	defer cancel()
-	verdict, err := r.options.API.ReportUsage(callCtx, duty.Act{Holder: r.options.Node, Fence: term.Fence}, window, counts)
+	defer act.End()
+	verdict, err := r.options.API.ReportUsage(act.Context, duty.Act{Holder: r.options.Node, Fence: act.Fence}, window, counts)
 	r.options.Log.WithFields(logrus.Fields{
-		"window": window, "requests": counts.sum(), "fence": term.Fence, "verdict": verdict, "cause": fmt.Sprint(err),
+		"window": window, "requests": counts.sum(), "fence": act.Fence, "verdict": verdict, "cause": fmt.Sprint(err),
 	}).Info("usage reported")
 	r.options.Metrics.observe(verdict)
 	switch verdict {
