Regions: accounts kept near the workers, contents read and written in one region

Cause: nothing knew a region. Questions ended after 15 ms where another region's answer takes 24, so two thirds of the accounts were never known; memory was moved between regions at a tenth of the pace; each node looked for a content everywhere.

Now: accounts of workers and the index of contents are kept by nodes of the workers' region; the way to another region is measured from questions and answers, and answers from there are waited for by it; a shared content has a region by weighted rendezvous hashing, where it is read and written; own engines compete by cost; other requests stay, and leave where the region can't serve them in time; memory crosses regions only where nothing else is left. The log tells why a request is served where it is.

Ruled out: a fixed longer wait (it makes near questions slow, and is wrong elsewhere).

--- a/internal/digest/ask.go
+++ b/internal/digest/ask.go
@@ -11,8 +11,9 @@
 	"github.com/tinarch/tinarch/internal/scheduling"
 )
 
-// askTimeout is how long the answers to a question are waited for: several times the
-// way between two zones and back, and a fiftieth of the shortest objectives of prompts.
+// askTimeout is how long the answers to a question are waited for, besides the way to
+// another region and back: several times the way between two zones and back, and a fiftieth
+// of the shortest objectives of prompts.
 const askTimeout = 15 * time.Millisecond
 
 // askEnough is how long all answers are waited for, and not half of them: small machines
@@ -28,6 +29,9 @@
 	// Parts are those of the request's prompt, as in a read.
 	Parts []string `json:"p,omitempty"`
 	Rank  int      `json:"r,omitempty"`
+	// Sent is when the question left, on the asking node's clock in microseconds; the reply
+	// repeats it, so that the way to another region is measured.
+	Sent int64 `json:"t,omitempty"`
 }
 
 // reply answers a question.
@@ -36,6 +40,7 @@
 	Accounts map[string]accountForm `json:"w,omitempty"`
 	// Holders are workers that keep the content, as in Message.Contents.
 	Holders []string `json:"c,omitempty"`
+	Sent    int64    `json:"t,omitempty"`
 }
 
 // accountForm is a scheduling.Account in whole numbers: requests, tokens to read, those
@@ -84,6 +89,9 @@
 	accounts map[string]scheduling.Account
 	holders  []scheduling.Holder
 	done     chan struct{}
+	// patience is for how much longer than usual answers are waited for, since some come
+	// from another region.
+	patience time.Duration
 }
 
 // Kept reports for each worker whether this node itself keeps its account.
@@ -109,6 +117,9 @@
 	rendered := renderParts(parts)
 	for to, asked := range questions {
 		asked.ID, asked.Parts, asked.Rank = id, rendered, rank
+		if pending.patience > 0 {
+			asked.Sent = time.Since(e.begun).Microseconds()
+		}
 		e.sendTo(to, Message{Node: e.node, Question: asked})
 	}
 	timedOut := e.awaitAnswers(ctx, pending, len(questions))
@@ -118,7 +129,7 @@
 // awaitAnswers waits until enough answers have come. It reports whether the nodes that
 // have not answered had all the time that a question is given.
 func (e *Exchange) awaitAnswers(ctx context.Context, pending *pendingAsk, asked int) (timedOut bool) {
-	timer := time.NewTimer(askEnough)
+	timer := time.NewTimer(askEnough + pending.patience)
 	defer timer.Stop()
 	select {
 	case <-pending.done:
@@ -165,21 +176,23 @@
 			asked.Workers = append(asked.Workers, id)
 		}
 	}
-	home, here := netip.AddrPort{}, false
-	if content != 0 && e.peers.nodes() > wholeFleet {
-		home, here = e.peers.homeOfContent(content, now)
-	}
-	if home.IsValid() && !here {
-		to(home).Content = true
-	}
 	pending := &pendingAsk{
 		asked: make(map[netip.AddrPort]bool), accounts: make(map[string]scheduling.Account), done: make(chan struct{}),
 	}
-	if here {
-		pending.holders = e.contents.of(content, now)
+	if content != 0 && e.peers.nodes() > wholeFleet {
+		for _, region := range e.peers.regionsOfKept(workers) {
+			home, here := e.peers.homeOfContent(content, region, now)
+			switch {
+			case here:
+				pending.holders = append(pending.holders, e.contents.of(content, now)...)
+			case home.IsValid():
+				to(home).Content = true
+			}
+		}
 	}
 	for address := range questions {
 		pending.asked[address] = true
+		pending.patience = max(pending.patience, e.patience(e.peers.regionOf(address)))
 	}
 	e.lastAsk++
 	if len(questions) > 0 {
@@ -213,7 +226,7 @@
 	for id, account := range e.registry.Accounts(asked.Workers, parts, asked.Rank, asking, time.Now()) {
 		accounts[id] = renderAccount(account)
 	}
-	answered := &reply{ID: asked.ID, Accounts: accounts}
+	answered := &reply{ID: asked.ID, Accounts: accounts, Sent: asked.Sent}
 	if content, _ := scheduling.Content(parts); asked.Content && content != 0 {
 		answered.Holders = e.holdersOf(content)
 	}
@@ -226,6 +239,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.peers.answered(from)
+	if answered.Sent > 0 {
+		e.observeTrip(e.peers.regionOf(from), time.Since(e.begun)-time.Duration(answered.Sent)*time.Microsecond)
+	}
 	pending, waiting := e.asks[answered.ID]
 	if !waiting || !pending.asked[from] {
 		return
--- a/internal/digest/contents.go
+++ b/internal/digest/contents.go
@@ -110,16 +110,16 @@
 	})
 }
 
-// homesOfContent returns the nodes that know who keeps a content.
-func (s *peerSet) homesOfContent(content uint64) []netip.AddrPort {
-	members := append(s.all(), s.address)
-	return rendezvous.Top(members, s.hashOf, content, contentHomes)
+// homesOfContent returns the nodes that know who keeps a content in a region: what
+// another region keeps is slow to move.
+func (s *peerSet) homesOfContent(content uint64, region string) []netip.AddrPort {
+	return rendezvous.Top(s.inRegion(region), s.hashOf, content, contentHomes)
 }
 
-// homeOfContent returns the node to be asked for a content, or tells that this one knows
-// itself.
-func (s *peerSet) homeOfContent(content uint64, now time.Time) (home netip.AddrPort, here bool) {
-	for _, address := range s.homesOfContent(content) {
+// homeOfContent returns the node to be asked for a content in a region, or tells that
+// this one knows itself.
+func (s *peerSet) homeOfContent(content uint64, region string, now time.Time) (home netip.AddrPort, here bool) {
+	for _, address := range s.homesOfContent(content, region) {
 		if address == s.address {
 			return address, true
 		}
@@ -141,7 +141,7 @@
 			if !found {
 				continue
 			}
-			for _, home := range e.peers.homesOfContent(kept.content) {
+			for _, home := range e.peers.homesOfContent(kept.content, e.peers.regionOfKept(kept.holder.Worker)) {
 				if home == e.peers.address {
 					e.contents.add(kept, now)
 				} else {
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -52,6 +52,8 @@
 	// asks are the questions whose answers are awaited.
 	asks    map[uint64]*pendingAsk
 	lastAsk uint64
+	// trips are the ways to other regions, by region.
+	trips map[string]*trip
 
 	// told are the workers of which peers have told all that they keep.
 	told chan []string
@@ -81,7 +83,8 @@
 		node: node, zone: zone, registry: registry, conn: conn, log: log,
 		begun: time.Now(), contents: newContentIndex(),
 		peers: newPeerSet(node, local, zone), asks: make(map[uint64]*pendingAsk),
-		told: make(chan []string, maxTold), done: make(chan struct{}),
+		trips: make(map[string]*trip),
+		told:  make(chan []string, maxTold), done: make(chan struct{}),
 	}, nil
 }
 
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tinarch/tinarch/internal/rendezvous"
+	"github.com/tinarch/tinarch/internal/topology"
 )
 
 // The figures of the fleet.
@@ -75,6 +76,10 @@
 	// listed tells that the store's list of nodes was read: before, this node can't know
 	// its place among them.
 	listed bool
+	// places are the zones and regions, and regionOfWorker finds the region of a worker; nil
+	// where there is one region.
+	places         topology.Map
+	regionOfWorker func(worker string) string
 	// ranked holds what was worked out of the present members, by subject.
 	ranked map[string][]netip.AddrPort
 }
@@ -194,9 +199,20 @@
 }
 
 // homes returns the nodes that keep the account of a worker, the first to be asked
-// first.
+// first. They are nodes of its region: a question that crosses regions costs tens of
+// milliseconds.
 func (s *peerSet) homes(worker string) []netip.AddrPort {
-	return s.top("worker "+worker, homeCount(s.nodes()), "")
+	region := s.regionOfKept(worker)
+	if region == "" {
+		return s.top("worker "+worker, homeCount(s.nodes()), "")
+	}
+	subject := "worker " + worker + " in " + region
+	if known, exists := s.ranked[subject]; exists {
+		return known
+	}
+	members := s.inRegion(region)
+	s.ranked[subject] = rendezvous.Top(members, s.hashOf, rendezvous.Hash(subject), homeCount(len(members)))
+	return s.ranked[subject]
 }
 
 // keeps reports whether this node keeps the account of a worker.
--- /dev/null
+++ b/internal/digest/regions.go
@@ -0,0 +1,136 @@
+package digest
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/topology"
+)
+
+// The figures of the way between regions, as of TCP's retransmission timer (RFC 6298).
+const (
+	// assumedTrip is the way to another region and back until it was measured: that of a
+	// continent, so that a first question isn't given up on too early.
+	assumedTrip = 50 * time.Millisecond
+	// tripGain and spreadGain are the weights of a new measurement.
+	tripGain, spreadGain = 0.125, 0.25
+	// spreads is how many times the mean deviation is waited for beyond the mean.
+	spreads = 4
+	// longestTrip bounds what is taken for a measurement: an answer that was held up for
+	// longer says nothing about the way.
+	longestTrip = time.Second
+)
+
+// trip is the time of the way to a region and back, as measured. The zero trip was not
+// measured yet.
+type trip struct{ mean, spread time.Duration }
+
+func (t *trip) observe(took time.Duration) {
+	if t.mean == 0 {
+		t.mean, t.spread = took, took/2
+		return
+	}
+	deviation := max(took-t.mean, t.mean-took)
+	t.spread += time.Duration(spreadGain * float64(deviation-t.spread))
+	t.mean += time.Duration(tripGain * float64(took-t.mean))
+}
+
+// SetPlaces tells the exchange the zones and regions. It is called before Run.
+func (e *Exchange) SetPlaces(places topology.Map) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers.places = places
+	e.peers.regionOfWorker = e.registry.Region
+}
+
+// Trip is the time of the way to a region and back: nothing within the own region, where
+// it is a part of every figure that was learned.
+func (e *Exchange) Trip(region string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.trip(region)
+}
+
+func (e *Exchange) trip(region string) time.Duration {
+	if region == e.peers.places.Own() {
+		return 0
+	}
+	if known := e.trips[region]; known != nil {
+		return known.mean
+	}
+	return assumedTrip
+}
+
+// patience is how much longer than within the region an answer from another one is
+// waited for.
+func (e *Exchange) patience(region string) time.Duration {
+	if region == e.peers.places.Own() {
+		return 0
+	}
+	if known := e.trips[region]; known != nil {
+		return known.mean + spreads*known.spread
+	}
+	return assumedTrip
+}
+
+// observeTrip takes in how long an answer from a region took.
+func (e *Exchange) observeTrip(region string, took time.Duration) {
+	if region == e.peers.places.Own() || took <= 0 || took > longestTrip {
+		return
+	}
+	if e.trips[region] == nil {
+		e.trips[region] = &trip{}
+	}
+	e.trips[region].observe(took)
+}
+
+// regionOf is the region of a node, empty where it isn't known.
+func (s *peerSet) regionOf(address netip.AddrPort) string {
+	if address == s.address {
+		return s.places.Own()
+	}
+	if known, exists := s.peers[address]; exists {
+		return s.places.Region(known.zone)
+	}
+	return ""
+}
+
+// inRegion returns the nodes of a region, or all where it has none: somebody has to keep
+// the accounts of a region that lost its nodes.
+func (s *peerSet) inRegion(region string) []netip.AddrPort {
+	members := append(s.all(), s.address)
+	if !s.places.Several() {
+		return members
+	}
+	var near []netip.AddrPort
+	for _, address := range members {
+		if s.regionOf(address) == region {
+			near = append(near, address)
+		}
+	}
+	if len(near) == 0 {
+		return members
+	}
+	return near
+}
+
+// regionOfKept is the region whose nodes keep the account of a worker. In a small fleet
+// that is all of them.
+func (s *peerSet) regionOfKept(worker string) string {
+	if s.regionOfWorker == nil || !s.places.Several() || s.nodes() <= wholeFleet {
+		return ""
+	}
+	return s.regionOfWorker(worker)
+}
+
+// regionsOfKept returns the regions whose nodes keep the accounts of workers.
+func (s *peerSet) regionsOfKept(workers []string) []string {
+	var regions []string
+	for _, id := range workers {
+		if region := s.regionOfKept(id); !slices.Contains(regions, region) {
+			regions = append(regions, region)
+		}
+	}
+	return regions
+}
--- /dev/null
+++ b/internal/digest/regions_test.go
@@ -0,0 +1,128 @@
+package digest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/topology"
+	"github.com/tinarch/tinarch/internal/worker"
+)
+
+var twoRegions = topology.New("north-a", map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"})
+
+// regionalSet returns the peers of a node in the north, so many a zone.
+func regionalSet(perZone int) *peerSet {
+	set := newPeerSet("me", addressOf(0), "north-a")
+	set.places = twoRegions
+	set.regionOfWorker = func(worker string) string { return worker }
+	var listed []Peer
+	for i := range 3 * perZone {
+		zone := []string{"north-a", "north-b", "south-a"}[i%3]
+		listed = append(listed, Peer{Node: fmt.Sprint("n", i+1), Address: addressOf(i + 1), Zone: zone})
+	}
+	set.list(listed)
+	return set
+}
+
+// TestAccountsAreKeptInTheRegionOfTheWorker, by all nodes where its region has none.
+func TestAccountsAreKeptInTheRegionOfTheWorker(t *testing.T) {
+	set := regionalSet(30)
+	for _, region := range []string{"north", "south"} {
+		for _, home := range set.homes(region) {
+			if got := set.regionOf(home); got != region {
+				t.Errorf("a worker of the %s has a home in the %s", region, got)
+			}
+		}
+	}
+	for address, known := range set.peers {
+		if known.zone == "south-a" {
+			delete(set.peers, address)
+		}
+	}
+	clear(set.ranked)
+	if homes := set.homes("south"); len(homes) < leastHomes {
+		t.Errorf("%d homes for a worker whose region has no nodes", len(homes))
+	}
+}
+
+// TestSmallFleetsKeepAllAccounts, whatever the region.
+func TestSmallFleetsKeepAllAccounts(t *testing.T) {
+	set := regionalSet(5)
+	if !set.keeps("south") || len(set.homes("south")) != 16 {
+		t.Errorf("kept %v, by %d of 16 nodes", set.keeps("south"), len(set.homes("south")))
+	}
+}
+
+// TestAnswersOfAnotherRegionAreWaitedFor by the time of the way there, which is measured.
+func TestAnswersOfAnotherRegionAreWaitedFor(t *testing.T) {
+	registry := worker.NewRegistry(twoRegions)
+	exchange, err := Listen("127.0.0.1:0", "me", "north-a", registry, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer exchange.conn.Close()
+	exchange.SetPlaces(twoRegions)
+	registry.Replace([]worker.Worker{{ID: "w", Service: "s", Zone: "south-a", Stage: worker.Decode}})
+	far, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	address := netip.MustParseAddrPort(far.LocalAddr().String())
+	listed := []Peer{{Node: "far", Address: address, Zone: "south-a"}}
+	for i := range wholeFleet + 1 {
+		listed = append(listed, Peer{Node: fmt.Sprint("n", i), Address: addressOf(i + 1), Zone: "north-a"})
+	}
+	exchange.AddPeers(listed)
+	// Much longer than the answer takes, so that a busy machine doesn't matter.
+	exchange.trips["south"] = &trip{mean: 10 * time.Second}
+	go exchange.receive()
+	go answerAfter(far, 2*askTimeout)
+	answers := exchange.Ask(context.Background(), []string{"w"}, nil, 0)
+	if account, answered := answers.Accounts["w"]; !answered || account.Requests != 7 {
+		t.Errorf("answered %v: %+v", answered, account)
+	}
+	if got := exchange.Trip("south"); got >= 10*time.Second || exchange.Trip("north") != 0 {
+		t.Errorf("the way to the south takes %v, within the north %v", got, exchange.Trip("north"))
+	}
+}
+
+// answerAfter answers one question after a pause.
+func answerAfter(conn *net.UDPConn, pause time.Duration) {
+	buffer := make([]byte, maxDatagram)
+	count, from, err := conn.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		return
+	}
+	asked, err := decode(buffer[:count])
+	if err != nil || asked.Question == nil {
+		return
+	}
+	time.Sleep(pause)
+	answer := reply{ID: asked.Question.ID, Sent: asked.Question.Sent, Accounts: map[string]accountForm{"w": {7}}}
+	datagram, err := json.Marshal(Message{Node: "far", Reply: &answer})
+	if err == nil {
+		_, _ = conn.WriteToUDPAddrPort(datagram, from)
+	}
+}
+
+func TestTripsFollowWhatIsMeasured(t *testing.T) {
+	way := &trip{}
+	for range 60 {
+		way.observe(24 * time.Millisecond)
+	}
+	if way.mean != 24*time.Millisecond || way.spread > time.Millisecond {
+		t.Errorf("%v with a spread of %v", way.mean, way.spread)
+	}
+	for range 60 {
+		way.observe(48 * time.Millisecond)
+	}
+	if way.mean < 40*time.Millisecond {
+		t.Errorf("%v after the way became longer", way.mean)
+	}
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -95,6 +95,7 @@
 // observeReading records the time that a worker took to read what it lacked of the
 // prompt, fetching a part of it where fetch says from where.
 func (s *session) observeReading(reader scheduling.Candidate, unread int, fetch string, elapsed time.Duration) {
+	elapsed -= wayTo(reader)
 	context := s.call.PromptTokens - unread
 	reading := pace.Reading{Tokens: unread, Context: context, Ahead: reader.ReadAhead, Elapsed: elapsed}
 	if fetch == "" {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -8,7 +8,9 @@
 
 // Metrics count what the dispatcher decides.
 type Metrics struct {
-	Plans    *prometheus.CounterVec
+	Plans *prometheus.CounterVec
+	// Reaches count them by why they are for their region.
+	Reaches  *prometheus.CounterVec
 	Failures *prometheus.CounterVec
 }
 
@@ -18,12 +20,20 @@
 		Plans: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tinarch_plans_total", Help: "Decisions on how a request is served.",
 		}, []string{"mode"}),
+		Reaches: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tinarch_plan_reaches_total", Help: "Decisions by why a request is served in its region, and by the region.",
+		}, []string{"reach", "region"}),
 		Failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tinarch_try_failures_total", Help: "Tries that did not pass an answer on.",
 		}, []string{"verdict"}),
 	}
-	registry.MustRegister(metrics.Plans, metrics.Failures)
+	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures)
 	return metrics
 }
 
-func (m *Metrics) plan(mode scheduling.Mode) { m.Plans.WithLabelValues(string(mode)).Inc() }
+func (m *Metrics) plan(plan scheduling.Plan, reach scheduling.Reach) {
+	m.Plans.WithLabelValues(string(plan.Mode)).Inc()
+	if plan.Mode != scheduling.Refused {
+		m.Reaches.WithLabelValues(string(reach), plan.Runner.Region).Inc()
+	}
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -61,6 +61,8 @@
 	pieces           int
 	// known are the accounts that other nodes told for the last plan.
 	known map[string]scheduling.Account
+	// reach tells why the last plan is for its region.
+	reach scheduling.Reach
 	// surveyed is what the last survey took.
 	surveyed surveyed
 }
@@ -196,7 +198,7 @@
 	if handle == nil {
 		return end
 	}
-	runner := s.runnerOver(ctx)
+	runner := s.runnerOver(ctx, plan.Reader)
 	if runner.Mode == scheduling.Refused {
 		s.release(*handle, plan.Reader)
 		return tryEnd{verdict: notRun, worker: plan.Reader.ID, err: errNoRunner}
@@ -205,14 +207,14 @@
 }
 
 func (s *session) logPlan(plan scheduling.Plan) {
-	s.metrics.plan(plan.Mode)
+	s.metrics.plan(plan, s.reach)
 	known := s.knowledge()
 	s.log.WithFields(logrus.Fields{
 		"id": s.call.ID, "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
 		"reader_queue": plan.Reader.ReadAhead, "runner_queue": plan.Runner.ReadAhead,
 		"cached": max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
-		"unread": plan.Unread, "fetch": plan.Fetch,
+		"unread": plan.Unread, "fetch": plan.Fetch, "reach": s.reach, "region": plan.Runner.Region, "trip_ms": int(plan.Runner.Trip),
 		"predicted_ms": plan.First.Milliseconds(), "cost": int(min(plan.Cost, 1e9)),
 		"remaining_ms": s.remaining().Milliseconds(), "routes_version": s.call.RoutesVersion,
 		"workers_version": known.Workers, "workers_age_ms": known.WorkersAge.Milliseconds(),
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -16,6 +16,8 @@
 	// prompt of these parts, and for the workers that keep what the prompt shares. It
 	// returns what came in time.
 	Ask(ctx context.Context, workers []string, parts []prefixcache.Part, rank int) scheduling.Answers
+	// Trip is the time of the way to a region and back, zero for the own region.
+	Trip(region string) time.Duration
 }
 
 // surveyed is what a survey of the workers took, for the log.
@@ -40,6 +42,9 @@
 		if !kept {
 			candidates[i].Account = scheduling.Unasked
 		}
+		if candidates[i].OtherRegion {
+			candidates[i].Trip = float64(s.accounts.Trip(candidates[i].Region)) / float64(time.Millisecond)
+		}
 	}
 	return candidates
 }
@@ -88,11 +93,25 @@
 	return scheduling.Informed(informed)
 }
 
-// planOver plans the request over the workers worth looking at, and over more of them
+// planOver plans the request in the regions that are looked at first, and in another one
+// where these can't serve it in time.
+func (s *session) planOver(ctx context.Context, request scheduling.Request) scheduling.Plan {
+	var plan scheduling.Plan
+	for i, scope := range scheduling.Scopes(request, s.candidates()) {
+		if other := s.planWithin(ctx, request, scope.Candidates); i == 0 || other.Mode != scheduling.Refused {
+			plan, s.reach = other, scope.Reach
+		}
+		if plan.Mode != scheduling.Refused {
+			break
+		}
+	}
+	return plan
+}
+
+// planWithin plans the request over the workers worth looking at, and over more of them
 // where none of these can serve it. Where they only can't in time it is refused: in
 // overload more questions would slow down all answers.
-func (s *session) planOver(ctx context.Context, request scheduling.Request) scheduling.Plan {
-	candidates := s.candidates()
+func (s *session) planWithin(ctx context.Context, request scheduling.Request, candidates []scheduling.Candidate) scheduling.Plan {
 	narrow := s.survey(ctx, request, candidates, false)
 	plan := s.scheduler.Plan(request, narrow)
 	if plan.Reason != scheduling.NoWorker || len(narrow) == len(candidates) {
@@ -103,23 +122,31 @@
 
 // runnerOver chooses the decode engine for a prompt that was read apart: among those that
 // were asked for when the reading was planned, or else anew.
-func (s *session) runnerOver(ctx context.Context) scheduling.Plan {
+func (s *session) runnerOver(ctx context.Context, reader scheduling.Candidate) scheduling.Plan {
 	request := s.request()
 	var runners, asked []scheduling.Candidate
 	for _, candidate := range s.candidates() {
 		if !candidate.Decode {
 			continue
 		}
-		runners = append(runners, candidate)
+		if candidate.Region == reader.Region {
+			runners = append(runners, candidate)
+		}
 		if _, answered := s.known[candidate.ID]; answered || candidate.Account == scheduling.Kept {
 			asked = append(asked, candidate)
 		}
 	}
-	if plan := s.scheduler.Runner(request, s.informed(asked)); plan.Mode != scheduling.Refused && sound(plan.Runner) {
+	if plan := s.scheduler.Runner(request, s.informed(asked), reader.Region); plan.Mode != scheduling.Refused && sound(plan.Runner) {
 		return plan
 	}
-	return s.scheduler.Runner(request, s.survey(ctx, request, runners, false))
+	return s.scheduler.Runner(request, s.survey(ctx, request, runners, false), reader.Region)
 }
 
 // sound reports whether nothing speaks against a worker.
 func sound(c scheduling.Candidate) bool { return !c.Avoid && !c.Leaving }
+
+// wayTo is the time of the way to a worker of another region and back, which is no part of
+// what is learned of its engine.
+func wayTo(c scheduling.Candidate) time.Duration {
+	return time.Duration(c.Trip * float64(time.Millisecond))
+}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -46,7 +46,7 @@
 	}
 	elapsed := w.firstAt.Sub(w.begun)
 	if w.prompt.from != nil {
-		registry.ObserveHandover(w.runner.ID, elapsed)
+		registry.ObserveHandover(w.runner.ID, elapsed-wayTo(w.runner))
 	} else if w.session.resumeAfter == "" {
 		w.session.observeReading(w.runner, w.prompt.unread, w.prompt.fetch, elapsed)
 	}
--- a/internal/scheduling/costs.go
+++ b/internal/scheduling/costs.go
@@ -13,6 +13,9 @@
 	Stray float64
 	// OtherZone is the price of leaving the node's zone, once for each worker.
 	OtherZone float64
+	// OtherRegion is the price of leaving the node's region, besides the way there: bytes
+	// between regions are dear.
+	OtherRegion float64
 	// Running is the price of each request that runs at a decode engine already.
 	Running float64
 	// Failure is multiplied with a worker's failure rate.
@@ -40,8 +43,8 @@
 	// Fill is multiplied with the square of the share of a worker's slots in use, and
 	// Waiting with the requests past its slots.
 	Fill, Waiting float64
-	// OtherZone, Failure and Avoided are as in Costs.
-	OtherZone, Failure, Avoided float64
+	// OtherZone, OtherRegion, Failure and Avoided are as in Costs.
+	OtherZone, OtherRegion, Failure, Avoided float64
 }
 
 // DefaultCosts returns the figures measured so far; docs/design/decisions.md tells
@@ -52,6 +55,7 @@
 		Reread:         0.7,
 		Stray:          1.3,
 		OtherZone:      0.015,
+		OtherRegion:    0.03,
 		Running:        0.002,
 		Failure:        0.7,
 		Avoided:        4,
@@ -59,6 +63,6 @@
 		RefusePast:     1,
 		Interference:   0.5,
 		FetchFrom:      0.02,
-		Opaque:         OpaqueCosts{Fill: 20, Waiting: 50, OtherZone: 6, Failure: 400, Avoided: 2000},
+		Opaque:         OpaqueCosts{Fill: 20, Waiting: 50, OtherZone: 6, OtherRegion: 15, Failure: 400, Avoided: 2000},
 	}
 }
--- a/internal/scheduling/reading.go
+++ b/internal/scheduling/reading.go
@@ -21,7 +21,7 @@
 func (s *Scheduler) reading(request Request, candidate Candidate, sources []Candidate) reading {
 	kept := min(candidate.CachedTokens, request.PromptTokens)
 	best := s.read(request, candidate, kept)
-	source := longest(sources, candidate.ID)
+	source := longest(sources, candidate)
 	if source == nil {
 		return best
 	}
@@ -67,12 +67,13 @@
 // lowestPace keeps predictions finite, in tokens a millisecond.
 const lowestPace = 0.1
 
-// longest returns the sound worker other than one that keeps most of the prompt.
-func longest(candidates []Candidate, except string) *Candidate {
+// longest returns the sound worker of a worker's region, other than itself, that keeps most
+// of the prompt: between regions memory moves too slowly to be fetched.
+func longest(candidates []Candidate, to Candidate) *Candidate {
 	var found *Candidate
 	for i := range candidates {
 		other := &candidates[i]
-		if other.ID == except || other.Avoid || other.CachedTokens == 0 {
+		if other.ID == to.ID || other.Region != to.Region || other.Avoid || other.CachedTokens == 0 {
 			continue
 		}
 		if found == nil || other.CachedTokens > found.CachedTokens {
--- /dev/null
+++ b/internal/scheduling/regions_test.go
@@ -0,0 +1,129 @@
+package scheduling
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/tinarch/tinarch/internal/rendezvous"
+)
+
+// regional returns engines of regions as a node of the first region sees them, which keeps
+// the accounts of its own region: a third of each region's engines read.
+func regional(perRegion int, regions ...string) []Candidate {
+	random := rand.New(rand.NewPCG(1, 2))
+	var candidates []Candidate
+	for r, region := range regions {
+		for i := range perRegion {
+			id := fmt.Sprint(region, i)
+			candidate := Candidate{
+				ID: id, Address: id, Region: region, OtherRegion: r > 0, Prefill: i%3 == 0, Decode: i%3 > 0,
+				Slots: 48, Capacity: 400_000, Pace: 40, Reading: readingAt(40),
+				Rank: random.Uint64(), Hash: rendezvous.Hash(id),
+			}
+			if candidate.Decode {
+				candidate.Pace, candidate.Reading = 10, readingAt(10)
+			}
+			if candidate.OtherRegion {
+				candidate.Account, candidate.Trip = Unasked, 24
+			}
+			candidates = append(candidates, candidate)
+		}
+	}
+	return candidates
+}
+
+// planned plans a request as a node does that is answered for all that it asks.
+func planned(request Request, candidates []Candidate) Plan {
+	plan := Plan{}
+	for _, scope := range Scopes(request, candidates) {
+		chosen := Survey(request, scope.Candidates, false)
+		for i := range chosen {
+			chosen[i].Account = Answered
+		}
+		if plan = New(DefaultCosts()).Plan(request, chosen); plan.Mode != Refused {
+			break
+		}
+	}
+	return plan
+}
+
+// TestContentIsReadAndWrittenInItsRegion, the same at all nodes, unless that is loaded.
+func TestContentIsReadAndWrittenInItsRegion(t *testing.T) {
+	for key := range uint64(100) {
+		request := prompt(func(r *Request) { r.Content = key + 1 })
+		candidates := regional(12, "north", "south", "west")
+		home := HomeRegion(request.Content, candidates)
+		plan := planned(request, candidates)
+		if plan.Mode != Apart || plan.Reader.Region != home || plan.Runner.Region != home {
+			t.Fatalf("content %d of %s: %s, read in %s, written in %s", key, home, plan.Mode, plan.Reader.Region, plan.Runner.Region)
+		}
+		for i := range candidates {
+			if candidates[i].Region == home {
+				queued(400_000)(&candidates[i])
+			}
+		}
+		if plan = planned(request, candidates); plan.Mode == Refused || plan.Reader.Region == home {
+			t.Fatalf("content %d of %s, which is loaded: %s, read in %s", key, home, plan.Mode, plan.Reader.Region)
+		}
+	}
+}
+
+// TestContentsFollowTheEngines: a region gets contents by the number of its engines, and
+// one that loses all gives up only its own.
+func TestContentsFollowTheEngines(t *testing.T) {
+	const contents = 3000
+	all := append(regional(20, "north", "south"), regional(10, "west")...)
+	rest, _ := split(all, func(c Candidate) bool { return c.Region != "south" })
+	counts := make(map[string]int)
+	for key := range uint64(contents) {
+		home := HomeRegion(key+1, all)
+		counts[home]++
+		moved := HomeRegion(key+1, rest)
+		if moved == "south" || home != "south" && moved != home {
+			t.Fatalf("content %d of %s moves to %s when south is lost", key, home, moved)
+		}
+	}
+	for region, share := range map[string]int{"north": 40, "south": 40, "west": 20} {
+		if got := counts[region] * 100 / contents; got < share-4 || got > share+4 {
+			t.Errorf("%s has %d of 100 contents, want about %d", region, got, share)
+		}
+	}
+}
+
+// TestOtherRequestsStayInTheRegion, and leave it only where it can't serve them in time.
+func TestOtherRequestsStayInTheRegion(t *testing.T) {
+	request := prompt(func(r *Request) { r.SharedTokens, r.PromptTokens = 0, 1100 })
+	candidates := regional(12, "north", "south")
+	if plan := planned(request, candidates); plan.Mode == Refused || plan.Runner.Region != "north" {
+		t.Errorf("%s in %s", plan.Mode, plan.Runner.Region)
+	}
+	for i := range candidates {
+		if candidates[i].Region == "north" {
+			queued(400_000)(&candidates[i])
+		}
+	}
+	if plan := planned(request, candidates); plan.Mode == Refused || plan.Runner.Region != "south" {
+		t.Errorf("with a loaded region: %s in %s", plan.Mode, plan.Runner.Region)
+	}
+	_, lost := split(candidates, func(c Candidate) bool { return c.Region == "north" })
+	if plan := planned(request, lost); plan.Mode == Refused {
+		t.Errorf("without engines in the region: refused, %s", plan.Reason)
+	}
+}
+
+// TestMemoryStaysInTheRegion: it is moved and fetched between regions only where nothing
+// else is left, and the prediction then counts the slower links.
+func TestMemoryStaysInTheRegion(t *testing.T) {
+	in := func(region string) func(*Candidate) { return func(c *Candidate) { c.Region = region } }
+	keeper := reader("p2", in("west"), cached(13_300), queued(100_000))
+	near := []Candidate{reader("p1", in("north")), writer("d1", in("north"), running(40)), writer("d2", in("south")), keeper}
+	plan := New(DefaultCosts()).Plan(prompt(), near)
+	if plan.Mode != Apart || plan.Reader.ID != "p1" || plan.Runner.ID != "d1" || plan.Fetch != "" {
+		t.Errorf("%s, read at %s with a fetch from %q, written at %s", plan.Mode, plan.Reader.ID, plan.Fetch, plan.Runner.ID)
+	}
+	far := New(DefaultCosts()).Plan(prompt(), []Candidate{near[0], near[2]})
+	if far.Mode != Apart || far.Runner.ID != "d2" || far.First <= plan.First {
+		t.Errorf("without a writer of the region: %s at %s after %v, %v within the region", far.Mode, far.Runner.ID, far.First, plan.First)
+	}
+}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -87,28 +87,35 @@
 // opaque is the cost of a worker's state for a request that isn't for engines.
 func (s *Scheduler) opaque(request Request, candidate Candidate) float64 {
 	costs := s.costs.Opaque
-	return state(request, candidate, costs.Failure, costs.Avoided, costs.OtherZone)
+	return state(request, candidate, statePrices{costs.Failure, costs.Avoided, costs.OtherZone, costs.OtherRegion})
 }
 
 // common is the part of the cost that all ways to serve a prompt share.
 func (s *Scheduler) common(request Request, candidate Candidate) float64 {
-	return request.aim() * state(request, candidate, s.costs.Failure, s.costs.Avoided, s.costs.OtherZone)
+	prices := statePrices{s.costs.Failure, s.costs.Avoided, s.costs.OtherZone, s.costs.OtherRegion}
+	return request.aim()*state(request, candidate, prices) + candidate.Trip
 }
 
+// statePrices are the prices of a worker's state, as in Costs.
+type statePrices struct{ failure, avoided, otherZone, otherRegion float64 }
+
 // state sums up what speaks against a worker.
-func state(request Request, candidate Candidate, failure, avoided, otherZone float64) float64 {
-	cost := failure * candidate.FailureRate
+func state(request Request, candidate Candidate, prices statePrices) float64 {
+	cost := prices.failure * candidate.FailureRate
 	if request.Failed[candidate.ID] {
-		cost += 2 * avoided
+		cost += 2 * prices.avoided
 	}
 	if candidate.Avoid {
-		cost += avoided
+		cost += prices.avoided
 	}
 	if candidate.Leaving {
-		cost += 2 * avoided
+		cost += 2 * prices.avoided
 	}
 	if !candidate.SameZone {
-		cost += otherZone
+		cost += prices.otherZone
+	}
+	if candidate.OtherRegion {
+		cost += prices.otherRegion
 	}
 	return cost
 }
@@ -130,7 +137,7 @@
 			s.running(request, candidate) + s.costs.Interference*reading.own*running
 		plan := Plan{
 			Mode: Whole, Runner: candidate, Fetch: reading.fetch, Unread: reading.unread,
-			First: milliseconds(slot + reading.time), Cost: cost,
+			First: milliseconds(slot + reading.time + candidate.Trip), Cost: cost,
 		}
 		if better(plan, best) {
 			best = plan
@@ -141,17 +148,24 @@
 
 // planApart chooses a prefill engine to read, and a decode engine to run.
 func (s *Scheduler) planApart(request Request, candidates []Candidate) Plan {
-	runner := s.Runner(request, candidates)
-	if runner.Mode == Refused {
-		return runner
-	}
 	best := refuse(NoWorker)
+	runners := make(map[string]Plan)
 	for _, candidate := range candidates {
 		if !candidate.Prefill || candidate.SourceOnly || request.Excluded[candidate.ID] || candidate.HandleFailure {
 			continue
 		}
+		runner, chosen := runners[candidate.Region]
+		if !chosen {
+			runner = s.Runner(request, candidates, candidate.Region)
+			runners[candidate.Region] = runner
+		}
+		if runner.Mode == Refused {
+			return runner
+		}
 		reading := s.reading(request, candidate, candidates)
-		first := reading.time + request.Engine.Handover + slotWait(request, runner.Runner)
+		move, _ := s.crossing(request, candidate.Region, runner.Runner)
+		first := reading.time + request.Engine.Handover + slotWait(request, runner.Runner) +
+			candidate.Trip + runner.Runner.Trip + move
 		cost := reading.held + request.Engine.Handover + reading.price + s.movePrice(request, request.PromptTokens) +
 			s.common(request, candidate) + runner.Cost
 		plan := Plan{
@@ -165,15 +179,16 @@
 	return best
 }
 
-// Runner chooses the decode engine for a prompt that was read apart.
-func (s *Scheduler) Runner(request Request, candidates []Candidate) Plan {
+// Runner chooses the decode engine for a prompt that is read apart in a region.
+func (s *Scheduler) Runner(request Request, candidates []Candidate, region string) Plan {
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
 		if !candidate.Decode || candidate.SourceOnly || request.Excluded[candidate.ID] {
 			continue
 		}
+		time, price := s.crossing(request, region, candidate)
 		cost := slotWait(request, candidate) + s.common(request, candidate) + s.running(request, candidate) +
-			s.pressure(request, candidate)
+			s.pressure(request, candidate) + time + price
 		plan := Plan{Mode: Whole, Runner: candidate, Cost: cost}
 		if better(plan, best) {
 			best = plan
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -177,7 +177,7 @@
 // TestMemoryPressureMovesRuns: a full decode engine would put runs aside.
 func TestMemoryPressureMovesRuns(t *testing.T) {
 	full := writer("d1", func(c *Candidate) { c.MemoryTokens = 395_000 })
-	plan := New(DefaultCosts()).Runner(prompt(), []Candidate{full, writer("d2", running(10), otherZone)})
+	plan := New(DefaultCosts()).Runner(prompt(), []Candidate{full, writer("d2", running(10), otherZone)}, "")
 	if plan.Runner.ID != "d2" {
 		t.Errorf("runs at %s", plan.Runner.ID)
 	}
--- a/internal/scheduling/survey.go
+++ b/internal/scheduling/survey.go
@@ -37,6 +37,16 @@
 	if request.PromptTokens == 0 || !slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Account == Unasked }) {
 		return candidates
 	}
+	var chosen []Candidate
+	for _, region := range regionsOf(candidates) {
+		near, _ := split(candidates, func(c Candidate) bool { return c.Region == region })
+		chosen = append(chosen, surveyRegion(request, near, wide)...)
+	}
+	return chosen
+}
+
+// surveyRegion is Survey in one region.
+func surveyRegion(request Request, candidates []Candidate, wide bool) []Candidate {
 	factor := 1
 	if wide {
 		factor = widened
@@ -45,7 +55,7 @@
 	runners := nearest(others, runnerChoices*factor)
 	for i := range runners {
 		// Of prompts, all nodes look at prefill engines only.
-		runners[i].Stray = request.Content != 0 && len(readers) > 0
+		runners[i].Stray = runners[i].Stray || request.Content != 0 && len(readers) > 0
 	}
 	return slices.Concat(surveyReaders(request, readers, factor), runners)
 }
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -113,7 +113,7 @@
 		settings: configured,
 		log:      log,
 		platform: platform,
-		registry: worker.NewRegistry(topology.New(configured.Node.Zone, configured.Zones)),
+		registry: worker.NewRegistry(placesOf(configured)),
 		pool:     workerconn.NewPool(),
 		identity: string(engine.NewIdentifier())[:incarnationDigits],
 	}
@@ -123,6 +123,7 @@
 		return nil, err
 	}
 	n.exchange = exchange
+	exchange.SetPlaces(placesOf(configured))
 	n.countUsage()
 	n.board = tablerelay.New(exchange)
 	exchange.SetBoard(n.board)
@@ -151,6 +152,11 @@
 
 const incarnationDigits = 12
 
+// placesOf are the zones and regions as this node sees them.
+func placesOf(configured settings.Routed) topology.Map {
+	return topology.New(configured.Node.Zone, configured.Zones)
+}
+
 func (n *Node) dispatcher(metrics *prometheus.Registry) *dispatch.Dispatcher {
 	bounds := n.settings.Bounds
 	var began func(tenant string, at time.Time)
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -114,6 +114,17 @@
 	return known.worker, true
 }
 
+// Region is that of a worker, empty where it isn't known.
+func (r *Registry) Region(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, exists := r.workers[id]
+	if !exists {
+		return ""
+	}
+	return r.places.Region(known.worker.Zone)
+}
+
 // Count returns the number of workers listed.
 func (r *Registry) Count() int {
 	r.mu.Lock()
