Tests of whole nodes take ports that nobody else is given

Cause: freePort closed a port of the kernel's ephemeral range (32768 and up) before the node opened it, and another process was given it in between. Ruled out: a node left running by an earlier test (each is closed, and the port was new). Ports now lie below that range, from a place of each process's own; what the tests assert is unchanged. The same race is left in the soak's freeAddress, where a node that can't open its port starts again.

--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,14 +89,32 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (os.Getpid()*portsPerProcess+int(lastPort.Add(1)))%portCount
+		address := fmt.Sprint("127.0.0.1:", port)
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		return address
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
+// Nodes get ports below those that the kernel gives to whoever asks for any: a port of
+// those may be taken by another process between the look at it and the node's start. Each
+// test process begins elsewhere.
+const (
+	firstPort       = 20_000
+	portCount       = 12_000
+	portsPerProcess = 211
+)
+
+// lastPort counts the ports given out by this process.
+var lastPort atomic.Int64
+
 // start runs a site with a configuration and workers, and waits until its node is
 // ready.
 func start(t *testing.T) *site {
