--- a/internal/scheduling/regions.go
+++ b/internal/scheduling/regions.go
@@ -34,8 +34,9 @@
 //
 // A prompt that shares a content with others is read, and written, in the region where all
 // nodes look for it: a region keeps a third of what three keep, and the way there takes a
-// tenth of the time in which it is read again. The engines of the node's own region compete
-// by their cost. Other requests stay in the region.
+// tenth of the time in which it is read again. The engines of the node's own region don't
+// compete: nearly always one of them seems a little cheaper, and each region then reads all
+// contents itself (docs/design/regions.md). Other requests stay in the region.
 func Scopes(request Request, candidates []Candidate) []Scope {
 	if len(regionsOf(candidates)) < 2 {
 		return []Scope{{Everywhere, candidates}}
@@ -48,11 +49,6 @@
 		}
 	}
 	here, rest := split(candidates, func(c Candidate) bool { return c.Region == first })
-	if first != own {
-		var stray []Candidate
-		stray, rest = split(rest, func(c Candidate) bool { return c.Region == own && c.Account != Unasked })
-		here = append(here, asStray(stray)...)
-	}
 	scopes := []Scope{{reach, here}}
 	if next, found := nextRegion(request, rest); found {
 		spill, _ := split(rest, func(c Candidate) bool { return c.Region == next })
