Interference grows with the time that a decode engine reads, against the pause allowed

The price of a reading grew with its own length only, so that an engine which keeps 350 shared tokens drew all short prompts. Test fails without the change.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -87,6 +87,7 @@
 		SharedTokens: s.call.shared(),
 		OutputTokens: s.call.ExpectedOutput,
 		Objective:    s.call.Route.Objective - time.Since(s.call.Arrived),
+		GapObjective: s.call.Route.GapObjective,
 		Remaining:    s.remaining(),
 		Excluded:     s.excluded,
 		Failed:       s.failed,
--- a/internal/scheduling/costs.go
+++ b/internal/scheduling/costs.go
@@ -30,6 +30,9 @@
 	// Interference is the price of a millisecond of reading at a decode engine for each
 	// request that runs there, in milliseconds: it holds up their streams.
 	Interference float64
+	// GapShare has interference grow with the square of the time for which the engine reads:
+	// it is doubled where that is GapShare-th of the pause allowed between two events.
+	GapShare float64
 	// FetchFrom is the smallest part of a prompt that is worth a fetch.
 	FetchFrom float64
 
@@ -62,6 +65,7 @@
 		MemoryPressure: 0.4,
 		RefusePast:     1,
 		Interference:   0.5,
+		GapShare:       2,
 		FetchFrom:      0.02,
 		Opaque:         OpaqueCosts{Fill: 20, Waiting: 50, OtherZone: 6, OtherRegion: 15, Failure: 400, Avoided: 2000},
 	}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -134,7 +134,7 @@
 		running := float64(candidate.Requests)
 		slot := slotWait(request, candidate)
 		cost := slot + reading.held + reading.price + s.common(request, candidate) + s.pressure(request, candidate) +
-			s.running(request, candidate) + s.costs.Interference*reading.own*running
+			s.running(request, candidate) + s.interference(request, reading)*running
 		plan := Plan{
 			Mode: Whole, Runner: candidate, Fetch: reading.fetch, Unread: reading.unread,
 			First: milliseconds(slot + reading.time + candidate.Trip), Cost: cost,
@@ -146,6 +146,19 @@
 	return best
 }
 
+// interference is the price of a reading for each request that runs at the decode engine,
+// in milliseconds. It holds up their streams by as long as the engine reads at most: a small
+// part of the pause that is allowed between two events costs nobody anything.
+func (s *Scheduler) interference(request Request, reading reading) float64 {
+	price := s.costs.Interference * reading.own
+	if request.GapObjective <= 0 {
+		return price
+	}
+	gap := float64(request.GapObjective) / float64(time.Millisecond)
+	filled := s.costs.GapShare * reading.held / gap
+	return price * (1 + filled*filled)
+}
+
 // planApart chooses a prefill engine to read, and a decode engine to run.
 func (s *Scheduler) planApart(request Request, candidates []Candidate) Plan {
 	best := refuse(NoWorker)
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -162,6 +162,21 @@
 
 // TestPredictionGrowsWithTheQueue: the time to the first byte is that of the tokens
 // ahead and those of the request.
+// TestReadingKeepsStreamsWithinTheirPause: an engine that runs streams and has as much to
+// read as fills the pause they may make is given no more while another has less.
+func TestReadingKeepsStreamsWithinTheirPause(t *testing.T) {
+	short := prompt(func(r *Request) { r.PromptTokens, r.SharedTokens, r.GapObjective = 1400, 350, 200*time.Millisecond })
+	busy := writer("busy", cached(350), queued(2500), running(10))
+	free := writer("free", running(10))
+	if plan := New(DefaultCosts()).Plan(short, []Candidate{busy, free}); plan.Runner.ID != "free" {
+		t.Errorf("reads at %s, which holds up ten streams for %v", plan.Runner.ID, plan.First)
+	}
+	short.GapObjective = 5 * time.Second
+	if plan := New(DefaultCosts()).Plan(short, []Candidate{busy, free}); plan.Runner.ID != "busy" {
+		t.Errorf("with long pauses allowed: reads at %s", plan.Runner.ID)
+	}
+}
+
 func TestPredictionGrowsWithTheQueue(t *testing.T) {
 	scheduler := New(DefaultCosts())
 	last := time.Duration(0)
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -135,6 +135,9 @@
 	OutputTokens int
 	// Objective is the time that is left for the first byte of the answer.
 	Objective time.Duration
+	// GapObjective is the longest pause between two events of an answer, zero where none
+	// is set.
+	GapObjective time.Duration
 	// Remaining is the time that is left for the whole.
 	Remaining time.Duration
 	// Excluded are workers that must not get this request any more, and Failed those
