--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -39,6 +39,8 @@
 	// Demand holds, by service, what the sender's callers want: tokens of prompts to be
 	// read in a second, thousandths of requests that run, and their tokens of memory.
 	Demand map[string]demandForm `json:"d,omitempty"`
+	// RegionDemand holds the same by region, in a deployment in several.
+	RegionDemand map[string]map[string]demandForm `json:"dr,omitempty"`
 	// Newborn asks the receiver for what it has learned of these workers.
 	Newborn []string `json:"b,omitempty"`
 	// Memory tells that Reads and Paces are an answer to that, and Told of which workers
@@ -92,6 +94,28 @@
 	return rendered
 }
 
+func renderRegions(regions map[string]map[string]worker.Demand) map[string]map[string]demandForm {
+	var rendered map[string]map[string]demandForm
+	for region, demands := range regions {
+		if rendered == nil {
+			rendered = make(map[string]map[string]demandForm, len(regions))
+		}
+		rendered[region] = renderDemand(demands)
+	}
+	return rendered
+}
+
+func parseRegions(rendered map[string]map[string]demandForm) map[string]map[string]worker.Demand {
+	var regions map[string]map[string]worker.Demand
+	for region, forms := range rendered {
+		if regions == nil {
+			regions = make(map[string]map[string]worker.Demand, len(rendered))
+		}
+		regions[region] = parseDemand(forms)
+	}
+	return regions
+}
+
 func parseDemand(rendered map[string]demandForm) map[string]worker.Demand {
 	var demands map[string]worker.Demand
 	for service, form := range rendered {
@@ -109,7 +133,8 @@
 
 // newMessage renders a snapshot into a message.
 func newMessage(message Message, snapshot worker.Snapshot) Message {
-	message.Failures, message.Demand = snapshot.Failures, renderDemand(snapshot.Demand)
+	message.Failures = snapshot.Failures
+	message.Demand, message.RegionDemand = renderDemand(snapshot.Demand), renderRegions(snapshot.RegionDemand)
 	if len(snapshot.Loads) > 0 {
 		message.Loads = make(map[string][]int, len(snapshot.Loads))
 	}
@@ -177,7 +202,10 @@
 
 // snapshot reads a message.
 func (m Message) snapshot() (worker.Snapshot, error) {
-	snapshot := worker.Snapshot{Loads: make(map[string]worker.Load, len(m.Loads)), Failures: m.Failures, Demand: parseDemand(m.Demand)}
+	snapshot := worker.Snapshot{
+		Loads: make(map[string]worker.Load, len(m.Loads)), Failures: m.Failures,
+		Demand: parseDemand(m.Demand), RegionDemand: parseRegions(m.RegionDemand),
+	}
 	for id, load := range m.Loads {
 		snapshot.Loads[id] = parseLoad(load)
 	}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -184,7 +184,7 @@
 		base.Zone = e.zone
 		e.logSilent(now)
 	} else {
-		snapshot.Demand = nil // it changes slowly
+		snapshot.Demand, snapshot.RegionDemand = nil, nil // they change slowly
 	}
 	base.Aside = now.Before(e.asideUntil)
 	parcels := e.parcels(snapshot, atRest)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -105,7 +105,7 @@
 func (s *session) plan(ctx context.Context) scheduling.Plan {
 	plan := s.planOver(ctx, s.request())
 	if s.attempts == 0 && plan.Unread > 0 {
-		s.registry.ObserveDemand(s.call.Service.Name, plan.Unread, time.Now())
+		s.registry.ObserveDemand(s.call.Service.Name, readingRegion(plan), plan.Unread, time.Now())
 	}
 	if plan.Mode == scheduling.Refused && plan.Reason == scheduling.NoWorker && len(s.excluded) > 0 && s.attempts > 0 {
 		// Every worker has failed this call: none is left to be tried.
@@ -114,6 +114,24 @@
 	return plan
 }
 
+// readingRegion is the region whose engines read the prompt by a plan, empty where the
+// plan has none.
+func readingRegion(plan scheduling.Plan) string {
+	if plan.Reader.ID != "" {
+		return plan.Reader.Region
+	}
+	return plan.Runner.Region
+}
+
+// runningRegion is the region whose engine runs the request by a plan, or would have run
+// it, empty where the plan has none.
+func runningRegion(plan scheduling.Plan) string {
+	if plan.Runner.ID != "" {
+		return plan.Runner.Region
+	}
+	return plan.Reader.Region
+}
+
 // again decides whether a failed try is followed by another.
 func (s *session) again(end tryEnd) bool {
 	if gone(end.err) || late(end.err) || s.remaining() <= 0 {
@@ -149,7 +167,8 @@
 // refused is the outcome of a call that no worker is to be sent.
 func (s *session) refused(plan scheduling.Plan) Outcome {
 	if s.call.PromptTokens > 0 && s.attempts == 0 {
-		s.registry.ObserveRefused(s.call.Service.Name, s.call.PromptTokens+s.call.ExpectedOutput, s.call.ExpectedOutput, time.Now())
+		memory := s.call.PromptTokens + s.call.ExpectedOutput
+		s.registry.ObserveRefused(s.call.Service.Name, runningRegion(plan), memory, s.call.ExpectedOutput, time.Now())
 	}
 	if s.ranBefore {
 		return s.end(Outcome{Code: codeOfLost(nil, s.call.Route.Repeatable()), Detail: string(plan.Reason)})
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -57,8 +57,9 @@
 type Fleet interface {
 	// Engines describes the engines of a service for the planner.
 	Engines(service string, now time.Time) []stageplan.Worker
-	// Demand returns what callers of a service want.
-	Demand(service string, now time.Time) worker.Demand
+	// Demands returns what callers of a service want, by the region whose engines are
+	// wanted.
+	Demands(service string, now time.Time) map[string]worker.Demand
 	Get(id string) (worker.Worker, bool)
 	// SetChanging keeps requests away from a worker for a time, or until its entry
 	// shows the stage.
@@ -85,17 +86,20 @@
 	// Designated reports whether this is the node that the others expect to give
 	// orders. Two nodes may both think so; the lease decides.
 	Designated func() bool
+	// Hears reports whether any node of a region is heard. It may be nil in a deployment in
+	// one region.
+	Hears func(region string) bool
 }
 
 // Controller plans and orders.
 type Controller struct {
 	options  Options
-	planners map[string]*stageplan.Planner
+	planners map[string]*stageplan.Regional
 }
 
 // New returns a controller.
 func New(options Options) *Controller {
-	return &Controller{options: options, planners: make(map[string]*stageplan.Planner)}
+	return &Controller{options: options, planners: make(map[string]*stageplan.Regional)}
 }
 
 // Run works until ctx ends.
@@ -122,29 +126,35 @@
 	for _, service := range c.options.Services() {
 		planner, known := c.planners[service.Name]
 		if !known {
-			planner = stageplan.New(stageplan.DefaultPolicy())
+			planner = stageplan.NewRegional(stageplan.DefaultPolicy())
 			c.planners[service.Name] = planner
 		}
 		now := time.Now()
 		fleet := c.options.Fleet
-		demand := fleet.Demand(service.Name, now)
-		offered := stageplan.Offered{ReadTokens: demand.ReadTokens, Requests: demand.Requests, MemoryTokens: demand.MemoryTokens}
-		c.giveAll(ctx, service, planner, planner.Decide(now, fleet.Engines(service.Name, now), offered))
+		offered := make(map[string]stageplan.Offered)
+		for region, demand := range fleet.Demands(service.Name, now) {
+			offered[region] = stageplan.Offered{ReadTokens: demand.ReadTokens, Requests: demand.Requests, MemoryTokens: demand.MemoryTokens}
+		}
+		c.giveAll(ctx, service, planner, planner.Decide(now, fleet.Engines(service.Name, now), offered, c.hears))
 	}
 }
 
+func (c *Controller) hears(region string) bool {
+	return c.options.Hears == nil || c.options.Hears(region)
+}
+
 // parallelOrders is how many orders are under way at once: engines that are dark hold one
 // up until it is given up.
 const parallelOrders = 8
 
 // giveAll carries decisions out, several at once.
-func (c *Controller) giveAll(ctx context.Context, service Service, planner *stageplan.Planner, orders []stageplan.Order) {
+func (c *Controller) giveAll(ctx context.Context, service Service, planner *stageplan.Regional, orders []stageplan.Order) {
 	slots := make(chan struct{}, parallelOrders)
 	var given sync.WaitGroup
 	for _, order := range orders {
 		slots <- struct{}{}
 		given.Go(func() {
-			c.give(ctx, service, planner, order)
+			c.give(ctx, service, planner.Planner(order.Region), order)
 			<-slots
 		})
 	}
@@ -154,7 +164,7 @@
 // give carries a decision out, if this node has the authority to.
 func (c *Controller) give(ctx context.Context, service Service, planner *stageplan.Planner, order stageplan.Order) {
 	log := c.options.Log.WithFields(logrus.Fields{
-		"worker": order.Worker, "prefill": order.Prefill, "reason": order.Reason,
+		"worker": order.Worker, "region": order.Region, "prefill": order.Prefill, "reason": order.Reason,
 		"reading_demand": planner.Demand().Reading, "writing_demand": planner.Demand().Writing,
 	})
 	to, listed := c.options.Fleet.Get(order.Worker)
--- a/internal/stagecontrol/controller_test.go
+++ b/internal/stagecontrol/controller_test.go
@@ -37,7 +37,7 @@
 	return engines
 }
 
-func (f *fakeFleet) Demand(string, time.Time) worker.Demand { return worker.Demand{} }
+func (f *fakeFleet) Demands(string, time.Time) map[string]worker.Demand { return nil }
 
 func (f *fakeFleet) Get(id string) (worker.Worker, bool) {
 	return worker.Worker{ID: id, Address: f.address, Stage: worker.Prefill}, true
--- /dev/null
+++ b/internal/stageplan/regional.go
@@ -0,0 +1,129 @@
+package stageplan
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Regional plans the engines of one service region by region: memory moves slowly between
+// regions, so that each needs engines of both stages. How many engines change at once is
+// bounded over all regions together.
+type Regional struct {
+	policy   Policy
+	planners map[string]*Planner
+	// last is the region that was given orders last: the others come before it.
+	last string
+}
+
+// NewRegional returns a planner for a service in any number of regions.
+func NewRegional(policy Policy) *Regional {
+	return &Regional{policy: policy, planners: make(map[string]*Planner)}
+}
+
+// Planner returns the planner of a region.
+func (r *Regional) Planner(region string) *Planner {
+	planner, known := r.planners[region]
+	if !known {
+		planner = New(r.policy)
+		r.planners[region] = planner
+	}
+	return planner
+}
+
+// Decide observes the engines and the work that is offered to each region's, and returns
+// the orders to be given now, if any. A region of which nothing is heard and from whose
+// engines nothing is wanted is left as it is: it may be cut off from this node, and still
+// serve its own callers.
+func (r *Regional) Decide(now time.Time, workers []Worker, offered map[string]Offered, heard func(region string) bool) []Order {
+	regions := byRegion(workers)
+	offered = withoutEngines(regions, offered)
+	room := r.policy.room(workers)
+	var orders []Order
+	first := r.last
+	for _, region := range r.turns(regions, first) {
+		planner, engines := r.Planner(region), regions[region]
+		if offered[region].zero() && !heard(region) {
+			planner.hold(now)
+			continue
+		}
+		given := planner.decideWithin(now, engines, offered[region], min(room, r.policy.room(engines)))
+		if len(given) > 0 {
+			r.last = region
+		}
+		room -= len(given)
+		orders = append(orders, given...)
+	}
+	return orders
+}
+
+// turns are the regions that have engines or had some, in the order in which they come to
+// their orders: those after the one that came last go first.
+func (r *Regional) turns(regions map[string][]Worker, last string) []string {
+	for region := range regions {
+		r.Planner(region)
+	}
+	turns := slices.Sorted(maps.Keys(r.planners))
+	next, _ := slices.BinarySearch(turns, last)
+	if next < len(turns) && turns[next] == last {
+		next++
+	}
+	return append(slices.Clone(turns[next:]), turns[:next]...)
+}
+
+func byRegion(workers []Worker) map[string][]Worker {
+	regions := make(map[string][]Worker)
+	for _, worker := range workers {
+		regions[worker.Region] = append(regions[worker.Region], worker)
+	}
+	return regions
+}
+
+// withoutEngines divides the work that is offered to regions without a usable engine among
+// the others, by their engines: only there can it be done.
+func withoutEngines(regions map[string][]Worker, offered map[string]Offered) map[string]Offered {
+	usable, total := make(map[string]int), 0
+	for region, workers := range regions {
+		if count := divide(workers).size(); count > 0 {
+			usable[region] = count
+			total += count
+		}
+	}
+	if total == 0 {
+		return offered
+	}
+	var homeless Offered
+	shared := make(map[string]Offered, len(offered))
+	for region, work := range offered {
+		if usable[region] > 0 {
+			shared[region] = work
+		} else {
+			homeless = homeless.plus(work, 1)
+		}
+	}
+	for region, count := range usable {
+		shared[region] = shared[region].plus(homeless, float64(count)/float64(total))
+	}
+	return shared
+}
+
+// plus returns the work with a share of other work added.
+func (o Offered) plus(other Offered, share float64) Offered {
+	o.ReadTokens += share * other.ReadTokens
+	o.Requests += share * other.Requests
+	o.MemoryTokens += share * other.MemoryTokens
+	return o
+}
+
+func (o Offered) zero() bool { return o == Offered{} }
+
+// hold keeps what is remembered of the demand as it is.
+func (p *Planner) hold(now time.Time) {
+	for _, observed := range []*time.Time{
+		&p.readingMean.observed, &p.writingMean.observed, &p.readingPeak.observed, &p.writingPeak.observed,
+	} {
+		if !observed.IsZero() {
+			*observed = now
+		}
+	}
+}
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -14,6 +14,8 @@
 // Worker is what the planner knows of one engine of a service.
 type Worker struct {
 	ID string
+	// Region is that of the engine, empty where the deployment lies in one.
+	Region string
 	// Prefill is the stage, or that to which the engine is changing.
 	Prefill bool
 	// Usable engines are listed, stay, and did not fail just now.
@@ -44,6 +46,8 @@
 // Order is a decision.
 type Order struct {
 	Worker string
+	// Region is that of the worker.
+	Region string
 	// Prefill is the stage that the worker is to have.
 	Prefill bool
 	Reason  Reason
@@ -158,13 +162,17 @@
 // Decide observes the engines and the work that is offered to them, and returns the orders
 // to be given now, if any. Call it every few hundred milliseconds.
 func (p *Planner) Decide(now time.Time, workers []Worker, offered Offered) []Order {
+	return p.decideWithin(now, workers, offered, p.policy.room(workers))
+}
+
+// decideWithin is Decide with no more orders than there is room for.
+func (p *Planner) decideWithin(now time.Time, workers []Worker, offered Offered, room int) []Order {
 	d := divide(workers)
 	p.observe(now, d, offered)
 	if d.size() < leastDecode+leastPrefill {
 		return nil
 	}
 	goal, reason, found := p.compare(now, d)
-	room := p.policy.together(len(workers)) - changing(workers)
 	if !found || room < 1 || now.Before(p.nextWave) {
 		return nil
 	}
@@ -187,7 +195,7 @@
 	}
 	var orders []Order
 	for _, worker := range idlest(from, count) {
-		orders = append(orders, Order{Worker: worker.ID, Prefill: prefill, Reason: reason})
+		orders = append(orders, Order{Worker: worker.ID, Region: worker.Region, Prefill: prefill, Reason: reason})
 	}
 	return orders
 }
@@ -204,6 +212,9 @@
 // together is how many engines of a service may change at once.
 func (p Policy) together(engines int) int { return max(int(p.TogetherShare*float64(engines)), 1) }
 
+// room is how many more engines may be ordered to change now.
+func (p Policy) room(workers []Worker) int { return p.together(len(workers)) - changing(workers) }
+
 func changing(workers []Worker) int {
 	count := 0
 	for _, worker := range workers {
--- a/internal/worker/demand.go
+++ b/internal/worker/demand.go
@@ -34,7 +34,11 @@
 // Zero reports whether nothing is wanted.
 func (d Demand) Zero() bool { return d == Demand{} }
 
-// demand is what callers want of a service, at this node and at others.
+// demandKey names the engines that demand is for. The region is empty in a deployment that
+// lies in one.
+type demandKey struct{ service, region string }
+
+// demand is what callers want of a service in a region, at this node and at others.
 type demand struct {
 	read rate
 	// refused and refusedMemory are the requests, and their tokens of memory, that would
@@ -67,36 +71,53 @@
 }
 
 // ObserveDemand records tokens of a prompt that a caller of a service wants to be
-// read, whether that can be done or not.
-func (r *Registry) ObserveDemand(service string, tokens int, now time.Time) {
+// read in a region, whether that can be done or not. An empty region is the node's own.
+func (r *Registry) ObserveDemand(service, region string, tokens int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.demandOf(service).read.add(now, float64(tokens))
+	r.demandOf(r.demandKey(service, region)).read.add(now, float64(tokens))
 }
 
-// ObserveRefused records a request that was refused, by the tokens of memory that it
-// would have held and the tokens of output that its caller expects.
-func (r *Registry) ObserveRefused(service string, memoryTokens, outputTokens int, now time.Time) {
+// ObserveRefused records a request that was refused where a region would have run it, by
+// the tokens of memory that it would have held and the tokens of output that its caller
+// expects. An empty region is the node's own.
+func (r *Registry) ObserveRefused(service, region string, memoryTokens, outputTokens int, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// By Little's law as many run at a time as come in the time that one runs.
 	seconds := r.stepsOf(service).writing.Value() * float64(outputTokens) / millisecondsPerSecond
-	known := r.demandOf(service)
+	known := r.demandOf(r.demandKey(service, region))
 	known.refused.add(now, seconds)
 	known.refusedMemory.add(now, seconds*float64(memoryTokens))
 }
 
 const millisecondsPerSecond = 1000
 
-// Demand returns what callers of a service want, at all nodes.
-func (r *Registry) Demand(service string, now time.Time) Demand {
+// Demands returns what callers of a service want, at all nodes, by the region whose
+// engines are wanted.
+func (r *Registry) Demands(service string, now time.Time) map[string]Demand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.demandOf(service)
-	sum := r.demandHere(service, known, now)
-	for node, remote := range known.remote {
+	demands := make(map[string]Demand)
+	for key, here := range r.demandsHere(now) {
+		if key.service == service {
+			demands[key.region] = here
+		}
+	}
+	for key, known := range r.demands {
+		if key.service == service {
+			demands[key.region] = demands[key.region].plus(known.elsewhere(now))
+		}
+	}
+	return demands
+}
+
+// elsewhere sums up what other nodes told lately.
+func (d *demand) elsewhere(now time.Time) Demand {
+	var sum Demand
+	for node, remote := range d.remote {
 		if now.Sub(remote.at) > demandLife {
-			delete(known.remote, node)
+			delete(d.remote, node)
 			continue
 		}
 		sum = sum.plus(remote.demand)
@@ -104,46 +125,79 @@
 	return sum
 }
 
-func (r *Registry) demandOf(service string) *demand {
-	known, exists := r.demands[service]
+// regionOf is the region of a zone, empty in a deployment that lies in one.
+func (r *Registry) regionOf(zone string) string {
+	if !r.regional {
+		return ""
+	}
+	return r.places.Region(zone)
+}
+
+func (r *Registry) demandKey(service, region string) demandKey {
+	switch {
+	case !r.regional:
+		region = ""
+	case region == "":
+		region = r.places.Own()
+	}
+	return demandKey{service, region}
+}
+
+func (r *Registry) demandOf(key demandKey) *demand {
+	known, exists := r.demands[key]
 	if !exists {
 		known = &demand{remote: make(map[string]remoteDemand)}
-		r.demands[service] = known
+		r.demands[key] = known
 	}
 	return known
 }
 
-// demandHere returns what this node's callers want.
-func (r *Registry) demandHere(service string, known *demand, now time.Time) Demand {
-	here := Demand{
-		ReadTokens: known.read.value(now), Requests: known.refused.value(now), MemoryTokens: known.refusedMemory.value(now),
+// demandsHere returns what this node's callers want.
+func (r *Registry) demandsHere(now time.Time) map[demandKey]Demand {
+	here := make(map[demandKey]Demand, len(r.demands))
+	for key, known := range r.demands {
+		here[key] = Demand{
+			ReadTokens: known.read.value(now), Requests: known.refused.value(now), MemoryTokens: known.refusedMemory.value(now),
+		}
 	}
 	for _, other := range r.workers {
-		if other.worker.Service == service && other.worker.Stage == Decode {
-			here.Requests += float64(other.load.Requests)
-			here.MemoryTokens += float64(other.load.MemoryTokens)
+		if other.worker.Stage != Decode || other.load.Zero() {
+			continue
 		}
+		key := demandKey{other.worker.Service, r.regionOf(other.worker.Zone)}
+		running := Demand{Requests: float64(other.load.Requests), MemoryTokens: float64(other.load.MemoryTokens)}
+		here[key] = here[key].plus(running)
 	}
 	return here
 }
 
-// ownDemand returns the demand at this node by service.
-func (r *Registry) ownDemand(now time.Time) map[string]Demand {
-	var own map[string]Demand
-	for service, known := range r.demands {
-		if here := r.demandHere(service, known, now); !here.Zero() {
-			if own == nil {
-				own = make(map[string]Demand)
-			}
-			own[service] = here
+// ownDemand returns the demand at this node by service, or in a deployment in several
+// regions by region and service.
+func (r *Registry) ownDemand(now time.Time) (own map[string]Demand, regional map[string]map[string]Demand) {
+	byRegion := make(map[string]map[string]Demand)
+	for key, here := range r.demandsHere(now) {
+		if here.Zero() {
+			continue
+		}
+		if byRegion[key.region] == nil {
+			byRegion[key.region] = make(map[string]Demand)
 		}
+		byRegion[key.region][key.service] = here
+	}
+	if r.regional {
+		return nil, byRegion
 	}
-	return own
+	return byRegion[""], nil
 }
 
 // mergeDemand takes over what another node told of its demand.
-func (r *Registry) mergeDemand(node string, told map[string]Demand, now time.Time) {
-	for service, demand := range told {
-		r.demandOf(service).remote[node] = remoteDemand{demand: demand, at: now}
+func (r *Registry) mergeDemand(node string, told Snapshot, now time.Time) {
+	for service, demand := range told.Demand {
+		r.demandOf(demandKey{service: service}).remote[node] = remoteDemand{demand, now}
+	}
+	for region, byService := range told.RegionDemand {
+		for service, demand := range byService {
+			r.demandOf(demandKey{service, region}).remote[node] = remoteDemand{demand, now}
+		}
 	}
 }
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -20,8 +20,10 @@
 	Failures []string
 	// Changing are the workers that were ordered to a stage.
 	Changing []Changing
-	// Demand holds, by service, what its callers want.
-	Demand map[string]Demand
+	// Demand holds, by service, what its callers want in a deployment in one region, and
+	// RegionDemand, by region and service, what they want of each region's engines.
+	Demand       map[string]Demand
+	RegionDemand map[string]map[string]Demand
 	// Touched are the workers of which anything changed since the last snapshot.
 	Touched []string
 }
@@ -35,7 +37,7 @@
 
 // Part returns the part of a snapshot that is about some workers.
 func (s Snapshot) Part(workers []string) Snapshot {
-	part := Snapshot{Loads: make(map[string]Load), Demand: s.Demand}
+	part := Snapshot{Loads: make(map[string]Load), Demand: s.Demand, RegionDemand: s.RegionDemand}
 	for _, id := range workers {
 		if load, placed := s.Loads[id]; placed {
 			part.Loads[id] = load
@@ -71,7 +73,8 @@
 func (r *Registry) Snapshot() Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	snapshot := Snapshot{Loads: make(map[string]Load), Reads: r.reads, Failures: r.failures, Demand: r.ownDemand(time.Now())}
+	snapshot := Snapshot{Loads: make(map[string]Load), Reads: r.reads, Failures: r.failures}
+	snapshot.Demand, snapshot.RegionDemand = r.ownDemand(time.Now())
 	for id, known := range r.workers {
 		if !known.load.Zero() {
 			snapshot.Loads[id] = known.load
@@ -206,7 +209,7 @@
 			delete(known.remote, node)
 		}
 	}
-	r.mergeDemand(node, snapshot.Demand, now)
+	r.mergeDemand(node, snapshot, now)
 	for _, read := range snapshot.Reads {
 		if known, exists := r.workers[read.Worker]; exists {
 			known.cache.Use(read.Parts, now)
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -65,6 +65,8 @@
 	mu sync.Mutex
 	// places are the zones and regions, seen from this node.
 	places topology.Map
+	// regional tells that the deployment lies in several regions.
+	regional bool
 	// seed makes the ranks of this process's own.
 	seed    maphash.Seed
 	workers map[string]*state
@@ -74,8 +76,8 @@
 	steps map[string]*steps
 	// memory is the KV cache of one engine by service, in tokens.
 	memory map[string]int
-	// demands are what callers want, by service.
-	demands map[string]*demand
+	// demands are what callers want.
+	demands map[demandKey]*demand
 	// reads are the parts newly read since the last digest.
 	reads []Read
 	// failures are the workers that failed since the last digest.
@@ -131,14 +133,15 @@
 // NewRegistry returns an empty registry of a node that sees these zones and regions.
 func NewRegistry(places topology.Map) *Registry {
 	return &Registry{
-		places:  places,
-		seed:    maphash.MakeSeed(),
-		workers: make(map[string]*state),
-		groups:  make(map[groupKey]*pace.Model),
-		steps:   make(map[string]*steps),
-		demands: make(map[string]*demand),
-		memory:  make(map[string]int),
-		touched: make(map[string]bool),
-		changed: make(chan struct{}, 1),
+		places:   places,
+		regional: places.Several(),
+		seed:     maphash.MakeSeed(),
+		workers:  make(map[string]*state),
+		groups:   make(map[groupKey]*pace.Model),
+		steps:    make(map[string]*steps),
+		demands:  make(map[demandKey]*demand),
+		memory:   make(map[string]int),
+		touched:  make(map[string]bool),
+		changed:  make(chan struct{}, 1),
 	}
 }
--- a/internal/worker/standing.go
+++ b/internal/worker/standing.go
@@ -21,4 +21,11 @@
 
 // Idle reports whether no request of a service is known to have come lately, at this node
 // or another.
-func (r *Registry) Idle(service string, now time.Time) bool { return r.Demand(service, now).Zero() }
+func (r *Registry) Idle(service string, now time.Time) bool {
+	for _, wanted := range r.Demands(service, now) {
+		if !wanted.Zero() {
+			return false
+		}
+	}
+	return true
+}
