Stages by region: tests; a region that isn't heard is left as it is

Cause: engines were planned over all regions at once; a region could be left without readers or writers of its own, though memory moves ten times slower between regions. Demand is now counted and told by region (a deployment in one region tells the same bytes as before), one planner works for each region, orders together stay bounded over all regions and go round. A region without usable engines has its demand divided among the others; one that isn't heard and from which nothing is wanted is held.

--- a/internal/digest/digest_test.go
+++ b/internal/digest/digest_test.go
@@ -41,6 +41,9 @@
 		// A read of nothing is possible too.
 		Failures: []string{"w", "x"},
 		Demand:   map[string]worker.Demand{"s": {ReadTokens: 900, Requests: 1.25, MemoryTokens: 70}},
+		RegionDemand: map[string]map[string]worker.Demand{
+			"north": {"s": {ReadTokens: 4}}, "south": {"s": {Requests: 0.5}, "t": {MemoryTokens: 6}},
+		},
 	}
 	datagram, err := json.Marshal(newMessage(Message{Node: "n", Sequence: 7}, snapshot))
 	if err != nil {
--- a/internal/serving/stages.go
+++ b/internal/serving/stages.go
@@ -16,9 +16,15 @@
 		Fleet: n.registry, Pool: n.pool, Log: n.log,
 		Services:   n.engineServices,
 		Designated: n.designated,
+		Hears:      n.hearsRegion,
 	})
 }
 
+// hearsRegion reports whether some node of a region is heard.
+func (n *Node) hearsRegion(region string) bool {
+	return slices.ContainsFunc(n.exchange.PresentZones(), func(zone string) bool { return n.registry.RegionOfZone(zone) == region })
+}
+
 // designated reports whether the other nodes expect this one to act for all.
 func (n *Node) designated() bool { return n.Ready() && n.exchange.Designated() }
 
--- /dev/null
+++ b/internal/stageplan/regional_test.go
@@ -0,0 +1,180 @@
+package stageplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// regionalFleet returns the same engines in each region.
+func regionalFleet(prefill, decode int, regions ...string) []Worker {
+	var workers []Worker
+	for _, region := range regions {
+		workers = append(workers, fleet(prefill, decode, func(w *Worker) {
+			w.ID, w.Region = region+"-"+w.ID, region
+		})...)
+	}
+	return workers
+}
+
+func heardAll(string) bool { return true }
+
+// decided lets a planner see the same engines and work for a while, and returns all orders,
+// which are not carried out.
+func decided(planner *Regional, span time.Duration, workers []Worker, offered map[string]Offered, heard func(string) bool) []Order {
+	var orders []Order
+	for elapsed := time.Duration(0); elapsed <= span; elapsed += tick {
+		orders = append(orders, planner.Decide(origin.Add(elapsed), workers, offered, heard)...)
+	}
+	return orders
+}
+
+// TestEachRegionIsDividedByItsOwnDemand: prompts that are to be read in one region move no
+// engine in another.
+func TestEachRegionIsDividedByItsOwnDemand(t *testing.T) {
+	workers := regionalFleet(4, 8, "north", "south")
+	planner := NewRegional(DefaultPolicy())
+	offered := map[string]Offered{"north": {ReadTokens: 5 * enginePace}, "south": {Requests: 8 * 60}}
+	for elapsed := time.Duration(0); elapsed <= time.Minute; elapsed += tick {
+		carryOut(workers, planner.Decide(origin.Add(elapsed), workers, offered, heardAll), false)
+	}
+	regions := byRegion(workers)
+	if north := len(divide(regions["north"]).prefill); north < 8 {
+		t.Errorf("%d engines read in the region that is to read, want 8 or more", north)
+	}
+	if south := len(divide(regions["south"]).prefill); south > 4 {
+		t.Errorf("%d engines read in the region that is to write, want 4 or fewer", south)
+	}
+}
+
+// TestOneRegionIsPlannedAsBefore: a deployment in one region gets the same orders as from
+// a planner that knows none.
+func TestOneRegionIsPlannedAsBefore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plain, regional := New(DefaultPolicy()), NewRegional(DefaultPolicy())
+		workers := fleet(4, 5, nil)
+		for step := range 60 {
+			now := origin.Add(time.Duration(step) * tick)
+			offered := Offered{ReadTokens: rapid.Float64Range(0, 20*enginePace).Draw(t, "tokens")}
+			want := plain.Decide(now, workers, offered)
+			got := regional.Decide(now, workers, map[string]Offered{"": offered}, heardAll)
+			if fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("step %d: %v, want %v", step, got, want)
+			}
+			carryOut(workers, want, false)
+		}
+	})
+}
+
+// TestOrdersTogetherAreBoundedOverAllRegions: three regions of nine engines that all need
+// readers get no more orders than one of 27, and each region has its turn.
+func TestOrdersTogetherAreBoundedOverAllRegions(t *testing.T) {
+	regions := []string{"east", "north", "south", "west"}
+	workers := regionalFleet(3, 5, regions...)
+	offered := make(map[string]Offered)
+	for _, region := range regions {
+		offered[region] = Offered{ReadTokens: 8 * enginePace}
+	}
+	planner := NewRegional(DefaultPolicy())
+	served := make(map[string]bool)
+	most := DefaultPolicy().together(len(workers))
+	if most >= len(workers)/2 || most <= 1 {
+		t.Fatalf("%d at once show nothing", most)
+	}
+	for elapsed := time.Duration(0); elapsed < 10*time.Second; elapsed += tick {
+		if int(elapsed/tick)%4 == 0 {
+			for i := range workers {
+				workers[i].Changing = false
+			}
+		}
+		orders := planner.Decide(origin.Add(elapsed), workers, offered, heardAll)
+		for _, order := range orders {
+			served[order.Region] = true
+		}
+		carryOut(workers, orders, true)
+		if count := changing(workers); count > most {
+			t.Fatalf("%d engines change at once, %d may", count, most)
+		}
+	}
+	if len(served) != len(regions) {
+		t.Errorf("only the regions %v got orders", served)
+	}
+}
+
+// TestScarceRoomGoesRound: where one engine of the whole service may change at a time,
+// the regions take turns.
+func TestScarceRoomGoesRound(t *testing.T) {
+	workers := regionalFleet(1, 2, "north", "south")
+	for i := range workers {
+		workers[i].Prefill = true // nothing writes anywhere
+	}
+	planner := NewRegional(DefaultPolicy())
+	var regions []string
+	for elapsed := time.Duration(0); elapsed < 6*time.Second; elapsed += tick {
+		orders := planner.Decide(origin.Add(elapsed), workers, nil, heardAll)
+		if len(orders) > 1 {
+			t.Fatalf("%d orders at once", len(orders))
+		}
+		for _, order := range orders {
+			regions = append(regions, order.Region)
+		}
+	}
+	if len(regions) < 2 || regions[0] == regions[1] {
+		t.Errorf("orders went to %v", regions)
+	}
+}
+
+// TestRegionThatLostAllItsEngines: what its callers want is wanted of the other regions'
+// engines, and these are divided by it.
+func TestRegionThatLostAllItsEngines(t *testing.T) {
+	workers := regionalFleet(3, 9, "north", "south")
+	for i := range workers {
+		workers[i].Usable = workers[i].Region != "south"
+	}
+	offered := map[string]Offered{"south": {ReadTokens: 4 * enginePace}}
+	orders := decided(NewRegional(DefaultPolicy()), 5*time.Second, workers, offered, heardAll)
+	if len(orders) == 0 {
+		t.Fatal("nobody reads what the region that lost its engines wants")
+	}
+	for _, order := range orders {
+		if order.Region != "north" || !order.Prefill {
+			t.Errorf("%+v", order)
+		}
+	}
+}
+
+// TestRegionThatIsCutOffIsLeftAsItIs: its callers and nodes are out of sight, and its
+// engines must not be taken for idle. What it needed is remembered until it is back.
+func TestRegionThatIsCutOffIsLeftAsItIs(t *testing.T) {
+	workers := regionalFleet(3, 9, "north", "south")
+	planner := NewRegional(DefaultPolicy())
+	busy := map[string]Offered{"south": {Requests: 9 * 60 * 0.95}}
+	if orders := decided(planner, 10*time.Second, workers, busy, heardAll); len(orders) > 0 && orders[0].Prefill && orders[0].Region == "south" {
+		t.Fatalf("%+v", orders)
+	}
+	needed := planner.Planner("south").Demand().Writing
+	for elapsed := 10 * time.Second; elapsed < 70*time.Second; elapsed += tick {
+		now := origin.Add(elapsed)
+		for _, order := range planner.Decide(now, workers, nil, func(region string) bool { return region != "south" }) {
+			if order.Region == "south" {
+				t.Fatalf("after %v: %+v", elapsed, order)
+			}
+		}
+	}
+	planner.Decide(origin.Add(70*time.Second), workers, nil, heardAll)
+	if left := planner.Planner("south").Demand().Writing; left < 0.9*needed {
+		t.Errorf("of a demand of %.1f engines %.1f is left", needed, left)
+	}
+}
+
+// TestRegionWithoutNodesIsPlannedByWhatOthersWantOfIt.
+func TestRegionWithoutNodesIsPlannedByWhatOthersWantOfIt(t *testing.T) {
+	workers := regionalFleet(3, 9, "north", "south")
+	offered := map[string]Offered{"south": {ReadTokens: 4 * enginePace}}
+	orders := decided(NewRegional(DefaultPolicy()), 5*time.Second, workers, offered, func(region string) bool { return region == "north" })
+	if len(orders) == 0 || orders[0].Region != "south" || !orders[0].Prefill {
+		t.Errorf("%+v", orders)
+	}
+}
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -48,7 +48,7 @@
 		load := known.total(now, "")
 		_, queuePace := r.readingOf(known)
 		engines = append(engines, stageplan.Worker{
-			ID: known.worker.ID, Region: r.regionOf(known.worker.Zone),
+			ID: known.worker.ID, Region: r.RegionOfZone(known.worker.Zone),
 			Prefill: known.stageToBe(now) == Prefill, Slots: known.worker.Slots,
 			Usable:   !known.worker.Draining && !known.breaker.Open(now),
 			Changing: known.isChanging(now),
--- a/internal/worker/demand.go
+++ b/internal/worker/demand.go
@@ -125,8 +125,8 @@
 	return sum
 }
 
-// regionOf is the region of a zone, empty in a deployment that lies in one.
-func (r *Registry) regionOf(zone string) string {
+// RegionOfZone is the region of a zone, empty in a deployment that lies in one.
+func (r *Registry) RegionOfZone(zone string) string {
 	if !r.regional {
 		return ""
 	}
@@ -164,7 +164,7 @@
 		if other.worker.Stage != Decode || other.load.Zero() {
 			continue
 		}
-		key := demandKey{other.worker.Service, r.regionOf(other.worker.Zone)}
+		key := demandKey{other.worker.Service, r.RegionOfZone(other.worker.Zone)}
 		running := Demand{Requests: float64(other.load.Requests), MemoryTokens: float64(other.load.MemoryTokens)}
 		here[key] = here[key].plus(running)
 	}
--- /dev/null
+++ b/internal/worker/demand_test.go
@@ -0,0 +1,74 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tinarch/tinarch/internal/topology"
+)
+
+var demandStart = time.Unix(1000, 0)
+
+func regionalRegistry() *Registry {
+	return NewRegistry(topology.New("north-a", map[string]string{"north-a": "north", "north-b": "north", "south-a": "south"}))
+}
+
+// TestDemandIsCountedWhereItIsWanted: prompts in the region that reads them, running
+// requests in the region of their engine, and what no plan had a region for at home.
+func TestDemandIsCountedWhereItIsWanted(t *testing.T) {
+	r := regionalRegistry()
+	r.ReplaceAt([]Worker{{ID: "n", Service: "s", Zone: "north-b", Stage: Decode}, {ID: "s", Service: "s", Zone: "south-a", Stage: Decode}}, demandStart)
+	r.ObserveDemand("s", "south", 300, demandStart)
+	r.ObserveDemand("s", "", 100, demandStart)
+	r.Begin("s", Load{Requests: 1, MemoryTokens: 50})
+	want := map[string]Demand{
+		"north": {ReadTokens: 100},
+		"south": {ReadTokens: 300, Requests: 1, MemoryTokens: 50},
+	}
+	if diff := cmp.Diff(want, r.Demands("s", demandStart)); diff != "" {
+		t.Error(diff)
+	}
+	if r.Idle("s", demandStart) {
+		t.Error("a service that is wanted in another region counts as idle")
+	}
+}
+
+// TestDemandInOneRegionHasNoRegion: what nodes tell each other is as if none were known.
+func TestDemandInOneRegionHasNoRegion(t *testing.T) {
+	r := NewRegistry(topology.New("a", map[string]string{"a": "only", "b": "only"}))
+	r.ObserveDemand("s", "only", 300, time.Now())
+	if got := r.Demands("s", time.Now()); len(got) != 1 || got[""].ReadTokens == 0 {
+		t.Errorf("%v", got)
+	}
+	if told := r.Snapshot(); told.Demand["s"].ReadTokens == 0 || told.RegionDemand != nil {
+		t.Errorf("%v, by region %v", told.Demand, told.RegionDemand)
+	}
+}
+
+// TestDemandOfOtherNodesCountsByRegion, and no longer than a node may be silent.
+func TestDemandOfOtherNodesCountsByRegion(t *testing.T) {
+	teller, r := regionalRegistry(), regionalRegistry()
+	teller.ObserveDemand("s", "south", 300, time.Now())
+	r.Merge("teller", teller.Snapshot(), demandStart)
+	if got := r.Demands("s", demandStart); got["south"].ReadTokens == 0 || got["north"].ReadTokens != 0 {
+		t.Errorf("%v", got)
+	}
+	if got := r.Demands("s", demandStart.Add(demandLife+1)); !got["south"].Zero() {
+		t.Errorf("a node that is silent still wants %v", got)
+	}
+}
+
+// TestOnlyRegionHasNoName: what is planned for the engines of a deployment in one region
+// is planned for all of them.
+func TestOnlyRegionHasNoName(t *testing.T) {
+	r := NewRegistry(topology.New("a", map[string]string{"a": "only", "b": "only"}))
+	r.ReplaceAt([]Worker{{ID: "w", Service: "s", Zone: "b", Stage: Decode}}, demandStart)
+	if engine := r.Engines("s", demandStart)[0]; engine.Region != "" || r.RegionOfZone("a") != "" {
+		t.Errorf("%+v", engine)
+	}
+	if got := regionalRegistry().RegionOfZone("south-a"); got != "south" {
+		t.Errorf("region %q", got)
+	}
+}
