Digest: words and news cross between regions twice, not once a zone head; supervisors of each region

Cause: the node that reads a table told two heads of each zone: with six zones in three regions 8 of its 12 datagrams crossed. Supervisors were named over all nodes: with six of them all could lie in one region. Now two heads of each other region get a message and pass it to the heads of their region's zones, which pass it on once. In one region nothing changes. topology.Map works its regions out once. Test changed: TestWordsReachAllNodes counts both kinds of targets, since spreadTargets tells them apart.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -24,7 +24,8 @@
 type Message struct {
 	// Node is the sender's incarnation.
 	Node string `json:"n"`
-	// Sequence rises with each message of an incarnation.
+	// Sequence rises with each message of an incarnation; words and news have numbers of
+	// their own.
 	Sequence uint64 `json:"s"`
 	// Loads holds, by worker: requests, memory tokens, and tokens to be read by rank,
 	// without the zeros at the end.
@@ -57,8 +58,10 @@
 	WantWords bool `json:"u,omitempty"`
 	// News are changes of a table, packed; such a message holds nothing else.
 	News []byte `json:"w,omitempty"`
-	// Relayed tells that words or news were passed on by the sender.
+	// Relayed tells that words or news were passed on by the sender, and Across that the
+	// receiver is to pass them on in its region.
 	Relayed bool `json:"y,omitempty"`
+	Across  bool `json:"yr,omitempty"`
 	// Contents hold "content worker tokens": what workers keep that others may share.
 	Contents []string `json:"c,omitempty"`
 	// Question asks for accounts of workers, and Reply answers that.
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -52,6 +52,10 @@
 	// asks are the questions whose answers are awaited.
 	asks    map[uint64]*pendingAsk
 	lastAsk uint64
+	// spreads counts the words and news that this node made, and relays are those that it
+	// passed on.
+	spreads uint64
+	relays  relays
 	// trips are the ways to other regions, by region.
 	trips map[string]*trip
 
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -231,9 +231,14 @@
 	return netip.AddrPort{}, false
 }
 
-// supervisors returns the nodes that know what all callers want and may give orders.
+// supervisors returns the nodes that know what all callers want and may give orders. Each
+// region has some, so that the loss of one leaves others.
 func (s *peerSet) supervisors() []netip.AddrPort {
-	return s.top("orders", max(homeCount(s.nodes()), leastSupervisors), "")
+	count := max(homeCount(s.nodes()), leastSupervisors)
+	if regions := len(s.places.Regions()); regions > 1 && s.nodes() > wholeFleet {
+		return s.ofEachRegion("orders", max((count+regions-1)/regions, leastHomes))
+	}
+	return s.top("orders", count, "")
 }
 
 // heads returns the nodes of a zone that pass on what its other nodes are to hear.
--- /dev/null
+++ b/internal/digest/relay_test.go
@@ -0,0 +1,229 @@
+package digest
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/tinarch/tinarch/internal/topology"
+)
+
+// threeRegions are those of six zones.
+var threeRegions = map[string]string{
+	"zone0": "region0", "zone1": "region0", "zone2": "region1", "zone3": "region1", "zone4": "region2", "zone5": "region2",
+}
+
+// regionalFleetOf returns what each of some nodes in six zones of three regions knows of
+// the others.
+func regionalFleetOf(nodes int) map[netip.AddrPort]*peerSet {
+	sets := make(map[netip.AddrPort]*peerSet)
+	for i := range nodes {
+		zone := fmt.Sprint("zone", i%6)
+		set := newPeerSet(fmt.Sprint("n", i), addressOf(i), zone)
+		set.places = topology.New(zone, threeRegions)
+		var listed []Peer
+		for j := range nodes {
+			listed = append(listed, Peer{Node: fmt.Sprint("n", j), Address: addressOf(j), Zone: fmt.Sprint("zone", j%6)})
+		}
+		set.list(listed)
+		sets[set.address] = set
+	}
+	return sets
+}
+
+// spreadOver carries a message of a node to all others that are alive. It returns how often
+// each gets it, and how many datagrams cross between regions.
+func spreadOver(sets map[netip.AddrPort]*peerSet, from netip.AddrPort, dead []netip.AddrPort) (got map[netip.AddrPort]int, crossings int) {
+	got = make(map[netip.AddrPort]int)
+	passed := make(map[netip.AddrPort]bool)
+	var carry func(sender, to netip.AddrPort, across, relayed bool)
+	carry = func(sender, to netip.AddrPort, across, relayed bool) {
+		set := sets[to]
+		if set.regionOf(sender) != set.places.Own() {
+			crossings++
+		}
+		if slices.Contains(dead, to) {
+			return
+		}
+		got[to]++
+		heads, zone := set.relayTargets(across)
+		if relayed || len(heads)+len(zone) == 0 || passed[to] {
+			return
+		}
+		passed[to] = true
+		for _, head := range heads {
+			carry(to, head, false, false)
+		}
+		for _, other := range zone {
+			if other != sender {
+				carry(to, other, false, true)
+			}
+		}
+	}
+	near, across := sets[from].spreadTargets()
+	for _, to := range near {
+		carry(from, to, false, false)
+	}
+	for _, to := range across {
+		carry(from, to, true, false)
+	}
+	return got, crossings
+}
+
+// missing counts the nodes that are alive and didn't get a message.
+func missing(sets map[netip.AddrPort]*peerSet, got map[netip.AddrPort]int, except []netip.AddrPort) int {
+	count := 0
+	for address := range sets {
+		if got[address] == 0 && !slices.Contains(except, address) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestWordsCrossOnceForEachHeadOfARegion: they reach all nodes, and two datagrams of a
+// change go to each other region.
+func TestWordsCrossOnceForEachHeadOfARegion(t *testing.T) {
+	sets := regionalFleetOf(67)
+	from := addressOf(0)
+	got, crossings := spreadOver(sets, from, nil)
+	if left := missing(sets, got, []netip.AddrPort{from}); left > 0 {
+		t.Errorf("%d nodes get nothing", left)
+	}
+	if crossings != 2*leastHomes {
+		t.Errorf("%d datagrams cross between regions, want %d", crossings, 2*leastHomes)
+	}
+	for address, times := range got {
+		if times > 2*leastHomes {
+			t.Errorf("%v gets it %d times", address, times)
+		}
+	}
+}
+
+// TestWordsReachAllNodesWithoutTheFirstHeads: of each pair of heads, of regions and of
+// zones, the first is dead.
+func TestWordsReachAllNodesWithoutTheFirstHeads(t *testing.T) {
+	sets := regionalFleetOf(67)
+	from := addressOf(0)
+	var dead []netip.AddrPort
+	for i := range len(sets) {
+		set := sets[addressOf(i)]
+		heads := [][]netip.AddrPort{set.heads(set.zone)}
+		for _, head := range set.regionHeads() {
+			if set.regionOf(head) == set.places.Own() {
+				heads = append(heads, []netip.AddrPort{head})
+				break
+			}
+		}
+		for _, pair := range heads {
+			if pair[0] != from && !slices.Contains(dead, pair[0]) && !bothDead(sets, append(dead, pair[0])) {
+				dead = append(dead, pair[0])
+			}
+		}
+	}
+	if len(dead) < 6 {
+		t.Fatalf("%d dead heads show nothing", len(dead))
+	}
+	got, _ := spreadOver(sets, from, dead)
+	if left := missing(sets, got, append(dead, from)); left > 0 {
+		t.Errorf("%d nodes get nothing", left)
+	}
+}
+
+// bothDead reports whether both heads of some zone or region are dead.
+func bothDead(sets map[netip.AddrPort]*peerSet, dead []netip.AddrPort) bool {
+	isDead := func(address netip.AddrPort) bool { return slices.Contains(dead, address) }
+	any := sets[addressOf(0)]
+	alive := make(map[string]int)
+	for _, zone := range any.zones() {
+		for _, head := range any.heads(zone) {
+			if !isDead(head) {
+				alive[zone]++
+			}
+		}
+	}
+	for _, head := range any.regionHeads() {
+		if !isDead(head) {
+			alive[any.regionOf(head)]++
+		}
+	}
+	return len(alive) < 9
+}
+
+// TestMessageIsPassedOnOnce, though two heads of the region send it; one without a number
+// comes from a node that knows no regions.
+func TestMessageIsPassedOnOnce(t *testing.T) {
+	var r relays
+	message := Message{Node: "a", Sequence: 7}
+	if !r.first(message) || r.first(message) {
+		t.Error("the same message is passed on twice")
+	}
+	if !r.first(Message{Node: "b", Sequence: 7}) || !r.first(Message{Node: "a", Sequence: 6}) {
+		t.Error("another message isn't passed on")
+	}
+	if unnumbered := (Message{Node: "old"}); !r.first(unnumbered) || !r.first(unnumbered) {
+		t.Error("messages without a number aren't passed on")
+	}
+}
+
+// TestSupervisorsOfAllRegions: whichever region is lost, some are left, and all nodes agree
+// on them.
+func TestSupervisorsOfAllRegions(t *testing.T) {
+	sets := regionalFleetOf(67)
+	supervisors := sets[addressOf(0)].supervisors()
+	regions := make(map[string]int)
+	for _, address := range supervisors {
+		regions[sets[address].places.Own()]++
+	}
+	if len(regions) != 3 || len(supervisors) < leastSupervisors {
+		t.Errorf("supervisors by region: %v", regions)
+	}
+	for _, set := range sets {
+		others := set.supervisors()
+		for _, address := range supervisors {
+			if len(others) != len(supervisors) || !slices.Contains(others, address) {
+				t.Fatalf("%v names %v, others %v", set.address, others, supervisors)
+			}
+		}
+	}
+}
+
+// TestLostRegionOfTheDesignatedSupervisor: a supervisor of another region takes over when
+// those of the lost one are silent.
+func TestLostRegionOfTheDesignatedSupervisor(t *testing.T) {
+	sets := regionalFleetOf(67)
+	supervisors := sets[addressOf(0)].supervisors()
+	for _, address := range supervisors {
+		for other, set := range sets {
+			if other != address {
+				sets[address].hear(other, Message{Node: set.self, Sequence: 1}, origin)
+			}
+		}
+	}
+	designated := func(lost string) []netip.AddrPort {
+		var found []netip.AddrPort
+		for _, address := range supervisors {
+			if set := sets[address]; set.places.Own() != lost && set.designated(false) {
+				found = append(found, address)
+			}
+		}
+		return found
+	}
+	before := designated("")
+	if len(before) != 1 {
+		t.Fatalf("%v are designated", before)
+	}
+	lost, later := sets[before[0]].places.Own(), origin.Add(peerLife+1)
+	for _, address := range supervisors {
+		for other, set := range sets {
+			if set.places.Own() != lost && other != address {
+				sets[address].hear(other, Message{Node: set.self, Sequence: 2}, later)
+			}
+		}
+		sets[address].silent(later)
+	}
+	if after := designated(lost); len(after) != 1 {
+		t.Errorf("without %s %v are designated", lost, after)
+	}
+}
--- a/internal/digest/tables.go
+++ b/internal/digest/tables.go
@@ -19,7 +19,8 @@
 }
 
 // maxFanOut is the number of nodes that one node tells of a table by itself: in a larger
-// fleet it tells two of each zone, which pass it on.
+// fleet it tells two of each zone of its region and two of each other region, which pass it
+// on.
 const maxFanOut = 30
 
 // SpreadWords tells the other nodes what the store has confirmed.
@@ -46,56 +47,38 @@
 // spread sends a message that all nodes are to get.
 func (e *Exchange) spread(message Message) {
 	e.mu.Lock()
-	targets := e.spreadTargets()
+	near, across := e.peers.spreadTargets()
+	e.spreads++
+	message.Sequence = e.spreads
 	e.mu.Unlock()
-	e.sendAll(targets, message)
+	e.sendAll(near, message)
+	message.Across = true
+	e.sendAll(across, message)
 }
 
-// spreadTargets returns all peers, or in a large fleet those that pass messages on.
-func (e *Exchange) spreadTargets() []netip.AddrPort {
-	if e.peers.nodes() <= maxFanOut {
-		return e.peers.all()
-	}
-	var targets []netip.AddrPort
-	for _, zone := range e.peers.zones() {
-		for _, head := range e.peers.heads(zone) {
-			if head != e.peers.address {
-				targets = append(targets, head)
-			}
-		}
-	}
-	return targets
-}
-
-// passOn sends a message that came from the node that made it to the other nodes of the
-// zone, if this one is to.
+// passOn sends a message that came from the node that made it, or from a head of the region,
+// to the other nodes of the zone, if this one is to; and one that came from another region
+// to the heads of this region's zones.
 func (e *Exchange) passOn(from netip.AddrPort, message Message) {
 	if message.Relayed {
 		return
 	}
 	e.mu.Lock()
-	var targets []netip.AddrPort
-	if e.peers.nodes() > maxFanOut && e.isHead() {
-		targets = e.peers.inZone()
+	heads, zone := e.peers.relayTargets(message.Across)
+	if len(heads)+len(zone) > 0 && !e.relays.first(message) {
+		heads, zone = nil, nil
 	}
 	e.mu.Unlock()
+	message.Across = false
+	e.sendAll(heads, message)
 	message.Relayed = true
-	for _, to := range targets {
+	for _, to := range zone {
 		if to != from {
 			e.sendTo(to, message)
 		}
 	}
 }
 
-func (e *Exchange) isHead() bool {
-	for _, head := range e.peers.heads(e.zone) {
-		if head == e.peers.address {
-			return true
-		}
-	}
-	return false
-}
-
 // AskWords asks two nodes for what they know of the tables: the one that should read the
 // table at the store, and one of the zone. It is for when no word has come.
 func (e *Exchange) AskWords(table string) {
--- a/internal/digest/tables_test.go
+++ b/internal/digest/tables_test.go
@@ -28,7 +28,8 @@
 	}
 	exchanges, _ := clusterWithBoards(t, boards, "w")
 	exchanges[0].mu.Lock()
-	targets := len(exchanges[0].spreadTargets())
+	near, across := exchanges[0].peers.spreadTargets()
+	targets := len(near) + len(across)
 	exchanges[0].mu.Unlock()
 	if targets > leastHomes {
 		t.Errorf("one node tells %d of one zone", targets)
--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -2,7 +2,10 @@
 // other form a region. It is pure.
 package topology
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Distance is how far apart two places are.
 type Distance int
@@ -30,12 +33,15 @@
 type Map struct {
 	zone    string
 	regions map[string]string
+	// names are the regions in order.
+	names []string
 }
 
 // New returns the map of a node in a zone, given the region of each zone. Zones without
 // one lie together in a region without a name.
 func New(zone string, regions map[string]string) Map {
-	return Map{zone: zone, regions: regions}
+	names := slices.Sorted(maps.Values(regions))
+	return Map{zone: zone, regions: regions, names: slices.Compact(names)}
 }
 
 // Zone is the zone from which the map is seen.
@@ -48,17 +54,10 @@
 func (m Map) Region(zone string) string { return m.regions[zone] }
 
 // Regions lists the regions in order of their names.
-func (m Map) Regions() []string {
-	var regions []string
-	for _, region := range m.regions {
-		regions = append(regions, region)
-	}
-	slices.Sort(regions)
-	return slices.Compact(regions)
-}
+func (m Map) Regions() []string { return m.names }
 
 // Several reports whether the deployment lies in more than one region.
-func (m Map) Several() bool { return len(m.Regions()) > 1 }
+func (m Map) Several() bool { return len(m.names) > 1 }
 
 // Between is the distance of two zones.
 func (m Map) Between(one, other string) Distance {
