Nodes that are gone for good are dropped; what the exchange sends is counted by distance

Cause: peers were never removed. The dead address kept accounts, contents and heads of zones, could be a supervisor, and took a share of limits. The designated supervisor takes a node that it hasn't heard for a minute out of the list, by a removal that holds only for the row as it was read, and has the others drop it. It does so only while it hears more than half of all nodes, and counts silence only since it became a supervisor. A node that comes back is told, writes its row and greets all anew. Ruled out: dropping after silence alone (nodes that were cut off from each other would not find each other again), and by the row's absence alone (the row never leaves).

--- /dev/null
+++ b/internal/digest/departed.go
@@ -0,0 +1,178 @@
+package digest
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// The figures of nodes that are gone for good.
+const (
+	// departedAfter is how long a node must have been silent to be taken for gone for good:
+	// longer than machines are dark, frozen or cut off on the users' days (up to half a
+	// minute), since all that it kept then moves to other nodes.
+	departedAfter = time.Minute
+	// departedTold is how often the other nodes are told of one, since datagrams may be
+	// lost.
+	departedTold = 3
+	// maxDropped bounds the nodes that a supervisor remembers to have dropped.
+	maxDropped = 1000
+)
+
+// watch keeps track of silence at a supervisor, which all nodes tell of themselves at rest.
+type watch struct {
+	// since is when this node became a supervisor, zero while it isn't one: before, it
+	// didn't hear all nodes.
+	since time.Time
+	// dropped are the peers that were dropped as gone, and how often that is still told.
+	dropped map[netip.AddrPort]int
+}
+
+func newWatch() watch { return watch{dropped: make(map[netip.AddrPort]int)} }
+
+// remember notes that a peer was dropped, and how often that is to be told. Where too many
+// are remembered another one is forgotten: should it come back, the store's list lacks it.
+func (w *watch) remember(address netip.AddrPort, times int) {
+	if len(w.dropped) >= maxDropped {
+		for other := range w.dropped {
+			delete(w.dropped, other)
+			break
+		}
+	}
+	w.dropped[address] = times
+}
+
+// look notes since when this node supervises.
+func (w *watch) look(supervises bool, now time.Time) {
+	switch {
+	case !supervises:
+		w.since = time.Time{}
+	case w.since.IsZero():
+		w.since = now
+	}
+}
+
+// departed lists the peers that a supervisor hasn't heard for so long that they seem to be
+// gone for good. There are none while it hears less than half of all nodes: then it may be
+// this one that is cut off.
+func (s *peerSet) departed(w *watch, now time.Time) []netip.AddrPort {
+	if w.since.IsZero() {
+		return nil
+	}
+	var gone []netip.AddrPort
+	present := 1
+	for address, known := range s.peers {
+		if known.present {
+			present++
+			continue
+		}
+		heard := known.heard
+		if heard.Before(w.since) {
+			heard = w.since
+		}
+		if now.Sub(heard) > departedAfter {
+			gone = append(gone, address)
+		}
+	}
+	if 2*present <= s.nodes() {
+		return nil
+	}
+	return gone
+}
+
+// drop forgets a peer, unless it was heard lately. It reports whether it was known.
+func (s *peerSet) drop(address netip.AddrPort, now time.Time) bool {
+	known, exists := s.peers[address]
+	if !exists || known.present && now.Sub(known.heard) <= peerLife {
+		return false
+	}
+	delete(s.peers, address)
+	clear(s.ranked)
+	return true
+}
+
+// greetAll has all peers told of this node anew.
+func (s *peerSet) greetAll() {
+	for _, known := range s.peers {
+		known.greetings = greetings
+	}
+}
+
+// Departed lists the addresses of nodes that seem to be gone for good, where this node is
+// the one to act on it. It is called at intervals.
+func (e *Exchange) Departed(now time.Time) []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.watch.look(e.peers.supervises(), now)
+	if !e.peers.designated(now.Before(e.asideUntil)) {
+		return nil
+	}
+	return e.peers.departed(&e.watch, now)
+}
+
+// Drop forgets nodes whose rows are gone from the store's list, and tells the other nodes
+// to, as well as of those before that were not told often enough.
+func (e *Exchange) Drop(gone []netip.AddrPort, now time.Time) {
+	e.mu.Lock()
+	for _, address := range gone {
+		if e.peers.drop(address, now) {
+			e.watch.remember(address, departedTold)
+		}
+	}
+	var told []netip.AddrPort
+	for address, times := range e.watch.dropped {
+		if times > 0 {
+			e.watch.dropped[address]--
+			told = append(told, address)
+		}
+	}
+	targets := e.peers.all()
+	e.mu.Unlock()
+	if len(told) > 0 {
+		e.sendAll(targets, Message{Node: e.node, Departed: told})
+	}
+}
+
+// takeDeparted forgets nodes that are gone for good. A node that is itself taken for one was
+// cut off for long: it announces itself again.
+func (e *Exchange) takeDeparted(message Message, now time.Time) {
+	var dropped []string
+	e.mu.Lock()
+	for _, address := range message.Departed {
+		if e.peers.drop(address, now) {
+			e.watch.remember(address, 0)
+			dropped = append(dropped, address.String())
+		}
+	}
+	unlisted := slices.Contains(message.Departed, e.peers.address)
+	if unlisted {
+		e.peers.greetAll()
+	}
+	e.mu.Unlock()
+	if len(dropped) > 0 {
+		e.log.WithFields(logrus.Fields{"nodes": dropped, "told_by": message.Node}).Info("nodes dropped: they are gone for good")
+	}
+	if unlisted {
+		e.log.WithField("told_by", message.Node).Warn("this node was taken for gone; it announces itself again")
+		select {
+		case e.unlisted <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// returned tells a node that was dropped, and is heard again, that it isn't listed any more.
+func (e *Exchange) returned(from netip.AddrPort) {
+	e.mu.Lock()
+	_, dropped := e.watch.dropped[from]
+	delete(e.watch.dropped, from)
+	e.mu.Unlock()
+	if dropped {
+		e.sendTo(from, Message{Node: e.node, Departed: []netip.AddrPort{from}})
+	}
+}
+
+// Unlisted gives a token when this node must write its row in the store's list anew.
+func (e *Exchange) Unlisted() <-chan struct{} { return e.unlisted }
--- /dev/null
+++ b/internal/digest/departed_test.go
@@ -0,0 +1,157 @@
+package digest
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// supervisorOf returns what a supervisor of some nodes knows when it has heard all but one
+// for a while, and since when it supervises.
+func supervisorOf(nodes int, silent netip.AddrPort, span time.Duration) (*peerSet, *watch) {
+	sets := fleetOf(nodes)
+	index := slices.IndexFunc(sets, func(set *peerSet) bool { return set.supervises() && set.address != silent })
+	set, w := sets[index], newWatch()
+	for _, other := range sets {
+		if other != set {
+			set.hear(other.address, Message{Node: other.self, Sequence: 1}, origin)
+		}
+	}
+	w.look(true, origin)
+	for _, other := range sets {
+		if other != set && other.address != silent {
+			set.hear(other.address, Message{Node: other.self, Sequence: 2}, origin.Add(span))
+		}
+	}
+	set.silent(origin.Add(span))
+	return set, &w
+}
+
+// TestReplacedNodeIsDropped when it was silent for long: nothing rests on it any more.
+func TestReplacedNodeIsDropped(t *testing.T) {
+	gone := addressOf(3)
+	set, w := supervisorOf(60, gone, departedAfter)
+	if departed := set.departed(w, origin.Add(departedAfter)); len(departed) != 0 {
+		t.Errorf("gone too early: %v", departed)
+	}
+	later := origin.Add(departedAfter + 1)
+	departed := set.departed(w, later)
+	if !slices.Equal(departed, []netip.AddrPort{gone}) {
+		t.Fatalf("departed: %v", departed)
+	}
+	if !set.drop(gone, later) || set.nodes() != 59 {
+		t.Errorf("%d nodes are left", set.nodes())
+	}
+	for i := range 100 {
+		if slices.Contains(set.homes(fmt.Sprint("w", i)), gone) {
+			t.Fatal("a node that is gone keeps accounts")
+		}
+	}
+}
+
+// TestCutOffSupervisorDropsNobody: it hears less than half of all nodes.
+func TestCutOffSupervisorDropsNobody(t *testing.T) {
+	set, w := supervisorOf(60, addressOf(3), 0)
+	now := origin.Add(2 * departedAfter)
+	for i := range 29 {
+		set.hear(addressOf(30+i), Message{Node: fmt.Sprint("n", 30+i), Sequence: 3}, now)
+	}
+	set.silent(now)
+	if departed := set.departed(w, now); len(departed) != 0 {
+		t.Errorf("a node that hears 29 others of 59 drops %d", len(departed))
+	}
+}
+
+// TestNewSupervisorDropsNobody at first: before, most nodes told it nothing.
+func TestNewSupervisorDropsNobody(t *testing.T) {
+	set, w := supervisorOf(60, addressOf(3), 2*departedAfter)
+	now := origin.Add(2 * departedAfter)
+	w.look(false, now)
+	w.look(true, now)
+	if departed := set.departed(w, now.Add(departedAfter)); len(departed) != 0 {
+		t.Errorf("departed: %v", departed)
+	}
+}
+
+// TestNodeThatIsHeardIsNotDropped, whatever another node says.
+func TestNodeThatIsHeardIsNotDropped(t *testing.T) {
+	set := newPeerSet("me", self, "zone")
+	set.hear(there, Message{Node: "other", Sequence: 1}, origin)
+	if set.drop(there, origin.Add(peerLife)) {
+		t.Error("a node that was heard just now was dropped")
+	}
+	if !set.drop(there, origin.Add(peerLife+1)) {
+		t.Error("a node that is silent wasn't dropped")
+	}
+}
+
+// TestDroppedNodeThatComesBackAnnouncesItself, over real datagrams: the others drop it when
+// they are told, and tell it that it isn't listed when they hear it.
+func TestDroppedNodeThatComesBackAnnouncesItself(t *testing.T) {
+	exchanges, _ := clusterWithBoards(t, []Board{nil, nil}, "w")
+	cut, err := Listen("127.0.0.1:0", "cut", "zone", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, exchange := range exchanges {
+		exchange.AddPeers([]Peer{{Node: "cut", Address: cut.peers.address, Zone: "zone"}})
+	}
+	exchanges[0].Drop([]netip.AddrPort{cut.peers.address}, time.Now())
+	if exchanges[0].Nodes() != 2 {
+		t.Fatalf("%d nodes", exchanges[0].Nodes())
+	}
+	end := time.After(20 * time.Second)
+	for exchanges[1].Nodes() != 2 {
+		select {
+		case <-end:
+			t.Fatal("the other node still counts it")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	cut.AddPeers([]Peer{{Node: "n0", Address: exchanges[0].peers.address, Zone: "zone"}})
+	go cut.Run(ctx)
+	select {
+	case <-cut.Unlisted():
+	case <-end:
+		t.Fatal("a node that was dropped doesn't learn of it")
+	}
+}
+
+// TestBytesAreCountedByDistance.
+func TestBytesAreCountedByDistance(t *testing.T) {
+	exchange, err := Listen("127.0.0.1:0", "me", "north-a", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = exchange.conn.Close() }()
+	exchange.SetPlaces(twoRegions)
+	registry := prometheus.NewRegistry()
+	exchange.SetMetrics(NewMetrics(registry))
+	far := netip.MustParseAddrPort("127.0.0.1:9")
+	exchange.AddPeers([]Peer{{Node: "far", Address: far, Zone: "south-a"}})
+	exchange.sendTo(far, Message{Node: "me", Departed: []netip.AddrPort{self}})
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	figures := make(map[string]float64)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			key := family.GetName()
+			for _, label := range metric.GetLabel() {
+				key += " " + label.GetValue()
+			}
+			figures[key] = metric.GetCounter().GetValue()
+		}
+	}
+	if len(figures) != 2 || figures["tinarch_exchange_messages_total departed far"] != 1 || figures["tinarch_exchange_bytes_total departed far"] < 20 {
+		t.Errorf("%v", figures)
+	}
+}
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -73,6 +74,8 @@
 	UsageReply *usageReply   `json:"h,omitempty"`
 	WantUsage  usage.Window  `json:"j,omitempty"`
 	Gathered   *gatheredForm `json:"k,omitempty"`
+	// Departed are nodes that are gone for good; such a message holds nothing else.
+	Departed []netip.AddrPort `json:"dp,omitempty"`
 	// Aside tells that the sender can't give orders, whatever its incarnation.
 	Aside bool `json:"a,omitempty"`
 	// Leaving tells that the sender stops.
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -56,6 +56,12 @@
 	// passed on.
 	spreads uint64
 	relays  relays
+	// watch is what a supervisor notes of silent nodes, and unlisted holds a token where
+	// this node must announce itself again.
+	watch    watch
+	unlisted chan struct{}
+	// metrics may be nil.
+	metrics *Metrics
 	// trips are the ways to other regions, by region.
 	trips map[string]*trip
 
@@ -87,8 +93,8 @@
 		node: node, zone: zone, registry: registry, conn: conn, log: log,
 		begun: time.Now(), contents: newContentIndex(),
 		peers: newPeerSet(node, local, zone), asks: make(map[uint64]*pendingAsk),
-		trips: make(map[string]*trip),
-		told:  make(chan []string, maxTold), done: make(chan struct{}),
+		trips: make(map[string]*trip), watch: newWatch(), unlisted: make(chan struct{}, 1),
+		told: make(chan []string, maxTold), done: make(chan struct{}),
 	}, nil
 }
 
@@ -260,7 +266,7 @@
 			datagram = e.encode(newMessage(base, snapshot.Part(workers)))
 			datagrams[key] = datagram
 		}
-		e.write(datagram, address)
+		e.write(kindLoad, datagram, address)
 	}
 }
 
@@ -274,21 +280,27 @@
 }
 
 func (e *Exchange) sendAll(addresses []netip.AddrPort, message Message) {
-	datagram := e.encode(message)
+	if len(addresses) == 0 {
+		return
+	}
+	datagram, kind := e.encode(message), message.kind()
 	for _, address := range addresses {
-		e.write(datagram, address)
+		e.write(kind, datagram, address)
 	}
 }
 
 func (e *Exchange) sendTo(address netip.AddrPort, message Message) {
-	datagram := e.encode(message)
-	e.write(datagram, address)
+	e.write(message.kind(), e.encode(message), address)
 }
 
 // write sends a datagram, which may be lost: what matters is told again at rest.
-func (e *Exchange) write(datagram []byte, address netip.AddrPort) {
-	if len(datagram) > 0 {
-		_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
+func (e *Exchange) write(kind string, datagram []byte, address netip.AddrPort) {
+	if len(datagram) == 0 {
+		return
+	}
+	_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
+	if e.metrics != nil {
+		e.metrics.sent(kind, e.distanceTo(address), len(datagram))
 	}
 }
 
@@ -352,6 +364,8 @@
 		e.tellWords(from)
 	case message.Words != nil:
 		e.takeWords(from, message)
+	case message.Departed != nil:
+		e.takeDeparted(message, time.Now())
 	default:
 		e.take(from, message)
 	}
@@ -372,6 +386,9 @@
 	if stale {
 		return
 	}
+	if first {
+		e.returned(from)
+	}
 	if first && supervises {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Info("node heard for the first time")
 	}
--- /dev/null
+++ b/internal/digest/metrics.go
@@ -0,0 +1,84 @@
+package digest
+
+import (
+	"net/netip"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics count what the exchange sends, by kind and by how far it goes: within the zone,
+// within the region, or to another one.
+type Metrics struct {
+	messages, bytes *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry *prometheus.Registry) *Metrics {
+	labels := []string{"kind", "to"}
+	m := &Metrics{
+		messages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tinarch_exchange_messages_total", Help: "Messages sent to other nodes, by kind and distance.",
+		}, labels),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tinarch_exchange_bytes_total", Help: "Bytes of messages sent to other nodes, by kind and distance.",
+		}, labels),
+	}
+	registry.MustRegister(m.messages, m.bytes)
+	return m
+}
+
+// SetMetrics is called before Run.
+func (e *Exchange) SetMetrics(metrics *Metrics) { e.metrics = metrics }
+
+// distanceTo tells how far a node is.
+func (e *Exchange) distanceTo(address netip.AddrPort) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	zone := ""
+	if known, exists := e.peers.peers[address]; exists {
+		zone = known.zone
+	}
+	return e.peers.places.To(zone).String()
+}
+
+// sent counts a datagram.
+func (m *Metrics) sent(kind, to string, bytes int) {
+	m.messages.WithLabelValues(kind, to).Inc()
+	m.bytes.WithLabelValues(kind, to).Add(float64(bytes))
+}
+
+// The kinds of messages in metrics.
+const (
+	kindLoad     = "load"
+	kindQuestion = "question"
+	kindReply    = "reply"
+	kindContents = "contents"
+	kindUsage    = "usage"
+	kindMemory   = "memory"
+	kindNews     = "news"
+	kindWords    = "words"
+	kindDeparted = "departed"
+)
+
+// kind names a message in metrics.
+func (m Message) kind() string {
+	switch {
+	case m.Question != nil:
+		return kindQuestion
+	case m.Reply != nil:
+		return kindReply
+	case m.Contents != nil:
+		return kindContents
+	case m.Usage != nil, m.UsageReply != nil, m.WantUsage != 0, m.Gathered != nil:
+		return kindUsage
+	case m.Newborn != nil, m.Memory:
+		return kindMemory
+	case m.News != nil:
+		return kindNews
+	case m.Words != nil, m.WantWords:
+		return kindWords
+	case m.Departed != nil:
+		return kindDeparted
+	}
+	return kindLoad
+}
--- a/internal/digest/relay_test.go
+++ b/internal/digest/relay_test.go
@@ -162,8 +162,10 @@
 	if !r.first(Message{Node: "b", Sequence: 7}) || !r.first(Message{Node: "a", Sequence: 6}) {
 		t.Error("another message isn't passed on")
 	}
-	if unnumbered := (Message{Node: "old"}); !r.first(unnumbered) || !r.first(unnumbered) {
-		t.Error("messages without a number aren't passed on")
+	for range 2 {
+		if !r.first(Message{Node: "old"}) {
+			t.Error("a message without a number isn't passed on")
+		}
 	}
 }
 
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -124,6 +124,7 @@
 	}
 	n.exchange = exchange
 	exchange.SetPlaces(placesOf(configured))
+	exchange.SetMetrics(digest.NewMetrics(metrics))
 	n.countUsage()
 	n.board = tablerelay.New(exchange)
 	exchange.SetBoard(n.board)
@@ -247,7 +248,8 @@
 		n.work.Go(func() { feed.Run(ctx) })
 	}
 	n.work.Go(func() { n.exchange.Run(ctx) })
-	n.work.Go(func() { n.announce(ctx) })
+	n.work.Go(func() { n.stayListed(ctx) })
+	n.work.Go(func() { n.pruneNodes(ctx) })
 	n.work.Go(func() { n.warmUp(ctx) })
 	n.work.Go(func() { n.controller().Run(ctx) })
 	n.reportUsage(ctx, metrics)
--- /dev/null
+++ b/internal/serving/roster.go
@@ -0,0 +1,113 @@
+package serving
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/rowstore"
+	"github.com/tinarch/tinarch/internal/tablefeed"
+)
+
+// pruneEvery is the time between two looks for nodes that are gone for good: a tenth of
+// the time for which they have been silent (digest.departedAfter) and more.
+const pruneEvery = 10 * time.Second
+
+// rosterStore is the part of the platform's store that the list of nodes needs.
+type rosterStore interface {
+	Read(ctx context.Context, table string) ([]tablefeed.Row, tablefeed.Version, error)
+	Transact(ctx context.Context, transaction rowstore.Transaction) (version uint64, done bool, err error)
+}
+
+// stayListed writes this node's row, again where it was taken away though the node lives.
+func (n *Node) stayListed(ctx context.Context) {
+	n.announce(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.exchange.Unlisted():
+			n.announce(ctx)
+		}
+	}
+}
+
+// pruneNodes has all nodes forget those that are gone for good, until ctx ends: machines
+// that were replaced at another address would count for ever, as homes of accounts, heads
+// of zones, and in each node's share of the limits.
+func (n *Node) pruneNodes(ctx context.Context) {
+	ticker := time.NewTicker(pruneEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		gone := n.exchange.Departed(time.Now())
+		if len(gone) > 0 {
+			gone = n.unlist(ctx, gone)
+		}
+		n.exchange.Drop(gone, time.Now())
+	}
+}
+
+// unlist takes nodes out of the store's list, and returns those that are not in it.
+func (n *Node) unlist(ctx context.Context, gone []netip.AddrPort) []netip.AddrPort {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	unlisted, err := removeRows(callCtx, n.platform, gone)
+	log := n.log.WithFields(logrus.Fields{"silent": gone, "unlisted": unlisted})
+	if err != nil {
+		log.WithField("cause", err.Error()).Warn("nodes that are silent can't all be taken out of the list; tried again")
+	} else {
+		log.Warn("nodes taken out of the list: they were silent for long")
+	}
+	return unlisted
+}
+
+// removeRows removes the rows of nodes at these addresses. A row that was written anew
+// meanwhile stays. It returns the addresses that no row has any more.
+func removeRows(ctx context.Context, store rosterStore, gone []netip.AddrPort) ([]netip.AddrPort, error) {
+	rows, _, err := store.Read(ctx, nodesTable)
+	if err != nil {
+		return nil, eris.Wrap(err, "the list of nodes can't be read")
+	}
+	unlisted := slices.Clone(gone)
+	for _, row := range rows {
+		address, err := exchangeAddress(row)
+		if err != nil || !slices.Contains(gone, address) {
+			continue
+		}
+		if done, removeErr := removeRow(ctx, store, row); removeErr != nil || !done {
+			unlisted = slices.DeleteFunc(unlisted, func(other netip.AddrPort) bool { return other == address })
+			if removeErr != nil {
+				return unlisted, eris.Wrapf(removeErr, "row %s can't be removed", row.Key)
+			}
+		}
+	}
+	return unlisted, nil
+}
+
+// removeRow removes a row as it was read.
+func removeRow(ctx context.Context, store rosterStore, row tablefeed.Row) (done bool, err error) {
+	_, done, err = store.Transact(ctx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Table: nodesTable, Key: row.Key, Version: uint64(row.Version)}},
+		Writes:     []rowstore.Write{{Table: nodesTable, Key: row.Key}},
+	})
+	return done, err
+}
+
+// exchangeAddress reads the address in a node's row.
+func exchangeAddress(row tablefeed.Row) (netip.AddrPort, error) {
+	var value nodeRow
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return netip.AddrPort{}, err
+	}
+	return netip.ParseAddrPort(value.Exchange)
+}
--- /dev/null
+++ b/internal/serving/roster_test.go
@@ -0,0 +1,107 @@
+package serving
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/tinarch/tinarch/internal/lab/memorystore"
+	"github.com/tinarch/tinarch/internal/rowstore"
+	"github.com/tinarch/tinarch/internal/tablefeed"
+)
+
+var (
+	oldAddress = netip.MustParseAddrPort("10.0.0.1:7000")
+	newAddress = netip.MustParseAddrPort("10.0.0.2:7000")
+)
+
+// write puts a node's row.
+func write(t *testing.T, store rosterStore, name string, address netip.AddrPort) {
+	t.Helper()
+	value, err := json.Marshal(nodeRow{Incarnation: name, Exchange: address.String(), Zone: "a"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	transaction := rowstore.Transaction{Writes: []rowstore.Write{{Table: nodesTable, Key: name, Value: value}}}
+	if _, _, err := store.Transact(context.Background(), transaction); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func names(t *testing.T, store rosterStore) []string {
+	t.Helper()
+	rows, _, err := store.Read(context.Background(), nodesTable)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var keys []string
+	for _, row := range rows {
+		keys = append(keys, row.Key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// TestRowOfADepartedNodeIsRemoved, and no other.
+func TestRowOfADepartedNodeIsRemoved(t *testing.T) {
+	store := memorystore.New()
+	write(t, store, "gone", oldAddress)
+	write(t, store, "replacement", newAddress)
+	unlisted, err := removeRows(context.Background(), store, []netip.AddrPort{oldAddress})
+	if err != nil || !slices.Equal(unlisted, []netip.AddrPort{oldAddress}) {
+		t.Errorf("%v, %v", unlisted, err)
+	}
+	if left := names(t, store); !slices.Equal(left, []string{"replacement"}) {
+		t.Errorf("listed: %v", left)
+	}
+}
+
+// TestNodeThatTookItsRowAwayIsUnlisted: there is nothing to be removed.
+func TestNodeThatTookItsRowAwayIsUnlisted(t *testing.T) {
+	store := memorystore.New()
+	write(t, store, "replacement", newAddress)
+	if unlisted, err := removeRows(context.Background(), store, []netip.AddrPort{oldAddress}); err != nil || len(unlisted) != 1 {
+		t.Errorf("%v, %v", unlisted, err)
+	}
+}
+
+// staleStore reads a list that is older than what the store holds.
+type staleStore struct {
+	*memorystore.Store
+	rows []tablefeed.Row
+}
+
+func (s *staleStore) Read(context.Context, string) ([]tablefeed.Row, tablefeed.Version, error) {
+	return s.rows, 0, nil
+}
+
+// TestRowThatWasWrittenAnewStays: the list was read stale, and the node has started again
+// meanwhile.
+func TestRowThatWasWrittenAnewStays(t *testing.T) {
+	store := memorystore.New()
+	write(t, store, "node", oldAddress)
+	rows, _, err := store.Read(context.Background(), nodesTable)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, store, "node", newAddress)
+	unlisted, err := removeRows(context.Background(), &staleStore{store, rows}, []netip.AddrPort{oldAddress})
+	if err != nil || len(unlisted) != 0 {
+		t.Errorf("%v, %v", unlisted, err)
+	}
+	if left := names(t, store); !slices.Equal(left, []string{"node"}) {
+		t.Errorf("listed: %v", left)
+	}
+}
+
+// TestNobodyIsUnlistedWithoutTheStore.
+func TestNobodyIsUnlistedWithoutTheStore(t *testing.T) {
+	store := memorystore.New()
+	write(t, store, "gone", oldAddress)
+	store.SetFaults(memorystore.Faults{Down: true})
+	if unlisted, err := removeRows(context.Background(), store, []netip.AddrPort{oldAddress}); err == nil || len(unlisted) != 0 {
+		t.Errorf("%v, %v", unlisted, err)
+	}
+}
