Stages by region: orders that were not answered don't stop a region

A region may now have twice its share under way; all regions together are bounded as before. TestUnansweredOrdersDontStopARegion fails without it.

--- a/internal/stageplan/regional.go
+++ b/internal/stageplan/regional.go
@@ -47,7 +47,7 @@
 			planner.hold(now)
 			continue
 		}
-		given := planner.decideWithin(now, engines, offered[region], min(room, r.policy.room(engines)))
+		given := planner.decideWithin(now, engines, offered[region], min(room, r.policy.roomInRegion(engines)))
 		if len(given) > 0 {
 			r.last = region
 		}
@@ -57,6 +57,11 @@
 	return orders
 }
 
+// roomInRegion is how many more engines of a region may be ordered to change now.
+func (p Policy) roomInRegion(workers []Worker) int {
+	return max(int(p.RegionShare*float64(len(workers))), 1) - changing(workers)
+}
+
 // turns are the regions that have engines or had some, in the order in which they come to
 // their orders: those after the one that came last go first.
 func (r *Regional) turns(regions map[string][]Worker, last string) []string {
--- a/internal/stageplan/regional_test.go
+++ b/internal/stageplan/regional_test.go
@@ -103,6 +103,27 @@
 	}
 }
 
+// TestUnansweredOrdersDontStopARegion: engines of which it isn't known whether they change
+// count as changing for long, and the region needs readers meanwhile.
+func TestUnansweredOrdersDontStopARegion(t *testing.T) {
+	workers := regionalFleet(3, 9, "east", "north", "south")
+	unanswered := 0
+	for i := range workers {
+		if workers[i].Region == "south" && workers[i].Prefill && unanswered < 2 {
+			workers[i].Changing, workers[i].Usable = true, false
+			unanswered++
+		}
+	}
+	offered := map[string]Offered{"south": {ReadTokens: 8 * enginePace}}
+	ordered := make(map[string]int)
+	for _, order := range decided(NewRegional(DefaultPolicy()), time.Second, workers, offered, heardAll) {
+		ordered[order.Region]++
+	}
+	if ordered["south"] == 0 {
+		t.Errorf("orders by region: %v", ordered)
+	}
+}
+
 // TestScarceRoomGoesRound: where one engine of the whole service may change at a time,
 // the regions take turns.
 func TestScarceRoomGoesRound(t *testing.T) {
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -83,6 +83,10 @@
 	// TogetherShare is the share of a service's engines that may change at once, at
 	// least one.
 	TogetherShare float64
+	// RegionShare is the share of a region's engines that may change at once, where there
+	// are several regions: twice TogetherShare, since orders that were not answered count
+	// for long (docs/design/regions-stages.md).
+	RegionShare float64
 	// Learn is how long demand must have been seen before readers are made ready for a
 	// peak: until then the operators' division is the better guess.
 	Learn time.Duration
@@ -94,7 +98,7 @@
 	return Policy{
 		Reading: 0.6, Writing: 0.9, Memory: 15 * time.Second, Smoothing: 700 * time.Millisecond,
 		Spare: 0.4, Gain: 0.15, LateGain: 0.05, DecodeShare: 0.25, Settle: time.Second, Outage: 1200 * time.Millisecond,
-		TogetherShare: 0.17, Learn: 2 * time.Second,
+		TogetherShare: 0.17, RegionShare: 0.34, Learn: 2 * time.Second,
 	}
 }
 
