--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -200,9 +201,9 @@
 		snapshot.Demand, snapshot.RegionDemand = nil, nil // they change slowly
 	}
 	base.Aside = now.Before(e.asideUntil)
-	parcels := e.parcels(snapshot, atRest)
+	parcels, supervisors := e.parcels(snapshot, atRest), e.peers.supervisors()
 	e.mu.Unlock()
-	e.sendParcels(parcels, snapshot, base)
+	e.sendParcels(parcels, supervisors, snapshot, base)
 	e.tellContents(snapshot.Reads, now)
 }
 
@@ -255,15 +256,25 @@
 	return targets
 }
 
-// sendParcels sends each node its part of a snapshot. Nodes that are told of the same
-// workers get the same datagram.
-func (e *Exchange) sendParcels(parcels map[netip.AddrPort][]string, snapshot worker.Snapshot, base Message) {
-	datagrams := make(map[string][]byte)
+// parcelKey names a datagram: nodes that are told of the same workers get the same one.
+type parcelKey struct {
+	workers    string
+	supervisor bool
+}
+
+// sendParcels sends each node its part of a snapshot. The demand of several regions is long,
+// and only supervisors plan by it.
+func (e *Exchange) sendParcels(parcels map[netip.AddrPort][]string, supervisors []netip.AddrPort, snapshot worker.Snapshot, base Message) {
+	datagrams := make(map[parcelKey][]byte)
 	for address, workers := range parcels {
-		key := strings.Join(workers, " ")
+		key := parcelKey{strings.Join(workers, " "), slices.Contains(supervisors, address)}
 		datagram, rendered := datagrams[key]
 		if !rendered {
-			datagram = e.encode(newMessage(base, snapshot.Part(workers)))
+			part := snapshot.Part(workers)
+			if !key.supervisor {
+				part.RegionDemand = nil
+			}
+			datagram = e.encode(newMessage(base, part))
 			datagrams[key] = datagram
 		}
 		e.write(kindLoad, datagram, address)
--- a/internal/digest/relay_test.go
+++ b/internal/digest/relay_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"slices"
 	"testing"
 
 	"github.com/tinarch/tinarch/internal/topology"
+	"github.com/tinarch/tinarch/internal/worker"
 )
 
 // threeRegions are those of six zones.
@@ -229,3 +231,36 @@
 		t.Errorf("without %s %v are designated", lost, after)
 	}
 }
+
+// TestOnlySupervisorsAreToldTheDemandOfRegions.
+func TestOnlySupervisorsAreToldTheDemandOfRegions(t *testing.T) {
+	exchange, err := Listen("127.0.0.1:0", "me", "zone0", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = exchange.conn.Close() }()
+	told := func() (*net.UDPConn, netip.AddrPort) {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn, netip.MustParseAddrPort(conn.LocalAddr().String())
+	}
+	supervisor, supervisorAddress := told()
+	home, homeAddress := told()
+	snapshot := worker.Snapshot{RegionDemand: map[string]map[string]worker.Demand{"region1": {"s": {ReadTokens: 5}}}}
+	parcels := map[netip.AddrPort][]string{supervisorAddress: nil, homeAddress: nil}
+	exchange.sendParcels(parcels, []netip.AddrPort{supervisorAddress}, snapshot, Message{Node: "me", Sequence: 1})
+	for conn, want := range map[*net.UDPConn]bool{supervisor: true, home: false} {
+		buffer := make([]byte, maxDatagram)
+		count, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		message, err := decode(buffer[:count])
+		if err != nil || (message.RegionDemand != nil) != want {
+			t.Errorf("%s, %v", buffer[:count], err)
+		}
+	}
+}
