--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -24,7 +25,8 @@
 type Message struct {
 	// Node is the sender's incarnation.
 	Node string `json:"n"`
-	// Sequence rises with each message of an incarnation.
+	// Sequence rises with each message of an incarnation; words and news have numbers of
+	// their own.
 	Sequence uint64 `json:"s"`
 	// Loads holds, by worker: requests, memory tokens, and tokens to be read by rank,
 	// without the zeros at the end.
@@ -39,6 +41,8 @@
 	// Demand holds, by service, what the sender's callers want: tokens of prompts to be
 	// read in a second, thousandths of requests that run, and their tokens of memory.
 	Demand map[string]demandForm `json:"d,omitempty"`
+	// RegionDemand holds the same by region, in a deployment in several.
+	RegionDemand map[string]map[string]demandForm `json:"dr,omitempty"`
 	// Newborn asks the receiver for what it has learned of these workers.
 	Newborn []string `json:"b,omitempty"`
 	// Memory tells that Reads and Paces are an answer to that, and Told of which workers
@@ -55,8 +59,10 @@
 	WantWords bool `json:"u,omitempty"`
 	// News are changes of a table, packed; such a message holds nothing else.
 	News []byte `json:"w,omitempty"`
-	// Relayed tells that words or news were passed on by the sender.
+	// Relayed tells that words or news were passed on by the sender, and Across that the
+	// receiver is to pass them on in its region.
 	Relayed bool `json:"y,omitempty"`
+	Across  bool `json:"yr,omitempty"`
 	// Contents hold "content worker tokens": what workers keep that others may share.
 	Contents []string `json:"c,omitempty"`
 	// Question asks for accounts of workers, and Reply answers that.
@@ -68,6 +74,8 @@
 	UsageReply *usageReply   `json:"h,omitempty"`
 	WantUsage  usage.Window  `json:"j,omitempty"`
 	Gathered   *gatheredForm `json:"k,omitempty"`
+	// Departed are nodes that are gone for good; such a message holds nothing else.
+	Departed []netip.AddrPort `json:"dp,omitempty"`
 	// Aside tells that the sender can't give orders, whatever its incarnation.
 	Aside bool `json:"a,omitempty"`
 	// Leaving tells that the sender stops.
@@ -92,6 +100,28 @@
 	return rendered
 }
 
+func renderRegions(regions map[string]map[string]worker.Demand) map[string]map[string]demandForm {
+	var rendered map[string]map[string]demandForm
+	for region, demands := range regions {
+		if rendered == nil {
+			rendered = make(map[string]map[string]demandForm, len(regions))
+		}
+		rendered[region] = renderDemand(demands)
+	}
+	return rendered
+}
+
+func parseRegions(rendered map[string]map[string]demandForm) map[string]map[string]worker.Demand {
+	var regions map[string]map[string]worker.Demand
+	for region, forms := range rendered {
+		if regions == nil {
+			regions = make(map[string]map[string]worker.Demand, len(rendered))
+		}
+		regions[region] = parseDemand(forms)
+	}
+	return regions
+}
+
 func parseDemand(rendered map[string]demandForm) map[string]worker.Demand {
 	var demands map[string]worker.Demand
 	for service, form := range rendered {
@@ -109,7 +139,8 @@
 
 // newMessage renders a snapshot into a message.
 func newMessage(message Message, snapshot worker.Snapshot) Message {
-	message.Failures, message.Demand = snapshot.Failures, renderDemand(snapshot.Demand)
+	message.Failures = snapshot.Failures
+	message.Demand, message.RegionDemand = renderDemand(snapshot.Demand), renderRegions(snapshot.RegionDemand)
 	if len(snapshot.Loads) > 0 {
 		message.Loads = make(map[string][]int, len(snapshot.Loads))
 	}
@@ -177,7 +208,10 @@
 
 // snapshot reads a message.
 func (m Message) snapshot() (worker.Snapshot, error) {
-	snapshot := worker.Snapshot{Loads: make(map[string]worker.Load, len(m.Loads)), Failures: m.Failures, Demand: parseDemand(m.Demand)}
+	snapshot := worker.Snapshot{
+		Loads: make(map[string]worker.Load, len(m.Loads)), Failures: m.Failures,
+		Demand: parseDemand(m.Demand), RegionDemand: parseRegions(m.RegionDemand),
+	}
 	for id, load := range m.Loads {
 		snapshot.Loads[id] = parseLoad(load)
 	}
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -14,6 +14,8 @@
 // Worker is what the planner knows of one engine of a service.
 type Worker struct {
 	ID string
+	// Region is that of the engine, empty where the deployment lies in one.
+	Region string
 	// Prefill is the stage, or that to which the engine is changing.
 	Prefill bool
 	// Usable engines are listed, stay, and did not fail just now.
@@ -44,6 +46,8 @@
 // Order is a decision.
 type Order struct {
 	Worker string
+	// Region is that of the worker.
+	Region string
 	// Prefill is the stage that the worker is to have.
 	Prefill bool
 	Reason  Reason
@@ -79,6 +83,10 @@
 	// TogetherShare is the share of a service's engines that may change at once, at
 	// least one.
 	TogetherShare float64
+	// RegionShare is the share of a region's engines that may change at once, where there
+	// are several regions: twice TogetherShare, since orders that were not answered count
+	// for long (docs/design/regions-stages.md).
+	RegionShare float64
 	// Learn is how long demand must have been seen before readers are made ready for a
 	// peak: until then the operators' division is the better guess.
 	Learn time.Duration
@@ -90,7 +98,7 @@
 	return Policy{
 		Reading: 0.6, Writing: 0.9, Memory: 15 * time.Second, Smoothing: 700 * time.Millisecond,
 		Spare: 0.4, Gain: 0.15, LateGain: 0.05, DecodeShare: 0.25, Settle: time.Second, Outage: 1200 * time.Millisecond,
-		TogetherShare: 0.17, Learn: 2 * time.Second,
+		TogetherShare: 0.17, RegionShare: 0.34, Learn: 2 * time.Second,
 	}
 }
 
@@ -158,13 +166,17 @@
 // Decide observes the engines and the work that is offered to them, and returns the orders
 // to be given now, if any. Call it every few hundred milliseconds.
 func (p *Planner) Decide(now time.Time, workers []Worker, offered Offered) []Order {
+	return p.decideWithin(now, workers, offered, p.policy.room(workers))
+}
+
+// decideWithin is Decide with no more orders than there is room for.
+func (p *Planner) decideWithin(now time.Time, workers []Worker, offered Offered, room int) []Order {
 	d := divide(workers)
 	p.observe(now, d, offered)
 	if d.size() < leastDecode+leastPrefill {
 		return nil
 	}
 	goal, reason, found := p.compare(now, d)
-	room := p.policy.together(len(workers)) - changing(workers)
 	if !found || room < 1 || now.Before(p.nextWave) {
 		return nil
 	}
@@ -187,7 +199,7 @@
 	}
 	var orders []Order
 	for _, worker := range idlest(from, count) {
-		orders = append(orders, Order{Worker: worker.ID, Prefill: prefill, Reason: reason})
+		orders = append(orders, Order{Worker: worker.ID, Region: worker.Region, Prefill: prefill, Reason: reason})
 	}
 	return orders
 }
@@ -204,6 +216,9 @@
 // together is how many engines of a service may change at once.
 func (p Policy) together(engines int) int { return max(int(p.TogetherShare*float64(engines)), 1) }
 
+// room is how many more engines may be ordered to change now.
+func (p Policy) room(workers []Worker) int { return p.together(len(workers)) - changing(workers) }
+
 func changing(workers []Worker) int {
 	count := 0
 	for _, worker := range workers {
