--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -52,6 +53,18 @@
 	// asks are the questions whose answers are awaited.
 	asks    map[uint64]*pendingAsk
 	lastAsk uint64
+	// spreads counts the words and news that this node made, and relays are those that it
+	// passed on.
+	spreads uint64
+	relays  relays
+	// watch is what a supervisor notes of silent nodes, and unlisted holds a token where
+	// this node must announce itself again.
+	watch    watch
+	unlisted chan struct{}
+	// metrics may be nil.
+	metrics *Metrics
+	// trips are the ways to other regions, by region.
+	trips map[string]*trip
 
 	// told are the workers of which peers have told all that they keep.
 	told chan []string
@@ -81,6 +94,7 @@
 		node: node, zone: zone, registry: registry, conn: conn, log: log,
 		begun: time.Now(), contents: newContentIndex(),
 		peers: newPeerSet(node, local, zone), asks: make(map[uint64]*pendingAsk),
+		trips: make(map[string]*trip), watch: newWatch(), unlisted: make(chan struct{}, 1),
 		told: make(chan []string, maxTold), done: make(chan struct{}),
 	}, nil
 }
@@ -184,12 +198,12 @@
 		base.Zone = e.zone
 		e.logSilent(now)
 	} else {
-		snapshot.Demand = nil // it changes slowly
+		snapshot.Demand, snapshot.RegionDemand = nil, nil // they change slowly
 	}
 	base.Aside = now.Before(e.asideUntil)
-	parcels := e.parcels(snapshot, atRest)
+	parcels, supervisors := e.parcels(snapshot, atRest), e.peers.supervisors()
 	e.mu.Unlock()
-	e.sendParcels(parcels, snapshot, base)
+	e.sendParcels(parcels, supervisors, snapshot, base)
 	e.tellContents(snapshot.Reads, now)
 }
 
@@ -242,18 +256,28 @@
 	return targets
 }
 
-// sendParcels sends each node its part of a snapshot. Nodes that are told of the same
-// workers get the same datagram.
-func (e *Exchange) sendParcels(parcels map[netip.AddrPort][]string, snapshot worker.Snapshot, base Message) {
-	datagrams := make(map[string][]byte)
+// parcelKey names a datagram: nodes that are told of the same workers get the same one.
+type parcelKey struct {
+	workers    string
+	supervisor bool
+}
+
+// sendParcels sends each node its part of a snapshot. The demand of several regions is long,
+// and only supervisors plan by it.
+func (e *Exchange) sendParcels(parcels map[netip.AddrPort][]string, supervisors []netip.AddrPort, snapshot worker.Snapshot, base Message) {
+	datagrams := make(map[parcelKey][]byte)
 	for address, workers := range parcels {
-		key := strings.Join(workers, " ")
+		key := parcelKey{strings.Join(workers, " "), slices.Contains(supervisors, address)}
 		datagram, rendered := datagrams[key]
 		if !rendered {
-			datagram = e.encode(newMessage(base, snapshot.Part(workers)))
+			part := snapshot.Part(workers)
+			if !key.supervisor {
+				part.RegionDemand = nil
+			}
+			datagram = e.encode(newMessage(base, part))
 			datagrams[key] = datagram
 		}
-		e.write(datagram, address)
+		e.write(kindLoad, datagram, address)
 	}
 }
 
@@ -267,21 +291,27 @@
 }
 
 func (e *Exchange) sendAll(addresses []netip.AddrPort, message Message) {
-	datagram := e.encode(message)
+	if len(addresses) == 0 {
+		return
+	}
+	datagram, kind := e.encode(message), message.kind()
 	for _, address := range addresses {
-		e.write(datagram, address)
+		e.write(kind, datagram, address)
 	}
 }
 
 func (e *Exchange) sendTo(address netip.AddrPort, message Message) {
-	datagram := e.encode(message)
-	e.write(datagram, address)
+	e.write(message.kind(), e.encode(message), address)
 }
 
 // write sends a datagram, which may be lost: what matters is told again at rest.
-func (e *Exchange) write(datagram []byte, address netip.AddrPort) {
-	if len(datagram) > 0 {
-		_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
+func (e *Exchange) write(kind string, datagram []byte, address netip.AddrPort) {
+	if len(datagram) == 0 {
+		return
+	}
+	_, _ = e.conn.WriteToUDPAddrPort(datagram, address)
+	if e.metrics != nil {
+		e.metrics.sent(kind, e.distanceTo(address), len(datagram))
 	}
 }
 
@@ -345,6 +375,8 @@
 		e.tellWords(from)
 	case message.Words != nil:
 		e.takeWords(from, message)
+	case message.Departed != nil:
+		e.takeDeparted(message, time.Now())
 	default:
 		e.take(from, message)
 	}
@@ -365,6 +397,9 @@
 	if stale {
 		return
 	}
+	if first {
+		e.returned(from)
+	}
 	if first && supervises {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Info("node heard for the first time")
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -61,6 +61,8 @@
 	pieces           int
 	// known are the accounts that other nodes told for the last plan.
 	known map[string]scheduling.Account
+	// reach tells why the last plan is for its region.
+	reach scheduling.Reach
 	// surveyed is what the last survey took.
 	surveyed surveyed
 }
@@ -85,6 +87,7 @@
 		SharedTokens: s.call.shared(),
 		OutputTokens: s.call.ExpectedOutput,
 		Objective:    s.call.Route.Objective - time.Since(s.call.Arrived),
+		GapObjective: s.call.Route.GapObjective,
 		Remaining:    s.remaining(),
 		Excluded:     s.excluded,
 		Failed:       s.failed,
@@ -105,7 +108,7 @@
 func (s *session) plan(ctx context.Context) scheduling.Plan {
 	plan := s.planOver(ctx, s.request())
 	if s.attempts == 0 && plan.Unread > 0 {
-		s.registry.ObserveDemand(s.call.Service.Name, plan.Unread, time.Now())
+		s.registry.ObserveDemand(s.call.Service.Name, readingRegion(plan), plan.Unread, time.Now())
 	}
 	if plan.Mode == scheduling.Refused && plan.Reason == scheduling.NoWorker && len(s.excluded) > 0 && s.attempts > 0 {
 		// Every worker has failed this call: none is left to be tried.
@@ -114,6 +117,24 @@
 	return plan
 }
 
+// readingRegion is the region whose engines read the prompt by a plan, empty where the
+// plan has none.
+func readingRegion(plan scheduling.Plan) string {
+	if plan.Reader.ID != "" {
+		return plan.Reader.Region
+	}
+	return plan.Runner.Region
+}
+
+// runningRegion is the region whose engine runs the request by a plan, or would have run
+// it, empty where the plan has none.
+func runningRegion(plan scheduling.Plan) string {
+	if plan.Runner.ID != "" {
+		return plan.Runner.Region
+	}
+	return plan.Reader.Region
+}
+
 // again decides whether a failed try is followed by another.
 func (s *session) again(end tryEnd) bool {
 	if gone(end.err) || late(end.err) || s.remaining() <= 0 {
@@ -149,7 +170,8 @@
 // refused is the outcome of a call that no worker is to be sent.
 func (s *session) refused(plan scheduling.Plan) Outcome {
 	if s.call.PromptTokens > 0 && s.attempts == 0 {
-		s.registry.ObserveRefused(s.call.Service.Name, s.call.PromptTokens+s.call.ExpectedOutput, s.call.ExpectedOutput, time.Now())
+		memory := s.call.PromptTokens + s.call.ExpectedOutput
+		s.registry.ObserveRefused(s.call.Service.Name, runningRegion(plan), memory, s.call.ExpectedOutput, time.Now())
 	}
 	if s.ranBefore {
 		return s.end(Outcome{Code: codeOfLost(nil, s.call.Route.Repeatable()), Detail: string(plan.Reason)})
@@ -196,7 +218,7 @@
 	if handle == nil {
 		return end
 	}
-	runner := s.runnerOver(ctx)
+	runner := s.runnerOver(ctx, plan.Reader)
 	if runner.Mode == scheduling.Refused {
 		s.release(*handle, plan.Reader)
 		return tryEnd{verdict: notRun, worker: plan.Reader.ID, err: errNoRunner}
@@ -205,14 +227,14 @@
 }
 
 func (s *session) logPlan(plan scheduling.Plan) {
-	s.metrics.plan(plan.Mode)
+	s.metrics.plan(plan, s.reach)
 	known := s.knowledge()
 	s.log.WithFields(logrus.Fields{
 		"id": s.call.ID, "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
 		"reader_queue": plan.Reader.ReadAhead, "runner_queue": plan.Runner.ReadAhead,
 		"cached": max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
-		"unread": plan.Unread, "fetch": plan.Fetch,
+		"unread": plan.Unread, "fetch": plan.Fetch, "reach": s.reach, "region": plan.Runner.Region, "trip_ms": int(plan.Runner.Trip),
 		"predicted_ms": plan.First.Milliseconds(), "cost": int(min(plan.Cost, 1e9)),
 		"remaining_ms": s.remaining().Milliseconds(), "routes_version": s.call.RoutesVersion,
 		"workers_version": known.Workers, "workers_age_ms": known.WorkersAge.Milliseconds(),
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -14,7 +14,9 @@
 	Region string
 	// SameZone and OtherRegion tell how far it is from the node.
 	SameZone, OtherRegion bool
-	Slots                 int
+	// Trip is the time of the way to another region and back, in milliseconds.
+	Trip  float64
+	Slots int
 	// Prefill and Decode tell the stage of a model engine; both are false for
 	// other workers.
 	Prefill, Decode bool
@@ -133,6 +135,9 @@
 	OutputTokens int
 	// Objective is the time that is left for the first byte of the answer.
 	Objective time.Duration
+	// GapObjective is the longest pause between two events of an answer, zero where none
+	// is set.
+	GapObjective time.Duration
 	// Remaining is the time that is left for the whole.
 	Remaining time.Duration
 	// Excluded are workers that must not get this request any more, and Failed those
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -113,7 +113,7 @@
 		settings: configured,
 		log:      log,
 		platform: platform,
-		registry: worker.NewRegistry(topology.New(configured.Node.Zone, configured.Zones)),
+		registry: worker.NewRegistry(placesOf(configured)),
 		pool:     workerconn.NewPool(),
 		identity: string(engine.NewIdentifier())[:incarnationDigits],
 	}
@@ -123,6 +123,8 @@
 		return nil, err
 	}
 	n.exchange = exchange
+	exchange.SetPlaces(placesOf(configured))
+	exchange.SetMetrics(digest.NewMetrics(metrics))
 	n.countUsage()
 	n.board = tablerelay.New(exchange)
 	exchange.SetBoard(n.board)
@@ -152,6 +154,11 @@
 
 const incarnationDigits = 12
 
+// placesOf are the zones and regions as this node sees them.
+func placesOf(configured settings.Routed) topology.Map {
+	return topology.New(configured.Node.Zone, configured.Zones)
+}
+
 func (n *Node) dispatcher(metrics *prometheus.Registry) *dispatch.Dispatcher {
 	bounds := n.settings.Bounds
 	var began func(tenant string, at time.Time)
@@ -242,7 +249,8 @@
 		n.work.Go(func() { feed.Run(ctx) })
 	}
 	n.work.Go(func() { n.exchange.Run(ctx) })
-	n.work.Go(func() { n.announce(ctx) })
+	n.work.Go(func() { n.stayListed(ctx) })
+	n.work.Go(func() { n.pruneNodes(ctx) })
 	n.work.Go(func() { n.warmUp(ctx) })
 	n.work.Go(func() { n.controller().Run(ctx) })
 	n.reportUsage(ctx, metrics)
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -59,8 +59,9 @@
 type Fleet interface {
 	// Engines describes the engines of a service for the planner.
 	Engines(service string, now time.Time) []stageplan.Worker
-	// Demand returns what callers of a service want.
-	Demand(service string, now time.Time) worker.Demand
+	// Demands returns what callers of a service want, by the region whose engines are
+	// wanted.
+	Demands(service string, now time.Time) map[string]worker.Demand
 	Get(id string) (worker.Worker, bool)
 	// SetChanging keeps requests away from a worker for a time, or until its entry
 	// shows the stage.
@@ -87,6 +88,9 @@
 	// Designated reports whether this is the node that the others expect to give
 	// orders. Two nodes may both think so; the lease decides.
 	Designated func() bool
+	// Hears reports whether any node of a region is heard. It may be nil in a deployment in
+	// one region.
+	Hears func(region string) bool
 	// Unfenced tells that engines don't compare fences. Store keeps orders then, and is
 	// not needed otherwise.
 	Unfenced bool
@@ -96,14 +100,14 @@
 // Controller plans and orders.
 type Controller struct {
 	options  Options
-	planners map[string]*stageplan.Planner
+	planners map[string]*stageplan.Regional
 	// unanswered is nil where engines compare fences.
 	unanswered *unanswered
 }
 
 // New returns a controller.
 func New(options Options) *Controller {
-	c := &Controller{options: options, planners: make(map[string]*stageplan.Planner)}
+	c := &Controller{options: options, planners: make(map[string]*stageplan.Regional)}
 	if options.Unfenced {
 		c.unanswered = newUnanswered(options)
 	}
@@ -134,27 +138,33 @@
 	for _, service := range c.options.Services() {
 		planner, known := c.planners[service.Name]
 		if !known {
-			planner = stageplan.New(stageplan.DefaultPolicy())
+			planner = stageplan.NewRegional(stageplan.DefaultPolicy())
 			c.planners[service.Name] = planner
 		}
 		now := time.Now()
 		fleet := c.options.Fleet
-		demand := fleet.Demand(service.Name, now)
-		offered := stageplan.Offered{ReadTokens: demand.ReadTokens, Requests: demand.Requests, MemoryTokens: demand.MemoryTokens}
+		offered := make(map[string]stageplan.Offered)
+		for region, demand := range fleet.Demands(service.Name, now) {
+			offered[region] = stageplan.Offered{ReadTokens: demand.ReadTokens, Requests: demand.Requests, MemoryTokens: demand.MemoryTokens}
+		}
 		engines := fleet.Engines(service.Name, now)
 		if c.unanswered != nil {
 			c.unanswered.mark(fleet, engines, now)
 		}
-		c.giveAll(ctx, service, planner, planner.Decide(now, engines, offered))
+		c.giveAll(ctx, service, planner, planner.Decide(now, engines, offered, c.hears))
 	}
 }
 
+func (c *Controller) hears(region string) bool {
+	return c.options.Hears == nil || c.options.Hears(region)
+}
+
 // parallelOrders is how many orders are under way at once: engines that are dark hold one
 // up until it is given up.
 const parallelOrders = 8
 
 // giveAll carries decisions out, several at once.
-func (c *Controller) giveAll(ctx context.Context, service Service, planner *stageplan.Planner, orders []stageplan.Order) {
+func (c *Controller) giveAll(ctx context.Context, service Service, planner *stageplan.Regional, orders []stageplan.Order) {
 	if c.unanswered != nil {
 		orders = c.prepare(ctx, orders)
 	}
@@ -163,8 +173,9 @@
 	var given sync.WaitGroup
 	for i, order := range orders {
 		slots <- struct{}{}
+		regional := planner.Planner(order.Region) // not safe for concurrent use
 		given.Go(func() {
-			verdicts[i] = c.give(ctx, service, planner, order)
+			verdicts[i] = c.give(ctx, service, regional, order)
 			<-slots
 		})
 	}
@@ -203,7 +214,7 @@
 // give carries a decision out, if this node has the authority to.
 func (c *Controller) give(ctx context.Context, service Service, planner *stageplan.Planner, order stageplan.Order) Verdict {
 	log := c.options.Log.WithFields(logrus.Fields{
-		"worker": order.Worker, "prefill": order.Prefill, "reason": order.Reason,
+		"worker": order.Worker, "region": order.Region, "prefill": order.Prefill, "reason": order.Reason,
 		"reading_demand": planner.Demand().Reading, "writing_demand": planner.Demand().Writing,
 	})
 	to, listed := c.options.Fleet.Get(order.Worker)
