--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -140,6 +140,7 @@
 	n.authority = authority.New(authority.Options{
 		Self: n.identity, Life: settings.Milliseconds(configured.Bounds.LeaseMillis),
 		Store: platform, Log: log, StandAside: exchange.StandAside,
+		Unfenced: !configured.Bounds.Fencing,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -264,6 +265,7 @@
 	deadline := begun.Add(settings.Milliseconds(n.settings.Bounds.StopMillis) - stopMargin)
 	n.front.Stop()
 	n.log.WithFields(logrus.Fields{"reason": reason, "active": n.front.Active()}).Info("stopping")
+	n.work.Go(func() { n.authority.Release(context.Background()) })
 	n.withdraw()
 	time.Sleep(time.Until(begun.Add(unlistedFor)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/internal/serving/stages.go
+++ b/internal/serving/stages.go
@@ -17,6 +17,7 @@
 		Services:   n.engineServices,
 		Designated: n.designated,
 		Hears:      n.hearsRegion,
+		Unfenced:   !n.settings.Bounds.Fencing, Store: n.platform,
 	})
 }
 
