Accounts of tenants' quotas: buckets, counters that only rise, keepers, private allowance

Pure: decided by a keeper from reports that may be lost, repeated and overtaken. Properties drawn with rapid: no window of 8 s holds more than the limit, its overshoot and slack under lost reports and answers, changing and restarting keepers; a tenant at half its rate is never refused.

--- /dev/null
+++ b/internal/quota/keeper.go
@@ -0,0 +1,402 @@
+package quota
+
+import (
+	"math"
+	"net/netip"
+	"time"
+)
+
+// The parts of Tolerance.Over that single imprecisions may cost.
+const (
+	// coldPart is what a keeper that doesn't know the use before it began to keep an
+	// account begins with: a fourth of the slack.
+	coldPart = 4
+	// creditPart is by how much a request may come before the bucket holds it, since a
+	// caller counts by the times at which it sends: an eighth.
+	creditPart = 8
+	// debtPart bounds the debt that a request leaves which costs more than a burst: half.
+	debtPart = 2
+	// floorPart bounds the debt that late reports leave: what was used out of a keeper's
+	// hearing was granted by others within the limit, and isn't owed a second time.
+	floorPart = 4
+	// maxReserved leaves something to nodes that begin to use an account while others are
+	// out of hearing: the overshoot that is commonly tolerated.
+	maxReserved = 0.9
+)
+
+// The times of a keeper.
+const (
+	// coldFor is how long a keeper says at most that it doesn't know what was used before:
+	// most limits' bursts are a second's rate or two.
+	coldFor = 2 * time.Second
+	// SilentAfter is when a node that uses an account counts as out of hearing: after two
+	// and a half of its reports at rest, of which one may be lost.
+	SilentAfter = 2500 * time.Millisecond
+	// reservedFor is for how long a silent node's share is kept for it. Most cuts end
+	// before, and a process that died has a successor.
+	reservedFor = 30 * time.Second
+	// idleLife is when an account or a node's counters are forgotten: twice the time for
+	// which a node reports what it used.
+	idleLife = 60 * time.Second
+	// inUseFor is for how long after a use the account's keepers tell each other of it.
+	inUseFor = 30 * time.Second
+	// maxWait bounds what a refused request is told to wait; who asks many times the
+	// limit isn't better served by more.
+	maxWait = 8 * time.Second
+	// minWait is the least time: below it, asking costs more than the wait.
+	minWait = 50 * time.Millisecond
+)
+
+// Spender is a process that uses accounts.
+type Spender struct {
+	// Node is its incarnation.
+	Node    string
+	Address netip.AddrPort
+}
+
+// Ask asks a keeper for a request's cost.
+type Ask struct {
+	Account string
+	From    Spender
+	// Report holds the asker's counters without the request.
+	Report Report
+	Cost   float64
+	// Split tells that another keeper of the account is out of hearing and may grant too.
+	Split bool
+}
+
+// Decision is a keeper's answer.
+type Decision struct {
+	Granted bool
+	// Cold tells that the keeper doesn't know what was used before it began, so that
+	// another may know better than to refuse.
+	Cold bool
+	// Level is what the account held, before the request.
+	Level float64
+	// Wait is when a refused request can be served, given those refused before it.
+	Wait time.Duration
+	// Share is the asker's part of the recent use, up to 1.
+	Share float64
+	// Reserved is the part of the limit that is kept for nodes out of hearing.
+	Reserved float64
+	// Limit and Version are those decided by.
+	Limit   Limit
+	Version uint64
+}
+
+// Keeper decides what nodes may use of accounts. It is pure, and not safe for concurrent
+// use.
+type Keeper struct {
+	tolerance Tolerance
+	// since is from when on all use was reported here.
+	since    time.Time
+	accounts map[string]*account
+}
+
+// NewKeeper returns a keeper that hears of all use from a time on.
+func NewKeeper(tolerance Tolerance, since time.Time) *Keeper {
+	return &Keeper{tolerance: tolerance, since: since, accounts: make(map[string]*account)}
+}
+
+// account is what is known of one tenant's use.
+type account struct {
+	limit   Limit
+	version uint64
+	bucket  Bucket
+	// born is from when on the use is known, and known when the account was made here.
+	born, known time.Time
+	// promised is the cost of refused requests that were told when to come back.
+	promised Bucket
+	spenders map[string]*spender
+	// total is the recent use of all.
+	total recentUse
+	// used is when use was last heard of.
+	used time.Time
+	// reserved is the part of the limit that is kept for nodes out of hearing.
+	reserved float64
+}
+
+// fill brings the account's level to a time.
+func (a *account) fill(now time.Time) {
+	rate, burst := a.allowed()
+	a.bucket.Fill(rate, burst, now)
+}
+
+// allowed is the limit without what is reserved.
+func (a *account) allowed() (rate, burst float64) {
+	return a.limit.Rate * (1 - a.reserved), a.limit.Burst * (1 - a.reserved)
+}
+
+// spender is what is known of one node's use of an account.
+type spender struct {
+	address  netip.AddrPort
+	counters Counters
+	recent   recentUse
+	heard    time.Time
+	// gone tells that the process has ended.
+	gone bool
+	// stale tells that reports may have been missed, so that the next isn't charged.
+	stale bool
+	// lostShare is its part of the recent use when it fell out of hearing, zero while it
+	// is heard.
+	lostShare float64
+}
+
+// recentUse is a use that decays with a window.
+type recentUse struct {
+	amount float64
+	at     time.Time
+}
+
+func (r *recentUse) decay(window time.Duration, now time.Time) float64 {
+	if elapsed := now.Sub(r.at); elapsed > 0 && window > 0 {
+		r.amount *= math.Exp(-elapsed.Seconds() / window.Seconds())
+		r.at = now
+	}
+	return r.amount
+}
+
+func (r *recentUse) add(amount float64, window time.Duration, now time.Time) {
+	r.decay(window, now)
+	r.amount = max(r.amount+amount, 0)
+}
+
+// Report takes in what a node has used. Keeps tells that this node is one of the account's
+// keepers, so that reports came here before.
+func (k *Keeper) Report(name string, from Spender, report Report, keeps bool, now time.Time) {
+	k.merge(k.account(name, report, keeps, now), from, report, now)
+}
+
+// Decide grants a request or refuses it.
+func (k *Keeper) Decide(ask Ask, keeps bool, now time.Time) Decision {
+	a := k.account(ask.Account, ask.Report, keeps, now)
+	s := k.merge(a, ask.From, ask.Report, now)
+	a.reserved = 0
+	if ask.Split {
+		a.reserved = k.silentShare(a, ask.From.Node, now)
+	}
+	decision := k.weigh(a, ask.Cost, now)
+	if decision.Granted {
+		s.counters.Taken += ask.Cost
+		k.spend(a, s, ask.Cost, now)
+	}
+	decision.Share = k.shareOf(a, s, now)
+	return decision
+}
+
+// weigh decides by the account's level alone.
+func (k *Keeper) weigh(a *account, cost float64, now time.Time) Decision {
+	a.fill(now)
+	rate, burst := a.allowed()
+	a.promised.Fill(-rate, math.Inf(1), now)
+	a.promised.level = max(a.promised.level, 0)
+	decision := Decision{
+		Level: a.bucket.Level(), Cold: a.cold(now), Reserved: a.reserved, Limit: a.limit, Version: a.version,
+	}
+	over := k.tolerance.Over(a.limit)
+	needed := min(cost, burst) - over/creditPart
+	fits := a.limit.Unit != Tokens || cost-a.limit.Burst <= over/debtPart
+	if fits && a.bucket.Level() >= needed {
+		decision.Granted = true
+		return decision
+	}
+	decision.Wait = maxWait
+	if fits && rate > 0 {
+		short := needed - a.bucket.Level() + a.promised.Level()
+		decision.Wait = waitFor(short, rate)
+		a.promised.level = min(a.promised.level+cost, rate*maxWait.Seconds())
+	}
+	return decision
+}
+
+// waitFor is the time in which an amount comes back.
+func waitFor(amount, rate float64) time.Duration {
+	seconds := min(amount/rate, maxWait.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), minWait)
+}
+
+// Spread lengthens a wait by up to an eighth, so that callers who were refused together
+// don't come back together. Draw is from 0 to 1.
+func Spread(wait time.Duration, draw float64) time.Duration {
+	const spreadPart = 8
+	return wait + time.Duration(draw*float64(wait)/spreadPart)
+}
+
+// cold reports whether use before the account's time may still count.
+func (a *account) cold(now time.Time) bool {
+	age := now.Sub(a.born)
+	return age < coldFor && a.limit.Rate*age.Seconds() < a.limit.Burst
+}
+
+// account returns the account of a name, and takes in a newer configuration.
+func (k *Keeper) account(name string, report Report, keeps bool, now time.Time) *account {
+	a, known := k.accounts[name]
+	if !known {
+		a = k.newAccount(report, keeps, now)
+		k.accounts[name] = a
+	}
+	if report.Version > a.version && report.Limit.Limited() {
+		a.fill(now)
+		a.limit, a.version = report.Limit, report.Version
+	}
+	a.fill(now)
+	return a
+}
+
+// newAccount holds what is sure to be left: something at the time from which on all use
+// was reported here, and what has come back since.
+func (k *Keeper) newAccount(report Report, keeps bool, now time.Time) *account {
+	born := now
+	if keeps {
+		born = k.since
+	}
+	return &account{
+		limit: report.Limit, version: report.Version, born: born, known: now, used: now,
+		bucket: NewBucket(k.coldLevel(report.Limit), born), promised: NewBucket(0, now),
+		spenders: make(map[string]*spender),
+	}
+}
+
+func (k *Keeper) coldLevel(limit Limit) float64 {
+	return min(limit.Burst, k.tolerance.Slack/coldPart)
+}
+
+// merge charges the account with what a report tells beyond those before it.
+func (k *Keeper) merge(a *account, from Spender, report Report, now time.Time) *spender {
+	s, known := a.spenders[from.Node]
+	if !known {
+		s = &spender{address: from.Address, stale: !a.hearsAll(report, now)}
+		a.supersede(from)
+		a.spenders[from.Node] = s
+	}
+	merged := s.counters.Merge(report.Counters)
+	increase := merged.Net() - s.counters.Net()
+	s.counters, s.heard, s.gone, s.lostShare = merged, now, false, 0
+	if s.stale {
+		s.stale = false
+		return s
+	}
+	if increase != 0 {
+		before := a.bucket.Level()
+		k.spend(a, s, increase, now)
+		floor := -k.tolerance.Over(a.limit) / floorPart
+		a.bucket.level = max(a.bucket.level, min(before, floor))
+	}
+	return s
+}
+
+// hearsAll reports whether all that the counters of a report hold was used while this
+// keeper knew the account. Else they are only what later ones are compared with.
+func (a *account) hearsAll(report Report, now time.Time) bool {
+	return report.Age < idleLife && !now.Add(-report.Age).Before(a.born)
+}
+
+// supersede marks the processes that had the address before as ended.
+func (a *account) supersede(newer Spender) {
+	for _, s := range a.spenders {
+		if s.address == newer.Address {
+			s.gone = true
+		}
+	}
+}
+
+func (k *Keeper) spend(a *account, s *spender, amount float64, now time.Time) {
+	a.bucket.Spend(amount)
+	a.total.add(amount, k.tolerance.Window, now)
+	s.recent.add(amount, k.tolerance.Window, now)
+	a.used = now
+}
+
+// silentShare is the part of the use of nodes that are out of hearing, other than the one
+// that asks.
+func (k *Keeper) silentShare(a *account, asker string, now time.Time) float64 {
+	sum := 0.0
+	for node, s := range a.spenders {
+		silence := now.Sub(s.heard)
+		if node == asker || s.gone || silence <= SilentAfter || silence > reservedFor {
+			continue
+		}
+		if s.lostShare == 0 {
+			s.lostShare = k.shareOf(a, s, now)
+		}
+		sum += s.lostShare
+	}
+	return min(sum, maxReserved)
+}
+
+// shareOf is a node's part of the recent use.
+func (k *Keeper) shareOf(a *account, s *spender, now time.Time) float64 {
+	total := a.total.decay(k.tolerance.Window, now)
+	if total <= 0 {
+		return 0
+	}
+	return min(s.recent.decay(k.tolerance.Window, now)/total, 1)
+}
+
+// Left records that a process has ended as planned.
+func (k *Keeper) Left(node string) {
+	for _, a := range k.accounts {
+		if s, known := a.spenders[node]; known {
+			s.gone = true
+		}
+	}
+}
+
+// Missed records that reports were missed until now: accounts hold only what is sure to
+// be left, and the next report of each node is what later ones are compared with.
+func (k *Keeper) Missed(now time.Time) {
+	k.since = now
+	for _, a := range k.accounts {
+		a.born = now
+		a.fill(now)
+		a.bucket.level = min(a.bucket.level, k.coldLevel(a.limit))
+		for _, s := range a.spenders {
+			s.stale = true
+		}
+	}
+}
+
+// Moved records that the nodes that keep accounts have changed: this one keeps on with
+// those that it keeps still. New ones it knows from now on.
+func (k *Keeper) Moved(keeps func(name string) bool, now time.Time) {
+	k.since = now
+	for name := range k.accounts {
+		if !keeps(name) {
+			delete(k.accounts, name)
+		}
+	}
+}
+
+// KnownSince returns since when an account is known here.
+func (k *Keeper) KnownSince(name string, now time.Time) time.Time {
+	if a, known := k.accounts[name]; known {
+		return a.known
+	}
+	return now
+}
+
+// InUse returns the accounts that were used lately, with limit and version.
+func (k *Keeper) InUse(now time.Time) map[string]Report {
+	used := make(map[string]Report)
+	for name, a := range k.accounts {
+		if now.Sub(a.used) <= inUseFor {
+			used[name] = Report{Limit: a.limit, Version: a.version}
+		}
+	}
+	return used
+}
+
+// Forget drops accounts and nodes that have been idle for long.
+func (k *Keeper) Forget(now time.Time) {
+	for name, a := range k.accounts {
+		for node, s := range a.spenders {
+			if now.Sub(s.heard) > idleLife {
+				delete(a.spenders, node)
+			}
+		}
+		a.fill(now)
+		if now.Sub(a.used) > idleLife && a.bucket.Level() >= a.limit.Burst {
+			delete(k.accounts, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/quota/keeper_test.go
@@ -0,0 +1,476 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var (
+	origin    = time.Unix(1000, 0)
+	plenty    = Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 400}
+	thousand  = Limit{Rate: 1000, Burst: 1000, Unit: Tokens}
+	tenantA   = AccountName("a", Tokens)
+	warmSince = origin.Add(-time.Hour)
+)
+
+func at(seconds float64) time.Time {
+	return origin.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func spenderOf(number int) Spender {
+	return Spender{
+		Node:    fmt.Sprint("n", number),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 7000),
+	}
+}
+
+// node is an asker with one meter.
+type node struct {
+	Spender
+	meter *Meter
+}
+
+func newNode(number int) *node { return &node{spenderOf(number), NewMeter(plenty)} }
+
+// ask asks a keeper and takes what it grants.
+func (n *node) ask(keeper *Keeper, limit Limit, cost float64, now time.Time) Decision {
+	decision := keeper.Decide(n.question(limit, cost, now), true, now)
+	if decision.Granted {
+		n.meter.Take(tenantA, cost, now)
+	}
+	return decision
+}
+
+func (n *node) question(limit Limit, cost float64, now time.Time) Ask {
+	return Ask{Account: tenantA, From: n.Spender, Report: n.meter.Begin(tenantA, limit, 1, now), Cost: cost}
+}
+
+func (n *node) tell(keeper *Keeper, now time.Time) {
+	keeper.Report(tenantA, n.Spender, n.meter.Report(tenantA, now), true, now)
+}
+
+// spend asks for as much as the keeper grants at once, and returns that.
+func (n *node) spend(keeper *Keeper, limit Limit, cost float64, now time.Time) float64 {
+	spent := 0.0
+	for n.ask(keeper, limit, cost, now).Granted {
+		spent += cost
+	}
+	return spent
+}
+
+func TestBurstAndRateHoldOverAllNodes(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	first, second := newNode(1), newNode(2)
+	credit := plenty.Over(thousand) / creditPart
+	if spent := first.spend(keeper, thousand, 10, at(0)); spent < 1000 || spent > 1000+credit+10 {
+		t.Errorf("a burst of %v was granted, want 1000 and at most %v more", spent, credit)
+	}
+	if spent := second.spend(keeper, thousand, 10, at(0)); spent != 0 {
+		t.Errorf("another node was granted %v of a burst that is spent", spent)
+	}
+	if spent := second.spend(keeper, thousand, 10, at(0.5)); spent < 490 || spent > 510 {
+		t.Errorf("%v came back in half a second, want 500", spent)
+	}
+}
+
+// TestOtherKeepersFollowByReports: also when reports are lost, repeated and overtaken.
+func TestOtherKeepersFollowByReports(t *testing.T) {
+	first, second := NewKeeper(plenty, warmSince), NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	n.spend(first, thousand, 10, at(0))
+	old := n.meter.Report(tenantA, at(0))
+	n.spend(first, thousand, 10, at(0.5))
+	n.tell(second, at(0.5))
+	second.Report(tenantA, n.Spender, old, true, at(0.5))
+	n.tell(second, at(0.5))
+	if decision := newNode(2).ask(second, thousand, 10, at(0.5)); decision.Granted {
+		t.Errorf("the second keeper grants what the first has: %+v", decision)
+	}
+}
+
+func TestReturnedCostsComeBack(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	n.spend(keeper, thousand, 10, at(0))
+	n.meter.Return(tenantA, 500)
+	n.tell(keeper, at(0))
+	if spent := newNode(2).spend(keeper, thousand, 10, at(0)); spent != 500 {
+		t.Errorf("%v granted of 500 that didn't run", spent)
+	}
+}
+
+// TestGrantThatIsNotHeardIsVoid: a keeper that has granted and one that hasn't agree.
+func TestGrantThatIsNotHeardIsVoid(t *testing.T) {
+	granted, unaware := NewKeeper(plenty, warmSince), NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	granted.Decide(n.question(thousand, 300, at(0)), true, at(0)) // the answer is lost
+	n.meter.Void(tenantA, 300, at(0))
+	for _, keeper := range []*Keeper{granted, unaware} {
+		n.tell(keeper, at(0))
+		if decision := newNode(2).ask(keeper, thousand, 10, at(0)); decision.Level != 1000 {
+			t.Errorf("the level is %v, want 1000", decision.Level)
+		}
+	}
+}
+
+// TestRequestLargerThanABurst passes where the bucket is full, and is paid back.
+func TestRequestLargerThanABurst(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	large := 1000 + plenty.Over(thousand)/debtPart
+	if decision := n.ask(keeper, thousand, large, at(0)); !decision.Granted {
+		t.Fatalf("refused: %+v", decision)
+	}
+	if decision := n.ask(keeper, thousand, 10, at(0.3)); decision.Granted {
+		t.Errorf("a small one passes in debt: %+v", decision)
+	}
+	if decision := n.ask(keeper, thousand, large, at(1)); decision.Granted {
+		t.Errorf("granted again after a second: %+v", decision)
+	}
+	if decision := n.ask(keeper, thousand, large, at(3)); !decision.Granted {
+		t.Errorf("refused though the debt is paid: %+v", decision)
+	}
+	if decision := newNode(2).ask(NewKeeper(plenty, warmSince), thousand, large+1, at(0)); decision.Granted {
+		t.Errorf("a request passes whose debt the tolerance doesn't bear: %+v", decision)
+	}
+	single := Limit{Rate: 1, Unit: Requests}
+	if decision := newNode(3).ask(NewKeeper(Tolerance{Window: time.Second}, warmSince), single, 1, at(0)); !decision.Granted {
+		t.Errorf("a limit of one request a second without a burst serves none: %+v", decision)
+	}
+}
+
+// TestColdKeeper: one that doesn't know what was used has no second burst to give.
+func TestColdKeeper(t *testing.T) {
+	keeper := NewKeeper(plenty, at(0))
+	n := newNode(1)
+	most := plenty.Slack/coldPart + plenty.Over(thousand)/creditPart + 10
+	if spent := n.spend(keeper, thousand, 10, at(0)); spent > most {
+		t.Errorf("%v granted at the start, want at most %v", spent, most)
+	}
+	if decision := n.ask(keeper, thousand, 10, at(0)); !decision.Cold {
+		t.Error("the keeper doesn't say that it is cold")
+	}
+	if decision := n.ask(keeper, thousand, 10, at(2)); decision.Cold || !decision.Granted {
+		t.Errorf("after two seconds: %+v", decision)
+	}
+	if decision := newNode(2).ask(NewKeeper(plenty, at(0)), thousand, 1000, at(5)); !decision.Granted {
+		t.Errorf("an account that is first used long after the start isn't full: %+v", decision)
+	}
+}
+
+// TestFirstReportOfCounters: what was used before the keeper knew the account isn't
+// charged, and what was used since is.
+func TestFirstReportOfCounters(t *testing.T) {
+	limit := thousand
+	used := Counters{Taken: 800}
+	for _, c := range []struct {
+		name  string
+		since time.Time
+		age   time.Duration
+		want  float64
+	}{
+		{"a process younger than the keeper", warmSince, time.Second, 200},
+		{"a process older than the keeper", at(-1), 10 * time.Second, 1000},
+		{"a process that was forgotten", warmSince, idleLife, 1000},
+	} {
+		keeper := NewKeeper(plenty, c.since)
+		report := Report{Counters: used, Age: c.age, Limit: limit, Version: 1}
+		keeper.Report(tenantA, spenderOf(1), report, true, at(0))
+		if decision := newNode(2).ask(keeper, limit, 10, at(0)); decision.Level != c.want {
+			t.Errorf("%s: level %v, want %v", c.name, decision.Level, c.want)
+		}
+	}
+}
+
+// TestKeeperThatMissedReports: it gives no burst, and doesn't charge at once what others
+// granted meanwhile.
+func TestKeeperThatMissedReports(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	n.ask(keeper, thousand, 10, at(0))
+	n.meter.Take(tenantA, 20_000, at(20)) // granted by others
+	keeper.Missed(at(20))
+	n.tell(keeper, at(20))
+	decision := n.ask(keeper, thousand, 10, at(20))
+	if decision.Level != plenty.Slack/coldPart || !decision.Cold {
+		t.Errorf("%+v", decision)
+	}
+	n.meter.Take(tenantA, 100, at(20))
+	n.tell(keeper, at(20))
+	if after := n.ask(keeper, thousand, 10, at(20)); after.Level != decision.Level-110 {
+		t.Errorf("level %v after 110 of %v were used", after.Level, decision.Level)
+	}
+}
+
+// TestLateReportsDontBlockATenant: what others granted within the limit while a node was
+// out of hearing is owed only as far as a burst may have been spent twice.
+func TestLateReportsDontBlockATenant(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	n.ask(keeper, thousand, 10, at(0))
+	n.meter.Take(tenantA, 50_000, at(50))
+	n.tell(keeper, at(50))
+	if decision := n.ask(keeper, thousand, 10, at(51)); !decision.Granted {
+		t.Errorf("%+v", decision)
+	}
+}
+
+// TestNewKeeperOfAnAccount: a node that the ranking makes one knows nothing of it yet.
+func TestNewKeeperOfAnAccount(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	newNode(1).ask(keeper, thousand, 10, at(0))
+	keeper.Moved(func(string) bool { return true }, at(1))
+	if decision := newNode(1).ask(keeper, thousand, 10, at(1)); decision.Cold {
+		t.Errorf("an account that stays is forgotten: %+v", decision)
+	}
+	keeper.Moved(func(string) bool { return false }, at(1))
+	if decision := newNode(1).ask(keeper, thousand, 10, at(1)); !decision.Cold || decision.Level > plenty.Slack/coldPart {
+		t.Errorf("a new keeper has a burst to give: %+v", decision)
+	}
+}
+
+func TestLowerLimitBinds(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	n.ask(keeper, thousand, 10, at(0))
+	lower := Limit{Rate: 100, Burst: 50, Unit: Tokens}
+	n.meter.Begin(tenantA, lower, 2, at(0))
+	n.tell(keeper, at(0))
+	// A node of the older configuration asks.
+	if decision := newNode(2).ask(keeper, thousand, 1, at(0)); decision.Level > 50 || decision.Version != 2 {
+		t.Errorf("the older limit decides: %+v", decision)
+	}
+}
+
+// TestHalvesStayAtTheLimit: keepers that can't hear each other leave the other half its
+// share, unless its processes have ended.
+func TestHalvesStayAtTheLimit(t *testing.T) {
+	left, right := NewKeeper(plenty, warmSince), NewKeeper(plenty, warmSince)
+	here, beyond := newNode(1), newNode(2)
+	for second := range 10 {
+		now := at(float64(second))
+		here.ask(left, thousand, 300, now)
+		beyond.ask(right, thousand, 300, now)
+		here.tell(right, now)
+		beyond.tell(left, now)
+	}
+	apart := func(n *node, keeper *Keeper, now time.Time) (granted float64) {
+		for {
+			question := n.question(thousand, 10, now)
+			question.Split = true
+			if !keeper.Decide(question, true, now).Granted {
+				return granted
+			}
+			granted += 10
+			n.meter.Take(tenantA, 10, now)
+		}
+	}
+	sum := 0.0
+	for step := range 80 {
+		now := at(12 + float64(step)/10)
+		sum += apart(here, left, now) + apart(beyond, right, now)
+	}
+	if allowed := 8*1000 + 1000 + plenty.Over(thousand); sum > allowed || sum < 8*1000*0.9 {
+		t.Errorf("two halves used %v in 8 s, at most %v is allowed", sum, allowed)
+	}
+	left.Left(beyond.Node)
+	if decision := left.Decide(Ask{Account: tenantA, From: here.Spender, Report: here.meter.Report(tenantA, at(21)), Cost: 1, Split: true}, true, at(21)); decision.Reserved != 0 {
+		t.Errorf("%v is kept for a process that has ended", decision.Reserved)
+	}
+}
+
+// TestSuccessorEndsAReservation: the process that comes after one at its address.
+func TestSuccessorEndsAReservation(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	n, lost := newNode(1), newNode(2)
+	n.ask(keeper, thousand, 100, at(0))
+	lost.ask(keeper, thousand, 100, at(0))
+	ask := func(now time.Time) Decision {
+		question := n.question(thousand, 1, now)
+		question.Split = true
+		return keeper.Decide(question, true, now)
+	}
+	if decision := ask(at(3)); decision.Reserved < 0.4 {
+		t.Errorf("%v is kept for a node that is out of hearing", decision.Reserved)
+	}
+	successor := newNode(2)
+	successor.Node = "successor"
+	successor.ask(keeper, thousand, 1, at(3))
+	if decision := ask(at(3)); decision.Reserved != 0 {
+		t.Errorf("%v is kept for a node that has a successor", decision.Reserved)
+	}
+}
+
+func TestRefusedAreToldWhenTheyCanBeServed(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	n.spend(keeper, thousand, 10, at(0))
+	last := time.Duration(0)
+	for range 20 {
+		decision := n.ask(keeper, thousand, 100, at(0))
+		if decision.Granted || decision.Wait < last {
+			t.Fatalf("%+v after a wait of %v", decision, last)
+		}
+		last = decision.Wait
+	}
+	if last < 1900*time.Millisecond || last > 2100*time.Millisecond {
+		t.Errorf("the last of twenty is told to wait %v", last)
+	}
+	for range 500 {
+		last = n.ask(keeper, thousand, 100, at(0)).Wait
+	}
+	if last > maxWait {
+		t.Errorf("told to wait %v", last)
+	}
+	if got := Spread(time.Second, 1); got != 1125*time.Millisecond {
+		t.Errorf("a second is spread to %v", got)
+	}
+}
+
+// TestPrivateAllowance: nodes that reach no keeper use together half of what may be used
+// past the limit, and one request each.
+func TestPrivateAllowance(t *testing.T) {
+	const nodes = 10
+	sum := 0.0
+	for i := range nodes {
+		n := newNode(i)
+		n.meter.Begin(tenantA, thousand, 1, at(0))
+		if i > 0 {
+			n.meter.Heard(tenantA, 1.0/nodes)
+		}
+		for step := range 80 {
+			for n.meter.Private(tenantA, nodes, 10, at(float64(step)/10)).Granted {
+				sum += 10
+			}
+		}
+	}
+	// A window holds what was saved up and what comes back.
+	if most := plenty.Over(thousand) + 10*nodes; sum > most || sum < plenty.Over(thousand)/privatePart {
+		t.Errorf("%v used, at most %v", sum, most)
+	}
+	n := newNode(1)
+	n.meter.Begin(tenantA, thousand, 1, at(0))
+	if first := n.meter.Private(tenantA, nodes, 500, at(0)); !first.Granted || !first.First {
+		t.Errorf("a request that costs more than the allowance: %+v", first)
+	}
+	if second := n.meter.Private(tenantA, nodes, 500, at(1)); second.Granted || second.First || second.Wait <= 0 {
+		t.Errorf("and another: %+v", second)
+	}
+	if !n.meter.Heard(tenantA, 0.1) || n.meter.Heard(tenantA, 0.1) {
+		t.Error("being back isn't told once")
+	}
+}
+
+func TestIdleAccountsAreForgotten(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	n.ask(keeper, thousand, 10, at(0))
+	keeper.Forget(at(50))
+	if len(keeper.accounts) != 1 || len(keeper.InUse(at(20))) != 1 || len(keeper.InUse(at(40))) != 0 {
+		t.Errorf("%d accounts", len(keeper.accounts))
+	}
+	keeper.Forget(at(61))
+	if len(keeper.accounts) != 0 {
+		t.Errorf("%d accounts", len(keeper.accounts))
+	}
+	if decision := n.ask(keeper, thousand, 10, at(70)); decision.Level != 1000 {
+		t.Errorf("an old use is charged again: %+v", decision)
+	}
+}
+
+// use is what ran at a time.
+type use struct {
+	at   time.Time
+	cost float64
+}
+
+// TestNoWindowHoldsMoreThanIsTolerated: whatever reports are lost, whichever keeper is
+// asked, answers lost and requests given back.
+func TestNoWindowHoldsMoreThanIsTolerated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		loss := rapid.Float64Range(0, 0.3).Draw(t, "loss")
+		demand := rapid.Float64Range(0.3, 6).Draw(t, "demand")
+		keepers := []*Keeper{NewKeeper(plenty, warmSince), NewKeeper(plenty, warmSince), NewKeeper(plenty, warmSince)}
+		nodes := []*node{newNode(1), newNode(2), newNode(3), newNode(4)}
+		var uses []use
+		const steps, step = 800, 0.025
+		for i := range steps {
+			now := at(float64(i) * step)
+			if draw.Float64() < 0.002 { // a keeper starts again
+				keepers[draw.IntN(len(keepers))] = NewKeeper(plenty, now)
+			}
+			first := 0
+			if i/100%2 == 1 {
+				first = draw.IntN(len(keepers)) // the first keeper answers late
+			}
+			for _, n := range nodes {
+				if draw.Float64() >= demand/4 {
+					continue
+				}
+				cost := 5 + 40*draw.Float64()
+				decision := keepers[first].Decide(n.question(thousand, cost, now), true, now)
+				switch {
+				case draw.Float64() < loss/3: // the answer is lost
+					n.meter.Void(tenantA, cost, now)
+				case decision.Granted && draw.Float64() < 0.05: // it didn't run
+					n.meter.Void(tenantA, cost, now)
+				case decision.Granted:
+					n.meter.Take(tenantA, cost, now)
+					uses = append(uses, use{now, cost})
+				}
+			}
+			for _, n := range nodes {
+				for _, keeper := range keepers {
+					if draw.Float64() >= loss {
+						n.tell(keeper, now)
+					}
+				}
+			}
+		}
+		checkWindows(t, uses, 8*1000+1000+plenty.Over(thousand))
+	})
+}
+
+func checkWindows(t *rapid.T, uses []use, allowed float64) {
+	begin, sum := 0, 0.0
+	for _, u := range uses {
+		sum += u.cost
+		for u.at.Sub(uses[begin].at) > plenty.Window {
+			sum -= uses[begin].cost
+			begin++
+		}
+		if sum > allowed {
+			t.Fatalf("%v used in the window to %v, %v allowed", sum, u.at.Sub(origin), allowed)
+		}
+	}
+}
+
+// TestTenantAtHalfItsRateIsNeverRefused by a keeper that hears of all use, late or not.
+func TestTenantAtHalfItsRateIsNeverRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
+		loss := rapid.Float64Range(0, 0.5).Draw(t, "loss")
+		keepers := []*Keeper{NewKeeper(plenty, warmSince), NewKeeper(plenty, warmSince)}
+		nodes := []*node{newNode(1), newNode(2), newNode(3)}
+		for i := range 800 {
+			now := at(float64(i) * 0.025)
+			for _, n := range nodes {
+				cost := 8 * draw.Float64() // 480 a second of 1000
+				if decision := n.ask(keepers[draw.IntN(2)], thousand, cost, now); !decision.Granted {
+					t.Fatalf("refused at %v: %+v", now.Sub(origin), decision)
+				}
+				for _, keeper := range keepers {
+					if draw.Float64() >= loss {
+						n.tell(keeper, now)
+					}
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/quota/meter.go
@@ -0,0 +1,164 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// privatePart is the part of Tolerance.Over that nodes which reach no keeper may use
+// between them in a window: half.
+const privatePart = 2
+
+// Meter counts what this node has used of accounts, for its life. It is pure, and not safe
+// for concurrent use.
+type Meter struct {
+	tolerance Tolerance
+	accounts  map[string]*metered
+	// changed are the accounts to be reported.
+	changed map[string]bool
+}
+
+// metered is this node's use of one account.
+type metered struct {
+	counters Counters
+	limit    Limit
+	version  uint64
+	// begun is when the counting began, and used when it last rose.
+	begun, used time.Time
+	// share is this node's part of the recent use as a keeper told it, zero where none has.
+	share float64
+	// allowance is what may be used without a keeper.
+	allowance Bucket
+	// private tells that no keeper answered last.
+	private bool
+}
+
+// NewMeter returns a meter at zero.
+func NewMeter(tolerance Tolerance) *Meter {
+	return &Meter{tolerance: tolerance, accounts: make(map[string]*metered), changed: make(map[string]bool)}
+}
+
+// Begin returns what to report with an ask for an account, whose limit is that of a
+// version of the configuration.
+func (m *Meter) Begin(name string, limit Limit, version uint64, now time.Time) Report {
+	a, known := m.accounts[name]
+	if !known {
+		a = &metered{begun: now}
+		m.accounts[name] = a
+	}
+	if version >= a.version {
+		a.limit, a.version = limit, version
+	}
+	return m.Report(name, now)
+}
+
+// Report returns what to report of an account now.
+func (m *Meter) Report(name string, now time.Time) Report {
+	a, known := m.accounts[name]
+	if !known {
+		return Report{}
+	}
+	return Report{Counters: a.counters, Age: now.Sub(a.begun), Limit: a.limit, Version: a.version}
+}
+
+// Take counts a cost as used.
+func (m *Meter) Take(name string, cost float64, now time.Time) {
+	if a, known := m.accounts[name]; known {
+		a.counters.Taken += cost
+		a.used = now
+		m.changed[name] = true
+	}
+}
+
+// Return counts a cost that was taken as not used.
+func (m *Meter) Return(name string, cost float64) {
+	if a, known := m.accounts[name]; known {
+		a.counters.Returned += cost
+		m.changed[name] = true
+	}
+}
+
+// Void counts a cost as taken and returned, since a keeper that didn't answer may have
+// granted it.
+func (m *Meter) Void(name string, cost float64, now time.Time) {
+	m.Take(name, cost, now)
+	m.Return(name, cost)
+}
+
+// Heard takes in this node's share, as a keeper tells it. It reports whether the node got
+// along without a keeper before.
+func (m *Meter) Heard(name string, share float64) (back bool) {
+	a, known := m.accounts[name]
+	if !known {
+		return false
+	}
+	a.share = share
+	back, a.private = a.private, false
+	return back
+}
+
+// Private is a decision without a keeper.
+type Private struct {
+	Granted bool
+	// First tells that keepers answered before.
+	First bool
+	// Level is what the allowance held.
+	Level float64
+	Wait  time.Duration
+}
+
+// Private decides on a cost that no keeper has answered for. The allowance is this node's
+// share of half of what may be used past the limit in a window, one of nodes where no
+// keeper has told it. Its last request may cost more than is left.
+func (m *Meter) Private(name string, nodes int, cost float64, now time.Time) Private {
+	a, known := m.accounts[name]
+	if !known {
+		return Private{Wait: maxWait}
+	}
+	share := a.share
+	if share <= 0 {
+		share = 1 / float64(max(nodes, 1))
+	}
+	size := share * m.tolerance.Over(a.limit) / privatePart
+	rate := size / m.tolerance.Window.Seconds()
+	if a.allowance.at.IsZero() {
+		a.allowance = NewBucket(size, now)
+	}
+	a.allowance.Fill(rate, size, now)
+	decision := Private{First: !a.private, Level: a.allowance.Level()}
+	a.private = true
+	needed := min(cost, size)
+	if size > 0 && a.allowance.Level() >= needed {
+		a.allowance.Spend(cost)
+		decision.Granted = true
+		return decision
+	}
+	decision.Wait = maxWait
+	if rate > 0 {
+		decision.Wait = waitFor(needed-a.allowance.Level(), rate)
+	}
+	return decision
+}
+
+// Changed returns the accounts that have changed since the last call.
+func (m *Meter) Changed() []string {
+	names := make([]string, 0, len(m.changed))
+	for name := range m.changed {
+		names = append(names, name)
+	}
+	clear(m.changed)
+	slices.Sort(names)
+	return names
+}
+
+// InUse returns the accounts that were used lately.
+func (m *Meter) InUse(now time.Time) []string {
+	var names []string
+	for name, a := range m.accounts {
+		if now.Sub(a.used) <= inUseFor {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
