--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -153,6 +153,9 @@
 	work := newWork(s, runner, prompt)
 	defer work.end()
 	answer, err := s.send(ctx, runner, forward)
+	if s.ranBefore && !workerconn.Unsent(err) && !s.call.Charge.None() {
+		s.repeated(s.call.Charge)
+	}
 	if err != nil {
 		if from != nil {
 			s.release(from.handle, from.reader)
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
@@ -34,6 +35,9 @@
 	// Tenant is whose request it is, as its API key tells.
 	Tenant tenant.Tenant
 
+	// Charge is what the request has cost its tenant's quota, none where it has none.
+	Charge quota.Charge
+
 	// Prompt lists the parts of a generation's prompt in order; it is empty for
 	// other requests.
 	Prompt       []prefixcache.Part
@@ -146,3 +150,8 @@
 	// Pieces counts the pieces passed on.
 	Pieces int
 }
+
+// NotRun reports whether it is proved that no worker has run the call.
+func (o Outcome) NotRun() bool {
+	return o.Code.Entry().Outcome == result.DidNotRun || o.Code == result.CallerGone && o.Attempts == 0
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/retry"
 	"github.com/tinarch/tinarch/internal/scheduling"
@@ -35,6 +36,8 @@
 	knowledge func() Knowledge
 	// began counts a request of a tenant that a worker has begun to run.
 	began func(tenant string, at time.Time)
+	// repeated charges for another run of a call that may have run already.
+	repeated func(charge quota.Charge)
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -57,6 +60,9 @@
 	// Began is told of each request that a worker has begun to run, once, with the name of
 	// its tenant. It may be nil.
 	Began func(tenant string, at time.Time)
+	// Repeated is told of each further run of a request that may have run already, with
+	// what it was charged. It may be nil.
+	Repeated func(charge quota.Charge)
 }
 
 // Knowledge tells versions and ages of what a node decides by, for the log.
@@ -80,8 +86,13 @@
 	if began == nil {
 		began = func(string, time.Time) {}
 	}
+	repeated := options.Repeated
+	if repeated == nil {
+		repeated = func(quota.Charge) {}
+	}
 	return &Dispatcher{
 		began:     began,
+		repeated:  repeated,
 		knowledge: knowledge,
 		registry:  options.Registry,
 		scheduler: options.Scheduler,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -41,6 +41,8 @@
 	splitter *routing.Splitter
 	log      *logrus.Logger
 	metrics  *Metrics
+	// quotas is nil where no tenant has a limit.
+	quotas Quotas
 	// configurationAge is the time since the configuration in force was confirmed.
 	configurationAge func() time.Duration
 
@@ -55,6 +57,8 @@
 	Runner  Runner
 	Log     *logrus.Logger
 	Metrics *Metrics
+	// Quotas charges tenants that have a limit. It may be nil where none has.
+	Quotas Quotas
 	// ConfigurationAge is the time since the configuration in force was confirmed. It may
 	// be nil where that is never long ago.
 	ConfigurationAge func() time.Duration
@@ -69,6 +73,7 @@
 	return &Front{
 		configurationAge: age,
 		parser:           options.Parser, runner: options.Runner, log: options.Log, metrics: options.Metrics,
+		quotas:   options.Quotas,
 		splitter: routing.NewSplitter(rand.IntN),
 	}
 }
@@ -112,10 +117,14 @@
 	answer := newHTTPCaller(writer, f.stopping.Load())
 	call, failure := f.accept(writer, request, arrived)
 	if failure != nil {
+		f.giveBack(call)
 		f.refuse(answer, request, call, failure, arrived)
 		return
 	}
 	outcome := f.runner.Run(request.Context(), call, answer)
+	if outcome.NotRun() {
+		f.giveBack(call)
+	}
 	f.finish(answer, request, call, outcome)
 }
 
@@ -132,17 +141,23 @@
 	if failure != nil {
 		return nil, failure
 	}
-	body, failure := readBody(writer, request, table.Limits.MaxBodyBytes)
-	if failure != nil {
-		return nil, failure
-	}
 	call := &dispatch.Call{
 		Method: request.Method, Target: request.RequestURI, Host: request.Host,
-		Header: request.Header, Body: body, Route: admitted.route, Tenant: admitted.tenant, Arrived: arrived,
-		Deadline: arrived.Add(admitted.route.Timeout),
+		Header: request.Header, Route: admitted.route, Tenant: admitted.tenant, Arrived: arrived,
+		Deadline: arrived.Add(admitted.route.Timeout), RoutesVersion: table.Version,
+	}
+	parseErr := f.parser.Parse(call)
+	if parseErr == nil {
+		if failure := f.charge(request.Context(), call); failure != nil {
+			return call, failure
+		}
+	}
+	call.Body, failure = readBody(writer, request, table.Limits.MaxBodyBytes)
+	if failure != nil {
+		return call, failure
 	}
-	if err := f.parser.Parse(call); err != nil {
-		return call, result.New(result.InvalidRequest, "%v", err)
+	if parseErr != nil {
+		return call, result.New(result.InvalidRequest, "%v", parseErr)
 	}
 	// The configuration may have changed while the body came.
 	if newest := f.table.Load(); newest != table {
--- /dev/null
+++ b/internal/front/quota.go
@@ -0,0 +1,62 @@
+package front
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/dispatch"
+	"github.com/tinarch/tinarch/internal/quota"
+	"github.com/tinarch/tinarch/internal/result"
+)
+
+// Quotas charges tenants for requests, over all nodes together.
+type Quotas interface {
+	// Charge decides whether a request is within its tenant's quota.
+	Charge(ctx context.Context, claim quota.Claim) quota.Verdict
+	// Return gives back what was charged for a request that has not run.
+	Return(charge quota.Charge)
+}
+
+// charge has a call's tenant charged by what its header declares, before its body is read
+// or a worker looked for. Tenants without a limit cost nothing.
+func (f *Front) charge(ctx context.Context, call *dispatch.Call) *result.Error {
+	limit := call.Tenant.Limit()
+	if f.quotas == nil || !limit.Limited() {
+		return nil
+	}
+	claim := quota.Claim{
+		Tenant: call.Tenant.Name(), Limit: limit, Version: call.RoutesVersion,
+		Cost: limit.Cost(call.PromptTokens + call.OutputTokens),
+	}
+	verdict := f.quotas.Charge(ctx, claim)
+	switch {
+	case verdict.Granted:
+		call.Charge = claim.Charge()
+		return nil
+	case ctx.Err() != nil:
+		return result.New(result.CallerGone, "the caller left before its quota was known")
+	}
+	f.logOverQuota(call, claim, verdict)
+	return result.New(result.TenantQuota, "tenant %s is over its quota of %g %s a second, with a burst of %g",
+		claim.Tenant, limit.Rate, limit.Unit, limit.Burst).WithRetryAfter(verdict.RetryAfter)
+}
+
+func (f *Front) logOverQuota(call *dispatch.Call, claim quota.Claim, verdict quota.Verdict) {
+	f.log.WithFields(logrus.Fields{
+		"id": call.ID, "tenant": claim.Tenant, "cost": claim.Cost, "unit": claim.Limit.Unit,
+		"rate": claim.Limit.Rate, "burst": claim.Limit.Burst, "routes_version": claim.Version,
+		"decided_by_version": verdict.Version, "keeper": verdict.Keeper, "private": verdict.Private,
+		"level": verdict.Level, "reserved": verdict.Reserved, "asked": verdict.Asked, "unanswered": verdict.Unanswered,
+		"ask_us": verdict.Took.Microseconds(), "retry_after_ms": verdict.RetryAfter.Milliseconds(),
+	}).Warn("over quota")
+}
+
+// giveBack returns what was charged for a call that has not run.
+func (f *Front) giveBack(call *dispatch.Call) {
+	if call == nil || call.Charge.None() {
+		return
+	}
+	f.quotas.Return(call.Charge)
+	call.Charge = quota.Charge{}
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -48,6 +48,7 @@
 	LedgerUnavailable   Code = 2007
 	RetriesExhausted    Code = 2008
 	ConfigurationStale  Code = 2009
+	TenantQuota         Code = 2010
 	OutcomeUnknown      Code = 3001
 	AnswerCut           Code = 3002
 	CallerGone          Code = 3003
@@ -111,6 +112,7 @@
 	{LedgerUnavailable, "ledger_unavailable", DidNotRun, true, 503, "unavailable", "The claim that a not-repeatable request needs could not be recorded.", "Come back after the Retry-After time with the same key."},
 	{RetriesExhausted, "retries_exhausted", DidNotRun, true, 503, "unavailable", "Every engine tried refused the request before running it.", "Come back after the Retry-After time."},
 	{ConfigurationStale, "configuration_stale", DidNotRun, true, 503, "unavailable", "The node's configuration holds no such route or API key, but it may be old: the node has reached neither the store nor a node that does.", "Come back after the Retry-After time; another node may answer. Operators look why the node has lost the store."},
+	{TenantQuota, "tenant_quota", DidNotRun, true, 429, "resource_exhausted", "The tenant has used what its quota allows over all nodes together.", "Come back after the Retry-After time; operators see the log line \"over quota\"."},
 	{OutcomeUnknown, "outcome_unknown", Unknown, false, 502, "aborted", "The request may have run; its outcome can't be had.", "Do not send it as a new request before checking its effects."},
 	{AnswerCut, "answer_cut", Ran, true, 502, "aborted", "The answer broke off and could not be resumed. Only said of repeatable kinds.", "Send the request again."},
 	{CallerGone, "caller_gone", Unknown, true, 499, "canceled", "The caller left before the answer was complete.", "Nothing."},
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -124,13 +124,14 @@
 	}
 	n.exchange = exchange
 	n.countUsage()
+	quotas := n.keepQuotas(metrics)
 	n.board = tablerelay.New(exchange)
 	exchange.SetBoard(n.board)
 	n.configurationFeed = n.newFeed(platform.ConfigurationTable(), &configuration{node: n})
 	n.workersFeed = n.newFeed(platform.WorkerTable(), &workers{node: n})
 	n.front = front.New(front.Options{
 		Parser: platform, Runner: n.dispatcher(metrics), Log: log, Metrics: front.NewMetrics(metrics),
-		ConfigurationAge: n.configurationAge,
+		ConfigurationAge: n.configurationAge, Quotas: quotas,
 	})
 	if err := n.listen(metrics); err != nil {
 		return nil, err
@@ -158,7 +159,7 @@
 		began = n.tally.Began
 	}
 	return dispatch.New(dispatch.Options{
-		Began:    began,
+		Began: began, Repeated: n.exchange.RepeatQuota,
 		Registry: n.registry, Scheduler: scheduling.New(scheduling.DefaultCosts()),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
 		Nodes: n.exchange.Nodes, Accounts: n.exchange, Knowledge: n.knowledge,
--- /dev/null
+++ b/internal/serving/quota.go
@@ -0,0 +1,81 @@
+package serving
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tinarch/tinarch/internal/digest"
+	"github.com/tinarch/tinarch/internal/quota"
+)
+
+// quotas charges tenants by way of the exchange, and counts the verdicts. It implements
+// front.Quotas.
+type quotas struct {
+	exchange *digest.Exchange
+	verdicts *prometheus.CounterVec
+	returned prometheus.Counter
+	silent   prometheus.Counter
+	wait     prometheus.Histogram
+}
+
+// The labels of verdicts.
+const (
+	verdictGranted        = "granted"
+	verdictRefused        = "refused"
+	verdictPrivateGranted = "private_granted"
+	verdictPrivateRefused = "private_refused"
+)
+
+// keepQuotas has the exchange keep the tenants' quotas.
+func (n *Node) keepQuotas(registry prometheus.Registerer) *quotas {
+	configured := n.settings.Quota
+	n.exchange.SetQuota(quota.Tolerance{
+		Window: seconds(configured.WindowSeconds), Overshoot: configured.Overshoot, Slack: configured.Slack,
+	})
+	q := &quotas{
+		exchange: n.exchange,
+		verdicts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tinarch_quota_verdicts_total", Help: "Requests of tenants with a limit, by what became of them.",
+		}, []string{"verdict"}),
+		returned: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tinarch_quota_returned_total", Help: "Charges given back, since the request did not run.",
+		}),
+		silent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tinarch_quota_unanswered_total", Help: "Questions to keepers of quotas that got no answer in time.",
+		}),
+		wait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "tinarch_quota_wait_seconds", Help: "Time until a tenant's quota was decided.",
+			Buckets: []float64{.0005, .001, .002, .005, .01, .015, .03, .06, .1},
+		}),
+	}
+	registry.MustRegister(q.verdicts, q.returned, q.silent, q.wait)
+	return q
+}
+
+// Charge implements front.Quotas.
+func (q *quotas) Charge(ctx context.Context, claim quota.Claim) quota.Verdict {
+	verdict := q.exchange.ChargeQuota(ctx, claim)
+	q.verdicts.WithLabelValues(verdictLabel(verdict)).Inc()
+	q.silent.Add(float64(verdict.Unanswered))
+	q.wait.Observe(verdict.Took.Seconds())
+	return verdict
+}
+
+func verdictLabel(verdict quota.Verdict) string {
+	switch {
+	case verdict.Private && verdict.Granted:
+		return verdictPrivateGranted
+	case verdict.Private:
+		return verdictPrivateRefused
+	case verdict.Granted:
+		return verdictGranted
+	}
+	return verdictRefused
+}
+
+// Return implements front.Quotas.
+func (q *quotas) Return(charge quota.Charge) {
+	q.returned.Inc()
+	q.exchange.ReturnQuota(charge)
+}
