Quotas: several buckets a window, refusals that don't wait for the body

A token bucket of the rate and the burst lets a tenant that wants somewhat more than its rate for long use its burst once, though the bound counts windows: each allows the burst besides the rate. What a window holds stays the same. A keeper that has just started uses only the first.

net/http reads small bodies before it answers; refusals for quota go out before.

--- a/internal/digest/quota.go
+++ b/internal/digest/quota.go
@@ -362,7 +362,7 @@
 
 func (e *Exchange) logSettled(ask *quotaAsk, verdict quota.Verdict, end settled) {
 	entry := e.log.WithFields(logrus.Fields{
-		"account": ask.account, "asked": verdict.Asked, "unanswered": verdict.Unanswered, "level": verdict.Level,
+		"account": ask.account, "asked": verdict.Asked, "unanswered": verdict.Unanswered, "left": verdict.Level,
 	})
 	if end.alone {
 		entry.Warn("no keeper of a quota answers: this node's own allowance decides")
@@ -444,7 +444,7 @@
 	changed := q.reserves(account, decision.Reserved > 0)
 	q.mu.Unlock()
 	if changed {
-		e.log.WithFields(logrus.Fields{"account": account, "reserved": decision.Reserved, "level": decision.Level, "split": split}).
+		e.log.WithFields(logrus.Fields{"account": account, "reserved": decision.Reserved, "left": decision.Level, "split": split}).
 			Warn("the part of a quota that is kept for nodes out of hearing has changed")
 	}
 	return decision
--- a/internal/front/caller.go
+++ b/internal/front/caller.go
@@ -18,6 +18,10 @@
 	return &httpCaller{writer: writer, controller: http.NewResponseController(writer), lastAnswer: lastAnswer}
 }
 
+// answerEarly lets the answer go out before the request's body has come: net/http would
+// else read a small one first. What comes of it later is dropped.
+func (c *httpCaller) answerEarly() error { return c.controller.EnableFullDuplex() }
+
 // Head implements dispatch.Caller.
 func (c *httpCaller) Head(status int, header http.Header, length int64) {
 	own := c.writer.Header()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -223,7 +223,16 @@
 		call = &dispatch.Call{Method: request.Method, Target: request.RequestURI, Header: request.Header, Arrived: arrived}
 		_ = f.parser.Parse(call)
 	}
-	f.logOutcome(call, dispatch.Outcome{Code: failure.Code, Detail: failure.Message})
+	outcome := dispatch.Outcome{
+		Code: failure.Code, Detail: failure.Message,
+		RetryAfter: time.Duration(failure.RetryAfterMillis) * time.Millisecond,
+	}
+	f.logOutcome(call, outcome)
+	if failure.Code == result.TenantQuota {
+		if err := answer.answerEarly(); err != nil {
+			f.log.WithField("id", call.ID).WithError(err).Debug("a refusal waits for the request's body")
+		}
+	}
 	giveFailure(answer, failure)
 }
 
--- a/internal/front/quota.go
+++ b/internal/front/quota.go
@@ -47,7 +47,7 @@
 		"id": call.ID, "tenant": claim.Tenant, "cost": claim.Cost, "unit": claim.Limit.Unit,
 		"rate": claim.Limit.Rate, "burst": claim.Limit.Burst, "routes_version": claim.Version,
 		"decided_by_version": verdict.Version, "keeper": verdict.Keeper, "private": verdict.Private,
-		"level": verdict.Level, "reserved": verdict.Reserved, "asked": verdict.Asked, "unanswered": verdict.Unanswered,
+		"left": verdict.Level, "reserved": verdict.Reserved, "asked": verdict.Asked, "unanswered": verdict.Unanswered,
 		"ask_us": verdict.Took.Microseconds(), "retry_after_ms": verdict.RetryAfter.Milliseconds(),
 	}).Warn("over quota")
 }
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -26,6 +26,12 @@
 	maxReserved = 0.9
 )
 
+// burstParts are the parts of a limit's burst of which the buckets of an account hold one
+// each. What a bucket lacks in size, it has in rate, so that a window holds the same: a
+// tenant that bursts is served out of the first, one that wants more than its rate for long
+// out of the last, and either way all buckets are charged.
+var burstParts = [...]float64{1, 1.0 / 2, 1.0 / 8}
+
 // The times of a keeper.
 const (
 	// coldFor is how long a keeper says at most that it doesn't know what was used before.
@@ -74,7 +80,7 @@
 	// Cold tells that the keeper doesn't know what was used before it began, so that
 	// another may know better than to refuse.
 	Cold bool
-	// Level is what the account held, before the request.
+	// Level is what the bucket held that came nearest to the request, before it.
 	Level float64
 	// Wait is when a refused request can be served, given those refused before it.
 	Wait time.Duration
@@ -105,7 +111,8 @@
 type account struct {
 	limit   Limit
 	version uint64
-	bucket  Bucket
+	// buckets are those of burstParts.
+	buckets [len(burstParts)]Bucket
 	// born is from when on the use is known, and known when the account was made here.
 	born, known time.Time
 	// promised is the cost of refused requests that were told when to come back.
@@ -119,15 +126,28 @@
 	reserved float64
 }
 
-// fill brings the account's level to a time.
-func (a *account) fill(now time.Time) {
-	rate, burst := a.allowed()
-	a.bucket.Fill(rate, burst, now)
+// fill brings the account's levels to a time.
+func (k *Keeper) fill(a *account, now time.Time) {
+	for i := range a.buckets {
+		rate, size := k.shape(a, i)
+		a.buckets[i].Fill(rate, size, now)
+	}
+}
+
+// shape is the rate and the size of one of the account's buckets, without what is reserved.
+func (k *Keeper) shape(a *account, bucket int) (rate, size float64) {
+	size = a.limit.Burst * burstParts[bucket]
+	rate = a.limit.Rate
+	if k.tolerance.Window > 0 {
+		rate += (a.limit.Burst - size) / k.tolerance.Window.Seconds()
+	}
+	return rate * (1 - a.reserved), size * (1 - a.reserved)
 }
 
-// allowed is the limit without what is reserved.
-func (a *account) allowed() (rate, burst float64) {
-	return a.limit.Rate * (1 - a.reserved), a.limit.Burst * (1 - a.reserved)
+// usable reports whether one of the account's buckets may decide. The first may always;
+// the others need all use of a window known, since nothing tells which of them granted it.
+func (k *Keeper) usable(a *account, bucket int, now time.Time) bool {
+	return bucket == 0 || k.tolerance.Window > 0 && now.Sub(a.born) >= k.tolerance.Window
 }
 
 // spender is what is known of one node's use of an account.
@@ -187,31 +207,54 @@
 	return decision
 }
 
-// weigh decides by the account's level alone.
+// weigh decides by the account's levels alone.
 func (k *Keeper) weigh(a *account, cost float64, now time.Time) Decision {
-	a.fill(now)
-	rate, burst := a.allowed()
-	a.promised.Fill(-rate, math.Inf(1), now)
-	a.promised.level = max(a.promised.level, 0)
+	k.fill(a, now)
 	decision := Decision{
-		Level: a.bucket.Level(), Cold: a.cold(now), Reserved: a.reserved, Limit: a.limit, Version: a.version,
+		Level: a.buckets[0].Level(), Cold: k.cold(a, now), Reserved: a.reserved, Limit: a.limit, Version: a.version,
 	}
-	over := k.tolerance.Over(a.limit)
-	needed := min(cost, burst) - over/creditPart
-	fits := a.limit.Unit != Tokens || cost-a.limit.Burst <= over/debtPart
-	if fits && a.bucket.Level() >= needed {
+	short, rate := math.Inf(1), 0.0
+	for i := range a.buckets {
+		lacks, fits := k.lacks(a, i, cost)
+		if !fits || !k.usable(a, i, now) {
+			continue
+		}
+		bucketRate, _ := k.shape(a, i)
+		if rate == 0 || lacks/bucketRate < short/rate {
+			short, rate, decision.Level = lacks, bucketRate, a.buckets[i].Level()
+		}
+	}
+	if short <= 0 {
 		decision.Granted = true
 		return decision
 	}
-	decision.Wait = maxWait
-	if fits && rate > 0 {
-		short := needed - a.bucket.Level() + a.promised.Level()
-		decision.Wait = waitFor(short, rate)
-		a.promised.level = min(a.promised.level+cost, rate*maxWait.Seconds())
-	}
+	decision.Wait = k.promise(a, short, rate, cost, now)
 	return decision
 }
 
+// lacks is by how much a bucket falls short of a cost. It fits where the debt that it
+// leaves is borne: one larger than a burst may leave one in the first bucket.
+func (k *Keeper) lacks(a *account, bucket int, cost float64) (short float64, fits bool) {
+	over := k.tolerance.Over(a.limit)
+	_, size := k.shape(a, bucket)
+	short = min(cost, size) - over/creditPart - a.buckets[bucket].Level()
+	if bucket > 0 {
+		return short, cost <= size
+	}
+	return short, a.limit.Unit != Tokens || cost-a.limit.Burst <= over/debtPart
+}
+
+// promise returns when a refused cost can be served, after those refused before it.
+func (k *Keeper) promise(a *account, short, rate, cost float64, now time.Time) time.Duration {
+	if rate <= 0 {
+		return maxWait
+	}
+	a.promised.Fill(-rate, math.Inf(1), now)
+	before := max(a.promised.Level(), 0)
+	a.promised.level = min(before+cost, rate*maxWait.Seconds())
+	return waitFor(short+before, rate)
+}
+
 // waitFor is the time in which an amount comes back.
 func waitFor(amount, rate float64) time.Duration {
 	seconds := min(amount/rate, maxWait.Seconds())
@@ -226,9 +269,9 @@
 }
 
 // cold reports whether use before the account's time may still count.
-func (a *account) cold(now time.Time) bool {
+func (k *Keeper) cold(a *account, now time.Time) bool {
 	age := now.Sub(a.born)
-	return age < coldFor && a.limit.Rate*age.Seconds() < a.limit.Burst
+	return age < k.tolerance.Window || age < coldFor && a.limit.Rate*age.Seconds() < a.limit.Burst
 }
 
 // account returns the account of a name, and takes in a newer configuration.
@@ -239,10 +282,10 @@
 		k.accounts[name] = a
 	}
 	if report.Version > a.version && report.Limit.Limited() {
-		a.fill(now)
+		k.fill(a, now)
 		a.limit, a.version = report.Limit, report.Version
 	}
-	a.fill(now)
+	k.fill(a, now)
 	return a
 }
 
@@ -253,11 +296,14 @@
 	if keeps {
 		born = k.since
 	}
-	return &account{
+	made := &account{
 		limit: report.Limit, version: report.Version, born: born, known: now, used: now,
-		bucket: NewBucket(k.coldLevel(report.Limit), born), promised: NewBucket(0, now),
-		spenders: make(map[string]*spender),
+		promised: NewBucket(0, now), spenders: make(map[string]*spender),
+	}
+	for i := range made.buckets {
+		made.buckets[i] = NewBucket(k.coldLevel(report.Limit), born)
 	}
+	return made
 }
 
 func (k *Keeper) coldLevel(limit Limit) float64 {
@@ -280,10 +326,12 @@
 		return s
 	}
 	if increase != 0 {
-		before := a.bucket.Level()
+		before := a.buckets
 		k.spend(a, s, increase, now)
 		floor := -k.tolerance.Over(a.limit) / floorPart
-		a.bucket.level = max(a.bucket.level, min(before, floor))
+		for i := range a.buckets {
+			a.buckets[i].level = max(a.buckets[i].level, min(before[i].level, floor))
+		}
 	}
 	return s
 }
@@ -304,7 +352,9 @@
 }
 
 func (k *Keeper) spend(a *account, s *spender, amount float64, now time.Time) {
-	a.bucket.Spend(amount)
+	for i := range a.buckets {
+		a.buckets[i].Spend(amount)
+	}
 	a.total.add(amount, k.tolerance.Window, now)
 	s.recent.add(amount, k.tolerance.Window, now)
 	a.used = now
@@ -351,8 +401,10 @@
 	k.since = now
 	for _, a := range k.accounts {
 		a.born = now
-		a.fill(now)
-		a.bucket.level = min(a.bucket.level, k.coldLevel(a.limit))
+		k.fill(a, now)
+		for i := range a.buckets {
+			a.buckets[i].level = min(a.buckets[i].level, k.coldLevel(a.limit))
+		}
 		for _, s := range a.spenders {
 			s.stale = true
 		}
@@ -400,8 +452,8 @@
 				delete(a.spenders, node)
 			}
 		}
-		a.fill(now)
-		if now.Sub(a.used) > IdleLife && a.bucket.Level() >= a.limit.Burst {
+		k.fill(a, now)
+		if now.Sub(a.used) > IdleLife && a.buckets[0].Level() >= a.limit.Burst {
 			delete(k.accounts, name)
 		}
 	}
