--- a/internal/digest/quota.go
+++ b/internal/digest/quota.go
@@ -21,8 +21,8 @@
 	// quotaAskAll is how long any keeper's answer is waited for: four times that, a tenth
 	// of the shortest objectives.
 	quotaAskAll = 4 * quotaAskTimeout
-	// quotaRestEvery is the time between two reports of an account in use, though nothing
-	// has changed, and quotaKeepersEvery that between two of its keepers.
+	// quotaRestEvery is the time between two reports of an account that was used lately,
+	// though nothing has changed, and quotaKeepersEvery that between two of its keepers.
 	quotaRestEvery    = time.Second
 	quotaKeepersEvery = 500 * time.Millisecond
 	// quotaKeeperSilence is when a keeper counts as out of another's hearing: after three
@@ -598,7 +598,7 @@
 		}
 	}
 	if all {
-		for account, report := range q.meter.Reports(q.meter.InUse(now), now) {
+		for account, report := range q.meter.Reports(q.meter.Repeated(now), now) {
 			reports[account] = report
 		}
 		q.forget(now)
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -38,14 +38,14 @@
 	// As a rule it is until the burst has come back, a second or two; limits with a burst of
 	// hours would else have each refusal asked of all keepers.
 	coldFor = IdleLife
-	// SilentAfter is when a node that uses an account counts as out of hearing: after two
-	// and a half of its reports at rest, of which one may be lost.
-	SilentAfter = 2500 * time.Millisecond
+	// silentAfter is when a node that uses accounts counts as out of hearing: after two and
+	// a half of its reports at rest, of which one may be lost.
+	silentAfter = 2500 * time.Millisecond
 	// reservedFor is for how long a silent node's share is kept for it. Most cuts end
 	// before, and a process that died has a successor.
 	reservedFor = 30 * time.Second
 	// IdleLife is when an account or a node's counters are forgotten: twice the time for
-	// which a node reports what it used.
+	// which its keepers tell each other of it.
 	IdleLife = 60 * time.Second
 	// inUseFor is for how long after a use the account's keepers tell each other of it.
 	inUseFor = 30 * time.Second
@@ -100,11 +100,15 @@
 	// since is from when on all use was reported here.
 	since    time.Time
 	accounts map[string]*account
+	// heard is when each node's last report came, of whichever account.
+	heard map[string]time.Time
 }
 
 // NewKeeper returns a keeper that hears of all use from a time on.
 func NewKeeper(tolerance Tolerance, since time.Time) *Keeper {
-	return &Keeper{tolerance: tolerance, since: since, accounts: make(map[string]*account)}
+	return &Keeper{
+		tolerance: tolerance, since: since, accounts: make(map[string]*account), heard: make(map[string]time.Time),
+	}
 }
 
 // account is what is known of one tenant's use.
@@ -320,7 +324,8 @@
 	}
 	merged := s.counters.Merge(report.Counters)
 	increase := merged.Net() - s.counters.Net()
-	s.counters, s.heard, s.gone, s.lostShare = merged, now, false, 0
+	s.counters, s.heard, s.gone = merged, now, false
+	k.heard[from.Node] = now
 	if s.stale {
 		s.stale = false
 		return s
@@ -365,8 +370,9 @@
 func (k *Keeper) silentShare(a *account, asker string, now time.Time) float64 {
 	sum := 0.0
 	for node, s := range a.spenders {
-		silence := now.Sub(s.heard)
-		if node == asker || s.gone || silence <= SilentAfter || silence > reservedFor {
+		silence := now.Sub(k.heard[node])
+		if node == asker || s.gone || silence <= silentAfter || silence > reservedFor {
+			s.lostShare = 0
 			continue
 		}
 		if s.lostShare == 0 {
@@ -446,6 +452,11 @@
 
 // Forget drops accounts and nodes that have been idle for long.
 func (k *Keeper) Forget(now time.Time) {
+	for node, heard := range k.heard {
+		if now.Sub(heard) > IdleLife {
+			delete(k.heard, node)
+		}
+	}
 	for name, a := range k.accounts {
 		for node, s := range a.spenders {
 			if now.Sub(s.heard) > IdleLife {
--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -502,3 +502,19 @@
 		}
 	})
 }
+
+// TestUseIsRepeatedForAWhile and no longer, and told at once only when it has changed.
+func TestUseIsRepeatedForAWhile(t *testing.T) {
+	n := newNode(1)
+	n.meter.Begin(tenantA, thousand, 1, at(0))
+	if changed := n.meter.Changed(); len(changed) != 0 {
+		t.Errorf("without a use %v have changed", changed)
+	}
+	n.meter.Take(tenantA, 10, at(0))
+	if changed, again := n.meter.Changed(), n.meter.Changed(); len(changed) != 1 || len(again) != 0 {
+		t.Errorf("changed: %v, then %v", changed, again)
+	}
+	if len(n.meter.Repeated(at(1))) != 1 || len(n.meter.Repeated(at(3))) != 0 {
+		t.Errorf("repeated: %v, then %v", n.meter.Repeated(at(1)), n.meter.Repeated(at(3)))
+	}
+}
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -9,6 +9,10 @@
 // between them in a window: half.
 const privatePart = 2
 
+// repeatFor is for how long after a use it is reported again at rest, since a datagram may
+// be lost: twice. Of three datagrams one arrives in 99 of 100 cases though a fifth is lost.
+const repeatFor = 2 * time.Second
+
 // Meter counts what this node has used of accounts, for its life. It is pure, and not safe
 // for concurrent use.
 type Meter struct {
@@ -160,11 +164,11 @@
 	return names
 }
 
-// InUse returns the accounts that were used lately.
-func (m *Meter) InUse(now time.Time) []string {
+// Repeated returns the accounts that are to be reported at rest.
+func (m *Meter) Repeated(now time.Time) []string {
 	var names []string
 	for name, a := range m.accounts {
-		if now.Sub(a.used) <= inUseFor {
+		if now.Sub(a.used) <= repeatFor {
 			names = append(names, name)
 		}
 	}
