--- a/internal/digest/quota.go
+++ b/internal/digest/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -25,9 +26,9 @@
 	// though nothing has changed, and quotaKeepersEvery that between two of its keepers.
 	quotaRestEvery    = time.Second
 	quotaKeepersEvery = 500 * time.Millisecond
-	// quotaKeeperSilence is when a keeper counts as out of another's hearing: after three
-	// of its reports at rest, of which two may be lost.
-	quotaKeeperSilence = 3 * quotaKeepersEvery
+	// quotaQuiet is when a keeper that isn't heard makes another probe the nodes that use the
+	// account: when one report is late, so that two probes are answered before SilentAfter.
+	quotaQuiet = quotaKeepersEvery + 100*time.Millisecond
 	// maxQuotaReports bounds the reports of one datagram: of up to 200 bytes each, they
 	// stay below maxDatagram.
 	maxQuotaReports = 80
@@ -39,6 +40,8 @@
 	Reply *quotaReplyForm `json:"r,omitempty"`
 	// Reports hold, by account, what the sender has used.
 	Reports map[string]quotaReportForm `json:"t,omitempty"`
+	// Probe asks for the receiver's report of an account.
+	Probe string `json:"p,omitempty"`
 }
 
 // quotaReportForm is a quota.Report.
@@ -400,6 +403,8 @@
 		spender := quota.Spender{Node: node, Address: from}
 		decision := e.decideQuota(spender, form.Ask.Account, form.Ask.Cost, form.Ask.Report.report(), now)
 		e.sendTo(from, Message{Node: e.node, Quota: &quotaForm{Reply: renderQuotaReply(form.Ask.ID, decision)}})
+	case form.Probe != "":
+		e.reportProbed(from, form.Probe, now)
 	case form.Reply != nil:
 		e.quota.answered(from, *form.Reply)
 	default:
@@ -422,8 +427,8 @@
 func (q *quotaExchange) hear(from netip.AddrPort, now time.Time) (missed time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if silence := now.Sub(q.lastHeard); !q.lastHeard.IsZero() && silence > quotaKeeperSilence {
-		if q.lastInUse.Sub(q.lastHeard) > quotaKeeperSilence || len(q.keeper.InUse(now)) > 0 {
+	if silence := now.Sub(q.lastHeard); !q.lastHeard.IsZero() && silence > quota.SilentAfter {
+		if q.lastInUse.Sub(q.lastHeard) > quota.SilentAfter || len(q.keeper.InUse(now)) > 0 {
 			q.keeper.Missed(now)
 			missed = silence
 		}
@@ -439,7 +444,7 @@
 	keeps := slices.Contains(keepers, e.peers.address)
 	q := e.quota
 	q.mu.Lock()
-	split := q.split(account, keepers, e.peers.address, now)
+	split := q.split(account, keepers, e.peers.address, quota.SilentAfter, now)
 	decision := q.keeper.Decide(quota.Ask{Account: account, From: from, Report: report, Cost: cost, Split: split}, keeps, now)
 	changed := q.reserves(account, decision.Reserved > 0)
 	q.mu.Unlock()
@@ -450,15 +455,15 @@
 	return decision
 }
 
-// split reports whether another keeper of an account is out of hearing.
-func (q *quotaExchange) split(account string, keepers []netip.AddrPort, self netip.AddrPort, now time.Time) bool {
+// split reports whether another keeper of an account wasn't heard for a time.
+func (q *quotaExchange) split(account string, keepers []netip.AddrPort, self netip.AddrPort, silence time.Duration, now time.Time) bool {
 	known := q.keeper.KnownSince(account, now)
 	for _, keeper := range keepers {
 		heard := q.heard[keeper]
 		if heard.Before(known) {
 			heard = known
 		}
-		if keeper != self && now.Sub(heard) > quotaKeeperSilence {
+		if keeper != self && now.Sub(heard) > silence {
 			return true
 		}
 	}
@@ -605,6 +610,37 @@
 	}
 	q.mu.Unlock()
 	e.sendQuotaReports(reports, now)
+	e.probeQuiet(now)
+}
+
+// probeQuiet asks the nodes that use accounts and weren't heard lately for a report, where
+// another keeper isn't heard: those that answer have their part of the limit here.
+func (e *Exchange) probeQuiet(now time.Time) {
+	q := e.quota
+	q.mu.Lock()
+	accounts := slices.Collect(maps.Keys(q.keeper.InUse(now)))
+	q.mu.Unlock()
+	for _, account := range accounts {
+		keepers := e.quotaKeepers(account)
+		q.mu.Lock()
+		var quiet []netip.AddrPort
+		if q.split(account, keepers, e.peers.address, quotaQuiet, now) {
+			quiet = q.keeper.Quiet(account, quotaKeepersEvery, now)
+		}
+		q.mu.Unlock()
+		e.sendAll(quiet, Message{Node: e.node, Quota: &quotaForm{Probe: account}})
+	}
+}
+
+// reportProbed answers a probe.
+func (e *Exchange) reportProbed(to netip.AddrPort, account string, now time.Time) {
+	q := e.quota
+	q.mu.Lock()
+	report := q.meter.Report(account, now)
+	q.mu.Unlock()
+	if report.Limit.Limited() {
+		e.sendTo(to, Message{Node: e.node, Quota: &quotaForm{Reports: map[string]quotaReportForm{account: renderQuotaReport(report)}}})
+	}
 }
 
 func (q *quotaExchange) forget(now time.Time) {
--- a/internal/digest/quota_test.go
+++ b/internal/digest/quota_test.go
@@ -339,7 +339,7 @@
 	ask("beyond", addressOfConn(silent[0]), 0, now)
 	exchange.quotaHeard(addressOfConn(silent[0]), now.Add(time.Second))
 	exchange.quotaHeard(addressOfConn(silent[1]), now.Add(time.Second))
-	if decision := ask("here", exchange.peers.address, time.Second, now.Add(2*time.Second)); decision.Reserved != 0 {
+	if decision := ask("here", exchange.peers.address, time.Second, now.Add(time.Second+quota.SilentAfter)); decision.Reserved != 0 {
 		t.Errorf("all are heard, and %v is reserved", decision.Reserved)
 	}
 	if decision := ask("here", exchange.peers.address, time.Second, now.Add(4*time.Second)); decision.Reserved < 0.2 || decision.Reserved > 0.6 {
@@ -361,12 +361,12 @@
 	if !decide(now).Granted {
 		t.Error("a warm keeper refuses")
 	}
-	exchange.quotaHeard(addressOfConn(silent[0]), now.Add(quotaKeeperSilence))
-	if decision := decide(now.Add(quotaKeeperSilence)); decision.Level < 900 {
+	exchange.quotaHeard(addressOfConn(silent[0]), now.Add(quota.SilentAfter))
+	if decision := decide(now.Add(quota.SilentAfter)); decision.Level < 900 {
 		t.Errorf("a keeper that was in hearing forgets: %+v", decision)
 	}
-	exchange.quotaHeard(addressOfConn(silent[0]), now.Add(3*quotaKeeperSilence))
-	if decision := decide(now.Add(3 * quotaKeeperSilence)); decision.Granted || !decision.Cold {
+	exchange.quotaHeard(addressOfConn(silent[0]), now.Add(3*quota.SilentAfter))
+	if decision := decide(now.Add(3 * quota.SilentAfter)); decision.Granted || !decision.Cold {
 		t.Errorf("a keeper that heard nobody grants a burst: %+v", decision)
 	}
 }
@@ -382,3 +382,37 @@
 		t.Errorf("%d bytes, %v", len(datagram), err)
 	}
 }
+
+// TestQuietNodesAreProbed where another keeper isn't heard: one that only uses little
+// answers, and keeps its part.
+func TestQuietNodesAreProbed(t *testing.T) {
+	silent := []*net.UDPConn{silentNode(t), silentNode(t)}
+	exchange := quotaNodes(t, 1, exact, silent...)[0]
+	account := claimOf("a", 1).Charge().Account
+	user := silent[0]
+	report := quota.Report{Limit: claimOf("a", 1).Limit, Version: 1}
+	exchange.decideQuota(quota.Spender{Node: "user", Address: addressOfConn(user)}, account, 100, report, time.Now())
+	nextQuota(t, user, func(form quotaForm) bool { return form.Probe == account })
+	exchange.takeQuota(addressOfConn(user), "user", quotaForm{Reports: map[string]quotaReportForm{account: renderQuotaReport(report)}})
+	if decision := exchange.decideQuota(exchange.self(), account, 1, report, time.Now()); decision.Reserved != 0 {
+		t.Errorf("%v is reserved for a node that answers", decision.Reserved)
+	}
+}
+
+// TestProbedNodeAnswers also one that doesn't keep the account.
+func TestProbedNodeAnswers(t *testing.T) {
+	silent := []*net.UDPConn{silentNode(t), silentNode(t), silentNode(t), silentNode(t)}
+	exchange := quotaNodes(t, 1, exact, silent...)[0]
+	for _, conn := range silent {
+		for i := 0; ; i++ {
+			account := claimOf(fmt.Sprint("tenant", i), 10).Charge().Account
+			if slices.Contains(exchange.quotaKeepers(account), addressOfConn(conn)) {
+				continue
+			}
+			exchange.ChargeQuota(t.Context(), claimOf(fmt.Sprint("tenant", i), 10))
+			exchange.takeQuota(addressOfConn(conn), "prober", quotaForm{Probe: account})
+			nextQuota(t, conn, func(form quotaForm) bool { _, told := form.Reports[account]; return told })
+			break
+		}
+	}
+}
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -38,9 +38,11 @@
 	// As a rule it is until the burst has come back, a second or two; limits with a burst of
 	// hours would else have each refusal asked of all keepers.
 	coldFor = IdleLife
-	// silentAfter is when a node that uses accounts counts as out of hearing: after two and
-	// a half of its reports at rest, of which one may be lost.
-	silentAfter = 2500 * time.Millisecond
+	// SilentAfter is when a node counts as out of hearing: two of the reports of a keeper at
+	// rest, or two of the answers to such a keeper's probes, may be lost. In that time two
+	// halves that have lost each other may use the limit twice: hardly more than is
+	// tolerated where the burst is a second's rate and the overshoot a tenth in 8 s.
+	SilentAfter = 1100 * time.Millisecond
 	// reservedFor is for how long a silent node's share is kept for it. Most cuts end
 	// before, and a process that died has a successor.
 	reservedFor = 30 * time.Second
@@ -371,7 +373,7 @@
 	sum := 0.0
 	for node, s := range a.spenders {
 		silence := now.Sub(k.heard[node])
-		if node == asker || s.gone || silence <= silentAfter || silence > reservedFor {
+		if node == asker || s.gone || silence <= SilentAfter || silence > reservedFor {
 			s.lostShare = 0
 			continue
 		}
@@ -392,6 +394,23 @@
 	return min(s.recent.decay(k.tolerance.Window, now)/total, 1)
 }
 
+// Quiet returns the nodes with recent use of an account that weren't heard for a time, as
+// those that may have to be probed.
+func (k *Keeper) Quiet(name string, quiet time.Duration, now time.Time) []netip.AddrPort {
+	a, known := k.accounts[name]
+	if !known {
+		return nil
+	}
+	var addresses []netip.AddrPort
+	for node, s := range a.spenders {
+		silence := now.Sub(k.heard[node])
+		if !s.gone && silence >= quiet && silence <= reservedFor {
+			addresses = append(addresses, s.address)
+		}
+	}
+	return addresses
+}
+
 // Left records that a process has ended as planned.
 func (k *Keeper) Left(node string) {
 	for _, a := range k.accounts {
