Site tests: a free port is free for datagrams too

TestLowerQuotaBinds failed once with "listen udp4: address already in use": the port of the exchange was only tried for connections, and other tests use datagrams on this machine at the same time. Between the try and the use a port may still be taken.

--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -85,14 +85,22 @@
 	}
 }
 
+// freePort returns an address that is free for connections and for datagrams.
 func freePort(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		packets, err := net.ListenPacket("udp4", address)
+		_ = listener.Close()
+		if err == nil {
+			_ = packets.Close()
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 // start runs a site with a configuration and workers, and waits until its node is
