--- /dev/null
+++ b/internal/digest/quota.go
@@ -0,0 +1,323 @@
+package digest
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/quota"
+)
+
+// The figures of the exchange of quotas.
+const (
+	// quotaAskTimeout is how long a keeper's answer is waited for before the next is asked
+	// too: as askTimeout.
+	quotaAskTimeout = askTimeout
+	// quotaAskAll is how long any keeper's answer is waited for: four times that, a tenth
+	// of the shortest objectives.
+	quotaAskAll = 4 * quotaAskTimeout
+	// quotaRestEvery is the time between two reports of an account that was used lately,
+	// though nothing has changed, and quotaKeepersEvery that between two of its keepers.
+	quotaRestEvery    = time.Second
+	quotaKeepersEvery = 500 * time.Millisecond
+	// quotaQuiet is when a keeper that isn't heard makes another probe the nodes that use the
+	// account: when one report is late, so that two probes are answered before SilentAfter.
+	quotaQuiet = quotaKeepersEvery + 100*time.Millisecond
+	// maxQuotaReports bounds the reports of one datagram: of up to 200 bytes each, they
+	// stay below maxDatagram.
+	maxQuotaReports = 80
+)
+
+// quotaExchange is this node's part in the keeping of quotas.
+type quotaExchange struct {
+	// wake is sent to when a node's own counters have changed.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	keeper *quota.Keeper
+	meter  *quota.Meter
+	// asks are those whose answers are awaited.
+	asks    map[uint64]*quotaAsk
+	lastAsk uint64
+	// heard is when each node's last message on quotas came, and lastHeard when any did.
+	heard     map[netip.AddrPort]time.Time
+	lastHeard time.Time
+	// lastInUse is when accounts were in use here, so that reports were due.
+	lastInUse time.Time
+	// generation is that of the nodes for which the keeper's accounts are.
+	generation uint64
+	// reserving are the accounts of which a part is kept for nodes out of hearing.
+	reserving map[string]bool
+}
+
+// SetQuota has the exchange keep and use the accounts of quotas. It is called before Run.
+func (e *Exchange) SetQuota(tolerance quota.Tolerance) {
+	e.quota = &quotaExchange{
+		wake:   make(chan struct{}, 1),
+		keeper: quota.NewKeeper(tolerance, e.begun), meter: quota.NewMeter(tolerance),
+		asks: make(map[uint64]*quotaAsk), heard: make(map[netip.AddrPort]time.Time), reserving: make(map[string]bool),
+	}
+}
+
+// quotaAsk is a claim for which keepers are asked.
+type quotaAsk struct {
+	id      uint64
+	claim   quota.Claim
+	account string
+	report  quota.Report
+	// keepers are in the order in which they are asked, and suspected tells that none of
+	// them has answered lately.
+	keepers   []netip.AddrPort
+	suspected bool
+	// asked holds when each keeper was asked that hasn't answered.
+	asked map[netip.AddrPort]time.Time
+	// count and answered count the keepers asked and those of them that answered.
+	count, answered int
+	answers         chan quotaAnswer
+	// best is the decision so far, by a keeper.
+	best *quotaAnswer
+}
+
+// quotaAnswer is a keeper's decision.
+type quotaAnswer struct {
+	from     netip.AddrPort
+	decision quota.Decision
+}
+
+// final reports whether no other keeper is to be asked.
+func (a quotaAnswer) final() bool { return a.decision.Granted || !a.decision.Cold }
+
+// ChargeQuota asks the keepers of a tenant's account for the cost of a request, one after
+// another where they don't answer in time or don't know enough to refuse. Where none
+// answers, this node's own allowance decides.
+func (e *Exchange) ChargeQuota(ctx context.Context, claim quota.Claim) quota.Verdict {
+	begun := time.Now()
+	ask := e.beginQuotaAsk(claim, begun)
+	for i, keeper := range ask.keepers {
+		e.askKeeper(ask, keeper)
+		last := i == len(ask.keepers)-1
+		if ask.suspected && !last {
+			continue
+		}
+		timeout := quotaTimeout(keeper)
+		if last && !ask.suspected {
+			timeout = max(quotaAskAll-time.Since(begun), timeout)
+		}
+		if ask.await(ctx, timeout) {
+			break
+		}
+	}
+	verdict := e.settleQuota(ctx, ask, time.Now())
+	verdict.Took = time.Since(begun)
+	return verdict
+}
+
+// quotaTimeout is how long one keeper's answer is waited for.
+func quotaTimeout(netip.AddrPort) time.Duration { return quotaAskTimeout }
+
+// beginQuotaAsk finds the keepers of an account and what to tell them.
+func (e *Exchange) beginQuotaAsk(claim quota.Claim, now time.Time) *quotaAsk {
+	account := claim.Charge().Account
+	ask := &quotaAsk{
+		claim: claim, account: account, asked: make(map[netip.AddrPort]time.Time),
+		answers: make(chan quotaAnswer, quotaKeeperCount),
+	}
+	e.mu.Lock()
+	var suspected []netip.AddrPort
+	for _, keeper := range e.peers.quotaKeepers(account) {
+		if e.peers.suspected(keeper, now) {
+			suspected = append(suspected, keeper)
+		} else {
+			ask.keepers = append(ask.keepers, keeper)
+		}
+	}
+	e.mu.Unlock()
+	ask.suspected = len(ask.keepers) == 0
+	ask.keepers = append(ask.keepers, suspected...)
+	q := e.quota
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	ask.report = q.meter.Begin(account, claim.Limit, claim.Version, now)
+	q.lastAsk++
+	ask.id = q.lastAsk
+	q.asks[ask.id] = ask
+	return ask
+}
+
+// askKeeper asks one keeper, which may be this node.
+func (e *Exchange) askKeeper(ask *quotaAsk, keeper netip.AddrPort) {
+	now := time.Now()
+	ask.count++
+	if keeper == e.peers.address {
+		decision := e.decideQuota(e.self(), ask.account, ask.claim.Cost, ask.report, now)
+		ask.answers <- quotaAnswer{from: keeper, decision: decision}
+		return
+	}
+	e.quota.mu.Lock()
+	ask.asked[keeper] = now
+	e.quota.mu.Unlock()
+	form := &quotaAskForm{ID: ask.id, Account: ask.account, Cost: ask.claim.Cost, Report: renderQuotaReport(ask.report)}
+	e.sendTo(keeper, Message{Node: e.node, Quota: &quotaForm{Ask: form}})
+}
+
+// self is this node as one that uses accounts.
+func (e *Exchange) self() quota.Spender {
+	return quota.Spender{Node: e.node, Address: e.peers.address}
+}
+
+// await takes answers until one is final, all keepers asked so far have answered, or the
+// time is over. It reports whether no other is to be asked.
+func (a *quotaAsk) await(ctx context.Context, timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		select {
+		case answer := <-a.answers:
+			a.take(answer)
+		case <-ctx.Done():
+			return true
+		case <-timer.C:
+			return false
+		}
+		if a.best.final() {
+			return true
+		}
+		if a.answered == a.count {
+			return false
+		}
+	}
+}
+
+// take keeps the better of the decisions: one that grants, else one that knows.
+func (a *quotaAsk) take(answer quotaAnswer) {
+	a.answered++
+	if a.best == nil || !a.best.final() || answer.decision.Granted {
+		a.best = &answer
+	}
+}
+
+// drain takes the answers that have come already.
+func (a *quotaAsk) drain() {
+	for {
+		select {
+		case answer := <-a.answers:
+			a.take(answer)
+		default:
+			return
+		}
+	}
+}
+
+// silent returns the keepers that had all the time that an answer is given.
+func (a *quotaAsk) silent(now time.Time) []netip.AddrPort {
+	var silent []netip.AddrPort
+	for keeper, at := range a.asked {
+		if now.Sub(at) >= quotaTimeout(keeper) {
+			silent = append(silent, keeper)
+		}
+	}
+	return silent
+}
+
+// settled is what became of a claim, for the log.
+type settled struct {
+	// alone tells that this node has begun to decide without a keeper, and back that it
+	// doesn't any more.
+	alone, back bool
+	silent      []netip.AddrPort
+}
+
+// settleQuota ends an ask and counts what became of its claim.
+func (e *Exchange) settleQuota(ctx context.Context, ask *quotaAsk, now time.Time) quota.Verdict {
+	verdict, end := e.quota.settle(ask, e.Nodes(), ctx.Err() != nil, now)
+	e.quota.awake()
+	e.suspect(end.silent, now)
+	e.logSettled(ask, verdict, end)
+	if !verdict.Granted {
+		verdict.RetryAfter = quota.Spread(verdict.RetryAfter, rand.Float64())
+	}
+	return verdict
+}
+
+func (q *quotaExchange) settle(ask *quotaAsk, nodes int, callerGone bool, now time.Time) (quota.Verdict, settled) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.asks, ask.id)
+	ask.drain()
+	end := settled{silent: ask.silent(now)}
+	verdict := quota.Verdict{Asked: ask.count, Unanswered: len(ask.asked), Version: ask.claim.Version}
+	switch {
+	case ask.best != nil:
+		end.back = q.meter.Heard(ask.account, ask.best.decision.Share)
+		verdict = decidedBy(verdict, *ask.best)
+	case !callerGone:
+		private := q.meter.Private(ask.account, nodes, ask.claim.Cost, now)
+		end.alone = private.First
+		verdict.Private, verdict.Granted = true, private.Granted
+		verdict.Level, verdict.RetryAfter = private.Level, private.Wait
+	}
+	switch {
+	case verdict.Granted:
+		q.meter.Take(ask.account, ask.claim.Cost, now)
+	case len(ask.asked) > 0:
+		q.meter.Void(ask.account, ask.claim.Cost, now)
+	}
+	return verdict, end
+}
+
+func decidedBy(verdict quota.Verdict, answer quotaAnswer) quota.Verdict {
+	decision := answer.decision
+	verdict.Granted, verdict.RetryAfter = decision.Granted, decision.Wait
+	verdict.Keeper, verdict.Level, verdict.Reserved = answer.from.String(), decision.Level, decision.Reserved
+	verdict.Version = decision.Version
+	return verdict
+}
+
+// awake has the changed counters told.
+func (q *quotaExchange) awake() {
+	select {
+	case q.wake <- struct{}{}:
+	default: // it is awake already
+	}
+}
+
+// suspect records that nodes gave no answer.
+func (e *Exchange) suspect(silent []netip.AddrPort, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, address := range silent {
+		e.peers.suspect(address, now)
+	}
+}
+
+func (e *Exchange) logSettled(ask *quotaAsk, verdict quota.Verdict, end settled) {
+	entry := e.log.WithFields(logrus.Fields{
+		"account": ask.account, "asked": verdict.Asked, "unanswered": verdict.Unanswered, "left": verdict.Level,
+	})
+	if end.alone {
+		entry.Warn("no keeper of a quota answers: this node's own allowance decides")
+	}
+	if end.back {
+		entry.Info("a keeper of a quota answers again")
+	}
+}
+
+// ReturnQuota gives back what was charged for a request that proved not to have run.
+func (e *Exchange) ReturnQuota(charge quota.Charge) {
+	e.quota.mu.Lock()
+	e.quota.meter.Return(charge.Account, charge.Cost)
+	e.quota.mu.Unlock()
+	e.quota.awake()
+}
+
+// RepeatQuota charges for another run of a request that may have run already.
+func (e *Exchange) RepeatQuota(charge quota.Charge) {
+	e.quota.mu.Lock()
+	e.quota.meter.Take(charge.Account, charge.Cost, time.Now())
+	e.quota.mu.Unlock()
+	e.quota.awake()
+}
