--- a/internal/digest/quota.go
+++ b/internal/digest/quota.go
@@ -75,6 +75,9 @@
 	suspected bool
 	// asked holds when each keeper was asked that hasn't answered.
 	asked map[netip.AddrPort]time.Time
+	// patience is for how much longer than within the region each keeper's answer is waited
+	// for.
+	patience map[netip.AddrPort]time.Duration
 	// count and answered count the keepers asked and those of them that answered.
 	count, answered int
 	answers         chan quotaAnswer
@@ -103,9 +106,9 @@
 		if ask.suspected && !last {
 			continue
 		}
-		timeout := quotaTimeout(keeper)
+		timeout := ask.timeout(keeper)
 		if last && !ask.suspected {
-			timeout = max(quotaAskAll-time.Since(begun), timeout)
+			timeout = max(quotaAskAll+ask.patience[keeper]-time.Since(begun), timeout)
 		}
 		if ask.await(ctx, timeout) {
 			break
@@ -116,19 +119,22 @@
 	return verdict
 }
 
-// quotaTimeout is how long one keeper's answer is waited for.
-func quotaTimeout(netip.AddrPort) time.Duration { return quotaAskTimeout }
+// timeout is how long one keeper's answer is waited for.
+func (a *quotaAsk) timeout(keeper netip.AddrPort) time.Duration {
+	return quotaAskTimeout + a.patience[keeper]
+}
 
 // beginQuotaAsk finds the keepers of an account and what to tell them.
 func (e *Exchange) beginQuotaAsk(claim quota.Claim, now time.Time) *quotaAsk {
 	account := claim.Charge().Account
 	ask := &quotaAsk{
 		claim: claim, account: account, asked: make(map[netip.AddrPort]time.Time),
-		answers: make(chan quotaAnswer, quotaKeeperCount),
+		answers: make(chan quotaAnswer, quotaKeeperCount), patience: make(map[netip.AddrPort]time.Duration),
 	}
 	e.mu.Lock()
 	var suspected []netip.AddrPort
 	for _, keeper := range e.peers.quotaKeepers(account) {
+		ask.patience[keeper] = e.patience(e.peers.regionOf(keeper))
 		if e.peers.suspected(keeper, now) {
 			suspected = append(suspected, keeper)
 		} else {
@@ -216,7 +222,7 @@
 func (a *quotaAsk) silent(now time.Time) []netip.AddrPort {
 	var silent []netip.AddrPort
 	for keeper, at := range a.asked {
-		if now.Sub(at) >= quotaTimeout(keeper) {
+		if now.Sub(at) >= a.timeout(keeper) {
 			silent = append(silent, keeper)
 		}
 	}
--- a/internal/digest/regions.go
+++ b/internal/digest/regions.go
@@ -53,7 +53,7 @@
 }
 
 func (e *Exchange) trip(region string) time.Duration {
-	if region == e.peers.places.Own() {
+	if !e.far(region) {
 		return 0
 	}
 	if known := e.trips[region]; known != nil {
@@ -62,10 +62,16 @@
 	return assumedTrip
 }
 
+// far reports whether a region is another one. A node whose zone isn't known yet may be in
+// one, where there are several.
+func (e *Exchange) far(region string) bool {
+	return e.peers.places.Several() && region != e.peers.places.Own()
+}
+
 // patience is how much longer than within the region an answer from another one is
 // waited for.
 func (e *Exchange) patience(region string) time.Duration {
-	if region == e.peers.places.Own() {
+	if !e.far(region) {
 		return 0
 	}
 	if known := e.trips[region]; known != nil {
@@ -76,7 +82,7 @@
 
 // observeTrip takes in how long an answer from a region took.
 func (e *Exchange) observeTrip(region string, took time.Duration) {
-	if region == e.peers.places.Own() || took <= 0 || took > longestTrip {
+	if !e.far(region) || took <= 0 || took > longestTrip {
 		return
 	}
 	if e.trips[region] == nil {
--- a/internal/digest/regions_test.go
+++ b/internal/digest/regions_test.go
@@ -111,6 +111,19 @@
 	}
 }
 
+// TestOneRegionWaitsAsBefore, for nodes whose zone isn't known yet too.
+func TestOneRegionWaitsAsBefore(t *testing.T) {
+	exchange, err := Listen("127.0.0.1:0", "me", "north-a", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer exchange.conn.Close()
+	exchange.SetPlaces(topology.New("north-a", map[string]string{"north-a": "north", "north-b": "north"}))
+	if got := exchange.patience(exchange.peers.regionOf(addressOf(1))); got != 0 {
+		t.Errorf("a node without a zone is waited for %v longer", got)
+	}
+}
+
 func TestTripsFollowWhatIsMeasured(t *testing.T) {
 	way := &trip{}
 	for range 60 {
