--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -76,6 +76,9 @@
 	Gathered   *gatheredForm `json:"k,omitempty"`
 	// Departed are nodes that are gone for good; such a message holds nothing else.
 	Departed []netip.AddrPort `json:"dp,omitempty"`
+	// Quota asks for, answers or reports the use of tenants' quotas; such a message holds
+	// nothing else.
+	Quota *quotaForm `json:"i,omitempty"`
 	// Aside tells that the sender can't give orders, whatever its incarnation.
 	Aside bool `json:"a,omitempty"`
 	// Leaving tells that the sender stops.
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -87,22 +87,35 @@
 	}
 }
 
+// freePort returns an address that is free for connections and for datagrams.
 func freePort(t *testing.T) string {
 	t.Helper()
 	for range portCount {
 		port := firstPort + (os.Getpid()*portsPerProcess+int(lastPort.Add(1)))%portCount
 		address := fmt.Sprint("127.0.0.1:", port)
-		listener, err := net.Listen("tcp4", address)
-		if err != nil {
-			continue
+		if isFree(address) {
+			return address
 		}
-		_ = listener.Close()
-		return address
 	}
 	t.Fatal("no port is free")
 	return ""
 }
 
+// isFree reports whether a port can be had for connections and for datagrams.
+func isFree(address string) bool {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = listener.Close() }()
+	packets, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	_ = packets.Close()
+	return true
+}
+
 // Nodes get ports below those that the kernel gives to whoever asks for any: a port of
 // those may be taken by another process between the look at it and the node's start. Each
 // test process begins elsewhere.
