The engine that could fetch no prompt is blamed, not all readers

Cause: where a prompt read apart can't be fetched, its reader alone was blamed. Now the one with more failures in a row is blamed, both where that is even, and prompts read apart go elsewhere.

Ruled out: Rejected for the engine that fetches (it may run whole requests, and a success of these would end the row).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -169,7 +169,7 @@
 		return s.rejected(runner, reply, from)
 	}
 	if from != nil {
-		s.registry.HandleTaken(from.reader.ID, time.Now())
+		s.registry.HandleTaken(from.reader.ID, runner.ID, time.Now())
 	}
 	if !s.call.Route.Streams() || answer.Status >= http.StatusInternalServerError {
 		s.countBegun(time.Now()) // its run has ended already
@@ -205,7 +205,7 @@
 		s.registry.Failed(runner.ID, time.Now())
 	case from != nil:
 		err = errNoHandle
-		s.registry.HandleFailed(from.reader.ID, time.Now())
+		s.registry.HandleFailed(from.reader.ID, runner.ID, time.Now())
 	default:
 		s.excluded[runner.ID] = true
 		s.registry.Rejected(runner.ID, time.Now())
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -174,6 +174,18 @@
 	}
 }
 
+// TestEngineThatCantFetchWritesNothingReadApart while another can.
+func TestEngineThatCantFetchWritesNothingReadApart(t *testing.T) {
+	scheduler := New(DefaultCosts())
+	plan := scheduler.Runner(prompt(), []Candidate{writer("d1", lapsing), writer("d2", running(20), otherZone)})
+	if plan.Runner.ID != "d2" {
+		t.Errorf("runs at %s", plan.Runner.ID)
+	}
+	if plan := scheduler.Runner(prompt(), []Candidate{writer("d1", lapsing)}); plan.Runner.ID != "d1" {
+		t.Error("no engine is left for it")
+	}
+}
+
 // TestMemoryPressureMovesRuns: a full decode engine would put runs aside.
 func TestMemoryPressureMovesRuns(t *testing.T) {
 	full := writer("d1", func(c *Candidate) { c.MemoryTokens = 395_000 })
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -48,7 +48,8 @@
 	// SourceOnly workers are known for what they keep, not for their load: others may fetch
 	// it from them.
 	SourceOnly bool
-	// HandleFailure tells that prompts read apart there could not be fetched.
+	// HandleFailure tells that prompts read apart there could not be fetched, or where it
+	// writes that it could not fetch them.
 	HandleFailure bool
 }
 
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tinarch/tinarch/internal/breaker"
 	"github.com/tinarch/tinarch/internal/pace"
 	"github.com/tinarch/tinarch/internal/prefixcache"
 )
@@ -115,18 +116,37 @@
 	})
 }
 
-// HandleFailed records that a prompt read apart at a worker could not be fetched.
-func (r *Registry) HandleFailed(id string, now time.Time) {
-	r.update(id, func(known *state) {
-		known.handles.Failed(now)
-	})
+// HandleFailed records that a prompt read apart at one worker could not be fetched by
+// another. The one with more such failures in a row is to blame, both where that is even:
+// an engine that can fetch from none must not make all that it fetches from look unsound.
+func (r *Registry) HandleFailed(reader, runner string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	from, to := r.handlesOf(reader), r.handlesOf(runner)
+	fromRow, toRow := from.InRow(), to.InRow()
+	if fromRow >= toRow {
+		from.Failed(now)
+	}
+	if toRow >= fromRow {
+		to.Failed(now)
+	}
 }
 
-// HandleTaken records that a prompt read apart at a worker was fetched.
-func (r *Registry) HandleTaken(id string, now time.Time) {
-	r.update(id, func(known *state) {
-		known.handles.Succeeded(now)
-	})
+// HandleTaken records that a prompt read apart at one worker was fetched by another.
+func (r *Registry) HandleTaken(reader, runner string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handlesOf(reader).Succeeded(now)
+	r.handlesOf(runner).Succeeded(now)
+}
+
+// handlesOf returns the breaker of a worker's handles, and one that nobody asks where it
+// isn't known.
+func (r *Registry) handlesOf(id string) *breaker.Breaker {
+	if known, exists := r.workers[id]; exists {
+		return &known.handles
+	}
+	return &breaker.Breaker{}
 }
 
 // Reported records the load that a worker's answer told.
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -31,8 +31,10 @@
 	// rank orders the workers for this node alone, hash for all nodes alike.
 	rank, hash uint64
 	breaker    breaker.Breaker
-	handles    breaker.Breaker
-	reported   reportedLoad
+	// handles judges the prompts read apart: those that others fetch from the worker, or
+	// where it writes those that it fetches.
+	handles  breaker.Breaker
+	reported reportedLoad
 }
 
 type remoteLoad struct {
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -139,12 +139,42 @@
 
 func TestHandleFailuresAreApart(t *testing.T) {
 	r := newTestRegistry()
-	r.HandleFailed("p", origin)
+	r.HandleFailed("p", "d", origin)
 	if got := find(t, r, "p", nil, origin); !got.HandleFailure || got.Avoid {
 		t.Errorf("%+v", got)
 	}
 }
 
+// TestEngineThatFetchesFromNoneIsToBlame: the readers whose prompts it could not fetch
+// serve others.
+func TestEngineThatFetchesFromNoneIsToBlame(t *testing.T) {
+	r := newTestRegistry()
+	r.put(Worker{ID: "q", Service: "llm", Address: "1.1.1.4:1", Zone: "a", Slots: 8, Stage: Prefill}, origin)
+	r.HandleFailed("p", "d", origin)
+	r.HandleFailed("q", "d", origin)
+	if find(t, r, "q", nil, origin).HandleFailure {
+		t.Error("a reader is blamed for an engine that has failed to fetch from another, too")
+	}
+	if !find(t, r, "d", nil, origin).HandleFailure {
+		t.Error("the engine that fetched from none isn't blamed")
+	}
+	r.HandleTaken("q", "d", origin.Add(time.Minute))
+	if got := find(t, r, "d", nil, origin.Add(time.Minute)); got.HandleFailure {
+		t.Error("an engine that fetches again is still blamed")
+	}
+}
+
+// TestReaderThatNoneFetchesFromIsToBlame: the engines that could not fetch serve others.
+func TestReaderThatNoneFetchesFromIsToBlame(t *testing.T) {
+	r := newTestRegistry()
+	r.put(Worker{ID: "e", Service: "llm", Address: "1.1.1.4:1", Zone: "a", Slots: 8, Stage: Decode}, origin)
+	r.HandleFailed("p", "d", origin)
+	r.HandleFailed("p", "e", origin)
+	if find(t, r, "e", nil, origin).HandleFailure || !find(t, r, "p", nil, origin).HandleFailure {
+		t.Error("an engine is blamed for a reader from which another could not fetch either")
+	}
+}
+
 func TestUnknownWorkersAreIgnored(t *testing.T) {
 	r := newTestRegistry()
 	r.Begin("gone", Load{Requests: 1})
