--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -174,10 +174,10 @@
 		}
 		cost := slotWait(request, candidate) + s.common(request, candidate) + s.running(request, candidate) +
 			s.pressure(request, candidate)
-		plan := Plan{Mode: Whole, Runner: candidate, Cost: cost}
 		if candidate.HandleFailure {
 			cost += s.costs.Avoided * request.aim()
 		}
+		plan := Plan{Mode: Whole, Runner: candidate, Cost: cost}
 		if better(plan, best) {
 			best = plan
 		}
