Requests that can't be in time wait for an engine that is free

What was begun, such as a stream that broke off, goes on in its turn.

Cause for holding it: engines read by turns what they have begun, whatever its priority.

--- a/internal/digest/ask.go
+++ b/internal/digest/ask.go
@@ -39,8 +39,9 @@
 }
 
 // accountForm is a scheduling.Account in whole numbers: requests, tokens to read, those
-// ahead, tokens of memory, tokens kept, flags, and thousandths of requests that failed.
-type accountForm [7]int
+// ahead, tokens of memory, tokens kept, flags, thousandths of requests that failed, and
+// tokens to read of late requests.
+type accountForm [8]int
 
 // The flags of an account.
 const (
@@ -65,7 +66,7 @@
 	}
 	return accountForm{
 		account.Requests, account.ReadTokens, account.ReadAhead, account.MemoryTokens, account.CachedTokens,
-		flags, int(account.FailureRate * perMille),
+		flags, int(account.FailureRate * perMille), account.LateTokens,
 	}
 }
 
@@ -73,7 +74,7 @@
 	return scheduling.Account{
 		Requests: f[0], ReadTokens: f[1], ReadAhead: f[2], MemoryTokens: f[3], CachedTokens: f[4],
 		Changing: f[5]&flagChanging != 0, Avoid: f[5]&flagAvoid != 0, HandleFailure: f[5]&flagHandleFailure != 0,
-		FailureRate: float64(f[6]) / perMille,
+		FailureRate: float64(f[6]) / perMille, LateTokens: f[7],
 	}
 }
 
--- a/internal/digest/ask_test.go
+++ b/internal/digest/ask_test.go
@@ -15,7 +15,7 @@
 
 func TestAccountsSurviveTheirForm(t *testing.T) {
 	account := scheduling.Account{
-		Requests: 3, ReadTokens: 900, ReadAhead: 400, MemoryTokens: 7000, CachedTokens: 12, Changing: true,
+		Requests: 3, ReadTokens: 900, ReadAhead: 400, LateTokens: 50, MemoryTokens: 7000, CachedTokens: 12, Changing: true,
 		HandleFailure: true, FailureRate: 0.25,
 	}
 	if diff := cmp.Diff(account, renderAccount(account).account()); diff != "" {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -49,7 +49,9 @@
 func (s *session) send(ctx context.Context, to scheduling.Candidate, forward Forward) (*workerconn.Answer, error) {
 	forward.WorkerID = to.ID
 	forward.Remaining = s.remaining()
-	forward.Priority = s.call.Priority()
+	// A late prompt that was read goes on in its turn: what is left is little, and its
+	// memory is held at two engines until then.
+	forward.Priority, forward.Late = s.call.Priority(), s.late && forward.ReadApart
 	request := &workerconn.Request{
 		Method: s.call.Method, Target: s.call.Target, Host: s.call.Host,
 		Header: s.wire.ForwardHeader(s.call, forward), Body: s.call.Body,
@@ -63,7 +65,7 @@
 func (s *session) readApart(ctx context.Context, plan scheduling.Plan) (*Handle, tryEnd) {
 	reader := plan.Reader
 	unread := plan.Unread
-	load := worker.Load{Requests: 1, Reads: worker.ReadsOf(s.call.Priority(), unread), MemoryTokens: s.call.PromptTokens}
+	load := worker.Load{Requests: 1, Reads: worker.ReadsOf(s.rank(), unread), MemoryTokens: s.call.PromptTokens}
 	s.registry.Begin(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
 	begun := time.Now()
@@ -94,7 +96,11 @@
 
 // observeReading records the time that a worker took to read what it lacked of the
 // prompt, fetching a part of it where fetch says from where.
+// Late prompts teach nothing: others that came after them were read first.
 func (s *session) observeReading(reader scheduling.Candidate, unread int, fetch string, elapsed time.Duration) {
+	if s.late {
+		return
+	}
 	context := s.call.PromptTokens - unread
 	reading := pace.Reading{Tokens: unread, Context: context, Ahead: reader.ReadAhead, Elapsed: elapsed}
 	if fetch == "" {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -13,6 +13,7 @@
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/tenant"
+	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
@@ -53,6 +54,19 @@
 // Priority is the rank of the request, zero being the most urgent.
 func (c *Call) Priority() int { return c.Tenant.Priority(c.Route.Priority) }
 
+// patience is the time that is left until the caller leaves unless it gets a further piece
+// of the answer; lastPiece is when it got one, counted from its arrival.
+func (c *Call) patience(now time.Time, lastPiece time.Duration) time.Duration {
+	left := c.Deadline.Sub(now)
+	if c.Route.Patience > 0 {
+		left = min(left, c.Route.Patience-now.Sub(c.Arrived.Add(lastPiece)))
+	}
+	return left
+}
+
+// rank is that by which engines read the prompt while it can be in time.
+func (c *Call) rank() int { return min(c.Priority(), worker.LateRank-1) }
+
 // shared returns the tokens of the prompt that other requests may share: all
 // parts but the last, which is the request's own.
 func (c *Call) shared() int {
@@ -81,6 +95,8 @@
 	WorkerID  string
 	Remaining time.Duration
 	Priority  int
+	// Late requests give way to all that are in time.
+	Late bool
 	// ReadApart asks for the prompt to be read and kept, and not to run.
 	ReadApart bool
 	// Source is where the prompt was read apart.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -140,6 +140,12 @@
 	for {
 		plan := s.plan(ctx)
 		s.logPlan(plan)
+		if plan.Mode == scheduling.Held {
+			if err := s.hold(ctx, plan.RetryAfter); err != nil {
+				return s.givenUp(tryEnd{verdict: notRun, err: err})
+			}
+			continue
+		}
 		if plan.Mode == scheduling.Refused {
 			return s.refused(plan)
 		}
--- /dev/null
+++ b/internal/dispatch/late_test.go
@@ -0,0 +1,165 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/retry"
+	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/topology"
+	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+// plainWire speaks to workers without headers of its own.
+type plainWire struct{ sent chan struct{} }
+
+func (plainWire) IDHeader() string                            { return "" }
+func (plainWire) AnswerHeader(header http.Header) http.Header { return header }
+func (plainWire) Reply(int, http.Header) Reply                { return Reply{} }
+func (plainWire) Release(Handle) *workerconn.Request {
+	return &workerconn.Request{Method: http.MethodDelete}
+}
+
+func (plainWire) Handle(address string, _ []byte) (Handle, error) {
+	return Handle{Address: address, ID: "h"}, nil
+}
+
+func (w plainWire) ForwardHeader(*Call, Forward) http.Header {
+	w.sent <- struct{}{}
+	return http.Header{}
+}
+
+// sink takes answers.
+type sink struct{ strings.Builder }
+
+func (s *sink) Head(int, http.Header, int64) {}
+
+func (s *sink) Write(piece []byte) error {
+	_, err := s.Builder.Write(piece)
+	return err
+}
+
+// lateEvents tell of each plan that is made and of each sending to a worker.
+type lateEvents struct{ planned, sent chan struct{} }
+
+// lateSetting is a dispatcher with one engine that reads and one that writes, and a call
+// that can't be in time at either.
+func lateSetting(t *testing.T) (*Dispatcher, *worker.Registry, *Call, lateEvents) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\n\n")
+	}))
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	registry := worker.NewRegistry(topology.New("a", nil))
+	registry.SetMemory("llm", 1_000_000)
+	registry.Replace([]worker.Worker{
+		{ID: "read", Service: "llm", Address: address, Zone: "a", Slots: 8, Stage: worker.Prefill},
+		{ID: "write", Service: "llm", Address: address, Zone: "a", Slots: 8, Stage: worker.Decode},
+	})
+	events := lateEvents{planned: make(chan struct{}, 1000), sent: make(chan struct{}, 2)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	dispatcher := New(Options{
+		Registry: registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: workerconn.NewPool(), Wire: plainWire{events.sent},
+		Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Nodes: func() int { return 1 }, Retries: retry.Terms{},
+		Knowledge: func() Knowledge {
+			events.planned <- struct{}{}
+			return Knowledge{}
+		},
+	})
+	route := &routing.Route{Name: "check", Kind: routing.Streaming, MaxAttempts: 1, Priority: 1, Objective: time.Millisecond, Patience: time.Hour}
+	now := time.Now()
+	call := &Call{
+		ID: "1", Method: http.MethodPost, Target: "/", Header: http.Header{}, Route: route, Service: &routing.Service{Name: "llm"},
+		Prompt: []prefixcache.Part{{ID: 1, Tokens: 2000}}, PromptTokens: 2000, ExpectedOutput: 1,
+		Arrived: now, Deadline: now.Add(time.Hour),
+	}
+	return dispatcher, registry, call, events
+}
+
+// queueAt is what others have placed on both engines. It is less where prompts are read, so
+// that this is the way chosen.
+func queueAt(registry *worker.Registry, change func(string, worker.Load)) {
+	change("read", worker.Load{Requests: 1, Reads: worker.ReadsOf(0, 20_000)})
+	change("write", worker.Load{Requests: 1, Reads: worker.ReadsOf(0, 400_000)})
+}
+
+// TestLateCallIsHeldUntilAnEngineIsFree, where it was refused.
+func TestLateCallIsHeldUntilAnEngineIsFree(t *testing.T) {
+	dispatcher, registry, call, events := lateSetting(t)
+	queueAt(registry, registry.Begin)
+	ended := make(chan Outcome)
+	go func() { ended <- dispatcher.Run(context.Background(), call, &sink{}) }()
+	for range 2 { // a call that is planned again without having been sent was held
+		select {
+		case outcome := <-ended:
+			t.Fatalf("ended at once: %+v", outcome)
+		case <-events.sent:
+			t.Fatal("given to an engine where others wait")
+		case <-events.planned:
+		}
+	}
+	registry.End("read", worker.Load{Requests: 1, Reads: worker.ReadsOf(0, 20_000)})
+	if outcome := <-ended; outcome.Status != http.StatusOK {
+		t.Errorf("%+v", outcome)
+	}
+}
+
+// TestHeldCallEndsWithItsCaller.
+func TestHeldCallEndsWithItsCaller(t *testing.T) {
+	dispatcher, registry, call, events := lateSetting(t)
+	queueAt(registry, registry.Begin)
+	ctx, leave := context.WithCancel(context.Background())
+	ended := make(chan Outcome)
+	go func() { ended <- dispatcher.Run(ctx, call, &sink{}) }()
+	<-events.planned
+	leave()
+	if outcome := <-ended; outcome.Attempts != 0 || len(events.sent) != 0 {
+		t.Errorf("%+v", outcome)
+	}
+}
+
+// TestLateCallsAreReadLast, behind the least urgent route.
+func TestLateCallsAreReadLast(t *testing.T) {
+	for _, example := range []struct {
+		priority int
+		late     bool
+		want     int
+	}{{0, false, 0}, {2, false, 2}, {9, false, worker.LateRank - 1}, {0, true, worker.LateRank}} {
+		s := &session{call: &Call{Route: &routing.Route{Priority: example.priority}}, late: example.late}
+		if got := s.rank(); got != example.want {
+			t.Errorf("priority %d, late %v: rank %d, want %d", example.priority, example.late, got, example.want)
+		}
+	}
+}
+
+// TestPatienceCountsFromTheLastPiece, and ends with the deadline.
+func TestPatienceCountsFromTheLastPiece(t *testing.T) {
+	arrived := time.Unix(1000, 0)
+	call := &Call{Route: &routing.Route{Patience: 2 * time.Second}, Arrived: arrived, Deadline: arrived.Add(5 * time.Second)}
+	for _, example := range []struct{ age, lastPiece, want time.Duration }{
+		{time.Second, 0, time.Second},
+		{3 * time.Second, 2500 * time.Millisecond, 1500 * time.Millisecond},
+		{4500 * time.Millisecond, 4 * time.Second, 500 * time.Millisecond},
+	} {
+		if got := call.patience(arrived.Add(example.age), example.lastPiece); got != example.want {
+			t.Errorf("after %v, the last piece after %v: %v", example.age, example.lastPiece, got)
+		}
+	}
+	call.Route = &routing.Route{}
+	if got := call.patience(arrived.Add(time.Second), 0); got != 4*time.Second {
+		t.Errorf("without a bound of its own: %v", got)
+	}
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/worker"
 )
 
 // verdict is what is known of one try.
@@ -51,6 +53,8 @@
 	// readTaken tells that the prompt was read apart: once that costs neither an
 	// attempt nor a repeat, so it is not done again.
 	readTaken bool
+	// late tells that the call gives way to all that are in time.
+	late      bool
 	headGiven bool
 	// begun tells that a worker has begun to run the call, so that it was counted.
 	begun bool
@@ -76,6 +80,14 @@
 	s.began(name, at)
 }
 
+// rank is that by which engines read the call's prompt.
+func (s *session) rank() int {
+	if s.late {
+		return worker.LateRank
+	}
+	return s.call.rank()
+}
+
 func (s *session) remaining() time.Duration { return time.Until(s.call.Deadline) }
 
 func (s *session) request() scheduling.Request {
@@ -86,8 +98,10 @@
 		OutputTokens: s.call.ExpectedOutput,
 		Objective:    s.call.Route.Objective - time.Since(s.call.Arrived),
 		Remaining:    s.remaining(),
+		Patience:     s.call.patience(time.Now(), s.last),
 		Excluded:     s.excluded,
 		Failed:       s.failed,
+		Begun:        s.ranBefore,
 		NoApart:      s.readTaken,
 		Content:      s.call.content(),
 	}
@@ -104,6 +118,7 @@
 
 func (s *session) plan(ctx context.Context) scheduling.Plan {
 	plan := s.planOver(ctx, s.request())
+	s.late = plan.Late
 	if s.attempts == 0 && plan.Unread > 0 {
 		s.registry.ObserveDemand(s.call.Service.Name, plan.Unread, time.Now())
 	}
@@ -114,6 +129,19 @@
 	return plan
 }
 
+// hold waits for a time, less a part by chance so that nodes don't plan all at once. It ends
+// with the cause where the caller leaves before or its time is over.
+func (s *session) hold(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause - rand.N(pause/2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // again decides whether a failed try is followed by another.
 func (s *session) again(end tryEnd) bool {
 	if gone(end.err) || late(end.err) || s.remaining() <= 0 {
@@ -205,13 +233,15 @@
 }
 
 func (s *session) logPlan(plan scheduling.Plan) {
-	s.metrics.plan(plan.Mode)
+	s.metrics.plan(plan)
 	known := s.knowledge()
 	s.log.WithFields(logrus.Fields{
 		"id": s.call.ID, "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
+		"late": plan.Late, "rank": s.rank(), "patience_ms": s.call.patience(time.Now(), s.last).Milliseconds(),
 		"reader_queue": plan.Reader.ReadAhead, "runner_queue": plan.Runner.ReadAhead,
-		"cached": max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
+		"late_queue": max(plan.Reader.LateTokens, plan.Runner.LateTokens),
+		"cached":     max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
 		"unread": plan.Unread, "fetch": plan.Fetch,
 		"predicted_ms": plan.First.Milliseconds(), "cost": int(min(plan.Cost, 1e9)),
 		"remaining_ms": s.remaining().Milliseconds(), "routes_version": s.call.RoutesVersion,
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -28,7 +28,7 @@
 
 // candidates describes the workers that may take the request.
 func (s *session) candidates() []scheduling.Candidate {
-	candidates := s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.Priority(), time.Now())
+	candidates := s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.rank(), time.Now())
 	if s.accounts == nil {
 		return candidates
 	}
@@ -61,7 +61,7 @@
 		return chosen
 	}
 	begun := time.Now()
-	answers := s.accounts.Ask(ctx, unasked, s.call.Prompt, s.call.Priority())
+	answers := s.accounts.Ask(ctx, unasked, s.call.Prompt, s.call.rank())
 	s.known = answers.Accounts
 	s.surveyed = surveyed{
 		asked: len(unasked), answered: len(s.known), holders: len(answers.Holders), took: time.Since(begun),
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -23,7 +23,7 @@
 	call := session.call
 	w := &work{
 		session: session, runner: runner, prompt: prompt,
-		reading: worker.Load{Reads: worker.ReadsOf(call.Route.Priority, prompt.unread)},
+		reading: worker.Load{Reads: worker.ReadsOf(session.rank(), prompt.unread)},
 		running: worker.Load{Requests: 1, MemoryTokens: call.PromptTokens + call.ExpectedOutput},
 		begun:   time.Now(),
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -47,6 +47,9 @@
 	Objective time.Duration
 	// GapObjective is the longest pause between events of a stream.
 	GapObjective time.Duration
+	// Patience is how long callers wait for the beginning of an answer, zero where they
+	// wait until their deadline.
+	Patience time.Duration
 	// MaxAttempts bounds the workers that one request is sent to.
 	MaxAttempts int
 	// Priority is the rank of the requests, zero being the most urgent.
--- a/internal/scheduling/costs.go
+++ b/internal/scheduling/costs.go
@@ -21,8 +21,13 @@
 	Avoided float64
 	// MemoryPressure is the price of running where an engine's memory is full.
 	MemoryPressure float64
-	// RefusePast is the share of the objective past which a request is refused.
-	RefusePast float64
+	// LatePast is the share of the objective past which a request is late: it gives way to
+	// others.
+	LatePast float64
+	// LateShare is the share of the time until its caller leaves up to which a late request
+	// is served, and LateFill that of a worker's slots and memory up to which it may take
+	// any.
+	LateShare, LateFill, LateQueue float64
 
 	// Interference is the price of a millisecond of reading at a decode engine for each
 	// request that runs there, in milliseconds: it holds up their streams.
@@ -56,7 +61,10 @@
 		Failure:        0.7,
 		Avoided:        4,
 		MemoryPressure: 0.4,
-		RefusePast:     1,
+		LatePast:       1,
+		LateShare:      0.6,
+		LateFill:       0.75,
+		LateQueue:      0.02,
 		Interference:   0.5,
 		FetchFrom:      0.02,
 		Opaque:         OpaqueCosts{Fill: 20, Waiting: 50, OtherZone: 6, Failure: 400, Avoided: 2000},
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -19,32 +19,33 @@
 	if request.PromptTokens == 0 {
 		return s.planOpaque(request, candidates)
 	}
+	best := s.choose(request, candidates)
+	if best.Mode == Refused || s.inTime(request, best) {
+		return best
+	}
+	return s.planLate(request, candidates, best)
+}
+
+// choose returns the way to serve a prompt that costs least.
+func (s *Scheduler) choose(request Request, candidates []Candidate) Plan {
 	best := s.planWhole(request, candidates)
 	if !request.NoApart {
 		if apart := s.planApart(request, candidates); better(apart, best) {
 			best = apart
 		}
 	}
-	if best.Mode == Refused {
-		return best
-	}
-	return s.admit(request, best)
+	return best
 }
 
 func better(left, right Plan) bool {
 	return left.Mode != Refused && (right.Mode == Refused || left.Cost < right.Cost)
 }
 
-// admit refuses a request whose answer would come too late to be of use.
-func (s *Scheduler) admit(request Request, plan Plan) Plan {
-	limit := time.Duration(s.costs.RefusePast * float64(request.Objective))
-	if plan.First <= limit || plan.First < request.Remaining && idle(plan) {
-		return plan
-	}
-	plan.Mode = Refused
-	plan.Reason = TooLate
-	plan.RetryAfter = max(plan.First-request.Objective/2, minRetryAfter)
-	return plan
+// inTime reports whether a plan is carried out in its turn: its answer comes in time, or
+// nobody else waits.
+func (s *Scheduler) inTime(request Request, plan Plan) bool {
+	limit := time.Duration(s.costs.LatePast * float64(request.Objective))
+	return plan.First <= limit || plan.First < min(request.Remaining, request.Patience) && idle(plan)
 }
 
 // idle reports whether nothing waits where a plan would be carried out: then a
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -43,7 +43,7 @@
 
 func prompt(change ...func(*Request)) Request {
 	request := Request{PromptTokens: 17_000, SharedTokens: 13_300, OutputTokens: 15, Aim: 800 * time.Millisecond, Engine: Engine{Queue: 1, Handover: 30, Fetch: 8, MovePerToken: 0.0004},
-		Objective: 800 * time.Millisecond, Remaining: 6 * time.Second}
+		Objective: 800 * time.Millisecond, Remaining: 6 * time.Second, Patience: 6 * time.Second}
 	for _, c := range change {
 		c(&request)
 	}
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -24,6 +24,8 @@
 	MemoryTokens int
 	// ReadAhead is the part of ReadTokens that is read before the request's prompt.
 	ReadAhead int
+	// LateTokens are to be read for requests that can't be in time, after all ReadTokens.
+	LateTokens int
 	// Capacity is the KV cache in tokens, zero where it isn't known.
 	Capacity int
 	// CachedTokens is the part of the request's prompt that the worker keeps.
@@ -71,7 +73,7 @@
 // Account is what the node that keeps account of a worker says of it: the load of all
 // nodes but the one that asks, and what it knows of the worker's state.
 type Account struct {
-	Requests, ReadTokens, ReadAhead, MemoryTokens int
+	Requests, ReadTokens, ReadAhead, LateTokens, MemoryTokens int
 	// CachedTokens is the part of the request's prompt that the worker keeps.
 	CachedTokens int
 	// Changing tells that an order to change its stage may be under way.
@@ -98,6 +100,7 @@
 	c.Requests += account.Requests
 	c.ReadTokens += account.ReadTokens
 	c.ReadAhead += account.ReadAhead
+	c.LateTokens += account.LateTokens
 	c.MemoryTokens += account.MemoryTokens
 	c.CachedTokens = max(c.CachedTokens, account.CachedTokens)
 	c.Avoid = c.Avoid || account.Avoid
@@ -134,14 +137,17 @@
 	OutputTokens int
 	// Objective is the time that is left for the first byte of the answer.
 	Objective time.Duration
-	// Remaining is the time that is left for the whole.
-	Remaining time.Duration
+	// Remaining is the time that is left for the whole, and Patience that after which its
+	// caller leaves unless the answer has begun.
+	Remaining, Patience time.Duration
 	// Excluded are workers that must not get this request any more, and Failed those
 	// that ran it and failed, which get it where no other is left.
 	Excluded, Failed map[string]bool
 	// Content names what the prompt shares with others, zero where that is too little to
 	// be looked for.
 	Content uint64
+	// Begun tells that a worker has begun the request and failed.
+	Begun bool
 	// NoApart tells that the prompt must not be read apart.
 	NoApart bool
 }
@@ -155,6 +161,8 @@
 	Whole Mode = "whole"
 	// Apart requests are read at one engine and run at another.
 	Apart Mode = "apart"
+	// Held requests are planned again after a pause.
+	Held Mode = "held"
 	// Refused requests are not run.
 	Refused Mode = "refused"
 )
@@ -173,6 +181,8 @@
 type Plan struct {
 	Mode   Mode
 	Reason Reason
+	// Late requests can't be answered in time and give way to all others.
+	Late bool
 	// Reader is the worker that reads the prompt, where Mode is Apart.
 	Reader Candidate
 	// Runner is the worker that answers. Where Mode is Apart it is chosen again
@@ -187,6 +197,7 @@
 	First time.Duration
 	// Cost is what was compared, in milliseconds.
 	Cost float64
-	// RetryAfter is when a refused request should come back.
+	// RetryAfter is when a refused request should come back, and a held one is planned
+	// again.
 	RetryAfter time.Duration
 }
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -81,7 +81,8 @@
 		Prefill:       known.worker.Stage == Prefill,
 		Decode:        known.worker.Stage == Decode,
 		Requests:      load.Requests,
-		ReadTokens:    load.Reads.Total(),
+		ReadTokens:    load.Reads.InTime(),
+		LateTokens:    load.Reads.Late(),
 		ReadAhead:     load.Reads.Ahead(rank),
 		MemoryTokens:  load.MemoryTokens,
 		Capacity:      r.memory[known.worker.Service],
@@ -110,8 +111,8 @@
 		}
 		load := known.total(now, asking)
 		accounts[id] = scheduling.Account{
-			Requests: load.Requests, ReadTokens: load.Reads.Total(), ReadAhead: load.Reads.Ahead(rank),
-			MemoryTokens: load.MemoryTokens, CachedTokens: known.cache.Match(parts),
+			Requests: load.Requests, ReadTokens: load.Reads.InTime(), ReadAhead: load.Reads.Ahead(rank),
+			LateTokens: load.Reads.Late(), MemoryTokens: load.MemoryTokens, CachedTokens: known.cache.Match(parts),
 			Changing: known.isChanging(now), Avoid: known.breaker.Open(now),
 			HandleFailure: known.handles.Open(now), FailureRate: known.breaker.FailureRate(now),
 		}
--- a/internal/worker/load.go
+++ b/internal/worker/load.go
@@ -3,6 +3,9 @@
 // Ranks is the number of ranks of requests that loads tell apart.
 const Ranks = 4
 
+// LateRank is that of requests that can't be in time: engines read all others first.
+const LateRank = Ranks - 1
+
 // Reads counts prompt tokens that are still to be read, by the rank of their
 // requests; rank 0 is the most urgent. Engines read the more urgent first.
 type Reads [Ranks]int
@@ -16,6 +19,12 @@
 
 func bounded(rank int) int { return min(max(rank, 0), Ranks-1) }
 
+// InTime returns the tokens of all requests but the late ones.
+func (r Reads) InTime() int { return r.Ahead(LateRank - 1) }
+
+// Late returns the tokens of late requests.
+func (r Reads) Late() int { return r[LateRank] }
+
 // Total returns the tokens of all ranks.
 func (r Reads) Total() int { return r.Ahead(Ranks - 1) }
 
