Late requests leave the last free engines to others

In overload a held request took each engine as soon as it was free, just before work in time did. Now late work is placed only while at least half of the sound engines looked at are free.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -101,7 +101,7 @@
 		Patience:     s.call.patience(time.Now(), s.last),
 		Excluded:     s.excluded,
 		Failed:       s.failed,
-		Begun:        s.ranBefore,
+		Begun:        s.headGiven,
 		NoApart:      s.readTaken,
 		Content:      s.call.content(),
 	}
--- a/internal/scheduling/costs.go
+++ b/internal/scheduling/costs.go
@@ -25,8 +25,9 @@
 	// others.
 	LatePast float64
 	// LateShare is the share of the time until its caller leaves up to which a late request
-	// is served, and LateFill that of a worker's slots and memory up to which it may take
-	// any.
+	// is held and served, LateFill that of a worker's slots and memory up to which it may
+	// take any, and LateQueue that of the objective up to which an engine is free although
+	// prompts are queued there: about the rest of a short one.
 	LateShare, LateFill, LateQueue float64
 
 	// Interference is the price of a millisecond of reading at a decode engine for each
--- a/internal/scheduling/late.go
+++ b/internal/scheduling/late.go
@@ -1,6 +1,9 @@
 package scheduling
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Engines read prompts by turns once they have begun, whatever their priority: a late
 // prompt at an engine makes those that come after it later by all of its reading. So late
@@ -15,19 +18,22 @@
 
 // planLate plans a request whose answer can't be in time: at an engine where nothing waits,
 // or else it is held as long as one may get free before its caller leaves. Otherwise it is
-// refused. One that was begun goes on in its turn: what was done for it would be lost.
+// refused. A stream that was begun goes on in its turn: what was done for it would be lost.
 func (s *Scheduler) planLate(request Request, candidates []Candidate, inTurn Plan) Plan {
-	if request.Begun || request.NoApart {
-		if s.worthwhile(request, inTurn) {
-			return inTurn
-		}
+	switch {
+	case request.Begun && s.worthwhile(request, inTurn):
+		return inTurn
+	case request.Begun || request.NoApart:
 		return tooLate(request, inTurn)
 	}
-	if plan := s.planApart(request, s.spare(request, candidates, true)); s.worthwhile(request, plan) {
-		plan.Late = true
-		return plan
+	spare := s.spare(request, candidates)
+	if free := s.free(request, spare); free != nil {
+		if plan := s.planApart(request, free); s.worthwhile(request, plan) {
+			plan.Late = true
+			return plan
+		}
 	}
-	plan := s.planApart(request, s.spare(request, candidates, false))
+	plan := s.planApart(request, spare)
 	if !s.worthwhile(request, plan) {
 		return tooLate(request, inTurn)
 	}
@@ -44,9 +50,8 @@
 }
 
 // spare describes the candidates as a late request finds them, which is read after all
-// others. Unsound ones, those without room to spare and where free is set those at which
-// anything waits are known for what they keep only.
-func (s *Scheduler) spare(request Request, candidates []Candidate, free bool) []Candidate {
+// others. Unsound ones and those without room to spare are known for what they keep only.
+func (s *Scheduler) spare(request Request, candidates []Candidate) []Candidate {
 	spare := make([]Candidate, 0, len(candidates))
 	for _, candidate := range candidates {
 		candidate.ReadTokens += candidate.LateTokens
@@ -54,14 +59,33 @@
 		if !candidate.sound() || request.Failed[candidate.ID] || !s.hasRoom(request, candidate) {
 			candidate.SourceOnly = true
 		}
-		if free && candidate.Prefill && queueTime(candidate) > s.costs.LateQueue*request.aim() {
-			candidate.SourceOnly = true
-		}
 		spare = append(spare, candidate)
 	}
 	return spare
 }
 
+// free makes sources only of the engines at which anything waits. It returns none where
+// fewer than half of the engines that read are free: work in time needs these soon.
+func (s *Scheduler) free(request Request, candidates []Candidate) []Candidate {
+	free := slices.Clone(candidates)
+	readers, busy := 0, 0
+	for i := range free {
+		candidate := &free[i]
+		if !candidate.Prefill || candidate.SourceOnly {
+			continue
+		}
+		readers++
+		if queueTime(*candidate) > s.costs.LateQueue*request.aim() {
+			candidate.SourceOnly = true
+			busy++
+		}
+	}
+	if 2*busy > readers {
+		return nil
+	}
+	return free
+}
+
 // queueTime is what an engine takes for all that it has to read, in milliseconds.
 func queueTime(candidate Candidate) float64 {
 	return float64(candidate.ReadTokens) / max(candidate.Pace, lowestPace)
--- a/internal/scheduling/late_test.go
+++ b/internal/scheduling/late_test.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// TestLateWorkLeavesTheLastFreeEngine to work in time: it is held while most are busy.
+func TestLateWorkLeavesTheLastFreeEngine(t *testing.T) {
+	candidates := []Candidate{fastest(), reader("busy", queued(busy)), reader("free"), writer("d", queued(busy))}
+	if plan := New(DefaultCosts()).Plan(prompt(overdue), candidates); plan.Mode != Held {
+		t.Errorf("%s, read at %q", plan.Mode, plan.Reader.ID)
+	}
+}
+
 // TestLateRequestIsHeldUntilAnEngineIsFree, and pauses as long as that may take, within
 // bounds.
 func TestLateRequestIsHeldUntilAnEngineIsFree(t *testing.T) {
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -146,7 +146,7 @@
 	// Content names what the prompt shares with others, zero where that is too little to
 	// be looked for.
 	Content uint64
-	// Begun tells that a worker has begun the request and failed.
+	// Begun tells that the caller has a part of the answer.
 	Begun bool
 	// NoApart tells that the prompt must not be read apart.
 	NoApart bool
