Holding late requests is a setting; by default they run where an engine is free

Cause: held requests pay where the share served at all is weighed and cost where it isn't.

Tests: those of holding switch it on; TestLateRequestIsRefusedWhereNoneAreHeld and TestLateRequestsAreHeldWhereTheSettingsSaySo are new.

--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -71,8 +71,10 @@
 	events := lateEvents{planned: make(chan struct{}, 1000), sent: make(chan struct{}, 2)}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	costs := scheduling.DefaultCosts()
+	costs.Hold = true
 	dispatcher := New(Options{
-		Registry: registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: workerconn.NewPool(), Wire: plainWire{events.sent},
+		Registry: registry, Scheduler: scheduling.New(costs), Pool: workerconn.NewPool(), Wire: plainWire{events.sent},
 		Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Nodes: func() int { return 1 }, Retries: retry.Terms{},
 		Knowledge: func() Knowledge {
 			events.planned <- struct{}{}
--- a/internal/scheduling/costs.go
+++ b/internal/scheduling/costs.go
@@ -29,6 +29,9 @@
 	// take any, and LateQueue that of the objective up to which an engine is free although
 	// prompts are queued there: about the rest of a short one.
 	LateShare, LateFill, LateQueue float64
+	// Hold tells that late requests wait at their node for a free engine. It pays where the
+	// share that is served at all is what counts; docs/design/late-work.md has the figures.
+	Hold bool
 
 	// Interference is the price of a millisecond of reading at a decode engine for each
 	// request that runs there, in milliseconds: it holds up their streams.
--- a/internal/scheduling/late.go
+++ b/internal/scheduling/late.go
@@ -7,7 +7,7 @@
 
 // Engines read prompts by turns once they have begun, whatever their priority: a late
 // prompt at an engine makes those that come after it later by all of its reading. So late
-// requests wait at their node, and are read where nothing else waits.
+// requests are read where nothing else waits, and may wait for that at their node.
 
 // The bounds of the pause after which a request that is held is planned again: a few times
 // the age of what nodes know of each other's load, and about the reading of a long prompt.
@@ -17,8 +17,8 @@
 )
 
 // planLate plans a request whose answer can't be in time: at an engine where nothing waits,
-// or else it is held as long as one may get free before its caller leaves. Otherwise it is
-// refused. A stream that was begun goes on in its turn: what was done for it would be lost.
+// or else, where requests are held, it waits as long as one may get free before its caller
+// leaves. Otherwise it is refused. A stream that was begun goes on in its turn: what was done for it would be lost.
 func (s *Scheduler) planLate(request Request, candidates []Candidate, inTurn Plan) Plan {
 	switch {
 	case request.Begun && s.worthwhile(request, inTurn):
@@ -34,7 +34,7 @@
 		}
 	}
 	plan := s.planApart(request, spare)
-	if !s.worthwhile(request, plan) {
+	if !s.costs.Hold || !s.worthwhile(request, plan) {
 		return tooLate(request, inTurn)
 	}
 	wait := milliseconds(queueTime(plan.Reader))
@@ -64,8 +64,9 @@
 	return spare
 }
 
-// free makes sources only of the engines at which anything waits. It returns none where
-// fewer than half of the engines that read are free: work in time needs these soon.
+// free makes sources only of the engines at which anything waits. Where requests
+// are held it returns none while fewer than half of the engines that read are free: those
+// that wait would take each of them just before work in time does.
 func (s *Scheduler) free(request Request, candidates []Candidate) []Candidate {
 	free := slices.Clone(candidates)
 	readers, busy := 0, 0
@@ -80,7 +81,7 @@
 			busy++
 		}
 	}
-	if 2*busy > readers {
+	if s.costs.Hold && 2*busy > readers {
 		return nil
 	}
 	return free
--- a/internal/scheduling/late_test.go
+++ b/internal/scheduling/late_test.go
@@ -32,10 +32,25 @@
 	}
 }
 
-// TestLateWorkLeavesTheLastFreeEngine to work in time: it is held while most are busy.
-func TestLateWorkLeavesTheLastFreeEngine(t *testing.T) {
+// holding are costs with which late requests wait at their node.
+func holding() Costs {
+	costs := DefaultCosts()
+	costs.Hold = true
+	return costs
+}
+
+// TestLateRequestIsRefusedWhereNoneAreHeld, unless an engine is free.
+func TestLateRequestIsRefusedWhereNoneAreHeld(t *testing.T) {
+	plan := New(DefaultCosts()).Plan(prompt(overdue), []Candidate{reader("p", queued(1_000)), writer("d", queued(busy))})
+	if plan.Mode != Refused || plan.Reason != TooLate {
+		t.Errorf("%s, %q", plan.Mode, plan.Reason)
+	}
+}
+
+// TestHeldWorkLeavesTheLastFreeEngine to work in time: it is held while most are busy.
+func TestHeldWorkLeavesTheLastFreeEngine(t *testing.T) {
 	candidates := []Candidate{fastest(), reader("busy", queued(busy)), reader("free"), writer("d", queued(busy))}
-	if plan := New(DefaultCosts()).Plan(prompt(overdue), candidates); plan.Mode != Held {
+	if plan := New(holding()).Plan(prompt(overdue), candidates); plan.Mode != Held {
 		t.Errorf("%s, read at %q", plan.Mode, plan.Reader.ID)
 	}
 }
@@ -51,7 +66,7 @@
 		"queue":       {3_600, 100 * time.Millisecond},
 		"long queue":  {busy, maxHold},
 	} {
-		plan := New(DefaultCosts()).Plan(prompt(overdue), []Candidate{reader("p", queued(test.queue)), writer("d", queued(busy))})
+		plan := New(holding()).Plan(prompt(overdue), []Candidate{reader("p", queued(test.queue)), writer("d", queued(busy))})
 		if plan.Mode != Held || plan.RetryAfter != test.pause {
 			t.Errorf("%s: %s, planned again after %v", name, plan.Mode, plan.RetryAfter)
 		}
@@ -63,7 +78,7 @@
 	lessUrgent := func(c *Candidate) { c.ReadTokens = 3_600 }
 	for name, queue := range map[string]func(*Candidate){"less urgent": lessUrgent, "late": late(3_600)} {
 		candidates := []Candidate{fastest(), reader("p", queue), writer("d", queued(busy))}
-		if plan := New(DefaultCosts()).Plan(prompt(overdue), candidates); plan.Mode != Held {
+		if plan := New(holding()).Plan(prompt(overdue), candidates); plan.Mode != Held {
 			t.Errorf("%s: %s", name, plan.Mode)
 		}
 	}
@@ -79,7 +94,7 @@
 		"impatient":   {patient(time.Second), Refused},
 		"little time": {func(r *Request) { r.Remaining = time.Second }, Refused},
 	} {
-		plan := New(DefaultCosts()).Plan(prompt(overdue, test.change), []Candidate{reader("p", queued(busy)), writer("d", queued(busy))})
+		plan := New(holding()).Plan(prompt(overdue, test.change), []Candidate{reader("p", queued(busy)), writer("d", queued(busy))})
 		if plan.Mode != test.mode {
 			t.Errorf("%s: %s, first byte after %v", name, plan.Mode, plan.First)
 		}
@@ -121,7 +136,7 @@
 
 // TestLateWorkIsNotReadWhereOthersWrite: it would hold up the streams there.
 func TestLateWorkIsNotReadWhereOthersWrite(t *testing.T) {
-	if plan := New(DefaultCosts()).Plan(prompt(), []Candidate{writer("d", queued(10_000))}); plan.Mode != Refused {
+	if plan := New(holding()).Plan(prompt(), []Candidate{writer("d", queued(10_000))}); plan.Mode != Refused {
 		t.Errorf("%s, late %v", plan.Mode, plan.Late)
 	}
 }
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -157,9 +157,11 @@
 	if n.tally != nil {
 		began = n.tally.Began
 	}
+	costs := scheduling.DefaultCosts()
+	costs.Hold = n.settings.Late.Hold
 	return dispatch.New(dispatch.Options{
 		Began:    began,
-		Registry: n.registry, Scheduler: scheduling.New(scheduling.DefaultCosts()),
+		Registry: n.registry, Scheduler: scheduling.New(costs),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
 		Nodes: n.exchange.Nodes, Accounts: n.exchange, Knowledge: n.knowledge,
 		Retries: retry.Terms{
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -24,9 +24,17 @@
 	Quota  RoutedQuota       `yaml:"quota"`
 	Limits RoutedLimits      `yaml:"limits"`
 	Bounds RoutedBounds      `yaml:"bounds"`
+	Late   RoutedLate        `yaml:"late"`
 	Log    Log               `yaml:"log"`
 }
 
+// RoutedLate says how requests are served that can't be in time.
+type RoutedLate struct {
+	// Hold lets them wait at their node for a free engine; otherwise they are refused where
+	// none is.
+	Hold bool `yaml:"hold"`
+}
+
 // RoutedNode says which node this is.
 type RoutedNode struct {
 	Name string `yaml:"name"`
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -77,3 +77,13 @@
 	f.Add([]byte(routedExample))
 	f.Fuzz(func(_ *testing.T, content []byte) { _, _ = ParseRouted("file", content) })
 }
+
+// TestLateRequestsAreHeldWhereTheSettingsSaySo.
+func TestLateRequestsAreHeldWhereTheSettingsSaySo(t *testing.T) {
+	for text, want := range map[string]bool{routedExample: false, routedExample + "late: {hold: true}\n": true} {
+		got, err := ParseRouted("file", []byte(text))
+		if err != nil || got.Late.Hold != want {
+			t.Errorf("hold %v, %v", got.Late.Hold, err)
+		}
+	}
+}
