--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -12,6 +12,7 @@
 	// Reaches count them by why they are for their region.
 	Reaches  *prometheus.CounterVec
 	Failures *prometheus.CounterVec
+	Late     prometheus.Counter
 }
 
 // NewMetrics returns metrics registered with a registry.
@@ -26,13 +27,19 @@
 		Failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tinarch_try_failures_total", Help: "Tries that did not pass an answer on.",
 		}, []string{"verdict"}),
+		Late: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tinarch_plans_late_total", Help: "Requests that can't be in time and are served behind all others.",
+		}),
 	}
-	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures)
+	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late)
 	return metrics
 }
 
 func (m *Metrics) plan(plan scheduling.Plan, reach scheduling.Reach) {
 	m.Plans.WithLabelValues(string(plan.Mode)).Inc()
+	if plan.Late {
+		m.Late.Inc()
+	}
 	if plan.Mode != scheduling.Refused {
 		m.Reaches.WithLabelValues(string(reach), plan.Runner.Region).Inc()
 	}
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -30,7 +30,7 @@
 
 // candidates describes the workers that may take the request.
 func (s *session) candidates() []scheduling.Candidate {
-	candidates := s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.Priority(), time.Now())
+	candidates := s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.rank(), time.Now())
 	if s.accounts == nil {
 		return candidates
 	}
@@ -66,7 +66,7 @@
 		return chosen
 	}
 	begun := time.Now()
-	answers := s.accounts.Ask(ctx, unasked, s.call.Prompt, s.call.Priority())
+	answers := s.accounts.Ask(ctx, unasked, s.call.Prompt, s.call.rank())
 	s.known = answers.Accounts
 	s.surveyed = surveyed{
 		asked: len(unasked), answered: len(s.known), holders: len(answers.Holders), took: time.Since(begun),
@@ -94,14 +94,15 @@
 }
 
 // planOver plans the request in the regions that are looked at first, and in another one
-// where these can't serve it in time.
+// where these can't serve it in time. Late work stays in the first ones.
 func (s *session) planOver(ctx context.Context, request scheduling.Request) scheduling.Plan {
 	var plan scheduling.Plan
 	for i, scope := range scheduling.Scopes(request, s.candidates()) {
-		if other := s.planWithin(ctx, request, scope.Candidates); i == 0 || other.Mode != scheduling.Refused {
+		other := s.planWithin(ctx, request, scope.Candidates)
+		if i == 0 || other.InTime() || plan.Mode == scheduling.Refused && other.Mode != scheduling.Refused {
 			plan, s.reach = other, scope.Reach
 		}
-		if plan.Mode != scheduling.Refused {
+		if plan.InTime() {
 			break
 		}
 	}
--- a/internal/scheduling/costs.go
+++ b/internal/scheduling/costs.go
@@ -24,8 +24,17 @@
 	Avoided float64
 	// MemoryPressure is the price of running where an engine's memory is full.
 	MemoryPressure float64
-	// RefusePast is the share of the objective past which a request is refused.
-	RefusePast float64
+	// LatePast is the share of the objective past which a request is late: it gives way to
+	// others.
+	LatePast float64
+	// LateShare is the share of the time until its caller leaves up to which a late request
+	// is held and served, LateFill that of a worker's slots and memory up to which it may
+	// take any, and LateQueue that of the objective up to which an engine is free although
+	// prompts are queued there: about the rest of a short one.
+	LateShare, LateFill, LateQueue float64
+	// Hold tells that late requests wait at their node for a free engine. It pays where the
+	// share that is served at all is what counts; docs/design/late-work.md has the figures.
+	Hold bool
 
 	// Interference is the price of a millisecond of reading at a decode engine for each
 	// request that runs there, in milliseconds: it holds up their streams.
@@ -63,7 +72,10 @@
 		Failure:        0.7,
 		Avoided:        4,
 		MemoryPressure: 0.4,
-		RefusePast:     1,
+		LatePast:       1,
+		LateShare:      0.6,
+		LateFill:       0.75,
+		LateQueue:      0.02,
 		Interference:   0.5,
 		GapShare:       2,
 		FetchFrom:      0.02,
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -43,7 +43,7 @@
 
 func prompt(change ...func(*Request)) Request {
 	request := Request{PromptTokens: 17_000, SharedTokens: 13_300, OutputTokens: 15, Aim: 800 * time.Millisecond, Engine: Engine{Queue: 1, Handover: 30, Fetch: 8, MovePerToken: 0.0004},
-		Objective: 800 * time.Millisecond, Remaining: 6 * time.Second}
+		Objective: 800 * time.Millisecond, Remaining: 6 * time.Second, Patience: 6 * time.Second}
 	for _, c := range change {
 		c(&request)
 	}
@@ -189,6 +189,18 @@
 	}
 }
 
+// TestEngineThatCantFetchWritesNothingReadApart while another can.
+func TestEngineThatCantFetchWritesNothingReadApart(t *testing.T) {
+	scheduler := New(DefaultCosts())
+	plan := scheduler.Runner(prompt(), []Candidate{writer("d1", lapsing), writer("d2", running(20), otherZone)}, "")
+	if plan.Runner.ID != "d2" {
+		t.Errorf("runs at %s", plan.Runner.ID)
+	}
+	if plan := scheduler.Runner(prompt(), []Candidate{writer("d1", lapsing)}, ""); plan.Runner.ID != "d1" {
+		t.Error("no engine is left for it")
+	}
+}
+
 // TestMemoryPressureMovesRuns: a full decode engine would put runs aside.
 func TestMemoryPressureMovesRuns(t *testing.T) {
 	full := writer("d1", func(c *Candidate) { c.MemoryTokens = 395_000 })
