A region whose engines all fail is passed over while it is listed

Cause: the regions of a request were chosen by the engines that are listed. Where a region is cut off from a node and the store still lists its engines, each request whose content is looked for there was planned at engines that failed just now: a plan at an unsound engine isn't a refusal, so no other region was looked at, and each repeat went to the same region again. The engines of the node's own region had the same. Before: TestCutOffRegionGetsNoRequests fails, "content 3 of south: apart at south8". After: a region without a sound worker that could run the request counts as one without engines, as long as another region has one; it passes. One region: the candidates stay as they are. Ruled out: weighing regions by their sound engines, which would move contents with each breaker that opens.

--- a/internal/scheduling/regions.go
+++ b/internal/scheduling/regions.go
@@ -36,8 +36,10 @@
 // nodes look for it: a region keeps a third of what three keep, and the way there takes a
 // tenth of the time in which it is read again. The engines of the node's own region don't
 // compete: nearly always one of them seems a little cheaper, and each region then reads all
-// contents itself (docs/design/regions.md). Other requests stay in the region.
+// contents itself (docs/design/regions.md). Other requests stay in the region. A region none
+// of whose engines can run the request is passed over as if it had none.
 func Scopes(request Request, candidates []Candidate) []Scope {
+	candidates = withinReach(request, candidates)
 	if len(regionsOf(candidates)) < 2 {
 		return []Scope{{Everywhere, candidates}}
 	}
@@ -57,6 +59,22 @@
 	return scopes
 }
 
+// withinReach leaves out the regions where no sound worker could run a request, unless that
+// leaves none: they may be cut off from this node while the store still lists their workers.
+func withinReach(request Request, candidates []Candidate) []Candidate {
+	sound := make(map[string]bool)
+	for _, candidate := range candidates {
+		if !candidate.Prefill && candidate.sound() && !request.Failed[candidate.ID] && !request.Excluded[candidate.ID] {
+			sound[candidate.Region] = true
+		}
+	}
+	if len(sound) == 0 || len(sound) == len(regionsOf(candidates)) {
+		return candidates
+	}
+	reached, _ := split(candidates, func(c Candidate) bool { return sound[c.Region] })
+	return reached
+}
+
 // HomeRegion names the region in which all nodes look for a content: by weighted rendezvous
 // hashing (Schindelhauer and Schomaker, "Weighted distributed hash tables", 2005), the
 // weight of a region being the number of its engines, so that one which loses some gives up
--- a/internal/scheduling/regions_test.go
+++ b/internal/scheduling/regions_test.go
@@ -112,6 +112,29 @@
 	}
 }
 
+// TestCutOffRegionGetsNoRequests: its engines are still listed, and those that run requests
+// all failed just now, or failed this request.
+func TestCutOffRegionGetsNoRequests(t *testing.T) {
+	candidates := regional(12, "north", "south", "west")
+	failed := make(map[string]bool)
+	for i := range candidates {
+		if c := &candidates[i]; c.Region == "south" && c.Decode {
+			c.Avoid = i%2 == 0
+			failed[c.ID] = !c.Avoid
+		}
+	}
+	for key := range uint64(100) {
+		request := prompt(func(r *Request) { r.Content, r.Failed = key+1, failed })
+		if plan := planned(request, candidates); plan.Mode == Refused || plan.Runner.Region == "south" {
+			t.Fatalf("content %d of %s: %s at %q", key, HomeRegion(key+1, candidates), plan.Mode, plan.Runner.ID)
+		}
+	}
+	south, _ := split(candidates, func(c Candidate) bool { return c.Region == "south" })
+	if plan := planned(prompt(func(r *Request) { r.Failed = failed }), south); plan.Mode == Refused {
+		t.Errorf("with no other region: refused, %s", plan.Reason)
+	}
+}
+
 // TestMemoryStaysInTheRegion: it is moved and fetched between regions only where nothing
 // else is left, and the prediction then counts the slower links.
 func TestMemoryStaysInTheRegion(t *testing.T) {
