--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -160,8 +160,6 @@
 	}
 }
 
-// TestPredictionGrowsWithTheQueue: the time to the first byte is that of the tokens
-// ahead and those of the request.
 // TestReadingKeepsStreamsWithinTheirPause: an engine that runs streams and has as much to
 // read as fills the pause they may make is given no more while another has less.
 func TestReadingKeepsStreamsWithinTheirPause(t *testing.T) {
@@ -177,6 +175,8 @@
 	}
 }
 
+// TestPredictionGrowsWithTheQueue: the time to the first byte is that of the tokens
+// ahead and those of the request.
 func TestPredictionGrowsWithTheQueue(t *testing.T) {
 	scheduler := New(DefaultCosts())
 	last := time.Duration(0)
