Nodes whose rows were not looked at aren't dropped

Cause: where a row of the list of nodes could not be removed, removeRows ended and returned all addresses but that one as having no row, those of the rows behind it too. These nodes were dropped everywhere while their rows stayed, for each node that starts to count them again. Before: TestNobodyIsUnlistedWhoseRowWasNotLookedAt fails, 10.0.0.2:7000 is returned though its row stands. After: all rows are tried, and an address counts as unlisted when none of its rows is left; it passes.

--- a/internal/serving/roster.go
+++ b/internal/serving/roster.go
@@ -78,20 +78,23 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "the list of nodes can't be read")
 	}
-	unlisted := slices.Clone(gone)
+	kept := make(map[netip.AddrPort]bool)
+	var failed error
 	for _, row := range rows {
 		address, err := exchangeAddress(row)
 		if err != nil || !slices.Contains(gone, address) {
-			continue
+			continue // a malformed row is nobody's whom others could hear
 		}
-		if done, removeErr := removeRow(ctx, store, row); removeErr != nil || !done {
-			unlisted = slices.DeleteFunc(unlisted, func(other netip.AddrPort) bool { return other == address })
-			if removeErr != nil {
-				return unlisted, eris.Wrapf(removeErr, "row %s can't be removed", row.Key)
-			}
+		done, err := removeRow(ctx, store, row)
+		if err != nil {
+			failed = eris.Wrapf(err, "row %s can't be removed", row.Key)
+		}
+		if err != nil || !done {
+			kept[address] = true
 		}
 	}
-	return unlisted, nil
+	unlisted := slices.DeleteFunc(slices.Clone(gone), func(address netip.AddrPort) bool { return kept[address] })
+	return unlisted, failed
 }
 
 // removeRow removes a row as it was read.
--- a/internal/serving/roster_test.go
+++ b/internal/serving/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/netip"
 	"slices"
 	"testing"
@@ -105,3 +106,24 @@
 		t.Errorf("%v, %v", unlisted, err)
 	}
 }
+
+// frozenStore can be read, and takes no writes.
+type frozenStore struct{ *memorystore.Store }
+
+var errFrozen = errors.New("the store takes no writes")
+
+func (frozenStore) Transact(context.Context, rowstore.Transaction) (uint64, bool, error) {
+	return 0, false, errFrozen
+}
+
+// TestNobodyIsUnlistedWhoseRowWasNotLookedAt: after a row that can't be removed there are
+// others.
+func TestNobodyIsUnlistedWhoseRowWasNotLookedAt(t *testing.T) {
+	store := memorystore.New()
+	write(t, store, "gone", oldAddress)
+	write(t, store, "gone too", newAddress)
+	unlisted, err := removeRows(context.Background(), frozenStore{store}, []netip.AddrPort{oldAddress, newAddress})
+	if !errors.Is(err, errFrozen) || len(unlisted) != 0 {
+		t.Errorf("%v, %v", unlisted, err)
+	}
+}
