A node that is taken out of the list is told so itself

Cause: the supervisor told all nodes but the one that it had dropped. That one learned of it only when a node that had dropped it heard it. A node that was heard again while its row was removed isn't dropped, so nobody told it at all, and one that hears but isn't heard by the supervisors waited for chance: it stayed without a row, unknown to nodes that start. Before: TestUnlistedNodeIsTold fails in both cases. After: it passes; the message goes to the node's own address too.

--- a/internal/digest/departed.go
+++ b/internal/digest/departed.go
@@ -113,15 +113,19 @@
 }
 
 // Drop forgets nodes whose rows are gone from the store's list, and tells the other nodes
-// to, as well as of those before that were not told often enough.
+// to, as well as of those before that were not told often enough. The nodes are told
+// themselves too: one that lives, and can't make itself heard here or was heard again
+// meanwhile, must be listed again.
 func (e *Exchange) Drop(gone []netip.AddrPort, now time.Time) {
+	var told, heardAgain []netip.AddrPort
 	e.mu.Lock()
 	for _, address := range gone {
 		if e.peers.drop(address, now) {
 			e.watch.remember(address, departedTold)
+		} else {
+			heardAgain = append(heardAgain, address)
 		}
 	}
-	var told []netip.AddrPort
 	for address, times := range e.watch.dropped {
 		if times > 0 {
 			e.watch.dropped[address]--
@@ -133,6 +137,9 @@
 	if len(told) > 0 {
 		e.sendAll(targets, Message{Node: e.node, Departed: told})
 	}
+	for _, address := range append(told, heardAgain...) {
+		e.sendTo(address, Message{Node: e.node, Departed: []netip.AddrPort{address}})
+	}
 }
 
 // takeDeparted forgets nodes that are gone for good. A node that is itself taken for one was
--- a/internal/digest/departed_test.go
+++ b/internal/digest/departed_test.go
@@ -124,6 +124,37 @@
 	}
 }
 
+// listening returns an exchange that takes messages in and sends nothing of its own.
+func listening(t *testing.T, node string) *Exchange {
+	t.Helper()
+	exchange, err := Listen("127.0.0.1:0", node, "zone", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go exchange.receive()
+	t.Cleanup(func() { _ = exchange.conn.Close() })
+	return exchange
+}
+
+// TestUnlistedNodeIsTold though it can't make itself heard at the node that drops it, or was
+// heard again meanwhile: its row is gone.
+func TestUnlistedNodeIsTold(t *testing.T) {
+	for _, heard := range []bool{false, true} {
+		supervisor, unlisted := listening(t, "supervisor"), listening(t, "unlisted")
+		address, now := unlisted.peers.address, time.Now()
+		supervisor.AddPeers([]Peer{{Node: "unlisted", Address: address, Zone: "zone"}})
+		if heard {
+			supervisor.peers.hear(address, Message{Node: "unlisted", Sequence: 1}, now)
+		}
+		supervisor.Drop([]netip.AddrPort{address}, now)
+		select {
+		case <-unlisted.Unlisted():
+		case <-time.After(20 * time.Second):
+			t.Errorf("heard again: %v: a node whose row is gone isn't told", heard)
+		}
+	}
+}
+
 // TestBytesAreCountedByDistance.
 func TestBytesAreCountedByDistance(t *testing.T) {
 	exchange, err := Listen("127.0.0.1:0", "me", "north-a", registryWith("w"), quiet())
