A deployment with one named region is seen as one without names

Cause: where the settings give all zones one region, Several() was false and the accounts, homes and demand were those of one region, but a zone that the settings don't name (or a worker whose entry has none) was in another region: requests were divided by region, and 50 ms were assumed for a way that is never measured there. Candidate.Region was also named, though its comment says that it is empty. Before: TestOneRegionIsNone fails, "to c far, regions north and ''". After: a map with fewer than two regions is the one without regions; it passes.

--- a/internal/topology/topology.go
+++ b/internal/topology/topology.go
@@ -38,22 +38,26 @@
 }
 
 // New returns the map of a node in a zone, given the region of each zone. Zones without
-// one lie together in a region without a name.
+// one lie together in a region without a name, and so do all zones where only one region is
+// named.
 func New(zone string, regions map[string]string) Map {
-	names := slices.Sorted(maps.Values(regions))
-	return Map{zone: zone, regions: regions, names: slices.Compact(names)}
+	names := slices.Compact(slices.Sorted(maps.Values(regions)))
+	if len(names) < 2 {
+		return Map{zone: zone}
+	}
+	return Map{zone: zone, regions: regions, names: names}
 }
 
 // Zone is the zone from which the map is seen.
 func (m Map) Zone() string { return m.zone }
 
-// Own is the region from which the map is seen.
+// Own is the region from which the map is seen, empty in a deployment in one region.
 func (m Map) Own() string { return m.regions[m.zone] }
 
 // Region is that of a zone, empty where none is known.
 func (m Map) Region(zone string) string { return m.regions[zone] }
 
-// Regions lists the regions in order of their names.
+// Regions lists the regions in order of their names, none in a deployment in one region.
 func (m Map) Regions() []string { return m.names }
 
 // Several reports whether the deployment lies in more than one region.
--- a/internal/topology/topology_test.go
+++ b/internal/topology/topology_test.go
@@ -27,3 +27,11 @@
 		t.Errorf("several %v, to b %v", m.Several(), m.To("b"))
 	}
 }
+
+// TestOneRegionIsNone: a zone that the settings don't name is as near as the others.
+func TestOneRegionIsNone(t *testing.T) {
+	m := New("a", map[string]string{"a": "north", "b": "north"})
+	if m.Several() || m.To("b") != SameRegion || m.To("c") != SameRegion || m.Own() != "" || m.Region("b") != m.Region("c") {
+		t.Errorf("several %v, to b %v, to c %v, regions %q and %q", m.Several(), m.To("b"), m.To("c"), m.Region("b"), m.Region("c"))
+	}
+}
