Times that aren't positive teach nothing of an engine

Cause: the way to another region is taken off the time of a reading or a handover. It is a mean, or 50 ms until it was measured, and a short answer may take less: the handover, which all plans of the service count, and the engine's own factor then learned times below zero. Before: TestTimesThatArentPositiveTeachNothing fails (a handover of -5 ms; the engine is taken to read faster). After: such times are left out; it passes.

--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -33,8 +33,12 @@
 	})
 }
 
-// ObserveReading records how long a worker took to read a prompt.
+// ObserveReading records how long a worker took to read a prompt. A time that isn't positive
+// tells nothing: more was taken off for the way to the worker than it took.
 func (r *Registry) ObserveReading(id string, reading pace.Reading) {
+	if reading.Elapsed <= 0 {
+		return
+	}
 	r.update(id, func(known *state) {
 		group := r.group(known.worker)
 		if reading.Ahead > 0 {
@@ -60,8 +64,11 @@
 }
 
 // ObserveHandover records the time from sending a request with a prompt that was read
-// apart to the first byte of its answer.
+// apart to the first byte of its answer, as ObserveReading does.
 func (r *Registry) ObserveHandover(id string, elapsed time.Duration) {
+	if elapsed <= 0 {
+		return
+	}
 	r.update(id, func(known *state) { r.stepsOf(known.worker.Service).handover.Observe(elapsed) })
 }
 
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -270,3 +270,22 @@
 		t.Error(diff)
 	}
 }
+
+// TestTimesThatArentPositiveTeachNothing: the way to another region, which is taken off, may
+// be taken for longer than the engine's answer took.
+func TestTimesThatArentPositiveTeachNothing(t *testing.T) {
+	r := newTestRegistry()
+	slow := pace.Reading{Tokens: 10_000, Elapsed: 400 * time.Millisecond}
+	for range 20 {
+		r.ObserveReading("p", slow)
+	}
+	reading, handover := find(t, r, "p", nil, origin).Reading, r.Engine("llm").Handover
+	r.ObserveReading("p", pace.Reading{Tokens: 1000, Elapsed: -5 * time.Millisecond})
+	r.ObserveHandover("d", -5*time.Millisecond)
+	if got := find(t, r, "p", nil, origin).Reading; got != reading {
+		t.Errorf("reads by %+v, by %+v before", got, reading)
+	}
+	if got := r.Engine("llm").Handover; got != handover {
+		t.Errorf("a handover takes %v ms, %v before", got, handover)
+	}
+}
