A supervisor that was stopped drops nobody when it goes on

Cause: a supervisor that was stopped for longer than departedAfter has heard nobody for that time. When it goes on it hears the others one by one, and a look that comes when it has heard more than half took the rest for gone for good, removed their rows and had all nodes drop them. The ticker of the looks is due at that very moment. Before: TestStoppedSupervisorDropsNobody fails, 19 nodes are taken for departed. After: where looks are further apart than longestLookGap, silence counts from the look; it passes.

--- a/internal/digest/departed.go
+++ b/internal/digest/departed.go
@@ -14,6 +14,10 @@
 	// longer than machines are dark, frozen or cut off on the users' days (up to half a
 	// minute), since all that it kept then moves to other nodes.
 	departedAfter = time.Minute
+	// longestLookGap is the time between two looks for them, three times that at which they
+	// are due (serving.pruneEvery), from which on a supervisor takes itself to have been
+	// stopped: it heard nobody meanwhile.
+	longestLookGap = 30 * time.Second
 	// departedTold is how often the other nodes are told of one, since datagrams may be
 	// lost.
 	departedTold = 3
@@ -23,9 +27,11 @@
 
 // watch keeps track of silence at a supervisor, which all nodes tell of themselves at rest.
 type watch struct {
-	// since is when this node became a supervisor, zero while it isn't one: before, it
-	// didn't hear all nodes.
+	// since is when this node became a supervisor, or went on after a stop, zero while it
+	// isn't one: before, it didn't hear all nodes.
 	since time.Time
+	// looked is when it last looked for silent nodes.
+	looked time.Time
 	// dropped are the peers that were dropped as gone, and how often that is still told.
 	dropped map[netip.AddrPort]int
 }
@@ -49,9 +55,10 @@
 	switch {
 	case !supervises:
 		w.since = time.Time{}
-	case w.since.IsZero():
+	case w.since.IsZero(), now.Sub(w.looked) > longestLookGap:
 		w.since = now
 	}
+	w.looked = now
 }
 
 // departed lists the peers that a supervisor hasn't heard for so long that they seem to be
--- a/internal/digest/departed_test.go
+++ b/internal/digest/departed_test.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// TestStoppedSupervisorDropsNobody when it goes on: it has heard some of the others again, and
+// the rest not yet.
+func TestStoppedSupervisorDropsNobody(t *testing.T) {
+	set, w := supervisorOf(60, addressOf(3), 0)
+	now := origin.Add(2 * departedAfter)
+	for i := range 40 {
+		set.hear(addressOf(10+i), Message{Node: fmt.Sprint("n", 10+i), Sequence: 3}, now)
+	}
+	set.silent(now)
+	w.look(true, now)
+	if departed := set.departed(w, now); len(departed) != 0 {
+		t.Errorf("departed: %v", departed)
+	}
+}
+
 // TestNodeThatIsHeardIsNotDropped, whatever another node says.
 func TestNodeThatIsHeardIsNotDropped(t *testing.T) {
 	set := newPeerSet("me", self, "zone")
