--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -76,8 +76,8 @@
 	// listed tells that the store's list of nodes was read: before, this node can't know
 	// its place among them.
 	listed bool
-	// places are the zones and regions, and regionOfWorker finds the region of a worker; nil
-	// where there is one region.
+	// places are the zones and regions, and regionOfWorker finds the region of a worker; it
+	// is nil until SetPlaces was called.
 	places         topology.Map
 	regionOfWorker func(worker string) string
 	// ranked holds what was worked out of the present members, by subject.
--- a/internal/stageplan/regional_test.go
+++ b/internal/stageplan/regional_test.go
@@ -68,8 +68,8 @@
 	})
 }
 
-// TestOrdersTogetherAreBoundedOverAllRegions: three regions of nine engines that all need
-// readers get no more orders than one of 27, and each region has its turn.
+// TestOrdersTogetherAreBoundedOverAllRegions: four regions of eight engines that all need
+// readers get no more orders than one of 32, and each region has its turn.
 func TestOrdersTogetherAreBoundedOverAllRegions(t *testing.T) {
 	regions := []string{"east", "north", "south", "west"}
 	workers := regionalFleet(3, 5, regions...)
