Tests: what crosses between regions is marked, numbered and passed on once

The tests of the relay asked the pure targets and the memory of passed messages. That the exchange marks messages for other regions, and asks that memory, was not tested: with either taken out all tests of the package passed. Both, and a head that leaves the mark on what it passes on, now fail a test. The code is unchanged.

--- a/internal/digest/relay_test.go
+++ b/internal/digest/relay_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/tinarch/tinarch/internal/topology"
 	"github.com/tinarch/tinarch/internal/worker"
@@ -264,3 +265,91 @@
 		}
 	}
 }
+
+// amongSockets returns an exchange in zone0 that knows 36 other nodes in six zones of three
+// regions, and the sockets of these nodes.
+func amongSockets(t *testing.T) (*Exchange, map[netip.AddrPort]*net.UDPConn) {
+	t.Helper()
+	exchange, err := Listen("127.0.0.1:0", "me", "zone0", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = exchange.conn.Close() })
+	exchange.SetPlaces(topology.New("zone0", threeRegions))
+	sockets := make(map[netip.AddrPort]*net.UDPConn)
+	var listed []Peer
+	for i := range 36 {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		address := netip.MustParseAddrPort(conn.LocalAddr().String())
+		sockets[address] = conn
+		listed = append(listed, Peer{Node: fmt.Sprint("n", i), Address: address, Zone: fmt.Sprint("zone", i%6)})
+	}
+	exchange.AddPeers(listed)
+	return exchange, sockets
+}
+
+// next reads the next message that came to a socket.
+func next(t *testing.T, conn *net.UDPConn) Message {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, maxDatagram)
+	count, _, err := conn.ReadFromUDPAddrPort(buffer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	message, err := decode(buffer[:count])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return message
+}
+
+// TestOnlyHeadsOfOtherRegionsAreToPassNewsOnInTheirRegion: each message has a number.
+func TestOnlyHeadsOfOtherRegionsAreToPassNewsOnInTheirRegion(t *testing.T) {
+	exchange, sockets := amongSockets(t)
+	near, across := exchange.peers.spreadTargets()
+	if len(near) == 0 || len(across) != 2*leastHomes {
+		t.Fatalf("%d near and %d across", len(near), len(across))
+	}
+	for number := range uint64(2) {
+		exchange.spread(Message{Node: "me", News: []byte{1}})
+		for _, address := range slices.Concat(near, across) {
+			message := next(t, sockets[address])
+			if message.Across != slices.Contains(across, address) || message.Sequence != number+1 {
+				t.Errorf("across %v, number %d", message.Across, message.Sequence)
+			}
+		}
+	}
+}
+
+// TestNewsOfAnotherRegionArePassedOnOnce to the heads of this region's zones.
+func TestNewsOfAnotherRegionArePassedOnOnce(t *testing.T) {
+	exchange, sockets := amongSockets(t)
+	heads, _ := exchange.peers.relayTargets(true)
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	for _, number := range []uint64{7, 7, 8} {
+		exchange.passOn(from, Message{Node: "maker", Sequence: number, News: []byte{1}, Across: true})
+	}
+	for _, address := range heads {
+		var numbers []uint64
+		for len(numbers) < 2 {
+			message := next(t, sockets[address])
+			if message.Relayed {
+				continue // it got this one as a node of the same zone
+			}
+			if message.Across || message.Node != "maker" {
+				t.Errorf("%+v", message)
+			}
+			numbers = append(numbers, message.Sequence)
+		}
+		if !slices.Equal(numbers, []uint64{7, 8}) {
+			t.Errorf("%v gets %v", address, numbers)
+		}
+	}
+}
