--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -129,6 +129,20 @@
 	}
 }
 
+// TestOlderReportTakesNothingBack: one that overtakes a newer one holds neither counter down.
+func TestOlderReportTakesNothingBack(t *testing.T) {
+	keeper := NewKeeper(plenty, warmSince)
+	n := newNode(1)
+	n.spend(keeper, thousand, 10, at(0))
+	old := n.meter.Report(tenantA, at(0))
+	n.meter.Return(tenantA, 500)
+	n.tell(keeper, at(0))
+	keeper.Report(tenantA, n.Spender, old, true, at(0))
+	if spent := newNode(2).spend(keeper, thousand, 10, at(0)); spent != 500 {
+		t.Errorf("%v granted of 500 that didn't run, after an older report came", spent)
+	}
+}
+
 // TestGrantThatIsNotHeardIsVoid: a keeper that has granted and one that hasn't agree.
 func TestGrantThatIsNotHeardIsVoid(t *testing.T) {
 	granted, unaware := NewKeeper(plenty, warmSince), NewKeeper(plenty, warmSince)
