Quotas: a repeat is charged before it runs, and given back where it didn't run

Cause: session.run charged a further run when the head of its answer came. (2) It charged also a worker that proved not to have run the request, and nothing gave that back. Ruled out: asking first; a repeat isn't refused by design, only owed. Before: TestRepeatIsChargedBeforeItRuns: 0 charged when the worker has it, want 10; 10 in the end after a refusal by the worker, want 0. After: green, as are the site's tests of quotas.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/tinarch/tinarch/internal/pace"
+	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/worker"
@@ -153,11 +154,12 @@
 	}
 	work := newWork(s, runner, prompt)
 	defer work.end()
+	again := s.chargeAgain()
 	answer, err := s.send(ctx, runner, forward)
-	if s.ranBefore && !workerconn.Unsent(err) && !s.call.Charge.None() {
-		s.repeated(s.call.Charge)
-	}
 	if err != nil {
+		if workerconn.Unsent(err) {
+			s.giveBack(again)
+		}
 		if from != nil {
 			s.release(from.handle, from.reader)
 		}
@@ -169,6 +171,7 @@
 		s.registry.Reported(runner.ID, reply.Running, reply.Waiting, time.Now())
 	}
 	if reply.NotExecuted || reply.Misdirected {
+		s.giveBack(again)
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxReadAnswer))
 		return s.rejected(runner, reply, from)
 	}
@@ -181,6 +184,23 @@
 	return s.pass(runner, answer, work)
 }
 
+// chargeAgain charges another run of a call that may have run already. It does so before a
+// worker has the call: an answer may take as long as the quota's window.
+func (s *session) chargeAgain() quota.Charge {
+	if !s.ranBefore || s.call.Charge.None() {
+		return quota.Charge{}
+	}
+	s.repeated(s.call.Charge)
+	return s.call.Charge
+}
+
+// giveBack returns a charge of a run that proved not to have been.
+func (s *session) giveBack(charge quota.Charge) {
+	if !charge.None() {
+		s.returned(charge)
+	}
+}
+
 func (s *session) sendFailed(runner scheduling.Candidate, err error) tryEnd {
 	s.excluded[runner.ID] = true
 	if !gone(err) && !late(err) {
--- /dev/null
+++ b/internal/dispatch/charge_test.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/quota"
+	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/topology"
+	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+// plainWire speaks to workers that need no header, and takes a 503 as proof that a request
+// didn't run.
+type plainWire struct{ Wire }
+
+func (plainWire) IDHeader() string                            { return "X-Id" }
+func (plainWire) ForwardHeader(*Call, Forward) http.Header    { return http.Header{} }
+func (plainWire) AnswerHeader(header http.Header) http.Header { return header }
+
+func (plainWire) Reply(status int, _ http.Header) Reply {
+	return Reply{NotExecuted: status == http.StatusServiceUnavailable}
+}
+
+// charged is what a tenant was charged for repeats.
+type charged struct{ cost atomic.Int64 }
+
+func (c *charged) repeated(charge quota.Charge) { c.cost.Add(int64(charge.Cost)) }
+func (c *charged) returned(charge quota.Charge) { c.cost.Add(-int64(charge.Cost)) }
+
+// runAgain runs a call that may have run already at the worker of an address.
+func (c *charged) runAgain(address string) tryEnd {
+	dispatcher := New(Options{
+		Registry: worker.NewRegistry(topology.Map{}), Pool: workerconn.NewPool(), Wire: plainWire{},
+		Nodes: func() int { return 1 }, Repeated: c.repeated, Returned: c.returned,
+	})
+	call := &Call{
+		ID: "1", Method: http.MethodGet, Target: "/", Host: "host", Route: &routing.Route{Kind: routing.Idempotent},
+		Service: &routing.Service{Name: "s"}, Deadline: time.Now().Add(20 * time.Second),
+		Charge: quota.Charge{Account: "tokens a", Cost: 10},
+	}
+	s := &session{Dispatcher: dispatcher, call: call, caller: &collector{}, excluded: map[string]bool{}, failed: map[string]bool{}, ranBefore: true}
+	return s.run(context.Background(), scheduling.Candidate{ID: "w", Address: address}, reading{})
+}
+
+// TestRepeatIsChargedBeforeItRuns, since a window may not hold a run that is charged only
+// when its answer comes; and one that proves not to have run is given back.
+func TestRepeatIsChargedBeforeItRuns(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status int
+		left   int64
+	}{
+		{"a worker that runs it", http.StatusOK, 10},
+		{"a worker that fails", http.StatusInternalServerError, 10},
+		{"a worker that proves not to have run it", http.StatusServiceUnavailable, 0},
+	} {
+		account := &charged{}
+		atWorker := int64(-1)
+		server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			atWorker = account.cost.Load()
+			writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+			writer.WriteHeader(c.status)
+		}))
+		account.runAgain(strings.TrimPrefix(server.URL, "http://"))
+		server.Close()
+		if atWorker != 10 || account.cost.Load() != c.left {
+			t.Errorf("%s: %d charged when it came, %d in the end, want 10 and %d", c.name, atWorker, account.cost.Load(), c.left)
+		}
+	}
+	account := &charged{}
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(server.URL, "http://")
+	server.Close()
+	if end := account.runAgain(address); end.verdict != notRun || account.cost.Load() != 0 {
+		t.Errorf("a worker that can't be reached: %q, %d charged", end.verdict, account.cost.Load())
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -38,6 +38,8 @@
 	began func(tenant string, at time.Time)
 	// repeated charges for another run of a call that may have run already.
 	repeated func(charge quota.Charge)
+	// returned gives such a charge back.
+	returned func(charge quota.Charge)
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -61,8 +63,10 @@
 	// its tenant. It may be nil.
 	Began func(tenant string, at time.Time)
 	// Repeated is told of each further run of a request that may have run already, with
-	// what it was charged. It may be nil.
+	// what it was charged, before a worker has it. It may be nil.
 	Repeated func(charge quota.Charge)
+	// Returned is told of each of them that proved not to have run. It may be nil.
+	Returned func(charge quota.Charge)
 }
 
 // Knowledge tells versions and ages of what a node decides by, for the log.
@@ -90,9 +94,14 @@
 	if repeated == nil {
 		repeated = func(quota.Charge) {}
 	}
+	returned := options.Returned
+	if returned == nil {
+		returned = func(quota.Charge) {}
+	}
 	return &Dispatcher{
 		began:     began,
 		repeated:  repeated,
+		returned:  returned,
 		knowledge: knowledge,
 		registry:  options.Registry,
 		scheduler: options.Scheduler,
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -132,7 +132,7 @@
 	n.configurationFeed = n.newFeed(platform.ConfigurationTable(), &configuration{node: n})
 	n.workersFeed = n.newFeed(platform.WorkerTable(), &workers{node: n})
 	n.front = front.New(front.Options{
-		Parser: platform, Runner: n.dispatcher(metrics), Log: log, Metrics: front.NewMetrics(metrics),
+		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: front.NewMetrics(metrics),
 		ConfigurationAge: n.configurationAge, Quotas: quotas,
 	})
 	if err := n.listen(metrics); err != nil {
@@ -160,14 +160,14 @@
 	return topology.New(configured.Node.Zone, configured.Zones)
 }
 
-func (n *Node) dispatcher(metrics *prometheus.Registry) *dispatch.Dispatcher {
+func (n *Node) dispatcher(metrics *prometheus.Registry, quotas *quotas) *dispatch.Dispatcher {
 	bounds := n.settings.Bounds
 	var began func(tenant string, at time.Time)
 	if n.tally != nil {
 		began = n.tally.Began
 	}
 	return dispatch.New(dispatch.Options{
-		Began: began, Repeated: n.exchange.RepeatQuota,
+		Began: began, Repeated: n.exchange.RepeatQuota, Returned: quotas.Return,
 		Registry: n.registry, Scheduler: scheduling.New(scheduling.DefaultCosts()),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
 		Nodes: n.exchange.Nodes, Accounts: n.exchange, Knowledge: n.knowledge,
