Quotas: a call is given back whose caller left after workers refused it

Cause: Outcome.NotRun took a call of a caller that left to have run as soon as a worker had been sent it, also where each of these proved not to have run it; such a charge was never given back. The session knows (ranBefore); the outcome tells now. Before: TestCallerThatLeftBeforeARun: 'before a worker had it' isn't proved not to have run. After: green; that which may have run, or whose answer came, stays charged.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -142,8 +142,10 @@
 	RetryAfter time.Duration
 	// Detail is for the log.
 	Detail string
-	// Attempts counts the workers that were sent the request to run.
-	Attempts int
+	// Attempts counts the workers that were sent the request to run, and MayHaveRun tells
+	// that one of them didn't prove that it has not.
+	Attempts   int
+	MayHaveRun bool
 	// First is the time to the first byte of the answer, and Last to the last piece
 	// that was passed on; Gap is the longest pause between two pieces.
 	First, Last, Gap time.Duration
@@ -153,5 +155,5 @@
 
 // NotRun reports whether it is proved that no worker has run the call.
 func (o Outcome) NotRun() bool {
-	return o.Code.Entry().Outcome == result.DidNotRun || o.Code == result.CallerGone && o.Attempts == 0
+	return o.Code.Entry().Outcome == result.DidNotRun || o.Code == result.CallerGone && !o.MayHaveRun
 }
--- a/internal/dispatch/charge_test.go
+++ b/internal/dispatch/charge_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/tinarch/tinarch/internal/quota"
+	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/topology"
@@ -83,3 +84,27 @@
 		t.Errorf("a worker that can't be reached: %q, %d charged", end.verdict, account.cost.Load())
 	}
 }
+
+// TestCallerThatLeftBeforeARun: the call has not run, however many workers refused it.
+func TestCallerThatLeftBeforeARun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		end    tryEnd
+		notRun bool
+	}{
+		{"before a worker had it", tryEnd{verdict: notRun, err: context.Canceled}, true},
+		{"while it may have run", tryEnd{verdict: mayHaveRun, err: context.Canceled}, false},
+		{"while its answer came", tryEnd{verdict: finished, code: result.CallerGone, err: errCallerWrite{context.Canceled}}, false},
+	} {
+		s := &session{call: &Call{Route: &routing.Route{}}, attempts: 1} // a worker has refused it before
+		outcome := Outcome{}
+		if c.end.verdict == finished {
+			outcome = s.outcome(c.end)
+		} else {
+			outcome = s.givenUp(c.end)
+		}
+		if outcome.Code != result.CallerGone || outcome.NotRun() != c.notRun {
+			t.Errorf("%s: code %d, proved not to have run: %v", c.name, outcome.Code, outcome.NotRun())
+		}
+	}
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -157,12 +157,13 @@
 
 // outcome of a finished try.
 func (s *session) outcome(end tryEnd) Outcome {
+	s.ranBefore = true
 	return s.end(Outcome{Code: end.code, Status: end.status, Detail: detail(end.err)})
 }
 
 func (s *session) end(outcome Outcome) Outcome {
 	outcome.HeadGiven = s.headGiven
-	outcome.Attempts = s.attempts
+	outcome.Attempts, outcome.MayHaveRun = s.attempts, s.ranBefore
 	outcome.First, outcome.Last, outcome.Gap, outcome.Pieces = s.first, s.last, s.gap, s.pieces
 	return outcome
 }
