Quotas: a share that was told longer than a window ago doesn't hold without a keeper

Cause: a node kept the last share that a keeper told it for its life. Of a tenant with few requests each node is told a share near 1 in turn; all of them cut off later had the whole allowance each. Shares told within one window may still add up to more than one (up to the number of nodes that each were alone in it); they are what the use was then.

--- a/internal/digest/quota.go
+++ b/internal/digest/quota.go
@@ -252,7 +252,7 @@
 	verdict := quota.Verdict{Asked: ask.count, Unanswered: len(ask.asked), Version: ask.claim.Version}
 	switch {
 	case ask.best != nil:
-		end.back = q.meter.Heard(ask.account, ask.best.decision.Share)
+		end.back = q.meter.Heard(ask.account, ask.best.decision.Share, now)
 		verdict = decidedBy(verdict, *ask.best)
 	case !callerGone:
 		private := q.meter.Private(ask.account, nodes, ask.claim.Cost, rand.Float64(), now)
--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -374,6 +374,24 @@
 	}
 }
 
+// TestSharesOfOldUseDontAddUp: a tenant that was alone on each of many nodes once hasn't
+// left each of them the whole allowance.
+func TestSharesOfOldUseDontAddUp(t *testing.T) {
+	const nodes = 10
+	sum := 0.0
+	for i := range nodes {
+		n := newNode(i)
+		n.meter.Begin(tenantA, thousand, 1, at(0))
+		n.meter.Heard(tenantA, 1, at(20*float64(i)))
+		for n.meter.Private(tenantA, nodes, 10, 0, at(20*nodes)).Granted {
+			sum += 10
+		}
+	}
+	if most := plenty.Over(thousand) / privatePart; sum > most {
+		t.Errorf("%v used at once, at most %v may be", sum, most)
+	}
+}
+
 // TestPrivateAllowanceOfLargeRequests: nodes that reach no keeper stay together within the
 // tolerance also where each request costs many times what one of them may use in a window,
 // and where each is tried until it is served.
@@ -406,7 +424,7 @@
 		n := newNode(i)
 		n.meter.Begin(tenantA, thousand, 1, at(0))
 		if i > 0 {
-			n.meter.Heard(tenantA, 1.0/nodes)
+			n.meter.Heard(tenantA, 1.0/nodes, at(0))
 		}
 		for step := range 80 {
 			for n.meter.Private(tenantA, nodes, 10, 0, at(float64(step)/10)).Granted {
@@ -433,7 +451,7 @@
 	if fourth := n.meter.Private(tenantA, nodes, 10, 0, at(8)); fourth.Granted {
 		t.Errorf("a draw doesn't take what is held: %+v", fourth)
 	}
-	if !n.meter.Heard(tenantA, 0.1) || n.meter.Heard(tenantA, 0.1) {
+	if !n.meter.Heard(tenantA, 0.1, at(8)) || n.meter.Heard(tenantA, 0.1, at(8)) {
 		t.Error("being back isn't told once")
 	}
 }
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -29,8 +29,10 @@
 	version  uint64
 	// begun is when the counting began, and used when it last rose.
 	begun, used time.Time
-	// share is this node's part of the recent use as a keeper told it, zero where none has.
-	share float64
+	// share is this node's part of the recent use as a keeper told it at shareAt, zero where
+	// none has.
+	share   float64
+	shareAt time.Time
 	// allowance is what may be used without a keeper.
 	allowance Bucket
 	// private tells that no keeper answered last.
@@ -100,12 +102,12 @@
 
 // Heard takes in this node's share, as a keeper tells it. It reports whether the node got
 // along without a keeper before.
-func (m *Meter) Heard(name string, share float64) (back bool) {
+func (m *Meter) Heard(name string, share float64, now time.Time) (back bool) {
 	a, known := m.accounts[name]
 	if !known {
 		return false
 	}
-	a.share = share
+	a.share, a.shareAt = share, now
 	back, a.private = a.private, false
 	return back
 }
@@ -121,16 +123,16 @@
 }
 
 // Private decides on a cost that no keeper has answered for. The allowance is this node's
-// share of half of what may be used past the limit in a window, one of nodes where no
-// keeper has told it. A request that costs more than the allowance ever holds passes by a
-// draw from 0 to 1, as probably as it is held, and takes what is held either way: a debt at
-// each of many nodes would be more than all of them may use.
+// share of half of what may be used past the limit in a window. A request that costs more
+// than the allowance ever holds passes by a draw from 0 to 1, as probably as it is held, and
+// takes what is held either way: a debt at each of many nodes would be more than all of them
+// may use.
 func (m *Meter) Private(name string, nodes int, cost, draw float64, now time.Time) Private {
 	a, known := m.accounts[name]
 	if !known {
 		return Private{Wait: maxWait}
 	}
-	size := a.shareOf(nodes) * m.tolerance.Over(a.limit) / privatePart
+	size := m.shareOf(a, nodes, now) * m.tolerance.Over(a.limit) / privatePart
 	rate := size / m.tolerance.Window.Seconds()
 	if a.allowance.at.IsZero() {
 		a.allowance = NewBucket(size, now)
@@ -153,9 +155,10 @@
 	return decision
 }
 
-// shareOf is this node's part of the use, one of nodes where no keeper has told it.
-func (a *metered) shareOf(nodes int) float64 {
-	if a.share > 0 {
+// shareOf is this node's part of the use, one of nodes where no keeper has told it within a
+// window: shares told at different times don't add up to one.
+func (m *Meter) shareOf(a *metered, nodes int, now time.Time) float64 {
+	if a.share > 0 && now.Sub(a.shareAt) <= m.tolerance.Window {
 		return a.share
 	}
 	return 1 / float64(max(nodes, 1))
