Quotas: keepers hear what a node uses after a pause

Cause: a keeper forgets a node after 60 s without a use, and took the counters that it heard next for old use, not charged, since the node had begun to count longer ago than that. Of a tenant with few requests over many nodes (one a minute and node) the second and third keeper so charged none of the use, and what their nodes' shares were was wrong too: when the first was killed, or only late, the second had a whole burst to give. Ruled out: to remember nodes for longer (moves the pause; memory grows by nodes x accounts). Reports now hold the net at the beginning of the present use, which is what the keeper compares with where it has forgotten the node. Before: TestUseAfterAPauseIsHeard: the second keeper's level is 1000 after two of two pauses, and it grants. After: it refuses. A report grows by one number once its node has paused; TestQuotaMessagesFitADatagram counts it.

--- a/internal/digest/quota_form.go
+++ b/internal/digest/quota_form.go
@@ -21,6 +21,7 @@
 	Taken     float64 `json:"t,omitempty"`
 	Returned  float64 `json:"r,omitempty"`
 	AgeMillis int64   `json:"a,omitempty"`
+	Before    float64 `json:"n,omitempty"`
 	Rate      float64 `json:"l"`
 	Burst     float64 `json:"b,omitempty"`
 	Unit      string  `json:"u"`
@@ -49,7 +50,7 @@
 
 func renderQuotaReport(report quota.Report) quotaReportForm {
 	return quotaReportForm{
-		Taken: report.Taken, Returned: report.Returned, AgeMillis: report.Age.Milliseconds(),
+		Taken: report.Taken, Returned: report.Returned, AgeMillis: report.Age.Milliseconds(), Before: report.Before,
 		Rate: report.Limit.Rate, Burst: report.Limit.Burst, Unit: string(report.Limit.Unit), Version: report.Version,
 	}
 }
@@ -57,7 +58,7 @@
 func (f quotaReportForm) report() quota.Report {
 	return quota.Report{
 		Counters: quota.Counters{Taken: f.Taken, Returned: f.Returned},
-		Age:      time.Duration(f.AgeMillis) * time.Millisecond,
+		Age:      time.Duration(f.AgeMillis) * time.Millisecond, Before: f.Before,
 		Limit:    quota.Limit{Rate: f.Rate, Burst: f.Burst, Unit: quota.Unit(f.Unit)}, Version: f.Version,
 	}
 }
--- a/internal/digest/quota_test.go
+++ b/internal/digest/quota_test.go
@@ -394,7 +394,7 @@
 	reports := make(map[string]quotaReportForm)
 	for i := range maxQuotaReports {
 		name := quota.AccountName(fmt.Sprintf("a tenant with a long name %020d", i), quota.Requests)
-		reports[name] = quotaReportForm{Taken: 123456789012, Returned: 12345678901, AgeMillis: 86_400_000, Rate: 710234.25, Burst: 710234.25, Unit: "requests", Version: 1 << 40}
+		reports[name] = quotaReportForm{Taken: 123456789012, Returned: 12345678901, AgeMillis: 86_400_000, Before: 123456789012, Rate: 710234.25, Burst: 710234.25, Unit: "requests", Version: 1 << 40}
 	}
 	datagram, err := json.Marshal(Message{Node: "0123456789ab", Quota: &quotaForm{Reports: reports}})
 	if err != nil || len(datagram) > maxDatagram {
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -84,6 +84,7 @@
 	s, known := a.spenders[from.Node]
 	if !known {
 		s = &spender{address: from.Address, stale: !a.hearsAll(report, now)}
+		s.counters.Taken = report.Before // what was used before the pause is long paid
 		a.supersede(from)
 		a.spenders[from.Node] = s
 	}
@@ -106,8 +107,8 @@
 	return s
 }
 
-// hearsAll reports whether all that the counters of a report hold was used while this
-// keeper knew the account. Else they are only what later ones are compared with.
+// hearsAll reports whether all of the present use that a report tells was while this keeper
+// knew the account. Else its counters are only what later ones are compared with.
 func (a *account) hearsAll(report Report, now time.Time) bool {
 	return report.Age < IdleLife && !now.Add(-report.Age).Before(a.born)
 }
--- a/internal/quota/counters.go
+++ b/internal/quota/counters.go
@@ -20,8 +20,10 @@
 // Report is what a node tells a keeper of an account.
 type Report struct {
 	Counters
-	// Age is the time since the incarnation began to count.
-	Age time.Duration
+	// Age is the time since the present use began, after a pause or the incarnation's start,
+	// and Before is the net of the counters then.
+	Age    time.Duration
+	Before float64
 	// Limit is the tenant's by the configuration of Version.
 	Limit   Limit
 	Version uint64
--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -229,6 +229,29 @@
 	}
 }
 
+// TestUseAfterAPauseIsHeard: keepers forget a node that pauses for long, as each of many does
+// that share a tenant's few requests, and hear all that it uses next.
+func TestUseAfterAPauseIsHeard(t *testing.T) {
+	first, second := NewKeeper(plenty, warmSince), NewKeeper(plenty, warmSince)
+	n, busy := newNode(1), newNode(2)
+	for step := range 3 {
+		now := at(70 * float64(step))
+		n.spend(first, thousand, 100, now)
+		n.tell(second, now)
+		if decision := busy.ask(second, thousand, 200, now); decision.Granted {
+			t.Errorf("the second keeper grants what the first has after %d pauses: %+v", step, decision)
+		}
+		for second := range 70 {
+			now = now.Add(time.Second)
+			busy.ask(first, thousand, 1, now)
+			if second > 60 {
+				first.Forget(now)
+			}
+		}
+		second.Forget(now)
+	}
+}
+
 // TestKeeperThatMissedReports: it gives no burst, and doesn't charge at once what others
 // granted meanwhile.
 func TestKeeperThatMissedReports(t *testing.T) {
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -13,6 +13,10 @@
 // be lost: twice. Of three datagrams one arrives in 99 of 100 cases though a fifth is lost.
 const repeatFor = 2 * time.Second
 
+// pauseAfter is from when on a use counts as one after a pause. It is less than IdleLife, so
+// that keepers which have forgotten this node hear when it began again.
+const pauseAfter = IdleLife / 2
+
 // Meter counts what this node has used of accounts, for its life. It is pure, and not safe
 // for concurrent use.
 type Meter struct {
@@ -27,8 +31,9 @@
 	counters Counters
 	limit    Limit
 	version  uint64
-	// begun is when the counting began, and used when it last rose.
+	// begun is when the present use began, before its net then, and used when it last rose.
 	begun, used time.Time
+	before      float64
 	// share is this node's part of the recent use as a keeper told it at shareAt, zero where
 	// none has.
 	share   float64
@@ -49,9 +54,12 @@
 func (m *Meter) Begin(name string, limit Limit, version uint64, now time.Time) Report {
 	a, known := m.accounts[name]
 	if !known {
-		a = &metered{begun: now}
+		a = &metered{}
 		m.accounts[name] = a
 	}
+	if now.Sub(a.used) > pauseAfter {
+		a.begun, a.before = now, a.counters.Net()
+	}
 	if version >= a.version {
 		a.limit, a.version = limit, version
 	}
@@ -64,7 +72,7 @@
 	if !known {
 		return Report{}
 	}
-	return Report{Counters: a.counters, Age: now.Sub(a.begun), Limit: a.limit, Version: a.version}
+	return Report{Counters: a.counters, Age: now.Sub(a.begun), Before: a.before, Limit: a.limit, Version: a.version}
 }
 
 // Reports returns what to report of accounts now.
