--- a/internal/digest/quota_form.go
+++ b/internal/digest/quota_form.go
@@ -59,7 +59,7 @@
 	return quota.Report{
 		Counters: quota.Counters{Taken: f.Taken, Returned: f.Returned},
 		Age:      time.Duration(f.AgeMillis) * time.Millisecond, Before: f.Before,
-		Limit:    quota.Limit{Rate: f.Rate, Burst: f.Burst, Unit: quota.Unit(f.Unit)}, Version: f.Version,
+		Limit: quota.Limit{Rate: f.Rate, Burst: f.Burst, Unit: quota.Unit(f.Unit)}, Version: f.Version,
 	}
 }
 
