Quotas: halves share what the tolerance bears of debt and early requests

Cause: a keeper that keeps a part of the limit for nodes out of hearing still let requests leave the whole debt, and come as early, as if it were alone; the other half did too, so the tolerance was spent twice. Before: TestHalvesShareTheTolerance (new; requests of 100 to 1,650 tokens, two halves of equal shares): 10,400 in a window of 10,300. After: green; TestHalvesStayAtTheLimit (small requests use nine tenths at least) unchanged and green.

--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -349,6 +349,37 @@
 	}
 }
 
+// TestHalvesShareTheTolerance: large requests leave a debt on either side, and come early.
+func TestHalvesShareTheTolerance(t *testing.T) {
+	for cost := 100.0; cost <= 1000+plenty.Over(thousand)/debtPart; cost += 50 {
+		keepers := []*Keeper{NewKeeper(plenty, warmSince), NewKeeper(plenty, warmSince)}
+		nodes := []*node{newNode(1), newNode(2)}
+		for _, keeper := range keepers {
+			for _, n := range nodes {
+				n.ask(keeper, thousand, 10, at(0))
+				n.tell(keepers[0], at(0))
+				n.tell(keepers[1], at(0))
+			}
+		}
+		var uses []use
+		for step := range 300 {
+			now := at(3 + float64(step)/20)
+			for i, n := range nodes {
+				question := n.question(thousand, cost, now)
+				question.Split = true
+				if keepers[i].Decide(question, true, now).Granted {
+					n.meter.Take(tenantA, cost, now)
+					uses = append(uses, use{now, cost})
+				}
+			}
+		}
+		if len(uses) == 0 && cost <= 800 {
+			t.Errorf("no request of %v is served", cost)
+		}
+		checkWindows(t, uses, 8*1000+1000+plenty.Over(thousand))
+	}
+}
+
 // TestSuccessorEndsAReservation: the process that comes after one at its address.
 func TestSuccessorEndsAReservation(t *testing.T) {
 	keeper := NewKeeper(plenty, warmSince)
@@ -567,7 +598,12 @@
 	})
 }
 
-func checkWindows(t *rapid.T, uses []use, allowed float64) {
+// failer is a test, or a trial of one.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+func checkWindows(t failer, uses []use, allowed float64) {
 	begin, sum := 0, 0.0
 	for _, u := range uses {
 		sum += u.cost
--- a/internal/quota/weigh.go
+++ b/internal/quota/weigh.go
@@ -75,15 +75,16 @@
 }
 
 // lacks is by how much a bucket falls short of a cost. It fits where the debt that it
-// leaves is borne: one larger than a burst may leave one in the first bucket.
+// leaves is borne: one larger than a burst may leave one in the first bucket. Of what the
+// tolerance bears, a part is kept for nodes out of hearing as of the limit.
 func (k *Keeper) lacks(a *account, bucket int, cost float64) (short float64, fits bool) {
-	over := k.tolerance.Over(a.limit)
+	over := k.tolerance.Over(a.limit) * (1 - a.reserved)
 	_, size := k.shape(a, bucket)
 	short = min(cost, size) - over/creditPart - a.buckets[bucket].Level()
 	if bucket > 0 {
 		return short, cost <= size
 	}
-	return short, a.limit.Unit != Tokens || cost-a.limit.Burst <= over/debtPart
+	return short, a.limit.Unit != Tokens || cost-size <= over/debtPart
 }
 
 // promise returns when a refused cost can be served, after those refused before it.
