Quotas: no decision by an older ranking while accounts move

Cause: moveQuotas noted the new ranking first, and moved the accounts after it had ranked all of them; decisions meanwhile went by the time of the old one, so an account that was new to this node counted as known for as long as the process, and was full. It also listed all accounts for each message, moved or not. Before: TestNewRankingHoldsBeforeAnyDecision: levels of 1000 in the first round of each of three runs, want 100. After: green, three times with -race. The ranking is noted together with the move; of two that notice, one moves. Left: a ranking that changes between moveQuotas and the decision itself, some microseconds.

--- a/internal/digest/quota_keep.go
+++ b/internal/digest/quota_keep.go
@@ -108,18 +108,15 @@
 }
 
 // moveQuotas has the keeper drop the accounts that other nodes keep, after nodes were added
-// or have left.
+// or have left. When it returns, the keeper follows the ranking, whoever had it do so: a
+// decision by an older one would take an account that is new here for one that is full.
 func (e *Exchange) moveQuotas(now time.Time) {
 	e.mu.Lock()
 	generation := e.peers.generation
 	e.mu.Unlock()
 	q := e.quota
-	q.mu.Lock()
-	moved := q.generation != generation
-	q.generation = generation
-	accounts := q.keeper.Accounts()
-	q.mu.Unlock()
-	if !moved {
+	accounts, follows := q.followed(generation)
+	if follows {
 		return
 	}
 	kept := make(map[string]bool, len(accounts))
@@ -128,9 +125,24 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.generation >= generation {
+		return // another has had it do so meanwhile
+	}
+	q.generation = generation
 	q.keeper.Moved(func(account string) bool { return kept[account] }, now)
 }
 
+// followed reports whether the keeper follows the ranking of a generation of the nodes, else
+// with the accounts that it has.
+func (q *quotaExchange) followed(generation uint64) (accounts []string, follows bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.generation >= generation {
+		return nil, true
+	}
+	return q.keeper.Accounts(), false
+}
+
 // answered hands a keeper's answer to the claim that waits for it.
 func (q *quotaExchange) answered(from netip.AddrPort, form quotaReplyForm) {
 	q.mu.Lock()
--- a/internal/digest/quota_test.go
+++ b/internal/digest/quota_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -435,3 +436,30 @@
 		}
 	}
 }
+
+// TestNewRankingHoldsBeforeAnyDecision: after nodes were added an account is new to this one,
+// whichever of the decisions under way notices first.
+func TestNewRankingHoldsBeforeAnyDecision(t *testing.T) {
+	exchange := quotaNodes(t, 1, quota.Tolerance{Window: 8 * time.Second, Slack: 400})[0]
+	for i := range 200 { // accounts whose keepers are to be ranked again
+		exchange.decideQuota(exchange.self(), claimOf(fmt.Sprint("known", i), 1).Charge().Account, 1, quota.Report{Limit: claimOf("a", 1).Limit}, time.Now())
+	}
+	report := quota.Report{Limit: claimOf("a", 1).Limit, Version: 1}
+	for round := range 50 {
+		exchange.quota.mu.Lock()
+		exchange.quota.keeper.Moved(func(string) bool { return true }, time.Now().Add(-longKnown))
+		exchange.quota.mu.Unlock()
+		exchange.AddPeers([]Peer{{Node: fmt.Sprint("added", round), Address: netip.AddrPortFrom(exchange.peers.address.Addr(), uint16(1+round))}})
+		var deciding sync.WaitGroup
+		for i := range 8 {
+			deciding.Go(func() {
+				account := claimOf(fmt.Sprintf("new%d-%d", round, i), 1).Charge().Account
+				decision := exchange.decideQuota(exchange.self(), account, 1, report, time.Now())
+				if decision.Level > 101 { // a fourth of the slack, and what has come back
+					t.Errorf("round %d: an account is new here, and its level is %v", round, decision.Level)
+				}
+			})
+		}
+		deciding.Wait()
+	}
+}
