--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -207,7 +207,7 @@
 
 // homes returns the nodes that keep the account of a worker, the first to be asked
 // first. They are nodes of its region: a question that crosses regions costs tens of
-// milliseconds.
+// milliseconds. They are as many as in one region of all nodes, since all tell them.
 func (s *peerSet) homes(worker string) []netip.AddrPort {
 	region := s.regionOfKept(worker)
 	if region == "" {
@@ -218,7 +218,7 @@
 		return known
 	}
 	members := s.inRegion(region)
-	s.ranked[subject] = rendezvous.Top(members, s.hashOf, rendezvous.Hash(subject), homeCount(len(members)))
+	s.ranked[subject] = rendezvous.Top(members, s.hashOf, rendezvous.Hash(subject), homeCount(s.nodes()))
 	return s.ranked[subject]
 }
 
