--- a/internal/digest/ask.go
+++ b/internal/digest/ask.go
@@ -241,7 +241,7 @@
 	defer e.mu.Unlock()
 	e.peers.answered(from)
 	if answered.Sent > 0 {
-		e.observeTrip(e.peers.regionOf(from), time.Since(e.begun)-time.Duration(answered.Sent)*time.Microsecond)
+		e.observeRoundTrip(e.peers.regionOf(from), time.Since(e.begun)-time.Duration(answered.Sent)*time.Microsecond)
 	}
 	pending, waiting := e.asks[answered.ID]
 	if !waiting || !pending.asked[from] {
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -66,8 +66,8 @@
 	unlisted chan struct{}
 	// metrics may be nil.
 	metrics *Metrics
-	// trips are the ways to other regions, by region.
-	trips map[string]*trip
+	// roundTrips are the ways to other regions, by region.
+	roundTrips map[string]*roundTrip
 
 	// told are the workers of which peers have told all that they keep.
 	told chan []string
@@ -97,7 +97,7 @@
 		node: node, zone: zone, registry: registry, conn: conn, log: log,
 		begun: time.Now(), contents: newContentIndex(),
 		peers: newPeerSet(node, local, zone), asks: make(map[uint64]*pendingAsk),
-		trips: make(map[string]*trip), watch: newWatch(), unlisted: make(chan struct{}, 1),
+		roundTrips: make(map[string]*roundTrip), watch: newWatch(), unlisted: make(chan struct{}, 1),
 		told: make(chan []string, maxTold), done: make(chan struct{}),
 	}, nil
 }
--- a/internal/digest/regions.go
+++ b/internal/digest/regions.go
@@ -10,30 +10,30 @@
 
 // The figures of the way between regions, as of TCP's retransmission timer (RFC 6298).
 const (
-	// assumedTrip is the way to another region and back until it was measured: that of a
+	// assumedRoundTrip is the way to another region and back until it was measured: that of a
 	// continent, so that a first question isn't given up on too early.
-	assumedTrip = 50 * time.Millisecond
-	// tripGain and spreadGain are the weights of a new measurement.
-	tripGain, spreadGain = 0.125, 0.25
-	// spreads is how many times the mean deviation is waited for beyond the mean.
-	spreads = 4
-	// longestTrip bounds what is taken for a measurement: an answer that was held up for
+	assumedRoundTrip = 50 * time.Millisecond
+	// meanGain and spreadGain are the weights of a new measurement.
+	meanGain, spreadGain = 0.125, 0.25
+	// deviations is how many times the mean deviation is waited for beyond the mean.
+	deviations = 4
+	// longestRoundTrip bounds what is taken for a measurement: an answer that was held up for
 	// longer says nothing about the way.
-	longestTrip = time.Second
+	longestRoundTrip = time.Second
 )
 
-// trip is the time of the way to a region and back, as measured. The zero trip was not
+// roundTrip is the time of the way to a region and back, as measured. The zero roundTrip was not
 // measured yet.
-type trip struct{ mean, spread time.Duration }
+type roundTrip struct{ mean, spread time.Duration }
 
-func (t *trip) observe(took time.Duration) {
+func (t *roundTrip) observe(took time.Duration) {
 	if t.mean == 0 {
 		t.mean, t.spread = took, took/2
 		return
 	}
 	deviation := max(took-t.mean, t.mean-took)
 	t.spread += time.Duration(spreadGain * float64(deviation-t.spread))
-	t.mean += time.Duration(tripGain * float64(took-t.mean))
+	t.mean += time.Duration(meanGain * float64(took-t.mean))
 }
 
 // SetPlaces tells the exchange the zones and regions. It is called before Run.
@@ -44,22 +44,22 @@
 	e.peers.regionOfWorker = e.registry.Region
 }
 
-// Trip is the time of the way to a region and back: nothing within the own region, where
+// RoundTrip is the time of the way to a region and back: nothing within the own region, where
 // it is a part of every figure that was learned.
-func (e *Exchange) Trip(region string) time.Duration {
+func (e *Exchange) RoundTrip(region string) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.trip(region)
+	return e.roundTrip(region)
 }
 
-func (e *Exchange) trip(region string) time.Duration {
+func (e *Exchange) roundTrip(region string) time.Duration {
 	if !e.far(region) {
 		return 0
 	}
-	if known := e.trips[region]; known != nil {
+	if known := e.roundTrips[region]; known != nil {
 		return known.mean
 	}
-	return assumedTrip
+	return assumedRoundTrip
 }
 
 // far reports whether a region is another one. A node whose zone isn't known yet may be in
@@ -74,21 +74,21 @@
 	if !e.far(region) {
 		return 0
 	}
-	if known := e.trips[region]; known != nil {
-		return known.mean + spreads*known.spread
+	if known := e.roundTrips[region]; known != nil {
+		return known.mean + deviations*known.spread
 	}
-	return assumedTrip
+	return assumedRoundTrip
 }
 
-// observeTrip takes in how long an answer from a region took.
-func (e *Exchange) observeTrip(region string, took time.Duration) {
-	if !e.far(region) || took <= 0 || took > longestTrip {
+// observeRoundTrip takes in how long an answer from a region took.
+func (e *Exchange) observeRoundTrip(region string, took time.Duration) {
+	if !e.far(region) || took <= 0 || took > longestRoundTrip {
 		return
 	}
-	if e.trips[region] == nil {
-		e.trips[region] = &trip{}
+	if e.roundTrips[region] == nil {
+		e.roundTrips[region] = &roundTrip{}
 	}
-	e.trips[region].observe(took)
+	e.roundTrips[region].observe(took)
 }
 
 // regionOf is the region of a node, empty where it isn't known.
--- a/internal/digest/regions_test.go
+++ b/internal/digest/regions_test.go
@@ -80,15 +80,15 @@
 	}
 	exchange.AddPeers(listed)
 	// Much longer than the answer takes, so that a busy machine doesn't matter.
-	exchange.trips["south"] = &trip{mean: 10 * time.Second}
+	exchange.roundTrips["south"] = &roundTrip{mean: 10 * time.Second}
 	go exchange.receive()
 	go answerAfter(far, 2*askTimeout)
 	answers := exchange.Ask(context.Background(), []string{"w"}, nil, 0)
 	if account, answered := answers.Accounts["w"]; !answered || account.Requests != 7 {
 		t.Errorf("answered %v: %+v", answered, account)
 	}
-	if got := exchange.Trip("south"); got >= 10*time.Second || exchange.Trip("north") != 0 {
-		t.Errorf("the way to the south takes %v, within the north %v", got, exchange.Trip("north"))
+	if got := exchange.RoundTrip("south"); got >= 10*time.Second || exchange.RoundTrip("north") != 0 {
+		t.Errorf("the way to the south takes %v, within the north %v", got, exchange.RoundTrip("north"))
 	}
 }
 
@@ -125,7 +125,7 @@
 }
 
 func TestTripsFollowWhatIsMeasured(t *testing.T) {
-	way := &trip{}
+	way := &roundTrip{}
 	for range 60 {
 		way.observe(24 * time.Millisecond)
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -265,7 +265,7 @@
 		"reader_queue": plan.Reader.ReadAhead, "runner_queue": plan.Runner.ReadAhead,
 		"late_queue": max(plan.Reader.LateTokens, plan.Runner.LateTokens),
 		"cached":     max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
-		"unread": plan.Unread, "fetch": plan.Fetch, "reach": s.reach, "region": plan.Runner.Region, "trip_ms": int(plan.Runner.Trip),
+		"unread": plan.Unread, "fetch": plan.Fetch, "reach": s.reach, "region": plan.Runner.Region, "round_trip_ms": int(plan.Runner.RoundTrip),
 		"predicted_ms": plan.First.Milliseconds(), "cost": int(min(plan.Cost, 1e9)),
 		"remaining_ms": s.remaining().Milliseconds(), "routes_version": s.call.RoutesVersion,
 		"workers_version": known.Workers, "workers_age_ms": known.WorkersAge.Milliseconds(),
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -16,8 +16,8 @@
 	// prompt of these parts, and for the workers that keep what the prompt shares. It
 	// returns what came in time.
 	Ask(ctx context.Context, workers []string, parts []prefixcache.Part, rank int) scheduling.Answers
-	// Trip is the time of the way to a region and back, zero for the own region.
-	Trip(region string) time.Duration
+	// RoundTrip is the time of the way to a region and back, zero for the own region.
+	RoundTrip(region string) time.Duration
 }
 
 // surveyed is what a survey of the workers took, for the log.
@@ -43,7 +43,7 @@
 			candidates[i].Account = scheduling.Unasked
 		}
 		if candidates[i].OtherRegion {
-			candidates[i].Trip = float64(s.accounts.Trip(candidates[i].Region)) / float64(time.Millisecond)
+			candidates[i].RoundTrip = float64(s.accounts.RoundTrip(candidates[i].Region)) / float64(time.Millisecond)
 		}
 	}
 	return candidates
@@ -149,5 +149,5 @@
 // wayTo is the time of the way to a worker of another region and back, which is no part of
 // what is learned of its engine.
 func wayTo(c scheduling.Candidate) time.Duration {
-	return time.Duration(c.Trip * float64(time.Millisecond))
+	return time.Duration(c.RoundTrip * float64(time.Millisecond))
 }
--- a/internal/scheduling/regions_test.go
+++ b/internal/scheduling/regions_test.go
@@ -25,7 +25,7 @@
 				candidate.Pace, candidate.Reading = 10, readingAt(10)
 			}
 			if candidate.OtherRegion {
-				candidate.Account, candidate.Trip = Unasked, 24
+				candidate.Account, candidate.RoundTrip = Unasked, 24
 			}
 			candidates = append(candidates, candidate)
 		}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -94,7 +94,7 @@
 // common is the part of the cost that all ways to serve a prompt share.
 func (s *Scheduler) common(request Request, candidate Candidate) float64 {
 	prices := statePrices{s.costs.Failure, s.costs.Avoided, s.costs.OtherZone, s.costs.OtherRegion}
-	return request.aim()*state(request, candidate, prices) + candidate.Trip
+	return request.aim()*state(request, candidate, prices) + candidate.RoundTrip
 }
 
 // statePrices are the prices of a worker's state, as in Costs.
@@ -138,7 +138,7 @@
 			s.running(request, candidate) + s.interference(request, reading)*running
 		plan := Plan{
 			Mode: Whole, Runner: candidate, Fetch: reading.fetch, Unread: reading.unread,
-			First: milliseconds(slot + reading.time + candidate.Trip), Cost: cost,
+			First: milliseconds(slot + reading.time + candidate.RoundTrip), Cost: cost,
 		}
 		if better(plan, best) {
 			best = plan
@@ -179,7 +179,7 @@
 		reading := s.reading(request, candidate, candidates)
 		move, _ := s.crossing(request, candidate.Region, runner.Runner)
 		first := reading.time + request.Engine.Handover + slotWait(request, runner.Runner) +
-			candidate.Trip + runner.Runner.Trip + move
+			candidate.RoundTrip + runner.Runner.RoundTrip + move
 		cost := reading.held + request.Engine.Handover + reading.price + s.movePrice(request, request.PromptTokens) +
 			s.common(request, candidate) + runner.Cost
 		plan := Plan{
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -14,9 +14,9 @@
 	Region string
 	// SameZone and OtherRegion tell how far it is from the node.
 	SameZone, OtherRegion bool
-	// Trip is the time of the way to another region and back, in milliseconds.
-	Trip  float64
-	Slots int
+	// RoundTrip is the time of the way to another region and back, in milliseconds.
+	RoundTrip float64
+	Slots     int
 	// Prefill and Decode tell the stage of a model engine; both are false for
 	// other workers.
 	Prefill, Decode bool
