Quota: DefaultTokens, a name of the project's own

Cause: Limit.PlainTokens carried the platform's wire name into internal/quota; wire names are to end in the adapter.

--- a/internal/lab/site/quota_test.go
+++ b/internal/lab/site/quota_test.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// TestDeclaredTokensCount: a stream's two numbers together, and PlainTokens of others.
+// TestDeclaredTokensCount: a stream's two numbers together, and the configured default of others.
 func TestDeclaredTokensCount(t *testing.T) {
 	s := startWithQuota(t, map[string]any{"RatePerS": 0.001, "Burst": 9000, "Unit": "tokens", "PlainTokens": 10})
 	if got := s.askAs(portoKey, "/verdict/1"); got.status != http.StatusTooManyRequests {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -19,9 +19,9 @@
 	// Rate comes back in a second, and Burst is the most that is saved up, both in Unit.
 	Rate, Burst float64
 	Unit        Unit
-	// PlainTokens is the cost of a request that doesn't tell its tokens, where tokens are
+	// DefaultTokens is the cost of a request that doesn't tell its tokens, where tokens are
 	// counted.
-	PlainTokens int
+	DefaultTokens int
 }
 
 // Limited reports whether there is a limit at all.
@@ -36,7 +36,7 @@
 	case tokens > 0:
 		return float64(tokens)
 	}
-	return float64(l.PlainTokens)
+	return float64(l.DefaultTokens)
 }
 
 // Tolerance is by how much the operators let all nodes together exceed a limit in any
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -6,7 +6,7 @@
 )
 
 func TestCost(t *testing.T) {
-	tokens := Limit{Rate: 1, Unit: Tokens, PlainTokens: 200}
+	tokens := Limit{Rate: 1, Unit: Tokens, DefaultTokens: 200}
 	requests := Limit{Rate: 1, Unit: Requests}
 	for _, c := range []struct {
 		limit    Limit
