--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -69,6 +69,8 @@
 	load := worker.Load{Requests: 1, Reads: worker.ReadsOf(s.rank(), unread), MemoryTokens: s.call.PromptTokens}
 	s.registry.Begin(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
+	s.endings.begin(reader.ID, s.call.Fingerprint)
+	defer s.endings.end(reader.ID, s.call.Fingerprint)
 	begun := time.Now()
 	answer, err := s.send(ctx, reader, Forward{ReadApart: true, FetchFrom: plan.Fetch})
 	if err != nil {
@@ -118,11 +120,22 @@
 // worker may have read in vain.
 func (s *session) readFailed(reader scheduling.Candidate, err error) tryEnd {
 	s.excluded[reader.ID] = true
-	if !gone(err) && !late(err) {
-		s.registry.Failed(reader.ID, time.Now())
-	}
+	state := s.brokeOff(reader, err)
 	counted := !workerconn.Unsent(err)
-	return tryEnd{verdict: notRun, worker: reader.ID, err: err, counted: counted}
+	return tryEnd{verdict: notRun, worker: reader.ID, err: err, counted: counted, workerState: state}
+}
+
+// brokeOff records that a worker failed a request. Where the worker had the request, it
+// returns what a look at the worker shows.
+func (s *session) brokeOff(failed scheduling.Candidate, err error) workerconn.Liveness {
+	if gone(err) || late(err) {
+		return ""
+	}
+	s.registry.Failed(failed.ID, time.Now())
+	if workerconn.Unsent(err) {
+		return ""
+	}
+	return s.endings.inspect(failed)
 }
 
 func (s *session) readRejected(reader scheduling.Candidate, reply Reply) tryEnd {
@@ -209,9 +222,7 @@
 
 func (s *session) sendFailed(runner scheduling.Candidate, err error) tryEnd {
 	s.excluded[runner.ID] = true
-	if !gone(err) && !late(err) {
-		s.registry.Failed(runner.ID, time.Now())
-	}
+	state := s.brokeOff(runner, err)
 	if workerconn.Unsent(err) {
 		s.attempts-- // no worker was sent anything
 		return tryEnd{verdict: notRun, worker: runner.ID, err: err, counted: false}
@@ -222,7 +233,7 @@
 		// rule: most such losses are of answers.
 		s.countBegun(time.Now())
 	}
-	return tryEnd{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true}
+	return tryEnd{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true, workerState: state}
 }
 
 // rejected ends a try that the worker proved not to have run.
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/routing"
@@ -50,6 +51,9 @@
 	// LastEventID is where the caller wants a stream to go on.
 	LastEventID string
 
+	// Fingerprint names what the request asks for, whatever its id; the dispatcher sets it.
+	Fingerprint quarantine.Fingerprint
+
 	Arrived time.Time
 	// Deadline is the earlier of the caller's and the route's.
 	Deadline time.Time
@@ -71,6 +75,12 @@
 // rank is that by which engines read the prompt while it can be in time.
 func (c *Call) rank() int { return min(c.Priority(), worker.LateRank-1) }
 
+// identified names what the request asks for.
+func (c *Call) identified() quarantine.Fingerprint {
+	content := quarantine.Content{Method: c.Method, Host: c.Host, Target: c.Target, Tenant: c.Tenant.Name(), Body: c.Body}
+	return content.Fingerprint()
+}
+
 // shared returns the tokens of the prompt that other requests may share: all
 // parts but the last, which is the request's own.
 func (c *Call) shared() int {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,6 +32,7 @@
 	nodes    func() int
 	accounts Accounts
 	terms    retry.Terms
+	endings  *endings
 	// knowledge tells how old what decides a request is.
 	knowledge func() Knowledge
 	// began counts a request of a tenant that a worker has begun to run.
@@ -112,6 +113,7 @@
 		nodes:     options.Nodes,
 		accounts:  options.Accounts,
 		terms:     options.Retries,
+		endings:   newEndings(options.Log, options.Metrics),
 		budgets:   make(map[string]*retry.Budget),
 	}
 }
@@ -156,6 +158,7 @@
 		Dispatcher: d, call: call, caller: caller,
 		excluded: make(map[string]bool), failed: make(map[string]bool), resumeAfter: call.LastEventID,
 	}
+	call.Fingerprint = call.identified()
 	d.first(call.Service.Name)
 	for {
 		plan := s.plan(ctx)
--- /dev/null
+++ b/internal/dispatch/endings_test.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/quarantine"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+// fingerprintOf makes a fingerprint up.
+func fingerprintOf(name string) quarantine.Fingerprint {
+	return quarantine.Content{Target: name}.Fingerprint()
+}
+
+func quietLogger() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// newTestEndings returns endings that find workers as probe says.
+func newTestEndings(probe func(ctx context.Context, address string) workerconn.Liveness) *endings {
+	e := newEndings(quietLogger(), NewMetrics(prometheus.NewRegistry()))
+	e.probe = probe
+	return e
+}
+
+// TestEndedWorkerIsLookedAtOnce, however many of its answers broke off.
+func TestEndedWorkerIsLookedAtOnce(t *testing.T) {
+	var mu sync.Mutex
+	looks := 0
+	e := newTestEndings(func(context.Context, string) workerconn.Liveness {
+		mu.Lock()
+		defer mu.Unlock()
+		looks++
+		return workerconn.Dead
+	})
+	ended := scheduling.Candidate{ID: "w", Address: "a"}
+	var requests sync.WaitGroup
+	for _, name := range []string{"a", "b", "c", "d"} {
+		requests.Go(func() {
+			e.begin(ended.ID, fingerprintOf(name))
+			defer e.end(ended.ID, fingerprintOf(name))
+			if got := e.inspect(ended); got != workerconn.Dead {
+				t.Errorf("request %s found the worker %s", name, got)
+			}
+		})
+	}
+	requests.Wait()
+	if looks != 1 || len(e.running) != 0 {
+		t.Errorf("%d looks, %d workers run something", looks, len(e.running))
+	}
+}
+
+// TestLookHoldsNoRequestUp: a worker that gives no answer is left for what it is, though
+// the look goes on.
+func TestLookHoldsNoRequestUp(t *testing.T) {
+	answered := make(chan struct{})
+	e := newTestEndings(func(context.Context, string) workerconn.Liveness {
+		<-answered
+		return workerconn.Alive
+	})
+	dark := scheduling.Candidate{ID: "w", Address: "a"}
+	if got := e.inspect(dark); got != workerconn.Unheard {
+		t.Errorf("before the answer the worker is %s", got)
+	}
+	begun := e.look(dark)
+	close(answered)
+	<-begun.done
+	if begun.liveness != workerconn.Alive {
+		t.Errorf("after the answer the worker is %s", begun.liveness)
+	}
+}
+
+func TestLooksAreBounded(t *testing.T) {
+	e := newTestEndings(func(context.Context, string) workerconn.Liveness { return workerconn.Dead })
+	for number := range 2 * maxLooks {
+		e.inspect(scheduling.Candidate{ID: string(rune(number))})
+	}
+	if len(e.looks) > maxLooks {
+		t.Errorf("%d looks are remembered", len(e.looks))
+	}
+}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -13,6 +13,8 @@
 	Reaches  *prometheus.CounterVec
 	Failures *prometheus.CounterVec
 	Late     prometheus.Counter
+	// Breaks count the looks at workers whose answers broke off, by what they showed.
+	Breaks *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics registered with a registry.
@@ -31,7 +33,10 @@
 			Name: "tinarch_plans_late_total", Help: "Requests that can't be in time and are served behind all others.",
 		}),
 	}
-	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late)
+	metrics.Breaks = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tinarch_worker_breaks_total", Help: "Looks at workers whose answers broke off, by the worker's state.",
+	}, []string{"state"})
+	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks)
 	return metrics
 }
 
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -62,10 +62,8 @@
 	}
 	s.ranBefore = true
 	s.excluded[runner.ID] = true
-	if !gone(err) && !late(err) {
-		s.registry.Failed(runner.ID, time.Now())
-	}
-	return tryEnd{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true}
+	state := s.brokeOff(runner, err)
+	return tryEnd{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true, workerState: state}
 }
 
 // passWhole reads a short answer to its end before passing it on, and a long one
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -10,6 +10,7 @@
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
 // verdict is what is known of one try.
@@ -34,6 +35,9 @@
 	err    error
 	// counted tells that the try counts as a repeat for limits.
 	counted bool
+	// workerState is what a look at the worker showed, empty where its answer didn't break
+	// off.
+	workerState workerconn.Liveness
 }
 
 // session is a call under way.
@@ -259,7 +263,7 @@
 	s.metrics.plan(plan, s.reach)
 	known := s.knowledge()
 	s.log.WithFields(logrus.Fields{
-		"id": s.call.ID, "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
+		"id": s.call.ID, "fingerprint": s.call.Fingerprint.String(), "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
 		"late": plan.Late, "rank": s.rank(), "patience_ms": s.call.patience(time.Now(), s.last).Milliseconds(),
 		"reader_queue": plan.Reader.ReadAhead, "runner_queue": plan.Runner.ReadAhead,
@@ -279,5 +283,6 @@
 	s.log.WithFields(logrus.Fields{
 		"id": s.call.ID, "worker": end.worker, "verdict": end.verdict, "again": again,
 		"attempts": s.attempts, "remaining_ms": s.remaining().Milliseconds(), "cause": detail(end.err),
+		"fingerprint": s.call.Fingerprint.String(), "worker_state": end.workerState, "pieces": s.pieces,
 	}).Warn("try failed")
 }
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -29,6 +29,7 @@
 	}
 	session.registry.Begin(runner.ID, w.reading)
 	session.registry.Begin(runner.ID, w.running)
+	session.endings.begin(runner.ID, call.Fingerprint)
 	return w
 }
 
@@ -61,4 +62,5 @@
 		registry.ObserveRun(w.runner.ID, time.Since(w.firstAt), w.session.call.ExpectedOutput)
 	}
 	registry.End(w.runner.ID, w.running)
+	w.session.endings.end(w.runner.ID, w.session.call.Fingerprint)
 }
--- /dev/null
+++ b/internal/quarantine/fingerprint.go
@@ -0,0 +1,51 @@
+// Package quarantine finds out which requests crash the workers that run them, and keeps
+// these requests away from workers.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/rotisserie/eris"
+)
+
+// Fingerprint names what a request asks for, whatever its id: requests with the same
+// fingerprint make a worker do the same work.
+type Fingerprint [16]byte
+
+// Content is what makes two requests the same.
+type Content struct {
+	Method string
+	Host   string
+	// Target is the path and query.
+	Target string
+	// Tenant is whose request it is, empty where callers aren't told apart.
+	Tenant string
+	Body   []byte
+}
+
+// Fingerprint returns the content's name: the first half of a SHA-256 over all fields, so
+// that nobody can make up another request with the same name.
+func (c Content) Fingerprint() Fingerprint {
+	hash := sha256.New()
+	var length [8]byte
+	for _, field := range [][]byte{[]byte(c.Method), []byte(c.Host), []byte(c.Target), []byte(c.Tenant), c.Body} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = hash.Write(length[:])
+		_, _ = hash.Write(field)
+	}
+	return Fingerprint(hash.Sum(nil)[:len(Fingerprint{})])
+}
+
+// String renders a fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ParseFingerprint reads what String renders.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	bytes, err := hex.DecodeString(text)
+	if err != nil || len(bytes) != len(Fingerprint{}) {
+		return Fingerprint{}, eris.Errorf("fingerprint %q isn't of %d hexadecimal digits", text, 2*len(Fingerprint{}))
+	}
+	return Fingerprint(bytes), nil
+}
--- /dev/null
+++ b/internal/workerconn/probe_test.go
@@ -0,0 +1,30 @@
+package workerconn
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+)
+
+// TestProbeTellsDeadFromAlive: a worker that has ended refuses connections, and one that
+// can't be heard is not taken for dead.
+func TestProbeTellsDeadFromAlive(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if got := Probe(context.Background(), address); got != Alive {
+		t.Errorf("a worker that listens is %s", got)
+	}
+	_ = listener.Close()
+	if got := Probe(context.Background(), address); got != Dead {
+		t.Errorf("a worker that has ended is %s", got)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Unix(1, 0))
+	defer cancel()
+	if got := Probe(ctx, address); got != Unheard {
+		t.Errorf("a worker that gave no answer in time is %s", got)
+	}
+}
