--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -56,6 +57,12 @@
 	Staged func(w *Worker)
 	// Kept are parts of prompts that the worker says it keeps, with their tokens.
 	Kept map[string]int
+	// Address is where the worker listens; any port where it is empty.
+	Address string
+	// CrashOn has the worker crash as soon as it runs a request whose body holds this text,
+	// with all that it runs beside; Crashed is told of it. Both may be empty.
+	CrashOn string
+	Crashed func(w *Worker)
 }
 
 // Run is a request that a worker worked on.
@@ -75,6 +82,8 @@
 	server  *httptest.Server
 	fences  *fences.Log
 
+	crashed sync.Once
+
 	mu      sync.Mutex
 	fault   Fault
 	faulty  int
@@ -100,10 +109,24 @@
 		options.Events = 4
 	}
 	w := &Worker{options: options, stage: options.Stage, handles: make(map[string]bool), fences: fences.New()}
-	w.server = httptest.NewServer(w)
+	w.server = httptest.NewUnstartedServer(w)
+	if options.Address != "" {
+		w.listen(options.Address)
+	}
+	w.server.Start()
 	return w
 }
 
+// listen has the worker listen at an address that an earlier one has left.
+func (w *Worker) listen(address string) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		panic(fmt.Sprintf("fleetworker: %v", err))
+	}
+	_ = w.server.Listener.Close()
+	w.server.Listener = listener
+}
+
 // Address returns IP:PORT.
 func (w *Worker) Address() string { return strings.TrimPrefix(w.server.URL, "http://") }
 
@@ -297,6 +320,9 @@
 	w.runs = append(w.runs, Run{ID: id, Worker: w.options.ID, Target: request.RequestURI, Header: request.Header.Clone(), Body: body, At: time.Now()})
 	running := len(w.runs)
 	w.mu.Unlock()
+	if w.crashesOn(body) {
+		w.crash()
+	}
 	switch fault {
 	case CutEarly:
 		panic(http.ErrAbortHandler)
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -38,8 +38,10 @@
 	workers map[string]*fleetworker.Worker
 	node    *serving.Node
 	address string
-	logs    *logBuffer
-	next    int
+	// others are the nodes besides node.
+	others []*otherNode
+	logs   *logBuffer
+	next   atomic.Int64
 }
 
 // logBuffer holds what the node logs.
@@ -163,10 +165,18 @@
 	t.Helper()
 	s := &site{t: t, store: fleetstore.Start(), workers: make(map[string]*fleetworker.Worker), logs: &logBuffer{}}
 	t.Cleanup(s.store.Close)
-	s.address = freePort(t)
+	s.node, s.address = s.startNode("node-1", change)
+	return s
+}
+
+// startNode starts a node of the site, and returns it and its callers' address.
+func (s *site) startNode(name string, change func(*settings.Routed)) (*serving.Node, string) {
+	s.t.Helper()
 	configured := settings.DefaultRouted()
-	configured.Node = settings.RoutedNode{Name: "node-1", Zone: "a"}
-	configured.Listen = settings.RoutedListen{Callers: s.address, Readiness: freePort(t), Exchange: freePort(t), Metrics: freePort(t)}
+	configured.Node = settings.RoutedNode{Name: name, Zone: "a"}
+	configured.Listen = settings.RoutedListen{
+		Callers: freePort(s.t), Readiness: freePort(s.t), Exchange: freePort(s.t), Metrics: freePort(s.t),
+	}
 	configured.Store.Address = s.store.Address()
 	change(&configured)
 	log := logrus.New()
@@ -174,11 +184,26 @@
 	adapter := platform.New(platform.Options{Store: configured.Store.Address, API: configured.API.Address, Dial: workerconn.DialStore})
 	node, err := serving.Start(configured, adapter, log)
 	if err != nil {
-		t.Fatal(err)
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(node.Close)
+	return node, configured.Listen.Callers
+}
+
+// otherNode is a node besides the first.
+type otherNode struct {
+	node    *serving.Node
+	address string
+}
+
+// addNodes adds nodes to the site, and waits until they are ready.
+func (s *site) addNodes(names ...string) {
+	s.t.Helper()
+	for _, name := range names {
+		node, address := s.startNode(name, func(*settings.Routed) {})
+		s.others = append(s.others, &otherNode{node: node, address: address})
+		s.await(name+" is ready", node.Ready)
 	}
-	t.Cleanup(node.Close)
-	s.node = node
-	return s
 }
 
 func (s *site) addWorker(options fleetworker.Options) {
@@ -227,12 +252,20 @@
 	readErr error
 }
 
-// ask sends a request and reads its answer.
+// ask sends a request to the first node and reads its answer.
 func (s *site) ask(method, path string, header map[string]string, body string) answer {
 	s.t.Helper()
-	s.next++
-	id := fmt.Sprintf("%016x", s.next)
-	request, err := http.NewRequest(method, "http://"+s.address+path, strings.NewReader(body))
+	return s.askAt(s.address, method, path, header, body)
+}
+
+// nextID returns the id of a new try.
+func (s *site) nextID() string { return fmt.Sprintf("%016x", s.next.Add(1)) }
+
+// askAt sends a request to the node of an address.
+func (s *site) askAt(address, method, path string, header map[string]string, body string) answer {
+	s.t.Helper()
+	id := s.nextID()
+	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/lab/site/tenants_test.go
+++ b/internal/lab/site/tenants_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -131,8 +130,7 @@
 // status of its answer and its id.
 func (s *site) raw(t *testing.T, request string) (status int, id string) {
 	t.Helper()
-	s.next++
-	id = fmt.Sprintf("%016x", s.next)
+	id = s.nextID()
 	conn, err := net.Dial("tcp4", s.address)
 	if err != nil {
 		t.Fatal(err)
@@ -161,9 +159,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.next++
 		request.Host = host
-		request.Header.Set("X-Request-Id", fmt.Sprintf("%016x", s.next))
+		request.Header.Set("X-Request-Id", s.nextID())
 		request.Header.Set("X-Api-Key", spareKey)
 		response, err := client.Do(request)
 		if err != nil {
