--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/tablerelay"
 	"github.com/tinarch/tinarch/internal/usage"
 	"github.com/tinarch/tinarch/internal/worker"
@@ -79,6 +80,8 @@
 	// Quota asks for, answers or reports the use of tenants' quotas; such a message holds
 	// nothing else.
 	Quota *quotaForm `json:"i,omitempty"`
+	// Suspects are requests under which workers ended; such a message holds nothing else.
+	Suspects []quarantine.Record `json:"sp,omitempty"`
 	// Aside tells that the sender can't give orders, whatever its incarnation.
 	Aside bool `json:"a,omitempty"`
 	// Leaving tells that the sender stops.
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
@@ -44,8 +45,10 @@
 	// quota is nil where no quotas are kept; it has a lock of its own, which is never taken
 	// together with mu.
 	quota *quotaExchange
-	conn  *net.UDPConn
-	log   *logrus.Logger
+	// quarantine is nil where no requests are quarantined; it has a lock of its own.
+	quarantine *quarantine.Keeper
+	conn       *net.UDPConn
+	log        *logrus.Logger
 	// begun is when this process began to listen.
 	begun time.Time
 
@@ -152,6 +155,9 @@
 	if e.quota != nil {
 		go e.reportQuotas(ctx)
 	}
+	if e.quarantine != nil {
+		go e.tellSuspects(ctx)
+	}
 	e.send(ctx)
 	_ = e.conn.Close()
 }
@@ -386,6 +392,8 @@
 		e.takeWords(from, message)
 	case message.Departed != nil:
 		e.takeDeparted(message, time.Now())
+	case message.Suspects != nil:
+		e.takeSuspects(from, message)
 	default:
 		e.take(from, message)
 	}
@@ -411,6 +419,7 @@
 	}
 	if first {
 		e.returned(from)
+		e.shareSuspects(from)
 	}
 	if first && supervises {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Info("node heard for the first time")
--- a/internal/digest/metrics.go
+++ b/internal/digest/metrics.go
@@ -58,6 +58,7 @@
 	kindNews     = "news"
 	kindWords    = "words"
 	kindDeparted = "departed"
+	kindSuspects = "suspects"
 )
 
 // kind names a message in metrics.
@@ -79,6 +80,8 @@
 		return kindWords
 	case m.Departed != nil:
 		return kindDeparted
+	case m.Suspects != nil:
+		return kindSuspects
 	}
 	return kindLoad
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -69,8 +69,8 @@
 	load := worker.Load{Requests: 1, Reads: worker.ReadsOf(s.rank(), unread), MemoryTokens: s.call.PromptTokens}
 	s.registry.Begin(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
-	s.endings.begin(reader.ID, s.call.Fingerprint)
-	defer s.endings.end(reader.ID, s.call.Fingerprint)
+	running := s.endings.begin(reader.ID, s.call.Fingerprint, s.suspected())
+	defer s.endings.end(reader.ID, running)
 	begun := time.Now()
 	answer, err := s.send(ctx, reader, Forward{ReadApart: true, FetchFrom: plan.Fetch})
 	if err != nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -33,6 +33,8 @@
 	accounts Accounts
 	terms    retry.Terms
 	endings  *endings
+	// quarantine knows the requests under which workers ended.
+	quarantine Quarantine
 	// knowledge tells how old what decides a request is.
 	knowledge func() Knowledge
 	// began counts a request of a tenant that a worker has begun to run.
@@ -68,6 +70,8 @@
 	Repeated func(charge quota.Charge)
 	// Returned is told of each of them that proved not to have run. It may be nil.
 	Returned func(charge quota.Charge)
+	// Quarantine keeps requests under which workers end away from workers. It may be nil.
+	Quarantine Quarantine
 }
 
 // Knowledge tells versions and ages of what a node decides by, for the log.
@@ -99,22 +103,27 @@
 	if returned == nil {
 		returned = func(quota.Charge) {}
 	}
+	var quarantined Quarantine = noQuarantine{}
+	if options.Quarantine != nil {
+		quarantined = options.Quarantine
+	}
 	return &Dispatcher{
-		began:     began,
-		repeated:  repeated,
-		returned:  returned,
-		knowledge: knowledge,
-		registry:  options.Registry,
-		scheduler: options.Scheduler,
-		pool:      options.Pool,
-		wire:      options.Wire,
-		log:       options.Log,
-		metrics:   options.Metrics,
-		nodes:     options.Nodes,
-		accounts:  options.Accounts,
-		terms:     options.Retries,
-		endings:   newEndings(options.Log, options.Metrics),
-		budgets:   make(map[string]*retry.Budget),
+		quarantine: quarantined,
+		began:      began,
+		repeated:   repeated,
+		returned:   returned,
+		knowledge:  knowledge,
+		registry:   options.Registry,
+		scheduler:  options.Scheduler,
+		pool:       options.Pool,
+		wire:       options.Wire,
+		log:        options.Log,
+		metrics:    options.Metrics,
+		nodes:      options.Nodes,
+		accounts:   options.Accounts,
+		terms:      options.Retries,
+		endings:    newEndings(options.Registry.Drains, quarantined, options.Log, options.Metrics),
+		budgets:    make(map[string]*retry.Budget),
 	}
 }
 
@@ -161,6 +170,9 @@
 	call.Fingerprint = call.identified()
 	d.first(call.Service.Name)
 	for {
+		if outcome, borne := s.isBorne(ctx); !borne {
+			return outcome
+		}
 		plan := s.plan(ctx)
 		s.logPlan(plan)
 		if plan.Mode == scheduling.Held {
--- a/internal/dispatch/endings.go
+++ b/internal/dispatch/endings.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,60 +36,105 @@
 	liveness workerconn.Liveness
 }
 
-// serves reports whether a look tells of a worker at a time: one that has ended does not
-// come back under the same id.
-func (l *look) serves(now time.Time) bool {
+// isDone reports whether it is known what the look showed, and isDead whether that is an
+// end.
+func (l *look) isDone() bool {
 	select {
 	case <-l.done:
-		return l.liveness == workerconn.Dead || now.Sub(l.begun) < lookLife
-	default:
 		return true
+	default:
+		return false
 	}
 }
 
+func (l *look) isDead() bool { return l.isDone() && l.liveness == workerconn.Dead }
+
+// serves reports whether a look tells of a worker at a time: one that has ended does not
+// come back under the same id.
+func (l *look) serves(now time.Time) bool {
+	return !l.isDone() || l.isDead() || now.Sub(l.begun) < lookLife
+}
+
+// run is a request that a worker was given.
+type run struct {
+	request quarantine.Fingerprint
+	// suspected tells that workers had ended under it before.
+	suspected bool
+	// answering tells that the worker has begun to answer.
+	answering atomic.Bool
+}
+
 // endings knows what this node runs at each worker, and finds out which of those whose
 // answers broke off have ended. It is safe for concurrent use.
 type endings struct {
-	probe   func(ctx context.Context, address string) workerconn.Liveness
-	log     *logrus.Logger
-	metrics *Metrics
-
-	mu sync.Mutex
-	// running counts the requests at each worker by fingerprint.
-	running map[string]map[quarantine.Fingerprint]int
+	probe func(ctx context.Context, address string) workerconn.Liveness
+	// drains reports whether a worker is known to end as planned.
+	drains     func(worker string) bool
+	quarantine Quarantine
+	log        *logrus.Logger
+	metrics    *Metrics
+
+	mu      sync.Mutex
+	running map[string]map[*run]struct{}
 	looks   map[string]*look
 }
 
-func newEndings(log *logrus.Logger, metrics *Metrics) *endings {
+func newEndings(drains func(worker string) bool, quarantined Quarantine, log *logrus.Logger, metrics *Metrics) *endings {
 	return &endings{
-		probe: workerconn.Probe, log: log, metrics: metrics,
-		running: make(map[string]map[quarantine.Fingerprint]int), looks: make(map[string]*look),
+		probe: workerconn.Probe, drains: drains, quarantine: quarantined, log: log, metrics: metrics,
+		running: make(map[string]map[*run]struct{}), looks: make(map[string]*look),
 	}
 }
 
 // begin records that a worker is given a request, and end that it isn't any more.
-func (e *endings) begin(worker string, request quarantine.Fingerprint) {
+func (e *endings) begin(worker string, request quarantine.Fingerprint, suspected bool) *run {
+	begun := &run{request: request, suspected: suspected}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.running[worker] == nil {
-		e.running[worker] = make(map[quarantine.Fingerprint]int)
+		e.running[worker] = make(map[*run]struct{})
 	}
-	e.running[worker][request]++
+	e.running[worker][begun] = struct{}{}
+	return begun
 }
 
-func (e *endings) end(worker string, request quarantine.Fingerprint) {
+func (e *endings) end(worker string, ended *run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	running := e.running[worker]
-	running[request]--
-	if running[request] <= 0 {
-		delete(running, request)
-	}
-	if len(running) == 0 {
+	delete(e.running[worker], ended)
+	if len(e.running[worker]) == 0 {
 		delete(e.running, worker)
 	}
 }
 
+// suspects counts the suspected requests that a worker runs for this node.
+func (e *endings) suspects(worker string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for running := range e.running[worker] {
+		if running.suspected {
+			count++
+		}
+	}
+	return count
+}
+
+// answered records that a worker has run a request to an end. One that was taken for ended
+// lives: its address may refuse a connection for other reasons.
+func (e *endings) answered(worker string, now time.Time) {
+	e.mu.Lock()
+	known, exists := e.looks[worker]
+	mistaken := exists && known.isDead()
+	if mistaken {
+		delete(e.looks, worker)
+	}
+	e.mu.Unlock()
+	if mistaken {
+		e.quarantine.Lives(worker, now)
+	}
+}
+
 // inspect tells whether a worker has ended whose answer broke off, as far as that is known
 // within lookPatience. The worker is looked at once for all that it ran.
 func (e *endings) inspect(worker scheduling.Candidate) workerconn.Liveness {
@@ -134,22 +180,42 @@
 }
 
 // carryOut looks at a worker, and tells of its end and of what it ran.
-func (e *endings) carryOut(begun *look, worker scheduling.Candidate, ran []quarantine.Fingerprint) {
+func (e *endings) carryOut(begun *look, worker scheduling.Candidate, ran []*run) {
+	drains := e.drains(worker.ID)
 	begun.liveness = e.probe(context.Background(), worker.Address)
+	crashes := crashesOf(worker, ran)
+	if begun.liveness == workerconn.Dead && !drains {
+		e.quarantine.Crashed(crashes, time.Now())
+	}
 	close(begun.done)
 	e.metrics.Breaks.WithLabelValues(string(begun.liveness)).Inc()
 	e.log.WithFields(logrus.Fields{
-		"worker": worker.ID, "address": worker.Address, "worker_state": begun.liveness,
-		"look_us": time.Since(begun.begun).Microseconds(), "running": len(ran), "fingerprints": rendered(ran),
+		"worker": worker.ID, "address": worker.Address, "worker_state": begun.liveness, "drains": drains,
+		"look_us": time.Since(begun.begun).Microseconds(), "running": len(ran), "fingerprints": rendered(crashes),
 	}).Warn("worker looked at: answers broke off")
 }
 
+// crashesOf tells of a worker's end for each request that it ran. It was answering one that
+// it ran several times if it answered each.
+func crashesOf(worker scheduling.Candidate, ran []*run) map[quarantine.Fingerprint]quarantine.Crash {
+	crashes := make(map[quarantine.Fingerprint]quarantine.Crash, len(ran))
+	for _, running := range ran {
+		before, exists := crashes[running.request]
+		answering := running.answering.Load() && (before.Answering || !exists)
+		crashes[running.request] = quarantine.Crash{Worker: worker.ID, Address: worker.Address, Answering: answering}
+	}
+	return crashes
+}
+
 // maxLogged bounds the fingerprints in one line of the log.
 const maxLogged = 32
 
-func rendered(requests []quarantine.Fingerprint) []string {
-	texts := make([]string, 0, min(len(requests), maxLogged))
-	for _, request := range requests[:min(len(requests), maxLogged)] {
+func rendered(crashes map[quarantine.Fingerprint]quarantine.Crash) []string {
+	texts := make([]string, 0, min(len(crashes), maxLogged))
+	for request := range crashes {
+		if len(texts) == maxLogged {
+			break
+		}
 		texts = append(texts, request.String())
 	}
 	return texts
--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -27,7 +27,7 @@
 
 // newTestEndings returns endings that find workers as probe says.
 func newTestEndings(probe func(ctx context.Context, address string) workerconn.Liveness) *endings {
-	e := newEndings(quietLogger(), NewMetrics(prometheus.NewRegistry()))
+	e := newEndings(func(string) bool { return false }, noQuarantine{}, quietLogger(), NewMetrics(prometheus.NewRegistry()))
 	e.probe = probe
 	return e
 }
@@ -46,8 +46,7 @@
 	var requests sync.WaitGroup
 	for _, name := range []string{"a", "b", "c", "d"} {
 		requests.Go(func() {
-			e.begin(ended.ID, fingerprintOf(name))
-			defer e.end(ended.ID, fingerprintOf(name))
+			defer e.end(ended.ID, e.begin(ended.ID, fingerprintOf(name), false))
 			if got := e.inspect(ended); got != workerconn.Dead {
 				t.Errorf("request %s found the worker %s", name, got)
 			}
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -29,6 +29,7 @@
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed {
 		s.registry.Errored(runner.ID, time.Now())
+		s.survived(runner)
 		s.failed[runner.ID] = true
 		if s.headGiven || s.call.Route.Repeatable() && s.mayRepeat() {
 			s.ranBefore = true
@@ -55,6 +56,7 @@
 	case err == nil:
 		if !failed {
 			s.registry.Succeeded(runner.ID, time.Now())
+			s.survived(runner)
 		}
 		return finishedWith(runner, answer.Status)
 	case errors.As(err, &left):
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/worker"
@@ -73,6 +74,8 @@
 	reach scheduling.Reach
 	// surveyed is what the last survey took.
 	surveyed surveyed
+	// standing is how the call is to be treated, as of its last plan.
+	standing quarantine.Standing
 }
 
 // countBegun counts the call as one that a worker has begun to run, unless it was counted
@@ -157,7 +160,12 @@
 // hold waits for a time, less a part by chance so that nodes don't plan all at once. It ends
 // with the cause where the caller leaves before or its time is over.
 func (s *session) hold(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause - rand.N(pause/2))
+	return s.pause(ctx, pause-rand.N(pause/2))
+}
+
+// pause waits for a time, or until the caller leaves or its time is over, with the cause.
+func (s *session) pause(ctx context.Context, span time.Duration) error {
+	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -265,7 +273,7 @@
 	s.log.WithFields(logrus.Fields{
 		"id": s.call.ID, "fingerprint": s.call.Fingerprint.String(), "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
-		"late": plan.Late, "rank": s.rank(), "patience_ms": s.call.patience(time.Now(), s.last).Milliseconds(),
+		"crashes": s.standing.Crashes, "late": plan.Late, "rank": s.rank(), "patience_ms": s.call.patience(time.Now(), s.last).Milliseconds(),
 		"reader_queue": plan.Reader.ReadAhead, "runner_queue": plan.Runner.ReadAhead,
 		"late_queue": max(plan.Reader.LateTokens, plan.Runner.LateTokens),
 		"cached":     max(plan.Reader.CachedTokens, plan.Runner.CachedTokens), "prompt": s.call.PromptTokens,
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -30,7 +30,7 @@
 
 // candidates describes the workers that may take the request.
 func (s *session) candidates() []scheduling.Candidate {
-	candidates := s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.rank(), time.Now())
+	candidates := s.separated(s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.rank(), time.Now()))
 	if s.accounts == nil {
 		return candidates
 	}
--- /dev/null
+++ b/internal/dispatch/suspicion.go
@@ -0,0 +1,102 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/quarantine"
+	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/scheduling"
+)
+
+// Quarantine knows the requests under which workers ended, over all nodes.
+type Quarantine interface {
+	// Standing tells how a request is to be treated.
+	Standing(request quarantine.Fingerprint, now time.Time) quarantine.Standing
+	// Crashed records that a worker ended that ran these requests.
+	Crashed(crashes map[quarantine.Fingerprint]quarantine.Crash, now time.Time)
+	// Survived records that a worker ran a request to an end and lives.
+	Survived(request quarantine.Fingerprint, now time.Time)
+	// Lives records that a worker answers that was taken for ended.
+	Lives(worker string, now time.Time)
+}
+
+// noQuarantine suspects nothing.
+type noQuarantine struct{}
+
+func (noQuarantine) Standing(quarantine.Fingerprint, time.Time) quarantine.Standing {
+	return quarantine.Standing{}
+}
+func (noQuarantine) Crashed(map[quarantine.Fingerprint]quarantine.Crash, time.Time) {}
+func (noQuarantine) Survived(quarantine.Fingerprint, time.Time)                     {}
+func (noQuarantine) Lives(string, time.Time)                                        {}
+
+// isBorne looks up how the call is to be treated before a worker gets it. It reports false,
+// with the outcome, where none may: workers ended under it whenever they ran it.
+func (s *session) isBorne(ctx context.Context) (Outcome, bool) {
+	s.standing = s.quarantine.Standing(s.call.Fingerprint, time.Now())
+	for !s.standing.Quarantined && s.standing.Settling > 0 {
+		if err := s.pause(ctx, s.standing.Settling); err != nil {
+			return s.givenUp(tryEnd{verdict: notRun, err: err}), false
+		}
+		s.standing = s.quarantine.Standing(s.call.Fingerprint, time.Now())
+	}
+	if s.standing.Quarantined {
+		return s.quarantined(), false
+	}
+	return Outcome{}, true
+}
+
+const quarantinedDetail = "workers ended whenever they ran it"
+
+// quarantined is the outcome of a call that no worker gets any more.
+func (s *session) quarantined() Outcome {
+	if s.ranBefore {
+		return s.end(Outcome{Code: codeOfLost(nil, s.call.Route.Repeatable()), Detail: quarantinedDetail})
+	}
+	return s.end(Outcome{Code: result.RequestQuarantined, RetryAfter: s.standing.Left, Detail: quarantinedDetail})
+}
+
+// survived records that a worker has run the call to an end.
+func (s *session) survived(runner scheduling.Candidate) {
+	now := time.Now()
+	s.endings.answered(runner.ID, now)
+	s.quarantine.Survived(s.call.Fingerprint, now)
+}
+
+// suspected reports whether workers have ended under the call.
+func (s *session) suspected() bool { return s.standing.Crashes > 0 }
+
+// separated leaves out, for a suspected call, the sound workers of a stage that run more
+// other suspected calls of this node than another one does. What ran beside each other when
+// a worker ended is sent on at the same moment, and would else all go to the one worker
+// that is best then: it ends too, and nothing tells which of them did it.
+func (s *session) separated(candidates []scheduling.Candidate) []scheduling.Candidate {
+	if !s.suspected() {
+		return candidates
+	}
+	counts := make(map[string]int, len(candidates))
+	least := make(map[bool]int)
+	for _, candidate := range candidates {
+		if !s.isFit(candidate) {
+			continue
+		}
+		counts[candidate.ID] = s.endings.suspects(candidate.ID)
+		fewest, known := least[candidate.Prefill]
+		if !known || counts[candidate.ID] < fewest {
+			least[candidate.Prefill] = counts[candidate.ID]
+		}
+	}
+	kept := make([]scheduling.Candidate, 0, len(candidates))
+	for _, candidate := range candidates {
+		if counts[candidate.ID] <= least[candidate.Prefill] {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
+}
+
+// isFit reports whether nothing speaks against a worker for the call.
+func (s *session) isFit(c scheduling.Candidate) bool {
+	return sound(c) && !s.excluded[c.ID] && !s.failed[c.ID]
+}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -17,6 +17,8 @@
 	begun   time.Time
 	// firstAt is when the first byte came, zero before.
 	firstAt time.Time
+	// run is what the worker runs of the call.
+	run *run
 }
 
 func newWork(session *session, runner scheduling.Candidate, prompt reading) *work {
@@ -29,7 +31,7 @@
 	}
 	session.registry.Begin(runner.ID, w.reading)
 	session.registry.Begin(runner.ID, w.running)
-	session.endings.begin(runner.ID, call.Fingerprint)
+	w.run = session.endings.begin(runner.ID, call.Fingerprint, session.suspected())
 	return w
 }
 
@@ -39,6 +41,7 @@
 		return
 	}
 	w.firstAt = time.Now()
+	w.run.answering.Store(true)
 	w.session.countBegun(w.firstAt)
 	registry, call := w.session.registry, w.session.call
 	registry.End(w.runner.ID, w.reading)
@@ -62,5 +65,5 @@
 		registry.ObserveRun(w.runner.ID, time.Since(w.firstAt), w.session.call.ExpectedOutput)
 	}
 	registry.End(w.runner.ID, w.running)
-	w.session.endings.end(w.runner.ID, w.session.call.Fingerprint)
+	w.session.endings.end(w.runner.ID, w.run)
 }
--- a/internal/lab/site/crash_test.go
+++ b/internal/lab/site/crash_test.go
@@ -48,6 +48,7 @@
 		f.add(fleetworker.Options{ID: fmt.Sprint("portal-", number+1), Service: portal, Events: 1})
 	}
 	s.store.Put("op", "config", configuration(1))
+	s.await("the first node is ready", s.node.Ready)
 	s.addNodes("node-2", "node-3")
 	f.awaitStanding()
 	return s, f
@@ -170,6 +171,7 @@
 		t.Errorf("after %d workers had ended under it, it reached workers %d times more, want %d at most; %d ended in all",
 			crashesNeeded, more, arrivalsAllowed, f.crashed())
 	}
+	t.Logf("%d workers ended in all", f.crashed())
 	for _, node := range nodes {
 		if got := s.askAt(node, http.MethodPost, "/check/same", nil, "another move"); got.status != http.StatusOK {
 			t.Errorf("another request on the same path: status %d %s", got.status, got.body)
--- /dev/null
+++ b/internal/quarantine/book_test.go
@@ -0,0 +1,332 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func request(name string) Fingerprint { return Content{Target: name}.Fingerprint() }
+
+// at is the end of a worker at an address of its own.
+func at(worker string) Crash { return Crash{Worker: worker, Address: "address of " + worker} }
+
+// crash has workers end under requests, one after the other, and judges.
+func (b *Book) crash(now time.Time, workers []string, names ...string) {
+	for _, worker := range workers {
+		var ran []Fingerprint
+		for _, name := range names {
+			ran = append(ran, request(name))
+		}
+		b.Crashed(at(worker), ran, now)
+	}
+	b.Judge()
+}
+
+// isQuarantined looks once all has settled.
+func (b *Book) isQuarantined(name string, now time.Time) bool {
+	return b.Standing(request(name), now.Add(settleTime)).Quarantined
+}
+
+func TestThirdCrashQuarantines(t *testing.T) {
+	b := NewBook()
+	for count, worker := range []string{"w1", "w2", "w3"} {
+		if b.isQuarantined("a", start) {
+			t.Errorf("quarantined after %d crashes", count)
+		}
+		b.crash(start, []string{worker}, "a")
+	}
+	if !b.isQuarantined("a", start) {
+		t.Error("not quarantined after three crashes")
+	}
+	if got := b.Standing(request("other"), start); got != (Standing{}) {
+		t.Errorf("another request stands as %+v", got)
+	}
+}
+
+// TestSameEndCountsOnce, however many nodes tell of it.
+func TestSameEndCountsOnce(t *testing.T) {
+	b := NewBook()
+	for range 5 {
+		b.crash(start, []string{"w1", "w2"}, "a")
+	}
+	if got := b.Standing(request("a"), start).Crashes; got != 2 {
+		t.Errorf("%d crashes", got)
+	}
+}
+
+// TestRunToAnEndClears, though it is told late and in another order.
+func TestRunToAnEndClears(t *testing.T) {
+	b := NewBook()
+	b.crash(start, []string{"w1", "w2", "w3"}, "a")
+	cleared, changed := b.Clear(request("a"), start)
+	b.Judge()
+	if !changed || b.isQuarantined("a", start) {
+		t.Errorf("changed %v, still quarantined %v", changed, b.isQuarantined("a", start))
+	}
+	other := NewBook()
+	other.Merge([]Record{cleared}, start)
+	other.crash(start, []string{"w1", "w2", "w3"}, "a")
+	if got := other.Standing(request("a"), start).Crashes; got != 0 {
+		t.Errorf("%d crashes count that are told after they were cleared", got)
+	}
+	b.crash(start, []string{"w4", "w5"}, "a")
+	if b.isQuarantined("a", start) {
+		t.Error("crashes of before count again")
+	}
+	b.crash(start, []string{"w6"}, "a")
+	if !b.isQuarantined("a", start) {
+		t.Error("three new crashes don't count")
+	}
+}
+
+// TestNeighboursAreNotBlamed: what was at the same ends as a request that was at one more
+// is innocent, and so is what was at some of them.
+func TestNeighboursAreNotBlamed(t *testing.T) {
+	b := NewBook()
+	b.crash(start, []string{"w1"}, "deadly", "twice", "thrice", "once")
+	b.crash(start, []string{"w2"}, "deadly", "twice", "thrice")
+	b.crash(start, []string{"w3"}, "deadly", "thrice")
+	if b.isQuarantined("deadly", start) || b.isQuarantined("thrice", start) {
+		t.Error("one of two that were at the same three ends is quarantined: either may have done it")
+	}
+	b.crash(start, []string{"w4"}, "deadly")
+	if !b.isQuarantined("deadly", start) {
+		t.Error("four ends, of which nothing else explains the last, aren't enough")
+	}
+	for _, name := range []string{"once", "twice", "thrice"} {
+		if b.isQuarantined(name, start) {
+			t.Errorf("%q is quarantined, though another request explains all its crashes", name)
+		}
+	}
+	// Its crashes beside the other one count no more, so that it can be unlucky again.
+	b.crash(start, []string{"w5", "w6"}, "thrice")
+	if b.isQuarantined("thrice", start) {
+		t.Error("explained crashes count")
+	}
+}
+
+// TestTwoThatAreAlwaysTogetherAreStopped in the end: no more than two workers further.
+func TestTwoThatAreAlwaysTogetherAreStopped(t *testing.T) {
+	b := NewBook()
+	b.crash(start, []string{"w1", "w2", "w3", "w4", "w5"}, "a", "b")
+	if !b.isQuarantined("a", start) && !b.isQuarantined("b", start) {
+		t.Error("neither is quarantined after five ends")
+	}
+}
+
+// TestLateReportExonerates: a report that comes after the judgement shows that another
+// request was at all ends too.
+func TestLateReportExonerates(t *testing.T) {
+	b := NewBook()
+	b.crash(start, []string{"w1", "w2", "w3"}, "innocent")
+	b.crash(start, []string{"w1", "w2"}, "deadly")
+	if standing := b.Standing(request("innocent"), start); standing.Quarantined || standing.Settling != settleTime {
+		t.Errorf("before all can have been told it stands as %+v", standing)
+	}
+	b.crash(start, []string{"w3", "w4"}, "deadly")
+	if b.isQuarantined("innocent", start) || !b.isQuarantined("deadly", start) {
+		t.Error("the wrong one is quarantined")
+	}
+}
+
+// TestMachineThatEndsAllIsToBlame, not the request that it gets each time.
+func TestMachineThatEndsAllIsToBlame(t *testing.T) {
+	b := NewBook()
+	for _, worker := range []string{"w1", "w2", "w3", "w4"} {
+		b.Crashed(Crash{Worker: worker, Address: "the same"}, []Fingerprint{request("a")}, start)
+	}
+	b.Judge()
+	if b.isQuarantined("a", start) {
+		t.Error("quarantined for four ends at one address")
+	}
+	b.Crashed(Crash{Worker: "w5", Address: "the same"}, []Fingerprint{request("a")}, start)
+	b.Judge()
+	if !b.isQuarantined("a", start) {
+		t.Error("five ends aren't enough")
+	}
+}
+
+// TestAnswersWeighAgainstBlame: what had been answering is less likely to have ended its
+// worker.
+func TestAnswersWeighAgainstBlame(t *testing.T) {
+	b := NewBook()
+	for count, worker := range []string{"w1", "w2", "w3", "w4", "w5"} {
+		if b.isQuarantined("a", start) {
+			t.Errorf("quarantined after %d ends while it was answered", count)
+		}
+		crash := at(worker)
+		crash.Answering = true
+		b.Crashed(crash, []Fingerprint{request("a")}, start)
+		b.Judge()
+	}
+	if !b.isQuarantined("a", start) {
+		t.Error("five ends aren't enough")
+	}
+}
+
+// TestWorkerThatLivesCountsAgainstNobody.
+func TestWorkerThatLivesCountsAgainstNobody(t *testing.T) {
+	b := NewBook()
+	b.crash(start, []string{"w1", "w2", "w3"}, "a")
+	b.crash(start, []string{"w1"}, "b")
+	b.Lives("w1", start)
+	b.Judge()
+	if b.isQuarantined("a", start) || b.Standing(request("b"), start).Crashes != 0 {
+		t.Error("the end of a worker that lives counts")
+	}
+}
+
+// TestReleaseLetsNeighboursGo: what a released request explained doesn't fall on others.
+func TestReleaseLetsNeighboursGo(t *testing.T) {
+	b := NewBook()
+	b.crash(start, []string{"w1", "w2", "w3"}, "deadly", "beside")
+	b.crash(start, []string{"w4"}, "deadly")
+	b.Release(request("deadly"), start)
+	b.Judge()
+	if b.isQuarantined("deadly", start) || b.isQuarantined("beside", start) {
+		t.Error("a released request, or one that ran beside it, is quarantined")
+	}
+}
+
+// TestTrialsComeRarely, and no more than three.
+func TestTrialsComeRarely(t *testing.T) {
+	b := NewBook()
+	b.crash(start, []string{"w1", "w2", "w3"}, "a")
+	now := start
+	trials := 0
+	for minute := range 23 * 60 {
+		now = start.Add(time.Duration(minute) * time.Minute)
+		if b.Standing(request("a"), now).TrialDue {
+			trials++
+			b.crash(now, []string{fmt.Sprint("t", minute)}, "a")
+		}
+	}
+	if trials != len(trialAfter) {
+		t.Errorf("%d trials in a day", trials)
+	}
+}
+
+func TestOldIsForgotten(t *testing.T) {
+	b := NewBook()
+	b.crash(start, []string{"w1"}, "once")
+	b.crash(start, []string{"w1", "w2", "w3"}, "deadly")
+	b.Expire(start.Add(suspectedFor))
+	if b.Standing(request("once"), start).Crashes != 0 || !b.isQuarantined("deadly", start) {
+		t.Error("a suspicion outlasts its time, or a quarantine doesn't last")
+	}
+	b.Expire(start.Add(quarantinedFor))
+	if len(b.entries) != 0 || len(b.byWorker) != 0 {
+		t.Errorf("%d requests and %d workers are left", len(b.entries), len(b.byWorker))
+	}
+}
+
+// TestBookIsBounded, and what has been proved stays.
+func TestBookIsBounded(t *testing.T) {
+	b := NewBook()
+	b.crash(start, []string{"w1", "w2", "w3"}, "deadly")
+	for number := range 2 * maxRecords {
+		b.Crashed(at(fmt.Sprint("v", number)), []Fingerprint{request(fmt.Sprint(number))}, start.Add(time.Second))
+	}
+	for number := range 3 * maxCrashes {
+		b.Crashed(at(fmt.Sprint("x", number)), []Fingerprint{request("deadly")}, start)
+	}
+	if len(b.entries) > maxRecords || len(b.byWorker) > maxRecords+maxCrashes {
+		t.Errorf("%d requests, %d workers", len(b.entries), len(b.byWorker))
+	}
+	if got := len(b.entries[request("deadly")].Crashes); got > maxCrashes {
+		t.Errorf("%d crashes of one request", got)
+	}
+	if !b.isQuarantined("deadly", start) {
+		t.Error("the quarantined request was forgotten")
+	}
+}
+
+// TestCrashingFleetIsNotRefused: where all seem to crash their workers, the workers are at
+// fault.
+func TestCrashingFleetIsNotRefused(t *testing.T) {
+	b := NewBook()
+	for number := range 4 * maxQuarantined {
+		name := fmt.Sprint(number)
+		b.crash(start, []string{name + "1", name + "2", name + "3"}, name)
+	}
+	if _, quarantined := b.Counts(); quarantined != maxQuarantined {
+		t.Errorf("%d requests are quarantined", quarantined)
+	}
+}
+
+// TestOrderOfReportsDoesNotMatter: nodes that are told the same, in whatever order and
+// however often, know and judge the same.
+func TestOrderOfReportsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var told []Record
+		for range rapid.IntRange(1, 40).Draw(t, "reports") {
+			crash := at(fmt.Sprint("w", rapid.IntRange(1, 6).Draw(t, "worker")))
+			crash.Cleared = rapid.IntRange(0, 5).Draw(t, "cleared") == 0
+			crash.Answering = rapid.Bool().Draw(t, "answering")
+			told = append(told, Record{Fingerprint: request(fmt.Sprint(rapid.IntRange(1, 4).Draw(t, "request"))), Crashes: []Crash{crash}})
+		}
+		other := append(slices.Clone(told), told...)
+		rand.Shuffle(len(other), func(i, j int) { other[i], other[j] = other[j], other[i] })
+		left, right := NewBook(), NewBook()
+		for i := range other {
+			right.Merge(other[i:i+1], start)
+			if i < len(told) {
+				left.Merge(told[i:i+1], start)
+			}
+		}
+		left.Judge()
+		right.Judge()
+		for number := range 4 {
+			name := fmt.Sprint(number + 1)
+			if left.isQuarantined(name, start) != right.isQuarantined(name, start) {
+				t.Fatalf("request %s is judged differently", name)
+			}
+			if known, exists := left.entries[request(name)]; exists {
+				if difference := cmp.Diff(known.Record, right.entries[request(name)].Record); difference != "" {
+					t.Fatal(difference)
+				}
+			}
+		}
+	})
+}
+
+// TestNewNodeJudgesAsOthersDo, which saw one crash after the other: it is told all at once.
+func TestNewNodeJudgesAsOthersDo(t *testing.T) {
+	old := NewBook()
+	old.crash(start, []string{"w1", "w2", "w3"}, "deadly", "beside")
+	old.crash(start, []string{"w4"}, "deadly")
+	old.crash(start, []string{"w5", "w6"}, "beside")
+	added := NewBook()
+	for _, known := range old.entries {
+		added.Merge([]Record{known.copied()}, start)
+	}
+	added.Judge()
+	for _, name := range []string{"deadly", "beside"} {
+		if old.isQuarantined(name, start) != added.isQuarantined(name, start) {
+			t.Errorf("%q is quarantined at the old nodes: %v, at the new one: %v", name, old.isQuarantined(name, start), added.isQuarantined(name, start))
+		}
+	}
+	if !added.isQuarantined("deadly", start) {
+		t.Error("the request that was proved first is free")
+	}
+}
+
+// BenchmarkJudge measures a judgement while thousands are suspected, after the loss of a rack.
+func BenchmarkJudge(b *testing.B) {
+	book := NewBook()
+	for number := range maxRecords {
+		book.Crashed(at(fmt.Sprint("w", number%40)), []Fingerprint{request(fmt.Sprint(number))}, start)
+	}
+	book.crash(start, []string{"v1", "v2", "v3"}, "deadly")
+	for b.Loop() {
+		book.Judge()
+	}
+}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -3,6 +3,7 @@
 package quarantine
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
@@ -41,11 +42,24 @@
 // String renders a fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	read, err := ParseFingerprint(string(text))
+	*f = read
+	return err
+}
+
+// less orders fingerprints.
+func (f Fingerprint) less(other Fingerprint) bool { return bytes.Compare(f[:], other[:]) < 0 }
+
 // ParseFingerprint reads what String renders.
 func ParseFingerprint(text string) (Fingerprint, error) {
-	bytes, err := hex.DecodeString(text)
-	if err != nil || len(bytes) != len(Fingerprint{}) {
+	decoded, err := hex.DecodeString(text)
+	if err != nil || len(decoded) != len(Fingerprint{}) {
 		return Fingerprint{}, eris.Errorf("fingerprint %q isn't of %d hexadecimal digits", text, 2*len(Fingerprint{}))
 	}
-	return Fingerprint(bytes), nil
+	return Fingerprint(decoded), nil
 }
--- /dev/null
+++ b/internal/quarantine/keeper.go
@@ -0,0 +1,316 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+)
+
+// The figures of what a node tells others.
+const (
+	// tellings is how often a change is told, since datagrams may be lost, and tellEvery the
+	// time between two.
+	tellings  = 3
+	tellEvery = 150 * time.Millisecond
+	// worthSaving is the number of crashes from which a request is told to all nodes and
+	// kept in the store. One crash says nearly nothing, and each end of a worker makes as
+	// many of them as it ran requests.
+	worthSaving = 2
+)
+
+// telling is a record that others are still to be told.
+type telling struct {
+	record Record
+	left   int
+	due    time.Time
+}
+
+// Keeper keeps a node's book: it takes in what this node sees, other nodes tell and the
+// store holds, and knows what is still to be told and saved. It is safe for concurrent use.
+type Keeper struct {
+	log *logrus.Logger
+	// refused counts the tries of quarantined requests.
+	refused prometheus.Counter
+	// chosen reports whether this node is the one that gives a request its trials.
+	chosen func(request Fingerprint) bool
+	// toTell and toSave are sent to when there may be something new to be told or saved.
+	toTell, toSave chan struct{}
+
+	mu     sync.Mutex
+	book   *Book
+	untold map[Fingerprint]*telling
+	// tried is when this node last let a quarantined request through.
+	tried map[Fingerprint]time.Time
+}
+
+// NewKeeper returns a keeper that knows nothing.
+func NewKeeper(chosen func(request Fingerprint) bool, log *logrus.Logger) *Keeper {
+	return &Keeper{
+		log: log, chosen: chosen,
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tinarch_quarantine_refused_total", Help: "Tries of quarantined requests.",
+		}),
+		toTell: make(chan struct{}, 1), toSave: make(chan struct{}, 1),
+		book: NewBook(), untold: make(map[Fingerprint]*telling), tried: make(map[Fingerprint]time.Time),
+	}
+}
+
+// ToTell gives a token when Due may have records.
+func (k *Keeper) ToTell() <-chan struct{} { return k.toTell }
+
+// ToSave gives a token when Unsaved may have records.
+func (k *Keeper) ToSave() <-chan struct{} { return k.toSave }
+
+// Standing tells how a request is to be treated. It lets a quarantined request through for
+// a trial, once, where one is due and this node is chosen for it.
+func (k *Keeper) Standing(request Fingerprint, now time.Time) Standing {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	standing := k.book.Standing(request, now)
+	if !standing.Quarantined {
+		return standing
+	}
+	if standing.TrialDue && now.Sub(k.tried[request]) >= trialAfter[0] && k.chosen(request) {
+		k.tried[request] = now
+		standing.Quarantined = false
+		k.log.WithFields(logrus.Fields{"fingerprint": request.String(), "crashes": standing.Crashes}).
+			Warn("a quarantined request is let through for a trial")
+		return standing
+	}
+	k.refused.Inc()
+	return standing
+}
+
+// Crashed records that a worker ended that ran these requests.
+func (k *Keeper) Crashed(crashes map[Fingerprint]Crash, now time.Time) {
+	told := make([]Record, 0, len(crashes))
+	for request, crash := range crashes {
+		told = append(told, Record{Fingerprint: request, Crashes: []Crash{crash}})
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.changed(k.book.Merge(told, now), "own", now)
+}
+
+// Survived records that a worker ran a request to an end and lives.
+func (k *Keeper) Survived(request Fingerprint, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if record, changed := k.book.Clear(request, now); changed {
+		k.log.WithField("fingerprint", request.String()).Info("a request is no longer suspected: a worker has run it")
+		k.changed([]Record{record}, "own", now)
+	}
+}
+
+// Lives records that a worker answers that was taken for ended.
+func (k *Keeper) Lives(worker string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if records := k.book.Lives(worker, now); len(records) > 0 {
+		k.log.WithFields(logrus.Fields{"worker": worker, "requests": len(records)}).Warn("a worker lives that was taken for ended")
+		k.changed(records, "own", now)
+	}
+}
+
+// Take takes in what another node tells. It returns the records that have changed by it and
+// that every node is to know.
+func (k *Keeper) Take(node string, records []Record) []Record {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ordered := make([]Record, 0, len(records))
+	for _, record := range records {
+		ordered = append(ordered, record.Ordered())
+	}
+	changed := k.book.Merge(ordered, now)
+	k.changed(changed, "node "+node, now)
+	return slices.DeleteFunc(changed, func(r Record) bool { return !IsShared(r) })
+}
+
+// changed judges anew, logs what has come of it, and has the records told that this node
+// itself has changed.
+func (k *Keeper) changed(records []Record, source string, now time.Time) {
+	if len(records) == 0 {
+		return
+	}
+	k.judge(source)
+	for _, record := range records {
+		if record.Counted() >= worthSaving {
+			k.logRecord(record, source, "request suspected: workers end under it")
+		}
+		if source == "own" {
+			k.untold[record.Fingerprint] = &telling{record: record, left: tellings, due: now}
+		}
+	}
+	notify(k.toTell)
+	notify(k.toSave)
+}
+
+func notify(waiting chan<- struct{}) {
+	select {
+	case waiting <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) judge(source string) {
+	judgement := k.book.Judge()
+	for _, record := range judgement.Quarantined {
+		k.logRecord(record, source, "request quarantined")
+	}
+	for _, record := range judgement.Released {
+		k.logRecord(record, source, "request released from quarantine")
+	}
+}
+
+func (k *Keeper) logRecord(record Record, source, message string) {
+	var workers []string
+	for _, crash := range record.Crashes {
+		if !crash.Cleared {
+			workers = append(workers, crash.Worker)
+		}
+	}
+	k.log.WithFields(logrus.Fields{
+		"fingerprint": record.Fingerprint.String(), "crashes": len(workers), "workers": workers, "source": source,
+	}).Warn(message)
+}
+
+// Due returns the records that others are to be told now, and the time until there may be
+// more.
+func (k *Keeper) Due(now time.Time) (records []Record, wait time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	wait = time.Minute
+	for request, told := range k.untold {
+		if now.Before(told.due) {
+			wait = min(wait, told.due.Sub(now))
+			continue
+		}
+		records = append(records, told.record)
+		told.left--
+		told.due = now.Add(tellEvery)
+		wait = min(wait, tellEvery)
+		if told.left == 0 {
+			delete(k.untold, request)
+		}
+	}
+	return records, wait
+}
+
+// Shared returns the records that every node is to know.
+func (k *Keeper) Shared() []Record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var shared []Record
+	for _, known := range k.book.entries {
+		if known.Counted() >= worthSaving {
+			shared = append(shared, known.copied())
+		}
+	}
+	return shared
+}
+
+// IsShared reports whether a record is one that every node is to know: it has several
+// crashes, or had and is cleared.
+func IsShared(record Record) bool { return len(record.Crashes) >= worthSaving }
+
+// Unsaved returns the records that the store doesn't hold and is to.
+func (k *Keeper) Unsaved() []Record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var unsaved []Record
+	for _, known := range k.book.entries {
+		if known.stored == nil && known.Counted() < worthSaving {
+			continue
+		}
+		if known.stored == nil || !known.stored.covers(known.Record) || known.Quarantined && !known.stored.Quarantined {
+			unsaved = append(unsaved, known.copied())
+		}
+	}
+	return unsaved
+}
+
+// Stored takes in a record that the store holds.
+func (k *Keeper) Stored(record Record, now time.Time) {
+	record = record.Ordered()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.changed(k.book.Merge([]Record{record}, now), "store", now)
+	k.book.entry(record.Fingerprint).stored = &record
+}
+
+// Removed takes in that the store holds a request no more: an operator has released it, or
+// it has been there for long enough.
+func (k *Keeper) Removed(request Fingerprint, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	known, exists := k.book.entries[request]
+	if !exists || known.stored == nil {
+		return
+	}
+	known.stored = nil
+	records := k.book.Release(request, now)
+	k.log.WithField("fingerprint", request.String()).Warn("a request was taken out of the store's quarantine")
+	k.changed(records, "store", now)
+}
+
+// StoredOnly takes in which requests the store holds: those that it held before and holds no
+// more were removed.
+func (k *Keeper) StoredOnly(held map[Fingerprint]bool, now time.Time) {
+	k.mu.Lock()
+	var removed []Fingerprint
+	for request, known := range k.book.entries {
+		if known.stored != nil && !held[request] {
+			removed = append(removed, request)
+		}
+	}
+	k.mu.Unlock()
+	for _, request := range removed {
+		k.Removed(request, now)
+	}
+}
+
+// Expire forgets what is old. It returns the requests that the store still holds of it.
+func (k *Keeper) Expire(now time.Time) []Fingerprint {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	maps.DeleteFunc(k.tried, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) > quarantinedFor })
+	var stored []Fingerprint
+	for _, record := range k.book.Expire(now) {
+		stored = append(stored, record.Fingerprint)
+	}
+	k.judge("age")
+	slices.SortFunc(stored, func(a, b Fingerprint) int {
+		if a.less(b) {
+			return -1
+		}
+		return 1
+	})
+	return stored
+}
+
+// Register has a registry tell what a keeper knows.
+func (k *Keeper) Register(registry prometheus.Registerer) {
+	gauge := func(name, help string, of func() int) {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(of()) }))
+	}
+	gauge("tinarch_quarantine_suspected", "Requests under which a worker has ended that nothing explains yet.", func() int {
+		suspected, _ := k.counts()
+		return suspected
+	})
+	gauge("tinarch_quarantine_requests", "Requests that are given to no worker, since workers end under them.", func() int {
+		_, quarantined := k.counts()
+		return quarantined
+	})
+	registry.MustRegister(k.refused)
+}
+
+func (k *Keeper) counts() (suspected, quarantined int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Counts()
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -49,6 +49,7 @@
 	RetriesExhausted    Code = 2008
 	ConfigurationStale  Code = 2009
 	TenantQuota         Code = 2010
+	RequestQuarantined  Code = 2011
 	OutcomeUnknown      Code = 3001
 	AnswerCut           Code = 3002
 	CallerGone          Code = 3003
@@ -113,6 +114,7 @@
 	{RetriesExhausted, "retries_exhausted", DidNotRun, true, 503, "unavailable", "Every engine tried refused the request before running it.", "Come back after the Retry-After time."},
 	{ConfigurationStale, "configuration_stale", DidNotRun, true, 503, "unavailable", "The node's configuration holds no such route or API key, but it may be old: the node has reached neither the store nor a node that does.", "Come back after the Retry-After time; another node may answer. Operators look why the node has lost the store."},
 	{TenantQuota, "tenant_quota", DidNotRun, true, 429, "resource_exhausted", "The tenant has used what its quota allows over all nodes together.", "Come back after the Retry-After time; operators see the log line \"over quota\"."},
+	{RequestQuarantined, "request_quarantined", DidNotRun, true, 503, "failed_precondition", "Workers crashed each time they ran a request with this method, path, tenant and body, so none is given it.", "Change the request, or come back after the Retry-After time. Operators see the log line \"request quarantined\" and can release it."},
 	{OutcomeUnknown, "outcome_unknown", Unknown, false, 502, "aborted", "The request may have run; its outcome can't be had.", "Do not send it as a new request before checking its effects."},
 	{AnswerCut, "answer_cut", Ran, true, 502, "aborted", "The answer broke off and could not be resumed. Only said of repeatable kinds.", "Send the request again."},
 	{CallerGone, "caller_gone", Unknown, true, 499, "canceled", "The caller left before the answer was complete.", "Nothing."},
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -24,6 +24,7 @@
 	"github.com/tinarch/tinarch/internal/fleetsize"
 	"github.com/tinarch/tinarch/internal/front"
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/retry"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/rowstore"
@@ -98,6 +99,10 @@
 	workersKnown atomic.Bool
 
 	authority *authority.Authority
+	// quarantine keeps requests under which workers end away from workers, and
+	// quarantineFeed follows what the store holds of them.
+	quarantine     *quarantine.Keeper
+	quarantineFeed *tablefeed.Feed
 	// tally and collector are nil where no usage is reported.
 	tally     *usage.Tally
 	collector *usage.Collector
@@ -131,6 +136,7 @@
 	exchange.SetBoard(n.board)
 	n.configurationFeed = n.newFeed(platform.ConfigurationTable(), &configuration{node: n})
 	n.workersFeed = n.newFeed(platform.WorkerTable(), &workers{node: n})
+	n.keepQuarantine(metrics)
 	n.front = front.New(front.Options{
 		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: front.NewMetrics(metrics),
 		ConfigurationAge: n.configurationAge, Quotas: quotas,
@@ -172,7 +178,7 @@
 		Began: began, Repeated: n.exchange.RepeatQuota, Returned: quotas.Return,
 		Registry: n.registry, Scheduler: scheduling.New(costs),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
-		Nodes: n.exchange.Nodes, Accounts: n.exchange, Knowledge: n.knowledge,
+		Nodes: n.exchange.Nodes, Accounts: n.exchange, Knowledge: n.knowledge, Quarantine: n.quarantine,
 		Retries: retry.Terms{
 			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack,
 			Window: settings.Milliseconds(bounds.RetryWindowMillis),
@@ -248,12 +254,14 @@
 
 // follow starts the feeds of the platform's tables and the exchange.
 func (n *Node) follow(ctx context.Context, metrics *prometheus.Registry) {
-	for _, feed := range []*tablefeed.Feed{n.configurationFeed, n.workersFeed} {
+	for _, feed := range []*tablefeed.Feed{n.configurationFeed, n.workersFeed, n.quarantineFeed} {
 		n.work.Go(func() { feed.Run(ctx) })
 	}
 	n.work.Go(func() { n.exchange.Run(ctx) })
 	n.work.Go(func() { n.stayListed(ctx) })
 	n.work.Go(func() { n.pruneNodes(ctx) })
+	n.work.Go(func() { n.saveQuarantine(ctx) })
+	n.work.Go(func() { n.expireQuarantine(ctx) })
 	n.work.Go(func() { n.warmUp(ctx) })
 	n.work.Go(func() { n.controller().Run(ctx) })
 	n.reportUsage(ctx, metrics)
--- /dev/null
+++ b/internal/serving/quarantine.go
@@ -0,0 +1,158 @@
+package serving
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/quarantine"
+	"github.com/tinarch/tinarch/internal/rowstore"
+	"github.com/tinarch/tinarch/internal/tablefeed"
+)
+
+// quarantineTable holds one row for each request under which several workers ended, under
+// its fingerprint: what must outlast all processes.
+const quarantineTable = "quarantine"
+
+// The figures of saving.
+const (
+	// saveStep is by how much later a node saves than the one that comes before it in the
+	// table's ranking, up to saveLatest: where that one does, the others have nothing to save.
+	saveStep   = 200 * time.Millisecond
+	saveLatest = time.Second
+	// savePause is the time between two transactions of a node, and maxSaved bounds the rows
+	// of one.
+	savePause = 200 * time.Millisecond
+	maxSaved  = 50
+	// expireEvery is the time between two looks for what is old: a sixtieth of the shortest
+	// time for which anything is kept.
+	expireEvery = time.Minute
+)
+
+// keepQuarantine makes the keeper of requests under which workers end.
+func (n *Node) keepQuarantine(metrics prometheus.Registerer) {
+	n.quarantine = quarantine.NewKeeper(n.exchange.ChosenForTrial, n.log)
+	n.quarantine.Register(metrics)
+	n.exchange.SetQuarantine(n.quarantine)
+	n.quarantineFeed = n.newFeed(quarantineTable, &quarantined{node: n})
+}
+
+// quarantined has the keeper know what the store holds.
+type quarantined struct{ node *Node }
+
+// Reset implements tablefeed.Consumer.
+func (q *quarantined) Reset(rows []tablefeed.Row, version tablefeed.Version) {
+	q.Apply(rows, version)
+	held := make(map[quarantine.Fingerprint]bool, len(rows))
+	for _, row := range rows {
+		if request, err := quarantine.ParseFingerprint(row.Key); err == nil {
+			held[request] = true
+		}
+	}
+	q.node.quarantine.StoredOnly(held, time.Now())
+}
+
+// Apply implements tablefeed.Consumer.
+func (q *quarantined) Apply(rows []tablefeed.Row, _ tablefeed.Version) {
+	for _, row := range rows {
+		if err := q.apply(row); err != nil {
+			q.node.log.WithFields(logrus.Fields{"row": row.Key, "row_version": row.Version, "cause": err.Error()}).
+				Error("a row of the quarantine can't be read; it is passed over")
+		}
+	}
+}
+
+func (q *quarantined) apply(row tablefeed.Row) error {
+	request, err := quarantine.ParseFingerprint(row.Key)
+	if err != nil {
+		return err
+	}
+	if row.Gone {
+		q.node.quarantine.Removed(request, time.Now())
+		return nil
+	}
+	var record quarantine.Record
+	if err := json.Unmarshal(row.Value, &record); err != nil {
+		return eris.Wrap(err, "the value is no record")
+	}
+	record.Fingerprint = request
+	q.node.quarantine.Stored(record, time.Now())
+	return nil
+}
+
+// saveQuarantine writes what the store is to hold and doesn't, until ctx ends.
+func (n *Node) saveQuarantine(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.quarantine.ToSave():
+		}
+		wait := min(time.Duration(n.exchange.Place(quarantineTable))*saveStep, saveLatest)
+		for len(n.quarantine.Unsaved()) > 0 && sleepUntil(ctx, wait) {
+			n.saveSome(ctx)
+			wait = savePause
+		}
+	}
+}
+
+// sleepUntil waits for a time. It reports false where ctx ended.
+func sleepUntil(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// saveSome writes some of what is unsaved, if the store takes it.
+func (n *Node) saveSome(ctx context.Context) {
+	unsaved := n.quarantine.Unsaved()
+	unsaved = unsaved[:min(len(unsaved), maxSaved)]
+	if len(unsaved) == 0 {
+		return
+	}
+	var transaction rowstore.Transaction
+	for _, record := range unsaved {
+		value, err := json.Marshal(record)
+		if err != nil {
+			n.log.WithError(err).Error("a record of the quarantine can't be rendered and is not saved")
+			return
+		}
+		transaction.Writes = append(transaction.Writes, rowstore.Write{Table: quarantineTable, Key: record.Fingerprint.String(), Value: value})
+	}
+	if !n.called(ctx, "save the quarantine", func(ctx context.Context) error { return n.transact(ctx, transaction) }) {
+		return
+	}
+	for _, record := range unsaved {
+		n.quarantine.Stored(record, time.Now())
+	}
+	n.log.WithField("requests", len(unsaved)).Info("quarantine saved")
+}
+
+func (n *Node) transact(ctx context.Context, transaction rowstore.Transaction) error {
+	_, _, err := n.platform.Transact(ctx, transaction)
+	return err
+}
+
+// expireQuarantine forgets what is old, until ctx ends. One node takes it out of the store.
+func (n *Node) expireQuarantine(ctx context.Context) {
+	for sleepUntil(ctx, expireEvery) {
+		old := n.quarantine.Expire(time.Now())
+		if len(old) == 0 || n.exchange.Place(quarantineTable) > 0 {
+			continue
+		}
+		var transaction rowstore.Transaction
+		for _, request := range old[:min(len(old), maxSaved)] {
+			transaction.Writes = append(transaction.Writes, rowstore.Write{Table: quarantineTable, Key: request.String()})
+		}
+		n.called(ctx, "take old rows out of the quarantine", func(ctx context.Context) error { return n.transact(ctx, transaction) })
+	}
+}
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -114,6 +114,14 @@
 	return known.worker, true
 }
 
+// Drains reports whether a worker is known to end as planned.
+func (r *Registry) Drains(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, exists := r.workers[id]
+	return exists && known.worker.Draining
+}
+
 // Region is that of a worker, empty where it isn't known.
 func (r *Registry) Region(id string) string {
 	r.mu.Lock()
