Quarantine: tests under failure with several nodes

Each brings one matter about with real nodes before stand-ins: routes without a second run and plain services, neighbours that end with the deadly request, several deadly requests, all nodes replaced, the store away, lost answers, an operator's release. They count arrivals at workers and check that a 503 never ran. TestNodesTellEachOtherWhileTheStoreIsAway failed while it was written: its nodes didn't know each other yet, and its second try came within a millisecond of the first; it waits for both now.

--- a/internal/lab/site/crash_test.go
+++ b/internal/lab/site/crash_test.go
@@ -4,11 +4,16 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"regexp"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/lab/fleetstore"
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+	"github.com/tinarch/tinarch/internal/settings"
 )
 
 const (
@@ -33,6 +38,8 @@
 	crashes      int
 	// mended workers crash no more when they come back.
 	mended bool
+	// tries counts the requests that were sent by again.
+	tries int
 }
 
 // startFragile runs a site of three nodes before engines that requests may crash.
@@ -50,6 +57,7 @@
 	s.store.Put("op", "config", configuration(1))
 	s.await("the first node is ready", s.node.Ready)
 	s.addNodes("node-2", "node-3")
+	s.awaitPeers()
 	f.awaitStanding()
 	return s, f
 }
@@ -136,6 +144,19 @@
 	})
 }
 
+// awaitPeers waits until all nodes know each other.
+func (s *site) awaitPeers() {
+	s.t.Helper()
+	s.await("all nodes know each other", func() bool {
+		for _, other := range s.others {
+			if other.node.Nodes() != len(s.others)+1 {
+				return false
+			}
+		}
+		return s.node.Nodes() == len(s.others)+1
+	})
+}
+
 // addresses are those of all nodes.
 func (s *site) addresses() []string {
 	addresses := []string{s.address}
@@ -145,6 +166,102 @@
 	return addresses
 }
 
+// again sends a request to the next node, once all workers stand.
+func (f *fragile) again(path, body string) answer {
+	f.s.t.Helper()
+	f.awaitStanding()
+	nodes := f.s.addresses()
+	f.tries++
+	return f.s.askAt(nodes[f.tries%len(nodes)], http.MethodPost, path, nil, body)
+}
+
+// quarantine sends a deadly request until enough workers have ended under it.
+func (f *fragile) quarantine(path, body string) {
+	f.s.t.Helper()
+	for before := f.crashed(); f.crashed() < before+crashesNeeded; {
+		f.again(path, body)
+	}
+}
+
+// expectStopped sends a deadly request again and again, and expects that it reaches hardly
+// any worker, and that its callers are told at once that it has not run.
+func (f *fragile) expectStopped(path, body string) {
+	f.s.t.Helper()
+	before := f.arrivals(body)
+	for range 4 * len(f.s.addresses()) {
+		got := f.again(path, body)
+		ran := len(f.runs(got.id))
+		refused := got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != ""
+		if refused == (ran > 0) || got.status == http.StatusOK {
+			f.s.t.Errorf("it ran %d times: status %d, Retry-After %q, %s", ran, got.status, got.header.Get("Retry-After"), got.body)
+		}
+	}
+	if more := f.arrivals(body) - before; more > arrivalsAllowed {
+		f.s.t.Errorf("after %d workers had ended under it, it reached workers %d times more, want %d at most; %d ended in all",
+			crashesNeeded, more, arrivalsAllowed, f.crashed())
+	}
+}
+
+// runs returns all runs of a request at any incarnation of a worker.
+func (f *fragile) runs(id string) []fleetworker.Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var runs []fleetworker.Run
+	for _, worker := range f.incarnations {
+		for _, run := range worker.Runs() {
+			if run.ID == id {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+// expectServed sends a request to each node and expects an answer.
+func (f *fragile) expectServed(path, body string) {
+	f.s.t.Helper()
+	f.awaitStanding()
+	for _, node := range f.s.addresses() {
+		if got := f.s.askAt(node, http.MethodPost, path, nil, body); got.status != http.StatusOK || got.readErr != nil {
+			f.s.t.Errorf("%s with body %q: status %d, %v, %s", path, body, got.status, got.readErr, got.body)
+		}
+	}
+}
+
+// quarantined returns the fingerprints that nodes have said to quarantine.
+func (s *site) quarantined() []string {
+	var fingerprints []string
+	for _, match := range quarantinedLine.FindAllStringSubmatch(s.logText(), -1) {
+		fingerprints = append(fingerprints, match[1])
+	}
+	slices.Sort(fingerprints)
+	return slices.Compact(fingerprints)
+}
+
+var quarantinedLine = regexp.MustCompile(`msg="request quarantined".* fingerprint=([0-9a-f]+)`)
+
+// storedQuarantine are the fingerprints that the store holds.
+func (s *site) storedQuarantine() []string {
+	var keys []string
+	for _, row := range s.store.Rows("quarantine") {
+		keys = append(keys, row.Key)
+	}
+	return keys
+}
+
+// restartNodes ends all nodes at once and starts others.
+func (s *site) restartNodes() {
+	s.t.Helper()
+	s.node.Close()
+	for _, other := range s.others {
+		other.node.Close()
+	}
+	s.others = nil
+	s.node, s.address = s.startNode("node-1", func(*settings.Routed) {})
+	s.await("the first node is ready", s.node.Ready)
+	s.addNodes("node-2", "node-3")
+}
+
 // TestRequestThatCrashesWorkersIsStopped: the same request comes again and again, each time
 // under another id and at another node.
 func TestRequestThatCrashesWorkersIsStopped(t *testing.T) {
@@ -178,3 +295,135 @@
 		}
 	}
 }
+
+// TestRoutesWithoutASecondRunAreStoppedToo, and plain services.
+func TestRoutesWithoutASecondRunAreStoppedToo(t *testing.T) {
+	for _, path := range []string{"/verdict/1", "/submit/1", "/board/1"} {
+		_, f := startFragile(t)
+		f.quarantine(path, deadly)
+		f.expectStopped(path, deadly)
+		f.expectServed(path, "another")
+	}
+}
+
+// TestNeighboursOfADeadlyRequestAreServed: they end with the same workers, and are sent on
+// with it.
+func TestNeighboursOfADeadlyRequestAreServed(t *testing.T) {
+	s, f := startFragile(t)
+	var neighbours []string
+	for number := range 9 {
+		neighbours = append(neighbours, fmt.Sprint("neighbour ", number))
+	}
+	nodes := s.addresses()
+	for range 3 {
+		f.awaitStanding()
+		var callers sync.WaitGroup
+		for number, body := range append([]string{deadly}, neighbours...) {
+			callers.Go(func() {
+				for try := range 3 {
+					got := s.askAt(nodes[(number+try)%len(nodes)], http.MethodPost, "/check/1", nil, body)
+					if got.status == http.StatusOK {
+						return
+					}
+				}
+			})
+		}
+		callers.Wait()
+	}
+	f.expectStopped("/check/1", deadly)
+	for _, body := range neighbours {
+		f.expectServed("/check/1", body)
+	}
+	if got := s.quarantined(); len(got) != 1 {
+		t.Errorf("%d requests were quarantined, want the deadly one alone; %d workers ended", len(got), f.crashed())
+	}
+}
+
+// TestSeveralDeadlyRequestsAreStopped, each by itself.
+func TestSeveralDeadlyRequestsAreStopped(t *testing.T) {
+	s, f := startFragile(t)
+	bodies := []string{deadly + " 1", deadly + " 2", deadly + " 3"}
+	for len(s.quarantined()) < len(bodies) && f.crashed() < 20 {
+		for _, body := range bodies {
+			f.again("/check/1", body)
+		}
+	}
+	for _, body := range bodies {
+		f.expectStopped("/check/1", body)
+	}
+	f.expectServed("/check/1", "harmless")
+}
+
+// TestQuarantineOutlastsAllNodes: what is known lies in the store.
+func TestQuarantineOutlastsAllNodes(t *testing.T) {
+	s, f := startFragile(t)
+	f.quarantine("/check/1", deadly)
+	s.await("the store holds it", func() bool { return len(s.storedQuarantine()) == 1 })
+	s.restartNodes()
+	f.expectStopped("/check/1", deadly)
+	f.expectServed("/check/1", "harmless")
+}
+
+// TestNodesTellEachOtherWhileTheStoreIsAway what each has seen.
+func TestNodesTellEachOtherWhileTheStoreIsAway(t *testing.T) {
+	s, f := startFragile(t)
+	s.store.SetFaults(fleetstore.Faults{Down: true})
+	// Workers that come back aren't known while the store is away: four engines write at
+	// first, and one must be left.
+	nodes := s.addresses()
+	s.askAt(nodes[0], http.MethodPost, "/check/1", nil, deadly)
+	s.await("the other nodes are told of two ends", func() bool {
+		return strings.Count(s.logText(), `crashes=2`)-strings.Count(s.logText(), `msg=planned crashes=2`) >= len(nodes)
+	})
+	s.askAt(nodes[1], http.MethodPost, "/check/1", nil, deadly)
+	for try := range 4 * len(nodes) {
+		s.askAt(nodes[try%len(nodes)], http.MethodPost, "/check/1", nil, deadly)
+	}
+	if f.crashed() != crashesNeeded {
+		t.Errorf("%d workers ended, want %d", f.crashed(), crashesNeeded)
+	}
+	for _, node := range nodes {
+		if got := s.askAt(node, http.MethodPost, "/check/1", nil, "harmless"); got.status != http.StatusOK {
+			t.Errorf("the engine that is left doesn't serve: status %d %s", got.status, got.body)
+		}
+	}
+	if got := s.quarantined(); len(got) != 1 {
+		t.Errorf("%d requests are quarantined", len(got))
+	}
+}
+
+// TestLostAnswersAreNoCrashes: workers that break answers off and live.
+func TestLostAnswersAreNoCrashes(t *testing.T) {
+	s := start(t)
+	s.setFaults("portal", fleetworker.CutEarly, -1)
+	s.setFaults("write", fleetworker.CutMidway, -1)
+	for range 6 {
+		for _, path := range []string{"/board/1", "/check/1"} {
+			s.ask(http.MethodPost, path, nil, "x")
+		}
+	}
+	s.setFaults("", fleetworker.Sound, 0)
+	for _, path := range []string{"/board/1", "/check/1"} {
+		if got := s.ask(http.MethodPost, path, nil, "x"); got.status != http.StatusOK {
+			t.Errorf("%s: status %d %s", path, got.status, got.body)
+		}
+	}
+	if got := s.quarantined(); len(got) != 0 || len(s.storedQuarantine()) != 0 {
+		t.Errorf("%d requests were quarantined, %d stored", len(got), len(s.storedQuarantine()))
+	}
+}
+
+// TestOperatorReleasesARequest by taking its row away.
+func TestOperatorReleasesARequest(t *testing.T) {
+	s, f := startFragile(t)
+	f.quarantine("/check/1", deadly)
+	s.await("the store holds it", func() bool { return len(s.storedQuarantine()) == 1 })
+	f.awaitStanding()
+	f.mend()
+	if got := s.ask(http.MethodPost, "/check/1", nil, deadly); got.status != http.StatusServiceUnavailable {
+		t.Errorf("before the release: status %d %s", got.status, got.body)
+	}
+	s.store.Put("quarantine", s.storedQuarantine()[0], nil)
+	s.await("it is served", func() bool { return s.ask(http.MethodPost, "/check/1", nil, deadly).status == http.StatusOK })
+	f.expectServed("/check/1", deadly)
+}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -300,6 +300,9 @@
 // Workers returns the number of workers known.
 func (n *Node) Workers() int { return n.registry.Count() }
 
+// Nodes returns the number of nodes known, this one included.
+func (n *Node) Nodes() int { return n.exchange.Nodes() }
+
 // Draining returns the number of workers known to drain.
 func (n *Node) Draining() int { return n.registry.Draining() }
 
