Quarantine: tests of what nodes tell each other and the store

Crashes that three nodes see add up at all nodes, in a fleet of 3 in which all supervise and in one of 40 in which few do; a node that is heard later is told; messages fit datagrams; what is told, saved, released and let through for a trial. A standing holds the time that is left for quarantined requests only.

--- /dev/null
+++ b/internal/digest/suspects_test.go
@@ -0,0 +1,149 @@
+package digest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/quarantine"
+)
+
+// quarantineNode is an exchange with its keeper.
+type quarantineNode struct {
+	*Exchange
+	keeper *quarantine.Keeper
+}
+
+// quarantineNodes runs exchanges that know each other and keep a quarantine.
+func quarantineNodes(t *testing.T, count int) []quarantineNode {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var nodes []quarantineNode
+	for range count {
+		nodes = append(nodes, newQuarantineNode(t, fmt.Sprint("n", len(nodes))))
+	}
+	for _, node := range nodes {
+		node.AddPeers(listOf(nodes))
+		go node.Run(ctx)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, node := range nodes {
+			<-node.Done()
+		}
+	})
+	return nodes
+}
+
+func newQuarantineNode(t *testing.T, name string) quarantineNode {
+	t.Helper()
+	exchange, err := Listen("127.0.0.1:0", name, "zone", registryWith(), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	keeper := quarantine.NewKeeper(exchange.ChosenForTrial, quiet())
+	exchange.SetQuarantine(keeper)
+	return quarantineNode{exchange, keeper}
+}
+
+func listOf(nodes []quarantineNode) []Peer {
+	var listed []Peer
+	for _, node := range nodes {
+		listed = append(listed, Peer{Node: node.node, Address: node.peers.address, Zone: "zone"})
+	}
+	return listed
+}
+
+// supervises reports whether a node is a supervisor.
+func (n quarantineNode) supervises() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers.supervises()
+}
+
+var deadly = quarantine.Content{Target: "/deadly"}.Fingerprint()
+
+// crash has a node see the end of a worker under the deadly request.
+func (n quarantineNode) crash(worker string) {
+	n.keeper.Crashed(map[quarantine.Fingerprint]quarantine.Crash{deadly: {Worker: worker, Address: "at " + worker}}, time.Now())
+}
+
+// awaitQuarantine waits until a node gives the deadly request to no worker.
+func (n quarantineNode) awaitQuarantine(t *testing.T) {
+	t.Helper()
+	const patience = 20 * time.Second
+	for end := time.Now().Add(patience); !n.keeper.Standing(deadly, time.Now()).Quarantined; time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("node %s doesn't know of the quarantine after %v", n.node, patience)
+		}
+	}
+}
+
+// TestCrashesSeenByDifferentNodesAddUp at all nodes, in a fleet of which all are supervisors
+// and in one of which few are.
+func TestCrashesSeenByDifferentNodesAddUp(t *testing.T) {
+	for _, count := range []int{3, 40} {
+		nodes := quarantineNodes(t, count)
+		var seeing []quarantineNode
+		for _, node := range nodes {
+			if count == 3 || !node.supervises() {
+				seeing = append(seeing, node)
+			}
+		}
+		if len(seeing) < 3 {
+			t.Fatalf("of %d nodes only %d are no supervisors", count, len(seeing))
+		}
+		for i, node := range seeing[:3] {
+			node.crash(fmt.Sprint("w", i))
+		}
+		for _, node := range nodes {
+			node.awaitQuarantine(t)
+		}
+	}
+}
+
+// TestNodeThatIsHeardLaterIsTold what every node is to know.
+func TestNodeThatIsHeardLaterIsTold(t *testing.T) {
+	nodes := quarantineNodes(t, 3)
+	for i, node := range nodes {
+		node.crash(fmt.Sprint("w", i))
+	}
+	for _, node := range nodes {
+		node.awaitQuarantine(t)
+	}
+	time.Sleep(time.Second) // what is told of changes has been told
+	added := newQuarantineNode(t, "added")
+	ctx, cancel := context.WithCancel(context.Background())
+	added.AddPeers(listOf(nodes))
+	go added.Run(ctx)
+	added.awaitQuarantine(t)
+	cancel()
+	<-added.Done()
+}
+
+// TestSuspectsFitDatagrams, as many as a worker ran when it ended, and with many crashes.
+func TestSuspectsFitDatagrams(t *testing.T) {
+	var records []quarantine.Record
+	for number := range 128 {
+		record := quarantine.Record{Fingerprint: quarantine.Content{Target: fmt.Sprint(number)}.Fingerprint(), Quarantined: true}
+		for crash := range 1 + number%16 {
+			record.Crashes = append(record.Crashes, quarantine.Crash{
+				Worker: fmt.Sprint("i-0123456789abcdef", crash), Address: "100.100.100.100:65535", Answering: true, Cleared: true,
+			})
+		}
+		records = append(records, record)
+	}
+	told := 0
+	for _, part := range inDatagrams(records) {
+		datagram, err := json.Marshal(Message{Node: "0123456789ab", Sequence: 1 << 40, Suspects: part, Relayed: true, Across: true})
+		if err != nil || len(datagram) > maxDatagram {
+			t.Errorf("%d records take %d bytes, %v", len(part), len(datagram), err)
+		}
+		told += len(part)
+	}
+	if told != len(records) {
+		t.Errorf("%d of %d records are told", told, len(records))
+	}
+}
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -154,9 +154,10 @@
 		standing.Settling = settling
 		return standing
 	}
-	standing.Quarantined = known.Quarantined
-	standing.Left = known.untilTrial(now)
-	standing.TrialDue = known.Quarantined && standing.Left <= 0
+	if known.Quarantined {
+		standing.Quarantined, standing.Left = true, known.untilTrial(now)
+		standing.TrialDue = standing.Left <= 0
+	}
 	return standing
 }
 
--- /dev/null
+++ b/internal/quarantine/keeper_test.go
@@ -0,0 +1,143 @@
+package quarantine
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// newTestKeeper returns a keeper of a node that gives trials, or doesn't.
+func newTestKeeper(chosen bool) *Keeper {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return NewKeeper(func(Fingerprint) bool { return chosen }, log)
+}
+
+// crash has the keeper's node see ends of workers under a request.
+func (k *Keeper) crash(now time.Time, name string, workers ...string) {
+	for _, worker := range workers {
+		k.Crashed(map[Fingerprint]Crash{request(name): at(worker)}, now)
+	}
+}
+
+// TestChangesAreToldSeveralTimes, and no oftener.
+func TestChangesAreToldSeveralTimes(t *testing.T) {
+	k := newTestKeeper(true)
+	k.crash(start, "a", "w1")
+	told := 0
+	for step := range 100 {
+		records, wait := k.Due(start.Add(time.Duration(step) * tellEvery / 4))
+		told += len(records)
+		if len(records) > 0 && wait > tellEvery {
+			t.Errorf("%v until it is told again", wait)
+		}
+	}
+	if told != tellings {
+		t.Errorf("told %d times", told)
+	}
+}
+
+// TestWhatOthersToldIsNotToldAgain: messages of a fleet would multiply.
+func TestWhatOthersToldIsNotToldAgain(t *testing.T) {
+	k := newTestKeeper(true)
+	record := Record{Fingerprint: request("a"), Crashes: []Crash{at("w2"), at("w1")}}
+	if changed := k.Take("other", []Record{record}); len(changed) != 1 {
+		t.Errorf("%d records have changed", len(changed))
+	}
+	if changed := k.Take("other", []Record{record}); len(changed) != 0 {
+		t.Error("what is known has changed")
+	}
+	if records, _ := k.Due(start.Add(time.Hour)); len(records) != 0 {
+		t.Errorf("%d records are told", len(records))
+	}
+}
+
+// TestStoreIsToHoldWhatSeveralWorkersEndedUnder, until it does, and anew where more is known.
+func TestStoreIsToHoldWhatSeveralWorkersEndedUnder(t *testing.T) {
+	k := newTestKeeper(true)
+	k.crash(start, "a", "w1")
+	if len(k.Unsaved()) != 0 {
+		t.Error("one crash is to be saved")
+	}
+	for _, worker := range []string{"w2", "w3"} {
+		k.crash(start, "a", worker)
+		unsaved := k.Unsaved()
+		if len(unsaved) != 1 {
+			t.Fatalf("%d records are to be saved after the end of %s", len(unsaved), worker)
+		}
+		k.Stored(unsaved[0], start)
+		if len(k.Unsaved()) != 0 {
+			t.Error("what is stored is to be saved")
+		}
+	}
+	k.Survived(request("a"), start)
+	if unsaved := k.Unsaved(); len(unsaved) != 1 || unsaved[0].Counted() != 0 {
+		t.Error("that it was cleared is not to be saved")
+	}
+}
+
+// TestRowThatIsTakenAwayReleases, whether the change is seen or the table read anew.
+func TestRowThatIsTakenAwayReleases(t *testing.T) {
+	for _, reread := range []bool{false, true} {
+		k := newTestKeeper(true)
+		k.crash(start, "a", "w1", "w2", "w3")
+		k.Stored(k.Unsaved()[0], start)
+		k.StoredOnly(map[Fingerprint]bool{request("a"): true}, start)
+		if !k.Standing(request("a"), start.Add(settleTime)).Quarantined {
+			t.Fatal("it isn't quarantined")
+		}
+		if reread {
+			k.StoredOnly(nil, start)
+		} else {
+			k.Removed(request("a"), start)
+		}
+		if k.Standing(request("a"), start.Add(settleTime)).Quarantined {
+			t.Errorf("still quarantined; table read anew: %v", reread)
+		}
+	}
+}
+
+// TestUnsavedSurvivesAnEmptyTable: the store didn't hold it yet.
+func TestUnsavedSurvivesAnEmptyTable(t *testing.T) {
+	k := newTestKeeper(true)
+	k.crash(start, "a", "w1", "w2", "w3")
+	k.StoredOnly(nil, start)
+	if !k.Standing(request("a"), start.Add(settleTime)).Quarantined || len(k.Unsaved()) != 1 {
+		t.Error("what the store doesn't hold yet was taken for released")
+	}
+}
+
+// TestOneNodeGivesATrial, once each time.
+func TestOneNodeGivesATrial(t *testing.T) {
+	due := start.Add(trialAfter[0])
+	for _, chosen := range []bool{true, false} {
+		k := newTestKeeper(chosen)
+		k.crash(start, "a", "w1", "w2", "w3")
+		let := 0
+		for range 5 {
+			if !k.Standing(request("a"), due).Quarantined {
+				let++
+			}
+		}
+		if want := map[bool]int{true: 1, false: 0}[chosen]; let != want {
+			t.Errorf("chosen %v: let through %d times, want %d", chosen, let, want)
+		}
+	}
+}
+
+// TestTrialThatIsBorneEndsTheQuarantine at every node that is told.
+func TestTrialThatIsBorneEndsTheQuarantine(t *testing.T) {
+	k, other := newTestKeeper(true), newTestKeeper(false)
+	k.crash(start, "a", "w1", "w2", "w3")
+	other.Take("n", k.Shared())
+	k.Survived(request("a"), start)
+	records, _ := k.Due(start)
+	other.Take("n", records)
+	for _, keeper := range []*Keeper{k, other} {
+		if got := keeper.Standing(request("a"), time.Now().Add(time.Hour)); got != (Standing{}) {
+			t.Errorf("%+v", got)
+		}
+	}
+}
