Gateways before own engines stop requests that crash them too

The gateway places a lost attempt at up to four engines, and the caller's next try is a new request. Change: each gateway keeps a book of its own, by the same rule. After an attempt was lost it asks the engine for its status: a refused connection or another incarnation is its end. The emulated engine crashes on a text. Left: gateways don't tell each other. Looked at besides: prompts read apart (a reader's end counts as a runner's), resumed streams (the same request), orders to engines (one engine each, by its id), lists of kept parts (asked once at a node's start), handles and fetches (no request is repeated for them): none of these sends what ended one worker on to others.

--- a/internal/gateway/runner.go
+++ b/internal/gateway/runner.go
@@ -13,6 +13,7 @@
 	"github.com/tinarch/tinarch/internal/admission"
 	"github.com/tinarch/tinarch/internal/cell"
 	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/result"
 )
 
@@ -57,14 +58,16 @@
 	engines  *engine.Client
 	reporter *reporter
 	metrics  *Metrics
+	// quarantine keeps requests under which engines end away from them.
+	quarantine *quarantine.Keeper
 
 	mu     sync.Mutex
 	budget *admission.RetryBudget
 }
 
-func newRunner(placer *Placer, engines *engine.Client, reporter *reporter, metrics *Metrics) *runner {
+func newRunner(placer *Placer, engines *engine.Client, reporter *reporter, metrics *Metrics, quarantined *quarantine.Keeper) *runner {
 	return &runner{
-		placer: placer, engines: engines, reporter: reporter, metrics: metrics,
+		placer: placer, engines: engines, reporter: reporter, metrics: metrics, quarantine: quarantined,
 		budget: admission.NewRetryBudget(retryRatio, retryCeiling),
 	}
 }
@@ -102,7 +105,11 @@
 	var replaced engine.Identifier
 	attempt := x.attempt
 	mayHaveRunBefore := false
+	fingerprint := x.fingerprint()
 	for try := 1; ; try++ {
+		if err := r.isBorne(ctx, fingerprint); err != nil {
+			return outcome{err: honest(err, mayHaveRunBefore)}
+		}
 		placed, err := r.placer.place(ctx, x, attempt, excluded)
 		if err != nil {
 			return outcome{err: honest(err, mayHaveRunBefore)}
@@ -114,6 +121,7 @@
 		usage, state, err := r.attempt(ctx, x, placed, target)
 		r.reporter.report(placed, cell.ProgressDone)
 		if err == nil {
+			r.quarantine.Survived(fingerprint, time.Now())
 			return outcome{usage: usage, engine: placed.ticket.Engine}
 		}
 		log := x.log.WithFields(logrus.Fields{"attempt": attempt, "engine": placed.ticket.Engine}).WithError(err)
@@ -193,6 +201,9 @@
 	if err != nil {
 		state, startErr := r.judgeStart(runCtx, x, placed, err)
 		if startErr != nil {
+			if state == mayHaveRun {
+				r.observeLoss(ctx, x, placed.ticket, false)
+			}
 			return engine.Usage{}, state, startErr
 		}
 		stream = nil // it runs: resume from the start
@@ -219,6 +230,8 @@
 	}
 	if runCtxEnded(ctx) {
 		err = result.New(result.DeadlineExceeded, "the answer was not whole after %v", 2*x.kind.Deadline)
+	} else {
+		r.observeLoss(ctx, x, placed.ticket, copier.reader.Next() > 1)
 	}
 	return engine.Usage{}, mayHaveRun, err
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -21,6 +21,7 @@
 	"github.com/tinarch/tinarch/internal/ledger"
 	"github.com/tinarch/tinarch/internal/openai"
 	"github.com/tinarch/tinarch/internal/peer"
+	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/result"
 
 	tinarchv1 "github.com/tinarch/tinarch/api/tinarch/v1"
@@ -92,6 +93,8 @@
 	Ledger  *ledger.Client
 	Answers Answers
 	Metrics *Metrics
+	// Quarantine keeps requests under which engines end away from engines.
+	Quarantine *quarantine.Keeper
 	// Over wraps the handler of callers' requests; nil leaves it.
 	Over func(http.Handler) http.Handler
 	// MetricsPage serves /metrics.
@@ -104,7 +107,7 @@
 // NewServer returns a gateway. Serve starts it.
 func NewServer(settings Settings, with Dependencies) *Server {
 	reports := newReporter(with.Peers)
-	executor := newRunner(with.Placer, with.Engines, reports, with.Metrics)
+	executor := newRunner(with.Placer, with.Engines, reports, with.Metrics, with.Quarantine)
 	s := &Server{
 		settings: settings,
 		catalog:  with.Catalog,
--- a/internal/lab/cluster/cluster_test.go
+++ b/internal/lab/cluster/cluster_test.go
@@ -183,6 +183,41 @@
 	}
 }
 
+// TestPromptThatCrashesEnginesIsStopped: each try may be placed four times, and each new try
+// is another request.
+func TestPromptThatCrashesEnginesIsStopped(t *testing.T) {
+	const deadly = "deadly"
+	c, ctx := start(t, 1, 4)
+	for _, e := range c.Engines {
+		e.SetFaults(labengine.Faults{CrashOn: deadly})
+	}
+	client := caller(c, 0)
+	serves := func() bool {
+		_, err := client.Chat.Completions.New(ctx, chat("harmless", 5))
+		return err == nil
+	}
+	var last error
+	for range 6 {
+		if err := c.Await(ctx, "engines are back", serves); err != nil {
+			t.Fatal(err)
+		}
+		if _, last = client.Chat.Completions.New(ctx, chat(deadly, 5)); last == nil {
+			t.Fatal("it was answered")
+		}
+	}
+	const most = 6 // three, and three more
+	if got := c.Counters().CutByCrash; got > most {
+		t.Errorf("%d engines ended under it, want %d at most", got, most)
+	}
+	var refused *openai.Error
+	if !errors.As(last, &refused) || refused.StatusCode != http.StatusServiceUnavailable || !strings.Contains(refused.RawJSON(), "2011") {
+		t.Errorf("its caller is told: %v", last)
+	}
+	if err := c.Await(ctx, "another prompt is served", serves); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestRefusedTicketsArePlacedAgain(t *testing.T) {
 	c, ctx := start(t, 1, 2)
 	c.Engines[0].SetFaults(labengine.Faults{RefuseRequests: 1})
--- a/internal/lab/engine/handlers.go
+++ b/internal/lab/engine/handlers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -100,6 +101,10 @@
 			refuse(w, err)
 			return
 		}
+		if e.crashesOn(request.PromptText()) {
+			e.Crash(0)
+			panic(http.ErrAbortHandler)
+		}
 		if lose {
 			panic(http.ErrAbortHandler)
 		}
@@ -110,6 +115,13 @@
 	}
 }
 
+// crashesOn reports whether a prompt crashes the engine.
+func (e *Engine) crashesOn(prompt string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.CrashOn != "" && strings.Contains(prompt, e.faults.CrashOn)
+}
+
 // accept checks the ticket and puts the attempt into the batch.
 func (e *Engine) accept(endpoint openai.Endpoint, request *openai.Request, ticket engine.Ticket, present bool) (*stream, bool, error) {
 	prompt := request.PromptText()
--- a/internal/lab/engine/server.go
+++ b/internal/lab/engine/server.go
@@ -77,6 +77,9 @@
 	// LoseAcceptReplies drops the connection of this many requests after they
 	// were accepted, before the first byte.
 	LoseAcceptReplies int `json:"lose_accept_replies"`
+	// CrashOn has the engine crash as soon as it has accepted a request whose prompt holds
+	// this text; it is back at once, as another incarnation.
+	CrashOn string `json:"crash_on"`
 	// RefuseRequests refuses this many requests as if their ticket were wrong.
 	RefuseRequests int `json:"refuse_requests"`
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/tinarch/tinarch/internal/platform/machines"
 	"github.com/tinarch/tinarch/internal/platform/objects"
 	"github.com/tinarch/tinarch/internal/platform/table"
+	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/replica"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/rollout"
@@ -197,6 +198,8 @@
 	limits.ReadTimeout = settings.Milliseconds(n.settings.Limits.ReadTimeoutMillis)
 	limits.WriteTimeout = settings.Milliseconds(n.settings.Limits.WriteTimeoutMillis)
 	limits.MaxActive = n.settings.Limits.MaxActive
+	quarantined := quarantine.NewLocalKeeper(n.log)
+	quarantined.Register(n.registry)
 	n.gateway = gateway.NewServer(limits, gateway.Dependencies{
 		Catalog: n.manager,
 		Placer:  gateway.NewPlacer(n.client, n.router, n.self.Zone),
@@ -204,7 +207,7 @@
 		Peers:   n.client,
 		Ledger:  n.ledger,
 		Answers: n.objects,
-		Metrics: gateway.NewMetrics(n.registry),
+		Metrics: gateway.NewMetrics(n.registry), Quarantine: quarantined,
 		MetricsPage: promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{
 			MaxRequestsInFlight: 2,
 		}),
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -32,7 +32,9 @@
 // Keeper keeps a node's book: it takes in what this node sees, other nodes tell and the
 // store holds, and knows what is still to be told and saved. It is safe for concurrent use.
 type Keeper struct {
-	log *logrus.Logger
+	log logrus.FieldLogger
+	// alone keepers belong to a node that tells others nothing.
+	alone bool
 	// refused counts the tries of quarantined requests.
 	refused prometheus.Counter
 	// chosen reports whether this node is the one that gives a request its trials.
@@ -48,7 +50,7 @@
 }
 
 // NewKeeper returns a keeper that knows nothing.
-func NewKeeper(chosen func(request Fingerprint) bool, log *logrus.Logger) *Keeper {
+func NewKeeper(chosen func(request Fingerprint) bool, log logrus.FieldLogger) *Keeper {
 	return &Keeper{
 		log: log, chosen: chosen,
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
@@ -59,6 +61,14 @@
 	}
 }
 
+// NewLocalKeeper returns a keeper of a node that tells others nothing, and gives all trials
+// itself.
+func NewLocalKeeper(log logrus.FieldLogger) *Keeper {
+	k := NewKeeper(func(Fingerprint) bool { return true }, log)
+	k.alone = true
+	return k
+}
+
 // ToTell gives a token when Due may have records.
 func (k *Keeper) ToTell() <-chan struct{} { return k.toTell }
 
@@ -142,7 +152,7 @@
 		if record.Counted() >= worthSaving {
 			k.logRecord(record, source, "request suspected: workers end under it")
 		}
-		if source == "own" {
+		if source == "own" && !k.alone {
 			k.untold[record.Fingerprint] = &telling{record: record, left: tellings, due: now}
 		}
 	}
