--- a/internal/dispatch/suspicion.go
+++ b/internal/dispatch/suspicion.go
@@ -47,14 +47,13 @@
 	return Outcome{}, true
 }
 
-const quarantinedDetail = "workers ended whenever they ran it"
-
 // quarantined is the outcome of a call that no worker gets any more.
 func (s *session) quarantined() Outcome {
+	detail := "workers ended whenever they ran it; its fingerprint is " + s.call.Fingerprint.String()
 	if s.ranBefore {
-		return s.end(Outcome{Code: codeOfLost(nil, s.call.Route.Repeatable()), Detail: quarantinedDetail})
+		return s.end(Outcome{Code: codeOfLost(nil, s.call.Route.Repeatable()), Detail: detail})
 	}
-	return s.end(Outcome{Code: result.RequestQuarantined, RetryAfter: s.standing.Left, Detail: quarantinedDetail})
+	return s.end(Outcome{Code: result.RequestQuarantined, RetryAfter: s.standing.Left, Detail: detail})
 }
 
 // survived records that a worker has run the call to an end.
