--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -20,6 +20,7 @@
 	// The flags below belong to a seed: a run is only repeated with the same ones.
 	Unfenced bool   `arg:"--unfenced" help:"neither the platform's API nor the engines compare fences"`
 	Quotas   bool   `arg:"--quotas" help:"give one tenant a limit, and check that it holds"`
+	Deadly   bool   `arg:"--deadly" help:"one caller sends a request that ends each worker which runs it"`
 	Logs     string `arg:"--logs" help:"directory for settings and logs (default: a new one, kept only where a promise broke)"`
 	Verbose  bool   `arg:"--verbose" help:"print each fault"`
 	Out      string `arg:"--out" help:"store the reports as JSON"`
@@ -60,13 +61,13 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
-		Unfenced: c.Unfenced, Quotas: c.Quotas,
+		Unfenced: c.Unfenced, Quotas: c.Quotas, Deadly: c.Deadly,
 	})
 	if err != nil {
 		return nil, err
 	}
-	fmt.Printf("seed %d (unfenced %v): %d requests, %d served, %d of %d in the quiet time, %d starts, %v, %d promises broken\n",
-		seed, report.Unfenced, report.Sent, report.Served, report.QuietServed, report.QuietSent, report.Starts, report.Statuses, len(report.Broken))
+	fmt.Printf("seed %d (unfenced %v): %d requests, %d served, %d of %d in the quiet time, %d starts, %d workers ended, %v, %d promises broken\n",
+		seed, report.Unfenced, report.Sent, report.Served, report.QuietServed, report.QuietSent, report.Starts, report.Ended, report.Statuses, len(report.Broken))
 	for _, line := range report.Broken {
 		fmt.Println("  broken:", line)
 	}
--- a/internal/lab/fleetworker/crash.go
+++ b/internal/lab/fleetworker/crash.go
@@ -10,10 +10,10 @@
 func (w *Worker) crash() {
 	w.crashed.Do(func() {
 		_ = w.server.Listener.Close()
-		go w.server.CloseClientConnections()
 		if w.options.Crashed != nil {
-			go w.options.Crashed(w)
+			w.options.Crashed(w)
 		}
+		go w.server.CloseClientConnections()
 	})
 	panic(http.ErrAbortHandler)
 }
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -60,7 +60,8 @@
 	// Address is where the worker listens; any port where it is empty.
 	Address string
 	// CrashOn has the worker crash as soon as it runs a request whose body holds this text,
-	// with all that it runs beside; Crashed is told of it. Both may be empty.
+	// with all that it runs beside; Crashed is told of it before the first connection breaks
+	// off, and must return. Both may be empty.
 	CrashOn string
 	Crashed func(w *Worker)
 }
--- a/internal/lab/site/crash_test.go
+++ b/internal/lab/site/crash_test.go
@@ -71,7 +71,7 @@
 
 // start is add under the lock.
 func (f *fragile) start(options fleetworker.Options) {
-	options.Zone, options.CrashOn, options.Crashed = "a", deadly, func(w *fleetworker.Worker) { f.restart(options, w) }
+	options.Zone, options.CrashOn, options.Crashed = "a", deadly, func(w *fleetworker.Worker) { f.crash(options, w) }
 	if f.mended {
 		options.CrashOn = ""
 	}
@@ -82,12 +82,17 @@
 	f.s.store.Put("servers", options.ID, worker.Entry("ready"))
 }
 
-// restart brings a worker that has crashed back under another id.
-func (f *fragile) restart(options fleetworker.Options, crashed *fleetworker.Worker) {
+// crash counts the end of a worker.
+func (f *fragile) crash(options fleetworker.Options, crashed *fleetworker.Worker) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.crashes++
 	delete(f.standing, options.ID)
-	f.mu.Unlock()
+	go f.restart(options, crashed)
+}
+
+// restart brings a worker that has crashed back under another id.
+func (f *fragile) restart(options fleetworker.Options, crashed *fleetworker.Worker) {
 	time.Sleep(restartAfter)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/lab/soak/deadly.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+)
+
+// The figures of the deadly request.
+const (
+	// deadlyBody ends each worker that runs it.
+	deadlyBody  = "deadly"
+	deadlyPause = 250 * time.Millisecond
+	// fallenFor is how long a worker is away that has ended under it.
+	fallenFor = time.Second
+	// deadlyRuns is how many workers may end under it before it is known, and how often it
+	// may reach others after that while nothing is harmed.
+	deadlyRuns = 3
+)
+
+// deadly follows from outside a request that comes again and again, under another id each
+// time, and ends each worker that runs it. The zero value has sent none. It is safe for
+// concurrent use.
+type deadly struct {
+	mu         sync.Mutex
+	tries      map[string]seen
+	quietSince time.Time
+}
+
+func (d *deadly) markQuiet() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.quietSince = time.Now()
+}
+
+// sent reports whether an id is that of a try.
+func (d *deadly) sent(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, exists := d.tries[id]
+	return exists
+}
+
+func (d *deadly) add(got seen) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.tries == nil {
+		d.tries = make(map[string]seen)
+	}
+	d.tries[got.id] = got
+}
+
+// problems returns the promises that were broken: the request reaches workers no more than
+// three times once it is known and nothing has been harmed for a while, and a try that is
+// called not run has not run.
+func (d *deadly) problems(runs []fleetworker.Run) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var broken []string
+	before, quietly := 0, 0
+	for _, run := range runs {
+		got, exists := d.tries[run.ID]
+		switch {
+		case !exists:
+			continue
+		case notRun[got.status]:
+			broken = append(broken, fmt.Sprintf("deadly request %s was called not run (status %d), and ran", got.id, got.status))
+		case got.status == http.StatusOK && got.err == nil:
+			broken = append(broken, fmt.Sprintf("deadly request %s was answered", got.id))
+		}
+		if run.At.After(d.quietSince.Add(quiet / 2)) {
+			quietly++
+		} else {
+			before++
+		}
+	}
+	if before >= deadlyRuns && quietly > deadlyRuns {
+		broken = append(broken, fmt.Sprintf("the deadly request, under which %d workers had ended, reached workers %d times more in the quiet time", before, quietly))
+	}
+	slices.Sort(broken)
+	return broken
+}
+
+// send sends the deadly request again and again until ctx ends.
+func (l *load) sendDeadly(ctx context.Context) {
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	random := rand.New(rand.NewPCG(l.site.options.Seed, callerCount+2))
+	for count := 0; ctx.Err() == nil; count++ {
+		sleep(ctx, time.Duration(random.Int64N(int64(2*deadlyPause))))
+		got := seen{
+			id: fmt.Sprintf("dead%012x", count), class: classes[len(classes)-1], target: "deadly", sent: time.Now(),
+			tenant: tenantOf(0), key: keyOf(0), patience: clientTimeout, prompt: "a0:2000,dead:1000",
+		}
+		l.site.deadly.add(got) // it may run before its answer is known
+		l.site.deadly.add(l.send(transport, l.site.callers[random.IntN(len(l.site.callers))], got, deadlyBody))
+	}
+}
+
+// fall takes a worker out that has ended, and has another one stand in its place later.
+func (s *site) fall(worker *soakWorker, options fleetworker.Options) {
+	worker.ended.Store(true)
+	worker.proxy.Close()
+	s.mu.Lock()
+	s.workers = slices.DeleteFunc(s.workers, func(other *soakWorker) bool { return other == worker })
+	s.fallen = append(s.fallen, worker)
+	number := len(s.fallen)
+	s.mu.Unlock()
+	go func() {
+		time.Sleep(fallenFor)
+		s.store.Put("servers", options.ID, nil)
+		options.ID = fmt.Sprintf("%s-%d", options.Service, number)
+		if err := s.addWorker(options); err != nil {
+			_, _ = fmt.Fprintln(s.options.Out, "a worker can't be replaced:", err)
+		}
+	}()
+}
+
+// standing are the workers that stand.
+func (s *site) standing() []*soakWorker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.workers)
+}
+
+// fallenWorkers are those that have ended.
+func (s *site) fallenWorkers() []*soakWorker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.fallen)
+}
+
+// everyWorker are all that have ever stood.
+func (s *site) everyWorker() []*soakWorker { return append(s.standing(), s.fallenWorkers()...) }
+
+// anyWorker draws one that stands.
+func (s *site) anyWorker() *soakWorker {
+	standing := s.standing()
+	return standing[s.random.IntN(len(standing))]
+}
--- /dev/null
+++ b/internal/lab/soak/deadly_test.go
@@ -0,0 +1,45 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+)
+
+// TestDeadlyCheckerFinds shows that each check of the deadly request can fail.
+func TestDeadlyCheckerFinds(t *testing.T) {
+	quietSince := time.Unix(1000, 0)
+	calm := quietSince.Add(quiet)
+	for _, example := range []struct {
+		name    string
+		status  int
+		before  int
+		quietly int
+		broken  int
+	}{
+		{"stopped", http.StatusBadGateway, 3, 0, 0},
+		{"stopped within the promise", http.StatusBadGateway, 3, 3, 0},
+		{"not known before", http.StatusBadGateway, 2, 4, 0},
+		{"not stopped", http.StatusBadGateway, 3, 4, 1},
+		{"answered", http.StatusOK, 1, 0, 1},
+		{"called not run", http.StatusServiceUnavailable, 1, 0, 1},
+	} {
+		d := &deadly{quietSince: quietSince}
+		var runs []fleetworker.Run
+		for number := range example.before + example.quietly {
+			got := seen{id: fmt.Sprint(number), status: example.status}
+			d.add(got)
+			run := fleetworker.Run{ID: got.id, At: quietSince}
+			if number >= example.before {
+				run.At = calm
+			}
+			runs = append(runs, run)
+		}
+		if got := d.problems(runs); len(got) != example.broken {
+			t.Errorf("%s: %q", example.name, got)
+		}
+	}
+}
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -45,7 +45,7 @@
 	for _, proxy := range s.toStore {
 		proxy.SetMode(Pass)
 	}
-	for _, worker := range s.workers {
+	for _, worker := range s.standing() {
 		worker.SetLateOrders(0)
 		worker.proxy.SetMode(Pass)
 		worker.SetFault(fleetworker.Sound, 0)
@@ -92,7 +92,7 @@
 func (s *site) thaw(node *process.Node) {
 	until := time.Now().Add(thawSlack)
 	s.api.Fences().Excuse(node.Name, until)
-	for _, worker := range s.workers {
+	for _, worker := range s.standing() {
 		worker.Fences().ExcuseAll(until)
 	}
 	node.Signal(syscall.SIGCONT)
@@ -113,7 +113,7 @@
 }
 
 func (s *site) harmWorkerWay(ctx context.Context, length time.Duration) string {
-	worker := s.workers[s.random.IntN(len(s.workers))]
+	worker := s.anyWorker()
 	mode := []Mode{Slow, Reset, Silent, OneWay}[s.random.IntN(4)]
 	worker.proxy.SetMode(mode)
 	sleep(ctx, length)
@@ -156,11 +156,11 @@
 
 // lateOrders has all engines leave orders unanswered, and carry them out later.
 func (s *site) lateOrders(ctx context.Context, length time.Duration) string {
-	for _, worker := range s.workers {
+	for _, worker := range s.standing() {
 		worker.SetLateOrders(length)
 	}
 	sleep(ctx, length)
-	for _, worker := range s.workers {
+	for _, worker := range s.standing() {
 		worker.SetLateOrders(0)
 	}
 	return fmt.Sprintf("orders were carried out %v late", length.Round(time.Millisecond))
@@ -181,14 +181,14 @@
 		return nil
 	}
 	var problems []string
-	for _, worker := range s.workers {
+	for _, worker := range s.everyWorker() {
 		problems = append(problems, worker.Fences().Problems(configuredLease)...)
 	}
 	return problems
 }
 
 func (s *site) failWorker(_ context.Context, _ time.Duration) string {
-	worker := s.workers[s.random.IntN(len(s.workers))]
+	worker := s.anyWorker()
 	fault := []fleetworker.Fault{
 		fleetworker.Full, fleetworker.Failing, fleetworker.CutEarly, fleetworker.CutMidway, fleetworker.Hanging, fleetworker.Lapsing,
 	}[s.random.IntN(6)]
@@ -198,7 +198,7 @@
 }
 
 func (s *site) drainWorker(ctx context.Context, length time.Duration) string {
-	worker := s.workers[s.random.IntN(len(s.workers))]
+	worker := s.anyWorker()
 	s.list(worker, "draining")
 	sleep(ctx, length)
 	s.list(worker, "ready")
@@ -207,11 +207,11 @@
 
 // vanish drops all entries, as a store may after an outage, and lists them again.
 func (s *site) vanish(ctx context.Context, length time.Duration) string {
-	for _, worker := range s.workers {
+	for _, worker := range s.standing() {
 		s.store.Put("servers", worker.ID(), nil)
 	}
 	sleep(ctx, length/2)
-	for _, worker := range s.workers {
+	for _, worker := range s.standing() {
 		s.list(worker, "ready")
 	}
 	return fmt.Sprintf("all entries vanished for %v", (length / 2).Round(time.Millisecond))
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -55,6 +56,8 @@
 	// prompt, empty where there is none.
 	patience time.Duration
 	prompt   string
+	// target is what the path has after the class's prefix, the id where it is empty.
+	target string
 }
 
 // load sends requests and remembers what came.
@@ -81,6 +84,9 @@
 		callers.Go(func() { l.call(ctx, number, random) })
 	}
 	callers.Go(func() { l.probe(ctx) })
+	if l.site.options.Deadly {
+		callers.Go(func() { l.sendDeadly(ctx) })
+	}
 	callers.Wait()
 }
 
@@ -116,7 +122,8 @@
 func (l *load) send(transport *http.Transport, address string, got seen, body string) seen {
 	ctx, cancel := context.WithTimeout(context.Background(), max(got.patience, 0))
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+got.class.prefix+got.id, strings.NewReader(body))
+	path := got.class.prefix + cmp.Or(got.target, got.id)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		got.err = err
 		return got
--- a/internal/lab/soak/quota.go
+++ b/internal/lab/soak/quota.go
@@ -22,7 +22,7 @@
 // allRuns are the requests that workers began.
 func (s *site) allRuns() []fleetworker.Run {
 	var runs []fleetworker.Run
-	for _, worker := range s.workers {
+	for _, worker := range s.everyWorker() {
 		runs = append(runs, worker.Runs()...)
 	}
 	return runs
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -23,6 +23,8 @@
 	QuietSent   int `json:"quiet_sent"`
 	QuietServed int `json:"quiet_served"`
 	Starts      int `json:"starts"`
+	// Ended counts the workers that ended under a deadly request.
+	Ended int `json:"ended,omitempty"`
 	// Windows counts the windows of usage that were reported.
 	Windows  int            `json:"windows"`
 	Statuses map[string]int `json:"statuses"`
@@ -39,7 +41,7 @@
 	defer l.mu.Unlock()
 	runs := make(map[string][]fleetworker.Run)
 	signatures := make(map[string]*soakWorker)
-	for _, worker := range l.site.workers {
+	for _, worker := range l.site.everyWorker() {
 		signatures[worker.ID()] = worker
 		for _, run := range worker.Runs() {
 			runs[run.ID] = append(runs[run.ID], run)
@@ -61,7 +63,7 @@
 		}
 	}
 	for id := range runs {
-		if !ids[id] {
+		if !ids[id] && !l.site.deadly.sent(id) {
 			report.Broken = append(report.Broken, fmt.Sprintf("request %s ran, and nobody sent it", id))
 		}
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,9 @@
 	Unfenced bool
 	// Quotas gives one tenant a limit, and checks that it holds over all nodes.
 	Quotas bool
+	// Deadly has one caller send the same request again and again that ends each worker which
+	// runs it.
+	Deadly bool
 }
 
 // The size of a soak.
@@ -74,9 +78,14 @@
 	toStore []*Proxy
 	nodes   []*process.Node
 	callers []string
-	workers []*soakWorker
+	deadly  deadly
 	started time.Time
-	watch   *watch
+
+	mu sync.Mutex
+	// workers are those that stand, and fallen those that have ended.
+	workers, fallen []*soakWorker
+
+	watch *watch
 }
 
 // soakWorker is a worker with the proxy that its entry names.
@@ -85,6 +94,8 @@
 	proxy *Proxy
 	// state is that of its entry.
 	state atomic.Pointer[string]
+	// ended workers have no entry any more.
+	ended atomic.Bool
 }
 
 // Run runs one seed.
@@ -101,6 +112,7 @@
 	go func() { defer close(ended); load.run(loadCtx) }()
 	s.harm(ctx)
 	load.markQuiet()
+	s.deadly.markQuiet()
 	sleep(ctx, quiet/2)
 	s.lastChange()
 	sleep(ctx, quiet/2)
@@ -114,6 +126,8 @@
 	if options.Quotas {
 		report.Broken = append(report.Broken, overQuota(s.allRuns(), tenantOf(limitedTenant), tenantLimit, quotaTolerance)...)
 	}
+	report.Ended = len(s.fallenWorkers())
+	report.Broken = append(report.Broken, s.deadly.problems(s.allRuns())...)
 	report.Windows = len(s.api.Reports())
 	if report.Windows == 0 {
 		report.Broken = append(report.Broken, "no window of usage was reported")
@@ -171,6 +185,10 @@
 func (s *site) addWorker(options fleetworker.Options) error {
 	options.Zone, options.Events, options.Pause = "a", eventCount, eventPause
 	worker := &soakWorker{}
+	if s.options.Deadly {
+		options.CrashOn = deadlyBody
+		options.Crashed = func(*fleetworker.Worker) { s.fall(worker, options) }
+	}
 	options.Staged = func(*fleetworker.Worker) { s.relist(worker) }
 	worker.Worker = fleetworker.Start(options)
 	proxy, err := StartProxy(worker.Address())
@@ -179,7 +197,9 @@
 		return err
 	}
 	worker.proxy = proxy
+	s.mu.Lock()
 	s.workers = append(s.workers, worker)
+	s.mu.Unlock()
 	s.list(worker, "ready")
 	return nil
 }
@@ -192,6 +212,9 @@
 
 // relist writes a worker's entry anew, in the state that it had.
 func (s *site) relist(worker *soakWorker) {
+	if worker.ended.Load() {
+		return
+	}
 	entry := worker.Entry(*worker.state.Load())
 	entry["Address"] = worker.proxy.Address()
 	s.store.Put("servers", worker.ID(), entry)
@@ -245,7 +268,7 @@
 	for _, proxy := range s.toStore {
 		proxy.Close()
 	}
-	for _, worker := range s.workers {
+	for _, worker := range s.standing() {
 		worker.proxy.Close()
 		worker.Close()
 	}
--- a/internal/lab/soak/watch.go
+++ b/internal/lab/soak/watch.go
@@ -110,7 +110,8 @@
 // leaves for good.
 func (s *site) lastChange() {
 	s.configure(context.Background(), 0)
-	leaving := s.workers[len(s.workers)-1]
+	standing := s.standing()
+	leaving := standing[len(standing)-1]
 	s.list(leaving, "draining")
 	s.watch.leave(leaving.ID(), time.Now())
 }
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# All checks: formatting, linters, generated files, model checking, and the tests
-# under the race detector, but for those that KNOWN-RED.txt lists. Needs Go, a C compiler, and Spin, which is installed
+# All checks: formatting, linters, generated files, model checking, the tests under the
+# race detector, but for those that KNOWN-RED.txt lists, and a short fault soak. Needs Go, a C compiler, and Spin, which is installed
 # from Debian's packages where it is missing.
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -40,3 +40,9 @@
 say "tests"
 red=$(tools/known-red.sh)
 go test -race -timeout 8m ${red:+-skip "$red"} ./...
+
+say "a short fault soak of real processes, two seeds"
+programs=$(mktemp -d)
+trap 'rm -rf "$programs"' EXIT
+go build -o "$programs/" ./cmd/tinarchd ./cmd/tinarch-lab
+"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 33001 --count 2 --seconds 12 --deadly
