Leases and acts go by a clock that counts suspension

Cause: a suspended machine's steady clock stands still, so that a holder which wakes believes in a lease that another node has taken meanwhile, and an act that had begun still leaves. Not done: model, soak, deadlines in hand, quotas, windows.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/clock"
 	"github.com/tinarch/tinarch/internal/lease"
 	"github.com/tinarch/tinarch/internal/rowstore"
 )
@@ -49,6 +50,9 @@
 	// Unfenced tells that what receives the acts doesn't compare fences: every act must
 	// have ended before another node may act. docs/design/unfenced-duties.md.
 	Unfenced bool
+	// Clock is that by which the lease runs, clock.Boot where it is nil: a holder whose
+	// machine was suspended must not believe in its lease afterwards.
+	Clock clock.Clock
 }
 
 // asideMargin is for how long a node that can't reach the store leaves its duties to
@@ -78,7 +82,10 @@
 func New(options Options) *Authority {
 	terms := lease.DefaultSettings(options.Life)
 	terms.KeepFence = options.Unfenced
-	return &Authority{options: options, machine: lease.New(options.Self, terms), created: time.Now()}
+	if options.Clock == nil {
+		options.Clock = clock.Boot
+	}
+	return &Authority{options: options, machine: lease.New(options.Self, terms), created: options.Clock()}
 }
 
 // Term is a span in which this node may act.
@@ -109,11 +116,11 @@
 	if !held {
 		return Act{}, false
 	}
-	end := time.Now().Add(timeout)
+	end := a.options.Clock().Add(timeout)
 	if !term.Until.IsZero() && term.Until.Before(end) {
 		end = term.Until
 	}
-	bounded, cancel := context.WithDeadline(ctx, end)
+	bounded, cancel := clock.WithDeadline(ctx, a.options.Clock, end)
 	a.acts++
 	return Act{Fence: term.Fence, Context: bounded, end: sync.OnceFunc(func() {
 		cancel()
@@ -147,7 +154,7 @@
 }
 
 func (a *Authority) acquire(ctx context.Context) Hold {
-	now := time.Now()
+	now := a.options.Clock()
 	if a.leaving {
 		return HeldOther
 	}
@@ -156,7 +163,7 @@
 			return Held
 		}
 		a.renew(ctx)
-		if a.roomy(time.Now()) {
+		if a.roomy(a.options.Clock()) {
 			return Held
 		}
 		return HeldOther
@@ -164,13 +171,13 @@
 	if !a.observe(ctx) {
 		return StoreAway
 	}
-	if a.machine.Released() && time.Since(a.created) < a.options.Life {
+	if a.machine.Released() && a.options.Clock().Sub(a.created) < a.options.Life {
 		// An earlier process of this machine may have acted before the holder that gave the
 		// lease back: the two would have acted in turns within the life of a lease.
 		a.options.Log.Info("the authority was given back, and this process is too young to take it; waiting")
 		return HeldOther
 	}
-	proposal := a.machine.Next(time.Now())
+	proposal := a.machine.Next(a.options.Clock())
 	if proposal.Action == lease.Wait {
 		a.options.Log.WithField("holder", a.machine.Holder()).Info("another node may hold the authority; waiting")
 		return HeldOther
@@ -190,7 +197,7 @@
 
 // renew lengthens the lease before it runs out.
 func (a *Authority) renew(ctx context.Context) {
-	if proposal := a.machine.Next(time.Now()); proposal.Action == lease.Renew {
+	if proposal := a.machine.Next(a.options.Clock()); proposal.Action == lease.Renew {
 		a.take(ctx, proposal)
 	}
 }
@@ -203,7 +210,7 @@
 }
 
 func (a *Authority) term() (Term, bool) {
-	now := time.Now()
+	now := a.options.Clock()
 	if a.leaving || !a.roomy(now) {
 		return Term{}, false
 	}
@@ -219,7 +226,7 @@
 func (a *Authority) Fence() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.machine.Fence(time.Now())
+	return a.machine.Fence(a.options.Clock())
 }
 
 // Condition returns the condition under which writes to the store are this node's to
@@ -227,7 +234,7 @@
 func (a *Authority) Condition() (rowstore.Condition, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	held := a.machine.Holds(time.Now())
+	held := a.machine.Holds(a.options.Clock())
 	return rowstore.Condition{Table: table, Key: key, Version: a.version}, held
 }
 
@@ -312,7 +319,7 @@
 			a.options.Log.WithField("cause", err.Error()).Error("the authority's row is malformed; it counts as held until its time is over")
 		}
 	}
-	a.machine.Observe(lease.Row{Version: version, Holder: value.Holder, Fence: value.Fence, Released: value.Released}, time.Now())
+	a.machine.Observe(lease.Row{Version: version, Holder: value.Holder, Fence: value.Fence, Released: value.Released}, a.options.Clock())
 	return true
 }
 
@@ -332,13 +339,13 @@
 		}
 		return HeldOther
 	}
-	a.machine.Done(version, time.Now())
+	a.machine.Done(version, a.options.Clock())
 	a.version = version
-	now := time.Now()
+	now := a.options.Clock()
 	a.options.Log.WithFields(logrus.Fields{
 		"fence": a.machine.Fence(now), "renewed": proposal.Action == lease.Renew, "left": a.machine.Until().Sub(now).String(),
 	}).Info("authority taken")
-	if !a.machine.Holds(time.Now()) {
+	if !a.machine.Holds(a.options.Clock()) {
 		return HeldOther
 	}
 	return Held
--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/clock"
 	"github.com/tinarch/tinarch/internal/lab/memorystore"
 	"github.com/tinarch/tinarch/internal/rowstore"
 )
@@ -236,3 +237,50 @@
 		t.Error("the lease was given back with an act under way")
 	}
 }
+
+// fakeClock is a clock that counts suspension, by which the steady one stands still.
+type fakeClock struct {
+	mu        sync.Mutex
+	suspended time.Duration
+}
+
+func (c *fakeClock) now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Add(c.suspended)
+}
+
+func (c *fakeClock) suspend(span time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspended += span
+}
+
+// TestSuspendedHolderGivesNoOrder: its steady clock says that the lease is young. Meanwhile
+// another node has taken it, whether fences are compared or not.
+func TestSuspendedHolderGivesNoOrder(t *testing.T) {
+	for _, unfenced := range []bool{false, true} {
+		store, slept := memorystore.New(), &fakeClock{}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		holder := New(Options{Self: "a", Life: longLife, Store: store, Log: log, Unfenced: unfenced, Clock: slept.now})
+		if hold := holder.Acquire(context.Background()); hold != Held {
+			t.Fatal(hold)
+		}
+		act, begun := holder.Begin(context.Background(), longLife)
+		if !begun {
+			t.Fatal("no act begins under a young lease")
+		}
+		slept.suspend(2 * longLife)
+		if _, begun := holder.Begin(context.Background(), time.Second); begun || holder.Fence() != 0 {
+			t.Errorf("unfenced %v: an act begins, or the fence is %d", unfenced, holder.Fence())
+		}
+		if _, held := holder.Condition(); held {
+			t.Errorf("unfenced %v: the store would be written to as by the holder", unfenced)
+		}
+		if !clock.Expired(act.Context) {
+			t.Errorf("unfenced %v: an act that had begun may still leave", unfenced)
+		}
+		act.End()
+	}
+}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -263,6 +263,7 @@
 	n.work.Go(func() { n.saveQuarantine(ctx) })
 	n.work.Go(func() { n.expireQuarantine(ctx) })
 	n.work.Go(func() { n.warmUp(ctx) })
+	n.watchSuspensions(ctx, metrics)
 	n.work.Go(func() { n.controller().Run(ctx) })
 	n.reportUsage(ctx, metrics)
 	n.orderWorkers(ctx, metrics)
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -11,6 +11,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/tinarch/tinarch/internal/clock"
 )
 
 // ErrFull tells that a worker has as many connections as it may have from here.
@@ -83,7 +85,8 @@
 }
 
 // prepare readies a connection for a request that must not arrive late, and looks at the
-// clock once more: this process may have been paused, or have waited for the connection.
+// clock once more: this process may have been paused, or its machine suspended, or it has
+// waited for the connection.
 func prepare(ctx context.Context, c *conn, request *Request) error {
 	if request.DropAfter == 0 {
 		return nil
@@ -92,7 +95,7 @@
 		return err
 	}
 	c.dropsUnsent = true
-	if end, bounded := ctx.Deadline(); bounded && !time.Now().Before(end) {
+	if clock.Expired(ctx) {
 		return context.DeadlineExceeded
 	}
 	return nil
