Quarantine: an older table releases nothing; a store that is down is called rarely

Cause, found on reading: a table read before a row was written would have been taken for the row's removal, and would have cleared what was at the same ends for all nodes; and while the store is away each node tried to save five times a second, where each call is paid for. Change: the version at which a row is known to be stored counts; saving pauses as other calls to a failing store do (tablerelay's pause). TestOlderTableReleasesNothing fails without the version (a version of 0 in its place).

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -119,8 +119,10 @@
 	Record
 	// changed is when the record last changed here, and crashed when a crash was added.
 	changed, crashed time.Time
-	// stored is what the store is known to hold of it, nil where it holds nothing.
-	stored *Record
+	// stored is what the store is known to hold of it, nil where it holds nothing, and storedAt
+	// the store's version that wrote it.
+	stored   *Record
+	storedAt uint64
 }
 
 // Book holds what a node knows of requests under which workers ended. It is pure: time is
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -200,10 +200,9 @@
 func TestTrialsComeRarely(t *testing.T) {
 	b := NewBook()
 	b.crash(start, []string{"w1", "w2", "w3"}, "a")
-	now := start
 	trials := 0
 	for minute := range 23 * 60 {
-		now = start.Add(time.Duration(minute) * time.Minute)
+		now := start.Add(time.Duration(minute) * time.Minute)
 		if b.Standing(request("a"), now).TrialDue {
 			trials++
 			b.crash(now, []string{fmt.Sprint("t", minute)}, "a")
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -22,6 +22,13 @@
 	worthSaving = 2
 )
 
+// Where a change comes from, in the log; changes that other nodes tell name the node.
+const (
+	sourceOwn   = "own"
+	sourceStore = "store"
+	sourceAge   = "age"
+)
+
 // telling is a record that others are still to be told.
 type telling struct {
 	record Record
@@ -103,7 +110,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.changed(k.book.Merge(told, now), "own", now)
+	k.changed(k.book.Merge(told, now), sourceOwn, now)
 }
 
 // Survived records that a worker ran a request to an end and lives.
@@ -112,7 +119,7 @@
 	defer k.mu.Unlock()
 	if record, changed := k.book.Clear(request, now); changed {
 		k.log.WithField("fingerprint", request.String()).Info("a request is no longer suspected: a worker has run it")
-		k.changed([]Record{record}, "own", now)
+		k.changed([]Record{record}, sourceOwn, now)
 	}
 }
 
@@ -122,7 +129,7 @@
 	defer k.mu.Unlock()
 	if records := k.book.Lives(worker, now); len(records) > 0 {
 		k.log.WithFields(logrus.Fields{"worker": worker, "requests": len(records)}).Warn("a worker lives that was taken for ended")
-		k.changed(records, "own", now)
+		k.changed(records, sourceOwn, now)
 	}
 }
 
@@ -152,7 +159,7 @@
 		if record.Counted() >= worthSaving {
 			k.logRecord(record, source, "request suspected: workers end under it")
 		}
-		if source == "own" && !k.alone {
+		if source == sourceOwn && !k.alone {
 			k.untold[record.Fingerprint] = &telling{record: record, left: tellings, due: now}
 		}
 	}
@@ -244,33 +251,36 @@
 	return unsaved
 }
 
-// Stored takes in a record that the store holds.
-func (k *Keeper) Stored(record Record, now time.Time) {
+// Stored takes in a record that the store holds since one of its versions.
+func (k *Keeper) Stored(record Record, version uint64, now time.Time) {
 	record = record.Ordered()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.changed(k.book.Merge([]Record{record}, now), "store", now)
-	k.book.entry(record.Fingerprint).stored = &record
+	k.changed(k.book.Merge([]Record{record}, now), sourceStore, now)
+	known := k.book.entry(record.Fingerprint)
+	if version >= known.storedAt {
+		known.stored, known.storedAt = &record, version
+	}
 }
 
-// Removed takes in that the store holds a request no more: an operator has released it, or
-// it has been there for long enough.
-func (k *Keeper) Removed(request Fingerprint, now time.Time) {
+// Removed takes in that the store holds a request no more as of a version: an operator has
+// released it, or it has been there for long enough. What was written after that stays.
+func (k *Keeper) Removed(request Fingerprint, version uint64, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	known, exists := k.book.entries[request]
-	if !exists || known.stored == nil {
+	if !exists || known.stored == nil || known.storedAt > version {
 		return
 	}
 	known.stored = nil
 	records := k.book.Release(request, now)
 	k.log.WithField("fingerprint", request.String()).Warn("a request was taken out of the store's quarantine")
-	k.changed(records, "store", now)
+	k.changed(records, sourceStore, now)
 }
 
-// StoredOnly takes in which requests the store holds: those that it held before and holds no
-// more were removed.
-func (k *Keeper) StoredOnly(held map[Fingerprint]bool, now time.Time) {
+// StoredOnly takes in which requests the store holds as of a version: those that it held
+// before and holds no more were removed.
+func (k *Keeper) StoredOnly(held map[Fingerprint]bool, version uint64, now time.Time) {
 	k.mu.Lock()
 	var removed []Fingerprint
 	for request, known := range k.book.entries {
@@ -280,7 +290,7 @@
 	}
 	k.mu.Unlock()
 	for _, request := range removed {
-		k.Removed(request, now)
+		k.Removed(request, version, now)
 	}
 }
 
@@ -293,7 +303,7 @@
 	for _, record := range k.book.Expire(now) {
 		stored = append(stored, record.Fingerprint)
 	}
-	k.judge("age")
+	k.judge(sourceAge)
 	slices.SortFunc(stored, func(a, b Fingerprint) int {
 		if a.less(b) {
 			return -1
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -67,7 +67,7 @@
 		if len(unsaved) != 1 {
 			t.Fatalf("%d records are to be saved after the end of %s", len(unsaved), worker)
 		}
-		k.Stored(unsaved[0], start)
+		k.Stored(unsaved[0], 1, start)
 		if len(k.Unsaved()) != 0 {
 			t.Error("what is stored is to be saved")
 		}
@@ -83,15 +83,15 @@
 	for _, reread := range []bool{false, true} {
 		k := newTestKeeper(true)
 		k.crash(start, "a", "w1", "w2", "w3")
-		k.Stored(k.Unsaved()[0], start)
-		k.StoredOnly(map[Fingerprint]bool{request("a"): true}, start)
+		k.Stored(k.Unsaved()[0], 5, start)
+		k.StoredOnly(map[Fingerprint]bool{request("a"): true}, 6, start)
 		if !k.Standing(request("a"), start.Add(settleTime)).Quarantined {
 			t.Fatal("it isn't quarantined")
 		}
 		if reread {
-			k.StoredOnly(nil, start)
+			k.StoredOnly(nil, 7, start)
 		} else {
-			k.Removed(request("a"), start)
+			k.Removed(request("a"), 7, start)
 		}
 		if k.Standing(request("a"), start.Add(settleTime)).Quarantined {
 			t.Errorf("still quarantined; table read anew: %v", reread)
@@ -99,11 +99,23 @@
 	}
 }
 
+// TestOlderTableReleasesNothing: it was read before the row was written.
+func TestOlderTableReleasesNothing(t *testing.T) {
+	k := newTestKeeper(true)
+	k.crash(start, "a", "w1", "w2", "w3")
+	k.Stored(k.Unsaved()[0], 5, start)
+	k.StoredOnly(nil, 4, start)
+	k.Removed(request("a"), 4, start)
+	if !k.Standing(request("a"), start.Add(settleTime)).Quarantined {
+		t.Error("a table as it was before the row was written has released the request")
+	}
+}
+
 // TestUnsavedSurvivesAnEmptyTable: the store didn't hold it yet.
 func TestUnsavedSurvivesAnEmptyTable(t *testing.T) {
 	k := newTestKeeper(true)
 	k.crash(start, "a", "w1", "w2", "w3")
-	k.StoredOnly(nil, start)
+	k.StoredOnly(nil, 9, start)
 	if !k.Standing(request("a"), start.Add(settleTime)).Quarantined || len(k.Unsaved()) != 1 {
 		t.Error("what the store doesn't hold yet was taken for released")
 	}
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -53,26 +53,26 @@
 			held[request] = true
 		}
 	}
-	q.node.quarantine.StoredOnly(held, time.Now())
+	q.node.quarantine.StoredOnly(held, uint64(version), time.Now())
 }
 
 // Apply implements tablefeed.Consumer.
-func (q *quarantined) Apply(rows []tablefeed.Row, _ tablefeed.Version) {
+func (q *quarantined) Apply(rows []tablefeed.Row, version tablefeed.Version) {
 	for _, row := range rows {
-		if err := q.apply(row); err != nil {
+		if err := q.apply(row, version); err != nil {
 			q.node.log.WithFields(logrus.Fields{"row": row.Key, "row_version": row.Version, "cause": err.Error()}).
 				Error("a row of the quarantine can't be read; it is passed over")
 		}
 	}
 }
 
-func (q *quarantined) apply(row tablefeed.Row) error {
+func (q *quarantined) apply(row tablefeed.Row, version tablefeed.Version) error {
 	request, err := quarantine.ParseFingerprint(row.Key)
 	if err != nil {
 		return err
 	}
 	if row.Gone {
-		q.node.quarantine.Removed(request, time.Now())
+		q.node.quarantine.Removed(request, uint64(version), time.Now())
 		return nil
 	}
 	var record quarantine.Record
@@ -80,7 +80,7 @@
 		return eris.Wrap(err, "the value is no record")
 	}
 	record.Fingerprint = request
-	q.node.quarantine.Stored(record, time.Now())
+	q.node.quarantine.Stored(record, uint64(row.Version), time.Now())
 	return nil
 }
 
@@ -93,15 +93,17 @@
 		case <-n.quarantine.ToSave():
 		}
 		wait := min(time.Duration(n.exchange.Place(quarantineTable))*saveStep, saveLatest)
-		for len(n.quarantine.Unsaved()) > 0 && sleepUntil(ctx, wait) {
-			n.saveSome(ctx)
+		for len(n.quarantine.Unsaved()) > 0 && sleepFor(ctx, wait) {
 			wait = savePause
+			if !n.saveSome(ctx) {
+				wait = n.board.CallPause(quarantineTable) // each call is paid for, also while the store is down
+			}
 		}
 	}
 }
 
-// sleepUntil waits for a time. It reports false where ctx ended.
-func sleepUntil(ctx context.Context, span time.Duration) bool {
+// sleepFor waits for a time. It reports false where ctx ended.
+func sleepFor(ctx context.Context, span time.Duration) bool {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
@@ -112,39 +114,40 @@
 	}
 }
 
-// saveSome writes some of what is unsaved, if the store takes it.
-func (n *Node) saveSome(ctx context.Context) {
+// saveSome writes some of what is unsaved. It reports whether the store took it.
+func (n *Node) saveSome(ctx context.Context) bool {
 	unsaved := n.quarantine.Unsaved()
 	unsaved = unsaved[:min(len(unsaved), maxSaved)]
 	if len(unsaved) == 0 {
-		return
+		return true
 	}
 	var transaction rowstore.Transaction
 	for _, record := range unsaved {
 		value, err := json.Marshal(record)
 		if err != nil {
 			n.log.WithError(err).Error("a record of the quarantine can't be rendered and is not saved")
-			return
+			return false
 		}
 		transaction.Writes = append(transaction.Writes, rowstore.Write{Table: quarantineTable, Key: record.Fingerprint.String(), Value: value})
 	}
-	if !n.called(ctx, "save the quarantine", func(ctx context.Context) error { return n.transact(ctx, transaction) }) {
-		return
+	var version uint64
+	saved := n.called(ctx, "save the quarantine", func(ctx context.Context) (err error) {
+		version, _, err = n.platform.Transact(ctx, transaction)
+		return err
+	})
+	if !saved {
+		return false
 	}
 	for _, record := range unsaved {
-		n.quarantine.Stored(record, time.Now())
+		n.quarantine.Stored(record, version, time.Now())
 	}
-	n.log.WithField("requests", len(unsaved)).Info("quarantine saved")
-}
-
-func (n *Node) transact(ctx context.Context, transaction rowstore.Transaction) error {
-	_, _, err := n.platform.Transact(ctx, transaction)
-	return err
+	n.log.WithFields(logrus.Fields{"requests": len(unsaved), "version": version}).Info("quarantine saved")
+	return true
 }
 
 // expireQuarantine forgets what is old, until ctx ends. One node takes it out of the store.
 func (n *Node) expireQuarantine(ctx context.Context) {
-	for sleepUntil(ctx, expireEvery) {
+	for sleepFor(ctx, expireEvery) {
 		old := n.quarantine.Expire(time.Now())
 		if len(old) == 0 || n.exchange.Place(quarantineTable) > 0 {
 			continue
@@ -153,6 +156,9 @@
 		for _, request := range old[:min(len(old), maxSaved)] {
 			transaction.Writes = append(transaction.Writes, rowstore.Write{Table: quarantineTable, Key: request.String()})
 		}
-		n.called(ctx, "take old rows out of the quarantine", func(ctx context.Context) error { return n.transact(ctx, transaction) })
+		n.called(ctx, "take old rows out of the quarantine", func(ctx context.Context) error {
+			_, _, err := n.platform.Transact(ctx, transaction)
+			return err
+		})
 	}
 }
--- a/internal/serving/suspension.go
+++ b/internal/serving/suspension.go
@@ -24,7 +24,7 @@
 	}
 	watched := clock.NewSuspensions(clock.Boot, time.Now)
 	n.work.Go(func() {
-		for sleepUntil(ctx, suspensionEvery) {
+		for sleepFor(ctx, suspensionEvery) {
 			if slept := watched.Since(); slept > 0 {
 				counted.Add(slept.Seconds())
 				n.log.WithField("suspended_ms", slept.Milliseconds()).Warn("the machine was suspended")
