--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -20,7 +20,7 @@
 	// The flags below belong to a seed: a run is only repeated with the same ones.
 	Unfenced bool   `arg:"--unfenced" help:"neither the platform's API nor the engines compare fences"`
 	Quotas   bool   `arg:"--quotas" help:"give one tenant a limit, and check that it holds"`
-	Deadly   bool   `arg:"--deadly" help:"one caller sends a request that ends each worker which runs it"`
+	Poison   bool   `arg:"--poison" help:"one caller sends a request that ends each worker which runs it"`
 	Logs     string `arg:"--logs" help:"directory for settings and logs (default: a new one, kept only where a promise broke)"`
 	Verbose  bool   `arg:"--verbose" help:"print each fault"`
 	Out      string `arg:"--out" help:"store the reports as JSON"`
@@ -61,7 +61,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
-		Unfenced: c.Unfenced, Quotas: c.Quotas, Deadly: c.Deadly,
+		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/digest/suspects_test.go
+++ b/internal/digest/suspects_test.go
@@ -63,18 +63,18 @@
 	return n.peers.supervises()
 }
 
-var deadly = quarantine.Content{Target: "/deadly"}.Fingerprint()
+var poison = quarantine.Content{Target: "/poison"}.Fingerprint()
 
-// crash has a node see the end of a worker under the deadly request.
+// crash has a node see the end of a worker under the poison request.
 func (n quarantineNode) crash(worker string) {
-	n.keeper.Crashed(map[quarantine.Fingerprint]quarantine.Crash{deadly: {Worker: worker, Address: "at " + worker}}, time.Now())
+	n.keeper.Crashed(map[quarantine.Fingerprint]quarantine.Crash{poison: {Worker: worker, Address: "at " + worker}}, time.Now())
 }
 
-// awaitQuarantine waits until a node gives the deadly request to no worker.
+// awaitQuarantine waits until a node gives the poison request to no worker.
 func (n quarantineNode) awaitQuarantine(t *testing.T) {
 	t.Helper()
 	const patience = 20 * time.Second
-	for end := time.Now().Add(patience); !n.keeper.Standing(deadly, time.Now()).Quarantined; time.Sleep(2 * time.Millisecond) {
+	for end := time.Now().Add(patience); !n.keeper.Standing(poison, time.Now()).Quarantined; time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("node %s doesn't know of the quarantine after %v", n.node, patience)
 		}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -170,7 +170,7 @@
 	call.Fingerprint = call.identified()
 	d.first(call.Service.Name)
 	for {
-		if outcome, borne := s.isBorne(ctx); !borne {
+		if outcome, may := s.mayRun(ctx); !may {
 			return outcome
 		}
 		plan := s.plan(ctx)
--- a/internal/dispatch/suspicion.go
+++ b/internal/dispatch/suspicion.go
@@ -31,9 +31,9 @@
 func (noQuarantine) Survived(quarantine.Fingerprint, time.Time)                     {}
 func (noQuarantine) Lives(string, time.Time)                                        {}
 
-// isBorne looks up how the call is to be treated before a worker gets it. It reports false,
+// mayRun looks up how the call is to be treated before a worker gets it. It reports false,
 // with the outcome, where none may: workers ended under it whenever they ran it.
-func (s *session) isBorne(ctx context.Context) (Outcome, bool) {
+func (s *session) mayRun(ctx context.Context) (Outcome, bool) {
 	s.standing = s.quarantine.Standing(s.call.Fingerprint, time.Now())
 	for !s.standing.Quarantined && s.standing.Settling > 0 {
 		if err := s.pause(ctx, s.standing.Settling); err != nil {
--- a/internal/gateway/runner.go
+++ b/internal/gateway/runner.go
@@ -107,7 +107,7 @@
 	mayHaveRunBefore := false
 	fingerprint := x.fingerprint()
 	for try := 1; ; try++ {
-		if err := r.isBorne(ctx, fingerprint); err != nil {
+		if err := r.mayRun(ctx, fingerprint); err != nil {
 			return outcome{err: honest(err, mayHaveRunBefore)}
 		}
 		placed, err := r.placer.place(ctx, x, attempt, excluded)
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -17,9 +17,9 @@
 	return content.Fingerprint()
 }
 
-// isBorne tells why a request may be given to no engine, nil where it may: engines ended
+// mayRun tells why a request may be given to no engine, nil where it may: engines ended
 // whenever they ran it.
-func (r *runner) isBorne(ctx context.Context, request quarantine.Fingerprint) error {
+func (r *runner) mayRun(ctx context.Context, request quarantine.Fingerprint) error {
 	standing := r.quarantine.Standing(request, time.Now())
 	for standing.Settling > 0 {
 		if err := sleep(ctx, standing.Settling); err != nil {
--- a/internal/lab/cluster/cluster_test.go
+++ b/internal/lab/cluster/cluster_test.go
@@ -186,10 +186,10 @@
 // TestPromptThatCrashesEnginesIsStopped: each try may be placed four times, and each new try
 // is another request.
 func TestPromptThatCrashesEnginesIsStopped(t *testing.T) {
-	const deadly = "deadly"
+	const poison = "poison"
 	c, ctx := start(t, 1, 4)
 	for _, e := range c.Engines {
-		e.SetFaults(labengine.Faults{CrashOn: deadly})
+		e.SetFaults(labengine.Faults{CrashOn: poison})
 	}
 	client := caller(c, 0)
 	serves := func() bool {
@@ -201,7 +201,7 @@
 		if err := c.Await(ctx, "engines are back", serves); err != nil {
 			t.Fatal(err)
 		}
-		if _, last = client.Chat.Completions.New(ctx, chat(deadly, 5)); last == nil {
+		if _, last = client.Chat.Completions.New(ctx, chat(poison, 5)); last == nil {
 			t.Fatal("it was answered")
 		}
 	}
--- a/internal/lab/site/crash_test.go
+++ b/internal/lab/site/crash_test.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// deadly is in the body of requests that crash whoever runs them.
-	deadly = "deadly"
+	// poison is in the body of requests that crash whoever runs them.
+	poison = "poison"
 	// restartAfter is how long a worker that has crashed is away.
 	restartAfter = 200 * time.Millisecond
 	// crashesNeeded is how many workers may end under a request before it is known, and
@@ -27,7 +27,7 @@
 	arrivalsAllowed = 3
 )
 
-// fragile are workers that crash on requests with deadly bodies, and come back, each time
+// fragile are workers that crash on requests with poison bodies, and come back, each time
 // under another id, at the same address.
 type fragile struct {
 	s  *site
@@ -71,7 +71,7 @@
 
 // start is add under the lock.
 func (f *fragile) start(options fleetworker.Options) {
-	options.Zone, options.CrashOn, options.Crashed = "a", deadly, func(w *fleetworker.Worker) { f.crash(options, w) }
+	options.Zone, options.CrashOn, options.Crashed = "a", poison, func(w *fleetworker.Worker) { f.crash(options, w) }
 	if f.mended {
 		options.CrashOn = ""
 	}
@@ -180,7 +180,7 @@
 	return f.s.askAt(nodes[f.tries%len(nodes)], http.MethodPost, path, nil, body)
 }
 
-// quarantine sends a deadly request until enough workers have ended under it.
+// quarantine sends a poison request until enough workers have ended under it.
 func (f *fragile) quarantine(path, body string) {
 	f.s.t.Helper()
 	for before := f.crashed(); f.crashed() < before+crashesNeeded; {
@@ -188,7 +188,7 @@
 	}
 }
 
-// expectStopped sends a deadly request again and again, and expects that it reaches hardly
+// expectStopped sends a poison request again and again, and expects that it reaches hardly
 // any worker, and that its callers are told at once that it has not run.
 func (f *fragile) expectStopped(path, body string) {
 	f.s.t.Helper()
@@ -272,7 +272,7 @@
 func TestRequestThatCrashesWorkersIsStopped(t *testing.T) {
 	s, f := startFragile(t)
 	nodes := s.addresses()
-	body := deadly + " move"
+	body := poison + " move"
 	try := 0
 	again := func() answer {
 		f.awaitStanding()
@@ -282,14 +282,14 @@
 	for f.crashed() < crashesNeeded {
 		again()
 	}
-	before := f.arrivals(deadly)
+	before := f.arrivals(poison)
 	for range 4 * len(nodes) {
 		got := again()
 		if got.status == http.StatusOK {
 			t.Errorf("it was answered: %q", got.body)
 		}
 	}
-	if more := f.arrivals(deadly) - before; more > arrivalsAllowed {
+	if more := f.arrivals(poison) - before; more > arrivalsAllowed {
 		t.Errorf("after %d workers had ended under it, it reached workers %d times more, want %d at most; %d ended in all",
 			crashesNeeded, more, arrivalsAllowed, f.crashed())
 	}
@@ -305,15 +305,15 @@
 func TestRoutesWithoutASecondRunAreStoppedToo(t *testing.T) {
 	for _, path := range []string{"/verdict/1", "/submit/1", "/board/1"} {
 		_, f := startFragile(t)
-		f.quarantine(path, deadly)
-		f.expectStopped(path, deadly)
+		f.quarantine(path, poison)
+		f.expectStopped(path, poison)
 		f.expectServed(path, "another")
 	}
 }
 
-// TestNeighboursOfADeadlyRequestAreServed: they end with the same workers, and are sent on
+// TestNeighboursOfAPoisonRequestAreServed: they end with the same workers, and are sent on
 // with it.
-func TestNeighboursOfADeadlyRequestAreServed(t *testing.T) {
+func TestNeighboursOfAPoisonRequestAreServed(t *testing.T) {
 	s, f := startFragile(t)
 	var neighbours []string
 	for number := range 9 {
@@ -323,7 +323,7 @@
 	for range 3 {
 		f.awaitStanding()
 		var callers sync.WaitGroup
-		for number, body := range append([]string{deadly}, neighbours...) {
+		for number, body := range append([]string{poison}, neighbours...) {
 			callers.Go(func() {
 				for try := range 3 {
 					got := s.askAt(nodes[(number+try)%len(nodes)], http.MethodPost, "/check/1", nil, body)
@@ -335,19 +335,19 @@
 		}
 		callers.Wait()
 	}
-	f.expectStopped("/check/1", deadly)
+	f.expectStopped("/check/1", poison)
 	for _, body := range neighbours {
 		f.expectServed("/check/1", body)
 	}
 	if got := s.quarantined(); len(got) != 1 {
-		t.Errorf("%d requests were quarantined, want the deadly one alone; %d workers ended", len(got), f.crashed())
+		t.Errorf("%d requests were quarantined, want the poison one alone; %d workers ended", len(got), f.crashed())
 	}
 }
 
-// TestSeveralDeadlyRequestsAreStopped, each by itself.
-func TestSeveralDeadlyRequestsAreStopped(t *testing.T) {
+// TestSeveralPoisonRequestsAreStopped, each by itself.
+func TestSeveralPoisonRequestsAreStopped(t *testing.T) {
 	s, f := startFragile(t)
-	bodies := []string{deadly + " 1", deadly + " 2", deadly + " 3"}
+	bodies := []string{poison + " 1", poison + " 2", poison + " 3"}
 	for len(s.quarantined()) < len(bodies) && f.crashed() < 20 {
 		for _, body := range bodies {
 			f.again("/check/1", body)
@@ -362,10 +362,10 @@
 // TestQuarantineOutlastsAllNodes: what is known lies in the store.
 func TestQuarantineOutlastsAllNodes(t *testing.T) {
 	s, f := startFragile(t)
-	f.quarantine("/check/1", deadly)
+	f.quarantine("/check/1", poison)
 	s.await("the store holds it", func() bool { return len(s.storedQuarantine()) == 1 })
 	s.restartNodes()
-	f.expectStopped("/check/1", deadly)
+	f.expectStopped("/check/1", poison)
 	f.expectServed("/check/1", "harmless")
 }
 
@@ -376,13 +376,13 @@
 	// Workers that come back aren't known while the store is away: four engines write at
 	// first, and one must be left.
 	nodes := s.addresses()
-	s.askAt(nodes[0], http.MethodPost, "/check/1", nil, deadly)
+	s.askAt(nodes[0], http.MethodPost, "/check/1", nil, poison)
 	s.await("the other nodes are told of two ends", func() bool {
 		return strings.Count(s.logText(), `crashes=2`)-strings.Count(s.logText(), `msg=planned crashes=2`) >= len(nodes)
 	})
-	s.askAt(nodes[1], http.MethodPost, "/check/1", nil, deadly)
+	s.askAt(nodes[1], http.MethodPost, "/check/1", nil, poison)
 	for try := range 4 * len(nodes) {
-		s.askAt(nodes[try%len(nodes)], http.MethodPost, "/check/1", nil, deadly)
+		s.askAt(nodes[try%len(nodes)], http.MethodPost, "/check/1", nil, poison)
 	}
 	if f.crashed() != crashesNeeded {
 		t.Errorf("%d workers ended, want %d", f.crashed(), crashesNeeded)
@@ -421,14 +421,14 @@
 // TestOperatorReleasesARequest by taking its row away.
 func TestOperatorReleasesARequest(t *testing.T) {
 	s, f := startFragile(t)
-	f.quarantine("/check/1", deadly)
+	f.quarantine("/check/1", poison)
 	s.await("the store holds it", func() bool { return len(s.storedQuarantine()) == 1 })
 	f.awaitStanding()
 	f.mend()
-	if got := s.ask(http.MethodPost, "/check/1", nil, deadly); got.status != http.StatusServiceUnavailable {
+	if got := s.ask(http.MethodPost, "/check/1", nil, poison); got.status != http.StatusServiceUnavailable {
 		t.Errorf("before the release: status %d %s", got.status, got.body)
 	}
 	s.store.Put("quarantine", s.storedQuarantine()[0], nil)
-	s.await("it is served", func() bool { return s.ask(http.MethodPost, "/check/1", nil, deadly).status == http.StatusOK })
-	f.expectServed("/check/1", deadly)
+	s.await("it is served", func() bool { return s.ask(http.MethodPost, "/check/1", nil, poison).status == http.StatusOK })
+	f.expectServed("/check/1", poison)
 }
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -84,8 +84,8 @@
 		callers.Go(func() { l.call(ctx, number, random) })
 	}
 	callers.Go(func() { l.probe(ctx) })
-	if l.site.options.Deadly {
-		callers.Go(func() { l.sendDeadly(ctx) })
+	if l.site.options.Poison {
+		callers.Go(func() { l.sendPoison(ctx) })
 	}
 	callers.Wait()
 }
--- a/internal/lab/soak/deadly.go
+++ b/internal/lab/soak/poison.go
@@ -12,42 +12,42 @@
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
 )
 
-// The figures of the deadly request.
+// The figures of the poison request.
 const (
-	// deadlyBody ends each worker that runs it.
-	deadlyBody  = "deadly"
-	deadlyPause = 250 * time.Millisecond
+	// poisonBody ends each worker that runs it.
+	poisonBody  = "poison"
+	poisonPause = 250 * time.Millisecond
 	// fallenFor is how long a worker is away that has ended under it.
 	fallenFor = time.Second
-	// deadlyRuns is how many workers may end under it before it is known, and how often it
+	// poisonRuns is how many workers may end under it before it is known, and how often it
 	// may reach others after that while nothing is harmed.
-	deadlyRuns = 3
+	poisonRuns = 3
 )
 
-// deadly follows from outside a request that comes again and again, under another id each
+// poison follows from outside a request that comes again and again, under another id each
 // time, and ends each worker that runs it. The zero value has sent none. It is safe for
 // concurrent use.
-type deadly struct {
+type poison struct {
 	mu         sync.Mutex
 	tries      map[string]seen
 	quietSince time.Time
 }
 
-func (d *deadly) markQuiet() {
+func (d *poison) markQuiet() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.quietSince = time.Now()
 }
 
 // sent reports whether an id is that of a try.
-func (d *deadly) sent(id string) bool {
+func (d *poison) sent(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, exists := d.tries[id]
 	return exists
 }
 
-func (d *deadly) add(got seen) {
+func (d *poison) add(got seen) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.tries == nil {
@@ -59,7 +59,7 @@
 // problems returns the promises that were broken: the request reaches workers no more than
 // three times once it is known and nothing has been harmed for a while, and a try that is
 // called not run has not run.
-func (d *deadly) problems(runs []fleetworker.Run) []string {
+func (d *poison) problems(runs []fleetworker.Run) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var broken []string
@@ -70,9 +70,9 @@
 		case !exists:
 			continue
 		case notRun[got.status]:
-			broken = append(broken, fmt.Sprintf("deadly request %s was called not run (status %d), and ran", got.id, got.status))
+			broken = append(broken, fmt.Sprintf("poison request %s was called not run (status %d), and ran", got.id, got.status))
 		case got.status == http.StatusOK && got.err == nil:
-			broken = append(broken, fmt.Sprintf("deadly request %s was answered", got.id))
+			broken = append(broken, fmt.Sprintf("poison request %s was answered", got.id))
 		}
 		if run.At.After(d.quietSince.Add(quiet / 2)) {
 			quietly++
@@ -80,25 +80,25 @@
 			before++
 		}
 	}
-	if before >= deadlyRuns && quietly > deadlyRuns {
-		broken = append(broken, fmt.Sprintf("the deadly request, under which %d workers had ended, reached workers %d times more in the quiet time", before, quietly))
+	if before >= poisonRuns && quietly > poisonRuns {
+		broken = append(broken, fmt.Sprintf("the poison request, under which %d workers had ended, reached workers %d times more in the quiet time", before, quietly))
 	}
 	slices.Sort(broken)
 	return broken
 }
 
-// send sends the deadly request again and again until ctx ends.
-func (l *load) sendDeadly(ctx context.Context) {
+// send sends the poison request again and again until ctx ends.
+func (l *load) sendPoison(ctx context.Context) {
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
 	random := rand.New(rand.NewPCG(l.site.options.Seed, callerCount+2))
 	for count := 0; ctx.Err() == nil; count++ {
-		sleep(ctx, time.Duration(random.Int64N(int64(2*deadlyPause))))
+		sleep(ctx, time.Duration(random.Int64N(int64(2*poisonPause))))
 		got := seen{
-			id: fmt.Sprintf("dead%012x", count), class: classes[len(classes)-1], target: "deadly", sent: time.Now(),
-			tenant: tenantOf(0), key: keyOf(0), patience: clientTimeout, prompt: "a0:2000,dead:1000",
+			id: fmt.Sprintf("po15%012x", count), class: classes[len(classes)-1], target: "poison", sent: time.Now(),
+			tenant: tenantOf(0), key: keyOf(0), patience: clientTimeout, prompt: "a0:2000,deadbeef:1000",
 		}
-		l.site.deadly.add(got) // it may run before its answer is known
-		l.site.deadly.add(l.send(transport, l.site.callers[random.IntN(len(l.site.callers))], got, deadlyBody))
+		l.site.poison.add(got) // it may run before its answer is known
+		l.site.poison.add(l.send(transport, l.site.callers[random.IntN(len(l.site.callers))], got, poisonBody))
 	}
 }
 
--- a/internal/lab/soak/deadly_test.go
+++ b/internal/lab/soak/poison_test.go
@@ -9,8 +9,8 @@
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
 )
 
-// TestDeadlyCheckerFinds shows that each check of the deadly request can fail.
-func TestDeadlyCheckerFinds(t *testing.T) {
+// TestPoisonCheckerFinds shows that each check of the poison request can fail.
+func TestPoisonCheckerFinds(t *testing.T) {
 	quietSince := time.Unix(1000, 0)
 	calm := quietSince.Add(quiet)
 	for _, example := range []struct {
@@ -27,7 +27,7 @@
 		{"answered", http.StatusOK, 1, 0, 1},
 		{"called not run", http.StatusServiceUnavailable, 1, 0, 1},
 	} {
-		d := &deadly{quietSince: quietSince}
+		d := &poison{quietSince: quietSince}
 		var runs []fleetworker.Run
 		for number := range example.before + example.quietly {
 			got := seen{id: fmt.Sprint(number), status: example.status}
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -23,7 +23,7 @@
 	QuietSent   int `json:"quiet_sent"`
 	QuietServed int `json:"quiet_served"`
 	Starts      int `json:"starts"`
-	// Ended counts the workers that ended under a deadly request.
+	// Ended counts the workers that ended under a poison request.
 	Ended int `json:"ended,omitempty"`
 	// Windows counts the windows of usage that were reported.
 	Windows  int            `json:"windows"`
@@ -63,7 +63,7 @@
 		}
 	}
 	for id := range runs {
-		if !ids[id] && !l.site.deadly.sent(id) {
+		if !ids[id] && !l.site.poison.sent(id) {
 			report.Broken = append(report.Broken, fmt.Sprintf("request %s ran, and nobody sent it", id))
 		}
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -37,9 +37,9 @@
 	Unfenced bool
 	// Quotas gives one tenant a limit, and checks that it holds over all nodes.
 	Quotas bool
-	// Deadly has one caller send the same request again and again that ends each worker which
+	// Poison has one caller send the same request again and again that ends each worker which
 	// runs it.
-	Deadly bool
+	Poison bool
 }
 
 // The size of a soak.
@@ -78,7 +78,7 @@
 	toStore []*Proxy
 	nodes   []*process.Node
 	callers []string
-	deadly  deadly
+	poison  poison
 	started time.Time
 
 	mu sync.Mutex
@@ -112,7 +112,7 @@
 	go func() { defer close(ended); load.run(loadCtx) }()
 	s.harm(ctx)
 	load.markQuiet()
-	s.deadly.markQuiet()
+	s.poison.markQuiet()
 	sleep(ctx, quiet/2)
 	s.lastChange()
 	sleep(ctx, quiet/2)
@@ -127,7 +127,7 @@
 		report.Broken = append(report.Broken, overQuota(s.allRuns(), tenantOf(limitedTenant), tenantLimit, quotaTolerance)...)
 	}
 	report.Ended = len(s.fallenWorkers())
-	report.Broken = append(report.Broken, s.deadly.problems(s.allRuns())...)
+	report.Broken = append(report.Broken, s.poison.problems(s.allRuns())...)
 	report.Windows = len(s.api.Reports())
 	if report.Windows == 0 {
 		report.Broken = append(report.Broken, "no window of usage was reported")
@@ -185,8 +185,8 @@
 func (s *site) addWorker(options fleetworker.Options) error {
 	options.Zone, options.Events, options.Pause = "a", eventCount, eventPause
 	worker := &soakWorker{}
-	if s.options.Deadly {
-		options.CrashOn = deadlyBody
+	if s.options.Poison {
+		options.CrashOn = poisonBody
 		options.Crashed = func(*fleetworker.Worker) { s.fall(worker, options) }
 	}
 	options.Staged = func(*fleetworker.Worker) { s.relist(worker) }
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -91,14 +91,14 @@
 // is innocent, and so is what was at some of them.
 func TestNeighboursAreNotBlamed(t *testing.T) {
 	b := NewBook()
-	b.crash(start, []string{"w1"}, "deadly", "twice", "thrice", "once")
-	b.crash(start, []string{"w2"}, "deadly", "twice", "thrice")
-	b.crash(start, []string{"w3"}, "deadly", "thrice")
-	if b.isQuarantined("deadly", start) || b.isQuarantined("thrice", start) {
+	b.crash(start, []string{"w1"}, "poison", "twice", "thrice", "once")
+	b.crash(start, []string{"w2"}, "poison", "twice", "thrice")
+	b.crash(start, []string{"w3"}, "poison", "thrice")
+	if b.isQuarantined("poison", start) || b.isQuarantined("thrice", start) {
 		t.Error("one of two that were at the same three ends is quarantined: either may have done it")
 	}
-	b.crash(start, []string{"w4"}, "deadly")
-	if !b.isQuarantined("deadly", start) {
+	b.crash(start, []string{"w4"}, "poison")
+	if !b.isQuarantined("poison", start) {
 		t.Error("four ends, of which nothing else explains the last, aren't enough")
 	}
 	for _, name := range []string{"once", "twice", "thrice"} {
@@ -127,12 +127,12 @@
 func TestLateReportExonerates(t *testing.T) {
 	b := NewBook()
 	b.crash(start, []string{"w1", "w2", "w3"}, "innocent")
-	b.crash(start, []string{"w1", "w2"}, "deadly")
+	b.crash(start, []string{"w1", "w2"}, "poison")
 	if standing := b.Standing(request("innocent"), start); standing.Quarantined || standing.Settling != settleTime {
 		t.Errorf("before all can have been told it stands as %+v", standing)
 	}
-	b.crash(start, []string{"w3", "w4"}, "deadly")
-	if b.isQuarantined("innocent", start) || !b.isQuarantined("deadly", start) {
+	b.crash(start, []string{"w3", "w4"}, "poison")
+	if b.isQuarantined("innocent", start) || !b.isQuarantined("poison", start) {
 		t.Error("the wrong one is quarantined")
 	}
 }
@@ -187,11 +187,11 @@
 // TestReleaseLetsNeighboursGo: what a released request explained doesn't fall on others.
 func TestReleaseLetsNeighboursGo(t *testing.T) {
 	b := NewBook()
-	b.crash(start, []string{"w1", "w2", "w3"}, "deadly", "beside")
-	b.crash(start, []string{"w4"}, "deadly")
-	b.Release(request("deadly"), start)
+	b.crash(start, []string{"w1", "w2", "w3"}, "poison", "beside")
+	b.crash(start, []string{"w4"}, "poison")
+	b.Release(request("poison"), start)
 	b.Judge()
-	if b.isQuarantined("deadly", start) || b.isQuarantined("beside", start) {
+	if b.isQuarantined("poison", start) || b.isQuarantined("beside", start) {
 		t.Error("a released request, or one that ran beside it, is quarantined")
 	}
 }
@@ -216,9 +216,9 @@
 func TestOldIsForgotten(t *testing.T) {
 	b := NewBook()
 	b.crash(start, []string{"w1"}, "once")
-	b.crash(start, []string{"w1", "w2", "w3"}, "deadly")
+	b.crash(start, []string{"w1", "w2", "w3"}, "poison")
 	b.Expire(start.Add(suspectedFor))
-	if b.Standing(request("once"), start).Crashes != 0 || !b.isQuarantined("deadly", start) {
+	if b.Standing(request("once"), start).Crashes != 0 || !b.isQuarantined("poison", start) {
 		t.Error("a suspicion outlasts its time, or a quarantine doesn't last")
 	}
 	b.Expire(start.Add(quarantinedFor))
@@ -230,20 +230,20 @@
 // TestBookIsBounded, and what has been proved stays.
 func TestBookIsBounded(t *testing.T) {
 	b := NewBook()
-	b.crash(start, []string{"w1", "w2", "w3"}, "deadly")
+	b.crash(start, []string{"w1", "w2", "w3"}, "poison")
 	for number := range 2 * maxRecords {
 		b.Crashed(at(fmt.Sprint("v", number)), []Fingerprint{request(fmt.Sprint(number))}, start.Add(time.Second))
 	}
 	for number := range 3 * maxCrashes {
-		b.Crashed(at(fmt.Sprint("x", number)), []Fingerprint{request("deadly")}, start)
+		b.Crashed(at(fmt.Sprint("x", number)), []Fingerprint{request("poison")}, start)
 	}
 	if len(b.entries) > maxRecords || len(b.byWorker) > maxRecords+maxCrashes {
 		t.Errorf("%d requests, %d workers", len(b.entries), len(b.byWorker))
 	}
-	if got := len(b.entries[request("deadly")].Crashes); got > maxCrashes {
+	if got := len(b.entries[request("poison")].Crashes); got > maxCrashes {
 		t.Errorf("%d crashes of one request", got)
 	}
-	if !b.isQuarantined("deadly", start) {
+	if !b.isQuarantined("poison", start) {
 		t.Error("the quarantined request was forgotten")
 	}
 }
@@ -300,20 +300,20 @@
 // TestNewNodeJudgesAsOthersDo, which saw one crash after the other: it is told all at once.
 func TestNewNodeJudgesAsOthersDo(t *testing.T) {
 	old := NewBook()
-	old.crash(start, []string{"w1", "w2", "w3"}, "deadly", "beside")
-	old.crash(start, []string{"w4"}, "deadly")
+	old.crash(start, []string{"w1", "w2", "w3"}, "poison", "beside")
+	old.crash(start, []string{"w4"}, "poison")
 	old.crash(start, []string{"w5", "w6"}, "beside")
 	added := NewBook()
 	for _, known := range old.entries {
 		added.Merge([]Record{known.copied()}, start)
 	}
 	added.Judge()
-	for _, name := range []string{"deadly", "beside"} {
+	for _, name := range []string{"poison", "beside"} {
 		if old.isQuarantined(name, start) != added.isQuarantined(name, start) {
 			t.Errorf("%q is quarantined at the old nodes: %v, at the new one: %v", name, old.isQuarantined(name, start), added.isQuarantined(name, start))
 		}
 	}
-	if !added.isQuarantined("deadly", start) {
+	if !added.isQuarantined("poison", start) {
 		t.Error("the request that was proved first is free")
 	}
 }
@@ -324,7 +324,7 @@
 	for number := range maxRecords {
 		book.Crashed(at(fmt.Sprint("w", number%40)), []Fingerprint{request(fmt.Sprint(number))}, start)
 	}
-	book.crash(start, []string{"v1", "v2", "v3"}, "deadly")
+	book.crash(start, []string{"v1", "v2", "v3"}, "poison")
 	for b.Loop() {
 		book.Judge()
 	}
--- a/test.sh
+++ b/test.sh
@@ -45,4 +45,4 @@
 programs=$(mktemp -d)
 trap 'rm -rf "$programs"' EXIT
 go build -o "$programs/" ./cmd/tinarchd ./cmd/tinarch-lab
-"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 33001 --count 2 --seconds 12 --deadly
+"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 33001 --count 2 --seconds 12 --poison
