--- a/test.sh
+++ b/test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # All checks: formatting, linters, generated files, model checking, the tests under the
-# race detector, but for those that KNOWN-RED.txt lists, and a short fault soak. Needs Go, a C compiler, and Spin, which is installed
-# from Debian's packages where it is missing.
+# race detector, but for those that KNOWN-RED.txt lists, and a short fault soak. Needs Go,
+# a C compiler, and Spin, which is installed from Debian's packages where it is missing.
 set -euo pipefail
 cd "$(dirname "$0")"
 
