--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -42,7 +42,7 @@
 
 // StartProxy returns a proxy to an address.
 func StartProxy(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -252,15 +251,6 @@
 	return node.Start()
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 func (s *site) close() {
 	for _, node := range s.nodes {
 		node.Kill()
