A test's workers stand before its node starts

The test listed its workers one by one while the node was starting; where the node's first list held only some, it rightly took the others for just started, and asked them nothing. Change: the workers are listed first, which is what the test's name says; its checks are as they were, and as strict.

--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -141,6 +141,15 @@
 func startWith(t *testing.T, change func(*settings.Routed)) *site {
 	t.Helper()
 	s := startUnconfiguredWith(t, change)
+	s.addWorkers()
+	s.store.Put("op", "config", configuration(1))
+	s.await("the node is ready", s.node.Ready)
+	s.await("all workers are known", func() bool { return s.node.Workers() == len(s.workers) })
+	return s
+}
+
+// addWorkers adds engines in both stages and two other workers.
+func (s *site) addWorkers() {
 	for _, options := range []fleetworker.Options{
 		{ID: "read-1", Service: llm, Stage: "prefill", Kept: map[string]int{"5c1e07a2": 800, "91bd3f06": 410}},
 		{ID: "write-1", Service: llm, Stage: "decode"},
@@ -150,10 +159,6 @@
 	} {
 		s.addWorker(options)
 	}
-	s.store.Put("op", "config", configuration(1))
-	s.await("the node is ready", s.node.Ready)
-	s.await("all workers are known", func() bool { return s.node.Workers() == len(s.workers) })
-	return s
 }
 
 func startUnconfigured(t *testing.T) *site {
@@ -162,10 +167,17 @@
 }
 
 func startUnconfiguredWith(t *testing.T, change func(*settings.Routed)) *site {
+	t.Helper()
+	s := newSite(t)
+	s.node, s.address = s.startNode("node-1", change)
+	return s
+}
+
+// newSite returns a site without a node.
+func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{t: t, store: fleetstore.Start(), workers: make(map[string]*fleetworker.Worker), logs: &logBuffer{}}
 	t.Cleanup(s.store.Close)
-	s.node, s.address = s.startNode("node-1", change)
 	return s
 }
 
--- a/internal/lab/site/store_test.go
+++ b/internal/lab/site/store_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/tinarch/tinarch/internal/lab/fleetstore"
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+	"github.com/tinarch/tinarch/internal/settings"
 )
 
 // TestNewConfigurationIsInForce, and a broken or older one changes nothing.
@@ -81,7 +82,10 @@
 // TestStartingNodeAsksWhatWorkersKeep: a process that has just started, and has no
 // other node to ask, learns from the engines themselves what they keep.
 func TestStartingNodeAsksWhatWorkersKeep(t *testing.T) {
-	s := start(t)
+	s := newSite(t)
+	s.addWorkers() // a worker that the first list lacks has just started, and keeps nothing
+	s.store.Put("op", "config", configuration(1))
+	s.node, s.address = s.startNode("node-1", func(*settings.Routed) {})
 	s.await("each engine was asked", func() bool {
 		return s.workers["read-1"].Lists() == 1 && s.workers["write-1"].Lists() == 1 && s.workers["write-2"].Lists() == 1
 	})
