A message of another node doesn't go through all workers

A supervisor of 985 nodes gets some 480 a second. Now the registry keeps the busy, changing and vanished workers, and those that a node told of: 1 us a merge (BenchmarkMerge), whatever the number of workers.

--- a/internal/worker/demand.go
+++ b/internal/worker/demand.go
@@ -160,8 +160,8 @@
 			ReadTokens: known.read.value(now), Requests: known.refused.value(now), MemoryTokens: known.refusedMemory.value(now),
 		}
 	}
-	for _, other := range r.workers {
-		if other.worker.Stage != Decode || other.load.Zero() {
+	for _, other := range r.busy {
+		if other.worker.Stage != Decode {
 			continue
 		}
 		key := demandKey{other.worker.Service, r.RegionOfZone(other.worker.Zone)}
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -75,13 +75,16 @@
 	defer r.mu.Unlock()
 	snapshot := Snapshot{Loads: make(map[string]Load), Reads: r.reads, Failures: r.failures}
 	snapshot.Demand, snapshot.RegionDemand = r.ownDemand(time.Now())
-	for id, known := range r.workers {
-		if !known.load.Zero() {
-			snapshot.Loads[id] = known.load
-		}
-		if left := time.Until(known.changing); left > 0 {
-			snapshot.Changing = append(snapshot.Changing, Changing{Worker: id, Prefill: known.changingStage == Prefill, Left: left})
+	for id, known := range r.busy {
+		snapshot.Loads[id] = known.load
+	}
+	for id, known := range r.changing {
+		left := time.Until(known.changing)
+		if left <= 0 {
+			delete(r.changing, id)
+			continue
 		}
+		snapshot.Changing = append(snapshot.Changing, Changing{Worker: id, Prefill: known.changingStage == Prefill, Left: left})
 	}
 	for id := range r.touched {
 		snapshot.Touched = append(snapshot.Touched, id)
@@ -103,7 +106,7 @@
 		stage = Prefill
 	}
 	if known, exists := r.workers[changing.Worker]; exists && known.worker.Stage != stage {
-		known.changing, known.changingStage = now.Add(changing.Left), stage
+		r.setChanging(known, now.Add(changing.Left), stage)
 	}
 }
 
@@ -201,14 +204,7 @@
 func (r *Registry) Merge(node string, snapshot Snapshot, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, known := range r.workers {
-		load, told := snapshot.Loads[id]
-		if told {
-			known.remote[node] = remoteLoad{load: load, at: now}
-		} else {
-			delete(known.remote, node)
-		}
-	}
+	r.mergeLoads(node, snapshot.Loads, now)
 	r.mergeDemand(node, snapshot, now)
 	for _, read := range snapshot.Reads {
 		if known, exists := r.workers[read.Worker]; exists {
@@ -226,6 +222,23 @@
 	}
 }
 
+// mergeLoads takes over what another node has placed: nothing on the workers of which it
+// told before and doesn't any more.
+func (r *Registry) mergeLoads(node string, loads map[string]Load, now time.Time) {
+	for _, id := range r.placed[node] {
+		if known, exists := r.workers[id]; exists {
+			delete(known.remote, node)
+		}
+	}
+	delete(r.placed, node)
+	for id, load := range loads {
+		if known, exists := r.workers[id]; exists {
+			known.remote[node] = remoteLoad{load: load, at: now}
+			r.placed[node] = append(r.placed[node], id)
+		}
+	}
+}
+
 // KeptTokens returns how much of prompts a worker is believed to keep.
 func (r *Registry) KeptTokens(id string) int {
 	r.mu.Lock()
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -62,9 +62,9 @@
 // known of it is kept for a while: entries may vanish while the store is away,
 // although their workers live.
 func (r *Registry) remove(id string, now time.Time) bool {
-	for other, known := range r.workers {
-		if !known.listed() && now.Sub(known.goneAt) >= forgetAfter {
-			delete(r.workers, other)
+	for other, known := range r.gone {
+		if now.Sub(known.goneAt) >= forgetAfter {
+			r.forget(other)
 		}
 	}
 	known, exists := r.workers[id]
@@ -72,9 +72,19 @@
 		return false
 	}
 	known.goneAt = now
+	r.gone[id] = known
 	return true
 }
 
+// forget drops all that is known of a worker.
+func (r *Registry) forget(id string) {
+	r.generation++
+	delete(r.workers, id)
+	delete(r.busy, id)
+	delete(r.changing, id)
+	delete(r.gone, id)
+}
+
 // put records an entry, and reports whether that changed anything.
 func (r *Registry) put(worker Worker, now time.Time) bool {
 	known, exists := r.workers[worker.ID]
@@ -82,6 +92,7 @@
 		changed := known.worker != worker || !known.listed()
 		known.worker = worker
 		known.goneAt = time.Time{}
+		delete(r.gone, worker.ID)
 		if worker.Stage == known.changingStage {
 			known.changing = time.Time{}
 		}
@@ -91,6 +102,7 @@
 	if capacity == 0 {
 		capacity = unknownMemoryTokens
 	}
+	r.forget(worker.ID)
 	r.workers[worker.ID] = &state{
 		worker: worker,
 		rank:   maphash.String(r.seed, worker.ID),
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -12,14 +12,20 @@
 // time or until its entry shows the stage.
 func (r *Registry) SetChanging(id string, prefill bool, until time.Time) {
 	r.update(id, func(known *state) {
-		known.changing, known.changingStage = until, Decode
+		stage := Decode
 		if prefill {
-			known.changingStage = Prefill
+			stage = Prefill
 		}
+		r.setChanging(known, until, stage)
 		r.touch(id)
 	})
 }
 
+func (r *Registry) setChanging(known *state, until time.Time, stage Stage) {
+	known.changing, known.changingStage = until, stage
+	r.changing[known.worker.ID] = known
+}
+
 // Begin records work given to a worker.
 func (r *Registry) Begin(id string, load Load) { r.change(id, load) }
 
@@ -30,6 +36,11 @@
 func (r *Registry) change(id string, load Load) {
 	r.update(id, func(known *state) {
 		known.load = known.load.plus(load)
+		if known.load.Zero() {
+			delete(r.busy, id)
+		} else {
+			r.busy[id] = known
+		}
 		r.touch(id)
 	})
 }
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -72,6 +72,14 @@
 	// seed makes the ranks of this process's own.
 	seed    maphash.Seed
 	workers map[string]*state
+	// busy, changing and gone are the few workers that have load of this node, were ordered
+	// to a stage, or have vanished; placed are those on which another node has load, by node.
+	// Nothing that is done for each message goes through all workers: of 10,000 that took
+	// 0.9 ms for a message of another node, and takes 1 µs with these (BenchmarkMerge).
+	busy, changing, gone map[string]*state
+	placed               map[string][]string
+	// generation rises whenever a worker is added or forgotten.
+	generation uint64
 	// groups hold the learned reading of all workers of a service and stage.
 	groups map[groupKey]*pace.Model
 	// steps hold what else was learned of a service's engines.
@@ -139,6 +147,10 @@
 		regional: places.Several(),
 		seed:     maphash.MakeSeed(),
 		workers:  make(map[string]*state),
+		busy:     make(map[string]*state),
+		changing: make(map[string]*state),
+		gone:     make(map[string]*state),
+		placed:   make(map[string][]string),
 		groups:   make(map[groupKey]*pace.Model),
 		steps:    make(map[string]*steps),
 		demands:  make(map[demandKey]*demand),
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -319,3 +320,63 @@
 		t.Errorf("a handover takes %v ms, %v before", got, handover)
 	}
 }
+
+// manyEngines returns a registry of a large fleet.
+func manyEngines(count int) *Registry {
+	r := NewRegistry(topology.New("a", nil))
+	var engines []Worker
+	for i := range count {
+		engines = append(engines, Worker{ID: fmt.Sprint("w", i), Service: "llm", Address: "1:1", Zone: "a", Slots: 8, Stage: Decode})
+	}
+	r.Replace(engines)
+	return r
+}
+
+// TestMergeForgetsWhatIsNotToldAnyMore, and only of the node that tells.
+func TestMergeForgetsWhatIsNotToldAnyMore(t *testing.T) {
+	r := manyEngines(3)
+	one := Load{Requests: 1}
+	r.Merge("a", Snapshot{Loads: map[string]Load{"w0": one, "w1": one}}, origin)
+	r.Merge("b", Snapshot{Loads: map[string]Load{"w1": one}}, origin)
+	r.Merge("a", Snapshot{Loads: map[string]Load{"w2": one, "unknown": one}}, origin)
+	for id, want := range map[string]int{"w0": 0, "w1": 1, "w2": 1} {
+		if got := find(t, r, id, nil, origin).Requests; got != want {
+			t.Errorf("%s has %d requests, want %d", id, got, want)
+		}
+	}
+	if got := len(r.placed["a"]); got != 1 {
+		t.Errorf("%d workers are remembered for a node that told of one", got)
+	}
+}
+
+// TestSnapshotTellsOfBusyWorkersOnly, until their load is over or they are forgotten.
+func TestSnapshotTellsOfBusyWorkersOnly(t *testing.T) {
+	r := manyEngines(5)
+	one := Load{Requests: 1}
+	r.Begin("w1", one)
+	r.Begin("w2", one)
+	r.Begin("w3", one)
+	r.End("w2", one)
+	r.SetChanging("w4", true, time.Now().Add(time.Hour))
+	r.remove("w3", origin)
+	r.remove("w0", origin.Add(forgetAfter))
+	snapshot := r.Snapshot()
+	if diff := cmp.Diff(map[string]Load{"w1": one}, snapshot.Loads); diff != "" {
+		t.Error(diff)
+	}
+	if len(snapshot.Changing) != 1 || snapshot.Changing[0].Worker != "w4" {
+		t.Errorf("changing: %v", snapshot.Changing)
+	}
+	if _, known := r.workers["w3"]; known {
+		t.Error("a worker that has been gone for long is not forgotten")
+	}
+}
+
+// BenchmarkMerge is a message of another node in a fleet of 10,000 workers.
+func BenchmarkMerge(b *testing.B) {
+	r := manyEngines(10_000)
+	snapshot := Snapshot{Loads: map[string]Load{"w1": {Requests: 1}, "w2": {Requests: 1}}}
+	for b.Loop() {
+		r.Merge("other", snapshot, origin)
+	}
+}
