Heads of zones encode what they pass on once

Cause: a head encoded a word or news anew for each node of its zone: 200 times for each change in a zone of 200 nodes. Now the datagram is rendered once for all of them.

--- a/internal/digest/tables.go
+++ b/internal/digest/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/tablefeed"
@@ -72,11 +73,7 @@
 	message.Across = false
 	e.sendAll(heads, message)
 	message.Relayed = true
-	for _, to := range zone {
-		if to != from {
-			e.sendTo(to, message)
-		}
-	}
+	e.sendAll(slices.DeleteFunc(zone, func(to netip.AddrPort) bool { return to == from }), message)
 }
 
 // AskWords asks two nodes for what they know of the tables: the one that should read the
