--- a/internal/digest/ask.go
+++ b/internal/digest/ask.go
@@ -106,6 +106,36 @@
 	return kept
 }
 
+// keeping are the engines whose accounts this node keeps, as of a generation of the nodes
+// and one of the workers.
+type keeping struct {
+	nodes, workers uint64
+	engines        map[string]bool
+}
+
+// Keeping returns the engines whose accounts this node keeps, and false where that isn't
+// worth telling apart: it keeps those of all workers, or which nodes keep them depends on
+// regions. Callers must not change what it returns.
+func (e *Exchange) Keeping() (engines map[string]bool, some bool) {
+	workers := e.registry.Generation()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.peers.nodes() <= wholeFleet || e.peers.places.Several() {
+		return nil, false
+	}
+	if e.keeping.engines != nil && e.keeping.nodes == e.peers.generation && e.keeping.workers == workers {
+		return e.keeping.engines, true
+	}
+	engines = make(map[string]bool)
+	for _, id := range e.registry.EngineIDs() {
+		if e.peers.keeps(id) {
+			engines[id] = true
+		}
+	}
+	e.keeping = keeping{nodes: e.peers.generation, workers: workers, engines: engines}
+	return engines, true
+}
+
 // Ask asks the nodes that keep the accounts of workers for them, for a request of a rank
 // with a prompt of these parts, and those that know for the workers that keep its content.
 // It returns what came in time.
--- a/internal/digest/ask_test.go
+++ b/internal/digest/ask_test.go
@@ -147,3 +147,45 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// TestKeepingIsWhatIsKept, also after nodes and workers have come and gone.
+func TestKeepingIsWhatIsKept(t *testing.T) {
+	exchange, err := Listen("127.0.0.1:0", "me", "zone0", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, some := exchange.Keeping(); some {
+		t.Error("in a small fleet a node keeps some accounts only")
+	}
+	var engines []worker.Worker
+	var ids []string
+	for i := range 300 {
+		ids = append(ids, fmt.Sprint("w", i))
+		engines = append(engines, worker.Worker{ID: ids[i], Service: "llm", Address: "1:1", Stage: worker.Decode})
+	}
+	check := func() {
+		t.Helper()
+		keeping, some := exchange.Keeping()
+		if !some {
+			t.Fatal("a node of a large fleet keeps all accounts")
+		}
+		for i, kept := range exchange.Kept(ids) {
+			if known := exchange.registry.Describe("llm", ids[i:i+1], nil, 0, time.Now()); kept != keeping[ids[i]] && len(known) > 0 {
+				t.Errorf("%s: keeping %v, kept %v", ids[i], keeping[ids[i]], kept)
+			}
+		}
+	}
+	exchange.registry.Replace(engines)
+	for nodes := 30; nodes < 300; nodes += 30 {
+		for i := nodes - 30; i < nodes; i++ {
+			exchange.AddPeers([]Peer{{Node: fmt.Sprint("n", i), Address: addressOf(i), Zone: fmt.Sprint("zone", i%5)}})
+		}
+		check()
+		exchange.mu.Lock()
+		exchange.peers.left(addressOf(nodes - 7))
+		exchange.mu.Unlock()
+		check()
+		exchange.registry.Replace(engines[:300-nodes/2])
+		check()
+	}
+}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -54,6 +54,8 @@
 
 	mu    sync.Mutex
 	peers *peerSet
+	// keeping is what Keeping worked out last.
+	keeping keeping
 	// asideUntil is until when this node leaves orders to others.
 	asideUntil time.Time
 	// asks are the questions whose answers are awaited.
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
@@ -16,6 +18,9 @@
 	// prompt of these parts, and for the workers that keep what the prompt shares. It
 	// returns what came in time.
 	Ask(ctx context.Context, workers []string, parts []prefixcache.Part, rank int) scheduling.Answers
+	// Keeping returns the engines whose accounts this node keeps, and false where all
+	// workers are to be looked at.
+	Keeping() (engines map[string]bool, some bool)
 	// RoundTrip is the time of the way to a region and back, zero for the own region.
 	RoundTrip(region string) time.Duration
 }
@@ -30,10 +35,34 @@
 
 // candidates describes the workers that may take the request.
 func (s *session) candidates() []scheduling.Candidate {
-	candidates := s.separated(s.registry.Candidates(s.call.Service.Name, s.call.Prompt, s.call.rank(), time.Now()))
+	candidates := s.separated(s.described())
 	if s.accounts == nil {
 		return candidates
 	}
+	return s.withAccounts(candidates)
+}
+
+// described returns the workers that may take the request: those worth looking at in a fleet
+// of which this node keeps some accounts, or else all.
+func (s *session) described() []scheduling.Candidate {
+	now, service := time.Now(), s.call.Service.Name
+	if s.accounts != nil && s.call.PromptTokens > 0 {
+		if kept, some := s.accounts.Keeping(); some {
+			names := scheduling.Shortlist(s.request(), s.registry.Outlines(service, kept, now))
+			return s.describe(append(names, slices.Collect(maps.Keys(s.known))...))
+		}
+	}
+	return s.registry.Candidates(service, s.call.Prompt, s.call.rank(), now)
+}
+
+// describe describes some workers, each once.
+func (s *session) describe(workers []string) []scheduling.Candidate {
+	slices.Sort(workers)
+	return s.registry.Describe(s.call.Service.Name, slices.Compact(workers), s.call.Prompt, s.call.rank(), time.Now())
+}
+
+// withAccounts tells for each candidate whether this node keeps its account.
+func (s *session) withAccounts(candidates []scheduling.Candidate) []scheduling.Candidate {
 	ids := make([]string, 0, len(candidates))
 	for _, candidate := range candidates {
 		ids = append(ids, candidate.ID)
@@ -71,7 +100,22 @@
 	s.surveyed = surveyed{
 		asked: len(unasked), answered: len(s.known), holders: len(answers.Holders), took: time.Since(begun),
 	}
-	return scheduling.WithHolders(s.informed(chosen), candidates, answers.Holders)
+	return scheduling.WithHolders(s.informed(chosen), s.withHolders(candidates, answers.Holders), answers.Holders)
+}
+
+// withHolders adds those workers to the candidates that are told to keep the content and
+// weren't worth looking at by themselves.
+func (s *session) withHolders(candidates []scheduling.Candidate, holders []scheduling.Holder) []scheduling.Candidate {
+	var missing []string
+	for _, holder := range holders {
+		if !slices.ContainsFunc(candidates, func(c scheduling.Candidate) bool { return c.ID == holder.Worker }) {
+			missing = append(missing, holder.Worker)
+		}
+	}
+	if len(missing) == 0 {
+		return candidates
+	}
+	return append(slices.Clip(candidates), s.describe(missing)...)
 }
 
 // informed adds what other nodes have told of the candidates.
--- a/internal/scheduling/survey.go
+++ b/internal/scheduling/survey.go
@@ -1,7 +1,6 @@
 package scheduling
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
@@ -127,15 +126,7 @@
 			near = append(near, candidate)
 		}
 	}
-	slices.SortFunc(unasked, func(left, right Candidate) int {
-		if left.SameZone != right.SameZone {
-			if left.SameZone {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(left.Rank, right.Rank)
-	})
+	slices.SortFunc(unasked, func(left, right Candidate) int { return byNearness(left.outline(), right.outline()) })
 	return append(near, unasked[:min(count, len(unasked))]...)
 }
 
@@ -190,5 +181,13 @@
 	return chosen
 }
 
+// outline is what a shortlist is made by.
+func (c Candidate) outline() Outline {
+	return Outline{
+		ID: c.ID, Prefill: c.Prefill, SameZone: c.SameZone, Rank: c.Rank, Hash: c.Hash,
+		Sound: c.sound(), Kept: c.Account != Unasked,
+	}
+}
+
 // sound reports whether nothing speaks against a worker.
 func (c Candidate) sound() bool { return !c.Avoid && !c.Leaving && !c.HandleFailure }
--- a/internal/serving/warmup.go
+++ b/internal/serving/warmup.go
@@ -70,21 +70,33 @@
 // unlisted returns the engines whose accounts this node keeps, and of whose caches it
 // knows nothing, in an order of its own.
 func (n *Node) unlisted() []string {
-	var workers []string
-	for _, unlisted := range n.registry.Unlisted() {
-		workers = append(workers, unlisted.ID)
+	unlisted := n.registry.Unlisted()
+	if len(unlisted) == 0 {
+		return nil
 	}
-	kept := n.exchange.Kept(workers)
-	var homed []string
-	for i, id := range workers {
-		if kept[i] {
-			homed = append(homed, id)
-		}
+	ids := make([]string, 0, len(unlisted))
+	for _, engine := range unlisted {
+		ids = append(ids, engine.ID)
 	}
+	homed := n.kept(ids)
 	rand.Shuffle(len(homed), func(i, j int) { homed[i], homed[j] = homed[j], homed[i] })
 	return homed
 }
 
+// kept returns those workers whose accounts this node keeps.
+func (n *Node) kept(workers []string) []string {
+	if keeping, some := n.exchange.Keeping(); some {
+		return slices.DeleteFunc(workers, func(id string) bool { return !keeping[id] })
+	}
+	var kept []string
+	for i, keeps := range n.exchange.Kept(workers) {
+		if keeps {
+			kept = append(kept, workers[i])
+		}
+	}
+	return kept
+}
+
 // awaitLists waits until workers and routes are known.
 func (n *Node) awaitLists(ctx context.Context) bool {
 	for end := time.Now().Add(listWait); !n.Ready(); time.Sleep(listPoll) {
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"iter"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/pace"
@@ -25,6 +26,66 @@
 	return candidates
 }
 
+// Describe is Candidates of some workers only.
+func (r *Registry) Describe(service string, workers []string, parts []prefixcache.Part, rank int, now time.Time) []scheduling.Candidate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var candidates []scheduling.Candidate
+	for _, id := range workers {
+		known, exists := r.workers[id]
+		if exists && known.worker.Service == service && known.usable(now) {
+			candidates = append(candidates, r.candidate(known, parts, rank, now))
+		}
+	}
+	return candidates
+}
+
+// Outlines goes through the workers of a service that may take a request, for a shortlist.
+// kept are those whose account this node keeps. The registry is locked meanwhile.
+func (r *Registry) Outlines(service string, kept map[string]bool, now time.Time) iter.Seq[scheduling.Outline] {
+	return func(yield func(scheduling.Outline) bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for id, known := range r.workers {
+			if known.worker.Service != service || !known.usable(now) {
+				continue
+			}
+			if !yield(r.outline(known, kept[id], now)) {
+				return
+			}
+		}
+	}
+}
+
+func (r *Registry) outline(known *state, kept bool, now time.Time) scheduling.Outline {
+	return scheduling.Outline{
+		ID: known.worker.ID, Prefill: known.worker.Stage == Prefill,
+		SameZone: r.places.To(known.worker.Zone) == topology.SameZone,
+		Rank:     known.rank, Hash: known.hash, Kept: kept,
+		Sound: known.listed() && !known.breaker.Open(now) && !known.handles.Open(now),
+	}
+}
+
+// EngineIDs names all engines that are known.
+func (r *Registry) EngineIDs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make([]string, 0, len(r.workers))
+	for id, known := range r.workers {
+		if known.worker.Stage != Opaque {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Generation rises whenever a worker is added or forgotten.
+func (r *Registry) Generation() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.generation
+}
+
 // isChanging reports whether an order may be under way.
 func (s *state) isChanging(now time.Time) bool { return now.Before(s.changing) }
 
