What a large fleet tells less often counts longer

Cause: beyond 240 nodes each reports less often, each 2 s at 985, but what it told went on to count for the 1.5 s (demand), 1 s (load at homes) and 3 s (presence) of a small fleet: supervisors saw a part of the demand, homes forgot load that ran on, and a lost datagram made a node lost. It holds only while the fleet has fewer than 240 nodes. Now homes are told each half second in any fleet (their number grows with the requests), supervisors hear each other as often, and reports count for three of the times between them (TestWhatIsToldLessOftenCountsLonger, at 10, 240, 985 and 2000 nodes).

--- a/internal/digest/departed.go
+++ b/internal/digest/departed.go
@@ -92,7 +92,7 @@
 // drop forgets a peer, unless it was heard lately. It reports whether it was known.
 func (s *peerSet) drop(address netip.AddrPort, now time.Time) bool {
 	known, exists := s.peers[address]
-	if !exists || known.present && now.Sub(known.heard) <= peerLife {
+	if !exists || known.present && now.Sub(known.heard) <= s.life(address) {
 		return false
 	}
 	s.left(address)
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -21,10 +21,15 @@
 	// sendEvery is the least time between two messages: what is told later is placed on
 	// unseen (docs/design/decisions.md, round 12).
 	sendEvery = 25 * time.Millisecond
-	// restEvery is the time between two messages when nothing changes, in a fleet of up
-	// to restFleet nodes; beyond, it grows so that a supervisor gets no more of them.
+	// restEvery is the time between two messages when nothing changes: to the homes of the
+	// workers on which this node has load, and among supervisors.
 	restEvery = 500 * time.Millisecond
+	// restFleet is the number of nodes up to which each tells the supervisors of itself as
+	// often; beyond, it does so less often, and a supervisor gets no more messages.
 	restFleet = 240
+	// restLife is how many of the times between two messages at rest what one of them told
+	// counts: two may be lost.
+	restLife = 3
 	// maxDatagram bounds a message.
 	maxDatagram = 16 << 10
 	// maxTold bounds the answers to a start's questions that wait to be looked at.
@@ -78,7 +83,8 @@
 	told chan []string
 	done chan struct{}
 
-	// box and sequence are used by Run's goroutine only.
+	// box, sequence and reported are used by Run's goroutine only; reported is when the
+	// supervisors were told last.
 	box      outbox
 	sequence uint64
 	reported time.Time
@@ -184,39 +190,45 @@
 
 // tick sends what is due, and returns the time until something may be due again.
 func (e *Exchange) tick(now time.Time) time.Duration {
-	rest := e.rest()
-	if due, atRest := e.box.dueness(now, rest); due {
-		e.tell(now, atRest)
-		if atRest {
-			e.tellUsage(now)
-		}
+	due, atRest := e.box.dueness(now)
+	if !due {
+		return e.box.wait(now)
+	}
+	reports := atRest && now.Sub(e.reported) >= reportEvery(e.Nodes())
+	if reports {
+		e.reported = now
+	}
+	e.tell(now, atRest, reports)
+	if reports {
+		e.tellUsage(now)
 	}
-	return e.box.wait(now, rest)
+	return e.box.wait(now)
 }
 
-// rest is the time between two messages at rest.
-func (e *Exchange) rest() time.Duration {
-	return restEvery * time.Duration(max(e.Nodes(), restFleet)) / restFleet
+// reportEvery is the time between two messages to the supervisors in a fleet of so many nodes.
+func reportEvery(nodes int) time.Duration {
+	return restEvery * time.Duration(max(nodes, restFleet)) / restFleet
 }
 
 // tell sends each home of a worker that was touched what this node has placed on the
 // workers of that home; at rest also the homes of all workers that it has placed
-// anything on, the supervisors, and those that don't know this node.
-func (e *Exchange) tell(now time.Time, atRest bool) {
+// anything on. Where it reports, it tells the supervisors and those that don't know this
+// node too.
+func (e *Exchange) tell(now time.Time, atRest, reports bool) {
 	snapshot := e.registry.Snapshot()
 	e.box.collect(snapshot)
 	snapshot.Reads, snapshot.Failures = e.box.next(now, atRest)
 	e.sequence++
 	base := Message{Node: e.node, Sequence: e.sequence}
 	e.mu.Lock()
-	if atRest {
+	if reports {
 		base.Zone = e.zone
 		e.logSilent(now)
 	} else {
 		snapshot.Demand, snapshot.RegionDemand = nil, nil // they change slowly
 	}
 	base.Aside = now.Before(e.asideUntil)
-	parcels, supervisors := e.parcels(snapshot, atRest), e.peers.supervisors()
+	parcels, supervisors := e.parcels(snapshot, atRest, reports), e.peers.supervisors()
 	e.mu.Unlock()
 	e.sendParcels(parcels, supervisors, snapshot, base)
 	e.tellContents(snapshot.Reads, now)
@@ -236,7 +248,7 @@
 
 // parcels returns, by the nodes that are to be told something, the workers of which they
 // are to be told.
-func (e *Exchange) parcels(snapshot worker.Snapshot, atRest bool) map[netip.AddrPort][]string {
+func (e *Exchange) parcels(snapshot worker.Snapshot, atRest, reports bool) map[netip.AddrPort][]string {
 	subjects := subjectsOf(snapshot)
 	parcels := make(map[netip.AddrPort][]string)
 	for _, id := range subjects {
@@ -246,8 +258,13 @@
 			}
 		}
 	}
-	if atRest {
-		for _, address := range e.restTargets() {
+	if reports {
+		for _, address := range e.reportTargets() {
+			parcels[address] = nil
+		}
+	}
+	if atRest && e.peers.supervises() {
+		for _, address := range e.peers.supervisors() {
 			parcels[address] = nil
 		}
 	}
@@ -262,8 +279,8 @@
 	return parcels
 }
 
-// restTargets are the nodes that hear of this one whatever it does.
-func (e *Exchange) restTargets() []netip.AddrPort {
+// reportTargets are the nodes that hear of this one whatever it does.
+func (e *Exchange) reportTargets() []netip.AddrPort {
 	targets := append(e.peers.toGreet(), e.peers.supervisors()...)
 	if any, found := e.peers.anyPeer(); found {
 		targets = append(targets, any)
@@ -418,6 +435,7 @@
 		return
 	}
 	now := time.Now()
+	snapshot.DemandLife = restLife * reportEvery(e.Nodes())
 	if message.Leaving {
 		e.quotaLeft(message.Node)
 	}
--- a/internal/digest/outbox.go
+++ b/internal/digest/outbox.go
@@ -31,8 +31,8 @@
 }
 
 // dueness tells whether a message is to be sent, and whether as one at rest.
-func (o *outbox) dueness(now time.Time, rest time.Duration) (due, atRest bool) {
-	if now.Sub(o.rested) >= rest {
+func (o *outbox) dueness(now time.Time) (due, atRest bool) {
+	if now.Sub(o.rested) >= restEvery {
 		return true, true
 	}
 	return o.waits() && now.Sub(o.sent) >= sendEvery, false
@@ -42,8 +42,8 @@
 func (o *outbox) waits() bool { return o.changed || len(o.pending) > 0 }
 
 // wait is the time until a message is due.
-func (o *outbox) wait(now time.Time, rest time.Duration) time.Duration {
-	wait := rest - now.Sub(o.rested)
+func (o *outbox) wait(now time.Time) time.Duration {
+	wait := restEvery - now.Sub(o.rested)
 	if o.waits() {
 		wait = min(wait, sendEvery-now.Sub(o.sent))
 	}
--- a/internal/digest/outbox_test.go
+++ b/internal/digest/outbox_test.go
@@ -14,7 +14,7 @@
 	box.collect(worker.Snapshot{Reads: []worker.Read{{Worker: "w"}}, Failures: []string{"w"}})
 	reads, failures, messages := 0, 0, 0
 	for now := origin.Add(sendEvery); now.Sub(origin) < 3*restEvery; now = now.Add(sendEvery) {
-		due, atRest := box.dueness(now, restEvery)
+		due, atRest := box.dueness(now)
 		if !due {
 			continue
 		}
@@ -44,9 +44,9 @@
 		box.next(origin, true)
 		box.changed = test.changed
 		now := origin.Add(test.after)
-		due, atRest := box.dueness(now, restEvery)
-		if due != test.due || atRest != test.atRest || box.wait(now, restEvery) != test.wait {
-			t.Errorf("%s: due %v, at rest %v, wait %v", name, due, atRest, box.wait(now, restEvery))
+		due, atRest := box.dueness(now)
+		if due != test.due || atRest != test.atRest || box.wait(now) != test.wait {
+			t.Errorf("%s: due %v, at rest %v, wait %v", name, due, atRest, box.wait(now))
 		}
 	}
 }
@@ -64,7 +64,7 @@
 	box.collect(worker.Snapshot{Reads: lists})
 	told := make(map[string]int)
 	for now := origin.Add(sendEvery); now.Sub(origin) < 5*restEvery; now = now.Add(sendEvery) {
-		due, atRest := box.dueness(now, restEvery)
+		due, atRest := box.dueness(now)
 		if !due {
 			continue
 		}
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -13,8 +13,9 @@
 
 // The figures of the fleet.
 const (
-	// peerLife is how long a silent node counts as one that takes requests: six messages
-	// at rest.
+	// peerLife is how long a silent node counts as one that takes requests, in a fleet in
+	// which each tells the supervisors of itself as often as it may: six messages. It is how
+	// long a silent supervisor counts for the others in any fleet.
 	peerLife = 3 * time.Second
 	// wholeFleet is the number of nodes up to which each keeps account of all workers.
 	// In a larger fleet as many keep a worker's account as keep the messages of all nodes
@@ -253,8 +254,8 @@
 // them with the time since they were heard.
 func (s *peerSet) silent(now time.Time) map[string]time.Duration {
 	lost := make(map[string]time.Duration)
-	for _, known := range s.peers {
-		if silence := now.Sub(known.heard); known.present && silence > peerLife {
+	for address, known := range s.peers {
+		if silence := now.Sub(known.heard); known.present && silence > s.life(address) {
 			known.present = false
 			lost[known.node] = silence
 		}
@@ -262,6 +263,14 @@
 	return lost
 }
 
+// life is how long a node counts as present after it was heard.
+func (s *peerSet) life(address netip.AddrPort) time.Duration {
+	if s.supervises() && slices.Contains(s.supervisors(), address) {
+		return peerLife
+	}
+	return peerLife / restEvery * reportEvery(s.nodes())
+}
+
 // nodes is the number of nodes, this one included.
 func (s *peerSet) nodes() int { return len(s.peers) + 1 }
 
--- /dev/null
+++ b/internal/digest/reports_test.go
@@ -0,0 +1,94 @@
+package digest
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/worker"
+)
+
+// TestWhatIsToldLessOftenCountsLonger: in a large fleet a node reports to the supervisors
+// each few seconds, and what it wants must count until the next report, and one that may be
+// lost.
+func TestWhatIsToldLessOftenCountsLonger(t *testing.T) {
+	for _, nodes := range []int{10, 240, 985, 2000} {
+		supervisor := aSupervisor(t, nodes)
+		every := reportEvery(nodes)
+		const rounding = 1
+		if time.Duration(nodes)*restEvery > restFleet*(every+rounding) {
+			t.Errorf("%d nodes report each %v: a supervisor gets more than of %d nodes", nodes, every, restFleet)
+		}
+		for i := range nodes {
+			supervisor.hear(addressOf(i), Message{Node: fmt.Sprint("n", i), Sequence: 1}, origin)
+		}
+		lost := supervisor.silent(origin.Add(2*every + time.Millisecond))
+		for _, other := range supervisor.supervisors() {
+			// These tell each other more often.
+			if known, exists := supervisor.peers[other]; exists {
+				delete(lost, known.node)
+			}
+		}
+		if len(lost) > 0 {
+			t.Errorf("%d nodes: %d are taken for lost when one report of each is missing", nodes, len(lost))
+		}
+	}
+}
+
+// TestSupervisorsHearEachOtherAsOftenInAnyFleet: the next one must act soon for one that is
+// lost.
+func TestSupervisorsHearEachOtherAsOftenInAnyFleet(t *testing.T) {
+	exchange := largeExchange(t)
+	supervisors := exchange.peers.others(exchange.peers.supervisors())
+	for range 2 {
+		parcels := exchange.parcels(worker.Snapshot{}, true, false)
+		if len(parcels) != len(supervisors) {
+			t.Fatalf("%d nodes are told at rest, want the %d other supervisors", len(parcels), len(supervisors))
+		}
+	}
+	if life := exchange.peers.life(supervisors[0]); life != peerLife {
+		t.Errorf("a silent supervisor counts for %v", life)
+	}
+}
+
+// TestHomesAreToldAtRestInAnyFleet: a load that isn't told again within a second is taken
+// for over.
+func TestHomesAreToldAtRestInAnyFleet(t *testing.T) {
+	exchange := largeExchange(t)
+	snapshot := worker.Snapshot{Loads: map[string]worker.Load{"w7": {Requests: 1}}}
+	parcels := exchange.parcels(snapshot, true, false)
+	for _, home := range exchange.peers.others(exchange.peers.homes("w7")) {
+		if _, told := parcels[home]; !told {
+			t.Errorf("%v keeps the account and isn't told", home)
+		}
+	}
+}
+
+// aSupervisor returns a supervisor of a fleet.
+func aSupervisor(t *testing.T, nodes int) *peerSet {
+	t.Helper()
+	var listed []Peer
+	for i := range nodes {
+		listed = append(listed, Peer{Node: fmt.Sprint("n", i), Address: addressOf(i), Zone: fmt.Sprint("zone", i%5)})
+	}
+	for i := range listed {
+		set := newPeerSet(listed[i].Node, listed[i].Address, listed[i].Zone)
+		if set.list(listed); set.supervises() {
+			return set
+		}
+	}
+	t.Fatal("no node supervises")
+	return nil
+}
+
+// largeExchange returns a supervisor's exchange in a fleet of 985 nodes.
+func largeExchange(t *testing.T) *Exchange {
+	t.Helper()
+	exchange, err := Listen("127.0.0.1:0", "me", "zone0", registryWith("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = exchange.conn.Close() })
+	exchange.peers = aSupervisor(t, 985)
+	return exchange
+}
--- a/internal/worker/demand.go
+++ b/internal/worker/demand.go
@@ -9,9 +9,6 @@
 const (
 	// demandOver is the time over which demand is averaged.
 	demandOver = time.Second
-	// demandLife is how long what another node told of its demand counts: three times
-	// as long as two messages at rest are apart.
-	demandLife = 1500 * time.Millisecond
 )
 
 // Demand is what the callers of a service want of its engines, whether it can be done
@@ -47,9 +44,10 @@
 	remote                 map[string]remoteDemand
 }
 
+// remoteDemand is what another node told, and until when it counts.
 type remoteDemand struct {
 	demand Demand
-	at     time.Time
+	until  time.Time
 }
 
 // rate is a moving mean of events in a second.
@@ -116,7 +114,7 @@
 func (d *demand) elsewhere(now time.Time) Demand {
 	var sum Demand
 	for node, remote := range d.remote {
-		if now.Sub(remote.at) > demandLife {
+		if now.After(remote.until) {
 			delete(d.remote, node)
 			continue
 		}
@@ -192,12 +190,13 @@
 
 // mergeDemand takes over what another node told of its demand.
 func (r *Registry) mergeDemand(node string, told Snapshot, now time.Time) {
+	until := now.Add(told.DemandLife)
 	for service, demand := range told.Demand {
-		r.demandOf(demandKey{service: service}).remote[node] = remoteDemand{demand, now}
+		r.demandOf(demandKey{service: service}).remote[node] = remoteDemand{demand, until}
 	}
 	for region, byService := range told.RegionDemand {
 		for service, demand := range byService {
-			r.demandOf(demandKey{service, region}).remote[node] = remoteDemand{demand, now}
+			r.demandOf(demandKey{service, region}).remote[node] = remoteDemand{demand, until}
 		}
 	}
 }
--- a/internal/worker/demand_test.go
+++ b/internal/worker/demand_test.go
@@ -51,11 +51,15 @@
 func TestDemandOfOtherNodesCountsByRegion(t *testing.T) {
 	teller, r := regionalRegistry(), regionalRegistry()
 	teller.ObserveDemand("s", "south", 300, time.Now())
-	r.Merge("teller", teller.Snapshot(), demandStart)
-	if got := r.Demands("s", demandStart); got["south"].ReadTokens == 0 || got["north"].ReadTokens != 0 {
-		t.Errorf("%v", got)
+	told := teller.Snapshot()
+	told.DemandLife = 5 * time.Second
+	r.Merge("teller", told, demandStart)
+	for _, now := range []time.Time{demandStart, demandStart.Add(told.DemandLife)} {
+		if got := r.Demands("s", now); got["south"].ReadTokens == 0 || got["north"].ReadTokens != 0 {
+			t.Errorf("%v", got)
+		}
 	}
-	if got := r.Demands("s", demandStart.Add(demandLife+1)); !got["south"].Zero() {
+	if got := r.Demands("s", demandStart.Add(told.DemandLife+1)); !got["south"].Zero() {
 		t.Errorf("a node that is silent still wants %v", got)
 	}
 }
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -24,6 +24,9 @@
 	// RegionDemand, by region and service, what they want of each region's engines.
 	Demand       map[string]Demand
 	RegionDemand map[string]map[string]Demand
+	// DemandLife is how long a demand that another node told counts: it is told less often
+	// in a large fleet.
+	DemandLife time.Duration
 	// Touched are the workers of which anything changed since the last snapshot.
 	Touched []string
 }
