Workers that start again under their names; entries of another writer

Cause: all that is known of a worker hung on its name, so one that was back within its entry's life was taken for the one before: contents that are gone, load and failures that aren't its own. An entry that turned unreadable left its worker in use, one with an unknown state was used. The tests of the registry can't be compiled on the code before, which has no births.

--- a/internal/dispatch/endings.go
+++ b/internal/dispatch/endings.go
@@ -12,6 +12,7 @@
 
 	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
@@ -120,18 +121,20 @@
 	return count
 }
 
-// answered records that a worker has run a request to an end. One that was taken for ended
-// lives: its address may refuse a connection for other reasons.
-func (e *endings) answered(worker string, now time.Time) {
+// answered records that a worker has run a request to an end that it was given at a time. One
+// that was taken for ended lives: its address may refuse a connection for other reasons. A
+// worker that may start again under its name says nothing of before by a request that it was
+// given after that.
+func (e *endings) answered(id string, given, now time.Time) {
 	e.mu.Lock()
-	known, exists := e.looks[worker]
-	mistaken := exists && known.isDead()
+	known, exists := e.looks[id]
+	mistaken := exists && known.isDead() && (worker.BornOf(id) == 0 || given.Before(known.begun))
 	if mistaken {
-		delete(e.looks, worker)
+		delete(e.looks, id)
 	}
 	e.mu.Unlock()
 	if mistaken {
-		e.quarantine.Lives(worker, now)
+		e.quarantine.Lives(id, now)
 	}
 }
 
--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -5,12 +5,14 @@
 	"io"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
@@ -87,3 +89,30 @@
 		t.Errorf("%d looks are remembered", len(e.looks))
 	}
 }
+
+// told records for which workers a quarantine is told that they live.
+type told struct {
+	noQuarantine
+	lives []string
+}
+
+func (q *told) Lives(worker string, _ time.Time) { q.lives = append(q.lives, worker) }
+
+// TestAnswerOfALaterStartDoesNotUndoAnEnd: a worker that ended is back under its name, and the
+// list that tells of it comes later than its answers. A run that was given to it before it
+// was taken for ended shows a mistake.
+func TestAnswerOfALaterStartDoesNotUndoAnEnd(t *testing.T) {
+	for id, want := range map[string]int{"w": 2, worker.Identity("w", 7): 1} {
+		quarantined := &told{}
+		e := newTestEndings(func(context.Context, string) workerconn.Liveness { return workerconn.Dead })
+		e.quarantine = quarantined
+		before := time.Now()
+		for _, given := range []func() time.Time{func() time.Time { return before.Add(-time.Second) }, time.Now} {
+			e.inspect(scheduling.Candidate{ID: id, Address: "a"})
+			e.answered(id, given(), time.Now())
+		}
+		if len(quarantined.lives) != want {
+			t.Errorf("%s: the end is undone %d times, want %d", id, len(quarantined.lives), want)
+		}
+	}
+}
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -29,7 +29,7 @@
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed {
 		s.registry.Errored(runner.ID, time.Now())
-		s.survived(runner)
+		s.survived(load)
 		s.failed[runner.ID] = true
 		if s.headGiven || s.call.Route.Repeatable() && s.mayRepeat() {
 			s.ranBefore = true
@@ -42,7 +42,7 @@
 	} else {
 		err = s.passWhole(answer, load)
 	}
-	return s.passed(runner, answer, failed, err)
+	return s.passed(answer, failed, load, err)
 }
 
 // mayRepeat reports whether attempts and time are left for another try.
@@ -50,13 +50,14 @@
 	return s.attempts < s.call.Route.MaxAttempts && s.remaining() > 0
 }
 
-func (s *session) passed(runner scheduling.Candidate, answer *workerconn.Answer, failed bool, err error) tryEnd {
+func (s *session) passed(answer *workerconn.Answer, failed bool, load *work, err error) tryEnd {
+	runner := load.runner
 	var left errCallerWrite
 	switch {
 	case err == nil:
 		if !failed {
 			s.registry.Succeeded(runner.ID, time.Now())
-			s.survived(runner)
+			s.survived(load)
 		}
 		return finishedWith(runner, answer.Status)
 	case errors.As(err, &left):
--- a/internal/dispatch/suspicion.go
+++ b/internal/dispatch/suspicion.go
@@ -57,9 +57,9 @@
 }
 
 // survived records that a worker has run the call to an end.
-func (s *session) survived(runner scheduling.Candidate) {
+func (s *session) survived(load *work) {
 	now := time.Now()
-	s.endings.answered(runner.ID, now)
+	s.endings.answered(load.runner.ID, load.begun, now)
 	s.quarantine.Survived(s.call.Fingerprint, now)
 }
 
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -57,6 +57,8 @@
 	Staged func(w *Worker)
 	// Kept are parts of prompts that the worker says it keeps, with their tokens.
 	Kept map[string]int
+	// Born is when the worker started in Unix milliseconds; it doesn't tell where it is zero.
+	Born int64
 	// Address is where the worker listens; any port where it is empty.
 	Address string
 	// CrashOn has the worker crash as soon as it runs a request whose body holds this text,
@@ -174,6 +176,9 @@
 		"Service": w.options.Service, "Address": w.Address(), "Zone": w.options.Zone,
 		"Version": "v1", "Slots": w.options.Slots, "State": state, "ColdRemainingMs": 0, "Seq": 1,
 	}
+	if w.options.Born != 0 {
+		entry["born"] = w.options.Born
+	}
 	if stage := w.currentStage(); stage != "" {
 		entry["Stage"] = stage
 		entry["Models"] = []map[string]any{{"Name": "m", "Version": 1}}
--- a/internal/lab/site/crash_test.go
+++ b/internal/lab/site/crash_test.go
@@ -25,6 +25,8 @@
 	// arrivalsAllowed how often it may reach others after that.
 	crashesNeeded   = 3
 	arrivalsAllowed = 3
+	// firstBirth is when workers that tell it are born first, in Unix milliseconds.
+	firstBirth = 1_764_731_647_000
 )
 
 // fragile are workers that crash on requests with poison bodies, and come back, each time
@@ -38,15 +40,24 @@
 	crashes      int
 	// mended workers crash no more when they come back.
 	mended bool
+	// named workers come back under the id that they had, and tell when they were born.
+	named bool
 	// tries counts the requests that were sent by again.
 	tries int
 }
 
 // startFragile runs a site of three nodes before engines that requests may crash.
 func startFragile(t *testing.T) (*site, *fragile) {
+	t.Helper()
+	return startFragileWith(t, func(*fragile) {})
+}
+
+// startFragileWith is startFragile with a change before any worker starts.
+func startFragileWith(t *testing.T, change func(*fragile)) (*site, *fragile) {
 	t.Helper()
 	s := startUnconfigured(t)
 	f := &fragile{s: s, standing: make(map[string]*fleetworker.Worker)}
+	change(f)
 	f.add(fleetworker.Options{ID: "read-1", Service: llm, Stage: "prefill"})
 	for number := range 4 {
 		f.add(fleetworker.Options{ID: fmt.Sprint("write-", number+1), Service: llm, Stage: "decode"})
@@ -71,6 +82,9 @@
 
 // start is add under the lock.
 func (f *fragile) start(options fleetworker.Options) {
+	if f.named && options.Born == 0 {
+		options.Born = firstBirth
+	}
 	options.Zone, options.CrashOn, options.Crashed = "a", poison, func(w *fleetworker.Worker) { f.crash(options, w) }
 	if f.mended {
 		options.CrashOn = ""
@@ -96,8 +110,13 @@
 	time.Sleep(restartAfter)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.s.store.Put("servers", options.ID, nil)
-	options.ID, options.Address = options.ID+"'", crashed.Address()
+	options.Address = crashed.Address()
+	if f.named {
+		options.Born++
+	} else {
+		f.s.store.Put("servers", options.ID, nil)
+		options.ID += "'"
+	}
 	f.start(options)
 }
 
@@ -301,6 +320,15 @@
 	}
 }
 
+// TestWorkersThatKeepTheirNamesAreStoppedForToo: each is back under the id under which it
+// ended, before its entry lapses.
+func TestWorkersThatKeepTheirNamesAreStoppedForToo(t *testing.T) {
+	_, f := startFragileWith(t, func(f *fragile) { f.named = true })
+	f.quarantine("/check/same", poison)
+	f.expectStopped("/check/same", poison)
+	f.expectServed("/check/same", "another move")
+}
+
 // TestRoutesWithoutASecondRunAreStoppedToo, and plain services.
 func TestRoutesWithoutASecondRunAreStoppedToo(t *testing.T) {
 	for _, path := range []string{"/verdict/1", "/submit/1", "/board/1"} {
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -4,6 +4,7 @@
 	"io"
 	"log"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/routing"
@@ -59,52 +60,84 @@
 }
 
 // workers keeps the registry at what the store lists.
-type workers struct{ node *Node }
+type workers struct {
+	node *Node
+	// unreadable counts the entries that named no worker to use.
+	unreadable prometheus.Counter
+}
+
+func newWorkers(n *Node, metrics prometheus.Registerer) *workers {
+	w := &workers{node: n, unreadable: prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tinarch_worker_entries_unreadable_total", Help: "Entries of workers that could not be read, each time that one came.",
+	})}
+	metrics.MustRegister(w.unreadable)
+	return w
+}
 
 // Reset implements tablefeed.Consumer.
 func (w *workers) Reset(rows []tablefeed.Row, version tablefeed.Version) {
 	var listed []worker.Worker
+	unreadable := 0
 	for _, row := range rows {
-		if read, ok := w.read(row); ok {
+		if read, ok := w.read(row, unreadable); ok {
 			listed = append(listed, read)
+		} else {
+			unreadable++
 		}
 	}
 	added, gone := w.node.registry.Replace(listed)
 	if len(listed) > 0 {
 		w.node.workersKnown.Store(true)
 	}
-	for _, id := range gone {
-		w.node.pool.Drop(id)
-	}
-	w.node.log.WithFields(logrus.Fields{"version": version, "workers": len(listed), "added": len(added), "gone": gone}).
-		Info("workers read")
+	w.drop(gone)
+	w.drop(w.node.registry.TakeEnded())
+	w.node.log.WithFields(logrus.Fields{
+		"version": version, "workers": len(listed), "unreadable": unreadable, "added": len(added), "gone": len(gone), "first_gone": firstOf(gone),
+	}).Info("workers read")
 }
 
 // Apply implements tablefeed.Consumer.
 func (w *workers) Apply(rows []tablefeed.Row, version tablefeed.Version) {
+	unreadable := 0
 	for _, row := range rows {
-		change := worker.Change{ID: row.Key}
+		change := worker.Change{Name: row.Key}
 		if !row.Gone {
-			read, ok := w.read(row)
-			if !ok {
-				continue
+			read, ok := w.read(row, unreadable)
+			if ok {
+				change.Worker = &read
+				w.node.workersKnown.Store(true)
+			} else {
+				change.Unreadable = true
+				unreadable++
 			}
-			change.Worker = &read
-			w.node.workersKnown.Store(true)
 		}
-		if !w.node.registry.Apply(change) {
+		changed := w.node.registry.Apply(change)
+		ended := w.node.registry.TakeEnded()
+		w.drop(ended)
+		if !changed {
 			continue
 		}
 		if row.Gone {
 			w.node.pool.Drop(row.Key)
 		}
-		w.log(change, version)
+		w.log(change, ended, version)
 	}
 }
 
-func (w *workers) log(change worker.Change, version tablefeed.Version) {
-	fields := logrus.Fields{"worker": change.ID, "version": version, "gone": change.Worker == nil}
+// drop closes the connections to workers that have ended.
+func (w *workers) drop(ended []string) {
+	for _, id := range ended {
+		w.node.pool.Drop(id)
+	}
+}
+
+func (w *workers) log(change worker.Change, ended []string, version tablefeed.Version) {
+	fields := logrus.Fields{
+		"worker": change.Name, "version": version, "gone": change.Worker == nil, "unreadable": change.Unreadable,
+		"ended": ended, // an earlier start of the worker
+	}
 	if change.Worker != nil {
+		fields["worker"] = change.Worker.ID
 		fields["service"] = change.Worker.Service
 		fields["stage"] = change.Worker.Stage
 		fields["draining"] = change.Worker.Draining
@@ -113,14 +146,29 @@
 	w.node.log.WithFields(fields).Info("worker changed")
 }
 
-func (w *workers) read(row tablefeed.Row) (worker.Worker, bool) {
+// maxLoggedEntries bounds the entries of one change of the table that are logged because
+// they can't be read; all are counted.
+const maxLoggedEntries = 3
+
+// read reads an entry. before is how many of the same change could not be read.
+func (w *workers) read(row tablefeed.Row, before int) (worker.Worker, bool) {
 	read, err := w.node.platform.Worker(row)
-	if err != nil {
+	if err == nil {
+		return read, true
+	}
+	w.unreadable.Inc()
+	if before < maxLoggedEntries {
 		w.node.log.WithFields(logrus.Fields{"row": row.Key, "row_version": row.Version, "cause": err.Error()}).
-			Error("a worker's entry can't be read; it is passed over")
-		return worker.Worker{}, false
+			Error("a worker's entry can't be read; it names no worker to use")
+	}
+	return worker.Worker{}, false
+}
+
+func firstOf(ids []string) string {
+	if len(ids) == 0 {
+		return ""
 	}
-	return read, true
+	return ids[0]
 }
 
 func quietLog() *log.Logger { return log.New(io.Discard, "", 0) }
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -147,7 +147,7 @@
 	quotas := n.keepQuotas(metrics)
 	n.shareTables()
 	n.configurationFeed = n.newFeed(platform.ConfigurationTable(), &configuration{node: n})
-	n.workersFeed = n.newFeed(platform.WorkerTable(), &workers{node: n})
+	n.workersFeed = n.newFeed(platform.WorkerTable(), newWorkers(n, metrics))
 	n.nodesFeed = n.newFeed(nodesTable, &members{node: n})
 	n.keepQuarantine(metrics)
 	n.front = front.New(front.Options{
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -33,7 +33,7 @@
 		r.put(worker, now)
 	}
 	for id := range r.workers {
-		if !listed[id] && r.remove(id, now) {
+		if !listed[id] && r.remove(NameOf(id), now) {
 			gone = append(gone, id)
 		}
 	}
@@ -49,10 +49,33 @@
 func (r *Registry) ApplyAt(change Change, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if change.Worker != nil {
+	switch {
+	case change.Unreadable:
+		return r.end(r.names[change.Name])
+	case change.Worker != nil:
 		return r.put(*change.Worker, now)
 	}
-	return r.remove(change.ID, now)
+	return r.remove(change.Name, now)
+}
+
+// TakeEnded returns the identities of workers that have ended since it was called last:
+// another start has their name, or their entry can't be read any more.
+func (r *Registry) TakeEnded() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ended := r.ended
+	r.ended = nil
+	return ended
+}
+
+// end forgets a start of a worker at once: it has ended, whatever others still tell of it.
+func (r *Registry) end(id string) bool {
+	if _, exists := r.workers[id]; !exists {
+		return false
+	}
+	r.forget(id)
+	r.ended = append(r.ended, id)
+	return true
 }
 
 // listed reports whether the platform lists the worker.
@@ -61,18 +84,18 @@
 // remove takes a worker off the list, and reports whether it was on it. What is
 // known of it is kept for a while: entries may vanish while the store is away,
 // although their workers live.
-func (r *Registry) remove(id string, now time.Time) bool {
+func (r *Registry) remove(name string, now time.Time) bool {
 	for other, known := range r.gone {
 		if now.Sub(known.goneAt) >= forgetAfter {
 			r.forget(other)
 		}
 	}
-	known, exists := r.workers[id]
+	known, exists := r.workers[r.names[name]]
 	if !exists || !known.listed() {
 		return false
 	}
 	known.goneAt = now
-	r.gone[id] = known
+	r.gone[known.worker.ID] = known
 	return true
 }
 
@@ -80,13 +103,29 @@
 func (r *Registry) forget(id string) {
 	r.generation++
 	delete(r.workers, id)
+	if r.names[NameOf(id)] == id {
+		delete(r.names, NameOf(id))
+	}
 	delete(r.busy, id)
 	delete(r.changing, id)
 	delete(r.gone, id)
 }
 
-// put records an entry, and reports whether that changed anything.
+// put records an entry, and reports whether that changed anything. The entry of an earlier
+// start, which may come late, changes nothing, and that of a later one ends the earlier. One
+// that doesn't tell its birth, of a worker that did, is another writer's: it ends the worker.
 func (r *Registry) put(worker Worker, now time.Time) bool {
+	name := NameOf(worker.ID)
+	if newest, known := r.names[name]; known && newest != worker.ID {
+		born := BornOf(worker.ID)
+		if born > 0 && born < BornOf(newest) {
+			return false
+		}
+		r.end(newest)
+		if born == 0 {
+			return true
+		}
+	}
 	known, exists := r.workers[worker.ID]
 	if exists && (known.listed() || now.Sub(known.goneAt) < forgetAfter) {
 		changed := known.worker != worker || !known.listed()
@@ -103,6 +142,7 @@
 		capacity = unknownMemoryTokens
 	}
 	r.forget(worker.ID)
+	r.names[name] = worker.ID
 	r.workers[worker.ID] = &state{
 		worker: worker,
 		rank:   maphash.String(r.seed, worker.ID),
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -72,6 +72,10 @@
 	// seed makes the ranks of this process's own.
 	seed    maphash.Seed
 	workers map[string]*state
+	// names holds the identity of the newest start by a worker's name, and ended those that
+	// were replaced by a newer one or whose entry can't be read, until TakeEnded.
+	names map[string]string
+	ended []string
 	// busy, changing and gone are the few workers that have load of this node, were ordered
 	// to a stage, or have vanished; placed are those on which another node has load, by node.
 	// Nothing that is done for each message goes through all workers: of 10,000 that took
@@ -147,6 +151,7 @@
 		regional: places.Several(),
 		seed:     maphash.MakeSeed(),
 		workers:  make(map[string]*state),
+		names:    make(map[string]string),
 		busy:     make(map[string]*state),
 		changing: make(map[string]*state),
 		gone:     make(map[string]*state),
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -57,14 +57,14 @@
 func TestChangesOfTheList(t *testing.T) {
 	r := newTestRegistry()
 	same, _ := r.Get("p")
-	if r.Apply(Change{ID: "p", Worker: &same}) {
+	if r.Apply(Change{Name: "p", Worker: &same}) {
 		t.Error("an entry that is the same counts as a change")
 	}
 	same.Draining = true
-	if !r.Apply(Change{ID: "p", Worker: &same}) || r.Draining() != 2 {
+	if !r.Apply(Change{Name: "p", Worker: &same}) || r.Draining() != 2 {
 		t.Error("draining is no change")
 	}
-	if !r.Apply(Change{ID: "p"}) || r.Apply(Change{ID: "p"}) {
+	if !r.Apply(Change{Name: "p"}) || r.Apply(Change{Name: "p"}) {
 		t.Error("a removal counts once")
 	}
 	added, gone := r.Replace([]Worker{{ID: "new", Service: "llm"}, {ID: "d", Service: "llm"}})
@@ -194,7 +194,7 @@
 	for range 30 {
 		r.ObserveReading("p", pace.Reading{Tokens: 10_000, Elapsed: 125 * time.Millisecond})
 	}
-	r.Apply(Change{ID: "p2", Worker: &Worker{ID: "p2", Service: "llm", Stage: Prefill}})
+	r.Apply(Change{Name: "p2", Worker: &Worker{ID: "p2", Service: "llm", Stage: Prefill}})
 	takes := func() float64 { return find(t, r, "p2", nil, origin).Reading.Milliseconds(10_000, 0) }
 	if got := takes(); got < 119 || got > 131 {
 		t.Errorf("a new worker is assumed to read the prompt in %v ms, want 125", got)
@@ -215,7 +215,7 @@
 	r := newTestRegistry()
 	entry, _ := r.Get("p")
 	r.Cached("p", parts, origin)
-	r.ApplyAt(Change{ID: "p"}, origin)
+	r.ApplyAt(Change{Name: "p"}, origin)
 	if got := find(t, r, "p", parts, origin.Add(lingerFor-1)); !got.Leaving {
 		t.Errorf("%+v", got)
 	}
@@ -227,12 +227,12 @@
 			t.Error("a vanished worker is used for ever")
 		}
 	}
-	r.ApplyAt(Change{ID: "p", Worker: &entry}, origin.Add(lingerFor))
+	r.ApplyAt(Change{Name: "p", Worker: &entry}, origin.Add(lingerFor))
 	if got := find(t, r, "p", parts, origin.Add(lingerFor)); got.Leaving || got.CachedTokens != 100 {
 		t.Errorf("%+v", got)
 	}
-	r.ApplyAt(Change{ID: "p"}, origin)
-	r.ApplyAt(Change{ID: "p", Worker: &entry}, origin.Add(forgetAfter))
+	r.ApplyAt(Change{Name: "p"}, origin)
+	r.ApplyAt(Change{Name: "p", Worker: &entry}, origin.Add(forgetAfter))
 	if got := find(t, r, "p", parts, origin.Add(forgetAfter)); got.CachedTokens != 0 {
 		t.Errorf("what vanished long ago is remembered: %+v", got)
 	}
@@ -241,7 +241,7 @@
 // TestDrainingWorkerThatVanishesIsNotUsed: it said itself that it leaves.
 func TestDrainingWorkerThatVanishesIsNotUsed(t *testing.T) {
 	r := newTestRegistry()
-	r.ApplyAt(Change{ID: "leaving"}, origin)
+	r.ApplyAt(Change{Name: "leaving"}, origin)
 	for _, candidate := range r.Candidates("llm", nil, 0, origin) {
 		if candidate.ID == "leaving" {
 			t.Error("a worker that drained is used")
@@ -273,7 +273,7 @@
 		}
 		entry, _ := r.Get("d")
 		entry.Stage = Prefill
-		r.ApplyAt(Change{ID: "d", Worker: &entry}, now)
+		r.ApplyAt(Change{Name: "d", Worker: &entry}, now)
 		if !find(t, r, "d", nil, now).Prefill {
 			t.Errorf("%s: the worker has changed and isn't used", name)
 		}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -3,6 +3,11 @@
 // their caches should hold, and how they answered lately.
 package worker
 
+import (
+	"strconv"
+	"strings"
+)
+
 // Stage is what a model engine does.
 type Stage string
 
@@ -18,7 +23,8 @@
 
 // Worker is one entry of the platform's list.
 type Worker struct {
-	// ID is new at each start of the worker.
+	// ID is that of one start of the worker: its name, and when it was born where it tells
+	// (Identity). A worker that starts again under its name knows nothing of before.
 	ID      string
 	Service string
 	// Address is IP:PORT.
@@ -34,7 +40,44 @@
 
 // Change is one changed entry of the platform's list.
 type Change struct {
-	ID string
+	// Name is that of the worker, under which its entry stands.
+	Name string
 	// Worker is nil where the entry is gone.
 	Worker *Worker
+	// Unreadable tells that the entry names no worker to use: another writer may have
+	// written it.
+	Unreadable bool
+}
+
+// The form of an identity: the name, and the time of birth in a short form.
+const (
+	birthMark = "@"
+	birthBase = 36
+)
+
+// Identity names one start of a worker, born at a Unix time in milliseconds, zero where the
+// worker doesn't tell. All that is known of a worker hangs on it, at this node and in what
+// nodes tell each other, so that nothing of an earlier start is taken for the later one's.
+func Identity(name string, born int64) string {
+	if born == 0 {
+		return name
+	}
+	return name + birthMark + strconv.FormatInt(born, birthBase)
+}
+
+// NameOf is the name under which the platform knows a worker.
+func NameOf(id string) string {
+	name, _, _ := strings.Cut(id, birthMark)
+	return name
+}
+
+// BornOf is the Unix time in milliseconds at which a worker was born, zero where it didn't
+// tell.
+func BornOf(id string) int64 {
+	_, birth, _ := strings.Cut(id, birthMark)
+	born, err := strconv.ParseInt(birth, birthBase, 64)
+	if err != nil {
+		return 0
+	}
+	return born
 }
