Spare readers follow the work, not the number of engines

Cause: 0.4 of all engines were to be ready to read, so that in a fleet that keeps 0.8 % of its engines busy 3,296 of 9,695 were ordered about as soon as callers came, each away for seconds and each order paid for. What grows is the fleet, what is needed the work. Now those that bear eight times the reading that was seen are enough. Before: 54, 544, 3,296 and 6,592 orders at 160 to 19,390 engines (TestIdleFleetIsNotOrderedAbout); after: none. Busy fleets keep their readers (TestReadersAreMadeReadyForAPeakOfTheWorkSeen). TestIdleEnginesStandReadyToRead asked for 42 readers of 57 engines of which nothing is wanted; that was the share which is bounded now, so it asks for the 14 that bear eight engines' work, at 57 and at 570, and no more: as strict, both ways.

--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -67,6 +67,11 @@
 	// that is ready to read is worth the next peak. It never outweighs work that was
 	// seen.
 	Spare float64
+	// NextPeak bounds the engines that are ready to read to so many times those that the
+	// work seen lately kept busy: the next peak is one of these callers' work, however many
+	// engines stand. Callers' mix flips within minutes from writing nearly all of the time
+	// to reading half of it, which is a few times as much reading.
+	NextPeak float64
 	// Gain is the part of the filling of the scarcer stage that an order must promise to
 	// take away, and LateGain the part where work comes late already.
 	Gain, LateGain float64
@@ -97,7 +102,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Reading: 0.6, Writing: 0.9, Memory: 15 * time.Second, Smoothing: 700 * time.Millisecond,
-		Spare: 0.4, Gain: 0.15, LateGain: 0.05, DecodeShare: 0.25, Settle: time.Second, Outage: 1200 * time.Millisecond,
+		Spare: 0.4, NextPeak: 8, Gain: 0.15, LateGain: 0.05, DecodeShare: 0.25, Settle: time.Second, Outage: 1200 * time.Millisecond,
 		TogetherShare: 0.17, RegionShare: 0.34, Learn: 2 * time.Second,
 	}
 }
@@ -364,8 +369,21 @@
 func (p *Planner) filled(prefill, decode int) fill {
 	reading := p.demand.Reading / p.policy.Reading / float64(max(prefill, 1))
 	writing := p.demand.Writing / p.policy.Writing / float64(max(decode, 1))
-	spare := p.policy.Spare * float64(prefill+decode) / p.policy.Reading / float64(max(prefill, 1))
-	return fill{late: max(reading, writing, 1), spare: max(reading, writing, spare)}
+	return fill{late: max(reading, writing, 1), spare: max(reading, writing, p.spareFill(prefill, decode))}
+}
+
+// spareFill is how far the engines that read would be filled by what they are to be ready
+// for: a share of all engines, or where that is less the next peak of the work that was
+// seen. Those that bear the peak are enough.
+func (p *Planner) spareFill(prefill, decode int) float64 {
+	const atLeast = 1.0 // engine kept busy
+	share := p.policy.Spare * float64(prefill+decode)
+	peak := p.policy.NextPeak * max(p.demand.Reading, atLeast)
+	readers := p.policy.Reading * float64(max(prefill, 1))
+	if peak < share {
+		return max(peak/readers, 1)
+	}
+	return share / readers
 }
 
 // idlest returns the engines with the least work.
