--- a/internal/serving/warmup.go
+++ b/internal/serving/warmup.go
@@ -70,31 +70,20 @@
 // unlisted returns the engines whose accounts this node keeps, and of whose caches it
 // knows nothing, in an order of its own.
 func (n *Node) unlisted() []string {
-	unlisted := n.registry.Unlisted()
-	if len(unlisted) == 0 {
-		return nil
-	}
-	ids := make([]string, 0, len(unlisted))
-	for _, engine := range unlisted {
-		ids = append(ids, engine.ID)
-	}
-	homed := n.kept(ids)
-	rand.Shuffle(len(homed), func(i, j int) { homed[i], homed[j] = homed[j], homed[i] })
-	return homed
-}
-
-// kept returns those workers whose accounts this node keeps.
-func (n *Node) kept(workers []string) []string {
+	var homed []string
 	if keeping, some := n.exchange.Keeping(); some {
-		return slices.DeleteFunc(workers, func(id string) bool { return !keeping[id] })
-	}
-	var kept []string
-	for i, keeps := range n.exchange.Kept(workers) {
-		if keeps {
-			kept = append(kept, workers[i])
+		for _, engine := range n.registry.UnlistedAmong(keeping) {
+			homed = append(homed, engine.ID)
+		}
+	} else {
+		for _, engine := range n.registry.Unlisted() {
+			if n.exchange.Kept([]string{engine.ID})[0] {
+				homed = append(homed, engine.ID)
+			}
 		}
 	}
-	return kept
+	rand.Shuffle(len(homed), func(i, j int) { homed[i], homed[j] = homed[j], homed[i] })
+	return homed
 }
 
 // awaitLists waits until workers and routes are known.
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -196,13 +196,30 @@
 	defer r.mu.Unlock()
 	var unlisted []Worker
 	for _, known := range r.workers {
-		if known.worker.Stage != Opaque && known.listed() && !known.worker.Draining && !known.cacheKnown {
+		if known.isUnlisted() {
 			unlisted = append(unlisted, known.worker)
 		}
 	}
 	return unlisted
 }
 
+// UnlistedAmong is Unlisted of some engines: in a large fleet a node keeps account of few.
+func (r *Registry) UnlistedAmong(engines map[string]bool) []Worker {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var unlisted []Worker
+	for id := range engines {
+		if known, exists := r.workers[id]; exists && known.isUnlisted() {
+			unlisted = append(unlisted, known.worker)
+		}
+	}
+	return unlisted
+}
+
+func (s *state) isUnlisted() bool {
+	return s.worker.Stage != Opaque && s.listed() && !s.worker.Draining && !s.cacheKnown
+}
+
 // Merge takes over what another node told.
 func (r *Registry) Merge(node string, snapshot Snapshot, now time.Time) {
 	r.mu.Lock()
