Workers aren't asked what they keep when the whole system starts first

Cause: each home of an engine opened a connection to it at the first start to learn what it keeps, though nothing had been asked of it: 20,000 connections at 10,000 workers. It grows with the workers. Now that holds for later starts only (TestWorkersAreNotAskedAtTheFirstStart).

--- a/internal/serving/warmup.go
+++ b/internal/serving/warmup.go
@@ -36,6 +36,11 @@
 	if !n.awaitLists(ctx) {
 		return
 	}
+	if n.settings.Node.FirstStart {
+		// Nothing was asked of the workers before: to ask each of them took a connection for
+		// each of its homes, 20,000 in a fleet of 10,000 workers.
+		n.registry.Learned(n.unlisted())
+	}
 	for _, id := range n.exchange.AskMemory(ctx, n.unlisted()) {
 		if ctx.Err() != nil {
 			return
