--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -31,3 +31,24 @@
 	// was carried out.
 	Transact(ctx context.Context, transaction Transaction) (version uint64, done bool, err error)
 }
+
+// Call is a call to the store that has ended, for metrics.
+type Call struct {
+	// Kind and Table tell what was asked for.
+	Kind  CallKind
+	Table string
+	// Answered tells that the store did what was asked.
+	Answered bool
+	// Sent and Received are the bytes of the bodies.
+	Sent, Received int
+}
+
+// CallKind is what a call does.
+type CallKind string
+
+// The kinds of calls.
+const (
+	ReadCall     CallKind = "read"
+	ChangesCall  CallKind = "changes"
+	TransactCall CallKind = "transact"
+)
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -59,6 +59,8 @@
 	ListRequest(address string) *workerconn.Request
 	ListedParts(status int, body []byte) ([]prefixcache.Part, error)
 	rowstore.Store
+	// ObserveCalls has each call to the store told that has ended.
+	ObserveCalls(observed func(rowstore.Call))
 	usage.API
 	fleetsize.API
 	stagecontrol.Wire
@@ -136,6 +138,7 @@
 		identity: string(engine.NewIdentifier())[:incarnationDigits],
 	}
 	metrics := prometheus.NewRegistry()
+	countCalls(platform, metrics)
 	exchange, err := digest.Listen(configured.Listen.Exchange, n.identity, configured.Node.Zone, n.registry, log)
 	if err != nil {
 		return nil, err
