Many workers that change at once are logged in one line

Found in a trial of a whole fleet's start: 10,000 workers write their entries within seconds, and each node logged a line for each, ten million in all. What is dropped since it is too large now names its kind.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -363,7 +363,7 @@
 		return nil
 	}
 	if len(datagram) > maxDatagram {
-		e.log.WithField("bytes", len(datagram)).Error("a digest is too large and was not sent")
+		e.log.WithFields(logrus.Fields{"bytes": len(datagram), "kind": message.kind()}).Error("a digest is too large and was not sent")
 		return nil
 	}
 	return datagram
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -98,7 +98,7 @@
 
 // Apply implements tablefeed.Consumer.
 func (w *workers) Apply(rows []tablefeed.Row, version tablefeed.Version) {
-	unreadable := 0
+	unreadable, logged := 0, 0
 	for _, row := range rows {
 		change := worker.Change{Name: row.Key}
 		if !row.Gone {
@@ -120,10 +120,21 @@
 		if row.Gone {
 			w.node.pool.Drop(row.Key)
 		}
-		w.log(change, ended, version)
+		if logged++; logged <= maxLoggedChanges {
+			w.log(change, ended, version)
+		}
+	}
+	if logged > maxLoggedChanges {
+		w.node.log.WithFields(logrus.Fields{"version": version, "changed": logged, "unreadable": unreadable, "workers": w.node.registry.Count()}).
+			Info("many workers changed")
 	}
 }
 
+// maxLoggedChanges bounds the lines about one change of the table. When a large fleet of
+// workers starts or is replaced, a line for each at each node is more work than taking the
+// change in.
+const maxLoggedChanges = 20
+
 // drop closes the connections to workers that have ended.
 func (w *workers) drop(ended []string) {
 	for _, id := range ended {
