Changes by the thousand come in fewer, larger steps

Found in a trial of a whole fleet's start: as workers wrote their entries, the node that reads the table told of some hundred changed rows ten times a second, each too large for a datagram, so that all nodes fetched ten times a second. Now the pause after a change grows with it, up to half a second. Also found: a node that read a table whole told its version as that of the last change, and others, which held an older version without any change since, waited 600 ms for changes and then asked the store. A neighbour now answers that there are none (TestNoChangesUpToALaterVersion).

--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -107,8 +107,12 @@
 	// shortest is the shortest wait for a newer word.
 	shortest = 20 * time.Millisecond
 	// changePause is left between a change and the next call: when a fleet of workers
-	// starts, they write their entries one by one.
-	changePause = 50 * time.Millisecond
+	// starts, they write their entries one by one. A change of fullChange rows or more has
+	// longestChangePause, since each is told to all nodes: two a second of a thousand rows
+	// cost them less than ten of two hundred, and two seconds are allowed.
+	changePause        = 50 * time.Millisecond
+	longestChangePause = 500 * time.Millisecond
+	fullChange         = 200
 	// maxNews bounds the news that wait to be applied.
 	maxNews = 64
 )
@@ -331,18 +335,23 @@
 }
 
 // takeOver takes what another node holds, unless it is older than what is known. The store
-// didn't confirm it to this node, so no other node relies on it here.
+// didn't confirm it to this node, so no other node relies on it here. Changes may be none:
+// then the other one knows that there are none up to a later version.
 func (f *Feed) takeOver(copied Copied) bool {
-	if copied.Word.Confirmed < f.word.Confirmed || !copied.Whole && copied.Word.Changed <= f.word.Confirmed {
+	if copied.Word.Confirmed < f.word.Confirmed || !copied.Whole && copied.Word.Confirmed == f.word.Confirmed {
 		return false
 	}
 	if copied.Word.At.Before(f.word.At) {
 		copied.Word.At = f.word.At // with these rows the table is no older than it was without
 	}
-	if copied.Whole {
+	switch {
+	case copied.Whole:
 		f.reset(copied.Rows, copied.Word, false)
-	} else {
+	case len(copied.Rows) > 0:
 		f.apply(copied.Rows, copied.Word, false)
+	default:
+		f.set(Word{Changed: f.word.Changed, Confirmed: copied.Word.Confirmed, At: copied.Word.At}, false)
+		return true
 	}
 	f.log.WithFields(logrus.Fields{
 		"table": f.table, "version": copied.Word.Changed, "rows": len(copied.Rows), "whole": copied.Whole,
@@ -418,11 +427,17 @@
 	}
 	f.others.Confirmed()
 	if len(rows) > 0 {
-		f.rest(ctx, changePause)
+		f.rest(ctx, pauseAfter(len(rows)))
 	}
 	return nil
 }
 
+// pauseAfter is what is left between a change of so many rows and the next call.
+func pauseAfter(rows int) time.Duration {
+	full := min(float64(rows)/fullChange, 1)
+	return changePause + time.Duration(full*float64(longestChangePause-changePause))
+}
+
 // rest waits for a time, whatever wakes the feed.
 func (f *Feed) rest(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
--- a/internal/tableshare/server.go
+++ b/internal/tableshare/server.go
@@ -90,7 +90,8 @@
 	return router
 }
 
-// serve answers 200 with rows, 204 where there is no newer change, and 503 where this node
+// serve answers 200 with rows, none where the store has confirmed that there are none up to a
+// later version, 204 where nothing later than the version asked for is known, and 503 where this node
 // has nothing that it may give.
 func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
 	table := chi.URLParam(request, "table")
@@ -154,7 +155,7 @@
 		return answer{}, http.StatusServiceUnavailable
 	case copied.Whole:
 		return s.whole(table, source, now)
-	case len(copied.Rows) == 0:
+	case copied.Word.Confirmed <= after:
 		return answer{}, http.StatusNoContent
 	}
 	body, err := pack(copied.Rows)
--- a/internal/tableshare/tableshare_test.go
+++ b/internal/tableshare/tableshare_test.go
@@ -203,3 +203,15 @@
 		t.Errorf("nobody gives a copy: %v", err)
 	}
 }
+
+// TestNoChangesUpToALaterVersion is an answer: a node that heard of a later version needn't
+// ask the store whether there are any.
+func TestNoChangesUpToALaterVersion(t *testing.T) {
+	giving := startNode(t)
+	giving.table.set(someRows(3), 10, 0)
+	giving.table.word.Store(&tablefeed.Word{Changed: 10, Confirmed: 17, At: time.Now()})
+	copied, err := client(giving.server, giving.address).Missed(context.Background(), "workers", 12)
+	if err != nil || copied.Whole || len(copied.Rows) != 0 || copied.Word.Confirmed != 17 {
+		t.Errorf("%+v, %v", copied, err)
+	}
+}
