--- a/internal/lab/fleetstore/store.go
+++ b/internal/lab/fleetstore/store.go
@@ -38,6 +38,9 @@
 	StaleReads uint64
 }
 
+// mostRows is the most changed rows that the store gives at once.
+const mostRows = 500
+
 // Store is a running stand-in.
 type Store struct {
 	server *httptest.Server
@@ -235,6 +238,10 @@
 	for {
 		s.mu.Lock()
 		rows, version, changed := s.since(query.Get("table"), after), s.version, s.changed
+		if len(rows) > mostRows {
+			rows = rows[:mostRows]
+			version = rows[mostRows-1].Version
+		}
 		gone := after < s.forgotten
 		s.mu.Unlock()
 		if gone {
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -137,8 +137,10 @@
 	news        chan News
 	wake        chan struct{}
 
-	mu   sync.Mutex
-	word Word
+	mu sync.Mutex
+	// changed is closed when the word changes, and replaced.
+	changed chan struct{}
+	word    Word
 	// own tells that the store itself gave the word to this node, which reads for others
 	// too.
 	own bool
@@ -149,6 +151,7 @@
 	return &Feed{
 		store: store, table: table, consumer: consumer, others: others, log: log, lost: true,
 		news: make(chan News, maxNews), wake: make(chan struct{}, 1),
+		changed: make(chan struct{}),
 	}
 }
 
@@ -298,6 +301,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.word, f.own = word, own
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Changed is closed when more is known of the table than now. It is safe for concurrent use
+// with Run.
+func (f *Feed) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
 }
 
 func (f *Feed) read(ctx context.Context) error {
--- a/internal/tableshare/server.go
+++ b/internal/tableshare/server.go
@@ -36,8 +36,9 @@
 type Source interface {
 	// Held returns the changes after a version, or the whole table.
 	Held(after tablefeed.Version) (copied tablefeed.Copied, known bool)
-	// Word is what is known of the table's version.
+	// Word is what is known of the table's version, and Changed is closed when that changes.
 	Word() (word tablefeed.Word, own bool)
+	Changed() <-chan struct{}
 }
 
 // Server gives other nodes the tables that this one holds. It is safe for concurrent use.
@@ -64,11 +65,8 @@
 const repackAfter = 5 * time.Second
 
 // holdFor is how long a call is held while there is nothing to give, so that nodes which
-// start together needn't call again and again, and lookEvery the time between two looks.
-const (
-	holdFor   = 500 * time.Millisecond
-	lookEvery = 20 * time.Millisecond
-)
+// start together needn't call again and again.
+const holdFor = 500 * time.Millisecond
 
 // NewServer returns a server that gives what was confirmed within a time, and tells each
 // table that another node asks for.
@@ -116,33 +114,42 @@
 
 // held answers as soon as there is something to give.
 func (s *Server) held(ctx context.Context, table string, after tablefeed.Version) (answer, int) {
-	for begun := time.Now(); ; {
-		now := time.Now()
-		answer, status := s.answer(table, after, now)
-		if status != http.StatusServiceUnavailable && status != http.StatusNoContent || now.Sub(begun) >= holdFor {
+	timer := time.NewTimer(holdFor)
+	defer timer.Stop()
+	for {
+		source, known := s.source(table)
+		if !known {
+			return answer{}, http.StatusNotFound
+		}
+		changed := source.Changed()
+		answer, status := s.answer(table, source, after, time.Now())
+		if status != http.StatusServiceUnavailable && status != http.StatusNoContent {
 			return answer, status
 		}
 		select {
 		case <-ctx.Done():
 			return answer, status
-		case <-time.After(lookEvery):
+		case <-timer.C:
+			return answer, status
+		case <-changed:
 		}
 	}
 }
 
+func (s *Server) source(table string) (Source, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	source, known := s.sources[table]
+	return source, known
+}
+
 // answer is a packed table, whole or its changes.
 type answer struct {
 	packedTable
 	whole bool
 }
 
-func (s *Server) answer(table string, after tablefeed.Version, now time.Time) (answer, int) {
-	s.mu.Lock()
-	source, known := s.sources[table]
-	s.mu.Unlock()
-	if !known {
-		return answer{}, http.StatusNotFound
-	}
+func (s *Server) answer(table string, source Source, after tablefeed.Version, now time.Time) (answer, int) {
 	if word, _ := source.Word(); now.Sub(word.At) > s.freshness {
 		return answer{}, http.StatusServiceUnavailable
 	}
--- a/internal/tableshare/tableshare_test.go
+++ b/internal/tableshare/tableshare_test.go
@@ -24,8 +24,28 @@
 
 // held is a table that a node holds.
 type held struct {
-	copied tablefeed.Copy
-	word   atomic.Pointer[tablefeed.Word]
+	copied  tablefeed.Copy
+	word    atomic.Pointer[tablefeed.Word]
+	changed atomic.Pointer[chan struct{}]
+}
+
+// Changed is made by the first call, and closed by wake.
+func (h *held) Changed() <-chan struct{} {
+	made := make(chan struct{})
+	if h.changed.CompareAndSwap(nil, &made) {
+		return made
+	}
+	if known := h.changed.Load(); known != nil {
+		return *known
+	}
+	return h.Changed()
+}
+
+// wake has a call that is held answered.
+func (h *held) wake() {
+	if changed := h.changed.Swap(nil); changed != nil {
+		close(*changed)
+	}
 }
 
 func (h *held) Word() (tablefeed.Word, bool) {
@@ -47,11 +67,13 @@
 func (h *held) set(rows []tablefeed.Row, version tablefeed.Version, age time.Duration) {
 	h.copied.Reset(rows, version)
 	h.word.Store(&tablefeed.Word{Changed: version, Confirmed: version, At: time.Now().Add(-age)})
+	h.wake()
 }
 
 func (h *held) change(rows []tablefeed.Row, version tablefeed.Version) {
 	h.copied.Apply(rows, version)
 	h.word.Store(&tablefeed.Word{Changed: version, Confirmed: version, At: time.Now()})
+	h.wake()
 }
 
 // node is one that gives tables, with how often it was asked.
