Nodes that lack words ask less and less often, and near them

Cause: while no word on a table was fresh, as while the store is down or all nodes start, each node asked two others ten times a second for each table: 79,000 questions a second at 985 nodes, a quarter of them at one node. They make themselves late. Now one question is for all tables, comes at most each 1.6 s in the end, and goes to a head and another node of the zone. Nodes that aren't the first call a store that fails so often that together they call no more than sixty, and follow again as soon as a word is fresh (TestLateWordsAreAskedForLessAndLess, TestNobodyIsAskedForWordsByAll, TestALargeFleetCallsAStoreThatFailsNoMoreOften).

--- a/internal/digest/tables.go
+++ b/internal/digest/tables.go
@@ -1,6 +1,7 @@
 package digest
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -77,23 +78,43 @@
 }
 
 // AskWords asks two nodes for what they know of the tables: the one that should read the
-// table at the store, and one of the zone. It is for when no word has come.
+// table at the store, and another one. In a large fleet, in which too many would ask the one,
+// they are a head of the zone and another node of it. It is for when no word has come.
 func (e *Exchange) AskWords(table string) {
 	e.mu.Lock()
-	asked := make(map[netip.AddrPort]bool)
-	for _, first := range e.peers.top("table "+table, 1, "") {
-		asked[first] = true
-	}
-	if any, found := e.peers.anyPeer(); found {
-		asked[any] = true
-	}
-	delete(asked, e.peers.address)
+	asked := e.peers.toAsk(table)
 	e.mu.Unlock()
-	for to := range asked {
+	for _, to := range asked {
 		e.sendTo(to, Message{Node: e.node, WantWords: true})
 	}
 }
 
+// toAsk returns the nodes that are asked for words.
+func (s *peerSet) toAsk(table string) []netip.AddrPort {
+	first := s.top("table "+table, 1, "")
+	if s.nodes() > maxFanOut {
+		heads := s.heads(s.zone)
+		first = heads[rand.IntN(len(heads)):][:1]
+	}
+	asked := slices.Clone(first)
+	if any, found := s.anyNear(); found && !slices.Contains(asked, any) {
+		asked = append(asked, any)
+	}
+	return s.others(asked)
+}
+
+// anyNear returns a peer drawn at random, of the own zone in a large fleet.
+func (s *peerSet) anyNear() (netip.AddrPort, bool) {
+	if s.nodes() <= maxFanOut {
+		return s.anyPeer()
+	}
+	near := s.inZone()
+	if len(near) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return near[rand.IntN(len(near))], true
+}
+
 // tellWords answers a node that asks for words.
 func (e *Exchange) tellWords(to netip.AddrPort) {
 	if e.board == nil {
--- a/internal/digest/tables_test.go
+++ b/internal/digest/tables_test.go
@@ -1,6 +1,7 @@
 package digest
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -61,3 +62,31 @@
 		t.Fatal("no words came")
 	}
 }
+
+// TestNobodyIsAskedForWordsByAll: in a large fleet the nodes that lack them ask near them.
+func TestNobodyIsAskedForWordsByAll(t *testing.T) {
+	for _, nodes := range []int{100, 300, 985} {
+		supervisor := aSupervisor(t, nodes)
+		var listed []Peer
+		for address, known := range supervisor.peers {
+			listed = append(listed, Peer{Node: known.node, Address: address, Zone: known.zone})
+		}
+		listed = append(listed, Peer{Node: supervisor.self, Address: supervisor.address, Zone: supervisor.zone})
+		asked := make(map[netip.AddrPort]int)
+		for _, node := range listed[:min(nodes, 100)] {
+			set := newPeerSet(node.Node, node.Address, node.Zone)
+			set.list(listed)
+			for _, to := range set.toAsk("servers") {
+				asked[to]++
+				if set.zoneOf(to) != set.zone {
+					t.Errorf("a node of %s asks one of %s", set.zone, set.zoneOf(to))
+				}
+			}
+		}
+		for address, times := range asked {
+			if times > 40 { // of 100, where one zone's 20 may draw the same head
+				t.Errorf("%d nodes: %v is asked by %d of 100", nodes, address, times)
+			}
+		}
+	}
+}
--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -25,15 +25,20 @@
 	// adds step: the first confirms its word each 0.8 seconds (tablefeed).
 	takeover = 1100 * time.Millisecond
 	step     = 100 * time.Millisecond
-	// pullAfter is the age of a word from which a node asks others for a newer one, each
-	// pullEvery.
-	pullAfter = 950 * time.Millisecond
-	pullEvery = 100 * time.Millisecond
+	// pullAfter is the age of a word from which a node asks others for a newer one: again
+	// after pullEvery, and less often each time up to longestPull. While the store is down
+	// no node has any, and a thousand that asked ten times a second for each table made
+	// 79,000 questions a second.
+	pullAfter   = 950 * time.Millisecond
+	pullEvery   = 100 * time.Millisecond
+	longestPull = 1600 * time.Millisecond
 	// callPause is the longest pause of the first nodes between calls to a store that
-	// fails, and laterPause that of the others: these hear from the first when it is back.
-	// Each call to it is paid for, also while it is down.
+	// fails, and laterPause that of the others in a fleet of up to laterFleet nodes: these
+	// hear from the first when it is back. Each call to it is paid for, also while it is
+	// down; in a larger fleet the others together call no more often.
 	callPause  = 800 * time.Millisecond
 	laterPause = 4 * time.Second
+	laterFleet = 60
 )
 
 // Word is what a node says of a table that some node reads at the store.
@@ -56,8 +61,9 @@
 	// Outranks reports whether another node comes before this one among those that read
 	// a table at the store.
 	Outranks(table, reader string) bool
-	// Place is this node's place among them, 0 the first.
+	// Place is this node's place among them, 0 the first, and Nodes how many there are.
 	Place(table string) int
+	Nodes() int
 	// SpreadWords and SpreadNews tell all other nodes.
 	SpreadWords(words []Word)
 	SpreadNews(news tablefeed.News)
@@ -82,15 +88,17 @@
 	feeds map[string]*tablefeed.Feed
 	// words holds what other nodes say, by table and reader.
 	words map[string]map[string]tablefeed.Word
-	// pulled is when words were asked for last.
-	pulled map[string]time.Time
+	// pulled is when words were asked for last, and pullPause the least time until they may
+	// be again.
+	pulled    time.Time
+	pullPause time.Duration
 }
 
 // New returns a board.
 func New(fleet Fleet) *Board {
 	return &Board{
 		fleet: fleet, feeds: make(map[string]*tablefeed.Feed),
-		words: make(map[string]map[string]tablefeed.Word), pulled: make(map[string]time.Time),
+		words: make(map[string]map[string]tablefeed.Word),
 	}
 }
 
@@ -177,8 +185,8 @@
 			continue
 		}
 		b.words[said.Table][said.Reader] = word
-		if word.Changed > before.Changed {
-			feed.Wake()
+		if held, _ := feed.Word(); word.Changed > before.Changed || now.Sub(held.At) >= Freshness {
+			feed.Wake() // also from a long pause after calls that failed
 		}
 	}
 }
@@ -208,7 +216,7 @@
 	if b.Patience(table) < Freshness {
 		return callPause
 	}
-	return laterPause
+	return laterPause * time.Duration(max(b.fleet.Nodes(), laterFleet)) / laterFleet
 }
 
 // Word implements tablefeed.Others: a node relies on those that come before it.
@@ -216,7 +224,7 @@
 	patience := b.Patience(table)
 	newest := b.newest(table, now)
 	age := now.Sub(newest.At)
-	if age >= pullAfter && patience > 0 && b.mayPull(table, now) {
+	if age >= pullAfter && patience > 0 && b.mayPull(now) {
 		b.fleet.AskWords(table)
 	}
 	return newest, age < patience
@@ -239,14 +247,19 @@
 	return newest
 }
 
-// mayPull reports whether words were not asked for just now, and records that they are.
-func (b *Board) mayPull(table string, now time.Time) bool {
+// mayPull reports whether words may be asked for, and records that they are. An answer has
+// those on all tables.
+func (b *Board) mayPull(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.Sub(b.pulled[table]) < pullEvery {
+	since := now.Sub(b.pulled)
+	if since < b.pullPause {
 		return false
 	}
-	b.pulled[table] = now
+	if since >= 2*longestPull {
+		b.pullPause = 0 // it was not needed for a while
+	}
+	b.pulled, b.pullPause = now, min(max(2*b.pullPause, pullEvery), longestPull)
 	return true
 }
 
--- a/internal/tablerelay/board_test.go
+++ b/internal/tablerelay/board_test.go
@@ -20,6 +20,7 @@
 type fleet struct {
 	self   string
 	place  int
+	nodes  int
 	pulled int
 	spread [][]Word
 }
@@ -27,6 +28,7 @@
 func (f *fleet) Address() string                { return f.self }
 func (f *fleet) Outranks(_, reader string) bool { return reader < f.self }
 func (f *fleet) Place(string) int               { return f.place }
+func (f *fleet) Nodes() int                     { return f.nodes }
 func (f *fleet) SpreadWords(words []Word)       { f.spread = append(f.spread, words) }
 func (f *fleet) SpreadNews(tablefeed.News)      {}
 func (f *fleet) AskWords(string)                { f.pulled++ }
@@ -264,3 +266,60 @@
 	cancel()
 	<-ended
 }
+
+// TestLateWordsAreAskedForLessAndLess, on all tables together, until they were not needed for
+// a while.
+func TestLateWordsAreAskedForLessAndLess(t *testing.T) {
+	others := &fleet{self: "m", place: 5}
+	board := boardOf(others)
+	board.Add("another", tablefeed.New(nil, "another", nil, board, logrus.New()))
+	const away = 20 * time.Second
+	for elapsed := time.Duration(0); elapsed < away; elapsed += pullEvery / 2 {
+		board.Word("table", origin.Add(elapsed))
+		board.Word("another", origin.Add(elapsed))
+	}
+	if most := int(away/longestPull) + 5; others.pulled > most {
+		t.Errorf("words were asked for %d times in %v, want %d at most", others.pulled, away, most)
+	}
+	others.pulled = 0
+	for elapsed := time.Duration(0); elapsed <= pullEvery; elapsed += pullEvery {
+		board.Word("table", origin.Add(away+3*longestPull+elapsed))
+	}
+	if others.pulled != 2 {
+		t.Errorf("after a while words were asked for %d times, want 2", others.pulled)
+	}
+}
+
+// TestALargeFleetCallsAStoreThatFailsNoMoreOften than one of sixty nodes, but for the first.
+func TestALargeFleetCallsAStoreThatFailsNoMoreOften(t *testing.T) {
+	for _, nodes := range []int{6, 60, 985, 2000} {
+		first, other := New(&fleet{place: 0, nodes: nodes}), New(&fleet{place: 200, nodes: nodes})
+		if got := first.CallPause("table"); got != callPause {
+			t.Errorf("%d nodes: the first pauses %v", nodes, got)
+		}
+		pause := other.CallPause("table")
+		if a, b := float64(nodes)/pause.Seconds(), laterFleet/laterPause.Seconds(); a > b+0.01 || pause < laterPause {
+			t.Errorf("%d nodes that pause %v call %.1f times a second, want %.1f at most", nodes, pause, a, b)
+		}
+	}
+}
+
+// TestFreshWordEndsALongPause: a node whose calls failed for long follows others as soon as
+// one of them is confirmed again.
+func TestFreshWordEndsALongPause(t *testing.T) {
+	board := New(&fleet{self: "m", place: 9})
+	feed := tablefeed.New(nil, "table", nil, board, logrus.New())
+	board.Add("table", feed)
+	word := Word{Table: "table", Changed: 3, Confirmed: 9, Reader: "a"}
+	now := time.Now()
+	for range 2 { // the second changes nothing
+		board.Take([]Word{word}, now)
+		select {
+		case <-feed.Woken():
+		default:
+			t.Error("the feed goes on pausing")
+		}
+		word.Confirmed++
+		now = now.Add(time.Second)
+	}
+}
