News that a head of a large zone can't pass on at once are fetched

Cause: news of up to 11 KB went through two heads to each node of a zone: 200 times 11 KB for one change are 0.9 s of a head's link of 20 Mbit/s, and changes came many times a second while workers start; words were lost behind them. It grows with the zone. Now a head sends 256 KB for a change at most, whatever the zone (TestHeadsOfLargeZonesPassOnLess, up to 2000 nodes).

--- a/internal/digest/news_test.go
+++ b/internal/digest/news_test.go
@@ -44,3 +44,18 @@
 		}
 	}
 }
+
+// TestHeadsOfLargeZonesPassOnLess: what is told to all at once takes no head's link for long.
+func TestHeadsOfLargeZonesPassOnLess(t *testing.T) {
+	for _, nodes := range []int{10, 75, 300, 985, 2000} {
+		exchange := largeExchange(t)
+		exchange.peers = aSupervisor(t, nodes)
+		limit := exchange.newsLimit()
+		if sent := limit * exchange.peers.largestZone(); sent > headBytes || limit > maxNews {
+			t.Errorf("%d nodes: news of %d bytes are told, %d by a head", nodes, limit, sent)
+		}
+		if nodes <= 75 && limit != maxNews {
+			t.Errorf("%d nodes: news of %d bytes are told only", nodes, limit)
+		}
+	}
+}
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -414,6 +414,19 @@
 	return addresses
 }
 
+// largestZone is the number of nodes of the zone that has most.
+func (s *peerSet) largestZone() int {
+	counts := map[string]int{s.zone: 1}
+	for _, known := range s.peers {
+		counts[known.zone]++
+	}
+	largest := 0
+	for _, count := range counts {
+		largest = max(largest, count)
+	}
+	return largest
+}
+
 // zones returns the zones of all nodes.
 func (s *peerSet) zones() []string {
 	zones := map[string]bool{s.zone: true}
--- a/internal/digest/tables.go
+++ b/internal/digest/tables.go
@@ -30,22 +30,33 @@
 	e.spread(Message{Node: e.node, Words: words})
 }
 
-// SpreadNews tells the other nodes of changes. Changes that are too large for a datagram
-// aren't told: the others then learn from the next word that there are any, and ask the
-// store.
+// SpreadNews tells the other nodes of changes. Changes that are too large aren't told: the
+// others then learn from the next word that there are any, and fetch them.
 func (e *Exchange) SpreadNews(news tablefeed.News) {
 	packed, err := packNews(news)
 	if err != nil {
 		e.log.WithError(err).Error("changes of a table can't be rendered for the other nodes")
 		return
 	}
-	if len(packed) > maxNews {
-		e.log.WithField("table", news.Table).WithField("bytes", len(packed)).Info("changes of a table are too large to be told; the other nodes ask the store")
+	if len(packed) > e.newsLimit() {
+		e.log.WithField("table", news.Table).WithField("bytes", len(packed)).Info("changes of a table are too large to be told; the other nodes fetch them")
 		return
 	}
 	e.spread(Message{Node: e.node, News: packed})
 }
 
+// headBytes is what a head of a zone sends at most for one change: a tenth of a second of a
+// link of 20 Mbit/s. What is larger the nodes fetch, each from one of its zone that has it.
+const headBytes = 256 << 10
+
+// newsLimit is the size of the largest news that are told: small enough that a head of the
+// largest zone passes them on without holding up other messages.
+func (e *Exchange) newsLimit() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return min(maxNews, headBytes/e.peers.largestZone())
+}
+
 // spread sends a message that all nodes are to get.
 func (e *Exchange) spread(message Message) {
 	e.mu.Lock()
