Less work for each change of a table and each ranking

Found by a profile of 40 nodes in one process while 10,000 workers write their entries: 27 % of the time listed all nodes anew for each worker's homes, 14 % cleared tables of the compressor and packed the same changes for each child, 8 % copied the changes that are kept at each change. Nodes are listed once a change of them, compressors are used again, changes are handed on as they came, and kept changes are cut seldom.

--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -97,6 +97,10 @@
 	regionOfWorker func(worker string) string
 	// ranked holds what was worked out of the members, by subject.
 	ranked rendezvous.Rankings[netip.AddrPort]
+	// members and hashes are this node and all peers, in no order, nil where they have to be
+	// collected anew: each worker's homes are chosen among them.
+	members []netip.AddrPort
+	hashes  []uint64
 	// ofRegions holds the first nodes of all regions together, by subject.
 	ofRegions map[string][]netip.AddrPort
 }
@@ -165,6 +169,7 @@
 		return
 	}
 	s.generation++
+	s.members = nil
 	before := s.nodes() - len(added)
 	if s.places.Several() || homeCount(before) != homeCount(s.nodes()) {
 		// More than the new ones' own ranking changes: how many are ranked, or whether a
@@ -180,6 +185,7 @@
 	before := homeCount(s.nodes())
 	delete(s.peers, address)
 	s.generation++
+	s.members = nil
 	if s.places.Several() || before != homeCount(s.nodes()) {
 		s.rerank()
 		return
@@ -294,7 +300,8 @@
 	if known, exists := s.ranked.Get(subject); exists {
 		return known
 	}
-	return s.ranked.Rank(subject, s.inRegion(region), s.hashOf, homeCount(s.nodes()), s.isIn(""))
+	near := s.inRegion(region)
+	return s.ranked.Rank(subject, near, s.hashesOf(near), homeCount(s.nodes()), s.isIn(""))
 }
 
 // keeps reports whether this node keeps the account of a worker.
@@ -345,9 +352,31 @@
 	if known, exists := s.ranked.Get(subject); exists {
 		return known
 	}
+	s.collect()
 	belongs := s.isIn(zone)
-	members := slices.DeleteFunc(append(s.all(), s.address), func(member netip.AddrPort) bool { return !belongs(member) })
-	return s.ranked.Rank(subject, members, s.hashOf, count, belongs)
+	if zone == "" {
+		return s.ranked.Rank(subject, s.members, s.hashes, count, belongs)
+	}
+	near := slices.DeleteFunc(slices.Clone(s.members), func(member netip.AddrPort) bool { return !belongs(member) })
+	return s.ranked.Rank(subject, near, s.hashesOf(near), count, belongs)
+}
+
+// collect lists all nodes, once after each change of them: to list them for each of 10,000
+// workers made 400 MB of garbage at 985 nodes.
+func (s *peerSet) collect() {
+	if s.members != nil {
+		return
+	}
+	s.members = append(s.all(), s.address)
+	s.hashes = s.hashesOf(s.members)
+}
+
+func (s *peerSet) hashesOf(members []netip.AddrPort) []uint64 {
+	hashes := make([]uint64, 0, len(members))
+	for _, member := range members {
+		hashes = append(hashes, s.hashOf(member))
+	}
+	return hashes
 }
 
 // isIn returns the test whether a node is in a zone, or anywhere where that is empty.
--- a/internal/rendezvous/rankings.go
+++ b/internal/rendezvous/rankings.go
@@ -31,14 +31,18 @@
 	return known.members, true
 }
 
-// Rank works out the first count of members for a subject, and remembers them. Members that
-// join later are ranked where they belong to those that count for the subject.
-func (r *Rankings[M]) Rank(subject string, members []M, hash func(member M) uint64, count int, belongs func(member M) bool) []M {
+// Rank works out the first count of members, given with their hashes, for a subject, and
+// remembers them. Members that join later are ranked where they belong to those that count for
+// the subject.
+func (r *Rankings[M]) Rank(subject string, members []M, hashes []uint64, count int, belongs func(member M) bool) []M {
 	if r.subjects == nil {
 		r.subjects = make(map[string]*ranking[M])
 	}
 	hashed := Hash(subject)
-	ranked := top(members, hash, hashed, count)
+	ranked := make([]scored[M], 0, min(count, len(members)))
+	for i, member := range members {
+		ranked = insert(ranked, scored[M]{member, Score(hashed, hashes[i])}, count)
+	}
 	r.subjects[subject] = &ranking[M]{subject: hashed, count: count, belongs: belongs, ranked: ranked, members: membersOf(ranked)}
 	return r.subjects[subject].members
 }
--- a/internal/rendezvous/rankings_test.go
+++ b/internal/rendezvous/rankings_test.go
@@ -9,6 +9,14 @@
 
 func hashOf(member int) uint64 { return Hash(fmt.Sprint("member ", member)) }
 
+func hashesOf(members []int) []uint64 {
+	hashes := make([]uint64, 0, len(members))
+	for _, member := range members {
+		hashes = append(hashes, hashOf(member))
+	}
+	return hashes
+}
+
 func all(int) bool { return true }
 
 func even(member int) bool { return member%2 == 0 }
@@ -49,7 +57,7 @@
 			return known
 		}
 		members := slices.DeleteFunc(slices.Clone(present), func(member int) bool { return !belongs(member) })
-		return rankings.Rank(subject, members, hashOf, count, belongs)
+		return rankings.Rank(subject, members, hashesOf(members), count, belongs)
 	}
 	for member := range 400 {
 		if len(present) > 0 && random.IntN(3) == 0 {
@@ -78,7 +86,7 @@
 	const members, subjects, count = 300, 1000, 2
 	var rankings Rankings[int]
 	for i := range subjects {
-		rankings.Rank(fmt.Sprint(i), numbers(members), hashOf, count, all)
+		rankings.Rank(fmt.Sprint(i), numbers(members), hashesOf(numbers(members)), count, all)
 	}
 	rankings.Join([]int{members}, hashOf)
 	gained := 0
@@ -126,9 +134,19 @@
 	hash := func(member int) uint64 { return hashes[member] }
 	var rankings Rankings[int]
 	for i := range 10_000 {
-		rankings.Rank(fmt.Sprint("worker ", i), members[:known], hash, 2, all)
+		rankings.Rank(fmt.Sprint("worker ", i), members[:known], hashes, 2, all)
 	}
 	for b.Loop() {
 		rankings.Join(members[known:], hash)
 	}
 }
+
+// BenchmarkRankingsRank is the ranking of one subject by 985 members.
+func BenchmarkRankingsRank(b *testing.B) {
+	members := numbers(985)
+	hashes := hashesOf(members)
+	var rankings Rankings[int]
+	for b.Loop() {
+		rankings.Rank("subject", members, hashes, 2, all)
+	}
+}
--- a/internal/tablefeed/copy.go
+++ b/internal/tablefeed/copy.go
@@ -5,8 +5,9 @@
 	"sync"
 )
 
-// maxRecent bounds the changes that a copy keeps to be told on: those of some seconds in
-// which a large fleet's workers are replaced. A node that missed more gets the whole table.
+// maxRecent is how many changes a copy keeps at least, and half of those at most, to be told
+// on: those of some seconds in which a large fleet's workers are replaced. A node that missed
+// more gets the whole table.
 const maxRecent = 2000
 
 // Copied is what one node gives another of a table.
@@ -52,7 +53,8 @@
 		}
 	}
 	c.recent, c.version = append(c.recent, rows...), version
-	if over := len(c.recent) - maxRecent; over > 0 {
+	if over := len(c.recent) - maxRecent; over > maxRecent {
+		// Seldom, since all that is kept is copied.
 		// Rows of one version stay together.
 		last := c.recent[over-1].Version
 		for over < len(c.recent) && c.recent[over].Version == last {
--- a/internal/tableshare/client.go
+++ b/internal/tableshare/client.go
@@ -118,15 +118,15 @@
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
-		return c.read(table, response)
+		return c.read(table, after, response)
 	case http.StatusNoContent, http.StatusServiceUnavailable:
 		return tablefeed.Copied{}, errNotYet
 	}
 	return tablefeed.Copied{}, eris.Errorf("the node answered %d", response.StatusCode)
 }
 
-// read reads an answer, and has a whole table handed on as it is.
-func (c *Client) read(table string, response *http.Response) (tablefeed.Copied, error) {
+// read reads an answer, and has it handed on as it is.
+func (c *Client) read(table string, after tablefeed.Version, response *http.Response) (tablefeed.Copied, error) {
 	word, err := wordOf(response.Header, time.Now())
 	if err != nil {
 		return tablefeed.Copied{}, err
@@ -142,6 +142,8 @@
 	whole := response.Header.Get(headerWhole) == "true"
 	if whole {
 		c.server.seed(table, packedTable{body, word})
+	} else {
+		c.server.seedChanges(table, after, packedTable{body, word})
 	}
 	return tablefeed.Copied{Whole: whole, Rows: rows, Word: word}, nil
 }
--- a/internal/tableshare/form.go
+++ b/internal/tableshare/form.go
@@ -6,6 +6,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"sync"
 	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
@@ -48,10 +49,9 @@
 // fifth of a core packs a large fleet's table for its first neighbour to wait for it.
 func pack(rows []tablefeed.Row) ([]byte, error) {
 	var packed bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
+	writer := writers.Get().(*gzip.Writer)
+	defer writers.Put(writer)
+	writer.Reset(&packed)
 	lines := json.NewEncoder(writer)
 	for _, row := range rows {
 		if err := lines.Encode(render(row)); err != nil {
@@ -64,6 +64,12 @@
 	return packed.Bytes(), nil
 }
 
+// writers are used again: a new one clears a megabyte of tables for a few rows.
+var writers = sync.Pool{New: func() any {
+	writer, _ := gzip.NewWriterLevel(nil, gzip.BestSpeed) // a level that exists: no error
+	return writer
+}}
+
 // unpack reads what pack rendered.
 func unpack(packed []byte) ([]tablefeed.Row, error) {
 	reader, err := gzip.NewReader(bytes.NewReader(packed))
--- a/internal/tableshare/server.go
+++ b/internal/tableshare/server.go
@@ -49,8 +49,16 @@
 
 	mu      sync.Mutex
 	sources map[string]Source
-	// packed holds the last whole table that was rendered, by its name.
-	packed map[string]packedTable
+	// packed holds the last whole table that was rendered, by its name, and changes the last
+	// changes: nodes that wait for the same ones get the same bytes.
+	packed  map[string]packedTable
+	changes map[string]packedChanges
+}
+
+// packedChanges are changes after a version as they go over the wire.
+type packedChanges struct {
+	packedTable
+	after tablefeed.Version
 }
 
 // packedTable is a whole table as it goes over the wire.
@@ -71,7 +79,7 @@
 // NewServer returns a server that gives what was confirmed within a time, and tells each
 // table that another node asks for.
 func NewServer(freshness time.Duration, asked func(table string)) *Server {
-	return &Server{freshness: freshness, asked: asked, sources: make(map[string]Source), packed: make(map[string]packedTable)}
+	return &Server{freshness: freshness, asked: asked, sources: make(map[string]Source), packed: make(map[string]packedTable), changes: make(map[string]packedChanges)}
 }
 
 // Add has a table given to other nodes.
@@ -165,10 +173,22 @@
 	case copied.Word.Confirmed <= after:
 		return answer{}, http.StatusNoContent
 	}
+	return s.changed(table, after, copied)
+}
+
+// changed renders changes, unless the last ones that were rendered or came are the same.
+func (s *Server) changed(table string, after tablefeed.Version, copied tablefeed.Copied) (answer, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.changes[table]
+	if last.after == after && last.word.Changed == copied.Word.Changed && last.body != nil {
+		return answer{packedTable: packedTable{last.body, copied.Word}}, http.StatusOK
+	}
 	body, err := pack(copied.Rows)
 	if err != nil {
 		return answer{}, http.StatusInternalServerError
 	}
+	s.changes[table] = packedChanges{packedTable{body, copied.Word}, after}
 	return answer{packedTable: packedTable{body, copied.Word}}, http.StatusOK
 }
 
@@ -196,6 +216,13 @@
 	return answer{packedTable: s.packed[table], whole: true}, http.StatusOK
 }
 
+// seedChanges keeps changes as another node gave them, for those that wait for the same ones.
+func (s *Server) seedChanges(table string, after tablefeed.Version, packed packedTable) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changes[table] = packedChanges{packed, after}
+}
+
 // seed keeps a whole table as another node gave it, for those that ask here.
 func (s *Server) seed(table string, packed packedTable) {
 	s.mu.Lock()
