A node that lacks words asks in time to stay fresh, and the node that gives it tables

Found in a trial of the fleet's start: with questions 1.6 s apart a word was too old before the next, and nearly all nodes went to the store. The heads of a zone aren't the same for all while it starts; the order of the list is.

--- a/internal/digest/tables.go
+++ b/internal/digest/tables.go
@@ -90,7 +90,8 @@
 
 // AskWords asks two nodes for what they know of the tables: the one that should read the
 // table at the store, and another one. In a large fleet, in which too many would ask the one,
-// they are a head of the zone and another node of it. It is for when no word has come.
+// they are the node that gives this one tables and another one of the zone. It is for when no
+// word has come.
 func (e *Exchange) AskWords(table string) {
 	e.mu.Lock()
 	asked := e.peers.toAsk(table)
@@ -103,9 +104,8 @@
 // toAsk returns the nodes that are asked for words.
 func (s *peerSet) toAsk(table string) []netip.AddrPort {
 	first := s.top("table "+table, 1, "")
-	if s.nodes() > maxFanOut {
-		heads := s.heads(s.zone)
-		first = heads[rand.IntN(len(heads)):][:1]
+	if givers := s.givers(); s.nodes() > maxFanOut && len(givers) > 0 {
+		first = givers[:1]
 	}
 	asked := slices.Clone(first)
 	if any, found := s.anyNear(); found && !slices.Contains(asked, any) {
--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -26,12 +26,12 @@
 	takeover = 1100 * time.Millisecond
 	step     = 100 * time.Millisecond
 	// pullAfter is the age of a word from which a node asks others for a newer one: again
-	// after pullEvery, and less often each time up to longestPull. While the store is down
-	// no node has any, and a thousand that asked ten times a second for each table made
-	// 79,000 questions a second.
+	// after pullEvery, and less often each time up to longestPull, at which it still gets one
+	// before its own is too old. While the store is down no node has any, and a thousand that
+	// asked ten times a second for each table made 79,000 questions a second.
 	pullAfter   = 950 * time.Millisecond
 	pullEvery   = 100 * time.Millisecond
-	longestPull = 1600 * time.Millisecond
+	longestPull = 400 * time.Millisecond
 	// callPause is the longest pause of the first nodes between calls to a store that
 	// fails, and laterPause that of the others in a fleet of up to laterFleet nodes: these
 	// hear from the first when it is back. Each call to it is paid for, also while it is
