Words reach all nodes while a large fleet starts

Found in trials of the fleet's start: after some seconds nearly all nodes followed tables at the store, since no word came. - The pause after a large change came on top of the time for which the store holds a call: 1.3 s between two confirmations, where others take over after 1.1 (TestOthersHearAsOftenAfterALargeChange). - A node that the maker of a word took for a head of its zone passed nothing on where it knew others for heads: while the list of nodes grows they don't agree (TestNodeTakenForAHeadPassesOn).

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -60,10 +60,12 @@
 	WantWords bool `json:"u,omitempty"`
 	// News are changes of a table, packed; such a message holds nothing else.
 	News []byte `json:"w,omitempty"`
-	// Relayed tells that words or news were passed on by the sender, and Across that the
-	// receiver is to pass them on in its region.
+	// Relayed tells that words or news were passed on by the sender, Across that the
+	// receiver is to pass them on in its region, and InZone that it is to in its zone, also
+	// where it knows nodes which it takes for the zone's heads.
 	Relayed bool `json:"y,omitempty"`
 	Across  bool `json:"yr,omitempty"`
+	InZone  bool `json:"yz,omitempty"`
 	// Contents hold "content worker tokens": what workers keep that others may share.
 	Contents []string `json:"c,omitempty"`
 	// Question asks for accounts of workers, and Reply answers that.
--- a/internal/digest/relay.go
+++ b/internal/digest/relay.go
@@ -101,15 +101,16 @@
 
 // relayTargets are the nodes to which this one passes a message on: the heads of its
 // region's zones where it came from another region, and the nodes of its zone where it is
-// one of their heads.
-func (s *peerSet) relayTargets(acrossRegions bool) (heads, zone []netip.AddrPort) {
-	if s.nodes() <= maxFanOut {
+// one of their heads, or was taken for one by the node that made the message: while a large
+// fleet starts nodes don't agree on the heads yet.
+func (s *peerSet) relayTargets(acrossRegions, inZone bool) (heads, zone []netip.AddrPort) {
+	if s.nodes() <= maxFanOut && !inZone {
 		return nil, nil
 	}
 	if acrossRegions {
 		heads = s.others(s.zoneHeads())
 	}
-	if slices.Contains(s.heads(s.zone), s.address) {
+	if inZone || slices.Contains(s.heads(s.zone), s.address) {
 		zone = s.inZone()
 	}
 	return heads, zone
--- a/internal/digest/relay_test.go
+++ b/internal/digest/relay_test.go
@@ -50,7 +50,7 @@
 			return
 		}
 		got[to]++
-		heads, zone := set.relayTargets(across)
+		heads, zone := set.relayTargets(across, false)
 		if relayed || len(heads)+len(zone) == 0 || passed[to] {
 			return
 		}
@@ -331,7 +331,7 @@
 // TestNewsOfAnotherRegionArePassedOnOnce to the heads of this region's zones.
 func TestNewsOfAnotherRegionArePassedOnOnce(t *testing.T) {
 	exchange, sockets := amongSockets(t)
-	heads, _ := exchange.peers.relayTargets(true)
+	heads, _ := exchange.peers.relayTargets(true, false)
 	from := netip.MustParseAddrPort("127.0.0.1:9")
 	for _, number := range []uint64{7, 7, 8} {
 		exchange.passOn(from, Message{Node: "maker", Sequence: number, News: []byte{1}, Across: true})
@@ -353,3 +353,19 @@
 		}
 	}
 }
+
+// TestNodeTakenForAHeadPassesOn: the maker of a message knows fewer or other nodes while a
+// large fleet starts, and the nodes of a zone hear nothing if the one that it sends to looks
+// for itself among the heads that it knows.
+func TestNodeTakenForAHeadPassesOn(t *testing.T) {
+	set := aSupervisor(t, 300)
+	if slices.Contains(set.heads(set.zone), set.address) {
+		t.Fatal("it is a head by itself")
+	}
+	if _, zone := set.relayTargets(false, false); len(zone) != 0 {
+		t.Errorf("a node that is no head passes on to %d others", len(zone))
+	}
+	if _, zone := set.relayTargets(false, true); len(zone) != len(set.inZone()) {
+		t.Errorf("a node taken for a head passes on to %d of %d others", len(zone), len(set.inZone()))
+	}
+}
--- a/internal/digest/tables.go
+++ b/internal/digest/tables.go
@@ -63,9 +63,10 @@
 	near, across := e.peers.spreadTargets()
 	e.spreads++
 	message.Sequence = e.spreads
+	message.InZone = e.peers.nodes() > maxFanOut
 	e.mu.Unlock()
 	e.sendAll(near, message)
-	message.Across = true
+	message.Across, message.InZone = true, false
 	e.sendAll(across, message)
 }
 
@@ -77,14 +78,14 @@
 		return
 	}
 	e.mu.Lock()
-	heads, zone := e.peers.relayTargets(message.Across)
+	heads, zone := e.peers.relayTargets(message.Across, message.InZone)
 	if len(heads)+len(zone) > 0 && !e.relays.first(message) {
 		heads, zone = nil, nil
 	}
 	e.mu.Unlock()
-	message.Across = false
+	message.Across, message.InZone = false, true
 	e.sendAll(heads, message)
-	message.Relayed = true
+	message.Relayed, message.InZone = true, false
 	e.sendAll(slices.DeleteFunc(zone, func(to netip.AddrPort) bool { return to == from }), message)
 }
 
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -128,6 +128,8 @@
 	log    *logrus.Logger
 	lost   bool
 	pause  time.Duration
+	// rested is how long the feed has rested since its last call to the store.
+	rested time.Duration
 	// relying tells that the last word was another node's, and acting that this node
 	// calls the store, for others too.
 	relying, acting bool
@@ -413,7 +415,10 @@
 	defer cancel()
 	begun := time.Now()
 	after := f.word.Confirmed
-	rows, version, err := f.store.Changes(callCtx, f.table, after, patience)
+	// The time between two confirmations stays the same: others wait for them.
+	held := patience - f.rested
+	f.rested = 0
+	rows, version, err := f.store.Changes(callCtx, f.table, after, held)
 	if err != nil {
 		return err
 	}
@@ -440,7 +445,8 @@
 	}
 	f.others.Confirmed()
 	if len(rows) > 0 {
-		f.rest(ctx, pauseAfter(len(rows)))
+		f.rested = pauseAfter(len(rows))
+		f.rest(ctx, f.rested)
 	}
 	return nil
 }
--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -128,3 +129,49 @@
 	cancel()
 	<-ended
 }
+
+// held records for how long the store is to hold each call for changes, and has a large one
+// at first.
+type held struct {
+	spans  []time.Duration
+	cancel context.CancelFunc
+}
+
+func (h *held) Read(context.Context, string) ([]Row, Version, error) { return nil, 1, nil }
+
+func (h *held) Changes(_ context.Context, _ string, after Version, span time.Duration) ([]Row, Version, error) {
+	h.spans = append(h.spans, span)
+	switch len(h.spans) {
+	case 1:
+		return make([]Row, 2*fullChange), after + 1, nil
+	case 3:
+		h.cancel()
+	}
+	return nil, after + 1, nil
+}
+
+// acting is a fleet in which this node is the one that calls the store.
+type acting struct{}
+
+func (acting) Word(string, time.Time) (Word, bool)          { return Word{}, false }
+func (acting) Patience(string) time.Duration                { return 0 }
+func (acting) CallPause(string) time.Duration               { return maxPause }
+func (acting) Confirmed()                                   {}
+func (acting) Publish(News)                                 {}
+func (acting) Copy(context.Context, string) (Copied, error) { return Copied{}, ErrNoCopy }
+func (acting) Missed(context.Context, string, Version) (Copied, error) {
+	return Copied{}, ErrNoCopy
+}
+
+// TestOthersHearAsOftenAfterALargeChange: they wait for the next confirmation, and would take
+// over where the pause came on top of the time for which the store holds a call.
+func TestOthersHearAsOftenAfterALargeChange(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := &held{cancel: cancel}
+	New(store, "table", &scripted{}, acting{}, log).Run(ctx)
+	if want := []time.Duration{patience, patience - longestChangePause, patience}; !slices.Equal(store.spans[:3], want) {
+		t.Errorf("calls are held for %v, want %v", store.spans, want)
+	}
+}
