Only the first nodes of each zone tell all of what they read at the store

Cause: a node that no word reached read tables itself, and then told all others of each confirmation: some hundred of 985 such nodes made hundreds of thousands of datagrams a second, behind which the next words were lost, so that more nodes read for themselves. It grows with the square of the nodes, and feeds itself. Now, in a fleet of more than 30 nodes, the first three of each zone tell all; others that read answer who asks (TestNodeThatReadsForItselfTellsOnlyThoseThatAsk).

--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,13 @@
 	callPause  = 800 * time.Millisecond
 	laterPause = 4 * time.Second
 	laterFleet = 60
+	// tellingPlaces is how many nodes of each zone tell all others of what they read, in a
+	// fleet of more than tellingFleet nodes: these take over from each other one by one. Any
+	// other that has to read for itself, since no word reaches it, answers those that ask it
+	// only. Would it tell all, a thousand nodes that miss a word would send each other a
+	// million, and miss the next.
+	tellingPlaces = 3
+	tellingFleet  = 30
 )
 
 // Word is what a node says of a table that some node reads at the store.
@@ -264,7 +272,21 @@
 }
 
 // Confirmed implements tablefeed.Others.
-func (b *Board) Confirmed() { b.fleet.SpreadWords(b.Words(time.Now())) }
+func (b *Board) Confirmed() {
+	words := slices.DeleteFunc(b.Words(time.Now()), func(w Word) bool { return !b.tells(w.Table) })
+	if len(words) > 0 {
+		b.fleet.SpreadWords(words)
+	}
+}
 
 // Publish implements tablefeed.Others.
-func (b *Board) Publish(news tablefeed.News) { b.fleet.SpreadNews(news) }
+func (b *Board) Publish(news tablefeed.News) {
+	if b.tells(news.Table) {
+		b.fleet.SpreadNews(news)
+	}
+}
+
+// tells reports whether this node tells all others of what it reads of a table.
+func (b *Board) tells(table string) bool {
+	return b.fleet.Nodes() <= tellingFleet || b.fleet.Place(table) <= tellingPlaces
+}
--- a/internal/tablerelay/board_test.go
+++ b/internal/tablerelay/board_test.go
@@ -23,6 +23,7 @@
 	nodes  int
 	pulled int
 	spread [][]Word
+	news   int
 }
 
 func (f *fleet) Address() string                { return f.self }
@@ -30,7 +31,7 @@
 func (f *fleet) Place(string) int               { return f.place }
 func (f *fleet) Nodes() int                     { return f.nodes }
 func (f *fleet) SpreadWords(words []Word)       { f.spread = append(f.spread, words) }
-func (f *fleet) SpreadNews(tablefeed.News)      {}
+func (f *fleet) SpreadNews(tablefeed.News)      { f.news++ }
 func (f *fleet) AskWords(string)                { f.pulled++ }
 
 func boardOf(others *fleet) *Board {
@@ -323,3 +324,54 @@
 		now = now.Add(time.Second)
 	}
 }
+
+// ownReader is a store that confirms a table at once.
+type ownReader struct{ cancel context.CancelFunc }
+
+func (r *ownReader) Read(context.Context, string) ([]tablefeed.Row, tablefeed.Version, error) {
+	return nil, 1, nil
+}
+
+func (r *ownReader) Changes(_ context.Context, _ string, after tablefeed.Version, _ time.Duration) ([]tablefeed.Row, tablefeed.Version, error) {
+	defer r.cancel()
+	return []tablefeed.Row{{Key: "k"}}, after + 1, nil
+}
+
+type discard struct{}
+
+func (discard) Reset([]tablefeed.Row, tablefeed.Version) {}
+func (discard) Apply([]tablefeed.Row, tablefeed.Version) {}
+
+// TestNodeThatReadsForItselfTellsOnlyThoseThatAsk, in a large fleet, unless it is one of the
+// first: many may have to at once.
+func TestNodeThatReadsForItselfTellsOnlyThoseThatAsk(t *testing.T) {
+	for name, test := range map[string]struct {
+		nodes, place int
+		tells        bool
+	}{
+		"the first of a large fleet":        {985, 0, true},
+		"the third of a zone":               {985, tellingPlaces, true},
+		"another one":                       {985, tellingPlaces + 1, false},
+		"one that doesn't know its place":   {985, 1 << 20, false},
+		"any node of a fleet of a few":      {30, 29, true},
+		"a node of a fleet of a few dozens": {75, 12, false},
+	} {
+		others := &fleet{self: "m", place: test.place, nodes: test.nodes}
+		board := New(others)
+		ctx, cancel := context.WithCancel(context.Background())
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		feed := tablefeed.New(&ownReader{cancel}, "table", discard{}, board, log)
+		board.Add("table", feed)
+		feed.Run(ctx)
+		if told := others.news > 0; told != test.tells {
+			t.Errorf("%s: tells all of changes %v", name, told)
+		}
+		if told := len(others.spread) > 0; told != test.tells {
+			t.Errorf("%s: tells all what is confirmed %v", name, told)
+		}
+		if len(board.Known(time.Now())) == 0 {
+			t.Errorf("%s: has nothing to tell who asks", name)
+		}
+	}
+}
