A word that a node can't rely on doesn't make it call the store again

Since a fresh word ended the pause after failed calls, the first node, which relies on nobody, called the failing store for each word that others sent it.

--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -193,12 +193,20 @@
 			continue
 		}
 		b.words[said.Table][said.Reader] = word
-		if held, _ := feed.Word(); word.Changed > before.Changed || now.Sub(held.At) >= Freshness {
-			feed.Wake() // also from a long pause after calls that failed
+		if word.Changed > before.Changed || b.endsPause(feed, said, word, now) {
+			feed.Wake()
 		}
 	}
 }
 
+// endsPause reports whether a word lets a feed follow another node again whose calls to the
+// store failed. One that can't rely on the word would only call again.
+func (b *Board) endsPause(feed *tablefeed.Feed, said Word, word tablefeed.Word, now time.Time) bool {
+	held, _ := feed.Word()
+	return now.Sub(held.At) >= Freshness && b.fleet.Outranks(said.Table, said.Reader) &&
+		now.Sub(word.At) < b.Patience(said.Table)
+}
+
 // TakeNews gives changes that another node got from the store to the feed.
 func (b *Board) TakeNews(news tablefeed.News) {
 	b.mu.Lock()
