Words on one table don't wait for another's

One question for all tables at most each 400 ms left some tables without a word until another node took over. Questions are for a table again, and in fleets of up to 30 nodes as often as before.

--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -27,9 +27,10 @@
 	takeover = 1100 * time.Millisecond
 	step     = 100 * time.Millisecond
 	// pullAfter is the age of a word from which a node asks others for a newer one: again
-	// after pullEvery, and less often each time up to longestPull, at which it still gets one
-	// before its own is too old. While the store is down no node has any, and a thousand that
-	// asked ten times a second for each table made 79,000 questions a second.
+	// after pullEvery, and in a fleet of more than tellingFleet nodes less often each time up
+	// to longestPull, at which it still gets one before its own is too old. While the store
+	// is down no node has any, and a thousand that asked ten times a second for each table
+	// made 79,000 questions a second.
 	pullAfter   = 950 * time.Millisecond
 	pullEvery   = 100 * time.Millisecond
 	longestPull = 400 * time.Millisecond
@@ -96,17 +97,22 @@
 	feeds map[string]*tablefeed.Feed
 	// words holds what other nodes say, by table and reader.
 	words map[string]map[string]tablefeed.Word
-	// pulled is when words were asked for last, and pullPause the least time until they may
-	// be again.
-	pulled    time.Time
-	pullPause time.Duration
+	// pulls are the questions for words, by table.
+	pulls map[string]pull
+}
+
+// pull is when words on a table were asked for last, and the least time until they may be
+// again.
+type pull struct {
+	at    time.Time
+	pause time.Duration
 }
 
 // New returns a board.
 func New(fleet Fleet) *Board {
 	return &Board{
 		fleet: fleet, feeds: make(map[string]*tablefeed.Feed),
-		words: make(map[string]map[string]tablefeed.Word),
+		words: make(map[string]map[string]tablefeed.Word), pulls: make(map[string]pull),
 	}
 }
 
@@ -240,7 +246,7 @@
 	patience := b.Patience(table)
 	newest := b.newest(table, now)
 	age := now.Sub(newest.At)
-	if age >= pullAfter && patience > 0 && b.mayPull(now) {
+	if age >= pullAfter && patience > 0 && b.mayPull(table, now) {
 		b.fleet.AskWords(table)
 	}
 	return newest, age < patience
@@ -263,19 +269,23 @@
 	return newest
 }
 
-// mayPull reports whether words may be asked for, and records that they are. An answer has
-// those on all tables.
-func (b *Board) mayPull(now time.Time) bool {
+// mayPull reports whether words on a table may be asked for, and records that they are.
+func (b *Board) mayPull(table string, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	since := now.Sub(b.pulled)
-	if since < b.pullPause {
+	last := b.pulls[table]
+	since := now.Sub(last.at)
+	if since < last.pause {
 		return false
 	}
 	if since >= 2*longestPull {
-		b.pullPause = 0 // it was not needed for a while
+		last.pause = 0 // it was not needed for a while
+	}
+	pause := pullEvery
+	if b.fleet.Nodes() > tellingFleet {
+		pause = min(max(2*last.pause, pullEvery), longestPull)
 	}
-	b.pulled, b.pullPause = now, min(max(2*b.pullPause, pullEvery), longestPull)
+	b.pulls[table] = pull{at: now, pause: pause}
 	return true
 }
 
