--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -127,11 +127,9 @@
 	return b.copies.Copy(ctx, table)
 }
 
-// Missed implements tablefeed.Others. In a fleet of up to tellingFleet nodes the store is
-// asked: while a node waits for another it hears no words, and may take over from the node
-// that reads the table.
+// Missed implements tablefeed.Others.
 func (b *Board) Missed(ctx context.Context, table string, after tablefeed.Version) (tablefeed.Copied, error) {
-	if b.copies == nil || b.fleet.Nodes() <= tellingFleet {
+	if b.copies == nil {
 		return tablefeed.Copied{}, tablefeed.ErrNoCopy
 	}
 	return b.copies.Missed(ctx, table, after)
