--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -209,7 +209,8 @@
 // store failed. One that can't rely on the word would only call again.
 func (b *Board) endsPause(feed *tablefeed.Feed, said Word, word tablefeed.Word, now time.Time) bool {
 	held, _ := feed.Word()
-	return now.Sub(held.At) >= Freshness && b.fleet.Outranks(said.Table, said.Reader) &&
+	follows := word.Changed <= held.Confirmed // else it would have to ask for the changes
+	return follows && now.Sub(held.At) >= Freshness && b.fleet.Outranks(said.Table, said.Reader) &&
 		now.Sub(word.At) < b.Patience(said.Table)
 }
 
--- a/internal/tablerelay/board_test.go
+++ b/internal/tablerelay/board_test.go
@@ -313,18 +313,20 @@
 // again for each word.
 func TestFreshWordEndsALongPause(t *testing.T) {
 	for name, test := range map[string]struct {
-		place  int
-		reader string
-		want   bool
+		place   int
+		reader  string
+		changed tablefeed.Version
+		want    bool
 	}{
-		"a node that comes before it": {9, "a", true},
-		"one that comes after it":     {9, "z", false},
-		"it is the first":             {0, "a", false},
+		"a node that comes before it":          {9, "a", 0, true},
+		"one that comes after it":              {9, "z", 0, false},
+		"it is the first":                      {0, "a", 0, false},
+		"changes are missing that it tells of": {9, "a", 3, false},
 	} {
 		board := New(&fleet{self: "m", place: test.place})
 		feed := tablefeed.New(nil, "table", nil, board, logrus.New())
 		board.Add("table", feed)
-		word := Word{Table: "table", Changed: 3, Confirmed: 9, Reader: test.reader}
+		word := Word{Table: "table", Changed: test.changed, Confirmed: 9, Reader: test.reader}
 		now := time.Now()
 		for changed := range 2 { // the second word tells of no change
 			board.Take([]Word{word}, now)
