--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -130,6 +130,9 @@
 	pause  time.Duration
 	// rested is how long the feed has rested since its last call to the store.
 	rested time.Duration
+	// forgotten is the version after which the store has forgotten the changes: a copy is to
+	// be newer.
+	forgotten Version
 	// relying tells that the last word was another node's, and acting that this node
 	// calls the store, for others too.
 	relying, acting bool
@@ -204,6 +207,7 @@
 			known = true
 		case errors.Is(err, ErrHistoryGone):
 			known = false
+			f.forgotten = f.word.Confirmed
 			f.log.WithFields(logrus.Fields{"table": f.table, "version": f.word.Confirmed}).Warn("store forgot its history; reading the table again")
 		default:
 			f.failed(ctx, err)
@@ -335,7 +339,7 @@
 func (f *Feed) begin(ctx context.Context) error {
 	if f.others != nil {
 		copied, err := f.others.Copy(ctx, f.table)
-		if err == nil && f.takeOver(copied) {
+		if err == nil && copied.Word.Confirmed > f.forgotten && f.takeOver(copied) {
 			return nil
 		}
 	}
--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -175,3 +175,34 @@
 		t.Errorf("calls are held for %v, want %v", store.spans, want)
 	}
 }
+
+// copying is a fleet in which another node holds the table as of a version.
+type copying struct {
+	acting
+	version Version
+}
+
+func (c copying) Copy(context.Context, string) (Copied, error) {
+	return Copied{Whole: true, Word: Word{Changed: c.version, Confirmed: c.version, At: time.Now()}}, nil
+}
+
+// TestForgottenHistoryIsNotMadeUpForByAnOldCopy: the store would have forgotten what comes
+// after the copy too, and the next call would end the same way.
+func TestForgottenHistoryIsNotMadeUpForByAnOldCopy(t *testing.T) {
+	for version, want := range map[Version][]string{
+		5: {"reset to 5 with 0", "reset to 9 with 1"},
+		7: {"reset to 7 with 0", "reset to 9 with 1"},
+	} {
+		ctx, cancel := context.WithCancel(context.Background())
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := &scripted{t: t, cancel: cancel, steps: []step{
+			{call: fmt.Sprintf("changes after %d", version), err: ErrHistoryGone},
+			{call: "read", rows: []Row{{Key: "k"}}, version: 9},
+		}}
+		New(s, "table", s, copying{version: version}, log).Run(ctx)
+		if diff := cmp.Diff(want, s.taken); diff != "" {
+			t.Errorf("a copy of version %d: %s", version, diff)
+		}
+	}
+}
