A node that the store turns away follows others in its pause

In its pause after a failed call, which is a minute in a fleet of 985, a node looked at no words and asked for none (TestNodeThatTheStoreTurnsAwayFollowsOthers fails on the code before). Now the pause puts off the call only.

--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -104,6 +104,9 @@
 	// newsDelay is how long a node waits for news of a change that it has heard of
 	// before it asks the store.
 	newsDelay = 60 * time.Millisecond
+	// pauseLook is the time between two looks for other nodes' words while calls to the store
+	// pause.
+	pauseLook = 200 * time.Millisecond
 	// shortest is the shortest wait for a newer word.
 	shortest = 20 * time.Millisecond
 	// changePause is left between a change and the next call: when a fleet of workers
@@ -128,6 +131,8 @@
 	log    *logrus.Logger
 	lost   bool
 	pause  time.Duration
+	// callAfter is when the store may be called again after a call that failed.
+	callAfter time.Time
 	// rested is how long the feed has rested since its last call to the store.
 	rested time.Duration
 	// forgotten is the version after which the store has forgotten the changes: a copy is to
@@ -193,7 +198,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	known := false
 	for ctx.Err() == nil {
-		if known && f.relies(ctx) {
+		if known && f.relies(ctx) || f.pauses(ctx) {
 			continue
 		}
 		var err error
@@ -501,5 +506,17 @@
 		longest = f.others.CallPause(f.table)
 	}
 	f.pause = min(max(2*f.pause, longest/firstShare), longest)
-	f.await(ctx, f.pause/2+rand.N(f.pause))
+	f.callAfter = time.Now().Add(f.pause/2 + rand.N(f.pause))
+}
+
+// pauses lets a moment of the pause after a failed call pass. It reports false where there is
+// none. The pause puts off calls to the store only: a feed that slept through it would hear
+// of no change that other nodes tell of.
+func (f *Feed) pauses(ctx context.Context) bool {
+	left := time.Until(f.callAfter)
+	if left <= 0 {
+		return false
+	}
+	f.await(ctx, min(left, pauseLook))
+	return true
 }
--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -206,3 +206,68 @@
 		}
 	}
 }
+
+// refusing is a store that answers the first read only.
+type refusing struct{ refused chan struct{} }
+
+func (r *refusing) Read(context.Context, string) ([]Row, Version, error) { return nil, 1, nil }
+
+func (r *refusing) Changes(context.Context, string, Version, time.Duration) ([]Row, Version, error) {
+	select {
+	case r.refused <- struct{}{}:
+	default:
+	}
+	return nil, 0, errors.New("turned away")
+}
+
+// telling is a fleet in which another node has changes from some time on, and a pause after
+// failed calls is long.
+type telling struct {
+	acting
+	from chan struct{}
+}
+
+func (f *telling) CallPause(string) time.Duration { return time.Hour }
+
+func (f *telling) Word(_ string, now time.Time) (Word, bool) {
+	select {
+	case <-f.from:
+		return Word{Changed: 7, Confirmed: 7, At: now}, true
+	default:
+		return Word{}, false
+	}
+}
+
+func (f *telling) Missed(context.Context, string, Version) (Copied, error) {
+	return Copied{Rows: []Row{{Key: "k"}}, Word: Word{Changed: 7, Confirmed: 7, At: time.Now()}}, nil
+}
+
+// applied tells when changes are applied.
+type applied struct{ done chan Version }
+
+func (applied) Reset([]Row, Version) {}
+
+func (a applied) Apply(_ []Row, version Version) { a.done <- version }
+
+// TestNodeThatTheStoreTurnsAwayFollowsOthers in the pause between its calls, though no news
+// reaches it: in a large fleet the pause is a minute, and a configuration is to be in force
+// within seconds.
+func TestNodeThatTheStoreTurnsAwayFollowsOthers(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store, fleet := &refusing{make(chan struct{}, 1)}, &telling{from: make(chan struct{})}
+	consumer := applied{make(chan Version)}
+	go New(store, "table", consumer, fleet, log).Run(ctx)
+	<-store.refused
+	close(fleet.from)
+	select {
+	case version := <-consumer.done:
+		if version != 7 {
+			t.Errorf("version %d was applied", version)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the node sleeps through what others tell")
+	}
+}
