Words go through a large zone in small bursts

Its words were lost: a head sent 200 datagrams at once over a link of 20 Mbit/s. Now it sends them to 15 groups of 15 nodes, in each of which another node passes on (TestWordsReachALargeZoneInSmallBursts).

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -66,6 +66,9 @@
 	Relayed bool `json:"y,omitempty"`
 	Across  bool `json:"yr,omitempty"`
 	InZone  bool `json:"yz,omitempty"`
+	// Groups is the number of groups of the zone's nodes where the receiver is to pass the
+	// message on in its own, zero where it isn't.
+	Groups int `json:"yg,omitempty"`
 	// Contents hold "content worker tokens": what workers keep that others may share.
 	Contents []string `json:"c,omitempty"`
 	// Question asks for accounts of workers, and Reply answers that.
--- a/internal/digest/tables.go
+++ b/internal/digest/tables.go
@@ -1,11 +1,13 @@
 package digest
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/rendezvous"
 	"github.com/tinarch/tinarch/internal/tablefeed"
 	"github.com/tinarch/tinarch/internal/tablerelay"
 )
@@ -74,7 +76,11 @@
 // to the other nodes of the zone, if this one is to; and one that came from another region
 // to the heads of this region's zones.
 func (e *Exchange) passOn(from netip.AddrPort, message Message) {
-	if message.Relayed || message.Sequence == 0 && message.Departed != nil {
+	if message.Relayed {
+		e.passOnInGroup(from, message)
+		return
+	}
+	if message.Sequence == 0 && message.Departed != nil {
 		return
 	}
 	e.mu.Lock()
@@ -86,7 +92,53 @@
 	message.Across, message.InZone = false, true
 	e.sendAll(heads, message)
 	message.Relayed, message.InZone = true, false
-	e.sendAll(slices.DeleteFunc(zone, func(to netip.AddrPort) bool { return to == from }), message)
+	zone = slices.DeleteFunc(zone, func(to netip.AddrPort) bool { return to == from })
+	if len(zone) <= maxFanOut {
+		e.sendAll(zone, message)
+		return
+	}
+	message.Groups = groupsOf(len(zone))
+	e.sendAll(leaders(zone, message.Groups), message)
+}
+
+// passOnInGroup sends a message that came from a head of a large zone to the other nodes of
+// this node's group.
+func (e *Exchange) passOnInGroup(from netip.AddrPort, message Message) {
+	groups := message.Groups
+	if groups <= 0 {
+		return
+	}
+	e.mu.Lock()
+	own := groupOf(e.peers.address, groups)
+	group := slices.DeleteFunc(e.peers.inZone(), func(to netip.AddrPort) bool { return to == from || groupOf(to, groups) != own })
+	e.mu.Unlock()
+	message.Groups = 0
+	e.sendAll(group, message)
+}
+
+// groupsOf is the number of groups into which a head divides the nodes of its zone, so that it
+// and those that pass on in the groups send about as many datagrams at once: a burst of two
+// hundred is more than a link of 20 Mbit/s takes, and the rest is lost.
+func groupsOf(nodes int) int { return int(math.Ceil(math.Sqrt(float64(nodes)))) }
+
+// groupOf is the group of a node, the same for all that divide a zone into as many.
+func groupOf(address netip.AddrPort, groups int) int {
+	return int(rendezvous.Hash(address.String()) % uint64(groups))
+}
+
+// leaders draws a node of each group: heads draw different ones, so that one that is dead
+// keeps no group from hearing.
+func leaders(nodes []netip.AddrPort, groups int) []netip.AddrPort {
+	byGroup := make(map[int][]netip.AddrPort)
+	for _, address := range nodes {
+		group := groupOf(address, groups)
+		byGroup[group] = append(byGroup[group], address)
+	}
+	drawn := make([]netip.AddrPort, 0, groups)
+	for _, group := range byGroup {
+		drawn = append(drawn, group[rand.IntN(len(group))])
+	}
+	return drawn
 }
 
 // AskWords asks two nodes for what they know of the tables: the one that should read the
--- a/internal/digest/tables_test.go
+++ b/internal/digest/tables_test.go
@@ -90,3 +90,33 @@
 		}
 	}
 }
+
+// TestWordsReachALargeZoneInSmallBursts: the head of a zone and those that pass on in its
+// groups send few datagrams at once, and reach all nodes.
+func TestWordsReachALargeZoneInSmallBursts(t *testing.T) {
+	for _, count := range []int{40, 200, 400} {
+		var zone []netip.AddrPort
+		for i := range count {
+			zone = append(zone, addressOf(i))
+		}
+		groups := groupsOf(count)
+		drawn := leaders(zone, groups)
+		reached := make(map[netip.AddrPort]bool)
+		for _, leader := range drawn {
+			reached[leader] = true
+			sent := 0
+			for _, other := range zone {
+				if other != leader && groupOf(other, groups) == groupOf(leader, groups) {
+					reached[other] = true
+					sent++
+				}
+			}
+			if sent > 3*groups {
+				t.Errorf("%d nodes: a node passes on to %d others", count, sent)
+			}
+		}
+		if len(reached) != count || len(drawn) > groups {
+			t.Errorf("%d nodes: %d reached through %d", count, len(reached), len(drawn))
+		}
+	}
+}
