A node writes its row again where the list lacks it

Cause: announce wrote the row once; where it was taken away between the write and the look, it went on looking for it without end, and the node was known only to those it told. Found by reading the change. Change: the row is written whenever a look doesn't find it.

--- a/internal/lab/fleetstore/store.go
+++ b/internal/lab/fleetstore/store.go
@@ -56,6 +56,8 @@
 	calls     int
 	// reads counts the calls that read rows, and feeds those for changes, by table.
 	reads, feeds map[string]int
+	// onRead is told the table of each call that reads rows, before it does; it may be nil.
+	onRead func(table string)
 }
 
 // Start runs a store on a port of its own.
@@ -100,6 +102,14 @@
 	return s.reads[table]
 }
 
+// OnRead has a function told the table of each call that reads rows, before it does. It may
+// call the store.
+func (s *Store) OnRead(told func(table string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onRead = told
+}
+
 // Feeds returns the number of calls for changes of a table.
 func (s *Store) Feeds(table string) int {
 	s.mu.Lock()
@@ -204,8 +214,14 @@
 }
 
 func (s *Store) get(writer http.ResponseWriter, request *http.Request) {
-	s.mu.Lock()
 	query := request.URL.Query()
+	s.mu.Lock()
+	onRead := s.onRead
+	s.mu.Unlock()
+	if onRead != nil {
+		onRead(query.Get("table"))
+	}
+	s.mu.Lock()
 	s.reads[query.Get("table")]++
 	rows, version := within(s.of(query.Get("table")), query.Get("From"), query.Get("TargetVersion")), s.version
 	if s.faults.StaleReads > 0 {
--- a/internal/lab/site/start_test.go
+++ b/internal/lab/site/start_test.go
@@ -111,3 +111,23 @@
 		}
 	}
 }
+
+// TestNodeIsListedAgainWhereItsRowIsTakenAway while it announces itself: another node may take
+// it for gone, or the store may lose the row.
+func TestNodeIsListedAgainWhereItsRowIsTakenAway(t *testing.T) {
+	s := newSite(t)
+	const key = "a/node-1"
+	taken := 0
+	s.store.OnRead(func(table string) {
+		if table == "nodes" && taken < 2 && len(s.store.Rows("nodes")) > 0 {
+			taken++
+			s.store.Put("nodes", key, nil)
+		}
+	})
+	s.startNode("node-1", func(*settings.Routed) {})
+	s.await("the node is listed", func() bool { return len(s.store.Rows("nodes")) == 1 })
+	s.store.OnRead(nil)
+	if taken != 2 {
+		t.Errorf("the row was taken away %d times", taken)
+	}
+}
--- a/internal/serving/listing.go
+++ b/internal/serving/listing.go
@@ -16,8 +16,8 @@
 )
 
 // nodesTable holds one row for each node, under its zone and name, so that a node that
-// starts in a large fleet reads the rows of its zone only. Builds before kept it under its name, and didn't
-// follow the table.
+// starts in a large fleet reads the rows of its zone only. An older build keeps its row under
+// its name alone, and doesn't follow the table.
 const nodesTable = "nodes"
 
 // zoneEnd ends the zone in a row's key, and afterZone is the character after it.
@@ -55,18 +55,17 @@
 // writes first. It goes on until the store has done all. A node whose write is refused knows
 // the others all the same.
 func (n *Node) announce(ctx context.Context) {
-	written := n.settings.Node.FirstStart && n.writeRow(ctx)
+	if n.settings.Node.FirstStart {
+		n.writeRow(ctx)
+	}
 	for pause := callPause; ctx.Err() == nil; pause = min(2*pause, longestPause) {
 		listed, read := n.listNodes(ctx)
+		if read && !listed && n.writeRow(ctx) {
+			listed, _ = n.listNodes(ctx)
+		}
 		if listed {
 			return
 		}
-		if read && !written {
-			written = n.writeRow(ctx)
-			if written {
-				continue
-			}
-		}
 		sleepFor(ctx, pause/2+rand.N(pause))
 	}
 }
