One threshold for large fleets; two checks of tests stricter

Cause: the number of nodes from which a fleet is large stood twice, in tablerelay and in digest, and would have drifted apart; one question about kept accounts was asked worker by worker. Change: Fleet.Large in place of a second constant, peerSet.large in place of eight comparisons, one call of Kept. TestFreshWordEndsALongPause checks both of its words, where only the second was; TestNobodyIsAskedForWordsByAll bounds how many nodes may ask outside their zone.

--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -318,7 +318,7 @@
 	e.tellUsage(time.Now())
 	e.reportChangedQuotas(time.Now())
 	e.mu.Lock()
-	targets, large := e.peers.all(), e.peers.nodes() > maxFanOut
+	targets, large := e.peers.all(), e.peers.large()
 	if large {
 		targets = e.peers.others(e.peers.supervisors())
 	}
--- a/internal/digest/listing.go
+++ b/internal/digest/listing.go
@@ -68,8 +68,15 @@
 	e.peers.listing.nearKnown()
 }
 
-// Large reports whether the fleet is so large that nodes don't greet each other.
-func (e *Exchange) Large() bool { return e.Nodes() > maxFanOut }
+// Large reports whether the fleet is so large that nodes don't greet each other, and no node
+// tells all others by itself.
+func (e *Exchange) Large() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.large()
+}
+
+func (s *peerSet) large() bool { return s.nodes() > maxFanOut }
 
 // ReplacePeers takes over the whole list: peers that it doesn't hold are forgotten, unless
 // they were heard lately.
--- a/internal/digest/peers.go
+++ b/internal/digest/peers.go
@@ -144,7 +144,7 @@
 	}
 	s.joined(added)
 	for _, address := range added {
-		if s.nodes() <= maxFanOut {
+		if !s.large() {
 			s.peers[address].greetings = greetings
 		}
 	}
--- a/internal/digest/relay.go
+++ b/internal/digest/relay.go
@@ -86,7 +86,7 @@
 // in a large fleet the heads of the zones of its region, and in across the heads of the
 // other regions.
 func (s *peerSet) spreadTargets() (near, across []netip.AddrPort) {
-	if s.nodes() <= maxFanOut {
+	if !s.large() {
 		return s.all(), nil
 	}
 	if s.places.Several() {
@@ -104,7 +104,7 @@
 // one of their heads, or was taken for one by the node that made the message: while a large
 // fleet starts nodes don't agree on the heads yet.
 func (s *peerSet) relayTargets(acrossRegions, inZone bool) (heads, zone []netip.AddrPort) {
-	if s.nodes() <= maxFanOut && !inZone {
+	if !s.large() && !inZone {
 		return nil, nil
 	}
 	if acrossRegions {
--- a/internal/digest/tables.go
+++ b/internal/digest/tables.go
@@ -65,7 +65,7 @@
 	near, across := e.peers.spreadTargets()
 	e.spreads++
 	message.Sequence = e.spreads
-	message.InZone = e.peers.nodes() > maxFanOut
+	message.InZone = e.peers.large()
 	e.mu.Unlock()
 	e.sendAll(near, message)
 	message.Across, message.InZone = true, false
@@ -157,7 +157,7 @@
 // toAsk returns the nodes that are asked for words.
 func (s *peerSet) toAsk(table string) []netip.AddrPort {
 	first := s.top("table "+table, 1, "")
-	if givers := s.givers(); s.nodes() > maxFanOut && len(givers) > 0 {
+	if givers := s.givers(); s.large() && len(givers) > 0 {
 		first = givers[:1]
 	}
 	asked := slices.Clone(first)
@@ -169,7 +169,7 @@
 
 // anyNear returns a peer drawn at random, of the own zone in a large fleet.
 func (s *peerSet) anyNear() (netip.AddrPort, bool) {
-	if s.nodes() <= maxFanOut {
+	if !s.large() {
 		return s.anyPeer()
 	}
 	near := s.inZone()
--- a/internal/digest/tables_test.go
+++ b/internal/digest/tables_test.go
@@ -72,17 +72,24 @@
 			listed = append(listed, Peer{Node: known.node, Address: address, Zone: known.zone, Listed: uint64(2 + len(listed))})
 		}
 		listed = append(listed, Peer{Node: supervisor.self, Address: supervisor.address, Zone: supervisor.zone, Listed: 1})
-		asked := make(map[netip.AddrPort]int)
+		asked, roots := make(map[netip.AddrPort]int), 0
 		for _, node := range listed[:min(nodes, 100)] {
 			set := newPeerSet(node.Node, node.Address, node.Zone)
 			set.list(listed)
+			isRoot := len(set.givers()) == 0
+			if isRoot {
+				roots++ // those ask the node that reads the table
+			}
 			for _, to := range set.toAsk("servers") {
 				asked[to]++
-				if set.zoneOf(to) != set.zone && len(set.givers()) > 0 {
+				if set.zoneOf(to) != set.zone && !isRoot {
 					t.Errorf("a node of %s asks one of %s", set.zone, set.zoneOf(to))
 				}
 			}
 		}
+		if roots > 5*sharingHeads {
+			t.Errorf("%d nodes: %d ask outside their zones", nodes, roots)
+		}
 		for address, times := range asked {
 			if times > 40 { // of 100, where one zone's 20 may draw the same head
 				t.Errorf("%d nodes: %v is asked by %d of 100", nodes, address, times)
--- a/internal/lab/site/start_test.go
+++ b/internal/lab/site/start_test.go
@@ -34,7 +34,7 @@
 }
 
 // TestTablesAreReadOnceAZone when many nodes start together: two nodes of each zone read
-// them at the store, and the others get them from these. Each node read them itself before.
+// them at the store, and the others get them from these, however many they are.
 func TestTablesAreReadOnceAZone(t *testing.T) {
 	for _, count := range []int{8, 16, 36} {
 		s := newSite(t)
--- a/internal/serving/warmup.go
+++ b/internal/serving/warmup.go
@@ -77,13 +77,12 @@
 func (n *Node) unlisted() []string {
 	var homed []string
 	if keeping, some := n.exchange.Keeping(); some {
-		for _, engine := range n.registry.UnlistedAmong(keeping) {
-			homed = append(homed, engine.ID)
-		}
+		homed = idsOf(n.registry.UnlistedAmong(keeping))
 	} else {
-		for _, engine := range n.registry.Unlisted() {
-			if n.exchange.Kept([]string{engine.ID})[0] {
-				homed = append(homed, engine.ID)
+		ids := idsOf(n.registry.Unlisted())
+		for i, kept := range n.exchange.Kept(ids) {
+			if kept {
+				homed = append(homed, ids[i])
 			}
 		}
 	}
@@ -91,6 +90,14 @@
 	return homed
 }
 
+func idsOf(workers []worker.Worker) []string {
+	ids := make([]string, 0, len(workers))
+	for _, known := range workers {
+		ids = append(ids, known.ID)
+	}
+	return ids
+}
+
 // awaitLists waits until workers and routes are known.
 func (n *Node) awaitLists(ctx context.Context) bool {
 	for end := time.Now().Add(listWait); !n.Ready(); time.Sleep(listPoll) {
--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -27,8 +27,7 @@
 	takeover = 1100 * time.Millisecond
 	step     = 100 * time.Millisecond
 	// pullAfter is the age of a word from which a node asks others for a newer one: again
-	// after pullEvery, and in a fleet of more than tellingFleet nodes less often each time up
-	// to longestPull, at which it still gets one before its own is too old. While the store
+	// after pullEvery, and in a large fleet less often each time up to longestPull, at which it still gets one before its own is too old. While the store
 	// is down no node has any, and a thousand that asked ten times a second for each table
 	// made 79,000 questions a second.
 	pullAfter   = 950 * time.Millisecond
@@ -41,13 +40,11 @@
 	callPause  = 800 * time.Millisecond
 	laterPause = 4 * time.Second
 	laterFleet = 60
-	// tellingPlaces is how many nodes of each zone tell all others of what they read, in a
-	// fleet of more than tellingFleet nodes: these take over from each other one by one. Any
-	// other that has to read for itself, since no word reaches it, answers those that ask it
-	// only. Would it tell all, a thousand nodes that miss a word would send each other a
-	// million, and miss the next.
+	// tellingPlaces is how many nodes of each zone of a large fleet tell all others of what
+	// they read: these take over from each other one by one. Any other that has to read for
+	// itself, since no word reaches it, answers those that ask it only. Would it tell all, a
+	// thousand nodes that miss a word would send each other a million, and miss the next.
 	tellingPlaces = 3
-	tellingFleet  = 30
 )
 
 // Word is what a node says of a table that some node reads at the store.
@@ -70,9 +67,12 @@
 	// Outranks reports whether another node comes before this one among those that read
 	// a table at the store.
 	Outranks(table, reader string) bool
-	// Place is this node's place among them, 0 the first, and Nodes how many there are.
+	// Place is this node's place among them, 0 the first.
 	Place(table string) int
+	// Nodes is how many nodes there are, and Large whether they are too many for each to tell
+	// all others.
 	Nodes() int
+	Large() bool
 	// SpreadWords and SpreadNews tell all other nodes.
 	SpreadWords(words []Word)
 	SpreadNews(news tablefeed.News)
@@ -283,7 +283,7 @@
 		last.pause = 0 // it was not needed for a while
 	}
 	pause := pullEvery
-	if b.fleet.Nodes() > tellingFleet {
+	if b.fleet.Large() {
 		pause = min(max(2*last.pause, pullEvery), longestPull)
 	}
 	b.pulls[table] = pull{at: now, pause: pause}
@@ -307,5 +307,5 @@
 
 // tells reports whether this node tells all others of what it reads of a table.
 func (b *Board) tells(table string) bool {
-	return b.fleet.Nodes() <= tellingFleet || b.fleet.Place(table) <= tellingPlaces
+	return !b.fleet.Large() || b.fleet.Place(table) <= tellingPlaces
 }
--- a/internal/tablerelay/board_test.go
+++ b/internal/tablerelay/board_test.go
@@ -30,6 +30,7 @@
 func (f *fleet) Outranks(_, reader string) bool { return reader < f.self }
 func (f *fleet) Place(string) int               { return f.place }
 func (f *fleet) Nodes() int                     { return f.nodes }
+func (f *fleet) Large() bool                    { return f.nodes > 30 }
 func (f *fleet) SpreadWords(words []Word)       { f.spread = append(f.spread, words) }
 func (f *fleet) SpreadNews(tablefeed.News)      { f.news++ }
 func (f *fleet) AskWords(string)                { f.pulled++ }
@@ -336,8 +337,8 @@
 				woken = true
 			default:
 			}
-			if changed == 1 && woken != test.want {
-				t.Errorf("%s: the pause ends %v", name, woken)
+			if want := test.want || changed == 0 && test.changed > 0; woken != want {
+				t.Errorf("%s, word %d: the pause ends %v", name, changed, woken)
 			}
 			word.Confirmed++
 			now = now.Add(time.Second)
