A worker's limit is read, logged and counted; no decision uses it yet

What a worker takes in a second stood in its answers, and no log or figure showed whether a node had seen it: that nobody reads it could not be told from seen and not acted upon.

'worker limit' tells when a node learns that a worker names a limit, another one or none any more, with the request that told it, at most once a second and worker; counted by change, with the number of workers that name one. What can't be read is logged and counted, and what the worker said before holds.

Statements are ordered by when the worker can have made them, since answers overtake each other; of two whose order isn't known the lower holds.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -47,7 +47,8 @@
 	fetch string
 }
 
-func (s *session) send(ctx context.Context, to scheduling.Candidate, forward Forward) (*workerconn.Answer, error) {
+// send sends the call to a worker, and returns its answer and what the head of that says.
+func (s *session) send(ctx context.Context, to scheduling.Candidate, forward Forward) (*workerconn.Answer, Reply, error) {
 	forward.WorkerID = to.ID
 	forward.Remaining = s.remaining()
 	// A late prompt that was read goes on in its turn: what is left is little, and its
@@ -58,7 +59,14 @@
 		Header: s.wire.ForwardHeader(s.call, forward), Body: s.call.Body,
 		IDHeader: s.wire.IDHeader(), ID: s.call.ID,
 	}
-	return s.pool.Do(ctx, to.ID, to.Address, s.connectionLimit(s.call), request)
+	sent := time.Now()
+	answer, err := s.pool.Do(ctx, to.ID, to.Address, s.connectionLimit(s.call), request)
+	if err != nil {
+		return nil, Reply{}, err
+	}
+	reply := s.wire.Reply(answer.Status, answer.Header)
+	s.observeLimit(to.ID, reply.Limit, sent)
+	return answer, reply, nil
 }
 
 // readApart lets a worker read the prompt. It returns no handle where that failed;
@@ -72,12 +80,11 @@
 	running := s.endings.begin(reader.ID, s.call.Fingerprint, s.suspected())
 	defer s.endings.end(reader.ID, running)
 	begun := time.Now()
-	answer, err := s.send(ctx, reader, Forward{ReadApart: true, FetchFrom: plan.Fetch})
+	answer, reply, err := s.send(ctx, reader, Forward{ReadApart: true, FetchFrom: plan.Fetch})
 	if err != nil {
 		return nil, s.readFailed(reader, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	reply := s.wire.Reply(answer.Status, answer.Header)
 	content, err := io.ReadAll(io.LimitReader(answer.Body, maxReadAnswer))
 	if err != nil {
 		return nil, s.readFailed(reader, err)
@@ -174,7 +181,7 @@
 	work := newWork(s, runner, prompt)
 	defer work.end()
 	again := s.chargeAgain()
-	answer, err := s.send(ctx, runner, forward)
+	answer, reply, err := s.send(ctx, runner, forward)
 	if err != nil {
 		if workerconn.Unsent(err) {
 			s.giveBack(again)
@@ -185,7 +192,6 @@
 		return s.sendFailed(runner, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	reply := s.wire.Reply(answer.Status, answer.Header)
 	if reply.HasLoad {
 		s.registry.Reported(runner.ID, reply.Running, reply.Waiting, time.Now())
 	}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -130,6 +130,17 @@
 	// HasLoad tells that Running and Waiting are given.
 	HasLoad          bool
 	Running, Waiting int
+	Limit            NamedLimit
+}
+
+// NamedLimit is what an answer says of how many requests its worker takes.
+type NamedLimit struct {
+	// Named tells that the worker takes no more than PerSecond requests a second from all
+	// nodes together.
+	Named     bool
+	PerSecond float64
+	// Malformed quotes what can't be read, empty where nothing of that kind was said.
+	Malformed string
 }
 
 // Wire is how workers are spoken to.
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -15,6 +15,8 @@
 	Late     prometheus.Counter
 	// Breaks count the looks at workers whose answers broke off, by what they showed.
 	Breaks *prometheus.CounterVec
+	// MalformedLimits count the answers whose limit can't be read.
+	MalformedLimits prometheus.Counter
 }
 
 // NewMetrics returns metrics registered with a registry.
@@ -36,7 +38,10 @@
 	metrics.Breaks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_worker_breaks_total", Help: "Looks at workers whose answers broke off, by the worker's state.",
 	}, []string{"state"})
-	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks)
+	metrics.MalformedLimits = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tinarch_worker_limits_malformed_total", Help: "Answers of workers that name a limit which can't be read.",
+	})
+	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.MalformedLimits)
 	return metrics
 }
 
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -97,6 +98,10 @@
 	left    int
 	lists   int
 	orders  int
+	// limit is what the worker names in its answers, empty where it names none, and arrivals
+	// are when requests came, of all kinds.
+	limit    string
+	arrivals []time.Time
 	// carried is the highest fence of the orders carried out, and lateOrders how long
 	// orders are left unanswered before they are.
 	carried    uint64
@@ -219,6 +224,9 @@
 		return
 	}
 	id := request.Header.Get("X-Request-Id")
+	if request.Header.Get("X-Taken") == "" { // else another worker fetches
+		w.arrive(writer)
+	}
 	writer.Header().Set("X-Request-Id", id)
 	writer.Header().Set("X-Instance-Id", w.options.ID)
 	switch {
@@ -274,6 +282,30 @@
 	return w.lists
 }
 
+// SetLimit has the worker name a limit in its answers, and none where it is empty.
+func (w *Worker) SetLimit(limit string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = limit
+}
+
+// arrive counts a request of a node, and names the limit in its answer.
+func (w *Worker) arrive(writer http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arrivals = append(w.arrivals, time.Now())
+	if w.limit != "" {
+		writer.Header().Set("Server-Limit", w.limit)
+	}
+}
+
+// Arrivals returns when requests of any kind came.
+func (w *Worker) Arrivals() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.arrivals)
+}
+
 func reject(writer http.ResponseWriter) {
 	writer.Header().Set("X-Not-Executed", "1")
 	writer.WriteHeader(http.StatusServiceUnavailable)
--- /dev/null
+++ b/internal/serving/limits.go
@@ -0,0 +1,94 @@
+package serving
+
+import (
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/worker"
+)
+
+// limitLogEvery is the least time between two lines on one worker's limit: a worker may name
+// another one in each of its answers.
+const limitLogEvery = time.Second
+
+// limitLog logs and counts what workers say of the requests that they take.
+type limitLog struct {
+	log     *logrus.Logger
+	changes *prometheus.CounterVec
+
+	mu sync.Mutex
+	// logged is when a line was written on a worker, and passedOver counts the changes since.
+	logged     map[string]time.Time
+	passedOver map[string]int
+}
+
+// The labels of changes.
+const (
+	limitNamed   = "named"
+	limitChanged = "changed"
+	limitEnded   = "ended"
+)
+
+// watchLimits has the changes of workers' limits logged and counted.
+func (n *Node) watchLimits(registry prometheus.Registerer) {
+	l := &limitLog{
+		log: n.log, logged: make(map[string]time.Time), passedOver: make(map[string]int),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tinarch_worker_limit_changes_total", Help: "Changes of what workers take in a second, as this node learned them.",
+		}, []string{"change"}),
+	}
+	registry.MustRegister(l.changes, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "tinarch_limited_workers", Help: "Workers that take no more than so many requests a second now.",
+	}, func() float64 { return float64(n.registry.Limited()) }))
+	n.registry.SetLimitsChanged(l.changed)
+}
+
+// changed records one change.
+func (l *limitLog) changed(change worker.LimitChange) {
+	label := limitChanged
+	switch {
+	case !change.Before.Named:
+		label = limitNamed
+	case !change.After.Named:
+		label = limitEnded
+	}
+	l.changes.WithLabelValues(label).Inc()
+	now := time.Now()
+	before, due := l.due(change.Worker, now)
+	if !due {
+		return
+	}
+	l.log.WithFields(logrus.Fields{
+		"worker": change.Worker, "service": change.Service, "change": label, "source": change.Source,
+		"per_second": change.After.Rate, "per_second_before": change.Before.Rate,
+		"said_ms_ago": now.Sub(change.After.Heard).Milliseconds(), "passed_over": before,
+	}).Info("worker limit")
+}
+
+// due reports whether a line on a worker may be written, and how many changes had none since
+// the last.
+func (l *limitLog) due(id string, now time.Time) (passedOver int, due bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.logged[id]) < limitLogEvery {
+		l.passedOver[id]++
+		return 0, false
+	}
+	l.forget(now)
+	l.logged[id] = now
+	passedOver = l.passedOver[id]
+	delete(l.passedOver, id)
+	return passedOver, true
+}
+
+// forget drops the workers on which nothing was written lately.
+func (l *limitLog) forget(now time.Time) {
+	for id, at := range l.logged {
+		if now.Sub(at) >= limitLogEvery && l.passedOver[id] == 0 {
+			delete(l.logged, id)
+		}
+	}
+}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -139,6 +139,7 @@
 	}
 	metrics := prometheus.NewRegistry()
 	countCalls(platform, metrics)
+	n.watchLimits(metrics)
 	exchange, err := digest.Listen(configured.Listen.Exchange, n.identity, configured.Node.Zone, n.registry, log)
 	if err != nil {
 		return nil, err
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -109,6 +109,7 @@
 	delete(r.busy, id)
 	delete(r.changing, id)
 	delete(r.gone, id)
+	delete(r.limited, id)
 }
 
 // put records an entry, and reports whether that changed anything. The entry of an earlier
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -35,6 +35,7 @@
 	// where it writes those that it fetches.
 	handles  breaker.Breaker
 	reported reportedLoad
+	limit    LimitStatement
 }
 
 type remoteLoad struct {
@@ -82,6 +83,9 @@
 	// 0.9 ms for a message of another node, and takes 1 µs with these (BenchmarkMerge).
 	busy, changing, gone map[string]*state
 	placed               map[string][]string
+	// limited are the workers that have named a limit, and limitChanged is told of changes.
+	limited      map[string]*state
+	limitChanged func(LimitChange)
 	// generation rises whenever a worker is added or forgotten.
 	generation uint64
 	// groups hold the learned reading of all workers of a service and stage.
@@ -156,11 +160,14 @@
 		changing: make(map[string]*state),
 		gone:     make(map[string]*state),
 		placed:   make(map[string][]string),
+		limited:  make(map[string]*state),
 		groups:   make(map[groupKey]*pace.Model),
 		steps:    make(map[string]*steps),
 		demands:  make(map[demandKey]*demand),
 		memory:   make(map[string]int),
 		touched:  make(map[string]bool),
 		changed:  make(chan struct{}, 1),
+
+		limitChanged: func(LimitChange) {},
 	}
 }
