--- a/internal/lab/site/limit_test.go
+++ b/internal/lab/site/limit_test.go
@@ -20,8 +20,9 @@
 	// limitKnown is how long after its first answer that names a limit a worker's requests
 	// count.
 	limitKnown = time.Second
-	// pressedFor is how long callers press.
+	// pressedFor is how long callers press, and pressEvery the pause of each after an answer.
 	pressedFor = 8 * time.Second
+	pressEvery = 10 * time.Millisecond
 )
 
 // most is how many requests a worker with a limit may get in a window.
@@ -43,7 +44,7 @@
 	return busiest
 }
 
-// pressed is what callers saw who ask without a pause.
+// pressed is what callers saw who ask again and again.
 type pressed struct {
 	served, refused atomic.Int64
 	// unpromising counts the refusals that don't say when to come back, and odd all other
@@ -51,8 +52,8 @@
 	unpromising, odd atomic.Int64
 }
 
-// press has callers at each node ask for paths in turn until ctx ends; those who are refused
-// come back when they are told to.
+// press has callers at each node ask for paths in turn until ctx ends, much more than a worker
+// with a limit takes; those who are refused come back when they are told to.
 func (s *site) press(ctx context.Context, perNode int, paths ...string) *pressed {
 	seen := &pressed{}
 	addresses := []string{s.address}
@@ -65,6 +66,7 @@
 			callers.Go(func() {
 				for count := number; ctx.Err() == nil; count++ {
 					seen.count(ctx, s.askAt(address, http.MethodPost, paths[count%len(paths)], nil, "x"))
+					time.Sleep(pressEvery)
 				}
 			})
 		}
