A limit ends without a caller's help; orders and questions count as requests

A worker that nobody sends to any more never says that its need is over, and would be left out of planning for ever. The first keeper of its count asks it how it is once it was silent for 2 s, and longer each time that the need turned out to last.

Orders, lists of kept parts and freed handles are sent without a turn and counted: the worker counts what arrives, whatever it is called here.

--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -242,9 +242,13 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if request.URL.Path == "/v1/order" {
+	switch request.URL.Path {
+	case "/v1/order":
 		w.order(writer, body)
 		return
+	case "/v1/report":
+		w.report(writer)
+		return
 	}
 	fault := w.takeFault()
 	if fault == Full {
@@ -262,6 +266,12 @@
 	w.run(writer, request, id, body, fault)
 }
 
+// report tells the worker's state.
+func (w *Worker) report(writer http.ResponseWriter) {
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(map[string]any{"Stage": w.currentStage(), "Busy": false, "Waiting": 0, "Running": 0})
+}
+
 // list tells what the worker keeps: the parts that its options name.
 func (w *Worker) list(writer http.ResponseWriter) {
 	w.mu.Lock()
--- a/internal/lab/site/limit_test.go
+++ b/internal/lab/site/limit_test.go
@@ -248,6 +248,19 @@
 	s.await("the limit that can't be read is logged", func() bool { return strings.Contains(s.logText(), "limit that can't be read") })
 }
 
+// TestLimitEndsWithoutRequests: nobody asks the engine for anything any more, and it would be
+// counted as one in need for ever.
+func TestLimitEndsWithoutRequests(t *testing.T) {
+	t.Parallel()
+	s := start(t)
+	s.setLimits("2", "write-1", "write-2")
+	s.await("a limit is known", func() bool {
+		return s.ask(http.MethodPost, "/verdict/1", nil, "x").status == http.StatusOK && s.node.Limited() > 0
+	})
+	s.setLimits("", "write-1", "write-2")
+	s.await("no limit is known", func() bool { return s.node.Limited() == 0 })
+}
+
 // TestCallerThatLeavesGivesItsTurnBack: others are served in its place.
 func TestCallerThatLeavesGivesItsTurnBack(t *testing.T) {
 	t.Parallel()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -99,6 +99,8 @@
 	Name string
 	// MaxConnections bounds the connections to one worker, over all nodes.
 	MaxConnections int
+	// HealthPath is where a worker tells whether it is well, empty where it doesn't.
+	HealthPath string
 	// Engine is nil where the workers aren't model engines.
 	Engine *EngineSpec
 	// Scaling is nil where the number of workers is fixed.
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -58,6 +58,8 @@
 	// answer.
 	ListRequest(address string) *workerconn.Request
 	ListedParts(status int, body []byte) ([]prefixcache.Part, error)
+	// StateRequest asks a worker how it is, nil where it can't be asked.
+	StateRequest(to worker.Worker, healthPath string) *workerconn.Request
 	rowstore.Store
 	// ObserveCalls has each call to the store told that has ended.
 	ObserveCalls(observed func(rowstore.Call))
@@ -295,6 +297,7 @@
 	n.work.Go(func() { n.saveQuarantine(ctx) })
 	n.work.Go(func() { n.expireQuarantine(ctx) })
 	n.work.Go(func() { n.warmUp(ctx) })
+	n.work.Go(func() { n.probeLimits(ctx) })
 	n.watchSuspensions(ctx, metrics)
 	n.work.Go(func() { n.controller().Run(ctx) })
 	n.reportUsage(ctx, metrics)
--- a/internal/serving/stages.go
+++ b/internal/serving/stages.go
@@ -13,7 +13,7 @@
 func (n *Node) controller() *stagecontrol.Controller {
 	return stagecontrol.New(stagecontrol.Options{
 		Self: n.identity, Authority: n.authority, Wire: n.platform,
-		Fleet: n.registry, Pool: n.pool, Log: n.log,
+		Fleet: n.registry, Pool: n.calls(), Log: n.log,
 		Services:   n.engineServices,
 		Designated: n.designated,
 		Hears:      n.hearsRegion,
--- a/internal/serving/warmup.go
+++ b/internal/serving/warmup.go
@@ -112,7 +112,7 @@
 func (n *Node) list(ctx context.Context, asked worker.Worker) {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	answer, err := n.pool.Do(callCtx, asked.ID, asked.Address, listConnections, n.platform.ListRequest(asked.Address))
+	answer, err := n.calls().Do(callCtx, asked.ID, asked.Address, listConnections, n.platform.ListRequest(asked.Address))
 	if err != nil {
 		n.log.WithFields(logrus.Fields{"worker": asked.ID, "cause": err.Error()}).Warn("a worker did not tell what it keeps")
 		return
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -68,6 +68,11 @@
 	SetChanging(id string, prefill bool, until time.Time)
 }
 
+// Pool sends requests to workers, as workerconn.Pool does.
+type Pool interface {
+	Do(ctx context.Context, key, address string, limit int, request *workerconn.Request) (*workerconn.Answer, error)
+}
+
 // Service is a service of engines to plan.
 type Service struct {
 	Name string
@@ -82,7 +87,7 @@
 	Authority *authority.Authority
 	Wire      Wire
 	Fleet     Fleet
-	Pool      *workerconn.Pool
+	Pool      Pool
 	Log       *logrus.Logger
 	Services  func() []Service
 	// Designated reports whether this is the node that the others expect to give
