A second keeper charges all turns that the first has given ahead

Turns that are given ahead leave a debt, and reports charged a debt only as far as late reports are owed: whoever asked the next keeper, since the first was slow to answer, got turns that were given already. Three keepers asked in turn gave 6.9 turns a second of 2.2 (TestTurnsHoldWhicheverKeeperIsAsked); now 2.4 at most. How far ahead turns are given is a part of what is tolerated, so that the floor of a debt lies below it.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -99,7 +99,8 @@
 	if increase != 0 {
 		before := a.buckets
 		k.spend(a, s, increase, now)
-		floor := -k.tolerance.Over(a.limit) / floorPart
+		// Turns that another keeper has given ahead are no debt of late reports: all are owed.
+		floor := -k.tolerance.Over(a.limit)/floorPart - a.limit.Rate*k.tolerance.Ahead.Seconds()
 		for i := range a.buckets {
 			a.buckets[i].level = max(a.buckets[i].level, min(before[i].level, floor))
 		}
--- a/internal/quota/patience_test.go
+++ b/internal/quota/patience_test.go
@@ -8,7 +8,7 @@
 // The limit of a worker in need, and what it bears beyond it.
 var (
 	ofWorker  = Limit{Rate: 2.2, Burst: 1, Unit: Requests}
-	tolerated = Tolerance{Window: 4 * time.Second, Overshoot: 0.5, Slack: 5}
+	tolerated = Tolerance{Window: 4 * time.Second, Overshoot: 0.5, Slack: 5, Ahead: 4 * time.Second}
 )
 
 // turn asks for one request that may wait.
@@ -92,3 +92,24 @@
 		t.Errorf("the level is %v, was %v", after, before)
 	}
 }
+
+// TestTurnsHoldWhicheverKeeperIsAsked: an answer that is late has another keeper asked, which was
+// told of the turns that the first has given ahead.
+func TestTurnsHoldWhicheverKeeperIsAsked(t *testing.T) {
+	keepers := []*Keeper{NewKeeper(tolerated, warmSince), NewKeeper(tolerated, warmSince), NewKeeper(tolerated, warmSince)}
+	n := newNode(1)
+	granted := 0
+	const span = 40
+	for step := range span * 10 {
+		now := at(float64(step) / 10)
+		if turn(keepers[step%3], n, now.Add(2500*time.Millisecond), now).Granted {
+			granted++
+		}
+		for _, keeper := range keepers {
+			n.tell(keeper, now)
+		}
+	}
+	if perSecond := float64(granted) / span; perSecond > 1.1*ofWorker.Rate {
+		t.Errorf("%v turns a second are given, %v are taken", perSecond, ofWorker.Rate)
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -46,6 +46,9 @@
 	Window    time.Duration
 	Overshoot float64
 	Slack     float64
+	// Ahead is how far ahead turns are given to requests that can wait; none are where it is
+	// zero.
+	Ahead time.Duration
 }
 
 // Over is what may be used past a limit in a window.
--- a/internal/quota/weigh.go
+++ b/internal/quota/weigh.go
@@ -63,7 +63,7 @@
 	switch {
 	case wait <= 0:
 		decision.Granted = true
-	case wait <= patience:
+	case wait <= min(patience, k.tolerance.Ahead):
 		decision.Granted, decision.Delay = true, wait
 	default:
 		decision.Wait = k.promise(a, nearest.short, nearest.rate, cost, now)
--- a/internal/serving/limits.go
+++ b/internal/serving/limits.go
@@ -17,8 +17,8 @@
 
 // turnTolerance is what a worker that names a limit bears beyond it: half as much again in four
 // seconds, and five requests. Nodes aim at the limit itself; this pays for what they send while
-// they can't hear each other.
-var turnTolerance = quota.Tolerance{Window: 4 * time.Second, Overshoot: 0.5, Slack: 5}
+// they can't hear each other. Nobody waits for a turn for longer than Ahead.
+var turnTolerance = quota.Tolerance{Window: 4 * time.Second, Overshoot: 0.5, Slack: 5, Ahead: 4 * time.Second}
 
 // limitLog logs and counts what workers say of the requests that they take.
 type limitLog struct {
