Only an answer to a request that ran ends its worker's limit

A rejection, an answer of the way to a worker or one of another worker at its address names no limit, and was taken for the end of the need: all nodes were told, and sent at will until the next answer.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -66,7 +66,7 @@
 		return nil, Reply{}, err
 	}
 	reply := s.wire.Reply(answer.Status, answer.Header)
-	s.observeLimit(to.ID, reply.Limit, sent)
+	s.observeLimit(to.ID, answer.Status, reply, sent)
 	return answer, reply, nil
 }
 
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -173,8 +174,15 @@
 }
 
 // observeLimit takes in what the head of an answer says of its worker's limit. The request was
-// sent at a time, and the head came now.
-func (s *session) observeLimit(id string, limit NamedLimit, sent time.Time) {
+// sent at a time, and the head came now. An answer that names none ends the limit only where
+// the worker has run the request: others may come from the way to it, or from another worker at
+// its address.
+func (s *session) observeLimit(id string, status int, reply Reply, sent time.Time) {
+	limit := reply.Limit
+	ran := !reply.NotExecuted && !reply.Misdirected && status < http.StatusInternalServerError
+	if reply.Misdirected || !limit.Named && limit.Malformed == "" && !ran {
+		return
+	}
 	if limit.Malformed != "" {
 		s.metrics.MalformedLimits.Inc()
 		s.log.WithFields(logrus.Fields{"id": s.call.ID, "worker": id, "limit": limit.Malformed}).
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -316,7 +316,9 @@
 	return slices.Clone(w.arrivals)
 }
 
+// reject answers that the request was not run, and nothing else.
 func reject(writer http.ResponseWriter) {
+	writer.Header().Del("Server-Limit")
 	writer.Header().Set("X-Not-Executed", "1")
 	writer.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/lab/site/limit_test.go
+++ b/internal/lab/site/limit_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
 	"github.com/tinarch/tinarch/internal/settings"
 )
 
@@ -290,3 +291,28 @@
 		t.Error("no worker got the request")
 	}
 }
+
+// TestRejectionsDoNotEndALimit: only an answer to a request that was run says what its worker
+// takes; one of the way to it, or of another worker at its address, says nothing of it.
+func TestRejectionsDoNotEndALimit(t *testing.T) {
+	t.Parallel()
+	s := startPressed(t)
+	const perSecond = 2.2
+	s.setLimits(fmt.Sprint(perSecond), "portal-1", "portal-2")
+	ctx, cancel := context.WithCancel(t.Context())
+	rejecting := make(chan struct{})
+	go func() {
+		defer close(rejecting)
+		for ctx.Err() == nil {
+			s.setFaults("portal", fleetworker.Full, 1)
+			time.Sleep(pressEvery)
+		}
+	}()
+	seen := s.pressFor(pressedFor, 1, "/board/1")
+	cancel()
+	<-rejecting
+	s.overLimit(perSecond, "portal-1", "portal-2")
+	if seen.odd.Load()+seen.unpromising.Load() > 0 {
+		t.Errorf("%d answers without a time to come back, %d odd ones", seen.unpromising.Load(), seen.odd.Load())
+	}
+}
