The soak learns limits that workers name

Arrivals count as the users count them: in any 4 s, from 3 s after the limit was named, of nodes that have passed on an answer which names it and aren't harmed.

--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -99,9 +99,9 @@
 	lists   int
 	orders  int
 	// limit is what the worker names in its answers, empty where it names none, and arrivals
-	// are when requests came, of all kinds.
+	// are the requests that came, of all kinds.
 	limit    string
-	arrivals []time.Time
+	arrivals []Arrival
 	// carried is the highest fence of the orders carried out, and lateOrders how long
 	// orders are left unanswered before they are.
 	carried    uint64
@@ -225,7 +225,7 @@
 	}
 	id := request.Header.Get("X-Request-Id")
 	if request.Header.Get("X-Taken") == "" { // else another worker fetches
-		w.arrive(writer)
+		w.arrive(writer, id)
 	}
 	writer.Header().Set("X-Request-Id", id)
 	writer.Header().Set("X-Instance-Id", w.options.ID)
@@ -300,22 +300,41 @@
 }
 
 // arrive counts a request of a node, and names the limit in its answer.
-func (w *Worker) arrive(writer http.ResponseWriter) {
+func (w *Worker) arrive(writer http.ResponseWriter, id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.arrivals = append(w.arrivals, time.Now())
+	w.arrivals = append(w.arrivals, Arrival{ID: id, At: time.Now()})
 	if w.limit != "" {
 		writer.Header().Set("Server-Limit", w.limit)
 	}
 }
 
-// Arrivals returns when requests of any kind came.
-func (w *Worker) Arrivals() []time.Time {
+// Arrival is a request of a node that reached a worker.
+type Arrival struct {
+	// ID is the request's, empty where it has none.
+	ID string
+	At time.Time
+}
+
+// Arrivals returns the requests of any kind that came.
+func (w *Worker) Arrivals() []Arrival {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Clone(w.arrivals)
 }
 
+// Busiest returns the most of some times, in rising order, that lie in one window.
+func Busiest(times []time.Time, window time.Duration) int {
+	busiest, first := 0, 0
+	for last, at := range times {
+		for at.Sub(times[first]) >= window {
+			first++
+		}
+		busiest = max(busiest, last-first+1)
+	}
+	return busiest
+}
+
 // reject answers that the request was not run, and nothing else.
 func reject(writer http.ResponseWriter) {
 	writer.Header().Del("Server-Limit")
--- a/internal/lab/site/limit_test.go
+++ b/internal/lab/site/limit_test.go
@@ -35,17 +35,14 @@
 }
 
 // busiest returns the most requests that came in a window, of those from a time on.
-func busiest(arrivals []time.Time, from time.Time) int {
-	busiest, first := 0, 0
-	for last, at := range arrivals {
-		for first < last && (at.Sub(arrivals[first]) >= limitWindow || arrivals[first].Before(from)) {
-			first++
-		}
-		if !at.Before(from) {
-			busiest = max(busiest, last-first+1)
+func busiest(arrivals []fleetworker.Arrival, from time.Time) int {
+	var times []time.Time
+	for _, arrival := range arrivals {
+		if !arrival.At.Before(from) {
+			times = append(times, arrival.At)
 		}
 	}
-	return busiest
+	return fleetworker.Busiest(times, limitWindow)
 }
 
 // pressed is what callers saw who ask again and again.
@@ -132,7 +129,7 @@
 			t.Errorf("%s got nothing: what it takes lay unused", id)
 			continue
 		}
-		if got := busiest(arrivals, arrivals[0].Add(limitKnown)); got > most(perSecond) {
+		if got := busiest(arrivals, arrivals[0].At.Add(limitKnown)); got > most(perSecond) {
 			t.Errorf("%s takes %v a second and got %d requests in %v, %d are allowed", id, perSecond, got, limitWindow, most(perSecond))
 		}
 	}
@@ -152,7 +149,7 @@
 			s.t.Errorf("%s got nothing", id)
 			continue
 		}
-		if got := busiest(arrivals, arrivals[0].Add(limitKnown)); got > most(perSecond) {
+		if got := busiest(arrivals, arrivals[0].At.Add(limitKnown)); got > most(perSecond) {
 			s.t.Errorf("%s takes %v a second and got %d requests in %v, %d are allowed", id, perSecond, got, limitWindow, most(perSecond))
 		}
 	}
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -25,6 +25,9 @@
 	kinds := []func(context.Context, time.Duration) string{
 		s.killNode, s.pauseNode, s.stopNode, s.killAll, s.harmWorkerWay, s.harmWorkerWay, s.harmStoreWay, s.harmStore, s.failWorker, s.failWorker, s.drainWorker, s.vanish, s.configure, s.harmAPI,
 	}
+	if s.options.Limits {
+		kinds = append(kinds, s.nameLimit, s.nameLimit, s.nameLimit, s.nameLimit)
+	}
 	if s.options.Unfenced {
 		kinds = append(kinds, s.lateOrders, s.lateAPI, s.pauseNode)
 	}
@@ -40,6 +43,7 @@
 
 // mend ends all faults.
 func (s *site) mend() {
+	s.endLimits()
 	s.store.SetFaults(fleetstore.Faults{})
 	s.api.SetFaults(fleetapi.Faults{})
 	for _, proxy := range s.toStore {
@@ -59,9 +63,11 @@
 
 func (s *site) killNode(ctx context.Context, length time.Duration) string {
 	node := s.nodes[s.random.IntN(len(s.nodes))]
+	begun := time.Now()
 	node.Kill()
 	sleep(ctx, length/4)
 	_ = node.Start()
+	s.limits.harm(node.Name, begun, time.Now())
 	return "killed " + node.Name
 }
 
@@ -69,21 +75,25 @@
 	if s.random.IntN(3) > 0 {
 		return s.killNode(ctx, length)
 	}
+	begun := time.Now()
 	for _, node := range s.nodes {
 		node.Kill()
 	}
 	sleep(ctx, length/4)
 	for _, node := range s.nodes {
 		_ = node.Start()
+		s.limits.harm(node.Name, begun, time.Now())
 	}
 	return "killed all nodes"
 }
 
 func (s *site) pauseNode(ctx context.Context, length time.Duration) string {
 	node := s.nodes[s.random.IntN(len(s.nodes))]
+	begun := time.Now()
 	node.Signal(syscall.SIGSTOP)
 	sleep(ctx, length)
 	s.thaw(node)
+	s.limits.harm(node.Name, begun, time.Now())
 	return fmt.Sprintf("paused %s for %v", node.Name, length.Round(time.Millisecond))
 }
 
@@ -109,14 +119,17 @@
 		node.Kill()
 	}
 	_ = node.Start()
+	s.limits.harm(node.Name, begun, time.Now())
 	return fmt.Sprintf("stopped %s in %v", node.Name, time.Since(begun).Round(time.Millisecond))
 }
 
 func (s *site) harmWorkerWay(ctx context.Context, length time.Duration) string {
 	worker := s.anyWorker()
 	mode := []Mode{Slow, Reset, Silent, OneWay}[s.random.IntN(4)]
+	begun := time.Now()
 	worker.proxy.SetMode(mode)
 	sleep(ctx, length)
+	s.limits.harm(worker.ID(), begun, time.Now())
 	worker.Fences().ExcuseAll(time.Now().Add(thawSlack)) // the proxy sends on what it holds
 	worker.proxy.SetMode(Pass)
 	return fmt.Sprintf("the way to %s was %s for %v", worker.ID(), mode, length.Round(time.Millisecond))
--- /dev/null
+++ b/internal/lab/soak/limits_test.go
@@ -0,0 +1,38 @@
+package soak
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+)
+
+// TestArrivalsUnderALimitCount: only those of nodes that were told and aren't harmed.
+func TestArrivalsUnderALimitCount(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return begin.Add(time.Duration(seconds * float64(time.Second))) }
+	limit := limitSpan{span: span{from: begin, to: at(20)}, worker: "w", perSecond: 2}
+	requests := map[string]via{
+		"told":   {node: "n1", answered: at(0.1), worker: "w", limited: true},
+		"untold": {node: "n2", answered: at(0.1), worker: "w"},
+	}
+	var arrivals []fleetworker.Arrival
+	add := func(count int, node string, from float64) {
+		for number := range count {
+			id := fmt.Sprint(node, from, number)
+			requests[id] = via{node: node}
+			arrivals = append(arrivals, fleetworker.Arrival{ID: id, At: at(from + float64(number)/100)})
+		}
+	}
+	add(30, "n1", 1)  // too early
+	add(10, "n1", 5)  // count
+	add(30, "n2", 5)  // of a node that wasn't told
+	add(30, "n1", 10) // while it is harmed
+	add(30, "n1", 21) // after the end
+	l := &limits{}
+	l.harm("n1", at(9.5), at(10.5))
+	if got := len(l.counted(limit, arrivals, requests)); got != 10 {
+		t.Errorf("%d arrivals count, want 10", got)
+	}
+}
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,6 +51,9 @@
 	left   bool
 	// tenant is the caller's, and key its API key.
 	tenant, key string
+	// node is the one that was asked, and answered when the head of its answer came.
+	node     string
+	answered time.Time
 	// probe tells that the request only tests which configuration is in force.
 	probe bool
 	// patience is for how long the caller waits, and prompt names the parts of its
@@ -139,16 +143,23 @@
 		request.Header.Set("X-Token-Usage", "3000,20")
 		request.Header.Set("X-Prompt-Prefix", got.prompt)
 	}
+	got.node = l.site.nameOf(address)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		got.err = err
 		return got
 	}
 	defer func() { _ = response.Body.Close() }()
+	got.answered = time.Now()
 	content, err := io.ReadAll(response.Body)
 	got.status, got.header, got.body, got.err = response.StatusCode, response.Header, string(content), err
 	return got
 }
 
+// nameOf is the name of the node at a callers' address.
+func (s *site) nameOf(address string) string {
+	return s.nodes[slices.Index(s.callers, address)].Name
+}
+
 // whole is the answer that a worker gives to a request.
 func whole(id string) string { return fleetworker.Body(id, eventCount, 0) }
--- a/internal/lab/soak/quota.go
+++ b/internal/lab/soak/quota.go
@@ -28,8 +28,8 @@
 	return runs
 }
 
-// overQuota returns the first window in which workers began more requests of a tenant than
-// it may use, if there is one.
+// overQuota tells of the window in which workers began most requests of a tenant, if these are
+// more than it may use.
 func overQuota(runs []fleetworker.Run, tenant string, limit quota.Limit, tolerance quota.Tolerance) []string {
 	var began []time.Time
 	for _, run := range runs {
@@ -39,14 +39,8 @@
 	}
 	slices.SortFunc(began, time.Time.Compare)
 	most := limit.Rate*tolerance.Window.Seconds() + limit.Burst + tolerance.Over(limit)
-	first := 0
-	for last, at := range began {
-		for at.Sub(began[first]) >= tolerance.Window {
-			first++
-		}
-		if count := last - first + 1; float64(count) > most {
-			return []string{fmt.Sprintf("%s ran %d requests in %v, and may run %.1f", tenant, count, tolerance.Window, most)}
-		}
+	if count := fleetworker.Busiest(began, tolerance.Window); float64(count) > most {
+		return []string{fmt.Sprintf("%s ran %d requests in %v, and may run %.1f", tenant, count, tolerance.Window, most)}
 	}
 	return nil
 }
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -25,6 +25,8 @@
 	Starts      int `json:"starts"`
 	// Ended counts the workers that ended under a poison request.
 	Ended int `json:"ended,omitempty"`
+	// Limited counts the limits that workers named.
+	Limited int `json:"limited,omitempty"`
 	// Windows counts the windows of usage that were reported.
 	Windows  int            `json:"windows"`
 	Statuses map[string]int `json:"statuses"`
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -39,6 +39,8 @@
 	// Poison has one caller send the same request again and again that ends each worker which
 	// runs it.
 	Poison bool
+	// Limits has workers name how many requests they take, and checks what they get.
+	Limits bool
 }
 
 // The size of a soak.
@@ -78,6 +80,7 @@
 	nodes   []*process.Node
 	callers []string
 	poison  poison
+	limits  limits
 	started time.Time
 
 	mu sync.Mutex
@@ -125,6 +128,8 @@
 	if options.Quotas {
 		report.Broken = append(report.Broken, overQuota(s.allRuns(), tenantOf(limitedTenant), tenantLimit, quotaTolerance)...)
 	}
+	report.Broken = append(report.Broken, s.limits.problems(s.everyWorker(), load.vias())...)
+	report.Limited = len(s.limits.named)
 	report.Ended = len(s.fallenWorkers())
 	report.Broken = append(report.Broken, s.poison.problems(s.allRuns())...)
 	report.Windows = len(s.api.Reports())
