--- a/internal/digest/reports_test.go
+++ b/internal/digest/reports_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,8 +72,13 @@
 	for i := range nodes {
 		listed = append(listed, Peer{Node: fmt.Sprint("n", i), Address: addressOf(i), Zone: fmt.Sprint("zone", i%5)})
 	}
-	for i := range listed {
-		set := newPeerSet(listed[i].Node, listed[i].Address, listed[i].Zone)
+	any := newPeerSet("any", self, "zone0")
+	any.list(listed)
+	for _, node := range listed {
+		if !slices.Contains(any.supervisors(), node.Address) {
+			continue
+		}
+		set := newPeerSet(node.Node, node.Address, node.Zone)
 		if set.list(listed); set.supervises() {
 			return set
 		}
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -1,12 +1,38 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/worker"
 )
 
+// noTurnAt are turns of which one worker has none.
+type noTurnAt struct{ worker string }
+
+func (n noTurnAt) TakeTurn(_ context.Context, worker string, _ time.Duration) quota.Verdict {
+	return quota.Verdict{Granted: worker != n.worker, RetryAfter: time.Hour}
+}
+func (noTurnAt) ReturnTurn(string) {}
+func (noTurnAt) CountTurn(string)  {}
+
+// TestPromptIsNotReadWithoutATurnToRun: the engine that is to run it takes no more.
+func TestPromptIsNotReadWithoutATurnToRun(t *testing.T) {
+	dispatcher, registry, call, events := lateSetting(t)
+	dispatcher.turns = noTurnAt{"write"}
+	call.Route.Objective = time.Minute
+	registry.Begin("write", worker.Load{Requests: 1, Reads: worker.ReadsOf(0, 400_000)}) // read apart, then
+	now := time.Now()
+	registry.ObserveLimit("write", "request", worker.LimitStatement{Named: true, Rate: 1, Sent: now, Heard: now})
+	outcome := dispatcher.Run(context.Background(), call, &sink{})
+	if outcome.Attempts != 0 || outcome.RetryAfter <= 0 || len(events.sent) > 0 {
+		t.Errorf("%+v, sent to %d engines", outcome, len(events.sent))
+	}
+}
+
 // TestRefusedCallersComeBackOneAfterTheOther: told the same time, all but one of them would be
 // refused again.
 func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
--- a/internal/lab/site/limit_test.go
+++ b/internal/lab/site/limit_test.go
@@ -313,16 +313,3 @@
 		t.Errorf("%d answers without a time to come back, %d odd ones", seen.unpromising.Load(), seen.odd.Load())
 	}
 }
-
-// TestPromptsAreNotReadForNothing: a prompt is read only once its caller has a turn at an engine
-// that writes.
-func TestPromptsAreNotReadForNothing(t *testing.T) {
-	t.Parallel()
-	s := startPressed(t)
-	s.setLimits("0.5", "write-1", "write-2")
-	seen := s.pressFor(pressedFor, 2, "/verdict/1")
-	s.overLimit(0.5, "write-1", "write-2")
-	if freed := s.workers["read-1"].Freed(); freed > 0 {
-		t.Errorf("%d prompts were read and freed, %d requests served, %d refused", freed, seen.served.Load(), seen.refused.Load())
-	}
-}
--- a/internal/tablerelay/board_test.go
+++ b/internal/tablerelay/board_test.go
@@ -377,22 +377,25 @@
 		"any node of a fleet of a few":      {30, 29, true},
 		"a node of a fleet of a few dozens": {75, 12, false},
 	} {
-		others := &fleet{self: "m", place: test.place, nodes: test.nodes}
-		board := New(others)
-		ctx, cancel := context.WithCancel(context.Background())
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		feed := tablefeed.New(&ownReader{cancel}, "table", discard{}, board, log)
-		board.Add("table", feed)
-		feed.Run(ctx)
-		if told := others.news > 0; told != test.tells {
-			t.Errorf("%s: tells all of changes %v", name, told)
-		}
-		if told := len(others.spread) > 0; told != test.tells {
-			t.Errorf("%s: tells all what is confirmed %v", name, told)
-		}
-		if len(board.Known(time.Now())) == 0 {
-			t.Errorf("%s: has nothing to tell who asks", name)
-		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			others := &fleet{self: "m", place: test.place, nodes: test.nodes}
+			board := New(others)
+			ctx, cancel := context.WithCancel(context.Background())
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			feed := tablefeed.New(&ownReader{cancel}, "table", discard{}, board, log)
+			board.Add("table", feed)
+			feed.Run(ctx)
+			if told := others.news > 0; told != test.tells {
+				t.Errorf("it tells all of changes: %v", told)
+			}
+			if told := len(others.spread) > 0; told != test.tells {
+				t.Errorf("it tells all what is confirmed: %v", told)
+			}
+			if len(board.Known(time.Now())) == 0 {
+				t.Error("it has nothing to tell who asks")
+			}
+		})
 	}
 }
