--- a/internal/digest/turns_test.go
+++ b/internal/digest/turns_test.go
@@ -108,7 +108,7 @@
 		exchange.registry.TellLimit("w", "other", worker.LimitStatement{Sent: now, Heard: now})
 	}
 	awaitThat(t, "the node is granted all it asks for", func() bool {
-		return exchanges[0].TakeTurn(t.Context(), "w", 0).Granted && exchanges[0].TakeTurn(t.Context(), "w", 0).Granted && !exchanges[0].registry.HasLimit("w")
+		return exchanges[0].TakeTurn(t.Context(), "w", 0).Granted && !exchanges[0].registry.HasLimit("w")
 	})
 }
 
--- a/internal/worker/limit.go
+++ b/internal/worker/limit.go
@@ -39,9 +39,9 @@
 		return known
 	case !s.Named && !known.Named:
 		return known
-	case !s.Sent.Before(known.Heard):
+	case s.Sent.After(known.Heard):
 		return s
-	case !s.Heard.After(known.Sent) || s.rate() > known.rate():
+	case s.Heard.Before(known.Sent) || s.rate() > known.rate():
 		return known
 	}
 	s.Sent, s.Heard = latest(s.Sent, known.Sent), latest(s.Heard, known.Heard)
--- a/internal/worker/limit_test.go
+++ b/internal/worker/limit_test.go
@@ -33,13 +33,15 @@
 	}{
 		"first":                              {LimitStatement{}, said(2, 0, 10), 2},
 		"none after nothing":                 {LimitStatement{}, said(noLimit, 0, 10), noLimit},
-		"a later answer raises it":           {said(2, 0, 10), said(5, 10, 20), 5},
+		"a later answer raises it":           {said(2, 0, 10), said(5, 11, 20), 5},
 		"a later answer lowers it":           {said(2, 0, 10), said(1, 12, 20), 1},
 		"a later answer ends it":             {said(2, 0, 10), said(noLimit, 11, 20), noLimit},
 		"an answer that was overtaken":       {said(5, 30, 40), said(2, 0, 10), 5},
 		"an end that was overtaken":          {said(5, 30, 40), said(noLimit, 0, 10), 5},
 		"at the same time, a higher one":     {said(2, 0, 30), said(5, 10, 40), 2},
 		"at the same time, a lower one":      {said(5, 0, 30), said(2, 10, 40), 2},
+		"sent in the moment of the other":    {said(2, 0, 10), said(noLimit, 10, 20), 2},
+		"heard in the moment of the other":   {said(noLimit, 10, 20), said(2, 0, 10), 2},
 		"at the same time as an end":         {said(noLimit, 0, 30), said(2, 10, 20), 2},
 		"an end at the same time":            {said(2, 0, 30), said(noLimit, 10, 40), 2},
 		"nothing at all is as low as it can": {said(2, 0, 10), said(0, 20, 30), 0},
@@ -61,7 +63,7 @@
 	if !holds.Named {
 		t.Fatal("an answer to a request that was sent before ended the limit")
 	}
-	if holds = said(noLimit, 100, 300).after(holds); holds.Named {
+	if holds = said(noLimit, 101, 300).after(holds); holds.Named {
 		t.Error("a request sent after the last word on the limit doesn't end it")
 	}
 }
