--- a/internal/digest/metrics.go
+++ b/internal/digest/metrics.go
@@ -59,6 +59,8 @@
 	kindWords    = "words"
 	kindDeparted = "departed"
 	kindSuspects = "suspects"
+	kindQuota    = "quota"
+	kindTurns    = "turns"
 )
 
 // kind names a message in metrics.
@@ -82,6 +84,10 @@
 		return kindDeparted
 	case m.Suspects != nil:
 		return kindSuspects
+	case m.Quota != nil:
+		return kindQuota
+	case m.Turns != nil:
+		return kindTurns
 	}
 	return kindLoad
 }
