Accounts of two kinds share their tests' nodes; engines are counted in one place

Long lines and a name that stood for something else (an exchange called e) are mended; what two tests and two counts of engines had twice stands once.

--- a/internal/digest/quota.go
+++ b/internal/digest/quota.go
@@ -46,10 +46,11 @@
 	limits *turnLimits
 }
 
-// quotaExchange is this node's part in the keeping of accounts of one kind.
+// quotaExchange is this node's part in the keeping of accounts of one kind: what tenants use, or
+// the requests that go to workers which take few.
 type quotaExchange struct {
 	quotaKind
-	e *Exchange
+	exchange *Exchange
 	// wake is sent to when a node's own counters have changed.
 	wake chan struct{}
 
@@ -81,7 +82,7 @@
 
 func newQuotaExchange(e *Exchange, kind quotaKind) *quotaExchange {
 	return &quotaExchange{
-		quotaKind: kind, e: e, wake: make(chan struct{}, 1),
+		quotaKind: kind, exchange: e, wake: make(chan struct{}, 1),
 		keeper: quota.NewKeeper(kind.tolerance, e.begun), meter: quota.NewMeter(kind.tolerance),
 		asks: make(map[uint64]*quotaAsk), heard: make(map[netip.AddrPort]time.Time), reserving: make(map[string]bool),
 	}
@@ -134,8 +135,9 @@
 	return e.quota.charge(ctx, claim)
 }
 
-// charge asks the keepers of an account for the cost of a request, one after another where they don't answer in time or don't know enough to refuse. Where none
-// answers, this node's own allowance decides.
+// charge asks the keepers of an account for the cost of a request, one after another where they
+// don't answer in time or don't know enough to refuse. Where none answers, this node's own
+// allowance decides.
 func (q *quotaExchange) charge(ctx context.Context, claim quota.Claim) quota.Verdict {
 	begun := time.Now()
 	ask := q.beginAsk(claim, begun)
@@ -170,17 +172,17 @@
 		claim: claim, account: account, asked: make(map[netip.AddrPort]time.Time),
 		answers: make(chan quotaAnswer, quotaKeeperCount), patience: make(map[netip.AddrPort]time.Duration),
 	}
-	q.e.mu.Lock()
+	q.exchange.mu.Lock()
 	var suspected []netip.AddrPort
-	for _, keeper := range q.keepers(q.e.peers, account) {
-		ask.patience[keeper] = q.e.patience(q.e.peers.regionOf(keeper))
-		if q.e.peers.suspected(keeper, now) {
+	for _, keeper := range q.keepers(q.exchange.peers, account) {
+		ask.patience[keeper] = q.exchange.patience(q.exchange.peers.regionOf(keeper))
+		if q.exchange.peers.suspected(keeper, now) {
 			suspected = append(suspected, keeper)
 		} else {
 			ask.keepers = append(ask.keepers, keeper)
 		}
 	}
-	q.e.mu.Unlock()
+	q.exchange.mu.Unlock()
 	ask.suspected = len(ask.keepers) == 0
 	ask.keepers = append(ask.keepers, suspected...)
 	q.mu.Lock()
@@ -196,7 +198,7 @@
 func (q *quotaExchange) askKeeper(ask *quotaAsk, keeper netip.AddrPort) {
 	now := time.Now()
 	ask.count++
-	if keeper == q.e.peers.address {
+	if keeper == q.exchange.peers.address {
 		decision := q.decide(quota.Ask{
 			Account: ask.account, From: q.self(), Report: ask.report, Cost: ask.claim.Cost, Patience: ask.claim.Patience,
 		}, now)
@@ -210,12 +212,12 @@
 		ID: ask.id, Account: ask.account, Cost: ask.claim.Cost, PatienceMillis: ask.claim.Patience.Milliseconds(),
 		Report: renderQuotaReport(ask.report), Limit: q.limits.form(ask.account, now),
 	}
-	q.e.sendTo(keeper, q.message(&quotaForm{Ask: form}))
+	q.exchange.sendTo(keeper, q.message(&quotaForm{Ask: form}))
 }
 
 // self is this node as one that uses accounts.
 func (q *quotaExchange) self() quota.Spender {
-	return quota.Spender{Node: q.e.node, Address: q.e.peers.address}
+	return quota.Spender{Node: q.exchange.node, Address: q.exchange.peers.address}
 }
 
 // await takes answers until one is final, all keepers asked so far have answered, or the
@@ -282,9 +284,9 @@
 
 // settleAsk ends an ask and counts what became of its claim.
 func (q *quotaExchange) settleAsk(ctx context.Context, ask *quotaAsk, now time.Time) quota.Verdict {
-	verdict, end := q.settle(ask, q.e.Nodes(), ctx.Err() != nil, now)
+	verdict, end := q.settle(ask, q.exchange.Nodes(), ctx.Err() != nil, now)
 	q.awake()
-	q.e.suspect(end.silent, now)
+	q.exchange.suspect(end.silent, now)
 	q.logSettled(ask, verdict, end)
 	if !verdict.Granted {
 		verdict.RetryAfter = quota.Spread(verdict.RetryAfter, rand.Float64())
@@ -344,7 +346,7 @@
 }
 
 func (q *quotaExchange) logSettled(ask *quotaAsk, verdict quota.Verdict, end settled) {
-	entry := q.e.log.WithFields(logrus.Fields{
+	entry := q.exchange.log.WithFields(logrus.Fields{
 		"account": ask.account, "asked": verdict.Asked, "unanswered": verdict.Unanswered, "left": verdict.Level,
 	})
 	if end.alone {
--- a/internal/digest/quota_keep.go
+++ b/internal/digest/quota_keep.go
@@ -18,7 +18,7 @@
 	case form.Ask != nil:
 		q.limits.take(form.Ask.Account, node, form.Ask.Limit, now)
 		decision := q.decide(form.Ask.ask(quota.Spender{Node: node, Address: from}), now)
-		q.e.sendTo(from, q.message(&quotaForm{Reply: q.renderReply(*form.Ask, decision, now)}))
+		q.exchange.sendTo(from, q.message(&quotaForm{Reply: q.renderReply(*form.Ask, decision, now)}))
 	case form.Probe != "":
 		q.reportProbed(from, form.Probe, now)
 	case form.Reply != nil:
@@ -31,12 +31,12 @@
 // heardFrom records that a node is in hearing, and that reports were missed where none
 // came though some were due.
 func (q *quotaExchange) heardFrom(from netip.AddrPort, now time.Time) {
-	q.e.mu.Lock()
-	q.e.peers.answered(from)
-	q.e.mu.Unlock()
+	q.exchange.mu.Lock()
+	q.exchange.peers.answered(from)
+	q.exchange.mu.Unlock()
 	missed := q.hear(from, now)
 	if missed > 0 {
-		q.e.log.WithField("silent_ms", missed.Milliseconds()).Warn("no other node was heard: what is left of quotas is not known")
+		q.exchange.log.WithField("silent_ms", missed.Milliseconds()).Warn("no other node was heard: what is left of quotas is not known")
 	}
 }
 
@@ -60,15 +60,15 @@
 	account := ask.Account
 	limited := q.limits.apply(account, &ask.Report)
 	keepers := q.keepersOf(account)
-	keeps := slices.Contains(keepers, q.e.peers.address)
+	keeps := slices.Contains(keepers, q.exchange.peers.address)
 	q.mu.Lock()
-	split := q.split(account, keepers, q.e.peers.address, quota.SilentAfter, now)
+	split := q.split(account, keepers, q.exchange.peers.address, quota.SilentAfter, now)
 	ask.Split = split
 	decision := q.keeper.Decide(ask, keeps, now)
 	changed := q.reserves(account, decision.Reserved > 0)
 	q.mu.Unlock()
 	if changed {
-		q.e.log.WithFields(logrus.Fields{"account": account, "reserved": decision.Reserved, "left": decision.Level, "split": split}).
+		q.exchange.log.WithFields(logrus.Fields{"account": account, "reserved": decision.Reserved, "left": decision.Level, "split": split}).
 			Warn("the part of a quota that is kept for nodes out of hearing has changed")
 	}
 	if !limited {
@@ -105,25 +105,25 @@
 }
 
 func (q *quotaExchange) keepersOf(account string) []netip.AddrPort {
-	q.e.mu.Lock()
-	defer q.e.mu.Unlock()
-	return q.keepers(q.e.peers, account)
+	q.exchange.mu.Lock()
+	defer q.exchange.mu.Unlock()
+	return q.keepers(q.exchange.peers, account)
 }
 
 // move has the keeper drop the accounts that other nodes keep, after nodes were added
 // or have left. When it returns, the keeper follows the ranking, whoever had it do so: a
 // decision by an older one would take an account that is new here for one that is full.
 func (q *quotaExchange) move(now time.Time) {
-	q.e.mu.Lock()
-	generation := q.e.peers.generation
-	q.e.mu.Unlock()
+	q.exchange.mu.Lock()
+	generation := q.exchange.peers.generation
+	q.exchange.mu.Unlock()
 	accounts, follows := q.followed(generation)
 	if follows {
 		return
 	}
 	kept := make(map[string]bool, len(accounts))
 	for _, account := range accounts {
-		kept[account] = slices.Contains(q.keepersOf(account), q.e.peers.address)
+		kept[account] = slices.Contains(q.keepersOf(account), q.exchange.peers.address)
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/digest/quota_reports.go
+++ b/internal/digest/quota_reports.go
@@ -14,7 +14,7 @@
 func (q *quotaExchange) takeReports(from quota.Spender, reports map[string]quotaReportForm, now time.Time) {
 	q.move(now)
 	for account, form := range reports {
-		keeps := slices.Contains(q.keepersOf(account), q.e.peers.address)
+		keeps := slices.Contains(q.keepersOf(account), q.exchange.peers.address)
 		report := form.report()
 		q.limits.apply(account, &report)
 		q.mu.Lock()
@@ -94,11 +94,11 @@
 		keepers := q.keepersOf(account)
 		q.mu.Lock()
 		var quiet []netip.AddrPort
-		if q.split(account, keepers, q.e.peers.address, quotaQuiet, now) {
+		if q.split(account, keepers, q.exchange.peers.address, quotaQuiet, now) {
 			quiet = q.keeper.Quiet(account, quotaKeepersEvery, now)
 		}
 		q.mu.Unlock()
-		q.e.sendAll(quiet, q.message(&quotaForm{Probe: account}))
+		q.exchange.sendAll(quiet, q.message(&quotaForm{Probe: account}))
 	}
 }
 
@@ -108,7 +108,7 @@
 	report := q.meter.Report(account, now)
 	q.mu.Unlock()
 	if report.Limit.Limited() {
-		q.e.sendTo(to, q.message(&quotaForm{Reports: map[string]quotaReportForm{account: renderQuotaReport(report)}}))
+		q.exchange.sendTo(to, q.message(&quotaForm{Reports: map[string]quotaReportForm{account: renderQuotaReport(report)}}))
 	}
 }
 
@@ -143,9 +143,9 @@
 }
 
 func (q *quotaExchange) sendParcel(to netip.AddrPort, parcel map[string]quotaReportForm, now time.Time) {
-	if to == q.e.peers.address {
+	if to == q.exchange.peers.address {
 		q.takeReports(q.self(), parcel, now)
 		return
 	}
-	q.e.sendTo(to, q.message(&quotaForm{Reports: parcel}))
+	q.exchange.sendTo(to, q.message(&quotaForm{Reports: parcel}))
 }
--- a/internal/digest/quota_test.go
+++ b/internal/digest/quota_test.go
@@ -28,25 +28,35 @@
 
 // quotaNodes returns nodes that have known each other, and silent ones, for long.
 func quotaNodes(t *testing.T, nodes int, tolerance quota.Tolerance, silent ...*net.UDPConn) []*Exchange {
+	t.Helper()
+	return exchangesWith(t, nodes, func(exchange *Exchange) *quotaExchange {
+		exchange.SetQuota(tolerance)
+		return exchange.quota
+	}, silent...)
+}
+
+// exchangesWith returns nodes that keep accounts of some kind, and know a worker.
+func exchangesWith(t *testing.T, nodes int, set func(*Exchange) *quotaExchange, silent ...*net.UDPConn) []*Exchange {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var exchanges []*Exchange
+	var kinds []*quotaExchange
 	var listed []Peer
 	for i := range nodes {
-		exchange, err := Listen("127.0.0.1:0", fmt.Sprint("n", i), "zone", registryWith(), quiet())
+		exchange, err := Listen("127.0.0.1:0", fmt.Sprint("n", i), "zone", registryWith("w"), quiet())
 		if err != nil {
 			t.Fatal(err)
 		}
-		exchange.SetQuota(tolerance)
+		kinds = append(kinds, set(exchange))
 		exchanges = append(exchanges, exchange)
 		listed = append(listed, Peer{Node: exchange.node, Address: exchange.peers.address, Zone: "zone"})
 	}
 	for i, conn := range silent {
 		listed = append(listed, Peer{Node: fmt.Sprint("silent", i), Address: addressOfConn(conn), Zone: "zone"})
 	}
-	for _, exchange := range exchanges {
+	for i, exchange := range exchanges {
 		exchange.AddPeers(listed)
-		exchange.quota.move(time.Now().Add(-longKnown))
+		kinds[i].move(time.Now().Add(-longKnown))
 		go exchange.Run(ctx)
 	}
 	t.Cleanup(func() {
--- a/internal/digest/turns_test.go
+++ b/internal/digest/turns_test.go
@@ -1,7 +1,6 @@
 package digest
 
 import (
-	"context"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -14,33 +13,13 @@
 // noTolerance bears nothing beyond a limit, so that turns can be counted.
 var noTolerance = quota.Tolerance{Window: 4 * time.Second}
 
-// turnNodes returns nodes that know each other and a worker.
+// turnNodes returns nodes that have known each other and a worker for long.
 func turnNodes(t *testing.T, nodes int, tolerance quota.Tolerance) []*Exchange {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	var exchanges []*Exchange
-	var listed []Peer
-	for i := range nodes {
-		exchange, err := Listen("127.0.0.1:0", fmt.Sprint("n", i), "zone", registryWith("w"), quiet())
-		if err != nil {
-			t.Fatal(err)
-		}
+	return exchangesWith(t, nodes, func(exchange *Exchange) *quotaExchange {
 		exchange.SetTurns(tolerance)
-		exchanges = append(exchanges, exchange)
-		listed = append(listed, Peer{Node: exchange.node, Address: exchange.peers.address, Zone: "zone"})
-	}
-	for _, exchange := range exchanges {
-		exchange.AddPeers(listed)
-		exchange.turns.move(time.Now().Add(-longKnown))
-		go exchange.Run(ctx)
-	}
-	t.Cleanup(func() {
-		cancel()
-		for _, exchange := range exchanges {
-			<-exchange.Done()
-		}
+		return exchange.turns
 	})
-	return exchanges
 }
 
 // named has a worker name a limit to a node now.
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -152,11 +152,21 @@
 // division counts the engines of each stage that can be counted on.
 type division struct{ prefill, decode []Worker }
 
+// divide counts engines that take what they are given.
 func divide(workers []Worker) division {
+	return divideSome(workers, func(worker Worker) bool { return worker.Usable && !worker.Limited })
+}
+
+// divideInNeed counts limited engines too, but for those that change already.
+func divideInNeed(workers []Worker) division {
+	return divideSome(workers, func(worker Worker) bool { return worker.Usable && !worker.Changing })
+}
+
+func divideSome(workers []Worker, counts func(Worker) bool) division {
 	var d division
 	for _, worker := range workers {
 		switch {
-		case !worker.Usable || worker.Limited:
+		case !counts(worker):
 		case worker.Prefill:
 			d.prefill = append(d.prefill, worker)
 		default:
@@ -227,21 +237,6 @@
 	return orders
 }
 
-// divideInNeed counts limited engines too, but for those that change already.
-func divideInNeed(workers []Worker) division {
-	var d division
-	for _, worker := range workers {
-		switch {
-		case !worker.Usable || worker.Changing:
-		case worker.Prefill:
-			d.prefill = append(d.prefill, worker)
-		default:
-			d.decode = append(d.decode, worker)
-		}
-	}
-	return d
-}
-
 // wave returns the orders that bring a division nearer to a goal, the idlest engines first:
 // as many as may change at once, and no more than their stage can do without until they
 // are back. A single one is ordered in any case.
