A lower limit is told on also where nothing tells which word is newer

Cause: what a worker said to a node was told on only if it held to the letter. Of two words whose order isn't known the lower holds with both intervals joined, so it differed from what was said, and the other nodes learned of it with the next answer only. Found by reading the change. Change: what is told is whatever this node's own answer has changed.

--- a/internal/worker/limit.go
+++ b/internal/worker/limit.go
@@ -87,7 +87,7 @@
 	}
 	before := known.limit
 	known.limit = said.after(before)
-	if own && known.limit == said {
+	if own && known.limit != before {
 		r.limitNews[id] = time.Now().Add(limitTold)
 		r.touch(id)
 	}
--- a/internal/worker/limit_test.go
+++ b/internal/worker/limit_test.go
@@ -108,3 +108,14 @@
 		t.Errorf("%+v", changes)
 	}
 }
+
+// TestLowerLimitIsToldOnThoughItsOrderIsUnknown: what holds here is what the others are to know.
+func TestLowerLimitIsToldOnThoughItsOrderIsUnknown(t *testing.T) {
+	r := NewRegistry(topology.New("a", nil))
+	r.Apply(Change{Name: "w", Worker: &Worker{ID: "w", Service: "s"}})
+	r.TellLimit("w", "node", said(5, 0, 30))
+	r.ObserveLimit("w", "request", said(2, 10, 20))
+	if told := r.Snapshot().Limits["w"]; told.Rate != 2 {
+		t.Errorf("told %+v, the lower limit holds", told)
+	}
+}
