Workers' notices that they take no requests are read, logged and counted

The connections to workers have a monitor now, which sees all that is sent, whoever sends it (requests, prompts read apart, orders, questions, freed handles), and the head of each answer. The adapter reads two notices: that the worker is about to end, in any answer, and for how long it wants nothing from this node, in a 503 or 429 (seconds, or a date counted from that of the answer; negative, infinite and unreadable ones are counted and logged). They are kept by start of the worker, apart from its entry, which may vanish and come back.

Log lines 'worker notice' and 'sent to a worker that had said it takes no requests', five metrics. No decision uses notices yet.

--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -58,6 +58,8 @@
 	// answer.
 	ListRequest(address string) *workerconn.Request
 	ListedParts(status int, body []byte) ([]prefixcache.Part, error)
+	// Notice reads what the head of an answer says of whether its worker takes further requests.
+	Notice(status int, header http.Header) worker.Notice
 	// StateRequest asks a worker how it is, nil where it can't be asked.
 	StateRequest(to worker.Worker, healthPath string) *workerconn.Request
 	rowstore.Store
@@ -149,6 +151,7 @@
 	exchange.SetPlaces(placesOf(configured))
 	exchange.SetMetrics(digest.NewMetrics(metrics))
 	n.watchLimits(metrics)
+	n.watchNotices(metrics)
 	n.countUsage()
 	quotas := n.keepQuotas(metrics)
 	n.shareTables()
--- /dev/null
+++ b/internal/worker/notice.go
@@ -0,0 +1,118 @@
+package worker
+
+import (
+	"time"
+)
+
+// Notice is what the head of an answer says of whether its worker takes further requests.
+type Notice struct {
+	// Draining tells that the worker is about to end.
+	Draining bool
+	// Backoff is for how long the worker wants nothing from the node that it answered, zero
+	// where it doesn't say.
+	Backoff time.Duration
+	// Malformed quotes what can't be read, empty where nothing of that kind was said.
+	Malformed string
+}
+
+// Advisory is what holds of one start of a worker by its own notices.
+type Advisory struct {
+	// DrainingSince is when this node first heard that the worker is about to end, zero where
+	// it hasn't.
+	DrainingSince time.Time
+	// BackoffSince and BackoffUntil bound the time for which the worker wants nothing from
+	// this node, zero where it never asked for any.
+	BackoffSince, BackoffUntil time.Time
+}
+
+// Draining reports whether the worker is about to end.
+func (a Advisory) Draining(now time.Time) bool {
+	return !a.DrainingSince.IsZero() && now.Sub(a.DrainingSince) < drainingLife
+}
+
+// BacksOff reports whether the worker wants nothing from this node.
+func (a Advisory) BacksOff(now time.Time) bool { return now.Before(a.BackoffUntil) }
+
+// drainingLife is how long a worker counts as about to end. One that is listed for longer has
+// changed its mind, and says so again if it hasn't.
+const drainingLife = 10 * time.Minute
+
+// with adds a notice. Answers overtake each other, and one that doesn't mention the end or a
+// pause may have been made before another that does: so nothing takes a notice back, and of
+// several pauses the one that ends last holds.
+func (a Advisory) with(said Notice, now time.Time) Advisory {
+	if said.Draining && !a.Draining(now) {
+		a.DrainingSince = now
+	}
+	if until := now.Add(said.Backoff); said.Backoff > 0 && until.After(a.BackoffUntil) {
+		if !a.BacksOff(now) {
+			a.BackoffSince = now
+		}
+		a.BackoffUntil = until
+	}
+	return a
+}
+
+// over reports whether nothing holds any more.
+func (a Advisory) over(now time.Time) bool { return !a.Draining(now) && !a.BacksOff(now) }
+
+// NoticeChange is a change of what holds for a worker by its notices.
+type NoticeChange struct {
+	Worker Worker
+	// Before and After are what held and what holds.
+	Before, After Advisory
+	// Listed tells that the worker has an entry, and EntryDraining that it says so too.
+	Listed, EntryDraining bool
+}
+
+// ObserveNotice takes in what a worker said in answer to this node, and reports whether that
+// changed anything.
+func (r *Registry) ObserveNotice(id string, said Notice, now time.Time) (NoticeChange, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.advisories[id]
+	after := before.with(said, now)
+	if after == before {
+		return NoticeChange{}, false
+	}
+	r.dropAdvisories(now)
+	r.advisories[id] = after
+	change := NoticeChange{Worker: Worker{ID: id}, Before: before, After: after}
+	if known, exists := r.workers[id]; exists {
+		change.Worker, change.Listed, change.EntryDraining = known.worker, known.listed(), known.worker.Draining
+	}
+	return change, true
+}
+
+// dropAdvisories forgets what is over. Advisories outlive the entries of their workers, which
+// may vanish and come back while the store is away.
+func (r *Registry) dropAdvisories(now time.Time) {
+	for id, advisory := range r.advisories {
+		if advisory.over(now) {
+			delete(r.advisories, id)
+		}
+	}
+}
+
+// Advisory returns what holds of a worker by its notices.
+func (r *Registry) Advisory(id string) Advisory {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.advisories[id]
+}
+
+// CountAdvised returns how many workers are about to end, and how many want nothing from this
+// node now, by their notices.
+func (r *Registry) CountAdvised(now time.Time) (draining, backingOff int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, advisory := range r.advisories {
+		if advisory.Draining(now) {
+			draining++
+		}
+		if advisory.BacksOff(now) {
+			backingOff++
+		}
+	}
+	return draining, backingOff
+}
--- /dev/null
+++ b/internal/worker/notice_test.go
@@ -0,0 +1,66 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/topology"
+)
+
+func TestOfSeveralPausesTheLastToEndHolds(t *testing.T) {
+	now := time.Now()
+	held := Advisory{}.with(Notice{Backoff: 3 * time.Second}, now)
+	held = held.with(Notice{Backoff: time.Second}, now.Add(time.Second))
+	if !held.BacksOff(now.Add(2900*time.Millisecond)) || held.BacksOff(now.Add(3*time.Second)) {
+		t.Errorf("the pause ends at %v, want 3s", held.BackoffUntil.Sub(now))
+	}
+	held = held.with(Notice{Backoff: 3 * time.Second}, now.Add(2*time.Second))
+	if !held.BackoffSince.Equal(now) || !held.BackoffUntil.Equal(now.Add(5*time.Second)) {
+		t.Errorf("the pause lasts from %v to %v, want 0s to 5s", held.BackoffSince.Sub(now), held.BackoffUntil.Sub(now))
+	}
+}
+
+func TestNothingTakesAnEndBack(t *testing.T) {
+	now := time.Now()
+	held := Advisory{}.with(Notice{Draining: true}, now).with(Notice{}, now.Add(time.Second))
+	if !held.Draining(now.Add(time.Minute)) || held.Draining(now.Add(drainingLife)) {
+		t.Error("a worker that says it is about to end must count as such for drainingLife")
+	}
+}
+
+func TestAdvisoriesOutliveEntries(t *testing.T) {
+	r := NewRegistry(topology.Map{})
+	now := time.Now()
+	entry := Worker{ID: "w", Service: "s", Address: "127.0.0.1:1"}
+	r.ReplaceAt([]Worker{entry}, now)
+	r.ObserveNotice("w", Notice{Draining: true}, now)
+	r.ReplaceAt(nil, now.Add(time.Second))
+	r.ReplaceAt([]Worker{{ID: "other", Service: "s"}}, now.Add(time.Second+forgetAfter))
+	r.ReplaceAt([]Worker{entry}, now.Add(2*time.Second+forgetAfter))
+	if !r.Advisory("w").Draining(now.Add(2*time.Second + forgetAfter)) {
+		t.Error("a worker whose entry came back counts as one that stays")
+	}
+}
+
+func TestAdvisoryEndsWithTheWorkersStart(t *testing.T) {
+	r := NewRegistry(topology.Map{})
+	now := time.Now()
+	r.ReplaceAt([]Worker{{ID: Identity("w", 1000), Service: "s"}}, now)
+	r.ObserveNotice(Identity("w", 1000), Notice{Draining: true, Backoff: time.Hour}, now)
+	r.ReplaceAt([]Worker{{ID: Identity("w", 2000), Service: "s"}}, now)
+	if !r.Advisory(Identity("w", 2000)).over(now) {
+		t.Error("what a worker said before it started again counts for its new start")
+	}
+}
+
+func TestAdvisoriesThatAreOverAreForgotten(t *testing.T) {
+	r := NewRegistry(topology.Map{})
+	now := time.Now()
+	for _, id := range []string{"a", "b", "c"} {
+		r.ObserveNotice(id, Notice{Backoff: time.Second}, now)
+	}
+	r.ObserveNotice("d", Notice{Backoff: time.Second}, now.Add(time.Second))
+	if len(r.advisories) != 1 {
+		t.Errorf("%d advisories are kept, want 1", len(r.advisories))
+	}
+}
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -34,8 +34,19 @@
 	bodyWait = 50 * time.Millisecond
 )
 
+// Monitor sees all that is sent to workers, whoever sends it.
+type Monitor interface {
+	// Sending is told of a request just before its first byte leaves.
+	Sending(key string, request *Request)
+	// Answered is told of the head of each answer.
+	Answered(key string, request *Request, status int, header http.Header)
+}
+
 // Pool keeps connections by worker. It is safe for concurrent use.
 type Pool struct {
+	// monitor is nil where nobody watches.
+	monitor Monitor
+
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	open   map[string]int
@@ -47,6 +58,9 @@
 	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int)}
 }
 
+// SetMonitor has a monitor see all that is sent. It is called before anything is.
+func (p *Pool) SetMonitor(monitor Monitor) { p.monitor = monitor }
+
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -66,6 +80,9 @@
 		p.discard(key, c)
 		return nil, &SendError{Unsent: true, Cause: err}
 	}
+	if p.monitor != nil {
+		p.monitor.Sending(key, request)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	response, written, err := c.roundTrip(ctx, request)
 	if err != nil {
@@ -73,6 +90,9 @@
 		p.discard(key, c)
 		return nil, err
 	}
+	if p.monitor != nil {
+		p.monitor.Answered(key, request, response.StatusCode, response.Header)
+	}
 	return &Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
