--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -102,6 +102,11 @@
 	// are the requests that came, of all kinds.
 	limit    string
 	arrivals []Arrival
+	// leaving tells that the worker's answers say it is about to end, and pause is the time in
+	// seconds for which it asks to be left alone in each rejection, all requests being rejected;
+	// empty where it takes them.
+	leaving bool
+	pause   string
 	// carried is the highest fence of the orders carried out, and lateOrders how long
 	// orders are left unanswered before they are.
 	carried    uint64
@@ -251,7 +256,7 @@
 		return
 	}
 	fault := w.takeFault()
-	if fault == Full {
+	if fault == Full || w.pauses(writer) {
 		reject(writer)
 		return
 	}
@@ -299,14 +304,47 @@
 	w.limit = limit
 }
 
-// arrive counts a request of a node, and names the limit in its answer.
+// arrive counts a request of a node, and names in its answer what the worker says of itself.
 func (w *Worker) arrive(writer http.ResponseWriter, id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.arrivals = append(w.arrivals, Arrival{ID: id, At: time.Now()})
+	arrival := Arrival{ID: id, At: time.Now(), Leaving: w.leaving}
+	if w.pause != "" {
+		seconds, _ := strconv.ParseFloat(w.pause, 64)
+		arrival.Pause = time.Duration(seconds * float64(time.Second))
+	}
+	w.arrivals = append(w.arrivals, arrival)
 	if w.limit != "" {
 		writer.Header().Set("Server-Limit", w.limit)
 	}
+	if w.leaving {
+		writer.Header().Set("Server-Leaving", "1")
+	}
+}
+
+// SetLeaving has the worker's answers say that it is about to end, or not.
+func (w *Worker) SetLeaving(leaving bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = leaving
+}
+
+// SetPause has the worker reject all requests and ask to be left alone for so many seconds, and
+// take them where that is empty.
+func (w *Worker) SetPause(seconds string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pause = seconds
+}
+
+// pauses reports whether the worker rejects requests, and names the time in the answer.
+func (w *Worker) pauses(writer http.ResponseWriter) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.pause != "" {
+		writer.Header().Set("Retry-After", w.pause)
+	}
+	return w.pause != ""
 }
 
 // Arrival is a request of a node that reached a worker.
@@ -314,6 +352,10 @@
 	// ID is the request's, empty where it has none.
 	ID string
 	At time.Time
+	// Leaving tells that the answer said the worker is about to end, and Pause for how long the
+	// worker asked to be left alone then.
+	Leaving bool
+	Pause   time.Duration
 }
 
 // Arrivals returns the requests of any kind that came.
