A worker that announces its end in answers gets nothing new

What callers and operators saw: for twelve seconds, while the store couldn't take the change of its entry, a worker went on getting requests from nodes that had passed on its answers, each with the word that it was about to end.

Cause: that a worker leaves was known from its entry alone; no node read the answers.

Now the worker's own word counts like its entry, whichever comes first: for placing, standing workers, stages, shortlists, and for telling a planned end from a crash. For 1.2 s it is the last resort, as a worker whose entry has vanished is; after that nothing is sent there.

Why it holds: plans leave the worker out, and the pool of connections asks once more, before a connection is opened and just before the first byte leaves, whoever sends. So a request that was planned or waited before is withheld too; it is planned again, and the worker isn't blamed.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -127,7 +127,7 @@
 // readFailed ends a reading that got no answer: the call has not run, but the
 // worker may have read in vain.
 func (s *session) readFailed(reader scheduling.Candidate, err error) tryEnd {
-	s.excluded[reader.ID] = true
+	s.excludeUnlessWithheld(reader, err)
 	state := s.brokeOff(reader, err)
 	counted := !workerconn.Unsent(err)
 	return tryEnd{verdict: notRun, worker: reader.ID, err: err, counted: counted, workerState: state}
@@ -136,7 +136,7 @@
 // brokeOff records that a worker failed a request. Where the worker had the request, it
 // returns what a look at the worker shows.
 func (s *session) brokeOff(failed scheduling.Candidate, err error) workerconn.Liveness {
-	if gone(err) || late(err) {
+	if gone(err) || late(err) || workerconn.Withheld(err) {
 		return ""
 	}
 	s.registry.Failed(failed.ID, time.Now())
@@ -228,8 +228,16 @@
 	}
 }
 
+// excludeUnlessWithheld keeps the call from a worker that failed it. One that takes nothing now
+// is left out of plans as long as that lasts.
+func (s *session) excludeUnlessWithheld(failed scheduling.Candidate, err error) {
+	if !workerconn.Withheld(err) {
+		s.excluded[failed.ID] = true
+	}
+}
+
 func (s *session) sendFailed(runner scheduling.Candidate, err error) tryEnd {
-	s.excluded[runner.ID] = true
+	s.excludeUnlessWithheld(runner, err)
 	state := s.brokeOff(runner, err)
 	if workerconn.Unsent(err) {
 		s.attempts-- // no worker was sent anything
--- a/internal/serving/notices.go
+++ b/internal/serving/notices.go
@@ -29,6 +29,7 @@
 	changes   *prometheus.CounterVec
 	malformed prometheus.Counter
 	despite   *prometheus.CounterVec
+	withheld  prometheus.Counter
 
 	mu sync.Mutex
 	// logged is when a line was written on a worker.
@@ -49,7 +50,10 @@
 			Name: "tinarch_worker_requests_despite_notice_total", Help: "Requests of any kind sent to a worker that had said it takes none.",
 		}, []string{"notice"}),
 	}
-	registry.MustRegister(w.changes, w.malformed, w.despite,
+	w.withheld = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "tinarch_worker_requests_withheld_total", Help: "Requests of any kind kept from a worker that takes none, after they were meant for it.",
+	})
+	registry.MustRegister(w.changes, w.malformed, w.despite, w.withheld,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "tinarch_workers_announced_draining", Help: "Workers that have said in answers that they are about to end.",
 		}, func() float64 { draining, _ := n.registry.CountAdvised(time.Now()); return float64(draining) }),
@@ -59,23 +63,49 @@
 	n.pool.SetMonitor(w)
 }
 
+// Admit implements workerconn.Monitor.
+func (w *notices) Admit(key string, request *workerconn.Request) error {
+	now := time.Now()
+	err := w.node.registry.Admits(key, now)
+	if err == nil {
+		return nil
+	}
+	w.withheld.Inc()
+	w.logRequest(key, request, now).WithField("cause", err.Error()).Info("kept from a worker that takes no requests")
+	return err
+}
+
 // Sending implements workerconn.Monitor.
 func (w *notices) Sending(key string, request *workerconn.Request) {
 	now := time.Now()
 	advisory := w.node.registry.Advisory(key)
+	if advisory.Over(now) {
+		return
+	}
 	if advisory.Draining(now) {
-		w.sentDespite(key, request, noticeDraining, now.Sub(advisory.DrainingSince))
+		w.despite.WithLabelValues(noticeDraining).Inc()
 	}
 	if advisory.BacksOff(now) {
-		w.sentDespite(key, request, noticeBackoff, now.Sub(advisory.BackoffSince))
+		w.despite.WithLabelValues(noticeBackoff).Inc()
 	}
+	w.logRequest(key, request, now).Warn("sent to a worker that had said it takes no requests")
 }
 
-func (w *notices) sentDespite(key string, request *workerconn.Request, notice string, since time.Duration) {
-	w.despite.WithLabelValues(notice).Inc()
-	w.node.log.WithFields(logrus.Fields{
-		"id": request.ID, "method": request.Method, "worker": key, "notice": notice, "said_ms_ago": since.Milliseconds(),
-	}).Warn("sent to a worker that had said it takes no requests")
+// logRequest is the log with a request and the notices of its worker.
+func (w *notices) logRequest(key string, request *workerconn.Request, now time.Time) *logrus.Entry {
+	advisory := w.node.registry.Advisory(key)
+	return w.node.log.WithFields(logrus.Fields{
+		"id": request.ID, "method": request.Method, "worker": key,
+		"draining_for_ms": sinceMillis(advisory.DrainingSince, now), "backoff_ms": max(advisory.BackoffUntil.Sub(now), 0).Milliseconds(),
+	})
+}
+
+// sinceMillis is the time since a moment in milliseconds, zero where it never was.
+func sinceMillis(moment, now time.Time) int64 {
+	if moment.IsZero() {
+		return 0
+	}
+	return now.Sub(moment).Milliseconds()
 }
 
 // Answered implements workerconn.Monitor.
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -18,7 +18,7 @@
 	defer r.mu.Unlock()
 	var candidates []scheduling.Candidate
 	for _, known := range r.workers {
-		if known.worker.Service != service || !known.usable(now) {
+		if known.worker.Service != service || !r.usable(known, now) {
 			continue
 		}
 		candidates = append(candidates, r.candidate(known, parts, rank, now))
@@ -33,7 +33,7 @@
 	var candidates []scheduling.Candidate
 	for _, id := range workers {
 		known, exists := r.workers[id]
-		if exists && known.worker.Service == service && known.usable(now) {
+		if exists && known.worker.Service == service && r.usable(known, now) {
 			candidates = append(candidates, r.candidate(known, parts, rank, now))
 		}
 	}
@@ -47,7 +47,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		for id, known := range r.workers {
-			if known.worker.Service != service || !known.usable(now) {
+			if known.worker.Service != service || !r.usable(known, now) {
 				continue
 			}
 			if !yield(r.outline(known, kept[id], now)) {
@@ -62,7 +62,7 @@
 		ID: known.worker.ID, Prefill: known.worker.Stage == Prefill,
 		SameZone: r.places.To(known.worker.Zone) == topology.SameZone,
 		Rank:     known.rank, Hash: known.hash, Kept: kept,
-		Sound: known.listed() && !known.breaker.Open(now) && !known.handles.Open(now) && known.turnWait(now) == 0,
+		Sound: r.stays(known, now) && !known.breaker.Open(now) && !known.handles.Open(now) && known.turnWait(now) == 0,
 	}
 }
 
@@ -111,7 +111,7 @@
 		engines = append(engines, stageplan.Worker{
 			ID: known.worker.ID, Region: r.RegionOfZone(known.worker.Zone),
 			Prefill: known.stageToBe(now) == Prefill, Slots: known.worker.Slots,
-			Usable:   !known.worker.Draining && !known.breaker.Open(now),
+			Usable:   r.stays(known, now) && !known.breaker.Open(now),
 			Limited:  known.limit.Named,
 			Changing: known.isChanging(now),
 			Requests: load.Requests, ReadTokens: load.Reads.Total(), MemoryTokens: load.MemoryTokens,
@@ -122,12 +122,23 @@
 }
 
 // usable reports whether a worker may get requests: it is listed and stays, or has
-// vanished without a word a moment ago.
-func (s *state) usable(now time.Time) bool {
-	if s.worker.Draining || s.isChanging(now) {
+// vanished or announced its end a moment ago.
+func (r *Registry) usable(known *state, now time.Time) bool {
+	if known.worker.Draining || known.isChanging(now) || r.admits(known.worker.ID, now) != nil {
 		return false
 	}
-	return s.listed() || now.Sub(s.goneAt) < lingerFor
+	return known.listed() || now.Sub(known.goneAt) < lingerFor
+}
+
+// drains reports whether a worker is about to end, by its entry or its own word. The entry may
+// lag behind by as long as the store is away.
+func (r *Registry) drains(known *state, now time.Time) bool {
+	return known.worker.Draining || r.advisories[known.worker.ID].Draining(now)
+}
+
+// stays reports whether a worker is listed and not about to end.
+func (r *Registry) stays(known *state, now time.Time) bool {
+	return known.listed() && !r.drains(known, now)
 }
 
 func (r *Registry) candidate(known *state, parts []prefixcache.Part, rank int, now time.Time) scheduling.Candidate {
@@ -157,7 +168,7 @@
 		Avoid:         known.breaker.Open(now),
 		FailureRate:   known.breaker.FailureRate(now),
 		HandleFailure: known.handles.Open(now),
-		Leaving:       !known.listed(),
+		Leaving:       !r.stays(known, now),
 		Limited:       known.limit.Named,
 		PerSecond:     known.limit.Rate,
 		TurnWait:      float64(known.turnWait(now)) / float64(time.Millisecond),
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -206,8 +206,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var unlisted []Worker
+	now := time.Now()
 	for _, known := range r.workers {
-		if known.isUnlisted() {
+		if r.isUnlisted(known, now) {
 			unlisted = append(unlisted, known.worker)
 		}
 	}
@@ -219,16 +220,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var unlisted []Worker
+	now := time.Now()
 	for id := range engines {
-		if known, exists := r.workers[id]; exists && known.isUnlisted() {
+		if known, exists := r.workers[id]; exists && r.isUnlisted(known, now) {
 			unlisted = append(unlisted, known.worker)
 		}
 	}
 	return unlisted
 }
 
-func (s *state) isUnlisted() bool {
-	return s.worker.Stage != Opaque && s.listed() && !s.worker.Draining && !s.cacheKnown
+func (r *Registry) isUnlisted(known *state, now time.Time) bool {
+	return known.worker.Stage != Opaque && r.stays(known, now) && !known.cacheKnown
 }
 
 // Merge takes over what another node told.
--- a/internal/worker/limit.go
+++ b/internal/worker/limit.go
@@ -165,7 +165,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, exists := r.workers[id]
-	return exists && known.usable(time.Now())
+	return exists && r.usable(known, time.Now())
 }
 
 // turnWait is the time until the worker takes a further request, as far as is known here.
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -173,7 +173,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known, exists := r.workers[id]
-	return exists && known.worker.Draining
+	return exists && r.drains(known, time.Now())
 }
 
 // Region is that of a worker, empty where it isn't known.
@@ -204,9 +204,9 @@
 func (r *Registry) Draining() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	count := 0
+	count, now := 0, time.Now()
 	for _, known := range r.workers {
-		if known.worker.Draining && known.listed() {
+		if known.listed() && r.drains(known, now) {
 			count++
 		}
 	}
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Notice is what the head of an answer says of whether its worker takes further requests.
@@ -53,8 +55,8 @@
 	return a
 }
 
-// over reports whether nothing holds any more.
-func (a Advisory) over(now time.Time) bool { return !a.Draining(now) && !a.BacksOff(now) }
+// Over reports whether nothing holds any more.
+func (a Advisory) Over(now time.Time) bool { return !a.Draining(now) && !a.BacksOff(now) }
 
 // NoticeChange is a change of what holds for a worker by its notices.
 type NoticeChange struct {
@@ -88,12 +90,31 @@
 // may vanish and come back while the store is away.
 func (r *Registry) dropAdvisories(now time.Time) {
 	for id, advisory := range r.advisories {
-		if advisory.over(now) {
+		if advisory.Over(now) {
 			delete(r.advisories, id)
 		}
 	}
 }
 
+// ErrDraining tells that a worker has announced its end, and gets nothing any more.
+var ErrDraining = eris.New("the worker has announced its end")
+
+// Admits returns why a worker must get nothing from this node now, a request of a caller or
+// anything else, and nil where it may. Only its own notices count.
+func (r *Registry) Admits(id string, now time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.admits(id, now)
+}
+
+func (r *Registry) admits(id string, now time.Time) error {
+	advisory := r.advisories[id]
+	if advisory.Draining(now) && now.Sub(advisory.DrainingSince) >= lingerFor {
+		return ErrDraining
+	}
+	return nil
+}
+
 // Advisory returns what holds of a worker by its notices.
 func (r *Registry) Advisory(id string) Advisory {
 	r.mu.Lock()
--- a/internal/worker/notice_test.go
+++ b/internal/worker/notice_test.go
@@ -48,7 +48,7 @@
 	r.ReplaceAt([]Worker{{ID: Identity("w", 1000), Service: "s"}}, now)
 	r.ObserveNotice(Identity("w", 1000), Notice{Draining: true, Backoff: time.Hour}, now)
 	r.ReplaceAt([]Worker{{ID: Identity("w", 2000), Service: "s"}}, now)
-	if !r.Advisory(Identity("w", 2000)).over(now) {
+	if !r.Advisory(Identity("w", 2000)).Over(now) {
 		t.Error("what a worker said before it started again counts for its new start")
 	}
 }
@@ -64,3 +64,25 @@
 		t.Errorf("%d advisories are kept, want 1", len(r.advisories))
 	}
 }
+
+func TestWorkerThatAnnouncesItsEndIsTheLastResortForAMoment(t *testing.T) {
+	r := NewRegistry(topology.Map{})
+	now := time.Now()
+	r.ReplaceAt([]Worker{{ID: "w", Service: "s"}}, now)
+	r.ObserveNotice("w", Notice{Draining: true}, now)
+	if candidates := r.Candidates("s", nil, 0, now); len(candidates) != 1 || !candidates[0].Leaving {
+		t.Errorf("the candidates are %+v, want one that is leaving", candidates)
+	}
+	if !r.Drains("w") || len(r.Standing("s")) != 0 {
+		t.Error("a worker that announces its end counts as one that stays")
+	}
+	after := now.Add(lingerFor)
+	if len(r.Candidates("s", nil, 0, after)) != 0 || r.Admits("w", after) == nil {
+		t.Error("a worker that announced its end a while ago still gets requests")
+	}
+	r.ApplyAt(Change{Name: "w"}, after)
+	r.ApplyAt(Change{Name: "w", Worker: &Worker{ID: "w", Service: "s"}}, after)
+	if r.Admits("w", after) == nil {
+		t.Error("an entry that comes back takes the worker's own word back")
+	}
+}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -56,8 +56,8 @@
 const (
 	// remoteLife is how long a silent node's load counts.
 	remoteLife = time.Second
-	// lingerFor is how long a worker whose entry has vanished is the last resort. A
-	// worker that leaves must get nothing soon after.
+	// lingerFor is how long a worker whose entry has vanished, or that has announced its end,
+	// is the last resort. A worker that leaves must get nothing soon after.
 	lingerFor = 1200 * time.Millisecond
 	// forgetAfter is how long what is known of it is kept.
 	forgetAfter = 10 * time.Second
--- a/internal/worker/standing.go
+++ b/internal/worker/standing.go
@@ -11,8 +11,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	standing := make(fleetsize.Counts)
+	now := time.Now()
 	for _, known := range r.workers {
-		if known.worker.Service == service && known.listed() && !known.worker.Draining {
+		if known.worker.Service == service && r.stays(known, now) {
 			standing[fleetsize.Kind{Zone: known.worker.Zone, Spot: known.worker.Spot}]++
 		}
 	}
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -52,7 +52,9 @@
 type SendError struct {
 	// Unsent tells that no byte left, so that the worker can't have run it.
 	Unsent bool
-	Cause  error
+	// Withheld tells that the pool's monitor kept it from the worker.
+	Withheld bool
+	Cause    error
 }
 
 // Error implements error.
@@ -67,6 +69,13 @@
 	return errors.As(err, &failure) && failure.Unsent
 }
 
+// Withheld reports whether a request was kept from its worker, which says nothing of the
+// worker's soundness.
+func Withheld(err error) bool {
+	var failure *SendError
+	return errors.As(err, &failure) && failure.Withheld
+}
+
 const (
 	bufferBytes = 4096
 	// inlineBytes is the largest body that is written before the answer is read.
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -36,7 +36,10 @@
 
 // Monitor sees all that is sent to workers, whoever sends it.
 type Monitor interface {
-	// Sending is told of a request just before its first byte leaves.
+	// Admit is asked before a connection is opened for a request, and again just before its
+	// first byte leaves. An error keeps it from the worker.
+	Admit(key string, request *Request) error
+	// Sending is told of a request whose first byte is about to leave.
 	Sending(key string, request *Request)
 	// Answered is told of the head of each answer.
 	Answered(key string, request *Request, status int, header http.Header)
@@ -72,6 +75,9 @@
 // read. key names the worker's incarnation: connections aren't shared between
 // workers that had the same address. limit bounds the connections to it.
 func (p *Pool) Do(ctx context.Context, key, address string, limit int, request *Request) (*Answer, error) {
+	if err := p.withheld(key, request); err != nil {
+		return nil, err
+	}
 	c, err := p.take(ctx, key, address, limit)
 	if err != nil {
 		return nil, &SendError{Unsent: true, Cause: err}
@@ -80,6 +86,10 @@
 		p.discard(key, c)
 		return nil, &SendError{Unsent: true, Cause: err}
 	}
+	if err := p.withheld(key, request); err != nil {
+		p.putBack(key, c)
+		return nil, err
+	}
 	if p.monitor != nil {
 		p.monitor.Sending(key, request)
 	}
@@ -104,6 +114,17 @@
 	}, nil
 }
 
+// withheld asks the monitor whether a request may be sent.
+func (p *Pool) withheld(key string, request *Request) error {
+	if p.monitor == nil {
+		return nil
+	}
+	if err := p.monitor.Admit(key, request); err != nil {
+		return &SendError{Unsent: true, Withheld: true, Cause: err}
+	}
+	return nil
+}
+
 // prepare readies a connection for a request that must not arrive late, and looks at the
 // clock once more: this process may have been paused, or its machine suspended, or it has
 // waited for the connection.
@@ -141,7 +162,9 @@
 		p.release(key)
 		return nil, err
 	}
-	return newConn(inner), nil
+	c := newConn(inner)
+	c.idleSince, c.idleLimit = now, defaultIdle-idleMargin
+	return c, nil
 }
 
 // takeIdle returns the connection used last, or nil after it has reserved room
@@ -198,6 +221,11 @@
 	c.idleSince = time.Now()
 	c.idleLimit = limit - idleMargin
 	_ = c.SetDeadline(time.Time{})
+	p.putBack(key, c)
+}
+
+// putBack keeps a connection over which nothing was sent since it was taken.
+func (p *Pool) putBack(key string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[key] = append(p.idle[key], c)
