A worker that asks to be left alone gets nothing for as long as it says

What callers saw: refusals and late answers, while requests were sent to engines that had just said for how long they take none: 3 to 4 requests from a node in a pause of 3 s, and prompts that were read for nothing.

Cause: a rejection counted as one whatever time it named. The breaker avoids a worker for 250 ms after it, doubled up to 1.5 s, and avoiding only prices it: where others are full, it was cheaper.

Now a pause bars the worker from plans, turns and stage plans of this node, and the pool of connections withholds what was planned before. A request that finds no other worker waits for the first pause that ends, if it can be in time then, and may get the worker that rejected it; otherwise it is refused at once and told when that is. Before, callers were told 100 ms whatever the workers had said.

A pause moves no load onto one moment: each node waits up to a tenth longer, by chance, and then sends one request, and twice as many with each that was served.

Why it holds: the end that is latest counts, nothing shortens it, and the check stands where the bytes leave, for all senders.

Both subtests pass in three runs under the race detector, and the tests of waiting, of refusals at once and of the steps after a pause in three.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -146,8 +146,16 @@
 	return s.endings.inspect(failed)
 }
 
+// excludeUnlessPausing keeps the call from a worker that rejected it. One that named when it
+// takes requests again may get the call then.
+func (s *session) excludeUnlessPausing(rejecting scheduling.Candidate) {
+	if !s.registry.BacksOff(rejecting.ID) {
+		s.excluded[rejecting.ID] = true
+	}
+}
+
 func (s *session) readRejected(reader scheduling.Candidate, reply Reply) tryEnd {
-	s.excluded[reader.ID] = true
+	s.excludeUnlessPausing(reader)
 	s.attempts++
 	if !reply.NotExecuted || reply.Misdirected {
 		s.registry.Failed(reader.ID, time.Now())
@@ -264,7 +272,7 @@
 		err = errNoHandle
 		s.registry.HandleFailed(from.reader.ID, runner.ID, time.Now())
 	default:
-		s.excluded[runner.ID] = true
+		s.excludeUnlessPausing(runner)
 		s.registry.Rejected(runner.ID, time.Now())
 	}
 	return tryEnd{verdict: notRun, worker: runner.ID, err: err, counted: true}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -189,7 +189,7 @@
 		plan := s.plan(ctx)
 		s.logPlan(plan)
 		if plan.Mode == scheduling.Held {
-			if err := s.hold(ctx, plan.RetryAfter); err != nil {
+			if err := s.hold(ctx, plan); err != nil {
 				return s.givenUp(tryEnd{verdict: notRun, err: err})
 			}
 			continue
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -67,9 +67,7 @@
 // longestTurn is for how long the call may wait for its turn at a worker: as long as it can be
 // in time, or to be the next one there, while its caller is there.
 func (s *session) longestTurn(at scheduling.Candidate) time.Duration {
-	inTime := time.Duration(turnShare * float64(s.call.Route.Objective-time.Since(s.call.Arrived)))
-	left := time.Duration(turnShare * float64(s.call.patience(time.Now(), s.last)))
-	return min(max(inTime>>min(max(s.call.Priority(), 0), worker.Ranks), turnEvery(at)), left)
+	return min(max(s.longestWait(), turnEvery(at)), s.longestStay())
 }
 
 // inTurn leaves out the workers whose turn comes too late for the call, and all that take turns
--- /dev/null
+++ b/internal/dispatch/pauses.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/worker"
+)
+
+// returnSpread is the time over which refused callers come back after the end of a pause.
+const returnSpread = 500 * time.Millisecond
+
+// longestWait is for how long the call may wait for a worker: as long as it can be in time, a
+// half of that for each rank below the first, and while its caller is there.
+func (s *session) longestWait() time.Duration {
+	inTime := time.Duration(turnShare * float64(s.call.Route.Objective-time.Since(s.call.Arrived)))
+	return min(max(inTime, 0)>>min(max(s.call.Priority(), 0), worker.Ranks), s.longestStay())
+}
+
+// longestStay is the part of the time until the caller leaves for which the call may wait.
+func (s *session) longestStay() time.Duration {
+	return time.Duration(turnShare * float64(s.call.patience(time.Now(), s.last)))
+}
+
+// untilPauseEnds makes a plan that found no worker one that waits for the first whose pause ends,
+// if the call can be in time then, or else tells the caller when that is.
+func (s *session) untilPauseEnds(plan scheduling.Plan) scheduling.Plan {
+	if plan.Mode != scheduling.Refused || plan.Reason == scheduling.TooLate || plan.Reason == scheduling.Limited {
+		return plan
+	}
+	wait := s.untilUsable()
+	if wait == 0 {
+		return plan
+	}
+	plan.Reason = scheduling.Paused
+	if wait <= s.longestWait() {
+		plan.Mode, plan.RetryAfter = scheduling.Held, wait
+		return plan
+	}
+	plan.RetryAfter = wait + rand.N(returnSpread)
+	return plan
+}
+
+// untilUsable is the time until a worker that may get the call takes requests again, zero where
+// one does now or none is known to.
+func (s *session) untilUsable() time.Duration {
+	return s.registry.UsableIn(s.call.Service.Name, s.excluded, time.Now())
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -145,7 +145,7 @@
 		// Every worker has failed this call: none is left to be tried.
 		plan.Reason = scheduling.NoneIsFit
 	}
-	return s.untilTurn(plan)
+	return s.untilPauseEnds(s.untilTurn(plan))
 }
 
 // readingRegion is the region whose engines read the prompt by a plan, empty where the
@@ -166,10 +166,14 @@
 	return plan.Reader.Region
 }
 
-// hold waits for a time, less a part by chance so that nodes don't plan all at once. It ends
-// with the cause where the caller leaves before or its time is over.
-func (s *session) hold(ctx context.Context, pause time.Duration) error {
-	return s.pause(ctx, pause-rand.N(pause/2))
+// hold waits until a held plan is to be made again, less a part by chance so that nodes don't
+// plan all at once; no part of a worker's pause. It ends with the cause where the caller leaves
+// before or its time is over.
+func (s *session) hold(ctx context.Context, plan scheduling.Plan) error {
+	if plan.Reason == scheduling.Paused {
+		return s.pause(ctx, plan.RetryAfter)
+	}
+	return s.pause(ctx, plan.RetryAfter-rand.N(plan.RetryAfter/2))
 }
 
 // pause waits for a time, or until the caller leaves or its time is over, with the cause.
@@ -228,7 +232,7 @@
 	}
 	code := result.NoEngine
 	switch {
-	case plan.Reason == scheduling.TooLate, plan.Reason == scheduling.Limited:
+	case plan.Reason == scheduling.TooLate, plan.Reason == scheduling.Limited, plan.Reason == scheduling.Paused:
 		code = result.DeadlineUnreachable
 	case s.attempts > 0:
 		code = result.RetriesExhausted
@@ -249,7 +253,7 @@
 	if late(end.err) {
 		code = result.DeadlineUnreachable
 	}
-	return s.end(Outcome{Code: code, RetryAfter: retryAfterFailure, Detail: detail(end.err)})
+	return s.end(Outcome{Code: code, RetryAfter: max(retryAfterFailure, s.untilUsable()), Detail: detail(end.err)})
 }
 
 func detail(err error) string {
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -188,6 +188,8 @@
 	NoneIsFit Reason = "all workers are full"
 	// Limited requests would wait too long for the turn of a worker that takes no more.
 	Limited Reason = "the workers take no more now"
+	// Paused requests would wait too long for the end of a pause that all workers have asked for.
+	Paused Reason = "the workers have asked for a pause"
 )
 
 // Plan is the decision.
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -111,7 +111,7 @@
 		engines = append(engines, stageplan.Worker{
 			ID: known.worker.ID, Region: r.RegionOfZone(known.worker.Zone),
 			Prefill: known.stageToBe(now) == Prefill, Slots: known.worker.Slots,
-			Usable:   r.stays(known, now) && !known.breaker.Open(now),
+			Usable:   r.stays(known, now) && !known.breaker.Open(now) && !r.advisories[known.worker.ID].BacksOff(now),
 			Limited:  known.limit.Named,
 			Changing: known.isChanging(now),
 			Requests: load.Requests, ReadTokens: load.Reads.Total(), MemoryTokens: load.MemoryTokens,
@@ -124,7 +124,7 @@
 // usable reports whether a worker may get requests: it is listed and stays, or has
 // vanished or announced its end a moment ago.
 func (r *Registry) usable(known *state, now time.Time) bool {
-	if known.worker.Draining || known.isChanging(now) || r.admits(known.worker.ID, now) != nil {
+	if known.worker.Draining || known.isChanging(now) || r.admits(known.worker.ID, now) != nil || !known.recovery.admits(known.load.Requests) {
 		return false
 	}
 	return known.listed() || now.Sub(known.goneAt) < lingerFor
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -70,6 +70,7 @@
 // ObserveNotice takes in what a worker said in answer to this node, and reports whether that
 // changed anything.
 func (r *Registry) ObserveNotice(id string, said Notice, now time.Time) (NoticeChange, bool) {
+	said.Backoff = spread(said.Backoff)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.advisories[id]
@@ -81,6 +82,9 @@
 	r.advisories[id] = after
 	change := NoticeChange{Worker: Worker{ID: id}, Before: before, After: after}
 	if known, exists := r.workers[id]; exists {
+		if after.BackoffUntil != before.BackoffUntil {
+			known.recovery = recovery{window: 1}
+		}
 		change.Worker, change.Listed, change.EntryDraining = known.worker, known.listed(), known.worker.Draining
 	}
 	return change, true
@@ -96,8 +100,11 @@
 	}
 }
 
-// ErrDraining tells that a worker has announced its end, and gets nothing any more.
-var ErrDraining = eris.New("the worker has announced its end")
+// The reasons why a worker gets nothing from this node.
+var (
+	ErrDraining = eris.New("the worker has announced its end")
+	ErrBackoff  = eris.New("the worker has asked to be left alone for a time")
+)
 
 // Admits returns why a worker must get nothing from this node now, a request of a caller or
 // anything else, and nil where it may. Only its own notices count.
@@ -112,9 +119,37 @@
 	if advisory.Draining(now) && now.Sub(advisory.DrainingSince) >= lingerFor {
 		return ErrDraining
 	}
+	if advisory.BacksOff(now) {
+		return ErrBackoff
+	}
 	return nil
 }
 
+// BacksOff reports whether a worker wants nothing from this node now.
+func (r *Registry) BacksOff(id string) bool { return r.Advisory(id).BacksOff(time.Now()) }
+
+// UsableIn returns the time until one of the workers that can answer requests of a service takes
+// a further one from this node, zero where one does now or none is known to. Those excepted
+// don't count.
+func (r *Registry) UsableIn(service string, except map[string]bool, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first, found := time.Duration(0), false
+	for id, known := range r.workers {
+		if known.worker.Service != service || known.worker.Stage == Prefill || except[id] || !r.stays(known, now) || known.isChanging(now) {
+			continue
+		}
+		wait := max(r.advisories[id].BackoffUntil.Sub(now), 0)
+		if wait == 0 && !known.recovery.admits(known.load.Requests) {
+			wait = recoveryWait
+		}
+		if !found || wait < first {
+			first, found = wait, true
+		}
+	}
+	return first
+}
+
 // Advisory returns what holds of a worker by its notices.
 func (r *Registry) Advisory(id string) Advisory {
 	r.mu.Lock()
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -108,6 +108,9 @@
 func (r *Registry) Succeeded(id string, now time.Time) {
 	r.update(id, func(known *state) {
 		known.breaker.Succeeded(now)
+		if !r.advisories[id].BacksOff(now) {
+			known.recovery.served()
+		}
 	})
 }
 
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -35,6 +35,8 @@
 	// where it writes those that it fetches.
 	handles  breaker.Breaker
 	reported reportedLoad
+	// recovery bounds the requests at a worker that has asked for a pause.
+	recovery recovery
 	// limit is what the worker has said of the requests that it takes, limitVersion counts the
 	// changes of that, and turnAt is when it takes a further one.
 	limit        LimitStatement
