Nodes tell each other which workers have announced their end

An end that a node is told of goes to the homes of the worker with the next digest and twice at rest, to nodes that are heard for the first time, and in the accounts of those that ask, where such a worker is the last resort. TestAnnouncedEndIsKnownToAllNodes failed before (not seen in 20 s) and passes in 6 runs. Pauses aren't told on: a worker asks one node.

A node that hasn't read the list of workers yet keeps what it is told. In fleets of more than 20 nodes a node that is no home of a worker which isn't an engine learns by its own first answer, as of limits.

--- a/internal/digest/ask.go
+++ b/internal/digest/ask.go
@@ -43,6 +43,8 @@
 	Sent    int64    `json:"t,omitempty"`
 	// Limits are what workers have said of the requests that they take.
 	Limits map[string]limitForm `json:"lm,omitempty"`
+	// Draining are workers that have announced their end.
+	Draining []string `json:"dw,omitempty"`
 }
 
 // accountForm is a scheduling.Account in whole numbers: requests, tokens to read, those
@@ -55,6 +57,7 @@
 	flagChanging = 1 << iota
 	flagAvoid
 	flagHandleFailure
+	flagLeaving
 )
 
 // perMille is the fineness of a rate.
@@ -71,6 +74,9 @@
 	if account.HandleFailure {
 		flags |= flagHandleFailure
 	}
+	if account.Leaving {
+		flags |= flagLeaving
+	}
 	return accountForm{
 		account.Requests, account.ReadTokens, account.ReadAhead, account.MemoryTokens, account.CachedTokens,
 		flags, int(account.FailureRate * perMille), account.LateTokens,
@@ -81,7 +87,7 @@
 	return scheduling.Account{
 		Requests: f[0], ReadTokens: f[1], ReadAhead: f[2], MemoryTokens: f[3], CachedTokens: f[4],
 		Changing: f[5]&flagChanging != 0, Avoid: f[5]&flagAvoid != 0, HandleFailure: f[5]&flagHandleFailure != 0,
-		FailureRate: float64(f[6]) / perMille, LateTokens: f[7],
+		Leaving: f[5]&flagLeaving != 0, FailureRate: float64(f[6]) / perMille, LateTokens: f[7],
 	}
 }
 
@@ -273,6 +279,7 @@
 // that their sender lives.
 func (e *Exchange) takeReply(from netip.AddrPort, node string, answered reply) {
 	e.takeLimits(node, answered.Limits, time.Now())
+	e.takeDraining(node, answered.Draining, time.Now())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.peers.answered(from)
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -41,6 +41,8 @@
 	Orders map[string]int64 `json:"o,omitempty"`
 	// Limits hold, by worker, what it said to the sender of the requests that it takes.
 	Limits map[string]limitForm `json:"lm,omitempty"`
+	// Draining are workers that told the sender of their end lately.
+	Draining []string `json:"dw,omitempty"`
 	// Turns asks for, answers or reports requests to workers that take no more than so many a
 	// second; such a message holds nothing else.
 	Turns *quotaForm `json:"tn,omitempty"`
@@ -175,6 +177,7 @@
 	}
 	message.Reads = renderReads(snapshot.Reads)
 	message.Limits = renderLimits(snapshot.Limits, time.Now())
+	message.Draining = snapshot.Draining
 	return message
 }
 
--- /dev/null
+++ b/internal/digest/draining.go
@@ -0,0 +1,35 @@
+package digest
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// maxDrainingTold bounds the workers in one message: of some 30 bytes each, they stay below
+// maxDatagram.
+const maxDrainingTold = 400
+
+// takeDraining takes in which workers told another node of their end.
+func (e *Exchange) takeDraining(node string, draining []string, now time.Time) {
+	if len(draining) == 0 {
+		return
+	}
+	if unknown := e.registry.TellDraining(draining, now); len(unknown) > 0 {
+		e.log.WithFields(logrus.Fields{"node": node, "workers": unknown}).Info("another node tells that workers are about to end")
+	}
+}
+
+// shareDraining tells a node that is heard for the first time, or again, which of the workers
+// whose accounts it keeps have announced their end.
+func (e *Exchange) shareDraining(with netip.AddrPort) {
+	draining := e.registry.AnnouncedDraining()
+	e.mu.Lock()
+	draining = slices.DeleteFunc(draining, func(id string) bool { return !slices.Contains(e.peers.homes(id), with) })
+	e.mu.Unlock()
+	for part := range slices.Chunk(draining, maxDrainingTold) {
+		e.sendTo(with, Message{Node: e.node, Reply: &reply{Draining: part}})
+	}
+}
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -462,6 +462,7 @@
 		e.returned(from)
 		e.shareSuspects(from)
 		e.shareLimits(from)
+		e.shareDraining(from)
 	}
 	if first && supervises {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Info("node heard for the first time")
@@ -471,4 +472,5 @@
 	}
 	e.registry.Merge(message.Node, snapshot, now)
 	e.takeLimits(message.Node, message.Limits, now)
+	e.takeDraining(message.Node, message.Draining, now)
 }
--- a/internal/digest/subjects.go
+++ b/internal/digest/subjects.go
@@ -21,6 +21,7 @@
 	for id := range snapshot.Limits {
 		subjects = append(subjects, id)
 	}
+	subjects = append(subjects, snapshot.Draining...)
 	for _, changing := range snapshot.Changing {
 		subjects = append(subjects, changing.Worker)
 	}
--- a/internal/lab/site/notice_test.go
+++ b/internal/lab/site/notice_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+	"github.com/tinarch/tinarch/internal/settings"
 )
 
 // drainBound is how long after a worker has told a node that it is about to end a caller may
@@ -103,3 +104,18 @@
 		t.Errorf("%d of %d requests were served; other workers stay", served, len(seen.seen))
 	}
 }
+
+// TestAnnouncedEndIsKnownToAllNodes: one node's caller brought the answer.
+func TestAnnouncedEndIsKnownToAllNodes(t *testing.T) {
+	t.Parallel()
+	s := startPressed(t)
+	s.workers["portal-1"].SetLeaving(true)
+	s.await("the worker's answer tells the first node", func() bool {
+		return s.ask(http.MethodPost, "/board/1", nil, "x").header.Get("Server-Leaving") != ""
+	})
+	s.await("all nodes know", func() bool {
+		return s.node.Draining() == 1 && s.others[0].node.Draining() == 1 && s.others[1].node.Draining() == 1
+	})
+	late, _ := s.startNode("node-4", func(*settings.Routed) {})
+	s.await("a node that starts later knows", func() bool { return late.Draining() == 1 })
+}
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -84,9 +84,10 @@
 	Requests, ReadTokens, ReadAhead, LateTokens, MemoryTokens int
 	// CachedTokens is the part of the request's prompt that the worker keeps.
 	CachedTokens int
-	// Changing tells that an order to change its stage may be under way.
-	Changing, Avoid, HandleFailure bool
-	FailureRate                    float64
+	// Changing tells that an order to change its stage may be under way, and Leaving that the
+	// worker is about to end.
+	Changing, Leaving, Avoid, HandleFailure bool
+	FailureRate                             float64
 }
 
 // Holder is a worker that keeps a content.
@@ -111,6 +112,7 @@
 	c.LateTokens += account.LateTokens
 	c.MemoryTokens += account.MemoryTokens
 	c.CachedTokens = max(c.CachedTokens, account.CachedTokens)
+	c.Leaving = c.Leaving || account.Leaving
 	c.Avoid = c.Avoid || account.Avoid
 	c.HandleFailure = c.HandleFailure || account.HandleFailure
 	c.FailureRate = max(c.FailureRate, account.FailureRate)
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -190,7 +190,7 @@
 		accounts[id] = scheduling.Account{
 			Requests: load.Requests, ReadTokens: load.Reads.InTime(), ReadAhead: load.Reads.Ahead(rank),
 			LateTokens: load.Reads.Late(), MemoryTokens: load.MemoryTokens, CachedTokens: known.cache.Match(parts),
-			Changing: known.isChanging(now), Avoid: known.breaker.Open(now),
+			Changing: known.isChanging(now), Leaving: r.drains(known, now), Avoid: known.breaker.Open(now),
 			HandleFailure: known.handles.Open(now), FailureRate: known.breaker.FailureRate(now),
 		}
 	}
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -29,6 +29,8 @@
 	DemandLife time.Duration
 	// Limits are what workers said to this node lately of the requests that they take.
 	Limits map[string]LimitStatement
+	// Draining are the workers that told this node of their end lately.
+	Draining []string
 	// Touched are the workers of which anything changed since the last snapshot.
 	Touched []string
 }
@@ -63,6 +65,11 @@
 			part.Failures = append(part.Failures, id)
 		}
 	}
+	for _, id := range s.Draining {
+		if slices.Contains(workers, id) {
+			part.Draining = append(part.Draining, id)
+		}
+	}
 	for _, changing := range s.Changing {
 		if slices.Contains(workers, changing.Worker) {
 			part.Changing = append(part.Changing, changing)
@@ -89,6 +96,7 @@
 	now := time.Now()
 	snapshot.Demand, snapshot.RegionDemand = r.ownDemand(now)
 	r.tellLimits(&snapshot, now)
+	r.tellDraining(&snapshot, now)
 	for id, known := range r.busy {
 		snapshot.Loads[id] = known.load
 	}
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -80,6 +80,10 @@
 	}
 	r.dropAdvisories(now)
 	r.advisories[id] = after
+	if after.DrainingSince != before.DrainingSince {
+		r.drainingNews[id] = now.Add(drainingTold)
+		r.touch(id)
+	}
 	change := NoticeChange{Worker: Worker{ID: id}, Before: before, After: after}
 	if known, exists := r.workers[id]; exists {
 		if after.BackoffUntil != before.BackoffUntil {
@@ -90,6 +94,51 @@
 	return change, true
 }
 
+// drainingTold is for how long it is told on that a worker has announced its end, so that it is
+// told twice at rest.
+const drainingTold = 1200 * time.Millisecond
+
+// tellDraining adds to a snapshot the workers that told this node of their end lately.
+func (r *Registry) tellDraining(snapshot *Snapshot, now time.Time) {
+	for id, until := range r.drainingNews {
+		if now.After(until) {
+			delete(r.drainingNews, id)
+			continue
+		}
+		snapshot.Draining = append(snapshot.Draining, id)
+	}
+}
+
+// TellDraining takes in which workers told another node of their end, and returns those that
+// this node didn't know of. It may not have read the list of workers yet.
+func (r *Registry) TellDraining(ids []string, now time.Time) (unknown []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ids {
+		before := r.advisories[id]
+		after := before.with(Notice{Draining: true}, now)
+		if after != before {
+			r.advisories[id] = after
+			unknown = append(unknown, id)
+		}
+	}
+	return unknown
+}
+
+// AnnouncedDraining names the workers that have announced their end.
+func (r *Registry) AnnouncedDraining() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	var draining []string
+	for id, advisory := range r.advisories {
+		if advisory.Draining(now) {
+			draining = append(draining, id)
+		}
+	}
+	return draining
+}
+
 // dropAdvisories forgets what is over. Advisories outlive the entries of their workers, which
 // may vanish and come back while the store is away.
 func (r *Registry) dropAdvisories(now time.Time) {
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -94,6 +94,8 @@
 	limitChanged func(LimitChange)
 	// advisories hold, by worker, what it has said of whether it takes further requests.
 	advisories map[string]Advisory
+	// drainingNews are the workers whose end is told to others, each until a time.
+	drainingNews map[string]time.Time
 	// limitNews are the workers whose limits are told to others, each until a time.
 	limitNews map[string]time.Time
 	// generation rises whenever a worker is added or forgotten.
@@ -172,14 +174,15 @@
 		placed:   make(map[string][]string),
 		limited:  make(map[string]*state),
 
-		advisories: make(map[string]Advisory),
-		limitNews:  make(map[string]time.Time),
-		groups:     make(map[groupKey]*pace.Model),
-		steps:      make(map[string]*steps),
-		demands:    make(map[demandKey]*demand),
-		memory:     make(map[string]int),
-		touched:    make(map[string]bool),
-		changed:    make(chan struct{}, 1),
+		advisories:   make(map[string]Advisory),
+		drainingNews: make(map[string]time.Time),
+		limitNews:    make(map[string]time.Time),
+		groups:       make(map[groupKey]*pace.Model),
+		steps:        make(map[string]*steps),
+		demands:      make(map[demandKey]*demand),
+		memory:       make(map[string]int),
+		touched:      make(map[string]bool),
+		changed:      make(chan struct{}, 1),
 
 		limitChanged: func(LimitChange) {},
 	}
