A prompt that was read stays for another engine when one asks for a pause

Cause: each rejection of a run with a prompt read apart was put down to the fetch: both engines were held to account for prompts that can't be fetched, so the reader was left out of plans, and the handle was neither used nor freed.

A rejection that asks for a pause is the engine's own. The prompt is kept for the next engine that the call is planned at, and freed where there is none.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -196,7 +196,11 @@
 		if workerconn.Unsent(err) {
 			s.giveBack(again)
 		}
-		if from != nil {
+		switch {
+		case from == nil:
+		case workerconn.Withheld(err):
+			s.kept = from
+		default:
 			s.release(from.handle, from.reader)
 		}
 		return s.sendFailed(runner, err)
@@ -268,6 +272,9 @@
 		err = errMisdirected
 		s.excluded[runner.ID] = true
 		s.registry.Failed(runner.ID, time.Now())
+	case from != nil && s.registry.BacksOff(runner.ID):
+		s.kept = from // the engine has no room, whoever read the prompt
+		s.registry.Rejected(runner.ID, time.Now())
 	case from != nil:
 		err = errNoHandle
 		s.registry.HandleFailed(from.reader.ID, runner.ID, time.Now())
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -180,6 +180,7 @@
 		excluded: make(map[string]bool), failed: make(map[string]bool), turnsHeld: make(map[string]time.Time),
 		resumeAfter: call.LastEventID,
 	}
+	defer s.freeKept()
 	call.Fingerprint = call.identified()
 	d.first(call.Service.Name)
 	for {
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -129,7 +129,7 @@
 // to be planned again. The turn of the one that is to run a prompt which another reads is taken
 // first: a prompt is not read for nothing, and the wait for it passes meanwhile.
 func (s *session) takeTurns(ctx context.Context, plan scheduling.Plan) (taken bool, err error) {
-	if plan.Mode == scheduling.Whole {
+	if plan.Mode == scheduling.Whole || s.kept != nil {
 		return s.takeTurn(ctx, plan.Runner)
 	}
 	if taken, err := s.askTurn(ctx, plan.Runner); !taken || err != nil {
--- a/internal/dispatch/pauses.go
+++ b/internal/dispatch/pauses.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -42,6 +43,29 @@
 	return plan
 }
 
+// planKept plans where a prompt that was read apart and kept is to run. It reports false where
+// there is none, or no engine for it; then it is freed.
+func (s *session) planKept(ctx context.Context) (scheduling.Plan, bool) {
+	if s.kept == nil {
+		return scheduling.Plan{}, false
+	}
+	plan := s.runnerOver(ctx, s.kept.reader)
+	if plan.Mode == scheduling.Refused {
+		s.freeKept()
+		return scheduling.Plan{}, false
+	}
+	plan.Mode, plan.Reader = scheduling.Apart, s.kept.reader
+	return plan, true
+}
+
+// freeKept frees a prompt that was kept for another engine.
+func (s *session) freeKept() {
+	if s.kept != nil {
+		s.release(s.kept.handle, s.kept.reader)
+		s.kept = nil
+	}
+}
+
 // untilUsable is the time until a worker that may get the call takes requests again, zero where
 // one does now or none is known to.
 func (s *session) untilUsable() time.Duration {
--- /dev/null
+++ b/internal/dispatch/pauses_test.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/retry"
+	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/scheduling"
+	"github.com/tinarch/tinarch/internal/topology"
+	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
+)
+
+// pausingWire speaks to engines that are told what they are to do by the path.
+type pausingWire struct{ sendingWire }
+
+func (pausingWire) ForwardHeader(_ *Call, forward Forward) http.Header {
+	header := http.Header{}
+	if forward.ReadApart {
+		header.Set("Read", "1")
+	}
+	if forward.Source != nil {
+		header.Set("Source", forward.Source.ID)
+	}
+	return header
+}
+
+func (pausingWire) Reply(status int, _ http.Header) Reply {
+	return Reply{NotExecuted: status == http.StatusServiceUnavailable}
+}
+
+func (pausingWire) Release(handle Handle) *workerconn.Request {
+	return &workerconn.Request{Method: http.MethodDelete, Target: "/", Host: handle.Address}
+}
+
+// pausingMonitor takes in that an engine which rejects asks for a pause.
+type pausingMonitor struct{ registry *worker.Registry }
+
+func (m pausingMonitor) Admit(key string, _ *workerconn.Request) error {
+	return m.registry.Admits(key, time.Now())
+}
+
+func (pausingMonitor) Sending(string, *workerconn.Request) {}
+
+func (m pausingMonitor) Answered(key string, _ *workerconn.Request, status int, _ http.Header) {
+	if status == http.StatusServiceUnavailable {
+		m.registry.ObserveNotice(key, worker.Notice{Backoff: time.Hour}, time.Now())
+	}
+}
+
+// TestPromptIsNotReadTwiceForAPause: the engine that was to run it asks for one.
+func TestPromptIsNotReadTwiceForAPause(t *testing.T) {
+	var read, ran, tookOver, rejected, freed atomic.Int64
+	address := func(pauses bool) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			switch {
+			case r.Method == http.MethodDelete:
+				freed.Add(1)
+			case r.Header.Get("Read") != "":
+				read.Add(1)
+			case pauses:
+				rejected.Add(1)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			default:
+				ran.Add(1)
+				if r.Header.Get("Source") != "" {
+					tookOver.Add(1)
+				}
+				_, _ = io.WriteString(w, "id: 1\n\n")
+			}
+		}))
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	registry := worker.NewRegistry(topology.New("a", nil))
+	registry.SetMemory("llm", 1_000_000)
+	registry.Replace([]worker.Worker{
+		{ID: "read", Service: "llm", Address: address(false), Zone: "a", Slots: 8, Stage: worker.Prefill},
+		{ID: "write-1", Service: "llm", Address: address(true), Zone: "a", Slots: 8, Stage: worker.Decode},
+		{ID: "write-2", Service: "llm", Address: address(false), Zone: "a", Slots: 8, Stage: worker.Decode},
+	})
+	for id, requests := range map[string]int{"write-1": 1, "write-2": 2} { // so that the first is chosen
+		registry.Begin(id, worker.Load{Requests: requests, Reads: worker.ReadsOf(0, 400_000)})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pool := workerconn.NewPool()
+	pool.SetMonitor(pausingMonitor{registry})
+	dispatcher := New(Options{
+		Registry: registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: pool, Wire: pausingWire{},
+		Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Nodes: func() int { return 1 },
+		Retries: retry.Terms{Ratio: 1, Slack: 100, Window: time.Second},
+	})
+	now := time.Now()
+	outcome := dispatcher.Run(context.Background(), &Call{
+		ID: "1", Method: http.MethodPost, Target: "/", Header: http.Header{}, Service: &routing.Service{Name: "llm"},
+		Route:  &routing.Route{Name: "check", Kind: routing.Streaming, MaxAttempts: 2, Objective: time.Minute, Patience: time.Hour},
+		Prompt: []prefixcache.Part{{ID: 1, Tokens: 2000}}, PromptTokens: 2000, ExpectedOutput: 1, Arrived: now, Deadline: now.Add(time.Hour),
+	}, &sink{})
+	got := fmt.Sprintf("status %d, %d rejected, %d read, %d ran, %d took the prompt over, %d freed", outcome.Status, rejected.Load(), read.Load(), ran.Load(), tookOver.Load(), freed.Load())
+	if want := "status 200, 1 rejected, 1 read, 1 ran, 1 took the prompt over, 0 freed"; got != want {
+		t.Errorf("%s, want %s", got, want)
+	}
+	for _, candidate := range registry.Candidates("llm", nil, 0, now) {
+		if candidate.HandleFailure {
+			t.Errorf("%s is held to account for a prompt that couldn't be fetched", candidate.ID)
+		}
+	}
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -58,6 +58,9 @@
 	// readTaken tells that the prompt was read apart: once that costs neither an
 	// attempt nor a repeat, so it is not done again.
 	readTaken bool
+	// kept is a prompt that was read apart for the call and that no engine has taken over, since
+	// the one that was to do so asked for a pause; nil where there is none.
+	kept *source
 	// late tells that the call gives way to all that are in time.
 	late      bool
 	headGiven bool
@@ -136,6 +139,9 @@
 }
 
 func (s *session) plan(ctx context.Context) scheduling.Plan {
+	if plan, found := s.planKept(ctx); found {
+		return plan
+	}
 	plan := s.planOver(ctx, s.request())
 	s.late = plan.Late
 	if s.attempts == 0 && plan.Unread > 0 {
@@ -268,16 +274,29 @@
 	if plan.Mode == scheduling.Whole {
 		return s.run(ctx, plan.Runner, reading{unread: plan.Unread, fetch: plan.Fetch})
 	}
-	handle, end := s.readApart(ctx, plan)
-	if handle == nil {
+	from, end := s.read(ctx, plan)
+	if from == nil {
 		return end
 	}
 	runner, err := s.turnAtRunner(ctx, plan)
 	if err != nil {
-		s.release(*handle, plan.Reader)
+		s.release(from.handle, from.reader)
 		return tryEnd{verdict: notRun, worker: plan.Reader.ID, err: err}
 	}
-	return s.run(ctx, runner.Runner, reading{from: &source{handle: *handle, reader: plan.Reader}})
+	return s.run(ctx, runner.Runner, reading{from: from})
+}
+
+// read returns the call's prompt where it was read apart and kept, or has it read.
+func (s *session) read(ctx context.Context, plan scheduling.Plan) (*source, tryEnd) {
+	if from := s.kept; from != nil {
+		s.kept = nil
+		return from, tryEnd{}
+	}
+	handle, end := s.readApart(ctx, plan)
+	if handle == nil {
+		return nil, end
+	}
+	return &source{handle: *handle, reader: plan.Reader}, end
 }
 
 func (s *session) logPlan(plan scheduling.Plan) {
