Handles are freed after the pause of their engine

Found by reading what is sent to a worker: with pauses kept, a handle at an engine that has asked for one was never freed, since the connections withhold that call too, and its memory lay unused until it lapsed. The free waits for the end of the pause now, ten seconds at most.

TestHandleIsFreedAfterThePauseOfItsEngine failed before (no call came in 20 s); passes in 3 runs under the race detector.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -29,6 +29,9 @@
 	maxReadAnswer = 16 << 10
 	// releaseTimeout bounds the freeing of a handle.
 	releaseTimeout = 500 * time.Millisecond
+	// longestRelease bounds the wait for the end of the worker's pause before that; handles
+	// lapse by themselves.
+	longestRelease = 10 * time.Second
 )
 
 // source is a prompt that was read apart for this call.
@@ -170,6 +173,7 @@
 	limit := s.connectionLimit(s.call)
 	s.turns.CountTurn(reader.ID) // sent all the same: what a worker keeps for nobody weighs more
 	go func() {
+		time.Sleep(min(s.registry.Advisory(reader.ID).BackoffLeft(time.Now()), longestRelease))
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
 		answer, err := s.pool.Do(ctx, reader.ID, handle.Address, limit, s.wire.Release(handle))
--- a/internal/dispatch/pauses_test.go
+++ b/internal/dispatch/pauses_test.go
@@ -118,3 +118,23 @@
 		}
 	}
 }
+
+func TestHandleIsFreedAfterThePauseOfItsEngine(t *testing.T) {
+	freed := make(chan time.Time, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { freed <- time.Now() }))
+	defer server.Close()
+	registry := worker.NewRegistry(topology.New("a", nil))
+	pool := workerconn.NewPool()
+	pool.SetMonitor(pausingMonitor{registry})
+	s := &session{
+		Dispatcher: New(Options{Registry: registry, Pool: pool, Wire: pausingWire{}, Nodes: func() int { return 1 }}),
+		call:       &Call{Service: &routing.Service{Name: "llm"}},
+	}
+	const pause = 200 * time.Millisecond
+	asked := time.Now()
+	registry.ObserveNotice("read", worker.Notice{Backoff: pause}, asked)
+	s.release(Handle{Address: server.Listener.Addr().String(), ID: "h"}, scheduling.Candidate{ID: "read"})
+	if at := <-freed; at.Sub(asked) < pause {
+		t.Errorf("the handle was freed %v after the engine had asked for a pause of %v", at.Sub(asked), pause)
+	}
+}
--- a/internal/serving/notices.go
+++ b/internal/serving/notices.go
@@ -96,7 +96,7 @@
 	advisory := w.node.registry.Advisory(key)
 	return w.node.log.WithFields(logrus.Fields{
 		"id": request.ID, "method": request.Method, "worker": key,
-		"draining_for_ms": sinceMillis(advisory.DrainingSince, now), "backoff_ms": max(advisory.BackoffUntil.Sub(now), 0).Milliseconds(),
+		"draining_for_ms": sinceMillis(advisory.DrainingSince, now), "backoff_ms": advisory.BackoffLeft(now).Milliseconds(),
 	})
 }
 
@@ -142,7 +142,7 @@
 	}
 	w.node.log.WithFields(logrus.Fields{
 		"id": request.ID, "worker": change.Worker.ID, "service": change.Worker.Service, "status": status,
-		"draining": change.After.Draining(now), "backoff_ms": max(change.After.BackoffUntil.Sub(now), 0).Milliseconds(),
+		"draining": change.After.Draining(now), "backoff_ms": change.After.BackoffLeft(now).Milliseconds(),
 		"listed": change.Listed, "entry_draining": change.EntryDraining,
 		"workers_age_ms": w.node.knowledge().WorkersAge.Milliseconds(),
 	}).Info("worker notice")
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -35,6 +35,9 @@
 // BacksOff reports whether the worker wants nothing from this node.
 func (a Advisory) BacksOff(now time.Time) bool { return now.Before(a.BackoffUntil) }
 
+// BackoffLeft is for how much longer the worker wants nothing from this node.
+func (a Advisory) BackoffLeft(now time.Time) time.Duration { return max(a.BackoffUntil.Sub(now), 0) }
+
 // drainingLife is how long a worker counts as about to end. One that is listed for longer has
 // changed its mind, and says so again if it hasn't.
 const drainingLife = 10 * time.Minute
@@ -188,7 +191,7 @@
 		if known.worker.Service != service || known.worker.Stage == Prefill || except[id] || !r.stays(known, now) || known.isChanging(now) {
 			continue
 		}
-		wait := max(r.advisories[id].BackoffUntil.Sub(now), 0)
+		wait := r.advisories[id].BackoffLeft(now)
 		if wait == 0 && !known.recovery.admits(known.load.Requests) {
 			wait = recoveryWait
 		}
