Plain workers that ask for a pause are left alone too

The same cause elsewhere: behind routes of the product's own catalog, a plain worker that answers 503 with Retry-After got the next request after 250 ms, whatever time it named.

Reading Retry-After is plain HTTP and stands in httphead now, for both adapters; what takes notices in has a package of its own, which both kinds of node set as the monitor of their connections.

--- a/internal/lab/cluster/routes_test.go
+++ b/internal/lab/cluster/routes_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -17,13 +18,20 @@
 
 // board is a plain web application behind tinarch.
 type board struct {
-	runs    atomic.Int64
-	refuses atomic.Bool
+	runs, refused atomic.Int64
+	refuses       atomic.Bool
+	// pause is the time in seconds for which it asks to be left alone when it refuses, empty
+	// where it doesn't say.
+	pause string
 }
 
 func (b *board) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if b.refuses.Load() {
+		b.refused.Add(1)
 		writer.Header().Set(plainwire.HeaderNotRun, "1")
+		if b.pause != "" {
+			writer.Header().Set("Retry-After", b.pause)
+		}
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -32,11 +40,14 @@
 	_, _ = io.WriteString(writer, request.URL.RequestURI()+" "+string(body))
 }
 
+// pastBreaker is longer than the breaker avoids a worker that has rejected one request.
+const pastBreaker = 300 * time.Millisecond
+
 // TestPlainServicesBehindRoutes: opaque HTTP services are served by host and path
 // on tinarch's own platform, beside the interface of the models.
 func TestPlainServicesBehindRoutes(t *testing.T) {
 	c, ctx := start(t, 2, 1)
-	boards := []*board{{}, {}}
+	boards := []*board{{pause: "60"}, {}}
 	for i, b := range boards {
 		server := httptest.NewServer(b)
 		t.Cleanup(server.Close)
@@ -84,6 +95,10 @@
 		if status, body := ask(0, "match.example", "/sync/8"); status != http.StatusOK {
 			t.Errorf("%d %s", status, body)
 		}
+		time.Sleep(pastBreaker)
+	}
+	if refused := boards[0].refused.Load(); refused > 1 {
+		t.Errorf("a worker that asks to be left alone for a minute got %d further requests", refused-1)
 	}
 	if ran := boards[1].runs.Load() - before; ran != 3 {
 		t.Errorf("the other worker ran %d of 3", ran)
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -7,6 +7,7 @@
 	"github.com/tinarch/tinarch/internal/catalog"
 	"github.com/tinarch/tinarch/internal/dispatch"
 	"github.com/tinarch/tinarch/internal/front"
+	"github.com/tinarch/tinarch/internal/notices"
 	"github.com/tinarch/tinarch/internal/plainwire"
 	"github.com/tinarch/tinarch/internal/platform/machines"
 	"github.com/tinarch/tinarch/internal/retry"
@@ -31,6 +32,10 @@
 func (n *Node) buildRoutes() {
 	registry := worker.NewRegistry(topology.New(n.self.Zone, nil))
 	pool := workerconn.NewPool()
+	pool.SetMonitor(notices.New(notices.Options{
+		Registry: registry, Read: plainwire.Wire{}.Notice, Log: n.options.Log, Metrics: n.registry,
+		ListAge: func() time.Duration { return 0 }, // the list is followed without a version
+	}))
 	dispatcher := dispatch.New(dispatch.Options{
 		Registry: registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: pool,
 		Wire: plainwire.Wire{}, Log: n.options.Log, Metrics: dispatch.NewMetrics(n.registry),
--- a/internal/serving/notices.go
+++ b/internal/notices/notices.go
@@ -1,4 +1,6 @@
-package serving
+// Package notices takes in what workers say, in answers to whatever they were sent, of whether
+// they take further requests, and withholds what they don't take.
+package notices
 
 import (
 	"net/http"
@@ -12,20 +14,30 @@
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
-// noticeLogEvery is the least time between two lines on notices of one worker: a worker that
+// logEvery is the least time between two lines on notices of one worker: a worker that
 // is full may ask for another pause in each of its answers.
-const noticeLogEvery = time.Second
+const logEvery = time.Second
 
 // The labels of notices.
 const (
-	noticeDraining = "draining"
-	noticeBackoff  = "backoff"
+	labelDraining = "draining"
+	labelBackoff  = "backoff"
 )
 
-// notices takes in what workers say of whether they take further requests, in answers to
-// whatever they were sent. It is the connections' monitor.
-type notices struct {
-	node      *Node
+// Options are what a monitor works with.
+type Options struct {
+	Registry *worker.Registry
+	// Read reads the head of an answer.
+	Read func(status int, header http.Header) worker.Notice
+	// ListAge is how old the list of workers is, for the log.
+	ListAge func() time.Duration
+	Log     *logrus.Logger
+	Metrics prometheus.Registerer
+}
+
+// Monitor implements workerconn.Monitor. It is safe for concurrent use.
+type Monitor struct {
+	options   Options
 	changes   *prometheus.CounterVec
 	malformed prometheus.Counter
 	despite   *prometheus.CounterVec
@@ -36,10 +48,10 @@
 	logged map[string]time.Time
 }
 
-// watchNotices has notices of workers taken in, logged and counted.
-func (n *Node) watchNotices(registry prometheus.Registerer) {
-	w := &notices{
-		node: n, logged: make(map[string]time.Time),
+// New returns a monitor.
+func New(options Options) *Monitor {
+	m := &Monitor{
+		options: options, logged: make(map[string]time.Time),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tinarch_worker_notices_total", Help: "Notices by which workers changed whether they take further requests.",
 		}, []string{"notice"}),
@@ -50,51 +62,51 @@
 			Name: "tinarch_worker_requests_despite_notice_total", Help: "Requests of any kind sent to a worker that had said it takes none.",
 		}, []string{"notice"}),
 	}
-	w.withheld = prometheus.NewCounter(prometheus.CounterOpts{
+	m.withheld = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tinarch_worker_requests_withheld_total", Help: "Requests of any kind kept from a worker that takes none, after they were meant for it.",
 	})
-	registry.MustRegister(w.changes, w.malformed, w.despite, w.withheld,
+	options.Metrics.MustRegister(m.changes, m.malformed, m.despite, m.withheld,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "tinarch_workers_announced_draining", Help: "Workers that have said in answers that they are about to end.",
-		}, func() float64 { draining, _ := n.registry.CountAdvised(time.Now()); return float64(draining) }),
+		}, func() float64 { draining, _ := options.Registry.CountAdvised(time.Now()); return float64(draining) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "tinarch_workers_backing_off", Help: "Workers that want nothing from this node now.",
-		}, func() float64 { _, backingOff := n.registry.CountAdvised(time.Now()); return float64(backingOff) }))
-	n.pool.SetMonitor(w)
+		}, func() float64 { _, backingOff := options.Registry.CountAdvised(time.Now()); return float64(backingOff) }))
+	return m
 }
 
 // Admit implements workerconn.Monitor.
-func (w *notices) Admit(key string, request *workerconn.Request) error {
+func (m *Monitor) Admit(key string, request *workerconn.Request) error {
 	now := time.Now()
-	err := w.node.registry.Admits(key, now)
+	err := m.options.Registry.Admits(key, now)
 	if err == nil {
 		return nil
 	}
-	w.withheld.Inc()
-	w.logRequest(key, request, now).WithField("cause", err.Error()).Info("kept from a worker that takes no requests")
+	m.withheld.Inc()
+	m.logRequest(key, request, now).WithField("cause", err.Error()).Info("kept from a worker that takes no requests")
 	return err
 }
 
 // Sending implements workerconn.Monitor.
-func (w *notices) Sending(key string, request *workerconn.Request) {
+func (m *Monitor) Sending(key string, request *workerconn.Request) {
 	now := time.Now()
-	advisory := w.node.registry.Advisory(key)
+	advisory := m.options.Registry.Advisory(key)
 	if advisory.Over(now) {
 		return
 	}
 	if advisory.Draining(now) {
-		w.despite.WithLabelValues(noticeDraining).Inc()
+		m.despite.WithLabelValues(labelDraining).Inc()
 	}
 	if advisory.BacksOff(now) {
-		w.despite.WithLabelValues(noticeBackoff).Inc()
+		m.despite.WithLabelValues(labelBackoff).Inc()
 	}
-	w.logRequest(key, request, now).Warn("sent to a worker that had said it takes no requests")
+	m.logRequest(key, request, now).Warn("sent to a worker that had said it takes no requests")
 }
 
 // logRequest is the log with a request and the notices of its worker.
-func (w *notices) logRequest(key string, request *workerconn.Request, now time.Time) *logrus.Entry {
-	advisory := w.node.registry.Advisory(key)
-	return w.node.log.WithFields(logrus.Fields{
+func (m *Monitor) logRequest(key string, request *workerconn.Request, now time.Time) *logrus.Entry {
+	advisory := m.options.Registry.Advisory(key)
+	return m.options.Log.WithFields(logrus.Fields{
 		"id": request.ID, "method": request.Method, "worker": key,
 		"draining_for_ms": sinceMillis(advisory.DrainingSince, now), "backoff_ms": advisory.BackoffLeft(now).Milliseconds(),
 	})
@@ -109,57 +121,57 @@
 }
 
 // Answered implements workerconn.Monitor.
-func (w *notices) Answered(key string, request *workerconn.Request, status int, header http.Header) {
-	said := w.node.platform.Notice(status, header)
+func (m *Monitor) Answered(key string, request *workerconn.Request, status int, header http.Header) {
+	said := m.options.Read(status, header)
 	now := time.Now()
 	if said.Malformed != "" {
-		w.malformed.Inc()
-		if w.due(key, now) {
-			w.node.log.WithFields(logrus.Fields{"id": request.ID, "worker": key, "status": status, "notice": said.Malformed}).
+		m.malformed.Inc()
+		if m.due(key, now) {
+			m.options.Log.WithFields(logrus.Fields{"id": request.ID, "worker": key, "status": status, "notice": said.Malformed}).
 				Warn("a notice of a worker can't be read; what it said before holds")
 		}
 	}
 	if said == (worker.Notice{Malformed: said.Malformed}) {
 		return
 	}
-	if change, changed := w.node.registry.ObserveNotice(key, said, now); changed {
-		w.changed(change, request, status, now)
+	if change, changed := m.options.Registry.ObserveNotice(key, said, now); changed {
+		m.changed(change, request, status, now)
 	}
 }
 
 // changed counts and logs a change. A worker that asks for a longer pause while one holds is
 // logged now and then.
-func (w *notices) changed(change worker.NoticeChange, request *workerconn.Request, status int, now time.Time) {
+func (m *Monitor) changed(change worker.NoticeChange, request *workerconn.Request, status int, now time.Time) {
 	drains := change.After.DrainingSince != change.Before.DrainingSince
 	if drains {
-		w.changes.WithLabelValues(noticeDraining).Inc()
+		m.changes.WithLabelValues(labelDraining).Inc()
 	}
 	if change.After.BackoffUntil != change.Before.BackoffUntil {
-		w.changes.WithLabelValues(noticeBackoff).Inc()
+		m.changes.WithLabelValues(labelBackoff).Inc()
 	}
-	if !w.due(change.Worker.ID, now) && !drains {
+	if !m.due(change.Worker.ID, now) && !drains {
 		return
 	}
-	w.node.log.WithFields(logrus.Fields{
+	m.options.Log.WithFields(logrus.Fields{
 		"id": request.ID, "worker": change.Worker.ID, "service": change.Worker.Service, "status": status,
 		"draining": change.After.Draining(now), "backoff_ms": change.After.BackoffLeft(now).Milliseconds(),
 		"listed": change.Listed, "entry_draining": change.EntryDraining,
-		"workers_age_ms": w.node.knowledge().WorkersAge.Milliseconds(),
+		"workers_age_ms": m.options.ListAge().Milliseconds(),
 	}).Info("worker notice")
 }
 
 // due reports whether a line on a worker may be written.
-func (w *notices) due(id string, now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for other, at := range w.logged {
-		if now.Sub(at) >= noticeLogEvery {
-			delete(w.logged, other)
+func (m *Monitor) due(id string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for other, at := range m.logged {
+		if now.Sub(at) >= logEvery {
+			delete(m.logged, other)
 		}
 	}
-	if _, recent := w.logged[id]; recent {
+	if _, recent := m.logged[id]; recent {
 		return false
 	}
-	w.logged[id] = now
+	m.logged[id] = now
 	return true
 }
--- a/internal/plainwire/plainwire.go
+++ b/internal/plainwire/plainwire.go
@@ -13,6 +13,7 @@
 	"github.com/tinarch/tinarch/internal/dispatch"
 	"github.com/tinarch/tinarch/internal/engine"
 	"github.com/tinarch/tinarch/internal/httphead"
+	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
@@ -84,6 +85,16 @@
 	}
 }
 
+// Notice reads what the head of an answer says of whether its worker takes further requests: the
+// pause that it asks for.
+func (Wire) Notice(status int, header http.Header) worker.Notice {
+	if !httphead.AsksForPause(status) {
+		return worker.Notice{}
+	}
+	pause, malformed := httphead.RetryAfter(header)
+	return worker.Notice{Backoff: pause, Malformed: malformed}
+}
+
 // Handle implements dispatch.Wire: plain workers read no prompts apart.
 func (Wire) Handle(string, []byte) (dispatch.Handle, error) {
 	return dispatch.Handle{}, eris.New("plain workers read no prompts apart")
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -23,6 +23,7 @@
 	"github.com/tinarch/tinarch/internal/engine"
 	"github.com/tinarch/tinarch/internal/fleetsize"
 	"github.com/tinarch/tinarch/internal/front"
+	"github.com/tinarch/tinarch/internal/notices"
 	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/retry"
@@ -151,7 +152,10 @@
 	exchange.SetPlaces(placesOf(configured))
 	exchange.SetMetrics(digest.NewMetrics(metrics))
 	n.watchLimits(metrics)
-	n.watchNotices(metrics)
+	n.pool.SetMonitor(notices.New(notices.Options{
+		Registry: n.registry, Read: platform.Notice, Log: log, Metrics: metrics,
+		ListAge: func() time.Duration { return n.knowledge().WorkersAge },
+	}))
 	n.countUsage()
 	quotas := n.keepQuotas(metrics)
 	n.shareTables()
