What a worker said ends where its name moves to another address

Workers of the product's own machine list keep their names over restarts and tell no birth, so a pause of an hour would have held for the next start. A name that is listed at another address is another start. Found by reading; TestAdvisoryEndsWhereAWorkerWithoutABirthMoves failed before.

--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -131,6 +131,9 @@
 	known, exists := r.workers[worker.ID]
 	if exists && (known.listed() || now.Sub(known.goneAt) < forgetAfter) {
 		changed := known.worker != worker || !known.listed()
+		if known.worker.Address != worker.Address {
+			delete(r.advisories, worker.ID) // another start of a worker that doesn't tell its birth
+		}
 		known.worker = worker
 		known.goneAt = time.Time{}
 		delete(r.gone, worker.ID)
--- a/internal/worker/notice_test.go
+++ b/internal/worker/notice_test.go
@@ -86,3 +86,14 @@
 		t.Error("an entry that comes back takes the worker's own word back")
 	}
 }
+
+func TestAdvisoryEndsWhereAWorkerWithoutABirthMoves(t *testing.T) {
+	r := NewRegistry(topology.Map{})
+	now := time.Now()
+	r.ReplaceAt([]Worker{{ID: "w", Service: "s", Address: "127.0.0.1:1"}}, now)
+	r.ObserveNotice("w", Notice{Backoff: time.Hour}, now)
+	r.ReplaceAt([]Worker{{ID: "w", Service: "s", Address: "127.0.0.1:2"}}, now)
+	if r.Admits("w", now) != nil {
+		t.Error("a worker at another address is kept from requests by the word of the one before")
+	}
+}
