The soak learns workers that announce their end or ask for a pause

Checked by the workers' own counts: what callers sent later than 2 s after their node had passed an end on, and what reaches a worker from a node within a pause. A restart, a pause or a cut of the node or the way since then excuses it.

--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -22,6 +22,7 @@
 	Quotas   bool   `arg:"--quotas" help:"give one tenant a limit, and check that it holds"`
 	Poison   bool   `arg:"--poison" help:"one caller sends a request that ends each worker which runs it"`
 	Limits   bool   `arg:"--limits" help:"workers name how many requests they take, and it is checked what they get"`
+	Notices  bool   `arg:"--notices" help:"workers say that they are about to end or want a pause, and it is checked what they get"`
 	Logs     string `arg:"--logs" help:"directory for settings and logs (default: a new one, kept only where a promise broke)"`
 	Verbose  bool   `arg:"--verbose" help:"print each fault"`
 	Out      string `arg:"--out" help:"store the reports as JSON"`
@@ -62,13 +63,13 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
-		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits,
+		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits, Notices: c.Notices,
 	})
 	if err != nil {
 		return nil, err
 	}
-	fmt.Printf("seed %d (unfenced %v): %d requests, %d served, %d of %d in the quiet time, %d starts, %d workers ended, %d limits, %v, %d promises broken\n",
-		seed, report.Unfenced, report.Sent, report.Served, report.QuietServed, report.QuietSent, report.Starts, report.Ended, report.Limited, report.Statuses, len(report.Broken))
+	fmt.Printf("seed %d (unfenced %v): %d requests, %d served, %d of %d in the quiet time, %d starts, %d workers ended, %d limits, %d announced ends, %d pauses, %v, %d promises broken\n",
+		seed, report.Unfenced, report.Sent, report.Served, report.QuietServed, report.QuietSent, report.Starts, report.Ended, report.Limited, report.Leaving, report.Paused, report.Statuses, len(report.Broken))
 	for _, line := range report.Broken {
 		fmt.Println("  broken:", line)
 	}
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -28,6 +28,9 @@
 	if s.options.Limits {
 		kinds = append(kinds, s.nameLimit, s.nameLimit, s.nameLimit, s.nameLimit)
 	}
+	if s.options.Notices {
+		kinds = append(kinds, s.announceEnd, s.announceEnd, s.askForPause, s.askForPause, s.askForPause)
+	}
 	if s.options.Unfenced {
 		kinds = append(kinds, s.lateOrders, s.lateAPI, s.pauseNode)
 	}
@@ -53,6 +56,7 @@
 		worker.SetLateOrders(0)
 		worker.proxy.SetMode(Pass)
 		worker.SetFault(fleetworker.Sound, 0)
+		worker.SetPause("")
 		s.list(worker, "ready")
 	}
 	for _, node := range s.nodes {
--- a/internal/lab/soak/limits.go
+++ b/internal/lab/soak/limits.go
@@ -50,6 +50,8 @@
 	mu     sync.Mutex
 	named  []limitSpan
 	harmed map[string][]span
+	// cut are the same times without limitCalm.
+	cut map[string][]span
 }
 
 // name has a worker name a limit from now on, none where it is zero.
@@ -76,8 +78,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.harmed == nil {
-		l.harmed = make(map[string][]span)
+		l.harmed, l.cut = make(map[string][]span), make(map[string][]span)
 	}
+	l.cut[name] = append(l.cut[name], span{from: from, to: to.Add(thawSlack)})
 	l.harmed[name] = append(l.harmed[name], span{from: from, to: to.Add(limitCalm)})
 }
 
@@ -113,10 +116,11 @@
 // via tells through which node each request came, and when its caller had the head of its
 // answer.
 type via struct {
-	node     string
-	answered time.Time
-	worker   string
-	limited  bool
+	node           string
+	sent, answered time.Time
+	worker         string
+	// limited tells that the answer named a limit, and leaving that its worker was about to end.
+	limited, leaving bool
 }
 
 // problems returns the limits that were exceeded: each arrival counts whose node has passed on
@@ -173,8 +177,9 @@
 	requests := make(map[string]via, len(l.seen))
 	for _, got := range l.seen {
 		requests[got.id] = via{
-			node: got.node, answered: got.answered,
+			node: got.node, sent: got.sent, answered: got.answered,
 			worker: got.header.Get("X-Instance-Id"), limited: got.header.Get("Server-Limit") != "",
+			leaving: got.header.Get("Server-Leaving") != "",
 		}
 	}
 	return requests
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -27,6 +27,10 @@
 	Ended int `json:"ended,omitempty"`
 	// Limited counts the limits that workers named.
 	Limited int `json:"limited,omitempty"`
+	// Leaving counts the workers that said they were about to end, and Paused those that asked
+	// for a pause, each time.
+	Leaving int `json:"leaving,omitempty"`
+	Paused  int `json:"paused,omitempty"`
 	// Windows counts the windows of usage that were reported.
 	Windows  int            `json:"windows"`
 	Statuses map[string]int `json:"statuses"`
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -41,6 +41,8 @@
 	Poison bool
 	// Limits has workers name how many requests they take, and checks what they get.
 	Limits bool
+	// Notices has workers say that they are about to end or want a pause, and checks what they get.
+	Notices bool
 }
 
 // The size of a soak.
@@ -81,6 +83,7 @@
 	callers []string
 	poison  poison
 	limits  limits
+	notices notices
 	started time.Time
 
 	mu sync.Mutex
@@ -93,7 +96,10 @@
 // soakWorker is a worker with the proxy that its entry names.
 type soakWorker struct {
 	*fleetworker.Worker
-	proxy *Proxy
+	options fleetworker.Options
+	proxy   *Proxy
+	// leaving workers say that they are about to end.
+	leaving atomic.Bool
 	// state is that of its entry.
 	state atomic.Pointer[string]
 	// ended workers have no entry any more.
@@ -129,7 +135,9 @@
 		report.Broken = append(report.Broken, overQuota(s.allRuns(), tenantOf(limitedTenant), tenantLimit, quotaTolerance)...)
 	}
 	report.Broken = append(report.Broken, s.limits.problems(s.everyWorker(), load.vias())...)
+	report.Broken = append(report.Broken, s.noticeProblems(load.vias())...)
 	report.Limited = len(s.limits.named)
+	report.Leaving, report.Paused = s.notices.counted()
 	report.Ended = len(s.fallenWorkers())
 	report.Broken = append(report.Broken, s.poison.problems(s.allRuns())...)
 	report.Windows = len(s.api.Reports())
@@ -194,7 +202,7 @@
 		options.Crashed = func(*fleetworker.Worker) { s.fall(worker, options) }
 	}
 	options.Staged = func(*fleetworker.Worker) { s.relist(worker) }
-	worker.Worker = fleetworker.Start(options)
+	worker.Worker, worker.options = fleetworker.Start(options), options
 	proxy, err := StartProxy(worker.Address())
 	if err != nil {
 		worker.Close()
