--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -186,6 +186,9 @@
 func (r *Registry) UsableIn(service string, except map[string]bool, now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.advisories) == 0 {
+		return 0 // not worth a look at each worker of a large fleet
+	}
 	first, found := time.Duration(0), false
 	for id, known := range r.workers {
 		if known.worker.Service != service || known.worker.Stage == Prefill || except[id] || !r.stays(known, now) || known.isChanging(now) {
