The soak's replaced workers have ids of their own

Traced: a worker that replaces one that has ended was named by its service and a number, so it could get the id of one that stands or stood, at another address; the nodes took it for a new start, rightly, and the check didn't. Workers of the platform never get an earlier one's id.

--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -114,7 +114,7 @@
 	go func() {
 		time.Sleep(fallenFor)
 		s.store.Put("servers", options.ID, nil)
-		options.ID = fmt.Sprintf("%s-%d", options.Service, number)
+		options.ID = fmt.Sprintf("%s-new-%d", options.Service, number)
 		if err := s.addWorker(options); err != nil {
 			_, _ = fmt.Fprintln(s.options.Out, "a worker can't be replaced:", err)
 		}
