The least rate of requests to a worker with a limit has one value

It stood in digest (0.1 a second, at which turns are given) and in dispatch (0.01, by which the time between two turns was reckoned): a call to a worker that takes none would have been told 100 s until its turn where there is one each 10 s. Both use worker.LeastRate now. Tests of worker, digest and dispatch pass.

--- a/internal/digest/turns.go
+++ b/internal/digest/turns.go
@@ -21,9 +21,6 @@
 	turnKeepers = quotaKeeperCount
 	// turnBurst is how many requests a worker takes at once that got none for a while.
 	turnBurst = 1
-	// leastTurns are the requests a second that a worker gets which takes fewer, or none: its
-	// answer to one tells that it takes more again.
-	leastTurns = 0.1
 	// tellSlack is by how much earlier than told a worker may have been asked: the longest way
 	// of a message between two nodes as a rule.
 	tellSlack = 50 * time.Millisecond
@@ -164,7 +161,7 @@
 }
 
 func limitOf(perSecond float64) quota.Limit {
-	return quota.Limit{Rate: max(perSecond, leastTurns), Burst: turnBurst, Unit: quota.Requests}
+	return quota.Limit{Rate: max(perSecond, worker.LeastRate), Burst: turnBurst, Unit: quota.Requests}
 }
 
 // apply puts the limit that is known here in the place of the one that a report tells: versions
--- a/internal/digest/turns_test.go
+++ b/internal/digest/turns_test.go
@@ -29,7 +29,7 @@
 }
 
 // hourly is a limit that hardly comes back within a test.
-const hourly = leastTurns
+const hourly = worker.LeastRate
 
 // TestTurnsHoldOverAllNodes that were told of the limit by one.
 func TestTurnsHoldOverAllNodes(t *testing.T) {
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -58,12 +58,9 @@
 
 // turnEvery is the time between two turns at a worker.
 func turnEvery(at scheduling.Candidate) time.Duration {
-	return time.Duration(float64(time.Second) / max(at.PerSecond, leastTurns))
+	return time.Duration(float64(time.Second) / max(at.PerSecond, worker.LeastRate))
 }
 
-// leastTurns keeps that time finite, in requests a second.
-const leastTurns = 0.01
-
 // longestTurn is for how long the call may wait for its turn at a worker: as long as it can be
 // in time, or to be the next one there, while its caller is there.
 func (s *session) longestTurn(at scheduling.Candidate) time.Duration {
@@ -113,7 +110,7 @@
 	if d.returning[service].After(at) {
 		at = d.returning[service]
 	}
-	every := time.Duration(float64(time.Second) * float64(max(d.nodes(), 1)) / max(perSecond, leastTurns))
+	every := time.Duration(float64(time.Second) * float64(max(d.nodes(), 1)) / max(perSecond, worker.LeastRate))
 	d.returning[service] = earlier(at.Add(every), now.Add(longestReturn))
 	return min(at.Sub(now), longestReturn)
 }
--- a/internal/worker/limit.go
+++ b/internal/worker/limit.go
@@ -18,6 +18,10 @@
 	Sent, Heard time.Time
 }
 
+// LeastRate are the requests a second that a worker gets which takes fewer, or none: its answer to
+// one tells that it takes more again.
+const LeastRate = 0.1
+
 // rate is the statement's limit, infinite where it names none.
 func (s LimitStatement) rate() float64 {
 	if s.Named {
