A few calls wait for the end of a pause although they will be late

A caller whose only workers have asked for a pause of a second or two was refused, came back within a third of its time, and was refused again, though it would have waited: pauses are longer than most objectives. Now eight calls of a service at each node wait for up to 0.6 of the time for which their callers stay. More would wait in vain, since a worker that has asked for a pause gets one request, then two, then four; those are refused at once and told when, as before.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -49,6 +49,9 @@
 	budgets map[string]*retry.Budget
 	// returning is, by service, until when turns are promised to callers that were refused one.
 	returning map[string]time.Time
+	// lateWaiters counts, by service, the calls that wait for the end of a pause although they
+	// will be late.
+	lateWaiters map[string]int
 }
 
 // Options are what a dispatcher works with.
@@ -118,24 +121,25 @@
 		turns = options.Turns
 	}
 	return &Dispatcher{
-		quarantine: quarantined,
-		turns:      turns,
-		began:      began,
-		repeated:   repeated,
-		returned:   returned,
-		knowledge:  knowledge,
-		registry:   options.Registry,
-		scheduler:  options.Scheduler,
-		pool:       options.Pool,
-		wire:       options.Wire,
-		log:        options.Log,
-		metrics:    options.Metrics,
-		nodes:      options.Nodes,
-		accounts:   options.Accounts,
-		terms:      options.Retries,
-		endings:    newEndings(options.Registry.Drains, quarantined, options.Log, options.Metrics),
-		budgets:    make(map[string]*retry.Budget),
-		returning:  make(map[string]time.Time),
+		quarantine:  quarantined,
+		turns:       turns,
+		began:       began,
+		repeated:    repeated,
+		returned:    returned,
+		knowledge:   knowledge,
+		registry:    options.Registry,
+		scheduler:   options.Scheduler,
+		pool:        options.Pool,
+		wire:        options.Wire,
+		log:         options.Log,
+		metrics:     options.Metrics,
+		nodes:       options.Nodes,
+		accounts:    options.Accounts,
+		terms:       options.Retries,
+		endings:     newEndings(options.Registry.Drains, quarantined, options.Log, options.Metrics),
+		budgets:     make(map[string]*retry.Budget),
+		returning:   make(map[string]time.Time),
+		lateWaiters: make(map[string]int),
 	}
 }
 
@@ -181,6 +185,7 @@
 		resumeAfter: call.LastEventID,
 	}
 	defer s.freeKept()
+	defer s.endLateWait()
 	call.Fingerprint = call.identified()
 	d.first(call.Service.Name)
 	for {
--- a/internal/dispatch/pauses.go
+++ b/internal/dispatch/pauses.go
@@ -9,8 +9,14 @@
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
-// returnSpread is the time over which refused callers come back after the end of a pause.
-const returnSpread = 500 * time.Millisecond
+const (
+	// returnSpread is the time over which refused callers come back after the end of a pause.
+	returnSpread = 500 * time.Millisecond
+	// maxLateWaiters is how many calls of a service wait at a node for the end of a pause
+	// although they will be late: about as many as its workers take in their first steps after
+	// it. More would wait in vain.
+	maxLateWaiters = 8
+)
 
 // longestWait is for how long the call may wait for a worker: as long as it can be in time, a
 // half of that for each rank below the first, and while its caller is there.
@@ -25,7 +31,8 @@
 }
 
 // untilPauseEnds makes a plan that found no worker one that waits for the first whose pause ends,
-// if the call can be in time then, or else tells the caller when that is.
+// if the call can be in time then, or is one of a few whose callers are still there. Else it tells
+// the caller when that is.
 func (s *session) untilPauseEnds(plan scheduling.Plan) scheduling.Plan {
 	if plan.Mode != scheduling.Refused || plan.Reason == scheduling.TooLate || plan.Reason == scheduling.Limited {
 		return plan
@@ -35,7 +42,7 @@
 		return plan
 	}
 	plan.Reason = scheduling.Paused
-	if wait <= s.longestWait() {
+	if wait <= s.longestWait() || wait <= s.longestStay() && s.waitsLate() {
 		plan.Mode, plan.RetryAfter = scheduling.Held, wait
 		return plan
 	}
@@ -43,6 +50,37 @@
 	return plan
 }
 
+// waitsLate reports whether the call is one of the few that wait for a pause that ends too late
+// for them to be in time.
+func (s *session) waitsLate() bool {
+	if s.lateWaiter {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	service := s.call.Service.Name
+	if s.lateWaiters[service] >= maxLateWaiters {
+		return false
+	}
+	s.lateWaiters[service]++
+	s.lateWaiter = true
+	return true
+}
+
+// endLateWait makes room for another call that waits late.
+func (s *session) endLateWait() {
+	if !s.lateWaiter {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	service := s.call.Service.Name
+	s.lateWaiters[service]--
+	if s.lateWaiters[service] == 0 {
+		delete(s.lateWaiters, service)
+	}
+}
+
 // planKept plans where a prompt that was read apart and kept is to run. It reports false where
 // there is none, or no engine for it; then it is freed.
 func (s *session) planKept(ctx context.Context) (scheduling.Plan, bool) {
--- a/internal/dispatch/pauses_test.go
+++ b/internal/dispatch/pauses_test.go
@@ -138,3 +138,42 @@
 		t.Errorf("the handle was freed %v after the engine had asked for a pause of %v", at.Sub(asked), pause)
 	}
 }
+
+func TestFewCallsWaitForAPauseThatEndsTooLate(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	defer server.Close()
+	registry := worker.NewRegistry(topology.New("a", nil))
+	registry.Replace([]worker.Worker{{ID: "w", Service: "s", Address: server.Listener.Addr().String(), Zone: "a", Slots: 8}})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	dispatcher := New(Options{
+		Registry: registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: workerconn.NewPool(), Wire: pausingWire{},
+		Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Nodes: func() int { return 1 },
+	})
+	const pause = 300 * time.Millisecond
+	registry.ObserveNotice("w", worker.Notice{Backoff: pause}, time.Now())
+	outcomes := make(chan Outcome)
+	const calls = maxLateWaiters + 3
+	for range calls {
+		go func() {
+			now := time.Now()
+			outcomes <- dispatcher.Run(context.Background(), &Call{
+				Method: http.MethodPost, Target: "/", Header: http.Header{}, Service: &routing.Service{Name: "s"},
+				Route:   &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 1, Objective: pause / 10},
+				Arrived: now, Deadline: now.Add(time.Minute),
+			}, &sink{})
+		}()
+	}
+	served := 0
+	for range calls {
+		outcome := <-outcomes
+		if outcome.Status == http.StatusOK {
+			served++
+		} else if served > 0 || outcome.RetryAfter <= 0 {
+			t.Errorf("%+v: calls that can't wait are refused at once", outcome)
+		}
+	}
+	if served != maxLateWaiters {
+		t.Errorf("%d calls were served after the pause, want %d", served, maxLateWaiters)
+	}
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -61,6 +61,9 @@
 	// kept is a prompt that was read apart for the call and that no engine has taken over, since
 	// the one that was to do so asked for a pause; nil where there is none.
 	kept *source
+	// lateWaiter tells that the call is one of those that wait for the end of a pause although
+	// they will be late.
+	lateWaiter bool
 	// late tells that the call gives way to all that are in time.
 	late      bool
 	headGiven bool
