Meters forget accounts that nobody uses any more

It drops those that were neither used nor asked for in three times the life of keepers' accounts: by then all keepers have forgotten the node's counters, so that these may begin at zero again.

--- a/internal/digest/quota_reports.go
+++ b/internal/digest/quota_reports.go
@@ -114,6 +114,7 @@
 
 func (q *quotaExchange) forget(now time.Time) {
 	q.keeper.Forget(now)
+	q.meter.Forget(now)
 	for address, heard := range q.heard {
 		if now.Sub(heard) > quota.IdleLife {
 			delete(q.heard, address)
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -26,13 +26,18 @@
 	changed map[string]bool
 }
 
+// meterLife is how long an account is kept without use: until all keepers have forgotten this
+// node's counters of it, which begin at zero then.
+const meterLife = 3 * IdleLife
+
 // metered is this node's use of one account.
 type metered struct {
 	counters Counters
 	limit    Limit
 	version  uint64
-	// begun is when the present use began, before its net then, and used when it last rose.
-	begun, used time.Time
+	// begun is when the present use began, before its net then, and used when it last rose;
+	// asked is when a request was last asked for.
+	begun, used, asked time.Time
 	before      float64
 	// share is this node's part of the recent use as a keeper told it at shareAt, zero where
 	// none has.
@@ -57,6 +62,7 @@
 		a = &metered{}
 		m.accounts[name] = a
 	}
+	a.asked = now
 	if now.Sub(a.used) > pauseAfter {
 		a.begun, a.before = now, a.counters.Net()
 	}
@@ -183,6 +189,16 @@
 	return names
 }
 
+// Forget drops the accounts that were neither used nor asked for in a long time.
+func (m *Meter) Forget(now time.Time) {
+	for name, a := range m.accounts {
+		if now.Sub(a.used) > meterLife && now.Sub(a.asked) > meterLife {
+			delete(m.accounts, name)
+			delete(m.changed, name)
+		}
+	}
+}
+
 // Repeated returns the accounts that are to be reported at rest.
 func (m *Meter) Repeated(now time.Time) []string {
 	var names []string
