The log of limits forgets workers that have ended

One map now, whose entries go after a minute. TestLimitLogForgetsWorkersThatHaveEnded; before, the worker stayed (its entry was dropped only without such changes).

--- a/internal/serving/limits.go
+++ b/internal/serving/limits.go
@@ -15,6 +15,9 @@
 // another one in each of its answers.
 const limitLogEvery = time.Second
 
+// limitLogLife is how long changes without a line are remembered of a worker that names no other.
+const limitLogLife = time.Minute
+
 // turnTolerance is what a worker that names a limit bears beyond it: half as much again in four
 // seconds, and five requests. Nodes aim at the limit itself; this pays for what they send while
 // they can't hear each other. Nobody waits for a turn for longer than Ahead.
@@ -26,9 +29,13 @@
 	changes *prometheus.CounterVec
 
 	mu sync.Mutex
-	// logged is when a line was written on a worker, and passedOver counts the changes since.
-	logged     map[string]time.Time
-	passedOver map[string]int
+	logged map[string]limitLogged
+}
+
+// limitLogged is when a line was written on a worker, and how many changes had none since.
+type limitLogged struct {
+	at         time.Time
+	passedOver int
 }
 
 // The labels of changes.
@@ -41,7 +48,7 @@
 // watchLimits has the changes of workers' limits logged and counted.
 func (n *Node) watchLimits(registry prometheus.Registerer) {
 	l := &limitLog{
-		log: n.log, logged: make(map[string]time.Time), passedOver: make(map[string]int),
+		log: n.log, logged: make(map[string]limitLogged),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tinarch_worker_limit_changes_total", Help: "Changes of what workers take in a second, as this node learned them.",
 		}, []string{"change"}),
@@ -80,21 +87,23 @@
 func (l *limitLog) due(id string, now time.Time) (passedOver int, due bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.logged[id]) < limitLogEvery {
-		l.passedOver[id]++
+	before := l.logged[id]
+	if now.Sub(before.at) < limitLogEvery {
+		before.passedOver++
+		l.logged[id] = before
 		return 0, false
 	}
 	l.forget(now)
-	l.logged[id] = now
-	passedOver = l.passedOver[id]
-	delete(l.passedOver, id)
-	return passedOver, true
+	l.logged[id] = limitLogged{at: now}
+	return before.passedOver, true
 }
 
-// forget drops the workers on which nothing was written lately.
+// forget drops the workers on which there is nothing more to say, and those that have named
+// nothing for long: they may have ended.
 func (l *limitLog) forget(now time.Time) {
-	for id, at := range l.logged {
-		if now.Sub(at) >= limitLogEvery && l.passedOver[id] == 0 {
+	for id, last := range l.logged {
+		age := now.Sub(last.at)
+		if age >= limitLogEvery && last.passedOver == 0 || age >= limitLogLife {
 			delete(l.logged, id)
 		}
 	}
