--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -38,7 +38,7 @@
 	// begun is when the present use began, before its net then, and used when it last rose;
 	// asked is when a request was last asked for.
 	begun, used, asked time.Time
-	before      float64
+	before             float64
 	// share is this node's part of the recent use as a keeper told it at shareAt, zero where
 	// none has.
 	share   float64
--- a/internal/serving/limits.go
+++ b/internal/serving/limits.go
@@ -28,7 +28,7 @@
 	log     *logrus.Logger
 	changes *prometheus.CounterVec
 
-	mu sync.Mutex
+	mu     sync.Mutex
 	logged map[string]limitLogged
 }
 
