A prompt that was read waits for the only engine to end its pause

Found by reading the diff: where no other engine was free, the prompt was freed at once and read anew by the engine that runs it, at half the pace, even where that engine's pause ended in time.

The two tests of kept prompts share their engines.

--- a/internal/dispatch/pauses.go
+++ b/internal/dispatch/pauses.go
@@ -81,14 +81,18 @@
 	}
 }
 
-// planKept plans where a prompt that was read apart and kept is to run. It reports false where
-// there is none, or no engine for it; then it is freed.
+// planKept plans where a prompt that was read apart and kept is to run, or waits for the first
+// engine whose pause ends. It reports false where there is none, or no engine for it in time; then
+// it is freed.
 func (s *session) planKept(ctx context.Context) (scheduling.Plan, bool) {
 	if s.kept == nil {
 		return scheduling.Plan{}, false
 	}
-	plan := s.runnerOver(ctx, s.kept.reader)
-	if plan.Mode == scheduling.Refused {
+	plan := s.untilPauseEnds(s.runnerOver(ctx, s.kept.reader))
+	switch plan.Mode {
+	case scheduling.Held:
+		return plan, true
+	case scheduling.Refused:
 		s.freeKept()
 		return scheduling.Plan{}, false
 	}
--- a/internal/dispatch/pauses_test.go
+++ b/internal/dispatch/pauses_test.go
@@ -45,7 +45,10 @@
 }
 
 // pausingMonitor takes in that an engine which rejects asks for a pause.
-type pausingMonitor struct{ registry *worker.Registry }
+type pausingMonitor struct {
+	registry *worker.Registry
+	pause    time.Duration
+}
 
 func (m pausingMonitor) Admit(key string, _ *workerconn.Request) error {
 	return m.registry.Admits(key, time.Now())
@@ -55,27 +58,35 @@
 
 func (m pausingMonitor) Answered(key string, _ *workerconn.Request, status int, _ http.Header) {
 	if status == http.StatusServiceUnavailable {
-		m.registry.ObserveNotice(key, worker.Notice{Backoff: time.Hour}, time.Now())
+		m.registry.ObserveNotice(key, worker.Notice{Backoff: m.pause}, time.Now())
 	}
 }
 
-// TestPromptIsNotReadTwiceForAPause: the engine that was to run it asks for one.
-func TestPromptIsNotReadTwiceForAPause(t *testing.T) {
-	var read, ran, tookOver, rejected, freed atomic.Int64
-	address := func(pauses bool) string {
+// engines are one that reads and some that write.
+type engines struct {
+	read, ran, tookOver, rejected, freed atomic.Int64
+	registry                             *worker.Registry
+	dispatcher                           *Dispatcher
+}
+
+// startEngines starts engines of which the one that is chosen to write first rejects so many
+// requests, and asks for a pause each time.
+func startEngines(t *testing.T, writers int, rejects int64, pause time.Duration) *engines {
+	e := &engines{registry: worker.NewRegistry(topology.New("a", nil))}
+	address := func(rejects int64) string {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch {
 			case r.Method == http.MethodDelete:
-				freed.Add(1)
+				e.freed.Add(1)
 			case r.Header.Get("Read") != "":
-				read.Add(1)
-			case pauses:
-				rejected.Add(1)
+				e.read.Add(1)
+			case e.rejected.Load() < rejects:
+				e.rejected.Add(1)
 				w.WriteHeader(http.StatusServiceUnavailable)
 			default:
-				ran.Add(1)
+				e.ran.Add(1)
 				if r.Header.Get("Source") != "" {
-					tookOver.Add(1)
+					e.tookOver.Add(1)
 				}
 				_, _ = io.WriteString(w, "id: 1\n\n")
 			}
@@ -83,49 +94,69 @@
 		t.Cleanup(server.Close)
 		return server.Listener.Addr().String()
 	}
-	registry := worker.NewRegistry(topology.New("a", nil))
-	registry.SetMemory("llm", 1_000_000)
-	registry.Replace([]worker.Worker{
-		{ID: "read", Service: "llm", Address: address(false), Zone: "a", Slots: 8, Stage: worker.Prefill},
-		{ID: "write-1", Service: "llm", Address: address(true), Zone: "a", Slots: 8, Stage: worker.Decode},
-		{ID: "write-2", Service: "llm", Address: address(false), Zone: "a", Slots: 8, Stage: worker.Decode},
-	})
-	for id, requests := range map[string]int{"write-1": 1, "write-2": 2} { // so that the first is chosen
-		registry.Begin(id, worker.Load{Requests: requests, Reads: worker.ReadsOf(0, 400_000)})
+	e.registry.SetMemory("llm", 1_000_000)
+	list := []worker.Worker{{ID: "read", Service: "llm", Address: address(0), Zone: "a", Slots: 8, Stage: worker.Prefill}}
+	for number := range writers {
+		if number > 0 {
+			rejects = 0
+		}
+		list = append(list, worker.Worker{ID: fmt.Sprint("write-", number), Service: "llm", Address: address(rejects), Zone: "a", Slots: 8, Stage: worker.Decode})
+	}
+	e.registry.Replace(list)
+	for number := range writers { // so that the first is chosen, and doesn't read
+		e.registry.Begin(fmt.Sprint("write-", number), worker.Load{Requests: number, Reads: worker.ReadsOf(0, 400_000)})
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	pool := workerconn.NewPool()
-	pool.SetMonitor(pausingMonitor{registry})
-	dispatcher := New(Options{
-		Registry: registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: pool, Wire: pausingWire{},
+	pool.SetMonitor(pausingMonitor{e.registry, pause})
+	e.dispatcher = New(Options{
+		Registry: e.registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: pool, Wire: pausingWire{},
 		Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Nodes: func() int { return 1 },
 		Retries: retry.Terms{Ratio: 1, Slack: 100, Window: time.Second},
 	})
+	return e
+}
+
+// run sends a request with a prompt, and tells what became of it.
+func (e *engines) run() string {
 	now := time.Now()
-	outcome := dispatcher.Run(context.Background(), &Call{
+	outcome := e.dispatcher.Run(context.Background(), &Call{
 		ID: "1", Method: http.MethodPost, Target: "/", Header: http.Header{}, Service: &routing.Service{Name: "llm"},
 		Route:  &routing.Route{Name: "check", Kind: routing.Streaming, MaxAttempts: 2, Objective: time.Minute, Patience: time.Hour},
 		Prompt: []prefixcache.Part{{ID: 1, Tokens: 2000}}, PromptTokens: 2000, ExpectedOutput: 1, Arrived: now, Deadline: now.Add(time.Hour),
 	}, &sink{})
-	got := fmt.Sprintf("status %d, %d rejected, %d read, %d ran, %d took the prompt over, %d freed", outcome.Status, rejected.Load(), read.Load(), ran.Load(), tookOver.Load(), freed.Load())
-	if want := "status 200, 1 rejected, 1 read, 1 ran, 1 took the prompt over, 0 freed"; got != want {
+	return fmt.Sprintf("status %d, %d rejected, %d read, %d ran, %d took the prompt over, %d freed",
+		outcome.Status, e.rejected.Load(), e.read.Load(), e.ran.Load(), e.tookOver.Load(), e.freed.Load())
+}
+
+// TestPromptIsNotReadTwiceForAPause: the engine that was to run it asks for one.
+func TestPromptIsNotReadTwiceForAPause(t *testing.T) {
+	e := startEngines(t, 2, 1, time.Hour)
+	if got, want := e.run(), "status 200, 1 rejected, 1 read, 1 ran, 1 took the prompt over, 0 freed"; got != want {
 		t.Errorf("%s, want %s", got, want)
 	}
-	for _, candidate := range registry.Candidates("llm", nil, 0, now) {
+	for _, candidate := range e.registry.Candidates("llm", nil, 0, time.Now()) {
 		if candidate.HandleFailure {
 			t.Errorf("%s is held to account for a prompt that couldn't be fetched", candidate.ID)
 		}
 	}
 }
 
+func TestPromptIsKeptUntilTheOnlyEngineEndsItsPause(t *testing.T) {
+	e := startEngines(t, 1, 1, 200*time.Millisecond)
+	if got, want := e.run(), "status 200, 1 rejected, 1 read, 1 ran, 1 took the prompt over, 0 freed"; got != want {
+		t.Errorf("%s, want %s", got, want)
+	}
+}
+
 func TestHandleIsFreedAfterThePauseOfItsEngine(t *testing.T) {
 	freed := make(chan time.Time, 1)
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { freed <- time.Now() }))
 	defer server.Close()
 	registry := worker.NewRegistry(topology.New("a", nil))
 	pool := workerconn.NewPool()
-	pool.SetMonitor(pausingMonitor{registry})
+	pool.SetMonitor(pausingMonitor{registry, time.Hour})
 	s := &session{
 		Dispatcher: New(Options{Registry: registry, Pool: pool, Wire: pausingWire{}, Nodes: func() int { return 1 }}),
 		call:       &Call{Service: &routing.Service{Name: "llm"}},
