--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -24,6 +24,7 @@
 	Limits   bool   `arg:"--limits" help:"workers name how many requests they take, and it is checked what they get"`
 	Notices  bool   `arg:"--notices" help:"workers say that they are about to end or want a pause, and it is checked what they get"`
 	Nodes    int    `arg:"--nodes" default:"3" help:"number of nodes, each a process"`
+	Earlier  string `arg:"--earlier" help:"path of tinarchd of an earlier build: half of the nodes begin with it, and nodes are rolled forward and back"`
 	Logs     string `arg:"--logs" help:"directory for settings and logs (default: a new one, kept only where a promise broke)"`
 	Verbose  bool   `arg:"--verbose" help:"print each fault"`
 	Out      string `arg:"--out" help:"store the reports as JSON"`
@@ -64,7 +65,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
-		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits, Notices: c.Notices, Nodes: c.Nodes,
+		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits, Notices: c.Notices, Nodes: c.Nodes, Earlier: c.Earlier,
 	})
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/digest/compatibility_test.go
@@ -0,0 +1,38 @@
+package digest
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"testing"
+)
+
+// TestMessageOfThePreviousBuildIsRead: it has a value in each field that the build knows.
+func TestMessageOfThePreviousBuildIsRead(t *testing.T) {
+	recorded, err := os.ReadFile("testdata/previous-message.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorded = bytes.TrimSpace(recorded)
+	message, err := decode(recorded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := message.snapshot(); err != nil {
+		t.Error(err)
+	}
+	rendered, err := json.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(rendered, recorded) {
+		t.Errorf("a field has another name or form than in the build before, in which it was\n%s\nand is now\n%s", recorded, rendered)
+	}
+}
+
+func TestFieldsOfALaterBuildArePassedOver(t *testing.T) {
+	message, err := decode([]byte(`{"n":"x","s":4,"later":{"a":[1]},"v":{"i":2,"later":true}}`))
+	if err != nil || message.Sequence != 4 || message.Reply == nil || message.Reply.ID != 2 {
+		t.Errorf("%+v, %v", message, err)
+	}
+}
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -38,6 +38,13 @@
 
 const killTimeout = 5 * time.Second
 
+// SetProgram has the next incarnation run another program.
+func (n *Node) SetProgram(path string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.Program = path
+}
+
 // Starts counts the incarnations.
 func (n *Node) Starts() int {
 	n.mu.Lock()
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -31,6 +31,9 @@
 	if s.options.Notices {
 		kinds = append(kinds, s.announceEnd, s.announceEnd, s.askForPause, s.askForPause, s.askForPause)
 	}
+	if s.options.Earlier != "" {
+		kinds = append(kinds, s.rollNode, s.rollNode, s.rollNode)
+	}
 	if s.options.Unfenced {
 		kinds = append(kinds, s.lateOrders, s.lateAPI, s.pauseNode)
 	}
@@ -112,9 +115,21 @@
 	node.Signal(syscall.SIGCONT)
 }
 
+// rollNode has a node start again with one of the two builds, which may be the one it ran.
+func (s *site) rollNode(ctx context.Context, _ time.Duration) string {
+	node := s.nodes[s.random.IntN(len(s.nodes))]
+	build := []string{s.options.Program, s.options.Earlier}[s.random.IntN(2)]
+	node.SetProgram(build)
+	return s.restart(ctx, node) + " with the build " + build
+}
+
 // stopNode ends a node as planned and starts it again.
 func (s *site) stopNode(ctx context.Context, _ time.Duration) string {
-	node := s.nodes[s.random.IntN(len(s.nodes))]
+	return s.restart(ctx, s.nodes[s.random.IntN(len(s.nodes))])
+}
+
+// restart ends a node as planned and starts it again.
+func (s *site) restart(ctx context.Context, node *process.Node) string {
 	node.Signal(syscall.SIGTERM)
 	stopCtx, cancel := context.WithTimeout(ctx, stopMillis*time.Millisecond)
 	defer cancel()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -45,6 +45,17 @@
 	Notices bool
 	// Nodes is the number of nodes.
 	Nodes int
+	// Earlier is the path of tinarchd of an earlier build. Where it is set, half of the nodes
+	// begin with it, and nodes are rolled forward and back.
+	Earlier string
+}
+
+// programOf returns the program that a node begins with.
+func (o Options) programOf(number int) string {
+	if o.Earlier != "" && number%2 == 1 {
+		return o.Earlier
+	}
+	return o.Program
 }
 
 // The size of a soak.
@@ -257,7 +268,7 @@
 		}
 	}
 	node := &process.Node{
-		Program: s.options.Program, Arguments: []string{"--routed"}, Directory: s.options.Directory, Name: name,
+		Program: s.options.programOf(number), Arguments: []string{"--routed"}, Directory: s.options.Directory, Name: name,
 		Settings: configured, ReadyURL: "http://" + configured.Listen.Readiness + "/v1/ready",
 	}
 	s.nodes = append(s.nodes, node)
