Callers of a service that is away are told when it is expected back

Now a row of calls that no worker ran counts as an outage after 0.3 s without a success. Callers are told the time until the service is back as a rule, learned from the outages before, or half of the time that it has lasted where that is more, spread by half of it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,6 +47,8 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
+	// outages are the times, by service, in which no worker ran a call.
+	outages map[string]*retry.Outage
 	// returning is, by service, until when turns are promised to callers that were refused one.
 	returning map[string]time.Time
 	// lateWaiters counts, by service, the calls that wait for the end of a pause although they
@@ -138,6 +140,7 @@
 		terms:       options.Retries,
 		endings:     newEndings(options.Registry.Drains, quarantined, options.Log, options.Metrics),
 		budgets:     make(map[string]*retry.Budget),
+		outages:     make(map[string]*retry.Outage),
 		returning:   make(map[string]time.Time),
 		lateWaiters: make(map[string]int),
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -224,6 +224,7 @@
 }
 
 func (s *session) end(outcome Outcome) Outcome {
+	outcome.RetryAfter = max(outcome.RetryAfter, s.observeOutage(outcome.Code))
 	outcome.HeadGiven = s.headGiven
 	outcome.Attempts, outcome.MayHaveRun = s.attempts, s.ranBefore
 	outcome.First, outcome.Last, outcome.Gap, outcome.Pieces = s.first, s.last, s.gap, s.pieces
