A call that is charged to a quota doesn't wait late for a pause to end

Its logs are traced: three of its requests were charged 2.3 to 2.4 s before they ran, held for the end of a pause of all workers (in each, one plan 'held'), and ran at the begin of the window together with those charged in it.

Cause: a call is charged when it is admitted; one of the few that wait late for a pause runs up to seconds later, in another window of its quota. Calls with a charge wait only as long as they can be in time now.

--- a/internal/dispatch/pauses.go
+++ b/internal/dispatch/pauses.go
@@ -51,10 +51,11 @@
 }
 
 // waitsLate reports whether the call is one of the few that wait for a pause that ends too late
-// for them to be in time.
+// for them to be in time. One that was charged to a quota doesn't: it would run in another window
+// than it was charged in.
 func (s *session) waitsLate() bool {
-	if s.lateWaiter {
-		return true
+	if s.lateWaiter || !s.call.Charge.None() {
+		return s.lateWaiter
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/dispatch/pauses_test.go
+++ b/internal/dispatch/pauses_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/retry"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
@@ -208,3 +209,24 @@
 		t.Errorf("%d calls were served after the pause, want %d", served, maxLateWaiters)
 	}
 }
+
+func TestCallChargedToAQuotaDoesNotRunLongAfterItsCharge(t *testing.T) {
+	registry := worker.NewRegistry(topology.New("a", nil))
+	registry.Replace([]worker.Worker{{ID: "w", Service: "s", Zone: "a", Slots: 8}})
+	registry.ObserveNotice("w", worker.Notice{Backoff: time.Second}, time.Now())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	dispatcher := New(Options{
+		Registry: registry, Scheduler: scheduling.New(scheduling.DefaultCosts()), Pool: workerconn.NewPool(), Wire: pausingWire{},
+		Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Nodes: func() int { return 1 },
+	})
+	now := time.Now()
+	dispatcher.Run(context.Background(), &Call{
+		Method: http.MethodPost, Target: "/", Header: http.Header{}, Service: &routing.Service{Name: "s"},
+		Route:   &routing.Route{Name: "r", Kind: routing.Idempotent, MaxAttempts: 1, Objective: 100 * time.Millisecond},
+		Arrived: now, Deadline: now.Add(time.Minute), Charge: quota.Charge{Account: "requests a", Cost: 1},
+	}, &sink{})
+	if held := time.Since(now); held > 500*time.Millisecond {
+		t.Errorf("the call was held for %v after it was charged; its tenant's use would be counted where it isn't", held)
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -41,10 +41,11 @@
 red=$(tools/known-red.sh)
 go test -race -timeout 8m ${red:+-skip "$red"} ./...
 
-say "a short fault soak of real processes, four seeds"
+say "a short fault soak of real processes, five seeds"
 programs=$(mktemp -d)
 trap 'rm -rf "$programs"' EXIT
 go build -o "$programs/" ./cmd/tinarchd ./cmd/tinarch-lab
 "$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 33001 --count 2 --seconds 12 --poison
 "$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 33011 --seconds 12 --limits
 "$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 44002 --seconds 12 --notices
+"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 50108 --seconds 25 --notices --limits --quotas
