--- a/internal/lab/site/limit_test.go
+++ b/internal/lab/site/limit_test.go
@@ -57,12 +57,8 @@
 // with a limit takes; those who are refused come back when they are told to.
 func (s *site) press(ctx context.Context, perNode int, paths ...string) *pressed {
 	seen := &pressed{}
-	addresses := []string{s.address}
-	for _, other := range s.others {
-		addresses = append(addresses, other.address)
-	}
 	var callers sync.WaitGroup
-	for _, address := range addresses {
+	for _, address := range s.addresses() {
 		for number := range perNode {
 			callers.Go(func() {
 				for count := number; ctx.Err() == nil; count++ {
--- a/internal/lab/site/notice_test.go
+++ b/internal/lab/site/notice_test.go
@@ -32,12 +32,8 @@
 // once when they are refused.
 func (s *site) pressNodes(ctx context.Context, perNode int, paths ...string) *pressing {
 	p := &pressing{seen: make(map[string]asked)}
-	addresses := []string{s.address}
-	for _, other := range s.others {
-		addresses = append(addresses, other.address)
-	}
 	var callers sync.WaitGroup
-	for _, address := range addresses {
+	for _, address := range s.addresses() {
 		for number := range perNode {
 			callers.Go(func() {
 				for count := number; ctx.Err() == nil; count++ {
