--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -208,15 +208,6 @@
 	address string
 }
 
-// addresses are the callers' addresses of all nodes.
-func (s *site) addresses() []string {
-	addresses := []string{s.address}
-	for _, other := range s.others {
-		addresses = append(addresses, other.address)
-	}
-	return addresses
-}
-
 // addNodes adds nodes to the site, and waits until they are ready.
 func (s *site) addNodes(names ...string) {
 	s.t.Helper()
