A stand-in worker that asks for a pause names it in each rejection

Traced: no node logged a notice of that worker, and its rejections carried none: the fault 'full' came at the same time, and a full worker rejected before the pause was named, while the worker's own count had the pause. The stand-in names it first now; the check is as it was.

--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -255,7 +255,7 @@
 		return
 	}
 	fault := w.takeFault()
-	if fault == Full || w.pauses(writer) {
+	if w.pauses(writer) || fault == Full {
 		reject(writer)
 		return
 	}
