--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -55,8 +55,10 @@
 	if table.Tenants != nil {
 		keys = table.Tenants.Len()
 	}
-	n.log.WithFields(logrus.Fields{"version": table.Version, "row_version": rowVersion, "routes": table.Routes(), "keys": keys}).
-		Info("configuration in force")
+	n.log.WithFields(logrus.Fields{
+		"version": table.Version, "row_version": rowVersion, "routes": table.Routes(), "keys": keys,
+		"source": n.configurationFeed.Source(), "age_ms": n.configurationAge().Milliseconds(),
+	}).Info("configuration in force")
 }
 
 // workers keeps the registry at what the store lists.
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -163,6 +163,7 @@
 	n.workersFeed = n.newFeed(platform.WorkerTable(), newWorkers(n, metrics))
 	n.nodesFeed = n.newFeed(nodesTable, &members{node: n})
 	n.keepQuarantine(metrics)
+	n.watchTables(metrics)
 	n.front = front.New(front.Options{
 		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: front.NewMetrics(metrics),
 		ConfigurationAge: n.configurationAge, Quotas: quotas,
@@ -283,6 +284,7 @@
 // shareTables has this node follow tables with others, and get and give copies of them.
 func (n *Node) shareTables() {
 	n.board = tablerelay.New(n.exchange)
+	n.board.SetLog(n.log)
 	n.exchange.SetBoard(n.board)
 	n.tables = tableshare.NewServer(tablerelay.Freshness, func(table string) {
 		if table == nodesTable {
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -59,6 +59,16 @@
 	At time.Time
 }
 
+// Source is the way by which rows came.
+type Source string
+
+// The ways.
+const (
+	FromStore Source = "store"
+	FromNews  Source = "news"
+	FromNode  Source = "another node"
+)
+
 // News are the changes of a table between two versions.
 type News struct {
 	Table          string
@@ -154,6 +164,8 @@
 	// own tells that the store itself gave the word to this node, which reads for others
 	// too.
 	own bool
+	// source is the way by which the last rows came.
+	source Source
 }
 
 // New returns a feed of a table. others may be nil.
@@ -173,6 +185,13 @@
 	return f.word, f.own
 }
 
+// Source returns the way by which the last rows came. It is safe for concurrent use with Run.
+func (f *Feed) Source() Source {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.source
+}
+
 // Offer gives changes that another node got from the store. It never blocks.
 func (f *Feed) Offer(news News) {
 	select {
@@ -277,7 +296,7 @@
 		select {
 		case news := <-f.news:
 			if news.After <= f.word.Confirmed && news.Version > f.word.Confirmed {
-				f.apply(news.Rows, Word{Changed: news.Version, Confirmed: news.Version, At: f.word.At}, false)
+				f.apply(news.Rows, Word{Changed: news.Version, Confirmed: news.Version, At: f.word.At}, false, FromNews)
 			}
 		default:
 			return
@@ -335,7 +354,7 @@
 	if version < f.word.Confirmed {
 		return eris.Errorf("the store answered version %d of table %s, older than %d", version, f.table, f.word.Confirmed)
 	}
-	f.reset(rows, Word{Changed: version, Confirmed: version, At: begun}, f.acting)
+	f.reset(rows, Word{Changed: version, Confirmed: version, At: begun}, f.acting, FromStore)
 	f.regained()
 	return nil
 }
@@ -361,7 +380,7 @@
 		word.Changed = version
 	}
 	if len(rows) > 0 {
-		f.apply(rows, word, f.acting)
+		f.apply(rows, word, f.acting, FromStore)
 	} else {
 		f.set(word, f.acting)
 	}
--- a/internal/tablefeed/takeover.go
+++ b/internal/tablefeed/takeover.go
@@ -37,9 +37,9 @@
 	}
 	switch {
 	case copied.Whole:
-		f.reset(copied.Rows, copied.Word, false)
+		f.reset(copied.Rows, copied.Word, false, FromNode)
 	case len(copied.Rows) > 0:
-		f.apply(copied.Rows, copied.Word, false)
+		f.apply(copied.Rows, copied.Word, false, FromNode)
 	default:
 		f.set(Word{Changed: f.word.Changed, Confirmed: copied.Word.Confirmed, At: copied.Word.At}, false)
 		return true
@@ -53,7 +53,8 @@
 
 // reset and apply hand rows on. Other nodes get them here before this one tells that it has
 // them, so that none is told of a version and given an older one.
-func (f *Feed) reset(rows []Row, word Word, own bool) {
+func (f *Feed) reset(rows []Row, word Word, own bool, source Source) {
+	f.setSource(source)
 	if f.others != nil {
 		f.copied.Reset(rows, word.Changed)
 	}
@@ -61,7 +62,8 @@
 	f.consumer.Reset(rows, word.Changed)
 }
 
-func (f *Feed) apply(rows []Row, word Word, own bool) {
+func (f *Feed) apply(rows []Row, word Word, own bool, source Source) {
+	f.setSource(source)
 	if f.others != nil {
 		f.copied.Apply(rows, word.Changed)
 	}
@@ -69,6 +71,12 @@
 	f.consumer.Apply(rows, word.Changed)
 }
 
+func (f *Feed) setSource(source Source) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.source = source
+}
+
 // Held returns what this node holds of the table: the changes after a version where it knows
 // all of them, or the whole table. It reports false where nothing is known. It is safe for
 // concurrent use with Run.
--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -99,6 +99,7 @@
 	words map[string]map[string]tablefeed.Word
 	// pulls are the questions for words, by table.
 	pulls map[string]pull
+	lags  lags
 }
 
 // pull is when words on a table were asked for last, and the least time until they may be
@@ -112,7 +113,7 @@
 func New(fleet Fleet) *Board {
 	return &Board{
 		fleet: fleet, feeds: make(map[string]*tablefeed.Feed),
-		words: make(map[string]map[string]tablefeed.Word), pulls: make(map[string]pull),
+		words: make(map[string]map[string]tablefeed.Word), pulls: make(map[string]pull), lags: newLags(),
 	}
 }
 
@@ -199,6 +200,8 @@
 			continue
 		}
 		b.words[said.Table][said.Reader] = word
+		held, _ := feed.Word()
+		b.lags.heard(said, held.Confirmed, now)
 		if word.Changed > before.Changed || b.endsPause(feed, said, word, now) {
 			feed.Wake()
 		}
--- /dev/null
+++ b/internal/tablerelay/lag.go
@@ -0,0 +1,86 @@
+package tablerelay
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/tablefeed"
+)
+
+// lagLogged is how long a node may lack a change that others have told of before it is
+// logged. Changes that fit in no datagram are fetched in less.
+const lagLogged = 500 * time.Millisecond
+
+// Lag is a change of a table that this node has heard of and doesn't hold.
+type Lag struct {
+	// Since is when it was heard of first.
+	Since time.Time
+	// Version is that of the newest such change, and Reader the node that told of it.
+	Version tablefeed.Version
+	Reader  string
+}
+
+// lags notes which tables lack changes. Its owner guards it.
+type lags struct {
+	log    *logrus.Logger
+	open   map[string]Lag
+	logged map[string]bool
+}
+
+func newLags() lags {
+	return lags{log: logrus.StandardLogger(), open: make(map[string]Lag), logged: make(map[string]bool)}
+}
+
+// heard compares a word with the version up to which this node holds a table.
+func (l *lags) heard(said Word, held tablefeed.Version, now time.Time) {
+	lag, open := l.open[said.Table]
+	if open && held >= lag.Version {
+		l.end(said.Table, lag, held, now)
+		open = false
+	}
+	if said.Changed <= held {
+		return
+	}
+	if !open {
+		lag = Lag{Since: now}
+	}
+	if said.Changed > lag.Version {
+		lag.Version, lag.Reader = said.Changed, said.Reader
+	}
+	l.open[said.Table] = lag
+	if now.Sub(lag.Since) >= lagLogged && !l.logged[said.Table] {
+		l.logged[said.Table] = true
+		l.line(said.Table, lag, held, now).Warn("another node holds a newer version of a table")
+	}
+}
+
+func (l *lags) end(table string, lag Lag, held tablefeed.Version, now time.Time) {
+	delete(l.open, table)
+	if l.logged[table] {
+		delete(l.logged, table)
+		l.line(table, lag, held, now).Info("a newer version of a table has come")
+	}
+}
+
+func (l *lags) line(table string, lag Lag, held tablefeed.Version, now time.Time) *logrus.Entry {
+	return l.log.WithFields(logrus.Fields{
+		"table": table, "version": held, "newer": lag.Version, "reader": lag.Reader, "behind_ms": now.Sub(lag.Since).Milliseconds(),
+	})
+}
+
+// SetLog has the board log the tables that lack changes. It is called before words come.
+func (b *Board) SetLog(log *logrus.Logger) { b.lags.log = log }
+
+// Lag returns the change of a table that this node has heard of and doesn't hold, false where
+// there is none.
+func (b *Board) Lag(table string) (Lag, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lag, open := b.lags.open[table]
+	if !open {
+		return Lag{}, false
+	}
+	held, _ := b.feeds[table].Word()
+	return lag, lag.Version > held.Confirmed
+}
