The soak learns storms of configurations while the store turns nodes away

A third of the nodes is turned away by the store for 3 to 9 s, every other time with the node that is ranked first to read the configuration; nodes lie in three zones, and are killed, paused and stopped meanwhile. Each node is asked every 0.2 s; one that answers by an older version than was accepted 2 s ago breaks the promise, and one later than a second is counted.

--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -25,6 +25,15 @@
 	kinds := []func(context.Context, time.Duration) string{
 		s.killNode, s.pauseNode, s.stopNode, s.killAll, s.harmWorkerWay, s.harmWorkerWay, s.harmStoreWay, s.harmStore, s.failWorker, s.failWorker, s.drainWorker, s.vanish, s.configure, s.harmAPI,
 	}
+	if s.options.Storms {
+		stormCtx, endStorm := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() { defer close(ended); s.runStorm(stormCtx) }()
+		defer s.mend() // after the storm, which changes ways to the store too
+		defer func() { endStorm(); <-ended }()
+		// Faults of the whole store would leave no node that knows of a change.
+		kinds = []func(context.Context, time.Duration) string{s.killNode, s.pauseNode, s.stopNode, s.harmWorkerWay, s.failWorker}
+	}
 	if s.options.Limits {
 		kinds = append(kinds, s.nameLimit, s.nameLimit, s.nameLimit, s.nameLimit)
 	}
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -88,6 +88,9 @@
 		callers.Go(func() { l.call(ctx, number, random) })
 	}
 	callers.Go(func() { l.probe(ctx) })
+	if l.site.options.Storms {
+		callers.Go(func() { l.watchStorm(ctx) })
+	}
 	if l.site.options.Poison {
 		callers.Go(func() { l.sendPoison(ctx) })
 	}
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -31,6 +31,8 @@
 	// for a pause, each time.
 	Leaving int `json:"leaving,omitempty"`
 	Paused  int `json:"paused,omitempty"`
+	// Storm is how soon the configurations of a storm were in force, nil where there was none.
+	Storm *stormReport `json:"storm,omitempty"`
 	// Windows counts the windows of usage that were reported.
 	Windows  int            `json:"windows"`
 	Statuses map[string]int `json:"statuses"`
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -43,6 +43,9 @@
 	Limits bool
 	// Notices has workers say that they are about to end or want a pause, and checks what they get.
 	Notices bool
+	// Storms has configurations come in quick succession and the store turn nodes away, and
+	// checks how soon each node has each of them.
+	Storms bool
 	// Nodes is the number of nodes.
 	Nodes int
 	// Earlier is the path of tinarchd of an earlier build. Where it is set, half of the nodes
@@ -103,6 +106,9 @@
 	workers, fallen []*soakWorker
 
 	watch *watch
+	storm storm
+	// configuring is held while a configuration is put.
+	configuring sync.Mutex
 }
 
 // soakWorker is a worker with the proxy that its entry names.
@@ -148,6 +154,11 @@
 	}
 	report.Broken = append(report.Broken, s.limits.problems(s.everyWorker(), load.vias())...)
 	report.Broken = append(report.Broken, s.noticeProblems(load.vias())...)
+	if options.Storms {
+		seen, broken := s.storm.report(s.limits.isHarmed)
+		report.Storm = &seen
+		report.Broken = append(report.Broken, broken...)
+	}
 	report.Limited = len(s.limits.named)
 	report.Leaving, report.Paused = s.notices.counted()
 	report.Ended = len(s.fallenWorkers())
@@ -187,7 +198,7 @@
 			return err
 		}
 	}
-	s.store.Put("op", "config", s.configuration(0))
+	s.store.Put("op", "config", s.configuration(0, 0))
 	for i := range s.options.Nodes {
 		if err := s.addNode(i); err != nil {
 			return err
@@ -252,7 +263,7 @@
 	s.toStore = append(s.toStore, proxy)
 	name := fmt.Sprintf("node-%d", number+1)
 	configured := settings.DefaultRouted()
-	configured.Node = settings.RoutedNode{Name: name, Zone: "a"}
+	configured.Node = settings.RoutedNode{Name: name, Zone: s.zoneOf(number)}
 	configured.Store.Address = proxy.Address()
 	configured.Bounds.StopMillis = stopMillis
 	configured.API = settings.RoutedAPI{Address: s.api.Address(), Duties: []string{settings.DutyUsage, settings.DutyScale}}
@@ -276,6 +287,14 @@
 	return node.Start()
 }
 
+// zoneOf is a node's zone: in a storm one of three.
+func (s *site) zoneOf(number int) string {
+	if !s.options.Storms {
+		return "a"
+	}
+	return []string{"a", "b", "c"}[number%3]
+}
+
 func (s *site) close() {
 	for _, node := range s.nodes {
 		node.Kill()
@@ -295,9 +314,9 @@
 	}
 }
 
-// configuration is the operator's, with one route of each kind, and some that were
-// added later.
-func (s *site) configuration(added int) map[string]any {
+// configuration is the operator's, with one route of each kind, some that were added later,
+// and those of a version of a storm.
+func (s *site) configuration(added, stormVersion int) map[string]any {
 	route := func(kind class) map[string]any {
 		return map[string]any{
 			"Name": kind.name, "Host": host, "PathPrefix": kind.prefix, "Kind": kind.routeKind, "Service": kind.service,
@@ -313,8 +332,11 @@
 		kind.name, kind.prefix = fmt.Sprintf("added-%d", number+1), fmt.Sprintf("%s%d/", probed.prefix, number+1)
 		routes = append(routes, route(kind))
 	}
+	for _, kind := range s.stormRoutes(stormVersion) {
+		routes = append(routes, route(kind))
+	}
 	return map[string]any{
-		"Version": 1 + added, "Routes": routes,
+		"Version": 1 + added + stormVersion, "Routes": routes,
 		"Services": []any{
 			map[string]any{"Name": engines, "MaxConnections": 200, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100_000, "RoleSwitchS": 1.0}, "Autoscale": autoscale()},
 			map[string]any{"Name": plain, "MaxConnections": 200},
--- a/internal/lab/soak/watch.go
+++ b/internal/lab/soak/watch.go
@@ -100,8 +100,10 @@
 
 // configure puts a configuration with one more route.
 func (s *site) configure(_ context.Context, _ time.Duration) string {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
 	added := s.watch.routes() + 1
-	s.store.Put("op", "config", s.configuration(added))
+	s.store.Put("op", "config", s.configuration(added, s.storm.newest()))
 	s.watch.accept(time.Now())
 	return fmt.Sprintf("a configuration with %d added routes", added)
 }
