A failing test: nodes that the store turns away don't get large configurations

What callers see: requests are run by the service of an older configuration at some nodes for as long as the store turns the first one away. Fails each time on this code, at the node of rank 0: not seen in 20 s.

--- /dev/null
+++ b/internal/lab/site/configuration_test.go
@@ -0,0 +1,89 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/tinarch/tinarch/internal/lab/soak"
+	"github.com/tinarch/tinarch/internal/rendezvous"
+	"github.com/tinarch/tinarch/internal/serving"
+	"github.com/tinarch/tinarch/internal/settings"
+)
+
+// largeConfiguration fits in no datagram: its names can't be compressed.
+func largeConfiguration(version int) map[string]any {
+	large := configuration(version)
+	for i := range 600 {
+		large["Routes"] = append(large["Routes"].([]any), map[string]any{
+			"Name": fmt.Sprintf("r%x", i*2654435761), "Host": host, "PathPrefix": fmt.Sprintf("/p%x/", i*40503*i), "Kind": "idempotent",
+			"Service": portal, "TimeoutMs": 1000 + i, "TargetLatencyMs": 500, "MaxAttempts": 1 + i%3,
+		})
+	}
+	return large
+}
+
+// proxied is a node with its own way to the store.
+type proxied struct {
+	*serving.Node
+	store    *soak.Proxy
+	exchange string
+}
+
+// startProxied starts nodes in two zones, each with its own way to the store.
+func (s *site) startProxied(count int) []proxied {
+	s.t.Helper()
+	var nodes []proxied
+	for i := range count {
+		proxy, err := soak.StartProxy(s.store.Address())
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(proxy.Close)
+		started := proxied{store: proxy}
+		started.Node, _ = s.startNode(fmt.Sprint("node-", i), func(configured *settings.Routed) {
+			inZone([]string{"a", "b"}[i%2])(configured)
+			configured.Store.Address = proxy.Address()
+			started.exchange = configured.Listen.Exchange
+		})
+		nodes = append(nodes, started)
+	}
+	for i, node := range nodes {
+		s.await(fmt.Sprint("node ", i, " is ready and knows all others"), func() bool {
+			return node.Ready() && node.Nodes() == count && node.Workers() == len(s.workers)
+		})
+	}
+	return nodes
+}
+
+// ranked returns the nodes in the order in which they read the configuration for all.
+func ranked(nodes []proxied) []proxied {
+	hash := func(node proxied) uint64 { return rendezvous.Hash(node.exchange) }
+	return rendezvous.Top(nodes, hash, rendezvous.Hash("table op"), len(nodes))
+}
+
+// TestNodesThatTheStoreTurnsAwayGetLargeConfigurations from those that it serves, whichever
+// rank they have.
+func TestNodesThatTheStoreTurnsAwayGetLargeConfigurations(t *testing.T) {
+	s := newSite(t)
+	s.addWorkers()
+	s.store.Put("op", "config", configuration(1))
+	nodes := ranked(s.startProxied(8))
+	version := 1
+	for _, mode := range []soak.Mode{soak.Reset, soak.Silent, soak.OneWay} {
+		for _, denied := range [][]proxied{nodes[:1], nodes[:4], nodes[1:], nodes[4:]} {
+			for _, node := range denied {
+				node.store.SetMode(mode)
+			}
+			version++
+			s.store.Put("op", "config", largeConfiguration(version))
+			for i, node := range nodes {
+				s.await(fmt.Sprintf("the node of rank %d has version %d, %d nodes denied (%s)", i, version, len(denied), mode), func() bool {
+					return node.RoutesVersion() == uint64(version)
+				})
+			}
+			for _, node := range denied {
+				node.store.SetMode(soak.Pass)
+			}
+		}
+	}
+}
--- a/internal/lab/site/start_test.go
+++ b/internal/lab/site/start_test.go
@@ -76,14 +76,7 @@
 	const count = 12
 	nodes := s.startTogether(count)
 	feeds := s.store.Feeds("op")
-	large := configuration(2)
-	for i := range 600 {
-		large["Routes"] = append(large["Routes"].([]any), map[string]any{
-			"Name": fmt.Sprintf("r%x", i*2654435761), "Host": host, "PathPrefix": fmt.Sprintf("/p%x/", i*40503*i), "Kind": "idempotent",
-			"Service": portal, "TimeoutMs": 1000 + i, "TargetLatencyMs": 500, "MaxAttempts": 1 + i%3,
-		})
-	}
-	s.store.Put("op", "config", large)
+	s.store.Put("op", "config", largeConfiguration(2))
 	for _, node := range nodes {
 		s.await("the configuration is in force", func() bool { return node.RoutesVersion() == 2 })
 	}
