Nodes take what is newer from whoever holds it; the ranking decides only who reads

What callers saw: while the store turned the first-ranked node away, requests at that node and at nodes that fetch tables through it were run by older configurations, for as long as that lasted and the pause after it.

Cause: a node relied on words of nodes that rank ahead of it only. The first-ranked one relied on nobody: turned away, it heard of no change that fits in no datagram. The nodes at the root of each zone's tree asked it, and only it, for changes; the nodes below waited for them, and where the store turned these away too there was no other way.

Now words count by the version that they confirm, whoever tells them. A node that reads at the store still goes on until one that ranks ahead of it reads; one whose calls fail follows any word in its pause, and changes are asked for at the nodes that told of them. A word of an older version than the one held confirms nothing, whatever age it gives.

TestReliesOnNodesBeforeItWhoseWordIsFresh held the rule that is gone; what it checked stands in TestFreshWordsCountWhoeverReads, TestFirstNodesWaitLeastForOthers and TestNodeReadsWhereWordsAreTooOldForIt. In TestFreshWordEndsALongPause a node may now rely on one that comes after it.

--- a/internal/digest/listing.go
+++ b/internal/digest/listing.go
@@ -130,14 +130,36 @@
 	return e.peers.givers()
 }
 
-// ChangeGivers returns the nodes to be asked for changes of a table, the first first.
-func (e *Exchange) ChangeGivers(table string) []netip.AddrPort {
+// ChangeGivers returns the nodes to be asked for changes of a table, the first first. holders
+// are nodes that have told of them; those that are first in the zone ask these, and the others
+// after the nodes of the zone, so that not a whole fleet asks them.
+func (e *Exchange) ChangeGivers(table string, holders []netip.AddrPort) []netip.AddrPort {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if givers := e.peers.givers(); len(givers) > 0 {
-		return givers
+	holders = holders[:min(len(holders), askedHolders)]
+	givers := e.peers.givers()
+	if len(givers) == 0 {
+		return e.peers.others(distinct(slices.Concat(holders, e.peers.readers(table))))
 	}
-	return e.peers.readers(table)
+	near := givers[:1:1]
+	if any, found := e.peers.anyNear(); found {
+		near = append(near, any)
+	}
+	return e.peers.others(distinct(slices.Concat(near, holders, givers[1:])))
+}
+
+// askedHolders is the most nodes that are asked for changes because they have told of them.
+const askedHolders = 2
+
+// distinct returns the addresses without those that came before.
+func distinct(addresses []netip.AddrPort) []netip.AddrPort {
+	var kept []netip.AddrPort
+	for _, address := range addresses {
+		if !slices.Contains(kept, address) {
+			kept = append(kept, address)
+		}
+	}
+	return kept
 }
 
 // givers returns the nodes to be asked for a whole table: the parent in the tree of the zone's
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -78,9 +78,9 @@
 
 // Others are the other nodes that follow the same tables.
 type Others interface {
-	// Word returns the newest word on a table of another node on which this one may
-	// rely, false where there is none.
-	Word(table string, now time.Time) (Word, bool)
+	// Word returns the newest fresh word of another node on a table, false where there is
+	// none. For a node that reads at the store, it is one of a node that is to do so rather.
+	Word(table string, now time.Time, reads bool) (Word, bool)
 	// Patience is how long after the last confirmation this node waits for another's
 	// word before it calls the store itself, zero where it is the one to do so.
 	Patience(table string) time.Duration
@@ -247,12 +247,21 @@
 	}
 	f.applyNews()
 	now := time.Now()
-	word, found := f.others.Word(f.table, now)
-	if !found {
+	pauses := now.Before(f.callAfter)
+	word, found := f.others.Word(f.table, now, f.acting && !pauses)
+	patience := f.others.Patience(f.table)
+	switch {
+	case !found || word.Confirmed < f.word.Confirmed:
 		return f.waits(ctx, now)
+	case !pauses && now.Sub(word.At) >= patience:
+		return f.waits(ctx, now)
+	case !pauses:
+		f.setRelying(true)
+	}
+	wait := max(patience-now.Sub(word.At), shortest)/2 + shortest
+	if pauses {
+		wait = min(f.callAfter.Sub(now), pauseLook)
 	}
-	f.setRelying(true)
-	wait := max(f.others.Patience(f.table)-now.Sub(word.At), shortest)/2 + shortest
 	if !f.follow(word) {
 		if f.behindSince.IsZero() {
 			f.behindSince = now
@@ -266,9 +275,13 @@
 	return true
 }
 
-// waits lets a moment pass while the last confirmation is so young that another node may
-// still be the one to call the store. It reports false where this node is.
+// waits lets a moment pass while the store isn't to be called after a failure, or the last
+// confirmation is so young that another node may still be the one to call it. It reports
+// false where this node is.
 func (f *Feed) waits(ctx context.Context, now time.Time) bool {
+	if f.pauses(ctx) {
+		return true
+	}
 	left := f.others.Patience(f.table) - now.Sub(f.word.At)
 	if !f.acting && left > 0 {
 		f.await(ctx, min(left, firstPause))
@@ -278,14 +291,18 @@
 	return false
 }
 
-// follow takes over another node's word, unless it tells of a change that this one
-// doesn't know yet.
+// follow takes over another node's word of the same version or a newer one, unless it tells
+// of a change that this one doesn't know yet.
 func (f *Feed) follow(word Word) bool {
 	if word.Changed > f.word.Confirmed {
 		return false
 	}
 	f.behindSince = time.Time{}
-	f.set(Word{Changed: max(word.Changed, f.word.Changed), Confirmed: max(word.Confirmed, f.word.Confirmed), At: word.At}, false)
+	if word.Confirmed == f.word.Confirmed && f.word.At.After(word.At) {
+		word.At = f.word.At
+	}
+	word.Changed = max(word.Changed, f.word.Changed)
+	f.set(word, false)
 	return true
 }
 
--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -1,9 +1,11 @@
 // Package tablerelay lets nodes follow a table of the platform's store through one
 // another, so that few of them call the store and the others hear of a change from
 // these. A node that reads a table at the store tells the others up to which version the
-// store has confirmed it, and when. A node relies on the word of one that comes before it
-// in the table's ranking while it is fresh, and reads at the store itself as soon as it
-// isn't: those ranked first a little sooner, so that not all call at the same moment.
+// store has confirmed it, and when. A node relies on such a word while it is fresh, and
+// reads at the store itself as soon as it isn't: those ranked first a little sooner, so that
+// not all call at the same moment. The ranking decides only who reads: a node that reads
+// goes on until one that comes before it does. What is newer is told by versions, which the
+// store orders, whoever says it: the store may turn away any node.
 //
 // Guarantee: what a node that relies on another holds of a table is at most
 // Freshness older than what the store held, plus the time of one call to it.
@@ -11,6 +13,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -84,7 +87,8 @@
 type Copies interface {
 	// Copy and Missed are as in tablefeed.Others.
 	Copy(ctx context.Context, table string) (tablefeed.Copied, error)
-	Missed(ctx context.Context, table string, after tablefeed.Version) (tablefeed.Copied, error)
+	// holders are nodes that hold a change after that version.
+	Missed(ctx context.Context, table string, after tablefeed.Version, holders []netip.AddrPort) (tablefeed.Copied, error)
 }
 
 // Board holds the words of the nodes on all tables. It is safe for concurrent use.
@@ -133,7 +137,30 @@
 	if b.copies == nil {
 		return tablefeed.Copied{}, tablefeed.ErrNoCopy
 	}
-	return b.copies.Missed(ctx, table, after)
+	return b.copies.Missed(ctx, table, after, b.holders(table, after, time.Now()))
+}
+
+// holders returns the nodes whose words tell of a change after a version, the one heard last
+// first.
+func (b *Board) holders(table string, after tablefeed.Version, now time.Time) []netip.AddrPort {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var readers []string
+	for reader, word := range b.words[table] {
+		if word.Changed > after && now.Sub(word.At) < Freshness {
+			readers = append(readers, reader)
+		}
+	}
+	slices.SortFunc(readers, func(left, right string) int {
+		return b.words[table][right].At.Compare(b.words[table][left].At)
+	})
+	var holders []netip.AddrPort
+	for _, reader := range readers {
+		if address, err := netip.ParseAddrPort(reader); err == nil {
+			holders = append(holders, address)
+		}
+	}
+	return holders
 }
 
 // Add has a feed take part.
@@ -213,8 +240,7 @@
 func (b *Board) endsPause(feed *tablefeed.Feed, said Word, word tablefeed.Word, now time.Time) bool {
 	held, _ := feed.Word()
 	follows := word.Changed <= held.Confirmed // else it would have to ask for the changes
-	return follows && now.Sub(held.At) >= Freshness && b.fleet.Outranks(said.Table, said.Reader) &&
-		now.Sub(word.At) < b.Patience(said.Table)
+	return follows && now.Sub(held.At) >= Freshness && now.Sub(word.At) < b.Patience(said.Table)
 }
 
 // TakeNews gives changes that another node got from the store to the feed.
@@ -245,32 +271,42 @@
 	return laterPause * time.Duration(max(b.fleet.Nodes(), laterFleet)) / laterFleet
 }
 
-// Word implements tablefeed.Others: a node relies on those that come before it.
-func (b *Board) Word(table string, now time.Time) (tablefeed.Word, bool) {
-	patience := b.Patience(table)
-	newest := b.newest(table, now)
-	age := now.Sub(newest.At)
-	if age >= pullAfter && patience > 0 && b.mayPull(table, now) {
+// Word implements tablefeed.Others.
+func (b *Board) Word(table string, now time.Time, reads bool) (tablefeed.Word, bool) {
+	newest, found := b.newest(table, now, reads)
+	if now.Sub(newest.At) >= pullAfter && (!reads || b.Patience(table) > 0) && b.mayPull(table, now) {
 		b.fleet.AskWords(table)
 	}
-	return newest, age < patience
+	return newest, found
 }
 
-// newest returns the newest word of a node that comes before this one.
-func (b *Board) newest(table string, now time.Time) tablefeed.Word {
+// newest returns the word of the newest version, where this node reads among those of nodes
+// that come before it.
+func (b *Board) newest(table string, now time.Time, reads bool) (newest tablefeed.Word, found bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var newest tablefeed.Word
 	for reader, word := range b.words[table] {
 		if now.Sub(word.At) >= Freshness {
 			delete(b.words[table], reader)
 			continue
 		}
-		if word.At.After(newest.At) && b.fleet.Outranks(table, reader) {
-			newest = word
+		if reads && !b.fleet.Outranks(table, reader) {
+			continue
+		}
+		if !found || newer(word, newest) {
+			newest, found = word, true
 		}
 	}
-	return newest
+	return newest, found
+}
+
+// newer compares versions, and times where these are the same: an age may be wrong by the
+// time for which the word lay in a buffer.
+func newer(left, right tablefeed.Word) bool {
+	if left.Confirmed != right.Confirmed {
+		return left.Confirmed > right.Confirmed
+	}
+	return left.At.After(right.At)
 }
 
 // mayPull reports whether words on a table may be asked for, and records that they are.
--- a/internal/tableshare/client.go
+++ b/internal/tableshare/client.go
@@ -45,8 +45,9 @@
 	// Givers returns those to be asked for a whole table, the first first, and none where
 	// this node is to read it at the store. It may wait until the nodes are known.
 	Givers(ctx context.Context) []netip.AddrPort
-	// ChangeGivers returns those to be asked for changes.
-	ChangeGivers(table string) []netip.AddrPort
+	// ChangeGivers returns those to be asked for changes, the first first. holders are nodes
+	// that have told of them.
+	ChangeGivers(table string, holders []netip.AddrPort) []netip.AddrPort
 }
 
 // Client gets tables from other nodes.
@@ -75,11 +76,12 @@
 	return c.first(ctx, c.fleet.Givers(ctx), table, 0)
 }
 
-// Missed returns the changes of a table after a version, or ErrNoCopy.
-func (c *Client) Missed(ctx context.Context, table string, after tablefeed.Version) (tablefeed.Copied, error) {
+// Missed returns the changes of a table after a version, or ErrNoCopy. holders are nodes that
+// have told of them.
+func (c *Client) Missed(ctx context.Context, table string, after tablefeed.Version, holders []netip.AddrPort) (tablefeed.Copied, error) {
 	ctx, cancel := context.WithTimeout(ctx, missedWait)
 	defer cancel()
-	return c.first(ctx, c.fleet.ChangeGivers(table), table, after)
+	return c.first(ctx, c.fleet.ChangeGivers(table, holders), table, after)
 }
 
 // first asks nodes until one gives what is wanted. One that answers that it has
