A call that the store doesn't answer hides no change of which other nodes tell

What callers saw: at nodes whose way to the store is silent or one way, requests were run by an older configuration for 2 s and more after others had the new one.

Cause: a feed that waits for the store's answer reads neither news nor words. A silent call lasts 2 s, and another follows after a pause.

Now the call is given up where another node knows of a change and the store hasn't answered 200 ms later; the feed follows the others in its pause.

Evidence: TestCallThatTheStoreDoesNotAnswerHidesNoChange failed before (the call ended with its deadline).

--- /dev/null
+++ b/internal/tablefeed/call.go
@@ -0,0 +1,48 @@
+package tablefeed
+
+import (
+	"context"
+	"time"
+)
+
+// changes are what the store answers to a call for them.
+type changes struct {
+	rows    []Row
+	version Version
+	err     error
+}
+
+// call asks the store for the changes after a version. It is given up where other nodes tell
+// of one meanwhile and the store doesn't: its way to this node may be slow or silent.
+func (f *Feed) call(ctx context.Context, after Version, held time.Duration) ([]Row, Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience+slowCall)
+	defer cancel()
+	answered := make(chan changes, 1)
+	go func() {
+		rows, version, err := f.store.Changes(ctx, f.table, after, held)
+		answered <- changes{rows, version, err}
+	}()
+	var overtaken <-chan time.Time
+	for {
+		select {
+		case got := <-answered:
+			return got.rows, got.version, got.err
+		case <-f.wake:
+			if overtaken == nil && f.isOvertaken(after) {
+				overtaken = time.After(overtakenAfter)
+			}
+		case <-overtaken:
+			return nil, 0, errOvertaken
+		}
+	}
+}
+
+// isOvertaken reports whether another node knows of a change after a version.
+func (f *Feed) isOvertaken(after Version) bool {
+	if f.others == nil {
+		return false
+	}
+	f.collectNews()
+	word, found := f.others.Word(f.table, time.Now(), false)
+	return len(f.unapplied) > 0 || found && word.Changed > after
+}
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -21,6 +21,9 @@
 // ErrNoCopy tells that no other node is to be asked for a table, or none has it.
 var ErrNoCopy = eris.New("no other node gives a copy of the table")
 
+// errOvertaken tells that other nodes know of a change with which the store doesn't answer.
+var errOvertaken = eris.New("other nodes know of a change that the store hasn't answered with")
+
 // ErrHistoryGone tells that the changes after a version are forgotten.
 var ErrHistoryGone = eris.New("the store has forgotten the changes since that version")
 
@@ -111,6 +114,9 @@
 	// lateAnswer is how long after its patience an answer may tell of this moment:
 	// one that comes later has waited somewhere.
 	lateAnswer = 100 * time.Millisecond
+	// overtakenAfter is how much later than another node this one may have a change from the
+	// store before it takes it from the other.
+	overtakenAfter = 200 * time.Millisecond
 	// newsDelay is how long a node waits for news of a change that it has heard of
 	// before it asks the store.
 	newsDelay = 60 * time.Millisecond
@@ -155,7 +161,9 @@
 	// does.
 	behindSince time.Time
 	news        chan News
-	wake        chan struct{}
+	// unapplied are news that came during a call to the store.
+	unapplied []News
+	wake      chan struct{}
 
 	mu sync.Mutex
 	// changed is closed when the word changes, and replaced.
@@ -309,11 +317,22 @@
 // applyNews applies the news that have come: those that begin at or before what is
 // known. Others tell of changes before them that were missed.
 func (f *Feed) applyNews() {
+	f.collectNews()
+	for _, news := range f.unapplied {
+		if news.After <= f.word.Confirmed && news.Version > f.word.Confirmed {
+			f.apply(news.Rows, Word{Changed: news.Version, Confirmed: news.Version, At: f.word.At}, false, FromNews)
+		}
+	}
+	f.unapplied = nil
+}
+
+// collectNews takes the news that have come, but for those of versions that are known.
+func (f *Feed) collectNews() {
 	for {
 		select {
 		case news := <-f.news:
-			if news.After <= f.word.Confirmed && news.Version > f.word.Confirmed {
-				f.apply(news.Rows, Word{Changed: news.Version, Confirmed: news.Version, At: f.word.At}, false, FromNews)
+			if news.Version > f.word.Confirmed {
+				f.unapplied = append(f.unapplied, news)
 			}
 		default:
 			return
@@ -377,14 +396,12 @@
 }
 
 func (f *Feed) change(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, patience+slowCall)
-	defer cancel()
 	begun := time.Now()
 	after := f.word.Confirmed
 	// The time between two confirmations stays the same: others wait for them.
 	held := patience - f.rested
 	f.rested = 0
-	rows, version, err := f.store.Changes(callCtx, f.table, after, held)
+	rows, version, err := f.call(ctx, after, held)
 	if err != nil {
 		return err
 	}
--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -306,3 +306,39 @@
 		}
 	}
 }
+
+// mute is a store that answers the first read only, and tells why calls for changes end.
+type mute struct {
+	called chan struct{}
+	ended  chan error
+}
+
+func (m *mute) Read(context.Context, string) ([]Row, Version, error) { return nil, 1, nil }
+
+func (m *mute) Changes(ctx context.Context, _ string, _ Version, _ time.Duration) ([]Row, Version, error) {
+	m.called <- struct{}{}
+	<-ctx.Done()
+	m.ended <- ctx.Err()
+	return nil, 0, ctx.Err()
+}
+
+// TestCallThatTheStoreDoesNotAnswerHidesNoChange of which another node tells.
+func TestCallThatTheStoreDoesNotAnswerHidesNoChange(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store, fleet := &mute{make(chan struct{}, 1), make(chan error, 1)}, &telling{from: make(chan struct{})}
+	consumer := applied{make(chan Version, 1)}
+	feed := New(store, "table", consumer, fleet, log)
+	go feed.Run(ctx)
+	<-store.called
+	close(fleet.from)
+	feed.Wake()
+	if err := <-store.ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("the call ended with %v: it was waited for", err)
+	}
+	if version := <-consumer.done; version != 7 {
+		t.Errorf("version %d was applied", version)
+	}
+}
