A node that has a table doesn't wait like one that starts where the store forgot its history

What callers could see: after the store forgot its history, a node that reads a table there (the one that others rely on among them) served by what it knew for up to 8 s and took no news meanwhile, while it waited for other nodes to give it the whole table, which waited for it; and for as long as the store turned it away as well.

Cause: the feed went back to its beginning. There it asks other nodes for a whole copy for up to 8 s, and follows nobody.

Now it goes on following the others, and reads the table again: at once where the others wait for it to do so, else after asking them for what is newer, 600 ms at most.

Evidence: TestForgottenHistoryDoesNotMakeANodeWaitLikeOneThatStarts and TestNodeWithoutHistoryFollowsOthers failed before (nothing within 20 s). The soak's storms now forget the history too.

--- a/internal/lab/soak/storm.go
+++ b/internal/lab/soak/storm.go
@@ -174,7 +174,8 @@
 }
 
 // denyOften has the store turn a share of the nodes away again and again: every other time
-// those that are ranked first to read the configuration, else any.
+// with the one that is ranked first to read the configuration. Now and then it has forgotten
+// its history when it serves them again.
 func (s *site) denyOften(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.options.Seed, 72))
 	for count := 0; ctx.Err() == nil; count++ {
@@ -188,6 +189,9 @@
 			s.toStore[number].SetMode(mode)
 		}
 		sleep(ctx, length)
+		if random.IntN(2) == 0 {
+			s.store.Forget()
+		}
 		for _, number := range denied {
 			s.toStore[number].SetMode(Pass)
 		}
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -151,8 +151,8 @@
 	callAfter time.Time
 	// rested is how long the feed has rested since its last call to the store.
 	rested time.Duration
-	// forgotten is the version after which the store has forgotten the changes: a copy is to
-	// be newer.
+	// forgotten is the version after which the store has forgotten the changes, zero where
+	// they can be asked for.
 	forgotten Version
 	// relying tells that the last word was another node's, and acting that this node
 	// calls the store, for others too.
@@ -229,16 +229,18 @@
 			continue
 		}
 		var err error
-		if known {
-			err = f.change(ctx)
-		} else {
+		switch {
+		case !known:
 			err = f.begin(ctx)
+		case f.forgotten > 0:
+			err = f.readAgain(ctx)
+		default:
+			err = f.change(ctx)
 		}
 		switch {
 		case err == nil:
 			known = true
 		case errors.Is(err, ErrHistoryGone):
-			known = false
 			f.forgotten = f.word.Confirmed
 			f.log.WithFields(logrus.Fields{"table": f.table, "version": f.word.Confirmed}).Warn("store forgot its history; reading the table again")
 		default:
@@ -391,6 +393,7 @@
 		return eris.Errorf("the store answered version %d of table %s, older than %d", version, f.table, f.word.Confirmed)
 	}
 	f.reset(rows, Word{Changed: version, Confirmed: version, At: begun}, f.acting, FromStore)
+	f.forgotten = 0
 	f.regained()
 	return nil
 }
--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -342,3 +342,79 @@
 		t.Errorf("version %d was applied", version)
 	}
 }
+
+// starting is a fleet in which a node that starts gets version 5 from another one, and then
+// waits for a newer copy in vain.
+type starting struct {
+	acting
+	begun bool
+}
+
+func (s *starting) Copy(ctx context.Context, _ string) (Copied, error) {
+	if s.begun {
+		<-ctx.Done()
+		return Copied{}, ErrNoCopy
+	}
+	s.begun = true
+	return Copied{Whole: true, Word: Word{Changed: 5, Confirmed: 5, At: time.Now()}}, nil
+}
+
+// TestForgottenHistoryDoesNotMakeANodeWaitLikeOneThatStarts.
+func TestForgottenHistoryDoesNotMakeANodeWaitLikeOneThatStarts(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &scripted{t: t, cancel: cancel, steps: []step{
+		{call: "changes after 5", err: ErrHistoryGone},
+		{call: "read", rows: []Row{{Key: "k"}}, version: 9},
+	}}
+	New(s, "table", s, &starting{}, log).Run(ctx)
+	if diff := cmp.Diff([]string{"reset to 5 with 0", "reset to 9 with 1"}, s.taken); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// forgetful is a store that answers the first read only, and has forgotten all changes.
+type forgetful struct {
+	refusing
+	read bool
+}
+
+func (*forgetful) Changes(context.Context, string, Version, time.Duration) ([]Row, Version, error) {
+	return nil, 0, ErrHistoryGone
+}
+
+func (r *forgetful) Read(context.Context, string) ([]Row, Version, error) {
+	if r.read {
+		select {
+		case r.refused <- struct{}{}:
+		default:
+		}
+		return nil, 0, errors.New("turned away")
+	}
+	r.read = true
+	return nil, 1, nil
+}
+
+// TestNodeWithoutHistoryFollowsOthers while the store doesn't let it read the table again.
+func TestNodeWithoutHistoryFollowsOthers(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store, fleet := &forgetful{}, &telling{from: make(chan struct{})}
+	store.refused = make(chan struct{}, 1)
+	consumer := applied{make(chan Version)}
+	go New(store, "table", consumer, fleet, log).Run(ctx)
+	<-store.refused
+	close(fleet.from)
+	select {
+	case version := <-consumer.done:
+		if version != 7 {
+			t.Errorf("version %d was applied", version)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the node hears nothing of others")
+	}
+}
--- a/internal/tablefeed/takeover.go
+++ b/internal/tablefeed/takeover.go
@@ -11,18 +11,31 @@
 func (f *Feed) begin(ctx context.Context) error {
 	if f.others != nil {
 		copied, err := f.others.Copy(ctx, f.table)
-		if err == nil && copied.Word.Confirmed > f.forgotten && f.takeOver(copied) {
+		if err == nil && f.takeOver(copied) {
 			return nil
 		}
 	}
 	return f.read(ctx)
 }
 
+// readAgain makes up for a forgotten history: from another node that holds something newer, or
+// else at the store, and at once where the others wait for this node to do so.
+func (f *Feed) readAgain(ctx context.Context) error {
+	if f.others != nil && f.others.Patience(f.table) > 0 && f.missed(ctx) {
+		return nil
+	}
+	return f.read(ctx)
+}
+
 // missed gets changes that other nodes know of from one of them. It reports false where the
 // store must be asked.
 func (f *Feed) missed(ctx context.Context) bool {
 	copied, err := f.others.Missed(ctx, f.table, f.word.Confirmed)
-	return err == nil && f.takeOver(copied)
+	if err != nil || !f.takeOver(copied) {
+		return false
+	}
+	f.forgotten = 0
+	return true
 }
 
 // takeOver takes what another node holds, unless it is older than what is known. The store
