A node that knows of a newer configuration and lacks it says so

What callers saw: a node that had heard of a newer configuration and couldn't get it answered 404, as if no version had the route, while its last confirmation was less than 2 s old, and ran requests for routes that may have gone to other services for as long as it lacked it.

Cause: what it answers was decided by the age of the last confirmation alone. That there is a newer version was known and used for nothing but getting it.

Now routes and API keys that it doesn't know are refused with 503 at once where a newer version is known, and after a second all requests; then it isn't ready either. Code 2009, as before for configurations that nobody has confirmed for 2 s.

Left: a node that hears no other node and not the store can't tell that from a store that is away for all; it goes on by what it knows, and refuses only what it doesn't know.

--- a/internal/front/admit.go
+++ b/internal/front/admit.go
@@ -15,6 +15,10 @@
 // (tablerelay.Freshness and one call).
 const staleAfter = 2 * time.Second
 
+// outdatedAfter is how long a node goes on by a configuration of which it knows that there is
+// a newer one: a node that reaches another one has it in less.
+const outdatedAfter = time.Second
+
 // stalePause is when a caller should come back who was turned away by a node whose
 // configuration may be old. Another node is likely to take the next try.
 const stalePause = 300 * time.Millisecond
@@ -58,13 +62,31 @@
 	return owner, nil
 }
 
+// refuseOutdated refuses requests where this node has known for a while of a newer
+// configuration and can't get it: routes may have gone to other services.
+func (f *Front) refuseOutdated(table *routing.Table) *result.Error {
+	if !f.Outdated() {
+		return nil
+	}
+	behind := f.configurationBehind()
+	return result.New(result.ConfigurationStale, "this node has version %d, and heard %d ms ago of a newer configuration that it can't get", table.Version, behind.Milliseconds()).
+		WithRetryAfter(stalePause)
+}
+
+// Outdated reports whether requests are refused since the configuration is known to be old.
+func (f *Front) Outdated() bool { return f.configurationBehind() > outdatedAfter }
+
 // refuseUnknown turns a refusal of what the configuration doesn't hold into one that lets the
 // caller come back, where a newer version that holds it may be in force elsewhere.
 func (f *Front) refuseUnknown(failure *result.Error) *result.Error {
-	age := f.configurationAge()
-	if age <= staleAfter {
-		return failure
+	age, behind := f.configurationAge(), f.configurationBehind()
+	switch {
+	case behind > 0:
+		return result.New(result.ConfigurationStale, "%s; there has been a newer configuration for %d ms", failure.Message, behind.Milliseconds()).
+			WithRetryAfter(stalePause)
+	case age > staleAfter:
+		return result.New(result.ConfigurationStale, "%s; it was confirmed %d ms ago and may be old", failure.Message, age.Milliseconds()).
+			WithRetryAfter(stalePause)
 	}
-	return result.New(result.ConfigurationStale, "%s; it was confirmed %d ms ago and may be old", failure.Message, age.Milliseconds()).
-		WithRetryAfter(stalePause)
+	return failure
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -45,6 +45,9 @@
 	quotas Quotas
 	// configurationAge is the time since the configuration in force was confirmed.
 	configurationAge func() time.Duration
+	// configurationBehind is the time since this node heard of a newer configuration that it
+	// doesn't hold, zero where it lacks none.
+	configurationBehind func() time.Duration
 
 	table    atomic.Pointer[routing.Table]
 	stopping atomic.Bool
@@ -62,22 +65,30 @@
 	// ConfigurationAge is the time since the configuration in force was confirmed. It may
 	// be nil where that is never long ago.
 	ConfigurationAge func() time.Duration
+	// ConfigurationBehind is the time since this node heard of a newer configuration that it
+	// doesn't hold, zero where it lacks none. It may be nil where it never lacks one.
+	ConfigurationBehind func() time.Duration
 }
 
 // New returns a front without routes.
 func New(options Options) *Front {
-	age := options.ConfigurationAge
-	if age == nil {
-		age = func() time.Duration { return 0 }
-	}
-	return &Front{
-		configurationAge: age,
-		parser:           options.Parser, runner: options.Runner, log: options.Log, metrics: options.Metrics,
+	f := &Front{
+		configurationAge: options.ConfigurationAge, configurationBehind: options.ConfigurationBehind,
+		parser: options.Parser, runner: options.Runner, log: options.Log, metrics: options.Metrics,
 		quotas:   options.Quotas,
 		splitter: routing.NewSplitter(rand.IntN),
 	}
+	if f.configurationAge == nil {
+		f.configurationAge = never
+	}
+	if f.configurationBehind == nil {
+		f.configurationBehind = never
+	}
+	return f
 }
 
+func never() time.Duration { return 0 }
+
 // Stop asks callers to use other connections from now on.
 func (f *Front) Stop() { f.stopping.Store(true) }
 
@@ -134,6 +145,9 @@
 	if table == nil {
 		return nil, result.New(result.NotConfigured, "this node has read no configuration yet").WithRetryAfter(notConfiguredPause)
 	}
+	if failure := f.refuseOutdated(table); failure != nil {
+		return nil, failure
+	}
 	if size := headerBytes(request); table.Limits.MaxHeaderBytes > 0 && size > table.Limits.MaxHeaderBytes {
 		return nil, result.New(result.HeaderTooLarge, "the header has %d bytes; the limit is %d", size, table.Limits.MaxHeaderBytes)
 	}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -166,7 +166,7 @@
 	n.watchTables(metrics)
 	n.front = front.New(front.Options{
 		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: front.NewMetrics(metrics),
-		ConfigurationAge: n.configurationAge, Quotas: quotas,
+		ConfigurationAge: n.configurationAge, ConfigurationBehind: n.configurationBehind, Quotas: quotas,
 	})
 	if err := n.listen(metrics); err != nil {
 		return nil, err
@@ -267,10 +267,16 @@
 	return time.Since(word.At)
 }
 
-// Ready reports whether the node can serve: it knows routes and workers, and is
-// not being stopped.
+// configurationBehind is the time since this node heard of a newer configuration that it
+// doesn't hold, zero where it lacks none.
+func (n *Node) configurationBehind() time.Duration {
+	return n.tableBehind(n.platform.ConfigurationTable(), time.Now())
+}
+
+// Ready reports whether the node can serve: it knows routes and workers, is not being
+// stopped, and doesn't lack a newer configuration.
 func (n *Node) Ready() bool {
-	return !n.front.Stopping() && n.front.Table() != nil && n.workersKnown.Load()
+	return !n.front.Stopping() && n.front.Table() != nil && n.workersKnown.Load() && !n.front.Outdated()
 }
 
 // newFeed returns a feed that takes part in the relay between nodes.
