A node that starts takes no table older than others hold

What callers could see: a node that had just started ran requests by a configuration of up to 5 s ago: a whole table that another node had packed for an earlier start was given on although changes had come since; and a node that reads tables at the store took what the store gave, which may be seconds old after it has dropped its history.

Now a table of fewer than 200 rows is packed anew where it changed, and one that is asked for as of later than a version isn't given as of before it; a node that reads at the store first asks up to three others for what they hold at the moment, for 0.3 s at most, and waits for none that holds nothing.

Evidence: TestNodeThatStartsTakesNothingOlderThanOthersHold failed with the rule of before (version 5 where the other node held 6 and 7); TestNodeThatIsToReadAtTheStoreTakesWhatItsNeighboursHold needs what this adds.

--- a/internal/digest/listing.go
+++ b/internal/digest/listing.go
@@ -139,7 +139,7 @@
 	holders = holders[:min(len(holders), askedHolders)]
 	givers := e.peers.givers()
 	if len(givers) == 0 {
-		return e.peers.others(distinct(slices.Concat(holders, e.peers.readers(table))))
+		return e.peers.others(distinct(slices.Concat(holders, e.peers.readers(table), e.peers.neighbours())))
 	}
 	near := givers[:1:1]
 	if any, found := e.peers.anyNear(); found {
@@ -148,6 +148,24 @@
 	return e.peers.others(distinct(slices.Concat(near, holders, givers[1:])))
 }
 
+// Neighbours returns some nodes that may hold a table at the moment, for one that reads it at
+// the store: what the store gives may be older.
+func (e *Exchange) Neighbours() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.neighbours()
+}
+
+// neighbours are the nodes of the zone that were listed first, and one drawn at random.
+func (s *peerSet) neighbours() []netip.AddrPort {
+	order := s.listedInZone()
+	near := order[:min(len(order), sharingHeads):min(len(order), sharingHeads)]
+	if any, found := s.anyPeer(); found {
+		near = append(near, any)
+	}
+	return distinct(near)
+}
+
 // askedHolders is the most nodes that are asked for changes because they have told of them.
 const askedHolders = 2
 
--- a/internal/lab/fleetstore/store.go
+++ b/internal/lab/fleetstore/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -49,6 +50,8 @@
 	version uint64
 	rows    map[string]Row
 	history []Row
+	// written are all rows that were ever written, in order.
+	written []Row
 	// forgotten is the version up to which the history is gone.
 	forgotten uint64
 	changed   chan struct{}
@@ -154,10 +157,39 @@
 			rows = append(rows, row)
 		}
 	}
+	sortRows(rows)
+	return rows
+}
+
+func sortRows(rows []Row) {
 	slices.SortFunc(rows, func(left, right Row) int { return strings.Compare(left.Key, right.Key) })
+}
+
+// asOf returns the rows of a table as they were at a version.
+func (s *Store) asOf(table string, version uint64) []Row {
+	byKey := make(map[string]Row)
+	for _, row := range s.written {
+		if row.Table != table || row.Version > version {
+			continue
+		}
+		if row.Gone {
+			delete(byKey, row.Key)
+		} else {
+			byKey[row.Key] = row
+		}
+	}
+	rows := slices.Collect(maps.Values(byKey))
+	sortRows(rows)
 	return rows
 }
 
+// Version returns the newest version.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 func (s *Store) write(rows []Row) {
 	s.version++
 	for _, row := range rows {
@@ -169,6 +201,7 @@
 			s.rows[name] = row
 		}
 		s.history = append(s.history, row)
+		s.written = append(s.written, row)
 	}
 	s.wake()
 }
@@ -223,10 +256,12 @@
 	}
 	s.mu.Lock()
 	s.reads[query.Get("table")]++
-	rows, version := within(s.of(query.Get("table")), query.Get("From"), query.Get("TargetVersion")), s.version
+	rows, version := s.of(query.Get("table")), s.version
 	if s.faults.StaleReads > 0 {
 		version = s.faults.StaleReads
+		rows = s.asOf(query.Get("table"), version)
 	}
+	rows = within(rows, query.Get("From"), query.Get("TargetVersion"))
 	s.mu.Unlock()
 	limit, err := strconv.Atoi(query.Get("limit"))
 	more := err == nil && len(rows) > limit
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -32,7 +32,7 @@
 		defer s.mend() // after the storm, which changes ways to the store too
 		defer func() { endStorm(); <-ended }()
 		// Faults of the whole store would leave no node that knows of a change.
-		kinds = []func(context.Context, time.Duration) string{s.killNode, s.pauseNode, s.stopNode, s.harmWorkerWay, s.failWorker}
+		kinds = []func(context.Context, time.Duration) string{s.killNode, s.pauseNode, s.stopNode, s.startStale, s.harmWorkerWay, s.failWorker}
 	}
 	if s.options.Limits {
 		kinds = append(kinds, s.nameLimit, s.nameLimit, s.nameLimit, s.nameLimit)
--- a/internal/lab/soak/storm.go
+++ b/internal/lab/soak/storm.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/lab/fleetstore"
 	"github.com/tinarch/tinarch/internal/rendezvous"
 	"github.com/tinarch/tinarch/internal/settings"
 )
@@ -201,6 +202,25 @@
 	}
 }
 
+// startStale has a node start again, every other time the one that is ranked first to read the
+// configuration, while the store answers reads as of seconds ago.
+func (s *site) startStale(ctx context.Context, length time.Duration) string {
+	before := s.store.Version()
+	sleep(ctx, length)
+	number := s.random.IntN(len(s.nodes))
+	if s.random.IntN(2) == 0 {
+		number = s.firstReader()
+	}
+	node, begun := s.nodes[number], time.Now()
+	s.store.SetFaults(fleetstore.Faults{StaleReads: before})
+	node.Kill()
+	_ = node.Start()
+	sleep(ctx, length)
+	s.store.SetFaults(fleetstore.Faults{})
+	s.limits.harm(node.Name, begun, begun)
+	return fmt.Sprintf("%s was killed and started while reads were as of version %d, %v ago", node.Name, before, length.Round(time.Millisecond))
+}
+
 // firstReader is the node that is ranked first to read the configuration for all.
 func (s *site) firstReader() int {
 	numbers := make([]int, len(s.nodes))
--- a/internal/tableshare/ask.go
+++ b/internal/tableshare/ask.go
@@ -20,6 +20,8 @@
 type question struct {
 	table string
 	after tablefeed.Version
+	// atOnce wants no answer that has to be waited for.
+	atOnce bool
 }
 
 // reply is a node's answer to a question, its body not read yet.
@@ -69,7 +71,7 @@
 			}
 			calls[got.node]()
 			delete(calls, got.node)
-			if !errors.Is(err, errNotYet) {
+			if asked.atOnce || !errors.Is(err, errNotYet) {
 				nodes = c.without(nodes, asked, got.node, err)
 			}
 		}
@@ -96,7 +98,7 @@
 // ask makes one call, and hands its reply on unless nobody waits for it any more.
 func (c *Client) ask(ctx context.Context, node netip.AddrPort, asked question, replies chan<- reply, ended <-chan struct{}) {
 	response, err := c.call(ctx, node, asked)
-	if errors.Is(err, errNotYet) {
+	if errors.Is(err, errNotYet) && !asked.atOnce {
 		pause(ctx, againAfter)
 	}
 	select {
@@ -111,6 +113,9 @@
 // call returns an answer that gives rows, its body not read yet.
 func (c *Client) call(ctx context.Context, node netip.AddrPort, asked question) (*http.Response, error) {
 	target := "http://" + node.String() + pathTables + asked.table + "?" + queryAfter + "=" + strconv.FormatUint(uint64(asked.after), decimal)
+	if asked.atOnce {
+		target += "&" + queryAtOnce + "=true"
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return nil, err
--- a/internal/tableshare/client.go
+++ b/internal/tableshare/client.go
@@ -30,6 +30,10 @@
 	// startWait is how long a node that starts waits for others that answer: those through
 	// which a table reaches it get it one after the other.
 	startWait = 8 * time.Second
+	// atOnceWait and nextAtOnce are the same for a node that reads the table at the store, and
+	// asks only for what others hold already.
+	atOnceWait = 300 * time.Millisecond
+	nextAtOnce = 100 * time.Millisecond
 	// missedWait is how long it waits until one begins to give changes, of which the store may
 	// tell as well.
 	missedWait = 600 * time.Millisecond
@@ -48,6 +52,8 @@
 	// Givers returns those to be asked for a whole table, the first first, and none where
 	// this node is to read it at the store. It may wait until the nodes are known.
 	Givers(ctx context.Context) []netip.AddrPort
+	// Neighbours returns some that may hold it at the moment, where there are no givers.
+	Neighbours() []netip.AddrPort
 	// ChangeGivers returns those to be asked for changes, the first first. holders are nodes
 	// that have told of them.
 	ChangeGivers(table string, holders []netip.AddrPort) []netip.AddrPort
@@ -75,8 +81,10 @@
 // Copy returns a whole table as another node holds it, or ErrNoCopy.
 func (c *Client) Copy(ctx context.Context, table string) (tablefeed.Copied, error) {
 	begun := time.Now()
-	nodes := c.fleet.Givers(ctx)
-	return c.first(ctx, nodes, question{table: table}, startWait-time.Since(begun), nextAfter)
+	if nodes := c.fleet.Givers(ctx); len(nodes) > 0 {
+		return c.first(ctx, nodes, question{table: table}, startWait-time.Since(begun), nextAfter)
+	}
+	return c.first(ctx, c.fleet.Neighbours(), question{table: table, atOnce: true}, atOnceWait, nextAtOnce)
 }
 
 // Missed returns the changes of a table after a version, or ErrNoCopy. holders are nodes that
@@ -105,9 +113,9 @@
 	}
 	whole := response.Header.Get(headerWhole) == "true"
 	if whole {
-		c.server.seed(asked.table, packedTable{body, word})
+		c.server.seed(asked.table, packedTable{body, word, len(rows)})
 	} else {
-		c.server.seedChanges(asked.table, asked.after, packedTable{body, word})
+		c.server.seedChanges(asked.table, asked.after, packedTable{body, word, len(rows)})
 	}
 	return tablefeed.Copied{Whole: whole, Rows: rows, Word: word}, nil
 }
--- a/internal/tableshare/server.go
+++ b/internal/tableshare/server.go
@@ -25,6 +25,7 @@
 	pathTables    = "/tables/"
 	pathTable     = pathTables + "{table}"
 	queryAfter    = "after"
+	queryAtOnce   = "at_once"
 	headerWhole   = "Table-Whole"
 	headerChanged = "Table-Changed"
 	headerWord    = "Table-Confirmed"
@@ -61,16 +62,21 @@
 	after tablefeed.Version
 }
 
-// packedTable is a whole table as it goes over the wire.
+// packedTable is a whole table, or changes of it, as it goes over the wire.
 type packedTable struct {
 	body []byte
 	word tablefeed.Word
+	rows int
 }
 
-// repackAfter is how long a packed table is given although changes have come since: the
-// receiver gets these as all other nodes do. Rendering 10,000 rows takes a small node
-// a quarter of a second.
-const repackAfter = 5 * time.Second
+// A packed table of manyRows or more is given for repackAfter although changes have come since:
+// the receiver gets these as all other nodes do. Rendering 10,000 rows takes a small node a
+// quarter of a second. A smaller one is rendered anew, so that a node which starts takes nothing
+// older than others hold.
+const (
+	repackAfter = 5 * time.Second
+	manyRows    = 200
+)
 
 // holdFor is how long a call is held while there is nothing to give, so that nodes which
 // start together needn't call again and again.
@@ -107,7 +113,11 @@
 		return
 	}
 	s.asked(table)
-	answer, status := s.held(request.Context(), table, tablefeed.Version(after))
+	hold := holdFor
+	if request.URL.Query().Has(queryAtOnce) {
+		hold = 0
+	}
+	answer, status := s.held(request.Context(), table, tablefeed.Version(after), hold)
 	if status != http.StatusOK {
 		writer.WriteHeader(status)
 		return
@@ -120,9 +130,9 @@
 	_, _ = writer.Write(answer.body)
 }
 
-// held answers as soon as there is something to give.
-func (s *Server) held(ctx context.Context, table string, after tablefeed.Version) (answer, int) {
-	timer := time.NewTimer(holdFor)
+// held answers as soon as there is something to give, and waits for it no longer than a time.
+func (s *Server) held(ctx context.Context, table string, after tablefeed.Version, hold time.Duration) (answer, int) {
+	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	for {
 		source, known := s.source(table)
@@ -162,14 +172,14 @@
 		return answer{}, http.StatusServiceUnavailable
 	}
 	if after == 0 {
-		return s.whole(table, source, now)
+		return s.whole(table, source, after, now)
 	}
 	copied, known := source.Held(after)
 	switch {
 	case !known:
 		return answer{}, http.StatusServiceUnavailable
 	case copied.Whole:
-		return s.whole(table, source, now)
+		return s.whole(table, source, after, now)
 	case copied.Word.Confirmed <= after:
 		return answer{}, http.StatusNoContent
 	}
@@ -182,26 +192,27 @@
 	defer s.mu.Unlock()
 	last := s.changes[table]
 	if last.after == after && last.word.Changed == copied.Word.Changed && last.body != nil {
-		return answer{packedTable: packedTable{last.body, copied.Word}}, http.StatusOK
+		return answer{packedTable: packedTable{last.body, copied.Word, len(copied.Rows)}}, http.StatusOK
 	}
 	body, err := pack(copied.Rows)
 	if err != nil {
 		return answer{}, http.StatusInternalServerError
 	}
-	s.changes[table] = packedChanges{packedTable{body, copied.Word}, after}
-	return answer{packedTable: packedTable{body, copied.Word}}, http.StatusOK
+	s.changes[table] = packedChanges{packedTable{body, copied.Word, len(copied.Rows)}, after}
+	return answer{packedTable: s.changes[table].packedTable}, http.StatusOK
 }
 
-// whole returns the whole table. One at a time is rendered.
-func (s *Server) whole(table string, source Source, now time.Time) (answer, int) {
+// whole returns the whole table as of later than a version. One at a time is rendered.
+func (s *Server) whole(table string, source Source, after tablefeed.Version, now time.Time) (answer, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	word, _ := source.Word()
 	packed, rendered := s.packed[table]
-	if rendered && (packed.word.Changed == word.Changed || now.Sub(packed.word.At) < repackAfter) {
-		if packed.word.Changed == word.Changed {
-			packed.word = word
-		}
+	switch {
+	case rendered && packed.word.Changed == word.Changed:
+		packed.word = word
+		return answer{packedTable: packed, whole: true}, http.StatusOK
+	case rendered && packed.rows >= manyRows && packed.word.Confirmed > after && now.Sub(packed.word.At) < repackAfter:
 		return answer{packedTable: packed, whole: true}, http.StatusOK
 	}
 	copied, known := source.Held(0)
@@ -212,7 +223,7 @@
 	if err != nil {
 		return answer{}, http.StatusInternalServerError
 	}
-	s.packed[table] = packedTable{body, copied.Word}
+	s.packed[table] = packedTable{body, copied.Word, len(copied.Rows)}
 	return answer{packedTable: s.packed[table], whole: true}, http.StatusOK
 }
 
--- a/internal/tableshare/tableshare_test.go
+++ b/internal/tableshare/tableshare_test.go
@@ -100,6 +100,8 @@
 
 func (o order) Givers(context.Context) []netip.AddrPort { return slices.Clone(o) }
 
+func (o order) Neighbours() []netip.AddrPort { return nil }
+
 func (o order) ChangeGivers(string, []netip.AddrPort) []netip.AddrPort { return slices.Clone(o) }
 
 func client(server *Server, givers ...netip.AddrPort) *Client {
@@ -260,3 +262,41 @@
 		t.Errorf("version %d, %v", copied.Word.Changed, err)
 	}
 }
+
+// TestNodeThatStartsTakesNothingOlderThanOthersHold, where packing it anew is cheap.
+func TestNodeThatStartsTakesNothingOlderThanOthersHold(t *testing.T) {
+	giving := startNode(t)
+	for version := tablefeed.Version(5); version < 8; version++ {
+		giving.table.set(someRows(3), version, 0)
+		copied, err := client(giving.server, giving.address).Copy(context.Background(), "workers")
+		if err != nil || copied.Word.Changed != version {
+			t.Errorf("version %d where the other node holds %d, %v", copied.Word.Changed, version, err)
+		}
+	}
+}
+
+// root is a node that reads tables at the store.
+type root struct{ order }
+
+func (root) Givers(context.Context) []netip.AddrPort { return nil }
+
+func (r root) Neighbours() []netip.AddrPort { return slices.Clone(r.order) }
+
+// TestNodeThatIsToReadAtTheStoreTakesWhatItsNeighboursHold, and waits for none that holds
+// nothing: that one may wait for it.
+func TestNodeThatIsToReadAtTheStoreTakesWhatItsNeighboursHold(t *testing.T) {
+	empty, giving := startNode(t), startNode(t)
+	asking := client(empty.server)
+	asking.fleet = root{order{empty.address}}
+	if _, err := asking.Copy(context.Background(), "workers"); !errors.Is(err, tablefeed.ErrNoCopy) {
+		t.Errorf("a node that holds nothing gives a copy: %v", err)
+	}
+	if asked := empty.asked.Load(); asked != 1 {
+		t.Errorf("a node that holds nothing was asked %d times", asked)
+	}
+	giving.table.set(someRows(3), 7, 0)
+	asking.fleet = root{order{aDeadNode(t), empty.address, giving.address}}
+	if copied, err := asking.Copy(context.Background(), "workers"); err != nil || copied.Word.Changed != 7 {
+		t.Errorf("version %d, %v", copied.Word.Changed, err)
+	}
+}
