The age of a word counts the time for which it lay in buffers

What callers could see: a node that hadn't run for a while, or lagged behind its socket, took words on tables for as young as they were when they were made, and answered 404 for routes of a newer version as if its configuration had just been confirmed.

Cause: a word tells its age when it is made; the time on the way, in a buffer and before the process runs again was counted by nobody.

Now its maker adds the time by its own clock, and the receiver counts what the message took beyond the shortest way from that maker within the last minute or two; clocks need not agree. The same is seen for words that heads of zones pass on, since they keep the maker's time. One byte count: about 19 bytes more a message of words.

Evidence: TestWordThatLayInABufferIsAsOldAsItIs and TestTimeOnTheWayIsCounted need what this adds; before, AgeMillis was taken as it came.

--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -63,6 +63,8 @@
 	Zone string `json:"z,omitempty"`
 	// Words are on the tables of the store; such a message holds nothing else.
 	Words []tablerelay.Word `json:"t,omitempty"`
+	// Made is when the maker of words made the message, in milliseconds of its clock since boot.
+	Made int64 `json:"tm,omitempty"`
 	// WantWords asks the receiver for its words.
 	WantWords bool `json:"u,omitempty"`
 	// News are changes of a table, packed; such a message holds nothing else.
--- a/internal/digest/exchange.go
+++ b/internal/digest/exchange.go
@@ -85,6 +85,9 @@
 	told chan []string
 	done chan struct{}
 
+	// transits is used by the receiving goroutine only.
+	transits transits
+
 	// box, sequence and reported are used by Run's goroutine only; reported is when the
 	// supervisors were told last.
 	box      outbox
--- a/internal/digest/tables.go
+++ b/internal/digest/tables.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/clock"
 	"github.com/tinarch/tinarch/internal/rendezvous"
 	"github.com/tinarch/tinarch/internal/tablefeed"
 	"github.com/tinarch/tinarch/internal/tablerelay"
@@ -29,7 +30,7 @@
 
 // SpreadWords tells the other nodes what the store has confirmed.
 func (e *Exchange) SpreadWords(words []tablerelay.Word) {
-	e.spread(Message{Node: e.node, Words: words})
+	e.spread(Message{Node: e.node, Words: words, Made: clock.Boot().UnixMilli()})
 }
 
 // SpreadNews tells the other nodes of changes. Changes that are too large aren't told: the
@@ -185,15 +186,28 @@
 		return
 	}
 	if words := e.board.Known(time.Now()); len(words) > 0 {
-		e.sendTo(to, Message{Node: e.node, Words: words, Relayed: true})
+		e.sendTo(to, Message{Node: e.node, Words: words, Made: clock.Boot().UnixMilli(), Relayed: true})
 	}
 }
 
 func (e *Exchange) takeWords(from netip.AddrPort, message Message) {
+	e.takeWordsAt(from, message, clock.Boot())
+}
+
+// takeWordsAt takes words by a clock since boot. Their ages were true when the message was made.
+func (e *Exchange) takeWordsAt(from netip.AddrPort, message Message, now time.Time) {
 	if e.board == nil {
 		return
 	}
-	e.board.Take(message.Words, time.Now())
+	words := message.Words
+	if message.Made != 0 {
+		late := e.transits.late(message.Node, time.UnixMilli(message.Made), now)
+		words = slices.Clone(words)
+		for i := range words {
+			words[i].AgeMillis += late.Milliseconds()
+		}
+	}
+	e.board.Take(words, time.Now())
 	e.passOn(from, message)
 }
 
--- /dev/null
+++ b/internal/digest/transit_test.go
@@ -0,0 +1,48 @@
+package digest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/tablefeed"
+	"github.com/tinarch/tinarch/internal/tablerelay"
+)
+
+// TestTimeOnTheWayIsCounted, whatever the clocks of the two nodes say.
+func TestTimeOnTheWayIsCounted(t *testing.T) {
+	const apart = 1000 * time.Hour
+	begun := time.Unix(0, 0)
+	var ways transits
+	for i, message := range []struct{ made, way, want time.Duration }{
+		{0, 40 * time.Millisecond, 0}, // nothing to compare with
+		{time.Second, 10 * time.Millisecond, 0},
+		{2 * time.Second, 3010 * time.Millisecond, 3 * time.Second},
+		{6 * time.Second, 12 * time.Millisecond, 2 * time.Millisecond},
+		{transitSpan + time.Second, 510 * time.Millisecond, 500 * time.Millisecond},
+		{3*transitSpan + time.Second, 510 * time.Millisecond, 0}, // the way has changed
+	} {
+		made := begun.Add(message.made)
+		if got := ways.late("maker", made.Add(-apart), made.Add(message.way)); got != message.want {
+			t.Errorf("message %d: %v late, want %v", i, got, message.want)
+		}
+	}
+}
+
+// TestWordThatLayInABufferIsAsOldAsItIs: the node didn't run while it came.
+func TestWordThatLayInABufferIsAsOldAsItIs(t *testing.T) {
+	board := &boardStub{words: make(chan []tablerelay.Word, 2)}
+	exchanges, _ := clusterWithBoards(t, []Board{board}, "w")
+	now := time.Now()
+	word := []tablerelay.Word{{Table: "table", Changed: tablefeed.Version(1), AgeMillis: 100}}
+	for _, late := range []time.Duration{0, 2 * time.Second} {
+		made := now.Add(-late - 5*time.Millisecond)
+		exchanges[0].takeWordsAt(exchanges[0].peers.address, Message{Node: "maker", Words: word, Made: made.UnixMilli()}, now)
+	}
+	<-board.words
+	if got := <-board.words; got[0].AgeMillis != 2100 {
+		t.Errorf("a word of 100 ms that lay 2 s in a buffer is taken for one of %d ms", got[0].AgeMillis)
+	}
+	if word[0].AgeMillis != 100 {
+		t.Error("what is passed on counts the time twice")
+	}
+}
