--- a/spec/check.sh
+++ b/spec/check.sh
@@ -47,13 +47,22 @@
   sed -n "/^ \\* $2/,/^ \\*\\(\\/\\|\$\\)/p" "$1" | grep -oE '^ \*   [A-Z_]+' | tr -d ' *'
 }
 
-for file in *.pml; do
-  model=${file%.pml}
-  check_whole "$model"
-  for macro in $(macros "$file" Variants); do
-    check_whole "$model" "$macro"
+# checks lists all checks, a line each.
+checks() {
+  local file model macro
+  for file in *.pml; do
+    model=${file%.pml}
+    echo "check_whole $model"
+    for macro in $(macros "$file" Variants); do
+      echo "check_whole $model $macro"
+    done
+    for macro in $(macros "$file" Guards); do
+      echo "check_mutation $model $macro"
+    done
   done
-  for macro in $(macros "$file" Guards); do
-    check_mutation "$model" "$macro"
-  done
-done
+}
+
+# Half of the cores, since the largest models take a gigabyte each.
+export work
+export -f pan check_whole check_mutation
+checks | xargs -P "$((($(nproc) + 1) / 2))" -I{} bash -euo pipefail -c '{}'
