A call to the store hides no change that was known before it

Cause: a call is given up where a word comes during it. One that came just before wakes nobody again.

Now it is looked for before the first wait too. It is asked for without asking other nodes for words, as the one that reads hears none where all is well.

Evidence: TestCallHidesNoChangeThatWasKnownBeforeIt failed before (the call ended with its deadline).

--- a/internal/lab/soak/storm.go
+++ b/internal/lab/soak/storm.go
@@ -256,14 +256,14 @@
 		// Where a node lacks the newest version, which others does it lack?
 		for older := range keptRoutes {
 			if !l.sight(transport, number, count*keptRoutes+older, version-older, false) {
-				break
+				break // it has this one, or doesn't tell which it has
 			}
 		}
 	}
 }
 
-// sight asks a node once, and reports whether it lacks the version.
-func (l *load) sight(transport *http.Transport, number, count, version int, dropped bool) (late bool) {
+// sight asks a node once, and reports whether it answered by an older version.
+func (l *load) sight(transport *http.Transport, number, count, version int, dropped bool) (older bool) {
 	kind := stormRoute(version)
 	if dropped {
 		kind = stormRoute(version - keptRoutes)
@@ -285,7 +285,7 @@
 		stale: got.status == http.StatusServiceUnavailable && strings.Contains(got.body, staleCode),
 	}
 	l.site.storm.observe(sighted)
-	return sighted.late()
+	return sighted.late() && !sighted.stale
 }
 
 // staleCode is in the answer of a node that doesn't know whether its configuration is the
--- a/internal/tablefeed/call.go
+++ b/internal/tablefeed/call.go
@@ -24,13 +24,14 @@
 	}()
 	var overtaken <-chan time.Time
 	for {
+		// Before the first wait too: what was known before the call wakes nobody again.
+		if overtaken == nil && f.isOvertaken(after) {
+			overtaken = time.After(overtakenAfter)
+		}
 		select {
 		case got := <-answered:
 			return got.rows, got.version, got.err
 		case <-f.wake:
-			if overtaken == nil && f.isOvertaken(after) {
-				overtaken = time.After(overtakenAfter)
-			}
 		case <-overtaken:
 			return nil, 0, errOvertaken
 		}
@@ -43,6 +44,5 @@
 		return false
 	}
 	f.collectNews()
-	word, found := f.others.Word(f.table, time.Now(), false)
-	return len(f.unapplied) > 0 || found && word.Changed > after
+	return len(f.unapplied) > 0 || f.others.Tells(f.table, after, time.Now())
 }
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -84,6 +84,8 @@
 	// Word returns the newest fresh word of another node on a table, false where there is
 	// none. For a node that reads at the store, it is one of a node that is to do so rather.
 	Word(table string, now time.Time, reads bool) (Word, bool)
+	// Tells reports whether another node has a change of a table after a version.
+	Tells(table string, after Version, now time.Time) bool
 	// Patience is how long after the last confirmation this node waits for another's
 	// word before it calls the store itself, zero where it is the one to do so.
 	Patience(table string) time.Duration
--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -154,6 +154,7 @@
 type acting struct{}
 
 func (acting) Word(string, time.Time, bool) (Word, bool)    { return Word{}, false }
+func (acting) Tells(string, Version, time.Time) bool        { return false }
 func (acting) Patience(string) time.Duration                { return 0 }
 func (acting) CallPause(string) time.Duration               { return maxPause }
 func (acting) Confirmed()                                   {}
@@ -238,6 +239,11 @@
 	}
 }
 
+func (f *telling) Tells(table string, after Version, now time.Time) bool {
+	word, found := f.Word(table, now, false)
+	return found && word.Changed > after
+}
+
 func (f *telling) Missed(context.Context, string, Version) (Copied, error) {
 	return Copied{Rows: []Row{{Key: "k"}}, Word: Word{Changed: 7, Confirmed: 7, At: time.Now()}}, nil
 }
@@ -343,6 +349,22 @@
 	}
 }
 
+// TestCallHidesNoChangeThatWasKnownBeforeIt.
+func TestCallHidesNoChangeThatWasKnownBeforeIt(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store, fleet := &mute{make(chan struct{}, 1), make(chan error, 1)}, &telling{from: make(chan struct{})}
+	consumer := applied{make(chan Version, 1)}
+	close(fleet.from)
+	go New(store, "table", consumer, fleet, log).Run(ctx)
+	<-store.called
+	if err := <-store.ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("the call ended with %v: it was waited for", err)
+	}
+}
+
 // starting is a fleet in which a node that starts gets version 5 from another one, and then
 // waits for a newer copy in vain.
 type starting struct {
--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -140,6 +140,11 @@
 	return b.copies.Missed(ctx, table, after, b.holders(table, after, time.Now()))
 }
 
+// Tells implements tablefeed.Others.
+func (b *Board) Tells(table string, after tablefeed.Version, now time.Time) bool {
+	return len(b.holders(table, after, now)) > 0
+}
+
 // holders returns the nodes whose words tell of a change after a version, the one heard last
 // first.
 func (b *Board) holders(table string, after tablefeed.Version, now time.Time) []netip.AddrPort {
