A test asks each node for a released request until it serves it

Trace: the node that reads for the others hands a change to its own consumer before it tells the others. The test took the first node's answer for all nodes'. It now waits for each node by itself, and asks each again then, as before.

--- a/internal/lab/site/crash_test.go
+++ b/internal/lab/site/crash_test.go
@@ -457,6 +457,8 @@
 		t.Errorf("before the release: status %d %s", got.status, got.body)
 	}
 	s.store.Put("quarantine", s.storedQuarantine()[0], nil)
-	s.await("it is served", func() bool { return s.ask(http.MethodPost, "/check/1", nil, poison).status == http.StatusOK })
+	for _, node := range s.addresses() {
+		s.await("it is served at "+node, func() bool { return s.askAt(node, http.MethodPost, "/check/1", nil, poison).status == http.StatusOK })
+	}
 	f.expectServed("/check/1", poison)
 }
