A node that gives nothing newer isn't asked again for the same changes

Another build may give a whole table that was packed before; it was asked again without a pause until the 0.6 s for changes were over. Seen by reading; builds of this project give none that isn't newer.

--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -349,7 +349,6 @@
 	}
 }
 
-// TestCallHidesNoChangeThatWasKnownBeforeIt.
 func TestCallHidesNoChangeThatWasKnownBeforeIt(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -381,7 +380,6 @@
 	return Copied{Whole: true, Word: Word{Changed: 5, Confirmed: 5, At: time.Now()}}, nil
 }
 
-// TestForgottenHistoryDoesNotMakeANodeWaitLikeOneThatStarts.
 func TestForgottenHistoryDoesNotMakeANodeWaitLikeOneThatStarts(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
--- a/internal/tableshare/client.go
+++ b/internal/tableshare/client.go
@@ -101,7 +101,7 @@
 		return tablefeed.Copied{}, err
 	}
 	if word.Confirmed <= asked.after {
-		return tablefeed.Copied{}, errNotYet // a whole table, packed before
+		return tablefeed.Copied{}, eris.Errorf("the node gave version %d, not newer than %d", word.Confirmed, asked.after)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
 	if err != nil {
