A word of an older version doesn't take the place of a newer one of the same reader

What callers could see: as with ages that were true when written; a word that overtook none, or lay in a buffer, hid what its reader had told since, until the reader told again.

Cause: of two words of one reader the one that seemed younger counted.

Evidence: TestOlderVersionOfTheSameReaderIsPassedOver failed before (version 8 where 9 had been told).

--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -30,9 +30,9 @@
 	takeover = 1100 * time.Millisecond
 	step     = 100 * time.Millisecond
 	// pullAfter is the age of a word from which a node asks others for a newer one: again
-	// after pullEvery, and in a large fleet less often each time up to longestPull, at which it still gets one before its own is too old. While the store
-	// is down no node has any, and a thousand that asked ten times a second for each table
-	// made 79,000 questions a second.
+	// after pullEvery, and in a large fleet less often each time up to longestPull, at which
+	// it still gets one before its own is too old. While the store is down no node has any,
+	// and all would ask.
 	pullAfter   = 950 * time.Millisecond
 	pullEvery   = 100 * time.Millisecond
 	longestPull = 400 * time.Millisecond
@@ -228,7 +228,7 @@
 			Changed: said.Changed, Confirmed: said.Confirmed,
 			At: now.Add(-time.Duration(said.AgeMillis) * time.Millisecond),
 		}
-		if !word.At.After(before.At) {
+		if !newer(word, before) {
 			continue
 		}
 		b.words[said.Table][said.Reader] = word
--- a/internal/tablerelay/board_test.go
+++ b/internal/tablerelay/board_test.go
@@ -73,6 +73,16 @@
 	}
 }
 
+// TestOlderVersionOfTheSameReaderIsPassedOver, however young the word seems.
+func TestOlderVersionOfTheSameReaderIsPassedOver(t *testing.T) {
+	board := boardOf(&fleet{self: "m", place: 9})
+	board.Take([]Word{{Table: "table", Changed: 9, Confirmed: 9, AgeMillis: 600, Reader: "a"}}, origin)
+	board.Take([]Word{{Table: "table", Changed: 3, Confirmed: 8, Reader: "a"}}, origin)
+	if got, found := board.Word("table", origin, false); !found || got.Confirmed != 9 {
+		t.Errorf("%+v, %v", got, found)
+	}
+}
+
 // TestNewestVersionCounts, not the word that seems youngest: it may have lain in a buffer.
 func TestNewestVersionCounts(t *testing.T) {
 	board := boardOf(&fleet{self: "m", place: 9})
