--- a/internal/front/stale_test.go
+++ b/internal/front/stale_test.go
@@ -20,8 +20,7 @@
 
 func (parser) Parse(*dispatch.Call) error { return nil }
 
-// TestNodeThatLacksANewerConfigurationSaysSo: routes that it doesn't know may be new, and
-// after a while those that it knows may have moved.
+// TestNodeThatLacksANewerConfigurationSaysSo: routes may be new, or have moved.
 func TestNodeThatLacksANewerConfigurationSaysSo(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/lab/site/configuration_test.go
+++ b/internal/lab/site/configuration_test.go
@@ -61,8 +61,7 @@
 	return rendezvous.Top(nodes, hash, rendezvous.Hash("table op"), len(nodes))
 }
 
-// TestNodesThatTheStoreTurnsAwayGetLargeConfigurations from those that it serves, whichever
-// rank they have.
+// TestNodesThatTheStoreTurnsAwayGetLargeConfigurations, whichever rank they have.
 func TestNodesThatTheStoreTurnsAwayGetLargeConfigurations(t *testing.T) {
 	s := newSite(t)
 	s.addWorkers()
--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -255,6 +255,19 @@
 
 func (a applied) Apply(_ []Row, version Version) { a.done <- version }
 
+// expect waits until changes are applied, and fails unless they are of a version.
+func (a applied) expect(t *testing.T, want Version) {
+	t.Helper()
+	select {
+	case version := <-a.done:
+		if version != want {
+			t.Errorf("version %d was applied", version)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the node hears nothing of what others tell")
+	}
+}
+
 // TestNodeThatTheStoreTurnsAwayFollowsOthers in the pause between its calls, though no news
 // reaches it: in a large fleet the pause is a minute, and a configuration is to be in force
 // within seconds.
@@ -268,14 +281,7 @@
 	go New(store, "table", consumer, fleet, log).Run(ctx)
 	<-store.refused
 	close(fleet.from)
-	select {
-	case version := <-consumer.done:
-		if version != 7 {
-			t.Errorf("version %d was applied", version)
-		}
-	case <-time.After(20 * time.Second):
-		t.Error("the node sleeps through what others tell")
-	}
+	consumer.expect(t, 7)
 }
 
 // speaking is a fleet in which another node's word has an age, and this node waits for others
@@ -429,12 +435,5 @@
 	go New(store, "table", consumer, fleet, log).Run(ctx)
 	<-store.refused
 	close(fleet.from)
-	select {
-	case version := <-consumer.done:
-		if version != 7 {
-			t.Errorf("version %d was applied", version)
-		}
-	case <-time.After(20 * time.Second):
-		t.Error("the node hears nothing of others")
-	}
+	consumer.expect(t, 7)
 }
--- a/internal/tableshare/tableshare_test.go
+++ b/internal/tableshare/tableshare_test.go
@@ -282,8 +282,7 @@
 
 func (r root) Neighbours() []netip.AddrPort { return slices.Clone(r.order) }
 
-// TestNodeThatIsToReadAtTheStoreTakesWhatItsNeighboursHold, and waits for none that holds
-// nothing: that one may wait for it.
+// TestNodeThatIsToReadAtTheStoreTakesWhatItsNeighboursHold, and waits for none of them.
 func TestNodeThatIsToReadAtTheStoreTakesWhatItsNeighboursHold(t *testing.T) {
 	empty, giving := startNode(t), startNode(t)
 	asking := client(empty.server)
