Logs and metrics tell an answer of the store that isn't taken, and the store's era

A line a second and table names both versions; the header Store-Era is read and logged when it rises, and served as tinarch_store_era. No decision uses it yet.

--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/rowstore"
 	"github.com/tinarch/tinarch/internal/tablefeed"
@@ -12,7 +14,7 @@
 
 // countCalls counts the calls to the platform's store and their bytes, by kind and table:
 // each is paid for, and what all nodes ask for themselves grows with the fleet.
-func countCalls(platform Platform, registry prometheus.Registerer) {
+func countCalls(platform Platform, registry prometheus.Registerer, log *logrus.Logger) {
 	labels := []string{"call", "table"}
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_store_calls_total", Help: "Calls to the platform's store, by kind, table and whether they were answered.",
@@ -20,13 +22,31 @@
 	bytes := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_store_bytes_total", Help: "Bytes sent to and received from the platform's store, by kind and table.",
 	}, labels)
-	registry.MustRegister(calls, bytes)
+	var history history
+	era := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "tinarch_store_era", Help: "Newest history of the platform's store that an answer was of: it rises when the store comes back from a copy.",
+	}, func() float64 { return float64(history.era.Load()) })
+	registry.MustRegister(calls, bytes, era)
 	platform.ObserveCalls(func(call rowstore.Call) {
+		history.observe(call.Era, log)
 		calls.WithLabelValues(string(call.Kind), call.Table, answered(call.Answered)).Inc()
 		bytes.WithLabelValues(string(call.Kind), call.Table).Add(float64(call.Sent + call.Received))
 	})
 }
 
+// history is the newest one of the store that an answer was of.
+type history struct{ era atomic.Uint64 }
+
+// observe logs when the store has come back from a copy.
+func (h *history) observe(era uint64, log *logrus.Logger) {
+	for known := h.era.Load(); era > known; known = h.era.Load() {
+		if h.era.CompareAndSwap(known, era) {
+			log.WithFields(logrus.Fields{"era": era, "before": known}).Warn("the store answers from another history")
+			return
+		}
+	}
+}
+
 func answered(yes bool) string {
 	if yes {
 		return "yes"
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -143,7 +143,7 @@
 		identity: string(engine.NewIdentifier())[:incarnationDigits],
 	}
 	metrics := prometheus.NewRegistry()
-	countCalls(platform, metrics)
+	countCalls(platform, metrics, log)
 	exchange, err := digest.Listen(configured.Listen.Exchange, n.identity, configured.Node.Zone, n.registry, log)
 	if err != nil {
 		return nil, err
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -27,6 +28,16 @@
 // ErrHistoryGone tells that the changes after a version are forgotten.
 var ErrHistoryGone = eris.New("the store has forgotten the changes since that version")
 
+// olderError tells that the store gave an older version of a table than is held.
+type olderError struct {
+	Table         string
+	Version, Held Version
+}
+
+func (e olderError) Error() string {
+	return fmt.Sprintf("the store gave version %d of table %s, older than %d, which is held", e.Version, e.Table, e.Held)
+}
+
 // Row is one row of a table.
 type Row struct {
 	Key     string
@@ -136,6 +147,8 @@
 	fullChange         = 200
 	// maxNews bounds the news that wait to be applied.
 	maxNews = 64
+	// olderEvery is the least time between two lines on answers that were not taken.
+	olderEvery = time.Second
 )
 
 // Feed follows one table.
@@ -149,6 +162,8 @@
 	log    *logrus.Logger
 	lost   bool
 	pause  time.Duration
+	// olderLogged is when an answer that was not taken was logged.
+	olderLogged time.Time
 	// callAfter is when the store may be called again after a call that failed.
 	callAfter time.Time
 	// rested is how long the feed has rested since its last call to the store.
@@ -287,7 +302,7 @@
 		return err
 	}
 	if version < f.word.Confirmed {
-		return eris.Errorf("the store answered version %d of table %s, older than %d", version, f.table, f.word.Confirmed)
+		return olderError{Table: f.table, Version: version, Held: f.word.Confirmed}
 	}
 	f.reset(rows, Word{Changed: version, Confirmed: version, At: begun}, f.acting, FromStore)
 	f.forgotten = 0
@@ -306,7 +321,7 @@
 		return err
 	}
 	if version < after {
-		return eris.Errorf("the feed of table %s went back from version %d to %d", f.table, after, version)
+		return olderError{Table: f.table, Version: version, Held: after}
 	}
 	before := f.word.Changed
 	word := Word{Changed: before, Confirmed: version, At: earlier(time.Now(), begun.Add(patience+lateAnswer))}
@@ -371,6 +386,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	f.logOlder(err)
 	if !f.lost {
 		f.lost = true
 		f.log.WithFields(logrus.Fields{"table": f.table, "version": f.word.Confirmed, "cause": err.Error()}).Warn("store lost; going on with what is known")
@@ -383,6 +399,17 @@
 	f.callAfter = time.Now().Add(f.pause/2 + rand.N(f.pause))
 }
 
+// logOlder logs that an answer was not taken, at most once in olderEvery.
+func (f *Feed) logOlder(err error) {
+	var older olderError
+	if !errors.As(err, &older) || time.Since(f.olderLogged) < olderEvery {
+		return
+	}
+	f.olderLogged = time.Now()
+	f.log.WithFields(logrus.Fields{"table": f.table, "version": older.Version, "held": older.Held, "age_ms": time.Since(f.word.At).Milliseconds()}).
+		Warn("an answer of the store was not taken: it is older than what is held")
+}
+
 // pauses lets a moment of the pause after a failed call pass. It reports false where there is
 // none. The pause puts off calls to the store only: a feed that slept through it would hear
 // of no change that other nodes tell of.
