Failing tests: after a restore of the store nodes take neither configurations nor leaving workers

The stand-in of the store can come back from a copy: rows, versions and history are those of then, Store-Era rises, open connections are cut, and a version that it doesn't have gets 410.

--- a/internal/lab/fleetstore/store.go
+++ b/internal/lab/fleetstore/store.go
@@ -48,6 +48,8 @@
 
 	mu      sync.Mutex
 	version uint64
+	// era rises each time the store comes back from a copy.
+	era     uint64
 	rows    map[string]Row
 	history []Row
 	// written are all rows that were ever written, in order.
@@ -129,6 +131,32 @@
 	s.wake()
 }
 
+// Restore has the store come back from a copy: its rows, versions and history are those of a
+// version again, its era rises, and open connections are cut.
+func (s *Store) Restore(version uint64) {
+	s.mu.Lock()
+	isLater := func(row Row) bool { return row.Version > version }
+	s.written = slices.DeleteFunc(s.written, isLater)
+	s.history = slices.DeleteFunc(s.history, isLater)
+	s.rows = make(map[string]Row)
+	for _, row := range s.written {
+		s.keep(row)
+	}
+	s.version = version
+	s.forgotten = min(s.forgotten, version)
+	s.era++
+	s.wake()
+	s.mu.Unlock()
+	s.server.CloseClientConnections()
+}
+
+// Era returns the number of the store's history.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Put writes a row as the operator or a worker does. A nil value removes it.
 func (s *Store) Put(table, key string, value any) uint64 {
 	row := Row{Table: table, Key: key}
@@ -194,18 +222,23 @@
 	s.version++
 	for _, row := range rows {
 		row.Version = s.version
-		name := row.Table + "/" + row.Key
-		if row.Gone {
-			delete(s.rows, name)
-		} else {
-			s.rows[name] = row
-		}
+		s.keep(row)
 		s.history = append(s.history, row)
 		s.written = append(s.written, row)
 	}
 	s.wake()
 }
 
+// keep has a written row stand.
+func (s *Store) keep(row Row) {
+	name := row.Table + "/" + row.Key
+	if row.Gone {
+		delete(s.rows, name)
+	} else {
+		s.rows[name] = row
+	}
+}
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -215,8 +248,9 @@
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		s.mu.Lock()
 		s.calls++
-		faults := s.faults
+		faults, era := s.faults, s.era
 		s.mu.Unlock()
+		writer.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 		switch {
 		case faults.Down:
 			writer.WriteHeader(http.StatusServiceUnavailable)
@@ -293,7 +327,7 @@
 			rows = rows[:mostRows]
 			version = rows[mostRows-1].Version
 		}
-		gone := after < s.forgotten
+		gone := after < s.forgotten || after > s.version
 		s.mu.Unlock()
 		if gone {
 			writer.WriteHeader(http.StatusGone)
--- /dev/null
+++ b/internal/lab/site/restore_test.go
@@ -0,0 +1,47 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+)
+
+// startRestorable runs a site with four nodes and a configuration of version 2, of which a copy
+// of the store lacks what was written after the version returned.
+func startRestorable(t *testing.T) (s *site, nodes []proxied, copied uint64) {
+	t.Helper()
+	s = newSite(t)
+	s.addWorkers()
+	s.store.Put("op", "config", configuration(1))
+	nodes = s.startProxied(4)
+	copied = s.store.Version()
+	for range 5 {
+		s.store.Put("servers", "portal-1", s.workers["portal-1"].Entry("ready"))
+	}
+	s.store.Put("op", "config", configuration(2))
+	s.awaitVersion(nodes, 2)
+	return s, nodes, copied
+}
+
+func (s *site) awaitVersion(nodes []proxied, version int) {
+	s.t.Helper()
+	for i, node := range nodes {
+		s.await(fmt.Sprintf("node %d has version %d", i, version), func() bool { return node.RoutesVersion() == uint64(version) })
+	}
+}
+
+func TestConfigurationsAreTakenFromARestoredStore(t *testing.T) {
+	s, nodes, copied := startRestorable(t)
+	s.store.Restore(copied)
+	s.store.Put("op", "config", configuration(2))
+	s.store.Put("op", "config", configuration(3))
+	s.awaitVersion(nodes, 3)
+}
+
+func TestLeavingWorkerIsKnownFromARestoredStore(t *testing.T) {
+	s, nodes, copied := startRestorable(t)
+	s.store.Restore(copied)
+	s.store.Put("servers", "write-1", s.workers["write-1"].Entry("draining"))
+	for i, node := range nodes {
+		s.await(fmt.Sprintf("node %d knows that the worker leaves", i), func() bool { return node.Draining() == 1 })
+	}
+}
