A version tells the era of the store's history first, so that a restored store isn't refused

Cause: versions were the store's own numbers, and these go back with the copy. Each node refused whatever had a lower number than it held, and asked for changes after a number that the store doesn't have. Once the numbers had passed the held one, changes of the new history were taken for a continuation of the old one.

Whatever compares, keeps, sends on or logs a version does so as before, and a later history is newer wherever it came from: the store, news, words, copies, conditions, fences. An answer to a question about another era's changes is a forgotten history; a condition of an earlier era doesn't hold, and where the era has risen during a conditional call its outcome is unknown, since the store compares numbers only.

--- a/internal/lab/memorystore/store.go
+++ b/internal/lab/memorystore/store.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	rows    map[string]map[string]tablefeed.Row
 	version uint64
+	era     uint64
 	faults  Faults
 	calls   int
 }
@@ -42,6 +43,13 @@
 	s.faults = faults
 }
 
+// Era implements rowstore.Store.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Calls returns the number of calls so far.
 func (s *Store) Calls() int {
 	s.mu.Lock()
--- a/internal/lab/site/restore_test.go
+++ b/internal/lab/site/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"github.com/tinarch/tinarch/internal/lab/soak"
 )
 
 // startRestorable runs a site with four nodes and a configuration of version 2, of which a copy
@@ -37,6 +39,24 @@
 	s.awaitVersion(nodes, 3)
 }
 
+// TestRestoredStoreIsNoContinuation where its versions have passed those that were lost.
+func TestRestoredStoreIsNoContinuation(t *testing.T) {
+	s, nodes, copied := startRestorable(t)
+	lost := s.store.Version()
+	for _, node := range nodes {
+		node.store.SetMode(soak.Reset)
+	}
+	s.store.Restore(copied)
+	s.store.Put("op", "config", configuration(3))
+	for s.store.Version() <= lost {
+		s.store.Put("servers", "portal-1", s.workers["portal-1"].Entry("ready"))
+	}
+	for _, node := range nodes {
+		node.store.SetMode(soak.Pass)
+	}
+	s.awaitVersion(nodes, 3)
+}
+
 func TestLeavingWorkerIsKnownFromARestoredStore(t *testing.T) {
 	s, nodes, copied := startRestorable(t)
 	s.store.Restore(copied)
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -4,7 +4,8 @@
 
 import "context"
 
-// Condition is a version that a row must have, zero where there must be none.
+// Condition is a version that a row must have, zero where there must be none. Versions are those
+// of tablefeed, in which the era of the store's history comes first.
 type Condition struct {
 	Table, Key string
 	Version    uint64
@@ -30,6 +31,9 @@
 	// then. done is false where a condition did not hold. An error leaves open whether it
 	// was carried out.
 	Transact(ctx context.Context, transaction Transaction) (version uint64, done bool, err error)
+	// Era is the newest history of the store of which there was an answer. It rises when the
+	// store has come back from a copy: what was written after that copy is gone.
+	Era() uint64
 }
 
 // Call is a call to the store that has ended, for metrics.
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -16,9 +16,6 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Version orders the transactions of a store.
-type Version uint64
-
 // ErrNoCopy tells that no other node is to be asked for a table, or none has it.
 var ErrNoCopy = eris.New("no other node gives a copy of the table")
 
