The lease's row belongs to an era of the store: a restore makes no second holder

What could happen: after the store came back from a copy without the lease's row, or with an older one, a node took the lease at once while its holder still acted; a write that was meant for the row before could match the new holder's by its number, and the holder's own conditions failed although it held the lease.

Cause: the lease took a missing row for one that nobody ever had, and a version's number for the row's identity. Both are given out again after a restore.

Evidence, on the code before: TestRestoredStoreMakesNoSecondHolder ('two hold the authority, under 1 and'), TestHolderGoesOnAfterARestore (the holder's condition doesn't hold), TestLateWriteOfALostHistoryIsRefused (the late write is carried out).

Why it works: each era has a row of its own, so that writes meant for another era touch none that counts. A node that finds no row in a new era waits for as long as any holder may act; a holder goes on under its fence and writes the new row. Fences are versions with the era first. A write during which the era rises counts as not done.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -13,12 +15,15 @@
 	"github.com/tinarch/tinarch/internal/clock"
 	"github.com/tinarch/tinarch/internal/lease"
 	"github.com/tinarch/tinarch/internal/rowstore"
+	"github.com/tinarch/tinarch/internal/tablefeed"
 )
 
 // The row of the lease.
 const (
 	table = "authority"
 	key   = "stages"
+	// maxReads is how often the row is read where the store's era rises meanwhile.
+	maxReads = 2
 	// storeTimeout bounds a call to the store: a lease lives several times as long.
 	storeTimeout = 800 * time.Millisecond
 	// headroom is the part of the lease's life that must be left when an unfenced act
@@ -36,6 +41,14 @@
 	Released bool   `json:"released,omitempty"`
 }
 
+// keyIn is the key of the lease's row in an era of the store's history.
+func keyIn(era uint64) string {
+	if era == 0 {
+		return key
+	}
+	return fmt.Sprintf("%s/%d", key, era)
+}
+
 // Options are what an authority works with.
 type Options struct {
 	// Self is this node's incarnation.
@@ -159,9 +172,13 @@
 		return HeldOther
 	}
 	if a.machine.Holds(now) {
-		if a.roomy(now) {
+		restored := a.options.Store.Era() > a.machine.Era()
+		if a.roomy(now) && !restored {
 			return Held
 		}
+		if restored {
+			a.observe(ctx)
+		}
 		a.renew(ctx)
 		if a.roomy(a.options.Clock()) {
 			return Held
@@ -235,7 +252,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	held := a.machine.Holds(a.options.Clock())
-	return rowstore.Condition{Table: table, Key: key, Version: a.version}, held
+	return rowstore.Condition{Table: table, Key: keyIn(tablefeed.Version(a.version).Era()), Version: a.version}, held
 }
 
 // Renounce ends this node's lease, since an act was refused for its fence: another node
@@ -308,7 +325,7 @@
 func (a *Authority) observe(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	content, version, err := a.options.Store.ReadRow(callCtx, table, key)
+	era, content, version, err := a.readRow(callCtx)
 	if err != nil {
 		a.options.Log.WithField("cause", err.Error()).Warn("the authority's row could not be read")
 		return false
@@ -319,10 +336,22 @@
 			a.options.Log.WithField("cause", err.Error()).Error("the authority's row is malformed; it counts as held until its time is over")
 		}
 	}
-	a.machine.Observe(lease.Row{Version: version, Holder: value.Holder, Fence: value.Fence, Released: value.Released}, a.options.Clock())
+	a.machine.Observe(lease.Row{Era: era, Version: version, Holder: value.Holder, Fence: value.Fence, Released: value.Released}, a.options.Clock())
 	return true
 }
 
+// readRow reads the row of the store's newest era.
+func (a *Authority) readRow(ctx context.Context) (era uint64, content []byte, version uint64, err error) {
+	for range maxReads {
+		era = a.options.Store.Era()
+		content, version, err = a.options.Store.ReadRow(ctx, table, keyIn(era))
+		if err != nil || a.options.Store.Era() == era {
+			return era, content, version, err
+		}
+	}
+	return 0, nil, 0, rowstore.ErrRestored
+}
+
 // take writes the row, to take the lease or to renew it.
 func (a *Authority) take(ctx context.Context, proposal lease.Proposal) Hold {
 	content, err := json.Marshal(rowValue{Holder: a.options.Self, Fence: proposal.Fence})
@@ -334,7 +363,7 @@
 	if err != nil || !done {
 		a.machine.Lost()
 		a.options.Log.WithFields(logrus.Fields{"if_version": proposal.IfVersion, "written": done, "cause": causeOf(err)}).Warn("the authority was not taken")
-		if err != nil {
+		if err != nil && !errors.Is(err, rowstore.ErrRestored) {
 			return StoreAway
 		}
 		return HeldOther
@@ -355,10 +384,15 @@
 func (a *Authority) write(ctx context.Context, proposal lease.Proposal, content []byte) (version uint64, done bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return a.options.Store.Transact(callCtx, rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Table: table, Key: key, Version: proposal.IfVersion}},
-		Writes:     []rowstore.Write{{Table: table, Key: key, Value: content}},
+	rowKey := keyIn(proposal.Era)
+	version, done, err = a.options.Store.Transact(callCtx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Table: table, Key: rowKey, Version: proposal.IfVersion}},
+		Writes:     []rowstore.Write{{Table: table, Key: rowKey, Value: content}},
 	})
+	if done && a.options.Store.Era() != proposal.Era {
+		return 0, false, rowstore.ErrRestored
+	}
+	return version, done, err
 }
 
 func causeOf(err error) string {
--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -102,6 +102,72 @@
 	}
 }
 
+// handClock is a clock that is set by hand.
+type handClock struct{ now time.Time }
+
+func (c *handClock) read() time.Time { return c.now }
+
+// newClocked returns an authority that goes by a clock.
+func newClocked(store *memorystore.Store, self string, clock *handClock) *Authority {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(Options{Self: self, Life: longLife, Store: store, Log: log, Clock: clock.read})
+}
+
+func TestRestoredStoreMakesNoSecondHolder(t *testing.T) {
+	store, clock := memorystore.New(), &handClock{time.Unix(1000, 0)}
+	first, second := newClocked(store, "first", clock), newClocked(store, "second", clock)
+	first.Acquire(context.Background())
+	before := first.Fence()
+	store.Restore(0)
+	for range 2 * int(longLife/time.Second) {
+		if second.Acquire(context.Background()) == Held {
+			break
+		}
+		clock.now = clock.now.Add(time.Second)
+	}
+	if first.Fence() != 0 {
+		t.Errorf("two hold the authority, under %d and %d", first.Fence(), second.Fence())
+	}
+	if after := second.Fence(); after <= before {
+		t.Errorf("fence %d after %d", after, before)
+	}
+}
+
+func TestHolderGoesOnAfterARestore(t *testing.T) {
+	store, clock := memorystore.New(), &handClock{time.Unix(1000, 0)}
+	a := newClocked(store, "a", clock)
+	a.Acquire(context.Background())
+	store.Restore(0)
+	if hold := a.Acquire(context.Background()); hold != Held {
+		t.Fatal(hold)
+	}
+	condition, _ := a.Condition()
+	_, done, err := store.Transact(context.Background(), rowstore.Transaction{Conditions: []rowstore.Condition{condition}})
+	if !done || err != nil {
+		t.Errorf("the holder's condition holds: %v, %v", done, err)
+	}
+}
+
+// TestLateWriteOfALostHistoryIsRefused, also where the new holder's row has the number of the
+// lost one.
+func TestLateWriteOfALostHistoryIsRefused(t *testing.T) {
+	store, clock := memorystore.New(), &handClock{time.Unix(1000, 0)}
+	first, second := newClocked(store, "first", clock), newClocked(store, "second", clock)
+	first.Acquire(context.Background())
+	condition, _ := first.Condition()
+	store.Restore(0)
+	for second.Acquire(context.Background()) != Held {
+		clock.now = clock.now.Add(time.Second)
+	}
+	_, _, _ = store.Transact(context.Background(), rowstore.Transaction{
+		Conditions: []rowstore.Condition{condition}, Writes: []rowstore.Write{{Table: "t", Key: "k", Value: []byte("late")}},
+	})
+	if value, _, _ := store.ReadRow(context.Background(), "t", "k"); value != nil {
+		t.Errorf("the row holds %q", value)
+	}
+}
+
 // TestNodeWithoutTheStoreLeavesItsDuties: and says so.
 func TestNodeWithoutTheStoreLeavesItsDuties(t *testing.T) {
 	store := memorystore.New()
--- a/internal/lab/memorystore/store.go
+++ b/internal/lab/memorystore/store.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"github.com/tinarch/tinarch/internal/rowstore"
@@ -29,10 +30,18 @@
 	rows    map[string]map[string]tablefeed.Row
 	version uint64
 	era     uint64
+	// written are all rows that were ever written, in order; those without a value were removed.
+	written []writtenRow
 	faults  Faults
 	calls   int
 }
 
+// writtenRow is a row as it was written.
+type writtenRow struct {
+	rowstore.Write
+	version uint64
+}
+
 // New returns an empty store.
 func New() *Store { return &Store{rows: make(map[string]map[string]tablefeed.Row)} }
 
@@ -88,32 +97,56 @@
 	for _, row := range s.rows[table] {
 		rows = append(rows, row)
 	}
-	return rows, tablefeed.Version(s.version), nil
+	return rows, s.newest(), nil
 }
 
-// Transact implements rowstore.Store.
+// Transact implements rowstore.Store. Conditions are compared by their numbers; one of a lost
+// history that holds all the same gets no answer, as of a node that hasn't heard of the new one.
 func (s *Store) Transact(_ context.Context, transaction rowstore.Transaction) (uint64, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.begin(); err != nil {
 		return 0, false, err
 	}
+	stale := false
 	for _, condition := range transaction.Conditions {
-		if uint64(s.rows[condition.Table][condition.Key].Version) != condition.Version {
+		version := tablefeed.Version(condition.Version)
+		if s.rows[condition.Table][condition.Key].Version.Number() != version.Number() {
 			return 0, false, nil
 		}
+		stale = stale || version > 0 && version.Era() < s.era
 	}
 	s.version++
 	for _, write := range transaction.Writes {
-		s.write(write)
+		s.written = append(s.written, writtenRow{write, s.version})
+		s.write(write, s.version)
+	}
+	if stale {
+		return 0, false, rowstore.ErrRestored
 	}
 	if s.faults.LoseWrites {
 		return 0, false, ErrAway
 	}
-	return s.version, true, nil
+	return uint64(s.newest()), true, nil
+}
+
+// newest is the version of the last transaction.
+func (s *Store) newest() tablefeed.Version { return tablefeed.VersionOf(s.era, s.version) }
+
+// Restore has the store come back from the copy that was made after so many transactions.
+func (s *Store) Restore(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written = slices.DeleteFunc(s.written, func(row writtenRow) bool { return row.version > version })
+	s.rows = make(map[string]map[string]tablefeed.Row)
+	s.version = version
+	s.era++
+	for _, row := range s.written {
+		s.write(row.Write, row.version)
+	}
 }
 
-func (s *Store) write(write rowstore.Write) {
+func (s *Store) write(write rowstore.Write, version uint64) {
 	if s.rows[write.Table] == nil {
 		s.rows[write.Table] = make(map[string]tablefeed.Row)
 	}
@@ -121,5 +154,5 @@
 		delete(s.rows[write.Table], write.Key)
 		return
 	}
-	s.rows[write.Table][write.Key] = tablefeed.Row{Key: write.Key, Value: write.Value, Version: tablefeed.Version(s.version)}
+	s.rows[write.Table][write.Key] = tablefeed.Row{Key: write.Key, Value: write.Value, Version: tablefeed.VersionOf(s.era, version)}
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -8,13 +8,18 @@
 //     long as its holder may act on it, and a holder counts its time from before it
 //     sent the write that renewed it;
 //   - fences rise: the fence is the store's version of the write that took the
-//     lease. A renewal keeps it.
+//     lease. A renewal keeps it;
+//   - both hold where the store comes back from an older copy. Each era of its history has a
+//     row of its own: a write that was meant for an earlier one can't touch it, and nobody
+//     takes the lease there before any holder's of an earlier one has run out.
 package lease
 
 import "time"
 
 // Row is the state of the lease in the store.
 type Row struct {
+	// Era is that of the store's history. Each has a row of its own.
+	Era uint64
 	// Version of the row, zero where there is none.
 	Version uint64
 	// Holder is the incarnation that wrote it.
@@ -43,7 +48,8 @@
 // Proposal is a conditional write.
 type Proposal struct {
 	Action Action
-	// IfVersion is the version that the row must have, zero for none.
+	// Era is that of the row, and IfVersion the version that it must have, zero for none.
+	Era       uint64
 	IfVersion uint64
 	Fence     uint64
 	// sent is when the driver asked for the proposal.
@@ -91,26 +97,37 @@
 	return &Machine{self: self, settings: settings}
 }
 
-// Observe takes in the row as the store has it.
+// Observe takes in the row as the store has it. A holder that finds no row in a new era goes on:
+// nobody else can have the lease before its own has run out.
 func (m *Machine) Observe(row Row, now time.Time) {
-	if m.known && row.Version <= m.row.Version {
+	restored := m.known && row.Era > m.row.Era
+	if m.known && !restored && (row.Era < m.row.Era || row.Version <= m.row.Version) {
 		return
 	}
+	if restored {
+		m.pending, m.next = nil, time.Time{} // what is pending is for another row
+	}
 	m.row, m.seen, m.known = row, now, true
+	if restored && row.Version == 0 {
+		return
+	}
 	if row.Holder != m.self || row.Released {
 		m.until, m.fence = time.Time{}, 0
 	}
 }
 
+// Era is that of the row that was seen last.
+func (m *Machine) Era() uint64 { return m.row.Era }
+
 // Next returns what is to be done now. A proposal stays pending until Done or Lost.
 func (m *Machine) Next(now time.Time) Proposal {
 	switch {
 	case !m.known || m.pending != nil || now.Before(m.next):
 		return Proposal{Action: Wait}
 	case m.Holds(now) || m.resumes():
-		return m.propose(Proposal{Action: Renew, IfVersion: m.row.Version, Fence: m.fence, sent: now})
+		return m.propose(Proposal{Action: Renew, Era: m.row.Era, IfVersion: m.row.Version, Fence: m.fence, sent: now})
 	case m.free(now):
-		return m.propose(Proposal{Action: Take, IfVersion: m.row.Version, sent: now})
+		return m.propose(Proposal{Action: Take, Era: m.row.Era, IfVersion: m.row.Version, sent: now})
 	}
 	return Proposal{Action: Wait}
 }
@@ -129,9 +146,9 @@
 
 // free reports whether nobody else can hold the lease any more: the row has not
 // changed for a whole life since this node first saw it, was given back, or is this
-// incarnation's own.
+// incarnation's own; or there never was one.
 func (m *Machine) free(now time.Time) bool {
-	if m.row.Version == 0 || m.row.Released || m.row.Holder == m.self {
+	if m.row.Released || m.row.Holder == m.self || m.row.Version == 0 && m.row.Era == 0 {
 		return true
 	}
 	return now.Sub(m.seen) >= m.settings.Life+m.settings.Margin
@@ -152,7 +169,7 @@
 	if m.known && m.row.Version > version {
 		return // a later write is known already
 	}
-	m.row = Row{Version: version, Holder: m.self, Fence: fence}
+	m.row = Row{Era: proposal.Era, Version: version, Holder: m.self, Fence: fence}
 	m.seen = now
 	m.fence = fence
 	m.until = proposal.sent.Add(m.settings.Life - m.settings.Margin)
@@ -191,7 +208,7 @@
 		return Proposal{}, false
 	}
 	m.until, m.fence = time.Time{}, 0
-	return Proposal{Action: Renew, IfVersion: m.row.Version}, true
+	return Proposal{Action: Renew, Era: m.row.Era, IfVersion: m.row.Version}, true
 }
 
 // Released reports whether the row was given back by its holder.
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -2,7 +2,15 @@
 // store under conditions.
 package rowstore
 
-import "context"
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrRestored tells that the store has come back from a copy during a call: whether what it did
+// was meant for this history isn't known.
+var ErrRestored = eris.New("the store has come back from a copy since the call began")
 
 // Condition is a version that a row must have, zero where there must be none. Versions are those
 // of tablefeed, in which the era of the store's history comes first.
