What was in force outlives a restored store's older rows until they are written again

What callers could see: a node that starts after a restore takes the configuration of the copy (a dropped route, a revoked key) although its neighbours hold a newer one, and a worker that has said it drains gets requests again since its restored entry says ready.

Cause: a row was newer because it came later. Between a restore and the rewriting, what comes later is older.

Evidence, without the review: TestNodeThatStartsTakesNothingOlderFromARestoredStore (begins with version 1, the others hold 2), TestRestoredEntryOfALeavingWorkerBringsItNothing (all four nodes use the worker again).

Why it works: where a whole table of a later era comes in, rows held from an earlier one are compared by what they say themselves: the operator's own version, and that a start of a worker never takes its draining back. The newer one is kept and given to nodes that start, until the row is written in the new era.

--- a/internal/lab/site/restore_test.go
+++ b/internal/lab/site/restore_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"testing"
 
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
 	"github.com/tinarch/tinarch/internal/lab/soak"
+	"github.com/tinarch/tinarch/internal/tablefeed"
 )
 
 // startRestorable runs a site with four nodes and a configuration of version 2, of which a copy
@@ -65,3 +67,43 @@
 		s.await(fmt.Sprintf("node %d knows that the worker leaves", i), func() bool { return node.Draining() == 1 })
 	}
 }
+
+// restore has the store come back from a copy, and waits until all nodes follow it.
+func (s *site) restore(nodes []proxied, copied uint64) {
+	s.t.Helper()
+	s.store.Restore(copied)
+	version := s.store.Put("op", "marker", 1)
+	for i, node := range nodes {
+		s.await(fmt.Sprintf("node %d follows the restored store", i), func() bool {
+			return node.ConfigurationVersion() >= tablefeed.VersionOf(s.store.Era(), version)
+		})
+	}
+}
+
+func TestNodeThatStartsTakesNothingOlderFromARestoredStore(t *testing.T) {
+	s, nodes, copied := startRestorable(t)
+	s.restore(nodes, copied)
+	for i := range nodes {
+		node, _ := s.startNode(fmt.Sprint("late-", i), inZone([]string{"a", "b"}[i%2]))
+		s.await("the node has a configuration", func() bool { return node.RoutesVersion() != 0 })
+		if version := node.RoutesVersion(); version != 2 {
+			t.Errorf("node late-%d begins with version %d", i, version)
+		}
+	}
+}
+
+func TestRestoredEntryOfALeavingWorkerBringsItNothing(t *testing.T) {
+	s, nodes, copied := startRestorable(t)
+	s.store.Put("servers", "write-1", s.workers["write-1"].Entry("draining"))
+	for i, node := range nodes {
+		s.await(fmt.Sprintf("node %d knows that the worker leaves", i), func() bool { return node.Draining() == 1 })
+	}
+	s.restore(nodes, copied)
+	s.addWorker(fleetworker.Options{ID: "portal-3", Service: portal, Events: 1})
+	for i, node := range nodes {
+		s.await(fmt.Sprintf("node %d has read the restored list", i), func() bool { return node.Workers() == len(s.workers) })
+		if node.Draining() != 1 {
+			t.Errorf("node %d uses the worker again", i)
+		}
+	}
+}
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// Outlives implements tablefeed.Reviewer: a configuration that was in force stays so until the
+// operator writes it again.
+func (c *configuration) Outlives(held, given tablefeed.Row) bool {
+	before, isRoutes, err := c.node.platform.Routes(held)
+	if err != nil || !isRoutes {
+		return false
+	}
+	now, _, err := c.node.platform.Routes(given)
+	return given.Gone || err != nil || now.Version < before.Version
+}
+
 // putInForce makes a version of the routes the one that requests meet.
 func (n *Node) putInForce(table *routing.Table, rowVersion tablefeed.Version) {
 	if current := n.front.Table(); current != nil && table.Version < current.Version {
@@ -98,6 +109,17 @@
 	}).Info("workers read")
 }
 
+// Outlives implements tablefeed.Reviewer: a start of a worker that has said it drains doesn't
+// take that back.
+func (w *workers) Outlives(held, given tablefeed.Row) bool {
+	before, err := w.node.platform.Worker(held)
+	if err != nil || !before.Draining || given.Gone {
+		return false
+	}
+	now, err := w.node.platform.Worker(given)
+	return err == nil && now.ID == before.ID && now.Address == before.Address && !now.Draining
+}
+
 // Apply implements tablefeed.Consumer.
 func (w *workers) Apply(rows []tablefeed.Row, version tablefeed.Version) {
 	unreadable, logged := 0, 0
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -362,6 +362,13 @@
 	return 0
 }
 
+// ConfigurationVersion returns the version up to which the store has confirmed the table of the
+// configuration that this node holds.
+func (n *Node) ConfigurationVersion() tablefeed.Version {
+	word, _ := n.configurationFeed.Word()
+	return word.Confirmed
+}
+
 // Limited returns the number of workers known to take no more than so many requests a second.
 func (n *Node) Limited() int { return n.registry.Limited() }
 
--- a/internal/tablefeed/copy.go
+++ b/internal/tablefeed/copy.go
@@ -1,6 +1,7 @@
 package tablefeed
 
 import (
+	"bytes"
 	"slices"
 	"sync"
 )
@@ -41,6 +42,30 @@
 	c.recent, c.since, c.version, c.known = nil, version, version, true
 }
 
+// review returns rows that a store gives in an era, those replaced that are held from an earlier
+// era and outlive them, and the keys of these.
+func (c *Copy) review(rows []Row, era uint64, outlives func(held, given Row) bool) (reviewed []Row, outliving []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	given := make(map[string]bool, len(rows))
+	reviewed = slices.Clone(rows)
+	for i, row := range rows {
+		given[row.Key] = true
+		held, known := c.rows[row.Key]
+		if known && held.Version.Era() < era && !bytes.Equal(held.Value, row.Value) && outlives(held, row) {
+			reviewed[i] = held
+			outliving = append(outliving, row.Key)
+		}
+	}
+	for key, held := range c.rows {
+		if !given[key] && held.Version.Era() < era && outlives(held, Row{Key: key, Gone: true}) {
+			reviewed = append(reviewed, held)
+			outliving = append(outliving, key)
+		}
+	}
+	return reviewed, outliving
+}
+
 // Apply gives changed rows.
 func (c *Copy) Apply(rows []Row, version Version) {
 	c.mu.Lock()
--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -61,6 +61,15 @@
 	Apply(rows []Row, version Version)
 }
 
+// Reviewer is a Consumer that can tell which of two states of a row is the newer one by their
+// content. A store that has come back from a copy gives old rows until they are written again.
+type Reviewer interface {
+	Consumer
+	// Outlives reports whether a row that was held before the store came back is newer than
+	// the one that it gives now, which is Gone where it gives none.
+	Outlives(held, given Row) bool
+}
+
 // Word is what is known of a table's version.
 type Word struct {
 	// Changed is the version of the last change of the table, and Confirmed the
--- a/internal/tablefeed/takeover.go
+++ b/internal/tablefeed/takeover.go
@@ -68,6 +68,7 @@
 // them, so that none is told of a version and given an older one.
 func (f *Feed) reset(rows []Row, word Word, own bool, source Source) {
 	f.setSource(source)
+	rows = f.review(rows, word.Changed.Era())
 	if f.others != nil {
 		f.copied.Reset(rows, word.Changed)
 	}
@@ -75,6 +76,21 @@
 	f.consumer.Reset(rows, word.Changed)
 }
 
+// review replaces rows that a restored store gives by newer ones that are held from an earlier
+// era.
+func (f *Feed) review(rows []Row, era uint64) []Row {
+	reviewer, reviews := f.consumer.(Reviewer)
+	if !reviews {
+		return rows
+	}
+	reviewed, outliving := f.copied.review(rows, era, reviewer.Outlives)
+	if len(outliving) > 0 {
+		f.log.WithFields(logrus.Fields{"table": f.table, "era": era, "rows": len(outliving), "first": outliving[0]}).
+			Warn("rows of before are kept: the restored store has older ones")
+	}
+	return reviewed
+}
+
 func (f *Feed) apply(rows []Row, word Word, own bool, source Source) {
 	f.setSource(source)
 	if f.others != nil {
