A call isn't sent to a worker whose entry has come to say that it drains since the plan

A call that waited for a connection after its plan was sent all the same.

What this commit closes is what lies between the plan and the bytes: TestCallPlannedBeforeItsWorkerDrainsIsKeptFromIt, which asks a question that the code before didn't have. Handles are still freed at such workers.

--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -66,6 +66,8 @@
 	// off, and must return. Both may be empty.
 	CrashOn string
 	Crashed func(w *Worker)
+	// Read is told of each prompt that is read apart, before that is answered; it may be nil.
+	Read func(id string)
 }
 
 // Run is a request that a worker worked on.
@@ -313,6 +315,9 @@
 		w.handles["h"+id] = true
 	}
 	w.mu.Unlock()
+	if w.options.Read != nil {
+		w.options.Read(id)
+	}
 	writer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(writer).Encode(map[string]any{"KvHandle": "h" + id, "Tokens": 1, "Version": 1})
 }
--- a/internal/lab/site/workers_test.go
+++ b/internal/lab/site/workers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"regexp"
 	"testing"
 
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
@@ -106,3 +107,28 @@
 		t.Errorf("%d of 24 requests were served beside a worker that rejects all", served)
 	}
 }
+
+// TestPromptIsNotHandedToAnEngineThatDrainsMeanwhile: the engine that is to run it says so while
+// another one reads the prompt.
+func TestPromptIsNotHandedToAnEngineThatDrainsMeanwhile(t *testing.T) {
+	s := startUnconfigured(t)
+	planned := regexp.MustCompile(`msg=planned.* runner=(\S+)`)
+	var leaving string
+	s.addWorker(fleetworker.Options{ID: "read-1", Service: llm, Stage: "prefill", Read: func(string) {
+		leaving = planned.FindStringSubmatch(s.logText())[1]
+		s.store.Put("servers", leaving, s.workers[leaving].Entry("draining"))
+		s.await("the engine is known to drain", func() bool { return s.node.Draining() == 1 })
+	}})
+	s.addWorker(fleetworker.Options{ID: "write-1", Service: llm, Stage: "decode"})
+	s.addWorker(fleetworker.Options{ID: "write-2", Service: llm, Stage: "decode"})
+	s.store.Put("op", "config", configuration(1))
+	s.await("the node is ready and knows the engines", func() bool { return s.node.Ready() && s.node.Workers() == 3 })
+	long := map[string]string{"X-Token-Usage": "60000,20", "X-Prompt-Prefix": "aa:2000,bb:58000"}
+	got := s.ask(http.MethodPost, "/verdict/1", long, "x")
+	if got.status != http.StatusOK || leaving == "" {
+		t.Fatalf("%d, %q leaves: %s", got.status, leaving, got.body)
+	}
+	if runs := s.workers[leaving].Runs(); len(runs) != 0 {
+		t.Errorf("%s ran the request although it was known to drain", leaving)
+	}
+}
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -78,7 +78,11 @@
 // Admit implements workerconn.Monitor.
 func (m *Monitor) Admit(key string, request *workerconn.Request) error {
 	now := time.Now()
-	err := m.options.Registry.Admits(key, now)
+	admits := m.options.Registry.Admits
+	if request.ID != "" { // a caller's
+		admits = m.options.Registry.AdmitsCall
+	}
+	err := admits(key, now)
 	if err == nil {
 		return nil
 	}
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -156,16 +156,33 @@
 var (
 	ErrDraining = eris.New("the worker has announced its end")
 	ErrBackoff  = eris.New("the worker has asked to be left alone for a time")
+	ErrUnlisted = eris.New("the worker's entry is gone")
 )
 
-// Admits returns why a worker must get nothing from this node now, a request of a caller or
-// anything else, and nil where it may. Only its own notices count.
+// Admits returns why a worker must get nothing at all from this node now, and nil where it may.
+// Only its own notices count.
 func (r *Registry) Admits(id string, now time.Time) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.admits(id, now)
 }
 
+// AdmitsCall is Admits for a request of a caller, which a worker must not get either once its
+// entry says that it is about to end, or is gone.
+func (r *Registry) AdmitsCall(id string, now time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if known, exists := r.workers[id]; exists {
+		switch {
+		case known.worker.Draining:
+			return ErrDraining
+		case !known.listed() && now.Sub(known.goneAt) >= lingerFor:
+			return ErrUnlisted
+		}
+	}
+	return r.admits(id, now)
+}
+
 func (r *Registry) admits(id string, now time.Time) error {
 	advisory := r.advisories[id]
 	if advisory.Draining(now) && now.Sub(advisory.DrainingSince) >= lingerFor {
--- a/internal/worker/notice_test.go
+++ b/internal/worker/notice_test.go
@@ -97,3 +97,23 @@
 		t.Error("a worker at another address is kept from requests by the word of the one before")
 	}
 }
+
+func TestCallPlannedBeforeItsWorkerDrainsIsKeptFromIt(t *testing.T) {
+	r := NewRegistry(topology.Map{})
+	now := time.Now()
+	r.ReplaceAt([]Worker{{ID: "w", Service: "s"}, {ID: "gone", Service: "s"}}, now)
+	if r.AdmitsCall("w", now) != nil {
+		t.Error("a sound worker gets no calls")
+	}
+	r.ApplyAt(Change{Name: "w", Worker: &Worker{ID: "w", Service: "s", Draining: true}}, now)
+	if r.AdmitsCall("w", now) == nil {
+		t.Error("a worker whose entry says that it drains gets a call")
+	}
+	if r.Admits("w", now) != nil {
+		t.Error("nothing can be freed at a worker whose entry says that it drains")
+	}
+	r.ApplyAt(Change{Name: "gone"}, now)
+	if r.AdmitsCall("gone", now.Add(lingerFor-1)) != nil || r.AdmitsCall("gone", now.Add(lingerFor)) == nil {
+		t.Error("a worker whose entry has vanished isn't the last resort for a moment")
+	}
+}
