A worker that had left isn't used again because a restored store lists it

What callers could see: a request goes to a worker whose entry was gone seconds before, since the store came back from a copy in which it still stands (DRAIN; some workers leave without saying so first).

Cause: an entry that comes back counted as the worker's return.

Evidence: TestWorkerThatHadLeftIsNotUsedAgainByARestoredEntry fails where a restored list is taken like any other ('a worker that had left gets calls again').

Why it works: a worker whose entry was gone in the history before is doubted for four heartbeats. One that lives keeps its entry longer than that or writes it anew, and one that doesn't loses it by then. Where most of a list would be doubted, the store had lost the entries and nobody is (TestRestoreAfterAllEntriesHadVanishedStopsNoService).

--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -3,11 +3,13 @@
 import (
 	"io"
 	"log"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/settings"
 	"github.com/tinarch/tinarch/internal/tablefeed"
 	"github.com/tinarch/tinarch/internal/worker"
 )
@@ -75,6 +77,8 @@
 // workers keeps the registry at what the store lists.
 type workers struct {
 	node *Node
+	// era is that of the list, zero before the first.
+	era uint64
 	// unreadable counts the entries that named no worker to use.
 	unreadable prometheus.Counter
 }
@@ -98,7 +102,7 @@
 			unreadable++
 		}
 	}
-	added, gone := w.node.registry.Replace(listed)
+	added, gone, doubted := w.replace(listed, version.Era())
 	if len(listed) > 0 {
 		w.node.workersKnown.Store(true)
 	}
@@ -106,9 +110,25 @@
 	w.drop(w.node.registry.TakeEnded())
 	w.node.log.WithFields(logrus.Fields{
 		"version": version, "workers": len(listed), "unreadable": unreadable, "added": len(added), "gone": len(gone), "first_gone": firstOf(gone),
+		"doubted": len(doubted), "first_doubted": firstOf(doubted),
 	}).Info("workers read")
 }
 
+// missedHeartbeats is after how many a worker's entry is gone at the latest.
+const missedHeartbeats = 4
+
+// replace sets the whole list, as of an era of the store.
+func (w *workers) replace(listed []worker.Worker, era uint64) (added, gone, doubted []string) {
+	restored := w.node.workersKnown.Load() && era > w.era
+	w.era = era
+	if !restored {
+		added, gone = w.node.registry.Replace(listed)
+		return added, gone, nil
+	}
+	doubt := missedHeartbeats * settings.Milliseconds(w.node.settings.Bounds.HeartbeatMillis)
+	return w.node.registry.ReplaceRestored(listed, doubt, time.Now())
+}
+
 // Outlives implements tablefeed.Reviewer: a start of a worker that has said it drains doesn't
 // take that back.
 func (w *workers) Outlives(held, given tablefeed.Row) bool {
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -124,7 +124,7 @@
 // usable reports whether a worker may get requests: it is listed and stays, or has
 // vanished or announced its end a moment ago.
 func (r *Registry) usable(known *state, now time.Time) bool {
-	if known.worker.Draining || known.isChanging(now) || r.admits(known.worker.ID, now) != nil || !known.recovery.admits(known.load.Requests) {
+	if known.worker.Draining || known.isDoubted(now) || known.isChanging(now) || r.admits(known.worker.ID, now) != nil || !known.recovery.admits(known.load.Requests) {
 		return false
 	}
 	return known.listed() || now.Sub(known.goneAt) < lingerFor
@@ -138,9 +138,12 @@
 
 // stays reports whether a worker is listed and not about to end.
 func (r *Registry) stays(known *state, now time.Time) bool {
-	return known.listed() && !r.drains(known, now)
+	return known.listed() && !known.isDoubted(now) && !r.drains(known, now)
 }
 
+// isDoubted reports whether a listed worker counts as gone.
+func (s *state) isDoubted(now time.Time) bool { return now.Before(s.doubtedUntil) }
+
 func (r *Registry) candidate(known *state, parts []prefixcache.Part, rank int, now time.Time) scheduling.Candidate {
 	load := known.total(now, "")
 	terms, queuePace := r.readingOf(known)
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -41,6 +41,39 @@
 	return added, gone
 }
 
+// ReplaceRestored is ReplaceAt of the list of a store that has come back from a copy. A worker
+// that was gone before counts as gone for a time, unless its entry is written again: one that
+// lives keeps it longer than that, one that has left may still be listed by the copy. Where
+// most would be doubted the store had lost their entries, not they.
+func (r *Registry) ReplaceRestored(workers []Worker, doubt time.Duration, now time.Time) (added, gone, doubted []string) {
+	doubted = r.unlistedOf(workers)
+	added, gone = r.ReplaceAt(workers, now)
+	if 2*len(doubted) > len(workers) {
+		return added, gone, nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range doubted {
+		if known, exists := r.workers[id]; exists {
+			known.doubtedUntil = now.Add(doubt)
+		}
+	}
+	return added, gone, doubted
+}
+
+// unlistedOf returns those of some workers that are known and not listed.
+func (r *Registry) unlistedOf(workers []Worker) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var unlisted []string
+	for _, worker := range workers {
+		if known, exists := r.workers[worker.ID]; exists && !known.listed() {
+			unlisted = append(unlisted, worker.ID)
+		}
+	}
+	return unlisted
+}
+
 // Apply records one change of the list. It reports whether anything that matters
 // for placement changed.
 func (r *Registry) Apply(change Change) bool { return r.ApplyAt(change, time.Now()) }
@@ -130,12 +163,12 @@
 	}
 	known, exists := r.workers[worker.ID]
 	if exists && (known.listed() || now.Sub(known.goneAt) < forgetAfter) {
-		changed := known.worker != worker || !known.listed()
+		changed := known.worker != worker || !known.listed() || !known.doubtedUntil.IsZero()
 		if known.worker.Address != worker.Address {
 			delete(r.advisories, worker.ID) // another start of a worker that doesn't tell its birth
 		}
 		known.worker = worker
-		known.goneAt = time.Time{}
+		known.goneAt, known.doubtedUntil = time.Time{}, time.Time{}
 		delete(r.gone, worker.ID)
 		if worker.Stage == known.changingStage {
 			known.changing = time.Time{}
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -176,7 +176,7 @@
 		switch {
 		case known.worker.Draining:
 			return ErrDraining
-		case !known.listed() && now.Sub(known.goneAt) >= lingerFor:
+		case known.isDoubted(now), !known.listed() && now.Sub(known.goneAt) >= lingerFor:
 			return ErrUnlisted
 		}
 	}
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -17,6 +17,9 @@
 	// goneAt is when its entry vanished, zero while it is listed.
 	goneAt time.Time
 	load   Load
+	// doubtedUntil is until when the worker counts as gone although it is listed: its entry
+	// was gone, and came back with the store from a copy.
+	doubtedUntil time.Time
 	// changing is until when an order keeps requests away, unless its entry shows the
 	// stage before.
 	changing      time.Time
