A restored store that lacks the quarantine doesn't release it

What callers could see: requests that end the workers that run them run again after the store came back from a copy of some seconds before, and with them all that their workers run.

Cause: a row that a whole table lacks was taken for one that an operator has removed.

Evidence: TestQuarantineOutlastsARestoreOfTheStore fails before ('not seen in 20s: the store holds it again').

Why it works: what lacks in the first table of a later era was lost with the history before. The nodes keep it, and save it again in their order.

--- a/internal/lab/site/crash_test.go
+++ b/internal/lab/site/crash_test.go
@@ -397,6 +397,16 @@
 	f.expectServed("/check/1", "harmless")
 }
 
+func TestQuarantineOutlastsARestoreOfTheStore(t *testing.T) {
+	s, f := startFragile(t)
+	copied := s.store.Version()
+	f.quarantine("/check/1", poison)
+	s.await("the store holds it", func() bool { return len(s.storedQuarantine()) == 1 })
+	s.store.Restore(copied)
+	s.await("the store holds it again", func() bool { return len(s.storedQuarantine()) == 1 })
+	f.expectStopped("/check/1", poison)
+}
+
 // TestNodesTellEachOtherWhileTheStoreIsAway what each has seen.
 func TestNodesTellEachOtherWhileTheStoreIsAway(t *testing.T) {
 	s, f := startFragile(t)
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -294,6 +294,24 @@
 	}
 }
 
+// Restored takes in which requests the store holds after it came back from a copy. Those that it
+// lacks were lost, not released: they are to be saved again.
+func (k *Keeper) Restored(held map[Fingerprint]bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	lost := 0
+	for request, known := range k.book.entries {
+		if known.stored != nil && !held[request] {
+			known.stored = nil
+			lost++
+		}
+	}
+	if lost > 0 {
+		k.log.WithField("requests", lost).Warn("the restored store lacks requests of the quarantine; they are saved again")
+		notify(k.toSave)
+	}
+}
+
 // Expire forgets what is old. It returns the requests that the store still holds of it.
 func (k *Keeper) Expire(now time.Time) []Fingerprint {
 	k.mu.Lock()
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -42,7 +42,11 @@
 }
 
 // quarantined has the keeper know what the store holds.
-type quarantined struct{ node *Node }
+type quarantined struct {
+	node *Node
+	// era is that of the table, zero before the first.
+	era uint64
+}
 
 // Reset implements tablefeed.Consumer.
 func (q *quarantined) Reset(rows []tablefeed.Row, version tablefeed.Version) {
@@ -53,6 +57,11 @@
 			held[request] = true
 		}
 	}
+	if version.Era() > q.era {
+		q.era = version.Era()
+		q.node.quarantine.Restored(held)
+		return
+	}
 	q.node.quarantine.StoredOnly(held, uint64(version), time.Now())
 }
 
