A window of usage that a restored store lacks is recorded again with the same counts

What the operators could see: a window that was recorded and reported just before the store came back from a copy is recorded anew by the next holder with the counts that it knows, and reported a second time with others.

Cause: a window that isn't recorded was taken for one that nobody has reported.

Evidence: TestWindowLostByTheStoreIsNotReportedWithOtherCounts fails before ('was reported with different counts').

Why it works: a reporter keeps the recorded windows as it has written or read them, and writes those that a store of a later era lacks as they were, at once; the next holder can't have the authority before a life of the lease has passed. Where the reporter is lost together with the record, the counts are lost with it.

--- a/internal/usage/records.go
+++ b/internal/usage/records.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -70,17 +72,33 @@
 	return nil
 }
 
+// recordAgain writes down the windows that this process knows to be recorded and that a restored
+// store lacks: they may have been reported with these counts.
+func (r *Reporter) recordAgain(ctx context.Context, recorded map[Window]Counts, due Window) error {
+	maps.Copy(r.known, recorded)
+	maps.DeleteFunc(r.known, func(window Window, _ Counts) bool { return window <= due-keptRows })
+	for _, window := range slices.Sorted(maps.Keys(r.known)) {
+		if recorded[window] != nil {
+			continue
+		}
+		if err := r.record(ctx, window, r.known[window]); err != nil {
+			return err
+		}
+		recorded[window] = r.known[window]
+	}
+	return nil
+}
+
 // record writes down what will be reported of a window, if nobody has: only as long as
 // this node has the authority.
-func (r *Reporter) record(ctx context.Context, window Window) (Counts, error) {
-	counts := r.options.Collector.Total(window)
+func (r *Reporter) record(ctx context.Context, window Window, counts Counts) error {
 	content, err := json.Marshal(counts)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	condition, held := r.options.Authority.Condition()
 	if !held {
-		return nil, eris.New("the authority lapsed before the window was recorded")
+		return eris.New("the authority lapsed before the window was recorded")
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -92,14 +110,16 @@
 		},
 	})
 	if err != nil {
-		return nil, eris.Wrapf(err, "window %d can't be recorded", window)
+		return eris.Wrapf(err, "window %d can't be recorded", window)
 	}
 	if !done {
 		r.options.Authority.Refused(condition)
-		return nil, eris.Errorf("window %d was recorded by another node, or another has the authority", window)
+		return eris.Errorf("window %d was recorded by another node, or another has the authority", window)
 	}
-	r.options.Log.WithFields(logrus.Fields{"window": window, "requests": counts.sum(), "tenants": len(counts)}).Info("usage recorded")
-	return counts, nil
+	again := r.known[window] != nil
+	r.known[window] = counts
+	r.options.Log.WithFields(logrus.Fields{"window": window, "requests": counts.sum(), "tenants": len(counts), "again": again}).Info("usage recorded")
+	return nil
 }
 
 func (c Counts) sum() int {
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -98,6 +98,10 @@
 	// done is the newest window up to which all are sent.
 	done Window
 	sent map[Window]bool
+	// known are the recorded windows as this process has written or read them, and era is
+	// that of the store's history in which they lie.
+	known map[Window]Counts
+	era   uint64
 	// gathered tells that the other supervisors were asked since this node was designated.
 	gathered bool
 	retryAt  time.Time
@@ -107,7 +111,7 @@
 func NewReporter(options Options) *Reporter {
 	span := options.Tally.Span()
 	return &Reporter{
-		options: options, span: span, sent: make(map[Window]bool),
+		options: options, span: span, sent: make(map[Window]bool), known: make(map[Window]Counts),
 		first: span.At(options.Tally.Now(time.Now())),
 	}
 }
@@ -136,6 +140,9 @@
 	r.options.Collector.Merge(r.options.Incarnation, own.Entries)
 	now := r.options.Tally.Now(moment)
 	due := r.span.At(now.Add(-settle)) - 1
+	if era := r.options.Store.Era(); era != r.era {
+		r.era, r.done = era, 0 // what is recorded may be lost
+	}
 	if due <= r.done || moment.Before(r.retryAt) || !r.told(due, now) {
 		return
 	}
@@ -173,9 +180,12 @@
 	if err != nil {
 		return err
 	}
+	if err := r.recordAgain(ctx, recorded, due); err != nil {
+		return err
+	}
 	for window := r.next(recorded, due); window <= due; window++ {
-		counts, err := r.record(ctx, window)
-		if err != nil {
+		counts := r.options.Collector.Total(window)
+		if err := r.record(ctx, window, counts); err != nil {
 			return err
 		}
 		recorded[window] = counts
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -176,6 +176,24 @@
 	}
 }
 
+// TestWindowLostByTheStoreIsNotReportedWithOtherCounts: the next holder knows others.
+func TestWindowLostByTheStoreIsNotReportedWithOtherCounts(t *testing.T) {
+	s := newSite()
+	first := s.reporter("first", 3)
+	first.Step(context.Background(), at(6))
+	s.store.Restore(0)
+	first.Step(context.Background(), at(6.2))
+	second := s.reporter("second", 5)
+	for moment := 8.0; len(s.api.reports[Span(span).At(at(0))]) < 2; moment += retryEvery.Seconds() {
+		if moment > 25 {
+			t.Fatal("the next holder reports nothing")
+		}
+		second.Step(context.Background(), at(moment))
+		time.Sleep(shortLife / 8)
+	}
+	s.api.oneTruth(t)
+}
+
 // TestOldHolderRecordsNothing: one that was paused before it recorded finds that another
 // has the authority.
 func TestOldHolderRecordsNothing(t *testing.T) {
