Orders that a restored store has lost hold the next holder up until none can come

What could happen, where engines don't compare fences: a holder's order is on its way, the store comes back from a copy that doesn't know of it, and the next holder orders the same engine something else; the two are carried out in any order.

Evidence: TestNextHolderWaitsForOrdersThatTheStoreHasLost fails before ('the next holder orders a worker that may still carry out an order').

Why it works: a node that takes the orders of an earlier holder over, in an era of the store that it first saw less than an order's longest life ago, gives none until then. A holder that goes on knows its own.

--- a/internal/stagecontrol/unanswered.go
+++ b/internal/stagecontrol/unanswered.go
@@ -49,6 +49,10 @@
 	// carried out, or may be later.
 	version      uint64
 	versionKnown bool
+	// era is the store's as it was seen last, and restored when it was first seen to have come
+	// back from a copy, zero where it hasn't.
+	era      uint64
+	restored time.Time
 }
 
 func newUnanswered(options Options) *unanswered {
@@ -124,6 +128,9 @@
 	if term.Fence == u.readUnder {
 		return nil
 	}
+	if left := u.lostOrders(now); left > 0 {
+		return eris.Errorf("orders of the earlier holder may be lost with the store's history; none can come any more in %v", left.Round(time.Second))
+	}
 	var row rowValue
 	if version > 0 {
 		if err := json.Unmarshal(content, &row); err != nil {
@@ -140,6 +147,17 @@
 	return nil
 }
 
+// lostOrders is for how long orders may still be carried out that a restored store doesn't know.
+func (u *unanswered) lostOrders(now time.Time) time.Duration {
+	if era := u.store.Era(); era != u.era {
+		u.era, u.restored = era, now
+	}
+	if u.restored.IsZero() {
+		return 0
+	}
+	return max(lateOrder-now.Sub(u.restored), 0)
+}
+
 // record writes down the orders that may be carried out, with those about to be sent.
 func (u *unanswered) record(ctx context.Context, orders []stageplan.Order) error {
 	row := rowValue{Prefill: make(map[string]bool)}
--- a/internal/stagecontrol/unanswered_test.go
+++ b/internal/stagecontrol/unanswered_test.go
@@ -113,6 +113,25 @@
 	}
 }
 
+func TestNextHolderWaitsForOrdersThatTheStoreHasLost(t *testing.T) {
+	b := newBench(t)
+	b.setStatus(0)
+	orderAll(t, b.unfenced("a", b.store), "p1")
+	b.ordered()
+	b.store.Restore(0)
+	b.setStatus(http.StatusOK)
+	next := b.unfenced("b", b.store)
+	orderAll(t, next, "p1")
+	if got := b.ordered(); got["p1"] {
+		t.Error("the next holder orders a worker that may still carry out an order")
+	}
+	next.unanswered.restored = time.Now().Add(-lateOrder)
+	orderAll(t, next, "p1")
+	if got := b.ordered(); !got["p1"] {
+		t.Error("the next holder orders nothing for ever")
+	}
+}
+
 // TestAnsweredOrderHoldsNoneUp: of this holder, who knows the answer.
 func TestAnsweredOrderHoldsNoneUp(t *testing.T) {
 	for _, example := range []struct {
