The basis of the plan of workers is written again where a restored store lacks it

What the operators could see: after a restore the next node that orders workers takes the fleet as ordered for the operators' choice, and plans from there.

Evidence: TestBasisThatTheStoreHasLostIsWrittenAgain fails before.

Why it works: a controller looks again at the row in each era of the store, and writes the basis that it knows where there is none.

--- a/internal/fleetsize/basis.go
+++ b/internal/fleetsize/basis.go
@@ -17,13 +17,14 @@
 
 // learnBasis reads what the plan of a service rests on, or writes it down where this node
 // is the first to plan: later nodes find workers that were ordered, not the operators'
-// choice.
+// choice. A basis that a restored store lacks is written again.
 func (c *Controller) learnBasis(ctx context.Context, service Service, fleet *ordered, standing Counts) error {
 	if hold := c.options.Authority.Acquire(ctx); hold != authority.Held {
 		return eris.Errorf("no authority: %s", hold)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	era := c.options.Store.Era()
 	content, version, err := c.options.Store.ReadRow(callCtx, table, service.Name)
 	if err != nil {
 		return eris.Wrap(err, "the basis of the plan can't be read")
@@ -33,10 +34,14 @@
 		if err := json.Unmarshal(content, &basis); err != nil {
 			return eris.Wrap(err, "the basis of the plan is malformed")
 		}
-		fleet.basis = &basis
+		fleet.basis, fleet.era = &basis, era
 		return nil
 	}
-	basis = c.policy.Prior(service.Terms, standing)
+	if fleet.basis != nil {
+		basis = *fleet.basis
+	} else {
+		basis = c.policy.Prior(service.Terms, standing)
+	}
 	if content, err = json.Marshal(basis); err != nil {
 		return err
 	}
@@ -51,7 +56,7 @@
 	if err != nil || !done {
 		return eris.Errorf("the basis of the plan was not written (done %v, %v)", done, err)
 	}
-	fleet.basis = &basis
+	fleet.basis, fleet.era = &basis, era
 	c.options.Log.WithFields(logrus.Fields{
 		"service": service.Name, "lost": basis.Lost, "workers": basis.Workers, "standing": fmt.Sprint(standing),
 	}).Info("the operators' fleet is the basis of the plan")
--- a/internal/fleetsize/controller.go
+++ b/internal/fleetsize/controller.go
@@ -131,6 +131,12 @@
 			return err
 		}
 	}
+	if fleet.era != c.options.Store.Era() {
+		if err := c.learnBasis(ctx, service, fleet, standing); err != nil {
+			c.options.Log.WithFields(logrus.Fields{"service": service.Name, "cause": err.Error()}).
+				Warn("the basis of the plan may be lost with the store's history; it is written again soon")
+		}
+	}
 	targets := c.targets(service, fleet, now)
 	due := fleet.due(service.Terms, targets, now)
 	if len(due) == 0 || now.Sub(fleet.ordered) < paceEvery {
--- a/internal/fleetsize/controller_test.go
+++ b/internal/fleetsize/controller_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+func TestBasisThatTheStoreHasLostIsWrittenAgain(t *testing.T) {
+	platform, rows := &cloud{standing: operators(), idle: true, least: 1000}, memorystore.New()
+	c := newController(platform, rows, "n")
+	now := run(c, platform, time.Now(), 20)
+	before, _, _ := rows.ReadRow(context.Background(), table, "s")
+	rows.Restore(0)
+	run(c, platform, now, 2)
+	after, _, _ := rows.ReadRow(context.Background(), table, "s")
+	if diff := cmp.Diff(string(before), string(after)); before == nil || diff != "" {
+		t.Errorf("the basis of the plan is another one: %s", diff)
+	}
+}
+
 // run steps a controller over some seconds from a moment.
 func run(c *Controller, platform *cloud, from time.Time, seconds int) time.Time {
 	for range 2 * seconds {
--- a/internal/fleetsize/ordered.go
+++ b/internal/fleetsize/ordered.go
@@ -14,8 +14,10 @@
 	// standing is what stood at the last look, and since when.
 	standing Counts
 	since    time.Time
-	// basis is what the plan rests on, nil until it is known.
+	// basis is what the plan rests on, nil until it is known, and era that of the store's
+	// history in which it lies.
 	basis *Observed
+	era   uint64
 	// whole is the plan where all kinds are to be had, on the terms planned.
 	whole   Counts
 	planned *routing.Scaling
