Nodes write their rows again where a restored store doesn't list them

What callers could see: nodes that had started just before the store came back from a copy are unknown to those that start after it, so that limits, quotas and loads are shared among too few.

Evidence: TestNodesAreListedAgainAfterARestore fails before (20 s).

Why it works: a node looks at the list once more when its tables show another era of the store, within two seconds; in a large fleet, which follows the list, only where that lacks it.

--- a/internal/lab/site/restore_test.go
+++ b/internal/lab/site/restore_test.go
@@ -107,3 +107,9 @@
 		}
 	}
 }
+
+func TestNodesAreListedAgainAfterARestore(t *testing.T) {
+	s, nodes, _ := startRestorable(t)
+	s.store.Restore(0)
+	s.await("all nodes are listed again", func() bool { return len(s.store.Rows("nodes")) == len(nodes) })
+}
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -15,10 +15,20 @@
 )
 
 // configuration puts the routes in force that the store holds.
-type configuration struct{ node *Node }
+type configuration struct {
+	node *Node
+	// era is that of the table, zero before the first.
+	era uint64
+}
 
 // Reset implements tablefeed.Consumer.
 func (c *configuration) Reset(rows []tablefeed.Row, version tablefeed.Version) {
+	if version.Era() > c.era {
+		c.era = version.Era()
+		if !c.node.exchange.Large() { // else the list that all follow shows it
+			c.node.storeRestored()
+		}
+	}
 	c.Apply(rows, version)
 }
 
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -112,6 +112,8 @@
 	nodesFeed *tablefeed.Feed
 	large     chan struct{}
 	largeOnce sync.Once
+	// restored gets a token when the store may have lost this node's row.
+	restored chan struct{}
 	// tables gives other nodes the tables that this one holds.
 	tables *tableshare.Server
 	// workersKnown tells that some worker was listed since the start.
@@ -140,6 +142,7 @@
 		registry: worker.NewRegistry(placesOf(configured)),
 		pool:     workerconn.NewPool(),
 		large:    make(chan struct{}),
+		restored: make(chan struct{}, 1),
 		identity: string(engine.NewIdentifier())[:incarnationDigits],
 	}
 	metrics := prometheus.NewRegistry()
--- a/internal/serving/roster.go
+++ b/internal/serving/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -24,7 +25,20 @@
 	Transact(ctx context.Context, transaction rowstore.Transaction) (version uint64, done bool, err error)
 }
 
-// stayListed writes this node's row, again where it was taken away though the node lives.
+// restoredSpread is the time over which the nodes look after a restore of the store whether it
+// still lists them.
+const restoredSpread = 2 * time.Second
+
+// storeRestored has this node look whether the store still lists it.
+func (n *Node) storeRestored() {
+	select {
+	case n.restored <- struct{}{}:
+	default:
+	}
+}
+
+// stayListed writes this node's row, again where it was taken away though the node lives, or
+// lost by the store.
 func (n *Node) stayListed(ctx context.Context) {
 	n.announce(ctx)
 	for {
@@ -33,6 +47,10 @@
 			return
 		case <-n.exchange.Unlisted():
 			n.announce(ctx)
+		case <-n.restored:
+			if sleepFor(ctx, rand.N(restoredSpread)) {
+				n.announce(ctx)
+			}
 		}
 	}
 }
