--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -24,6 +24,7 @@
 	Limits   bool   `arg:"--limits" help:"workers name how many requests they take, and it is checked what they get"`
 	Notices  bool   `arg:"--notices" help:"workers say that they are about to end or want a pause, and it is checked what they get"`
 	Storms   bool   `arg:"--storms" help:"configurations come in quick succession while the store turns a share of the nodes away, and it is checked how soon each node has them; in odd seeds they fit in no datagram"`
+	Restores bool   `arg:"--restores" help:"the store goes away again and again and comes back from a copy of some seconds before"`
 	Nodes    int    `arg:"--nodes" default:"3" help:"number of nodes, each a process"`
 	Earlier  string `arg:"--earlier" help:"path of tinarchd of an earlier build: half of the nodes begin with it, and nodes are rolled forward and back"`
 	Logs     string `arg:"--logs" help:"directory for settings and logs (default: a new one, kept only where a promise broke)"`
@@ -66,7 +67,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
-		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Nodes: c.Nodes, Earlier: c.Earlier,
+		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Restores: c.Restores, Nodes: c.Nodes, Earlier: c.Earlier,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/lab/fleetstore/store.go
+++ b/internal/lab/fleetstore/store.go
@@ -58,7 +58,9 @@
 	forgotten uint64
 	changed   chan struct{}
 	faults    Faults
-	calls     int
+	// away breaks off all calls.
+	away  bool
+	calls int
 	// reads counts the calls that read rows, and feeds those for changes, by table.
 	reads, feeds map[string]int
 	// onRead is told the table of each call that reads rows, before it does; it may be nil.
@@ -131,11 +133,23 @@
 	s.wake()
 }
 
+// SetAway has the store break off all calls, those under way too, or answer again.
+func (s *Store) SetAway(away bool) {
+	s.mu.Lock()
+	s.away = away
+	s.mu.Unlock()
+	if away {
+		s.server.CloseClientConnections()
+	}
+}
+
 // Restore has the store come back from a copy: its rows, versions and history are those of a
-// version again, its era rises, and open connections are cut.
-func (s *Store) Restore(version uint64) {
+// version again, its era rises, and open connections are cut. It returns the last state of each
+// row that was lost.
+func (s *Store) Restore(version uint64) (lost []Row) {
 	s.mu.Lock()
 	isLater := func(row Row) bool { return row.Version > version }
+	lost = newestOf(slices.DeleteFunc(slices.Clone(s.written), func(row Row) bool { return !isLater(row) }))
 	s.written = slices.DeleteFunc(s.written, isLater)
 	s.history = slices.DeleteFunc(s.history, isLater)
 	s.rows = make(map[string]Row)
@@ -148,6 +162,29 @@
 	s.wake()
 	s.mu.Unlock()
 	s.server.CloseClientConnections()
+	return lost
+}
+
+// newestOf returns the last of the rows with each key.
+func newestOf(rows []Row) []Row {
+	byName := make(map[string]Row)
+	for _, row := range rows {
+		byName[row.name()] = row
+	}
+	return slices.Collect(maps.Values(byName))
+}
+
+// WriteAgain writes a row that was lost, unless it was written since the store came back with a
+// version.
+func (s *Store) WriteAgain(lost Row, restored uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range s.written {
+		if row.name() == lost.name() && row.Version > restored {
+			return
+		}
+	}
+	s.write([]Row{lost})
 }
 
 // Era returns the number of the store's history.
@@ -231,14 +268,15 @@
 
 // keep has a written row stand.
 func (s *Store) keep(row Row) {
-	name := row.Table + "/" + row.Key
 	if row.Gone {
-		delete(s.rows, name)
+		delete(s.rows, row.name())
 	} else {
-		s.rows[name] = row
+		s.rows[row.name()] = row
 	}
 }
 
+func (r Row) name() string { return r.Table + "/" + r.Key }
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -248,8 +286,11 @@
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		s.mu.Lock()
 		s.calls++
-		faults, era := s.faults, s.era
+		faults, era, away := s.faults, s.era, s.away
 		s.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler)
+		}
 		writer.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 		switch {
 		case faults.Down:
@@ -292,7 +333,7 @@
 	s.reads[query.Get("table")]++
 	rows, version := s.of(query.Get("table")), s.version
 	if s.faults.StaleReads > 0 {
-		version = s.faults.StaleReads
+		version = min(s.faults.StaleReads, version)
 		rows = s.asOf(query.Get("table"), version)
 	}
 	rows = within(rows, query.Get("From"), query.Get("TargetVersion"))
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -34,6 +34,13 @@
 		// Faults of the whole store would leave no node that knows of a change.
 		kinds = []func(context.Context, time.Duration) string{s.killNode, s.pauseNode, s.stopNode, s.startStale, s.harmWorkerWay, s.failWorker}
 	}
+	if s.options.Restores {
+		restoreCtx, endRestores := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() { defer close(ended); s.restoreOften(restoreCtx) }()
+		defer s.mend()
+		defer func() { endRestores(); <-ended }()
+	}
 	if s.options.Limits {
 		kinds = append(kinds, s.nameLimit, s.nameLimit, s.nameLimit, s.nameLimit)
 	}
--- /dev/null
+++ b/internal/lab/soak/restore.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetstore"
+)
+
+// The figures of restores of the store.
+const (
+	// The copy is of some time before.
+	youngestCopy = time.Second
+	oldestCopy   = 8 * time.Second
+	longestAway  = 2500 * time.Millisecond
+	// longestRewriting is the time in which the operator and the workers write again what was
+	// lost of theirs.
+	longestRewriting = 1500 * time.Millisecond
+	longestBetween   = 3 * time.Second
+)
+
+// restoreOften has the store go away again and again and come back from a copy, until ctx ends.
+func (s *site) restoreOften(ctx context.Context) {
+	random := rand.New(rand.NewPCG(s.options.Seed, 73))
+	for ctx.Err() == nil {
+		copied, at := s.store.Version(), time.Now()
+		sleep(ctx, youngestCopy+time.Duration(random.Int64N(int64(oldestCopy-youngestCopy))))
+		s.restoreOnce(random, copied, at)
+		sleep(ctx, time.Duration(random.Int64N(int64(longestBetween))))
+	}
+}
+
+// restoreOnce has the store come back with what it held at a time. What the operator and the
+// workers wrote since is written again, in any order.
+func (s *site) restoreOnce(random *rand.Rand, copied uint64, at time.Time) {
+	away := time.Duration(random.Int64N(int64(longestAway)))
+	s.store.SetAway(true)
+	time.Sleep(away)
+	lost := s.store.Restore(copied)
+	s.store.SetAway(false)
+	s.restored(at)
+	random.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+	for _, row := range lost {
+		if row.Table != "op" && row.Table != "servers" {
+			continue
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(longestRewriting) / int64(len(lost)))))
+		s.writeAgain(row, copied)
+	}
+	s.restored(at)
+	_, _ = fmt.Fprintf(s.options.Out, "%7.2f s  the store was away for %v and came back from a copy of version %d, %v old; %d rows were lost\n",
+		time.Since(s.started).Seconds(), away.Round(time.Millisecond), copied, time.Since(at).Round(time.Millisecond), len(lost))
+}
+
+// writeAgain writes a row again, no configuration while another one is being put.
+func (s *site) writeAgain(row fleetstore.Row, restored uint64) {
+	s.configuring.Lock()
+	defer s.configuring.Unlock()
+	s.store.WriteAgain(row, restored)
+}
+
+// restored has what the store took since a copy was made count as accepted now at the earliest.
+func (s *site) restored(copied time.Time) {
+	s.storm.restored(copied, time.Now())
+}
+
+// restored has the versions that were accepted since a time count as accepted now.
+func (s *storm) restored(since, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, at := range s.accepted {
+		if at.After(since) {
+			s.accepted[i] = now
+		}
+	}
+}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -46,6 +46,8 @@
 	// Storms has configurations come in quick succession and the store turn nodes away, and
 	// checks how soon each node has each of them.
 	Storms bool
+	// Restores has the store go away and come back from a copy of some seconds before.
+	Restores bool
 	// Nodes is the number of nodes.
 	Nodes int
 	// Earlier is the path of tinarchd of an earlier build. Where it is set, half of the nodes
