A keeper of a quota that stood still decides by little until it hears the others

Cause: that reports were missed was noticed when the next message of another node came; the requests that had waited at the node itself were decided before.

Evidence: TestKeeperThatStoodStillGrantsNoBurstBeforeItHearsOthers fails without the look ('a keeper that stood still grants a burst').

--- a/internal/digest/quota.go
+++ b/internal/digest/quota.go
@@ -65,6 +65,8 @@
 	lastHeard time.Time
 	// lastInUse is when accounts were in use here, so that reports were due.
 	lastInUse time.Time
+	// ran is when this process was seen to run, by clock.Boot.
+	ran time.Time
 	// generation is that of the nodes for which the keeper's accounts are.
 	generation uint64
 	// reserving are the accounts of which a part is kept for nodes out of hearing.
--- a/internal/digest/quota_keep.go
+++ b/internal/digest/quota_keep.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/clock"
 	"github.com/tinarch/tinarch/internal/quota"
 )
 
@@ -53,9 +54,27 @@
 	return missed
 }
 
+// awaken notes that this process runs. A keeper that stood still has missed what others used
+// meanwhile, and must not decide by what it knew before it hears them.
+func (q *quotaExchange) awaken(now time.Time) {
+	running := clock.Boot()
+	q.mu.Lock()
+	stood := running.Sub(q.ran)
+	missed := !q.ran.IsZero() && stood > quota.SilentAfter
+	if missed {
+		q.keeper.Missed(now)
+	}
+	q.ran = running
+	q.mu.Unlock()
+	if missed {
+		q.exchange.log.WithField("stood_ms", stood.Milliseconds()).Warn("this process stood still: what is left of quotas is not known")
+	}
+}
+
 // decide decides as a keeper, by the limit that is known here where limits are learned. A cost
 // of an account that has none passes.
 func (q *quotaExchange) decide(ask quota.Ask, now time.Time) quota.Decision {
+	q.awaken(now)
 	q.move(now)
 	account := ask.Account
 	limited := q.limits.apply(account, &ask.Report)
--- a/internal/digest/quota_reports.go
+++ b/internal/digest/quota_reports.go
@@ -42,6 +42,7 @@
 			soon = nil
 			q.reportChanged(time.Now())
 		case now := <-ticker.C:
+			q.awaken(now)
 			atRest := now.Sub(rested) >= quotaRestEvery
 			if atRest {
 				rested = now
--- a/internal/digest/quota_test.go
+++ b/internal/digest/quota_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/clock"
 	"github.com/tinarch/tinarch/internal/quota"
 )
 
@@ -377,6 +378,25 @@
 	}
 }
 
+func TestKeeperThatStoodStillGrantsNoBurstBeforeItHearsOthers(t *testing.T) {
+	silent := []*net.UDPConn{silentNode(t), silentNode(t)}
+	exchange := quotaNodes(t, 1, exact, silent...)[0]
+	now := time.Now()
+	ask := quota.Ask{
+		From: quota.Spender{Node: "other", Address: addressOfConn(silent[0])}, Account: claimOf("a", 1).Charge().Account,
+		Cost: 10, Report: quota.Report{Limit: claimOf("a", 1).Limit, Version: 1},
+	}
+	if !exchange.quota.decide(ask, now).Granted {
+		t.Error("a warm keeper refuses")
+	}
+	exchange.quota.mu.Lock()
+	exchange.quota.ran = clock.Boot().Add(-2 * quota.SilentAfter)
+	exchange.quota.mu.Unlock()
+	if decision := exchange.quota.decide(ask, now); decision.Granted || !decision.Cold {
+		t.Errorf("a keeper that stood still grants a burst: %+v", decision)
+	}
+}
+
 // TestKeeperThatHeardNobody: one that was frozen or cut off doesn't know what others used.
 func TestKeeperThatHeardNobody(t *testing.T) {
 	silent := []*net.UDPConn{silentNode(t), silentNode(t)}
