A holder doesn't renounce the lease for a condition of an earlier era

What could happen: after a restore the holder's first conditional write is not sent, since its condition is of the era before; the holder took that for another holder's lease, and the duties stood still for a life of the lease.

Evidence: TestHolderGoesOnAfterARestore, which now has such a refusal, failed before ('another node may hold it').

Why it works: a refusal counts only where the condition was of the store's newest era.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -313,11 +313,12 @@
 }
 
 // Refused takes in that a write under a condition of this node's was not carried out.
-// Another node has taken the lease then, unless it was renewed meanwhile.
+// Another node has taken the lease then, unless it was renewed meanwhile, or the condition was
+// of an earlier era of the store.
 func (a *Authority) Refused(condition rowstore.Condition) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if condition.Version == a.version {
+	if condition.Version == a.version && a.options.Store.Era() == a.machine.Era() {
 		a.machine.Renounce()
 	}
 }
--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -138,7 +138,9 @@
 	store, clock := memorystore.New(), &handClock{time.Unix(1000, 0)}
 	a := newClocked(store, "a", clock)
 	a.Acquire(context.Background())
+	lost, _ := a.Condition()
 	store.Restore(0)
+	a.Refused(lost)
 	if hold := a.Acquire(context.Background()); hold != Held {
 		t.Fatal(hold)
 	}
