Supervisors forget recorded windows with their rows

They were forgotten at the reporter only, so that each other supervisor kept one more with each window. TestRecordedWindowsAreForgottenWithTheirRows fails before (72 windows kept, 24 wanted).

--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 )
 
@@ -37,7 +38,8 @@
 	return &Collector{senders: make(map[string]*sender), recorded: make(map[Window]Counts)}
 }
 
-// KeepRecorded takes in windows as they were recorded.
+// KeepRecorded takes in windows as they were recorded, and forgets those that the store doesn't
+// keep any more either.
 func (c *Collector) KeepRecorded(recorded map[Window]Counts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -46,6 +48,11 @@
 			c.recorded[window] = counts
 		}
 	}
+	if len(c.recorded) <= keptRows {
+		return
+	}
+	newest := slices.Max(slices.Collect(maps.Keys(c.recorded)))
+	maps.DeleteFunc(c.recorded, func(window Window, _ Counts) bool { return window <= newest-keptRows })
 }
 
 // Recorded returns the recorded windows after one, as far as they are known.
@@ -150,7 +157,6 @@
 func (c *Collector) Forget(window Window) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	maps.DeleteFunc(c.recorded, func(old Window, _ Counts) bool { return old <= window-keptRows })
 	maps.DeleteFunc(c.senders, func(_ string, known *sender) bool {
 		maps.DeleteFunc(known.windows, func(old Window, _ Counts) bool { return old <= window-keptWindows })
 		return len(known.windows) == 0 && known.closed <= window-keptWindows
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -128,3 +128,13 @@
 		t.Errorf("%d requests, want 2", got)
 	}
 }
+
+func TestRecordedWindowsAreForgottenWithTheirRows(t *testing.T) {
+	c := NewCollector()
+	for window := Window(1); window <= 3*keptRows; window++ {
+		c.KeepRecorded(map[Window]Counts{window: {"a": 1}})
+	}
+	if recorded := c.Recorded(0); len(recorded) != keptRows || recorded[3*keptRows] == nil {
+		t.Errorf("%d windows are kept, want the newest %d", len(recorded), keptRows)
+	}
+}
