Keepers of a quota that start apart share what one may grant that knows nothing

The trace: a node thaws and its waiting requests are granted, four at once, which is the burst; 0.46 s later all nodes are killed; 0.2 s after that three start within 33 ms, nobody hears anybody, and each node's own keeper grants what a single one may that has just started: five requests in half a second.

Cause: the part of the tolerance for a keeper without knowledge was given to each of three.

Why it works: a keeper that has heard no other keeper of an account since it began takes a third of that part. One that has heard another, which tells what it granted, has all of it, as before. A division for good was tried first: a fleet that starts again then refuses at once what it may grant (TestAllKeepersStartedAgain).

--- a/internal/digest/quota_keep.go
+++ b/internal/digest/quota_keep.go
@@ -82,7 +82,7 @@
 	keeps := slices.Contains(keepers, q.exchange.peers.address)
 	q.mu.Lock()
 	split := q.split(account, keepers, q.exchange.peers.address, quota.SilentAfter, now)
-	ask.Split = split
+	ask.Split, ask.Alone = split, q.alone(keepers, q.exchange.peers.address)
 	decision := q.keeper.Decide(ask, keeps, now)
 	changed := q.reserves(account, decision.Reserved > 0)
 	q.mu.Unlock()
@@ -111,6 +111,21 @@
 	return false
 }
 
+// alone reports whether none of the other keepers of an account was ever heard.
+func (q *quotaExchange) alone(keepers []netip.AddrPort, self netip.AddrPort) bool {
+	others := 0
+	for _, keeper := range keepers {
+		if keeper == self {
+			continue
+		}
+		if !q.heard[keeper].IsZero() {
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
+
 // reserves records whether a part of an account is reserved, and reports a change.
 func (q *quotaExchange) reserves(account string, reserved bool) (changed bool) {
 	if q.reserving[account] == reserved {
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -11,6 +11,8 @@
 	// coldPart is what a keeper that doesn't know the use before it began to keep an
 	// account begins with: a fourth of the slack.
 	coldPart = 4
+	// coldKeepers is how many may begin together, and share that until they hear each other.
+	coldKeepers = 3
 	// floorPart bounds the debt that late reports leave: what was used out of a keeper's
 	// hearing was granted by others within the limit, and isn't owed a second time.
 	floorPart = 4
@@ -33,6 +35,8 @@
 	used time.Time
 	// reserved is the part of the limit that is kept for nodes out of hearing.
 	reserved float64
+	// alone tells that others may have begun to keep the account just as this keeper has.
+	alone bool
 }
 
 // fill brings the account's levels to a time.
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -34,6 +34,8 @@
 	Patience time.Duration
 	// Split tells that another keeper of the account is out of hearing and may grant too.
 	Split bool
+	// Alone tells that no other keeper of the account was heard since this one began.
+	Alone bool
 }
 
 // Decision is a keeper's answer.
@@ -86,7 +88,7 @@
 func (k *Keeper) Decide(ask Ask, keeps bool, now time.Time) Decision {
 	a := k.account(ask.Account, ask.Report, keeps, now)
 	s := k.merge(a, ask.From, ask.Report, now)
-	a.reserved = 0
+	a.reserved, a.alone = 0, ask.Alone && k.cold(a, now)
 	if ask.Split {
 		a.reserved = k.silentShare(a, ask.From.Node, now)
 	}
--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -656,3 +656,48 @@
 		t.Errorf("repeated: %v, then %v", n.meter.Repeated(at(1)), n.meter.Repeated(at(3)))
 	}
 }
+
+// TestKeepersThatStartApartGrantOneColdPart: after a burst all start again, and for a moment each
+// node reaches only the keeper that it is itself.
+func TestKeepersThatStartApartGrantOneColdPart(t *testing.T) {
+	tolerance, limit := Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 4}, Limit{Rate: 3, Burst: 4, Unit: Requests}
+	const step, killed, started, met = 0.01, 0.65, 0.8, 1.7
+	before := NewKeeper(tolerance, warmSince)
+	asker := newNode(0)
+	var keepers []*Keeper
+	var nodes []*node
+	for number := range 3 {
+		keepers = append(keepers, NewKeeper(tolerance, at(started)))
+		nodes = append(nodes, newNode(1+number))
+	}
+	spent := 0.0
+	for tick := 0; tick < 800; tick++ {
+		now := float64(tick) * step
+		if now < killed {
+			spent += asker.spend(before, limit, 1, at(now))
+			continue
+		}
+		if now < started {
+			continue
+		}
+		for i, n := range nodes {
+			keeper := keepers[i]
+			if now >= met {
+				keeper = keepers[0]
+				for _, other := range nodes {
+					other.tell(keeper, at(now))
+				}
+			}
+			ask := n.question(limit, 1, at(now))
+			ask.Alone = now < met
+			for keeper.Decide(ask, true, at(now)).Granted {
+				n.meter.Take(tenantA, 1, at(now))
+				ask.Report = n.meter.Report(tenantA, at(now))
+				spent++
+			}
+		}
+	}
+	if most := limit.Rate*tolerance.Window.Seconds() + limit.Burst + tolerance.Over(limit); spent > most {
+		t.Errorf("%v were granted in a window, and %v may be", spent, most)
+	}
+}
--- a/internal/quota/weigh.go
+++ b/internal/quota/weigh.go
@@ -105,6 +105,9 @@
 	over := k.tolerance.Over(a.limit) * (1 - a.reserved)
 	_, size := k.shape(a, bucket)
 	short = min(cost, size) - over/creditPart - a.buckets[bucket].Level()
+	if a.alone {
+		short += k.coldLevel(a.limit) * (coldKeepers - 1) / coldKeepers
+	}
 	if bucket > 0 {
 		return short, cost <= size
 	}
