--- a/internal/tablefeed/tablefeed.go
+++ b/internal/tablefeed/tablefeed.go
@@ -123,7 +123,7 @@
 // The figures of a feed.
 const (
 	// patience is how long the store holds a call while nothing changes.
-	patience   = 500 * time.Millisecond
+	patience   = 700 * time.Millisecond
 	firstPause = 100 * time.Millisecond
 	// firstShare is the part of the longest pause that is made after a first failure.
 	firstShare = 4
--- a/internal/tablerelay/board.go
+++ b/internal/tablerelay/board.go
@@ -26,14 +26,14 @@
 	// quarters of the two seconds in which changes have to be known.
 	Freshness = 1500 * time.Millisecond
 	// takeover is how long the word counts for the second in the ranking, and each place
-	// adds step: the first confirms its word each half a second (tablefeed).
-	takeover = 800 * time.Millisecond
-	step     = 175 * time.Millisecond
+	// adds step: the first confirms its word each 0.7 seconds (tablefeed).
+	takeover = 920 * time.Millisecond
+	step     = 145 * time.Millisecond
 	// pullAfter is the age of a word from which a node asks others for a newer one: again
 	// after pullEvery, and in a large fleet less often each time up to longestPull, at which
 	// it still gets one before its own is too old. While the store is down no node has any,
 	// and all would ask.
-	pullAfter   = 650 * time.Millisecond
+	pullAfter   = 800 * time.Millisecond
 	pullEvery   = 100 * time.Millisecond
 	longestPull = 400 * time.Millisecond
 	// callPause is the longest pause of the first nodes between calls to a store that
