The era of the store is kept once at the adapter, and one type sees a table's era rise

Cause: the change for restored stores kept the newest era twice, in the adapter and in the metrics, carried it there in each observed call, and wrote the same comparison with a field of its own in four consumers of tables.

Change: rowstore.Call has no era any more; metrics and the log line ask the adapter. tablefeed.EraWatch is what the configuration, the workers, the list of nodes and the quarantine compare by. Behaviour and lines logged stay.

Tests of platform, serving, tablefeed, and those of the site with restores, quarantine, listing and large fleets: passed, none changed.

--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -53,8 +53,6 @@
 	Answered bool
 	// Sent and Received are the bytes of the bodies.
 	Sent, Received int
-	// Era numbers the history of the store that the answer is of, zero where it doesn't tell.
-	Era uint64
 }
 
 // CallKind is what a call does.
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -17,17 +17,13 @@
 // configuration puts the routes in force that the store holds.
 type configuration struct {
 	node *Node
-	// era is that of the table, zero before the first.
-	era uint64
+	era  tablefeed.EraWatch
 }
 
 // Reset implements tablefeed.Consumer.
 func (c *configuration) Reset(rows []tablefeed.Row, version tablefeed.Version) {
-	if version.Era() > c.era {
-		c.era = version.Era()
-		if !c.node.exchange.Large() { // else the list that all follow shows it
-			c.node.storeRestored()
-		}
+	if c.era.Rises(version) && !c.node.exchange.Large() { // in a large fleet the list that all follow shows it
+		c.node.storeRestored()
 	}
 	c.Apply(rows, version)
 }
@@ -87,8 +83,7 @@
 // workers keeps the registry at what the store lists.
 type workers struct {
 	node *Node
-	// era is that of the list, zero before the first.
-	era uint64
+	era  tablefeed.EraWatch
 	// unreadable counts the entries that named no worker to use.
 	unreadable prometheus.Counter
 }
@@ -112,7 +107,7 @@
 			unreadable++
 		}
 	}
-	added, gone, doubted := w.replace(listed, version.Era())
+	added, gone, doubted := w.replace(listed, version)
 	if len(listed) > 0 {
 		w.node.workersKnown.Store(true)
 	}
@@ -127,11 +122,9 @@
 // missedHeartbeats is after how many a worker's entry is gone at the latest.
 const missedHeartbeats = 4
 
-// replace sets the whole list, as of an era of the store.
-func (w *workers) replace(listed []worker.Worker, era uint64) (added, gone, doubted []string) {
-	restored := w.node.workersKnown.Load() && era > w.era
-	w.era = era
-	if !restored {
+// replace sets the whole list as of a version.
+func (w *workers) replace(listed []worker.Worker, version tablefeed.Version) (added, gone, doubted []string) {
+	if !w.era.Rises(version) || !w.node.workersKnown.Load() {
 		added, gone = w.node.registry.Replace(listed)
 		return added, gone, nil
 	}
--- a/internal/serving/listing.go
+++ b/internal/serving/listing.go
@@ -192,8 +192,7 @@
 // members keeps the exchange's peers at what the store lists.
 type members struct {
 	node *Node
-	// era is that of the list, zero before the first.
-	era uint64
+	era  tablefeed.EraWatch
 	// addresses are those of the rows, by their keys.
 	addresses map[string]netip.AddrPort
 }
@@ -202,10 +201,9 @@
 func (m *members) Reset(rows []tablefeed.Row, version tablefeed.Version) {
 	m.addresses = make(map[string]netip.AddrPort, len(rows))
 	peers := m.read(rows)
-	if version.Era() > m.era && !m.node.isAmong(peers) {
+	if m.era.Rises(version) && !m.node.isAmong(peers) {
 		m.node.storeRestored()
 	}
-	m.era = version.Era()
 	m.node.exchange.ReplacePeers(peers, time.Now())
 	m.node.log.WithFields(logrus.Fields{"version": version, "nodes": len(peers)}).Info("list of nodes read")
 }
--- a/internal/serving/metrics.go
+++ b/internal/serving/metrics.go
@@ -22,28 +22,23 @@
 	bytes := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_store_bytes_total", Help: "Bytes sent to and received from the platform's store, by kind and table.",
 	}, labels)
-	var history history
 	era := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "tinarch_store_era", Help: "Newest history of the platform's store that an answer was of: it rises when the store comes back from a copy.",
-	}, func() float64 { return float64(history.era.Load()) })
+	}, func() float64 { return float64(platform.Era()) })
 	registry.MustRegister(calls, bytes, era)
+	var known atomic.Uint64
 	platform.ObserveCalls(func(call rowstore.Call) {
-		history.observe(call.Era, log)
+		logRestored(platform.Era(), &known, log)
 		calls.WithLabelValues(string(call.Kind), call.Table, answered(call.Answered)).Inc()
 		bytes.WithLabelValues(string(call.Kind), call.Table).Add(float64(call.Sent + call.Received))
 	})
 }
 
-// history is the newest one of the store that an answer was of.
-type history struct{ era atomic.Uint64 }
-
-// observe logs when the store has come back from a copy.
-func (h *history) observe(era uint64, log *logrus.Logger) {
-	for known := h.era.Load(); era > known; known = h.era.Load() {
-		if h.era.CompareAndSwap(known, era) {
-			log.WithFields(logrus.Fields{"era": era, "before": known}).Warn("the store answers from another history")
-			return
-		}
+// logRestored logs once that the store answers from a later era than was known.
+func logRestored(era uint64, known *atomic.Uint64, log *logrus.Logger) {
+	before := known.Load()
+	if era > before && known.CompareAndSwap(before, era) {
+		log.WithFields(logrus.Fields{"era": era, "before": before}).Warn("the store answers from another history")
 	}
 }
 
--- a/internal/serving/quarantine.go
+++ b/internal/serving/quarantine.go
@@ -44,8 +44,7 @@
 // quarantined has the keeper know what the store holds.
 type quarantined struct {
 	node *Node
-	// era is that of the table, zero before the first.
-	era uint64
+	era  tablefeed.EraWatch
 }
 
 // Reset implements tablefeed.Consumer.
@@ -57,8 +56,7 @@
 			held[request] = true
 		}
 	}
-	if version.Era() > q.era {
-		q.era = version.Era()
+	if q.era.Rises(version) {
 		q.node.quarantine.Restored(held)
 		return
 	}
