--- a/internal/authority/authority_test.go
+++ b/internal/authority/authority_test.go
@@ -151,8 +151,7 @@
 	}
 }
 
-// TestLateWriteOfALostHistoryIsRefused, also where the new holder's row has the number of the
-// lost one.
+// TestLateWriteOfALostHistoryIsRefused, also where the new holder's row has the lost one's number.
 func TestLateWriteOfALostHistoryIsRefused(t *testing.T) {
 	store, clock := memorystore.New(), &handClock{time.Unix(1000, 0)}
 	first, second := newClocked(store, "first", clock), newClocked(store, "second", clock)
--- a/internal/lab/site/workers_test.go
+++ b/internal/lab/site/workers_test.go
@@ -108,8 +108,6 @@
 	}
 }
 
-// TestPromptIsNotHandedToAnEngineThatDrainsMeanwhile: the engine that is to run it says so while
-// another one reads the prompt.
 func TestPromptIsNotHandedToAnEngineThatDrainsMeanwhile(t *testing.T) {
 	s := startUnconfigured(t)
 	planned := regexp.MustCompile(`msg=planned.* runner=(\S+)`)
--- a/internal/quota/keeper_test.go
+++ b/internal/quota/keeper_test.go
@@ -657,8 +657,7 @@
 	}
 }
 
-// TestKeepersThatStartApartGrantOneColdPart: after a burst all start again, and for a moment each
-// node reaches only the keeper that it is itself.
+// TestKeepersThatStartApartGrantOneColdPart behind a burst, each to the only node that reaches it.
 func TestKeepersThatStartApartGrantOneColdPart(t *testing.T) {
 	tolerance, limit := Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 4}, Limit{Rate: 3, Burst: 4, Unit: Requests}
 	const step, killed, started, met = 0.01, 0.65, 0.8, 1.7
--- a/internal/tablefeed/tablefeed_test.go
+++ b/internal/tablefeed/tablefeed_test.go
@@ -334,15 +334,20 @@
 	return nil, 0, ctx.Err()
 }
 
-// TestCallThatTheStoreDoesNotAnswerHidesNoChange of which another node tells.
-func TestCallThatTheStoreDoesNotAnswerHidesNoChange(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+// newMute returns a feed of a mute store in a fleet that tells of a change from some time on.
+func newMute() (*mute, *telling, applied, *Feed) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	store, fleet := &mute{make(chan struct{}, 1), make(chan error, 1)}, &telling{from: make(chan struct{})}
 	consumer := applied{make(chan Version, 1)}
-	feed := New(store, "table", consumer, fleet, log)
+	return store, fleet, consumer, New(store, "table", consumer, fleet, log)
+}
+
+// TestCallThatTheStoreDoesNotAnswerHidesNoChange of which another node tells.
+func TestCallThatTheStoreDoesNotAnswerHidesNoChange(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store, fleet, consumer, feed := newMute()
 	go feed.Run(ctx)
 	<-store.called
 	close(fleet.from)
@@ -358,12 +363,9 @@
 func TestCallHidesNoChangeThatWasKnownBeforeIt(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	store, fleet := &mute{make(chan struct{}, 1), make(chan error, 1)}, &telling{from: make(chan struct{})}
-	consumer := applied{make(chan Version, 1)}
+	store, fleet, _, feed := newMute()
 	close(fleet.from)
-	go New(store, "table", consumer, fleet, log).Run(ctx)
+	go feed.Run(ctx)
 	<-store.called
 	if err := <-store.ended; !errors.Is(err, context.Canceled) {
 		t.Errorf("the call ended with %v: it was waited for", err)
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -186,8 +186,7 @@
 	}
 }
 
-// TestWindowLostByTheStoreIsNotReportedWithOtherCounts: the next holder knows others, whether the
-// one that recorded the window lives or not.
+// TestWindowLostByTheStoreIsNotReportedWithOtherCounts, whether its recorder lives or not.
 func TestWindowLostByTheStoreIsNotReportedWithOtherCounts(t *testing.T) {
 	for _, lives := range []bool{true, false} {
 		s := newSite()
