Interfaces of the parts for hard load: scopes of the overload settings, the slowdown that workers state

Cause: the decisions that the two customers with hard load need take effect only where settings and the workers call for them, so what selects a service comes first. Nothing uses them yet. Conclusion: the parts can be built side by side.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -75,6 +75,9 @@
 	}
 	reply := s.wire.Reply(answer.Status, answer.Header)
 	s.observeLimit(to.ID, answer.Status, reply, sent)
+	if reply.HostSlowdown > 0 {
+		s.registry.ObserveHostSlowdown(to.ID, reply.HostSlowdown, time.Now())
+	}
 	return answer, reply, nil
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -135,7 +135,10 @@
 	// HasLoad tells that Running and Waiting are set.
 	HasLoad          bool
 	Running, Waiting int
-	Limit            RateLimit
+	// HostSlowdown is the factor by which work takes longer than usual on the worker's host at
+	// present, because the worker shares it. It is zero if the answer doesn't state it.
+	HostSlowdown float64
+	Limit        RateLimit
 }
 
 // RateLimit is what an answer says of the worker's limit on requests.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,7 +39,8 @@
 	// freshness returns the versions and ages of the data that decisions are based on.
 	freshness func() Freshness
 	// began counts a tenant's request that a worker has begun to run.
-	began func(tenant string, at time.Time)
+	began    func(tenant string, at time.Time)
+	overload Overload
 	// repeated charges for another run of a call that may have run already.
 	repeated func(charge quota.Charge)
 	// returned refunds such a charge.
@@ -69,6 +70,7 @@
 	// LoadReports may be nil if there are no other nodes.
 	LoadReports LoadReports
 	Retries     retry.Limits
+	Overload    Overload
 	// Freshness may be nil.
 	Freshness func() Freshness
 	// Began is called once for each request that a worker has begun to run, with the name of
@@ -129,6 +131,7 @@
 		quarantine:    quarantined,
 		turns:         turns,
 		began:         began,
+		overload:      options.Overload.withDefaults(),
 		repeated:      repeated,
 		returned:      returned,
 		freshness:     freshness,
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -209,7 +209,8 @@
 	costs := scheduling.DefaultCosts()
 	costs.Hold = n.settings.Late.Hold
 	return dispatch.New(dispatch.Options{
-		Began: began, Repeated: n.exchange.RecordQuotaCharge, Returned: quotas.Return,
+		Overload: n.overload(),
+		Began:    began, Repeated: n.exchange.RecordQuotaCharge, Returned: quotas.Return,
 		Registry: n.registry, Scheduler: scheduling.New(costs),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
 		Nodes: n.exchange.Nodes, LoadReports: n.exchange, Freshness: n.freshness, Quarantine: n.quarantine, Turns: n.exchange,
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -26,9 +26,44 @@
 	Limits RoutedLimits      `yaml:"limits"`
 	Bounds RoutedBounds      `yaml:"bounds"`
 	Late   RoutedLate        `yaml:"late"`
-	Log    Log               `yaml:"log"`
+	// Overload turns on what is decided for services that callers ask more of than they can
+	// serve at times.
+	Overload RoutedOverload `yaml:"overload"`
+	Log      Log            `yaml:"log"`
 }
 
+// RoutedOverload selects the services for which the decisions under overload are made. Each of
+// its settings is one of the Scope values.
+type RoutedOverload struct {
+	// ColdStart divides the engines for prompts that have to be read whole while caches are
+	// empty.
+	ColdStart Scope `yaml:"cold_start"`
+	// SingleRead makes requests wait for the prefill of the prefix that they share instead of
+	// reading it several times.
+	SingleRead Scope `yaml:"single_read"`
+	// Waiting makes requests that can't be in time wait in one order over all nodes.
+	Waiting Scope `yaml:"waiting"`
+	// SpreadRetries spreads the times at which refused callers are asked to retry.
+	SpreadRetries Scope `yaml:"spread_retries"`
+}
+
+// Scope selects services.
+type Scope string
+
+// Values of Scope.
+const (
+	// Never selects no service.
+	Never Scope = "never"
+	// Uneven selects the services whose workers state how much slower than usual their hosts
+	// are.
+	Uneven Scope = "uneven"
+	// Always selects all services.
+	Always Scope = "always"
+)
+
+// Selects reports whether a service is selected, given whether it is uneven.
+func (s Scope) Selects(uneven bool) bool { return s == Always || s == Uneven && uneven }
+
 // RoutedLate tells what happens to late requests, those to engines that can't be answered
 // within the objective of their route (its target time for an answer or for the first event of
 // a stream).
@@ -137,7 +172,8 @@
 			StopMillis: 8000, RetryRatio: 0.2, RetrySlack: 20,
 			RetryWindowMillis: 10_000, LeaseMillis: 3000, Fencing: true, HeartbeatMillis: 1200,
 		},
-		Log: Log{Level: "info", Format: "json"},
+		Overload: RoutedOverload{ColdStart: Never, SingleRead: Never, Waiting: Never, SpreadRetries: Never},
+		Log:      Log{Level: "info", Format: "json"},
 	}
 }
 
@@ -193,6 +229,17 @@
 	c.between("bounds.retry_window_ms", s.Bounds.RetryWindowMillis, 100, 3_600_000)
 	c.between("bounds.lease_ms", s.Bounds.LeaseMillis, 100, 3_600_000)
 	c.between("bounds.heartbeat_ms", s.Bounds.HeartbeatMillis, 10, 3_600_000)
+	for _, setting := range []struct {
+		key   string
+		scope Scope
+	}{
+		{"overload.cold_start", s.Overload.ColdStart},
+		{"overload.single_read", s.Overload.SingleRead},
+		{"overload.waiting", s.Overload.Waiting},
+		{"overload.spread_retries", s.Overload.SpreadRetries},
+	} {
+		c.oneOf(setting.key, string(setting.scope), string(Never), string(Uneven), string(Always))
+	}
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "text")
 	return c.err()
--- a/internal/settings/routed_test.go
+++ b/internal/settings/routed_test.go
@@ -73,6 +73,26 @@
 	}
 }
 
+func TestOverloadScopes(t *testing.T) {
+	got, err := ParseRouted("file", []byte(validRouted+"overload: {waiting: uneven, cold_start: always}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := RoutedOverload{ColdStart: Always, SingleRead: Never, Waiting: Uneven, SpreadRetries: Never}
+	if got.Overload != want {
+		t.Errorf("overload is %+v, want %+v", got.Overload, want)
+	}
+	for scope, selects := range map[Scope][2]bool{Never: {false, false}, Uneven: {false, true}, Always: {true, true}} {
+		if scope.Selects(false) != selects[0] || scope.Selects(true) != selects[1] {
+			t.Errorf("%s selects even services: %v, uneven ones: %v", scope, scope.Selects(false), scope.Selects(true))
+		}
+	}
+	_, err = ParseRouted("file", []byte(validRouted+"overload: {waiting: sometimes}\n"))
+	if err == nil || !strings.Contains(err.Error(), "overload.waiting") {
+		t.Errorf("an unknown scope was accepted: %v", err)
+	}
+}
+
 func FuzzParseRouted(f *testing.F) {
 	f.Add([]byte(validRouted))
 	f.Fuzz(func(_ *testing.T, content []byte) { _, _ = ParseRouted("file", content) })
