Soak: uneven hosts, bursts of one tenant, and who is kept waiting

Cause: the soak knew neither engines whose speed differs and changes nor more load than engines can read.

--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -41,6 +41,9 @@
 	LosesHandles Fault = "lapsing"
 )
 
+// HealthPath is the path of a worker's health check.
+const HealthPath = "/health"
+
 // Options configure a worker.
 type Options struct {
 	ID      string
@@ -68,6 +71,9 @@
 	// before the first connection is broken off, and must return.
 	CrashOn string
 	OnCrash func(w *Worker)
+	// PrefillRate is how many prompt tokens the worker reads a second, one prompt after the
+	// other; zero means that it reads in no time.
+	PrefillRate float64
 	// OnPrefill, if not nil, is called with the request id of each disaggregated prefill before
 	// it is answered.
 	OnPrefill func(id string)
@@ -114,6 +120,12 @@
 	// orders wait, unanswered, before they are carried out.
 	highestFence uint64
 	lateOrders   time.Duration
+	// hostSlowdown is the factor that the worker states of its host, zero for none.
+	hostSlowdown float64
+	// cached holds the tokens of the prompt parts that were read; reader is held by the prompt
+	// that is being read.
+	cached map[string]int
+	reader chan struct{}
 }
 
 // Start starts a worker on its configured address or a free port.
@@ -124,7 +136,8 @@
 	if options.Events == 0 {
 		options.Events = 4
 	}
-	w := &Worker{options: options, stage: options.Stage, handles: make(map[string]bool), fences: fences.New()}
+	w := &Worker{options: options, stage: options.Stage, handles: make(map[string]bool), fences: fences.New(),
+		cached: make(map[string]int), reader: make(chan struct{}, 1)}
 	w.server = httptest.NewUnstartedServer(w)
 	if options.Address != "" {
 		w.listen(options.Address)
@@ -248,6 +261,9 @@
 	case request.URL.Path == "/v1/kv-list":
 		w.listCache(writer)
 		return
+	case request.URL.Path == HealthPath:
+		w.setLoadHeader(writer.Header(), 0)
+		return
 	case request.Header.Get("X-Expect-Instance") != w.options.ID:
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -266,7 +282,7 @@
 		return
 	}
 	if request.Header.Get("X-Stage") == "prefill" {
-		w.prefill(writer, id, fault)
+		w.prefill(writer, request, id, fault)
 		return
 	}
 	if source := request.Header.Get("X-Kv-Source"); source != "" && !fetchKV(source) {
@@ -310,10 +326,13 @@
 }
 
 // prefill answers a disaggregated prefill and keeps its KV cache under a handle.
-func (w *Worker) prefill(writer http.ResponseWriter, id string, fault Fault) {
+func (w *Worker) prefill(writer http.ResponseWriter, request *http.Request, id string, fault Fault) {
 	if fault == CutEarly {
 		panic(http.ErrAbortHandler)
 	}
+	if !w.readPrompt(request.Context(), request.Header.Get("X-Prompt-Prefix")) {
+		return
+	}
 	w.mu.Lock()
 	if fault != LosesHandles {
 		w.handles["h"+id] = true
@@ -322,6 +341,7 @@
 	if w.options.OnPrefill != nil {
 		w.options.OnPrefill(id)
 	}
+	w.setLoadHeader(writer.Header(), 0)
 	writer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(writer).Encode(map[string]any{"KvHandle": "h" + id, "Tokens": 1, "Version": 1})
 }
@@ -373,7 +393,10 @@
 		return
 	}
 	writer.Header().Set("X-Response-Signature", w.Signature(id))
-	writer.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", min(running, 1), w.options.Slots))
+	if request.Header.Get("X-Kv-Source") == "" && !w.readPrompt(request.Context(), request.Header.Get("X-Prompt-Prefix")) {
+		return
+	}
+	w.setLoadHeader(writer.Header(), running)
 	if fault == Failing {
 		writer.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(writer, "failed")
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -51,6 +51,12 @@
 	if s.options.Earlier != "" {
 		kinds = append(kinds, s.rollNode, s.rollNode, s.rollNode)
 	}
+	if s.options.Uneven {
+		kinds = append(kinds, s.slowHost, s.slowHost)
+	}
+	if s.options.Overload {
+		kinds = append(kinds, s.burst, s.burst, s.burst)
+	}
 	if s.options.Unfenced {
 		kinds = append(kinds, s.lateOrders, s.lateAPI, s.pauseNode)
 	}
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -54,6 +54,8 @@
 	// node is the node that the caller asked; answered is when the head of the answer arrived.
 	node     string
 	answered time.Time
+	// ended is when the request ended for its caller, with or without an answer.
+	ended time.Time
 	// probe marks requests that only test which configuration is in force.
 	probe bool
 	// timeout is the caller's timeout, and prompt the parts of its prompt; empty if there is
@@ -84,10 +86,15 @@
 func (l *load) run(ctx context.Context) {
 	var callers sync.WaitGroup
 	for number := range callerCount {
-		random := rand.New(rand.NewPCG(l.site.options.Seed, uint64(number+1)))
+		random := l.random(number + 1)
 		callers.Go(func() { l.call(ctx, number, random) })
 	}
 	callers.Go(func() { l.probe(ctx) })
+	if l.site.options.Overload {
+		for number := range burstCallers {
+			callers.Go(func() { l.sendBursts(ctx, number) })
+		}
+	}
 	if l.site.options.Storms {
 		callers.Go(func() { l.watchStorm(ctx) })
 	}
@@ -97,6 +104,11 @@
 	callers.Wait()
 }
 
+// random returns a source of random numbers for one of the callers.
+func (l *load) random(number int) *rand.Rand {
+	return rand.New(rand.NewPCG(l.site.options.Seed, uint64(number)))
+}
+
 // call runs one caller, which has its own connections.
 func (l *load) call(ctx context.Context, number int, random *rand.Rand) {
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: number%2 == 0}
@@ -149,13 +161,14 @@
 	got.node = l.site.nameOf(address)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		got.err = err
+		got.err, got.ended = err, time.Now()
 		return got
 	}
 	defer func() { _ = response.Body.Close() }()
 	got.answered = time.Now()
 	content, err := io.ReadAll(response.Body)
 	got.status, got.header, got.body, got.err = response.StatusCode, response.Header, string(content), err
+	got.ended = time.Now()
 	return got
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -51,6 +51,12 @@
 	// Restores makes the store unreachable and then restores it from a backup that is some
 	// seconds old.
 	Restores bool
+	// Uneven makes workers state the slowdown of their hosts, which differ and change.
+	Uneven bool
+	// Overload makes prefill take time and one tenant send bursts that the engines can't read in
+	// time, turns on the decisions under overload, and checks who is served and who is kept
+	// waiting. It implies Uneven.
+	Overload bool
 	// Nodes is the number of nodes.
 	Nodes int
 	// Earlier is the path of an earlier build of tinarchd. If it is set, half of the nodes
@@ -113,6 +119,8 @@
 
 	watch *watch
 	storm storm
+	// bursting is set during a burst.
+	bursting atomic.Bool
 	// configuring is held while a configuration is written.
 	configuring sync.Mutex
 }
@@ -132,6 +140,7 @@
 
 // Run performs one run with the seed in options.
 func Run(ctx context.Context, options Options) (*Report, error) {
+	options.Uneven = options.Uneven || options.Overload
 	s := &site{options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)), started: time.Now(), watch: newWatch()}
 	defer s.close()
 	if err := s.start(ctx); err != nil {
@@ -160,6 +169,9 @@
 	}
 	report.Broken = append(report.Broken, s.limits.violations(s.allWorkers(), load.traces())...)
 	report.Broken = append(report.Broken, s.noticeViolations(load.traces())...)
+	if options.Overload {
+		report.Broken = append(report.Broken, load.overloadViolations()...)
+	}
 	if options.Storms {
 		summary, violations := s.storm.report(s.limits.inFault)
 		report.Storm = &summary
@@ -231,7 +243,9 @@
 		options.OnCrash = func(*fleetworker.Worker) { s.replaceEnded(worker, options) }
 	}
 	options.OnStageChange = func(*fleetworker.Worker) { s.relist(worker) }
+	options = s.options.overloadOptions(options)
 	worker.Worker, worker.options = fleetworker.Start(options), options
+	s.makeUneven(worker)
 	proxy, err := StartProxy(worker.Address())
 	if err != nil {
 		worker.Close()
@@ -275,6 +289,7 @@
 	configured.API = settings.RoutedAPI{Address: s.api.Address(), Duties: []string{settings.DutyUsageReport, settings.DutyAutoscale}}
 	configured.Bounds.LeaseMillis = int(configuredLease.Milliseconds())
 	configured.Bounds.Fencing = !s.options.Unfenced
+	configured.Overload = s.options.overloadSettings()
 	configured.Quota = settings.RoutedQuota{
 		WindowSeconds: quotaTolerance.Window.Seconds(), Overshoot: quotaTolerance.Overshoot, Slack: quotaTolerance.Slack,
 	}
@@ -344,7 +359,7 @@
 	return map[string]any{
 		"Version": 1 + added + stormVersion, "Routes": routes,
 		"Services": []any{
-			map[string]any{"Name": engines, "MaxConnections": 200, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100_000, "RoleSwitchS": 1.0}, "Autoscale": autoscale()},
+			map[string]any{"Name": engines, "MaxConnections": 200, "HealthPath": fleetworker.HealthPath, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100_000, "RoleSwitchS": 1.0}, "Autoscale": autoscale()},
 			map[string]any{"Name": plain, "MaxConnections": 200},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 8192, "MaxBodyBytes": 100_000},
