Soak: bursts fill half of each four seconds of the faults

Cause: as one fault among many, bursts were so few that next to nothing was refused (2 of 1,602 requests). Change: bursts are independent of the faults.

--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -54,9 +54,6 @@
 	if s.options.Uneven {
 		kinds = append(kinds, s.slowHost, s.slowHost)
 	}
-	if s.options.Overload {
-		kinds = append(kinds, s.burst, s.burst, s.burst)
-	}
 	if s.options.Unfenced {
 		kinds = append(kinds, s.lateOrders, s.lateAPI, s.pauseNode)
 	}
--- a/internal/lab/soak/overload.go
+++ b/internal/lab/soak/overload.go
@@ -21,8 +21,10 @@
 	// neighbourSpan.
 	neighbourSlowdown = 2.5
 	neighbourSpan     = 600 * time.Millisecond
-	// burstCallers send without pause during a burst, all for the first tenant.
+	// burstCallers send with hardly a pause during a burst, all for the first tenant. Bursts fill the
+	// first half of each burstPeriod until the quiet period.
 	burstCallers = 36
+	burstPeriod  = 4 * time.Second
 	// endSlack is how long after a caller's deadline its answer may end.
 	endSlack = 500 * time.Millisecond
 	// leastShare is the smallest fraction of the share served over all tenants that may be
@@ -67,12 +69,11 @@
 	return "slowed the host of " + worker.ID()
 }
 
-// burst makes one tenant send more than the engines can read in time.
-func (s *site) burst(ctx context.Context, length time.Duration) string {
-	s.bursting.Store(true)
-	sleep(ctx, length)
-	s.bursting.Store(false)
-	return fmt.Sprintf("burst of %s for %v", tenantOf(0), length.Round(time.Millisecond))
+// bursting reports whether a burst is due.
+func (l *load) bursting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.quietSince.IsZero() && time.Since(l.site.started)%burstPeriod < burstPeriod/2
 }
 
 // sendBursts runs a caller that sends during bursts only.
@@ -81,8 +82,8 @@
 	defer transport.CloseIdleConnections()
 	random := l.random(callerCount + 1 + number)
 	for count := 0; ctx.Err() == nil; count++ {
-		if !l.site.bursting.Load() {
-			sleep(ctx, eventPause)
+		sleep(ctx, eventPause)
+		if !l.bursting() {
 			continue
 		}
 		got := l.sendOne(transport, random, number*tenantCount, fmt.Sprintf("b%03x%012x", number, count))
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -119,8 +119,6 @@
 
 	watch *watch
 	storm storm
-	// bursting is set during a burst.
-	bursting atomic.Bool
 	// configuring is held while a configuration is written.
 	configuring sync.Mutex
 }
