Stages: plan for empty caches before the first request and while caches fill

Cause: at the first start every prompt is read whole; the planner followed that peak with orders that took engines out of use in it. Change: internal/stageplan cold.go and prepare.go, shared tokens in the demand of load messages (optional), speeds of engines asked at the first start, phases logged and counted. Selected by overload.cold_start.

--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -149,6 +149,7 @@
 	if s.attempts == 0 && plan.Unread > 0 {
 		s.registry.ObserveDemand(s.call.Service.Name, readingRegion(plan), plan.Unread, time.Now())
 	}
+	s.observeShared(plan)
 	if plan.Mode == scheduling.Refused && plan.Reason == scheduling.NoWorker && len(s.excluded) > 0 && s.attempts > 0 {
 		// Every worker has failed this call, and none is left to be tried.
 		plan.Reason = scheduling.NoWorkerLeft
@@ -156,6 +157,17 @@
 	return s.holdUntilPauseEnds(s.withTurnRetryAfter(plan))
 }
 
+// observeShared records how much of what the prompt shares with others has to be read under the
+// first plan, also if that is refused. A plan without an engine tells nothing about caches.
+func (s *session) observeShared(plan scheduling.Plan) {
+	if s.attempts > 0 || plan.Reader.ID == "" && plan.Runner.ID == "" {
+		return
+	}
+	shared := s.call.sharedTokens()
+	unread := max(plan.Unread-max(s.call.PromptTokens-shared, 0), 0)
+	s.registry.ObserveShared(s.call.Service.Name, readingRegion(plan), shared, unread, time.Now())
+}
+
 // readingRegion is the region whose engine prefills the prompt under a plan, empty if the plan
 // has no engine.
 func readingRegion(plan scheduling.Plan) string {
--- a/internal/nodeexchange/message.go
+++ b/internal/nodeexchange/message.go
@@ -120,8 +120,16 @@
 }
 
 // wireDemand is a worker.Demand in whole numbers: prompt tokens to be prefilled per second,
-// requests in units of 1/requestUnits, and tokens of memory.
-type wireDemand [3]int
+// requests in units of 1/requestUnits, tokens of memory and, only where they are followed, the
+// asked tokens per second that prompts share and how many of them have to be read. Earlier
+// builds ignore the last two.
+type wireDemand []int
+
+// The lengths of a wireDemand without and with the shared tokens.
+const (
+	demandFigures       = 3
+	sharedDemandFigures = 5
+)
 
 // requestUnits is the number of units of a request in a wireDemand.
 const requestUnits = 1000
@@ -132,7 +140,11 @@
 		if rendered == nil {
 			rendered = make(map[string]wireDemand, len(demands))
 		}
-		rendered[service] = wireDemand{int(demand.ReadTokens), int(demand.Requests * requestUnits), int(demand.MemoryTokens)}
+		form := wireDemand{int(demand.ReadTokens), int(demand.Requests * requestUnits), int(demand.MemoryTokens)}
+		if demand.SharedTokens > 0 {
+			form = append(form, int(demand.SharedTokens), int(demand.SharedUnread))
+		}
+		rendered[service] = form
 	}
 	return rendered
 }
@@ -165,13 +177,23 @@
 		if demands == nil {
 			demands = make(map[string]worker.Demand, len(rendered))
 		}
-		demands[service] = worker.Demand{
-			ReadTokens: float64(form[0]), Requests: float64(form[1]) / requestUnits, MemoryTokens: float64(form[2]),
-		}
+		demands[service] = form.demand()
 	}
 	return demands
 }
 
+// demand returns the demand; figures that the form lacks are zero.
+func (w wireDemand) demand() worker.Demand {
+	var figures [sharedDemandFigures]float64
+	for i, figure := range w[:min(len(w), len(figures))] {
+		figures[i] = float64(figure)
+	}
+	return worker.Demand{
+		ReadTokens: figures[0], Requests: figures[1] / requestUnits, MemoryTokens: figures[2],
+		SharedTokens: figures[demandFigures], SharedUnread: figures[demandFigures+1],
+	}
+}
+
 const partBase = 16
 
 // newMessage adds a snapshot to a message.
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -63,6 +63,8 @@
 	Notice(status int, header http.Header) worker.Notice
 	// StateRequest returns a request for the state of a worker, nil if it can't be asked.
 	StateRequest(to worker.Worker, healthPath string) *workerconn.Request
+	// HealthRequest returns a request for a worker's health path, nil if there is none.
+	HealthRequest(to worker.Worker, healthPath string) *workerconn.Request
 	rowstore.Store
 	// ObserveCalls registers a function that is called after each call to the store.
 	ObserveCalls(observed func(rowstore.Call))
@@ -156,6 +158,7 @@
 		return nil, err
 	}
 	n.exchange = exchange
+	n.registry.FollowShared(configured.Overload.ColdStart.Selects)
 	exchange.SetTopology(topologyOf(configured))
 	exchange.SetMetrics(nodeexchange.NewMetrics(metrics))
 	n.watchLimits(metrics)
@@ -324,7 +327,9 @@
 	n.work.Go(func() { n.warmUp(ctx) })
 	n.work.Go(func() { n.probeLimits(ctx) })
 	n.watchSuspensions(ctx, metrics)
-	n.work.Go(func() { n.stageController().Run(ctx) })
+	n.work.Go(func() { n.askSlowdowns(ctx) })
+	stages := n.stageController(metrics)
+	n.work.Go(func() { stages.Run(ctx) })
 	n.startUsageReporter(ctx, metrics)
 	n.startFleetControl(ctx, metrics)
 }
--- a/internal/serving/stages.go
+++ b/internal/serving/stages.go
@@ -5,12 +5,14 @@
 	"maps"
 	"slices"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/stagecontrol"
 )
 
 // stageController returns the controller of the engines' stages.
-func (n *Node) stageController() *stagecontrol.Controller {
+func (n *Node) stageController(metrics prometheus.Registerer) *stagecontrol.Controller {
 	return stagecontrol.New(stagecontrol.Options{
 		Self: n.incarnation, Authority: n.authority, Wire: n.platform,
 		Fleet: n.registry, Pool: n.calls(), Log: n.log,
@@ -18,6 +20,7 @@
 		Designated: n.designated,
 		Hears:      n.hearsRegion,
 		Unfenced:   !n.settings.Bounds.Fencing, Store: n.platform,
+		Metrics: stagecontrol.NewMetrics(metrics),
 	})
 }
 
@@ -34,7 +37,11 @@
 	var services []stagecontrol.Service
 	for _, service := range n.servicesByName() {
 		if service.Engine != nil {
-			services = append(services, stagecontrol.Service{Name: service.Name, Switch: service.Engine.RoleSwitch})
+			services = append(services, stagecontrol.Service{
+				Name: service.Name, Switch: service.Engine.RoleSwitch,
+				ColdStart: n.selects(n.settings.Overload.ColdStart)(service.Name),
+				Empty:     n.settings.Node.FirstStart && !n.registry.Asked(service.Name),
+			})
 		}
 	}
 	return services
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -79,6 +79,9 @@
 	Name string
 	// Switch is how long an engine is unavailable while it changes its stage.
 	Switch time.Duration
+	// ColdStart selects the service for plans for empty caches. Empty tells that no caller has
+	// asked anything since the whole system started for the first time.
+	ColdStart, Empty bool
 }
 
 // Options configure a controller.
@@ -101,6 +104,8 @@
 	// Store, which is not used otherwise.
 	Unfenced bool
 	Store    rowstore.Store
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Controller plans the stages of engines and sends the orders.
@@ -109,11 +114,15 @@
 	planners map[string]*stageplan.RegionalPlanner
 	// unanswered is nil if engines compare fences.
 	unanswered *unanswered
+	// coldPhases holds the phases of the caches that were logged last.
+	coldPhases map[coldKey]coldPhase
 }
 
 // New returns a controller.
 func New(options Options) *Controller {
-	c := &Controller{options: options, planners: make(map[string]*stageplan.RegionalPlanner)}
+	c := &Controller{
+		options: options, planners: make(map[string]*stageplan.RegionalPlanner), coldPhases: make(map[coldKey]coldPhase),
+	}
 	if options.Unfenced {
 		c.unanswered = newUnanswered(options)
 	}
@@ -131,6 +140,7 @@
 		case <-timer.C:
 		}
 		if !c.options.Designated() {
+			c.standAside()
 			timer.Reset(standbyEvery)
 			continue
 		}
@@ -151,13 +161,19 @@
 		fleet := c.options.Fleet
 		offered := make(map[string]stageplan.OfferedLoad)
 		for region, demand := range fleet.Demands(service.Name, now) {
-			offered[region] = stageplan.OfferedLoad{ReadTokens: demand.ReadTokens, Requests: demand.Requests, MemoryTokens: demand.MemoryTokens}
+			offered[region] = stageplan.OfferedLoad{
+				ReadTokens: demand.ReadTokens, Requests: demand.Requests, MemoryTokens: demand.MemoryTokens,
+				SharedTokens: demand.SharedTokens, SharedUnread: demand.SharedUnread,
+			}
 		}
 		engines := fleet.Engines(service.Name, now)
 		if c.unanswered != nil {
 			c.unanswered.markChanging(fleet, engines, now)
 		}
-		c.giveAll(ctx, service, planner, planner.Decide(now, engines, offered, c.hears))
+		planner.SetColdStart(stageplan.ColdStart{Selected: service.ColdStart, Empty: service.Empty, Switch: service.Switch})
+		orders := planner.Decide(now, engines, offered, c.hears)
+		c.watchColdPhases(service.Name, planner, engines, now)
+		c.giveAll(ctx, service, planner, orders)
 	}
 }
 
--- a/internal/stageplan/regional.go
+++ b/internal/stageplan/regional.go
@@ -14,6 +14,7 @@
 	planners map[string]*Planner
 	// lastServed is the region that received orders last; the other regions go before it.
 	lastServed string
+	cold       ColdStart
 }
 
 // NewRegionalPlanner returns a planner for a service in any number of regions.
@@ -21,6 +22,18 @@
 	return &RegionalPlanner{policy: policy, planners: make(map[string]*Planner)}
 }
 
+// SetColdStart sets what the next decisions take as known about the caches of all regions.
+func (r *RegionalPlanner) SetColdStart(cold ColdStart) { r.cold = cold }
+
+// ColdStates returns each region's view of its caches.
+func (r *RegionalPlanner) ColdStates() map[string]ColdState {
+	states := make(map[string]ColdState, len(r.planners))
+	for region, planner := range r.planners {
+		states[region] = planner.ColdState()
+	}
+	return states
+}
+
 // Planner returns the planner of a region.
 func (r *RegionalPlanner) Planner(region string) *Planner {
 	planner, known := r.planners[region]
@@ -43,6 +56,7 @@
 	previous := r.lastServed
 	for _, region := range r.regionsInTurn(regions, previous) {
 		planner, engines := r.Planner(region), regions[region]
+		planner.SetColdStart(r.cold)
 		if offered[region].isZero() && !heard(region) {
 			planner.suspendDecay(now)
 			continue
@@ -117,6 +131,8 @@
 	o.ReadTokens += share * other.ReadTokens
 	o.Requests += share * other.Requests
 	o.MemoryTokens += share * other.MemoryTokens
+	o.SharedTokens += share * other.SharedTokens
+	o.SharedUnread += share * other.SharedUnread
 	return o
 }
 
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -36,6 +36,9 @@
 	Capacity int
 	// Pace is the learned prefill speed in tokens per millisecond.
 	Pace float64
+	// Slowdown is the factor by which work usually takes longer on the engine's host, as the
+	// engine states it: 1 is as usual, 0 unknown.
+	Slowdown float64
 }
 
 // Reason is why an engine is to change its stage.
@@ -123,6 +126,10 @@
 	// Requests and MemoryTokens count the requests on decode engines and their KV cache tokens,
 	// including requests that were refused.
 	Requests, MemoryTokens float64
+	// SharedTokens is the number of prompt tokens asked per second that prompts share with
+	// others, and SharedUnread how many of them have to be read because no cache holds them.
+	// Both are zero if that isn't followed.
+	SharedTokens, SharedUnread float64
 }
 
 // Demand is the number of engines of each stage that the load on a service would keep fully
@@ -144,6 +151,18 @@
 	// decodeShortSince is when the decode engines became fewer than minDecode, zero if they are
 	// enough.
 	decodeShortSince time.Time
+
+	// cold is what is known about the caches, caches what was observed of them.
+	cold   ColdStart
+	caches coldCaches
+	// lasting is the share of the present reading that is planned for; it is a forecast only if
+	// lastingKnown.
+	lasting      float64
+	lastingKnown bool
+	// emptySince is when the caches were first known to be empty, and preparing is set while
+	// engines are prepared for that.
+	emptySince time.Time
+	preparing  bool
 }
 
 // New returns a planner for the engines of one service.
@@ -197,15 +216,22 @@
 // decideWithin is Decide with a limit on the number of orders.
 func (p *Planner) decideWithin(now time.Time, workers []Worker, offered OfferedLoad, budget int) []Order {
 	d := divide(workers)
+	p.preparing = false
 	p.observe(now, d, offered)
 	if d.size() < minDecode+minPrefill {
 		return p.decideRateLimited(now, workers, offered)
 	}
 	p.rateLimitedSince = time.Time{}
+	if orders := p.prepare(now, workers, d); len(orders) > 0 || p.preparing {
+		return orders
+	}
 	goal, reason, found := p.bestDivision(now, d)
 	if !found || budget < 1 || now.Before(p.nextOrders) {
 		return nil
 	}
+	if goal, reason, found = p.outlasting(now, d, goal, reason); !found {
+		return nil
+	}
 	orders := p.ordersToward(d, goal, reason, budget)
 	p.nextOrders = now.Add(p.policy.Settle * time.Duration(len(orders)) / time.Duration(p.policy.maxChanging(len(workers))))
 	return orders
@@ -234,7 +260,7 @@
 	}
 	count := min((len(d.prefill)+1)/2, len(d.prefill)-minPrefill) - countChanging(workers)
 	var orders []Order
-	for _, worker := range leastLoaded(d.prefill, max(count, 0)) {
+	for _, worker := range p.leastLoaded(d.prefill, false, max(count, 0)) {
 		orders = append(orders, Order{Worker: worker.ID, Region: worker.Region, Reason: RateLimitBottleneck})
 	}
 	p.nextOrders = now.Add(p.policy.Settle)
@@ -254,7 +280,7 @@
 		count--
 	}
 	var orders []Order
-	for _, worker := range leastLoaded(from, count) {
+	for _, worker := range p.leastLoaded(from, prefill, count) {
 		orders = append(orders, Order{Worker: worker.ID, Region: worker.Region, Prefill: prefill, Reason: reason})
 	}
 	return orders
@@ -296,7 +322,7 @@
 		p.demandSince = now
 	}
 	p.demand = Demand{
-		PrefillEngines: p.prefillPeak.observe(now, prefill, p.policy.PeakDecay),
+		PrefillEngines: p.prefillPeak.observe(now, prefill*p.lastingReading(now, offered), p.policy.PeakDecay),
 		DecodeEngines:  p.decodePeak.observe(now, decode, p.policy.PeakDecay),
 	}
 }
@@ -443,12 +469,19 @@
 	return share / capacity
 }
 
-// leastLoaded returns the engines with the least work.
-func leastLoaded(workers []Worker, count int) []Worker {
+// leastLoaded returns the engines with the least work. Among those with the same, the faster
+// change to prefill and the slower to decode.
+func (p *Planner) leastLoaded(workers []Worker, prefill bool, count int) []Worker {
 	sorted := slices.SortedFunc(slices.Values(workers), func(left, right Worker) int {
 		if order := left.ReadTokens + left.MemoryTokens - right.ReadTokens - right.MemoryTokens; order != 0 {
 			return order
 		}
+		if faster := left.speedClass() - right.speedClass(); p.cold.Selected && faster != 0 {
+			if prefill {
+				return faster
+			}
+			return -faster
+		}
 		return strings.Compare(left.ID, right.ID)
 	})
 	return sorted[:min(count, len(sorted))]
--- a/internal/worker/demand.go
+++ b/internal/worker/demand.go
@@ -18,12 +18,18 @@
 	// Requests and MemoryTokens are the requests that run at decode engines, and their KV
 	// cache, including those that were refused and would run there otherwise.
 	Requests, MemoryTokens float64
+	// SharedTokens is the number of asked prompt tokens per second that prompts share with
+	// others, and SharedUnread how many of them have to be read. They are zero where they
+	// aren't followed (FollowShared).
+	SharedTokens, SharedUnread float64
 }
 
 func (d Demand) plus(other Demand) Demand {
 	d.ReadTokens += other.ReadTokens
 	d.Requests += other.Requests
 	d.MemoryTokens += other.MemoryTokens
+	d.SharedTokens += other.SharedTokens
+	d.SharedUnread += other.SharedUnread
 	return d
 }
 
@@ -40,7 +46,9 @@
 	// refused and refusedMemory are the average number of requests, and of their KV cache
 	// tokens, that would be running if they hadn't been refused.
 	refused, refusedMemory movingRate
-	remote                 map[string]remoteDemand
+	// shared and sharedUnread are what ObserveShared records.
+	shared, sharedUnread movingRate
+	remote               map[string]remoteDemand
 }
 
 // remoteDemand is the demand at another node, and until when it counts.
@@ -153,9 +161,11 @@
 func (r *Registry) localDemands(now time.Time) map[demandKey]Demand {
 	here := make(map[demandKey]Demand, len(r.demands))
 	for key, known := range r.demands {
-		here[key] = Demand{
+		local := Demand{
 			ReadTokens: known.read.value(now), Requests: known.refused.value(now), MemoryTokens: known.refusedMemory.value(now),
 		}
+		r.addShared(&local, key.service, known, now)
+		here[key] = local
 	}
 	for _, other := range r.busy {
 		if other.worker.Stage != Decode {
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -122,6 +122,9 @@
 	uneven map[string]bool
 	// demands holds the load that callers offer, whether it is served or not.
 	demands map[demandKey]*demand
+	// followShared tells whether the tokens that prompts share are followed, given whether the
+	// service is uneven.
+	followShared func(uneven bool) bool
 	// cacheUpdates holds the prompt parts that workers cached since the last snapshot.
 	cacheUpdates []CacheUpdate
 	// failures holds the workers that failed since the last snapshot.
@@ -203,5 +206,6 @@
 		changed:         make(chan struct{}, 1),
 
 		limitChanged: func(LimitChange) {},
+		followShared: func(bool) bool { return false },
 	}
 }
--- a/internal/worker/slowdown.go
+++ b/internal/worker/slowdown.go
@@ -6,6 +6,9 @@
 type hostSlowdown struct {
 	factor float64
 	at     time.Time
+	// usual is the lowest factor stated so far: load of others on the host only raises it. It is
+	// zero before the first statement.
+	usual float64
 }
 
 // ObserveHostSlowdown records the factor by which work takes longer than usual on a worker's
@@ -13,7 +16,11 @@
 // from then on.
 func (r *Registry) ObserveHostSlowdown(id string, factor float64, now time.Time) {
 	r.update(id, func(known *workerState) {
-		known.host = hostSlowdown{factor: factor, at: now}
+		usual := known.host.usual
+		if usual == 0 {
+			usual = factor
+		}
+		known.host = hostSlowdown{factor: factor, at: now, usual: min(usual, factor)}
 		r.uneven[known.worker.Service] = true
 	})
 }
