--- a/internal/stageplan/prepare.go
+++ b/internal/stageplan/prepare.go
@@ -50,15 +50,14 @@
 }
 
 // preparingOrders returns at most budget orders toward the division for empty caches. Reading
-// bounds such a service, so all engines read but those that orders leave to decode in any case;
-// these are the slowest, since a slow engine delays a prompt by all its tokens, while the
-// tokens of a stream stay far below the time that callers allow between them. Each stage keeps
-// its smallest number of engines that aren't changing.
+// bounds such a service, so all engines read but those that orders leave to decode in any case.
+// These are the fastest: every request finishes on one of the few, and as many slow ones would
+// be left with far less than DecodeShare of what all engines can do. Each stage keeps its
+// smallest number of engines that aren't changing.
 func (p Policy) preparingOrders(d division, budget int) []Order {
 	minDecode := p.minDecode(d.size())
-	engines := slices.SortedFunc(slices.Values(append(slices.Clone(d.decode), d.prefill...)), slowestFirst)
+	engines := slices.SortedFunc(slices.Values(append(slices.Clone(d.decode), d.prefill...)), fastestFirst)
 	writers, readers := engines[:minDecode], engines[minDecode:]
-	slices.Reverse(readers)
 	var orders []Order
 	order := func(from []Worker, prefill bool, spare int) {
 		for _, worker := range from {
@@ -75,10 +74,10 @@
 	return orders
 }
 
-// slowestFirst orders engines by how slow they are, and among similar ones those that decode
+// fastestFirst orders engines by how fast they are, and among similar ones those that decode
 // first.
-func slowestFirst(left, right Worker) int {
-	if order := cmp.Compare(right.speedClass(), left.speedClass()); order != 0 {
+func fastestFirst(left, right Worker) int {
+	if order := cmp.Compare(left.speedClass(), right.speedClass()); order != 0 {
 		return order
 	}
 	if left.Prefill != right.Prefill {
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -260,7 +260,7 @@
 	}
 	count := min((len(d.prefill)+1)/2, len(d.prefill)-minPrefill) - countChanging(workers)
 	var orders []Order
-	for _, worker := range p.leastLoaded(d.prefill, false, max(count, 0)) {
+	for _, worker := range p.leastLoaded(d.prefill, max(count, 0)) {
 		orders = append(orders, Order{Worker: worker.ID, Region: worker.Region, Reason: RateLimitBottleneck})
 	}
 	p.nextOrders = now.Add(p.policy.Settle)
@@ -280,7 +280,7 @@
 		count--
 	}
 	var orders []Order
-	for _, worker := range p.leastLoaded(from, prefill, count) {
+	for _, worker := range p.leastLoaded(from, count) {
 		orders = append(orders, Order{Worker: worker.ID, Region: worker.Region, Prefill: prefill, Reason: reason})
 	}
 	return orders
@@ -469,18 +469,15 @@
 	return share / capacity
 }
 
-// leastLoaded returns the engines with the least work. Among those with the same, the faster
-// change to prefill and the slower to decode.
-func (p *Planner) leastLoaded(workers []Worker, prefill bool, count int) []Worker {
+// leastLoaded returns the engines with the least work, among those with the same the faster: the
+// stage that gets them is the scarcer.
+func (p *Planner) leastLoaded(workers []Worker, count int) []Worker {
 	sorted := slices.SortedFunc(slices.Values(workers), func(left, right Worker) int {
 		if order := left.ReadTokens + left.MemoryTokens - right.ReadTokens - right.MemoryTokens; order != 0 {
 			return order
 		}
-		if faster := left.speedClass() - right.speedClass(); p.cold.Selected && faster != 0 {
-			if prefill {
-				return faster
-			}
-			return -faster
+		if order := left.speedClass() - right.speedClass(); p.cold.Selected && order != 0 {
+			return order
 		}
 		return strings.Compare(left.ID, right.ID)
 	})
