--- a/internal/nodeexchange/message_test.go
+++ b/internal/nodeexchange/message_test.go
@@ -42,7 +42,7 @@
 		Failures: []string{"w", "x"},
 		Demand:   map[string]worker.Demand{"s": {ReadTokens: 900, Requests: 1.25, MemoryTokens: 70}},
 		RegionDemand: map[string]map[string]worker.Demand{
-			"north": {"s": {ReadTokens: 4}}, "south": {"s": {Requests: 0.5}, "t": {MemoryTokens: 6}},
+			"north": {"s": {ReadTokens: 4, SharedTokens: 3, SharedUnread: 2}}, "south": {"s": {Requests: 0.5}, "t": {MemoryTokens: 6}},
 		},
 	}
 	datagram, err := json.Marshal(newMessage(Message{Node: "n", Sequence: 7}, snapshot))
@@ -62,6 +62,27 @@
 	}
 }
 
+// TestEarlierBuildsReadDemand: they know the first three figures and send no others.
+func TestEarlierBuildsReadDemand(t *testing.T) {
+	form, err := json.Marshal(renderDemand(map[string]worker.Demand{"s": {ReadTokens: 4, Requests: 2, MemoryTokens: 7, SharedTokens: 3, SharedUnread: 2}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var earlier map[string][3]int
+	if err := json.Unmarshal(form, &earlier); err != nil || earlier["s"] != [3]int{4, 2 * requestUnits, 7} {
+		t.Errorf("an earlier build reads %v of %s, %v", earlier, form, err)
+	}
+	for text, want := range map[string]worker.Demand{
+		`[4,2000,7]`: {ReadTokens: 4, Requests: 2, MemoryTokens: 7}, `[4]`: {ReadTokens: 4}, `[]`: {},
+		`[4,0,0,3,2,1]`: {ReadTokens: 4, SharedTokens: 3, SharedUnread: 2},
+	} {
+		var figures wireDemand
+		if err := json.Unmarshal([]byte(text), &figures); err != nil || figures.demand() != want {
+			t.Errorf("%s: %+v, %v; want %+v", text, figures.demand(), err, want)
+		}
+	}
+}
+
 func TestMalformedMessagesAreDropped(t *testing.T) {
 	for _, text := range []string{
 		"", "{", "[]", `{"s":1}`, `{"n":"x","r":[""]}`, `{"n":"x","r":["w 1"]}`, `{"n":"x","r":["w zz:1"]}`,
