dispatch: a call that has waited for a pause is planned again while its worker recovers

What callers saw: of the calls that waited for the end of a worker's pause some were refused at once after it ("no worker"), although the worker took others. Cause: a recovering worker takes few requests at once. A plan found no room, the request under way ended before the call asked when the worker takes another, and the answer "now" was read as "nothing to wait for". The new test sets up the moment directly; it needs the new field, so it has no run on the code before. Conclusion: only calls that have waited are planned again, and no longer than they may wait anyway.

--- a/internal/dispatch/pauses.go
+++ b/internal/dispatch/pauses.go
@@ -37,13 +37,14 @@
 	if plan.Mode != scheduling.Refused || plan.Reason == scheduling.TooLate || plan.Reason == scheduling.Limited {
 		return plan
 	}
-	wait := s.timeUntilUsable()
+	wait := s.waitForPause()
 	if wait == 0 {
 		return plan
 	}
 	plan.Reason = scheduling.Paused
 	if wait <= s.maxWait() || wait <= s.maxStay() && s.mayWaitLate() {
 		plan.Mode, plan.RetryAfter = scheduling.Held, wait
+		s.pauseAwaited = true
 		return plan
 	}
 	plan.RetryAfter = wait + rand.N(pauseRetrySpread)
@@ -109,8 +110,18 @@
 	}
 }
 
-// timeUntilUsable is the time until a worker that may get the call takes requests again. It is
-// zero if one does now or no such time is known.
-func (s *session) timeUntilUsable() time.Duration {
-	return s.registry.UsableIn(s.call.Service.Name, s.excluded, time.Now())
+// pauseReplan is the wait before a call that has waited for a pause is planned again: about the
+// time that a recovering worker takes to serve a request.
+const pauseReplan = 20 * time.Millisecond
+
+// waitForPause is the time until a worker that may get the call takes requests again. It is
+// zero if one does now or no such time is known. A worker that recovers takes few requests at
+// once: one that had no room for the plan may have some by now, so a call that has waited is
+// planned again instead of being refused.
+func (s *session) waitForPause() time.Duration {
+	wait, found := s.registry.UsableIn(s.call.Service.Name, s.excluded, time.Now())
+	if found && wait == 0 && s.pauseAwaited {
+		return pauseReplan
+	}
+	return wait
 }
--- a/internal/dispatch/pauses_test.go
+++ b/internal/dispatch/pauses_test.go
@@ -212,6 +212,33 @@
 	}
 }
 
+// TestCallThatWaitedForAPauseIsPlannedAgain where the worker had no room for the plan and has
+// some right after it. A call that has not waited, or whose worker is gone, is refused.
+func TestCallThatWaitedForAPauseIsPlannedAgain(t *testing.T) {
+	registry := worker.NewRegistry(topology.New("a", nil))
+	registry.Replace([]worker.Worker{{ID: "w", Service: "s", Zone: "a", Slots: 8}})
+	registry.ObserveNotice("w", worker.Notice{Backoff: time.Millisecond}, time.Now().Add(-time.Second))
+	for name, test := range map[string]struct {
+		waited, excluded bool
+		want             scheduling.Mode
+	}{
+		"waited":                  {true, false, scheduling.Held},
+		"not waited":              {false, false, scheduling.Refused},
+		"waited, worker excluded": {true, true, scheduling.Refused},
+	} {
+		now := time.Now()
+		s := &session{
+			Dispatcher:   New(Options{Registry: registry, Nodes: func() int { return 1 }}),
+			call:         &Call{Service: &routing.Service{Name: "s"}, Route: &routing.Route{Objective: time.Minute}, Arrived: now, Deadline: now.Add(time.Hour)},
+			excluded:     map[string]bool{"w": test.excluded},
+			pauseAwaited: test.waited,
+		}
+		if plan := s.holdUntilPauseEnds(scheduling.Plan{Mode: scheduling.Refused, Reason: scheduling.NoWorker}); plan.Mode != test.want {
+			t.Errorf("%s: %s, want %s", name, plan.Mode, test.want)
+		}
+	}
+}
+
 func TestCallChargedToAQuotaDoesNotRunLongAfterItsCharge(t *testing.T) {
 	registry := worker.NewRegistry(topology.New("a", nil))
 	registry.Replace([]worker.Worker{{ID: "w", Service: "s", Zone: "a", Slots: 8}})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -62,6 +62,8 @@
 	// lateWaiter tells that the call is one of those that wait for the end of a pause although
 	// they will be late.
 	lateWaiter bool
+	// pauseAwaited tells that the call has waited for the end of a worker's pause.
+	pauseAwaited bool
 	// late tells that the call yields to all that can be in time.
 	late      bool
 	headGiven bool
@@ -277,7 +279,7 @@
 	if deadlinePassed(end.err) {
 		code = result.DeadlineUnreachable
 	}
-	return s.end(Outcome{Code: code, RetryAfter: max(retryAfterFailure, s.timeUntilUsable()), Detail: detail(end.err)})
+	return s.end(Outcome{Code: code, RetryAfter: max(retryAfterFailure, s.waitForPause()), Detail: detail(end.err)})
 }
 
 func detail(err error) string {
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -206,15 +206,14 @@
 func (r *Registry) IsBackingOff(id string) bool { return r.NoticeState(id).BackingOff(time.Now()) }
 
 // UsableIn returns the time until the first of the workers that can answer requests of a
-// service accepts another one from this node. It is zero if one does now, or if there is no
-// such worker. Workers in except don't count.
-func (r *Registry) UsableIn(service string, except map[string]bool, now time.Time) time.Duration {
+// service accepts another one from this node, zero if one does now. It returns false if there is
+// no such worker, or none has ever announced anything. Workers in except don't count.
+func (r *Registry) UsableIn(service string, except map[string]bool, now time.Time) (first time.Duration, found bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.noticeStates) == 0 {
-		return 0 // saves looking at each worker of a large fleet
+		return 0, false // saves looking at each worker of a large fleet
 	}
-	first, found := time.Duration(0), false
 	for id, known := range r.workers {
 		if known.worker.Service != service || known.worker.Stage == Prefill || except[id] || !r.isStaying(known, now) || known.isChanging(now) {
 			continue
@@ -227,7 +226,7 @@
 			first, found = wait, true
 		}
 	}
-	return first
+	return first, found
 }
 
 // NoticeState returns what holds for a worker by its notices.
--- a/internal/worker/recovery_test.go
+++ b/internal/worker/recovery_test.go
@@ -13,7 +13,7 @@
 	r.ReplaceAt([]Worker{{ID: "w", Service: "s"}}, now)
 	r.ObserveNotice("w", Notice{Backoff: time.Second}, now)
 	r.Succeeded("w", now) // a request that started before the pause
-	if wait := r.UsableIn("s", nil, now); wait < time.Second || wait > 1100*time.Millisecond {
+	if wait, found := r.UsableIn("s", nil, now); !found || wait < time.Second || wait > 1100*time.Millisecond {
 		t.Errorf("the worker accepts requests again in %v, want 1s plus at most a tenth", wait)
 	}
 	if len(r.Candidates("s", nil, 0, now.Add(time.Second-1))) != 0 {
@@ -30,7 +30,7 @@
 		if len(r.Candidates("s", nil, 0, after)) != 0 {
 			t.Fatalf("the worker gets more than %d requests", window)
 		}
-		if wait := r.UsableIn("s", nil, after); wait != recoveryRetryAfter {
+		if wait, found := r.UsableIn("s", nil, after); !found || wait != recoveryRetryAfter {
 			t.Errorf("a recovering worker accepts another request in %v, want %v", wait, recoveryRetryAfter)
 		}
 		r.End("w", Load{Requests: window})
