Estimate the slowdown of workers' hosts from what they state

Cause: a worker states in each answer by which factor work takes longer on its host, and only the last statement was kept. The factor has a lasting part, the hardware, and one that changes within half a second, the load of neighbours; planning needs both apart.

Change: latency.Host estimates the usual factor (a low quantile of samples of 300 ms, so that requests during one period of load count once), the mean, and the factor expected at a time, which goes from the last statement to the mean. latency.Fleet gives the estimate for a worker that has stated nothing: the mean of the others and their spread. stageplan.Worker has the usual factor as Slowdown. Nothing uses the estimates yet.

Tests: tables of statements, and a property: every estimate lies between the lowest and the highest statement.

--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -36,6 +36,9 @@
 	Capacity int
 	// Pace is the learned prefill speed in tokens per millisecond.
 	Pace float64
+	// Slowdown is the factor by which work usually takes longer on the engine's host, 1 on one
+	// that is as fast as usual and 0 if it isn't known.
+	Slowdown float64
 }
 
 // Reason is why an engine is to change its stage.
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -116,7 +116,7 @@
 			Limited:  known.limit.Named,
 			Changing: known.isChanging(now),
 			Requests: load.Requests, ReadTokens: load.Unread.Total(), MemoryTokens: load.MemoryTokens,
-			Capacity: r.cacheCapacity[service], Pace: throughput,
+			Capacity: r.cacheCapacity[service], Pace: throughput, Slowdown: known.host.Usual(),
 		})
 	}
 	return engines
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -41,7 +41,8 @@
 	// generates the output.
 	handleBreaker breaker.Breaker
 	reported      reportedLoad
-	host          hostSlowdown
+	// host estimates by which factor work takes longer on the worker's host.
+	host latency.Host
 	// recovery limits the requests under way at a worker after a pause that it asked for.
 	recovery recovery
 	// limit is the request rate that the worker last stated, limitVersion counts changes of it,
@@ -119,7 +120,7 @@
 	// cacheCapacity is the KV cache size of one engine in tokens, by service.
 	cacheCapacity map[string]int
 	// uneven holds the services whose workers state the slowdown of their hosts.
-	uneven map[string]bool
+	uneven map[string]*unevenService
 	// demands holds the load that callers offer, whether it is served or not.
 	demands map[demandKey]*demand
 	// cacheUpdates holds the prompt parts that workers cached since the last snapshot.
@@ -196,7 +197,7 @@
 		limitUpdates:    make(map[string]time.Time),
 		groups:          make(map[groupKey]*latency.Model),
 		timings:         make(map[string]*engineTimings),
-		uneven:          make(map[string]bool),
+		uneven:          make(map[string]*unevenService),
 		demands:         make(map[demandKey]*demand),
 		cacheCapacity:   make(map[string]int),
 		touched:         make(map[string]bool),
