Plan with the slowdown that workers' hosts state

Cause: engines of one service differ in hardware (0.7 or 1.7 of the time that work takes) and are slowed 2.5 times by neighbours for about 600 ms at a time. A node knew only a factor for prefill per engine, learned from its own prefills there.

Change, for services whose workers state a slowdown only: - prefill models are fitted with the factor of each measurement; the expected factor of an engine scales what depends on tokens, the queue, the slot wait, the work of a handover, and the weight of running requests; - a handover is learned as work and transfer by prompt length, and used for the predicted first byte; - prompts wait for all tokens queued at an engine, whatever their rank, since begun ones alternate; - the first home of an engine that has stated nothing for 500 ms asks its health path, while the service is used; - statements and prefills measured at idle engines go to the other nodes in load messages and answers, in optional fields; - log fields reader_host and runner_host; metrics tinarch_first_byte_error_seconds and tinarch_host_statements_total.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -125,9 +125,12 @@
 	}
 	elapsed -= roundTrip(reader)
 	context := s.call.PromptTokens - unread
-	reading := latency.Reading{Tokens: unread, Context: context, Ahead: reader.ReadAhead, Elapsed: elapsed}
+	reading := latency.Reading{Tokens: unread, Context: context, Ahead: reader.QueueAhead(), Elapsed: elapsed, Slowdown: s.slowdownSince(reader)}
 	if fetch == "" {
 		s.registry.ObserveReading(reader.ID, reading)
+		if reader.Requests == 0 {
+			s.registry.ShareReading(reader.ID, reading)
+		}
 		return
 	}
 	if spec := s.call.Service.Engine; spec != nil {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -23,6 +23,10 @@
 	Turns *prometheus.CounterVec
 	// MalformedLimits counts the answers whose limit cannot be parsed.
 	MalformedLimits prometheus.Counter
+	// FirstByteErrors observes by how many seconds the predicted time to the first byte of an
+	// answer exceeded the measured one, by the mode of the plan. It is negative for answers that
+	// came later than predicted.
+	FirstByteErrors *prometheus.HistogramVec
 }
 
 // NewMetrics returns metrics registered with a registry.
@@ -50,7 +54,11 @@
 	metrics.MalformedLimits = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tinarch_worker_limits_malformed_total", Help: "Answers of workers that name a limit which can't be read.",
 	})
-	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Turns, metrics.MalformedLimits)
+	metrics.FirstByteErrors = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "tinarch_first_byte_error_seconds", Help: "Predicted time to the first byte of an answer less the measured one, by how the request is served.",
+		Buckets: []float64{-2, -1, -0.4, -0.15, -0.05, 0, 0.05, 0.15, 0.4, 1, 2},
+	}, []string{"mode"})
+	registry.MustRegister(metrics.FirstByteErrors, metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Turns, metrics.MalformedLimits)
 	return metrics
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -67,6 +67,8 @@
 	headGiven bool
 	// countedAsBegun tells that the call was counted as one that a worker has begun to run.
 	countedAsBegun bool
+	// predicted is what the last plan predicted, until the first byte of its answer arrives.
+	predicted prediction
 	// resumeAfter is the ID of the last event that the caller has received.
 	resumeAfter string
 	// first, last and gap are as in Outcome.
@@ -308,6 +310,7 @@
 
 func (s *session) logPlan(plan scheduling.Plan) {
 	s.metrics.plan(plan, s.reach)
+	s.predicted = prediction{mode: plan.Mode, first: plan.First, at: time.Now()}
 	ages := s.freshness()
 	s.log.WithFields(logrus.Fields{
 		"id": s.call.ID, "fingerprint": s.call.Fingerprint.String(), "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
@@ -322,6 +325,7 @@
 		"workers_version": ages.Workers, "workers_age_ms": ages.WorkersAge.Milliseconds(),
 		"digest_age_ms":  ages.DigestAge.Milliseconds(),
 		"reader_turn_ms": int(plan.Reader.TurnWait), "runner_turn_ms": int(plan.Runner.TurnWait),
+		"reader_host": describeHost(plan.Reader.Host), "runner_host": describeHost(plan.Runner.Host),
 		"asked": s.questionStats.asked, "answered": s.questionStats.answered, "holders": s.questionStats.holders, "ask_us": s.questionStats.took.Microseconds(),
 	}).Info("planned")
 }
--- a/internal/dispatch/survey.go
+++ b/internal/dispatch/survey.go
@@ -133,6 +133,7 @@
 			continue
 		default:
 			candidate = candidate.WithReport(report)
+			candidate.Host = s.registry.HostFactor(candidate.ID, time.Now()) // the report brought a statement
 		}
 		withReports = append(withReports, candidate)
 	}
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -43,6 +43,7 @@
 	w.firstAt = time.Now()
 	w.runningRequest.answering.Store(true)
 	w.session.countBegun(w.firstAt)
+	w.session.observeFirstByte(w.firstAt)
 	registry, call := w.session.registry, w.session.call
 	registry.End(w.runner.ID, w.reading)
 	if len(call.Prompt) == 0 {
@@ -50,7 +51,7 @@
 	}
 	elapsed := w.firstAt.Sub(w.begun)
 	if w.prompt.from != nil {
-		registry.ObserveHandover(w.runner.ID, elapsed-roundTrip(w.runner))
+		registry.ObserveHandover(w.runner.ID, elapsed-roundTrip(w.runner), call.PromptTokens, w.session.slowdownSince(w.runner))
 	} else if w.session.resumeAfter == "" {
 		w.session.observeReading(w.runner, w.prompt.unread, w.prompt.fetch, elapsed)
 	}
@@ -62,7 +63,8 @@
 	if w.firstAt.IsZero() {
 		registry.End(w.runner.ID, w.reading)
 	} else if len(w.session.call.Prompt) > 0 {
-		registry.ObserveRun(w.runner.ID, time.Since(w.firstAt), w.session.call.ExpectedOutput)
+		slowdown := w.session.slowdownSince(w.runner)
+		registry.ObserveRun(w.runner.ID, time.Since(w.firstAt), w.session.call.ExpectedOutput, slowdown)
 	}
 	registry.End(w.runner.ID, w.running)
 	w.session.crashDetector.end(w.runner.ID, w.runningRequest)
--- a/internal/latency/coefficients.go
+++ b/internal/latency/coefficients.go
@@ -53,6 +53,7 @@
 }
 
 // regressors returns the values that the coefficients are multiplied by.
-func regressors(tokens, context int) [3]float64 {
-	return [3]float64{1, float64(tokens) / thousand, pairs(tokens, context) / million}
+func (r Reading) regressors() [3]float64 {
+	slowdown := r.slowdown()
+	return [3]float64{1, slowdown * float64(r.Tokens) / thousand, slowdown * pairs(r.Tokens, r.Context) / million}
 }
--- a/internal/latency/host.go
+++ b/internal/latency/host.go
@@ -144,6 +144,8 @@
 	// Present is the factor expected now, Usual that without load of neighbours, zero if it
 	// isn't known, and Mean that on the average.
 	Present, Usual, Mean float64
+	// Fleet is the mean factor of the service's workers.
+	Fleet float64
 	// Age is the time since the last statement.
 	Age time.Duration
 }
@@ -168,6 +170,15 @@
 	return usual * f.over(usual*f.Present)
 }
 
+// Relative returns how much longer work of the given time takes, that begins now, than it does
+// on the average of the service's workers.
+func (f Factor) Relative(usual float64) float64 {
+	if !f.Stated() || f.Fleet <= 0 {
+		return 1
+	}
+	return f.over(usual*f.Present) / f.Fleet
+}
+
 // over returns the mean factor expected for the next span, in milliseconds.
 func (f Factor) over(span float64) float64 {
 	spans := span / (float64(hostLoadLasts) / float64(time.Millisecond))
@@ -210,5 +221,5 @@
 	if f.count > 0 {
 		spread = math.Sqrt(max(f.squares/float64(f.count)-mean*mean, 0))
 	}
-	return Factor{Present: mean + spread, Mean: mean + spread}
+	return Factor{Present: mean + spread, Mean: mean + spread, Fleet: mean}
 }
--- a/internal/latency/mean.go
+++ b/internal/latency/mean.go
@@ -43,7 +43,7 @@
 // Observe compares a measured prefill of the engine with what the model of its group predicts.
 func (f *Slowdown) Observe(reading Reading, group *Model) {
 	least, most := group.bounds(reading, group.Throughput()/f.Value())
-	predicted := group.Coefficients().Milliseconds(reading.Tokens, reading.Context)
+	predicted := reading.Predicted(group.Coefficients())
 	if predicted <= 0 {
 		return
 	}
--- a/internal/latency/model.go
+++ b/internal/latency/model.go
@@ -42,6 +42,29 @@
 	// were nearly done.
 	Ahead   int
 	Elapsed time.Duration
+	// Slowdown is the factor by which work took longer on the worker's host, zero if it isn't
+	// known. A Model predicts the time on a host that is as fast as usual.
+	Slowdown float64
+}
+
+// slowdown returns the reading's Slowdown, 1 if it isn't known.
+func (r Reading) slowdown() float64 {
+	if r.Slowdown <= 0 {
+		return 1
+	}
+	return r.Slowdown
+}
+
+// Predicted returns the time of the reading under coefficients, in milliseconds, without the
+// queue ahead. The fixed part doesn't depend on the host.
+func (r Reading) Predicted(c Coefficients) float64 {
+	return c.Fixed + r.slowdown()*c.VariableMilliseconds(r.Tokens, r.Context)
+}
+
+// AheadMilliseconds returns the time to prefill the tokens ahead at a throughput in tokens per
+// millisecond, on the reading's host.
+func (r Reading) AheadMilliseconds(throughput float64) float64 {
+	return r.slowdown() * float64(r.Ahead) / throughput
 }
 
 func (r Reading) milliseconds() float64 { return float64(r.Elapsed) / float64(time.Millisecond) }
@@ -113,7 +136,7 @@
 // the queue ahead of it.
 func (m *Model) bounds(reading Reading, throughput float64) (least, most float64) {
 	most = reading.milliseconds()
-	return max(most-float64(reading.Ahead)/throughput, 0), most
+	return max(most-reading.AheadMilliseconds(throughput), 0), most
 }
 
 // fit estimates the coefficients by asymmetric least squares (expectiles: Newey and Powell,
@@ -146,7 +169,7 @@
 	scale, throughput := math.Inf(1), m.throughputOf(coefficients)
 	for _, reading := range m.readings {
 		_, most := m.bounds(reading, throughput)
-		scale = min(scale, most/coefficients.Milliseconds(reading.Tokens, reading.Context))
+		scale = min(scale, most/reading.Predicted(coefficients))
 	}
 	return scale
 }
@@ -168,14 +191,14 @@
 	throughput := m.throughputOf(current)
 	scale := 0.0
 	for _, reading := range m.readings {
-		predicted := current.Milliseconds(reading.Tokens, reading.Context)
+		predicted := reading.Predicted(current)
 		least, most := m.bounds(reading, throughput)
 		target, weight := min(max(predicted, least), most), 1.0
 		if target > predicted {
 			weight = overrunWeight
 		}
 		weight /= max(predicted, 1) // errors grow with the time
-		normal.add(regressors(reading.Tokens, reading.Context), target, weight)
+		normal.add(reading.regressors(), target, weight)
 		scale += weight
 	}
 	scale *= priorWeight / float64(len(m.readings))
--- a/internal/nodeexchange/ask.go
+++ b/internal/nodeexchange/ask.go
@@ -46,6 +46,8 @@
 	Limits map[string]wireLimit `json:"lm,omitempty"`
 	// Draining are workers that have announced that they are about to end.
 	Draining []string `json:"dw,omitempty"`
+	// Slowdowns are the last statements of workers about their hosts.
+	Slowdowns map[string]wireSlowdown `json:"hs,omitempty"`
 }
 
 // wireLoadReport is a scheduling.LoadReport in whole numbers: requests, tokens to prefill,
@@ -268,7 +270,8 @@
 	}
 	answered := &reply{
 		ID: asked.ID, Reports: reports, Sent: asked.Sent,
-		Limits: renderLimits(e.registry.Limits(asked.Workers), time.Now()),
+		Limits:    renderLimits(e.registry.Limits(asked.Workers), time.Now()),
+		Slowdowns: renderSlowdowns(e.registry.HostStatements(asked.Workers), time.Now()),
 	}
 	if content, _ := scheduling.Content(parts); asked.Content && content != 0 {
 		answered.Holders = e.holdersOf(content)
@@ -281,6 +284,7 @@
 func (e *Exchange) receiveReply(from netip.AddrPort, node string, answered reply) {
 	e.receiveLimits(node, answered.Limits, time.Now())
 	e.receiveDraining(node, answered.Draining, time.Now())
+	e.registry.MergeHostStatements(parseSlowdowns(answered.Slowdowns, time.Now()))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.peers.answered(from)
--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -490,4 +490,6 @@
 	e.registry.Merge(message.Node, snapshot, now)
 	e.receiveLimits(message.Node, message.Limits, now)
 	e.receiveDraining(message.Node, message.Draining, now)
+	e.registry.MergeHostStatements(parseSlowdowns(message.Slowdowns, now))
+	e.registry.MergeReadings(parseReadings(message.Readings))
 }
--- a/internal/nodeexchange/message.go
+++ b/internal/nodeexchange/message.go
@@ -51,6 +51,10 @@
 	Limits map[string]wireLimit `json:"lm,omitempty"`
 	// Draining are workers that recently announced to the sender that they are about to end.
 	Draining []string `json:"dw,omitempty"`
+	// Slowdowns hold what workers have stated about their hosts since the last message.
+	Slowdowns map[string]wireSlowdown `json:"hs,omitempty"`
+	// Readings hold, by worker, prefills that the sender has measured since the last message.
+	Readings map[string][]wireReading `json:"rd,omitempty"`
 	// Turns requests, answers or reports turns at workers that limit their requests per second.
 	// Such a message holds nothing else.
 	Turns *quotaMessage `json:"tn,omitempty"`
@@ -197,6 +201,8 @@
 	message.CacheUpdates = renderCacheUpdates(snapshot.CacheUpdates)
 	message.Limits = renderLimits(snapshot.Limits, time.Now())
 	message.Draining = snapshot.Draining
+	message.Readings = renderReadings(snapshot.Readings)
+	message.Slowdowns = renderSlowdowns(snapshot.Hosts, time.Now())
 	return message
 }
 
--- a/internal/scheduling/late.go
+++ b/internal/scheduling/late.go
@@ -60,6 +60,9 @@
 	for _, candidate := range candidates {
 		candidate.ReadTokens += candidate.LateTokens
 		candidate.ReadAhead = candidate.ReadTokens
+		if candidate.Host.Stated() {
+			candidate.LateTokens = 0 // included in the others now
+		}
 		if !candidate.sound() || request.Failed[candidate.ID] || !s.hasRoom(request, candidate) {
 			candidate.SourceOnly = true
 		}
@@ -95,7 +98,7 @@
 // queueTime is the time that an engine takes to prefill everything queued there, in
 // milliseconds.
 func queueTime(candidate Candidate) float64 {
-	return float64(candidate.ReadTokens) / max(candidate.Throughput, minThroughput)
+	return candidate.Host.Of(float64(candidate.ReadTokens) / max(candidate.Throughput, minThroughput))
 }
 
 // hasRoom reports whether a worker has slots and memory for a late request and still keeps some
--- a/internal/scheduling/reading.go
+++ b/internal/scheduling/reading.go
@@ -50,15 +50,16 @@
 func (s *Scheduler) prefillWith(request Request, candidate Candidate, atHand int) prefillEstimate {
 	unread := request.PromptTokens - atHand
 	throughput := max(candidate.Throughput, minThroughput)
-	alone := candidate.PrefillCoefficients.Milliseconds(unread, atHand)
+	fixed, own := candidate.PrefillCoefficients.Fixed, candidate.PrefillCoefficients.VariableMilliseconds(unread, atHand)
+	hosted := candidate.Host.Of
 	again := float64(max(request.SharedTokens-atHand, 0)) / float64(request.PromptTokens)
 	if candidate.NotHome {
 		again *= s.costs.NotHomeFactor
 	}
 	return prefillEstimate{
-		time:          request.Engine.Queue*float64(candidate.ReadAhead)/throughput + alone,
-		own:           candidate.PrefillCoefficients.VariableMilliseconds(unread, atHand),
-		timeBehindAll: float64(candidate.ReadTokens)/throughput + alone,
+		time:          fixed + hosted(request.Engine.Queue*float64(candidate.QueueAhead())/throughput+own),
+		own:           hosted(own),
+		timeBehindAll: fixed + hosted(float64(candidate.ReadTokens)/throughput+own),
 		price:         s.costs.Reread * again * request.objectiveMilliseconds(),
 		unread:        unread,
 	}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -141,7 +141,7 @@
 		running := float64(candidate.Requests)
 		slot := max(slotWait(request, candidate), candidate.TurnWait)
 		cost := slot + prefill.timeBehindAll + prefill.price + s.commonCost(request, candidate) + s.pressureCost(request, candidate) +
-			s.runningCost(request, candidate) + s.interferencePrice(request, prefill)*running
+			s.runningCost(request, candidate) + s.interferencePrice(request, prefill)*running + s.paceCost(request, candidate)
 		plan := Plan{
 			Mode: Whole, Runner: candidate, Fetch: prefill.fetch, Unread: prefill.unread,
 			First: milliseconds(slot + prefill.time + candidate.RoundTrip), Cost: cost,
@@ -185,7 +185,7 @@
 		prefill := s.cheapestPrefill(request, candidate, candidates)
 		move, _ := s.crossRegionExtra(request, candidate.Region, runner.Runner)
 		read := candidate.TurnWait + prefill.time
-		first := max(read, runner.Runner.TurnWait) + request.Engine.Handover + slotWait(request, runner.Runner) +
+		first := max(read, runner.Runner.TurnWait) + handoverTime(request, runner.Runner) + slotWait(request, runner.Runner) +
 			candidate.RoundTrip + runner.Runner.RoundTrip + move
 		cost := candidate.TurnWait + prefill.timeBehindAll + request.Engine.Handover + prefill.price + s.movePrice(request, request.PromptTokens) +
 			s.commonCost(request, candidate) + runner.Cost
@@ -210,7 +210,8 @@
 		}
 		time, price := s.crossRegionExtra(request, region, candidate)
 		cost := max(slotWait(request, candidate), candidate.TurnWait) + s.commonCost(request, candidate) + s.runningCost(request, candidate) +
-			s.pressureCost(request, candidate) + time + price
+			s.pressureCost(request, candidate) + time + price +
+			handoverExtra(request, candidate) + s.paceCost(request, candidate)
 		if candidate.HandleFailure {
 			cost += s.costs.Avoided * request.objectiveMilliseconds()
 		}
@@ -228,12 +229,13 @@
 	if candidate.Slots == 0 || candidate.Requests < candidate.Slots {
 		return 0
 	}
-	return float64(candidate.Requests+1-candidate.Slots) / float64(candidate.Slots) * request.Engine.Run
+	return float64(candidate.Requests+1-candidate.Slots) / float64(candidate.Slots) * candidate.Host.Of(request.Engine.Run)
 }
 
 // runningCost is the cost of the requests that already run at a decode engine.
 func (s *Scheduler) runningCost(request Request, candidate Candidate) float64 {
-	return s.costs.Running * float64(candidate.Requests) * request.objectiveMilliseconds()
+	relative := candidate.Host.Relative(request.Engine.Run)
+	return s.costs.Running * float64(candidate.Requests) * relative * request.objectiveMilliseconds()
 }
 
 // pressureCost is the cost of running where KV cache is short: the engine would preempt running
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -38,6 +38,9 @@
 	// rate at which the queue ahead is prefilled, in tokens per millisecond.
 	PrefillCoefficients latency.Coefficients
 	Throughput          float64
+	// Host tells by which factor work takes longer on the worker's host than these two say, except
+	// for the fixed part, the zero value if the service's workers don't state it.
+	Host latency.Factor
 	// Avoid tells that the worker's circuit breaker is open, since it has just failed or
 	// rejected requests.
 	Avoid bool
@@ -131,6 +134,10 @@
 	// Handover is the time from sending a request whose prompt was prefilled by another engine
 	// to the first byte of its answer.
 	Handover float64
+	// HandoverWork is the part of that time that is work of the engine, on a host that is as
+	// fast as usual, and HandoverPerToken the time that each token of the prompt takes in
+	// addition. Both are zero if they are not learned apart.
+	HandoverWork, HandoverPerToken float64
 	// Fetch is the fixed time of fetching cached parts of a prompt, and MovePerToken the time
 	// that the link takes for each token.
 	Fetch, MovePerToken float64
@@ -138,6 +145,8 @@
 	Queue float64
 	// Run is the time from the first byte of an answer to its end.
 	Run float64
+	// Pace is the time between two output tokens.
+	Pace float64
 }
 
 // Request is what the scheduler knows of a request.
--- /dev/null
+++ b/internal/scheduling/uneven.go
@@ -0,0 +1,45 @@
+package scheduling
+
+import "time"
+
+// Where workers state the slowdown of their hosts, all learned times are those on a host that
+// is as fast as usual, and Candidate.Host tells how much longer they are at a worker.
+
+// handoverTime is the predicted time from sending a request whose prompt was prefilled by
+// another engine to the first byte of its answer, in milliseconds.
+func handoverTime(request Request, runner Candidate) float64 {
+	engine := request.Engine
+	if !runner.Host.Stated() || engine.HandoverWork == 0 && engine.HandoverPerToken == 0 {
+		return engine.Handover
+	}
+	return runner.Host.Of(engine.HandoverWork) + engine.HandoverPerToken*float64(request.PromptTokens)
+}
+
+// handoverExtra is how much longer the handover takes on a runner's host than on one that is as
+// fast as usual, in milliseconds.
+func handoverExtra(request Request, runner Candidate) float64 {
+	return runner.Host.Of(request.Engine.HandoverWork) - request.Engine.HandoverWork
+}
+
+// paceCost is the cost of running where output would come more slowly than the route's pauses
+// allow.
+func (s *Scheduler) paceCost(request Request, candidate Candidate) float64 {
+	if !candidate.Host.Stated() || request.GapObjective <= 0 {
+		return 0
+	}
+	gap := float64(request.GapObjective) / float64(time.Millisecond)
+	if candidate.Host.Of(request.Engine.Pace) <= gap {
+		return 0
+	}
+	return s.costs.Avoided * request.objectiveMilliseconds()
+}
+
+// QueueAhead returns the tokens for which the prefill of a new prompt may have to wait. Engines
+// alternate between all prompts that they have begun, whatever their rank, so where times are
+// learned per host all of them count, and EngineTimes.Queue is learned with them.
+func (c Candidate) QueueAhead() int {
+	if c.Host.Stated() {
+		return c.ReadTokens + c.LateTokens
+	}
+	return c.ReadAhead
+}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -63,6 +63,9 @@
 	Notice(status int, header http.Header) worker.Notice
 	// StateRequest returns a request for the state of a worker, nil if it can't be asked.
 	StateRequest(to worker.Worker, healthPath string) *workerconn.Request
+	// HealthRequest returns a request to a worker's health path, whose answer comes at once and
+	// may state the slowdown of its host, nil if its service has none.
+	HealthRequest(to worker.Worker, healthPath string) *workerconn.Request
 	rowstore.Store
 	// ObserveCalls registers a function that is called after each call to the store.
 	ObserveCalls(observed func(rowstore.Call))
@@ -171,6 +174,7 @@
 	n.nodesFeed = n.newFeed(nodesTable, &nodeConsumer{node: n})
 	n.setUpQuarantine(metrics)
 	n.registerTableMetrics(metrics)
+	n.registerHostMetrics(metrics)
 	n.front = ingress.New(ingress.Options{
 		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: ingress.NewMetrics(metrics),
 		ConfigurationAge: n.configurationAge, ConfigurationBehind: n.configurationBehind, Quotas: quotas,
@@ -323,6 +327,7 @@
 	n.work.Go(func() { n.expireQuarantine(ctx) })
 	n.work.Go(func() { n.warmUp(ctx) })
 	n.work.Go(func() { n.probeLimits(ctx) })
+	n.work.Go(func() { n.probeHosts(ctx) })
 	n.watchSuspensions(ctx, metrics)
 	n.work.Go(func() { n.stageController().Run(ctx) })
 	n.startUsageReporter(ctx, metrics)
--- a/internal/serving/workercalls.go
+++ b/internal/serving/workercalls.go
@@ -28,7 +28,11 @@
 		return nil, err
 	}
 	// An answer without a limit means nothing here: workers state it in answers to requests.
-	if named := c.node.platform.Reply(answer.Status, answer.Header).Limit; named.Named {
+	reply := c.node.platform.Reply(answer.Status, answer.Header)
+	if reply.HostSlowdown > 0 {
+		c.node.registry.ObserveHostSlowdown(key, reply.HostSlowdown, time.Now())
+	}
+	if named := reply.Limit; named.Named {
 		c.node.registry.ObserveLimit(key, request.Target, worker.LimitStatement{
 			Named: true, Rate: named.PerSecond, Sent: sent, Heard: time.Now(),
 		})
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -116,7 +116,7 @@
 			Limited:  known.limit.Named,
 			Changing: known.isChanging(now),
 			Requests: load.Requests, ReadTokens: load.Unread.Total(), MemoryTokens: load.MemoryTokens,
-			Capacity: r.cacheCapacity[service], Pace: throughput, Slowdown: known.host.Usual(),
+			Capacity: r.cacheCapacity[service], Pace: throughput / r.hostFactor(known, now).After(forever), Slowdown: known.host.Usual(),
 		})
 	}
 	return engines
@@ -147,6 +147,7 @@
 
 func (r *Registry) candidate(known *workerState, parts []prefixcache.Part, rank int, now time.Time) scheduling.Candidate {
 	load := known.totalLoad(now, "")
+	r.notePlan(known.worker.Service, now)
 	coefficients, throughput := r.prefillModel(known)
 	distance := r.places.DistanceTo(known.worker.Zone)
 	return scheduling.Candidate{
@@ -167,6 +168,7 @@
 		CachedTokens:        known.cache.Match(parts),
 		PrefillCoefficients: coefficients,
 		Throughput:          throughput,
+		Host:                r.hostFactor(known, now),
 		SortKey:             known.sortKey,
 		Hash:                known.hash,
 		Avoid:               known.breaker.Open(now),
@@ -267,10 +269,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	learned := r.timingsOf(service)
-	return scheduling.EngineTimes{
+	times := scheduling.EngineTimes{
 		Handover: learned.handover.Milliseconds(assumedHandover),
 		Fetch:    learned.fetch.Milliseconds(assumedFetch),
 		Run:      learned.run.Milliseconds(0),
+		Pace:     learned.writing.Value(),
 		Queue:    learned.queue.Value(),
 	}
+	if work, perToken, known := learned.unevenHandover.Milliseconds(); known {
+		times.HandoverWork, times.HandoverPerToken = work, perToken
+	}
+	return times
 }
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -31,6 +31,10 @@
 	Limits map[string]LimitStatement
 	// Draining holds the workers that announced to this node lately that they are draining.
 	Draining []string
+	// Hosts holds what workers stated about their hosts since the last snapshot.
+	Hosts map[string]HostStatement
+	// Readings holds prefills that this node measured since the last snapshot.
+	Readings []WorkerReading
 	// Touched holds the workers whose state changed since the last snapshot.
 	Touched []string
 }
@@ -51,6 +55,12 @@
 		if limit, stated := s.Limits[id]; stated {
 			part.Limits[id] = limit
 		}
+		if statement, stated := s.Hosts[id]; stated {
+			if part.Hosts == nil {
+				part.Hosts = make(map[string]HostStatement)
+			}
+			part.Hosts[id] = statement
+		}
 		if load, placed := s.Loads[id]; placed {
 			part.Loads[id] = load
 		}
@@ -60,6 +70,11 @@
 			part.CacheUpdates = append(part.CacheUpdates, update)
 		}
 	}
+	for _, measured := range s.Readings {
+		if slices.Contains(workers, measured.Worker) {
+			part.Readings = append(part.Readings, measured)
+		}
+	}
 	for _, id := range s.Failures {
 		if slices.Contains(workers, id) {
 			part.Failures = append(part.Failures, id)
@@ -98,6 +113,8 @@
 	snapshot.Demand, snapshot.RegionDemand = r.localDemandByService(now)
 	r.addLimits(&snapshot, now)
 	r.addDraining(&snapshot, now)
+	snapshot.Hosts = r.takeHostUpdates()
+	snapshot.Readings, r.sharedReadings = r.sharedReadings, nil
 	for id, known := range r.busy {
 		snapshot.Loads[id] = known.load
 	}
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -55,8 +55,8 @@
 		group := r.groupModel(known.worker)
 		if reading.Ahead > 0 {
 			terms, throughput := r.prefillModel(known)
-			waited := reading.Elapsed - time.Duration(terms.Milliseconds(reading.Tokens, reading.Context)*float64(time.Millisecond))
-			r.timingsOf(known.worker.Service).queue.Observe(float64(waited)/float64(time.Millisecond), float64(reading.Ahead)/throughput)
+			waited := reading.Elapsed - time.Duration(reading.Predicted(terms)*float64(time.Millisecond))
+			r.timingsOf(known.worker.Service).queue.Observe(float64(waited)/float64(time.Millisecond), reading.AheadMilliseconds(throughput))
 		}
 		known.slowdown.Observe(reading, group)
 		group.Observe(reading)
@@ -68,7 +68,7 @@
 func (r *Registry) ObserveFetch(id string, reading latency.Reading, link time.Duration) {
 	r.update(id, func(known *workerState) {
 		terms, _ := r.prefillModel(known)
-		fetchTime := reading.Elapsed - link - time.Duration(terms.Milliseconds(reading.Tokens, reading.Context)*float64(time.Millisecond))
+		fetchTime := reading.Elapsed - link - time.Duration(reading.Predicted(terms)*float64(time.Millisecond))
 		if reading.Ahead == 0 {
 			r.timingsOf(known.worker.Service).fetch.Observe(max(fetchTime, 0))
 		}
@@ -77,17 +77,25 @@
 
 // ObserveHandover records the time from sending a request whose prompt was read by another
 // engine to the first byte of its answer. As in ObserveReading, the network time has been
-// subtracted.
-func (r *Registry) ObserveHandover(id string, elapsed time.Duration) {
+// subtracted. tokens is the length of the prompt, and slowdown the factor that the engine's host
+// had, zero if it isn't known.
+func (r *Registry) ObserveHandover(id string, elapsed time.Duration, tokens int, slowdown float64) {
 	if elapsed <= 0 {
 		return
 	}
-	r.update(id, func(known *workerState) { r.timingsOf(known.worker.Service).handover.Observe(elapsed) })
+	r.update(id, func(known *workerState) {
+		learned := r.timingsOf(known.worker.Service)
+		learned.handover.Observe(elapsed)
+		if slowdown > 0 {
+			learned.unevenHandover.Observe(elapsed, tokens, slowdown)
+		}
+	})
 }
 
 // ObserveRun records the time from the first byte of an answer to its end, and how many output
-// tokens the caller expected.
-func (r *Registry) ObserveRun(id string, elapsed time.Duration, expectedTokens int) {
+// tokens the caller expected. slowdown is as in ObserveHandover.
+func (r *Registry) ObserveRun(id string, elapsed time.Duration, expectedTokens int, slowdown float64) {
+	elapsed = atUsualSpeed(elapsed, slowdown)
 	r.update(id, func(known *workerState) {
 		learned := r.timingsOf(known.worker.Service)
 		learned.run.Observe(elapsed)
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -43,6 +43,8 @@
 	reported      reportedLoad
 	// host estimates by which factor work takes longer on the worker's host.
 	host latency.Host
+	// hostTold is the statement about the host that was last told to other nodes, or by them.
+	hostTold HostStatement
 	// recovery limits the requests under way at a worker after a pause that it asked for.
 	recovery recovery
 	// limit is the request rate that the worker last stated, limitVersion counts changes of it,
@@ -121,6 +123,12 @@
 	cacheCapacity map[string]int
 	// uneven holds the services whose workers state the slowdown of their hosts.
 	uneven map[string]*unevenService
+	// hostUpdates holds the statements about hosts since the last snapshot.
+	hostUpdates map[string]HostStatement
+	// statements counts the statements about hosts.
+	statements HostStatementCounts
+	// sharedReadings holds measured prefills for other nodes since the last snapshot.
+	sharedReadings []WorkerReading
 	// demands holds the load that callers offer, whether it is served or not.
 	demands map[demandKey]*demand
 	// cacheUpdates holds the prompt parts that workers cached since the last snapshot.
@@ -157,6 +165,9 @@
 	// handover is the time from sending a request whose prompt was read by another engine to
 	// the first byte of the answer.
 	handover latency.MovingMean
+	// unevenHandover is the same time, by the host's slowdown and the length of the prompt, if
+	// the service is uneven.
+	unevenHandover latency.Handover
 	// fetch is the time to fetch cached parts from another engine, without the network
 	// transfer.
 	fetch latency.MovingMean
@@ -198,6 +209,7 @@
 		groups:          make(map[groupKey]*latency.Model),
 		timings:         make(map[string]*engineTimings),
 		uneven:          make(map[string]*unevenService),
+		hostUpdates:     make(map[string]HostStatement),
 		demands:         make(map[demandKey]*demand),
 		cacheCapacity:   make(map[string]int),
 		touched:         make(map[string]bool),
--- a/internal/worker/registry_test.go
+++ b/internal/worker/registry_test.go
@@ -318,7 +318,7 @@
 	}
 	reading, handover := find(t, r, "p", nil, origin).PrefillCoefficients, r.LearnedTimings("llm").Handover
 	r.ObserveReading("p", latency.Reading{Tokens: 1000, Elapsed: -5 * time.Millisecond})
-	r.ObserveHandover("d", -5*time.Millisecond)
+	r.ObserveHandover("d", -5*time.Millisecond, 0, 0)
 	if got := find(t, r, "p", nil, origin).PrefillCoefficients; got != reading {
 		t.Errorf("coefficients of the prefill time are %+v, want %+v", got, reading)
 	}
