Tell other nodes the prefill times of prefill engines only

Cause: nodes told each other the prefill times of idle engines, decode engines included.

Change: only times of prefill engines are told.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -128,7 +128,7 @@
 	reading := latency.Reading{Tokens: unread, Context: context, Ahead: reader.QueueAhead(), Elapsed: elapsed, Slowdown: s.slowdownSince(reader)}
 	if fetch == "" {
 		s.registry.ObserveReading(reader.ID, reading)
-		if reader.Requests == 0 {
+		if reader.Prefill && reader.Requests == 0 {
 			s.registry.ShareReading(reader.ID, reading)
 		}
 		return
--- a/internal/worker/readings.go
+++ b/internal/worker/readings.go
@@ -15,7 +15,9 @@
 // ShareReading queues a measured prefill of an uneven service for the other nodes. Since the
 // host's slowdown is known, a reading at any engine tells the time of all, so that a node that
 // measures few, or has just started, learns from those of the others. Only readings at engines
-// that had nothing else to do are worth it: of others, only bounds of the time are known.
+// that had nothing else to do are worth it: of others, only bounds of the time are known. Those
+// of decode engines aren't: an idle one reads faster than it does between the steps of running
+// requests, so that prompts would be read there too often.
 func (r *Registry) ShareReading(id string, reading latency.Reading) {
 	if reading.Slowdown <= 0 || reading.Ahead > 0 || reading.Elapsed <= 0 {
 		return
