--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -46,10 +46,13 @@
 	w.session.observeFirstByte(w.firstAt)
 	registry, call := w.session.registry, w.session.call
 	registry.End(w.runner.ID, w.reading)
+	elapsed := w.firstAt.Sub(w.begun)
+	if call.PromptTokens == 0 {
+		w.observeWork(elapsed)
+	}
 	if len(call.Prompt) == 0 {
 		return
 	}
-	elapsed := w.firstAt.Sub(w.begun)
 	if w.prompt.from != nil {
 		registry.ObserveHandover(w.runner.ID, elapsed-roundTrip(w.runner), call.PromptTokens, w.session.slowdownSince(w.runner))
 	} else if w.session.resumeAfter == "" {
@@ -69,3 +72,14 @@
 	registry.End(w.runner.ID, w.running)
 	w.session.crashDetector.end(w.runner.ID, w.runningRequest)
 }
+
+// observeWork records the time in which a worker answered an opaque request. It leaves out
+// repeated requests, which may find an answer prepared, those that had to wait for a slot, and
+// streams, whose first byte comes before the work is done.
+func (w *work) observeWork(elapsed time.Duration) {
+	s := w.session
+	if s.attempts > 1 || w.runner.Requests >= w.runner.Slots || s.call.Route.Streams() {
+		return
+	}
+	s.registry.ObserveWork(w.runner.ID, elapsed-roundTrip(w.runner), s.slowdownSince(w.runner))
+}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -67,34 +67,6 @@
 	return Plan{Mode: Refused, Reason: reason, RetryAfter: minRetryAfter, Cost: math.Inf(1)}
 }
 
-// planOpaque chooses the worker with the most free room for an opaque request.
-func (s *Scheduler) planOpaque(request Request, candidates []Candidate) Plan {
-	best := refuse(NoWorker)
-	for _, candidate := range candidates {
-		if request.Excluded[candidate.ID] {
-			continue
-		}
-		slots := max(candidate.Slots, 1)
-		fill := float64(candidate.Requests+1) / float64(slots)
-		cost := s.opaqueCost(request, candidate) + s.costs.Opaque.Fill*fill*fill
-		if candidate.Requests >= slots {
-			cost += s.costs.Opaque.Waiting * float64(candidate.Requests-slots+1)
-		}
-		cost += s.costs.Opaque.Turn * candidate.TurnWait
-		plan := Plan{Mode: Whole, Runner: candidate, Cost: cost}
-		if better(plan, best) {
-			best = plan
-		}
-	}
-	return best
-}
-
-// opaqueCost is the cost of a worker's state for an opaque request.
-func (s *Scheduler) opaqueCost(request Request, candidate Candidate) float64 {
-	costs := s.costs.Opaque
-	return stateCost(request, candidate, statePrices{costs.Failure, costs.Avoided, costs.OtherZone, costs.OtherRegion})
-}
-
 // commonCost is the part of the cost that all ways to serve a prompt share, for one worker.
 func (s *Scheduler) commonCost(request Request, candidate Candidate) float64 {
 	prices := statePrices{s.costs.Failure, s.costs.Avoided, s.costs.OtherZone, s.costs.OtherRegion}
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -145,6 +145,9 @@
 	Queue float64
 	// Run is the time from the first byte of an answer to its end.
 	Run float64
+	// Work is the time that a worker takes to answer an opaque request that doesn't wait, zero if
+	// it isn't known.
+	Work float64
 	// Pace is the time between two output tokens.
 	Pace float64
 }
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -274,6 +274,7 @@
 		Fetch:    learned.fetch.Milliseconds(assumedFetch),
 		Run:      learned.run.Milliseconds(0),
 		Pace:     learned.writing.Value(),
+		Work:     learned.work.Milliseconds(0),
 		Queue:    learned.queue.Value(),
 	}
 	if work, perToken, known := learned.unevenHandover.Milliseconds(); known {
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -103,6 +103,16 @@
 	})
 }
 
+// ObserveWork records the time in which a worker with free slots answered an opaque request.
+// slowdown is as in ObserveHandover; times without it are ignored.
+func (r *Registry) ObserveWork(id string, elapsed time.Duration, slowdown float64) {
+	if elapsed <= 0 || slowdown <= 0 {
+		return
+	}
+	elapsed = atUsualSpeed(elapsed, slowdown)
+	r.update(id, func(known *workerState) { r.timingsOf(known.worker.Service).work.Observe(elapsed) })
+}
+
 // ObserveCached records that a worker has cached the parts of a prompt, and queues that for the
 // other nodes.
 func (r *Registry) ObserveCached(id string, parts []prefixcache.Part, now time.Time) {
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -171,6 +171,9 @@
 	// fetch is the time to fetch cached parts from another engine, without the network
 	// transfer.
 	fetch latency.MovingMean
+	// work is the time to answer an opaque request at a worker with free slots, on a host that is
+	// as fast as usual, if the service is uneven.
+	work latency.MovingMean
 	// run is the time from the first byte of an answer to its end.
 	run latency.MovingMean
 	// writing is the time of run divided by the number of output tokens that the caller
