--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -36,8 +36,8 @@
 	Capacity int
 	// Pace is the learned prefill speed in tokens per millisecond.
 	Pace float64
-	// Slowdown is the factor by which work usually takes longer on the engine's host, as the
-	// engine states it: 1 is as usual, 0 unknown.
+	// Slowdown is the factor by which work usually takes longer on the engine's host, 1 on one
+	// that is as fast as usual and 0 if it isn't known.
 	Slowdown float64
 }
 
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -41,7 +41,10 @@
 	// generates the output.
 	handleBreaker breaker.Breaker
 	reported      reportedLoad
-	host          hostSlowdown
+	// host estimates by which factor work takes longer on the worker's host.
+	host latency.Host
+	// hostTold is the statement about the host that was last told to other nodes, or by them.
+	hostTold HostStatement
 	// recovery limits the requests under way at a worker after a pause that it asked for.
 	recovery recovery
 	// limit is the request rate that the worker last stated, limitVersion counts changes of it,
@@ -119,7 +122,13 @@
 	// cacheCapacity is the KV cache size of one engine in tokens, by service.
 	cacheCapacity map[string]int
 	// uneven holds the services whose workers state the slowdown of their hosts.
-	uneven map[string]bool
+	uneven map[string]*unevenService
+	// hostUpdates holds the statements about hosts since the last snapshot.
+	hostUpdates map[string]HostStatement
+	// statements counts the statements about hosts.
+	statements HostStatementCounts
+	// sharedReadings holds measured prefills for other nodes since the last snapshot.
+	sharedReadings []WorkerReading
 	// demands holds the load that callers offer, whether it is served or not.
 	demands map[demandKey]*demand
 	// followShared tells whether the tokens that prompts share are followed, given whether the
@@ -159,9 +168,15 @@
 	// handover is the time from sending a request whose prompt was read by another engine to
 	// the first byte of the answer.
 	handover latency.MovingMean
+	// unevenHandover is the same time, by the host's slowdown and the length of the prompt, if
+	// the service is uneven.
+	unevenHandover latency.Handover
 	// fetch is the time to fetch cached parts from another engine, without the network
 	// transfer.
 	fetch latency.MovingMean
+	// work is the time to answer an opaque request at a worker with free slots, on a host that is
+	// as fast as usual, if the service is uneven.
+	work latency.MovingMean
 	// run is the time from the first byte of an answer to its end.
 	run latency.MovingMean
 	// writing is the time of run divided by the number of output tokens that the caller
@@ -199,7 +214,8 @@
 		limitUpdates:    make(map[string]time.Time),
 		groups:          make(map[groupKey]*latency.Model),
 		timings:         make(map[string]*engineTimings),
-		uneven:          make(map[string]bool),
+		uneven:          make(map[string]*unevenService),
+		hostUpdates:     make(map[string]HostStatement),
 		demands:         make(map[demandKey]*demand),
 		cacheCapacity:   make(map[string]int),
 		touched:         make(map[string]bool),
--- a/internal/worker/shared.go
+++ b/internal/worker/shared.go
@@ -26,7 +26,7 @@
 
 // addShared adds the followed shared tokens to the demand at this node.
 func (r *Registry) addShared(here *Demand, service string, known *demand, now time.Time) {
-	if r.followShared(r.uneven[service]) {
+	if r.followShared(r.uneven[service] != nil) {
 		here.SharedTokens, here.SharedUnread = known.shared.value(now), known.sharedUnread.value(now)
 	}
 }
