scheduling: only tokens of a request's rank or higher count as queued ahead, for uneven services too

Cause: counting all tokens queued at an engine predicts the first byte better, but it takes more requests for late, and these are refused or held although most of them would have been served in time. Change: the queue ahead is counted as for other services. The test of the prediction states the queue of the request's rank; the test that a late request counts late tokens once stays as it was.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -125,7 +125,7 @@
 	}
 	elapsed -= roundTrip(reader)
 	context := s.call.PromptTokens - unread
-	reading := latency.Reading{Tokens: unread, Context: context, Ahead: reader.QueueAhead(), Elapsed: elapsed, Slowdown: s.slowdownSince(reader)}
+	reading := latency.Reading{Tokens: unread, Context: context, Ahead: reader.ReadAhead, Elapsed: elapsed, Slowdown: s.slowdownSince(reader)}
 	if fetch == "" {
 		s.registry.ObserveReading(reader.ID, reading)
 		if reader.Prefill && reader.Requests == 0 {
--- a/internal/scheduling/late.go
+++ b/internal/scheduling/late.go
@@ -60,9 +60,6 @@
 	for _, candidate := range candidates {
 		candidate.ReadTokens += candidate.LateTokens
 		candidate.ReadAhead = candidate.ReadTokens
-		if candidate.Host.Stated() {
-			candidate.LateTokens = 0 // included in the others now
-		}
 		if !candidate.sound() || request.Failed[candidate.ID] || !s.hasRoom(request, candidate) {
 			candidate.SourceOnly = true
 		}
--- a/internal/scheduling/reading.go
+++ b/internal/scheduling/reading.go
@@ -57,7 +57,7 @@
 		again *= s.costs.NotHomeFactor
 	}
 	return prefillEstimate{
-		time:          fixed + hosted(request.Engine.Queue*float64(candidate.QueueAhead())/throughput+own),
+		time:          fixed + hosted(request.Engine.Queue*float64(candidate.ReadAhead)/throughput+own),
 		own:           hosted(own),
 		timeBehindAll: fixed + hosted(float64(candidate.ReadTokens)/throughput+own),
 		price:         s.costs.Reread * again * request.objectiveMilliseconds(),
--- a/internal/scheduling/uneven.go
+++ b/internal/scheduling/uneven.go
@@ -33,13 +33,3 @@
 	}
 	return s.costs.Avoided * request.objectiveMilliseconds()
 }
-
-// QueueAhead returns the tokens for which the prefill of a new prompt may have to wait. Engines
-// alternate between all prompts that they have begun, whatever their rank, so where times are
-// learned per host all of them count, and EngineTimes.Queue is learned with them.
-func (c Candidate) QueueAhead() int {
-	if c.Host.Stated() {
-		return c.ReadTokens + c.LateTokens
-	}
-	return c.ReadAhead
-}
