--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -59,11 +59,17 @@
 	members []Member
 	// told are the collectors of other supervisors, which receive recorded windows.
 	told []*Collector
+	// gather answers a question for what the other supervisors have collected.
+	gather func(after Window)
 }
 
 func (a fakeFleet) Members() []Member { return a.members }
 
-func (fakeFleet) GatherUsage(Window) {}
+func (a fakeFleet) GatherUsage(after Window) {
+	if a.gather != nil {
+		a.gather(after)
+	}
+}
 
 func (a fakeFleet) TellRecorded(recorded map[Window]Counts) {
 	for _, told := range a.told {
@@ -210,6 +216,30 @@
 	}
 }
 
+// TestNextHolderAsksOnceItHasTheAuthority checks that a node that asked the other supervisors
+// while another node still reported asks them again once it has the authority: a window may have
+// been recorded and reported since, without this node being told, and lost in a restore.
+func TestNextHolderAsksOnceItHasTheAuthority(t *testing.T) {
+	s := newFixture()
+	first, second := s.reporter("first", 3), s.reporter("second", 1)
+	third := NewCollector()
+	first.options.Fleet = fakeFleet{told: []*Collector{third}}
+	second.options.Fleet = fakeFleet{gather: func(after Window) { second.options.Collector.MergeRecorded(third.Recorded(after)) }}
+	s.awaitHold(t, first)
+	second.Step(context.Background(), at(6)) // asks, and doesn't get the authority
+	first.Step(context.Background(), at(6.2))
+	s.store.Restore(0)
+	s.store.Restore(0)
+	for moment := 8.0; len(s.api.reports[WindowLength(span).WindowAt(at(0))]) < 2; moment += retryInterval.Seconds() {
+		if moment > 25 {
+			t.Fatal("the next holder reports nothing")
+		}
+		second.Step(context.Background(), at(moment))
+		time.Sleep(leaseLife / 8)
+	}
+	s.api.checkSameCounts(t)
+}
+
 // TestFormerHolderRecordsNothing checks that a write under the authority's condition fails once
 // another node has the authority, as after a pause of the process.
 func TestFormerHolderRecordsNothing(t *testing.T) {
