lab: leave the overload settings out beside an earlier build

Change: the block is left out of the file if it is empty, and soak empties it if there is an earlier build. A file without it keeps the defaults (never).

--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -279,6 +279,9 @@
 		WindowSeconds: quotaTolerance.Window.Seconds(), Overshoot: quotaTolerance.Overshoot, Slack: quotaTolerance.Slack,
 	}
 	configured.Usage = settings.RoutedUsage{WindowSeconds: usageWindow.Seconds(), LateSeconds: usageLate.Seconds()}
+	if s.options.Earlier != "" {
+		configured.Overload = settings.RoutedOverload{} // left out, since earlier builds reject it
+	}
 	for _, address := range []*string{&configured.Listen.Callers, &configured.Listen.Readiness, &configured.Listen.Exchange, &configured.Listen.Metrics} {
 		if *address, err = freeAddress(); err != nil {
 			return err
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -28,7 +28,7 @@
 	Late   RoutedLate        `yaml:"late"`
 	// Overload turns on what is decided for services that callers ask more of than they can
 	// serve at times.
-	Overload RoutedOverload `yaml:"overload"`
+	Overload RoutedOverload `yaml:"overload,omitempty"`
 	Log      Log            `yaml:"log"`
 }
 
