returns: one schedule of when refused callers are asked to come back

Cause: each refusal as too late computed its own Retry-After from the queue, so callers of a burst came back together, within the burst, and were refused again.

Change: internal/returns (pure) hands out return times at the rate at which engines serve for this node while they are busy, less what usually arrives, from when the queue and the burst are expected to be over, more urgent ranks first, within a third of the caller's remaining time. Who has no place isn't invited back early. dispatch/returns.go calls it where overload.spread_retries selects the service; otherwise Retry-After is what it was.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/retry"
+	"github.com/tinarch/tinarch/internal/returns"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
@@ -56,6 +57,8 @@
 	// lateWaiters counts, by service, the calls that wait for the end of a pause although they
 	// will be late.
 	lateWaiters map[string]int
+	// schedules hold, by service, when refused callers were asked to return.
+	schedules map[string]*returns.Schedule
 }
 
 // Options configures a dispatcher.
@@ -149,6 +152,7 @@
 		outages:       make(map[string]*retry.Outage),
 		promisedUntil: make(map[string]time.Time),
 		lateWaiters:   make(map[string]int),
+		schedules:     make(map[string]*returns.Schedule),
 	}
 }
 
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -21,6 +21,10 @@
 	Breaks *prometheus.CounterVec
 	// Turns counts the turns asked for at workers with a limit, by their outcome.
 	Turns *prometheus.CounterVec
+	// Returns counts the callers that were refused as too late by what their Retry-After says,
+	// and ReturnDelay are the times after which those with a place are asked to return.
+	Returns     *prometheus.CounterVec
+	ReturnDelay prometheus.Histogram
 	// MalformedLimits counts the answers whose limit cannot be parsed.
 	MalformedLimits prometheus.Counter
 }
@@ -50,6 +54,14 @@
 	metrics.MalformedLimits = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tinarch_worker_limits_malformed_total", Help: "Answers of workers that name a limit which can't be read.",
 	})
+	metrics.Returns = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tinarch_returns_total", Help: "Callers refused as too late, by whether they were given a time to return at.",
+	}, []string{"source"})
+	metrics.ReturnDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "tinarch_return_delay_seconds", Help: "Time after which refused callers are asked to return.",
+		Buckets: []float64{0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5, 10},
+	})
+	registry.MustRegister(metrics.Returns, metrics.ReturnDelay)
 	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Turns, metrics.MalformedLimits)
 	return metrics
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -87,6 +87,8 @@
 	// leftOutRate is the rate limit of the workers that were left out, added up without
 	// prefill engines.
 	leftOutRate float64
+	// countedAsServed tells that the call's prompt was counted as one that engines prefill.
+	countedAsServed bool
 	// quarantineStatus is the quarantine's status of the call as of its last plan.
 	quarantineStatus quarantine.Status
 }
@@ -146,6 +148,7 @@
 	}
 	plan := s.planAcrossRegions(ctx, s.request())
 	s.late = plan.Late
+	s.countServed(plan)
 	if s.attempts == 0 && plan.Unread > 0 {
 		s.registry.ObserveDemand(s.call.Service.Name, readingRegion(plan), plan.Unread, time.Now())
 	}
@@ -248,7 +251,7 @@
 	case s.attempts > 0:
 		code = result.RetriesExhausted
 	}
-	return s.end(Outcome{Code: code, RetryAfter: plan.RetryAfter, Detail: string(plan.Reason)})
+	return s.end(Outcome{Code: code, RetryAfter: s.retryAfter(plan), Detail: string(plan.Reason)})
 }
 
 // retryAfterFailure is the least time after which a call that no worker has run should be
--- a/internal/scheduling/late.go
+++ b/internal/scheduling/late.go
@@ -98,6 +98,16 @@
 	return float64(candidate.ReadTokens) / max(candidate.Throughput, minThroughput)
 }
 
+// Queue is the time that the engine which prefills the prompt under a plan takes for what is
+// queued there ahead of it.
+func (p Plan) Queue() time.Duration {
+	engine := p.Runner
+	if p.Reader.ID != "" {
+		engine = p.Reader
+	}
+	return milliseconds(float64(engine.ReadAhead) / max(engine.Throughput, minThroughput))
+}
+
 // hasRoom reports whether a worker has slots and memory for a late request and still keeps some
 // free for others.
 func (s *Scheduler) hasRoom(request Request, candidate Candidate) bool {
