Scheduling: a request may wait for a prefix that is being read for another one

Cause: requests of one prefix that arrive while it is being read are each planned by themselves, so that it is read several times. Change: a candidate tells what is in flight there; Plan compares the plan made so far with waiting for that and reading only the rest, for requests with SingleRead set. Conclusion: pure and without effect until the dispatcher sets SingleRead.

--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -23,6 +23,15 @@
 		return s.planOpaque(request, candidates)
 	}
 	best := s.choose(request, candidates)
+	plan := s.planPrompt(request, candidates, best)
+	if request.SingleRead {
+		return s.planSingleRead(request, candidates, best, plan)
+	}
+	return plan
+}
+
+// planPrompt decides how a prompt is served, given the cheapest way to serve it.
+func (s *Scheduler) planPrompt(request Request, candidates []Candidate, best Plan) Plan {
 	if best.Mode == Refused || s.inTime(request, best) {
 		return best
 	}
@@ -143,7 +152,7 @@
 		cost := slot + prefill.timeBehindAll + prefill.price + s.commonCost(request, candidate) + s.pressureCost(request, candidate) +
 			s.runningCost(request, candidate) + s.interferencePrice(request, prefill)*running
 		plan := Plan{
-			Mode: Whole, Runner: candidate, Fetch: prefill.fetch, Unread: prefill.unread,
+			Mode: Whole, Runner: candidate, Fetch: prefill.fetch, Unread: prefill.unread, Read: milliseconds(slot + prefill.time),
 			First: milliseconds(slot + prefill.time + candidate.RoundTrip), Cost: cost,
 		}
 		if better(plan, best) {
@@ -190,7 +199,7 @@
 		cost := candidate.TurnWait + prefill.timeBehindAll + request.Engine.Handover + prefill.price + s.movePrice(request, request.PromptTokens) +
 			s.commonCost(request, candidate) + runner.Cost
 		plan := Plan{
-			Mode: Apart, Reader: candidate, Runner: runner.Runner, Fetch: prefill.fetch, Unread: prefill.unread,
+			Mode: Apart, Reader: candidate, Runner: runner.Runner, Fetch: prefill.fetch, Unread: prefill.unread, Read: milliseconds(read),
 			First: milliseconds(first), Cost: cost,
 		}
 		if better(plan, best) {
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -34,6 +34,9 @@
 	Capacity int
 	// CachedTokens is the part of the request's prompt that the worker has cached.
 	CachedTokens int
+	// InFlight is the part of the request's prompt that is being prefilled there for another
+	// request. It isn't cached yet, so that nobody can fetch it.
+	InFlight InFlight
 	// PrefillCoefficients are the learned coefficients of prefill time, and Throughput is the
 	// rate at which the queue ahead is prefilled, in tokens per millisecond.
 	PrefillCoefficients latency.Coefficients
@@ -90,6 +93,8 @@
 	Requests, ReadTokens, ReadAhead, LateTokens, MemoryTokens int
 	// CachedTokens is the part of the request's prompt that the worker has cached.
 	CachedTokens int
+	// InFlight is as in Candidate.
+	InFlight InFlight
 	// Changing tells that an order to change the worker's stage may be under way, and Leaving
 	// that the worker is about to end.
 	Changing, Leaving, Avoid, HandleFailure bool
@@ -118,6 +123,7 @@
 	c.LateTokens += report.LateTokens
 	c.MemoryTokens += report.MemoryTokens
 	c.CachedTokens = max(c.CachedTokens, report.CachedTokens)
+	c.InFlight = c.InFlight.Better(report.InFlight)
 	c.Leaving = c.Leaving || report.Leaving
 	c.Avoid = c.Avoid || report.Avoid
 	c.HandleFailure = c.HandleFailure || report.HandleFailure
@@ -166,6 +172,10 @@
 	// Content identifies the prefix that the prompt shares with others, zero if that is too
 	// short to be placed by content.
 	Content uint64
+	// SingleRead tells that the request may wait for a prefix that is being prefilled for
+	// another one, and PrefixWaits how often it has waited for one.
+	SingleRead  bool
+	PrefixWaits int
 	// Begun tells that the caller already has part of the answer.
 	Begun bool
 	// NoApart tells that the prompt must not be prefilled by another engine than the runner.
@@ -200,6 +210,9 @@
 	NoWorkerLeft Reason = "all workers are full"
 	// Limited requests would wait too long for a turn at workers that limit their request rate.
 	Limited Reason = "the workers take no more now"
+	// PrefixInFlight requests wait until the prefix that they share with another request has been
+	// prefilled for that one.
+	PrefixInFlight Reason = "the prefix is being read"
 	// Paused requests have to wait because all workers have asked for a pause (Retry-After).
 	Paused Reason = "the workers have asked for a pause"
 )
@@ -210,7 +223,8 @@
 	Reason Reason
 	// Late requests cannot be answered in time and yield to all others.
 	Late bool
-	// Reader is the worker that prefills the prompt, if Mode is Apart.
+	// Reader is the worker that prefills the prompt, if Mode is Apart, or the one that is waited
+	// for, if Mode is Held.
 	Reader Candidate
 	// Runner is the worker that answers. If Mode is Apart it is chosen again once the prompt
 	// has been prefilled.
@@ -218,10 +232,18 @@
 	// Fetch is the address of a worker from which the prefilling worker fetches cached tokens
 	// of the prompt, empty if nothing is fetched.
 	Fetch string
+	// Read is the predicted time until the prompt has been prefilled.
+	Read time.Duration
+	// InFlight is the largest part of the prompt that is being prefilled for another request
+	// anywhere. It is for the log.
+	InFlight InFlight
 	// Unread is the part of the prompt that has to be prefilled, in tokens.
 	Unread int
 	// First is the predicted time to the first byte.
 	First time.Duration
+	// LongestWait bounds the wait of a request that is held because of PrefixInFlight. The wait
+	// ends with the prefill, which is expected to end within RetryAfter.
+	LongestWait time.Duration
 	// Cost is the value by which plans are compared, in milliseconds.
 	Cost float64
 	// RetryAfter is the time after which a refused caller should retry, or a held request is
