Prefixes that are being read are told to the nodes that track the engine

Cause: nodes know only what is cached, which is told when the prefill has ended. Change: the registry records prefills of shared prefixes under way with the time that is left; load messages tell all of the sender's (optional field), replies to questions tell those of the prompt asked about (optional field). They end with the prefill, with the engine's incarnation, or by their age. Conclusion: nothing is told until the dispatcher begins to.

--- a/internal/nodeexchange/ask.go
+++ b/internal/nodeexchange/ask.go
@@ -39,6 +39,9 @@
 type reply struct {
 	ID      uint64                    `json:"i"`
 	Reports map[string]wireLoadReport `json:"w,omitempty"`
+	// InFlight holds, for each worker that is prefilling part of the request's prompt for another
+	// one, the tokens of that part and the expected time left in milliseconds.
+	InFlight map[string]wireInFlight `json:"ip,omitempty"`
 	// Holders are workers that hold the content, encoded as in Message.Contents.
 	Holders []string `json:"c,omitempty"`
 	Sent    int64    `json:"t,omitempty"`
@@ -263,11 +266,12 @@
 		return
 	}
 	reports := make(map[string]wireLoadReport, len(asked.Workers))
-	for id, report := range e.registry.LoadReports(asked.Workers, parts, asked.Rank, asking, time.Now()) {
+	known := e.registry.LoadReports(asked.Workers, parts, asked.Rank, asking, time.Now())
+	for id, report := range known {
 		reports[id] = renderLoadReport(report)
 	}
 	answered := &reply{
-		ID: asked.ID, Reports: reports, Sent: asked.Sent,
+		ID: asked.ID, Reports: reports, InFlight: renderInFlight(known), Sent: asked.Sent,
 		Limits: renderLimits(e.registry.Limits(asked.Workers), time.Now()),
 	}
 	if content, _ := scheduling.Content(parts); asked.Content && content != 0 {
@@ -292,7 +296,9 @@
 		return
 	}
 	for id, report := range answered.Reports {
-		pending.reports[id] = report.loadReport()
+		known := report.loadReport()
+		known.InFlight = answered.InFlight[id].inFlight()
+		pending.reports[id] = known
 	}
 	if err := pending.addHolders(answered.Holders); err != nil {
 		e.logMalformed(from, err)
--- a/internal/nodeexchange/message.go
+++ b/internal/nodeexchange/message.go
@@ -42,6 +42,9 @@
 	// CacheUpdates hold "worker part:tokens part:tokens …": prompt parts that a worker has in
 	// its KV cache now, with their IDs in hexadecimal.
 	CacheUpdates []string `json:"r,omitempty"`
+	// Prefills hold "worker left part:tokens part:tokens …": shared prefixes that the sender has
+	// workers prefill, with the expected time left in milliseconds.
+	Prefills []string `json:"ip,omitempty"`
 	// Failures are workers that failed requests of the sender, once for each failure.
 	Failures []string `json:"f,omitempty"`
 	// StageChanges hold for each worker for how many milliseconds a change of its stage may
@@ -195,6 +198,7 @@
 		message.StageChanges[changing.Worker] = left
 	}
 	message.CacheUpdates = renderCacheUpdates(snapshot.CacheUpdates)
+	message.Prefills = renderPrefills(snapshot.Prefills)
 	message.Limits = renderLimits(snapshot.Limits, time.Now())
 	message.Draining = snapshot.Draining
 	return message
@@ -265,7 +269,9 @@
 		}
 		snapshot.CacheUpdates = append(snapshot.CacheUpdates, update)
 	}
-	return snapshot, nil
+	prefills, err := parsePrefills(m.Prefills)
+	snapshot.Prefills = prefills
+	return snapshot, err
 }
 
 func parseCacheUpdate(text string) (worker.CacheUpdate, error) {
--- a/internal/nodeexchange/subjects.go
+++ b/internal/nodeexchange/subjects.go
@@ -18,6 +18,9 @@
 	for _, read := range snapshot.CacheUpdates {
 		subjects = append(subjects, read.Worker)
 	}
+	for _, prefill := range snapshot.Prefills {
+		subjects = append(subjects, prefill.Worker)
+	}
 	for id := range snapshot.Limits {
 		subjects = append(subjects, id)
 	}
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -165,6 +165,7 @@
 		MemoryTokens:        load.MemoryTokens,
 		Capacity:            r.cacheCapacity[known.worker.Service],
 		CachedTokens:        known.cache.Match(parts),
+		InFlight:            known.prefills.inFlight(parts, now, ""),
 		PrefillCoefficients: coefficients,
 		Throughput:          throughput,
 		SortKey:             known.sortKey,
@@ -194,6 +195,7 @@
 		reports[id] = scheduling.LoadReport{
 			Requests: load.Requests, ReadTokens: load.Unread.InTime(), ReadAhead: load.Unread.Ahead(rank),
 			LateTokens: load.Unread.Late(), MemoryTokens: load.MemoryTokens, CachedTokens: known.cache.Match(parts),
+			InFlight: known.prefills.inFlight(parts, now, asking),
 			Changing: known.isChanging(now), Leaving: r.isDraining(known, now), Avoid: known.breaker.Open(now),
 			HandleFailure: known.handleBreaker.Open(now), FailureRate: known.breaker.FailureRate(now),
 		}
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -24,6 +24,8 @@
 	// RegionDemand holds it by region of the engines and service.
 	Demand       map[string]Demand
 	RegionDemand map[string]map[string]Demand
+	// Prefills holds the prefills of shared prefixes that the node has under way.
+	Prefills []InFlightPrefill
 	// DemandLife is how long the demand of another node counts. In a large fleet demand is sent
 	// less often.
 	DemandLife time.Duration
@@ -60,6 +62,11 @@
 			part.CacheUpdates = append(part.CacheUpdates, update)
 		}
 	}
+	for _, prefill := range s.Prefills {
+		if slices.Contains(workers, prefill.Worker) {
+			part.Prefills = append(part.Prefills, prefill)
+		}
+	}
 	for _, id := range s.Failures {
 		if slices.Contains(workers, id) {
 			part.Failures = append(part.Failures, id)
@@ -98,6 +105,7 @@
 	snapshot.Demand, snapshot.RegionDemand = r.localDemandByService(now)
 	r.addLimits(&snapshot, now)
 	r.addDraining(&snapshot, now)
+	r.addPrefills(&snapshot, now)
 	for id, known := range r.busy {
 		snapshot.Loads[id] = known.load
 	}
@@ -255,8 +263,10 @@
 		if known, exists := r.workers[update.Worker]; exists {
 			known.cache.Use(update.Parts, now)
 			known.cacheKnown = known.cacheKnown || len(update.Parts) >= minListedParts
+			known.prefills.notify()
 		}
 	}
+	r.mergePrefills(node, snapshot.Prefills, now)
 	for _, change := range snapshot.Changing {
 		r.mergeStageChange(change, now)
 	}
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -139,11 +139,15 @@
 // forget drops the state of a worker.
 func (r *Registry) forget(id string) {
 	r.generation++
+	if known, exists := r.workers[id]; exists {
+		known.prefills.notify()
+	}
 	delete(r.workers, id)
 	if r.newestByName[NameOf(id)] == id {
 		delete(r.newestByName, NameOf(id))
 	}
 	delete(r.busy, id)
+	delete(r.prefilling, id)
 	delete(r.changing, id)
 	delete(r.gone, id)
 	delete(r.limited, id)
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -100,6 +100,7 @@
 func (r *Registry) ObserveCached(id string, parts []prefixcache.Part, now time.Time) {
 	r.update(id, func(known *workerState) {
 		known.cache.Use(parts, now)
+		known.prefills.notify()
 		r.cacheUpdates = append(r.cacheUpdates, CacheUpdate{Worker: id, Parts: parts})
 		r.touch(id)
 	})
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -42,6 +42,7 @@
 	handleBreaker breaker.Breaker
 	reported      reportedLoad
 	host          hostSlowdown
+	prefills      prefillsOfWorker
 	// recovery limits the requests under way at a worker after a pause that it asked for.
 	recovery recovery
 	// limit is the request rate that the worker last stated, limitVersion counts changes of it,
@@ -100,6 +101,9 @@
 	// of 10,000 workers without them and takes 1 µs with them (BenchmarkMerge).
 	busy, changing, gone map[string]*workerState
 	loadedByNode         map[string][]string
+	// prefilling and prefillingByNode do the same for prefills under way.
+	prefilling       map[string]*workerState
+	prefillingByNode map[string][]string
 	// limited holds the workers that state a rate limit; limitChanged is called for each
 	// change.
 	limited      map[string]*workerState
@@ -191,6 +195,9 @@
 		loadedByNode: make(map[string][]string),
 		limited:      make(map[string]*workerState),
 
+		prefilling:       make(map[string]*workerState),
+		prefillingByNode: make(map[string][]string),
+
 		noticeStates:    make(map[string]NoticeState),
 		drainingUpdates: make(map[string]time.Time),
 		limitUpdates:    make(map[string]time.Time),
