Dispatch: requests wait for a prefix that is being read

Change: where overload.single_read selects the service, prefills of shared prefixes are announced, and plans to wait are carried out: the wait ends with the prefill, its bound, the caller or the deadline. Plan lines and tinarch_prefix_waits_total tell of it. Conclusion: off unless the settings select the service.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -53,6 +53,8 @@
 	unread int
 	// fetch is the address of a worker that has part of the prompt cached.
 	fetch string
+	// expected is the predicted time until the worker has prefilled the prompt.
+	expected time.Duration
 }
 
 // send sends the call to a worker. It returns the answer and what its head says.
@@ -89,6 +91,7 @@
 	load := worker.Load{Requests: 1, Unread: worker.UnreadTokensOf(s.rank(), unread), MemoryTokens: s.call.PromptTokens}
 	s.registry.Begin(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
+	defer s.beginPrefill(reader.ID, unread, plan.Read)()
 	running := s.crashDetector.begin(reader.ID, s.call.Fingerprint, s.suspected())
 	defer s.crashDetector.end(reader.ID, running)
 	begun := time.Now()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -195,6 +195,7 @@
 	}
 	defer s.freeKept()
 	defer s.endLateWait()
+	defer s.countPrefixWait()
 	call.Fingerprint = call.fingerprint()
 	d.recordFirst(call.Service.Name)
 	for {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -21,6 +21,9 @@
 	Breaks *prometheus.CounterVec
 	// Turns counts the turns asked for at workers with a limit, by their outcome.
 	Turns *prometheus.CounterVec
+	// PrefixWaits counts the requests that waited for a prefix which was being prefilled for
+	// another one, by what came of it.
+	PrefixWaits *prometheus.CounterVec
 	// MalformedLimits counts the answers whose limit cannot be parsed.
 	MalformedLimits prometheus.Counter
 }
@@ -47,10 +50,13 @@
 	metrics.Turns = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_worker_turns_total", Help: "Turns asked for at workers that take no more than so many requests a second.",
 	}, []string{"verdict"})
+	metrics.PrefixWaits = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tinarch_prefix_waits_total", Help: "Requests that waited for a prefix that was being prefilled for another one, by what came of it.",
+	}, []string{"outcome"})
 	metrics.MalformedLimits = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tinarch_worker_limits_malformed_total", Help: "Answers of workers that name a limit which can't be read.",
 	})
-	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Turns, metrics.MalformedLimits)
+	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Turns, metrics.PrefixWaits, metrics.MalformedLimits)
 	return metrics
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -87,6 +87,9 @@
 	// leftOutRate is the rate limit of the workers that were left out, added up without
 	// prefill engines.
 	leftOutRate float64
+	// prefixWaits is how often the call has waited for a prefix, and prefixWait how that ended.
+	prefixWaits int
+	prefixWait  prefixWait
 	// quarantineStatus is the quarantine's status of the call as of its last plan.
 	quarantineStatus quarantine.Status
 }
@@ -125,6 +128,8 @@
 		Patience:      s.call.patience(time.Now(), s.last),
 		Excluded:      s.excluded,
 		Failed:        s.failed,
+		SingleRead:    s.singleRead(),
+		PrefixWaits:   s.prefixWaits,
 		Begun:         s.headGiven,
 		NoApart:       s.wasReadApart,
 		Content:       s.call.content(),
@@ -175,11 +180,14 @@
 }
 
 // hold waits until a held plan is to be made again. The wait is shortened at random so that
-// nodes do not all plan at once, unless it is for a worker's pause. It returns the cause if the
-// caller leaves or the deadline passes before that.
+// nodes do not all plan at once, unless it is for a worker's pause or for a prefix. It returns the
+// cause if the caller leaves or the deadline passes before that.
 func (s *session) hold(ctx context.Context, plan scheduling.Plan) error {
-	if plan.Reason == scheduling.Paused {
+	switch plan.Reason {
+	case scheduling.Paused:
 		return s.pause(ctx, plan.RetryAfter)
+	case scheduling.PrefixInFlight:
+		return s.awaitPrefix(ctx, plan)
 	}
 	return s.pause(ctx, plan.RetryAfter-rand.N(plan.RetryAfter/2))
 }
@@ -187,9 +195,16 @@
 // pause waits for a time. If the caller leaves or the deadline passes before that, it returns
 // the cause.
 func (s *session) pause(ctx context.Context, span time.Duration) error {
+	return s.pauseUntil(ctx, span, nil)
+}
+
+// pauseUntil is pause that ends earlier when a channel is closed.
+func (s *session) pauseUntil(ctx context.Context, span time.Duration, changed <-chan struct{}) error {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
+	case <-changed:
+		return nil
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
@@ -278,7 +293,7 @@
 // try carries out a plan once.
 func (s *session) try(ctx context.Context, plan scheduling.Plan) tryResult {
 	if plan.Mode == scheduling.Whole {
-		return s.run(ctx, plan.Runner, promptOrigin{unread: plan.Unread, fetch: plan.Fetch})
+		return s.run(ctx, plan.Runner, promptOrigin{unread: plan.Unread, fetch: plan.Fetch, expected: plan.Read})
 	}
 	from, end := s.read(ctx, plan)
 	if from == nil {
@@ -307,9 +322,10 @@
 }
 
 func (s *session) logPlan(plan scheduling.Plan) {
+	s.notePrefixWait(plan)
 	s.metrics.plan(plan, s.reach)
 	ages := s.freshness()
-	s.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"id": s.call.ID, "fingerprint": s.call.Fingerprint.String(), "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
 		"crashes": s.quarantineStatus.Crashes, "late": plan.Late, "rank": s.rank(), "patience_ms": s.call.patience(time.Now(), s.last).Milliseconds(),
@@ -323,7 +339,9 @@
 		"digest_age_ms":  ages.DigestAge.Milliseconds(),
 		"reader_turn_ms": int(plan.Reader.TurnWait), "runner_turn_ms": int(plan.Runner.TurnWait),
 		"asked": s.questionStats.asked, "answered": s.questionStats.answered, "holders": s.questionStats.holders, "ask_us": s.questionStats.took.Microseconds(),
-	}).Info("planned")
+	}
+	s.addPrefixWait(fields, plan)
+	s.log.WithFields(fields).Info("planned")
 }
 
 func (s *session) logFailure(end tryResult, again bool) {
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -17,6 +17,8 @@
 	begun   time.Time
 	// firstAt is when the first byte of the answer arrived, zero before.
 	firstAt time.Time
+	// endPrefill ends what other nodes are told of the prefill.
+	endPrefill func()
 	// runningRequest is the entry for this call in the crash detector.
 	runningRequest *runningRequest
 }
@@ -31,6 +33,7 @@
 	}
 	session.registry.Begin(runner.ID, w.reading)
 	session.registry.Begin(runner.ID, w.running)
+	w.endPrefill = session.beginPrefill(runner.ID, prompt.unread, prompt.expected)
 	w.runningRequest = session.crashDetector.begin(runner.ID, call.Fingerprint, session.suspected())
 	return w
 }
@@ -55,10 +58,12 @@
 		w.session.observeReading(w.runner, w.prompt.unread, w.prompt.fetch, elapsed)
 	}
 	registry.ObserveCached(w.runner.ID, call.Prompt, w.firstAt)
+	w.endPrefill()
 }
 
 func (w *work) end() {
 	registry := w.session.registry
+	w.endPrefill()
 	if w.firstAt.IsZero() {
 		registry.End(w.runner.ID, w.reading)
 	} else if len(w.session.call.Prompt) > 0 {
