--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -25,6 +25,9 @@
 	// and ReturnDelay are the times after which those with a place are asked to return.
 	Returns     *prometheus.CounterVec
 	ReturnDelay prometheus.Histogram
+	// PrefixWaits counts the requests that waited for a prefix which was being prefilled for
+	// another one, by what came of it.
+	PrefixWaits *prometheus.CounterVec
 	// MalformedLimits counts the answers whose limit cannot be parsed.
 	MalformedLimits prometheus.Counter
 	// FirstByteErrors observes by how many seconds the predicted time to the first byte of an
@@ -55,6 +58,9 @@
 	metrics.Turns = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_worker_turns_total", Help: "Turns asked for at workers that take no more than so many requests a second.",
 	}, []string{"verdict"})
+	metrics.PrefixWaits = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tinarch_prefix_waits_total", Help: "Requests that waited for a prefix that was being prefilled for another one, by what came of it.",
+	}, []string{"outcome"})
 	metrics.MalformedLimits = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tinarch_worker_limits_malformed_total", Help: "Answers of workers that name a limit which can't be read.",
 	})
@@ -62,7 +68,7 @@
 		Name: "tinarch_first_byte_error_seconds", Help: "Predicted time to the first byte of an answer less the measured one, by how the request is served.",
 		Buckets: []float64{-2, -1, -0.4, -0.15, -0.05, 0, 0.05, 0.15, 0.4, 1, 2},
 	}, []string{"mode"})
-	registry.MustRegister(metrics.FirstByteErrors, metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Turns, metrics.MalformedLimits)
+	registry.MustRegister(metrics.FirstByteErrors, metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Turns, metrics.PrefixWaits, metrics.MalformedLimits)
 	metrics.Returns = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_returns_total", Help: "Callers refused as too late, by whether they were given a time to return at.",
 	}, []string{"source"})
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -93,6 +93,9 @@
 	leftOutRate float64
 	// countedAsServed tells that the call's prompt was counted as one that engines prefill.
 	countedAsServed bool
+	// prefixWaits is how often the call has waited for a prefix, and prefixWait how that ended.
+	prefixWaits int
+	prefixWait  prefixWait
 	// quarantineStatus is the quarantine's status of the call as of its last plan.
 	quarantineStatus quarantine.Status
 }
@@ -131,6 +134,8 @@
 		Patience:      s.call.patience(time.Now(), s.last),
 		Excluded:      s.excluded,
 		Failed:        s.failed,
+		SingleRead:    s.singleRead(),
+		PrefixWaits:   s.prefixWaits,
 		Begun:         s.headGiven,
 		NoApart:       s.wasReadApart,
 		Content:       s.call.content(),
@@ -194,11 +199,14 @@
 }
 
 // hold waits until a held plan is to be made again. The wait is shortened at random so that
-// nodes do not all plan at once, unless it is for a worker's pause. It returns the cause if the
-// caller leaves or the deadline passes before that.
+// nodes do not all plan at once, unless it is for a worker's pause or for a prefix. It returns the
+// cause if the caller leaves or the deadline passes before that.
 func (s *session) hold(ctx context.Context, plan scheduling.Plan) error {
-	if plan.Reason == scheduling.Paused {
+	switch plan.Reason {
+	case scheduling.Paused:
 		return s.pause(ctx, plan.RetryAfter)
+	case scheduling.PrefixInFlight:
+		return s.awaitPrefix(ctx, plan)
 	}
 	return s.pause(ctx, plan.RetryAfter-rand.N(plan.RetryAfter/2))
 }
@@ -206,9 +214,16 @@
 // pause waits for a time. If the caller leaves or the deadline passes before that, it returns
 // the cause.
 func (s *session) pause(ctx context.Context, span time.Duration) error {
+	return s.pauseUntil(ctx, span, nil)
+}
+
+// pauseUntil is pause that ends earlier when a channel is closed.
+func (s *session) pauseUntil(ctx context.Context, span time.Duration, changed <-chan struct{}) error {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
+	case <-changed:
+		return nil
 	case <-timer.C:
 		return nil
 	case <-ctx.Done():
@@ -297,7 +312,7 @@
 // try carries out a plan once.
 func (s *session) try(ctx context.Context, plan scheduling.Plan) tryResult {
 	if plan.Mode == scheduling.Whole {
-		return s.run(ctx, plan.Runner, promptOrigin{unread: plan.Unread, fetch: plan.Fetch})
+		return s.run(ctx, plan.Runner, promptOrigin{unread: plan.Unread, fetch: plan.Fetch, expected: plan.Read})
 	}
 	from, end := s.read(ctx, plan)
 	if from == nil {
@@ -326,10 +341,11 @@
 }
 
 func (s *session) logPlan(plan scheduling.Plan) {
+	s.notePrefixWait(plan)
 	s.metrics.plan(plan, s.reach)
 	s.predicted = prediction{mode: plan.Mode, first: plan.First, at: time.Now()}
 	ages := s.freshness()
-	s.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"id": s.call.ID, "fingerprint": s.call.Fingerprint.String(), "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
 		"crashes": s.quarantineStatus.Crashes, "late": plan.Late, "rank": s.rank(), "patience_ms": s.call.patience(time.Now(), s.last).Milliseconds(),
@@ -344,7 +360,9 @@
 		"reader_turn_ms": int(plan.Reader.TurnWait), "runner_turn_ms": int(plan.Runner.TurnWait),
 		"reader_host": describeHost(plan.Reader.Host), "runner_host": describeHost(plan.Runner.Host),
 		"asked": s.questionStats.asked, "answered": s.questionStats.answered, "holders": s.questionStats.holders, "ask_us": s.questionStats.took.Microseconds(),
-	}).Info("planned")
+	}
+	s.addPrefixWait(fields, plan)
+	s.log.WithFields(fields).Info("planned")
 }
 
 func (s *session) logFailure(end tryResult, again bool) {
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -118,6 +118,7 @@
 func (r *Registry) ObserveCached(id string, parts []prefixcache.Part, now time.Time) {
 	r.update(id, func(known *workerState) {
 		known.cache.Use(parts, now)
+		known.prefills.notify()
 		r.cacheUpdates = append(r.cacheUpdates, CacheUpdate{Worker: id, Parts: parts})
 		r.touch(id)
 	})
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -45,6 +45,7 @@
 	host latency.Host
 	// hostTold is the statement about the host that was last told to other nodes, or by them.
 	hostTold HostStatement
+	prefills prefillsOfWorker
 	// recovery limits the requests under way at a worker after a pause that it asked for.
 	recovery recovery
 	// limit is the request rate that the worker last stated, limitVersion counts changes of it,
@@ -103,6 +104,9 @@
 	// of 10,000 workers without them and takes 1 µs with them (BenchmarkMerge).
 	busy, changing, gone map[string]*workerState
 	loadedByNode         map[string][]string
+	// prefilling and prefillingByNode do the same for prefills under way.
+	prefilling       map[string]*workerState
+	prefillingByNode map[string][]string
 	// limited holds the workers that state a rate limit; limitChanged is called for each
 	// change.
 	limited      map[string]*workerState
@@ -209,6 +213,9 @@
 		loadedByNode: make(map[string][]string),
 		limited:      make(map[string]*workerState),
 
+		prefilling:       make(map[string]*workerState),
+		prefillingByNode: make(map[string][]string),
+
 		noticeStates:    make(map[string]NoticeState),
 		drainingUpdates: make(map[string]time.Time),
 		limitUpdates:    make(map[string]time.Time),
