Late requests wait for a prefill engine in an order over all nodes

Cause: under more load than the prefill engines take, a request that can't be in time was refused at its first plan unless its node happened to see an idle engine; with late.hold its own node held it on a timer, in no order over nodes, and two nodes that saw the same idle engine both took it. Change: overload.waiting makes such requests wait. The first home of an engine that answers is its arbiter: nodes tell it every 100 to 150 ms which requests wait, and it grants the engine, once it is idle, to the most urgent one, within a rank to the tenant that had least, then to the caller that leaves soonest (internal/waitlist, pure). A request is refused as soon as it can't be served while its caller stays; held requests take at most a quarter of a node's memory limit. spec/waiting.pml models grants that are lost, doubled and late and a change of the arbiter; it showed that a node must not take the second copy of a grant that it has given back. Off, nothing changes; the deployment's settings turn it on for uneven services.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,6 +41,10 @@
 	// began counts a tenant's request that a worker has begun to run.
 	began    func(tenant string, at time.Time)
 	overload Overload
+	// waits lets late calls wait for engines, nil if there are no other nodes. heldCalls are
+	// those that wait at this node.
+	waits     Waits
+	heldCalls *heldCalls
 	// repeated charges for another run of a call that may have run already.
 	repeated func(charge quota.Charge)
 	// returned refunds such a charge.
@@ -87,6 +91,10 @@
 	// Turns grants turns at workers that limit their request rate. It may be nil if there are
 	// none.
 	Turns Turns
+	// Waits lets late calls of the services that Overload.Waiting selects wait for engines. It
+	// may be nil. HeldBytes bounds the memory of the calls that wait at this node.
+	Waits     Waits
+	HeldBytes int
 }
 
 // Freshness holds versions and ages of the data that a node's decisions are based on, for the
@@ -132,6 +140,8 @@
 		turns:         turns,
 		began:         began,
 		overload:      options.Overload.withDefaults(),
+		waits:         options.Waits,
+		heldCalls:     &heldCalls{limit: options.HeldBytes},
 		repeated:      repeated,
 		returned:      returned,
 		freshness:     freshness,
@@ -195,6 +205,7 @@
 	}
 	defer s.freeKept()
 	defer s.endLateWait()
+	defer func() { s.endWait("", waitLeft) }()
 	call.Fingerprint = call.fingerprint()
 	d.recordFirst(call.Service.Name)
 	for {
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -23,6 +23,7 @@
 	Turns *prometheus.CounterVec
 	// MalformedLimits counts the answers whose limit cannot be parsed.
 	MalformedLimits prometheus.Counter
+	waits           *waitMetrics
 }
 
 // NewMetrics returns metrics registered with a registry.
@@ -50,6 +51,7 @@
 	metrics.MalformedLimits = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "tinarch_worker_limits_malformed_total", Help: "Answers of workers that name a limit which can't be read.",
 	})
+	metrics.waits = newWaitMetrics(registry)
 	registry.MustRegister(metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Turns, metrics.MalformedLimits)
 	return metrics
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -89,6 +89,8 @@
 	leftOutRate float64
 	// quarantineStatus is the quarantine's status of the call as of its last plan.
 	quarantineStatus quarantine.Status
+	// wait is the call's wait for an engine, nil if it doesn't wait.
+	wait *wait
 }
 
 // countBegun counts the call as one that a worker has begun to run, unless it was counted
@@ -144,7 +146,7 @@
 	if plan, found := s.planKept(ctx); found {
 		return plan
 	}
-	plan := s.planAcrossRegions(ctx, s.request())
+	plan := s.planAcrossRegions(ctx, s.withGrant(s.request()))
 	s.late = plan.Late
 	if s.attempts == 0 && plan.Unread > 0 {
 		s.registry.ObserveDemand(s.call.Service.Name, readingRegion(plan), plan.Unread, time.Now())
@@ -153,7 +155,7 @@
 		// Every worker has failed this call, and none is left to be tried.
 		plan.Reason = scheduling.NoWorkerLeft
 	}
-	return s.holdUntilPauseEnds(s.withTurnRetryAfter(plan))
+	return s.settleWait(s.holdUntilPauseEnds(s.withTurnRetryAfter(plan)))
 }
 
 // readingRegion is the region whose engine prefills the prompt under a plan, empty if the plan
@@ -178,6 +180,9 @@
 // nodes do not all plan at once, unless it is for a worker's pause. It returns the cause if the
 // caller leaves or the deadline passes before that.
 func (s *session) hold(ctx context.Context, plan scheduling.Plan) error {
+	if plan.Reason == scheduling.Queued {
+		return s.awaitGrant(ctx)
+	}
 	if plan.Reason == scheduling.Paused {
 		return s.pause(ctx, plan.RetryAfter)
 	}
@@ -243,7 +248,7 @@
 	}
 	code := result.NoEngine
 	switch {
-	case plan.Reason == scheduling.TooLate, plan.Reason == scheduling.Limited, plan.Reason == scheduling.Paused:
+	case plan.Reason == scheduling.TooLate, plan.Reason == scheduling.NoRoom, plan.Reason == scheduling.Limited, plan.Reason == scheduling.Paused:
 		code = result.DeadlineUnreachable
 	case s.attempts > 0:
 		code = result.RetriesExhausted
--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -59,8 +59,11 @@
 	turns *quotaExchange
 	// quarantine is nil where no requests are quarantined. It has its own lock.
 	quarantine *quarantine.Manager
-	conn       *net.UDPConn
-	log        *logrus.Logger
+	// waits are the requests that wait for engines. It has its own lock, and takes mu while it
+	// holds it.
+	waits *waitQueue
+	conn  *net.UDPConn
+	log   *logrus.Logger
 	// started is when this exchange was created.
 	started time.Time
 
@@ -115,13 +118,15 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &Exchange{
+	e := &Exchange{
 		node: node, zone: zone, registry: registry, conn: conn, log: log,
 		started: time.Now(), contents: newContentIndex(),
 		peers: newPeerSet(node, local, zone), pendingQuestions: make(map[uint64]*pendingQuestion),
 		roundTrips: make(map[string]*roundTrip), silenceMonitor: newSilenceMonitor(), unlisted: make(chan struct{}, 1),
 		memoryComplete: make(chan []string, maxPendingMemory), done: make(chan struct{}),
-	}, nil
+	}
+	e.waits = newExchangeWaits(e)
+	return e, nil
 }
 
 // SetTableCoordinator sets where announcements and news about tables are delivered. It must be
@@ -175,6 +180,7 @@
 func (e *Exchange) Run(ctx context.Context) {
 	defer close(e.done)
 	go e.receive()
+	go e.runWaits(ctx)
 	for _, q := range e.quotas() {
 		go q.reportAll(ctx)
 	}
@@ -197,6 +203,7 @@
 			return
 		case <-e.registry.Changed():
 			e.outbox.changed = true
+			e.waits.accountsChanged()
 		case <-timer.C:
 		}
 		timer.Reset(e.tick(time.Now()))
@@ -434,6 +441,8 @@
 		if e.turns != nil {
 			e.turns.receive(from, message.Node, *message.Turns)
 		}
+	case message.Waits != nil:
+		e.waits.receive(from, message.Node, *message.Waits, time.Now())
 	case message.WantMemory != nil:
 		e.sendMemory(from, message.WantMemory)
 	case message.Memory:
@@ -488,6 +497,7 @@
 		e.log.WithFields(logrus.Fields{"node": message.Node, "sequence": message.Sequence, "workers": message.Failures}).Info("another node tells of failures")
 	}
 	e.registry.Merge(message.Node, snapshot, now)
+	e.waits.accountsChanged()
 	e.receiveLimits(message.Node, message.Limits, now)
 	e.receiveDraining(message.Node, message.Draining, now)
 }
--- a/internal/nodeexchange/message.go
+++ b/internal/nodeexchange/message.go
@@ -112,6 +112,8 @@
 	Quota *quotaMessage `json:"i,omitempty"`
 	// Suspects are requests during which workers ended. Such a message holds nothing else.
 	Suspects []quarantine.Record `json:"sp,omitempty"`
+	// Waits is about requests that wait for engines. Such a message holds nothing else.
+	Waits *waitMessage `json:"wq,omitempty"`
 	// SteppedBack tells that the sender can't give orders, so that it isn't designated even if
 	// it has the lowest incarnation. Incarnations are compared as strings.
 	SteppedBack bool `json:"a,omitempty"`
--- a/internal/nodeexchange/metrics.go
+++ b/internal/nodeexchange/metrics.go
@@ -10,6 +10,9 @@
 // the region, or to another region.
 type Metrics struct {
 	messages, bytes *prometheus.CounterVec
+	// grants counts the engines granted to waiting requests of this node, by what became of
+	// the grant.
+	grants *prometheus.CounterVec
 }
 
 // NewMetrics creates and registers the metrics.
@@ -23,7 +26,10 @@
 			Name: "tinarch_exchange_bytes_total", Help: "Bytes of messages sent to other nodes, by kind and distance.",
 		}, labels),
 	}
-	registry.MustRegister(m.messages, m.bytes)
+	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tinarch_wait_grants_total", Help: "Engines granted to waiting requests of this node, by what became of the grant.",
+	}, []string{"outcome"})
+	registry.MustRegister(m.messages, m.bytes, m.grants)
 	return m
 }
 
@@ -62,6 +68,7 @@
 	kindSuspects      = "suspects"
 	kindQuota         = "quota"
 	kindTurns         = "turns"
+	kindWaits         = "waits"
 )
 
 // kind returns the kind of a message, as a label of the metrics.
@@ -89,6 +96,8 @@
 		return kindQuota
 	case m.Turns != nil:
 		return kindTurns
+	case m.Waits != nil:
+		return kindWaits
 	}
 	return kindLoad
 }
--- a/internal/scheduling/late.go
+++ b/internal/scheduling/late.go
@@ -29,6 +29,9 @@
 	case request.Begun || request.NoApart:
 		return tooLate(request, regular)
 	}
+	if request.Waits && !request.Begun {
+		return s.planWaiting(request, candidates, regular)
+	}
 	lateView := s.lateView(request, candidates)
 	if idleOnly := s.idleOnly(request, lateView); idleOnly != nil {
 		if plan := s.planApart(request, idleOnly); s.worthwhile(request, plan) {
@@ -73,23 +76,35 @@
 // held requests would otherwise take each engine just before a request that can be in time
 // does.
 func (s *Scheduler) idleOnly(request Request, candidates []Candidate) []Candidate {
-	idleOnly := slices.Clone(candidates)
+	idleView, half := s.idleView(request, candidates)
+	if s.costs.Hold && !half {
+		return nil
+	}
+	return idleView
+}
+
+// idleView makes engines with a queue sources only. half reports whether at least half of the
+// prefill engines are idle.
+func (s *Scheduler) idleView(request Request, candidates []Candidate) (idleView []Candidate, half bool) {
+	idleView = slices.Clone(candidates)
 	readers, busy := 0, 0
-	for i := range idleOnly {
-		candidate := &idleOnly[i]
+	for i := range idleView {
+		candidate := &idleView[i]
 		if !candidate.Prefill || candidate.SourceOnly {
 			continue
 		}
 		readers++
-		if queueTime(*candidate) > s.costs.LateQueue*request.objectiveMilliseconds() {
+		if queueTime(*candidate) > s.idleBelow(request) {
 			candidate.SourceOnly = true
 			busy++
 		}
 	}
-	if s.costs.Hold && 2*busy > readers {
-		return nil
-	}
-	return idleOnly
+	return idleView, 2*busy <= readers
+}
+
+// idleBelow is the queue, in milliseconds, up to which an engine counts as idle.
+func (s *Scheduler) idleBelow(request Request) float64 {
+	return s.costs.LateQueue * request.objectiveMilliseconds()
 }
 
 // queueTime is the time that an engine takes to prefill everything queued there, in
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -23,7 +23,7 @@
 		return s.planOpaque(request, candidates)
 	}
 	best := s.choose(request, candidates)
-	if best.Mode == Refused || s.inTime(request, best) {
+	if best.Mode == Refused || s.inTime(request, best) && !s.takesTurn(request, best) {
 		return best
 	}
 	return s.planLate(request, candidates, best)
@@ -182,17 +182,7 @@
 		if runner.Mode == Refused {
 			return runner
 		}
-		prefill := s.cheapestPrefill(request, candidate, candidates)
-		move, _ := s.crossRegionExtra(request, candidate.Region, runner.Runner)
-		read := candidate.TurnWait + prefill.time
-		first := max(read, runner.Runner.TurnWait) + request.Engine.Handover + slotWait(request, runner.Runner) +
-			candidate.RoundTrip + runner.Runner.RoundTrip + move
-		cost := candidate.TurnWait + prefill.timeBehindAll + request.Engine.Handover + prefill.price + s.movePrice(request, request.PromptTokens) +
-			s.commonCost(request, candidate) + runner.Cost
-		plan := Plan{
-			Mode: Apart, Reader: candidate, Runner: runner.Runner, Fetch: prefill.fetch, Unread: prefill.unread,
-			First: milliseconds(first), Cost: cost,
-		}
+		plan := s.apartAt(request, candidate, runner, candidates)
 		if better(plan, best) {
 			best = plan
 		}
@@ -200,6 +190,22 @@
 	return best
 }
 
+// apartAt is the plan to prefill the prompt at one engine and to run the request where the
+// runner's plan says.
+func (s *Scheduler) apartAt(request Request, candidate Candidate, runner Plan, candidates []Candidate) Plan {
+	prefill := s.cheapestPrefill(request, candidate, candidates)
+	move, _ := s.crossRegionExtra(request, candidate.Region, runner.Runner)
+	read := candidate.TurnWait + prefill.time
+	first := max(read, runner.Runner.TurnWait) + request.Engine.Handover + slotWait(request, runner.Runner) +
+		candidate.RoundTrip + runner.Runner.RoundTrip + move
+	cost := candidate.TurnWait + prefill.timeBehindAll + request.Engine.Handover + prefill.price + s.movePrice(request, request.PromptTokens) +
+		s.commonCost(request, candidate) + runner.Cost
+	return Plan{
+		Mode: Apart, Reader: candidate, Runner: runner.Runner, Fetch: prefill.fetch, Unread: prefill.unread,
+		First: milliseconds(first), Cost: cost,
+	}
+}
+
 // ChooseRunner chooses the decode engine for a prompt that is prefilled by another engine, in
 // the given region.
 func (s *Scheduler) ChooseRunner(request Request, candidates []Candidate, region string) Plan {
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -170,6 +170,11 @@
 	Begun bool
 	// NoApart tells that the prompt must not be prefilled by another engine than the runner.
 	NoApart bool
+	// Waits tells that the request waits for an engine in the order over all nodes if it can't
+	// be in time. Granted is the prefill engine that it was granted, empty if there is none, and
+	// Claimed tells that fewer than half of the others need be idle.
+	Waits, Claimed bool
+	Granted        string
 }
 
 // Mode is the way in which a request is served.
@@ -200,6 +205,10 @@
 	NoWorkerLeft Reason = "all workers are full"
 	// Limited requests would wait too long for a turn at workers that limit their request rate.
 	Limited Reason = "the workers take no more now"
+	// Queued requests wait for an engine in the order over all nodes, and there is no room to
+	// wait for those refused with NoRoom.
+	Queued Reason = "waits for an engine"
+	NoRoom Reason = "too many requests wait"
 	// Paused requests have to wait because all workers have asked for a pause (Retry-After).
 	Paused Reason = "the workers have asked for a pause"
 )
@@ -227,6 +236,8 @@
 	// RetryAfter is the time after which a refused caller should retry, or a held request is
 	// planned again.
 	RetryAfter time.Duration
+	// Waiting is set if the request is held with the reason Queued.
+	Waiting Waiting
 }
 
 // InTime reports whether the request is served as intended: the plan is neither late nor
--- /dev/null
+++ b/internal/scheduling/waiting_test.go
@@ -0,0 +1,96 @@
+package scheduling
+
+import (
+	"testing"
+	"time"
+)
+
+// waiting makes a request wait in the order over all nodes.
+func waiting(r *Request) { r.Waits = true }
+
+// granted makes a request that was granted an engine.
+func granted(engine string, claimed bool) func(*Request) {
+	return func(r *Request) { r.Waits, r.Granted, r.Claimed = true, engine, claimed }
+}
+
+// TestLateRequestTakesItsTurn checks that a late request waits also where an engine is idle,
+// which it claims, and that it names the engines that can serve it.
+func TestLateRequestTakesItsTurn(t *testing.T) {
+	candidates := []Candidate{fastest(), reader("free"), reader("failing", avoided), decoder("d", queued(busyQueue))}
+	plan := New(DefaultCosts()).Plan(prompt(overdue, waiting), candidates)
+	if plan.Mode != Held || plan.Reason != Queued || plan.Waiting.Claim != "free" {
+		t.Fatalf("mode %s, reason %q, claims %q", plan.Mode, plan.Reason, plan.Waiting.Claim)
+	}
+	if choices := plan.Waiting.Choices; len(choices) != 2 || choices[0].Engine != "fastest" || choices[1].Engine != "free" {
+		t.Errorf("waits for %+v, want fastest and free", choices)
+	}
+	for _, choice := range plan.Waiting.Choices {
+		if choice.Need <= 0 || choice.Latest <= 0 || choice.Latest >= prompt().Patience {
+			t.Errorf("%+v", choice)
+		}
+	}
+}
+
+// TestOverdueRequestTakesItsTurnAtAnIdleEngine checks that a request that comes late through its
+// own length waits for its turn if the engine is idle, since others may be waiting for it, and
+// is served without a turn where only less urgent prompts are queued, as without waiting.
+func TestOverdueRequestTakesItsTurnAtAnIdleEngine(t *testing.T) {
+	scheduler := New(DefaultCosts())
+	busy := decoder("d", queued(busyQueue))
+	plan := scheduler.Plan(prompt(overdue, waiting), []Candidate{reader("p"), busy})
+	if plan.Mode != Held || plan.Waiting.Claim != "p" {
+		t.Errorf("mode %s, claims %q", plan.Mode, plan.Waiting.Claim)
+	}
+	plan = scheduler.Plan(prompt(overdue, granted("p", true)), []Candidate{reader("p"), busy})
+	if plan.Mode != Apart || plan.Late {
+		t.Errorf("granted: mode %s, late %v", plan.Mode, plan.Late)
+	}
+	lessUrgent := func(c *Candidate) { c.ReadTokens = 3_600 }
+	plan = scheduler.Plan(prompt(overdue, waiting), []Candidate{reader("p", lessUrgent), busy})
+	if plan.Mode != Apart || plan.Late {
+		t.Errorf("behind nobody: mode %s, late %v", plan.Mode, plan.Late)
+	}
+}
+
+// TestGrantedEngineServesALateRequest checks that a granted engine is used only while it is idle
+// and, unless it was claimed, half of the engines are.
+func TestGrantedEngineServesALateRequest(t *testing.T) {
+	busy := func(id string) Candidate { return reader(id, queued(busyQueue)) }
+	for name, test := range map[string]struct {
+		readers []Candidate
+		claimed bool
+		want    Mode
+	}{
+		"idle":                 {[]Candidate{fastest(), reader("p"), reader("q")}, false, Apart},
+		"busy again":           {[]Candidate{fastest(), busy("p"), reader("q")}, true, Held},
+		"the last one":         {[]Candidate{fastest(), reader("p"), busy("q")}, false, Held},
+		"the last one claimed": {[]Candidate{fastest(), reader("p"), busy("q")}, true, Apart},
+	} {
+		plan := New(DefaultCosts()).Plan(prompt(overdue, granted("p", test.claimed)), append(test.readers, decoder("d", queued(busyQueue))))
+		if plan.Mode != test.want || plan.Mode == Apart && (!plan.Late || plan.Reader.ID != "p") {
+			t.Errorf("%s: mode %s, late %v, prefilled at %q", name, plan.Mode, plan.Late, plan.Reader.ID)
+		}
+	}
+}
+
+// TestRequestThatCannotBeServedNeverWaits checks that a request is refused at its first plan if
+// its caller leaves before any engine could serve it.
+func TestRequestThatCannotBeServedNeverWaits(t *testing.T) {
+	for name, patience := range map[string]time.Duration{"behind the queue": 1200 * time.Millisecond, "at all": 300 * time.Millisecond} {
+		candidates := []Candidate{reader("p", queued(busyQueue)), decoder("d", queued(400_000))}
+		plan := New(DefaultCosts()).Plan(prompt(overdue, waiting, patient(patience)), candidates)
+		if plan.Mode != Refused || plan.Reason != TooLate {
+			t.Errorf("%s: mode %s, reason %q", name, plan.Mode, plan.Reason)
+		}
+	}
+}
+
+// TestStreamsThatHaveBegunDontWait checks that a stream of which the caller has a part is served
+// as without waiting.
+func TestStreamsThatHaveBegunDontWait(t *testing.T) {
+	begun := func(r *Request) { r.Begun = true }
+	candidates := []Candidate{reader("p", queued(busyQueue)), decoder("d", queued(busyQueue))}
+	if plan := New(DefaultCosts()).Plan(prompt(overdue, waiting, begun), candidates); plan.Mode == Held || plan.Mode == Refused {
+		t.Errorf("mode %s, reason %q", plan.Mode, plan.Reason)
+	}
+}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -214,6 +214,7 @@
 		Registry: n.registry, Scheduler: scheduling.New(costs),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
 		Nodes: n.exchange.Nodes, LoadReports: n.exchange, Freshness: n.freshness, Quarantine: n.quarantine, Turns: n.exchange,
+		Waits: n.exchange, HeldBytes: dispatch.HeldBytes(n.settings.Limits.MemoryMegabytes),
 		Retries: retry.Limits{
 			Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack,
 			Window: settings.Milliseconds(bounds.RetryWindowMillis),
