Requests that wait take any idle engine, and ask first for the one that their plan prefers

With an order, one late request at a time gets an engine, which yields to all others there. Where several engines were idle, all their arbiters granted them at once and the first answer won, whatever was cached there. Change: the rule of half and the claims of newcomers are gone from waiting (late.hold keeps its own rule); a request asks the arbiter of the idle engine that its plan prefers first, and the others as soon as it hears that others come before it.

--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -69,7 +69,7 @@
 		return request
 	}
 	if grant := s.wait.grant; grant.Engine != "" && time.Now().Before(grant.Until) {
-		request.Granted, request.Claimed = grant.Engine, grant.Claimed
+		request.Granted = grant.Engine
 	}
 	return request
 }
@@ -117,7 +117,7 @@
 	s.wait.number, s.wait.granted = s.waits.JoinWait(waitlist.Waiter{
 		Rank: s.call.rank(), Tenant: s.call.Tenant.Name(), Tokens: plan.Waiting.Tokens,
 		Need: plan.Waiting.Choices[0].Need, IdleBelow: plan.Waiting.IdleBelow,
-		Choices: waitChoices(plan, now), Claim: plan.Waiting.Claim,
+		Choices: waitChoices(plan, now), Prefer: plan.Waiting.Prefer,
 	})
 	s.metrics.waits.began(s.call.Service.Name)
 	return true
@@ -162,7 +162,7 @@
 	s.metrics.waits.ended(s.call.Service.Name, outcome, time.Since(w.since))
 	s.log.WithFields(logrus.Fields{
 		"id": s.call.ID, "waited_ms": time.Since(w.since).Milliseconds(), "outcome": outcome, "engine": used,
-		"rank": s.call.rank(), "tenant": s.call.Tenant.Name(), "claimed": w.grant.Claimed,
+		"rank": s.call.rank(), "tenant": s.call.Tenant.Name(),
 	}).Info("wait for an engine ended")
 }
 
--- a/internal/nodeexchange/waiting_form.go
+++ b/internal/nodeexchange/waiting_form.go
@@ -34,7 +34,6 @@
 	Need      int64        `json:"d,omitempty"`
 	IdleBelow int64        `json:"f,omitempty"`
 	Choices   []wireChoice `json:"w"`
-	Claim     string       `json:"c,omitempty"`
 }
 
 type wireChoice struct {
@@ -62,18 +61,17 @@
 // wireGrant is a waitlist.Grant. Sent is when the request's node last told of it, as in that
 // message, and Age the time since it arrived, in milliseconds.
 type wireGrant struct {
-	Number  uint64 `json:"i"`
-	Engine  string `json:"w"`
-	Sent    int64  `json:"t"`
-	Age     int64  `json:"a,omitempty"`
-	Claimed bool   `json:"c,omitempty"`
-	Serial  uint64 `json:"s,omitempty"`
+	Number uint64 `json:"i"`
+	Engine string `json:"w"`
+	Sent   int64  `json:"t"`
+	Age    int64  `json:"a,omitempty"`
+	Serial uint64 `json:"s,omitempty"`
 }
 
 func renderWaiter(w waitlist.Waiter, now time.Time) wireWaiter {
 	rendered := wireWaiter{
 		Number: w.ID.Number, Rank: w.Rank, Tenant: w.Tenant, Tokens: w.Tokens, Need: w.Need.Milliseconds(),
-		IdleBelow: w.IdleBelow.Milliseconds(), Claim: w.Claim,
+		IdleBelow: w.IdleBelow.Milliseconds(),
 	}
 	for _, choice := range w.Choices {
 		rendered.Choices = append(rendered.Choices, wireChoice{
@@ -88,7 +86,7 @@
 func (f wireWaiter) waiter(node string, from netip.AddrPort, sent int64, now time.Time) waitlist.Waiter {
 	w := waitlist.Waiter{
 		ID: waitlist.ID{Node: node, Number: f.Number}, Rank: f.Rank, Tenant: f.Tenant, Tokens: max(f.Tokens, 0),
-		Need: milliseconds(f.Need), IdleBelow: milliseconds(f.IdleBelow), Claim: f.Claim,
+		Need: milliseconds(f.Need), IdleBelow: milliseconds(f.IdleBelow),
 		Address: from, Sent: time.Duration(sent) * time.Microsecond,
 	}
 	for _, choice := range f.Choices {
--- a/internal/nodeexchange/waitqueue_test.go
+++ b/internal/nodeexchange/waitqueue_test.go
@@ -365,6 +365,40 @@
 	}
 }
 
+// TestPreferredEngineIsAskedForFirst checks that a request gets the idle engine that it prefers
+// where several are idle, and any other one if that is taken or its arbiter doesn't answer.
+func TestPreferredEngineIsAskedForFirst(t *testing.T) {
+	for name, test := range map[string]struct {
+		taken, lost bool
+		want        string
+	}{"idle": {want: "f"}, "taken": {taken: true, want: "e"}, "no answer": {lost: true, want: "e"}} {
+		n := newWaitNetwork(3)
+		n.queues["e"], n.queues["f"] = 0, 0
+		if test.taken {
+			n.join(2, 0, "f")
+		}
+		first := true
+		n.lost = func(_, _ int, message waitMessage) bool {
+			lost := test.lost && first && len(message.Waiters) > 0
+			first = false
+			return lost
+		}
+		latest := n.now.Add(10 * time.Second)
+		_, granted := n.nodes[1].join(waitlist.Waiter{
+			Rank: 1, Choices: []waitlist.Choice{{Engine: "e", Latest: latest}, {Engine: "f", Latest: latest}}, Prefer: "f",
+		}, n.now)
+		n.pass(waitlist.RenewInterval + waitlist.RenewSpread)
+		select {
+		case got := <-granted:
+			if got.Engine != test.want {
+				t.Errorf("%s: granted %q, want %q", name, got.Engine, test.want)
+			}
+		default:
+			t.Errorf("%s: nothing was granted", name)
+		}
+	}
+}
+
 // TestWaitMessagesFitInDatagrams checks that many waiting requests are sent in several messages.
 func TestWaitMessagesFitInDatagrams(t *testing.T) {
 	n := newWaitNetwork(2)
--- a/internal/scheduling/late.go
+++ b/internal/scheduling/late.go
@@ -29,7 +29,7 @@
 	case request.Begun || request.NoApart:
 		return tooLate(request, regular)
 	}
-	if request.Waits && !request.Begun {
+	if request.Waits {
 		return s.planWaiting(request, candidates, regular)
 	}
 	lateView := s.lateView(request, candidates)
@@ -76,35 +76,23 @@
 // held requests would otherwise take each engine just before a request that can be in time
 // does.
 func (s *Scheduler) idleOnly(request Request, candidates []Candidate) []Candidate {
-	idleView, half := s.idleView(request, candidates)
-	if s.costs.Hold && !half {
-		return nil
-	}
-	return idleView
-}
-
-// idleView makes engines with a queue sources only. half reports whether at least half of the
-// prefill engines are idle.
-func (s *Scheduler) idleView(request Request, candidates []Candidate) (idleView []Candidate, half bool) {
-	idleView = slices.Clone(candidates)
+	idleOnly := slices.Clone(candidates)
 	readers, busy := 0, 0
-	for i := range idleView {
-		candidate := &idleView[i]
+	for i := range idleOnly {
+		candidate := &idleOnly[i]
 		if !candidate.Prefill || candidate.SourceOnly {
 			continue
 		}
 		readers++
-		if queueTime(*candidate) > s.idleBelow(request) {
+		if queueTime(*candidate) > s.costs.LateQueue*request.objectiveMilliseconds() {
 			candidate.SourceOnly = true
 			busy++
 		}
 	}
-	return idleView, 2*busy <= readers
-}
-
-// idleBelow is the queue, in milliseconds, up to which an engine counts as idle.
-func (s *Scheduler) idleBelow(request Request) float64 {
-	return s.costs.LateQueue * request.objectiveMilliseconds()
+	if s.costs.Hold && 2*busy > readers {
+		return nil
+	}
+	return idleOnly
 }
 
 // queueTime is the time that an engine takes to prefill everything queued there, in
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -171,10 +171,9 @@
 	// NoApart tells that the prompt must not be prefilled by another engine than the runner.
 	NoApart bool
 	// Waits tells that the request waits for an engine in the order over all nodes if it can't
-	// be in time. Granted is the prefill engine that it was granted, empty if there is none, and
-	// Claimed tells that fewer than half of the others need be idle.
-	Waits, Claimed bool
-	Granted        string
+	// be in time. Granted is the prefill engine that it was granted, empty if there is none.
+	Waits   bool
+	Granted string
 }
 
 // Mode is the way in which a request is served.
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/tinarch/tinarch/internal/waitlist"
 )
 
 // Late requests of services with waiting (Request.Waits) wait for a prefill engine in an order
@@ -23,11 +25,11 @@
 // Waiting is what a plan says of a request that waits for an engine.
 type Waiting struct {
 	// Choices are the engines that can serve the request in time for its caller, the cheapest
-	// first.
+	// first, no more than waitlist.MaxChoices.
 	Choices []Choice
-	// Claim is the engine that is idle and would be chosen if nobody else waited, empty if
+	// Prefer is the idle engine that would serve the request if nobody else waited, empty if
 	// there is none.
-	Claim string
+	Prefer string
 	// IdleBelow is the time that an engine needs for its queue up to which it counts as idle.
 	IdleBelow time.Duration
 	// Tokens are the tokens to be prefilled at the cheapest engine.
@@ -67,14 +69,14 @@
 	return Plan{
 		Mode: Held, Late: true, Reason: Queued, Reader: plan.Reader, First: plan.First, Cost: plan.Cost,
 		Waiting: Waiting{
-			Choices: choices, Tokens: tokens, Claim: s.claim(request, lateView, regular),
+			Choices: choices, Tokens: tokens, Prefer: s.preferred(request, lateView, regular),
 			IdleBelow: milliseconds(s.idleBelow(request)),
 		},
 	}
 }
 
 // planGranted plans a request at the engine that it was granted. It returns false if it was
-// granted none, or one that is not idle, or where too few others are.
+// granted none, or one that is not idle.
 func (s *Scheduler) planGranted(request Request, lateView []Candidate, regular Plan) (Plan, bool) {
 	if request.Granted == "" {
 		return Plan{}, false
@@ -82,37 +84,39 @@
 	if regular.Reader.ID == request.Granted && s.inTime(request, regular) {
 		return regular, true
 	}
-	idleView, half := s.idleView(request, lateView)
-	if !half && !request.Claimed {
-		return Plan{}, false
-	}
-	plan := s.planApart(request, readingOnlyAt(request.Granted, idleView))
+	only := func(engine string) bool { return engine == request.Granted }
+	plan := s.planApart(request, s.readingAt(only, request, lateView))
 	plan.Late = true
 	return plan, s.worthwhile(request, plan)
 }
 
-// readingOnlyAt makes all prefill engines but one sources only.
-func readingOnlyAt(engine string, candidates []Candidate) []Candidate {
+// preferred returns the idle engine that would serve the request if nobody else waited, empty if
+// there is none.
+func (s *Scheduler) preferred(request Request, lateView []Candidate, regular Plan) string {
+	if s.inTime(request, regular) {
+		return regular.Reader.ID
+	}
+	any := func(string) bool { return true }
+	if plan := s.planApart(request, s.readingAt(any, request, lateView)); s.worthwhile(request, plan) {
+		return plan.Reader.ID
+	}
+	return ""
+}
+
+// readingAt makes all prefill engines sources only, except idle ones that the function accepts.
+func (s *Scheduler) readingAt(accepts func(engine string) bool, request Request, candidates []Candidate) []Candidate {
 	only := slices.Clone(candidates)
 	for i := range only {
-		if only[i].Prefill && only[i].ID != engine {
+		if only[i].Prefill && (!accepts(only[i].ID) || queueTime(only[i]) > s.idleBelow(request)) {
 			only[i].SourceOnly = true
 		}
 	}
 	return only
 }
 
-// claim returns the engine that would serve the request now if nobody else waited, empty if
-// there is none.
-func (s *Scheduler) claim(request Request, lateView []Candidate, regular Plan) string {
-	if s.inTime(request, regular) {
-		return regular.Reader.ID
-	}
-	idleView, _ := s.idleView(request, lateView)
-	if plan := s.planApart(request, idleView); s.worthwhile(request, plan) {
-		return plan.Reader.ID
-	}
-	return ""
+// idleBelow is the queue, in milliseconds, up to which an engine counts as idle.
+func (s *Scheduler) idleBelow(request Request) float64 {
+	return s.costs.LateQueue * request.objectiveMilliseconds()
 }
 
 // choices returns the engines that could serve a late request before its caller leaves if
@@ -138,7 +142,7 @@
 		}
 	}
 	slices.SortStableFunc(plans, func(a, b Plan) int { return cmp.Compare(a.Cost, b.Cost) })
-	for _, plan := range plans {
+	for _, plan := range plans[:min(len(plans), waitlist.MaxChoices)] {
 		alone := plan.Reader.PrefillCoefficients.Milliseconds(plan.Unread, request.PromptTokens-plan.Unread)
 		choices = append(choices, Choice{
 			Engine: plan.Reader.ID, Need: milliseconds(alone),
--- a/internal/waitlist/list.go
+++ b/internal/waitlist/list.go
@@ -160,16 +160,13 @@
 }
 
 // Next grants an engine to the first of the requests that wait for it, if the engine is idle
-// and no grant of it is outstanding. At least half of that request's choices must be idle too,
-// as far as they are known here: requests that wait would otherwise take each engine just
-// before one that can be in time does. Where a request claims the engine, because it found it
-// idle when it arrived, that isn't required, since the engine is taken in any case.
-func (l *List) Next(engine string, account Account, claimed bool, now time.Time) (Grant, bool) {
+// and no grant of it is outstanding.
+func (l *List) Next(engine string, account Account, now time.Time) (Grant, bool) {
 	if held := l.grants[engine]; held != nil && now.Before(held.until) {
 		return Grant{}, false
 	}
 	first := l.first(engine, now)
-	if first == nil || !idle(engine, first.waiter, account) || !claimed && !halfIdle(first.waiter, account) {
+	if first == nil || !idle(engine, first.waiter, account) {
 		return Grant{}, false
 	}
 	l.serial++
@@ -178,8 +175,7 @@
 	}
 	l.flows.charge(first.flow, first.waiter.Tokens, now)
 	return Grant{
-		To: first.waiter, Engine: engine, Age: now.Sub(first.registered), Claimed: claimed, Until: now.Add(GrantUse),
-		Serial: l.serial,
+		To: first.waiter, Engine: engine, Age: now.Sub(first.registered), Until: now.Add(GrantUse), Serial: l.serial,
 	}, true
 }
 
@@ -223,23 +219,6 @@
 	return usable && queue <= w.IdleBelow
 }
 
-// halfIdle reports whether at least half of a request's choices whose account is known are
-// idle.
-func halfIdle(w Waiter, account Account) bool {
-	known, busy := 0, 0
-	for _, choice := range w.Choices {
-		queue, usable := account(choice.Engine)
-		if !usable {
-			continue
-		}
-		known++
-		if queue > w.IdleBelow {
-			busy++
-		}
-	}
-	return 2*busy <= known
-}
-
 // Standing returns what is expected for a waiting request at the engine that becomes free for it
 // first, and false if it isn't on the list or none of its engines is known. A request that waits
 // for several engines counts at each of them with an equal part of its prefill time.
--- a/internal/waitlist/waiter.go
+++ b/internal/waitlist/waiter.go
@@ -62,8 +62,8 @@
 	IdleBelow time.Duration
 	// Choices are the engines for which the request waits, the best one first.
 	Choices []Choice
-	// Claim is the engine that the request found idle when it arrived, empty if there was none.
-	Claim string
+	// Prefer is the engine for which the request's node asks first, empty if there is none.
+	Prefer string
 	// Address is where the request's node is told of a grant, and Sent the time of its message
 	// by its own clock.
 	Address netip.AddrPort
@@ -86,8 +86,6 @@
 	Engine string
 	// Age is the time since the arbiter heard from the request's node.
 	Age time.Duration
-	// Claimed tells that fewer than half of the engines need be idle (List.Next).
-	Claimed bool
 	// Until is until when the grant may be used. An arbiter sets it by its own clock, the
 	// request's node by its own.
 	Until time.Time
