--- a/internal/waitlist/list_test.go
+++ b/internal/waitlist/list_test.go
@@ -220,6 +220,9 @@
 	if _, held := m.holder[engine]; held && m.now.Before(m.until[engine]) {
 		t.Fatalf("%s was granted twice", engine)
 	}
+	if m.holds(got.To.ID.Number) {
+		t.Fatalf("%s went to a request that holds another engine", engine)
+	}
 	for number, w := range m.waiters {
 		choice, waits := w.choice(engine)
 		live := m.now.Sub(m.registered[number]) < WaiterLife && !m.now.After(choice.Latest)
