--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -34,6 +34,7 @@
 	// answer exceeded the measured one, by the mode of the plan. It is negative for answers that
 	// came later than predicted.
 	FirstByteErrors *prometheus.HistogramVec
+	waits           *waitMetrics
 }
 
 // NewMetrics returns metrics registered with a registry.
@@ -77,6 +78,7 @@
 		Buckets: []float64{0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5, 10},
 	})
 	registry.MustRegister(metrics.Returns, metrics.ReturnDelay)
+	metrics.waits = newWaitMetrics(registry)
 	return metrics
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -98,6 +98,8 @@
 	prefixWait  prefixWait
 	// quarantineStatus is the quarantine's status of the call as of its last plan.
 	quarantineStatus quarantine.Status
+	// wait is the call's wait for an engine, nil if it doesn't wait.
+	wait *wait
 }
 
 // countBegun counts the call as one that a worker has begun to run, unless it was counted
@@ -155,7 +157,7 @@
 	if plan, found := s.planKept(ctx); found {
 		return plan
 	}
-	plan := s.planAcrossRegions(ctx, s.request())
+	plan := s.planAcrossRegions(ctx, s.withGrant(s.request()))
 	s.late = plan.Late
 	s.countServed(plan)
 	if s.attempts == 0 && plan.Unread > 0 {
@@ -166,7 +168,7 @@
 		// Every worker has failed this call, and none is left to be tried.
 		plan.Reason = scheduling.NoWorkerLeft
 	}
-	return s.holdUntilPauseEnds(s.withTurnRetryAfter(plan))
+	return s.settleWait(s.holdUntilPauseEnds(s.withTurnRetryAfter(plan)))
 }
 
 // observeShared records how much of what the prompt shares with others has to be read under the
@@ -203,6 +205,8 @@
 // cause if the caller leaves or the deadline passes before that.
 func (s *session) hold(ctx context.Context, plan scheduling.Plan) error {
 	switch plan.Reason {
+	case scheduling.Queued:
+		return s.awaitGrant(ctx)
 	case scheduling.Paused:
 		return s.pause(ctx, plan.RetryAfter)
 	case scheduling.PrefixInFlight:
@@ -277,7 +281,7 @@
 	}
 	code := result.NoEngine
 	switch {
-	case plan.Reason == scheduling.TooLate, plan.Reason == scheduling.Limited, plan.Reason == scheduling.Paused:
+	case plan.Reason == scheduling.TooLate, plan.Reason == scheduling.NoRoom, plan.Reason == scheduling.Limited, plan.Reason == scheduling.Paused:
 		code = result.DeadlineUnreachable
 	case s.attempts > 0:
 		code = result.RetriesExhausted
--- a/internal/scheduling/late.go
+++ b/internal/scheduling/late.go
@@ -29,6 +29,9 @@
 	case request.Begun || request.NoApart:
 		return tooLate(request, regular)
 	}
+	if request.Waits {
+		return s.planWaiting(request, candidates, regular)
+	}
 	lateView := s.lateView(request, candidates)
 	if idleOnly := s.idleOnly(request, lateView); idleOnly != nil {
 		if plan := s.planApart(request, idleOnly); s.worthwhile(request, plan) {
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -192,6 +192,10 @@
 	Begun bool
 	// NoApart tells that the prompt must not be prefilled by another engine than the runner.
 	NoApart bool
+	// Waits tells that the request waits for an engine in the order over all nodes if it can't
+	// be in time. Granted is the prefill engine that it was granted, empty if there is none.
+	Waits   bool
+	Granted string
 }
 
 // Mode is the way in which a request is served.
@@ -225,6 +229,10 @@
 	// PrefixInFlight requests wait until the prefix that they share with another request has been
 	// prefilled for that one.
 	PrefixInFlight Reason = "the prefix is being read"
+	// Queued requests wait for an engine in the order over all nodes, and there is no room to
+	// wait for those refused with NoRoom.
+	Queued Reason = "waits for an engine"
+	NoRoom Reason = "too many requests wait"
 	// Paused requests have to wait because all workers have asked for a pause (Retry-After).
 	Paused Reason = "the workers have asked for a pause"
 )
@@ -261,6 +269,8 @@
 	// RetryAfter is the time after which a refused caller should retry, or a held request is
 	// planned again.
 	RetryAfter time.Duration
+	// Waiting is set if the request is held with the reason Queued.
+	Waiting Waiting
 }
 
 // InTime reports whether the request is served as intended: the plan is neither late nor
