Mends after the reviews of the parts for hard load

Reviewers who had not written the parts found, each with a trial or by reading: - a call that waits in the order over all nodes counted as one with nothing to read at each of its plans, so cold caches looked warm and the planner saw no demand of calls refused after a wait. It counts once, when its wait begins (TestWaitingCallCountsAsDemandOnce). - such a refusal had no work for the schedule of returns, which gave all of them one slot. The held plan has its unread tokens, work of zero gets no place, and calls refused for lack of room go through the schedule too. - engines that state nothing were asked 20 times a second for ever, rate-limited ones too, and all at once. The pause doubles up to 16 s, limited and failing ones are not asked, eight are asked at a time (TestEngineThatStatesNothingIsAskedLessAndLessOften). - the queue of an engine left the host's slowdown out where arbiters and the schedule of returns look at it. - one lost question to an arbiter made the node pass it over for a second: the timeout now outlasts the next question. A preferred engine was asked together with all others after a quiet time. A grant that names no engine is ignored; two of them blocked the receiver. - a granted call gave its engine up to wait for a prefix: it doesn't any more. - a statement at the first start was recorded twice; the message that a service is uneven was never sent, so the method for it goes.

--- a/internal/dispatch/returns.go
+++ b/internal/dispatch/returns.go
@@ -26,7 +26,8 @@
 // that were refused because their answers would be late get a place in the service's schedule,
 // if it has one.
 func (s *session) retryAfter(plan scheduling.Plan) time.Duration {
-	if plan.Reason != scheduling.TooLate || !s.overload.SpreadRetries(s.call.Service.Name) {
+	late := plan.Reason == scheduling.TooLate || plan.Reason == scheduling.NoRoom
+	if !late || !s.overload.SpreadRetries(s.call.Service.Name) {
 		return plan.RetryAfter
 	}
 	refusal := returns.Refusal{
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -100,6 +100,9 @@
 	quarantineStatus quarantine.Status
 	// wait is the call's wait for an engine, nil if it doesn't wait.
 	wait *wait
+	// askedWhileWaiting tells that what the call asks engines to prefill was recorded when its
+	// wait began.
+	askedWhileWaiting bool
 }
 
 // countBegun counts the call as one that a worker has begun to run, unless it was counted
@@ -160,10 +163,7 @@
 	plan := s.planAcrossRegions(ctx, s.withGrant(s.request()))
 	s.late = plan.Late
 	s.countServed(plan)
-	if s.attempts == 0 && plan.Unread > 0 {
-		s.registry.ObserveDemand(s.call.Service.Name, readingRegion(plan), plan.Unread, time.Now())
-	}
-	s.observeShared(plan)
+	s.observeAsked(plan)
 	if plan.Mode == scheduling.Refused && plan.Reason == scheduling.NoWorker && len(s.excluded) > 0 && s.attempts > 0 {
 		// Every worker has failed this call, and none is left to be tried.
 		plan.Reason = scheduling.NoWorkerLeft
@@ -171,10 +171,23 @@
 	return s.settleWait(s.holdUntilPauseEnds(s.withTurnRetryAfter(plan)))
 }
 
-// observeShared records how much of what the prompt shares with others has to be read under the
-// first plan, also if that is refused. A plan without an engine tells nothing about caches.
+// observeAsked records what the call asks engines to prefill, also if it is refused. A call that
+// waits in the order over all nodes is planned many times and counts once.
+func (s *session) observeAsked(plan scheduling.Plan) {
+	if s.attempts > 0 || s.askedWhileWaiting || plan.Mode == scheduling.Held && plan.Reason != scheduling.Queued {
+		return
+	}
+	s.askedWhileWaiting = plan.Mode == scheduling.Held
+	if plan.Unread > 0 {
+		s.registry.ObserveDemand(s.call.Service.Name, readingRegion(plan), plan.Unread, time.Now())
+	}
+	s.observeShared(plan)
+}
+
+// observeShared records how much of what the prompt shares with others has to be read under a
+// plan. A plan without an engine tells nothing about caches.
 func (s *session) observeShared(plan scheduling.Plan) {
-	if s.attempts > 0 || plan.Reader.ID == "" && plan.Runner.ID == "" {
+	if plan.Reader.ID == "" && plan.Runner.ID == "" {
 		return
 	}
 	shared := s.call.sharedTokens()
--- a/internal/dispatch/waiting_test.go
+++ b/internal/dispatch/waiting_test.go
@@ -218,3 +218,22 @@
 		return false
 	}
 }
+
+// TestWaitingCallCountsAsDemandOnce however often it is planned, also if it is refused in the
+// end.
+func TestWaitingCallCountsAsDemandOnce(t *testing.T) {
+	waits, dispatcher, call, _ := newWaitingFixture(t)
+	ctx, leave := context.WithCancel(t.Context())
+	ended := run(ctx, dispatcher, call)
+	<-waits.joined
+	for range 3 { // the engine is busy, so that each grant makes another plan
+		waits.grant(time.Now().Add(time.Hour))
+		<-waits.declined
+	}
+	leave()
+	<-ended
+	asked := dispatcher.registry.Demands("llm", time.Now())[""].ReadTokens
+	if asked <= 0 || asked > float64(call.PromptTokens) {
+		t.Errorf("%.0f tokens a second are asked for by one call of %d", asked, call.PromptTokens)
+	}
+}
--- a/internal/nodeexchange/waitplaces.go
+++ b/internal/nodeexchange/waitplaces.go
@@ -34,6 +34,9 @@
 		w.ID = waitlist.ID{Node: q.node, Number: number}
 		w.Choices = w.Choices[:min(len(w.Choices), waitlist.MaxChoices)]
 		p.waiter = w
+		if len(q.places) == 0 {
+			q.nextRenewal = now.Add(waitlist.RenewInterval)
+		}
 		q.places[number] = p
 		q.ask(p, now)
 	})
@@ -206,6 +209,9 @@
 // which it can have been given is known by this node's own clock: the answered message was sent
 // at f.Sent, and arrived f.Age before.
 func (q *waitQueue) receiveWireGrant(from netip.AddrPort, arbiter string, f wireGrant, now time.Time) {
+	if f.Engine == "" {
+		return // malformed
+	}
 	given := q.started.Add(time.Duration(f.Sent)*time.Microsecond + milliseconds(f.Age))
 	until := given.Add(waitlist.GrantUse)
 	if !now.Before(until) {
--- a/internal/nodeexchange/waitqueue.go
+++ b/internal/nodeexchange/waitqueue.go
@@ -16,8 +16,8 @@
 	// requests wait, in addition to each change of an account.
 	waitStep = 25 * time.Millisecond
 	// arbiterTimeout is how long a node waits for an arbiter's answer before it turns to the
-	// next home: ten times as long as for a load report, since nobody plans meanwhile.
-	arbiterTimeout = 10 * askTimeout
+	// next home: until a question that is sent after a lost one is answered.
+	arbiterTimeout = 2*(waitlist.RenewInterval+waitlist.RenewSpread) + waitStep
 	// suspendedAfter is the time without a step after which this node was suspended or had
 	// nothing to ask, so that missing answers say nothing of the arbiters.
 	suspendedAfter = time.Second
--- a/internal/returns/schedule.go
+++ b/internal/returns/schedule.go
@@ -132,7 +132,7 @@
 		place.Reason = NoTime
 	case refusal.Service > refusal.Objective:
 		place.Reason = TooLong
-	case rate <= 0:
+	case rate <= 0 || refusal.Work <= 0:
 		place.Reason = NoSpare
 	case place.Earliest >= place.Bound:
 		place.Reason = QueueTooLong
--- a/internal/scheduling/late.go
+++ b/internal/scheduling/late.go
@@ -108,7 +108,7 @@
 	if p.Reader.ID != "" {
 		engine = p.Reader
 	}
-	return milliseconds(float64(engine.ReadAhead) / max(engine.Throughput, minThroughput))
+	return milliseconds(engine.Host.Of(float64(engine.ReadAhead) / max(engine.Throughput, minThroughput)))
 }
 
 // hasRoom reports whether a worker has slots and memory for a late request and still keeps some
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -24,7 +24,7 @@
 	}
 	best := s.choose(request, candidates)
 	plan := s.planPrompt(request, candidates, best)
-	if request.SingleRead {
+	if request.SingleRead && request.Granted == "" {
 		return s.planSingleRead(request, candidates, best, plan)
 	}
 	return plan
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -67,7 +67,8 @@
 		return tooLate(request, regular)
 	}
 	return Plan{
-		Mode: Held, Late: true, Reason: Queued, Reader: plan.Reader, First: plan.First, Cost: plan.Cost,
+		Mode: Held, Late: true, Reason: Queued, Reader: plan.Reader, Runner: plan.Runner, Unread: plan.Unread,
+		First: plan.First, Cost: plan.Cost,
 		Waiting: Waiting{
 			Choices: choices, Tokens: tokens, Prefer: s.preferred(request, lateView, regular),
 			IdleBelow: milliseconds(s.idleBelow(request)),
--- a/internal/serving/hosts.go
+++ b/internal/serving/hosts.go
@@ -32,10 +32,17 @@
 		case <-ticker.C:
 		}
 		var probes sync.WaitGroup
+		slots := make(chan struct{}, slowdownCalls)
 		for _, silent := range n.registry.SilentHosts(time.Now()) {
-			if n.exchange.IsFirstTurnKeeper(silent.ID) {
-				probes.Go(func() { n.probeHost(ctx, silent) })
+			if !n.exchange.IsFirstTurnKeeper(silent.ID) {
+				continue
 			}
+			n.registry.RecordHostAsked(silent.ID, time.Now())
+			slots <- struct{}{}
+			probes.Go(func() {
+				n.probeHost(ctx, silent)
+				<-slots
+			})
 		}
 		probes.Wait()
 	}
--- a/internal/serving/slowdowns.go
+++ b/internal/serving/slowdowns.go
@@ -92,9 +92,6 @@
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxCacheList)) // so that the connection can be reused
 	_ = answer.Body.Close()
-	factor := n.platform.Reply(answer.Status, answer.Header).HostSlowdown
-	if factor > 0 {
-		n.registry.ObserveHostSlowdown(engine.ID, factor, time.Now())
-	}
-	return slowdownAnswer{answered: true, stated: factor > 0}
+	stated := n.platform.Reply(answer.Status, answer.Header).HostSlowdown > 0 // recorded by calls
+	return slowdownAnswer{answered: true, stated: stated}
 }
--- a/internal/stagecontrol/cold.go
+++ b/internal/stagecontrol/cold.go
@@ -91,9 +91,8 @@
 	}
 }
 
-// standAside ends the phases that this node watches while it isn't designated. What its
-// planners have observed is out of date by the time that it is designated again.
-func (c *Controller) standAside() {
+// endPhases stops counting phases while this node isn't designated.
+func (c *Controller) endPhases() {
 	for key, phase := range c.coldPhases {
 		c.countPhase(phase.phase, -1)
 		delete(c.coldPhases, key)
--- a/internal/stagecontrol/cold_test.go
+++ b/internal/stagecontrol/cold_test.go
@@ -129,7 +129,7 @@
 	if now != 1 || begun != 1 || !strings.Contains(lines.String(), "phase=preparing") || !strings.Contains(lines.String(), "decode=5") {
 		t.Errorf("%v preparing, %v begun; log: %s", now, begun, lines.String())
 	}
-	c.standAside()
+	c.endPhases()
 	if now := b.figure(t, "tinarch_cold_caches"); now != 0 {
 		t.Errorf("%v services preparing at a node that stands aside", now)
 	}
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -140,7 +140,7 @@
 		case <-timer.C:
 		}
 		if !c.options.Designated() {
-			c.standAside()
+			c.endPhases()
 			timer.Reset(standbyEvery)
 			continue
 		}
--- a/internal/stageplan/prepare.go
+++ b/internal/stageplan/prepare.go
@@ -20,9 +20,9 @@
 	// what an engine that left its order unanswered takes until it can be ordered again. An
 	// engine that rejects its orders isn't ordered for longer.
 	preparingSwitches = 8
-	// similarSpeed is the factor up to which engines count as equally fast: a smaller
-	// difference is within what one statement of a slowdown varies by, and isn't worth an
-	// order.
+	// similarSpeed is the ratio of neighbouring speed classes. Engines of one class count as
+	// equally fast: a smaller difference is within what one statement of a slowdown varies by,
+	// and isn't worth an order.
 	similarSpeed = 1.25
 )
 
--- a/internal/worker/queue.go
+++ b/internal/worker/queue.go
@@ -17,5 +17,6 @@
 		return 0, false
 	}
 	tokens := known.totalLoad(now, "").Unread.Total()
-	return time.Duration(float64(tokens) / throughput * float64(time.Millisecond)), true
+	milliseconds := r.hostFactor(known, now).Of(float64(tokens) / throughput)
+	return time.Duration(milliseconds * float64(time.Millisecond)), true
 }
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -45,7 +45,11 @@
 	host latency.Host
 	// hostTold is the statement about the host that was last told to other nodes, or by them.
 	hostTold HostStatement
-	prefills prefillsOfWorker
+	// hostAskedAt is when the worker was last asked about its host, and hostSilences how many
+	// questions in a row it left without a statement.
+	hostAskedAt  time.Time
+	hostSilences int
+	prefills     prefillsOfWorker
 	// recovery limits the requests under way at a worker after a pause that it asked for.
 	recovery recovery
 	// limit is the request rate that the worker last stated, limitVersion counts changes of it,
--- a/internal/worker/shared_test.go
+++ b/internal/worker/shared_test.go
@@ -29,7 +29,7 @@
 		}
 		r.ObserveShared("s", "", 300, 200, demandStart)
 		if test.uneven {
-			r.MarkUneven("s")
+			r.markUneven("s")
 		}
 		got := r.Demands("s", demandStart)[""]
 		if (got.SharedTokens == 300 && got.SharedUnread == 200) != test.want || got.ReadTokens != 0 {
--- a/internal/worker/slowdown.go
+++ b/internal/worker/slowdown.go
@@ -33,13 +33,6 @@
 	})
 }
 
-// MarkUneven records that another node counts a service as uneven.
-func (r *Registry) MarkUneven(service string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.markUneven(service)
-}
-
 func (r *Registry) markUneven(service string) {
 	if r.uneven[service] == nil {
 		r.uneven[service] = &unevenService{}
--- a/internal/worker/slowdown_exchange.go
+++ b/internal/worker/slowdown_exchange.go
@@ -19,6 +19,9 @@
 	// askHostAfter is how long an engine may have stated nothing before its host is asked. A
 	// load of neighbours that lasts twice as long doesn't go unnoticed.
 	askHostAfter = 500 * time.Millisecond
+	// maxHostDoublings bounds the pause between two questions to an engine that doesn't answer
+	// them, to 16 s.
+	maxHostDoublings = 5
 	// askHostsWhileUsed is how long after the last plan for a service its hosts are still asked.
 	askHostsWhileUsed = 2 * time.Second
 )
@@ -84,19 +87,45 @@
 func (r *Registry) SilentHosts(now time.Time) []Worker {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.uneven) == 0 {
+		return nil
+	}
 	var silent []Worker
 	for _, known := range r.workers {
 		uneven := r.uneven[known.worker.Service]
 		if uneven == nil || now.Sub(uneven.plannedAt) > askHostsWhileUsed || known.worker.Stage == Opaque {
 			continue
 		}
-		if r.isStaying(known, now) && now.Sub(known.host.LastAt()) >= askHostAfter {
+		if r.isAskedForHost(known, now) {
 			silent = append(silent, known.worker)
 		}
 	}
 	return silent
 }
 
+// isAskedForHost reports whether an engine is to be asked about its host. One that doesn't answer
+// is asked less and less often, and one with a request limit not at all, since each question
+// counts against the limit.
+func (r *Registry) isAskedForHost(known *workerState, now time.Time) bool {
+	if !r.isStaying(known, now) || known.breaker.Open(now) || known.limit.Named || r.noticeStates[known.worker.ID].BackingOff(now) {
+		return false
+	}
+	pause := askHostAfter << min(known.hostSilences, maxHostDoublings)
+	return now.Sub(known.host.LastAt()) >= askHostAfter && now.Sub(known.hostAskedAt) >= pause
+}
+
+// RecordHostAsked records that an engine is asked about its host.
+func (r *Registry) RecordHostAsked(id string, now time.Time) {
+	r.update(id, func(known *workerState) {
+		if known.host.LastAt().Before(known.hostAskedAt) {
+			known.hostSilences++
+		} else {
+			known.hostSilences = 0
+		}
+		known.hostAskedAt = now
+	})
+}
+
 // HostStatementCounts counts the statements about hosts that were recorded: those made to this
 // node, and those that other nodes told.
 type HostStatementCounts struct{ Own, Told uint64 }
--- a/internal/worker/slowdown_test.go
+++ b/internal/worker/slowdown_test.go
@@ -16,9 +16,9 @@
 	if !r.Uneven("llm") || r.Uneven("portal") {
 		t.Errorf("uneven: llm %v, portal %v; want only llm", r.Uneven("llm"), r.Uneven("portal"))
 	}
-	r.MarkUneven("portal")
+	r.ObserveHostSlowdown("board", 1, origin)
 	if !r.Uneven("portal") {
-		t.Error("the word of another node was not recorded")
+		t.Error("a worker of the other service stated its slowdown, and the service is not uneven")
 	}
 }
 
@@ -155,3 +155,26 @@
 		t.Errorf("a snapshot holds %d readings; want %d", got, maxSharedReadings)
 	}
 }
+
+// TestEngineThatStatesNothingIsAskedLessAndLessOften, and one with a request limit not at all.
+func TestEngineThatStatesNothingIsAskedLessAndLessOften(t *testing.T) {
+	r := newTestRegistry()
+	now := origin.Add(time.Hour)
+	r.ObserveHostSlowdown("d", 1, now)
+	asked := 0
+	for end := now.Add(time.Minute); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		r.ObserveHostSlowdown("d", 1, now)
+		r.Candidates("llm", nil, 0, now) // keeps the service in use
+		for _, silent := range r.SilentHosts(now) {
+			r.RecordHostAsked(silent.ID, now)
+			asked++
+		}
+	}
+	if asked < 5 || asked > 10 {
+		t.Errorf("an engine that never answers was asked %d times in a minute, want pauses that double up to 16 s", asked)
+	}
+	r.ObserveLimit("p", "request", LimitStatement{Named: true, Rate: 1, Sent: now, Heard: now})
+	if silent := r.SilentHosts(now.Add(time.Minute)); len(silent) != 0 {
+		t.Errorf("%v is asked although it takes few requests", silent)
+	}
+}
