Names and comments of the parts for hard load in the field's terms

Cause: reviewers who had not written the parts stumbled over place and places (two meanings), silences, strays, hosted, towards and a time called forever. Change: renames; Factor.After, whose only caller asked for a time after which nothing is left, is Average, and the two checks of its test go with it. No behaviour changes.

--- a/internal/latency/host.go
+++ b/internal/latency/host.go
@@ -125,15 +125,15 @@
 	age := max(now.Sub(h.lastAt), 0)
 	mean := h.Mean()
 	return Factor{
-		Present: towards(h.last, mean, lossOf(age)), Usual: h.Usual(), Mean: mean, Age: age,
+		Present: interpolate(h.last, mean, lossOf(age)), Usual: h.Usual(), Mean: mean, Age: age,
 	}
 }
 
 // lossOf returns the share of its weight that a statement has lost after a time.
 func lossOf(age time.Duration) float64 { return -math.Expm1(-float64(age) / float64(hostLoadLasts)) }
 
-// towards goes a share of the way between two values, and never past either.
-func towards(from, to, share float64) float64 {
+// interpolate goes a share of the way between two values, and never past either.
+func interpolate(from, to, share float64) float64 {
 	return min(max(from+(to-from)*share, min(from, to)), max(from, to))
 }
 
@@ -153,12 +153,12 @@
 // Stated reports whether there is an estimate.
 func (f Factor) Stated() bool { return f.Present > 0 }
 
-// After returns the factor expected after a time in milliseconds, 1 if there is no estimate.
-func (f Factor) After(wait float64) float64 {
+// Average returns the factor to be expected over a long time, 1 if there is no estimate.
+func (f Factor) Average() float64 {
 	if !f.Stated() {
 		return 1
 	}
-	return towards(f.Present, f.Mean, lossOf(time.Duration(wait*float64(time.Millisecond))))
+	return f.Mean
 }
 
 // Of returns how long work takes that begins now and takes the given time on a host that is as
@@ -185,8 +185,8 @@
 	if spans <= 0 {
 		return f.Present
 	}
-	kept := -math.Expm1(-spans) / spans
-	return towards(f.Mean, f.Present, kept)
+	presentShare := -math.Expm1(-spans) / spans
+	return interpolate(f.Mean, f.Present, presentShare)
 }
 
 // Fleet sums up the hosts of workers that are alike.
--- a/internal/latency/host_test.go
+++ b/internal/latency/host_test.go
@@ -116,7 +116,7 @@
 		work := rapid.Float64Range(0, 5000).Draw(t, "work")
 		for name, value := range map[string]float64{
 			"present": factor.Present, "usual": factor.Usual, "mean": factor.Mean,
-			"after": factor.After(work), "of": factor.Of(work+1) / (work + 1),
+			"average": factor.Average(), "of": factor.Of(work+1) / (work + 1),
 		} {
 			if value < lowest*(1-1e-9) || value > highest*(1+1e-9) {
 				t.Fatalf("%s is %v, outside of %v to %v", name, value, lowest, highest)
@@ -137,7 +137,7 @@
 	if long := factor.Of(10_000) / 10_000; math.Abs(long-factor.Mean) > 0.1 {
 		t.Errorf("long work takes %.2f times as long; want about the mean, %.2f", long, factor.Mean)
 	}
-	if none := (Factor{}); none.Of(40) != 40 || none.After(40) != 1 {
+	if none := (Factor{}); none.Of(40) != 40 || none.Average() != 1 {
 		t.Error("work takes longer although nobody states a factor")
 	}
 }
--- a/internal/nodeexchange/waitarbiter.go
+++ b/internal/nodeexchange/waitarbiter.go
@@ -89,7 +89,7 @@
 			q.register(parseWaiters(message, node, from, now), now)
 		}
 		if len(message.Standings) > 0 || len(message.Grants) > 0 {
-			delete(q.silences, from)
+			delete(q.unanswered, from)
 		}
 		for _, f := range message.Grants {
 			q.receiveWireGrant(from, node, f, now)
--- a/internal/nodeexchange/waitqueue.go
+++ b/internal/nodeexchange/waitqueue.go
@@ -27,14 +27,14 @@
 type grantOutcome string
 
 // Values of grantOutcome. Late grants arrived after their end, and doubled ones while the
-// request held another one. Strays were for requests that no longer waited.
+// request held another one. Ended ones were for requests that no longer waited.
 const (
 	grantUsed     grantOutcome = "used"
 	grantUnused   grantOutcome = "unused"
 	grantDeclined grantOutcome = "declined"
 	grantLate     grantOutcome = "late"
 	grantDoubled  grantOutcome = "doubled"
-	grantStray    grantOutcome = "stray"
+	grantEnded    grantOutcome = "ended"
 )
 
 // waitLinks connects a waitQueue with the rest of the node.
@@ -61,28 +61,28 @@
 
 	mu         sync.Mutex
 	list       waitlist.List
-	places     map[uint64]*place
+	requests   map[uint64]*waitingRequest
 	lastNumber uint64
-	// silences are the arbiters that owe an answer or don't answer.
-	silences              map[netip.AddrPort]*silence
+	// unanswered are the arbiters that owe an answer or don't answer.
+	unanswered            map[netip.AddrPort]*arbiterState
 	lastStep, nextRenewal time.Time
 	// outgoing are the messages of the current step, by recipient.
 	outgoing map[netip.AddrPort]*waitMessage
 }
 
-// silence is an arbiter's silence.
-type silence struct {
+// arbiterState tells whether an arbiter answers.
+type arbiterState struct {
 	// since is when the first unanswered question was sent, zero if there is none.
 	since time.Time
-	// until is until when the arbiter is passed over, and count the consecutive silences.
+	// until is until when the arbiter is passed over, and count the consecutive timeouts.
 	until time.Time
 	count int
 }
 
 func newWaitQueue(links waitLinks) *waitQueue {
 	return &waitQueue{
-		waitLinks: links, wake: make(chan struct{}, 1), places: make(map[uint64]*place),
-		silences: make(map[netip.AddrPort]*silence), outgoing: make(map[netip.AddrPort]*waitMessage),
+		waitLinks: links, wake: make(chan struct{}, 1), requests: make(map[uint64]*waitingRequest),
+		unanswered: make(map[netip.AddrPort]*arbiterState), outgoing: make(map[netip.AddrPort]*waitMessage),
 	}
 }
 
@@ -117,26 +117,26 @@
 // reports whether anything waits.
 func (q *waitQueue) step(now time.Time) (busy bool) {
 	q.locked(func() {
-		q.noteSilences(now)
+		q.checkArbiters(now)
 		if !now.Before(q.nextRenewal) {
 			q.nextRenewal = now.Add(waitlist.RenewInterval + rand.N(waitlist.RenewSpread))
-			for _, p := range q.places {
+			for _, p := range q.requests {
 				p.waiter.Prefer = ""
 				q.ask(p, now)
 			}
 		}
 		q.list.Expire(now)
 		q.grantIdle(q.list.Engines(), now)
-		busy = len(q.places) > 0 || q.list.Len() > 0
+		busy = len(q.requests) > 0 || q.list.Len() > 0
 	})
 	return busy
 }
 
-// noteSilences passes over the arbiters that owe an answer for arbiterTimeout.
-func (q *waitQueue) noteSilences(now time.Time) {
+// checkArbiters passes over the arbiters that owe an answer for arbiterTimeout.
+func (q *waitQueue) checkArbiters(now time.Time) {
 	suspended := now.Sub(q.lastStep) > suspendedAfter
 	q.lastStep = now
-	for _, known := range q.silences {
+	for _, known := range q.unanswered {
 		switch {
 		case known.since.IsZero():
 		case suspended:
@@ -150,7 +150,7 @@
 }
 
 func (q *waitQueue) isSilent(node netip.AddrPort, now time.Time) bool {
-	known := q.silences[node]
+	known := q.unanswered[node]
 	return known != nil && now.Before(known.until)
 }
 
--- a/internal/nodeexchange/waitqueue_test.go
+++ b/internal/nodeexchange/waitqueue_test.go
@@ -161,7 +161,7 @@
 	call.node.leave(call.number, "e", n.now)
 	n.kept[0]()
 	other := n.join(1, 0, "e")
-	if n.outcomes[grantStray] != 1 || other.has() {
+	if n.outcomes[grantEnded] != 1 || other.has() {
 		t.Errorf("%v, granted twice: %v", n.outcomes, other.has())
 	}
 }
--- a/internal/nodeexchange/waitplaces.go
+++ b/internal/nodeexchange/waitrequests.go
@@ -7,8 +7,8 @@
 	"github.com/tinarch/tinarch/internal/waitlist"
 )
 
-// place is a waiting request of this node.
-type place struct {
+// waitingRequest is a waiting request of this node.
+type waitingRequest struct {
 	waiter  waitlist.Waiter
 	granted chan waitlist.Grant
 	// holds is what the request was granted, without an engine if there is nothing, and
@@ -24,7 +24,7 @@
 }
 
 func (q *waitQueue) join(w waitlist.Waiter, now time.Time) (number uint64, granted <-chan waitlist.Grant) {
-	p := &place{
+	p := &waitingRequest{
 		granted: make(chan waitlist.Grant, 1), told: make(map[netip.AddrPort]bool),
 		standings: make(map[netip.AddrPort]*waitlist.Standing), seen: make(map[string]uint64),
 	}
@@ -34,10 +34,10 @@
 		w.ID = waitlist.ID{Node: q.node, Number: number}
 		w.Choices = w.Choices[:min(len(w.Choices), waitlist.MaxChoices)]
 		p.waiter = w
-		if len(q.places) == 0 {
+		if len(q.requests) == 0 {
 			q.nextRenewal = now.Add(waitlist.RenewInterval)
 		}
-		q.places[number] = p
+		q.requests[number] = p
 		q.ask(p, now)
 	})
 	q.signal()
@@ -46,7 +46,7 @@
 
 func (q *waitQueue) update(number uint64, choices []waitlist.Choice) {
 	q.locked(func() {
-		if p := q.places[number]; p != nil {
+		if p := q.requests[number]; p != nil {
 			p.waiter.Choices = choices[:min(len(choices), waitlist.MaxChoices)]
 		}
 	})
@@ -55,7 +55,7 @@
 func (q *waitQueue) standing(number uint64) (best waitlist.Standing, known bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	p := q.places[number]
+	p := q.requests[number]
 	if p == nil {
 		return best, false
 	}
@@ -72,7 +72,7 @@
 
 func (q *waitQueue) decline(number uint64) {
 	q.locked(func() {
-		p := q.places[number]
+		p := q.requests[number]
 		if p == nil || p.holds.Engine == "" {
 			return
 		}
@@ -87,7 +87,7 @@
 }
 
 // declineAt tells an arbiter that a grant isn't used.
-func (q *waitQueue) declineAt(arbiter netip.AddrPort, p *place, granted waitlist.Grant) {
+func (q *waitQueue) declineAt(arbiter netip.AddrPort, p *waitingRequest, granted waitlist.Grant) {
 	if arbiter == q.self {
 		q.list.Decline(p.waiter.ID, granted.Engine, granted.Serial)
 		return
@@ -98,11 +98,11 @@
 
 func (q *waitQueue) leave(number uint64, used string, now time.Time) {
 	q.locked(func() {
-		p := q.places[number]
+		p := q.requests[number]
 		if p == nil {
 			return
 		}
-		delete(q.places, number)
+		delete(q.requests, number)
 		if p.holds.Engine != "" {
 			outcome := grantUnused
 			if p.holds.Engine == used {
@@ -124,7 +124,7 @@
 
 // ask tells the arbiters of a request's choices that it waits, or at first only that of the engine
 // that it prefers.
-func (q *waitQueue) ask(p *place, now time.Time) {
+func (q *waitQueue) ask(p *waitingRequest, now time.Time) {
 	silent := func(node netip.AddrPort) bool { return q.isSilent(node, now) }
 	asked := make(map[netip.AddrPort]*waitlist.Waiter)
 	for i, choice := range p.waiter.Choices {
@@ -159,10 +159,10 @@
 	message := q.messageTo(arbiter)
 	message.Sent = now.Sub(q.started).Microseconds()
 	message.Waiters = append(message.Waiters, renderWaiter(w, now))
-	known := q.silences[arbiter]
+	known := q.unanswered[arbiter]
 	if known == nil {
-		known = &silence{}
-		q.silences[arbiter] = known
+		known = &arbiterState{}
+		q.unanswered[arbiter] = known
 	}
 	if known.since.IsZero() {
 		known.since = now
@@ -172,10 +172,10 @@
 // receiveGrant passes a grant to the request that waits for it. A request holds one at a time,
 // and none that it has given back already.
 func (q *waitQueue) receiveGrant(from netip.AddrPort, arbiter string, number uint64, granted waitlist.Grant) {
-	p := q.places[number]
+	p := q.requests[number]
 	switch {
 	case p == nil:
-		q.count(grantStray)
+		q.count(grantEnded)
 	case granted.Serial <= p.seen[arbiter]:
 		q.count(grantDoubled)
 	case p.holds.Engine != "":
@@ -192,7 +192,7 @@
 // receiveStanding records what an arbiter expects for a request. If that is the arbiter of the
 // engine that the request prefers, and it has not granted it, the others are asked.
 func (q *waitQueue) receiveStanding(from netip.AddrPort, number uint64, standing waitlist.Standing, now time.Time) {
-	p := q.places[number]
+	p := q.requests[number]
 	if p == nil {
 		return
 	}
--- a/internal/scheduling/reading.go
+++ b/internal/scheduling/reading.go
@@ -51,15 +51,15 @@
 	unread := request.PromptTokens - atHand
 	throughput := max(candidate.Throughput, minThroughput)
 	fixed, own := candidate.PrefillCoefficients.Fixed, candidate.PrefillCoefficients.VariableMilliseconds(unread, atHand)
-	hosted := candidate.Host.Of
+	onHost := candidate.Host.Of
 	again := float64(max(request.SharedTokens-atHand, 0)) / float64(request.PromptTokens)
 	if candidate.NotHome {
 		again *= s.costs.NotHomeFactor
 	}
 	return prefillEstimate{
-		time:          fixed + hosted(request.Engine.Queue*float64(candidate.ReadAhead)/throughput+own),
-		own:           hosted(own),
-		timeBehindAll: fixed + hosted(float64(candidate.ReadTokens)/throughput+own),
+		time:          fixed + onHost(request.Engine.Queue*float64(candidate.ReadAhead)/throughput+own),
+		own:           onHost(own),
+		timeBehindAll: fixed + onHost(float64(candidate.ReadTokens)/throughput+own),
 		price:         s.costs.Reread * again * request.objectiveMilliseconds(),
 		unread:        unread,
 	}
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -116,7 +116,7 @@
 			Limited:  known.limit.Named,
 			Changing: known.isChanging(now),
 			Requests: load.Requests, ReadTokens: load.Unread.Total(), MemoryTokens: load.MemoryTokens,
-			Capacity: r.cacheCapacity[service], Pace: throughput / r.hostFactor(known, now).After(forever), Slowdown: known.host.Usual(),
+			Capacity: r.cacheCapacity[service], Pace: throughput / r.hostFactor(known, now).Average(), Slowdown: known.host.Usual(),
 		})
 	}
 	return engines
--- a/internal/worker/slowdown.go
+++ b/internal/worker/slowdown.go
@@ -9,9 +9,6 @@
 // fleetEvery is how often the hosts of a service are summed up anew. Their mean changes slowly.
 const fleetEvery = time.Second
 
-// forever is a time in milliseconds after which nothing is left of a present slowdown.
-const forever = 1e6
-
 // unevenService is what is known of a service whose workers state the slowdown of their hosts.
 type unevenService struct {
 	fleet   latency.Fleet
