returns: a long gap without requests doesn't count as time without demand while callers are due

Cause: places that were still due made the schedule pass the gap slot by slot, so that each second of it counted as one without demand; afterwards too many places were handed out. Evidence: the new test failed before (3,166 tokens a second before the gap and 8,566 after it) and passes now.

--- a/internal/returns/schedule.go
+++ b/internal/returns/schedule.go
@@ -3,6 +3,7 @@
 package returns
 
 import (
+	"maps"
 	"time"
 )
 
@@ -190,6 +191,20 @@
 	}
 	rate, _ := s.spare()
 	rates := s.rates(rate, now)
+	if target-s.current > longestGap*slotsPerSecond {
+		maps.DeleteFunc(s.due, func(slot int64, _ *[Ranks]float64) bool { return slot < target })
+	} else {
+		s.passSlots(target, rates)
+	}
+	for j := range s.levels {
+		s.levels[j] = max(s.levels[j]-rates[j]*float64(target-s.current)*slotLength.Seconds(), 0)
+	}
+	s.current = target
+	s.arrivals.advance(target)
+}
+
+// passSlots moves past slots, at most to the given one, while callers are due.
+func (s *Schedule) passSlots(target int64, rates [Ranks]float64) {
 	for ; s.current < target && len(s.due) > 0; s.current++ {
 		due := s.due[s.current]
 		delete(s.due, s.current)
@@ -199,11 +214,6 @@
 			s.levels[j] = drain(s.levels[j]+sumFrom(due, j), rates[j])
 		}
 	}
-	for j := range s.levels {
-		s.levels[j] = max(s.levels[j]-rates[j]*float64(target-s.current)*slotLength.Seconds(), 0)
-	}
-	s.current = target
-	s.arrivals.advance(target)
 }
 
 func drain(level, rate float64) float64 { return max(level-rate*slotLength.Seconds(), 0) }
--- a/internal/returns/schedule_test.go
+++ b/internal/returns/schedule_test.go
@@ -162,3 +162,20 @@
 		t.Errorf("after 1000 h: %+v, %d slots", later, len(s.due))
 	}
 }
+
+// TestGapWithPlacesOutstandingKeepsTheRate checks that a long time without a request doesn't
+// count as time without demand while callers are due in it.
+func TestGapWithPlacesOutstandingKeepsTheRate(t *testing.T) {
+	s := newLearned(10_000)
+	now := start
+	for range 80 {
+		now = now.Add(100 * time.Millisecond)
+		s.Served(600, 0, objective, now)
+	}
+	before := s.Refuse(refusalOf(0, 100), now, 0)
+	s.due[s.current+horizon-3] = &[Ranks]float64{100}
+	after := s.Refuse(refusalOf(0, 100), now.Add(11*time.Second), 0)
+	if before.Rate != after.Rate {
+		t.Errorf("%.0f tokens a second before the gap and %.0f after it", before.Rate, after.Rate)
+	}
+}
