stageplan: as many orders before the first request as there are nodes

Change: the orders of the whole preparing are bounded by the number of nodes; the test failed before in that the bound didn't exist.

--- a/internal/serving/stages.go
+++ b/internal/serving/stages.go
@@ -41,6 +41,8 @@
 				Name: service.Name, Switch: service.Engine.RoleSwitch,
 				ColdStart: n.selects(n.settings.Overload.ColdStart)(service.Name),
 				Empty:     n.settings.Node.FirstStart && !n.registry.Asked(service.Name),
+				// Few nodes can't let in enough requests to keep many more engines reading.
+				MaxPreparing: n.exchange.Nodes(),
 			})
 		}
 	}
--- a/internal/stagecontrol/cold_test.go
+++ b/internal/stagecontrol/cold_test.go
@@ -77,7 +77,7 @@
 	c.options.Services = func() []Service { return []Service{service} }
 	c.options.Metrics = NewMetrics(b.metrics)
 	planner := stageplan.NewRegionalPlanner(stageplan.DefaultPolicy())
-	planner.SetColdStart(stageplan.ColdStart{Selected: service.ColdStart, Empty: service.Empty, Switch: service.Switch})
+	planner.SetColdStart(stageplan.ColdStart{Selected: service.ColdStart, Empty: service.Empty, Switch: service.Switch, MaxOrders: service.MaxPreparing})
 	watched := time.Now().Add(-2 * stageplan.DefaultPolicy().Learn)
 	planner.Decide(watched, c.options.Fleet.Engines(service.Name, watched), nil, c.hears)
 	c.planners[service.Name] = planner
@@ -91,7 +91,7 @@
 		service Service
 		want    int
 	}{
-		"empty caches": {Service{Name: "s", Switch: 3 * time.Second, ColdStart: true, Empty: true}, 3},
+		"empty caches": {Service{Name: "s", Switch: 3 * time.Second, ColdStart: true, Empty: true, MaxPreparing: 100}, 3},
 		"not selected": {Service{Name: "s", Switch: 3 * time.Second, Empty: true}, 0},
 		"asked":        {Service{Name: "s", Switch: 3 * time.Second, ColdStart: true}, 0},
 	} {
@@ -107,7 +107,7 @@
 func TestUnansweredPreparingOrdersAreNotRepeated(t *testing.T) {
 	b := newColdHarness(t)
 	b.status = 0
-	c := coldController(b, Service{Name: "s", Switch: 3 * time.Second, ColdStart: true, Empty: true})
+	c := coldController(b, Service{Name: "s", Switch: 3 * time.Second, ColdStart: true, Empty: true, MaxPreparing: 100})
 	c.Step(context.Background())
 	given := b.ordered()
 	for range 3 {
@@ -121,7 +121,7 @@
 // TestPhasesAreCountedAndLogged with their inputs, and end where the node stands aside.
 func TestPhasesAreCountedAndLogged(t *testing.T) {
 	b := newColdHarness(t)
-	c := coldController(b, Service{Name: "s", Switch: 3 * time.Second, ColdStart: true, Empty: true})
+	c := coldController(b, Service{Name: "s", Switch: 3 * time.Second, ColdStart: true, Empty: true, MaxPreparing: 100})
 	var lines strings.Builder
 	c.options.Log.SetOutput(&lines)
 	c.Step(context.Background())
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -82,6 +82,8 @@
 	// ColdStart selects the service for plans for empty caches. Empty tells that no caller has
 	// asked anything since the whole system started for the first time.
 	ColdStart, Empty bool
+	// MaxPreparing bounds the orders before the first request.
+	MaxPreparing int
 }
 
 // Options configure a controller.
@@ -170,7 +172,7 @@
 		if c.unanswered != nil {
 			c.unanswered.markChanging(fleet, engines, now)
 		}
-		planner.SetColdStart(stageplan.ColdStart{Selected: service.ColdStart, Empty: service.Empty, Switch: service.Switch})
+		planner.SetColdStart(stageplan.ColdStart{Selected: service.ColdStart, Empty: service.Empty, Switch: service.Switch, MaxOrders: service.MaxPreparing})
 		orders := planner.Decide(now, engines, offered, c.hears)
 		c.watchColdPhases(service.Name, planner, engines, now)
 		c.giveAll(ctx, service, planner, orders)
--- a/internal/stageplan/cold.go
+++ b/internal/stageplan/cold.go
@@ -15,6 +15,9 @@
 	Empty bool
 	// Switch is how long an engine is unavailable while it changes its stage.
 	Switch time.Duration
+	// MaxOrders bounds the orders before the first request. The load isn't known then, only how
+	// many nodes can take requests in.
+	MaxOrders int
 }
 
 // ColdPhase is what a service's caches mean to the planner at present.
--- a/internal/stageplan/prepare.go
+++ b/internal/stageplan/prepare.go
@@ -42,9 +42,11 @@
 	if !p.preparing || since < p.policy.Learn || now.Before(p.nextOrders) {
 		return nil
 	}
-	orders := p.policy.preparingOrders(d, max(int(preparingShare*float64(len(workers))), 1)-countChanging(workers))
+	atOnce := max(int(preparingShare*float64(len(workers))), 1) - countChanging(workers)
+	orders := p.policy.preparingOrders(d, min(atOnce, p.cold.MaxOrders-p.prepared))
 	if len(orders) > 0 {
 		p.nextOrders = now.Add(p.policy.Settle)
+		p.prepared += len(orders)
 	}
 	return orders
 }
--- a/internal/stageplan/prepare_test.go
+++ b/internal/stageplan/prepare_test.go
@@ -14,7 +14,7 @@
 	listedAfter = 2 * time.Second
 )
 
-var emptyCaches = ColdStart{Selected: true, Empty: true, Switch: testSwitch}
+var emptyCaches = ColdStart{Selected: true, Empty: true, Switch: testSwitch, MaxOrders: 1000}
 
 // startingFleet carries out the orders of a planner, each in the time of a change.
 type startingFleet struct {
@@ -255,3 +255,14 @@
 		t.Errorf("%d orders, want at most %d", len(f.orders), most)
 	}
 }
+
+// TestPreparingOrdersAreBounded checks that a service with many more engines than nodes isn't
+// divided anew engine by engine, for callers that may never come.
+func TestPreparingOrdersAreBounded(t *testing.T) {
+	cold := emptyCaches
+	cold.MaxOrders = 10
+	orders, _ := ordersUnder(preparingPlanner(cold), fleet(30, 70, nil), func(time.Duration) OfferedLoad { return OfferedLoad{} }, time.Minute)
+	if len(orders) != cold.MaxOrders {
+		t.Errorf("%d orders for 100 engines, want %d", len(orders), cold.MaxOrders)
+	}
+}
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -163,6 +163,8 @@
 	// engines are prepared for that.
 	emptySince time.Time
 	preparing  bool
+	// prepared counts the orders given before the first request.
+	prepared int
 }
 
 // New returns a planner for the engines of one service.
