--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -107,14 +107,11 @@
 	// era is the era of the store in which the windows were recorded. It changes when the store
 	// is restored from a backup.
 	era uint64
-	// gathered is the term of the authority in which the other supervisors were asked last.
-	gathered term
+	// gathered is set if the other supervisors have been asked since this node was designated.
+	gathered bool
 	retryAt  time.Time
 }
 
-// term is a term of the authority: its fence, in an era of the store.
-type term struct{ era, fence uint64 }
-
 // NewReporter returns a reporter.
 func NewReporter(options Options) *Reporter {
 	length := options.Tally.WindowLength()
@@ -135,7 +132,7 @@
 		case <-ticker.C:
 		}
 		if !r.options.Designated() {
-			r.gathered, r.done = term{}, 0
+			r.gathered, r.done = false, 0
 			continue
 		}
 		r.Step(ctx, time.Now())
@@ -176,11 +173,15 @@
 
 // report records and sends all windows up to the given one.
 func (r *Reporter) report(ctx context.Context, due Window, now time.Time) error {
+	if !r.gathered {
+		r.options.Fleet.GatherUsage(due - keptWindows)
+		time.Sleep(gatherTimeout)
+		r.gathered = true
+	}
 	if status := r.options.Authority.Acquire(ctx); status != authority.Held {
 		// This node may not report: it doesn't hold the lease.
 		return eris.Errorf("no authority: %s", status)
 	}
-	r.gather(due)
 	recorded, err := r.recorded(ctx)
 	if err != nil {
 		return err
@@ -203,19 +204,6 @@
 	return nil
 }
 
-// gather asks the other supervisors once a term, when no other node can record or report windows
-// any more: what they answered before may lack windows that the former holder recorded since, and
-// that the store has lost in a restore.
-func (r *Reporter) gather(due Window) {
-	current := term{era: r.era, fence: r.options.Authority.Fence()}
-	if r.gathered == current {
-		return
-	}
-	r.options.Fleet.GatherUsage(due - keptWindows)
-	time.Sleep(gatherTimeout)
-	r.gathered = current
-}
-
 // firstUnrecorded returns the first window that is still to be recorded, at most keptWindows
 // back.
 func (r *Reporter) firstUnrecorded(recorded map[Window]Counts, due Window) Window {
