nodeexchange: supervisors keep what was recorded of usage alike, also across starts

Cause: a recorded window was held by the store and in the memory of those who were supervisors when it was recorded. A restore of the store takes the first, one start of each of them, planned or not, the second. Memory was never filled again: a node that started was told nothing and asked nobody until it was designated, one that left handed nothing over, a message that was lost was sent once only, and a former supervisor wasn't asked.

TestRecordsOutliveARestartOfAllNodes and TestFormerSupervisorPassesOnWhatWasRecorded failed before (20 s without one of the records) and pass now.

Change: supervisors, and other nodes that hold records, ask each other which records they have: each node the others until it has had all of theirs, and the designated one each half second. A digest is answered by "the same" or by a checksum for each window; what is lacking is fetched, what the other lacks is sent. A record has the era in which the store had it; of two records of a window, that of the later era holds. Earlier builds get and are asked for records once, in their own form.

Why this works: whoever starts has all records of the nodes that it hears before any of these can have been replaced as planned (a stop takes seconds), whoever lost a message has it half a second later, and a node's memory is lost only with all its copies.

--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -224,6 +224,9 @@
 	if reports {
 		e.sendUsage(now)
 	}
+	if periodic {
+		e.askRecords()
+	}
 	return e.outbox.untilDue(now)
 }
 
@@ -433,6 +436,8 @@
 		e.sendGathered(from, message.WantUsage)
 	case message.Gathered != nil:
 		e.receiveGathered(*message.Gathered)
+	case message.Records != nil:
+		e.receiveRecords(from, message.Node, *message.Records)
 	case message.Quota != nil:
 		if e.quota != nil {
 			e.quota.receive(from, message.Node, *message.Quota)
@@ -489,6 +494,7 @@
 		e.shareSuspects(from)
 		e.shareLimits(from)
 		e.shareDraining(from)
+		e.askRecords()
 	}
 	if first && supervises {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Info("node heard for the first time")
--- a/internal/nodeexchange/message.go
+++ b/internal/nodeexchange/message.go
@@ -111,6 +111,9 @@
 	UsageReply *usageReply   `json:"h,omitempty"`
 	WantUsage  usage.Window  `json:"j,omitempty"`
 	Gathered   *wireGathered `json:"k,omitempty"`
+	// Records is about the recorded usage windows that supervisors know. Such a message holds
+	// nothing else.
+	Records *recordsMessage `json:"ur,omitempty"`
 	// Departed are nodes that a supervisor has removed because they were silent for
 	// departedAfter. Such a message holds nothing else.
 	Departed []netip.AddrPort `json:"dp,omitempty"`
--- a/internal/nodeexchange/metrics.go
+++ b/internal/nodeexchange/metrics.go
@@ -80,7 +80,7 @@
 		return kindReply
 	case m.Contents != nil:
 		return kindContents
-	case m.Usage != nil, m.UsageReply != nil, m.WantUsage != 0, m.Gathered != nil:
+	case m.Usage != nil, m.UsageReply != nil, m.WantUsage != 0, m.Gathered != nil, m.Records != nil:
 		return kindUsage
 	case m.WantMemory != nil, m.Memory:
 		return kindMemory
--- /dev/null
+++ b/internal/nodeexchange/records.go
@@ -0,0 +1,386 @@
+package nodeexchange
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/usage"
+)
+
+// recordsMessage is about the recorded usage windows that supervisors know. One of its fields is
+// set.
+type recordsMessage struct {
+	Question *recordsQuestion `json:"q,omitempty"`
+	Answer   *recordsAnswer   `json:"a,omitempty"`
+	// Want asks for the records of windows, each from the given part on.
+	Want map[usage.Window]int `json:"w,omitempty"`
+	Part *recordPart          `json:"p,omitempty"`
+	// Held acknowledges records, with their checksums.
+	Held map[usage.Window]uint64 `json:"h,omitempty"`
+}
+
+// recordsQuestion asks a supervisor which records it knows.
+type recordsQuestion struct {
+	ID uint64 `json:"i"`
+	// Digest is a checksum of all records that the sender knows.
+	Digest uint64 `json:"d"`
+}
+
+// recordsAnswer answers a question.
+type recordsAnswer struct {
+	ID uint64 `json:"i"`
+	// Digest is a checksum of all records that the sender knows. If it differs from the one of
+	// the question, Sums are the checksums of the records by window.
+	Digest uint64                  `json:"d"`
+	Sums   map[usage.Window]uint64 `json:"s,omitempty"`
+}
+
+// recordPart is a part of the record of a window.
+type recordPart struct {
+	Window usage.Window `json:"w"`
+	Era    uint64       `json:"e,omitempty"`
+	// Sum is the checksum of the whole record, which has the given number of parts.
+	Sum    uint64       `json:"s"`
+	Number int          `json:"n,omitempty"`
+	Parts  int          `json:"p"`
+	Counts usage.Counts `json:"c"`
+}
+
+const (
+	// maxWanted bounds the windows that one message asks for.
+	maxWanted = 8
+	// maxRecordParts bounds the parts that are sent to a node at once, so that they fit in its
+	// receive buffer. It is enough for the largest record that fits in a row of the store.
+	maxRecordParts = 16
+	// unawareAfter is the number of unanswered questions after which a peer counts as one of an
+	// earlier build.
+	unawareAfter = 3
+)
+
+// recordsPeer is what this node knows of the records of another supervisor.
+type recordsPeer struct {
+	// node is the peer's incarnation.
+	node string
+	// sums are the checksums of the records that the peer is known to have.
+	sums map[usage.Window]uint64
+	// question is the ID of the last question to the peer, and digest the digest in it.
+	question, digest uint64
+	// answer is the answer to it, as long as this node lacks records that it lists.
+	answer *recordsAnswer
+	// wanted are the windows whose records this node has asked the peer for.
+	wanted map[usage.Window]bool
+	// synchronized tells that this node has had all records of the peer.
+	synchronized bool
+	// aware tells that the peer has sent a recordsMessage. Earlier builds don't. unanswered
+	// counts the questions to a peer of which that isn't known.
+	aware      bool
+	unanswered int
+}
+
+// recordsExchange is this node's part in keeping the histories of the supervisors alike. It is
+// guarded by the exchange's mu.
+type recordsExchange struct {
+	history      *usage.History
+	peers        map[netip.AddrPort]*recordsPeer
+	lastQuestion uint64
+	// incomplete holds the parts of records of which others are missing, by window.
+	incomplete map[usage.Window]*incompleteRecord
+}
+
+// incompleteRecord is a record of which not all parts have been received.
+type incompleteRecord struct {
+	sum   uint64
+	parts map[int]usage.Counts
+}
+
+func newRecordsExchange(history *usage.History) recordsExchange {
+	return recordsExchange{
+		history: history, peers: make(map[netip.AddrPort]*recordsPeer), incomplete: make(map[usage.Window]*incompleteRecord),
+	}
+}
+
+// peer returns the entry of an incarnation of a node.
+func (r *recordsExchange) peer(address netip.AddrPort, node string) *recordsPeer {
+	known, exists := r.peers[address]
+	if !exists || known.node != node {
+		known = &recordsPeer{node: node, sums: make(map[usage.Window]uint64)}
+		r.peers[address] = known
+	}
+	return known
+}
+
+// question returns a new question to a peer.
+func (r *recordsExchange) question(peer *recordsPeer) *recordsQuestion {
+	r.lastQuestion++
+	peer.question, peer.digest, peer.answer = r.lastQuestion, digestOf(r.history.Sums()), nil
+	return &recordsQuestion{ID: peer.question, Digest: peer.digest}
+}
+
+// digestOf returns a checksum of the checksums of records.
+func digestOf(sums map[usage.Window]uint64) uint64 {
+	digest := uint64(len(sums))
+	for _, window := range slices.Sorted(maps.Keys(sums)) {
+		digest = digest*digestFactor + uint64(window)
+		digest = digest*digestFactor + sums[window]
+	}
+	return digest
+}
+
+// digestFactor is the prime of the 64-bit FNV hash.
+const digestFactor = 1_099_511_628_211
+
+// receive records an answer, and returns the windows whose records the peer lacks.
+func (r *recordsExchange) receive(peer *recordsPeer, answer *recordsAnswer) []usage.Window {
+	own := r.history.Sums()
+	if answer.Sums == nil && answer.Digest == peer.digest && digestOf(own) == peer.digest {
+		answer.Sums = own
+	}
+	peer.answer = answer
+	maps.Copy(peer.sums, answer.Sums)
+	r.settle(peer)
+	return differing(own, answer.Sums, r.history.Oldest())
+}
+
+// want returns the next records to ask a peer for, each from the first part that this node
+// lacks.
+func (r *recordsExchange) want(peer *recordsPeer) map[usage.Window]int {
+	if peer.answer == nil {
+		return nil
+	}
+	want := make(map[usage.Window]int)
+	peer.wanted = make(map[usage.Window]bool)
+	for _, window := range differing(peer.answer.Sums, r.history.Sums(), r.history.Oldest()) {
+		want[window] = r.firstMissing(window)
+		peer.wanted[window] = true
+	}
+	return want
+}
+
+// differing returns the windows, newest first, whose checksums in sums aren't in other.
+func differing(sums, other map[usage.Window]uint64, oldest usage.Window) []usage.Window {
+	var windows []usage.Window
+	for window, sum := range sums {
+		if had, exists := other[window]; window >= oldest && (!exists || had != sum) {
+			windows = append(windows, window)
+		}
+	}
+	slices.SortFunc(windows, func(a, b usage.Window) int { return cmp.Compare(b, a) })
+	return windows[:min(len(windows), maxWanted)]
+}
+
+// settle marks a peer as synchronized if this node has all records that its answer lists.
+func (r *recordsExchange) settle(peer *recordsPeer) {
+	if peer.answer == nil || len(differing(peer.answer.Sums, r.history.Sums(), r.history.Oldest())) > 0 {
+		return
+	}
+	peer.synchronized, peer.answer = true, nil
+}
+
+// merge adds a part of a record. It returns the record's checksum if the record is complete.
+func (r *recordsExchange) merge(part recordPart) (sum uint64, complete bool) {
+	known, exists := r.incomplete[part.Window]
+	if !exists || known.sum != part.Sum {
+		known = &incompleteRecord{sum: part.Sum, parts: make(map[int]usage.Counts)}
+		r.incomplete[part.Window] = known
+	}
+	known.parts[part.Number] = part.Counts
+	maps.DeleteFunc(r.incomplete, func(window usage.Window, _ *incompleteRecord) bool { return window < r.history.Oldest() })
+	if len(known.parts) < part.Parts {
+		return 0, false
+	}
+	delete(r.incomplete, part.Window)
+	counts := make(usage.Counts)
+	for _, of := range known.parts {
+		maps.Copy(counts, of)
+	}
+	if counts.Sum() != part.Sum {
+		return 0, false
+	}
+	r.history.Merge(map[usage.Window]usage.Record{part.Window: {Counts: counts, Era: part.Era}})
+	for _, peer := range r.peers {
+		r.settle(peer)
+	}
+	return part.Sum, true
+}
+
+// firstMissing returns the first part of a record that hasn't been received.
+func (r *recordsExchange) firstMissing(window usage.Window) int {
+	known, exists := r.incomplete[window]
+	if !exists {
+		return 0
+	}
+	number := 0
+	for known.parts[number] != nil {
+		number++
+	}
+	return number
+}
+
+// partsOf divides a record into parts, each of which fits in a message.
+func partsOf(window usage.Window, record usage.Record) []recordPart {
+	tenants := slices.Sorted(maps.Keys(record.Counts))
+	count := max(1, (len(tenants)+maxGathered-1)/maxGathered)
+	sum := record.Counts.Sum()
+	parts := make([]recordPart, count)
+	for number := range parts {
+		counts := make(usage.Counts)
+		for _, tenant := range tenants[number*maxGathered : min((number+1)*maxGathered, len(tenants))] {
+			counts[tenant] = record.Counts[tenant]
+		}
+		parts[number] = recordPart{Window: window, Era: record.Era, Sum: sum, Number: number, Parts: count, Counts: counts}
+	}
+	return parts
+}
+
+// askRecords asks the other supervisors which records they know: the designated one each time,
+// the others until this node has had all of theirs. Histories thus become alike again after
+// messages were lost, and a node that starts or becomes a supervisor learns what was recorded
+// before. A former supervisor passes on what it knows in the same way.
+func (e *Exchange) askRecords() {
+	if e.usage == nil {
+		return
+	}
+	e.mu.Lock()
+	questions := make(map[netip.AddrPort]*recordsQuestion)
+	var unaware []netip.AddrPort
+	maps.DeleteFunc(e.usage.records.peers, func(address netip.AddrPort, _ *recordsPeer) bool { return e.peers.peers[address] == nil })
+	if e.peers.supervises() || len(e.usage.records.history.Sums()) > 0 {
+		designated := e.peers.designatedPeer()
+		for _, address := range e.peers.presentSupervisors() {
+			peer := e.usage.records.peer(address, e.peers.peers[address].node)
+			if peer.synchronized && address != designated {
+				continue
+			}
+			questions[address] = e.usage.records.question(peer)
+			if peer.unanswered++; !peer.aware && peer.unanswered == unawareAfter {
+				unaware = append(unaware, address)
+			}
+		}
+	}
+	e.mu.Unlock()
+	for _, address := range unaware {
+		e.exchangeWithEarlierBuild(address)
+	}
+	for address, question := range questions {
+		e.sendTo(address, Message{Node: e.node, Records: &recordsMessage{Question: question}})
+	}
+}
+
+// exchangeWithEarlierBuild sends a node of an earlier build the records that fit in a message of
+// that build, and asks it for its own.
+func (e *Exchange) exchangeWithEarlierBuild(address netip.AddrPort) {
+	records := e.usage.records.history.Records(math.MinInt64)
+	for window, record := range records {
+		e.sendRecorded(address, map[usage.Window]usage.Counts{window: record.Counts})
+	}
+	now := e.usage.tally.WindowLength().WindowAt(e.usage.tally.Now(time.Now()))
+	e.sendTo(address, Message{Node: e.node, WantUsage: now - maxWanted})
+}
+
+// receiveRecords processes a message about records.
+func (e *Exchange) receiveRecords(from netip.AddrPort, node string, message recordsMessage) {
+	if e.usage == nil {
+		return
+	}
+	e.mu.Lock()
+	e.usage.records.peer(from, node).aware = true
+	e.mu.Unlock()
+	switch {
+	case message.Question != nil:
+		e.answerRecords(from, *message.Question)
+	case message.Answer != nil:
+		e.receiveRecordsAnswer(from, node, message.Answer)
+	case message.Want != nil:
+		e.sendRecords(from, message.Want)
+	case message.Part != nil:
+		e.receiveRecordPart(from, node, *message.Part)
+	case message.Held != nil:
+		e.mu.Lock()
+		maps.Copy(e.usage.records.peer(from, node).sums, message.Held)
+		e.mu.Unlock()
+	}
+}
+
+func (e *Exchange) answerRecords(to netip.AddrPort, question recordsQuestion) {
+	sums := e.usage.records.history.Sums()
+	answer := &recordsAnswer{ID: question.ID, Digest: digestOf(sums)}
+	if answer.Digest != question.Digest {
+		answer.Sums = sums
+	}
+	e.sendTo(to, Message{Node: e.node, Records: &recordsMessage{Answer: answer}})
+}
+
+// receiveRecordsAnswer asks for the records that this node lacks, and sends those that the peer
+// lacks.
+func (e *Exchange) receiveRecordsAnswer(from netip.AddrPort, node string, answer *recordsAnswer) {
+	e.mu.Lock()
+	peer := e.usage.records.peer(from, node)
+	if answer.ID != peer.question {
+		e.mu.Unlock()
+		return
+	}
+	extra := e.usage.records.receive(peer, answer)
+	want := e.usage.records.want(peer)
+	e.mu.Unlock()
+	e.askForRecords(from, want)
+	e.sendRecords(from, fromFirstPart(extra))
+}
+
+func (e *Exchange) askForRecords(from netip.AddrPort, want map[usage.Window]int) {
+	if len(want) > 0 {
+		e.sendTo(from, Message{Node: e.node, Records: &recordsMessage{Want: want}})
+	}
+}
+
+func fromFirstPart(windows []usage.Window) map[usage.Window]int {
+	wanted := make(map[usage.Window]int, len(windows))
+	for _, window := range windows {
+		wanted[window] = 0
+	}
+	return wanted
+}
+
+// sendRecords sends records, each from the given part on, newest first.
+func (e *Exchange) sendRecords(to netip.AddrPort, wanted map[usage.Window]int) {
+	sent := 0
+	windows := slices.Sorted(maps.Keys(wanted))
+	slices.Reverse(windows)
+	for _, window := range windows {
+		record, exists := e.usage.records.history.Find(window)
+		if !exists || len(record.Counts) > maxGathered {
+			continue
+		}
+		for _, part := range partsOf(window, record) {
+			if part.Number < wanted[window] || sent >= maxRecordParts {
+				continue
+			}
+			sent++
+			e.sendTo(to, Message{Node: e.node, Records: &recordsMessage{Part: &part}})
+		}
+	}
+}
+
+// receiveRecordPart merges a part of a record. It acknowledges a complete record, and asks for
+// more if that was the last one that this node had asked the peer for.
+func (e *Exchange) receiveRecordPart(from netip.AddrPort, node string, part recordPart) {
+	e.mu.Lock()
+	sum, complete := e.usage.records.merge(part)
+	peer := e.usage.records.peer(from, node)
+	var want map[usage.Window]int
+	if complete && peer.wanted[part.Window] {
+		delete(peer.wanted, part.Window)
+		if len(peer.wanted) == 0 {
+			want = e.usage.records.want(peer)
+		}
+	}
+	e.mu.Unlock()
+	if complete {
+		held := map[usage.Window]uint64{part.Window: sum}
+		e.sendTo(from, Message{Node: e.node, Records: &recordsMessage{Held: held}})
+	}
+	e.askForRecords(from, want)
+}
--- /dev/null
+++ b/internal/nodeexchange/records_test.go
@@ -0,0 +1,133 @@
+package nodeexchange
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tinarch/tinarch/internal/usage"
+)
+
+// usageFleet is a fleet of nodes that count usage.
+type usageFleet struct {
+	t      *testing.T
+	nodes  map[string]*usageNode
+	listed []Peer
+}
+
+type usageNode struct {
+	*Exchange
+	collector *usage.Collector
+	stop      context.CancelFunc
+}
+
+func newUsageFleet(t *testing.T) *usageFleet {
+	f := &usageFleet{t: t, nodes: make(map[string]*usageNode)}
+	t.Cleanup(func() {
+		for _, name := range slices.Collect(maps.Keys(f.nodes)) {
+			f.end(name)
+		}
+	})
+	return f
+}
+
+// start starts a node that reads in the store's list of nodes which others were started before.
+func (f *usageFleet) start(name string) *usageNode {
+	f.t.Helper()
+	exchange, err := Listen("127.0.0.1:0", name, "zone", newRegistry("w"), quiet())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	node := &usageNode{Exchange: exchange, collector: usage.NewCollector(), stop: stop}
+	exchange.SetUsage(usage.NewTally(usageTestWindow), node.collector)
+	f.listed = append(f.listed, Peer{Node: name, Address: exchange.peers.address, Zone: "zone"})
+	exchange.AddPeers(f.listed)
+	go exchange.Run(ctx)
+	f.nodes[name] = node
+	return node
+}
+
+const usageTestWindow = 5 * time.Second
+
+// end ends a node as planned.
+func (f *usageFleet) end(name string) {
+	f.nodes[name].stop()
+	<-f.nodes[name].Done()
+	f.listed = slices.DeleteFunc(f.listed, func(listed Peer) bool { return listed.Node == name })
+	delete(f.nodes, name)
+}
+
+// awaitRecorded waits until a node knows recorded windows.
+func (f *usageFleet) awaitRecorded(name string, want map[usage.Window]usage.Counts) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		got := f.nodes[name].collector.Recorded(0)
+		if maps.EqualFunc(got, want, maps.Equal) {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("node %s doesn't know what was recorded: %s", name, cmp.Diff(want, got))
+		}
+	}
+}
+
+// recordedWindows returns windows that were recorded with counts of some tenants.
+func recordedWindows(count, tenants int) map[usage.Window]usage.Counts {
+	recorded := make(map[usage.Window]usage.Counts)
+	for number := range count {
+		counts := make(usage.Counts)
+		for tenant := range tenants {
+			counts[fmt.Sprint("tenant-", tenant)] = number + tenant
+		}
+		recorded[usage.Window(1000+number)] = counts
+	}
+	return recorded
+}
+
+// TestRecordsOutliveARestartOfAllNodes guards against records that only the nodes knew that were
+// there when the windows were recorded: all nodes are replaced one after the other.
+func TestRecordsOutliveARestartOfAllNodes(t *testing.T) {
+	f := newUsageFleet(t)
+	want := recordedWindows(20, 3)
+	f.start("a").collector.MergeRecorded(want)
+	for replaced, name := range []string{"b", "c", "d"} {
+		f.start(name)
+		f.awaitRecorded(name, want)
+		f.end([]string{"a", "b", "c"}[replaced])
+	}
+}
+
+// TestFormerSupervisorPassesOnWhatWasRecorded guards against records that only a node knows that
+// is no longer a supervisor, so that no supervisor asks it.
+func TestFormerSupervisorPassesOnWhatWasRecorded(t *testing.T) {
+	f := newUsageFleet(t)
+	const nodes = 45 // supervisors are a quarter of them at most
+	for number := range nodes {
+		f.start(fmt.Sprint("n", number))
+	}
+	want := recordedWindows(2, 3)
+	former := ""
+	for name, node := range f.nodes {
+		node.AddPeers(f.listed)
+		node.mu.Lock()
+		if !node.peers.supervises() {
+			former = name
+		}
+		node.mu.Unlock()
+	}
+	f.nodes[former].collector.MergeRecorded(want)
+	for name, node := range f.nodes {
+		node.mu.Lock()
+		supervises := node.peers.supervises()
+		node.mu.Unlock()
+		if supervises {
+			f.awaitRecorded(name, want)
+		}
+	}
+}
--- a/internal/nodeexchange/usage.go
+++ b/internal/nodeexchange/usage.go
@@ -1,7 +1,9 @@
 package nodeexchange
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/usage"
@@ -67,12 +69,13 @@
 	// acknowledged is the newest closed window for which a supervisor has all counts of this
 	// node.
 	acknowledged usage.Window
+	records      recordsExchange
 }
 
 // SetUsage lets the exchange send this node's counts to the supervisors and gather those of
 // other nodes. It must be called before Run.
 func (e *Exchange) SetUsage(tally *usage.Tally, collector *usage.Collector) {
-	e.usage = &usageExchange{tally: tally, collector: collector, sentThrough: make(map[netip.AddrPort]uint64)}
+	e.usage = &usageExchange{tally: tally, collector: collector, sentThrough: make(map[netip.AddrPort]uint64), records: newRecordsExchange(collector.History())}
 }
 
 // UsageAcknowledged returns the newest closed window for which a supervisor, which may be this
@@ -144,19 +147,30 @@
 	e.usage.acknowledged = max(e.usage.acknowledged, reply.Closed)
 }
 
-// TellRecorded implements usage.Fleet. A window with more tenants than fit in a message isn't
-// sent, since a part of it would be taken for the whole record.
+// TellRecorded implements usage.Fleet.
 func (e *Exchange) TellRecorded(recorded map[usage.Window]usage.Counts) {
 	e.mu.Lock()
-	supervisors := e.peers.supervisors()
+	supervisors := e.peers.others(e.peers.supervisors())
 	e.mu.Unlock()
+	wanted := fromFirstPart(slices.Collect(maps.Keys(recorded)))
 	for _, address := range supervisors {
-		if address != e.peers.address {
+		e.sendRecords(address, wanted)
+		if !e.sendsRecords(address) {
 			e.sendRecorded(address, recorded)
 		}
 	}
 }
 
+// sendsRecords reports whether a node is known to send records itself, as earlier builds don't.
+func (e *Exchange) sendsRecords(address netip.AddrPort) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known, exists := e.usage.records.peers[address]
+	return exists && known.aware
+}
+
+// sendRecorded sends recorded windows in the form of earlier builds. It omits a window with more
+// tenants than fit in a message: those builds would take a part of it for the whole record.
 func (e *Exchange) sendRecorded(to netip.AddrPort, recorded map[usage.Window]usage.Counts) {
 	for window, counts := range recorded {
 		if len(counts) <= maxGathered {
@@ -183,7 +197,9 @@
 	if e.usage == nil {
 		return
 	}
-	e.sendRecorded(to, e.usage.collector.Recorded(after))
+	if !e.sendsRecords(to) {
+		e.sendRecorded(to, e.usage.collector.Recorded(after))
+	}
 	for node, entries := range e.usage.collector.EntriesAfter(after) {
 		for len(entries) > 0 {
 			count := min(len(entries), maxGathered)
--- a/internal/usage/collector.go
+++ b/internal/usage/collector.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"sync"
 )
 
@@ -12,9 +11,8 @@
 type Collector struct {
 	mu      sync.Mutex
 	senders map[string]*sender
-	// recorded holds the windows that were recorded in the store, including those that the
-	// store has lost because it was restored from a backup.
-	recorded map[Window]Counts
+	// history has its own lock.
+	history *History
 }
 
 // sender is what has been received of the tally of one node incarnation.
@@ -37,32 +35,27 @@
 
 // NewCollector returns an empty collector.
 func NewCollector() *Collector {
-	return &Collector{senders: make(map[string]*sender), recorded: make(map[Window]Counts)}
+	return &Collector{senders: make(map[string]*sender), history: NewHistory()}
 }
 
-// MergeRecorded adds recorded windows, and drops those that are so old that the store no longer
-// keeps them either.
+// History returns the recorded windows that this node knows.
+func (c *Collector) History() *History { return c.history }
+
+// MergeRecorded adds recorded windows of an unknown era.
 func (c *Collector) MergeRecorded(recorded map[Window]Counts) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	records := make(map[Window]Record, len(recorded))
 	for window, counts := range recorded {
-		if counts != nil {
-			c.recorded[window] = counts
-		}
+		records[window] = Record{Counts: counts}
 	}
-	if len(c.recorded) <= keptRows {
-		return
-	}
-	newest := slices.Max(slices.Collect(maps.Keys(c.recorded)))
-	maps.DeleteFunc(c.recorded, func(window Window, _ Counts) bool { return window <= newest-keptRows })
+	c.history.Merge(records)
 }
 
-// Recorded returns the known recorded windows after the given one.
+// Recorded returns the counts of the known recorded windows after the given one.
 func (c *Collector) Recorded(after Window) map[Window]Counts {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	recorded := maps.Clone(c.recorded)
-	maps.DeleteFunc(recorded, func(window Window, _ Counts) bool { return window <= after })
+	recorded := make(map[Window]Counts)
+	for window, record := range c.history.Records(after) {
+		recorded[window] = record.Counts
+	}
 	return recorded
 }
 
--- a/internal/usage/records.go
+++ b/internal/usage/records.go
@@ -34,12 +34,12 @@
 	Entries     []Entry `json:"entries"`
 }
 
-// recorded returns the windows recorded in the store, and merges the rows that nodes have
-// written.
+// recorded returns the windows recorded in the store, adds them to the history, and merges the
+// rows that nodes have written.
 func (r *Reporter) recorded(ctx context.Context) (map[Window]Counts, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rows, _, err := r.options.Store.Read(callCtx, Table)
+	rows, version, err := r.options.Store.Read(callCtx, Table)
 	if err != nil {
 		return nil, eris.Wrap(err, "the recorded windows can't be read")
 	}
@@ -49,9 +49,19 @@
 			r.options.Log.WithFields(logrus.Fields{"row": row.Key, "cause": err.Error()}).Error("a usage row can't be parsed and is skipped")
 		}
 	}
+	r.options.Collector.History().Merge(recordsOf(recorded, version))
 	return recorded, nil
 }
 
+// recordsOf returns the records of windows that the store had at a version.
+func recordsOf(recorded map[Window]Counts, version tablefeed.Version) map[Window]Record {
+	records := make(map[Window]Record, len(recorded))
+	for window, counts := range recorded {
+		records[window] = Record{Counts: counts, Era: version.Era()}
+	}
+	return records
+}
+
 func (r *Reporter) readRow(row tablefeed.Row, recorded map[Window]Counts) error {
 	if strings.HasPrefix(row.Key, nodePrefix) {
 		var node NodeRow
@@ -76,7 +86,6 @@
 // recordLostWindows records windows again that are known to have been recorded and that the
 // store has lost in a restore. They may have been reported with these counts already.
 func (r *Reporter) recordLostWindows(ctx context.Context, recorded map[Window]Counts, due Window) error {
-	r.options.Collector.MergeRecorded(recorded)
 	known := r.options.Collector.Recorded(due - keptRows)
 	for _, window := range slices.Sorted(maps.Keys(known)) {
 		if recorded[window] != nil {
@@ -103,7 +112,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, done, err := r.options.Store.Transact(callCtx, rowstore.Transaction{
+	version, done, err := r.options.Store.Transact(callCtx, rowstore.Transaction{
 		Conditions: []rowstore.Condition{condition, {Table: Table, Key: windowKey(window)}},
 		Writes: []rowstore.Write{
 			{Table: Table, Key: windowKey(window), Value: content},
@@ -117,9 +126,9 @@
 		r.options.Authority.ConditionFailed(condition)
 		return eris.Errorf("window %d was recorded by another node, or another has the authority", window)
 	}
-	_, again := r.options.Collector.Recorded(window - 1)[window]
+	_, again := r.options.Collector.History().Find(window)
 	written := map[Window]Counts{window: counts}
-	r.options.Collector.MergeRecorded(written)
+	r.options.Collector.History().Merge(recordsOf(written, tablefeed.Version(version)))
 	r.options.Fleet.TellRecorded(written)
 	r.options.Log.WithFields(logrus.Fields{"window": window, "requests": counts.total(), "tenants": len(counts), "again": again}).Info("usage recorded")
 	return nil
