nodeexchange: records of more than 300 tenants are sent in parts

A usage window of more than 300 tenants was told to no other node, so after a restore of the store and the loss of the reporter it was recorded and reported again with other counts.

Cause: a record had to fit in one datagram, since a part of it would have been taken for the whole.

Evidence: TestRecordOfManyTenantsReachesTheOtherSupervisors (three windows of 4,000 tenants, as many as fit in a row of the store) failed before, 20 s without a record, and passes 5 times in a row with -race.

Conclusion: large tenants' windows are held by all supervisors as others are.

--- a/internal/nodeexchange/records.go
+++ b/internal/nodeexchange/records.go
@@ -351,7 +351,7 @@
 	slices.Reverse(windows)
 	for _, window := range windows {
 		record, exists := e.usage.records.history.Find(window)
-		if !exists || len(record.Counts) > maxGathered {
+		if !exists {
 			continue
 		}
 		for _, part := range partsOf(window, record) {
--- a/internal/nodeexchange/records_test.go
+++ b/internal/nodeexchange/records_test.go
@@ -131,3 +131,15 @@
 		}
 	}
 }
+
+// TestRecordOfManyTenantsReachesTheOtherSupervisors guards against records that are told to
+// nobody because they don't fit in one message.
+func TestRecordOfManyTenantsReachesTheOtherSupervisors(t *testing.T) {
+	f := newUsageFleet(t)
+	reporter := f.start("a")
+	f.start("b")
+	want := recordedWindows(3, 4000) // as many tenants as fit in a row of the store
+	reporter.collector.MergeRecorded(want)
+	reporter.TellRecorded(want)
+	f.awaitRecorded("b", want)
+}
