usage: the holder of the authority asks the others, and looks at who has answered

What callers saw: the platform got two reports of one usage window with different counts, the second lower.

Cause: a node asked the other supervisors when it was designated, possibly long before it had the lease, and not again; what was recorded in between it didn't learn. It waited 150 ms and didn't look whether anyone had answered, so a late answer counted as "nobody knows".

Change: the question is asked in each term of the authority and in each era of the store, when nobody else can record any more. An answer tells the number of messages and the checksums of the records, so that the asker knows when it has all; it repeats the question each half second. A supervisor that is present and doesn't answer is waited for 2 s, once; a window is due 10 s after its end. Counts are asked for once while designated, since the node receives them itself afterwards. A log line tells who hasn't answered.

--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -435,7 +435,7 @@
 	case message.WantUsage != 0:
 		e.sendGathered(from, message.WantUsage)
 	case message.Gathered != nil:
-		e.receiveGathered(*message.Gathered)
+		e.receiveGathered(from, message.Node, *message.Gathered)
 	case message.Records != nil:
 		e.receiveRecords(from, message.Node, *message.Records)
 	case message.Quota != nil:
--- a/internal/nodeexchange/records.go
+++ b/internal/nodeexchange/records.go
@@ -28,6 +28,9 @@
 	ID uint64 `json:"i"`
 	// Digest is a checksum of all records that the sender knows.
 	Digest uint64 `json:"d"`
+	// CountsAfter also asks for the counts that the receiver has collected of the windows after
+	// this one.
+	CountsAfter *usage.Window `json:"c,omitempty"`
 }
 
 // recordsAnswer answers a question.
@@ -37,6 +40,8 @@
 	// the question, Sums are the checksums of the records by window.
 	Digest uint64                  `json:"d"`
 	Sums   map[usage.Window]uint64 `json:"s,omitempty"`
+	// Messages is the number of messages with counts that were sent before.
+	Messages int `json:"m,omitempty"`
 }
 
 // recordPart is a part of the record of a window.
@@ -67,10 +72,12 @@
 	node string
 	// sums are the checksums of the records that the peer is known to have.
 	sums map[usage.Window]uint64
-	// question is the ID of the last question to the peer, and digest the digest in it.
-	question, digest uint64
-	// answer is the answer to it, as long as this node lacks records that it lists.
+	// answer is the last answer of the peer, as long as this node lacks records that it lists.
 	answer *recordsAnswer
+	// answered is the ID of the last question that was answered.
+	answered uint64
+	// collection is the collection of the counts that the peer has, nil if none has begun.
+	collection *collection
 	// wanted are the windows whose records this node has asked the peer for.
 	wanted map[usage.Window]bool
 	// synchronized tells that this node has had all records of the peer.
@@ -81,12 +88,30 @@
 	unanswered int
 }
 
+// collection is the state of a question for the counts and records of a supervisor.
+type collection struct {
+	question uint64
+	// after is the window after which counts are asked for, nil to ask for records only.
+	after *usage.Window
+	// received is the number of messages with counts that came for the question. expected is the
+	// number of those that were sent, negative until the answer has come.
+	received, expected int
+	// synchronized tells that this node has all records that the answer, or a later one, lists.
+	synchronized bool
+}
+
+func (c *collection) complete() bool {
+	return c == nil || c.synchronized && c.received == c.expected
+}
+
 // recordsExchange is this node's part in keeping the histories of the supervisors alike. It is
 // guarded by the exchange's mu.
 type recordsExchange struct {
 	history      *usage.History
 	peers        map[netip.AddrPort]*recordsPeer
 	lastQuestion uint64
+	// collectingSince is when the last collection began.
+	collectingSince time.Time
 	// incomplete holds the parts of records of which others are missing, by window.
 	incomplete map[usage.Window]*incompleteRecord
 }
@@ -113,11 +138,16 @@
 	return known
 }
 
-// question returns a new question to a peer.
+// question returns a new question to a peer. It asks for counts too as long as their collection
+// isn't complete.
 func (r *recordsExchange) question(peer *recordsPeer) *recordsQuestion {
 	r.lastQuestion++
-	peer.question, peer.digest, peer.answer = r.lastQuestion, digestOf(r.history.Sums()), nil
-	return &recordsQuestion{ID: peer.question, Digest: peer.digest}
+	question := &recordsQuestion{ID: r.lastQuestion, Digest: digestOf(r.history.Sums())}
+	if !peer.collection.complete() {
+		question.CountsAfter = peer.collection.after
+		peer.collection = &collection{question: question.ID, after: question.CountsAfter, expected: -1}
+	}
+	return question
 }
 
 // digestOf returns a checksum of the checksums of records.
@@ -133,13 +163,21 @@
 // digestFactor is the prime of the 64-bit FNV hash.
 const digestFactor = 1_099_511_628_211
 
-// receive records an answer, and returns the windows whose records the peer lacks.
+// receive records an answer, and returns the windows whose records the peer lacks. It ignores an
+// answer that is older than another one, or that tells that the records were the same as this
+// node's before it learned of more.
 func (r *recordsExchange) receive(peer *recordsPeer, answer *recordsAnswer) []usage.Window {
 	own := r.history.Sums()
-	if answer.Sums == nil && answer.Digest == peer.digest && digestOf(own) == peer.digest {
+	if answer.Sums == nil && answer.Digest == digestOf(own) {
 		answer.Sums = own
 	}
-	peer.answer = answer
+	if answer.ID <= peer.answered || answer.Sums == nil && answer.Digest != digestOf(nil) {
+		return nil
+	}
+	peer.answer, peer.answered = answer, answer.ID
+	if known := peer.collection; known != nil && known.question == answer.ID {
+		known.expected = answer.Messages
+	}
 	maps.Copy(peer.sums, answer.Sums)
 	r.settle(peer)
 	return differing(own, answer.Sums, r.history.Oldest())
@@ -177,6 +215,9 @@
 	if peer.answer == nil || len(differing(peer.answer.Sums, r.history.Sums(), r.history.Oldest())) > 0 {
 		return
 	}
+	if known := peer.collection; known != nil && known.question <= peer.answer.ID {
+		known.synchronized = true
+	}
 	peer.synchronized, peer.answer = true, nil
 }
 
@@ -252,7 +293,7 @@
 		designated := e.peers.designatedPeer()
 		for _, address := range e.peers.presentSupervisors() {
 			peer := e.usage.records.peer(address, e.peers.peers[address].node)
-			if peer.synchronized && address != designated {
+			if peer.synchronized && address != designated && peer.collection.complete() {
 				continue
 			}
 			questions[address] = e.usage.records.question(peer)
@@ -308,6 +349,9 @@
 func (e *Exchange) answerRecords(to netip.AddrPort, question recordsQuestion) {
 	sums := e.usage.records.history.Sums()
 	answer := &recordsAnswer{ID: question.ID, Digest: digestOf(sums)}
+	if question.CountsAfter != nil {
+		answer.Messages = e.sendCounts(to, *question.CountsAfter, question.ID)
+	}
 	if answer.Digest != question.Digest {
 		answer.Sums = sums
 	}
@@ -319,10 +363,6 @@
 func (e *Exchange) receiveRecordsAnswer(from netip.AddrPort, node string, answer *recordsAnswer) {
 	e.mu.Lock()
 	peer := e.usage.records.peer(from, node)
-	if answer.ID != peer.question {
-		e.mu.Unlock()
-		return
-	}
 	extra := e.usage.records.receive(peer, answer)
 	want := e.usage.records.want(peer)
 	e.mu.Unlock()
--- a/internal/nodeexchange/records_test.go
+++ b/internal/nodeexchange/records_test.go
@@ -143,3 +143,61 @@
 	reporter.TellRecorded(want)
 	f.awaitRecorded("b", want)
 }
+
+// TestAnswerOfASupervisorIsComplete checks that a supervisor counts as one that has answered
+// once all its counts and records have arrived.
+func TestAnswerOfASupervisorIsComplete(t *testing.T) {
+	f := newUsageFleet(t)
+	reporter, other := f.start("a"), f.start("b")
+	want := recordedWindows(20, 3)
+	window := usage.Window(1030)
+	var entries []usage.Entry
+	for tenant := range 1000 {
+		entries = append(entries, usage.Entry{Window: window, Tenant: fmt.Sprint("tenant-", tenant), Count: 1})
+	}
+	f.awaitPresent(reporter, 1)
+	other.collector.MergeEntries("c", entries)
+	other.collector.MergeRecorded(want)
+	reporter.GatherUsage(window - 1)
+	for end := time.Now().Add(20 * time.Second); len(reporter.Unanswered()) > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no complete answer")
+		}
+	}
+	if got := reporter.collector.Total(window); len(got) != len(entries) {
+		t.Errorf("counts of %d tenants have arrived, want %d", len(got), len(entries))
+	}
+	if got := reporter.collector.Recorded(0); !maps.EqualFunc(got, want, maps.Equal) {
+		t.Error(cmp.Diff(want, got))
+	}
+}
+
+// TestPausedSupervisorHasNotAnswered checks that a supervisor that was heard and doesn't answer
+// is told apart from one that has nothing to tell.
+func TestPausedSupervisorHasNotAnswered(t *testing.T) {
+	f := newUsageFleet(t)
+	reporter := f.start("a")
+	paused := silentNode(t)
+	reporter.handle(connAddress(paused), Message{Node: "paused", Sequence: 1, Zone: "zone"})
+	reporter.handle(connAddress(paused), Message{Node: "paused", Records: &recordsMessage{Question: &recordsQuestion{ID: 1}}})
+	reporter.GatherUsage(0)
+	if got := reporter.Unanswered(); !slices.Equal(got, []string{"paused"}) {
+		t.Errorf("unanswered: %v", got)
+	}
+}
+
+// awaitPresent waits until a node has heard this many others.
+func (f *usageFleet) awaitPresent(node *usageNode, others int) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		node.mu.Lock()
+		present := len(node.peers.presentSupervisors())
+		node.mu.Unlock()
+		if present >= others {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("node %s has heard %d others, want %d", node.node, present, others)
+		}
+	}
+}
--- a/internal/nodeexchange/usage.go
+++ b/internal/nodeexchange/usage.go
@@ -31,6 +31,9 @@
 	Counts map[usage.Window]map[string]int `json:"w"`
 	// Recorded are windows as they were recorded. Such a message holds nothing else.
 	Recorded map[usage.Window]usage.Counts `json:"r,omitempty"`
+	// Question is the ID of the recordsQuestion that the message answers. Earlier builds don't
+	// know it.
+	Question uint64 `json:"q,omitempty"`
 }
 
 // maxGathered bounds the entries in one message with gathered counts.
@@ -180,19 +183,60 @@
 	}
 }
 
-// GatherUsage implements usage.Fleet.
+// earlierBuildWait is how long to wait for a supervisor of an earlier build, whose answers don't
+// tell when they are complete.
+const earlierBuildWait = 150 * time.Millisecond
+
+// GatherUsage implements usage.Fleet. The question is repeated until it is answered.
 func (e *Exchange) GatherUsage(after usage.Window) {
+	for _, address := range e.collect(&after) {
+		e.sendTo(address, Message{Node: e.node, WantUsage: after})
+	}
+}
+
+// GatherRecords implements usage.Fleet.
+func (e *Exchange) GatherRecords() { e.collect(nil) }
+
+// collect asks the other supervisors for their records, and for the counts of the windows after
+// the given one unless it is nil. It returns those that may be of an earlier build.
+func (e *Exchange) collect(after *usage.Window) (unaware []netip.AddrPort) {
 	e.mu.Lock()
-	supervisors := e.peers.supervisors()
+	e.usage.records.collectingSince = time.Now()
+	for _, address := range e.peers.presentSupervisors() {
+		peer := e.usage.records.peer(address, e.peers.peers[address].node)
+		asked := after
+		if asked == nil && !peer.collection.complete() {
+			asked = peer.collection.after
+		}
+		peer.collection = &collection{after: asked, expected: -1}
+		if !peer.aware {
+			unaware = append(unaware, address)
+		}
+	}
 	e.mu.Unlock()
-	for _, address := range supervisors {
-		if address != e.peers.address {
-			e.sendTo(address, Message{Node: e.node, WantUsage: after})
+	e.askRecords()
+	return unaware
+}
+
+// Unanswered implements usage.Fleet.
+func (e *Exchange) Unanswered() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var unanswered []string
+	for _, address := range e.peers.presentSupervisors() {
+		peer := e.usage.records.peer(address, e.peers.peers[address].node)
+		waiting := time.Since(e.usage.records.collectingSince) < earlierBuildWait
+		if peer.aware {
+			waiting = !peer.collection.complete()
+		}
+		if waiting {
+			unanswered = append(unanswered, peer.node)
 		}
 	}
+	return unanswered
 }
 
-// sendGathered answers another supervisor.
+// sendGathered answers a supervisor of an earlier build.
 func (e *Exchange) sendGathered(to netip.AddrPort, after usage.Window) {
 	if e.usage == nil {
 		return
@@ -200,16 +244,32 @@
 	if !e.sendsRecords(to) {
 		e.sendRecorded(to, e.usage.collector.Recorded(after))
 	}
+	e.sendCounts(to, after, 0)
+}
+
+// sendCounts sends the collected counts of the windows after the given one, and returns the
+// number of messages.
+func (e *Exchange) sendCounts(to netip.AddrPort, after usage.Window, question uint64) int {
+	messages := 0
 	for node, entries := range e.usage.collector.EntriesAfter(after) {
 		for len(entries) > 0 {
 			count := min(len(entries), maxGathered)
-			e.sendTo(to, Message{Node: e.node, Gathered: &wireGathered{Node: node, Counts: renderCounts(entries[:count])}})
+			e.sendTo(to, Message{Node: e.node, Gathered: &wireGathered{Node: node, Counts: renderCounts(entries[:count]), Question: question}})
 			entries = entries[count:]
+			messages++
 		}
 	}
+	return messages
 }
 
-func (e *Exchange) receiveGathered(gathered wireGathered) {
+func (e *Exchange) receiveGathered(from netip.AddrPort, node string, gathered wireGathered) {
+	if e.usage != nil && gathered.Question != 0 {
+		e.mu.Lock()
+		if known := e.usage.records.peer(from, node).collection; known != nil && known.question == gathered.Question {
+			known.received++
+		}
+		e.mu.Unlock()
+	}
 	switch {
 	case e.usage == nil:
 	case gathered.Recorded != nil:
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/authority"
+	"github.com/tinarch/tinarch/internal/clock"
 	"github.com/tinarch/tinarch/internal/duty"
 	"github.com/tinarch/tinarch/internal/rowstore"
 	"github.com/tinarch/tinarch/internal/tablefeed"
@@ -32,9 +33,13 @@
 	callTimeout = 2 * time.Second
 	// retryInterval is the time until a failed report is tried again.
 	retryInterval = 500 * time.Millisecond
-	// gatherTimeout is how long the reporter waits for the counts that other supervisors have
-	// collected.
-	gatherTimeout = 150 * time.Millisecond
+	// gatherTimeout is how long the reporter waits for supervisors that don't answer: one that is
+	// paused or cut off must not keep windows from being reported in time.
+	gatherTimeout = 2 * time.Second
+	// maxPoll bounds the wait for answers within one step, and pollInterval is the time between
+	// two looks.
+	maxPoll      = 200 * time.Millisecond
+	pollInterval = 5 * time.Millisecond
 	// keptRows is the number of recorded windows that stay in the store: more than can be due
 	// at once.
 	keptRows = 24
@@ -65,8 +70,13 @@
 type Fleet interface {
 	Members() []Member
 	// GatherUsage asks the other supervisors for the counts that they have collected of the
-	// windows after the given one.
+	// windows after the given one, and for all recorded windows that they know.
 	GatherUsage(after Window)
+	// GatherRecords asks them for the recorded windows only.
+	GatherRecords()
+	// Unanswered returns the supervisors that are present and haven't answered the last of these
+	// questions completely yet.
+	Unanswered() []string
 	// TellRecorded sends recorded windows to the other supervisors.
 	TellRecorded(recorded map[Window]Counts)
 }
@@ -107,9 +117,30 @@
 	// era is the era of the store in which the windows were recorded. It changes when the store
 	// is restored from a backup.
 	era uint64
-	// gathered is set if the other supervisors have been asked since this node was designated.
-	gathered bool
-	retryAt  time.Time
+	// gathering is the last question to the other supervisors.
+	gathering gathering
+	retryAt   time.Time
+}
+
+// gathering is a question to the other supervisors for what they know. It is asked in each term
+// of the authority and in each era of the store, since others may have recorded windows before.
+type gathering struct {
+	fence, era uint64
+	// waitingSince is when the wait for answers began, possibly in an earlier term.
+	waitingSince time.Time
+	// done tells that all have answered, or that gatherTimeout is over.
+	done bool
+	// mute are the supervisors that didn't answer in time. They aren't waited for again until
+	// they have answered.
+	mute []string
+}
+
+// next returns the gathering of the next term.
+func (g gathering) next(fence, era uint64, now time.Time) gathering {
+	if g.waitingSince.IsZero() || g.done {
+		g.waitingSince = now
+	}
+	return gathering{fence: fence, era: era, waitingSince: g.waitingSince, mute: g.mute}
 }
 
 // NewReporter returns a reporter.
@@ -132,7 +163,7 @@
 		case <-ticker.C:
 		}
 		if !r.options.Designated() {
-			r.gathered, r.done = false, 0
+			r.gathering, r.done = gathering{}, 0
 			continue
 		}
 		r.Step(ctx, time.Now())
@@ -173,15 +204,13 @@
 
 // report records and sends all windows up to the given one.
 func (r *Reporter) report(ctx context.Context, due Window, now time.Time) error {
-	if !r.gathered {
-		r.options.Fleet.GatherUsage(due - keptWindows)
-		time.Sleep(gatherTimeout)
-		r.gathered = true
-	}
 	if status := r.options.Authority.Acquire(ctx); status != authority.Held {
 		// This node may not report: it doesn't hold the lease.
 		return eris.Errorf("no authority: %s", status)
 	}
+	if err := r.gather(due); err != nil {
+		return err
+	}
 	recorded, err := r.recorded(ctx)
 	if err != nil {
 		return err
@@ -204,6 +233,49 @@
 	return nil
 }
 
+// gather asks the other supervisors for what they know, and returns an error as long as their
+// answers are to be waited for. This node has the authority, so that nobody records windows
+// after they have answered.
+func (r *Reporter) gather(due Window) error {
+	fence, era := r.options.Authority.Fence(), r.options.Store.Era()
+	if r.gathering.fence != fence || r.gathering.era != era {
+		if r.gathering.waitingSince.IsZero() {
+			r.options.Fleet.GatherUsage(due - keptWindows)
+		} else {
+			r.options.Fleet.GatherRecords() // this node has received all counts since
+		}
+		r.gathering = r.gathering.next(fence, era, clock.Boottime())
+	}
+	if r.gathering.done {
+		return nil
+	}
+	unanswered := poll(func() []string { return without(r.options.Fleet.Unanswered(), r.gathering.mute) })
+	waited := clock.Boottime().Sub(r.gathering.waitingSince)
+	if len(unanswered) > 0 && waited < gatherTimeout {
+		return eris.Errorf("the supervisors %v have not told yet what they know", unanswered)
+	}
+	r.gathering.done, r.gathering.mute = true, r.options.Fleet.Unanswered()
+	r.options.Log.WithFields(logrus.Fields{
+		"fence": fence, "era": era, "waited_ms": waited.Milliseconds(), "unanswered": unanswered,
+	}).Info("usage gathered from the other supervisors")
+	return nil
+}
+
+// without returns the nodes that aren't among others.
+func without(nodes, others []string) []string {
+	return slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return slices.Contains(others, node) })
+}
+
+// poll waits up to maxPoll until a function returns no nodes, and returns its last result.
+func poll(nodes func() []string) []string {
+	for end := time.Now().Add(maxPoll); ; time.Sleep(pollInterval) {
+		found := nodes()
+		if len(found) == 0 || time.Now().After(end) {
+			return found
+		}
+	}
+}
+
 // firstUnrecorded returns the first window that is still to be recorded, at most keptWindows
 // back.
 func (r *Reporter) firstUnrecorded(recorded map[Window]Counts, due Window) Window {
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -61,6 +61,8 @@
 	told []*Collector
 	// gather answers a question for what the other supervisors have collected.
 	gather func(after Window)
+	// unanswered returns the supervisors that haven't answered it, none by default.
+	unanswered func() []string
 }
 
 func (a fakeFleet) Members() []Member { return a.members }
@@ -71,6 +73,15 @@
 	}
 }
 
+func (a fakeFleet) GatherRecords() {}
+
+func (a fakeFleet) Unanswered() []string {
+	if a.unanswered != nil {
+		return a.unanswered()
+	}
+	return nil
+}
+
 func (a fakeFleet) TellRecorded(recorded map[Window]Counts) {
 	for _, told := range a.told {
 		told.MergeRecorded(recorded)
@@ -240,6 +251,53 @@
 	s.api.checkSameCounts(t)
 }
 
+// TestLateAnswerAboutARecordedWindowIsAwaited guards against a holder that records a window
+// while the answer of the only node that knows the window's record is still on its way.
+func TestLateAnswerAboutARecordedWindowIsAwaited(t *testing.T) {
+	s := newFixture()
+	window := WindowLength(span).WindowAt(at(0))
+	r := s.reporter("n", 1)
+	answered := false
+	r.options.Fleet = fakeFleet{unanswered: func() []string {
+		if answered {
+			return nil
+		}
+		return []string{"other"}
+	}}
+	r.Step(context.Background(), at(6))
+	if len(s.api.reports) != 0 {
+		t.Fatalf("reported before the other supervisor answered: %v", s.api.reports)
+	}
+	answered = true
+	r.options.Collector.MergeRecorded(map[Window]Counts{window: {"a": 3}})
+	r.Step(context.Background(), at(7))
+	if diff := cmp.Diff(map[Window][]Counts{window: {{"a": 3}}}, s.api.reports); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestSilentSupervisorDelaysReportsOnce checks that a supervisor that never answers delays the
+// first report by gatherTimeout, and the following ones not at all.
+func TestSilentSupervisorDelaysReportsOnce(t *testing.T) {
+	s := newFixture()
+	r := s.reporter("n", 1)
+	r.options.Fleet = fakeFleet{unanswered: func() []string { return []string{"paused"} }}
+	begun := time.Now()
+	for moment := 6.0; len(s.api.reports) == 0; moment += retryInterval.Seconds() {
+		if moment > 20 {
+			t.Fatal("nothing is reported")
+		}
+		r.Step(context.Background(), at(moment))
+	}
+	if waited := time.Since(begun); waited < gatherTimeout {
+		t.Errorf("waited %v, want at least %v", waited, gatherTimeout)
+	}
+	r.Step(context.Background(), at(25))
+	if len(s.api.reports) < 2 {
+		t.Error("waits again for the same supervisor")
+	}
+}
+
 // TestFormerHolderRecordsNothing checks that a write under the authority's condition fails once
 // another node has the authority, as after a pause of the process.
 func TestFormerHolderRecordsNothing(t *testing.T) {
