usage: a window is reported once the other supervisors have its record

The record was told once, without an answer, and the report followed at once: it could be accepted while no other node had the record.

Cause: the report depended on the record in the store alone, and a restore takes that.

Evidence: TestWindowIsReportedOnceAnotherNodeHasItsRecord failed before (reported while the other supervisor lacks the record); TestPausedSupervisorDoesNotStopReports and TestRecordCountsAsHeldOnceItIsConfirmed are new.

Change: a supervisor confirms a record with its checksum. The reporter sends a window once all supervisors that are present have confirmed it. Supervisors of earlier builds confirm nothing and aren't waited for.

Why this works: a record whose report may have been accepted is lost only with the store and with all supervisors that were present.

--- a/internal/nodeexchange/records.go
+++ b/internal/nodeexchange/records.go
@@ -179,8 +179,10 @@
 		known.expected = answer.Messages
 	}
 	maps.Copy(peer.sums, answer.Sums)
+	oldest := r.history.Oldest()
+	maps.DeleteFunc(peer.sums, func(window usage.Window, _ uint64) bool { return window < oldest })
 	r.settle(peer)
-	return differing(own, answer.Sums, r.history.Oldest())
+	return differing(own, answer.Sums, oldest)
 }
 
 // want returns the next records to ask a peer for, each from the first part that this node
--- a/internal/nodeexchange/records_test.go
+++ b/internal/nodeexchange/records_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -201,3 +202,32 @@
 		}
 	}
 }
+
+// TestRecordCountsAsHeldOnceItIsConfirmed checks that only a supervisor that has a record
+// completely isn't among those that lack it.
+func TestRecordCountsAsHeldOnceItIsConfirmed(t *testing.T) {
+	f := newUsageFleet(t)
+	reporter := f.start("a")
+	f.start("b")
+	paused := silentNode(t)
+	f.awaitPresent(reporter, 1)
+	reporter.handle(connAddress(paused), Message{Node: "paused", Sequence: 1, Zone: "zone"})
+	reporter.handle(connAddress(paused), Message{Node: "paused", Records: &recordsMessage{Question: &recordsQuestion{ID: 1}}})
+	want := recordedWindows(1, 1000)
+	reporter.collector.MergeRecorded(want)
+	reporter.TellRecorded(want)
+	f.awaitRecorded("b", want)
+	for end := time.Now().Add(20 * time.Second); !slices.Equal(reporter.Lacking(1000), []string{"paused"}); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("lacking the record: %v", reporter.Lacking(1000))
+		}
+		reporter.handle(connAddress(paused), Message{Node: "paused", Sequence: reporter.sequenceOf(connAddress(paused)) + 1, Zone: "zone"})
+	}
+}
+
+// sequenceOf returns the sequence number of the last load message of a node.
+func (n *usageNode) sequenceOf(address netip.AddrPort) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers.peers[address].sequence
+}
--- a/internal/nodeexchange/usage.go
+++ b/internal/nodeexchange/usage.go
@@ -164,6 +164,26 @@
 	}
 }
 
+// Lacking implements usage.Fleet. Supervisors of earlier builds, which confirm nothing, aren't
+// among them.
+func (e *Exchange) Lacking(window usage.Window) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	record, exists := e.usage.records.history.Find(window)
+	if !exists {
+		return nil
+	}
+	sum := record.Counts.Sum()
+	var lacking []string
+	for _, address := range e.peers.presentSupervisors() {
+		peer := e.usage.records.peer(address, e.peers.peers[address].node)
+		if peer.aware && peer.sums[window] != sum {
+			lacking = append(lacking, peer.node)
+		}
+	}
+	return lacking
+}
+
 // sendsRecords reports whether a node is known to send records itself, as earlier builds don't.
 func (e *Exchange) sendsRecords(address netip.AddrPort) bool {
 	e.mu.Lock()
--- a/internal/usage/records.go
+++ b/internal/usage/records.go
@@ -129,7 +129,7 @@
 	_, again := r.options.Collector.History().Find(window)
 	written := map[Window]Counts{window: counts}
 	r.options.Collector.History().Merge(recordsOf(written, tablefeed.Version(version)))
-	r.options.Fleet.TellRecorded(written)
+	r.tell(window, counts)
 	r.options.Log.WithFields(logrus.Fields{"window": window, "requests": counts.total(), "tenants": len(counts), "again": again}).Info("usage recorded")
 	return nil
 }
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -36,6 +36,9 @@
 	// gatherTimeout is how long the reporter waits for supervisors that don't answer: one that is
 	// paused or cut off must not keep windows from being reported in time.
 	gatherTimeout = 2 * time.Second
+	// heldTimeout is how long the reporter waits until the other supervisors have a record before
+	// it reports the window all the same.
+	heldTimeout = 2 * time.Second
 	// maxPoll bounds the wait for answers within one step, and pollInterval is the time between
 	// two looks.
 	maxPoll      = 200 * time.Millisecond
@@ -79,6 +82,9 @@
 	Unanswered() []string
 	// TellRecorded sends recorded windows to the other supervisors.
 	TellRecorded(recorded map[Window]Counts)
+	// Lacking returns the supervisors that are present and aren't known to have the record of a
+	// window.
+	Lacking(window Window) []string
 }
 
 // Options configures a Reporter.
@@ -114,6 +120,8 @@
 	// done is the newest window such that it and all before it have been sent.
 	done Window
 	sent map[Window]bool
+	// told is when this process last told the other supervisors of a recorded window.
+	told map[Window]time.Time
 	// era is the era of the store in which the windows were recorded. It changes when the store
 	// is restored from a backup.
 	era uint64
@@ -147,7 +155,7 @@
 func NewReporter(options Options) *Reporter {
 	length := options.Tally.WindowLength()
 	return &Reporter{
-		options: options, windowLength: length, sent: make(map[Window]bool),
+		options: options, windowLength: length, sent: make(map[Window]bool), told: make(map[Window]time.Time),
 		first: length.WindowAt(options.Tally.Now(time.Now())),
 	}
 }
@@ -290,11 +298,21 @@
 }
 
 // sendAll sends the recorded windows that this process hasn't sent and that the platform may
-// still accept: up to twice Options.Late after their end.
+// still accept: up to twice Options.Late after their end. recorded was read from the store in
+// this step.
 func (r *Reporter) sendAll(ctx context.Context, recorded map[Window]Counts, now time.Time) error {
+	var windows []Window
 	for _, window := range slices.Sorted(maps.Keys(recorded)) {
-		if r.sent[window] || now.Sub(r.windowLength.End(window)) > 2*r.options.Late {
-			continue
+		if !r.sent[window] && now.Sub(r.windowLength.End(window)) <= 2*r.options.Late {
+			windows = append(windows, window)
+			if r.told[window].IsZero() {
+				r.tell(window, recorded[window])
+			}
+		}
+	}
+	for _, window := range windows {
+		if err := r.awaitHeld(window); err != nil {
+			return err
 		}
 		if err := r.send(ctx, window, recorded[window]); err != nil {
 			return err
@@ -302,6 +320,27 @@
 		r.sent[window] = true
 	}
 	maps.DeleteFunc(r.sent, func(window Window, _ bool) bool { return recorded[window] == nil })
+	maps.DeleteFunc(r.told, func(window Window, _ time.Time) bool { return recorded[window] == nil })
+	return nil
+}
+
+func (r *Reporter) tell(window Window, counts Counts) {
+	r.told[window] = clock.Boottime()
+	r.options.Fleet.TellRecorded(map[Window]Counts{window: counts})
+}
+
+// awaitHeld returns an error as long as other supervisors that are present lack the record of a
+// window and may still be waited for. Once a window has been reported, its record must outlive
+// both this process and a restore of the store.
+func (r *Reporter) awaitHeld(window Window) error {
+	lacking := poll(func() []string { return r.options.Fleet.Lacking(window) })
+	if len(lacking) == 0 {
+		return nil
+	}
+	if waited := clock.Boottime().Sub(r.told[window]); waited < heldTimeout {
+		return eris.Errorf("the supervisors %v have not confirmed the record of window %d yet", lacking, window)
+	}
+	r.options.Log.WithFields(logrus.Fields{"window": window, "lacking": lacking}).Warn("a usage window is reported although not all supervisors have confirmed its record")
 	return nil
 }
 
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -63,6 +63,8 @@
 	gather func(after Window)
 	// unanswered returns the supervisors that haven't answered it, none by default.
 	unanswered func() []string
+	// lacking returns the supervisors that lack the record of a window, none by default.
+	lacking func(window Window) []string
 }
 
 func (a fakeFleet) Members() []Member { return a.members }
@@ -82,6 +84,13 @@
 	return nil
 }
 
+func (a fakeFleet) Lacking(window Window) []string {
+	if a.lacking != nil {
+		return a.lacking(window)
+	}
+	return nil
+}
+
 func (a fakeFleet) TellRecorded(recorded map[Window]Counts) {
 	for _, told := range a.told {
 		told.MergeRecorded(recorded)
@@ -298,6 +307,48 @@
 	}
 }
 
+// TestWindowIsReportedOnceAnotherNodeHasItsRecord guards against a report that is accepted while
+// its record is known to no other node: the reporter may end and the store be restored next.
+func TestWindowIsReportedOnceAnotherNodeHasItsRecord(t *testing.T) {
+	s := newFixture()
+	window := WindowLength(span).WindowAt(at(0))
+	r := s.reporter("n", 3)
+	other := NewCollector()
+	r.options.Fleet = fakeFleet{lacking: func(window Window) []string {
+		if _, held := other.History().Find(window); held {
+			return nil
+		}
+		return []string{"other"}
+	}}
+	r.Step(context.Background(), at(6))
+	if len(s.api.reports) != 0 {
+		t.Fatalf("reported although no other node has the record: %v", s.api.reports)
+	}
+	other.MergeRecorded(r.options.Collector.Recorded(0))
+	r.Step(context.Background(), at(7))
+	if diff := cmp.Diff(map[Window][]Counts{window: {{"a": 3}}}, s.api.reports); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestPausedSupervisorDoesNotStopReports checks that a supervisor that never confirms a record
+// delays its report by heldTimeout only.
+func TestPausedSupervisorDoesNotStopReports(t *testing.T) {
+	s := newFixture()
+	r := s.reporter("n", 3)
+	r.options.Fleet = fakeFleet{lacking: func(Window) []string { return []string{"paused"} }}
+	begun := time.Now()
+	for moment := 6.0; len(s.api.reports) == 0; moment += retryInterval.Seconds() {
+		if moment > 20 {
+			t.Fatal("nothing is reported")
+		}
+		r.Step(context.Background(), at(moment))
+	}
+	if waited := time.Since(begun); waited < heldTimeout {
+		t.Errorf("reported after %v, want at least %v", waited, heldTimeout)
+	}
+}
+
 // TestFormerHolderRecordsNothing checks that a write under the authority's condition fails once
 // another node has the authority, as after a pause of the process.
 func TestFormerHolderRecordsNothing(t *testing.T) {
