usage: a window whose record nobody knows any more is left out after a restore

Cause: after a restore the reporter went on after the newest row that the store had, and recorded every window since from what it had gathered, however little that was. Where all nodes that knew a record had ended, it was a second set of counts.

Evidence: TestWindowWhoseRecordNobodyKnowsIsLeftOut failed before (3, then 1).

Change: a node knows from which window on it has every record that was made before the store's era and may have been reported. When it learns of a new era, this stays as it is if the node has been in touch with all nodes that may report, or with the reporter, within 1.5 s, or holds the authority; otherwise all windows that have ended are in doubt. Nodes with the same records take the better of their two knowledges. A pause of the process and the end of a node that was out of touch before count as out of touch. An unknown window in doubt isn't recorded: missing it is paid for, a bill that changes can't be put right. A log line and tinarch_usage_windows_left_out_total tell of it. Supervisors tell the digest of their records in their periodic messages (one field), and ask only where it differs.

Why this works: a report is sent once all supervisors that are present have its record, or 2 s after it was told while the store still has it. A node that was in touch less than 1.5 s before it learns of the era has therefore every record whose report was sent before the store lost it.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -250,6 +250,15 @@
 	return term, true
 }
 
+// Holding returns the fence of this node's lease and when it expires; false means that it holds
+// none. Unlike Term it doesn't tell whether an operation may begin.
+func (a *Authority) Holding() (Term, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	fence := a.machine.Fence(a.options.Clock())
+	return Term{Fence: fence, Until: a.machine.Until()}, fence != 0
+}
+
 // Fence returns the fence of this node's lease, zero if it holds none. Operations get theirs
 // from Begin instead.
 func (a *Authority) Fence() uint64 {
--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -245,6 +245,9 @@
 	snapshot.CacheUpdates, snapshot.Failures = e.outbox.next(now, periodic)
 	e.sequence++
 	base := Message{Node: e.node, Sequence: e.sequence}
+	if periodic {
+		base.RecordsState = e.recordsState()
+	}
 	e.mu.Lock()
 	if reports {
 		base.Zone = e.zone
@@ -321,19 +324,19 @@
 	supervisor bool
 }
 
-// sendSnapshot sends each node its part of a snapshot. Only supervisors get the demand by
-// region, which is long and used for planning only.
+// sendSnapshot sends each node its part of a snapshot. Only supervisors get the state of the
+// usage records, and the demand by region, which is long and used for planning only.
 func (e *Exchange) sendSnapshot(workersByRecipient map[netip.AddrPort][]string, supervisors []netip.AddrPort, snapshot worker.Snapshot, base Message) {
 	datagrams := make(map[datagramKey][]byte)
 	for address, workers := range workersByRecipient {
 		key := datagramKey{strings.Join(workers, " "), slices.Contains(supervisors, address)}
 		datagram, rendered := datagrams[key]
 		if !rendered {
-			part := snapshot.ForWorkers(workers)
+			part, message := snapshot.ForWorkers(workers), base
 			if !key.supervisor {
-				part.RegionDemand = nil
+				message.RecordsState, part.RegionDemand = nil, nil
 			}
-			datagram = e.encode(newMessage(base, part))
+			datagram = e.encode(newMessage(message, part))
 			datagrams[key] = datagram
 		}
 		e.write(kindLoad, datagram, address)
@@ -481,6 +484,7 @@
 		for _, q := range e.quotas() {
 			q.left(message.Node)
 		}
+		e.forgetRecords(from, message.Node)
 	}
 	e.mu.Lock()
 	first, stale := e.peers.recordMessage(from, message, now)
@@ -499,6 +503,9 @@
 	if first && supervises {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "address": from.String()}).Info("node heard for the first time")
 	}
+	if message.RecordsState != nil {
+		e.receiveRecordsState(from, message.Node, *message.RecordsState)
+	}
 	if len(message.Failures) > 0 {
 		e.log.WithFields(logrus.Fields{"node": message.Node, "sequence": message.Sequence, "workers": message.Failures}).Info("another node tells of failures")
 	}
--- a/internal/nodeexchange/message.go
+++ b/internal/nodeexchange/message.go
@@ -111,6 +111,8 @@
 	UsageReply *usageReply   `json:"h,omitempty"`
 	WantUsage  usage.Window  `json:"j,omitempty"`
 	Gathered   *wireGathered `json:"k,omitempty"`
+	// RecordsState tells a supervisor which recorded usage windows the sender knows.
+	RecordsState *recordsState `json:"us,omitempty"`
 	// Records is about the recorded usage windows that supervisors know. Such a message holds
 	// nothing else.
 	Records *recordsMessage `json:"ur,omitempty"`
--- a/internal/nodeexchange/peers.go
+++ b/internal/nodeexchange/peers.go
@@ -381,19 +381,6 @@
 	})
 }
 
-// designatedPeer returns the other supervisor that this node takes for the designated one, the
-// zero address if there is none.
-func (s *peerSet) designatedPeer() netip.AddrPort {
-	var first netip.AddrPort
-	for _, address := range s.presentSupervisors() {
-		known := s.peers[address]
-		if !known.steppedBack && (!first.IsValid() || known.node < s.peers[first].node) {
-			first = address
-		}
-	}
-	return first
-}
-
 // oldest returns the longest time since a present peer was heard.
 func (s *peerSet) oldest(now time.Time) time.Duration {
 	oldest := time.Duration(0)
--- a/internal/nodeexchange/records.go
+++ b/internal/nodeexchange/records.go
@@ -3,11 +3,11 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/clock"
 	"github.com/tinarch/tinarch/internal/usage"
 )
 
@@ -23,10 +23,27 @@
 	Held map[usage.Window]uint64 `json:"h,omitempty"`
 }
 
+// recordsState tells which records the sender knows. Supervisors send it with their periodic load
+// messages.
+type recordsState struct {
+	// Digest is a checksum of all records.
+	Digest uint64 `json:"d"`
+	// Era, CompleteFrom and Reporting are as in usage.Completeness.
+	Era          uint64       `json:"e,omitempty"`
+	CompleteFrom usage.Window `json:"f,omitempty"`
+	Reporting    bool         `json:"r,omitempty"`
+}
+
+func (s recordsState) completeness() usage.Completeness {
+	return usage.Completeness{Era: s.Era, From: s.CompleteFrom, Reporting: s.Reporting}
+}
+
 // recordsQuestion asks a supervisor which records it knows.
 type recordsQuestion struct {
-	ID uint64 `json:"i"`
-	// Digest is a checksum of all records that the sender knows.
+	// ID is when the question was asked, in nanoseconds of the sender's clock.
+	ID  uint64 `json:"i"`
+	Era uint64 `json:"e,omitempty"`
+	// Digest is that of the sender's recordsState.
 	Digest uint64 `json:"d"`
 	// CountsAfter also asks for the counts that the receiver has collected of the windows after
 	// this one.
@@ -35,11 +52,11 @@
 
 // recordsAnswer answers a question.
 type recordsAnswer struct {
-	ID uint64 `json:"i"`
-	// Digest is a checksum of all records that the sender knows. If it differs from the one of
-	// the question, Sums are the checksums of the records by window.
-	Digest uint64                  `json:"d"`
-	Sums   map[usage.Window]uint64 `json:"s,omitempty"`
+	ID    uint64       `json:"i"`
+	State recordsState `json:"t"`
+	// Sums are the checksums of the records by window, if the digest differs from that of the
+	// question.
+	Sums map[usage.Window]uint64 `json:"s,omitempty"`
 	// Messages is the number of messages with counts that were sent before.
 	Messages int `json:"m,omitempty"`
 }
@@ -80,12 +97,16 @@
 	collection *collection
 	// wanted are the windows whose records this node has asked the peer for.
 	wanted map[usage.Window]bool
-	// synchronized tells that this node has had all records of the peer.
+	// synchronized tells that this node has all records of the peer, as far as it knows.
+	// inTouchAt is the latest time as of which it has had all of them, by clock.Boottime.
 	synchronized bool
+	inTouchAt    time.Time
 	// aware tells that the peer has sent a recordsMessage. Earlier builds don't. unanswered
 	// counts the questions to a peer of which that isn't known.
 	aware      bool
 	unanswered int
+	// heard is when its last recordsMessage came.
+	heard time.Time
 }
 
 // collection is the state of a question for the counts and records of a supervisor.
@@ -131,6 +152,9 @@
 // peer returns the entry of an incarnation of a node.
 func (r *recordsExchange) peer(address netip.AddrPort, node string) *recordsPeer {
 	known, exists := r.peers[address]
+	if exists && known.node != node {
+		r.end(known)
+	}
 	if !exists || known.node != node {
 		known = &recordsPeer{node: node, sums: make(map[usage.Window]uint64)}
 		r.peers[address] = known
@@ -138,11 +162,37 @@
 	return known
 }
 
+// end records that the process of a peer has ended.
+func (r *recordsExchange) end(peer *recordsPeer) {
+	if !usage.InTouch(peer.inTouchAt, clock.Boottime()) {
+		r.history.Interrupt()
+	}
+}
+
+// state returns this node's state.
+func (r *recordsExchange) state() recordsState {
+	known := r.history.Completeness(clock.Boottime())
+	return recordsState{Digest: digestOf(r.history.Sums()), Era: known.Era, CompleteFrom: known.From, Reporting: known.Reporting}
+}
+
+// matches records the state of a peer, and reports whether the peer has the same records.
+func (r *recordsExchange) matches(peer *recordsPeer, state recordsState, at time.Time) bool {
+	own := r.history.Sums()
+	peer.synchronized = state.Digest == digestOf(own)
+	if peer.synchronized {
+		maps.Copy(peer.sums, own)
+		peer.inTouchAt = at
+		r.history.Synchronized(state.completeness(), at)
+	}
+	return peer.synchronized
+}
+
 // question returns a new question to a peer. It asks for counts too as long as their collection
 // isn't complete.
 func (r *recordsExchange) question(peer *recordsPeer) *recordsQuestion {
-	r.lastQuestion++
-	question := &recordsQuestion{ID: r.lastQuestion, Digest: digestOf(r.history.Sums())}
+	r.lastQuestion = max(r.lastQuestion+1, uint64(clock.Boottime().UnixNano()))
+	state := r.state()
+	question := &recordsQuestion{ID: r.lastQuestion, Era: state.Era, Digest: state.Digest}
 	if !peer.collection.complete() {
 		question.CountsAfter = peer.collection.after
 		peer.collection = &collection{question: question.ID, after: question.CountsAfter, expected: -1}
@@ -168,10 +218,10 @@
 // node's before it learned of more.
 func (r *recordsExchange) receive(peer *recordsPeer, answer *recordsAnswer) []usage.Window {
 	own := r.history.Sums()
-	if answer.Sums == nil && answer.Digest == digestOf(own) {
+	if answer.Sums == nil && answer.State.Digest == digestOf(own) {
 		answer.Sums = own
 	}
-	if answer.ID <= peer.answered || answer.Sums == nil && answer.Digest != digestOf(nil) {
+	if answer.ID <= peer.answered || answer.Sums == nil && answer.State.Digest != digestOf(nil) {
 		return nil
 	}
 	peer.answer, peer.answered = answer, answer.ID
@@ -220,6 +270,8 @@
 	if known := peer.collection; known != nil && known.question <= peer.answer.ID {
 		known.synchronized = true
 	}
+	peer.inTouchAt = time.Unix(0, int64(peer.answer.ID))
+	r.history.Synchronized(peer.answer.State.completeness(), peer.inTouchAt)
 	peer.synchronized, peer.answer = true, nil
 }
 
@@ -279,10 +331,10 @@
 	return parts
 }
 
-// askRecords asks the other supervisors which records they know: the designated one each time,
-// the others until this node has had all of theirs. Histories thus become alike again after
-// messages were lost, and a node that starts or becomes a supervisor learns what was recorded
-// before. A former supervisor passes on what it knows in the same way.
+// askRecords asks the other supervisors that may have other records than this node. Histories
+// thus become alike again after messages were lost, and a node that starts or becomes a
+// supervisor learns what was recorded before. A former supervisor passes on what it knows in the
+// same way.
 func (e *Exchange) askRecords() {
 	if e.usage == nil {
 		return
@@ -290,12 +342,17 @@
 	e.mu.Lock()
 	questions := make(map[netip.AddrPort]*recordsQuestion)
 	var unaware []netip.AddrPort
-	maps.DeleteFunc(e.usage.records.peers, func(address netip.AddrPort, _ *recordsPeer) bool { return e.peers.peers[address] == nil })
+	maps.DeleteFunc(e.usage.records.peers, func(address netip.AddrPort, peer *recordsPeer) bool {
+		gone := e.peers.peers[address] == nil && time.Since(peer.heard) > heardWithin
+		if gone {
+			e.usage.records.end(peer)
+		}
+		return gone
+	})
 	if e.peers.supervises() || len(e.usage.records.history.Sums()) > 0 {
-		designated := e.peers.designatedPeer()
 		for _, address := range e.peers.presentSupervisors() {
 			peer := e.usage.records.peer(address, e.peers.peers[address].node)
-			if peer.synchronized && address != designated && peer.collection.complete() {
+			if peer.synchronized && peer.collection.complete() {
 				continue
 			}
 			questions[address] = e.usage.records.question(peer)
@@ -316,7 +373,7 @@
 // exchangeWithEarlierBuild sends a node of an earlier build the records that fit in a message of
 // that build, and asks it for its own.
 func (e *Exchange) exchangeWithEarlierBuild(address netip.AddrPort) {
-	records := e.usage.records.history.Records(math.MinInt64)
+	records := e.usage.records.history.Records(0)
 	for window, record := range records {
 		e.sendRecorded(address, map[usage.Window]usage.Counts{window: record.Counts})
 	}
@@ -324,13 +381,27 @@
 	e.sendTo(address, Message{Node: e.node, WantUsage: now - maxWanted})
 }
 
+// forgetRecords forgets what a node that leaves knows.
+func (e *Exchange) forgetRecords(address netip.AddrPort, node string) {
+	if e.usage == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if known, exists := e.usage.records.peers[address]; exists && known.node == node {
+		e.usage.records.end(known)
+		delete(e.usage.records.peers, address)
+	}
+}
+
 // receiveRecords processes a message about records.
 func (e *Exchange) receiveRecords(from netip.AddrPort, node string, message recordsMessage) {
 	if e.usage == nil {
 		return
 	}
 	e.mu.Lock()
-	e.usage.records.peer(from, node).aware = true
+	peer := e.usage.records.peer(from, node)
+	peer.aware, peer.heard = true, time.Now()
 	e.mu.Unlock()
 	switch {
 	case message.Question != nil:
@@ -349,20 +420,73 @@
 }
 
 func (e *Exchange) answerRecords(to netip.AddrPort, question recordsQuestion) {
-	sums := e.usage.records.history.Sums()
-	answer := &recordsAnswer{ID: question.ID, Digest: digestOf(sums)}
+	e.observeEra(question.Era)
+	answer := &recordsAnswer{ID: question.ID, State: e.usage.records.state()}
 	if question.CountsAfter != nil {
 		answer.Messages = e.sendCounts(to, *question.CountsAfter, question.ID)
 	}
-	if answer.Digest != question.Digest {
-		answer.Sums = sums
+	if answer.State.Digest != question.Digest {
+		answer.Sums = e.usage.records.history.Sums()
 	}
 	e.sendTo(to, Message{Node: e.node, Records: &recordsMessage{Answer: answer}})
 }
 
+// observeEra updates the history with an era that another node knows.
+func (e *Exchange) observeEra(era uint64) {
+	current := e.usage.tally.WindowLength().WindowAt(e.usage.tally.Now(time.Now()))
+	e.usage.records.history.ObserveEra(era, clock.Boottime(), current)
+}
+
+// recordsState returns the state to send to supervisors, nil if usage isn't counted.
+func (e *Exchange) recordsState() *recordsState {
+	if e.usage == nil {
+		return nil
+	}
+	state := e.usage.records.state()
+	return &state
+}
+
+// receiveRecordsState compares the records of another supervisor with those of this node, and
+// asks for them if they differ.
+func (e *Exchange) receiveRecordsState(from netip.AddrPort, node string, state recordsState) {
+	if e.usage == nil {
+		return
+	}
+	e.observeEra(state.Era)
+	e.mu.Lock()
+	peer := e.usage.records.peer(from, node)
+	peer.aware, peer.heard = true, time.Now()
+	matches := e.usage.records.matches(peer, state, clock.Boottime())
+	e.confirmRecords()
+	e.mu.Unlock()
+	if !matches {
+		e.askRecords()
+	}
+}
+
+// confirmRecords tells the history since when this node has been in touch with all other
+// supervisors, one of which may be the reporter. mu must be held.
+func (e *Exchange) confirmRecords() {
+	if !e.peers.listed || !e.peers.supervises() {
+		return
+	}
+	oldest := clock.Boottime()
+	for _, address := range e.peers.others(e.peers.supervisors()) {
+		peer, exists := e.usage.records.peers[address]
+		if !exists || peer.node != e.peers.peers[address].node || peer.inTouchAt.IsZero() {
+			return
+		}
+		if peer.inTouchAt.Before(oldest) {
+			oldest = peer.inTouchAt
+		}
+	}
+	e.usage.records.history.Confirm(oldest)
+}
+
 // receiveRecordsAnswer asks for the records that this node lacks, and sends those that the peer
 // lacks.
 func (e *Exchange) receiveRecordsAnswer(from netip.AddrPort, node string, answer *recordsAnswer) {
+	e.observeEra(answer.State.Era)
 	e.mu.Lock()
 	peer := e.usage.records.peer(from, node)
 	extra := e.usage.records.receive(peer, answer)
--- a/internal/nodeexchange/usage.go
+++ b/internal/nodeexchange/usage.go
@@ -164,6 +164,10 @@
 	}
 }
 
+// heardWithin is how long after its last message about records a node is waited for. It is longer
+// than a node counts itself in touch with the reporter (usage.History).
+const heardWithin = 2 * time.Second
+
 // Lacking implements usage.Fleet. Supervisors of earlier builds, which confirm nothing, aren't
 // among them.
 func (e *Exchange) Lacking(window usage.Window) []string {
@@ -174,13 +178,15 @@
 		return nil
 	}
 	sum := record.Counts.Sum()
+	present := e.peers.presentSupervisors()
 	var lacking []string
-	for _, address := range e.peers.presentSupervisors() {
-		peer := e.usage.records.peer(address, e.peers.peers[address].node)
-		if peer.aware && peer.sums[window] != sum {
+	for address, peer := range e.usage.records.peers {
+		waited := slices.Contains(present, address) || time.Since(peer.heard) < heardWithin
+		if peer.aware && waited && peer.sums[window] != sum {
 			lacking = append(lacking, peer.node)
 		}
 	}
+	slices.Sort(lacking)
 	return lacking
 }
 
--- a/internal/usage/history.go
+++ b/internal/usage/history.go
@@ -3,9 +3,9 @@
 import (
 	"encoding/binary"
 	"maps"
-	"math"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -43,14 +43,151 @@
 
 // History holds the recorded windows that a node knows, including those that the store has lost
 // because it was restored from a backup. The supervisors keep their histories alike. It is safe
-// for concurrent use.
+// for concurrent use. Times are those of clock.Boottime.
 type History struct {
 	mu      sync.Mutex
 	records map[Window]Record
+	// sums are the checksums of the records.
+	sums map[Window]uint64
+	// era is the latest known era of the store.
+	era uint64
+	// completeFrom is the window from which on the history has every record that was made before
+	// this era and may have been reported. The store may have lost them.
+	completeFrom Window
+	// confirmedAt is the latest time as of which this node has had all records of every node
+	// that may report.
+	confirmedAt time.Time
+	// interrupted tells that this node may have missed a report since then, so that only the
+	// reporter can confirm its records.
+	interrupted bool
+	// tickedAt is when the node last ran Tick.
+	tickedAt time.Time
+	// reportingUntil is when the authority of this node ends, if it has read the recorded windows
+	// since it has the authority.
+	reportingUntil time.Time
 }
 
-// NewHistory returns an empty history.
-func NewHistory() *History { return &History{records: make(map[Window]Record)} }
+const (
+	// confirmedFor is how long after confirmedAt no window can have been reported that this node
+	// doesn't know, in the same era. It is shorter than heldTimeout, for which the reporter waits
+	// for this node's confirmation of a record.
+	confirmedFor = 1500 * time.Millisecond
+	// maxTickGap is the longest time between two calls of Tick, several stepIntervals. After a
+	// longer one this node was paused, and may have taken old messages for new ones.
+	maxTickGap = time.Second
+)
+
+// NewHistory returns an empty history. It is complete, since the store has lost nothing in its
+// first era, zero.
+func NewHistory() *History {
+	return &History{records: make(map[Window]Record), sums: make(map[Window]uint64)}
+}
+
+// Completeness tells how far a history is complete.
+type Completeness struct {
+	// Era is the latest known era, and From the first window of which the history has every
+	// record that was made before it and may have been reported.
+	Era  uint64
+	From Window
+	// Reporting tells that its node has the authority to report.
+	Reporting bool
+}
+
+// Completeness returns how far the history is complete.
+func (h *History) Completeness(now time.Time) Completeness {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return Completeness{Era: h.era, From: h.completeFrom, Reporting: now.Before(h.reportingUntil)}
+}
+
+// ObserveEra updates the history with the store's era. current is the window of the time now.
+// The store may have lost records: unless this node is in touch with all nodes that may report
+// or is the reporter, windows may have been reported that it doesn't know.
+func (h *History) ObserveEra(era uint64, now time.Time, current Window) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if era <= h.era {
+		return
+	}
+	confirmed := InTouch(h.confirmedAt, now) && !h.paused(now)
+	if !confirmed && !now.Before(h.reportingUntil) {
+		h.completeFrom = max(h.completeFrom, current)
+	}
+	h.era, h.confirmedAt, h.interrupted = era, time.Time{}, false
+}
+
+// Tick detects that this node was paused. It must be called at each stepInterval.
+func (h *History) Tick(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.paused(now) {
+		h.confirmedAt, h.interrupted = time.Time{}, true
+	}
+	h.tickedAt = now
+}
+
+func (h *History) paused(now time.Time) bool {
+	return !h.tickedAt.IsZero() && now.Sub(h.tickedAt) > maxTickGap
+}
+
+// SetReporting sets until when this node has the authority to report, the zero time if it
+// doesn't.
+func (h *History) SetReporting(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reportingUntil = until
+}
+
+// Synchronized updates the history after it has got all records that another one had at the
+// given time. The reporter's records are complete in its era.
+func (h *History) Synchronized(other Completeness, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if other.Era != h.era {
+		return
+	}
+	h.completeFrom = min(h.completeFrom, other.From)
+	if other.Reporting {
+		h.interrupted = false
+		h.confirm(at)
+	}
+}
+
+// Confirm records that this node has had all records that all nodes which may report had at the
+// given time.
+func (h *History) Confirm(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.interrupted {
+		h.confirm(at)
+	}
+}
+
+func (h *History) confirm(at time.Time) {
+	if at.After(h.confirmedAt) {
+		h.confirmedAt = at
+	}
+}
+
+// Interrupt records that a node ended with which this node was out of touch before. It may have
+// reported windows that no node knows.
+func (h *History) Interrupt() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.confirmedAt, h.interrupted = time.Time{}, true
+}
+
+// InTouch reports whether a time, at which this node had all records of another one, is so
+// recent that the other one can't have reported anything else since.
+func InTouch(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) <= confirmedFor }
+
+// InDoubt reports whether a window of which the history has no record may have been reported.
+func (h *History) InDoubt(window Window) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, known := h.records[window]
+	return !known && window < h.completeFrom
+}
 
 // Merge adds records, and drops those that are so old that the store no longer keeps them
 // either.
@@ -60,7 +197,7 @@
 	for window, record := range records {
 		known, exists := h.records[window]
 		if record.Counts != nil && (!exists || record.supersedes(known)) {
-			h.records[window] = record
+			h.records[window], h.sums[window] = record, record.Counts.Sum()
 		}
 	}
 	if len(h.records) == 0 {
@@ -68,6 +205,7 @@
 	}
 	newest := slices.Max(slices.Collect(maps.Keys(h.records)))
 	maps.DeleteFunc(h.records, func(window Window, _ Record) bool { return window <= newest-keptRows })
+	maps.DeleteFunc(h.sums, func(window Window, _ uint64) bool { return window <= newest-keptRows })
 }
 
 // Records returns the records of the windows after the given one.
@@ -92,7 +230,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.records) == 0 {
-		return math.MinInt64
+		return 0
 	}
 	return slices.Max(slices.Collect(maps.Keys(h.records))) - keptRows + 1
 }
@@ -101,9 +239,5 @@
 func (h *History) Sums() map[Window]uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	sums := make(map[Window]uint64, len(h.records))
-	for window, record := range h.records {
-		sums[window] = record.Counts.Sum()
-	}
-	return sums
+	return maps.Clone(h.sums)
 }
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -125,6 +125,10 @@
 	// era is the era of the store in which the windows were recorded. It changes when the store
 	// is restored from a backup.
 	era uint64
+	// readUnder is the fence under which this node last read the recorded windows.
+	readUnder uint64
+	// leftOut is the newest window that was left out because it may have been reported.
+	leftOut Window
 	// gathering is the last question to the other supervisors.
 	gathering gathering
 	retryAt   time.Time
@@ -171,6 +175,7 @@
 		case <-ticker.C:
 		}
 		if !r.options.Designated() {
+			r.observe(time.Now())
 			r.gathering, r.done = gathering{}, 0
 			continue
 		}
@@ -178,8 +183,22 @@
 	}
 }
 
+// observe updates the history with the store's era and with this node's authority.
+func (r *Reporter) observe(moment time.Time) {
+	current := r.windowLength.WindowAt(r.options.Tally.Now(moment))
+	now := clock.Boottime()
+	r.options.Collector.History().ObserveEra(r.options.Store.Era(), now, current)
+	r.options.Collector.History().Tick(now)
+	until := time.Time{}
+	if term, held := r.options.Authority.Holding(); held && term.Fence == r.readUnder {
+		until = term.Until
+	}
+	r.options.Collector.History().SetReporting(until)
+}
+
 // Step reports the windows that are due.
 func (r *Reporter) Step(ctx context.Context, moment time.Time) {
+	r.observe(moment)
 	own := r.options.Tally.Since(0, moment)
 	r.options.Collector.MergeEntries(r.options.Incarnation, own.Entries)
 	now := r.options.Tally.Now(moment)
@@ -190,7 +209,7 @@
 	if due <= r.done || moment.Before(r.retryAt) || !r.isComplete(due, now) {
 		return
 	}
-	if err := r.report(ctx, due, now); err != nil {
+	if err := r.report(ctx, due, moment); err != nil {
 		r.retryAt = moment.Add(retryInterval)
 		r.options.Log.WithFields(logrus.Fields{"window": due, "cause": err.Error()}).Warn("usage not reported yet")
 	}
@@ -211,7 +230,7 @@
 }
 
 // report records and sends all windows up to the given one.
-func (r *Reporter) report(ctx context.Context, due Window, now time.Time) error {
+func (r *Reporter) report(ctx context.Context, due Window, moment time.Time) error {
 	if status := r.options.Authority.Acquire(ctx); status != authority.Held {
 		// This node may not report: it doesn't hold the lease.
 		return eris.Errorf("no authority: %s", status)
@@ -219,21 +238,28 @@
 	if err := r.gather(due); err != nil {
 		return err
 	}
+	fence := r.options.Authority.Fence()
 	recorded, err := r.recorded(ctx)
 	if err != nil {
 		return err
 	}
+	r.readUnder = fence
+	r.observe(moment)
 	if err := r.recordLostWindows(ctx, recorded, due); err != nil {
 		return err
 	}
 	for window := r.firstUnrecorded(recorded, due); window <= due; window++ {
+		if r.options.Collector.History().InDoubt(window) {
+			r.leaveOut(window)
+			continue
+		}
 		counts := r.options.Collector.Total(window)
 		if err := r.record(ctx, window, counts); err != nil {
 			return err
 		}
 		recorded[window] = counts
 	}
-	if err := r.sendAll(ctx, recorded, now); err != nil {
+	if err := r.sendAll(ctx, recorded, r.options.Tally.Now(moment)); err != nil {
 		return err
 	}
 	r.done = due
@@ -241,6 +267,21 @@
 	return nil
 }
 
+// leaveOut skips a window that may have been reported before the store was restored, with counts
+// that no node knows. A window that isn't reported is missing; one that is reported with two
+// sets of counts can't be put right.
+func (r *Reporter) leaveOut(window Window) {
+	if window <= r.leftOut {
+		return
+	}
+	r.leftOut = window
+	completeness := r.options.Collector.History().Completeness(clock.Boottime())
+	r.options.Log.WithFields(logrus.Fields{
+		"window": window, "complete_from": completeness.From, "era": completeness.Era,
+	}).Warn("a usage window is left out: it may have been reported before the store was restored")
+	r.options.Metrics.observeLeftOut()
+}
+
 // gather asks the other supervisors for what they know, and returns an error as long as their
 // answers are to be waited for. This node has the authority, so that nobody records windows
 // after they have answered.
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -349,6 +349,47 @@
 	}
 }
 
+// TestWindowWhoseRecordNobodyKnowsIsLeftOut guards against a second report of a window after all
+// nodes that knew its record ended and the store was restored to before it.
+func TestWindowWhoseRecordNobodyKnowsIsLeftOut(t *testing.T) {
+	s := newFixture()
+	s.reporter("first", 3).Step(context.Background(), at(6))
+	s.store.Restore(0)
+	window := WindowLength(span).WindowAt(at(0))
+	second := s.reporter("second", 1)
+	for moment := 8.0; len(s.api.reports[window+1]) == 0; moment += retryInterval.Seconds() {
+		if moment > 30 {
+			t.Fatalf("windows that end after the restore aren't reported: %v", s.api.reports)
+		}
+		second.Step(context.Background(), at(moment))
+		time.Sleep(leaseLife / 8)
+	}
+	if diff := cmp.Diff([]Counts{{"a": 3}}, s.api.reports[window]); diff != "" {
+		t.Errorf("reports of the window from before the restore: %s", diff)
+	}
+}
+
+// TestReporterThatLivesThroughARestoreLeavesNothingOut checks that the holder of the authority,
+// which knows what it has recorded, reports a window that ended before the restore.
+func TestReporterThatLivesThroughARestoreLeavesNothingOut(t *testing.T) {
+	s := newFixture()
+	r := s.reporter("n", 3)
+	r.Step(context.Background(), at(6))
+	s.store.SetFaults(memorystore.Faults{Down: true})
+	r.Step(context.Background(), at(11))
+	s.store.SetFaults(memorystore.Faults{})
+	s.store.Restore(0)
+	window := WindowLength(span).WindowAt(at(0))
+	for moment := 12.0; len(s.api.reports[window+1]) == 0; moment += retryInterval.Seconds() {
+		if moment > 30 {
+			t.Fatalf("the window that ended before the restore is left out: %v", s.api.reports)
+		}
+		r.Step(context.Background(), at(moment))
+		time.Sleep(leaseLife / 8)
+	}
+	s.api.checkSameCounts(t)
+}
+
 // TestFormerHolderRecordsNothing checks that a write under the authority's condition fails once
 // another node has the authority, as after a pause of the process.
 func TestFormerHolderRecordsNothing(t *testing.T) {
