--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -26,6 +26,7 @@
 	Notices  bool   `arg:"--notices" help:"workers announce that they are about to end, or ask for a pause, and the requests that they get are checked"`
 	Storms   bool   `arg:"--storms" help:"the configuration changes in quick succession while the store rejects a share of the nodes, and the time until each node has it is checked; with odd seeds it is too large for a datagram"`
 	Restores bool   `arg:"--restores" help:"the store fails repeatedly, and is restored from a backup that is some seconds old"`
+	Handover bool   `arg:"--handovers" help:"all nodes are restarted one after the other after a usage report, and then the store is restored from an older backup"`
 	Uneven   bool   `arg:"--uneven" help:"workers state the slowdown of their hosts, which differ and change"`
 	Overload bool   `arg:"--overload" help:"like --uneven, and one tenant sends bursts that the engines can't read in time; who is served and who is kept waiting is checked"`
 	Nodes    int    `arg:"--nodes" default:"3" help:"number of nodes, each a process"`
@@ -70,7 +71,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
-		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Restores: c.Restores, Uneven: c.Uneven, Overload: c.Overload, Nodes: c.Nodes, Earlier: c.Earlier,
+		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Restores: c.Restores, Handovers: c.Handover, Uneven: c.Uneven, Overload: c.Overload, Nodes: c.Nodes, Earlier: c.Earlier,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -51,6 +51,9 @@
 	if s.options.Earlier != "" {
 		kinds = append(kinds, s.rollNode, s.rollNode, s.rollNode)
 	}
+	if s.options.Handovers {
+		kinds = append(kinds, s.replaceAllAndRestore, s.replaceAllAndRestore, s.replaceAllAndRestore, s.replaceAllAndRestore, s.replaceAllAndRestore)
+	}
 	if s.options.Uneven {
 		kinds = append(kinds, s.slowHost, s.slowHost)
 	}
--- a/internal/lab/soak/restore.go
+++ b/internal/lab/soak/restore.go
@@ -21,21 +21,39 @@
 	maxRestorePause = 3 * time.Second
 )
 
+// backup is a version of the store to which it can be restored.
+type backup struct {
+	version uint64
+	at      time.Time
+	era     uint64
+}
+
+func (s *site) backUp() backup {
+	return backup{version: s.store.Version(), at: time.Now(), era: s.store.Era()}
+}
+
 // restoreRepeatedly makes the store unreachable and restores it from a backup, again and again,
 // until ctx is done.
 func (s *site) restoreRepeatedly(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.options.Seed, 73))
 	for ctx.Err() == nil {
-		copied, at := s.store.Version(), time.Now()
+		taken := s.backUp()
 		sleep(ctx, minBackupAge+time.Duration(random.Int64N(int64(maxBackupAge-minBackupAge))))
-		s.restoreOnce(random, copied, at)
+		s.restoreOnce(random, taken)
 		sleep(ctx, time.Duration(random.Int64N(int64(maxRestorePause))))
 	}
 }
 
-// restoreOnce restores the store to the version copied, its version at a time. What the
-// operator and the workers have written since is written again, in random order.
-func (s *site) restoreOnce(random *rand.Rand, copied uint64, at time.Time) {
+// restoreOnce restores the store from a backup, unless it has been restored since. What the
+// operator and the workers have written since the backup is written again, in random order. It
+// reports whether the store was restored.
+func (s *site) restoreOnce(random *rand.Rand, taken backup) bool {
+	s.restoring.Lock()
+	defer s.restoring.Unlock()
+	if s.store.Era() != taken.era {
+		return false
+	}
+	copied, at := taken.version, taken.at
 	away := time.Duration(random.Int64N(int64(maxOutage)))
 	// Versions accepted just before the outage may not have reached any node.
 	unsure := earlierOf(at, time.Now().Add(-applyBound))
@@ -55,6 +73,7 @@
 	s.storm.restored(unsure, time.Now())
 	_, _ = fmt.Fprintf(s.options.Out, "%7.2f s  the store was unreachable for %v and was restored from a backup of version %d, %v old; %d rows were lost\n",
 		time.Since(s.started).Seconds(), away.Round(time.Millisecond), copied, time.Since(at).Round(time.Millisecond), len(lost))
+	return true
 }
 
 // rewriteLost writes a lost row again, but not while a new configuration is being written.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -51,6 +51,9 @@
 	// Restores makes the store unreachable and then restores it from a backup that is some
 	// seconds old.
 	Restores bool
+	// Handovers restarts all nodes one after the other once a usage window has been reported, and
+	// then restores the store from a backup that is older than the report.
+	Handovers bool
 	// Uneven makes workers state the slowdown of their hosts, which differ and change.
 	Uneven bool
 	// Overload makes prefill take time and one tenant send bursts that the engines can't read in
@@ -121,6 +124,8 @@
 	storm storm
 	// configuring is held while a configuration is written.
 	configuring sync.Mutex
+	// restoring is held while the store is restored.
+	restoring sync.Mutex
 }
 
 // soakWorker is a worker and the proxy whose address is in its list entry.
