usage: the reporter counts all of its own requests

What callers saw: tenants' windows were reported too low, by up to the reporter's own share of the requests, where a node has more than 300 counts in the twelve windows that it keeps: from 26 tenants a window on.

Cause: the reporter took its own counts from Tally.Since, which returns as many as fit in a message, the oldest changes first; so the newest window was missing.

Evidence: TestReporterCountsAllOfItsOwnTenants (600 tenants) failed before, with 300 of 601 tenants reported.

Change: the reporter takes the entries of the windows that it reports from its tally, when it reports.

Why this works: Tally.Entries has no bound, and other nodes' counts come as changes that continue where the last message ended.

--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -199,8 +199,6 @@
 // Step reports the windows that are due.
 func (r *Reporter) Step(ctx context.Context, moment time.Time) {
 	r.observe(moment)
-	own := r.options.Tally.Since(0, moment)
-	r.options.Collector.MergeEntries(r.options.Incarnation, own.Entries)
 	now := r.options.Tally.Now(moment)
 	due := r.windowLength.WindowAt(now.Add(-settleTime)) - 1
 	if era := r.options.Store.Era(); era != r.era {
@@ -238,6 +236,7 @@
 	if err := r.gather(due); err != nil {
 		return err
 	}
+	r.options.Collector.MergeEntries(r.options.Incarnation, r.options.Tally.Entries(due-keptWindows, due))
 	fence := r.options.Authority.Fence()
 	recorded, err := r.recorded(ctx)
 	if err != nil {
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"testing"
@@ -147,6 +148,23 @@
 	}
 }
 
+// TestReporterCountsAllOfItsOwnTenants guards against a reporter that counts only as many of its
+// own entries as fit in a message to another node.
+func TestReporterCountsAllOfItsOwnTenants(t *testing.T) {
+	s := newFixture()
+	r := s.reporter("n", 1)
+	want := Counts{"a": 1}
+	for number := range 2 * maxEntries {
+		tenant := fmt.Sprint("tenant-", number)
+		r.options.Tally.CountStarted(tenant, at(2))
+		want[tenant] = 1
+	}
+	r.Step(context.Background(), at(6))
+	if diff := cmp.Diff(map[Window][]Counts{WindowLength(span).WindowAt(at(0)): {want}}, s.api.reports); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestReporterWaitsForLiveNodes checks that it waits for maxNodeWait at most.
 func TestReporterWaitsForLiveNodes(t *testing.T) {
 	s := newFixture()
