nodeexchange: a node that doesn't know the list of nodes grants as a cold keeper

Cause: a node that started while the store was away took itself for the only keeper of all quotas until it had read the list of nodes, and counted the level from the start of its process, as if all use had been reported to it since. Other nodes had dropped its address when the process before it left, so nobody told it of themselves.

Evidence: node-3 started at 35.61 s, couldn't read the list four times and had a configuration from 37.63 s on. It asked only itself as a keeper, granted five requests of the tenant at once (37.66 to 37.80 s) and two more until 38.43 s; at 38.63 s it heard the first other node, whose level was -1.65. Four more of the 35 were granted at node-2 and ran after a pause of its process, which the tolerance covers.

Change: without the list, a node isn't counted as one to which all use is reported, and shares the level of keepers that start at once; use is counted from when the list is known.

Why this works: what the node grants beside the others is the level of a cold keeper, a fourth of the slack, and the rate from its first request on, which quotas.md has in its sum.

--- a/internal/nodeexchange/peers.go
+++ b/internal/nodeexchange/peers.go
@@ -110,6 +110,9 @@
 
 // addFullList adds the peers of the store's whole list of nodes.
 func (s *peerSet) addFullList(listed []Peer) {
+	if !s.listed {
+		s.generation++ // this node's place among the nodes is known from now on
+	}
 	s.listed = true
 	s.addListed(listed)
 	s.listing.markZoneKnown()
--- a/internal/nodeexchange/quota_keep.go
+++ b/internal/nodeexchange/quota_keep.go
@@ -85,10 +85,13 @@
 	account := ask.Account
 	limited := q.limits.apply(account, &ask.Report)
 	keepers := q.keepersOf(account)
-	keeps := slices.Contains(keepers, q.exchange.peers.address)
+	listed := q.nodesListed()
+	// Without the list of nodes this node takes itself for a keeper of all accounts, but others
+	// don't report to it.
+	keeps := listed && slices.Contains(keepers, q.exchange.peers.address)
 	q.mu.Lock()
 	split := q.hasSilentKeeper(account, keepers, q.exchange.peers.address, quota.SilentAfter, now)
-	ask.Split, ask.NoKeeperHeard = split, q.hasHeardNoKeeper(keepers, q.exchange.peers.address)
+	ask.Split, ask.NoKeeperHeard = split, !listed && len(keepers) == 1 || q.hasHeardNoKeeper(keepers, q.exchange.peers.address)
 	decision := q.keeper.Decide(ask, keeps, now)
 	changed := q.setReserved(account, decision.Reserved > 0)
 	q.mu.Unlock()
@@ -147,6 +150,13 @@
 	return true
 }
 
+// nodesListed reports whether this node knows the store's list of nodes.
+func (q *quotaExchange) nodesListed() bool {
+	q.exchange.mu.Lock()
+	defer q.exchange.mu.Unlock()
+	return q.exchange.peers.listed
+}
+
 func (q *quotaExchange) keepersOf(account string) []netip.AddrPort {
 	q.exchange.mu.Lock()
 	defer q.exchange.mu.Unlock()
--- a/internal/nodeexchange/quota_test.go
+++ b/internal/nodeexchange/quota_test.go
@@ -505,3 +505,39 @@
 		deciding.Wait()
 	}
 }
+
+// TestKeeperThatDoesNotKnowTheNodesStartsCold guards against a node that starts while the store
+// can't be read and takes itself for the only keeper: it would grant a burst and the rate since
+// its start beside what the other keepers grant.
+func TestKeeperThatDoesNotKnowTheNodesStartsCold(t *testing.T) {
+	tolerance := quota.Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 4}
+	limit := quota.Limit{Rate: 0.001, Burst: 100, Unit: quota.Requests}
+	burst := func(exchange *Exchange, account string) int {
+		for granted := 0; ; granted++ {
+			request := quota.DecisionRequest{Account: account, From: quota.Spender{Node: "n"}, Cost: 1}
+			request.Report = quota.Report{Limit: limit, Version: 1, Counters: quota.Counters{Taken: float64(granted)}}
+			if !exchange.quota.decide(request, time.Now()).Granted {
+				return granted
+			}
+		}
+	}
+	exchange, err := Listen("127.0.0.1:0", "n", "zone", newRegistry("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = exchange.conn.Close() })
+	exchange.started = time.Now().Add(-refillTime)
+	exchange.SetQuota(tolerance)
+	most := int(tolerance.MaxExcess(limit)) // what all nodes together may grant beyond the limit
+	if got := burst(exchange, "before"); got > most/2 {
+		t.Errorf("without the list of nodes: %d requests are granted at once, want %d at most", got, most/2)
+	}
+	exchange.AddPeers(nil)
+	if got := burst(exchange, "listed just now"); got > most/2 {
+		t.Errorf("just after the list of nodes was read: %d requests are granted at once, want %d at most", got, most/2)
+	}
+	exchange.quota.keeper.KeepersChanged(func(string) bool { return true }, time.Now().Add(-refillTime))
+	if got := burst(exchange, "listed long ago"); got < int(limit.Burst) {
+		t.Errorf("with a list that has been known for long: %d requests are granted at once, want %v", got, limit.Burst)
+	}
+}
