usage: a node that has just started, or doesn't reach a node that may have a record, records no unknown window

Cause: 1. a node that starts while the store is away knew of no era and took its empty history for complete; all nodes that start together confirmed that to each other. 2. A record that was never reported, at a node that was out of reach, could come back after another node had recorded and reported the window in a later era.

Change: the history of a node that starts is complete once it has read the store in its first era, or has the records of a node whose history is; it counts as in touch once it has the records of the reporter or of a node that was in touch. A window that ended before the era and that nobody is known to have recorded is recorded only if all supervisors have told their records since this node has the authority, or if it has had it since before the era.

--- a/internal/nodeexchange/records.go
+++ b/internal/nodeexchange/records.go
@@ -28,14 +28,15 @@
 type recordsState struct {
 	// Digest is a checksum of all records.
 	Digest uint64 `json:"d"`
-	// Era, CompleteFrom and Reporting are as in usage.Completeness.
+	// The other fields are as in usage.Completeness.
 	Era          uint64       `json:"e,omitempty"`
 	CompleteFrom usage.Window `json:"f,omitempty"`
 	Reporting    bool         `json:"r,omitempty"`
+	InTouch      bool         `json:"t,omitempty"`
 }
 
 func (s recordsState) completeness() usage.Completeness {
-	return usage.Completeness{Era: s.Era, From: s.CompleteFrom, Reporting: s.Reporting}
+	return usage.Completeness{Era: s.Era, From: s.CompleteFrom, Reporting: s.Reporting, InTouch: s.InTouch}
 }
 
 // recordsQuestion asks a supervisor which records it knows.
@@ -172,7 +173,7 @@
 // state returns this node's state.
 func (r *recordsExchange) state() recordsState {
 	known := r.history.Completeness(clock.Boottime())
-	return recordsState{Digest: digestOf(r.history.Sums()), Era: known.Era, CompleteFrom: known.From, Reporting: known.Reporting}
+	return recordsState{Digest: digestOf(r.history.Sums()), Era: known.Era, CompleteFrom: known.From, Reporting: known.Reporting, InTouch: known.InTouch}
 }
 
 // matches records the state of a peer, and reports whether the peer has the same records.
@@ -472,10 +473,7 @@
 	}
 	oldest := clock.Boottime()
 	for _, address := range e.peers.others(e.peers.supervisors()) {
-		peer, exists := e.usage.records.peers[address]
-		if !exists || peer.node != e.peers.peers[address].node || peer.inTouchAt.IsZero() {
-			return
-		}
+		peer := e.usage.records.peer(address, e.peers.peers[address].node)
 		if peer.inTouchAt.Before(oldest) {
 			oldest = peer.inTouchAt
 		}
--- a/internal/nodeexchange/usage.go
+++ b/internal/nodeexchange/usage.go
@@ -262,6 +262,21 @@
 	return unanswered
 }
 
+// Unreached implements usage.Fleet.
+func (e *Exchange) Unreached() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	present := e.peers.presentSupervisors()
+	var unreached []string
+	for _, address := range e.peers.others(e.peers.supervisors()) {
+		peer := e.usage.records.peer(address, e.peers.peers[address].node)
+		if !peer.aware || !slices.Contains(present, address) {
+			unreached = append(unreached, peer.node)
+		}
+	}
+	return unreached
+}
+
 // sendGathered answers a supervisor of an earlier build.
 func (e *Exchange) sendGathered(to netip.AddrPort, after usage.Window) {
 	if e.usage == nil {
--- a/internal/usage/history.go
+++ b/internal/usage/history.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -49,16 +50,20 @@
 	records map[Window]Record
 	// sums are the checksums of the records.
 	sums map[Window]uint64
-	// era is the latest known era of the store.
-	era uint64
+	// era is the latest known era of the store, and eraFrom the window in which this node learned
+	// of it. Later windows can't have been recorded in an earlier era.
+	era     uint64
+	eraFrom Window
 	// completeFrom is the window from which on the history has every record that was made before
 	// this era and may have been reported. The store may have lost them.
 	completeFrom Window
+	// tenure tells that this node has had the authority to report since before this era.
+	tenure bool
 	// confirmedAt is the latest time as of which this node has had all records of every node
 	// that may report.
 	confirmedAt time.Time
-	// interrupted tells that this node may have missed a report since then, so that only the
-	// reporter can confirm its records.
+	// interrupted tells that this node may have missed a report since then or before it started,
+	// until it has had all records of the reporter or of a node that hasn't missed any.
 	interrupted bool
 	// tickedAt is when the node last ran Tick.
 	tickedAt time.Time
@@ -77,10 +82,9 @@
 	maxTickGap = time.Second
 )
 
-// NewHistory returns an empty history. It is complete, since the store has lost nothing in its
-// first era, zero.
+// NewHistory returns the history of a node that has just started.
 func NewHistory() *History {
-	return &History{records: make(map[Window]Record), sums: make(map[Window]uint64)}
+	return &History{records: make(map[Window]Record), sums: make(map[Window]uint64), completeFrom: math.MaxInt64, interrupted: true}
 }
 
 // Completeness tells how far a history is complete.
@@ -89,15 +93,16 @@
 	// record that was made before it and may have been reported.
 	Era  uint64
 	From Window
-	// Reporting tells that its node has the authority to report.
-	Reporting bool
+	// Reporting tells that its node has the authority to report, and InTouch that it has all
+	// records of all nodes that may report.
+	Reporting, InTouch bool
 }
 
 // Completeness returns how far the history is complete.
 func (h *History) Completeness(now time.Time) Completeness {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return Completeness{Era: h.era, From: h.completeFrom, Reporting: now.Before(h.reportingUntil)}
+	return Completeness{Era: h.era, From: h.completeFrom, Reporting: now.Before(h.reportingUntil), InTouch: InTouch(h.confirmedAt, now)}
 }
 
 // ObserveEra updates the history with the store's era. current is the window of the time now.
@@ -109,11 +114,26 @@
 	if era <= h.era {
 		return
 	}
-	confirmed := InTouch(h.confirmedAt, now) && !h.paused(now)
-	if !confirmed && !now.Before(h.reportingUntil) {
-		h.completeFrom = max(h.completeFrom, current)
+	h.tenure = now.Before(h.reportingUntil)
+	confirmed := h.tenure || InTouch(h.confirmedAt, now) && !h.paused(now)
+	if !confirmed || h.completeFrom > current {
+		h.completeFrom = current
+	}
+	h.era, h.eraFrom, h.confirmedAt = era, current, time.Time{}
+}
+
+// ReadStore records that this node has read the recorded windows from the store in an era while
+// it has the authority to report. In the first era, zero, the store has lost nothing.
+func (h *History) ReadStore(era uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if era != h.era {
+		return
+	}
+	h.interrupted = false
+	if era == 0 {
+		h.completeFrom = 0
 	}
-	h.era, h.confirmedAt, h.interrupted = era, time.Time{}, false
 }
 
 // Tick detects that this node was paused. It must be called at each stepInterval.
@@ -136,6 +156,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reportingUntil = until
+	h.tenure = h.tenure && !until.IsZero()
 }
 
 // Synchronized updates the history after it has got all records that another one had at the
@@ -147,8 +168,10 @@
 		return
 	}
 	h.completeFrom = min(h.completeFrom, other.From)
-	if other.Reporting {
+	if other.Reporting || other.InTouch {
 		h.interrupted = false
+	}
+	if other.Reporting {
 		h.confirm(at)
 	}
 }
@@ -181,12 +204,16 @@
 // recent that the other one can't have reported anything else since.
 func InTouch(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) <= confirmedFor }
 
-// InDoubt reports whether a window of which the history has no record may have been reported.
-func (h *History) InDoubt(window Window) bool {
+// InDoubt reports whether a window of which the history has no record may have been reported, or
+// may still be known to another node. allAsked tells that all other supervisors have told their
+// records since this node has the authority.
+func (h *History) InDoubt(window Window, allAsked bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	_, known := h.records[window]
-	return !known && window < h.completeFrom
+	if _, known := h.records[window]; known {
+		return false
+	}
+	return window < h.completeFrom || window < h.eraFrom && !h.tenure && !allAsked
 }
 
 // Merge adds records, and drops those that are so old that the store no longer keeps them
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -80,6 +80,9 @@
 	// Unanswered returns the supervisors that are present and haven't answered the last of these
 	// questions completely yet.
 	Unanswered() []string
+	// Unreached returns the supervisors that can't have answered, since they are silent or of an
+	// earlier build.
+	Unreached() []string
 	// TellRecorded sends recorded windows to the other supervisors.
 	TellRecorded(recorded map[Window]Counts)
 	// Lacking returns the supervisors that are present and aren't known to have the record of a
@@ -145,6 +148,8 @@
 	// mute are the supervisors that didn't answer in time. They aren't waited for again until
 	// they have answered.
 	mute []string
+	// all tells that all supervisors have answered.
+	all bool
 }
 
 // next returns the gathering of the next term.
@@ -243,12 +248,13 @@
 		return err
 	}
 	r.readUnder = fence
+	r.options.Collector.History().ReadStore(r.options.Store.Era())
 	r.observe(moment)
 	if err := r.recordLostWindows(ctx, recorded, due); err != nil {
 		return err
 	}
 	for window := r.firstUnrecorded(recorded, due); window <= due; window++ {
-		if r.options.Collector.History().InDoubt(window) {
+		if r.options.Collector.History().InDoubt(window, r.gathering.all) {
 			r.leaveOut(window)
 			continue
 		}
@@ -303,8 +309,10 @@
 		return eris.Errorf("the supervisors %v have not told yet what they know", unanswered)
 	}
 	r.gathering.done, r.gathering.mute = true, r.options.Fleet.Unanswered()
+	unreached := r.options.Fleet.Unreached()
+	r.gathering.all = len(r.gathering.mute)+len(unreached) == 0
 	r.options.Log.WithFields(logrus.Fields{
-		"fence": fence, "era": era, "waited_ms": waited.Milliseconds(), "unanswered": unanswered,
+		"fence": fence, "era": era, "waited_ms": waited.Milliseconds(), "unanswered": r.gathering.mute, "unreached": unreached,
 	}).Info("usage gathered from the other supervisors")
 	return nil
 }
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -85,6 +85,8 @@
 	return nil
 }
 
+func (a fakeFleet) Unreached() []string { return nil }
+
 func (a fakeFleet) Lacking(window Window) []string {
 	if a.lacking != nil {
 		return a.lacking(window)
