nodeexchange: only supervisors state their records, and a record that is new is passed on

In fleets of more than 20 nodes each usage report was delayed by 2 s, since the reporter waited for the confirmation of nodes that are told of no records. A former supervisor that learned of a record later kept it for itself.

Cause: every node's periodic messages to supervisors had its state; a node that had once had all records of a peer didn't ask it again after its own had changed.

Change: only a node that is a supervisor states its records; a reporter tells and waits for the supervisors, and for nodes that have stated theirs within 2 s because they take themselves for one. A node asks those with whom it has last compared other records.

--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -245,10 +245,10 @@
 	snapshot.CacheUpdates, snapshot.Failures = e.outbox.next(now, periodic)
 	e.sequence++
 	base := Message{Node: e.node, Sequence: e.sequence}
-	if periodic {
+	e.mu.Lock()
+	if periodic && e.peers.supervises() {
 		base.RecordsState = e.recordsState()
 	}
-	e.mu.Lock()
 	if reports {
 		base.Zone = e.zone
 		e.logSilent(now)
--- a/internal/nodeexchange/records.go
+++ b/internal/nodeexchange/records.go
@@ -98,16 +98,18 @@
 	collection *collection
 	// wanted are the windows whose records this node has asked the peer for.
 	wanted map[usage.Window]bool
-	// synchronized tells that this node has all records of the peer, as far as it knows.
-	// inTouchAt is the latest time as of which it has had all of them, by clock.Boottime.
+	// synchronized tells that this node has had all records of the peer, and digest is the digest
+	// of its own at that time. inTouchAt is the latest time as of which it has had all of the
+	// peer's, by clock.Boottime.
 	synchronized bool
+	digest       uint64
 	inTouchAt    time.Time
 	// aware tells that the peer has sent a recordsMessage. Earlier builds don't. unanswered
 	// counts the questions to a peer of which that isn't known.
 	aware      bool
 	unanswered int
-	// heard is when its last recordsMessage came.
-	heard time.Time
+	// statedAt is when its last recordsState came.
+	statedAt time.Time
 }
 
 // collection is the state of a question for the counts and records of a supervisor.
@@ -179,7 +181,7 @@
 // matches records the state of a peer, and reports whether the peer has the same records.
 func (r *recordsExchange) matches(peer *recordsPeer, state recordsState, at time.Time) bool {
 	own := r.history.Sums()
-	peer.synchronized = state.Digest == digestOf(own)
+	peer.synchronized, peer.digest = state.Digest == digestOf(own), state.Digest
 	if peer.synchronized {
 		maps.Copy(peer.sums, own)
 		peer.inTouchAt = at
@@ -273,7 +275,12 @@
 	}
 	peer.inTouchAt = time.Unix(0, int64(peer.answer.ID))
 	r.history.Synchronized(peer.answer.State.completeness(), peer.inTouchAt)
-	peer.synchronized, peer.answer = true, nil
+	peer.synchronized, peer.digest, peer.answer = true, digestOf(r.history.Sums()), nil
+}
+
+// mayDiffer reports whether a peer may have other records than this node.
+func (r *recordsExchange) mayDiffer(peer *recordsPeer) bool {
+	return !peer.synchronized || peer.digest != digestOf(r.history.Sums())
 }
 
 // merge adds a part of a record. It returns the record's checksum if the record is complete.
@@ -341,34 +348,49 @@
 		return
 	}
 	e.mu.Lock()
-	questions := make(map[netip.AddrPort]*recordsQuestion)
-	var unaware []netip.AddrPort
+	e.pruneRecordsPeers()
+	var targets []netip.AddrPort
+	if e.peers.supervises() || len(e.usage.records.history.Sums()) > 0 {
+		targets = e.peers.presentSupervisors()
+	}
+	e.mu.Unlock()
+	for _, address := range targets {
+		e.askRecordsOf(address)
+	}
+}
+
+// askRecordsOf asks another node, unless this node has all of its records.
+func (e *Exchange) askRecordsOf(address netip.AddrPort) {
+	e.mu.Lock()
+	known, exists := e.peers.peers[address]
+	if !exists {
+		e.mu.Unlock()
+		return
+	}
+	peer := e.usage.records.peer(address, known.node)
+	if !e.usage.records.mayDiffer(peer) && peer.collection.complete() {
+		e.mu.Unlock()
+		return
+	}
+	question := e.usage.records.question(peer)
+	peer.unanswered++
+	unaware := !peer.aware && peer.unanswered == unawareAfter
+	e.mu.Unlock()
+	if unaware {
+		e.exchangeWithEarlierBuild(address)
+	}
+	e.sendTo(address, Message{Node: e.node, Records: &recordsMessage{Question: question}})
+}
+
+// pruneRecordsPeers drops what this node knows of nodes that are gone. mu must be held.
+func (e *Exchange) pruneRecordsPeers() {
 	maps.DeleteFunc(e.usage.records.peers, func(address netip.AddrPort, peer *recordsPeer) bool {
-		gone := e.peers.peers[address] == nil && time.Since(peer.heard) > heardWithin
+		gone := e.peers.peers[address] == nil && time.Since(peer.statedAt) > statedWithin
 		if gone {
 			e.usage.records.end(peer)
 		}
 		return gone
 	})
-	if e.peers.supervises() || len(e.usage.records.history.Sums()) > 0 {
-		for _, address := range e.peers.presentSupervisors() {
-			peer := e.usage.records.peer(address, e.peers.peers[address].node)
-			if peer.synchronized && peer.collection.complete() {
-				continue
-			}
-			questions[address] = e.usage.records.question(peer)
-			if peer.unanswered++; !peer.aware && peer.unanswered == unawareAfter {
-				unaware = append(unaware, address)
-			}
-		}
-	}
-	e.mu.Unlock()
-	for _, address := range unaware {
-		e.exchangeWithEarlierBuild(address)
-	}
-	for address, question := range questions {
-		e.sendTo(address, Message{Node: e.node, Records: &recordsMessage{Question: question}})
-	}
 }
 
 // exchangeWithEarlierBuild sends a node of an earlier build the records that fit in a message of
@@ -401,8 +423,7 @@
 		return
 	}
 	e.mu.Lock()
-	peer := e.usage.records.peer(from, node)
-	peer.aware, peer.heard = true, time.Now()
+	e.usage.records.peer(from, node).aware = true
 	e.mu.Unlock()
 	switch {
 	case message.Question != nil:
@@ -456,12 +477,12 @@
 	e.observeEra(state.Era)
 	e.mu.Lock()
 	peer := e.usage.records.peer(from, node)
-	peer.aware, peer.heard = true, time.Now()
+	peer.aware, peer.statedAt = true, time.Now()
 	matches := e.usage.records.matches(peer, state, clock.Boottime())
 	e.confirmRecords()
 	e.mu.Unlock()
 	if !matches {
-		e.askRecords()
+		e.askRecordsOf(from)
 	}
 }
 
--- a/internal/nodeexchange/usage.go
+++ b/internal/nodeexchange/usage.go
@@ -153,10 +153,10 @@
 // TellRecorded implements usage.Fleet.
 func (e *Exchange) TellRecorded(recorded map[usage.Window]usage.Counts) {
 	e.mu.Lock()
-	supervisors := e.peers.others(e.peers.supervisors())
+	addresses := e.recordsPeers()
 	e.mu.Unlock()
 	wanted := fromFirstPart(slices.Collect(maps.Keys(recorded)))
-	for _, address := range supervisors {
+	for _, address := range addresses {
 		e.sendRecords(address, wanted)
 		if !e.sendsRecords(address) {
 			e.sendRecorded(address, recorded)
@@ -164,9 +164,22 @@
 	}
 }
 
-// heardWithin is how long after its last message about records a node is waited for. It is longer
-// than a node counts itself in touch with the reporter (usage.History).
-const heardWithin = 2 * time.Second
+// statedWithin is how long after its last recordsState a node is waited for. It is longer than a
+// node counts itself in touch with the reporter (usage.History).
+const statedWithin = 2 * time.Second
+
+// recordsPeers returns the nodes that are to have all records: the supervisors, and other nodes
+// that take themselves for supervisors because they know of other nodes than this one. mu must
+// be held.
+func (e *Exchange) recordsPeers() []netip.AddrPort {
+	addresses := e.peers.others(e.peers.supervisors())
+	for address, peer := range e.usage.records.peers {
+		if time.Since(peer.statedAt) < statedWithin && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
 
 // Lacking implements usage.Fleet. Supervisors of earlier builds, which confirm nothing, aren't
 // among them.
@@ -180,9 +193,10 @@
 	sum := record.Counts.Sum()
 	present := e.peers.presentSupervisors()
 	var lacking []string
-	for address, peer := range e.usage.records.peers {
-		waited := slices.Contains(present, address) || time.Since(peer.heard) < heardWithin
-		if peer.aware && waited && peer.sums[window] != sum {
+	for _, address := range e.recordsPeers() {
+		peer, exists := e.usage.records.peers[address]
+		waited := exists && (slices.Contains(present, address) || time.Since(peer.statedAt) < statedWithin)
+		if waited && peer.aware && peer.sums[window] != sum {
 			lacking = append(lacking, peer.node)
 		}
 	}
--- a/spec/records.pml
+++ b/spec/records.pml
@@ -46,7 +46,7 @@
 byte sent[NODES];               /* a report in transit, 0: none */
 
 #define NEWER(i, j) (known[j] != 0 && (known[i] == 0 || knownEra[j] > knownEra[i]))
-#define HAS_ALL(i, j) (known[j] == 0 || known[i] == known[j] && knownEra[i] >= knownEra[j])
+#define HAS_ALL(i, j) (known[j] == 0 || known[i] == known[j])
 #define OTHER(i) (1 - i)
 
 #ifdef NO_CONFIRMATION
