--- a/test.sh
+++ b/test.sh
@@ -41,7 +41,7 @@
 known_red=$(tools/known-red.sh)
 go test -race -timeout 8m ${known_red:+-skip "$known_red"} ./...
 
-say "a short fault soak of real processes, seven seeds"
+say "a short fault soak of real processes, eight seeds"
 programs=$(mktemp -d)
 trap 'rm -rf "$programs"' EXIT
 go build -o "$programs/" ./cmd/tinarchd ./cmd/tinarch-lab
@@ -51,3 +51,4 @@
 "$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 50108 --seconds 25 --notices --limits --quotas
 "$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 50052 --seconds 20 --unfenced --restores
 "$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 47125 --seconds 15 --storms --nodes 18
+"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 59102 --seconds 25 --handovers
