usage: the era of a read is that of its answer

What callers saw: nothing; found in the read-through. A node that read the recorded windows counted the read for the store's newest known era, which a restore just after the answer could have raised. Cause: the era was asked for again after the read. Evidence: by reading; the model has the read and its era in one step. No test brings it about. Change: the version of the answer says the era. recordReplicas is the new name of the nodes that are to have records. Why this works: a read tells of the store as it was at its version, in its era.

--- a/internal/nodeexchange/usage.go
+++ b/internal/nodeexchange/usage.go
@@ -153,7 +153,7 @@
 // TellRecorded implements usage.Fleet.
 func (e *Exchange) TellRecorded(recorded map[usage.Window]usage.Counts) {
 	e.mu.Lock()
-	addresses := e.recordsPeers()
+	addresses := e.recordReplicas()
 	e.mu.Unlock()
 	wanted := fromFirstPart(slices.Collect(maps.Keys(recorded)))
 	for _, address := range addresses {
@@ -168,10 +168,10 @@
 // node counts itself in touch with the reporter (usage.History).
 const statedWithin = 2 * time.Second
 
-// recordsPeers returns the nodes that are to have all records: the supervisors, and other nodes
+// recordReplicas returns the nodes that are to have all records: the supervisors, and other nodes
 // that take themselves for supervisors because they know of other nodes than this one. mu must
 // be held.
-func (e *Exchange) recordsPeers() []netip.AddrPort {
+func (e *Exchange) recordReplicas() []netip.AddrPort {
 	addresses := e.peers.others(e.peers.supervisors())
 	for address, peer := range e.usage.records.peers {
 		if time.Since(peer.statedAt) < statedWithin && !slices.Contains(addresses, address) {
@@ -193,7 +193,7 @@
 	sum := record.Counts.Sum()
 	present := e.peers.presentSupervisors()
 	var lacking []string
-	for _, address := range e.recordsPeers() {
+	for _, address := range e.recordReplicas() {
 		peer, exists := e.usage.records.peers[address]
 		waited := exists && (slices.Contains(present, address) || time.Since(peer.statedAt) < statedWithin)
 		if waited && peer.aware && peer.sums[window] != sum {
--- a/internal/usage/records.go
+++ b/internal/usage/records.go
@@ -50,6 +50,7 @@
 		}
 	}
 	r.options.Collector.History().Merge(recordsOf(recorded, version))
+	r.options.Collector.History().ReadStore(version.Era())
 	return recorded, nil
 }
 
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -225,7 +225,6 @@
 		return err
 	}
 	r.readUnder = fence
-	r.options.Collector.History().ReadStore(r.options.Store.Era())
 	r.observe(moment)
 	if err := r.recordLostWindows(ctx, recorded, due); err != nil {
 		return err
