nodeexchange: a cold keeper's refusal is asked only at keepers that know more

Cause: after a start of all nodes the three keepers of an account are cold for a window; a cold keeper's refusal isn't final, so that each request was asked at all three. They hear of each other's grants after a delay, so requests some milliseconds apart were granted by two of them.

Evidence: "asked" is 3 in each refusal of the first eight seconds; runs at 242.504 and 242.509 s and at 243.168 and 243.173 s, after which the level had fallen by two, to -1.68 and -1.65, the floor of debt. TestKeepersThatStartTogetherGrantOnce failed before (3 keepers asked that know equally much).

Change: a cold keeper's answer tells for how long it has known all use of the account; the asking node remembers it and passes over keepers that don't know at least 0.1 s more than the one that refused. Earlier builds leave the field out and are asked as before.

Why this works: where no other keeper knows more, one keeper decides, as when none is cold.

--- a/internal/nodeexchange/quota.go
+++ b/internal/nodeexchange/quota.go
@@ -76,6 +76,8 @@
 	// generation is the generation of the nodes by which the keeper's accounts were last
 	// selected.
 	generation uint64
+	// coldKeepers tells since when cold keepers have known all usage of accounts.
+	coldKeepers coldKeepers
 	// reserving holds the accounts of which a part is reserved for silent nodes.
 	reserving map[string]bool
 }
@@ -92,7 +94,7 @@
 	return &quotaExchange{
 		accountKind: kind, exchange: e, wake: make(chan struct{}, 1),
 		keeper: quota.NewKeeper(kind.tolerance, e.started), meter: quota.NewMeter(kind.tolerance),
-		pendingCharges: make(map[uint64]*pendingCharge), heard: make(map[netip.AddrPort]time.Time), reserving: make(map[string]bool),
+		pendingCharges: make(map[uint64]*pendingCharge), heard: make(map[netip.AddrPort]time.Time), reserving: make(map[string]bool), coldKeepers: make(coldKeepers),
 	}
 }
 
@@ -150,6 +152,9 @@
 	begun := time.Now()
 	pending := q.beginCharge(request, begun)
 	for i, keeper := range pending.keepers {
+		if q.knowsNoMore(pending, keeper) {
+			continue
+		}
 		q.askKeeper(pending, keeper)
 		last := i == len(pending.keepers)-1
 		if pending.allUnresponsive && !last {
@@ -211,6 +216,9 @@
 		decision := q.decide(quota.DecisionRequest{
 			Account: pending.account, From: q.self(), Report: pending.report, Cost: pending.request.Cost, Patience: pending.request.Patience,
 		}, now)
+		q.mu.Lock()
+		q.coldKeepers.record(pending.account, keeper, decision, now)
+		q.mu.Unlock()
 		pending.answers <- quotaAnswer{from: keeper, decision: decision}
 		return
 	}
--- a/internal/nodeexchange/quota_form.go
+++ b/internal/nodeexchange/quota_form.go
@@ -62,6 +62,8 @@
 	// Account and Limit are what the keeper knows of a limit that workers state.
 	Account string     `json:"n,omitempty"`
 	Limit   *wireLimit `json:"lm,omitempty"`
+	// KnownMillis is how long a cold keeper has known all usage. Earlier builds leave it out.
+	KnownMillis int64 `json:"k,omitempty"`
 }
 
 func renderQuotaReport(report quota.Report) wireQuotaReport {
@@ -80,8 +82,13 @@
 }
 
 func renderQuotaReply(id uint64, decision quota.Decision) *wireQuotaReply {
+	known := int64(0)
+	if decision.Cold {
+		known = max(decision.KnownFor.Milliseconds(), 1)
+	}
 	return &wireQuotaReply{
-		ID: id, Granted: decision.Granted, Cold: decision.Cold, Level: decision.Level,
+		KnownMillis: known,
+		ID:          id, Granted: decision.Granted, Cold: decision.Cold, Level: decision.Level,
 		WaitMillis: decision.Wait.Milliseconds(), Share: decision.Share, Reserved: decision.Reserved, Version: decision.Version,
 		DelayMillis: decision.Delay.Milliseconds(), NextMillis: decision.Next.Milliseconds(),
 	}
@@ -98,7 +105,7 @@
 
 func (f wireQuotaReply) decision() quota.Decision {
 	return quota.Decision{
-		Granted: f.Granted, Cold: f.Cold, Level: f.Level,
+		Granted: f.Granted, Cold: f.Cold, KnownFor: time.Duration(f.KnownMillis) * time.Millisecond, Level: f.Level,
 		Wait: time.Duration(f.WaitMillis) * time.Millisecond, Share: f.Share, Reserved: f.Reserved, Version: f.Version,
 		Delay: time.Duration(f.DelayMillis) * time.Millisecond, Next: time.Duration(f.NextMillis) * time.Millisecond,
 	}
--- a/internal/nodeexchange/quota_keep.go
+++ b/internal/nodeexchange/quota_keep.go
@@ -212,6 +212,7 @@
 		return
 	}
 	delete(pending.asked, from)
+	q.coldKeepers.record(pending.account, from, form.decision(), now)
 	pending.answers <- quotaAnswer{from: from, decision: form.decision()} // the channel has room for one answer of each keeper
 }
 
--- a/internal/nodeexchange/quota_test.go
+++ b/internal/nodeexchange/quota_test.go
@@ -541,3 +541,44 @@
 		t.Errorf("with a list that has been known for long: %d requests are granted at once, want %v", got, limit.Burst)
 	}
 }
+
+// TestKeepersThatStartTogetherGrantOnce guards against a request that is refused by one cold
+// keeper and granted by another, which knows no more and hasn't heard of the last grants yet.
+func TestKeepersThatStartTogetherGrantOnce(t *testing.T) {
+	tolerance := quota.Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 4}
+	exchanges := quotaNodes(t, 3, tolerance)
+	limit := quota.Limit{Rate: 0.001, Burst: 100, Unit: quota.Requests}
+	request := quota.ChargeRequest{Tenant: "a", Limit: limit, Version: 1, Cost: 1}
+	keepers := exchanges[0].quota.keepersOf(request.Charge().Account)
+	startAt := func(keeper netip.AddrPort, at time.Time) {
+		for _, exchange := range exchanges {
+			if exchange.peers.address == keeper {
+				exchange.quota.mu.Lock()
+				exchange.quota.keeper.KeepersChanged(func(string) bool { return false }, at)
+				exchange.quota.mu.Unlock()
+			}
+		}
+	}
+	askedForRefusal := func() int {
+		for {
+			if verdict := exchanges[0].ChargeQuota(t.Context(), request); !verdict.Granted {
+				return verdict.Asked
+			}
+		}
+	}
+	begun := time.Now()
+	for _, keeper := range keepers {
+		startAt(keeper, begun)
+	}
+	askedForRefusal() // tells how much each keeper knows
+	if asked := askedForRefusal(); asked != 1 {
+		t.Errorf("%d keepers were asked that know equally much, want 1", asked)
+	}
+	startAt(keepers[0], time.Now())
+	time.Sleep(2 * minMoreKnown)
+	startAt(keepers[0], time.Now())
+	askedForRefusal()
+	if asked := askedForRefusal(); asked < 2 {
+		t.Error("keepers that know more than the first one weren't asked")
+	}
+}
--- a/internal/quota/decide.go
+++ b/internal/quota/decide.go
@@ -63,7 +63,7 @@
 	k.refill(a, now)
 	wait, nearest := k.soonest(a, cost, now)
 	decision := Decision{
-		Level: nearest.level, Cold: k.isCold(a, now), Reserved: a.reserved, Limit: a.limit, Version: a.version,
+		Level: nearest.level, Cold: k.isCold(a, now), KnownFor: now.Sub(a.usageKnownSince), Reserved: a.reserved, Limit: a.limit, Version: a.version,
 	}
 	switch {
 	case wait <= 0:
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -47,6 +47,8 @@
 	// Cold means that the keeper doesn't know the usage before it started. Its refusals are not
 	// final: another keeper may know better.
 	Cold bool
+	// KnownFor is how long the keeper has known all usage of the account.
+	KnownFor time.Duration
 	// Level is the level, before this request, of the bucket that could serve it soonest.
 	Level float64
 	// Wait is the time until a refused request can be served, after those refused earlier.
