--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -197,6 +197,11 @@
 	First, Last, Gap time.Duration
 	// Pieces counts the pieces that were passed on.
 	Pieces int
+	// Framing is how the worker marked the end of the last answer, empty if there was none.
+	Framing workerconn.Framing
+	// PartialEvent is the number of bytes after the last complete event of that answer, if it is
+	// a stream that may be resumed.
+	PartialEvent int
 }
 
 // NotRun reports whether it is proved that no worker has run the call.
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -26,6 +26,7 @@
 
 // pass passes a worker's answer on to the caller.
 func (s *session) pass(runner scheduling.Candidate, answer *workerconn.Answer, load *work) tryResult {
+	s.framing, s.partialEvent = answer.Framing, 0
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed {
 		s.registry.Errored(runner.ID, time.Now())
@@ -109,7 +110,9 @@
 			s.resumeAfter = events.lastID(s.resumeAfter)
 			return nil
 		}
-		if err := s.copyPieces(answer, load, give); err != nil {
+		err := s.copyPieces(answer, load, give)
+		s.partialEvent = len(events.rest())
+		if err != nil {
 			return err
 		}
 		s.giveHead(answer, -1)
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -43,6 +43,8 @@
 	Header http.Header
 	// Length is the length of the body, -1 if the header doesn't tell it.
 	Length int64
+	// Framing is how the end of the body is marked.
+	Framing Framing
 	// Body must be closed. It is complete only if it was read to io.EOF without another error.
 	Body io.ReadCloser
 }
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -106,9 +106,10 @@
 		p.monitor.Answered(key, request, response.StatusCode, response.Header)
 	}
 	return &Answer{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Length: response.ContentLength,
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Length:  response.ContentLength,
+		Framing: framingOf(request.Method, response),
 		Body: &body{
 			pool: p, key: key, conn: c, response: response, written: written,
 			ctx: ctx, stop: stop,
