--- a/internal/lab/fleetworker/crash.go
+++ b/internal/lab/fleetworker/crash.go
@@ -8,6 +8,12 @@
 // crash ends the worker with everything that it runs. It closes the listener before it breaks
 // off the first connection, so a new connection is refused by then. It does not return.
 func (w *Worker) crash() {
+	w.end()
+	panic(http.ErrAbortHandler)
+}
+
+// end closes the listener, and then the connections.
+func (w *Worker) end() {
 	w.crashOnce.Do(func() {
 		_ = w.server.Listener.Close()
 		if w.options.OnCrash != nil {
@@ -15,7 +21,6 @@
 		}
 		go w.server.CloseClientConnections()
 	})
-	panic(http.ErrAbortHandler)
 }
 
 // SetCrashOn sets the text that makes a request crash the worker; empty means that none does.
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -98,9 +98,11 @@
 
 	crashOnce sync.Once
 
-	mu           sync.Mutex
-	fault        Fault
-	faultsLeft   int
+	mu         sync.Mutex
+	fault      Fault
+	faultsLeft int
+	// deliveries are how answers are delivered, nil for net/http's way.
+	deliveries   *Deliveries
 	stage        string
 	runs         []Run
 	handles      map[string]bool
@@ -403,6 +405,13 @@
 		return
 	}
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	if delivery, set := w.nextDelivery(); set {
+		if w.options.Stage != "" {
+			writer.Header().Set("Content-Type", "text/event-stream")
+		}
+		w.deliver(writer, Body(id, w.options.Events, after), delivery)
+		return
+	}
 	w.stream(writer, request, id, after, fault)
 }
 
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -255,14 +255,29 @@
 	}
 }
 
+// setDeliveries sets how the workers of a service deliver their answers.
+func (s *site) setDeliveries(service string, delivery fleetworker.Delivery, count int) {
+	deliveries := fleetworker.NewDeliveries(delivery, count)
+	for _, worker := range s.workers {
+		if strings.HasPrefix(worker.ID(), service) {
+			worker.SetDeliveries(deliveries)
+		}
+	}
+}
+
 type answer struct {
 	id      string
 	status  int
 	header  http.Header
 	body    string
 	readErr error
+	// framed tells that the answer has a length or chunks.
+	framed bool
 }
 
+// framedAsComplete reports whether the caller was told that it has the whole answer.
+func (a answer) framedAsComplete() bool { return a.readErr == nil && a.framed }
+
 // ask sends a request to the first node and reads its answer.
 func (s *site) ask(method, path string, header map[string]string, body string) answer {
 	s.t.Helper()
@@ -298,5 +313,6 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
-	return answer{id: id, status: response.StatusCode, header: response.Header, body: string(content), readErr: err}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return answer{id: id, status: response.StatusCode, header: response.Header, body: string(content), readErr: err, framed: framed}
 }
