dispatch: the end of an unframed answer's connection is no proof that the answer is complete

In the users' record two streams whose engine crashed in mid-answer came with a last chunk, 5 ms after the run had ended, on routes that may be resumed.

Cause: an answer with neither a length nor chunks ends with its connection (RFC 9112, section 6.3). workerconn gave its reader a bare io.EOF for that, the same as for a reached length or a last chunk, and dispatch, which frames answers for its callers itself, put a last chunk or a Content-Length of its own behind whatever had come. Only a reset was noticed. The class: the end of a connection is taken for the end of a message, and a node vouches for what it doesn't know.

Change: - A body of an unframed answer ends with workerconn.ErrUnproved, so that a reader which doesn't know of it takes the answer for broken off. Readers of documents that mark their own end (handles, cache lists) and of answers whose head alone counts say so (ReadDocument, Discard). - dispatch tells three ends apart: complete, broken off, unproved. A stream that ends inside an event has broken off (lines end with CRLF, LF or CR; comments and a byte order mark belong to no event). At any other unproved end the worker is probed, after the end and for 100 ms at most: one that refuses connections and hadn't announced its end has crashed, and the answer has broken off. What broke off is resumed, repeated or told as before, and counts against the worker; its other requests are looked at for the quarantine. The connection of the probe is kept for the next request. - An answer whose end is unproved goes to its caller unframed too: the caller knows what the node knows. Where the caller was promised a mark (a resumed stream), an unproved end is none: the stream is resumed again or cut. - TestAnswerWithoutLengthEndsWithItsConnection held that such an answer is complete; it holds now that all of it is read and that its end is unproved. An existing test's dispatcher gets metrics, which answers now count in. - Log: framing and ending of the last answer; tinarch_worker_answers_total by both.

Weighed: vouching after a probe tells callers more than is known (a live worker may have broken off one answer); aborting each unproved answer fails the whole ones of workers that answer so by habit; repeating for proof doubles the load and is open to few routes.

Conclusion: no length and no last chunk follows from a closed connection.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -100,7 +99,7 @@
 		return nil, s.readFailed(reader, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxReadAnswer))
+	content, err := workerconn.ReadDocument(answer.Body, maxReadAnswer)
 	if err != nil {
 		return nil, s.readFailed(reader, err)
 	}
@@ -192,8 +191,7 @@
 		defer cancel()
 		answer, err := s.pool.Do(ctx, reader.ID, handle.Address, limit, s.wire.Release(handle))
 		if err == nil {
-			_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxReadAnswer))
-			_ = answer.Body.Close()
+			_ = workerconn.Discard(answer, maxReadAnswer)
 		}
 	}()
 }
@@ -229,7 +227,7 @@
 	}
 	if reply.NotExecuted || reply.Misdirected {
 		s.refund(again)
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxReadAnswer))
+		_ = workerconn.Discard(answer, maxReadAnswer)
 		return s.rejected(runner, reply, from)
 	}
 	if from != nil {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -168,17 +168,29 @@
 	Release(handle Handle) *workerconn.Request
 }
 
-// Caller receives the answer of a call.
+// Length is the length of the body of an answer in bytes, or one of the constants.
+type Length int64
+
+const (
+	// LengthUnknown bodies get a mark at their end, which tells the caller that they are complete.
+	LengthUnknown Length = -1
+	// UntilClose bodies end with the caller's connection, which leaves open whether they are
+	// complete.
+	UntilClose Length = -2
+)
+
+// Caller receives the answer of a call. If the call doesn't end with the result OK, the caller is
+// made to notice that the answer is incomplete.
 type Caller interface {
-	// Head sends status, header and length of the body, -1 if the length is unknown.
-	Head(status int, header http.Header, length int64)
+	// Head sends status and header, and how the caller finds the end of the body.
+	Head(status int, header http.Header, length Length)
 	// Write sends a piece of the body without buffering.
 	Write(piece []byte) error
 }
 
 // Outcome is how a call ended.
 type Outcome struct {
-	// Code is OK if a complete answer of a worker was passed on.
+	// Code is OK if an answer of a worker was passed on to its end.
 	Code result.Code
 	// Status is the status of the worker's answer, zero if none was passed on.
 	Status int
@@ -197,11 +209,10 @@
 	First, Last, Gap time.Duration
 	// Pieces counts the pieces that were passed on.
 	Pieces int
-	// Framing is how the worker marked the end of the last answer, empty if there was none.
+	// Framing is how the worker marked the end of the last answer, and Ending what is known of
+	// that end. They are empty if there was no answer.
 	Framing workerconn.Framing
-	// PartialEvent is the number of bytes after the last complete event of that answer, if it is
-	// a stream that may be resumed.
-	PartialEvent int
+	Ending  Ending
 }
 
 // NotRun reports whether it is proved that no worker has run the call.
--- a/internal/dispatch/charge_test.go
+++ b/internal/dispatch/charge_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/routing"
@@ -39,7 +41,8 @@
 func (c *charged) runAgain(address string) tryResult {
 	dispatcher := New(Options{
 		Registry: worker.NewRegistry(topology.Map{}), Pool: workerconn.NewPool(), Wire: refusingWire{},
-		Nodes: func() int { return 1 }, Repeated: c.repeated, Returned: c.returned,
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+		Nodes:   func() int { return 1 }, Repeated: c.repeated, Returned: c.returned,
 	})
 	call := &Call{
 		ID: "1", Method: http.MethodGet, Target: "/", Host: "host", Route: &routing.Route{Kind: routing.Idempotent},
--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -43,7 +43,7 @@
 // sink collects answers.
 type sink struct{ strings.Builder }
 
-func (s *sink) Head(int, http.Header, int64) {}
+func (s *sink) Head(int, http.Header, Length) {}
 
 func (s *sink) Write(piece []byte) error {
 	_, err := s.Builder.Write(piece)
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -19,6 +19,8 @@
 	// Breaks counts the looks at workers whose answers broke off, by the state found. All
 	// requests that run at a worker share one look, so it counts neither answers nor crashes.
 	Breaks *prometheus.CounterVec
+	// Endings counts the answers of workers by how their end was marked and by what it proved.
+	Endings *prometheus.CounterVec
 	// Turns counts the turns asked for at workers with a limit, by their outcome.
 	Turns *prometheus.CounterVec
 	// Returns counts the callers that were refused as too late by what their Retry-After says,
@@ -56,6 +58,9 @@
 	metrics.Breaks = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_worker_breaks_total", Help: "Looks at workers whose answers broke off, by the worker's state.",
 	}, []string{"state"})
+	metrics.Endings = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "tinarch_worker_answers_total", Help: "Answers of workers by how they mark their end, and by whether they ended complete, broken off or unproved.",
+	}, []string{"framing", "ending"})
 	metrics.Turns = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_worker_turns_total", Help: "Turns asked for at workers that take no more than so many requests a second.",
 	}, []string{"verdict"})
@@ -69,7 +74,7 @@
 		Name: "tinarch_first_byte_error_seconds", Help: "Predicted time to the first byte of an answer less the measured one, by how the request is served.",
 		Buckets: []float64{-2, -1, -0.4, -0.15, -0.05, 0, 0.05, 0.15, 0.4, 1, 2},
 	}, []string{"mode"})
-	registry.MustRegister(metrics.FirstByteErrors, metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Turns, metrics.PrefixWaits, metrics.MalformedLimits)
+	registry.MustRegister(metrics.FirstByteErrors, metrics.Plans, metrics.Reaches, metrics.Failures, metrics.Late, metrics.Breaks, metrics.Endings, metrics.Turns, metrics.PrefixWaits, metrics.MalformedLimits)
 	metrics.Returns = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "tinarch_returns_total", Help: "Callers refused as too late, by whether they were given a time to return at.",
 	}, []string{"source"})
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -26,7 +26,8 @@
 
 // pass passes a worker's answer on to the caller.
 func (s *session) pass(runner scheduling.Candidate, answer *workerconn.Answer, load *work) tryResult {
-	s.framing, s.partialEvent = answer.Framing, 0
+	s.framing, s.ending, s.endProbe = answer.Framing, Unfinished, ""
+	defer s.countEnding()
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed {
 		s.registry.Errored(runner.ID, time.Now())
@@ -38,7 +39,7 @@
 		}
 	}
 	var err error
-	if s.call.Route.Streams() && !failed {
+	if s.call.Route.Streams() && isSuccess(answer.Status) {
 		err = s.passStream(answer, load)
 	} else {
 		err = s.passWhole(answer, load)
@@ -46,6 +47,10 @@
 	return s.passed(answer, failed, load, err)
 }
 
+// isSuccess reports whether a status is one of those under which a route that streams answers
+// with events.
+func isSuccess(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
+
 // mayRepeat reports whether attempts and time are left for another try.
 func (s *session) mayRepeat() bool {
 	return s.attempts < s.call.Route.MaxAttempts && s.remaining() > 0
@@ -56,15 +61,21 @@
 	var left errCallerWrite
 	switch {
 	case err == nil:
-		if !failed {
+		if !failed && s.provesWorkerAlive() {
 			s.registry.Succeeded(runner.ID, time.Now())
 			s.recordSurvival(load)
 		}
 		return finishedWith(runner, answer.Status)
+	case errors.Is(err, errUnvouched):
+		s.excluded[runner.ID] = true
+		return tryResult{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true}
 	case errors.As(err, &left):
 		return tryResult{verdict: finished, code: result.CallerGone, worker: runner.ID, err: err}
 	}
 	s.mayHaveRunBefore = true
+	if !callerLeft(err) && !deadlinePassed(err) {
+		s.ending = BrokenOff
+	}
 	s.excluded[runner.ID] = true
 	state := s.recordFailure(runner, err)
 	return tryResult{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true, workerState: state}
@@ -74,55 +85,83 @@
 // arrives.
 func (s *session) passWhole(answer *workerconn.Answer, load *work) error {
 	buffered, err := io.ReadAll(io.LimitReader(answer.Body, bufferedBytes))
-	if err != nil {
+	if err != nil && !errors.Is(err, workerconn.ErrUnproved) {
 		return err
 	}
 	load.firstByte()
-	if len(buffered) < bufferedBytes {
-		s.giveHead(answer, int64(len(buffered)))
+	if err != nil || len(buffered) < bufferedBytes {
+		if err := s.checkEnd(load.runner, err, false); err != nil {
+			return err
+		}
+		s.giveHead(answer, wholeLength(answer, len(buffered)))
 		return s.give(buffered)
 	}
-	s.giveHead(answer, answer.Length)
+	s.giveHead(answer, lengthOf(answer))
 	if err := s.give(buffered); err != nil {
 		return err
 	}
-	return s.copyPieces(answer, load, s.give)
+	return s.checkEnd(load.runner, s.copyPieces(answer, load, s.give), false)
+}
+
+// wholeLength is the length of an answer of which all bytes have come.
+func wholeLength(answer *workerconn.Answer, length int) Length {
+	if answer.Framing == workerconn.Unframed {
+		return UntilClose
+	}
+	return Length(length)
+}
+
+// lengthOf is the length of an answer that is passed on as it arrives.
+func lengthOf(answer *workerconn.Answer) Length {
+	if answer.Framing == workerconn.Unframed {
+		return UntilClose
+	}
+	return Length(answer.Length)
 }
 
 // passStream passes events on as they arrive. The head is delayed until the first event, so
 // that a stream that breaks off before that event can be restarted at another worker.
 func (s *session) passStream(answer *workerconn.Answer, load *work) error {
-	give := func(piece []byte) error {
-		s.giveHead(answer, answer.Length)
+	if s.call.Route.Resumable {
+		return s.passEvents(answer, load)
+	}
+	var scanner eventScanner
+	err := s.copyPieces(answer, load, func(piece []byte) error {
+		scanner.scan(piece)
+		s.giveHead(answer, lengthOf(answer))
 		return s.give(piece)
+	})
+	if err := s.checkEnd(load.runner, err, scanner.insideEvent()); err != nil {
+		return err
 	}
-	if s.call.Route.Resumable {
-		events := &eventCutter{}
-		give = func(piece []byte) error {
-			whole := events.add(piece)
-			if len(whole) == 0 {
-				return nil
-			}
-			s.giveHead(answer, -1)
-			if err := s.give(whole); err != nil {
-				return err
-			}
-			s.resumeAfter = events.lastID(s.resumeAfter)
+	s.giveHead(answer, lengthOf(answer))
+	return nil
+}
+
+// passEvents passes on whole events only, so that the stream can be resumed after the last one.
+func (s *session) passEvents(answer *workerconn.Answer, load *work) error {
+	length := UntilClose
+	if answer.Framing != workerconn.Unframed {
+		length = LengthUnknown // the stream may go on at another worker
+	}
+	events := &eventCutter{}
+	err := s.copyPieces(answer, load, func(piece []byte) error {
+		whole := events.add(piece)
+		if len(whole) == 0 {
 			return nil
 		}
-		err := s.copyPieces(answer, load, give)
-		s.partialEvent = len(events.rest())
-		if err != nil {
+		s.giveHead(answer, length)
+		if err := s.give(whole); err != nil {
 			return err
 		}
-		s.giveHead(answer, -1)
-		return s.give(events.rest())
-	}
-	if err := s.copyPieces(answer, load, give); err != nil {
+		s.resumeAfter = events.lastID(s.resumeAfter)
+		return nil
+	})
+	if err := s.checkEnd(load.runner, err, events.scanner.insideEvent()); err != nil {
 		return err
 	}
-	s.giveHead(answer, answer.Length)
-	return nil
+	s.giveHead(answer, length)
+	return s.give(events.rest())
 }
 
 func (s *session) copyPieces(answer *workerconn.Answer, load *work, give func([]byte) error) error {
@@ -146,11 +185,11 @@
 
 // giveHead sends the head of the first answer. A stream that is resumed at another worker keeps
 // that head.
-func (s *session) giveHead(answer *workerconn.Answer, length int64) {
+func (s *session) giveHead(answer *workerconn.Answer, length Length) {
 	if s.headGiven {
 		return
 	}
-	s.headGiven = true
+	s.headGiven, s.vouches = true, length != UntilClose
 	s.first = time.Since(s.call.Arrived)
 	s.caller.Head(answer.Status, s.wire.AnswerHeader(answer.Header), length)
 }
--- a/internal/dispatch/pass_test.go
+++ b/internal/dispatch/pass_test.go
@@ -8,7 +8,7 @@
 
 type collector struct{ pieces int }
 
-func (c *collector) Head(int, http.Header, int64) {}
+func (c *collector) Head(int, http.Header, Length) {}
 
 func (c *collector) Write([]byte) error {
 	c.pieces++
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -76,9 +76,14 @@
 	// first, last and gap are as in Outcome.
 	first, last, gap time.Duration
 	pieces           int
-	// framing and partialEvent are as in Outcome.
-	framing      workerconn.Framing
-	partialEvent int
+	// framing and ending are as in Outcome. vouches tells that the head which the caller was given
+	// promises a mark at the end of a complete answer.
+	framing workerconn.Framing
+	ending  Ending
+	vouches bool
+	// endProbe is what a probe of the worker found at the end of an unframed answer, empty if
+	// there was none.
+	endProbe workerconn.Liveness
 	// reports are the load reports of other nodes that the last plan was based on.
 	reports map[string]scheduling.LoadReport
 	// reach is why the region of the last plan was chosen.
@@ -283,7 +288,7 @@
 	outcome.HeadGiven = s.headGiven
 	outcome.Attempts, outcome.MayHaveRun = s.attempts, s.mayHaveRunBefore
 	outcome.First, outcome.Last, outcome.Gap, outcome.Pieces = s.first, s.last, s.gap, s.pieces
-	outcome.Framing, outcome.PartialEvent = s.framing, s.partialEvent
+	outcome.Framing, outcome.Ending = s.framing, s.ending
 	return outcome
 }
 
@@ -392,6 +397,6 @@
 		"id": s.call.ID, "worker": end.worker, "verdict": end.verdict, "again": again,
 		"attempts": s.attempts, "remaining_ms": s.remaining().Milliseconds(), "cause": detail(end.err),
 		"fingerprint": s.call.Fingerprint.String(), "worker_state": end.workerState, "pieces": s.pieces,
-		"framing": s.framing, "partial_event": s.partialEvent,
+		"framing": s.framing, "ending": s.ending,
 	}).Warn("try failed")
 }
--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -1,21 +1,68 @@
 package ingress
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"strconv"
+
+	"github.com/tinarch/tinarch/internal/dispatch"
 )
 
 // httpCaller writes an answer to a caller as it arrives from the worker.
 type httpCaller struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
+	// connection is the caller's, nil if the server doesn't use ConnContext.
+	connection net.Conn
+	// untilClose is set if the answer ends with the connection.
+	untilClose bool
 	// closeConnection is set if the answer closes the caller's connection.
 	closeConnection bool
 	buffered        bool
 }
 
-func newHTTPCaller(writer http.ResponseWriter, closeConnection bool) *httpCaller {
-	return &httpCaller{writer: writer, controller: http.NewResponseController(writer), closeConnection: closeConnection}
+func newHTTPCaller(writer http.ResponseWriter, request *http.Request, closeConnection bool) *httpCaller {
+	connection, _ := request.Context().Value(connectionKey{}).(net.Conn)
+	return &httpCaller{
+		writer: writer, controller: http.NewResponseController(writer), connection: connection,
+		closeConnection: closeConnection,
+	}
+}
+
+// connectionKey is the key of a caller's connection in the context of its requests.
+type connectionKey struct{}
+
+// ConnContext is the http.Server.ConnContext that a Handler needs: only a reset tells callers
+// that an answer which ends with its connection has broken off.
+func ConnContext(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// Values of SO_LINGER: a connection is reset when it is closed, or delivers what was written.
+const (
+	lingerReset   = 0
+	lingerDeliver = -1
+)
+
+// resetUnlessEnded makes the kernel reset the connection, also when this process is killed, if it
+// is closed before end is called.
+func (c *httpCaller) resetUnlessEnded() {
+	c.untilClose = true
+	c.setLinger(lingerReset)
+}
+
+// end ends an answer that was passed on to its end.
+func (c *httpCaller) end() {
+	if c.untilClose {
+		c.setLinger(lingerDeliver)
+	}
+}
+
+func (c *httpCaller) setLinger(seconds int) {
+	if tcp, ok := c.connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(seconds) // fails only on a closed connection
+	}
 }
 
 // answerEarly lets the answer be sent before the request body has been received. By default
@@ -23,7 +70,7 @@
 func (c *httpCaller) answerEarly() error { return c.controller.EnableFullDuplex() }
 
 // Head implements dispatch.Caller.
-func (c *httpCaller) Head(status int, header http.Header, length int64) {
+func (c *httpCaller) Head(status int, header http.Header, length dispatch.Length) {
 	own := c.writer.Header()
 	for name, values := range header {
 		own[name] = values
@@ -33,10 +80,13 @@
 			own[name] = nil // keeps net/http from adding its own
 		}
 	}
-	if length >= 0 {
-		own.Set("Content-Length", strconv.FormatInt(length, 10))
-	} else {
-		own.Del("Content-Length")
+	own.Del("Content-Length")
+	switch {
+	case length >= 0:
+		own.Set("Content-Length", strconv.FormatInt(int64(length), 10))
+	case length == dispatch.UntilClose:
+		own.Set("Transfer-Encoding", "identity") // net/http then neither chunks nor keeps the connection
+		c.resetUnlessEnded()
 	}
 	if c.closeConnection {
 		own.Set("Connection", "close")
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -126,7 +126,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	arrived := time.Now()
-	answer := newHTTPCaller(writer, h.stopping.Load())
+	answer := newHTTPCaller(writer, request, h.stopping.Load())
 	call, failure := h.accept(writer, request, arrived)
 	if failure != nil {
 		h.refund(call)
@@ -257,9 +257,11 @@
 	h.logOutcome(call, outcome)
 	switch {
 	case outcome.Code == result.OK:
+		answer.end()
 		return
 	case outcome.HeadGiven:
-		// Closing the connection keeps a truncated answer from looking complete.
+		// Closing the connection before the promised end keeps a truncated answer from looking
+		// complete.
 		panic(http.ErrAbortHandler)
 	case request.Context().Err() != nil:
 		panic(http.ErrAbortHandler)
@@ -279,7 +281,7 @@
 		seconds := float64(failure.RetryAfterMillis) / float64(time.Second/time.Millisecond)
 		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
 	}
-	answer.Head(failure.Code.Entry().HTTPStatus, header, int64(len(body)))
+	answer.Head(failure.Code.Entry().HTTPStatus, header, dispatch.Length(len(body)))
 	_ = answer.Write(body)
 }
 
@@ -299,7 +301,7 @@
 		"routes_version": call.RoutesVersion, "routes_age_ms": h.configurationAge().Milliseconds(),
 		"attempts": outcome.Attempts, "first_ms": outcome.First.Milliseconds(),
 		"last_ms": outcome.Last.Milliseconds(), "gap_ms": outcome.Gap.Milliseconds(), "pieces": outcome.Pieces,
-		"framing": outcome.Framing, "partial_event": outcome.PartialEvent,
+		"framing": outcome.Framing, "ending": outcome.Ending,
 		"took_ms": took.Milliseconds(), "retry_after_ms": outcome.RetryAfter.Milliseconds(),
 		"detail": outcome.Detail,
 	})
--- a/internal/lab/site/framing_test.go
+++ b/internal/lab/site/framing_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
@@ -11,11 +13,18 @@
 // eventBytes is the length of an event: model engines answer with four, plain workers with one.
 const eventBytes = len("id: 1\ndata: 0123456789abcdef.1\n\n")
 
+var (
+	routesOfEachKind = []string{"/board/1", "/submit/1", "/verdict/1", "/check/1"}
+	unframed         = []fleetworker.Framing{fleetworker.ByClose, fleetworker.HTTP10}
+	framed           = []fleetworker.Framing{fleetworker.ByLength, fleetworker.ByChunks}
+	partialSizes     = []int{0, 5, eventBytes, eventBytes + 5, 3*eventBytes + 5, 4*eventBytes - 1}
+)
+
 // TestBrokenOffAnswerIsNotFramedAsComplete: the end of an unframed answer's connection makes the node vouch for a part.
 func TestBrokenOffAnswerIsNotFramedAsComplete(t *testing.T) {
-	for _, path := range []string{"/board/1", "/submit/1", "/verdict/1", "/check/1"} {
-		for _, sent := range []int{0, 5, eventBytes, eventBytes + 5, 3*eventBytes + 5, 4*eventBytes - 1} {
-			for _, framing := range []fleetworker.Framing{fleetworker.ByClose, fleetworker.HTTP10} {
+	for _, path := range routesOfEachKind {
+		for _, sent := range partialSizes {
+			for _, framing := range unframed {
 				t.Run(fmt.Sprintf("%s, %s, %d", path, framing, sent), func(t *testing.T) {
 					t.Parallel()
 					s := start(t)
@@ -31,9 +40,86 @@
 	}
 }
 
+// TestAnswersOfEachFramingAndEnd: an answer is lost, run again, or told to its caller as more than is known of it.
+func TestAnswersOfEachFramingAndEnd(t *testing.T) {
+	for _, path := range routesOfEachKind {
+		for _, framing := range append(framed, unframed...) {
+			for _, closing := range []fleetworker.Closing{fleetworker.Orderly, fleetworker.Reset, fleetworker.Crash} {
+				for _, sent := range append(partialSizes, 4*eventBytes) {
+					t.Run(fmt.Sprintf("%s, %s, %s, %d", path, framing, closing, sent), func(t *testing.T) {
+						t.Parallel()
+						s := start(t)
+						delivery := fleetworker.Delivery{Framing: framing, Sent: sent, Closing: closing}
+						s.setDeliveries("", delivery, 1)
+						s.checkDelivered(path, delivery, s.ask(http.MethodPost, path, nil, "x"))
+					})
+				}
+			}
+		}
+	}
+}
+
+// checkDelivered checks what a caller was told of an answer whose first run was delivered in
+// some way.
+func (s *site) checkDelivered(path string, delivery fleetworker.Delivery, got answer) {
+	s.t.Helper()
+	whole := fleetworker.Body(got.id, s.events(path), 0)
+	repeatable := strings.HasPrefix(path, "/board/") || strings.HasPrefix(path, "/check/")
+	isStream := strings.HasPrefix(path, "/verdict/") || strings.HasPrefix(path, "/check/")
+	isUnframed := delivery.Framing == fleetworker.ByClose || delivery.Framing == fleetworker.HTTP10
+	isWhole := delivery.Sent >= len(whole)
+	runs := len(s.runs(got.id))
+
+	if got.status == http.StatusOK && !strings.HasPrefix(whole, got.body) {
+		s.t.Errorf("%q isn't a part of %q", got.body, whole)
+	}
+	if got.framedAsComplete() && got.status == http.StatusOK && got.body != whole {
+		s.t.Errorf("%q is framed as complete", got.body)
+	}
+	if runs > 1 && !repeatable || runs > 2 {
+		s.t.Errorf("it ran %d times", runs)
+	}
+	insideEvent := isStream && min(delivery.Sent, len(whole))%eventBytes != 0
+	mayBeWhole := isWhole || isUnframed && delivery.Closing == fleetworker.Orderly && !insideEvent
+	if got.status == http.StatusOK && got.readErr == nil && !mayBeWhole && got.body != whole {
+		s.t.Errorf("%q, which is known to have broken off, ended in order", got.body)
+	}
+	switch {
+	case isWhole && delivery.Closing == fleetworker.Orderly:
+		if got.status != http.StatusOK || got.readErr != nil || got.body != whole || runs != 1 {
+			s.t.Errorf("a whole answer: status %d, %v, %d runs, %q", got.status, got.readErr, runs, got.body)
+		}
+		if got.framed == isUnframed {
+			s.t.Errorf("a whole answer: framed %v", got.framed)
+		}
+	case repeatable && !mayBeWhole:
+		if got.status != http.StatusOK || got.readErr != nil || got.body != whole || runs != 2 {
+			s.t.Errorf("an answer that broke off and may be run again: status %d, %v, %d runs, %q", got.status, got.readErr, runs, got.body)
+		}
+	}
+}
+
+// TestNodeThatEndsBreaksUnframedAnswersOff: the node's own end looks like the end of an answer that it passes on unframed.
+func TestNodeThatEndsBreaksUnframedAnswersOff(t *testing.T) {
+	s := start(t)
+	s.setDeliveries("write", fleetworker.Delivery{Framing: fleetworker.ByClose, Sent: eventBytes, Closing: fleetworker.Silent}, -1)
+	response, err := (&http.Transport{}).RoundTrip(s.request(http.MethodPost, "/verdict/1", "x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.ReadFull(response.Body, make([]byte, eventBytes)); err != nil {
+		t.Fatal(err)
+	}
+	s.node.Close()
+	if rest, err := io.ReadAll(response.Body); err == nil {
+		t.Errorf("the answer ended with %q as if it were complete", rest)
+	}
+}
+
 // events is the number of events in an answer of the workers of a route.
 func (s *site) events(path string) int {
-	if path == "/board/1" || path == "/submit/1" {
+	if strings.HasPrefix(path, "/board/") || strings.HasPrefix(path, "/submit/") {
 		return 1
 	}
 	return 4
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -284,11 +284,13 @@
 	return s.askAt(s.address, method, path, header, body)
 }
 
-// nextID returns a new request id.
-func (s *site) nextID() string { return fmt.Sprintf("%016x", s.next.Add(1)) }
+// request returns a request to the first node, and requestAt one to the node at an address.
+func (s *site) request(method, path, body string) *http.Request {
+	s.t.Helper()
+	return s.requestAt(s.address, method, path, body)
+}
 
-// askAt sends a request to the node at an address and reads its answer.
-func (s *site) askAt(address, method, path string, header map[string]string, body string) answer {
+func (s *site) requestAt(address, method, path, body string) *http.Request {
 	s.t.Helper()
 	id := s.nextID()
 	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
@@ -303,6 +305,17 @@
 		request.Header.Set("X-Token-Usage", "3000,20")
 		request.Header.Set("X-Prompt-Prefix", "aa:2000,"+id+":1000")
 	}
+	return request
+}
+
+// nextID returns a new request id.
+func (s *site) nextID() string { return fmt.Sprintf("%016x", s.next.Add(1)) }
+
+// askAt sends a request to the node at an address and reads its answer.
+func (s *site) askAt(address, method, path string, header map[string]string, body string) answer {
+	s.t.Helper()
+	request := s.requestAt(address, method, path, body)
+	id := request.Header.Get("X-Request-Id")
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
--- a/internal/serving/hosts.go
+++ b/internal/serving/hosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -10,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
 const (
@@ -65,8 +65,7 @@
 		n.log.WithFields(logrus.Fields{"worker": target.ID, "cause": err.Error()}).Debug("an engine did not tell its host's slowdown")
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxCacheList)) // so that the connection can be reused
-	_ = answer.Body.Close()
+	_ = workerconn.Discard(answer, maxCacheList)
 }
 
 // registerHostMetrics registers counters of what workers have stated about their hosts.
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -229,7 +229,7 @@
 
 func (n *Node) listen(metrics *prometheus.Registry) error {
 	n.callers = &http.Server{
-		Handler: n.front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: n.front, ConnContext: ingress.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeader, ErrorLog: discardLog(),
 	}
 	readiness := chi.NewRouter()
--- a/internal/serving/slowdowns.go
+++ b/internal/serving/slowdowns.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"slices"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/tinarch/tinarch/internal/settings"
 	"github.com/tinarch/tinarch/internal/stagecontrol"
 	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
 // Intervals and limits for asking engines how slow their hosts are.
@@ -90,8 +90,7 @@
 		n.log.WithFields(logrus.Fields{"worker": engine.ID, "cause": err.Error()}).Info("an engine did not state its slowdown")
 		return slowdownAnswer{}
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxCacheList)) // so that the connection can be reused
-	_ = answer.Body.Close()
+	_ = workerconn.Discard(answer, maxCacheList)
 	stated := n.platform.Reply(answer.Status, answer.Header).HostSlowdown > 0 // recorded by calls
 	return slowdownAnswer{answered: true, stated: stated}
 }
--- a/internal/serving/warmup.go
+++ b/internal/serving/warmup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/worker"
+	"github.com/tinarch/tinarch/internal/workerconn"
 )
 
 // Times and limits of the warm-up.
@@ -121,7 +121,7 @@
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxCacheList))
+	content, err := workerconn.ReadDocument(answer.Body, maxCacheList)
 	if err != nil {
 		n.log.WithFields(logrus.Fields{"worker": target.ID, "cause": err.Error()}).Warn("a worker did not return its cache list")
 		return
--- a/internal/serving/workercalls.go
+++ b/internal/serving/workercalls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -151,8 +150,7 @@
 		n.log.WithFields(logrus.Fields{"worker": id, "cause": err.Error()}).Warn("a worker with a limit did not tell its state")
 		return false, false
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxCacheList)) // so that the connection can be reused
-	_ = answer.Body.Close()
+	_ = workerconn.Discard(answer, maxCacheList)
 	return n.platform.Reply(answer.Status, answer.Header).Limit.Named, true
 }
 
--- a/internal/stagecontrol/controller.go
+++ b/internal/stagecontrol/controller.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -283,8 +282,7 @@
 		}
 		return Unknown, err.Error()
 	}
-	defer func() { _ = answer.Body.Close() }()
-	if _, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxReply)); err != nil {
+	if err := workerconn.Discard(answer, maxReply); err != nil {
 		return Unknown, err.Error()
 	}
 	return c.options.Wire.OrderVerdict(answer.Status), ""
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -46,6 +46,7 @@
 	// Framing is how the end of the body is marked.
 	Framing Framing
 	// Body must be closed. It is complete only if it was read to io.EOF without another error.
+	// An unframed one ends with ErrUnproved at best.
 	Body io.ReadCloser
 }
 
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -105,14 +105,15 @@
 	if p.monitor != nil {
 		p.monitor.Answered(key, request, response.StatusCode, response.Header)
 	}
+	framing := framingOf(request.Method, response)
 	return &Answer{
 		Status:  response.StatusCode,
 		Header:  response.Header,
 		Length:  response.ContentLength,
-		Framing: framingOf(request.Method, response),
+		Framing: framing,
 		Body: &body{
 			pool: p, key: key, conn: c, response: response, written: written,
-			ctx: ctx, stop: stop,
+			ctx: ctx, stop: stop, framing: framing,
 		},
 	}, nil
 }
@@ -188,6 +189,27 @@
 	return nil, nil
 }
 
+// Probe tells whether a worker still accepts connections. The connection is kept for the next
+// request, unless another one is idle or the limit is reached.
+func (p *Pool) Probe(ctx context.Context, key, address string, limit int) Liveness {
+	inner, state := connect(ctx, address)
+	if state != Alive {
+		return state
+	}
+	c := newConn(inner)
+	c.idleSince, c.idleLimit = time.Now(), defaultIdle-idleMargin
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[key]) > 0 || limit > 0 && p.open[key] >= limit {
+		_ = inner.Close()
+		return state
+	}
+	p.open[key]++
+	p.opened++
+	p.idle[key] = append(p.idle[key], c)
+	return state
+}
+
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: DialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	return dialer.DialContext(ctx, "tcp4", address)
@@ -268,19 +290,25 @@
 	written  <-chan error
 	ctx      context.Context
 	stop     func() bool
+	framing  Framing
 	complete bool
 	closed   bool
 }
 
-// Read implements io.Reader. Any error except io.EOF means that the body is incomplete.
+// Read implements io.Reader. io.EOF proves that the body is complete, and ErrUnproved leaves it
+// open. Any other error means that the body is incomplete.
 func (b *body) Read(buffer []byte) (int, error) {
 	count, err := b.response.Body.Read(buffer)
-	if err == io.EOF {
-		b.complete = true
-	} else if err != nil {
-		err = cause(b.ctx, err)
+	switch {
+	case err == nil:
+		return count, nil
+	case err != io.EOF:
+		return count, cause(b.ctx, err)
+	case b.framing == Unframed:
+		return count, ErrUnproved
 	}
-	return count, err
+	b.complete = true
+	return count, io.EOF
 }
 
 // Close implements io.Closer.
@@ -299,7 +327,7 @@
 }
 
 func (b *body) reusable() bool {
-	if !b.complete || b.response.Close || b.response.ContentLength < 0 && len(b.response.TransferEncoding) == 0 {
+	if !b.complete || b.response.Close {
 		return false
 	}
 	if !b.requestSent() {
--- a/internal/workerconn/pool_test.go
+++ b/internal/workerconn/pool_test.go
@@ -276,7 +276,10 @@
 	})
 	pool := NewPool()
 	defer pool.Close()
-	wantAnswer(t, send(t, pool, s, "1", ""), "all of it")
+	got := send(t, pool, s, "1", "")
+	if !errors.Is(got.err, ErrUnproved) || got.status != http.StatusOK || got.body != "all of it" {
+		t.Errorf("%+v, want the body %q and an unproved end", got, "all of it")
+	}
 }
 
 // TestAnswerBeforeTheRequestBodyIsSent checks that a worker may answer before it has read a
--- a/internal/workerconn/probe.go
+++ b/internal/workerconn/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
 )
 
@@ -22,13 +23,21 @@
 // Probe opens a connection to a worker and closes it at once. It tells whether a worker whose
 // answer was cut off has ended.
 func Probe(ctx context.Context, address string) Liveness {
-	probe, err := dial(ctx, address)
+	c, state := connect(ctx, address)
+	if state == Alive {
+		_ = c.Close()
+	}
+	return state
+}
+
+// connect opens a connection to a worker, nil unless the worker is Alive.
+func connect(ctx context.Context, address string) (net.Conn, Liveness) {
+	c, err := dial(ctx, address)
 	switch {
 	case err == nil:
-		_ = probe.Close()
-		return Alive
+		return c, Alive
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return Dead
+		return nil, Dead
 	}
-	return Unheard
+	return nil, Unheard
 }
