dispatch: a stream that ends inside an event has broken off, whatever marks its end

What callers saw: nothing yet. A worker that ends its own answer in order after a part of an event (a last chunk, or a length that it reached) had that part passed on, on resumable routes too, and the answer framed as complete.

Evidence: TestFramedStreamThatEndsInsideAnEventIsBrokenOff failed in all of its 12 cases before.

Change: checkEnd looks at the events before it takes a marked end for complete. Streams get no Content-Length any more, since a caller that has received all bytes of one couldn't be told.

--- a/internal/dispatch/ending.go
+++ b/internal/dispatch/ending.go
@@ -16,9 +16,10 @@
 
 // The endings of an answer.
 const (
-	// Complete answers have reached their length or their last chunk.
+	// Complete answers have reached their length or their last chunk, and streams not inside an
+	// event.
 	Complete Ending = "complete"
-	// BrokenOff answers have not, or ended inside an event, or their worker has crashed.
+	// BrokenOff answers have not, or are unframed and their worker has crashed.
 	BrokenOff Ending = "broken off"
 	// Unproved answers are unframed, and their connection was closed in order by a worker that
 	// isn't known to have crashed.
@@ -44,13 +45,13 @@
 // ended there. It returns an error if the answer can't be passed on as one that may be complete.
 func (s *session) checkEnd(runner scheduling.Candidate, ended error, insideEvent bool) error {
 	switch {
-	case ended == nil:
-		s.ending = Complete
-		return nil
-	case !errors.Is(ended, workerconn.ErrUnproved):
+	case ended != nil && !errors.Is(ended, workerconn.ErrUnproved):
 		return ended
 	case insideEvent:
 		return errInsideEvent
+	case ended == nil:
+		s.ending = Complete
+		return nil
 	}
 	s.endProbe = s.probe(runner)
 	if s.endProbe == workerconn.Dead && !s.registry.IsDraining(runner.ID) {
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -128,29 +128,34 @@
 	var scanner eventScanner
 	err := s.copyPieces(answer, load, func(piece []byte) error {
 		scanner.scan(piece)
-		s.giveHead(answer, lengthOf(answer))
+		s.giveHead(answer, streamLength(answer))
 		return s.give(piece)
 	})
 	if err := s.checkEnd(load.runner, err, scanner.insideEvent()); err != nil {
 		return err
 	}
-	s.giveHead(answer, lengthOf(answer))
+	s.giveHead(answer, streamLength(answer))
 	return nil
 }
 
+// streamLength is the length of a stream. A stream of known length may still end inside an event,
+// or go on at another worker.
+func streamLength(answer *workerconn.Answer) Length {
+	if answer.Framing == workerconn.Unframed {
+		return UntilClose
+	}
+	return LengthUnknown
+}
+
 // passEvents passes on whole events only, so that the stream can be resumed after the last one.
 func (s *session) passEvents(answer *workerconn.Answer, load *work) error {
-	length := UntilClose
-	if answer.Framing != workerconn.Unframed {
-		length = LengthUnknown // the stream may go on at another worker
-	}
 	events := &eventCutter{}
 	err := s.copyPieces(answer, load, func(piece []byte) error {
 		whole := events.add(piece)
 		if len(whole) == 0 {
 			return nil
 		}
-		s.giveHead(answer, length)
+		s.giveHead(answer, streamLength(answer))
 		if err := s.give(whole); err != nil {
 			return err
 		}
@@ -160,7 +165,7 @@
 	if err := s.checkEnd(load.runner, err, events.scanner.insideEvent()); err != nil {
 		return err
 	}
-	s.giveHead(answer, length)
+	s.giveHead(answer, streamLength(answer))
 	return s.give(events.rest())
 }
 
--- a/internal/lab/fleetworker/delivery.go
+++ b/internal/lab/fleetworker/delivery.go
@@ -40,10 +40,10 @@
 	Framing Framing
 	// Sent is how many bytes of the body are sent, all if it is larger than the body.
 	Sent int
-	// Closing applies after these bytes. An answer by chunks gets its last chunk only if all of
-	// it is sent, or with LastChunk.
-	Closing   Closing
-	LastChunk bool
+	// EndMarked marks the end of what is sent as the end of the answer.
+	EndMarked bool
+	// Closing applies after that.
+	Closing Closing
 }
 
 // Deliveries apply a delivery to a number of requests, of all workers that share them.
@@ -97,14 +97,18 @@
 	}
 	defer func() { _ = c.Close() }()
 	sent := body[:min(delivery.Sent, len(body))]
-	writeHead(buffer.Writer, header, delivery.Framing, len(body))
+	length := len(body)
+	if delivery.EndMarked {
+		length = len(sent)
+	}
+	writeHead(buffer.Writer, header, delivery.Framing, length)
 	if delivery.Framing != ByChunks {
 		_, _ = buffer.WriteString(sent)
 	} else {
 		if sent != "" {
 			_, _ = fmt.Fprintf(buffer, "%x\r\n%s\r\n", len(sent), sent)
 		}
-		if len(sent) == len(body) || delivery.LastChunk {
+		if len(sent) == length {
 			_, _ = buffer.WriteString("0\r\n\r\n")
 		}
 	}
--- a/internal/lab/site/framing_test.go
+++ b/internal/lab/site/framing_test.go
@@ -99,6 +99,27 @@
 	}
 }
 
+// TestFramedStreamThatEndsInsideAnEventIsBrokenOff: a worker's own end mark behind a part of an event is believed.
+func TestFramedStreamThatEndsInsideAnEventIsBrokenOff(t *testing.T) {
+	for _, path := range []string{"/verdict/1", "/check/1"} {
+		for _, framing := range framed {
+			for _, sent := range []int{5, eventBytes + 5, 4*eventBytes - 1} {
+				t.Run(fmt.Sprintf("%s, %s, %d", path, framing, sent), func(t *testing.T) {
+					t.Parallel()
+					s := start(t)
+					delivery := fleetworker.Delivery{Framing: framing, Sent: sent, EndMarked: true}
+					s.setDeliveries("", delivery, 1)
+					got := s.ask(http.MethodPost, path, nil, "x")
+					s.checkDelivered(path, delivery, got)
+					if got.status == http.StatusOK && got.readErr == nil && len(s.runs(got.id)) == 1 {
+						t.Errorf("%q ended in order", got.body)
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestNodeThatEndsBreaksUnframedAnswersOff: the node's own end looks like the end of an answer that it passes on unframed.
 func TestNodeThatEndsBreaksUnframedAnswersOff(t *testing.T) {
 	s := start(t)
