ingress: an answer without length that broke off is reset for callers of HTTP/1.0

What callers saw: a caller of HTTP/1.0, to which an answer without a Content-Length goes without chunks, got a part of an answer and an orderly close of its connection: the same as for a complete one.

The handler's abort closes the connection, which breaks chunks off but ends an answer that ends with its connection.

Evidence: TestBrokenOffAnswerIsResetForHTTP10Callers failed before: a stream that the worker had broken off after an event ended in order.

Change: such an answer is reset unless it comes to its end, like an unframed one.

--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -15,6 +15,8 @@
 	controller *http.ResponseController
 	// connection is the caller's, nil if the server doesn't use ConnContext.
 	connection net.Conn
+	// takesChunks is set unless the caller speaks HTTP/1.0.
+	takesChunks bool
 	// untilClose is set if the answer ends with the connection.
 	untilClose bool
 	// closeConnection is set if the answer closes the caller's connection.
@@ -26,7 +28,7 @@
 	connection, _ := request.Context().Value(connectionKey{}).(net.Conn)
 	return &httpCaller{
 		writer: writer, controller: http.NewResponseController(writer), connection: connection,
-		closeConnection: closeConnection,
+		takesChunks: request.ProtoAtLeast(1, 1), closeConnection: closeConnection,
 	}
 }
 
@@ -87,6 +89,8 @@
 	case length == dispatch.UntilClose:
 		own.Set("Transfer-Encoding", "identity") // net/http then neither chunks nor keeps the connection
 		c.resetUnlessEnded()
+	case !c.takesChunks:
+		c.resetUnlessEnded()
 	}
 	if c.closeConnection {
 		own.Set("Connection", "close")
--- a/internal/lab/site/framing_test.go
+++ b/internal/lab/site/framing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -138,6 +139,36 @@
 	}
 }
 
+// TestBrokenOffAnswerIsResetForHTTP10Callers: without chunks, only a reset tells a part of an answer from the whole.
+func TestBrokenOffAnswerIsResetForHTTP10Callers(t *testing.T) {
+	for _, delivery := range []fleetworker.Delivery{
+		{Framing: fleetworker.ByChunks, Sent: eventBytes, Closing: fleetworker.Orderly},
+		{Framing: fleetworker.ByClose, Sent: eventBytes + 5, Closing: fleetworker.Orderly},
+		{Framing: fleetworker.ByChunks, Sent: 4 * eventBytes, Closing: fleetworker.Orderly},
+	} {
+		s := start(t)
+		s.setDeliveries("write", delivery, -1)
+		request := s.request(http.MethodPost, "/verdict/1", "x")
+		connection, err := net.Dial("tcp4", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = connection.Close() }()
+		head := "POST /verdict/1 HTTP/1.0\r\nHost: " + host + "\r\nContent-Length: 1\r\n"
+		for name, values := range request.Header {
+			head += name + ": " + values[0] + "\r\n"
+		}
+		if _, err := io.WriteString(connection, head+"\r\nx"); err != nil {
+			t.Fatal(err)
+		}
+		content, err := io.ReadAll(connection)
+		whole := strings.HasSuffix(string(content), fleetworker.Body(request.Header.Get("X-Request-Id"), 4, 0))
+		if whole != (err == nil) {
+			t.Errorf("%+v: %q, %v", delivery, content, err)
+		}
+	}
+}
+
 // events is the number of events in an answer of the workers of a route.
 func (s *site) events(path string) int {
 	if strings.HasPrefix(path, "/board/") || strings.HasPrefix(path, "/submit/") {
