dispatch: an answer without a body keeps the length that it states

What callers saw: HEAD answered with Content-Length: 0, whatever length the worker had stated, or none.

Cause: dispatch framed each short answer by the bytes that had come, also where the protocol says that none come. Found when looking for other places that frame an answer by themselves.

Evidence: TestAnswerToHeadKeepsItsLength failed for all four framings before.

Change: an answer without a body (HEAD, 204, 304) is framed as the worker framed it.

--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -105,13 +105,14 @@
 
 // wholeLength is the length of an answer of which all bytes have come.
 func wholeLength(answer *workerconn.Answer, length int) Length {
-	if answer.Framing == workerconn.Unframed {
-		return UntilClose
+	if answer.Framing == workerconn.FramedByLength || answer.Framing == workerconn.FramedByChunks {
+		return Length(length)
 	}
-	return Length(length)
+	return lengthOf(answer)
 }
 
-// lengthOf is the length of an answer that is passed on as it arrives.
+// lengthOf is the length of an answer that is passed on as it arrives, or that has no body and
+// states the length which one would have.
 func lengthOf(answer *workerconn.Answer) Length {
 	if answer.Framing == workerconn.Unframed {
 		return UntilClose
--- a/internal/lab/fleetworker/delivery.go
+++ b/internal/lab/fleetworker/delivery.go
@@ -89,7 +89,7 @@
 }
 
 // deliver sends an answer over the hijacked connection of a request.
-func (w *Worker) deliver(writer http.ResponseWriter, body string, delivery Delivery) {
+func (w *Worker) deliver(writer http.ResponseWriter, method, body string, delivery Delivery) {
 	header := writer.Header().Clone()
 	c, buffer, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
@@ -102,7 +102,9 @@
 		length = len(sent)
 	}
 	writeHead(buffer.Writer, header, delivery.Framing, length)
-	if delivery.Framing != ByChunks {
+	if method == http.MethodHead {
+		sent = ""
+	} else if delivery.Framing != ByChunks {
 		_, _ = buffer.WriteString(sent)
 	} else {
 		if sent != "" {
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -409,7 +409,7 @@
 		if w.options.Stage != "" {
 			writer.Header().Set("Content-Type", "text/event-stream")
 		}
-		w.deliver(writer, Body(id, w.options.Events, after), delivery)
+		w.deliver(writer, request.Method, Body(id, w.options.Events, after), delivery)
 		return
 	}
 	w.stream(writer, request, id, after, fault)
--- a/internal/lab/site/framing_test.go
+++ b/internal/lab/site/framing_test.go
@@ -169,6 +169,24 @@
 	}
 }
 
+// TestAnswerToHeadKeepsItsLength: the length of the body that wasn't sent is told as zero.
+func TestAnswerToHeadKeepsItsLength(t *testing.T) {
+	for framing, want := range map[fleetworker.Framing]int64{
+		fleetworker.ByLength: int64(eventBytes), fleetworker.ByChunks: -1, fleetworker.ByClose: -1, fleetworker.HTTP10: -1,
+	} {
+		s := start(t)
+		s.setDeliveries("portal", fleetworker.Delivery{Framing: framing, Sent: eventBytes}, -1)
+		response, err := (&http.Transport{}).RoundTrip(s.request(http.MethodHead, "/board/1", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK || response.ContentLength != want {
+			t.Errorf("%s: status %d, length %d, want %d", framing, response.StatusCode, response.ContentLength, want)
+		}
+	}
+}
+
 // events is the number of events in an answer of the workers of a route.
 func (s *site) events(path string) int {
 	if strings.HasPrefix(path, "/board/") || strings.HasPrefix(path, "/submit/") {
