platform/objects: an object whose length isn't stated isn't read

What callers saw: nothing. An object whose answer came without a length, and whose connection ended early, was read as a shorter object.

The client checks checksums only where the API requires them.

Change: reading an object whose answer states no length fails at once, with the reason.

Conclusion: S3 states the length of each object, so nothing that worked fails.

--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -49,7 +49,9 @@
 
 // isSuccess reports whether a status is one of those under which a route that streams answers
 // with events.
-func isSuccess(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
 
 // mayRepeat reports whether attempts and time are left for another try.
 func (s *session) mayRepeat() bool {
--- a/internal/platform/objects/objects.go
+++ b/internal/platform/objects/objects.go
@@ -24,6 +24,10 @@
 // ErrNotFound means that there is no object with the name.
 var ErrNotFound = errors.New("objects: no such object")
 
+// errNoLength means that an answer of the store states no length, so that the end of its
+// connection doesn't prove that the object is complete.
+var errNoLength = errors.New("the object's length isn't stated, so a part of it would pass for the whole")
+
 // Settings configure a Client. RequestsPerSecond limits the rate of this node's requests.
 // Attempt limits the time of one try, Total that of all tries of a call together.
 type Settings struct {
@@ -104,6 +108,9 @@
 			return nil, err
 		}
 		defer output.Body.Close()
+		if output.ContentLength == nil {
+			return nil, errNoLength
+		}
 		return io.ReadAll(io.LimitReader(output.Body, maxObjectBytes))
 	})
 	var missing *types.NoSuchKey
@@ -128,7 +135,7 @@
 		defer cancelAttempt()
 		output, err := call(attempt)
 		var missing *types.NoSuchKey
-		if errors.As(err, &missing) {
+		if errors.As(err, &missing) || errors.Is(err, errNoLength) {
 			return none, backoff.Permanent(err)
 		}
 		return output, err
