--- a/internal/tableshare/tableshare_test.go
+++ b/internal/tableshare/tableshare_test.go
@@ -158,6 +158,19 @@
 
 // TestWholeTableIsSentOnUnchanged: a node that received a table sends the same bytes, without
 // packing them again.
+// TestPartOfATableIsNotUnpacked: a cut copy of a table unpacks as a shorter one.
+func TestPartOfATableIsNotUnpacked(t *testing.T) {
+	packed, err := pack([]tablefeed.Row{{Key: "a", Value: []byte("1"), Version: 1}, {Key: "b", Value: []byte("2"), Version: 2}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for size := range packed {
+		if rows, err := unpack(packed[:size]); err == nil {
+			t.Errorf("%d of %d bytes: %v", size, len(packed), rows)
+		}
+	}
+}
+
 func TestWholeTableIsSentOnUnchanged(t *testing.T) {
 	first, second := startNode(t), startNode(t)
 	first.table.set(testRows(200), 9, 0)
