workerconn: a probe waits for the listener of a worker that has just been killed

Cause: the kernel closes what a killed process opened last first, so that its connections end before its listener. A probe right after the end of an answer was accepted, reset, or dropped while the listener closed (1 s until the next SYN), and passed for alive or unheard. The stand-ins had it the other way round: the listener first. The looks for the quarantine used the same probe.

Evidence: end_probe=unheard, from the log that was added for it, beside end_probe=dead of the other streams.

Change: a probe's connection must stay open for 20 ms, the time in which a process with a thousand connections closes them; one that is reset or gets no answer in 50 ms is tried again, three times in all. A worker that resets three connections in a row lives. Retries of requests that broke off at a live worker wait up to 20 ms longer (bounded by the 30 ms that they wait for the look anyway).

Conclusion: an end that nobody can see in 150 ms is still told as unproved, never as complete.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -213,6 +213,8 @@
 	// that end. They are empty if there was no answer.
 	Framing workerconn.Framing
 	Ending  Ending
+	// EndProbe is what a probe of the worker found at that end, empty if there was none.
+	EndProbe workerconn.Liveness
 }
 
 // NotRun reports whether it is proved that no worker has run the call.
--- a/internal/dispatch/ending.go
+++ b/internal/dispatch/ending.go
@@ -30,7 +30,7 @@
 
 // probePatience is how long an unframed answer waits to learn whether its worker has crashed. A
 // wrong guess makes a part of an answer look like one that may be complete.
-const probePatience = 100 * time.Millisecond
+const probePatience = 150 * time.Millisecond
 
 var (
 	errInsideEvent = eris.New("the stream ended inside an event")
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -81,8 +81,7 @@
 	framing workerconn.Framing
 	ending  Ending
 	vouches bool
-	// endProbe is what a probe of the worker found at the end of an unframed answer, empty if
-	// there was none.
+	// endProbe is as in Outcome.
 	endProbe workerconn.Liveness
 	// reports are the load reports of other nodes that the last plan was based on.
 	reports map[string]scheduling.LoadReport
@@ -288,7 +287,7 @@
 	outcome.HeadGiven = s.headGiven
 	outcome.Attempts, outcome.MayHaveRun = s.attempts, s.mayHaveRunBefore
 	outcome.First, outcome.Last, outcome.Gap, outcome.Pieces = s.first, s.last, s.gap, s.pieces
-	outcome.Framing, outcome.Ending = s.framing, s.ending
+	outcome.Framing, outcome.Ending, outcome.EndProbe = s.framing, s.ending, s.endProbe
 	return outcome
 }
 
@@ -397,6 +396,6 @@
 		"id": s.call.ID, "worker": end.worker, "verdict": end.verdict, "again": again,
 		"attempts": s.attempts, "remaining_ms": s.remaining().Milliseconds(), "cause": detail(end.err),
 		"fingerprint": s.call.Fingerprint.String(), "worker_state": end.workerState, "pieces": s.pieces,
-		"framing": s.framing, "ending": s.ending,
+		"framing": s.framing, "ending": s.ending, "end_probe": s.endProbe,
 	}).Warn("try failed")
 }
--- a/internal/lab/fleetworker/crash.go
+++ b/internal/lab/fleetworker/crash.go
@@ -3,22 +3,32 @@
 import (
 	"bytes"
 	"net/http"
+	"time"
 )
 
-// crash ends the worker with everything that it runs. It closes the listener before it breaks
-// off the first connection, so a new connection is refused by then. It does not return.
+// listenerDelay is how long the listener outlives the connections of a worker that crashes. The
+// kernel closes what a process opened last first.
+const listenerDelay = 2 * time.Millisecond
+
+// crash ends the worker with everything that it runs. It does not return.
 func (w *Worker) crash() {
-	w.end()
+	w.Crash()
 	panic(http.ErrAbortHandler)
 }
 
-// end closes the listener, and then the connections.
-func (w *Worker) end() {
+// Crash closes all connections in order, and then the listener, as the kernel does for a process
+// that was killed.
+func (w *Worker) Crash() {
 	w.crashOnce.Do(func() {
-		_ = w.server.Listener.Close()
 		if w.options.OnCrash != nil {
 			w.options.OnCrash(w)
 		}
+		w.closeDeliveries()
+		go func() {
+			time.Sleep(listenerDelay)
+			_ = w.server.Listener.Close()
+			w.server.CloseClientConnections() // also those that were accepted meanwhile
+		}()
 		go w.server.CloseClientConnections()
 	})
 }
--- a/internal/lab/fleetworker/delivery.go
+++ b/internal/lab/fleetworker/delivery.go
@@ -4,9 +4,13 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"time"
 )
 
 // Framing is how a worker marks the end of an answer's body.
@@ -46,31 +50,55 @@
 	Closing Closing
 }
 
-// Deliveries apply a delivery to a number of requests, of all workers that share them.
+// Deliveries apply deliveries to a number of requests, of all workers that share them.
 type Deliveries struct {
-	delivery Delivery
-
 	mu   sync.Mutex
+	pick func() Delivery
 	left int
 }
 
 // NewDeliveries applies a delivery to the next count requests, or to all if count is negative.
 func NewDeliveries(delivery Delivery, count int) *Deliveries {
-	return &Deliveries{delivery: delivery, left: count}
+	return &Deliveries{pick: func() Delivery { return delivery }, left: count}
 }
 
-// next returns the delivery of the next request, false if it has none.
-func (d *Deliveries) next() (Delivery, bool) {
+// RandomDeliveries applies random deliveries to all requests. Two thirds of the answers are
+// whole. The others end after up to most bytes.
+func RandomDeliveries(random *rand.Rand, most int) *Deliveries {
+	pick := func() Delivery {
+		delivery := Delivery{
+			Framing: []Framing{ByLength, ByChunks, ByClose, HTTP10}[random.IntN(4)],
+			Closing: Orderly, Sent: math.MaxInt,
+		}
+		if random.IntN(3) == 0 {
+			delivery.Sent = random.IntN(most)
+			delivery.Closing = []Closing{Orderly, Reset}[random.IntN(2)]
+		}
+		return delivery
+	}
+	return &Deliveries{pick: pick, left: -1}
+}
+
+// next returns the delivery of the next request, nil if it has none.
+func (d *Deliveries) next() *Delivery {
 	if d == nil {
-		return Delivery{}, false
+		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.left == 0 {
-		return Delivery{}, false
+		return nil
 	}
 	d.left--
-	return d.delivery, true
+	delivery := d.pick()
+	return &delivery
+}
+
+// MayPassForWhole reports whether nothing shows that what was sent of an answer, an event stream
+// or a body without events, isn't all of it.
+func (d Delivery) MayPassForWhole(sent string, isStream bool) bool {
+	unframed := d.Framing == ByClose || d.Framing == HTTP10
+	return unframed && d.Closing == Orderly && (!isStream || sent == "" || strings.HasSuffix(sent, "\n\n"))
 }
 
 // SetDeliveries sets how the worker delivers its answers; nil means as net/http does.
@@ -80,8 +108,8 @@
 	w.deliveries = deliveries
 }
 
-// nextDelivery returns the delivery of the next request, false if it has none.
-func (w *Worker) nextDelivery() (Delivery, bool) {
+// nextDelivery returns the delivery of the next request, nil if it has none.
+func (w *Worker) nextDelivery() *Delivery {
 	w.mu.Lock()
 	deliveries := w.deliveries
 	w.mu.Unlock()
@@ -95,29 +123,40 @@
 	if err != nil {
 		return
 	}
-	defer func() { _ = c.Close() }()
+	w.trackDelivery(c)
+	defer w.closeDelivery(c)
 	sent := body[:min(delivery.Sent, len(body))]
 	length := len(body)
 	if delivery.EndMarked {
 		length = len(sent)
 	}
 	writeHead(buffer.Writer, header, delivery.Framing, length)
-	if method == http.MethodHead {
-		sent = ""
-	} else if delivery.Framing != ByChunks {
-		_, _ = buffer.WriteString(sent)
-	} else {
-		if sent != "" {
-			_, _ = fmt.Fprintf(buffer, "%x\r\n%s\r\n", len(sent), sent)
-		}
-		if len(sent) == length {
-			_, _ = buffer.WriteString("0\r\n\r\n")
-		}
+	if method != http.MethodHead {
+		w.writeBody(buffer.Writer, sent, delivery.Framing, len(sent) == length)
 	}
 	_ = buffer.Flush()
 	w.endDelivery(c, delivery.Closing)
 }
 
+// writeBody writes a body event by event.
+func (w *Worker) writeBody(out *bufio.Writer, body string, framing Framing, isWhole bool) {
+	for _, event := range strings.SplitAfter(body, "\n\n") {
+		switch {
+		case event == "":
+			continue
+		case framing == ByChunks:
+			_, _ = fmt.Fprintf(out, "%x\r\n%s\r\n", len(event), event)
+		default:
+			_, _ = out.WriteString(event)
+		}
+		_ = out.Flush()
+		time.Sleep(w.options.Pause)
+	}
+	if framing == ByChunks && isWhole {
+		_, _ = out.WriteString("0\r\n\r\n")
+	}
+}
+
 func writeHead(out *bufio.Writer, header http.Header, framing Framing, length int) {
 	version := "HTTP/1.1"
 	switch framing {
@@ -133,6 +172,29 @@
 	_, _ = out.WriteString("Connection: close\r\n\r\n")
 }
 
+// trackDelivery makes the end of the worker close a connection on which it delivers an answer.
+func (w *Worker) trackDelivery(c net.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delivering[c] = true
+}
+
+func (w *Worker) closeDelivery(c net.Conn) {
+	_ = c.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.delivering, c)
+}
+
+// closeDeliveries closes in order all connections on which the worker delivers answers.
+func (w *Worker) closeDeliveries() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.delivering {
+		_ = c.Close()
+	}
+}
+
 func (w *Worker) endDelivery(c net.Conn, closing Closing) {
 	switch closing {
 	case Reset:
@@ -142,6 +204,6 @@
 	case Silent:
 		_, _ = io.Copy(io.Discard, c) // until the caller leaves
 	case Crash:
-		w.end()
+		w.Crash()
 	}
 }
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -88,6 +88,8 @@
 	Body   []byte
 	// At is when the worker began to run it.
 	At time.Time
+	// Delivery is how its answer is delivered, nil for net/http's way.
+	Delivery *Delivery
 }
 
 // Worker is a running fake worker.
@@ -101,8 +103,10 @@
 	mu         sync.Mutex
 	fault      Fault
 	faultsLeft int
-	// deliveries are how answers are delivered, nil for net/http's way.
+	// deliveries are how answers are delivered, nil for net/http's way, and delivering the
+	// connections on which that happens.
 	deliveries   *Deliveries
+	delivering   map[net.Conn]bool
 	stage        string
 	runs         []Run
 	handles      map[string]bool
@@ -139,7 +143,7 @@
 		options.Events = 4
 	}
 	w := &Worker{options: options, stage: options.Stage, handles: make(map[string]bool), fences: fences.New(),
-		cached: make(map[string]int), reader: make(chan struct{}, 1)}
+		delivering: make(map[net.Conn]bool), cached: make(map[string]int), reader: make(chan struct{}, 1)}
 	w.server = httptest.NewUnstartedServer(w)
 	if options.Address != "" {
 		w.listen(options.Address)
@@ -379,8 +383,12 @@
 }
 
 func (w *Worker) run(writer http.ResponseWriter, request *http.Request, id string, body []byte, fault Fault) {
+	var delivery *Delivery
+	if fault == NoFault {
+		delivery = w.nextDelivery()
+	}
 	w.mu.Lock()
-	w.runs = append(w.runs, Run{ID: id, Worker: w.options.ID, Target: request.RequestURI, Header: request.Header.Clone(), Body: body, At: time.Now()})
+	w.runs = append(w.runs, Run{ID: id, Worker: w.options.ID, Target: request.RequestURI, Header: request.Header.Clone(), Body: body, At: time.Now(), Delivery: delivery})
 	running := len(w.runs)
 	w.mu.Unlock()
 	if w.crashesOn(body) {
@@ -405,11 +413,11 @@
 		return
 	}
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	if delivery, set := w.nextDelivery(); set {
+	if delivery != nil {
 		if w.options.Stage != "" {
 			writer.Header().Set("Content-Type", "text/event-stream")
 		}
-		w.deliver(writer, request.Method, Body(id, w.options.Events, after), delivery)
+		w.deliver(writer, request.Method, Body(id, w.options.Events, after), *delivery)
 		return
 	}
 	w.stream(writer, request, id, after, fault)
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -192,8 +192,8 @@
 // Probe tells whether a worker still accepts connections. The connection is kept for the next
 // request, unless another one is idle or the limit is reached.
 func (p *Pool) Probe(ctx context.Context, key, address string, limit int) Liveness {
-	inner, state := connect(ctx, address)
-	if state != Alive {
+	inner, state := probe(ctx, address)
+	if inner == nil {
 		return state
 	}
 	c := newConn(inner)
--- a/internal/workerconn/probe.go
+++ b/internal/workerconn/probe.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"syscall"
+	"time"
 )
 
 // Liveness is what an attempt to connect tells about a worker.
@@ -20,24 +22,65 @@
 	Unheard Liveness = "unheard"
 )
 
+const (
+	// listenerDelay is how long the listener of a process that has ended may still accept
+	// connections after the first of its connections was closed. The kernel closes what was
+	// opened last first, and takes some microseconds a connection.
+	listenerDelay = 20 * time.Millisecond
+	// connectTimeout is twice the round trip to another region. The kernel drops a connection
+	// that is being opened while its listener closes, and the next one is refused.
+	connectTimeout = 50 * time.Millisecond
+	// maxConnects bounds the connections of a probe. A worker that closes so many of them at
+	// once lives, and takes no more connections.
+	maxConnects = 3
+)
+
 // Probe opens a connection to a worker and closes it at once. It tells whether a worker whose
 // answer was cut off has ended.
 func Probe(ctx context.Context, address string) Liveness {
-	c, state := connect(ctx, address)
-	if state == Alive {
+	c, state := probe(ctx, address)
+	if c != nil {
 		_ = c.Close()
 	}
 	return state
 }
 
-// connect opens a connection to a worker, nil unless the worker is Alive.
-func connect(ctx context.Context, address string) (net.Conn, Liveness) {
-	c, err := dial(ctx, address)
-	switch {
-	case err == nil:
-		return c, Alive
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return nil, Dead
+// probe opens a connection to a worker that may just have ended. It returns the connection if
+// that is still open after listenerDelay.
+func probe(ctx context.Context, address string) (net.Conn, Liveness) {
+	state := Unheard
+	for range maxConnects {
+		c, err := dialFor(ctx, connectTimeout, address)
+		switch {
+		case err == nil && staysOpen(ctx, c):
+			return c, Alive
+		case err == nil:
+			_ = c.Close()
+			state = Alive
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return nil, Dead
+		case errors.Is(err, syscall.ECONNRESET):
+			state = Alive
+		}
+	}
+	return nil, state
+}
+
+func dialFor(ctx context.Context, timeout time.Duration, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return dial(ctx, address)
+}
+
+// staysOpen reports whether a new connection, on which nothing was sent, isn't closed by its peer
+// within listenerDelay.
+func staysOpen(ctx context.Context, c net.Conn) bool {
+	until := time.Now().Add(listenerDelay)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(until) {
+		until = deadline
 	}
-	return nil, Unheard
+	_ = c.SetReadDeadline(until)
+	_, err := c.Read(make([]byte, 1))
+	_ = c.SetReadDeadline(time.Time{})
+	return errors.Is(err, os.ErrDeadlineExceeded)
 }
