--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -57,6 +57,9 @@
 	if s.options.Uneven {
 		kinds = append(kinds, s.slowHost, s.slowHost)
 	}
+	if s.options.Unframed {
+		kinds = append(kinds, s.deliverOddly, s.deliverOddly, s.deliverOddly, s.deliverOddly, s.crashWorker, s.crashWorker, s.crashWorker)
+	}
 	if s.options.Unfenced {
 		kinds = append(kinds, s.lateOrders, s.lateAPI, s.pauseNode)
 	}
@@ -82,6 +85,7 @@
 		worker.SetLateOrders(0)
 		worker.proxy.SetMode(Pass)
 		worker.SetFault(fleetworker.NoFault, 0)
+		worker.SetDeliveries(nil)
 		worker.SetBackoff("")
 		s.list(worker, "ready")
 	}
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -56,6 +56,8 @@
 	answered time.Time
 	// ended is when the request ended for its caller, with or without an answer.
 	ended time.Time
+	// framed tells that the answer has a length or chunks.
+	framed bool
 	// probe marks requests that only test which configuration is in force.
 	probe bool
 	// timeout is the caller's timeout, and prompt the parts of its prompt; empty if there is
@@ -168,6 +170,7 @@
 	got.answered = time.Now()
 	content, err := io.ReadAll(response.Body)
 	got.status, got.header, got.body, got.err = response.StatusCode, response.Header, string(content), err
+	got.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	got.ended = time.Now()
 	return got
 }
--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -104,7 +104,11 @@
 // replaceEnded removes an ended worker and starts a replacement after replaceDelay.
 func (s *site) replaceEnded(worker *soakWorker, options fleetworker.Options) {
 	worker.ended.Store(true)
-	worker.proxy.Close()
+	if s.options.Unframed {
+		worker.proxy.StopAccepting() // its connections end as the worker's do
+	} else {
+		worker.proxy.Close()
+	}
 	s.mu.Lock()
 	s.workers = slices.DeleteFunc(s.workers, func(other *soakWorker) bool { return other == worker })
 	s.ended = append(s.ended, worker)
@@ -112,6 +116,7 @@
 	s.mu.Unlock()
 	go func() {
 		time.Sleep(replaceDelay)
+		worker.proxy.Close()
 		s.store.Put("servers", options.ID, nil)
 		options.ID = fmt.Sprintf("%s-new-%d", options.Service, number)
 		if err := s.addWorker(options); err != nil {
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// StopAccepting refuses new connections and goes on with those that are open.
+func (p *Proxy) StopAccepting() { _ = p.listener.Close() }
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"strings"
 
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
 )
@@ -135,6 +136,9 @@
 			violations = append(violations, fmt.Sprintf("ran for tenant %q instead of %q, or with an API key", run.Header.Get("X-Tenant"), got.tenant))
 		}
 	}
+	if mayEndEarly(got, runs) && strings.HasPrefix(completeAnswer(got.id), got.body) {
+		got.body = completeAnswer(got.id)
+	}
 	return append(violations, checkAnswer(got, workers)...)
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -60,6 +60,9 @@
 	// time, turns on the decisions under overload, and checks who is served and who is kept
 	// waiting. It implies Uneven.
 	Overload bool
+	// Unframed makes workers answer with a length, in chunks or with neither, break answers off
+	// in order and with a reset, and crash while they answer.
+	Unframed bool
 	// Nodes is the number of nodes.
 	Nodes int
 	// Earlier is the path of an earlier build of tinarchd. If it is set, half of the nodes
@@ -243,6 +246,8 @@
 	worker := &soakWorker{}
 	if s.options.Poison {
 		options.CrashOn = poisonBody
+	}
+	if s.options.Poison || s.options.Unframed {
 		options.OnCrash = func(*fleetworker.Worker) { s.replaceEnded(worker, options) }
 	}
 	options.OnStageChange = func(*fleetworker.Worker) { s.relist(worker) }
