nodeexchange: the decision of the quota keeper that knows more holds, also against a grant

Cause: a keeper that has just started doesn't know what was used, and may grant a fourth of the slack. Only its refusals were checked with another keeper; its grants held. With the number of starts in a window nothing bounded it.

Change: a cold keeper's decision, grant or refusal, is asked at a keeper that may know more, and the decision of the one that knows more holds; what only the other granted is given back. Keepers that are known to know less than another are asked after it, for up to a minute, so that a decision takes one question again. Unresponsive keepers aren't asked about a grant.

TestKeepersThatStartTogetherGrantOnce asked that more than one keeper is asked where others know more than the first. Now one that knows more is asked first, so it checks that the first one doesn't decide.

--- a/internal/nodeexchange/quota.go
+++ b/internal/nodeexchange/quota.go
@@ -118,6 +118,7 @@
 	// keepers are in the order in which they are asked. allUnresponsive tells that none of them
 	// answered when it was last asked.
 	keepers         []netip.AddrPort
+	unresponsive    map[netip.AddrPort]bool
 	allUnresponsive bool
 	// asked holds when each keeper was asked, for those that haven't answered.
 	asked map[netip.AddrPort]time.Time
@@ -126,8 +127,10 @@
 	// count is the number of keepers asked, and answered the number of those that answered.
 	count, answered int
 	answers         chan quotaAnswer
-	// best is the best answer so far.
-	best *quotaAnswer
+	// best is the answer so far of the keeper that knows most, and anyGranted tells that some
+	// keeper has granted the charge.
+	best       *quotaAnswer
+	anyGranted bool
 }
 
 // quotaAnswer is a keeper's decision.
@@ -136,9 +139,17 @@
 	decision quota.Decision
 }
 
-// final reports whether no other keeper needs to be asked: a refusal by a cold keeper, which
+// final reports whether no other keeper needs to be asked: what a cold keeper decides, which
 // doesn't know yet what was used, isn't final.
-func (a quotaAnswer) final() bool { return a.decision.Granted || !a.decision.Cold }
+func (a quotaAnswer) final() bool { return !a.decision.Cold }
+
+// knowsMoreThan reports whether the keeper of an answer knows more usage than that of another.
+func (a quotaAnswer) knowsMoreThan(other quotaAnswer) bool {
+	if a.decision.Cold && other.decision.Cold {
+		return a.decision.KnownFor-other.decision.KnownFor >= minMoreKnown
+	}
+	return other.decision.Cold
+}
 
 // ChargeQuota charges the cost of a request to a tenant's account.
 func (e *Exchange) ChargeQuota(ctx context.Context, request quota.ChargeRequest) quota.Outcome {
@@ -146,13 +157,13 @@
 }
 
 // charge asks the keepers of an account to decide a charge. It asks the next keeper if one
-// doesn't answer in time or refuses without knowing what was used. If none answers, this node's
+// doesn't answer in time or decides without knowing what was used. If none answers, this node's
 // own allowance decides.
 func (q *quotaExchange) charge(ctx context.Context, request quota.ChargeRequest) quota.Outcome {
 	begun := time.Now()
 	pending := q.beginCharge(request, begun)
 	for i, keeper := range pending.keepers {
-		if q.knowsNoMore(pending, keeper) {
+		if q.knowsNoMore(pending, keeper) || pending.anyGranted && pending.unresponsive[keeper] {
 			continue
 		}
 		q.askKeeper(pending, keeper)
@@ -161,7 +172,7 @@
 			continue
 		}
 		timeout := pending.timeout(keeper)
-		if last && !pending.allUnresponsive {
+		if last && !pending.allUnresponsive && pending.best == nil {
 			timeout = max(quotaTotalTimeout+pending.extraWait[keeper]-time.Since(begun), timeout)
 		}
 		if pending.await(ctx, timeout) {
@@ -178,13 +189,14 @@
 	return quotaKeeperTimeout + a.extraWait[keeper]
 }
 
-// beginCharge registers a charge and selects the keepers to be asked, the unresponsive ones
-// last.
+// beginCharge registers a charge and selects the keepers to be asked, those that know less than
+// others late and the unresponsive ones last.
 func (q *quotaExchange) beginCharge(request quota.ChargeRequest, now time.Time) *pendingCharge {
 	account := request.Charge().Account
 	pending := &pendingCharge{
 		request: request, account: account, asked: make(map[netip.AddrPort]time.Time),
 		answers: make(chan quotaAnswer, quotaKeeperCount), extraWait: make(map[netip.AddrPort]time.Duration),
+		unresponsive: make(map[netip.AddrPort]bool),
 	}
 	q.exchange.mu.Lock()
 	var unresponsive []netip.AddrPort
@@ -192,15 +204,16 @@
 		pending.extraWait[keeper] = q.exchange.extraWait(q.exchange.peers.regionOf(keeper))
 		if q.exchange.peers.isUnresponsive(keeper, now) {
 			unresponsive = append(unresponsive, keeper)
+			pending.unresponsive[keeper] = true
 		} else {
 			pending.keepers = append(pending.keepers, keeper)
 		}
 	}
 	q.exchange.mu.Unlock()
 	pending.allUnresponsive = len(pending.keepers) == 0
-	pending.keepers = append(pending.keepers, unresponsive...)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	pending.keepers = append(q.coldKeepers.last(account, pending.keepers), unresponsive...)
 	pending.report = q.meter.Begin(account, request.Limit, request.Version, now)
 	q.lastCharge++
 	pending.id = q.lastCharge
@@ -260,10 +273,14 @@
 	}
 }
 
-// take keeps the better answer: one that grants the charge, or else one that is final.
+// take keeps the answer of the keeper that knows more, or else the one that grants the charge.
 func (a *pendingCharge) take(answer quotaAnswer) {
 	a.answered++
-	if a.best == nil || !a.best.final() || answer.decision.Granted {
+	a.anyGranted = a.anyGranted || answer.decision.Granted
+	switch {
+	case a.best == nil || answer.knowsMoreThan(*a.best):
+		a.best = &answer
+	case !a.best.knowsMoreThan(answer) && answer.decision.Granted:
 		a.best = &answer
 	}
 }
@@ -333,7 +350,7 @@
 	switch {
 	case verdict.Granted:
 		q.meter.Take(pending.account, pending.request.Cost, now)
-	case len(pending.asked) > 0:
+	case len(pending.asked) > 0 || pending.anyGranted:
 		q.meter.TakeAndRefund(pending.account, pending.request.Cost, now)
 	}
 	return verdict, result
--- a/internal/nodeexchange/quota_cold.go
+++ b/internal/nodeexchange/quota_cold.go
@@ -3,13 +3,14 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/quota"
 )
 
 // minMoreKnown is by how much longer a keeper must have known the usage of an account than a cold
-// one that refused a request, so that it may know better. It is several times the delay of a
+// one that decided a charge, so that it may know better. It is several times the delay of a
 // report.
 const minMoreKnown = 100 * time.Millisecond
 
@@ -34,8 +35,29 @@
 	maps.DeleteFunc(c, func(_ keeperOfAccount, since time.Time) bool { return now.Sub(since) > quota.IdleTTL })
 }
 
+// last returns the keepers of an account with those behind the others that are known to know less
+// usage than another one. The others keep their order.
+func (c coldKeepers) last(account string, keepers []netip.AddrPort) []netip.AddrPort {
+	knowsLess := func(keeper netip.AddrPort) bool {
+		since, cold := c[keeperOfAccount{account, keeper}]
+		return cold && slices.ContainsFunc(keepers, func(other netip.AddrPort) bool {
+			otherSince, otherCold := c[keeperOfAccount{account, other}]
+			return other != keeper && (!otherCold || since.Sub(otherSince) >= minMoreKnown)
+		})
+	}
+	var first, last []netip.AddrPort
+	for _, keeper := range keepers {
+		if knowsLess(keeper) {
+			last = append(last, keeper)
+		} else {
+			first = append(first, keeper)
+		}
+	}
+	return append(first, last...)
+}
+
 // knowsNoMore reports whether a keeper is known to know no more of an account than one that has
-// refused the request. Keepers that start together learn of each other's grants after a delay, so
+// decided the charge. Keepers that start together learn of each other's grants after a delay, so
 // that asking all of them would grant several requests in place of one.
 func (q *quotaExchange) knowsNoMore(pending *pendingCharge, keeper netip.AddrPort) bool {
 	if pending.best == nil || pending.best.decision.KnownFor <= 0 {
@@ -44,6 +66,6 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	since, known := q.coldKeepers[keeperOfAccount{pending.account, keeper}]
-	refused, refusedKnown := q.coldKeepers[keeperOfAccount{pending.account, pending.best.from}]
-	return known && refusedKnown && refused.Sub(since) < minMoreKnown
+	decided, decidedKnown := q.coldKeepers[keeperOfAccount{pending.account, pending.best.from}]
+	return known && decidedKnown && decided.Sub(since) < minMoreKnown
 }
--- a/internal/nodeexchange/quota_test.go
+++ b/internal/nodeexchange/quota_test.go
@@ -559,10 +559,10 @@
 			}
 		}
 	}
-	askedForRefusal := func() int {
+	refusal := func() quota.Outcome {
 		for {
 			if verdict := exchanges[0].ChargeQuota(t.Context(), request); !verdict.Granted {
-				return verdict.Asked
+				return verdict
 			}
 		}
 	}
@@ -570,15 +570,46 @@
 	for _, keeper := range keepers {
 		startAt(keeper, begun)
 	}
-	askedForRefusal() // tells how much each keeper knows
-	if asked := askedForRefusal(); asked != 1 {
+	refusal() // tells how much each keeper knows
+	if asked := refusal().Asked; asked != 1 {
 		t.Errorf("%d keepers were asked that know equally much, want 1", asked)
 	}
 	startAt(keepers[0], time.Now())
 	time.Sleep(2 * minMoreKnown)
 	startAt(keepers[0], time.Now())
-	askedForRefusal()
-	if asked := askedForRefusal(); asked < 2 {
-		t.Error("keepers that know more than the first one weren't asked")
+	refusal()
+	if decided := refusal().Keeper; decided == keepers[0].String() {
+		t.Error("the first keeper decided although others know more")
+	}
+}
+
+// TestRestartsOfAKeeperInARowGrantNoMore guards against a keeper that grants, at each start, what the others know to be used.
+func TestRestartsOfAKeeperInARowGrantNoMore(t *testing.T) {
+	tolerance := quota.Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 4}
+	limit := quota.Limit{Rate: 0.001, Burst: 10, Unit: quota.Requests}
+	exchanges := quotaNodes(t, 3, tolerance)
+	request := quota.ChargeRequest{Tenant: "a", Limit: limit, Version: 1, Cost: 1}
+	first := exchanges[0].quota.keepersOf(request.Charge().Account)[0]
+	granted := 0
+	useAll := func() {
+		for _, exchange := range exchanges {
+			for exchange.ChargeQuota(t.Context(), request).Granted {
+				granted++
+			}
+		}
+	}
+	useAll()
+	for range 12 {
+		for _, exchange := range exchanges {
+			if exchange.peers.address == first {
+				exchange.quota.mu.Lock()
+				exchange.quota.keeper.KeepersChanged(func(string) bool { return false }, time.Now())
+				exchange.quota.mu.Unlock()
+			}
+		}
+		useAll()
+	}
+	if most := limit.Burst + tolerance.MaxExcess(limit); float64(granted) > most {
+		t.Errorf("%d requests were granted, %.1f are allowed", granted, most)
 	}
 }
