dispatch: what refuses to resume a stream isn't a part of it

A stream was resumed at a worker that answered with another status than a success below 500; the body of that answer was passed on as the end of the stream, framed as complete.

Cause: only statuses from 500 on counted as failures of a resumption; the caller has the head of the first run.

Evidence: TestRefusedResumptionIsNotPassedOn failed before: the try was finished and the caller got the error's body.

Change: behind a head that was given, an answer that is no success fails its try. An unproved end that the caller was promised a mark for now counts as a run for the charge of the next one, too.

--- a/internal/dispatch/ending_test.go
+++ b/internal/dispatch/ending_test.go
@@ -107,15 +107,20 @@
 	return stream, ends
 }
 
-// TestNoPartOfAnAnswerIsToldAsComplete: some cut, framing or line end makes a part pass for the whole.
-func TestNoPartOfAnAnswerIsToldAsComplete(t *testing.T) {
-	address, answer := serveOnce(t)
+// quietDispatcher returns a dispatcher without other nodes that logs nothing.
+func quietDispatcher() *Dispatcher {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	dispatcher := New(Options{
+	return New(Options{
 		Registry: worker.NewRegistry(topology.Map{}), Pool: workerconn.NewPool(), Wire: refusingWire{}, Log: log,
 		Metrics: NewMetrics(prometheus.NewRegistry()), Nodes: func() int { return 1 },
 	})
+}
+
+// TestNoPartOfAnAnswerIsToldAsComplete: some cut, framing or line end makes a part pass for the whole.
+func TestNoPartOfAnAnswerIsToldAsComplete(t *testing.T) {
+	address, answer := serveOnce(t)
+	dispatcher := quietDispatcher()
 	rapid.Check(t, func(t *rapid.T) {
 		kind := rapid.SampledFrom([]routing.Route{
 			{Kind: routing.Idempotent}, {Kind: routing.NonIdempotent}, {Kind: routing.Streaming}, {Kind: routing.Streaming, Resumable: true},
@@ -151,3 +156,23 @@
 		}
 	})
 }
+
+// TestRefusedResumptionIsNotPassedOn: the body of a worker's error becomes a part of the stream that it was to continue.
+func TestRefusedResumptionIsNotPassedOn(t *testing.T) {
+	address, answer := serveOnce(t)
+	text := "HTTP/1.1 404 Not Found\r\nConnection: close\r\nContent-Length: 4\r\n\r\nnone"
+	answer.Store(&text)
+	caller := &recorder{}
+	call := &Call{
+		ID: "1", Method: http.MethodPost, Target: "/", Host: "host", Route: &routing.Route{Kind: routing.Streaming, Resumable: true},
+		Service: &routing.Service{Name: "s"}, Deadline: time.Now().Add(20 * time.Second),
+	}
+	s := &session{
+		Dispatcher: quietDispatcher(), call: call, caller: caller, excluded: map[string]bool{}, failed: map[string]bool{},
+		headGiven: true, vouches: true, resumeAfter: "1",
+	}
+	end := s.run(context.Background(), scheduling.Candidate{ID: "w", Address: address}, promptOrigin{})
+	if end.verdict == finished || caller.body.String() != "" {
+		t.Errorf("the try is %q and the caller got %q", end.verdict, caller.body.String())
+	}
+}
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -33,10 +33,10 @@
 		s.registry.Errored(runner.ID, time.Now())
 		s.recordSurvival(load)
 		s.failed[runner.ID] = true
-		if s.headGiven || s.call.Route.Repeatable() && s.mayRepeat() {
-			s.mayHaveRunBefore = true
-			return tryResult{verdict: mayHaveRun, worker: runner.ID, err: errFailed, counted: true}
-		}
+	}
+	if s.headGiven && !isSuccess(answer.Status) || failed && s.call.Route.Repeatable() && s.mayRepeat() {
+		s.mayHaveRunBefore, s.failed[runner.ID] = true, true
+		return tryResult{verdict: mayHaveRun, worker: runner.ID, err: errFailed, counted: true}
 	}
 	var err error
 	if s.call.Route.Streams() && isSuccess(answer.Status) {
@@ -69,7 +69,7 @@
 		}
 		return finishedWith(runner, answer.Status)
 	case errors.Is(err, errUnvouched):
-		s.excluded[runner.ID] = true
+		s.mayHaveRunBefore, s.excluded[runner.ID] = true, true
 		return tryResult{verdict: mayHaveRun, worker: runner.ID, err: err, counted: true}
 	case errors.As(err, &left):
 		return tryResult{verdict: finished, code: result.CallerGone, worker: runner.ID, err: err}
