--- a/internal/lab/fleetworker/delivery.go
+++ b/internal/lab/fleetworker/delivery.go
@@ -62,6 +62,13 @@
 	return &Deliveries{pick: func() Delivery { return delivery }, left: count}
 }
 
+// DeliveriesInOrder applies each delivery to one request, one after the other.
+func DeliveriesInOrder(deliveries ...Delivery) *Deliveries {
+	d := &Deliveries{left: len(deliveries)}
+	d.pick = func() Delivery { return deliveries[len(deliveries)-1-d.left] }
+	return d
+}
+
 // RandomDeliveries applies random deliveries to all requests. Two thirds of the answers are
 // whole. The others end after up to most bytes.
 func RandomDeliveries(random *rand.Rand, most int) *Deliveries {
--- a/internal/lab/site/framing_test.go
+++ b/internal/lab/site/framing_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// TestUnprovedEndOfAResumedStreamGetsNoMark: the caller was promised a mark by the first run, and the second run proves nothing.
+func TestUnprovedEndOfAResumedStreamGetsNoMark(t *testing.T) {
+	for _, sent := range []int{eventBytes, 3 * eventBytes} {
+		s := start(t)
+		s.setDeliveriesTo("write", fleetworker.DeliveriesInOrder(
+			fleetworker.Delivery{Framing: fleetworker.ByChunks, Sent: eventBytes},
+			fleetworker.Delivery{Framing: fleetworker.ByClose, Sent: sent},
+		))
+		got := s.ask(http.MethodPost, "/check/1", nil, "x")
+		if got.framedAsComplete() || got.body != fleetworker.Body(got.id, 1+sent/eventBytes, 0) || len(s.runs(got.id)) != 2 {
+			t.Errorf("%v after %d runs, %q", got.readErr, len(s.runs(got.id)), got.body)
+		}
+	}
+}
+
 // TestNodeThatEndsBreaksUnframedAnswersOff: the node's own end looks like the end of an answer that it passes on unframed.
 func TestNodeThatEndsBreaksUnframedAnswersOff(t *testing.T) {
 	s := start(t)
--- a/internal/lab/site/site_test.go
+++ b/internal/lab/site/site_test.go
@@ -257,7 +257,10 @@
 
 // setDeliveries sets how the workers of a service deliver their answers.
 func (s *site) setDeliveries(service string, delivery fleetworker.Delivery, count int) {
-	deliveries := fleetworker.NewDeliveries(delivery, count)
+	s.setDeliveriesTo(service, fleetworker.NewDeliveries(delivery, count))
+}
+
+func (s *site) setDeliveriesTo(service string, deliveries *fleetworker.Deliveries) {
 	for _, worker := range s.workers {
 		if strings.HasPrefix(worker.ID(), service) {
 			worker.SetDeliveries(deliveries)
