--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -82,6 +82,9 @@
 	if report.Storm != nil {
 		fmt.Printf("  storm: %+v\n", *report.Storm)
 	}
+	if c.Quotas {
+		fmt.Printf("  quota: at most %d requests in a window\n", report.LimitedPeak)
+	}
 	for _, line := range report.Broken {
 		fmt.Println("  broken:", line)
 	}
--- a/internal/lab/soak/quota.go
+++ b/internal/lab/soak/quota.go
@@ -28,9 +28,8 @@
 	return runs
 }
 
-// overQuota returns a violation if, in some window, workers began more requests of a tenant
-// than its quota and tolerance allow.
-func overQuota(runs []fleetworker.Run, tenant string, limit quota.Limit, tolerance quota.Tolerance) []string {
+// busiestWindow returns the most requests of a tenant that workers began within one window.
+func busiestWindow(runs []fleetworker.Run, tenant string, window time.Duration) int {
 	var began []time.Time
 	for _, run := range runs {
 		if run.Header.Get("X-Tenant") == tenant {
@@ -38,8 +37,14 @@
 		}
 	}
 	slices.SortFunc(began, time.Time.Compare)
+	return fleetworker.MaxInWindow(began, window)
+}
+
+// overQuota returns a violation if, in some window, workers began more requests of a tenant
+// than its quota and tolerance allow.
+func overQuota(runs []fleetworker.Run, tenant string, limit quota.Limit, tolerance quota.Tolerance) []string {
 	most := limit.Rate*tolerance.Window.Seconds() + limit.Burst + tolerance.MaxExcess(limit)
-	if count := fleetworker.MaxInWindow(began, tolerance.Window); float64(count) > most {
+	if count := busiestWindow(runs, tenant, tolerance.Window); float64(count) > most {
 		return []string{fmt.Sprintf("%s ran %d requests in %v, %.1f are allowed", tenant, count, tolerance.Window, most)}
 	}
 	return nil
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -17,6 +17,8 @@
 	// OverLimit counts the requests of the tenant with a quota that were answered 429. No other
 	// count includes them.
 	OverLimit int `json:"over_limit,omitempty"`
+	// LimitedPeak is the most requests of that tenant that ran in one window of its quota.
+	LimitedPeak int `json:"limited_peak,omitempty"`
 	// Sent counts requests; Served counts those that were answered completely.
 	Sent   int `json:"sent"`
 	Served int `json:"served"`
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -171,6 +171,7 @@
 	report.Broken = append(report.Broken, s.api.Violations(configuredLease)...)
 	report.Broken = append(report.Broken, s.orderViolations()...)
 	if options.Quotas {
+		report.LimitedPeak = busiestWindow(s.allRuns(), tenantOf(limitedTenant), quotaTolerance.Window)
 		report.Broken = append(report.Broken, overQuota(s.allRuns(), tenantOf(limitedTenant), tenantLimit, quotaTolerance)...)
 	}
 	report.Broken = append(report.Broken, s.limits.violations(s.allWorkers(), load.traces())...)
