--- a/internal/dispatch/ending.go
+++ b/internal/dispatch/ending.go
@@ -16,10 +16,9 @@
 
 // The endings of an answer.
 const (
-	// Complete answers have reached their length or their last chunk, and streams not inside an
-	// event.
+	// Complete answers have reached their length or their last chunk, streams outside of an event.
 	Complete Ending = "complete"
-	// BrokenOff answers have not, or are unframed and their worker has crashed.
+	// BrokenOff answers are known to lack something, or are unframed and their worker has crashed.
 	BrokenOff Ending = "broken off"
 	// Unproved answers are unframed, and their connection was closed in order by a worker that
 	// isn't known to have crashed.
@@ -64,6 +63,7 @@
 	return nil
 }
 
+// probe tells whether the worker of an unframed answer still lives at its end.
 func (s *session) probe(runner scheduling.Candidate) workerconn.Liveness {
 	ctx, cancel := context.WithTimeout(context.Background(), probePatience)
 	defer cancel()
--- a/internal/nodeexchange/quota.go
+++ b/internal/nodeexchange/quota.go
@@ -172,7 +172,7 @@
 			continue
 		}
 		timeout := pending.timeout(keeper)
-		if last && !pending.allUnresponsive && pending.best == nil {
+		if last && !pending.allUnresponsive && !pending.anyGranted {
 			timeout = max(quotaTotalTimeout+pending.extraWait[keeper]-time.Since(begun), timeout)
 		}
 		if pending.await(ctx, timeout) {
