lab/fleetworker: a crash in the test process closes the listener first again

Traced by the logs of looks: a look found the crashed stand-in alive after 28 to 40 ms. Since the change of the probe the stand-in closed its connections first and its listener last, as the kernel does; between the two a busy test process stands still for longer than the 20 ms that a probe waits.

The kernel's order is left to the test with a real process.

--- a/internal/lab/fleetworker/delivery.go
+++ b/internal/lab/fleetworker/delivery.go
@@ -130,7 +130,6 @@
 	if err != nil {
 		return
 	}
-	w.trackDelivery(c)
 	defer w.closeDelivery(c)
 	sent := body[:min(delivery.Sent, len(body))]
 	length := len(body)
@@ -179,27 +178,12 @@
 	_, _ = out.WriteString("Connection: close\r\n\r\n")
 }
 
-// trackDelivery makes the end of the worker close a connection on which it delivers an answer.
-func (w *Worker) trackDelivery(c net.Conn) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.delivering[c] = true
-}
-
+// closeDelivery closes a connection on which an answer was delivered.
 func (w *Worker) closeDelivery(c net.Conn) {
 	_ = c.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.delivering, c)
-}
-
-// closeDeliveries closes in order all connections on which the worker delivers answers.
-func (w *Worker) closeDeliveries() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for c := range w.delivering {
-		_ = c.Close()
-	}
+	delete(w.connections, c)
 }
 
 func (w *Worker) endDelivery(c net.Conn, closing Closing) {
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -103,10 +103,10 @@
 	mu         sync.Mutex
 	fault      Fault
 	faultsLeft int
-	// deliveries are how answers are delivered, nil for net/http's way, and delivering the
-	// connections on which that happens.
-	deliveries   *Deliveries
-	delivering   map[net.Conn]bool
+	// deliveries are how answers are delivered, nil for net/http's way.
+	deliveries *Deliveries
+	// connections are the open ones.
+	connections  map[net.Conn]bool
 	stage        string
 	runs         []Run
 	handles      map[string]bool
@@ -143,8 +143,9 @@
 		options.Events = 4
 	}
 	w := &Worker{options: options, stage: options.Stage, handles: make(map[string]bool), fences: fences.New(),
-		delivering: make(map[net.Conn]bool), cached: make(map[string]int), reader: make(chan struct{}, 1)}
+		connections: make(map[net.Conn]bool), cached: make(map[string]int), reader: make(chan struct{}, 1)}
 	w.server = httptest.NewUnstartedServer(w)
+	w.server.Config.ConnState = w.trackConnection
 	if options.Address != "" {
 		w.listen(options.Address)
 	}
