--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -58,7 +58,7 @@
 		kinds = append(kinds, s.slowHost, s.slowHost)
 	}
 	if s.options.Unframed {
-		kinds = append(kinds, s.deliverOddly, s.deliverOddly, s.deliverOddly, s.deliverOddly, s.crashWorker, s.crashWorker, s.crashWorker)
+		kinds = append(kinds, s.varyDeliveries, s.varyDeliveries, s.varyDeliveries, s.varyDeliveries, s.crashWorker, s.crashWorker, s.crashWorker)
 	}
 	if s.options.Unfenced {
 		kinds = append(kinds, s.lateOrders, s.lateAPI, s.pauseNode)
--- a/internal/lab/soak/unframed.go
+++ b/internal/lab/soak/unframed.go
@@ -9,8 +9,9 @@
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
 )
 
-// deliverOddly makes a worker answer in all framings, and break answers off in all ways.
-func (s *site) deliverOddly(ctx context.Context, length time.Duration) string {
+// varyDeliveries makes a worker answer in all framings, and break answers off in order and with a
+// reset.
+func (s *site) varyDeliveries(ctx context.Context, length time.Duration) string {
 	worker := s.randomWorker()
 	random := rand.New(rand.NewPCG(s.options.Seed, s.random.Uint64()))
 	worker.SetDeliveries(fleetworker.RandomDeliveries(random, len(completeAnswer("0123456789abcdef"))))
--- a/internal/nodeexchange/quota.go
+++ b/internal/nodeexchange/quota.go
@@ -213,7 +213,7 @@
 	pending.allUnresponsive = len(pending.keepers) == 0
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	pending.keepers = append(q.coldKeepers.last(account, pending.keepers), unresponsive...)
+	pending.keepers = append(q.coldKeepers.demote(account, pending.keepers), unresponsive...)
 	pending.report = q.meter.Begin(account, request.Limit, request.Version, now)
 	q.lastCharge++
 	pending.id = q.lastCharge
--- a/internal/nodeexchange/quota_cold.go
+++ b/internal/nodeexchange/quota_cold.go
@@ -35,9 +35,9 @@
 	maps.DeleteFunc(c, func(_ keeperOfAccount, since time.Time) bool { return now.Sub(since) > quota.IdleTTL })
 }
 
-// last returns the keepers of an account with those behind the others that are known to know less
-// usage than another one. The others keep their order.
-func (c coldKeepers) last(account string, keepers []netip.AddrPort) []netip.AddrPort {
+// demote returns the keepers of an account in the order in which they are asked: those that are
+// known to know less usage than another one come last.
+func (c coldKeepers) demote(account string, keepers []netip.AddrPort) []netip.AddrPort {
 	knowsLess := func(keeper netip.AddrPort) bool {
 		since, cold := c[keeperOfAccount{account, keeper}]
 		return cold && slices.ContainsFunc(keepers, func(other netip.AddrPort) bool {
@@ -45,15 +45,15 @@
 			return other != keeper && (!otherCold || since.Sub(otherSince) >= minMoreKnown)
 		})
 	}
-	var first, last []netip.AddrPort
+	var kept, demoted []netip.AddrPort
 	for _, keeper := range keepers {
 		if knowsLess(keeper) {
-			last = append(last, keeper)
+			demoted = append(demoted, keeper)
 		} else {
-			first = append(first, keeper)
+			kept = append(kept, keeper)
 		}
 	}
-	return append(first, last...)
+	return append(kept, demoted...)
 }
 
 // knowsNoMore reports whether a keeper is known to know no more of an account than one that has
