lab/soak: a violation about usage names the node, process and build of each report

Change: the fake API keeps who sent each report and when; the soak turns that into the start number, process id and program. A node logs its process id and the commit that it was built from when it starts.

Figures: internal/lab/fleetapi and internal/lab/soak pass.

Conclusion: the next run that reports a window twice tells which build did so.

--- a/internal/lab/fleetapi/api.go
+++ b/internal/lab/fleetapi/api.go
@@ -52,8 +52,17 @@
 
 	mu      sync.Mutex
 	faults  Faults
-	reports map[int64][]map[string]int
+	reports map[int64][]usageReport
 	orders  []Order
+	// describe returns a description of the process that made a call.
+	describe func(holder string, at time.Time) string
+}
+
+// usageReport is a report of a usage window.
+type usageReport struct {
+	holder string
+	at     time.Time
+	counts map[string]int
 }
 
 // Start starts an API on a free port. It refuses calls whose fencing token is stale.
@@ -64,7 +73,8 @@
 func StartUnfenced() *API { return start(true) }
 
 func start(unfenced bool) *API {
-	a := &API{fences: fences.New(), unfenced: unfenced, reports: make(map[int64][]map[string]int)}
+	a := &API{fences: fences.New(), unfenced: unfenced, reports: make(map[int64][]usageReport)}
+	a.describe = func(holder string, _ time.Time) string { return holder }
 	router := chi.NewRouter()
 	router.Post("/usage", a.usage)
 	router.Post("/scale", a.scale)
@@ -91,11 +101,25 @@
 // Fences returns the log of the calls and their fencing tokens.
 func (a *API) Fences() *fences.Log { return a.fences }
 
+// DescribeCallers sets how violations name the process that made a call, by the lease holder that
+// the call stated and the time of the call.
+func (a *API) DescribeCallers(describe func(holder string, at time.Time) string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.describe = describe
+}
+
 // Reports returns the reported counts per tenant, by window, in the order in which they came.
 func (a *API) Reports() map[int64][]map[string]int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return maps.Clone(a.reports)
+	reported := make(map[int64][]map[string]int, len(a.reports))
+	for window, reports := range a.reports {
+		for _, report := range reports {
+			reported[window] = append(reported[window], report.counts)
+		}
+	}
+	return reported
 }
 
 // Orders returns the orders for workers in the order in which they were carried out.
@@ -113,14 +137,18 @@
 	violations := a.fences.Violations(lease)
 	for window, reports := range a.reports {
 		for _, other := range reports[1:] {
-			if !maps.Equal(reports[0], other) {
-				violations = append(violations, fmt.Sprintf("window %d was reported as %v and as %v", window, reports[0], other))
+			if !maps.Equal(reports[0].counts, other.counts) {
+				violations = append(violations, fmt.Sprintf("window %d was reported as %v and as %v (by %s at %s, and by %s at %s)", window, reports[0].counts, other.counts,
+					a.describe(reports[0].holder, reports[0].at), reports[0].at.Format(clockTime), a.describe(other.holder, other.at), other.at.Format(clockTime)))
 			}
 		}
 	}
 	return violations
 }
 
+// clockTime is the format of times in violations: the time of day, as in the logs of nodes.
+const clockTime = "15:04:05.000"
+
 // admit applies the faults and checks the fencing token. It reports whether the call is to be
 // carried out, and whether it is to be answered.
 func (a *API) admit(writer http.ResponseWriter, request *http.Request, duty string) (done, answered bool) {
@@ -159,7 +187,9 @@
 	done, answered := a.admit(writer, request, "usage")
 	if done {
 		a.mu.Lock()
-		a.reports[report.Window] = append(a.reports[report.Window], report.Counts)
+		a.reports[report.Window] = append(a.reports[report.Window], usageReport{
+			holder: request.Header.Get("X-Lease-Holder"), at: time.Now(), counts: report.Counts,
+		})
 		a.mu.Unlock()
 	}
 	if !answered {
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -33,7 +35,14 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
-	starts  int
+	runs    []run
+}
+
+// run is one incarnation of a node.
+type run struct {
+	at      time.Time
+	program string
+	pid     int
 }
 
 const killTimeout = 5 * time.Second
@@ -49,7 +58,20 @@
 func (n *Node) Starts() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.starts
+	return len(n.runs)
+}
+
+// IncarnationAt describes the incarnation that had been started last at a time: its number, its
+// process ID and the program that it ran.
+func (n *Node) IncarnationAt(at time.Time) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, started := range slices.Backward(n.runs) {
+		if !started.at.After(at) {
+			return fmt.Sprintf("%s, start %d, process %d of %s", n.Name, i+1, started.pid, started.program)
+		}
+	}
+	return n.Name + " before its first start"
 }
 
 // Start starts a new incarnation unless one is running.
@@ -71,6 +93,7 @@
 	if err != nil {
 		return result.Wrap(err, result.Internal, "opening a log")
 	}
+	begun := time.Now()
 	process := exec.Command(n.Program, append(append([]string(nil), n.Arguments...), "--config", path)...)
 	process.Stdout, process.Stderr = log, log
 	if err := process.Start(); err != nil {
@@ -84,7 +107,7 @@
 		close(exited)
 	}()
 	n.process, n.exited = process, exited
-	n.starts++
+	n.runs = append(n.runs, run{at: begun, program: n.Program, pid: process.Process.Pid})
 	return nil
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -214,6 +214,7 @@
 		startAPI = fleetapi.StartUnfenced
 	}
 	s.api = startAPI()
+	s.api.DescribeCallers(s.incarnationAt)
 	for _, options := range []fleetworker.Options{
 		{ID: "read-1", Service: engines, Stage: "prefill"}, {ID: "read-2", Service: engines, Stage: "prefill"},
 		{ID: "write-1", Service: engines, Stage: "decode"}, {ID: "write-2", Service: engines, Stage: "decode"}, {ID: "write-3", Service: engines, Stage: "decode"},
@@ -320,6 +321,16 @@
 	return node.Start()
 }
 
+// incarnationAt describes the incarnation of a node that had been started last at a time.
+func (s *site) incarnationAt(name string, at time.Time) string {
+	for _, node := range s.nodes {
+		if node.Name == name {
+			return node.IncarnationAt(at)
+		}
+	}
+	return name
+}
+
 // zoneOf returns a node's zone: one of three with Options.Storms, else always the same.
 func (s *site) zoneOf(number int) string {
 	if !s.options.Storms {
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -194,6 +195,7 @@
 	log.WithFields(logrus.Fields{
 		"node": configured.Node.Name, "incarnation": n.incarnation, "zone": configured.Node.Zone,
 		"callers": configured.Listen.Callers, "store": configured.Store.Address,
+		"process": os.Getpid(), "build": revision(),
 	}).Info("started")
 	return n, nil
 }
