nodeexchange: beside an earlier build, supervisors of this one are designated

Cause: whoever is designated takes the lease, and that is the present supervisor with the lowest incarnation, a random number. An earlier build so held the authority about as often as this one. It records windows that nobody knows any more anew; this build would have left them out.

Change: incarnations begin with a mark and the generation of the build's rules, which sort before the hexadecimal ones of earlier builds, so that those builds leave the duties to this one by the rule that they have. A later build can go before this one in the same way. Where no supervisor of this build reaches the store, an earlier one acts as before.

Why it works: the rule of who is designated is the same in both builds, and the earlier one doesn't ask for the lease while it isn't designated.

--- a/internal/nodeexchange/peers.go
+++ b/internal/nodeexchange/peers.go
@@ -357,8 +357,9 @@
 func (s *peerSet) supervises() bool { return slices.Contains(s.supervisors(), s.address) }
 
 // designated reports whether this node is the supervisor that is to give orders: the one with
-// the lowest incarnation among those that are present and have not stepped back. A node that
-// has stepped back itself is designated only if all others have too.
+// the lowest incarnation among those that are present and have not stepped back, which is one of
+// the latest generation. A node that has stepped back itself is designated only if all others
+// have too.
 func (s *peerSet) designated(steppedBack bool) bool {
 	if !s.supervises() {
 		return false
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -20,7 +20,6 @@
 
 	"github.com/tinarch/tinarch/internal/authority"
 	"github.com/tinarch/tinarch/internal/dispatch"
-	"github.com/tinarch/tinarch/internal/engine"
 	"github.com/tinarch/tinarch/internal/fleetsize"
 	"github.com/tinarch/tinarch/internal/ingress"
 	"github.com/tinarch/tinarch/internal/nodeexchange"
@@ -151,7 +150,7 @@
 		pool:        workerconn.NewPool(),
 		large:       make(chan struct{}),
 		restored:    make(chan struct{}, 1),
-		incarnation: string(engine.NewIdentifier())[:incarnationDigits],
+		incarnation: nodeexchange.NewIncarnation(),
 	}
 	metrics := prometheus.NewRegistry()
 	countCalls(platform, metrics, log)
@@ -200,8 +199,6 @@
 	return n, nil
 }
 
-const incarnationDigits = 12
-
 // topologyOf returns the zones and regions as seen from this node.
 func topologyOf(configured settings.Routed) topology.Map {
 	return topology.New(configured.Node.Zone, configured.Zones)
