serving: a node that stepped back resumes the duties once the store answers it again

Cause: a node that the store doesn't answer leaves the duties to others for 6.3 s, also when the store is back after one.

The reading also counts as seeing the row, so it may take the lease sooner.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -345,6 +345,14 @@
 	}
 }
 
+// StoreAnswers reads the row of the lease and reports whether the store answered. If the row
+// doesn't change, this node may take the lease sooner once it is to act.
+func (a *Authority) StoreAnswers(ctx context.Context) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.observe(ctx)
+}
+
 func (a *Authority) observe(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -167,6 +167,20 @@
 	e.steppedBackUntil = time.Now().Add(span)
 }
 
+// SteppedBack reports whether this node has stepped back.
+func (e *Exchange) SteppedBack() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.steppedBackUntil)
+}
+
+// Resume ends the time for which this node has stepped back.
+func (e *Exchange) Resume() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.steppedBackUntil = time.Time{}
+}
+
 // OldestDigest returns the time since the last load message of the node that has been silent
 // longest, or zero if no other node is present.
 func (e *Exchange) OldestDigest() time.Duration {
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -331,6 +331,7 @@
 	n.work.Go(func() { n.probeHosts(ctx) })
 	n.watchSuspensions(ctx, metrics)
 	n.work.Go(func() { n.askSlowdowns(ctx) })
+	n.work.Go(func() { n.resumeDuties(ctx) })
 	stages := n.stageController(metrics)
 	n.work.Go(func() { stages.Run(ctx) })
 	n.startUsageReporter(ctx, metrics)
