serving: a node that starts is ready once it knows what the others keep only in memory

Cause: a node called itself ready 35 ms after its start, but learns the recorded windows when it first compares them, up to half a second later, and those of an earlier build after three unanswered questions, up to 1.5 s later. A deployment tool that waits for readiness stops the next node meanwhile, so that after three stops nobody knows them. A restore of the store then takes the last copy.

Change: the platform is told that a node is ready once it has listened for a message of each node that is alive (0.6 s) and has the records of the supervisors that it hears; after 2 s in any case, less than a planned stop takes. A node that is alone on the list, and one of the system's first start, don't wait. Nodes that state no generation are told this node's records, and asked for theirs, when they are first heard. What the node does for callers that reach it is as before.

Conclusion: beside an earlier build the last one that knows may still be that build's, which is ready at once.

--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -73,6 +73,7 @@
 	tracked trackedEngines
 	// steppedBackUntil is until when this node has stepped back.
 	steppedBackUntil time.Time
+	informing        informing
 	// pendingQuestions are the questions that wait for answers, by ID.
 	pendingQuestions map[uint64]*pendingQuestion
 	lastQuestion     uint64
--- /dev/null
+++ b/internal/nodeexchange/informed_test.go
@@ -0,0 +1,114 @@
+package nodeexchange
+
+import (
+	"encoding/json"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/usage"
+)
+
+// TestRecordsOutliveAFastRestartOfAllNodes guards against records that are lost because each node
+// is stopped as soon as the one before is ready again, though that one doesn't know them yet.
+func TestRecordsOutliveAFastRestartOfAllNodes(t *testing.T) {
+	f := newUsageFleet(t)
+	want := recordedWindows(20, 3)
+	f.start("a").collector.MergeRecorded(want)
+	for replaced, name := range []string{"b", "c", "d"} {
+		node := f.start(name)
+		waitUntil(t, name+" is informed", func() bool { return node.Informed(time.Now()) })
+		f.end([]string{"a", "b", "c"}[replaced])
+	}
+	f.awaitRecorded("d", want)
+}
+
+// TestRecordsOfAnEarlierBuildAreLearnedBeforeReadiness guards against records that only a node of
+// an earlier build has, which is stopped once this one is ready.
+func TestRecordsOfAnEarlierBuildAreLearnedBeforeReadiness(t *testing.T) {
+	f := newUsageFleet(t)
+	now := usage.WindowLength(usageTestWindow).WindowAt(time.Now())
+	want := map[usage.Window]usage.Counts{now - 2: {"tenant": 3}, now - 3: {"tenant": 4}}
+	earlier := startEarlierNode(t, "0123456789ab", want)
+	f.listed = append(f.listed, Peer{Node: earlier.node, Address: connAddress(earlier.conn), Zone: "zone"})
+	node := f.start(NewIncarnation())
+	waitUntil(t, "the node is informed", func() bool { return node.Informed(time.Now()) })
+	earlier.close()
+	f.awaitRecorded(node.node, want)
+}
+
+// TestNodeWithoutOthersIsInformedAtOnce guards against a first node that waits for nobody.
+func TestNodeWithoutOthersIsInformedAtOnce(t *testing.T) {
+	f := newUsageFleet(t)
+	if node := f.start("a"); !node.Informed(time.Now()) {
+		t.Error("the only node of the list waits for others")
+	}
+}
+
+// TestNodeThatHearsNobodyIsInformedInTheEnd guards against a node that is never ready, since the
+// nodes that the store lists are dead.
+func TestNodeThatHearsNobodyIsInformedInTheEnd(t *testing.T) {
+	f := newUsageFleet(t)
+	f.listed = append(f.listed, Peer{Node: "dead", Address: connAddress(silentNode(t)), Zone: "zone"})
+	node := f.start("a")
+	if node.Informed(node.started.Add(maxInformTime - time.Millisecond)) {
+		t.Error("it doesn't wait for a node that is listed")
+	}
+	if !node.Informed(node.started.Add(maxInformTime)) {
+		t.Error("it waits forever")
+	}
+}
+
+// earlierNode behaves as a supervisor of the build at 6c9d7ca does: it sends load messages
+// without the state of its records, passes over messages about records, and tells the records
+// that it has when it is asked in that build's form.
+type earlierNode struct {
+	node     string
+	conn     *net.UDPConn
+	recorded map[usage.Window]usage.Counts
+	done     chan struct{}
+}
+
+func startEarlierNode(t *testing.T, name string, recorded map[usage.Window]usage.Counts) *earlierNode {
+	t.Helper()
+	node := &earlierNode{node: name, conn: silentNode(t), recorded: recorded, done: make(chan struct{})}
+	go node.run()
+	return node
+}
+
+func (n *earlierNode) close() {
+	_ = n.conn.Close()
+	<-n.done
+}
+
+func (n *earlierNode) run() {
+	defer close(n.done)
+	buffer := make([]byte, maxDatagram)
+	for sequence := uint64(1); ; {
+		count, from, err := n.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		message, err := decode(buffer[:count])
+		if err != nil {
+			continue
+		}
+		switch {
+		case message.WantUsage != 0:
+			for window, counts := range n.recorded {
+				if window > message.WantUsage {
+					n.send(from, Message{Node: n.node, Gathered: &wireGathered{Recorded: map[usage.Window]usage.Counts{window: counts}}})
+				}
+			}
+		case message.Sequence != 0:
+			n.send(from, Message{Node: n.node, Sequence: sequence, Zone: "zone"})
+			sequence++
+		}
+	}
+}
+
+func (n *earlierNode) send(to netip.AddrPort, message Message) {
+	datagram, _ := json.Marshal(message) // these fields can always be encoded
+	_, _ = n.conn.WriteToUDPAddrPort(datagram, to)
+}
--- a/internal/nodeexchange/records.go
+++ b/internal/nodeexchange/records.go
@@ -46,6 +46,9 @@
 	// counts the questions to a peer of which that isn't known.
 	aware      bool
 	unanswered int
+	// exchangedAt is when this node last sent the peer its records in the form of earlier builds
+	// and asked for the peer's, zero if it hasn't.
+	exchangedAt time.Time
 	// statedAt is when its last recordsState came.
 	statedAt time.Time
 }
--- a/internal/nodeexchange/records_exchange.go
+++ b/internal/nodeexchange/records_exchange.go
@@ -45,7 +45,13 @@
 	}
 	question := e.usage.records.question(peer)
 	peer.unanswered++
-	unaware := !peer.aware && peer.unanswered == unawareAfter
+	// A node that states no generation may run an earlier build. It is told at once, since it
+	// doesn't wait for records before it is ready.
+	first := peer.unanswered == 1 && !statesGeneration(peer.node)
+	unaware := !peer.aware && (first || peer.unanswered == unawareAfter)
+	if unaware {
+		peer.exchangedAt = time.Now()
+	}
 	e.mu.Unlock()
 	if unaware {
 		e.exchangeWithEarlierBuild(address)
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -258,9 +258,11 @@
 	return nil
 }
 
-// serveReadiness tells the platform whether this node accepts requests.
+// serveReadiness tells the platform whether this node accepts requests. A deployment tool stops
+// the next node once this one is ready, so a starting node first learns what the others know.
+// On the first start of the system there is nothing to learn.
 func (n *Node) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
-	if !n.Ready() {
+	if !n.Ready() || !n.settings.Node.FirstStart && !n.exchange.Informed(time.Now()) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
