usage: a record that an earlier build may have made anew isn't reported

What callers saw: a usage window reported as 133 requests and again as none, by this build.

Cause: an earlier build records a window anew that may have been reported before the store was restored. The next reporter of this build took what lay in the store for the truth, although it held the window in doubt itself, or had another record of it.

Change: once a process has heard a node that states no generation, it doesn't report, nor pass on, a record of the store that differs from the one it knows, or of a window that is in doubt. A log line tells the window, and the metric of windows left out counts it. Fleets of this build alone aren't affected: no node of it records a window that is in doubt.

Why it works: where two sets of counts may exist, none is sent a second time; a window that had not been reported is missing instead.

--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -504,6 +504,9 @@
 	e.mu.Lock()
 	first, stale := e.peers.recordMessage(from, message, now)
 	supervises := e.peers.supervises()
+	if e.usage != nil && !statesGeneration(message.Node) {
+		e.usage.earlierBuildHeard = true
+	}
 	e.mu.Unlock()
 	if stale {
 		return
--- a/internal/nodeexchange/usage.go
+++ b/internal/nodeexchange/usage.go
@@ -73,6 +73,8 @@
 	// node.
 	acknowledged usage.Window
 	records      recordsExchange
+	// earlierBuildHeard tells that a load message came from a node that states no generation.
+	earlierBuildHeard bool
 }
 
 // SetUsage lets the exchange send this node's counts to the supervisors and gather those of
@@ -291,6 +293,13 @@
 	return unreached
 }
 
+// EarlierBuildHeard implements usage.Fleet.
+func (e *Exchange) EarlierBuildHeard() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.usage.earlierBuildHeard
+}
+
 // sendGathered answers a supervisor of an earlier build.
 func (e *Exchange) sendGathered(to netip.AddrPort, after usage.Window) {
 	if e.usage == nil {
--- a/internal/usage/records.go
+++ b/internal/usage/records.go
@@ -34,8 +34,8 @@
 	Entries     []Entry `json:"entries"`
 }
 
-// recorded returns the windows recorded in the store, adds them to the history, and merges the
-// rows that nodes have written.
+// recorded returns the windows recorded in the store, with nil for those that must not be
+// reported, adds the others to the history, and merges the rows that nodes have written.
 func (r *Reporter) recorded(ctx context.Context) (map[Window]Counts, error) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -49,11 +49,34 @@
 			r.options.Log.WithFields(logrus.Fields{"row": row.Key, "cause": err.Error()}).Error("a usage row can't be parsed and is skipped")
 		}
 	}
+	r.setAside(recorded, version)
 	r.options.Collector.History().Merge(recordsOf(recorded, version))
 	r.options.Collector.History().ReadStore(version.Era())
 	return recorded, nil
 }
 
+// setAside sets windows to nil that must not be reported with the counts that the store has.
+// Earlier builds record windows anew that may have been reported before the store was restored.
+func (r *Reporter) setAside(recorded map[Window]Counts, version tablefeed.Version) {
+	if version.Era() == 0 || !r.options.Fleet.EarlierBuildHeard() {
+		return
+	}
+	for _, window := range slices.Sorted(maps.Keys(recorded)) {
+		known, exists := r.options.Collector.History().Find(window)
+		differs := exists && known.Counts.Sum() != recorded[window].Sum()
+		if !differs && !r.options.Collector.History().InDoubt(window, r.gathering.all) {
+			continue
+		}
+		recorded[window] = nil
+		if window > r.asideThrough {
+			r.asideThrough = window
+			r.options.Log.WithFields(logrus.Fields{"window": window, "differs": differs, "era": version.Era()}).Warn(
+				"a usage window isn't reported as the store has it: an earlier build may have recorded it anew")
+			r.options.Metrics.observeLeftOut()
+		}
+	}
+}
+
 // recordsOf returns the records of windows that the store had at a version.
 func recordsOf(recorded map[Window]Counts, version tablefeed.Version) map[Window]Record {
 	records := make(map[Window]Record, len(recorded))
@@ -89,7 +112,7 @@
 func (r *Reporter) recordLostWindows(ctx context.Context, recorded map[Window]Counts, due Window) error {
 	known := r.options.Collector.Recorded(due - keptRows)
 	for _, window := range slices.Sorted(maps.Keys(known)) {
-		if recorded[window] != nil {
+		if _, stored := recorded[window]; stored {
 			continue
 		}
 		if err := r.record(ctx, window, known[window]); err != nil {
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -88,6 +88,9 @@
 	// Lacking returns the supervisors that are present and aren't known to have the record of a
 	// window.
 	Lacking(window Window) []string
+	// EarlierBuildHeard reports whether this process has heard a node of an earlier build, which
+	// may have recorded windows that it should have left out.
+	EarlierBuildHeard() bool
 }
 
 // Options configures a Reporter.
@@ -132,6 +135,8 @@
 	readUnder uint64
 	// leftOut is the newest window that was left out because it may have been reported.
 	leftOut Window
+	// asideThrough is the newest window whose record in the store is not to be reported.
+	asideThrough Window
 	// gathering is the last question to the other supervisors.
 	gathering gathering
 	retryAt   time.Time
@@ -282,7 +287,7 @@
 func (r *Reporter) sendAll(ctx context.Context, recorded map[Window]Counts, now time.Time) error {
 	var windows []Window
 	for _, window := range slices.Sorted(maps.Keys(recorded)) {
-		if !r.sent[window] && now.Sub(r.windowLength.End(window)) <= 2*r.options.Late {
+		if recorded[window] != nil && !r.sent[window] && now.Sub(r.windowLength.End(window)) <= 2*r.options.Late {
 			windows = append(windows, window)
 			if r.told[window].IsZero() {
 				r.tell(window, recorded[window])
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -66,8 +66,12 @@
 	unanswered func() []string
 	// lacking returns the supervisors that lack the record of a window, none by default.
 	lacking func(window Window) []string
+	// earlier tells that a node of an earlier build has been heard.
+	earlier bool
 }
 
+func (a fakeFleet) EarlierBuildHeard() bool { return a.earlier }
+
 func (a fakeFleet) Members() []Member { return a.members }
 
 func (a fakeFleet) GatherUsage(after Window) {
@@ -389,6 +393,48 @@
 	}
 }
 
+// TestRecordMadeAnewByAnEarlierBuildIsNotReported guards against a second report of a window that
+// an earlier build recorded anew after a restore, and that this build finds in the store.
+func TestRecordMadeAnewByAnEarlierBuildIsNotReported(t *testing.T) {
+	window := WindowLength(span).WindowAt(at(0))
+	for name, known := range map[string]map[Window]Counts{
+		"nobody knows its first record": nil,
+		"its first record is known":     {window: {"a": 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture()
+			s.reporter("first", 3).Step(context.Background(), at(6))
+			s.store.Restore(0)
+			s.recordAsEarlierBuild(t, window, Counts{"a": 1})
+			second := s.reporter("second", 1)
+			second.options.Fleet = fakeFleet{earlier: true}
+			second.options.Collector.MergeRecorded(known)
+			for moment := 8.0; len(s.api.reports[window+1]) == 0; moment += retryInterval.Seconds() {
+				if moment > 30 {
+					t.Fatalf("windows that end after the restore aren't reported: %v", s.api.reports)
+				}
+				second.Step(context.Background(), at(moment))
+				time.Sleep(leaseLife / 8)
+			}
+			s.api.checkSameCounts(t)
+		})
+	}
+}
+
+// recordAsEarlierBuild records a window as builds without a history do: with whatever counts the
+// node has.
+func (s *fixture) recordAsEarlierBuild(t *testing.T, window Window, counts Counts) {
+	t.Helper()
+	content, err := json.Marshal(counts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := rowstore.Write{Table: Table, Key: windowKey(window), Value: content}
+	if _, done, err := s.store.Transact(context.Background(), rowstore.Transaction{Writes: []rowstore.Write{write}}); err != nil || !done {
+		t.Fatal(done, err)
+	}
+}
+
 // TestReporterThatLivesThroughARestoreLeavesNothingOut checks that the holder of the authority,
 // which knows what it has recorded, reports a window that ended before the restore.
 func TestReporterThatLivesThroughARestoreLeavesNothingOut(t *testing.T) {
