nodeexchange: the address of a node that left is greeted while a process may start there again

Cause: the others drop a node that leaves, and then send nothing to its address. If the store is away when the next process starts there, it can't read the list, hears nobody for seconds, and takes itself for the only keeper of all quotas.

Change: for 30 s after a node has left, its address gets this node's reports, each half second. In a large fleet only the supervisors send them.

--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -325,7 +325,7 @@
 // reportTargets returns the nodes that get a report whether or not this node has load: the
 // peers to be greeted, the supervisors, and a random peer.
 func (e *Exchange) reportTargets() []netip.AddrPort {
-	targets := append(e.peers.greetTargets(), e.peers.supervisors()...)
+	targets := append(e.peers.greetTargets(time.Now()), e.peers.supervisors()...)
 	if any, found := e.peers.randomPeer(); found {
 		targets = append(targets, any)
 	}
--- a/internal/nodeexchange/listing.go
+++ b/internal/nodeexchange/listing.go
@@ -113,7 +113,7 @@
 			clear(e.peers.listing.withdrawn)
 		}
 		e.peers.listing.withdrawn[address] = known.node
-		e.peers.remove(address)
+		e.peers.leave(address, time.Now())
 	}
 }
 
--- a/internal/nodeexchange/listing_test.go
+++ b/internal/nodeexchange/listing_test.go
@@ -93,13 +93,13 @@
 // that doesn't follow the list.
 func TestLargeFleetIsNotGreeted(t *testing.T) {
 	for nodes, want := range map[int]int{20: 19, 100: 0, 985: 0} {
-		if greeted := len(fleetOf(nodes)[0].greetTargets()); greeted != want {
+		if greeted := len(fleetOf(nodes)[0].greetTargets(time.Now())); greeted != want {
 			t.Errorf("%d nodes: %d are greeted, want %d", nodes, greeted, want)
 		}
 	}
 	set := fleetOf(100)[0]
 	set.addListed([]Peer{{Node: "before", Address: self, Zone: "zone0", Unaware: true}})
-	if greeted := set.greetTargets(); len(greeted) != 1 || greeted[0] != self {
+	if greeted := set.greetTargets(time.Now()); len(greeted) != 1 || greeted[0] != self {
 		t.Errorf("greeted: %v", greeted)
 	}
 }
@@ -151,3 +151,25 @@
 		}
 	}
 }
+
+// TestNodeThatStartsAgainWithoutTheStoreHearsTheOthers guards against a node that starts again
+// at its address while the store is unreachable, hears nobody and grants quotas alone.
+func TestNodeThatStartsAgainWithoutTheStoreHearsTheOthers(t *testing.T) {
+	f := newUsageFleet(t)
+	f.start("a")
+	f.start("b")
+	leaving := f.start("c")
+	f.awaitPresent(leaving, 2)
+	f.end("c")
+	again, err := Listen(leaving.peers.address.String(), "c again", "zone", newRegistry("w"), quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	go again.Run(ctx)
+	t.Cleanup(func() {
+		stop()
+		<-again.Done()
+	})
+	f.awaitPresent(&usageNode{Exchange: again}, 2)
+}
--- a/internal/nodeexchange/peers.go
+++ b/internal/nodeexchange/peers.go
@@ -33,6 +33,9 @@
 	// greetings is how many messages announce this node to a new peer, since datagrams may be
 	// lost.
 	greetings = 2
+	// formerTime is how long the address of a node that left is greeted: a process that starts
+	// again there while the store is unreachable would take itself for the only node.
+	formerTime = 30 * time.Second
 )
 
 // Peer is another node as the store lists it.
@@ -80,6 +83,8 @@
 	zone    string
 	hash    uint64
 	peers   map[netip.AddrPort]*peer
+	// former holds the addresses of nodes that left, each with the time until which it is greeted.
+	former map[netip.AddrPort]time.Time
 	// generation increases whenever a node is added or removed.
 	generation uint64
 	// listed tells that the store's whole list of nodes is known. Before that, this node can't
@@ -104,7 +109,7 @@
 func newPeerSet(self string, address netip.AddrPort, zone string) *peerSet {
 	return &peerSet{
 		self: self, address: address, zone: zone, hash: rendezvous.Hash(address.String()),
-		peers: make(map[netip.AddrPort]*peer), listing: newListing(), regionRankings: make(map[string][]netip.AddrPort),
+		peers: make(map[netip.AddrPort]*peer), former: make(map[netip.AddrPort]time.Time), listing: newListing(), regionRankings: make(map[string][]netip.AddrPort),
 	}
 }
 
@@ -135,6 +140,7 @@
 				known.greetings = greetings
 			}
 			s.peers[entry.Address] = known
+			delete(s.former, entry.Address)
 			added = append(added, entry.Address)
 		}
 		known.listed = max(known.listed, entry.Listed)
@@ -159,6 +165,7 @@
 func (s *peerSet) add(address netip.AddrPort, node string) *peer {
 	added := &peer{node: node, hash: rendezvous.Hash(address.String())}
 	s.peers[address] = added
+	delete(s.former, address)
 	s.rankAdded([]netip.AddrPort{address})
 	return added
 }
@@ -191,7 +198,7 @@
 		if !exists || known.node != message.Node {
 			return false, true
 		}
-		s.remove(from)
+		s.leave(from, now)
 		return false, false
 	}
 	if s.listing.hasWithdrawn(from, message.Node) {
@@ -332,9 +339,20 @@
 	return slices.Collect(maps.Keys(zones))
 }
 
-// greetTargets returns the peers that are to be greeted now, and counts the greeting.
-func (s *peerSet) greetTargets() []netip.AddrPort {
+// leave removes a peer that shuts down. Its address is greeted for formerTime.
+func (s *peerSet) leave(address netip.AddrPort, now time.Time) {
+	s.remove(address)
+	s.former[address] = now.Add(formerTime)
+}
+
+// greetTargets returns the nodes that are to be greeted now, and counts the greeting. In a large
+// fleet only the supervisors greet the addresses of nodes that left.
+func (s *peerSet) greetTargets(now time.Time) []netip.AddrPort {
+	maps.DeleteFunc(s.former, func(_ netip.AddrPort, until time.Time) bool { return now.After(until) })
 	var addresses []netip.AddrPort
+	if !s.large() || s.supervises() {
+		addresses = slices.Collect(maps.Keys(s.former))
+	}
 	for address, known := range s.peers {
 		if known.greetings > 0 {
 			known.greetings--
--- a/internal/nodeexchange/peers_test.go
+++ b/internal/nodeexchange/peers_test.go
@@ -75,7 +75,7 @@
 	}
 	count := 0
 	for range 5 {
-		count += len(peers.greetTargets())
+		count += len(peers.greetTargets(time.Now()))
 	}
 	if count != greetings {
 		t.Errorf("greeted %d times", count)
