dispatch: after a pause that a worker asked for, one request reaches it first, however many are planned at once

Cause: after its pause a worker gets one request until that is answered (slow start). Whether it has one was looked at when a request was planned, and the request counted only when it was sent, so requests that were planned at the same time all passed. If the worker wants another pause it refuses each of them, each costs a retry of the node's part of the budget, and with the budget spent the next one is refused (code 2008, attempts 1 of 2).

Change: the place at a recovering worker is taken in the same step in which it is looked at, just before the request is sent. A request that gets none is planned again, as one that the worker's notice came too late for: nothing was sent, so it costs neither an attempt nor a retry.

The budget itself stays as it is: the users' rule counts each further arrival of a request, also one that the worker refused at its own wish.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -56,6 +56,14 @@
 	expected time.Duration
 }
 
+// sendAdmitted sends the call to a worker unless refusal is the reason not to.
+func (s *session) sendAdmitted(ctx context.Context, to scheduling.Candidate, refusal error, forward Forward) (*workerconn.Answer, Reply, error) {
+	if refusal != nil {
+		return nil, Reply{}, workerconn.Withhold(refusal)
+	}
+	return s.send(ctx, to, forward)
+}
+
 // send sends the call to a worker. It returns the answer and what its head says.
 func (s *session) send(ctx context.Context, to scheduling.Candidate, forward Forward) (*workerconn.Answer, Reply, error) {
 	forward.WorkerID = to.ID
@@ -88,13 +96,13 @@
 	reader := plan.Reader
 	unread := plan.Unread
 	load := worker.Load{Requests: 1, Unread: worker.UnreadTokensOf(s.rank(), unread), MemoryTokens: s.call.PromptTokens}
-	s.registry.Begin(reader.ID, load)
+	refusal := s.registry.BeginRequest(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
 	defer s.beginPrefill(reader.ID, unread, plan.Read)()
 	running := s.crashDetector.begin(reader.ID, s.call.Fingerprint, s.suspected())
 	defer s.crashDetector.end(reader.ID, running)
 	begun := time.Now()
-	answer, reply, err := s.send(ctx, reader, Forward{ReadApart: true, FetchFrom: plan.Fetch})
+	answer, reply, err := s.sendAdmitted(ctx, reader, refusal, Forward{ReadApart: true, FetchFrom: plan.Fetch})
 	if err != nil {
 		return nil, s.readFailed(reader, err)
 	}
@@ -207,7 +215,7 @@
 	work := newWork(s, runner, prompt)
 	defer work.end()
 	again := s.chargeAgain()
-	answer, reply, err := s.send(ctx, runner, forward)
+	answer, reply, err := s.sendAdmitted(ctx, runner, work.refusal, forward)
 	if err != nil {
 		if workerconn.Unsent(err) {
 			s.refund(again)
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -15,6 +15,8 @@
 	reading worker.Load
 	running worker.Load
 	begun   time.Time
+	// refusal is why the worker must not get the call, nil if it may.
+	refusal error
 	// firstAt is when the first byte of the answer arrived, zero before.
 	firstAt time.Time
 	// endPrefill ends what other nodes are told of the prefill.
@@ -32,7 +34,7 @@
 		begun:   time.Now(),
 	}
 	session.registry.Begin(runner.ID, w.reading)
-	session.registry.Begin(runner.ID, w.running)
+	w.refusal = session.registry.BeginRequest(runner.ID, w.running)
 	w.endPrefill = session.beginPrefill(runner.ID, prompt.unread, prompt.expected)
 	w.runningRequest = session.crashDetector.begin(runner.ID, call.Fingerprint, session.suspected())
 	return w
--- a/internal/lab/site/pause_test.go
+++ b/internal/lab/site/pause_test.go
@@ -129,3 +129,30 @@
 		s.workers[id].SetBackoff(seconds)
 	}
 }
+
+// TestWorkerThatPausesAgainGetsOneRequestFirst guards against several callers that reach a worker
+// at the end of its pause, before the answer to the first of them says that it wants another one.
+// Each of them costs a retry of the budget.
+func TestWorkerThatPausesAgainGetsOneRequestFirst(t *testing.T) {
+	t.Parallel()
+	s := start(t)
+	const pause = 250 * time.Millisecond
+	s.setBackoffs("0.25", "portal-1", "read-1")
+	ctx, cancel := context.WithTimeout(t.Context(), loadDuration)
+	defer cancel()
+	s.sendRecordedLoad(ctx, 60, "/board/1", "/verdict/1")
+	for _, id := range []string{"portal-1", "read-1"} {
+		arrivals := s.workers[id].Arrivals()
+		early, last := 0, arrivals[0].At
+		for _, arrival := range arrivals {
+			since := arrival.At.Sub(arrivals[0].At)
+			if since > backoffNoticeDelay && arrival.At.Sub(last) < pause {
+				early++
+			}
+			last = arrival.At
+		}
+		if early > 0 {
+			t.Errorf("%s got %d of %d requests earlier than %v after the one before, which it had answered with a pause of that length", id, early, len(arrivals), pause)
+		}
+	}
+}
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -165,6 +165,9 @@
 	ErrDraining = eris.New("the worker has announced its end")
 	ErrBackoff  = eris.New("the worker has asked to be left alone for a time")
 	ErrUnlisted = eris.New("the worker's entry is gone")
+	// ErrRecovering is the reason why a worker gets no more requests for now after a pause that
+	// it asked for.
+	ErrRecovering = eris.New("the worker's pause has just ended, and it has as many requests as it gets before it answers")
 )
 
 // Admit returns the reason why a worker must not get any request from this node now, nil if it
--- a/internal/worker/observe.go
+++ b/internal/worker/observe.go
@@ -29,20 +29,37 @@
 // Begin adds the load of a request that is sent to a worker.
 func (r *Registry) Begin(id string, load Load) { r.addLoad(id, load) }
 
+// BeginRequest is Begin for a request that is about to be sent, and returns ErrRecovering if it
+// must not be: requests that were planned at the same time have taken the worker's places.
+func (r *Registry) BeginRequest(id string, load Load) error {
+	admitted := true
+	r.update(id, func(known *workerState) {
+		admitted = known.recovery.admits(known.load.Requests)
+		r.addLoadTo(known, load)
+	})
+	if !admitted {
+		return ErrRecovering
+	}
+	return nil
+}
+
 // End removes the load that Begin added.
 func (r *Registry) End(id string, load Load) { r.addLoad(id, Load{}.minus(load)) }
 
 // addLoad adds a load, which may be negative, to that of this node at a worker.
 func (r *Registry) addLoad(id string, load Load) {
-	r.update(id, func(known *workerState) {
-		known.load = known.load.plus(load)
-		if known.load.Zero() {
-			delete(r.busy, id)
-		} else {
-			r.busy[id] = known
-		}
-		r.touch(id)
-	})
+	r.update(id, func(known *workerState) { r.addLoadTo(known, load) })
+}
+
+func (r *Registry) addLoadTo(known *workerState, load Load) {
+	id := known.worker.ID
+	known.load = known.load.plus(load)
+	if known.load.Zero() {
+		delete(r.busy, id)
+	} else {
+		r.busy[id] = known
+	}
+	r.touch(id)
 }
 
 // ObserveReading records how long a worker took to read a prompt. The network time to the
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -54,7 +54,7 @@
 type SendError struct {
 	// Unsent is set if no byte was sent, so that the worker can't have run the request.
 	Unsent bool
-	// Withheld is set if the pool's monitor rejected the request.
+	// Withheld is set if the request wasn't sent since its worker must not get it now.
 	Withheld bool
 	Cause    error
 }
@@ -71,8 +71,11 @@
 	return errors.As(err, &failure) && failure.Unsent
 }
 
-// Withheld reports whether the pool's monitor rejected a request. That is no failure of the
-// worker.
+// Withhold returns the error of a request that isn't sent, since its worker must not get it now.
+func Withhold(cause error) error { return &SendError{Unsent: true, Withheld: true, Cause: cause} }
+
+// Withheld reports whether a request wasn't sent since its worker must not get it now. That is no
+// failure of the worker.
 func Withheld(err error) bool {
 	var failure *SendError
 	return errors.As(err, &failure) && failure.Withheld
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -124,7 +124,7 @@
 		return nil
 	}
 	if err := p.monitor.Admit(key, request); err != nil {
-		return &SendError{Unsent: true, Withheld: true, Cause: err}
+		return Withhold(err)
 	}
 	return nil
 }
