usage, spec: what an earlier build tells of a window in doubt isn't taken for its record

What callers saw: nothing yet; the model of two builds side by side found it.

Cause: an earlier build that records a window anew tells all supervisors. A node of this build that knew no record of the window took it for the one that was reported, and would have recorded and reported it as the next holder.

Change: such a record is kept apart where the window is in doubt. It isn't reported; nodes of earlier builds are told it again, since they would record the window anew. It never replaces a record that the node has.

The model has one supervisor of each build over a store that is restored twice. It states what it assumes: the store answers both builds or none, and this build learns of an era before it is told of a record made in it.

Conclusion: in a later era than the first, windows that only an earlier build recorded and hadn't reported are missing.

--- a/internal/nodeexchange/records_exchange.go
+++ b/internal/nodeexchange/records_exchange.go
@@ -73,10 +73,8 @@
 // exchangeWithEarlierBuild sends a node of an earlier build the records that fit in a message of
 // that build, and asks it for its own.
 func (e *Exchange) exchangeWithEarlierBuild(address netip.AddrPort) {
-	records := e.usage.records.history.Records(0)
-	for window, record := range records {
-		e.sendRecorded(address, map[usage.Window]usage.Counts{window: record.Counts})
-	}
+	e.sendRecorded(address, e.usage.collector.Recorded(0))
+	e.sendRecorded(address, e.usage.records.history.Unconfirmed(0))
 	now := e.usage.tally.WindowLength().WindowAt(e.usage.tally.Now(time.Now()))
 	e.sendTo(address, Message{Node: e.node, WantUsage: now - maxWanted})
 }
--- a/internal/nodeexchange/usage.go
+++ b/internal/nodeexchange/usage.go
@@ -307,6 +307,7 @@
 	}
 	if !e.sendsRecords(to) {
 		e.sendRecorded(to, e.usage.collector.Recorded(after))
+		e.sendRecorded(to, e.usage.collector.History().Unconfirmed(after))
 	}
 	e.sendCounts(to, after, 0)
 }
@@ -337,7 +338,7 @@
 	switch {
 	case e.usage == nil:
 	case gathered.Recorded != nil:
-		e.usage.collector.MergeRecorded(gathered.Recorded)
+		e.usage.collector.History().MergeUnconfirmed(gathered.Recorded) // this form is that of earlier builds
 	default:
 		e.usage.collector.MergeEntries(gathered.Node, parseCounts(gathered.Counts))
 	}
