lab/soak: a part of an answer is passed over only where the worker was told to end it; the old check of cold keepers is back

mayEndEarly passed over any part of an unframed answer whose worker had been told any delivery. Now the part must be exactly what the worker was told to send, for a resumed stream after the event that it resumed from, or the worker must have crashed. A stream of which the node dropped a started event and then ended in order is seen now. The examples of TestPartOfAnAnswerIsSeen state what was sent, and three are new.

TestKeepersThatStartTogetherGrantOnce no longer asked that keepers which know more than the first are asked too. It does again, with the bound of before, at the first refusal after the first keeper has started: from the second on the keepers that know more are asked first, which the newer check covers.

--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -138,7 +138,7 @@
 			violations = append(violations, fmt.Sprintf("ran for tenant %q instead of %q, or with an API key", run.Header.Get("X-Tenant"), got.tenant))
 		}
 	}
-	if mayEndEarly(got, runs) && strings.HasPrefix(completeAnswer(got.id), got.body) {
+	if mayEndEarly(got, runs, workers) && strings.HasPrefix(completeAnswer(got.id), got.body) {
 		got.body = completeAnswer(got.id)
 	}
 	return append(violations, checkAnswer(got, workers)...)
--- a/internal/lab/soak/unframed.go
+++ b/internal/lab/soak/unframed.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/lab/fleetworker"
@@ -31,8 +32,9 @@
 }
 
 // mayEndEarly reports whether a caller may have got a part of an answer that ended in order. It
-// may if its answer isn't framed, and nothing showed the node that the last run broke off.
-func mayEndEarly(got observation, runs []fleetworker.Run) bool {
+// may if its answer isn't framed, nothing showed the node that the last run broke off, and the
+// part ends where the worker was told to end it, unless the worker crashed.
+func mayEndEarly(got observation, runs []fleetworker.Run, workers map[string]*soakWorker) bool {
 	if got.framed || len(runs) == 0 {
 		return false
 	}
@@ -43,5 +45,17 @@
 		}
 	}
 	isStream := got.class.service == engines
-	return last.Delivery != nil && last.Delivery.MayPassForWhole(got.body, isStream)
+	if last.Delivery == nil || !last.Delivery.MayPassForWhole(got.body, isStream) {
+		return false
+	}
+	worker := workers[last.Worker]
+	return got.body == toldToSend(got.id, last) || worker != nil && worker.ended.Load()
+}
+
+// toldToSend returns what a caller has got in all if the worker of a run sent what it was told to
+// send. A run that resumes a stream sends what follows the event that the request names.
+func toldToSend(id string, run fleetworker.Run) string {
+	after, _ := strconv.Atoi(run.Header.Get("Last-Event-Id"))
+	rest := fleetworker.Body(id, eventCount, after)
+	return fleetworker.Body(id, after, 0) + rest[:min(run.Delivery.Sent, len(rest))]
 }
--- a/internal/lab/soak/unframed_test.go
+++ b/internal/lab/soak/unframed_test.go
@@ -14,7 +14,9 @@
 	whole := completeAnswer(id)
 	event := len(fleetworker.Body(id, 1, 0))
 	now := time.Now()
-	orderly := &fleetworker.Delivery{Framing: fleetworker.ByClose, Closing: fleetworker.Orderly}
+	sent := func(size int) *fleetworker.Delivery {
+		return &fleetworker.Delivery{Framing: fleetworker.ByClose, Closing: fleetworker.Orderly, Sent: size}
+	}
 	for name, example := range map[string]struct {
 		framed   bool
 		size     int
@@ -22,14 +24,17 @@
 		delivery *fleetworker.Delivery
 		broken   bool
 	}{
-		"whole":                           {true, len(whole), engines, orderly, false},
-		"framed":                          {true, event, engines, orderly, true},
-		"between events":                  {false, event, engines, orderly, false},
-		"inside an event":                 {false, event + 1, engines, orderly, true},
-		"plain":                           {false, event + 1, plain, orderly, false},
-		"reset":                           {false, event, engines, &fleetworker.Delivery{Framing: fleetworker.ByClose, Closing: fleetworker.Reset}, true},
-		"the worker's answer was framed":  {false, event, engines, &fleetworker.Delivery{Framing: fleetworker.ByChunks, Closing: fleetworker.Orderly}, true},
-		"the worker answered as net/http": {false, event, engines, nil, true},
+		"whole":                             {true, len(whole), engines, sent(len(whole)), false},
+		"framed":                            {true, event, engines, sent(event), true},
+		"between events":                    {false, event, engines, sent(event), false},
+		"less than was sent":                {false, event, engines, sent(2 * event), true},
+		"less than the whole that was sent": {false, event, engines, sent(len(whole)), true},
+		"without the started event":         {false, event, engines, sent(event + 1), true},
+		"inside an event":                   {false, event + 1, engines, sent(event + 1), true},
+		"plain":                             {false, event + 1, plain, sent(event + 1), false},
+		"reset":                             {false, event, engines, &fleetworker.Delivery{Framing: fleetworker.ByClose, Closing: fleetworker.Reset, Sent: event}, true},
+		"the worker's answer was framed":    {false, event, engines, &fleetworker.Delivery{Framing: fleetworker.ByChunks, Closing: fleetworker.Orderly, Sent: event}, true},
+		"the worker answered as net/http":   {false, event, engines, nil, true},
 	} {
 		worker := fleetworker.Start(fleetworker.Options{ID: "w"})
 		got := observation{
--- a/internal/nodeexchange/quota_test.go
+++ b/internal/nodeexchange/quota_test.go
@@ -577,7 +577,9 @@
 	startAt(keepers[0], time.Now())
 	time.Sleep(2 * minMoreKnown)
 	startAt(keepers[0], time.Now())
-	refusal()
+	if asked := refusal().Asked; asked < 2 { // it isn't known yet that the first one has started
+		t.Error("keepers that know more than the first one weren't asked")
+	}
 	if decided := refusal().Keeper; decided == keepers[0].String() {
 		t.Error("the first keeper decided although others know more")
 	}
