nodeexchange: a node that keeps nothing for all nodes is informed at once

Cause: in a large fleet without quotas only supervisors keep recorded windows, and the others hear few messages; each of them would have waited up to 2 s with nothing to learn.

Change: once the list is known, a node that is neither a supervisor nor may keep quotas doesn't wait.

Conclusion: readiness waits only where somebody else's memory may be lost.

--- a/internal/nodeexchange/informed.go
+++ b/internal/nodeexchange/informed.go
@@ -40,8 +40,11 @@
 	return e.informing.done
 }
 
-// keepsShared reports whether this node keeps anything in memory for all nodes. mu must be held.
-func (e *Exchange) keepsShared() bool { return e.usage != nil || e.quota != nil }
+// keepsShared reports whether this node may keep anything in memory for all nodes: levels of
+// quotas, or as a supervisor recorded windows. mu must be held.
+func (e *Exchange) keepsShared() bool {
+	return e.quota != nil || e.usage != nil && (!e.peers.listed || e.peers.supervises())
+}
 
 // hasLearned reports whether this node knows what the nodes that it hears know. mu must be held.
 func (e *Exchange) hasLearned(now time.Time) bool {
--- a/internal/nodeexchange/informed_test.go
+++ b/internal/nodeexchange/informed_test.go
@@ -62,6 +62,21 @@
 	}
 }
 
+// TestNodeThatKeepsNothingIsInformedAtOnce guards against nodes of a large fleet that wait for
+// messages which only supervisors get.
+func TestNodeThatKeepsNothingIsInformedAtOnce(t *testing.T) {
+	f := newUsageFleet(t)
+	supervisors, others := f.startLarge()
+	for _, name := range others {
+		if node := f.nodes[name]; !node.Informed(node.started.Add(time.Millisecond)) {
+			t.Fatalf("%s waits, though it isn't a supervisor", name)
+		}
+	}
+	if node := f.nodes[supervisors[0]]; node.Informed(node.started.Add(time.Millisecond)) {
+		t.Error("a supervisor doesn't wait for the records of the others")
+	}
+}
+
 // TestNodeThatHearsNobodyIsInformedInTheEnd guards against a node that is never ready, since the
 // nodes that the store lists are dead.
 func TestNodeThatHearsNobodyIsInformedInTheEnd(t *testing.T) {
