nodeexchange: a starting node's time to listen begins when it has the list, not when it is first asked

Cause: the time was counted from the first question for readiness after the list was known. A platform that asks once a second would have waited a second more.

Change: it is counted from when the list was read.

--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -143,6 +143,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.peers.addFullList(listed)
+	e.markListed(time.Now())
 }
 
 // Nodes returns the number of nodes among which limits are divided: this one, those heard
--- a/internal/nodeexchange/informed.go
+++ b/internal/nodeexchange/informed.go
@@ -33,13 +33,17 @@
 	if e.informing.done {
 		return true
 	}
-	if e.informing.since.IsZero() && e.peers.listed {
-		e.informing.since = now
-	}
 	e.informing.done = now.Sub(e.started) >= maxInformTime || !e.keepsShared() || e.peers.listed && e.hasLearned(now)
 	return e.informing.done
 }
 
+// markListed records when the list of nodes was first known. mu must be held.
+func (e *Exchange) markListed(now time.Time) {
+	if e.informing.since.IsZero() {
+		e.informing.since = now
+	}
+}
+
 // keepsShared reports whether this node may keep anything in memory for all nodes: levels of
 // quotas, or as a supervisor recorded windows. mu must be held.
 func (e *Exchange) keepsShared() bool {
--- a/internal/nodeexchange/listing.go
+++ b/internal/nodeexchange/listing.go
@@ -88,6 +88,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.peers.addFullList(listed)
+	e.markListed(now)
 	held := make(map[netip.AddrPort]bool, len(listed))
 	for _, entry := range listed {
 		held[entry.Address] = true
