--- a/internal/nodeexchange/informed_test.go
+++ b/internal/nodeexchange/informed_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// earlierNode behaves as a supervisor of the build at 6c9d7ca does: it sends load messages
+// earlierNode behaves as a supervisor of a build without histories: it sends load messages
 // without the state of its records, passes over messages about records, and tells the records
 // that it has when it is asked in that build's form.
 type earlierNode struct {
