Software versions of workers in plans, ends of requests and metrics

Cause of this change: logs named no version, so a stale list couldn't be told from placement that ignores versions, and a client that takes a stream up looked like a new request.

Change: a worker's entry is read with its software version; plans name those of reader and runner, ends and failed tries that of the worker whose events the caller got, and the attempt that is resumed with the event after which. tinarch_workers_by_software counts ready workers by version.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -52,6 +52,9 @@
 	ExpectedOutput int
 	// LastEventID is the event after which the caller wants a stream to continue.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream to be
+	// continued, empty if the caller doesn't tell it.
+	Resumes string
 
 	// Fingerprint identifies what the request asks for, regardless of its ID. The dispatcher
 	// sets it.
@@ -215,6 +218,9 @@
 	Ending  Ending
 	// EndProbe is what a probe of the worker found at that end, empty if there was none.
 	EndProbe workerconn.Liveness
+	// Software is the software version of the worker whose events the caller got, empty if it got
+	// none.
+	Software string
 	// Through is the address of the other node that the last answer came through, empty if it came
 	// over this node's own link.
 	Through string
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -27,6 +27,7 @@
 // pass passes a worker's answer on to the caller.
 func (s *session) pass(runner scheduling.Candidate, answer *workerconn.Answer, load *work) tryResult {
 	s.framing, s.ending, s.endProbe = answer.Framing, Unfinished, ""
+	s.answering = runner
 	defer s.countEnding()
 	failed := answer.Status >= http.StatusInternalServerError
 	if failed {
@@ -215,5 +216,6 @@
 	}
 	s.pieces++
 	s.last = now
+	s.software = s.answering.Software
 	return nil
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -81,8 +81,11 @@
 	framing workerconn.Framing
 	ending  Ending
 	vouches bool
-	// endProbe is as in Outcome.
+	// endProbe and software are as in Outcome.
 	endProbe workerconn.Liveness
+	software string
+	// answering is the worker whose answer is passed on.
+	answering scheduling.Candidate
 	// through is as in Outcome. unreached counts the tries for which neither this node nor another one
 	// had a connection to the worker, and unconfirmed those of which no other node could tell.
 	through                string
@@ -299,6 +302,7 @@
 	outcome.Attempts, outcome.MayHaveRun = s.attempts, s.mayHaveRunBefore
 	outcome.First, outcome.Last, outcome.Gap, outcome.Pieces = s.first, s.last, s.gap, s.pieces
 	outcome.Framing, outcome.Ending, outcome.EndProbe, outcome.Through = s.framing, s.ending, s.endProbe, s.through
+	outcome.Software = s.software
 	return outcome
 }
 
@@ -389,6 +393,7 @@
 	fields := logrus.Fields{
 		"id": s.call.ID, "fingerprint": s.call.Fingerprint.String(), "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
+		"reader_software": plan.Reader.Software, "runner_software": plan.Runner.Software, "resumes": s.call.Resumes, "after": s.resumeAfter,
 		"crashes": s.quarantineStatus.Crashes, "late": plan.Late, "rank": s.rank(), "patience_ms": s.call.patience(time.Now(), s.last).Milliseconds(),
 		"reader_queue": plan.Reader.ReadAhead, "runner_queue": plan.Runner.ReadAhead,
 		"late_queue": max(plan.Reader.LateTokens, plan.Runner.LateTokens),
@@ -412,6 +417,6 @@
 		"id": s.call.ID, "worker": end.worker, "verdict": end.verdict, "again": again,
 		"attempts": s.attempts, "remaining_ms": s.remaining().Milliseconds(), "cause": detail(end.err),
 		"fingerprint": s.call.Fingerprint.String(), "worker_state": end.workerState, "pieces": s.pieces,
-		"framing": s.framing, "ending": s.ending, "end_probe": s.endProbe,
+		"framing": s.framing, "ending": s.ending, "end_probe": s.endProbe, "software": s.software,
 	}).Warn("try failed")
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -302,6 +302,7 @@
 		"attempts": outcome.Attempts, "first_ms": outcome.First.Milliseconds(),
 		"last_ms": outcome.Last.Milliseconds(), "gap_ms": outcome.Gap.Milliseconds(), "pieces": outcome.Pieces,
 		"framing": outcome.Framing, "ending": outcome.Ending, "end_probe": outcome.EndProbe, "through": outcome.Through,
+		"resumes": call.Resumes, "after": call.LastEventID, "software": outcome.Software,
 		"took_ms": took.Milliseconds(), "retry_after_ms": outcome.RetryAfter.Milliseconds(),
 		"detail": outcome.Detail,
 	})
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -17,6 +17,8 @@
 	// RoundTrip is the round-trip time to a worker in another region, in milliseconds.
 	RoundTrip float64
 	Slots     int
+	// Software is the version of the worker's software.
+	Software string
 	// Prefill and Decode tell the stage of a model engine; both are false for
 	// other workers.
 	Prefill, Decode bool
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -206,6 +206,7 @@
 		fields["worker"] = change.Worker.ID
 		fields["service"] = change.Worker.Service
 		fields["stage"] = change.Worker.Stage
+		fields["software"] = change.Worker.Software
 		fields["draining"] = change.Worker.Draining
 		fields["address"] = change.Worker.Address
 	}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -183,6 +183,7 @@
 	n.setUpQuarantine(metrics)
 	n.registerTableMetrics(metrics)
 	n.registerHostMetrics(metrics)
+	n.registerSoftwareMetrics(metrics)
 	n.front = ingress.New(ingress.Options{
 		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: ingress.NewMetrics(metrics),
 		ConfigurationAge: n.configurationAge, ConfigurationBehind: n.configurationBehind, Quotas: quotas,
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -157,6 +157,7 @@
 		SameZone:            distance == topology.SameZone,
 		OtherRegion:         distance == topology.OtherRegion,
 		Slots:               known.worker.Slots,
+		Software:            known.worker.Software,
 		Prefill:             known.worker.Stage == Prefill,
 		Decode:              known.worker.Stage == Decode,
 		Requests:            load.Requests,
--- a/internal/worker/standing.go
+++ b/internal/worker/standing.go
@@ -21,6 +21,19 @@
 	return standing
 }
 
+// StandingBySoftware is Standing by the version of the workers' software.
+func (r *Registry) StandingBySoftware(service string) map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	standing, now := make(map[string]int), time.Now()
+	for _, known := range r.workers {
+		if known.worker.Service == service && r.isStaying(known, now) {
+			standing[known.worker.Software]++
+		}
+	}
+	return standing
+}
+
 // Idle reports whether there is no demand for a service at any node. The demand of this node
 // decays with the time constant demandWindow and isn't rounded, so it becomes zero only about
 // 745 time constants after the last request, when math.Exp underflows. Only model engines have
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -37,6 +37,9 @@
 	// Spot workers may be preempted, all of a zone at once.
 	Spot  bool
 	Stage Stage
+	// Software is the version of the worker's software, empty if the entry doesn't tell it. Versions
+	// have no order, and what two of them write into a stream doesn't fit together.
+	Software string
 }
 
 // Change is one changed entry of the platform's worker list.
