Failing test: streams go on at another software version, or another service

Test: three nodes, two engines of each of two versions whose events show theirs; streams that break off in one answer, that clients take up at the same node, at another one, after the first has ended, on a route split between services, and after all workers of the version have left.

--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -4,6 +4,7 @@
 package fleetworker
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -67,6 +68,9 @@
 	Born int64
 	// Address is the address to listen on; empty means any free port.
 	Address string
+	// Software is the version of the worker's software, "v1" if it is empty. If it is set, each
+	// event of a stream shows it in a field (SoftwareField).
+	Software string
 	// CrashOn makes the worker crash, with everything else that it runs, as soon as it runs a
 	// request whose body contains this text; empty means never. OnCrash, if not nil, is called
 	// before the first connection is broken off, and must return.
@@ -214,7 +218,7 @@
 func (w *Worker) Entry(state string) map[string]any {
 	entry := map[string]any{
 		"Service": w.options.Service, "Address": w.Address(), "Zone": w.options.Zone,
-		"Version": "v1", "Slots": w.options.Slots, "State": state, "ColdRemainingMs": 0, "Seq": 1,
+		"Version": cmp.Or(w.options.Software, "v1"), "Slots": w.options.Slots, "State": state, "ColdRemainingMs": 0, "Seq": 1,
 	}
 	if w.options.Born != 0 {
 		entry["born"] = w.options.Born
@@ -226,6 +230,18 @@
 	return entry
 }
 
+// SoftwareField begins the line of an event that shows the software version of its worker.
+const SoftwareField = "software: "
+
+// event returns an event of the answer to a request.
+func (w *Worker) event(id string, number int) string {
+	text := Body(id, number, number-1)
+	if w.options.Software == "" {
+		return text
+	}
+	return SoftwareField + w.options.Software + "\n" + text
+}
+
 // Signature returns the signature of the worker's answer to a request. It depends on the worker
 // and the request id, so that a check can tell whose answer a caller received.
 func (w *Worker) Signature(id string) string {
@@ -436,7 +452,7 @@
 	}
 	controller := http.NewResponseController(writer)
 	for event := after + 1; event <= w.options.Events; event++ {
-		text := Body(id, event, event-1)
+		text := w.event(id, event)
 		if fault == CutMidway && event == after+1+w.options.Events/2 {
 			_, _ = io.WriteString(writer, text[:len(text)/2])
 			_ = controller.Flush()
--- /dev/null
+++ b/internal/lab/site/software_test.go
@@ -0,0 +1,237 @@
+package site
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetworker"
+	"github.com/tinarch/tinarch/internal/settings"
+)
+
+// otherLLM is a second service of engines, to which the route /split/ leads too.
+const otherLLM = "other-llm"
+
+// streamsOfAVersion is how many streams a case sends: placed without regard to versions, half of
+// them would go on at another one.
+const streamsOfAVersion = 12
+
+// startVersions starts a site of three nodes before two decode engines of each version of a
+// service, and of one version of another service.
+func startVersions(t *testing.T, versions ...string) *site {
+	t.Helper()
+	s := startUnconfiguredWith(t, func(*settings.Routed) {})
+	s.addWorker(fleetworker.Options{ID: "read-1", Service: llm, Stage: "prefill", Software: versions[0]})
+	for _, version := range versions {
+		for _, name := range []string{"a", "b"} {
+			s.addWorker(fleetworker.Options{
+				ID: "write-" + version + "-" + name, Service: llm, Stage: "decode", Software: version,
+				Events: 8, Pause: 20 * time.Millisecond, Slots: 64,
+			})
+		}
+	}
+	s.addWorker(fleetworker.Options{
+		ID: "other-1", Service: otherLLM, Stage: "decode", Software: versions[0] + "-other", Events: 8, Pause: 20 * time.Millisecond, Slots: 64,
+	})
+	s.store.Put("op", "config", versionsConfiguration(1))
+	s.await("the node is ready", s.node.Ready)
+	s.addNodes("node-2", "node-3")
+	for _, node := range append(s.others, &otherNode{node: s.node}) {
+		s.await("all workers and nodes are known", func() bool { return node.node.Workers() == len(s.workers) && node.node.Nodes() == 3 })
+	}
+	return s
+}
+
+// versionsConfiguration is a configuration whose route /split/ leads to two services alike.
+func versionsConfiguration(version int) map[string]any {
+	configured := configuration(version)
+	configured["Routes"] = append(configured["Routes"].([]any), map[string]any{
+		"Name": "split", "Host": host, "PathPrefix": "/split/", "Kind": "streaming", "MaxAttempts": 2, "Resumable": true,
+		"TimeoutMs": 8000, "TargetLatencyMs": 4000, "Priority": 1,
+		"Split": []any{map[string]any{"Service": llm, "Weight": 1}, map[string]any{"Service": otherLLM, "Weight": 1}},
+	})
+	configured["Services"] = append(configured["Services"].([]any),
+		map[string]any{"Name": otherLLM, "MaxConnections": 100, "Engine": map[string]any{"Slots": 64, "KvCapacityTokens": 100000}})
+	return configured
+}
+
+// clientStream is what a client has of a stream over its tries.
+type clientStream struct {
+	// first is the id of the try that brought the first event, and last the id of the last event.
+	first, last string
+	// versions are the software versions whose events the client has, each once.
+	versions []string
+	events   int
+	status   int
+}
+
+// begin sends a stream to a node and reads some of its events, all if count is zero.
+func (s *site) begin(address, path string, count int) *clientStream {
+	s.t.Helper()
+	c := &clientStream{}
+	s.read(c, address, path, count)
+	return c
+}
+
+// takeUp makes the client go on with a stream at a node.
+func (s *site) takeUp(c *clientStream, address, path string) {
+	s.t.Helper()
+	s.read(c, address, path, 0)
+}
+
+// read sends a try of a client's stream and reads up to count of its events, all if it is zero.
+func (s *site) read(c *clientStream, address, path string, count int) {
+	s.t.Helper()
+	request := s.requestAt(address, http.MethodPost, path, "")
+	request.Header.Set("X-Model", "m")
+	request.Header.Set("X-Token-Usage", "3000,20")
+	request.Header.Set("X-Prompt-Prefix", "aa:2000,"+request.Header.Get("X-Request-Id")+":1000")
+	if c.last != "" {
+		request.Header.Set("Last-Event-Id", c.last)
+		request.Header.Set("Resumes", c.first)
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		c.status = 0
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.status = response.StatusCode
+	if c.status != http.StatusOK {
+		return
+	}
+	for lines, read := bufio.NewScanner(response.Body), 0; lines.Scan(); {
+		if version, found := strings.CutPrefix(lines.Text(), fleetworker.SoftwareField); found && !slices.Contains(c.versions, version) {
+			c.versions = append(c.versions, version)
+		}
+		if id, found := strings.CutPrefix(lines.Text(), "id: "); found {
+			c.last = id
+			if c.first == "" {
+				c.first = request.Header.Get("X-Request-Id")
+			}
+		}
+		if strings.HasPrefix(lines.Text(), "data: ") {
+			c.events++
+			if read++; read == count {
+				return
+			}
+		}
+	}
+}
+
+// checkJoined fails the test if a client has events of more than one version.
+func (s *site) checkJoined(streams []*clientStream) {
+	s.t.Helper()
+	joined := 0
+	for _, c := range streams {
+		if len(c.versions) > 1 {
+			joined++
+		}
+	}
+	if joined > 0 {
+		s.t.Errorf("%d of %d streams hold events of several versions", joined, len(streams))
+	}
+}
+
+// checkWhole fails the test if a client has no complete stream.
+func (s *site) checkWhole(streams []*clientStream) {
+	s.t.Helper()
+	for i, c := range streams {
+		if c.status != http.StatusOK || c.events != 8 {
+			s.t.Errorf("stream %d ended with status %d after %d of 8 events", i, c.status, c.events)
+		}
+	}
+}
+
+func TestStreamGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+	t.Run("in one answer", func(t *testing.T) {
+		s := startVersions(t, "v1", "v2")
+		s.workers["write-v1-a"].SetFault(fleetworker.CutMidway, streamsOfAVersion)
+		s.workers["write-v2-a"].SetFault(fleetworker.CutMidway, streamsOfAVersion)
+		s.checkJoined(s.beginAll("/check/1", 0))
+		if !strings.Contains(s.logText(), `"try failed"`) {
+			t.Error("no stream broke off")
+		}
+	})
+	t.Run("taken up at the same node", func(t *testing.T) {
+		s := startVersions(t, "v1", "v2")
+		streams := s.beginAll("/check/1", 2)
+		s.takeUpAll(streams, s.address, "/check/1")
+		s.checkWhole(streams)
+	})
+	t.Run("taken up at another node", func(t *testing.T) {
+		s := startVersions(t, "v1", "v2")
+		streams := s.beginAll("/check/1", 2)
+		s.takeUpAll(streams, s.others[0].address, "/check/1")
+		s.checkWhole(streams)
+	})
+	t.Run("taken up after its node has ended", func(t *testing.T) {
+		s := startVersions(t, "v1", "v2")
+		streams := s.beginAll("/check/1", 4)
+		s.node.Close()
+		s.takeUpAll(streams, s.others[0].address, "/check/1")
+		s.checkWhole(streams)
+	})
+	t.Run("of a service that the route is split to", func(t *testing.T) {
+		s := startVersions(t, "v1")
+		streams := s.beginAll("/split/1", 2)
+		s.takeUpAll(streams, s.others[0].address, "/split/1")
+		s.checkWhole(streams)
+	})
+	t.Run("whose workers have left", func(t *testing.T) {
+		s := startVersions(t, "v1", "v2")
+		streams := s.beginAll("/check/1", 2)
+		for _, name := range []string{"write-v1-a", "write-v1-b", "read-1"} {
+			s.store.Put("servers", name, s.workers[name].Entry("draining"))
+		}
+		time.Sleep(2 * time.Second) // they get nothing more
+		begun := make([]string, 0, len(streams))
+		for _, c := range streams {
+			begun = append(begun, c.versions[0])
+		}
+		s.takeUpAll(streams, s.others[0].address, "/check/1")
+		for i, c := range streams {
+			if begun[i] == "v1" && c.status != http.StatusServiceUnavailable {
+				t.Errorf("a stream of v1 was answered %d", c.status)
+			}
+		}
+	})
+}
+
+// beginAll begins streams at the first node at once, and reads some events of each, all if count is
+// zero.
+func (s *site) beginAll(path string, count int) []*clientStream {
+	s.t.Helper()
+	streams := make([]*clientStream, streamsOfAVersion)
+	var begun sync.WaitGroup
+	for i := range streams {
+		begun.Go(func() { streams[i] = s.begin(s.address, path, count) })
+	}
+	begun.Wait()
+	for i, c := range streams {
+		if len(c.versions) == 0 {
+			s.t.Fatalf("stream %d was answered %d without an event", i, c.status)
+		}
+	}
+	return streams
+}
+
+// takeUpAll goes on with streams at a node at once, and fails the test if one of them then holds
+// events of several versions.
+func (s *site) takeUpAll(streams []*clientStream, address, path string) {
+	s.t.Helper()
+	var taken sync.WaitGroup
+	for _, c := range streams {
+		taken.Go(func() { s.takeUp(c, address, path) })
+	}
+	taken.Wait()
+	s.checkJoined(streams)
+}
