A stream that breaks off goes on only at the software version that began it

Cause: a stream that goes on was planned anew among all workers of its service but those tried. Nothing bound the second worker to the first.

Change: with the first event that its caller gets, a call that may be resumed is bound to the software version of the worker that wrote it. One predicate (scheduling.Request.admits) tells which workers may run it; whole and apart plans, the choice of a runner after its prompt was read, shortlist, preselection, regions, waiting and plain workers use it, the wait for a worker's pause uses its part on versions, and the version is looked at again when the request is sent. Where no worker of the version is left, the answer breaks off at once.

TestStreamWhoseVersionIsGoneBreaksOffBeforeItsDeadline and the tests of the scheduler are new: their Bound requests didn't exist before. Conclusion: the mend doesn't ask why a worker was chosen, so no way to choose one gets round it.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -239,8 +239,12 @@
 	if from != nil {
 		forward.Source = &from.handle
 	}
+	runner.Software = s.registry.Software(runner.ID)
 	work := newWork(s, runner, prompt)
 	defer work.end()
+	if work.refusal == nil {
+		work.refusal = s.softwareRefusal(runner)
+	}
 	again := s.chargeAgain()
 	answer, reply, err := s.sendAdmitted(ctx, runner, work.refusal, forward)
 	if err != nil {
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -198,6 +198,7 @@
 	if s.headGiven {
 		return
 	}
+	s.beginStream()
 	s.headGiven, s.vouches = true, length != UntilClose
 	s.first = time.Since(s.call.Arrived)
 	s.caller.Head(answer.Status, s.wire.AnswerHeader(answer.Header), length)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -84,6 +84,9 @@
 	// endProbe and software are as in Outcome.
 	endProbe workerconn.Liveness
 	software string
+	// bound tells that only workers with the version in software may run the call, since one of them
+	// has begun its stream.
+	bound bool
 	// answering is the worker whose answer is passed on.
 	answering scheduling.Candidate
 	// through is as in Outcome. unreached counts the tries for which neither this node nor another one
@@ -153,6 +156,8 @@
 		Patience:      s.call.patience(time.Now(), s.last),
 		Excluded:      s.excluded,
 		Failed:        s.failed,
+		Bound:         s.bound,
+		Software:      s.software,
 		SingleRead:    s.singleRead(),
 		PrefixWaits:   s.prefixWaits,
 		Begun:         s.headGiven,
--- a/internal/lab/site/software_test.go
+++ b/internal/lab/site/software_test.go
@@ -235,3 +235,18 @@
 	taken.Wait()
 	s.checkJoined(streams)
 }
+
+func TestStreamWhoseVersionIsGoneBreaksOffBeforeItsDeadline(t *testing.T) {
+	s := startVersions(t, "v1", "v2")
+	s.store.Put("servers", "write-v1-b", nil)
+	s.store.Put("servers", "write-v2-b", nil)
+	s.await("two engines have left", func() bool { return s.node.Workers() == len(s.workers)-2 })
+	time.Sleep(1500 * time.Millisecond) // they get nothing more
+	s.workers["write-v1-a"].SetFault(fleetworker.CutMidway, -1)
+	s.workers["write-v2-a"].SetFault(fleetworker.CutMidway, -1)
+	s.checkJoined(s.beginAll("/check/1", 0))
+	lines := s.logLinesWith(`"not answered"`)
+	if broken := strings.Count(lines, "code=3002"); broken != streamsOfAVersion {
+		t.Errorf("%d of %d streams broke off with 3002:\n%s", broken, streamsOfAVersion, lines)
+	}
+}
--- /dev/null
+++ b/internal/scheduling/binding_test.go
@@ -0,0 +1,63 @@
+package scheduling
+
+import (
+	"slices"
+	"testing"
+)
+
+func software(version string) func(*Candidate) { return func(c *Candidate) { c.Software = version } }
+
+func continuing(version string) func(*Request) {
+	return func(r *Request) { r.Bound, r.Software, r.Begun = true, version, true }
+}
+
+// Workers of the other version are cheaper in each example.
+func TestStreamIsNotContinuedAtAnotherVersionThatIsCheaper(t *testing.T) {
+	engines := []Candidate{
+		reader("read", software("v2")), decoder("busy", software("v1"), running(40)), decoder("idle", software("v2"), cached(17_000)),
+	}
+	scheduler := New(DefaultCosts())
+	for name, request := range map[string]Request{
+		"at its prompt's reader": prompt(continuing("v1")),
+		"short":                  prompt(continuing("v1"), short),
+		"waiting":                prompt(continuing("v1"), func(r *Request) { r.Waits = true }),
+		"single read":            prompt(continuing("v1"), func(r *Request) { r.SingleRead = true }),
+	} {
+		if plan := scheduler.Plan(request, engines); plan.Runner.ID != "busy" {
+			t.Errorf("%s: %s %s runs it (%s)", name, plan.Mode, plan.Runner.ID, plan.Reason)
+		}
+		if plan := scheduler.ChooseRunner(request, engines, ""); plan.Runner.ID != "busy" {
+			t.Errorf("%s: %s runs the prompt that was read", name, plan.Runner.ID)
+		}
+	}
+	plain := []Candidate{opaque("busy", software("v1"), running(5)), opaque("idle", software("v2"))}
+	if plan := scheduler.Plan(Request{Bound: true, Software: "v1"}, plain); plan.Runner.ID != "busy" {
+		t.Errorf("%s answers the opaque request", plan.Runner.ID)
+	}
+}
+
+func TestStreamWhoseVersionHasNoWorkerIsRefusedAtOnce(t *testing.T) {
+	engines := []Candidate{reader("read", software("v1")), decoder("write", software("v2"))}
+	for _, waits := range []bool{false, true} {
+		request := prompt(continuing("v1"), func(r *Request) { r.Waits = waits })
+		if plan := New(DefaultCosts()).Plan(request, engines); plan.Mode != Refused || plan.Reason != NoWorker {
+			t.Errorf("the plan is %s at %s (%s)", plan.Mode, plan.Runner.ID, plan.Reason)
+		}
+	}
+}
+
+// The few workers of a version are far behind those of another one in every order of preference.
+func TestShortlistHoldsTheWorkersOfTheVersion(t *testing.T) {
+	var workers []Candidate
+	for i := range 50 {
+		workers = append(workers, decoder(string(rune('a'+i)), software("v2"), func(c *Candidate) { c.Report = Unasked }))
+	}
+	workers = append(workers, decoder("old", software("v1"), otherZone, avoided, func(c *Candidate) { c.Report, c.SortKey = Unasked, 1 << 60 }))
+	request := prompt(continuing("v1"))
+	if names := Shortlist(request, outlines(workers)); !slices.Equal(names, []string{"old"}) {
+		t.Errorf("the shortlist is %v", names)
+	}
+	if chosen := Preselect(request, workers, false); len(chosen) != 1 || chosen[0].ID != "old" {
+		t.Errorf("%v were preselected", names(chosen))
+	}
+}
--- a/internal/scheduling/opaque.go
+++ b/internal/scheduling/opaque.go
@@ -5,7 +5,7 @@
 func (s *Scheduler) planOpaque(request Request, candidates []Candidate) Plan {
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
-		if request.Excluded[candidate.ID] {
+		if !request.admitsCandidate(candidate) {
 			continue
 		}
 		plan := s.opaqueByRoom(request, candidate)
--- a/internal/scheduling/regions.go
+++ b/internal/scheduling/regions.go
@@ -69,7 +69,7 @@
 func withinReach(request Request, candidates []Candidate) []Candidate {
 	sound := make(map[string]bool)
 	for _, candidate := range candidates {
-		if !candidate.Prefill && candidate.sound() && !request.Failed[candidate.ID] && !request.Excluded[candidate.ID] {
+		if !candidate.Prefill && candidate.sound() && !request.Failed[candidate.ID] && request.admitsCandidate(candidate) {
 			sound[candidate.Region] = true
 		}
 	}
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -115,7 +115,7 @@
 func (s *Scheduler) planWhole(request Request, candidates []Candidate) Plan {
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
-		if candidate.Prefill || candidate.SourceOnly || request.Excluded[candidate.ID] {
+		if candidate.Prefill || candidate.SourceOnly || !request.admitsCandidate(candidate) {
 			continue
 		}
 		prefill := s.cheapestPrefill(request, candidate, candidates)
@@ -152,7 +152,7 @@
 	best := refuse(NoWorker)
 	runners := make(map[string]Plan)
 	for _, candidate := range candidates {
-		if !candidate.Prefill || candidate.SourceOnly || request.Excluded[candidate.ID] || candidate.HandleFailure {
+		if !candidate.Prefill || candidate.SourceOnly || !request.admitsCandidate(candidate) || candidate.HandleFailure {
 			continue
 		}
 		runner, chosen := runners[candidate.Region]
@@ -192,7 +192,7 @@
 func (s *Scheduler) ChooseRunner(request Request, candidates []Candidate, region string) Plan {
 	best := refuse(NoWorker)
 	for _, candidate := range candidates {
-		if !candidate.Decode || candidate.SourceOnly || request.Excluded[candidate.ID] {
+		if !candidate.Decode || candidate.SourceOnly || !request.admitsCandidate(candidate) {
 			continue
 		}
 		time, price := s.crossRegionExtra(request, region, candidate)
--- a/internal/scheduling/shortlist.go
+++ b/internal/scheduling/shortlist.go
@@ -13,6 +13,8 @@
 type Outline struct {
 	ID      string
 	Prefill bool
+	// Software is as in Candidate.
+	Software string
 	// SameZone, SortKey and Hash are as in Candidate.
 	SameZone      bool
 	SortKey, Hash uint64
@@ -31,7 +33,7 @@
 func Shortlist(request Request, workers iter.Seq[Outline]) []string {
 	readers, others := newStageList(request, contentChoices*widenFactor), newStageList(request, 0)
 	for worker := range workers {
-		if request.Excluded[worker.ID] {
+		if !request.admits(worker.ID, worker.Prefill, worker.Software) {
 			continue
 		}
 		if worker.Prefill {
--- a/internal/scheduling/survey.go
+++ b/internal/scheduling/survey.go
@@ -66,7 +66,7 @@
 	var sound, unsound []Candidate
 	for _, candidate := range candidates {
 		switch {
-		case request.Excluded[candidate.ID]:
+		case !request.admitsCandidate(candidate):
 		case candidate.sound() && !request.Failed[candidate.ID]:
 			sound = append(sound, candidate)
 		default:
@@ -186,7 +186,7 @@
 // outline returns the part of a candidate that a shortlist is made from.
 func (c Candidate) outline() Outline {
 	return Outline{
-		ID: c.ID, Prefill: c.Prefill, SameZone: c.SameZone, SortKey: c.SortKey, Hash: c.Hash,
+		ID: c.ID, Prefill: c.Prefill, Software: c.Software, SameZone: c.SameZone, SortKey: c.SortKey, Hash: c.Hash,
 		Sound: c.sound(), Tracked: c.Report != Unasked,
 	}
 }
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -183,6 +183,10 @@
 	// Excluded workers must not get this request again. Failed ones have run it and failed, or
 	// couldn't be reached, and get it only if no other is left.
 	Excluded, Failed map[string]bool
+	// Bound tells that the request continues a stream, which only workers with the software version
+	// Software may do.
+	Bound    bool
+	Software string
 	// Content identifies the prefix that the prompt shares with others, zero if that is too
 	// short to be placed by content.
 	Content uint64
--- a/internal/scheduling/waiting.go
+++ b/internal/scheduling/waiting.go
@@ -132,7 +132,7 @@
 	runners := make(map[string]Plan)
 	var plans []Plan
 	for _, candidate := range lateView {
-		if !candidate.Prefill || candidate.SourceOnly || request.Excluded[candidate.ID] {
+		if !candidate.Prefill || candidate.SourceOnly || !request.admitsCandidate(candidate) {
 			continue
 		}
 		runner, chosen := runners[candidate.Region]
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -60,7 +60,7 @@
 
 func (r *Registry) outline(known *workerState, tracked bool, now time.Time) scheduling.Outline {
 	return scheduling.Outline{
-		ID: known.worker.ID, Prefill: known.worker.Stage == Prefill,
+		ID: known.worker.ID, Prefill: known.worker.Stage == Prefill, Software: known.worker.Software,
 		SameZone: r.places.DistanceTo(known.worker.Zone) == topology.SameZone,
 		SortKey:  known.sortKey, Hash: known.hash, Tracked: tracked,
 		Sound: r.isStaying(known, now) && !known.isAvoided(now) && !known.handleBreaker.Open(now) && known.turnWait(now) == 0,
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -213,6 +213,18 @@
 	return known.worker, true
 }
 
+// Software returns the software version of a worker, empty if the worker isn't known or its entry
+// doesn't tell it.
+func (r *Registry) Software(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, exists := r.workers[id]
+	if !exists {
+		return ""
+	}
+	return known.worker.Software
+}
+
 // Address returns the address of a worker that is listed, or was within forgetAfter.
 func (r *Registry) Address(id string) (string, bool) {
 	r.mu.Lock()
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -210,15 +210,19 @@
 
 // UsableIn returns the time until the first of the workers that can answer requests of a
 // service accepts another one from this node, zero if one does now. It returns false if there is
-// no such worker, or none has ever announced anything. Workers in except don't count.
-func (r *Registry) UsableIn(service string, except map[string]bool, now time.Time) (first time.Duration, found bool) {
+// no such worker, or none has ever announced anything. Only workers that the function accepts count;
+// nil accepts all.
+func (r *Registry) UsableIn(service string, accepts func(w Worker) bool, now time.Time) (first time.Duration, found bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.noticeStates) == 0 {
 		return 0, false // saves looking at each worker of a large fleet
 	}
 	for id, known := range r.workers {
-		if known.worker.Service != service || known.worker.Stage == Prefill || except[id] || !r.isStaying(known, now) || known.isChanging(now) {
+		if accepts != nil && !accepts(known.worker) {
+			continue
+		}
+		if known.worker.Service != service || known.worker.Stage == Prefill || !r.isStaying(known, now) || known.isChanging(now) {
 			continue
 		}
 		wait := r.noticeStates[id].BackoffRemaining(now)
