A stream that a client takes up goes on only at the service and version that began it

Cause: the node that begins a stream forgets it with the end of its answer, no other node ever knows of it, and a request with Last-Event-Id was routed and planned like a new one.

Change: with the first event a node remembers the stream's service and software version under its tenant and attempt, and tells the homes of the worker with the load message that is due then anyway, and once more. A node that is asked to go on looks the attempt up (Resumes), asks all other nodes where it doesn't know it, and sends the request to workers of that service and version only. Where nobody knows the attempt, the stream goes on only if the route can have had no other service and version for as long as a stream may have lasted, by a list that was confirmed after the request came; another node may vouch for the time before this one started. Else it is refused as not run: 2013, the version has gone, without Retry-After, since soon is no use; 2014, nobody knows, with Retry-After only if a node was silent. What goes on isn't refused or held for late work, as within one answer. Questions are bounded by a rate, since any caller can cause them.

Conclusion: an origin is told only after it is true, and an unknown one is never guessed, so a lost message costs a refusal and not a joined stream.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -15,6 +15,7 @@
 	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/result"
+	"github.com/tinarch/tinarch/internal/resumption"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/tenant"
@@ -55,6 +56,10 @@
 	// Resumes is the ID of the caller's attempt that brought the first event of the stream to be
 	// continued, empty if the caller doesn't tell it.
 	Resumes string
+	// Origin is the origin of that stream, nil if the call doesn't continue one. OriginSource tells
+	// how it was found.
+	Origin       *resumption.Origin
+	OriginSource resumption.Source
 
 	// Fingerprint identifies what the request asks for, regardless of its ID. The dispatcher
 	// sets it.
@@ -65,6 +70,20 @@
 	Deadline time.Time
 }
 
+// ContinuesStream reports whether the call is to continue a stream that an earlier attempt of its
+// caller has begun.
+func (c *Call) ContinuesStream() bool {
+	return c.Route.Streams() && c.Route.Resumable && (c.LastEventID != "" || c.Resumes != "")
+}
+
+// StreamKey returns the key of the call's stream.
+func (c *Call) StreamKey() resumption.Key {
+	if c.ContinuesStream() && c.Resumes != "" {
+		return resumption.KeyOf(c.Tenant.Name(), c.Resumes)
+	}
+	return resumption.KeyOf(c.Tenant.Name(), c.ID)
+}
+
 // Priority is the priority of the request, which depends on its tenant and route. Zero is the
 // most urgent.
 func (c *Call) Priority() int { return c.Tenant.Priority(c.Route.Priority) }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -40,8 +40,10 @@
 	// freshness returns the versions and ages of the data that decisions are based on.
 	freshness func() Freshness
 	// began counts a tenant's request that a worker has begun to run.
-	began    func(tenant string, at time.Time)
-	overload Overload
+	began func(tenant string, at time.Time)
+	// streamBegun records the streams that callers get.
+	streamBegun func(stream worker.Stream)
+	overload    Overload
 	// waits lets late calls wait for engines, nil if there are no other nodes. heldCalls are
 	// those that wait at this node.
 	waits     Waits
@@ -83,6 +85,9 @@
 	// Began is called once for each request that a worker has begun to run, with the name of
 	// its tenant. It may be nil.
 	Began func(tenant string, at time.Time)
+	// StreamBegun is called with each stream that may be continued, when a caller is about to get
+	// its first event from this node. It may be nil.
+	StreamBegun func(stream worker.Stream)
 	// Repeated is called before a worker gets a request that may have run already, with the
 	// charge for this further run. It may be nil.
 	Repeated func(charge quota.Charge)
@@ -122,6 +127,10 @@
 	if began == nil {
 		began = func(string, time.Time) {}
 	}
+	streamBegun := options.StreamBegun
+	if streamBegun == nil {
+		streamBegun = func(worker.Stream) {}
+	}
 	repeated := options.Repeated
 	if repeated == nil {
 		repeated = func(quota.Charge) {}
@@ -142,6 +151,7 @@
 		quarantine:    quarantined,
 		turns:         turns,
 		began:         began,
+		streamBegun:   streamBegun,
 		overload:      options.Overload.withDefaults(),
 		waits:         options.Waits,
 		heldCalls:     &heldCalls{limit: options.HeldBytes},
@@ -207,6 +217,9 @@
 		excluded: make(map[string]bool), failed: make(map[string]bool), turnsHeld: make(map[string]time.Time),
 		resumeAfter: call.LastEventID,
 	}
+	if call.Origin != nil {
+		s.bound, s.software = true, call.Origin.Software
+	}
 	defer s.freeKept()
 	defer s.endLateWait()
 	defer s.countPrefixWait()
--- a/internal/dispatch/origin.go
+++ b/internal/dispatch/origin.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
+	"github.com/tinarch/tinarch/internal/resumption"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/worker"
 )
@@ -31,10 +32,19 @@
 }
 
 // beginStream binds the call to the software version of the worker whose first event the caller is
-// about to get.
+// about to get, and lets the other nodes know of the stream.
 func (s *session) beginStream() {
-	if s.bound || !s.call.Route.Resumable {
+	if !s.call.Route.Streams() || !s.call.Route.Resumable {
 		return
 	}
 	s.bound, s.software = true, s.answering.Software
+	s.streamBegun(worker.Stream{
+		Worker: s.answering.ID, Key: s.call.StreamKey(),
+		Origin: resumption.Origin{Service: s.call.Service.Name, Software: s.software},
+	})
+}
+
+// isVersionGone reports whether the call continues a stream and no worker that may run it is left.
+func (s *session) isVersionGone() bool {
+	return s.bound && !s.registry.Serves(s.call.Service.Name, s.software)
 }
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -160,7 +160,7 @@
 		Software:      s.software,
 		SingleRead:    s.singleRead(),
 		PrefixWaits:   s.prefixWaits,
-		Begun:         s.headGiven,
+		Begun:         s.headGiven || s.bound,
 		NoApart:       s.wasReadApart,
 		Content:       s.call.content(),
 	}
@@ -320,6 +320,9 @@
 	if s.mayHaveRunBefore {
 		return s.end(Outcome{Code: codeOfLost(nil, s.call.Route.Repeatable()), Detail: string(plan.Reason)})
 	}
+	if plan.Reason == scheduling.NoWorker && s.isVersionGone() {
+		return s.end(Outcome{Code: result.StreamVersionGone, Detail: "no worker of " + s.call.Service.Name + " has version " + s.software + " of the software"})
+	}
 	code := result.NoEngine
 	switch {
 	case s.unreached > 0 && s.attempts == 0:
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -43,6 +43,8 @@
 	metrics  *Metrics
 	// quotas is nil if no tenant has a limit.
 	quotas Quotas
+	// origins is nil if streams may be continued anywhere.
+	origins Origins
 	// configurationAge returns the time since the configuration was last confirmed to be
 	// current.
 	configurationAge func() time.Duration
@@ -63,6 +65,9 @@
 	Metrics *Metrics
 	// Quotas charges tenants that have a limit. It may be nil if none has.
 	Quotas Quotas
+	// Origins finds where streams began that callers take up again. It may be nil where it doesn't
+	// matter.
+	Origins Origins
 	// ConfigurationAge returns the time since the configuration was last confirmed to be
 	// current. If it is nil, the configuration counts as always current.
 	ConfigurationAge func() time.Duration
@@ -76,7 +81,7 @@
 	h := &Handler{
 		configurationAge: options.ConfigurationAge, configurationBehind: options.ConfigurationBehind,
 		parser: options.Parser, runner: options.Runner, log: options.Log, metrics: options.Metrics,
-		quotas:   options.Quotas,
+		quotas: options.Quotas, origins: options.Origins,
 		splitter: routing.NewSplitter(rand.IntN),
 	}
 	if h.configurationAge == nil {
@@ -174,7 +179,10 @@
 	if parseErr != nil {
 		return call, result.New(result.InvalidRequest, "%v", parseErr)
 	}
-	// The configuration may have changed while the body was received.
+	if failure := h.findOrigin(request.Context(), call); failure != nil {
+		return call, failure
+	}
+	// The configuration may have changed meanwhile.
 	if newest := h.table.Load(); newest != table {
 		table = newest
 		if admitted, failure = h.admit(table, request); failure != nil {
@@ -183,12 +191,7 @@
 		call.Route, call.Tenant = admitted.route, admitted.tenant
 	}
 	call.RoutesVersion = table.Version
-	service := h.splitter.Choose(call.Route)
-	call.Service = table.Service(service)
-	if call.Service == nil {
-		return call, result.New(result.NoEngine, "route %s has no service with a weight", call.Route.Name).WithRetryAfter(notConfiguredRetryAfter)
-	}
-	return call, nil
+	return call, h.chooseService(table, call)
 }
 
 // headerBytes returns the approximate size of a request's header.
@@ -302,7 +305,7 @@
 		"attempts": outcome.Attempts, "first_ms": outcome.First.Milliseconds(),
 		"last_ms": outcome.Last.Milliseconds(), "gap_ms": outcome.Gap.Milliseconds(), "pieces": outcome.Pieces,
 		"framing": outcome.Framing, "ending": outcome.Ending, "end_probe": outcome.EndProbe, "through": outcome.Through,
-		"resumes": call.Resumes, "after": call.LastEventID, "software": outcome.Software,
+		"resumes": call.Resumes, "after": call.LastEventID, "origin": call.OriginSource, "software": outcome.Software,
 		"took_ms": took.Milliseconds(), "retry_after_ms": outcome.RetryAfter.Milliseconds(),
 		"detail": outcome.Detail,
 	})
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -11,7 +11,9 @@
 
 // Metrics counts requests and measures their duration.
 type Metrics struct {
-	requests  *prometheus.CounterVec
+	requests *prometheus.CounterVec
+	// takenUp counts the requests that continue a stream.
+	takenUp   *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
 	total     *prometheus.HistogramVec
 }
@@ -23,6 +25,9 @@
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tinarch_requests_total", Help: "Requests by result code.",
 		}, []string{"code"}),
+		takenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tinarch_streams_taken_up_total", Help: "Requests that continue a stream, by how it was found where that began, and by result code.",
+		}, []string{"origin", "code"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "tinarch_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: buckets,
 		}, []string{"kind"}),
@@ -30,7 +35,7 @@
 			Name: "tinarch_request_seconds", Help: "Time to the end of a request.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	registry.MustRegister(metrics.requests, metrics.firstByte, metrics.total)
+	registry.MustRegister(metrics.requests, metrics.takenUp, metrics.firstByte, metrics.total)
 	return metrics
 }
 
@@ -40,6 +45,9 @@
 		kind = string(call.Route.Kind)
 	}
 	m.requests.WithLabelValues(strconv.Itoa(int(outcome.Code))).Inc()
+	if call.OriginSource != "" {
+		m.takenUp.WithLabelValues(string(call.OriginSource), strconv.Itoa(int(outcome.Code))).Inc()
+	}
 	if outcome.HeadGiven {
 		m.firstByte.WithLabelValues(kind).Observe(outcome.First.Seconds())
 	}
--- a/internal/lab/site/software_test.go
+++ b/internal/lab/site/software_test.go
@@ -93,6 +93,8 @@
 	request.Header.Set("X-Prompt-Prefix", "aa:2000,"+request.Header.Get("X-Request-Id")+":1000")
 	if c.last != "" {
 		request.Header.Set("Last-Event-Id", c.last)
+	}
+	if c.first != "" {
 		request.Header.Set("Resumes", c.first)
 	}
 	ctx, leave := context.WithCancel(context.Background())
@@ -250,3 +252,35 @@
 		t.Errorf("%d of %d streams broke off with 3002:\n%s", broken, streamsOfAVersion, lines)
 	}
 }
+
+func TestStreamThatNobodyKnowsIsRefusedWhereSeveralVersionsServe(t *testing.T) {
+	s := startVersions(t, "v1", "v2")
+	for name, c := range map[string]*clientStream{
+		"an attempt that nobody knows": {first: "ffffffffffffffff", last: "2"},
+		"no attempt named":             {last: "2"},
+	} {
+		s.takeUp(c, s.address, "/check/1")
+		if c.status != http.StatusServiceUnavailable || c.events > 0 {
+			t.Errorf("%s: answered %d with %d events", name, c.status, c.events)
+		}
+	}
+	for _, worker := range s.workers {
+		if runs := worker.Runs(); len(runs) > 0 {
+			t.Errorf("%s ran %d requests that were refused as not run", worker.ID(), len(runs))
+		}
+	}
+}
+
+func TestStreamIsTakenUpAgainAndAgain(t *testing.T) {
+	s := startVersions(t, "v1", "v2")
+	streams := s.beginAll("/check/1", 2)
+	for _, node := range append(s.others, &otherNode{address: s.address}) {
+		var taken sync.WaitGroup
+		for _, c := range streams {
+			taken.Go(func() { s.read(c, node.address, "/check/1", 2) })
+		}
+		taken.Wait()
+	}
+	s.checkJoined(streams)
+	s.checkWhole(streams)
+}
--- a/internal/nodeexchange/ask.go
+++ b/internal/nodeexchange/ask.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tinarch/tinarch/internal/prefixcache"
+	"github.com/tinarch/tinarch/internal/resumption"
 	"github.com/tinarch/tinarch/internal/scheduling"
 )
 
@@ -30,6 +31,10 @@
 	// Parts are the parts of the request's prompt, encoded as in a cache update.
 	Parts []string `json:"p,omitempty"`
 	Rank  int      `json:"r,omitempty"`
+	// Stream asks where a stream began, and for the sole origin of the route Route. An earlier build
+	// answers neither.
+	Stream string `json:"s,omitempty"`
+	Route  string `json:"o,omitempty"`
 	// Sent is when the question was sent, in microseconds on the asking node's clock. The reply
 	// repeats it, so that the asking node can measure the round trip to another region.
 	Sent int64 `json:"t,omitempty"`
@@ -45,6 +50,10 @@
 	// Holders are workers that hold the content, encoded as in Message.Contents.
 	Holders []string `json:"c,omitempty"`
 	Sent    int64    `json:"t,omitempty"`
+	// Origin is the origin of the stream that was asked for, nil if it isn't known, and Sole the
+	// sole origin of its route, nil if there are several.
+	Origin *wireOrigin `json:"o,omitempty"`
+	Sole   *wireSole   `json:"os,omitempty"`
 	// Limits are the request limits that workers have stated.
 	Limits map[string]wireLimit `json:"lm,omitempty"`
 	// Draining are workers that have announced that they are about to end.
@@ -103,6 +112,9 @@
 	asked   map[netip.AddrPort]bool
 	reports map[string]scheduling.LoadReport
 	holders []scheduling.Holder
+	// origins are the answers about a stream, and sent is when that question was sent.
+	origins resumption.Answers
+	sent    time.Time
 	done    chan struct{}
 	// extraWait is how much longer than usual to wait for answers, since some come from another
 	// region.
@@ -277,6 +289,7 @@
 		Limits:    renderLimits(e.registry.Limits(asked.Workers), time.Now()),
 		Slowdowns: renderSlowdowns(e.registry.HostStatements(asked.Workers), time.Now()),
 	}
+	e.answerOrigin(asked, answered)
 	if content, _ := scheduling.Content(parts); asked.Content && content != 0 {
 		answered.Holders = e.holdersOf(content)
 	}
@@ -308,7 +321,8 @@
 		e.logMalformed(from, err)
 	}
 	delete(pending.asked, from)
-	if len(pending.asked) == 0 {
+	pending.addOrigin(answered)
+	if len(pending.asked) == 0 || pending.origins.Known {
 		close(pending.done)
 		delete(e.pendingQuestions, answered.ID)
 	}
--- a/internal/nodeexchange/ask_test.go
+++ b/internal/nodeexchange/ask_test.go
@@ -29,8 +29,19 @@
 	return clusterWithCoordinators(t, make([]TableCoordinator, nodes), workers...)
 }
 
+// clusterWith is cluster with exchanges that are prepared before they run.
+func clusterWith(t *testing.T, nodes int, prepare func(exchanges []*Exchange), workers ...string) ([]*Exchange, []*worker.Registry) {
+	t.Helper()
+	return preparedCluster(t, make([]TableCoordinator, nodes), prepare, workers...)
+}
+
 // clusterWithCoordinators runs one exchange for each coordinator.
 func clusterWithCoordinators(t *testing.T, coordinators []TableCoordinator, workers ...string) ([]*Exchange, []*worker.Registry) {
+	t.Helper()
+	return preparedCluster(t, coordinators, func([]*Exchange) {}, workers...)
+}
+
+func preparedCluster(t *testing.T, coordinators []TableCoordinator, prepare func(exchanges []*Exchange), workers ...string) ([]*Exchange, []*worker.Registry) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var exchanges []*Exchange
@@ -46,6 +57,7 @@
 		exchanges = append(exchanges, exchange)
 		listed = append(listed, Peer{Node: exchange.node, Address: exchange.peers.address, Zone: "zone"})
 	}
+	prepare(exchanges)
 	for _, exchange := range exchanges {
 		exchange.AddPeers(listed)
 		go exchange.Run(ctx)
--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/tinarch/tinarch/internal/quarantine"
+	"github.com/tinarch/tinarch/internal/resumption"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
@@ -59,6 +61,12 @@
 	turns *quotaExchange
 	// quarantine is nil where no requests are quarantined. It has its own lock.
 	quarantine *quarantine.Manager
+	// origins are the streams of all nodes that this one knows, and originHistory is what it has
+	// followed of routes and workers. They are nil where no streams are continued.
+	origins       *resumption.Store
+	originHistory resumption.History
+	// originQuestions bounds the questions about streams, since any caller can cause them.
+	originQuestions *rate.Limiter
 	// waits are the requests that wait for engines. It has its own lock, and takes mu while it
 	// holds it.
 	waits *waitQueue
@@ -263,6 +271,7 @@
 	snapshot := e.registry.Snapshot()
 	e.outbox.add(snapshot)
 	snapshot.CacheUpdates, snapshot.Failures = e.outbox.next(now, periodic)
+	snapshot.Streams = e.outbox.nextStreams(periodic)
 	e.sequence++
 	base := Message{Node: e.node, Sequence: e.sequence}
 	if periodic {
@@ -542,4 +551,5 @@
 	e.receiveDraining(message.Node, message.Draining, now)
 	e.registry.MergeHostStatements(parseSlowdowns(message.Slowdowns, now))
 	e.registry.MergeReadings(parseReadings(message.Readings))
+	e.receiveStreams(from, message.Streams, now)
 }
--- a/internal/nodeexchange/message.go
+++ b/internal/nodeexchange/message.go
@@ -61,6 +61,8 @@
 	// Turns requests, answers or reports turns at workers that limit their requests per second.
 	// Such a message holds nothing else.
 	Turns *quotaMessage `json:"tn,omitempty"`
+	// Streams holds streams of the sender's callers, by what began them.
+	Streams []wireStreams `json:"st,omitempty"`
 	// Demand holds for each service what the sender's callers want: prompt tokens to be
 	// prefilled per second, thousandths of running requests, and their tokens of memory.
 	Demand map[string]wireDemand `json:"d,omitempty"`
@@ -238,6 +240,7 @@
 	message.Draining = snapshot.Draining
 	message.Readings = renderReadings(snapshot.Readings)
 	message.Slowdowns = renderSlowdowns(snapshot.Hosts, time.Now())
+	message.Streams = renderStreams(snapshot.Streams)
 	return message
 }
 
--- a/internal/nodeexchange/outbox.go
+++ b/internal/nodeexchange/outbox.go
@@ -9,6 +9,10 @@
 // maxParts bounds the prompt parts in one message. The rest waits for the next one.
 const maxParts = 250
 
+// maxStreams bounds the streams in one message, or the repeated ones among them: at some 20 bytes
+// each, they leave room for the rest of the message.
+const maxStreams = 100
+
 // outbox holds what is still to be sent to other nodes. It doesn't read the clock: callers pass
 // the time.
 type outbox struct {
@@ -17,6 +21,8 @@
 	// pending are cache updates that were not sent yet. toRepeat are those that the next
 	// periodic message sends a second time, since a datagram may be lost.
 	pending, toRepeat []worker.CacheUpdate
+	// streams and streamsToRepeat are the same for streams.
+	streams, streamsToRepeat []worker.Stream
 	// failures are sent only once, since the receivers would count a repeated one twice.
 	failures []string
 	// lastSent is when the last message was sent, and lastPeriodic when the last periodic one
@@ -28,6 +34,7 @@
 func (o *outbox) add(snapshot worker.Snapshot) {
 	o.pending = append(o.pending, snapshot.CacheUpdates...)
 	o.failures = append(o.failures, snapshot.Failures...)
+	o.streams = append(o.streams, snapshot.Streams...)
 }
 
 // due reports whether a message is to be sent now, and whether it is a periodic one.
@@ -39,7 +46,7 @@
 }
 
 // hasPending reports whether there is anything to send before the next periodic message.
-func (o *outbox) hasPending() bool { return o.changed || len(o.pending) > 0 }
+func (o *outbox) hasPending() bool { return o.changed || len(o.pending)+len(o.streams) > 0 }
 
 // untilDue returns the time until a message is due.
 func (o *outbox) untilDue(now time.Time) time.Duration {
@@ -64,6 +71,21 @@
 	return updates, failures
 }
 
+// nextStreams returns the streams for the message that is sent now.
+func (o *outbox) nextStreams(periodic bool) []worker.Stream {
+	count := min(len(o.streams), maxStreams)
+	fresh := o.streams[:count:count]
+	o.streams = o.streams[count:]
+	streams := fresh
+	if periodic {
+		count = min(len(o.streamsToRepeat), maxStreams)
+		streams = append(o.streamsToRepeat[:count:count], fresh...)
+		o.streamsToRepeat = o.streamsToRepeat[count:]
+	}
+	o.streamsToRepeat = append(o.streamsToRepeat, fresh...)
+	return streams
+}
+
 // takePending removes cache updates from the pending ones until a message is full. takeRepeated
 // does the same with those to be repeated.
 func (o *outbox) takePending() (fresh []worker.CacheUpdate) {
--- a/internal/nodeexchange/subjects.go
+++ b/internal/nodeexchange/subjects.go
@@ -18,6 +18,9 @@
 	for _, read := range snapshot.CacheUpdates {
 		subjects = append(subjects, read.Worker)
 	}
+	for _, stream := range snapshot.Streams {
+		subjects = append(subjects, stream.Worker)
+	}
 	for _, prefill := range snapshot.Prefills {
 		subjects = append(subjects, prefill.Worker)
 	}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -51,6 +51,8 @@
 	TenantQuota         Code = 2010
 	RequestQuarantined  Code = 2011
 	WorkersUnreached    Code = 2012
+	StreamVersionGone   Code = 2013
+	StreamOriginUnknown Code = 2014
 	OutcomeUnknown      Code = 3001
 	AnswerCut           Code = 3002
 	CallerGone          Code = 3003
@@ -117,6 +119,8 @@
 	{TenantQuota, "tenant_quota", DidNotRun, true, 429, "resource_exhausted", "The tenant has used what its quota allows over all nodes together.", "Come back after the Retry-After time; operators see the log line \"over quota\"."},
 	{RequestQuarantined, "request_quarantined", DidNotRun, true, 503, "failed_precondition", "Workers crashed each time they ran a request with this method, path, tenant and body, so for now it is not sent to any worker.", "Change the request, or come back after the Retry-After time. Operators see the log line \"request quarantined\" and can release it."},
 	{WorkersUnreached, "workers_unreached", DidNotRun, true, 503, "unavailable", "The node reaches none of the workers that it tried, and no other node that it could ask does.", "Come back after the Retry-After time; another node may answer. Operators see the log line \"the link to a worker is lost\" and the metric tinarch_worker_links_lost."},
+	{StreamVersionGone, "stream_version_gone", DidNotRun, true, 503, "failed_precondition", "The request continues a stream, and no worker is left of the service and software version that began it, or the route no longer leads there. What another version writes doesn't fit.", "Begin the stream anew, without Last-Event-Id; the same request won't succeed soon."},
+	{StreamOriginUnknown, "stream_origin_unknown", DidNotRun, true, 503, "unavailable", "The request continues a stream, and no node that answers knows which service and software version began it, while several may have.", "With a Retry-After time, come back after it: another node may know. Without one, begin the stream anew, without Last-Event-Id."},
 	{OutcomeUnknown, "outcome_unknown", Unknown, false, 502, "aborted", "The request may have run; its outcome can't be determined.", "Do not send it as a new request before checking its effects."},
 	{AnswerCut, "answer_cut", Ran, true, 502, "aborted", "The answer broke off and could not be resumed. Returned only for repeatable kinds.", "Send the request again."},
 	{CallerGone, "caller_gone", Unknown, true, 499, "canceled", "The caller left before the answer was complete.", "Nothing."},
--- /dev/null
+++ b/internal/resumption/resolver_test.go
@@ -0,0 +1,80 @@
+package resumption
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// fakes answer as another node, and as this node's history.
+type fakes struct {
+	answers Answers
+	sole    Sole
+	several bool
+}
+
+func (f fakes) AskOrigin(context.Context, Question) Answers { return f.answers }
+
+func (f fakes) SoleOrigin(string) (Sole, bool) { return f.sole, !f.several }
+
+func TestStreamGoesOnOnlyWhereItIsKnownToHaveBegun(t *testing.T) {
+	const past = 30 * time.Second
+	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
+	arrived := time.Now()
+	before := func(span time.Duration) time.Time { return arrived.Add(-span) }
+	followed := Sole{Origin: v1, Since: before(past), Confirmed: arrived}
+	started := Sole{Origin: v1, Since: before(2 * time.Second), Confirmed: arrived}
+	vouch := func(o Origin, since, confirmed time.Duration) Answers {
+		return Answers{Soles: []Sole{{Origin: o, Since: before(since), Confirmed: before(confirmed)}}}
+	}
+	for name, example := range map[string]struct {
+		fakes  fakes
+		want   Origin
+		source Source
+	}{
+		"another node knows it":            {fakes{answers: Answers{Origin: v2, Known: true}, sole: followed}, v2, FromNode},
+		"no other version":                 {fakes{sole: followed}, v1, FromSole},
+		"several versions":                 {fakes{sole: followed, several: true}, Origin{}, NotFound},
+		"several versions, a silent node":  {fakes{several: true, answers: Answers{Silent: 1}}, Origin{}, NotReachable},
+		"started a moment ago":             {fakes{sole: started}, Origin{}, NotFound},
+		"another node followed it":         {fakes{sole: started, answers: vouch(v1, past, 0)}, v1, FromSole},
+		"the other followed another one":   {fakes{sole: started, answers: vouch(v2, past, 0)}, Origin{}, NotFound},
+		"the other didn't follow for long": {fakes{sole: started, answers: vouch(v1, past-time.Second, 0)}, Origin{}, NotFound},
+		"the other's list is old":          {fakes{sole: started, answers: vouch(v1, past, 3*time.Second)}, Origin{}, NotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			resolver := NewResolver(NewStore(), example.fakes, example.fakes)
+			got, source, failure := resolver.Resolve(t.Context(), Request{Key: 1, Arrived: arrived, Past: past})
+			if diff := cmp.Diff(example.want, got); diff != "" || source != example.source || (failure == nil) != (got != Origin{}) {
+				t.Errorf("%s (%s, %v)", diff, source, failure)
+			}
+			if failure != nil && (failure.RetryAfterMillis > 0) != (source == NotReachable) {
+				t.Errorf("Retry-After is %d ms", failure.RetryAfterMillis)
+			}
+		})
+	}
+}
+
+// A version that began the stream was listed before the request came, which an older list doesn't
+// show.
+func TestListOlderThanTheRequestProvesNoSoleVersion(t *testing.T) {
+	arrived := time.Now()
+	history := fakes{sole: Sole{Origin: Origin{"s", "v1"}, Since: arrived.Add(-time.Hour), Confirmed: arrived.Add(-time.Millisecond)}}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	got, source, failure := NewResolver(NewStore(), fakes{}, history).Resolve(ctx, Request{Key: 1, Arrived: arrived, Past: time.Second})
+	if failure == nil {
+		t.Errorf("the stream goes on at %v (%s)", got, source)
+	}
+}
+
+func TestStreamWithoutAnAttemptIsLookedUpNowhere(t *testing.T) {
+	store := NewStore()
+	store.Put(0, Origin{"s", "v2"}, time.Now())
+	got, source, _ := NewResolver(store, fakes{}, fakes{several: true}).Resolve(t.Context(), Request{Arrived: time.Now()})
+	if source != NotFound {
+		t.Errorf("the stream goes on at %v (%s)", got, source)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -229,6 +229,15 @@
 	return found
 }
 
+// Routes returns all routes, in no order.
+func (t *Table) Routes() []*Route {
+	routes := make([]*Route, 0, t.RouteCount())
+	for _, routesOfHost := range t.byHost {
+		routes = append(routes, routesOfHost...)
+	}
+	return routes
+}
+
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int {
 	count := 0
--- a/internal/scheduling/binding_test.go
+++ b/internal/scheduling/binding_test.go
@@ -52,7 +52,7 @@
 	for i := range 50 {
 		workers = append(workers, decoder(string(rune('a'+i)), software("v2"), func(c *Candidate) { c.Report = Unasked }))
 	}
-	workers = append(workers, decoder("old", software("v1"), otherZone, avoided, func(c *Candidate) { c.Report, c.SortKey = Unasked, 1 << 60 }))
+	workers = append(workers, decoder("old", software("v1"), otherZone, avoided, func(c *Candidate) { c.Report, c.SortKey = Unasked, 1<<60 }))
 	request := prompt(continuing("v1"))
 	if names := Shortlist(request, outlines(workers)); !slices.Equal(names, []string{"old"}) {
 		t.Errorf("the shortlist is %v", names)
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -71,6 +71,7 @@
 			n.registry.SetCacheCapacity(service.Name, service.Engine.MemoryTokens)
 		}
 	}
+	n.routes.update(table, time.Now())
 	n.front.SetTable(table)
 	keys := 0
 	if table.Tenants != nil {
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -27,6 +27,7 @@
 	"github.com/tinarch/tinarch/internal/notices"
 	"github.com/tinarch/tinarch/internal/prefixcache"
 	"github.com/tinarch/tinarch/internal/quarantine"
+	"github.com/tinarch/tinarch/internal/resumption"
 	"github.com/tinarch/tinarch/internal/retry"
 	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/rowstore"
@@ -140,6 +141,11 @@
 	tally     *usage.Tally
 	collector *usage.Collector
 
+	// origins are the streams of all nodes' callers that this node knows, and routes is what it has
+	// followed of the routes.
+	origins *resumption.Store
+	routes  *routeHistory
+
 	incarnation string
 	cancel      context.CancelFunc
 	work        sync.WaitGroup
@@ -155,6 +161,8 @@
 		pool:        workerconn.NewPool(),
 		large:       make(chan struct{}),
 		restored:    make(chan struct{}, 1),
+		origins:     resumption.NewStore(),
+		routes:      &routeHistory{},
 		incarnation: nodeexchange.NewIncarnation(),
 	}
 	metrics := prometheus.NewRegistry()
@@ -165,6 +173,7 @@
 		return nil, err
 	}
 	n.exchange = exchange
+	exchange.SetOrigins(n.origins, originHistory{n})
 	n.registry.FollowShared(configured.Overload.ColdStart.Selects)
 	exchange.SetTopology(topologyOf(configured))
 	exchange.SetMetrics(nodeexchange.NewMetrics(metrics))
@@ -187,6 +196,7 @@
 	n.front = ingress.New(ingress.Options{
 		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: ingress.NewMetrics(metrics),
 		ConfigurationAge: n.configurationAge, ConfigurationBehind: n.configurationBehind, Quotas: quotas,
+		Origins: resumption.NewResolver(n.origins, exchange, originHistory{n}),
 	})
 	if err := n.listen(metrics); err != nil {
 		return nil, err
@@ -221,8 +231,9 @@
 	costs := scheduling.DefaultCosts()
 	costs.Hold = n.settings.Late.Hold
 	return dispatch.New(dispatch.Options{
-		Overload: n.overload(),
-		Began:    began, Repeated: n.exchange.RecordQuotaCharge, Returned: quotas.Return,
+		Overload:    n.overload(),
+		StreamBegun: n.streamBegun,
+		Began:       began, Repeated: n.exchange.RecordQuotaCharge, Returned: quotas.Return,
 		Registry: n.registry, Scheduler: scheduling.New(costs),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
 		Nodes: n.exchange.Nodes, LoadReports: n.exchange, Freshness: n.freshness, Quarantine: n.quarantine, Turns: n.exchange,
--- a/internal/worker/exchange.go
+++ b/internal/worker/exchange.go
@@ -37,6 +37,9 @@
 	Hosts map[string]HostStatement
 	// Readings holds prefills that this node measured since the last snapshot.
 	Readings []WorkerReading
+	// Streams holds the streams of callers that workers began, or went on with, since the last
+	// snapshot.
+	Streams []Stream
 	// Touched holds the workers whose state changed since the last snapshot.
 	Touched []string
 }
@@ -45,7 +48,8 @@
 // that was sent before and is repeated.
 func (s Snapshot) Concerns(id string) bool {
 	return slices.Contains(s.Touched, id) || slices.Contains(s.Failures, id) ||
-		slices.ContainsFunc(s.CacheUpdates, func(update CacheUpdate) bool { return update.Worker == id })
+		slices.ContainsFunc(s.CacheUpdates, func(update CacheUpdate) bool { return update.Worker == id }) ||
+		slices.ContainsFunc(s.Streams, func(stream Stream) bool { return stream.Worker == id })
 }
 
 // ForWorkers returns the part of a snapshot that is about the given workers.
@@ -72,6 +76,11 @@
 			part.CacheUpdates = append(part.CacheUpdates, update)
 		}
 	}
+	for _, stream := range s.Streams {
+		if slices.Contains(workers, stream.Worker) {
+			part.Streams = append(part.Streams, stream)
+		}
+	}
 	for _, measured := range s.Readings {
 		if slices.Contains(workers, measured.Worker) {
 			part.Readings = append(part.Readings, measured)
@@ -122,6 +131,7 @@
 	r.addDraining(&snapshot, now)
 	snapshot.Hosts = r.takeHostUpdates()
 	snapshot.Readings, r.sharedReadings = r.sharedReadings, nil
+	snapshot.Streams, r.streams = r.streams, nil
 	r.addPrefills(&snapshot, now)
 	for id, known := range r.busy {
 		snapshot.Loads[id] = known.load
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -25,6 +25,7 @@
 func (r *Registry) ReplaceAt(workers []Worker, now time.Time) (added, gone []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.software.begin(now)
 	listed := make(map[string]bool, len(workers))
 	for _, worker := range workers {
 		listed[worker.ID] = true
@@ -110,6 +111,7 @@
 	if _, exists := r.workers[id]; !exists {
 		return false
 	}
+	r.software.left(r.workers[id].worker, time.Now())
 	r.forget(id)
 	r.ended = append(r.ended, id)
 	return true
@@ -132,6 +134,7 @@
 		return false
 	}
 	known.goneAt = now
+	r.software.left(known.worker, now)
 	r.gone[known.worker.ID] = known
 	return true
 }
@@ -176,6 +179,9 @@
 		if known.worker.Address != worker.Address {
 			delete(r.noticeStates, worker.ID) // the address tells a restart if the worker doesn't tell its start time
 		}
+		if known.worker.Software != worker.Software || known.worker.Service != worker.Service {
+			r.software.left(known.worker, now)
+		}
 		known.worker = worker
 		known.goneAt, known.doubtedUntil = time.Time{}, time.Time{}
 		delete(r.gone, worker.ID)
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -120,6 +120,10 @@
 	// change.
 	limited      map[string]*workerState
 	limitChanged func(LimitChange)
+	// streams are those that were not yet sent to other nodes.
+	streams []Stream
+	// software remembers the software versions of workers that are no longer listed.
+	software softwareHistory
 	// noticeStates holds what workers have announced in answers, by incarnation id.
 	noticeStates map[string]NoticeState
 	// drainingUpdates holds the workers whose draining is sent to other nodes, and until when.
--- /dev/null
+++ b/internal/worker/software.go
@@ -0,0 +1,77 @@
+package worker
+
+import "time"
+
+// softwareHistory remembers when workers with a software version were listed last, by service. It
+// begins anew with each read of the whole list, since what was listed before that and in between
+// isn't known.
+type softwareHistory struct {
+	since    time.Time
+	lastSeen map[string]map[string]time.Time
+}
+
+func (h *softwareHistory) begin(now time.Time) {
+	h.since, h.lastSeen = now, make(map[string]map[string]time.Time)
+}
+
+// left records that a worker isn't listed from now on, or with another version.
+func (h *softwareHistory) left(w Worker, now time.Time) {
+	if h.lastSeen == nil {
+		return
+	}
+	if h.lastSeen[w.Service] == nil {
+		h.lastSeen[w.Service] = make(map[string]time.Time)
+	}
+	h.lastSeen[w.Service][w.Software] = now
+}
+
+// lastOther returns when another version of a service was listed last, zero if none was.
+func (h *softwareHistory) lastOther(service, software string) time.Time {
+	var last time.Time
+	for other, at := range h.lastSeen[service] {
+		if other != software && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// SoleSoftware returns the only software version that the workers of a service have, and since when
+// there has been no other one as far as this node has followed the list. It returns false if there
+// are several or no workers.
+func (r *Registry) SoleSoftware(service string) (software string, since time.Time, sole bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, known := range r.workers {
+		if known.worker.Service != service || !known.listed() {
+			continue
+		}
+		if sole && known.worker.Software != software {
+			return "", time.Time{}, false
+		}
+		software, sole = known.worker.Software, true
+	}
+	if !sole {
+		return "", time.Time{}, false
+	}
+	since = r.software.since
+	if last := r.software.lastOther(service, software); !last.IsZero() {
+		// Workers may still get requests for some time after they were listed.
+		since = last.Add(lastResortFor)
+	}
+	return software, since, true
+}
+
+// Serves reports whether a worker with a software version that can run requests of a service is
+// listed and not draining.
+func (r *Registry) Serves(service, software string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for _, known := range r.workers {
+		if known.worker.Service == service && known.worker.Software == software && known.worker.Stage != Prefill && r.isStaying(known, now) {
+			return true
+		}
+	}
+	return false
+}
