A worker that restarts under its name gets no stream that is meant for the process before

What callers would see: events of two software versions, where a worker comes back at another version under its name and address before its new entry is known. X-Expect-Instance names the worker, not its incarnation, so the new process takes the request; and a new stream is remembered under the version of the process before. Cause: a request is addressed by what the list told, and nothing in the connection tells which process answers.

Change: before a stream that may be continued is sent on a connection that hasn't carried one, an engine that tells its start (born) is asked for it; a connection ends with the process that accepted it, so one question does. If it is another incarnation, nothing is sent. Cost: a probe and a round trip for each new connection to such engines.

Conclusion: only deployments whose workers tell born ask.

--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -324,7 +324,11 @@
 // report answers a request for the worker's state.
 func (w *Worker) report(writer http.ResponseWriter) {
 	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(map[string]any{"Stage": w.currentStage(), "Busy": false, "Waiting": 0, "Running": 0})
+	state := map[string]any{"Stage": w.currentStage(), "Busy": false, "Waiting": 0, "Running": 0}
+	if w.options.Born != 0 {
+		state["born"] = w.options.Born
+	}
+	_ = json.NewEncoder(writer).Encode(state)
 }
 
 // listCache answers with the cache list: the prompt parts in Options.CachedParts.
--- a/internal/lab/site/software_test.go
+++ b/internal/lab/site/software_test.go
@@ -284,3 +284,35 @@
 	s.checkJoined(streams)
 	s.checkWhole(streams)
 }
+
+// The list still tells the version of the process before.
+func TestWorkerThatRestartsAtAnotherVersionUnderItsNameGetsNoStream(t *testing.T) {
+	s := startUnconfiguredWith(t, func(*settings.Routed) {})
+	engine := fleetworker.Options{
+		ID: "write-1", Service: llm, Stage: "decode", Software: "v1", Born: 1764731647000, Events: 8, Pause: 20 * time.Millisecond, Slots: 64,
+	}
+	s.addWorker(engine)
+	s.store.Put("op", "config", versionsConfiguration(1))
+	s.await("the node is ready", s.node.Ready)
+	s.await("the engine is known", func() bool { return s.node.Workers() == 1 })
+	streams := s.beginAll("/check/1", 2)
+	engine.Address, engine.Software, engine.Born, engine.Zone = s.workers["write-1"].Address(), "v2", engine.Born+5000, "a"
+	s.workers["write-1"].Close()
+	again := fleetworker.Start(engine)
+	t.Cleanup(again.Close)
+	s.takeUpAll(streams, s.address, "/check/1")
+	for _, c := range streams {
+		if c.status == http.StatusOK {
+			t.Errorf("a stream of v1 goes on with %d events of %v", c.events, c.versions)
+		}
+	}
+	if runs := again.Runs(); len(runs) != 0 {
+		t.Errorf("the new process ran %d requests that were meant for the one before", len(runs))
+	}
+	s.workers["write-1"] = again
+	s.store.Put("servers", "write-1", again.Entry("ready"))
+	s.await("the new process serves", func() bool {
+		c := s.begin(s.address, "/check/1", 0)
+		return c.status == http.StatusOK && c.versions[0] == "v2"
+	})
+}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -66,6 +66,9 @@
 	Notice(status int, header http.Header) worker.Notice
 	// StateRequest returns a request for the state of a worker, nil if it can't be asked.
 	StateRequest(to worker.Worker, healthPath string) *workerconn.Request
+	// Born parses the answer of an engine to a StateRequest: when it started, in Unix milliseconds,
+	// and whether it tells that.
+	Born(status int, body []byte) (born int64, told bool)
 	// HealthRequest returns a request to a worker's health path, whose answer comes at once and
 	// may state the slowdown of its host, nil if its service has none.
 	HealthRequest(to worker.Worker, healthPath string) *workerconn.Request
@@ -183,6 +186,7 @@
 		Registry: n.registry, Read: platform.Notice, Log: log, Metrics: metrics,
 		ListAge: func() time.Duration { return n.freshness().WorkersAge },
 	}))
+	n.pool.SetVerifier(incarnations{n})
 	n.setUpUsage()
 	quotas := n.newQuotas(metrics)
 	n.shareTables()
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -40,6 +40,9 @@
 	// DirectOnly sends the request over this node's own link only, so that it counts as this
 	// node's and isn't held up at another one.
 	DirectOnly bool
+	// Verify makes sure that the worker is the incarnation that the request is for, where the worker
+	// tells that.
+	Verify bool
 }
 
 // Answer is the status and header of a worker's answer, with the body still to be read.
@@ -127,6 +130,9 @@
 	idleLimit time.Duration
 	// heard is when the connection was last recorded as one on which the worker was heard.
 	heard time.Time
+	// verified is set once the worker at the other end is known to be the incarnation that the
+	// connection is for.
+	verified bool
 	// dropsUnsent is set if the socket options for Request.DropAfter are in force.
 	dropsUnsent bool
 }
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -56,6 +56,8 @@
 	links *links.Table
 	// tunnels is nil if there are no other nodes.
 	tunnels Tunnels
+	// verifier is nil if incarnations of workers aren't verified.
+	verifier Verifier
 	// source is the address that connections are made from, nil if the system chooses it.
 	source net.Addr
 
@@ -100,6 +102,10 @@
 	if err != nil {
 		return nil, unsent(err)
 	}
+	if err := p.verify(ctx, key, address, c, request); err != nil {
+		p.discard(key, c)
+		return nil, &SendError{Unsent: true, Cause: err}
+	}
 	if err := prepare(ctx, c, request); err != nil {
 		p.discard(key, c)
 		return nil, &SendError{Unsent: true, Cause: err}
