Streams go on at draining workers of their version for a moment

What callers would see: in a release, streams of the version that is replaced are refused as soon as its last workers say that they leave, although these serve on for seconds, while new streams begin at the next version. Cause: a draining worker got nothing, since any other one could take its place; for a stream that goes on, none of another version can.

Change: for 0.6 s after this node learned that a worker drains, the worker may get what continues a stream, if no other one of its version is sound.

Conclusion: new work is as before; what goes on has a last chance.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -75,7 +75,7 @@
 		Method: s.call.Method, Target: s.call.Target, Host: s.call.Host,
 		Header: s.wire.ForwardHeader(s.call, forward), Body: s.call.Body,
 		IDHeader: s.wire.IDHeader(), ID: s.call.ID,
-		Verify: s.call.Route.Resumable && !forward.ReadApart,
+		Verify: s.call.Route.Resumable && !forward.ReadApart, Continues: s.bound && !forward.ReadApart,
 	}
 	sent := time.Now()
 	answer, err := s.pool.Do(ctx, to.ID, to.Address, s.connectionLimit(s.call), request)
--- a/internal/lab/site/software_test.go
+++ b/internal/lab/site/software_test.go
@@ -316,3 +316,21 @@
 		return c.status == http.StatusOK && c.versions[0] == "v2"
 	})
 }
+
+func TestStreamGoesOnAtADrainingWorkerOfItsVersionForAMoment(t *testing.T) {
+	s := startVersions(t, "v1", "v2")
+	streams := s.beginAll("/check/1", 2)
+	draining := []string{"write-v1-a", "write-v1-b"}
+	for _, name := range draining {
+		s.store.Put("servers", name, s.workers[name].Entry("draining"))
+	}
+	node := s.others[0]
+	s.await("the node knows who drains", func() bool { return node.node.Draining() == len(draining) })
+	s.takeUpAll(streams, node.address, "/check/1")
+	s.checkWhole(streams)
+	for range streamsOfAVersion {
+		if c := s.begin(node.address, "/check/1", 0); len(c.versions) != 1 || c.versions[0] != "v2" {
+			t.Errorf("a stream began at %v, whose workers drain (status %d)", c.versions, c.status)
+		}
+	}
+}
--- a/internal/notices/notices.go
+++ b/internal/notices/notices.go
@@ -89,11 +89,12 @@
 // before the worker's notice came or its entry disappeared.
 func (m *Monitor) Admit(key string, request *workerconn.Request) error {
 	now := time.Now()
-	admit := m.options.Registry.Admit
-	if request.ID != "" { // a caller's request
-		admit = m.options.Registry.AdmitCall
+	var err error
+	if request.ID == "" {
+		err = m.options.Registry.Admit(key, now)
+	} else {
+		err = m.options.Registry.AdmitCall(key, request.Continues, now)
 	}
-	err := admit(key, now)
 	if err == nil {
 		return nil
 	}
--- a/internal/scheduling/binding_test.go
+++ b/internal/scheduling/binding_test.go
@@ -61,3 +61,27 @@
 		t.Errorf("%v were preselected", names(chosen))
 	}
 }
+
+func TestDrainingWorkerIsTakenOnlyToContinueAStreamThatNoOtherMay(t *testing.T) {
+	draining := func(c *Candidate) { c.Draining, c.Leaving = true, true }
+	leaving, staying := decoder("leaving", software("v1"), draining, cached(17_000)), decoder("staying", software("v1"), running(40))
+	scheduler := New(DefaultCosts())
+	for name, example := range map[string]struct {
+		request    Request
+		candidates []Candidate
+		want       string
+	}{
+		"it begins":                    {prompt(short), []Candidate{leaving}, ""},
+		"it continues":                 {prompt(short, continuing("v1")), []Candidate{leaving}, "leaving"},
+		"another one may run it":       {prompt(short, continuing("v1")), []Candidate{leaving, staying}, "staying"},
+		"it continues at another":      {prompt(short, continuing("v2")), []Candidate{leaving}, ""},
+		"its prompt is cached there":   {prompt(short), []Candidate{leaving, staying}, "staying"},
+		"it continues, opaque workers": {Request{Bound: true, Software: "v1"}, []Candidate{opaque("leaving", software("v1"), draining)}, "leaving"},
+		"it begins, opaque workers":    {Request{}, []Candidate{opaque("leaving", software("v1"), draining)}, ""},
+	} {
+		plan := scheduler.Plan(example.request, Preselect(example.request, example.candidates, false))
+		if plan.Runner.ID != example.want || plan.Fetch != "" {
+			t.Errorf("%s: %s runs it, fetched from %q", name, plan.Runner.ID, plan.Fetch)
+		}
+	}
+}
--- a/internal/scheduling/reading.go
+++ b/internal/scheduling/reading.go
@@ -75,13 +75,13 @@
 const minThroughput = 0.1
 
 // bestSource returns the other worker in the same region that has the most of the prompt
-// cached, nil if there is none. It passes over workers that are avoided or rate-limited.
+// cached, nil if there is none. It passes over workers that are avoided, draining or rate-limited.
 // Between regions KV cache transfers too slowly to be fetched.
 func bestSource(candidates []Candidate, to Candidate) *Candidate {
 	var found *Candidate
 	for i := range candidates {
 		other := &candidates[i]
-		if other.ID == to.ID || other.Region != to.Region || other.Avoid || other.Limited || other.CachedTokens == 0 {
+		if other.ID == to.ID || other.Region != to.Region || other.Avoid || other.Draining || other.Limited || other.CachedTokens == 0 {
 			continue
 		}
 		if found == nil || other.CachedTokens > found.CachedTokens {
--- a/internal/scheduling/shortlist.go
+++ b/internal/scheduling/shortlist.go
@@ -13,8 +13,9 @@
 type Outline struct {
 	ID      string
 	Prefill bool
-	// Software is as in Candidate.
+	// Software and Draining are as in Candidate.
 	Software string
+	Draining bool
 	// SameZone, SortKey and Hash are as in Candidate.
 	SameZone      bool
 	SortKey, Hash uint64
@@ -33,7 +34,7 @@
 func Shortlist(request Request, workers iter.Seq[Outline]) []string {
 	readers, others := newStageList(request, contentChoices*widenFactor), newStageList(request, 0)
 	for worker := range workers {
-		if !request.admits(worker.ID, worker.Prefill, worker.Software) {
+		if !request.admits(worker) {
 			continue
 		}
 		if worker.Prefill {
--- a/internal/scheduling/survey.go
+++ b/internal/scheduling/survey.go
@@ -186,7 +186,7 @@
 // outline returns the part of a candidate that a shortlist is made from.
 func (c Candidate) outline() Outline {
 	return Outline{
-		ID: c.ID, Prefill: c.Prefill, Software: c.Software, SameZone: c.SameZone, SortKey: c.SortKey, Hash: c.Hash,
+		ID: c.ID, Prefill: c.Prefill, Software: c.Software, Draining: c.Draining, SameZone: c.SameZone, SortKey: c.SortKey, Hash: c.Hash,
 		Sound: c.sound(), Tracked: c.Report != Unasked,
 	}
 }
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -52,6 +52,9 @@
 	// Leaving tells that the worker is about to end or that its row in the store has just
 	// vanished.
 	Leaving bool
+	// Draining tells that the worker's entry has just said that it is about to end. It gets only
+	// requests that continue a stream, which few others may run.
+	Draining bool
 	// Limited tells that the worker accepts no more than PerSecond requests a second from all
 	// nodes together. TurnWait is the time until it accepts another one, as far as this node
 	// knows, in milliseconds.
--- a/internal/worker/candidates.go
+++ b/internal/worker/candidates.go
@@ -18,7 +18,7 @@
 	defer r.mu.Unlock()
 	var candidates []scheduling.Candidate
 	for _, known := range r.workers {
-		if known.worker.Service != service || !r.usable(known, now) {
+		if known.worker.Service != service || !r.mayBeCandidate(known, now) {
 			continue
 		}
 		candidates = append(candidates, r.candidate(known, parts, rank, now))
@@ -33,7 +33,7 @@
 	var candidates []scheduling.Candidate
 	for _, id := range workers {
 		known, exists := r.workers[id]
-		if exists && known.worker.Service == service && r.usable(known, now) {
+		if exists && known.worker.Service == service && r.mayBeCandidate(known, now) {
 			candidates = append(candidates, r.candidate(known, parts, rank, now))
 		}
 	}
@@ -48,7 +48,7 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		for id, known := range r.workers {
-			if known.worker.Service != service || !r.usable(known, now) {
+			if known.worker.Service != service || !r.mayBeCandidate(known, now) {
 				continue
 			}
 			if !yield(r.outline(known, tracked[id], now)) {
@@ -60,7 +60,7 @@
 
 func (r *Registry) outline(known *workerState, tracked bool, now time.Time) scheduling.Outline {
 	return scheduling.Outline{
-		ID: known.worker.ID, Prefill: known.worker.Stage == Prefill, Software: known.worker.Software,
+		ID: known.worker.ID, Prefill: known.worker.Stage == Prefill, Software: known.worker.Software, Draining: known.worker.Draining,
 		SameZone: r.places.DistanceTo(known.worker.Zone) == topology.SameZone,
 		SortKey:  known.sortKey, Hash: known.hash, Tracked: tracked,
 		Sound: r.isStaying(known, now) && !known.isAvoided(now) && !known.handleBreaker.Open(now) && known.turnWait(now) == 0,
@@ -122,10 +122,28 @@
 	return engines
 }
 
+// mayBeCandidate reports whether a worker may get requests, or at least those that continue streams.
+func (r *Registry) mayBeCandidate(known *workerState, now time.Time) bool {
+	if known.worker.Draining {
+		return known.worker.Stage != Prefill && known.continuesStreams(now) && r.isOpen(known, now)
+	}
+	return r.usable(known, now)
+}
+
+// continuesStreams reports whether a draining worker may still get requests that continue streams.
+func (s *workerState) continuesStreams(now time.Time) bool {
+	return !s.drainingSince.IsZero() && now.Sub(s.drainingSince) < continueFor
+}
+
 // usable reports whether a worker may get requests. One whose entry disappeared or that
 // announced its draining may still get them for lastResortFor.
 func (r *Registry) usable(known *workerState, now time.Time) bool {
-	if known.worker.Draining || known.isDoubted(now) || known.isChanging(now) || r.admit(known.worker.ID, now) != nil || !known.recovery.admits(known.load.Requests) {
+	return !known.worker.Draining && r.isOpen(known, now)
+}
+
+// isOpen is usable regardless of whether the worker's entry says that it drains.
+func (r *Registry) isOpen(known *workerState, now time.Time) bool {
+	if known.isDoubted(now) || known.isChanging(now) || r.admit(known.worker.ID, now) != nil || !known.recovery.admits(known.load.Requests) {
 		return false
 	}
 	return known.listed() || now.Sub(known.goneAt) < lastResortFor
@@ -177,6 +195,7 @@
 		FailureRate:         known.breaker.FailureRate(now),
 		HandleFailure:       known.handleBreaker.Open(now),
 		Leaving:             !r.isStaying(known, now),
+		Draining:            known.worker.Draining,
 		Limited:             known.limit.Named,
 		PerSecond:           known.limit.Rate,
 		TurnWait:            float64(known.turnWait(now)) / float64(time.Millisecond),
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -182,6 +182,7 @@
 		if known.worker.Software != worker.Software || known.worker.Service != worker.Service {
 			r.software.left(known.worker, now)
 		}
+		known.noteDraining(worker.Draining, now)
 		known.worker = worker
 		known.goneAt, known.doubtedUntil = time.Time{}, time.Time{}
 		delete(r.gone, worker.ID)
@@ -208,6 +209,16 @@
 	return true
 }
 
+// noteDraining records whether the worker's new entry says that it drains.
+func (s *workerState) noteDraining(draining bool, now time.Time) {
+	switch {
+	case !draining:
+		s.drainingSince = time.Time{}
+	case !s.worker.Draining:
+		s.drainingSince = now
+	}
+}
+
 // Get returns a listed worker.
 func (r *Registry) Get(id string) (Worker, bool) {
 	r.mu.Lock()
--- a/internal/worker/notice.go
+++ b/internal/worker/notice.go
@@ -179,13 +179,13 @@
 }
 
 // AdmitCall is Admit for a caller's request, which a worker must not get either if its entry is
-// gone or says that it is draining.
-func (r *Registry) AdmitCall(id string, now time.Time) error {
+// gone or says that it is draining. One that continues a stream may get there for continueFor.
+func (r *Registry) AdmitCall(id string, continues bool, now time.Time) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if known, exists := r.workers[id]; exists {
 		switch {
-		case known.worker.Draining:
+		case known.worker.Draining && !(continues && known.continuesStreams(now)):
 			return ErrDraining
 		case known.isDoubted(now), !known.listed() && now.Sub(known.goneAt) >= lastResortFor:
 			return ErrUnlisted
--- a/internal/worker/notice_test.go
+++ b/internal/worker/notice_test.go
@@ -102,18 +102,18 @@
 	r := NewRegistry(topology.Map{})
 	now := time.Now()
 	r.ReplaceAt([]Worker{{ID: "w", Service: "s"}, {ID: "gone", Service: "s"}}, now)
-	if r.AdmitCall("w", now) != nil {
+	if r.AdmitCall("w", false, now) != nil {
 		t.Error("a worker that is listed and doesn't drain gets no calls")
 	}
 	r.ApplyAt(Change{Name: "w", Worker: &Worker{ID: "w", Service: "s", Draining: true}}, now)
-	if r.AdmitCall("w", now) == nil {
+	if r.AdmitCall("w", false, now) == nil {
 		t.Error("a worker whose entry says that it is draining gets calls")
 	}
 	if r.Admit("w", now) != nil {
 		t.Error("a worker whose entry says that it is draining gets no requests to free resources")
 	}
 	r.ApplyAt(Change{Name: "gone"}, now)
-	if r.AdmitCall("gone", now.Add(lastResortFor-1)) != nil || r.AdmitCall("gone", now.Add(lastResortFor)) == nil {
+	if r.AdmitCall("gone", false, now.Add(lastResortFor-1)) != nil || r.AdmitCall("gone", false, now.Add(lastResortFor)) == nil {
 		t.Error("a worker whose entry has disappeared isn't admitted for exactly lastResortFor")
 	}
 }
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -20,6 +20,9 @@
 	// doubtedUntil is set if the entry had disappeared and was listed again when the store was
 	// restored from a backup. Until then the worker counts as gone although it is listed.
 	doubtedUntil time.Time
+	// drainingSince is when the entry began to say that the worker drains, zero if it doesn't or
+	// if that isn't known.
+	drainingSince time.Time
 	// changingUntil is until when the worker gets no requests because it was ordered to change
 	// to changingStage. It ends earlier once the entry shows that stage.
 	changingUntil time.Time
@@ -82,6 +85,10 @@
 	// after its entry disappeared or it announced that it drains. A worker that leaves must get
 	// nothing soon after.
 	lastResortFor = 1200 * time.Millisecond
+	// continueFor is how long a worker may still get requests that continue streams after its entry
+	// said that it drains: few others may run them. A worker that drains must get nothing soon
+	// after, counted from the store's acknowledgement, which this node learns up to a second late.
+	continueFor = 600 * time.Millisecond
 	// forgetAfter is how long the state of a worker is kept after its entry disappeared.
 	forgetAfter = 10 * time.Second
 	// reportedLoadTTL is how long the load counts that a worker has reported itself.
--- a/internal/worker/restore_test.go
+++ b/internal/worker/restore_test.go
@@ -32,7 +32,7 @@
 	r.ApplyAt(Change{Name: "left"}, now)
 	now = now.Add(2 * lastResortFor)
 	r.ReplaceRestored(listOf("left", "b", "c"), doubt, now)
-	if usableAt(r, "left", now) || r.AdmitCall("left", now) == nil {
+	if usableAt(r, "left", now) || r.AdmitCall("left", false, now) == nil {
 		t.Error("a worker that had left gets calls again after a restore")
 	}
 	if !usableAt(r, "b", now) {
--- a/internal/worker/software_test.go
+++ b/internal/worker/software_test.go
@@ -53,3 +53,31 @@
 		})
 	}
 }
+
+func TestDrainingWorkerGetsOnlyWhatContinuesStreamsAndOnlyForAMoment(t *testing.T) {
+	begun := time.Now()
+	r := NewRegistry(topology.Map{})
+	entry := Worker{ID: "a", Service: "s", Stage: Decode, Slots: 1, Address: "10.0.0.1:1"}
+	r.ReplaceAt([]Worker{entry}, begun)
+	entry.Draining = true
+	for _, again := range []time.Duration{0, 500 * time.Millisecond} { // the entry is written again while it drains
+		r.ApplyAt(Change{Name: "a", Worker: &entry}, begun.Add(again))
+	}
+	for after, want := range map[time.Duration]bool{0: true, continueFor - 1: true, continueFor: false, time.Minute: false} {
+		now := begun.Add(after)
+		candidates := r.Candidates("s", nil, 0, now)
+		if got := len(candidates) == 1 && candidates[0].Draining; got != want || !want && len(candidates) > 0 {
+			t.Errorf("after %v the candidates are %+v", after, candidates)
+		}
+		if got := r.AdmitCall("a", true, now) == nil; got != want {
+			t.Errorf("after %v a request that continues a stream is admitted: %v", after, got)
+		}
+		if r.AdmitCall("a", false, now) == nil {
+			t.Errorf("after %v a request that begins is admitted", after)
+		}
+	}
+	r.ReplaceAt([]Worker{entry, {ID: "b", Service: "s", Stage: Decode, Slots: 1, Address: "10.0.0.2:1", Draining: true}}, begun)
+	if r.AdmitCall("b", true, begun) == nil {
+		t.Error("a worker is used that may have drained for long")
+	}
+}
