A stream that nobody knows goes on where only one version can have begun it

Cause: a node took itself to know nothing of before its start or its last whole read of the list, and waited for 30 s.

Change: what can't be seen any more lies in the store: the software versions that a service has had and the routes that have moved within two minutes, as one row that the designated node writes on a change, so never in a fleet of one version whose routes stay. A node that hasn't followed them for long enough itself reads the row when it needs it. Where a node starts with the whole system, nothing was before; a whole read of the list doesn't end what a node knows unless entries can have come and gone unseen. The generation of the build is the next one, since an earlier build as the holder would not write the row. Asking other nodes what they have followed is gone with it.

Conclusion: what is refused is what can't be proved.

--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -19,7 +19,7 @@
 const (
 	// minPast is the shortest time for which a stream may have lasted, over all tries of its caller,
 	// and pastTimeouts the number of timeouts of its route for which it may at least.
-	minPast      = 30 * time.Second
+	minPast      = 10 * time.Second
 	pastTimeouts = 2
 )
 
--- a/internal/lab/site/software_test.go
+++ b/internal/lab/site/software_test.go
@@ -334,3 +334,41 @@
 		}
 	}
 }
+
+// restartAll ends all nodes and starts another one, which remembers nothing.
+func (s *site) restartAll() {
+	s.t.Helper()
+	s.node.Close()
+	for _, other := range s.others {
+		other.node.Close()
+	}
+	s.others = nil
+	s.node, s.address = s.startNode("node-4", func(*settings.Routed) {})
+	s.await("the new node is ready", s.node.Ready)
+}
+
+func TestStreamOfTheOnlyVersionGoesOnAfterAllNodesWereRestarted(t *testing.T) {
+	s := startVersions(t, "v1")
+	streams := s.beginAll("/check/1", 2)
+	s.restartAll()
+	s.takeUpAll(streams, s.address, "/check/1")
+	s.checkWhole(streams)
+}
+
+func TestStreamIsRefusedAfterAllNodesWereRestartedIfAnotherVersionServedBefore(t *testing.T) {
+	s := startVersions(t, "v1", "v2")
+	streams := s.beginAll("/check/1", 2)
+	s.await("both versions are in the store", func() bool { return len(s.store.Rows("streams")) > 0 })
+	for _, name := range []string{"write-v2-a", "write-v2-b"} {
+		s.store.Put("servers", name, nil)
+		delete(s.workers, name)
+	}
+	s.await("the engines are gone", func() bool { return s.node.Workers() == len(s.workers) })
+	s.restartAll()
+	s.takeUpAll(streams, s.address, "/check/1")
+	for i, c := range streams {
+		if c.status != http.StatusServiceUnavailable {
+			t.Errorf("stream %d, of %v, was answered %d", i, c.versions, c.status)
+		}
+	}
+}
--- a/internal/nodeexchange/ask.go
+++ b/internal/nodeexchange/ask.go
@@ -31,10 +31,8 @@
 	// Parts are the parts of the request's prompt, encoded as in a cache update.
 	Parts []string `json:"p,omitempty"`
 	Rank  int      `json:"r,omitempty"`
-	// Stream asks where a stream began, and for the sole origin of the route Route. An earlier build
-	// answers neither.
+	// Stream asks where a stream began. An earlier build doesn't answer that.
 	Stream string `json:"s,omitempty"`
-	Route  string `json:"o,omitempty"`
 	// Sent is when the question was sent, in microseconds on the asking node's clock. The reply
 	// repeats it, so that the asking node can measure the round trip to another region.
 	Sent int64 `json:"t,omitempty"`
@@ -50,10 +48,8 @@
 	// Holders are workers that hold the content, encoded as in Message.Contents.
 	Holders []string `json:"c,omitempty"`
 	Sent    int64    `json:"t,omitempty"`
-	// Origin is the origin of the stream that was asked for, nil if it isn't known, and Sole the
-	// sole origin of its route, nil if there are several.
+	// Origin is the origin of the stream that was asked for, nil if it isn't known.
 	Origin *wireOrigin `json:"o,omitempty"`
-	Sole   *wireSole   `json:"os,omitempty"`
 	// Limits are the request limits that workers have stated.
 	Limits map[string]wireLimit `json:"lm,omitempty"`
 	// Draining are workers that have announced that they are about to end.
@@ -112,9 +108,8 @@
 	asked   map[netip.AddrPort]bool
 	reports map[string]scheduling.LoadReport
 	holders []scheduling.Holder
-	// origins are the answers about a stream, and sent is when that question was sent.
+	// origins are the answers about a stream.
 	origins resumption.Answers
-	sent    time.Time
 	done    chan struct{}
 	// extraWait is how much longer than usual to wait for answers, since some come from another
 	// region.
--- a/internal/nodeexchange/exchange.go
+++ b/internal/nodeexchange/exchange.go
@@ -61,10 +61,8 @@
 	turns *quotaExchange
 	// quarantine is nil where no requests are quarantined. It has its own lock.
 	quarantine *quarantine.Manager
-	// origins are the streams of all nodes that this one knows, and originHistory is what it has
-	// followed of routes and workers. They are nil where no streams are continued.
-	origins       *resumption.Store
-	originHistory resumption.History
+	// origins are the streams of all nodes that this one knows, nil where no streams are continued.
+	origins *resumption.Store
 	// originQuestions bounds the questions about streams, since any caller can cause them.
 	originQuestions *rate.Limiter
 	// waits are the requests that wait for engines. It has its own lock, and takes mu while it
--- a/internal/nodeexchange/incarnation.go
+++ b/internal/nodeexchange/incarnation.go
@@ -14,7 +14,7 @@
 // designate the present supervisor with the lowest incarnation, so builds side by side leave the
 // duties to the one whose letter is lower. A build takes the letter before this one if an
 // earlier build would break a promise by acting in its place.
-const generation = "z"
+const generation = "y"
 
 // incarnationBytes is the number of random bytes of an incarnation.
 const incarnationBytes = 6
--- a/internal/nodeexchange/origins.go
+++ b/internal/nodeexchange/origins.go
@@ -39,13 +39,6 @@
 	Software string `json:"v"`
 }
 
-// wireSole is an resumption.Sole with its times as ages in milliseconds.
-type wireSole struct {
-	wireOrigin
-	SinceMillis     int64 `json:"a"`
-	ConfirmedMillis int64 `json:"c"`
-}
-
 func renderOrigin(o resumption.Origin) wireOrigin { return wireOrigin(o) }
 
 func (w wireOrigin) origin() resumption.Origin { return resumption.Origin(w) }
@@ -65,10 +58,10 @@
 	return rendered
 }
 
-// SetOrigins connects the exchange with the streams that this node knows and with what it has
-// followed of routes and workers. It must be called before Run.
-func (e *Exchange) SetOrigins(store *resumption.Store, history resumption.History) {
-	e.origins, e.originHistory = store, history
+// SetOrigins connects the exchange with the streams that this node knows. It must be called before
+// Run.
+func (e *Exchange) SetOrigins(store *resumption.Store) {
+	e.origins = store
 	e.originQuestions = rate.NewLimiter(originQuestionRate, originQuestionBurst)
 }
 
@@ -90,7 +83,7 @@
 }
 
 // AskOrigin implements resumption.Nodes.
-func (e *Exchange) AskOrigin(ctx context.Context, asked resumption.Question) resumption.Answers {
+func (e *Exchange) AskOrigin(ctx context.Context, key resumption.Key) resumption.Answers {
 	id, pending, nodes := e.prepareOriginQuestion()
 	if len(nodes) == 0 {
 		return resumption.Answers{}
@@ -99,11 +92,7 @@
 		e.endOriginQuestion(id, pending)
 		return resumption.Answers{Silent: len(nodes)}
 	}
-	message := Message{Node: e.node, Question: &question{ID: id, Route: asked.Route}}
-	if asked.Key != 0 {
-		message.Question.Stream = asked.Key.String()
-	}
-	e.sendAll(nodes, message)
+	e.sendAll(nodes, Message{Node: e.node, Question: &question{ID: id, Stream: key.String()}})
 	timer := time.NewTimer(originTimeout + pending.extraWait)
 	defer timer.Stop()
 	select {
@@ -121,7 +110,6 @@
 	nodes := e.peers.all()
 	pending := &pendingQuestion{
 		asked: make(map[netip.AddrPort]bool, len(nodes)), reports: make(map[string]scheduling.LoadReport), done: make(chan struct{}),
-		sent: time.Now(),
 	}
 	for _, address := range nodes {
 		pending.asked[address] = true
@@ -146,22 +134,16 @@
 
 // answerOrigin answers the part of a question that is about a stream.
 func (e *Exchange) answerOrigin(asked question, answered *reply) {
-	if e.origins == nil || asked.Stream == "" && asked.Route == "" {
+	if e.origins == nil || asked.Stream == "" {
 		return
 	}
-	now := time.Now()
-	if key, err := resumption.ParseKey(asked.Stream); err == nil {
-		if known, found := e.origins.Get(key, now); found {
-			form := renderOrigin(known)
-			answered.Origin = &form
-			return
-		}
+	key, err := resumption.ParseKey(asked.Stream)
+	if err != nil {
+		return
 	}
-	if sole, found := e.originHistory.SoleOrigin(asked.Route); found {
-		answered.Sole = &wireSole{
-			wireOrigin: renderOrigin(sole.Origin), SinceMillis: now.Sub(sole.Since).Milliseconds(),
-			ConfirmedMillis: now.Sub(sole.Confirmed).Milliseconds() + 1, // rounded up
-		}
+	if known, found := e.origins.Get(key, time.Now()); found {
+		form := renderOrigin(known)
+		answered.Origin = &form
 	}
 }
 
@@ -170,12 +152,4 @@
 	if answered.Origin != nil {
 		p.origins.Origin, p.origins.Known = answered.Origin.origin(), true
 	}
-	if sole := answered.Sole; sole != nil {
-		// The ages are of a time between the question and its answer. The origin counts as sole for
-		// the shortest time that this allows.
-		p.origins.Soles = append(p.origins.Soles, resumption.Sole{
-			Origin: sole.origin(), Since: time.Now().Add(-time.Duration(sole.SinceMillis) * time.Millisecond),
-			Confirmed: p.sent.Add(-time.Duration(sole.ConfirmedMillis) * time.Millisecond),
-		})
-	}
 }
--- a/internal/resumption/resolver.go
+++ b/internal/resumption/resolver.go
@@ -16,17 +16,9 @@
 
 // Nodes are the other nodes.
 type Nodes interface {
-	// AskOrigin asks the other nodes for the origin of a stream, and for the sole origin of its
-	// route. It returns once one of them knows the stream, all have answered, or the time for that
-	// is over.
-	AskOrigin(ctx context.Context, question Question) Answers
-}
-
-// Question is a question about a stream to other nodes.
-type Question struct {
-	// Key is the stream's, zero if its caller hasn't named the attempt that began it.
-	Key   Key
-	Route string
+	// AskOrigin asks the other nodes for the origin of a stream. It returns once one of them knows
+	// the stream, all have answered, or the time for that is over.
+	AskOrigin(ctx context.Context, key Key) Answers
 }
 
 // Answers are what other nodes answered.
@@ -34,8 +26,6 @@
 	Origin Origin
 	// Known tells that a node knows the stream's Origin.
 	Known bool
-	// Soles are the sole origins of the route by what single nodes have followed.
-	Soles []Sole
 	// Silent counts the nodes that were asked and didn't answer in time.
 	Silent int
 }
@@ -44,6 +34,9 @@
 type History interface {
 	// SoleOrigin returns the sole origin of a route, and false if there are several or none.
 	SoleOrigin(route string) (Sole, bool)
+	// ReadPast reads the past from the store, as of a time that isn't before the given one. It
+	// returns false if the store didn't tell in time.
+	ReadPast(ctx context.Context, since time.Time) (Past, bool)
 }
 
 // Source tells how the origin of a stream was found. It is a label of a metric.
@@ -51,11 +44,12 @@
 
 // Values of Source.
 const (
-	FromMemory   Source = "memory"
-	FromNode     Source = "another_node"
-	FromSole     Source = "only_version"
-	NotFound     Source = "unknown"
-	NotReachable Source = "nodes_silent"
+	FromMemory Source = "memory"
+	FromNode   Source = "another_node"
+	FromSole   Source = "only_version"
+	NotFound   Source = "unknown"
+	// Unproved streams are unknown because nodes or the store didn't answer.
+	Unproved Source = "unproved"
 )
 
 // Resolver finds where streams that callers take up again began.
@@ -86,8 +80,11 @@
 	// request came. One comes with each call for changes, at the latest after 0.7 s.
 	confirmWait = time.Second
 	confirmPoll = 20 * time.Millisecond
-	// silentRetryAfter is the Retry-After where nodes that may know the stream didn't answer.
-	silentRetryAfter = 300 * time.Millisecond
+	// confirmedWithin is the age of the last confirmation up to which another one is waited for. If it
+	// is older, the store doesn't answer.
+	confirmedWithin = 1500 * time.Millisecond
+	// unprovedRetryAfter is the Retry-After where nodes or the store didn't answer.
+	unprovedRetryAfter = 300 * time.Millisecond
 )
 
 // Resolve returns the origin of a stream and how it was found. A stream that nobody knows has the
@@ -98,52 +95,74 @@
 			return known, FromMemory, nil
 		}
 	}
-	answers := r.nodes.AskOrigin(ctx, Question{Key: request.Key, Route: request.Route})
+	var answers Answers
+	if request.Key != 0 {
+		answers = r.nodes.AskOrigin(ctx, request.Key)
+	}
 	if answers.Known {
 		r.store.Put(request.Key, answers.Origin, time.Now())
 		return answers.Origin, FromNode, nil
 	}
-	if sole, found := r.confirmedSole(ctx, request); found && isSole(sole, answers.Soles, request) {
-		return sole.Origin, FromSole, nil
-	}
-	if answers.Silent > 0 {
-		return Origin{}, NotReachable, result.New(result.StreamOriginUnknown, "%d nodes that may know which version began the stream did not answer", answers.Silent).
-			WithRetryAfter(silentRetryAfter)
+	sole, proof := r.proveSole(ctx, request)
+	switch {
+	case proof == proved:
+		return sole, FromSole, nil
+	case proof == unproved || answers.Silent > 0:
+		return Origin{}, Unproved, result.New(result.StreamOriginUnknown, "it isn't known which version began the stream; the store or %d silent nodes may tell later", answers.Silent).
+			WithRetryAfter(unprovedRetryAfter)
 	}
 	return Origin{}, NotFound, result.New(result.StreamOriginUnknown, "no node knows which version began the stream; begin anew without Last-Event-Id")
 }
 
-// confirmedSole returns the sole origin of the request's route as of a time after the request came,
-// by what this node has followed: a version that began the stream was listed before that.
-func (r *Resolver) confirmedSole(ctx context.Context, request Request) (Sole, bool) {
-	for end := time.Now().Add(confirmWait); ; {
-		sole, found := r.history.SoleOrigin(request.Route)
-		if !found || !sole.Confirmed.Before(request.Arrived) {
-			return sole, found
-		}
-		if time.Now().After(end) {
-			return Sole{}, false
-		}
-		select {
-		case <-ctx.Done():
-			return Sole{}, false
-		case <-time.After(confirmPoll):
+// proof tells whether a stream can only have one origin.
+type proof int
+
+const (
+	// refuted means that it may have several, unproved that the store can't be asked now, and
+	// proved that it has only one.
+	refuted proof = iota
+	unproved
+	proved
+)
+
+// proveSole returns the only origin that the stream of a request can have. There must have been no
+// other one for as long as the stream can have lasted, by what this node has followed, or else by
+// the past in the store.
+func (r *Resolver) proveSole(ctx context.Context, request Request) (Origin, proof) {
+	sole, found := r.history.SoleOrigin(request.Route)
+	for end := time.Now().Add(confirmWait); found && sole.Confirmed.Before(request.Arrived); sole, found = r.history.SoleOrigin(request.Route) {
+		// A version that began the stream was listed before the request came.
+		now := time.Now()
+		if now.After(end) || now.Sub(sole.Confirmed) > confirmedWithin || !pause(ctx, confirmPoll) {
+			return Origin{}, unproved
 		}
 	}
+	switch {
+	case !found:
+		return Origin{}, refuted
+	case !sole.Since.After(request.Arrived.Add(-request.Past)):
+		return sole.Origin, proved
+	case request.Past > Life:
+		return Origin{}, refuted
+	}
+	past, read := r.history.ReadPast(ctx, request.Arrived)
+	switch {
+	case !read:
+		return Origin{}, unproved
+	case !past.Allows(request.Route, sole.Origin):
+		return Origin{}, refuted
+	}
+	return sole.Origin, proved
 }
 
-// isSole reports whether the stream of a request can only have this node's sole origin: it was the
-// only one for as long as the stream can have lasted, as far back as this node has followed that,
-// and before that by what another node has.
-func isSole(own Sole, others []Sole, request Request) bool {
-	begun := request.Arrived.Add(-request.Past)
-	if !own.Since.After(begun) {
+// pause waits for a time, and returns false if ctx ends before that.
+func pause(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
 		return true
 	}
-	for _, other := range others {
-		if other.Origin == own.Origin && !other.Since.After(begun) && !other.Confirmed.Before(own.Since) {
-			return true
-		}
-	}
-	return false
 }
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -111,6 +111,7 @@
 			unreadable++
 		}
 	}
+	w.noteInterruption()
 	added, gone, doubted := w.replace(listed, version)
 	if len(listed) > 0 {
 		w.node.workersKnown.Store(true)
@@ -123,6 +124,20 @@
 	}).Info("workers read")
 }
 
+// seenHeartbeats is the number of heartbeats for which the row of a worker stays at least: it is
+// removed once three of them were missed.
+const seenHeartbeats = 2
+
+// noteInterruption makes the history of software versions begin anew if rows may have come and gone
+// since the table was confirmed last.
+func (w *workerConsumer) noteInterruption() {
+	word, _ := w.node.workersFeed.Confirmation()
+	longest := seenHeartbeats * settings.Milliseconds(w.node.settings.Bounds.HeartbeatMillis)
+	if now := time.Now(); !word.At.IsZero() && now.Sub(word.At) > longest {
+		w.node.registry.BeginSoftwareHistory(now)
+	}
+}
+
 // missedHeartbeats is the number of missed heartbeats after which the row of a worker that has
 // ended is gone at the latest.
 const missedHeartbeats = 4
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -176,7 +176,8 @@
 		return nil, err
 	}
 	n.exchange = exchange
-	exchange.SetOrigins(n.origins, originHistory{n})
+	n.beginHistories()
+	exchange.SetOrigins(n.origins)
 	n.registry.FollowShared(configured.Overload.ColdStart.Selects)
 	exchange.SetTopology(topologyOf(configured))
 	exchange.SetMetrics(nodeexchange.NewMetrics(metrics))
@@ -200,7 +201,7 @@
 	n.front = ingress.New(ingress.Options{
 		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: ingress.NewMetrics(metrics),
 		ConfigurationAge: n.configurationAge, ConfigurationBehind: n.configurationBehind, Quotas: quotas,
-		Origins: resumption.NewResolver(n.origins, exchange, originHistory{n}),
+		Origins: resumption.NewResolver(n.origins, exchange, originHistory{node: n, past: &pastReader{node: n}}),
 	})
 	if err := n.listen(metrics); err != nil {
 		return nil, err
@@ -358,6 +359,7 @@
 	n.watchSuspensions(ctx, metrics)
 	n.work.Go(func() { n.askSlowdowns(ctx) })
 	n.work.Go(func() { n.resumeDuties(ctx) })
+	n.work.Go(func() { n.keepPast(ctx) })
 	stages := n.stageController(metrics)
 	n.work.Go(func() { stages.Run(ctx) })
 	n.startUsageReporter(ctx, metrics)
--- a/internal/serving/origins.go
+++ b/internal/serving/origins.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -9,12 +10,17 @@
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
-// routeHistory remembers since when each route has led to one service alone. It is safe for
-// concurrent use.
+// routeHistory remembers since when each route whose streams may be continued has led to one service
+// alone. It is safe for concurrent use.
 type routeHistory struct {
+	// since is when the first table was in force, zero for the time at which it comes.
+	since time.Time
+
 	mu sync.Mutex
-	// soles are the routes that lead to one service, by name.
+	// soles are the routes that lead to one service, by name, and first is when the first table was
+	// in force.
 	soles map[string]soleService
+	first time.Time
 }
 
 type soleService struct {
@@ -26,10 +32,16 @@
 func (h *routeHistory) update(table *routing.Table, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.soles == nil {
+		if !h.since.IsZero() {
+			now = h.since
+		}
+		h.first = now
+	}
 	soles := make(map[string]soleService)
 	for _, route := range table.Routes() {
 		service, sole := soleServiceOf(route)
-		if !sole {
+		if !sole || !route.Resumable {
 			continue
 		}
 		known, exists := h.soles[route.Name]
@@ -54,6 +66,20 @@
 	return service, sole
 }
 
+// movedSince returns the routes that lead to their service since after a time, without those that
+// the first table led there.
+func (h *routeHistory) movedSince(since time.Time) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var moved []string
+	for route, sole := range h.soles {
+		if sole.since.After(since) && sole.since.After(h.first) {
+			moved = append(moved, route)
+		}
+	}
+	return moved
+}
+
 func (h *routeHistory) of(route string) (soleService, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -61,8 +87,24 @@
 	return sole, exists
 }
 
-// originHistory is what a node has followed of routes and workers, as an resumption.History.
-type originHistory struct{ node *Node }
+// sinceEver is the beginning of histories where nothing can have happened before.
+var sinceEver = time.Unix(0, 0)
+
+// beginHistories begins what this node follows of routes and workers. Where it starts with the whole
+// system, no stream has begun before.
+func (n *Node) beginHistories() {
+	if !n.settings.Node.FirstStart {
+		return
+	}
+	n.routes.since = sinceEver
+	n.registry.BeginSoftwareHistory(sinceEver)
+}
+
+// originHistory is what a node has followed of routes and workers, as a resumption.History.
+type originHistory struct {
+	node *Node
+	past *pastReader
+}
 
 // SoleOrigin implements resumption.History.
 func (h originHistory) SoleOrigin(route string) (resumption.Sole, bool) {
@@ -86,6 +128,11 @@
 	return resumption.Sole{Origin: resumption.Origin{Service: led.service, Software: software}, Since: since, Confirmed: confirmed}, true
 }
 
+// ReadPast implements resumption.History.
+func (h originHistory) ReadPast(ctx context.Context, since time.Time) (resumption.Past, bool) {
+	return h.past.read(ctx, since)
+}
+
 // streamBegun remembers a stream, and queues it for the other nodes.
 func (n *Node) streamBegun(stream worker.Stream) {
 	n.origins.Put(stream.Key, stream.Origin, time.Now())
--- /dev/null
+++ b/internal/serving/past.go
@@ -0,0 +1,153 @@
+package serving
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/resumption"
+)
+
+// pastTable holds one row: the resumption.Past. The designated node writes it, so in a fleet of one
+// software version whose routes don't move it is never written.
+const (
+	pastTable = "streams"
+	pastKey   = "past"
+)
+
+const (
+	// keepPastInterval is the time between two looks of the designated node at what there is to
+	// write.
+	keepPastInterval = 250 * time.Millisecond
+	// keepPastBackoff is the time until the next one after the store failed.
+	keepPastBackoff = time.Second
+	// readPastInterval is the shortest time between two reads, which callers can cause.
+	readPastInterval = 100 * time.Millisecond
+	// readPastTimeout bounds a read.
+	readPastTimeout = 400 * time.Millisecond
+)
+
+// keepPast writes the past to the store while this node is designated, until ctx ends.
+func (n *Node) keepPast(ctx context.Context) {
+	writer := &pastWriter{node: n, keeper: resumption.NewPastKeeper()}
+	wait := keepPastInterval
+	for sleepFor(ctx, wait) {
+		wait = keepPastInterval
+		if !n.Designated() {
+			writer.known = false
+			continue
+		}
+		if !writer.update(ctx) {
+			wait = keepPastBackoff
+		}
+	}
+}
+
+// pastWriter keeps the row of the past up to date.
+type pastWriter struct {
+	node   *Node
+	keeper *resumption.PastKeeper
+	// known tells that written is what the row held in the era.
+	known   bool
+	era     uint64
+	written string
+}
+
+// update writes the row if it lacks something or holds something that is over. It returns false if
+// the store failed. A store that was restored may have an older row.
+func (w *pastWriter) update(ctx context.Context) bool {
+	if w.known {
+		w.observe(keepPastBackoff + 2*keepPastInterval)
+	}
+	if era := w.node.platform.Era(); !w.known || w.era != era {
+		past, err := w.node.readPast(ctx)
+		if err != nil {
+			w.node.log.WithField("cause", err.Error()).Warn("what streams may have begun at lately can't be read")
+			return false
+		}
+		w.keeper.Observe(past, time.Now())
+		w.known, w.era, w.written = true, era, encodePast(past)
+		w.observe(resumption.Life) // what nobody has written while no node was designated
+	}
+	past := w.keeper.Past(time.Now())
+	encoded := encodePast(past)
+	if encoded == w.written {
+		return true
+	}
+	put := func(ctx context.Context) error {
+		return w.node.platform.Put(ctx, pastTable, pastKey, []byte(encoded))
+	}
+	if !w.node.tryCall(ctx, "write what streams may have begun at lately", put) {
+		return false
+	}
+	w.written = encoded
+	w.node.log.WithFields(logrus.Fields{"versions": past.Versions, "moved": len(past.Moved), "any_moved": past.AnyMoved}).
+		Info("what streams may have begun at lately was written")
+	return true
+}
+
+// observe adds what this node has seen lately.
+func (w *pastWriter) observe(lookBack time.Duration) {
+	now := time.Now()
+	w.keeper.Observe(w.node.seenSince(now.Add(-lookBack)), now)
+}
+
+func encodePast(past resumption.Past) string {
+	encoded, _ := json.Marshal(past) // strings and a flag can always be encoded
+	return string(encoded)
+}
+
+// seenSince returns the versions and moved routes that this node has seen since a time.
+func (n *Node) seenSince(since time.Time) resumption.Past {
+	seen := resumption.Past{Versions: make(map[string][]string), Moved: n.routes.movedSince(since)}
+	for _, service := range n.servicesByName() {
+		seen.Versions[service.Name] = n.registry.SoftwareSince(service.Name, since)
+	}
+	return seen
+}
+
+// readPast reads the past from the store, empty if nothing was written.
+func (n *Node) readPast(ctx context.Context) (resumption.Past, error) {
+	ctx, cancel := context.WithTimeout(ctx, readPastTimeout)
+	defer cancel()
+	rows, _, err := n.platform.ReadSome(ctx, pastTable, 1)
+	if err != nil || len(rows) == 0 {
+		return resumption.Past{}, err
+	}
+	var past resumption.Past
+	err = json.Unmarshal(rows[0].Value, &past)
+	return past, err
+}
+
+// pastReader reads the past for requests. Requests that wait at the same time share one read.
+type pastReader struct {
+	node *Node
+
+	mu sync.Mutex
+	// begun is when the last read began, and past and err are its result.
+	begun time.Time
+	past  resumption.Past
+	err   error
+}
+
+// read returns the past as of a time that isn't before the given one, and false if the store didn't
+// tell it.
+func (r *pastReader) read(ctx context.Context, since time.Time) (resumption.Past, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.begun.After(since) {
+		sleepFor(ctx, readPastInterval-time.Since(r.begun))
+		if ctx.Err() != nil {
+			return resumption.Past{}, false
+		}
+		r.begun = time.Now()
+		r.past, r.err = r.node.readPast(ctx)
+		if r.err != nil {
+			r.node.log.WithField("cause", r.err.Error()).Warn("what streams may have begun at lately can't be read")
+		}
+	}
+	return r.past, r.err == nil
+}
--- a/internal/worker/software.go
+++ b/internal/worker/software.go
@@ -1,22 +1,37 @@
 package worker
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
-// softwareHistory remembers when workers with a software version were listed last, by service. It
-// begins anew with each read of the whole list, since what was listed before that and in between
-// isn't known.
+// softwareHistory remembers when workers with a software version were listed last, by service.
 type softwareHistory struct {
+	// since is from when on all versions that were listed are known.
 	since    time.Time
 	lastSeen map[string]map[string]time.Time
 }
 
-func (h *softwareHistory) begin(now time.Time) {
-	h.since, h.lastSeen = now, make(map[string]map[string]time.Time)
+func (h *softwareHistory) begin(since time.Time) {
+	h.since, h.lastSeen = since, make(map[string]map[string]time.Time)
+}
+
+// begun reports whether the history has a beginning.
+func (h *softwareHistory) begun() bool { return h.lastSeen != nil }
+
+// BeginSoftwareHistory makes the history of software versions begin at a time: nothing that was
+// listed before that is known, and everything since then will be. Without this it begins when the
+// list is read for the first time.
+func (r *Registry) BeginSoftwareHistory(since time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.software.begin(since)
 }
 
 // left records that a worker isn't listed from now on, or with another version.
 func (h *softwareHistory) left(w Worker, now time.Time) {
-	if h.lastSeen == nil {
+	if !h.begun() {
 		return
 	}
 	if h.lastSeen[w.Service] == nil {
@@ -62,6 +77,24 @@
 	return software, since, true
 }
 
+// SoftwareSince returns the software versions that workers of a service have, or had after a time.
+func (r *Registry) SoftwareSince(service string, since time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	versions := make(map[string]bool)
+	for _, known := range r.workers {
+		if known.worker.Service == service && known.listed() {
+			versions[known.worker.Software] = true
+		}
+	}
+	for software, at := range r.software.lastSeen[service] {
+		if at.After(since) {
+			versions[software] = true
+		}
+	}
+	return slices.Collect(maps.Keys(versions))
+}
+
 // Serves reports whether a worker with a software version that can run requests of a service is
 // listed and not draining.
 func (r *Registry) Serves(service, software string) bool {
