Whether a list is current is asked of the store where a stream depends on it

What callers would see: after several nodes had ended, streams that nobody knew refused for up to two seconds, until the next confirmation came by itself. Cause: a node waited for the confirmations of other nodes that had ended.

Change: a node that needs to know asks the store for changes of both tables after what it holds; requests that wait at the same time share a call, one in 100 ms at most.

Conclusion: nothing is waited for that can be asked.

--- a/internal/resumption/resolver.go
+++ b/internal/resumption/resolver.go
@@ -10,8 +10,8 @@
 // Sole is the only origin that the streams of a route can have had for some time.
 type Sole struct {
 	Origin
-	// Since is from when on it was the only one, and Confirmed is up to when that is known.
-	Since, Confirmed time.Time
+	// Since is from when on it was the only one.
+	Since time.Time
 }
 
 // Nodes are the other nodes.
@@ -34,6 +34,9 @@
 type History interface {
 	// SoleOrigin returns the sole origin of a route, and false if there are several or none.
 	SoleOrigin(route string) (Sole, bool)
+	// IsCurrent asks the store whether what this node has followed is complete as of a time after
+	// the given one. told is false if the store didn't answer in time.
+	IsCurrent(ctx context.Context, since time.Time) (current, told bool)
 	// ReadPast reads the past from the store, as of a time that isn't before the given one. It
 	// returns false if the store didn't tell in time.
 	ReadPast(ctx context.Context, since time.Time) (Past, bool)
@@ -76,13 +79,9 @@
 }
 
 const (
-	// confirmWait bounds the wait for a confirmation that the list of workers was current when the
-	// request came. One comes with each call for changes, at the latest after 0.7 s.
-	confirmWait = time.Second
-	confirmPoll = 20 * time.Millisecond
-	// confirmedWithin is the age of the last confirmation up to which another one is waited for. If it
-	// is older, the store doesn't answer.
-	confirmedWithin = 1500 * time.Millisecond
+	// currentWait bounds the wait until this node has what the store had when the request came.
+	currentWait = time.Second
+	currentPoll = 20 * time.Millisecond
 	// unprovedRetryAfter is the Retry-After where nodes or the store didn't answer.
 	unprovedRetryAfter = 300 * time.Millisecond
 )
@@ -129,14 +128,13 @@
 // other one for as long as the stream can have lasted, by what this node has followed, or else by
 // the past in the store.
 func (r *Resolver) proveSole(ctx context.Context, request Request) (Origin, proof) {
-	sole, found := r.history.SoleOrigin(request.Route)
-	for end := time.Now().Add(confirmWait); found && sole.Confirmed.Before(request.Arrived); sole, found = r.history.SoleOrigin(request.Route) {
-		// A version that began the stream was listed before the request came.
-		now := time.Now()
-		if now.After(end) || now.Sub(sole.Confirmed) > confirmedWithin || !pause(ctx, confirmPoll) {
-			return Origin{}, unproved
-		}
+	if _, found := r.history.SoleOrigin(request.Route); !found {
+		return Origin{}, refuted
 	}
+	if !r.awaitCurrent(ctx, request) {
+		return Origin{}, unproved
+	}
+	sole, found := r.history.SoleOrigin(request.Route)
 	switch {
 	case !found:
 		return Origin{}, refuted
@@ -155,6 +153,21 @@
 	return sole.Origin, proved
 }
 
+// awaitCurrent waits until this node has what the store had when the request came: a version that
+// began the stream was listed before that. It returns false if the store doesn't tell that.
+func (r *Resolver) awaitCurrent(ctx context.Context, request Request) bool {
+	for end := time.Now().Add(currentWait); time.Now().Before(end); {
+		current, told := r.history.IsCurrent(ctx, request.Arrived)
+		if current || !told {
+			return current && told
+		}
+		if !pause(ctx, currentPoll) {
+			return false
+		}
+	}
+	return false
+}
+
 // pause waits for a time, and returns false if ctx ends before that.
 func pause(ctx context.Context, span time.Duration) bool {
 	timer := time.NewTimer(span)
--- a/internal/resumption/resolver_test.go
+++ b/internal/resumption/resolver_test.go
@@ -13,8 +13,14 @@
 	answers Answers
 	sole    Sole
 	several bool
-	// past is nil if the store doesn't answer.
-	past *Past
+	// past is nil if the store doesn't tell it, and outdated tells that it doesn't confirm that this
+	// node has followed everything.
+	past     *Past
+	outdated bool
+}
+
+func (f fakes) IsCurrent(context.Context, time.Time) (current, told bool) {
+	return !f.outdated, !f.outdated
 }
 
 func (f fakes) AskOrigin(context.Context, Key) Answers { return f.answers }
@@ -33,23 +39,24 @@
 	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
 	arrived := time.Now()
 	before := func(span time.Duration) time.Time { return arrived.Add(-span) }
-	followed := Sole{Origin: v1, Since: before(past), Confirmed: arrived}
-	started := Sole{Origin: v1, Since: before(2 * time.Second), Confirmed: arrived}
+	followed := Sole{Origin: v1, Since: before(past)}
+	started := Sole{Origin: v1, Since: before(2 * time.Second)}
 	for name, example := range map[string]struct {
 		fakes  fakes
 		want   Origin
 		source Source
 	}{
-		"another node knows it":           {fakes{answers: Answers{Origin: v2, Known: true}, sole: followed}, v2, FromNode},
-		"no other version":                {fakes{sole: followed}, v1, FromSole},
-		"several versions":                {fakes{sole: followed, several: true}, Origin{}, NotFound},
-		"several versions, a silent node": {fakes{several: true, answers: Answers{Silent: 1}}, Origin{}, Unproved},
-		"started, the store is silent":    {fakes{sole: started}, Origin{}, Unproved},
-		"started, nothing in the past":    {fakes{sole: started, past: &Past{}}, v1, FromSole},
-		"started, another service's past": {fakes{sole: started, past: &Past{Versions: map[string][]string{"t": {"v1", "v2"}}}}, v1, FromSole},
-		"started, another version before": {fakes{sole: started, past: &Past{Versions: map[string][]string{"s": {"v1", "v2"}}}}, Origin{}, NotFound},
-		"started, the route has moved":    {fakes{sole: started, past: &Past{Moved: []string{"q", "r"}}}, Origin{}, NotFound},
-		"started, many routes have moved": {fakes{sole: started, past: &Past{AnyMoved: true}}, Origin{}, NotFound},
+		"another node knows it":              {fakes{answers: Answers{Origin: v2, Known: true}, sole: followed}, v2, FromNode},
+		"no other version":                   {fakes{sole: followed}, v1, FromSole},
+		"several versions":                   {fakes{sole: followed, several: true}, Origin{}, NotFound},
+		"several versions, a silent node":    {fakes{several: true, answers: Answers{Silent: 1}}, Origin{}, Unproved},
+		"started, the store is silent":       {fakes{sole: started}, Origin{}, Unproved},
+		"the store doesn't confirm the list": {fakes{sole: followed, past: &Past{}, outdated: true}, Origin{}, Unproved},
+		"started, nothing in the past":       {fakes{sole: started, past: &Past{}}, v1, FromSole},
+		"started, another service's past":    {fakes{sole: started, past: &Past{Versions: map[string][]string{"t": {"v1", "v2"}}}}, v1, FromSole},
+		"started, another version before":    {fakes{sole: started, past: &Past{Versions: map[string][]string{"s": {"v1", "v2"}}}}, Origin{}, NotFound},
+		"started, the route has moved":       {fakes{sole: started, past: &Past{Moved: []string{"q", "r"}}}, Origin{}, NotFound},
+		"started, many routes have moved":    {fakes{sole: started, past: &Past{AnyMoved: true}}, Origin{}, NotFound},
 	} {
 		t.Run(name, func(t *testing.T) {
 			resolver := NewResolver(NewStore(), example.fakes, example.fakes)
@@ -64,19 +71,6 @@
 	}
 }
 
-// A version that began the stream was listed before the request came, which an older list doesn't
-// show.
-func TestListOlderThanTheRequestProvesNoSoleVersion(t *testing.T) {
-	arrived := time.Now()
-	history := fakes{sole: Sole{Origin: Origin{"s", "v1"}, Since: arrived.Add(-time.Hour), Confirmed: arrived.Add(-time.Millisecond)}}
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	got, source, failure := NewResolver(NewStore(), fakes{}, history).Resolve(ctx, Request{Key: 1, Arrived: arrived, Past: time.Second})
-	if failure == nil || source != Unproved {
-		t.Errorf("the stream goes on at %v (%s)", got, source)
-	}
-}
-
 func TestStreamWithoutAnAttemptIsLookedUpNowhere(t *testing.T) {
 	store := NewStore()
 	store.Put(0, Origin{"s", "v2"}, time.Now())
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -201,7 +201,7 @@
 	n.front = ingress.New(ingress.Options{
 		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: ingress.NewMetrics(metrics),
 		ConfigurationAge: n.configurationAge, ConfigurationBehind: n.configurationBehind, Quotas: quotas,
-		Origins: resumption.NewResolver(n.origins, exchange, originHistory{node: n, past: &pastReader{node: n}}),
+		Origins: resumption.NewResolver(n.origins, exchange, newOriginHistory(n)),
 	})
 	if err := n.listen(metrics); err != nil {
 		return nil, err
--- a/internal/serving/origins.go
+++ b/internal/serving/origins.go
@@ -7,6 +7,7 @@
 
 	"github.com/tinarch/tinarch/internal/resumption"
 	"github.com/tinarch/tinarch/internal/routing"
+	"github.com/tinarch/tinarch/internal/tablefeed"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
@@ -103,17 +104,46 @@
 // originHistory is what a node has followed of routes and workers, as a resumption.History.
 type originHistory struct {
 	node *Node
-	past *pastReader
+	past *sharedCall[resumption.Past]
+	// current reports whether the copies of routes and workers are current.
+	current *sharedCall[bool]
+}
+
+func newOriginHistory(n *Node) *originHistory {
+	failed := func(err error) {
+		n.log.WithField("cause", err.Error()).Warn("the store doesn't tell what a stream may have begun at")
+	}
+	return &originHistory{
+		node:    n,
+		past:    &sharedCall[resumption.Past]{call: n.readPast, log: failed},
+		current: &sharedCall[bool]{call: n.holdsNewest, log: failed},
+	}
+}
+
+// holdsNewest asks the store whether this node's copies of routes and workers are the newest.
+func (n *Node) holdsNewest(ctx context.Context) (bool, error) {
+	for table, feed := range map[string]*tablefeed.Feed{
+		n.platform.ConfigurationTable(): n.configurationFeed, n.platform.WorkerTable(): n.workersFeed,
+	} {
+		word, _ := feed.Confirmation()
+		rows, version, err := n.platform.Changes(ctx, table, word.Confirmed, 0)
+		if err != nil {
+			return false, err
+		}
+		if len(rows) > 0 || version < word.Confirmed {
+			feed.Wake()
+			return false, nil
+		}
+	}
+	return true, nil
 }
 
 // SoleOrigin implements resumption.History.
-func (h originHistory) SoleOrigin(route string) (resumption.Sole, bool) {
+func (h *originHistory) SoleOrigin(route string) (resumption.Sole, bool) {
 	led, sole := h.node.routes.of(route)
 	if !sole {
 		return resumption.Sole{}, false
 	}
-	workers, _ := h.node.workersFeed.Confirmation()
-	configuration, _ := h.node.configurationFeed.Confirmation()
 	software, since, sole := h.node.registry.SoleSoftware(led.service)
 	if !sole {
 		return resumption.Sole{}, false
@@ -121,16 +151,17 @@
 	if led.since.After(since) {
 		since = led.since
 	}
-	confirmed := workers.At
-	if configuration.At.Before(confirmed) {
-		confirmed = configuration.At
-	}
-	return resumption.Sole{Origin: resumption.Origin{Service: led.service, Software: software}, Since: since, Confirmed: confirmed}, true
+	return resumption.Sole{Origin: resumption.Origin{Service: led.service, Software: software}, Since: since}, true
+}
+
+// IsCurrent implements resumption.History.
+func (h *originHistory) IsCurrent(ctx context.Context, since time.Time) (current, told bool) {
+	return h.current.after(ctx, since)
 }
 
 // ReadPast implements resumption.History.
-func (h originHistory) ReadPast(ctx context.Context, since time.Time) (resumption.Past, bool) {
-	return h.past.read(ctx, since)
+func (h *originHistory) ReadPast(ctx context.Context, since time.Time) (resumption.Past, bool) {
+	return h.past.after(ctx, since)
 }
 
 // streamBegun remembers a stream, and queues it for the other nodes.
--- a/internal/serving/past.go
+++ b/internal/serving/past.go
@@ -24,10 +24,10 @@
 	keepPastInterval = 250 * time.Millisecond
 	// keepPastBackoff is the time until the next one after the store failed.
 	keepPastBackoff = time.Second
-	// readPastInterval is the shortest time between two reads, which callers can cause.
-	readPastInterval = 100 * time.Millisecond
-	// readPastTimeout bounds a read.
-	readPastTimeout = 400 * time.Millisecond
+	// sharedCallInterval is the shortest time between two calls of a kind that requests cause, and
+	// sharedCallTimeout bounds each.
+	sharedCallInterval = 100 * time.Millisecond
+	sharedCallTimeout  = 400 * time.Millisecond
 )
 
 // keepPast writes the past to the store while this node is designated, until ctx ends.
@@ -63,7 +63,9 @@
 		w.observe(keepPastBackoff + 2*keepPastInterval)
 	}
 	if era := w.node.platform.Era(); !w.known || w.era != era {
-		past, err := w.node.readPast(ctx)
+		readCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		past, err := w.node.readPast(readCtx)
+		cancel()
 		if err != nil {
 			w.node.log.WithField("cause", err.Error()).Warn("what streams may have begun at lately can't be read")
 			return false
@@ -111,8 +113,6 @@
 
 // readPast reads the past from the store, empty if nothing was written.
 func (n *Node) readPast(ctx context.Context) (resumption.Past, error) {
-	ctx, cancel := context.WithTimeout(ctx, readPastTimeout)
-	defer cancel()
 	rows, _, err := n.platform.ReadSome(ctx, pastTable, 1)
 	if err != nil || len(rows) == 0 {
 		return resumption.Past{}, err
@@ -122,32 +122,31 @@
 	return past, err
 }
 
-// pastReader reads the past for requests. Requests that wait at the same time share one read.
-type pastReader struct {
-	node *Node
+// sharedCall makes a call to the store for requests. Requests that wait at the same time share one.
+type sharedCall[T any] struct {
+	call func(ctx context.Context) (T, error)
+	log  func(err error)
 
 	mu sync.Mutex
-	// begun is when the last read began, and past and err are its result.
-	begun time.Time
-	past  resumption.Past
-	err   error
+	// begun is when the last call began, and result and err are how it ended.
+	begun  time.Time
+	result T
+	err    error
 }
 
-// read returns the past as of a time that isn't before the given one, and false if the store didn't
-// tell it.
-func (r *pastReader) read(ctx context.Context, since time.Time) (resumption.Past, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.begun.After(since) {
-		sleepFor(ctx, readPastInterval-time.Since(r.begun))
-		if ctx.Err() != nil {
-			return resumption.Past{}, false
-		}
-		r.begun = time.Now()
-		r.past, r.err = r.node.readPast(ctx)
-		if r.err != nil {
-			r.node.log.WithField("cause", r.err.Error()).Warn("what streams may have begun at lately can't be read")
+// after returns the result of a call that began after a time, and false if it failed.
+func (c *sharedCall[T]) after(ctx context.Context, since time.Time) (T, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.begun.After(since) {
+		sleepFor(ctx, sharedCallInterval-time.Since(c.begun))
+		callCtx, cancel := context.WithTimeout(ctx, sharedCallTimeout)
+		defer cancel()
+		c.begun = time.Now()
+		c.result, c.err = c.call(callCtx)
+		if c.err != nil {
+			c.log(c.err)
 		}
 	}
-	return r.past, r.err == nil
+	return c.result, c.err == nil
 }
