Soak: engines of several versions, released and crashed, and callers who take streams up

Checked from what callers see: one version a stream, each event once, and that in the quiet period streams taken up go on at least half as often as new ones begin. What a node of an earlier build joins isn't judged; what this build joins to it is. Also: whether this node's lists are current counts from when a change has taken effect, which is a moment after its feed confirms it (found by reading).

--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -31,6 +31,7 @@
 	Overload bool   `arg:"--overload" help:"like --uneven, and one tenant sends bursts that the engines can't read in time; who is served and who is kept waiting is checked"`
 	Unframed bool   `arg:"--unframed" help:"workers answer in all framings, break answers off in order and with a reset, and crash while they answer"`
 	Cuts     bool   `arg:"--cuts" help:"some nodes are cut off from all or some workers while others reach them; whether they serve their callers like the others is checked"`
+	Versions bool   `arg:"--versions" help:"engines have several software versions and are replaced by others, and callers take streams up again; whether streams hold events of one version and go on is checked"`
 	Nodes    int    `arg:"--nodes" default:"3" help:"number of nodes, each a process"`
 	Earlier  string `arg:"--earlier" help:"path of tinarchd of an earlier build: half of the nodes start with it, and nodes are upgraded and downgraded"`
 	Logs     string `arg:"--logs" help:"directory for settings and logs (default: a new one, kept only if a promise was broken)"`
@@ -73,7 +74,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
-		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Restores: c.Restores, Handovers: c.Handover, Uneven: c.Uneven, Overload: c.Overload, Unframed: c.Unframed, Cuts: c.Cuts, Nodes: c.Nodes, Earlier: c.Earlier,
+		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Restores: c.Restores, Handovers: c.Handover, Uneven: c.Uneven, Overload: c.Overload, Unframed: c.Unframed, Cuts: c.Cuts, Versions: c.Versions, Nodes: c.Nodes, Earlier: c.Earlier,
 	})
 	if err != nil {
 		return nil, err
@@ -83,6 +84,9 @@
 	if report.Storm != nil {
 		fmt.Printf("  storm: %+v\n", *report.Storm)
 	}
+	if report.Streams != nil {
+		fmt.Printf("  streams: %+v\n", *report.Streams)
+	}
 	if c.Quotas {
 		fmt.Printf("  quota: at most %d requests in a window\n", report.LimitedPeak)
 	}
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -54,6 +54,9 @@
 	if s.options.Notices {
 		kinds = append(kinds, s.announceEnd, s.announceEnd, s.askForBackoff, s.askForBackoff, s.askForBackoff)
 	}
+	if s.options.Versions {
+		kinds = append(kinds, s.releaseEngine, s.releaseEngine, s.releaseEngine, s.crashEngine, s.crashEngine, s.killNode, s.killNode)
+	}
 	if s.options.Earlier != "" {
 		kinds = append(kinds, s.rollNode, s.rollNode, s.rollNode)
 	}
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -66,6 +66,15 @@
 	prompt  string
 	// target is the rest of the path after the class's prefix; empty means the id.
 	target string
+	// after is the last event that the caller has, and resumes its attempt that brought the first
+	// one; empty if it has none.
+	after, resumes string
+	// followed marks the tries of streams that are checked as a whole (stream).
+	followed bool
+	// versions are the software versions whose events the body held.
+	versions []string
+	// earlier tells that the node asked ran an earlier build before or after the request.
+	earlier bool
 }
 
 // load sends requests and records what callers see.
@@ -73,6 +82,7 @@
 	site *site
 
 	mu           sync.Mutex
+	streams      []stream
 	observations []observation
 	quietSince   time.Time
 }
@@ -123,14 +133,22 @@
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: number%2 == 0}
 	defer transport.CloseIdleConnections()
 	for count := 0; ctx.Err() == nil; count++ {
-		got := l.sendOne(transport, random, number, fmt.Sprintf("%04x%012x", number, count))
-		l.mu.Lock()
-		l.observations = append(l.observations, got)
-		l.mu.Unlock()
+		id := fmt.Sprintf("%04x%012x", number, count)
+		if l.site.options.Versions && random.IntN(2) == 0 {
+			l.follow(ctx, transport, random, number, id)
+		} else {
+			l.add(l.sendOne(transport, random, number, id))
+		}
 		sleep(ctx, time.Duration(random.Int64N(int64(2*callerPause))))
 	}
 }
 
+func (l *load) add(got observation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.observations = append(l.observations, got)
+}
+
 func (l *load) sendOne(transport *http.Transport, random *rand.Rand, number int, id string) observation {
 	got := observation{id: id, class: classes[random.IntN(len(classes))], sent: time.Now(), tenant: tenantOf(number), key: keyOf(number)}
 	got.timeout = clientTimeout
@@ -147,7 +165,7 @@
 }
 
 // send sends a request and returns what the caller saw of it.
-func (l *load) send(transport *http.Transport, address string, got observation, body string) observation {
+func (l *load) send(transport *http.Transport, address string, got observation, body string) (seen observation) {
 	ctx, cancel := context.WithTimeout(context.Background(), max(got.timeout, 0))
 	defer cancel()
 	path := got.class.prefix + cmp.Or(got.target, got.id)
@@ -167,7 +185,12 @@
 		request.Header.Set("X-Token-Usage", "3000,20")
 		request.Header.Set("X-Prompt-Prefix", got.prompt)
 	}
-	got.node = l.site.nameOf(address)
+	if got.resumes != "" {
+		request.Header.Set("Last-Event-Id", got.after)
+		request.Header.Set("Resumes", got.resumes)
+	}
+	got.node, got.earlier = l.site.nameOf(address), l.site.runsEarlier(address)
+	defer func() { seen.earlier = seen.earlier || l.site.runsEarlier(address) }()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		got.err, got.ended = err, time.Now()
@@ -176,12 +199,18 @@
 	defer func() { _ = response.Body.Close() }()
 	got.answered = time.Now()
 	content, err := io.ReadAll(response.Body)
-	got.status, got.header, got.body, got.err = response.StatusCode, response.Header, string(content), err
+	got.status, got.header, got.err = response.StatusCode, response.Header, err
+	got.body, got.versions = withoutVersions(string(content))
 	got.framed = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	got.ended = time.Now()
 	return got
 }
 
+// runsEarlier reports whether the node that serves callers at an address runs an earlier build.
+func (s *site) runsEarlier(address string) bool {
+	return s.options.Earlier != "" && s.nodes[slices.Index(s.callers, address)].ProgramAt(time.Now()) == s.options.Earlier
+}
+
 // nameOf returns the name of the node that serves callers at an address.
 func (s *site) nameOf(address string) string {
 	return s.nodes[slices.Index(s.callers, address)].Name
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -36,6 +36,8 @@
 	Paused  int `json:"paused,omitempty"`
 	// Storm is how soon the configurations of a storm were in force; nil if there was none.
 	Storm *stormReport `json:"storm,omitempty"`
+	// Streams tells what callers saw of the streams that they took up; nil without Options.Versions.
+	Streams *streamReport `json:"streams,omitempty"`
 	// Windows counts the usage windows that were reported.
 	Windows  int            `json:"windows"`
 	Statuses map[string]int `json:"statuses"`
@@ -63,6 +65,9 @@
 	ids := make(map[string]bool, len(l.observations))
 	for _, got := range l.observations {
 		ids[got.id] = true
+		if got.followed {
+			continue
+		}
 		switch {
 		case l.site.options.Quotas && got.tenant == tenantOf(limitedTenant) && got.status == http.StatusTooManyRequests:
 			report.OverLimit++
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -66,6 +66,10 @@
 	// Cuts cuts some nodes off from all or some workers while other nodes reach them, and checks that
 	// they serve their callers like the others.
 	Cuts bool
+	// Versions gives engines several software versions, replaces them by ones of other versions, and
+	// makes callers take streams up again, at other nodes too. It checks that no stream holds events
+	// of two versions, and that streams go on.
+	Versions bool
 	// Nodes is the number of nodes.
 	Nodes int
 	// Earlier is the path of an earlier build of tinarchd. If it is set, half of the nodes
@@ -123,6 +127,7 @@
 	limits   limits
 	cuts     cuts
 	notices  notices
+	releases releases
 	started  time.Time
 
 	mu sync.Mutex
@@ -193,6 +198,10 @@
 		report.Storm = &summary
 		report.Broken = append(report.Broken, violations...)
 	}
+	if options.Versions {
+		report.Streams = streamReportOf(load.followedStreams())
+		report.Broken = append(report.Broken, report.Streams.violations()...)
+	}
 	report.Limited = len(s.limits.stated)
 	report.Leaving, report.Paused = s.notices.counted()
 	report.Ended = len(s.endedWorkers())
@@ -229,6 +238,7 @@
 		{ID: "write-1", Service: engines, Stage: "decode"}, {ID: "write-2", Service: engines, Stage: "decode"}, {ID: "write-3", Service: engines, Stage: "decode"},
 		{ID: "plain-1", Service: plain}, {ID: "plain-2", Service: plain}, {ID: "plain-3", Service: plain},
 	} {
+		options = s.versioned(options)
 		if err := s.addWorker(options); err != nil {
 			return err
 		}
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -30,7 +30,8 @@
 }
 
 // Apply implements tablefeed.Consumer.
-func (c *configConsumer) Apply(rows []tablefeed.Row, _ tablefeed.Version) {
+func (c *configConsumer) Apply(rows []tablefeed.Row, version tablefeed.Version) {
+	defer c.node.routesApplied.Store(uint64(version))
 	for _, row := range rows {
 		if row.Gone {
 			continue
@@ -102,6 +103,7 @@
 
 // Reset implements tablefeed.Consumer.
 func (w *workerConsumer) Reset(rows []tablefeed.Row, version tablefeed.Version) {
+	defer w.node.workersApplied.Store(uint64(version))
 	var listed []worker.Worker
 	unreadable := 0
 	for _, row := range rows {
@@ -169,6 +171,7 @@
 
 // Apply implements tablefeed.Consumer.
 func (w *workerConsumer) Apply(rows []tablefeed.Row, version tablefeed.Version) {
+	defer w.node.workersApplied.Store(uint64(version))
 	unreadable, logged := 0, 0
 	for _, row := range rows {
 		change := worker.Change{Name: row.Key}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -132,6 +132,9 @@
 	restored chan struct{}
 	// tables serves this node's copies of the tables to other nodes.
 	tables *tableshare.Server
+	// routesApplied and workersApplied are the versions of the last changes of these tables that
+	// have taken effect; a feed confirms a change before that.
+	routesApplied, workersApplied atomic.Uint64
 	// workersKnown tells that at least one worker has been listed since the start.
 	workersKnown atomic.Bool
 
--- a/internal/serving/origins.go
+++ b/internal/serving/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/resumption"
@@ -122,16 +123,24 @@
 
 // holdsNewest asks the store whether this node's copies of routes and workers are the newest.
 func (n *Node) holdsNewest(ctx context.Context) (bool, error) {
-	for table, feed := range map[string]*tablefeed.Feed{
-		n.platform.ConfigurationTable(): n.configurationFeed, n.platform.WorkerTable(): n.workersFeed,
+	for _, copied := range []struct {
+		table   string
+		feed    *tablefeed.Feed
+		applied *atomic.Uint64
+	}{
+		{n.platform.ConfigurationTable(), n.configurationFeed, &n.routesApplied},
+		{n.platform.WorkerTable(), n.workersFeed, &n.workersApplied},
 	} {
-		word, _ := feed.Confirmation()
-		rows, version, err := n.platform.Changes(ctx, table, word.Confirmed, 0)
+		word, _ := copied.feed.Confirmation()
+		if copied.applied.Load() < uint64(word.Changed) {
+			return false, nil
+		}
+		rows, version, err := n.platform.Changes(ctx, copied.table, word.Confirmed, 0)
 		if err != nil {
 			return false, err
 		}
 		if len(rows) > 0 || version < word.Confirmed {
-			feed.Wake()
+			copied.feed.Wake()
 			return false, nil
 		}
 	}
