--- a/test.sh
+++ b/test.sh
@@ -41,7 +41,7 @@
 known_red=$(tools/known-red.sh)
 go test -race -timeout 8m ${known_red:+-skip "$known_red"} ./...
 
-say "a short fault soak of real processes, ten seeds"
+say "a short fault soak of real processes, eleven seeds"
 programs=$(mktemp -d)
 trap 'rm -rf "$programs"' EXIT
 go build -o "$programs/" ./cmd/tinarchd ./cmd/tinarch-lab
@@ -62,3 +62,4 @@
 soak 59102 --seconds 25 --handovers
 soak 63013 --seconds 12 --unframed
 soak 69105 --seconds 20 --cuts --notices
+soak 72001 --seconds 15 --versions
