A node that the platform's API doesn't answer leaves the duties to others

Cause: a node steps back when the store doesn't answer it, or when it has lost its links to most workers; its link to the API was looked at nowhere.

If no node is answered, the lowest one acts, as before.

--- a/internal/nodeexchange/connects.go
+++ b/internal/nodeexchange/connects.go
@@ -44,6 +44,15 @@
 	e.isolatedUntil = now.Add(isolatedHold)
 }
 
+// LeaveDuties makes this node leave the duties to others for a time, as if it were isolated.
+func (e *Exchange) LeaveDuties(span time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until := time.Now().Add(span); until.After(e.isolatedUntil) {
+		e.isolatedUntil = until
+	}
+}
+
 // isStandby reports whether this node leaves the duties to others. The caller holds mu.
 func (e *Exchange) isStandby(now time.Time) bool {
 	return now.Before(e.steppedBackUntil) || now.Before(e.isolatedUntil)
--- a/internal/serving/fleet.go
+++ b/internal/serving/fleet.go
@@ -16,7 +16,7 @@
 		return
 	}
 	controller := fleetsize.New(fleetsize.Options{
-		Node: n.settings.Node.Name, Authority: n.authority, Store: n.platform, API: n.platform,
+		Node: n.settings.Node.Name, Authority: n.authority, Store: n.platform, API: n.api,
 		Workers: n.registry, Services: n.scaledServices, Designated: n.Designated, Log: n.log,
 		Nodes: n.exchange.Nodes, Metrics: fleetsize.NewMetrics(metrics), Heartbeat: settings.Milliseconds(n.settings.Bounds.HeartbeatMillis),
 	})
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -139,6 +139,8 @@
 	workersKnown atomic.Bool
 
 	authority *authority.Authority
+	// api is the platform's API for duties.
+	api *apiLink
 	// quarantine keeps requests that seem to crash workers away from them, and quarantineFeed
 	// follows the records of such requests in the store.
 	quarantine     *quarantine.Manager
@@ -179,6 +181,7 @@
 		return nil, err
 	}
 	n.exchange = exchange
+	n.api = &apiLink{api: platform, leave: exchange.LeaveDuties, log: log}
 	n.beginHistories()
 	exchange.SetOrigins(n.origins)
 	n.registry.FollowShared(configured.Overload.ColdStart.Selects)
--- a/internal/serving/usage.go
+++ b/internal/serving/usage.go
@@ -31,7 +31,7 @@
 	reporter := usage.NewReporter(usage.Options{
 		Node: n.settings.Node.Name, Incarnation: n.incarnation, Late: seconds(n.settings.Usage.LateSeconds),
 		Tally: n.tally, Collector: n.collector, Authority: n.authority,
-		Store: n.platform, API: n.platform, Fleet: n.exchange,
+		Store: n.platform, API: n.api, Fleet: n.exchange,
 		Designated: n.Designated, Log: n.log, Metrics: usage.NewMetrics(metrics),
 	})
 	n.work.Go(func() { reporter.Run(ctx) })
