Asking a worker for its incarnation counts as a turn at a worker with a limit

What callers would see: nothing; a worker in need that tells its start would get one request more for each new connection than it takes. Cause: the question before a stream was sent without a turn. Change: it is counted, as the release of a handle is. Conclusion: found by reading.

--- a/internal/serving/incarnations.go
+++ b/internal/serving/incarnations.go
@@ -17,6 +17,7 @@
 		return nil
 	}
 	known.Address = address
+	i.node.exchange.CountTurn(key) // it arrives there like a request
 	return i.node.platform.StateRequest(known, "")
 }
 
--- a/internal/workerconn/verify.go
+++ b/internal/workerconn/verify.go
@@ -12,7 +12,7 @@
 // Verifier tells incarnations of workers apart that have the same name and address.
 type Verifier interface {
 	// IncarnationRequest returns the request that asks a worker for its incarnation, nil if the
-	// worker doesn't tell it.
+	// worker doesn't tell it. It is called just before the request is sent.
 	IncarnationRequest(key, address string) *Request
 	// IsIncarnation reports whether an answer to it can be that of the incarnation.
 	IsIncarnation(key string, status int, body []byte) bool
