A past in the store that doesn't show what is in force proves nothing

What callers would see: after a change of a route, or of the row itself by a restore, and a start of all nodes before the designated one has written, a stream that nobody knows at another service or version. Also: streams refused for a second where a node's list was behind when it was asked first, and because another caller had left. Cause: an absent or old row counted as one that says nothing happened; a first answer that the list is behind was kept for all later looks of the same request; a shared call ended with the request that made it.

Change: the row holds all versions and a digest of where the routes lead, and must show the origin and the digest in force; each look asks anew; a shared call outlives its request.

Figures: TestStreamIsRefusedAfterAllNodesWereRestartedIfItsRouteHasMoved and TestNodeThatCatchesUpWithTheStoreIsAskedAnew are new (not run without the change). Conclusion: absence is no evidence.

--- a/internal/lab/site/software_test.go
+++ b/internal/lab/site/software_test.go
@@ -350,15 +350,43 @@
 func TestStreamOfTheOnlyVersionGoesOnAfterAllNodesWereRestarted(t *testing.T) {
 	s := startVersions(t, "v1")
 	streams := s.beginAll("/check/1", 2)
+	s.await("the version is in the store", func() bool { return len(s.store.Rows("streams")) > 0 })
 	s.restartAll()
 	s.takeUpAll(streams, s.address, "/check/1")
 	s.checkWhole(streams)
 }
 
+func TestStreamIsRefusedAfterAllNodesWereRestartedIfItsRouteHasMoved(t *testing.T) {
+	s := startVersions(t, "v1")
+	streams := s.beginAll("/check/1", 2)
+	s.await("the version is in the store", func() bool { return len(s.store.Rows("streams")) > 0 })
+	s.node.Close()
+	for _, other := range s.others {
+		other.node.Close()
+	}
+	moved := versionsConfiguration(2)
+	for _, route := range moved["Routes"].([]any) {
+		if fields := route.(map[string]any); fields["Name"] == "check" {
+			fields["Service"] = otherLLM
+		}
+	}
+	s.store.Put("op", "config", moved)
+	s.restartAll()
+	s.takeUpAll(streams, s.address, "/check/1")
+	for i, c := range streams {
+		if c.status != http.StatusServiceUnavailable {
+			t.Errorf("stream %d was answered %d", i, c.status)
+		}
+	}
+}
+
 func TestStreamIsRefusedAfterAllNodesWereRestartedIfAnotherVersionServedBefore(t *testing.T) {
 	s := startVersions(t, "v1", "v2")
 	streams := s.beginAll("/check/1", 2)
-	s.await("both versions are in the store", func() bool { return len(s.store.Rows("streams")) > 0 })
+	s.await("both versions are in the store", func() bool {
+		rows := s.store.Rows("streams")
+		return len(rows) > 0 && strings.Contains(string(rows[0].Value), `"v1","v2"`)
+	})
 	for _, name := range []string{"write-v2-a", "write-v2-b"} {
 		s.store.Put("servers", name, nil)
 		delete(s.workers, name)
--- a/internal/resumption/past.go
+++ b/internal/resumption/past.go
@@ -8,23 +8,23 @@
 // Past is what streams may have begun at lately although nothing shows it any more. It lies in the
 // store, for nodes that haven't followed workers and routes for long enough themselves.
 type Past struct {
-	// Versions are the software versions that the workers of a service have had within Life, for
-	// the services with several, in order.
+	// Versions are the software versions that the workers of a service have had within Life, in
+	// order.
 	Versions map[string][]string `json:"versions,omitempty"`
+	// RoutesDigest stands for the services that the routes lead to. Where it isn't that of the
+	// routes in force, routes have moved since the past was written.
+	RoutesDigest string `json:"routes,omitempty"`
 	// Moved are the routes that have led elsewhere within Life, in order. If there are too many to
 	// be listed, AnyMoved is set instead.
 	Moved    []string `json:"moved,omitempty"`
 	AnyMoved bool     `json:"any_moved,omitempty"`
 }
 
-// Allows reports whether the streams of a route can have had no other origin than one.
-func (p Past) Allows(route string, only Origin) bool {
-	for _, version := range p.Versions[only.Service] {
-		if version != only.Software {
-			return false
-		}
-	}
-	return !p.AnyMoved && !slices.Contains(p.Moved, route)
+// Allows reports whether the streams of a route can have had no other origin than one, given the
+// digest of the routes in force. A past that doesn't show that origin is older than it.
+func (p Past) Allows(route string, only Origin, routes string) bool {
+	return slices.Equal(p.Versions[only.Service], []string{only.Software}) &&
+		p.RoutesDigest == routes && !p.AnyMoved && !slices.Contains(p.Moved, route)
 }
 
 // maxMoved bounds the routes that are listed as moved, so that a row holds them.
@@ -36,6 +36,8 @@
 	versions map[Origin]time.Time
 	moved    map[string]time.Time
 	anyMoved time.Time
+	// routes is the last digest that was observed.
+	routes string
 }
 
 // NewPastKeeper returns an empty keeper.
@@ -56,11 +58,12 @@
 	if seen.AnyMoved {
 		k.anyMoved = now
 	}
+	k.routes = seen.RoutesDigest
 }
 
 // Past returns what was observed within Life, and forgets the rest.
 func (k *PastKeeper) Past(now time.Time) Past {
-	var past Past
+	past := Past{RoutesDigest: k.routes}
 	byService := make(map[string][]string)
 	for origin, at := range k.versions {
 		if now.Sub(at) >= Life {
@@ -70,9 +73,6 @@
 		byService[origin.Service] = append(byService[origin.Service], origin.Software)
 	}
 	for service, versions := range byService {
-		if len(versions) < 2 {
-			continue
-		}
 		if past.Versions == nil {
 			past.Versions = make(map[string][]string)
 		}
--- a/internal/resumption/past_test.go
+++ b/internal/resumption/past_test.go
@@ -14,8 +14,9 @@
 	seen := func(span time.Duration, moved []string, versions ...string) {
 		k.Observe(Past{Versions: map[string][]string{"s": versions}, Moved: moved}, at(span))
 	}
+	one := func(version string) Past { return Past{Versions: map[string][]string{"s": {version}}} }
 	seen(0, nil, "v1")
-	if diff := cmp.Diff(Past{}, k.Past(at(0))); diff != "" {
+	if diff := cmp.Diff(one("v1"), k.Past(at(0))); diff != "" {
 		t.Errorf("one version: %s", diff)
 	}
 	seen(time.Second, []string{"r"}, "v2", "v1")
@@ -27,7 +28,7 @@
 			t.Errorf("after %v: %s", span, diff)
 		}
 	}
-	if diff := cmp.Diff(Past{}, k.Past(at(Life+time.Second))); diff != "" {
+	if diff := cmp.Diff(one("v2"), k.Past(at(Life+time.Second))); diff != "" {
 		t.Errorf("later: %s", diff)
 	}
 }
@@ -49,9 +50,9 @@
 	for i := range maxMoved + 1 {
 		moved = append(moved, fmt.Sprint("route-", i))
 	}
-	k.Observe(Past{Moved: moved}, start)
+	k.Observe(Past{Moved: moved, Versions: map[string][]string{"s": {""}}}, start)
 	past := k.Past(start)
-	if len(past.Moved) > 0 || past.Allows("unmoved", Origin{Service: "s"}) {
+	if len(past.Moved) > 0 || past.Allows("unmoved", Origin{Service: "s"}, "") {
 		t.Errorf("%d routes are listed, and one that isn't counts as unmoved", len(past.Moved))
 	}
 }
--- a/internal/resumption/resolver.go
+++ b/internal/resumption/resolver.go
@@ -40,6 +40,8 @@
 	// ReadPast reads the past from the store, as of a time that isn't before the given one. It
 	// returns false if the store didn't tell in time.
 	ReadPast(ctx context.Context, since time.Time) (Past, bool)
+	// RoutesDigest is the Past.RoutesDigest of the routes in force.
+	RoutesDigest() string
 }
 
 // Source tells how the origin of a stream was found. It is a label of a metric.
@@ -147,7 +149,7 @@
 	switch {
 	case !read:
 		return Origin{}, unproved
-	case !past.Allows(request.Route, sole.Origin):
+	case !past.Allows(request.Route, sole.Origin, r.history.RoutesDigest()):
 		return Origin{}, refuted
 	}
 	return sole.Origin, proved
@@ -156,8 +158,9 @@
 // awaitCurrent waits until this node has what the store had when the request came: a version that
 // began the stream was listed before that. It returns false if the store doesn't tell that.
 func (r *Resolver) awaitCurrent(ctx context.Context, request Request) bool {
-	for end := time.Now().Add(currentWait); time.Now().Before(end); {
-		current, told := r.history.IsCurrent(ctx, request.Arrived)
+	end := time.Now().Add(currentWait)
+	for since := request.Arrived; since.Before(end); since = time.Now() {
+		current, told := r.history.IsCurrent(ctx, since)
 		if current || !told {
 			return current && told
 		}
--- a/internal/resumption/resolver_test.go
+++ b/internal/resumption/resolver_test.go
@@ -25,6 +25,8 @@
 
 func (f fakes) AskOrigin(context.Context, Key) Answers { return f.answers }
 
+func (f fakes) RoutesDigest() string { return "routes" }
+
 func (f fakes) ReadPast(context.Context, time.Time) (Past, bool) {
 	if f.past == nil {
 		return Past{}, false
@@ -41,6 +43,14 @@
 	before := func(span time.Duration) time.Time { return arrived.Add(-span) }
 	followed := Sole{Origin: v1, Since: before(past)}
 	started := Sole{Origin: v1, Since: before(2 * time.Second)}
+	wrote := func(service string, versions ...string) *Past {
+		return &Past{Versions: map[string][]string{service: versions}, RoutesDigest: "routes"}
+	}
+	changed := func(change func(p *Past)) *Past {
+		past := wrote("s", "v1")
+		change(past)
+		return past
+	}
 	for name, example := range map[string]struct {
 		fakes  fakes
 		want   Origin
@@ -52,11 +62,15 @@
 		"several versions, a silent node":    {fakes{several: true, answers: Answers{Silent: 1}}, Origin{}, Unproved},
 		"started, the store is silent":       {fakes{sole: started}, Origin{}, Unproved},
 		"the store doesn't confirm the list": {fakes{sole: followed, past: &Past{}, outdated: true}, Origin{}, Unproved},
-		"started, nothing in the past":       {fakes{sole: started, past: &Past{}}, v1, FromSole},
-		"started, another service's past":    {fakes{sole: started, past: &Past{Versions: map[string][]string{"t": {"v1", "v2"}}}}, v1, FromSole},
-		"started, another version before":    {fakes{sole: started, past: &Past{Versions: map[string][]string{"s": {"v1", "v2"}}}}, Origin{}, NotFound},
-		"started, the route has moved":       {fakes{sole: started, past: &Past{Moved: []string{"q", "r"}}}, Origin{}, NotFound},
-		"started, many routes have moved":    {fakes{sole: started, past: &Past{AnyMoved: true}}, Origin{}, NotFound},
+		"started, one version before":        {fakes{sole: started, past: wrote("s", "v1")}, v1, FromSole},
+		"started, nothing in the past":       {fakes{sole: started, past: &Past{RoutesDigest: "routes"}}, Origin{}, NotFound},
+		"started, another one in the past":   {fakes{sole: started, past: wrote("s", "v2")}, Origin{}, NotFound},
+		"started, another service's past":    {fakes{sole: started, past: wrote("t", "v1")}, Origin{}, NotFound},
+		"started, several versions before":   {fakes{sole: started, past: wrote("s", "v1", "v2")}, Origin{}, NotFound},
+		"started, other routes before":       {fakes{sole: started, past: changed(func(p *Past) { p.RoutesDigest = "others" })}, Origin{}, NotFound},
+		"started, the route has moved":       {fakes{sole: started, past: changed(func(p *Past) { p.Moved = []string{"q", "r"} })}, Origin{}, NotFound},
+		"started, another route has moved":   {fakes{sole: started, past: changed(func(p *Past) { p.Moved = []string{"q"} })}, v1, FromSole},
+		"started, many routes have moved":    {fakes{sole: started, past: changed(func(p *Past) { p.AnyMoved = true })}, Origin{}, NotFound},
 	} {
 		t.Run(name, func(t *testing.T) {
 			resolver := NewResolver(NewStore(), example.fakes, example.fakes)
@@ -79,3 +93,26 @@
 		t.Errorf("the stream goes on at %v (%s)", got, source)
 	}
 }
+
+// behind is a history that has caught up with the store at the second look.
+type behind struct {
+	fakes
+	looks *int
+	last  *time.Time
+}
+
+func (b behind) IsCurrent(_ context.Context, since time.Time) (current, told bool) {
+	*b.looks++
+	fresh := since.After(*b.last)
+	*b.last = since
+	return *b.looks > 1 && fresh, true
+}
+
+func TestNodeThatCatchesUpWithTheStoreIsAskedAnew(t *testing.T) {
+	arrived, looks := time.Now(), 0
+	history := behind{fakes{sole: Sole{Origin: Origin{"s", "v1"}}}, &looks, &time.Time{}}
+	_, source, _ := NewResolver(NewStore(), fakes{}, history).Resolve(t.Context(), Request{Key: 1, Arrived: arrived, Past: time.Second})
+	if source != FromSole || looks != 2 {
+		t.Errorf("%s after %d looks", source, looks)
+	}
+}
--- a/internal/serving/origins.go
+++ b/internal/serving/origins.go
@@ -2,6 +2,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +28,8 @@
 	// in force.
 	soles map[string]soleService
 	first time.Time
+	// digest stands for the services that these routes lead to.
+	digest string
 }
 
 type soleService struct {
@@ -52,7 +59,25 @@
 		}
 		soles[route.Name] = known
 	}
-	h.soles = soles
+	h.soles, h.digest = soles, digestOf(soles)
+}
+
+// digestOf returns a text that differs for routes that lead to other services.
+func digestOf(soles map[string]soleService) string {
+	hash := sha256.New()
+	for _, route := range slices.Sorted(maps.Keys(soles)) {
+		_, _ = fmt.Fprintf(hash, "%q %q\n", route, soles[route].service)
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
+}
+
+const digestBytes = 8
+
+// currentDigest returns the digest of the routes in force.
+func (h *routeHistory) currentDigest() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.digest
 }
 
 func soleServiceOf(route *routing.Route) (service string, sole bool) {
@@ -173,6 +198,9 @@
 	return h.past.after(ctx, since)
 }
 
+// RoutesDigest implements resumption.History.
+func (h *originHistory) RoutesDigest() string { return h.node.routes.currentDigest() }
+
 // streamBegun remembers a stream, and queues it for the other nodes.
 func (n *Node) streamBegun(stream worker.Stream) {
 	n.origins.Put(stream.Key, stream.Origin, time.Now())
--- a/internal/serving/past.go
+++ b/internal/serving/past.go
@@ -11,8 +11,8 @@
 	"github.com/tinarch/tinarch/internal/resumption"
 )
 
-// pastTable holds one row: the resumption.Past. The designated node writes it, so in a fleet of one
-// software version whose routes don't move it is never written.
+// pastTable holds one row: the resumption.Past. The designated node writes it when it changes: in a
+// fleet of one software version whose routes don't move, once.
 const (
 	pastTable = "streams"
 	pastKey   = "past"
@@ -104,7 +104,7 @@
 
 // seenSince returns the versions and moved routes that this node has seen since a time.
 func (n *Node) seenSince(since time.Time) resumption.Past {
-	seen := resumption.Past{Versions: make(map[string][]string), Moved: n.routes.movedSince(since)}
+	seen := resumption.Past{Versions: make(map[string][]string), Moved: n.routes.movedSince(since), RoutesDigest: n.routes.currentDigest()}
 	for _, service := range n.servicesByName() {
 		seen.Versions[service.Name] = n.registry.SoftwareSince(service.Name, since)
 	}
@@ -140,7 +140,8 @@
 	defer c.mu.Unlock()
 	if !c.begun.After(since) {
 		sleepFor(ctx, sharedCallInterval-time.Since(c.begun))
-		callCtx, cancel := context.WithTimeout(ctx, sharedCallTimeout)
+		// The call is made for others too, who stay if this request's caller leaves.
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), sharedCallTimeout)
 		defer cancel()
 		c.begun = time.Now()
 		c.result, c.err = c.call(callCtx)
