lab/soak: streams that an earlier build began aren't judged by whether they go on

Several versions serve, so a guess would join them.

Change: take-ups of a stream whose first event came from an earlier build don't count in the share; those that begin at this build do, whoever refused a try before. What joins versions at this build is judged as before.

--- a/internal/lab/soak/versions.go
+++ b/internal/lab/soak/versions.go
@@ -221,9 +221,14 @@
 func (r *streamReport) add(s stream) {
 	r.Streams++
 	var events, versions []string
+	begunByEarlier := false
 	for _, try := range s.tries {
 		ids := eventIDs(try.body)
-		r.count(try, len(ids) > 0, s.quiet)
+		// An earlier build tells nobody what it has begun, so that this one must refuse the rest.
+		if !begunByEarlier {
+			r.count(try, len(ids) > 0, s.quiet)
+		}
+		begunByEarlier = begunByEarlier || len(events) == 0 && len(ids) > 0 && try.earlier
 		events = append(events, ids...)
 		if joins(versions, try) && !try.earlier {
 			r.broken = append(r.broken, fmt.Sprintf("stream %s holds events of the versions %v and, by try %s at %s, of %v", s.tries[0].id, versions, try.id, try.node, try.versions))
--- a/internal/lab/soak/versions_test.go
+++ b/internal/lab/soak/versions_test.go
@@ -56,6 +56,8 @@
 	refused := observation{status: http.StatusServiceUnavailable, resumes: "t", timeout: clientTimeout}
 	left := observation{err: errors.New("left"), resumes: "t", timeout: 1}
 	begun := tryOf("", versionedBody(1, 3, "v1"))
+	byEarlier, refusedByEarlier := begun, observation{status: http.StatusServiceUnavailable, timeout: clientTimeout}
+	byEarlier.earlier, refusedByEarlier.earlier = true, true
 	goesOn := tryOf("t", versionedBody(4, 8, "v1"))
 	quiet := func(count int, tries ...observation) []stream {
 		return slices.Repeat([]stream{{tries: append([]observation{begun}, tries...), quiet: true}}, count)
@@ -64,11 +66,13 @@
 		streams []stream
 		broken  bool
 	}{
-		"all go on":           {quiet(12, goesOn), false},
-		"half go on":          {slices.Concat(quiet(6, goesOn), quiet(6, refused)), false},
-		"fewer go on":         {slices.Concat(quiet(5, goesOn), quiet(7, refused)), true},
-		"too few to tell":     {quiet(11, refused), false},
-		"their callers leave": {quiet(20, left), false},
+		"all go on":                      {quiet(12, goesOn), false},
+		"half go on":                     {slices.Concat(quiet(6, goesOn), quiet(6, refused)), false},
+		"fewer go on":                    {slices.Concat(quiet(5, goesOn), quiet(7, refused)), true},
+		"too few to tell":                {quiet(11, refused), false},
+		"their callers leave":            {quiet(20, left), false},
+		"an earlier build began":         {slices.Repeat([]stream{{tries: []observation{byEarlier, refused}, quiet: true}}, 12), false},
+		"an earlier build refused first": {slices.Concat(quiet(1), slices.Repeat([]stream{{tries: []observation{refusedByEarlier, begun, refused}, quiet: true}}, 12)), true},
 	} {
 		if got := len(streamReportOf(example.streams).violations()) > 0; got != example.broken {
 			t.Errorf("%s: %v", name, got)
