A stream without workers of its version tells nothing of its service's outage

What callers would see: longer Retry-After for new requests of a service of which one version has no worker left. Cause: a refusal for want of workers counts in the estimate of how long the service is out, also if only the workers of one version are. Change: what continues a stream doesn't count there, unless it is served.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -237,8 +237,8 @@
 	Ending  Ending
 	// EndProbe is what a probe of the worker found at that end, empty if there was none.
 	EndProbe workerconn.Liveness
-	// Software is the software version of the worker whose events the caller got, empty if it got
-	// none.
+	// Software is the software version of the worker whose events the caller got, or of the one that
+	// began the stream which the call continues; empty if there is none.
 	Software string
 	// Through is the address of the other node that the last answer came through, empty if it came
 	// over this node's own link.
--- a/internal/dispatch/outages.go
+++ b/internal/dispatch/outages.go
@@ -16,6 +16,9 @@
 // which the caller may find the service back, zero if the service does not seem to be
 // unavailable.
 func (s *session) observeOutage(code result.Code) time.Duration {
+	if s.bound && code != result.OK {
+		return 0 // workers of other versions may serve
+	}
 	switch code {
 	case result.OK:
 		s.withOutage(func(outage *retry.Outage) { outage.Served(time.Now()) })
--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -11,7 +11,7 @@
 	"github.com/tinarch/tinarch/internal/routing"
 )
 
-// Origins finds the origins of streams. It is an resumption.Resolver.
+// Origins finds the origins of streams. It is a resumption.Resolver.
 type Origins interface {
 	Resolve(ctx context.Context, request resumption.Request) (resumption.Origin, resumption.Source, *result.Error)
 }
