resumption: names and files as a newcomer would look for them

Cause: a request's field and the row in the store were both called Past; the lookup of a known stream and the proof for an unknown one stood in one function; the history of routes stood among the origins. Change: MaxAge, lookUp, routehistory.go; the scheduler's predicate takes the outline that candidates already have. No behaviour changes.

--- a/internal/ingress/origin.go
+++ b/internal/ingress/origin.go
@@ -17,10 +17,10 @@
 }
 
 const (
-	// minPast is the shortest time for which a stream may have lasted, over all tries of its caller,
-	// and pastTimeouts the number of timeouts of its route for which it may at least.
-	minPast      = 10 * time.Second
-	pastTimeouts = 2
+	// A stream may have lasted, over all tries of its caller, for maxAgeTimeouts of its route's
+	// timeouts, or for leastMaxAge if that is longer.
+	maxAgeTimeouts = 2
+	leastMaxAge    = 10 * time.Second
 )
 
 // findOrigin finds where the stream began that a call continues, if it continues one.
@@ -30,7 +30,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	request := resumption.Request{Route: call.Route.Name, Arrived: call.Arrived, Past: max(minPast, pastTimeouts*call.Route.Timeout)}
+	request := resumption.Request{Route: call.Route.Name, Arrived: call.Arrived, MaxAge: max(leastMaxAge, maxAgeTimeouts*call.Route.Timeout)}
 	if call.Resumes != "" {
 		request.Key = call.StreamKey()
 	}
--- a/internal/resumption/resolver.go
+++ b/internal/resumption/resolver.go
@@ -74,10 +74,10 @@
 	// Key is the stream's, zero if its caller hasn't named the attempt that began it.
 	Key   Key
 	Route string
-	// Arrived is when the request arrived, and Past for how long before that the stream may have
+	// Arrived is when the request arrived, and MaxAge for how long before that the stream may have
 	// begun.
 	Arrived time.Time
-	Past    time.Duration
+	MaxAge  time.Duration
 }
 
 const (
@@ -91,30 +91,38 @@
 // Resolve returns the origin of a stream and how it was found. A stream that nobody knows has the
 // sole origin of its route if there was no other one for as long as it can have lasted.
 func (r *Resolver) Resolve(ctx context.Context, request Request) (Origin, Source, *result.Error) {
-	if request.Key != 0 {
-		if known, found := r.store.Get(request.Key, request.Arrived); found {
-			return known, FromMemory, nil
-		}
-	}
-	var answers Answers
-	if request.Key != 0 {
-		answers = r.nodes.AskOrigin(ctx, request.Key)
-	}
-	if answers.Known {
-		r.store.Put(request.Key, answers.Origin, time.Now())
-		return answers.Origin, FromNode, nil
+	known, source, silent := r.lookUp(ctx, request)
+	if source != NotFound {
+		return known, source, nil
 	}
 	sole, proof := r.proveSole(ctx, request)
 	switch {
 	case proof == proved:
 		return sole, FromSole, nil
-	case proof == unproved || answers.Silent > 0:
-		return Origin{}, Unproved, result.New(result.StreamOriginUnknown, "it isn't known which version began the stream; the store or %d silent nodes may tell later", answers.Silent).
+	case proof == unproved || silent > 0:
+		return Origin{}, Unproved, result.New(result.StreamOriginUnknown, "it isn't known which version began the stream; the store or %d silent nodes may tell later", silent).
 			WithRetryAfter(unprovedRetryAfter)
 	}
 	return Origin{}, NotFound, result.New(result.StreamOriginUnknown, "no node knows which version began the stream; begin anew without Last-Event-Id")
 }
 
+// lookUp returns the origin of a stream that this node or another one knows, and how many of the
+// others didn't answer.
+func (r *Resolver) lookUp(ctx context.Context, request Request) (known Origin, source Source, silent int) {
+	if request.Key == 0 {
+		return Origin{}, NotFound, 0
+	}
+	if known, found := r.store.Get(request.Key, request.Arrived); found {
+		return known, FromMemory, 0
+	}
+	answers := r.nodes.AskOrigin(ctx, request.Key)
+	if !answers.Known {
+		return Origin{}, NotFound, answers.Silent
+	}
+	r.store.Put(request.Key, answers.Origin, time.Now())
+	return answers.Origin, FromNode, 0
+}
+
 // proof tells whether a stream can only have one origin.
 type proof int
 
@@ -140,9 +148,9 @@
 	switch {
 	case !found:
 		return Origin{}, refuted
-	case !sole.Since.After(request.Arrived.Add(-request.Past)):
+	case !sole.Since.After(request.Arrived.Add(-request.MaxAge)):
 		return sole.Origin, proved
-	case request.Past > Life:
+	case request.MaxAge > Life:
 		return Origin{}, refuted
 	}
 	past, read := r.history.ReadPast(ctx, request.Arrived)
--- a/internal/resumption/resolver_test.go
+++ b/internal/resumption/resolver_test.go
@@ -37,11 +37,11 @@
 func (f fakes) SoleOrigin(string) (Sole, bool) { return f.sole, !f.several }
 
 func TestStreamGoesOnOnlyWhereItIsKnownToHaveBegun(t *testing.T) {
-	const past = 30 * time.Second
+	const maxAge = 30 * time.Second
 	v1, v2 := Origin{"s", "v1"}, Origin{"s", "v2"}
 	arrived := time.Now()
 	before := func(span time.Duration) time.Time { return arrived.Add(-span) }
-	followed := Sole{Origin: v1, Since: before(past)}
+	followed := Sole{Origin: v1, Since: before(maxAge)}
 	started := Sole{Origin: v1, Since: before(2 * time.Second)}
 	wrote := func(service string, versions ...string) *Past {
 		return &Past{Versions: map[string][]string{service: versions}, RoutesDigest: "routes"}
@@ -74,7 +74,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			resolver := NewResolver(NewStore(), example.fakes, example.fakes)
-			got, source, failure := resolver.Resolve(t.Context(), Request{Key: 1, Route: "r", Arrived: arrived, Past: past})
+			got, source, failure := resolver.Resolve(t.Context(), Request{Key: 1, Route: "r", Arrived: arrived, MaxAge: maxAge})
 			if diff := cmp.Diff(example.want, got); diff != "" || source != example.source || (failure == nil) != (got != Origin{}) {
 				t.Errorf("%s (%s, %v)", diff, source, failure)
 			}
@@ -111,7 +111,7 @@
 func TestNodeThatCatchesUpWithTheStoreIsAskedAnew(t *testing.T) {
 	arrived, looks := time.Now(), 0
 	history := behind{fakes{sole: Sole{Origin: Origin{"s", "v1"}}}, &looks, &time.Time{}}
-	_, source, _ := NewResolver(NewStore(), fakes{}, history).Resolve(t.Context(), Request{Key: 1, Arrived: arrived, Past: time.Second})
+	_, source, _ := NewResolver(NewStore(), fakes{}, history).Resolve(t.Context(), Request{Key: 1, Arrived: arrived, MaxAge: time.Second})
 	if source != FromSole || looks != 2 {
 		t.Errorf("%s after %d looks", source, looks)
 	}
--- a/internal/scheduling/binding.go
+++ b/internal/scheduling/binding.go
@@ -10,6 +10,4 @@
 func (r Request) MayContinueAt(software string) bool { return !r.Bound || software == r.Software }
 
 // admitsCandidate is admits for a candidate.
-func (r Request) admitsCandidate(c Candidate) bool {
-	return r.admits(Outline{ID: c.ID, Prefill: c.Prefill, Software: c.Software, Draining: c.Draining})
-}
+func (r Request) admitsCandidate(c Candidate) bool { return r.admits(c.outline()) }
--- a/internal/serving/origins.go
+++ b/internal/serving/origins.go
@@ -2,118 +2,14 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"fmt"
-	"maps"
-	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/resumption"
-	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/tablefeed"
 	"github.com/tinarch/tinarch/internal/worker"
 )
 
-// routeHistory remembers since when each route whose streams may be continued has led to one service
-// alone. It is safe for concurrent use.
-type routeHistory struct {
-	// since is when the first table was in force, zero for the time at which it comes.
-	since time.Time
-
-	mu sync.Mutex
-	// soles are the routes that lead to one service, by name, and first is when the first table was
-	// in force.
-	soles map[string]soleService
-	first time.Time
-	// digest stands for the services that these routes lead to.
-	digest string
-}
-
-type soleService struct {
-	service string
-	since   time.Time
-}
-
-// update records the routes that are in force from now on.
-func (h *routeHistory) update(table *routing.Table, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.soles == nil {
-		if !h.since.IsZero() {
-			now = h.since
-		}
-		h.first = now
-	}
-	soles := make(map[string]soleService)
-	for _, route := range table.Routes() {
-		service, sole := soleServiceOf(route)
-		if !sole || !route.Resumable {
-			continue
-		}
-		known, exists := h.soles[route.Name]
-		if !exists || known.service != service {
-			known = soleService{service: service, since: now}
-		}
-		soles[route.Name] = known
-	}
-	h.soles, h.digest = soles, digestOf(soles)
-}
-
-// digestOf returns a text that differs for routes that lead to other services.
-func digestOf(soles map[string]soleService) string {
-	hash := sha256.New()
-	for _, route := range slices.Sorted(maps.Keys(soles)) {
-		_, _ = fmt.Fprintf(hash, "%q %q\n", route, soles[route].service)
-	}
-	return hex.EncodeToString(hash.Sum(nil)[:digestBytes])
-}
-
-const digestBytes = 8
-
-// currentDigest returns the digest of the routes in force.
-func (h *routeHistory) currentDigest() string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.digest
-}
-
-func soleServiceOf(route *routing.Route) (service string, sole bool) {
-	for _, target := range route.Targets {
-		if target.Weight == 0 {
-			continue
-		}
-		if sole {
-			return "", false
-		}
-		service, sole = target.Service, true
-	}
-	return service, sole
-}
-
-// movedSince returns the routes that lead to their service since after a time, without those that
-// the first table led there.
-func (h *routeHistory) movedSince(since time.Time) []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var moved []string
-	for route, sole := range h.soles {
-		if sole.since.After(since) && sole.since.After(h.first) {
-			moved = append(moved, route)
-		}
-	}
-	return moved
-}
-
-func (h *routeHistory) of(route string) (soleService, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	sole, exists := h.soles[route]
-	return sole, exists
-}
-
 // sinceEver is the beginning of histories where nothing can have happened before.
 var sinceEver = time.Unix(0, 0)
 
