--- a/internal/scheduling/binding_test.go
+++ b/internal/scheduling/binding_test.go
@@ -85,3 +85,15 @@
 		}
 	}
 }
+
+// All engines of the version have a queue that makes any answer late.
+func TestContinuedStreamIsServedWhereNewOnesAreRefusedAsLate(t *testing.T) {
+	engines := []Candidate{reader("read", software("v1"), queued(60_000)), decoder("write", software("v1"), queued(30_000))}
+	scheduler := New(DefaultCosts())
+	if plan := scheduler.Plan(prompt(), engines); plan.Mode != Refused || plan.Reason != TooLate {
+		t.Fatalf("a new stream is planned as %s (%s)", plan.Mode, plan.Reason)
+	}
+	if plan := scheduler.Plan(prompt(continuing("v1")), engines); plan.Mode == Refused || plan.Late || plan.Runner.ID != "write" {
+		t.Errorf("a continued stream is planned as %s at %q (%s), late %v", plan.Mode, plan.Runner.ID, plan.Reason, plan.Late)
+	}
+}
