Plans and looks at workers log the parts of prompts

The lines "planned" and "worker looked at" now list the parts that requests may share, so that a part which is at each crash shows, and whether requests with it ran to an end in between. No decision changes.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -101,7 +101,7 @@
 	refusal := s.registry.BeginRequest(reader.ID, load)
 	defer s.registry.End(reader.ID, load)
 	defer s.beginPrefill(reader.ID, unread, plan.Read)()
-	running := s.crashDetector.begin(reader.ID, s.call.Fingerprint, s.suspected())
+	running := s.crashDetector.begin(reader.ID, s.call, s.suspected())
 	defer s.crashDetector.end(reader.ID, running)
 	begun := time.Now()
 	answer, reply, err := s.sendAdmitted(ctx, reader, refusal, Forward{ReadApart: true, FetchFrom: plan.Fetch})
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -62,8 +62,9 @@
 	OriginSource resumption.Source
 
 	// Fingerprint identifies what the request asks for, regardless of its ID. The dispatcher
-	// sets it.
+	// sets it. Parts identify the parts of the prompt that other requests may share.
 	Fingerprint quarantine.Fingerprint
+	Parts       []quarantine.Fingerprint
 
 	Arrived time.Time
 	// Deadline is the earlier one of the caller's deadline and the route's.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/quarantine"
 	"github.com/tinarch/tinarch/internal/quota"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/retry"
@@ -224,7 +225,7 @@
 	defer s.endLateWait()
 	defer s.countPrefixWait()
 	defer func() { s.endWait("", waitLeft) }()
-	call.Fingerprint = call.fingerprint()
+	call.Fingerprint, call.Parts = call.fingerprint(), quarantine.PartFingerprints(call.Prompt)
 	d.recordFirst(call.Service.Name)
 	for {
 		if outcome, may := s.checkQuarantine(ctx); !may {
--- a/internal/dispatch/endings.go
+++ b/internal/dispatch/endings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"maps"
 	"slices"
 	"sync"
@@ -62,6 +63,8 @@
 // runningRequest is a request that a worker is running.
 type runningRequest struct {
 	request quarantine.Fingerprint
+	// parts are the parts of its prompt that other requests may share.
+	parts []quarantine.Fingerprint
 	// suspected tells that workers have crashed while running it before.
 	suspected bool
 	// answering tells that the worker has begun to answer.
@@ -93,8 +96,8 @@
 }
 
 // begin records that a worker is given a request, and end that it no longer has it.
-func (d *crashDetector) begin(worker string, request quarantine.Fingerprint, suspected bool) *runningRequest {
-	begun := &runningRequest{request: request, suspected: suspected}
+func (d *crashDetector) begin(worker string, call *Call, suspected bool) *runningRequest {
+	begun := &runningRequest{request: call.Fingerprint, parts: call.Parts, suspected: suspected}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.running[worker] == nil {
@@ -202,7 +205,7 @@
 	d.metrics.Breaks.WithLabelValues(string(begun.liveness)).Inc()
 	d.log.WithFields(logrus.Fields{
 		"worker": worker.ID, "address": worker.Address, "worker_state": begun.liveness, "drains": drains,
-		"look_us": time.Since(begun.begun).Microseconds(), "running": len(ran), "fingerprints": fingerprintTexts(crashes),
+		"look_us": time.Since(begun.begun).Microseconds(), "running": len(ran), "fingerprints": fingerprintTexts(maps.Keys(crashes)), "parts": fingerprintTexts(partsOf(ran)),
 	}).Warn("worker looked at: answers broke off")
 }
 
@@ -218,16 +221,27 @@
 	return crashes
 }
 
+// partsOf returns the prompt parts of requests, each once.
+func partsOf(ran []*runningRequest) iter.Seq[quarantine.Fingerprint] {
+	parts := make(map[quarantine.Fingerprint]struct{})
+	for _, running := range ran {
+		for _, part := range running.parts {
+			parts[part] = struct{}{}
+		}
+	}
+	return maps.Keys(parts)
+}
+
 // maxLogged bounds the fingerprints in one log line.
 const maxLogged = 32
 
-func fingerprintTexts(crashes map[quarantine.Fingerprint]quarantine.Crash) []string {
-	texts := make([]string, 0, min(len(crashes), maxLogged))
-	for request := range crashes {
+func fingerprintTexts(fingerprints iter.Seq[quarantine.Fingerprint]) []string {
+	var texts []string
+	for fingerprint := range fingerprints {
 		if len(texts) == maxLogged {
 			break
 		}
-		texts = append(texts, request.String())
+		texts = append(texts, fingerprint.String())
 	}
 	return texts
 }
--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -49,7 +49,7 @@
 	var requests sync.WaitGroup
 	for _, name := range []string{"a", "b", "c", "d"} {
 		requests.Go(func() {
-			defer e.end(ended.ID, e.begin(ended.ID, fingerprintOf(name), false))
+			defer e.end(ended.ID, e.begin(ended.ID, &Call{Fingerprint: fingerprintOf(name)}, false))
 			if got := e.inspect(ended); got != workerconn.Dead {
 				t.Errorf("request %s found the worker %s, want it dead", name, got)
 			}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -399,7 +400,7 @@
 	s.predicted = prediction{mode: plan.Mode, first: plan.First, at: time.Now()}
 	ages := s.freshness()
 	fields := logrus.Fields{
-		"id": s.call.ID, "fingerprint": s.call.Fingerprint.String(), "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
+		"id": s.call.ID, "fingerprint": s.call.Fingerprint.String(), "parts": fingerprintTexts(slices.Values(s.call.Parts)), "route": s.call.Route.Name, "try": s.attempts + 1, "mode": plan.Mode,
 		"reader": plan.Reader.ID, "runner": plan.Runner.ID, "reason": plan.Reason,
 		"reader_software": plan.Reader.Software, "runner_software": plan.Runner.Software, "resumes": s.call.Resumes, "after": s.resumeAfter,
 		"crashes": s.quarantineStatus.Crashes, "late": plan.Late, "rank": s.rank(), "patience_ms": s.call.patience(time.Now(), s.last).Milliseconds(),
--- a/internal/dispatch/work.go
+++ b/internal/dispatch/work.go
@@ -36,7 +36,7 @@
 	session.registry.Begin(runner.ID, w.reading)
 	w.refusal = session.registry.BeginRequest(runner.ID, w.running)
 	w.endPrefill = session.beginPrefill(runner.ID, prompt.unread, prompt.expected)
-	w.runningRequest = session.crashDetector.begin(runner.ID, call.Fingerprint, session.suspected())
+	w.runningRequest = session.crashDetector.begin(runner.ID, call, session.suspected())
 	return w
 }
 
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -7,13 +7,57 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/tinarch/tinarch/internal/prefixcache"
+)
+
+// sumBytes is the size of a fingerprint without its kind, and partBytes that of a part's id.
+const (
+	sumBytes  = 16
+	partBytes = 8
+)
+
+// Kinds of fingerprints, in their last byte.
+const (
+	kindRequest = iota
+	kindPart
 )
 
+// partPrefix begins the text of a part's fingerprint.
+const partPrefix = "part-"
+
 // Fingerprint identifies what a request asks for, independent of its id: requests with the same
-// fingerprint make a worker do the same work.
-type Fingerprint [16]byte
+// fingerprint make a worker do the same work. The fingerprint of a prompt part identifies the
+// part in whatever request it occurs.
+type Fingerprint [sumBytes + 1]byte
+
+// PartFingerprint returns the fingerprint of a prompt part.
+func PartFingerprint(part prefixcache.PartID) Fingerprint {
+	var f Fingerprint
+	binary.BigEndian.PutUint64(f[:], uint64(part))
+	f[sumBytes] = kindPart
+	return f
+}
+
+// PartFingerprints returns the fingerprints of the prompt parts that requests may share: all but
+// the last, which is specific to its request.
+func PartFingerprints(prompt []prefixcache.Part) []Fingerprint {
+	if len(prompt) < 2 {
+		return nil
+	}
+	shared := prompt[:len(prompt)-1]
+	fingerprints := make([]Fingerprint, len(shared))
+	for at, part := range shared {
+		fingerprints[at] = PartFingerprint(part.ID)
+	}
+	return fingerprints
+}
+
+// IsPart reports whether the fingerprint is that of a prompt part.
+func (f Fingerprint) IsPart() bool { return f[sumBytes] == kindPart }
 
 // Content holds the parts of a request that its fingerprint covers.
 type Content struct {
@@ -36,11 +80,18 @@
 		_, _ = hash.Write(length[:])
 		_, _ = hash.Write(field)
 	}
-	return Fingerprint(hash.Sum(nil)[:len(Fingerprint{})])
+	var f Fingerprint
+	copy(f[:sumBytes], hash.Sum(nil))
+	return f
 }
 
-// String returns the fingerprint in hexadecimal.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+// String returns the fingerprint in hexadecimal, or partPrefix and the part's id.
+func (f Fingerprint) String() string {
+	if f.IsPart() {
+		return partPrefix + hex.EncodeToString(f[:partBytes])
+	}
+	return hex.EncodeToString(f[:sumBytes])
+}
 
 // MarshalText implements encoding.TextMarshaler.
 func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
@@ -57,9 +108,15 @@
 
 // ParseFingerprint parses the result of String.
 func ParseFingerprint(text string) (Fingerprint, error) {
-	decoded, err := hex.DecodeString(text)
-	if err != nil || len(decoded) != len(Fingerprint{}) {
-		return Fingerprint{}, eris.Errorf("fingerprint %q doesn't have %d hexadecimal digits", text, 2*len(Fingerprint{}))
+	var f Fingerprint
+	size, digits := sumBytes, text
+	if part, isPart := strings.CutPrefix(text, partPrefix); isPart {
+		size, digits, f[sumBytes] = partBytes, part, kindPart
+	}
+	decoded, err := hex.DecodeString(digits)
+	if err != nil || len(decoded) != size {
+		return Fingerprint{}, eris.Errorf("fingerprint %q doesn't have %d hexadecimal digits", text, 2*size)
 	}
-	return Fingerprint(decoded), nil
+	copy(f[:], decoded)
+	return f, nil
 }
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -36,7 +36,11 @@
 	if err != nil || read != sample.Fingerprint() {
 		t.Errorf("%v, %v", read, err)
 	}
-	for _, text := range []string{"", "00", "zz", sample.Fingerprint().String() + "00"} {
+	part := PartFingerprint(0x5c1e07a2)
+	if read, err := ParseFingerprint(part.String()); err != nil || read != part || !read.IsPart() {
+		t.Errorf("%s is read as %v, %v", part, read, err)
+	}
+	for _, text := range []string{"", "00", "zz", sample.Fingerprint().String() + "00", "part-", "part-" + sample.Fingerprint().String()} {
 		if _, err := ParseFingerprint(text); err == nil {
 			t.Errorf("%q was taken", text)
 		}
