--- a/internal/lab/fleetworker/crash.go
+++ b/internal/lab/fleetworker/crash.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
+	"time"
 )
 
 // crash ends the worker with everything that it runs. It does not return.
@@ -47,16 +51,44 @@
 	}
 }
 
-// SetCrashOn sets the text that makes a request crash the worker; empty means that none does.
+// SetCrashOn sets the text that makes a request crash the worker, and SetCrashOnPart the prompt
+// part; empty means that none does.
 func (w *Worker) SetCrashOn(text string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.options.CrashOn = text
 }
 
+// SetCrashOnPart: see SetCrashOn.
+func (w *Worker) SetCrashOnPart(part string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.options.CrashOnPart = part
+}
+
 // crashesOn reports whether a request crashes the worker.
-func (w *Worker) crashesOn(body []byte) bool {
+func (w *Worker) crashesOn(body []byte, prompt string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.options.CrashOn != "" && bytes.Contains(body, []byte(w.options.CrashOn))
+	return w.options.CrashOn != "" && bytes.Contains(body, []byte(w.options.CrashOn)) || HasPart(prompt, w.options.CrashOnPart)
+}
+
+// crashMidway writes the first events of an answer and then crashes the worker.
+func (w *Worker) crashMidway(writer http.ResponseWriter, id string) {
+	writer.Header().Set("Content-Type", "text/event-stream")
+	for event := range w.options.CrashAfter {
+		_, _ = io.WriteString(writer, w.event(id, event+1))
+	}
+	_ = http.NewResponseController(writer).Flush()
+	time.Sleep(w.options.Pause)
+	w.crash()
+}
+
+// HasPart reports whether a prompt has a part other than as the last.
+func HasPart(prompt, part string) bool {
+	parts := strings.Split(prompt, ",")
+	return part != "" && slices.ContainsFunc(parts[:len(parts)-1], func(field string) bool {
+		id, _, _ := strings.Cut(field, ":")
+		return id == part
+	})
 }
--- a/internal/lab/fleetworker/notices.go
+++ b/internal/lab/fleetworker/notices.go
@@ -16,10 +16,12 @@
 
 // recordArrival records a request from a node and sets the headers that announce the worker's
 // limit and coming shutdown.
-func (w *Worker) recordArrival(writer http.ResponseWriter, id string) {
+func (w *Worker) recordArrival(writer http.ResponseWriter, request *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	arrival := Arrival{ID: id, At: time.Now(), Leaving: w.leaving}
+	arrival := Arrival{
+		ID: request.Header.Get("X-Request-Id"), Prompt: request.Header.Get("X-Prompt-Prefix"), At: time.Now(), Leaving: w.leaving,
+	}
 	if w.backoff != "" {
 		seconds, _ := strconv.ParseFloat(w.backoff, 64)
 		arrival.Backoff = time.Duration(seconds * float64(time.Second))
@@ -63,6 +65,8 @@
 	// ID is the request's id; empty if it has none.
 	ID string
 	At time.Time
+	// Prompt is the prompt's parts as the request states them.
+	Prompt string
 	// Leaving reports whether the answer announced that the worker is about to end. Backoff is
 	// the time for which the worker asked to get no requests, zero if none.
 	Leaving bool
--- a/internal/lab/fleetworker/worker.go
+++ b/internal/lab/fleetworker/worker.go
@@ -76,6 +76,10 @@
 	// before the first connection is broken off, and must return.
 	CrashOn string
 	OnCrash func(w *Worker)
+	// CrashOnPart makes the worker crash as soon as it runs a request with this part in its prompt,
+	// other than as the last; empty means never. It writes CrashAfter events first.
+	CrashOnPart string
+	CrashAfter  int
 	// PrefillRate is how many prompt tokens the worker reads a second, one prompt after the
 	// other; zero means that it reads in no time.
 	PrefillRate float64
@@ -277,7 +281,7 @@
 	}
 	id := request.Header.Get("X-Request-Id")
 	if request.Header.Get("X-Taken") == "" { // X-Taken marks a fetch by another worker
-		w.recordArrival(writer, id)
+		w.recordArrival(writer, request)
 	}
 	writer.Header().Set("X-Request-Id", id)
 	writer.Header().Set("X-Instance-Id", w.options.ID)
@@ -418,7 +422,8 @@
 	w.runs = append(w.runs, Run{ID: id, Worker: w.options.ID, Target: request.RequestURI, Header: request.Header.Clone(), Body: body, At: time.Now(), Delivery: delivery})
 	running := len(w.runs)
 	w.mu.Unlock()
-	if w.crashesOn(body) {
+	crashes := w.crashesOn(body, request.Header.Get("X-Prompt-Prefix"))
+	if crashes && w.options.CrashAfter == 0 {
 		w.crash()
 	}
 	switch fault {
@@ -447,6 +452,9 @@
 		w.deliver(writer, request.Method, Body(id, w.options.Events, after), *delivery)
 		return
 	}
+	if crashes {
+		w.crashMidway(writer, id)
+	}
 	w.stream(writer, request, id, after, fault)
 }
 
--- a/internal/lab/site/crash_test.go
+++ b/internal/lab/site/crash_test.go
@@ -42,6 +42,9 @@
 	fixed bool
 	// keepIDs makes workers restart with the id that they had, and state when they started.
 	keepIDs bool
+	// part, if not empty, is a prompt part on which workers crash, after crashAfter events.
+	part       string
+	crashAfter int
 	// sent counts the requests sent by sendAgain.
 	sent int
 }
@@ -86,8 +89,9 @@
 		options.Born = firstStartMillis
 	}
 	options.Zone, options.CrashOn, options.OnCrash = "a", poison, func(w *fleetworker.Worker) { f.crash(options, w) }
+	options.CrashOnPart, options.CrashAfter = f.part, f.crashAfter
 	if f.fixed {
-		options.CrashOn = ""
+		options.CrashOn, options.CrashOnPart = "", ""
 	}
 	worker := fleetworker.Start(options)
 	f.s.t.Cleanup(worker.Close)
@@ -127,6 +131,7 @@
 	f.fixed = true
 	for _, worker := range f.running {
 		worker.SetCrashOn("")
+		worker.SetCrashOnPart("")
 	}
 }
 
