Heads of answers and events have a bound in bytes and in time

What callers would see: a worker that sends bytes without end in place of an answer fills the memory of each node that sends it anything (up to 933 MB here for two requests), and requests wait for their deadline (504).

Cause: heads were read by http.ReadResponse without a bound, interim answers without a count, and an event of a stream that may be resumed is kept until it ends. The class: a read from outside whose end is left to the other side.

Change: internal/httphead reads heads, for workers and for tunnels: 64 KiB with the interim answers before it, eight of these, and 2 s from the first byte of a head to its last. An event that is kept has 64 KiB at most. Beyond, the connection is closed, the worker counts as failed, and the request goes on elsewhere where it may; the line \"try failed\" has the bound in cause. An answer about an incarnation that is cut at its bound no longer leaves a connection with unread bytes.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/rotisserie/eris"
+)
 
 // eventScanner finds the ends of events in a stream of server-sent events. Lines end with CRLF,
 // LF or CR, and an event ends with an empty line. Its zero value is at the beginning of a stream.
@@ -76,6 +80,11 @@
 // event end.
 func (e *eventScanner) insideEvent() bool { return e.inEvent || e.inLine }
 
+// maxEventBytes bounds an event of a stream that may be resumed, since it is kept until it ends.
+const maxEventBytes = 64 << 10
+
+var errEventTooLong = eris.Errorf("an event of the stream has more than %d bytes; the stream is broken off", maxEventBytes)
+
 // eventCutter splits a stream of server-sent events at event ends, so that a caller never gets
 // part of an event from a worker that breaks off.
 type eventCutter struct {
@@ -84,17 +93,21 @@
 	last    []byte
 }
 
-// add takes a piece of the stream and returns the events that are complete now.
-func (c *eventCutter) add(piece []byte) []byte {
+// add takes a piece of the stream and returns the events that are complete now. It returns
+// errEventTooLong if one goes on beyond maxEventBytes.
+func (c *eventCutter) add(piece []byte) ([]byte, error) {
 	end := c.scanner.scan(piece)
+	if end == 0 && len(c.pending)+len(piece) > maxEventBytes {
+		return nil, errEventTooLong
+	}
 	if end == 0 {
 		c.pending = append(c.pending, piece...)
-		return nil
+		return nil, nil
 	}
 	whole := append(bytes.Clone(c.pending), piece[:end]...)
 	c.pending = append(c.pending[:0], piece[end:]...)
 	c.last = whole
-	return whole
+	return whole, nil
 }
 
 // rest returns what follows the last complete event.
--- a/internal/dispatch/events_test.go
+++ b/internal/dispatch/events_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"errors"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -15,7 +17,7 @@
 		cutter, given, last := &eventCutter{}, "", "0"
 		for text := streamText; text != ""; {
 			size := rapid.IntRange(1, len(text)).Draw(t, "size")
-			whole := cutter.add([]byte(text[:size]))
+			whole, _ := cutter.add([]byte(text[:size]))
 			if len(whole) > 0 {
 				given += string(whole)
 				last = cutter.lastID(last)
@@ -31,8 +33,22 @@
 
 func TestLastIDWithoutOne(t *testing.T) {
 	cutter := &eventCutter{}
-	cutter.add([]byte("data: a\n\n"))
+	_, _ = cutter.add([]byte("data: a\n\n"))
 	if got := cutter.lastID("7"); got != "7" {
 		t.Errorf("an event without an ID makes the last ID %q, want 7", got)
 	}
 }
+
+// TestEventWithoutEndIsGivenUp guards against a worker whose event is kept until memory runs out.
+func TestEventWithoutEndIsGivenUp(t *testing.T) {
+	cutter, piece := &eventCutter{}, []byte("data: "+strings.Repeat("x", 1000))
+	for range 2 * maxEventBytes / len(piece) {
+		if _, err := cutter.add(piece); err != nil {
+			if !errors.Is(err, errEventTooLong) || len(cutter.pending) > maxEventBytes {
+				t.Errorf("%d bytes are kept: %v", len(cutter.pending), err)
+			}
+			return
+		}
+	}
+	t.Errorf("%d bytes are kept of an event that doesn't end", len(cutter.pending))
+}
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -155,9 +155,9 @@
 func (s *session) passEvents(answer *workerconn.Answer, load *work) error {
 	events := &eventCutter{}
 	err := s.copyPieces(answer, load, func(piece []byte) error {
-		whole := events.add(piece)
-		if len(whole) == 0 {
-			return nil
+		whole, err := events.add(piece)
+		if err != nil || len(whole) == 0 {
+			return err
 		}
 		s.giveHead(answer, streamLength(answer))
 		if err := s.give(whole); err != nil {
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -1,7 +1,6 @@
 package tunnel
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"errors"
@@ -16,6 +15,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/httphead"
 )
 
 const (
@@ -278,7 +279,7 @@
 		_ = inner.SetDeadline(deadline)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = inner.SetDeadline(time.Unix(1, 0)) })
-	reader := bufio.NewReaderSize(inner, lengthBytes+frameBytes)
+	reader := httphead.NewReader(inner, lengthBytes+frameBytes)
 	err = upgrade(inner, reader, node, c.header(request), worker)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
@@ -289,7 +290,7 @@
 	}
 	_ = inner.SetDeadline(time.Time{})
 	c.count(node, 1)
-	return &Conn{Conn: inner, node: node, reader: reader, closed: sync.OnceFunc(func() { c.count(node, -1) })}, nil
+	return &Conn{Conn: inner, node: node, reader: reader.Reader, closed: sync.OnceFunc(func() { c.count(node, -1) })}, nil
 }
 
 func (c *Client) header(request string) http.Header {
@@ -308,13 +309,13 @@
 }
 
 // upgrade asks for the tunnel on a connection to a node.
-func upgrade(inner net.Conn, reader *bufio.Reader, node netip.AddrPort, header http.Header, worker string) error {
+func upgrade(inner net.Conn, reader *httphead.Reader, node netip.AddrPort, header http.Header, worker string) error {
 	target := &url.URL{Scheme: "http", Host: node.String(), Path: pathPrefix + worker, RawPath: pathPrefix + url.PathEscape(worker)}
 	request := &http.Request{Method: http.MethodGet, URL: target, Header: header, Host: node.String()}
 	if err := request.Write(inner); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(reader, request)
+	response, err := reader.ReadHead(request.Method)
 	if err != nil {
 		return err
 	}
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -4,7 +4,6 @@
 package workerconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -17,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/tinarch/tinarch/internal/httphead"
 	"github.com/tinarch/tinarch/internal/tunnel"
 )
 
@@ -124,7 +124,7 @@
 // conn is one connection to a worker.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *httphead.Reader
 	raw    syscall.RawConn
 	// idleSince is when the connection became idle, and idleLimit for how long it may be used
 	// again before the worker may close it.
@@ -140,7 +140,7 @@
 }
 
 func newConn(inner net.Conn) *conn {
-	c := &conn{Conn: inner, reader: bufio.NewReaderSize(inner, bufferBytes)}
+	c := &conn{Conn: inner, reader: httphead.NewReader(inner, bufferBytes)}
 	if access, ok := inner.(syscall.Conn); ok {
 		c.raw, _ = access.SyscallConn()
 	}
@@ -203,7 +203,7 @@
 		return nil, nil, err
 	}
 	for range maxStrayAnswers + 1 {
-		response, err := c.readHead(request.Method)
+		response, err := c.reader.ReadHead(request.Method)
 		if err != nil {
 			return nil, nil, &SendError{Cause: cause(ctx, err)}
 		}
@@ -251,18 +251,6 @@
 	return written, nil
 }
 
-func (c *conn) readHead(method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
-}
-
 // keepAlive returns how long the worker keeps an idle connection open, defaultIdle if it
 // doesn't tell.
 func keepAlive(header http.Header) time.Duration {
--- a/internal/workerconn/verify.go
+++ b/internal/workerconn/verify.go
@@ -69,6 +69,8 @@
 	switch {
 	case err != nil:
 		return 0, nil, cause(ctx, err)
+	case len(body) == maxVerifyBytes:
+		return 0, nil, eris.Errorf("the worker's answer about its incarnation has %d bytes or more", maxVerifyBytes)
 	case response.Close || framingOf(http.MethodGet, response) == Unframed || c.buffered() > 0:
 		return 0, nil, eris.New("the connection can't be used after the worker was asked for its incarnation")
 	}
