A node whose connections to a worker are in use borrows from other nodes

Cause: the limit of the connections to a worker is divided by the number of nodes, and the shares of nodes without callers are lost. A node that found its share in use also recorded a failure of the worker. The class: what is limited over all nodes is divided evenly and doesn't follow demand.

Change: a node whose share is in use asks another one for a connection that counts as the other's. A full share is no failure of the worker.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -191,6 +192,9 @@
 // recordUnsent records that a worker couldn't be sent anything. The other nodes are told only if some
 // of them have confirmed it.
 func (s *session) recordUnsent(failed scheduling.Candidate, err error, now time.Time) {
+	if errors.Is(err, workerconn.ErrFull) {
+		return // that says nothing of the worker
+	}
 	if workerconn.Unreached(err) {
 		s.unreached++
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -203,10 +203,16 @@
 
 // connectionLimit is this node's share of the connections to one worker, zero for no limit.
 func (d *Dispatcher) connectionLimit(call *Call) int {
-	if call.Service.MaxConnections == 0 {
+	return ConnectionShare(call.Service.MaxConnections, d.nodes())
+}
+
+// ConnectionShare is the share of one node in a limit of connections to one worker, zero if there is
+// no limit. A tenth is left for nodes that don't agree on the number of nodes.
+func ConnectionShare(limit, nodes int) int {
+	if limit == 0 {
 		return 0
 	}
-	return max(call.Service.MaxConnections*9/10/max(d.nodes(), 1), 2)
+	return max(limit*9/10/max(nodes, 1), 2)
 }
 
 // Run serves a call until it has ended.
--- a/internal/lab/fleetworker/crash.go
+++ b/internal/lab/fleetworker/crash.go
@@ -92,3 +92,10 @@
 		return id == part
 	})
 }
+
+// Connections returns the number of open connections.
+func (w *Worker) Connections() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.connections)
+}
--- a/internal/serving/links.go
+++ b/internal/serving/links.go
@@ -9,6 +9,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/tinarch/tinarch/internal/dispatch"
 	"github.com/tinarch/tinarch/internal/tunnel"
 )
 
@@ -65,6 +66,21 @@
 	return w.node.pool.Dial(ctx, address)
 }
 
+// Lend implements tunnel.Workers.
+func (w tunnelWorkers) Lend(ctx context.Context, id, address string) (net.Conn, error) {
+	return w.node.pool.Lend(ctx, id, address, w.node.connectionShare(id))
+}
+
+// connectionShare is this node's share of the connections to a worker, zero for no limit.
+func (n *Node) connectionShare(id string) int {
+	known, listed := n.registry.Get(id)
+	table := n.front.Table()
+	if !listed || table == nil || table.Services()[known.Service] == nil {
+		return 0
+	}
+	return dispatch.ConnectionShare(table.Services()[known.Service].MaxConnections, n.exchange.Nodes())
+}
+
 // checkLinks checks lost links until ctx ends.
 func (n *Node) checkLinks(ctx context.Context) {
 	checks, prunes := time.NewTicker(linkCheckInterval), time.NewTicker(linkPruneInterval)
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -32,6 +32,8 @@
 	// doesn't. nodeLife is how long a node that gave no answer is asked last.
 	verdictLife = 500 * time.Millisecond
 	nodeLife    = 2 * time.Second
+	// fullLife is for how long a node that has no connection to lend isn't asked for one again.
+	fullLife = 100 * time.Millisecond
 )
 
 // Results of a question for a connection.
@@ -42,6 +44,7 @@
 	ErrUnheard  = eris.New("other nodes don't reach the worker either")
 	errLinkLost = eris.New("the other node has lost its own link to the worker")
 	errUnknown  = eris.New("the other node doesn't know the worker")
+	errFull     = eris.New("the other node has no connection to lend")
 	// ErrNoNode means that no other node could tell.
 	ErrNoNode = eris.New("no other node that reaches workers could be asked")
 )
@@ -76,10 +79,29 @@
 	verdicts map[string]verdict
 }
 
-// pair is a node and a worker.
+// pair is a node and a worker, for one of the two kinds of tunnels.
 type pair struct {
 	node   netip.AddrPort
 	worker string
+	lent   bool
+}
+
+// question is what a node is asked for: a tunnel to a worker for a request. A lent one counts as a
+// connection of the node that is asked.
+type question struct {
+	worker, request string
+	lent            bool
+}
+
+func (q question) at(node netip.AddrPort) pair { return pair{node, q.worker, q.lent} }
+
+// path returns the path of the question, as it is and escaped.
+func (q question) path() (path, raw string) {
+	prefix := pathPrefix
+	if q.lent {
+		prefix = lentPrefix
+	}
+	return prefix + q.worker, prefix + url.PathEscape(q.worker)
 }
 
 type verdict struct {
@@ -103,17 +125,32 @@
 	if err := c.knownVerdict(worker, now); err != nil {
 		return nil, err
 	}
-	nodes := c.choose(c.fleet.TunnelNodes(worker), worker, now)
+	opened, err := c.openThrough(ctx, question{worker: worker, request: request})
+	if err != nil {
+		c.remember(worker, err, time.Now())
+	}
+	return opened, err
+}
+
+// Borrow opens a connection to a worker that counts as one of another node, for a request. The
+// errors are those of Open; ErrNoNode also means that no node has one to lend.
+func (c *Client) Borrow(ctx context.Context, worker, request string) (*Conn, error) {
+	return c.openThrough(ctx, question{worker: worker, request: request, lent: true})
+}
+
+func (c *Client) openThrough(ctx context.Context, q question) (*Conn, error) {
+	begun := time.Now()
+	nodes := c.choose(c.fleet.TunnelNodes(q.worker), q, begun)
 	if len(nodes) == 0 {
 		return nil, ErrNoNode
 	}
-	opened, err := c.askInTurn(ctx, nodes, worker, request)
+	opened, err := c.askInTurn(ctx, nodes, q)
 	if err != nil {
-		c.remember(worker, err, time.Now())
 		return nil, err
 	}
-	c.log.WithFields(logrus.Fields{"worker": worker, "node": opened.node.String(), "id": request, "took_us": time.Since(now).Microseconds()}).
-		Info("connection opened through another node")
+	c.log.WithFields(logrus.Fields{
+		"worker": q.worker, "node": opened.node.String(), "id": q.request, "lent": q.lent, "took_us": time.Since(begun).Microseconds(),
+	}).Info("connection opened through another node")
 	return opened, nil
 }
 
@@ -146,13 +183,13 @@
 // choose returns the nodes to be asked: those that have answered first, and of these the ones with
 // the fewest of this node's tunnels, so that the nodes which are left with their links share the
 // load of the others.
-func (c *Client) choose(nodes []netip.AddrPort, worker string, now time.Time) []netip.AddrPort {
+func (c *Client) choose(nodes []netip.AddrPort, q question, now time.Time) []netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	maps.DeleteFunc(c.silent, func(_ netip.AddrPort, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(c.unable, func(_ pair, until time.Time) bool { return now.After(until) })
 	nodes = slices.DeleteFunc(nodes, func(node netip.AddrPort) bool {
-		_, isUnable := c.unable[pair{node, worker}]
+		_, isUnable := c.unable[q.at(node)]
 		return isUnable
 	})
 	silence := func(node netip.AddrPort) int {
@@ -175,7 +212,7 @@
 
 // askInTurn asks one node after the other, the next one when the one before has given no tunnel or
 // no answer for hedgeDelay.
-func (c *Client) askInTurn(ctx context.Context, nodes []netip.AddrPort, worker, request string) (*Conn, error) {
+func (c *Client) askInTurn(ctx context.Context, nodes []netip.AddrPort, q question) (*Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan reply, len(nodes))
@@ -189,7 +226,7 @@
 			if asked < len(nodes) {
 				node := nodes[asked]
 				asked, pending = asked+1, pending+1
-				go func() { replies <- c.ask(ctx, node, worker, request) }()
+				go func() { replies <- c.ask(ctx, node, q) }()
 				timer.Reset(hedgeDelay)
 			}
 		case got := <-replies:
@@ -244,13 +281,13 @@
 }
 
 // ask asks one node for a connection.
-func (c *Client) ask(ctx context.Context, node netip.AddrPort, worker, request string) reply {
+func (c *Client) ask(ctx context.Context, node netip.AddrPort, q question) reply {
 	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	opened, err := c.openAt(askCtx, node, worker, request)
+	opened, err := c.openAt(askCtx, node, q)
 	if err != nil && ctx.Err() == nil {
-		c.recordFailure(node, worker, err, time.Now())
-		c.log.WithFields(logrus.Fields{"worker": worker, "node": node.String(), "id": request, "cause": err.Error()}).
+		c.recordFailure(node, q, err, time.Now())
+		c.log.WithFields(logrus.Fields{"worker": q.worker, "node": node.String(), "id": q.request, "lent": q.lent, "cause": err.Error()}).
 			Warn("another node opens no connection")
 	}
 	return reply{opened: opened, err: err}
@@ -258,19 +295,21 @@
 
 // recordFailure keeps a node from being asked again soon: for this worker if it doesn't reach it, and
 // for all workers if it gave no answer.
-func (c *Client) recordFailure(node netip.AddrPort, worker string, err error, now time.Time) {
+func (c *Client) recordFailure(node netip.AddrPort, q question, err error, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case errors.Is(err, ErrRefused):
 	case errors.Is(err, ErrUnheard), errors.Is(err, errLinkLost), errors.Is(err, errUnknown):
-		c.unable[pair{node, worker}] = now.Add(verdictLife)
+		c.unable[q.at(node)] = now.Add(verdictLife)
+	case errors.Is(err, errFull):
+		c.unable[q.at(node)] = now.Add(fullLife)
 	default:
 		c.silent[node] = now.Add(nodeLife)
 	}
 }
 
-func (c *Client) openAt(ctx context.Context, node netip.AddrPort, worker, request string) (*Conn, error) {
+func (c *Client) openAt(ctx context.Context, node netip.AddrPort, q question) (*Conn, error) {
 	inner, err := c.dial(ctx, node.String())
 	if err != nil {
 		return nil, err
@@ -280,7 +319,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = inner.SetDeadline(time.Unix(1, 0)) })
 	reader := httphead.NewReader(inner, lengthBytes+frameBytes)
-	err = upgrade(inner, reader, node, c.header(request), worker)
+	err = upgrade(inner, reader, node, c.header(q.request), q)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -309,8 +348,9 @@
 }
 
 // upgrade asks for the tunnel on a connection to a node.
-func upgrade(inner net.Conn, reader *httphead.Reader, node netip.AddrPort, header http.Header, worker string) error {
-	target := &url.URL{Scheme: "http", Host: node.String(), Path: pathPrefix + worker, RawPath: pathPrefix + url.PathEscape(worker)}
+func upgrade(inner net.Conn, reader *httphead.Reader, node netip.AddrPort, header http.Header, q question) error {
+	path, raw := q.path()
+	target := &url.URL{Scheme: "http", Host: node.String(), Path: path, RawPath: raw}
 	request := &http.Request{Method: http.MethodGet, URL: target, Header: header, Host: node.String()}
 	if err := request.Write(inner); err != nil {
 		return err
@@ -322,10 +362,12 @@
 	switch {
 	case response.StatusCode == http.StatusSwitchingProtocols && response.Header.Get("Upgrade") == protocol:
 		return nil
-	case response.StatusCode == http.StatusNotFound && response.Header.Get(headerCause) == causeUnknown:
+	case response.StatusCode == http.StatusNotFound && (q.lent || response.Header.Get(headerCause) == causeUnknown):
 		return errUnknown
 	case response.StatusCode == http.StatusBadGateway && response.Header.Get(headerCause) == causeRefused:
 		return ErrRefused
+	case response.Header.Get(headerCause) == causeFull:
+		return errFull
 	case response.StatusCode == http.StatusBadGateway && response.Header.Get(headerCause) == causeLost:
 		return errLinkLost
 	case response.StatusCode == http.StatusBadGateway:
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 )
 
@@ -21,6 +22,9 @@
 	// MaxTunnels bounds the tunnels through one node. Each takes two buffers of frameBytes, those of
 	// the HTTP server and two goroutines.
 	MaxTunnels = 200
+	// maxLent bounds those of them that are lent, so that some are left for nodes that have lost
+	// their links.
+	maxLent = 150
 	// dialTimeout bounds opening the connection to the worker.
 	dialTimeout = 200 * time.Millisecond
 	// quietTime is how long a tunnel must have carried nothing to count as idle when the node
@@ -37,8 +41,13 @@
 	causeLost = "lost"
 	// causeUnknown tells a worker that isn't listed from an earlier build, which has no tunnels.
 	causeUnknown = "unknown"
+	// causeFull tells that this node's share of the worker's connections is in use.
+	causeFull = "full"
 )
 
+// ErrFull is returned by Workers.Lend if this node has no connection to lend.
+var ErrFull = eris.New("the node's share of the connections to the worker is in use")
+
 // Workers finds the addresses of workers, and opens connections to them.
 type Workers interface {
 	// Address returns the address of a worker that is listed, or was a moment ago.
@@ -47,6 +56,9 @@
 	LinkLost(worker string) bool
 	// Dial opens a connection of this node's own.
 	Dial(ctx context.Context, address string) (net.Conn, error)
+	// Lend opens a connection to a worker that counts as this node's own until it is closed. The
+	// error is ErrFull if this node's share of the worker's connections is in use.
+	Lend(ctx context.Context, worker, address string) (net.Conn, error)
 }
 
 // Server opens connections to workers for other nodes. It is safe for concurrent use.
@@ -59,12 +71,15 @@
 	mu       sync.Mutex
 	stopping bool
 	open     map[*served]struct{}
+	lent     int
 	opened   uint64
 }
 
 // served is one tunnel through this node.
 type served struct {
 	caller, worker net.Conn
+	// lent tells that the connection to the worker counts as this node's.
+	lent bool
 
 	mu     sync.Mutex
 	active time.Time
@@ -76,7 +91,10 @@
 }
 
 // Register adds the server to the router for other nodes.
-func (s *Server) Register(router chi.Router) { router.Get(pathTunnel, s.serve) }
+func (s *Server) Register(router chi.Router) {
+	router.Get(pathTunnel, func(writer http.ResponseWriter, request *http.Request) { s.serve(writer, request, false) })
+	router.Get(pathLent, func(writer http.ResponseWriter, request *http.Request) { s.serve(writer, request, true) })
+}
 
 // Open returns the number of tunnels, and Opened how many there have been.
 func (s *Server) Open() int {
@@ -94,10 +112,10 @@
 
 // serve opens a connection to a worker and passes bytes on until either side ends. It answers 403
 // to others than nodes, 404 where the worker isn't known, 502 with a cause where the worker isn't
-// reached, and 503 where the node takes no further tunnel.
-func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
+// reached, and 503 where the node takes no further tunnel or has no connection to lend.
+func (s *Server) serve(writer http.ResponseWriter, request *http.Request, lent bool) {
 	id, err := url.PathUnescape(chi.URLParam(request, "worker"))
-	fields := logrus.Fields{"worker": id, "node": request.Header.Get(headerNode), "from": request.RemoteAddr, "id": request.Header.Get(headerRequest)}
+	fields := logrus.Fields{"worker": id, "node": request.Header.Get(headerNode), "from": request.RemoteAddr, "id": request.Header.Get(headerRequest), "lent": lent}
 	from, parseErr := netip.ParseAddrPort(request.RemoteAddr)
 	if err != nil || parseErr != nil || !s.isNode(from.Addr().Unmap()) {
 		s.log.WithFields(fields).Warn("a connection through this node was refused: the address isn't known as a node's")
@@ -110,7 +128,7 @@
 		writer.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if !s.admits() {
+	if !s.admits(lent) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -121,7 +139,12 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), dialTimeout)
 	defer cancel()
-	worker, err := s.workers.Dial(ctx, address)
+	worker, err := s.connect(ctx, id, address, lent)
+	if errors.Is(err, ErrFull) {
+		writer.Header().Set(headerCause, causeFull)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if err != nil {
 		if request.Context().Err() == nil {
 			s.log.WithFields(fields).WithField("cause", err.Error()).Warn("a worker isn't reached for another node")
@@ -130,7 +153,14 @@
 		writer.WriteHeader(http.StatusBadGateway)
 		return
 	}
-	s.upgrade(writer, worker, fields)
+	s.upgrade(writer, worker, lent, fields)
+}
+
+func (s *Server) connect(ctx context.Context, worker, address string, lent bool) (net.Conn, error) {
+	if lent {
+		return s.workers.Lend(ctx, worker, address)
+	}
+	return s.workers.Dial(ctx, address)
 }
 
 func causeOf(err error) string {
@@ -141,13 +171,13 @@
 }
 
 // admits reports whether there is room for another tunnel.
-func (s *Server) admits() bool {
+func (s *Server) admits(lent bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.stopping && len(s.open) < MaxTunnels
+	return !s.stopping && len(s.open) < MaxTunnels && !(lent && s.lent >= maxLent)
 }
 
-func (s *Server) upgrade(writer http.ResponseWriter, worker net.Conn, fields logrus.Fields) {
+func (s *Server) upgrade(writer http.ResponseWriter, worker net.Conn, lent bool, fields logrus.Fields) {
 	caller, _, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
 		_ = worker.Close()
@@ -155,20 +185,34 @@
 		return
 	}
 	_ = caller.SetDeadline(time.Time{})
-	t := &served{caller: caller, worker: worker, active: time.Now()}
-	s.mu.Lock()
-	s.open[t] = struct{}{}
-	s.opened++
-	s.mu.Unlock()
+	t := &served{caller: caller, worker: worker, lent: lent, active: time.Now()}
+	s.add(t)
 	s.log.WithFields(fields).Info("connection opened for another node")
 	if _, err := io.WriteString(caller, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err == nil {
 		t.run()
 	}
 	_ = caller.Close()
 	_ = worker.Close()
+	s.remove(t)
+}
+
+func (s *Server) add(t *served) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[t] = struct{}{}
+	s.opened++
+	if t.lent {
+		s.lent++
+	}
+}
+
+func (s *Server) remove(t *served) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.open, t)
-	s.mu.Unlock()
+	if t.lent {
+		s.lent--
+	}
 }
 
 // run passes bytes on until either connection ends. The worker loses its connection as soon as the
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -8,6 +8,11 @@
 // something only if the worker ended it in order: each frame is its length in two bytes, big
 // endian, and its bytes; a frame of length zero says that the worker has closed its connection in
 // order. A tunnel that ends without it was broken, by the worker or on the way.
+//
+// Limits of the connections to a worker are divided among the nodes. A tunnel for a lost link counts
+// as a connection of the node that asks. A node whose own share is in use borrows a connection: that
+// tunnel counts as one of the node that lends it, which does so only while its share has room. So no
+// share is exceeded, whatever fails, and none is lost while its node has no callers.
 package tunnel
 
 import (
@@ -26,6 +31,10 @@
 	protocol   = "tinarch-tunnel"
 	pathPrefix = "/tunnels/"
 	pathTunnel = pathPrefix + "{worker}"
+	// lentPrefix is the path of tunnels that count as connections of the node that opens them.
+	// Earlier builds don't know it and answer 404.
+	lentPrefix = "/lent/"
+	pathLent   = lentPrefix + "{worker}"
 	// headerNode names the incarnation of the node that asks, and headerRequest the request for
 	// which it asks.
 	headerNode    = "Tunnel-Node"
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -35,6 +35,7 @@
 type fakeWorkers struct {
 	address string
 	lost    atomic.Bool
+	full    atomic.Bool
 }
 
 func (f *fakeWorkers) Address(id string) (string, bool) { return f.address, id == workerID }
@@ -42,6 +43,12 @@
 func (f *fakeWorkers) Dial(ctx context.Context, address string) (net.Conn, error) {
 	return dial(ctx, address)
 }
+func (f *fakeWorkers) Lend(ctx context.Context, _, address string) (net.Conn, error) {
+	if f.full.Load() {
+		return nil, ErrFull
+	}
+	return dial(ctx, address)
+}
 
 // fakeFleet is the nodes that open tunnels.
 type fakeFleet []netip.AddrPort
@@ -314,6 +321,9 @@
 
 func (hangingWorkers) Address(string) (string, bool) { return "", true }
 func (hangingWorkers) LinkLost(string) bool          { return false }
+func (w hangingWorkers) Lend(ctx context.Context, _, address string) (net.Conn, error) {
+	return w.Dial(ctx, address)
+}
 func (hangingWorkers) Dial(ctx context.Context, _ string) (net.Conn, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
@@ -328,6 +338,41 @@
 		t.Fatal(err)
 	}
 	open(t, client)
-	client.recordFailure(through.address, workerID, errors.New("no answer"), time.Now())
+	client.recordFailure(through.address, question{worker: workerID}, errors.New("no answer"), time.Now())
+	open(t, client)
+}
+
+// TestNodeLendsWithinItsBoundsAlone guards against lent connections that exceed the share of their
+// node, or leave no tunnels for nodes that have lost their links.
+func TestNodeLendsWithinItsBoundsAlone(t *testing.T) {
+	through := startNode(t, startWorker(t, func(c *net.TCPConn) { _, _ = c.Read(make([]byte, 1)) }), true)
+	client := clientOf(through)
+	through.workers.full.Store(true)
+	if _, err := client.Borrow(context.Background(), workerID, "request"); !errors.Is(err, ErrNoNode) {
+		t.Errorf("a node whose share is in use: %v", err)
+	}
+	open(t, client)
+	through.workers.full.Store(false)
+	time.Sleep(fullLife)
+	for number := range maxLent {
+		lent, err := client.Borrow(context.Background(), workerID, "request")
+		if err != nil {
+			t.Fatalf("after %d: %v", number, err)
+		}
+		t.Cleanup(func() { _ = lent.Close() })
+	}
+	if _, err := client.Borrow(context.Background(), workerID, "request"); err == nil {
+		t.Errorf("more than %d connections are lent", maxLent)
+	}
 	open(t, client)
 }
+
+// TestEarlierBuildLendsNothing: it answers 404, which must not look like a lost link.
+func TestEarlierBuildLendsNothing(t *testing.T) {
+	front := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(front.Close)
+	earlier := &node{address: netip.MustParseAddrPort(strings.TrimPrefix(front.URL, "http://"))}
+	if _, err := clientOf(earlier).Borrow(context.Background(), workerID, "request"); !errors.Is(err, ErrNoNode) {
+		t.Errorf("an earlier build: %v", err)
+	}
+}
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -135,6 +135,8 @@
 	// verified is set once the worker at the other end is known to be the incarnation that the
 	// connection is for.
 	verified bool
+	// lent is set if the connection counts as one of another node, which has lent it.
+	lent bool
 	// dropsUnsent is set if the socket options for Request.DropAfter are in force.
 	dropsUnsent bool
 }
--- /dev/null
+++ b/internal/workerconn/lending_test.go
@@ -0,0 +1,87 @@
+package workerconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/tunnel"
+)
+
+// answerAll answers each request.
+func answerAll(c net.Conn, requests *bufio.Reader) {
+	for {
+		id, ok := readRequest(requests)
+		if !ok {
+			return
+		}
+		write(c, completeAnswer(id, "ok"))
+	}
+}
+
+// TestLentConnectionsCountAsTheLenders guards against a worker that gets more connections than it
+// takes from all nodes together.
+func TestLentConnectionsCountAsTheLenders(t *testing.T) {
+	s := serve(t, answerAll)
+	pool := NewPool()
+	defer pool.Close()
+	const limit = 4
+	lend := func() (net.Conn, error) { return pool.Lend(context.Background(), "w", s.address(), limit) }
+	var lent []net.Conn
+	for range limit - 1 {
+		c, err := lend()
+		if err != nil {
+			t.Fatal(err)
+		}
+		lent = append(lent, c)
+	}
+	if _, err := lend(); !errors.Is(err, tunnel.ErrFull) {
+		t.Errorf("the last connection is lent too: %v", err)
+	}
+	if got := pool.open["w"]; got != limit-1 {
+		t.Errorf("%d connections count, want %d", got, limit-1)
+	}
+	_ = lent[0].Close()
+	_ = lent[0].Close()
+	if got := pool.open["w"]; got != limit-2 {
+		t.Errorf("%d connections count after one was returned, want %d", got, limit-2)
+	}
+}
+
+// TestIdleConnectionIsLent: connections that nobody uses must not keep a share from others.
+func TestIdleConnectionIsLent(t *testing.T) {
+	s := serve(t, answerAll)
+	pool := NewPool()
+	defer pool.Close()
+	wantAnswer(t, send(t, pool, s, "1", ""), "ok")
+	c, err := pool.Lend(context.Background(), key, s.address(), 2)
+	if err != nil || s.accepts() != 1 {
+		t.Fatalf("%d connections were opened, want the idle one: %v", s.accepts(), err)
+	}
+	_ = c.Close()
+}
+
+// TestBorrowedConnectionIsReturned once it has been idle, since its lender has one less.
+func TestBorrowedConnectionIsReturned(t *testing.T) {
+	s := serve(t, answerAll)
+	pool, _ := tunnelledPool(t, s.address())
+	pool.open[key] = 2 // all of this node's are in use
+	wantAnswer(t, send(t, pool, s, "1", ""), "ok")
+	if got := len(pool.idle[key]); got != 1 || !pool.idle[key][0].lent || pool.open[key] != 2 {
+		t.Fatalf("%d idle connections, %d count", got, pool.open[key])
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(lentIdle / 10) {
+		pool.mu.Lock()
+		left := len(pool.idle[key])
+		pool.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("an idle borrowed connection is kept")
+		}
+	}
+}
--- a/internal/workerconn/open.go
+++ b/internal/workerconn/open.go
@@ -27,6 +27,8 @@
 type Tunnels interface {
 	// Open opens a connection to a worker for a request.
 	Open(ctx context.Context, worker, request string) (*tunnel.Conn, error)
+	// Borrow opens a connection to a worker for a request that counts as one of another node.
+	Borrow(ctx context.Context, worker, request string) (*tunnel.Conn, error)
 	// Usable reports whether an idle connection may carry another request.
 	Usable(opened *tunnel.Conn) bool
 }
--- a/internal/workerconn/open_test.go
+++ b/internal/workerconn/open_test.go
@@ -37,6 +37,9 @@
 	var dialer net.Dialer
 	return dialer.DialContext(ctx, "tcp4", address)
 }
+func (o otherNode) Lend(ctx context.Context, _, address string) (net.Conn, error) {
+	return o.Dial(ctx, address)
+}
 
 type fleet []netip.AddrPort
 
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +18,10 @@
 	"github.com/tinarch/tinarch/internal/tunnel"
 )
 
+// lentIdle is how long an idle connection that another node has lent is kept. As long as it is, that
+// node has one connection less for its own callers.
+const lentIdle = 100 * time.Millisecond
+
 // ErrFull is returned if the limit of connections from this node to a worker is reached.
 var ErrFull = eris.New("all connections to the worker are in use")
 
@@ -93,7 +98,7 @@
 // Do sends a request to a worker and returns its answer, whose body is still to be read. key is
 // the id of the worker's incarnation: a connection isn't used for another worker that later has
 // the same address. limit is the number of connections that may be open to the worker, zero for
-// no limit.
+// no limit; beyond it, connections are borrowed from other nodes.
 func (p *Pool) Do(ctx context.Context, key, address string, limit int, request *Request) (*Answer, error) {
 	if err := p.checkAdmitted(key, request); err != nil {
 		return nil, err
@@ -177,7 +182,7 @@
 	for {
 		c, err := p.takeIdle(key, limit)
 		if err != nil {
-			return nil, err
+			return p.borrow(ctx, key, request)
 		}
 		if c == nil {
 			break
@@ -197,6 +202,94 @@
 	return c, nil
 }
 
+// borrow opens a connection that counts as another node's, since all of this node's are in use.
+func (p *Pool) borrow(ctx context.Context, key string, request *Request) (*conn, error) {
+	if p.tunnels == nil || request.DirectOnly {
+		return nil, ErrFull
+	}
+	inner, err := p.tunnels.Borrow(ctx, key, request.ID)
+	switch {
+	case err == nil:
+	case ctx.Err() != nil:
+		return nil, err
+	default:
+		return nil, ErrFull
+	}
+	c := newConn(inner)
+	c.lent, c.idleSince, c.idleLimit = true, time.Now(), lentIdle
+	return c, nil
+}
+
+// keptShare is the part of a limit that isn't lent: connections for this node's own next requests.
+const keptShare = 8
+
+// hasSpare reports whether a connection may be lent within a limit.
+func (p *Pool) hasSpare(key string, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used := p.open[key]
+	for _, c := range p.idle[key] {
+		if !c.lent {
+			used--
+		}
+	}
+	return limit == 0 || used < limit-max(limit/keptShare, 1)
+}
+
+// Lend opens a connection to a worker for another node, or takes an idle one. It counts as this
+// node's until it is closed. The error is tunnel.ErrFull if none of limit connections is spare.
+func (p *Pool) Lend(ctx context.Context, key, address string, limit int) (net.Conn, error) {
+	for p.hasSpare(key, limit) {
+		c, err := p.takeIdle(key, limit)
+		switch {
+		case err != nil:
+			return nil, tunnel.ErrFull
+		case c == nil:
+			return p.lendNew(ctx, key, address)
+		case c.through() != "":
+			p.addIdle(key, c)
+			return nil, tunnel.ErrFull
+		case c.quiet():
+			return p.lent(key, c.Conn), nil
+		}
+		p.discard(key, c)
+	}
+	return nil, tunnel.ErrFull
+}
+
+func (p *Pool) lendNew(ctx context.Context, key, address string) (net.Conn, error) {
+	inner, err := p.dial(ctx, address)
+	if err != nil {
+		p.releaseSlot(key)
+		return nil, err
+	}
+	return p.lent(key, inner), nil
+}
+
+func (p *Pool) lent(key string, inner net.Conn) net.Conn {
+	return &lentConn{Conn: inner, release: sync.OnceFunc(func() { p.releaseSlot(key) })}
+}
+
+// lentConn is a connection that was lent to another node.
+type lentConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *lentConn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
+
+// SetLinger sets the linger time of the connection, so that it can be reset.
+func (c *lentConn) SetLinger(seconds int) error {
+	if inner, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return inner.SetLinger(seconds)
+	}
+	return nil
+}
+
 // mayReuse reports whether an idle connection can carry another request.
 func (p *Pool) mayReuse(key string, c *conn, request *Request, now time.Time) bool {
 	if now.Sub(c.idleSince) >= c.idleLimit || !c.quiet() {
@@ -206,20 +299,26 @@
 	switch {
 	case p.links == nil:
 		return true
+	case c.lent:
+		return !request.DirectOnly && p.tunnels.Usable(through)
 	case isTunnel:
 		return !request.DirectOnly && p.links.IsLost(key) && p.tunnels.Usable(through)
 	}
 	return !p.links.Doubts(key, c.idleSince)
 }
 
-// takeIdle returns the idle connection that was used last. If there is none it returns nil, and
-// a new connection is already counted in open.
+// takeIdle returns the idle connection that was used last, a lent one only if there is no other. If
+// there is none it returns nil, and a new connection is already counted in open.
 func (p *Pool) takeIdle(key string, limit int) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if idle := p.idle[key]; len(idle) > 0 {
-		last := idle[len(idle)-1]
-		p.idle[key] = idle[:len(idle)-1]
+		at := len(idle) - 1
+		for at > 0 && idle[at].lent {
+			at--
+		}
+		last := idle[at]
+		p.idle[key] = slices.Delete(idle, at, at+1)
 		return last, nil
 	}
 	if limit > 0 && p.open[key] >= limit {
@@ -248,7 +347,9 @@
 
 func (p *Pool) discard(key string, c *conn) {
 	_ = c.Close()
-	p.releaseSlot(key)
+	if !c.lent {
+		p.releaseSlot(key)
+	}
 }
 
 func (p *Pool) releaseSlot(key string) {
@@ -270,6 +371,9 @@
 	}
 	c.idleSince = time.Now()
 	c.idleLimit = limit - idleMargin
+	if c.lent {
+		c.idleLimit = min(c.idleLimit, lentIdle)
+	}
 	_ = c.SetDeadline(time.Time{})
 	p.addIdle(key, c)
 }
@@ -279,6 +383,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[key] = append(p.idle[key], c)
+	if c.lent {
+		since := c.idleSince
+		time.AfterFunc(lentIdle, func() { p.returnLent(key, c, since) })
+	}
+}
+
+// returnLent closes a lent connection that has been idle since a time.
+func (p *Pool) returnLent(key string, c *conn, since time.Time) {
+	p.mu.Lock()
+	at := slices.Index(p.idle[key], c)
+	idle := at >= 0 && c.idleSince.Equal(since)
+	if idle {
+		p.idle[key] = slices.Delete(p.idle[key], at, at+1)
+	}
+	p.mu.Unlock()
+	if idle {
+		_ = c.Close()
+	}
 }
 
 // CloseIdle closes the idle connections to a worker, for example when it is gone.
