Bodies of requests have a bound in bytes, over all requests, and in time

What callers would see: a body without a stated length grows without a bound where the configuration names none, and many large ones together have none at all; the process ends and with it all that it serves. By reading, without a run that failed before.

Cause: the same class as heads of answers without an end: what a read from outside may take is left to the other side.

Change: the bodies at a node take 32 MiB at most, half of what bytes from outside may take. What doesn't fit is refused with 2002 and a Retry-After; it has not run. A body is read until the deadline of its route at the latest.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -3,9 +3,8 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -36,6 +35,8 @@
 
 // Handler serves callers' requests. It implements http.Handler.
 type Handler struct {
+	// bodies bounds the memory of the bodies of requests.
+	bodies   bodyMemory
 	parser   Parser
 	runner   Runner
 	splitter *routing.Splitter
@@ -74,8 +75,14 @@
 	// ConfigurationBehind returns the time since this node heard of a newer configuration that
 	// it doesn't have, zero if there is none. If it is nil, there never is one.
 	ConfigurationBehind func() time.Duration
+	// BodyBytes bounds the memory of the bodies of all requests at this node, zero for
+	// defaultBodyBytes.
+	BodyBytes int64
 }
 
+// defaultBodyBytes is half of what bytes from outside may take at a node.
+const defaultBodyBytes = 32 << 20
+
 // New returns a handler without routes.
 func New(options Options) *Handler {
 	h := &Handler{
@@ -84,6 +91,7 @@
 		quotas: options.Quotas, origins: options.Origins,
 		splitter: routing.NewSplitter(rand.IntN),
 	}
+	h.bodies.limit = cmp.Or(options.BodyBytes, defaultBodyBytes)
 	if h.configurationAge == nil {
 		h.configurationAge = zeroAge
 	}
@@ -132,7 +140,9 @@
 	defer h.active.Add(-1)
 	arrived := time.Now()
 	answer := newHTTPCaller(writer, request, h.stopping.Load())
-	call, failure := h.accept(writer, request, arrived)
+	body := &held{memory: &h.bodies}
+	defer body.release()
+	call, failure := h.accept(writer, request, arrived, body)
 	if failure != nil {
 		h.refund(call)
 		h.refuse(answer, request, call, failure, arrived)
@@ -146,7 +156,7 @@
 }
 
 // accept finds the route and tenant of a request, charges the tenant and reads the body.
-func (h *Handler) accept(writer http.ResponseWriter, request *http.Request, arrived time.Time) (*dispatch.Call, *result.Error) {
+func (h *Handler) accept(writer http.ResponseWriter, request *http.Request, arrived time.Time, body *held) (*dispatch.Call, *result.Error) {
 	table := h.table.Load()
 	if table == nil {
 		return nil, result.New(result.NotConfigured, "this node has read no configuration yet").WithRetryAfter(notConfiguredRetryAfter)
@@ -172,7 +182,7 @@
 			return call, failure
 		}
 	}
-	call.Body, failure = readBody(writer, request, table.Limits.MaxBodyBytes)
+	call.Body, failure = readBody(writer, request, table.Limits.MaxBodyBytes, call.Deadline, body)
 	if failure != nil {
 		return call, failure
 	}
@@ -206,35 +216,6 @@
 	return size
 }
 
-func readBody(writer http.ResponseWriter, request *http.Request, limit int64) ([]byte, *result.Error) {
-	if request.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit > 0 && request.ContentLength > limit {
-		return nil, result.New(result.BodyTooLarge, "the body has %d bytes; the limit is %d", request.ContentLength, limit)
-	}
-	reader := request.Body
-	if limit > 0 {
-		reader = http.MaxBytesReader(writer, reader, limit)
-	}
-	var body []byte
-	var err error
-	if request.ContentLength > 0 {
-		body = make([]byte, request.ContentLength)
-		_, err = io.ReadFull(reader, body)
-	} else {
-		body, err = io.ReadAll(reader)
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return body, nil
-	case errors.As(err, &tooLarge):
-		return nil, result.New(result.BodyTooLarge, "the body is longer than the limit of %d bytes", limit)
-	}
-	return nil, result.New(result.CallerGone, "the body could not be read: %v", err)
-}
-
 // refuse answers a request that isn't sent to a worker.
 func (h *Handler) refuse(answer *httpCaller, request *http.Request, call *dispatch.Call, failure *result.Error, arrived time.Time) {
 	if call == nil {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -108,7 +108,7 @@
 	{NotFound, "not_found", DidNotRun, true, 404, "not_found", "The named path or object does not exist.", "Check the name."},
 	{HeaderTooLarge, "header_too_large", DidNotRun, true, 431, "invalid_argument", "The request's header exceeds the limit of the configuration that a routed node (tinarchd --routed) reads from the platform's store.", "Send fewer or shorter headers, or raise the limit in that configuration."},
 	{TenantLimit, "tenant_limit", DidNotRun, true, 429, "resource_exhausted", "The tenant's token rate is used up.", "Come back after the Retry-After time."},
-	{QueueFull, "queue_full", DidNotRun, true, 503, "resource_exhausted", "Too many requests of the class wait already, or the request was shed for a higher class.", "Come back after the Retry-After time."},
+	{QueueFull, "queue_full", DidNotRun, true, 503, "resource_exhausted", "Too many requests of the class wait already, the request was shed for a higher class, or the bodies of requests take all the memory that they may at a routed node (tinarchd --routed).", "Come back after the Retry-After time."},
 	{DeadlineUnreachable, "deadline_unreachable", DidNotRun, true, 503, "resource_exhausted", "The request can't be answered within its deadline now.", "Come back after the Retry-After time."},
 	{NoEngine, "no_engine", DidNotRun, true, 503, "unavailable", "No healthy engine serves the model version now.", "Come back after the Retry-After time; operators see `tinarch engines`."},
 	{Stopping, "stopping", DidNotRun, true, 503, "unavailable", "The node is being stopped and takes no new work.", "Connect again; another node answers."},
