--- a/internal/tableshare/client.go
+++ b/internal/tableshare/client.go
@@ -37,8 +37,9 @@
 	// changesTimeout is how long a node waits for another to begin to send changes. It is short
 	// because the store can return them as well.
 	changesTimeout = 600 * time.Millisecond
-	// maxBody bounds a response body.
-	maxBody = 16 << 20
+	// maxBody bounds a response body, and maxHeader its header.
+	maxBody   = 8 << 20
+	maxHeader = 64 << 10
 	// maxIdleConnections and idleTimeout bound the connections kept to other nodes.
 	maxIdleConnections = 1
 	idleTimeout        = 5 * time.Second
@@ -74,7 +75,7 @@
 	return &Client{
 		fleet: fleet, server: server, log: log,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeader,
 		}},
 	}
 }
