A node bears as many callers as it has descriptors for, and resets others unread

What callers would see: where most new connections come to one node, it accepts until it has no descriptors left, and then reaches neither workers nor the store nor other nodes.

Change: callers take three fifths of the descriptors at most (limits.descriptors in the settings, else the system's limit). Beyond that a new connection is reset with nothing read, so that the next try meets another node. The node stays ready: a crowd that it sends away by readiness would move on to the next node.

Test: TestConnectionsBeyondTheLimitAreResetUnread.

--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/authority"
+	"github.com/tinarch/tinarch/internal/connlimit"
 	"github.com/tinarch/tinarch/internal/dispatch"
 	"github.com/tinarch/tinarch/internal/fleetsize"
 	"github.com/tinarch/tinarch/internal/ingress"
@@ -112,11 +113,13 @@
 	pool     *workerconn.Pool
 	links    *links.Table
 	// tunnels opens connections to workers for nodes that have lost their own links.
-	tunnels  *tunnel.Server
-	front    *ingress.Handler
-	exchange *nodeexchange.Exchange
-	servers  []*http.Server
-	callers  *http.Server
+	tunnels *tunnel.Server
+	// callerLimit bounds the connections of callers.
+	callerLimit *connlimit.Limit
+	front       *ingress.Handler
+	exchange    *nodeexchange.Exchange
+	servers     []*http.Server
+	callers     *http.Server
 
 	// coordinator holds the announcements of all nodes and decides which node reads a table at
 	// the store.
@@ -189,6 +192,7 @@
 	exchange.SetMetrics(nodeexchange.NewMetrics(metrics))
 	n.watchLimits(metrics)
 	n.setUpLinks(metrics)
+	n.setUpCallerLimit(metrics)
 	n.pool.SetMonitor(notices.New(notices.Options{
 		Registry: n.registry, Read: platform.Notice, Log: log, Metrics: metrics,
 		ListAge: func() time.Duration { return n.freshness().WorkersAge },
@@ -259,7 +263,7 @@
 func (n *Node) listen(metrics *prometheus.Registry) error {
 	n.callers = &http.Server{
 		Handler: n.front, ConnContext: ingress.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeader, ErrorLog: discardLog(),
+		MaxHeaderBytes: maxHeader, ErrorLog: discardLog(), ConnState: n.callerLimit.ConnState,
 	}
 	readiness := chi.NewRouter()
 	readiness.Get(n.platform.ReadinessPath(), n.serveReadiness)
@@ -278,6 +282,9 @@
 		if err != nil {
 			return err
 		}
+		if port.server == n.callers {
+			listener = n.callerLimit.Listener(listener)
+		}
 		n.servers = append(n.servers, port.server)
 		n.work.Go(func() {
 			if err := port.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -143,6 +143,9 @@
 // RoutedLimits bounds the resources of the process.
 type RoutedLimits struct {
 	MemoryMegabytes int `yaml:"memory_mb"`
+	// Descriptors is the number of file descriptors that the process may use, zero for the limit
+	// of the operating system.
+	Descriptors int `yaml:"descriptors"`
 }
 
 // RoutedBounds holds what the platform asks of a node's stop and of the retries, the terms of
@@ -230,6 +233,7 @@
 	c.nonNegative("quota.overshoot", s.Quota.Overshoot, 10)
 	c.nonNegative("quota.slack", s.Quota.Slack, 1e12)
 	c.between("limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1<<20)
+	c.between("limits.descriptors", s.Limits.Descriptors, 0, 1<<20)
 	c.between("bounds.stop_ms", s.Bounds.StopMillis, 1000, 24*3_600_000)
 	c.nonNegative("bounds.retry_ratio", s.Bounds.RetryRatio, 10)
 	c.nonNegative("bounds.retry_slack", s.Bounds.RetrySlack, 1e6)
