Refused callers of a crowded node return at the rate of its turns

What callers saw: at workers that take few requests a second, a refused caller is told to come back after as many times as long as there are nodes, although all turns go to the one node that has the callers; the workers stand idle meanwhile.

The rate at which callers are asked to return was the node's even share.

Change: it is the rate at which this node is granted turns, if that is higher, counted over a second.

Test: TestCallersOfACrowdedNodeReturnAtItsRate: the last of twelve callers is told to return within 1.5 s; by the formula before, after 5.5 s."

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -61,6 +61,8 @@
 	// promisedUntil is the time, by service, up to which turns are promised to callers that
 	// were refused one.
 	promisedUntil map[string]time.Time
+	// turnRates are the rates, by service, at which this node is granted turns.
+	turnRates map[string]*turnRate
 	// lateWaiters counts, by service, the calls that wait for the end of a pause although they
 	// will be late.
 	lateWaiters map[string]int
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -100,8 +100,9 @@
 }
 
 // promiseTurn returns the time after which a refused caller of a service should retry. Callers
-// are scheduled one after the other, at this node's share of the rate of all workers, since
-// they would otherwise all retry at once and be refused again.
+// are scheduled one after the other, since they would otherwise all retry at once and be refused
+// again: at this node's share of the rate of all workers, or at the rate at which it is granted
+// turns if that is higher, as where most callers come to this node.
 func (d *Dispatcher) promiseTurn(service string, next time.Duration, perSecond float64) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -110,11 +111,28 @@
 	if d.promisedUntil[service].After(at) {
 		at = d.promisedUntil[service]
 	}
-	every := time.Duration(float64(time.Second) * float64(max(d.nodes(), 1)) / max(perSecond, worker.MinRate))
+	share := max(perSecond, worker.MinRate) / float64(max(d.nodes(), 1))
+	if rate := d.turnRates[service]; rate != nil {
+		share = max(share, min(rate.perSecond(now), perSecond))
+	}
+	every := time.Duration(float64(time.Second) / share)
 	d.promisedUntil[service] = earlier(at.Add(every), now.Add(maxRetryAfter))
 	return min(at.Sub(now), maxRetryAfter)
 }
 
+// countGranted counts a turn at a worker of a service.
+func (d *Dispatcher) countGranted(service string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.turnRates == nil {
+		d.turnRates = make(map[string]*turnRate)
+	}
+	if d.turnRates[service] == nil {
+		d.turnRates[service] = &turnRate{}
+	}
+	d.turnRates[service].granted(now)
+}
+
 func earlier(left, right time.Time) time.Time {
 	if left.Before(right) {
 		return left
@@ -167,6 +185,7 @@
 		s.registry.SetTurn(at.ID, now.Add(verdict.RetryAfter))
 		return false, context.Cause(ctx)
 	}
+	s.countGranted(s.call.Service.Name, now)
 	s.registry.SetTurn(at.ID, now.Add(verdict.Next))
 	s.turnsHeld[at.ID] = now.Add(verdict.Delay)
 	return true, nil
--- a/internal/dispatch/limits_test.go
+++ b/internal/dispatch/limits_test.go
@@ -58,6 +58,37 @@
 	}
 }
 
+// TestCallersOfACrowdedNodeReturnAtItsRate guards against callers who are sent away for as many
+// times as long as there are nodes, where one node has them all.
+func TestCallersOfACrowdedNodeReturnAtItsRate(t *testing.T) {
+	const nodes, perSecond = 6, 12
+	d := &Dispatcher{nodes: func() int { return nodes }, promisedUntil: make(map[string]time.Time)}
+	for range perSecond {
+		d.countGranted("s", time.Now())
+	}
+	last := time.Duration(0)
+	for range perSecond {
+		last = d.promiseTurn("s", 0, perSecond)
+	}
+	if last > 1500*time.Millisecond {
+		t.Errorf("the last of %d callers is told to retry after %v; the node is granted %d turns a second", perSecond, last, perSecond)
+	}
+}
+
+func TestTurnRateIsForgotten(t *testing.T) {
+	var rate turnRate
+	now := time.Unix(1000, 0)
+	for range 5 {
+		rate.granted(now)
+	}
+	for wait, want := range map[time.Duration]float64{0: 5, turnRatePeriod: 5, 3 * turnRatePeriod: 0} {
+		copied := rate
+		if got := copied.perSecond(now.Add(wait)); got != want {
+			t.Errorf("after %v, %v turns a second, want %v", wait, got, want)
+		}
+	}
+}
+
 // TestWorkersWhoseTurnIsLateAreLeftOut checks that more urgent calls wait longer for a turn,
 // and that each waits at least until the next one.
 func TestWorkersWhoseTurnIsLateAreLeftOut(t *testing.T) {
