--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -145,7 +145,7 @@
 	MemoryMegabytes int `yaml:"memory_mb"`
 	// Descriptors is the number of file descriptors that the process may use, zero for the limit
 	// of the operating system.
-	Descriptors int `yaml:"descriptors"`
+	Descriptors int `yaml:"descriptors,omitempty"`
 }
 
 // RoutedBounds holds what the platform asks of a node's stop and of the retries, the terms of
