--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -150,6 +150,21 @@
 	}
 }
 
+// Memory returns the resident memory of the incarnation in bytes, zero if it isn't running.
+func (n *Node) Memory() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.running() {
+		return 0
+	}
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.process.Process.Pid))
+	var size, resident int64
+	if _, scanErr := fmt.Sscan(string(content), &size, &resident); err != nil || scanErr != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize())
+}
+
 // Signal sends a signal to the last incarnation, if there is one.
 func (n *Node) Signal(signal syscall.Signal) {
 	n.mu.Lock()
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -48,6 +48,15 @@
 		go func() { defer close(ended); s.cutRepeatedly(cutCtx) }()
 		defer func() { stopCuts(); <-ended }()
 	}
+	if s.options.Crowds {
+		crowdCtx, stopCrowds := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() { defer close(ended); s.crowdRepeatedly(crowdCtx) }()
+		defer func() { stopCrowds(); <-ended }()
+	}
+	if s.options.Unending {
+		kinds = append(kinds, s.sendWithoutEnd, s.sendWithoutEnd, s.sendWithoutEnd, s.sendWithoutEnd)
+	}
 	if s.options.Limits {
 		kinds = append(kinds, s.changeLimit, s.changeLimit, s.changeLimit, s.changeLimit)
 	}
--- a/internal/lab/soak/load.go
+++ b/internal/lab/soak/load.go
@@ -120,6 +120,9 @@
 	if l.site.options.Poison {
 		callers.Go(func() { l.sendPoison(ctx) })
 	}
+	if l.site.options.Parts {
+		callers.Go(func() { l.sendParts(ctx) })
+	}
 	callers.Wait()
 }
 
@@ -156,7 +159,7 @@
 		got.abandoned = true
 		got.timeout = time.Duration(random.IntN(100)) * time.Millisecond
 	}
-	address := l.site.callers[random.IntN(len(l.site.callers))]
+	address := l.site.address(random)
 	body := strings.Repeat("b", random.IntN(6000))
 	if got.class.service == engines {
 		got.prompt = fmt.Sprintf("a%d:2000,%s:1000", random.IntN(5), id)
--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -55,6 +55,38 @@
 	d.requests[got.id] = got
 }
 
+// quietFrom is the time from which no faults have been injected for a while.
+func (d *poison) quietFrom() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.quietSince.Add(quietPeriod / 2)
+}
+
+// falseAnswers returns the requests that ran although they were answered as not run, or that were
+// answered normally.
+func (d *poison) falseAnswers(runs []fleetworker.Run) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var violations []string
+	for _, run := range runs {
+		if got, exists := d.requests[run.ID]; exists {
+			violations = append(violations, falseAnswer(got)...)
+		}
+	}
+	return violations
+}
+
+// falseAnswer returns what is wrong with the answer to a request that ran and crashed its worker.
+func falseAnswer(got observation) []string {
+	switch {
+	case notRun[got.status]:
+		return []string{fmt.Sprintf("poison request %s was answered as not run (status %d), but it ran", got.id, got.status)}
+	case got.status == http.StatusOK && got.err == nil:
+		return []string{fmt.Sprintf("poison request %s was answered normally", got.id)}
+	}
+	return nil
+}
+
 // violations returns the violations found: the request may reach at most poisonRuns workers once
 // it is recognized and no faults have been injected for a while, and one that was answered as
 // not run must not have run.
@@ -65,14 +97,10 @@
 	earlier, quietly := 0, 0
 	for _, run := range runs {
 		got, exists := d.requests[run.ID]
-		switch {
-		case !exists:
+		if !exists {
 			continue
-		case notRun[got.status]:
-			violations = append(violations, fmt.Sprintf("poison request %s was answered as not run (status %d), but it ran", got.id, got.status))
-		case got.status == http.StatusOK && got.err == nil:
-			violations = append(violations, fmt.Sprintf("poison request %s was answered normally", got.id))
 		}
+		violations = append(violations, falseAnswer(got)...)
 		if run.At.After(d.quietSince.Add(quietPeriod / 2)) {
 			quietly++
 		} else {
@@ -97,7 +125,7 @@
 			tenant: tenantOf(0), key: keyOf(0), timeout: clientTimeout, prompt: "a0:2000,deadbeef:1000",
 		}
 		l.site.poison.add(got) // it may run before its answer arrives
-		l.site.poison.add(l.send(transport, l.site.callers[random.IntN(len(l.site.callers))], got, poisonBody))
+		l.site.poison.add(l.send(transport, l.site.address(random), got, poisonBody))
 	}
 }
 
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -79,7 +79,7 @@
 		}
 	}
 	for id := range runs {
-		if !ids[id] && !l.site.poison.sent(id) {
+		if !ids[id] && !l.site.poison.sent(id) && !l.site.parts.sent(id) {
 			report.Broken = append(report.Broken, fmt.Sprintf("request %s ran, but nobody sent it", id))
 		}
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -40,6 +40,14 @@
 	Quotas bool
 	// Poison makes one caller repeat a request that crashes each worker that runs it.
 	Poison bool
+	// Parts makes one caller send requests that share a part of their prompts which crashes each worker,
+	// and nothing else.
+	Parts bool
+	// Crowds makes all callers come to one node for some seconds, again and again, and in the quiet
+	// period.
+	Crowds bool
+	// Unending adds workers that answer with bytes without end, and checks the memory of the nodes.
+	Unending bool
 	// Limits makes workers state rate limits, and checks how many requests reach them.
 	Limits bool
 	// Notices makes workers announce that they are about to end or ask for a backoff, and
@@ -124,6 +132,8 @@
 	settings []settings.Routed
 	callers  []string
 	poison   poison
+	parts    poison
+	crowd    crowd
 	limits   limits
 	cuts     cuts
 	notices  notices
@@ -168,9 +178,15 @@
 	defer stopLoad()
 	ended := make(chan struct{})
 	go func() { defer close(ended); load.run(loadCtx) }()
+	memoryUsed := make(chan memory, 1)
+	go func() { memoryUsed <- s.watchMemory(loadCtx) }()
 	s.injectFaults(ctx)
 	load.markQuiet()
 	s.poison.markQuiet()
+	s.parts.markQuiet()
+	if options.Crowds {
+		s.crowd.node.Store(1 + int64(s.random.IntN(len(s.callers))))
+	}
 	sleep(ctx, quietPeriod/2)
 	s.lastChange()
 	sleep(ctx, quietPeriod/2)
@@ -206,6 +222,12 @@
 	report.Leaving, report.Paused = s.notices.counted()
 	report.Ended = len(s.endedWorkers())
 	report.Broken = append(report.Broken, s.poison.violations(s.allRuns())...)
+	if options.Parts {
+		report.Broken = append(report.Broken, s.partViolations()...)
+	}
+	if used := <-memoryUsed; options.Unending {
+		report.Broken = append(report.Broken, used.violations()...)
+	}
 	report.Windows = len(s.api.Reports())
 	if report.Windows == 0 {
 		report.Broken = append(report.Broken, "no usage window was reported")
@@ -268,7 +290,10 @@
 	if s.options.Poison {
 		options.CrashOn = poisonBody
 	}
-	if s.options.Poison || s.options.Unframed {
+	if s.options.Parts {
+		options.CrashOnPart = badPart
+	}
+	if s.options.Poison || s.options.Parts || s.options.Unframed {
 		options.OnCrash = func(*fleetworker.Worker) { s.replaceEnded(worker, options) }
 	}
 	options.OnStageChange = func(*fleetworker.Worker) { s.relist(worker) }
@@ -407,7 +432,7 @@
 	return map[string]any{
 		"Version": 1 + added + stormVersion, "Routes": routes,
 		"Services": []any{
-			map[string]any{"Name": engines, "MaxConnections": 200, "HealthPath": fleetworker.HealthPath, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100_000, "RoleSwitchS": 1.0}, "Autoscale": autoscale()},
+			map[string]any{"Name": engines, "MaxConnections": s.options.maxConnections(), "HealthPath": fleetworker.HealthPath, "Engine": map[string]any{"Slots": 8, "KvCapacityTokens": 100_000, "RoleSwitchS": 1.0}, "Autoscale": autoscale()},
 			map[string]any{"Name": plain, "MaxConnections": 200},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 8192, "MaxBodyBytes": 100_000},
