A part that crashes the only worker of a service is quarantined too

Callers of a service with one worker were refused for as long as requests with the part came: crashes at one address accused no part, since the machine may be at fault. By reading; TestPartThatCrashesTheOnlyWorkerIsQuarantined failed before.

Five crashes under different requests that no completed run outweighs suffice at one address as well, as they do for a request: a machine at fault crashes under parts that run to an end elsewhere.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		blamed := d.blamedCrashes(known)
-		if len(blamed) < max(minPartCrashes, len(most)) || sameAddress(blamed) {
+		if len(blamed) < max(minPartCrashes, len(most)) {
 			continue
 		}
 		if !wasQuarantined[known.Fingerprint] && known.bursts < minBursts || d.isOneRequest(blamed) {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -139,6 +139,20 @@
 	}
 }
 
+// TestPartThatCrashesTheOnlyWorkerIsQuarantined: its crashes are all at one address.
+func TestPartThatCrashesTheOnlyWorkerIsQuarantined(t *testing.T) {
+	d, now := NewDetector(), start
+	for number := range minPartCrashes {
+		crash := Crash{Worker: fmt.Sprint("w", number), Address: "the only one"}
+		d.Crashed(crash, []Fingerprint{request(fmt.Sprint(number)), part(1)}, now)
+		d.Evaluate()
+		now = now.Add(burstPeriod)
+	}
+	if !d.refuses(now, part(1)) {
+		t.Error("the part isn't quarantined")
+	}
+}
+
 // TestRackFailureAccusesNoPart: workers that fail at one moment ran the same parts.
 func TestRackFailureAccusesNoPart(t *testing.T) {
 	d := NewDetector()
