Test: crashes of a part that different nodes saw add up at all nodes

Fleets of 3, 24 and 40 nodes; in the larger ones few are supervisors, and the others learn of a part once it has two crashes. A new case, no fault.

--- a/internal/nodeexchange/suspects_test.go
+++ b/internal/nodeexchange/suspects_test.go
@@ -104,6 +104,33 @@
 	}
 }
 
+// TestCrashesOfAPartSeenByDifferentNodesAddUp checks that all nodes refuse a part after crashes that
+// different nodes saw, each under another request, in fleets in which all are supervisors and in
+// one in which few are.
+func TestCrashesOfAPartSeenByDifferentNodesAddUp(t *testing.T) {
+	const crashes, patience = 5, 20 * time.Second
+	part := quarantine.PartFingerprint(7)
+	for _, count := range []int{3, 24, 40} {
+		nodes := quarantineNodes(t, count)
+		for number := range crashes {
+			crash := quarantine.Crash{Worker: fmt.Sprint("w", number), Address: fmt.Sprint("at ", number)}
+			request := quarantine.Content{Target: fmt.Sprint(number)}.Fingerprint()
+			nodes[number*7%len(nodes)].keeper.Crashed(map[quarantine.Fingerprint]quarantine.Crash{request: crash, part: crash}, time.Now())
+			time.Sleep(110 * time.Millisecond) // crashes in one burst count as one
+		}
+		begun := time.Now()
+		for at, node := range nodes {
+			for !node.keeper.Status(poison, time.Now(), part).Quarantined {
+				if time.Since(begun) > patience {
+					t.Fatalf("of %d nodes, number %d lets the part through %v after the last crash", count, at, patience)
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+		t.Logf("%d nodes refuse the part after %v", count, time.Since(begun).Round(time.Millisecond))
+	}
+}
+
 // TestNewNodeGetsSharedSuspects checks that a node that is heard for the first time gets the
 // records that all nodes must know.
 func TestNewNodeGetsSharedSuspects(t *testing.T) {
