--- a/internal/quarantine/completions.go
+++ b/internal/quarantine/completions.go
@@ -13,7 +13,7 @@
 	maxCompletedParts = 4096
 )
 
-// completions counts the completed runs of parts lately, in two periods. The zero value counts
+// completions counts the recent completed runs of parts, in two periods. The zero value counts
 // none.
 type completions struct {
 	began             time.Time
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -7,8 +7,8 @@
 	Quarantined, Released []Record
 }
 
-// Evaluate decides anew which requests and parts are quarantined, by all that is known now: a late report
-// may show that another request explains the same crashes.
+// Evaluate decides anew which requests and parts are quarantined, by all that is known now: a
+// late report may show that another request explains the same crashes.
 //
 // A worker that crashes takes all its requests along, so a single crash says little about any
 // of them, and requests that ran side by side may be sent on together to the next worker. A
