Nodes tell each other which parts they have quarantined

What callers would see: in a fleet of more than 20 nodes, some nodes go on sending requests with a part that crashes workers until they read its row in the store.

Cause: a part is accused by crashes in several bursts. A node that isn't a supervisor hears of several crashes in one message under load, and counts them as one burst; what is broadcast was copied before the sender had judged it.

Change: a node that quarantines a part sends its record again with that result, and one that hears it counts the bursts as shown, as it does for a row of the store.

--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -237,7 +237,7 @@
 	var changed []Record
 	for _, record := range records {
 		known, exists := d.entries[record.Fingerprint]
-		if len(record.Crashes) == 0 || exists && known.covers(record) {
+		if len(record.Crashes) == 0 || exists && known.covers(record) && !known.learnsQuarantine(record) {
 			continue
 		}
 		changed = append(changed, d.mergeRecord(record, now))
@@ -245,6 +245,12 @@
 	return changed
 }
 
+// learnsQuarantine reports whether a record tells that another node has quarantined a part that this
+// one hasn't: crashes that are reported together look like a single burst.
+func (e *entry) learnsQuarantine(record Record) bool {
+	return record.Fingerprint.IsPart() && record.Quarantined && !e.Quarantined
+}
+
 // mergeRecord adds the crashes of a record to the entry of its request.
 func (d *Detector) mergeRecord(record Record, now time.Time) Record {
 	known := d.entry(record.Fingerprint)
--- a/internal/quarantine/manager.go
+++ b/internal/quarantine/manager.go
@@ -184,6 +184,7 @@
 			m.logRecord(record, source, messageSuspected)
 		}
 		if source == sourceOwn && !m.local {
+			record.Quarantined = m.detector.lastQuarantined[record.Fingerprint]
 			m.pending[record.Fingerprint] = &pendingBroadcast{record: record, repeats: broadcastRepeats, due: now}
 		}
 	}
@@ -202,6 +203,9 @@
 	changes := m.detector.Evaluate()
 	for _, record := range changes.Quarantined {
 		m.logRecord(record, source, messageQuarantined)
+		if record.Fingerprint.IsPart() && !m.local {
+			m.pending[record.Fingerprint] = &pendingBroadcast{record: record, repeats: broadcastRepeats}
+		}
 	}
 	for _, record := range changes.Released {
 		m.logRecord(record, source, messageReleased)
