--- a/review/_lab/refused.go
+++ b/review/_lab/refused.go
@@ -18,18 +18,18 @@
 	"time"
 )
 
-// The case: five small services of one worker each. Workers that are full turn requests away with 503
-// and Retry-After, and three of them send one answer more than expected, late, in the spot where the
+// The case: ten small services of one worker each. Workers that are full turn requests away with 503
+// and Retry-After, and six of them send one answer more than expected, late, in the spot where the
 // next answer is due.
 const (
-	deskCount, deskGarbled = 5, 3
-	deskSlots              = 6
-	deskQueue              = 2
-	deskWork               = 100 * time.Millisecond
+	deskMachines, deskCount, deskGarbled = 12, 10, 6
+	deskSlots                            = 3
+	deskQueue                            = 1
+	deskWork                             = 100 * time.Millisecond
 	// deskPause is what a full worker adds to its 503, in seconds.
-	deskPause = "0.5"
+	deskPause = "1"
 	// deskRate is the mean rate of requests to each service at each machine.
-	deskRate   = 7.5
+	deskRate   = 2.5
 	deskLength = 95 * time.Second
 	deskKeep   = 5 * time.Second
 )
@@ -172,7 +172,7 @@
 		"Version": 1, "Routes": routes, "Services": services,
 		"Limits": map[string]any{"MaxHeaderBytes": 8192, "MaxBodyBytes": 100_000, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 30_000},
 	})
-	for number := range 8 {
+	for number := range deskMachines {
 		if _, err := s.addMachine(number+1, zones[number%len(zones)], nodeOptions{}); err != nil {
 			return couldNot, err
 		}
