--- a/review/_lab/extras.go
+++ b/review/_lab/extras.go
@@ -20,9 +20,9 @@
 	extraShare   = 0.03
 	extrasLength = 95 * time.Second
 	// streamRate is the mean rate of requests at each machine.
-	streamRate = 13
+	streamRate = 18
 	// stayShare is the share of the short streams, which may not be resumed.
-	stayShare     = 0.6
+	stayShare     = 0.5
 	stayPrefix    = "/stay/"
 	amenityPrefix = "/amenity/"
 	// overlap is how long after a request began at another engine the earlier one may still work on it.
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -3,8 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// longest is how long a script may run.
+const longest = 118 * time.Second
+
 // Exit codes of a script.
 const (
 	held     = 0
@@ -23,6 +29,7 @@
 		fmt.Println(err)
 		os.Exit(couldNot)
 	}
+	go endEarly()
 	code, err := cases[os.Args[1]](written, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		written.say("the case couldn't run: %v", err)
@@ -30,3 +37,18 @@
 	}
 	os.Exit(code)
 }
+
+// endEarly ends all processes and the script if it is asked to stop or runs for too long.
+func endEarly() {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-asked:
+	case <-time.After(longest):
+		fmt.Println("the case ran for too long")
+	}
+	if s := started.Load(); s != nil {
+		s.close()
+	}
+	os.Exit(couldNot)
+}
--- a/review/_lab/site.go
+++ b/review/_lab/site.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/lab/fleetstore"
@@ -73,12 +74,17 @@
 	change       func(*settings.Routed)
 }
 
+// started is the site of this process.
+var started atomic.Pointer[site]
+
 func newSite(record *record) (*site, error) {
 	directory, err := os.MkdirTemp("", "tinarch-review-")
 	if err != nil {
 		return nil, err
 	}
-	return &site{directory: directory, record: record, store: fleetstore.Start()}, nil
+	s := &site{directory: directory, record: record, store: fleetstore.Start()}
+	started.Store(s)
+	return s, nil
 }
 
 // addMachine starts a node with the settings of a small deployment, as the platform's template
