--- a/review/_lab/extras.go
+++ b/review/_lab/extras.go
@@ -178,6 +178,7 @@
 	request.Header.Set("X-Model", "m")
 	request.Header.Set("X-Token-Usage", "220,89")
 	request.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%x:79,%s:141", 0xa0+rand.IntN(5), id))
+	s.record.add(time.Now(), "client: %s sent to %s, %s", id, m.name, path)
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		got.fail(s, id, m, err.Error())
--- a/review/_lab/pauses.go
+++ b/review/_lab/pauses.go
@@ -223,6 +223,7 @@
 		id := fmt.Sprintf("%04x%012x", number+1, count)
 		under.Go(func() {
 			asked.sent(id, m.name)
+			s.record.add(time.Now(), "client: %s sent to %s", id, m.name)
 			status, note := sendOne(transport, m, "/turn/", id)
 			asked.ended(m.name, status)
 			s.record.add(time.Now(), "client: %s at %s answered %d%s", id, m.name, status, note)
--- a/review/_lab/poison.go
+++ b/review/_lab/poison.go
@@ -113,6 +113,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	time.Sleep(plainWork/2 + rand.N(plainWork))
+	w.site.record.add(time.Now(), "%s: %s from %s ran", id, requestID, w.site.nameOf(remoteIP(request)))
 	w.run.mu.Lock()
 	w.run.ran++
 	w.run.mu.Unlock()
@@ -195,6 +196,7 @@
 	for count := 0; time.Since(begun) < poisonCut; count++ {
 		m := cutOff[rand.IntN(len(cutOff))]
 		id := fmt.Sprintf("dead%012x", count)
+		record.add(time.Now(), "client of hall-a: %s, which crashes workers, sent to %s", id, m.name)
 		status, note := sendBody(m, poisonPath, id, poisonBody)
 		record.add(time.Now(), "client of hall-a: %s, which crashes workers, at %s answered %d%s", id, m.name, status, note)
 		time.Sleep(poisonEvery)
@@ -216,6 +218,7 @@
 		time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / soundRate))
 		id := fmt.Sprintf("%04x%012x", number+1, count)
 		under.Go(func() {
+			s.record.add(time.Now(), "client: %s sent to %s", id, m.name)
 			status, note := sendOne(transport, m, "/turn/", id)
 			asked.ended(m.name, status)
 			s.record.add(time.Now(), "client: %s at %s answered %d%s", id, m.name, status, note)
--- a/review/_lab/refused.go
+++ b/review/_lab/refused.go
@@ -196,6 +196,7 @@
 				path := fmt.Sprintf("/app-%d/", 1+rand.IntN(deskCount))
 				id := fmt.Sprintf("%04x%012x", number+1, count)
 				under.Go(func() {
+					s.record.add(time.Now(), "client: %s sent to %s, %s", id, m.name, path)
 					status, note := sendOne(transport, m, path, id)
 					got := ending{id: id, machine: m.name, status: status, note: note, at: time.Now()}
 					s.record.add(got.at, "client: %s at %s answered %d%s", id, m.name, status, note)
