--- a/review/_lab/refused.go
+++ b/review/_lab/refused.go
@@ -242,10 +242,10 @@
 		}
 	}
 	s.record.say("answers: %v; %d extra answers", statuses, extra)
-	verdict, code := "held", held
+	verdicts, code := map[bool]string{false: "held", true: "broken"}, held
 	if refused > 0 || twice > 0 {
-		verdict, code = "broken", broken
+		code = broken
 	}
-	s.record.say("%d requests that must not be repeated were refused though they ran, %d ran twice; rules REFUSED and TWICE %s", refused, twice, verdict)
+	s.record.say("%d requests that must not be repeated were refused though they ran, %d ran twice; rule REFUSED %s, rule TWICE %s", refused, twice, verdicts[refused > 0], verdicts[twice > 0])
 	return code
 }
