One budget by cost for all that clients make a node hold

What callers saw: clients that misbehave ended a process of the smallest machine (144 MB, 3,075 descriptors), or kept it from serving others and from saying that it is ready.

Cause: each bound was counted in another unit than what it costs, and a few clients could fill it for all. A head counted by its bytes although its fields cost most; a body took what it announced as soon as its head came; connections were bounded by descriptors alone; readiness, metrics and exchange had no bound on connections and took heads of 1 MB; nothing bounded how much of the one core a connection takes, how long a reader may stall, or what the kernel holds for it. HeaderTimeoutMs and IdleTimeoutMs were not followed.

Change: internal/httpguard serves all four ports. One budget a port, counted by cost: connections, heads by their fields, bodies as they come, requests under way. Each part is reserved before it is allocated; no head reaches net/http before it is whole and paid for. Who holds more may use less of the budget, so that small requests find room beside large ones. When the budget or the connections run short, those give way that have held most for longest without progress, and not the newest. Connections that keep the processor busy take turns, with pauses in which the scheduler polls the network. A stalled caller keeps its connection to a worker for half a second once all of them are in use. connlimit is replaced; its test stays under its name, with requests under way, since idle connections now make room.

Found on the way by the check on refusals: net/http passes over an error between two lines of a head and reads on, so a refused request was handled with what came next. A refused connection reads and writes nothing more (TestRefusedRequestsAreNotHandled, which failed before).

--- a/cmd/tinarch-lab/main.go
+++ b/cmd/tinarch-lab/main.go
@@ -20,6 +20,7 @@
 	Bench      *benchCommand      `arg:"subcommand:bench" help:"measure the overhead of a node against a baseline"`
 	Faults     *faultsCommand     `arg:"subcommand:faults" help:"run nodes as processes under seeded failures and check invariants"`
 	Soak       *soakCommand       `arg:"subcommand:soak" help:"run routed nodes as processes under seeded external faults and check their promises"`
+	Abuse      *abuseCommand      `arg:"subcommand:abuse" help:"run routed nodes as processes beside clients that misbehave and check that they go on serving"`
 	Scale      *scaleCommand      `arg:"subcommand:scale" help:"measure the cost of hollow nodes, which have no callers, and of rollouts to them"`
 	Experiment *experimentCommand `arg:"subcommand:experiment" help:"simulate a deployment in virtual time and compare placement policies over several seeds"`
 	Serve      *serveCommand      `arg:"subcommand:serve" help:"run a deployment's engines and platform as servers"`
--- /dev/null
+++ b/internal/httpguard/conn.go
@@ -0,0 +1,282 @@
+package httpguard
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// phase is what a connection is used for.
+type phase int
+
+const (
+	// idle connections have no request.
+	idle phase = iota
+	// head: the head of a request is being received.
+	head
+	// handling: the request is at the handler.
+	handling
+	// finishing: the handler has returned; the rest of the body is read and of the answer written.
+	finishing
+	// ended connections aren't the guard's any more.
+	ended
+)
+
+// conn is a guarded connection. Its fields are guarded by the lock of the guard, unless they are used
+// only by the goroutine that serves the connection.
+type conn struct {
+	net.Conn
+	guard *Guard
+
+	phase phase
+	// since is when the phase began.
+	since time.Time
+	// held is the memory reserved for the connection, and ofRequest the part for its request.
+	held, ofRequest int64
+	// waiting is when the node began to wait for the client to send a body or to read an answer, zero
+	// if it doesn't. lag is how far the client has fallen behind the least rate before that.
+	waiting time.Time
+	lag     time.Duration
+	evicted bool
+	// refused tells that the client got the last answer, so that nothing may be read or written any more.
+	refused bool
+	// beyond counts what net/http may have received beyond the end of the last head: the next head may
+	// begin in it.
+	beyond counted
+
+	// headBytes counts the head being received.
+	headBytes int
+	// ahead is what was read and net/http has not received yet, and tail the last bytes that it has.
+	ahead []byte
+	tail  []byte
+	// credit is what the connection may do before it has to take turns, and holdsTurn tells that it
+	// has one.
+	credit    credit
+	holdsTurn atomic.Bool
+}
+
+// Read implements net.Conn. A head is passed on only when all of it has come and its cost is reserved.
+func (c *conn) Read(buffer []byte) (int, error) {
+	switch {
+	case c.refused: // net/http reads again after an error in the middle of a head
+		return 0, io.EOF
+	case c.phaseNow() == ended:
+		return c.readAhead(buffer)
+	}
+	// While a request is handled, net/http reads single bytes to see whether the client leaves.
+	if len(buffer) == 1 {
+		count, err := c.readAhead(buffer)
+		c.guard.mu.Lock()
+		c.beyond = c.beyond.plus(buffer[:count])
+		c.guard.mu.Unlock()
+		return count, err
+	}
+	c.endTurn()
+	if !c.beginWait() {
+		return c.readHead(buffer)
+	}
+	count, err := c.readAhead(buffer)
+	read := counted{bytes: count}
+	if len(buffer) <= readerSize {
+		read = counted{}.plus(buffer[:count])
+	}
+	c.endWait(count)
+	c.noteBeyond(read)
+	c.takeTurn(read.effort())
+	return count, err
+}
+
+// noteBeyond notes what may be left in net/http's buffer once the body ends.
+func (c *conn) noteBeyond(read counted) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.beyond = read
+}
+
+// readAhead reads what was read ahead, and else from the client.
+func (c *conn) readAhead(buffer []byte) (int, error) {
+	if len(c.ahead) == 0 {
+		count, err := c.Conn.Read(buffer)
+		c.keepTail(buffer[:count])
+		return count, err
+	}
+	count := copy(buffer, c.ahead)
+	c.keepTail(buffer[:count])
+	c.ahead = c.ahead[count:]
+	if len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	return count, nil
+}
+
+func (c *conn) phaseNow() phase {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return c.phase
+}
+
+// beginWait notes that the node waits for the client, unless there is no request whose head is complete.
+// It returns whether there is one.
+func (c *conn) beginWait() bool {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.phase == idle || c.phase == head {
+		return false
+	}
+	c.waiting = time.Now()
+	return true
+}
+
+// endWait ends a wait in which a client sent or took a number of bytes.
+func (c *conn) endWait(count int) {
+	now := time.Now()
+	rate := c.guard.currentLimits().LeastRate
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.lag += now.Sub(c.waiting)
+	c.waiting = time.Time{}
+	if rate > 0 {
+		c.lag -= time.Duration(count) * time.Second / time.Duration(rate)
+	}
+	c.lag = max(c.lag, 0)
+}
+
+// reserveRequest reserves memory for the request of the connection. The caller holds the lock.
+func (c *conn) reserveRequest(bytes int64, now time.Time) bool {
+	if !c.guard.reserve(c, bytes, now) {
+		return false
+	}
+	c.ofRequest += bytes
+	return true
+}
+
+// mostAtOnce is how much of an answer is written at a time, so that progress is seen.
+const mostAtOnce = 16 << 10
+
+// Write implements net.Conn.
+func (c *conn) Write(content []byte) (int, error) {
+	c.endTurn()
+	switch {
+	case c.refused:
+		return 0, net.ErrClosed
+	case c.phaseNow() == ended:
+		return c.Conn.Write(content)
+	}
+	written := 0
+	for {
+		piece := content[written:min(len(content), written+mostAtOnce)]
+		waits := c.beginWait()
+		count, err := c.Conn.Write(piece)
+		if waits {
+			c.endWait(count)
+		}
+		written += count
+		if err != nil || written == len(content) {
+			return written, err
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.endTurn()
+	return c.Conn.Close()
+}
+
+// CloseWrite lets net/http close one direction, so that clients receive an answer that is sent before
+// all of their request was read.
+func (c *conn) CloseWrite() error {
+	c.endTurn()
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// SetLinger sets SO_LINGER where the connection has it.
+func (c *conn) SetLinger(seconds int) error {
+	if lingering, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return lingering.SetLinger(seconds)
+	}
+	return nil
+}
+
+// rest notes that the connection has no request any more.
+func (c *conn) rest() {
+	c.endTurn()
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.releaseRequest(c.ofRequest)
+	c.lag = 0
+	c.phase, c.since = idle, time.Now()
+}
+
+// begin notes that a request is handed to the handler. It returns false if there is no room for it.
+func (c *conn) begin() bool {
+	now := time.Now()
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	cost := int64(requestCost)
+	if c.phase == idle { // the whole head came with the request before
+		cost += c.beyond.cost()
+	}
+	c.phase, c.since, c.lag = handling, now, 0
+	if c.reserveRequest(cost, now) {
+		return true
+	}
+	if !c.evicted {
+		c.guard.count(NoRoomForRequest, c.Conn, now)
+	}
+	return false
+}
+
+// finish notes that the handler has returned.
+func (c *conn) finish() {
+	c.endTurn()
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.phase == handling {
+		c.phase, c.since, c.lag = finishing, time.Now(), 0
+		c.releaseRequest(requestCost)
+	}
+}
+
+// releaseRequest gives back memory of the request of the connection, at most what is reserved for it. The
+// caller holds the lock.
+func (c *conn) releaseRequest(bytes int64) {
+	bytes = min(bytes, c.ofRequest)
+	c.ofRequest -= bytes
+	c.guard.release(c, bytes)
+}
+
+// stalled returns for how long the connection has made no progress that depends on its client. The caller
+// holds the lock.
+func (c *conn) stalled(now time.Time) time.Duration {
+	switch c.phase {
+	case idle, head, finishing:
+		return now.Sub(c.since)
+	case handling:
+		switch {
+		case c.guard.options.Brief:
+			return now.Sub(c.since)
+		case !c.waiting.IsZero():
+			return c.lag + now.Sub(c.waiting)
+		}
+	}
+	return 0
+}
+
+// overdue returns the limit that the client exceeds, empty if there is none. The caller holds the lock.
+func (c *conn) overdue(limits Limits, now time.Time) Cause {
+	stalled := c.stalled(now)
+	switch {
+	case c.phase == idle && limits.IdleTimeout > 0 && stalled > limits.IdleTimeout:
+		return Idle
+	case c.phase == head && limits.HeadTimeout > 0 && stalled > limits.HeadTimeout:
+		return HeadTooSlow
+	case (c.phase == handling || c.phase == finishing) && limits.StallTimeout > 0 && stalled > limits.StallTimeout:
+		return Stalled
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/httpguard/turns.go
@@ -0,0 +1,89 @@
+package httpguard
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Work that a connection may cause before it has to take turns with others that cause as much. It is
+// counted in bytes read.
+const (
+	// creditBytes is the most that a connection can save up, and creditRate what it gains a second.
+	creditBytes = 64 << 10
+	creditRate  = 256 << 10
+	// lineEffort is the work of a line, and requestEffort that of a request.
+	lineEffort    = 32
+	requestEffort = 4 << 10
+)
+
+// credit is the work that a connection may still cause.
+type credit struct {
+	left float64
+	at   time.Time
+}
+
+func newCredit(now time.Time) credit { return credit{left: creditBytes, at: now} }
+
+// spend takes work from the credit. It returns false once none is left.
+func (c *credit) spend(work int, now time.Time) bool {
+	c.left = min(creditBytes, c.left+now.Sub(c.at).Seconds()*creditRate) - float64(work)
+	c.at = now
+	if c.left < 0 {
+		c.left = 0
+		return false
+	}
+	return true
+}
+
+// turnBurst is how long turns may follow one another at once. After that the processor is left to others
+// for as long: the scheduler polls the network only when nothing is ready, so ordinary requests would wait
+// for many turns at each of their steps.
+const turnBurst = time.Millisecond
+
+// turns lets one of the connections without credit work at a time, in the order in which they ask.
+type turns struct {
+	slot    chan struct{}
+	waiting atomic.Int32
+	// since is when the turn began, and spent the length of the turns that followed one another. Only
+	// who has the turn uses them.
+	since time.Time
+	spent time.Duration
+}
+
+func newTurns() *turns { return &turns{slot: make(chan struct{}, 1)} }
+
+func (t *turns) begin() {
+	t.waiting.Add(1)
+	t.slot <- struct{}{}
+	t.waiting.Add(-1)
+	t.since = time.Now()
+}
+
+func (t *turns) end() {
+	t.spent += time.Since(t.since)
+	switch pause := t.spent; {
+	case t.waiting.Load() == 0:
+		t.spent = 0
+	case pause >= turnBurst:
+		t.spent = 0
+		time.AfterFunc(pause, func() { <-t.slot })
+		return
+	}
+	<-t.slot
+}
+
+// takeTurn charges work to the connection. A connection without credit waits for its turn, which it
+// keeps until its goroutine waits for the client or begins to handle a request.
+func (c *conn) takeTurn(work int) {
+	if c.credit.spend(work, time.Now()) || c.holdsTurn.Load() {
+		return
+	}
+	c.guard.turns.begin()
+	c.holdsTurn.Store(true)
+}
+
+func (c *conn) endTurn() {
+	if c.holdsTurn.CompareAndSwap(true, false) {
+		c.guard.turns.end()
+	}
+}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -24,23 +24,33 @@
 	used  atomic.Int64
 }
 
-// take reserves memory. It returns false if that much isn't left.
-func (m *bodyMemory) take(bytes int64) bool {
+// Reserve implements memory.
+func (m *bodyMemory) Reserve(bytes int64) error {
 	if m.used.Add(bytes) > m.limit {
 		m.used.Add(-bytes)
-		return false
+		return errNoRoom
 	}
-	return true
+	return nil
+}
+
+// Release implements memory.
+func (m *bodyMemory) Release(bytes int64) { m.used.Add(-bytes) }
+
+// memory is what bodies are kept in.
+type memory interface {
+	// Reserve fails if that much isn't left.
+	Reserve(bytes int64) error
+	Release(bytes int64)
 }
 
 // held is the memory that one request has reserved.
 type held struct {
-	memory *bodyMemory
+	memory memory
 	bytes  int64
 }
 
 func (h *held) take(bytes int64) error {
-	if !h.memory.take(bytes) {
+	if h.memory.Reserve(bytes) != nil {
 		return errNoRoom
 	}
 	h.bytes += bytes
@@ -49,25 +59,10 @@
 
 // release gives back what was reserved.
 func (h *held) release() {
-	h.memory.used.Add(-h.bytes)
+	h.memory.Release(h.bytes)
 	h.bytes = 0
 }
 
-// meteredReader reserves memory for what it reads.
-type meteredReader struct {
-	inner io.Reader
-	held  *held
-}
-
-// Read implements io.Reader.
-func (m meteredReader) Read(buffer []byte) (int, error) {
-	count, err := m.inner.Read(buffer)
-	if takeErr := m.held.take(int64(count)); takeErr != nil {
-		return 0, takeErr
-	}
-	return count, err
-}
-
 // readBody reads a body of limit bytes at most, zero for no limit, until a deadline. It reserves the
 // memory for it in held.
 func readBody(writer http.ResponseWriter, request *http.Request, limit int64, deadline time.Time, held *held) ([]byte, *result.Error) {
@@ -98,15 +93,47 @@
 	return nil, result.New(result.CallerGone, "the body could not be read: %v", err)
 }
 
-// readAll reads a body of a known length, or until its end if the length is negative.
+// firstPiece is how much is reserved for a body before any of it has come. What was announced is
+// reserved as it comes.
+const firstPiece = 16 << 10
+
+// readAll reads a body of a known length, or until its end if the length is negative. It reserves each
+// buffer before it allocates it.
 func readAll(reader io.Reader, length int64, held *held) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(meteredReader{reader, held})
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if int64(len(body)) == length {
+				return body, nil
+			}
+			var err error
+			if body, err = grow(body, length, held); err != nil {
+				return nil, err
+			}
+		}
+		count, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		switch {
+		case err == io.EOF && length >= 0 && int64(len(body)) < length:
+			return nil, io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// grow returns a body with at least twice the capacity, up to a known length.
+func grow(body []byte, length int64, held *held) ([]byte, error) {
+	size := max(2*int64(cap(body)), firstPiece)
+	if length >= 0 {
+		size = min(size, length)
 	}
-	if err := held.take(length); err != nil {
+	if err := held.take(size - int64(cap(body))); err != nil {
 		return nil, err
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(reader, body)
-	return body, err
+	grown := make([]byte, len(body), size)
+	copy(grown, body)
+	return grown, nil
 }
--- a/internal/ingress/caller.go
+++ b/internal/ingress/caller.go
@@ -1,20 +1,20 @@
 package ingress
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/tinarch/tinarch/internal/dispatch"
+	"github.com/tinarch/tinarch/internal/httpguard"
 )
 
 // httpCaller writes an answer to a caller as it arrives from the worker.
 type httpCaller struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
-	// connection is the caller's, nil if the server doesn't use ConnContext.
-	connection net.Conn
+	// connection is the caller's, nil if the server isn't guarded: only a reset tells callers that an
+	// answer which ends with its connection has broken off.
+	connection lingering
 	// takesChunks is set unless the caller speaks HTTP/1.0.
 	takesChunks bool
 	// untilClose is set if the answer ends with the connection.
@@ -25,21 +25,15 @@
 }
 
 func newHTTPCaller(writer http.ResponseWriter, request *http.Request, closeConnection bool) *httpCaller {
-	connection, _ := request.Context().Value(connectionKey{}).(net.Conn)
+	connection, _ := httpguard.Conn(request.Context()).(lingering)
 	return &httpCaller{
 		writer: writer, controller: http.NewResponseController(writer), connection: connection,
 		takesChunks: request.ProtoAtLeast(1, 1), closeConnection: closeConnection,
 	}
 }
 
-// connectionKey is the key of a caller's connection in the context of its requests.
-type connectionKey struct{}
-
-// ConnContext is the http.Server.ConnContext that a Handler needs: only a reset tells callers
-// that an answer which ends with its connection has broken off.
-func ConnContext(ctx context.Context, connection net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, connection)
-}
+// lingering is a connection whose SO_LINGER can be set.
+type lingering interface{ SetLinger(seconds int) error }
 
 // Values of SO_LINGER: a connection is reset when it is closed, or delivers what was written.
 const (
@@ -62,8 +56,8 @@
 }
 
 func (c *httpCaller) setLinger(seconds int) {
-	if tcp, ok := c.connection.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(seconds) // fails only on a closed connection
+	if c.connection != nil {
+		_ = c.connection.SetLinger(seconds) // fails only on a closed connection
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/dispatch"
+	"github.com/tinarch/tinarch/internal/httpguard"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/routing"
 )
@@ -140,7 +141,7 @@
 	defer h.active.Add(-1)
 	arrived := time.Now()
 	answer := newHTTPCaller(writer, request, h.stopping.Load())
-	body := &held{memory: &h.bodies}
+	body := h.hold(request)
 	defer body.release()
 	call, failure := h.accept(writer, request, arrived, body)
 	if failure != nil {
@@ -155,8 +156,19 @@
 	h.finish(answer, request, call, outcome)
 }
 
+// hold returns the memory for the body of a request: that of its connection if the server is guarded.
+func (h *Handler) hold(request *http.Request) *held {
+	if holding, guarded := httpguard.HoldingOf(request.Context()); guarded {
+		return &held{memory: holding}
+	}
+	return &held{memory: &h.bodies}
+}
+
 // accept finds the route and tenant of a request, charges the tenant and reads the body.
 func (h *Handler) accept(writer http.ResponseWriter, request *http.Request, arrived time.Time, body *held) (*dispatch.Call, *result.Error) {
+	if httpguard.Crowded(request.Context()) {
+		return nil, result.New(result.QueueFull, "%v", httpguard.ErrNoRoom).WithRetryAfter(noRoomRetryAfter)
+	}
 	table := h.table.Load()
 	if table == nil {
 		return nil, result.New(result.NotConfigured, "this node has read no configuration yet").WithRetryAfter(notConfiguredRetryAfter)
@@ -177,6 +189,7 @@
 		Deadline: arrived.Add(admitted.route.Timeout), RoutesVersion: table.Version,
 	}
 	parseErr := h.parser.Parse(call)
+	httpguard.EndTurn(request.Context())
 	if parseErr == nil {
 		if failure := h.charge(request.Context(), call); failure != nil {
 			return call, failure
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -123,6 +123,9 @@
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
+	// HeaderTimeout is how long the head of a request may take, and IdleTimeout how long a connection
+	// may stay open without a request. Zero means that the configuration doesn't say.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Table is one version of the routes.
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -19,7 +19,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/authority"
-	"github.com/tinarch/tinarch/internal/connlimit"
 	"github.com/tinarch/tinarch/internal/dispatch"
 	"github.com/tinarch/tinarch/internal/fleetsize"
 	"github.com/tinarch/tinarch/internal/ingress"
@@ -90,12 +89,6 @@
 
 // Timeouts and limits of a node.
 const (
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than the pause after which any platform's callers reuse a
-	// connection.
-	idleTimeout = 60 * time.Second
-	// maxHeader bounds memory; the limit of the configuration is checked in addition.
-	maxHeader = 64 << 10
 	// stopMargin is the part of the time for a planned stop that is left for the process to
 	// end.
 	stopMargin = 700 * time.Millisecond
@@ -114,12 +107,12 @@
 	links    *links.Table
 	// tunnels opens connections to workers for nodes that have lost their own links.
 	tunnels *tunnel.Server
-	// callerLimit bounds the connections of callers.
-	callerLimit *connlimit.Limit
-	front       *ingress.Handler
-	exchange    *nodeexchange.Exchange
-	servers     []*http.Server
-	callers     *http.Server
+	// guards bound the clients of this node's ports.
+	guards   guards
+	front    *ingress.Handler
+	exchange *nodeexchange.Exchange
+	servers  []*http.Server
+	callers  *http.Server
 
 	// coordinator holds the announcements of all nodes and decides which node reads a table at
 	// the store.
@@ -192,7 +185,7 @@
 	exchange.SetMetrics(nodeexchange.NewMetrics(metrics))
 	n.watchLimits(metrics)
 	n.setUpLinks(metrics)
-	n.setUpCallerLimit(metrics)
+	n.setUpGuards(metrics)
 	n.pool.SetMonitor(notices.New(notices.Options{
 		Registry: n.registry, Read: platform.Notice, Log: log, Metrics: metrics,
 		ListAge: func() time.Duration { return n.freshness().WorkersAge },
@@ -261,33 +254,24 @@
 }
 
 func (n *Node) listen(metrics *prometheus.Registry) error {
-	n.callers = &http.Server{
-		Handler: n.front, ConnContext: ingress.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeader, ErrorLog: discardLog(), ConnState: n.callerLimit.ConnState,
-	}
+	n.callers = newServer(n.front)
 	readiness := chi.NewRouter()
 	readiness.Get(n.platform.ReadinessPath(), n.serveReadiness)
 	figures := chi.NewRouter()
-	figures.Handle("/metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
-	for _, port := range []struct {
-		address string
-		server  *http.Server
-	}{
-		{n.settings.Listen.Callers, n.callers},
-		{n.settings.Listen.Readiness, &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}},
-		{n.settings.Listen.Metrics, &http.Server{Handler: figures, ReadHeaderTimeout: headerTimeout}},
-		{n.settings.Listen.Exchange, &http.Server{Handler: n.exchangeHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog()}},
+	figures.Handle("/metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{MaxRequestsInFlight: 2}))
+	for _, port := range []guardedPort{
+		{n.settings.Listen.Callers, n.callers, n.guards.callers},
+		{n.settings.Listen.Readiness, newServer(readiness), n.guards.readiness},
+		{n.settings.Listen.Metrics, newServer(figures), n.guards.metrics},
+		{n.settings.Listen.Exchange, newServer(n.exchangeHandler()), n.guards.exchange},
 	} {
 		listener, err := net.Listen("tcp4", port.address)
 		if err != nil {
 			return err
 		}
-		if port.server == n.callers {
-			listener = n.callerLimit.Listener(listener)
-		}
 		n.servers = append(n.servers, port.server)
 		n.work.Go(func() {
-			if err := port.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := port.guard.Serve(port.server, listener); !errors.Is(err, http.ErrServerClosed) {
 				n.log.WithField("address", port.address).WithError(err).Error("a port is no longer served")
 			}
 		})
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -24,8 +24,10 @@
 	Usage  RoutedUsage       `yaml:"usage"`
 	Quota  RoutedQuota       `yaml:"quota"`
 	Limits RoutedLimits      `yaml:"limits"`
-	Bounds RoutedBounds      `yaml:"bounds"`
-	Late   RoutedLate        `yaml:"late"`
+	// Clients bounds what single clients may do.
+	Clients RoutedClients `yaml:"clients,omitempty"`
+	Bounds  RoutedBounds  `yaml:"bounds"`
+	Late    RoutedLate    `yaml:"late"`
 	// Overload turns on what is decided for services that callers ask more of than they can
 	// serve at times.
 	Overload RoutedOverload `yaml:"overload,omitempty"`
@@ -148,6 +150,20 @@
 	Descriptors int `yaml:"descriptors,omitempty"`
 }
 
+// RoutedClients bounds what the clients of a node's ports may do.
+type RoutedClients struct {
+	// MemoryShare is the part of the process's memory that all clients together may hold.
+	MemoryShare float64 `yaml:"memory_share"`
+	// HeaderMillis and IdleMillis are how long the head of a request may take, and how long a
+	// connection may stay open without a request, where the configuration of the routes says neither.
+	HeaderMillis int `yaml:"header_ms"`
+	IdleMillis   int `yaml:"idle_ms"`
+	// StallMillis is how far a client may fall behind LeastBytesPerSecond while it sends a body or
+	// reads an answer.
+	StallMillis         int `yaml:"stall_ms"`
+	LeastBytesPerSecond int `yaml:"least_bytes_per_s"`
+}
+
 // RoutedBounds holds what the platform asks of a node's stop and of the retries, the terms of
 // leases, and what nodes may assume of the workers and the platform's API.
 type RoutedBounds struct {
@@ -175,6 +191,9 @@
 		Usage:  RoutedUsage{WindowSeconds: 5, LateSeconds: 10},
 		Quota:  RoutedQuota{WindowSeconds: 8, Overshoot: 0.1},
 		Limits: RoutedLimits{MemoryMegabytes: 256},
+		Clients: RoutedClients{
+			MemoryShare: 0.25, HeaderMillis: 10_000, IdleMillis: 60_000, StallMillis: 10_000, LeastBytesPerSecond: 4096,
+		},
 		Bounds: RoutedBounds{
 			StopMillis: 8000, RetryRatio: 0.2, RetrySlack: 20,
 			RetryWindowMillis: 10_000, LeaseMillis: 3000, Fencing: true, HeartbeatMillis: 1200,
@@ -234,6 +253,13 @@
 	c.nonNegative("quota.slack", s.Quota.Slack, 1e12)
 	c.between("limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1<<20)
 	c.between("limits.descriptors", s.Limits.Descriptors, 0, 1<<20)
+	if share := s.Clients.MemoryShare; share < 0.05 || share > 0.4 {
+		c.add("clients.memory_share", "%v is out of range; use 0.05 to 0.4", share)
+	}
+	c.between("clients.header_ms", s.Clients.HeaderMillis, 100, 3_600_000)
+	c.between("clients.idle_ms", s.Clients.IdleMillis, 100, 24*3_600_000)
+	c.between("clients.stall_ms", s.Clients.StallMillis, 100, 3_600_000)
+	c.between("clients.least_bytes_per_s", s.Clients.LeastBytesPerSecond, 1, 1<<30)
 	c.between("bounds.stop_ms", s.Bounds.StopMillis, 1000, 24*3_600_000)
 	c.nonNegative("bounds.retry_ratio", s.Bounds.RetryRatio, 10)
 	c.nonNegative("bounds.retry_slack", s.Bounds.RetrySlack, 1e6)
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -70,8 +70,9 @@
 	idle   map[string][]*conn
 	open   map[string]int
 	opened uint64
-	// usedAt is when the last request of a caller came.
-	usedAt time.Time
+	// usedAt is when the last request of a caller came, and fullAt when one last found all connections to
+	// a worker in use.
+	usedAt, fullAt time.Time
 }
 
 // NewPool returns an empty pool.
@@ -342,6 +343,7 @@
 		return last, nil
 	}
 	if limit > 0 && p.open[key] >= limit {
+		p.fullAt = time.Now()
 		return nil, ErrFull
 	}
 	p.open[key]++
@@ -349,6 +351,13 @@
 	return nil, nil
 }
 
+// FullAt returns when a request last found all connections to a worker in use, the zero time if none did.
+func (p *Pool) FullAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fullAt
+}
+
 // Dial opens a connection that isn't pooled, with the socket options of those to workers.
 func (p *Pool) Dial(ctx context.Context, address string) (net.Conn, error) {
 	return p.dial(ctx, address)
