gateway: callers are bounded by the same package

What callers saw (by reading, no run that failed): the product's other home read whole bodies of up to 8 MB for 20,000 requests at a time and heads of 64 KB of fields, with no bound on memory or connections.

Change: the gateway's port for callers is served by internal/httpguard, as are those of a routed node, with limits.client_memory_mb (1024, which is what max_active requests take) and limits.client_connections (three fifths of the descriptors). Bodies are reserved as they come. Callers over TLS are offered HTTP/1.1 only: heads are counted before they reach net/http, which an encrypted HTTP/2 connection doesn't allow; no client of the interface needs HTTP/2. The operators' port keeps HTTP/2.

Conclusion: one package bounds callers in both homes. Open: the operators' and peers' ports of this home.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/httpguard"
 	"github.com/tinarch/tinarch/internal/openai"
 	"github.com/tinarch/tinarch/internal/result"
 )
@@ -56,6 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
+	httpguard.EndTurn(r.Context())
 	body, err := s.readBody(w, r)
 	if err != nil {
 		return nil, err
@@ -83,17 +84,31 @@
 }
 
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
+	if httpguard.Crowded(r.Context()) {
+		return nil, errNoRoom()
+	}
+	reserve := func(int64) error { return nil }
+	if holding, guarded := httpguard.HoldingOf(r.Context()); guarded {
+		reserve = holding.Reserve
+	}
+	body, err := httpguard.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes), min(r.ContentLength, s.settings.MaxBodyBytes+1), reserve)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, result.New(result.BodyTooLarge, "the body has more than %d bytes; send less or raise limits.max_body_bytes", s.settings.MaxBodyBytes)
-	}
-	if err != nil {
+	case errors.Is(err, httpguard.ErrNoRoom):
+		return nil, errNoRoom()
+	case err != nil:
 		return nil, result.New(result.InvalidRequest, "the body did not arrive whole: %v", err)
 	}
 	return body, nil
 }
 
+// errNoRoom refuses a request that this node has no memory for.
+func errNoRoom() error {
+	return result.New(result.QueueFull, "%v; another node may have room", httpguard.ErrNoRoom).WithRetryAfter(time.Second)
+}
+
 // execute runs the exchange, passes its events to the sink, and logs and counts the outcome.
 func (s *Server) execute(r *http.Request, x *exchange, target sink) outcome {
 	var end outcome
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/tinarch/tinarch/internal/catalog"
 	"github.com/tinarch/tinarch/internal/engine"
+	"github.com/tinarch/tinarch/internal/httpguard"
 	"github.com/tinarch/tinarch/internal/ledger"
 	"github.com/tinarch/tinarch/internal/openai"
 	"github.com/tinarch/tinarch/internal/peer"
@@ -44,6 +45,10 @@
 	WriteTimeout time.Duration
 	// MaxActive is the maximum number of requests in progress.
 	MaxActive int64
+	// ClientMemory bounds the memory that all callers together make the gateway hold, in bytes, and
+	// ClientConnections their connections.
+	ClientMemory      int64
+	ClientConnections int
 	// StopGrace is how long a stopping gateway still answers on open connections before it
 	// begins to close them.
 	StopGrace time.Duration
@@ -56,7 +61,8 @@
 		ReadTimeout:  30 * time.Second,
 		WriteTimeout: 30 * time.Second,
 		MaxActive:    20_000,
-		StopGrace:    time.Second,
+		ClientMemory: 1 << 30, ClientConnections: httpguard.CallerConnections(0),
+		StopGrace: time.Second,
 	}
 }
 
@@ -76,6 +82,7 @@
 	log      logrus.FieldLogger
 	ready    func() error
 	http     *http.Server
+	guard    *httpguard.Guard
 	address  string
 
 	active   atomic.Int64
@@ -119,16 +126,32 @@
 		ready:    with.Ready,
 		ended:    make(chan struct{}),
 	}
-	s.http = &http.Server{
-		Handler:           wrapHandler(with.WrapHandler, s.routes(with.MetricsPage)),
-		ReadHeaderTimeout: 5 * time.Second,
-		ReadTimeout:       settings.ReadTimeout,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    64 << 10,
-	}
+	s.http = &http.Server{Handler: wrapHandler(with.WrapHandler, s.routes(with.MetricsPage)), MaxHeaderBytes: maxHead, ReadTimeout: settings.ReadTimeout}
+	s.guard = httpguard.New(httpguard.Options{
+		Port: "callers", Memory: settings.ClientMemory, Connections: settings.ClientConnections, Limits: s.clientLimits,
+		Grace: evictionGrace, Log: with.Log,
+	})
 	return s
 }
 
+// Limits of single callers.
+const (
+	maxHead     = 64 << 10
+	headTimeout = 5 * time.Second
+	idleTimeout = 2 * time.Minute
+	leastRate   = 4096
+	// evictionGrace is how long a caller may go without progress before its connection can be closed to
+	// make room.
+	evictionGrace = 100 * time.Millisecond
+)
+
+func (s *Server) clientLimits() httpguard.Limits {
+	return httpguard.Limits{HeadBytes: maxHead, HeadTimeout: headTimeout, IdleTimeout: idleTimeout, StallTimeout: s.settings.WriteTimeout, LeastRate: leastRate}
+}
+
+// Guard returns what bounds the callers of the gateway.
+func (s *Server) Guard() *httpguard.Guard { return s.guard }
+
 func wrapHandler(wrap func(http.Handler) http.Handler, handler http.Handler) http.Handler {
 	if wrap == nil {
 		return handler
@@ -166,7 +189,7 @@
 		s.reporter.run(ctx)
 	}()
 	go func() {
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.guard.Serve(s.http, listener); !errors.Is(err, http.ErrServerClosed) {
 			s.log.WithError(err).Error("the HTTP server for callers failed")
 		}
 	}()
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -2,13 +2,13 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/tinarch/tinarch/internal/httpguard"
 	"github.com/tinarch/tinarch/internal/result"
 )
 
@@ -80,7 +80,7 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(writer, reader, limit)
 	}
-	body, err := readAll(reader, request.ContentLength, held)
+	body, err := httpguard.ReadAll(reader, request.ContentLength, held.take)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -92,48 +92,3 @@
 	}
 	return nil, result.New(result.CallerGone, "the body could not be read: %v", err)
 }
-
-// firstPiece is how much is reserved for a body before any of it has come. What was announced is
-// reserved as it comes.
-const firstPiece = 16 << 10
-
-// readAll reads a body of a known length, or until its end if the length is negative. It reserves each
-// buffer before it allocates it.
-func readAll(reader io.Reader, length int64, held *held) ([]byte, error) {
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			if int64(len(body)) == length {
-				return body, nil
-			}
-			var err error
-			if body, err = grow(body, length, held); err != nil {
-				return nil, err
-			}
-		}
-		count, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+count]
-		switch {
-		case err == io.EOF && length >= 0 && int64(len(body)) < length:
-			return nil, io.ErrUnexpectedEOF
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-// grow returns a body with at least twice the capacity, up to a known length.
-func grow(body []byte, length int64, held *held) ([]byte, error) {
-	size := max(2*int64(cap(body)), firstPiece)
-	if length >= 0 {
-		size = min(size, length)
-	}
-	if err := held.take(size - int64(cap(body))); err != nil {
-		return nil, err
-	}
-	grown := make([]byte, len(body), size)
-	copy(grown, body)
-	return grown, nil
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/tinarch/tinarch/internal/engine"
 	"github.com/tinarch/tinarch/internal/gateway"
 	"github.com/tinarch/tinarch/internal/group"
+	"github.com/tinarch/tinarch/internal/httpguard"
 	"github.com/tinarch/tinarch/internal/ledger"
 	"github.com/tinarch/tinarch/internal/membership"
 	"github.com/tinarch/tinarch/internal/operator"
@@ -200,6 +201,10 @@
 	limits.ReadTimeout = settings.Milliseconds(n.settings.Limits.ReadTimeoutMillis)
 	limits.WriteTimeout = settings.Milliseconds(n.settings.Limits.WriteTimeoutMillis)
 	limits.MaxActive = n.settings.Limits.MaxActive
+	limits.ClientMemory = int64(n.settings.Limits.ClientMemoryMegabytes) << 20
+	if connections := n.settings.Limits.ClientConnections; connections > 0 {
+		limits.ClientConnections = connections
+	}
 	quarantined := quarantine.NewLocalManager(n.log)
 	quarantined.Register(n.registry)
 	n.gateway = gateway.NewServer(limits, gateway.Dependencies{
@@ -217,6 +222,7 @@
 		Ready:       n.ready,
 		Log:         n.log,
 	})
+	httpguard.Register(n.registry, n.gateway.Guard())
 	service := &operator.Service{
 		Name: n.self.Node, Manager: n.manager, Rollout: n.rollout, Members: n.members, Router: n.router, Client: n.client, PoolsByCell: n.configuredCells,
 	}
@@ -230,10 +236,10 @@
 	n.operatorServer.Protocols.SetHTTP2(true)
 	n.operatorServer.Protocols.SetUnencryptedHTTP2(true)
 	var err error
-	if n.callerListener, err = serverSecurity(n.callerListener, n.settings.TLS.Callers, "tls.callers"); err != nil {
+	if n.callerListener, err = serverSecurity(n.callerListener, n.settings.TLS.Callers, "tls.callers", "http/1.1"); err != nil {
 		return err
 	}
-	n.operatorListener, err = serverSecurity(n.operatorListener, n.settings.TLS.Operators, "tls.operators")
+	n.operatorListener, err = serverSecurity(n.operatorListener, n.settings.TLS.Operators, "tls.operators", "h2", "http/1.1")
 	return err
 }
 
--- a/internal/node/security.go
+++ b/internal/node/security.go
@@ -39,8 +39,9 @@
 	}, nil
 }
 
-// serverSecurity wraps a listener in TLS if a certificate is set.
-func serverSecurity(listener net.Listener, files settings.Certificate, key string) (net.Listener, error) {
+// serverSecurity wraps a listener in TLS if a certificate is set. The protocols are offered to clients in
+// this order; those of a guarded server (internal/httpguard) are HTTP/1 only.
+func serverSecurity(listener net.Listener, files settings.Certificate, key string, protocols ...string) (net.Listener, error) {
 	if !files.IsSet() {
 		return listener, nil
 	}
@@ -51,6 +52,6 @@
 	return tls.NewListener(listener, &tlsConfig{
 		Certificates: []tls.Certificate{certificate},
 		MinVersion:   tls.VersionTLS12,
-		NextProtos:   []string{"h2", "http/1.1"},
+		NextProtos:   protocols,
 	}), nil
 }
--- a/internal/serving/guards.go
+++ b/internal/serving/guards.go
@@ -5,20 +5,14 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sys/unix"
 
 	"github.com/tinarch/tinarch/internal/httpguard"
 	"github.com/tinarch/tinarch/internal/settings"
 )
 
 const (
-	// defaultDescriptors is assumed where neither the settings nor the system tell a limit.
-	defaultDescriptors = 1024
-	// callerDescriptors is the part of the descriptors, in tenths, that callers may take. The others
-	// are for workers, tunnels, other nodes and the store.
-	callerDescriptors = 6
-	// exchangeParts is the part of the descriptors for the requests of other nodes.
-	exchangeParts = 16
+	// exchangeParts is the part of the connections of callers that other nodes may have.
+	exchangeParts = 10
 	// operatorConnections bounds the connections of whoever asks for readiness or metrics.
 	operatorConnections = 128
 )
@@ -57,18 +51,15 @@
 func (n *Node) setUpGuards(metrics prometheus.Registerer) {
 	const megabyte = 1 << 20
 	memory := int64(n.settings.Clients.MemoryShare * float64(n.settings.Limits.MemoryMegabytes) * megabyte)
-	descriptors := n.settings.Limits.Descriptors
-	if descriptors == 0 {
-		descriptors = systemDescriptors()
-	}
+	connections := httpguard.CallerConnections(n.settings.Limits.Descriptors)
 	n.guards = guards{
 		callers: httpguard.New(httpguard.Options{
 			Port: "callers", Memory: max(memory-2*operatorMemory-exchangeMemory, leastCallerMemory),
-			Connections: max(descriptors*callerDescriptors/10, 1), Limits: n.callerLimits, Grace: callerGrace, Log: n.log,
+			Connections: connections, Limits: n.callerLimits, Grace: callerGrace, Log: n.log,
 		}),
 		readiness: n.operatorGuard("readiness", operatorMemory, operatorConnections),
 		metrics:   n.operatorGuard("metrics", operatorMemory, operatorConnections),
-		exchange:  n.operatorGuard("exchange", exchangeMemory, max(descriptors/exchangeParts, operatorConnections)),
+		exchange:  n.operatorGuard("exchange", exchangeMemory, max(connections/exchangeParts, operatorConnections)),
 	}
 	httpguard.Register(metrics, n.guards.callers, n.guards.readiness, n.guards.metrics, n.guards.exchange)
 }
@@ -121,12 +112,3 @@
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, MaxHeaderBytes: maxHead + headSlack, ErrorLog: discardLog()}
 }
-
-// systemDescriptors returns the system's limit of descriptors for this process.
-func systemDescriptors() int {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur == 0 {
-		return defaultDescriptors
-	}
-	return int(min(limit.Cur, 1<<20))
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -142,6 +142,10 @@
 	// WriteTimeoutMillis is how long a caller may take to read what is written to it.
 	WriteTimeoutMillis int   `yaml:"write_timeout_ms"`
 	MaxActive          int64 `yaml:"max_active"`
+	// ClientMemoryMegabytes bounds the memory that all callers together make the node hold.
+	ClientMemoryMegabytes int `yaml:"client_memory_mb"`
+	// ClientConnections bounds the connections of callers, zero for three fifths of the descriptors.
+	ClientConnections int `yaml:"client_connections,omitempty"`
 	// StopTimeoutMillis bounds a planned stop.
 	StopTimeoutMillis int `yaml:"stop_timeout_ms"`
 }
@@ -160,7 +164,7 @@
 		Platform: Platform{Machines: Machines{RefreshMillis: 1000}},
 		Limits: Limits{
 			MaxBodyBytes: 8 << 20, ReadTimeoutMillis: 30_000, WriteTimeoutMillis: 30_000,
-			MaxActive: 20_000, StopTimeoutMillis: 15 * 60 * 1000,
+			MaxActive: 20_000, ClientMemoryMegabytes: 1024, StopTimeoutMillis: 15 * 60 * 1000,
 		},
 		Log: Log{Level: "info", Format: "json"},
 	}
@@ -277,6 +281,8 @@
 	c.between("limits.read_timeout_ms", s.Limits.ReadTimeoutMillis, 100, 3_600_000)
 	c.between("limits.write_timeout_ms", s.Limits.WriteTimeoutMillis, 100, 3_600_000)
 	c.between("limits.max_active", int(s.Limits.MaxActive), 1, 1_000_000)
+	c.between("limits.client_memory_mb", s.Limits.ClientMemoryMegabytes, 8, 1<<20)
+	c.between("limits.client_connections", s.Limits.ClientConnections, 0, 1<<20)
 	c.between("limits.stop_timeout_ms", s.Limits.StopTimeoutMillis, 1000, 24*3_600_000)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json", "text")
