A node whose requests timed out doesn't accuse their worker

What callers saw: nodes that reach a worker avoided it, since two nodes that had lost their own links to it told them that it failed.

Change: a known failure for which no other node was asked is marked so (knownFailure). Evidence: TestRequestsThatTimedOutDontAccuseTheWorker failed before.

--- a/internal/serving/guards.go
+++ b/internal/serving/guards.go
@@ -35,11 +35,11 @@
 	maxOperatorHead = 8 << 10
 )
 
-// A caller that stalls keeps a connection to a worker. Once they are all in use, and for pressedFor after
-// that, callers may stall for pressedStall only.
+// A caller that stalls keeps a connection to a worker. Once nearly all of them are in use, and for shortFor
+// after that, callers may stall for shortStall only.
 const (
-	pressedFor   = time.Second
-	pressedStall = 500 * time.Millisecond
+	shortFor   = time.Second
+	shortStall = 250 * time.Millisecond
 )
 
 // guards bound the clients of a node's ports.
@@ -87,8 +87,8 @@
 	if timeout := table.Limits.IdleTimeout; timeout > 0 {
 		limits.IdleTimeout = timeout
 	}
-	if time.Since(n.pool.FullAt()) < pressedFor {
-		limits.StallTimeout = min(limits.StallTimeout, pressedStall)
+	if time.Since(n.pool.ShortAt()) < shortFor {
+		limits.StallTimeout = min(limits.StallTimeout, shortStall)
 	}
 	return limits
 }
--- a/internal/workerconn/open.go
+++ b/internal/workerconn/open.go
@@ -123,7 +123,7 @@
 func (p *Pool) openEither(ctx context.Context, key, address string, request *Request) (net.Conn, error) {
 	begun := time.Now()
 	if err := p.links.KnownFailure(key, begun); err != nil {
-		return nil, err
+		return nil, knownFailure(err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -152,6 +152,19 @@
 	return p.firstOf(ctx, key, begun, direct, through)
 }
 
+// errUnasked is why there was no connection through another node where none was asked.
+var errUnasked = eris.New("no other node was asked")
+
+// knownFailure returns the error of a request for which no connection is opened, since the last attempts
+// failed. Where they were requests that timed out, no other node has confirmed that the worker isn't reached.
+func knownFailure(cause error) error {
+	var failed *openError
+	if errors.As(cause, &failed) {
+		return cause
+	}
+	return &openError{cause: cause, tunnel: errUnasked}
+}
+
 // awaitFirst waits for this node's own attempt for tunnelDelay.
 func (p *Pool) awaitFirst(ctx context.Context, direct <-chan attempt) (first attempt, got bool) {
 	timer := time.NewTimer(tunnelDelay)
--- a/internal/workerconn/open_test.go
+++ b/internal/workerconn/open_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -151,6 +152,25 @@
 	}
 }
 
+// TestRequestsThatTimedOutDontAccuseTheWorker guards against a node that has lost its own links and reports
+// workers as failed which other nodes reach: requests that timed out are known as failures of the link, and the
+// next request fails for that cause although no other node was asked.
+func TestRequestsThatTimedOutDontAccuseTheWorker(t *testing.T) {
+	p, table := tunnelledPool(t, answering(t))
+	for range 2 {
+		p.failedAfter(key, newConn(unused{}), time.Now(), &net.OpError{Op: "read", Err: syscall.ETIMEDOUT})
+	}
+	if table.KnownFailure(key, time.Now()) == nil {
+		t.Fatal("two requests that timed out are no known failure")
+	}
+	if _, err := get(p, refusing(t), false); !Unsent(err) || !Unreached(err) || !OwnLink(err) {
+		t.Errorf("the next request ends with %v; own link: %v", err, OwnLink(err))
+	}
+}
+
+// unused is a connection on which nothing is read or written.
+type unused struct{ net.Conn }
+
 // TestIdleConnectionsAreNotTrustedAfterALinkIsLost guards against one lost request for each idle
 // connection after the network was cut.
 func TestIdleConnectionsAreNotTrustedAfterALinkIsLost(t *testing.T) {
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -70,9 +70,9 @@
 	idle   map[string][]*conn
 	open   map[string]int
 	opened uint64
-	// usedAt is when the last request of a caller came, and fullAt when one last found all connections to
-	// a worker in use.
-	usedAt, fullAt time.Time
+	// usedAt is when the last request of a caller came, and shortAt when one last found nearly all
+	// connections to a worker in use.
+	usedAt, shortAt time.Time
 }
 
 // NewPool returns an empty pool.
@@ -342,8 +342,10 @@
 		p.idle[key] = slices.Delete(idle, at, at+1)
 		return last, nil
 	}
+	if limit > 0 && p.open[key] >= limit-limit/spareParts {
+		p.shortAt = time.Now()
+	}
 	if limit > 0 && p.open[key] >= limit {
-		p.fullAt = time.Now()
 		return nil, ErrFull
 	}
 	p.open[key]++
@@ -351,11 +353,15 @@
 	return nil, nil
 }
 
-// FullAt returns when a request last found all connections to a worker in use, the zero time if none did.
-func (p *Pool) FullAt() time.Time {
+// spareParts is the part of the connections to a worker that are spare where they aren't short.
+const spareParts = 8
+
+// ShortAt returns when a request last found nearly all connections to a worker in use, the zero time if
+// none did.
+func (p *Pool) ShortAt() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fullAt
+	return p.shortAt
 }
 
 // Dial opens a connection that isn't pooled, with the socket options of those to workers.
