All ports of a process share the turns on its one core

Each port had its own turns, so two connections kept the processor busy, each for half of the time.

The harness: a kind whose bodies are held by a slow worker, a part of a core as by a quota (--share), and the largest requests are tried until what the clients left is closed, 10 s (clients.stall_ms) at the latest.

--- a/cmd/tinarch-lab/abuse.go
+++ b/cmd/tinarch-lab/abuse.go
@@ -23,6 +23,7 @@
 	Descriptors   int      `arg:"--descriptors" default:"3075" help:"descriptors of the machine"`
 	Rate          float64  `arg:"--rate" default:"40" help:"ordinary requests a second"`
 	Timeout       float64  `arg:"--timeout" default:"3" help:"seconds that an ordinary request may take"`
+	Share         float64  `arg:"--share" default:"1" help:"part of a core that the node under attack gets"`
 	Keep          bool     `arg:"--keep" help:"keep the nodes' settings and logs"`
 }
 
@@ -58,7 +59,7 @@
 // runs returns the options of all runs.
 func (c *abuseCommand) runs() []abuse.Options {
 	options := abuse.Options{
-		Program: c.Program, Calm: abuseCalm, Length: time.Duration(c.Seconds * float64(time.Second)), Kinds: c.Kinds, Changes: c.Changes, ManyAddresses: c.ManyAddresses,
+		Program: c.Program, Calm: abuseCalm, Length: time.Duration(c.Seconds * float64(time.Second)), Kinds: c.Kinds, Changes: c.Changes, ManyAddresses: c.ManyAddresses, Share: c.Share,
 		MemoryMegabytes: c.Memory, Descriptors: c.Descriptors, Rate: c.Rate, Timeout: time.Duration(c.Timeout * float64(time.Second)), Seed: c.Seed,
 	}
 	var all []abuse.Options
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -77,16 +77,16 @@
 	Grace time.Duration
 	// Brief tells that requests are answered at once, so that one under way counts as without progress.
 	Brief bool
+	// Turns are shared by the ports of a process. If it is nil, the port has its own.
+	Turns *Turns
 	Log   logrus.FieldLogger
 }
 
 // Guard bounds the clients of one port. It is safe for concurrent use.
 type Guard struct {
 	options Options
-	// turns serves connections that keep the processor busy one after the other.
-	turns *turns
-	done  chan struct{}
-	once  sync.Once
+	done    chan struct{}
+	once    sync.Once
 	// limits are those in force, nil before Serve.
 	limits atomic.Pointer[Limits]
 
@@ -102,8 +102,11 @@
 
 // New returns a guard of a port.
 func New(options Options) *Guard {
+	if options.Turns == nil {
+		options.Turns = NewTurns()
+	}
 	return &Guard{
-		options: options, turns: newTurns(), done: make(chan struct{}),
+		options: options, done: make(chan struct{}),
 		conns: make(map[*conn]struct{}), ended: make(map[Cause]uint64), logged: make(map[Cause]time.Time),
 	}
 }
--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -229,8 +229,8 @@
 		if diff := cmp.Diff(want, got) + cmp.Diff(dates(wantSent), dates(sent)); diff != "" {
 			t.Fatalf("seed %d: %s", seed, diff)
 		}
-		if connections, held, _ := guard.figures(); connections != 0 || held != 0 || guard.open != 0 || len(guard.turns.slot) != 0 {
-			t.Fatalf("seed %d: %d connections, %d open, %d bytes and %d turns are still held", seed, connections, guard.open, held, len(guard.turns.slot))
+		if connections, held, _ := guard.figures(); connections != 0 || held != 0 || guard.open != 0 || len(guard.options.Turns.slot) != 0 {
+			t.Fatalf("seed %d: %d connections, %d open, %d bytes and %d turns are still held", seed, connections, guard.open, held, len(guard.options.Turns.slot))
 		}
 	}
 }
@@ -481,7 +481,7 @@
 	busy.endTurn()
 	<-took
 	_ = other.Close()
-	if len(guard.turns.slot) != 0 {
+	if len(guard.options.Turns.slot) != 0 {
 		t.Error("a closed connection keeps its turn")
 	}
 }
--- a/internal/httpguard/turns.go
+++ b/internal/httpguard/turns.go
@@ -40,8 +40,8 @@
 // for many turns at each of their steps.
 const turnBurst = time.Millisecond
 
-// turns lets one of the connections without credit work at a time, in the order in which they ask.
-type turns struct {
+// Turns lets one of the connections without credit work at a time, in the order in which they ask.
+type Turns struct {
 	slot    chan struct{}
 	waiting atomic.Int32
 	// since is when the turn began, and spent the length of the turns that followed one another. Only
@@ -50,16 +50,17 @@
 	spent time.Duration
 }
 
-func newTurns() *turns { return &turns{slot: make(chan struct{}, 1)} }
+// NewTurns returns turns that nobody has.
+func NewTurns() *Turns { return &Turns{slot: make(chan struct{}, 1)} }
 
-func (t *turns) begin() {
+func (t *Turns) begin() {
 	t.waiting.Add(1)
 	t.slot <- struct{}{}
 	t.waiting.Add(-1)
 	t.since = time.Now()
 }
 
-func (t *turns) end() {
+func (t *Turns) end() {
 	t.spent += time.Since(t.since)
 	switch pause := t.spent; {
 	case t.waiting.Load() == 0:
@@ -78,12 +79,12 @@
 	if c.credit.spend(work, time.Now()) || c.holdsTurn.Load() {
 		return
 	}
-	c.guard.turns.begin()
+	c.guard.options.Turns.begin()
 	c.holdsTurn.Store(true)
 }
 
 func (c *conn) endTurn() {
 	if c.holdsTurn.CompareAndSwap(true, false) {
-		c.guard.turns.end()
+		c.guard.options.Turns.end()
 	}
 }
--- a/internal/lab/abuse/abuse.go
+++ b/internal/lab/abuse/abuse.go
@@ -31,6 +31,9 @@
 	// Changes reloads the settings, changes the configuration, and restarts the other node meanwhile,
 	// and stops the node under attack at the end.
 	Changes bool
+	// Share is the part of a core that the node under attack gets, as by a quota of the system: it is paused
+	// for the rest of each sharePeriod. Zero and one mean no quota.
+	Share float64
 	// ManyAddresses makes clients connect from many addresses.
 	ManyAddresses bool
 	// MemoryMegabytes and Descriptors are those of the machine. A process that passes the memory is
@@ -49,8 +52,10 @@
 
 // Thresholds of a run.
 const (
-	leastServed    = 0.95
-	settleTime     = 1 * time.Second
+	leastServed = 0.95
+	// settleTime is the default of clients.stall_ms.
+	settleTime     = 10 * time.Second
+	stopDelay      = time.Second
 	reconnectPause = 50 * time.Millisecond
 	kindsLength    = 4 * time.Second
 	memoryInterval = 10 * time.Millisecond
@@ -123,6 +128,9 @@
 	watchCtx, stopWatch := context.WithCancel(ctx)
 	defer stopWatch()
 	go r.watchMemory(watchCtx)
+	if options.Share > 0 && options.Share < 1 {
+		go r.throttle(watchCtx)
+	}
 	r.playOrdinary(ctx, options.Calm)
 	r.report.Before, _, _ = r.ordinary.take()
 	r.playAbuse(ctx, kinds)
@@ -175,8 +183,7 @@
 		r.broken("the node under attack has ended")
 		return
 	}
-	sleep(ctx, settleTime)
-	for _, failed := range r.ordinary.askLargest() {
+	for _, failed := range r.askInCalm(ctx) {
 		r.broken("%s", failed)
 	}
 	if r.options.Changes {
@@ -184,6 +191,19 @@
 	}
 }
 
+// askInCalm sends the largest requests until they are served. Calm begins once the node has closed what
+// clients left behind, which is settleTime after their end at the latest.
+func (r *run) askInCalm(ctx context.Context) []string {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	for {
+		failed := r.ordinary.askLargest()
+		if len(failed) == 0 || !sleep(ctx, settleTime/20) {
+			return failed
+		}
+	}
+}
+
 // chooseKinds returns two to four kinds.
 func (r *run) chooseKinds() []Kind {
 	all := Kinds()
@@ -258,7 +278,7 @@
 	defer cancel()
 	var playing sync.WaitGroup
 	playing.Go(func() { r.play(ctx, r.chooseKinds()) })
-	sleep(ctx, settleTime)
+	sleep(ctx, stopDelay)
 	begun := time.Now()
 	r.target.Signal(syscall.SIGTERM)
 	ended := r.target.Wait(ctx)
@@ -288,6 +308,22 @@
 	}
 }
 
+// sharePeriod is the period of a quota of the system.
+const sharePeriod = 100 * time.Millisecond
+
+// throttle pauses the node under attack for a part of each period.
+func (r *run) throttle(ctx context.Context) {
+	runs := time.Duration(r.options.Share * float64(sharePeriod))
+	for sleep(ctx, runs) {
+		r.target.Signal(syscall.SIGSTOP)
+		ended := !sleep(ctx, sharePeriod-runs)
+		r.target.Signal(syscall.SIGCONT)
+		if ended {
+			return
+		}
+	}
+}
+
 func (r *run) peakMemory() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/lab/abuse/clients.go
+++ b/internal/lab/abuse/clients.go
@@ -21,6 +21,7 @@
 	headerTimeout   = 3 * time.Second
 	idleTimeout     = 15 * time.Second
 	longAnswerBytes = 12 << 20
+	slowAnswer      = 2 * time.Second
 )
 
 // Port is one of the ports of a node.
@@ -100,6 +101,8 @@
 	routedPath  = "/submit/abuse"
 	longPath    = "/board/long"
 	unknownPath = "/nowhere"
+	// slowPath is answered after slowAnswer.
+	slowPath = "/submit/slow"
 )
 
 // Kinds returns all ways to misbehave.
@@ -107,6 +110,7 @@
 	legal := fields(maxHeaderBytes-200, false)
 	return []Kind{
 		{"whole-bodies", Callers, 400, repeat(request("POST", routedPath, lengthOf(maxBodyBytes)), filler(maxBodyBytes, 1<<20, 0))},
+		{"held-bodies", Callers, 200, repeat(request("POST", slowPath, lengthOf(maxBodyBytes)), filler(maxBodyBytes, 1<<20, 0))},
 		{"slow-bodies", Callers, 60, once(request("POST", routedPath, lengthOf(maxBodyBytes)), filler(maxBodyBytes, 1024, time.Second))},
 		{"byte-chunks", Callers, 200, once(request("POST", routedPath, chunkedField), oneByteChunks)},
 		{"byte-pieces", Callers, 200, once(request("POST", routedPath, lengthOf(maxBodyBytes)), filler(maxBodyBytes, 1, 100*time.Microsecond))},
--- a/internal/lab/abuse/site.go
+++ b/internal/lab/abuse/site.go
@@ -97,6 +97,9 @@
 	w.mu.Lock()
 	w.ran[id] = true
 	w.mu.Unlock()
+	if request.URL.Path == slowPath {
+		sleep(request.Context(), slowAnswer)
+	}
 	writer.Header().Set("X-Response-Signature", w.id+"."+id)
 	if request.URL.Path != longPath {
 		_, _ = io.WriteString(writer, answerText(id))
--- a/internal/serving/guards.go
+++ b/internal/serving/guards.go
@@ -52,22 +52,25 @@
 	const megabyte = 1 << 20
 	memory := int64(n.settings.Clients.MemoryShare * float64(n.settings.Limits.MemoryMegabytes) * megabyte)
 	connections := httpguard.CallerConnections(n.settings.Limits.Descriptors)
+	turns := httpguard.NewTurns()
 	n.guards = guards{
 		callers: httpguard.New(httpguard.Options{
 			Port: "callers", Memory: max(memory-2*operatorMemory-exchangeMemory, leastCallerMemory),
-			Connections: connections, Limits: n.callerLimits, Grace: callerGrace, Log: n.log,
+			Connections: connections, Limits: n.callerLimits, Grace: callerGrace, Turns: turns, Log: n.log,
 		}),
-		readiness: n.operatorGuard("readiness", operatorMemory, operatorConnections),
-		metrics:   n.operatorGuard("metrics", operatorMemory, operatorConnections),
-		exchange:  n.operatorGuard("exchange", exchangeMemory, max(connections/exchangeParts, operatorConnections)),
+		readiness: n.operatorGuard("readiness", operatorMemory, operatorConnections, turns),
+		metrics:   n.operatorGuard("metrics", operatorMemory, operatorConnections, turns),
+		exchange:  n.operatorGuard("exchange", exchangeMemory, max(connections/exchangeParts, operatorConnections), turns),
 	}
 	httpguard.Register(metrics, n.guards.callers, n.guards.readiness, n.guards.metrics, n.guards.exchange)
 }
 
 // operatorGuard returns the guard of a port whose requests are answered at once: whoever asks for readiness
 // must find room although all connections are new.
-func (n *Node) operatorGuard(port string, memory int64, connections int) *httpguard.Guard {
-	return httpguard.New(httpguard.Options{Port: port, Memory: memory, Connections: connections, Limits: n.operatorLimits, Brief: true, Log: n.log})
+func (n *Node) operatorGuard(port string, memory int64, connections int, turns *httpguard.Turns) *httpguard.Guard {
+	return httpguard.New(httpguard.Options{
+		Port: port, Memory: memory, Connections: connections, Limits: n.operatorLimits, Brief: true, Turns: turns, Log: n.log,
+	})
 }
 
 // callerLimits returns the limits of single callers: those of the configuration where it has them.
