Refused clients linger, and turns include the dispatch of a request

Change: a refused connection stays open for 5 s, at the cost of its descriptor and 2 KiB, unless its client closes it or it must make room. Credits are smaller, turns go on for 2 ms while a request is dispatched, and the pause after them is twice as long. A head's lines are reserved as they arrive, so one that finds no room is refused after its first piece. The buffers of sockets are set on the listener and inherited.

--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -181,6 +181,9 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.endTurn()
+	if c.refused && c.guard.linger(c) {
+		return nil
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 )
 
 // Costs in bytes of memory.
@@ -95,7 +96,11 @@
 	// conns holds all connections that net/http knows, and open counts those that weren't closed here.
 	conns map[*conn]struct{}
 	open  int
-	ended map[Cause]uint64
+	// lingering holds the connections of refused clients, the oldest first, and stopped tells that no more
+	// are kept.
+	lingering []lingering
+	stopped   bool
+	ended     map[Cause]uint64
 	// logged is when a cause was logged last.
 	logged map[Cause]time.Time
 }
@@ -117,8 +122,9 @@
 	server.ConnState = g.connState
 	server.ConnContext = withConn
 	server.Handler = g.handler(server.Handler)
+	boundBuffers(inner)
 	go g.patrol()
-	defer g.once.Do(func() { close(g.done) })
+	defer g.stop()
 	return server.Serve(&listener{Listener: inner, guard: g})
 }
 
@@ -158,7 +164,6 @@
 // admit returns the guarded connection, nil if there is no room for it.
 func (g *Guard) admit(accepted net.Conn) *conn {
 	now := time.Now()
-	boundBuffers(accepted)
 	c := &conn{Conn: accepted, guard: g, since: now, credit: newCredit(now)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -178,11 +183,20 @@
 // for a client that doesn't read, or that sends faster than the node reads.
 const socketBuffer = 128 << 10
 
-func boundBuffers(accepted net.Conn) {
-	if tcp, ok := transport(accepted).(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(socketBuffer) // fails only on a closed connection
-		_ = tcp.SetWriteBuffer(socketBuffer)
+// boundBuffers bounds the buffers of all connections that a listener accepts: they inherit its options.
+func boundBuffers(inner net.Listener) {
+	tcp, ok := inner.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
 	}
+	_ = raw.Control(func(descriptor uintptr) { // fails only on a closed listener
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer)
+		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer)
+	})
 }
 
 // reserve reserves memory for a connection and evicts others if it is short. The caller holds the lock.
@@ -237,6 +251,9 @@
 	if bytes > 0 {
 		bytes = max(bytes, g.options.Memory/evictionParts)
 	}
+	closed := g.closeLingering(max(connections, int(bytes/lingerCost)), now)
+	connections -= closed
+	bytes -= int64(closed) * lingerCost
 	for _, each := range g.victims(except, grace, now) {
 		if connections <= 0 && bytes <= 0 {
 			return
@@ -333,6 +350,7 @@
 func (g *Guard) closeOverdue(limits Limits, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.closeLingering(0, now)
 	for c := range g.conns {
 		if cause := c.overdue(limits, now); cause != "" {
 			g.close(c, cause, now)
--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -58,6 +58,27 @@
 	return nil
 }
 
+// awaitClosed waits until net/http has closed the connection, which may linger.
+func (s *scripted) awaitClosed(guard *Guard) bool {
+	for end := time.Now().Add(awaitTimeout); time.Now().Before(end); {
+		select {
+		case <-s.closed:
+			return true
+		case <-time.After(100 * time.Microsecond):
+		}
+		if guard != nil && guard.lingers() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Guard) lingers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.lingering)
+}
+
 func (s *scripted) SetDeadline(time.Time) error      { return nil }
 func (s *scripted) SetReadDeadline(time.Time) error  { return nil }
 func (s *scripted) SetWriteDeadline(time.Time) error { return nil }
@@ -129,9 +150,7 @@
 			_ = server.Serve(listener)
 		}
 	}()
-	select {
-	case <-client.closed:
-	case <-time.After(awaitTimeout):
+	if !client.awaitClosed(guard) {
 		t.Fatal("the connection isn't closed although its client has sent all")
 	}
 	_ = server.Close()
@@ -404,6 +423,50 @@
 	}
 }
 
+// TestRefusedClientsLinger: one that connects again at once costs more than one that waits. It makes room.
+func TestRefusedClientsLinger(t *testing.T) {
+	const most = 10
+	guard := newTestGuard(64<<20, most, func() Limits { return Limits{HeadBytes: 100} })
+	refuse := func() *scripted {
+		client := newScripted([]byte(strings.Repeat("x", 200)))
+		c := guard.admit(client)
+		if c == nil {
+			t.Fatal("a connection isn't admitted")
+		}
+		if _, err := c.Read(make([]byte, readerSize)); err != io.EOF {
+			t.Fatalf("a head that is too large: %v", err)
+		}
+		_ = c.Close()
+		guard.forget(c)
+		return client
+	}
+	closed := func(client *scripted) bool {
+		select {
+		case <-client.closed:
+			return true
+		default:
+			return false
+		}
+	}
+	first, second := refuse(), refuse()
+	guard.closeOverdue(Limits{}, time.Now().Add(lingerTimeout/2))
+	if closed(first) || guard.lingers() != 2 || guard.used != 2*lingerCost {
+		t.Errorf("%d linger, %d bytes are reserved", guard.lingers(), guard.used)
+	}
+	for range most - 1 {
+		if guard.admit(newScripted()) == nil {
+			t.Fatal("a connection isn't admitted although others only linger")
+		}
+	}
+	if !closed(first) || closed(second) {
+		t.Errorf("closed to make room: the first %v, the second %v", closed(first), closed(second))
+	}
+	guard.closeOverdue(Limits{}, time.Now().Add(2*lingerTimeout))
+	if !closed(second) || guard.open != most-1 {
+		t.Errorf("the second is closed in time: %v; %d are open", closed(second), guard.open)
+	}
+}
+
 // TestOverdueClientsAreClosed checks each time limit, and that none closes a client within it.
 func TestOverdueClientsAreClosed(t *testing.T) {
 	limits := Limits{HeadTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second, StallTimeout: 10 * time.Second, LeastRate: 1000}
--- a/internal/httpguard/handler.go
+++ b/internal/httpguard/handler.go
@@ -75,11 +75,11 @@
 	return ErrNoRoom
 }
 
-// EndTurn lets other connections have the processor that, like that of the request, keep it busy. A handler
-// calls it before it waits for anything but its client.
-func EndTurn(ctx context.Context) {
-	if c, guarded := ctx.Value(connKey{}).(*conn); guarded {
-		c.endTurn()
+// Dispatching lets other connections that keep the processor busy have it soon. A handler calls it before it
+// waits for anything but its client.
+func Dispatching(ctx context.Context) {
+	if c, guarded := ctx.Value(connKey{}).(*conn); guarded && c.holdsTurn.Load() {
+		time.AfterFunc(dispatchTime, c.endTurn)
 	}
 }
 
--- a/internal/httpguard/head.go
+++ b/internal/httpguard/head.go
@@ -32,7 +32,7 @@
 	received, searched := c.ahead, 0
 	c.ahead = nil
 	for {
-		if cause := c.receive(len(received) - searched); cause != "" {
+		if cause := c.receive(received[searched:]); cause != "" {
 			return 0, c.refuseHead(cause)
 		}
 		if end := endOfHead(c.tail, received, searched); end >= 0 {
@@ -68,41 +68,33 @@
 	return nil, err
 }
 
-// receive counts bytes of a head and reserves memory for them. It returns why the request must be refused,
+// receive counts a piece of a head and reserves memory for it. It returns why the request must be refused,
 // empty if it needn't.
-func (c *conn) receive(count int) Cause {
-	if count == 0 {
+func (c *conn) receive(piece []byte) Cause {
+	if len(piece) == 0 {
 		return ""
 	}
-	now := time.Now()
+	now, size := time.Now(), counted{}.plus(piece)
 	limit := c.guard.currentLimits().HeadBytes
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	if c.phase == idle {
 		c.phase, c.since, c.headBytes = head, now, 0
 	}
-	c.headBytes += count
+	c.headBytes += size.bytes
 	switch {
 	case limit > 0 && c.headBytes > limit:
 		return HeadTooLarge
-	case !c.reserveRequest(int64(count)*headByteCost, now):
+	case !c.reserveRequest(size.cost(), now):
 		return NoRoomForHead
 	}
 	return ""
 }
 
-// passHead reserves memory for the fields of a complete head and passes it on.
+// passHead passes on a complete head.
 func (c *conn) passHead(buffer, received []byte, end int) (int, error) {
-	whole := counted{}.plus(received)
-	now := time.Now()
-	c.guard.mu.Lock()
-	reserved := c.reserveRequest(int64(whole.lines)*fieldCost, now)
-	c.beyond = counted{}.plus(received[end:])
-	c.guard.mu.Unlock()
-	if !reserved {
-		return 0, c.refuseHead(NoRoomForHead)
-	}
-	c.takeTurn(whole.effort())
+	c.noteBeyond(counted{}.plus(received[end:]))
+	c.takeTurn(counted{}.plus(received).effort())
 	if &received[0] == &buffer[0] {
 		c.keepTail(received)
 		return len(received), nil
@@ -150,7 +142,7 @@
 // answerTimeout bounds the time for an answer to a client whose connection is closed after it.
 const answerTimeout = 100 * time.Millisecond
 
-// refuseHead answers a request whose head isn't parsed. net/http then closes the connection.
+// refuseHead answers a request whose head isn't parsed. net/http then closes the connection, which lingers.
 func (c *conn) refuseHead(cause Cause) error {
 	now := time.Now()
 	c.guard.mu.Lock()
--- /dev/null
+++ b/internal/httpguard/linger.go
@@ -0,0 +1,63 @@
+package httpguard
+
+import (
+	"net"
+	"time"
+)
+
+const (
+	// lingerTimeout is how long the connection of a refused client stays open, unless the client closes it
+	// or it must make room: a client that connects again at once takes more of the processor than one that
+	// waits, and closing with unread bytes could destroy the answer.
+	lingerTimeout = 5 * time.Second
+	// lingerCost is what a connection takes that is only kept open.
+	lingerCost = 2 << 10
+)
+
+// lingering is a connection whose client was refused.
+type lingering struct {
+	net.Conn
+	until time.Time
+}
+
+// linger keeps a refused connection open after net/http has closed it. It returns false if there is no room.
+func (g *Guard) linger(c *conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.evicted || g.stopped || g.open >= g.options.Connections || g.used+lingerCost > g.options.Memory {
+		return false
+	}
+	g.lingering = append(g.lingering, lingering{c.Conn, time.Now().Add(lingerTimeout)})
+	g.open++
+	g.used += lingerCost
+	return true
+}
+
+// closeLingering closes the lingering connections whose time is over, and as many more as asked, the oldest
+// first. It returns how many of these it closed. The caller holds the lock.
+func (g *Guard) closeLingering(more int, now time.Time) int {
+	closed, extra := 0, 0
+	for closed < len(g.lingering) {
+		if !g.lingering[closed].until.Before(now) {
+			if extra == more {
+				break
+			}
+			extra++
+		}
+		_ = transport(g.lingering[closed].Conn).Close()
+		closed++
+	}
+	g.lingering = g.lingering[closed:]
+	g.open -= closed
+	g.used -= int64(closed) * lingerCost
+	return extra
+}
+
+// stop closes what lingers.
+func (g *Guard) stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	g.closeLingering(len(g.lingering), time.Now())
+	g.once.Do(func() { close(g.done) })
+}
--- a/internal/httpguard/turns.go
+++ b/internal/httpguard/turns.go
@@ -9,8 +9,8 @@
 // counted in bytes read.
 const (
 	// creditBytes is the most that a connection can save up, and creditRate what it gains a second.
-	creditBytes = 64 << 10
-	creditRate  = 256 << 10
+	creditBytes = 24 << 10
+	creditRate  = 32 << 10
 	// lineEffort is the work of a line, and requestEffort that of a request.
 	lineEffort    = 32
 	requestEffort = 4 << 10
@@ -35,10 +35,17 @@
 	return true
 }
 
-// turnBurst is how long turns may follow one another at once. After that the processor is left to others
-// for as long: the scheduler polls the network only when nothing is ready, so ordinary requests would wait
-// for many turns at each of their steps.
-const turnBurst = time.Millisecond
+const (
+	// turnBurst is how long turns may follow one another at once. After that the processor is left to
+	// others: the scheduler polls the network only when nothing is ready, so ordinary requests would wait
+	// for many turns at each of their steps.
+	turnBurst = time.Millisecond
+	// turnPause is how much longer than the turns the pause after them is.
+	turnPause = 2
+	// dispatchTime is how long a turn goes on once a request is dispatched: forwarding a head takes as much
+	// work as parsing it, and after that the request waits for its worker.
+	dispatchTime = 2 * time.Millisecond
+)
 
 // Turns lets one of the connections without credit work at a time, in the order in which they ask.
 type Turns struct {
@@ -67,7 +74,7 @@
 		t.spent = 0
 	case pause >= turnBurst:
 		t.spent = 0
-		time.AfterFunc(pause, func() { <-t.slot })
+		time.AfterFunc(turnPause*pause, func() { <-t.slot })
 		return
 	}
 	<-t.slot
--- a/internal/lab/abuse/abuse_test.go
+++ b/internal/lab/abuse/abuse_test.go
@@ -13,7 +13,7 @@
 const (
 	playLength      = 3 * time.Second
 	changingLength  = 12 * time.Second
-	ordinaryRate    = 20
+	ordinaryRate    = 30
 	ordinaryTimeout = 10 * time.Second
 	testTimeout     = 2 * time.Minute
 )
