httpguard: a turn ends by itself, one job a file

By reading: a handler at the exchange's port that waits kept the turn of its connection until its first write, and with it every connection without credit at all ports. A turn now ends 2 ms after the handler began, whatever the handler does, so nothing has to be called for that. The exchange's requests may take long and no longer count as without progress while they are handled. A request that found no room gives back only what was reserved for it. The rest are names and files: listener, eviction, patrol; dropped connections.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -56,7 +56,6 @@
 	if err != nil {
 		return nil, err
 	}
-	httpguard.Dispatching(r.Context())
 	body, err := s.readBody(w, r)
 	if err != nil {
 		return nil, err
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -34,11 +34,14 @@
 	since time.Time
 	// held is the memory reserved for the connection, and ofRequest the part for its request.
 	held, ofRequest int64
+	// ofHandler is the part of ofRequest that is given back when the handler has returned.
+	ofHandler int64
 	// waiting is when the node began to wait for the client to send a body or to read an answer, zero
 	// if it doesn't. lag is how far the client has fallen behind the least rate before that.
 	waiting time.Time
 	lag     time.Duration
-	evicted bool
+	// dropped tells that the guard has closed the connection.
+	dropped bool
 	// refused tells that the client got the last answer, so that nothing may be read or written any more.
 	refused bool
 	// beyond counts what net/http may have received beyond the end of the last head: the next head may
@@ -226,9 +229,10 @@
 	}
 	c.phase, c.since, c.lag = handling, now, 0
 	if c.reserveRequest(cost, now) {
+		c.ofHandler = requestCost
 		return true
 	}
-	if !c.evicted {
+	if !c.dropped {
 		c.guard.count(NoRoomForRequest, c.Conn, now)
 	}
 	return false
@@ -241,7 +245,8 @@
 	defer c.guard.mu.Unlock()
 	if c.phase == handling {
 		c.phase, c.since, c.lag = finishing, time.Now(), 0
-		c.releaseRequest(requestCost)
+		c.releaseRequest(c.ofHandler)
+		c.ofHandler = 0
 	}
 }
 
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -6,19 +6,15 @@
 package httpguard
 
 import (
-	"cmp"
 	"context"
 	"net"
 	"net/http"
-	"runtime"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 )
 
 // Costs in bytes of memory.
@@ -128,39 +124,6 @@
 	return server.Serve(&listener{Listener: inner, guard: g})
 }
 
-type listener struct {
-	net.Listener
-	guard    *Guard
-	accepted int
-}
-
-// acceptedAtOnce is how many connections are accepted before others may run.
-const acceptedAtOnce = 16
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		accepted, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.accepted++; l.accepted%acceptedAtOnce == 0 {
-			runtime.Gosched() // what has been accepted is served before more is accepted
-		}
-		if c := l.guard.admit(accepted); c != nil {
-			return c, nil
-		}
-		reset(transport(accepted))
-	}
-}
-
-func reset(c net.Conn) {
-	if lingering, ok := c.(interface{ SetLinger(int) error }); ok {
-		_ = lingering.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
 // admit returns the guarded connection, nil if there is no room for it.
 func (g *Guard) admit(accepted net.Conn) *conn {
 	now := time.Now()
@@ -179,29 +142,9 @@
 	return c
 }
 
-// socketBuffer bounds each of the system's two buffers of a connection, which otherwise grow to megabytes
-// for a client that doesn't read, or that sends faster than the node reads.
-const socketBuffer = 128 << 10
-
-// boundBuffers bounds the buffers of all connections that a listener accepts: they inherit its options.
-func boundBuffers(inner net.Listener) {
-	tcp, ok := inner.(*net.TCPListener)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(descriptor uintptr) { // fails only on a closed listener
-		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBuffer)
-		_ = unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer)
-	})
-}
-
 // reserve reserves memory for a connection and evicts others if it is short. The caller holds the lock.
 func (g *Guard) reserve(c *conn, bytes int64, now time.Time) bool {
-	if c.evicted {
+	if c.dropped {
 		return false
 	}
 	limit, grace := g.limitFor(c.held+bytes), g.options.Grace
@@ -230,134 +173,25 @@
 
 // release gives back memory of a connection. The caller holds the lock.
 func (g *Guard) release(c *conn, bytes int64) {
-	if c.evicted {
+	if c.dropped {
 		return
 	}
 	g.used -= bytes
 	c.held -= bytes
 }
 
-// victim is a connection that could be evicted.
-type victim struct {
-	conn *conn
-	// score is what it holds times how long it has made no progress.
-	score float64
-}
-
-// evict closes the connections that have held most for longest without progress, until that many
-// connections and bytes are free, or none is left that has been without progress for longer than grace. The
-// caller holds the lock.
-func (g *Guard) evict(except *conn, grace time.Duration, connections int, bytes int64, now time.Time) {
-	if bytes > 0 {
-		bytes = max(bytes, g.options.Memory/evictionParts)
-	}
-	closed := g.closeLingering(max(connections, int(bytes/lingerCost)), now)
-	connections -= closed
-	bytes -= int64(closed) * lingerCost
-	for _, each := range g.victims(except, grace, now) {
-		if connections <= 0 && bytes <= 0 {
-			return
-		}
-		connections--
-		bytes -= each.conn.held
-		g.close(each.conn, Evicted, now)
-	}
-}
-
-// victims returns the connections that could be evicted, those with the highest score first.
-func (g *Guard) victims(except *conn, grace time.Duration, now time.Time) []victim {
-	var found []victim
-	for c := range g.conns {
-		stalled := c.stalled(now)
-		if c == except || c.evicted || stalled < grace {
-			continue
-		}
-		found = append(found, victim{c, float64(c.held) * stalled.Seconds()})
-	}
-	slices.SortFunc(found, func(a, b victim) int { return cmp.Compare(b.score, a.score) })
-	return found
-}
-
-// close closes a connection and gives back what it holds; its goroutines end at their next call. The
-// caller holds the lock.
-func (g *Guard) close(c *conn, cause Cause, now time.Time) {
-	if c.evicted {
-		return
-	}
-	g.count(cause, c.Conn, now)
-	g.used -= c.held
-	g.open--
-	c.held, c.evicted = 0, true
-	if inner := transport(c.Conn); c.phase == idle {
-		_ = inner.Close()
-	} else {
-		reset(inner)
-	}
-}
-
-// transport returns the connection below TLS, whose Close may wait for the client.
-func transport(c net.Conn) net.Conn {
-	if secured, ok := c.(interface{ NetConn() net.Conn }); ok {
-		return secured.NetConn()
-	}
-	return c
-}
-
 // forget removes a connection that net/http has closed or handed over.
 func (g *Guard) forget(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.release(c, c.held)
-	if !c.evicted && c.phase != ended {
+	if !c.dropped && c.phase != ended {
 		g.open--
 	}
 	c.phase = ended
 	delete(g.conns, c)
 }
 
-// patrolInterval is the interval at which the time limits are checked.
-const patrolInterval = 100 * time.Millisecond
-
-// patrol closes the connections of clients that exceed a time limit.
-func (g *Guard) patrol() {
-	ticker := time.NewTicker(patrolInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-g.done:
-			return
-		case now := <-ticker.C:
-			g.closeOverdue(*g.refreshLimits(), now)
-		}
-	}
-}
-
-// refreshLimits takes over the limits in force and returns them.
-func (g *Guard) refreshLimits() *Limits {
-	limits := g.options.Limits()
-	g.limits.Store(&limits)
-	return &limits
-}
-
-// currentLimits returns the limits as of the last patrol.
-func (g *Guard) currentLimits() *Limits {
-	if limits := g.limits.Load(); limits != nil {
-		return limits
-	}
-	return g.refreshLimits()
-}
-
-func (g *Guard) closeOverdue(limits Limits, now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.closeLingering(0, now)
-	for c := range g.conns {
-		if cause := c.overdue(limits, now); cause != "" {
-			g.close(c, cause, now)
-		}
-	}
-}
-
 // connState is the http.Server.ConnState of a guarded server.
 func (g *Guard) connState(inner net.Conn, state http.ConnState) {
 	c, ok := inner.(*conn)
--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -360,18 +360,18 @@
 	reading.waiting = time.Now().Add(-time.Second)
 	var admitted int
 	for guard.admit(newScripted()) != nil {
-		if admitted++; large.evicted {
+		if admitted++; large.dropped {
 			break
 		}
 	}
-	if !large.evicted || small.evicted || fresh.evicted || working.evicted || reading.evicted {
-		t.Fatalf("evicted: small %v, large %v, fresh %v, working %v, reading %v", small.evicted, large.evicted, fresh.evicted, working.evicted, reading.evicted)
+	if !large.dropped || small.dropped || fresh.dropped || working.dropped || reading.dropped {
+		t.Fatalf("evicted: small %v, large %v, fresh %v, working %v, reading %v", small.dropped, large.dropped, fresh.dropped, working.dropped, reading.dropped)
 	}
-	for !reading.evicted && guard.admit(newScripted()) != nil {
+	for !reading.dropped && guard.admit(newScripted()) != nil {
 		continue
 	}
-	if !reading.evicted || fresh.evicted || working.evicted {
-		t.Errorf("evicted next: reading %v, fresh %v, working %v", reading.evicted, fresh.evicted, working.evicted)
+	if !reading.dropped || fresh.dropped || working.dropped {
+		t.Errorf("evicted next: reading %v, fresh %v, working %v", reading.dropped, fresh.dropped, working.dropped)
 	}
 	if guard.used > room {
 		t.Errorf("%d of %d bytes are reserved", guard.used, room)
@@ -414,7 +414,7 @@
 		t.Fatal("a connection is admitted although all others are in use")
 	}
 	admitted[3].phase = idle
-	if guard.admit(newScripted()) == nil || !admitted[3].evicted {
+	if guard.admit(newScripted()) == nil || !admitted[3].dropped {
 		t.Fatal("the idle connection doesn't make room")
 	}
 	guard.forget(admitted[3])
@@ -494,8 +494,8 @@
 		}
 		added.lag = c.lag
 		guard.closeOverdue(limits, time.Now())
-		if added.evicted != c.closed {
-			t.Errorf("%s: closed %v", c.name, added.evicted)
+		if added.dropped != c.closed {
+			t.Errorf("%s: closed %v", c.name, added.dropped)
 		}
 	}
 }
--- a/internal/httpguard/handler.go
+++ b/internal/httpguard/handler.go
@@ -16,6 +16,7 @@
 			return
 		}
 		c.takeTurn(requestEffort)
+		c.endTurnSoon()
 		roomy := c.begin()
 		defer c.finish()
 		if !roomy {
@@ -69,20 +70,12 @@
 	if h.conn.reserveRequest(bytes, now) {
 		return nil
 	}
-	if !h.conn.evicted {
+	if !h.conn.dropped {
 		h.conn.guard.count(NoRoomForBody, h.conn.Conn, now)
 	}
 	return ErrNoRoom
 }
 
-// Dispatching lets other connections that keep the processor busy have it soon. A handler calls it before it
-// waits for anything but its client.
-func Dispatching(ctx context.Context) {
-	if c, guarded := ctx.Value(connKey{}).(*conn); guarded && c.holdsTurn.Load() {
-		time.AfterFunc(dispatchTime, c.endTurn)
-	}
-}
-
 // Release gives back memory that isn't used any more.
 func (h Holding) Release(bytes int64) {
 	h.conn.guard.mu.Lock()
--- a/internal/httpguard/head.go
+++ b/internal/httpguard/head.go
@@ -146,7 +146,7 @@
 func (c *conn) refuseHead(cause Cause) error {
 	now := time.Now()
 	c.guard.mu.Lock()
-	if !c.evicted {
+	if !c.dropped {
 		c.guard.count(cause, c.Conn, now)
 	}
 	c.guard.mu.Unlock()
--- a/internal/httpguard/linger.go
+++ b/internal/httpguard/linger.go
@@ -24,7 +24,7 @@
 func (g *Guard) linger(c *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.evicted || g.stopped || g.open >= g.options.Connections || g.used+lingerCost > g.options.Memory {
+	if c.dropped || g.stopped || g.open >= g.options.Connections || g.used+lingerCost > g.options.Memory {
 		return false
 	}
 	g.lingering = append(g.lingering, lingering{c.Conn, time.Now().Add(lingerTimeout)})
--- a/internal/httpguard/turns.go
+++ b/internal/httpguard/turns.go
@@ -42,9 +42,9 @@
 	turnBurst = time.Millisecond
 	// turnPause is how much longer than the turns the pause after them is.
 	turnPause = 2
-	// dispatchTime is how long a turn goes on once a request is dispatched: forwarding a head takes as much
-	// work as parsing it, and after that the request waits for its worker.
-	dispatchTime = 2 * time.Millisecond
+	// handlerTurn is how long a turn goes on once a request is handled: forwarding a head takes as much work
+	// as parsing it. Later a handler may wait, and others would wait with it.
+	handlerTurn = 2 * time.Millisecond
 )
 
 // Turns lets one of the connections without credit work at a time, in the order in which they ask.
@@ -81,7 +81,7 @@
 }
 
 // takeTurn charges work to the connection. A connection without credit waits for its turn, which it
-// keeps until its goroutine waits for the client or begins to handle a request.
+// keeps until its goroutine waits for the client, or for handlerTurn while its request is handled.
 func (c *conn) takeTurn(work int) {
 	if c.credit.spend(work, time.Now()) || c.holdsTurn.Load() {
 		return
@@ -90,6 +90,13 @@
 	c.holdsTurn.Store(true)
 }
 
+// endTurnSoon ends the turn of the connection after handlerTurn.
+func (c *conn) endTurnSoon() {
+	if c.holdsTurn.Load() {
+		time.AfterFunc(handlerTurn, c.endTurn)
+	}
+}
+
 func (c *conn) endTurn() {
 	if c.holdsTurn.CompareAndSwap(true, false) {
 		c.guard.options.Turns.end()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -189,7 +189,6 @@
 		Deadline: arrived.Add(admitted.route.Timeout), RoutesVersion: table.Version,
 	}
 	parseErr := h.parser.Parse(call)
-	httpguard.Dispatching(request.Context())
 	if parseErr == nil {
 		if failure := h.charge(request.Context(), call); failure != nil {
 			return call, failure
--- a/internal/serving/guards.go
+++ b/internal/serving/guards.go
@@ -17,8 +17,9 @@
 	operatorConnections = 128
 )
 
-// callerGrace is how long a caller may go without progress before its connection can be closed to make room.
-const callerGrace = 100 * time.Millisecond
+// evictionGrace is how long a caller, or another node, may go without progress before its connection can be
+// closed to make room.
+const evictionGrace = 100 * time.Millisecond
 
 // Memory for the clients of the ports other than that of callers, and the least for callers.
 const (
@@ -56,11 +57,14 @@
 	n.guards = guards{
 		callers: httpguard.New(httpguard.Options{
 			Port: "callers", Memory: max(memory-2*operatorMemory-exchangeMemory, leastCallerMemory),
-			Connections: connections, Limits: n.callerLimits, Grace: callerGrace, Turns: turns, Log: n.log,
+			Connections: connections, Limits: n.callerLimits, Grace: evictionGrace, Turns: turns, Log: n.log,
 		}),
 		readiness: n.operatorGuard("readiness", operatorMemory, operatorConnections, turns),
 		metrics:   n.operatorGuard("metrics", operatorMemory, operatorConnections, turns),
-		exchange:  n.operatorGuard("exchange", exchangeMemory, max(connections/exchangeParts, operatorConnections), turns),
+		exchange: httpguard.New(httpguard.Options{
+			Port: "exchange", Memory: exchangeMemory, Connections: max(connections/exchangeParts, operatorConnections),
+			Limits: n.operatorLimits, Grace: evictionGrace, Turns: turns, Log: n.log,
+		}),
 	}
 	httpguard.Register(metrics, n.guards.callers, n.guards.readiness, n.guards.metrics, n.guards.exchange)
 }
