--- a/internal/workerconn/open.go
+++ b/internal/workerconn/open.go
@@ -104,7 +104,7 @@
 	case err == nil:
 		return opened, nil
 	case ctx.Err() != nil:
-		return nil, err
+		return nil, context.Cause(ctx)
 	case errors.Is(err, tunnel.ErrNoNode) && p.links.HasPassed(key):
 		return p.openDirect(ctx, key, address)
 	}
@@ -204,7 +204,7 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return nil, directErr
+		return nil, context.Cause(ctx) // the attempt through another node was broken off and tells nothing
 	}
 	failure := &openError{cause: directErr, tunnel: tunnelErr}
 	p.links.Failed(key, begun, time.Now(), failure)
--- a/internal/workerconn/open_test.go
+++ b/internal/workerconn/open_test.go
@@ -171,6 +171,39 @@
 // unused is a connection on which nothing is read or written.
 type unused struct{ net.Conn }
 
+// silentNode takes the connections of tunnels and never answers.
+func silentNode(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// TestCallerThatLeavesBetweenTheAttemptsAccusesNoWorker guards against a failure of this node's own link that
+// counts as the worker's, since the caller left before another node could tell.
+func TestCallerThatLeavesBetweenTheAttemptsAccusesNoWorker(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		table := links.New(quietLogger(), nil)
+		p := NewPool()
+		p.SetLinks(table)
+		p.SetTunnels(tunnel.NewClient("me", fleet{silentNode(t)}, p.Dial, quietLogger()))
+		t.Cleanup(p.Close)
+		if lost {
+			table.Lose(key, "node", time.Now(), time.Now())
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		_, err := p.Do(ctx, key, refusing(t), 0, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		if !errors.Is(err, context.Canceled) {
+			t.Errorf("the link is lost: %v; the error is %v", lost, err)
+		}
+		cancel()
+	}
+}
+
 // TestIdleConnectionsAreNotTrustedAfterALinkIsLost guards against one lost request for each idle
 // connection after the network was cut.
 func TestIdleConnectionsAreNotTrustedAfterALinkIsLost(t *testing.T) {
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -224,7 +224,7 @@
 	switch {
 	case err == nil:
 	case ctx.Err() != nil:
-		return nil, err
+		return nil, context.Cause(ctx)
 	default:
 		return nil, ErrFull
 	}
