A caller whose body comes slowly is not cut while workers' connections are short

By reading: the short limit on stalling, meant for answers that aren't read, also held for bodies, which keep no connection to a worker; a lost packet's retransmission takes as long. And what a client had fallen behind while it sent its body was still counted when it began to read the answer. Answers have a limit of their own now, and the count begins anew (TestOverdueClientsAreClosed, TestSlowClientsFallBehind).

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -146,7 +146,7 @@
 )
 
 func (s *Server) clientLimits() httpguard.Limits {
-	return httpguard.Limits{HeadBytes: maxHead, HeadTimeout: headTimeout, IdleTimeout: idleTimeout, StallTimeout: s.settings.WriteTimeout, LeastRate: leastRate}
+	return httpguard.Limits{HeadBytes: maxHead, HeadTimeout: headTimeout, IdleTimeout: idleTimeout, StallTimeout: s.settings.ReadTimeout, AnswerTimeout: s.settings.WriteTimeout, LeastRate: leastRate}
 }
 
 // Guard returns what bounds the callers of the gateway.
--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -37,9 +37,11 @@
 	// ofHandler is the part of ofRequest that is given back when the handler has returned.
 	ofHandler int64
 	// waiting is when the node began to wait for the client to send a body or to read an answer, zero
-	// if it doesn't. lag is how far the client has fallen behind the least rate before that.
+	// if it doesn't. lag is how far the client has fallen behind the least rate before that. writing tells
+	// that both are about an answer.
 	waiting time.Time
 	lag     time.Duration
+	writing bool
 	// dropped tells that the guard has closed the connection.
 	dropped bool
 	// refused tells that the client got the last answer, so that nothing may be read or written any more.
@@ -76,7 +78,7 @@
 		return count, err
 	}
 	c.endTurn()
-	if !c.beginWait() {
+	if !c.beginWait(false) {
 		return c.readHead(buffer)
 	}
 	count, err := c.readAhead(buffer)
@@ -119,14 +121,17 @@
 	return c.phase
 }
 
-// beginWait notes that the node waits for the client, unless there is no request whose head is complete.
-// It returns whether there is one.
-func (c *conn) beginWait() bool {
+// beginWait notes that the node waits for the client to send a body, or to take a piece of an answer, unless
+// there is no request whose head is complete. It returns whether there is one.
+func (c *conn) beginWait(writing bool) bool {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	if c.phase == idle || c.phase == head {
 		return false
 	}
+	if c.writing != writing {
+		c.writing, c.lag = writing, 0
+	}
 	c.waiting = time.Now()
 	return true
 }
@@ -169,7 +174,7 @@
 	written := 0
 	for {
 		piece := content[written:min(len(content), written+mostAtOnce)]
-		waits := c.beginWait()
+		waits := c.beginWait(true)
 		count, err := c.Conn.Write(piece)
 		if waits {
 			c.endWait(count)
@@ -277,13 +282,16 @@
 
 // overdue returns the limit that the client exceeds, empty if there is none. The caller holds the lock.
 func (c *conn) overdue(limits Limits, now time.Time) Cause {
-	stalled := c.stalled(now)
+	stalled, timeout := c.stalled(now), limits.StallTimeout
+	if c.phase == handling && c.writing {
+		timeout = limits.AnswerTimeout
+	}
 	switch {
 	case c.phase == idle && limits.IdleTimeout > 0 && stalled > limits.IdleTimeout:
 		return Idle
 	case c.phase == head && limits.HeadTimeout > 0 && stalled > limits.HeadTimeout:
 		return HeadTooSlow
-	case (c.phase == handling || c.phase == finishing) && limits.StallTimeout > 0 && stalled > limits.StallTimeout:
+	case (c.phase == handling || c.phase == finishing) && timeout > 0 && stalled > timeout:
 		return Stalled
 	}
 	return ""
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -55,9 +55,9 @@
 	// connection may stay open without a request.
 	HeadTimeout, IdleTimeout time.Duration
 	// StallTimeout is how far a client may fall behind LeastRate, in bytes a second, while the node
-	// waits for it to send a body or to read an answer.
-	StallTimeout time.Duration
-	LeastRate    int
+	// waits for it to send a body, and AnswerTimeout the same while it waits for it to read an answer.
+	StallTimeout, AnswerTimeout time.Duration
+	LeastRate                   int
 }
 
 // Options configure a Guard.
--- a/internal/serving/guards.go
+++ b/internal/serving/guards.go
@@ -36,8 +36,8 @@
 	maxOperatorHead = 8 << 10
 )
 
-// A caller that stalls keeps a connection to a worker. Once nearly all of them are in use, and for shortFor
-// after that, callers may stall for shortStall only.
+// A caller that doesn't read its answer keeps a connection to a worker. Once nearly all of them are in use, and
+// for shortFor after that, it may stall for shortStall only.
 const (
 	shortFor   = time.Second
 	shortStall = 250 * time.Millisecond
@@ -95,7 +95,7 @@
 		limits.IdleTimeout = timeout
 	}
 	if time.Since(n.pool.ShortAt()) < shortFor {
-		limits.StallTimeout = min(limits.StallTimeout, shortStall)
+		limits.AnswerTimeout = min(limits.AnswerTimeout, shortStall)
 	}
 	return limits
 }
@@ -105,7 +105,8 @@
 	clients := n.settings.Clients
 	return httpguard.Limits{
 		HeadBytes: maxOperatorHead, HeadTimeout: settings.Milliseconds(clients.HeaderMillis), IdleTimeout: settings.Milliseconds(clients.IdleMillis),
-		StallTimeout: settings.Milliseconds(clients.StallMillis), LeastRate: clients.LeastBytesPerSecond,
+		StallTimeout: settings.Milliseconds(clients.StallMillis), AnswerTimeout: settings.Milliseconds(clients.StallMillis),
+		LeastRate: clients.LeastBytesPerSecond,
 	}
 }
 
