--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -79,6 +79,12 @@
 	return len(g.lingering)
 }
 
+func (g *Guard) openNow() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
+
 func (s *scripted) SetDeadline(time.Time) error      { return nil }
 func (s *scripted) SetReadDeadline(time.Time) error  { return nil }
 func (s *scripted) SetWriteDeadline(time.Time) error { return nil }
@@ -248,8 +254,8 @@
 		if diff := cmp.Diff(want, got) + cmp.Diff(dates(wantSent), dates(sent)); diff != "" {
 			t.Fatalf("seed %d: %s", seed, diff)
 		}
-		if connections, held, _ := guard.figures(); connections != 0 || held != 0 || guard.open != 0 || len(guard.options.Turns.slot) != 0 {
-			t.Fatalf("seed %d: %d connections, %d open, %d bytes and %d turns are still held", seed, connections, guard.open, held, len(guard.options.Turns.slot))
+		if connections, held, _ := guard.figures(); connections != 0 || held != 0 || guard.openNow() != 0 || len(guard.options.Turns.slot) != 0 {
+			t.Fatalf("seed %d: %d connections, %d open, %d bytes and %d turns are still held", seed, connections, guard.openNow(), held, len(guard.options.Turns.slot))
 		}
 	}
 }
