httpguard: large requests that find no room don't keep small ones from making it

Cause: the search for connections to evict wasn't repeated for 5 ms after one that found too little. Large requests, which may evict less, found too little all the time, so small ones weren't allowed to search.

Change: a search is skipped for 2 ms only if one that could evict as much has found nothing.

TestWorkerThatPausesAgainGetsOneRequestFirst failed in the same script: listed, not traced.

--- a/internal/httpguard/eviction.go
+++ b/internal/httpguard/eviction.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// searchInterval is how long no connections are searched that could be evicted after too few were found: a
-// search takes longer than most requests.
-const searchInterval = 5 * time.Millisecond
+// searchInterval is how long no connections are searched that could be evicted after none was found: a search
+// takes longer than most requests.
+const searchInterval = 2 * time.Millisecond
 
 // victim is a connection that could be evicted.
 type victim struct {
@@ -27,10 +27,14 @@
 	closed := g.closeLingering(max(connections, int(bytes/lingerCost)), now)
 	connections -= closed
 	bytes -= int64(closed) * lingerCost
-	if now.Sub(g.searched) < searchInterval {
+	if now.Sub(g.searched) < searchInterval && grace >= g.searchedGrace {
 		return
 	}
-	for _, each := range g.victims(except, grace, now) {
+	found := g.victims(except, grace, now)
+	if len(found) == 0 {
+		g.searched, g.searchedGrace = now, grace
+	}
+	for _, each := range found {
 		if connections <= 0 && bytes <= 0 {
 			return
 		}
@@ -38,9 +42,6 @@
 		bytes -= each.conn.held
 		g.drop(each.conn, Evicted, now)
 	}
-	if connections > 0 || bytes > 0 {
-		g.searched = now
-	}
 }
 
 // victims returns the connections that could be evicted, those with the highest score first.
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -96,9 +96,10 @@
 	// are kept.
 	lingering []lingering
 	stopped   bool
-	// searched is when too few connections were last found that could be evicted.
-	searched time.Time
-	ended    map[Cause]uint64
+	// searched is when no connection was last found that could be evicted, and searchedGrace with which grace.
+	searched      time.Time
+	searchedGrace time.Duration
+	ended         map[Cause]uint64
 	// logged is when a cause was logged last.
 	logged map[Cause]time.Time
 }
--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -410,6 +410,31 @@
 	}
 }
 
+// TestLargeRequestsThatFindNoRoomDontKeepSmallOnesFromMakingRoom: what has been without progress for less than
+// largeGrace gives way to small requests, also just after large ones have found nothing.
+func TestLargeRequestsThatFindNoRoomDontKeepSmallOnesFromMakingRoom(t *testing.T) {
+	const room = 2 << 20
+	guard := newTestGuard(room, 1000, roomy)
+	for guard.admit(newScripted()) != nil {
+		continue
+	}
+	time.Sleep(2 * searchInterval)
+	guard.mu.Lock()
+	var large *conn
+	for c := range guard.conns {
+		c.since = time.Now().Add(-largeGrace / 2)
+		large = c
+	}
+	reserved := large.reserveRequest(room/2, time.Now())
+	guard.mu.Unlock()
+	if reserved {
+		t.Fatal("a large request finds room")
+	}
+	if guard.admit(newScripted()) == nil {
+		t.Error("a new connection finds no room although others are without progress")
+	}
+}
+
 // TestConnectionsBeyondTheMostEvictIdleOnes and reset new ones only where none is idle.
 func TestConnectionsBeyondTheMostEvictIdleOnes(t *testing.T) {
 	const most = 10
