httpguard: a connection is closed by two goroutines

Cause: net/http's Server.Close and Server.Shutdown close connections from another goroutine than the one that serves them. conn.Close read refused, which the serving goroutine wrote without a lock. Two more faults of the same place, found by reading: a refused connection that both close lingered twice and was counted twice, and a client that left within a head, which nobody had refused, kept its descriptor for 5 s. Change: refused, and what is over, are guarded by the lock of the guard; linger takes a connection once, and only one whose client got a last answer. Tests: TestServerClosesConnectionsThatEnd (a data race each time before), TestRefusedClientsLingerOnce (2 lingered, 4096 bytes were reserved), TestClientsThatLeaveWithinAHeadDontLinger (1 lingered).

--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -44,8 +44,11 @@
 	writing bool
 	// dropped tells that the guard has closed the connection.
 	dropped bool
-	// refused tells that the client got the last answer, so that nothing may be read or written any more.
-	refused bool
+	// over tells that nothing may be read or written any more, and refused that this is since the client got the
+	// last answer.
+	over, refused bool
+	// lingers tells that net/http has closed the connection and the guard keeps it open.
+	lingers bool
 	// beyond counts what net/http may have received beyond the end of the last head: the next head may
 	// begin in it.
 	beyond counted
@@ -63,10 +66,10 @@
 
 // Read implements net.Conn. A head is passed on only when all of it has come and its cost is reserved.
 func (c *conn) Read(buffer []byte) (int, error) {
-	switch {
-	case c.refused: // net/http reads again after an error in the middle of a head
+	switch phase, over := c.state(); {
+	case over: // net/http reads again after an error in the middle of a head
 		return 0, io.EOF
-	case c.phaseNow() == ended:
+	case phase == ended:
 		return c.readAhead(buffer)
 	}
 	// While a request is handled, net/http reads single bytes to see whether the client leaves.
@@ -115,10 +118,18 @@
 	return count, nil
 }
 
-func (c *conn) phaseNow() phase {
+// state returns the phase, and whether nothing may be read or written any more.
+func (c *conn) state() (phase, bool) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return c.phase, c.over
+}
+
+// breakOff makes all further reads and writes fail.
+func (c *conn) breakOff() {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
-	return c.phase
+	c.over = true
 }
 
 // beginWait notes that the node waits for the client to send a body, or to take a piece of an answer, unless
@@ -165,10 +176,10 @@
 // Write implements net.Conn.
 func (c *conn) Write(content []byte) (int, error) {
 	c.endTurn()
-	switch {
-	case c.refused:
+	switch phase, over := c.state(); {
+	case over:
 		return 0, net.ErrClosed
-	case c.phaseNow() == ended:
+	case phase == ended:
 		return c.Conn.Write(content)
 	}
 	written := 0
@@ -186,10 +197,11 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Beside the goroutine that serves the connection, Server.Close and Server.Shutdown
+// call it.
 func (c *conn) Close() error {
 	c.endTurn()
-	if c.refused && c.guard.linger(c) {
+	if c.guard.linger(c) {
 		return nil
 	}
 	return c.Conn.Close()
--- a/internal/httpguard/head.go
+++ b/internal/httpguard/head.go
@@ -26,7 +26,7 @@
 // readHead reads until the head of a request is complete and returns what fits in the buffer; the rest is
 // read ahead. net/http calls it with its whole buffer.
 func (c *conn) readHead(buffer []byte) (int, error) {
-	if c.phaseNow() == head && len(c.ahead) > 0 {
+	if phase, _ := c.state(); phase == head && len(c.ahead) > 0 {
 		return c.readAhead(buffer)
 	}
 	received, searched := c.ahead, 0
@@ -41,7 +41,9 @@
 		searched = len(received)
 		grown, err := c.readMore(buffer, received)
 		if err != nil {
-			c.refused = len(received) > 0 // nothing that comes later continues what is dropped here
+			if len(received) > 0 { // nothing that comes later continues what is dropped here
+				c.breakOff()
+			}
 			return 0, err
 		}
 		received = grown
@@ -149,8 +151,8 @@
 	if !c.dropped {
 		c.guard.count(cause, c.Conn, now)
 	}
+	c.over, c.refused = true, true
 	c.guard.mu.Unlock()
-	c.refused = true
 	_ = c.Conn.SetWriteDeadline(now.Add(answerTimeout))
 	_, _ = io.WriteString(c.Conn, cause.answer())
 	return io.EOF
--- a/internal/httpguard/linger.go
+++ b/internal/httpguard/linger.go
@@ -20,14 +20,19 @@
 	until time.Time
 }
 
-// linger keeps a refused connection open after net/http has closed it. It returns false if there is no room.
+// linger keeps the connection of a refused client open after net/http has closed it. It returns false if the
+// client wasn't refused or there is no room.
 func (g *Guard) linger(c *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.dropped || g.stopped || g.open >= g.options.Connections || g.used+lingerCost > g.options.Memory {
+	if c.lingers {
+		return true
+	}
+	if !c.refused || c.dropped || g.stopped || g.open >= g.options.Connections || g.used+lingerCost > g.options.Memory {
 		return false
 	}
 	g.lingering = append(g.lingering, lingering{c.Conn, time.Now().Add(lingerTimeout)})
+	c.lingers = true
 	g.open++
 	g.used += lingerCost
 	return true
