httpguard: pauses between turns last until the processor is idle

Causes, from execution traces and profiles of failing runs: - The pause after turns was measured by the clock. A process that has a part of a core is stopped meanwhile, and the pause is over when it runs again: 87 % of the processor went to requests with 2,700 fields. - There was no pause if nobody waited when a turn ended: fourteen connections took turns one after the other for seconds, each asking just after the one before. - A turn ended once the body was read; forwarding the head, half of the work, came after it. - A head was charged when it was complete, so refused ones cost nothing; connections that linger were closed to make room for heads (2 KB each, 213 at a time), and their clients came again: 770 refusals a second. - Turns were given in the order in which they were asked for: a kept connection with 20 ordinary requests a second waited behind 200 heads. Change: the pause lasts until nobody works for half a millisecond, 32 ms of it at most, also if nobody waits; a turn includes what a handler does with the body; heads are charged as they come; who asks for little is first, and who has waited long isn't passed over; lingering connections have an eighth of the memory, stay for 15 s and give way for memory last. TestRequestsArriveAsWithoutAGuard and TestTurns wait until the pause after the last turn is over before they check that none is held: a pause follows each turn now.

--- a/internal/httpguard/eviction.go
+++ b/internal/httpguard/eviction.go
@@ -18,33 +18,38 @@
 }
 
 // evict closes the connections that have held most for longest without progress, until that many
-// connections and bytes are free, or none is left that has been without progress for longer than grace. The
+// connections and bytes are free, or none is left that has been without progress for longer than grace. Those
+// that linger are the first to give way for a connection, and the last for memory, of which they have little. The
 // caller holds the lock.
 func (g *Guard) evict(except *conn, grace time.Duration, connections int, bytes int64, now time.Time) {
 	if bytes > 0 {
 		bytes = max(bytes, g.options.Memory/evictionParts)
 	}
-	closed := g.closeLingering(max(connections, int(bytes/lingerCost)), now)
-	connections -= closed
-	bytes -= int64(closed) * lingerCost
-	if now.Sub(g.searched) < searchInterval && grace >= g.searchedGrace {
-		return
+	connections -= g.closeLingering(connections, now)
+	if now.Sub(g.searched) >= searchInterval || grace < g.searchedGrace {
+		bytes -= g.dropVictims(g.victims(except, grace, now), connections, bytes, now)
 	}
-	found := g.victims(except, grace, now)
-	if len(found) == 0 {
-		g.searched, g.searchedGrace = now, grace
+	if bytes > 0 && grace < largeGrace {
+		g.closeLingering(int(bytes/lingerCost), now)
 	}
+}
+
+// dropVictims closes connections until that many and that many bytes are free. It returns how many bytes it freed.
+func (g *Guard) dropVictims(found []victim, connections int, bytes int64, now time.Time) int64 {
+	freed := int64(0)
 	for _, each := range found {
-		if connections <= 0 && bytes <= 0 {
-			return
+		if connections <= 0 && freed >= bytes {
+			break
 		}
 		connections--
-		bytes -= each.conn.held
+		freed += each.conn.held
 		g.drop(each.conn, Evicted, now)
 	}
+	return freed
 }
 
-// victims returns the connections that could be evicted, those with the highest score first.
+// victims returns the connections that could be evicted, those with the highest score first. The caller holds
+// the lock.
 func (g *Guard) victims(except *conn, grace time.Duration, now time.Time) []victim {
 	var found []victim
 	for c := range g.conns {
@@ -54,6 +59,9 @@
 		}
 		found = append(found, victim{c, float64(c.held) * stalled.Seconds()})
 	}
+	if len(found) == 0 {
+		g.searched, g.searchedGrace = now, grace
+	}
 	slices.SortFunc(found, func(a, b victim) int { return cmp.Compare(b.score, a.score) })
 	return found
 }
--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -254,8 +254,8 @@
 		if diff := cmp.Diff(want, got) + cmp.Diff(dates(wantSent), dates(sent)); diff != "" {
 			t.Fatalf("seed %d: %s", seed, diff)
 		}
-		if connections, held, _ := guard.figures(); connections != 0 || held != 0 || guard.openNow() != 0 || len(guard.options.Turns.slot) != 0 {
-			t.Fatalf("seed %d: %d connections, %d open, %d bytes and %d turns are still held", seed, connections, guard.openNow(), held, len(guard.options.Turns.slot))
+		if connections, held, _ := guard.figures(); connections != 0 || held != 0 || guard.openNow() != 0 || !guard.options.Turns.awaitFree() {
+			t.Fatalf("seed %d: %d connections, %d open, %d bytes or a turn are still held", seed, connections, guard.openNow(), held)
 		}
 	}
 }
@@ -559,6 +559,19 @@
 	}
 }
 
+// awaitFree waits until nobody has a turn, and the pause after the last one is over.
+func (t *Turns) awaitFree() bool {
+	for end := time.Now().Add(awaitTimeout); time.Now().Before(end); time.Sleep(100 * time.Microsecond) {
+		t.mu.Lock()
+		taken := t.taken
+		t.mu.Unlock()
+		if !taken {
+			return true
+		}
+	}
+	return false
+}
+
 // TestTurns: of the connections that keep the processor busy one works at a time, and the others don't wait.
 func TestTurns(t *testing.T) {
 	guard := newTestGuard(64<<20, 10, roomy)
@@ -585,7 +598,7 @@
 	busy.endTurn()
 	<-took
 	_ = other.Close()
-	if len(guard.options.Turns.slot) != 0 {
+	if !guard.options.Turns.awaitFree() {
 		t.Error("a closed connection keeps its turn")
 	}
 }
--- a/internal/httpguard/handler.go
+++ b/internal/httpguard/handler.go
@@ -35,7 +35,8 @@
 // Crowded reports whether there is no room for a request, so that it must be refused unread.
 func Crowded(ctx context.Context) bool { return ctx.Value(crowdedKey{}) != nil }
 
-// turnBody ends the turn of a connection when a read of a body returns.
+// turnBody ends the turn of a connection soon after a read of a body: what the handler does with the body, that is
+// sending it to a worker, belongs to the turn.
 type turnBody struct {
 	io.ReadCloser
 	conn *conn
@@ -43,7 +44,7 @@
 
 // Read implements io.Reader.
 func (b *turnBody) Read(buffer []byte) (int, error) {
-	defer b.conn.endTurn()
+	defer b.conn.endTurnSoon()
 	return b.ReadCloser.Read(buffer)
 }
 
--- a/internal/httpguard/head.go
+++ b/internal/httpguard/head.go
@@ -32,13 +32,16 @@
 	received, searched := c.ahead, 0
 	c.ahead = nil
 	for {
-		if cause := c.receive(received[searched:]); cause != "" {
+		size := counted{}.plus(received[searched:])
+		if cause := c.receive(size); cause != "" {
 			return 0, c.refuseHead(cause)
 		}
+		c.takeTurn(size.effort())
 		if end := endOfHead(c.tail, received, searched); end >= 0 {
 			return c.passHead(buffer, received, end)
 		}
 		searched = len(received)
+		c.endTurn()
 		grown, err := c.readMore(buffer, received)
 		if err != nil {
 			if len(received) > 0 { // nothing that comes later continues what is dropped here
@@ -72,11 +75,11 @@
 
 // receive counts a piece of a head and reserves memory for it. It returns why the request must be refused,
 // empty if it needn't.
-func (c *conn) receive(piece []byte) Cause {
-	if len(piece) == 0 {
+func (c *conn) receive(size counted) Cause {
+	if size.bytes == 0 {
 		return ""
 	}
-	now, size := time.Now(), counted{}.plus(piece)
+	now := time.Now()
 	limit := c.guard.currentLimits().HeadBytes
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
@@ -96,7 +99,6 @@
 // passHead passes on a complete head.
 func (c *conn) passHead(buffer, received []byte, end int) (int, error) {
 	c.noteBeyond(counted{}.plus(received[end:]))
-	c.takeTurn(counted{}.plus(received).effort())
 	if &received[0] == &buffer[0] {
 		c.keepTail(received)
 		return len(received), nil
--- a/internal/httpguard/linger.go
+++ b/internal/httpguard/linger.go
@@ -9,9 +9,11 @@
 	// lingerTimeout is how long the connection of a refused client stays open, unless the client closes it
 	// or it must make room: a client that connects again at once takes more of the processor than one that
 	// waits, and closing with unread bytes could destroy the answer.
-	lingerTimeout = 5 * time.Second
+	lingerTimeout = 15 * time.Second
 	// lingerCost is what a connection takes that is only kept open.
 	lingerCost = 2 << 10
+	// lingerParts is the part of the budget that lingering connections may take.
+	lingerParts = 8
 )
 
 // lingering is a connection whose client was refused.
@@ -28,7 +30,7 @@
 	if c.lingers {
 		return true
 	}
-	if !c.refused || c.dropped || g.stopped || g.open >= g.options.Connections || g.used+lingerCost > g.options.Memory {
+	if !c.refused || c.dropped || g.stopped || g.open >= g.options.Connections || !g.roomToLinger() {
 		return false
 	}
 	g.lingering = append(g.lingering, lingering{c.Conn, time.Now().Add(lingerTimeout)})
@@ -38,6 +40,12 @@
 	return true
 }
 
+// roomToLinger reports whether one more connection may linger. The caller holds the lock.
+func (g *Guard) roomToLinger() bool {
+	lingering := int64(len(g.lingering)+1) * lingerCost
+	return lingering <= g.options.Memory/lingerParts && g.used+lingerCost <= g.options.Memory
+}
+
 // closeLingering closes the lingering connections whose time is over, and as many more as asked, the oldest
 // first. It returns how many of these it closed. The caller holds the lock.
 func (g *Guard) closeLingering(more int, now time.Time) int {
--- a/internal/httpguard/turns.go
+++ b/internal/httpguard/turns.go
@@ -1,7 +1,10 @@
 package httpguard
 
 import (
-	"sync/atomic"
+	"container/heap"
+	"math"
+	"runtime"
+	"sync"
 	"time"
 )
 
@@ -24,15 +27,16 @@
 
 func newCredit(now time.Time) credit { return credit{left: creditBytes, at: now} }
 
-// spend takes work from the credit. It returns false once none is left.
-func (c *credit) spend(work int, now time.Time) bool {
+// spend takes work from the credit. It returns the work that the credit doesn't cover.
+func (c *credit) spend(work int, now time.Time) int {
 	c.left = min(creditBytes, c.left+now.Sub(c.at).Seconds()*creditRate) - float64(work)
 	c.at = now
-	if c.left < 0 {
-		c.left = 0
-		return false
+	if c.left >= 0 {
+		return 0
 	}
-	return true
+	uncovered := int(math.Ceil(-c.left))
+	c.left = 0
+	return uncovered
 }
 
 const (
@@ -40,53 +44,141 @@
 	// others: the scheduler polls the network only when nothing is ready, so ordinary requests would wait
 	// for many turns at each of their steps.
 	turnBurst = time.Millisecond
-	// turnPause is how much longer than the turns the pause after them is.
-	turnPause = 2
+	// turnPause is the least pause after that. It is repeated until the processor is idle at its end, that is,
+	// nobody works for longer than idleDelay after it, or mostPauses times.
+	turnPause  = time.Millisecond
+	idleDelay  = 500 * time.Microsecond
+	mostPauses = 32
+	// agingRate is the work in bytes a second for which a connection may be passed over by others that ask for
+	// less.
+	agingRate = 4 << 10
 	// handlerTurn is how long a turn goes on once a request is handled: forwarding a head takes as much work
 	// as parsing it. Later a handler may wait, and others would wait with it.
 	handlerTurn = 2 * time.Millisecond
 )
 
-// Turns lets one of the connections without credit work at a time, in the order in which they ask.
+// Turns lets one of the connections without credit work at a time, those first that ask for little or have waited
+// for long. Others have precedence: the next turns begin once nothing else is to be done.
 type Turns struct {
-	slot    chan struct{}
-	waiting atomic.Int32
-	// since is when the turn began, and spent the length of the turns that followed one another. Only
-	// who has the turn uses them.
+	mu      sync.Mutex
+	taken   bool
+	waiting waiters
+	// since is when the turn began, or the last one ended, and spent the length of the turns since the last pause.
 	since time.Time
 	spent time.Duration
+	// sleep pauses, and returns for how long others went on working after that.
+	sleep func(time.Duration) time.Duration
 }
 
 // NewTurns returns turns that nobody has.
-func NewTurns() *Turns { return &Turns{slot: make(chan struct{}, 1)} }
+func NewTurns() *Turns { return &Turns{sleep: sleepAndYield} }
 
-func (t *Turns) begin() {
-	t.waiting.Add(1)
-	t.slot <- struct{}{}
-	t.waiting.Add(-1)
-	t.since = time.Now()
+// sleepAndYield sleeps, and lets all goroutines run that are ready then: one that wakes up runs before them. It
+// returns how late it is after that.
+func sleepAndYield(pause time.Duration) time.Duration {
+	begun := time.Now()
+	time.Sleep(pause)
+	runtime.Gosched()
+	return time.Since(begun) - pause
+}
+
+// begin waits for a turn in which a connection does work that its credit doesn't cover.
+func (t *Turns) begin(work int) {
+	now := time.Now()
+	t.mu.Lock()
+	if !t.taken {
+		if now.Sub(t.since) >= turnPause {
+			t.spent = 0
+		}
+		t.taken, t.since = true, now
+		t.mu.Unlock()
+		return
+	}
+	w := &waiter{due: now.Add(time.Duration(work) * time.Second / agingRate), ready: make(chan struct{})}
+	heap.Push(&t.waiting, w)
+	t.mu.Unlock()
+	<-w.ready
 }
 
 func (t *Turns) end() {
-	t.spent += time.Since(t.since)
-	switch pause := t.spent; {
-	case t.waiting.Load() == 0:
-		t.spent = 0
-	case pause >= turnBurst:
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.spent += now.Sub(t.since)
+	if t.spent >= turnBurst { // also if nobody waits: others may be about to ask
 		t.spent = 0
-		time.AfterFunc(turnPause*pause, func() { <-t.slot })
+		go t.nextWhenIdle()
+		return
+	}
+	t.next(now)
+}
+
+// next hands the turn over. The caller holds the lock.
+func (t *Turns) next(now time.Time) {
+	t.since = now
+	if len(t.waiting) == 0 {
+		t.taken = false
 		return
 	}
-	<-t.slot
+	w, _ := heap.Pop(&t.waiting).(*waiter)
+	close(w.ready)
+}
+
+// nextWhenIdle hands the turn over once nothing else is to be done. The clock alone doesn't tell: a process that
+// has a part of a core may have been stopped meanwhile.
+func (t *Turns) nextWhenIdle() {
+	for range mostPauses {
+		if t.sleep(turnPause) < idleDelay {
+			break
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next(time.Now())
+}
+
+// waiter is a connection that waits for its turn.
+type waiter struct {
+	due   time.Time
+	ready chan struct{}
+}
+
+// waiters is a heap.Interface whose first element is due first.
+type waiters []*waiter
+
+// Len implements heap.Interface.
+func (w waiters) Len() int { return len(w) }
+
+// Less implements heap.Interface.
+func (w waiters) Less(i, j int) bool { return w[i].due.Before(w[j].due) }
+
+// Swap implements heap.Interface.
+func (w waiters) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
+
+// Push implements heap.Interface.
+func (w *waiters) Push(x any) {
+	if waiting, ok := x.(*waiter); ok {
+		*w = append(*w, waiting)
+	}
+}
+
+// Pop implements heap.Interface.
+func (w *waiters) Pop() any {
+	last := len(*w) - 1
+	popped := (*w)[last]
+	(*w)[last] = nil
+	*w = (*w)[:last]
+	return popped
 }
 
 // takeTurn charges work to the connection. A connection without credit waits for its turn, which it
 // keeps until its goroutine waits for the client, or for handlerTurn while its request is handled.
 func (c *conn) takeTurn(work int) {
-	if c.credit.spend(work, time.Now()) || c.holdsTurn.Load() {
+	uncovered := c.credit.spend(work, time.Now())
+	if uncovered == 0 || c.holdsTurn.Load() {
 		return
 	}
-	c.guard.options.Turns.begin()
+	c.guard.options.Turns.begin(uncovered)
 	c.holdsTurn.Store(true)
 }
 
