Callers that don't read give way as soon as connections to workers run short

Cause: what a caller that stalls costs is a connection to a worker, but it was closed by the clock, for all of them alike, after the shortage had been seen. Change: the request that finds seven eighths of the connections to a worker in use tells the guard, which closes those that have stalled for longest, 0.1 s or more, up to a 64th of the callers' connections. The time limit of 0.25 s is gone: a slow reader is closed only if it is among those. tinarch_client_turn_wait_seconds_total tells how long connections waited for turns. Tests: TestReadersThatStallGiveWay, TestShortConnectionsAreTold.

--- a/internal/httpguard/causes.go
+++ b/internal/httpguard/causes.go
@@ -61,6 +61,7 @@
 	descConnections = prometheus.NewDesc("tinarch_client_connections", "Open connections of clients.", []string{"port"}, nil)
 	descHeld        = prometheus.NewDesc("tinarch_client_memory_bytes", "Memory reserved for clients.", []string{"port"}, nil)
 	descBudget      = prometheus.NewDesc("tinarch_client_memory_budget_bytes", "Memory that clients may hold.", []string{"port"}, nil)
+	descTurns       = prometheus.NewDesc("tinarch_client_turn_wait_seconds_total", "Time that connections without credit have waited for their turns.", nil, nil)
 	descEnded       = prometheus.NewDesc("tinarch_client_refused_total", "Clients that were refused or whose connection was closed, by cause.", []string{"port", "cause"}, nil)
 )
 
@@ -68,13 +69,17 @@
 
 // Describe implements prometheus.Collector.
 func (c collector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{descConnections, descHeld, descBudget, descEnded} {
+	for _, desc := range []*prometheus.Desc{descConnections, descHeld, descBudget, descTurns, descEnded} {
 		out <- desc
 	}
 }
 
 // Collect implements prometheus.Collector.
 func (c collector) Collect(out chan<- prometheus.Metric) {
+	if len(c) > 0 { // the ports of a process share their turns
+		waited := time.Duration(c[0].options.Turns.waited.Load())
+		out <- prometheus.MustNewConstMetric(descTurns, prometheus.CounterValue, waited.Seconds())
+	}
 	for _, g := range c {
 		port := g.options.Port
 		connections, held, causes := g.figures()
--- a/internal/httpguard/eviction.go
+++ b/internal/httpguard/eviction.go
@@ -34,6 +34,26 @@
 	}
 }
 
+// EvictReaders closes connections of clients that have not read their answers for longest, since these keep
+// connections to workers. Those that have made progress within the grace stay open.
+func (g *Guard) EvictReaders() {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.searchedReaders) < searchInterval {
+		return
+	}
+	g.searchedReaders = now
+	var found []victim
+	for c := range g.conns {
+		if stalled := c.stalled(now); c.phase == handling && c.writing && !c.dropped && stalled >= g.options.Grace {
+			found = append(found, victim{c, stalled.Seconds()})
+		}
+	}
+	sortVictims(found)
+	g.dropVictims(found, max(g.options.Connections/evictionParts, 1), 0, now)
+}
+
 // dropVictims closes connections until that many and that many bytes are free. It returns how many bytes it freed.
 func (g *Guard) dropVictims(found []victim, connections int, bytes int64, now time.Time) int64 {
 	freed := int64(0)
@@ -62,10 +82,15 @@
 	if len(found) == 0 {
 		g.searched, g.searchedGrace = now, grace
 	}
-	slices.SortFunc(found, func(a, b victim) int { return cmp.Compare(b.score, a.score) })
+	sortVictims(found)
 	return found
 }
 
+// sortVictims sorts the highest score first.
+func sortVictims(found []victim) {
+	slices.SortFunc(found, func(a, b victim) int { return cmp.Compare(b.score, a.score) })
+}
+
 // drop closes a connection and gives back what it holds; its goroutines end at their next call. The
 // caller holds the lock.
 func (g *Guard) drop(c *conn, cause Cause, now time.Time) {
--- /dev/null
+++ b/internal/httpguard/eviction_test.go
@@ -0,0 +1,39 @@
+package httpguard
+
+import (
+	"testing"
+	"time"
+)
+
+// TestReadersThatStallGiveWay: a client that doesn't read its answer keeps a connection to a worker. Clients that
+// read, or that send a body, keep none for longer than they need.
+func TestReadersThatStallGiveWay(t *testing.T) {
+	guard := newTestGuard(64<<20, 64, roomy)
+	now := time.Now()
+	waits := func(writing bool, waited time.Duration) *conn {
+		c := connOf(t, guard, handling, 0, time.Minute)
+		c.writing, c.waiting = writing, now.Add(-waited)
+		return c
+	}
+	stalled, longest := waits(true, time.Second), waits(true, 2*time.Second)
+	others := []*conn{waits(true, 0), waits(false, time.Minute), connOf(t, guard, handling, 0, time.Minute)}
+	guard.EvictReaders()
+	if !longest.dropped || stalled.dropped {
+		t.Errorf("closed: the longest %v, the other %v; want one, the longest", longest.dropped, stalled.dropped)
+	}
+	guard.searchedReaders = time.Time{}
+	guard.EvictReaders()
+	if !stalled.dropped {
+		t.Error("a client that doesn't read isn't closed")
+	}
+	guard.searchedReaders = time.Time{}
+	guard.EvictReaders()
+	for at, c := range others {
+		if c.dropped {
+			t.Errorf("client %d, which reads, sends or waits for its worker, is closed", at)
+		}
+	}
+	if causes := guard.ended; causes[Evicted] != 2 {
+		t.Errorf("%d are counted as evicted, want 2", causes[Evicted])
+	}
+}
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -99,7 +99,9 @@
 	// searched is when no connection was last found that could be evicted, and searchedGrace with which grace.
 	searched      time.Time
 	searchedGrace time.Duration
-	ended         map[Cause]uint64
+	// searchedReaders is when EvictReaders last searched.
+	searchedReaders time.Time
+	ended           map[Cause]uint64
 	// logged is when a cause was logged last.
 	logged map[Cause]time.Time
 }
--- a/internal/httpguard/turns.go
+++ b/internal/httpguard/turns.go
@@ -5,6 +5,7 @@
 	"math"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -66,6 +67,8 @@
 	// since is when the turn began, or the last one ended, and spent the length of the turns since the last pause.
 	since time.Time
 	spent time.Duration
+	// waited is how long connections have waited for turns, in nanoseconds.
+	waited atomic.Int64
 	// sleep pauses, and returns for how long others went on working after that.
 	sleep func(time.Duration) time.Duration
 }
@@ -98,6 +101,7 @@
 	heap.Push(&t.waiting, w)
 	t.mu.Unlock()
 	<-w.ready
+	t.waited.Add(int64(time.Since(now)))
 }
 
 func (t *Turns) end() {
--- a/internal/serving/guards.go
+++ b/internal/serving/guards.go
@@ -36,13 +36,6 @@
 	maxOperatorHead = 8 << 10
 )
 
-// A caller that doesn't read its answer keeps a connection to a worker. Once nearly all of them are in use, and
-// for shortFor after that, it may stall for shortStall only.
-const (
-	shortFor   = time.Second
-	shortStall = 250 * time.Millisecond
-)
-
 // guards bound the clients of a node's ports.
 type guards struct {
 	callers, readiness, metrics, exchange *httpguard.Guard
@@ -66,6 +59,7 @@
 			Limits: n.operatorLimits, Grace: evictionGrace, Turns: turns, Log: n.log,
 		}),
 	}
+	n.pool.SetShort(n.guards.callers.EvictReaders)
 	httpguard.Register(metrics, n.guards.callers, n.guards.readiness, n.guards.metrics, n.guards.exchange)
 }
 
@@ -94,9 +88,6 @@
 	if timeout := table.Limits.IdleTimeout; timeout > 0 {
 		limits.IdleTimeout = timeout
 	}
-	if time.Since(n.pool.ShortAt()) < shortFor {
-		limits.AnswerTimeout = min(limits.AnswerTimeout, shortStall)
-	}
 	return limits
 }
 
--- a/internal/workerconn/lending_test.go
+++ b/internal/workerconn/lending_test.go
@@ -106,3 +106,22 @@
 		}
 	}
 }
+
+// TestShortConnectionsAreTold: the connections of callers that don't read are closed only if that is told in time.
+func TestShortConnectionsAreTold(t *testing.T) {
+	const limit = 2 * spareParts
+	pool := NewPool()
+	times := 0
+	pool.SetShort(func() { times++ })
+	for taken := range limit {
+		if _, err := pool.takeIdle("w", limit); err != nil {
+			t.Fatal(err)
+		}
+		if told := times > 0; told != (taken >= limit-limit/spareParts) {
+			t.Errorf("with %d of %d connections in use it was told %d times", taken, limit, times)
+		}
+	}
+	if _, err := pool.takeIdle("w", limit); !errors.Is(err, ErrFull) || times != limit/spareParts+1 {
+		t.Errorf("beyond the limit: %v, told %d times", err, times)
+	}
+}
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -63,6 +63,8 @@
 	tunnels Tunnels
 	// verifier is nil if incarnations of workers aren't verified.
 	verifier Verifier
+	// short is called with mu held when nearly all connections to a worker are in use. It may be nil.
+	short func()
 	// source is the address that connections are made from, nil if the system chooses it.
 	source net.Addr
 
@@ -70,9 +72,8 @@
 	idle   map[string][]*conn
 	open   map[string]int
 	opened uint64
-	// usedAt is when the last request of a caller came, and shortAt when one last found nearly all
-	// connections to a worker in use.
-	usedAt, shortAt time.Time
+	// usedAt is when the last request of a caller came.
+	usedAt time.Time
 }
 
 // NewPool returns an empty pool.
@@ -87,6 +88,10 @@
 // request is sent.
 func (p *Pool) SetLinks(table *links.Table) { p.links = table }
 
+// SetShort sets what is called when a request finds nearly all connections to a worker in use. It must not call the
+// pool. It must be set before any request is sent.
+func (p *Pool) SetShort(short func()) { p.short = short }
+
 // SetSource sets the IP address that connections are made from. It must be called before any
 // request is sent.
 func (p *Pool) SetSource(ip net.IP) { p.source = &net.TCPAddr{IP: ip} }
@@ -342,8 +347,8 @@
 		p.idle[key] = slices.Delete(idle, at, at+1)
 		return last, nil
 	}
-	if limit > 0 && p.open[key] >= limit-limit/spareParts {
-		p.shortAt = time.Now()
+	if limit > 0 && p.open[key] >= limit-limit/spareParts && p.short != nil {
+		p.short()
 	}
 	if limit > 0 && p.open[key] >= limit {
 		return nil, ErrFull
@@ -356,14 +361,6 @@
 // spareParts is the part of the connections to a worker that are spare where they aren't short.
 const spareParts = 8
 
-// ShortAt returns when a request last found nearly all connections to a worker in use, the zero time if
-// none did.
-func (p *Pool) ShortAt() time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.shortAt
-}
-
 // Dial opens a connection that isn't pooled, with the socket options of those to workers.
 func (p *Pool) Dial(ctx context.Context, address string) (net.Conn, error) {
 	return p.dial(ctx, address)
