httpguard: large bodies begin only where they find room for their rest

Cause: at that moment each of the 400 held some 70 KB, a first piece of its body with connection, head and request, and made progress; nobody gave way. None of these bodies could have been read to its end: together they announced 1.6 GB. Change: a request whose body was announced counts with that length when it begins, so 4 MB bodies begin in half of the budget and are refused at once beyond it. What isn't announced (chunks) counts as it comes, as before. Test: TestLargeBodiesBeginOnlyWhereTheyFindRoom.

--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -161,9 +161,10 @@
 	c.lag = max(c.lag, 0)
 }
 
-// reserveRequest reserves memory for the request of the connection. The caller holds the lock.
-func (c *conn) reserveRequest(bytes int64, now time.Time) bool {
-	if !c.guard.reserve(c, bytes, now) {
+// reserveRequest reserves memory for the request of the connection, which will take that much more later. The caller
+// holds the lock.
+func (c *conn) reserveRequest(bytes, later int64, now time.Time) bool {
+	if !c.guard.reserve(c, bytes, later, now) {
 		return false
 	}
 	c.ofRequest += bytes
@@ -235,8 +236,9 @@
 	c.phase, c.since = idle, time.Now()
 }
 
-// begin notes that a request is handed to the handler. It returns false if there is no room for it.
-func (c *conn) begin() bool {
+// begin notes that a request is handed to the handler, with the length of its body that was announced, zero or less
+// if none was. It returns false if there is no room for it: a large body begins only where its rest finds room too.
+func (c *conn) begin(announced int64) bool {
 	now := time.Now()
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
@@ -245,7 +247,7 @@
 		cost += c.beyond.cost()
 	}
 	c.phase, c.since, c.lag = handling, now, 0
-	if c.reserveRequest(cost, now) {
+	if c.reserveRequest(cost, max(announced, 0), now) {
 		c.ofHandler = requestCost
 		return true
 	}
--- a/internal/httpguard/eviction_test.go
+++ b/internal/httpguard/eviction_test.go
@@ -37,3 +37,28 @@
 		t.Errorf("%d are counted as evicted, want 2", causes[Evicted])
 	}
 }
+
+// TestLargeBodiesBeginOnlyWhereTheyFindRoom: hundreds of large bodies that began at once took what small requests
+// need, and none of them could be read to its end.
+func TestLargeBodiesBeginOnlyWhereTheyFindRoom(t *testing.T) {
+	const memory, length = 16 << 20, 4 << 20
+	guard := newTestGuard(memory, 1000, roomy)
+	begun := 0
+	for range 400 {
+		if c := guard.admit(newScripted()); c == nil {
+			t.Fatal("a connection isn't admitted")
+		} else if c.begin(length) {
+			begun++
+		} else {
+			guard.forget(c) // it is refused
+		}
+	}
+	if guard.used > memory/2 || begun == 0 {
+		t.Errorf("%d large bodies have begun and %d bytes are reserved, %d are for all", begun, guard.used, memory)
+	}
+	for range 50 {
+		if c := guard.admit(newScripted()); c == nil || !c.begin(1024) {
+			t.Fatal("there is no room for a small request")
+		}
+	}
+}
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -138,7 +138,7 @@
 	if g.open >= g.options.Connections {
 		g.evict(c, g.options.Grace, max(g.options.Connections/evictionParts, 1), 0, now)
 	}
-	if g.open >= g.options.Connections || !g.reserve(c, connectionCost, now) {
+	if g.open >= g.options.Connections || !g.reserve(c, connectionCost, 0, now) {
 		g.count(NoRoomToAccept, accepted, now)
 		return nil
 	}
@@ -147,12 +147,13 @@
 	return c
 }
 
-// reserve reserves memory for a connection and evicts others if it is short. The caller holds the lock.
-func (g *Guard) reserve(c *conn, bytes int64, now time.Time) bool {
+// reserve reserves memory for a connection, which will hold that much more later, and evicts others if it is
+// short. The caller holds the lock.
+func (g *Guard) reserve(c *conn, bytes, later int64, now time.Time) bool {
 	if c.dropped {
 		return false
 	}
-	limit, grace := g.limitFor(c.held+bytes), g.options.Grace
+	limit, grace := g.limitFor(c.held+bytes+later), g.options.Grace
 	if limit < g.options.Memory {
 		grace = largeGrace
 	}
--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -346,7 +346,7 @@
 	}
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	if !c.reserveRequest(held, time.Now()) {
+	if !c.reserveRequest(held, 0, time.Now()) {
 		t.Fatal("no room")
 	}
 	c.phase, c.since = in, time.Now().Add(-ago)
@@ -394,7 +394,7 @@
 	for range 40 {
 		c := guard.admit(newScripted())
 		guard.mu.Lock()
-		if c == nil || !c.reserveRequest(512<<10, time.Now()) {
+		if c == nil || !c.reserveRequest(512<<10, 0, time.Now()) {
 			refused++
 		}
 		guard.mu.Unlock()
@@ -404,7 +404,7 @@
 	}
 	for range 10 {
 		c := guard.admit(newScripted())
-		if c == nil || !c.begin() {
+		if c == nil || !c.begin(0) {
 			t.Fatal("an ordinary request finds no room")
 		}
 	}
@@ -425,7 +425,7 @@
 		c.since = time.Now().Add(-largeGrace / 2)
 		large = c
 	}
-	reserved := large.reserveRequest(room/2, time.Now())
+	reserved := large.reserveRequest(room/2, 0, time.Now())
 	guard.mu.Unlock()
 	if reserved {
 		t.Fatal("a large request finds room")
--- a/internal/httpguard/handler.go
+++ b/internal/httpguard/handler.go
@@ -17,7 +17,7 @@
 		}
 		c.takeTurn(requestEffort)
 		c.endTurnSoon()
-		roomy := c.begin()
+		roomy := c.begin(request.ContentLength)
 		defer c.finish()
 		if !roomy {
 			writer.Header().Set("Connection", "close")
@@ -69,7 +69,7 @@
 	h.conn.guard.mu.Lock()
 	defer h.conn.guard.mu.Unlock()
 	now := time.Now()
-	if h.conn.reserveRequest(bytes, now) {
+	if h.conn.reserveRequest(bytes, 0, now) {
 		return nil
 	}
 	if !h.conn.dropped {
--- a/internal/httpguard/head.go
+++ b/internal/httpguard/head.go
@@ -90,7 +90,7 @@
 	switch {
 	case limit > 0 && c.headBytes > limit:
 		return HeadTooLarge
-	case !c.reserveRequest(size.cost(), now):
+	case !c.reserveRequest(size.cost(), 0, now):
 		return NoRoomForHead
 	}
 	return ""
