httpguard: a crowd that sends no head gives way at once

Cause: 2,400 clients come at once; the first 1,270 hold all memory, none of them has been without progress for 0.1 s, and whoever comes next is reset or refused. Change: if nobody has been without progress for the grace, the oldest connections give way on which no head has been complete yet. Connections that have had a request answered are never closed for that. Tests: TestSilentConnectionsGiveWayAtOnce.

--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -42,6 +42,8 @@
 	waiting time.Time
 	lag     time.Duration
 	writing bool
+	// answered tells that a request of the connection was answered.
+	answered bool
 	// dropped tells that the guard has closed the connection.
 	dropped bool
 	// over tells that nothing may be read or written any more, and refused that this is since the client got the
@@ -233,7 +235,7 @@
 	defer c.guard.mu.Unlock()
 	c.releaseRequest(c.ofRequest)
 	c.lag = 0
-	c.phase, c.since = idle, time.Now()
+	c.phase, c.since, c.answered = idle, time.Now(), true
 }
 
 // begin notes that a request is handed to the handler, with the length of its body that was announced, zero or less
--- a/internal/httpguard/eviction.go
+++ b/internal/httpguard/eviction.go
@@ -34,6 +34,30 @@
 	}
 }
 
+// evictSilent closes the oldest connections on which no head has been complete yet, until that many connections and
+// bytes are free. In a crowd of them nobody may have been without progress for the grace, and whoever comes next
+// would be refused; an ordinary client sends its head before all that came earlier have given way. The caller holds
+// the lock.
+func (g *Guard) evictSilent(except *conn, connections int, bytes int64, now time.Time) {
+	if now.Sub(g.searchedSilent) < searchInterval {
+		return
+	}
+	var found []victim
+	for c := range g.conns {
+		if c != except && !c.dropped && !c.answered && (c.phase == idle || c.phase == head) {
+			found = append(found, victim{c, c.stalled(now).Seconds()})
+		}
+	}
+	if len(found) == 0 {
+		g.searchedSilent = now
+	}
+	sortVictims(found)
+	if bytes > 0 {
+		bytes = max(bytes, g.options.Memory/evictionParts)
+	}
+	g.dropVictims(found, connections, bytes, now)
+}
+
 // EvictReaders closes connections of clients that have not read their answers for longest, since these keep
 // connections to workers. Those that have made progress within the grace stay open.
 func (g *Guard) EvictReaders() {
--- a/internal/httpguard/eviction_test.go
+++ b/internal/httpguard/eviction_test.go
@@ -62,3 +62,29 @@
 		}
 	}
 }
+
+// TestSilentConnectionsGiveWayAtOnce: a crowd of clients that send nothing, or half a head, came at once; ordinary
+// callers were refused until the first of the crowd had been without progress for the grace.
+func TestSilentConnectionsGiveWayAtOnce(t *testing.T) {
+	const most = 4 * evictionParts
+	for name, memory := range map[string]int64{"connections": 64 << 20, "memory": most * connectionCost} {
+		guard := newTestGuard(memory, most, roomy)
+		kept := guard.admit(newScripted())
+		kept.rest()
+		atWorker := connOf(t, guard, handling, 0, 0)
+		var silent []*conn
+		for guard.openNow() < most && guard.used+connectionCost <= memory {
+			silent = append(silent, connOf(t, guard, []phase{idle, head}[len(silent)%2], 0, 0))
+		}
+		ordinary := guard.admit(newScripted())
+		if ordinary == nil || !ordinary.begin(1024) {
+			t.Fatalf("%s: an ordinary client finds no room", name)
+		}
+		if kept.dropped || atWorker.dropped || ordinary.dropped {
+			t.Errorf("%s: closed: a kept connection %v, one with a request at a worker %v, the new one %v", name, kept.dropped, atWorker.dropped, ordinary.dropped)
+		}
+		if !silent[0].dropped || silent[len(silent)-1].dropped {
+			t.Errorf("%s: closed: the oldest %v, the newest %v", name, silent[0].dropped, silent[len(silent)-1].dropped)
+		}
+	}
+}
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -99,9 +99,9 @@
 	// searched is when no connection was last found that could be evicted, and searchedGrace with which grace.
 	searched      time.Time
 	searchedGrace time.Duration
-	// searchedReaders is when EvictReaders last searched.
-	searchedReaders time.Time
-	ended           map[Cause]uint64
+	// searchedReaders is when EvictReaders last searched, and searchedSilent when evictSilent last found nobody.
+	searchedReaders, searchedSilent time.Time
+	ended                           map[Cause]uint64
 	// logged is when a cause was logged last.
 	logged map[Cause]time.Time
 }
@@ -138,6 +138,9 @@
 	if g.open >= g.options.Connections {
 		g.evict(c, g.options.Grace, max(g.options.Connections/evictionParts, 1), 0, now)
 	}
+	if g.open >= g.options.Connections {
+		g.evictSilent(c, max(g.options.Connections/evictionParts, 1), 0, now)
+	}
 	if g.open >= g.options.Connections || !g.reserve(c, connectionCost, 0, now) {
 		g.count(NoRoomToAccept, accepted, now)
 		return nil
@@ -160,6 +163,9 @@
 	if g.used+bytes > limit {
 		g.evict(c, grace, 0, g.used+bytes-limit, now)
 	}
+	if g.used+bytes > limit && limit == g.options.Memory {
+		g.evictSilent(c, 0, g.used+bytes-limit, now)
+	}
 	if g.used+bytes > limit {
 		return false
 	}
