httpguard: tests check again at once that no turn is held

TestTurns and TestRequestsArriveAsWithoutAGuard waited up to 20 s until nobody has a turn, since a pause follows each; a connection that keeps its turn until handlerTurn ends it would have passed. Change: turns know whether they are free, taken or pausing, and the tests require at once that they aren't taken.

--- a/internal/httpguard/guard_test.go
+++ b/internal/httpguard/guard_test.go
@@ -254,7 +254,7 @@
 		if diff := cmp.Diff(want, got) + cmp.Diff(dates(wantSent), dates(sent)); diff != "" {
 			t.Fatalf("seed %d: %s", seed, diff)
 		}
-		if connections, held, _ := guard.figures(); connections != 0 || held != 0 || guard.openNow() != 0 || !guard.options.Turns.awaitFree() {
+		if connections, held, _ := guard.figures(); connections != 0 || held != 0 || guard.openNow() != 0 || guard.options.Turns.isTaken() {
 			t.Fatalf("seed %d: %d connections, %d open, %d bytes or a turn are still held", seed, connections, guard.openNow(), held)
 		}
 	}
@@ -560,17 +560,10 @@
 	}
 }
 
-// awaitFree waits until nobody has a turn, and the pause after the last one is over.
-func (t *Turns) awaitFree() bool {
-	for end := time.Now().Add(awaitTimeout); time.Now().Before(end); time.Sleep(100 * time.Microsecond) {
-		t.mu.Lock()
-		taken := t.taken
-		t.mu.Unlock()
-		if !taken {
-			return true
-		}
-	}
-	return false
+func (t *Turns) isTaken() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state == taken
 }
 
 // TestTurns: of the connections that keep the processor busy one works at a time, and the others don't wait.
@@ -599,7 +592,7 @@
 	busy.endTurn()
 	<-took
 	_ = other.Close()
-	if !guard.options.Turns.awaitFree() {
+	if guard.options.Turns.isTaken() {
 		t.Error("a closed connection keeps its turn")
 	}
 }
--- a/internal/httpguard/turns.go
+++ b/internal/httpguard/turns.go
@@ -26,11 +26,23 @@
 	handlerTurn = 2 * time.Millisecond
 )
 
+// turnState is what turns are at.
+type turnState int
+
+const (
+	// free: no connection has the turn.
+	free turnState = iota
+	// taken: a connection has it.
+	taken
+	// pausing: the last turn has ended, and the next one waits until the processor is idle.
+	pausing
+)
+
 // Turns lets one of the connections without credit work at a time, those first that ask for little or have waited
 // for long. Others have precedence: the next turns begin once nothing else is to be done.
 type Turns struct {
 	mu      sync.Mutex
-	taken   bool
+	state   turnState
 	waiting waiters
 	// since is when the turn began, or the last one ended, and spent the length of the turns since the last pause.
 	since time.Time
@@ -57,11 +69,11 @@
 func (t *Turns) begin(work int) {
 	now := time.Now()
 	t.mu.Lock()
-	if !t.taken {
+	if t.state == free {
 		if now.Sub(t.since) >= turnPause {
 			t.spent = 0
 		}
-		t.taken, t.since = true, now
+		t.state, t.since = taken, now
 		t.mu.Unlock()
 		return
 	}
@@ -78,7 +90,7 @@
 	now := time.Now()
 	t.spent += now.Sub(t.since)
 	if t.spent >= turnBurst { // also if nobody waits: others may be about to ask
-		t.spent = 0
+		t.state, t.spent = pausing, 0
 		go t.nextWhenIdle()
 		return
 	}
@@ -87,11 +99,11 @@
 
 // next hands the turn over. The caller holds the lock.
 func (t *Turns) next(now time.Time) {
-	t.since = now
+	t.state, t.since = free, now
 	if len(t.waiting) == 0 {
-		t.taken = false
 		return
 	}
+	t.state = taken
 	w, _ := heap.Pop(&t.waiting).(*waiter)
 	close(w.ready)
 }
