internal/lab/platform: a test ended a call by the clock, within a try

The call had 300 ms in all. Where they ended while a try was under way, the client can't know whether it was applied and says so, as its documentation promises. The test asked for "not written" in that case too.

Ruled out: a wrong verdict of the client on a throttled try. transactError and notExecuted see no throttled answer there, only the context's end.

Change: the client's own rate ends the call after the tries of its burst, so no clock decides, and the test asks for more than one try.

No code but tests changed.

--- a/internal/lab/platform/platform_test.go
+++ b/internal/lab/platform/platform_test.go
@@ -21,9 +21,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(fake.Close)
-	return fake, table.New(table.Settings{
+	return fake, clientOf(fake, 1000, total)
+}
+
+func clientOf(fake *Table, requestsPerSecond float64, total time.Duration) *table.Client {
+	return table.New(table.Settings{
 		Endpoint: fake.URL(), Region: "local", Table: "tinarch", AccessKey: "a", SecretKey: "s",
-		RequestsPerSecond: 1000, Total: total,
+		RequestsPerSecond: requestsPerSecond, Total: total,
 	})
 }
 
@@ -67,19 +71,28 @@
 	}
 }
 
+// TestTableAdapterTellsNotDoneFromUnknown: the client's own rate ends a call after the tries of its burst, so no try
+// is under way when the call ends.
 func TestTableAdapterTellsNotDoneFromUnknown(t *testing.T) {
-	fake, client := startTable(t, 300*time.Millisecond)
+	const total = time.Minute
+	fake, client := startTable(t, total)
 	fake.SetFaults(Faults{LoseAnswers: 1000})
-	err := client.Transact(context.Background(), "t1", write(1, 0, "one"))
+	err := clientOf(fake, 0.001, total).Transact(context.Background(), "t1", write(1, 0, "one"))
 	if result.CodeOf(err) != result.ApplyUnknown {
 		t.Errorf("all answers lost: %v", err)
 	}
 	fake.SetFaults(Faults{RequestsPerSecond: 0.001})
-	_, _ = client.Get(context.Background(), key) // uses up the limiter's burst
-	err = client.Transact(context.Background(), "t2", write(2, 1, "two"))
+	if item, err := client.Get(context.Background(), key); err != nil || item.Revision != 1 { // uses up the limiter's burst
+		t.Errorf("item %+v, error %v", item, err)
+	}
+	tried := fake.Requests()
+	err = clientOf(fake, 0.001, total).Transact(context.Background(), "t2", write(2, 1, "two"))
 	if result.CodeOf(err) != result.TableUnavailable {
 		t.Errorf("throttled: %v", err)
 	}
+	if tries := fake.Requests() - tried; tries < 2 {
+		t.Errorf("throttled: %d tries", tries)
+	}
 }
 
 func TestObjectAdapter(t *testing.T) {
