--- a/cmd/tinarch-lab/abuse.go
+++ b/cmd/tinarch-lab/abuse.go
@@ -19,6 +19,7 @@
 	Seconds       float64  `arg:"--seconds" default:"12" help:"how long clients misbehave"`
 	Calm          float64  `arg:"--calm" default:"3" help:"how long ordinary callers are alone before, in seconds"`
 	Changes       bool     `arg:"--changes" help:"reload, reconfigure and restart meanwhile, and stop the node at the end"`
+	Gateways      bool     `arg:"--gateways" help:"the nodes are gateways; kinds of the callers' port only"`
 	ManyAddresses bool     `arg:"--many-addresses" help:"clients connect from many addresses"`
 	Memory        int      `arg:"--memory" default:"144" help:"memory of the machine in MB"`
 	Descriptors   int      `arg:"--descriptors" default:"3075" help:"descriptors of the machine"`
@@ -59,12 +60,15 @@
 // runs returns the options of all runs.
 func (c *abuseCommand) runs() []abuse.Options {
 	options := abuse.Options{
-		Program: c.Program, Calm: seconds(c.Calm), Length: seconds(c.Seconds), Kinds: c.Kinds, Changes: c.Changes, ManyAddresses: c.ManyAddresses, Share: c.Share,
+		Program: c.Program, Calm: seconds(c.Calm), Length: seconds(c.Seconds), Kinds: c.Kinds, Changes: c.Changes, Gateways: c.Gateways, ManyAddresses: c.ManyAddresses, Share: c.Share,
 		MemoryMegabytes: c.Memory, Descriptors: c.Descriptors, Rate: c.Rate, Timeout: seconds(c.Timeout), Seed: c.Seed,
 	}
 	var all []abuse.Options
 	if c.All {
 		for _, kind := range abuse.Kinds() {
+			if c.Gateways && kind.Port != abuse.Callers {
+				continue
+			}
 			options.Kinds = []string{kind.Name}
 			all = append(all, options)
 		}
--- a/internal/lab/abuse/abuse.go
+++ b/internal/lab/abuse/abuse.go
@@ -34,6 +34,8 @@
 	// Share is the part of a core that the node under attack gets, as by a quota of the system: it is paused
 	// for the rest of each sharePeriod. Zero and one mean no quota.
 	Share float64
+	// Gateways makes the nodes gateways, whose only port for clients is that of callers. Changes aren't played.
+	Gateways bool
 	// ManyAddresses makes clients connect from many addresses.
 	ManyAddresses bool
 	// MemoryMegabytes and Descriptors are those of the machine. A process that passes the memory is
@@ -118,6 +120,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := options.check(kinds); err != nil {
+		return nil, err
+	}
 	s, err := startSite(ctx, options)
 	if err != nil {
 		return nil, err
@@ -141,6 +146,22 @@
 	return r.report, ctx.Err()
 }
 
+// check returns what gateways can't play.
+func (o Options) check(kinds []Kind) error {
+	switch {
+	case !o.Gateways:
+		return nil
+	case o.Changes || len(kinds) == 0:
+		return result.New(result.SettingsInvalid, "gateways play kinds by name, without changes")
+	}
+	for _, kind := range kinds {
+		if kind.Port != Callers {
+			return result.New(result.SettingsInvalid, "%s: a gateway has no port for %s", kind.Name, kind.Port)
+		}
+	}
+	return nil
+}
+
 // kindsOf returns the kinds with these names.
 func kindsOf(names []string) ([]Kind, error) {
 	var chosen []Kind
--- a/internal/lab/abuse/site.go
+++ b/internal/lab/abuse/site.go
@@ -1,6 +1,7 @@
 package abuse
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,8 +15,10 @@
 	"syscall"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/lab/cluster"
 	"github.com/tinarch/tinarch/internal/lab/fleetstore"
 	"github.com/tinarch/tinarch/internal/lab/process"
+	"github.com/tinarch/tinarch/internal/plainhttp"
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/settings"
 )
@@ -34,7 +37,9 @@
 // site is two nodes as processes, and stand-ins for the store and the workers.
 type site struct {
 	options Options
+	// store is nil at gateways, and lab, with the platform of gateways, at other nodes.
 	store   *fleetstore.Store
+	lab     *cluster.Cluster
 	workers []*plainWorker
 	nodes   []*node
 	version int
@@ -44,6 +49,8 @@
 type node struct {
 	*process.Node
 	listen settings.RoutedListen
+	// operators is the address for operators of a gateway.
+	operators string
 }
 
 func (n *node) address(port Port) string {
@@ -90,7 +97,7 @@
 	case request.URL.Path == "/v1/report":
 		_ = json.NewEncoder(writer).Encode(map[string]any{"Busy": false})
 		return
-	case request.Header.Get("X-Expect-Instance") != w.id:
+	case cmp.Or(request.Header.Get("X-Expect-Instance"), request.Header.Get(plainhttp.HeaderWorker)) != w.id:
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -147,10 +154,12 @@
 }
 
 func startSite(ctx context.Context, options Options) (*site, error) {
+	if options.Gateways {
+		return startGateways(ctx, options)
+	}
 	s := &site{options: options, store: fleetstore.Start()}
-	for number := range workerCount {
-		worker := startWorker(fmt.Sprintf("plain-%d", number+1))
-		s.workers = append(s.workers, worker)
+	s.startWorkers()
+	for _, worker := range s.workers {
 		s.store.Put("servers", worker.id, worker.entry())
 	}
 	s.configure()
@@ -173,6 +182,18 @@
 	return s, nil
 }
 
+func (s *site) startWorkers() {
+	for number := range workerCount {
+		s.workers = append(s.workers, startWorker(fmt.Sprintf("plain-%d", number+1)))
+	}
+}
+
+// limited returns arguments of /bin/sh that run the program with the descriptors of the machine.
+func (s *site) limited(arguments ...string) []string {
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, s.options.Descriptors)
+	return append([]string{"-c", script, s.options.Program}, arguments...)
+}
+
 // startNode starts a node at an address of its own, with the descriptors of the machine.
 func (s *site) startNode(number int) error {
 	configured := settings.DefaultRouted()
@@ -189,9 +210,8 @@
 		}
 		*address = free
 	}
-	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, s.options.Descriptors)
 	started := &node{listen: configured.Listen, Node: &process.Node{
-		Program: "/bin/sh", Arguments: []string{"-c", script, s.options.Program, "--routed"}, Directory: s.options.Directory,
+		Program: "/bin/sh", Arguments: s.limited("--routed"), Directory: s.options.Directory,
 		Name: configured.Node.Name, Settings: configured, ReadyURL: "http://" + configured.Listen.Readiness + "/v1/ready",
 	}}
 	s.nodes = append(s.nodes, started)
@@ -256,5 +276,10 @@
 		worker.server.CloseClientConnections()
 		worker.server.Close()
 	}
-	s.store.Close()
+	if s.store != nil {
+		s.store.Close()
+	}
+	if s.lab != nil {
+		s.lab.Close()
+	}
 }
