httpguard: a crowd that doesn't read its answers gives way at once

Cause: 1,500 callers of a gateway that read no answer come at once. For the grace (0.1 s) nobody has been without progress long enough to give way, so ordinary callers that come in that time are reset: the class of the crowd that sends no head, in another phase.

Change: those whose client doesn't read its answer now give way with those that have sent no head, the longest wait first. TestSilentConnectionsGiveWayAtOnce has the third phase and failed before.

--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -296,6 +296,12 @@
 	return 0
 }
 
+// awaitsFirstHead reports whether no head has been complete on the connection yet. The caller holds the lock.
+func (c *conn) awaitsFirstHead() bool { return !c.answered && (c.phase == idle || c.phase == head) }
+
+// awaitsReader reports whether the node waits for the client to read its answer. The caller holds the lock.
+func (c *conn) awaitsReader() bool { return c.phase == handling && c.writing && !c.waiting.IsZero() }
+
 // overdue returns the limit that the client exceeds, empty if there is none. The caller holds the lock.
 func (c *conn) overdue(limits Limits, now time.Time) Cause {
 	stalled, timeout := c.stalled(now), limits.StallTimeout
--- a/internal/httpguard/eviction.go
+++ b/internal/httpguard/eviction.go
@@ -34,17 +34,17 @@
 	}
 }
 
-// evictSilent closes the oldest connections on which no head has been complete yet, until that many connections and
-// bytes are free. In a crowd of them nobody may have been without progress for the grace, and whoever comes next
-// would be refused; an ordinary client sends its head before all that came earlier have given way. The caller holds
-// the lock.
+// evictSilent closes connections on which no head has been complete yet, or whose client doesn't read its answer now,
+// those first that have been so for longest, until that many connections and bytes are free. In a crowd of them nobody
+// may have been without progress for the grace, and whoever comes next would be refused; an ordinary client sends its
+// head before all that came earlier have given way. The caller holds the lock.
 func (g *Guard) evictSilent(except *conn, connections int, bytes int64, now time.Time) {
 	if now.Sub(g.searchedSilent) < searchInterval {
 		return
 	}
 	var found []victim
 	for c := range g.conns {
-		if c != except && !c.dropped && !c.answered && (c.phase == idle || c.phase == head) {
+		if c != except && !c.dropped && (c.awaitsFirstHead() || c.awaitsReader()) {
 			found = append(found, victim{c, c.stalled(now).Seconds()})
 		}
 	}
@@ -70,7 +70,7 @@
 	g.searchedReaders = now
 	var found []victim
 	for c := range g.conns {
-		if stalled := c.stalled(now); c.phase == handling && c.writing && !c.dropped && stalled >= g.options.Grace {
+		if stalled := c.stalled(now); c.awaitsReader() && !c.dropped && stalled >= g.options.Grace {
 			found = append(found, victim{c, stalled.Seconds()})
 		}
 	}
--- a/internal/httpguard/eviction_test.go
+++ b/internal/httpguard/eviction_test.go
@@ -63,10 +63,11 @@
 	}
 }
 
-// TestSilentConnectionsGiveWayAtOnce: a crowd of clients that send nothing, or half a head, came at once; ordinary
-// callers were refused until the first of the crowd had been without progress for the grace.
+// TestSilentConnectionsGiveWayAtOnce: a crowd of clients that send nothing, send half a head or don't read came at
+// once; ordinary callers were refused until the first of the crowd had been without progress for the grace.
 func TestSilentConnectionsGiveWayAtOnce(t *testing.T) {
 	const most = 4 * evictionParts
+	phases := []phase{idle, head, handling}
 	for name, memory := range map[string]int64{"connections": 64 << 20, "memory": most * connectionCost} {
 		guard := newTestGuard(memory, most, roomy)
 		kept := guard.admit(newScripted())
@@ -74,7 +75,9 @@
 		atWorker := connOf(t, guard, handling, 0, 0)
 		var silent []*conn
 		for guard.openNow() < most && guard.used+connectionCost <= memory {
-			silent = append(silent, connOf(t, guard, []phase{idle, head}[len(silent)%2], 0, 0))
+			c := connOf(t, guard, phases[len(silent)%len(phases)], 0, 0)
+			c.writing, c.waiting = c.phase == handling, time.Now()
+			silent = append(silent, c)
 		}
 		ordinary := guard.admit(newScripted())
 		if ordinary == nil || !ordinary.begin(1024) {
