A gateway's heap has a limit where its machine's memory is known

Cause: a routed node limits the Go heap to 0.6 of its machine's memory; a gateway had no setting for that memory, so its heap grew to twice what lived before the collector ran.

Change: limits.memory_mb of a gateway's settings (0, the default: no limit, as before) sets the same limit, by the same function. Where it is set, limits.client_memory_mb may be half of it at most.

Conclusion: both homes of the door have the same bounds, as processes.

--- a/cmd/tinarchd/main.go
+++ b/cmd/tinarchd/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/tinarch/tinarch/internal/cli"
@@ -33,12 +34,21 @@
 		fmt.Println("the settings are valid")
 		return 0
 	}
+	if configured.Limits.MemoryMegabytes > 0 {
+		limitMemory(configured.Limits.MemoryMegabytes)
+	}
 	if err := serve(configured); err != nil {
 		return cli.Fail(program, err)
 	}
 	return 0
 }
 
+// limitMemory sets the memory limit of the Go runtime to a share of the machine's memory.
+func limitMemory(megabytes int) {
+	const memoryShare = 0.6
+	debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * (1 << 20)))
+}
+
 // serve runs the node until a signal requests a planned stop. A second signal ends the stop at
 // once.
 func serve(configured settings.Settings) error {
--- a/cmd/tinarchd/routed.go
+++ b/cmd/tinarchd/routed.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -39,7 +38,8 @@
 	if err != nil {
 		return cli.Fail(program, err)
 	}
-	limitProcess(configured)
+	runtime.GOMAXPROCS(1)
+	limitMemory(configured.Limits.MemoryMegabytes)
 	log := decisionlog.New(os.Stdout, level)
 	defer log.Close(logCloseTimeout)
 	signals := make(chan os.Signal, 4)
@@ -89,15 +89,6 @@
 	return info.ModTime()
 }
 
-// limitProcess limits the process to one core and sets the memory limit of the Go runtime to a
-// share of the memory that the settings allow.
-func limitProcess(configured settings.Routed) {
-	const megabyte = 1 << 20
-	const memoryShare = 0.6
-	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(memoryShare * float64(configured.Limits.MemoryMegabytes) * megabyte))
-}
-
 // reload reads the settings again and applies the log level, the only setting that can change
 // while the process runs. If the settings are invalid, nothing changes.
 func reload(path string, log *decisionlog.Log) {
--- a/internal/lab/abuse/abuse_test.go
+++ b/internal/lab/abuse/abuse_test.go
@@ -64,3 +64,11 @@
 		t.Run(kind, func(t *testing.T) { play(t, "--kind", kind, "--seconds", "6", "--share", "0.12", "--timeout", "3") })
 	}
 }
+
+// TestClientsThatMisbehaveAtGateways plays kinds of each cost at the other home of the same door: bodies, heads,
+// connections, answers that aren't read, requests.
+func TestClientsThatMisbehaveAtGateways(t *testing.T) {
+	for _, kind := range []string{"whole-bodies", "byte-chunks", "many-fields-whole", "slow-heads", "kept-at-rest", "unread-answers", "slow-readers", "pipelined-read"} {
+		t.Run(kind, func(t *testing.T) { play(t, "--gateways", "--kind", kind, "--seconds", "2.5") })
+	}
+}
--- a/internal/lab/abuse/gateway.go
+++ b/internal/lab/abuse/gateway.go
@@ -62,6 +62,7 @@
 	configured := s.lab.NodeSettings(fmt.Sprintf("node-%d", number+1), "a")
 	configured.Cluster.Seeds = seeds
 	configured.Limits.MaxBodyBytes = maxBodyBytes
+	configured.Limits.MemoryMegabytes = s.options.MemoryMegabytes
 	configured.Limits.ClientMemoryMegabytes = s.options.MemoryMegabytes / gatewayMemoryParts
 	configured.Limits.StopTimeoutMillis = stopMillis
 	ip := netip.AddrFrom4([4]byte{127, 0, 3, byte(1 + number)})
--- a/internal/settings/routed.go
+++ b/internal/settings/routed.go
@@ -251,7 +251,7 @@
 	c.seconds("quota.window_s", s.Quota.WindowSeconds)
 	c.nonNegative("quota.overshoot", s.Quota.Overshoot, 10)
 	c.nonNegative("quota.slack", s.Quota.Slack, 1e12)
-	c.between("limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1<<20)
+	c.between("limits.memory_mb", s.Limits.MemoryMegabytes, leastMemoryMegabytes, 1<<20)
 	c.between("limits.descriptors", s.Limits.Descriptors, 0, 1<<20)
 	if share := s.Clients.MemoryShare; share < 0.05 || share > 0.4 {
 		c.add("clients.memory_share", "%v is out of range; use 0.05 to 0.4", share)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -142,6 +142,8 @@
 	// WriteTimeoutMillis is how long a caller may take to read what is written to it.
 	WriteTimeoutMillis int   `yaml:"write_timeout_ms"`
 	MaxActive          int64 `yaml:"max_active"`
+	// MemoryMegabytes is the memory of the node's machine, zero if it is not bounded.
+	MemoryMegabytes int `yaml:"memory_mb,omitempty"`
 	// ClientMemoryMegabytes bounds the memory that all callers together make the node hold.
 	ClientMemoryMegabytes int `yaml:"client_memory_mb"`
 	// ClientConnections bounds the connections of callers, zero for three fifths of the descriptors.
@@ -250,7 +252,11 @@
 	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
-const maxLedgerGroups = 4096
+const (
+	maxLedgerGroups      = 4096
+	leastMemoryMegabytes = 32
+	leastClientMegabytes = 8
+)
 
 // Check returns all errors in the settings as one error, or nil.
 func (s Settings) Check(source *Source) error {
@@ -281,7 +287,7 @@
 	c.between("limits.read_timeout_ms", s.Limits.ReadTimeoutMillis, 100, 3_600_000)
 	c.between("limits.write_timeout_ms", s.Limits.WriteTimeoutMillis, 100, 3_600_000)
 	c.between("limits.max_active", int(s.Limits.MaxActive), 1, 1_000_000)
-	c.between("limits.client_memory_mb", s.Limits.ClientMemoryMegabytes, 8, 1<<20)
+	s.Limits.checkMemory(&c)
 	c.between("limits.client_connections", s.Limits.ClientConnections, 0, 1<<20)
 	c.between("limits.stop_timeout_ms", s.Limits.StopTimeoutMillis, 1000, 24*3_600_000)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
@@ -289,6 +295,18 @@
 	return c.err()
 }
 
+// checkMemory checks that callers leave half of the machine's memory to all else.
+func (l Limits) checkMemory(c *checker) {
+	c.between("limits.client_memory_mb", l.ClientMemoryMegabytes, leastClientMegabytes, 1<<20)
+	if l.MemoryMegabytes == 0 {
+		return
+	}
+	c.between("limits.memory_mb", l.MemoryMegabytes, leastMemoryMegabytes, 1<<20)
+	if most := l.MemoryMegabytes / 2; l.ClientMemoryMegabytes > most {
+		c.add("limits.client_memory_mb", "%d is more than half of limits.memory_mb; use %d or less", l.ClientMemoryMegabytes, most)
+	}
+}
+
 type checker struct {
 	source   *Source
 	mistakes []string
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,6 +49,8 @@
 		{"wrong type", "  id: verifica", "  ledger_groups: many", []string{"line 7", "many"}},
 		{"bad address", "127.0.0.1:0", "localhost", []string{"line 5", "listen.callers", "localhost"}},
 		{"bad name", "  name: node-1", "  name: Node One", []string{"line 2", "node.name"}},
+		{"much for callers", "cluster:", "limits: {memory_mb: 144, client_memory_mb: 73}\ncluster:", []string{"limits.client_memory_mb", "73", "72"}},
+		{"little memory", "cluster:", "limits: {memory_mb: 16, client_memory_mb: 8}\ncluster:", []string{"limits.memory_mb", "16", "32"}},
 		{"missing", "    bucket: tinarch\n", "", []string{"platform.objects.bucket", "missing"}},
 	}
 	for _, test := range cases {
