httpguard: an answer in the moment of its write doesn't give way

Cause: since connections whose client doesn't read its answer give way at once in a crowd. Every answer is unread for the microseconds of its write, so with all connections in use an ordinary answer could be closed for a new one.

Change: an answer gives way in a crowd only once it has been unread for a tenth of the grace (10 ms). TestAnswersUnderWayDontGiveWay, which failed before; TestSilentConnectionsGiveWayAtOnce has an answer that is being written, and gives its crowd ages, so that the oldest is known.

--- a/internal/httpguard/eviction.go
+++ b/internal/httpguard/eviction.go
@@ -19,21 +19,21 @@
 
 // evict closes the connections that have held most for longest without progress, until that many
 // connections and bytes are free, or none is left that has been without progress for longer than grace. Those
-// that linger are the first to give way for a connection, and the last for memory, of which they have little. The
-// caller holds the lock.
+// that linger are the first to give way for a connection. The caller holds the lock.
 func (g *Guard) evict(except *conn, grace time.Duration, connections int, bytes int64, now time.Time) {
 	if bytes > 0 {
 		bytes = max(bytes, g.options.Memory/evictionParts)
 	}
 	connections -= g.closeLingering(connections, now)
 	if now.Sub(g.searched) >= searchInterval || grace < g.searchedGrace {
-		bytes -= g.dropVictims(g.victims(except, grace, now), connections, bytes, now)
-	}
-	if bytes > 0 && grace < largeGrace {
-		g.closeLingering(int(bytes/lingerCost), now)
+		g.dropVictims(g.victims(except, grace, now), connections, bytes, now)
 	}
 }
 
+// readGraceParts is the part of the grace for which an answer must have been unread to give way in a crowd: every
+// answer is for the moment of its write.
+const readGraceParts = 10
+
 // evictSilent closes connections on which no head has been complete yet, or whose client doesn't read its answer now,
 // those first that have been so for longest, until that many connections and bytes are free. In a crowd of them nobody
 // may have been without progress for the grace, and whoever comes next would be refused; an ordinary client sends its
@@ -44,8 +44,10 @@
 	}
 	var found []victim
 	for c := range g.conns {
-		if c != except && !c.dropped && (c.awaitsFirstHead() || c.awaitsReader()) {
-			found = append(found, victim{c, c.stalled(now).Seconds()})
+		stalled := c.stalled(now)
+		unread := c.awaitsReader() && stalled >= g.options.Grace/readGraceParts
+		if c != except && !c.dropped && (c.awaitsFirstHead() || unread) {
+			found = append(found, victim{c, stalled.Seconds()})
 		}
 	}
 	if len(found) == 0 {
--- a/internal/httpguard/eviction_test.go
+++ b/internal/httpguard/eviction_test.go
@@ -72,22 +72,41 @@
 		guard := newTestGuard(memory, most, roomy)
 		kept := guard.admit(newScripted())
 		kept.rest()
-		atWorker := connOf(t, guard, handling, 0, 0)
+		atWorker, written := connOf(t, guard, handling, 0, 0), connOf(t, guard, handling, 0, 0)
+		written.writing, written.waiting = true, time.Now().Add(time.Second) // just now, however long the test takes
 		var silent []*conn
+		begun := time.Now().Add(-guard.options.Grace / 2)
 		for guard.openNow() < most && guard.used+connectionCost <= memory {
 			c := connOf(t, guard, phases[len(silent)%len(phases)], 0, 0)
-			c.writing, c.waiting = c.phase == handling, time.Now()
+			c.since = begun.Add(time.Duration(len(silent)) * time.Microsecond)
+			if c.phase == handling {
+				c.writing, c.waiting = true, c.since
+			}
 			silent = append(silent, c)
 		}
 		ordinary := guard.admit(newScripted())
 		if ordinary == nil || !ordinary.begin(1024) {
 			t.Fatalf("%s: an ordinary client finds no room", name)
 		}
-		if kept.dropped || atWorker.dropped || ordinary.dropped {
-			t.Errorf("%s: closed: a kept connection %v, one with a request at a worker %v, the new one %v", name, kept.dropped, atWorker.dropped, ordinary.dropped)
+		if kept.dropped || atWorker.dropped || written.dropped || ordinary.dropped {
+			t.Errorf("%s: closed: a kept connection %v, one with a request at a worker %v, one that is written to %v, the new one %v",
+				name, kept.dropped, atWorker.dropped, written.dropped, ordinary.dropped)
 		}
 		if !silent[0].dropped || silent[len(silent)-1].dropped {
 			t.Errorf("%s: closed: the oldest %v, the newest %v", name, silent[0].dropped, silent[len(silent)-1].dropped)
 		}
 	}
 }
+
+// TestAnswersUnderWayDontGiveWay: every answer is unread for the moment of its write.
+func TestAnswersUnderWayDontGiveWay(t *testing.T) {
+	const most = 8
+	guard := newTestGuard(64<<20, most, roomy)
+	for range most {
+		c := connOf(t, guard, handling, 0, 0)
+		c.writing, c.waiting = true, time.Now().Add(time.Second) // just now, however long the test takes
+	}
+	if guard.admit(newScripted()) != nil || guard.openNow() != most {
+		t.Errorf("%d of %d answers under way stay open", guard.openNow(), most)
+	}
+}
