httpguard: refused clients aren't told to go, and linger

Cause, traced by what each phase held: 750 connections that had answered a refusal (no room for the request or its body) held 24 of the 26 MB. net/http half-closes such a connection, since its body wasn't read, and keeps it for 0.5 s; its client sees the end and connects again at once, 133 clients 2,800 times a second. The budget was full of refusals. Only clients whose head was refused lingered. Two more of the same: when small requests found no room, lingering connections were closed by the 64th of the budget, whose clients came again; and a full budget had no room to linger, although the connection gave back more.

Change: whoever is refused for want of room lingers as those do whose head was refused, and isn't half-closed. A connection lingers in place of what it held; beyond an eighth of the budget the one that lingered for longest is closed. Small requests close only as many as they need. What large holdings leave to small ones they leave beside what lingers.

--- a/internal/httpguard/conn.go
+++ b/internal/httpguard/conn.go
@@ -46,9 +46,10 @@
 	answered bool
 	// dropped tells that the guard has closed the connection.
 	dropped bool
-	// over tells that nothing may be read or written any more, and refused that this is since the client got the
-	// last answer.
-	over, refused bool
+	// over tells that nothing may be read or written any more.
+	over bool
+	// refused tells that the last request found no room, or that its head was refused.
+	refused bool
 	// lingers tells that net/http has closed the connection and the guard keeps it open.
 	lingers bool
 	// beyond counts what net/http may have received beyond the end of the last head: the next head may
@@ -127,6 +128,12 @@
 	return c.phase, c.over
 }
 
+func (c *conn) wasRefused() bool {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	return c.refused
+}
+
 // breakOff makes all further reads and writes fail.
 func (c *conn) breakOff() {
 	c.guard.mu.Lock()
@@ -211,9 +218,12 @@
 }
 
 // CloseWrite lets net/http close one direction, so that clients receive an answer that is sent before
-// all of their request was read.
+// all of their request was read. A refused client isn't told so, or it would connect again at once.
 func (c *conn) CloseWrite() error {
 	c.endTurn()
+	if c.wasRefused() {
+		return nil
+	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -234,7 +244,7 @@
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.releaseRequest(c.ofRequest)
-	c.lag = 0
+	c.lag, c.refused = 0, false
 	c.phase, c.since, c.answered = idle, time.Now(), true
 }
 
@@ -253,10 +263,16 @@
 		c.ofHandler = requestCost
 		return true
 	}
+	c.refuse(NoRoomForRequest, now)
+	return false
+}
+
+// refuse notes that the request of the connection is refused. The caller holds the lock.
+func (c *conn) refuse(cause Cause, now time.Time) {
+	c.refused = true
 	if !c.dropped {
-		c.guard.count(NoRoomForRequest, c.Conn, now)
+		c.guard.count(cause, c.Conn, now)
 	}
-	return false
 }
 
 // finish notes that the handler has returned.
--- a/internal/httpguard/guard.go
+++ b/internal/httpguard/guard.go
@@ -163,8 +163,9 @@
 	if g.used+bytes > limit {
 		g.evict(c, grace, 0, g.used+bytes-limit, now)
 	}
-	if g.used+bytes > limit && limit == g.options.Memory {
+	if g.used+bytes > limit && grace < largeGrace {
 		g.evictSilent(c, 0, g.used+bytes-limit, now)
+		g.closeLingering(max(int((g.used+bytes-limit+lingerCost-1)/lingerCost), 0), now)
 	}
 	if g.used+bytes > limit {
 		return false
@@ -174,13 +175,17 @@
 	return true
 }
 
-// limitFor returns how much of the budget may be used once a connection holds that much.
+// limitFor returns how much of the budget may be used once a connection holds that much. What is kept for those
+// that hold less is kept beside what lingers. The caller holds the lock.
 func (g *Guard) limitFor(holding int64) int64 {
 	kept := int64(0)
 	for size := int64(smallHolding); size < holding && kept < mostKept; size *= 2 {
 		kept++
 	}
-	return g.options.Memory - g.options.Memory/keptParts*kept
+	if kept == 0 {
+		return g.options.Memory
+	}
+	return g.options.Memory - g.options.Memory/keptParts*kept - int64(len(g.lingering))*lingerCost
 }
 
 // release gives back memory of a connection. The caller holds the lock.
--- a/internal/httpguard/handler.go
+++ b/internal/httpguard/handler.go
@@ -72,9 +72,7 @@
 	if h.conn.reserveRequest(bytes, 0, now) {
 		return nil
 	}
-	if !h.conn.dropped {
-		h.conn.guard.count(NoRoomForBody, h.conn.Conn, now)
-	}
+	h.conn.refuse(NoRoomForBody, now)
 	return ErrNoRoom
 }
 
--- a/internal/httpguard/head.go
+++ b/internal/httpguard/head.go
@@ -150,10 +150,8 @@
 func (c *conn) refuseHead(cause Cause) error {
 	now := time.Now()
 	c.guard.mu.Lock()
-	if !c.dropped {
-		c.guard.count(cause, c.Conn, now)
-	}
-	c.over, c.refused = true, true
+	c.refuse(cause, now)
+	c.over = true
 	c.guard.mu.Unlock()
 	_ = c.Conn.SetWriteDeadline(now.Add(answerTimeout))
 	_, _ = io.WriteString(c.Conn, cause.answer())
--- a/internal/httpguard/linger.go
+++ b/internal/httpguard/linger.go
@@ -22,30 +22,29 @@
 	until time.Time
 }
 
-// linger keeps the connection of a refused client open after net/http has closed it. It returns false if the
-// client wasn't refused or there is no room.
+// linger keeps the connection of a refused client open after net/http has closed it, in place of the one that has
+// lingered for longest if there are many. It returns false if the client wasn't refused or there is no room.
 func (g *Guard) linger(c *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.lingers {
 		return true
 	}
-	if !c.refused || c.dropped || g.stopped || g.open >= g.options.Connections || !g.roomToLinger() {
+	if !c.refused || c.dropped || g.stopped || g.open >= g.options.Connections {
 		return false
 	}
-	g.lingering = append(g.lingering, lingering{c.Conn, time.Now().Add(lingerTimeout)})
+	now := time.Now()
+	if int64(len(g.lingering)+1)*lingerCost > g.options.Memory/lingerParts {
+		g.closeLingering(1, now)
+	}
+	g.lingering = append(g.lingering, lingering{c.Conn, now.Add(lingerTimeout)})
 	c.lingers = true
 	g.open++
+	g.release(c, lingerCost) // the connection's buffers are free now, so there is always room in the budget
 	g.used += lingerCost
 	return true
 }
 
-// roomToLinger reports whether one more connection may linger. The caller holds the lock.
-func (g *Guard) roomToLinger() bool {
-	lingering := int64(len(g.lingering)+1) * lingerCost
-	return lingering <= g.options.Memory/lingerParts && g.used+lingerCost <= g.options.Memory
-}
-
 // closeLingering closes the lingering connections whose time is over, and as many more as asked, the oldest
 // first. It returns how many of these it closed. The caller holds the lock.
 func (g *Guard) closeLingering(more int, now time.Time) int {
