internal/lab/site: TestPlannedStopCutsNothing waits for both removals

Cause: it removes two engines, adds one and waits until the node counts as many workers as there are.

Change: it waits until both are gone before it adds the third, and then as before. Nothing it checks is changed.

--- a/internal/lab/site/store_test.go
+++ b/internal/lab/site/store_test.go
@@ -65,6 +65,7 @@
 	delete(s.workers, "write-2")
 	s.store.Put("servers", "write-1", nil)
 	s.store.Put("servers", "write-2", nil)
+	s.await("both engines are gone", func() bool { return s.node.Workers() == len(s.workers) })
 	s.addWorker(fleetworker.Options{ID: "write-3", Service: llm, Stage: "decode", Events: 20, Pause: 20 * time.Millisecond})
 	s.await("only the slow worker is known", func() bool { return s.node.Workers() == len(s.workers) })
 	answers := make(chan answer)
