httpguard: requests of reset connections aren't served

Cause: what was sent before a reset can still be read, so each of up to 2,000 requests a second was parsed, planned and sent to a worker for a client that had gone. The slower the node, the more of them were already reset.

Change: when a head is complete, the socket's pending error is looked at; a connection that was reset is dropped before net/http gets the head.

--- a/internal/httpguard/head.go
+++ b/internal/httpguard/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"syscall"
 	"time"
 )
 
@@ -38,6 +39,10 @@
 		}
 		c.takeTurn(size.effort())
 		if end := endOfHead(c.tail, received, searched); end >= 0 {
+			if isReset(c.Conn) {
+				c.breakOff()
+				return 0, syscall.ECONNRESET
+			}
 			return c.passHead(buffer, received, end)
 		}
 		searched = len(received)
