workerconn: an answer is taken only by the request that it belongs to

Cause: on a kept connection an answer was told apart by its id alone. The two attempts of one call have one id, and the second took the connection on which the first was refused; a refusal that the worker sent again, late, was taken for the answer to the second attempt. The same held for questions of the node's own, which have no id, and for lent connections.

Change: a connection carries each id once and one request without an id, an answer is taken only where nothing earlier on its connection can have been answered like it, and only a connection that has carried nothing is lent (workerconn.sends, for all senders). Dropped answers are logged and counted.

Conclusion: the fault can't come back by an order of events: no send shares a connection with another one whose answer could be taken for its own.

--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -185,6 +185,7 @@
 	exchange.SetMetrics(nodeexchange.NewMetrics(metrics))
 	n.watchLimits(metrics)
 	n.setUpLinks(metrics)
+	n.watchDroppedAnswers(metrics)
 	n.setUpGuards(metrics)
 	n.pool.SetMonitor(notices.New(notices.Options{
 		Registry: n.registry, Read: platform.Notice, Log: log, Metrics: metrics,
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -28,9 +28,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// IDHeader names the header in which an answer repeats ID. An answer with another value
-	// belongs to an earlier request and is dropped. If IDHeader is empty, or the answer has no
-	// such header, any answer is accepted.
+	// IDHeader names the header in which an answer repeats ID. Both are empty for requests of the
+	// node's own. An answer that may belong to an earlier request is dropped.
 	IDHeader string
 	ID       string
 	// DropAfter, if it isn't zero, resets the connection when the request is cancelled, or when
@@ -128,6 +127,10 @@
 	net.Conn
 	reader *httphead.Reader
 	raw    syscall.RawConn
+	// sends is what the connection has carried.
+	sends sends
+	// dropped is called with the ids that an answer which isn't the request's bears. It may be nil.
+	dropped func(request *Request, found []string)
 	// idleSince is when the connection became idle, and idleLimit for how long it may be used
 	// again before the worker may close it.
 	idleSince time.Time
@@ -199,8 +202,8 @@
 	return []byte(out.String())
 }
 
-// roundTrip sends a request and reads the header of its answer. The channel receives the result
-// of sending the body.
+// roundTrip sends a request that the connection admits, and reads the header of its answer. The
+// channel receives the result of sending the body.
 func (c *conn) roundTrip(ctx context.Context, request *Request) (*http.Response, <-chan error, error) {
 	written, err := c.send(request)
 	if err != nil {
@@ -211,13 +214,14 @@
 		if err != nil {
 			return nil, nil, &SendError{Cause: cause(ctx, err)}
 		}
-		echoed := response.Header.Get(request.IDHeader)
-		if request.IDHeader == "" || echoed == "" || echoed == request.ID {
+		if c.sends.takes(request, response.Header) {
 			return response, written, nil
 		}
-		// The answer has the id of another request. It is dropped, and the next one is read
-		// unless the connection can't be used further: the answer broke off or closes the
-		// connection.
+		if c.dropped != nil {
+			c.dropped(request, c.sends.repeatedIDs(response.Header))
+		}
+		// The next answer is read unless the connection can't be used further: the answer broke
+		// off or closes the connection.
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil || response.Close {
 			return nil, nil, &SendError{Cause: eris.New("the answer of another request came and broke off")}
 		}
@@ -235,6 +239,7 @@
 }
 
 func (c *conn) send(request *Request) (<-chan error, error) {
+	c.sends.add(request)
 	head := request.head()
 	written := make(chan error, 1)
 	if len(request.Body) <= inlineBytes {
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -67,6 +67,8 @@
 	short func()
 	// source is the address that connections are made from, nil if the system chooses it.
 	source net.Addr
+	// dropped is called with each answer that isn't taken for a request's. It may be nil.
+	dropped func(key string, request *Request, found []string)
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -92,6 +94,18 @@
 // pool. It must be set before any request is sent.
 func (p *Pool) SetShort(short func()) { p.short = short }
 
+// SetDropped sets what is called with each answer of a worker that isn't taken for a request's, and with the ids
+// that it bears. It must be set before any request is sent.
+func (p *Pool) SetDropped(dropped func(key string, request *Request, found []string)) {
+	p.dropped = dropped
+}
+
+func (p *Pool) answerDropped(key string, request *Request, found []string) {
+	if p.dropped != nil {
+		p.dropped(key, request, found)
+	}
+}
+
 // SetSource sets the IP address that connections are made from. It must be called before any
 // request is sent.
 func (p *Pool) SetSource(ip net.IP) { p.source = &net.TCPAddr{IP: ip} }
@@ -115,6 +129,7 @@
 	if err != nil {
 		return nil, unsent(err)
 	}
+	c.dropped = func(request *Request, found []string) { p.answerDropped(key, request, found) }
 	if err := p.verify(ctx, key, address, c, request); err != nil {
 		p.discard(key, c)
 		return nil, &SendError{Unsent: true, Cause: err}
@@ -191,7 +206,7 @@
 		p.recordUse(now)
 	}
 	for {
-		c, err := p.takeIdle(key, limit)
+		c, err := p.takeIdle(key, limit, request.mayUse)
 		if err != nil {
 			return p.borrow(ctx, key, request)
 		}
@@ -262,19 +277,17 @@
 	return limit == 0 || used < limit-kept
 }
 
-// Lend opens a connection to a worker for another node, or takes an idle one. It counts as this
-// node's until it is closed. The error is tunnel.ErrFull if none of limit connections is spare.
+// Lend opens a connection to a worker for another node, or takes an idle one that has carried nothing: what it
+// carried would have to be known to the other node. It counts as this node's until it is closed. The error is
+// tunnel.ErrFull if none of limit connections is spare.
 func (p *Pool) Lend(ctx context.Context, key, address string, limit int) (net.Conn, error) {
 	for p.hasSpare(key, limit) {
-		c, err := p.takeIdle(key, limit)
+		c, err := p.takeIdle(key, limit, (*conn).mayBeLent)
 		switch {
 		case err != nil:
 			return nil, tunnel.ErrFull
 		case c == nil:
 			return p.lendNew(ctx, key, address)
-		case c.through() != "":
-			p.addIdle(key, c)
-			return nil, tunnel.ErrFull
 		case c.quiet():
 			return p.lent(key, c.Conn), nil
 		}
@@ -333,24 +346,21 @@
 	return !p.links.Doubts(key, c.idleSince)
 }
 
-// takeIdle returns the idle connection that was used last, a lent one only if there is no other. If
-// there is none it returns nil, and a new connection is already counted in open.
-func (p *Pool) takeIdle(key string, limit int) (*conn, error) {
+// takeIdle returns the idle connection that was used last among those that are usable, a lent one only
+// if there is no other. If there is none it returns nil, and a new connection is already counted in
+// open: in place of an idle one if the limit is reached.
+func (p *Pool) takeIdle(key string, limit int, usable func(*conn) bool) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if idle := p.idle[key]; len(idle) > 0 {
-		at := len(idle) - 1
-		for at > 0 && idle[at].lent {
-			at--
-		}
-		last := idle[at]
-		p.idle[key] = slices.Delete(idle, at, at+1)
+	if at := lastUsable(p.idle[key], usable); at >= 0 {
+		last := p.idle[key][at]
+		p.idle[key] = slices.Delete(p.idle[key], at, at+1)
 		return last, nil
 	}
 	if limit > 0 && p.open[key] >= limit-limit/spareParts && p.short != nil {
 		p.short()
 	}
-	if limit > 0 && p.open[key] >= limit {
+	if limit > 0 && p.open[key] >= limit && !p.closeIdleLocked(key) {
 		return nil, ErrFull
 	}
 	p.open[key]++
@@ -358,6 +368,43 @@
 	return nil, nil
 }
 
+// lastUsable returns the index of the last usable connection, that of a lent one only if there is no
+// other, and -1 if there is none.
+func lastUsable(idle []*conn, usable func(*conn) bool) int {
+	lent := -1
+	for at, c := range slices.Backward(idle) {
+		switch {
+		case !usable(c):
+		case !c.lent:
+			return at
+		case lent < 0:
+			lent = at
+		}
+	}
+	return lent
+}
+
+// closeIdleLocked closes the idle connection of this node's own that was used first, and returns false if
+// there is none. mu must be held.
+func (p *Pool) closeIdleLocked(key string) bool {
+	at := slices.IndexFunc(p.idle[key], func(c *conn) bool { return !c.lent })
+	if at < 0 {
+		return false
+	}
+	_ = p.idle[key][at].Close()
+	p.idle[key] = slices.Delete(p.idle[key], at, at+1)
+	p.open[key]--
+	return true
+}
+
+// mayUse reports whether a connection can carry the request.
+func (r *Request) mayUse(c *conn) bool {
+	return c.sends.admits(r) && (!r.Verify || c.verified || !c.sends.anonymous)
+}
+
+// mayBeLent reports whether a connection can be handed over to another node.
+func (c *conn) mayBeLent() bool { return c.sends.unused() && c.through() == "" && !c.lent }
+
 // spareParts is the part of the connections to a worker that are spare where they aren't short.
 const spareParts = 8
 
@@ -512,7 +559,7 @@
 }
 
 func (b *body) reusable() bool {
-	if !b.complete || b.response.Close {
+	if !b.complete || b.response.Close || !b.conn.sends.mayCarryMore() {
 		return false
 	}
 	if !b.requestSent() {
