dispatch: a stopping node sends on only what can be answered in time

Cause: a node in a planned stop sent each request on that it had read, whatever time was left. Callers whose requests became whole late (on a connection that was open, body slow) got a closed connection at the end of the time for the stop although the request ran, also where it must not be repeated (LOST).

Change: once connections are closed, a call is sent only if it ends before the node does: by its own deadline, or, unless it streams, by the slowest answer of its route lately with room to spare; otherwise it is refused as not run. What is under way 0.2 s before the close is given up with an answer. The gateways of the other home refuse late requests that may run too long.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -63,6 +63,9 @@
 	if refusal == nil {
 		refusal = s.quarantineRefusal()
 	}
+	if refusal == nil {
+		refusal = s.stopRefusal()
+	}
 	if refusal != nil {
 		return nil, Reply{}, workerconn.Withhold(refusal)
 	}
@@ -168,7 +171,7 @@
 // recordFailure records that a worker failed a request. If the worker had received the request,
 // it returns whether the worker still accepts connections.
 func (s *session) recordFailure(failed scheduling.Candidate, err error) workerconn.Liveness {
-	if callerLeft(err) || deadlinePassed(err) || workerconn.Withheld(err) {
+	if callerLeft(err) || endedHere(err) || workerconn.Withheld(err) {
 		return ""
 	}
 	now := time.Now()
@@ -326,7 +329,7 @@
 		return tryResult{verdict: notRun, worker: runner.ID, err: err, counted: false}
 	}
 	s.mayHaveRunBefore = true
-	if !s.call.Route.Streams() && !callerLeft(err) && !deadlinePassed(err) {
+	if !s.call.Route.Streams() && !callerLeft(err) && !endedHere(err) {
 		// A worker that accepts a request and breaks off without an answer has usually run it:
 		// most of the time only the answer is lost.
 		s.countBegun(time.Now())
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -49,6 +49,9 @@
 	// those that wait at this node.
 	waits     Waits
 	heldCalls *heldCalls
+	// stop bounds calls by the end of the node's planned stop, and answerTimes tells which can end by then.
+	stop        *stop
+	answerTimes answerTimes
 	// repeated charges for another run of a call that may have run already.
 	repeated func(charge quota.Charge)
 	// returned refunds such a charge.
@@ -151,6 +154,7 @@
 		turns = options.Turns
 	}
 	return &Dispatcher{
+		stop:          newStop(),
 		quarantine:    quarantined,
 		turns:         turns,
 		began:         began,
@@ -221,6 +225,8 @@
 func (d *Dispatcher) Run(parent context.Context, call *Call, caller Caller) Outcome {
 	ctx, cancel := context.WithDeadlineCause(parent, call.Deadline, errDeadline)
 	defer cancel()
+	ctx, detach := d.withStop(ctx)
+	defer detach()
 	s := &session{
 		Dispatcher: d, call: call, caller: caller,
 		excluded: make(map[string]bool), failed: make(map[string]bool), turnsHeld: make(map[string]time.Time),
@@ -239,6 +245,9 @@
 		if outcome, may := s.checkQuarantine(ctx); !may {
 			return outcome
 		}
+		if refusal := s.stopRefusal(); refusal != nil {
+			return s.givenUp(tryResult{verdict: notRun, err: refusal})
+		}
 		plan := s.plan(ctx)
 		s.logPlan(plan)
 		if plan.Mode == scheduling.Held {
@@ -257,8 +266,12 @@
 		if !taken {
 			continue
 		}
+		sent := time.Now()
 		end := s.try(ctx, plan)
 		s.returnTurns()
+		if end.verdict != notRun {
+			s.answerTimes.observe(call.Route.Name, time.Since(sent), time.Now())
+		}
 		if end.verdict == finished {
 			return s.outcome(end)
 		}
--- a/internal/dispatch/pass.go
+++ b/internal/dispatch/pass.go
@@ -76,7 +76,7 @@
 		return tryResult{verdict: finished, code: result.CallerGone, worker: runner.ID, err: err}
 	}
 	s.mayHaveRunBefore = true
-	if !callerLeft(err) && !deadlinePassed(err) {
+	if !callerLeft(err) && !endedHere(err) {
 		s.ending = BrokenOff
 	}
 	s.excluded[runner.ID] = true
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -278,7 +278,7 @@
 // mayTryAgain decides whether a failed try is followed by another. If the failed try counts, it
 // takes a retry from the budget.
 func (s *session) mayTryAgain(end tryResult) bool {
-	if callerLeft(end.err) || deadlinePassed(end.err) || s.remaining() <= 0 {
+	if callerLeft(end.err) || endedHere(end.err) && !workerconn.Withheld(end.err) || s.remaining() <= 0 {
 		return false
 	}
 	if end.verdict == mayHaveRun && !s.call.Route.Repeatable() {
@@ -348,6 +348,8 @@
 	}
 	code := result.RetriesExhausted
 	switch {
+	case nodeStopped(end.err):
+		code = result.Stopping
 	case deadlinePassed(end.err):
 		code = result.DeadlineUnreachable
 	case workerconn.Unreached(end.err):
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -72,6 +72,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if end := s.closesAt.Load(); end != nil && x.runLimit().After(*end) {
+		return nil, result.New(result.Stopping, "the node is being stopped, and may close before the request is answered; connect again").WithRetryAfter(stoppingRetryAfter)
+	}
 	if key := r.Header.Get(HeaderKey); key != "" && !kind.Repeatable {
 		if err := checkKey(key); err != nil {
 			return nil, err
@@ -103,6 +106,9 @@
 	return body, nil
 }
 
+// stoppingRetryAfter is the Retry-After of a node that is being stopped: other nodes answer at once.
+const stoppingRetryAfter = 100 * time.Millisecond
+
 // errNoRoom refuses a request that this node has no memory for.
 func errNoRoom() error {
 	return result.New(result.QueueFull, "%v; another node may have room", httpguard.ErrNoRoom).WithRetryAfter(time.Second)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -87,6 +87,8 @@
 
 	active   atomic.Int64
 	stopping atomic.Bool
+	// closesAt is when what is still running is cut off, nil as long as connections aren't being closed.
+	closesAt atomic.Pointer[time.Time]
 	stopRun  context.CancelFunc
 	ended    chan struct{}
 }
@@ -196,13 +198,17 @@
 }
 
 // Stop shuts the gateway down gracefully: it asks callers to close their connections, stops
-// listening after StopGrace, and waits until the requests in progress have ended or ctx ends.
+// listening after StopGrace, and waits until the requests in progress have ended or ctx ends. A
+// request that is whole only after StopGrace and may run for longer than that is refused.
 func (s *Server) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
 	select {
 	case <-ctx.Done():
 	case <-time.After(s.settings.StopGrace):
 	}
+	if end, limited := ctx.Deadline(); limited {
+		s.closesAt.Store(&end)
+	}
 	err := s.http.Shutdown(ctx)
 	finished := make(chan struct{})
 	go func() {
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -21,6 +21,7 @@
 // routedServices serves the catalog's routes by the plain workers in the machine list.
 type routedServices struct {
 	ingress  *ingress.Handler
+	dispatch *dispatch.Dispatcher
 	registry *worker.Registry
 	pool     *workerconn.Pool
 	limits   routing.Limits
@@ -45,6 +46,7 @@
 		ingress: ingress.New(ingress.Options{
 			Parser: plainhttp.Protocol{}, Runner: dispatcher, Log: n.options.Log, Metrics: ingress.NewMetrics(n.registry),
 		}),
+		dispatch: dispatcher,
 		registry: registry,
 		pool:     pool,
 		limits:   routing.Limits{MaxBodyBytes: n.settings.Limits.MaxBodyBytes},
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -12,17 +12,23 @@
 	// handOverTimeout bounds the wait until other nodes have taken over this node's groups.
 	handOverTimeout  = 6 * time.Second
 	handOverInterval = 200 * time.Millisecond
+	// answerMargin is the part of the time for a stop in which callers of routes still get the answers of
+	// requests that were given up.
+	answerMargin = 200 * time.Millisecond
 )
 
 // Stop performs a planned stop: the node transfers its leases, leaves its groups, completes the
-// requests in progress, and then closes. Requests that are still in progress when ctx ends are
-// cut off.
+// requests in progress, and then closes. Late requests that may not end by then are refused. Requests
+// that are still in progress when ctx ends are cut off.
 func (n *Node) Stop(ctx context.Context) error {
 	n.log.Info("planned stop begins")
 	n.stopping.Store(true)
 	n.announce(ctx)
 	n.leaveGroups(ctx)
 	n.routes.ingress.Stop()
+	if end, limited := ctx.Deadline(); limited {
+		n.routes.dispatch.EndBy(end.Add(-answerMargin))
+	}
 	err := n.gateway.Stop(ctx)
 	n.close()
 	if err != nil {
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -92,6 +92,9 @@
 	// stopMargin is the part of the time for a planned stop that is left for the process to
 	// end.
 	stopMargin = 700 * time.Millisecond
+	// answerMargin is the part of the time for a planned stop in which callers still get the answers of
+	// requests that were given up.
+	answerMargin = 200 * time.Millisecond
 	// unreadyFor is how long a stopping node continues to accept requests. By then the platform
 	// has checked its readiness twice and sends no more requests here.
 	unreadyFor = 2600 * time.Millisecond
@@ -110,6 +113,7 @@
 	// guards bound the clients of this node's ports.
 	guards   guards
 	front    *ingress.Handler
+	dispatch *dispatch.Dispatcher
 	exchange *nodeexchange.Exchange
 	servers  []*http.Server
 	callers  *http.Server
@@ -202,8 +206,9 @@
 	n.registerTableMetrics(metrics)
 	n.registerHostMetrics(metrics)
 	n.registerSoftwareMetrics(metrics)
+	n.dispatch = n.dispatcher(metrics, quotas)
 	n.front = ingress.New(ingress.Options{
-		Parser: platform, Runner: n.dispatcher(metrics, quotas), Log: log, Metrics: ingress.NewMetrics(metrics),
+		Parser: platform, Runner: n.dispatch, Log: log, Metrics: ingress.NewMetrics(metrics),
 		ConfigurationAge: n.configurationAge, ConfigurationBehind: n.configurationBehind, Quotas: quotas,
 		Origins: resumption.NewResolver(n.origins, exchange, newOriginHistory(n)),
 	})
@@ -365,8 +370,9 @@
 }
 
 // Stop stops the node as planned: it reports not being ready, continues to accept requests
-// until the platform has noticed, finishes running requests, and closes. A request that is
-// still running at the end of the time for a stop is cut off.
+// until the platform has noticed, finishes running requests, and closes. A late request that may
+// not be answered in the time that is left is refused. What is still running at the end of that
+// time is given up: its caller is told so unless its answer has begun, which is cut off.
 func (n *Node) Stop(reason string) {
 	begun := time.Now()
 	deadline := begun.Add(settings.Milliseconds(n.settings.Bounds.StopMillis) - stopMargin)
@@ -376,6 +382,7 @@
 	n.work.Go(func() { n.authority.Release(context.Background()) })
 	n.withdraw()
 	time.Sleep(time.Until(begun.Add(unreadyFor)))
+	n.dispatch.EndBy(deadline.Add(-answerMargin))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
