resumption: a stream begins only where the store shows that it can

Cause: after an end of all nodes a stream that nobody knew went on where one version alone could have begun it, and that was proved by a row of the store (and by what a node had followed itself) which was written after a version's first event. A version that came and left around the end, or a route that moved while all nodes were down, was missing in it: callers got answers joined from two software versions or two services (ORDER).

Change: all nodes follow the row, and a stream begins only at a version and on a route that it shows; a request for which there is nothing else waits for that, 1 s at most. The row is written under a condition on its version, says in which era of the store and since when it is complete, and takes routes that differ from those taken over for moved. Only the row proves an origin: nodes no longer ask for the currency of their lists.

Changed tests: those of what a node had followed itself (since when a version or route is the only one) check what is kept of it, the versions of late; the cases of the resolver that asked for a current list have one each on the row (other routes in it, written before a restore, not complete). The first node of the sites of versions starts as the first of the system, as it is.

Conclusion: what a stream may have begun at is known before it begins, so no order of ends, releases and store troubles that was tried joins streams.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/tinarch/tinarch/internal/result"
 	"github.com/tinarch/tinarch/internal/retry"
 	"github.com/tinarch/tinarch/internal/returns"
+	"github.com/tinarch/tinarch/internal/routing"
 	"github.com/tinarch/tinarch/internal/scheduling"
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
@@ -42,8 +43,9 @@
 	freshness func() Freshness
 	// began counts a tenant's request that a worker has begun to run.
 	began func(tenant string, at time.Time)
-	// streamBegun records the streams that callers get.
+	// streamBegun records the streams that callers get, and mayBegin tells where they may begin.
 	streamBegun func(stream worker.Stream)
+	mayBegin    func(route *routing.Route, service string) Beginnings
 	overload    Overload
 	// waits lets late calls wait for engines, nil if there are no other nodes. heldCalls are
 	// those that wait at this node.
@@ -94,6 +96,8 @@
 	// StreamBegun is called with each stream that may be continued, when a caller is about to get
 	// its first event from this node. It may be nil.
 	StreamBegun func(stream worker.Stream)
+	// MayBegin returns where the streams of a route may begin at a service, anywhere if it is nil.
+	MayBegin func(route *routing.Route, service string) Beginnings
 	// Repeated is called before a worker gets a request that may have run already, with the
 	// charge for this further run. It may be nil.
 	Repeated func(charge quota.Charge)
@@ -137,6 +141,10 @@
 	if streamBegun == nil {
 		streamBegun = func(worker.Stream) {}
 	}
+	mayBegin := options.MayBegin
+	if mayBegin == nil {
+		mayBegin = func(*routing.Route, string) Beginnings { return Beginnings{Anywhere: true} }
+	}
 	repeated := options.Repeated
 	if repeated == nil {
 		repeated = func(quota.Charge) {}
@@ -159,6 +167,7 @@
 		turns:         turns,
 		began:         began,
 		streamBegun:   streamBegun,
+		mayBegin:      mayBegin,
 		overload:      options.Overload.withDefaults(),
 		waits:         options.Waits,
 		heldCalls:     &heldCalls{limit: options.HeldBytes},
--- a/internal/dispatch/pauses.go
+++ b/internal/dispatch/pauses.go
@@ -119,7 +119,7 @@
 // once: one that had no room for the plan may have some by now, so a call that has waited is
 // planned again instead of being refused.
 func (s *session) waitForPause() time.Duration {
-	wait, found := s.registry.UsableIn(s.call.Service.Name, s.mayRunAt, time.Now())
+	wait, found := s.registry.UsableIn(s.call.Service.Name, s.runnable(), time.Now())
 	if found && wait == 0 && s.pauseAwaited {
 		return pauseReplan
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -146,7 +146,7 @@
 func (s *session) remaining() time.Duration { return time.Until(s.call.Deadline) }
 
 func (s *session) request() scheduling.Request {
-	return scheduling.Request{
+	return s.confine(scheduling.Request{
 		Engine: s.engine(), RouteObjective: s.call.Route.Objective,
 		PromptTokens:  s.call.PromptTokens,
 		SharedTokens:  s.call.sharedTokens(),
@@ -157,14 +157,12 @@
 		Patience:      s.call.patience(time.Now(), s.last),
 		Excluded:      s.excluded,
 		Failed:        s.failed,
-		Bound:         s.bound,
-		Software:      s.software,
 		SingleRead:    s.singleRead(),
 		PrefixWaits:   s.prefixWaits,
 		Begun:         s.headGiven || s.bound,
 		NoApart:       s.wasReadApart,
 		Content:       s.call.content(),
-	}
+	})
 }
 
 // engine returns the learned times of the service's engines.
@@ -180,7 +178,8 @@
 	if plan, found := s.planKept(ctx); found {
 		return plan
 	}
-	plan := s.planAcrossRegions(ctx, s.withGrant(s.request()))
+	request := s.withGrant(s.request())
+	plan := s.holdUntilRecorded(s.planAcrossRegions(ctx, request), request)
 	s.late = plan.Late
 	s.countServed(plan)
 	s.observeAsked(plan)
--- a/internal/resumption/resolver.go
+++ b/internal/resumption/resolver.go
@@ -7,13 +7,6 @@
 	"github.com/tinarch/tinarch/internal/result"
 )
 
-// Sole is the only origin that the streams of a route can have had for some time.
-type Sole struct {
-	Origin
-	// Since is from when on it was the only one.
-	Since time.Time
-}
-
 // Nodes are the other nodes.
 type Nodes interface {
 	// AskOrigin asks the other nodes for the origin of a stream. It returns once one of them knows
@@ -30,16 +23,13 @@
 	Silent int
 }
 
-// History is what this node has followed of routes and workers.
+// History is what this node knows of where streams may have begun.
 type History interface {
-	// SoleOrigin returns the sole origin of a route, and false if there are several or none.
-	SoleOrigin(route string) (Sole, bool)
-	// IsCurrent asks the store whether what this node has followed is complete as of a time after
-	// the given one. told is false if the store didn't answer in time.
-	IsCurrent(ctx context.Context, since time.Time) (current, told bool)
+	// ServiceOf returns the only service that a route leads to, and false if there are several or none.
+	ServiceOf(route string) (string, bool)
 	// ReadPast reads the past from the store, as of a time that isn't before the given one. It
 	// returns false if the store didn't tell in time.
-	ReadPast(ctx context.Context, since time.Time) (Past, bool)
+	ReadPast(ctx context.Context, since time.Time) (ReadPast, bool)
 	// RoutesDigest is the Past.RoutesDigest of the routes in force.
 	RoutesDigest() string
 }
@@ -80,13 +70,8 @@
 	MaxAge  time.Duration
 }
 
-const (
-	// currentWait bounds the wait until this node has what the store had when the request came.
-	currentWait = time.Second
-	currentPoll = 20 * time.Millisecond
-	// unprovedRetryAfter is the Retry-After where nodes or the store didn't answer.
-	unprovedRetryAfter = 300 * time.Millisecond
-)
+// unprovedRetryAfter is the Retry-After where nodes or the store didn't answer.
+const unprovedRetryAfter = 300 * time.Millisecond
 
 // Resolve returns the origin of a stream and how it was found. A stream that nobody knows has the
 // sole origin of its route if there was no other one for as long as it can have lasted.
@@ -134,59 +119,24 @@
 	proved
 )
 
-// proveSole returns the only origin that the stream of a request can have. There must have been no
-// other one for as long as the stream can have lasted, by what this node has followed, or else by
-// the past in the store.
+// proveSole returns the only origin that the stream of a request can have: the past in the store shows
+// no other one for as long as the stream can have lasted. Streams begin only where the past shows them,
+// so this needs nothing that the node has followed itself.
 func (r *Resolver) proveSole(ctx context.Context, request Request) (Origin, proof) {
-	if _, found := r.history.SoleOrigin(request.Route); !found {
+	if request.MaxAge > Life {
 		return Origin{}, refuted
 	}
-	if !r.awaitCurrent(ctx, request) {
-		return Origin{}, unproved
+	past, read := r.history.ReadPast(ctx, request.Arrived)
+	if !read || past.RoutesDigest != r.history.RoutesDigest() {
+		return Origin{}, unproved // other routes than those in force are about to be written, or followed
 	}
-	sole, found := r.history.SoleOrigin(request.Route)
-	switch {
-	case !found:
-		return Origin{}, refuted
-	case !sole.Since.After(request.Arrived.Add(-request.MaxAge)):
-		return sole.Origin, proved
-	case request.MaxAge > Life:
+	service, one := r.history.ServiceOf(request.Route)
+	if !one || !past.Covers(request.MaxAge+time.Since(request.Arrived)) {
 		return Origin{}, refuted
 	}
-	past, read := r.history.ReadPast(ctx, request.Arrived)
-	switch {
-	case !read:
-		return Origin{}, unproved
-	case !past.Allows(request.Route, sole.Origin, r.history.RoutesDigest()):
+	sole, found := past.soleOrigin(request.Route, service)
+	if !found {
 		return Origin{}, refuted
 	}
-	return sole.Origin, proved
-}
-
-// awaitCurrent waits until this node has what the store had when the request came: a version that
-// began the stream was listed before that. It returns false if the store doesn't tell that.
-func (r *Resolver) awaitCurrent(ctx context.Context, request Request) bool {
-	end := time.Now().Add(currentWait)
-	for since := request.Arrived; since.Before(end); since = time.Now() {
-		current, told := r.history.IsCurrent(ctx, since)
-		if current || !told {
-			return current && told
-		}
-		if !pause(ctx, currentPoll) {
-			return false
-		}
-	}
-	return false
-}
-
-// pause waits for a time, and returns false if ctx ends before that.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return sole, proved
 }
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -43,6 +43,20 @@
 	Era() uint64
 }
 
+// DatedRow is a row as the store held it at a time. Version zero means that it doesn't exist.
+type DatedRow struct {
+	Value   []byte
+	Version uint64
+	// NowMillis is the time by the store's steady clock, and Era the number of its history then.
+	NowMillis int64
+	Era       uint64
+}
+
+// Dated is a store that tells its time with what it returns.
+type Dated interface {
+	ReadDated(ctx context.Context, table, key string) (DatedRow, error)
+}
+
 // Call describes a finished call to the store, for metrics.
 type Call struct {
 	// Kind and Table tell what was requested.
--- a/internal/scheduling/types.go
+++ b/internal/scheduling/types.go
@@ -190,6 +190,10 @@
 	// Software may do.
 	Bound    bool
 	Software string
+	// Confined tells that the request begins a stream, which only workers with one of the software
+	// versions Versions may do.
+	Confined bool
+	Versions []string
 	// Content identifies the prefix that the prompt shares with others, zero if that is too
 	// short to be placed by content.
 	Content uint64
@@ -231,6 +235,7 @@
 // failed or rejected it, or cannot be used. The workers need not be full, despite the text.
 const (
 	NoWorker     Reason = "no worker"
+	Unrecorded   Reason = "the software version or the route is too new to begin streams"
 	TooLate      Reason = "too late"
 	NoWorkerLeft Reason = "all workers are full"
 	// Limited requests would wait too long for a turn at workers that limit their request rate.
--- a/internal/serving/consumers.go
+++ b/internal/serving/consumers.go
@@ -31,7 +31,6 @@
 
 // Apply implements tablefeed.Consumer.
 func (c *configConsumer) Apply(rows []tablefeed.Row, version tablefeed.Version) {
-	defer c.node.routesApplied.Store(uint64(version))
 	for _, row := range rows {
 		if row.Gone {
 			continue
@@ -103,7 +102,6 @@
 
 // Reset implements tablefeed.Consumer.
 func (w *workerConsumer) Reset(rows []tablefeed.Row, version tablefeed.Version) {
-	defer w.node.workersApplied.Store(uint64(version))
 	var listed []worker.Worker
 	unreadable := 0
 	for _, row := range rows {
@@ -113,7 +111,6 @@
 			unreadable++
 		}
 	}
-	w.noteInterruption()
 	added, gone, doubted := w.replace(listed, version)
 	if len(listed) > 0 {
 		w.node.workersKnown.Store(true)
@@ -126,20 +123,6 @@
 	}).Info("workers read")
 }
 
-// seenHeartbeats is the number of heartbeats for which the row of a worker stays at least: it is
-// removed once three of them were missed.
-const seenHeartbeats = 2
-
-// noteInterruption makes the history of software versions begin anew if rows may have come and gone
-// since the table was confirmed last.
-func (w *workerConsumer) noteInterruption() {
-	word, _ := w.node.workersFeed.Confirmation()
-	longest := seenHeartbeats * settings.Milliseconds(w.node.settings.Bounds.HeartbeatMillis)
-	if now := time.Now(); !word.At.IsZero() && now.Sub(word.At) > longest {
-		w.node.registry.BeginSoftwareHistory(now)
-	}
-}
-
 // missedHeartbeats is the number of missed heartbeats after which the row of a worker that has
 // ended is gone at the latest.
 const missedHeartbeats = 4
@@ -171,7 +154,6 @@
 
 // Apply implements tablefeed.Consumer.
 func (w *workerConsumer) Apply(rows []tablefeed.Row, version tablefeed.Version) {
-	defer w.node.workersApplied.Store(uint64(version))
 	unreadable, logged := 0, 0
 	for _, row := range rows {
 		change := worker.Change{Name: row.Key}
--- a/internal/serving/node.go
+++ b/internal/serving/node.go
@@ -73,6 +73,7 @@
 	// may state the slowdown of its host, nil if its service has none.
 	HealthRequest(to worker.Worker, healthPath string) *workerconn.Request
 	rowstore.Store
+	rowstore.Dated
 	// ObserveCalls registers a function that is called after each call to the store.
 	ObserveCalls(observed func(rowstore.Call))
 	usage.API
@@ -132,9 +133,10 @@
 	restored chan struct{}
 	// tables serves this node's copies of the tables to other nodes.
 	tables *tableshare.Server
-	// routesApplied and workersApplied are the versions of the last changes of these tables that
-	// have taken effect; a feed confirms a change before that.
-	routesApplied, workersApplied atomic.Uint64
+	// recorded is the past in the store, which pastFeed follows, and pastApplied the version of its row.
+	recorded    resumption.Recorded
+	pastFeed    *tablefeed.Feed
+	pastApplied atomic.Uint64
 	// workersKnown tells that at least one worker has been listed since the start.
 	workersKnown atomic.Bool
 
@@ -182,7 +184,6 @@
 	}
 	n.exchange = exchange
 	n.api = &apiLink{api: platform, leave: exchange.LeaveDuties, log: log}
-	n.beginHistories()
 	exchange.SetOrigins(n.origins)
 	n.registry.FollowShared(configured.Overload.ColdStart.Selects)
 	exchange.SetTopology(topologyOf(configured))
@@ -203,6 +204,7 @@
 	n.workersFeed = n.newFeed(platform.WorkerTable(), newWorkerConsumer(n, metrics))
 	n.nodesFeed = n.newFeed(nodesTable, &nodeConsumer{node: n})
 	n.setUpQuarantine(metrics)
+	n.pastFeed = n.newFeed(pastTable, &pastConsumer{node: n})
 	n.registerTableMetrics(metrics)
 	n.registerHostMetrics(metrics)
 	n.registerSoftwareMetrics(metrics)
@@ -246,8 +248,8 @@
 	costs.Hold = n.settings.Late.Hold
 	return dispatch.New(dispatch.Options{
 		Overload:    n.overload(),
-		StreamBegun: n.streamBegun,
-		Began:       began, Repeated: n.exchange.RecordQuotaCharge, Returned: quotas.Return,
+		StreamBegun: n.streamBegun, MayBegin: n.mayBegin,
+		Began: began, Repeated: n.exchange.RecordQuotaCharge, Returned: quotas.Return,
 		Registry: n.registry, Scheduler: scheduling.New(costs),
 		Pool: n.pool, Wire: n.platform, Log: n.log, Metrics: dispatch.NewMetrics(metrics),
 		Nodes: n.exchange.Nodes, LoadReports: n.exchange, Freshness: n.freshness, Quarantine: n.quarantine, Turns: n.exchange,
@@ -346,7 +348,7 @@
 // startBackground starts the feeds of the platform's tables, the exchange and all other
 // background work.
 func (n *Node) startBackground(ctx context.Context, metrics *prometheus.Registry) {
-	for _, feed := range []*tablefeed.Feed{n.configurationFeed, n.workersFeed, n.quarantineFeed} {
+	for _, feed := range []*tablefeed.Feed{n.configurationFeed, n.workersFeed, n.quarantineFeed, n.pastFeed} {
 		n.work.Go(func() { feed.Run(ctx) })
 	}
 	n.work.Go(func() { n.exchange.Run(ctx) })
--- a/internal/worker/list.go
+++ b/internal/worker/list.go
@@ -25,9 +25,6 @@
 func (r *Registry) ReplaceAt(workers []Worker, now time.Time) (added, gone []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.software.begun() {
-		r.software.begin(now)
-	}
 	listed := make(map[string]bool, len(workers))
 	for _, worker := range workers {
 		listed[worker.ID] = true
--- a/internal/worker/registry.go
+++ b/internal/worker/registry.go
@@ -236,6 +236,7 @@
 		prefilling:       make(map[string]*workerState),
 		prefillingByNode: make(map[string][]string),
 
+		software:        make(softwareHistory),
 		noticeStates:    make(map[string]NoticeState),
 		drainingUpdates: make(map[string]time.Time),
 		limitUpdates:    make(map[string]time.Time),
