--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -35,6 +35,7 @@
 	Unframed bool   `arg:"--unframed" help:"workers answer in all framings, break answers off in order and with a reset, and crash while they answer"`
 	Cuts     bool   `arg:"--cuts" help:"some nodes are cut off from all or some workers while others reach them; whether they serve their callers like the others is checked"`
 	Versions bool   `arg:"--versions" help:"engines have several software versions and are replaced by others, and callers take streams up again; whether streams hold events of one version and go on is checked"`
+	Ends     bool   `arg:"--ends" help:"with --versions: all nodes are killed around releases, and engines of one version end while they are down"`
 	Nodes    int    `arg:"--nodes" default:"3" help:"number of nodes, each a process"`
 	Earlier  string `arg:"--earlier" help:"path of tinarchd of an earlier build: half of the nodes start with it, and nodes are upgraded and downgraded"`
 	Logs     string `arg:"--logs" help:"directory for settings and logs (default: a new one, kept only if a promise was broken)"`
@@ -77,7 +78,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
-		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Parts: c.Parts, Crowds: c.Crowds, Unending: c.Unending, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Restores: c.Restores, Handovers: c.Handover, Uneven: c.Uneven, Overload: c.Overload, Unframed: c.Unframed, Cuts: c.Cuts, Versions: c.Versions, Nodes: c.Nodes, Earlier: c.Earlier,
+		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Parts: c.Parts, Crowds: c.Crowds, Unending: c.Unending, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Restores: c.Restores, Handovers: c.Handover, Uneven: c.Uneven, Overload: c.Overload, Unframed: c.Unframed, Cuts: c.Cuts, Versions: c.Versions, Ends: c.Ends, Nodes: c.Nodes, Earlier: c.Earlier,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -66,6 +66,9 @@
 	if s.options.Versions {
 		kinds = append(kinds, s.releaseEngine, s.releaseEngine, s.releaseEngine, s.crashEngine, s.crashEngine, s.killNode, s.killNode)
 	}
+	if s.options.Ends {
+		kinds = append(kinds, s.endAllAroundARelease, s.endAllAroundARelease, s.endAllAroundARelease, s.endAllAroundARelease)
+	}
 	if s.options.Earlier != "" {
 		kinds = append(kinds, s.rollNode, s.rollNode, s.rollNode)
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -78,6 +78,8 @@
 	// makes callers take streams up again, at other nodes too. It checks that no stream holds events
 	// of two versions, and that streams go on.
 	Versions bool
+	// Ends kills all nodes around releases of a software version. It needs Versions.
+	Ends bool
 	// Nodes is the number of nodes.
 	Nodes int
 	// Earlier is the path of an earlier build of tinarchd. If it is set, half of the nodes
--- a/internal/lab/soak/versions.go
+++ b/internal/lab/soak/versions.go
@@ -103,7 +103,9 @@
 		old.Crash()
 		return
 	}
-	old.ended.Store(true)
+	if old.ended.Swap(true) {
+		return // while it was draining
+	}
 	old.proxy.Close()
 	old.Crash()
 	s.mu.Lock()
