internal/lab/site: two requests planned at once go to both workers

Cause: TestWorkerThatSendsWithoutEndIsLeft gave all prompts a part in common. Change: each prompt has a part of its own. The checks are as they were: status, time, whole answers, memory, and that the worker was asked.

--- a/internal/lab/site/unending_test.go
+++ b/internal/lab/site/unending_test.go
@@ -129,7 +129,9 @@
 				for caller := range 2 { // so that both workers are given requests
 					callers.Go(func() {
 						begun := time.Now()
-						got := s.ask(http.MethodPost, fmt.Sprint("/check/", number, "/", caller), nil, fmt.Sprint(number))
+						// Without a part in common, or the first worker that answers one stays the cheaper.
+						prompt := map[string]string{"X-Prompt-Prefix": fmt.Sprintf("%x:3000", 2*number+caller+1)}
+						got := s.ask(http.MethodPost, fmt.Sprint("/check/", number, "/", caller), prompt, fmt.Sprint(number))
 						if took := time.Since(begun); got.status != http.StatusOK || got.readErr != nil || took > servedWithin {
 							t.Errorf("status %d after %v: %v, %s", got.status, took, got.readErr, got.body)
 						}
