--- a/internal/lab/site/order_test.go
+++ b/internal/lab/site/order_test.go
@@ -127,13 +127,11 @@
 // configure writes a configuration, in which the route leads to the other service if it has moved.
 func (o *order) configure() {
 	o.configured++
-	configured := versionsConfiguration(o.configured)
-	for _, route := range configured["Routes"].([]any) {
-		if fields := route.(map[string]any); fields["Name"] == "check" && o.moved {
-			fields["Service"] = otherLLM
-		}
+	configuration := versionsConfiguration
+	if o.moved {
+		configuration = movedConfiguration
 	}
-	o.store.Put("op", "config", configured)
+	o.store.Put("op", "config", configuration(o.configured))
 }
 
 // moveRoute makes the route lead to the other service, or back.
--- a/internal/lab/site/software_test.go
+++ b/internal/lab/site/software_test.go
@@ -60,6 +60,17 @@
 	return configured
 }
 
+// movedConfiguration is a configuration whose route /check/ leads to the other service.
+func movedConfiguration(version int) map[string]any {
+	configured := versionsConfiguration(version)
+	for _, route := range configured["Routes"].([]any) {
+		if fields := route.(map[string]any); fields["Name"] == "check" {
+			fields["Service"] = otherLLM
+		}
+	}
+	return configured
+}
+
 // clientStream is what a client has of a stream over its tries.
 type clientStream struct {
 	// first is the id of the try that brought the first event, and last the id of the last event.
@@ -364,13 +375,7 @@
 	for _, other := range s.others {
 		other.node.Close()
 	}
-	moved := versionsConfiguration(2)
-	for _, route := range moved["Routes"].([]any) {
-		if fields := route.(map[string]any); fields["Name"] == "check" {
-			fields["Service"] = otherLLM
-		}
-	}
-	s.store.Put("op", "config", moved)
+	s.store.Put("op", "config", movedConfiguration(2))
 	s.restartAll()
 	s.takeUpAll(streams, s.address, "/check/1")
 	for i, c := range streams {
@@ -436,13 +441,7 @@
 	for _, other := range s.others {
 		other.node.Close()
 	}
-	moved := versionsConfiguration(2)
-	for _, route := range moved["Routes"].([]any) {
-		if fields := route.(map[string]any); fields["Name"] == "check" {
-			fields["Service"] = otherLLM
-		}
-	}
-	s.store.Put("op", "config", moved)
+	s.store.Put("op", "config", movedConfiguration(2))
 	before := string(s.store.Rows("streams")[0].Value)
 	s.restartAll()
 	s.await("the routes are in the store", func() bool { return string(s.store.Rows("streams")[0].Value) != before })
