soak: the drill of ends leaves two engines

Traced: the drill had ended all decode engines but one, which then announced its end (entry draining at 17.56 s), so the nodes refused with 2004, truthfully, for want of any engine. Change: two are left, as the other harm leaves two of each stage. Conclusion: the fault was the drill's.

--- a/internal/lab/soak/ends.go
+++ b/internal/lab/soak/ends.go
@@ -43,12 +43,14 @@
 	return fmt.Sprintf("released %s, killed all nodes, ended %d engines of %s while they were down", options.Software, ended, retired)
 }
 
-// endVersion ends the decode engines of a software version, with their entries, and returns how many. One engine is
-// left.
+// minEngines is how many decode engines are left: one of them may announce its end.
+const minEngines = 2
+
+// endVersion ends the decode engines of a software version, with their entries, and returns how many.
 func (s *site) endVersion(software string) int {
 	ended := 0
 	for _, worker := range s.runningWorkers() {
-		if worker.options.Stage != "decode" || worker.options.Software != software || s.randomEngine() == nil {
+		if worker.options.Stage != "decode" || worker.options.Software != software || len(s.decoding()) <= minEngines {
 			continue
 		}
 		s.end(worker)
--- a/internal/lab/soak/versions.go
+++ b/internal/lab/soak/versions.go
@@ -52,11 +52,16 @@
 	return options
 }
 
-// randomEngine returns a random decode engine that doesn't drain, nil if only one is left.
-func (s *site) randomEngine() *soakWorker {
-	decoding := slices.DeleteFunc(s.runningWorkers(), func(w *soakWorker) bool {
+// decoding returns the decode engines that don't drain.
+func (s *site) decoding() []*soakWorker {
+	return slices.DeleteFunc(s.runningWorkers(), func(w *soakWorker) bool {
 		return w.options.Stage != "decode" || *w.state.Load() != "ready" || w.leaving.Load()
 	})
+}
+
+// randomEngine returns a random decode engine that doesn't drain, nil if only one is left.
+func (s *site) randomEngine() *soakWorker {
+	decoding := s.decoding()
 	if len(decoding) < 2 {
 		return nil
 	}
