workerconn: the same question may follow itself on a connection

Cause: a connection carried one request without an id, so a worker that gets no requests and is asked for its health again and again cost a new connection each time. Change: after a question another one may follow once an answer with an id was taken, since an answer comes again in the place of the next one at the latest; and the same GET may follow at once, as its answer tells what it told then. Orders and other questions may not.

--- a/internal/workerconn/ownership.go
+++ b/internal/workerconn/ownership.go
@@ -14,14 +14,17 @@
 
 // sends is what a connection has carried. A worker may send an answer again, late, in the place of
 // the next answer; only the id tells which request an answer belongs to. So that it always does, a
-// connection carries each id at most once, and one request without an id.
+// connection carries each id at most once, and after a request without an id no other one before an
+// answer with an id was taken: what comes again does so in the place of the next answer at the latest.
 type sends struct {
 	// ids are the hashes of the ids of all requests sent.
 	ids []uint64
 	// idHeader names the header in which their answers repeat the id, empty if none was sent.
 	idHeader string
-	// anonymous is set once a request without an id was sent, or an answer without one was taken.
+	// anonymous tells that an answer without an id was taken, and none with one since. It was the answer
+	// to question, empty if that may not be asked again.
 	anonymous bool
+	question  string
 	// unrepeated is set once the answer to a request with an id didn't repeat it.
 	unrepeated bool
 }
@@ -32,7 +35,7 @@
 // admits reports whether the answer to a request can be told from the answers to all requests before it.
 func (s *sends) admits(request *Request) bool {
 	if request.ID == "" {
-		return !s.anonymous
+		return !s.anonymous || s.asksAgain(request)
 	}
 	return s.mayCarryMore() && !s.has(request.ID)
 }
@@ -55,10 +58,10 @@
 func (s *sends) takes(request *Request, header http.Header) bool {
 	repeated := s.repeatedIDs(header)
 	if len(repeated) == 0 {
-		if s.anonymous {
+		if s.anonymous && !s.asksAgain(request) {
 			return false
 		}
-		s.anonymous = true
+		s.anonymous, s.question = true, questionOf(request)
 		s.unrepeated = request.ID != ""
 		return true
 	}
@@ -66,10 +69,28 @@
 		if slices.ContainsFunc(repeated, s.has) {
 			return false
 		}
-		s.anonymous = true
+		s.anonymous, s.question = true, questionOf(request)
 		return true
 	}
-	return !slices.ContainsFunc(repeated, func(id string) bool { return id != request.ID })
+	if slices.ContainsFunc(repeated, func(id string) bool { return id != request.ID }) {
+		return false
+	}
+	s.anonymous = false
+	return true
+}
+
+// asksAgain reports whether a request is the same question as the last one. Its answer may be one to that
+// which comes again: it tells what it told then.
+func (s *sends) asksAgain(request *Request) bool {
+	return s.question != "" && s.question == questionOf(request)
+}
+
+// questionOf returns what a request without an id reads, empty if it may change something.
+func questionOf(request *Request) string {
+	if request.ID != "" || request.Method != http.MethodGet {
+		return ""
+	}
+	return request.Target
 }
 
 // repeatedIDs returns the ids that an answer bears.
