--- /dev/null
+++ b/review/_lab2/main.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/tinarch/tinarch/internal/lab/fleetstore"
+)
+
+// cases are the cases by name. Each returns what broke the rule, nothing if it held.
+var cases = map[string]func(*site) ([]string, error){
+	"leak":    leakCase,
+	"options": optionsCase,
+	"parts":   partsCase,
+	"pause":   pauseCase,
+}
+
+// usualDescriptors is MaxFds of the small sheets.
+const usualDescriptors = 4100
+
+// The exit codes of a case.
+const (
+	held      = 0
+	broken    = 1
+	cannotRun = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	const arguments = 4
+	if len(os.Args) != arguments {
+		fmt.Fprintln(os.Stderr, "usage: lab2 CASE PROGRAM RECORD")
+		return cannotRun
+	}
+	play, known := cases[os.Args[1]]
+	program, err := filepath.Abs(os.Args[2])
+	if !known || err != nil {
+		fmt.Fprintln(os.Stderr, "no such case")
+		return cannotRun
+	}
+	folder, err := os.MkdirTemp("", "review-lab2-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return cannotRun
+	}
+	record, err := os.Create(os.Args[3])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return cannotRun
+	}
+	s := &site{program: program, folder: folder, trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), record: record, descriptors: usualDescriptors, store: fleetstore.Start()}
+	violations, err := play(s)
+	s.close()
+	for _, violation := range violations {
+		s.note("BROKEN: %s", violation)
+		fmt.Println("BROKEN:", violation)
+	}
+	s.note("trouble %v, broken %d, error %v", s.trouble, len(violations), err)
+	_ = record.Close()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(folder)
+	}
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		if !errors.Is(err, errCannotRun) {
+			return cannotRun
+		}
+		return cannotRun
+	case len(violations) > 0:
+		return broken
+	}
+	fmt.Println("the rule held; trouble:", s.trouble)
+	return held
+}
