--- a/review/_lab2/leak.go
+++ b/review/_lab2/leak.go
@@ -34,6 +34,8 @@
 	drainFor = 2300 * time.Millisecond
 	// leakRate is how many ordinary requests a second node 1 gets, each on a connection of its own.
 	leakRate = 20
+	// leakOwn is how many descriptors the stand-ins need.
+	leakOwn = 8192
 	// From the rule: from ContactMs on, served less than three quarters as often as in the seconds before.
 	leakContact = 3 * time.Second
 	leakBefore  = 6 * time.Second
@@ -57,6 +59,10 @@
 		"Services": []any{map[string]any{"Name": "desk", "MaxConnections": 610, "HealthPath": "/health"}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil || own.Cur < leakOwn {
+		return nil, fmt.Errorf("%w: the stand-ins need %d descriptors", errCannotRun, leakOwn)
+	}
 	s.descriptors = leakDescriptors
 	serial := 0
 	add := func() (*worker, error) {
