--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -13,13 +13,17 @@
 // cases are the cases by name. Each returns what broke the rule, nothing if it held.
 var cases = map[string]func(*site) ([]string, error){
 	"leak":    leakCase,
+	"memory":  memoryCase,
 	"options": optionsCase,
 	"parts":   partsCase,
 	"pause":   pauseCase,
 }
 
-// usualDescriptors is MaxFds of the small sheets.
-const usualDescriptors = 4100
+// MaxFds and MemoryMb of the small sheets.
+const (
+	usualDescriptors = 4100
+	usualMegabytes   = 284
+)
 
 // The exit codes of a case.
 const (
@@ -52,7 +56,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return cannotRun
 	}
-	s := &site{program: program, folder: folder, trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), record: record, descriptors: usualDescriptors, store: fleetstore.Start()}
+	s := &site{program: program, folder: folder, trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), record: record, descriptors: usualDescriptors, megabytes: usualMegabytes, store: fleetstore.Start()}
 	violations, err := play(s)
 	s.close()
 	for _, violation := range violations {
--- a/review/_lab2/parts.go
+++ b/review/_lab2/parts.go
@@ -39,8 +39,51 @@
 	served bool
 }
 
-// partsCase lets clients send requests of legal size whose prompts have very many short parts.
+// partsCase lets clients send requests of legal size whose prompts have very many short parts, and checks whether
+// ordinary callers are still served.
 func partsCase(s *site) ([]string, error) {
+	ordinary, begun, ended, err := s.playParts(manyParts{count: partsEach, tokens: 1, pressure: partsPressure, after: partsAfter})
+	if err != nil {
+		return nil, err
+	}
+	return s.partsViolations(ordinary, begun, ended), nil
+}
+
+// Figures of the case "memory".
+const (
+	// memoryMegabytes and memoryDescriptors are those of the smallest machine of all sheets.
+	memoryMegabytes   = 144
+	memoryDescriptors = 3075
+	memoryEach        = 1000
+	memoryPressure    = 45 * time.Second
+)
+
+// memoryCase is partsCase with parts of no tokens, and checks the memory of the nodes.
+func memoryCase(s *site) ([]string, error) {
+	s.megabytes, s.descriptors = memoryMegabytes, memoryDescriptors
+	if _, _, _, err := s.playParts(manyParts{count: memoryEach, pressure: memoryPressure}); err != nil {
+		return nil, err
+	}
+	var violations []string
+	for _, n := range s.nodes {
+		held := n.memory()
+		s.note("%s has held up to %d kB; its machine has %d MB", n.name, held, memoryMegabytes)
+		if held > memoryMegabytes<<10 {
+			violations = append(violations, fmt.Sprintf("%s has held %d kB, its machine has %d MB", n.name, held, memoryMegabytes))
+		}
+	}
+	return violations, nil
+}
+
+// manyParts is what clients that don't behave send: prompts of count parts with so many tokens each, for a time.
+type manyParts struct {
+	count, tokens   int
+	pressure, after time.Duration
+}
+
+// playParts plays such clients beside ordinary ones. It returns what became of the ordinary requests, and when the
+// others began and the play ended.
+func (s *site) playParts(many manyParts) (ordinary []ordinaryCall, begun, ended time.Time, err error) {
 	s.configure(map[string]any{
 		"Version": 1,
 		"Routes": []any{
@@ -79,22 +122,21 @@
 			id: fmt.Sprintf("w%d", number+1), service: "desk", zone: string(rune('a' + number)), slots: 6, queue: 6,
 			work: func() time.Duration { return 15 * time.Millisecond },
 		}); err != nil {
-			return nil, err
+			return nil, begun, ended, err
 		}
 	}
 	for number := range partsNodes {
 		if err := s.addNode(number + 1); err != nil {
-			return nil, err
+			return nil, begun, ended, err
 		}
 	}
 	if err := s.awaitReady(20 * time.Second); err != nil {
-		return nil, err
+		return nil, begun, ended, err
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var clients sync.WaitGroup
 	var mu sync.Mutex
-	var ordinary []ordinaryCall
 	for _, n := range s.nodes {
 		clients.Go(func() {
 			s.ordinaryLoad(ctx, n, func(done ordinaryCall) {
@@ -106,21 +148,21 @@
 	}
 	time.Sleep(partsCalm)
 	s.note("%d clients send prompts of many parts to %s: %v", partsSenders, s.nodes[0].name, s.trouble)
-	begun := time.Now()
-	pressure, relieve := context.WithTimeout(ctx, partsPressure)
+	begun = time.Now()
+	pressure, relieve := context.WithTimeout(ctx, many.pressure)
 	defer relieve()
 	for range partsSenders {
-		clients.Go(func() { s.partsLoad(pressure, s.nodes[0]) })
+		clients.Go(func() { s.partsLoad(pressure, s.nodes[0], many) })
 	}
-	for ended := begun.Add(partsPressure + partsAfter); time.Now().Before(ended); time.Sleep(time.Second) {
+	for ended := begun.Add(many.pressure + many.after); time.Now().Before(ended); time.Sleep(time.Second) {
 		for _, n := range s.nodes {
 			s.note("%s: ready %v", n.name, n.isReady())
 		}
 	}
-	ended := time.Now()
+	ended = time.Now()
 	stop()
 	clients.Wait()
-	return s.partsViolations(ordinary, begun, ended), nil
+	return ordinary, begun, ended, nil
 }
 
 // ordinaryLoad sends ordinary requests to a node: by turns one to the desk, and a prompt of three parts.
@@ -153,18 +195,18 @@
 
 // partsLoad sends one request after the other whose prompt has very many short parts; without trouble
 // it has three.
-func (s *site) partsLoad(ctx context.Context, n *node) {
+func (s *site) partsLoad(ctx context.Context, n *node, many manyParts) {
 	for ctx.Err() == nil {
-		prompt := make([]string, partsEach)
+		prompt := make([]string, many.count)
 		for at := range prompt {
-			prompt[at] = fmt.Sprintf("%x:1", rand.Uint64()>>16)
+			prompt[at] = fmt.Sprintf("%x:%d", rand.Uint64()>>16, many.tokens)
 		}
 		if !s.trouble {
 			prompt = []string{"c1:300", "c2:100", fmt.Sprintf("%x:100", rand.Uint32())}
 		}
 		got := s.send(ctx, n, call{
 			method: http.MethodPost, host: "desk.example", path: "/read/many", body: []byte("read"), deadline: 5 * time.Second,
-			header: http.Header{"X-Model": {"m"}, "X-Token-Usage": {fmt.Sprintf("%d,4", partsEach)}, "X-Prompt-Prefix": {strings.Join(prompt, ",")}},
+			header: http.Header{"X-Model": {"m"}, "X-Token-Usage": {fmt.Sprintf("%d,4", max(many.count*many.tokens, 1))}, "X-Prompt-Prefix": {strings.Join(prompt, ",")}},
 		})
 		if got.err != nil || got.status != http.StatusOK {
 			time.Sleep(100 * time.Millisecond)
@@ -193,7 +235,7 @@
 		}
 	}
 	for _, n := range s.nodes {
-		s.note("%s: %s", n.name, n.memory())
+		s.note("%s has held up to %d kB", n.name, n.memory())
 	}
 	return violations
 }
--- a/review/_lab2/site.go
+++ b/review/_lab2/site.go
@@ -32,10 +32,12 @@
 	trouble         bool
 	// descriptors is MaxFds of the machines.
 	descriptors int
-	begun       time.Time
-	store       *fleetstore.Store
-	nodes       []*node
-	workers     []*worker
+	// megabytes is MemoryMb of the machines.
+	megabytes int
+	begun     time.Time
+	store     *fleetstore.Store
+	nodes     []*node
+	workers   []*worker
 
 	mu     sync.Mutex
 	record *os.File
@@ -97,7 +99,7 @@
 store:
   address: "%s"
 limits:
-  memory_mb: 284
+  memory_mb: %d
   descriptors: %d
 bounds:
   stop_ms: 8000
@@ -113,7 +115,7 @@
 log:
   level: info
   format: json
-`, n.name, zone, n.callers, n.ready, n.peers, n.stats, n.ip, s.store.Address(), s.descriptors)
+`, n.name, zone, n.callers, n.ready, n.peers, n.stats, n.ip, s.store.Address(), s.megabytes, s.descriptors)
 }
 
 func (s *site) addNode(number int) error {
@@ -163,18 +165,19 @@
 	_ = n.process.Process.Signal(signal)
 }
 
-// memory tells what the process of a node holds.
-func (n *node) memory() string {
+// memory returns the most memory that the process of a node has held, in kilobytes, zero if that isn't known.
+func (n *node) memory() int {
 	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
 	if err != nil {
-		return err.Error()
+		return 0
 	}
 	for line := range strings.Lines(string(content)) {
-		if strings.HasPrefix(line, "VmHWM:") {
-			return strings.TrimSpace(line)
+		if rest, found := strings.CutPrefix(line, "VmHWM:"); found {
+			kilobytes, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")))
+			return kilobytes
 		}
 	}
-	return "no figure"
+	return 0
 }
 
 func (n *node) isReady() bool {
