--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -17,6 +17,7 @@
 	"options": optionsCase,
 	"parts":   partsCase,
 	"pause":   pauseCase,
+	"spot":    spotCase,
 }
 
 // MaxFds and MemoryMb of the small sheets.
--- a/review/_lab2/site.go
+++ b/review/_lab2/site.go
@@ -226,6 +226,8 @@
 	retryAfter string
 	// born is when the worker started, in Unix milliseconds; zero leaves it out.
 	born int64
+	// pieces, if it isn't zero, makes answers without a length of so many pieces.
+	pieces int
 }
 
 // arrival is one request as the worker saw it.
@@ -250,6 +252,9 @@
 	arrivals []*arrival
 	// leaving makes the worker say in its answers that it leaves.
 	leaving bool
+	// writing are the connections of the answers without a length, and gone tells that the worker has ended.
+	writing map[net.Conn]bool
+	gone    bool
 	free    chan struct{}
 }
 
@@ -258,7 +263,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{options: options, site: s, links: listener, free: make(chan struct{}, options.slots)}
+	w := &worker{options: options, site: s, links: listener, free: make(chan struct{}, options.slots), writing: make(map[net.Conn]bool)}
 	for range options.slots {
 		w.free <- struct{}{}
 	}
@@ -347,6 +352,12 @@
 	}
 	w.count(-1, 1)
 	w.site.note("%s runs %s, which came from %s", w.options.id, id, came.machine)
+	if w.options.pieces > 0 {
+		w.writePieces(writer, id)
+		w.count(0, -1)
+		w.free <- struct{}{}
+		return
+	}
 	time.Sleep(w.options.work())
 	w.count(0, -1)
 	w.free <- struct{}{}
