--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/tinarch/tinarch/internal/lab/fleetstore"
@@ -58,6 +59,7 @@
 		return cannotRun
 	}
 	s := &site{program: program, folder: folder, trouble: os.Getenv("TROUBLE") != "0", begun: time.Now(), record: record, descriptors: usualDescriptors, megabytes: usualMegabytes, store: fleetstore.Start()}
+	go s.endEarly()
 	violations, err := play(s)
 	s.close()
 	for _, violation := range violations {
@@ -72,9 +74,6 @@
 	switch {
 	case err != nil:
 		fmt.Fprintln(os.Stderr, err)
-		if !errors.Is(err, errCannotRun) {
-			return cannotRun
-		}
 		return cannotRun
 	case len(violations) > 0:
 		return broken
@@ -82,3 +81,20 @@
 	fmt.Println("the rule held; trouble:", s.trouble)
 	return held
 }
+
+// longest is how long a case may run.
+const longest = 118 * time.Second
+
+// endEarly ends all processes and the case if it is asked to stop or runs for too long.
+func (s *site) endEarly() {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-asked:
+	case <-time.After(longest):
+		fmt.Fprintln(os.Stderr, "the case ran for too long")
+	}
+	s.close()
+	_ = os.RemoveAll(s.folder)
+	os.Exit(cannotRun)
+}
