tunnel: an end during an upload isn't told as one in order

Cause: the node in between has the write and the read of the worker's connection. Its write takes the reset, its read sees an end in order, and it tells the node that asked of such an end. That node can't see what was still on its way between the two. Change: the node in between tells an end in order only if no write to the worker has failed and all that was written is acknowledged; a write in progress gets 50 ms. Behind the last frame it sends the count of the bytes passed on, and the node that asked compares that with what it has sent. A count is due only where the answer to the question for the tunnel says so, so earlier builds are understood, and they pass over the count. Conclusion: both nodes together know whether the worker's machine has received the whole request, which proves what an end in order says.

--- a/internal/lab/site/broken_test.go
+++ b/internal/lab/site/broken_test.go
@@ -149,7 +149,7 @@
 	overLentConn reach = "over a lent connection"
 )
 
-var reaches = []reach{directly, overLentConn}
+var reaches = []reach{directly, tunnelled, overLentConn}
 
 // startRaw starts a site whose only worker is a rawWorker that the first node reaches in some way.
 func startRaw(t *testing.T, by reach) (*site, *rawWorker) {
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -319,7 +319,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = inner.SetDeadline(time.Unix(1, 0)) })
 	reader := httphead.NewReader(inner, lengthBytes+frameBytes)
-	err = upgrade(inner, reader, node, c.header(q.request), q)
+	counts, err := upgrade(inner, reader, node, c.header(q.request), q)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
 	}
@@ -329,7 +329,7 @@
 	}
 	_ = inner.SetDeadline(time.Time{})
 	c.count(node, 1)
-	return &Conn{Conn: inner, node: node, reader: reader.Reader, closed: sync.OnceFunc(func() { c.count(node, -1) })}, nil
+	return &Conn{Conn: inner, node: node, reader: reader.Reader, counts: counts, closed: sync.OnceFunc(func() { c.count(node, -1) })}, nil
 }
 
 func (c *Client) header(request string) http.Header {
@@ -347,31 +347,32 @@
 	}
 }
 
-// upgrade asks for the tunnel on a connection to a node.
-func upgrade(inner net.Conn, reader *httphead.Reader, node netip.AddrPort, header http.Header, q question) error {
+// upgrade asks for the tunnel on a connection to a node. counts is set if the node sends a count with the end of the
+// worker's connection.
+func upgrade(inner net.Conn, reader *httphead.Reader, node netip.AddrPort, header http.Header, q question) (counts bool, err error) {
 	path, raw := q.path()
 	target := &url.URL{Scheme: "http", Host: node.String(), Path: path, RawPath: raw}
 	request := &http.Request{Method: http.MethodGet, URL: target, Header: header, Host: node.String()}
 	if err := request.Write(inner); err != nil {
-		return err
+		return false, err
 	}
 	response, err := reader.ReadHead(request.Method)
 	if err != nil {
-		return err
+		return false, err
 	}
 	switch {
 	case response.StatusCode == http.StatusSwitchingProtocols && response.Header.Get("Upgrade") == protocol:
-		return nil
+		return response.Header.Get(headerCounts) != "", nil
 	case response.StatusCode == http.StatusNotFound && (q.lent || response.Header.Get(headerCause) == causeUnknown):
-		return errUnknown
+		return false, errUnknown
 	case response.StatusCode == http.StatusBadGateway && response.Header.Get(headerCause) == causeRefused:
-		return ErrRefused
+		return false, ErrRefused
 	case response.Header.Get(headerCause) == causeFull:
-		return errFull
+		return false, errFull
 	case response.StatusCode == http.StatusBadGateway && response.Header.Get(headerCause) == causeLost:
-		return errLinkLost
+		return false, errLinkLost
 	case response.StatusCode == http.StatusBadGateway:
-		return ErrUnheard
+		return false, ErrUnheard
 	}
-	return eris.Errorf("the node at %s answered %d; see its log for a connection that was refused", node, response.StatusCode)
+	return false, eris.Errorf("the node at %s answered %d; see its log for a connection that was refused", node, response.StatusCode)
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -16,6 +16,8 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+
+	"github.com/tinarch/tinarch/internal/tcpstate"
 )
 
 const (
@@ -31,6 +33,8 @@
 	// stops: longer than the pauses between the events of a stream.
 	quietTime = 2 * time.Second
 	quietPoll = 50 * time.Millisecond
+	// endWait is how long a write to a worker that has closed its connection may still take.
+	endWait = 50 * time.Millisecond
 )
 
 // Causes for which no tunnel is opened, as headerCause names them.
@@ -80,6 +84,11 @@
 	caller, worker net.Conn
 	// lent tells that the connection to the worker counts as this node's.
 	lent bool
+	// writing is held during a write to the worker. It guards passed, the count of the bytes of the caller that were
+	// written to the worker, and cut, which is set once a write has failed.
+	writing sync.Mutex
+	passed  uint64
+	cut     bool
 
 	mu     sync.Mutex
 	active time.Time
@@ -177,6 +186,9 @@
 	return !s.stopping && len(s.open) < MaxTunnels && !(lent && s.lent >= maxLent)
 }
 
+// upgraded is the head of the answer to a node that gets a tunnel.
+const upgraded = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n" + headerCounts + ": 1\r\n\r\n"
+
 func (s *Server) upgrade(writer http.ResponseWriter, worker net.Conn, lent bool, fields logrus.Fields) {
 	caller, _, err := http.NewResponseController(writer).Hijack()
 	if err != nil {
@@ -188,7 +200,7 @@
 	t := &served{caller: caller, worker: worker, lent: lent, active: time.Now()}
 	s.add(t)
 	s.log.WithFields(fields).Info("connection opened for another node")
-	if _, err := io.WriteString(caller, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err == nil {
+	if _, err := io.WriteString(caller, upgraded); err == nil {
 		t.run()
 	}
 	_ = caller.Close()
@@ -220,7 +232,7 @@
 func (t *served) run() {
 	go func() {
 		// Without the connection's own ReadFrom, which takes a larger buffer.
-		_, _ = io.CopyBuffer(struct{ io.Writer }{t.worker}, t.reader(t.caller), make([]byte, frameBytes))
+		_, _ = io.CopyBuffer(workerWriter{t}, t.reader(t.caller), make([]byte, frameBytes))
 		abort(t.worker)
 	}()
 	if !t.passFrames() {
@@ -249,8 +261,7 @@
 			}
 		}
 		if err == io.EOF {
-			_, err := t.caller.Write(make([]byte, lengthBytes))
-			return err == nil
+			return t.passEnd()
 		}
 		if err != nil {
 			return false
@@ -258,6 +269,34 @@
 	}
 }
 
+// passEnd passes on that the worker has closed its connection, and reports whether it did so in order. A reset
+// that meets a write to the worker is reported to that write alone, and the read returns io.EOF.
+func (t *served) passEnd() bool {
+	_ = t.worker.SetWriteDeadline(time.Now().Add(endWait))
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	if t.cut || tcpstate.Unacknowledged(t.worker) > 0 {
+		return false
+	}
+	end := binary.BigEndian.AppendUint64(make([]byte, lengthBytes), t.passed)
+	_, err := t.caller.Write(end)
+	return err == nil
+}
+
+// workerWriter writes to the worker of a tunnel.
+type workerWriter struct{ tunnel *served }
+
+// Write implements io.Writer.
+func (w workerWriter) Write(content []byte) (int, error) {
+	t := w.tunnel
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	count, err := t.worker.Write(content)
+	t.passed += uint64(count)
+	t.cut = t.cut || err != nil
+	return count, err
+}
+
 // reader returns a reader that records when something came.
 func (t *served) reader(from io.Reader) io.Reader { return &activeReader{from: from, tunnel: t} }
 
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -9,6 +9,11 @@
 // endian, and its bytes; a frame of length zero says that the worker has closed its connection in
 // order. A tunnel that ends without it was broken, by the worker or on the way.
 //
+// A worker that closes its connection before it has received all that was sent to it has not ended it
+// in order. Where headerCounts is set, the count of the bytes that the other node has passed on to the
+// worker follows the frame of length zero, in eight bytes, big endian: what was still on its way to that
+// node is missing there.
+//
 // Limits of the connections to a worker are divided among the nodes. A tunnel for a lost link counts
 // as a connection of the node that asks. A node whose own share is in use borrows a connection: that
 // tunnel counts as one of the node that lends it, which does so only while its share has room. So no
@@ -21,6 +26,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -39,6 +45,9 @@
 	// which it asks.
 	headerNode    = "Tunnel-Node"
 	headerRequest = "Tunnel-Request"
+	// headerCounts tells that the end of the worker's connection comes with a count. Earlier builds don't
+	// send it, and pass over the count.
+	headerCounts = "Tunnel-Counts"
 	// headerCause tells why no tunnel was opened.
 	headerCause = "Tunnel-Cause"
 )
@@ -46,8 +55,9 @@
 const (
 	// frameBytes is the largest frame.
 	frameBytes = 8 << 10
-	// lengthBytes is the size of a frame's length.
+	// lengthBytes is the size of a frame's length, and countBytes that of the count behind the last one.
 	lengthBytes = 2
+	countBytes  = 8
 )
 
 // Conn is a connection to a worker through another node.
@@ -59,11 +69,23 @@
 	left int
 	// ended is set once the worker has closed its connection in order.
 	ended bool
+	// counts tells that a count follows the last frame, and sent counts the bytes that were to be written.
+	counts bool
+	sent   atomic.Uint64
 	// closed is called when the connection is closed.
 	closed func()
 }
 
-var errBroken = eris.New("the connection through another node broke")
+var (
+	errBroken = eris.New("the connection through another node broke")
+	errCut    = eris.New("the worker closed its connection through another node before it had received all that was sent")
+)
+
+// Write implements net.Conn.
+func (c *Conn) Write(content []byte) (int, error) {
+	c.sent.Add(uint64(len(content))) // before the worker can answer
+	return c.Conn.Write(content)
+}
 
 // Read implements net.Conn. io.EOF means that the worker has closed its connection in order.
 func (c *Conn) Read(buffer []byte) (int, error) {
@@ -94,12 +116,26 @@
 	_, _ = c.reader.Discard(lengthBytes)
 	c.left = int(binary.BigEndian.Uint16(length[:]))
 	if c.left == 0 {
-		c.ended = true
-		return io.EOF
+		return c.readEnd()
 	}
 	return nil
 }
 
+// readEnd reads what follows the last frame. It returns io.EOF if the worker has closed its connection in order.
+func (c *Conn) readEnd() error {
+	if c.counts {
+		var count [countBytes]byte
+		if _, err := io.ReadFull(c.reader, count[:]); err != nil {
+			return errBroken
+		}
+		if binary.BigEndian.Uint64(count[:]) != c.sent.Load() {
+			return errCut
+		}
+	}
+	c.ended = true
+	return io.EOF
+}
+
 // notInOrder makes the end of the connection to the other node an error.
 func notInOrder(err error) error {
 	if err == io.EOF {
--- a/internal/workerconn/lending.go
+++ b/internal/workerconn/lending.go
@@ -5,8 +5,11 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/tinarch/tinarch/internal/tunnel"
 )
 
@@ -108,6 +111,15 @@
 	return nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *lentConn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, eris.Errorf("%T is no socket", c.Conn)
+	}
+	return inner.SyscallConn()
+}
+
 // mayBeLent reports whether a connection can be handed over to another node.
 func (c *conn) mayBeLent() bool { return c.sends.unused() && c.through() == "" && !c.lent }
 
--- a/spec/tunnel.pml
+++ b/spec/tunnel.pml
@@ -13,6 +13,8 @@
  * Guards, each removed by a macro:
  *   NO_FRAMES       the end of the connection between the nodes counts as the worker's
  *   NO_ABORT        the other node ends in order what the worker has reset
+ *   NO_SEND_RESULT  the result of writing the request is not looked at when the connection ends
+ *   NO_COUNT        the bytes on their way between the nodes are not counted at that end
  *   NO_WRITTEN      a tunnel that broke counts as one over which nothing was sent
  *   NO_ONE_WAY      the request is also written to a tunnel that comes after the node has turned
  *                   elsewhere
@@ -33,13 +35,40 @@
 mtype end;
 byte got;
 
+/* Parts of the request that the node has written, that have arrived at the other node, and that the worker's
+ * machine has received. */
+#define UPLOAD 2
+byte written, arrived, received;
+
+/* The worker resets its connection, and a write of the request takes the reset: the read that follows sees an
+ * end in order. Who wrote knows the result. The other node tells how much it has passed on. */
+inline cut(tunnel) {
+    end = IN_ORDER;
+    if
+#ifndef NO_SEND_RESULT
+    :: !tunnel || written < UPLOAD || received < arrived -> end = BROKEN
+#endif
+#ifndef NO_COUNT
+    :: tunnel && received < written -> end = BROKEN
+#endif
+    :: else
+    fi
+}
+
 /* The worker runs the request and answers. It ends in order after all parts, or is reset. */
 inline answer(tunnel) {
     runs++;
     got = 0;
+    written = 0;
+    arrived = 0;
+    received = 0;
     do
+    :: written < UPLOAD -> written++
+    :: tunnel && arrived < written -> arrived++
+    :: received < (tunnel -> arrived : written) -> received++
     :: got < PARTS -> got++
-    :: got == PARTS -> end = IN_ORDER; break
+    :: got == PARTS && received == UPLOAD -> end = IN_ORDER; break
+    :: received < UPLOAD -> cut(tunnel); break
     :: end = BROKEN;
        if
 #ifdef NO_ABORT
