httphead: statuses and versions that aren't in the protocol are no answer

A 000 alone was a 502 before, since nothing came behind it. Cause: net/http takes any three characters that make a number, and any version. What was below 200 counted as an interim answer and was passed over. Change: httphead.Check, which each head passes when it has been read, interim ones too: HTTP/1, a status of 100 to 599, no control byte in the reason, 101 only for the protocol that the request asked for (tunnels do). Evidence: TestBrokenStatusLineIsNoAnswer, four kinds of request, as the first answer of a connection and behind a sound one, directly, through another node and over a lent connection: 27 of 48 cases failed before (nine kinds in all three ways), none now. Conclusion: a status that isn't one fails the request as one that may have run.

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,5 +1,6 @@
-// Package httphead reads the heads of HTTP/1.1 answers from peers that may send bytes without end:
-// a head has a bound in bytes and, from its first byte on, in time.
+// Package httphead reads the heads of HTTP/1.1 answers from peers that may send bytes without end, or bytes that are
+// no answer: a head has a bound in bytes and, from its first byte on, in time, and what net/http accepts beyond the
+// protocol is rejected (Check).
 package httphead
 
 import (
@@ -61,16 +62,19 @@
 	return count, err
 }
 
-// ReadHead reads the head of the answer to a request with a method, and passes over interim answers. The
-// answer's body is read from r.
-func (r *Reader) ReadHead(method string) (*http.Response, error) {
+// ReadHead reads the head of the answer to a request, of which method and header are used, and passes over interim
+// answers. The head has passed Check. The answer's body is read from r.
+func (r *Reader) ReadHead(request *http.Request) (*http.Response, error) {
 	r.inHead, r.left = true, MaxBytes
 	defer func() { r.inHead = false }()
 	for range maxInterim + 1 {
-		response, err := r.readOne(method)
+		response, err := r.readOne(request)
 		if err != nil {
 			return nil, err
 		}
+		if err := Check(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
 		}
@@ -79,12 +83,12 @@
 }
 
 // readOne reads one head. The wait for its first byte is bounded by the connection's deadline.
-func (r *Reader) readOne(method string) (*http.Response, error) {
+func (r *Reader) readOne(request *http.Request) (*http.Response, error) {
 	if _, err := r.Peek(1); err != nil {
 		return nil, err
 	}
 	timer := time.AfterFunc(headTimeout, func() { _ = r.inner.Close() })
-	response, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
+	response, err := http.ReadResponse(r.Reader, request)
 	switch {
 	case !timer.Stop():
 		return nil, ErrTooSlow
--- /dev/null
+++ b/internal/httphead/syntax.go
@@ -0,0 +1,41 @@
+package httphead
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	// minStatus and maxStatus bound the statuses of answers (RFC 9110, section 15).
+	minStatus, maxStatus = 100, 599
+
+	headerUpgrade = "Upgrade"
+)
+
+// Check returns an error if the head of a response isn't one of an answer in HTTP/1 (RFC 9112), although net/http has
+// taken it for one. All answers that this node reads pass it before anything of them is used.
+func Check(response *http.Response) error {
+	switch status := response.StatusCode; {
+	case response.ProtoMajor != 1:
+		return eris.Errorf("the answer has the version %q; HTTP/1 is spoken here", response.Proto)
+	case status < minStatus || status > maxStatus:
+		return eris.Errorf("the answer has the status %q; statuses are %d to %d", response.Status, minStatus, maxStatus)
+	case !httpguts.ValidHeaderFieldValue(response.Status):
+		return eris.Errorf("the answer has the status %.80q with a control byte", response.Status)
+	case status == http.StatusSwitchingProtocols && !isAskedUpgrade(response):
+		return eris.New("the answer switches to a protocol that wasn't asked for")
+	}
+	return nil
+}
+
+// isAskedUpgrade reports whether a response switches to the protocol that its request asked for.
+func isAskedUpgrade(response *http.Response) bool {
+	if response.Request == nil {
+		return false
+	}
+	asked := response.Request.Header.Get(headerUpgrade)
+	return asked != "" && strings.EqualFold(asked, response.Header.Get(headerUpgrade))
+}
--- a/internal/lab/site/broken_test.go
+++ b/internal/lab/site/broken_test.go
@@ -276,3 +276,81 @@
 		})
 	}
 }
+
+// signed is the part of a head that a sound answer has in common with broken ones.
+const signed = "X-Request-Id: ID\r\nX-Response-Signature: broken\r\n"
+
+// brokenStatusLines are answers that begin with no status line of the protocol, or with interim answers that are none.
+var brokenStatusLines = map[string]string{
+	"status 000":                         "HTTP/1.1 000 None\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"status 000 without a length":        "HTTP/1.1 000 None\r\n" + signed + "\r\n" + oneEvent,
+	"status 000 before a sound head":     "HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"status 099 before a sound head":     "HTTP/1.1 099 None\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"status +20 before a sound head":     "HTTP/1.1 +20 OK\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"status 101, for which nobody asked": "HTTP/1.1 101 Switching Protocols\r\n" + signed + "Connection: Upgrade\r\nUpgrade: x\r\n\r\n" + oneEvent,
+	"control byte in the reason":         "HTTP/1.1 200 O\x01K\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"status 600":                         "HTTP/1.1 600 None\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"status 999":                         "HTTP/1.1 999 None\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"status of two digits":               "HTTP/1.1 20 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"status of four digits":              "HTTP/1.1 2000 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"HTTP/2.0":                           "HTTP/2.0 200 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"HTTP/0.9":                           "HTTP/0.9 200 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"another protocol":                   "ICY 200 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"blank first line":                   "\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+	"interim answers alone":              "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
+}
+
+// expectFailed fails the test if a caller got anything but the node's own failure for an answer that isn't in the
+// protocol.
+func (s *site) expectFailed(got answer) {
+	s.t.Helper()
+	if got.status != http.StatusBadGateway || got.header.Get("X-Response-Signature") != "" || strings.Contains(got.body, "data:") {
+		s.t.Errorf("the caller got %d, %v, %v, %.80q", got.status, got.header, got.readErr, got.body)
+	}
+}
+
+// checkBrokenHeads checks that no caller gets an answer of answers, whose connections are closed in order behind it,
+// as the first one on a connection and behind a sound one.
+func checkBrokenHeads(t *testing.T, answers map[string]string) {
+	for _, by := range reaches {
+		for name, content := range answers {
+			t.Run(fmt.Sprintf("%s, %s", by, name), func(t *testing.T) {
+				t.Parallel()
+				s, w := startRaw(t, by)
+				for _, path := range routesOfEachKind {
+					w.answer(rawAnswer{bytes: content, readBytes: 1})
+					s.expectFailed(s.askRaw(w, path, "x"))
+					w.answer(soundAnswer, rawAnswer{bytes: content, readBytes: 1})
+					s.await("a broken answer comes behind a sound one on its connection", func() bool {
+						got := s.askRaw(w, path, "x")
+						if got.header.Get("X-Response-Signature") != "sound" {
+							s.expectFailed(got)
+							return true
+						}
+						return false
+					})
+				}
+			})
+		}
+	}
+}
+
+// TestBrokenStatusLineIsNoAnswer guards against statuses and versions that net/http takes and that aren't in the
+// protocol: those below 200 count as interim answers, and a second head behind them as the answer.
+func TestBrokenStatusLineIsNoAnswer(t *testing.T) { checkBrokenHeads(t, brokenStatusLines) }
+
+// TestHeadThatIsCutIsNoAnswer guards against a worker that stops in the middle of a head and closes in order.
+func TestHeadThatIsCutIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + signed + "Content-Type: text/event-stream\r\nContent-Length: 25\r\n\r\n"
+	cuts := map[string]string{}
+	for name, end := range map[string]string{
+		"protocol": "TP/1.1", "status": " 20", "reason": " OK", "first return": "OK\r", "first line": "OK\r\n",
+		"name": "X-Resp", "colon": "Signature:", "value": "broken", "type": "text/event", "length's name": "Content-Len",
+		"length": "Content-Length: 2", "whole length": "Content-Length: 25", "last line": "Length: 25\r\n", "last return": "Length: 25\r\n\r",
+	} {
+		cut := head[:strings.Index(head, end)+len(end)]
+		cuts["after the "+name] = cut
+		cuts["after the "+name+" behind an interim answer"] = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + cut
+	}
+	checkBrokenHeads(t, cuts)
+}
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -356,12 +356,12 @@
 	if err := request.Write(inner); err != nil {
 		return false, err
 	}
-	response, err := reader.ReadHead(request.Method)
+	response, err := reader.ReadHead(request)
 	if err != nil {
 		return false, err
 	}
 	switch {
-	case response.StatusCode == http.StatusSwitchingProtocols && response.Header.Get("Upgrade") == protocol:
+	case response.StatusCode == http.StatusSwitchingProtocols:
 		return response.Header.Get(headerCounts) != "", nil
 	case response.StatusCode == http.StatusNotFound && (q.lent || response.Header.Get(headerCause) == causeUnknown):
 		return false, errUnknown
--- a/internal/workerconn/conn.go
+++ b/internal/workerconn/conn.go
@@ -210,7 +210,7 @@
 		return nil, nil, err
 	}
 	for range maxStrayAnswers + 1 {
-		response, err := c.reader.ReadHead(request.Method)
+		response, err := c.reader.ReadHead(&http.Request{Method: request.Method})
 		if err != nil {
 			return nil, nil, &SendError{Cause: cause(ctx, err)}
 		}
