httphead: a field whose name isn't a token makes a head no answer

Cause: net/http rejects control bytes in names but lets blanks pass and keeps such names as they are, so that it doesn't see the encoding or the length. Change: Check rejects names that aren't tokens (RFC 9110, section 5.1). Tabs, control bytes, DEL and bytes above ASCII in names, no name, no colon, control bytes and returns in values were 502 before and stay so. Conclusion: nothing of a head is used unless all of it is in the protocol.

--- a/internal/httphead/syntax.go
+++ b/internal/httphead/syntax.go
@@ -28,6 +28,11 @@
 	case status == http.StatusSwitchingProtocols && !isAskedUpgrade(response):
 		return eris.New("the answer switches to a protocol that wasn't asked for")
 	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return eris.Errorf("the answer has a field with the name %.80q, which is no token", name)
+		}
+	}
 	return nil
 }
 
--- a/internal/lab/site/broken_test.go
+++ b/internal/lab/site/broken_test.go
@@ -300,6 +300,23 @@
 	"interim answers alone":              "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
 }
 
+// brokenFields are answers with fields whose names or values aren't in the protocol.
+var brokenFields = map[string]string{
+	"blank in a name":                "HTTP/1.1 200 OK\r\n" + signed + "X Odd: 1\r\nContent-Length: 25\r\n\r\n" + oneEvent,
+	"blank behind Content-Length":    "HTTP/1.1 200 OK\r\n" + signed + "Content-Length : 25\r\n\r\n" + oneEvent,
+	"blank behind Transfer-Encoding": "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding : chunked\r\n\r\n19\r\n" + oneEvent + "\r\n0\r\n\r\n",
+	"folded blank behind a name":     "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding \r\n : chunked\r\n\r\n19\r\n" + oneEvent + "\r\n0\r\n\r\n",
+	"tab in a name":                  "HTTP/1.1 200 OK\r\n" + signed + "X\tOdd: 1\r\nContent-Length: 25\r\n\r\n" + oneEvent,
+	"control byte in a name":         "HTTP/1.1 200 OK\r\n" + signed + "X\x01Odd: 1\r\nContent-Length: 25\r\n\r\n" + oneEvent,
+	"DEL in a name":                  "HTTP/1.1 200 OK\r\n" + signed + "X\x7fOdd: 1\r\nContent-Length: 25\r\n\r\n" + oneEvent,
+	"byte above ASCII in a name":     "HTTP/1.1 200 OK\r\n" + signed + "X\x80Odd: 1\r\nContent-Length: 25\r\n\r\n" + oneEvent,
+	"no name":                        "HTTP/1.1 200 OK\r\n" + signed + ": 1\r\nContent-Length: 25\r\n\r\n" + oneEvent,
+	"no colon":                       "HTTP/1.1 200 OK\r\n" + signed + "X-Odd\r\nContent-Length: 25\r\n\r\n" + oneEvent,
+	"control byte in a value":        "HTTP/1.1 200 OK\r\n" + signed + "X-Odd: \x01\r\nContent-Length: 25\r\n\r\n" + oneEvent,
+	"return in a value":              "HTTP/1.1 200 OK\r\n" + signed + "X-Odd: a\rb\r\nContent-Length: 25\r\n\r\n" + oneEvent,
+	"odd name in an interim answer":  "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
+}
+
 // expectFailed fails the test if a caller got anything but the node's own failure for an answer that isn't in the
 // protocol.
 func (s *site) expectFailed(got answer) {
@@ -339,6 +356,10 @@
 // protocol: those below 200 count as interim answers, and a second head behind them as the answer.
 func TestBrokenStatusLineIsNoAnswer(t *testing.T) { checkBrokenHeads(t, brokenStatusLines) }
 
+// TestBrokenFieldIsNoAnswer guards against names with blanks: net/http takes them as they are, so a length or an
+// encoding of the body isn't seen.
+func TestBrokenFieldIsNoAnswer(t *testing.T) { checkBrokenHeads(t, brokenFields) }
+
 // TestHeadThatIsCutIsNoAnswer guards against a worker that stops in the middle of a head and closes in order.
 func TestHeadThatIsCutIsNoAnswer(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\n" + signed + "Content-Type: text/event-stream\r\nContent-Length: 25\r\n\r\n"
