httphead: an encoding in an HTTP/1.0 answer leaves its body without an end

Callers saw: a 200 whose body was the raw chunks, where a worker's answer was of HTTP/1.0 and had "Transfer-Encoding: chunked". Cause: net/http drops that field of HTTP/1.0 and reads an unframed body. RFC 9112, section 6.1: the framing is to be treated as faulty. Change: the raw head of an HTTP/1.0 answer is recorded while it is read, since the field is gone after that, and rejected if it has the field. Conclusion: heads are accepted by the grammar of the protocol, as far as a second statement of it can show.

--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -36,6 +37,9 @@
 	// left is how many bytes of the head may still come, and inHead tells that a head is read.
 	left   int
 	inHead bool
+	// recorded are the bytes that were received since record was called, if recording is set.
+	recorded  []byte
+	recording bool
 }
 
 // NewReader returns a reader of a connection with a buffer of that size.
@@ -59,9 +63,24 @@
 	}
 	count, err := r.inner.Read(buffer[:min(len(buffer), r.left)])
 	r.left -= count
+	if r.recording {
+		r.recorded = append(r.recorded, buffer[:count]...)
+	}
 	return count, err
 }
 
+// record begins to record what is consumed of r, which stop returns.
+func (r *Reader) record() {
+	buffered, _ := r.Peek(r.Buffered())
+	r.recorded, r.recording = bytes.Clone(buffered), true
+}
+
+func (r *Reader) stop() []byte {
+	consumed := r.recorded[:len(r.recorded)-r.Buffered()]
+	r.recorded, r.recording = nil, false
+	return consumed
+}
+
 // ReadHead reads the head of the answer to a request, of which method and header are used, and passes over interim
 // answers. The head has passed Check. The answer's body is read from r.
 func (r *Reader) ReadHead(request *http.Request) (*http.Response, error) {
@@ -88,7 +107,7 @@
 		return nil, err
 	}
 	timer := time.AfterFunc(headTimeout, func() { _ = r.inner.Close() })
-	response, err := http.ReadResponse(r.Reader, request)
+	response, err := r.parse(request)
 	switch {
 	case !timer.Stop():
 		return nil, ErrTooSlow
@@ -97,3 +116,19 @@
 	}
 	return response, err
 }
+
+// versionHTTP10 begins an answer of HTTP/1.0.
+const versionHTTP10 = "HTTP/1.0"
+
+func (r *Reader) parse(request *http.Request) (*http.Response, error) {
+	if version, _ := r.Peek(len(versionHTTP10)); string(version) != versionHTTP10 {
+		return http.ReadResponse(r.Reader, request)
+	}
+	r.record()
+	response, err := http.ReadResponse(r.Reader, request)
+	head := r.stop()
+	if err != nil {
+		return nil, err
+	}
+	return response, checkHTTP10(head)
+}
--- a/internal/httphead/syntax.go
+++ b/internal/httphead/syntax.go
@@ -1,6 +1,7 @@
 package httphead
 
 import (
+	"bytes"
 	"net/http"
 	"strings"
 
@@ -12,7 +13,8 @@
 	// minStatus and maxStatus bound the statuses of answers (RFC 9110, section 15).
 	minStatus, maxStatus = 100, 599
 
-	headerUpgrade = "Upgrade"
+	headerUpgrade          = "Upgrade"
+	headerTransferEncoding = "Transfer-Encoding"
 )
 
 // Check returns an error if the head of a response isn't one of an answer in HTTP/1 (RFC 9112), although net/http has
@@ -44,3 +46,17 @@
 	asked := response.Request.Header.Get(headerUpgrade)
 	return asked != "" && strings.EqualFold(asked, response.Header.Get(headerUpgrade))
 }
+
+var errHTTP10Encoding = eris.New("the answer is of HTTP/1.0 and has a Transfer-Encoding, so nothing tells where its body ends")
+
+// checkHTTP10 returns an error if the raw head of an HTTP/1.0 answer has a Transfer-Encoding (RFC 9112, section 6.1).
+// net/http drops that field, and takes the encoded body for the answer's.
+func checkHTTP10(head []byte) error {
+	for line := range bytes.Lines(head) {
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		if strings.EqualFold(string(bytes.TrimSpace(name)), headerTransferEncoding) {
+			return errHTTP10Encoding
+		}
+	}
+	return nil
+}
--- a/internal/lab/site/broken_test.go
+++ b/internal/lab/site/broken_test.go
@@ -317,6 +317,14 @@
 	"odd name in an interim answer":  "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + "Content-Length: 25\r\n\r\n" + oneEvent,
 }
 
+// brokenFramings are answers whose head tells no framing of the protocol.
+var brokenFramings = map[string]string{
+	"two lengths":               "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: 25\r\nContent-Length: 6\r\n\r\n" + oneEvent,
+	"length with a sign":        "HTTP/1.1 200 OK\r\n" + signed + "Content-Length: +25\r\n\r\n" + oneEvent,
+	"unknown transfer encoding": "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: gzip\r\n\r\n" + oneEvent,
+	"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n19\r\n" + oneEvent + "\r\n0\r\n\r\n",
+}
+
 // expectFailed fails the test if a caller got anything but the node's own failure for an answer that isn't in the
 // protocol.
 func (s *site) expectFailed(got answer) {
@@ -360,6 +368,9 @@
 // encoding of the body isn't seen.
 func TestBrokenFieldIsNoAnswer(t *testing.T) { checkBrokenHeads(t, brokenFields) }
 
+// TestBrokenFramingIsNoAnswer guards against bodies that aren't the worker's, since their framing isn't understood.
+func TestBrokenFramingIsNoAnswer(t *testing.T) { checkBrokenHeads(t, brokenFramings) }
+
 // TestHeadThatIsCutIsNoAnswer guards against a worker that stops in the middle of a head and closes in order.
 func TestHeadThatIsCutIsNoAnswer(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\n" + signed + "Content-Type: text/event-stream\r\nContent-Length: 25\r\n\r\n"
