httphead: answers of the store, other nodes and engines pass the same check

Cause: only ReadHead called Check; these clients never see the raw head. Change: httphead.Transport wraps their transports, so that Check is the one rule for all. It also rejects an unframed body of HTTP/1.0, whose Transfer-Encoding net/http has dropped. The tools (cmd/tinarch, lab) keep net/http's clients. Evidence: TestTransportRejectsWhatIsNoAnswer, eight answers: without the wrapper the six that are none are taken, with it none; the two sound ones pass. Conclusion: no client of the daemon uses a head that Check hasn't passed.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/tinarch/tinarch/internal/httphead"
 	"github.com/tinarch/tinarch/internal/result"
 )
 
@@ -39,7 +40,7 @@
 		WriteBufferSize:     4 << 10,
 		ReadBufferSize:      4 << 10,
 	}
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{Transport: httphead.Transport(transport)}}
 }
 
 // Close closes idle connections.
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -8,6 +8,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 )
 
 // fixedConn is a connection on which fixed bytes come, and then its end.
@@ -91,3 +92,41 @@
 		}
 	}
 }
+
+func TestTransportRejectsWhatIsNoAnswer(t *testing.T) {
+	for content, isAnswer := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok":                 true,
+		"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok":                 false,
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok":     false,
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok":                false,
+		"HTTP/1.1 700 OK\r\nContent-Length: 2\r\n\r\nok":                 false,
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\nok":   false,
+		"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok":                 true,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": false,
+	} {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, content)
+			time.Sleep(10 * time.Millisecond)
+			_ = c.Close()
+		}()
+		client := http.Client{Transport: Transport(&http.Transport{})}
+		response, err := client.Get("http://" + listener.Addr().String())
+		if (err == nil) != isAnswer {
+			t.Errorf("%q: %v", content, err)
+		}
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		client.CloseIdleConnections()
+		_ = listener.Close()
+	}
+}
--- a/internal/httphead/syntax.go
+++ b/internal/httphead/syntax.go
@@ -47,7 +47,10 @@
 	return asked != "" && strings.EqualFold(asked, response.Header.Get(headerUpgrade))
 }
 
-var errHTTP10Encoding = eris.New("the answer is of HTTP/1.0 and has a Transfer-Encoding, so nothing tells where its body ends")
+var (
+	errHTTP10Encoding = eris.New("the answer is of HTTP/1.0 and has a Transfer-Encoding, so nothing tells where its body ends")
+	errHTTP10Unframed = eris.New("the answer is of HTTP/1.0 and has no Content-Length, so nothing tells where its body ends")
+)
 
 // checkHTTP10 returns an error if the raw head of an HTTP/1.0 answer has a Transfer-Encoding (RFC 9112, section 6.1).
 // net/http drops that field, and takes the encoded body for the answer's.
@@ -60,3 +63,33 @@
 	}
 	return nil
 }
+
+// Transport returns a transport whose responses have passed Check, and tell where their body ends: whether an
+// HTTP/1.0 answer had a Transfer-Encoding isn't known here, as net/http has dropped it.
+func Transport(inner http.RoundTripper) http.RoundTripper { return checkedTransport{inner} }
+
+type checkedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t checkedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.RoundTripper.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	err = Check(response)
+	if err == nil && request.Method != http.MethodHead && !response.ProtoAtLeast(1, 1) && response.ContentLength < 0 {
+		err = errHTTP10Unframed
+	}
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the idle connections of the inner transport, as http.Client expects.
+func (t checkedTransport) CloseIdleConnections() {
+	if closer, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
--- a/internal/platform/httpclient/httpclient.go
+++ b/internal/platform/httpclient/httpclient.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/tinarch/tinarch/internal/httphead"
 )
 
 const (
@@ -19,11 +21,11 @@
 func New(timeout time.Duration) *http.Client {
 	return &http.Client{
 		Timeout: timeout,
-		Transport: &http.Transport{
+		Transport: httphead.Transport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     idleTimeout,
 			TLSHandshakeTimeout: dialTimeout,
-		},
+		}),
 	}
 }
--- a/internal/tableshare/client.go
+++ b/internal/tableshare/client.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tinarch/tinarch/internal/httphead"
 	"github.com/tinarch/tinarch/internal/tablefeed"
 )
 
@@ -74,9 +75,9 @@
 func NewClient(fleet Fleet, server *Server, dial func(ctx context.Context, network, address string) (net.Conn, error), log *logrus.Logger) *Client {
 	return &Client{
 		fleet: fleet, server: server, log: log,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: httphead.Transport(&http.Transport{
 			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeader,
-		}},
+		})},
 	}
 }
 
