serving: a designated node that can't write the past steps back

Callers saw: all streams of a service refused for as long as the designated node didn't reach the store, if workers of a new software version took the place of the old ones meanwhile. Cause: streams begin only at versions that the store shows, and the designated node alone writes these. It stepped back only if it couldn't give an order to an engine; with nothing to order it stayed designated, though cut off. Change: it also steps back if it can't read or write the past, in the same way (Authority.StepBack), and resumes once the store answers it again.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -171,12 +171,19 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	status := a.acquire(ctx)
-	if status == StoreUnavailable && a.options.StepBack != nil {
-		a.options.StepBack(a.options.Life*11/10 + stepBackMargin)
+	if status == StoreUnavailable {
+		a.StepBack()
 	}
 	return status
 }
 
+// StepBack leaves the duties to other nodes until a lease that this node may hold has expired.
+func (a *Authority) StepBack() {
+	if a.options.StepBack != nil {
+		a.options.StepBack(a.options.Life*11/10 + stepBackMargin)
+	}
+}
+
 func (a *Authority) acquire(ctx context.Context) Status {
 	now := a.options.Clock()
 	if a.releasing {
--- a/internal/lab/linkcut/linkcut.go
+++ b/internal/lab/linkcut/linkcut.go
@@ -157,20 +157,23 @@
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) {
-		if len(callers) == 0 {
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-			return
-		}
-		program := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: sourceOffset}}
-		for i, caller := range callers {
-			address := caller.As4()
-			program = append(program, unix.SockFilter{
-				Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: uint8(len(callers) - i), K: binary.BigEndian.Uint32(address[:]),
-			})
-		}
-		const all = 0xffffffff
-		program = append(program, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: all}, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K})
-		_ = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
-	})
+	_ = raw.Control(func(fd uintptr) { filterDescriptor(int(fd), callers) })
+}
+
+// filterDescriptor makes the socket of a descriptor drop all packets from some callers.
+func filterDescriptor(fd int, callers []netip.Addr) {
+	if len(callers) == 0 {
+		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+		return
+	}
+	program := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS, K: sourceOffset}}
+	for i, caller := range callers {
+		address := caller.As4()
+		program = append(program, unix.SockFilter{
+			Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: uint8(len(callers) - i), K: binary.BigEndian.Uint32(address[:]),
+		})
+	}
+	const all = 0xffffffff
+	program = append(program, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: all}, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K})
+	_ = unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
 }
--- a/internal/lab/site/cut_test.go
+++ b/internal/lab/site/cut_test.go
@@ -44,11 +44,13 @@
 }
 
 // connectsFrom makes a node use an address of its own for workers and other nodes.
-func connectsFrom(number int) func(*settings.Routed) {
+func connectsFrom(number int) func(*settings.Routed) { return connectsFromAddress(outbound(number)) }
+
+func connectsFromAddress(address netip.Addr) func(*settings.Routed) {
 	return func(configured *settings.Routed) {
 		_, port, _ := net.SplitHostPort(configured.Listen.Exchange)
-		configured.Listen.Exchange = net.JoinHostPort(outbound(number).String(), port)
-		configured.Listen.Outbound = outbound(number).String()
+		configured.Listen.Exchange = net.JoinHostPort(address.String(), port)
+		configured.Listen.Outbound = address.String()
 	}
 }
 
--- a/internal/lab/site/killed_test.go
+++ b/internal/lab/site/killed_test.go
@@ -28,6 +28,9 @@
 	if address := os.Getenv(engineAddress); address != "" {
 		runEngine(address)
 	}
+	if encoded := os.Getenv(nodeSettings); encoded != "" {
+		runNode(encoded)
+	}
 	os.Exit(m.Run())
 }
 
--- a/internal/lab/site/software_test.go
+++ b/internal/lab/site/software_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -79,6 +80,8 @@
 	versions []string
 	events   int
 	status   int
+	// part is the part of the prompt that streams share, "aa" if it is empty.
+	part string
 }
 
 // begin sends a stream to a node and reads some of its events, all if count is zero.
@@ -101,7 +104,7 @@
 	request := s.requestAt(address, http.MethodPost, path, "")
 	request.Header.Set("X-Model", "m")
 	request.Header.Set("X-Token-Usage", "3000,20")
-	request.Header.Set("X-Prompt-Prefix", "aa:2000,"+request.Header.Get("X-Request-Id")+":1000")
+	request.Header.Set("X-Prompt-Prefix", cmp.Or(c.part, "aa")+":2000,"+request.Header.Get("X-Request-Id")+":1000")
 	if c.last != "" {
 		request.Header.Set("Last-Event-Id", c.last)
 	}
--- a/internal/serving/past.go
+++ b/internal/serving/past.go
@@ -40,6 +40,7 @@
 		}
 		if !writer.update(ctx) {
 			wait = keepPastBackoff
+			n.authority.StepBack() // new versions get no streams until another node has written
 		}
 	}
 }
