serving: a stream isn't sent to an engine that has left the list meanwhile

Cause: before a stream is sent, the engine is asked whether it is the one that was chosen. If the new entry was read between the choice and the question, the old incarnation wasn't listed any more, and the question was left out: the stream went to the new process, and its origin was recorded with the old version. Two choices in a row are enough, at any node; a node out of step isn't needed for it. Change: an incarnation that tells its start and isn't listed any more gets nothing (Verifier.IncarnationRequest returns an error). The request counts as not run, and another engine is chosen. Evidence: TestNoStreamIsJoinedAtANodeOutOfStep, 24 cases: a node cut off from the others, from the store or from both, or a process that stands still, designated or not, while engines join, join and leave, or restart under their names; streams taken up there meanwhile and after it, with and without the attempt that began them.

--- a/internal/lab/site/outofstep_test.go
+++ b/internal/lab/site/outofstep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -220,6 +221,14 @@
 	}
 }
 
+// retire removes the decode engines of a software version from the list.
+func (s *site) retire(version string) {
+	for _, name := range []string{"write-" + version + "-a", "write-" + version + "-b"} {
+		s.store.Put("servers", name, nil)
+		delete(s.workers, name)
+	}
+}
+
 // shown reports whether the store shows a software version to streams.
 func (s *site) shown(version string) bool {
 	rows := s.store.Rows("streams")
@@ -258,3 +267,87 @@
 		})
 	}
 }
+
+// TestNoStreamIsJoinedAtANodeOutOfStep guards against a node that takes its own old list of workers for proof that a
+// stream began at the version which it knows.
+func TestNoStreamIsJoinedAtANodeOutOfStep(t *testing.T) {
+	for _, by := range []misstep{cutFromNodes, cutFromStore, cutFromBoth, stopped} {
+		for _, designated := range []bool{false, true} {
+			for _, how := range []rolloutKind{versionJoins, versionJoinsAndLeaves, versionReplaces} {
+				t.Run(fmt.Sprintf("%s, designated %v, %s", by, designated, how), func(t *testing.T) {
+					t.Parallel()
+					playOutOfStep(t, by, designated, how)
+				})
+			}
+		}
+	}
+}
+
+// rolloutKind is how a new software version comes.
+type rolloutKind string
+
+const (
+	versionJoins          rolloutKind = "new engines join"
+	versionJoinsAndLeaves rolloutKind = "new engines join and leave"
+	versionReplaces       rolloutKind = "engines restart under their names"
+)
+
+func playOutOfStep(t *testing.T, by misstep, designated bool, how rolloutKind) {
+	s, odd := startInStep(t, by, designated)
+	before := s.beginAtVersion("v1")
+	s.takeUpAll(copies(before, false), odd.address, "/check/1") // the node asks the store
+	var taken sync.WaitGroup
+	for _, c := range copies(before, false) {
+		taken.Go(func() { s.read(c, odd.address, "/check/1", 1) })
+	}
+	odd.stop()
+	if how == versionReplaces {
+		s.upgrade("v1", "v2")
+	} else {
+		s.release("v2")
+	}
+	streams := s.beginAtVersion("v2")
+	if how == versionJoinsAndLeaves {
+		s.retire("v2")
+	}
+	begun := slices.Concat(streams, before)
+	during := slices.Concat(copies(begun, true), copies(begun, false))
+	later := slices.Concat(copies(begun, true), copies(begun, false))
+	for _, c := range during {
+		taken.Go(func() { s.read(c, odd.address, "/check/1", 1) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	odd.resume()
+	for _, c := range later {
+		taken.Go(func() { s.read(c, odd.address, "/check/1", 1) })
+	}
+	taken.Wait()
+	s.checkJoined(slices.Concat(during, later))
+	var served []*clientStream
+	if how != versionJoinsAndLeaves {
+		served = append(served, streams...)
+	}
+	if how != versionReplaces {
+		served = append(served, before...)
+	}
+	for _, c := range served {
+		s.await("the stream goes on", func() bool {
+			s.takeUp(c, odd.address, "/check/1")
+			return c.events >= 8
+		})
+	}
+	s.checkJoined(served)
+}
+
+// copies returns copies of streams, whose callers name the attempts that began them or not.
+func copies(streams []*clientStream, named bool) []*clientStream {
+	var all []*clientStream
+	for _, c := range streams {
+		copied := *c
+		if !named {
+			copied.first = ""
+		}
+		all = append(all, &copied)
+	}
+	return all
+}
--- a/internal/serving/incarnations.go
+++ b/internal/serving/incarnations.go
@@ -1,6 +1,8 @@
 package serving
 
 import (
+	"github.com/rotisserie/eris"
+
 	"github.com/tinarch/tinarch/internal/worker"
 	"github.com/tinarch/tinarch/internal/workerconn"
 )
@@ -10,15 +12,24 @@
 // software version.
 type incarnations struct{ node *Node }
 
+// errNotListed means that a worker has left the list since it was chosen. It may have started again under
+// its name, at another software version.
+var errNotListed = eris.New("the worker has left the list")
+
 // IncarnationRequest implements workerconn.Verifier.
-func (i incarnations) IncarnationRequest(key, address string) *workerconn.Request {
+func (i incarnations) IncarnationRequest(key, address string) (*workerconn.Request, error) {
 	known, listed := i.node.registry.Get(key)
-	if worker.BornOf(key) == 0 || !listed || known.Stage == worker.Opaque {
-		return nil
+	switch {
+	case worker.BornOf(key) == 0:
+		return nil, nil
+	case !listed:
+		return nil, errNotListed
+	case known.Stage == worker.Opaque:
+		return nil, nil
 	}
 	known.Address = address
 	i.node.exchange.CountTurn(key) // it arrives there like a request
-	return i.node.platform.StateRequest(known, "")
+	return i.node.platform.StateRequest(known, ""), nil
 }
 
 // IsIncarnation implements workerconn.Verifier. An answer that doesn't tell when the worker started
--- a/internal/workerconn/ownership_test.go
+++ b/internal/workerconn/ownership_test.go
@@ -232,8 +232,8 @@
 // anyIncarnation is a Verifier that accepts each answer.
 type anyIncarnation struct{}
 
-func (anyIncarnation) IncarnationRequest(string, string) *Request {
-	return &Request{Method: http.MethodGet, Target: "/state", Host: "h"}
+func (anyIncarnation) IncarnationRequest(string, string) (*Request, error) {
+	return &Request{Method: http.MethodGet, Target: "/state", Host: "h"}, nil
 }
 
 func (anyIncarnation) IsIncarnation(string, int, []byte) bool { return true }
--- a/internal/workerconn/verify.go
+++ b/internal/workerconn/verify.go
@@ -12,8 +12,9 @@
 // Verifier tells incarnations of workers apart that have the same name and address.
 type Verifier interface {
 	// IncarnationRequest returns the request that asks a worker for its incarnation, nil if the
-	// worker doesn't tell it. It is called just before the request is sent.
-	IncarnationRequest(key, address string) *Request
+	// worker doesn't tell it. It is called just before the request is sent. An error means that the
+	// incarnation isn't in use any more.
+	IncarnationRequest(key, address string) (*Request, error)
 	// IsIncarnation reports whether an answer to it can be that of the incarnation.
 	IsIncarnation(key string, status int, body []byte) bool
 }
@@ -38,9 +39,9 @@
 	if !request.Verify || c.verified || p.verifier == nil {
 		return nil
 	}
-	question := p.verifier.IncarnationRequest(key, address)
-	if question == nil {
-		return nil
+	question, err := p.verifier.IncarnationRequest(key, address)
+	if question == nil || err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
--- a/spec/resumption.pml
+++ b/spec/resumption.pml
@@ -22,6 +22,7 @@
  *   BEGIN_UNSHOWN   B begins a stream at a version that the store doesn't show
  *   OLD_ERA         A relies on what was written before a restore, or soon after it
  *   NO_VERIFY       a worker's incarnation isn't verified before a stream is sent
+ *   SKIP_UNLISTED   the incarnation isn't verified if it has left the list since the worker was chosen
  */
 #define NONE 2
 #define VERSIONS 2
@@ -33,7 +34,8 @@
 bool wasShown[VERSIONS];        /* at some time */
 bool restored = false;
 byte changes = 0;
-bool reborn = false;            /* workers of version 0 run version 1, unlisted */
+bool reborn = false;            /* workers of version 0 run version 1 */
+bool relisted = false;          /* and their entries say so */
 
 /* Node A. */
 byte known = NONE;
@@ -47,7 +49,13 @@
 /* The version that a worker writes which is taken for one of a version, NONE if it is left out. */
 inline actual(version, result) {
     if
-    :: version == 0 && reborn ->
+    :: version == 0 && relisted ->
+#ifdef SKIP_UNLISTED
+       result = 1
+#else
+       result = NONE
+#endif
+    :: version == 0 && reborn && !relisted ->
 #ifdef NO_VERIFY
        result = 1
 #else
@@ -65,8 +73,8 @@
     :: atomic { changes < MAX_CHANGES && listed[1] -> listed[1] = false; changes++ }
     :: atomic { changes < MAX_CHANGES && listed[0] -> listed[0] = false; changes++ }
     :: atomic { listed[0] && !reborn -> reborn = true }
-    :: atomic { reborn && changes < MAX_CHANGES ->     /* its entry says so */
-        listed[0] = false; listed[1] = true; wasListed[1] = true; changes++; reborn = false }
+    :: atomic { reborn && !relisted && changes < MAX_CHANGES ->
+        listed[0] = false; listed[1] = true; wasListed[1] = true; changes++; relisted = true }
     :: takenUp -> break
     od
 }
