--- a/internal/lab/fleetstore/store.go
+++ b/internal/lab/fleetstore/store.go
@@ -199,12 +199,19 @@
 // Put writes a row as the operator or a worker does, and returns its version. A nil value
 // removes the row.
 func (s *Store) Put(table, key string, value any) uint64 {
-	row := Row{Table: table, Key: key}
 	if value == nil {
-		row.Gone = true
-	} else {
-		row.Value, _ = json.Marshal(value)
+		return s.put(Row{Table: table, Key: key, Gone: true})
 	}
+	encoded, _ := json.Marshal(value)
+	return s.put(Row{Table: table, Key: key, Value: encoded})
+}
+
+// PutBytes writes a row whose value may be none of the table's, as another writer does.
+func (s *Store) PutBytes(table, key string, value []byte) uint64 {
+	return s.put(Row{Table: table, Key: key, Value: value})
+}
+
+func (s *Store) put(row Row) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.write([]Row{row})
--- a/internal/tableshare/tableshare_test.go
+++ b/internal/tableshare/tableshare_test.go
@@ -140,7 +140,8 @@
 }
 
 func TestRowsSurvivePacking(t *testing.T) {
-	rows := append(testRows(3), tablefeed.Row{Key: "binary", Value: []byte{0xff, 0}, Version: 7}, tablefeed.Row{Key: "gone", Version: 9, Gone: true})
+	rows := append(testRows(3), tablefeed.Row{Key: "binary", Value: []byte{0xff, 0}, Version: 7}, tablefeed.Row{Key: "gone", Version: 9, Gone: true},
+		tablefeed.Row{Key: "nested", Value: bytes.Repeat([]byte("["), 100_000), Version: 10})
 	packed, err := pack(rows)
 	if err != nil {
 		t.Fatal(err)
