httphead: a trailer whose names aren't tokens makes an answer broken

Callers saw: a whole answer, ended in order, behind whose last chunk came a trailer that isn't in the protocol. Cause: net/http takes blanks in the names of trailers as it does in heads. Change: the body of an answer in chunks ends in order only if its trailer passes CheckTrailer, which has the rule of Check for names. Chunks that are cut, or whose sizes or trailers net/http rejects, were errors before and stay so. Conclusion: the end of a body is held to the same rule as its head.

--- a/internal/httphead/syntax.go
+++ b/internal/httphead/syntax.go
@@ -30,7 +30,14 @@
 	case status == http.StatusSwitchingProtocols && !isAskedUpgrade(response):
 		return eris.New("the answer switches to a protocol that wasn't asked for")
 	}
-	for name := range response.Header {
+	return checkNames(response.Header)
+}
+
+// CheckTrailer is Check for the trailer of a response, which is known once its body has been read to io.EOF.
+func CheckTrailer(response *http.Response) error { return checkNames(response.Trailer) }
+
+func checkNames(fields http.Header) error {
+	for name := range fields {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return eris.Errorf("the answer has a field with the name %.80q, which is no token", name)
 		}
--- a/internal/lab/site/broken_test.go
+++ b/internal/lab/site/broken_test.go
@@ -325,6 +325,24 @@
 	"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n19\r\n" + oneEvent + "\r\n0\r\n\r\n",
 }
 
+// chunkedHead is the head of an answer whose trailer is declared by nobody.
+const chunkedHead = "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding: chunked\r\n\r\n"
+
+// brokenChunks are bodies in chunks whose end isn't in the protocol.
+var brokenChunks = map[string]string{
+	"no last chunk":                 "19\r\n" + oneEvent + "\r\n",
+	"cut behind the last chunk":     "19\r\n" + oneEvent + "\r\n0\r\n",
+	"cut in the trailer":            "19\r\n" + oneEvent + "\r\n0\r\nX-Sum: 1\r\n",
+	"size with a sign":              "+19\r\n" + oneEvent + "\r\n0\r\n\r\n",
+	"no size":                       "\r\n" + oneEvent + "\r\n0\r\n\r\n",
+	"chunk longer than its size":    "18\r\n" + oneEvent + "\r\n0\r\n\r\n",
+	"blank in a trailer's name":     "19\r\n" + oneEvent + "\r\n0\r\nX Odd: 1\r\n\r\n",
+	"blank behind a trailer's name": "19\r\n" + oneEvent + "\r\n0\r\nX-Sum : 1\r\n\r\n",
+	"control byte in a trailer":     "19\r\n" + oneEvent + "\r\n0\r\nX-Sum: \x01\r\n\r\n",
+	"trailer without a colon":       "19\r\n" + oneEvent + "\r\n0\r\nX-Sum\r\n\r\n",
+	"bytes for a trailer":           "19\r\n" + oneEvent + "\r\n0\r\n\x00\xff\r\n\r\n",
+}
+
 // expectFailed fails the test if a caller got anything but the node's own failure for an answer that isn't in the
 // protocol.
 func (s *site) expectFailed(got answer) {
@@ -371,6 +389,24 @@
 // TestBrokenFramingIsNoAnswer guards against bodies that aren't the worker's, since their framing isn't understood.
 func TestBrokenFramingIsNoAnswer(t *testing.T) { checkBrokenHeads(t, brokenFramings) }
 
+// TestBrokenChunksAreNoSuccess guards against bodies whose last chunk or trailer isn't in the protocol.
+func TestBrokenChunksAreNoSuccess(t *testing.T) {
+	for _, by := range reaches {
+		t.Run(string(by), func(t *testing.T) {
+			t.Parallel()
+			s, w := startRaw(t, by)
+			for name, chunks := range brokenChunks {
+				for _, path := range routesOfEachKind {
+					w.answer(rawAnswer{bytes: chunkedHead + chunks, readBytes: 1})
+					if got := s.askRaw(w, path, "x"); got.status != http.StatusBadGateway && got.readErr == nil {
+						t.Errorf("%s, %s: the caller got %d, %v, %q", name, path, got.status, got.header, got.body)
+					}
+				}
+			}
+		})
+	}
+}
+
 // TestHeadThatIsCutIsNoAnswer guards against a worker that stops in the middle of a head and closes in order.
 func TestHeadThatIsCutIsNoAnswer(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\n" + signed + "Content-Type: text/event-stream\r\nContent-Length: 25\r\n\r\n"
--- a/internal/workerconn/pool.go
+++ b/internal/workerconn/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/tinarch/tinarch/internal/clock"
+	"github.com/tinarch/tinarch/internal/httphead"
 	"github.com/tinarch/tinarch/internal/links"
 	"github.com/tinarch/tinarch/internal/tcpstate"
 	"github.com/tinarch/tinarch/internal/tunnel"
@@ -429,6 +430,9 @@
 	case b.framing == Unframed:
 		return count, ErrUnproved
 	}
+	if err := httphead.CheckTrailer(b.response); err != nil {
+		return count, err
+	}
 	b.complete = true
 	return count, io.EOF
 }
