--- a/cmd/tinarch-lab/soak.go
+++ b/cmd/tinarch-lab/soak.go
@@ -25,6 +25,7 @@
 	Parts    bool   `arg:"--parts" help:"one caller sends requests that share a part of their prompts, which crashes each worker that runs it, and nothing else"`
 	Crowds   bool   `arg:"--crowds" help:"all callers come to one node for some seconds, again and again"`
 	Unending bool   `arg:"--unending" help:"some workers answer with bytes without end, and the memory of the nodes is checked"`
+	Broken   bool   `arg:"--broken" help:"some workers send answers that aren't in the protocol, and other writers leave odd entries; whether callers get them, and whether nodes end by themselves, is checked"`
 	Limits   bool   `arg:"--limits" help:"workers state a limit of requests, and the requests that they get are checked against it"`
 	Notices  bool   `arg:"--notices" help:"workers announce that they are about to end, or ask for a pause, and the requests that they get are checked"`
 	Storms   bool   `arg:"--storms" help:"the configuration changes in quick succession while the store rejects a share of the nodes, and the time until each node has it is checked; with odd seeds it is too large for a datagram"`
@@ -78,7 +79,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Program: c.Program, Directory: directory, Seed: seed, Length: time.Duration(c.Seconds * float64(time.Second)), Out: out,
-		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Parts: c.Parts, Crowds: c.Crowds, Unending: c.Unending, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Restores: c.Restores, Handovers: c.Handover, Uneven: c.Uneven, Overload: c.Overload, Unframed: c.Unframed, Cuts: c.Cuts, Versions: c.Versions, Ends: c.Ends, Nodes: c.Nodes, Earlier: c.Earlier,
+		Unfenced: c.Unfenced, Quotas: c.Quotas, Poison: c.Poison, Parts: c.Parts, Crowds: c.Crowds, Unending: c.Unending, Broken: c.Broken, Limits: c.Limits, Notices: c.Notices, Storms: c.Storms, Restores: c.Restores, Handovers: c.Handover, Uneven: c.Uneven, Overload: c.Overload, Unframed: c.Unframed, Cuts: c.Cuts, Versions: c.Versions, Ends: c.Ends, Nodes: c.Nodes, Earlier: c.Earlier,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,8 +37,15 @@
 	process *exec.Cmd
 	exited  chan struct{}
 	runs    []run
+	panics  atomic.Int64
 }
 
+// panicked is the exit code of a Go program that ends by a panic or a fatal error of the runtime.
+const panicked = 2
+
+// Panics returns how many incarnations have ended by a panic or a fatal error.
+func (n *Node) Panics() int { return int(n.panics.Load()) }
+
 // run is one incarnation of a node.
 type run struct {
 	at      time.Time
@@ -129,6 +137,9 @@
 	exited := make(chan struct{})
 	go func() {
 		_ = process.Wait()
+		if process.ProcessState.ExitCode() == panicked {
+			n.panics.Add(1)
+		}
 		_ = log.Close()
 		close(exited)
 	}()
--- a/internal/lab/soak/harm.go
+++ b/internal/lab/soak/harm.go
@@ -57,6 +57,9 @@
 	if s.options.Unending {
 		kinds = append(kinds, s.sendWithoutEnd, s.sendWithoutEnd, s.sendWithoutEnd, s.sendWithoutEnd)
 	}
+	if s.options.Broken {
+		kinds = append(kinds, s.sendBroken, s.sendBroken, s.sendBroken, s.sendBroken, s.sendBroken, s.sendBroken)
+	}
 	if s.options.Limits {
 		kinds = append(kinds, s.changeLimit, s.changeLimit, s.changeLimit, s.changeLimit)
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -48,6 +48,9 @@
 	Crowds bool
 	// Unending adds workers that answer with bytes without end, and checks the memory of the nodes.
 	Unending bool
+	// Broken adds workers whose answers aren't in the protocol, and entries that name no worker, and checks that no
+	// caller gets such an answer and that no node ends by itself.
+	Broken bool
 	// Limits makes workers state rate limits, and checks how many requests reach them.
 	Limits bool
 	// Notices makes workers announce that they are about to end or ask for a backoff, and
@@ -230,6 +233,9 @@
 	if used := <-memoryUsed; options.Unending {
 		report.Broken = append(report.Broken, used.violations()...)
 	}
+	if options.Broken {
+		report.Broken = append(report.Broken, s.brokenViolations(load.all())...)
+	}
 	report.Windows = len(s.api.Reports())
 	if report.Windows == 0 {
 		report.Broken = append(report.Broken, "no usage window was reported")
--- a/internal/lab/soak/unending.go
+++ b/internal/lab/soak/unending.go
@@ -24,28 +24,50 @@
 
 // sendWithoutEnd lists, for a time, an engine that answers each request with bytes without end.
 func (s *site) sendWithoutEnd(ctx context.Context, length time.Duration) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	begin := unendingAnswers[s.random.IntN(len(unendingAnswers))]
+	id, err := s.listRaw(ctx, length, engines, func(c net.Conn) { sendUnending(c, begin) })
 	if err != nil {
 		return err.Error()
 	}
-	begin := unendingAnswers[s.random.IntN(len(unendingAnswers))]
-	id := fmt.Sprintf("unending-%d", time.Now().UnixNano())
+	return fmt.Sprintf("%s sends %q and no end for %v", id, begin, length)
+}
+
+func sendUnending(c net.Conn, begin string) {
+	block := bytes.Repeat([]byte("x"), 1<<16)
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		return
+	}
+	_, err := c.Write([]byte(begin))
+	for err == nil {
+		_, err = c.Write(block)
+	}
+}
+
+// listRaw lists, for a time, a worker of a service that serves each connection with a function, and returns its id.
+func (s *site) listRaw(ctx context.Context, length time.Duration, service string, serve func(net.Conn)) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	id := fmt.Sprintf("raw-%d", time.Now().UnixNano())
 	entry := map[string]any{
-		"Service": engines, "Address": listener.Addr().String(), "Zone": "a", "Version": "v1", "Slots": 8, "State": "ready",
-		"ColdRemainingMs": 0, "Seq": 1, "Stage": "decode", "Models": []map[string]any{{"Name": "m", "Version": 1}},
+		"Service": service, "Address": listener.Addr().String(), "Zone": "a", "Version": "v1", "Slots": 8, "State": "ready",
+		"ColdRemainingMs": 0, "Seq": 1,
+	}
+	if service == engines {
+		entry["Stage"], entry["Models"] = "decode", []map[string]any{{"Name": "m", "Version": 1}}
 	}
 	s.store.Put("servers", id, entry)
-	go acceptUnending(listener, begin)
+	go acceptRaw(listener, serve)
 	go func() {
 		sleep(ctx, length)
 		s.store.Put("servers", id, nil)
 		_ = listener.Close()
 	}()
-	return fmt.Sprintf("%s sends %q and no end for %v", id, begin, length)
+	return id, nil
 }
 
-func acceptUnending(listener net.Listener, begin string) {
-	block := bytes.Repeat([]byte("x"), 1<<16)
+func acceptRaw(listener net.Listener, serve func(net.Conn)) {
 	for {
 		c, err := listener.Accept()
 		if err != nil {
@@ -54,13 +76,7 @@
 		go func() {
 			defer func() { _ = c.Close() }()
 			_ = c.SetDeadline(time.Now().Add(clientTimeout))
-			if _, err := c.Read(make([]byte, 1)); err != nil {
-				return
-			}
-			_, err := c.Write([]byte(begin))
-			for err == nil {
-				_, err = c.Write(block)
-			}
+			serve(c)
 		}()
 	}
 }
--- a/test.sh
+++ b/test.sh
@@ -41,7 +41,7 @@
 known_red=$(tools/known-red.sh)
 go test -race -timeout 8m ${known_red:+-skip "$known_red"} ./...
 
-say "a short fault soak of real processes, thirteen seeds"
+say "a short fault soak of real processes, fourteen seeds"
 programs=$(mktemp -d)
 trap 'rm -rf "$programs"' EXIT
 go build -o "$programs/" ./cmd/tinarchd ./cmd/tinarch-lab
@@ -65,3 +65,4 @@
 soak 72001 --seconds 15 --versions
 soak 75002 --seconds 15 --parts --crowds --unending
 soak 85001 --seconds 12 --versions --ends
+soak 91001 --seconds 12 --broken --unframed
