--- a/internal/lab/site/outofstep_test.go
+++ b/internal/lab/site/outofstep_test.go
@@ -56,35 +56,35 @@
 	stop, resume func()
 }
 
-// misstep is a way to fall out of step.
-type misstep string
+// isolation is a way to fall out of step.
+type isolation string
 
 const (
-	cutFromNodes misstep = "cut off from the other nodes"
-	cutFromStore misstep = "cut off from the store"
-	cutFromBoth  misstep = "cut off from the other nodes and the store"
-	stopped      misstep = "standing still"
+	cutFromNodes isolation = "cut off from the other nodes"
+	cutFromStore isolation = "cut off from the store"
+	cutFromBoth  isolation = "cut off from the other nodes and the store"
+	paused       isolation = "paused"
 )
 
-// startInStep starts two nodes and a straggler before engines of v1. Unless it is to be stopped, the straggler is
+// startWithStraggler starts two nodes and a straggler before engines of v1. Unless it is to be paused, the straggler is
 // designated or not as wanted.
-func startInStep(t *testing.T, by misstep, designated bool) (*site, *straggler) {
+func startWithStraggler(t *testing.T, by isolation, designated bool) (*site, *straggler) {
 	t.Helper()
 	s := newSite(t)
 	s.addWorker(fleetworker.Options{ID: "read-1", Service: llm, Stage: "prefill", Software: "v1"})
 	s.release("v1")
 	s.store.Put("op", "config", versionsConfiguration(1))
-	addresses := stepAddresses()
+	addresses := nodeAddresses()
 	links := []*soak.Proxy{s.startStoreLink()}
-	s.startStepNode(addresses[0], links[0])
+	s.startLinkedNode(addresses[0], links[0])
 	links = append(links, s.startStoreLink())
-	s.startStepNode(addresses[1], links[1])
+	s.startLinkedNode(addresses[1], links[1])
 	var odd *straggler
-	if by == stopped {
-		odd = s.startStoppable(addresses[2])
+	if by == paused {
+		odd = s.startPausable(addresses[2])
 	} else {
 		links = append(links, s.startStoreLink())
-		s.startStepNode(addresses[2], links[2])
+		s.startLinkedNode(addresses[2], links[2])
 	}
 	for _, other := range s.others {
 		s.await("all nodes know each other", func() bool { return other.node.Nodes() == 3 && other.node.Workers() == len(s.workers) })
@@ -96,12 +96,12 @@
 	return s, odd
 }
 
-// stepSites counts the sites of this process, whose nodes have addresses of their own: cuts tell nodes apart
+// stragglerSites counts the sites of this process, whose nodes have addresses of their own: cuts tell nodes apart
 // by them.
-var stepSites atomic.Uint32
+var stragglerSites atomic.Uint32
 
-func stepAddresses() linkcut.Nodes {
-	number := stepSites.Add(1)
+func nodeAddresses() linkcut.Nodes {
+	number := stragglerSites.Add(1)
 	address := func(last byte) netip.Addr { return netip.AddrFrom4([4]byte{127, 1, byte(number), last}) }
 	return linkcut.Nodes{address(1), address(2), address(3)}
 }
@@ -117,22 +117,22 @@
 	return link
 }
 
-func stepSettings(address netip.Addr, store string) func(*settings.Routed) {
+func linkedSettings(address netip.Addr, store string) func(*settings.Routed) {
 	return func(configured *settings.Routed) {
 		connectsFromAddress(address)(configured)
 		configured.Node.FirstStart, configured.Store.Address = true, store
 	}
 }
 
-func (s *site) startStepNode(address netip.Addr, link *soak.Proxy) {
+func (s *site) startLinkedNode(address netip.Addr, link *soak.Proxy) {
 	s.t.Helper()
-	node, callers := s.startNode("node-"+address.String(), stepSettings(address, link.Address()))
+	node, callers := s.startNode("node-"+address.String(), linkedSettings(address, link.Address()))
 	s.others = append(s.others, &otherNode{node, callers})
 	s.await("the node is ready", node.Ready)
 }
 
 // chooseStraggler makes one of the nodes the straggler, and leaves the others in s.others.
-func (s *site) chooseStraggler(by misstep, designated bool, addresses linkcut.Nodes, links []*soak.Proxy) *straggler {
+func (s *site) chooseStraggler(by isolation, designated bool, addresses linkcut.Nodes, links []*soak.Proxy) *straggler {
 	s.t.Helper()
 	at := -1
 	s.await("one node is designated", func() bool {
@@ -157,15 +157,15 @@
 	return &straggler{address: chosen.address, stop: cut, resume: restore}
 }
 
-// startStoppable starts the straggler as a process of its own.
-func (s *site) startStoppable(address netip.Addr) *straggler {
+// startPausable starts the straggler as a process of its own.
+func (s *site) startPausable(address netip.Addr) *straggler {
 	s.t.Helper()
 	configured := settings.DefaultRouted()
 	configured.Node = settings.RoutedNode{Name: "straggler", Zone: "a"}
 	configured.Listen = settings.RoutedListen{
 		Callers: freePort(s.t), Readiness: freePort(s.t), Exchange: freePort(s.t), Metrics: freePort(s.t),
 	}
-	stepSettings(address, s.store.Address())(&configured)
+	linkedSettings(address, s.store.Address())(&configured)
 	encoded, err := json.Marshal(configured)
 	if err != nil {
 		s.t.Fatal(err)
@@ -257,10 +257,10 @@
 // TestStreamsBeginAtANewVersionWhileTheDesignatedNodeIsOutOfStep guards against a designated node that can't write to
 // the store and stays designated, so that a version without recorded streams gets none.
 func TestStreamsBeginAtANewVersionWhileTheDesignatedNodeIsOutOfStep(t *testing.T) {
-	for _, by := range []misstep{cutFromNodes, cutFromStore, cutFromBoth} {
+	for _, by := range []isolation{cutFromNodes, cutFromStore, cutFromBoth} {
 		t.Run(string(by), func(t *testing.T) {
 			t.Parallel()
-			s, odd := startInStep(t, by, true)
+			s, odd := startWithStraggler(t, by, true)
 			odd.stop()
 			s.upgrade("v1", "v2")
 			s.beginAtVersion("v2")
@@ -271,7 +271,7 @@
 // TestNoStreamIsJoinedAtANodeOutOfStep guards against a node that takes its own old list of workers for proof that a
 // stream began at the version which it knows.
 func TestNoStreamIsJoinedAtANodeOutOfStep(t *testing.T) {
-	for _, by := range []misstep{cutFromNodes, cutFromStore, cutFromBoth, stopped} {
+	for _, by := range []isolation{cutFromNodes, cutFromStore, cutFromBoth, paused} {
 		for _, designated := range []bool{false, true} {
 			for _, how := range []rolloutKind{versionJoins, versionJoinsAndLeaves, versionReplaces} {
 				t.Run(fmt.Sprintf("%s, designated %v, %s", by, designated, how), func(t *testing.T) {
@@ -292,8 +292,8 @@
 	versionReplaces       rolloutKind = "engines restart under their names"
 )
 
-func playOutOfStep(t *testing.T, by misstep, designated bool, how rolloutKind) {
-	s, odd := startInStep(t, by, designated)
+func playOutOfStep(t *testing.T, by isolation, designated bool, how rolloutKind) {
+	s, odd := startWithStraggler(t, by, designated)
 	before := s.beginAtVersion("v1")
 	s.takeUpAll(copies(before, false), odd.address, "/check/1") // the node asks the store
 	var taken sync.WaitGroup
